Workspace, shared types and traits, interfaces between crates

Cause: work is to go side by side, so identifiers, messages and the seams between decision crates and drivers have to stand first.

--- /dev/null
+++ b/crates/wingshore-client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the replicated groups.
--- /dev/null
+++ b/crates/wingshore-consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log as a pure state machine.
--- /dev/null
+++ b/crates/wingshore-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control group: configuration, plans and orders.
--- /dev/null
+++ b/crates/wingshore-diagnostics/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log ring in memory and its dump.
--- /dev/null
+++ b/crates/wingshore-group/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hosts one replicated state machine on one replica.
--- /dev/null
+++ b/crates/wingshore-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Proof harness: stand-ins, fleet, simulator, benchmarks.
--- /dev/null
+++ b/crates/wingshore-lab/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point of the `wingshore-lab` program.
+fn main() {}
--- /dev/null
+++ b/crates/wingshore-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Ledger groups: samples and idempotency claims.
--- /dev/null
+++ b/crates/wingshore-replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! Driver of the replica role.
--- /dev/null
+++ b/crates/wingshore-rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs leased samples on engines: a pure state machine.
--- /dev/null
+++ b/crates/wingshore-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, limits, retries and rollout execution.
--- /dev/null
+++ b/crates/wingshore-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files: parsing and checking.
--- /dev/null
+++ b/crates/wingshore-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, snapshots and identity.
--- /dev/null
+++ b/crates/wingshore-transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed postcard messages over TCP.
--- /dev/null
+++ b/crates/wingshore-types/src/generator.rs
@@ -0,0 +1,35 @@
+//! The arithmetic token function that stand-in engines generate by.
+//!
+//! It lives here, and not with the stand-ins, only so that checkers of any crate's tests can
+//! recompute which version made which token. No production code calls it.
+
+use crate::ids::WeightVersion;
+use crate::sample::Token;
+
+/// Vocabulary size of the stand-in model.
+pub const VOCABULARY: u32 = 1 << 24;
+
+/// The token at `position` of the generation for `prompt_hash` and `seed`, made by `version`.
+pub fn token_at(prompt_hash: u64, seed: u64, position: u32, version: WeightVersion) -> Token {
+    let mixed = mix(prompt_hash ^ mix(seed) ^ mix(u64::from(position) << 32 | version.0));
+    (mixed % u64::from(VOCABULARY)) as Token
+}
+
+/// Hash of prompt tokens (FNV-1a over their bytes).
+pub fn hash_tokens(tokens: &[Token]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    tokens
+        .iter()
+        .flat_map(|token| token.to_le_bytes())
+        .fold(OFFSET, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+        })
+}
+
+/// Finaliser of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/wingshore-types/src/ids.rs
@@ -0,0 +1,182 @@
+//! Identifiers as newtypes, so that one kind is never taken for another.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// Declares a cheap-to-clone name chosen by people.
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps a name as it is; the settings parser checks its spelling.
+            pub fn new(name: &str) -> Self {
+                Self(Arc::from(name))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+    };
+}
+
+/// Declares a number that stands for one thing.
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}", self.0)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// A node process, beside one caller.
+    NodeId
+}
+name_type! {
+    /// A back end: a model engine or a live server.
+    ServerId
+}
+name_type! {
+    /// A zone: machines that share a building or a fault.
+    ZoneId
+}
+name_type! {
+    /// A rollout pool: a model, its engines, its trainer and its bounds.
+    PoolId
+}
+name_type! {
+    /// A set of interchangeable back ends.
+    ServiceId
+}
+name_type! {
+    /// A trainer bound to a pool.
+    TrainerId
+}
+
+number_type! {
+    /// One member of replicated groups, bound to one data folder for life.
+    /// Formatted members are numbered from 1; a member that joins later draws a random
+    /// identity above `u32::MAX`.
+    ReplicaId(u64)
+}
+number_type! {
+    /// Position of an entry in a replicated log, from 1; 0 is "before the first".
+    LogIndex(u64)
+}
+number_type! {
+    /// A sample's number, chosen by the trainer, unique within its pool.
+    SampleNumber(u64)
+}
+number_type! {
+    /// A trainer's step, from 0, grows by one.
+    StepId(u64)
+}
+number_type! {
+    /// A published weight version; grows with each publication of a pool.
+    WeightVersion(u64)
+}
+number_type! {
+    /// The number of committed configuration changes; one per change.
+    Revision(u64)
+}
+number_type! {
+    /// One leadership of the control group (its consensus term).
+    Epoch(u64)
+}
+number_type! {
+    /// Position of an order within an epoch.
+    OrderSequence(u64)
+}
+number_type! {
+    /// A plan, numbered by the control group.
+    PlanId(u64)
+}
+number_type! {
+    /// One grant of one sample to one node; also the fence for its reports.
+    LeaseId(u64)
+}
+number_type! {
+    /// A request between wingshore processes, unique on its connection.
+    RequestId(u64)
+}
+
+/// A client-drawn identity of an intent (128 random bits); a resend carries the same.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct IntentId(pub u128);
+
+impl fmt::Display for IntentId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for IntentId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "IntentId({self})")
+    }
+}
+
+/// A sample: its pool and its number within the pool.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SampleId {
+    /// The pool the sample belongs to.
+    pub pool: PoolId,
+    /// The trainer's number for it.
+    pub number: SampleNumber,
+}
+
+impl fmt::Display for SampleId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.pool, self.number)
+    }
+}
+
+/// A replicated group. Each has its own log, leader and members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum GroupId {
+    /// Configuration, plans, orders and epochs.
+    Control,
+    /// Samples of one pool (or of one shard of a pool).
+    Ledger(u16),
+    /// Idempotency keys, sharded by hash of the key.
+    Claims(u16),
+}
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Control => formatter.write_str("control"),
+            Self::Ledger(shard) => write!(formatter, "ledger-{shard}"),
+            Self::Claims(shard) => write!(formatter, "claims-{shard}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-types/src/log.rs
@@ -0,0 +1,53 @@
+//! What the replicated log asks of durable storage, as plain data.
+
+use crate::ids::LogIndex;
+use serde::{Deserialize, Serialize};
+
+/// One log entry as it stands on disk; the payload's format belongs to the consensus crate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Its position.
+    pub index: LogIndex,
+    /// The leadership that wrote it.
+    pub term: u64,
+    /// The encoded payload.
+    pub data: Vec<u8>,
+}
+
+/// A snapshot as it stands on disk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredSnapshot {
+    /// The last entry it contains.
+    pub index: LogIndex,
+    /// That entry's term.
+    pub term: u64,
+    /// Membership and state, encoded by the group crate.
+    pub data: Vec<u8>,
+}
+
+/// Changes to durable storage. They are made in the order of the fields, and all of them are
+/// durable when the write is reported as persisted; a crash may leave any prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WriteBatch {
+    /// Replaces the hard state (term and vote), encoded by the consensus crate.
+    pub hard_state: Option<Vec<u8>>,
+    /// Replaces the snapshot.
+    pub snapshot: Option<StoredSnapshot>,
+    /// Removes the records from this index on.
+    pub truncate_from: Option<LogIndex>,
+    /// Adds records; the first one follows the last one kept.
+    pub append: Vec<LogRecord>,
+    /// Lets records up to this index go; they are covered by a durable snapshot.
+    pub discard_through: Option<LogIndex>,
+}
+
+/// What a start finds on disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RecoveredLog {
+    /// The hard state, when one was ever written.
+    pub hard_state: Option<Vec<u8>>,
+    /// The snapshot, when one was ever written.
+    pub snapshot: Option<StoredSnapshot>,
+    /// Records in order, without gaps.
+    pub records: Vec<LogRecord>,
+}
--- /dev/null
+++ b/crates/wingshore-types/src/machine.rs
@@ -0,0 +1,137 @@
+//! Traits of replicated state machines: what is replicated, and what only a leader does.
+//!
+//! Neither reads a clock, opens a socket or a file, or draws randomness of its own: the
+//! production drivers and the simulator drive the same code.
+
+use crate::ids::{Epoch, LogIndex};
+use crate::time::Instant;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A state machine that takes inputs and pushes outputs.
+pub trait Machine {
+    /// What it reacts to.
+    type Input;
+    /// What it wants done.
+    type Output;
+    /// Handles one input at `now`, pushing what follows from it.
+    fn step(&mut self, now: Instant, input: Self::Input, out: &mut Vec<Self::Output>);
+}
+
+/// Why a snapshot could not be restored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RestoreError {
+    /// What is wrong with the bytes.
+    pub message: String,
+}
+
+/// The replicated part: the same commands in the same order give the same state and replies on
+/// every member. Times come inside commands.
+pub trait ReplicatedState: Sized {
+    /// A change of state, as it stands in the log.
+    type Command: Serialize + DeserializeOwned + Clone;
+    /// What the change answers.
+    type Reply: Clone;
+
+    /// Applies the committed command at `index`. Must be deterministic and must not panic.
+    fn apply(&mut self, index: LogIndex, command: Self::Command) -> Self::Reply;
+    /// The whole state as bytes.
+    fn snapshot(&self) -> Vec<u8>;
+    /// The state that [`ReplicatedState::snapshot`] wrote.
+    ///
+    /// # Errors
+    /// When the bytes are not a snapshot of this format version.
+    fn restore(bytes: &[u8]) -> Result<Self, RestoreError>;
+}
+
+/// Names one client request within one leader's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestTag(pub u64);
+
+/// Names one proposal within one leader's memory; chosen by the leader machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProposalTag(pub u64);
+
+/// What a leader machine wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaderOutput<C, R, E> {
+    /// Append a command to the log; [`LeaderMachine::on_applied`] follows once it is applied.
+    Propose {
+        /// Comes back with the reply.
+        tag: ProposalTag,
+        /// The command.
+        command: C,
+    },
+    /// Answer a request. The host releases it only while the quorum lease is held, so an answer
+    /// is never given by a leader that was cut off.
+    Reply {
+        /// Which request.
+        tag: RequestTag,
+        /// The answer.
+        reply: R,
+    },
+    /// Something outside the group, for instance an order to an engine; released like a reply.
+    Effect(E),
+}
+
+/// The outputs of the leader machine `L`.
+pub type LeaderOutputs<L> = Vec<
+    LeaderOutput<
+        <<L as LeaderMachine>::State as ReplicatedState>::Command,
+        <L as LeaderMachine>::Reply,
+        <L as LeaderMachine>::Effect,
+    >,
+>;
+
+/// The part that runs only on a leader. It is volatile: made anew at each leadership from the
+/// replicated state, so that a new leader continues from what was committed and nothing else.
+pub trait LeaderMachine: Sized {
+    /// The replicated part it proposes to.
+    type State: ReplicatedState;
+    /// A client's request.
+    type Request: Serialize + DeserializeOwned;
+    /// The answer to a request.
+    type Reply: Serialize + DeserializeOwned;
+    /// Something to do outside the group.
+    type Effect;
+    /// The result of an effect, or news from outside.
+    type Event;
+
+    /// Begins a leadership. Called once the new leader has applied an entry of its own term, so
+    /// that `state` holds all that was ever committed.
+    fn on_leadership(
+        &mut self,
+        now: Instant,
+        epoch: Epoch,
+        state: &Self::State,
+        out: &mut LeaderOutputs<Self>,
+    );
+    /// Handles a client's request; answers now or later under the same `tag`.
+    fn on_request(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        request: Self::Request,
+        state: &Self::State,
+        out: &mut LeaderOutputs<Self>,
+    );
+    /// One of its own proposals was applied.
+    fn on_applied(
+        &mut self,
+        now: Instant,
+        tag: ProposalTag,
+        reply: <Self::State as ReplicatedState>::Reply,
+        state: &Self::State,
+        out: &mut LeaderOutputs<Self>,
+    );
+    /// An effect's result, or news from outside.
+    fn on_event(
+        &mut self,
+        now: Instant,
+        event: Self::Event,
+        state: &Self::State,
+        out: &mut LeaderOutputs<Self>,
+    );
+    /// Called at least every 100 ms.
+    fn on_tick(&mut self, now: Instant, state: &Self::State, out: &mut LeaderOutputs<Self>);
+}
--- /dev/null
+++ b/crates/wingshore-types/src/protocol/mod.rs
@@ -0,0 +1,7 @@
+//! Requests between wingshore's own processes, carried as `postcard` frames.
+
+pub mod claims;
+pub mod control;
+pub mod ledger;
+pub mod membership;
+pub mod wire;
