--- a/crates/wingshore-routing/src/lib.rs
+++ b/crates/wingshore-routing/src/lib.rs
@@ -1,1 +1,19 @@
-//! Routing, limits, retries and rollout execution.
+//! Routing: which server takes a request, how much work a class may have in flight, and when an
+//! attempt may be repeated.
+//!
+//! [`Router`] is a state machine without I/O: it is told what was seen (configuration, machine
+//! list, probes, reports, ends of attempts) together with the time, and decides from that alone.
+//! The same seed and the same calls give the same decisions.
+
+mod faults;
+mod request;
+mod router;
+mod settings;
+
+pub use faults::Faults;
+pub use request::{
+    Admitted, AttemptOutcome, Class, OverGuarantee, ProbeKind, ProbeTarget, Refusal, RefusalCode,
+    RouteRequest, ServerView, Ticket,
+};
+pub use router::Router;
+pub use settings::RouterSettings;
