control: public API of the state machine and the leader machine

Neighbours need the types to build against: ControlState, ControlCommand, ControlLeader, ControlEffect, ControlEvent, OrderAnswer, LeaderSettings and Faults.

--- a/crates/wingshore-control/src/lib.rs
+++ b/crates/wingshore-control/src/lib.rs
@@ -1,1 +1,21 @@
-//! Control group: configuration, plans and orders.
+//! Control group: configuration, plans and orders to engines.
+//!
+//! [`ControlState`] is the replicated part: the configuration with its revisions, plans and how far
+//! each has come, first answers to intents. [`ControlLeader`] is the part that runs on the leader
+//! only: watches and configuration leases of nodes, execution of confirmed plans, fenced orders.
+//! Neither does I/O: what is to be done outside leaves as [`ControlEffect`], and what came of it
+//! returns as [`ControlEvent`].
+
+mod command;
+mod effect;
+mod faults;
+mod leader;
+mod settings;
+mod state;
+
+pub use command::{ControlCommand, StepResult};
+pub use effect::{ControlEffect, ControlEvent, OrderAnswer};
+pub use faults::Faults;
+pub use leader::ControlLeader;
+pub use settings::LeaderSettings;
+pub use state::ControlState;
