transport: frames, handshake, server, outgoing connections and peers

Cause: replicas, nodes and relays need one way to exchange frames. Ruled out: length checks after allocation (memory now follows the bytes that came), replies without keep-alive (a silently cut peer was never noticed). Change: header with magic, version, length and CRC-32; typed errors; bounded queue per connection with batched writes; Frame gains KeepAlive and Refused. Conclusion: API to build against.

--- a/crates/wingshore-transport/src/lib.rs
+++ b/crates/wingshore-transport/src/lib.rs
@@ -1,1 +1,26 @@
-//! Framed postcard messages over TCP.
+//! Framed `postcard` messages over TCP, between wingshore's own processes.
+//!
+//! A [`Server`] accepts connections and hands their frames to a [`FrameHandler`]. A
+//! [`Connection`] is an outgoing one; a [`Peer`] keeps one open to a replica for consensus
+//! messages. Both sides check version and site at the handshake, send [`Frame::KeepAlive`] on idle
+//! connections and close those that stay silent, so that a peer cut off silently is noticed.
+//!
+//! [`Frame::KeepAlive`]: wingshore_types::protocol::wire::Frame::KeepAlive
+
+mod codec;
+mod connection;
+mod error;
+mod handshake;
+mod outgoing;
+mod peer;
+mod queue;
+mod server;
+
+pub use codec::{
+    Header, MAX_FRAME_BYTES, MAX_HELLO_BYTES, decode_body, decode_header, encode, read_frame,
+};
+pub use connection::{ConnectionHandle, ConnectionId, FrameHandler, IDLE_LIMIT};
+pub use error::{BindError, ConnectError, FrameError, SendError};
+pub use outgoing::{ConnectOptions, Connection};
+pub use peer::{Peer, PeerOptions};
+pub use server::{Server, ServerOptions};
--- /dev/null
+++ b/crates/wingshore-transport/src/peer.rs
@@ -0,0 +1,189 @@
+//! A connection to a replica that is opened again whenever it is lost.
+
+use crate::connection::{ConnectionHandle, FrameHandler};
+use crate::error::{ConnectError, ThreadSnafu};
+use crate::outgoing::{ConnectOptions, Connection};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use wingshore_types::protocol::wire::Frame;
+use wingshore_types::{GroupId, ReplicaId};
+
+/// Longest time until a TCP connection stands.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after the first failed attempt; doubles with each further one.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Longest pause between attempts.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Which replica to hold a connection to.
+#[derive(Clone, Debug)]
+pub struct PeerOptions {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Who must listen there; a replica that came back under another identity is another member.
+    pub expected: Option<ReplicaId>,
+    /// The site of both.
+    pub site: String,
+    /// This process's identity.
+    pub replica: Option<ReplicaId>,
+    /// Seed of the jitter between attempts.
+    pub seed: u64,
+}
+
+/// An outgoing connection to a replica that reconnects by itself. Consensus frames are dropped
+/// while it is down or its queue is full, since consensus sends again by itself. Dropping the peer
+/// stops it.
+#[derive(Debug)]
+pub struct Peer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    stopping: bool,
+    current: Option<ConnectionHandle>,
+    last_error: Option<String>,
+}
+
+impl Peer {
+    /// Starts connecting in the background.
+    ///
+    /// # Errors
+    /// When no thread can be started.
+    pub fn start(options: PeerOptions) -> Result<Self, ConnectError> {
+        let shared = Arc::new(Shared::default());
+        let address = options.address;
+        let running = Arc::clone(&shared);
+        let thread = thread::Builder::new()
+            .name("peer-connect".to_owned())
+            .spawn(move || running.keep_connected(&options))
+            .context(ThreadSnafu)?;
+        Ok(Self {
+            shared,
+            address,
+            thread: Some(thread),
+        })
+    }
+
+    /// Where the replica listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the connection stands now.
+    pub fn is_connected(&self) -> bool {
+        self.shared.lock().current.is_some()
+    }
+
+    /// Why the last attempt to connect failed; `None` while connected.
+    pub fn last_error(&self) -> Option<String> {
+        self.shared.lock().last_error.clone()
+    }
+
+    /// Queues a consensus message; returns whether it was queued rather than dropped.
+    pub fn send_consensus(&self, group: GroupId, message: Vec<u8>) -> bool {
+        self.send(&Frame::Consensus { group, message })
+    }
+
+    /// Queues any frame; returns whether it was queued rather than dropped.
+    pub fn send(&self, frame: &Frame) -> bool {
+        let current = self.shared.lock().current.clone();
+        current.is_some_and(|connection| connection.send(frame).is_ok())
+    }
+
+    /// Closes the connection and waits for its threads.
+    pub fn stop(&mut self) {
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        self.shared.lock().stopping = true;
+        self.shared.changed.notify_all();
+        // A panicked thread has no connection left to wait for.
+        let _ = thread.join();
+    }
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn keep_connected(self: &Arc<Self>, options: &PeerOptions) {
+        let mut generator = StdRng::seed_from_u64(options.seed);
+        let mut backoff = FIRST_BACKOFF;
+        let connect_options = ConnectOptions {
+            site: options.site.clone(),
+            replica: options.replica,
+            expected: options.expected,
+            timeout: CONNECT_TIMEOUT,
+        };
+        while !self.lock().stopping {
+            let handler = Arc::new(ConnectionWatch(Arc::clone(self)));
+            match Connection::open(options.address, &connect_options, handler) {
+                Ok(connection) => {
+                    self.hold(&connection);
+                    backoff = FIRST_BACKOFF;
+                }
+                Err(error) => self.lock().last_error = Some(error.to_string()),
+            }
+            self.pause(backoff.mul_f64(generator.random_range(0.5..1.0)));
+            backoff = (backoff * 2).min(LONGEST_BACKOFF);
+        }
+    }
+
+    /// Offers the connection to senders until it is lost or the peer stops.
+    fn hold(&self, connection: &Connection) {
+        let mut state = self.lock();
+        state.current = Some(connection.handle().clone());
+        state.last_error = None;
+        let mut state = self
+            .changed
+            .wait_while(state, |state| !state.stopping && !connection.is_closed())
+            .unwrap_or_else(PoisonError::into_inner);
+        state.current = None;
+    }
+
+    fn pause(&self, duration: Duration) {
+        let state = self.lock();
+        let waited = self
+            .changed
+            .wait_timeout_while(state, duration, |state| !state.stopping);
+        drop(waited);
+    }
+}
+
+/// Wakes the connecting thread once its connection is lost.
+struct ConnectionWatch(Arc<Shared>);
+
+impl FrameHandler for ConnectionWatch {
+    fn on_frame(&self, _connection: &ConnectionHandle, _frame: Frame) {
+        // Replicas answer consensus messages over their own peer connections.
+    }
+
+    fn on_closed(&self, _connection: &ConnectionHandle) {
+        // Taking the lock orders this after a check of the closed flag that is under way.
+        drop(self.0.lock());
+        self.0.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/wingshore-transport/src/queue.rs
@@ -0,0 +1,120 @@
+//! The bounded queue between the threads that send frames and a connection's writer.
+
+use crate::error::SendError;
+use std::collections::VecDeque;
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Most frames that wait for the writer.
+const MAX_QUEUED_FRAMES: usize = 16_384;
+
+/// Most bytes that wait for the writer; a single frame may always wait alone.
+const MAX_QUEUED_BYTES: usize = 64 << 20;
+
+/// Most bytes that one write hands to the socket, except for a single larger frame.
+const MAX_BATCH_BYTES: usize = 256 << 10;
+
+/// What the writer is to do next.
+#[derive(Debug)]
+pub(crate) enum NextWrite {
+    /// Write these bytes: whole frames.
+    Bytes(Vec<u8>),
+    /// Nothing came within the time.
+    Idle,
+    /// Nothing more will come.
+    Finished,
+}
+
+/// Encoded frames on their way to the writer.
+#[derive(Debug, Default)]
+pub(crate) struct OutboundQueue {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    frames: VecDeque<Vec<u8>>,
+    bytes: usize,
+    finished: bool,
+}
+
+impl OutboundQueue {
+    /// Adds a frame's bytes without waiting.
+    pub(crate) fn push(&self, frame: Vec<u8>) -> Result<(), SendError> {
+        let mut state = self.lock();
+        if state.finished {
+            return Err(SendError::NotConnected);
+        }
+        if state.is_full_for(frame.len()) {
+            return Err(SendError::QueueFull);
+        }
+        state.bytes += frame.len();
+        state.frames.push_back(frame);
+        if state.frames.len() == 1 {
+            self.changed.notify_one();
+        }
+        Ok(())
+    }
+
+    /// Takes what waits, as much as one write should carry; waits at most `timeout` for it.
+    pub(crate) fn take(&self, timeout: Duration) -> NextWrite {
+        let state = self.lock();
+        let (mut state, _) = self
+            .changed
+            .wait_timeout_while(state, timeout, |state| {
+                state.frames.is_empty() && !state.finished
+            })
+            .unwrap_or_else(PoisonError::into_inner);
+        match state.take_batch() {
+            Some(bytes) => NextWrite::Bytes(bytes),
+            None if state.finished => NextWrite::Finished,
+            None => NextWrite::Idle,
+        }
+    }
+
+    /// Takes no more frames; those that wait are still written.
+    pub(crate) fn finish(&self) {
+        self.lock().finished = true;
+        self.changed.notify_all();
+    }
+
+    /// Takes no more frames and drops those that wait.
+    pub(crate) fn abort(&self) {
+        let mut state = self.lock();
+        state.finished = true;
+        state.frames.clear();
+        state.bytes = 0;
+        self.changed.notify_all();
+    }
+
+    pub(crate) fn is_finished(&self) -> bool {
+        self.lock().finished
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn is_full_for(&self, length: usize) -> bool {
+        let has_frames = !self.frames.is_empty();
+        let too_many = self.frames.len() >= MAX_QUEUED_FRAMES;
+        let too_large = self.bytes + length > MAX_QUEUED_BYTES;
+        has_frames && (too_many || too_large)
+    }
+
+    fn take_batch(&mut self) -> Option<Vec<u8>> {
+        let mut batch = self.frames.pop_front()?;
+        while let Some(next) = self.frames.front() {
+            if batch.len() + next.len() > MAX_BATCH_BYTES {
+                break;
+            }
+            batch.extend_from_slice(next);
+            self.frames.pop_front();
+        }
+        self.bytes = self.bytes.saturating_sub(batch.len());
+        Some(batch)
+    }
+}
--- a/crates/wingshore-types/src/protocol/wire.rs
+++ b/crates/wingshore-types/src/protocol/wire.rs
@@ -22,6 +22,32 @@
     pub replica: Option<ReplicaId>,
 }
 
+/// Why a process refuses a connection at the handshake.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConnectionRefusal {
+    /// The two sides speak different formats.
+    WrongVersion {
+        /// The refusing side's [`WIRE_VERSION`].
+        ours: u16,
+        /// The other side's.
+        theirs: u16,
+    },
+    /// The two sides belong to different sites.
+    WrongSite {
+        /// The refusing side's site.
+        ours: String,
+        /// The other side's.
+        theirs: String,
+    },
+    /// The refusing side holds as many connections as it may.
+    TooManyConnections {
+        /// How many it may hold.
+        limit: u32,
+    },
+    /// The first frame was not a [`Hello`].
+    NoHello,
+}
+
 /// What a request asks of a group.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum GroupRequest {
@@ -92,4 +118,9 @@
         /// The message.
         message: Vec<u8>,
     },
+    /// Nothing to say: sent on an idle connection, so that a peer that was cut off silently is
+    /// noticed. Needs no answer.
+    KeepAlive,
+    /// Sent instead of a [`Hello`] before the connection is closed.
+    Refused(ConnectionRefusal),
 }
