Public interface of the group host and the consensus settings

Cause: the replica driver and the simulator build against Host; they need its types before the machines behind it are done. Ruled out: a Host whose step returns a reply at once; replies must wait for commits, so they come as outputs under the request's tag. No test exists yet. Conclusion: neighbours can compile against it; the bodies follow.

--- /dev/null
+++ b/crates/wingshore-group/src/interface.rs
@@ -0,0 +1,188 @@
+//! What a host takes and gives.
+
+use snafu::Snafu;
+use wingshore_consensus::{ConfigError, Faults, Limits, Timing};
+use wingshore_types::log::WriteBatch;
+use wingshore_types::machine::{LeaderMachine, RequestTag};
+use wingshore_types::protocol::membership::{Membership, MembershipReply, MembershipRequest};
+use wingshore_types::{Epoch, LogIndex, ReplicaId};
+
+/// Settings of one hosted group.
+#[derive(Clone, Debug)]
+pub struct HostConfig {
+    /// Who this replica is.
+    pub id: ReplicaId,
+    /// The founding members; set only where the data folder was formatted as one of them.
+    pub bootstrap: Option<Membership>,
+    /// Seeds the election timeouts; differs between members.
+    pub seed: u64,
+    /// Timing of elections and leases.
+    pub timing: Timing,
+    /// Limits of messages between members.
+    pub limits: Limits,
+    /// A snapshot is taken when this many bytes of log were applied since the last one.
+    pub snapshot_every_bytes: u64,
+    /// Deliberate faults; all off outside tests.
+    pub faults: Faults,
+}
+
+impl HostConfig {
+    /// Bytes of applied log between snapshots, unless set otherwise.
+    pub const DEFAULT_SNAPSHOT_EVERY_BYTES: u64 = 8 * 1024 * 1024;
+
+    /// Settings with the usual timing and limits.
+    pub fn new(id: ReplicaId, bootstrap: Option<Membership>, seed: u64) -> Self {
+        Self {
+            id,
+            bootstrap,
+            seed,
+            timing: Timing::default(),
+            limits: Limits::default(),
+            snapshot_every_bytes: Self::DEFAULT_SNAPSHOT_EVERY_BYTES,
+            faults: Faults::default(),
+        }
+    }
+}
+
+/// What a host reacts to.
+pub enum HostInput<L: LeaderMachine> {
+    /// Time has passed; wanted at the latest at [`crate::Host::next_tick`].
+    Tick,
+    /// A message of another member.
+    Consensus {
+        /// The sender.
+        from: ReplicaId,
+        /// The message, as [`HostOutput::Send`] gave it there.
+        message: Vec<u8>,
+    },
+    /// A client's request.
+    Request {
+        /// Comes back with the reply; unique within this host's life.
+        tag: RequestTag,
+        /// What is asked.
+        request: L::Request,
+    },
+    /// A request about the group's members.
+    Membership {
+        /// Comes back with the reply; unique within this host's life, also among client requests.
+        tag: RequestTag,
+        /// What is asked.
+        request: MembershipRequest,
+    },
+    /// The result of an effect, or news from outside; dropped unless this replica leads.
+    Event(L::Event),
+    /// The write with this token, and all before it, are durable.
+    Persisted {
+        /// Of [`HostOutput::Write`].
+        token: u64,
+    },
+    /// Planned stop: takes no more requests, finishes what is proposed, hands leadership over,
+    /// then gives [`HostOutput::Stopped`].
+    Stop,
+}
+
+/// What a host wants done.
+pub enum HostOutput<L: LeaderMachine> {
+    /// Send a message to another member. Messages may be lost, repeated and reordered.
+    Send {
+        /// The receiver.
+        to: ReplicaId,
+        /// The message.
+        message: Vec<u8>,
+    },
+    /// Make a batch durable, then feed [`HostInput::Persisted`]. At most one is under way.
+    Write {
+        /// Names the write; grows.
+        token: u64,
+        /// What to write.
+        batch: WriteBatch,
+    },
+    /// Answer a request.
+    Reply {
+        /// Which request.
+        tag: RequestTag,
+        /// The answer.
+        reply: HostReply<L::Reply>,
+    },
+    /// Do something outside the group.
+    Effect(L::Effect),
+    /// The members are these now; connections to them may be needed.
+    MembershipChanged(Membership),
+    /// Leadership as this replica sees it has changed.
+    Leadership(Leadership),
+    /// The planned stop is done.
+    Stopped,
+    /// The host cannot go on: the process must end. It ignores all later inputs.
+    Failed(HostError),
+}
+
+/// Answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HostReply<R> {
+    /// From the leader machine.
+    Reply(R),
+    /// To a request about members.
+    Membership(MembershipReply),
+    /// Not the leader, or a leader without a lease: the request has had no effect here.
+    NotLeader {
+        /// The leader, when one is known.
+        leader: Option<ReplicaId>,
+    },
+    /// Leadership or the lease was lost meanwhile: the request may or may not take effect.
+    Unknown,
+}
+
+/// Leadership as one replica sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leadership {
+    /// This replica leads and its leader machine runs.
+    Leading {
+        /// The leadership.
+        epoch: Epoch,
+    },
+    /// Another replica leads, or none is known to.
+    Following {
+        /// The leader, when one is known.
+        leader: Option<ReplicaId>,
+    },
+}
+
+/// Why a host cannot start or go on.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum HostError {
+    /// A setting does not fit.
+    #[snafu(display("consensus settings: {source}"))]
+    Config {
+        /// Which.
+        source: ConfigError,
+    },
+    /// What storage recovered cannot be used.
+    #[snafu(display("the recovered log cannot be used: {message}"))]
+    Recovery {
+        /// What is wrong.
+        message: String,
+    },
+    /// A snapshot could not be restored.
+    #[snafu(display("the snapshot at index {index} cannot be restored: {message}"))]
+    Restore {
+        /// The last entry it contains.
+        index: LogIndex,
+        /// What is wrong.
+        message: String,
+    },
+    /// A committed command is not of a format this program knows.
+    #[snafu(display("the committed command at index {index} cannot be decoded: {message}"))]
+    Command {
+        /// The entry.
+        index: LogIndex,
+        /// What is wrong.
+        message: String,
+    },
+    /// A value could not be encoded.
+    #[snafu(display("encoding failed: {message}"))]
+    Encode {
+        /// What is wrong.
+        message: String,
+    },
+}
--- a/crates/wingshore-group/src/lib.rs
+++ b/crates/wingshore-group/src/lib.rs
@@ -1,1 +1,12 @@
 //! Hosts one replicated state machine on one replica.
+//!
+//! [`Host`] owns the replicated log ([`wingshore_consensus::Raft`]), the replicated state and,
+//! while this replica leads, the leader machine. It does no I/O: drivers and simulators feed it
+//! [`HostInput`]s and carry out its [`HostOutput`]s.
+
+mod host;
+mod interface;
+
+pub use host::Host;
+pub use interface::{HostConfig, HostError, HostInput, HostOutput, HostReply, Leadership};
+pub use wingshore_consensus::{Faults, Limits, Timing};
