--- /dev/null
+++ b/crates/wingshore-request/src/specification.rs
@@ -0,0 +1,83 @@
+//! What is to be executed: a parsed request and its limits.
+
+use std::time::Duration;
+use wingshore_routing::RouteRequest;
+use wingshore_types::GroupId;
+use wingshore_types::protocol::claims::{ClaimKey, Claimant};
+
+/// The claim that a request with an idempotency key makes before its first byte leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimIntent {
+    /// The group that holds the key.
+    pub group: GroupId,
+    /// The key.
+    pub key: ClaimKey,
+    /// Hash of method, path and body.
+    pub fingerprint: u64,
+    /// This execution, unique for all time.
+    pub claimant: Claimant,
+}
+
+/// One caller's request, parsed and valid.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestSpecification {
+    /// Service, class, deadline and whether it may be repeated. A request with a claim is never
+    /// repeated, whatever this says.
+    pub route: RouteRequest,
+    /// The claim, when the caller gave an idempotency key.
+    pub claim: Option<ClaimIntent>,
+}
+
+impl RequestSpecification {
+    /// Whether it must run at most once.
+    pub fn is_at_most_once(&self) -> bool {
+        self.route.no_repeat || self.claim.is_some()
+    }
+}
+
+/// Limits of one execution.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExecutionLimits {
+    /// Most attempts, the first one included.
+    pub attempts: u32,
+    /// Longest time to wait for a free slot before the request is refused.
+    pub slot_wait: Duration,
+    /// Time between two looks for a free slot.
+    pub slot_poll: Duration,
+    /// Pause before the second attempt; doubles with each further one.
+    pub backoff: Duration,
+}
+
+impl Default for ExecutionLimits {
+    fn default() -> Self {
+        Self {
+            attempts: 3,
+            slot_wait: Duration::from_millis(100),
+            slot_poll: Duration::from_millis(5),
+            backoff: Duration::from_millis(5),
+        }
+    }
+}
+
+/// The claims group that holds `key` when keys are spread over `shards` groups.
+pub fn claims_group(key: &ClaimKey, shards: u16) -> GroupId {
+    let hash = fnv1a(
+        key.service
+            .as_bytes()
+            .iter()
+            .chain([&0])
+            .chain(key.key.as_bytes()),
+    );
+    let shard = hash % u64::from(shards.max(1));
+    // The remainder is below a u16.
+    GroupId::Claims(shard as u16)
+}
+
+/// FNV-1a, which every node computes alike.
+fn fnv1a<'a>(bytes: impl Iterator<Item = &'a u8>) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
+    })
+}
