Settings with all errors at once; log ring and stop signal

Cause: drivers need typed settings and diagnostics before they can be written. Ruled out: plain serde into structs, because it stops at the first error and loses lines; a located TOML tree read key by key names every fault.

--- a/crates/wingshore-settings/src/lib.rs
+++ b/crates/wingshore-settings/src/lib.rs
@@ -1,1 +1,93 @@
-//! Settings files: parsing and checking.
+//! Settings files: TOML, checked whole, all errors at once.
+//!
+//! Every error names the file, line and key, what was found and what is allowed. Durations
+//! (`"250ms"`) and sizes (`"16MiB"`) carry their units. A role's settings may be overridden by
+//! flags through [`Overrides`].
+
+mod document;
+mod error;
+mod node;
+mod reader;
+mod relay;
+mod replica;
+mod site;
+mod units;
+
+pub use error::{SettingsError, SettingsErrors};
+pub use node::{
+    HttpSettings, NodeSettings, RolloutSettings, RoutingSettings, WithoutLease, node_from_text,
+};
+pub use relay::{RelaySettings, relay_from_text};
+pub use replica::{
+    FoundingMember, OrderSettings, ReplicaSettings, TimingSettings, replica_from_text,
+};
+pub use site::{SiteFile, site_from_text};
+
+use document::Document;
+use error::ErrorSink;
+
+/// What flags may say instead of the file; flags go first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Overrides {
+    /// Instead of `name`.
+    pub name: Option<String>,
+    /// Instead of `zone`.
+    pub zone: Option<String>,
+    /// Instead of `listen`.
+    pub listen: Option<String>,
+    /// Instead of `data`.
+    pub data: Option<String>,
+}
+
+/// The settings of one process, or a site's configuration file.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnySettings {
+    /// `role = "replica"`.
+    Replica(Box<ReplicaSettings>),
+    /// `role = "relay"`.
+    Relay(Box<RelaySettings>),
+    /// `role = "node"`.
+    Node(Box<NodeSettings>),
+    /// `role = "site"`.
+    Site(Box<SiteFile>),
+}
+
+/// Parses any settings file by its `role` key.
+///
+/// # Errors
+/// All that is wrong with the file.
+pub fn any_from_text(file: &str, text: &str) -> Result<AnySettings, SettingsErrors> {
+    const ROLES: &[(&str, Role)] = &[
+        ("replica", Role::Replica),
+        ("relay", Role::Relay),
+        ("node", Role::Node),
+        ("site", Role::Site),
+    ];
+    let none = Overrides::default();
+    let sink = ErrorSink::new(file);
+    let role = Document::parse(text, &sink).and_then(|document| {
+        let reader = document.reader(&sink);
+        reader.required_choice("role", ROLES)
+    });
+    match role {
+        Some(Role::Replica) => {
+            replica_from_text(file, text, &none).map(|s| AnySettings::Replica(Box::new(s)))
+        }
+        Some(Role::Relay) => {
+            relay_from_text(file, text, &none).map(|s| AnySettings::Relay(Box::new(s)))
+        }
+        Some(Role::Node) => {
+            node_from_text(file, text, &none).map(|s| AnySettings::Node(Box::new(s)))
+        }
+        Some(Role::Site) => site_from_text(file, text).map(|s| AnySettings::Site(Box::new(s))),
+        None => Err(sink.into_errors()),
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Role {
+    Replica,
+    Relay,
+    Node,
+    Site,
+}
--- /dev/null
+++ b/crates/wingshore-settings/src/node.rs
@@ -0,0 +1,283 @@
+//! Settings of the node role.
+
+use crate::document::Document;
+use crate::error::{ErrorSink, SettingsErrors};
+use crate::reader::TableReader;
+use crate::replica::LOG_LINES;
+use crate::units::{DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
+use crate::{Overrides, relay};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use wingshore_types::configuration::Permille;
+use wingshore_types::{NodeId, PoolId, ZoneId};
+
+/// Settings of one node process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// The site's name.
+    pub site: String,
+    /// This node; unique at the site.
+    pub node: NodeId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Where callers reach it; it stands beside its caller, so usually on loopback.
+    pub listen: SocketAddr,
+    /// Replicas; at least one.
+    pub replicas: Vec<SocketAddr>,
+    /// Relays to watch the configuration through; empty watches the replicas.
+    pub relays: Vec<SocketAddr>,
+    /// The platform's machine list; absent does without.
+    pub machine_list: Option<SocketAddr>,
+    /// Between readings of the machine list. Default 1s, 100ms to 60s.
+    pub machine_list_poll: Duration,
+    /// Number of claims groups of the site. Default 1, 1 to 64.
+    pub claims_groups: u16,
+    /// What the node does when its configuration lease has run out.
+    pub without_lease: WithoutLease,
+    /// How long a planned stop waits for what runs. Default 30s, 0s to 1h.
+    pub stop_grace: Duration,
+    /// The HTTP edge.
+    pub http: HttpSettings,
+    /// Choice of back ends.
+    pub routing: RoutingSettings,
+    /// Rollouts run by this node.
+    pub rollout: RolloutSettings,
+    /// Folder that the log ring is written to; absent is standard error.
+    pub dump_folder: Option<PathBuf>,
+    /// Lines kept in the log ring. Default 4096, 64 to 1,000,000.
+    pub log_lines: usize,
+}
+
+/// What a node does when its configuration lease has run out: it may then act on a configuration
+/// that is no longer in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WithoutLease {
+    /// Takes no new requests: keeps the promise that a change is in force everywhere.
+    Refuse,
+    /// Goes on by the last configuration: keeps serving when the control group is unreachable.
+    Serve,
+}
+
+/// The HTTP edge of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpSettings {
+    /// Threads that serve requests. Default 64, 1 to 4096.
+    pub workers: usize,
+    /// Largest body of a request. Default 16MiB, 1KiB to 1GiB.
+    pub max_request_body: u64,
+    /// Largest buffered body of an answer. Default 64MiB, 1KiB to 1GiB.
+    pub max_answer_body: u64,
+}
+
+/// Choice of back ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoutingSettings {
+    /// Servers compared for each choice. Default 2, 1 to 8.
+    pub choices: usize,
+    /// Servers of each service that this node uses and polls. Default 40, 1 to 1000.
+    pub subset: usize,
+    /// Between polls of one server. Default 500ms, 50ms to 60s.
+    pub probe_interval: Duration,
+    /// After which a poll has failed. Default 1s, 20ms to 60s.
+    pub probe_timeout: Duration,
+    /// Retries allowed, in thousandths of requests. Default 200, 0 to 1000.
+    pub retry_budget: Permille,
+    /// Most servers of a service ejected as failing. Default 500 thousandths, 0 to 1000.
+    pub max_ejected: Permille,
+}
+
+/// Rollouts run by a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutSettings {
+    /// Pools whose samples it leases; empty runs none.
+    pub pools: Vec<PoolId>,
+    /// Most samples being generated at once. Default 64, 1 to 4096.
+    pub max_streams: usize,
+    /// Most samples being scored at once. Default 16, 1 to 1024.
+    pub max_scorings: usize,
+    /// Whether a straggler is tried on a second engine. Default true.
+    pub over_issue: bool,
+}
+
+const MACHINE_LIST_POLL: DurationSetting = DurationSetting {
+    key: "machine_list_poll",
+    default: Duration::from_secs(1),
+    minimum: Duration::from_millis(100),
+    maximum: Duration::from_secs(60),
+};
+const CLAIMS_GROUPS: IntegerSetting = IntegerSetting {
+    key: "claims_groups",
+    default: 1,
+    minimum: 1,
+    maximum: 64,
+};
+const STOP_GRACE: DurationSetting = DurationSetting {
+    key: "stop_grace",
+    default: Duration::from_secs(30),
+    minimum: Duration::ZERO,
+    maximum: Duration::from_secs(3600),
+};
+const WORKERS: IntegerSetting = IntegerSetting {
+    key: "workers",
+    default: 64,
+    minimum: 1,
+    maximum: 4096,
+};
+const MAX_REQUEST_BODY: SizeSetting = SizeSetting {
+    key: "max_request_body",
+    default: 16 * MIB,
+    minimum: KIB,
+    maximum: GIB,
+};
+const MAX_ANSWER_BODY: SizeSetting = SizeSetting {
+    key: "max_answer_body",
+    default: 64 * MIB,
+    minimum: KIB,
+    maximum: GIB,
+};
+const CHOICES: IntegerSetting = IntegerSetting {
+    key: "choices",
+    default: 2,
+    minimum: 1,
+    maximum: 8,
+};
+const SUBSET: IntegerSetting = IntegerSetting {
+    key: "subset",
+    default: 40,
+    minimum: 1,
+    maximum: 1000,
+};
+const PROBE_INTERVAL: DurationSetting = DurationSetting {
+    key: "probe_interval",
+    default: Duration::from_millis(500),
+    minimum: Duration::from_millis(50),
+    maximum: Duration::from_secs(60),
+};
+const PROBE_TIMEOUT: DurationSetting = DurationSetting {
+    key: "probe_timeout",
+    default: Duration::from_secs(1),
+    minimum: Duration::from_millis(20),
+    maximum: Duration::from_secs(60),
+};
+const RETRY_BUDGET: IntegerSetting = IntegerSetting {
+    key: "retry_budget",
+    default: 200,
+    minimum: 0,
+    maximum: 1000,
+};
+const MAX_EJECTED: IntegerSetting = IntegerSetting {
+    key: "max_ejected",
+    default: 500,
+    minimum: 0,
+    maximum: 1000,
+};
+const MAX_STREAMS: IntegerSetting = IntegerSetting {
+    key: "max_streams",
+    default: 64,
+    minimum: 1,
+    maximum: 4096,
+};
+const MAX_SCORINGS: IntegerSetting = IntegerSetting {
+    key: "max_scorings",
+    default: 16,
+    minimum: 1,
+    maximum: 1024,
+};
+
+/// Parses the settings of a node.
+///
+/// # Errors
+/// All that is wrong with them.
+pub fn node_from_text(
+    file: &str,
+    text: &str,
+    overrides: &Overrides,
+) -> Result<NodeSettings, SettingsErrors> {
+    let sink = ErrorSink::new(file);
+    let settings = Document::parse(text, &sink).and_then(|mut document| {
+        document.override_with(overrides);
+        read(document.reader(&sink))
+    });
+    sink.finish(settings)
+}
+
+fn read(keys: TableReader<'_>) -> Option<NodeSettings> {
+    let process = relay::read_process(&keys, "node");
+    let replicas = keys.addresses("replicas");
+    if replicas.is_empty() {
+        keys.reject("replicas", "no address", "at least one replica's address");
+    }
+    let relays = keys.addresses("relays");
+    let machine_list = keys.optional_address("machine_list");
+    let machine_list_poll = keys.duration(&MACHINE_LIST_POLL);
+    let claims_groups = keys.small_integer(&CLAIMS_GROUPS);
+    let without_lease = keys.choice(
+        "without_lease",
+        WithoutLease::Refuse,
+        &[
+            ("refuse", WithoutLease::Refuse),
+            ("serve", WithoutLease::Serve),
+        ],
+    );
+    let stop_grace = keys.duration(&STOP_GRACE);
+    let http = read_http(keys.table("http"));
+    let routing = read_routing(keys.table("routing"));
+    let rollout = read_rollout(keys.table("rollout"));
+    let dump_folder = keys.optional_text("data").map(PathBuf::from);
+    let log_lines = keys.small_integer(&LOG_LINES);
+    keys.finish();
+    let process = process?;
+    Some(NodeSettings {
+        site: process.site,
+        node: NodeId::new(&process.name),
+        zone: ZoneId::new(&process.zone),
+        listen: process.listen,
+        replicas,
+        relays,
+        machine_list,
+        machine_list_poll,
+        claims_groups,
+        without_lease,
+        stop_grace,
+        http,
+        routing,
+        rollout,
+        dump_folder,
+        log_lines,
+    })
+}
+
+fn read_http(keys: TableReader<'_>) -> HttpSettings {
+    let http = HttpSettings {
+        workers: keys.small_integer(&WORKERS),
+        max_request_body: keys.size(&MAX_REQUEST_BODY),
+        max_answer_body: keys.size(&MAX_ANSWER_BODY),
+    };
+    keys.finish();
+    http
+}
+
+fn read_routing(keys: TableReader<'_>) -> RoutingSettings {
+    let routing = RoutingSettings {
+        choices: keys.small_integer(&CHOICES),
+        subset: keys.small_integer(&SUBSET),
+        probe_interval: keys.duration(&PROBE_INTERVAL),
+        probe_timeout: keys.duration(&PROBE_TIMEOUT),
+        retry_budget: Permille(keys.small_integer(&RETRY_BUDGET)),
+        max_ejected: Permille(keys.small_integer(&MAX_EJECTED)),
+    };
+    keys.finish();
+    routing
+}
+
+fn read_rollout(keys: TableReader<'_>) -> RolloutSettings {
+    let rollout = RolloutSettings {
+        pools: keys.names("pools"),
+        max_streams: keys.small_integer(&MAX_STREAMS),
+        max_scorings: keys.small_integer(&MAX_SCORINGS),
+        over_issue: keys.boolean("over_issue", true),
+    };
+    keys.finish();
+    rollout
+}
--- /dev/null
+++ b/crates/wingshore-settings/src/site.rs
@@ -0,0 +1,287 @@
+//! The site file: services, servers and pools, as an operator applies them by a plan.
+
+use crate::document::Document;
+use crate::error::{ErrorSink, SettingsErrors};
+use crate::reader::TableReader;
+use crate::units::{DurationSetting, IntegerSetting};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use wingshore_types::configuration::{
+    Admission, ConfigurationChange, Permille, Pool, Server, Service, ServiceKind, SwapPolicy,
+};
+use wingshore_types::{PoolId, ServerId, ServiceId, TrainerId, WeightVersion, ZoneId};
+
+/// The services, servers and pools of a site.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SiteFile {
+    /// Services, in the order of the file.
+    pub services: Vec<Service>,
+    /// Servers, in the order of the file.
+    pub servers: Vec<Server>,
+    /// Pools, in the order of the file.
+    pub pools: Vec<Pool>,
+}
+
+impl SiteFile {
+    /// The changes that bring an empty configuration to this one.
+    pub fn changes(&self) -> Vec<ConfigurationChange> {
+        let services = self.services.iter().cloned();
+        let servers = self.servers.iter().cloned();
+        let pools = self.pools.iter().cloned();
+        services
+            .map(ConfigurationChange::PutService)
+            .chain(servers.map(ConfigurationChange::PutServer))
+            .chain(pools.map(ConfigurationChange::PutPool))
+            .collect()
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Engines,
+    Live,
+}
+
+const SLOTS_PER_SERVER: IntegerSetting = IntegerSetting {
+    key: "slots_per_server",
+    default: 16,
+    minimum: 1,
+    maximum: 4096,
+};
+const LIVE_SHARE: IntegerSetting = IntegerSetting {
+    key: "live_share",
+    default: 500,
+    minimum: 0,
+    maximum: 1000,
+};
+const DEFAULT_DEADLINE: DurationSetting = DurationSetting {
+    key: "default_deadline",
+    default: Duration::from_secs(30),
+    minimum: Duration::from_millis(10),
+    maximum: Duration::from_secs(3600),
+};
+const STALENESS_BOUND: IntegerSetting = IntegerSetting {
+    key: "staleness_bound",
+    default: 2,
+    minimum: 0,
+    maximum: 1000,
+};
+const IDLE_WEIGHT: IntegerSetting = IntegerSetting {
+    key: "idle_weight",
+    default: 500,
+    minimum: 0,
+    maximum: 1000,
+};
+const LEDGER: IntegerSetting = IntegerSetting {
+    key: "ledger",
+    default: 1,
+    minimum: 1,
+    maximum: 64,
+};
+const MAX_OPEN_SAMPLES: IntegerSetting = IntegerSetting {
+    key: "max_open_samples",
+    default: 65_536,
+    minimum: 1,
+    maximum: 1_000_000,
+};
+const SAMPLE_LEASE: DurationSetting = DurationSetting {
+    key: "sample_lease",
+    default: Duration::from_secs(10),
+    minimum: Duration::from_millis(500),
+    maximum: Duration::from_secs(3600),
+};
+
+/// Parses a site file.
+///
+/// # Errors
+/// All that is wrong with it, duplicate ids and dangling names too.
+pub fn site_from_text(file: &str, text: &str) -> Result<SiteFile, SettingsErrors> {
+    let sink = ErrorSink::new(file);
+    let site = Document::parse(text, &sink).map(|document| read(document.reader(&sink)));
+    sink.finish(site)
+}
+
+fn read(keys: TableReader<'_>) -> SiteFile {
+    keys.required_choice("role", &[("site", ())]);
+    let zones: BTreeSet<ZoneId> = keys.names("zones").into_iter().collect();
+    let services = read_services(&keys);
+    let servers = read_servers(&keys, &services, &zones);
+    let pools = read_pools(&keys, &services);
+    keys.finish();
+    SiteFile {
+        services,
+        servers,
+        pools,
+    }
+}
+
+fn read_services(keys: &TableReader<'_>) -> Vec<Service> {
+    let mut services = Vec::new();
+    let mut ids = BTreeSet::new();
+    for table in keys.tables("service") {
+        let service = read_service(&table);
+        refuse_duplicate(&table, service.as_ref().map(|s| s.id.as_str()), &mut ids);
+        services.extend(service);
+        table.finish();
+    }
+    services
+}
+
+fn read_service(keys: &TableReader<'_>) -> Option<Service> {
+    let id = keys.name::<ServiceId>("id");
+    let kinds = [("engines", Kind::Engines), ("live", Kind::Live)];
+    let kind = match keys.required_choice("kind", &kinds) {
+        Some(Kind::Engines) => keys
+            .text("model")
+            .map(|model| ServiceKind::Engines { model }),
+        Some(Kind::Live) => Some(ServiceKind::Live),
+        None => None,
+    };
+    let slots_per_server = keys.small_integer(&SLOTS_PER_SERVER);
+    let live_share = Permille(keys.small_integer(&LIVE_SHARE));
+    let default_deadline_ms = milliseconds(keys.duration(&DEFAULT_DEADLINE));
+    Some(Service {
+        id: id?,
+        kind: kind?,
+        slots_per_server,
+        live_share,
+        default_deadline_ms,
+    })
+}
+
+fn read_servers(
+    keys: &TableReader<'_>,
+    services: &[Service],
+    zones: &BTreeSet<ZoneId>,
+) -> Vec<Server> {
+    let mut servers = Vec::new();
+    let mut ids = BTreeSet::new();
+    let mut addresses = BTreeSet::new();
+    for table in keys.tables("server") {
+        let server = read_server(&table, services, zones);
+        refuse_duplicate(&table, server.as_ref().map(|s| s.id.as_str()), &mut ids);
+        if let Some(server) = server {
+            if !addresses.insert(server.address) {
+                let found = format!("{} twice", server.address);
+                table.reject("address", &found, "each address once");
+            }
+            servers.push(server);
+        }
+        table.finish();
+    }
+    servers
+}
+
+fn read_server(
+    keys: &TableReader<'_>,
+    services: &[Service],
+    zones: &BTreeSet<ZoneId>,
+) -> Option<Server> {
+    let id = keys.name::<ServerId>("id");
+    let service = keys.name::<ServiceId>("service");
+    let address = keys.address("address");
+    let zone = keys.name::<ZoneId>("zone");
+    if let Some(service) = &service {
+        check_service(keys, service, services);
+    }
+    if let Some(zone) = &zone
+        && !zones.contains(zone)
+    {
+        let known: Vec<&str> = zones.iter().map(ZoneId::as_str).collect();
+        keys.reject("zone", &format!("\"{zone}\""), &one_of("zones", &known));
+    }
+    Some(Server {
+        id: id?,
+        service: service?,
+        address: address?,
+        zone: zone?,
+        admission: Admission::Open,
+    })
+}
+
+fn read_pools(keys: &TableReader<'_>, services: &[Service]) -> Vec<Pool> {
+    let mut pools = Vec::new();
+    let mut ids = BTreeSet::new();
+    for table in keys.tables("pool") {
+        let pool = read_pool(&table, services);
+        refuse_duplicate(&table, pool.as_ref().map(|p| p.id.as_str()), &mut ids);
+        pools.extend(pool);
+        table.finish();
+    }
+    pools
+}
+
+fn read_pool(keys: &TableReader<'_>, services: &[Service]) -> Option<Pool> {
+    let id = keys.name::<PoolId>("id");
+    let service = keys.name::<ServiceId>("service");
+    let trainer = keys.name::<TrainerId>("trainer");
+    let scorer = keys.address("scorer");
+    let weight_store = keys.address("weight_store");
+    let swap = keys.choice(
+        "swap",
+        SwapPolicy::Automatic,
+        &[
+            ("automatic", SwapPolicy::Automatic),
+            ("planned", SwapPolicy::Planned),
+        ],
+    );
+    let staleness_bound = keys.integer(&STALENESS_BOUND);
+    let idle_weight = Permille(keys.small_integer(&IDLE_WEIGHT));
+    let ledger = keys.small_integer(&LEDGER);
+    let max_open_samples = keys.small_integer(&MAX_OPEN_SAMPLES);
+    let sample_lease_ms = milliseconds(keys.duration(&SAMPLE_LEASE));
+    if let Some(service) = &service {
+        check_service(keys, service, services);
+        check_engines(keys, service, services);
+    }
+    Some(Pool {
+        id: id?,
+        service: service?,
+        trainer: trainer?,
+        staleness_bound,
+        idle_weight,
+        ledger,
+        scorer: scorer?,
+        weight_store: weight_store?,
+        swap,
+        max_open_samples,
+        sample_lease_ms,
+        target_version: WeightVersion(0),
+    })
+}
+
+fn check_service(keys: &TableReader<'_>, id: &ServiceId, services: &[Service]) {
+    if services.iter().any(|service| &service.id == id) {
+        return;
+    }
+    let known: Vec<&str> = services.iter().map(|s| s.id.as_str()).collect();
+    keys.reject("service", &format!("\"{id}\""), &one_of("service", &known));
+}
+
+fn check_engines(keys: &TableReader<'_>, id: &ServiceId, services: &[Service]) {
+    let live = services
+        .iter()
+        .any(|service| &service.id == id && service.kind == ServiceKind::Live);
+    if live {
+        let found = format!("\"{id}\", whose kind is live");
+        keys.reject("service", &found, "a service whose kind is engines");
+    }
+}
+
+fn refuse_duplicate(keys: &TableReader<'_>, id: Option<&str>, ids: &mut BTreeSet<String>) {
+    let Some(id) = id else { return };
+    if !ids.insert(id.to_owned()) {
+        keys.reject("id", &format!("\"{id}\" twice"), "each id once");
+    }
+}
+
+fn one_of(kind: &str, known: &[&str]) -> String {
+    if known.is_empty() {
+        return format!("a name listed under `{kind}`; none is");
+    }
+    format!("a name listed under `{kind}`: \"{}\"", known.join("\", \""))
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
