ledger: samples and claims as replicated state machines

Change: LedgerState/LedgerLeader (samples) and ClaimsState/ClaimsLeader (idempotency keys), batching of requests into log commands. Renewals stay in the leader's memory; expiry commands name the leases. Not run yet: property tests; they follow.

--- /dev/null
+++ b/crates/wingshore-ledger/src/claims/state.rs
@@ -0,0 +1,295 @@
+//! The replicated state of a claims group.
+
+use super::command::ClaimsCommand;
+use super::entry::{Entry, Status};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_types::LogIndex;
+use wingshore_types::machine::{ReplicatedState, RestoreError};
+use wingshore_types::protocol::claims::{
+    ClaimKey, ClaimOutcome, Claimant, ClaimsReply, ClaimsRequest, StoredAnswer,
+};
+
+/// How long a claim is kept after its last change.
+pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+/// How long a freed claim is kept.
+const FREED_RETENTION: Duration = Duration::from_secs(60);
+/// When to ask again for a key that is taken, in milliseconds.
+const TAKEN_RETRY_AFTER_MS: u64 = 200;
+/// When to come back after a refusal for lack of room, in milliseconds.
+pub(super) const FULL_RETRY_AFTER_MS: u64 = 1_000;
+/// First byte of a snapshot.
+const SNAPSHOT_VERSION: u8 = 1;
+
+/// How much a claims group keeps. The same on every member: it decides replies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimsLimits {
+    /// Most keys.
+    pub keys: u64,
+    /// Most bytes of keys and answers, as estimated.
+    pub bytes: u64,
+    /// Largest answer body that is kept, in bytes.
+    pub answer_bytes: u64,
+}
+
+impl Default for ClaimsLimits {
+    fn default() -> Self {
+        Self {
+            keys: 1 << 21,
+            bytes: 512 << 20,
+            answer_bytes: 64 << 10,
+        }
+    }
+}
+
+/// The claimed keys of a group.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ClaimsState {
+    /// Time added up over all leaders' commands, in milliseconds. It runs behind real time by
+    /// what passes without a leader, so that nothing is forgotten early.
+    clock_ms: u64,
+    limits: ClaimsLimits,
+    entries: BTreeMap<ClaimKey, Entry>,
+    #[serde(skip)]
+    by_expiry: BTreeSet<(u64, ClaimKey)>,
+    #[serde(skip)]
+    bytes: u64,
+}
+
+impl ClaimsState {
+    /// An empty state with other limits than the usual ones.
+    pub fn with_limits(limits: ClaimsLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Keys kept now.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Estimated bytes of keys and answers.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// The answer to a request that would change nothing; it costs no log entry.
+    pub(super) fn peek(&self, request: &ClaimsRequest) -> Option<ClaimsReply> {
+        match request {
+            ClaimsRequest::Claim {
+                key,
+                fingerprint,
+                claimant,
+            } => match self.entries.get(key) {
+                Some(entry) => standing(entry, *fingerprint, claimant),
+                None => None,
+            },
+            ClaimsRequest::Settle { key, claimant, .. } => match self.entries.get(key) {
+                Some(entry) if entry.claimant != *claimant => Some(taken()),
+                _ => None,
+            },
+        }
+    }
+
+    fn apply_request(&mut self, request: ClaimsRequest) -> ClaimsReply {
+        if let Some(reply) = self.peek(&request) {
+            return reply;
+        }
+        match request {
+            ClaimsRequest::Claim {
+                key,
+                fingerprint,
+                claimant,
+            } => self.claim(key, fingerprint, claimant),
+            ClaimsRequest::Settle {
+                key,
+                claimant,
+                outcome,
+            } => self.settle(key, claimant, outcome),
+        }
+    }
+
+    fn claim(&mut self, key: ClaimKey, fingerprint: u64, claimant: Claimant) -> ClaimsReply {
+        let entry = Entry {
+            fingerprint,
+            claimant,
+            status: Status::InFlight,
+            expires_ms: self.expiry(RETENTION),
+        };
+        self.forget(&key);
+        if !self.has_room(&key, &entry) {
+            return ClaimsReply::Full {
+                retry_after_ms: FULL_RETRY_AFTER_MS,
+            };
+        }
+        self.remember(key, entry);
+        ClaimsReply::Granted
+    }
+
+    fn settle(&mut self, key: ClaimKey, claimant: Claimant, outcome: ClaimOutcome) -> ClaimsReply {
+        let Some(mut entry) = self.entries.get(&key).cloned() else {
+            return self.settle_before_claim(key, claimant, outcome);
+        };
+        let is_open = matches!(entry.status, Status::InFlight);
+        let is_late_answer =
+            matches!(entry.status, Status::Unknown) && matches!(outcome, ClaimOutcome::Answered(_));
+        if !is_open && !is_late_answer {
+            return ClaimsReply::Settled;
+        }
+        let (status, retention) = match outcome {
+            ClaimOutcome::NotRun => (Status::Freed, FREED_RETENTION),
+            ClaimOutcome::Answered(answer) => {
+                (Status::Answered(self.keepable(&key, answer)), RETENTION)
+            }
+            ClaimOutcome::Unknown => (Status::Unknown, RETENTION),
+        };
+        entry.status = status;
+        entry.expires_ms = self.expiry(retention);
+        self.forget(&key);
+        self.remember(key, entry);
+        ClaimsReply::Settled
+    }
+
+    /// An attempt that gave up before it saw its claim granted: should the claim come late, it
+    /// must not take the key.
+    fn settle_before_claim(
+        &mut self,
+        key: ClaimKey,
+        claimant: Claimant,
+        outcome: ClaimOutcome,
+    ) -> ClaimsReply {
+        let entry = Entry {
+            fingerprint: 0,
+            claimant,
+            status: Status::Freed,
+            expires_ms: self.expiry(FREED_RETENTION),
+        };
+        if outcome == ClaimOutcome::NotRun && self.has_room(&key, &entry) {
+            self.remember(key, entry);
+        }
+        ClaimsReply::Settled
+    }
+
+    /// The answer, when it is small enough to be kept. That it ran is always kept.
+    fn keepable(&self, key: &ClaimKey, answer: Option<StoredAnswer>) -> Option<StoredAnswer> {
+        let answer = answer?;
+        let size = (answer.body.len() + answer.content_type.len()) as u64;
+        let fits = size <= self.limits.answer_bytes && self.bytes + size <= self.limits.bytes;
+        (fits && self.entries.contains_key(key)).then_some(answer)
+    }
+
+    fn has_room(&self, key: &ClaimKey, entry: &Entry) -> bool {
+        let has_key = (self.entries.len() as u64) < self.limits.keys;
+        has_key && self.bytes + entry.bytes(key) <= self.limits.bytes
+    }
+
+    fn expiry(&self, retention: Duration) -> u64 {
+        let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+        self.clock_ms.saturating_add(retention_ms)
+    }
+
+    fn remember(&mut self, key: ClaimKey, entry: Entry) {
+        self.bytes += entry.bytes(&key);
+        self.by_expiry.insert((entry.expires_ms, key.clone()));
+        self.entries.insert(key, entry);
+    }
+
+    fn forget(&mut self, key: &ClaimKey) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.bytes -= entry.bytes(key);
+            self.by_expiry.remove(&(entry.expires_ms, key.clone()));
+        }
+    }
+
+    fn forget_expired(&mut self) {
+        while let Some((expires_ms, key)) = self.by_expiry.first() {
+            if *expires_ms > self.clock_ms {
+                break;
+            }
+            let key = key.clone();
+            self.forget(&key);
+        }
+    }
+
+    fn rebuild(&mut self) {
+        self.bytes = 0;
+        self.by_expiry.clear();
+        for (key, entry) in &self.entries {
+            self.bytes += entry.bytes(key);
+            self.by_expiry.insert((entry.expires_ms, key.clone()));
+        }
+    }
+}
+
+/// The reply to a claim of a key that is remembered; `None` when the key may be claimed anew.
+fn standing(entry: &Entry, fingerprint: u64, claimant: &Claimant) -> Option<ClaimsReply> {
+    let is_own = entry.claimant == *claimant;
+    if matches!(entry.status, Status::Freed) {
+        return is_own.then(taken);
+    }
+    if entry.fingerprint != fingerprint {
+        return Some(ClaimsReply::Mismatch);
+    }
+    let reply = match &entry.status {
+        Status::InFlight if is_own => ClaimsReply::Granted,
+        Status::InFlight | Status::Unknown | Status::Freed => taken(),
+        Status::Answered(answer) => ClaimsReply::Answered(answer.clone()),
+    };
+    Some(reply)
+}
+
+fn taken() -> ClaimsReply {
+    ClaimsReply::Taken {
+        retry_after_ms: TAKEN_RETRY_AFTER_MS,
+    }
+}
+
+impl ReplicatedState for ClaimsState {
+    type Command = ClaimsCommand;
+    type Reply = Vec<ClaimsReply>;
+
+    fn apply(&mut self, _index: LogIndex, command: ClaimsCommand) -> Vec<ClaimsReply> {
+        self.clock_ms = self.clock_ms.saturating_add(command.elapsed_ms);
+        self.forget_expired();
+        command
+            .requests
+            .into_iter()
+            .map(|request| self.apply_request(request))
+            .collect()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let start = vec![SNAPSHOT_VERSION];
+        // Encoding into memory fails for no value of these types.
+        postcard::to_extend(self, start).unwrap_or_default()
+    }
+
+    fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
+        let body = match bytes.split_first() {
+            Some((&SNAPSHOT_VERSION, body)) => body,
+            Some((version, _)) => return Err(error(format!("unknown format version {version}"))),
+            None => return Err(error("empty".to_owned())),
+        };
+        let (mut state, rest) = postcard::take_from_bytes::<Self>(body)
+            .map_err(|cause| error(format!("damaged: {cause}")))?;
+        if !rest.is_empty() {
+            return Err(error(format!("{} bytes too many", rest.len())));
+        }
+        state.rebuild();
+        Ok(state)
+    }
+}
+
+fn error(what: String) -> RestoreError {
+    RestoreError {
+        message: format!("claims snapshot: {what}"),
+    }
+}
--- /dev/null
+++ b/crates/wingshore-ledger/src/samples/leader.rs
@@ -0,0 +1,536 @@
+//! What only the leader of a ledger group does.
+
+use super::command::{LedgerCommand, Operation, PoolSettings};
+use super::faults::Faults;
+use super::lease_clock::LeaseClock;
+use super::pool::{FULL_RETRY_AFTER_MS, PoolLedger};
+use super::pulls::{PullStanding, not_ready};
+use super::scoring::ScoringOffers;
+use super::state::LedgerState;
+use crate::batching::ProposalQueue;
+use crate::{NoEffect, NoEvent};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_types::machine::{
+    LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
+};
+use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply, LedgerRequest, PullRequest};
+use wingshore_types::{Epoch, Instant, LeaseId, PoolId, WeightVersion};
+
+/// Longest time a pull waits, whatever it asks for.
+const MAX_PULL_WAIT: Duration = Duration::from_secs(60);
+/// Most pulls that wait at once; further ones are answered at once.
+const MAX_WAITING_PULLS: usize = 256;
+
+type Outputs = LeaderOutputs<LedgerLeader>;
+
+/// Who waits for an operation to be applied.
+#[derive(Debug)]
+enum Waiting {
+    Client(RequestTag),
+    /// A lease request: the deadlines of what is granted begin when it is applied.
+    LeaseClient(RequestTag, PoolId),
+    Expiry(PoolId, Vec<LeaseId>),
+    HandOver(PoolId),
+    Version,
+}
+
+/// A pull that waits for enough samples.
+#[derive(Debug)]
+struct WaitingPull {
+    tag: RequestTag,
+    pool: PoolId,
+    pull: PullRequest,
+    deadline: Instant,
+}
+
+/// The leader machine of a ledger group.
+#[derive(Debug, Default)]
+pub struct LedgerLeader {
+    queue: ProposalQueue<Operation, Waiting>,
+    lease_clock: LeaseClock,
+    offers: ScoringOffers,
+    pulls: Vec<WaitingPull>,
+    /// Pools with a hand-over on its way into the log.
+    handing_over: BTreeSet<PoolId>,
+    /// Newest trainer versions on their way into the log.
+    observing: BTreeMap<PoolId, WeightVersion>,
+    faults: Faults,
+}
+
+impl LedgerLeader {
+    /// A leader with deliberate faults; for tests only.
+    pub fn with_faults(faults: Faults) -> Self {
+        Self {
+            faults,
+            ..Self::default()
+        }
+    }
+
+    fn handle(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        request: LedgerRequest,
+        state: &LedgerState,
+        out: &mut Outputs,
+    ) {
+        let known = state.pool(request_pool(&request));
+        match (request, known) {
+            (request @ LedgerRequest::Configure { .. }, _) => {
+                self.configure(tag, request, known, out);
+            }
+            (_, None) => refuse(tag, LedgerRefusal::UnknownPool, out),
+            (LedgerRequest::Renew { pool, leases }, Some(ledger)) => {
+                let lost = self.renew(now, &pool, ledger, leases);
+                reply(tag, LedgerReply::Lost(lost), out);
+            }
+            (LedgerRequest::Unscored { pool, most }, Some(ledger)) => {
+                let offered = self.offers.offer(now, &pool, ledger, most);
+                reply(tag, LedgerReply::Unscored(offered), out);
+            }
+            (LedgerRequest::Counts { .. }, Some(ledger)) => {
+                reply(tag, LedgerReply::Counts(ledger.counts()), out);
+            }
+            (LedgerRequest::Pull { pool, pull }, Some(_)) => {
+                self.wait_for_pull(now, tag, pool, pull, out);
+            }
+            (request, Some(ledger)) => match answer_from_state(&request, ledger) {
+                Some(answer) => reply(tag, answer, out),
+                None => self.enqueue_request(tag, request, out),
+            },
+        }
+    }
+
+    fn configure(
+        &mut self,
+        tag: RequestTag,
+        request: LedgerRequest,
+        known: Option<&PoolLedger>,
+        out: &mut Outputs,
+    ) {
+        let LedgerRequest::Configure {
+            pool,
+            revision,
+            staleness_bound,
+            max_open_samples,
+            sample_lease_ms,
+            trainer,
+        } = request
+        else {
+            return;
+        };
+        if known.is_some_and(|ledger| ledger.settings().revision >= revision) {
+            return reply(tag, LedgerReply::Done, out);
+        }
+        let settings = PoolSettings {
+            revision,
+            staleness_bound,
+            max_open_samples,
+            sample_lease_ms,
+            trainer,
+        };
+        let operation = Operation::Configure { pool, settings };
+        self.enqueue(operation, Waiting::Client(tag), out);
+    }
+
+    fn enqueue_request(&mut self, tag: RequestTag, request: LedgerRequest, out: &mut Outputs) {
+        let Some(operation) = operation_of(request) else {
+            return;
+        };
+        let waiting = match &operation {
+            Operation::Lease { pool, .. } => Waiting::LeaseClient(tag, pool.clone()),
+            _ => Waiting::Client(tag),
+        };
+        self.enqueue(operation, waiting, out);
+    }
+
+    fn enqueue(&mut self, operation: Operation, waiting: Waiting, out: &mut Outputs) {
+        let bytes = operation.estimated_bytes();
+        let Err(refused) = self.queue.push(operation, bytes, waiting) else {
+            return;
+        };
+        match refused {
+            Waiting::Client(tag) | Waiting::LeaseClient(tag, _) => refuse(
+                tag,
+                LedgerRefusal::Full {
+                    retry_after_ms: FULL_RETRY_AFTER_MS,
+                },
+                out,
+            ),
+            // Tried again at a later tick.
+            Waiting::Expiry(pool, leases) => self.lease_clock.ended(&pool, &leases),
+            Waiting::HandOver(pool) => {
+                self.handing_over.remove(&pool);
+            }
+            Waiting::Version => self.observing.clear(),
+        }
+    }
+
+    fn renew(
+        &mut self,
+        now: Instant,
+        id: &PoolId,
+        pool: &PoolLedger,
+        leases: Vec<LeaseId>,
+    ) -> Vec<LeaseId> {
+        let duration_ms = pool.settings().sample_lease_ms;
+        let mut lost = Vec::new();
+        for lease in leases {
+            if pool.is_active(lease) && !self.lease_clock.is_expiring(id, lease) {
+                self.lease_clock.start(now, id, lease, duration_ms);
+            } else {
+                lost.push(lease);
+            }
+        }
+        lost
+    }
+
+    fn expire_due(&mut self, now: Instant, state: &LedgerState, out: &mut Outputs) {
+        for (id, due) in self.lease_clock.take_due(now) {
+            let is_active = |lease: &LeaseId| {
+                let pool = state.pool(&id);
+                pool.is_some_and(|pool| pool.is_active(*lease))
+            };
+            let (active, ended): (Vec<_>, Vec<_>) = due.into_iter().partition(is_active);
+            self.lease_clock.ended(&id, &ended);
+            if active.is_empty() {
+                continue;
+            }
+            let operation = Operation::Expire {
+                pool: id.clone(),
+                leases: active.clone(),
+            };
+            self.enqueue(operation, Waiting::Expiry(id, active), out);
+        }
+    }
+
+    fn wait_for_pull(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        pool: PoolId,
+        pull: PullRequest,
+        out: &mut Outputs,
+    ) {
+        if self.pulls.len() >= MAX_WAITING_PULLS {
+            return refuse(tag, not_ready(0), out);
+        }
+        let wait = Duration::from_millis(pull.wait_ms).min(MAX_PULL_WAIT);
+        self.pulls.push(WaitingPull {
+            tag,
+            pool,
+            pull,
+            deadline: now + wait,
+        });
+    }
+
+    /// Answers the pulls that can be answered now and proposes what the others need.
+    fn advance_pulls(&mut self, now: Instant, state: &LedgerState, out: &mut Outputs) {
+        for waiting in std::mem::take(&mut self.pulls) {
+            let Some(pool) = state.pool(&waiting.pool) else {
+                refuse(waiting.tag, LedgerRefusal::UnknownPool, out);
+                continue;
+            };
+            if let Some(answer) = self.advance_pull(now, &waiting, pool, out) {
+                reply(waiting.tag, answer, out);
+            } else {
+                self.pulls.push(waiting);
+            }
+        }
+    }
+
+    fn advance_pull(
+        &mut self,
+        now: Instant,
+        waiting: &WaitingPull,
+        pool: &PoolLedger,
+        out: &mut Outputs,
+    ) -> Option<LedgerReply> {
+        match pool.pull_standing(&waiting.pull) {
+            Err(refusal) => Some(LedgerReply::Refused(refusal)),
+            Ok(PullStanding::Recorded(_)) if self.faults.forget_handover => {
+                Some(self.answer_anew(waiting, pool, out))
+            }
+            Ok(PullStanding::Recorded(batch)) => Some(LedgerReply::Batch(Box::new(batch.clone()))),
+            Ok(PullStanding::NewerVersion) => {
+                self.observe(waiting, out);
+                None
+            }
+            Ok(PullStanding::Ready) => {
+                self.propose_hand_over(waiting, out);
+                let batch = || Box::new(pool.preview(&waiting.pull));
+                let early = self.faults.answer_before_commit;
+                early.then(|| LedgerReply::Batch(batch()))
+            }
+            Ok(PullStanding::Waiting { ready }) if now >= waiting.deadline => {
+                Some(LedgerReply::Refused(not_ready(ready)))
+            }
+            Ok(PullStanding::Waiting { .. }) => None,
+        }
+    }
+
+    fn observe(&mut self, waiting: &WaitingPull, out: &mut Outputs) {
+        let version = waiting.pull.weight_version;
+        let on_its_way = self.observing.get(&waiting.pool);
+        if on_its_way.is_some_and(|newest| *newest >= version) {
+            return;
+        }
+        self.observing.insert(waiting.pool.clone(), version);
+        let operation = Operation::ObserveVersion {
+            pool: waiting.pool.clone(),
+            version,
+        };
+        self.enqueue(operation, Waiting::Version, out);
+    }
+
+    fn propose_hand_over(&mut self, waiting: &WaitingPull, out: &mut Outputs) {
+        if !self.handing_over.insert(waiting.pool.clone()) {
+            return;
+        }
+        let operation = Operation::HandOver {
+            pool: waiting.pool.clone(),
+            pull: waiting.pull.clone(),
+        };
+        self.enqueue(operation, Waiting::HandOver(waiting.pool.clone()), out);
+    }
+
+    /// The deliberate fault [`Faults::forget_handover`]: other samples for the same step.
+    fn answer_anew(
+        &mut self,
+        waiting: &WaitingPull,
+        pool: &PoolLedger,
+        out: &mut Outputs,
+    ) -> LedgerReply {
+        self.propose_hand_over(waiting, out);
+        LedgerReply::Batch(Box::new(pool.preview(&waiting.pull)))
+    }
+
+    fn finish_waiting(
+        &mut self,
+        now: Instant,
+        waiting: Waiting,
+        answer: LedgerReply,
+        out: &mut Outputs,
+    ) {
+        match waiting {
+            Waiting::Client(tag) => reply(tag, answer, out),
+            Waiting::LeaseClient(tag, pool) => {
+                self.start_leases(now, &pool, &answer);
+                reply(tag, answer, out);
+            }
+            Waiting::Expiry(pool, leases) => self.lease_clock.ended(&pool, &leases),
+            Waiting::HandOver(pool) => {
+                self.handing_over.remove(&pool);
+            }
+            Waiting::Version => {}
+        }
+    }
+
+    fn start_leases(&mut self, now: Instant, pool: &PoolId, answer: &LedgerReply) {
+        let LedgerReply::Leases(granted) = answer else {
+            return;
+        };
+        for lease in granted {
+            self.lease_clock
+                .start(now, pool, lease.lease, lease.duration_ms);
+        }
+    }
+
+    fn propose(&mut self, out: &mut Outputs) {
+        while let Some(proposal) = self.queue.next_proposal() {
+            let operations = proposal.operations;
+            out.push(LeaderOutput::Propose {
+                tag: proposal.tag,
+                command: LedgerCommand { operations },
+            });
+        }
+    }
+}
+
+impl LeaderMachine for LedgerLeader {
+    type State = LedgerState;
+    type Request = LedgerRequest;
+    type Reply = LedgerReply;
+    type Effect = NoEffect;
+    type Event = NoEvent;
+
+    fn on_leadership(
+        &mut self,
+        now: Instant,
+        _epoch: Epoch,
+        state: &LedgerState,
+        _out: &mut Outputs,
+    ) {
+        *self = Self::with_faults(self.faults);
+        for (id, pool) in state.pools() {
+            let duration_ms = pool.settings().sample_lease_ms;
+            for lease in pool.leases() {
+                self.lease_clock.start(now, id, lease, duration_ms);
+            }
+        }
+    }
+
+    fn on_request(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        request: LedgerRequest,
+        state: &LedgerState,
+        out: &mut Outputs,
+    ) {
+        let is_pull = matches!(request, LedgerRequest::Pull { .. });
+        self.handle(now, tag, request, state, out);
+        if is_pull {
+            self.advance_pulls(now, state, out);
+        }
+        self.propose(out);
+    }
+
+    fn on_applied(
+        &mut self,
+        now: Instant,
+        tag: ProposalTag,
+        replies: Vec<LedgerReply>,
+        state: &LedgerState,
+        out: &mut Outputs,
+    ) {
+        let waiting = self.queue.applied(tag);
+        for (waiting, answer) in waiting.into_iter().zip(replies) {
+            self.finish_waiting(now, waiting, answer, out);
+        }
+        self.observing.retain(|pool, version| {
+            let known = state.pool(pool).map(PoolLedger::trainer_version);
+            known.is_some_and(|known| known < *version)
+        });
+        self.advance_pulls(now, state, out);
+        self.propose(out);
+    }
+
+    fn on_event(
+        &mut self,
+        _now: Instant,
+        event: NoEvent,
+        _state: &LedgerState,
+        _out: &mut Outputs,
+    ) {
+        match event {}
+    }
+
+    fn on_tick(&mut self, now: Instant, state: &LedgerState, out: &mut Outputs) {
+        self.expire_due(now, state, out);
+        self.offers.prune(now, state.pools());
+        self.advance_pulls(now, state, out);
+        self.propose(out);
+    }
+}
+
+fn reply(tag: RequestTag, reply: LedgerReply, out: &mut Outputs) {
+    out.push(LeaderOutput::Reply { tag, reply });
+}
+
+fn refuse(tag: RequestTag, refusal: LedgerRefusal, out: &mut Outputs) {
+    reply(tag, LedgerReply::Refused(refusal), out);
+}
+
+fn request_pool(request: &LedgerRequest) -> &PoolId {
+    match request {
+        LedgerRequest::Configure { pool, .. }
+        | LedgerRequest::Submit { pool, .. }
+        | LedgerRequest::Lease { pool, .. }
+        | LedgerRequest::Renew { pool, .. }
+        | LedgerRequest::Return { pool, .. }
+        | LedgerRequest::Finish { pool, .. }
+        | LedgerRequest::Unscored { pool, .. }
+        | LedgerRequest::Score { pool, .. }
+        | LedgerRequest::Pull { pool, .. }
+        | LedgerRequest::Acknowledge { pool, .. }
+        | LedgerRequest::Counts { pool } => pool,
+    }
+}
+
+/// The answer to a request that would change nothing; it costs no log entry.
+fn answer_from_state(request: &LedgerRequest, pool: &PoolLedger) -> Option<LedgerReply> {
+    match request {
+        LedgerRequest::Submit { prompts, .. } => pool.answer_submission(prompts),
+        LedgerRequest::Lease { node, boot_id, .. } => {
+            let changes = pool.lease_would_change(node, *boot_id);
+            (!changes).then(|| LedgerReply::Leases(Vec::new()))
+        }
+        LedgerRequest::Return { lease, .. } => {
+            (!pool.is_active(*lease)).then_some(LedgerReply::Done)
+        }
+        LedgerRequest::Score { sample, lease, .. } => {
+            (!pool.awaits_score(*sample, *lease)).then_some(LedgerReply::First(false))
+        }
+        LedgerRequest::Acknowledge { trainer, step, .. } => {
+            let repeated = pool.is_acknowledged(*step) && *trainer == pool.settings().trainer;
+            repeated.then_some(LedgerReply::Done)
+        }
+        _ => None,
+    }
+}
+
+/// The operation a request asks for, when it is one that changes the state.
+fn operation_of(request: LedgerRequest) -> Option<Operation> {
+    let operation = match request {
+        LedgerRequest::Submit { pool, prompts } => Operation::Submit { pool, prompts },
+        LedgerRequest::Lease {
+            pool,
+            node,
+            boot_id,
+            most,
+        } => Operation::Lease {
+            pool,
+            node,
+            boot_id,
+            most,
+        },
+        LedgerRequest::Return {
+            pool,
+            lease,
+            partial,
+        } => Operation::Return {
+            pool,
+            lease,
+            partial,
+        },
+        LedgerRequest::Finish {
+            pool,
+            sample,
+            lease,
+            generation,
+        } => Operation::Finish {
+            pool,
+            sample,
+            lease,
+            generation,
+        },
+        LedgerRequest::Score {
+            pool,
+            sample,
+            lease,
+            score,
+        } => Operation::Score {
+            pool,
+            sample,
+            lease,
+            score,
+        },
+        LedgerRequest::Acknowledge {
+            pool,
+            trainer,
+            step,
+        } => Operation::Acknowledge {
+            pool,
+            trainer,
+            step,
+        },
+        LedgerRequest::Configure { .. }
+        | LedgerRequest::Renew { .. }
+        | LedgerRequest::Unscored { .. }
+        | LedgerRequest::Pull { .. }
+        | LedgerRequest::Counts { .. } => return None,
+    };
+    Some(operation)
+}
--- /dev/null
+++ b/crates/wingshore-ledger/src/samples/pulls.rs
@@ -0,0 +1,262 @@
+//! Hand-over to the trainer and its acknowledgement.
+
+use super::pool::{PoolLedger, invalid};
+use super::stage::{OpenSample, QueueKey, Stage};
+use serde::{Deserialize, Serialize};
+use wingshore_types::protocol::ledger::{Batch, LedgerRefusal, LedgerReply, PullRequest};
+use wingshore_types::{Sample, StepId, TrainerId, WeightVersion};
+
+/// Most steps that are handed over and not acknowledged: the one in training and one prefetched.
+pub(crate) const MAX_OPEN_STEPS: usize = 2;
+/// When to come back after a pull that found too few samples, in milliseconds.
+pub(crate) const NOT_READY_RETRY_AFTER_MS: u64 = 100;
+
+/// A recorded hand-over. It is kept until the trainer acknowledges it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HandOver {
+    pub(crate) batch: Batch,
+}
+
+/// How a pull stands, from the committed state.
+#[derive(Debug)]
+pub(crate) enum PullStanding<'a> {
+    /// Recorded before: this is the answer.
+    Recorded(&'a Batch),
+    /// The trainer states a version that the state does not know yet.
+    NewerVersion,
+    /// Enough samples are ready.
+    Ready,
+    /// Not enough samples are ready.
+    Waiting {
+        /// Samples ready now.
+        ready: u32,
+    },
+}
+
+impl PoolLedger {
+    /// How a pull stands.
+    ///
+    /// # Errors
+    /// The refusal, when waiting would not help.
+    pub(crate) fn pull_standing(
+        &self,
+        pull: &PullRequest,
+    ) -> Result<PullStanding<'_>, LedgerRefusal> {
+        self.check_trainer(&pull.trainer)?;
+        if let Some(hand_over) = self.handed_over.get(&pull.step) {
+            check_same_count(&hand_over.batch, pull)?;
+            return Ok(PullStanding::Recorded(&hand_over.batch));
+        }
+        self.check_new_step(pull)?;
+        if pull.weight_version > self.trainer_version {
+            return Ok(PullStanding::NewerVersion);
+        }
+        let ready = self.indexes.scored.len();
+        if ready >= pull.count as usize {
+            return Ok(PullStanding::Ready);
+        }
+        Ok(PullStanding::Waiting {
+            ready: ready as u32,
+        })
+    }
+
+    /// The batch recorded for a step.
+    pub fn recorded(&self, step: StepId) -> Option<&Batch> {
+        self.handed_over
+            .get(&step)
+            .map(|hand_over| &hand_over.batch)
+    }
+
+    /// Records a hand-over, unless it is recorded already. The batch itself is not part of the
+    /// reply: the leader reads it from the state, and followers need no copy.
+    pub(super) fn hand_over(&mut self, pull: &PullRequest) -> LedgerReply {
+        if self.faults.forget_handover {
+            self.forget(pull.step);
+        }
+        self.observe_if_admissible(pull);
+        match self.pull_standing(pull) {
+            Err(refusal) => LedgerReply::Refused(refusal),
+            Ok(PullStanding::Recorded(_)) => LedgerReply::Done,
+            Ok(PullStanding::Ready) => self.record(pull),
+            Ok(PullStanding::NewerVersion) => LedgerReply::Refused(not_ready(0)),
+            Ok(PullStanding::Waiting { ready }) => LedgerReply::Refused(not_ready(ready)),
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, trainer: &TrainerId, step: StepId) -> LedgerReply {
+        if let Err(refusal) = self.check_trainer(trainer) {
+            return LedgerReply::Refused(refusal);
+        }
+        if self.is_acknowledged(step) {
+            return LedgerReply::Done;
+        }
+        if self.handed_over.first_key_value().map(|(first, _)| *first) != Some(step) {
+            return LedgerReply::Refused(self.wrong_acknowledgement(step));
+        }
+        if let Some(hand_over) = self.handed_over.remove(&step) {
+            self.free(&hand_over.batch);
+        }
+        self.acknowledged_step = Some(step);
+        LedgerReply::Done
+    }
+
+    /// The batch a pull would get now; for the deliberate fault of answering before the commit.
+    pub(crate) fn preview(&self, pull: &PullRequest) -> Batch {
+        let samples = self
+            .chosen(pull.count)
+            .iter()
+            .filter_map(|key| self.open.get(&key.number()).and_then(whole_sample))
+            .collect();
+        self.batch(pull, samples)
+    }
+
+    /// Whether the step was acknowledged, or lies before one that was.
+    pub(crate) fn is_acknowledged(&self, step: StepId) -> bool {
+        self.acknowledged_step.is_some_and(|last| step <= last)
+    }
+
+    fn check_new_step(&self, pull: &PullRequest) -> Result<(), LedgerRefusal> {
+        let most = self.settings.max_open_samples;
+        if pull.count == 0 || pull.count > most {
+            return Err(invalid(format!(
+                "count is {}; it must be between 1 and {most}",
+                pull.count
+            )));
+        }
+        if self.is_acknowledged(pull.step) {
+            return Err(wrong_step(format!(
+                "step {} was acknowledged already",
+                pull.step
+            )));
+        }
+        match self.next_step() {
+            Some(next) if pull.step != next => Err(wrong_step(format!(
+                "step {} was pulled; the next one is {next}",
+                pull.step
+            ))),
+            _ => self.check_open_steps(),
+        }
+    }
+
+    fn check_open_steps(&self) -> Result<(), LedgerRefusal> {
+        if self.handed_over.len() < MAX_OPEN_STEPS {
+            return Ok(());
+        }
+        Err(wrong_step(format!(
+            "{MAX_OPEN_STEPS} steps are not acknowledged; acknowledge the older one first"
+        )))
+    }
+
+    /// The only step that may be pulled anew; any, before the first pull.
+    fn next_step(&self) -> Option<StepId> {
+        let handed_over = self.handed_over.last_key_value().map(|(step, _)| *step);
+        let last = handed_over.max(self.acknowledged_step)?;
+        Some(StepId(last.0.saturating_add(1)))
+    }
+
+    fn observe_if_admissible(&mut self, pull: &PullRequest) {
+        if matches!(self.pull_standing(pull), Ok(PullStanding::NewerVersion)) {
+            self.observe_version(pull.weight_version);
+        }
+    }
+
+    fn chosen(&self, count: u32) -> Vec<QueueKey> {
+        let scored = self.indexes.scored.iter();
+        scored.take(count as usize).copied().collect()
+    }
+
+    fn record(&mut self, pull: &PullRequest) -> LedgerReply {
+        let mut samples = Vec::with_capacity(pull.count as usize);
+        for key in self.chosen(pull.count) {
+            let Some(open) = self.open.remove(&key.number()) else {
+                continue;
+            };
+            self.indexes.remove(&open);
+            self.indexes.delivered.insert(key.number(), pull.step);
+            samples.extend(into_whole_sample(open));
+        }
+        let batch = self.batch(pull, samples);
+        self.handed_over.insert(pull.step, HandOver { batch });
+        LedgerReply::Done
+    }
+
+    fn batch(&self, pull: &PullRequest, samples: Vec<Sample>) -> Batch {
+        Batch {
+            step: pull.step,
+            weight_version: self.version_checked(pull),
+            samples,
+        }
+    }
+
+    /// Staleness is counted against the newest version the trainer has ever stated, which is
+    /// never below the one in this pull.
+    fn version_checked(&self, pull: &PullRequest) -> WeightVersion {
+        self.trainer_version.max(pull.weight_version)
+    }
+
+    fn free(&mut self, batch: &Batch) {
+        for sample in &batch.samples {
+            self.indexes.delivered.remove(&sample.number);
+            self.acknowledged.insert(sample.number.0);
+        }
+        self.acknowledged_count += batch.samples.len() as u64;
+    }
+
+    fn wrong_acknowledgement(&self, step: StepId) -> LedgerRefusal {
+        match self.handed_over.first_key_value() {
+            Some((first, _)) if *first < step => wrong_step(format!(
+                "step {step} was acknowledged before step {first}; acknowledge in order"
+            )),
+            _ => wrong_step(format!("step {step} was not handed over")),
+        }
+    }
+
+    /// The deliberate fault [`super::Faults::forget_handover`].
+    fn forget(&mut self, step: StepId) {
+        if let Some(hand_over) = self.handed_over.remove(&step) {
+            for sample in &hand_over.batch.samples {
+                self.indexes.delivered.remove(&sample.number);
+            }
+        }
+    }
+}
+
+/// The refusal of a pull that found too few samples.
+pub(crate) fn not_ready(ready: u32) -> LedgerRefusal {
+    LedgerRefusal::NotReady {
+        ready,
+        retry_after_ms: NOT_READY_RETRY_AFTER_MS,
+    }
+}
+
+fn wrong_step(message: String) -> LedgerRefusal {
+    LedgerRefusal::WrongStep { message }
+}
+
+fn check_same_count(batch: &Batch, pull: &PullRequest) -> Result<(), LedgerRefusal> {
+    if batch.samples.len() == pull.count as usize {
+        return Ok(());
+    }
+    Err(wrong_step(format!(
+        "step {} was handed over with {} samples; the pull asks for {}",
+        pull.step,
+        batch.samples.len(),
+        pull.count
+    )))
+}
+
+fn whole_sample(open: &OpenSample) -> Option<Sample> {
+    into_whole_sample(open.clone())
+}
+
+fn into_whole_sample(open: OpenSample) -> Option<Sample> {
+    let Stage::Scored { finished, score } = open.stage else {
+        return None;
+    };
+    Some(Sample {
+        number: open.prompt.number,
+        prompt: open.prompt.tokens,
+        generation: finished.generation,
+        score,
+    })
+}
--- /dev/null
+++ b/crates/wingshore-ledger/src/samples/scoring.rs
@@ -0,0 +1,100 @@
+//! Scores of finished samples, and which node is asked for them.
+
+use super::pool::{PoolLedger, invalid};
+use super::stage::Stage;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_types::protocol::ledger::{LedgerReply, UnscoredSample};
+use wingshore_types::{Instant, LeaseId, PoolId, SampleNumber};
+
+/// How long a finished sample is left to the node it was given to for scoring.
+pub(crate) const SCORING_OFFER: Duration = Duration::from_secs(10);
+/// Most finished samples in one answer.
+pub(crate) const MAX_UNSCORED_PER_REQUEST: u32 = 256;
+
+impl PoolLedger {
+    pub(super) fn score(
+        &mut self,
+        number: SampleNumber,
+        lease: LeaseId,
+        score: f64,
+    ) -> LedgerReply {
+        if !score.is_finite() {
+            return LedgerReply::Refused(invalid(format!("score {score} is not a finite number")));
+        }
+        let stage = self.open.get(&number).map(|sample| &sample.stage);
+        let Some(Stage::Finished(finished)) = stage else {
+            return LedgerReply::First(false);
+        };
+        if finished.lease != lease {
+            return LedgerReply::First(false);
+        }
+        let finished = finished.clone();
+        self.set_stage(number, Stage::Scored { finished, score });
+        LedgerReply::First(true)
+    }
+
+    /// Finished samples without a score, in queue order.
+    fn unscored(&self) -> impl Iterator<Item = UnscoredSample> + '_ {
+        self.indexes.finished.iter().filter_map(|key| {
+            let sample = self.open.get(&key.number())?;
+            let Stage::Finished(finished) = &sample.stage else {
+                return None;
+            };
+            Some(UnscoredSample {
+                number: key.number(),
+                lease: finished.lease,
+                prompt: sample.prompt.tokens.clone(),
+                tokens: finished.generation.tokens.clone(),
+            })
+        })
+    }
+
+    pub(super) fn awaits_score(&self, number: SampleNumber, lease: LeaseId) -> bool {
+        let stage = self.open.get(&number).map(|sample| &sample.stage);
+        matches!(stage, Some(Stage::Finished(finished)) if finished.lease == lease)
+    }
+}
+
+/// Which finished samples were given out for scoring, in the leader's memory only: a new leader
+/// may give them out again, and the first score wins.
+#[derive(Debug, Default)]
+pub(super) struct ScoringOffers {
+    until: BTreeMap<(PoolId, SampleNumber, LeaseId), Instant>,
+}
+
+impl ScoringOffers {
+    /// Finished samples that no node has been given lately.
+    pub(super) fn offer(
+        &mut self,
+        now: Instant,
+        id: &PoolId,
+        pool: &PoolLedger,
+        most: u32,
+    ) -> Vec<UnscoredSample> {
+        let most = most.min(MAX_UNSCORED_PER_REQUEST) as usize;
+        let offered: Vec<UnscoredSample> = pool
+            .unscored()
+            .filter(|sample| !self.is_offered(now, id, sample))
+            .take(most)
+            .collect();
+        for sample in &offered {
+            let key = (id.clone(), sample.number, sample.lease);
+            self.until.insert(key, now + SCORING_OFFER);
+        }
+        offered
+    }
+
+    /// Forgets offers that have run out, and those whose sample has its score.
+    pub(super) fn prune(&mut self, now: Instant, pools: &BTreeMap<PoolId, PoolLedger>) {
+        self.until.retain(|(pool, number, lease), until| {
+            let pool = pools.get(pool);
+            *until > now && pool.is_some_and(|pool| pool.awaits_score(*number, *lease))
+        });
+    }
+
+    fn is_offered(&self, now: Instant, id: &PoolId, sample: &UnscoredSample) -> bool {
+        let key = (id.clone(), sample.number, sample.lease);
+        self.until.get(&key).is_some_and(|until| *until > now)
+    }
+}
