--- /dev/null
+++ b/crates/wingshore-storage/src/file_system.rs
@@ -0,0 +1,87 @@
+//! What storage asks of a file system. Only what is synced survives a crash: bytes by
+//! [`File::sync`], names in a directory by [`FileSystem::sync_directory`].
+
+use std::io;
+use std::path::Path;
+
+/// A file opened for appending.
+pub trait File: Send {
+    /// Adds bytes at the end.
+    ///
+    /// # Errors
+    /// Any error of the disk; an unknown part of the bytes may have been added.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes all bytes, and the length, durable.
+    ///
+    /// # Errors
+    /// Any error of the disk; what was unsynced may then be lost for good, also when a later
+    /// sync succeeds, so that the caller must not go on.
+    fn sync(&mut self) -> io::Result<()>;
+
+    /// Cuts the file down to `length` bytes; durable with the next [`File::sync`].
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn truncate(&mut self, length: u64) -> io::Result<()>;
+}
+
+/// Keeps other processes out of a folder until it is dropped.
+pub trait Lock: Send {}
+
+/// A file system. All methods may be called from any thread.
+pub trait FileSystem: Send + Sync {
+    /// Creates an empty file, replacing one of that name.
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn create(&self, path: &Path) -> io::Result<Box<dyn File>>;
+
+    /// Opens a file that exists.
+    ///
+    /// # Errors
+    /// `NotFound` when it does not exist; any error of the disk.
+    fn open(&self, path: &Path) -> io::Result<Box<dyn File>>;
+
+    /// The whole content of a file.
+    ///
+    /// # Errors
+    /// `NotFound` when it does not exist; any error of the disk.
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>>;
+
+    /// Renames a file within its directory, replacing one of the new name, in one step.
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn remove(&self, path: &Path) -> io::Result<()>;
+
+    /// Names in a directory, sorted.
+    ///
+    /// # Errors
+    /// `NotFound` when it does not exist; any error of the disk.
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>>;
+
+    /// Creates a directory and those above it; one that exists is left as it is.
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn create_directory(&self, path: &Path) -> io::Result<()>;
+
+    /// Makes the names in a directory durable.
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn sync_directory(&self, path: &Path) -> io::Result<()>;
+
+    /// Takes the lock file at `path`, creating it where needed.
+    ///
+    /// # Errors
+    /// `WouldBlock` when another process, or another holder in this one, has it.
+    fn lock(&self, path: &Path) -> io::Result<Box<dyn Lock>>;
+}
--- /dev/null
+++ b/crates/wingshore-storage/src/folder.rs
@@ -0,0 +1,184 @@
+//! The data folder of one replica, and the identity that is bound to it.
+
+use crate::error::{IoContext, StorageError};
+use crate::file_system::{FileSystem, Lock};
+use crate::snapshot::{TEMPORARY_SUFFIX, read_whole, write_whole};
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use wingshore_types::protocol::membership::Membership;
+use wingshore_types::{GroupId, ReplicaId};
+
+/// Name of the identity's file.
+const IDENTITY_FILE: &str = "identity";
+/// Name of the lock's file.
+const LOCK_FILE: &str = "lock";
+/// Identities up to this one are chosen by operators; members that join draw higher ones.
+const HIGHEST_FORMATTED: u64 = u32::MAX as u64;
+
+/// Whose data a folder holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The site.
+    pub site: String,
+    /// The replica; bound to this folder for life.
+    pub replica: ReplicaId,
+    /// The founding members, when the folder was formatted as one of them; `None` for a member
+    /// that joins later.
+    pub founding: Option<Membership>,
+}
+
+/// A data folder in use by this process.
+pub struct DataFolder {
+    path: PathBuf,
+    identity: Identity,
+    /// Keeps other processes out.
+    _lock: Box<dyn Lock>,
+}
+
+impl DataFolder {
+    /// Makes an empty folder that of a founding member.
+    ///
+    /// This is done once in a member's life. After the loss of its disk a replica joins anew
+    /// with [`DataFolder::open_or_join`]: formatting it again under its old identity would let
+    /// it vote a second time where it has voted already.
+    ///
+    /// # Errors
+    /// When the folder is not empty, is in use, or the disk fails.
+    pub fn format(
+        fs: &Arc<dyn FileSystem>,
+        folder: &Path,
+        site: &str,
+        replica: ReplicaId,
+        founding: Membership,
+    ) -> Result<Self, StorageError> {
+        let lock = prepare(fs.as_ref(), folder)?;
+        if let Some(found) = first_content(fs.as_ref(), folder)? {
+            return Err(StorageError::NotEmpty {
+                path: folder.to_owned(),
+                found,
+            });
+        }
+        let identity = Identity {
+            site: site.to_owned(),
+            replica,
+            founding: Some(founding),
+        };
+        Self::begin(fs.as_ref(), folder, identity, lock)
+    }
+
+    /// Opens a folder. An empty one becomes that of a new member, whose identity is made of
+    /// `random` and is durable before it is returned.
+    ///
+    /// # Errors
+    /// When the folder belongs to another site, holds data without an identity, is damaged or in
+    /// use, or the disk fails.
+    pub fn open_or_join(
+        fs: &Arc<dyn FileSystem>,
+        folder: &Path,
+        site: &str,
+        random: u64,
+    ) -> Result<Self, StorageError> {
+        let lock = prepare(fs.as_ref(), folder)?;
+        let known: Option<Identity> = read_whole(fs.as_ref(), folder, IDENTITY_FILE)?;
+        if let Some(identity) = known {
+            return Self::reopen(folder, site, identity, lock);
+        }
+        if let Some(found) = first_content(fs.as_ref(), folder)? {
+            return Err(StorageError::NoIdentity {
+                path: folder.to_owned(),
+                found,
+            });
+        }
+        let identity = Identity {
+            site: site.to_owned(),
+            replica: joining_identity(random),
+            founding: None,
+        };
+        Self::begin(fs.as_ref(), folder, identity, lock)
+    }
+
+    fn reopen(
+        folder: &Path,
+        site: &str,
+        identity: Identity,
+        lock: Box<dyn Lock>,
+    ) -> Result<Self, StorageError> {
+        if identity.site != site {
+            return Err(StorageError::WrongSite {
+                path: folder.to_owned(),
+                expected: site.to_owned(),
+                found: identity.site,
+            });
+        }
+        Ok(Self {
+            path: folder.to_owned(),
+            identity,
+            _lock: lock,
+        })
+    }
+
+    fn begin(
+        fs: &dyn FileSystem,
+        folder: &Path,
+        identity: Identity,
+        lock: Box<dyn Lock>,
+    ) -> Result<Self, StorageError> {
+        write_whole(fs, folder, IDENTITY_FILE, &identity)?;
+        Ok(Self {
+            path: folder.to_owned(),
+            identity,
+            _lock: lock,
+        })
+    }
+
+    /// Whose folder it is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// The directory of a group's store.
+    pub fn group_directory(&self, group: GroupId) -> PathBuf {
+        self.path.join(group.to_string())
+    }
+}
+
+/// Creates the folder where needed and locks it.
+fn prepare(fs: &dyn FileSystem, folder: &Path) -> Result<Box<dyn Lock>, StorageError> {
+    fs.create_directory(folder)
+        .during("create directory", folder)?;
+    if let Some(parent) = folder.parent().filter(|parent| parent.is_absolute()) {
+        fs.sync_directory(parent).during("sync directory", parent)?;
+    }
+    let path = folder.join(LOCK_FILE);
+    match fs.lock(&path) {
+        Ok(lock) => Ok(lock),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(StorageError::Locked {
+            path: folder.to_owned(),
+        }),
+        Err(error) => Err(error).during("lock", &path),
+    }
+}
+
+/// One thing in the folder, other than the lock and an identity whose writing was interrupted.
+fn first_content(fs: &dyn FileSystem, folder: &Path) -> Result<Option<String>, StorageError> {
+    let unfinished = format!("{IDENTITY_FILE}{TEMPORARY_SUFFIX}");
+    let names = fs.list(folder).during("list", folder)?;
+    Ok(names
+        .into_iter()
+        .find(|name| name != LOCK_FILE && *name != unfinished))
+}
+
+/// An identity above those that operators choose.
+fn joining_identity(random: u64) -> ReplicaId {
+    if random > HIGHEST_FORMATTED {
+        return ReplicaId(random);
+    }
+    ReplicaId(random + HIGHEST_FORMATTED + 1)
+}
--- /dev/null
+++ b/crates/wingshore-storage/src/frame.rs
@@ -0,0 +1,85 @@
+//! Checksummed frames: how everything stands on disk.
+//!
+//! A frame is `magic | length | checksum | payload`, integers little-endian. The checksum covers
+//! the frame's place (a caller's salt and its offset in the file) beside its payload, so that
+//! a payload which itself holds copied frames never passes for the frames of a file.
+
+/// Starts each frame.
+const MAGIC: [u8; 4] = *b"WSF1";
+/// Bytes before the payload.
+const HEADER_BYTES: usize = 12;
+
+/// What stands at an offset.
+pub(crate) enum Scan<'a> {
+    /// A whole frame.
+    Frame {
+        /// Its content.
+        payload: &'a [u8],
+        /// Where the next one starts.
+        next: usize,
+    },
+    /// The end of the file, exactly.
+    End,
+    /// Something else.
+    Bad(&'static str),
+}
+
+/// Appends a frame with `payload` to `out`, to stand at `offset` of its file.
+pub(crate) fn encode(salt: u64, offset: u64, payload: &[u8], out: &mut Vec<u8>) {
+    let length = payload.len() as u32;
+    out.extend_from_slice(&MAGIC);
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&checksum(salt, offset, payload).to_le_bytes());
+    out.extend_from_slice(payload);
+}
+
+/// Largest payload that a frame can hold, in bytes.
+pub(crate) const MOST_PAYLOAD_BYTES: usize = u32::MAX as usize;
+
+/// Reads what stands at `offset` of `file`.
+pub(crate) fn scan(salt: u64, offset: usize, file: &[u8]) -> Scan<'_> {
+    let rest = file.get(offset..).unwrap_or_default();
+    if rest.is_empty() {
+        return Scan::End;
+    }
+    let Some((header, body)) = rest.split_at_checked(HEADER_BYTES) else {
+        return Scan::Bad("the frame's header is cut short");
+    };
+    if !header.starts_with(&MAGIC) {
+        return Scan::Bad("no frame starts here");
+    }
+    let length = read_u32(header, 4) as usize;
+    let Some(payload) = body.get(..length) else {
+        return Scan::Bad("the frame is cut short");
+    };
+    if read_u32(header, 8) != checksum(salt, offset as u64, payload) {
+        return Scan::Bad("the frame's checksum does not match");
+    }
+    Scan::Frame {
+        payload,
+        next: offset + HEADER_BYTES + length,
+    }
+}
+
+/// The offset of the first whole frame after `offset`, when there is one.
+pub(crate) fn find_after(salt: u64, offset: usize, file: &[u8]) -> Option<usize> {
+    let candidates = offset.saturating_add(1)..file.len();
+    candidates
+        .filter(|&start| file.get(start..).unwrap_or_default().starts_with(&MAGIC))
+        .find(|&start| matches!(scan(salt, start, file), Scan::Frame { .. }))
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> u32 {
+    let mut value = [0; 4];
+    value.copy_from_slice(&bytes[at..at + 4]);
+    u32::from_le_bytes(value)
+}
+
+fn checksum(salt: u64, offset: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&salt.to_le_bytes());
+    hasher.update(&offset.to_le_bytes());
+    hasher.update(&(payload.len() as u64).to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
--- a/crates/wingshore-storage/src/lib.rs
+++ b/crates/wingshore-storage/src/lib.rs
@@ -1,1 +1,27 @@
-//! Durable log, snapshots and identity.
+//! Durable storage of replicated groups: a segmented log, snapshots, and the identity that binds
+//! a data folder to one replica.
+//!
+//! What a [`GroupStore::write`] reports as done is on disk. A crash at any instruction leaves a
+//! state in which all reported batches are there, followed at most by the one batch that was
+//! being written. Damage to anything that was reported as done is told from such a torn tail and
+//! refuses to start, naming file and offset.
+//!
+//! All access to disk goes through [`FileSystem`], so that tests and simulations can lose
+//! unsynced data, tear writes and crash at any call; see [`memory`].
+
+mod error;
+mod file_system;
+mod folder;
+mod frame;
+mod journal;
+pub mod memory;
+mod real;
+mod segment;
+mod snapshot;
+mod store;
+
+pub use error::StorageError;
+pub use file_system::{File, FileSystem, Lock};
+pub use folder::{DataFolder, Identity};
+pub use real::RealFileSystem;
+pub use store::{DEFAULT_SEGMENT_BYTES, GroupStore};
--- /dev/null
+++ b/crates/wingshore-storage/src/memory/disk.rs
@@ -0,0 +1,270 @@
+//! The disk itself: what programs see now, and what would be found after a loss of power.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// Names a file's content, whatever its name in a directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct FileId(u64);
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    /// What programs read.
+    current: Vec<u8>,
+    /// What is on the medium.
+    synced: Vec<u8>,
+}
+
+/// A change of names that is not yet synced.
+#[derive(Clone, Debug)]
+enum NameChange {
+    Link { name: String, file: FileId },
+    Unlink { name: String },
+    Rename { from: String, to: String },
+}
+
+type Names = BTreeMap<String, FileId>;
+
+#[derive(Clone, Debug, Default)]
+struct Directory {
+    current: Names,
+    synced: Names,
+    pending: Vec<NameChange>,
+}
+
+/// A disk. Directories themselves are durable at once; the names of files in them are not.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Disk {
+    contents: BTreeMap<FileId, Content>,
+    directories: BTreeMap<PathBuf, Directory>,
+    next_file: u64,
+}
+
+impl Disk {
+    pub(super) fn create(&mut self, path: &Path) -> io::Result<FileId> {
+        let (directory, name) = split(path)?;
+        let id = FileId(self.next_file);
+        self.next_file += 1;
+        self.directory_mut(directory)?
+            .apply(NameChange::Link { name, file: id });
+        self.contents.insert(id, Content::default());
+        Ok(id)
+    }
+
+    pub(super) fn find(&self, path: &Path) -> io::Result<FileId> {
+        let (directory, name) = split(path)?;
+        let names = &self.directory(directory)?.current;
+        names.get(&name).copied().ok_or_else(not_found)
+    }
+
+    pub(super) fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        let id = self.find(path)?;
+        let content = self.contents.get(&id).ok_or_else(not_found)?;
+        Ok(content.current.clone())
+    }
+
+    pub(super) fn append(&mut self, id: FileId, bytes: &[u8]) -> io::Result<()> {
+        self.content_mut(id)?.current.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    pub(super) fn truncate(&mut self, id: FileId, length: u64) -> io::Result<()> {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        self.content_mut(id)?.current.truncate(length);
+        Ok(())
+    }
+
+    pub(super) fn sync(&mut self, id: FileId) -> io::Result<()> {
+        let content = self.content_mut(id)?;
+        content.synced.clone_from(&content.current);
+        Ok(())
+    }
+
+    pub(super) fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
+        self.find(from)?;
+        let (directory, from) = split(from)?;
+        let (to_directory, to) = split(to)?;
+        if directory != to_directory {
+            return Err(io::ErrorKind::Unsupported.into());
+        }
+        self.directory_mut(directory)?
+            .apply(NameChange::Rename { from, to });
+        Ok(())
+    }
+
+    pub(super) fn remove(&mut self, path: &Path) -> io::Result<()> {
+        self.find(path)?;
+        let (directory, name) = split(path)?;
+        self.directory_mut(directory)?
+            .apply(NameChange::Unlink { name });
+        Ok(())
+    }
+
+    /// Names of files and of directories.
+    pub(super) fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        let files = self.directory(directory)?.current.keys().cloned();
+        let inner = self
+            .directories
+            .keys()
+            .filter(|path| path.parent() == Some(directory))
+            .filter_map(|path| path.file_name());
+        let mut names: Vec<String> = inner
+            .map(|name| name.to_string_lossy().into_owned())
+            .chain(files)
+            .collect();
+        names.sort();
+        Ok(names)
+    }
+
+    pub(super) fn create_directory(&mut self, path: &Path) {
+        for ancestor in path.ancestors() {
+            self.directories.entry(ancestor.to_owned()).or_default();
+        }
+    }
+
+    pub(super) fn sync_directory(&mut self, path: &Path) -> io::Result<()> {
+        let directory = self.directory_mut(path)?;
+        directory.synced.clone_from(&directory.current);
+        directory.pending.clear();
+        Ok(())
+    }
+
+    pub(super) fn damage(
+        &mut self,
+        path: &Path,
+        change: impl FnOnce(&mut Vec<u8>),
+    ) -> io::Result<()> {
+        let id = self.find(path)?;
+        let content = self.content_mut(id)?;
+        change(&mut content.current);
+        content.synced.clone_from(&content.current);
+        Ok(())
+    }
+
+    /// Keeps what was synced, and of the rest a part that depends on `seed`.
+    pub(super) fn lose_unsynced(&mut self, seed: u64) {
+        let mut chance = Chance(seed);
+        for content in self.contents.values_mut() {
+            content.lose_unsynced(&mut chance);
+        }
+        for directory in self.directories.values_mut() {
+            directory.lose_unsynced(&mut chance);
+        }
+        let directories = &self.directories;
+        self.contents.retain(|id, _| {
+            directories
+                .values()
+                .any(|directory| directory.current.values().any(|linked| linked == id))
+        });
+    }
+
+    fn directory(&self, path: &Path) -> io::Result<&Directory> {
+        self.directories.get(path).ok_or_else(not_found)
+    }
+
+    fn directory_mut(&mut self, path: &Path) -> io::Result<&mut Directory> {
+        self.directories.get_mut(path).ok_or_else(not_found)
+    }
+
+    fn content_mut(&mut self, id: FileId) -> io::Result<&mut Content> {
+        self.contents.get_mut(&id).ok_or_else(not_found)
+    }
+}
+
+impl Content {
+    /// Unsynced bytes come back up to some place, and some of them may come back as zeros: a
+    /// disk writes pages in any order.
+    fn lose_unsynced(&mut self, chance: &mut Chance) {
+        let common = self
+            .synced
+            .iter()
+            .zip(&self.current)
+            .take_while(|(synced, current)| synced == current)
+            .count();
+        if self.current.len() < self.synced.len() {
+            let cut = chance.below(2) == 0;
+            let kept = if cut { &self.current } else { &self.synced };
+            self.synced = kept.clone();
+        } else {
+            let kept = chance.within(common, self.current.len());
+            let mut found = self.current[..kept].to_vec();
+            if chance.below(3) == 0 {
+                let hole_start = chance.within(common, kept);
+                let hole_end = chance.within(hole_start, kept);
+                found[hole_start..hole_end].fill(0);
+            }
+            let longer_kept = self.synced.len().saturating_sub(found.len());
+            let tail = self.synced.len() - longer_kept;
+            found.extend_from_slice(&self.synced[tail..]);
+            self.synced = found;
+        }
+        self.current.clone_from(&self.synced);
+    }
+}
+
+impl Directory {
+    fn apply(&mut self, change: NameChange) {
+        change.apply_to(&mut self.current);
+        self.pending.push(change);
+    }
+
+    /// Changes of names come back in order, up to some one.
+    fn lose_unsynced(&mut self, chance: &mut Chance) {
+        let kept = chance.within(0, self.pending.len());
+        for change in self.pending.drain(..).take(kept) {
+            change.apply_to(&mut self.synced);
+        }
+        self.current.clone_from(&self.synced);
+    }
+}
+
+impl NameChange {
+    fn apply_to(&self, names: &mut Names) {
+        match self {
+            Self::Link { name, file } => {
+                names.insert(name.clone(), *file);
+            }
+            Self::Unlink { name } => {
+                names.remove(name);
+            }
+            Self::Rename { from, to } => {
+                if let Some(file) = names.remove(from) {
+                    names.insert(to.clone(), file);
+                }
+            }
+        }
+    }
+}
+
+/// A small seeded generator (SplitMix64); one seed gives one outcome.
+struct Chance(u64);
+
+impl Chance {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let value = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        value ^ (value >> 31)
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound
+    }
+
+    /// A place from `low` to `high`, both included.
+    fn within(&mut self, low: usize, high: usize) -> usize {
+        low + self.below((high - low) as u64 + 1) as usize
+    }
+}
+
+fn split(path: &Path) -> io::Result<(&Path, String)> {
+    match (path.parent(), path.file_name()) {
+        (Some(directory), Some(name)) => Ok((directory, name.to_string_lossy().into_owned())),
+        _ => Err(io::ErrorKind::InvalidInput.into()),
+    }
+}
+
+fn not_found() -> io::Error {
+    io::ErrorKind::NotFound.into()
+}
--- /dev/null
+++ b/crates/wingshore-storage/src/real.rs
@@ -0,0 +1,84 @@
+//! The machine's own file system.
+
+use crate::file_system::{File, FileSystem, Lock};
+use std::fs;
+use std::io::{self, Write};
+use std::path::Path;
+
+/// The machine's own file system, through the standard library.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RealFileSystem;
+
+struct RealFile(fs::File);
+
+struct RealLock {
+    /// Closing it gives the lock back.
+    _file: fs::File,
+}
+
+impl Lock for RealLock {}
+
+impl File for RealFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        self.0.set_len(length)
+    }
+}
+
+impl FileSystem for RealFileSystem {
+    fn create(&self, path: &Path) -> io::Result<Box<dyn File>> {
+        fs::File::create(path)?;
+        self.open(path)
+    }
+
+    fn open(&self, path: &Path) -> io::Result<Box<dyn File>> {
+        let file = fs::OpenOptions::new().append(true).open(path)?;
+        Ok(Box::new(RealFile(file)))
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        fs::read(path)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        fs::rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        fs::remove_file(path)
+    }
+
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(directory)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn create_directory(&self, path: &Path) -> io::Result<()> {
+        fs::create_dir_all(path)
+    }
+
+    fn sync_directory(&self, path: &Path) -> io::Result<()> {
+        fs::File::open(path)?.sync_all()
+    }
+
+    fn lock(&self, path: &Path) -> io::Result<Box<dyn Lock>> {
+        let file = fs::OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path)?;
+        file.try_lock()?;
+        Ok(Box::new(RealLock { _file: file }))
+    }
+}
