--- a/crates/wingshore-request/src/specification.rs
+++ b/crates/wingshore-request/src/specification.rs
@@ -68,9 +68,7 @@
             .chain([&0])
             .chain(key.key.as_bytes()),
     );
-    let shard = hash % u64::from(shards.max(1));
-    // The remainder is below a u16.
-    GroupId::Claims(shard as u16)
+    GroupId::claims_for(hash, shards)
 }
 
 /// FNV-1a, which every node computes alike.
--- a/crates/wingshore-types/src/ids.rs
+++ b/crates/wingshore-types/src/ids.rs
@@ -1,6 +1,7 @@
 //! Identifiers as newtypes, so that one kind is never taken for another.
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::sync::Arc;
 
@@ -129,10 +130,40 @@
 }
 
 /// A client-drawn identity of an intent (128 random bits); a resend carries the same.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+///
+/// In JSON it is 32 hexadecimal digits, since few readers keep 128 bits of a number.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct IntentId(pub u128);
 
+impl IntentId {
+    /// Parses 1 to 32 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        u128::from_str_radix(text, 16).ok().map(Self)
+    }
+}
+
+impl Serialize for IntentId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for IntentId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            Self::from_hex(&text)
+                .ok_or_else(|| D::Error::custom("an intent is 1 to 32 hexadecimal digits"))
+        } else {
+            u128::deserialize(deserializer).map(Self)
+        }
+    }
+}
+
 impl fmt::Display for IntentId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:032x}", self.0)
@@ -171,6 +202,24 @@
     Claims(u16),
 }
 
+impl GroupId {
+    /// All groups of a site, ledger and claims groups numbered from 1.
+    pub fn all(ledger_groups: u16, claims_groups: u16) -> Vec<Self> {
+        let ledgers = (1..=ledger_groups).map(Self::Ledger);
+        let claims = (1..=claims_groups).map(Self::Claims);
+        std::iter::once(Self::Control)
+            .chain(ledgers)
+            .chain(claims)
+            .collect()
+    }
+
+    /// The claims group that holds the key with this hash, of `claims_groups` (at least 1).
+    pub fn claims_for(hash: u64, claims_groups: u16) -> Self {
+        let shard = hash % u64::from(claims_groups.max(1));
+        Self::Claims(1 + shard as u16)
+    }
+}
+
 impl fmt::Display for GroupId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
