control: state machine, planner, leases, swap policy, plan execution

First working bodies behind the landed API. Changes of a plan are committed by the state itself together with the plan's progress, so a step is never made twice.

--- a/crates/wingshore-control/src/command.rs
+++ b/crates/wingshore-control/src/command.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use wingshore_types::ids::{IntentId, PlanId, PoolId, Revision, ServiceId, WeightVersion};
-use wingshore_types::protocol::control::Intent;
+use wingshore_types::protocol::control::{ControlReply, Intent};
 
 /// A change of the control group's state, as it stands in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,3 +73,12 @@
         reason: String,
     },
 }
+
+/// What a command answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommandReply {
+    /// The answer to a client's request.
+    Answer(Box<ControlReply>),
+    /// A command of the leader's own was taken in, or had become pointless.
+    Recorded,
+}
--- /dev/null
+++ b/crates/wingshore-control/src/leader/executor.rs
@@ -0,0 +1,253 @@
+//! Carries out running plans: looks whether the next step is done, and has that committed before
+//! the one after it begins.
+
+use super::engines::Engines;
+use super::idle::IdleWatch;
+use crate::command::StepResult;
+use crate::effect::ControlEffect;
+use crate::settings::LeaderSettings;
+use crate::state::ControlState;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::configuration::{Admission, Server, ServiceKind};
+use wingshore_types::ids::{PlanId, Revision, ServerId, WeightVersion};
+use wingshore_types::protocol::control::{Plan, PlanState, PlanStep};
+
+/// Progress of a plan, to be committed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PlanProgress {
+    /// Which plan.
+    pub(crate) plan: PlanId,
+    /// Its step.
+    pub(crate) step: u32,
+    /// What came of it.
+    pub(crate) result: StepResult,
+}
+
+/// A server that a plan waits for.
+#[derive(Clone, Copy, Debug)]
+struct WatchedServer {
+    watch: IdleWatch,
+    silent_since: Option<Instant>,
+    /// When it is asked for its load next; only live servers are asked here.
+    ask_next: Instant,
+}
+
+/// What is known while plans run; volatile.
+#[derive(Debug, Default)]
+pub(crate) struct PlanExecutor {
+    /// Plans whose progress is on its way into the log.
+    committing: BTreeSet<PlanId>,
+    watched: BTreeMap<ServerId, WatchedServer>,
+}
+
+/// What the executor looks at.
+pub(crate) struct Surroundings<'a> {
+    /// Now.
+    pub(crate) now: Instant,
+    /// What is committed.
+    pub(crate) state: &'a ControlState,
+    /// Engines by their reports.
+    pub(crate) engines: &'a Engines,
+    /// The newest revision in force everywhere.
+    pub(crate) everywhere: Revision,
+    /// Times and limits.
+    pub(crate) settings: &'a LeaderSettings,
+}
+
+impl PlanExecutor {
+    /// Progress of a plan was applied, or turned out to be pointless.
+    pub(crate) fn on_committed(&mut self, plan: PlanId) {
+        self.committing.remove(&plan);
+    }
+
+    /// Takes in what a server said of its load as of `observed_at`; `None` is no answer.
+    pub(crate) fn on_load(
+        &mut self,
+        server: &ServerId,
+        asked_at: Instant,
+        age: Duration,
+        in_flight: Option<u32>,
+    ) {
+        let Some(watched) = self.watched.get_mut(server) else {
+            return;
+        };
+        match in_flight {
+            Some(in_flight) => {
+                watched.silent_since = None;
+                watched.watch.observe(asked_at - age, in_flight == 0);
+            }
+            None => {
+                watched.silent_since.get_or_insert(asked_at);
+            }
+        }
+    }
+
+    /// Looks at all running plans; answers what is to be committed.
+    pub(crate) fn advance(&mut self, around: &Surroundings<'_>) -> Vec<PlanProgress> {
+        self.forget_unwatched(around.state);
+        let mut progress = Vec::new();
+        for plan in around.state.running_plans() {
+            let PlanState::Running { next_step } = plan.state else {
+                continue;
+            };
+            if self.committing.contains(&plan.id) {
+                continue;
+            }
+            if let Some(result) = self.look(plan, next_step, around) {
+                self.committing.insert(plan.id);
+                progress.push(PlanProgress {
+                    plan: plan.id,
+                    step: next_step,
+                    result,
+                });
+            }
+        }
+        progress
+    }
+
+    /// Asks live servers that a plan waits for how loaded they are.
+    pub(crate) fn ask_loads(
+        &mut self,
+        now: Instant,
+        state: &ControlState,
+        settings: &LeaderSettings,
+        effects: &mut Vec<ControlEffect>,
+    ) {
+        for (id, watched) in &mut self.watched {
+            let Some(server) = state.configuration().servers.get(id) else {
+                continue;
+            };
+            if is_engine(state, server) || now < watched.ask_next {
+                continue;
+            }
+            watched.ask_next = now + settings.poll_interval;
+            effects.push(ControlEffect::ReadLoad {
+                server: id.clone(),
+                address: server.address,
+            });
+        }
+    }
+
+    /// Servers that a plan waits for.
+    pub(crate) fn watched(&self) -> impl Iterator<Item = &ServerId> {
+        self.watched.keys()
+    }
+
+    fn look(
+        &mut self,
+        plan: &Plan,
+        next_step: u32,
+        around: &Surroundings<'_>,
+    ) -> Option<StepResult> {
+        match plan.steps.get(next_step as usize)? {
+            // Changes are committed together with the step before them.
+            PlanStep::Change(_) => None,
+            PlanStep::AwaitInForce => {
+                let everywhere = around.everywhere;
+                let wanted = around.state.changed_at(plan.id);
+                (everywhere >= wanted).then_some(StepResult::InForce(everywhere))
+            }
+            PlanStep::AwaitIdle(server) => self.look_idle(server, around),
+            PlanStep::Swap { .. } => look_swaps(plan, next_step, around),
+        }
+    }
+
+    fn look_idle(&mut self, id: &ServerId, around: &Surroundings<'_>) -> Option<StepResult> {
+        if !around.state.configuration().servers.contains_key(id) {
+            return Some(StepResult::Done { steps: 1 });
+        }
+        let now = around.now;
+        let watched = self.watched.entry(id.clone()).or_insert(WatchedServer {
+            watch: IdleWatch::new(now),
+            silent_since: None,
+            ask_next: now,
+        });
+        if watched.watch.is_idle_for(around.settings.idle_for) {
+            return Some(StepResult::Done { steps: 1 });
+        }
+        let silent_for = watched.silent_since.map(|since| now.since(since))?;
+        (silent_for >= around.settings.unreachable_after).then(|| StepResult::Failed {
+            reason: format!(
+                "server `{id}` has not answered for {} s, so whether it is idle is not known; it still gets no new work",
+                silent_for.as_secs()
+            ),
+        })
+    }
+
+    fn forget_unwatched(&mut self, state: &ControlState) {
+        if self.watched.is_empty() {
+            return;
+        }
+        let awaited: BTreeSet<&ServerId> =
+            state.running_plans().filter_map(awaited_server).collect();
+        self.watched.retain(|id, _| awaited.contains(id));
+    }
+}
+
+fn awaited_server(plan: &Plan) -> Option<&ServerId> {
+    let PlanState::Running { next_step } = plan.state else {
+        return None;
+    };
+    match plan.steps.get(next_step as usize)? {
+        PlanStep::AwaitIdle(server) => Some(server),
+        _ => None,
+    }
+}
+
+fn is_engine(state: &ControlState, server: &Server) -> bool {
+    state
+        .configuration()
+        .services
+        .get(&server.service)
+        .is_some_and(|service| matches!(service.kind, ServiceKind::Engines { .. }))
+}
+
+/// Swaps that follow each other go on side by side, as the swap policy allows; the plan moves past
+/// those at its head that are done.
+fn look_swaps(plan: &Plan, next_step: u32, around: &Surroundings<'_>) -> Option<StepResult> {
+    let mut done = 0;
+    for step in plan.steps.iter().skip(next_step as usize) {
+        let PlanStep::Swap { server, version } = step else {
+            break;
+        };
+        match look_swap(server, *version, around) {
+            SwapOutcome::Done => done += 1,
+            SwapOutcome::Open => break,
+            SwapOutcome::Failed(reason) if done == 0 => return Some(StepResult::Failed { reason }),
+            SwapOutcome::Failed(_) => break,
+        }
+    }
+    (done > 0).then_some(StepResult::Done { steps: done })
+}
+
+enum SwapOutcome {
+    Done,
+    Open,
+    Failed(String),
+}
+
+/// A swap is done once the engine reports the version. Engines that are gone, take no work or do
+/// not answer are passed over: they are brought to the version when they come back.
+fn look_swap(id: &ServerId, version: WeightVersion, around: &Surroundings<'_>) -> SwapOutcome {
+    let server = around.state.configuration().servers.get(id);
+    let in_use = server.is_some_and(|server| server.admission == Admission::Open);
+    let Some(engine) = around.engines.get(id).filter(|_| in_use) else {
+        return SwapOutcome::Done;
+    };
+    let settings = around.settings;
+    if engine.version() == Some(version) && !engine.is_swapping() {
+        return SwapOutcome::Done;
+    }
+    if engine.is_unreachable(around.now, settings.unreachable_after) {
+        return SwapOutcome::Done;
+    }
+    if engine.failures() >= settings.swap_failures_that_stop_a_plan {
+        return SwapOutcome::Failed(format!(
+            "engine `{id}` has failed {} swaps to version {version} in a row; engines not moved yet stay where they are",
+            engine.failures()
+        ));
+    }
+    SwapOutcome::Open
+}
--- /dev/null
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -0,0 +1,370 @@
+//! The part of the control group that runs on the leader only.
+
+mod engine;
+mod engines;
+mod executor;
+mod idle;
+mod leases;
+mod orders;
+mod polling;
+mod swap_times;
+mod watches;
+
+use crate::command::{CommandReply, ControlCommand};
+use crate::effect::{ControlEffect, ControlEvent};
+use crate::faults::Faults;
+use crate::settings::LeaderSettings;
+use crate::state::ControlState;
+use engines::Engines;
+use executor::{PlanExecutor, Surroundings};
+use leases::NodeLeases;
+use orders::FenceSource;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use swap_times::SwapTimes;
+use watches::Watches;
+use wingshore_types::ids::{Epoch, PlanId, ReplicaId, Revision, ServerId};
+use wingshore_types::machine::{
+    LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
+};
+use wingshore_types::platform::EngineState;
+use wingshore_types::protocol::control::{
+    ControlRefusal, ControlReply, ControlRequest, InForce, PlanState, PlanStep, Status,
+    WatchRequest,
+};
+use wingshore_types::{Instant, Verdict};
+
+type Outputs = LeaderOutputs<ControlLeader>;
+
+/// Who waits for a proposal.
+#[derive(Clone, Copy, Debug)]
+enum Waiter {
+    Client(RequestTag),
+    Plan(PlanId),
+    Nobody,
+}
+
+/// Watches and leases of nodes, execution of plans, orders to engines.
+#[derive(Debug, Default)]
+pub struct ControlLeader {
+    settings: LeaderSettings,
+    faults: Faults,
+    replica: ReplicaId,
+    epoch: Epoch,
+    last_proposal: u64,
+    proposals: BTreeMap<ProposalTag, Waiter>,
+    watches: Watches,
+    leases: NodeLeases,
+    engines: Engines,
+    executor: PlanExecutor,
+    swap_times: SwapTimes,
+    /// The revision that the engines were last synced with.
+    synced: Option<Revision>,
+}
+
+impl ControlLeader {
+    /// A leader with settings of its own and, in tests, deliberate faults.
+    pub fn new(settings: LeaderSettings, faults: Faults) -> Self {
+        Self {
+            settings,
+            faults,
+            ..Self::default()
+        }
+    }
+
+    fn propose(&mut self, waiter: Waiter, command: ControlCommand, out: &mut Outputs) {
+        self.last_proposal += 1;
+        let tag = ProposalTag(self.last_proposal);
+        self.proposals.insert(tag, waiter);
+        out.push(LeaderOutput::Propose { tag, command });
+    }
+
+    fn on_watch(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        request: WatchRequest,
+        state: &ControlState,
+        out: &mut Outputs,
+    ) {
+        let wait = Duration::from_millis(request.wait_ms).min(self.settings.longest_watch);
+        // Who acknowledges nothing holds nothing that could be counted on.
+        let lease = if request.acknowledgements.is_empty() {
+            Duration::ZERO
+        } else {
+            self.settings.lease
+        };
+        let counted = self.settings.counted_lease();
+        self.leases
+            .acknowledge(now, counted, request.acknowledgements);
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        self.watches.add(tag, request.have, now + wait, lease_ms);
+        self.answer_watches(now, state, out);
+    }
+
+    fn answer_watches(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
+        let answers = self.watches.answer_due(now, state).into_iter();
+        out.extend(answers.map(|(tag, reply)| LeaderOutput::Reply { tag, reply }));
+    }
+
+    /// The newest revision in force everywhere.
+    fn everywhere(&mut self, now: Instant, committed: Revision) -> Revision {
+        self.leases.update(now, committed);
+        if self.faults.in_force_without_acknowledgement {
+            return committed;
+        }
+        self.leases.everywhere()
+    }
+
+    fn in_force(&mut self, now: Instant, committed: Revision) -> InForce {
+        InForce {
+            committed,
+            everywhere: self.everywhere(now, committed),
+            waiting_for: self.leases.behind(committed),
+        }
+    }
+
+    fn status(&mut self, now: Instant, state: &ControlState) -> Status {
+        Status {
+            leader: self.replica,
+            epoch: self.epoch,
+            in_force: self.in_force(now, state.configuration().revision),
+            nodes: self.leases.nodes(),
+            engines: self.engines.status(),
+            open_plans: state.open_plans().cloned().collect(),
+        }
+    }
+
+    /// Reacts to what was committed.
+    fn follow(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
+        let revision = state.configuration().revision;
+        if self.synced != Some(revision) {
+            self.synced = Some(revision);
+            self.engines.sync(now, state.configuration());
+        }
+        self.answer_watches(now, state, out);
+        self.advance_plans(now, state, out);
+    }
+
+    fn advance_plans(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
+        if state.running_plans().next().is_none() {
+            return;
+        }
+        let everywhere = self.everywhere(now, state.configuration().revision);
+        let progress = self.executor.advance(&Surroundings {
+            now,
+            state,
+            engines: &self.engines,
+            everywhere,
+            settings: &self.settings,
+        });
+        for progress in progress {
+            let command = ControlCommand::AdvancePlan {
+                plan: progress.plan,
+                step: progress.step,
+                result: progress.result,
+            };
+            self.propose(Waiter::Plan(progress.plan), command, out);
+        }
+        let watched: Vec<ServerId> = self.executor.watched().cloned().collect();
+        for server in watched {
+            self.engines
+                .hurry(&server, now + self.settings.poll_interval);
+        }
+    }
+
+    fn on_state_read(
+        &mut self,
+        now: Instant,
+        server: &ServerId,
+        asked_at: Instant,
+        read: Result<EngineState, Verdict>,
+        state: &ControlState,
+        out: &mut Outputs,
+    ) {
+        let report = read.ok();
+        let in_flight = report
+            .as_ref()
+            .map(|report| report.in_flight.saturating_add(report.queue));
+        self.executor
+            .on_load(server, asked_at, Duration::ZERO, in_flight);
+        let finished = self
+            .engines
+            .on_state(now, server, asked_at, report, &self.settings);
+        let measured = finished.and_then(|swap| self.swap_times.record(now, swap, state));
+        if let Some(command) = measured {
+            self.propose(Waiter::Nobody, command, out);
+        }
+    }
+
+    fn tick(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
+        self.follow(now, state, out);
+        let mut effects = Vec::new();
+        self.engines.tick(now, state, &self.settings, &mut effects);
+        self.executor
+            .ask_loads(now, state, &self.settings, &mut effects);
+        out.extend(effects.into_iter().map(LeaderOutput::Effect));
+    }
+
+    /// Deliberate fault: steps that were done under the leader before are done again.
+    fn repeat_steps(&mut self, state: &ControlState) {
+        for plan in state.running_plans() {
+            let PlanState::Running { next_step } = plan.state else {
+                continue;
+            };
+            for step in plan.steps.iter().take(next_step as usize) {
+                if let PlanStep::Swap { server, .. } = step {
+                    self.engines.repeat(server);
+                }
+            }
+        }
+    }
+}
+
+impl LeaderMachine for ControlLeader {
+    type State = ControlState;
+    type Request = ControlRequest;
+    type Reply = ControlReply;
+    type Effect = ControlEffect;
+    type Event = ControlEvent;
+
+    fn on_leadership(
+        &mut self,
+        now: Instant,
+        epoch: Epoch,
+        state: &ControlState,
+        out: &mut Outputs,
+    ) {
+        let fence_epoch = if self.faults.ignore_fence_order {
+            Epoch(epoch.0.saturating_sub(1))
+        } else {
+            epoch
+        };
+        *self = Self {
+            epoch,
+            replica: self.replica,
+            engines: Engines::new(now, FenceSource::new(fence_epoch)),
+            leases: NodeLeases::new(now, self.settings.counted_lease(), state.proven_in_force()),
+            ..Self::new(self.settings.clone(), self.faults)
+        };
+        if self.faults.repeat_steps_after_leader_change {
+            self.repeat_steps(state);
+        }
+        self.tick(now, state, out);
+    }
+
+    fn on_request(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        request: ControlRequest,
+        state: &ControlState,
+        out: &mut Outputs,
+    ) {
+        let reply = match request {
+            ControlRequest::Watch(watch) => return self.on_watch(now, tag, watch, state, out),
+            ControlRequest::Propose {
+                intent_id,
+                base_revision,
+                intent,
+            } => {
+                let command = ControlCommand::Propose {
+                    intent_id,
+                    base_revision,
+                    intent,
+                };
+                return self.propose(Waiter::Client(tag), command, out);
+            }
+            ControlRequest::Confirm { intent_id, plan } => {
+                let command = ControlCommand::Confirm { intent_id, plan };
+                return self.propose(Waiter::Client(tag), command, out);
+            }
+            ControlRequest::Cancel { intent_id, plan } => {
+                let command = ControlCommand::Cancel { intent_id, plan };
+                return self.propose(Waiter::Client(tag), command, out);
+            }
+            ControlRequest::Publish {
+                intent_id,
+                pool,
+                version,
+            } => {
+                let command = ControlCommand::Publish {
+                    intent_id,
+                    pool,
+                    version,
+                };
+                return self.propose(Waiter::Client(tag), command, out);
+            }
+            ControlRequest::ShowPlan(id) => match state.plan(id) {
+                Some(plan) => ControlReply::Plan(Box::new(plan.clone())),
+                None => ControlReply::Refused(ControlRefusal::UnknownPlan(id)),
+            },
+            ControlRequest::ListPlans => ControlReply::Plans(state.plans().cloned().collect()),
+            ControlRequest::Status => ControlReply::Status(Box::new(self.status(now, state))),
+            ControlRequest::ReadConfiguration => {
+                ControlReply::Configuration(Box::new(state.configuration().clone()))
+            }
+        };
+        out.push(LeaderOutput::Reply { tag, reply });
+    }
+
+    fn on_applied(
+        &mut self,
+        now: Instant,
+        tag: ProposalTag,
+        reply: CommandReply,
+        state: &ControlState,
+        out: &mut Outputs,
+    ) {
+        match (self.proposals.remove(&tag), reply) {
+            (Some(Waiter::Client(tag)), CommandReply::Answer(reply)) => {
+                out.push(LeaderOutput::Reply { tag, reply: *reply });
+            }
+            (Some(Waiter::Plan(plan)), _) => self.executor.on_committed(plan),
+            (Some(Waiter::Client(_) | Waiter::Nobody) | None, _) => {}
+        }
+        self.follow(now, state, out);
+    }
+
+    fn on_event(
+        &mut self,
+        now: Instant,
+        event: ControlEvent,
+        state: &ControlState,
+        out: &mut Outputs,
+    ) {
+        match event {
+            ControlEvent::Configured { replica, settings } => {
+                self.replica = replica;
+                self.settings = *settings;
+                self.leases.lengthen(self.settings.counted_lease());
+            }
+            ControlEvent::OrderAnswered {
+                server,
+                fence,
+                answer,
+            } => self.engines.on_order_answer(now, &server, fence, answer),
+            ControlEvent::StateRead {
+                server,
+                asked_at,
+                state: read,
+            } => self.on_state_read(now, &server, asked_at, read, state, out),
+            ControlEvent::LoadRead {
+                server,
+                asked_at,
+                load,
+            } => {
+                let age = load.map_or(0, |load| load.age_ms);
+                let in_flight = load.map(|load| load.in_flight.saturating_add(load.queue));
+                let age = Duration::from_millis(age);
+                self.executor
+                    .on_load(&server, asked_at, age, in_flight.ok());
+            }
+        }
+        self.advance_plans(now, state, out);
+    }
+
+    fn on_tick(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
+        self.tick(now, state, out);
+    }
+}
--- /dev/null
+++ b/crates/wingshore-control/src/leader/orders.rs
@@ -0,0 +1,179 @@
+//! Fences of orders, and one order on its way to an engine.
+
+use crate::effect::OrderAnswer;
+use crate::settings::LeaderSettings;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_types::ids::{Epoch, OrderSequence, WeightVersion};
+use wingshore_types::platform::{EngineOrder, EngineState, OrderBody, OrderFence};
+use wingshore_types::{Instant, Verdict};
+
+/// Gives out fences of one leadership, each once.
+#[derive(Debug, Default)]
+pub(crate) struct FenceSource {
+    epoch: Epoch,
+    last_sequence: u64,
+}
+
+impl FenceSource {
+    /// Fences of `epoch`, from sequence 1 on.
+    pub(crate) fn new(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            last_sequence: 0,
+        }
+    }
+
+    /// The next fence.
+    pub(crate) fn next(&mut self) -> OrderFence {
+        self.last_sequence += 1;
+        OrderFence {
+            epoch: self.epoch,
+            sequence: OrderSequence(self.last_sequence),
+        }
+    }
+}
+
+/// How an order to load weights stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderProgress {
+    /// No result yet.
+    Open,
+    /// The engine reports the version.
+    Succeeded,
+    /// The engine will not come to the version by this order.
+    Failed,
+}
+
+/// An order to load weights that has no result yet.
+#[derive(Clone, Debug)]
+pub(crate) struct SwapOrder {
+    order: EngineOrder,
+    version: WeightVersion,
+    source: SocketAddr,
+    first_sent: Instant,
+    send_next: Instant,
+    send_wait: Duration,
+    accepted_at: Option<Instant>,
+    refused: bool,
+    /// The engine's boot when the order was decided.
+    boot_id: u64,
+}
+
+impl SwapOrder {
+    /// A new order, to be sent at once.
+    pub(crate) fn new(
+        now: Instant,
+        fence: OrderFence,
+        version: WeightVersion,
+        source: SocketAddr,
+        boot_id: u64,
+    ) -> Self {
+        let body = OrderBody::LoadWeights {
+            version,
+            source: format!("http://{source}"),
+        };
+        Self {
+            order: EngineOrder { fence, order: body },
+            version,
+            source,
+            first_sent: now,
+            send_next: now,
+            send_wait: Duration::ZERO,
+            accepted_at: None,
+            refused: false,
+            boot_id,
+        }
+    }
+
+    /// Its fence.
+    pub(crate) fn fence(&self) -> OrderFence {
+        self.order.fence
+    }
+
+    /// The version it asks for.
+    pub(crate) fn version(&self) -> WeightVersion {
+        self.version
+    }
+
+    /// Where the engine fetches from.
+    pub(crate) fn source(&self) -> SocketAddr {
+        self.source
+    }
+
+    /// When it was sent first.
+    pub(crate) fn first_sent(&self) -> Instant {
+        self.first_sent
+    }
+
+    /// The order, when it is to be sent now: the first time, or again, under the same fence,
+    /// because no answer has come.
+    pub(crate) fn send_due(
+        &mut self,
+        now: Instant,
+        settings: &LeaderSettings,
+    ) -> Option<EngineOrder> {
+        if self.accepted_at.is_some() || self.refused || now < self.send_next {
+            return None;
+        }
+        self.send_wait = (self.send_wait * 2)
+            .max(settings.order_timeout)
+            .min(settings.longest_order_backoff);
+        self.send_next = now + self.send_wait;
+        Some(self.order.clone())
+    }
+
+    /// Takes the engine's answer in.
+    pub(crate) fn on_answer(&mut self, now: Instant, answer: OrderAnswer) {
+        match answer {
+            OrderAnswer::Accepted => {
+                self.accepted_at.get_or_insert(now);
+            }
+            OrderAnswer::Fenced(_) | OrderAnswer::Failed(Verdict::Ran) => self.refused = true,
+            OrderAnswer::Failed(Verdict::NotRun | Verdict::MayHaveRun) => {}
+        }
+    }
+
+    /// Judges by the engine's own report. Only one that was asked for after the order counts.
+    pub(crate) fn on_report(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        state: &EngineState,
+    ) -> OrderProgress {
+        if asked_at <= self.first_sent {
+            return OrderProgress::Open;
+        }
+        if state.last_order.is_some_and(|last| last >= self.fence()) {
+            return self.judge_seen(now, state);
+        }
+        let asked_after_acceptance = self.accepted_at.is_some_and(|at| asked_at > at);
+        if state.boot_id != self.boot_id || asked_after_acceptance {
+            return OrderProgress::Failed;
+        }
+        OrderProgress::Open
+    }
+
+    /// The engine has seen the order, or one above it.
+    fn judge_seen(&mut self, now: Instant, state: &EngineState) -> OrderProgress {
+        self.accepted_at.get_or_insert(now);
+        if state.weight_version == Some(self.version) {
+            return OrderProgress::Succeeded;
+        }
+        if state.loading == Some(self.version) && state.boot_id == self.boot_id {
+            return OrderProgress::Open;
+        }
+        OrderProgress::Failed
+    }
+
+    /// Judges by the time it takes.
+    pub(crate) fn on_time(&self, now: Instant, settings: &LeaderSettings) -> OrderProgress {
+        let too_long = self
+            .accepted_at
+            .is_some_and(|at| now.since(at) > settings.swap_timeout);
+        if self.refused || too_long {
+            return OrderProgress::Failed;
+        }
+        OrderProgress::Open
+    }
+}
--- /dev/null
+++ b/crates/wingshore-control/src/leader/polling.rs
@@ -0,0 +1,138 @@
+//! When each engine is asked for its state: at an even pace, engines that swap more often.
+
+use crate::settings::LeaderSettings;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::ids::ServerId;
+
+/// Nanoseconds in a second.
+const NANOSECONDS: u64 = 1_000_000_000;
+/// Most unused questions that may be asked at once later, as a time at full pace.
+const BURST: Duration = Duration::from_millis(200);
+
+/// One server's place in the schedule.
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    due: Instant,
+    asked_at: Option<Instant>,
+}
+
+/// Which server is asked when.
+#[derive(Debug, Default)]
+pub(crate) struct PollSchedule {
+    slots: BTreeMap<ServerId, Slot>,
+    by_time: BTreeSet<(Instant, ServerId)>,
+    /// Questions that may be asked now, in units of a billionth.
+    allowance: u64,
+    updated_at: Instant,
+}
+
+impl PollSchedule {
+    /// Adds a server, to be asked at once as the pace allows.
+    pub(crate) fn add(&mut self, now: Instant, server: &ServerId) {
+        self.put(
+            server,
+            Slot {
+                due: now,
+                asked_at: None,
+            },
+        );
+    }
+
+    /// Lets a server go.
+    pub(crate) fn remove(&mut self, server: &ServerId) {
+        if let Some(slot) = self.slots.remove(server) {
+            self.by_time.remove(&(slot.due, server.clone()));
+        }
+    }
+
+    /// The servers to ask now, the most overdue first.
+    pub(crate) fn take_due(&mut self, now: Instant, settings: &LeaderSettings) -> Vec<ServerId> {
+        self.gain_allowance(now, settings);
+        let mut due = Vec::new();
+        while self.allowance >= NANOSECONDS {
+            let Some((at, server)) = self.by_time.first().cloned() else {
+                break;
+            };
+            if at > now {
+                break;
+            }
+            self.allowance -= NANOSECONDS;
+            self.put(
+                &server,
+                Slot {
+                    due: now + settings.poll_timeout,
+                    asked_at: Some(now),
+                },
+            );
+            due.push(server);
+        }
+        due
+    }
+
+    /// A question was answered, or failed: the next one follows after a while.
+    pub(crate) fn on_answer(
+        &mut self,
+        server: &ServerId,
+        asked_at: Instant,
+        is_busy: bool,
+        settings: &LeaderSettings,
+    ) {
+        let Some(slot) = self.slots.get(server).copied() else {
+            return;
+        };
+        if slot.asked_at.is_none_or(|newest| newest > asked_at) {
+            return;
+        }
+        let interval = if is_busy {
+            settings.poll_interval
+        } else {
+            self.steady_interval(settings)
+        };
+        self.put(
+            server,
+            Slot {
+                due: asked_at + interval,
+                asked_at: None,
+            },
+        );
+    }
+
+    /// Brings a server's next question forward.
+    pub(crate) fn hurry(&mut self, server: &ServerId, at: Instant) {
+        let Some(slot) = self.slots.get(server).copied() else {
+            return;
+        };
+        if slot.asked_at.is_none() && slot.due > at {
+            self.put(server, Slot { due: at, ..slot });
+        }
+    }
+
+    /// Engines at rest take half of the pace at most; the rest is for those that swap.
+    fn steady_interval(&self, settings: &LeaderSettings) -> Duration {
+        let servers = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
+        let whole_round = Duration::from_secs(1) * servers / settings.polls_per_second.max(1);
+        settings.poll_interval.max(whole_round * 2)
+    }
+
+    fn gain_allowance(&mut self, now: Instant, settings: &LeaderSettings) {
+        let pace = u64::from(settings.polls_per_second.max(1));
+        let elapsed = now.since(self.updated_at).min(BURST);
+        let gained = u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX);
+        let most = u64::try_from(BURST.as_nanos()).unwrap_or(u64::MAX);
+        let limit = most.saturating_mul(pace).max(NANOSECONDS);
+        self.allowance = self
+            .allowance
+            .saturating_add(gained.saturating_mul(pace))
+            .min(limit);
+        self.updated_at = now;
+    }
+
+    fn put(&mut self, server: &ServerId, slot: Slot) {
+        if let Some(old) = self.slots.insert(server.clone(), slot) {
+            self.by_time.remove(&(old.due, server.clone()));
+        }
+        self.by_time.insert((slot.due, server.clone()));
+    }
+}
--- a/crates/wingshore-control/src/lib.rs
+++ b/crates/wingshore-control/src/lib.rs
@@ -12,10 +12,14 @@
 mod leader;
 mod settings;
 mod state;
+pub mod swaps;
 
-pub use command::{ControlCommand, StepResult};
+pub use command::{CommandReply, ControlCommand, StepResult};
 pub use effect::{ControlEffect, ControlEvent, OrderAnswer};
 pub use faults::Faults;
 pub use leader::ControlLeader;
 pub use settings::LeaderSettings;
-pub use state::ControlState;
+pub use state::{
+    ANSWERS_KEPT, ASSUMED_SWAP_MS, CHANGE_BYTES_KEPT, CHANGES_KEPT, CHANGES_PER_INTENT,
+    CLOSED_PLANS_KEPT, CLOSED_STEPS_KEPT, ControlState, OPEN_PLANS_LIMIT,
+};
--- a/crates/wingshore-control/src/settings.rs
+++ b/crates/wingshore-control/src/settings.rs
@@ -57,7 +57,7 @@
             swap_backoff: Duration::from_secs(1),
             longest_swap_backoff: Duration::from_secs(60),
             swap_failures_that_stop_a_plan: 5,
-            unreachable_after: Duration::from_secs(30),
+            unreachable_after: Duration::from_secs(10),
             poll_interval: Duration::from_millis(500),
             poll_timeout: Duration::from_secs(2),
             polls_per_second: 2_000,
--- /dev/null
+++ b/crates/wingshore-control/src/state/mod.rs
@@ -0,0 +1,167 @@
+//! The replicated part of the control group.
+
+mod answers;
+mod apply;
+mod checks;
+mod describe;
+mod estimate;
+mod execution;
+mod footprint;
+mod history;
+mod plan_book;
+mod planner;
+
+use crate::command::{CommandReply, ControlCommand};
+use crate::faults::Faults;
+use answers::IntentAnswers;
+use history::ChangeHistory;
+use plan_book::PlanBook;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use wingshore_types::configuration::Configuration;
+use wingshore_types::ids::{
+    LogIndex, PlanId, PoolId, Revision, ServerId, ServiceId, WeightVersion,
+};
+use wingshore_types::machine::{ReplicatedState, RestoreError};
+use wingshore_types::protocol::control::{ConfigurationUpdate, Plan};
+
+pub use answers::ANSWERS_KEPT;
+pub use estimate::ASSUMED_SWAP_MS;
+pub use history::{CHANGE_BYTES_KEPT, CHANGES_KEPT};
+pub use plan_book::{CLOSED_PLANS_KEPT, CLOSED_STEPS_KEPT, OPEN_PLANS_LIMIT};
+pub use planner::CHANGES_PER_INTENT;
+
+/// Format of snapshots; the first byte of each.
+const SNAPSHOT_FORMAT: u8 = 1;
+
+/// The configuration, plans, first answers to intents and published versions.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ControlState {
+    configuration: Configuration,
+    history: ChangeHistory,
+    plans: PlanBook,
+    answers: IntentAnswers,
+    /// The newest version published for each pool.
+    published: BTreeMap<PoolId, WeightVersion>,
+    /// Engines that a stopped plan did not reach: they stay at their version for now.
+    held: BTreeSet<ServerId>,
+    /// Measured times of swaps in milliseconds.
+    swap_times: BTreeMap<ServiceId, u64>,
+    /// The newest revision that a leader has proved to be in force everywhere.
+    proven_in_force: Revision,
+    #[serde(skip)]
+    faults: Faults,
+}
+
+impl ControlState {
+    /// An empty state with deliberate faults, for tests.
+    pub fn with_faults(faults: Faults) -> Self {
+        Self {
+            faults,
+            ..Self::default()
+        }
+    }
+
+    /// The same state with deliberate faults, for tests that restore a snapshot.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// The configuration as committed.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// What a watcher that holds revision `have` needs to hold the newest one.
+    pub fn update_since(&self, have: Revision) -> ConfigurationUpdate {
+        self.history.update(have, &self.configuration)
+    }
+
+    /// A plan that is kept.
+    pub fn plan(&self, id: PlanId) -> Option<&Plan> {
+        self.plans.get(id).map(|record| &record.plan)
+    }
+
+    /// All plans that are kept, in order of their numbers.
+    pub fn plans(&self) -> impl Iterator<Item = &Plan> {
+        self.plans.all()
+    }
+
+    /// Plans that are proposed or running.
+    pub fn open_plans(&self) -> impl Iterator<Item = &Plan> {
+        self.plans.open().map(|record| &record.plan)
+    }
+
+    /// Plans that are running.
+    pub fn running_plans(&self) -> impl Iterator<Item = &Plan> {
+        self.plans.running().map(|record| &record.plan)
+    }
+
+    /// The revision of the newest change that a plan has committed.
+    pub fn changed_at(&self, id: PlanId) -> Revision {
+        self.plans
+            .get(id)
+            .map(|record| record.changed_at)
+            .unwrap_or_default()
+    }
+
+    /// The newest version published for a pool.
+    pub fn published(&self, pool: &PoolId) -> Option<WeightVersion> {
+        self.published.get(pool).copied()
+    }
+
+    /// Whether a stopped plan left this engine at its version.
+    pub fn is_held(&self, server: &ServerId) -> bool {
+        self.held.contains(server)
+    }
+
+    /// The measured time of a service's swaps, in milliseconds.
+    pub fn swap_time(&self, service: &ServiceId) -> Option<u64> {
+        self.swap_times.get(service).copied()
+    }
+
+    /// The newest revision that a leader has proved to be in force everywhere.
+    pub fn proven_in_force(&self) -> Revision {
+        self.proven_in_force
+    }
+
+    /// The version that a service's engines are to serve, and the store that has it: the highest
+    /// target among the service's pools, since an engine serves one version at a time.
+    pub fn wanted_weights(
+        &self,
+        service: &ServiceId,
+    ) -> Option<(WeightVersion, std::net::SocketAddr)> {
+        self.configuration
+            .pools
+            .values()
+            .filter(|pool| &pool.service == service)
+            .map(|pool| (pool.target_version, pool.weight_store))
+            .max_by_key(|(version, _)| *version)
+    }
+}
+
+impl ReplicatedState for ControlState {
+    type Command = ControlCommand;
+    type Reply = CommandReply;
+
+    fn apply(&mut self, _index: LogIndex, command: ControlCommand) -> CommandReply {
+        self.apply_command(command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        // Encoding plain data into a growing vector does not fail; an empty snapshot is refused
+        // by `restore`.
+        postcard::to_extend(self, vec![SNAPSHOT_FORMAT]).unwrap_or_default()
+    }
+
+    fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
+        let Some((&SNAPSHOT_FORMAT, encoded)) = bytes.split_first() else {
+            return Err(RestoreError {
+                message: format!("not a control snapshot of format {SNAPSHOT_FORMAT}"),
+            });
+        };
+        postcard::from_bytes(encoded).map_err(|error| RestoreError {
+            message: format!("control snapshot is damaged: {error}"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wingshore-control/src/state/plan_book.rs
@@ -0,0 +1,121 @@
+//! Plans: open ones are always kept, closed ones as a bounded history.
+
+use super::footprint::Footprint;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use wingshore_types::ids::{PlanId, Revision};
+use wingshore_types::protocol::control::{Plan, PlanState};
+
+/// Closed plans kept.
+pub const CLOSED_PLANS_KEPT: usize = 500;
+/// Steps of closed plans kept, over all of them; the newest closed plan stays in any case.
+pub const CLOSED_STEPS_KEPT: usize = 50_000;
+/// Most plans open at once; further proposals are refused.
+pub const OPEN_PLANS_LIMIT: usize = 500;
+
+/// A plan with what its execution needs to know.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlanRecord {
+    /// The plan.
+    pub(crate) plan: Plan,
+    /// What it depends on and touches.
+    pub(crate) footprint: Footprint,
+    /// The revision of its newest committed change: what `AwaitInForce` waits for.
+    pub(crate) changed_at: Revision,
+}
+
+/// All plans that are kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlanBook {
+    last_id: u64,
+    records: BTreeMap<PlanId, PlanRecord>,
+    open: BTreeSet<PlanId>,
+    closed: VecDeque<PlanId>,
+    closed_steps: u64,
+}
+
+impl PlanBook {
+    /// The number of the next plan.
+    pub(crate) fn next_id(&self) -> PlanId {
+        PlanId(self.last_id + 1)
+    }
+
+    /// Whether another plan may be proposed.
+    pub(crate) fn has_room(&self) -> bool {
+        self.open.len() < OPEN_PLANS_LIMIT
+    }
+
+    /// Adds a proposed plan whose number is [`PlanBook::next_id`].
+    pub(crate) fn add(&mut self, record: PlanRecord) {
+        let id = record.plan.id;
+        self.last_id = id.0;
+        self.open.insert(id);
+        self.records.insert(id, record);
+    }
+
+    /// A plan that is kept.
+    pub(crate) fn get(&self, id: PlanId) -> Option<&PlanRecord> {
+        self.records.get(&id)
+    }
+
+    /// All plans that are kept, in order of their numbers.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Plan> {
+        self.records.values().map(|record| &record.plan)
+    }
+
+    /// Plans that are proposed or running.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &PlanRecord> {
+        self.open.iter().filter_map(|id| self.records.get(id))
+    }
+
+    /// Plans that are running.
+    pub(crate) fn running(&self) -> impl Iterator<Item = &PlanRecord> {
+        self.open()
+            .filter(|record| matches!(record.plan.state, PlanState::Running { .. }))
+    }
+
+    /// Notes the revision of a plan's newest committed change.
+    pub(crate) fn set_changed_at(&mut self, id: PlanId, revision: Revision) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.changed_at = revision;
+        }
+    }
+
+    /// Moves a plan to `state`, closing it where that is an end.
+    pub(crate) fn set_state(&mut self, id: PlanId, state: PlanState) {
+        let Some(record) = self.records.get_mut(&id) else {
+            return;
+        };
+        let is_open = matches!(state, PlanState::Proposed | PlanState::Running { .. });
+        record.plan.state = state;
+        let steps = record.plan.steps.len() as u64;
+        if is_open {
+            self.reopen(id, steps);
+        } else if self.open.remove(&id) {
+            self.closed.push_back(id);
+            self.closed_steps += steps;
+            self.drop_oldest();
+        }
+    }
+
+    /// Only a deliberate fault confirms a closed plan.
+    fn reopen(&mut self, id: PlanId, steps: u64) {
+        if self.open.insert(id) {
+            self.closed.retain(|closed| *closed != id);
+            self.closed_steps -= steps;
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.closed.len() > CLOSED_PLANS_KEPT
+            || (self.closed_steps > CLOSED_STEPS_KEPT as u64 && self.closed.len() > 1)
+        {
+            let Some(oldest) = self.closed.pop_front() else {
+                return;
+            };
+            if let Some(record) = self.records.remove(&oldest) {
+                self.closed_steps -= record.plan.steps.len() as u64;
+            }
+        }
+    }
+}
