--- /dev/null
+++ b/crates/wingshore-client/src/call.rs
@@ -0,0 +1,265 @@
+//! Calls to groups.
+
+use crate::error::CallError;
+use crate::multiplexed::Attempt;
+use crate::pool::ConnectionPool;
+use crate::retry::{Backoff, attempt_timeout};
+use crate::route::Route;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use wingshore_types::protocol::wire::{Frame, GroupReply, GroupRequest};
+use wingshore_types::{GroupId, RequestId, Verdict};
+
+/// Calls replicated groups. Clones share their connections and what they know about leaders.
+#[derive(Clone, Debug)]
+pub struct GroupClient {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    pool: ConnectionPool,
+    route: Mutex<Route>,
+    generator: Mutex<ChaCha8Rng>,
+    closed: Mutex<bool>,
+    closing: Condvar,
+}
+
+/// What one call has tried so far.
+#[derive(Debug, Default)]
+struct Progress {
+    attempts: u32,
+    may_have_run: bool,
+    last: String,
+    backoff: Backoff,
+    tries_since_pause: usize,
+}
+
+/// What to do after an attempt.
+enum Next {
+    Return(GroupReply),
+    Fail(CallError),
+    TryAnother,
+    Pause,
+}
+
+impl GroupClient {
+    /// A client of the groups that the replicas at `replicas` hold. `seed` draws the replica to
+    /// begin with and the jitter of pauses.
+    pub fn new(site: &str, replicas: Vec<SocketAddr>, seed: u64) -> Self {
+        let mut generator = ChaCha8Rng::seed_from_u64(seed);
+        let start = generator.random_range(0..replicas.len().max(1));
+        let inner = Inner {
+            pool: ConnectionPool::new(site),
+            route: Mutex::new(Route::new(replicas, start)),
+            generator: Mutex::new(generator),
+            closed: Mutex::new(false),
+            closing: Condvar::new(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Calls the leader of `group`. Sends again on a lost connection, on silence and on
+    /// [`GroupReply::Unknown`] until `timeout`, so the request must be safe to repeat, as all of
+    /// [`GroupRequest`] are. Never returns [`GroupReply::NotLeader`] or [`GroupReply::Unknown`].
+    ///
+    /// # Errors
+    /// When there is no answer in time, or the client is closed.
+    pub fn call(
+        &self,
+        group: GroupId,
+        request: GroupRequest,
+        timeout: Duration,
+    ) -> Result<GroupReply, CallError> {
+        let deadline = Instant::now() + timeout;
+        let patience = attempt_timeout(&request, timeout);
+        let mut frame = request_frame(group, request);
+        let mut progress = Progress::default();
+        loop {
+            let now = Instant::now();
+            if self.is_closed() {
+                return Err(progress.closed());
+            }
+            if now >= deadline {
+                return Err(progress.timed_out(group));
+            }
+            let chosen = self.inner.route().choose(group, now);
+            let address = chosen.ok_or(CallError::NoReplicas)?;
+            let attempt = self.attempt(address, &mut frame, deadline.min(now + patience));
+            match self.judge(&mut progress, group, address, attempt) {
+                Next::Return(reply) => return Ok(reply),
+                Next::Fail(error) => return Err(error),
+                Next::TryAnother => {}
+                Next::Pause => self.pause(&mut progress, deadline),
+            }
+        }
+    }
+
+    /// Asks one process, whatever its role in the group; returns its answer as it is. A connection
+    /// that turns out to be lost is opened again once.
+    ///
+    /// # Errors
+    /// When it does not answer.
+    pub fn call_at(
+        &self,
+        address: SocketAddr,
+        group: GroupId,
+        request: GroupRequest,
+        timeout: Duration,
+    ) -> Result<GroupReply, CallError> {
+        let deadline = Instant::now() + timeout;
+        let mut frame = request_frame(group, request);
+        let mut progress = Progress::default();
+        for _ in 0..2 {
+            match self.attempt(address, &mut frame, deadline) {
+                Attempt::Reply(reply) => return Ok(reply),
+                Attempt::Unsendable { reason } => return Err(CallError::Unsendable { reason }),
+                failed => progress.note(&failed),
+            }
+            if Instant::now() >= deadline {
+                break;
+            }
+        }
+        Err(CallError::Unreachable {
+            address,
+            verdict: progress.verdict(),
+            reason: progress.last,
+        })
+    }
+
+    /// Ends all calls of all clones with [`CallError::Closed`] and closes the connections.
+    pub fn close(&self) {
+        *lock(&self.inner.closed) = true;
+        self.inner.closing.notify_all();
+        self.inner.pool.close();
+    }
+
+    fn is_closed(&self) -> bool {
+        *lock(&self.inner.closed)
+    }
+
+    fn attempt(&self, address: SocketAddr, frame: &mut Frame, deadline: Instant) -> Attempt {
+        match self.inner.pool.get(address, deadline) {
+            Ok(connection) => connection.request(frame, deadline),
+            Err(reason) => Attempt::NotSent { reason },
+        }
+    }
+
+    fn judge(
+        &self,
+        progress: &mut Progress,
+        group: GroupId,
+        address: SocketAddr,
+        attempt: Attempt,
+    ) -> Next {
+        progress.note(&attempt);
+        let now = Instant::now();
+        let mut route = self.inner.route();
+        match attempt {
+            Attempt::Reply(GroupReply::NotLeader { leader }) => {
+                route.on_not_leader(group, address, leader, now);
+            }
+            Attempt::Reply(GroupReply::Unknown) => {
+                route.on_unable(group, address);
+                return Next::Pause;
+            }
+            Attempt::Reply(reply @ GroupReply::Rejected(_)) => {
+                route.on_unable(group, address);
+                return Next::Return(reply);
+            }
+            Attempt::Reply(reply) => {
+                route.on_answer(group, address);
+                return Next::Return(reply);
+            }
+            Attempt::Unsendable { reason } => return Next::Fail(CallError::Unsendable { reason }),
+            Attempt::NotSent { .. } | Attempt::Unanswered { .. } => {
+                route.on_failure(group, address, now);
+            }
+        }
+        // One round over all replicas without a pause, and one more for a fresh hint.
+        if progress.tries_since_pause <= route.candidate_count() {
+            Next::TryAnother
+        } else {
+            Next::Pause
+        }
+    }
+
+    /// Waits before the next attempt, not beyond `deadline` nor beyond the client's closing.
+    fn pause(&self, progress: &mut Progress, deadline: Instant) {
+        progress.tries_since_pause = 0;
+        let pause = {
+            let mut generator = lock(&self.inner.generator);
+            progress.backoff.next_pause(&mut generator)
+        };
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let closed = lock(&self.inner.closed);
+        let waited =
+            self.inner
+                .closing
+                .wait_timeout_while(closed, pause.min(remaining), |closed| !*closed);
+        drop(waited);
+    }
+}
+
+impl Inner {
+    fn route(&self) -> MutexGuard<'_, Route> {
+        lock(&self.route)
+    }
+}
+
+impl Progress {
+    fn note(&mut self, attempt: &Attempt) {
+        self.attempts += 1;
+        self.tries_since_pause += 1;
+        self.last = match attempt {
+            Attempt::Reply(GroupReply::NotLeader { .. }) => "not the leader".to_owned(),
+            Attempt::Reply(GroupReply::Unknown) => "leadership was lost".to_owned(),
+            Attempt::Reply(_) => String::new(),
+            Attempt::NotSent { reason }
+            | Attempt::Unanswered { reason }
+            | Attempt::Unsendable { reason } => reason.clone(),
+        };
+        let unsent = matches!(
+            attempt,
+            Attempt::NotSent { .. } | Attempt::Unsendable { .. }
+        );
+        self.may_have_run |= !unsent;
+    }
+
+    fn verdict(&self) -> Verdict {
+        if self.may_have_run {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        }
+    }
+
+    fn closed(&self) -> CallError {
+        let verdict = self.verdict();
+        CallError::Closed { verdict }
+    }
+
+    fn timed_out(&mut self, group: GroupId) -> CallError {
+        CallError::TimedOut {
+            group,
+            attempts: self.attempts,
+            last: std::mem::take(&mut self.last),
+            verdict: self.verdict(),
+        }
+    }
+}
+
+/// A request frame; each attempt sets its own id.
+fn request_frame(group: GroupId, body: GroupRequest) -> Frame {
+    let id = RequestId(0);
+    Frame::Request { id, group, body }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/wingshore-client/src/pool.rs
@@ -0,0 +1,197 @@
+//! One connection per replica, opened when first wanted and shared by all calls.
+
+use crate::multiplexed::MultiplexedConnection;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use wingshore_transport::ConnectOptions;
+
+/// Longest time until a connection stands, and longest silence during its handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// Calls that come this soon after a failed attempt to connect share its failure.
+const FAILURE_SHARED_FOR: Duration = Duration::from_millis(20);
+
+/// Connections by address.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    options: ConnectOptions,
+    slots: Mutex<BTreeMap<SocketAddr, Arc<Slot>>>,
+}
+
+/// The connection to one address.
+#[derive(Debug)]
+struct Slot {
+    address: SocketAddr,
+    state: Mutex<SlotState>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct SlotState {
+    closed: bool,
+    connection: Option<Arc<MultiplexedConnection>>,
+    opener: Option<JoinHandle<()>>,
+    connecting: bool,
+    failure: Option<Failure>,
+}
+
+#[derive(Clone, Debug)]
+struct Failure {
+    at: Instant,
+    reason: String,
+}
+
+impl ConnectionPool {
+    /// A pool of connections to processes of `site`.
+    pub(crate) fn new(site: &str) -> Self {
+        Self {
+            options: ConnectOptions::new(site, CONNECT_TIMEOUT),
+            slots: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// The connection to `address`; opens it if there is none, and waits until `deadline`.
+    ///
+    /// # Errors
+    /// The reason, when there is none by then.
+    pub(crate) fn get(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<Arc<MultiplexedConnection>, String> {
+        let slot = self.slot(address);
+        slot.get(&self.options, deadline)
+    }
+
+    /// Closes all connections, now and later, and waits for attempts to open some.
+    pub(crate) fn close(&self) {
+        let slots: Vec<_> = lock(&self.slots).values().cloned().collect();
+        for slot in slots {
+            slot.close();
+        }
+    }
+
+    fn slot(&self, address: SocketAddr) -> Arc<Slot> {
+        let mut slots = lock(&self.slots);
+        let slot = slots.entry(address).or_insert_with(|| {
+            Arc::new(Slot {
+                address,
+                state: Mutex::default(),
+                changed: Condvar::new(),
+            })
+        });
+        Arc::clone(slot)
+    }
+}
+
+impl Drop for ConnectionPool {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl Slot {
+    fn get(
+        self: &Arc<Self>,
+        options: &ConnectOptions,
+        deadline: Instant,
+    ) -> Result<Arc<MultiplexedConnection>, String> {
+        let mut state = lock(&self.state);
+        if let Some(connection) = state.live_connection() {
+            return Ok(connection);
+        }
+        if !state.connecting {
+            if let Some(reason) = state.recent_failure() {
+                return Err(reason);
+            }
+            self.start_connecting(&mut state, options)?;
+        }
+        let patience = deadline.saturating_duration_since(Instant::now());
+        let (mut state, _) = self
+            .changed
+            .wait_timeout_while(state, patience, |state| state.connecting)
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(connection) = state.live_connection() {
+            return Ok(connection);
+        }
+        let failure = state.failure.as_ref().map(|failure| failure.reason.clone());
+        Err(failure.unwrap_or_else(|| "not connected in time".to_owned()))
+    }
+
+    /// Connects on a thread of its own, so that each call waits only as long as it may.
+    fn start_connecting(
+        self: &Arc<Self>,
+        state: &mut SlotState,
+        options: &ConnectOptions,
+    ) -> Result<(), String> {
+        if state.closed {
+            return Err("the client is closed".to_owned());
+        }
+        let slot = Arc::clone(self);
+        let options = options.clone();
+        let opener = thread::Builder::new()
+            .name("client-connect".to_owned())
+            .spawn(move || slot.connect(&options))
+            .map_err(|error| error.to_string())?;
+        // An earlier opener has ended: `connecting` was false.
+        state.opener = Some(opener);
+        state.connecting = true;
+        state.connection = None;
+        Ok(())
+    }
+
+    fn connect(&self, options: &ConnectOptions) {
+        let outcome = MultiplexedConnection::open(self.address, options);
+        let mut state = lock(&self.state);
+        state.connecting = false;
+        match outcome {
+            Ok(connection) if state.closed => connection.close(),
+            Ok(connection) => {
+                state.connection = Some(Arc::new(connection));
+                state.failure = None;
+            }
+            Err(error) => {
+                let at = Instant::now();
+                let reason = error.to_string();
+                state.failure = Some(Failure { at, reason });
+            }
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    fn close(&self) {
+        let mut state = lock(&self.state);
+        state.closed = true;
+        let connection = state.connection.take();
+        let opener = state.opener.take();
+        drop(state);
+        if let Some(connection) = connection {
+            connection.close();
+        }
+        if let Some(opener) = opener {
+            // A panicked opener has left no connection behind.
+            let _ = opener.join();
+        }
+    }
+}
+
+impl SlotState {
+    fn live_connection(&mut self) -> Option<Arc<MultiplexedConnection>> {
+        let live = self.connection.as_ref().filter(|open| !open.is_closed());
+        live.cloned()
+    }
+
+    fn recent_failure(&self) -> Option<String> {
+        let failure = self.failure.as_ref()?;
+        let recent = failure.at.elapsed() < FAILURE_SHARED_FOR;
+        recent.then(|| failure.reason.clone())
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/wingshore-transport/src/connection.rs
+++ b/crates/wingshore-transport/src/connection.rs
@@ -2,7 +2,6 @@
 
 use crate::codec::{MAX_FRAME_BYTES, encode, read_frame};
 use crate::error::{EncodeSnafu, FrameError, SendError};
-use crate::handshake::HANDSHAKE_TIMEOUT;
 use crate::queue::{NextWrite, OutboundQueue};
 use snafu::ResultExt;
 use std::io::{self, BufReader, Write};
@@ -175,10 +174,10 @@
 }
 
 /// Settings of a fresh socket, for the handshake.
-pub(crate) fn prepare_handshake(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn prepare_handshake(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(HANDSHAKE_TIMEOUT))?;
-    stream.set_read_timeout(Some(HANDSHAKE_TIMEOUT))
+    stream.set_write_timeout(Some(timeout))?;
+    stream.set_read_timeout(Some(timeout))
 }
 
 /// Settings of a socket whose handshake is done.
--- a/crates/wingshore-transport/src/handshake.rs
+++ b/crates/wingshore-transport/src/handshake.rs
@@ -3,12 +3,8 @@
 use crate::codec::{MAX_HELLO_BYTES, encode, read_frame};
 use crate::error::FrameError;
 use std::io::{Read, Write};
-use std::time::Duration;
 use wingshore_types::protocol::wire::{ConnectionRefusal, Frame, Hello, WIRE_VERSION};
 
-/// Longest silence during a handshake.
-pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Why a handshake did not succeed.
 #[derive(Debug)]
 pub(crate) enum HandshakeError {
--- a/crates/wingshore-transport/src/outgoing.rs
+++ b/crates/wingshore-transport/src/outgoing.rs
@@ -24,7 +24,7 @@
     pub replica: Option<ReplicaId>,
     /// The replica that must listen there; `None` takes any process of the site.
     pub expected: Option<ReplicaId>,
-    /// Longest time until the TCP connection stands.
+    /// Longest time until the TCP connection stands, and longest silence during the handshake.
     pub timeout: Duration,
 }
 
@@ -112,7 +112,7 @@
     let local = stream.local_addr().context(ConnectSnafu { address })?;
     // On loopback, connecting to a free port can meet itself.
     ensure!(local != address, SelfConnectSnafu { address });
-    prepare_handshake(&stream).context(ConnectSnafu { address })?;
+    prepare_handshake(&stream, timeout).context(ConnectSnafu { address })?;
     Ok(stream)
 }
 
--- a/crates/wingshore-transport/src/server.rs
+++ b/crates/wingshore-transport/src/server.rs
@@ -25,6 +25,9 @@
 /// Pause after a failed accept, for instance while the process is out of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Longest silence of a connecting process during the handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How long a connection beyond the limit may take to say hello before it is dropped.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -161,7 +164,7 @@
     }
 
     fn take_in(self: &Arc<Self>, stream: TcpStream, address: SocketAddr) {
-        if prepare_handshake(&stream).is_err() {
+        if prepare_handshake(&stream, HANDSHAKE_TIMEOUT).is_err() {
             return;
         }
         let mut connections = self.lock();
