transport: frames that come back on a peer connection reach a handler

Cause: a joining replica knows no address of the leader that first writes to it; it has to answer on that connection. Ruled out: a reply address in each consensus frame. Change: Peer::start_with.

--- a/crates/wingshore-transport/src/peer.rs
+++ b/crates/wingshore-transport/src/peer.rs
@@ -61,17 +61,29 @@
 }
 
 impl Peer {
-    /// Starts connecting in the background.
+    /// Starts connecting in the background. Frames that come back are dropped.
     ///
     /// # Errors
     /// When no thread can be started.
     pub fn start(options: PeerOptions) -> Result<Self, ConnectError> {
+        Self::start_with(options, Arc::new(DropFrames))
+    }
+
+    /// As [`Peer::start`]; frames that come back go to `handler`. A replica that does not know
+    /// yet where this process listens answers on the connection that it was asked on.
+    ///
+    /// # Errors
+    /// When no thread can be started.
+    pub fn start_with(
+        options: PeerOptions,
+        handler: Arc<dyn FrameHandler>,
+    ) -> Result<Self, ConnectError> {
         let shared = Arc::new(Shared::default());
         let address = options.address;
         let running = Arc::clone(&shared);
         let thread = thread::Builder::new()
             .name("peer-connect".to_owned())
-            .spawn(move || running.keep_connected(&options))
+            .spawn(move || running.keep_connected(&options, &handler))
             .context(ThreadSnafu)?;
         Ok(Self {
             shared,
@@ -129,7 +141,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn keep_connected(self: &Arc<Self>, options: &PeerOptions) {
+    fn keep_connected(self: &Arc<Self>, options: &PeerOptions, frames: &Arc<dyn FrameHandler>) {
         let mut generator = StdRng::seed_from_u64(options.seed);
         let mut backoff = FIRST_BACKOFF;
         let connect_options = ConnectOptions {
@@ -139,7 +151,10 @@
             timeout: CONNECT_TIMEOUT,
         };
         while !self.lock().stopping {
-            let handler = Arc::new(ConnectionWatch(Arc::clone(self)));
+            let handler = Arc::new(ConnectionWatch {
+                peer: Arc::clone(self),
+                frames: Arc::clone(frames),
+            });
             match Connection::open(options.address, &connect_options, handler) {
                 Ok(connection) => {
                     self.hold(&connection);
@@ -173,17 +188,27 @@
     }
 }
 
-/// Wakes the connecting thread once its connection is lost.
-struct ConnectionWatch(Arc<Shared>);
+/// Hands frames on, and wakes the connecting thread once its connection is lost.
+struct ConnectionWatch {
+    peer: Arc<Shared>,
+    frames: Arc<dyn FrameHandler>,
+}
 
 impl FrameHandler for ConnectionWatch {
-    fn on_frame(&self, _connection: &ConnectionHandle, _frame: Frame) {
-        // Replicas answer consensus messages over their own peer connections.
+    fn on_frame(&self, connection: &ConnectionHandle, frame: Frame) {
+        self.frames.on_frame(connection, frame);
     }
 
-    fn on_closed(&self, _connection: &ConnectionHandle) {
+    fn on_closed(&self, connection: &ConnectionHandle) {
+        self.frames.on_closed(connection);
         // Taking the lock orders this after a check of the closed flag that is under way.
-        drop(self.0.lock());
-        self.0.changed.notify_all();
+        drop(self.peer.lock());
+        self.peer.changed.notify_all();
     }
 }
+
+struct DropFrames;
+
+impl FrameHandler for DropFrames {
+    fn on_frame(&self, _connection: &ConnectionHandle, _frame: Frame) {}
+}
