rollout: runner of leased samples, one per pool

Cause: the node needs the machine that leases, streams, resumes, reports and scores to build against.

--- /dev/null
+++ b/crates/wingshore-rollout/src/scoring.rs
@@ -0,0 +1,169 @@
+//! Finished samples on their way through the scorer.
+
+use crate::messages::{RolloutOutput, ScoreCallId};
+use crate::reports::ReportKey;
+use crate::runner::{Context, RolloutRunner};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_types::platform::ScoreRequest;
+use wingshore_types::protocol::ledger::{LedgerRequest, UnscoredSample};
+use wingshore_types::{Instant, LeaseId, SampleNumber};
+
+/// The scorer's own timeout may be reported late by so much before the answer is not waited for.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+
+type TaskKey = (SampleNumber, LeaseId);
+
+/// A sample at the scorer, or waiting to be asked about again.
+#[derive(Clone, Debug)]
+struct ScoreTask {
+    sample: UnscoredSample,
+    requests: u32,
+    call: Option<ScoreCallId>,
+    /// With a call under way: when to stop waiting. Without: when to ask again.
+    due: Instant,
+}
+
+/// Samples at the scorer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Scoring {
+    tasks: BTreeMap<TaskKey, ScoreTask>,
+    calls: BTreeMap<ScoreCallId, TaskKey>,
+    next_call: u64,
+}
+
+impl Scoring {
+    pub(crate) fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
+    fn due(&self, now: Instant) -> Vec<TaskKey> {
+        self.tasks
+            .iter()
+            .filter(|(_, task)| task.due <= now)
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Marks a task as asked and gives the call; `None` when it was asked often enough.
+    fn ask(
+        &mut self,
+        key: TaskKey,
+        due: Instant,
+        most: u32,
+    ) -> Option<(ScoreCallId, ScoreRequest)> {
+        self.forget_call(key);
+        let task = self.tasks.get_mut(&key)?;
+        if task.requests >= most {
+            self.tasks.remove(&key);
+            return None;
+        }
+        self.next_call += 1;
+        let call = ScoreCallId(self.next_call);
+        task.requests += 1;
+        task.call = Some(call);
+        task.due = due;
+        self.calls.insert(call, key);
+        let request = ScoreRequest {
+            sample_id: task.sample.number,
+            prompt: task.sample.prompt.clone(),
+            tokens: task.sample.tokens.clone(),
+        };
+        Some((call, request))
+    }
+
+    fn forget_call(&mut self, key: TaskKey) {
+        if let Some(call) = self.tasks.get_mut(&key).and_then(|task| task.call.take()) {
+            self.calls.remove(&call);
+        }
+    }
+
+    /// Forgets the samples that are not scored yet; the ledger offers them to other nodes.
+    pub(crate) fn clear(&mut self) {
+        self.tasks.clear();
+        self.calls.clear();
+    }
+}
+
+impl RolloutRunner {
+    /// How many more samples may go to the scorer.
+    pub(crate) fn free_scoring(&self) -> u32 {
+        let busy = self.scoring.len() as u32;
+        self.settings.score_concurrency.saturating_sub(busy)
+    }
+
+    pub(crate) fn score(&mut self, context: &mut Context<'_>, sample: UnscoredSample) {
+        let key = (sample.number, sample.lease);
+        if self.stopping_since.is_some() || self.scoring.tasks.contains_key(&key) {
+            return;
+        }
+        let task = ScoreTask {
+            sample,
+            requests: 0,
+            call: None,
+            due: context.now,
+        };
+        self.scoring.tasks.insert(key, task);
+        self.ask_scorer(context, key);
+    }
+
+    pub(crate) fn on_scored(
+        &mut self,
+        context: &mut Context<'_>,
+        call: ScoreCallId,
+        score: Option<f64>,
+    ) {
+        let Some(key) = self.scoring.calls.remove(&call) else {
+            return;
+        };
+        let due = context.now + self.retry_pause();
+        match score.filter(|score| score.is_finite()) {
+            Some(score) => {
+                self.scoring.tasks.remove(&key);
+                self.report_score(context, key, score);
+            }
+            None => {
+                if let Some(task) = self.scoring.tasks.get_mut(&key) {
+                    task.call = None;
+                    task.due = due;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn retry_scoring(&mut self, context: &mut Context<'_>) {
+        for key in self.scoring.due(context.now) {
+            self.ask_scorer(context, key);
+        }
+    }
+
+    fn ask_scorer(&mut self, context: &mut Context<'_>, key: TaskKey) {
+        let Some(binding) = &self.binding else {
+            return;
+        };
+        let address = binding.pool.scorer;
+        let timeout = self.settings.score_timeout;
+        let due = context.now + timeout + ANSWER_MARGIN;
+        let most = self.settings.score_attempts;
+        if let Some((call, request)) = self.scoring.ask(key, due, most) {
+            context.out.push(RolloutOutput::Score {
+                call,
+                address,
+                request: Box::new(request),
+                timeout,
+            });
+        }
+    }
+
+    fn report_score(&mut self, context: &mut Context<'_>, key: TaskKey, score: f64) {
+        let (sample, lease) = key;
+        let request = LedgerRequest::Score {
+            pool: self.pool.clone(),
+            sample,
+            lease,
+            score,
+        };
+        let key = ReportKey::Score(sample, lease);
+        self.reports.add(context.now, key, request);
+    }
+}
