--- a/crates/wingshore-transport/src/handshake.rs
+++ b/crates/wingshore-transport/src/handshake.rs
@@ -83,7 +83,7 @@
             theirs: theirs.version,
         }));
     }
-    if theirs.site != ours.site {
+    if !same_site(ours, theirs) {
         return Err(HandshakeError::Refused(ConnectionRefusal::WrongSite {
             ours: ours.site.clone(),
             theirs: theirs.site.clone(),
@@ -92,6 +92,13 @@
     Ok(())
 }
 
+/// An operator's tool that was pointed at a process by its address names no site and takes that
+/// process's own. Replicas, relays and nodes always name theirs, so they never mix by accident.
+fn same_site(ours: &Hello, theirs: &Hello) -> bool {
+    let is_tool = |hello: &Hello| hello.site.is_empty() && hello.replica.is_none();
+    ours.site == theirs.site || is_tool(ours) || is_tool(theirs)
+}
+
 fn write_frame(stream: &mut impl Write, frame: &Frame) -> Result<(), FrameError> {
     let bytes = encode(frame)?;
     stream
--- a/crates/wingshore-transport/tests/connections.rs
+++ b/crates/wingshore-transport/tests/connections.rs
@@ -151,6 +151,14 @@
     );
 }
 
+#[gtest]
+fn a_tool_that_names_no_site_takes_the_servers_own() {
+    let (server, _recorded) = server(1, 10);
+    let tool = ConnectOptions::new("", PATIENCE);
+    let connected = Connection::open(server.local_address(), &tool, recorder().0);
+    expect_that!(connected.is_ok(), eq(true));
+}
+
 #[gtest]
 fn the_opening_side_checks_the_site_too() {
     let listener = TcpListener::bind(any_port()).unwrap();
