--- /dev/null
+++ b/crates/wingshore-lab/src/http_client.rs
@@ -0,0 +1,152 @@
+//! HTTP client of the lab: one agent with a time limit, errors told apart from answers.
+
+use snafu::{ResultExt, Snafu};
+use std::io::Read;
+use std::time::Duration;
+
+/// Largest answer that is read, in bytes.
+const LARGEST_ANSWER: u64 = 256 * 1024 * 1024;
+
+/// Why there is no whole answer.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// The request failed.
+    #[snafu(display("{method} {url}: {source}"))]
+    Request {
+        /// Method.
+        method: &'static str,
+        /// Whole address.
+        url: String,
+        /// Why.
+        source: Box<ureq::Error>,
+    },
+    /// The body is cut.
+    #[snafu(display("{method} {url}: the body is not whole: {source}"))]
+    Body {
+        /// Method.
+        method: &'static str,
+        /// Whole address.
+        url: String,
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Seconds of `Retry-After`, when given.
+    pub retry_after: Option<Duration>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Whether the status is 2xx.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// An HTTP client.
+#[derive(Clone)]
+pub struct HttpClient {
+    agent: ureq::Agent,
+}
+
+impl HttpClient {
+    /// A client that gives each request at most `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        let configuration = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(timeout))
+            .build();
+        Self {
+            agent: configuration.into(),
+        }
+    }
+
+    /// The agent itself, for streams.
+    pub fn agent(&self) -> &ureq::Agent {
+        &self.agent
+    }
+
+    /// `GET`.
+    ///
+    /// # Errors
+    /// When there is no whole answer.
+    pub fn get(&self, url: &str, headers: &[(&str, &str)]) -> Result<Answer, HttpError> {
+        let mut request = self.agent.get(url);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let sent = request.call().map_err(Box::new);
+        read(
+            "GET",
+            url,
+            sent.context(RequestSnafu { method: "GET", url })?,
+        )
+    }
+
+    /// `POST` with a JSON body.
+    ///
+    /// # Errors
+    /// When there is no whole answer.
+    pub fn post(
+        &self,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Result<Answer, HttpError> {
+        let mut request = self
+            .agent
+            .post(url)
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let sent = request.send(body).map_err(Box::new);
+        let method = "POST";
+        read(method, url, sent.context(RequestSnafu { method, url })?)
+    }
+
+    /// `PUT` of bytes.
+    ///
+    /// # Errors
+    /// When there is no whole answer.
+    pub fn put(&self, url: &str, body: &[u8]) -> Result<Answer, HttpError> {
+        let sent = self.agent.put(url).send(body).map_err(Box::new);
+        let method = "PUT";
+        read(method, url, sent.context(RequestSnafu { method, url })?)
+    }
+}
+
+fn read(
+    method: &'static str,
+    url: &str,
+    response: ureq::http::Response<ureq::Body>,
+) -> Result<Answer, HttpError> {
+    let status = response.status().as_u16();
+    let retry_after = response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse::<f64>().ok())
+        .filter(|seconds| seconds.is_finite() && *seconds >= 0.0)
+        .map(Duration::from_secs_f64);
+    let mut body = Vec::new();
+    response
+        .into_body()
+        .into_with_config()
+        .limit(LARGEST_ANSWER)
+        .reader()
+        .read_to_end(&mut body)
+        .context(BodySnafu { method, url })?;
+    Ok(Answer {
+        status,
+        retry_after,
+        body,
+    })
+}
--- a/crates/wingshore-lab/src/lib.rs
+++ b/crates/wingshore-lab/src/lib.rs
@@ -1,1 +1,12 @@
-//! Proof harness: stand-ins, fleet, simulator, benchmarks.
+//! Proof harness of wingshore: stand-ins for the platform and the callers, a fleet of real
+//! processes on loopback, and checkers that judge a run from the stand-ins' own logs.
+//!
+//! Nothing here is ever deployed.
+
+pub mod durations;
+pub mod event_log;
+pub mod events;
+pub mod hashing;
+pub mod http_client;
+pub mod http_server;
+pub mod stand_ins;
