--- a/crates/wingshore-control/src/state/apply.rs
+++ b/crates/wingshore-control/src/state/apply.rs
@@ -159,12 +159,16 @@
         self.plan_reply(id)
     }
 
-    /// Running plans own what they touch until they end.
+    /// Running plans own what they touch as long as they have more to do with it.
     fn check_not_in_use(&self, id: PlanId) -> Result<(), ControlRefusal> {
         let Some(record) = self.plans.get(id) else {
             return Err(ControlRefusal::UnknownPlan(id));
         };
-        for running in self.plans.running() {
+        let sensitive = self
+            .plans
+            .running()
+            .filter(|running| running.is_sensitive());
+        for running in sensitive {
             if let Some(resource) = running.footprint.conflict(&record.footprint) {
                 return Err(ControlRefusal::Conflict {
                     current: self.configuration.revision,
--- a/crates/wingshore-control/src/state/execution.rs
+++ b/crates/wingshore-control/src/state/execution.rs
@@ -124,7 +124,7 @@
         let disturbed: Vec<(PlanId, PlanState, String)> = self
             .plans
             .open()
-            .filter(|record| Some(record.plan.id) != by)
+            .filter(|record| Some(record.plan.id) != by && record.is_sensitive())
             .filter_map(|record| {
                 let resource = record.footprint.conflict(footprint)?.to_string();
                 Some((record.plan.id, record.plan.state.clone(), resource))
--- a/crates/wingshore-control/src/state/plan_book.rs
+++ b/crates/wingshore-control/src/state/plan_book.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wingshore_types::ids::{PlanId, Revision};
-use wingshore_types::protocol::control::{Plan, PlanState};
+use wingshore_types::protocol::control::{Plan, PlanState, PlanStep};
 
 /// Closed plans kept.
 pub const CLOSED_PLANS_KEPT: usize = 500;
@@ -24,6 +24,21 @@
     pub(crate) changed_at: Revision,
 }
 
+impl PlanRecord {
+    /// Whether the plan still depends on what it touches: it is proposed, or has more to do than
+    /// to wait until its changes are in force.
+    pub(crate) fn is_sensitive(&self) -> bool {
+        match self.plan.state {
+            PlanState::Proposed => true,
+            PlanState::Running { next_step } => {
+                let mut rest = self.plan.steps.iter().skip(next_step as usize);
+                rest.any(|step| *step != PlanStep::AwaitInForce)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// All plans that are kept.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlanBook {
