--- /dev/null
+++ b/crates/wingshore-routing/src/balance.rs
@@ -0,0 +1,216 @@
+//! The choice of one server: power of d choices.
+//!
+//! A few servers of the own zone and a few of the others are drawn at random, with those whose
+//! cache probably has the prompt's prefix; the one of least cost wins. The cost is the load in
+//! requests, more for a server that has just returned and for another zone, less for a cached
+//! prefix. Only when none of those drawn can take the request are the service's open servers gone
+//! through, from a random one on.
+
+use crate::affinity::Hint;
+use crate::class::Class;
+use crate::fleet::{Server, ServerIndex, ServiceState};
+use crate::request::RouteRequest;
+use crate::settings::RouterSettings;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::Rng;
+use wingshore_types::Instant;
+
+/// Costs are counted in thousandths of a request.
+const REQUEST: u64 = 1000;
+/// A server that has just returned counts as this share (in thousandths) of a server.
+const SLOW_START_LEAST: u64 = 100;
+
+/// Why no server was found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Nothing {
+    /// An open server was not excluded.
+    pub(crate) any_open: bool,
+    /// One of those serves a useful version.
+    pub(crate) any_useful: bool,
+    /// An open server, useful or not, had room.
+    pub(crate) any_room: bool,
+    /// The class was below its guarantee on a useful one.
+    pub(crate) below_guarantee: bool,
+}
+
+/// One decision.
+pub(crate) struct Choice<'a> {
+    pub(crate) now: Instant,
+    pub(crate) settings: &'a RouterSettings,
+    pub(crate) servers: &'a [Server],
+    pub(crate) service: &'a ServiceState,
+    pub(crate) request: &'a RouteRequest,
+    /// Whether the class may borrow now.
+    pub(crate) may_borrow: bool,
+    /// Whether versions are checked; false only under a deliberate fault.
+    pub(crate) check_version: bool,
+    /// Whether leaving servers are taken too; true only under a deliberate fault.
+    pub(crate) ignore_leaving: bool,
+}
+
+/// The best server so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Best(Option<(u64, ServerIndex)>);
+
+impl Best {
+    fn offer(&mut self, cost: u64, server: ServerIndex) {
+        if self.0.is_none_or(|(least, _)| cost < least) {
+            self.0 = Some((cost, server));
+        }
+    }
+}
+
+impl Choice<'_> {
+    /// Draws and compares; goes through all only where that found none.
+    pub(crate) fn choose(
+        &self,
+        random: &mut ChaCha8Rng,
+        hints: &[Hint],
+    ) -> Result<ServerIndex, Nothing> {
+        let mut best = Best::default();
+        for hint in hints {
+            self.offer_hint(hint, &mut best);
+        }
+        for zone in self.service.open.both() {
+            self.draw(zone, random, &mut best);
+        }
+        match best.0 {
+            Some((_, server)) => Ok(server),
+            None => self.search(random),
+        }
+    }
+
+    /// Draws servers of one zone until enough of them can take the request.
+    fn draw(&self, zone: &[ServerIndex], random: &mut ChaCha8Rng, best: &mut Best) {
+        if zone.is_empty() {
+            return;
+        }
+        let choices = self.settings.choices as usize;
+        let mut accepted = 0;
+        let mut last = None;
+        for _ in 0..choices * 2 {
+            let index = zone[below(random, zone.len())];
+            if last == Some(index) {
+                continue;
+            }
+            last = Some(index);
+            let server = &self.servers[index as usize];
+            if !self.can_take(server) {
+                continue;
+            }
+            best.offer(self.cost(server), index);
+            accepted += 1;
+            if accepted == choices {
+                return;
+            }
+        }
+    }
+
+    /// A cached prefix makes its server a candidate, if it is an open member.
+    fn offer_hint(&self, hint: &Hint, best: &mut Best) {
+        let server = &self.servers[hint.server as usize];
+        let is_member = server.is_member && server.is_open(self.now, self.ignore_leaving);
+        if !is_member || !self.can_take(server) {
+            return;
+        }
+        let bonus = u64::from(self.settings.affinity_bonus) * hint.worth;
+        best.offer(self.cost(server).saturating_sub(bonus), hint.server);
+    }
+
+    /// Goes through all open servers from a random one on, until enough can take the request.
+    fn search(&self, random: &mut ChaCha8Rng) -> Result<ServerIndex, Nothing> {
+        let mut best = Best::default();
+        let mut nothing = Nothing::default();
+        for zone in self.service.open.both() {
+            let mut accepted = 0;
+            let start = if zone.is_empty() {
+                0
+            } else {
+                below(random, zone.len())
+            };
+            let (before, after) = zone.split_at(start);
+            for index in after.iter().chain(before) {
+                let server = &self.servers[*index as usize];
+                if !self.note(server, &mut nothing) {
+                    continue;
+                }
+                best.offer(self.cost(server), *index);
+                accepted += 1;
+                if accepted == self.settings.choices {
+                    break;
+                }
+            }
+        }
+        best.0.map(|(_, server)| server).ok_or(nothing)
+    }
+
+    /// Whether a server can take the request; notes why not.
+    fn note(&self, server: &Server, nothing: &mut Nothing) -> bool {
+        let has_room = self.has_room(server);
+        nothing.any_room |= has_room;
+        if self.is_excluded(server) {
+            return false;
+        }
+        nothing.any_open = true;
+        if !self.is_useful(server) {
+            return false;
+        }
+        nothing.any_useful = true;
+        let class = self.request.class;
+        nothing.below_guarantee |= server.load.own_of(class) < self.service.shares.guarantee(class);
+        has_room
+    }
+
+    fn can_take(&self, server: &Server) -> bool {
+        self.has_room(server) && self.is_useful(server) && !self.is_excluded(server)
+    }
+
+    fn has_room(&self, server: &Server) -> bool {
+        let shares = &self.service.shares;
+        shares.has_room(self.now, &server.load, self.request.class, self.may_borrow)
+    }
+
+    fn is_excluded(&self, server: &Server) -> bool {
+        self.request.excluded.contains(&server.id)
+    }
+
+    /// Rollouts need an engine whose own report names a version that is new enough.
+    fn is_useful(&self, server: &Server) -> bool {
+        if self.request.class == Class::Live || !self.check_version {
+            return true;
+        }
+        let least = self.request.oldest_useful;
+        match server.known_version(self.now) {
+            None => false,
+            Some(version) => least.is_none_or(|least| version >= least),
+        }
+    }
+
+    /// Load in thousandths of a request, this one included.
+    fn cost(&self, server: &Server) -> u64 {
+        let load = u64::from(server.load.own()) + u64::from(server.load.foreign(self.now)) + 1;
+        let cost = load * REQUEST * REQUEST / self.ramp(server);
+        match server.in_own_zone {
+            true => cost,
+            false => cost + u64::from(self.settings.zone_penalty) * REQUEST,
+        }
+    }
+
+    /// Thousandths of a server that it counts as: less just after its return.
+    fn ramp(&self, server: &Server) -> u64 {
+        if self.now >= server.slow_until {
+            return REQUEST;
+        }
+        let whole = self.settings.slow_start.as_nanos().max(1) as u64;
+        let left = server.slow_until.since(self.now).as_nanos() as u64;
+        let passed = whole.saturating_sub(left);
+        let share = u128::from(passed) * u128::from(REQUEST) / u128::from(whole);
+        (share as u64).max(SLOW_START_LEAST)
+    }
+}
+
+/// A random position below `length`, which is not zero and below 2^32.
+fn below(random: &mut ChaCha8Rng, length: usize) -> usize {
+    let product = u64::from(random.next_u32()) * length as u64;
+    (product >> 32) as usize
+}
--- /dev/null
+++ b/crates/wingshore-routing/src/fleet.rs
@@ -0,0 +1,225 @@
+//! Servers and services in dense arrays, so that a decision indexes and never searches.
+
+use crate::admission::{Asks, ServiceTime, SlotShares};
+use crate::class::ByClass;
+use crate::load::Load;
+use crate::membership::{Membership, Standing};
+use crate::outlier::Outlier;
+use crate::retry::RetryBudget;
+use crate::subset::SubsetSize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use wingshore_types::{Instant, ServerId, ServiceId, WeightVersion};
+
+/// Position in [`Fleet::servers`].
+pub(crate) type ServerIndex = u32;
+/// Position in [`Fleet::services`].
+pub(crate) type ServiceIndex = u32;
+
+/// All that is known of one server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) id: ServerId,
+    pub(crate) address: SocketAddr,
+    pub(crate) service: ServiceIndex,
+    pub(crate) in_own_zone: bool,
+    /// Whether it is in the subset of its service.
+    pub(crate) is_member: bool,
+    /// Its place in this node's order; see [`crate::subset::rank`].
+    pub(crate) rank: u64,
+    pub(crate) membership: Membership,
+    pub(crate) outlier: Outlier,
+    pub(crate) load: Load,
+    pub(crate) version: Option<WeightVersion>,
+    /// When the report of the version stops to count.
+    pub(crate) version_until: Instant,
+    pub(crate) slow_until: Instant,
+    pub(crate) next_probe: Option<Instant>,
+}
+
+impl Server {
+    /// Its version, as far as a report that still counts tells.
+    pub(crate) fn known_version(&self, now: Instant) -> Option<WeightVersion> {
+        if now < self.version_until {
+            self.version
+        } else {
+            None
+        }
+    }
+
+    /// Whether new work may go to it.
+    pub(crate) fn is_open(&self, now: Instant, ignore_leaving: bool) -> bool {
+        let allowed = match self.membership.standing(now) {
+            Standing::Open => true,
+            Standing::Leaving => ignore_leaving && self.membership.is_healthy(),
+            Standing::Absent | Standing::Unhealthy => false,
+        };
+        allowed && !self.outlier.is_ejected()
+    }
+
+    /// Whether it counts as one of the servers a subset needs. An ejection is short, and does not
+    /// change the subset.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.membership.standing(now) == Standing::Open
+    }
+}
+
+/// Servers in the node's own zone and in the others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ByZone {
+    pub(crate) own: Vec<ServerIndex>,
+    pub(crate) others: Vec<ServerIndex>,
+}
+
+impl ByZone {
+    /// Own zone first.
+    pub(crate) fn both(&self) -> [&[ServerIndex]; 2] {
+        [&self.own, &self.others]
+    }
+
+    /// How many.
+    pub(crate) fn len(&self) -> usize {
+        self.own.len() + self.others.len()
+    }
+
+    /// All, own zone first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = ServerIndex> + '_ {
+        self.own.iter().chain(&self.others).copied()
+    }
+
+    /// Adds one at the end of its zone's list.
+    pub(crate) fn push(&mut self, index: ServerIndex, in_own_zone: bool) {
+        match in_own_zone {
+            true => self.own.push(index),
+            false => self.others.push(index),
+        }
+    }
+
+    /// Empties both.
+    pub(crate) fn clear(&mut self) {
+        self.own.clear();
+        self.others.clear();
+    }
+}
+
+/// A finding that no server of a service has room for a class; it holds until something changes.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FullMark {
+    pub(crate) epoch: u64,
+    pub(crate) until: Instant,
+    /// Whether the class was below its guarantee somewhere.
+    pub(crate) below_guarantee: bool,
+}
+
+/// All that is known of one service.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) id: ServiceId,
+    pub(crate) is_configured: bool,
+    pub(crate) is_engines: bool,
+    pub(crate) shares: SlotShares,
+    /// All its servers in this node's order.
+    pub(crate) ranked: ByZone,
+    /// The subset: servers that are used and probed.
+    pub(crate) members: ByZone,
+    /// Members that new work may go to.
+    pub(crate) open: ByZone,
+    pub(crate) subset: SubsetSize,
+    pub(crate) grown_at: Instant,
+    pub(crate) exhausted_at: Instant,
+    pub(crate) in_flight: ByClass<u32>,
+    pub(crate) asks: ByClass<Asks>,
+    pub(crate) service_time: ByClass<ServiceTime>,
+    pub(crate) budget: RetryBudget,
+    /// When the next pause or ejection of a member ends.
+    pub(crate) next_change: Option<Instant>,
+    /// Counts events by which a slot may have become free.
+    pub(crate) epoch: u64,
+    pub(crate) full: ByClass<FullMark>,
+}
+
+/// Servers and services by position and by name.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub(crate) servers: Vec<Server>,
+    pub(crate) services: Vec<ServiceState>,
+    server_names: BTreeMap<ServerId, ServerIndex>,
+    service_names: BTreeMap<ServiceId, ServiceIndex>,
+    free: Vec<ServerIndex>,
+}
+
+impl Fleet {
+    /// Position of a server.
+    pub(crate) fn server_index(&self, id: &ServerId) -> Option<ServerIndex> {
+        self.server_names.get(id).copied()
+    }
+
+    /// Position of a service.
+    pub(crate) fn service_index(&self, id: &ServiceId) -> Option<ServiceIndex> {
+        self.service_names.get(id).copied()
+    }
+
+    /// A server. Positions come from this fleet and servers are only overwritten, never removed.
+    pub(crate) fn server(&self, index: ServerIndex) -> &Server {
+        &self.servers[index as usize]
+    }
+
+    /// A server, to be changed.
+    pub(crate) fn server_mut(&mut self, index: ServerIndex) -> &mut Server {
+        &mut self.servers[index as usize]
+    }
+
+    /// A service. Positions come from this fleet and services are never removed.
+    pub(crate) fn service(&self, index: ServiceIndex) -> &ServiceState {
+        &self.services[index as usize]
+    }
+
+    /// A service, to be changed.
+    pub(crate) fn service_mut(&mut self, index: ServiceIndex) -> &mut ServiceState {
+        &mut self.services[index as usize]
+    }
+
+    /// Adds a server, at a free position if there is one.
+    pub(crate) fn add_server(&mut self, server: Server) -> ServerIndex {
+        let id = server.id.clone();
+        let index = match self.free.pop() {
+            Some(index) => {
+                self.servers[index as usize] = server;
+                index
+            }
+            None => {
+                self.servers.push(server);
+                (self.servers.len() - 1) as ServerIndex
+            }
+        };
+        self.server_names.insert(id, index);
+        index
+    }
+
+    /// Adds a service.
+    pub(crate) fn add_service(&mut self, service: ServiceState) -> ServiceIndex {
+        let index = self.services.len() as ServiceIndex;
+        self.service_names.insert(service.id.clone(), index);
+        self.services.push(service);
+        index
+    }
+
+    /// Frees the position of a server that is absent and has no request in flight. Returns
+    /// whether it did.
+    pub(crate) fn free_if_gone(&mut self, index: ServerIndex) -> bool {
+        let server = &self.servers[index as usize];
+        let is_gone = server.membership.admission.is_none() && server.load.own() == 0;
+        let is_named = self.server_names.get(&server.id) == Some(&index);
+        if !is_gone || !is_named {
+            return false;
+        }
+        self.server_names.remove(&server.id);
+        self.free.push(index);
+        true
+    }
+
+    /// All servers by name, in order.
+    pub(crate) fn names(&self) -> impl Iterator<Item = (&ServerId, ServerIndex)> {
+        self.server_names.iter().map(|(id, index)| (id, *index))
+    }
+}
--- /dev/null
+++ b/crates/wingshore-routing/src/hash.rs
@@ -0,0 +1,40 @@
+//! Small deterministic hash functions: the same on every machine and in every run.
+
+use std::hash::Hasher;
+
+/// Finaliser of SplitMix64.
+pub(crate) fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// FNV-1a.
+pub(crate) fn hash_text(text: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    text.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
+
+/// Hasher for keys that are hashes already, as maps of the standard library want it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct MixHasher(u64);
+
+impl Hasher for MixHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = mix(self.0 ^ u64::from(*byte));
+        }
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        self.0 = mix(self.0 ^ value);
+    }
+}
--- a/crates/wingshore-routing/src/lib.rs
+++ b/crates/wingshore-routing/src/lib.rs
@@ -5,15 +5,28 @@
 //! list, probes, reports, ends of attempts) together with the time, and decides from that alone.
 //! The same seed and the same calls give the same decisions.
 
+mod admission;
+mod affinity;
+mod balance;
+mod class;
 mod faults;
+mod fleet;
+mod hash;
+mod load;
+mod membership;
+mod outlier;
 mod request;
+mod retry;
 mod router;
 mod settings;
+mod subset;
+mod tickets;
 
+pub use class::Class;
 pub use faults::Faults;
 pub use request::{
-    Admitted, AttemptOutcome, Class, OverGuarantee, ProbeKind, ProbeTarget, Refusal, RefusalCode,
+    Admitted, AttemptOutcome, OverGuarantee, ProbeKind, ProbeTarget, Refusal, RefusalCode,
     RouteRequest, ServerView, Ticket,
 };
 pub use router::Router;
-pub use settings::RouterSettings;
+pub use settings::{RouterSettings, SettingError};
--- /dev/null
+++ b/crates/wingshore-routing/src/outlier.rs
@@ -0,0 +1,78 @@
+//! Ejection of servers whose requests fail, with a floor: at most a share of a service's servers
+//! is ejected at one time, so that a fault that all of them share ejects only that share.
+
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::configuration::Permille;
+
+/// Longest sequence of doublings.
+const MOST_DOUBLINGS: u32 = 16;
+
+/// Limits of ejection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EjectionLimits {
+    pub(crate) after: u32,
+    pub(crate) time: Duration,
+    pub(crate) time_most: Duration,
+}
+
+/// The failures of one server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outlier {
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl Outlier {
+    /// Whether it is ejected.
+    pub(crate) fn is_ejected(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
+    /// When its ejection ends.
+    pub(crate) fn ejected_until(&self) -> Option<Instant> {
+        self.ejected_until
+    }
+
+    /// A request succeeded: the count begins anew, and the next ejection is shorter.
+    pub(crate) fn on_success(&mut self) {
+        if self.failures > 0 {
+            self.failures = 0;
+        } else if self.ejections > 0 && self.ejected_until.is_none() {
+            self.ejections -= 1;
+        }
+    }
+
+    /// A request failed. Returns whether the server is to be ejected, if the floor allows it.
+    pub(crate) fn on_failure(&mut self, limits: EjectionLimits) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        self.ejected_until.is_none() && self.failures >= limits.after
+    }
+
+    /// Ejects it.
+    pub(crate) fn eject(&mut self, now: Instant, limits: EjectionLimits) {
+        let factor = 1_u32 << self.ejections.min(MOST_DOUBLINGS);
+        let time = limits.time.saturating_mul(factor).min(limits.time_most);
+        self.ejections = self.ejections.saturating_add(1);
+        self.failures = 0;
+        self.ejected_until = Some(now + time);
+    }
+
+    /// Ends an ejection whose time is over. Returns whether it did.
+    pub(crate) fn release(&mut self, now: Instant) -> bool {
+        match self.ejected_until {
+            Some(until) if now >= until => {
+                self.ejected_until = None;
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+/// Whether one more of `servers` may be ejected beside `ejected`.
+pub(crate) fn floor_allows(ejected: usize, servers: usize, most: Permille) -> bool {
+    let allowed = servers * usize::from(most.0) / 1000;
+    ejected < allowed
+}
--- a/crates/wingshore-routing/src/request.rs
+++ b/crates/wingshore-routing/src/request.rs
@@ -1,34 +1,12 @@
 //! What callers of the router say and hear.
 
+use crate::class::Class;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_types::{Instant, ServerId, ServiceId, Verdict, WeightVersion};
 
-/// Which of the two competing kinds of work a request belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Class {
-    /// Requests of live callers, who wait for each answer.
-    Live,
-    /// Generation of samples for a trainer.
-    Rollout,
-}
-
-impl Class {
-    /// Both classes, in order.
-    pub const ALL: [Self; 2] = [Self::Live, Self::Rollout];
-
-    /// The one that this class shares slots with.
-    pub fn other(self) -> Self {
-        match self {
-            Self::Live => Self::Rollout,
-            Self::Rollout => Self::Live,
-        }
-    }
-}
-
 /// A request that wants a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouteRequest {
@@ -171,6 +149,8 @@
 /// What the router knows of one server, for status pages and metrics.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerView {
+    /// Whether this node uses and probes it; of the others little is known.
+    pub in_subset: bool,
     /// Whether new work may go to it now.
     pub open: bool,
     /// Whether anyone says that it is leaving.
--- /dev/null
+++ b/crates/wingshore-routing/src/retry.rs
@@ -0,0 +1,97 @@
+//! Retries: what a verdict allows, and a budget, so that an outage is not multiplied.
+//!
+//! The budget is a token bucket per service. Each first attempt adds a share of a token, each
+//! second adds a few, each retry takes one. Over any time, retries are at most
+//! `share * first attempts + rate * seconds + burst`.
+
+use crate::request::RouteRequest;
+use std::time::Duration;
+use wingshore_types::configuration::Permille;
+use wingshore_types::{Instant, Verdict};
+
+/// Tokens are counted in thousandths.
+const TOKEN: u64 = 1000;
+
+/// Whether `verdict` allows the request to be sent again.
+pub(crate) fn verdict_allows(request: &RouteRequest, verdict: Verdict) -> bool {
+    match verdict {
+        Verdict::NotRun => true,
+        Verdict::MayHaveRun => !request.no_repeat,
+        Verdict::Ran => false,
+    }
+}
+
+/// Size of the bucket and what fills it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BudgetLimits {
+    pub(crate) share: Permille,
+    pub(crate) per_second: u32,
+    pub(crate) burst: u32,
+}
+
+/// The bucket of one service. It starts full.
+#[derive(Clone, Debug)]
+pub(crate) struct RetryBudget {
+    limits: BudgetLimits,
+    tokens: u64,
+    filled_at: Option<Instant>,
+    /// Granted retries whose attempt has not come yet; those attempts add nothing.
+    granted: u32,
+}
+
+impl RetryBudget {
+    /// A full bucket.
+    pub(crate) fn new(limits: BudgetLimits) -> Self {
+        Self {
+            limits,
+            tokens: most_tokens(limits),
+            filled_at: None,
+            granted: 0,
+        }
+    }
+
+    /// An attempt was admitted; only a first attempt adds to the bucket.
+    pub(crate) fn on_attempt(&mut self) {
+        if self.granted > 0 {
+            self.granted -= 1;
+            return;
+        }
+        self.add(u64::from(self.limits.share.0));
+    }
+
+    /// Takes a token, if there is one.
+    pub(crate) fn try_take(&mut self, now: Instant) -> bool {
+        self.fill(now);
+        if self.tokens < TOKEN {
+            return false;
+        }
+        self.tokens -= TOKEN;
+        self.granted = self.granted.saturating_add(1).min(self.limits.burst);
+        true
+    }
+
+    /// Adds what the time since the last call gives.
+    fn fill(&mut self, now: Instant) {
+        let last = *self.filled_at.get_or_insert(now);
+        let rate = u128::from(self.limits.per_second);
+        if rate == 0 {
+            return;
+        }
+        let elapsed = now.since(last).as_nanos();
+        let nanoseconds = Duration::from_secs(1).as_nanos() / u128::from(TOKEN);
+        let added = elapsed * rate / nanoseconds;
+        if added > 0 {
+            self.filled_at = Some(now);
+            self.add(u64::try_from(added).unwrap_or(u64::MAX));
+        }
+    }
+
+    fn add(&mut self, thousandths: u64) {
+        let sum = self.tokens.saturating_add(thousandths);
+        self.tokens = sum.min(most_tokens(self.limits));
+    }
+}
+
+fn most_tokens(limits: BudgetLimits) -> u64 {
+    u64::from(limits.burst) * TOKEN
+}
--- a/crates/wingshore-routing/src/router.rs
+++ b/crates/wingshore-routing/src/router.rs
@@ -1,62 +1,62 @@
-//! The router: membership, load and limits behind one type.
-
+//! The router: one type over membership, load, affinity, limits and retries.
+//!
+//! `configure` takes what is said from outside about which servers exist, `observe` what servers
+//! say and how requests end, `decide` admits, `probe` says what to poll, `report` tells what is
+//! known.
+
+mod configure;
+mod decide;
+mod observe;
+mod probe;
+mod report;
+
+use crate::affinity::Affinity;
 use crate::faults::Faults;
-use crate::request::{
-    Admitted, AttemptOutcome, Class, OverGuarantee, ProbeKind, ProbeTarget, Refusal, RefusalCode,
-    RouteRequest, ServerView, Ticket,
-};
+use crate::fleet::{Fleet, ServiceIndex};
+use crate::hash::{hash_text, mix};
 use crate::settings::RouterSettings;
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
-use wingshore_types::configuration::{Admission, Configuration, ServiceKind};
-use wingshore_types::platform::{CacheEvents, EngineState, LoadReport, MachineList, MachineState};
-use wingshore_types::{Instant, ServerId, Verdict, WeightVersion, ZoneId};
-
-/// What a refused caller is told to wait when nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-
-/// What is known of one server beyond the configuration.
-#[derive(Clone, Debug, Default)]
-struct Observed {
-    version: Option<WeightVersion>,
-    draining: bool,
-    failed_probes: u32,
-    in_flight: BTreeMap<Class, u32>,
-    next_probe: Instant,
-    last_cache_event: u64,
-}
-
-impl Observed {
-    fn total(&self) -> u32 {
-        self.in_flight.values().sum()
-    }
-}
+use crate::tickets::Tickets;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::collections::BTreeSet;
+use wingshore_types::{Instant, Revision, ServerId, ZoneId};
 
 /// Chooses servers; see the crate's page.
 #[derive(Debug)]
 pub struct Router {
     settings: RouterSettings,
     faults: Faults,
-    configuration: Configuration,
-    leaving_machines: BTreeSet<ServerId>,
+    zone: ZoneId,
+    seed: u64,
+    random: ChaCha8Rng,
+    revision: Revision,
     machines_as_of: u64,
-    observed: BTreeMap<ServerId, Observed>,
-    tickets: BTreeMap<Ticket, (ServerId, Class)>,
-    next_ticket: u64,
+    leaving_machines: BTreeSet<ServerId>,
+    fleet: Fleet,
+    affinity: Affinity,
+    tickets: Tickets,
 }
 
 impl Router {
-    /// A router for a node in `zone`; `seed` should differ between nodes.
-    pub fn new(settings: RouterSettings, _zone: ZoneId, _seed: u64) -> Self {
+    /// A router for a node in `zone`. `seed` should differ between nodes and be the same for a
+    /// node after a restart: it decides which servers the node uses.
+    pub fn new(settings: RouterSettings, zone: ZoneId, seed: u64) -> Self {
+        let affinity = Affinity::new(
+            settings.affinity_entries as usize,
+            settings.affinity_half_life,
+        );
         Self {
-            settings,
             faults: Faults::default(),
-            configuration: Configuration::default(),
-            leaving_machines: BTreeSet::new(),
+            seed: mix(seed ^ hash_text(zone.as_str())),
+            zone,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            revision: Revision(0),
             machines_as_of: 0,
-            observed: BTreeMap::new(),
-            tickets: BTreeMap::new(),
-            next_ticket: 0,
+            leaving_machines: BTreeSet::new(),
+            fleet: Fleet::default(),
+            affinity,
+            tickets: Tickets::default(),
+            settings,
         }
     }
 
@@ -66,216 +66,84 @@
         self
     }
 
-    /// Takes a configuration; one of a lower revision than the last is ignored.
-    pub fn on_configuration(&mut self, _now: Instant, configuration: &Configuration) {
-        if configuration.revision < self.configuration.revision {
-            return;
-        }
-        self.configuration = configuration.clone();
-    }
-
-    /// Takes the platform's machine list; an older one than the last is ignored.
-    pub fn on_machine_list(&mut self, _now: Instant, list: &MachineList) {
-        if list.as_of < self.machines_as_of {
-            return;
-        }
-        self.machines_as_of = list.as_of;
-        self.leaving_machines = list
-            .machines
-            .iter()
-            .filter(|machine| machine.state == MachineState::Leaving)
-            .map(|machine| machine.id.clone())
-            .collect();
-    }
-
-    /// Takes an engine's own report of its state.
-    pub fn on_engine_state(&mut self, _now: Instant, server: &ServerId, state: &EngineState) {
-        let observed = self.observed.entry(server.clone()).or_default();
-        observed.version = state.weight_version;
-        observed.draining = state.draining;
-        observed.failed_probes = 0;
-    }
-
-    /// Takes a load report.
-    pub fn on_load(&mut self, _now: Instant, server: &ServerId, _report: &LoadReport) {
-        self.observed
-            .entry(server.clone())
-            .or_default()
-            .failed_probes = 0;
+    /// Brings a service's subset and open servers up to date.
+    fn refresh(&mut self, now: Instant, service: ServiceIndex) {
+        self.release_ejected(now, service);
+        self.choose_members(now, service);
+        self.list_open(now, service);
     }
 
-    /// Takes cache events.
-    pub fn on_cache_events(&mut self, _now: Instant, server: &ServerId, events: &CacheEvents) {
-        let observed = self.observed.entry(server.clone()).or_default();
-        if let Some(last) = events.events.last() {
-            observed.last_cache_event = last.sequence;
+    /// Refreshes a service when a pause or an ejection has ended.
+    fn refresh_if_due(&mut self, now: Instant, service: ServiceIndex) {
+        let next_change = self.fleet.service(service).next_change;
+        if next_change.is_some_and(|at| now >= at) {
+            self.refresh(now, service);
         }
     }
 
-    /// A probe was not answered, or not by what was asked for.
-    pub fn on_probe_failed(&mut self, _now: Instant, server: &ServerId) {
-        self.observed
-            .entry(server.clone())
-            .or_default()
-            .failed_probes += 1;
-    }
-
-    /// Chooses a server and takes a slot, or refuses at once.
-    ///
-    /// # Errors
-    /// A [`Refusal`]: nothing was sent, the verdict is `NotRun`.
-    pub fn admit(&mut self, now: Instant, request: &RouteRequest) -> Result<Admitted, Refusal> {
-        let Some(service) = self.configuration.services.get(&request.service) else {
-            return Err(Refusal {
-                code: RefusalCode::UnknownService,
-                message: format!("service `{}` is not configured", request.service),
-                retry_after: None,
-            });
-        };
-        if now >= request.deadline {
-            return Err(Refusal {
-                code: RefusalCode::DeadlinePassed,
-                message: "the deadline passed before a server was chosen".to_owned(),
-                retry_after: None,
-            });
-        }
-        let slots = service.slots_per_server;
-        let chosen = self
-            .configuration
-            .servers_of(&request.service)
-            .filter(|server| self.is_open(&server.id) && self.is_useful(&server.id, request))
-            .map(|server| (self.total(&server.id), server))
-            .filter(|(total, _)| *total < slots)
-            .min_by_key(|(total, _)| *total);
-        let Some((_, server)) = chosen else {
-            return Err(Refusal {
-                code: RefusalCode::NoCapacity,
-                message: format!("no server of `{}` has a free slot", request.service),
-                retry_after: Some(RETRY_AFTER),
-            });
-        };
-        let (id, address) = (server.id.clone(), server.address);
-        let ticket = Ticket(self.next_ticket);
-        self.next_ticket += 1;
-        self.tickets.insert(ticket, (id.clone(), request.class));
-        let observed = self.observed.entry(id.clone()).or_default();
-        *observed.in_flight.entry(request.class).or_default() += 1;
-        Ok(Admitted {
-            ticket,
-            server: id,
-            address,
-        })
-    }
-
-    /// An admitted attempt ended; its slot is free again.
-    pub fn on_finished(&mut self, _now: Instant, ticket: Ticket, outcome: AttemptOutcome) {
-        let Some((server, class)) = self.tickets.remove(&ticket) else {
-            return;
-        };
-        let observed = self.observed.entry(server).or_default();
-        if let Some(count) = observed.in_flight.get_mut(&class) {
-            *count = count.saturating_sub(1);
-        }
-        if outcome == AttemptOutcome::Refused {
-            observed.draining = true;
+    /// Ends ejections whose time is over; such a server starts slowly.
+    fn release_ejected(&mut self, now: Instant, service: ServiceIndex) {
+        let slow_until = now + self.settings.slow_start;
+        let Fleet {
+            servers, services, ..
+        } = &mut self.fleet;
+        for index in services[service as usize].members.iter() {
+            let server = &mut servers[index as usize];
+            if server.outlier.release(now) {
+                server.slow_until = slow_until;
+            }
         }
     }
 
-    /// Whether an attempt that ended with `verdict` may be repeated now; takes from the retry
-    /// budget when it answers yes.
-    pub fn may_retry(&mut self, now: Instant, request: &RouteRequest, verdict: Verdict) -> bool {
-        if now >= request.deadline {
-            return false;
+    /// Chooses the service's subset anew.
+    fn choose_members(&mut self, now: Instant, service: ServiceIndex) {
+        let Fleet {
+            servers, services, ..
+        } = &mut self.fleet;
+        let state = &mut services[service as usize];
+        for index in state.members.iter() {
+            servers[index as usize].is_member = false;
         }
-        match verdict {
-            Verdict::NotRun => true,
-            Verdict::MayHaveRun => !request.no_repeat || self.faults.retry_on_may_have_run,
-            Verdict::Ran => false,
+        state.members = crate::subset::members(
+            &state.ranked,
+            state.subset,
+            self.settings.subset_other_zones,
+            |index| servers[index as usize].is_usable(now),
+        );
+        for index in state.members.iter() {
+            servers[index as usize].is_member = true;
         }
     }
 
-    /// The probes that are due; each is counted as asked.
-    pub fn probe_targets(&mut self, now: Instant) -> Vec<ProbeTarget> {
-        let mut targets = Vec::new();
-        for server in self.configuration.servers.values() {
-            let observed = self.observed.entry(server.id.clone()).or_default();
-            if now < observed.next_probe {
-                continue;
-            }
-            observed.next_probe = now + self.settings.probe_interval;
-            let is_engine = self
-                .configuration
-                .services
-                .get(&server.service)
-                .is_some_and(|service| matches!(service.kind, ServiceKind::Engines { .. }));
-            let mut kinds = vec![ProbeKind::Load];
-            if is_engine {
-                kinds.push(ProbeKind::EngineState);
-                kinds.push(ProbeKind::CacheEvents {
-                    after: observed.last_cache_event,
-                });
+    /// Lists the members that new work may go to, and when that changes by time alone.
+    fn list_open(&mut self, now: Instant, service: ServiceIndex) {
+        let ignore_leaving = self.faults.ignore_draining;
+        let Fleet {
+            servers, services, ..
+        } = &mut self.fleet;
+        let state = &mut services[service as usize];
+        state.open.clear();
+        state.next_change = None;
+        state.epoch += 1;
+        for index in state.members.iter() {
+            let server = &servers[index as usize];
+            if server.is_open(now, ignore_leaving) {
+                state.open.push(index, server.in_own_zone);
             }
-            targets.extend(kinds.into_iter().map(|kind| ProbeTarget {
-                server: server.id.clone(),
-                address: server.address,
-                kind,
-            }));
+            let changes = [
+                server.outlier.ejected_until(),
+                Some(server.membership.refused_until()),
+            ];
+            let next = changes.into_iter().flatten().filter(|at| *at > now).min();
+            state.next_change = earlier(state.next_change, next);
         }
-        targets
-    }
-
-    /// Where `class` uses more slots than are guaranteed to it.
-    pub fn over_guarantee(&self, _now: Instant, _class: Class) -> Vec<OverGuarantee> {
-        Vec::new()
-    }
-
-    /// What is known of a server; `None` when the configuration does not have it.
-    pub fn server_view(&self, _now: Instant, id: &ServerId) -> Option<ServerView> {
-        self.configuration.servers.get(id)?;
-        let observed = self.observed.get(id).cloned().unwrap_or_default();
-        let count = |class| observed.in_flight.get(&class).copied().unwrap_or_default();
-        Some(ServerView {
-            open: self.is_open(id),
-            leaving: self.is_leaving(id),
-            healthy: observed.failed_probes < self.settings.unhealthy_after,
-            ejected: false,
-            version: observed.version,
-            live: count(Class::Live),
-            rollouts: count(Class::Rollout),
-            foreign: 0,
-        })
-    }
-
-    fn total(&self, id: &ServerId) -> u32 {
-        self.observed.get(id).map_or(0, Observed::total)
-    }
-
-    fn is_open(&self, id: &ServerId) -> bool {
-        let healthy = self
-            .observed
-            .get(id)
-            .is_none_or(|observed| observed.failed_probes < self.settings.unhealthy_after);
-        healthy && (self.faults.ignore_draining || !self.is_leaving(id))
-    }
-
-    fn is_leaving(&self, id: &ServerId) -> bool {
-        let closed = self
-            .configuration
-            .servers
-            .get(id)
-            .is_none_or(|server| server.admission == Admission::Draining);
-        let draining = self.observed.get(id).is_some_and(|server| server.draining);
-        closed || draining || self.leaving_machines.contains(id)
     }
+}
 
-    fn is_useful(&self, id: &ServerId, request: &RouteRequest) -> bool {
-        if request.excluded.contains(id) {
-            return false;
-        }
-        if request.class == Class::Live || self.faults.ignore_unknown_version {
-            return true;
-        }
-        let version = self.observed.get(id).and_then(|server| server.version);
-        version.is_some_and(|version| request.oldest_useful.is_none_or(|least| version >= least))
+/// The earlier of two times, where there are any.
+fn earlier(first: Option<Instant>, second: Option<Instant>) -> Option<Instant> {
+    match (first, second) {
+        (Some(first), Some(second)) => Some(first.min(second)),
+        (first, second) => first.or(second),
     }
 }
--- /dev/null
+++ b/crates/wingshore-routing/src/router/configure.rs
@@ -0,0 +1,203 @@
+//! Which servers exist and may get work: the configuration and the machine list.
+
+use super::Router;
+use crate::admission::SlotShares;
+use crate::class::ByClass;
+use crate::fleet::{ByZone, Server, ServerIndex, ServiceIndex, ServiceState};
+use crate::load::Load;
+use crate::membership::Membership;
+use crate::outlier::Outlier;
+use crate::retry::{BudgetLimits, RetryBudget};
+use crate::subset::{SubsetSize, rank};
+use wingshore_types::Instant;
+use wingshore_types::configuration::{self, Configuration, ServiceKind};
+use wingshore_types::platform::{MachineList, MachineState};
+
+impl Router {
+    /// Takes a configuration; one of a lower revision than the last is ignored.
+    pub fn on_configuration(&mut self, now: Instant, configuration: &Configuration) {
+        if configuration.revision < self.revision {
+            return;
+        }
+        self.revision = configuration.revision;
+        self.put_services(configuration);
+        self.remove_absent_servers(configuration);
+        for server in configuration.servers.values() {
+            self.put_server(server);
+        }
+        self.rank_servers();
+        self.refresh_all(now);
+    }
+
+    /// Takes the platform's machine list; an older one than the last is ignored.
+    pub fn on_machine_list(&mut self, now: Instant, list: &MachineList) {
+        if list.as_of < self.machines_as_of {
+            return;
+        }
+        self.machines_as_of = list.as_of;
+        self.leaving_machines = list
+            .machines
+            .iter()
+            .filter(|machine| machine.state == MachineState::Leaving)
+            .map(|machine| machine.id.clone())
+            .collect();
+        for server in &mut self.fleet.servers {
+            server.membership.leaving_by_list = self.leaving_machines.contains(&server.id);
+        }
+        self.refresh_all(now);
+    }
+
+    fn refresh_all(&mut self, now: Instant) {
+        for service in 0..self.fleet.services.len() {
+            self.refresh(now, service as ServiceIndex);
+        }
+    }
+
+    fn put_services(&mut self, configuration: &Configuration) {
+        for state in &mut self.fleet.services {
+            state.is_configured = configuration.services.contains_key(&state.id);
+        }
+        for service in configuration.services.values() {
+            self.put_service(service);
+        }
+    }
+
+    fn put_service(&mut self, service: &configuration::Service) {
+        let guaranteed = !self.faults.no_share_guarantee;
+        let shares = SlotShares::new(service, self.settings.live_reserve, guaranteed);
+        let is_engines = matches!(service.kind, ServiceKind::Engines { .. });
+        let index = match self.fleet.service_index(&service.id) {
+            Some(index) => index,
+            None => self.fleet.add_service(self.new_service(service, shares)),
+        };
+        let state = self.fleet.service_mut(index);
+        state.shares = shares;
+        state.is_engines = is_engines;
+    }
+
+    fn new_service(&self, service: &configuration::Service, shares: SlotShares) -> ServiceState {
+        let limits = BudgetLimits {
+            share: self.settings.retry_share,
+            per_second: self.settings.retry_least_per_second,
+            burst: self.settings.retry_burst,
+        };
+        ServiceState {
+            id: service.id.clone(),
+            is_configured: true,
+            is_engines: false,
+            shares,
+            ranked: ByZone::default(),
+            members: ByZone::default(),
+            open: ByZone::default(),
+            subset: SubsetSize::new(self.settings.subset_size),
+            grown_at: Instant::ZERO,
+            exhausted_at: Instant::ZERO,
+            in_flight: ByClass::default(),
+            asks: ByClass::default(),
+            service_time: ByClass::default(),
+            budget: RetryBudget::new(limits),
+            next_change: None,
+            epoch: 0,
+            full: ByClass::default(),
+        }
+    }
+
+    fn remove_absent_servers(&mut self, configuration: &Configuration) {
+        let absent: Vec<ServerIndex> = self
+            .fleet
+            .names()
+            .filter(|(id, _)| !configuration.servers.contains_key(*id))
+            .map(|(_, index)| index)
+            .collect();
+        for index in absent {
+            self.fleet.server_mut(index).membership.admission = None;
+            self.free_if_gone(index);
+        }
+    }
+
+    /// Forgets an absent server without requests in flight.
+    pub(super) fn free_if_gone(&mut self, index: ServerIndex) {
+        if self.fleet.free_if_gone(index) {
+            self.affinity.reset(index);
+        }
+    }
+
+    fn put_server(&mut self, configured: &configuration::Server) {
+        let Some(service) = self.fleet.service_index(&configured.service) else {
+            return;
+        };
+        let index = match self.fleet.server_index(&configured.id) {
+            Some(index) => index,
+            None => {
+                let server = self.new_server(configured, service);
+                self.fleet.add_server(server)
+            }
+        };
+        if self.fleet.server(index).address != configured.address {
+            self.forget_process(index);
+        }
+        let in_own_zone = configured.zone == self.zone;
+        let server = self.fleet.server_mut(index);
+        server.address = configured.address;
+        server.service = service;
+        server.in_own_zone = in_own_zone;
+        server.membership.admission = Some(configured.admission);
+    }
+
+    fn new_server(&self, configured: &configuration::Server, service: ServiceIndex) -> Server {
+        let mut membership = Membership::new();
+        membership.leaving_by_list = self.leaving_machines.contains(&configured.id);
+        Server {
+            id: configured.id.clone(),
+            address: configured.address,
+            service,
+            in_own_zone: false,
+            is_member: false,
+            rank: rank(self.seed, &configured.id),
+            membership,
+            outlier: Outlier::default(),
+            load: Load::default(),
+            version: None,
+            version_until: Instant::ZERO,
+            slow_until: Instant::ZERO,
+            next_probe: None,
+        }
+    }
+
+    /// Forgets what was observed of a process that another one has replaced.
+    pub(super) fn forget_process(&mut self, index: ServerIndex) {
+        self.affinity.forget(index);
+        let server = self.fleet.server_mut(index);
+        server.membership.forget_observations();
+        server.load.forget_reports();
+        server.outlier = Outlier::default();
+        server.version = None;
+    }
+
+    /// Orders the servers of every service; the subsets are chosen anew after it.
+    fn rank_servers(&mut self) {
+        for server in &mut self.fleet.servers {
+            server.is_member = false;
+        }
+        for state in &mut self.fleet.services {
+            state.ranked.clear();
+            state.members.clear();
+            state.open.clear();
+        }
+        let mut order: Vec<(u64, ServerIndex)> = self
+            .fleet
+            .names()
+            .map(|(_, index)| (self.fleet.server(index).rank, index))
+            .collect();
+        order.sort_unstable();
+        for (_, index) in order {
+            let server = self.fleet.server(index);
+            if server.membership.admission.is_none() {
+                continue;
+            }
+            let (service, in_own_zone) = (server.service, server.in_own_zone);
+            let ranked = &mut self.fleet.service_mut(service).ranked;
+            ranked.push(index, in_own_zone);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-routing/src/router/decide.rs
@@ -0,0 +1,227 @@
+//! Admission, and whether an attempt may be repeated.
+
+use super::Router;
+use crate::affinity::{Hint, MOST_HOLDERS};
+use crate::balance::{Choice, Nothing};
+use crate::fleet::{FullMark, ServerIndex, ServiceIndex};
+use crate::request::{Admitted, Refusal, RefusalCode, RouteRequest};
+use crate::retry::verdict_allows;
+use crate::tickets::Attempt;
+use std::time::Duration;
+use wingshore_types::{Instant, Verdict};
+
+/// A finding that a service is full is looked at again after this time at the latest: others'
+/// requests and asks end by time alone.
+const FULL_LIFETIME: Duration = Duration::from_millis(10);
+/// A subset grows at most once in this time.
+const GROWTH_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Router {
+    /// Chooses a server and takes a slot, or refuses at once.
+    ///
+    /// # Errors
+    /// A [`Refusal`]: nothing was sent, the verdict is `NotRun`.
+    pub fn admit(&mut self, now: Instant, request: &RouteRequest) -> Result<Admitted, Refusal> {
+        let service = self.configured_service(request)?;
+        if now >= request.deadline {
+            return Err(deadline_passed());
+        }
+        self.refresh_if_due(now, service);
+        if let Some(mark) = self.full_mark(now, service, request) {
+            return Err(self.refuse_full(now, service, request, mark.below_guarantee));
+        }
+        match self.choose(now, service, request) {
+            Ok(server) => Ok(self.take_slot(now, service, server, request)),
+            Err(nothing) => Err(self.refuse(now, service, request, nothing)),
+        }
+    }
+
+    /// Whether an attempt that ended with `verdict` may be repeated now; takes from the retry
+    /// budget when it answers yes, so ask once per retry.
+    pub fn may_retry(&mut self, now: Instant, request: &RouteRequest, verdict: Verdict) -> bool {
+        let Some(service) = self.fleet.service_index(&request.service) else {
+            return false;
+        };
+        let by_fault = self.faults.retry_on_may_have_run && verdict == Verdict::MayHaveRun;
+        let is_allowed = by_fault || verdict_allows(request, verdict);
+        if !is_allowed || now >= request.deadline {
+            return false;
+        }
+        self.fleet.service_mut(service).budget.try_take(now)
+    }
+
+    fn configured_service(&self, request: &RouteRequest) -> Result<ServiceIndex, Refusal> {
+        self.fleet
+            .service_index(&request.service)
+            .filter(|index| self.fleet.service(*index).is_configured)
+            .ok_or_else(|| Refusal {
+                code: RefusalCode::UnknownService,
+                message: format!("service `{}` is not configured", request.service),
+                retry_after: None,
+            })
+    }
+
+    fn choose(
+        &mut self,
+        now: Instant,
+        service: ServiceIndex,
+        request: &RouteRequest,
+    ) -> Result<ServerIndex, Nothing> {
+        let (hints, count) = self.hints(now, service, request);
+        let state = self.fleet.service(service);
+        let other = request.class.other();
+        let choice = Choice {
+            now,
+            settings: &self.settings,
+            servers: &self.fleet.servers,
+            service: state,
+            request,
+            may_borrow: !state.asks.get(other).is_active(now),
+            check_version: !self.faults.ignore_unknown_version,
+            ignore_leaving: self.faults.ignore_draining,
+        };
+        choice.choose(&mut self.random, &hints[..count])
+    }
+
+    fn hints(
+        &self,
+        now: Instant,
+        service: ServiceIndex,
+        request: &RouteRequest,
+    ) -> ([Hint; MOST_HOLDERS], usize) {
+        match request.prefix_hash {
+            Some(prefix_hash) if self.settings.affinity_bonus > 0 => {
+                let tokens = request.tokens_estimate;
+                self.affinity.hints(now, service, prefix_hash, tokens)
+            }
+            _ => Default::default(),
+        }
+    }
+
+    fn take_slot(
+        &mut self,
+        now: Instant,
+        service: ServiceIndex,
+        server: ServerIndex,
+        request: &RouteRequest,
+    ) -> Admitted {
+        let class = request.class;
+        let state = self.fleet.service_mut(service);
+        *state.in_flight.get_mut(class) += 1;
+        state.budget.on_attempt();
+        state.asks.get_mut(class).on_admitted();
+        let ticket = self.tickets.issue(Attempt {
+            server,
+            service,
+            class,
+            prefix_hash: request.prefix_hash,
+            tokens: request.tokens_estimate,
+        });
+        let chosen = self.fleet.server_mut(server);
+        chosen.load.add(now, class);
+        Admitted {
+            ticket,
+            server: chosen.id.clone(),
+            address: chosen.address,
+        }
+    }
+
+    /// The finding that no server has room for the request's class, while it holds.
+    fn full_mark(
+        &self,
+        now: Instant,
+        service: ServiceIndex,
+        request: &RouteRequest,
+    ) -> Option<FullMark> {
+        let state = self.fleet.service(service);
+        let mark = *state.full.get(request.class);
+        (mark.epoch == state.epoch && now < mark.until).then_some(mark)
+    }
+
+    fn refuse(
+        &mut self,
+        now: Instant,
+        service: ServiceIndex,
+        request: &RouteRequest,
+        nothing: Nothing,
+    ) -> Refusal {
+        if !nothing.any_open {
+            let wait = self.settings.probe_interval * self.settings.healthy_after;
+            return self.refuse_with(RefusalCode::NoServer, request, wait);
+        }
+        if !nothing.any_useful {
+            let wait = self.settings.probe_interval;
+            return self.refuse_with(RefusalCode::NoUsableVersion, request, wait);
+        }
+        if !nothing.any_room {
+            let state = self.fleet.service_mut(service);
+            *state.full.get_mut(request.class) = FullMark {
+                epoch: state.epoch,
+                until: now + FULL_LIFETIME,
+                below_guarantee: nothing.below_guarantee,
+            };
+        }
+        self.refuse_full(now, service, request, nothing.below_guarantee)
+    }
+
+    /// Refuses for want of a slot; a class below its guarantee asks for it by that.
+    fn refuse_full(
+        &mut self,
+        now: Instant,
+        service: ServiceIndex,
+        request: &RouteRequest,
+        below_guarantee: bool,
+    ) -> Refusal {
+        let window = self.settings.reclaim_window;
+        let least = self.settings.retry_after_least;
+        let state = self.fleet.service_mut(service);
+        if below_guarantee {
+            state.asks.get_mut(request.class).ask(now, window);
+        }
+        let in_flight = *state.in_flight.get(request.class);
+        let service_time = state.service_time.get_mut(request.class);
+        let wait = service_time.on_refused(now, in_flight);
+        self.grow_subset(now, service);
+        self.refuse_with(RefusalCode::NoCapacity, request, wait.unwrap_or(least))
+    }
+
+    fn refuse_with(&self, code: RefusalCode, request: &RouteRequest, wait: Duration) -> Refusal {
+        let service = &request.service;
+        let message = match code {
+            RefusalCode::NoServer => format!("no server of `{service}` is open to the request"),
+            RefusalCode::NoUsableVersion => {
+                format!("no engine of `{service}` is known to serve a version that is new enough")
+            }
+            _ => format!("all slots of `{service}` that the class may use are taken"),
+        };
+        let most = self.settings.retry_after_most;
+        let least = self.settings.retry_after_least.min(most);
+        Refusal {
+            code,
+            message,
+            retry_after: Some(wait.clamp(least, most)),
+        }
+    }
+
+    /// Uses more servers while those of the subset are exhausted.
+    fn grow_subset(&mut self, now: Instant, service: ServiceIndex) {
+        let state = self.fleet.service_mut(service);
+        state.exhausted_at = now;
+        let is_whole = state.members.len() == state.ranked.len();
+        if is_whole || now.since(state.grown_at) < GROWTH_INTERVAL {
+            return;
+        }
+        state.grown_at = now;
+        if state.subset.grow() {
+            self.refresh(now, service);
+        }
+    }
+}
+
+fn deadline_passed() -> Refusal {
+    Refusal {
+        code: RefusalCode::DeadlinePassed,
+        message: "the deadline passed before a server was chosen".to_owned(),
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/wingshore-routing/src/router/observe.rs
@@ -0,0 +1,183 @@
+//! What servers say of themselves, and how requests to them end.
+
+use super::Router;
+use crate::affinity::EventsTaken;
+use crate::fleet::{Server, ServerIndex};
+use crate::membership::HealthLimits;
+use crate::outlier::{EjectionLimits, floor_allows};
+use crate::request::{AttemptOutcome, Ticket};
+use crate::tickets::Attempt;
+use std::time::Duration;
+use wingshore_types::platform::{CacheEvents, EngineState, LoadReport};
+use wingshore_types::{Instant, ServerId};
+
+impl Router {
+    /// Takes an engine's own report of its state, just read.
+    pub fn on_engine_state(&mut self, now: Instant, server: &ServerId, state: &EngineState) {
+        let Some(index) = self.fleet.server_index(server) else {
+            return;
+        };
+        if self.affinity.on_boot(index, state.boot_id) {
+            self.on_restart(now, index);
+        }
+        if self.fleet.server(index).version != state.weight_version {
+            self.affinity.doubt(index);
+        }
+        let version_until = now + self.settings.state_lifetime;
+        self.change(now, index, |server| {
+            server.version = state.weight_version;
+            server.version_until = version_until;
+            server.membership.draining_by_state = state.draining;
+        });
+        self.on_probe(now, index, true);
+    }
+
+    /// Takes a load report, which says itself how old it is.
+    pub fn on_load(&mut self, now: Instant, server: &ServerId, report: &LoadReport) {
+        let Some(index) = self.fleet.server_index(server) else {
+            return;
+        };
+        let lifetime = self.settings.load_lifetime;
+        let server = self.fleet.server_mut(index);
+        let service = server.service;
+        if server.load.on_report(now, report, lifetime) {
+            self.fleet.service_mut(service).epoch += 1;
+        }
+        self.on_probe(now, index, true);
+    }
+
+    /// Takes cache events.
+    pub fn on_cache_events(&mut self, now: Instant, server: &ServerId, events: &CacheEvents) {
+        let Some(index) = self.fleet.server_index(server) else {
+            return;
+        };
+        let service = self.fleet.server(index).service;
+        let taken = self.affinity.on_events(now, index, service, events);
+        if taken == EventsTaken::OtherBoot {
+            // Either the engine has restarted, or these events are late: its next state tells.
+            self.fleet.server_mut(index).version = None;
+        }
+    }
+
+    /// A probe was not answered, or not by what was asked for.
+    pub fn on_probe_failed(&mut self, now: Instant, server: &ServerId) {
+        if let Some(index) = self.fleet.server_index(server) {
+            self.on_probe(now, index, false);
+        }
+    }
+
+    /// An admitted attempt ended; its slot is free again.
+    pub fn on_finished(&mut self, now: Instant, ticket: Ticket, outcome: AttemptOutcome) {
+        let Some(attempt) = self.tickets.take(ticket) else {
+            return;
+        };
+        let server = self.fleet.server_mut(attempt.server);
+        server.load.remove(now, attempt.class);
+        let service = self.fleet.service_mut(attempt.service);
+        let in_flight = service.in_flight.get_mut(attempt.class);
+        *in_flight = in_flight.saturating_sub(1);
+        service.epoch += 1;
+        match outcome {
+            AttemptOutcome::Success { latency } => self.on_success(now, attempt, latency),
+            AttemptOutcome::Refused => self.on_refused(now, attempt),
+            AttemptOutcome::Failed(_) => self.on_failed(now, attempt),
+            AttemptOutcome::Cancelled => {}
+        }
+        if self
+            .fleet
+            .server(attempt.server)
+            .membership
+            .admission
+            .is_none()
+        {
+            self.free_if_gone(attempt.server);
+        }
+    }
+
+    fn on_success(&mut self, now: Instant, attempt: Attempt, latency: Duration) {
+        let server = self.fleet.server_mut(attempt.server);
+        server.outlier.on_success();
+        server.membership.on_success();
+        let service = self.fleet.service_mut(attempt.service);
+        let service_time = service.service_time.get_mut(attempt.class);
+        service_time.on_success(latency);
+        if let (Some(prefix_hash), true) = (attempt.prefix_hash, service.is_engines) {
+            let (server, service) = (attempt.server, attempt.service);
+            self.affinity
+                .on_served(now, server, service, prefix_hash, attempt.tokens);
+        }
+    }
+
+    fn on_refused(&mut self, now: Instant, attempt: Attempt) {
+        let pause = self.settings.refusal_pause;
+        let most = self.settings.refusal_pause_most;
+        let server = self.fleet.server_mut(attempt.server);
+        server.membership.on_refusal(now, pause, most);
+        self.refresh(now, attempt.service);
+    }
+
+    fn on_failed(&mut self, now: Instant, attempt: Attempt) {
+        let limits = self.ejection_limits();
+        let server = self.fleet.server_mut(attempt.server);
+        if !server.outlier.on_failure(limits) || !self.may_eject(now, attempt) {
+            return;
+        }
+        let server = self.fleet.server_mut(attempt.server);
+        server.outlier.eject(now, limits);
+        self.refresh(now, attempt.service);
+    }
+
+    /// Whether the floor leaves room for one more ejection.
+    fn may_eject(&self, now: Instant, attempt: Attempt) -> bool {
+        let service = self.fleet.service(attempt.service);
+        let usable = service.members.iter().map(|index| self.fleet.server(index));
+        let usable: Vec<&Server> = usable.filter(|server| server.is_usable(now)).collect();
+        let ejected = usable.iter().filter(|server| server.outlier.is_ejected());
+        floor_allows(ejected.count(), usable.len(), self.settings.most_ejected)
+    }
+
+    /// A server came back as another process: what ran there is lost, and it starts slowly.
+    fn on_restart(&mut self, now: Instant, index: ServerIndex) {
+        let slow_until = now + self.settings.slow_start;
+        self.change(now, index, |server| {
+            server.membership.forget_observations();
+            server.load.forget_reports();
+            server.outlier = Default::default();
+            server.slow_until = slow_until;
+        });
+    }
+
+    fn on_probe(&mut self, now: Instant, index: ServerIndex, good: bool) {
+        let limits = HealthLimits {
+            unhealthy_after: self.settings.unhealthy_after,
+            healthy_after: self.settings.healthy_after,
+            round: self.settings.probe_interval,
+        };
+        let slow_until = now + self.settings.slow_start;
+        self.change(now, index, |server| {
+            if server.membership.on_probe(now, good, limits) {
+                server.slow_until = slow_until;
+            }
+        });
+    }
+
+    /// Changes a server, and brings its service up to date if that opened or closed it.
+    fn change(&mut self, now: Instant, index: ServerIndex, change: impl FnOnce(&mut Server)) {
+        let server = self.fleet.server_mut(index);
+        let before = (server.membership.standing(now), server.outlier.is_ejected());
+        change(server);
+        let after = (server.membership.standing(now), server.outlier.is_ejected());
+        let service = server.service;
+        if before != after {
+            self.refresh(now, service);
+        }
+    }
+
+    fn ejection_limits(&self) -> EjectionLimits {
+        EjectionLimits {
+            after: self.settings.eject_after,
+            time: self.settings.eject_time,
+            time_most: self.settings.eject_time_most,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-routing/src/router/report.rs
@@ -0,0 +1,75 @@
+//! What the router knows, for the rollout runner, status pages and metrics.
+
+use super::Router;
+use crate::class::Class;
+use crate::fleet::ServiceState;
+use crate::request::{OverGuarantee, ServerView};
+use wingshore_types::{Instant, ServerId};
+
+impl Router {
+    /// Where `class` uses more slots than are guaranteed to it, and how many of them the other
+    /// class asks back now.
+    pub fn over_guarantee(&self, now: Instant, class: Class) -> Vec<OverGuarantee> {
+        let mut found = Vec::new();
+        for service in &self.fleet.services {
+            self.push_over_guarantee(now, class, service, &mut found);
+        }
+        found
+    }
+
+    /// What is known of a server; `None` when the configuration does not have it.
+    pub fn server_view(&self, now: Instant, id: &ServerId) -> Option<ServerView> {
+        let server = self.fleet.server(self.fleet.server_index(id)?);
+        server.membership.admission?;
+        Some(ServerView {
+            in_subset: server.is_member,
+            open: server.is_member && server.is_open(now, self.faults.ignore_draining),
+            leaving: server.membership.is_leaving(now),
+            healthy: server.membership.is_healthy(),
+            ejected: server.outlier.is_ejected(),
+            version: server.known_version(now),
+            live: server.load.own_of(Class::Live),
+            rollouts: server.load.own_of(Class::Rollout),
+            foreign: server.load.foreign(now),
+        })
+    }
+
+    fn push_over_guarantee(
+        &self,
+        now: Instant,
+        class: Class,
+        service: &ServiceState,
+        found: &mut Vec<OverGuarantee>,
+    ) {
+        let shares = &service.shares;
+        let mut wanted = self.wanted_back(now, class, service);
+        for index in service.members.iter() {
+            let server = self.fleet.server(index);
+            let borrowed = shares.borrowed(&server.load, class);
+            if borrowed == 0 {
+                continue;
+            }
+            let wanted_back = shares.wanted_back(&server.load, class).min(wanted);
+            wanted -= wanted_back;
+            found.push(OverGuarantee {
+                server: server.id.clone(),
+                borrowed,
+                wanted_back,
+            });
+        }
+    }
+
+    /// Slots of a service that the other class asks back: as many as it was refused of late, less
+    /// those that are free for it by now.
+    fn wanted_back(&self, now: Instant, class: Class, service: &ServiceState) -> u32 {
+        let other = class.other();
+        let asked = service.asks.get(other).count(now);
+        let free: u32 = service
+            .open
+            .iter()
+            .map(|index| &self.fleet.server(index).load)
+            .map(|load| service.shares.free_within_guarantee(load, other))
+            .sum();
+        asked.saturating_sub(free)
+    }
+}
--- a/crates/wingshore-routing/src/settings.rs
+++ b/crates/wingshore-routing/src/settings.rs
@@ -1,34 +1,265 @@
-//! Settings of the router. Durations are texts with units, for instance `"250ms"`.
+//! Settings of the router. Durations are texts with units, for instance `"250ms"`; shares are
+//! thousandths.
 
 use serde::{Deserialize, Deserializer};
+use snafu::Snafu;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::time::Duration;
+use wingshore_types::configuration::Permille;
 
 /// All settings of a [`crate::Router`]; each has a default, so that an empty table is valid.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RouterSettings {
-    /// Servers compared per decision. Default 2, 1 to 8.
+    /// Servers compared per decision, in the node's own zone and in the others each.
+    /// Default 2, 1 to 8.
     pub choices: u32,
+    /// How many requests in flight a server of another zone must be ahead by to be preferred.
+    /// Default 2, 0 to 1000.
+    pub zone_penalty: u32,
+    /// How long a server that returned is given less work. Default 10 s, 0 s to 10 min.
+    #[serde(deserialize_with = "duration")]
+    pub slow_start: Duration,
     /// Time between two probes of one server. Default 1 s, 50 ms to 1 min.
     #[serde(deserialize_with = "duration")]
     pub probe_interval: Duration,
-    /// Failed probes in a row that make a server unhealthy. Default 3, 1 to 100.
+    /// Failed rounds of probes in a row that make a server unhealthy. Default 3, 1 to 100.
     pub unhealthy_after: u32,
-    /// Good probes in a row that make it healthy again. Default 2, 1 to 100.
+    /// Good rounds of probes in a row that make it healthy again. Default 2, 1 to 100.
     pub healthy_after: u32,
+    /// How long a server that refused a request as not run gets none; doubles with each refusal
+    /// in a row. Default 200 ms, 10 ms to 10 s.
+    #[serde(deserialize_with = "duration")]
+    pub refusal_pause: Duration,
+    /// The longest such pause. Default 5 s, 10 ms to 1 min.
+    #[serde(deserialize_with = "duration")]
+    pub refusal_pause_most: Duration,
+    /// How long an engine's report of its version counts. Default 10 s, 1 s to 5 min.
+    #[serde(deserialize_with = "duration")]
+    pub state_lifetime: Duration,
+    /// How long a load report counts. Default 5 s, 100 ms to 5 min.
+    #[serde(deserialize_with = "duration")]
+    pub load_lifetime: Duration,
+    /// What a wholly cached prompt is worth, in requests in flight. Default 2, 0 to 100; 0
+    /// ignores caches.
+    pub affinity_bonus: u32,
+    /// Cached prefixes remembered per server. Default 4096, 1 to 1,000,000.
+    pub affinity_entries: u32,
+    /// Time in which a remembered prefix loses half of its worth. Default 2 min, 1 s to 1 h.
+    #[serde(deserialize_with = "duration")]
+    pub affinity_half_life: Duration,
+    /// Failures in a row that eject a server. Default 5, 1 to 1000.
+    pub eject_after: u32,
+    /// How long the first ejection lasts; doubles with each further one. Default 5 s, 100 ms to
+    /// 10 min.
+    #[serde(deserialize_with = "duration")]
+    pub eject_time: Duration,
+    /// The longest ejection. Default 2 min, 100 ms to 1 h.
+    #[serde(deserialize_with = "duration")]
+    pub eject_time_most: Duration,
+    /// Largest share of a service's servers that may be ejected at one time. Default 500, 0 to 900.
+    pub most_ejected: Permille,
+    /// Share of the live guarantee that rollouts leave free for bursts. Default 250, 0 to 1000.
+    pub live_reserve: Permille,
+    /// How long a class that was refused its guarantee keeps the other from borrowing.
+    /// Default 2 s, 10 ms to 1 min.
+    #[serde(deserialize_with = "duration")]
+    pub reclaim_window: Duration,
+    /// Retries allowed per first attempt. Default 200, 0 to 1000.
+    pub retry_share: Permille,
+    /// Retries allowed per second and service besides. Default 5, 0 to 10,000.
+    pub retry_least_per_second: u32,
+    /// Most retries that may be saved up, per service. Default 20, 1 to 100,000.
+    pub retry_burst: u32,
+    /// Servers of each service that this node uses and probes; grows up to fourfold while they
+    /// are exhausted. Default 40, 1 to 100,000.
+    pub subset_size: u32,
+    /// Share of them that stands in other zones, where there are any. Default 250, 0 to 1000.
+    pub subset_other_zones: Permille,
+    /// Least time a refused caller is told to wait. Default 50 ms, 1 ms to 1 min.
+    #[serde(deserialize_with = "duration")]
+    pub retry_after_least: Duration,
+    /// Longest time a refused caller is told to wait. Default 30 s, 1 ms to 1 h.
+    #[serde(deserialize_with = "duration")]
+    pub retry_after_most: Duration,
 }
 
 impl Default for RouterSettings {
     fn default() -> Self {
         Self {
             choices: 2,
+            zone_penalty: 2,
+            slow_start: Duration::from_secs(10),
             probe_interval: Duration::from_secs(1),
             unhealthy_after: 3,
             healthy_after: 2,
+            refusal_pause: Duration::from_millis(200),
+            refusal_pause_most: Duration::from_secs(5),
+            state_lifetime: Duration::from_secs(10),
+            load_lifetime: Duration::from_secs(5),
+            affinity_bonus: 2,
+            affinity_entries: 4096,
+            affinity_half_life: Duration::from_secs(120),
+            eject_after: 5,
+            eject_time: Duration::from_secs(5),
+            eject_time_most: Duration::from_secs(120),
+            most_ejected: Permille(500),
+            live_reserve: Permille(250),
+            reclaim_window: Duration::from_secs(2),
+            retry_share: Permille(200),
+            retry_least_per_second: 5,
+            retry_burst: 20,
+            subset_size: 40,
+            subset_other_zones: Permille(250),
+            retry_after_least: Duration::from_millis(50),
+            retry_after_most: Duration::from_secs(30),
         }
     }
 }
 
+/// One setting that is out of its range.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("`{key}` is {found}; allowed is {allowed}"))]
+pub struct SettingError {
+    /// The setting's name.
+    pub key: &'static str,
+    /// Its value.
+    pub found: String,
+    /// What it may be.
+    pub allowed: String,
+}
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(3600);
+
+impl RouterSettings {
+    /// Checks every range; empty when all are kept.
+    pub fn check(&self) -> Vec<SettingError> {
+        let mut errors = Vec::new();
+        self.check_numbers(&mut errors);
+        self.check_shares(&mut errors);
+        self.check_durations(&mut errors);
+        errors
+    }
+
+    fn check_numbers(&self, errors: &mut Vec<SettingError>) {
+        let rows = [
+            ("choices", self.choices, 1..=8),
+            ("zone_penalty", self.zone_penalty, 0..=1000),
+            ("unhealthy_after", self.unhealthy_after, 1..=100),
+            ("healthy_after", self.healthy_after, 1..=100),
+            ("affinity_bonus", self.affinity_bonus, 0..=100),
+            ("affinity_entries", self.affinity_entries, 1..=1_000_000),
+            ("eject_after", self.eject_after, 1..=1000),
+            (
+                "retry_least_per_second",
+                self.retry_least_per_second,
+                0..=10_000,
+            ),
+            ("retry_burst", self.retry_burst, 1..=100_000),
+            ("subset_size", self.subset_size, 1..=100_000),
+        ];
+        for (key, value, range) in rows {
+            check_range(key, &value, &range, |number| number.to_string(), errors);
+        }
+    }
+
+    fn check_shares(&self, errors: &mut Vec<SettingError>) {
+        let rows = [
+            ("most_ejected", self.most_ejected, 900),
+            ("live_reserve", self.live_reserve, 1000),
+            ("retry_share", self.retry_share, 1000),
+            ("subset_other_zones", self.subset_other_zones, 1000),
+        ];
+        for (key, value, most) in rows {
+            let range = 0..=most;
+            check_range(key, &value.0, &range, |share| share.to_string(), errors);
+        }
+    }
+
+    fn check_durations(&self, errors: &mut Vec<SettingError>) {
+        let rows = [
+            ("slow_start", self.slow_start, Duration::ZERO..=10 * MINUTE),
+            (
+                "probe_interval",
+                self.probe_interval,
+                50 * MILLISECOND..=MINUTE,
+            ),
+            (
+                "refusal_pause",
+                self.refusal_pause,
+                10 * MILLISECOND..=10 * SECOND,
+            ),
+            (
+                "refusal_pause_most",
+                self.refusal_pause_most,
+                10 * MILLISECOND..=MINUTE,
+            ),
+            ("state_lifetime", self.state_lifetime, SECOND..=5 * MINUTE),
+            (
+                "load_lifetime",
+                self.load_lifetime,
+                100 * MILLISECOND..=5 * MINUTE,
+            ),
+            ("affinity_half_life", self.affinity_half_life, SECOND..=HOUR),
+            (
+                "eject_time",
+                self.eject_time,
+                100 * MILLISECOND..=10 * MINUTE,
+            ),
+            (
+                "eject_time_most",
+                self.eject_time_most,
+                100 * MILLISECOND..=HOUR,
+            ),
+            (
+                "reclaim_window",
+                self.reclaim_window,
+                10 * MILLISECOND..=MINUTE,
+            ),
+            (
+                "retry_after_least",
+                self.retry_after_least,
+                MILLISECOND..=MINUTE,
+            ),
+            (
+                "retry_after_most",
+                self.retry_after_most,
+                MILLISECOND..=HOUR,
+            ),
+        ];
+        for (key, value, range) in rows {
+            let text = |duration: &Duration| humantime::format_duration(*duration).to_string();
+            check_range(key, &value, &range, text, errors);
+        }
+    }
+}
+
+/// Notes an error when `value` is outside `range`.
+fn check_range<T: PartialOrd>(
+    key: &'static str,
+    value: &T,
+    range: &RangeInclusive<T>,
+    text: impl Fn(&T) -> String,
+    errors: &mut Vec<SettingError>,
+) {
+    if range.contains(value) {
+        return;
+    }
+    errors.push(SettingError {
+        key,
+        found: text(value),
+        allowed: between(&text(range.start()), &text(range.end())),
+    });
+}
+
+fn between(least: &impl Display, most: &impl Display) -> String {
+    format!("{least} to {most}")
+}
+
 /// Reads a duration with its unit.
 fn duration<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
     let text = String::deserialize(deserializer)?;
--- /dev/null
+++ b/crates/wingshore-routing/src/subset.rs
@@ -0,0 +1,97 @@
+//! Which servers of a service a node uses and probes.
+//!
+//! Servers are ranked by rendezvous hashing over the node's seed, so that each node has its own
+//! order, that order is the same after a restart, and one server more or less changes little.
+//! The subset is the first servers of that order that are usable, most of them in the node's own
+//! zone. Servers passed over stay in it to be probed, so that their return is seen.
+
+use crate::fleet::{ByZone, ServerIndex};
+use crate::hash::{hash_text, mix};
+use wingshore_types::ServerId;
+use wingshore_types::configuration::Permille;
+
+/// Servers passed over at most, per usable server wanted.
+const MOST_PASSED_OVER: usize = 4;
+/// Growth under exhaustion, at most.
+const MOST_GROWTH: usize = 4;
+
+/// Rank of a server for a node; lower comes first.
+pub(crate) fn rank(seed: u64, server: &ServerId) -> u64 {
+    mix(seed ^ hash_text(server.as_str()))
+}
+
+/// How many servers are wanted, and how that grows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SubsetSize {
+    base: usize,
+    wanted: usize,
+}
+
+impl SubsetSize {
+    /// A size as configured.
+    pub(crate) fn new(base: u32) -> Self {
+        let base = base as usize;
+        Self { base, wanted: base }
+    }
+
+    /// Half as many again, up to a limit. Returns whether it grew.
+    pub(crate) fn grow(&mut self) -> bool {
+        let most = self.base.saturating_mul(MOST_GROWTH);
+        let grown = self
+            .wanted
+            .saturating_add(self.wanted.div_ceil(2))
+            .min(most);
+        let did_grow = grown > self.wanted;
+        self.wanted = grown;
+        did_grow
+    }
+
+    /// Back to the configured size. Returns whether it shrank.
+    pub(crate) fn shrink(&mut self) -> bool {
+        let did_shrink = self.wanted > self.base;
+        self.wanted = self.base;
+        did_shrink
+    }
+
+    /// How many to take from the own zone and from the others, which have so many servers.
+    pub(crate) fn split(&self, own: usize, others: usize, share: Permille) -> (usize, usize) {
+        let share = usize::from(share.0);
+        let for_others = (self.wanted.saturating_mul(share) / 1000).min(others);
+        let from_own = self.wanted.saturating_sub(for_others).min(own);
+        let from_others = self.wanted.saturating_sub(from_own).min(others);
+        (from_own, from_others)
+    }
+}
+
+/// The members of a subset.
+pub(crate) fn members(
+    ranked: &ByZone,
+    size: SubsetSize,
+    other_zones: Permille,
+    is_usable: impl Fn(ServerIndex) -> bool,
+) -> ByZone {
+    let (own, others) = size.split(ranked.own.len(), ranked.others.len(), other_zones);
+    ByZone {
+        own: prefix(&ranked.own, own, &is_usable).to_vec(),
+        others: prefix(&ranked.others, others, &is_usable).to_vec(),
+    }
+}
+
+/// The shortest start of `ranked` that has `wanted` usable servers, bounded.
+fn prefix(
+    ranked: &[ServerIndex],
+    wanted: usize,
+    is_usable: impl Fn(ServerIndex) -> bool,
+) -> &[ServerIndex] {
+    let bound = wanted.saturating_mul(MOST_PASSED_OVER).min(ranked.len());
+    let mut found = 0;
+    for (position, server) in ranked[..bound].iter().enumerate() {
+        if found == wanted {
+            return &ranked[..position];
+        }
+        if is_usable(*server) {
+            found += 1;
+        }
+    }
+    &ranked[..bound]
+}
--- /dev/null
+++ b/crates/wingshore-routing/tests/load.rs
@@ -0,0 +1,105 @@
+//! Load reports that lag neither hide nor double this node's own requests.
+
+mod support;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::collections::VecDeque;
+use support::*;
+
+fn foreign(router: &wingshore_routing::Router, now: u64) -> u32 {
+    let view = router.server_view(at(now), &server_id(0));
+    view.expect("it is configured").foreign
+}
+
+#[gtest]
+fn own_requests_are_taken_out_of_a_report_as_of_its_own_time() {
+    // (own sent before, own sent after the reading, reported, age in ms, others)
+    let cases = [
+        (0, 0, 7, 0, 7),
+        (3, 0, 3, 100, 0),
+        (3, 0, 10, 100, 7),
+        (3, 4, 3, 100, 0),
+        (3, 4, 10, 100, 7),
+        (0, 4, 0, 100, 0),
+        (3, 0, 1, 100, 0),
+    ];
+    for case in cases {
+        let (before, after, reported, age, expected) = case;
+        let mut router = router(&site(1, 1, 100, 1000));
+        admit_all(&mut router, at(0), &live(), before);
+        admit_all(&mut router, at(500), &live(), after);
+        router.on_load(at(550), &server_id(0), &load(reported, 0, 50 + age));
+        expect_that!(foreign(&router, 550), eq(expected), "{case:?}");
+    }
+}
+
+#[gtest]
+fn requests_that_ended_since_the_reading_are_not_counted_as_others() {
+    let mut router = router(&site(1, 1, 100, 1000));
+    let admitted = admit_all(&mut router, at(0), &live(), 5);
+    for one in admitted {
+        router.on_finished(at(500), one.ticket, success(500));
+    }
+    router.on_load(at(600), &server_id(0), &load(5, 2, 300));
+    expect_that!(foreign(&router, 600), eq(2));
+}
+
+#[gtest]
+fn an_older_report_and_an_expired_one_do_not_count() {
+    let mut router = router(&site(1, 1, 100, 1000));
+    router.on_load(at(1000), &server_id(0), &load(3, 0, 100));
+    router.on_load(at(1010), &server_id(0), &load(9, 0, 500));
+    expect_that!(foreign(&router, 1010), eq(3));
+    expect_that!(foreign(&router, 5899), eq(3));
+    expect_that!(foreign(&router, 5900), eq(0));
+}
+
+proptest! {
+    #![proptest_config(property(256))]
+
+    /// A server that only this node uses: whatever is sent, ends and is reported with whatever
+    /// lag, others are never seen beyond what changed within one bucket of the history.
+    #[test]
+    fn no_others_are_seen_where_there_are_none(
+        steps in prop::collection::vec((0_u64..40, 0_u8..3, 0_u64..600), 1..200),
+    ) {
+        let mut router = router(&site(1, 1, 1000, 1000));
+        let mut running = VecDeque::new();
+        let mut history = vec![(0, 0_u32)];
+        let mut newest = (0, 0);
+        let mut now = 0;
+        for (pause, kind, age) in steps {
+            now += pause;
+            match kind {
+                0 => running.extend(router.admit(at(now), &live()).ok()),
+                1 => {
+                    if let Some(one) = running.pop_front() {
+                        router.on_finished(at(now), one.ticket, success(1));
+                    }
+                }
+                _ => {
+                    let read_at = now.saturating_sub(age);
+                    let true_count = count_at(&history, read_at);
+                    router.on_load(at(now), &server_id(0), &load(true_count, 0, now - read_at));
+                    if read_at >= newest.0 {
+                        newest = (read_at, changes_near(&history, read_at));
+                    }
+                    prop_assert!(foreign(&router, now) <= newest.1);
+                }
+            }
+            history.push((now, running.len() as u32));
+        }
+    }
+}
+
+fn count_at(history: &[(u64, u32)], time: u64) -> u32 {
+    let known = history.iter().rev().find(|(at, _)| *at <= time);
+    known.map_or(0, |(_, count)| *count)
+}
+
+/// Changes within the same 16 ms as `time`.
+fn changes_near(history: &[(u64, u32)], time: u64) -> u32 {
+    let near = |pair: &&[(u64, u32)]| pair[1].0.abs_diff(time) <= 16 && pair[0].1 != pair[1].1;
+    history.windows(2).filter(near).count() as u32
+}
