--- /dev/null
+++ b/crates/wingshore-node/src/background/machines.rs
@@ -0,0 +1,33 @@
+//! Reads the platform's machine list.
+
+use crate::state::NodeState;
+use slog::warn;
+use std::time::Duration;
+use wingshore_types::platform::MachineList;
+
+/// Where the platform lists its machines.
+const MACHINES: &str = "/machines";
+/// One reading is given up after this time.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads the machine list again and again until the node stops.
+pub fn read_machine_list(node: &NodeState) {
+    let Some(address) = node.settings.machine_list else {
+        return;
+    };
+    loop {
+        match node
+            .upstream
+            .get_json::<MachineList>(address, MACHINES, TIMEOUT)
+        {
+            Ok(list) => node.router().on_machine_list(node.clock.now(), &list),
+            Err(error) => {
+                warn!(node.diagnostics.logger(), "machine list not read";
+                    "error" => error.to_string());
+            }
+        }
+        if node.stop.wait_timeout(node.settings.machine_list_poll) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-node/src/background/pools.rs
@@ -0,0 +1,81 @@
+//! Tells ledger groups what they need to know of pools.
+
+use crate::state::{NodeState, lock};
+use slog::warn;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use wingshore_types::configuration::Pool;
+use wingshore_types::protocol::ledger::{LedgerReply, LedgerRequest};
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{GroupId, PoolId, Revision};
+
+/// Between two looks at the configuration.
+const POLL: Duration = Duration::from_millis(100);
+/// One announcement is tried for this long.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Remembers which pools were announced as they are now.
+#[derive(Debug, Default)]
+pub struct PoolAnnouncer {
+    announced: Mutex<BTreeMap<PoolId, Pool>>,
+}
+
+impl PoolAnnouncer {
+    /// Announces the node's rollout pools whenever they change, until the node stops.
+    pub fn run(&self, node: &NodeState) {
+        while !node.stop.wait_timeout(POLL) {
+            let configuration = node.configuration();
+            for id in &node.settings.rollout.pools {
+                if let Some(pool) = configuration.pools.get(id) {
+                    self.announce(node, pool, configuration.revision);
+                }
+            }
+        }
+    }
+
+    /// Announces `pool` unless it was announced as it is; answers whether its ledger knows it.
+    pub fn announce(&self, node: &NodeState, pool: &Pool, revision: Revision) -> bool {
+        if lock(&self.announced)
+            .get(&pool.id)
+            .is_some_and(|known| is_same_to_ledger(known, pool))
+        {
+            return true;
+        }
+        let request = GroupRequest::Ledger(LedgerRequest::Configure {
+            pool: pool.id.clone(),
+            revision,
+            staleness_bound: pool.staleness_bound,
+            max_open_samples: pool.max_open_samples,
+            sample_lease_ms: pool.sample_lease_ms,
+            trainer: pool.trainer.clone(),
+        });
+        match node
+            .groups
+            .call(GroupId::Ledger(pool.ledger), request, TIMEOUT)
+        {
+            Ok(GroupReply::Ledger(LedgerReply::Done)) => {
+                lock(&self.announced).insert(pool.id.clone(), pool.clone());
+                true
+            }
+            other => {
+                warn!(node.diagnostics.logger(), "pool not announced to its ledger";
+                    "pool" => pool.id.to_string(), "answer" => format!("{other:?}"));
+                false
+            }
+        }
+    }
+
+    /// Forgets a pool, so that it is announced again.
+    pub fn forget(&self, pool: &PoolId) {
+        lock(&self.announced).remove(pool);
+    }
+}
+
+fn is_same_to_ledger(one: &Pool, other: &Pool) -> bool {
+    one.ledger == other.ledger
+        && one.staleness_bound == other.staleness_bound
+        && one.max_open_samples == other.max_open_samples
+        && one.sample_lease_ms == other.sample_lease_ms
+        && one.trainer == other.trainer
+}
--- /dev/null
+++ b/crates/wingshore-node/src/background/watch.rs
@@ -0,0 +1,72 @@
+//! Keeps the copy of the configuration and its lease up to date.
+
+use crate::state::NodeState;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wingshore_client::WatchHandler;
+use wingshore_request::UpdateOutcome;
+use wingshore_types::protocol::control::{ConfigurationUpdate, NodeAcknowledgement, WatchRequest};
+
+/// How long a watch waits for news. Well below the lease, so that waiting never costs it.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// Applies what the watch of the configuration brings.
+pub struct NodeWatch {
+    node: Arc<NodeState>,
+}
+
+impl NodeWatch {
+    /// A handler for `node`.
+    pub fn new(node: Arc<NodeState>) -> Self {
+        Self { node }
+    }
+}
+
+impl WatchHandler for NodeWatch {
+    fn next_watch(&mut self) -> WatchRequest {
+        let position = self.node.view().watch_position();
+        WatchRequest {
+            have: position.have,
+            acknowledgements: vec![NodeAcknowledgement {
+                node: self.node.settings.node.clone(),
+                boot_id: self.node.boot_id,
+                in_force: position.in_force,
+            }],
+            wait_ms: WATCH_WAIT.as_millis() as u64,
+        }
+    }
+
+    /// The router has the new configuration before it is acknowledged, and before the lease that
+    /// came with it counts: both happen under the lock of the view.
+    fn on_update(&mut self, sent_at: Instant, update: ConfigurationUpdate, lease_ms: u64) {
+        let node = &self.node;
+        let sent_at = node.clock.at(sent_at);
+        let mut view = node.view();
+        let outcome = view.apply(sent_at, update, Duration::from_millis(lease_ms));
+        let logger = node.diagnostics.logger();
+        match outcome {
+            UpdateOutcome::Unchanged => {}
+            UpdateOutcome::Advanced { from, to } => {
+                let now = node.clock.now();
+                node.router().on_configuration(now, view.configuration());
+                node.metrics.configuration_revision.set(to.0 as i64);
+                info!(logger, "configuration in force"; "from" => from.0, "to" => to.0);
+            }
+            UpdateOutcome::Older { offered } => {
+                warn!(logger, "older configuration ignored"; "offered" => offered.0);
+            }
+            UpdateOutcome::Misfit => {
+                warn!(
+                    logger,
+                    "configuration update does not fit; asking for the whole"
+                );
+            }
+        }
+    }
+
+    fn on_failure(&mut self, reason: &str) {
+        warn!(self.node.diagnostics.logger(), "configuration watch failed";
+            "reason" => reason.to_owned());
+    }
+}
--- /dev/null
+++ b/crates/wingshore-node/src/http/caller.rs
@@ -0,0 +1,140 @@
+//! One caller's request at the edge, from its head to its answer.
+
+use crate::http::body::{BodyError, read_body};
+use crate::http::event_stream::EventStream;
+use crate::http::framing::{BodyLength, FramingError, body_length};
+use crate::http::headers::HeaderList;
+use crate::http::respond::EdgeAnswer;
+use crate::http::route::{Route, RouteError, parse_route};
+use std::io::{self, Cursor};
+use tiny_http::{HTTPVersion, Header, Request, Response, StatusCode};
+
+/// Largest declared rest of a body that the HTTP library may drain. It allocates the whole rest
+/// at once when a request is let go, and an absurd length would then end the process.
+const MAX_DRAINED_BODY: u64 = 1 << 30;
+
+/// A request whose head was read. Its head is parsed once, here.
+pub struct Caller {
+    request: Request,
+    headers: HeaderList,
+    route: Result<Route, RouteError>,
+    length: Result<BodyLength, FramingError>,
+    body_read: bool,
+}
+
+impl Caller {
+    /// Parses the head of `request`.
+    pub fn new(request: Request) -> Self {
+        let headers = HeaderList::new(request.headers().iter().map(|header| {
+            let name = header.field.as_str().as_str().to_owned();
+            (name, header.value.as_str().trim().to_owned())
+        }));
+        let route = parse_route(request.method().as_str(), request.url());
+        let length = body_length(&headers);
+        Self {
+            request,
+            headers,
+            route,
+            length,
+            body_read: false,
+        }
+    }
+
+    /// Its method.
+    pub fn method(&self) -> &str {
+        self.request.method().as_str()
+    }
+
+    /// Its headers.
+    pub fn headers(&self) -> &HeaderList {
+        &self.headers
+    }
+
+    /// What it asks for.
+    pub fn route(&self) -> &Result<Route, RouteError> {
+        &self.route
+    }
+
+    /// The declared length of its body.
+    pub fn length(&self) -> &Result<BodyLength, FramingError> {
+        &self.length
+    }
+
+    /// Whether it understands chunks, which event streams need.
+    pub fn takes_chunks(&self) -> bool {
+        *self.request.http_version() >= HTTPVersion(1, 1)
+    }
+
+    /// Reads its body whole; to be called once.
+    ///
+    /// # Errors
+    /// As [`read_body`].
+    pub fn read_body(&mut self, length: BodyLength, limit: u64) -> Result<Vec<u8>, BodyError> {
+        let body = read_body(self.request.as_reader(), length, limit)?;
+        self.body_read = true;
+        Ok(body)
+    }
+
+    /// Sends a whole answer. A caller that has gone is no error.
+    pub fn respond(self, answer: EdgeAnswer) {
+        let method_is_head = self.request.method().as_str() == "HEAD";
+        let response = response_of(answer, method_is_head);
+        if self.may_be_drained() {
+            // What else could be done about a failed write?
+            let _ = self.request.respond(response);
+            return;
+        }
+        // Letting the request go would allocate its declared rest. The connection is answered,
+        // then kept away from the library for good.
+        let stream = self.request.upgrade("close", response);
+        std::mem::forget(stream);
+    }
+
+    /// Opens an event stream; the body must have been read.
+    ///
+    /// # Errors
+    /// When the caller has gone.
+    pub fn into_event_stream(self, headers: &[(&str, &str)]) -> io::Result<EventStream> {
+        EventStream::start(self.request.into_writer(), headers)
+    }
+
+    fn may_be_drained(&self) -> bool {
+        match self.length {
+            _ if self.body_read => true,
+            Ok(BodyLength::Exact(length)) => length <= MAX_DRAINED_BODY,
+            Ok(_) => true,
+            // The library goes by the first length it can parse.
+            Err(_) => self
+                .headers
+                .all("content-length")
+                .filter_map(|value| value.parse::<u64>().ok())
+                .all(|length| length <= MAX_DRAINED_BODY),
+        }
+    }
+}
+
+fn response_of(answer: EdgeAnswer, method_is_head: bool) -> Response<Cursor<Vec<u8>>> {
+    let declared = answer
+        .headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .and_then(|(_, value)| value.parse().ok());
+    let length = match declared {
+        Some(declared) if method_is_head => declared,
+        _ => answer.body.len(),
+    };
+    let headers = answer
+        .headers
+        .iter()
+        .filter(|(name, _)| !name.eq_ignore_ascii_case("content-length"))
+        .filter_map(|(name, value)| Header::from_bytes(name.as_bytes(), value.as_bytes()).ok())
+        .collect();
+    Response::new(
+        StatusCode(answer.status),
+        headers,
+        Cursor::new(answer.body),
+        Some(length),
+        None,
+    )
+    .with_chunked_threshold(usize::MAX)
+}
--- /dev/null
+++ b/crates/wingshore-node/src/http/server.rs
@@ -0,0 +1,216 @@
+//! The listening side: one thread takes requests and hands them to bounded groups of workers, one
+//! group for each kind of work, so that long work of one kind never holds up another.
+
+use crate::http::caller::Caller;
+use crate::http::route::Route;
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tiny_http::Server;
+
+/// Threads for status pages and for refusals, each.
+const SMALL_GROUP: usize = 4;
+/// Between two looks at what is in flight, during a stop.
+const STOP_POLL: Duration = Duration::from_millis(10);
+/// How long nothing may be in flight before a stop believes it: a request may be on its way from
+/// the socket to a worker.
+const STOP_QUIET: Duration = Duration::from_millis(100);
+
+/// Kinds of work, each with its own workers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkKind {
+    /// Forwarded requests.
+    Forward,
+    /// Completions.
+    Completion,
+    /// A trainer's requests, which may wait long.
+    Trainer,
+    /// Status pages and requests for nothing that exists.
+    Status,
+}
+
+impl WorkKind {
+    fn of(caller: &Caller) -> Self {
+        match caller.route() {
+            Ok(Route::Forward { .. }) => Self::Forward,
+            Ok(Route::Completions) => Self::Completion,
+            Ok(Route::Submit(_) | Route::Pull(..) | Route::Acknowledge(..) | Route::Publish(_)) => {
+                Self::Trainer
+            }
+            Ok(Route::Health | Route::Ready | Route::Metrics) | Err(_) => Self::Status,
+        }
+    }
+}
+
+/// What is done with requests.
+pub trait EdgeHandler: Send + Sync + 'static {
+    /// Answers a request.
+    fn handle(&self, caller: Caller);
+    /// Refuses a request for which no worker is free.
+    fn refuse_overload(&self, caller: Caller);
+}
+
+/// Counts a request from its arrival to the end of its answer.
+struct Counted {
+    caller: Caller,
+    in_flight: Arc<AtomicUsize>,
+}
+
+/// A listening server. Stopped by [`EdgeServer::stop`].
+pub struct EdgeServer {
+    server: Arc<Server>,
+    address: SocketAddr,
+    in_flight: Arc<AtomicUsize>,
+    acceptor: Option<JoinHandle<()>>,
+    workers: Vec<JoinHandle<()>>,
+}
+
+impl EdgeServer {
+    /// Binds `address` and serves with `workers` threads for each kind of work.
+    ///
+    /// # Errors
+    /// When the address cannot be bound or a thread cannot be started.
+    pub fn start(
+        address: SocketAddr,
+        workers: usize,
+        handler: Arc<dyn EdgeHandler>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None)
+            .map(Arc::new)
+            .map_err(io::Error::other)?;
+        let in_flight = Arc::new(AtomicUsize::new(0));
+        let mut threads = Vec::new();
+        let handle: Task = |handler, caller| handler.handle(caller);
+        let refuse: Task = |handler, caller| handler.refuse_overload(caller);
+        let mut group = |name, size, task| start_group(name, size, task, &handler, &mut threads);
+        let queues = Queues {
+            forward: group("forward", workers, handle)?,
+            completion: group("completion", workers, handle)?,
+            trainer: group("trainer", workers, handle)?,
+            status: group("status", SMALL_GROUP, handle)?,
+            refusal: group("refusal", SMALL_GROUP, refuse)?,
+        };
+        let accepting = Arc::clone(&server);
+        let counter = Arc::clone(&in_flight);
+        let acceptor = thread::Builder::new()
+            .name("accept".to_owned())
+            .spawn(move || accept(&accepting, &queues, &counter))?;
+        Ok(Self {
+            server,
+            address,
+            in_flight,
+            acceptor: Some(acceptor),
+            workers: threads,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until nothing is in flight, `grace` at most, then stops listening. Answers how many
+    /// requests were still in flight. The handler must refuse new requests meanwhile.
+    pub fn stop(mut self, grace: Duration) -> usize {
+        let left = self.wait_until_idle(grace);
+        self.server.unblock();
+        if let Some(acceptor) = self.acceptor.take() {
+            // The acceptor has no result, and a panic of it was reported when it happened.
+            let _ = acceptor.join();
+        }
+        if left == 0 {
+            for worker in self.workers.drain(..) {
+                let _ = worker.join();
+            }
+        }
+        left
+    }
+
+    fn wait_until_idle(&self, grace: Duration) -> usize {
+        let give_up = Instant::now() + grace;
+        let mut idle_since = Instant::now();
+        loop {
+            let left = self.in_flight.load(Ordering::SeqCst);
+            if left > 0 {
+                idle_since = Instant::now();
+            }
+            if idle_since.elapsed() >= STOP_QUIET || Instant::now() >= give_up {
+                return left;
+            }
+            thread::sleep(STOP_POLL);
+        }
+    }
+}
+
+type Task = fn(&dyn EdgeHandler, Caller);
+
+/// One queue for each group of workers; a queue holds no more than its group has threads.
+struct Queues {
+    forward: Sender<Counted>,
+    completion: Sender<Counted>,
+    trainer: Sender<Counted>,
+    status: Sender<Counted>,
+    refusal: Sender<Counted>,
+}
+
+impl Queues {
+    fn of(&self, kind: WorkKind) -> &Sender<Counted> {
+        match kind {
+            WorkKind::Forward => &self.forward,
+            WorkKind::Completion => &self.completion,
+            WorkKind::Trainer => &self.trainer,
+            WorkKind::Status => &self.status,
+        }
+    }
+}
+
+fn accept(server: &Server, queues: &Queues, in_flight: &Arc<AtomicUsize>) {
+    // Ends by `unblock`, which makes `recv` fail.
+    while let Ok(request) = server.recv() {
+        in_flight.fetch_add(1, Ordering::SeqCst);
+        let caller = Caller::new(request);
+        let kind = WorkKind::of(&caller);
+        let counted = Counted {
+            caller,
+            in_flight: Arc::clone(in_flight),
+        };
+        if let Err(TrySendError::Full(counted)) = queues.of(kind).try_send(counted) {
+            // Waits: a flood is slowed down where it comes in.
+            let _ = queues.refusal.send(counted);
+        }
+    }
+}
+
+fn start_group(
+    name: &str,
+    size: usize,
+    task: Task,
+    handler: &Arc<dyn EdgeHandler>,
+    threads: &mut Vec<JoinHandle<()>>,
+) -> io::Result<Sender<Counted>> {
+    let (sender, receiver) = bounded(size);
+    for number in 0..size {
+        let receiver = receiver.clone();
+        let handler = Arc::clone(handler);
+        let thread = thread::Builder::new()
+            .name(format!("{name}-{number}"))
+            .spawn(move || work(&receiver, handler.as_ref(), task))?;
+        threads.push(thread);
+    }
+    Ok(sender)
+}
+
+fn work(receiver: &Receiver<Counted>, handler: &dyn EdgeHandler, task: Task) {
+    while let Ok(Counted { caller, in_flight }) = receiver.recv() {
+        // A panic is reported by the process's hook; the worker goes on with the next request.
+        let _ = catch_unwind(AssertUnwindSafe(|| task(handler, caller)));
+        in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/wingshore-node/src/metrics.rs
@@ -0,0 +1,193 @@
+//! Counters of a node, as Prometheus text.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+
+/// Smallest bucket of the latency histogram, in seconds.
+const FIRST_BUCKET: f64 = 0.000_25;
+/// Each bucket's bound is this many times the one before.
+const BUCKET_GROWTH: f64 = 2.0;
+/// Number of buckets; the last bound is about two minutes.
+const BUCKETS: u16 = 20;
+
+/// Labels of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// `forward`, `completion` or `trainer`.
+    pub kind: &'static str,
+    /// `ok`, or the code of the error.
+    pub code: String,
+}
+
+/// A kind of requests alone.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// `forward`, `completion` or `trainer`.
+    pub kind: &'static str,
+}
+
+/// All metrics of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests answered.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time from the whole request to the end of its answer.
+    pub latency: Family<KindLabel, Histogram>,
+    /// Attempts beyond the first.
+    pub retries: Family<KindLabel, Counter>,
+    /// Requests being worked on.
+    pub in_flight: Family<KindLabel, Gauge>,
+    /// Revision of the configuration in force.
+    pub configuration_revision: Gauge,
+    /// Time left of the configuration lease, in milliseconds.
+    pub configuration_lease_ms: Gauge,
+    /// Rollout streams running.
+    pub rollout_streams: Gauge,
+    /// Rollout streams started.
+    pub rollout_streams_started: Counter,
+    /// Rollout streams that failed.
+    pub rollout_streams_failed: Counter,
+    /// Tokens received from rollout streams.
+    pub rollout_tokens: Counter,
+    /// Samples whose whole generation was reported to the ledger.
+    pub rollout_samples_finished: Counter,
+    /// Samples scored.
+    pub rollout_samples_scored: Counter,
+    /// Promises found broken; anything but zero is a fault of wingshore.
+    pub broken_promises: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// All at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("wingshore"),
+            requests: Family::default(),
+            latency: Family::new_with_constructor(latency_histogram),
+            retries: Family::default(),
+            in_flight: Family::default(),
+            configuration_revision: Gauge::default(),
+            configuration_lease_ms: Gauge::default(),
+            rollout_streams: Gauge::default(),
+            rollout_streams_started: Counter::default(),
+            rollout_streams_failed: Counter::default(),
+            rollout_tokens: Counter::default(),
+            rollout_samples_finished: Counter::default(),
+            rollout_samples_scored: Counter::default(),
+            broken_promises: Counter::default(),
+        };
+        metrics.register_requests();
+        metrics.register_configuration();
+        metrics.register_rollouts();
+        metrics
+    }
+
+    /// Counts an answered request.
+    pub fn on_answered(&self, kind: &'static str, code: &str, latency: Duration) {
+        let code = code.to_owned();
+        self.requests
+            .get_or_create(&RequestLabels { kind, code })
+            .inc();
+        self.latency
+            .get_or_create(&KindLabel { kind })
+            .observe(latency.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests answered, by kind and code",
+            self.requests.clone(),
+        );
+        registry.register_with_unit(
+            "request_latency",
+            "Time from the whole request to the end of its answer",
+            Unit::Seconds,
+            self.latency.clone(),
+        );
+        registry.register("retries", "Attempts beyond the first", self.retries.clone());
+        registry.register(
+            "requests_in_flight",
+            "Requests being worked on",
+            self.in_flight.clone(),
+        );
+        registry.register(
+            "broken_promises",
+            "Promises found broken",
+            self.broken_promises.clone(),
+        );
+    }
+
+    fn register_configuration(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "configuration_revision",
+            "Revision of the configuration in force",
+            self.configuration_revision.clone(),
+        );
+        registry.register(
+            "configuration_lease_milliseconds",
+            "Time left of the configuration lease",
+            self.configuration_lease_ms.clone(),
+        );
+    }
+
+    fn register_rollouts(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "rollout_streams",
+            "Rollout streams running",
+            self.rollout_streams.clone(),
+        );
+        registry.register(
+            "rollout_streams_started",
+            "Rollout streams started",
+            self.rollout_streams_started.clone(),
+        );
+        registry.register(
+            "rollout_streams_failed",
+            "Rollout streams that failed",
+            self.rollout_streams_failed.clone(),
+        );
+        registry.register(
+            "rollout_tokens",
+            "Tokens received from rollout streams",
+            self.rollout_tokens.clone(),
+        );
+        registry.register(
+            "rollout_samples_finished",
+            "Samples reported whole to the ledger",
+            self.rollout_samples_finished.clone(),
+        );
+        registry.register(
+            "rollout_samples_scored",
+            "Samples scored",
+            self.rollout_samples_scored.clone(),
+        );
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_GROWTH, BUCKETS))
+}
--- /dev/null
+++ b/crates/wingshore-node/src/serve/edge.rs
@@ -0,0 +1,99 @@
+//! Sends each request to the code that serves it.
+
+use crate::background::PoolAnnouncer;
+use crate::http::{Caller, EdgeAnswer, EdgeError, EdgeHandler, Route, RouteError};
+use crate::serve::{completions, forward, trainer};
+use crate::state::NodeState;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When to come back to a node whose workers are all busy.
+const RETRY_AFTER_OVERLOAD: Duration = Duration::from_millis(100);
+
+/// Serves a node's callers.
+pub struct NodeEdge {
+    node: Arc<NodeState>,
+    announcer: Arc<PoolAnnouncer>,
+}
+
+impl NodeEdge {
+    /// The edge of `node`.
+    pub fn new(node: Arc<NodeState>, announcer: Arc<PoolAnnouncer>) -> Self {
+        Self { node, announcer }
+    }
+
+    fn ready(&self) -> EdgeAnswer {
+        match self.node.may_admit() {
+            Ok(()) => EdgeAnswer::text(200, "ready\n"),
+            Err(error) => error.answer(),
+        }
+    }
+
+    fn metrics(&self) -> EdgeAnswer {
+        const PROMETHEUS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        EdgeAnswer::new(200, PROMETHEUS, self.node.metrics.text().into_bytes())
+    }
+}
+
+impl EdgeHandler for NodeEdge {
+    fn handle(&self, caller: Caller) {
+        let route = match caller.route() {
+            Ok(route) => route.clone(),
+            Err(error) => {
+                let answer = route_error(error).answer();
+                return caller.respond(answer);
+            }
+        };
+        match route {
+            Route::Health => caller.respond(EdgeAnswer::text(200, "ok\n")),
+            Route::Ready => caller.respond(self.ready()),
+            Route::Metrics => caller.respond(self.metrics()),
+            Route::Completions => completions::serve(&self.node, caller),
+            Route::Forward { service, target } => {
+                forward::serve(&self.node, caller, service, &target);
+            }
+            Route::Submit(pool) => {
+                trainer::serve(self.desk(), caller, trainer::Errand::Submit(pool));
+            }
+            Route::Pull(pool, step) => {
+                trainer::serve(self.desk(), caller, trainer::Errand::Pull(pool, step));
+            }
+            Route::Acknowledge(pool, step) => {
+                trainer::serve(
+                    self.desk(),
+                    caller,
+                    trainer::Errand::Acknowledge(pool, step),
+                );
+            }
+            Route::Publish(pool) => {
+                trainer::serve(self.desk(), caller, trainer::Errand::Publish(pool));
+            }
+        }
+    }
+
+    fn refuse_overload(&self, caller: Caller) {
+        let error = EdgeError::not_run(503, "overloaded", "all workers of this node are busy")
+            .retry_after(RETRY_AFTER_OVERLOAD);
+        self.node
+            .metrics
+            .on_answered("overloaded", &error.code, Duration::ZERO);
+        caller.respond(error.answer());
+    }
+}
+
+impl NodeEdge {
+    fn desk(&self) -> trainer::Desk<'_> {
+        trainer::Desk {
+            node: &self.node,
+            announcer: &self.announcer,
+        }
+    }
+}
+
+fn route_error(error: &RouteError) -> EdgeError {
+    match error {
+        RouteError::NotFound { .. } => EdgeError::not_run(404, "not_found", error),
+        RouteError::MethodNotAllowed { .. } => EdgeError::not_run(405, "method_not_allowed", error),
+        RouteError::BadStep { .. } => EdgeError::not_run(400, "invalid_request", error),
+    }
+}
--- /dev/null
+++ b/crates/wingshore-node/src/serve/execute.rs
@@ -0,0 +1,112 @@
+//! Carries out what a [`RequestExecution`] wants done, on the worker's own thread.
+
+use crate::background::Errand;
+use crate::state::NodeState;
+use std::collections::VecDeque;
+use std::time::Duration;
+use wingshore_request::{
+    AttemptEnd, AttemptFailure, ExecutionInput, ExecutionOutput, FailureKind, FinalAnswer,
+    RequestExecution, RequestSpecification, SendAttempt,
+};
+use wingshore_types::GroupId;
+use wingshore_types::protocol::claims::ClaimsRequest;
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{Instant, Verdict};
+
+use crate::metrics::KindLabel;
+
+/// Longest wait for a claims group.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What came of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// It ended.
+    Ended(AttemptEnd),
+    /// The caller has gone meanwhile; the attempt was stopped.
+    CallerGone,
+}
+
+/// Makes the attempts of one request.
+pub trait Attempts {
+    /// Makes one attempt and waits for its end.
+    fn attempt(&mut self, send: &SendAttempt) -> AttemptResult;
+}
+
+/// Executes a request. `None` when the caller has gone.
+pub fn execute(
+    node: &NodeState,
+    kind: &'static str,
+    specification: RequestSpecification,
+    attempts: &mut dyn Attempts,
+) -> Option<FinalAnswer> {
+    let deadline = specification.route.deadline;
+    let mut execution = RequestExecution::new(specification, node.limits, node.faults);
+    let mut inputs = VecDeque::from([ExecutionInput::Begin]);
+    let mut answer = None;
+    while let Some(input) = inputs.pop_front() {
+        let mut outputs = Vec::new();
+        execution.step(node.clock.now(), input, &mut node.router(), &mut outputs);
+        for output in outputs {
+            match output {
+                ExecutionOutput::Claim { group, request } => {
+                    inputs.push_back(claim(node, group, request, deadline));
+                }
+                ExecutionOutput::Send(send) => inputs.push_back(make(node, &send, attempts)),
+                ExecutionOutput::WaitUntil(instant) => {
+                    std::thread::sleep(node.clock.time_left(instant));
+                    inputs.push_back(ExecutionInput::Tick);
+                }
+                ExecutionOutput::Settle { group, request } => {
+                    let request = Box::new(request);
+                    node.leave_errand(Errand::Settle { group, request });
+                }
+                // Attempts are waited for, and end before a cancel of them can be wanted.
+                ExecutionOutput::Cancel { .. } => {}
+                ExecutionOutput::Answer(given) => answer = Some(given),
+            }
+        }
+    }
+    let retries = u64::from(execution.attempts().saturating_sub(1));
+    node.metrics
+        .retries
+        .get_or_create(&KindLabel { kind })
+        .inc_by(retries);
+    answer
+}
+
+fn claim(
+    node: &NodeState,
+    group: GroupId,
+    request: ClaimsRequest,
+    deadline: Instant,
+) -> ExecutionInput {
+    let timeout = node.clock.time_left(deadline).min(CLAIM_TIMEOUT);
+    match node
+        .groups
+        .call(group, GroupRequest::Claims(request), timeout)
+    {
+        Ok(GroupReply::Claims(reply)) => ExecutionInput::ClaimAnswered(reply),
+        Ok(_) => ExecutionInput::ClaimFailed(Verdict::MayHaveRun),
+        Err(error) => ExecutionInput::ClaimFailed(error.verdict()),
+    }
+}
+
+/// The lease is looked at once more right before the first byte leaves: the process may have
+/// been frozen since the server was chosen.
+fn make(node: &NodeState, send: &SendAttempt, attempts: &mut dyn Attempts) -> ExecutionInput {
+    let attempt = send.attempt;
+    if let Err(refusal) = node.holds_configuration(node.clock.now()) {
+        let failure = AttemptFailure {
+            kind: FailureKind::LeaseLost,
+            message: refusal.message,
+            retry_after: refusal.retry_after,
+        };
+        let end = AttemptEnd::Failed(failure);
+        return ExecutionInput::AttemptEnded { attempt, end };
+    }
+    match attempts.attempt(send) {
+        AttemptResult::Ended(end) => ExecutionInput::AttemptEnded { attempt, end },
+        AttemptResult::CallerGone => ExecutionInput::CallerGone,
+    }
+}
--- /dev/null
+++ b/crates/wingshore-node/src/serve/forward.rs
@@ -0,0 +1,229 @@
+//! Requests to live services, forwarded as they are.
+
+use crate::http::{Caller, EdgeAnswer, EdgeError, HeaderList, without_hop_by_hop};
+use crate::serve::execute::{AttemptResult, Attempts, execute};
+use crate::serve::intake::{Intake, take_in};
+use crate::state::NodeState;
+use crate::upstream::{Connections, ServerAnswer, ServerReply, UpstreamRequest, failure_of};
+use std::time::{Duration, Instant};
+use wingshore_request::{AnswerBody, AttemptEnd, FinalAnswer, RequestSpecification, SendAttempt};
+use wingshore_routing::{Class, RouteRequest};
+use wingshore_types::api::{DEADLINE_HEADER, SERVER_HEADER};
+use wingshore_types::configuration::{Service, ServiceKind};
+use wingshore_types::protocol::claims::StoredAnswer;
+use wingshore_types::{ServerId, ServiceId};
+
+/// Largest answer that is kept for repeats of an idempotency key.
+const MAX_KEPT_ANSWER: usize = 64 * 1024;
+/// Header that marks an answer kept from an earlier request with the same key.
+pub const REPLAYED_HEADER: &str = "x-wingshore-replayed";
+/// Methods that change nothing on a server, and so may run twice.
+const SAFE_METHODS: &[&str] = &["GET", "HEAD", "OPTIONS"];
+/// Label of forwarded requests in metrics.
+const KIND: &str = "forward";
+
+/// Forwards a request to a server of `service`.
+pub fn serve(node: &NodeState, mut caller: Caller, service: ServiceId, target: &str) {
+    let started = Instant::now();
+    let (code, answer) = match forward(node, &mut caller, service, target) {
+        Ok(answer) => ("ok".to_owned(), answer),
+        Err(error) => (error.code.clone(), error.answer()),
+    };
+    caller.respond(answer);
+    node.metrics.on_answered(KIND, &code, started.elapsed());
+}
+
+fn forward(
+    node: &NodeState,
+    caller: &mut Caller,
+    id: ServiceId,
+    target: &str,
+) -> Result<EdgeAnswer, EdgeError> {
+    let intake = take_in(node, caller)?;
+    let configuration = node.configuration();
+    let service = configuration
+        .services
+        .get(&id)
+        .ok_or_else(|| unknown_service(&id))?;
+    if service.kind != ServiceKind::Live {
+        return Err(EdgeError::not_run(
+            400,
+            "not_a_live_service",
+            format!("service `{id}` has engines; use /v1/completions"),
+        ));
+    }
+    let specification = specification(node, &intake, service, caller.method(), target);
+    let mut attempts = ForwardAttempts {
+        node,
+        method: caller.method(),
+        target,
+        headers: without_hop_by_hop(caller.headers()),
+        body: &intake.body,
+        keeps_answer: specification.claim.is_some(),
+        answered: None,
+    };
+    let answer = execute(node, KIND, specification, &mut attempts);
+    match answer {
+        Some(FinalAnswer::Forward { .. }) => forwarded(node, attempts.answered),
+        Some(FinalAnswer::Replay(kept)) => Ok(replayed(kept)),
+        Some(FinalAnswer::Error(error)) => Err(error.into()),
+        None => Err(internal(
+            node,
+            "a forwarded request ended without an answer",
+        )),
+    }
+}
+
+fn specification(
+    node: &NodeState,
+    intake: &Intake,
+    service: &Service,
+    method: &str,
+    target: &str,
+) -> RequestSpecification {
+    let default = Duration::from_millis(service.default_deadline_ms);
+    let is_safe = SAFE_METHODS.contains(&method);
+    let route = RouteRequest {
+        service: service.id.clone(),
+        class: Class::Live,
+        prefix_hash: None,
+        tokens_estimate: 0,
+        deadline: node.clock.now() + intake.deadline(default),
+        no_repeat: intake.headers.no_repeat.unwrap_or(!is_safe),
+        excluded: Vec::new(),
+        oldest_useful: None,
+    };
+    RequestSpecification {
+        route,
+        claim: intake.claim(node, &service.id, method, target),
+    }
+}
+
+/// Attempts at live servers.
+struct ForwardAttempts<'a> {
+    node: &'a NodeState,
+    method: &'a str,
+    target: &'a str,
+    headers: HeaderList,
+    body: &'a [u8],
+    keeps_answer: bool,
+    answered: Option<(ServerId, ServerAnswer)>,
+}
+
+impl Attempts for ForwardAttempts<'_> {
+    fn attempt(&mut self, send: &SendAttempt) -> AttemptResult {
+        let timeout = self.node.clock.time_left(send.deadline);
+        let headers = self
+            .headers
+            .with(DEADLINE_HEADER, &timeout.as_millis().to_string());
+        let request = UpstreamRequest {
+            address: send.address,
+            method: self.method,
+            target: self.target,
+            headers: &headers,
+            body: self.body,
+            timeout,
+            connections: if send.fresh_connection {
+                Connections::Fresh
+            } else {
+                Connections::Pooled
+            },
+        };
+        let server = send.server.as_str();
+        let response = match self.node.upstream.send(&request) {
+            Ok(response) => response,
+            Err(error) => {
+                return AttemptResult::Ended(AttemptEnd::Failed(failure_of(&error, server)));
+            }
+        };
+        let limit = self.node.settings.http.max_answer_body;
+        let end = match ServerReply::read(self.method, server, response, limit) {
+            ServerReply::Failed(failure) => AttemptEnd::Failed(failure),
+            ServerReply::Answer(answer, body) => self.on_answer(send, answer, body),
+        };
+        AttemptResult::Ended(end)
+    }
+}
+
+impl ForwardAttempts<'_> {
+    fn on_answer(
+        &mut self,
+        send: &SendAttempt,
+        answer: ServerAnswer,
+        body: AnswerBody,
+    ) -> AttemptEnd {
+        let end = AttemptEnd::Answered {
+            status: answer.status,
+            body,
+            kept: self.kept(&answer),
+        };
+        self.answered = Some((send.server.clone(), answer));
+        end
+    }
+
+    fn kept(&self, answer: &ServerAnswer) -> Option<StoredAnswer> {
+        if !self.keeps_answer || answer.body.len() > MAX_KEPT_ANSWER {
+            return None;
+        }
+        Some(StoredAnswer {
+            status: answer.status,
+            content_type: answer
+                .headers
+                .first("content-type")
+                .unwrap_or("application/octet-stream")
+                .to_owned(),
+            body: answer.body.clone(),
+        })
+    }
+}
+
+fn forwarded(
+    node: &NodeState,
+    answered: Option<(ServerId, ServerAnswer)>,
+) -> Result<EdgeAnswer, EdgeError> {
+    let Some((server, answer)) = answered else {
+        return Err(internal(
+            node,
+            "an attempt was to be forwarded that has no answer",
+        ));
+    };
+    let mut headers: Vec<(String, String)> = without_hop_by_hop(&answer.headers)
+        .iter()
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    // The answer to HEAD declares the length of a body that is not sent.
+    if let Some(length) = answer.headers.first("content-length") {
+        headers.push(("content-length".to_owned(), length.to_owned()));
+    }
+    headers.push((SERVER_HEADER.to_owned(), server.as_str().to_owned()));
+    Ok(EdgeAnswer {
+        status: answer.status,
+        headers,
+        body: answer.body,
+    })
+}
+
+/// The answer of an earlier request with the same key.
+pub fn replayed(kept: StoredAnswer) -> EdgeAnswer {
+    EdgeAnswer::new(kept.status, &kept.content_type, kept.body).with_header(REPLAYED_HEADER, "true")
+}
+
+/// A fault of the node itself.
+pub fn internal(node: &NodeState, what: &str) -> EdgeError {
+    node.on_broken_promise(what);
+    EdgeError {
+        status: 500,
+        code: "internal".to_owned(),
+        verdict: wingshore_types::Verdict::MayHaveRun,
+        message: what.to_owned(),
+        retry_after: None,
+    }
+}
+
+fn unknown_service(id: &ServiceId) -> EdgeError {
+    EdgeError::not_run(
+        404,
+        "unknown_service",
+        format!("service `{id}` is not configured"),
+    )
+}
--- /dev/null
+++ b/crates/wingshore-node/src/serve/intake.rs
@@ -0,0 +1,79 @@
+//! What every caller's request goes through first: framing, headers, body, admission.
+
+use crate::http::{BodyError, Caller, CallerHeaders, EdgeError};
+use crate::state::NodeState;
+use std::time::Duration;
+use wingshore_request::{ClaimIntent, claims_group};
+use wingshore_types::ServiceId;
+use wingshore_types::protocol::claims::ClaimKey;
+
+/// A request whose body is whole and whose headers make sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Intake {
+    /// Wingshore's own headers.
+    pub headers: CallerHeaders,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Reads a request in.
+///
+/// # Errors
+/// What is wrong with it; nothing of it was forwarded.
+pub fn take_in(node: &NodeState, caller: &mut Caller) -> Result<Intake, EdgeError> {
+    let length = match caller.length() {
+        Ok(length) => *length,
+        Err(error) => return Err(EdgeError::not_run(400, "bad_length", error)),
+    };
+    let headers = CallerHeaders::parse(caller.headers())
+        .map_err(|error| EdgeError::not_run(400, "invalid_header", error))?;
+    node.may_admit()?;
+    let body = caller
+        .read_body(length, node.settings.http.max_request_body)
+        .map_err(|error| body_error(&error))?;
+    Ok(Intake { headers, body })
+}
+
+impl Intake {
+    /// The claim that the caller's idempotency key makes, if it gave one.
+    pub fn claim(
+        &self,
+        node: &NodeState,
+        service: &ServiceId,
+        method: &str,
+        target: &str,
+    ) -> Option<ClaimIntent> {
+        let key = ClaimKey {
+            service: service.as_str().to_owned(),
+            key: self.headers.idempotency_key.clone()?,
+        };
+        Some(ClaimIntent {
+            group: claims_group(&key, node.settings.claims_groups),
+            fingerprint: fingerprint(method, target, &self.body),
+            key,
+            claimant: node.next_claimant(),
+        })
+    }
+
+    /// How long the caller waits.
+    pub fn deadline(&self, default: Duration) -> Duration {
+        self.headers.deadline.unwrap_or(default)
+    }
+}
+
+fn body_error(error: &BodyError) -> EdgeError {
+    match error {
+        BodyError::TooLarge { .. } => EdgeError::not_run(413, "body_too_large", error),
+        BodyError::Short { .. } => EdgeError::not_run(400, "body_cut", error),
+    }
+}
+
+/// FNV-1a over method, target and body, which every node computes alike.
+fn fingerprint(method: &str, target: &str, body: &[u8]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let head = method.bytes().chain([0]).chain(target.bytes()).chain([0]);
+    head.chain(body.iter().copied()).fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- /dev/null
+++ b/crates/wingshore-node/src/serve/trainer.rs
@@ -0,0 +1,344 @@
+//! A trainer's requests: submit prompts, pull a step's batch, acknowledge it, publish a version.
+//!
+//! All of them may be sent again after a lost answer: samples are known by number, a step's batch
+//! is handed over once, and a publication is known by pool and version.
+
+use crate::background::PoolAnnouncer;
+use crate::http::{Caller, EdgeAnswer, EdgeError};
+use crate::serve::intake::{Intake, take_in};
+use crate::state::NodeState;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::{Duration, Instant};
+use wingshore_client::CallError;
+use wingshore_types::api::{
+    AcknowledgeBody, BatchBody, PublishBody, PullBody, SampleBody, SubmitReply, SubmitRequest,
+};
+use wingshore_types::configuration::Pool;
+use wingshore_types::protocol::control::{ControlRefusal, ControlReply, ControlRequest};
+use wingshore_types::protocol::ledger::{
+    Batch, LedgerRefusal, LedgerReply, LedgerRequest, PullRequest,
+};
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{
+    GroupId, IntentId, PoolId, Revision, Sample, StepId, Verdict, WeightVersion,
+};
+
+/// Label of a trainer's requests in metrics.
+const KIND: &str = "trainer";
+/// How long a group is asked when the caller states no deadline.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait a pull may ask for.
+const MAX_PULL_WAIT: Duration = Duration::from_secs(600);
+/// Time for a pull beyond the wait it asks for.
+const PULL_MARGIN: Duration = Duration::from_secs(5);
+/// When to ask again after a group did not answer.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// What a trainer asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Errand {
+    /// Add prompts.
+    Submit(PoolId),
+    /// Hand a step's batch over.
+    Pull(PoolId, StepId),
+    /// The batch is safe with the trainer.
+    Acknowledge(PoolId, StepId),
+    /// A version is in the weight store.
+    Publish(PoolId),
+}
+
+/// What the trainer's requests need.
+#[derive(Clone, Copy)]
+pub struct Desk<'a> {
+    /// The node.
+    pub node: &'a NodeState,
+    /// Tells ledgers of pools.
+    pub announcer: &'a PoolAnnouncer,
+}
+
+/// Answer to a publication.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+struct PublishedBody {
+    /// The configuration revision that holds it.
+    revision: Revision,
+}
+
+/// Serves one of a trainer's requests.
+pub fn serve(desk: Desk<'_>, mut caller: Caller, errand: Errand) {
+    let started = Instant::now();
+    let (code, answer) = match answer(desk, &mut caller, errand) {
+        Ok(answer) => ("ok".to_owned(), answer),
+        Err(error) => (error.code.clone(), error.answer()),
+    };
+    caller.respond(answer);
+    desk.node
+        .metrics
+        .on_answered(KIND, &code, started.elapsed());
+}
+
+fn answer(desk: Desk<'_>, caller: &mut Caller, errand: Errand) -> Result<EdgeAnswer, EdgeError> {
+    let intake = take_in(desk.node, caller)?;
+    match errand {
+        Errand::Submit(pool) => desk.submit(&intake, &pool),
+        Errand::Pull(pool, step) => desk.pull(&intake, &pool, step),
+        Errand::Acknowledge(pool, step) => desk.acknowledge(&intake, &pool, step),
+        Errand::Publish(pool) => desk.publish(&intake, &pool),
+    }
+}
+
+impl Desk<'_> {
+    fn submit(self, intake: &Intake, pool: &PoolId) -> Result<EdgeAnswer, EdgeError> {
+        let body: SubmitRequest = parse(&intake.body)?;
+        let request = LedgerRequest::Submit {
+            pool: pool.clone(),
+            prompts: body.prompts,
+        };
+        match self.ask_ledger(pool, request, intake.deadline(DEFAULT_TIMEOUT))? {
+            LedgerReply::Submitted { added, known } => {
+                Ok(EdgeAnswer::json(200, &SubmitReply { added, known }))
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    fn pull(self, intake: &Intake, pool: &PoolId, step: StepId) -> Result<EdgeAnswer, EdgeError> {
+        let body: PullBody = parse(&intake.body)?;
+        let wait = Duration::from_millis(body.wait_ms).min(MAX_PULL_WAIT);
+        let request = LedgerRequest::Pull {
+            pool: pool.clone(),
+            pull: PullRequest {
+                trainer: body.trainer,
+                step,
+                weight_version: body.weight_version,
+                count: body.count,
+                wait_ms: wait.as_millis() as u64,
+            },
+        };
+        match self.ask_ledger(pool, request, intake.deadline(wait + PULL_MARGIN))? {
+            LedgerReply::Batch(batch) => {
+                self.check_batch(pool, &batch)?;
+                Ok(EdgeAnswer::json(200, &batch_body(*batch)))
+            }
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    fn acknowledge(
+        self,
+        intake: &Intake,
+        pool: &PoolId,
+        step: StepId,
+    ) -> Result<EdgeAnswer, EdgeError> {
+        let body: AcknowledgeBody = parse(&intake.body)?;
+        let request = LedgerRequest::Acknowledge {
+            pool: pool.clone(),
+            trainer: body.trainer,
+            step,
+        };
+        match self.ask_ledger(pool, request, intake.deadline(DEFAULT_TIMEOUT))? {
+            LedgerReply::Done => Ok(EdgeAnswer::json(200, &serde_json::json!({}))),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    fn publish(self, intake: &Intake, pool: &PoolId) -> Result<EdgeAnswer, EdgeError> {
+        let body: PublishBody = parse(&intake.body)?;
+        self.find_pool(pool)?;
+        let request = GroupRequest::Control(ControlRequest::Publish {
+            intent_id: publication_intent(pool, body.version),
+            pool: pool.clone(),
+            version: body.version,
+        });
+        let timeout = intake.deadline(DEFAULT_TIMEOUT);
+        let reply = self
+            .node
+            .groups
+            .call(GroupId::Control, request, timeout)
+            .map_err(|error| call_error(&error))?;
+        match reply {
+            GroupReply::Control(ControlReply::Published(revision)) => {
+                Ok(EdgeAnswer::json(200, &PublishedBody { revision }))
+            }
+            GroupReply::Control(ControlReply::Refused(refusal)) => Err(control_refusal(&refusal)),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Asks the pool's ledger; tells it of the pool first where that is needed.
+    fn ask_ledger(
+        self,
+        id: &PoolId,
+        request: LedgerRequest,
+        timeout: Duration,
+    ) -> Result<LedgerReply, EdgeError> {
+        let (pool, revision) = self.find_pool(id)?;
+        self.announcer.announce(self.node, &pool, revision);
+        let group = GroupId::Ledger(pool.ledger);
+        let reply = self.call_ledger(group, request.clone(), timeout)?;
+        if reply != LedgerReply::Refused(LedgerRefusal::UnknownPool) {
+            return accepted(reply);
+        }
+        self.announcer.forget(id);
+        self.announcer.announce(self.node, &pool, revision);
+        accepted(self.call_ledger(group, request, timeout)?)
+    }
+
+    fn call_ledger(
+        self,
+        group: GroupId,
+        request: LedgerRequest,
+        timeout: Duration,
+    ) -> Result<LedgerReply, EdgeError> {
+        let reply = self
+            .node
+            .groups
+            .call(group, GroupRequest::Ledger(request), timeout)
+            .map_err(|error| call_error(&error))?;
+        match reply {
+            GroupReply::Ledger(reply) => Ok(reply),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    fn find_pool(self, id: &PoolId) -> Result<(Pool, Revision), EdgeError> {
+        let configuration = self.node.configuration();
+        match configuration.pools.get(id) {
+            Some(pool) => Ok((pool.clone(), configuration.revision)),
+            None => Err(EdgeError::not_run(
+                404,
+                "unknown_pool",
+                format!("pool `{id}` is not configured"),
+            )),
+        }
+    }
+
+    /// What the ledger promises is checked once more before a trainer gets it.
+    fn check_batch(self, pool: &PoolId, batch: &Batch) -> Result<(), EdgeError> {
+        let broken = batch
+            .samples
+            .iter()
+            .find(|sample| !sample.generation.is_well_formed());
+        let Some(sample) = broken else {
+            return Ok(());
+        };
+        let what = format!(
+            "sample {} of pool `{pool}` has segments that do not cover its tokens",
+            sample.number
+        );
+        self.node.on_broken_promise(&what);
+        Err(EdgeError {
+            status: 500,
+            code: "internal".to_owned(),
+            verdict: Verdict::Ran,
+            message: what,
+            retry_after: None,
+        })
+    }
+}
+
+/// The same publication always has the same intent, so that a resend changes nothing.
+pub fn publication_intent(pool: &PoolId, version: WeightVersion) -> IntentId {
+    const OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
+    const PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
+    let bytes = b"publish\0"
+        .iter()
+        .copied()
+        .chain(pool.as_str().bytes())
+        .chain([0])
+        .chain(version.0.to_le_bytes());
+    IntentId(bytes.fold(OFFSET, |hash, byte| {
+        (hash ^ u128::from(byte)).wrapping_mul(PRIME)
+    }))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, EdgeError> {
+    serde_json::from_slice(body).map_err(|error| EdgeError::not_run(400, "invalid_request", error))
+}
+
+fn batch_body(batch: Batch) -> BatchBody {
+    BatchBody {
+        step: batch.step,
+        weight_version: batch.weight_version,
+        samples: batch.samples.into_iter().map(sample_body).collect(),
+    }
+}
+
+fn sample_body(sample: Sample) -> SampleBody {
+    SampleBody {
+        number: sample.number,
+        prompt: sample.prompt,
+        tokens: sample.generation.tokens,
+        segments: sample.generation.segments,
+        score: sample.score,
+    }
+}
+
+fn accepted(reply: LedgerReply) -> Result<LedgerReply, EdgeError> {
+    match reply {
+        LedgerReply::Refused(refusal) => Err(ledger_refusal(&refusal)),
+        reply => Ok(reply),
+    }
+}
+
+fn ledger_refusal(refusal: &LedgerRefusal) -> EdgeError {
+    match refusal {
+        LedgerRefusal::UnknownPool => EdgeError::not_run(
+            503,
+            "unknown_to_ledger",
+            "the pool's ledger has not been told of the pool yet",
+        )
+        .retry_after(RETRY_AFTER),
+        LedgerRefusal::Full { retry_after_ms } => EdgeError::not_run(
+            503,
+            "ledger_full",
+            "too many samples are submitted and not yet acknowledged; none of these was added",
+        )
+        .retry_after(Duration::from_millis(*retry_after_ms)),
+        LedgerRefusal::NotReady {
+            ready,
+            retry_after_ms,
+        } => EdgeError::not_run(
+            503,
+            "not_ready",
+            format!("{ready} samples are ready, fewer than asked for; none was handed over"),
+        )
+        .retry_after(Duration::from_millis(*retry_after_ms)),
+        LedgerRefusal::WrongStep { message } => EdgeError::not_run(409, "wrong_step", message),
+        LedgerRefusal::WrongTrainer { expected } => EdgeError::not_run(
+            403,
+            "wrong_trainer",
+            format!("the pool's trainer is `{expected}`"),
+        ),
+        LedgerRefusal::Invalid { message } => EdgeError::not_run(400, "invalid_request", message),
+    }
+}
+
+fn control_refusal(refusal: &ControlRefusal) -> EdgeError {
+    match refusal {
+        ControlRefusal::Invalid { message } => EdgeError::not_run(400, "invalid_request", message),
+        ControlRefusal::Conflict { message, .. } => EdgeError::not_run(409, "conflict", message),
+        other => EdgeError::not_run(409, "refused", format!("{other:?}")),
+    }
+}
+
+/// Requests to groups are safe to repeat, so the caller is told when.
+fn call_error(error: &CallError) -> EdgeError {
+    EdgeError {
+        status: 503,
+        code: "group_unavailable".to_owned(),
+        verdict: error.verdict(),
+        message: error.to_string(),
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+fn unexpected<T: std::fmt::Debug>(reply: &T) -> EdgeError {
+    EdgeError {
+        status: 502,
+        code: "bad_answer".to_owned(),
+        verdict: Verdict::MayHaveRun,
+        message: format!("the group answered something else: {reply:?}"),
+        retry_after: Some(RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/crates/wingshore-node/src/upstream/agent.rs
@@ -0,0 +1,121 @@
+//! The HTTP client: one with pooled connections, one that opens a connection for each request.
+
+use crate::http::HeaderList;
+use crate::upstream::connector::MarkingConnector;
+use std::net::SocketAddr;
+use std::time::Duration;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::{Agent, Body, Error, http};
+
+/// Idle connections kept to one server.
+const IDLE_PER_SERVER: usize = 16;
+/// Idle connections kept in all.
+const IDLE_IN_ALL: usize = 512;
+/// Idle connections are not kept longer than this.
+const MAX_IDLE: Duration = Duration::from_secs(5);
+/// Longest time for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Whether a request may use a connection that was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connections {
+    /// It may: should the server close at that very moment, it is sent again or fails.
+    Pooled,
+    /// It may not.
+    Fresh,
+}
+
+/// One request to a back end.
+#[derive(Clone, Debug)]
+pub struct UpstreamRequest<'a> {
+    /// The server.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Headers, without those of one connection.
+    pub headers: &'a HeaderList,
+    /// Body.
+    pub body: &'a [u8],
+    /// Everything must be over by then, the answer's body included.
+    pub timeout: Duration,
+    /// Which connections may be used.
+    pub connections: Connections,
+}
+
+/// Sends requests to back ends. Clones share connections.
+#[derive(Clone, Debug)]
+pub struct UpstreamClient {
+    pooled: Agent,
+    fresh: Agent,
+}
+
+impl Default for UpstreamClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl UpstreamClient {
+    /// A client without connections yet.
+    pub fn new() -> Self {
+        Self {
+            pooled: agent(IDLE_PER_SERVER, IDLE_IN_ALL),
+            fresh: agent(0, 0),
+        }
+    }
+
+    /// Sends a request; answers once the answer's head has come.
+    ///
+    /// # Errors
+    /// As the HTTP client reports them; see [`crate::upstream::failure_of`].
+    pub fn send(&self, request: &UpstreamRequest<'_>) -> Result<http::Response<Body>, Error> {
+        let agent = match request.connections {
+            Connections::Pooled => &self.pooled,
+            Connections::Fresh => &self.fresh,
+        };
+        let mut builder = http::Request::builder()
+            .method(request.method)
+            .uri(format!("http://{}{}", request.address, request.target));
+        for (name, value) in request.headers.iter() {
+            builder = builder.header(name, value);
+        }
+        let takes_body = matches!(request.method, "POST" | "PUT" | "PATCH");
+        if request.body.is_empty() && !takes_body {
+            let built = builder.body(())?;
+            let built = agent
+                .configure_request(built)
+                .timeout_global(Some(request.timeout))
+                .build();
+            return agent.run(built);
+        }
+        let built = builder.body(request.body)?;
+        let built = agent
+            .configure_request(built)
+            .timeout_global(Some(request.timeout))
+            .build();
+        agent.run(built)
+    }
+}
+
+fn agent(idle_per_server: usize, idle_in_all: usize) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .allow_non_standard_methods(true)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .user_agent("")
+        .accept("")
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .max_idle_connections(idle_in_all)
+        .max_idle_connections_per_host(idle_per_server)
+        .max_idle_age(MAX_IDLE)
+        .build();
+    Agent::with_parts(
+        config,
+        MarkingConnector::default(),
+        DefaultResolver::default(),
+    )
+}
--- /dev/null
+++ b/crates/wingshore-node/src/upstream/mod.rs
@@ -0,0 +1,16 @@
+//! Requests to back ends: engines, live servers, scorers and the machine list.
+
+mod agent;
+mod answer;
+mod connector;
+mod engine;
+mod event_reader;
+mod failure;
+mod json;
+
+pub use agent::{Connections, UpstreamClient, UpstreamRequest};
+pub use answer::{ServerAnswer, ServerReply};
+pub use engine::{EngineAttempt, EngineEnd};
+pub use event_reader::{EventReader, StreamError};
+pub use failure::{failure_of, failure_of_read};
+pub use json::JsonError;
--- a/crates/wingshore-request/src/answer.rs
+++ b/crates/wingshore-request/src/answer.rs
@@ -22,6 +22,8 @@
     AnswerTooLarge,
     /// The server's answer breaks the protocol.
     BadAnswer,
+    /// The node lost its configuration lease.
+    LeaseLost,
     /// The deadline passed.
     DeadlineExceeded,
     /// Another attempt under the same idempotency key may have run, or is running.
@@ -47,6 +49,7 @@
             Self::AnswerCut => "answer_cut",
             Self::AnswerTooLarge => "answer_too_large",
             Self::BadAnswer => "bad_answer",
+            Self::LeaseLost => "no_lease",
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::KeyTaken => "key_taken",
             Self::AlreadyRan => "already_ran",
@@ -64,6 +67,7 @@
             Self::Routing(_)
             | Self::ConnectFailed
             | Self::RefusedByServer
+            | Self::LeaseLost
             | Self::ClaimsFull
             | Self::ClaimsUnavailable => 503,
             Self::ConnectionLost | Self::AnswerCut | Self::AnswerTooLarge | Self::BadAnswer => 502,
--- a/crates/wingshore-request/src/attempt.rs
+++ b/crates/wingshore-request/src/attempt.rs
@@ -30,13 +30,15 @@
     TimedOut,
     /// The answer is not what the protocol allows.
     BadAnswer,
+    /// The node lost its configuration lease before the first byte left.
+    LeaseLost,
 }
 
 impl FailureKind {
     /// What it says about the execution.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::ConnectFailed | Self::RefusedByServer => Verdict::NotRun,
+            Self::ConnectFailed | Self::RefusedByServer | Self::LeaseLost => Verdict::NotRun,
             Self::ConnectionLost | Self::AnswerCut | Self::TimedOut | Self::BadAnswer => {
                 Verdict::MayHaveRun
             }
--- a/crates/wingshore-request/src/execution.rs
+++ b/crates/wingshore-request/src/execution.rs
@@ -352,12 +352,14 @@
         let verdict = failure.kind.verdict();
         let outcome = match failure.kind {
             FailureKind::RefusedByServer => AttemptOutcome::Refused,
+            FailureKind::LeaseLost => AttemptOutcome::Cancelled,
             _ => AttemptOutcome::Failed(verdict),
         };
         router.on_finished(now, in_flight.ticket, outcome);
         self.verdict = self.verdict.worse(verdict);
         self.last_failure = Some(failure.clone());
-        if self.may_send_again(now, verdict, router) {
+        let is_own_fault = failure.kind == FailureKind::LeaseLost;
+        if !is_own_fault && self.may_send_again(now, verdict, router) {
             return self.wait_before_retry(now, in_flight.server, out);
         }
         self.give_up(self.error_of(now, &failure), out);
@@ -475,6 +477,7 @@
             FailureKind::AnswerTooLarge => ErrorCode::AnswerTooLarge,
             FailureKind::TimedOut => ErrorCode::DeadlineExceeded,
             FailureKind::BadAnswer => ErrorCode::BadAnswer,
+            FailureKind::LeaseLost => ErrorCode::LeaseLost,
         };
         RequestError {
             code,
