control: tests of leases, plan execution, orders and swaps

A load that never ended was waited for twice as long as stated, because after its failure it was taken for one of an earlier leader; the deliberate fault of fences used shifted epochs and so broke nothing.

--- a/crates/wingshore-control/src/faults.rs
+++ b/crates/wingshore-control/src/faults.rs
@@ -3,7 +3,7 @@
 /// Switches for deliberate faults. All are off by default; only tests set them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Faults {
-    /// Orders carry the fence of the epoch before the leader's own.
+    /// Orders carry the first epoch, whichever leader gives them.
     pub ignore_fence_order: bool,
     /// The newest revision is reported in force at once.
     pub in_force_without_acknowledgement: bool,
--- a/crates/wingshore-control/src/leader/engine.rs
+++ b/crates/wingshore-control/src/leader/engine.rs
@@ -30,7 +30,7 @@
     ordered_version: Option<WeightVersion>,
     failures: u32,
     quarantined_until: Instant,
-    /// A load that this leader has not ordered, with since when it has been seen.
+    /// A load that an earlier leader has ordered, with since when it has been seen.
     foreign_load: Option<(WeightVersion, Instant)>,
     /// It follows a newer leader: this one must not order it any more.
     deposed: bool,
@@ -211,7 +211,7 @@
             .foreign_load
             .filter(|(version, _)| state.loading == Some(*version))
             .map_or(now, |(_, since)| since);
-        let is_foreign = self.order.is_none() && now.since(seen_since) < settings.swap_timeout;
+        let is_foreign = self.last_order.is_none() && now.since(seen_since) < settings.swap_timeout;
         self.foreign_load = state
             .loading
             .filter(|_| is_foreign)
--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -236,7 +236,7 @@
         out: &mut Outputs,
     ) {
         let fence_epoch = if self.faults.ignore_fence_order {
-            Epoch(epoch.0.saturating_sub(1))
+            Epoch(1)
         } else {
             epoch
         };
--- /dev/null
+++ b/crates/wingshore-control/tests/leases.rs
@@ -0,0 +1,272 @@
+//! Watches, configuration leases, and what is reported in force.
+
+mod support;
+
+use googletest::prelude::*;
+use support::site::{POOL, Site, engine_name, set_admission};
+use support::{Group, plan_of};
+use wingshore_control::{ControlEvent, Faults, LeaderSettings};
+use wingshore_types::Instant;
+use wingshore_types::configuration::Admission;
+use wingshore_types::ids::{NodeId, ReplicaId, Revision};
+use wingshore_types::protocol::control::{
+    ConfigurationUpdate, ControlReply, ControlRequest, InForce, Intent, NodeAcknowledgement,
+    PlanState, WatchRequest,
+};
+
+/// One lease as the leader counts it.
+const COUNTED_MS: u64 = 5_250;
+
+/// A group whose leader has been in office for longer than any lease.
+fn settled() -> Group {
+    let mut group = Group::new(&Site::default());
+    group.pass(COUNTED_MS);
+    group
+}
+
+fn drain_one(group: &mut Group, number: u32) -> u64 {
+    group.apply_change(set_admission(&engine_name(number), Admission::Draining));
+    group.configuration().revision.0
+}
+
+#[gtest]
+fn a_watch_is_answered_at_once_by_news_or_at_its_end() {
+    let mut group = settled();
+    let newest = group.configuration().revision.0;
+    let behind = group.watch("a", 1, newest - 2, 1_000);
+    let ControlReply::Update { update, lease_ms } = group.replies.remove(&behind).unwrap() else {
+        panic!("no update");
+    };
+    expect_that!(lease_ms, eq(5_000));
+    expect_that!(
+        update,
+        pat!(ConfigurationUpdate::Delta {
+            from: eq(&Revision(newest - 2)),
+            changes: len(eq(2))
+        })
+    );
+
+    let ends = group.watch("a", 1, newest, 1_000);
+    group.pass(900);
+    expect_that!(group.replies.contains_key(&ends), eq(false));
+    group.pass(200);
+    expect_that!(
+        group.replies.remove(&ends),
+        some(pat!(ControlReply::Update {
+            update: eq(&ConfigurationUpdate::Unchanged),
+            ..
+        }))
+    );
+
+    let changes = group.watch("a", 1, newest, 1_000);
+    drain_one(&mut group, 0);
+    expect_that!(
+        group.replies.remove(&changes),
+        some(pat!(ControlReply::Update {
+            update: pat!(ConfigurationUpdate::Delta { .. }),
+            ..
+        }))
+    );
+}
+
+#[gtest]
+fn a_watch_ends_before_the_lease_and_gives_none_to_those_who_acknowledge_nothing() {
+    let mut group = settled();
+    let have = group.configuration().revision;
+    let long = group.watch("a", 1, have.0, 60_000);
+    let reader = group.send(ControlRequest::Watch(WatchRequest {
+        have: Revision(0),
+        acknowledgements: vec![],
+        wait_ms: 0,
+    }));
+    expect_that!(
+        group.replies.remove(&reader),
+        some(pat!(ControlReply::Update {
+            lease_ms: eq(&0),
+            ..
+        }))
+    );
+    group.pass(2_000);
+    expect_that!(group.replies.contains_key(&long), eq(true));
+}
+
+#[gtest]
+fn a_revision_is_in_force_once_each_node_with_a_lease_has_acknowledged_it() {
+    let mut group = settled();
+    let old = group.configuration().revision.0;
+    group.watch("a", 1, old, 2_000);
+    group.watch("b", 1, old, 2_000);
+    let new = drain_one(&mut group, 0);
+    let waits_for = |names: &[&str], everywhere| InForce {
+        committed: Revision(new),
+        everywhere: Revision(everywhere),
+        waiting_for: names.iter().map(|name| NodeId::new(name)).collect(),
+    };
+    expect_that!(group.in_force(), eq(&waits_for(&["a", "b"], old)));
+    group.watch("a", 1, new, 2_000);
+    expect_that!(group.in_force(), eq(&waits_for(&["b"], old)));
+    group.watch("b", 1, new, 2_000);
+    expect_that!(group.in_force(), eq(&waits_for(&[], new)));
+}
+
+#[gtest]
+fn a_frozen_node_holds_a_revision_up_no_longer_than_its_lease() {
+    let mut group = settled();
+    let old = group.configuration().revision.0;
+    group.watch("frozen", 1, old, 2_000);
+    let new = drain_one(&mut group, 0);
+    group.pass(COUNTED_MS - 1);
+    expect_that!(
+        group.in_force().everywhere,
+        eq(Revision(old)),
+        "the node may still act on it"
+    );
+    group.pass(1);
+    expect_that!(group.in_force().everywhere, eq(Revision(new)));
+    expect_that!(group.status().nodes, is_empty());
+}
+
+#[gtest]
+fn a_new_leader_vouches_for_nothing_until_leases_of_the_old_one_have_run_out() {
+    let mut group = settled();
+    let old = group.configuration().revision.0;
+    group.watch("unknown-to-the-new-leader", 1, old, 2_000);
+    let new = drain_one(&mut group, 0);
+    group.change_leader();
+    group.watch("a", 1, new, 2_000);
+    group.pass(COUNTED_MS - 1);
+    group.watch("a", 1, new, 2_000);
+    expect_that!(group.in_force().everywhere, lt(Revision(new)));
+    group.pass(1);
+    expect_that!(group.in_force().everywhere, eq(Revision(new)));
+}
+
+#[gtest]
+fn what_was_proved_and_committed_is_known_to_the_next_leader() {
+    let mut group = settled();
+    group.confirm_intent(Intent::Apply(vec![set_admission(
+        &engine_name(0),
+        Admission::Draining,
+    )]));
+    let revision = group.configuration().revision;
+    group.pass(200);
+    expect_that!(group.state.proven_in_force(), eq(revision));
+    group.change_leader_by_snapshot();
+    expect_that!(group.in_force().everywhere, eq(revision));
+}
+
+#[gtest]
+fn longer_leases_told_after_the_beginning_are_waited_for_too() {
+    let mut group = Group::new(&Site::default());
+    let settings = LeaderSettings {
+        lease: std::time::Duration::from_secs(8),
+        ..LeaderSettings::default()
+    };
+    group.event(ControlEvent::Configured {
+        replica: ReplicaId(3),
+        settings: Box::new(settings),
+    });
+    group.pass(8_399);
+    expect_that!(group.in_force().everywhere, eq(Revision(0)));
+    group.pass(1);
+    expect_that!(
+        group.in_force().everywhere,
+        eq(group.configuration().revision)
+    );
+    expect_that!(group.status().leader, eq(ReplicaId(3)));
+}
+
+#[gtest]
+fn an_older_process_of_a_node_keeps_its_lease_and_late_watches_lower_nothing() {
+    let mut group = settled();
+    let old = group.configuration().revision.0;
+    group.watch("a", 1, old, 2_000);
+    let new = drain_one(&mut group, 0);
+    group.pass(1_000);
+    group.watch("a", 2, new, 2_000);
+    group.watch("a", 2, old, 2_000);
+    let in_force = group.in_force();
+    expect_that!(
+        in_force.everywhere,
+        eq(Revision(old)),
+        "the process with boot 1 may still run"
+    );
+    expect_that!(in_force.waiting_for, elements_are![eq(&NodeId::new("a"))]);
+    group.pass(COUNTED_MS - 1_000);
+    expect_that!(group.in_force().everywhere, eq(Revision(new)));
+}
+
+#[gtest]
+fn a_relay_acknowledges_for_many_nodes_and_the_slowest_counts() {
+    let mut group = settled();
+    let old = group.configuration().revision.0;
+    for node in ["node-0", "node-1", "node-2"] {
+        group.watch(node, 1, old, 2_000);
+    }
+    let new = drain_one(&mut group, 0);
+    let mut relay = |revisions: &[u64]| {
+        let acknowledgement = |(number, revision): (usize, &u64)| NodeAcknowledgement {
+            node: NodeId::new(&format!("node-{number}")),
+            boot_id: 1,
+            in_force: Revision(*revision),
+        };
+        group.send(ControlRequest::Watch(WatchRequest {
+            have: Revision(new),
+            acknowledgements: revisions.iter().enumerate().map(acknowledgement).collect(),
+            wait_ms: 2_000,
+        }));
+        group.in_force().everywhere.0
+    };
+    expect_that!(relay(&[new, old, new]), eq(old));
+    expect_that!(relay(&[new, new, new]), eq(new));
+    expect_that!(
+        relay(&[new, new, new, 0]),
+        eq(new),
+        "one that starts later gets this or a later one"
+    );
+}
+
+#[gtest]
+fn a_plan_waits_until_its_change_is_in_force() {
+    let mut group = settled();
+    let old = group.configuration().revision.0;
+    group.watch("a", 1, old, 2_000);
+    let plan = plan_of(group.propose(Intent::Apply(vec![set_admission(
+        &engine_name(0),
+        Admission::Draining,
+    )])));
+    let running = plan_of(group.confirm(plan.id));
+    expect_that!(running.state, eq(&PlanState::Running { next_step: 1 }));
+    group.pass(1_000);
+    expect_that!(
+        group.plan(plan.id).state,
+        eq(&PlanState::Running { next_step: 1 })
+    );
+    group.watch("a", 1, old + 1, 2_000);
+    group.tick();
+    expect_that!(group.plan(plan.id).state, eq(&PlanState::Done));
+}
+
+/// What a node could still do against what is reported, in one run of a frozen node.
+fn reports_too_early(faults: Faults) -> bool {
+    let mut group = Group::with(&Site::default(), LeaderSettings::default(), faults);
+    group.pass(COUNTED_MS);
+    let old = group.configuration().revision.0;
+    let sent_at = group.now;
+    group.watch("frozen", 1, old, 2_000);
+    group.publish(POOL, 2);
+    while group.in_force().everywhere == Revision(old) {
+        group.pass(50);
+    }
+    group.now < Instant(sent_at.0 + 5_000_000_000)
+}
+
+#[gtest]
+fn reporting_without_acknowledgement_is_caught() {
+    expect_that!(reports_too_early(Faults::default()), eq(false));
+    let faults = Faults {
+        in_force_without_acknowledgement: true,
+        ..Faults::default()
+    };
+    expect_that!(reports_too_early(faults), eq(true));
+}
--- /dev/null
+++ b/crates/wingshore-control/tests/orders.rs
@@ -0,0 +1,347 @@
+//! Fences of orders, and what is believed of an engine's version.
+
+mod support;
+
+use googletest::prelude::*;
+use std::time::Duration;
+use support::Group;
+use support::engine::{Fleet, SimEngine};
+use support::site::{POOL, Site, engine_name};
+use wingshore_control::{ControlEffect, ControlEvent, Faults, LeaderSettings, OrderAnswer};
+use wingshore_types::ids::{Epoch, OrderSequence, ServerId};
+use wingshore_types::platform::{EngineOrder, EngineState, FencedReply, OrderFence};
+use wingshore_types::{Instant, Verdict, WeightVersion};
+
+fn one_engine() -> Site {
+    Site {
+        engines: 1,
+        ..Site::default()
+    }
+}
+
+fn name() -> ServerId {
+    engine_name(0).as_str().into()
+}
+
+fn fence(epoch: u64, sequence: u64) -> OrderFence {
+    OrderFence {
+        epoch: Epoch(epoch),
+        sequence: OrderSequence(sequence),
+    }
+}
+
+/// A state as the engine may report it.
+fn report(version: Option<u64>, last_order: Option<OrderFence>) -> EngineState {
+    EngineState {
+        last_order,
+        ..SimEngine::new(version).state
+    }
+}
+
+fn read(group: &mut Group, asked_at: Instant, state: EngineState) {
+    group.event(ControlEvent::StateRead {
+        server: name(),
+        asked_at,
+        state: Ok(state),
+    });
+}
+
+/// The orders among the effects so far.
+fn orders(group: &mut Group) -> Vec<EngineOrder> {
+    let effects = std::mem::take(&mut group.effects);
+    let order = |effect| match effect {
+        ControlEffect::SendOrder { order, .. } => Some(order),
+        _ => None,
+    };
+    effects.into_iter().filter_map(order).collect()
+}
+
+/// A group that has just ordered its one engine to take version 2.
+fn ordered() -> (Group, OrderFence) {
+    let mut group = Group::new(&one_engine());
+    group.tick();
+    let now = group.now;
+    read(&mut group, now, report(Some(1), None));
+    group.publish(POOL, 2);
+    group.tick();
+    let sent = orders(&mut group);
+    assert_eq!(sent.len(), 1);
+    (group, sent[0].fence)
+}
+
+fn version(group: &mut Group) -> Option<u64> {
+    group.status().engines[0].version.map(|version| version.0)
+}
+
+#[gtest]
+fn an_engine_is_not_ordered_before_it_has_reported() {
+    let mut group = Group::new(&one_engine());
+    group.publish(POOL, 2);
+    group.pass(5_000);
+    expect_that!(orders(&mut group), is_empty());
+}
+
+#[gtest]
+fn an_unanswered_order_is_sent_again_under_its_fence_and_less_and_less_often() {
+    let (mut group, first) = ordered();
+    expect_that!(first, eq(fence(1, 1)));
+    let mut sent = Vec::new();
+    for second in 1..=70 {
+        group.pass(1_000);
+        sent.extend(
+            orders(&mut group)
+                .into_iter()
+                .map(|order| (second, order.fence)),
+        );
+    }
+    let times: Vec<u64> = sent.iter().map(|(second, _)| *second).collect();
+    expect_that!(times, eq(&vec![2, 6, 14, 30, 60]));
+    expect_true!(sent.iter().all(|(_, fence)| *fence == first));
+    group.event(ControlEvent::OrderAnswered {
+        server: name(),
+        fence: first,
+        answer: OrderAnswer::Accepted,
+    });
+    group.pass(60_000);
+    expect_that!(orders(&mut group), is_empty());
+}
+
+/// What a report says after an order with fence 1/1 to take version 2, and what is believed.
+#[gtest]
+fn only_a_report_newer_than_the_order_names_the_version() {
+    let newer = Duration::from_millis(1);
+    let cases = [
+        (
+            "asked for before the order",
+            Duration::ZERO,
+            Some(2),
+            Some(fence(1, 1)),
+            None,
+        ),
+        ("has not seen the order", newer, Some(1), None, None),
+        (
+            "has seen an order of the last epoch",
+            newer,
+            Some(1),
+            Some(fence(0, 9)),
+            None,
+        ),
+        (
+            "has seen the order",
+            newer,
+            Some(2),
+            Some(fence(1, 1)),
+            Some(2),
+        ),
+        (
+            "failed and knows what it has",
+            newer,
+            Some(1),
+            Some(fence(1, 1)),
+            Some(1),
+        ),
+        (
+            "failed and does not know",
+            newer,
+            None,
+            Some(fence(1, 1)),
+            None,
+        ),
+        (
+            "was ordered by a later leader",
+            newer,
+            Some(7),
+            Some(fence(2, 1)),
+            Some(7),
+        ),
+    ];
+    for (case, after, reported, last_order, believed) in cases {
+        let (mut group, _) = ordered();
+        let asked_at = group.now + after;
+        group.now = group.now + Duration::from_millis(50);
+        read(&mut group, asked_at, report(reported, last_order));
+        expect_that!(version(&mut group), eq(believed), "{case}");
+    }
+}
+
+#[gtest]
+fn a_late_report_does_not_undo_a_newer_one() {
+    let (mut group, fence) = ordered();
+    let early = group.now + Duration::from_millis(10);
+    let late = group.now + Duration::from_millis(20);
+    group.now = group.now + Duration::from_millis(50);
+    read(&mut group, late, report(Some(2), Some(fence)));
+    read(&mut group, early, report(Some(1), Some(fence)));
+    expect_that!(version(&mut group), some(eq(2)));
+    let failure = ControlEvent::StateRead {
+        server: name(),
+        asked_at: early,
+        state: Err(Verdict::MayHaveRun),
+    };
+    group.event(failure);
+    expect_that!(version(&mut group), some(eq(2)));
+}
+
+#[gtest]
+fn reports_asked_for_by_an_earlier_leadership_mean_nothing() {
+    let mut group = Group::new(&one_engine());
+    let asked_at = group.now;
+    group.now = group.now + Duration::from_millis(100);
+    group.change_leader();
+    read(&mut group, asked_at, report(Some(1), None));
+    expect_that!(version(&mut group), none());
+}
+
+#[gtest]
+fn a_failing_swap_is_tried_again_later_and_later_each_time_under_a_new_fence() {
+    let mut group = Group::new(&one_engine());
+    let mut fleet = Fleet::new(1, 1);
+    fleet.load_ms = 0;
+    fleet.engine(0).failing_loads = 6;
+    group.publish(POOL, 2);
+    fleet.run_until(&mut group, 120_000, |fleet, _| fleet.count_at(2) == 1);
+    fleet.run(&mut group, 2_000);
+    let waits: Vec<u64> = fleet
+        .orders
+        .windows(2)
+        .map(|pair| pair[1].0.since(pair[0].0).as_secs())
+        .collect();
+    expect_that!(
+        waits,
+        elements_are![eq(&1), eq(&2), eq(&4), eq(&8), eq(&16), eq(&32)]
+    );
+    let sequences: Vec<u64> = fleet
+        .orders
+        .iter()
+        .map(|(_, _, order)| order.fence.sequence.0)
+        .collect();
+    expect_that!(sequences, eq(&vec![1, 2, 3, 4, 5, 6, 7]));
+    expect_that!(group.status().engines[0].failures, eq(0));
+}
+
+#[gtest]
+fn a_restart_in_the_middle_of_a_swap_is_noticed_and_ordered_anew() {
+    let mut group = Group::new(&one_engine());
+    let mut fleet = Fleet::new(1, 1);
+    fleet.load_ms = 10_000;
+    group.publish(POOL, 2);
+    fleet.run(&mut group, 2_000);
+    fleet.engine(0).restart(Some(1));
+    fleet.load_ms = 500;
+    fleet.run_until(&mut group, 10_000, |fleet, _| fleet.count_at(2) == 1);
+    expect_that!(fleet.orders.len(), eq(2));
+    expect_that!(fleet.orders[1].2.fence, gt(fleet.orders[0].2.fence));
+}
+
+#[gtest]
+fn a_load_that_never_ends_counts_as_failed() {
+    let mut group = Group::new(&one_engine());
+    let mut fleet = Fleet::new(1, 1);
+    fleet.load_ms = u64::from(u32::MAX);
+    group.publish(POOL, 2);
+    fleet.run(&mut group, 115_000);
+    expect_that!(fleet.orders.len(), eq(1));
+    fleet.run(&mut group, 15_000);
+    expect_that!(fleet.orders.len(), eq(2));
+}
+
+#[gtest]
+fn an_engine_that_follows_a_newer_leader_is_left_alone() {
+    let (mut group, fence) = ordered();
+    group.event(ControlEvent::OrderAnswered {
+        server: name(),
+        fence,
+        answer: OrderAnswer::Fenced(FencedReply {
+            highest_epoch: Epoch(9),
+            highest_sequence: OrderSequence(1),
+        }),
+    });
+    for _ in 0..20 {
+        group.pass(5_000);
+        let now = group.now;
+        read(&mut group, now, report(Some(1), None));
+    }
+    expect_that!(orders(&mut group), is_empty());
+}
+
+#[gtest]
+fn an_answer_to_an_earlier_order_means_nothing() {
+    let (mut group, first) = ordered();
+    let asked_at = group.now + Duration::from_millis(10);
+    group.now = group.now + Duration::from_millis(20);
+    read(&mut group, asked_at, report(None, Some(first)));
+    group.pass(2_000);
+    let now = group.now;
+    read(&mut group, now, report(None, Some(first)));
+    let second = orders(&mut group);
+    expect_that!(second.len(), ge(1));
+    group.event(ControlEvent::OrderAnswered {
+        server: name(),
+        fence: first,
+        answer: OrderAnswer::Accepted,
+    });
+    group.pass(10_000);
+    let resent = orders(&mut group);
+    expect_that!(resent.len(), ge(1), "the second order is still unanswered");
+    expect_true!(resent.iter().all(|order| order.fence == second[0].fence));
+}
+
+/// Fences that were used for more than one order, over two leaderships in the middle of swaps.
+fn reused_fences(faults: Faults) -> usize {
+    let mut group = Group::with(&Site::default(), LeaderSettings::default(), faults);
+    let mut fleet = Fleet::new(8, 1);
+    fleet.run(&mut group, 1_000);
+    for version in 2..5 {
+        group.publish(POOL, version);
+        fleet.run(&mut group, 700);
+        group.change_leader();
+        fleet.run(&mut group, 3_000);
+    }
+    fleet.run(&mut group, 20_000);
+    let current = Epoch(group.epoch);
+    let ordered_by_current =
+        |(_, _, order): &&(Instant, ServerId, EngineOrder)| order.fence.epoch == current;
+    let reused = fleet
+        .bodies_by_fence()
+        .values()
+        .filter(|bodies| bodies.len() > 1)
+        .count();
+    let has_ordered = fleet.orders.iter().filter(ordered_by_current).count() > 0;
+    reused + usize::from(!has_ordered && fleet.count_at(4) < 8)
+}
+
+#[gtest]
+fn a_fence_is_used_once_and_a_new_leader_s_are_higher() {
+    expect_that!(reused_fences(Faults::default()), eq(0));
+    let faults = Faults {
+        ignore_fence_order: true,
+        ..Faults::default()
+    };
+    expect_that!(reused_fences(faults), gt(0));
+}
+
+#[gtest]
+fn questions_for_state_are_spread_out_and_limited() {
+    let site = Site {
+        engines: 1_000,
+        live_servers: 0,
+        ..Site::default()
+    };
+    let settings = LeaderSettings {
+        polls_per_second: 100,
+        ..LeaderSettings::default()
+    };
+    let mut group = Group::with(&site, settings, Faults::default());
+    let mut fleet = Fleet::new(1_000, 1);
+    fleet.run(&mut group, 10_000);
+    expect_that!(fleet.reads, all![ge(900), le(1_030)]);
+    fleet.run(&mut group, 40_000);
+    expect_that!(fleet.reads, all![ge(2_000), le(5_030)]);
+    let unread = group
+        .status()
+        .engines
+        .iter()
+        .filter(|e| e.version != Some(WeightVersion(1)))
+        .count();
+    expect_that!(unread, eq(0));
+}
--- /dev/null
+++ b/crates/wingshore-control/tests/swaps.rs
@@ -0,0 +1,245 @@
+//! The swap policy: shares, sources, order, and the time that a whole fleet takes.
+
+mod support;
+
+use googletest::prelude::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use support::Group;
+use support::engine::Fleet;
+use support::site::{POOL, Site, address, engine_name, store};
+use wingshore_control::LeaderSettings;
+use wingshore_control::swaps::{SwapCandidate, SwapLimits, SwapStart, swaps_to_begin};
+use wingshore_types::WeightVersion;
+use wingshore_types::configuration::{ConfigurationChange, Permille};
+use wingshore_types::ids::ServerId;
+
+/// One engine of a case: its version, where it fetches from, and whether it may swap.
+#[derive(Clone, Copy)]
+struct Case {
+    version: Option<u64>,
+    fetching_from: Option<SocketAddr>,
+    ready: bool,
+    failed_before: bool,
+}
+
+fn at(version: u64) -> Case {
+    Case {
+        version: Some(version),
+        fetching_from: None,
+        ready: true,
+        failed_before: false,
+    }
+}
+
+fn unknown() -> Case {
+    Case {
+        version: None,
+        ..at(0)
+    }
+}
+
+fn fetching(from: SocketAddr) -> Case {
+    Case {
+        fetching_from: Some(from),
+        ready: false,
+        ..at(1)
+    }
+}
+
+/// The engines that begin, with their sources, when version 2 is wanted.
+fn begin(cases: &[Case], limits: SwapLimits) -> Vec<(u32, SocketAddr)> {
+    let names: Vec<ServerId> = (0..cases.len())
+        .map(|n| ServerId::new(&engine_name(n as u32)))
+        .collect();
+    let candidates: Vec<SwapCandidate<'_>> = cases
+        .iter()
+        .enumerate()
+        .map(|(n, case)| SwapCandidate {
+            server: &names[n],
+            address: address(n as u32),
+            version: case.version.map(WeightVersion),
+            fetching_from: case.fetching_from,
+            ready: case.ready,
+            failed_before: case.failed_before,
+        })
+        .collect();
+    let starts = swaps_to_begin(&candidates, WeightVersion(2), store(), limits);
+    let number = |start: &SwapStart| names.iter().position(|name| *name == start.server).unwrap();
+    starts
+        .iter()
+        .map(|start| (number(start) as u32, start.source))
+        .collect()
+}
+
+#[gtest]
+fn limits_respect_the_live_share_and_let_at_least_one_go() {
+    let settings = LeaderSettings::default();
+    let cases = [
+        (8, 500, 2, 0),
+        (9, 500, 2, 0),
+        (3, 500, 1, 0),
+        (100, 900, 10, 2),
+        (100, 1000, 1, 2),
+        (10_000, 300, 2_500, 2),
+    ];
+    for (engines, live_share, away, per_engine) in cases {
+        let limits = SwapLimits::new(&settings, engines, Permille(live_share));
+        expect_that!(limits.away_at_once, eq(away), "{engines} engines");
+        expect_that!(
+            limits.fetches_per_engine,
+            eq(per_engine),
+            "{engines} engines"
+        );
+    }
+}
+
+#[gtest]
+fn swaps_begin_as_shares_and_sources_allow() {
+    let limits = |away_at_once, fetches_per_store, fetches_per_engine| SwapLimits {
+        away_at_once,
+        fetches_per_store,
+        fetches_per_engine,
+    };
+    let engine = address;
+    let quarantined = Case {
+        ready: false,
+        ..unknown()
+    };
+    let failed = Case {
+        failed_before: true,
+        ..at(1)
+    };
+    let cases: Vec<(&str, Vec<Case>, SwapLimits, Vec<(u32, SocketAddr)>)> = vec![
+        ("all are there", vec![at(2), at(2)], limits(2, 4, 0), vec![]),
+        (
+            "share",
+            vec![at(1), at(1), at(1)],
+            limits(2, 4, 0),
+            vec![(0, store()), (1, store())],
+        ),
+        (
+            "one is away already",
+            vec![fetching(store()), at(1), at(1)],
+            limits(2, 4, 0),
+            vec![(1, store())],
+        ),
+        (
+            "unknown first",
+            vec![at(1), unknown(), unknown()],
+            limits(1, 4, 0),
+            vec![(1, store()), (2, store())],
+        ),
+        (
+            "quarantined ones are away",
+            vec![quarantined, at(1), at(1)],
+            limits(1, 4, 0),
+            vec![],
+        ),
+        (
+            "store is full",
+            vec![fetching(store()), at(1), at(1)],
+            limits(9, 1, 0),
+            vec![],
+        ),
+        (
+            "lower versions are moved to as well",
+            vec![at(3)],
+            limits(1, 1, 0),
+            vec![(0, store())],
+        ),
+        (
+            "engines as sources",
+            vec![at(2), at(1), at(1), at(1), at(1)],
+            limits(9, 1, 2),
+            vec![(1, store()), (2, engine(0)), (3, engine(0))],
+        ),
+        (
+            "a source with one place left",
+            vec![at(2), fetching(engine(0)), at(1), at(1), at(1)],
+            limits(9, 1, 2),
+            vec![(2, store()), (3, engine(0))],
+        ),
+        (
+            "after a failure from the store only",
+            vec![at(2), fetching(store()), failed],
+            limits(9, 1, 2),
+            vec![],
+        ),
+    ];
+    for (case, engines, limits, expected) in cases {
+        expect_that!(begin(&engines, limits), eq(&expected), "{case}");
+    }
+}
+
+#[gtest]
+fn no_more_are_ever_away_than_allowed_and_no_source_is_overrun() {
+    let site = Site {
+        engines: 100,
+        ..Site::default()
+    };
+    let settings = LeaderSettings::default();
+    let mut group = Group::new(&site);
+    let mut fleet = Fleet::new(100, 1);
+    fleet.load_ms = 900;
+    fleet.run(&mut group, 2_000);
+    group.publish(POOL, 2);
+    let mut most_from: BTreeMap<String, usize> = BTreeMap::new();
+    fleet.run_until(&mut group, 60_000, |fleet, _| fleet.count_at(2) > 90);
+    for moment in fleet.orders.iter().map(|(at, _, _)| *at) {
+        let mut now: BTreeMap<String, usize> = BTreeMap::new();
+        for (sent, _, order) in &fleet.orders {
+            if *sent <= moment && moment.since(*sent).as_millis() < 900 {
+                *now.entry(format!("{:?}", order.order)).or_default() += 1;
+            }
+        }
+        for (source, count) in now {
+            let most = most_from.entry(source).or_default();
+            *most = count.max(*most);
+        }
+    }
+    for (source, count) in most_from {
+        let limit = if source.contains("192.168.0.1:") {
+            settings.fetches_per_store
+        } else {
+            settings.fetches_per_engine
+        };
+        expect_that!(count, le(limit as usize), "{source}");
+    }
+    expect_that!(fleet.most_loading, all![le(25), ge(20)]);
+}
+
+#[gtest]
+fn two_pools_of_a_service_share_its_engines_and_the_higher_version_wins() {
+    let mut group = Group::new(&Site::default());
+    let mut fleet = Fleet::new(8, 1);
+    let other = support::site::pool("transfers");
+    group.apply_change(ConfigurationChange::PutPool(other));
+    group.publish(POOL, 2);
+    group.publish("transfers", 3);
+    fleet.run_until(&mut group, 60_000, |fleet, _| fleet.count_at(3) == 8);
+    expect_that!(fleet.most_loading, le(2));
+}
+
+/// The figure is simulated time; loads take two seconds whatever the source.
+#[gtest]
+fn ten_thousand_engines_take_a_version_within_the_limit() {
+    let site = Site {
+        engines: 10_000,
+        live_servers: 0,
+        ..Site::default()
+    };
+    let mut group = Group::new(&site);
+    let mut fleet = Fleet::new(10_000, 1);
+    fleet.load_ms = 2_000;
+    fleet.run(&mut group, 15_000);
+    let reads = fleet.reads;
+    group.publish(POOL, 2);
+    let took = fleet.run_until(&mut group, 120_000, |fleet, _| fleet.count_at(2) == 10_000);
+    println!(
+        "10000 engines took a version in {took} ms, with {} reads",
+        fleet.reads - reads
+    );
+    expect_that!(took, le(33_000));
+    expect_that!(fleet.most_loading, le(2_500));
+}
