replica: driver of the groups, orders to engines, health and metrics

Cause: the replicated groups need threads, disks and sockets. Ruled out: syncing on the group's own thread (a slow sync would hold up heartbeats). Change: per group a thread for the host and one for its store; one connection to each other member, answers to replicas of unknown address on their own connection; effect threads that check the lease again right before an order leaves.

--- /dev/null
+++ b/crates/wingshore-replica/src/admin.rs
@@ -0,0 +1,141 @@
+//! The admin listener: health, readiness and metrics over HTTP.
+//!
+//! The HTTP library bounds neither the time nor the size of a request's head, so the admin
+//! address belongs to a network that only operators reach.
+
+use crate::error::{AdminSnafu, ReplicaError, ThreadSnafu};
+use crate::metrics::{GroupMetrics, ReplicaMetrics};
+use snafu::ResultExt;
+use std::io::Cursor;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use tiny_http::{Header, Method, Request, Response, Server};
+use wingshore_types::GroupId;
+
+/// Content type of the metrics.
+const METRICS_TYPE: &[u8] = b"application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Content type of everything else.
+const TEXT_TYPE: &[u8] = b"text/plain; charset=utf-8";
+
+/// What the admin listener tells of.
+pub(crate) struct AdminState {
+    pub(crate) metrics: ReplicaMetrics,
+    pub(crate) groups: Vec<(GroupId, Arc<GroupMetrics>)>,
+}
+
+/// A running admin listener.
+pub(crate) struct Admin {
+    server: Arc<Server>,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct Answer {
+    status: u16,
+    content_type: &'static [u8],
+    body: String,
+}
+
+impl Admin {
+    /// Begins to listen.
+    pub(crate) fn start(address: SocketAddr, state: AdminState) -> Result<Self, ReplicaError> {
+        let server = Server::http(address).map_err(|error| {
+            let message = error.to_string();
+            AdminSnafu { address, message }.build()
+        })?;
+        let server = Arc::new(server);
+        let serving = Arc::clone(&server);
+        let name = "admin".to_owned();
+        let thread = thread::Builder::new()
+            .name(name.clone())
+            .spawn(move || serve(&serving, &state))
+            .context(ThreadSnafu { name })?;
+        Ok(Self {
+            server,
+            thread: Some(thread),
+        })
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        self.server.server_addr().to_ip()
+    }
+}
+
+impl Drop for Admin {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(thread) = self.thread.take() {
+            // A panicked listener has nothing to hand on.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn serve(server: &Server, state: &AdminState) {
+    for request in server.incoming_requests() {
+        let answer = state.answer(request.method(), request.url());
+        respond(request, answer);
+    }
+}
+
+fn respond(request: Request, answer: Answer) {
+    let header = Header::from_bytes(&b"Content-Type"[..], answer.content_type);
+    let body = answer.body.into_bytes();
+    let length = body.len();
+    let response = Response::new(
+        answer.status.into(),
+        header.into_iter().collect(),
+        Cursor::new(body),
+        Some(length),
+        None,
+    );
+    // A caller that is gone needs no answer.
+    let _ = request.respond(response);
+}
+
+impl AdminState {
+    fn answer(&self, method: &Method, path: &str) -> Answer {
+        match (method, path) {
+            (Method::Get, "/healthz") => text(200, "ok\n".to_owned()),
+            (Method::Get, "/readyz") => self.readiness(),
+            (Method::Get, "/metrics") => self.metrics(),
+            _ => text(
+                404,
+                "allowed: GET /healthz, /readyz and /metrics\n".to_owned(),
+            ),
+        }
+    }
+
+    fn readiness(&self) -> Answer {
+        let waiting: Vec<String> = self
+            .groups
+            .iter()
+            .filter(|(_, metrics)| !metrics.is_ready())
+            .map(|(group, _)| group.to_string())
+            .collect();
+        if waiting.is_empty() {
+            return text(200, "ready\n".to_owned());
+        }
+        text(503, format!("no known leader: {}\n", waiting.join(", ")))
+    }
+
+    fn metrics(&self) -> Answer {
+        match self.metrics.text() {
+            Ok(body) => Answer {
+                status: 200,
+                content_type: METRICS_TYPE,
+                body,
+            },
+            Err(error) => text(500, format!("{error}\n")),
+        }
+    }
+}
+
+fn text(status: u16, body: String) -> Answer {
+    Answer {
+        status,
+        content_type: TEXT_TYPE,
+        body,
+    }
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/effects/engine.rs
@@ -0,0 +1,102 @@
+//! HTTP calls to engines and live servers.
+
+use serde::de::DeserializeOwned;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use ureq::Agent;
+use ureq::http::{Response, StatusCode};
+use wingshore_control::OrderAnswer;
+use wingshore_types::Verdict;
+use wingshore_types::platform::{EngineOrder, EngineState, LoadReport, NOT_RUN_HEADER};
+
+/// Connections kept open to one server.
+const IDLE_PER_SERVER: usize = 1;
+
+/// Calls engines; clones share their connections.
+#[derive(Clone)]
+pub(crate) struct EngineClient {
+    agent: Agent,
+}
+
+impl EngineClient {
+    /// A client that gives a call up after `timeout` and keeps at most `most_idle` connections.
+    pub(crate) fn new(timeout: Duration, most_idle: usize) -> Self {
+        let config = Agent::config_builder()
+            .timeout_global(Some(timeout))
+            .http_status_as_error(false)
+            .max_idle_connections(most_idle)
+            .max_idle_connections_per_host(IDLE_PER_SERVER)
+            .max_redirects(0)
+            .build();
+        Self {
+            agent: Agent::new_with_config(config),
+        }
+    }
+
+    /// `POST /orders`.
+    pub(crate) fn send_order(&self, address: SocketAddr, order: &EngineOrder) -> OrderAnswer {
+        let url = format!("http://{address}/orders");
+        match self.agent.post(&url).send_json(order) {
+            Ok(response) => order_answer(response),
+            Err(error) => OrderAnswer::Failed(verdict_of(&error)),
+        }
+    }
+
+    /// `GET /state`.
+    pub(crate) fn read_state(&self, address: SocketAddr) -> Result<EngineState, Verdict> {
+        self.read(&format!("http://{address}/state"))
+    }
+
+    /// `GET /load`.
+    pub(crate) fn read_load(&self, address: SocketAddr) -> Result<LoadReport, Verdict> {
+        self.read(&format!("http://{address}/load"))
+    }
+
+    fn read<T: DeserializeOwned>(&self, url: &str) -> Result<T, Verdict> {
+        let called = self.agent.get(url).call();
+        let mut response = called.map_err(|error| verdict_of(&error))?;
+        if response.status() != StatusCode::OK {
+            return Err(verdict_of_refusal(&response));
+        }
+        response.body_mut().read_json().map_err(|_| Verdict::Ran)
+    }
+}
+
+fn order_answer(mut response: Response<ureq::Body>) -> OrderAnswer {
+    match response.status() {
+        StatusCode::ACCEPTED => OrderAnswer::Accepted,
+        StatusCode::CONFLICT => match response.body_mut().read_json() {
+            Ok(fenced) => OrderAnswer::Fenced(fenced),
+            Err(_) => OrderAnswer::Failed(Verdict::MayHaveRun),
+        },
+        _ => OrderAnswer::Failed(verdict_of_refusal(&response)),
+    }
+}
+
+/// An answer that is neither success nor a fence: only the server's own word makes it "not run".
+fn verdict_of_refusal(response: &Response<ureq::Body>) -> Verdict {
+    let not_run = response
+        .headers()
+        .get(NOT_RUN_HEADER)
+        .is_some_and(|value| value.as_bytes() == b"true");
+    if not_run {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
+    }
+}
+
+/// Only a connection that never stood rules execution out.
+fn verdict_of(error: &ureq::Error) -> Verdict {
+    match error {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => Verdict::NotRun,
+        ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Verdict::NotRun
+        }
+        _ => Verdict::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/effects/lease.rs
@@ -0,0 +1,38 @@
+//! The control group's lease, as other threads than the group's own may check it.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use wingshore_types::{Epoch, Instant};
+
+/// The lease as of the group's last step.
+#[derive(Debug, Default)]
+pub(crate) struct LeaseView {
+    state: Mutex<State>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    epoch: Epoch,
+    until: Option<Instant>,
+}
+
+impl LeaseView {
+    /// A leadership begins.
+    pub(crate) fn set_epoch(&self, epoch: Epoch) {
+        self.lock().epoch = epoch;
+    }
+
+    /// The lease lasts until then; `None` when it is not held.
+    pub(crate) fn set_until(&self, until: Option<Instant>) {
+        self.lock().until = until;
+    }
+
+    /// Whether the leadership `epoch` may still act at `now`.
+    pub(crate) fn allows(&self, epoch: Epoch, now: Instant) -> bool {
+        let state = *self.lock();
+        state.epoch == epoch && state.until.is_some_and(|until| now < until)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/group/driver.rs
@@ -0,0 +1,308 @@
+//! The thread that owns a group's host.
+
+use super::kind::HostedLeader;
+use super::port::{GroupCall, GroupEvent, Inbox, Outbox, RequestOrigin};
+use super::writer::{self, WriteJob};
+use crate::clock::Clock;
+use crate::error::{HostSnafu, ReplicaError, StorageSnafu, ThreadSnafu};
+use crate::metrics::GroupMetrics;
+use crate::peers::Peers;
+use crossbeam_channel::{Sender, select, unbounded};
+use slog::{Logger, info};
+use snafu::ResultExt;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use wingshore_group::{Host, HostConfig, HostInput, HostOutput, HostReply, Leadership};
+use wingshore_storage::GroupStore;
+use wingshore_types::log::RecoveredLog;
+use wingshore_types::machine::RequestTag;
+use wingshore_types::protocol::wire::GroupReply;
+use wingshore_types::{Epoch, GroupId, Instant, ReplicaId};
+
+/// Most inputs that one step takes; what they write goes out as one batch.
+const MOST_INPUTS: usize = 1024;
+/// Longest sleep without any input.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+/// No lease lasts longer, in milliseconds.
+const LONGEST_LEASE_MILLIS: u32 = 60_000;
+
+/// Carries out what a leader machine wants done outside.
+pub(crate) trait EffectRunner<L: HostedLeader>: Send {
+    /// A leadership begins: what the leader machine is to know first.
+    fn on_leading(&mut self, epoch: Epoch) -> Option<L::Event>;
+    /// The lease, as of the last step; `None` when it is not held.
+    fn on_lease(&mut self, until: Option<Instant>);
+    /// Begins an effect; an event comes back at once where it cannot even begin.
+    fn begin(&mut self, effect: L::Effect) -> Option<L::Event>;
+}
+
+/// For leaders that want nothing done outside.
+pub(crate) struct NoEffects;
+
+impl<L: HostedLeader> EffectRunner<L> for NoEffects {
+    fn on_leading(&mut self, _epoch: Epoch) -> Option<L::Event> {
+        None
+    }
+
+    fn on_lease(&mut self, _until: Option<Instant>) {}
+
+    fn begin(&mut self, _effect: L::Effect) -> Option<L::Event> {
+        None
+    }
+}
+
+/// What a group starts from.
+pub(crate) struct GroupSetup {
+    pub(crate) group: GroupId,
+    pub(crate) config: HostConfig,
+    pub(crate) store: GroupStore,
+    pub(crate) recovered: RecoveredLog,
+    pub(crate) clock: Clock,
+    pub(crate) peers: Arc<Peers>,
+    pub(crate) metrics: Arc<GroupMetrics>,
+    pub(crate) logger: Logger,
+}
+
+/// Starts the group's threads. The handle gives how the group ended.
+pub(crate) fn start<L: HostedLeader>(
+    setup: GroupSetup,
+    inbox: Inbox<L>,
+    outbox: Outbox<L>,
+    effects: impl EffectRunner<L> + 'static,
+) -> Result<JoinHandle<Result<(), ReplicaError>>, ReplicaError> {
+    let name = setup.group.to_string();
+    thread::Builder::new()
+        .name(name.clone())
+        .spawn(move || run(setup, inbox, &outbox, effects))
+        .context(ThreadSnafu { name })
+}
+
+fn run<L: HostedLeader>(
+    setup: GroupSetup,
+    inbox: Inbox<L>,
+    outbox: &Outbox<L>,
+    effects: impl EffectRunner<L>,
+) -> Result<(), ReplicaError> {
+    let group = setup.group;
+    let host =
+        Host::new(setup.clock.now(), setup.config, setup.recovered).context(HostSnafu { group })?;
+    let (writes, jobs) = unbounded();
+    let (store, metrics) = (setup.store, Arc::clone(&setup.metrics));
+    let name = format!("{group}-writer");
+    let writer = thread::Builder::new()
+        .name(name.clone())
+        .spawn(move || writer::run(store, &jobs, &inbox, &metrics))
+        .context(ThreadSnafu { name })?;
+    setup.peers.set_members(group, host.membership());
+    let driver = Driver {
+        group,
+        host,
+        effects,
+        writes,
+        clock: setup.clock,
+        peers: setup.peers,
+        metrics: setup.metrics,
+        logger: setup.logger,
+        waiting: BTreeMap::new(),
+        next_tag: 0,
+        events: Vec::new(),
+        stopped: false,
+    };
+    let ended = driver.run(outbox);
+    // The driver and with it the writer's channel are gone: the writer ends.
+    let written = writer.join();
+    ended?;
+    written.map_err(|_| ReplicaError::Panicked { group })
+}
+
+struct Driver<L: HostedLeader, E> {
+    group: GroupId,
+    host: Host<L>,
+    effects: E,
+    writes: Sender<WriteJob>,
+    clock: Clock,
+    peers: Arc<Peers>,
+    metrics: Arc<GroupMetrics>,
+    logger: Logger,
+    waiting: BTreeMap<RequestTag, RequestOrigin>,
+    next_tag: u64,
+    /// Events that arose in this thread, for the next step.
+    events: Vec<L::Event>,
+    stopped: bool,
+}
+
+impl<L: HostedLeader, E: EffectRunner<L>> Driver<L, E> {
+    fn run(mut self, outbox: &Outbox<L>) -> Result<(), ReplicaError> {
+        let mut inputs = Vec::new();
+        let mut outputs = Vec::new();
+        while !self.stopped {
+            self.await_input(outbox, &mut inputs)?;
+            self.drain(outbox, &mut inputs)?;
+            if self.stopped {
+                return Ok(());
+            }
+            let now = self.clock.now();
+            if self.host.next_tick() <= now {
+                inputs.push(HostInput::Tick);
+            }
+            self.host.step_all(now, inputs.drain(..), &mut outputs);
+            self.effects.on_lease(lease_until(&self.host, now));
+            for output in outputs.drain(..) {
+                self.carry_out(output)?;
+            }
+            self.update_metrics();
+        }
+        Ok(())
+    }
+
+    /// Waits until there is something to do.
+    fn await_input(
+        &mut self,
+        outbox: &Outbox<L>,
+        inputs: &mut Vec<HostInput<L>>,
+    ) -> Result<(), ReplicaError> {
+        inputs.extend(self.events.drain(..).map(HostInput::Event));
+        let sleep = match inputs.is_empty() {
+            true => self.host.next_tick().since(self.clock.now()),
+            false => Duration::ZERO,
+        };
+        let received = select! {
+            recv(outbox.events) -> event => event.ok().and_then(|event| self.event_input(event).transpose()),
+            recv(outbox.requests) -> call => call.ok().map(|call| Ok(self.call_input(call))),
+            default(sleep.min(LONGEST_SLEEP)) => None,
+        };
+        inputs.extend(received.transpose()?);
+        Ok(())
+    }
+
+    /// Takes what else is there, so that it shares one write.
+    fn drain(
+        &mut self,
+        outbox: &Outbox<L>,
+        inputs: &mut Vec<HostInput<L>>,
+    ) -> Result<(), ReplicaError> {
+        while inputs.len() < MOST_INPUTS {
+            let Ok(event) = outbox.events.try_recv() else {
+                break;
+            };
+            inputs.extend(self.event_input(event)?);
+        }
+        while inputs.len() < MOST_INPUTS {
+            let Ok(call) = outbox.requests.try_recv() else {
+                break;
+            };
+            inputs.push(self.call_input(call));
+        }
+        Ok(())
+    }
+
+    fn event_input(
+        &mut self,
+        event: GroupEvent<L::Event>,
+    ) -> Result<Option<HostInput<L>>, ReplicaError> {
+        let input = match event {
+            GroupEvent::Consensus { from, message } => HostInput::Consensus { from, message },
+            GroupEvent::Effect(event) => HostInput::Event(event),
+            GroupEvent::Persisted { token } => HostInput::Persisted { token },
+            GroupEvent::Stop => HostInput::Stop,
+            GroupEvent::WriteFailed(error) => {
+                return Err(error).context(StorageSnafu { group: self.group });
+            }
+            GroupEvent::Abort => {
+                self.stopped = true;
+                return Ok(None);
+            }
+        };
+        Ok(Some(input))
+    }
+
+    fn call_input(&mut self, call: (RequestOrigin, GroupCall<L::Request>)) -> HostInput<L> {
+        let (origin, call) = call;
+        let tag = RequestTag(self.next_tag);
+        self.next_tag += 1;
+        self.waiting.insert(tag, origin);
+        match call {
+            GroupCall::Machine(request) => HostInput::Request { tag, request },
+            GroupCall::Membership(request) => HostInput::Membership { tag, request },
+        }
+    }
+
+    fn carry_out(&mut self, output: HostOutput<L>) -> Result<(), ReplicaError> {
+        match output {
+            HostOutput::Send { to, message } => self.peers.send(to, self.group, message),
+            HostOutput::Write { token, batch } => {
+                // A writer that is gone has reported why.
+                let _ = self.writes.send(WriteJob { token, batch });
+            }
+            HostOutput::Reply { tag, reply } => self.reply(tag, reply),
+            HostOutput::Effect(effect) => self.events.extend(self.effects.begin(effect)),
+            HostOutput::MembershipChanged(membership) => {
+                self.peers.set_members(self.group, &membership);
+            }
+            HostOutput::Leadership(leadership) => self.on_leadership(leadership),
+            HostOutput::Stopped => self.stopped = true,
+            HostOutput::Failed(error) => {
+                return Err(error).context(HostSnafu { group: self.group });
+            }
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, tag: RequestTag, reply: HostReply<L::Reply>) {
+        let Some(origin) = self.waiting.remove(&tag) else {
+            return;
+        };
+        let body = match reply {
+            HostReply::Reply(reply) => L::reply_body(reply),
+            HostReply::Membership(reply) => GroupReply::Membership(reply),
+            HostReply::NotLeader { leader } => GroupReply::NotLeader {
+                leader: leader.and_then(|leader| self.peers.address_of(leader)),
+            },
+            HostReply::Unknown => GroupReply::Unknown,
+        };
+        origin.reply(body);
+    }
+
+    fn on_leadership(&mut self, leadership: Leadership) {
+        match leadership {
+            Leadership::Leading { epoch } => {
+                info!(self.logger, "leading"; "group" => %self.group, "epoch" => epoch.0);
+                self.metrics.leaderships.inc();
+                self.events.extend(self.effects.on_leading(epoch));
+            }
+            Leadership::Following { leader } => {
+                let leader = leader.map_or(0, |ReplicaId(leader)| leader);
+                info!(self.logger, "following"; "group" => %self.group, "leader" => leader);
+            }
+        }
+    }
+
+    fn update_metrics(&self) {
+        let leader = self.host.leader().is_some();
+        self.metrics
+            .update(self.host.is_leader(), leader, self.host.term());
+        let commit = self.host.commit_index();
+        self.metrics
+            .update_log(commit, self.host.applied_index(), self.waiting.len());
+    }
+}
+
+/// When the lease that is held at `now` ends, to the millisecond below; `None` when it is not held.
+fn lease_until<L: HostedLeader>(host: &Host<L>, now: Instant) -> Option<Instant> {
+    const STEP: Duration = Duration::from_millis(1);
+    if !host.holds_lease(now) {
+        return None;
+    }
+    let (mut held, mut ended) = (0_u32, LONGEST_LEASE_MILLIS);
+    while ended - held > 1 {
+        let middle = held.midpoint(ended);
+        match host.holds_lease(now + STEP * middle) {
+            true => held = middle,
+            false => ended = middle,
+        }
+    }
+    Some(now + STEP * held)
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/group/kind.rs
@@ -0,0 +1,56 @@
+//! The kinds of groups, and how their requests and replies travel.
+
+use wingshore_control::ControlLeader;
+use wingshore_ledger::claims::ClaimsLeader;
+use wingshore_ledger::samples::LedgerLeader;
+use wingshore_types::machine::LeaderMachine;
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+
+/// A leader machine whose requests and replies travel in frames.
+pub(crate) trait HostedLeader:
+    LeaderMachine<State: Default, Request: Send, Event: Send> + Default + 'static
+{
+    /// The request, when it is one of this kind.
+    fn request_of(body: GroupRequest) -> Option<Self::Request>;
+    /// The reply as it travels.
+    fn reply_body(reply: Self::Reply) -> GroupReply;
+}
+
+impl HostedLeader for ControlLeader {
+    fn request_of(body: GroupRequest) -> Option<Self::Request> {
+        match body {
+            GroupRequest::Control(request) => Some(request),
+            _ => None,
+        }
+    }
+
+    fn reply_body(reply: Self::Reply) -> GroupReply {
+        GroupReply::Control(reply)
+    }
+}
+
+impl HostedLeader for LedgerLeader {
+    fn request_of(body: GroupRequest) -> Option<Self::Request> {
+        match body {
+            GroupRequest::Ledger(request) => Some(request),
+            _ => None,
+        }
+    }
+
+    fn reply_body(reply: Self::Reply) -> GroupReply {
+        GroupReply::Ledger(reply)
+    }
+}
+
+impl HostedLeader for ClaimsLeader {
+    fn request_of(body: GroupRequest) -> Option<Self::Request> {
+        match body {
+            GroupRequest::Claims(request) => Some(request),
+            _ => None,
+        }
+    }
+
+    fn reply_body(reply: Self::Reply) -> GroupReply {
+        GroupReply::Claims(reply)
+    }
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/group/writer.rs
@@ -0,0 +1,40 @@
+//! The thread that makes a group's writes durable.
+
+use super::kind::HostedLeader;
+use super::port::{GroupEvent, Inbox};
+use crate::metrics::GroupMetrics;
+use crossbeam_channel::Receiver;
+use std::sync::Arc;
+use std::time::Instant;
+use wingshore_storage::GroupStore;
+use wingshore_types::log::WriteBatch;
+
+/// One write asked for.
+pub(crate) struct WriteJob {
+    /// Names it.
+    pub(crate) token: u64,
+    /// What to write.
+    pub(crate) batch: WriteBatch,
+}
+
+/// Writes until no more can come, or a write fails.
+pub(crate) fn run<L: HostedLeader>(
+    mut store: GroupStore,
+    jobs: &Receiver<WriteJob>,
+    inbox: &Inbox<L>,
+    metrics: &Arc<GroupMetrics>,
+) {
+    for job in jobs {
+        let start = Instant::now();
+        match store.write(&job.batch) {
+            Ok(()) => {
+                metrics.write_seconds.observe(start.elapsed().as_secs_f64());
+                inbox.event(GroupEvent::Persisted { token: job.token });
+            }
+            Err(error) => {
+                inbox.event(GroupEvent::WriteFailed(error));
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/peers.rs
@@ -0,0 +1,209 @@
+//! Connections to the other members, and who listens where.
+
+use slog::{Logger, info, warn};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::thread;
+use wingshore_settings::FoundingMember;
+use wingshore_transport::{ConnectionHandle, FrameHandler, Peer, PeerOptions};
+use wingshore_types::protocol::membership::{Member, Membership};
+use wingshore_types::protocol::wire::Frame;
+use wingshore_types::{GroupId, ReplicaId};
+
+/// One outgoing connection for each other member of any group, and the connections that other
+/// replicas have opened. A replica answers on those as long as it does not know where the other
+/// one listens, as a new member does not before it has seen the membership.
+pub(crate) struct Peers {
+    site: String,
+    own: ReplicaId,
+    logger: Logger,
+    handler: OnceLock<Weak<dyn FrameHandler>>,
+    table: Mutex<Table>,
+}
+
+#[derive(Default)]
+struct Table {
+    /// From the settings; the membership of a group overrides it.
+    founding: BTreeMap<ReplicaId, SocketAddr>,
+    memberships: BTreeMap<GroupId, Membership>,
+    outgoing: BTreeMap<ReplicaId, Arc<Peer>>,
+    incoming: BTreeMap<ReplicaId, ConnectionHandle>,
+    closed: bool,
+}
+
+impl Peers {
+    /// No connections yet.
+    pub(crate) fn new(
+        site: &str,
+        own: ReplicaId,
+        founding: &[FoundingMember],
+        logger: Logger,
+    ) -> Self {
+        let founding = founding
+            .iter()
+            .map(|member| (member.id, member.address))
+            .collect();
+        Self {
+            site: site.to_owned(),
+            own,
+            logger,
+            handler: OnceLock::new(),
+            table: Mutex::new(Table {
+                founding,
+                ..Table::default()
+            }),
+        }
+    }
+
+    /// Sets who takes the frames that come back; once, before the first membership.
+    pub(crate) fn set_handler(&self, handler: &Arc<dyn FrameHandler>) {
+        // A second handler is never set.
+        let _ = self.handler.set(Arc::downgrade(handler));
+    }
+
+    /// Queues a consensus message, or drops it where there is no connection.
+    pub(crate) fn send(&self, to: ReplicaId, group: GroupId, message: Vec<u8>) {
+        let (outgoing, incoming) = {
+            let table = self.lock();
+            let outgoing = table.outgoing.get(&to).cloned();
+            (outgoing, table.incoming.get(&to).cloned())
+        };
+        match (outgoing.filter(|peer| peer.is_connected()), incoming) {
+            (Some(peer), _) => {
+                peer.send_consensus(group, message);
+            }
+            (None, Some(connection)) => {
+                // Consensus sends again what is lost.
+                let _ = connection.send(&Frame::Consensus { group, message });
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// A group's members are these now: opens and closes connections.
+    pub(crate) fn set_members(&self, group: GroupId, membership: &Membership) {
+        let mut table = self.lock();
+        if table.closed {
+            return;
+        }
+        table.memberships.insert(group, membership.clone());
+        let wanted = table.wanted(self.own);
+        let superfluous = table.take_superfluous(&wanted);
+        for (id, address) in wanted {
+            if !table.outgoing.contains_key(&id) {
+                self.connect(&mut table, id, address);
+            }
+        }
+        drop(table);
+        stop_apart(superfluous);
+    }
+
+    /// Where a replica listens, as far as known.
+    pub(crate) fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.lock().addresses().remove(&id)
+    }
+
+    /// A replica has opened a connection, or sent something on it.
+    pub(crate) fn note_incoming(&self, id: ReplicaId, connection: &ConnectionHandle) {
+        let mut table = self.lock();
+        let known = table.incoming.get(&id).map(ConnectionHandle::id);
+        if known != Some(connection.id()) {
+            table.incoming.insert(id, connection.clone());
+        }
+    }
+
+    /// A connection is closed.
+    pub(crate) fn note_closed(&self, connection: &ConnectionHandle) {
+        let mut table = self.lock();
+        table
+            .incoming
+            .retain(|_, known| known.id() != connection.id());
+    }
+
+    /// Closes all connections, for good.
+    pub(crate) fn close(&self) {
+        let outgoing = {
+            let mut table = self.lock();
+            table.closed = true;
+            table.incoming.clear();
+            std::mem::take(&mut table.outgoing)
+        };
+        drop(outgoing);
+    }
+
+    fn connect(&self, table: &mut Table, id: ReplicaId, address: SocketAddr) {
+        let Some(handler) = self.handler.get().and_then(Weak::upgrade) else {
+            return;
+        };
+        let options = PeerOptions {
+            address,
+            expected: Some(id),
+            site: self.site.clone(),
+            replica: Some(self.own),
+            seed: self.own.0 ^ id.0.rotate_left(32),
+        };
+        match Peer::start_with(options, handler) {
+            Ok(peer) => {
+                info!(self.logger, "connecting to member"; "member" => id.0, "address" => %address);
+                table.outgoing.insert(id, Arc::new(peer));
+            }
+            Err(error) => {
+                warn!(self.logger, "cannot connect to member"; "member" => id.0, "error" => %error);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Table {
+    /// Where each known replica listens.
+    fn addresses(&self) -> BTreeMap<ReplicaId, SocketAddr> {
+        let mut addresses = self.founding.clone();
+        for member in self.members() {
+            addresses.insert(member.id, member.address);
+        }
+        addresses
+    }
+
+    /// To whom there should be a connection.
+    fn wanted(&self, own: ReplicaId) -> BTreeMap<ReplicaId, SocketAddr> {
+        self.members()
+            .filter(|member| member.id != own)
+            .map(|member| (member.id, member.address))
+            .collect()
+    }
+
+    fn members(&self) -> impl Iterator<Item = &Member> {
+        self.memberships
+            .values()
+            .flat_map(|membership| membership.voters.iter().chain(&membership.learners))
+    }
+
+    /// Takes out connections to replicas that left or moved.
+    fn take_superfluous(&mut self, wanted: &BTreeMap<ReplicaId, SocketAddr>) -> Vec<Arc<Peer>> {
+        let mut superfluous = Vec::new();
+        self.outgoing.retain(|id, peer| {
+            let keep = wanted.get(id) == Some(&peer.address());
+            if !keep {
+                superfluous.push(Arc::clone(peer));
+            }
+            keep
+        });
+        superfluous
+    }
+}
+
+/// Closing a connection may wait for an attempt to connect: not on a group's thread.
+fn stop_apart(peers: Vec<Arc<Peer>>) {
+    if peers.is_empty() {
+        return;
+    }
+    // Without a thread they are closed here and now, as the closure is dropped.
+    let _ = thread::Builder::new()
+        .name("peer-close".to_owned())
+        .spawn(move || drop(peers));
+}
--- /dev/null
+++ b/crates/wingshore-replica/src/start.rs
@@ -0,0 +1,148 @@
+//! Opens the groups of a replica.
+
+use crate::clock::Clock;
+use crate::effects::{ControlEffects, EffectSettings, LeaseView};
+use crate::error::{ReplicaError, StorageSnafu};
+use crate::group::{self, EffectRunner, GroupPort, GroupSetup, HostedLeader, Inbox, NoEffects};
+use crate::metrics::{GroupMetrics, ReplicaMetrics};
+use crate::peers::Peers;
+use snafu::ResultExt;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use wingshore_control::{ControlLeader, LeaderSettings};
+use wingshore_diagnostics::Diagnostics;
+use wingshore_group::{HostConfig, Timing};
+use wingshore_ledger::claims::ClaimsLeader;
+use wingshore_ledger::samples::LedgerLeader;
+use wingshore_settings::ReplicaSettings;
+use wingshore_storage::{DataFolder, FileSystem, GroupStore};
+use wingshore_types::GroupId;
+
+/// A group whose thread runs.
+pub(crate) struct RunningGroup {
+    pub(crate) group: GroupId,
+    /// Gives how it ended.
+    pub(crate) thread: JoinHandle<Result<(), ReplicaError>>,
+}
+
+/// Starts the threads of a group that is open.
+pub(crate) type PreparedGroup = Box<dyn FnOnce() -> Result<RunningGroup, ReplicaError>>;
+
+/// What the groups of a replica share.
+pub(crate) struct Shared<'a> {
+    pub(crate) fs: Arc<dyn FileSystem>,
+    pub(crate) folder: &'a DataFolder,
+    pub(crate) settings: &'a ReplicaSettings,
+    pub(crate) diagnostics: &'a Diagnostics,
+    pub(crate) clock: Clock,
+    pub(crate) peers: Arc<Peers>,
+}
+
+/// Groups that are open; their threads are started only once connections can be taken.
+pub(crate) struct PreparedGroups {
+    pub(crate) metrics: ReplicaMetrics,
+    pub(crate) group_metrics: Vec<(GroupId, Arc<GroupMetrics>)>,
+    pub(crate) ports: BTreeMap<GroupId, Box<dyn GroupPort>>,
+    pub(crate) groups: Vec<PreparedGroup>,
+}
+
+impl PreparedGroups {
+    /// Opens all groups of the settings.
+    ///
+    /// # Errors
+    /// When the storage of one cannot be opened.
+    pub(crate) fn open(shared: &Shared<'_>) -> Result<Self, ReplicaError> {
+        let mut prepared = Self {
+            metrics: ReplicaMetrics::new(),
+            group_metrics: Vec::new(),
+            ports: BTreeMap::new(),
+            groups: Vec::new(),
+        };
+        let settings = shared.settings;
+        for group in GroupId::all(settings.ledger_groups, settings.claims_groups) {
+            match group {
+                GroupId::Control => prepared.open_control(shared)?,
+                GroupId::Ledger(_) => {
+                    prepared.open_group(shared, group, |_: &Inbox<LedgerLeader>| Ok(NoEffects))?;
+                }
+                GroupId::Claims(_) => {
+                    prepared.open_group(shared, group, |_: &Inbox<ClaimsLeader>| Ok(NoEffects))?;
+                }
+            }
+        }
+        Ok(prepared)
+    }
+
+    fn open_control(&mut self, shared: &Shared<'_>) -> Result<(), ReplicaError> {
+        let settings = EffectSettings {
+            replica: shared.folder.identity().replica,
+            leader: leader_settings(shared.settings),
+            orders: shared.settings.orders,
+        };
+        let clock = shared.clock;
+        let effects = move |inbox: &Inbox<ControlLeader>| {
+            ControlEffects::start(settings, Arc::new(LeaseView::default()), clock, inbox)
+        };
+        self.open_group(shared, GroupId::Control, effects)
+    }
+
+    fn open_group<L: HostedLeader, E: EffectRunner<L> + 'static>(
+        &mut self,
+        shared: &Shared<'_>,
+        group: GroupId,
+        effects: impl FnOnce(&Inbox<L>) -> Result<E, ReplicaError> + 'static,
+    ) -> Result<(), ReplicaError> {
+        let directory = shared.folder.group_directory(group);
+        let (store, recovered) =
+            GroupStore::open(Arc::clone(&shared.fs), &directory).context(StorageSnafu { group })?;
+        let metrics = self.metrics.group(group);
+        self.group_metrics.push((group, Arc::clone(&metrics)));
+        let setup = GroupSetup {
+            group,
+            config: host_config(shared),
+            store,
+            recovered,
+            clock: shared.clock,
+            peers: Arc::clone(&shared.peers),
+            metrics,
+            logger: shared.diagnostics.logger().clone(),
+        };
+        let (inbox, outbox) = Inbox::<L>::new();
+        self.ports.insert(group, Box::new(inbox.clone()));
+        self.groups.push(Box::new(move || {
+            let effects = effects(&inbox)?;
+            let thread = group::start(setup, inbox, outbox, effects)?;
+            Ok(RunningGroup { group, thread })
+        }));
+        Ok(())
+    }
+}
+
+fn host_config(shared: &Shared<'_>) -> HostConfig {
+    let identity = shared.folder.identity();
+    let timing = shared.settings.timing;
+    let founding = identity.founding.clone();
+    HostConfig {
+        timing: Timing {
+            election_timeout: timing.election_timeout,
+            heartbeat_interval: timing.heartbeat,
+            lease: timing.lease,
+            drift: timing.clock_drift,
+        },
+        snapshot_every_bytes: shared.settings.snapshot_every,
+        ..HostConfig::new(identity.replica, founding, rand::random())
+    }
+}
+
+fn leader_settings(settings: &ReplicaSettings) -> LeaderSettings {
+    LeaderSettings {
+        lease: settings.configuration_lease,
+        clock_drift: settings.timing.clock_drift,
+        longest_watch: settings.configuration_lease * 2 / 5,
+        order_timeout: settings.orders.timeout,
+        poll_interval: settings.orders.state_poll,
+        poll_timeout: settings.orders.timeout,
+        ..LeaderSettings::default()
+    }
+}
--- a/crates/wingshore-storage/src/folder.rs
+++ b/crates/wingshore-storage/src/folder.rs
@@ -14,6 +14,8 @@
 const IDENTITY_FILE: &str = "identity";
 /// Name of the lock's file.
 const LOCK_FILE: &str = "lock";
+/// Directory that log rings are written to; it says nothing about whose data the folder holds.
+const LOGS_DIRECTORY: &str = "logs";
 /// Identities up to this one are chosen by operators; members that join draw higher ones.
 const HIGHEST_FORMATTED: u64 = u32::MAX as u64;
 
@@ -166,13 +168,15 @@
     }
 }
 
-/// One thing in the folder, other than the lock and an identity whose writing was interrupted.
+/// One thing in the folder, other than the lock, written logs and an identity whose writing was
+/// interrupted.
 fn first_content(fs: &dyn FileSystem, folder: &Path) -> Result<Option<String>, StorageError> {
     let unfinished = format!("{IDENTITY_FILE}{TEMPORARY_SUFFIX}");
+    let ignored = [LOCK_FILE, LOGS_DIRECTORY, unfinished.as_str()];
     let names = fs.list(folder).during("list", folder)?;
     Ok(names
         .into_iter()
-        .find(|name| name != LOCK_FILE && *name != unfinished))
+        .find(|name| !ignored.contains(&name.as_str())))
 }
 
 /// An identity above those that operators choose.
