node: rollouts of the pools that the settings name

Change: one thread a pool drives the RolloutRunner; streams, ledger calls and scores run on bounded workers; a stream can be ended from outside at once (its connection is shut down), so a frozen engine holds no worker. Without a configuration lease no stream is started.

--- a/crates/wingshore-node/src/background/pools.rs
+++ b/crates/wingshore-node/src/background/pools.rs
@@ -10,8 +10,6 @@
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
 use wingshore_types::{GroupId, PoolId, Revision};
 
-/// Between two looks at the configuration.
-const POLL: Duration = Duration::from_millis(100);
 /// One announcement is tried for this long.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -22,18 +20,6 @@
 }
 
 impl PoolAnnouncer {
-    /// Announces the node's rollout pools whenever they change, until the node stops.
-    pub fn run(&self, node: &NodeState) {
-        while !node.stop.wait_timeout(POLL) {
-            let configuration = node.configuration();
-            for id in &node.settings.rollout.pools {
-                if let Some(pool) = configuration.pools.get(id) {
-                    self.announce(node, pool, configuration.revision);
-                }
-            }
-        }
-    }
-
     /// Announces `pool` unless it was announced as it is; answers whether its ledger knows it.
     pub fn announce(&self, node: &NodeState, pool: &Pool, revision: Revision) -> bool {
         if lock(&self.announced)
--- a/crates/wingshore-node/src/lib.rs
+++ b/crates/wingshore-node/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 pub mod http;
 mod metrics;
+mod rollout;
 mod run;
 pub mod serve;
 mod state;
--- /dev/null
+++ b/crates/wingshore-node/src/rollout/driver.rs
@@ -0,0 +1,308 @@
+//! One thread for each pool drives the pool's [`RolloutRunner`].
+
+use crate::rollout::streams::{RolloutStream, RunningStreams};
+use crate::rollout::workers::Workers;
+use crate::state::NodeState;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use slog::{info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use wingshore_rollout::{
+    CallId, OverIssue, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner, RolloutSettings,
+    ScoreCallId, StreamEnd,
+};
+use wingshore_types::configuration::{Configuration, ServiceKind};
+use wingshore_types::platform::{ScoreReply, ScoreRequest};
+use wingshore_types::protocol::ledger::{LedgerReply, LedgerRequest};
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{GroupId, PoolId, Revision, Verdict};
+
+/// Between two ticks of a runner.
+const TICK: Duration = Duration::from_millis(20);
+/// One call to a ledger is given up after this time; the runner sends again what matters.
+const LEDGER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Threads for calls to ledgers, for each pool.
+const LEDGER_CALLERS: usize = 8;
+/// Where scorers take samples.
+const SCORE: &str = "/score";
+/// A straggler runs at least this long before it is tried on a second engine.
+const OVER_ISSUE_AFTER: Duration = Duration::from_secs(2);
+/// One in so many streams may be a second attempt.
+const OVER_ISSUE_SHARE: u32 = 8;
+
+/// The rollouts of one pool.
+pub struct RolloutDriver {
+    thread: JoinHandle<()>,
+}
+
+impl RolloutDriver {
+    /// Waits for the planned stop's end: what runs has finished or was given back.
+    pub fn join(self) {
+        // A panic was reported when it happened.
+        let _ = self.thread.join();
+    }
+}
+
+/// Starts the rollouts of all pools that the settings name.
+///
+/// # Errors
+/// When a thread cannot be started.
+pub fn start_rollouts(node: &Arc<NodeState>) -> io::Result<Vec<RolloutDriver>> {
+    let pools = &node.settings.rollout.pools;
+    pools
+        .iter()
+        .map(|pool| start_pool(node, pool, pools.len()))
+        .collect()
+}
+
+fn start_pool(node: &Arc<NodeState>, pool: &PoolId, pools: usize) -> io::Result<RolloutDriver> {
+    let settings = runner_settings(node, pools);
+    let second_attempts = settings.over_issue.map_or(0, |over_issue| over_issue.most);
+    let streams = (settings.window_most + second_attempts) as usize;
+    let (inputs, received) = unbounded();
+    let drive = Drive {
+        node: Arc::clone(node),
+        pool: pool.clone(),
+        ledger: None,
+        known: None,
+        streams: Arc::new(RunningStreams::default()),
+        stream_workers: Workers::start("stream", streams)?,
+        ledger_workers: Workers::start("ledger", LEDGER_CALLERS)?,
+        score_workers: Workers::start("score", settings.score_concurrency as usize)?,
+        inputs,
+    };
+    let runner = RolloutRunner::new(settings, pool.clone());
+    let thread = thread::Builder::new()
+        .name(format!("rollout-{pool}"))
+        .spawn(move || drive.run(runner, &received))?;
+    Ok(RolloutDriver { thread })
+}
+
+/// The node's streams and scorings are shared evenly among its pools.
+fn runner_settings(node: &NodeState, pools: usize) -> RolloutSettings {
+    let own = &node.settings.rollout;
+    let streams = (own.max_streams / pools).max(1) as u32;
+    let scorings = (own.max_scorings / pools).max(1) as u32;
+    RolloutSettings {
+        window_most: streams,
+        score_concurrency: scorings,
+        over_issue: own.over_issue.then(|| OverIssue {
+            after: OVER_ISSUE_AFTER,
+            most: (streams / OVER_ISSUE_SHARE).max(1),
+        }),
+        stop_limit: node
+            .settings
+            .stop_grace
+            .min(RolloutSettings::new(node.settings.node.clone(), node.boot_id).stop_limit),
+        ..RolloutSettings::new(node.settings.node.clone(), node.boot_id)
+    }
+}
+
+/// What drives one runner.
+struct Drive {
+    node: Arc<NodeState>,
+    pool: PoolId,
+    /// The pool's ledger, once the configuration has named it.
+    ledger: Option<GroupId>,
+    /// The configuration that the runner knows.
+    known: Option<Revision>,
+    streams: Arc<RunningStreams>,
+    stream_workers: Workers,
+    ledger_workers: Workers,
+    score_workers: Workers,
+    inputs: Sender<RolloutInput>,
+}
+
+impl Drive {
+    fn run(mut self, mut runner: RolloutRunner, received: &Receiver<RolloutInput>) {
+        let mut next_tick = Instant::now() + TICK;
+        let mut has_stopped = false;
+        let mut finished = 0;
+        while !has_stopped {
+            let mut inputs = self.news();
+            let wait = next_tick.saturating_duration_since(Instant::now());
+            match received.recv_timeout(wait) {
+                Ok(input) => inputs.push(input),
+                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+                    next_tick = Instant::now() + TICK;
+                    inputs.push(RolloutInput::Tick);
+                }
+            }
+            for input in inputs {
+                has_stopped |= self.step(&mut runner, input);
+            }
+            let status = runner.status();
+            let metrics = &self.node.metrics;
+            metrics
+                .rollout_samples_finished
+                .inc_by(status.finished.saturating_sub(finished));
+            finished = status.finished;
+        }
+        self.finish();
+    }
+
+    /// A new configuration, and the planned stop.
+    fn news(&mut self) -> Vec<RolloutInput> {
+        let mut inputs = Vec::new();
+        let configuration = self.node.configuration();
+        if self.known != Some(configuration.revision) {
+            self.known = Some(configuration.revision);
+            if let Some(binding) = binding_of(&configuration, &self.pool) {
+                self.ledger = Some(GroupId::Ledger(binding.pool.ledger));
+                inputs.push(RolloutInput::Pool(Box::new(binding)));
+            }
+        }
+        if self.node.stop.is_stopping() {
+            inputs.push(RolloutInput::Stop);
+        }
+        inputs
+    }
+
+    /// Answers whether the planned stop is over.
+    fn step(&self, runner: &mut RolloutRunner, input: RolloutInput) -> bool {
+        let mut outputs = Vec::new();
+        runner.step(
+            self.node.clock.now(),
+            input,
+            &mut self.node.router(),
+            &mut outputs,
+        );
+        let mut has_stopped = false;
+        for output in outputs {
+            has_stopped |= self.carry_out(output);
+        }
+        has_stopped
+    }
+
+    fn carry_out(&self, output: RolloutOutput) -> bool {
+        match output {
+            RolloutOutput::Ledger { call, request } => self.ask_ledger(call, request),
+            RolloutOutput::StartStream {
+                attempt,
+                server,
+                address,
+                request,
+            } => self.start_stream(RolloutStream {
+                attempt,
+                server,
+                address,
+                request,
+            }),
+            RolloutOutput::CancelStream {
+                attempt,
+                address,
+                request_id,
+                ..
+            } => {
+                self.streams.interrupt(attempt);
+                self.node.cancel_at_engine(address, &request_id);
+            }
+            RolloutOutput::Score {
+                call,
+                address,
+                request,
+                timeout,
+            } => self.score(call, address, request, timeout),
+            RolloutOutput::Stopped => return true,
+        }
+        false
+    }
+
+    /// Without a configuration lease nothing new is sent: the engine may be leaving by now.
+    fn start_stream(&self, stream: RolloutStream) {
+        if self
+            .node
+            .holds_configuration(self.node.clock.now())
+            .is_err()
+        {
+            let refused = RolloutInput::StreamEnded {
+                attempt: stream.attempt,
+                end: StreamEnd::Refused,
+            };
+            // This thread itself listens.
+            let _ = self.inputs.send(refused);
+            return;
+        }
+        self.streams.note(stream.attempt);
+        let (node, streams) = (Arc::clone(&self.node), Arc::clone(&self.streams));
+        let inputs = self.inputs.clone();
+        self.stream_workers
+            .add(move || streams.run(&node, &stream, &inputs));
+    }
+
+    fn ask_ledger(&self, call: CallId, request: LedgerRequest) {
+        let Some(group) = self.ledger else {
+            return;
+        };
+        let (node, inputs) = (Arc::clone(&self.node), self.inputs.clone());
+        self.ledger_workers.add(move || {
+            let result = call_ledger(&node, group, request);
+            // The runner listens until its calls have ended.
+            let _ = inputs.send(RolloutInput::Ledger { call, result });
+        });
+    }
+
+    fn score(
+        &self,
+        call: ScoreCallId,
+        address: SocketAddr,
+        request: Box<ScoreRequest>,
+        timeout: Duration,
+    ) {
+        let (node, inputs) = (Arc::clone(&self.node), self.inputs.clone());
+        self.score_workers.add(move || {
+            let answer: Result<ScoreReply, _> =
+                node.upstream
+                    .post_json(address, SCORE, request.as_ref(), timeout);
+            if answer.is_ok() {
+                node.metrics.rollout_samples_scored.inc();
+            }
+            let result = answer
+                .map(|reply| reply.score)
+                .map_err(|_| Verdict::MayHaveRun);
+            // The runner listens until its calls have ended.
+            let _ = inputs.send(RolloutInput::Scored { call, result });
+        });
+    }
+
+    fn finish(self) {
+        let logger = self.node.diagnostics.logger();
+        info!(logger, "rollouts stopped"; "pool" => self.pool.to_string());
+        self.stream_workers.finish();
+        self.ledger_workers.finish();
+        self.score_workers.finish();
+    }
+}
+
+fn call_ledger(
+    node: &NodeState,
+    group: GroupId,
+    request: LedgerRequest,
+) -> Result<LedgerReply, Verdict> {
+    let request = GroupRequest::Ledger(request);
+    match node.groups.call(group, request, LEDGER_TIMEOUT) {
+        Ok(GroupReply::Ledger(reply)) => Ok(reply),
+        Ok(other) => {
+            warn!(node.diagnostics.logger(), "ledger answered something else";
+                "group" => group.to_string(), "answer" => format!("{other:?}"));
+            Err(Verdict::MayHaveRun)
+        }
+        Err(error) => Err(error.verdict()),
+    }
+}
+
+fn binding_of(configuration: &Configuration, id: &PoolId) -> Option<PoolBinding> {
+    let pool = configuration.pools.get(id)?;
+    let service = configuration.services.get(&pool.service)?;
+    let ServiceKind::Engines { model } = &service.kind else {
+        return None;
+    };
+    Some(PoolBinding {
+        revision: configuration.revision,
+        pool: pool.clone(),
+        model: model.clone(),
+    })
+}
--- a/crates/wingshore-node/src/run.rs
+++ b/crates/wingshore-node/src/run.rs
@@ -4,6 +4,7 @@
     ErrandRunner, Errands, NodeWatch, PoolAnnouncer, Prober, read_machine_list,
 };
 use crate::http::EdgeServer;
+use crate::rollout::{RolloutDriver, start_rollouts};
 use crate::serve::NodeEdge;
 use crate::state::NodeState;
 use slog::{info, warn};
@@ -66,6 +67,7 @@
     watcher: ConfigurationWatcher,
     errands: ErrandRunner,
     prober: Prober,
+    rollouts: Vec<RolloutDriver>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -91,7 +93,8 @@
     let watcher = start_watch(&node)?;
     let errands = ErrandRunner::start(&node).context(ThreadSnafu { name: "errand" })?;
     let prober = Prober::start(&node).context(ThreadSnafu { name: "probe" })?;
-    let threads = start_background(&node, &announcer)?;
+    let rollouts = start_rollouts(&node).context(ThreadSnafu { name: "rollout" })?;
+    let threads = start_background(&node)?;
     let handler = Arc::new(NodeEdge::new(Arc::clone(&node), announcer));
     let address = node.settings.listen;
     let edge = EdgeServer::start(address, node.settings.http.workers, handler)
@@ -104,6 +107,7 @@
         watcher,
         errands,
         prober,
+        rollouts,
         threads,
     })
 }
@@ -122,6 +126,9 @@
         if left > 0 {
             warn!(logger, "stopped with requests in flight"; "requests" => left);
         }
+        for rollouts in self.rollouts {
+            rollouts.join();
+        }
         for thread in self.threads {
             // A panic was reported when it happened.
             let _ = thread.join();
@@ -147,16 +154,10 @@
     ConfigurationWatcher::start(client, handler).context(ThreadSnafu { name: "watch" })
 }
 
-fn start_background(
-    node: &Arc<NodeState>,
-    announcer: &Arc<PoolAnnouncer>,
-) -> Result<Vec<JoinHandle<()>>, NodeError> {
+fn start_background(node: &Arc<NodeState>) -> Result<Vec<JoinHandle<()>>, NodeError> {
     let reading = Arc::clone(node);
     let machines = spawn("machine-list", move || read_machine_list(&reading))?;
-    let announcing = Arc::clone(node);
-    let announcer = Arc::clone(announcer);
-    let pools = spawn("pools", move || announcer.run(&announcing))?;
-    Ok(vec![machines, pools])
+    Ok(vec![machines])
 }
 
 fn spawn(
--- a/crates/wingshore-node/src/serve/completions.rs
+++ b/crates/wingshore-node/src/serve/completions.rs
@@ -7,7 +7,7 @@
 use crate::serve::forward::{internal, replayed};
 use crate::serve::intake::{Intake, take_in};
 use crate::state::NodeState;
-use crate::upstream::{EngineAttempt, EngineEnd, ServerAnswer};
+use crate::upstream::{EngineAttempt, EngineEnd, InterruptibleClient, ServerAnswer};
 use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
 use wingshore_request::{
@@ -16,6 +16,7 @@
 use wingshore_routing::{Class, RouteRequest};
 use wingshore_types::api::SERVER_HEADER;
 use wingshore_types::configuration::{Configuration, Service, ServiceKind};
+use wingshore_types::generator::hash_tokens;
 use wingshore_types::platform::{EngineCompletionRequest, FinishReason, Usage};
 use wingshore_types::protocol::claims::StoredAnswer;
 use wingshore_types::{Generation, ServerId, Token, WeightVersion};
@@ -110,7 +111,7 @@
     let route = RouteRequest {
         service: service.id.clone(),
         class: Class::Live,
-        prefix_hash: None,
+        prefix_hash: Some(hash_tokens(&request.prompt)),
         tokens_estimate: request.prompt.len() as u32,
         deadline: node.clock.now() + intake.deadline(default),
         no_repeat: intake.headers.no_repeat.unwrap_or(false),
@@ -185,7 +186,8 @@
             timeout,
         };
         self.server = Some(send.server.clone());
-        let end = attempt.run(&node.upstream, &mut |version, tokens| {
+        let client = InterruptibleClient::default();
+        let end = attempt.run(&client, &mut |version, tokens| {
             self.on_chunk(version, tokens)
         });
         match end {
--- a/crates/wingshore-node/src/upstream/agent.rs
+++ b/crates/wingshore-node/src/upstream/agent.rs
@@ -51,6 +51,33 @@
     fresh: Agent,
 }
 
+/// A client for one exchange, which another thread can end at any time.
+#[derive(Clone, Debug)]
+pub struct InterruptibleClient {
+    agent: Agent,
+}
+
+impl Default for InterruptibleClient {
+    fn default() -> Self {
+        Self { agent: agent(0, 0) }
+    }
+}
+
+impl InterruptibleClient {
+    /// Sends a request; answers once the answer's head has come.
+    ///
+    /// # Errors
+    /// As the HTTP client reports them, also after an interruption.
+    pub fn send(&self, request: &UpstreamRequest<'_>) -> Result<http::Response<Body>, Error> {
+        send_by(&self.agent, request)
+    }
+
+    /// Closes the exchange's connection: its thread gets an error at once.
+    pub fn interrupt(self) {
+        self.agent.shutdown();
+    }
+}
+
 impl Default for UpstreamClient {
     fn default() -> Self {
         Self::new()
@@ -75,30 +102,33 @@
             Connections::Pooled => &self.pooled,
             Connections::Fresh => &self.fresh,
         };
-        let mut builder = http::Request::builder()
-            .method(request.method)
-            .uri(format!("http://{}{}", request.address, request.target));
-        for (name, value) in request.headers.iter() {
-            builder = builder.header(name, value);
-        }
-        let takes_body = matches!(request.method, "POST" | "PUT" | "PATCH");
-        if request.body.is_empty() && !takes_body {
-            let built = builder.body(())?;
-            let built = agent
-                .configure_request(built)
-                .timeout_global(Some(request.timeout))
-                .build();
-            return agent.run(built);
-        }
-        let built = builder.body(request.body)?;
+        send_by(agent, request)
+    }
+}
+
+fn send_by(agent: &Agent, request: &UpstreamRequest<'_>) -> Result<http::Response<Body>, Error> {
+    let mut builder = http::Request::builder()
+        .method(request.method)
+        .uri(format!("http://{}{}", request.address, request.target));
+    for (name, value) in request.headers.iter() {
+        builder = builder.header(name, value);
+    }
+    let takes_body = matches!(request.method, "POST" | "PUT" | "PATCH");
+    if request.body.is_empty() && !takes_body {
+        let built = builder.body(())?;
         let built = agent
             .configure_request(built)
             .timeout_global(Some(request.timeout))
             .build();
-        agent.run(built)
+        return agent.run(built);
     }
+    let built = builder.body(request.body)?;
+    let built = agent
+        .configure_request(built)
+        .timeout_global(Some(request.timeout))
+        .build();
+    agent.run(built)
 }
-
 fn agent(idle_per_server: usize, idle_in_all: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- a/crates/wingshore-node/src/upstream/engine.rs
+++ b/crates/wingshore-node/src/upstream/engine.rs
@@ -2,7 +2,7 @@
 //! generated before a failure can be resumed elsewhere.
 
 use crate::http::HeaderList;
-use crate::upstream::agent::{Connections, UpstreamClient, UpstreamRequest};
+use crate::upstream::agent::{Connections, InterruptibleClient, UpstreamClient, UpstreamRequest};
 use crate::upstream::answer::{ServerAnswer, ServerReply, header_list, refusal};
 use crate::upstream::event_reader::{EventReader, StreamError};
 use crate::upstream::failure::{failure_of, failure_of_read};
@@ -63,7 +63,7 @@
     /// breaks.
     pub fn run(
         &self,
-        client: &UpstreamClient,
+        client: &InterruptibleClient,
         on_chunk: &mut dyn FnMut(WeightVersion, &[Token]) -> ControlFlow<()>,
     ) -> EngineEnd {
         let body = match serde_json::to_vec(self.request) {
--- a/crates/wingshore-node/src/upstream/mod.rs
+++ b/crates/wingshore-node/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 mod failure;
 mod json;
 
-pub use agent::{Connections, UpstreamClient, UpstreamRequest};
+pub use agent::{Connections, InterruptibleClient, UpstreamClient, UpstreamRequest};
 pub use answer::{ServerAnswer, ServerReply};
 pub use engine::{EngineAttempt, EngineEnd};
 pub use event_reader::{EventReader, StreamError};
