--- /dev/null
+++ b/crates/wingshore-consensus/src/accessors.rs
@@ -0,0 +1,133 @@
+//! Questions about a member.
+
+use crate::progress::Progress;
+use crate::raft::{Raft, Role};
+use wingshore_types::protocol::membership::Membership;
+use wingshore_types::{Instant, LogIndex, ReplicaId};
+
+impl Raft {
+    /// Who this member is.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The current term.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// The current term's leader, when known.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Whether this member leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether this member leads and an entry of its own term is committed, so that it has
+    /// applied all that was ever committed before.
+    pub fn has_committed_own_term(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => self.commit_index >= leader.first_index,
+            _ => false,
+        }
+    }
+
+    /// Whether this member is handing leadership over; it takes no proposals meanwhile.
+    pub fn is_transferring(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => leader.transfer.is_some(),
+            _ => false,
+        }
+    }
+
+    /// End of the leader lease, when there is one.
+    pub fn lease_until(&self) -> Option<Instant> {
+        match &self.role {
+            Role::Leader(leader) => leader.rounds.lease_until(&self.timing),
+            _ => None,
+        }
+    }
+
+    /// Whether this member leads under a lease at `now`: no other can have been elected.
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        if self.faults.skip_lease_check {
+            return self.is_leader();
+        }
+        self.lease_until().is_some_and(|until| now < until)
+    }
+
+    /// The last entry known to be committed.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit_index
+    }
+
+    /// The last entry given out to be applied.
+    pub fn last_applied(&self) -> LogIndex {
+        self.last_applied
+    }
+
+    /// The last entry of the log.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// The last entry that is durable here.
+    pub fn persisted_index(&self) -> LogIndex {
+        self.persistence.persisted_index()
+    }
+
+    /// The first entry that is not compacted away.
+    pub fn first_index(&self) -> LogIndex {
+        LogIndex(self.log.base_index().0 + 1)
+    }
+
+    /// The term of the entry at `index`, unless it is compacted or not there.
+    pub fn term_at(&self, index: LogIndex) -> Option<u64> {
+        self.log.term_at(index)
+    }
+
+    /// The newest membership, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.members.current()
+    }
+
+    /// For each member, the last entry known to this leader to be durable there; empty on
+    /// others.
+    pub fn match_indexes(&self) -> Vec<(ReplicaId, LogIndex)> {
+        if !self.is_leader() {
+            return Vec::new();
+        }
+        self.members
+            .member_ids()
+            .map(|id| (id, self.match_index(id)))
+            .collect()
+    }
+
+    /// The last entry known to be durable on `id`, as this leader knows it.
+    pub(crate) fn match_index(&self, id: ReplicaId) -> LogIndex {
+        if id == self.id {
+            return self.persistence.persisted_index();
+        }
+        self.progress(id)
+            .map_or(LogIndex(0), |progress| progress.match_index)
+    }
+
+    /// What this leader knows of `id`.
+    pub(crate) fn progress(&self, id: ReplicaId) -> Option<&Progress> {
+        match &self.role {
+            Role::Leader(leader) => leader.progress.get(&id),
+            _ => None,
+        }
+    }
+
+    /// What this leader knows of `id`.
+    pub(crate) fn progress_mut(&mut self, id: ReplicaId) -> Option<&mut Progress> {
+        match &mut self.role {
+            Role::Leader(leader) => leader.progress.get_mut(&id),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/src/change.rs
@@ -0,0 +1,202 @@
+//! Membership change, one member at a time.
+
+use crate::entry::{CodecError, Entry};
+use crate::leader::ProposeError;
+use crate::progress::Progress;
+use crate::raft::{Output, Raft, Role};
+use snafu::{ResultExt, Snafu, ensure};
+use wingshore_types::protocol::membership::{Member, Membership};
+use wingshore_types::{LogIndex, ReplicaId};
+
+/// Why a membership change is refused. Nothing was appended.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ChangeError {
+    /// This member cannot propose.
+    #[snafu(display("{source}"))]
+    Propose {
+        /// Why.
+        source: ProposeError,
+    },
+    /// The leader has not committed an entry of its term yet.
+    #[snafu(display("the leader has not committed an entry of its term yet; try again"))]
+    TooEarly,
+    /// An earlier change is not committed yet.
+    #[snafu(display("the change at index {index} is not committed yet; one change at a time"))]
+    ChangeUnderway {
+        /// Index of the earlier change.
+        index: LogIndex,
+    },
+    /// The identity or the address is taken.
+    #[snafu(display(
+        "member {} at {} has the same identity or address; remove it first",
+        existing.id,
+        existing.address
+    ))]
+    Taken {
+        /// The member that has it.
+        existing: Member,
+    },
+    /// Not a learner.
+    #[snafu(display("{id} is not a learner; only learners can be promoted"))]
+    NotALearner {
+        /// The identity.
+        id: ReplicaId,
+    },
+    /// The learner has not caught up.
+    #[snafu(display(
+        "learner {id} has synced the log through {synced}; it can be promoted from {needed} on"
+    ))]
+    NotCaughtUp {
+        /// The learner.
+        id: ReplicaId,
+        /// How far it has come.
+        synced: LogIndex,
+        /// How far it must have come.
+        needed: LogIndex,
+    },
+    /// The leader cannot remove itself.
+    #[snafu(display("{id} leads; transfer leadership first, then remove it"))]
+    RemovesLeader {
+        /// The leader.
+        id: ReplicaId,
+    },
+    /// The membership does not encode.
+    #[snafu(display("{source}"))]
+    Codec {
+        /// Why.
+        source: CodecError,
+    },
+}
+
+/// What came of an accepted change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeOutcome {
+    /// Appended here; done when this index is applied in this term.
+    Proposed {
+        /// Index of the entry.
+        index: LogIndex,
+        /// Its term.
+        term: u64,
+    },
+    /// The committed membership is as asked already.
+    AlreadyDone,
+}
+
+impl Raft {
+    /// Takes a new member in as a learner.
+    ///
+    /// # Errors
+    /// See [`ChangeError`].
+    pub fn add_learner(
+        &mut self,
+        member: Member,
+        out: &mut Vec<Output>,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        let mut membership = self.membership_to_change()?;
+        if membership.learners.contains(&member) || membership.voters.contains(&member) {
+            return Ok(ChangeOutcome::AlreadyDone);
+        }
+        let clash = membership
+            .voters
+            .iter()
+            .chain(&membership.learners)
+            .find(|other| other.id == member.id || other.address == member.address);
+        if let Some(existing) = clash {
+            let existing = existing.clone();
+            return TakenSnafu { existing }.fail();
+        }
+        membership.learners.push(member);
+        self.propose_membership(membership, out)
+    }
+
+    /// Makes a learner a voter, if it has synced all that is committed.
+    ///
+    /// # Errors
+    /// See [`ChangeError`].
+    pub fn promote(
+        &mut self,
+        id: ReplicaId,
+        out: &mut Vec<Output>,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        let mut membership = self.membership_to_change()?;
+        if membership.voters.iter().any(|voter| voter.id == id) {
+            return Ok(ChangeOutcome::AlreadyDone);
+        }
+        let position = membership
+            .learners
+            .iter()
+            .position(|member| member.id == id);
+        let Some(position) = position else {
+            return NotALearnerSnafu { id }.fail();
+        };
+        let synced = self.match_index(id);
+        let needed = self.commit_index;
+        ensure!(synced >= needed, NotCaughtUpSnafu { id, synced, needed });
+        let member = membership.learners.remove(position);
+        membership.voters.push(member);
+        self.propose_membership(membership, out)
+    }
+
+    /// Removes a member.
+    ///
+    /// # Errors
+    /// See [`ChangeError`].
+    pub fn remove(
+        &mut self,
+        id: ReplicaId,
+        out: &mut Vec<Output>,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        let mut membership = self.membership_to_change()?;
+        ensure!(id != self.id, RemovesLeaderSnafu { id });
+        let is_member = self.members.member_ids().any(|member| member == id);
+        if !is_member {
+            return Ok(ChangeOutcome::AlreadyDone);
+        }
+        membership.voters.retain(|member| member.id != id);
+        membership.learners.retain(|member| member.id != id);
+        self.propose_membership(membership, out)
+    }
+
+    /// The membership a change may start from: committed, under a leader that has committed an
+    /// entry of its own term, so that quorums before and after the change overlap.
+    fn membership_to_change(&self) -> Result<Membership, ChangeError> {
+        self.check_may_propose().context(ProposeSnafu)?;
+        ensure!(self.has_committed_own_term(), TooEarlySnafu);
+        let index = self.members.last_change();
+        ensure!(index <= self.commit_index, ChangeUnderwaySnafu { index });
+        Ok(self.members.current().clone())
+    }
+
+    fn propose_membership(
+        &mut self,
+        membership: Membership,
+        out: &mut Vec<Output>,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        let index = LogIndex(self.log.last_index().0 + 1);
+        let term = self.term;
+        let entry = Entry::membership(index, term, &membership).context(CodecSnafu)?;
+        self.log.append(entry);
+        self.membership_appended(index, membership, out);
+        self.update_progress();
+        Ok(ChangeOutcome::Proposed { index, term })
+    }
+
+    /// Begins to follow new members, from the beginning of the log, and forgets removed ones.
+    fn update_progress(&mut self) {
+        let others: Vec<ReplicaId> = self
+            .members
+            .member_ids()
+            .filter(|id| *id != self.id)
+            .collect();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.progress.retain(|id, _| others.contains(id));
+        for id in others {
+            leader
+                .progress
+                .entry(id)
+                .or_insert_with(|| Progress::new(LogIndex(1)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/src/election.rs
@@ -0,0 +1,237 @@
+//! Pre-vote, votes, and becoming a leader.
+
+use crate::message::{Body, VoteRequest};
+use crate::raft::{Output, Raft, Role};
+use std::collections::BTreeSet;
+use wingshore_types::{Instant, ReplicaId};
+
+/// The votes, or pre-votes, of one campaign.
+#[derive(Debug)]
+pub(crate) struct Ballot {
+    /// Who granted.
+    pub(crate) granted: BTreeSet<ReplicaId>,
+    /// The leader handed over.
+    pub(crate) transfer: bool,
+    /// When to ask again those who have not granted.
+    pub(crate) next_retry: Instant,
+}
+
+impl Raft {
+    /// Whether this member may vote: never before a membership has named it, and never when it
+    /// lost the disk it voted with.
+    ///
+    /// A learner may vote when it is asked: the entry that promotes it may have reached the
+    /// candidate only, and without its vote there may be no quorum for ever.
+    fn may_vote(&self) -> bool {
+        self.faults.empty_disk_votes || self.enrolled
+    }
+
+    /// Whether this member may stand for election.
+    pub(crate) fn may_campaign(&self) -> bool {
+        self.enrolled && self.members.is_voter(self.id)
+    }
+
+    /// Whether votes are refused because a leader was heard from too lately. The leader's lease
+    /// rests on this, so it also holds for one election timeout after a start.
+    fn has_recent_leader(&self, now: Instant) -> bool {
+        let heard_at = match &self.role {
+            Role::Leader(leader) if leader.rounds.is_released() => return false,
+            Role::Leader(leader) => leader.rounds.quorum_sent_at(),
+            _ => self.last_contact,
+        };
+        now < heard_at + self.timing.election_timeout
+    }
+
+    /// Whether the candidate's log is at least as up to date as this one (section 5.4.1).
+    fn is_up_to_date(&self, request: &VoteRequest) -> bool {
+        let own = (self.log.last_term(), self.log.last_index());
+        (request.last_term, request.last_index) >= own
+    }
+
+    /// Lets a follower or candidate whose time has come campaign.
+    pub(crate) fn election_tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if now >= self.election_deadline {
+            self.start_pre_vote(now, out);
+        } else {
+            self.ask_again(now, out);
+        }
+    }
+
+    fn start_pre_vote(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.reset_election_deadline(now);
+        if !self.may_campaign() {
+            return;
+        }
+        self.role = Role::PreCandidate(self.new_ballot(now, false));
+        self.set_leader(None, out);
+        self.ask_for_votes(out);
+        self.grant(now, self.id, out);
+    }
+
+    /// Campaigns in the next term. The requests leave once the own vote is durable: a restart
+    /// then cannot campaign in the same term with a shorter log.
+    fn start_election(&mut self, now: Instant, transfer: bool, out: &mut Vec<Output>) {
+        self.become_follower(now, self.term + 1, None, out);
+        self.vote = Some(self.id);
+        self.role = Role::Candidate(self.new_ballot(now, transfer));
+        self.ask_for_votes(out);
+    }
+
+    fn new_ballot(&self, now: Instant, transfer: bool) -> Ballot {
+        Ballot {
+            granted: BTreeSet::new(),
+            transfer,
+            next_retry: now + self.timing.heartbeat_interval,
+        }
+    }
+
+    /// Asks the voters that have not granted yet.
+    fn ask_for_votes(&mut self, out: &mut Vec<Output>) {
+        let (ballot, is_vote) = match &self.role {
+            Role::PreCandidate(ballot) => (ballot, false),
+            Role::Candidate(ballot) => (ballot, true),
+            Role::Follower | Role::Leader(_) => return,
+        };
+        let request = VoteRequest {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer: ballot.transfer,
+        };
+        let asked: Vec<ReplicaId> = self
+            .members
+            .voter_ids()
+            .filter(|id| *id != self.id && !ballot.granted.contains(id))
+            .collect();
+        for to in asked {
+            if is_vote {
+                self.send_when_durable(to, Body::Vote(request), out);
+            } else {
+                self.send(to, Body::PreVote(request), out);
+            }
+        }
+    }
+
+    fn ask_again(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let next_retry = now + self.timing.heartbeat_interval;
+        match &mut self.role {
+            Role::PreCandidate(ballot) | Role::Candidate(ballot) if now >= ballot.next_retry => {
+                ballot.next_retry = next_retry;
+            }
+            _ => return,
+        }
+        if self.persistence.hard_state_is_durable() {
+            self.ask_for_votes(out);
+        }
+    }
+
+    /// Answers a pre-vote; changes nothing here.
+    pub(crate) fn on_pre_vote(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: u64,
+        request: VoteRequest,
+        out: &mut Vec<Output>,
+    ) {
+        let campaign_term = term + 1;
+        let granted = self.may_vote()
+            && campaign_term > self.term
+            && !self.has_recent_leader(now)
+            && self.is_up_to_date(&request);
+        let body = Body::PreVoteReply {
+            campaign_term,
+            granted,
+        };
+        self.send(from, body, out);
+    }
+
+    /// Answers a vote request. A granted vote leaves once it is durable.
+    pub(crate) fn on_vote(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        term: u64,
+        request: VoteRequest,
+        out: &mut Vec<Output>,
+    ) {
+        if !request.transfer && self.has_recent_leader(now) {
+            return;
+        }
+        if term > self.term {
+            self.become_follower(now, term, None, out);
+        }
+        let granted = term == self.term
+            && self.may_vote()
+            && self.vote.is_none_or(|vote| vote == from)
+            && self.is_up_to_date(&request);
+        if !granted {
+            return self.send(from, Body::VoteReply { granted }, out);
+        }
+        if self.vote.is_none() {
+            self.vote = Some(from);
+            self.persistence.hard_state_changed();
+        }
+        self.reset_election_deadline(now);
+        self.send_when_durable(from, Body::VoteReply { granted }, out);
+    }
+
+    /// Counts a pre-vote.
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        campaign_term: u64,
+        granted: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let is_current = campaign_term == self.term + 1;
+        if granted && is_current && matches!(self.role, Role::PreCandidate(_)) {
+            self.grant(now, from, out);
+        }
+    }
+
+    /// Counts a vote.
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        granted: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if granted && matches!(self.role, Role::Candidate(_)) {
+            self.grant(now, from, out);
+        }
+    }
+
+    /// Counts the own vote, once it is durable.
+    pub(crate) fn count_own_vote(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let durable = self.persistence.hard_state_is_durable();
+        if durable && matches!(self.role, Role::Candidate(_)) {
+            self.grant(now, self.id, out);
+        }
+    }
+
+    fn grant(&mut self, now: Instant, from: ReplicaId, out: &mut Vec<Output>) {
+        let (ballot, is_vote) = match &mut self.role {
+            Role::PreCandidate(ballot) => (ballot, false),
+            Role::Candidate(ballot) => (ballot, true),
+            Role::Follower | Role::Leader(_) => return,
+        };
+        ballot.granted.insert(from);
+        if !self.members.is_quorum(|id| ballot.granted.contains(&id)) {
+            return;
+        }
+        if is_vote {
+            self.become_leader(now, out);
+        } else {
+            self.start_election(now, false, out);
+        }
+    }
+
+    /// The leader hands over: campaigns at once.
+    pub(crate) fn on_timeout_now(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.may_campaign() {
+            self.start_election(now, true, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/src/leader.rs
@@ -0,0 +1,255 @@
+//! What a leader does: heartbeats, appends, commits.
+
+use crate::entry::{Entry, EntryKind};
+use crate::lease::HeartbeatRounds;
+use crate::message::{AppendRejection, AppendRequest, Body, HeartbeatRequest};
+use crate::progress::Progress;
+use crate::raft::{Output, Raft, Role};
+use crate::transfer::Transfer;
+use snafu::{Snafu, ensure};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wingshore_types::{Instant, LogIndex, ReplicaId};
+
+/// Why a proposal is not taken. Nothing was appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum ProposeError {
+    /// This member does not lead.
+    #[snafu(display("this member does not lead"))]
+    NotLeader,
+    /// Leadership is being handed over.
+    #[snafu(display("leadership is being handed over"))]
+    Transferring,
+}
+
+/// What only a leader has.
+#[derive(Debug)]
+pub(crate) struct LeaderState {
+    /// The other members.
+    pub(crate) progress: BTreeMap<ReplicaId, Progress>,
+    /// Heartbeat rounds and the lease.
+    pub(crate) rounds: HeartbeatRounds,
+    /// Index of the first entry of this leadership.
+    pub(crate) first_index: LogIndex,
+    /// The hand-over under way.
+    pub(crate) transfer: Option<Transfer>,
+    next_heartbeat: Instant,
+}
+
+impl LeaderState {
+    /// When something is to be done at the latest.
+    pub(crate) fn next_deadline(&self) -> Instant {
+        match &self.transfer {
+            Some(transfer) => self.next_heartbeat.min(transfer.deadline),
+            None => self.next_heartbeat,
+        }
+    }
+}
+
+impl Raft {
+    /// Appends a command; it is committed when [`Output::Apply`] gives out this very index and
+    /// term.
+    ///
+    /// # Errors
+    /// When this member does not lead, or hands leadership over.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<(LogIndex, u64), ProposeError> {
+        self.check_may_propose()?;
+        let index = self.append_own(EntryKind::Command, command.into());
+        Ok((index, self.term))
+    }
+
+    /// Whether this member may append entries of its own now.
+    pub(crate) fn check_may_propose(&self) -> Result<(), ProposeError> {
+        let Role::Leader(leader) = &self.role else {
+            return NotLeaderSnafu.fail();
+        };
+        ensure!(leader.transfer.is_none(), TransferringSnafu);
+        Ok(())
+    }
+
+    fn append_own(&mut self, kind: EntryKind, data: Arc<[u8]>) -> LogIndex {
+        let index = LogIndex(self.log.last_index().0 + 1);
+        self.log.append(Entry {
+            index,
+            term: self.term,
+            kind,
+            data,
+        });
+        index
+    }
+
+    /// Begins a leadership with an empty entry, so that earlier entries can be committed.
+    pub(crate) fn become_leader(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let next_index = LogIndex(self.log.last_index().0 + 1);
+        let progress = self
+            .members
+            .member_ids()
+            .filter(|id| *id != self.id)
+            .map(|id| (id, Progress::new(next_index)))
+            .collect();
+        self.role = Role::Leader(Box::new(LeaderState {
+            progress,
+            rounds: HeartbeatRounds::new(now),
+            first_index: next_index,
+            transfer: None,
+            next_heartbeat: now,
+        }));
+        self.append_own(EntryKind::Empty, Arc::from([]));
+        self.set_leader(Some(self.id), out);
+        self.send_heartbeats(now, out);
+    }
+
+    /// Sends heartbeats when they are due, and steps down when no quorum answers.
+    pub(crate) fn leader_tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let silent_at = leader.rounds.quorum_sent_at() + self.timing.election_timeout;
+        if now >= silent_at && self.members.voter_ids().any(|id| id != self.id) {
+            return self.become_follower(now, self.term, None, out);
+        }
+        if now >= leader.next_heartbeat {
+            self.send_heartbeats(now, out);
+        }
+        self.check_transfer_deadline(now, out);
+    }
+
+    fn send_heartbeats(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.next_heartbeat = now + self.timing.heartbeat_interval;
+        let round = leader.rounds.begin(now);
+        let mut requests = Vec::new();
+        for (id, progress) in &leader.progress {
+            let commit_index = self.commit_index.min(progress.match_index);
+            let Some(commit_term) = self.log.term_at(commit_index) else {
+                requests.push((*id, round, LogIndex(0), 0));
+                continue;
+            };
+            requests.push((*id, round, commit_index, commit_term));
+        }
+        for (to, round, commit_index, commit_term) in requests {
+            let request = HeartbeatRequest {
+                round,
+                commit_index,
+                commit_term,
+            };
+            self.send(to, Body::Heartbeat(request), out);
+        }
+        self.count_rounds();
+    }
+
+    /// A member answered a heartbeat.
+    pub(crate) fn on_heartbeat_reply(&mut self, from: ReplicaId, round: u64, needs_log: bool) {
+        if let Some(progress) = self.progress_mut(from) {
+            progress.on_heartbeat_reply(round, needs_log);
+            self.count_rounds();
+        }
+    }
+
+    /// Extends the lease by the latest round that a quorum has answered.
+    fn count_rounds(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let current = leader.rounds.current();
+        let answered = self.members.quorum_value(|id| {
+            if id == self.id {
+                return current;
+            }
+            leader
+                .progress
+                .get(&id)
+                .map_or(0, |progress| progress.acknowledged_round)
+        });
+        leader.rounds.acknowledged_through(answered.unwrap_or(0));
+    }
+
+    /// A member's log matches, durably, up to `match_index`.
+    pub(crate) fn on_append_accepted(
+        &mut self,
+        from: ReplicaId,
+        match_index: LogIndex,
+        out: &mut Vec<Output>,
+    ) {
+        let last_index = self.log.last_index();
+        let Some(progress) = self.progress_mut(from) else {
+            return;
+        };
+        if progress.on_accepted(match_index.min(last_index)) {
+            self.advance_commit_by_quorum(out);
+        }
+    }
+
+    /// A member's log does not have the entry before those sent.
+    pub(crate) fn on_append_rejected(&mut self, from: ReplicaId, rejection: AppendRejection) {
+        let (agreed, _) = self
+            .log
+            .last_with_term_at_most(rejection.hint_index, rejection.hint_term);
+        if let Some(progress) = self.progress_mut(from) {
+            progress.on_rejected(rejection.rejected_index, agreed, rejection.last_index);
+        }
+    }
+
+    /// Commits what a quorum has durably, counting only entries of the own term (section 5.4.2).
+    pub(crate) fn advance_commit_by_quorum(&mut self, out: &mut Vec<Output>) {
+        if !self.is_leader() {
+            return;
+        }
+        let index = if self.faults.commit_without_quorum {
+            self.persistence.persisted_index()
+        } else {
+            let reached = self.members.quorum_value(|id| self.match_index(id).0);
+            LogIndex(reached.unwrap_or(0))
+        };
+        let is_own_term = self.log.term_at(index) == Some(self.term);
+        if is_own_term || self.faults.commit_previous_term {
+            self.advance_commit(index, out);
+        }
+    }
+
+    /// Sends to each member what it can take now.
+    pub(crate) fn replicate(&mut self, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let members: Vec<ReplicaId> = leader.progress.keys().copied().collect();
+        for to in members {
+            while self.send_append(to, out) {}
+            self.send_snapshot_chunks(to, out);
+        }
+    }
+
+    /// Sends one append if `to` can take one; says whether it did.
+    fn send_append(&mut self, to: ReplicaId, out: &mut Vec<Output>) -> bool {
+        let last_index = self.log.last_index();
+        let limits = self.limits;
+        let Some(progress) = self.progress(to) else {
+            return false;
+        };
+        if !progress.may_send(last_index, &limits) {
+            return false;
+        }
+        let next_index = progress.next_index;
+        let prev_index = LogIndex(next_index.0.saturating_sub(1));
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            self.start_snapshot(to);
+            return false;
+        };
+        let entries = self.log.slice(next_index, last_index, limits.append_bytes);
+        let sent_through = entries.last().map_or(prev_index, |entry| entry.index);
+        let bytes = entries.iter().map(Entry::size).sum();
+        if let Some(progress) = self.progress_mut(to) {
+            progress.on_sent(sent_through, bytes);
+        }
+        let request = AppendRequest {
+            prev_index,
+            prev_term,
+            entries,
+            commit_index: self.commit_index,
+        };
+        self.send(to, Body::Append(request), out);
+        true
+    }
+}
--- a/crates/wingshore-consensus/src/lib.rs
+++ b/crates/wingshore-consensus/src/lib.rs
@@ -1,5 +1,43 @@
 //! Replicated log as a pure state machine.
+//!
+//! [`Raft`] is one member of a group that agrees on a log by the Raft algorithm (Ongaro and
+//! Ousterhout, 2014; Ongaro's thesis), with pre-vote, a leader lease, learners, membership change
+//! one at a time, leadership transfer and snapshots in chunks. It reads no clock, does no I/O and
+//! draws randomness from a seeded generator it is handed.
+//!
+//! What it promises:
+//! - at most one leader in a term;
+//! - an entry that was given out by [`Output::Apply`] stays in the log of every later leader, and
+//!   every member applies the same entries in the same order;
+//! - while [`Raft::holds_lease`] says yes, no other member leads, as long as no clock drifts by
+//!   more than [`Timing::drift`];
+//! - nothing that depends on a write is sent before that write is reported durable.
 
-pub mod config;
+mod accessors;
+mod change;
+mod config;
+mod election;
+mod entry;
+mod follower;
+mod leader;
+mod lease;
+mod log;
+mod members;
+mod message;
+mod persistence;
+mod progress;
+mod raft;
+mod recovery;
+mod snapshot;
+mod transfer;
 
+pub use change::{ChangeError, ChangeOutcome};
 pub use config::{ConfigError, Faults, Limits, RaftConfig, Timing};
+pub use entry::{CodecError, Entry, EntryKind, SnapshotContents};
+pub use leader::ProposeError;
+pub use message::{
+    AppendRejection, AppendRequest, Body, HeartbeatRequest, Message, SnapshotChunk, VoteRequest,
+};
+pub use raft::{Input, Output, Raft};
+pub use recovery::RecoveryError;
+pub use transfer::TransferError;
--- /dev/null
+++ b/crates/wingshore-consensus/src/members.rs
@@ -0,0 +1,96 @@
+//! The membership at each point of the log, and quorums.
+
+use std::collections::VecDeque;
+use wingshore_types::protocol::membership::Membership;
+use wingshore_types::{LogIndex, ReplicaId};
+
+/// Memberships by the entries that made them. The newest counts, committed or not.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Members {
+    base: Membership,
+    changes: VecDeque<(LogIndex, Membership)>,
+}
+
+impl Members {
+    /// Starts from a snapshot's membership.
+    pub(crate) fn new(base: Membership) -> Self {
+        Self {
+            base,
+            changes: VecDeque::new(),
+        }
+    }
+
+    /// The newest membership.
+    pub(crate) fn current(&self) -> &Membership {
+        self.changes
+            .back()
+            .map_or(&self.base, |(_, membership)| membership)
+    }
+
+    /// The membership as of `index`.
+    pub(crate) fn as_of(&self, index: LogIndex) -> &Membership {
+        self.changes
+            .iter()
+            .rev()
+            .find(|(changed_at, _)| *changed_at <= index)
+            .map_or(&self.base, |(_, membership)| membership)
+    }
+
+    /// Index of the newest change after the base; 0 when there is none.
+    pub(crate) fn last_change(&self) -> LogIndex {
+        self.changes.back().map_or(LogIndex(0), |(index, _)| *index)
+    }
+
+    /// A change was appended at `index`.
+    pub(crate) fn append(&mut self, index: LogIndex, membership: Membership) {
+        self.changes.push_back((index, membership));
+    }
+
+    /// Forgets the changes from `index` on; says whether there were any.
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) -> bool {
+        let before = self.changes.len();
+        self.changes.retain(|(changed_at, _)| *changed_at < index);
+        self.changes.len() != before
+    }
+
+    /// Makes the membership as of `index` the base.
+    pub(crate) fn compact_through(&mut self, index: LogIndex) {
+        while let Some((changed_at, _)) = self.changes.front() {
+            if *changed_at > index {
+                return;
+            }
+            if let Some((_, membership)) = self.changes.pop_front() {
+                self.base = membership;
+            }
+        }
+    }
+
+    /// Whether `id` votes.
+    pub(crate) fn is_voter(&self, id: ReplicaId) -> bool {
+        self.current().voters.iter().any(|member| member.id == id)
+    }
+
+    /// Identities of the voters.
+    pub(crate) fn voter_ids(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.current().voters.iter().map(|member| member.id)
+    }
+
+    /// Identities of all members.
+    pub(crate) fn member_ids(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        let learners = self.current().learners.iter().map(|member| member.id);
+        self.voter_ids().chain(learners)
+    }
+
+    /// The highest value that a majority of the voters has reached; `None` without voters.
+    pub(crate) fn quorum_value(&self, value: impl Fn(ReplicaId) -> u64) -> Option<u64> {
+        let mut values: Vec<u64> = self.voter_ids().map(value).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        let majority = values.len() / 2 + 1;
+        values.get(majority - 1).copied()
+    }
+
+    /// Whether a majority of the voters satisfies `holds`.
+    pub(crate) fn is_quorum(&self, holds: impl Fn(ReplicaId) -> bool) -> bool {
+        self.quorum_value(|id| u64::from(holds(id))) == Some(1)
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/src/progress.rs
@@ -0,0 +1,236 @@
+//! What a leader knows of one follower, and how much is under way to it.
+
+use crate::config::Limits;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use wingshore_types::LogIndex;
+use wingshore_types::log::StoredSnapshot;
+
+/// Heartbeat replies without progress after which appends under way count as lost.
+const STALLED_REPLIES: u32 = 2;
+
+/// How entries go to a follower.
+#[derive(Clone, Debug)]
+pub(crate) enum ProgressState {
+    /// Looking for the last entry in common, one message at a time.
+    Probe {
+        /// A probe is under way.
+        sent: bool,
+    },
+    /// Streaming, with a limit on what is under way.
+    Replicate(InFlight),
+    /// Sending a snapshot.
+    Snapshot(SnapshotTransfer),
+}
+
+/// Appends sent and not yet acknowledged: the last index and the bytes of each.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InFlight {
+    messages: VecDeque<(LogIndex, usize)>,
+    bytes: usize,
+}
+
+impl InFlight {
+    fn add(&mut self, last_index: LogIndex, bytes: usize) {
+        self.messages.push_back((last_index, bytes));
+        self.bytes += bytes;
+    }
+
+    fn acknowledge(&mut self, match_index: LogIndex) {
+        while let Some((last_index, bytes)) = self.messages.front().copied() {
+            if last_index > match_index {
+                return;
+            }
+            self.messages.pop_front();
+            self.bytes -= bytes;
+        }
+    }
+
+    fn is_full(&self, limits: &Limits) -> bool {
+        self.messages.len() >= limits.in_flight_messages || self.bytes >= limits.in_flight_bytes
+    }
+}
+
+/// A snapshot on its way in chunks.
+#[derive(Clone, Debug)]
+pub(crate) struct SnapshotTransfer {
+    /// The snapshot.
+    pub(crate) snapshot: Arc<StoredSnapshot>,
+    /// Bytes sent.
+    pub(crate) sent: u64,
+    /// Bytes the follower has.
+    pub(crate) received: u64,
+}
+
+impl SnapshotTransfer {
+    /// Sends again what is not acknowledged. A follower that had all of it, and still has not
+    /// acknowledged its index, restarted before it was durable: it needs it from the beginning.
+    fn resend(&mut self) {
+        if self.received >= self.snapshot.data.len() as u64 {
+            self.received = 0;
+        }
+        self.sent = self.received;
+    }
+}
+
+/// One follower.
+///
+/// Invariant: `match_index < next_index`.
+#[derive(Clone, Debug)]
+pub(crate) struct Progress {
+    /// The last entry known to be durable there and equal to the leader's.
+    pub(crate) match_index: LogIndex,
+    /// The next entry to send.
+    pub(crate) next_index: LogIndex,
+    /// How entries go there.
+    pub(crate) state: ProgressState,
+    /// The last heartbeat round it answered.
+    pub(crate) acknowledged_round: u64,
+    /// Heartbeat replies since the last progress.
+    idle_replies: u32,
+}
+
+impl Progress {
+    /// A follower of unknown log; the first append goes from `next_index`.
+    pub(crate) fn new(next_index: LogIndex) -> Self {
+        Self {
+            match_index: LogIndex(0),
+            next_index,
+            state: ProgressState::Probe { sent: false },
+            acknowledged_round: 0,
+            idle_replies: 0,
+        }
+    }
+
+    /// Whether an append may be sent when the log ends at `last_index`.
+    pub(crate) fn may_send(&self, last_index: LogIndex, limits: &Limits) -> bool {
+        match &self.state {
+            ProgressState::Probe { sent } => !sent,
+            ProgressState::Replicate(in_flight) => {
+                self.next_index <= last_index && !in_flight.is_full(limits)
+            }
+            ProgressState::Snapshot(_) => false,
+        }
+    }
+
+    /// An append that ends at `last_index` was sent.
+    pub(crate) fn on_sent(&mut self, last_index: LogIndex, bytes: usize) {
+        match &mut self.state {
+            ProgressState::Probe { sent } => *sent = true,
+            ProgressState::Replicate(in_flight) => {
+                in_flight.add(last_index, bytes);
+                self.next_index = LogIndex(last_index.0 + 1);
+            }
+            ProgressState::Snapshot(_) => {}
+        }
+    }
+
+    /// The follower acknowledged `match_index`; says whether that is news.
+    pub(crate) fn on_accepted(&mut self, match_index: LogIndex) -> bool {
+        let advanced = match_index > self.match_index;
+        if advanced {
+            self.match_index = match_index;
+            self.idle_replies = 0;
+        }
+        let probed = LogIndex(self.next_index.0.saturating_sub(1));
+        self.next_index = self.next_index.max(LogIndex(self.match_index.0 + 1));
+        match &mut self.state {
+            ProgressState::Probe { .. } if match_index >= probed => {
+                self.state = ProgressState::Replicate(InFlight::default());
+            }
+            ProgressState::Probe { .. } => {}
+            ProgressState::Replicate(in_flight) => in_flight.acknowledge(match_index),
+            ProgressState::Snapshot(transfer) if match_index >= transfer.snapshot.index => {
+                self.probe_from(LogIndex(self.match_index.0 + 1));
+            }
+            ProgressState::Snapshot(_) => {}
+        }
+        advanced
+    }
+
+    /// The follower rejected an append after `rejected`; `agreed` is the last index at which the
+    /// logs may agree, and `last_index` the follower's last. Says whether that is news.
+    pub(crate) fn on_rejected(
+        &mut self,
+        rejected: LogIndex,
+        agreed: LogIndex,
+        last_index: LogIndex,
+    ) -> bool {
+        if last_index < self.match_index {
+            // The follower lost what it had acknowledged, or the message is old. Sending again
+            // is right in the first case and harmless in the second.
+            self.match_index = LogIndex(0);
+            self.probe_from(LogIndex(last_index.0 + 1));
+            return true;
+        }
+        let is_news = match &self.state {
+            ProgressState::Probe { .. } => rejected.0 + 1 == self.next_index.0,
+            ProgressState::Replicate(_) => rejected > self.match_index,
+            ProgressState::Snapshot(_) => false,
+        };
+        if is_news {
+            let next = LogIndex(agreed.0.min(rejected.0.saturating_sub(1)) + 1);
+            self.probe_from(next.max(LogIndex(self.match_index.0 + 1)));
+        }
+        is_news
+    }
+
+    /// The follower answered heartbeat `round`; what seems lost is sent again.
+    pub(crate) fn on_heartbeat_reply(&mut self, round: u64, needs_log: bool) {
+        self.acknowledged_round = self.acknowledged_round.max(round);
+        self.idle_replies += 1;
+        let stalled = self.idle_replies >= STALLED_REPLIES;
+        let restart = match &mut self.state {
+            ProgressState::Probe { sent } => {
+                *sent = false;
+                false
+            }
+            ProgressState::Replicate(in_flight) => {
+                needs_log || (stalled && !in_flight.messages.is_empty())
+            }
+            ProgressState::Snapshot(transfer) => {
+                if stalled {
+                    transfer.resend();
+                }
+                false
+            }
+        };
+        if restart {
+            self.probe_from(LogIndex(self.match_index.0 + 1));
+        }
+        if stalled {
+            self.idle_replies = 0;
+        }
+    }
+
+    /// The follower has `received` bytes of the snapshot at `index`.
+    pub(crate) fn on_snapshot_received(&mut self, index: LogIndex, received: u64) {
+        let ProgressState::Snapshot(transfer) = &mut self.state else {
+            return;
+        };
+        if transfer.snapshot.index != index || received == transfer.received {
+            return;
+        }
+        if received < transfer.received {
+            transfer.sent = received;
+        }
+        transfer.received = received;
+        transfer.sent = transfer.sent.max(received);
+        self.idle_replies = 0;
+    }
+
+    /// Starts to send a snapshot.
+    pub(crate) fn send_snapshot(&mut self, snapshot: Arc<StoredSnapshot>) {
+        self.state = ProgressState::Snapshot(SnapshotTransfer {
+            snapshot,
+            sent: 0,
+            received: 0,
+        });
+    }
+
+    /// Looks for the last entry in common from before `next_index`.
+    fn probe_from(&mut self, next_index: LogIndex) {
+        self.next_index = next_index;
+        self.state = ProgressState::Probe { sent: false };
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/src/raft.rs
@@ -0,0 +1,378 @@
+//! One member: its state, and the dispatch of inputs.
+
+use crate::config::{Faults, Limits, Timing};
+use crate::election::Ballot;
+use crate::entry::{CodecError, Entry, HardState};
+use crate::leader::LeaderState;
+use crate::log::RaftLog;
+use crate::members::Members;
+use crate::message::{Body, Message};
+use crate::persistence::Persistence;
+use crate::snapshot::IncomingSnapshot;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+use wingshore_types::log::{StoredSnapshot, WriteBatch};
+use wingshore_types::protocol::membership::Membership;
+use wingshore_types::{Instant, LogIndex, ReplicaId};
+
+/// What a member reacts to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Time has passed; wanted at the latest at [`Raft::next_deadline`].
+    Tick,
+    /// A message of another member.
+    Message {
+        /// The sender.
+        from: ReplicaId,
+        /// The message.
+        message: Message,
+    },
+    /// The write with this token is durable.
+    Persisted {
+        /// Of [`Output::Write`].
+        token: u64,
+    },
+}
+
+/// What a member wants done, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message; it may be lost, repeated or overtaken.
+    Send {
+        /// The receiver.
+        to: ReplicaId,
+        /// The message.
+        message: Message,
+    },
+    /// Make a batch durable, then feed [`Input::Persisted`]. At most one is under way.
+    Write {
+        /// Names the write.
+        token: u64,
+        /// What to write.
+        batch: WriteBatch,
+    },
+    /// The entry is committed: apply it.
+    Apply(Entry),
+    /// Replace the replicated state by a snapshot's.
+    Restore {
+        /// The last entry the snapshot contains.
+        index: LogIndex,
+        /// The replicated state, as it encoded itself.
+        state: Vec<u8>,
+    },
+    /// Leadership as this member sees it has changed.
+    Leadership {
+        /// The current term.
+        term: u64,
+        /// Its leader, when known; this member itself when it leads.
+        leader: Option<ReplicaId>,
+    },
+    /// The newest membership in the log has changed.
+    MembershipChanged(Membership),
+    /// A leadership transfer was given up before it began; this member still leads.
+    TransferAborted,
+}
+
+/// What a member does in its term.
+#[derive(Debug)]
+pub(crate) enum Role {
+    /// Follows the leader, or waits for one.
+    Follower,
+    /// Asks whether it would be elected, before it disturbs anyone.
+    PreCandidate(Ballot),
+    /// Asks for votes.
+    Candidate(Ballot),
+    /// Leads.
+    Leader(Box<LeaderState>),
+}
+
+/// A message that waits for a write.
+#[derive(Debug)]
+pub(crate) struct Deferred {
+    /// The write.
+    pub(crate) token: u64,
+    /// The receiver.
+    pub(crate) to: ReplicaId,
+    /// The message; dropped when the term has moved on.
+    pub(crate) message: Message,
+}
+
+/// One member of a group.
+///
+/// Invariants, in the names of the paper:
+/// - `term` never falls; `vote` changes at most once in a term;
+/// - `last_applied <= commit_index <= last index of the log`;
+/// - `verified_index` is the highest index at which this log is known to equal that of the
+///   leader of `term`;
+/// - entries up to `commit_index` are never truncated.
+#[derive(Debug)]
+pub struct Raft {
+    pub(crate) id: ReplicaId,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) timing: Timing,
+    pub(crate) limits: Limits,
+    pub(crate) faults: Faults,
+
+    pub(crate) term: u64,
+    pub(crate) vote: Option<ReplicaId>,
+    pub(crate) enrolled: bool,
+    pub(crate) log: RaftLog,
+    pub(crate) members: Members,
+    pub(crate) snapshot: Option<Arc<StoredSnapshot>>,
+
+    pub(crate) role: Role,
+    pub(crate) leader: Option<ReplicaId>,
+    pub(crate) commit_index: LogIndex,
+    pub(crate) last_applied: LogIndex,
+    pub(crate) verified_index: LogIndex,
+    pub(crate) owes_acknowledgement: bool,
+    pub(crate) incoming: Option<IncomingSnapshot>,
+    pub(crate) last_contact: Instant,
+    pub(crate) election_deadline: Instant,
+
+    pub(crate) persistence: Persistence,
+    pub(crate) deferred: Vec<Deferred>,
+}
+
+impl Raft {
+    /// Handles one input at `now`. Follow it, or several, by [`Raft::flush`].
+    pub fn step(&mut self, now: Instant, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Tick => self.on_tick(now, out),
+            Input::Message { from, message } => self.on_message(now, from, message, out),
+            Input::Persisted { token } => self.on_persisted(now, token, out),
+        }
+    }
+
+    /// Gives out what the steps since the last call collected: appends to followers, the
+    /// acknowledgement to the leader, and one write.
+    ///
+    /// # Errors
+    /// When the hard state does not encode; the member must not go on.
+    pub fn flush(&mut self, now: Instant, out: &mut Vec<Output>) -> Result<(), CodecError> {
+        self.replicate(out);
+        self.continue_transfer(now, out);
+        self.acknowledge_when_complete(out);
+        let hard_state = self.hard_state();
+        if let Some((token, batch)) = self.persistence.next_write(&self.log, &hard_state)? {
+            out.push(Output::Write { token, batch });
+        }
+        Ok(())
+    }
+
+    /// When [`Input::Tick`] is wanted at the latest.
+    pub fn next_deadline(&self) -> Instant {
+        match &self.role {
+            Role::Leader(leader) => leader.next_deadline(),
+            Role::PreCandidate(ballot) | Role::Candidate(ballot) => {
+                ballot.next_retry.min(self.election_deadline)
+            }
+            Role::Follower if self.may_campaign() => self.election_deadline,
+            Role::Follower => Instant(u64::MAX),
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        match &self.role {
+            Role::Leader(_) => self.leader_tick(now, out),
+            Role::PreCandidate(_) | Role::Candidate(_) | Role::Follower => {
+                self.election_tick(now, out);
+            }
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        let Message { term, body } = message;
+        match body {
+            Body::PreVote(request) => return self.on_pre_vote(now, from, term, request, out),
+            Body::Vote(request) => return self.on_vote(now, from, term, request, out),
+            // Granted by a member of an older term, which a pre-vote does not raise.
+            Body::PreVoteReply {
+                campaign_term,
+                granted,
+            } if term <= self.term => {
+                return self.on_pre_vote_reply(now, from, campaign_term, granted, out);
+            }
+            _ => {}
+        }
+        if term < self.term {
+            if body.is_from_leader() {
+                self.tell_term(from, out);
+            }
+            return;
+        }
+        if term > self.term {
+            self.become_follower(now, term, None, out);
+        }
+        if body.is_from_leader() && !self.accept_leader(now, from, out) {
+            return;
+        }
+        match body {
+            Body::PreVote(_) | Body::Vote(_) | Body::PreVoteReply { .. } => {}
+            Body::VoteReply { granted } => self.on_vote_reply(now, from, granted, out),
+            Body::Append(request) => self.on_append(from, request, out),
+            Body::AppendAccepted { match_index } => {
+                self.on_append_accepted(from, match_index, out);
+            }
+            Body::AppendRejected(rejection) => self.on_append_rejected(from, rejection),
+            Body::Heartbeat(request) => self.on_heartbeat(from, request, out),
+            Body::HeartbeatReply { round, needs_log } => {
+                self.on_heartbeat_reply(from, round, needs_log);
+            }
+            Body::SnapshotChunk(chunk) => self.on_snapshot_chunk(from, chunk, out),
+            Body::SnapshotReceived { index, received } => {
+                self.on_snapshot_received(from, index, received);
+            }
+            Body::TimeoutNow => self.on_timeout_now(now, out),
+        }
+    }
+
+    fn on_persisted(&mut self, now: Instant, token: u64, out: &mut Vec<Output>) {
+        if !self.persistence.on_persisted(token) {
+            return;
+        }
+        self.release_deferred(out);
+        self.count_own_vote(now, out);
+        self.acknowledge_partly(out);
+        self.advance_commit_by_quorum(out);
+    }
+
+    /// Becomes a follower in `term`, which is not below the current one.
+    pub(crate) fn become_follower(
+        &mut self,
+        now: Instant,
+        term: u64,
+        leader: Option<ReplicaId>,
+        out: &mut Vec<Output>,
+    ) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.persistence.hard_state_changed();
+            self.deferred.clear();
+        }
+        self.role = Role::Follower;
+        self.verified_index = LogIndex(0);
+        self.owes_acknowledgement = false;
+        self.incoming = None;
+        self.reset_election_deadline(now);
+        self.set_leader(leader, out);
+    }
+
+    /// Notes who leads the current term, and says so.
+    pub(crate) fn set_leader(&mut self, leader: Option<ReplicaId>, out: &mut Vec<Output>) {
+        self.leader = leader;
+        out.push(Output::Leadership {
+            term: self.term,
+            leader,
+        });
+    }
+
+    /// Notes a message of the current term's leader; `false` when it must be ignored.
+    fn accept_leader(&mut self, now: Instant, from: ReplicaId, out: &mut Vec<Output>) -> bool {
+        if self.is_leader() {
+            return false;
+        }
+        if !matches!(self.role, Role::Follower) || self.leader != Some(from) {
+            self.become_follower(now, self.term, Some(from), out);
+        }
+        self.last_contact = now;
+        self.reset_election_deadline(now);
+        true
+    }
+
+    /// Draws the next election timeout, between one and two election timeouts from `now`.
+    pub(crate) fn reset_election_deadline(&mut self, now: Instant) {
+        let timeout = self.timing.election_timeout;
+        let extra = self
+            .random
+            .random_range(0..=u64::try_from(timeout.as_nanos()).unwrap_or(u64::MAX));
+        self.election_deadline = now + timeout + std::time::Duration::from_nanos(extra);
+    }
+
+    /// Sends a message in the current term.
+    pub(crate) fn send(&self, to: ReplicaId, body: Body, out: &mut Vec<Output>) {
+        let message = Message {
+            term: self.term,
+            body,
+        };
+        out.push(Output::Send { to, message });
+    }
+
+    /// Sends a message once the hard state as it is now is durable.
+    pub(crate) fn send_when_durable(&mut self, to: ReplicaId, body: Body, out: &mut Vec<Output>) {
+        if self.persistence.hard_state_is_durable() {
+            return self.send(to, body, out);
+        }
+        let message = Message {
+            term: self.term,
+            body,
+        };
+        self.deferred.push(Deferred {
+            token: self.persistence.hard_state_token(),
+            to,
+            message,
+        });
+    }
+
+    fn release_deferred(&mut self, out: &mut Vec<Output>) {
+        let waiting = std::mem::take(&mut self.deferred);
+        for deferred in waiting {
+            if !self.persistence.is_durable(deferred.token) {
+                self.deferred.push(deferred);
+            } else if deferred.message.term == self.term {
+                out.push(Output::Send {
+                    to: deferred.to,
+                    message: deferred.message,
+                });
+            }
+        }
+    }
+
+    /// Tells the leader of an older term that its term is over.
+    fn tell_term(&self, to: ReplicaId, out: &mut Vec<Output>) {
+        let body = Body::HeartbeatReply {
+            round: 0,
+            needs_log: false,
+        };
+        self.send(to, body, out);
+    }
+
+    /// The hard state as it is to be written.
+    pub(crate) fn hard_state(&self) -> HardState {
+        let vote = if self.faults.vote_without_persist {
+            None
+        } else {
+            self.vote
+        };
+        HardState {
+            term: self.term,
+            vote,
+            enrolled: self.enrolled,
+        }
+    }
+
+    /// Commits up to `index`, giving out what is to be applied.
+    pub(crate) fn advance_commit(&mut self, index: LogIndex, out: &mut Vec<Output>) {
+        let index = index.min(self.log.last_index());
+        if index <= self.commit_index {
+            return;
+        }
+        self.commit_index = index;
+        while self.last_applied < self.commit_index {
+            let next = LogIndex(self.last_applied.0 + 1);
+            let Some(entry) = self.log.entry(next) else {
+                return;
+            };
+            out.push(Output::Apply(entry.clone()));
+            self.last_applied = next;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/src/snapshot.rs
@@ -0,0 +1,204 @@
+//! Snapshots: taking them, sending them in chunks, and receiving them.
+
+use crate::entry::{CodecError, SnapshotContents};
+use crate::log::RaftLog;
+use crate::members::Members;
+use crate::message::{Body, SnapshotChunk};
+use crate::progress::ProgressState;
+use crate::raft::{Output, Raft};
+use std::sync::Arc;
+use wingshore_types::log::StoredSnapshot;
+use wingshore_types::{LogIndex, ReplicaId};
+
+/// A snapshot that is being received. It belongs to one leadership: another leader's encoding of
+/// the same state need not be equal byte for byte.
+#[derive(Debug)]
+pub(crate) struct IncomingSnapshot {
+    index: LogIndex,
+    term: u64,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl IncomingSnapshot {
+    fn is_of(&self, chunk: &SnapshotChunk) -> bool {
+        (self.index, self.term, self.total) == (chunk.index, chunk.term, chunk.total)
+    }
+
+    fn received(&self) -> u64 {
+        self.data.len() as u64
+    }
+}
+
+impl Raft {
+    /// Whether a snapshot can be taken now: what it would cover is durable in the log.
+    pub fn can_compact(&self) -> bool {
+        let covered = self
+            .snapshot
+            .as_ref()
+            .map_or(LogIndex(0), |snapshot| snapshot.index);
+        self.last_applied > covered && self.last_applied <= self.persistence.persisted_index()
+    }
+
+    /// Takes `state`, as of the last applied entry, as the snapshot, and compacts the log behind
+    /// it. Does nothing unless [`Raft::can_compact`].
+    ///
+    /// # Errors
+    /// When the snapshot does not encode.
+    pub fn compact(&mut self, state: Vec<u8>) -> Result<(), CodecError> {
+        let index = self.last_applied;
+        let Some(term) = self.log.term_at(index).filter(|_| self.can_compact()) else {
+            return Ok(());
+        };
+        let contents = SnapshotContents {
+            membership: self.members.as_of(index).clone(),
+            state,
+        };
+        let data = contents.encode()?;
+        let snapshot = Arc::new(StoredSnapshot { index, term, data });
+        let through = self
+            .log
+            .compaction_point(index, self.limits.retained_log_bytes);
+        self.log.compact_through(through);
+        self.members.compact_through(through);
+        self.persistence.compacted(Arc::clone(&snapshot), through);
+        self.snapshot = Some(snapshot);
+        Ok(())
+    }
+
+    /// Starts to send the snapshot to a member that needs entries which are compacted away.
+    pub(crate) fn start_snapshot(&mut self, to: ReplicaId) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        if let Some(progress) = self.progress_mut(to) {
+            progress.send_snapshot(snapshot);
+        }
+    }
+
+    /// Sends the next chunks that may be under way.
+    pub(crate) fn send_snapshot_chunks(&mut self, to: ReplicaId, out: &mut Vec<Output>) {
+        let chunk_bytes = self.limits.snapshot_chunk_bytes.max(1);
+        let window = (chunk_bytes * self.limits.snapshot_chunks_in_flight.max(1)) as u64;
+        let Some(progress) = self.progress_mut(to) else {
+            return;
+        };
+        let ProgressState::Snapshot(transfer) = &mut progress.state else {
+            return;
+        };
+        let mut chunks = Vec::new();
+        let snapshot = Arc::clone(&transfer.snapshot);
+        let total = snapshot.data.len() as u64;
+        let limit = total.min(transfer.received.saturating_add(window));
+        while transfer.sent < limit {
+            let data = part_of(&snapshot.data, transfer.sent, chunk_bytes);
+            chunks.push(SnapshotChunk {
+                index: snapshot.index,
+                term: snapshot.term,
+                total,
+                offset: transfer.sent,
+                data: data.to_vec(),
+            });
+            transfer.sent += data.len() as u64;
+        }
+        for chunk in chunks {
+            self.send(to, Body::SnapshotChunk(chunk), out);
+        }
+    }
+
+    /// A member has some of the snapshot.
+    pub(crate) fn on_snapshot_received(&mut self, from: ReplicaId, index: LogIndex, received: u64) {
+        if let Some(progress) = self.progress_mut(from) {
+            progress.on_snapshot_received(index, received);
+        }
+    }
+
+    /// Takes part of a snapshot from the leader.
+    pub(crate) fn on_snapshot_chunk(
+        &mut self,
+        from: ReplicaId,
+        chunk: SnapshotChunk,
+        out: &mut Vec<Output>,
+    ) {
+        let is_known =
+            chunk.index <= self.commit_index || self.log.matches(chunk.index, chunk.term);
+        if is_known {
+            self.incoming = None;
+            self.verified_index = self.verified_index.max(chunk.index);
+            self.owes_acknowledgement = true;
+            return self.advance_commit(chunk.index, out);
+        }
+        let index = chunk.index;
+        let received = self.collect(chunk);
+        self.send(from, Body::SnapshotReceived { index, received }, out);
+        self.install_when_complete(out);
+    }
+
+    /// Adds a chunk if it is the next one; says how much there is.
+    fn collect(&mut self, chunk: SnapshotChunk) -> u64 {
+        let mut incoming = match self.incoming.take() {
+            Some(incoming) if incoming.is_of(&chunk) => incoming,
+            _ => IncomingSnapshot {
+                index: chunk.index,
+                term: chunk.term,
+                total: chunk.total,
+                data: Vec::new(),
+            },
+        };
+        if chunk.offset == incoming.received() {
+            incoming.data.extend_from_slice(&chunk.data);
+        }
+        let received = incoming.received();
+        self.incoming = Some(incoming);
+        received
+    }
+
+    fn install_when_complete(&mut self, out: &mut Vec<Output>) {
+        let is_complete = |incoming: &mut IncomingSnapshot| incoming.received() >= incoming.total;
+        let Some(incoming) = self.incoming.take_if(is_complete) else {
+            return;
+        };
+        let snapshot = StoredSnapshot {
+            index: incoming.index,
+            term: incoming.term,
+            data: incoming.data,
+        };
+        // Damaged bytes are dropped; the leader sends the snapshot again.
+        if let Ok(contents) = SnapshotContents::decode(&snapshot) {
+            self.install(Arc::new(snapshot), contents, out);
+        }
+    }
+
+    /// Replaces log and state by a snapshot that is ahead of both.
+    fn install(
+        &mut self,
+        snapshot: Arc<StoredSnapshot>,
+        contents: SnapshotContents,
+        out: &mut Vec<Output>,
+    ) {
+        let index = snapshot.index;
+        self.log = RaftLog::new(index, snapshot.term);
+        self.enroll(&contents.membership);
+        self.members = Members::new(contents.membership.clone());
+        self.commit_index = index;
+        self.last_applied = index;
+        self.verified_index = index;
+        self.owes_acknowledgement = true;
+        self.persistence.replaced_by(Arc::clone(&snapshot));
+        self.snapshot = Some(snapshot);
+        out.push(Output::Restore {
+            index,
+            state: contents.state,
+        });
+        out.push(Output::MembershipChanged(contents.membership));
+    }
+}
+
+/// At most `length` bytes from `offset`.
+fn part_of(data: &[u8], offset: u64, length: usize) -> &[u8] {
+    let from = usize::try_from(offset)
+        .unwrap_or(usize::MAX)
+        .min(data.len());
+    let rest = data.get(from..).unwrap_or_default();
+    rest.get(..length).unwrap_or(rest)
+}
--- /dev/null
+++ b/crates/wingshore-consensus/tests/support/chaos.rs
@@ -0,0 +1,250 @@
+//! Random runs: everything that may fail does, at any moment, from one seed.
+
+use super::checker::Violation;
+use super::cluster::{Cluster, Network};
+use super::{member, small_limits};
+use rand::RngExt;
+use std::time::Duration;
+use wingshore_consensus::Faults;
+use wingshore_types::ReplicaId;
+
+/// A machine outside the founding members, to be taken in.
+const JOINER: u64 = 9;
+
+/// One random run.
+#[derive(Clone, Copy, Debug)]
+pub struct Chaos {
+    /// Founding members.
+    pub voters: u64,
+    /// The seed.
+    pub seed: u64,
+    /// Deliberate faults.
+    pub faults: Faults,
+    /// Rounds of actions, 20 ms each.
+    pub rounds: u32,
+}
+
+/// What a run did.
+#[derive(Debug)]
+pub struct Report {
+    /// The first broken promise.
+    pub violation: Option<Violation>,
+    /// Whether the healed group committed on all members at the end.
+    pub recovered: bool,
+    /// Entries committed.
+    pub committed: usize,
+    /// Reads answered under a lease.
+    pub reads: u64,
+    /// Elections won.
+    pub elections: u64,
+    /// Snapshot chunks sent.
+    pub snapshot_chunks: u64,
+}
+
+struct Run {
+    cluster: Cluster,
+    chaos: Chaos,
+    wiped: Option<u64>,
+    command: u64,
+}
+
+/// Runs it.
+pub fn run(chaos: Chaos) -> Report {
+    let mut cluster = Cluster::with(chaos.voters, chaos.seed, chaos.faults, small_limits());
+    cluster.add_node(JOINER, false, chaos.voters);
+    cluster.network = Network {
+        loss: cluster.random.random_range(0.0..0.1),
+        duplication: 0.05,
+        min_delay: Duration::from_micros(200),
+        max_delay: Duration::from_millis(cluster.random.random_range(2..60)),
+        stragglers: 0.03,
+        straggler_delay: Duration::from_millis(2500),
+        sync: Duration::from_millis(cluster.random.random_range(1..80)),
+    };
+    let mut run = Run {
+        cluster,
+        chaos,
+        wiped: None,
+        command: 0,
+    };
+    for _ in 0..chaos.rounds {
+        run.act();
+        run.cluster.run(Duration::from_millis(20));
+        if run.cluster.checker.violation.is_some() {
+            break;
+        }
+    }
+    let recovered = run.cluster.checker.violation.is_none() && run.recover();
+    Report {
+        violation: run.cluster.checker.violation.clone(),
+        recovered,
+        committed: run.cluster.checker.committed_entries(),
+        reads: run.cluster.checker.reads,
+        elections: run.cluster.checker.elections,
+        snapshot_chunks: run.cluster.sent_snapshot_chunks,
+    }
+}
+
+impl Run {
+    fn any_node(&mut self) -> u64 {
+        let ids: Vec<u64> = self.cluster.nodes.keys().map(|id| id.0).collect();
+        ids[self.cluster.random.random_range(0..ids.len())]
+    }
+
+    fn act(&mut self) {
+        self.cluster.read_everywhere();
+        self.propose_everywhere();
+        let id = self.any_node();
+        match self.cluster.random.random_range(0..1000) {
+            0..15 => self.cluster.crash_anywhere(id),
+            15..60 => self.start_stopped(),
+            60..75 => self.cut_some(),
+            75..95 => self.cluster.cut.clear(),
+            95..105 => self.freeze(id),
+            105..115 => self.cluster.isolate(id),
+            115..130 => self.transfer(id),
+            130..170 => self.change_members(),
+            170..260 => self.compact(id),
+            260..264 => self.cut_leader_and_crash(),
+            264..266 => self.wipe(),
+            300..330 => self.cluster.check_logs(),
+            _ => {}
+        }
+    }
+
+    /// Proposes at every member that believes it leads.
+    fn propose_everywhere(&mut self) {
+        let leaders: Vec<u64> = self
+            .cluster
+            .nodes
+            .values()
+            .filter(|node| node.is_running(self.cluster.now))
+            .filter(|node| node.raft.as_ref().is_some_and(|raft| raft.is_leader()))
+            .map(|node| node.id.0)
+            .collect();
+        for leader in leaders {
+            if self.cluster.random.random_bool(0.3) {
+                self.command += 1;
+                let command = self.command.to_le_bytes();
+                // Refused while leadership is handed over.
+                let _ = self.cluster.propose(leader, &command);
+            }
+        }
+    }
+
+    fn start_stopped(&mut self) {
+        let stopped: Vec<u64> = self
+            .cluster
+            .nodes
+            .values()
+            .filter(|node| node.raft.is_none())
+            .map(|node| node.id.0)
+            .collect();
+        for id in stopped {
+            self.cluster.restart(id);
+        }
+    }
+
+    fn cut_some(&mut self) {
+        for _ in 0..self.cluster.random.random_range(1..6) {
+            let from = ReplicaId(self.any_node());
+            let to = ReplicaId(self.any_node());
+            self.cluster.cut.insert((from, to));
+        }
+    }
+
+    fn freeze(&mut self, id: u64) {
+        let pause = Duration::from_millis(self.cluster.random.random_range(100..3000));
+        let until = self.cluster.now + pause;
+        self.cluster.node(id).frozen_until = until;
+    }
+
+    fn transfer(&mut self, target: u64) {
+        if let Some(leader) = self.cluster.leader() {
+            self.cluster.act(leader, |raft, now, _| {
+                let _ = raft.transfer_leadership(now, ReplicaId(target));
+            });
+        }
+    }
+
+    fn change_members(&mut self) {
+        let choice = self.cluster.random.random_range(0..4);
+        let removed = self.any_node();
+        let Some(leader) = self.cluster.leader() else {
+            return;
+        };
+        self.cluster.act(leader, |raft, _, out| {
+            let joiner = ReplicaId(JOINER);
+            let _ = match choice {
+                0 | 1 => raft.add_learner(member(JOINER), out),
+                2 => raft.promote(joiner, out),
+                _ if removed == JOINER => raft.remove(joiner, out),
+                _ => return,
+            };
+        });
+    }
+
+    fn compact(&mut self, id: u64) {
+        let state = self.cluster.node(id).applied.encode();
+        self.cluster
+            .act(id, |raft, _, _| raft.compact(state).unwrap());
+    }
+
+    /// The leader is cut off; a follower restarts in the middle of it.
+    fn cut_leader_and_crash(&mut self) {
+        let Some(leader) = self.cluster.leader() else {
+            return;
+        };
+        self.cluster.isolate(leader);
+        let id = self.any_node();
+        self.cluster.crash_anywhere(id);
+        self.start_stopped();
+    }
+
+    /// A voter loses its disk and comes back under its old identity, once in a run.
+    fn wipe(&mut self) {
+        if self.wiped.is_some() {
+            return;
+        }
+        let id = self.cluster.random.random_range(1..=self.chaos.voters);
+        self.wiped = Some(id);
+        self.cluster.crash(id, 0);
+        let node = self.cluster.node(id);
+        node.disk = super::disk::Disk::default();
+        node.bootstrap = None;
+        self.cluster.restart(id);
+    }
+
+    /// Heals everything; a command must then be committed and applied by every member.
+    fn recover(&mut self) -> bool {
+        let cluster = &mut self.cluster;
+        cluster.cut.clear();
+        cluster.network = Network::default();
+        let now = cluster.now;
+        for node in cluster.nodes.values_mut() {
+            node.frozen_until = now;
+        }
+        self.start_stopped();
+        let cluster = &mut self.cluster;
+        cluster.run(Duration::from_secs(4));
+        if !cluster.run_until(Duration::from_secs(20), |cluster| {
+            cluster.ready_leader().is_some()
+        }) {
+            return false;
+        }
+        let Some(leader) = cluster.ready_leader() else {
+            return false;
+        };
+        let Ok(index) = cluster.propose(leader, b"last") else {
+            return false;
+        };
+        cluster.run_until(Duration::from_secs(20), |cluster| {
+            let membership = cluster.raft(leader).membership();
+            membership
+                .voters
+                .iter()
+                .chain(&membership.learners)
+                .all(|member| cluster.nodes[&member.id].applied.index >= index)
+        })
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/tests/support/checker.rs
@@ -0,0 +1,174 @@
+//! What must hold over a whole run, kept apart from the code it checks.
+
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use wingshore_consensus::{Entry, Raft};
+use wingshore_types::{LogIndex, ReplicaId};
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two members led the same term.
+    TwoLeaders { term: u64 },
+    /// Two members applied different entries at one index, or one out of order.
+    AppliedDiffers { index: LogIndex },
+    /// A new leader lacks a committed entry.
+    CommittedLost { index: LogIndex, term: u64 },
+    /// Two logs agree at one index and differ before it.
+    LogMatching { index: LogIndex },
+    /// A read under lease missed an acknowledged write.
+    StaleRead {
+        applied: LogIndex,
+        acknowledged: LogIndex,
+    },
+    /// Two members held the lease at one moment.
+    TwoLeases { first: ReplicaId, second: ReplicaId },
+}
+
+/// The applied state of one member: the index and a hash over all entries up to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    pub index: LogIndex,
+    pub chain: u64,
+}
+
+impl Applied {
+    /// As snapshot bytes, padded so that it takes several chunks.
+    pub fn encode(self) -> Vec<u8> {
+        let mut bytes = self.index.0.to_le_bytes().to_vec();
+        bytes.extend_from_slice(&self.chain.to_le_bytes());
+        bytes.extend_from_slice(&[0xA5; 200]);
+        bytes
+    }
+
+    /// From snapshot bytes.
+    pub fn decode(bytes: &[u8]) -> Self {
+        let word = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().unwrap());
+        Self {
+            index: LogIndex(word(0)),
+            chain: word(8),
+        }
+    }
+}
+
+/// An entry that some member applied.
+#[derive(Clone, Copy, Debug)]
+struct Committed {
+    /// Its term.
+    term: u64,
+    /// Hash over all entries up to it.
+    chain: u64,
+    /// The term in which it was first applied.
+    during: u64,
+}
+
+/// Collects what members do.
+#[derive(Debug, Default)]
+pub struct Checker {
+    pub violation: Option<Violation>,
+    leaders: BTreeMap<u64, ReplicaId>,
+    committed: BTreeMap<LogIndex, Committed>,
+    acknowledged: LogIndex,
+    pub reads: u64,
+    pub elections: u64,
+}
+
+impl Checker {
+    fn report(&mut self, violation: Violation) {
+        self.violation.get_or_insert(violation);
+    }
+
+    /// The number of entries known to be committed.
+    pub fn committed_entries(&self) -> usize {
+        self.committed.len()
+    }
+
+    /// A member became leader.
+    pub fn on_leader(&mut self, raft: &Raft) {
+        let term = raft.term();
+        let first = *self.leaders.entry(term).or_insert(raft.id());
+        self.elections += 1;
+        if first != raft.id() {
+            self.report(Violation::TwoLeaders { term });
+        }
+        let lost = self
+            .committed
+            .range(raft.first_index()..)
+            .filter(|(_, committed)| committed.during < term)
+            .find(|(index, committed)| raft.term_at(**index) != Some(committed.term))
+            .map(|(index, committed)| (*index, committed.term));
+        if let Some((index, term)) = lost {
+            self.report(Violation::CommittedLost { index, term });
+        }
+    }
+
+    /// A member in term `during` applied an entry on top of `before`; answers its state after.
+    pub fn on_apply(&mut self, during: u64, before: Applied, entry: &Entry) -> Applied {
+        let index = entry.index;
+        let mut hasher = DefaultHasher::new();
+        (before.chain, index.0, entry.term, &entry.data).hash(&mut hasher);
+        let chain = hasher.finish();
+        let term = entry.term;
+        let applied = Committed {
+            term,
+            chain,
+            during,
+        };
+        let known = *self.committed.entry(index).or_insert(applied);
+        let is_equal = (known.term, known.chain) == (term, chain);
+        if !is_equal || index.0 != before.index.0 + 1 {
+            self.report(Violation::AppliedDiffers { index });
+        }
+        Applied { index, chain }
+    }
+
+    /// A member restored a snapshot.
+    pub fn on_restore(&mut self, index: LogIndex, applied: Applied) {
+        let known = self.committed.get(&index).map(|known| known.chain);
+        if applied.index != index || known != Some(applied.chain) {
+            self.report(Violation::AppliedDiffers { index });
+        }
+    }
+
+    /// A leader told a client that its write at `index` is done.
+    pub fn on_acknowledged(&mut self, index: LogIndex) {
+        self.acknowledged = self.acknowledged.max(index);
+    }
+
+    /// A leader answered a read from its applied state.
+    pub fn on_read(&mut self, applied: LogIndex) {
+        self.reads += 1;
+        let acknowledged = self.acknowledged;
+        if applied < acknowledged {
+            self.report(Violation::StaleRead {
+                applied,
+                acknowledged,
+            });
+        }
+    }
+
+    /// These members hold a lease right now.
+    pub fn on_lease_holders(&mut self, holders: &[ReplicaId]) {
+        if let [first, second, ..] = holders {
+            self.report(Violation::TwoLeases {
+                first: *first,
+                second: *second,
+            });
+        }
+    }
+
+    /// Compares the logs of two members: below the last index at which their terms agree, all
+    /// terms must agree.
+    pub fn on_logs(&mut self, left: &Raft, right: &Raft) {
+        let first = left.first_index().max(right.first_index()).0;
+        let last = left.last_index().min(right.last_index()).0;
+        let mut agreed = false;
+        for index in (first..=last).rev().map(LogIndex) {
+            let equal = left.term_at(index) == right.term_at(index);
+            if agreed && !equal {
+                return self.report(Violation::LogMatching { index });
+            }
+            agreed |= equal;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/tests/support/cluster.rs
@@ -0,0 +1,439 @@
+//! Members on a simulated network, with simulated disks, driven by one seed.
+
+use super::checker::Checker;
+use super::disk;
+use super::node::Node;
+use super::{founders, small_limits};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_consensus::{Body, Faults, Input, Limits, Message, Output, ProposeError, Raft};
+use wingshore_types::{Instant, LogIndex, ReplicaId};
+
+/// Time between two looks at the clocks.
+const QUANTUM: Duration = Duration::from_millis(5);
+
+/// Something that happens later.
+enum Event {
+    Deliver {
+        from: ReplicaId,
+        to: ReplicaId,
+        message: Message,
+    },
+    Durable {
+        node: ReplicaId,
+        incarnation: u64,
+        token: u64,
+    },
+}
+
+/// How the network treats messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    /// Chance that a message is lost.
+    pub loss: f64,
+    /// Chance that it comes twice.
+    pub duplication: f64,
+    /// Shortest way.
+    pub min_delay: Duration,
+    /// Longest usual way.
+    pub max_delay: Duration,
+    /// Chance that it takes up to `straggler_delay`.
+    pub stragglers: f64,
+    /// Longest way of stragglers.
+    pub straggler_delay: Duration,
+    /// Longest time of a sync.
+    pub sync: Duration,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            duplication: 0.0,
+            min_delay: Duration::from_millis(1),
+            max_delay: Duration::from_millis(3),
+            stragglers: 0.0,
+            straggler_delay: Duration::ZERO,
+            sync: Duration::from_millis(2),
+        }
+    }
+}
+
+/// A cluster.
+pub struct Cluster {
+    pub now: Instant,
+    pub nodes: BTreeMap<ReplicaId, Node>,
+    pub network: Network,
+    /// One-way links that lose everything.
+    pub cut: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// Members whose syncs do not end.
+    pub stuck_disks: BTreeSet<ReplicaId>,
+    pub checker: Checker,
+    pub random: ChaCha8Rng,
+    pub sent_snapshot_chunks: u64,
+    pub faults: Faults,
+    pub limits: Limits,
+    events: BTreeMap<(Instant, u64), Event>,
+    event_count: u64,
+    seed: u64,
+}
+
+impl Cluster {
+    /// `voters` founding members, started.
+    pub fn new(voters: u64, seed: u64) -> Self {
+        Self::with(voters, seed, Faults::default(), small_limits())
+    }
+
+    /// `voters` founding members with these settings, started.
+    pub fn with(voters: u64, seed: u64, faults: Faults, limits: Limits) -> Self {
+        let mut cluster = Self {
+            now: Instant::from_millis(10),
+            nodes: BTreeMap::new(),
+            network: Network::default(),
+            cut: BTreeSet::new(),
+            stuck_disks: BTreeSet::new(),
+            checker: Checker::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            sent_snapshot_chunks: 0,
+            faults,
+            limits,
+            events: BTreeMap::new(),
+            event_count: 0,
+            seed,
+        };
+        for id in 1..=voters {
+            cluster.add_node(id, true, voters);
+        }
+        cluster
+    }
+
+    /// Adds a machine and starts it, as a founder or with an empty disk.
+    pub fn add_node(&mut self, id: u64, is_founder: bool, voters: u64) {
+        let id = ReplicaId(id);
+        let mut node = Node {
+            id,
+            raft: None,
+            disk: super::disk::Disk::default(),
+            underway: None,
+            incarnation: 0,
+            bootstrap: is_founder.then(|| founders(voters)),
+            applied: super::checker::Applied::default(),
+            drift_ppm: self.random.random_range(-19_000..=19_000),
+            frozen_until: Instant::ZERO,
+            proposed: Vec::new(),
+            writes: 0,
+            seed: self.seed,
+            faults: self.faults,
+            limits: self.limits,
+            commands: Vec::new(),
+        };
+        node.start(self.now, &mut self.checker);
+        self.nodes.insert(id, node);
+    }
+
+    /// The machine of a running member.
+    pub fn raft(&self, id: u64) -> &Raft {
+        self.nodes[&ReplicaId(id)].raft.as_ref().unwrap()
+    }
+
+    /// A member.
+    pub fn node(&mut self, id: u64) -> &mut Node {
+        self.nodes.get_mut(&ReplicaId(id)).unwrap()
+    }
+
+    /// Whether `id` holds the lease now, by its own clock.
+    pub fn holds_lease(&self, id: u64) -> bool {
+        let node = &self.nodes[&ReplicaId(id)];
+        let local = node.local(self.now);
+        node.raft
+            .as_ref()
+            .is_some_and(|raft| raft.holds_lease(local))
+    }
+
+    /// Stops a member; of a write under way the first `parts` parts reach its disk.
+    pub fn crash(&mut self, id: u64, parts: usize) {
+        self.node(id).crash(parts);
+    }
+
+    /// Starts a stopped member.
+    pub fn restart(&mut self, id: u64) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&ReplicaId(id)).unwrap();
+        node.start(now, &mut self.checker);
+    }
+
+    /// Stops a member with a random part of its write done.
+    pub fn crash_anywhere(&mut self, id: u64) {
+        let underway = self.node(id).underway.clone();
+        let most = underway.map_or(0, |underway| disk::parts(&underway.batch));
+        let parts = self.random.random_range(0..=most);
+        self.crash(id, parts);
+    }
+
+    /// Cuts both ways between `id` and all others.
+    pub fn isolate(&mut self, id: u64) {
+        let others: Vec<ReplicaId> = self.nodes.keys().copied().collect();
+        for other in others {
+            self.cut.insert((ReplicaId(id), other));
+            self.cut.insert((other, ReplicaId(id)));
+        }
+    }
+
+    /// The member with the highest term that believes it leads.
+    pub fn leader(&self) -> Option<u64> {
+        self.nodes
+            .values()
+            .filter_map(|node| node.raft.as_ref())
+            .filter(|raft| raft.is_leader())
+            .max_by_key(|raft| raft.term())
+            .map(|raft| raft.id().0)
+    }
+
+    /// A leader that has committed an entry of its term and holds the lease.
+    pub fn ready_leader(&self) -> Option<u64> {
+        self.leader().filter(|leader| {
+            self.raft(*leader).has_committed_own_term() && self.holds_lease(*leader)
+        })
+    }
+
+    /// Proposes a command at `id`.
+    pub fn propose(&mut self, id: u64, command: &[u8]) -> Result<LogIndex, ProposeError> {
+        let node = self.nodes.get_mut(&ReplicaId(id)).unwrap();
+        let Some(raft) = &mut node.raft else {
+            return Err(ProposeError::NotLeader);
+        };
+        let (index, term) = raft.propose(command.to_vec())?;
+        node.proposed.push((term, index));
+        self.act(id, |_, _, _| {});
+        Ok(index)
+    }
+
+    /// Does something with a member's machine and carries out what follows.
+    pub fn act(&mut self, id: u64, action: impl FnOnce(&mut Raft, Instant, &mut Vec<Output>)) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&ReplicaId(id)).unwrap();
+        let local = node.local(now);
+        let mut out = Vec::new();
+        if let Some(raft) = &mut node.raft {
+            action(raft, local, &mut out);
+        }
+        let sends = node.finish(now, out, &mut self.checker);
+        self.after_step(ReplicaId(id), sends);
+    }
+
+    /// Feeds one input to a member.
+    pub fn feed(&mut self, id: ReplicaId, input: Input) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let sends = node.step(now, vec![input], &mut self.checker);
+        self.after_step(id, sends);
+    }
+
+    fn after_step(&mut self, id: ReplicaId, sends: Vec<(ReplicaId, Message)>) {
+        for (to, message) in sends {
+            self.send(id, to, message);
+        }
+        self.schedule_write(id);
+    }
+
+    fn schedule_write(&mut self, id: ReplicaId) {
+        let node = &self.nodes[&id];
+        let Some(underway) = &node.underway else {
+            return;
+        };
+        let event = Event::Durable {
+            node: id,
+            incarnation: node.incarnation,
+            token: underway.token,
+        };
+        let sync = self.network.sync.as_nanos() as u64;
+        let delay = Duration::from_nanos(self.random.random_range(0..=sync));
+        self.schedule(delay, event);
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.event_count += 1;
+        self.events
+            .insert((self.now + delay, self.event_count), event);
+    }
+
+    fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
+        if matches!(message.body, Body::SnapshotChunk(_)) {
+            self.sent_snapshot_chunks += 1;
+        }
+        let network = self.network;
+        if self.cut.contains(&(from, to)) || self.random.random_bool(network.loss) {
+            return;
+        }
+        let copies = 1 + u32::from(self.random.random_bool(network.duplication));
+        for _ in 0..copies {
+            let delay = self.draw_delay();
+            let message = message.clone();
+            self.schedule(delay, Event::Deliver { from, to, message });
+        }
+    }
+
+    fn draw_delay(&mut self) -> Duration {
+        let network = self.network;
+        let most = if self.random.random_bool(network.stragglers) {
+            network.straggler_delay
+        } else {
+            network.max_delay
+        };
+        let least = network.min_delay.as_nanos() as u64;
+        Duration::from_nanos(self.random.random_range(least..=most.as_nanos() as u64))
+    }
+
+    /// Runs for `duration`.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end && self.checker.violation.is_none() {
+            self.run_quantum();
+        }
+    }
+
+    /// Runs until `condition` holds, at most `duration`; says whether it does.
+    pub fn run_until(&mut self, duration: Duration, condition: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + duration;
+        while self.now < end && !condition(self) {
+            self.run_quantum();
+        }
+        condition(self)
+    }
+
+    fn run_quantum(&mut self) {
+        let until = self.now + QUANTUM;
+        while let Some(((at, _), _)) = self.events.first_key_value() {
+            if *at > until {
+                break;
+            }
+            let Some(((at, _), event)) = self.events.pop_first() else {
+                break;
+            };
+            self.now = self.now.max(at);
+            self.handle(event);
+        }
+        self.now = until;
+        self.tick_all();
+        self.check_leases();
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Deliver { from, to, message } => self.deliver(from, to, message),
+            Event::Durable {
+                node,
+                incarnation,
+                token,
+            } => {
+                self.durable(node, incarnation, token);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
+        let frozen_until = self.nodes.get(&to).map(|node| node.frozen_until);
+        if let Some(until) = frozen_until.filter(|until| *until > self.now) {
+            // It waits in the socket.
+            let delay = until.since(self.now);
+            return self.schedule(delay, Event::Deliver { from, to, message });
+        }
+        self.feed(to, Input::Message { from, message });
+    }
+
+    fn durable(&mut self, id: ReplicaId, incarnation: u64, token: u64) {
+        if self.stuck_disks.contains(&id) {
+            let event = Event::Durable {
+                node: id,
+                incarnation,
+                token,
+            };
+            return self.schedule(QUANTUM, event);
+        }
+        let frozen_until = self.nodes[&id].frozen_until;
+        if frozen_until > self.now {
+            let event = Event::Durable {
+                node: id,
+                incarnation,
+                token,
+            };
+            return self.schedule(frozen_until.since(self.now), event);
+        }
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let is_current = node.incarnation == incarnation
+            && node
+                .underway
+                .as_ref()
+                .is_some_and(|underway| underway.token == token);
+        if !is_current {
+            return;
+        }
+        if let Some(underway) = node.underway.take() {
+            node.disk.write(&underway.batch);
+            self.feed(id, Input::Persisted { token });
+        }
+    }
+
+    fn tick_all(&mut self) {
+        let now = self.now;
+        let due: Vec<ReplicaId> = self
+            .nodes
+            .values()
+            .filter(|node| node.is_running(now))
+            .filter(|node| {
+                let local = node.local(now);
+                node.raft
+                    .as_ref()
+                    .is_some_and(|raft| raft.next_deadline() <= local)
+            })
+            .map(|node| node.id)
+            .collect();
+        for id in due {
+            self.feed(id, Input::Tick);
+        }
+    }
+
+    fn check_leases(&mut self) {
+        let holders: Vec<ReplicaId> = self
+            .nodes
+            .values()
+            .filter(|node| self.holds_lease(node.id.0))
+            .map(|node| node.id)
+            .collect();
+        self.checker.on_lease_holders(&holders);
+    }
+
+    /// Reads at every running member that believes it may answer.
+    pub fn read_everywhere(&mut self) {
+        for node in self.nodes.values().filter(|node| node.is_running(self.now)) {
+            let local = node.local(self.now);
+            let may_answer = node
+                .raft
+                .as_ref()
+                .is_some_and(|raft| raft.holds_lease(local) && raft.has_committed_own_term());
+            if may_answer {
+                self.checker.on_read(node.applied.index);
+            }
+        }
+    }
+
+    /// Compares the logs of all pairs of running members.
+    pub fn check_logs(&mut self) {
+        let rafts: Vec<&Raft> = self
+            .nodes
+            .values()
+            .filter_map(|node| node.raft.as_ref())
+            .collect();
+        for (position, left) in rafts.iter().enumerate() {
+            for right in &rafts[position + 1..] {
+                self.checker.on_logs(left, right);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/tests/support/mod.rs
@@ -0,0 +1,55 @@
+//! An in-memory cluster for tests: network, disks, clocks and checks.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod chaos;
+pub mod checker;
+pub mod cluster;
+pub mod disk;
+pub mod node;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use wingshore_consensus::{Limits, Timing};
+use wingshore_types::ReplicaId;
+use wingshore_types::configuration::Permille;
+use wingshore_types::protocol::membership::{Member, Membership};
+
+/// Timing of all test clusters.
+pub fn timing() -> Timing {
+    Timing {
+        election_timeout: Duration::from_millis(500),
+        heartbeat_interval: Duration::from_millis(50),
+        lease: Duration::from_millis(450),
+        drift: Permille(20),
+    }
+}
+
+/// Limits so small that every one of them is reached.
+pub fn small_limits() -> Limits {
+    Limits {
+        append_bytes: 64,
+        in_flight_messages: 3,
+        in_flight_bytes: 256,
+        snapshot_chunk_bytes: 24,
+        snapshot_chunks_in_flight: 2,
+        retained_log_bytes: 128,
+    }
+}
+
+/// A member with an address of its own.
+pub fn member(id: u64) -> Member {
+    let port = u16::try_from(10_000 + id % 1_000).unwrap();
+    Member {
+        id: ReplicaId(id),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+    }
+}
+
+/// Members 1 to `voters`, all voting.
+pub fn founders(voters: u64) -> Membership {
+    Membership {
+        voters: (1..=voters).map(member).collect(),
+        learners: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/wingshore-consensus/tests/support/node.rs
@@ -0,0 +1,172 @@
+//! One member of a test cluster: its machine, disk and clock.
+
+use super::checker::{Applied, Checker};
+use super::disk::Disk;
+use super::timing;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wingshore_consensus::{Faults, Input, Limits, Message, Output, Raft, RaftConfig};
+use wingshore_types::log::WriteBatch;
+use wingshore_types::protocol::membership::Membership;
+use wingshore_types::{Instant, LogIndex, ReplicaId};
+
+/// A write that is under way.
+#[derive(Clone, Debug)]
+pub struct Underway {
+    pub token: u64,
+    pub batch: WriteBatch,
+}
+
+/// One member.
+pub struct Node {
+    pub id: ReplicaId,
+    pub raft: Option<Raft>,
+    pub disk: Disk,
+    pub underway: Option<Underway>,
+    pub incarnation: u64,
+    pub bootstrap: Option<Membership>,
+    pub applied: Applied,
+    /// Parts per million by which its clock runs fast.
+    pub drift_ppm: i64,
+    /// Frozen until then: handles nothing, its clock runs on.
+    pub frozen_until: Instant,
+    /// Proposals of this incarnation: term and index.
+    pub proposed: Vec<(u64, LogIndex)>,
+    pub writes: u64,
+    pub seed: u64,
+    pub faults: Faults,
+    pub limits: Limits,
+    /// Commands applied by this incarnation.
+    pub commands: Vec<Vec<u8>>,
+}
+
+impl Node {
+    /// The time its own clock shows.
+    pub fn local(&self, now: Instant) -> Instant {
+        let ppm = i128::from(1_000_000 + self.drift_ppm);
+        let nanos = i128::from(now.0) * ppm / 1_000_000;
+        Instant(u64::try_from(nanos).unwrap() + 1_000_000_000 * self.id.0)
+    }
+
+    /// Whether it handles inputs now.
+    pub fn is_running(&self, now: Instant) -> bool {
+        self.raft.is_some() && now >= self.frozen_until
+    }
+
+    /// Starts it from its disk.
+    pub fn start(&mut self, now: Instant, checker: &mut Checker) {
+        let config = RaftConfig {
+            id: self.id,
+            bootstrap: self.bootstrap.clone(),
+            random: ChaCha8Rng::seed_from_u64(self.seed ^ (self.incarnation << 32) ^ self.id.0),
+            timing: timing(),
+            limits: self.limits,
+            faults: self.faults,
+        };
+        self.applied = Applied::default();
+        self.commands.clear();
+        let mut out = Vec::new();
+        let recovered = self.disk.contents.clone();
+        let raft = Raft::new(self.local(now), config, recovered, &mut out).unwrap();
+        self.raft = Some(raft);
+        for output in out {
+            if let Output::Restore { index, state } = output {
+                self.applied = Applied::decode(&state);
+                checker.on_restore(index, self.applied);
+            }
+        }
+    }
+
+    /// Ends it; of a write under way the first `parts` parts reach the disk.
+    pub fn crash(&mut self, parts: usize) {
+        self.raft = None;
+        self.incarnation += 1;
+        self.proposed.clear();
+        if let Some(underway) = self.underway.take() {
+            self.disk.write_prefix(&underway.batch, parts);
+        }
+    }
+
+    /// Feeds inputs, then collects what they led to.
+    pub fn step(
+        &mut self,
+        now: Instant,
+        inputs: Vec<Input>,
+        checker: &mut Checker,
+    ) -> Vec<(ReplicaId, Message)> {
+        let local = self.local(now);
+        let Some(raft) = &mut self.raft else {
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        for input in inputs {
+            raft.step(local, input, &mut out);
+        }
+        self.finish(now, out, checker)
+    }
+
+    /// Carries outputs out, after those of a flush.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        mut out: Vec<Output>,
+        checker: &mut Checker,
+    ) -> Vec<(ReplicaId, Message)> {
+        let local = self.local(now);
+        if let Some(raft) = &mut self.raft {
+            raft.flush(local, &mut out).unwrap();
+        }
+        let mut sends = Vec::new();
+        for output in out {
+            self.carry_out(output, &mut sends, checker);
+        }
+        sends
+    }
+
+    fn carry_out(
+        &mut self,
+        output: Output,
+        sends: &mut Vec<(ReplicaId, Message)>,
+        checker: &mut Checker,
+    ) {
+        if std::env::var("TRACE").is_ok() && !matches!(output, Output::Send { .. }) {
+            let r = self.raft.as_ref().unwrap();
+            println!(
+                "n{} t{} com{:?} last{:?} {}",
+                self.id,
+                r.term(),
+                r.commit_index(),
+                r.last_index(),
+                format!("{output:?}").chars().take(400).collect::<String>()
+            );
+        }
+        match output {
+            Output::Send { to, message } => sends.push((to, message)),
+            Output::Write { token, batch } => {
+                assert!(self.underway.is_none(), "one write at a time");
+                self.writes += 1;
+                self.underway = Some(Underway { token, batch });
+            }
+            Output::Apply(entry) => {
+                let term = self.raft.as_ref().map_or(0, Raft::term);
+                self.applied = checker.on_apply(term, self.applied, &entry);
+                if !entry.data.is_empty() {
+                    self.commands.push(entry.data.to_vec());
+                }
+                if self.proposed.contains(&(entry.term, entry.index)) {
+                    checker.on_acknowledged(entry.index);
+                }
+            }
+            Output::Restore { index, state } => {
+                self.applied = Applied::decode(&state);
+                checker.on_restore(index, self.applied);
+            }
+            Output::Leadership { leader, .. } if leader == Some(self.id) => {
+                if let Some(raft) = self.raft.as_ref().filter(|raft| raft.is_leader()) {
+                    checker.on_leader(raft);
+                }
+            }
+            Output::Leadership { .. } | Output::MembershipChanged(_) | Output::TransferAborted => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-group/src/applying.rs
@@ -0,0 +1,78 @@
+//! Applying committed entries and restoring snapshots.
+
+use crate::host::Host;
+use crate::interface::{HostError, HostOutput, HostReply};
+use crate::leading::Proposal;
+use wingshore_consensus::{Entry, EntryKind};
+use wingshore_types::machine::{LeaderMachine, ReplicatedState};
+use wingshore_types::protocol::membership::MembershipReply;
+use wingshore_types::{Instant, LogIndex};
+
+impl<L> Host<L>
+where
+    L: LeaderMachine + Default,
+    L::State: Default,
+{
+    /// Applies a committed entry and tells whoever proposed it.
+    ///
+    /// Proposals are kept only for the leadership that made them, and a leader never overwrites
+    /// its own log: so the entry at a proposal's index is that proposal.
+    pub(crate) fn apply(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        out: &mut Vec<HostOutput<L>>,
+    ) -> Result<(), HostError> {
+        self.applied_bytes += entry.size() as u64;
+        let proposal = self.proposals.remove(&entry.index);
+        match entry.kind {
+            EntryKind::Empty => {}
+            EntryKind::Command => {
+                let command = decode_command::<L>(entry)?;
+                let reply = self.state.apply(entry.index, command);
+                if let Some(Proposal::Machine(tag)) = proposal {
+                    self.machine_applied(now, tag, reply, out)?;
+                }
+            }
+            EntryKind::Membership => {
+                if let Some(Proposal::Membership(tag)) = proposal {
+                    self.membership_applied(now, tag, out);
+                }
+            }
+        }
+        self.start_leading_when_ready(now, entry.term, out)
+    }
+
+    fn membership_applied(
+        &mut self,
+        now: Instant,
+        tag: wingshore_types::machine::RequestTag,
+        out: &mut Vec<HostOutput<L>>,
+    ) {
+        let reply = if self.raft.holds_lease(now) {
+            HostReply::Membership(MembershipReply::Done)
+        } else {
+            HostReply::Unknown
+        };
+        out.push(HostOutput::Reply { tag, reply });
+    }
+
+    /// Replaces the state by a snapshot's.
+    pub(crate) fn restore(&mut self, index: LogIndex, state: &[u8]) -> Result<(), HostError> {
+        self.state = L::State::restore(state).map_err(|error| HostError::Restore {
+            index,
+            message: error.message,
+        })?;
+        self.applied_bytes = 0;
+        Ok(())
+    }
+}
+
+fn decode_command<L: LeaderMachine>(
+    entry: &Entry,
+) -> Result<<L::State as ReplicatedState>::Command, HostError> {
+    postcard::from_bytes(&entry.data).map_err(|source| HostError::Command {
+        index: entry.index,
+        source,
+    })
+}
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -1,19 +1,43 @@
-//! The host of one replicated group.
+//! The host of one replicated group: its state and the dispatch of inputs.
 
-use crate::interface::{ConfigSnafu, HostConfig, HostError, HostInput, HostOutput};
-use snafu::ResultExt;
-use std::marker::PhantomData;
+use crate::interface::{HostConfig, HostError, HostInput, HostOutput, HostReply, Leadership};
+use crate::leading::{Leading, Proposal};
+use crate::membership::PendingTransfer;
+use crate::stop::StopPhase;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use wingshore_consensus::{Input, Message, Output, Raft, RaftConfig};
 use wingshore_types::log::RecoveredLog;
-use wingshore_types::machine::LeaderMachine;
+use wingshore_types::machine::{LeaderMachine, ProposalTag, ReplicatedState, RequestTag};
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
 /// One replicated group on one replica: its log, its state and, while it leads, its leader
 /// machine.
+///
+/// Invariant: the leader machine exists only while this replica leads and has applied an entry of
+/// its own term; everything it wants released passes the lease check of the very step.
 pub struct Host<L: LeaderMachine> {
-    state: L::State,
-    membership: Membership,
-    leader_machine: PhantomData<L>,
+    pub(crate) id: ReplicaId,
+    pub(crate) raft: Raft,
+    pub(crate) state: L::State,
+    pub(crate) leading: Option<Leading<L>>,
+    /// What the leader machine or an operator proposed, by log index.
+    pub(crate) proposals: BTreeMap<LogIndex, Proposal>,
+    /// Proposals that wait for a leadership transfer to end.
+    pub(crate) held: VecDeque<(ProposalTag, Vec<u8>)>,
+    /// Requests at the leader machine, with the count of proposals at their arrival.
+    pub(crate) requests: BTreeMap<RequestTag, u64>,
+    /// Proposals the leader machine has made.
+    pub(crate) proposal_count: u64,
+    pub(crate) transfer: Option<PendingTransfer>,
+    pub(crate) stop: StopPhase,
+    pub(crate) announced: Option<Leadership>,
+    pub(crate) election_timeout: std::time::Duration,
+    snapshot_every_bytes: u64,
+    pub(crate) applied_bytes: u64,
+    has_failed: bool,
 }
 
 impl<L> Host<L>
@@ -26,16 +50,42 @@
     /// # Errors
     /// When a setting does not fit, or the recovered log cannot be used.
     pub fn new(
-        _now: Instant,
+        now: Instant,
         config: HostConfig,
-        _recovered: RecoveredLog,
+        recovered: RecoveredLog,
     ) -> Result<Self, HostError> {
-        config.timing.check().context(ConfigSnafu)?;
-        Ok(Self {
+        let raft_config = RaftConfig {
+            id: config.id,
+            bootstrap: config.bootstrap,
+            random: ChaCha8Rng::seed_from_u64(config.seed),
+            timing: config.timing,
+            limits: config.limits,
+            faults: config.faults,
+        };
+        let mut outputs = Vec::new();
+        let raft = Raft::new(now, raft_config, recovered, &mut outputs)
+            .map_err(|source| HostError::Recovery { source })?;
+        let mut host = Self {
+            id: config.id,
+            raft,
             state: L::State::default(),
-            membership: config.bootstrap.unwrap_or_default(),
-            leader_machine: PhantomData,
-        })
+            leading: None,
+            proposals: BTreeMap::new(),
+            held: VecDeque::new(),
+            requests: BTreeMap::new(),
+            proposal_count: 0,
+            transfer: None,
+            stop: StopPhase::Running,
+            announced: None,
+            election_timeout: config.timing.election_timeout,
+            snapshot_every_bytes: config.snapshot_every_bytes,
+            applied_bytes: 0,
+            has_failed: false,
+        };
+        for output in outputs {
+            host.carry_out(now, output, &mut Vec::new())?;
+        }
+        Ok(host)
     }
 
     /// Handles one input at `now`, pushing what follows from it.
@@ -43,18 +93,151 @@
         self.step_all(now, [input], out);
     }
 
-    /// Handles several inputs at `now`; what they write goes out as one batch.
+    /// Handles several inputs at `now`; what they write goes out as one batch, and what they
+    /// propose as one append to each member.
     pub fn step_all(
         &mut self,
-        _now: Instant,
-        _inputs: impl IntoIterator<Item = HostInput<L>>,
-        _out: &mut Vec<HostOutput<L>>,
+        now: Instant,
+        inputs: impl IntoIterator<Item = HostInput<L>>,
+        out: &mut Vec<HostOutput<L>>,
     ) {
+        for input in inputs {
+            if self.has_failed {
+                return;
+            }
+            let result = self.handle(now, input, out);
+            self.stop_on_error(result, out);
+        }
+        if !self.has_failed {
+            let result = self.finish_step(now, out);
+            self.stop_on_error(result, out);
+        }
+    }
+
+    fn handle(
+        &mut self,
+        now: Instant,
+        input: HostInput<L>,
+        out: &mut Vec<HostOutput<L>>,
+    ) -> Result<(), HostError> {
+        match input {
+            HostInput::Tick => {
+                self.step_raft(now, Input::Tick, out)?;
+                self.tick_machine(now, out)
+            }
+            HostInput::Consensus { from, message } => {
+                // A message that does not decode counts as lost.
+                let Ok(message) = postcard::from_bytes::<Message>(&message) else {
+                    return Ok(());
+                };
+                self.step_raft(now, Input::Message { from, message }, out)
+            }
+            HostInput::Persisted { token } => self.step_raft(now, Input::Persisted { token }, out),
+            HostInput::Request { tag, request } => self.on_request(now, tag, request, out),
+            HostInput::Membership { tag, request } => {
+                self.on_membership_request(now, tag, request, out)
+            }
+            HostInput::Event(event) => self.on_event(now, event, out),
+            HostInput::Stop => {
+                self.begin_stop(now);
+                Ok(())
+            }
+        }
+    }
+
+    fn finish_step(&mut self, now: Instant, out: &mut Vec<HostOutput<L>>) -> Result<(), HostError> {
+        self.propose_held();
+        self.continue_stop(now, out);
+        self.take_snapshot_when_due()?;
+        let mut outputs = Vec::new();
+        self.raft.flush(now, &mut outputs)?;
+        self.carry_out_all(now, outputs, out)
+    }
+
+    fn step_raft(
+        &mut self,
+        now: Instant,
+        input: Input,
+        out: &mut Vec<HostOutput<L>>,
+    ) -> Result<(), HostError> {
+        let mut outputs = Vec::new();
+        self.raft.step(now, input, &mut outputs);
+        self.carry_out_all(now, outputs, out)
+    }
+
+    /// Carries out what the log wants done, in its order.
+    pub(crate) fn carry_out_all(
+        &mut self,
+        now: Instant,
+        outputs: Vec<Output>,
+        out: &mut Vec<HostOutput<L>>,
+    ) -> Result<(), HostError> {
+        for output in outputs {
+            self.carry_out(now, output, out)?;
+        }
+        Ok(())
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        output: Output,
+        out: &mut Vec<HostOutput<L>>,
+    ) -> Result<(), HostError> {
+        match output {
+            Output::Send { to, message } => {
+                let message = postcard::to_allocvec(&message)?;
+                out.push(HostOutput::Send { to, message });
+            }
+            Output::Write { token, batch } => out.push(HostOutput::Write { token, batch }),
+            Output::Apply(entry) => self.apply(now, &entry, out)?,
+            Output::Restore { index, state } => self.restore(index, &state)?,
+            Output::Leadership { term, leader } => self.on_leadership(term, leader, out),
+            Output::MembershipChanged(membership) => {
+                out.push(HostOutput::MembershipChanged(membership));
+            }
+            Output::TransferAborted => self.on_transfer_aborted(out),
+        }
+        Ok(())
+    }
+
+    fn take_snapshot_when_due(&mut self) -> Result<(), HostError> {
+        if self.applied_bytes >= self.snapshot_every_bytes && self.raft.can_compact() {
+            self.applied_bytes = 0;
+            self.raft.compact(self.state.snapshot())?;
+        }
+        Ok(())
+    }
+
+    fn stop_on_error(&mut self, result: Result<(), HostError>, out: &mut Vec<HostOutput<L>>) {
+        if let Err(error) = result {
+            self.has_failed = true;
+            out.push(HostOutput::Failed(error));
+        }
+    }
+
+    /// Answers a request without any claim about the state.
+    pub(crate) fn reply_not_leader(&self, tag: RequestTag, out: &mut Vec<HostOutput<L>>) {
+        let leader = self.other_leader();
+        let reply = HostReply::NotLeader { leader };
+        out.push(HostOutput::Reply { tag, reply });
+    }
+
+    /// The leader, when it is another replica.
+    pub(crate) fn other_leader(&self) -> Option<ReplicaId> {
+        self.raft.leader().filter(|leader| *leader != self.id)
     }
 
     /// When [`HostInput::Tick`] is wanted at the latest.
     pub fn next_tick(&self) -> Instant {
-        Instant(u64::MAX)
+        let mut next = self.raft.next_deadline();
+        if let Some(leading) = &self.leading {
+            next = next.min(leading.next_tick);
+        }
+        if let Some(deadline) = self.stop.deadline() {
+            next = next.min(deadline);
+        }
+        next
     }
 
     /// The replicated state as applied here.
@@ -64,36 +247,36 @@
 
     /// Whether this replica leads and its leader machine runs.
     pub fn is_leader(&self) -> bool {
-        false
+        self.leading.is_some()
     }
 
     /// Whether this replica holds the quorum lease at `now`.
-    pub fn holds_lease(&self, _now: Instant) -> bool {
-        false
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.raft.holds_lease(now)
     }
 
     /// The leader, when one is known.
     pub fn leader(&self) -> Option<ReplicaId> {
-        None
+        self.raft.leader()
     }
 
     /// The current term.
     pub fn term(&self) -> u64 {
-        0
+        self.raft.term()
     }
 
     /// The last entry applied here.
     pub fn applied_index(&self) -> LogIndex {
-        LogIndex(0)
+        self.raft.last_applied()
     }
 
     /// The last entry known to be committed here.
     pub fn commit_index(&self) -> LogIndex {
-        LogIndex(0)
+        self.raft.commit_index()
     }
 
     /// The members, as of the newest entry that changes them.
     pub fn membership(&self) -> &Membership {
-        &self.membership
+        self.raft.membership()
     }
 }
--- a/crates/wingshore-group/src/interface.rs
+++ b/crates/wingshore-group/src/interface.rs
@@ -1,7 +1,7 @@
 //! What a host takes and gives.
 
 use snafu::Snafu;
-use wingshore_consensus::{ConfigError, Faults, Limits, Timing};
+use wingshore_consensus::{CodecError, Faults, Limits, RecoveryError, Timing};
 use wingshore_types::log::WriteBatch;
 use wingshore_types::machine::{LeaderMachine, RequestTag};
 use wingshore_types::protocol::membership::{Membership, MembershipReply, MembershipRequest};
@@ -149,19 +149,12 @@
 
 /// Why a host cannot start or go on.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(visibility(pub(crate)))]
 pub enum HostError {
-    /// A setting does not fit.
-    #[snafu(display("consensus settings: {source}"))]
-    Config {
-        /// Which.
-        source: ConfigError,
-    },
-    /// What storage recovered cannot be used.
-    #[snafu(display("the recovered log cannot be used: {message}"))]
+    /// A setting does not fit, or what storage recovered cannot be used.
+    #[snafu(display("the group cannot start: {source}"))]
     Recovery {
-        /// What is wrong.
-        message: String,
+        /// Why.
+        source: RecoveryError,
     },
     /// A snapshot could not be restored.
     #[snafu(display("the snapshot at index {index} cannot be restored: {message}"))]
@@ -172,17 +165,23 @@
         message: String,
     },
     /// A committed command is not of a format this program knows.
-    #[snafu(display("the committed command at index {index} cannot be decoded: {message}"))]
+    #[snafu(display("the committed command at index {index} cannot be decoded: {source}"))]
     Command {
         /// The entry.
         index: LogIndex,
-        /// What is wrong.
-        message: String,
+        /// From the codec.
+        source: postcard::Error,
     },
-    /// A value could not be encoded.
-    #[snafu(display("encoding failed: {message}"))]
+    /// A message or a command could not be encoded.
+    #[snafu(display("encoding failed: {source}"), context(false))]
     Encode {
-        /// What is wrong.
-        message: String,
+        /// From the codec.
+        source: postcard::Error,
+    },
+    /// The hard state or a snapshot could not be encoded.
+    #[snafu(display("{source}"), context(false))]
+    Codec {
+        /// Why.
+        source: CodecError,
     },
 }
--- a/crates/wingshore-group/src/lib.rs
+++ b/crates/wingshore-group/src/lib.rs
@@ -4,8 +4,12 @@
 //! while this replica leads, the leader machine. It does no I/O: drivers and simulators feed it
 //! [`HostInput`]s and carry out its [`HostOutput`]s.
 
+mod applying;
 mod host;
 mod interface;
+mod leading;
+mod membership;
+mod stop;
 
 pub use host::Host;
 pub use interface::{HostConfig, HostError, HostInput, HostOutput, HostReply, Leadership};
