ledger: claims tests; own claims are granted again for ten minutes only

Cause: a claim granted again hours later would be remembered for less than the retention (found by the property test a_key_runs_once). Change: after 10 minutes the same attempt's claim is answered Taken.

--- a/crates/wingshore-ledger/src/claims/mod.rs
+++ b/crates/wingshore-ledger/src/claims/mod.rs
@@ -11,4 +11,4 @@
 
 pub use command::ClaimsCommand;
 pub use leader::ClaimsLeader;
-pub use state::{ClaimsLimits, ClaimsState, RETENTION};
+pub use state::{ClaimsLimits, ClaimsState, RESEND_WINDOW, RETENTION};
--- a/crates/wingshore-ledger/src/claims/state.rs
+++ b/crates/wingshore-ledger/src/claims/state.rs
@@ -13,6 +13,9 @@
 
 /// How long a claim is kept after its last change.
 pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
+/// For how long an attempt's own claim, sent again, is granted again. A key is thus remembered for
+/// [`RETENTION`] less this time after the latest answer by which anyone could have sent it.
+pub const RESEND_WINDOW: Duration = Duration::from_secs(10 * 60);
 /// How long a freed claim is kept.
 const FREED_RETENTION: Duration = Duration::from_secs(60);
 /// When to ask again for a key that is taken, in milliseconds.
@@ -89,7 +92,7 @@
                 fingerprint,
                 claimant,
             } => match self.entries.get(key) {
-                Some(entry) => standing(entry, *fingerprint, claimant),
+                Some(entry) => self.standing(entry, *fingerprint, claimant),
                 None => None,
             },
             ClaimsRequest::Settle { key, claimant, .. } => match self.entries.get(key) {
@@ -99,6 +102,31 @@
         }
     }
 
+    /// The reply to a claim of a key that is remembered; `None` when it may be claimed anew.
+    fn standing(
+        &self,
+        entry: &Entry,
+        fingerprint: u64,
+        claimant: &Claimant,
+    ) -> Option<ClaimsReply> {
+        let is_own = entry.claimant == *claimant;
+        if matches!(entry.status, Status::Freed) {
+            return is_own.then(taken);
+        }
+        if entry.fingerprint != fingerprint {
+            return Some(ClaimsReply::Mismatch);
+        }
+        let granted_until = entry
+            .expires_ms
+            .saturating_sub(milliseconds(RETENTION - RESEND_WINDOW));
+        let reply = match &entry.status {
+            Status::InFlight if is_own && self.clock_ms < granted_until => ClaimsReply::Granted,
+            Status::InFlight | Status::Unknown | Status::Freed => taken(),
+            Status::Answered(answer) => ClaimsReply::Answered(answer.clone()),
+        };
+        Some(reply)
+    }
+
     fn apply_request(&mut self, request: ClaimsRequest) -> ClaimsReply {
         if let Some(reply) = self.peek(&request) {
             return reply;
@@ -192,8 +220,7 @@
     }
 
     fn expiry(&self, retention: Duration) -> u64 {
-        let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
-        self.clock_ms.saturating_add(retention_ms)
+        self.clock_ms.saturating_add(milliseconds(retention))
     }
 
     fn remember(&mut self, key: ClaimKey, entry: Entry) {
@@ -229,21 +256,8 @@
     }
 }
 
-/// The reply to a claim of a key that is remembered; `None` when the key may be claimed anew.
-fn standing(entry: &Entry, fingerprint: u64, claimant: &Claimant) -> Option<ClaimsReply> {
-    let is_own = entry.claimant == *claimant;
-    if matches!(entry.status, Status::Freed) {
-        return is_own.then(taken);
-    }
-    if entry.fingerprint != fingerprint {
-        return Some(ClaimsReply::Mismatch);
-    }
-    let reply = match &entry.status {
-        Status::InFlight if is_own => ClaimsReply::Granted,
-        Status::InFlight | Status::Unknown | Status::Freed => taken(),
-        Status::Answered(answer) => ClaimsReply::Answered(answer.clone()),
-    };
-    Some(reply)
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn taken() -> ClaimsReply {
--- a/crates/wingshore-ledger/tests/samples_model.rs
+++ b/crates/wingshore-ledger/tests/samples_model.rs
@@ -17,7 +17,8 @@
 const NUMBERS: u64 = 14;
 const NODES: [&str; 2] = ["a", "b"];
 
-/// What the test does next; numbers are taken modulo what exists.
+/// What the test does next; numbers are taken modulo what exists. With `own`, a report names the
+/// lease that the sample is really under; steps are counted from the one before the next.
 #[derive(Clone, Debug)]
 enum Action {
     Submit(Vec<u64>),
@@ -33,11 +34,13 @@
     },
     Finish {
         number: u64,
+        own: bool,
         lease: usize,
         versions: Vec<u64>,
     },
     Score {
         number: u64,
+        own: bool,
         lease: usize,
     },
     Observe(u64),
@@ -51,23 +54,30 @@
 }
 
 fn actions() -> impl Strategy<Value = Vec<Action>> {
-    let versions = || prop::collection::vec(1..8u64, 0..4);
+    let versions = || prop::collection::vec(3..6u64, 0..4);
+    let own = || prop::bool::weighted(0.8);
+    let step = || prop_oneof![1 => Just(0u64), 6 => Just(1), 1 => Just(2)];
     let action = prop_oneof![
         2 => prop::collection::vec(0..NUMBERS, 1..6).prop_map(Action::Submit),
-        4 => (0..2usize, 0..2u64, 0..5u32)
-            .prop_map(|(node, boot_id, most)| Action::Lease { node, boot_id, most }),
+        4 => (0..2usize, prop::bool::weighted(0.1), 0..5u32).prop_map(|(node, boot_id, most)| {
+            let boot_id = u64::from(boot_id);
+            Action::Lease { node, boot_id, most }
+        }),
         1 => any::<usize>().prop_map(Action::Expire),
-        1 => (any::<usize>(), versions()).prop_map(|(lease, versions)| Action::Return { lease, versions }),
-        8 => (0..NUMBERS, any::<usize>(), versions())
-            .prop_map(|(number, lease, versions)| Action::Finish { number, lease, versions }),
-        8 => (0..NUMBERS, any::<usize>()).prop_map(|(number, lease)| Action::Score { number, lease }),
-        1 => (1..8u64).prop_map(Action::Observe),
-        5 => (0..4u64, 1..8u64, 1..4u32)
+        1 => (any::<usize>(), versions())
+            .prop_map(|(lease, versions)| Action::Return { lease, versions }),
+        12 => (0..NUMBERS, own(), any::<usize>(), versions()).prop_map(
+            |(number, own, lease, versions)| Action::Finish { number, own, lease, versions }
+        ),
+        12 => (0..NUMBERS, own(), any::<usize>())
+            .prop_map(|(number, own, lease)| Action::Score { number, own, lease }),
+        1 => (1..6u64).prop_map(Action::Observe),
+        5 => (step(), 3..7u64, 1..4u32)
             .prop_map(|(step, version, count)| Action::HandOver { step, version, count }),
-        2 => (0..4u64).prop_map(Action::Acknowledge),
+        2 => step().prop_map(Action::Acknowledge),
         1 => Just(Action::Restore),
     ];
-    prop::collection::vec(action, 1..120)
+    prop::collection::vec(action, 1..200)
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -307,6 +317,22 @@
         index as u64 % (self.model.leases + 1)
     }
 
+    fn lease_of(&self, number: u64, own: bool, index: usize) -> u64 {
+        match self.model.samples.get(&number) {
+            Some((_, Place::Leased(lease, ..) | Place::Finished(lease, _), _)) if own => *lease,
+            _ => self.some_lease(index),
+        }
+    }
+
+    /// A step near the next one: the one before for 0, the next one for 1.
+    fn step_near(&self, offset: u64) -> u64 {
+        let last = self.model.batches.keys().next_back().copied();
+        let next = last
+            .max(self.model.acknowledged_step)
+            .map_or(7, |last| last + 1);
+        next + offset - 1
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Submit(numbers) => {
@@ -344,11 +370,15 @@
             }
             Action::Finish {
                 number,
+                own,
                 lease,
                 versions,
-            } => self.finish(number, lease, &versions),
-            Action::Score { number, lease } => {
-                let lease = self.some_lease(lease);
+            } => {
+                let lease = self.lease_of(number, own, lease);
+                self.finish(number, lease, &versions);
+            }
+            Action::Score { number, own, lease } => {
+                let lease = self.lease_of(number, own, lease);
                 let reply = self.apply(Operation::Score {
                     pool: pool(),
                     sample: SampleNumber(number),
@@ -369,8 +399,10 @@
                 step,
                 version,
                 count,
-            } => self.hand_over(step, version, count),
-            Action::Acknowledge(step) => {
+            } => self.hand_over(self.step_near(step), version, count),
+            Action::Acknowledge(offset) => {
+                let first = self.model.batches.keys().next().copied();
+                let step = first.unwrap_or(self.step_near(0)) + offset - 1;
                 let reply = self.apply(Operation::Acknowledge {
                     pool: pool(),
                     trainer: trainer(),
@@ -409,8 +441,7 @@
         assert_eq!(numbers, expected);
     }
 
-    fn finish(&mut self, number: u64, lease: usize, versions: &[u64]) {
-        let lease = self.some_lease(lease);
+    fn finish(&mut self, number: u64, lease: u64, versions: &[u64]) {
         let reply = self.apply(Operation::Finish {
             pool: pool(),
             sample: SampleNumber(number),
