--- a/crates/wingshore-control/src/state/plan_book.rs
+++ b/crates/wingshore-control/src/state/plan_book.rs
@@ -11,7 +11,7 @@
 /// Steps of closed plans kept, over all of them; the newest closed plan stays in any case.
 pub const CLOSED_STEPS_KEPT: usize = 50_000;
 /// Most plans open at once; further proposals are refused.
-pub const OPEN_PLANS_LIMIT: usize = 500;
+pub const OPEN_PLANS_LIMIT: usize = 2_000;
 
 /// A plan with what its execution needs to know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/wingshore-control/tests/swaps.rs
+++ b/crates/wingshore-control/tests/swaps.rs
@@ -47,8 +47,11 @@
     }
 }
 
-/// The engines that begin, with their sources, when version 2 is wanted.
-fn begin(cases: &[Case], limits: SwapLimits) -> Vec<(u32, SocketAddr)> {
+/// Engines that begin, with their sources.
+type Begun = Vec<(u32, SocketAddr)>;
+
+/// What begins when version 2 is wanted.
+fn begin(cases: &[Case], limits: SwapLimits) -> Begun {
     let names: Vec<ServerId> = (0..cases.len())
         .map(|n| ServerId::new(&engine_name(n as u32)))
         .collect();
@@ -110,7 +113,7 @@
         failed_before: true,
         ..at(1)
     };
-    let cases: Vec<(&str, Vec<Case>, SwapLimits, Vec<(u32, SocketAddr)>)> = vec![
+    let cases: Vec<(&str, Vec<Case>, SwapLimits, Begun)> = vec![
         ("all are there", vec![at(2), at(2)], limits(2, 4, 0), vec![]),
         (
             "share",
