relay: fan-out of configuration and leases, as a state machine and its driver

Cause: a leader cannot talk to thousands of nodes; a relay between them must not let a node's lease outlive what the leader believes. Ruled out: granting what is left of any upstream lease (a node whose acknowledgement was not part of that watch is not known to the leader); passing the lease on in whole; dropping the acknowledgements of a failed watch, or keeping them for ever (a dead node would be renewed while answers are lost). Change: RelayState (one upstream watch, copy with kept changes, leases per boot of a node), the driver with admin port. A simulation with losses, moves, restarts, freezes and relays behind relays checks against a model of the leader; three deliberate faults are caught by it.

--- /dev/null
+++ b/crates/wingshore-relay/src/driver/frames.rs
@@ -0,0 +1,114 @@
+//! Watches of nodes, as frames: where each came from, and the answers to them.
+
+use super::run::Event;
+use crate::state::WatchTag;
+use crossbeam_channel::Sender;
+use std::collections::HashMap;
+use std::time::Duration;
+use wingshore_diagnostics::Diagnostics;
+use wingshore_transport::{ConnectionHandle, ConnectionId, FrameHandler};
+use wingshore_types::RequestId;
+use wingshore_types::protocol::control::{ConfigurationUpdate, ControlReply, ControlRequest};
+use wingshore_types::protocol::wire::{Frame, GroupReply, GroupRequest};
+
+/// Why a relay takes nothing but watches.
+const ONLY_WATCHES: &str = "this process is a relay: it answers configuration watches only; send \
+                            other requests to a replica";
+
+/// Hands watches to the relay's main loop.
+pub(super) struct RelayFrames {
+    pub(super) events: Sender<Event>,
+    pub(super) diagnostics: Diagnostics,
+}
+
+impl FrameHandler for RelayFrames {
+    fn on_frame(&self, connection: &ConnectionHandle, frame: Frame) {
+        let Frame::Request { id, body, .. } = frame else {
+            connection.close();
+            return;
+        };
+        match body {
+            GroupRequest::Control(ControlRequest::Watch(request)) => {
+                let connection = connection.clone();
+                // A relay that is stopping takes nothing more; its connections end with it.
+                let _ = self.events.send(Event::Watch {
+                    connection,
+                    id,
+                    request,
+                });
+            }
+            GroupRequest::DumpLog => connection.reply(id, self.dump_log()),
+            _ => connection.reply(id, GroupReply::Rejected(ONLY_WATCHES.to_owned())),
+        }
+    }
+
+    fn on_closed(&self, connection: &ConnectionHandle) {
+        let _ = self.events.send(Event::ConnectionClosed(connection.id()));
+    }
+}
+
+impl RelayFrames {
+    fn dump_log(&self) -> GroupReply {
+        match self.diagnostics.dump("asked by an operator") {
+            Ok(place) => GroupReply::LogDumped(place),
+            Err(error) => GroupReply::Rejected(error.to_string()),
+        }
+    }
+}
+
+/// Where watches came from.
+#[derive(Debug, Default)]
+pub(super) struct Watchers {
+    next: u64,
+    waiting: HashMap<WatchTag, Watcher>,
+}
+
+#[derive(Debug)]
+struct Watcher {
+    connection: ConnectionHandle,
+    id: RequestId,
+}
+
+impl Watchers {
+    /// Remembers a watch under a fresh tag.
+    pub(super) fn add(&mut self, connection: ConnectionHandle, id: RequestId) -> WatchTag {
+        let tag = WatchTag(self.next);
+        self.next += 1;
+        self.waiting.insert(tag, Watcher { connection, id });
+        tag
+    }
+
+    /// Forgets the watches of a closed connection and returns their tags.
+    pub(super) fn remove_connection(&mut self, connection: ConnectionId) -> Vec<WatchTag> {
+        let is_of = |watcher: &Watcher| watcher.connection.id() == connection;
+        let gone: Vec<WatchTag> = self
+            .waiting
+            .extract_if(|_, watcher| is_of(watcher))
+            .map(|(tag, _)| tag)
+            .collect();
+        gone
+    }
+
+    /// All watches without an answer.
+    pub(super) fn tags(&self) -> Vec<WatchTag> {
+        self.waiting.keys().copied().collect()
+    }
+
+    /// Answers a watch. The lease is rounded down.
+    pub(super) fn answer(&mut self, tag: WatchTag, update: ConfigurationUpdate, lease: Duration) {
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        let reply = ControlReply::Update { update, lease_ms };
+        self.reply(tag, GroupReply::Control(reply));
+    }
+
+    /// Sends a watcher on to another relay or replica.
+    pub(super) fn send_elsewhere(&mut self, tag: WatchTag) {
+        self.reply(tag, GroupReply::NotLeader { leader: None });
+    }
+
+    fn reply(&mut self, tag: WatchTag, body: GroupReply) {
+        if let Some(watcher) = self.waiting.remove(&tag) {
+            watcher.connection.reply(watcher.id, body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-relay/src/driver/mod.rs
@@ -0,0 +1,10 @@
+//! Drives a relay with sockets, threads and a clock.
+
+mod admin;
+mod clock;
+mod frames;
+mod metrics;
+mod run;
+mod upstream;
+
+pub use run::{RelayError, run};
--- /dev/null
+++ b/crates/wingshore-relay/src/state/copy.rs
@@ -0,0 +1,112 @@
+//! The relay's copy of the configuration, and its newest changes.
+
+use std::collections::VecDeque;
+use wingshore_types::Revision;
+use wingshore_types::configuration::{Configuration, ConfigurationChange};
+use wingshore_types::protocol::control::ConfigurationUpdate;
+
+/// A configuration whose revision never goes down, with the changes that led to it.
+#[derive(Debug)]
+pub(super) struct ConfigurationCopy {
+    configuration: Configuration,
+    /// The changes up to `configuration`, the last one being that of its revision.
+    changes: VecDeque<ConfigurationChange>,
+    kept_changes: usize,
+    wants_whole: bool,
+    received: bool,
+}
+
+impl ConfigurationCopy {
+    pub(super) fn new(kept_changes: usize) -> Self {
+        Self {
+            configuration: Configuration::default(),
+            changes: VecDeque::new(),
+            kept_changes,
+            wants_whole: false,
+            received: false,
+        }
+    }
+
+    pub(super) fn revision(&self) -> Revision {
+        self.configuration.revision
+    }
+
+    /// Whether any answer has come from upstream.
+    pub(super) fn is_received(&self) -> bool {
+        self.received
+    }
+
+    /// The revision to ask upstream from; zero asks for the whole.
+    pub(super) fn wanted_from(&self) -> Revision {
+        if self.wants_whole {
+            Revision(0)
+        } else {
+            self.revision()
+        }
+    }
+
+    /// Takes an update in; returns whether it fits.
+    pub(super) fn apply(&mut self, update: ConfigurationUpdate) -> bool {
+        let fits = match update {
+            ConfigurationUpdate::Unchanged => !self.wants_whole || self.revision() == Revision(0),
+            ConfigurationUpdate::Delta { from, changes } => self.apply_delta(from, changes),
+            ConfigurationUpdate::Snapshot(whole) => self.replace(*whole),
+        };
+        self.wants_whole = !fits;
+        self.received |= fits;
+        fits
+    }
+
+    /// What a watcher that holds `have` lacks.
+    pub(super) fn update_since(&self, have: Revision) -> ConfigurationUpdate {
+        let revision = self.revision();
+        if have >= revision {
+            return ConfigurationUpdate::Unchanged;
+        }
+        let missing = revision.0 - have.0;
+        let kept = self.changes.len();
+        match usize::try_from(missing) {
+            Ok(missing) if missing <= kept => ConfigurationUpdate::Delta {
+                from: have,
+                changes: self.changes.range(kept - missing..).cloned().collect(),
+            },
+            _ => ConfigurationUpdate::Snapshot(Box::new(self.configuration.clone())),
+        }
+    }
+
+    fn apply_delta(&mut self, from: Revision, changes: Vec<ConfigurationChange>) -> bool {
+        if from == self.revision() {
+            return changes.into_iter().all(|change| self.apply_change(change));
+        }
+        if from != Revision(0) {
+            return false;
+        }
+        let mut whole = Configuration::default();
+        let fits = changes.iter().all(|change| whole.apply(change).is_ok());
+        fits && self.replace(whole)
+    }
+
+    /// One change after another, each complete, so that one that does not fit leaves a revision
+    /// that was really committed.
+    fn apply_change(&mut self, change: ConfigurationChange) -> bool {
+        if self.configuration.apply(&change).is_err() {
+            return false;
+        }
+        self.changes.push_back(change);
+        if self.changes.len() > self.kept_changes {
+            self.changes.pop_front();
+        }
+        true
+    }
+
+    fn replace(&mut self, whole: Configuration) -> bool {
+        if whole.revision < self.revision() {
+            return false;
+        }
+        if whole.revision > self.revision() {
+            self.configuration = whole;
+            self.changes.clear();
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/wingshore-relay/src/state/mod.rs
@@ -0,0 +1,302 @@
+//! The relay's decisions: whom to answer with what, and what to ask upstream.
+
+mod copy;
+mod nodes;
+mod watches;
+
+use copy::ConfigurationCopy;
+use nodes::{NodeTable, SendReason};
+use std::time::Duration;
+use watches::{OpenWatch, OpenWatches};
+use wingshore_types::protocol::control::{ConfigurationUpdate, WatchRequest};
+use wingshore_types::{Instant, Revision};
+
+/// Names one watch of a node or of a relay further down, within this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WatchTag(pub u64);
+
+/// Times of a relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayTiming {
+    /// How long upstream may hold a watch open; also the longest time an acknowledgement waits
+    /// here before it is passed on.
+    pub upstream_wait: Duration,
+    /// The same while some node waits for its first lease.
+    pub urgent_wait: Duration,
+    /// After news, time for the nodes' acknowledgements to come in before the next watch is sent.
+    pub gather: Duration,
+    /// Pause after a failed watch.
+    pub retry_pause: Duration,
+    /// Longest time a watch of a node is held open.
+    pub longest_watch: Duration,
+    /// Without any answer from upstream for this long, nodes are sent to other relays.
+    pub upstream_limit: Duration,
+    /// Acknowledgements older than this are not passed on: the node may be gone.
+    pub acknowledgement_limit: Duration,
+    /// Nodes not heard of for this long are forgotten; longer than any lease.
+    pub forget_after: Duration,
+    /// Changes kept for answers by delta; nodes further behind get the whole configuration.
+    pub kept_changes: usize,
+}
+
+impl Default for RelayTiming {
+    fn default() -> Self {
+        Self {
+            upstream_wait: Duration::from_millis(500),
+            urgent_wait: Duration::from_millis(20),
+            gather: Duration::from_millis(30),
+            retry_pause: Duration::from_millis(100),
+            longest_watch: Duration::from_secs(1),
+            upstream_limit: Duration::from_millis(2500),
+            acknowledgement_limit: Duration::from_secs(2),
+            forget_after: Duration::from_secs(60),
+            kept_changes: 4096,
+        }
+    }
+}
+
+/// What a relay reacts to.
+#[derive(Clone, Debug)]
+pub enum RelayInput {
+    /// A node or a relay further down watches.
+    Watch {
+        /// Comes back with the answer.
+        tag: WatchTag,
+        /// What it asks and acknowledges.
+        request: WatchRequest,
+    },
+    /// Nobody waits for the answer to this watch any more.
+    WatchGone(WatchTag),
+    /// Upstream answered the watch that was sent last.
+    UpstreamAnswered {
+        /// News.
+        update: ConfigurationUpdate,
+        /// The lease, counted from when the watch was sent.
+        lease: Duration,
+    },
+    /// The watch that was sent last got no answer.
+    UpstreamFailed,
+    /// Time has passed.
+    Tick,
+}
+
+/// What a relay wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RelayOutput {
+    /// Answer a watch.
+    Answer {
+        /// Which.
+        tag: WatchTag,
+        /// News.
+        update: ConfigurationUpdate,
+        /// The lease, counted from when the watcher sent its watch.
+        lease: Duration,
+    },
+    /// Tell a watcher to ask another relay: this one is cut off from the control group.
+    Unavailable(WatchTag),
+    /// Send this watch upstream now; exactly one answer or failure follows.
+    SendUpstream(WatchRequest),
+}
+
+/// A relay at a glance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RelaySummary {
+    /// The revision held.
+    pub revision: Revision,
+    /// Watches held open.
+    pub open_watches: usize,
+    /// Nodes heard of lately.
+    pub nodes: usize,
+    /// Whether upstream has answered lately.
+    pub upstream_alive: bool,
+}
+
+/// Where the one watch upstream stands.
+#[derive(Clone, Copy, Debug)]
+enum Upstream {
+    /// None is out; the next one is due at `next`.
+    Idle { next: Instant },
+    /// One is out since `sent_at`.
+    Waiting { sent_at: Instant },
+}
+
+/// A relay without its I/O.
+///
+/// Every lease that it passes on ends no later than the control group's leader believes: a node
+/// is granted what is left of an upstream lease only if its own acknowledgement was part of the
+/// upstream watch, and what is left counts from when that watch was sent.
+#[derive(Debug)]
+pub struct RelayState {
+    timing: RelayTiming,
+    copy: ConfigurationCopy,
+    nodes: NodeTable,
+    watches: OpenWatches,
+    upstream: Upstream,
+    last_answer: Instant,
+}
+
+impl RelayState {
+    /// A relay that holds nothing yet.
+    pub fn new(now: Instant, timing: RelayTiming) -> Self {
+        Self {
+            copy: ConfigurationCopy::new(timing.kept_changes),
+            nodes: NodeTable::default(),
+            watches: OpenWatches::default(),
+            upstream: Upstream::Idle { next: now },
+            last_answer: now,
+            timing,
+        }
+    }
+
+    /// Handles one input at `now`.
+    pub fn step(&mut self, now: Instant, input: RelayInput, out: &mut Vec<RelayOutput>) {
+        match input {
+            RelayInput::Watch { tag, request } => self.on_watch(now, tag, request, out),
+            RelayInput::WatchGone(tag) => {
+                self.watches.remove(tag);
+            }
+            RelayInput::UpstreamAnswered { update, lease } => {
+                self.on_upstream_answer(now, update, lease);
+                self.answer(
+                    now,
+                    self.watches.due(|watch| self.has_news(now, watch)),
+                    out,
+                );
+            }
+            RelayInput::UpstreamFailed => self.on_upstream_failure(now),
+            RelayInput::Tick => self.nodes.forget(now, self.timing.forget_after),
+        }
+        self.answer_overdue(now, out);
+        self.send_upstream(now, out);
+    }
+
+    /// When [`RelayInput::Tick`] is wanted at the latest; `None` when only other inputs matter.
+    pub fn next_tick(&self) -> Option<Instant> {
+        let cut_off = self.last_answer + self.timing.upstream_limit;
+        let first_deadline = self.watches.first_deadline();
+        let first_answer = first_deadline.map(|deadline| deadline.min(cut_off));
+        let next_watch = match self.upstream {
+            Upstream::Idle { next } => Some(next),
+            Upstream::Waiting { .. } => None,
+        };
+        [next_watch, first_answer].into_iter().flatten().min()
+    }
+
+    /// The relay at a glance.
+    pub fn summary(&self, now: Instant) -> RelaySummary {
+        RelaySummary {
+            revision: self.copy.revision(),
+            open_watches: self.watches.len(),
+            nodes: self.nodes.len(),
+            upstream_alive: self.copy.is_received() && !self.is_cut_off(now),
+        }
+    }
+
+    fn on_watch(
+        &mut self,
+        now: Instant,
+        tag: WatchTag,
+        request: WatchRequest,
+        out: &mut Vec<RelayOutput>,
+    ) {
+        let wait = Duration::from_millis(request.wait_ms).min(self.timing.longest_watch);
+        let mut processes = Vec::with_capacity(request.acknowledgements.len());
+        for acknowledgement in request.acknowledgements {
+            processes.push(self.nodes.hear(now, acknowledgement));
+        }
+        let lacked_lease = self.nodes.lease_left(now, &processes).is_zero();
+        let watch = OpenWatch {
+            have: request.have,
+            deadline: now + wait,
+            lacked_lease: lacked_lease && !processes.is_empty(),
+            processes,
+        };
+        let has_news = self.has_news(now, &watch);
+        self.watches.insert(tag, watch);
+        if has_news && !self.is_cut_off(now) {
+            self.answer(now, vec![tag], out);
+        }
+    }
+
+    fn on_upstream_answer(&mut self, now: Instant, update: ConfigurationUpdate, lease: Duration) {
+        let Upstream::Waiting { sent_at } = self.upstream else {
+            return;
+        };
+        let before = self.copy.revision();
+        if !self.copy.apply(update) {
+            // What does not fit is asked for as a whole, and its lease is not passed on.
+            self.on_upstream_failure(now);
+            return;
+        }
+        self.last_answer = now;
+        self.nodes.grant(sent_at + lease);
+        let has_news = self.copy.revision() > before;
+        let pause = if has_news {
+            self.timing.gather
+        } else {
+            Duration::ZERO
+        };
+        self.upstream = Upstream::Idle { next: now + pause };
+    }
+
+    fn on_upstream_failure(&mut self, now: Instant) {
+        self.nodes.send_again();
+        let next = now + self.timing.retry_pause;
+        self.upstream = Upstream::Idle { next };
+    }
+
+    /// Answers watches whose time is over; all of them, when nothing comes from upstream.
+    fn answer_overdue(&mut self, now: Instant, out: &mut Vec<RelayOutput>) {
+        if !self.is_cut_off(now) {
+            self.answer(now, self.watches.overdue(now), out);
+            return;
+        }
+        for tag in self.watches.tags() {
+            self.watches.remove(tag);
+            out.push(RelayOutput::Unavailable(tag));
+        }
+    }
+
+    fn answer(&mut self, now: Instant, tags: Vec<WatchTag>, out: &mut Vec<RelayOutput>) {
+        for tag in tags {
+            let Some(watch) = self.watches.remove(tag) else {
+                continue;
+            };
+            out.push(RelayOutput::Answer {
+                tag,
+                update: self.copy.update_since(watch.have),
+                lease: self.nodes.lease_left(now, &watch.processes),
+            });
+        }
+    }
+
+    /// Whether there is a later revision, or a first lease.
+    fn has_news(&self, now: Instant, watch: &OpenWatch) -> bool {
+        let has_later_revision = watch.have < self.copy.revision();
+        let has_lease = || !self.nodes.lease_left(now, &watch.processes).is_zero();
+        has_later_revision || (watch.lacked_lease && has_lease())
+    }
+
+    fn send_upstream(&mut self, now: Instant, out: &mut Vec<RelayOutput>) {
+        match self.upstream {
+            Upstream::Idle { next } if next <= now => {}
+            _ => return,
+        }
+        let limit = self.timing.acknowledgement_limit;
+        let (acknowledgements, reason) = self.nodes.take_for_upstream(now, limit);
+        let wait = match reason {
+            SendReason::FirstLease => self.timing.urgent_wait,
+            SendReason::Renewal => self.timing.upstream_wait,
+        };
+        self.upstream = Upstream::Waiting { sent_at: now };
+        out.push(RelayOutput::SendUpstream(WatchRequest {
+            have: self.copy.wanted_from(),
+            acknowledgements,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        }));
+    }
+
+    fn is_cut_off(&self, now: Instant) -> bool {
+        now.since(self.last_answer) >= self.timing.upstream_limit
+    }
+}
--- /dev/null
+++ b/crates/wingshore-relay/src/state/watches.rs
@@ -0,0 +1,66 @@
+//! Watches that wait for news.
+
+use super::WatchTag;
+use super::nodes::NodeProcess;
+use std::collections::{BTreeMap, BTreeSet};
+use wingshore_types::{Instant, Revision};
+
+/// One watch that waits.
+#[derive(Clone, Debug)]
+pub(super) struct OpenWatch {
+    /// The revision the watcher holds.
+    pub(super) have: Revision,
+    /// Answer by then, also without news.
+    pub(super) deadline: Instant,
+    /// Whether it had no lease when it came: then a lease is news too.
+    pub(super) lacked_lease: bool,
+    /// Whose acknowledgements came with it; the lease holds for all of them.
+    pub(super) processes: Vec<NodeProcess>,
+}
+
+/// All watches that wait, by tag and by deadline.
+#[derive(Debug, Default)]
+pub(super) struct OpenWatches {
+    open: BTreeMap<WatchTag, OpenWatch>,
+    deadlines: BTreeSet<(Instant, WatchTag)>,
+}
+
+impl OpenWatches {
+    pub(super) fn insert(&mut self, tag: WatchTag, watch: OpenWatch) {
+        self.deadlines.insert((watch.deadline, tag));
+        self.open.insert(tag, watch);
+    }
+
+    pub(super) fn remove(&mut self, tag: WatchTag) -> Option<OpenWatch> {
+        let watch = self.open.remove(&tag)?;
+        self.deadlines.remove(&(watch.deadline, tag));
+        Some(watch)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    pub(super) fn first_deadline(&self) -> Option<Instant> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    pub(super) fn tags(&self) -> Vec<WatchTag> {
+        self.open.keys().copied().collect()
+    }
+
+    /// Those whose deadline has passed.
+    pub(super) fn overdue(&self, now: Instant) -> Vec<WatchTag> {
+        let passed = self
+            .deadlines
+            .iter()
+            .take_while(|(deadline, _)| *deadline <= now);
+        passed.map(|(_, tag)| *tag).collect()
+    }
+
+    /// Those that `is_due` says something of, in the order of their tags.
+    pub(super) fn due(&self, is_due: impl Fn(&OpenWatch) -> bool) -> Vec<WatchTag> {
+        let due = self.open.iter().filter(|(_, watch)| is_due(watch));
+        due.map(|(tag, _)| *tag).collect()
+    }
+}
--- /dev/null
+++ b/crates/wingshore-relay/tests/leases.rs
@@ -0,0 +1,77 @@
+//! Configuration leases through relays: none outlives what the leader believes.
+
+mod simulation;
+
+use googletest::prelude::*;
+use simulation::{Fault, LEASE, Parent, World};
+use std::time::Duration;
+
+const SEEDS: std::ops::Range<u64> = 0..60;
+const NODES: usize = 8;
+
+fn topologies() -> [(&'static str, Vec<Parent>); 3] {
+    [
+        ("one relay", vec![Parent::Leader]),
+        ("three relays", vec![Parent::Leader; 3]),
+        (
+            "relays behind relays",
+            vec![
+                Parent::Leader,
+                Parent::Leader,
+                Parent::Relay(0),
+                Parent::Relay(1),
+            ],
+        ),
+    ]
+}
+
+#[gtest]
+fn no_lease_outlives_the_leaders_belief_and_all_catch_up_after_trouble() {
+    for (name, parents) in topologies() {
+        for seed in SEEDS {
+            let mut world = World::new(seed, &parents, NODES, Fault::None);
+            world.run_with_faults(Duration::from_secs(60));
+            expect_that!(world.violations, is_empty(), "{name}, seed {seed}");
+            // The longest freeze, then some watches.
+            world.run_healed(Duration::from_secs(20));
+            world.commit();
+            world.run_until(world.now() + Duration::from_secs(3));
+            expect_that!(world.violations, is_empty(), "{name}, seed {seed}");
+            expect_that!(world.up_to_date_nodes(), eq(NODES), "{name}, seed {seed}");
+            let committed = world.committed();
+            expect_that!(world.everywhere(), eq(committed), "{name}, seed {seed}");
+        }
+    }
+}
+
+#[gtest]
+fn each_deliberate_fault_is_caught() {
+    for fault in [
+        Fault::LeaseNotShortened,
+        Fault::LeaseWithoutForwarding,
+        Fault::CountedFromArrival,
+    ] {
+        let caught = SEEDS.clone().any(|seed| {
+            let mut world = World::new(seed, &[Parent::Leader; 3], NODES, fault);
+            world.run_with_faults(Duration::from_secs(60));
+            !world.violations.is_empty()
+        });
+        expect_true!(caught, "{fault:?}");
+    }
+}
+
+#[gtest]
+fn a_frozen_node_delays_in_force_by_its_lease_and_no_more() {
+    let mut world = World::new(1, &[Parent::Leader; 2], NODES, Fault::None);
+    world.run_healed(Duration::from_secs(10));
+    expect_that!(world.up_to_date_nodes(), eq(NODES));
+    world.freeze_for(0, Duration::from_secs(60));
+    world.commit();
+    world.run_until(world.now() + Duration::from_secs(1));
+    expect_that!(world.everywhere(), lt(world.committed()));
+    expect_that!(world.up_to_date_nodes(), eq(NODES - 1));
+    world.run_until(world.now() + LEASE);
+    expect_that!(world.everywhere(), eq(world.committed()));
+    expect_false!(world.holds_lease(0));
+    expect_that!(world.violations, is_empty());
+}
--- /dev/null
+++ b/crates/wingshore-relay/tests/simulation/mod.rs
@@ -0,0 +1,528 @@
+//! A control leader, relays and nodes on a simulated network, to check configuration leases.
+//!
+//! The leader is a model written for this test; relays and the nodes' views are the real ones.
+
+pub mod leader;
+
+use leader::{Leader, LeaderAnswer};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_relay::{RelayInput, RelayOutput, RelayState, RelayTiming, WatchTag};
+use wingshore_request::{ConfigurationView, WithoutLease};
+use wingshore_types::protocol::control::{ConfigurationUpdate, NodeAcknowledgement, WatchRequest};
+use wingshore_types::{Instant, NodeId, Revision};
+
+/// The lease as nodes count it; the leader counts the same, without any margin.
+pub const LEASE: Duration = Duration::from_secs(5);
+
+const NODE_WAIT_MS: u64 = 1000;
+const NODE_PATIENCE: Duration = Duration::from_millis(2500);
+const UPSTREAM_PATIENCE: Duration = Duration::from_secs(2);
+const NODE_PAUSE: Duration = Duration::from_millis(100);
+const RELAY_TICK: Duration = Duration::from_millis(20);
+
+/// A deliberate mistake, to see that the checks can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Relays pass the whole lease on, however old it is.
+    LeaseNotShortened,
+    /// Relays grant a lease whether or not the acknowledgement went upstream.
+    LeaseWithoutForwarding,
+    /// Nodes count the lease from the arrival of the answer.
+    CountedFromArrival,
+}
+
+/// Where a relay's watches go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Parent {
+    Leader,
+    Relay(usize),
+}
+
+/// Who sent a watch to a relay, and the sender's number for it.
+#[derive(Clone, Copy, Debug)]
+enum Watcher {
+    Node { node: usize, number: u64 },
+    Relay { relay: usize, number: u64 },
+}
+
+#[derive(Clone, Debug)]
+enum Answer {
+    Update(ConfigurationUpdate, Duration),
+    Unavailable,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    NodeSends(usize),
+    NodeGivesUp {
+        node: usize,
+        number: u64,
+    },
+    AtRelay {
+        relay: usize,
+        from: Watcher,
+        request: WatchRequest,
+    },
+    Answered {
+        to: Watcher,
+        answer: Answer,
+    },
+    AtLeader {
+        relay: usize,
+        number: u64,
+        request: WatchRequest,
+    },
+    UpstreamGivesUp {
+        relay: usize,
+        number: u64,
+    },
+    LeaderTick,
+    RelayTick(usize),
+    Commit,
+    NodeRestarts(usize),
+    NodeMoves(usize),
+    NodeFreezes(usize),
+    RelayRestarts(usize),
+}
+
+struct Node {
+    view: ConfigurationView,
+    boot_id: u64,
+    relay: usize,
+    outstanding: Option<(u64, Instant)>,
+    frozen_until: Instant,
+}
+
+struct Relay {
+    state: RelayState,
+    parent: Parent,
+    watchers: BTreeMap<WatchTag, Watcher>,
+    outstanding: Option<u64>,
+}
+
+/// Everything, and the events to come.
+pub struct World {
+    now: Instant,
+    generator: ChaCha8Rng,
+    events: BTreeMap<(Instant, u64), Event>,
+    next_number: u64,
+    leader: Leader,
+    relays: Vec<Relay>,
+    nodes: Vec<Node>,
+    fault: Fault,
+    is_lossy: bool,
+    /// Promises found broken.
+    pub violations: BTreeSet<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, parents: &[Parent], nodes: usize, fault: Fault) -> Self {
+        let mut world = Self {
+            now: Instant::ZERO,
+            generator: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            next_number: 1,
+            leader: Leader::new(LEASE),
+            relays: parents
+                .iter()
+                .map(|parent| new_relay(Instant::ZERO, *parent))
+                .collect(),
+            nodes: Vec::new(),
+            fault,
+            is_lossy: true,
+            violations: BTreeSet::new(),
+        };
+        for node in 0..nodes {
+            let relay = world.generator.random_range(0..parents.len());
+            let boot_id = world.number();
+            world.nodes.push(new_node(boot_id, relay));
+            world.after(Duration::ZERO, Event::NodeSends(node));
+        }
+        for relay in 0..parents.len() {
+            world.after(Duration::ZERO, Event::RelayTick(relay));
+        }
+        world.after(Duration::ZERO, Event::LeaderTick);
+        world
+    }
+
+    /// Lets `duration` pass with losses, restarts, moves, freezes and changes.
+    pub fn run_with_faults(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            let event = self.random_trouble();
+            self.after(Duration::ZERO, event);
+            let pause = Duration::from_millis(self.generator.random_range(50..1500));
+            self.run_until((self.now + pause).min(end));
+        }
+    }
+
+    /// Lets `duration` pass on a network that loses nothing.
+    pub fn run_healed(&mut self, duration: Duration) {
+        self.is_lossy = false;
+        self.run_until(self.now + duration);
+    }
+
+    pub fn commit(&mut self) {
+        self.on_event(Event::Commit);
+    }
+
+    pub fn committed(&self) -> Revision {
+        self.leader.committed()
+    }
+
+    pub fn everywhere(&self) -> Revision {
+        self.leader.everywhere()
+    }
+
+    /// Nodes that hold a lease and the newest revision.
+    pub fn up_to_date_nodes(&self) -> usize {
+        let newest = self.leader.committed();
+        let is_up_to_date =
+            |node: &&Node| node.view.holds_lease(self.now) && node.view.revision() == newest;
+        self.nodes.iter().filter(is_up_to_date).count()
+    }
+
+    pub fn freeze_for(&mut self, node: usize, duration: Duration) {
+        self.nodes[node].frozen_until = self.now + duration;
+    }
+
+    pub fn holds_lease(&self, node: usize) -> bool {
+        self.nodes[node].view.holds_lease(self.now)
+    }
+
+    pub fn run_until(&mut self, end: Instant) {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.on_event(event);
+            self.check();
+        }
+        self.now = end;
+    }
+
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    fn random_trouble(&mut self) -> Event {
+        let node = self.generator.random_range(0..self.nodes.len());
+        let relay = self.generator.random_range(0..self.relays.len());
+        match self.generator.random_range(0..10) {
+            0..=4 => Event::Commit,
+            5 => Event::NodeRestarts(node),
+            6 | 7 => Event::NodeMoves(node),
+            8 => Event::NodeFreezes(node),
+            _ => Event::RelayRestarts(relay),
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::NodeSends(node) => self.node_sends(node),
+            Event::NodeGivesUp { node, number } => self.node_gives_up(node, number),
+            Event::AtRelay {
+                relay,
+                from,
+                request,
+            } => {
+                let tag = WatchTag(self.number());
+                self.relays[relay].watchers.insert(tag, from);
+                self.step_relay(relay, RelayInput::Watch { tag, request });
+            }
+            Event::Answered {
+                to: Watcher::Node { node, number },
+                answer,
+            } => {
+                self.node_answered(node, number, answer);
+            }
+            Event::Answered {
+                to: Watcher::Relay { relay, number },
+                answer,
+            } => {
+                self.upstream_answered(relay, number, answer);
+            }
+            Event::AtLeader {
+                relay,
+                number,
+                request,
+            } => {
+                self.leader.on_watch(self.now, relay, number, request);
+                self.send_leader_answers();
+            }
+            Event::UpstreamGivesUp { relay, number } => {
+                if self.relays[relay].outstanding == Some(number) {
+                    self.relays[relay].outstanding = None;
+                    self.step_relay(relay, RelayInput::UpstreamFailed);
+                }
+            }
+            Event::LeaderTick => {
+                self.send_leader_answers();
+                self.after(RELAY_TICK, Event::LeaderTick);
+            }
+            Event::RelayTick(relay) => {
+                self.step_relay(relay, RelayInput::Tick);
+                self.after(RELAY_TICK, Event::RelayTick(relay));
+            }
+            Event::Commit => {
+                self.leader.commit();
+                self.send_leader_answers();
+            }
+            Event::NodeRestarts(node) => self.restart_node(node),
+            Event::NodeMoves(node) => self.move_node(node),
+            Event::NodeFreezes(node) => {
+                let time = Duration::from_millis(self.generator.random_range(100..12_000));
+                self.freeze_for(node, time);
+            }
+            Event::RelayRestarts(relay) => {
+                let parent = self.relays[relay].parent;
+                self.relays[relay] = new_relay(self.now, parent);
+            }
+        }
+    }
+
+    fn node_sends(&mut self, node: usize) {
+        if self.nodes[node].frozen_until > self.now {
+            self.at(self.nodes[node].frozen_until, Event::NodeSends(node));
+            return;
+        }
+        if self.nodes[node].outstanding.is_some() {
+            return;
+        }
+        let number = self.number();
+        let now = self.now;
+        let state = &mut self.nodes[node];
+        state.outstanding = Some((number, now));
+        let position = state.view.watch_position();
+        let request = WatchRequest {
+            have: position.have,
+            acknowledgements: vec![NodeAcknowledgement {
+                node: NodeId::new(&format!("node-{node}")),
+                boot_id: state.boot_id,
+                in_force: position.in_force,
+            }],
+            wait_ms: NODE_WAIT_MS,
+        };
+        let relay = state.relay;
+        let from = Watcher::Node { node, number };
+        self.post(Event::AtRelay {
+            relay,
+            from,
+            request,
+        });
+        self.after(NODE_PATIENCE, Event::NodeGivesUp { node, number });
+    }
+
+    fn node_gives_up(&mut self, node: usize, number: u64) {
+        let is_current = self.nodes[node]
+            .outstanding
+            .is_some_and(|(sent, _)| sent == number);
+        if is_current {
+            self.move_node(node);
+        }
+    }
+
+    fn node_answered(&mut self, node: usize, number: u64, answer: Answer) {
+        let frozen_until = self.nodes[node].frozen_until;
+        if frozen_until > self.now {
+            let to = Watcher::Node { node, number };
+            self.at(frozen_until, Event::Answered { to, answer });
+            return;
+        }
+        let Some((current, sent_at)) = self.nodes[node].outstanding else {
+            return;
+        };
+        if current != number {
+            return;
+        }
+        match answer {
+            Answer::Update(update, lease) => {
+                let counted_from = match self.fault {
+                    Fault::CountedFromArrival => self.now,
+                    _ => sent_at,
+                };
+                let state = &mut self.nodes[node];
+                state.outstanding = None;
+                state.view.apply(counted_from, update, lease);
+                self.after(Duration::ZERO, Event::NodeSends(node));
+            }
+            Answer::Unavailable => self.move_node(node),
+        }
+    }
+
+    fn upstream_answered(&mut self, relay: usize, number: u64, answer: Answer) {
+        if self.relays[relay].outstanding != Some(number) {
+            return;
+        }
+        self.relays[relay].outstanding = None;
+        let input = match answer {
+            Answer::Update(update, lease) => RelayInput::UpstreamAnswered { update, lease },
+            Answer::Unavailable => RelayInput::UpstreamFailed,
+        };
+        self.step_relay(relay, input);
+    }
+
+    fn step_relay(&mut self, relay: usize, input: RelayInput) {
+        let mut out = Vec::new();
+        self.relays[relay].state.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                RelayOutput::Answer { tag, update, lease } => {
+                    let lease = self.distort(lease);
+                    self.answer(relay, tag, Answer::Update(update, lease));
+                }
+                RelayOutput::Unavailable(tag) => self.answer(relay, tag, Answer::Unavailable),
+                RelayOutput::SendUpstream(request) => self.send_upstream(relay, request),
+            }
+        }
+    }
+
+    fn distort(&self, lease: Duration) -> Duration {
+        match self.fault {
+            Fault::LeaseNotShortened if !lease.is_zero() => LEASE,
+            Fault::LeaseWithoutForwarding if lease.is_zero() => LEASE,
+            _ => lease,
+        }
+    }
+
+    fn answer(&mut self, relay: usize, tag: WatchTag, answer: Answer) {
+        if let Some(to) = self.relays[relay].watchers.remove(&tag) {
+            self.post(Event::Answered { to, answer });
+        }
+    }
+
+    fn send_upstream(&mut self, relay: usize, request: WatchRequest) {
+        let number = self.number();
+        let parent = self.relays[relay].parent;
+        assert!(
+            self.relays[relay].outstanding.is_none(),
+            "two watches at once"
+        );
+        self.relays[relay].outstanding = Some(number);
+        // Clients send again by themselves: a watch may arrive twice.
+        let copies = if self.is_lossy && self.generator.random_bool(0.1) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let request = request.clone();
+            self.post(match parent {
+                Parent::Leader => Event::AtLeader {
+                    relay,
+                    number,
+                    request,
+                },
+                Parent::Relay(parent) => Event::AtRelay {
+                    relay: parent,
+                    from: Watcher::Relay { relay, number },
+                    request,
+                },
+            });
+        }
+        self.after(UPSTREAM_PATIENCE, Event::UpstreamGivesUp { relay, number });
+    }
+
+    fn send_leader_answers(&mut self) {
+        for LeaderAnswer {
+            relay,
+            number,
+            update,
+            lease,
+        } in self.leader.due(self.now)
+        {
+            let to = Watcher::Relay { relay, number };
+            let answer = Answer::Update(update, lease);
+            self.post(Event::Answered { to, answer });
+        }
+    }
+
+    fn restart_node(&mut self, node: usize) {
+        let relay = self.nodes[node].relay;
+        let boot_id = self.number();
+        self.nodes[node] = new_node(boot_id, relay);
+        self.after(NODE_PAUSE, Event::NodeSends(node));
+    }
+
+    fn move_node(&mut self, node: usize) {
+        let count = self.relays.len();
+        let state = &mut self.nodes[node];
+        state.relay = (state.relay + 1) % count;
+        state.outstanding = None;
+        self.after(NODE_PAUSE, Event::NodeSends(node));
+    }
+
+    /// Delivers after a random delay, or never.
+    fn post(&mut self, event: Event) {
+        let milliseconds = match self.generator.random_range(0..100) {
+            0..3 if self.is_lossy => return,
+            3..8 if self.is_lossy => self.generator.random_range(100..3000),
+            _ => self.generator.random_range(0..10),
+        };
+        self.after(Duration::from_millis(milliseconds), event);
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn at(&mut self, at: Instant, event: Event) {
+        let number = self.number();
+        self.events.insert((at, number), event);
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// A node that holds a lease is one that the leader believes to hold it, for at least as
+    /// long, and has in force what the leader says is in force everywhere.
+    fn check(&mut self) {
+        let everywhere = self.leader.update_everywhere(self.now);
+        for (number, node) in self.nodes.iter().enumerate() {
+            if !node.view.holds_lease(self.now) {
+                continue;
+            }
+            let ends = self.now + node.view.lease_left(self.now);
+            let name = NodeId::new(&format!("node-{number}"));
+            if self.leader.believed_end(&name, node.boot_id) < Some(ends) {
+                self.violations
+                    .insert("a lease outlives the leader's belief".to_owned());
+            }
+            if node.view.revision() < everywhere {
+                self.violations
+                    .insert("an older revision is in force under a lease".to_owned());
+            }
+        }
+    }
+}
+
+fn new_node(boot_id: u64, relay: usize) -> Node {
+    Node {
+        view: ConfigurationView::new(WithoutLease::Refuse),
+        boot_id,
+        relay,
+        outstanding: None,
+        frozen_until: Instant::ZERO,
+    }
+}
+
+fn new_relay(now: Instant, parent: Parent) -> Relay {
+    let timing = RelayTiming {
+        kept_changes: 4,
+        ..RelayTiming::default()
+    };
+    Relay {
+        state: RelayState::new(now, timing),
+        parent,
+        watchers: BTreeMap::new(),
+        outstanding: None,
+    }
+}
