--- /dev/null
+++ b/crates/wingshore/src/ctl/plans.rs
@@ -0,0 +1,222 @@
+//! Status, plans and confirmations.
+
+use crate::ctl::arguments::{CancelArguments, ConfirmArguments, PlanArguments, PlanCommand};
+use crate::ctl::render;
+use crate::ctl::session::{Session, intent_id, unexpected};
+use crate::failure::{Failure, SettingsSnafu};
+use crate::settings_file;
+use snafu::ResultExt;
+use std::time::Duration;
+use wingshore_settings::{SiteFile, site_from_text};
+use wingshore_types::configuration::{Configuration, ConfigurationChange};
+use wingshore_types::protocol::control::{ControlReply, ControlRequest, Intent, Plan, PlanState};
+use wingshore_types::{PlanId, Revision, WeightVersion};
+
+/// Between two looks at a running plan.
+const WAIT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Shows the site at a glance.
+///
+/// # Errors
+/// When the control group does not answer.
+pub fn status(session: &Session) -> Result<(), Failure> {
+    match session.control(ControlRequest::Status)? {
+        ControlReply::Status(status) => {
+            session.print(&*status, render::status_text);
+            Ok(())
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Shows the configuration.
+///
+/// # Errors
+/// When the control group does not answer.
+pub fn configuration(session: &Session) -> Result<(), Failure> {
+    let configuration = read_configuration(session)?;
+    session.print(&configuration, render::configuration_text);
+    Ok(())
+}
+
+/// Makes a plan as the command line says.
+///
+/// # Errors
+/// When an argument is wrong, or the control group does not answer or refuses.
+pub fn propose(session: &Session, flags: &PlanArguments) -> Result<(), Failure> {
+    let mut base = flags.base.map(Revision);
+    let intent = match &flags.wanted {
+        PlanCommand::Apply(apply) => {
+            let text = settings_file::read(&apply.file)?;
+            let site = site_from_text(&apply.file, &text).context(SettingsSnafu)?;
+            let current = read_configuration(session)?;
+            base = base.or(Some(current.revision));
+            Intent::Apply(changes(&current, &site, apply.prune))
+        }
+        PlanCommand::MovePool(wanted) => Intent::MovePool {
+            pool: wanted.pool.as_str().into(),
+            version: WeightVersion(wanted.version),
+        },
+        PlanCommand::Drain(wanted) => Intent::Drain(wanted.server.as_str().into()),
+        PlanCommand::Restore(wanted) => Intent::Restore(wanted.server.as_str().into()),
+    };
+    propose_intent(session, flags.intent.as_deref(), base, intent)
+}
+
+/// Makes a plan of `intent`.
+///
+/// # Errors
+/// When the control group does not answer or refuses.
+pub fn propose_intent(
+    session: &Session,
+    named: Option<&str>,
+    base_revision: Option<Revision>,
+    intent: Intent,
+) -> Result<(), Failure> {
+    let request = ControlRequest::Propose {
+        intent_id: intent_id(named)?,
+        base_revision,
+        intent,
+    };
+    print_plan(session, &ask_for_plan(session, request)?);
+    Ok(())
+}
+
+/// Shows one plan.
+///
+/// # Errors
+/// When the control group does not answer, or knows no such plan.
+pub fn show(session: &Session, plan: u64) -> Result<(), Failure> {
+    let request = ControlRequest::ShowPlan(PlanId(plan));
+    print_plan(session, &ask_for_plan(session, request)?);
+    Ok(())
+}
+
+/// Shows all plans.
+///
+/// # Errors
+/// When the control group does not answer.
+pub fn list(session: &Session) -> Result<(), Failure> {
+    match session.control(ControlRequest::ListPlans)? {
+        ControlReply::Plans(plans) => {
+            session.print(&plans, |plans| render::plans_text(plans));
+            Ok(())
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Carries a plan out.
+///
+/// # Errors
+/// When the control group does not answer or refuses, or the plan, waited for, ends otherwise
+/// than done.
+pub fn confirm(session: &Session, flags: &ConfirmArguments) -> Result<(), Failure> {
+    let plan = PlanId(flags.plan);
+    let request = ControlRequest::Confirm {
+        intent_id: intent_id(flags.intent.as_deref())?,
+        plan,
+    };
+    let mut current = ask_for_plan(session, request)?;
+    while flags.wait && matches!(current.state, PlanState::Running { .. }) {
+        std::thread::sleep(WAIT_INTERVAL);
+        current = ask_for_plan(session, ControlRequest::ShowPlan(plan))?;
+    }
+    print_plan(session, &current);
+    match current.state {
+        PlanState::Running { .. } | PlanState::Done => Ok(()),
+        other => Err(Failure::PlanEnded {
+            plan: flags.plan,
+            message: format!("is {}", render::state_text(&other)),
+        }),
+    }
+}
+
+/// Withdraws or stops a plan.
+///
+/// # Errors
+/// When the control group does not answer or refuses.
+pub fn cancel(session: &Session, flags: &CancelArguments) -> Result<(), Failure> {
+    let request = ControlRequest::Cancel {
+        intent_id: intent_id(flags.intent.as_deref())?,
+        plan: PlanId(flags.plan),
+    };
+    print_plan(session, &ask_for_plan(session, request)?);
+    Ok(())
+}
+
+fn ask_for_plan(session: &Session, request: ControlRequest) -> Result<Plan, Failure> {
+    match session.control(request)? {
+        ControlReply::Plan(plan) => Ok(*plan),
+        other => Err(unexpected(&other)),
+    }
+}
+
+fn print_plan(session: &Session, plan: &Plan) {
+    session.print(plan, render::plan_text);
+}
+
+fn read_configuration(session: &Session) -> Result<Configuration, Failure> {
+    match session.control(ControlRequest::ReadConfiguration)? {
+        ControlReply::Configuration(configuration) => Ok(*configuration),
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// The changes that lead from `current` to `site`; what is equal already is left out. A server's
+/// admission and a pool's version are not the file's to say.
+fn changes(current: &Configuration, site: &SiteFile, prune: bool) -> Vec<ConfigurationChange> {
+    let mut wanted = site.clone();
+    for server in &mut wanted.servers {
+        if let Some(existing) = current.servers.get(&server.id) {
+            server.admission = existing.admission;
+        }
+    }
+    for pool in &mut wanted.pools {
+        if let Some(existing) = current.pools.get(&pool.id) {
+            pool.target_version = existing.target_version;
+        }
+    }
+    let mut changes = if prune {
+        removals(current, &wanted)
+    } else {
+        Vec::new()
+    };
+    changes.extend(
+        wanted
+            .changes()
+            .into_iter()
+            .filter(|change| !holds_already(current, change)),
+    );
+    changes
+}
+
+fn holds_already(current: &Configuration, change: &ConfigurationChange) -> bool {
+    match change {
+        ConfigurationChange::PutService(service) => {
+            current.services.get(&service.id) == Some(service)
+        }
+        ConfigurationChange::PutServer(server) => current.servers.get(&server.id) == Some(server),
+        ConfigurationChange::PutPool(pool) => current.pools.get(&pool.id) == Some(pool),
+        _ => false,
+    }
+}
+
+fn removals(current: &Configuration, wanted: &SiteFile) -> Vec<ConfigurationChange> {
+    let pools = current
+        .pools
+        .keys()
+        .filter(|id| !wanted.pools.iter().any(|pool| &pool.id == *id))
+        .map(|id| ConfigurationChange::RemovePool(id.clone()));
+    let servers = current
+        .servers
+        .keys()
+        .filter(|id| !wanted.servers.iter().any(|server| &server.id == *id))
+        .map(|id| ConfigurationChange::RemoveServer(id.clone()));
+    let services = current
+        .services
+        .keys()
+        .filter(|id| !wanted.services.iter().any(|service| &service.id == *id))
+        .map(|id| ConfigurationChange::RemoveService(id.clone()));
+    pools.chain(servers).chain(services).collect()
+}
--- /dev/null
+++ b/crates/wingshore/src/format.rs
@@ -0,0 +1,54 @@
+//! `wingshore format`.
+
+use crate::arguments::FormatArguments;
+use crate::failure::{ArgumentSnafu, Failure, FormatSnafu, SettingsSnafu};
+use crate::settings_file;
+use snafu::{ResultExt, ensure};
+use std::sync::Arc;
+use wingshore_settings::{Overrides, ReplicaSettings, replica_from_text};
+use wingshore_storage::{DataFolder, FileSystem, RealFileSystem};
+use wingshore_types::ReplicaId;
+use wingshore_types::protocol::membership::{Member, Membership};
+
+/// Makes an empty data folder that of a founding member.
+///
+/// # Errors
+/// When the settings are wrong, the identity is not a founding one, or the folder is not empty.
+pub fn run(flags: &FormatArguments) -> Result<(), Failure> {
+    let text = settings_file::read(&flags.settings)?;
+    let overrides = Overrides {
+        data: flags.data.clone(),
+        ..Overrides::default()
+    };
+    let settings = replica_from_text(&flags.settings, &text, &overrides).context(SettingsSnafu)?;
+    let id = ReplicaId(flags.id);
+    let membership = founding_membership(&settings);
+    ensure!(
+        membership.voters.iter().any(|member| member.id == id),
+        ArgumentSnafu {
+            argument: "--id",
+            found: id.to_string(),
+            allowed: "the `id` of one of the [[founding]] members",
+        }
+    );
+    let file_system: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
+    DataFolder::format(&file_system, &settings.data, &settings.site, id, membership)
+        .context(FormatSnafu)?;
+    println!(
+        "{}: formatted as founding member {id} of site `{}`",
+        settings.data.display(),
+        settings.site
+    );
+    Ok(())
+}
+
+fn founding_membership(settings: &ReplicaSettings) -> Membership {
+    let member = |founding: &wingshore_settings::FoundingMember| Member {
+        id: founding.id,
+        address: founding.address,
+    };
+    Membership {
+        voters: settings.founding.iter().map(member).collect(),
+        learners: Vec::new(),
+    }
+}
--- a/crates/wingshore/src/main.rs
+++ b/crates/wingshore/src/main.rs
@@ -1,2 +1,38 @@
-//! Entry point of the `wingshore` program.
-fn main() {}
+//! Entry point of the `wingshore` program: parses the command line and wires the roles.
+
+mod arguments;
+mod check;
+mod ctl;
+mod failure;
+mod format;
+mod roles;
+mod settings_file;
+
+use arguments::{Arguments, Command};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("wingshore {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = arguments.command else {
+        eprintln!("wingshore: no command; see `wingshore --help`");
+        return ExitCode::from(failure::EXIT_USAGE);
+    };
+    let done = match command {
+        Command::Replica(flags) => roles::replica(&flags),
+        Command::Node(flags) => roles::node(&flags),
+        Command::Format(flags) => format::run(&flags),
+        Command::Check(flags) => check::run(&flags),
+        Command::Ctl(flags) => ctl::run(&flags),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::from(failure.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore/src/roles.rs
@@ -0,0 +1,77 @@
+//! Runs a role until a planned stop: settings, diagnostics, signals, then the role's driver.
+
+use crate::arguments::{NodeArguments, ReplicaArguments};
+use crate::failure::{Failure, SettingsSnafu, SignalsSnafu};
+use crate::settings_file;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use snafu::ResultExt;
+use std::path::Path;
+use wingshore_diagnostics::{Diagnostics, StopSignal};
+use wingshore_settings::{Overrides, node_from_text, replica_from_text};
+
+/// Runs a replica.
+///
+/// # Errors
+/// When the settings are wrong or the role fails.
+pub fn replica(flags: &ReplicaArguments) -> Result<(), Failure> {
+    let text = settings_file::read(&flags.settings)?;
+    let overrides = Overrides::from(flags);
+    let settings = replica_from_text(&flags.settings, &text, &overrides).context(SettingsSnafu)?;
+    let logs = settings.data.join("logs");
+    let (diagnostics, stop) = prepare(&settings.name, settings.log_lines, Some(&logs))?;
+    let done = wingshore_replica::run(settings, diagnostics.clone(), stop);
+    finish("replica", &diagnostics, done)
+}
+
+/// Runs a node.
+///
+/// # Errors
+/// When the settings are wrong or the role fails.
+pub fn node(flags: &NodeArguments) -> Result<(), Failure> {
+    let text = settings_file::read(&flags.settings)?;
+    let overrides = Overrides::from(flags);
+    let settings = node_from_text(&flags.settings, &text, &overrides).context(SettingsSnafu)?;
+    let folder = settings.dump_folder.as_deref();
+    let name = settings.node.as_str();
+    let (diagnostics, stop) = prepare(name, settings.log_lines, folder)?;
+    let done = wingshore_node::run(settings, diagnostics.clone(), stop);
+    finish("node", &diagnostics, done)
+}
+
+/// Diagnostics, and a stop signal that SIGTERM and SIGINT give.
+fn prepare(
+    name: &str,
+    log_lines: usize,
+    folder: Option<&Path>,
+) -> Result<(Diagnostics, StopSignal), Failure> {
+    let diagnostics = Diagnostics::new(name, log_lines, folder);
+    diagnostics.dump_on_panic();
+    let stop = StopSignal::new();
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context(SignalsSnafu)?;
+    let given = stop.clone();
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                given.stop();
+            }
+        })
+        .context(SignalsSnafu)?;
+    Ok((diagnostics, stop))
+}
+
+/// A role that failed leaves its log ring.
+fn finish<E: std::fmt::Display>(
+    role: &'static str,
+    diagnostics: &Diagnostics,
+    done: Result<(), E>,
+) -> Result<(), Failure> {
+    let Err(error) = done else { return Ok(()) };
+    let message = error.to_string();
+    match diagnostics.dump(&message) {
+        Ok(path) => eprintln!("log ring written to {path}"),
+        Err(error) => eprintln!("{error}"),
+    }
+    Err(Failure::Role { role, message })
+}
