routing: tests of each module, and a judge for the promises that catches each deliberate fault

Cause: the body of the router was covered for membership and load only.

Change: data-driven tests of slots, retries, ejection, hints, balance, subsets and settings; properties for slots and guarantees under floods of both classes, the ejection floor, load reports, and a random history of everything judged by a plain model. A zone with no more servers than choices is compared whole instead of drawn from.

Ruled out: asserting on the router's own view where a plain model can tell.

--- a/crates/wingshore-routing/src/balance.rs
+++ b/crates/wingshore-routing/src/balance.rs
@@ -80,12 +80,16 @@
         }
     }
 
-    /// Draws servers of one zone until enough of them can take the request.
+    /// Draws servers of one zone until enough of them can take the request; where there are no
+    /// more than that, all are compared.
     fn draw(&self, zone: &[ServerIndex], random: &mut ChaCha8Rng, best: &mut Best) {
-        if zone.is_empty() {
+        let choices = self.settings.choices as usize;
+        if zone.len() <= choices {
+            for index in zone {
+                self.offer(*index, best);
+            }
             return;
         }
-        let choices = self.settings.choices as usize;
         let mut accepted = 0;
         let mut last = None;
         for _ in 0..choices * 2 {
@@ -94,18 +98,23 @@
                 continue;
             }
             last = Some(index);
-            let server = &self.servers[index as usize];
-            if !self.can_take(server) {
-                continue;
-            }
-            best.offer(self.cost(server), index);
-            accepted += 1;
+            accepted += usize::from(self.offer(index, best));
             if accepted == choices {
                 return;
             }
         }
     }
 
+    /// Compares a server with the best so far, if it can take the request.
+    fn offer(&self, index: ServerIndex, best: &mut Best) -> bool {
+        let server = &self.servers[index as usize];
+        let can_take = self.can_take(server);
+        if can_take {
+            best.offer(self.cost(server), index);
+        }
+        can_take
+    }
+
     /// A cached prefix makes its server a candidate, if it is an open member.
     fn offer_hint(&self, hint: &Hint, best: &mut Best) {
         let server = &self.servers[hint.server as usize];
--- /dev/null
+++ b/crates/wingshore-routing/tests/admission.rs
@@ -0,0 +1,219 @@
+//! Slots of two classes: guarantees, borrowing, and asking back.
+
+mod support;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::time::Duration;
+use support::*;
+use wingshore_routing::{Admitted, AttemptOutcome, Class, RefusalCode, RouterSettings};
+use wingshore_types::configuration::Permille;
+
+#[gtest]
+fn guarantees_and_what_may_be_borrowed_of_an_idle_server() {
+    // (slots, live share, reserve, most live alone, most rollouts alone)
+    let cases = [
+        (16, 500, 250, 16, 14),
+        (16, 500, 0, 16, 16),
+        (16, 500, 1000, 16, 8),
+        (16, 1000, 250, 16, 12),
+        (16, 0, 250, 16, 16),
+        (2, 1, 0, 2, 2),
+        (2, 999, 1000, 2, 1),
+        (1, 500, 0, 1, 1),
+    ];
+    for case in cases {
+        let (slots, share, reserve, most_live, most_rollouts) = case;
+        let settings = RouterSettings {
+            live_reserve: Permille(reserve),
+            ..RouterSettings::default()
+        };
+        let site = site(1, 1, slots, share);
+        let mut router = router_with(settings.clone(), Default::default(), &site);
+        let admitted = admit_all(&mut router, at(0), &live(), 100);
+        expect_that!(admitted.len(), eq(most_live), "live of {case:?}");
+        let mut router = router_with(settings, Default::default(), &site);
+        let admitted = admit_all(&mut router, at(0), &rollout(), 100);
+        expect_that!(admitted.len(), eq(most_rollouts), "rollouts of {case:?}");
+    }
+}
+
+#[gtest]
+fn the_reserve_takes_a_burst_at_once_and_the_rest_is_asked_back() {
+    let mut router = router(&site(1, 1, 16, 500));
+    let rollouts = admit_all(&mut router, at(0), &rollout(), 100);
+    expect_that!(rollouts.len(), eq(14));
+    expect_that!(
+        router.over_guarantee(at(1), Class::Rollout)[0].wanted_back,
+        eq(0)
+    );
+
+    expect_that!(admit_all(&mut router, at(2), &live(), 2), len(eq(2)));
+    for _ in 0..3 {
+        let refusal = router.admit(at(3), &live()).expect_err("no slot is free");
+        expect_that!(refusal.code, eq(RefusalCode::NoCapacity));
+    }
+    let over = router.over_guarantee(at(4), Class::Rollout);
+    expect_that!((over[0].borrowed, over[0].wanted_back), eq((6, 3)));
+
+    for one in &rollouts[..3] {
+        router.on_finished(at(5), one.ticket, AttemptOutcome::Cancelled);
+    }
+    expect_that!(
+        router.over_guarantee(at(5), Class::Rollout)[0].wanted_back,
+        eq(0)
+    );
+    expect_that!(router.admit(at(6), &rollout()), err(anything()));
+    expect_that!(admit_all(&mut router, at(7), &live(), 9), len(eq(3)));
+}
+
+#[gtest]
+fn borrowing_begins_again_when_nobody_asked_for_the_reclaim_window() {
+    let mut router = router(&site(1, 1, 16, 500));
+    let lives = admit_all(&mut router, at(0), &live(), 100);
+    expect_that!(router.admit(at(1), &rollout()), err(anything()));
+    router.on_finished(at(2), lives[0].ticket, success(2));
+    expect_that!(router.admit(at(1900), &live()), err(anything()));
+    expect_that!(router.admit(at(2100), &live()), ok(anything()));
+}
+
+#[gtest]
+fn others_requests_stop_borrowing_and_not_the_guarantee() {
+    // (requests of others, most live, most rollouts) of 16 slots, 8 guaranteed to each, no reserve
+    let settings = RouterSettings {
+        live_reserve: Permille(0),
+        ..RouterSettings::default()
+    };
+    for (others, most) in [(0, 16), (4, 12), (8, 8), (16, 8), (20, 4), (24, 0)] {
+        for request in [live(), rollout()] {
+            let mut router =
+                router_with(settings.clone(), Default::default(), &site(1, 1, 16, 500));
+            router.on_load(at(0), &server_id(0), &load(others, 0, 0));
+            let admitted = admit_all(&mut router, at(1), &request, 100);
+            expect_that!(
+                admitted.len(),
+                eq(most),
+                "{others} others, {:?}",
+                request.class
+            );
+        }
+    }
+}
+
+#[gtest]
+fn a_refusal_says_when_to_ask_again_from_observed_service_times() {
+    let mut router = router(&site(1, 1, 10, 1000));
+    let mut lives = admit_all(&mut router, at(0), &live(), 10);
+    let first = router.admit(at(1), &live()).expect_err("full");
+    expect_that!(first.retry_after, some(eq(Duration::from_millis(50))));
+    let done = lives.pop().expect("ten were admitted");
+    router.on_finished(at(2000), done.ticket, success(2000));
+    admit_all(&mut router, at(2001), &live(), 1);
+    for asked in 1..=3 {
+        let refusal = router.admit(at(2002), &live()).expect_err("full");
+        let expected = Duration::from_millis(200 * asked);
+        expect_that!(refusal.retry_after, some(eq(expected)));
+    }
+}
+
+/// One step of a flood: which classes ask, and how many of each end.
+#[derive(Clone, Debug)]
+struct Step {
+    live: usize,
+    rollouts: usize,
+    live_ends: usize,
+    rollouts_end: usize,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    (0_usize..40, 0_usize..40, 0_usize..20, 0_usize..20).prop_map(
+        |(live, rollouts, live_ends, rollouts_end)| Step {
+            live,
+            rollouts,
+            live_ends,
+            rollouts_end,
+        },
+    )
+}
+
+fn end(router: &mut wingshore_routing::Router, now: u64, running: &mut Vec<Admitted>, most: usize) {
+    for one in running.drain(..most.min(running.len())) {
+        router.on_finished(at(now), one.ticket, success(100));
+    }
+}
+
+proptest! {
+    #![proptest_config(property(200))]
+
+    /// Own requests never exceed the slots. Under a flood of both classes after any history, once
+    /// what was borrowed has ended each class has its guarantee on every server.
+    #[test]
+    fn slots_and_guarantees_hold(
+        steps in prop::collection::vec(step(), 0..30),
+        servers in 1_usize..6,
+        slots in 2_u32..20,
+        share in 1_u16..1000,
+    ) {
+        let mut router = router(&site(servers, 2, slots, share));
+        let mut running = [Vec::new(), Vec::new()];
+        let mut now = 0;
+        for step in steps {
+            now += 37;
+            running[0].extend(admit_all(&mut router, at(now), &live(), step.live));
+            running[1].extend(admit_all(&mut router, at(now), &rollout(), step.rollouts));
+            check_slots(&router, now, servers, slots)?;
+            end(&mut router, now, &mut running[0], step.live_ends);
+            end(&mut router, now, &mut running[1], step.rollouts_end);
+        }
+        report_versions(&mut router, at(now), &site(servers, 2, slots, share));
+        flood(&mut router, now, &mut running);
+        check_slots(&router, now, servers, slots)?;
+        check_guarantees(&router, now, servers, slots, share)?;
+    }
+}
+
+/// Both classes ask all the time while the oldest requests end one by one.
+fn flood(router: &mut wingshore_routing::Router, now: u64, running: &mut [Vec<Admitted>; 2]) {
+    let rounds = 3 * (running[0].len() + running[1].len()) + 400;
+    for _ in 0..rounds {
+        for (class, request) in [live(), rollout()].iter().enumerate() {
+            running[class].extend(admit_all(router, at(now), request, 200));
+            end(router, now, &mut running[class], 1);
+            running[class].extend(admit_all(router, at(now), request, 200));
+        }
+    }
+}
+
+fn check_slots(
+    router: &wingshore_routing::Router,
+    now: u64,
+    servers: usize,
+    slots: u32,
+) -> std::result::Result<(), TestCaseError> {
+    for number in 0..servers {
+        let view = router.server_view(at(now), &server_id(number));
+        let view = view.expect("it is configured");
+        prop_assert!(view.live + view.rollouts <= slots, "{view:?}");
+    }
+    Ok(())
+}
+
+fn check_guarantees(
+    router: &wingshore_routing::Router,
+    now: u64,
+    servers: usize,
+    slots: u32,
+    share: u16,
+) -> std::result::Result<(), TestCaseError> {
+    let live = (f64::from(slots) * f64::from(share) / 1000.0).round() as u32;
+    let live = live.clamp(1, slots - 1);
+    for number in 0..servers {
+        let view = router.server_view(at(now), &server_id(number));
+        let view = view.expect("it is configured");
+        prop_assert!(
+            view.live >= live && view.rollouts >= slots - live,
+            "{view:?}, {live}"
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wingshore-routing/tests/promises.rs
@@ -0,0 +1,362 @@
+//! Whatever happens, in whatever order: no work to a server that is leaving, unhealthy or of
+//! unknown version, no repeat of what must not be repeated, slots and guarantees kept. A plain
+//! model of what was said is the judge; each deliberate fault must be caught by it.
+
+mod support;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use std::collections::BTreeMap;
+use support::*;
+use wingshore_routing::{Admitted, AttemptOutcome, Class, Faults, RouteRequest, Router};
+use wingshore_types::configuration::{Admission, Configuration};
+use wingshore_types::platform::{CacheEvent, CacheEventKind, CacheEvents};
+use wingshore_types::{ServerId, Verdict, WeightVersion};
+
+const SERVERS: usize = 6;
+const SLOTS: u32 = 6;
+/// Time between two events: a round of probes.
+const PAUSE: u64 = 1000;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Admission(usize, bool),
+    MachineList {
+        as_of: u64,
+        leaving: Vec<usize>,
+    },
+    State {
+        server: usize,
+        boot: u64,
+        version: Option<u64>,
+        draining: bool,
+    },
+    ProbeFailed(usize),
+    CacheEvents {
+        server: usize,
+        boot: u64,
+        sequence: u64,
+        prefix: u64,
+    },
+    Requests {
+        rollouts: bool,
+        count: usize,
+        prefix: u64,
+        no_repeat: bool,
+    },
+    End {
+        count: usize,
+        outcome: u8,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let server = 0..SERVERS;
+    let servers = prop::collection::vec(0..SERVERS, 0..3);
+    prop_oneof![
+        1 => (server.clone(), any::<bool>()).prop_map(|(server, open)| Event::Admission(server, open)),
+        1 => (0_u64..20, servers).prop_map(|(as_of, leaving)| Event::MachineList { as_of, leaving }),
+        4 => (server.clone(), 1_u64..3, prop::option::weighted(0.8, 3_u64..8), prop::bool::weighted(0.1))
+            .prop_map(|(server, boot, version, draining)| Event::State { server, boot, version, draining }),
+        2 => server.clone().prop_map(Event::ProbeFailed),
+        2 => (server, 1_u64..3, 1_u64..50, 0_u64..4)
+            .prop_map(|(server, boot, sequence, prefix)| Event::CacheEvents { server, boot, sequence, prefix }),
+        8 => (any::<bool>(), 1_usize..12, 0_u64..4, any::<bool>())
+            .prop_map(|(rollouts, count, prefix, no_repeat)| Event::Requests { rollouts, count, prefix, no_repeat }),
+        4 => (1_usize..12, 0_u8..6).prop_map(|(count, outcome)| Event::End { count, outcome }),
+    ]
+}
+
+/// What was said of one server, in plain words.
+#[derive(Clone, Debug, Default)]
+struct Said {
+    closed: bool,
+    draining: bool,
+    refused_at: Option<u64>,
+    failed_probes: u32,
+    unhealthy: bool,
+    good_probes: u32,
+    boot: Option<u64>,
+    version: Option<(u64, u64)>,
+}
+
+/// Promises broken, by name.
+type Violations = BTreeMap<&'static str, u32>;
+
+struct Judge {
+    router: Router,
+    configuration: Configuration,
+    said: BTreeMap<ServerId, Said>,
+    list: (u64, Vec<ServerId>),
+    running: Vec<(Admitted, RouteRequest)>,
+    now: u64,
+    violations: Violations,
+}
+
+impl Judge {
+    fn new(faults: Faults) -> Self {
+        let configuration = site(SERVERS, 2, SLOTS, 500);
+        let mut router = Router::new(Default::default(), "zone-0".into(), SEED).with_faults(faults);
+        router.on_configuration(at(0), &configuration);
+        Self {
+            router,
+            said: configuration
+                .servers
+                .keys()
+                .map(|id| (id.clone(), Said::default()))
+                .collect(),
+            configuration,
+            list: (0, Vec::new()),
+            running: Vec::new(),
+            now: 0,
+            violations: Violations::new(),
+        }
+    }
+
+    fn said(&mut self, server: usize) -> &mut Said {
+        self.said.entry(server_id(server)).or_default()
+    }
+
+    fn note(&mut self, promise: &'static str, is_kept: bool) {
+        if !is_kept {
+            *self.violations.entry(promise).or_default() += 1;
+        }
+    }
+
+    fn handle(&mut self, event: &Event) {
+        self.now += PAUSE;
+        match event {
+            Event::Admission(server, open) => self.on_admission(*server, *open),
+            Event::MachineList { as_of, leaving } => self.on_list(*as_of, leaving),
+            Event::State {
+                server,
+                boot,
+                version,
+                draining,
+            } => {
+                self.on_state(*server, *boot, *version, *draining);
+            }
+            Event::ProbeFailed(server) => self.on_probe_failed(*server),
+            Event::CacheEvents {
+                server,
+                boot,
+                sequence,
+                prefix,
+            } => {
+                self.on_cache_events(*server, *boot, *sequence, *prefix);
+            }
+            Event::Requests {
+                rollouts,
+                count,
+                prefix,
+                no_repeat,
+            } => {
+                let base = if *rollouts { rollout() } else { live() };
+                let request = RouteRequest {
+                    prefix_hash: Some(*prefix),
+                    no_repeat: *no_repeat,
+                    ..base
+                };
+                (0..*count).for_each(|_| self.request(&request));
+            }
+            Event::End { count, outcome } => (0..*count).for_each(|_| self.end(*outcome)),
+        }
+    }
+
+    fn on_admission(&mut self, server: usize, open: bool) {
+        let admission = if open {
+            Admission::Open
+        } else {
+            Admission::Draining
+        };
+        self.configuration = with_admission(&self.configuration, server, admission);
+        self.said(server).closed = !open;
+        self.router
+            .on_configuration(at(self.now), &self.configuration);
+    }
+
+    fn on_list(&mut self, as_of: u64, leaving: &[usize]) {
+        if as_of >= self.list.0 {
+            self.list = (
+                as_of,
+                leaving.iter().map(|number| server_id(*number)).collect(),
+            );
+        }
+        self.router
+            .on_machine_list(at(self.now), &machine_list(as_of, leaving, &[]));
+    }
+
+    fn on_state(&mut self, server: usize, boot: u64, version: Option<u64>, draining: bool) {
+        let now = self.now;
+        let said = self.said(server);
+        if said.boot.is_some_and(|known| known != boot) {
+            let closed = said.closed;
+            *said = Said {
+                closed,
+                ..Said::default()
+            };
+        }
+        said.boot = Some(boot);
+        said.draining = draining;
+        said.version = version.map(|version| (version, now));
+        said.failed_probes = 0;
+        said.good_probes += 1;
+        if said.good_probes >= 2 {
+            said.unhealthy = false;
+        }
+        let report = state(boot, version.map(WeightVersion), draining);
+        self.router
+            .on_engine_state(at(now), &server_id(server), &report);
+    }
+
+    fn on_probe_failed(&mut self, server: usize) {
+        let said = self.said(server);
+        said.good_probes = 0;
+        said.failed_probes += 1;
+        said.unhealthy |= said.failed_probes >= 3;
+        self.router
+            .on_probe_failed(at(self.now), &server_id(server));
+    }
+
+    fn on_cache_events(&mut self, server: usize, boot_id: u64, sequence: u64, prefix_hash: u64) {
+        self.said(server).boot.get_or_insert(boot_id);
+        let (kind, tokens) = (CacheEventKind::Stored, 100);
+        let events = vec![CacheEvent {
+            sequence,
+            prefix_hash,
+            tokens,
+            kind,
+        }];
+        let events = CacheEvents { boot_id, events };
+        self.router
+            .on_cache_events(at(self.now), &server_id(server), &events);
+    }
+
+    fn request(&mut self, request: &RouteRequest) {
+        match self.router.admit(at(self.now), request) {
+            Ok(admitted) => {
+                self.judge_choice(&admitted, request);
+                self.running.push((admitted, request.clone()));
+            }
+            Err(refusal) => {
+                let is_kept = refusal.verdict() == Verdict::NotRun;
+                self.note("refused is not run", is_kept);
+            }
+        }
+    }
+
+    fn judge_choice(&mut self, admitted: &Admitted, request: &RouteRequest) {
+        let said = self.said[&admitted.server].clone();
+        let listed = self.list.1.contains(&admitted.server);
+        // A refusal closes for 200 ms, and every event takes a second.
+        let refused = said.refused_at == Some(self.now);
+        let leaving = said.closed || said.draining || listed || refused;
+        self.note("no work to the leaving", !leaving);
+        self.note("no work to the unhealthy", !said.unhealthy);
+        if request.class == Class::Rollout {
+            let known = said.version.filter(|(_, at)| self.now - at < 10_000);
+            let useful = known.is_some_and(|(version, _)| version >= VERSION.0);
+            self.note("versions are known and useful", useful);
+        }
+        let view = self.router.server_view(at(self.now), &admitted.server);
+        let view = view.expect("it was chosen");
+        self.note("slots are kept", view.live + view.rollouts <= SLOTS);
+        self.note(
+            "the reserve is kept",
+            view.live > 0 || view.rollouts < SLOTS,
+        );
+    }
+
+    fn end(&mut self, outcome: u8) {
+        if self.running.is_empty() {
+            return;
+        }
+        let (admitted, request) = self.running.remove(0);
+        let outcome = match outcome {
+            0 | 1 => success(100),
+            2 => AttemptOutcome::Refused,
+            3 => AttemptOutcome::Cancelled,
+            4 => AttemptOutcome::Failed(Verdict::NotRun),
+            _ => AttemptOutcome::Failed(Verdict::MayHaveRun),
+        };
+        self.router
+            .on_finished(at(self.now), admitted.ticket, outcome);
+        if outcome == AttemptOutcome::Refused {
+            let now = self.now;
+            self.said.entry(admitted.server).or_default().refused_at = Some(now);
+            self.request(&live());
+        }
+        if let AttemptOutcome::Failed(verdict) = outcome {
+            let repeats = self.router.may_retry(at(self.now), &request, verdict);
+            let is_kept = !repeats || !request.no_repeat || verdict == Verdict::NotRun;
+            self.note("what must not be repeated is not", is_kept);
+        }
+    }
+}
+
+fn judge(events: &[Event], faults: Faults) -> Violations {
+    let mut judge = Judge::new(faults);
+    events.iter().for_each(|event| judge.handle(event));
+    judge.violations
+}
+
+fn histories() -> impl Strategy<Value = Vec<Event>> {
+    prop::collection::vec(event(), 1..120)
+}
+
+proptest! {
+    #![proptest_config(property(500))]
+
+    #[test]
+    fn promises_hold(events in histories()) {
+        prop_assert_eq!(judge(&events, Faults::default()), Violations::new());
+    }
+}
+
+#[gtest]
+fn each_deliberate_fault_is_caught() {
+    let none = Faults::default();
+    let cases = [
+        (
+            "what must not be repeated is not",
+            Faults {
+                retry_on_may_have_run: true,
+                ..none
+            },
+        ),
+        (
+            "no work to the leaving",
+            Faults {
+                ignore_draining: true,
+                ..none
+            },
+        ),
+        (
+            "versions are known and useful",
+            Faults {
+                ignore_unknown_version: true,
+                ..none
+            },
+        ),
+        (
+            "the reserve is kept",
+            Faults {
+                no_share_guarantee: true,
+                ..none
+            },
+        ),
+    ];
+    for (promise, faults) in cases {
+        let mut runner = TestRunner::new(property(1));
+        let caught = (0..50).any(|_| {
+            let events = histories()
+                .new_tree(&mut runner)
+                .expect("it is generated")
+                .current();
+            judge(&events, faults).contains_key(promise)
+        });
+        expect_that!(caught, eq(true), "{promise}");
+    }
+}
