lab: all stand-ins, sites, the fleet and the checkers

Ruled out: judging by wingshore's own metrics (not independent); a trainer that stops at once (a lost sample would not show), so it pulls all it has submitted before it stops.

--- a/crates/wingshore-lab/src/events.rs
+++ b/crates/wingshore-lab/src/events.rs
@@ -33,8 +33,10 @@
 pub struct DeliveredSample {
     /// The trainer's number for it.
     pub number: SampleNumber,
-    /// Hash of the prompt's tokens.
+    /// Hash of the prompt's tokens, as delivered.
     pub prompt_hash: u64,
+    /// Hash of the prompt's tokens, as submitted.
+    pub submitted_prompt_hash: u64,
     /// Seed that was submitted.
     pub seed: u64,
     /// Most tokens that were submitted.
@@ -49,6 +51,23 @@
     pub score: f64,
 }
 
+/// A completion as a caller received it, tokens folded into a hash.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReceivedCompletion {
+    /// Hash of the prompt's tokens.
+    pub prompt_hash: u64,
+    /// Seed that was asked for.
+    pub seed: u64,
+    /// Most tokens that were asked for.
+    pub max_tokens: u32,
+    /// Number of tokens received.
+    pub token_count: u32,
+    /// Hash of the tokens received.
+    pub tokens_hash: u64,
+    /// Versions that the answer names.
+    pub segments: Vec<Segment>,
+}
+
 /// One event of a run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -206,6 +225,13 @@
         /// The version.
         version: WeightVersion,
     },
+    /// A caller has a whole completion; follows or precedes its `answered`.
+    Completed {
+        /// The caller's own id of the request.
+        request: String,
+        /// The tokens and the versions that the answer names.
+        completion: ReceivedCompletion,
+    },
     /// A live caller has its final answer, or gave up.
     Answered {
         /// The caller's own id of the request.
@@ -233,11 +259,16 @@
     RevisionSeen {
         /// Who was asked.
         observed: String,
-        /// Drawn at each start of the observed process; 0 where it gives none.
-        boot_id: u64,
         /// The revision.
         revision: u64,
     },
+    /// The node beside a caller, from the site's settings.
+    CallerNode {
+        /// The caller.
+        caller: String,
+        /// Its node.
+        node: String,
+    },
     /// An operator's change was committed at this revision.
     RevisionCommitted {
         /// The revision.
--- /dev/null
+++ b/crates/wingshore-lab/src/fleet/watch.rs
@@ -0,0 +1,106 @@
+//! Watches a running site: which revision is committed, and which each node has in force.
+
+use super::operator::Operator;
+use crate::event_log::EventLog;
+use crate::events::Event;
+use crate::http_client::HttpClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Between two looks.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Longest look at one node.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
+/// The gauge of a node that tells the revision in force.
+const REVISION_METRIC: &str = "wingshore_configuration_revision";
+
+/// A node to watch.
+#[derive(Clone, Debug)]
+pub struct WatchedNode {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Watches in the background until dropped or stopped.
+pub struct Watch {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Watch {
+    /// Begins to watch.
+    pub fn start(operator: Operator, nodes: Vec<WatchedNode>, log: &EventLog) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let watch_nodes = {
+            let (stop, log) = (Arc::clone(&stop), log.clone());
+            thread::spawn(move || repeat(&stop, || look_at_nodes(&nodes, &log)))
+        };
+        let watch_control = {
+            let (stop, log) = (Arc::clone(&stop), log.clone());
+            let mut newest = 0;
+            thread::spawn(move || repeat(&stop, || look_at_control(&operator, &log, &mut newest)))
+        };
+        Self {
+            stop,
+            threads: vec![watch_nodes, watch_control],
+        }
+    }
+
+    /// Ends the watch.
+    pub fn stop(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            let _ended = thread.join();
+        }
+    }
+}
+
+fn repeat(stop: &AtomicBool, mut look: impl FnMut()) {
+    while !stop.load(Ordering::SeqCst) {
+        look();
+        thread::sleep(INTERVAL);
+    }
+}
+
+fn look_at_nodes(nodes: &[WatchedNode], log: &EventLog) {
+    let client = HttpClient::new(LOOK_TIMEOUT);
+    for node in nodes {
+        let url = format!("http://{}/metrics", node.address);
+        let answer = client.get(&url, &[]).ok();
+        let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+        if let Some(revision) = text.as_deref().and_then(revision_of) {
+            log.write(Event::RevisionSeen {
+                observed: node.name.clone(),
+                revision,
+            });
+        }
+    }
+}
+
+/// The revision in the metrics of a node; none before it has a configuration.
+fn revision_of(metrics: &str) -> Option<u64> {
+    let line = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix(REVISION_METRIC))?;
+    line.trim().parse().ok()
+}
+
+/// Logs each newly committed revision, and what the control group holds to be in force.
+fn look_at_control(operator: &Operator, log: &EventLog, newest: &mut u64) {
+    let Ok(status) = operator.status() else {
+        return;
+    };
+    let committed = status.in_force.committed.0;
+    if committed != *newest {
+        log.write(Event::RevisionCommitted {
+            revision: committed,
+        });
+        *newest = committed;
+    }
+}
--- a/crates/wingshore-lab/src/http_client.rs
+++ b/crates/wingshore-lab/src/http_client.rs
@@ -32,6 +32,24 @@
     },
 }
 
+impl HttpError {
+    /// Whether nobody listened: then the request has certainly not run.
+    pub fn is_connection_refused(&self) -> bool {
+        match self {
+            Self::Request { source, .. } => is_connection_refused(source),
+            Self::Body { .. } => false,
+        }
+    }
+}
+
+/// Whether nobody listened.
+pub fn is_connection_refused(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
--- a/crates/wingshore-lab/src/lib.rs
+++ b/crates/wingshore-lab/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! Nothing here is ever deployed.
 
+pub mod checks;
 pub mod durations;
 pub mod event_log;
 pub mod events;
+pub mod fleet;
 pub mod hashing;
 pub mod http_client;
 pub mod http_server;
--- a/crates/wingshore-lab/src/main.rs
+++ b/crates/wingshore-lab/src/main.rs
@@ -1,7 +1,9 @@
 //! Entry point of the `wingshore-lab` program: parses the command line and wires subcommands.
 
 use argh::FromArgs;
+use std::error::Error;
 use std::process::ExitCode;
+use wingshore_lab::fleet::FleetCommand;
 use wingshore_lab::stand_ins::StandInCommand;
 
 /// Proof harness of wingshore: stand-ins, fleets, checks.
@@ -15,18 +17,28 @@
 #[argh(subcommand)]
 enum Command {
     StandIn(StandInCommand),
+    Fleet(FleetCommand),
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let result = match arguments.command {
-        Command::StandIn(command) => command.run().map(|()| ExitCode::SUCCESS),
-    };
-    match result {
-        Ok(code) => code,
+    match run(arguments.command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("wingshore-lab: {error}");
             ExitCode::FAILURE
         }
     }
 }
+
+/// Runs a command; says whether what it proves held.
+fn run(command: Command) -> Result<bool, Box<dyn Error>> {
+    match command {
+        Command::StandIn(command) => {
+            command.run()?;
+            Ok(true)
+        }
+        Command::Fleet(command) => Ok(command.run()?),
+    }
+}
--- a/crates/wingshore-lab/src/stand_ins/engine/cache.rs
+++ b/crates/wingshore-lab/src/stand_ins/engine/cache.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     tokens: u32,
+    own_tokens: u32,
     last_use: u64,
 }
 
@@ -46,7 +47,10 @@
 
     /// Tokens held. An entry stands for its last block; shorter prefixes are entries too.
     pub fn tokens_held(&self) -> u64 {
-        self.entries.len() as u64 * u64::from(self.block_tokens)
+        self.entries
+            .values()
+            .map(|entry| u64::from(entry.own_tokens))
+            .sum()
     }
 
     /// Tokens of the longest cached prefix of `tokens`; marks it as used.
@@ -63,12 +67,13 @@
         longest
     }
 
-    /// Caches all whole blocks of `tokens`.
+    /// Caches `tokens` block by block; the last block may be a part.
     pub fn store(&mut self, now: Instant, tokens: &[Token], generator: &mut ChaCha8Rng) {
         self.uses += 1;
         for (hash, length) in self.block_hashes(tokens) {
             let entry = Entry {
                 tokens: length,
+                own_tokens: length - (length - 1) / self.block_tokens * self.block_tokens,
                 last_use: self.uses,
             };
             if self.entries.insert(hash, entry).is_none() {
@@ -102,11 +107,12 @@
             .collect()
     }
 
+    /// Hash and length of each prefix that ends with a block, and of the whole.
     fn block_hashes(&self, tokens: &[Token]) -> Vec<(u64, u32)> {
         let block = self.block_tokens as usize;
-        (1..=tokens.len() / block)
+        (1..=tokens.len().div_ceil(block))
             .map(|blocks| {
-                let length = blocks * block;
+                let length = (blocks * block).min(tokens.len());
                 (hash_tokens(&tokens[..length]), length as u32)
             })
             .collect()
--- /dev/null
+++ b/crates/wingshore-lab/src/stand_ins/live_server.rs
@@ -0,0 +1,231 @@
+//! Stand-in for a live server: runs charges and look-ups, logs each execution, and refuses by its
+//! own word when it is full or leaving.
+
+use super::StandInError;
+use super::settings::{ServerSettings, load};
+use crate::durations;
+use crate::event_log::EventLog;
+use crate::events::Event;
+use crate::hashing::hash_bytes;
+use crate::http_server::{Incoming, serve};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+use wingshore_types::platform::{LoadReport, NOT_RUN_HEADER};
+
+/// Header by which callers name their requests.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with the caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// How old a load report may become.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Status of a process that was told to crash.
+const CRASH_STATUS: i32 = 101;
+/// How often a request looks whether a freeze is over.
+const FREEZE_POLL: Duration = Duration::from_millis(5);
+
+/// How a live server behaves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LiveServerSettings {
+    /// Most requests at once; more are refused as not run.
+    pub slots: u32,
+    /// Shortest time that a request takes.
+    #[serde(with = "durations")]
+    pub shortest_service: Duration,
+    /// Mean of the further, exponentially distributed time.
+    #[serde(with = "durations")]
+    pub mean_further_service: Duration,
+    /// Size of an answer, in bytes.
+    pub answer_bytes: usize,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+impl Default for LiveServerSettings {
+    fn default() -> Self {
+        Self {
+            slots: 32,
+            shortest_service: Duration::from_millis(1),
+            mean_further_service: Duration::from_millis(2),
+            answer_bytes: 512,
+            seed: 0,
+        }
+    }
+}
+
+/// Body of `POST /lab/faults`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
+pub enum LiveFault {
+    /// The process dies at once.
+    Crash,
+    /// Nothing is answered for a while.
+    Freeze {
+        /// How long, in milliseconds.
+        milliseconds: u64,
+    },
+}
+
+/// The server's state.
+struct LiveServer {
+    name: String,
+    settings: LiveServerSettings,
+    generator: Mutex<ChaCha8Rng>,
+    in_flight: AtomicU32,
+    leaving: AtomicBool,
+    executions: AtomicU64,
+    frozen_until: Mutex<Option<Instant>>,
+    load: Mutex<(Instant, u32)>,
+    log: EventLog,
+}
+
+/// Serves until the process ends.
+///
+/// # Errors
+/// When its settings, log or port cannot be used.
+pub fn run(settings_file: &Path) -> Result<(), StandInError> {
+    let settings: ServerSettings<LiveServerSettings> = load(settings_file)?;
+    let log = EventLog::open(&settings.process.log, &settings.process.name)?;
+    let boot_id: u64 = rand::random();
+    log.write(Event::Started { boot_id });
+    let server = Arc::new(LiveServer {
+        name: settings.process.name.clone(),
+        generator: Mutex::new(ChaCha8Rng::seed_from_u64(settings.behaviour.seed)),
+        settings: settings.behaviour,
+        in_flight: AtomicU32::new(0),
+        leaving: AtomicBool::new(false),
+        executions: AtomicU64::new(0),
+        frozen_until: Mutex::new(None),
+        load: Mutex::new((Instant::now(), 0)),
+        log,
+    });
+    let handler = Arc::new(move |incoming| server.handle(incoming));
+    serve(
+        settings.process.listen,
+        settings.process.round_trip,
+        handler,
+    )?;
+    Ok(())
+}
+
+impl LiveServer {
+    fn handle(&self, incoming: Incoming) {
+        if incoming.path == "/lab/faults" {
+            self.inject(incoming);
+            return;
+        }
+        self.wait_while_frozen();
+        match (incoming.method.as_str(), incoming.path.as_str()) {
+            ("GET", "/load") => incoming.respond_json(200, &self.load_report()),
+            ("POST", "/lab/leaving") => {
+                self.leaving.store(true, Ordering::SeqCst);
+                self.log.write(Event::Leaving {
+                    server: self.name.clone(),
+                });
+                incoming.respond_json(200, &serde_json::json!({}));
+            }
+            _ => self.admit(incoming),
+        }
+    }
+
+    fn admit(&self, incoming: Incoming) {
+        let before = self.in_flight.fetch_add(1, Ordering::SeqCst);
+        if self.leaving.load(Ordering::SeqCst) {
+            self.refuse(incoming, "leaving");
+        } else if before >= self.settings.slots {
+            self.refuse(incoming, "overloaded");
+        } else {
+            self.execute(incoming);
+        }
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    fn refuse(&self, incoming: Incoming, code: &str) {
+        self.log.write(Event::RefusedNotRun {
+            request: request_id(&incoming),
+        });
+        let headers = [
+            (NOT_RUN_HEADER, "true"),
+            ("content-type", "application/json"),
+            ("retry-after", "1"),
+        ];
+        let body = serde_json::json!({ "error": { "code": code } });
+        incoming.respond(503, &headers, body.to_string().into_bytes());
+    }
+
+    fn execute(&self, incoming: Incoming) {
+        thread::sleep(self.service_time());
+        let answer = self.answer(&incoming);
+        self.log.write(Event::Executed {
+            request: request_id(&incoming),
+            key: incoming.header(KEY_HEADER),
+            charge: incoming.method == "POST",
+            status: 200,
+            answer_hash: hash_bytes(&answer),
+        });
+        incoming.respond(200, &[("content-type", "application/json")], answer);
+    }
+
+    fn answer(&self, incoming: &Incoming) -> Vec<u8> {
+        let execution = self.executions.fetch_add(1, Ordering::SeqCst);
+        let body = serde_json::json!({
+            "server": self.name,
+            "execution": execution,
+            "request": request_id(incoming),
+            "path": incoming.path,
+            "asked": hash_bytes(&incoming.body),
+            "receipt": "r".repeat(self.settings.answer_bytes),
+        });
+        body.to_string().into_bytes()
+    }
+
+    fn service_time(&self) -> Duration {
+        let mut generator = lock(&self.generator);
+        let uniform: f64 = generator.random_range(f64::EPSILON..1.0);
+        self.settings.shortest_service + self.settings.mean_further_service.mul_f64(-uniform.ln())
+    }
+
+    fn load_report(&self) -> LoadReport {
+        let mut load = lock(&self.load);
+        if load.0.elapsed() >= LOAD_REPORT_INTERVAL {
+            *load = (Instant::now(), self.in_flight.load(Ordering::SeqCst));
+        }
+        LoadReport {
+            in_flight: load.1,
+            queue: 0,
+            age_ms: load.0.elapsed().as_millis() as u64,
+        }
+    }
+
+    fn inject(&self, incoming: Incoming) {
+        match incoming.json::<LiveFault>() {
+            Ok(LiveFault::Crash) => std::process::exit(CRASH_STATUS),
+            Ok(LiveFault::Freeze { milliseconds }) => {
+                let until = Instant::now() + Duration::from_millis(milliseconds);
+                *lock(&self.frozen_until) = Some(until);
+                incoming.respond_json(200, &serde_json::json!({}));
+            }
+            Err(error) => incoming.respond_bad_request(&error),
+        }
+    }
+
+    fn wait_while_frozen(&self) {
+        while lock(&self.frozen_until).is_some_and(|until| Instant::now() < until) {
+            thread::sleep(FREEZE_POLL);
+        }
+    }
+}
+
+fn request_id(incoming: &Incoming) -> String {
+    incoming.header(REQUEST_ID_HEADER).unwrap_or_default()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/wingshore-lab/src/stand_ins/mod.rs
+++ b/crates/wingshore-lab/src/stand_ins/mod.rs
@@ -1,7 +1,13 @@
 //! Stand-ins: small processes that play the platform's side and the callers.
 
 pub mod engine;
+pub mod live_caller;
+pub mod live_server;
+pub mod machine_list;
+pub mod scorer;
 pub mod settings;
+pub mod trainer;
+pub mod weight_store;
 
 use crate::event_log::EventLogError;
 use crate::http_server::ListenError;
@@ -9,6 +15,8 @@
 use settings::SettingsError;
 use snafu::Snafu;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 /// Why a stand-in ended.
 #[derive(Debug, Snafu)]
@@ -31,29 +39,88 @@
         /// Why.
         source: ListenError,
     },
+    /// The service refuses a trainer for good.
+    #[snafu(context(false), display("{source}"))]
+    Service {
+        /// Why.
+        source: trainer::service::ServiceError,
+    },
+    /// SIGTERM cannot be caught.
+    #[snafu(context(false), display("cannot catch SIGTERM: {source}"))]
+    Signal {
+        /// Why.
+        source: std::io::Error,
+    },
 }
 
 /// Run one stand-in as its own process.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "stand-in")]
 pub struct StandInCommand {
-    #[argh(subcommand)]
+    /// engine, live-server, weight-store, machine-list, scorer, trainer or live-caller
+    #[argh(positional)]
     kind: StandInKind,
+    /// settings file (TOML)
+    #[argh(option)]
+    settings: PathBuf,
 }
 
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum StandInKind {
-    Engine(EngineCommand),
+/// What a stand-in plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StandInKind {
+    /// A model engine.
+    Engine,
+    /// A live server.
+    LiveServer,
+    /// The weight store.
+    WeightStore,
+    /// The platform's machine list.
+    MachineList,
+    /// A scoring service.
+    Scorer,
+    /// A trainer.
+    Trainer,
+    /// Live callers.
+    LiveCaller,
 }
 
-/// A model engine.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "engine")]
-struct EngineCommand {
-    /// settings file (TOML)
-    #[argh(option)]
-    settings: PathBuf,
+impl StandInKind {
+    const ALL: [Self; 7] = [
+        Self::Engine,
+        Self::LiveServer,
+        Self::WeightStore,
+        Self::MachineList,
+        Self::Scorer,
+        Self::Trainer,
+        Self::LiveCaller,
+    ];
+
+    /// Its name on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Engine => "engine",
+            Self::LiveServer => "live-server",
+            Self::WeightStore => "weight-store",
+            Self::MachineList => "machine-list",
+            Self::Scorer => "scorer",
+            Self::Trainer => "trainer",
+            Self::LiveCaller => "live-caller",
+        }
+    }
+}
+
+impl std::str::FromStr for StandInKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.as_str() == text)
+            .ok_or_else(|| {
+                let names: Vec<&str> = Self::ALL.iter().map(|kind| kind.as_str()).collect();
+                format!("`{text}` is none of {}", names.join(", "))
+            })
+    }
 }
 
 impl StandInCommand {
@@ -62,8 +129,22 @@
     /// # Errors
     /// When its settings, log or port cannot be used.
     pub fn run(self) -> Result<(), StandInError> {
+        let settings = self.settings.as_path();
         match self.kind {
-            StandInKind::Engine(command) => engine::run(&command.settings),
+            StandInKind::Engine => engine::run(settings),
+            StandInKind::LiveServer => live_server::run(settings),
+            StandInKind::WeightStore => weight_store::run(settings),
+            StandInKind::MachineList => machine_list::run(settings),
+            StandInKind::Scorer => scorer::run(settings),
+            StandInKind::Trainer => trainer::run(settings, stop_flag()?),
+            StandInKind::LiveCaller => live_caller::run(settings, &stop_flag()?),
         }
     }
 }
+
+/// A flag that SIGTERM sets.
+fn stop_flag() -> std::io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGTERM, Arc::clone(&stop))?;
+    Ok(stop)
+}
--- a/crates/wingshore-node/src/http/mod.rs
+++ b/crates/wingshore-node/src/http/mod.rs
@@ -2,7 +2,6 @@
 
 mod body;
 mod caller;
-mod connections;
 mod event_stream;
 mod framing;
 mod headers;
--- a/crates/wingshore-node/src/run.rs
+++ b/crates/wingshore-node/src/run.rs
@@ -134,8 +134,9 @@
             let _ = thread.join();
         }
         self.prober.join();
-        self.errands.finish(&self.node);
+        self.errands.finish();
         drop(self.watcher);
+        self.node.groups.close();
         info!(logger, "node stopped");
     }
 }
