--- a/crates/wingshore-node/src/background/errands.rs
+++ b/crates/wingshore-node/src/background/errands.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wingshore_types::GroupId;
 use wingshore_types::protocol::claims::ClaimsRequest;
 use wingshore_types::protocol::wire::GroupRequest;
@@ -19,6 +19,11 @@
 /// A settlement is tried for this long. A claim left unsettled stays taken, which is safe.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// How long a planned stop waits for errands.
+const FINISH_LIMIT: Duration = Duration::from_secs(5);
+/// Between two looks at whether they are done.
+const FINISH_POLL: Duration = Duration::from_millis(5);
+
 /// One errand.
 #[derive(Debug)]
 pub enum Errand {
@@ -91,9 +96,16 @@
         Ok(Self { threads, end })
     }
 
-    /// Runs what waits, then ends the threads.
-    pub fn finish(self) {
+    /// Runs what waits, for a while at most, then ends the threads and closes the node's client of
+    /// groups.
+    pub fn finish(self, node: &NodeState) {
         drop(self.end);
+        let give_up = Instant::now() + FINISH_LIMIT;
+        while !self.threads.iter().all(JoinHandle::is_finished) && Instant::now() < give_up {
+            thread::sleep(FINISH_POLL);
+        }
+        // Calls that still wait end at once.
+        node.groups.close();
         for thread in self.threads {
             // A panic was reported when it happened.
             let _ = thread.join();
--- a/crates/wingshore-node/src/http/body.rs
+++ b/crates/wingshore-node/src/http/body.rs
@@ -16,6 +16,10 @@
         /// The limit in bytes.
         limit: u64,
     },
+    /// It comes in chunks. The HTTP library takes a body that was cut within a chunk for a whole
+    /// one, so none can be relied on.
+    #[snafu(display("the body comes in chunks; a Content-Length is wanted"))]
+    Chunked,
     /// It ended before its declared end.
     #[snafu(display("the body ended after {received} bytes, before its declared end"))]
     Short {
@@ -37,10 +41,26 @@
         BodyLength::Empty => Ok(Vec::new()),
         BodyLength::Exact(declared) if declared > limit => TooLargeSnafu { limit }.fail(),
         BodyLength::Exact(declared) => read_exactly(reader, declared),
-        BodyLength::Chunked => read_chunks(reader, limit),
+        BodyLength::Chunked => ChunkedSnafu.fail(),
     }
 }
 
+/// Reads chunks away, `limit` bytes at most; answers whether their end was seen. What is left
+/// would be taken for the connection's next request.
+pub fn drain_chunks(reader: &mut dyn Read, limit: u64) -> bool {
+    let mut buffer = vec![0; READ_SIZE];
+    let mut drained = 0;
+    while drained <= limit {
+        match reader.read(&mut buffer) {
+            Ok(0) => return true,
+            Ok(count) => drained += count as u64,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
 fn read_exactly(reader: &mut dyn Read, declared: u64) -> Result<Vec<u8>, BodyError> {
     let mut body = Vec::new();
     let read = reader.take(declared).read_to_end(&mut body);
@@ -50,25 +70,3 @@
     }
     Ok(body)
 }
-
-/// The library's chunk decoder reports a missing last chunk as an error.
-fn read_chunks(reader: &mut dyn Read, limit: u64) -> Result<Vec<u8>, BodyError> {
-    let mut body = Vec::new();
-    let mut buffer = vec![0; READ_SIZE];
-    loop {
-        match reader.read(&mut buffer) {
-            Ok(0) => return Ok(body),
-            Ok(count) => body.extend(buffer.iter().take(count)),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(_) => {
-                return ShortSnafu {
-                    received: body.len() as u64,
-                }
-                .fail();
-            }
-        }
-        if body.len() as u64 > limit {
-            return TooLargeSnafu { limit }.fail();
-        }
-    }
-}
--- a/crates/wingshore-node/src/http/caller.rs
+++ b/crates/wingshore-node/src/http/caller.rs
@@ -1,12 +1,14 @@
 //! One caller's request at the edge, from its head to its answer.
 
-use crate::http::body::{BodyError, read_body};
+use crate::http::body::{BodyError, drain_chunks, read_body};
+use crate::http::connections::DistrustedConnections;
 use crate::http::event_stream::EventStream;
 use crate::http::framing::{BodyLength, FramingError, body_length};
 use crate::http::headers::HeaderList;
 use crate::http::respond::EdgeAnswer;
 use crate::http::route::{Route, RouteError, parse_route};
 use std::io::{self, Cursor};
+use std::sync::Arc;
 use tiny_http::{HTTPVersion, Header, Request, Response, StatusCode};
 
 /// Largest declared rest of a body that the HTTP library may drain. It allocates the whole rest
@@ -20,23 +22,32 @@
     route: Result<Route, RouteError>,
     length: Result<BodyLength, FramingError>,
     body_read: bool,
+    connections: Arc<DistrustedConnections>,
 }
 
 impl Caller {
     /// Parses the head of `request`.
-    pub fn new(request: Request) -> Self {
+    pub fn new(request: Request, connections: &Arc<DistrustedConnections>) -> Self {
         let headers = HeaderList::new(request.headers().iter().map(|header| {
             let name = header.field.as_str().as_str().to_owned();
             (name, header.value.as_str().trim().to_owned())
         }));
         let route = parse_route(request.method().as_str(), request.url());
-        let length = body_length(&headers);
+        let mut length = body_length(&headers);
+        if let Some(peer) = request.remote_addr() {
+            if !connections.is_trusted(*peer) {
+                length = Err(FramingError::Distrusted);
+            } else if length.is_err() {
+                connections.distrust(*peer);
+            }
+        }
         Self {
             request,
             headers,
             route,
             length,
             body_read: false,
+            connections: Arc::clone(connections),
         }
     }
 
@@ -70,11 +81,21 @@
     /// # Errors
     /// As [`read_body`].
     pub fn read_body(&mut self, length: BodyLength, limit: u64) -> Result<Vec<u8>, BodyError> {
+        if length == BodyLength::Chunked {
+            self.drain_chunks(limit);
+        }
         let body = read_body(self.request.as_reader(), length, limit)?;
         self.body_read = true;
         Ok(body)
     }
 
+    fn drain_chunks(&mut self, limit: u64) {
+        let is_drained = drain_chunks(self.request.as_reader(), limit);
+        if let (false, Some(peer)) = (is_drained, self.request.remote_addr()) {
+            self.connections.distrust(*peer);
+        }
+    }
+
     /// Sends a whole answer. A caller that has gone is no error.
     pub fn respond(self, answer: EdgeAnswer) {
         let method_is_head = self.request.method().as_str() == "HEAD";
--- a/crates/wingshore-node/src/http/framing.rs
+++ b/crates/wingshore-node/src/http/framing.rs
@@ -43,6 +43,9 @@
         /// What it is.
         found: String,
     },
+    /// A request after one whose body had no reliable length.
+    #[snafu(display("an earlier request on this connection had no reliable length; open another"))]
+    Distrusted,
     /// A protocol switch.
     #[snafu(display("protocol upgrades are not supported"))]
     Upgrade,
--- a/crates/wingshore-node/src/http/mod.rs
+++ b/crates/wingshore-node/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod caller;
+mod connections;
 mod event_stream;
 mod framing;
 mod headers;
--- a/crates/wingshore-node/src/http/server.rs
+++ b/crates/wingshore-node/src/http/server.rs
@@ -2,6 +2,7 @@
 //! group for each kind of work, so that long work of one kind never holds up another.
 
 use crate::http::caller::Caller;
+use crate::http::connections::DistrustedConnections;
 use crate::http::route::Route;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use std::io;
@@ -172,10 +173,11 @@
 }
 
 fn accept(server: &Server, queues: &Queues, in_flight: &Arc<AtomicUsize>) {
+    let connections = Arc::new(DistrustedConnections::default());
     // Ends by `unblock`, which makes `recv` fail.
     while let Ok(request) = server.recv() {
         in_flight.fetch_add(1, Ordering::SeqCst);
-        let caller = Caller::new(request);
+        let caller = Caller::new(request, &connections);
         let kind = WorkKind::of(&caller);
         let counted = Counted {
             caller,
--- a/crates/wingshore-node/src/run.rs
+++ b/crates/wingshore-node/src/run.rs
@@ -134,9 +134,8 @@
             let _ = thread.join();
         }
         self.prober.join();
-        self.errands.finish();
+        self.errands.finish(&self.node);
         drop(self.watcher);
-        self.node.groups.close();
         info!(logger, "node stopped");
     }
 }
--- a/crates/wingshore-node/src/serve/intake.rs
+++ b/crates/wingshore-node/src/serve/intake.rs
@@ -63,6 +63,7 @@
 
 fn body_error(error: &BodyError) -> EdgeError {
     match error {
+        BodyError::Chunked => EdgeError::not_run(411, "length_required", error),
         BodyError::TooLarge { .. } => EdgeError::not_run(413, "body_too_large", error),
         BodyError::Short { .. } => EdgeError::not_run(400, "body_cut", error),
     }
--- /dev/null
+++ b/crates/wingshore-node/tests/common/back_end.rs
@@ -0,0 +1,172 @@
+//! A scripted back end on a raw socket: it can answer, cut, stall or close without a word.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// A request as it arrived.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrived {
+    pub method: String,
+    pub target: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Arrived {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(found, _)| found.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+
+    /// Whether it is one of the node's own questions.
+    fn is_probe(&self) -> bool {
+        let path = self.target.split('?').next().unwrap_or_default();
+        matches!(path, "/load" | "/state" | "/cache_events")
+    }
+}
+
+type Script = dyn Fn(&Arrived, &mut TcpStream) + Send + Sync;
+
+/// A scripted back end. Probes are answered as by an idle, healthy server with version 1; all
+/// else goes to the script, which writes raw bytes. Each connection serves one request.
+pub struct BackEnd {
+    address: SocketAddr,
+    arrived: Arc<Mutex<Vec<Arrived>>>,
+}
+
+impl BackEnd {
+    pub fn start(script: impl Fn(&Arrived, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let arrived = Arc::new(Mutex::new(Vec::new()));
+        let script: Arc<Script> = Arc::new(script);
+        let log = Arc::clone(&arrived);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, log) = (Arc::clone(&script), Arc::clone(&log));
+                thread::spawn(move || serve(stream, script.as_ref(), &log));
+            }
+        });
+        Self { address, arrived }
+    }
+
+    /// Answers everything with 200 and `body`.
+    pub fn answering(body: &'static str) -> Self {
+        Self::start(move |_, stream| write_whole(stream, 200, "", body.as_bytes()))
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests that arrived, probes left out.
+    pub fn arrived(&self) -> Vec<Arrived> {
+        self.arrived.lock().unwrap().clone()
+    }
+
+    pub fn count(&self) -> usize {
+        self.arrived.lock().unwrap().len()
+    }
+}
+
+/// Writes a whole answer with its length.
+pub fn write_whole(stream: &mut TcpStream, status: u16, headers: &str, body: &[u8]) {
+    let head = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\nConnection: close\r\n{headers}\r\n",
+        body.len()
+    );
+    write(stream, head.as_bytes());
+    write(stream, body);
+}
+
+/// Writes raw bytes; the other side may have gone.
+pub fn write(stream: &mut TcpStream, bytes: &[u8]) -> bool {
+    stream
+        .write_all(bytes)
+        .and_then(|()| stream.flush())
+        .is_ok()
+}
+
+/// Writes the head of an event stream.
+pub fn write_stream_head(stream: &mut TcpStream) {
+    let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+        Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
+    write(stream, head);
+}
+
+/// Writes one event as a chunk.
+pub fn write_event(stream: &mut TcpStream, data: &str) -> bool {
+    let event = format!("data: {data}\n\n");
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    write(stream, chunk.as_bytes())
+}
+
+/// Writes the end of a chunked body.
+pub fn write_end(stream: &mut TcpStream) {
+    write(stream, b"0\r\n\r\n");
+}
+
+fn serve(mut stream: TcpStream, script: &Script, log: &Mutex<Vec<Arrived>>) {
+    let Some(arrived) = read_request(&stream) else {
+        return;
+    };
+    if arrived.is_probe() {
+        let body = probe_answer(&arrived.target);
+        write_whole(&mut stream, 200, "", body.as_bytes());
+    } else {
+        log.lock().unwrap().push(arrived.clone());
+        script(&arrived, &mut stream);
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn probe_answer(target: &str) -> String {
+    if target.starts_with("/state") {
+        return serde_json::json!({
+            "boot_id": 1, "role": "rollout", "models": ["fare-explainer"], "weight_version": 1,
+            "loading": null, "last_order": null, "draining": false, "in_flight": 0, "queue": 0,
+            "kv_free": 1000
+        })
+        .to_string();
+    }
+    if target.starts_with("/load") {
+        return r#"{"in_flight":0,"queue":0,"age_ms":0}"#.to_owned();
+    }
+    r#"{"boot_id":1,"events":[]}"#.to_owned()
+}
+
+fn read_request(stream: &TcpStream) -> Option<Arrived> {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let mut words = line.split_whitespace();
+    let method = words.next()?.to_owned();
+    let target = words.next()?.to_owned();
+    let mut headers = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            break;
+        };
+        headers.push((name.to_owned(), value.trim().to_owned()));
+    }
+    let mut arrived = Arrived {
+        method,
+        target,
+        headers,
+        body: Vec::new(),
+    };
+    let length = arrived
+        .header("content-length")
+        .map_or(Some(0), |text| text.parse().ok())?;
+    arrived.body.resize(length, 0);
+    reader.read_exact(&mut arrived.body).ok()?;
+    Some(arrived)
+}
--- a/crates/wingshore-relay/src/driver/mod.rs
+++ b/crates/wingshore-relay/src/driver/mod.rs
@@ -7,4 +7,4 @@
 mod run;
 mod upstream;
 
-pub use run::{RelayError, run};
+pub use run::{RelayError, RunningRelay, run};
--- a/crates/wingshore-relay/src/driver/run.rs
+++ b/crates/wingshore-relay/src/driver/run.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 use wingshore_client::GroupClient;
 use wingshore_diagnostics::{Diagnostics, StopSignal};
@@ -48,7 +49,7 @@
         source: io::Error,
     },
     /// A thread could not be started.
-    #[snafu(display("cannot start the upstream thread: {source}"))]
+    #[snafu(display("cannot start a thread of the relay: {source}"))]
     Thread {
         /// The cause.
         source: io::Error,
@@ -84,44 +85,113 @@
     diagnostics: Diagnostics,
     stop: StopSignal,
 ) -> Result<(), RelayError> {
-    let metrics = Arc::new(Metrics::new());
-    let (events, incoming) = bounded(MAX_QUEUED_EVENTS);
-    let admin = match settings.admin {
-        Some(address) => {
-            let server = AdminServer::start(address, Arc::clone(&metrics));
-            Some(server.context(AdminSnafu { address })?)
-        }
-        None => None,
-    };
-    let mut server = listen(&settings, &diagnostics, &events)?;
-    let client = GroupClient::new(&settings.site, settings.upstream.clone(), rand::random());
-    let (watches, sent) = unbounded();
-    let logger = diagnostics.logger().clone();
-    let upstream = upstream::spawn(client.clone(), sent, events, logger).context(ThreadSnafu)?;
-    info!(diagnostics.logger(), "relay started"; "address" => %server.local_address());
-
-    let clock = Clock::start();
-    let mut relay = Relay {
-        clock,
-        state: RelayState::new(clock.now(), RelayTiming::default()),
-        watchers: Watchers::default(),
-        watches,
-        metrics,
-    };
-    relay.serve(&incoming, &stop);
+    let mut relay = RunningRelay::start(settings, diagnostics)?;
+    stop.wait();
+    relay.stop();
+    Ok(())
+}
+
+/// A relay that runs on threads of its own. Dropping it stops it.
+pub struct RunningRelay {
+    address: SocketAddr,
+    stop: StopSignal,
+    thread: Option<JoinHandle<()>>,
+}
 
-    info!(diagnostics.logger(), "relay stopping");
+impl RunningRelay {
+    /// Starts a relay.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on, or a thread not be started.
+    pub fn start(settings: RelaySettings, diagnostics: Diagnostics) -> Result<Self, RelayError> {
+        let metrics = Arc::new(Metrics::new());
+        let (events, incoming) = bounded(MAX_QUEUED_EVENTS);
+        let admin = start_admin(settings.admin, &metrics)?;
+        let server = listen(&settings, &diagnostics, &events)?;
+        let address = server.local_address();
+        let client = GroupClient::new(&settings.site, settings.upstream, rand::random());
+        let (watches, sent) = unbounded();
+        let logger = diagnostics.logger().clone();
+        let upstream =
+            upstream::spawn(client.clone(), sent, events, logger).context(ThreadSnafu)?;
+        let parts = Parts {
+            server,
+            admin,
+            client,
+            upstream,
+            diagnostics,
+        };
+        let relay = Relay::new(watches, metrics);
+        let stop = StopSignal::new();
+        let stopping = stop.clone();
+        let thread = thread::Builder::new()
+            .name("relay".to_owned())
+            .spawn(move || serve(relay, incoming, parts, &stopping))
+            .context(ThreadSnafu)?;
+        Ok(Self {
+            address,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Where it listens for frames.
+    pub fn local_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends all watchers elsewhere and waits for all threads.
+    pub fn stop(&mut self) {
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        self.stop.stop();
+        // A panic was written out by the panic hook; nothing is left to stop.
+        let _ = thread.join();
+    }
+}
+
+impl Drop for RunningRelay {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// What has to be stopped with a relay.
+struct Parts {
+    server: Server,
+    admin: Option<AdminServer>,
+    client: GroupClient,
+    upstream: JoinHandle<()>,
+    diagnostics: Diagnostics,
+}
+
+fn serve(mut relay: Relay, incoming: Receiver<Event>, mut parts: Parts, stop: &StopSignal) {
+    let logger = parts.diagnostics.logger();
+    info!(logger, "relay started"; "address" => %parts.server.local_address());
+    relay.serve(&incoming, stop);
+    info!(logger, "relay stopping");
     relay.send_all_elsewhere();
     // Threads that wait to hand an event over must not wait for a loop that has ended.
     drop(incoming);
-    server.stop();
+    parts.server.stop();
     drop(relay);
-    client.close();
-    if upstream.join().is_err() {
-        warn!(diagnostics.logger(), "the upstream thread panicked");
+    parts.client.close();
+    if parts.upstream.join().is_err() {
+        warn!(logger, "the upstream thread panicked");
     }
-    drop(admin);
-    Ok(())
+    drop(parts.admin);
+}
+
+fn start_admin(
+    address: Option<SocketAddr>,
+    metrics: &Arc<Metrics>,
+) -> Result<Option<AdminServer>, RelayError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let server = AdminServer::start(address, Arc::clone(metrics));
+    server.context(AdminSnafu { address }).map(Some)
 }
 
 fn listen(
@@ -151,6 +221,17 @@
 }
 
 impl Relay {
+    fn new(watches: Sender<WatchRequest>, metrics: Arc<Metrics>) -> Self {
+        let clock = Clock::start();
+        Self {
+            clock,
+            state: RelayState::new(clock.now(), RelayTiming::default()),
+            watchers: Watchers::default(),
+            watches,
+            metrics,
+        }
+    }
+
     fn serve(&mut self, incoming: &Receiver<Event>, stop: &StopSignal) {
         while !stop.is_stopping() {
             let patience = self.patience();
--- a/crates/wingshore-relay/src/state/mod.rs
+++ b/crates/wingshore-relay/src/state/mod.rs
@@ -92,7 +92,8 @@
         /// The lease, counted from when the watcher sent its watch.
         lease: Duration,
     },
-    /// Tell a watcher to ask another relay: this one is cut off from the control group.
+    /// Tell a watcher to ask another relay: this one is cut off from the control group, or has
+    /// not reached it yet.
     Unavailable(WatchTag),
     /// Send this watch upstream now; exactly one answer or failure follows.
     SendUpstream(WatchRequest),
@@ -262,6 +263,11 @@
             let Some(watch) = self.watches.remove(tag) else {
                 continue;
             };
+            if !self.copy.is_received() {
+                // "Unchanged" would say that there is no configuration.
+                out.push(RelayOutput::Unavailable(tag));
+                continue;
+            }
             out.push(RelayOutput::Answer {
                 tag,
                 update: self.copy.update_since(watch.have),
--- a/crates/wingshore-relay/tests/simulation/leader.rs
+++ b/crates/wingshore-relay/tests/simulation/leader.rs
@@ -1,5 +1,8 @@
 //! A model of the control group's leader, as far as watches and leases go.
 
+// Each test file is a crate of its own and uses a part of this.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_types::configuration::{
--- a/crates/wingshore/src/arguments.rs
+++ b/crates/wingshore/src/arguments.rs
@@ -28,6 +28,8 @@
 pub enum Command {
     /// Run a replica.
     Replica(ReplicaArguments),
+    /// Run a relay.
+    Relay(RelayArguments),
     /// Run a node.
     Node(NodeArguments),
     /// Format a data folder.
@@ -80,6 +82,11 @@
     /// a planned stop.
     ReplicaArguments, "replica"
 }
+role_arguments! {
+    /// Run a relay: passes the configuration on to the nodes of a zone. SIGTERM is a planned
+    /// stop.
+    RelayArguments, "relay"
+}
 role_arguments! {
     /// Run a node beside a caller. SIGTERM is a planned stop.
     NodeArguments, "node"
--- a/crates/wingshore/src/main.rs
+++ b/crates/wingshore/src/main.rs
@@ -23,6 +23,7 @@
     };
     let done = match command {
         Command::Replica(flags) => roles::replica(&flags),
+        Command::Relay(flags) => roles::relay(&flags),
         Command::Node(flags) => roles::node(&flags),
         Command::Format(flags) => format::run(&flags),
         Command::Check(flags) => check::run(&flags),
--- a/crates/wingshore/src/roles.rs
+++ b/crates/wingshore/src/roles.rs
@@ -1,6 +1,6 @@
 //! Runs a role until a planned stop: settings, diagnostics, signals, then the role's driver.
 
-use crate::arguments::{NodeArguments, ReplicaArguments};
+use crate::arguments::{NodeArguments, RelayArguments, ReplicaArguments};
 use crate::failure::{Failure, SettingsSnafu, SignalsSnafu};
 use crate::settings_file;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -8,7 +8,7 @@
 use snafu::ResultExt;
 use std::path::Path;
 use wingshore_diagnostics::{Diagnostics, StopSignal};
-use wingshore_settings::{Overrides, node_from_text, replica_from_text};
+use wingshore_settings::{Overrides, node_from_text, relay_from_text, replica_from_text};
 
 /// Runs a replica.
 ///
@@ -24,6 +24,20 @@
     finish("replica", &diagnostics, done)
 }
 
+/// Runs a relay.
+///
+/// # Errors
+/// When the settings are wrong or the role fails.
+pub fn relay(flags: &RelayArguments) -> Result<(), Failure> {
+    let text = settings_file::read(&flags.settings)?;
+    let overrides = Overrides::from(flags);
+    let settings = relay_from_text(&flags.settings, &text, &overrides).context(SettingsSnafu)?;
+    let folder = settings.dump_folder.as_deref();
+    let (diagnostics, stop) = prepare(&settings.name, settings.log_lines, folder)?;
+    let done = wingshore_relay::run(settings, diagnostics.clone(), stop);
+    finish("relay", &diagnostics, done)
+}
+
 /// Runs a node.
 ///
 /// # Errors
