--- a/crates/wingshore-control/src/leader/engine.rs
+++ b/crates/wingshore-control/src/leader/engine.rs
@@ -97,6 +97,20 @@
         self.order.is_some() || self.foreign_load.is_some()
     }
 
+    /// Whether an order to it has no result yet.
+    pub(crate) fn has_order(&self) -> bool {
+        self.order.is_some()
+    }
+
+    /// Whether its order asks for another version than `wanted` and was never accepted: a new one
+    /// may take its place.
+    pub(crate) fn may_supersede_order(&self, wanted: WeightVersion) -> bool {
+        let is_superseded = |order: &SwapOrder| order.version() != wanted && !order.is_accepted();
+        self.silent_since.is_none()
+            && !self.deposed
+            && self.order.as_ref().is_some_and(is_superseded)
+    }
+
     /// Where it fetches from: an order's source, or `store` for a load ordered by someone else.
     pub(crate) fn fetching_from(&self, store: SocketAddr) -> Option<SocketAddr> {
         match (&self.order, self.foreign_load) {
--- a/crates/wingshore-control/src/leader/engines.rs
+++ b/crates/wingshore-control/src/leader/engines.rs
@@ -1,17 +1,18 @@
-//! All engines: their reports, the orders to them, and which of them swap next.
+//! All engines: their reports and the orders to them.
 
 use super::engine::Engine;
-use super::orders::{FenceSource, SwapOrder};
+use super::orders::FenceSource;
 use super::polling::PollSchedule;
+use super::service_index::ServiceIndex;
+use super::swap_scheduler::SchedulerView;
 use crate::effect::{ControlEffect, OrderAnswer};
 use crate::settings::LeaderSettings;
 use crate::state::ControlState;
-use crate::swaps::{SwapCandidate, SwapLimits, SwapStart, swaps_to_begin};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wingshore_types::Instant;
-use wingshore_types::configuration::{Admission, Configuration, Server, ServiceKind};
-use wingshore_types::ids::{ServerId, ServiceId, WeightVersion};
+use wingshore_types::configuration::{Configuration, Server, ServiceKind};
+use wingshore_types::ids::{ServerId, ServiceId};
 use wingshore_types::platform::{EngineState, OrderFence};
 use wingshore_types::protocol::control::EngineStatus;
 
@@ -27,13 +28,16 @@
 /// The engines of the configuration.
 #[derive(Debug, Default)]
 pub(crate) struct Engines {
-    engines: BTreeMap<ServerId, Engine>,
-    polls: PollSchedule,
-    fences: FenceSource,
+    pub(super) engines: BTreeMap<ServerId, Engine>,
+    pub(super) index: ServiceIndex,
+    pub(super) polls: PollSchedule,
+    pub(super) fences: FenceSource,
+    /// Engines with an order that has no result yet.
+    pub(super) ordered: BTreeSet<ServerId>,
     /// Reports asked for earlier are of another leadership.
     began: Instant,
     /// Only a deliberate fault orders these again although they have the version.
-    repeated: BTreeSet<ServerId>,
+    pub(super) repeated: BTreeSet<ServerId>,
 }
 
 impl Engines {
@@ -67,6 +71,8 @@
             self.engines.insert(server.id.clone(), engine);
             self.polls.add(now, &server.id);
         }
+        let engines = self.engines.iter();
+        self.index = ServiceIndex::new(engines.map(|(id, engine)| (id, engine.service())));
     }
 
     /// One engine.
@@ -105,6 +111,7 @@
         if asked_at < self.began {
             return None;
         }
+        let version = engine.version();
         let took = match state {
             Some(state) => engine.on_report(now, asked_at, state, settings),
             None => {
@@ -113,6 +120,9 @@
             }
         };
         let is_busy = engine.is_swapping();
+        if is_busy || engine.version() != version {
+            self.index.set_settled(engine.service(), false);
+        }
         self.polls.on_answer(id, asked_at, is_busy, settings);
         Some(FinishedSwap {
             service: engine.service().clone(),
@@ -133,10 +143,13 @@
         settings: &LeaderSettings,
         effects: &mut Vec<ControlEffect>,
     ) {
-        for engine in self.engines.values_mut() {
-            engine.on_time(now, settings);
-        }
-        self.begin_swaps(now, state, settings);
+        let view = SchedulerView {
+            now,
+            state,
+            settings,
+        };
+        self.end_overdue_orders(now, settings);
+        self.begin_swaps(view);
         self.send_orders(now, settings, effects);
         for id in self.polls.take_due(now, settings) {
             if let Some(engine) = self.engines.get(&id) {
@@ -148,13 +161,26 @@
         }
     }
 
+    fn end_overdue_orders(&mut self, now: Instant, settings: &LeaderSettings) {
+        let engines = &mut self.engines;
+        self.ordered.retain(|id| {
+            engines.get_mut(id).is_some_and(|engine| {
+                engine.on_time(now, settings);
+                engine.has_order()
+            })
+        });
+    }
+
     fn send_orders(
         &mut self,
         now: Instant,
         settings: &LeaderSettings,
         effects: &mut Vec<ControlEffect>,
     ) {
-        for (id, engine) in &mut self.engines {
+        for id in &self.ordered {
+            let Some(engine) = self.engines.get_mut(id) else {
+                continue;
+            };
             if let Some(order) = engine.send_due(now, settings) {
                 effects.push(ControlEffect::SendOrder {
                     server: id.clone(),
@@ -165,105 +191,6 @@
         }
     }
 
-    fn begin_swaps(&mut self, now: Instant, state: &ControlState, settings: &LeaderSettings) {
-        let services: BTreeSet<&ServiceId> = state
-            .configuration()
-            .pools
-            .values()
-            .map(|pool| &pool.service)
-            .collect();
-        for service in services {
-            let Some((wanted, store)) = state.wanted_weights(service) else {
-                continue;
-            };
-            let candidates = self.candidates(now, service, wanted, store, state, settings);
-            let live_share = state
-                .configuration()
-                .services
-                .get(service)
-                .map(|service| service.live_share)
-                .unwrap_or_default();
-            let limits = SwapLimits::new(settings, candidates.len(), live_share);
-            let mut starts = swaps_to_begin(&candidates, wanted, store, limits);
-            starts.extend(self.repeated_swaps(now, service, store));
-            for start in starts {
-                self.order_swap(now, start, wanted, settings);
-            }
-        }
-    }
-
-    /// Engines of a service that take work and answer. One that a stopped plan left behind counts
-    /// as one that has nothing to do.
-    fn candidates<'a>(
-        &self,
-        now: Instant,
-        service: &ServiceId,
-        wanted: WeightVersion,
-        store: std::net::SocketAddr,
-        state: &'a ControlState,
-        settings: &LeaderSettings,
-    ) -> Vec<SwapCandidate<'a>> {
-        let servers = state.configuration().servers.values();
-        servers
-            .filter(|server| &server.service == service && server.admission == Admission::Open)
-            .filter_map(|server| Some((server, self.engines.get(&server.id)?)))
-            .filter(|(_, engine)| !engine.is_unreachable(now, settings.unreachable_after))
-            .map(|(server, engine)| {
-                let version = engine.version();
-                let is_held = state.is_held(&server.id) && version.is_some();
-                SwapCandidate {
-                    server: &server.id,
-                    address: server.address,
-                    version,
-                    fetching_from: engine.fetching_from(store),
-                    ready: engine.is_ready(now) && version != Some(wanted) && !is_held,
-                    failed_before: engine.failures() > 0,
-                }
-            })
-            .collect()
-    }
-
-    fn repeated_swaps(
-        &mut self,
-        now: Instant,
-        service: &ServiceId,
-        store: std::net::SocketAddr,
-    ) -> Vec<SwapStart> {
-        let is_due = |id: &&ServerId| {
-            self.engines
-                .get(*id)
-                .is_some_and(|engine| engine.service() == service && engine.is_ready(now))
-        };
-        let due: Vec<ServerId> = self.repeated.iter().filter(is_due).cloned().collect();
-        for id in &due {
-            self.repeated.remove(id);
-        }
-        due.into_iter()
-            .map(|server| SwapStart {
-                server,
-                source: store,
-            })
-            .collect()
-    }
-
-    fn order_swap(
-        &mut self,
-        now: Instant,
-        start: SwapStart,
-        version: WeightVersion,
-        settings: &LeaderSettings,
-    ) {
-        let Some(engine) = self.engines.get_mut(&start.server) else {
-            return;
-        };
-        let boot_id = engine.boot_id().unwrap_or_default();
-        let fence = self.fences.next();
-        let order = SwapOrder::new(now, fence, version, start.source, boot_id);
-        engine.give_order(now, order);
-        self.polls
-            .hurry(&start.server, now + settings.poll_interval);
-    }
-
     /// All engines at a glance.
     pub(crate) fn status(&self) -> Vec<EngineStatus> {
         let status = |(id, engine): (&ServerId, &Engine)| EngineStatus {
--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -7,6 +7,8 @@
 mod leases;
 mod orders;
 mod polling;
+mod service_index;
+mod swap_scheduler;
 mod swap_times;
 mod watches;
 
--- a/crates/wingshore-control/src/leader/orders.rs
+++ b/crates/wingshore-control/src/leader/orders.rs
@@ -101,6 +101,11 @@
         self.source
     }
 
+    /// Whether the engine has accepted it.
+    pub(crate) fn is_accepted(&self) -> bool {
+        self.accepted_at.is_some()
+    }
+
     /// When it was sent first.
     pub(crate) fn first_sent(&self) -> Instant {
         self.first_sent
--- /dev/null
+++ b/crates/wingshore-control/src/leader/swap_scheduler.rs
@@ -0,0 +1,156 @@
+//! Which engines are ordered to swap now, by the policy of [`crate::swaps`].
+
+use super::engine::Engine;
+use super::engines::Engines;
+use super::orders::SwapOrder;
+use crate::settings::LeaderSettings;
+use crate::state::ControlState;
+use crate::swaps::{SwapCandidate, SwapLimits, SwapStart, swaps_to_begin};
+use std::net::SocketAddr;
+use wingshore_types::Instant;
+use wingshore_types::configuration::{Admission, Server};
+use wingshore_types::ids::{ServerId, ServiceId, WeightVersion};
+
+/// What a service's engines are to serve.
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    version: WeightVersion,
+    store: SocketAddr,
+}
+
+/// What the scheduler looks at.
+#[derive(Clone, Copy)]
+pub(crate) struct SchedulerView<'a> {
+    /// Now.
+    pub(crate) now: Instant,
+    /// What is committed.
+    pub(crate) state: &'a ControlState,
+    /// Times and limits.
+    pub(crate) settings: &'a LeaderSettings,
+}
+
+impl Engines {
+    /// Gives new orders to swap.
+    pub(super) fn begin_swaps(&mut self, view: SchedulerView<'_>) {
+        for service in self.index.unsettled() {
+            if let Some((version, store)) = view.state.wanted_weights(&service) {
+                self.begin_swaps_of(&service, Wanted { version, store }, view);
+            }
+        }
+    }
+
+    fn begin_swaps_of(&mut self, service: &ServiceId, wanted: Wanted, view: SchedulerView<'_>) {
+        let candidates = self.candidates(service, wanted, view);
+        let limits = limits(service, candidates.len(), view);
+        let mut starts = swaps_to_begin(&candidates, wanted.version, wanted.store, limits);
+        starts.extend(self.repeated_swaps(service, wanted, view));
+        for start in starts {
+            self.order_swap(start, wanted.version, view);
+        }
+        let is_settled = self.repeated.is_empty() && self.is_settled(service, wanted, view);
+        self.index.set_settled(service, is_settled);
+    }
+
+    /// Engines of a service that take work and answer.
+    fn candidates<'a>(
+        &self,
+        service: &ServiceId,
+        wanted: Wanted,
+        view: SchedulerView<'a>,
+    ) -> Vec<SwapCandidate<'a>> {
+        let servers = &view.state.configuration().servers;
+        let members = self.index.members(service).iter();
+        members
+            .filter_map(|id| Some((servers.get(id)?, self.engines.get(id)?)))
+            .filter(|(server, _)| server.admission == Admission::Open)
+            .filter(|(_, engine)| !engine.is_unreachable(view.now, view.settings.unreachable_after))
+            .map(|(server, engine)| candidate(server, engine, wanted, view))
+            .collect()
+    }
+
+    /// Whether all engines in use serve what is wanted, or were left where they are.
+    fn is_settled(&self, service: &ServiceId, wanted: Wanted, view: SchedulerView<'_>) -> bool {
+        let servers = &view.state.configuration().servers;
+        let mut members = self.index.members(service).iter();
+        members.all(|id| {
+            let is_open = servers
+                .get(id)
+                .is_some_and(|server| server.admission == Admission::Open);
+            let is_done = self.engines.get(id).is_none_or(|engine| {
+                !engine.is_swapping()
+                    && (engine.version() == Some(wanted.version) || is_held(id, engine, view))
+            });
+            !is_open || is_done
+        })
+    }
+
+    fn repeated_swaps(
+        &mut self,
+        service: &ServiceId,
+        wanted: Wanted,
+        view: SchedulerView<'_>,
+    ) -> Vec<SwapStart> {
+        let is_due = |id: &&ServerId| {
+            self.engines
+                .get(*id)
+                .is_some_and(|engine| engine.service() == service && engine.is_ready(view.now))
+        };
+        let due: Vec<ServerId> = self.repeated.iter().filter(is_due).cloned().collect();
+        for id in &due {
+            self.repeated.remove(id);
+        }
+        let start = |server| SwapStart {
+            server,
+            source: wanted.store,
+        };
+        due.into_iter().map(start).collect()
+    }
+
+    fn order_swap(&mut self, start: SwapStart, version: WeightVersion, view: SchedulerView<'_>) {
+        let Some(engine) = self.engines.get_mut(&start.server) else {
+            return;
+        };
+        let boot_id = engine.boot_id().unwrap_or_default();
+        let fence = self.fences.next();
+        let order = SwapOrder::new(view.now, fence, version, start.source, boot_id);
+        engine.give_order(view.now, order);
+        let poll_at = view.now + view.settings.poll_interval;
+        self.polls.hurry(&start.server, poll_at);
+        self.ordered.insert(start.server);
+    }
+}
+
+/// An engine that a stopped plan left behind counts as one that has nothing to do.
+fn is_held(id: &ServerId, engine: &Engine, view: SchedulerView<'_>) -> bool {
+    engine.version().is_some() && view.state.is_held(id)
+}
+
+fn candidate<'a>(
+    server: &'a Server,
+    engine: &Engine,
+    wanted: Wanted,
+    view: SchedulerView<'a>,
+) -> SwapCandidate<'a> {
+    let version = engine.version();
+    let is_superseded = engine.may_supersede_order(wanted.version);
+    let is_ready = engine.is_ready(view.now) || is_superseded;
+    let is_idle = version == Some(wanted.version) || is_held(&server.id, engine, view);
+    SwapCandidate {
+        server: &server.id,
+        address: server.address,
+        version,
+        fetching_from: engine
+            .fetching_from(wanted.store)
+            .filter(|_| !is_superseded),
+        ready: is_ready && !is_idle,
+        failed_before: engine.failures() > 0,
+    }
+}
+
+fn limits(service: &ServiceId, engines: usize, view: SchedulerView<'_>) -> SwapLimits {
+    let service = view.state.configuration().services.get(service);
+    let live_share = service
+        .map(|service| service.live_share)
+        .unwrap_or_default();
+    SwapLimits::new(view.settings, engines, live_share)
+}
--- a/crates/wingshore-control/src/state/plan_book.rs
+++ b/crates/wingshore-control/src/state/plan_book.rs
@@ -107,6 +107,7 @@
         if is_open {
             self.reopen(id, steps);
         } else if self.open.remove(&id) {
+            record.footprint = Footprint::default();
             self.closed.push_back(id);
             self.closed_steps += steps;
             self.drop_oldest();
--- a/crates/wingshore-control/tests/orders.rs
+++ b/crates/wingshore-control/tests/orders.rs
@@ -286,6 +286,37 @@
     expect_true!(resent.iter().all(|order| order.fence == second[0].fence));
 }
 
+#[gtest]
+fn an_order_that_was_never_accepted_gives_way_to_a_newer_version() {
+    let (mut group, first) = ordered();
+    group.publish(POOL, 3);
+    group.pass(200);
+    let sent = orders(&mut group);
+    expect_that!(sent.len(), eq(1));
+    expect_that!(sent[0].fence, gt(first));
+    group.pass(10_000);
+    let resent = orders(&mut group);
+    expect_true!(
+        resent.iter().all(|order| *order == sent[0]),
+        "the older one is never sent again"
+    );
+}
+
+#[gtest]
+fn an_engine_that_has_another_version_all_at_once_is_moved_back() {
+    let mut group = Group::new(&Site::default());
+    let mut fleet = Fleet::new(8, 1);
+    group.publish(POOL, 2);
+    fleet.run_until(&mut group, 30_000, |fleet, _| fleet.count_at(2) == 8);
+    fleet.run(&mut group, 5_000);
+    expect_that!(fleet.orders.len(), eq(8));
+    for version in [Some(1), None, Some(7)] {
+        fleet.engine(3).restart(version);
+        fleet.run_until(&mut group, 30_000, |fleet, _| fleet.count_at(2) == 8);
+    }
+    expect_that!(fleet.orders.len(), eq(11));
+}
+
 /// Fences that were used for more than one order, over two leaderships in the middle of swaps.
 fn reused_fences(faults: Faults) -> usize {
     let mut group = Group::with(&Site::default(), LeaderSettings::default(), faults);
