--- a/crates/wingshore-node/src/background/probes.rs
+++ b/crates/wingshore-node/src/background/probes.rs
@@ -62,10 +62,6 @@
             // A full queue means that probes are slower than they fall due: skip, do not pile up.
             let _ = probes.try_send(target);
         }
-        let lease_left = node.view().lease_left(node.clock.now());
-        node.metrics
-            .configuration_lease_ms
-            .set(lease_left.as_millis() as i64);
     }
 }
 
--- a/crates/wingshore-node/src/background/watch.rs
+++ b/crates/wingshore-node/src/background/watch.rs
@@ -8,18 +8,24 @@
 use wingshore_request::UpdateOutcome;
 use wingshore_types::protocol::control::{ConfigurationUpdate, NodeAcknowledgement, WatchRequest};
 
-/// How long a watch waits for news. Well below the lease, so that waiting never costs it.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Longest time a watch waits for news.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// A watch waits no longer than this part of the lease, so that waiting never costs it.
+const LEASE_DIVISOR: u32 = 3;
 
 /// Applies what the watch of the configuration brings.
 pub struct NodeWatch {
     node: Arc<NodeState>,
+    wait: Duration,
 }
 
 impl NodeWatch {
     /// A handler for `node`.
     pub fn new(node: Arc<NodeState>) -> Self {
-        Self { node }
+        Self {
+            node,
+            wait: Duration::ZERO,
+        }
     }
 }
 
@@ -33,17 +39,19 @@
                 boot_id: self.node.boot_id,
                 in_force: position.in_force,
             }],
-            wait_ms: WATCH_WAIT.as_millis() as u64,
+            wait_ms: self.wait.as_millis() as u64,
         }
     }
 
     /// The router has the new configuration before it is acknowledged, and before the lease that
     /// came with it counts: both happen under the lock of the view.
     fn on_update(&mut self, sent_at: Instant, update: ConfigurationUpdate, lease_ms: u64) {
+        let lease = Duration::from_millis(lease_ms);
+        self.wait = MAX_WATCH_WAIT.min(lease / LEASE_DIVISOR);
         let node = &self.node;
         let sent_at = node.clock.at(sent_at);
         let mut view = node.view();
-        let outcome = view.apply(sent_at, update, Duration::from_millis(lease_ms));
+        let outcome = view.apply(sent_at, update, lease);
         let logger = node.diagnostics.logger();
         match outcome {
             UpdateOutcome::Unchanged => {}
--- a/crates/wingshore-node/src/serve/edge.rs
+++ b/crates/wingshore-node/src/serve/edge.rs
@@ -31,6 +31,11 @@
 
     fn metrics(&self) -> EdgeAnswer {
         const PROMETHEUS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        let lease_left = self.node.view().lease_left(self.node.clock.now());
+        self.node
+            .metrics
+            .configuration_lease_ms
+            .set(lease_left.as_millis() as i64);
         EdgeAnswer::new(200, PROMETHEUS, self.node.metrics.text().into_bytes())
     }
 }
--- /dev/null
+++ b/crates/wingshore-node/tests/lifecycle.rs
@@ -0,0 +1,129 @@
+//! Configuration, lease and planned stop of a node.
+
+mod common;
+
+use common::back_end::{BackEnd, write_whole};
+use common::caller::{get, post};
+use common::groups::ScriptedGroups;
+use common::{LIVE, TestNode, live_site, put_server, wait_until};
+use googletest::prelude::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+use wingshore_types::ServerId;
+use wingshore_types::configuration::{Admission, ConfigurationChange};
+
+fn charges() -> String {
+    format!("/{LIVE}/charges")
+}
+
+#[gtest]
+fn a_node_without_a_configuration_refuses() {
+    let groups = ScriptedGroups::start(Vec::new());
+    groups.fall_silent();
+    let node = TestNode::start_unready(&groups, "node-a", "");
+    for answer in [
+        get(node.address(), "/readyz"),
+        post(node.address(), &charges(), "", "x"),
+    ] {
+        expect_that!(answer.status, eq(503));
+        let expected = ("no_configuration".to_owned(), "not_run".to_owned());
+        expect_that!(answer.error(), eq(&expected));
+        expect_that!(answer.header("retry-after"), some(eq("1")));
+    }
+    expect_that!(get(node.address(), "/healthz").status, eq(200));
+    node.finish();
+}
+
+#[gtest]
+fn what_a_node_does_without_a_lease_is_a_setting() {
+    let cases = [("refuse", 503, 0), ("serve", 200, 1)];
+    for (setting, status, arrivals) in cases {
+        let server = BackEnd::answering("charged");
+        let groups = live_site(&[&server]);
+        groups.set_lease(Duration::from_millis(300));
+        let node = TestNode::start(&groups, "node-a", &format!("without_lease = \"{setting}\""));
+        groups.fall_silent();
+        wait_until("the lease has run out", || {
+            let metrics = get(node.address(), "/metrics").text();
+            metrics.contains("wingshore_configuration_lease_milliseconds 0\n")
+        });
+        let answer = post(node.address(), &charges(), "", "x");
+        expect_that!(answer.status, eq(status), "for {setting}");
+        expect_that!(server.count(), eq(arrivals), "for {setting}");
+        if status == 503 {
+            let expected = ("no_lease".to_owned(), "not_run".to_owned());
+            expect_that!(answer.error(), eq(&expected));
+        }
+        node.finish();
+    }
+}
+
+#[gtest]
+fn a_drained_server_gets_nothing_once_the_change_is_acknowledged() {
+    let servers = [BackEnd::answering("zero"), BackEnd::answering("one")];
+    let groups = live_site(&[&servers[0]]);
+    let node = TestNode::start(&groups, "node-a", "");
+    expect_that!(post(node.address(), &charges(), "", "x").text(), eq("zero"));
+    groups.commit(put_server(LIVE, "api-1", servers[1].address()));
+    groups.commit(ConfigurationChange::SetAdmission {
+        server: ServerId::new("api-0"),
+        admission: Admission::Draining,
+    });
+    wait_until("the change is acknowledged", || groups.acknowledged() == 4);
+    let before = servers[0].count();
+    for _ in 0..20 {
+        expect_that!(post(node.address(), &charges(), "", "x").text(), eq("one"));
+    }
+    expect_that!(servers[0].count(), eq(before));
+    let metrics = get(node.address(), "/metrics").text();
+    expect_that!(
+        metrics,
+        contains_substring("wingshore_configuration_revision 4\n")
+    );
+    let counted = r#"wingshore_requests_total{kind="forward",code="ok"} 21"#;
+    expect_that!(metrics, contains_substring(counted));
+    node.finish();
+}
+
+#[gtest]
+fn a_planned_stop_cuts_nothing_in_flight_and_refuses_what_is_new() {
+    let release = Arc::new(AtomicBool::new(false));
+    let released = Arc::clone(&release);
+    let server = BackEnd::start(move |_, stream| {
+        while !released.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        write_whole(stream, 200, "", b"charged in the end");
+    });
+    let groups = live_site(&[&server]);
+    let node = TestNode::start(&groups, "node-a", "stop_grace = \"20s\"");
+    let address = node.address();
+    let in_flight = thread::spawn(move || post(address, &charges(), "", "x"));
+    wait_until("the request is at the server", || server.count() == 1);
+    node.stop.stop();
+    let stopping = thread::spawn(move || node.finish());
+    let refused = post(address, &charges(), "", "x");
+    expect_that!(refused.status, eq(503));
+    let expected = ("stopping".to_owned(), "not_run".to_owned());
+    expect_that!(refused.error(), eq(&expected));
+    expect_that!(refused.header("retry-after"), some(eq("2")));
+    expect_that!(stopping.is_finished(), eq(false));
+    release.store(true, Ordering::SeqCst);
+    let answer = in_flight.join().expect("the caller gets its answer");
+    expect_that!(answer.text(), eq("charged in the end"));
+    stopping.join().expect("the node stops");
+    expect_that!(std::net::TcpStream::connect(address), err(anything()));
+    expect_that!(server.count(), eq(1));
+}
+
+#[gtest]
+fn a_planned_stop_without_work_ends_although_the_groups_are_silent() {
+    let server = BackEnd::answering("charged");
+    let groups = live_site(&[&server]);
+    let node = TestNode::start(&groups, "node-a", "");
+    groups.fall_silent();
+    node.finish();
+    expect_that!(server.count(), eq(0));
+}
