consensus: each deliberate fault is caught by the random runs

Cause: a check that cannot fail proves nothing. Change: a second profile of runs, rich in leaders that fall right after their election, power cuts of all members and late messages, with one entry in a message; the checker watches granted votes.

--- a/crates/wingshore-consensus/tests/random_runs.rs
+++ b/crates/wingshore-consensus/tests/random_runs.rs
@@ -1,61 +1,159 @@
-//! Random runs with everything failing: safety in each, and progress after.
+//! Random runs with everything failing: safety in each, and progress once all is healed.
+//!
+//! Further seeds by hand: `WINGSHORE_CONSENSUS_SEEDS=2000 cargo test -p wingshore-consensus
+//! --test random_runs -- --nocapture`.
 
 mod support;
 
 use googletest::prelude::*;
-use support::chaos::{Chaos, run};
+use std::ops::Range;
+use support::chaos::{Chaos, Profile, run};
 use wingshore_consensus::Faults;
 
-/// Environment variable with the number of further seeds, for runs by hand.
+/// Environment variable with the number of seeds, for runs by hand.
 const SEEDS_VARIABLE: &str = "WINGSHORE_CONSENSUS_SEEDS";
-/// Seeds of every run of the tests.
+/// Seeds of each run of the tests.
 const SEEDS: u64 = 40;
 /// Rounds of 20 ms in a run.
 const ROUNDS: u32 = 1500;
+/// Seeds within which each deliberate fault must be caught.
+const FAULT_SEEDS: Range<u64> = 0..400;
 
-fn seeds() -> std::ops::Range<u64> {
+fn seeds() -> Range<u64> {
     let count = std::env::var(SEEDS_VARIABLE)
         .ok()
         .and_then(|text| text.parse().ok());
     0..count.unwrap_or(SEEDS)
 }
 
-fn safe_and_live(voters: u64) -> Result<()> {
+fn safe_and_live(profile: Profile, voters: u64) -> Result<()> {
     let mut commits = 0;
     let mut reads = 0;
     let mut elections = 0;
     let mut snapshot_chunks = 0;
     for seed in seeds() {
         let chaos = Chaos {
+            profile,
             voters,
             seed,
             faults: Faults::default(),
             rounds: ROUNDS,
         };
         let report = run(chaos);
-        verify_that!(report.violation, none())
-            .with_failure_message(|| format!("{voters} members, seed {seed}"))?;
+        verify_that!(report.violation, none()).with_failure_message(|| format!("{chaos:?}"))?;
         verify_that!(report.recovered, eq(true))
-            .with_failure_message(|| format!("no progress: {voters} members, seed {seed}"))?;
+            .with_failure_message(|| format!("no progress after {chaos:?}"))?;
         commits += report.committed;
         reads += report.reads;
         elections += report.elections;
         snapshot_chunks += report.snapshot_chunks;
     }
     println!(
-        "{voters} members, {:?}: {commits} commits, {reads} reads, {elections} elections, \
-         {snapshot_chunks} snapshot chunks",
+        "{profile:?}, {voters} members, seeds {:?}: {commits} commits, {reads} reads, \
+         {elections} elections, {snapshot_chunks} snapshot chunks",
         seeds()
     );
     verify_that!(snapshot_chunks, gt(0))
 }
 
 #[gtest]
-fn three_members_stay_safe() -> Result<()> {
-    safe_and_live(3)
+fn three_members_stay_safe_under_mixed_failures() -> Result<()> {
+    safe_and_live(Profile::Mixed, 3)
 }
 
 #[gtest]
-fn five_members_stay_safe() -> Result<()> {
-    safe_and_live(5)
+fn five_members_stay_safe_under_mixed_failures() -> Result<()> {
+    safe_and_live(Profile::Mixed, 5)
+}
+
+#[gtest]
+fn three_members_stay_safe_when_leaders_fall() -> Result<()> {
+    safe_and_live(Profile::Elections, 3)
+}
+
+#[gtest]
+fn five_members_stay_safe_when_leaders_fall() -> Result<()> {
+    safe_and_live(Profile::Elections, 5)
+}
+
+#[gtest]
+fn a_run_repeats_exactly() -> Result<()> {
+    let chaos = Chaos {
+        profile: Profile::Mixed,
+        voters: 3,
+        seed: 7,
+        faults: Faults::default(),
+        rounds: ROUNDS,
+    };
+    verify_that!(run(chaos), eq(&run(chaos)))
+}
+
+/// The runs above must see each deliberate fault, else they prove nothing.
+fn is_caught(profile: Profile, voters: u64, faults: Faults) -> Result<()> {
+    let first = FAULT_SEEDS.into_iter().find_map(|seed| {
+        let chaos = Chaos {
+            profile,
+            voters,
+            seed,
+            faults,
+            rounds: ROUNDS,
+        };
+        run(chaos).violation.map(|violation| (seed, violation))
+    });
+    println!("{faults:?}: {first:?}");
+    verify_that!(first, some(anything()))
+}
+
+#[gtest]
+fn a_vote_that_is_not_durable_is_caught() -> Result<()> {
+    let faults = Faults {
+        vote_without_persist: true,
+        ..Faults::default()
+    };
+    is_caught(Profile::Elections, 5, faults)
+}
+
+#[gtest]
+fn an_acknowledgement_before_the_write_is_caught() -> Result<()> {
+    let faults = Faults {
+        acknowledge_without_persist: true,
+        ..Faults::default()
+    };
+    is_caught(Profile::Elections, 3, faults)
+}
+
+#[gtest]
+fn a_leader_that_ignores_its_lease_is_caught() -> Result<()> {
+    let faults = Faults {
+        skip_lease_check: true,
+        ..Faults::default()
+    };
+    is_caught(Profile::Mixed, 5, faults)
+}
+
+#[gtest]
+fn a_vote_with_an_empty_disk_is_caught() -> Result<()> {
+    let faults = Faults {
+        empty_disk_votes: true,
+        ..Faults::default()
+    };
+    is_caught(Profile::Elections, 3, faults)
+}
+
+#[gtest]
+fn a_commit_without_quorum_is_caught() -> Result<()> {
+    let faults = Faults {
+        commit_without_quorum: true,
+        ..Faults::default()
+    };
+    is_caught(Profile::Mixed, 3, faults)
+}
+
+#[gtest]
+fn a_commit_by_counting_earlier_terms_is_caught() -> Result<()> {
+    let faults = Faults {
+        commit_previous_term: true,
+        ..Faults::default()
+    };
+    is_caught(Profile::Elections, 5, faults)
 }
--- a/crates/wingshore-consensus/tests/support/chaos.rs
+++ b/crates/wingshore-consensus/tests/support/chaos.rs
@@ -4,6 +4,7 @@
 use super::cluster::{Cluster, Network};
 use super::{member, small_limits};
 use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 use wingshore_consensus::Faults;
 use wingshore_types::ReplicaId;
@@ -11,9 +12,21 @@
 /// A machine outside the founding members, to be taken in.
 const JOINER: u64 = 9;
 
+/// What a run is rich in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Profile {
+    /// A bit of everything.
+    Mixed,
+    /// Leaders that fall right after their election, power cuts, messages that come very late,
+    /// and one entry in a message.
+    Elections,
+}
+
 /// One random run.
 #[derive(Clone, Copy, Debug)]
 pub struct Chaos {
+    /// What it is rich in.
+    pub profile: Profile,
     /// Founding members.
     pub voters: u64,
     /// The seed.
@@ -25,7 +38,7 @@
 }
 
 /// What a run did.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// The first broken promise.
     pub violation: Option<Violation>,
@@ -45,26 +58,25 @@
     cluster: Cluster,
     chaos: Chaos,
     wiped: Option<u64>,
+    elections_seen: u64,
     command: u64,
 }
 
 /// Runs it.
 pub fn run(chaos: Chaos) -> Report {
-    let mut cluster = Cluster::with(chaos.voters, chaos.seed, chaos.faults, small_limits());
+    let mut limits = small_limits();
+    if chaos.profile == Profile::Elections {
+        limits.append_bytes = 1;
+        limits.in_flight_messages = 1;
+    }
+    let mut cluster = Cluster::with(chaos.voters, chaos.seed, chaos.faults, limits);
     cluster.add_node(JOINER, false, chaos.voters);
-    cluster.network = Network {
-        loss: cluster.random.random_range(0.0..0.1),
-        duplication: 0.05,
-        min_delay: Duration::from_micros(200),
-        max_delay: Duration::from_millis(cluster.random.random_range(2..60)),
-        stragglers: 0.03,
-        straggler_delay: Duration::from_millis(2500),
-        sync: Duration::from_millis(cluster.random.random_range(1..80)),
-    };
+    cluster.network = draw_network(&mut cluster.random, chaos.profile);
     let mut run = Run {
         cluster,
         chaos,
         wiped: None,
+        elections_seen: 0,
         command: 0,
     };
     for _ in 0..chaos.rounds {
@@ -85,6 +97,27 @@
     }
 }
 
+fn draw_network(random: &mut ChaCha8Rng, profile: Profile) -> Network {
+    let mixed = Network {
+        loss: random.random_range(0.0..0.1),
+        duplication: 0.05,
+        min_delay: Duration::from_micros(200),
+        max_delay: Duration::from_millis(random.random_range(2..60)),
+        stragglers: 0.03,
+        straggler_delay: Duration::from_millis(2500),
+        sync: Duration::from_millis(random.random_range(1..80)),
+    };
+    match profile {
+        Profile::Mixed => mixed,
+        Profile::Elections => Network {
+            stragglers: 0.2,
+            straggler_delay: Duration::from_millis(1500),
+            sync: Duration::from_millis(random.random_range(1..200)),
+            ..mixed
+        },
+    }
+}
+
 impl Run {
     fn any_node(&mut self) -> u64 {
         let ids: Vec<u64> = self.cluster.nodes.keys().map(|id| id.0).collect();
@@ -95,6 +128,9 @@
         self.cluster.read_everywhere();
         self.propose_everywhere();
         let id = self.any_node();
+        if self.chaos.profile == Profile::Elections {
+            self.act_on_election();
+        }
         match self.cluster.random.random_range(0..1000) {
             0..15 => self.cluster.crash_anywhere(id),
             15..60 => self.start_stopped(),
@@ -107,6 +143,7 @@
             170..260 => self.compact(id),
             260..264 => self.cut_leader_and_crash(),
             264..266 => self.wipe(),
+            266..270 => self.cut_power(),
             300..330 => self.cluster.check_logs(),
             _ => {}
         }
@@ -122,8 +159,12 @@
             .filter(|node| node.raft.as_ref().is_some_and(|raft| raft.is_leader()))
             .map(|node| node.id.0)
             .collect();
+        let chance = match self.chaos.profile {
+            Profile::Mixed => 0.3,
+            Profile::Elections => 0.6,
+        };
         for leader in leaders {
-            if self.cluster.random.random_bool(0.3) {
+            if self.cluster.random.random_bool(chance) {
                 self.command += 1;
                 let command = self.command.to_le_bytes();
                 // Refused while leadership is handed over.
@@ -190,6 +231,40 @@
             .act(id, |raft, _, _| raft.compact(state).unwrap());
     }
 
+    /// Every member stops at the same moment, and starts again.
+    fn cut_power(&mut self) {
+        let ids: Vec<u64> = self.cluster.nodes.keys().map(|id| id.0).collect();
+        for id in ids {
+            self.cluster.crash_anywhere(id);
+        }
+        self.start_stopped();
+    }
+
+    /// Disturbs the first moments of a leadership.
+    fn act_on_election(&mut self) {
+        let elections = self.cluster.checker.elections;
+        if elections == self.elections_seen {
+            return;
+        }
+        self.elections_seen = elections;
+        match self.cluster.random.random_range(0..5) {
+            0 => self.cut_power(),
+            3 => self.crash_leader_soon(),
+            1 => self.cut_leader_and_crash(),
+            2 => self.cluster.cut.clear(),
+            _ => {}
+        }
+    }
+
+    /// The leader falls when it has sent a little.
+    fn crash_leader_soon(&mut self) {
+        let delay = Duration::from_millis(self.cluster.random.random_range(5..300));
+        self.cluster.run(delay);
+        if let Some(leader) = self.cluster.leader() {
+            self.cluster.crash_anywhere(leader);
+        }
+    }
+
     /// The leader is cut off; a follower restarts in the middle of it.
     fn cut_leader_and_crash(&mut self) {
         let Some(leader) = self.cluster.leader() else {
--- a/crates/wingshore-consensus/tests/support/checker.rs
+++ b/crates/wingshore-consensus/tests/support/checker.rs
@@ -10,6 +10,8 @@
 pub enum Violation {
     /// Two members led the same term.
     TwoLeaders { term: u64 },
+    /// A member voted for two candidates in a term.
+    VotedTwice { term: u64, voter: ReplicaId },
     /// Two members applied different entries at one index, or one out of order.
     AppliedDiffers { index: LogIndex },
     /// A new leader lacks a committed entry.
@@ -67,6 +69,7 @@
 pub struct Checker {
     pub violation: Option<Violation>,
     leaders: BTreeMap<u64, ReplicaId>,
+    votes: BTreeMap<(u64, ReplicaId), ReplicaId>,
     committed: BTreeMap<LogIndex, Committed>,
     acknowledged: LogIndex,
     pub reads: u64,
@@ -83,6 +86,14 @@
         self.committed.len()
     }
 
+    /// A member granted its vote.
+    pub fn on_vote(&mut self, term: u64, voter: ReplicaId, candidate: ReplicaId) {
+        let first = *self.votes.entry((term, voter)).or_insert(candidate);
+        if first != candidate {
+            self.report(Violation::VotedTwice { term, voter });
+        }
+    }
+
     /// A member became leader.
     pub fn on_leader(&mut self, raft: &Raft) {
         let term = raft.term();
--- a/crates/wingshore-consensus/tests/support/cluster.rs
+++ b/crates/wingshore-consensus/tests/support/cluster.rs
@@ -262,8 +262,11 @@
     }
 
     fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
-        if matches!(message.body, Body::SnapshotChunk(_)) {
-            self.sent_snapshot_chunks += 1;
+        match message.body {
+            Body::SnapshotChunk(_) => self.sent_snapshot_chunks += 1,
+            Body::VoteReply { granted: true } => self.checker.on_vote(message.term, from, to),
+            Body::Vote(_) => self.checker.on_vote(message.term, from, from),
+            _ => {}
         }
         let network = self.network;
         if self.cut.contains(&(from, to)) || self.random.random_bool(network.loss) {
