--- a/crates/wingshore-storage/src/file_system.rs
+++ b/crates/wingshore-storage/src/file_system.rs
@@ -27,11 +27,11 @@
 }
 
 /// Keeps other processes out of a folder until it is dropped.
-pub trait Lock: Send {}
+pub trait Lock: Send + Sync {}
 
 /// A file system. All methods may be called from any thread.
 pub trait FileSystem: Send + Sync {
-    /// Creates an empty file, replacing one of that name.
+    /// Creates an empty file; one of that name is emptied.
     ///
     /// # Errors
     /// Any error of the disk.
--- a/crates/wingshore-storage/src/memory/disk.rs
+++ b/crates/wingshore-storage/src/memory/disk.rs
@@ -19,9 +19,18 @@
 /// A change of names that is not yet synced.
 #[derive(Clone, Debug)]
 enum NameChange {
-    Link { name: String, file: FileId },
-    Unlink { name: String },
-    Rename { from: String, to: String },
+    Link {
+        name: String,
+        file: FileId,
+    },
+    Unlink {
+        name: String,
+    },
+    Rename {
+        from: String,
+        to: String,
+        file: FileId,
+    },
 }
 
 type Names = BTreeMap<String, FileId>;
@@ -43,6 +52,10 @@
 
 impl Disk {
     pub(super) fn create(&mut self, path: &Path) -> io::Result<FileId> {
+        if let Ok(existing) = self.find(path) {
+            self.truncate(existing, 0)?;
+            return Ok(existing);
+        }
         let (directory, name) = split(path)?;
         let id = FileId(self.next_file);
         self.next_file += 1;
@@ -82,14 +95,14 @@
     }
 
     pub(super) fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
-        self.find(from)?;
+        let file = self.find(from)?;
         let (directory, from) = split(from)?;
         let (to_directory, to) = split(to)?;
         if directory != to_directory {
             return Err(io::ErrorKind::Unsupported.into());
         }
         self.directory_mut(directory)?
-            .apply(NameChange::Rename { from, to });
+            .apply(NameChange::Rename { from, to, file });
         Ok(())
     }
 
@@ -209,11 +222,12 @@
         self.pending.push(change);
     }
 
-    /// Changes of names come back in order, up to some one.
+    /// Any of the unsynced changes of names may come back: nothing orders them.
     fn lose_unsynced(&mut self, chance: &mut Chance) {
-        let kept = chance.within(0, self.pending.len());
-        for change in self.pending.drain(..).take(kept) {
-            change.apply_to(&mut self.synced);
+        for change in self.pending.drain(..) {
+            if chance.below(2) == 0 {
+                change.apply_to(&mut self.synced);
+            }
         }
         self.current.clone_from(&self.synced);
     }
@@ -228,10 +242,11 @@
             Self::Unlink { name } => {
                 names.remove(name);
             }
-            Self::Rename { from, to } => {
-                if let Some(file) = names.remove(from) {
-                    names.insert(to.clone(), file);
+            Self::Rename { from, to, file } => {
+                if names.get(from) == Some(file) {
+                    names.remove(from);
                 }
+                names.insert(to.clone(), *file);
             }
         }
     }
--- a/crates/wingshore-storage/tests/model.rs
+++ b/crates/wingshore-storage/tests/model.rs
@@ -24,7 +24,7 @@
     Append,
     Truncate { keep: u64 },
     Compact { at: u64, keep_behind: u64 },
-    Install { ahead: u64 },
+    Install { ahead: u64, truncate: bool },
 }
 
 fn draft() -> impl Strategy<Value = Draft> {
@@ -32,7 +32,8 @@
         5 => Just(Kind::Append),
         2 => (0..20_u64).prop_map(|keep| Kind::Truncate { keep }),
         2 => (0..20_u64, 0..3_u64).prop_map(|(at, keep_behind)| Kind::Compact { at, keep_behind }),
-        1 => (1..10_u64).prop_map(|ahead| Kind::Install { ahead }),
+        1 => (1..10_u64, any::<bool>())
+            .prop_map(|(ahead, truncate)| Kind::Install { ahead, truncate }),
     ];
     let bytes = || prop::collection::vec(any::<u8>(), 0..60);
     let hard_state = prop::option::weighted(0.3, bytes());
@@ -82,10 +83,10 @@
                 batch.snapshot = snapshot(index, self.term_at(index));
                 batch.discard_through = Some(LogIndex(index.saturating_sub(keep_behind)));
             }
-            Kind::Install { ahead } => {
+            Kind::Install { ahead, truncate } => {
                 let index = last + ahead;
                 batch.snapshot = snapshot(index, term);
-                batch.truncate_from = Some(LogIndex(1));
+                batch.truncate_from = truncate.then_some(LogIndex(1));
                 next = index + 1;
             }
         }
