--- /dev/null
+++ b/crates/wingshore-routing/examples/routing_study/queueing.rs
@@ -0,0 +1,252 @@
+//! How long queues are with one, two and three choices, and what load reports add when they lag.
+//!
+//! Servers work on several requests at once and queue the rest; service times and arrivals are
+//! exponential. Several nodes, each with its own router, poll every server once a second; a
+//! report shows the server as it was `lag` ago.
+
+use crate::random::Random;
+use crate::site::{MILLISECOND, SECOND, request, server_id, site};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+use wingshore_routing::{AttemptOutcome, Class, Router, RouterSettings, Ticket};
+use wingshore_types::platform::LoadReport;
+use wingshore_types::{Instant, ServerId, ZoneId};
+
+const SERVERS: usize = 40;
+const NODES: usize = 10;
+const PARALLEL: usize = 8;
+const MEAN_SERVICE: f64 = 100.0 * MILLISECOND as f64;
+const UTILISATION: f64 = 0.85;
+const LENGTH: u64 = 60 * SECOND;
+const WARM_UP: u64 = 10 * SECOND;
+const SEEDS: u64 = 5;
+
+/// How reports reach the routers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reports {
+    /// Not at all: own counts only.
+    None,
+    /// With their age hidden, so that nothing is corrected.
+    AgeHidden,
+    /// As they are.
+    Corrected,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Departure { server: usize },
+    Probe { node: usize, server: usize },
+}
+
+/// A request on a server.
+struct Job {
+    node: usize,
+    ticket: Ticket,
+}
+
+#[derive(Default)]
+struct ServerState {
+    running: VecDeque<Job>,
+    waiting: VecDeque<Job>,
+    /// Counts over time, for reports that lag.
+    history: VecDeque<(u64, u32)>,
+}
+
+impl ServerState {
+    fn count(&self) -> u32 {
+        (self.running.len() + self.waiting.len()) as u32
+    }
+
+    fn remember(&mut self, now: u64) {
+        self.history.push_back((now, self.count()));
+        while self
+            .history
+            .get(1)
+            .is_some_and(|(at, _)| now - at > 2 * SECOND)
+        {
+            self.history.pop_front();
+        }
+    }
+
+    fn count_at(&self, time: u64) -> u32 {
+        let known = self.history.iter().rev().find(|(at, _)| *at <= time);
+        known.map_or(0, |(_, count)| *count)
+    }
+}
+
+struct Simulation {
+    random: Random,
+    routers: Vec<Router>,
+    servers: Vec<ServerState>,
+    numbers: BTreeMap<ServerId, usize>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    reports: Reports,
+    lag: u64,
+    /// Queue lengths that arrivals met.
+    queues: Vec<u32>,
+}
+
+impl Simulation {
+    fn new(seed: u64, choices: u32, reports: Reports, lag: u64) -> Self {
+        let settings = RouterSettings {
+            choices,
+            ..RouterSettings::default()
+        };
+        let configuration = site(SERVERS, 1_000_000, 1000);
+        let router = |node| {
+            let seed = seed * 1000 + node as u64;
+            let mut router = Router::new(settings.clone(), ZoneId::new("zone"), seed);
+            router.on_configuration(Instant(0), &configuration);
+            router
+        };
+        let mut simulation = Self {
+            random: Random::new(seed),
+            routers: (0..NODES).map(router).collect(),
+            servers: (0..SERVERS).map(|_| ServerState::default()).collect(),
+            numbers: (0..SERVERS)
+                .map(|number| (server_id(number), number))
+                .collect(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            reports,
+            lag,
+            queues: Vec::new(),
+        };
+        simulation.begin();
+        simulation
+    }
+
+    fn begin(&mut self) {
+        self.schedule(0, Event::Arrival);
+        if self.reports == Reports::None {
+            return;
+        }
+        for node in 0..NODES {
+            for server in 0..SERVERS {
+                let first = self.random.below(SECOND as usize) as u64;
+                self.schedule(first, Event::Probe { node, server });
+            }
+        }
+    }
+
+    fn schedule(&mut self, time: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence, event)));
+    }
+
+    fn run(mut self) -> Vec<u32> {
+        while let Some(Reverse((now, _, event))) = self.events.pop() {
+            if now > LENGTH {
+                break;
+            }
+            match event {
+                Event::Arrival => self.on_arrival(now),
+                Event::Departure { server } => self.on_departure(now, server),
+                Event::Probe { node, server } => self.on_probe(now, node, server),
+            }
+        }
+        self.queues
+    }
+
+    fn on_arrival(&mut self, now: u64) {
+        let rate = UTILISATION * (SERVERS * PARALLEL) as f64 / MEAN_SERVICE;
+        let next = now + self.random.exponential(1.0 / rate);
+        self.schedule(next, Event::Arrival);
+        let node = self.random.below(NODES);
+        let Ok(admitted) = self.routers[node].admit(Instant(now), &request(Class::Live)) else {
+            return;
+        };
+        let number = self.numbers[&admitted.server];
+        let server = &mut self.servers[number];
+        if now > WARM_UP {
+            self.queues.push(server.waiting.len() as u32);
+        }
+        server.waiting.push_back(Job {
+            node,
+            ticket: admitted.ticket,
+        });
+        self.start(now, number);
+        self.servers[number].remember(now);
+    }
+
+    fn start(&mut self, now: u64, number: usize) {
+        let server = &mut self.servers[number];
+        if server.running.len() == PARALLEL {
+            return;
+        }
+        if let Some(job) = server.waiting.pop_front() {
+            server.running.push_back(job);
+            let end = now + self.random.exponential(MEAN_SERVICE);
+            self.schedule(end, Event::Departure { server: number });
+        }
+    }
+
+    fn on_departure(&mut self, now: u64, number: usize) {
+        // Service times are memoryless: any of the running ones may be the one that ends.
+        let chosen = self.random.below(self.servers[number].running.len());
+        let Some(job) = self.servers[number].running.swap_remove_back(chosen) else {
+            return;
+        };
+        let latency = Duration::from_millis(100);
+        let outcome = AttemptOutcome::Success { latency };
+        self.routers[job.node].on_finished(Instant(now), job.ticket, outcome);
+        self.start(now, number);
+        self.servers[number].remember(now);
+    }
+
+    fn on_probe(&mut self, now: u64, node: usize, number: usize) {
+        self.schedule(
+            now + SECOND,
+            Event::Probe {
+                node,
+                server: number,
+            },
+        );
+        let read_at = now.saturating_sub(self.lag);
+        let age = match self.reports {
+            Reports::Corrected => self.lag / MILLISECOND,
+            Reports::AgeHidden | Reports::None => 0,
+        };
+        let report = LoadReport {
+            in_flight: self.servers[number].count_at(read_at),
+            queue: 0,
+            age_ms: age,
+        };
+        self.routers[node].on_load(Instant(now), &server_id(number), &report);
+    }
+}
+
+/// Mean, p99 and largest queue over all seeds.
+fn measure(choices: u32, reports: Reports, lag: u64) -> (f64, u32, u32) {
+    let mut queues = Vec::new();
+    for seed in 0..SEEDS {
+        queues.extend(Simulation::new(seed, choices, reports, lag).run());
+    }
+    queues.sort_unstable();
+    let mean = queues.iter().map(|queue| f64::from(*queue)).sum::<f64>() / queues.len() as f64;
+    let p99 = queues[queues.len() * 99 / 100];
+    (mean, p99, queues[queues.len() - 1])
+}
+
+/// Prints the table.
+pub fn run() {
+    println!("queue met on arrival: {SERVERS} servers, {NODES} nodes, utilisation {UTILISATION}");
+    println!("choices  reports     lag ms   mean    p99    max");
+    for choices in [1, 2, 3] {
+        print_row(choices, Reports::None, 0);
+        for reports in [Reports::AgeHidden, Reports::Corrected] {
+            for lag in [0, 250, 1000] {
+                print_row(choices, reports, lag);
+            }
+        }
+    }
+}
+
+fn print_row(choices: u32, reports: Reports, lag: u64) {
+    let (mean, p99, most) = measure(choices, reports, lag * MILLISECOND);
+    let reports = format!("{reports:?}");
+    println!("{choices:>7}  {reports:<10}  {lag:>6}  {mean:>5.2}  {p99:>5}  {most:>5}");
+}
