routing: load reports count by how long differences between servers were seen to last

Change: what is believed of others' requests on a server is the mean of its service plus what is left of the difference that was read. How much is left at which age is learned per service from pairs of readings (their correlation); where nodes chase the reports that is nothing. A server whose reports stop is taken for the mean, no longer for empty.

--- a/crates/wingshore-routing/examples/routing_study/queueing.rs
+++ b/crates/wingshore-routing/examples/routing_study/queueing.rs
@@ -16,12 +16,23 @@
 const SERVERS: usize = 40;
 const NODES: usize = 10;
 const PARALLEL: usize = 8;
-const MEAN_SERVICE: f64 = 100.0 * MILLISECOND as f64;
 const UTILISATION: f64 = 0.85;
-const LENGTH: u64 = 60 * SECOND;
-const WARM_UP: u64 = 10 * SECOND;
+/// Simulated time and the part of it that is not counted, in service times.
+const LENGTH: u64 = 600;
+const WARM_UP: u64 = 100;
 const SEEDS: u64 = 5;
 
+/// What is varied.
+#[derive(Clone, Copy)]
+struct Variant {
+    choices: u32,
+    /// Mean service time, in nanoseconds.
+    service: u64,
+    reports: Reports,
+    /// Age of reports when they arrive, in nanoseconds.
+    lag: u64,
+}
+
 /// How reports reach the routers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Reports {
@@ -83,16 +94,15 @@
     numbers: BTreeMap<ServerId, usize>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
-    reports: Reports,
-    lag: u64,
+    variant: Variant,
     /// Queue lengths that arrivals met.
     queues: Vec<u32>,
 }
 
 impl Simulation {
-    fn new(seed: u64, choices: u32, reports: Reports, lag: u64) -> Self {
+    fn new(seed: u64, variant: Variant) -> Self {
         let settings = RouterSettings {
-            choices,
+            choices: variant.choices,
             ..RouterSettings::default()
         };
         let configuration = site(SERVERS, 1_000_000, 1000);
@@ -111,8 +121,7 @@
                 .collect(),
             events: BinaryHeap::new(),
             sequence: 0,
-            reports,
-            lag,
+            variant,
             queues: Vec::new(),
         };
         simulation.begin();
@@ -121,7 +130,7 @@
 
     fn begin(&mut self) {
         self.schedule(0, Event::Arrival);
-        if self.reports == Reports::None {
+        if self.variant.reports == Reports::None {
             return;
         }
         for node in 0..NODES {
@@ -139,7 +148,7 @@
 
     fn run(mut self) -> Vec<u32> {
         while let Some(Reverse((now, _, event))) = self.events.pop() {
-            if now > LENGTH {
+            if now > LENGTH * self.variant.service {
                 break;
             }
             match event {
@@ -152,7 +161,7 @@
     }
 
     fn on_arrival(&mut self, now: u64) {
-        let rate = UTILISATION * (SERVERS * PARALLEL) as f64 / MEAN_SERVICE;
+        let rate = UTILISATION * (SERVERS * PARALLEL) as f64 / self.variant.service as f64;
         let next = now + self.random.exponential(1.0 / rate);
         self.schedule(next, Event::Arrival);
         let node = self.random.below(NODES);
@@ -161,7 +170,7 @@
         };
         let number = self.numbers[&admitted.server];
         let server = &mut self.servers[number];
-        if now > WARM_UP {
+        if now > WARM_UP * self.variant.service {
             self.queues.push(server.waiting.len() as u32);
         }
         server.waiting.push_back(Job {
@@ -179,7 +188,7 @@
         }
         if let Some(job) = server.waiting.pop_front() {
             server.running.push_back(job);
-            let end = now + self.random.exponential(MEAN_SERVICE);
+            let end = now + self.random.exponential(self.variant.service as f64);
             self.schedule(end, Event::Departure { server: number });
         }
     }
@@ -190,7 +199,7 @@
         let Some(job) = self.servers[number].running.swap_remove_back(chosen) else {
             return;
         };
-        let latency = Duration::from_millis(100);
+        let latency = Duration::from_nanos(self.variant.service);
         let outcome = AttemptOutcome::Success { latency };
         self.routers[job.node].on_finished(Instant(now), job.ticket, outcome);
         self.start(now, number);
@@ -205,9 +214,9 @@
                 server: number,
             },
         );
-        let read_at = now.saturating_sub(self.lag);
-        let age = match self.reports {
-            Reports::Corrected => self.lag / MILLISECOND,
+        let read_at = now.saturating_sub(self.variant.lag);
+        let age = match self.variant.reports {
+            Reports::Corrected => self.variant.lag / MILLISECOND,
             Reports::AgeHidden | Reports::None => 0,
         };
         let report = LoadReport {
@@ -220,10 +229,10 @@
 }
 
 /// Mean, p99 and largest queue over all seeds.
-fn measure(choices: u32, reports: Reports, lag: u64) -> (f64, u32, u32) {
+fn measure(variant: Variant) -> (f64, u32, u32) {
     let mut queues = Vec::new();
     for seed in 0..SEEDS {
-        queues.extend(Simulation::new(seed, choices, reports, lag).run());
+        queues.extend(Simulation::new(seed, variant).run());
     }
     queues.sort_unstable();
     let mean = queues.iter().map(|queue| f64::from(*queue)).sum::<f64>() / queues.len() as f64;
@@ -231,22 +240,37 @@
     (mean, p99, queues[queues.len() - 1])
 }
 
-/// Prints the table.
+/// Prints the tables.
 pub fn run() {
     println!("queue met on arrival: {SERVERS} servers, {NODES} nodes, utilisation {UTILISATION}");
-    println!("choices  reports     lag ms   mean    p99    max");
+    println!("service ms  choices  reports     lag ms   mean    p99    max");
     for choices in [1, 2, 3] {
-        print_row(choices, Reports::None, 0);
-        for reports in [Reports::AgeHidden, Reports::Corrected] {
-            for lag in [0, 250, 1000] {
-                print_row(choices, reports, lag);
-            }
-        }
+        print_rows(choices, 100 * MILLISECOND);
+    }
+    print_rows(2, 10 * SECOND);
+}
+
+fn print_rows(choices: u32, service: u64) {
+    let none = [(Reports::None, 0)];
+    let hidden = [0, 250, 1000].map(|lag| (Reports::AgeHidden, lag));
+    let corrected = [0, 250, 1000].map(|lag| (Reports::Corrected, lag));
+    for (reports, lag) in none.into_iter().chain(hidden).chain(corrected) {
+        print_row(Variant {
+            choices,
+            service,
+            reports,
+            lag: lag * MILLISECOND,
+        });
     }
 }
 
-fn print_row(choices: u32, reports: Reports, lag: u64) {
-    let (mean, p99, most) = measure(choices, reports, lag * MILLISECOND);
-    let reports = format!("{reports:?}");
-    println!("{choices:>7}  {reports:<10}  {lag:>6}  {mean:>5.2}  {p99:>5}  {most:>5}");
+fn print_row(variant: Variant) {
+    let (mean, p99, most) = measure(variant);
+    let service = variant.service / MILLISECOND;
+    let lag = variant.lag / MILLISECOND;
+    let choices = variant.choices;
+    let reports = format!("{:?}", variant.reports);
+    println!(
+        "{service:>10}  {choices:>7}  {reports:<10}  {lag:>6}  {mean:>5.2}  {p99:>5}  {most:>5}"
+    );
 }
--- a/crates/wingshore-routing/src/admission.rs
+++ b/crates/wingshore-routing/src/admission.rs
@@ -50,8 +50,8 @@
     /// has the whole guarantee on top of its slots.
     pub(crate) fn has_room(
         &self,
-        now: Instant,
         load: &Load,
+        foreign: u32,
         class: Class,
         may_borrow: bool,
     ) -> bool {
@@ -59,7 +59,7 @@
         if own >= self.slots {
             return false;
         }
-        let all = own.saturating_add(load.foreign(now));
+        let all = own.saturating_add(foreign);
         if !self.guaranteed {
             return all < self.slots;
         }
--- a/crates/wingshore-routing/src/balance.rs
+++ b/crates/wingshore-routing/src/balance.rs
@@ -176,7 +176,8 @@
 
     fn has_room(&self, server: &Server) -> bool {
         let shares = &self.service.shares;
-        shares.has_room(self.now, &server.load, self.request.class, self.may_borrow)
+        let foreign = rounded(self.foreign(server));
+        shares.has_room(&server.load, foreign, self.request.class, self.may_borrow)
     }
 
     fn is_excluded(&self, server: &Server) -> bool {
@@ -197,14 +198,20 @@
 
     /// Load in thousandths of a request, this one included.
     fn cost(&self, server: &Server) -> u64 {
-        let load = u64::from(server.load.own()) + u64::from(server.load.foreign(self.now)) + 1;
-        let cost = load * REQUEST * REQUEST / self.ramp(server);
+        let own = u64::from(server.load.own()) + 1;
+        let load = own * REQUEST + self.foreign(server);
+        let cost = load * REQUEST / self.ramp(server);
         match server.in_own_zone {
             true => cost,
             false => cost + u64::from(self.settings.zone_penalty) * REQUEST,
         }
     }
 
+    /// Requests of others, in thousandths.
+    fn foreign(&self, server: &Server) -> u64 {
+        server.load.foreign(self.now, &self.service.persistence)
+    }
+
     /// Thousandths of a server that it counts as: less just after its return.
     fn ramp(&self, server: &Server) -> u64 {
         if self.now >= server.slow_until {
@@ -218,6 +225,12 @@
     }
 }
 
+/// Thousandths as whole requests.
+pub(crate) fn rounded(thousandths: u64) -> u32 {
+    let requests = (thousandths + REQUEST / 2) / REQUEST;
+    u32::try_from(requests).unwrap_or(u32::MAX)
+}
+
 /// A random position below `length`, which is not zero and below 2^32.
 fn below(random: &mut ChaCha8Rng, length: usize) -> usize {
     let product = u64::from(random.next_u32()) * length as u64;
--- a/crates/wingshore-routing/src/fleet.rs
+++ b/crates/wingshore-routing/src/fleet.rs
@@ -5,6 +5,7 @@
 use crate::load::Load;
 use crate::membership::{Membership, Standing};
 use crate::outlier::Outlier;
+use crate::persistence::Persistence;
 use crate::retry::RetryBudget;
 use crate::subset::SubsetSize;
 use std::collections::BTreeMap;
@@ -130,6 +131,7 @@
     pub(crate) in_flight: ByClass<u32>,
     pub(crate) asks: ByClass<Asks>,
     pub(crate) service_time: ByClass<ServiceTime>,
+    pub(crate) persistence: Persistence,
     pub(crate) budget: RetryBudget,
     /// When the next pause or ejection of a member ends.
     pub(crate) next_change: Option<Instant>,
--- a/crates/wingshore-routing/src/lib.rs
+++ b/crates/wingshore-routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod load;
 mod membership;
 mod outlier;
+mod persistence;
 mod request;
 mod retry;
 mod router;
--- a/crates/wingshore-routing/src/load.rs
+++ b/crates/wingshore-routing/src/load.rs
@@ -8,6 +8,7 @@
 //! although the report has them.
 
 use crate::class::{ByClass, Class};
+use crate::persistence::{Persistence, Reading};
 use std::collections::VecDeque;
 use std::time::Duration;
 use wingshore_types::Instant;
@@ -29,9 +30,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Load {
     own: ByClass<u32>,
-    foreign: u32,
-    read_at: Instant,
-    expires_at: Instant,
+    reading: Option<Reading>,
     history: VecDeque<Change>,
 }
 
@@ -46,13 +45,9 @@
         self.own_of(Class::Live) + self.own_of(Class::Rollout)
     }
 
-    /// Requests of others, as far as a report that still counts tells.
-    pub(crate) fn foreign(&self, now: Instant) -> u32 {
-        if now < self.expires_at {
-            self.foreign
-        } else {
-            0
-        }
+    /// Requests of others, in thousandths: what the last reading says by now.
+    pub(crate) fn foreign(&self, now: Instant, persistence: &Persistence) -> u64 {
+        persistence.estimate(now, self.reading)
     }
 
     /// One request more.
@@ -68,29 +63,28 @@
         *count = count.saturating_sub(1);
     }
 
-    /// Takes a report, unless a newer one is known already. Says whether it was taken.
+    /// Takes a report, unless a newer one is known already. Returns the reading it gives, and the
+    /// one before.
     pub(crate) fn on_report(
         &mut self,
         now: Instant,
         report: &LoadReport,
-        lifetime: Duration,
-    ) -> bool {
+    ) -> Option<(Reading, Option<Reading>)> {
         let read_at = now - Duration::from_millis(report.age_ms);
-        if read_at < self.read_at {
-            return false;
+        let before = self.reading;
+        if before.is_some_and(|before| read_at < before.read_at) {
+            return None;
         }
         let reported = report.in_flight.saturating_add(report.queue);
-        self.foreign = reported.saturating_sub(self.own_at(read_at));
-        self.read_at = read_at;
-        self.expires_at = read_at + lifetime;
-        true
+        let foreign = reported.saturating_sub(self.own_at(read_at));
+        let reading = Reading { foreign, read_at };
+        self.reading = Some(reading);
+        Some((reading, before))
     }
 
     /// Forgets what reports said, for instance because the server started anew.
     pub(crate) fn forget_reports(&mut self) {
-        self.foreign = 0;
-        self.read_at = Instant::ZERO;
-        self.expires_at = Instant::ZERO;
+        self.reading = None;
     }
 
     /// The own count at an earlier time, to the resolution of the history.
--- /dev/null
+++ b/crates/wingshore-routing/src/persistence.rs
@@ -0,0 +1,110 @@
+//! How long a load report of others' requests stays true.
+//!
+//! A report that is older than the requests it counts does harm when it is believed: every node
+//! runs to the server that was emptiest a while ago. So what a report says of one server *against
+//! the mean of its service* counts by how much of such differences was still there at the next
+//! report, as observed: much where requests run for minutes, nothing where they run for
+//! milliseconds, or where the nodes themselves chase the reports.
+
+use std::time::Duration;
+use wingshore_types::Instant;
+
+/// Weight of a new pair of reports is one over this.
+const PAIR_WEIGHT: f64 = 64.0;
+/// What is assumed before reports are seen: half of a difference is left at the next report.
+const ASSUMED: f64 = 0.5;
+/// Never believed to be more than this, so that the time stays finite.
+const MOST_CORRELATION: f64 = 0.999;
+/// Weights and loads are counted in thousandths.
+const THOUSAND: u64 = 1000;
+
+/// Others' requests on one server, as one report says.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Reading {
+    pub(crate) foreign: u32,
+    pub(crate) read_at: Instant,
+}
+
+/// What the reports of one service's servers have in common.
+#[derive(Clone, Debug)]
+pub(crate) struct Persistence {
+    /// Mean of others' requests per server, in thousandths; `None` before the first report.
+    mean: Option<f64>,
+    expires_at: Instant,
+    variance: f64,
+    covariance: f64,
+    /// Mean time between two readings of a server, in nanoseconds.
+    interval: f64,
+    /// A difference that is this old counts half, in nanoseconds.
+    half_life: u64,
+}
+
+impl Persistence {
+    /// Nothing is known; servers will be read every `interval`.
+    pub(crate) fn new(interval: Duration) -> Self {
+        let interval = interval.as_nanos() as f64;
+        Self {
+            mean: None,
+            expires_at: Instant::ZERO,
+            variance: 1.0,
+            covariance: ASSUMED,
+            interval,
+            half_life: interval as u64,
+        }
+    }
+
+    /// Takes a reading of one of `servers`, and the reading before it, if that counts.
+    pub(crate) fn on_reading(
+        &mut self,
+        reading: Reading,
+        before: Option<Reading>,
+        servers: usize,
+        lifetime: Duration,
+    ) {
+        let foreign = f64::from(reading.foreign) * THOUSAND as f64;
+        let mean = self.mean.unwrap_or(foreign);
+        if let Some(before) = before {
+            self.compare(reading, before, mean);
+        }
+        self.mean = Some(mean + (foreign - mean) / servers.max(1) as f64);
+        self.expires_at = self.expires_at.max(reading.read_at + lifetime);
+    }
+
+    /// The best guess of others' requests on a server now, in thousandths: the mean, and what is
+    /// probably left of the difference that was read. Nothing, when no report counts any more.
+    pub(crate) fn estimate(&self, now: Instant, reading: Option<Reading>) -> u64 {
+        let mean = match self.mean {
+            Some(mean) if now < self.expires_at => mean as u64,
+            _ => return 0,
+        };
+        let Some(reading) = reading else {
+            return mean;
+        };
+        let read = u64::from(reading.foreign) * THOUSAND;
+        let age = now.0.saturating_sub(reading.read_at.0);
+        let left = |difference: u64| {
+            let product = u128::from(difference) * u128::from(self.half_life);
+            (product / u128::from((self.half_life + age).max(1))) as u64
+        };
+        match read >= mean {
+            true => mean + left(read - mean),
+            false => mean - left(mean - read),
+        }
+    }
+
+    /// Learns from two readings of one server how much of a difference is left.
+    fn compare(&mut self, reading: Reading, before: Reading, mean: f64) {
+        let difference = |reading: Reading| f64::from(reading.foreign) - mean / THOUSAND as f64;
+        let (old, new) = (difference(before), difference(reading));
+        let elapsed = reading.read_at.since(before.read_at).as_nanos() as f64;
+        self.variance += (old * old - self.variance) / PAIR_WEIGHT;
+        self.covariance += (old * new - self.covariance) / PAIR_WEIGHT;
+        self.interval += (elapsed - self.interval) / PAIR_WEIGHT;
+        let correlation = match self.variance > f64::EPSILON {
+            true => self.covariance / self.variance,
+            false => ASSUMED,
+        };
+        let correlation = correlation.clamp(0.0, MOST_CORRELATION);
+        self.half_life = (self.interval * correlation / (1.0 - correlation)) as u64;
+    }
+}
--- a/crates/wingshore-routing/src/router/configure.rs
+++ b/crates/wingshore-routing/src/router/configure.rs
@@ -7,6 +7,7 @@
 use crate::load::Load;
 use crate::membership::Membership;
 use crate::outlier::Outlier;
+use crate::persistence::Persistence;
 use crate::retry::{BudgetLimits, RetryBudget};
 use crate::subset::{SubsetSize, rank};
 use wingshore_types::Instant;
@@ -95,6 +96,7 @@
             in_flight: ByClass::default(),
             asks: ByClass::default(),
             service_time: ByClass::default(),
+            persistence: Persistence::new(self.settings.probe_interval),
             budget: RetryBudget::new(limits),
             next_change: None,
             epoch: 0,
--- a/crates/wingshore-routing/src/router/observe.rs
+++ b/crates/wingshore-routing/src/router/observe.rs
@@ -40,8 +40,12 @@
         let lifetime = self.settings.load_lifetime;
         let server = self.fleet.server_mut(index);
         let service = server.service;
-        if server.load.on_report(now, report, lifetime) {
-            self.fleet.service_mut(service).epoch += 1;
+        if let Some((reading, before)) = server.load.on_report(now, report) {
+            let state = self.fleet.service_mut(service);
+            let servers = state.members.len();
+            let persistence = &mut state.persistence;
+            persistence.on_reading(reading, before, servers, lifetime);
+            state.epoch += 1;
         }
         self.on_probe(now, index, true);
     }
--- a/crates/wingshore-routing/src/router/report.rs
+++ b/crates/wingshore-routing/src/router/report.rs
@@ -1,6 +1,7 @@
 //! What the router knows, for the rollout runner, status pages and metrics.
 
 use super::Router;
+use crate::balance::rounded;
 use crate::class::Class;
 use crate::fleet::ServiceState;
 use crate::request::{OverGuarantee, ServerView};
@@ -21,6 +22,7 @@
     pub fn server_view(&self, now: Instant, id: &ServerId) -> Option<ServerView> {
         let server = self.fleet.server(self.fleet.server_index(id)?);
         server.membership.admission?;
+        let persistence = &self.fleet.service(server.service).persistence;
         Some(ServerView {
             in_subset: server.is_member,
             open: server.is_member && server.is_open(now, self.faults.ignore_draining),
@@ -30,7 +32,7 @@
             version: server.known_version(now),
             live: server.load.own_of(Class::Live),
             rollouts: server.load.own_of(Class::Rollout),
-            foreign: server.load.foreign(now),
+            foreign: rounded(server.load.foreign(now, persistence)),
         })
     }
 
--- a/crates/wingshore-routing/src/settings.rs
+++ b/crates/wingshore-routing/src/settings.rs
@@ -38,7 +38,7 @@
     /// How long an engine's report of its version counts. Default 10 s, 1 s to 5 min.
     #[serde(deserialize_with = "duration")]
     pub state_lifetime: Duration,
-    /// How long a load report counts. Default 5 s, 100 ms to 5 min.
+    /// How long the last load report of a service counts. Default 5 s, 100 ms to 5 min.
     #[serde(deserialize_with = "duration")]
     pub load_lifetime: Duration,
     /// What a wholly cached prompt is worth, in requests in flight. Default 2, 0 to 100; 0
--- a/crates/wingshore-routing/tests/balance.rs
+++ b/crates/wingshore-routing/tests/balance.rs
@@ -70,6 +70,7 @@
 fn others_load_counts_like_own() {
     let mut router = router(&site(2, 1, 1000, 1000));
     router.on_load(at(0), &server_id(0), &load(50, 10, 0));
+    router.on_load(at(0), &server_id(1), &load(0, 0, 0));
     let admitted = admit_all(&mut router, at(1), &live(), 60);
     expect_that!(count_on(&admitted, 0), le(1));
 }
--- a/crates/wingshore-routing/tests/load.rs
+++ b/crates/wingshore-routing/tests/load.rs
@@ -55,6 +55,42 @@
     expect_that!(foreign(&router, 5900), eq(0));
 }
 
+/// Feeds 200 rounds of reports of two servers, and tells what is believed of the first one then
+/// and a second later; the mean is 10.
+fn believed(loads: impl Fn(u64) -> (u32, u32)) -> (u32, u32) {
+    let mut router = router(&site(2, 1, 100, 1000));
+    for round in 0..200 {
+        let (first, second) = loads(round);
+        router.on_load(at(round * 1000), &server_id(0), &load(first, 0, 0));
+        router.on_load(at(round * 1000), &server_id(1), &load(second, 0, 0));
+    }
+    (foreign(&router, 199_000), foreign(&router, 200_000))
+}
+
+#[gtest]
+fn differences_count_for_as_long_as_they_were_seen_to_last() {
+    let lasting = believed(|_| (20, 0));
+    expect_that!(lasting, eq((20, 20)));
+    let changing = believed(|round| if round % 2 == 0 { (0, 20) } else { (20, 0) });
+    expect_that!(changing.1, all!(ge(8), le(12)), "{changing:?}");
+    let slowly = believed(|round| {
+        if round / 10 % 2 == 0 {
+            (0, 20)
+        } else {
+            (20, 0)
+        }
+    });
+    expect_that!(slowly.1, all!(ge(14), le(19)), "{slowly:?}");
+}
+
+#[gtest]
+fn a_server_without_a_report_is_taken_for_the_mean_of_its_service() {
+    let mut router = router(&site(3, 1, 100, 1000));
+    router.on_load(at(0), &server_id(1), &load(7, 0, 0));
+    router.on_load(at(0), &server_id(2), &load(7, 0, 0));
+    expect_that!(foreign(&router, 1), eq(7));
+}
+
 proptest! {
     #![proptest_config(property(256))]
 
