--- a/crates/wingshore-ledger/src/samples/pool.rs
+++ b/crates/wingshore-ledger/src/samples/pool.rs
@@ -304,6 +304,17 @@
         }
     }
 
+    /// Takes the stage out of an open sample, which must be given another one then.
+    pub(super) fn take_stage(&mut self, number: SampleNumber) -> Option<Stage> {
+        let sample = self.open.get_mut(&number)?;
+        self.indexes.remove(sample);
+        let partial = Generation::default();
+        Some(std::mem::replace(
+            &mut sample.stage,
+            Stage::Pending { partial },
+        ))
+    }
+
     pub(super) fn is_known(&self, number: SampleNumber) -> bool {
         self.open.contains_key(&number)
             || self.indexes.delivered.contains_key(&number)
--- a/crates/wingshore-ledger/src/samples/scoring.rs
+++ b/crates/wingshore-ledger/src/samples/scoring.rs
@@ -29,8 +29,9 @@
         if finished.lease != lease {
             return LedgerReply::First(false);
         }
-        let finished = finished.clone();
-        self.set_stage(number, Stage::Scored { finished, score });
+        if let Some(Stage::Finished(finished)) = self.take_stage(number) {
+            self.set_stage(number, Stage::Scored { finished, score });
+        }
         LedgerReply::First(true)
     }
 
--- /dev/null
+++ b/crates/wingshore-rollout/tests/scenarios.rs
@@ -0,0 +1,200 @@
+//! Runners, scripted engines, a real ledger and a trainer, incident by incident.
+
+mod support;
+
+use googletest::prelude::*;
+use std::time::Duration;
+use support::trainer::Violations;
+use support::{Incident, Site, SiteSettings};
+use wingshore_rollout::{Faults, OverIssue, RolloutStatus};
+
+const STEPS: u64 = 6;
+const LIMIT: Duration = Duration::from_secs(180);
+
+struct Scenario {
+    name: &'static str,
+    settings: SiteSettings,
+    /// Shows that the incident was felt.
+    felt: fn(&RolloutStatus) -> u64,
+}
+
+fn scenario(
+    name: &'static str,
+    incidents: &[(u64, Incident)],
+    felt: fn(&RolloutStatus) -> u64,
+) -> Scenario {
+    let settings = SiteSettings {
+        incidents: incidents.to_vec(),
+        ..SiteSettings::default()
+    };
+    Scenario {
+        name,
+        settings,
+        felt,
+    }
+}
+
+fn scenarios() -> Vec<Scenario> {
+    use Incident::*;
+    vec![
+        scenario("nothing happens", &[], |status| status.finished),
+        scenario(
+            "an engine crashes and returns",
+            &[(1_500, Crash(0)), (6_000, Recover(0))],
+            |status| status.cut.min(status.resumed),
+        ),
+        scenario(
+            "two engines crash, one after the other",
+            &[(1_500, Crash(0)), (2_500, Crash(1)), (6_000, Recover(0))],
+            |status| status.cut,
+        ),
+        scenario(
+            "an engine freezes",
+            &[(1_500, Freeze(1)), (9_000, Recover(1))],
+            |status| status.cut,
+        ),
+        scenario(
+            "an engine refuses by its own word",
+            &[(1_000, Refuse(2)), (5_000, Recover(2))],
+            |status| status.cut,
+        ),
+        scenario(
+            "an engine loses tokens",
+            &[(1_300, LoseTokens(0)), (4_000, Recover(0))],
+            |status| status.cut,
+        ),
+        scenario("an engine is drained", &[(1_500, Drain(1))], |status| {
+            status.moved
+        }),
+        scenario(
+            "the ledger's answers are lost for a while",
+            &[
+                (2_000, LoseLedgerAnswers(true)),
+                (4_000, LoseLedgerAnswers(false)),
+            ],
+            |status| status.finished,
+        ),
+        scenario(
+            "the ledger's leader changes twice",
+            &[(1_700, ChangeLeader), (2_600, ChangeLeader)],
+            |status| status.finished,
+        ),
+        scenario(
+            "the scorer fails for longer than the attempts last",
+            &[(1_500, FailScorer(true)), (6_000, FailScorer(false))],
+            |status| status.finished,
+        ),
+        scenario(
+            "a node dies and another boot of it starts",
+            &[(1_600, Kill(0)), (3_000, Restart(0)), (4_000, Kill(1))],
+            |status| status.finished,
+        ),
+        scenario(
+            "everything at once",
+            &[
+                (1_500, Crash(0)),
+                (1_700, ChangeLeader),
+                (1_800, Kill(1)),
+                (2_000, Freeze(1)),
+                (2_500, Restart(1)),
+                (6_000, Recover(0)),
+                (7_000, Recover(1)),
+            ],
+            |status| status.cut,
+        ),
+    ]
+}
+
+#[gtest]
+fn every_promise_holds_whatever_happens() {
+    for scenario in scenarios() {
+        let mut site = Site::new(scenario.settings);
+        let finished = site.run(STEPS, LIMIT);
+        let name = scenario.name;
+        expect_that!(
+            finished,
+            eq(true),
+            "{name}: {:?}",
+            site.ledger.state.pools()
+        );
+        let violations = &site.trainer.violations;
+        expect_that!(violations, eq(&Violations::default()), "{name}");
+        expect_that!(site.total(scenario.felt), gt(0), "{name}");
+    }
+}
+
+#[gtest]
+fn the_same_inputs_give_the_same_history() {
+    let run = || {
+        let incidents = vec![(1_500, Incident::Crash(0)), (2_000, Incident::Freeze(1))];
+        let mut site = Site::new(SiteSettings {
+            incidents,
+            ..SiteSettings::default()
+        });
+        site.run(3, LIMIT);
+        let log = postcard::to_stdvec(&site.ledger.log).expect("encodes");
+        (site.now, log, site.nodes[0].runner.status())
+    };
+    expect_that!(run() == run(), eq(true));
+}
+
+#[gtest]
+fn a_planned_stop_lets_short_samples_finish_and_gives_the_rest_back() {
+    let mut site = Site::new(SiteSettings {
+        tune: |settings| settings.stop_limit = Duration::from_millis(600),
+        ..SiteSettings::default()
+    });
+    site.run_for(Duration::from_millis(300));
+    let running = site.nodes[0].runner.status().running;
+    expect_that!(running, gt(0));
+    let finished = site.nodes[0].runner.status().finished;
+    site.happen(Incident::Stop(0));
+    site.run_for(Duration::from_millis(1_000));
+    let status = site.nodes[0].runner.status();
+    expect_that!(site.nodes[0].stopped, eq(true));
+    expect_that!(status.held + status.running + status.reports, eq(0));
+    expect_that!(status.finished, gt(finished));
+    expect_that!(status.wasted_tokens, eq(0));
+    expect_that!(site.run(STEPS, LIMIT), eq(true));
+    expect_that!(site.trainer.violations, eq(&Violations::default()));
+    expect_that!(site.nodes[1].runner.status().resumed, gt(0));
+}
+
+#[gtest]
+fn stragglers_get_a_second_attempt_and_the_first_to_finish_wins() {
+    let mut site = Site::new(SiteSettings {
+        tune: |settings| {
+            settings.over_issue = Some(OverIssue {
+                after: Duration::from_millis(500),
+                most: 4,
+            });
+        },
+        ..SiteSettings::default()
+    });
+    expect_that!(site.run(STEPS, LIMIT), eq(true));
+    expect_that!(site.total(|status| status.over_issued), gt(0));
+    expect_that!(site.trainer.violations, eq(&Violations::default()));
+}
+
+#[gtest]
+fn each_deliberate_fault_is_noticed() {
+    let run = |faults| {
+        let mut site = Site::new(SiteSettings {
+            faults,
+            incidents: vec![(1_500, Incident::Crash(0)), (3_000, Incident::Recover(0))],
+            ..SiteSettings::default()
+        });
+        site.run(STEPS, LIMIT);
+        site.trainer.violations
+    };
+    let cut = run(Faults {
+        finish_cut_streams: true,
+        ..Faults::default()
+    });
+    expect_that!(cut.not_whole, gt(0));
+    let stamps = run(Faults {
+        stamp_latest_version: true,
+        ..Faults::default()
+    });
+    expect_that!(stamps.wrong_version, gt(0));
+}
