rollout: runner tests by hand; window shrinks on every refusal; scoring offers double

Cause: a lost answer to Unscored held finished samples back for 10 s (seen in a trial of the scenario where ledger answers are lost); a refusal for want of an engine left the lease window large. Change: first offer 2 s, doubled up to 32 s; window shrinks on any refusal.

--- a/crates/wingshore-ledger/src/samples/leader.rs
+++ b/crates/wingshore-ledger/src/samples/leader.rs
@@ -419,7 +419,7 @@
 
     fn on_tick(&mut self, now: Instant, state: &LedgerState, out: &mut Outputs) {
         self.expire_due(now, state, out);
-        self.offers.prune(now, state.pools());
+        self.offers.prune(state.pools());
         self.advance_pulls(now, state, out);
         self.propose(out);
     }
--- a/crates/wingshore-ledger/src/samples/scoring.rs
+++ b/crates/wingshore-ledger/src/samples/scoring.rs
@@ -7,8 +7,12 @@
 use wingshore_types::protocol::ledger::{LedgerReply, UnscoredSample};
 use wingshore_types::{Instant, LeaseId, PoolId, SampleNumber};
 
-/// How long a finished sample is left to the node it was given to for scoring.
-pub(crate) const SCORING_OFFER: Duration = Duration::from_secs(10);
+/// How long a finished sample is left to the first node it was given to for scoring. Each further
+/// offer lasts twice as long as the one before: a lost answer costs little, a slow scorer is not
+/// flooded.
+const FIRST_OFFER: Duration = Duration::from_secs(2);
+/// Longest offer.
+const LONGEST_OFFER: Duration = Duration::from_secs(32);
 /// Most finished samples in one answer.
 pub(crate) const MAX_UNSCORED_PER_REQUEST: u32 = 256;
 
@@ -61,7 +65,13 @@
 /// may give them out again, and the first score wins.
 #[derive(Debug, Default)]
 pub(super) struct ScoringOffers {
-    until: BTreeMap<(PoolId, SampleNumber, LeaseId), Instant>,
+    offers: BTreeMap<(PoolId, SampleNumber, LeaseId), Offer>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    until: Instant,
+    duration: Duration,
 }
 
 impl ScoringOffers {
@@ -81,21 +91,24 @@
             .collect();
         for sample in &offered {
             let key = (id.clone(), sample.number, sample.lease);
-            self.until.insert(key, now + SCORING_OFFER);
+            let earlier = self.offers.get(&key).map(|offer| offer.duration);
+            let duration = earlier.map_or(FIRST_OFFER, |earlier| (earlier * 2).min(LONGEST_OFFER));
+            let until = now + duration;
+            self.offers.insert(key, Offer { until, duration });
         }
         offered
     }
 
-    /// Forgets offers that have run out, and those whose sample has its score.
-    pub(super) fn prune(&mut self, now: Instant, pools: &BTreeMap<PoolId, PoolLedger>) {
-        self.until.retain(|(pool, number, lease), until| {
+    /// Forgets offers of generations that no longer wait for a score.
+    pub(super) fn prune(&mut self, pools: &BTreeMap<PoolId, PoolLedger>) {
+        self.offers.retain(|(pool, number, lease), _| {
             let pool = pools.get(pool);
-            *until > now && pool.is_some_and(|pool| pool.awaits_score(*number, *lease))
+            pool.is_some_and(|pool| pool.awaits_score(*number, *lease))
         });
     }
 
     fn is_offered(&self, now: Instant, id: &PoolId, sample: &UnscoredSample) -> bool {
         let key = (id.clone(), sample.number, sample.lease);
-        self.until.get(&key).is_some_and(|until| *until > now)
+        self.offers.get(&key).is_some_and(|offer| offer.until > now)
     }
 }
--- a/crates/wingshore-rollout/src/streams.rs
+++ b/crates/wingshore-rollout/src/streams.rs
@@ -49,9 +49,10 @@
             if let Err(refusal) = self.start(context, lease, None) {
                 let pause = refusal.retry_after.unwrap_or(self.retry_pause());
                 self.refused_until = context.now + pause;
-                if refusal.code == RefusalCode::NoCapacity {
-                    let running = self.attempts.len() as u32;
-                    self.window.on_refused(context.now, running);
+                let running = self.attempts.len() as u32;
+                match refusal.code {
+                    RefusalCode::NoCapacity => self.window.on_refused(context.now, running),
+                    _ => self.window.on_no_engine(running),
                 }
                 return;
             }
--- a/crates/wingshore-rollout/src/window.rs
+++ b/crates/wingshore-rollout/src/window.rs
@@ -36,6 +36,11 @@
         self.size
     }
 
+    /// The router had no engine at all, or none of use, while `running` attempts ran.
+    pub(crate) fn on_no_engine(&mut self, running: u32) {
+        self.size = (running + SPARE).max(INITIAL).min(self.size);
+    }
+
     /// The router had no slot while `running` attempts ran.
     pub(crate) fn on_refused(&mut self, now: Instant, running: u32) {
         self.was_refused = true;
--- a/crates/wingshore-rollout/tests/scenarios.rs
+++ b/crates/wingshore-rollout/tests/scenarios.rs
@@ -120,6 +120,7 @@
         let violations = &site.trainer.violations;
         expect_that!(violations, eq(&Violations::default()), "{name}");
         expect_that!(site.total(scenario.felt), gt(0), "{name}");
+        expect_that!(site.forgotten_streams, eq(0), "{name}");
     }
 }
 
@@ -174,6 +175,19 @@
     expect_that!(site.run(STEPS, LIMIT), eq(true));
     expect_that!(site.total(|status| status.over_issued), gt(0));
     expect_that!(site.trainer.violations, eq(&Violations::default()));
+    expect_that!(site.forgotten_streams, eq(0));
+}
+
+#[gtest]
+fn samples_may_take_longer_than_a_lease() {
+    let mut site = Site::new(SiteSettings {
+        lease_ms: 200,
+        ..SiteSettings::default()
+    });
+    expect_that!(site.run(STEPS, LIMIT), eq(true));
+    let pools = site.ledger.state.pools();
+    let duplicates = pools.values().map(|pool| pool.counts().duplicates_dropped);
+    expect_that!(duplicates.sum::<u64>(), eq(0));
 }
 
 #[gtest]
--- a/crates/wingshore-rollout/tests/support/engines.rs
+++ b/crates/wingshore-rollout/tests/support/engines.rs
@@ -147,6 +147,16 @@
         }
     }
 
+    /// Open streams of a node's boot for the sample with this seed.
+    pub fn streams_of(&self, boot: (usize, u64), seed: u64) -> usize {
+        self.streams
+            .iter()
+            .filter(|((node, boot_id, _), stream)| {
+                (*node, *boot_id) == boot && stream.request.seed == seed
+            })
+            .count()
+    }
+
     pub fn cut_node(&mut self, node: usize) {
         self.streams.retain(|(owner, ..), _| *owner != node);
     }
