--- a/crates/wingshore-rollout/tests/runner.rs
+++ b/crates/wingshore-rollout/tests/runner.rs
@@ -21,6 +21,9 @@
 const SLOTS: u32 = 4;
 const LEASE_MS: u64 = 3_000;
 
+/// News by which a runner learns that tokens are too old.
+type News = fn(&mut Hand);
+
 struct Hand {
     now: Instant,
     runner: RolloutRunner,
@@ -303,7 +306,7 @@
 
 #[gtest]
 fn tokens_that_have_become_too_old_are_thrown_away() {
-    let cases: [(&str, fn(&mut Hand)); 2] = [
+    let cases: [(&str, News); 2] = [
         ("a lease says so", |hand| {
             hand.pass(Duration::from_millis(200));
             hand.grant(vec![granted(2, 10, 6)]);
@@ -387,3 +390,18 @@
         expect_that!(last.2.resume, is_empty(), "{name}");
     }
 }
+
+#[gtest]
+fn a_stop_gives_back_what_a_late_lease_answer_brings() {
+    let mut hand = Hand::new(|_| {});
+    let is_configure = |request: &LedgerRequest| matches!(request, LedgerRequest::Configure { .. });
+    let is_return = |request: &LedgerRequest| matches!(request, LedgerRequest::Return { .. });
+    hand.answer(is_configure, LedgerReply::Done);
+    hand.input(RolloutInput::Stop);
+    expect_that!(hand.out, not(contains(eq(&RolloutOutput::Stopped))));
+    hand.grant(vec![granted(1, 10, 0)]);
+    expect_that!(hand.streams(), is_empty());
+    expect_that!(hand.out, not(contains(eq(&RolloutOutput::Stopped))));
+    hand.answer(is_return, LedgerReply::Done);
+    expect_that!(hand.out, contains(eq(&RolloutOutput::Stopped)).times(eq(1)));
+}
--- a/crates/wingshore-rollout/tests/scenarios.rs
+++ b/crates/wingshore-rollout/tests/scenarios.rs
@@ -156,6 +156,9 @@
     expect_that!(status.held + status.running + status.reports, eq(0));
     expect_that!(status.finished, gt(finished));
     expect_that!(status.wasted_tokens, eq(0));
+    let counts = site.ledger.state.pools().values().map(|pool| pool.counts());
+    let leased: u32 = counts.map(|counts| counts.leased).sum();
+    expect_that!(leased, le(site.nodes[1].runner.status().held + 2));
     expect_that!(site.run(STEPS, LIMIT), eq(true));
     expect_that!(site.trainer.violations, eq(&Violations::default()));
     expect_that!(site.nodes[1].runner.status().resumed, gt(0));
--- a/crates/wingshore-rollout/tests/support/engines.rs
+++ b/crates/wingshore-rollout/tests/support/engines.rs
@@ -11,8 +11,9 @@
 /// Node, boot of the node, attempt.
 pub type StreamId = (usize, u64, AttemptId);
 
-/// Tokens that a stream yields in one step of simulated time.
+/// Tokens that a stream yields in one step of simulated time; the first engine is slow.
 const TOKENS_PER_STEP: u32 = 2;
+const SLOW_TOKENS_PER_STEP: u32 = 1;
 /// Events of an ended stream that still arrive.
 const STRAYS: usize = 2;
 
@@ -36,6 +37,7 @@
 struct Engine {
     version: WeightVersion,
     health: Health,
+    tokens_per_step: u32,
 }
 
 struct Stream {
@@ -56,13 +58,17 @@
 
 impl Engines {
     pub fn new(count: usize) -> Self {
-        let engine = || Engine {
+        let engine = |index| Engine {
             version: WeightVersion(1),
             health: Health::Well,
+            tokens_per_step: match index {
+                0 => SLOW_TOKENS_PER_STEP,
+                _ => TOKENS_PER_STEP,
+            },
         };
         Self {
             engines: (0..count)
-                .map(|index| (Self::id(index), engine()))
+                .map(|index| (Self::id(index), engine(index)))
                 .collect(),
             streams: BTreeMap::new(),
             strays: Vec::new(),
@@ -139,9 +145,9 @@
     /// Closes a stream. Some of its events are on their way and arrive late.
     pub fn cancel(&mut self, id: StreamId) {
         if let Some(mut stream) = self.streams.remove(&id) {
-            let version = self.engines[&stream.server].version;
+            let engine = &self.engines[&stream.server];
             for _ in 0..STRAYS {
-                self.strays.push((id, stream.chunk(version)));
+                self.strays.push((id, stream.chunk(engine)));
             }
             self.strays.push((id, stream.finished()));
         }
@@ -201,7 +207,7 @@
                 continue;
             }
             if stream.generated < length(&stream.request) {
-                let chunk = stream.chunk(engine.version);
+                let chunk = stream.chunk(engine);
                 let is_lost = engine.health == Health::LosingTokens;
                 events.extend((!is_lost).then_some((*id, chunk)));
             } else {
@@ -229,8 +235,9 @@
 }
 
 impl Stream {
-    fn chunk(&mut self, version: WeightVersion) -> Event {
-        let end = (self.generated + TOKENS_PER_STEP).min(length(&self.request));
+    fn chunk(&mut self, engine: &Engine) -> Event {
+        let version = engine.version;
+        let end = (self.generated + engine.tokens_per_step).min(length(&self.request));
         let prompt = hash_tokens(&self.request.prompt);
         let tokens = (self.generated..end)
             .map(|position| token_at(prompt, self.request.seed, position, version))
