group: tests of requests, members, restarts, transfer and planned stop

Cause: Host had no test. Ruled out: sharing the whole test cluster with the consensus crate; only the simulated disk is shared, the rest speaks another interface.

--- /dev/null
+++ b/crates/wingshore-group/tests/members.rs
@@ -0,0 +1,273 @@
+//! Members that join, leave, restart and hand over.
+
+mod support;
+
+use googletest::prelude::*;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::member::{config, member};
+use support::numbers::Request;
+use wingshore_group::{HostInput, HostReply};
+use wingshore_types::ReplicaId;
+use wingshore_types::protocol::membership::{MembershipReply, MembershipRequest};
+
+const SECOND: Duration = Duration::from_secs(1);
+const JOINER: u64 = 40;
+
+fn joined(cluster: &mut Cluster, leader: u64) -> Option<MembershipReply> {
+    cluster.add(config(JOINER, None));
+    cluster.membership_answer(leader, MembershipRequest::AddLearner(member(JOINER)))
+}
+
+#[gtest]
+fn a_new_member_joins_by_snapshot_catches_up_and_is_promoted() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    cluster.add_numbers(leader, 0..200);
+    verify_that!(
+        joined(&mut cluster, leader),
+        some(eq(&MembershipReply::Done))
+    )?;
+    cluster.run(SECOND);
+    verify_that!(cluster.numbers(JOINER), eq(cluster.numbers(leader)))?;
+    let promote = MembershipRequest::Promote(ReplicaId(JOINER));
+    verify_that!(
+        cluster.membership_answer(leader, promote.clone()),
+        some(eq(&MembershipReply::Done))
+    )?;
+    // Asked again, after a lost answer.
+    verify_that!(
+        cluster.membership_answer(leader, promote),
+        some(eq(&MembershipReply::Done))
+    )?;
+    cluster.run(SECOND);
+    verify_that!(cluster.host(JOINER).membership().voters.len(), eq(4))?;
+    let shown = cluster.membership_answer(leader, MembershipRequest::Show);
+    let Some(MembershipReply::Members {
+        synced, last_index, ..
+    }) = shown
+    else {
+        return fail!("{shown:?}");
+    };
+    verify_that!(synced, len(eq(4)))?;
+    let synced: Vec<u64> = synced.into_iter().map(|(_, index)| index).collect();
+    verify_that!(synced, each(eq(&last_index)))
+}
+
+#[gtest]
+fn a_learner_that_is_behind_is_not_promoted() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    cluster.add_numbers(leader, 0..20);
+    cluster.add(config(JOINER, None));
+    cluster.isolate(JOINER);
+    let add = MembershipRequest::AddLearner(member(JOINER));
+    verify_that!(
+        cluster.membership_answer(leader, add),
+        some(eq(&MembershipReply::Done))
+    )?;
+    let promote = MembershipRequest::Promote(ReplicaId(JOINER));
+    let answer = cluster.membership_answer(leader, promote);
+    verify_that!(
+        answer,
+        some(matches_pattern!(MembershipReply::Refused { .. }))
+    )
+}
+
+#[gtest]
+fn impossible_changes_are_refused_with_a_reason() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    let mut moved = member(leader);
+    moved.address.set_port(1);
+    let cases = [
+        (MembershipRequest::Remove(ReplicaId(leader)), "transfer"),
+        (MembershipRequest::Promote(ReplicaId(77)), "not a learner"),
+        (MembershipRequest::AddLearner(moved), "remove it first"),
+        (
+            MembershipRequest::TransferLeadership(ReplicaId(77)),
+            "not a voter",
+        ),
+    ];
+    for (request, reason) in cases {
+        let answer = cluster.membership_answer(leader, request);
+        let Some(MembershipReply::Refused { message }) = answer else {
+            return fail!("{answer:?}");
+        };
+        verify_that!(message, contains_substring(reason))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn one_change_at_a_time() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    let first = MembershipRequest::AddLearner(member(JOINER));
+    let second = MembershipRequest::AddLearner(member(JOINER + 1));
+    let first = cluster.membership_request(leader, first);
+    let second = cluster.membership_request(leader, second);
+    let refused = cluster.answer(second);
+    verify_that!(
+        refused,
+        some(matches_pattern!(HostReply::Membership(matches_pattern!(
+            MembershipReply::Refused {
+                message: contains_substring("one change at a time")
+            }
+        ))))
+    )?;
+    verify_that!(
+        cluster.answer(first),
+        some(eq(&HostReply::Membership(MembershipReply::Done)))
+    )
+}
+
+#[gtest]
+fn a_lost_disk_is_replaced_by_a_new_member_and_a_second_loss_is_survived() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    cluster.add_numbers(leader, 0..50);
+    let lost = if leader == 1 { 2 } else { 1 };
+    cluster.crash(lost);
+    joined(&mut cluster, leader);
+    cluster.run(SECOND);
+    let replaced = [
+        MembershipRequest::Promote(ReplicaId(JOINER)),
+        MembershipRequest::Remove(ReplicaId(lost)),
+    ];
+    for request in replaced {
+        verify_that!(
+            cluster.membership_answer(leader, request),
+            some(eq(&MembershipReply::Done))
+        )?;
+    }
+    // The repair is done: the loss of any further machine must be harmless.
+    cluster.crash(leader);
+    let new_leader = cluster.wait_for_leader();
+    verify_that!(cluster.numbers(new_leader).applied.len(), eq(50))?;
+    cluster.add_numbers(new_leader, [51]);
+    Ok(())
+}
+
+#[gtest]
+fn leadership_moves_to_the_member_that_is_named() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    let target = if leader == 3 { 1 } else { 3 };
+    let transfer = MembershipRequest::TransferLeadership(ReplicaId(target));
+    verify_that!(
+        cluster.membership_answer(leader, transfer),
+        some(eq(&MembershipReply::Done))
+    )?;
+    verify_that!(cluster.wait_for_leader(), eq(target))
+}
+
+#[gtest]
+fn a_transfer_to_an_unreachable_member_is_given_up_and_proposals_go_on() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    let target = if leader == 3 { 1 } else { 3 };
+    cluster.isolate(target);
+    cluster.add_numbers(leader, [1]);
+    let transfer = MembershipRequest::TransferLeadership(ReplicaId(target));
+    let tag = cluster.membership_request(leader, transfer);
+    // Proposed during the transfer, committed after it.
+    cluster.feed(leader, vec![HostInput::Event(2)]);
+    verify_that!(
+        cluster.answer(tag),
+        some(matches_pattern!(HostReply::Membership(matches_pattern!(
+            MembershipReply::Refused { .. }
+        ))))
+    )?;
+    cluster.add_numbers(leader, [3]);
+    verify_that!(
+        cluster.numbers(leader).applied,
+        elements_are![eq(&1), eq(&2), eq(&3)]
+    )
+}
+
+#[gtest]
+fn a_planned_stop_hands_leadership_over_and_loses_nothing() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    let adds: Vec<_> = (0..20)
+        .map(|number| cluster.request(leader, Request::Add(number)))
+        .collect();
+    cluster.feed(leader, vec![HostInput::Stop]);
+    let refused = cluster.request(leader, Request::Add(99));
+    verify_that!(
+        cluster.replies.get(&refused),
+        some(matches_pattern!(HostReply::NotLeader { .. }))
+    )?;
+    let stopped = cluster.run_until(SECOND * 5, |cluster| {
+        cluster.replicas[&ReplicaId(leader)].has_stopped
+    });
+    verify_that!(stopped, eq(true))?;
+    for tag in adds {
+        verify_that!(
+            cluster.replies.get(&tag),
+            some(matches_pattern!(HostReply::Reply(_)))
+        )?;
+    }
+    cluster.crash(leader);
+    let new_leader = cluster.wait_for_leader();
+    verify_that!(cluster.numbers(new_leader).applied.len(), eq(20))
+}
+
+#[gtest]
+fn a_planned_stop_ends_where_nobody_can_take_over() -> Result<()> {
+    for (voters, isolated) in [(1, false), (3, true)] {
+        let (mut cluster, leader) = Cluster::led(voters);
+        if isolated {
+            cluster.isolate(leader);
+        }
+        cluster.feed(leader, vec![HostInput::Stop]);
+        let stopped = cluster.run_until(SECOND * 10, |cluster| {
+            cluster.replicas[&ReplicaId(leader)].has_stopped
+        });
+        verify_that!(stopped, eq(true))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_restart_finds_everything_acknowledged() -> Result<()> {
+    for voters in [1, 3] {
+        let (mut cluster, leader) = Cluster::led(voters);
+        cluster.add_numbers(leader, 0..300);
+        for id in 1..=voters {
+            cluster.crash(id);
+        }
+        for id in 1..=voters {
+            cluster.restart(id);
+        }
+        let leader = cluster.wait_for_leader();
+        let expected: Vec<u64> = (0..300).collect();
+        verify_that!(cluster.numbers(leader).applied, eq(&expected))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn snapshots_keep_the_log_short() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    cluster.add_numbers(leader, 0..500);
+    cluster.run(SECOND);
+    for id in 1..=3 {
+        let contents = &cluster.replica(id).disk.contents;
+        verify_that!(contents.snapshot, some(anything()))?;
+        verify_that!(contents.records.len(), lt(200))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn an_unknown_command_stops_the_host() -> Result<()> {
+    let (mut cluster, _) = Cluster::led(1);
+    cluster.add_numbers(1, [5]);
+    cluster.crash(1);
+    for record in &mut cluster.replica(1).disk.contents.records {
+        let is_command = record.data.first() == Some(&1);
+        if is_command {
+            record.data.truncate(1);
+        }
+    }
+    cluster.restart(1);
+    cluster.run(SECOND * 3);
+    verify_that!(
+        cluster.replica(1).failure,
+        some(contains_substring("cannot be decoded"))
+    )
+}
--- /dev/null
+++ b/crates/wingshore-group/tests/support/mod.rs
@@ -0,0 +1,9 @@
+//! An in-memory cluster of hosts for tests.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+pub mod cluster;
+#[path = "../../../wingshore-consensus/tests/support/disk.rs"]
+pub mod disk;
+pub mod member;
+pub mod numbers;
