routing: rollouts leave free what live requests used at their recent peak

Change: while rollouts borrow they leave free the difference between the largest live demand of the last one to two minutes (own live requests and all of others) and the demand now, at least a small share of the guarantee, at most what is unused of it. New setting burst_memory, 1 min; the least share falls from 250 to 125.

Conclusion: a burst that comes again finds its slots; without live requests rollouts have all but the least share. The first burst after a quiet time still meets what it met before.

--- a/crates/wingshore-routing/examples/routing_study/main.rs
+++ b/crates/wingshore-routing/examples/routing_study/main.rs
@@ -1,6 +1,6 @@
 //! Simulated studies that the design note on routing rests on.
 //!
-//! `cargo run --release -p wingshore-routing --example routing_study`
+//! `cargo run --release -p wingshore-routing --example routing_study -- queueing reserve`
 
 mod queueing;
 mod random;
@@ -8,6 +8,10 @@
 mod site;
 
 fn main() {
-    queueing::run();
-    reserve::run();
+    if std::env::args().any(|argument| argument == "queueing") {
+        queueing::run();
+    }
+    if std::env::args().any(|argument| argument == "reserve") {
+        reserve::run();
+    }
 }
--- a/crates/wingshore-routing/src/admission.rs
+++ b/crates/wingshore-routing/src/admission.rs
@@ -4,7 +4,8 @@
 //! use. A class that is refused although it is below its guarantee *asks*: for the reclaim window
 //! the other class may not borrow, so that slots come back as its requests end; what it uses
 //! beyond its guarantee is named by [`SlotShares::wanted_back`], so that it may be cancelled
-//! sooner. Rollouts run long, so while they borrow they leave a part of the live guarantee free.
+//! sooner. Rollouts run long, so while they borrow they leave a part of the live guarantee free: as
+//! much as live requests used at their recent peak, and a least share.
 
 use crate::class::Class;
 use crate::load::Load;
@@ -12,6 +13,15 @@
 use wingshore_types::Instant;
 use wingshore_types::configuration::{Permille, Service};
 
+/// On what terms a class may take slots beyond its guarantee now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Borrowing {
+    /// False while the other class asks for its guarantee.
+    pub(crate) is_allowed: bool,
+    /// Slots per server that live requests took more at their recent peak than now.
+    pub(crate) burst: u32,
+}
+
 /// The slots of each server of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SlotShares {
@@ -42,8 +52,7 @@
         }
     }
 
-    /// Whether a server has a slot for one more request of `class`. `may_borrow` is false while
-    /// the other class asks for its guarantee.
+    /// Whether a server has a slot for one more request of `class`.
     ///
     /// Own requests never exceed the slots. Others' requests are only estimated and their class
     /// is unknown: they keep a class from borrowing, and from its guarantee only once the server
@@ -53,7 +62,7 @@
         load: &Load,
         foreign: u32,
         class: Class,
-        may_borrow: bool,
+        borrowing: Borrowing,
     ) -> bool {
         let own = load.own();
         if own >= self.slots {
@@ -67,7 +76,7 @@
         if load.own_of(class) < guarantee {
             return all < self.slots + guarantee;
         }
-        may_borrow && all + self.kept_free(load, class) < self.slots
+        borrowing.is_allowed && all + self.kept_free(load, class, borrowing) < self.slots
     }
 
     /// Slots that `class` uses beyond its guarantee.
@@ -90,12 +99,12 @@
     }
 
     /// Slots that a borrower leaves free for the owner's next burst.
-    fn kept_free(&self, load: &Load, class: Class) -> u32 {
+    fn kept_free(&self, load: &Load, class: Class, borrowing: Borrowing) -> u32 {
         match class {
             Class::Live => 0,
             Class::Rollout => {
                 let unused = self.live.saturating_sub(load.own_of(Class::Live));
-                self.reserve.min(unused)
+                self.reserve.max(borrowing.burst).min(unused)
             }
         }
     }
--- a/crates/wingshore-routing/src/balance.rs
+++ b/crates/wingshore-routing/src/balance.rs
@@ -6,6 +6,7 @@
 //! prefix. Only when none of those drawn can take the request are the service's open servers gone
 //! through, from a random one on.
 
+use crate::admission::Borrowing;
 use crate::affinity::Hint;
 use crate::class::Class;
 use crate::fleet::{Server, ServerIndex, ServiceState};
@@ -40,8 +41,7 @@
     pub(crate) servers: &'a [Server],
     pub(crate) service: &'a ServiceState,
     pub(crate) request: &'a RouteRequest,
-    /// Whether the class may borrow now.
-    pub(crate) may_borrow: bool,
+    pub(crate) borrowing: Borrowing,
     /// Whether versions are checked; false only under a deliberate fault.
     pub(crate) check_version: bool,
     /// Whether leaving servers are taken too; true only under a deliberate fault.
@@ -177,7 +177,7 @@
     fn has_room(&self, server: &Server) -> bool {
         let shares = &self.service.shares;
         let foreign = rounded(self.foreign(server));
-        shares.has_room(&server.load, foreign, self.request.class, self.may_borrow)
+        shares.has_room(&server.load, foreign, self.request.class, self.borrowing)
     }
 
     fn is_excluded(&self, server: &Server) -> bool {
--- a/crates/wingshore-routing/src/fleet.rs
+++ b/crates/wingshore-routing/src/fleet.rs
@@ -1,7 +1,9 @@
 //! Servers and services in dense arrays, so that a decision indexes and never searches.
 
 use crate::admission::{Asks, ServiceTime, SlotShares};
-use crate::class::ByClass;
+use crate::balance::rounded;
+use crate::class::{ByClass, Class};
+use crate::demand::Peak;
 use crate::load::Load;
 use crate::membership::{Membership, Standing};
 use crate::outlier::Outlier;
@@ -130,6 +132,8 @@
     pub(crate) exhausted_at: Instant,
     pub(crate) in_flight: ByClass<u32>,
     pub(crate) asks: ByClass<Asks>,
+    /// Live requests in flight, and those of others.
+    pub(crate) live_peak: Peak,
     pub(crate) service_time: ByClass<ServiceTime>,
     pub(crate) persistence: Persistence,
     pub(crate) budget: RetryBudget,
@@ -140,6 +144,14 @@
     pub(crate) full: ByClass<FullMark>,
 }
 
+impl ServiceState {
+    /// Live requests in flight, and all of others, whose class is unknown.
+    pub(crate) fn live_demand(&self, now: Instant) -> u32 {
+        let others = self.persistence.mean(now) * self.open.len() as u64;
+        *self.in_flight.get(Class::Live) + rounded(others)
+    }
+}
+
 /// Servers and services by position and by name.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
--- a/crates/wingshore-routing/src/lib.rs
+++ b/crates/wingshore-routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod affinity;
 mod balance;
 mod class;
+mod demand;
 mod faults;
 mod fleet;
 mod hash;
--- a/crates/wingshore-routing/src/persistence.rs
+++ b/crates/wingshore-routing/src/persistence.rs
@@ -70,14 +70,19 @@
         self.expires_at = self.expires_at.max(reading.read_at + lifetime);
     }
 
+    /// Mean of others' requests per server, in thousandths.
+    pub(crate) fn mean(&self, now: Instant) -> u64 {
+        match self.mean {
+            Some(mean) if now < self.expires_at => mean as u64,
+            _ => 0,
+        }
+    }
+
     /// The best guess of others' requests on a server now, in thousandths: the mean, and what is
     /// probably left of the difference that was read. Nothing, when no report counts any more.
     pub(crate) fn estimate(&self, now: Instant, reading: Option<Reading>) -> u64 {
-        let mean = match self.mean {
-            Some(mean) if now < self.expires_at => mean as u64,
-            _ => return 0,
-        };
-        let Some(reading) = reading else {
+        let mean = self.mean(now);
+        let Some(reading) = reading.filter(|_| now < self.expires_at) else {
             return mean;
         };
         let read = u64::from(reading.foreign) * THOUSAND;
--- a/crates/wingshore-routing/src/router/configure.rs
+++ b/crates/wingshore-routing/src/router/configure.rs
@@ -3,6 +3,7 @@
 use super::Router;
 use crate::admission::SlotShares;
 use crate::class::ByClass;
+use crate::demand::Peak;
 use crate::fleet::{ByZone, Server, ServerIndex, ServiceIndex, ServiceState};
 use crate::load::Load;
 use crate::membership::Membership;
@@ -95,6 +96,7 @@
             exhausted_at: Instant::ZERO,
             in_flight: ByClass::default(),
             asks: ByClass::default(),
+            live_peak: Peak::default(),
             service_time: ByClass::default(),
             persistence: Persistence::new(self.settings.probe_interval),
             budget: RetryBudget::new(limits),
--- a/crates/wingshore-routing/src/router/decide.rs
+++ b/crates/wingshore-routing/src/router/decide.rs
@@ -1,9 +1,11 @@
 //! Admission, and whether an attempt may be repeated.
 
 use super::Router;
+use crate::admission::Borrowing;
 use crate::affinity::{Hint, MOST_HOLDERS};
 use crate::balance::{Choice, Nothing};
-use crate::fleet::{FullMark, ServerIndex, ServiceIndex};
+use crate::class::Class;
+use crate::fleet::{FullMark, ServerIndex, ServiceIndex, ServiceState};
 use crate::request::{Admitted, Refusal, RefusalCode, RouteRequest};
 use crate::retry::verdict_allows;
 use crate::tickets::Attempt;
@@ -69,20 +71,35 @@
     ) -> Result<ServerIndex, Nothing> {
         let (hints, count) = self.hints(now, service, request);
         let state = self.fleet.service(service);
-        let other = request.class.other();
         let choice = Choice {
             now,
             settings: &self.settings,
             servers: &self.fleet.servers,
             service: state,
             request,
-            may_borrow: !state.asks.get(other).is_active(now),
+            borrowing: self.borrowing(now, state, request.class),
             check_version: !self.faults.ignore_unknown_version,
             ignore_leaving: self.faults.ignore_draining,
         };
         choice.choose(&mut self.random, &hints[..count])
     }
 
+    /// The terms on which a class may borrow now.
+    fn borrowing(&self, now: Instant, state: &ServiceState, class: Class) -> Borrowing {
+        let burst = match class {
+            Class::Live => 0,
+            Class::Rollout => {
+                let peak = state.live_peak.value(now, self.settings.burst_memory);
+                let missing = peak.saturating_sub(state.live_demand(now));
+                missing.div_ceil(state.open.len().max(1) as u32)
+            }
+        };
+        Borrowing {
+            is_allowed: !state.asks.get(class.other()).is_active(now),
+            burst,
+        }
+    }
+
     fn hints(
         &self,
         now: Instant,
@@ -106,8 +123,13 @@
         request: &RouteRequest,
     ) -> Admitted {
         let class = request.class;
+        let window = self.settings.burst_memory;
         let state = self.fleet.service_mut(service);
         *state.in_flight.get_mut(class) += 1;
+        if class == Class::Live {
+            let demand = state.live_demand(now);
+            state.live_peak.observe(now, demand, window);
+        }
         state.budget.on_attempt();
         state.asks.get_mut(class).on_admitted();
         let ticket = self.tickets.issue(Attempt {
--- a/crates/wingshore-routing/src/router/observe.rs
+++ b/crates/wingshore-routing/src/router/observe.rs
@@ -38,6 +38,7 @@
             return;
         };
         let lifetime = self.settings.load_lifetime;
+        let window = self.settings.burst_memory;
         let server = self.fleet.server_mut(index);
         let service = server.service;
         if let Some((reading, before)) = server.load.on_report(now, report) {
@@ -46,6 +47,8 @@
             let persistence = &mut state.persistence;
             persistence.on_reading(reading, before, servers, lifetime);
             state.epoch += 1;
+            let demand = state.live_demand(now);
+            state.live_peak.observe(now, demand, window);
         }
         self.on_probe(now, index, true);
     }
--- a/crates/wingshore-routing/src/settings.rs
+++ b/crates/wingshore-routing/src/settings.rs
@@ -60,8 +60,13 @@
     pub eject_time_most: Duration,
     /// Largest share of a service's servers that may be ejected at one time. Default 500, 0 to 900.
     pub most_ejected: Permille,
-    /// Share of the live guarantee that rollouts leave free for bursts. Default 250, 0 to 1000.
+    /// Least share of the live guarantee that rollouts leave free for bursts. Default 125, 0 to
+    /// 1000.
     pub live_reserve: Permille,
+    /// How long rollouts leave free what live requests used at their peak; at most twice as long.
+    /// Default 1 min, 0 s to 1 h; 0 s leaves only the least share free.
+    #[serde(deserialize_with = "duration")]
+    pub burst_memory: Duration,
     /// How long a class that was refused its guarantee keeps the other from borrowing.
     /// Default 2 s, 10 ms to 1 min.
     #[serde(deserialize_with = "duration")]
@@ -105,7 +110,8 @@
             eject_time: Duration::from_secs(5),
             eject_time_most: Duration::from_secs(120),
             most_ejected: Permille(500),
-            live_reserve: Permille(250),
+            live_reserve: Permille(125),
+            burst_memory: Duration::from_secs(60),
             reclaim_window: Duration::from_secs(2),
             retry_share: Permille(200),
             retry_least_per_second: 5,
@@ -215,6 +221,7 @@
                 self.eject_time_most,
                 100 * MILLISECOND..=HOUR,
             ),
+            ("burst_memory", self.burst_memory, Duration::ZERO..=HOUR),
             (
                 "reclaim_window",
                 self.reclaim_window,
