--- a/crates/wingshore-control/src/leader/engine.rs
+++ b/crates/wingshore-control/src/leader/engine.rs
@@ -29,6 +29,8 @@
     last_order: Option<(OrderFence, Instant)>,
     ordered_version: Option<WeightVersion>,
     failures: u32,
+    /// Those of them to the version that it was ordered to take last.
+    failures_of_version: u32,
     quarantined_until: Instant,
     /// A load that an earlier leader has ordered, with since when it has been seen.
     foreign_load: Option<(WeightVersion, Instant)>,
@@ -48,6 +50,7 @@
             last_order: None,
             ordered_version: None,
             failures: 0,
+            failures_of_version: 0,
             quarantined_until: Instant::ZERO,
             foreign_load: None,
             deposed: false,
@@ -97,6 +100,14 @@
         self.order.is_some() || self.foreign_load.is_some()
     }
 
+    /// Failed swaps in a row to `version`.
+    pub(crate) fn failures_at(&self, version: WeightVersion) -> u32 {
+        if self.ordered_version == Some(version) {
+            return self.failures_of_version;
+        }
+        0
+    }
+
     /// Whether an order to it has no result yet.
     pub(crate) fn has_order(&self) -> bool {
         self.order.is_some()
@@ -120,13 +131,22 @@
         }
     }
 
-    /// Whether it may be ordered to swap now.
-    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+    /// Whether it may be ordered to take `wanted` now. Quarantine is for one version: a new one
+    /// may well succeed.
+    pub(crate) fn is_ready(&self, now: Instant, wanted: WeightVersion) -> bool {
+        let is_quarantined = now < self.quarantined_until && self.ordered_version == Some(wanted);
         self.report.is_some()
             && self.silent_since.is_none()
             && self.order.is_none()
             && !self.deposed
-            && now >= self.quarantined_until
+            && !is_quarantined
+    }
+
+    /// Whether it takes no new work by its own word.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.report
+            .as_ref()
+            .is_some_and(|report| report.state.draining)
     }
 
     /// Whether it has not answered for `long`.
@@ -143,6 +163,9 @@
     /// Gives it an order; an earlier one is never sent again.
     pub(crate) fn give_order(&mut self, now: Instant, order: SwapOrder) {
         self.last_order = Some((order.fence(), now));
+        if self.ordered_version != Some(order.version()) {
+            self.failures_of_version = 0;
+        }
         self.ordered_version = Some(order.version());
         self.foreign_load = None;
         self.order = Some(order);
@@ -234,6 +257,7 @@
 
     fn end_success(&mut self, now: Instant) -> Option<Duration> {
         self.failures = 0;
+        self.failures_of_version = 0;
         let order = self.order.take()?;
         Some(now.since(order.first_sent()))
     }
@@ -243,6 +267,7 @@
         self.order = None;
         let doublings = self.failures.min(MOST_DOUBLINGS);
         self.failures = self.failures.saturating_add(1);
+        self.failures_of_version = self.failures_of_version.saturating_add(1);
         let wait = settings.swap_backoff * (1 << doublings);
         self.quarantined_until = now + wait.min(settings.longest_swap_backoff);
     }
--- a/crates/wingshore-control/src/leader/executor.rs
+++ b/crates/wingshore-control/src/leader/executor.rs
@@ -3,6 +3,7 @@
 
 use super::engines::Engines;
 use super::idle::IdleWatch;
+use super::swap_steps;
 use crate::command::StepResult;
 use crate::effect::ControlEffect;
 use crate::settings::LeaderSettings;
@@ -10,8 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wingshore_types::Instant;
-use wingshore_types::configuration::{Admission, Server, ServiceKind};
-use wingshore_types::ids::{PlanId, Revision, ServerId, WeightVersion};
+use wingshore_types::configuration::{Server, ServiceKind};
+use wingshore_types::ids::{PlanId, Revision, ServerId};
 use wingshore_types::protocol::control::{Plan, PlanState, PlanStep};
 
 /// Progress of a plan, to be committed.
@@ -150,7 +151,7 @@
                 (everywhere >= wanted).then_some(StepResult::InForce(everywhere))
             }
             PlanStep::AwaitIdle(server) => self.look_idle(server, around),
-            PlanStep::Swap { .. } => look_swaps(plan, next_step, around),
+            PlanStep::Swap { .. } => swap_steps::look(plan, next_step, around),
         }
     }
 
@@ -203,51 +204,3 @@
         .get(&server.service)
         .is_some_and(|service| matches!(service.kind, ServiceKind::Engines { .. }))
 }
-
-/// Swaps that follow each other go on side by side, as the swap policy allows; the plan moves past
-/// those at its head that are done.
-fn look_swaps(plan: &Plan, next_step: u32, around: &Surroundings<'_>) -> Option<StepResult> {
-    let mut done = 0;
-    for step in plan.steps.iter().skip(next_step as usize) {
-        let PlanStep::Swap { server, version } = step else {
-            break;
-        };
-        match look_swap(server, *version, around) {
-            SwapOutcome::Done => done += 1,
-            SwapOutcome::Open => break,
-            SwapOutcome::Failed(reason) if done == 0 => return Some(StepResult::Failed { reason }),
-            SwapOutcome::Failed(_) => break,
-        }
-    }
-    (done > 0).then_some(StepResult::Done { steps: done })
-}
-
-enum SwapOutcome {
-    Done,
-    Open,
-    Failed(String),
-}
-
-/// A swap is done once the engine reports the version. Engines that are gone, take no work or do
-/// not answer are passed over: they are brought to the version when they come back.
-fn look_swap(id: &ServerId, version: WeightVersion, around: &Surroundings<'_>) -> SwapOutcome {
-    let server = around.state.configuration().servers.get(id);
-    let in_use = server.is_some_and(|server| server.admission == Admission::Open);
-    let Some(engine) = around.engines.get(id).filter(|_| in_use) else {
-        return SwapOutcome::Done;
-    };
-    let settings = around.settings;
-    if engine.version() == Some(version) && !engine.is_swapping() {
-        return SwapOutcome::Done;
-    }
-    if engine.is_unreachable(around.now, settings.unreachable_after) {
-        return SwapOutcome::Done;
-    }
-    if engine.failures() >= settings.swap_failures_that_stop_a_plan {
-        return SwapOutcome::Failed(format!(
-            "engine `{id}` has failed {} swaps to version {version} in a row; engines not moved yet stay where they are",
-            engine.failures()
-        ));
-    }
-    SwapOutcome::Open
-}
--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod polling;
 mod service_index;
 mod swap_scheduler;
+mod swap_steps;
 mod swap_times;
 mod watches;
 
@@ -24,20 +25,23 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use swap_times::SwapTimes;
-use watches::Watches;
+use watches::{OpenWatch, Watches};
 use wingshore_types::ids::{Epoch, PlanId, ReplicaId, Revision, ServerId};
 use wingshore_types::machine::{
     LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
 };
 use wingshore_types::platform::EngineState;
 use wingshore_types::protocol::control::{
-    ControlRefusal, ControlReply, ControlRequest, InForce, PlanState, PlanStep, Status,
+    ControlRefusal, ControlReply, ControlRequest, InForce, Plan, PlanState, PlanStep, Status,
     WatchRequest,
 };
 use wingshore_types::{Instant, Verdict};
 
 type Outputs = LeaderOutputs<ControlLeader>;
 
+/// Closed plans in one listing; others are shown by their numbers.
+const CLOSED_PLANS_LISTED: usize = 500;
+
 /// Who waits for a proposal.
 #[derive(Clone, Copy, Debug)]
 enum Waiter {
@@ -100,8 +104,13 @@
         self.leases
             .acknowledge(now, counted, request.acknowledgements);
         let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
-        self.watches.add(tag, request.have, now + wait, lease_ms);
-        self.answer_watches(now, state, out);
+        let watch = OpenWatch {
+            have: request.have,
+            deadline: now + wait,
+            lease_ms,
+        };
+        let answer = self.watches.add(now, tag, watch, state);
+        out.extend(answer.map(|reply| LeaderOutput::Reply { tag, reply }));
     }
 
     fn answer_watches(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
@@ -223,6 +232,23 @@
     }
 }
 
+/// Open plans and the newest closed ones, in order of their numbers.
+fn listed_plans(state: &ControlState) -> Vec<Plan> {
+    let is_open =
+        |plan: &Plan| matches!(plan.state, PlanState::Proposed | PlanState::Running { .. });
+    let closed = state.plans().filter(|plan| !is_open(plan)).count();
+    let mut skipped = closed.saturating_sub(CLOSED_PLANS_LISTED);
+    let mut listed = Vec::new();
+    for plan in state.plans() {
+        if !is_open(plan) && skipped > 0 {
+            skipped -= 1;
+            continue;
+        }
+        listed.push(plan.clone());
+    }
+    listed
+}
+
 impl LeaderMachine for ControlLeader {
     type State = ControlState;
     type Request = ControlRequest;
@@ -301,7 +327,7 @@
                 Some(plan) => ControlReply::Plan(Box::new(plan.clone())),
                 None => ControlReply::Refused(ControlRefusal::UnknownPlan(id)),
             },
-            ControlRequest::ListPlans => ControlReply::Plans(state.plans().cloned().collect()),
+            ControlRequest::ListPlans => ControlReply::Plans(listed_plans(state)),
             ControlRequest::Status => ControlReply::Status(Box::new(self.status(now, state))),
             ControlRequest::ReadConfiguration => {
                 ControlReply::Configuration(Box::new(state.configuration().clone()))
--- a/crates/wingshore-control/src/leader/swap_scheduler.rs
+++ b/crates/wingshore-control/src/leader/swap_scheduler.rs
@@ -63,6 +63,7 @@
         members
             .filter_map(|id| Some((servers.get(id)?, self.engines.get(id)?)))
             .filter(|(server, _)| server.admission == Admission::Open)
+            .filter(|(_, engine)| !engine.is_draining())
             .filter(|(_, engine)| !engine.is_unreachable(view.now, view.settings.unreachable_after))
             .map(|(server, engine)| candidate(server, engine, wanted, view))
             .collect()
@@ -91,9 +92,9 @@
         view: SchedulerView<'_>,
     ) -> Vec<SwapStart> {
         let is_due = |id: &&ServerId| {
-            self.engines
-                .get(*id)
-                .is_some_and(|engine| engine.service() == service && engine.is_ready(view.now))
+            self.engines.get(*id).is_some_and(|engine| {
+                engine.service() == service && engine.is_ready(view.now, wanted.version)
+            })
         };
         let due: Vec<ServerId> = self.repeated.iter().filter(is_due).cloned().collect();
         for id in &due {
@@ -133,7 +134,7 @@
 ) -> SwapCandidate<'a> {
     let version = engine.version();
     let is_superseded = engine.may_supersede_order(wanted.version);
-    let is_ready = engine.is_ready(view.now) || is_superseded;
+    let is_ready = engine.is_ready(view.now, wanted.version) || is_superseded;
     let is_idle = version == Some(wanted.version) || is_held(&server.id, engine, view);
     SwapCandidate {
         server: &server.id,
--- a/crates/wingshore-control/src/leader/watches.rs
+++ b/crates/wingshore-control/src/leader/watches.rs
@@ -7,12 +7,21 @@
 use wingshore_types::machine::RequestTag;
 use wingshore_types::protocol::control::ControlReply;
 
-/// A watch that waits for news.
+/// A watch.
 #[derive(Clone, Copy, Debug)]
-struct OpenWatch {
-    have: Revision,
-    deadline: Instant,
-    lease_ms: u64,
+pub(crate) struct OpenWatch {
+    /// The revision that the watcher holds.
+    pub(crate) have: Revision,
+    /// It is answered by then in any case.
+    pub(crate) deadline: Instant,
+    /// The lease that comes with the answer.
+    pub(crate) lease_ms: u64,
+}
+
+impl OpenWatch {
+    fn is_due(&self, now: Instant, newest: Revision) -> bool {
+        self.have < newest || self.deadline <= now
+    }
 }
 
 /// An answer to a watch.
@@ -25,27 +34,28 @@
 }
 
 impl Watches {
-    /// Takes a watch in; with news at hand [`Watches::answer_due`] answers it at once.
+    /// Answers a watch at once when there is news, or else keeps it.
     pub(crate) fn add(
         &mut self,
+        now: Instant,
         tag: RequestTag,
-        have: Revision,
-        deadline: Instant,
-        lease_ms: u64,
-    ) {
-        let watch = OpenWatch {
-            have,
-            deadline,
-            lease_ms,
-        };
+        watch: OpenWatch,
+        state: &ControlState,
+    ) -> Option<ControlReply> {
+        if watch.is_due(now, state.configuration().revision) {
+            return Some(answer(&watch, state));
+        }
         self.open.insert(tag, watch);
+        None
     }
 
     /// Answers for which there is news, or whose time is over.
     pub(crate) fn answer_due(&mut self, now: Instant, state: &ControlState) -> Vec<WatchAnswer> {
         let newest = state.configuration().revision;
-        let is_due = |watch: &OpenWatch| watch.have < newest || watch.deadline <= now;
-        let due = self.open.iter().filter(|(_, watch)| is_due(watch));
+        let due = self
+            .open
+            .iter()
+            .filter(|(_, watch)| watch.is_due(now, newest));
         let answers: Vec<WatchAnswer> = due
             .map(|(tag, watch)| (*tag, answer(watch, state)))
             .collect();
--- a/crates/wingshore-control/src/settings.rs
+++ b/crates/wingshore-control/src/settings.rs
@@ -22,7 +22,8 @@
     pub swap_backoff: Duration,
     /// Longest wait between two swaps of a failing engine.
     pub longest_swap_backoff: Duration,
-    /// Failed swaps in a row of one engine that stop a plan.
+    /// Failed swaps in a row after which a plan waits for an engine no longer: it passes it over
+    /// or, when many engines fail, stops.
     pub swap_failures_that_stop_a_plan: u32,
     /// Time without any answer after which an engine counts as unreachable.
     pub unreachable_after: Duration,
--- a/crates/wingshore-control/src/state/apply.rs
+++ b/crates/wingshore-control/src/state/apply.rs
@@ -72,14 +72,14 @@
         intent: Intent,
     ) -> Result<ControlReply, ControlRefusal> {
         self.check_base(base_revision)?;
-        if !self.plans.has_room() {
+        let draft = self.draft(&intent)?;
+        if !self.plans.make_room() {
             return Err(ControlRefusal::Invalid {
                 message: format!(
-                    "{OPEN_PLANS_LIMIT} plans are open, which is the limit; cancel some first"
+                    "{OPEN_PLANS_LIMIT} plans are running, which is the limit; wait for some to end"
                 ),
             });
         }
-        let draft = self.draft(&intent)?;
         let plan = Plan {
             id: self.plans.next_id(),
             intent_id,
--- a/crates/wingshore-control/src/state/plan_book.rs
+++ b/crates/wingshore-control/src/state/plan_book.rs
@@ -7,10 +7,10 @@
 use wingshore_types::protocol::control::{Plan, PlanState, PlanStep};
 
 /// Closed plans kept.
-pub const CLOSED_PLANS_KEPT: usize = 500;
+pub const CLOSED_PLANS_KEPT: usize = 4_000;
 /// Steps of closed plans kept, over all of them; the newest closed plan stays in any case.
 pub const CLOSED_STEPS_KEPT: usize = 50_000;
-/// Most plans open at once; further proposals are refused.
+/// Most plans open at once; beyond that the oldest proposed one becomes stale.
 pub const OPEN_PLANS_LIMIT: usize = 2_000;
 
 /// A plan with what its execution needs to know.
@@ -55,9 +55,22 @@
         PlanId(self.last_id + 1)
     }
 
-    /// Whether another plan may be proposed.
-    pub(crate) fn has_room(&self) -> bool {
-        self.open.len() < OPEN_PLANS_LIMIT
+    /// Makes room for another open plan: the oldest proposed one becomes stale where there are too
+    /// many. False when all of them are running.
+    pub(crate) fn make_room(&mut self) -> bool {
+        if self.open.len() < OPEN_PLANS_LIMIT {
+            return true;
+        }
+        let oldest = self
+            .open()
+            .find(|record| record.plan.state == PlanState::Proposed)
+            .map(|record| record.plan.id);
+        let Some(oldest) = oldest else {
+            return false;
+        };
+        let reason = format!("{OPEN_PLANS_LIMIT} newer plans are open; propose it again");
+        self.set_state(oldest, PlanState::Stale { reason });
+        true
     }
 
     /// Adds a proposed plan whose number is [`PlanBook::next_id`].
--- a/crates/wingshore-control/src/state/planner.rs
+++ b/crates/wingshore-control/src/state/planner.rs
@@ -55,7 +55,7 @@
         }
         let changes: Vec<_> = changes
             .iter()
-            .map(|change| self.keep_target(change))
+            .map(|change| self.keep_operated(change))
             .collect();
         for change in &changes {
             self.check_target(change)?;
@@ -70,17 +70,24 @@
         })
     }
 
-    /// Putting a pool anew never moves its target version: publications and `move_pool` do.
-    fn keep_target(&self, change: &ConfigurationChange) -> ConfigurationChange {
-        let ConfigurationChange::PutPool(pool) = change else {
-            return change.clone();
-        };
-        let present = self.configuration.pools.get(&pool.id);
-        let target_version = present.map_or(pool.target_version, |pool| pool.target_version);
-        ConfigurationChange::PutPool(Pool {
-            target_version,
-            ..pool.clone()
-        })
+    /// Putting a pool or a server anew leaves its target version or its admission: publications,
+    /// moves, drains and restores see to these.
+    fn keep_operated(&self, change: &ConfigurationChange) -> ConfigurationChange {
+        let mut change = change.clone();
+        match &mut change {
+            ConfigurationChange::PutPool(pool) => {
+                if let Some(present) = self.configuration.pools.get(&pool.id) {
+                    pool.target_version = present.target_version;
+                }
+            }
+            ConfigurationChange::PutServer(server) => {
+                if let Some(present) = self.configuration.servers.get(&server.id) {
+                    server.admission = present.admission;
+                }
+            }
+            _ => {}
+        }
+        change
     }
 
     fn move_pool(&self, id: &PoolId, version: WeightVersion) -> Result<PlanDraft, String> {
--- a/crates/wingshore-control/tests/planner.rs
+++ b/crates/wingshore-control/tests/planner.rs
@@ -229,6 +229,19 @@
     expect_that!(pool.target_version, eq(WeightVersion(9)));
 }
 
+#[gtest]
+fn putting_a_server_anew_leaves_its_admission() {
+    let mut group = Group::new(&Site::default());
+    let engine = engine_name(0);
+    group.apply_change(set_admission(&engine, Admission::Draining));
+    group.apply_change(ConfigurationChange::PutServer(server(
+        &engine, "fare-lm", 700,
+    )));
+    let server = &group.configuration().servers[&engine.as_str().into()];
+    expect_that!(server.admission, eq(Admission::Draining));
+    expect_that!(server.address, eq(support::site::address(700)));
+}
+
 #[gtest]
 fn a_move_below_another_pool_of_the_service_swaps_no_engine() {
     let mut group = Group::new(&Site::planned(4));
--- a/crates/wingshore-types/src/protocol/control.rs
+++ b/crates/wingshore-types/src/protocol/control.rs
@@ -220,7 +220,7 @@
     },
     /// One plan.
     ShowPlan(PlanId),
-    /// All plans that are kept.
+    /// Open plans and the newest closed ones.
     ListPlans,
     /// The site at a glance.
     Status,
