ledger: batches, grants and scoring answers fit a frame; faults chosen by type. rollout: oldest useful version from the configuration

Cause: 16,384 samples of 1,200 tokens make a batch of 56.8 MB (measured), frames end at 64 MiB: a larger batch would have been recorded and never delivered. A host makes its machines by Default, so a simulator had no way to switch a ledger fault on. One wrong stamp of an engine could have raised the runner's floor for good. Change: a hand-over above 60 MiB is refused before it is recorded, with the size and what helps; grants and scoring answers end at 2 Mi tokens; Faulty<Machine, Selection>; claims have a fault too; the floor comes from leases and the published target version.

--- a/crates/wingshore-ledger/src/claims/mod.rs
+++ b/crates/wingshore-ledger/src/claims/mod.rs
@@ -6,9 +6,11 @@
 
 mod command;
 mod entry;
+mod faults;
 mod leader;
 mod state;
 
 pub use command::ClaimsCommand;
+pub use faults::Faults;
 pub use leader::ClaimsLeader;
 pub use state::{ClaimsLimits, ClaimsState, RESEND_WINDOW, RETENTION};
--- a/crates/wingshore-ledger/src/claims/state.rs
+++ b/crates/wingshore-ledger/src/claims/state.rs
@@ -2,6 +2,7 @@
 
 use super::command::ClaimsCommand;
 use super::entry::{Entry, Status};
+use super::faults::Faults;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -58,6 +59,8 @@
     by_expiry: BTreeSet<(u64, ClaimKey)>,
     #[serde(skip)]
     bytes: u64,
+    #[serde(skip)]
+    faults: Faults,
 }
 
 impl ClaimsState {
@@ -69,6 +72,11 @@
         }
     }
 
+    /// Switches deliberate faults on or off; for tests only.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
     /// Keys kept now.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -121,6 +129,7 @@
             .saturating_sub(milliseconds(RETENTION - RESEND_WINDOW));
         let reply = match &entry.status {
             Status::InFlight if is_own && self.clock_ms < granted_until => ClaimsReply::Granted,
+            Status::InFlight | Status::Unknown if self.faults.grant_taken => return None,
             Status::InFlight | Status::Unknown | Status::Freed => taken(),
             Status::Answered(answer) => ClaimsReply::Answered(answer.clone()),
         };
--- a/crates/wingshore-ledger/src/samples/faults.rs
+++ b/crates/wingshore-ledger/src/samples/faults.rs
@@ -1,5 +1,8 @@
 //! Deliberate faults, by which tests show that a broken promise is noticed.
 
+use super::leader::LedgerLeader;
+use super::state::LedgerState;
+use crate::faulty::TakesFaults;
 use serde::{Deserialize, Serialize};
 
 /// Faults to switch on; all are off by default, and only tests switch any on.
@@ -14,3 +17,29 @@
     /// A repeated pull of a step is given other samples.
     pub forget_handover: bool,
 }
+
+impl Faults {
+    /// No fault.
+    pub const NONE: Self = Self {
+        hand_over_without_age_check: false,
+        answer_before_commit: false,
+        accept_second_finish: false,
+        forget_handover: false,
+    };
+}
+
+impl TakesFaults for LedgerState {
+    type Faults = Faults;
+
+    fn set_faults(&mut self, faults: Faults) {
+        self.set_faults(faults);
+    }
+}
+
+impl TakesFaults for LedgerLeader {
+    type Faults = Faults;
+
+    fn set_faults(&mut self, faults: Faults) {
+        self.set_faults(faults);
+    }
+}
--- a/crates/wingshore-ledger/src/samples/leader.rs
+++ b/crates/wingshore-ledger/src/samples/leader.rs
@@ -15,7 +15,7 @@
     LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
 };
 use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply, LedgerRequest, PullRequest};
-use wingshore_types::{Epoch, Instant, LeaseId, PoolId, WeightVersion};
+use wingshore_types::{Epoch, Instant, LeaseId, PoolId, StepId, WeightVersion};
 
 /// Longest time a pull waits, whatever it asks for.
 const MAX_PULL_WAIT: Duration = Duration::from_secs(60);
@@ -31,7 +31,7 @@
     /// A lease request: the deadlines of what is granted begin when it is applied.
     LeaseClient(RequestTag, PoolId),
     Expiry(PoolId, Vec<LeaseId>),
-    HandOver(PoolId),
+    HandOver(PoolId, StepId),
     Version,
 }
 
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Switches deliberate faults on or off; for tests only.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
     fn handle(
         &mut self,
         now: Instant,
@@ -160,7 +165,7 @@
             ),
             // Tried again at a later tick.
             Waiting::Expiry(pool, leases) => self.lease_clock.ended(&pool, &leases),
-            Waiting::HandOver(pool) => {
+            Waiting::HandOver(pool, _) => {
                 self.handing_over.remove(&pool);
             }
             Waiting::Version => self.observing.clear(),
@@ -292,7 +297,8 @@
             pool: waiting.pool.clone(),
             pull: waiting.pull.clone(),
         };
-        self.enqueue(operation, Waiting::HandOver(waiting.pool.clone()), out);
+        let waits = Waiting::HandOver(waiting.pool.clone(), waiting.pull.step);
+        self.enqueue(operation, waits, out);
     }
 
     /// The deliberate fault [`Faults::forget_handover`]: other samples for the same step.
@@ -320,13 +326,32 @@
                 reply(tag, answer, out);
             }
             Waiting::Expiry(pool, leases) => self.lease_clock.ended(&pool, &leases),
-            Waiting::HandOver(pool) => {
+            Waiting::HandOver(pool, step) => {
                 self.handing_over.remove(&pool);
+                self.refuse_pulls(&pool, step, answer, out);
             }
             Waiting::Version => {}
         }
     }
 
+    /// Answers the pulls of a step whose hand-over was refused, unless waiting may help.
+    fn refuse_pulls(
+        &mut self,
+        pool: &PoolId,
+        step: StepId,
+        answer: LedgerReply,
+        out: &mut Outputs,
+    ) {
+        if !matches!(answer, LedgerReply::Refused(LedgerRefusal::Invalid { .. })) {
+            return;
+        }
+        let of_step =
+            |waiting: &mut WaitingPull| waiting.pool == *pool && waiting.pull.step == step;
+        for waiting in self.pulls.extract_if(.., of_step) {
+            reply(waiting.tag, answer.clone(), out);
+        }
+    }
+
     fn start_leases(&mut self, now: Instant, pool: &PoolId, answer: &LedgerReply) {
         let LedgerReply::Leases(granted) = answer else {
             return;
--- a/crates/wingshore-ledger/src/samples/pool.rs
+++ b/crates/wingshore-ledger/src/samples/pool.rs
@@ -17,6 +17,8 @@
 pub(crate) const FULL_RETRY_AFTER_MS: u64 = 500;
 /// Most leases granted by one request.
 pub(crate) const MAX_LEASES_PER_REQUEST: u32 = 256;
+/// One answer takes no further sample beyond this many tokens, so that it fits a frame.
+pub(crate) const MAX_TOKENS_PER_ANSWER: usize = 2 << 20;
 
 /// The samples of one pool, and what was handed over to its trainer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -231,8 +233,7 @@
     pub(super) fn lease(&mut self, node: NodeId, boot_id: u64, most: u32) -> LedgerReply {
         let ended = self.indexes.leases.of_other_boots(&node, boot_id);
         self.expire(&ended);
-        let count = most.min(MAX_LEASES_PER_REQUEST) as usize;
-        let chosen: Vec<QueueKey> = self.indexes.pending.iter().take(count).copied().collect();
+        let chosen = self.next_pending(most.min(MAX_LEASES_PER_REQUEST));
         let holder = Holder { node, boot_id };
         let granted = chosen
             .into_iter()
@@ -363,6 +364,20 @@
         self.open.insert(key.number(), sample);
     }
 
+    /// The next samples to lease, as many as fit one answer; one at least.
+    fn next_pending(&self, most: u32) -> Vec<QueueKey> {
+        let mut tokens = 0;
+        let mut chosen = Vec::new();
+        for key in self.indexes.pending.iter().take(most as usize) {
+            if tokens >= MAX_TOKENS_PER_ANSWER {
+                break;
+            }
+            tokens += self.open.get(&key.number()).map_or(0, OpenSample::tokens);
+            chosen.push(*key);
+        }
+        chosen
+    }
+
     fn grant(&mut self, number: SampleNumber, holder: &Holder) -> Option<SampleLease> {
         let sample = self.open.get(&number)?;
         let Stage::Pending { partial } = &sample.stage else {
--- a/crates/wingshore-ledger/src/samples/pulls.rs
+++ b/crates/wingshore-ledger/src/samples/pulls.rs
@@ -8,6 +8,8 @@
 
 /// Most steps that are handed over and not acknowledged: the one in training and one prefetched.
 pub(crate) const MAX_OPEN_STEPS: usize = 2;
+/// Most bytes of a batch: it is one answer, which must fit one frame between processes.
+pub(crate) const MAX_BATCH_BYTES: usize = 60 << 20;
 /// When to come back after a pull that found too few samples, in milliseconds.
 pub(crate) const NOT_READY_RETRY_AFTER_MS: u64 = 100;
 
@@ -166,8 +168,12 @@
     }
 
     fn record(&mut self, pull: &PullRequest) -> LedgerReply {
-        let mut samples = Vec::with_capacity(pull.count as usize);
-        for key in self.chosen(pull.count) {
+        let chosen = self.chosen(pull.count);
+        if let Err(refusal) = self.check_batch_size(&chosen) {
+            return LedgerReply::Refused(refusal);
+        }
+        let mut samples = Vec::with_capacity(chosen.len());
+        for key in chosen {
             let Some(open) = self.open.remove(&key.number()) else {
                 continue;
             };
@@ -180,6 +186,19 @@
         LedgerReply::Done
     }
 
+    fn check_batch_size(&self, chosen: &[QueueKey]) -> Result<(), LedgerRefusal> {
+        let samples = chosen.iter().filter_map(|key| self.open.get(&key.number()));
+        let bytes: usize = samples.map(OpenSample::encoded_bytes).sum();
+        if bytes <= MAX_BATCH_BYTES {
+            return Ok(());
+        }
+        Err(invalid(format!(
+            "the batch of {} samples takes {bytes} bytes; {MAX_BATCH_BYTES} are allowed: \
+             pull fewer samples a step",
+            chosen.len()
+        )))
+    }
+
     fn batch(&self, pull: &PullRequest, samples: Vec<Sample>) -> Batch {
         Batch {
             step: pull.step,
--- a/crates/wingshore-ledger/src/samples/scoring.rs
+++ b/crates/wingshore-ledger/src/samples/scoring.rs
@@ -1,7 +1,7 @@
 //! Scores of finished samples, and which node is asked for them.
 
-use super::pool::{PoolLedger, invalid};
-use super::stage::Stage;
+use super::pool::{MAX_TOKENS_PER_ANSWER, PoolLedger, invalid};
+use super::stage::{Finished, Stage};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_types::protocol::ledger::{LedgerReply, UnscoredSample};
@@ -39,19 +39,27 @@
         LedgerReply::First(true)
     }
 
-    /// Finished samples without a score, in queue order.
-    fn unscored(&self) -> impl Iterator<Item = UnscoredSample> + '_ {
+    /// Finished generations without a score, in queue order.
+    fn unscored(&self) -> impl Iterator<Item = (SampleNumber, &Finished)> + '_ {
         self.indexes.finished.iter().filter_map(|key| {
             let sample = self.open.get(&key.number())?;
-            let Stage::Finished(finished) = &sample.stage else {
-                return None;
-            };
-            Some(UnscoredSample {
-                number: key.number(),
-                lease: finished.lease,
-                prompt: sample.prompt.tokens.clone(),
-                tokens: finished.generation.tokens.clone(),
-            })
+            match &sample.stage {
+                Stage::Finished(finished) => Some((key.number(), finished)),
+                _ => None,
+            }
+        })
+    }
+
+    fn unscored_sample(&self, number: SampleNumber) -> Option<UnscoredSample> {
+        let sample = self.open.get(&number)?;
+        let Stage::Finished(finished) = &sample.stage else {
+            return None;
+        };
+        Some(UnscoredSample {
+            number,
+            lease: finished.lease,
+            prompt: sample.prompt.tokens.clone(),
+            tokens: finished.generation.tokens.clone(),
         })
     }
 
@@ -84,10 +92,17 @@
         most: u32,
     ) -> Vec<UnscoredSample> {
         let most = most.min(MAX_UNSCORED_PER_REQUEST) as usize;
+        let mut tokens = 0;
         let offered: Vec<UnscoredSample> = pool
             .unscored()
-            .filter(|sample| !self.is_offered(now, id, sample))
+            .filter(|(number, finished)| !self.is_offered(now, id, *number, finished.lease))
             .take(most)
+            .take_while(|(_, finished)| {
+                let has_room = tokens < MAX_TOKENS_PER_ANSWER;
+                tokens += finished.generation.tokens.len();
+                has_room
+            })
+            .filter_map(|(number, _)| pool.unscored_sample(number))
             .collect();
         for sample in &offered {
             let key = (id.clone(), sample.number, sample.lease);
@@ -107,8 +122,8 @@
         });
     }
 
-    fn is_offered(&self, now: Instant, id: &PoolId, sample: &UnscoredSample) -> bool {
-        let key = (id.clone(), sample.number, sample.lease);
+    fn is_offered(&self, now: Instant, id: &PoolId, number: SampleNumber, lease: LeaseId) -> bool {
+        let key = (id.clone(), number, lease);
         self.offers.get(&key).is_some_and(|offer| offer.until > now)
     }
 }
--- a/crates/wingshore-ledger/src/samples/stage.rs
+++ b/crates/wingshore-ledger/src/samples/stage.rs
@@ -1,7 +1,7 @@
 //! One open sample and where it stands.
 
 use serde::{Deserialize, Serialize};
-use wingshore_types::{Generation, LeaseId, NodeId, Prompt, SampleNumber, WeightVersion};
+use wingshore_types::{Generation, LeaseId, NodeId, Prompt, SampleNumber, Token, WeightVersion};
 
 /// The order in which samples are leased, scored and handed over: the oldest submission first;
 /// within one submission the longest allowed generation first, so that stragglers start early.
@@ -69,7 +69,7 @@
         self.generation().oldest_version()
     }
 
-    fn generation(&self) -> &Generation {
+    pub(crate) fn generation(&self) -> &Generation {
         match self {
             Self::Pending { partial } | Self::Leased { partial, .. } => partial,
             Self::Finished(finished) | Self::Scored { finished, .. } => &finished.generation,
@@ -84,3 +84,27 @@
     pub(crate) prompt: Prompt,
     pub(crate) stage: Stage,
 }
+
+impl OpenSample {
+    /// Tokens of the prompt and of what was generated.
+    pub(crate) fn tokens(&self) -> usize {
+        self.prompt.tokens.len() + self.stage.generation().tokens.len()
+    }
+
+    /// About the bytes it takes in a batch; not fewer.
+    pub(crate) fn encoded_bytes(&self) -> usize {
+        const FIXED: usize = 64;
+        const PER_SEGMENT: usize = 20;
+        let generation = self.stage.generation();
+        let tokens = self.prompt.tokens.iter().chain(&generation.tokens);
+        let tokens: usize = tokens.map(|token| encoded_token_bytes(*token)).sum();
+        FIXED + PER_SEGMENT * generation.segments.len() + tokens
+    }
+}
+
+/// Length of a token as a variable-length integer of seven bits a byte.
+fn encoded_token_bytes(token: Token) -> usize {
+    const BITS_PER_BYTE: u32 = 7;
+    let bits = Token::BITS - token.leading_zeros();
+    bits.div_ceil(BITS_PER_BYTE).max(1) as usize
+}
--- a/crates/wingshore-ledger/tests/samples_leader.rs
+++ b/crates/wingshore-ledger/tests/samples_leader.rs
@@ -383,6 +383,43 @@
     }
 }
 
+#[gtest]
+fn a_batch_that_would_not_fit_a_frame_is_refused_and_a_smaller_one_is_not() {
+    const TOKENS: usize = 1 << 20;
+    let mut group = ledger(Faults::default());
+    let prompts = (0..14).map(|number| {
+        let mut prompt = prompt(number);
+        prompt.max_tokens = TOKENS as u32;
+        prompt
+    });
+    group.call(LedgerRequest::Submit {
+        pool: pool(),
+        prompts: prompts.collect(),
+    });
+    for granted in leased(&mut group, "a", 1, 14) {
+        let mut generation = Generation::default();
+        generation.append(WeightVersion(5), &vec![u32::MAX; TOKENS]);
+        let number = granted.prompt.number;
+        group.call(LedgerRequest::Finish {
+            pool: pool(),
+            sample: number,
+            lease: granted.lease,
+            generation,
+        });
+        group.call(score(number.0, granted.lease));
+        group.log.clear();
+    }
+    let refused = group.call(pull(0, 5, 14, 60_000));
+    expect_that!(
+        refused,
+        some(matches_pattern!(LedgerReply::Refused(matches_pattern!(
+            LedgerRefusal::Invalid { .. }
+        ))))
+    );
+    let smaller = batch(group.call(pull(0, 5, 11, 0)));
+    expect_that!(smaller.samples.len(), eq(11));
+}
+
 #[gtest]
 fn numbers_are_remembered_as_ranges() {
     let mut numbers = wingshore_ledger::samples::NumberSet::default();
--- a/crates/wingshore-rollout/src/runner.rs
+++ b/crates/wingshore-rollout/src/runner.rs
@@ -116,7 +116,12 @@
         out: &mut Vec<RolloutOutput>,
     ) {
         let mut context = Context { now, router, out };
+        let is_chunk = matches!(input, RolloutInput::Chunk { .. });
         self.handle(&mut context, input);
+        if is_chunk {
+            // By far the most frequent input; what it may set free waits for the next tick.
+            return;
+        }
         self.start_waiting(&mut context);
         self.poll_ledger(&mut context);
         self.send_reports(&mut context);
@@ -171,8 +176,12 @@
         if known.is_some_and(|known| known >= binding.revision) {
             return;
         }
+        // The trainer has published the target version, so its next pull is at least as new.
+        let bound = binding.pool.staleness_bound;
+        let target = binding.pool.target_version;
         self.binding = Some(binding);
         self.configure(context.now);
+        self.raise_oldest_useful(context, WeightVersion(target.0.saturating_sub(bound)));
     }
 
     /// Tells the ledger of the pool.
--- a/crates/wingshore-rollout/src/streams.rs
+++ b/crates/wingshore-rollout/src/streams.rs
@@ -112,12 +112,6 @@
         if length > most.unwrap_or(0) as usize {
             return self.fail(context, id, Tokens::Drop);
         }
-        if let Some(binding) = &self.binding {
-            // An engine serves a version only after the trainer has published it.
-            let bound = binding.pool.staleness_bound;
-            let oldest_useful = WeightVersion(version.0.saturating_sub(bound));
-            self.raise_oldest_useful(context, oldest_useful);
-        }
         self.restart_if_too_old(context, id);
     }
 
