--- a/crates/wingshore-control/src/leader/leases.rs
+++ b/crates/wingshore-control/src/leader/leases.rs
@@ -28,26 +28,34 @@
     leases: BTreeMap<NodeProcess, NodeLease>,
     began: Instant,
     /// For so long there may be leases of an earlier leader.
-    unknown_for: Duration,
+    unknown_for: Option<Duration>,
     /// The highest revision reported so far: it stays in force, since every later answer to a node
     /// carries it or a later one.
     everywhere: Revision,
 }
 
 impl NodeLeases {
-    /// At the beginning of a leadership: `proven` was in force everywhere by an earlier proof.
-    pub(crate) fn new(now: Instant, counted_lease: Duration, proven: Revision) -> Self {
+    /// At the beginning of a leadership: `proven` was in force everywhere by an earlier proof, and
+    /// `committed` is the newest revision. Where that is the empty configuration, nodes with leases
+    /// of an earlier leader can hold nothing else, and there is nothing to wait for.
+    pub(crate) fn new(
+        now: Instant,
+        counted_lease: Duration,
+        proven: Revision,
+        committed: Revision,
+    ) -> Self {
+        let nothing_to_hold = committed == Revision::default();
         Self {
             leases: BTreeMap::new(),
             began: now,
-            unknown_for: counted_lease,
+            unknown_for: (!nothing_to_hold).then_some(counted_lease),
             everywhere: proven,
         }
     }
 
     /// Leases are longer than was thought: so may be those of an earlier leader.
     pub(crate) fn lengthen(&mut self, counted_lease: Duration) {
-        self.unknown_for = self.unknown_for.max(counted_lease);
+        self.unknown_for = self.unknown_for.map(|known| known.max(counted_lease));
     }
 
     /// Takes in acknowledgements of a watch that arrived at `now`; each renews a lease.
@@ -72,7 +80,7 @@
     /// Lets leases go that have run out, and notes what the others prove.
     pub(crate) fn update(&mut self, now: Instant, committed: Revision) {
         self.leases.retain(|_, lease| lease.ends > now);
-        if now < self.began + self.unknown_for {
+        if self.unknown_for.is_some_and(|long| now < self.began + long) {
             return;
         }
         let lowest = self.leases.values().map(|lease| lease.in_force).min();
--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod leases;
 mod orders;
 mod polling;
+mod requests;
 mod service_index;
 mod swap_scheduler;
 mod swap_steps;
@@ -22,6 +23,7 @@
 use executor::{PlanExecutor, Surroundings};
 use leases::NodeLeases;
 use orders::FenceSource;
+use requests::{Look, SortedRequest};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use swap_times::SwapTimes;
@@ -32,16 +34,13 @@
 };
 use wingshore_types::platform::EngineState;
 use wingshore_types::protocol::control::{
-    ControlRefusal, ControlReply, ControlRequest, InForce, Plan, PlanState, PlanStep, Status,
+    ControlRefusal, ControlReply, ControlRequest, InForce, PlanState, PlanStep, Status,
     WatchRequest,
 };
 use wingshore_types::{Instant, Verdict};
 
 type Outputs = LeaderOutputs<ControlLeader>;
 
-/// Closed plans in one listing; others are shown by their numbers.
-const CLOSED_PLANS_LISTED: usize = 500;
-
 /// Who waits for a proposal.
 #[derive(Clone, Copy, Debug)]
 enum Waiter {
@@ -146,6 +145,20 @@
         }
     }
 
+    fn look(&mut self, now: Instant, look: Look, state: &ControlState) -> ControlReply {
+        match look {
+            Look::Plan(id) => match state.plan(id) {
+                Some(plan) => ControlReply::Plan(Box::new(plan.clone())),
+                None => ControlReply::Refused(ControlRefusal::UnknownPlan(id)),
+            },
+            Look::Plans => ControlReply::Plans(requests::listed_plans(state)),
+            Look::Status => ControlReply::Status(Box::new(self.status(now, state))),
+            Look::Configuration => {
+                ControlReply::Configuration(Box::new(state.configuration().clone()))
+            }
+        }
+    }
+
     /// Reacts to what was committed.
     fn follow(&mut self, now: Instant, state: &ControlState, out: &mut Outputs) {
         let revision = state.configuration().revision;
@@ -232,23 +245,6 @@
     }
 }
 
-/// Open plans and the newest closed ones, in order of their numbers.
-fn listed_plans(state: &ControlState) -> Vec<Plan> {
-    let is_open =
-        |plan: &Plan| matches!(plan.state, PlanState::Proposed | PlanState::Running { .. });
-    let closed = state.plans().filter(|plan| !is_open(plan)).count();
-    let mut skipped = closed.saturating_sub(CLOSED_PLANS_LISTED);
-    let mut listed = Vec::new();
-    for plan in state.plans() {
-        if !is_open(plan) && skipped > 0 {
-            skipped -= 1;
-            continue;
-        }
-        listed.push(plan.clone());
-    }
-    listed
-}
-
 impl LeaderMachine for ControlLeader {
     type State = ControlState;
     type Request = ControlRequest;
@@ -272,7 +268,12 @@
             epoch,
             replica: self.replica,
             engines: Engines::new(now, FenceSource::new(fence_epoch)),
-            leases: NodeLeases::new(now, self.settings.counted_lease(), state.proven_in_force()),
+            leases: NodeLeases::new(
+                now,
+                self.settings.counted_lease(),
+                state.proven_in_force(),
+                state.configuration().revision,
+            ),
             ..Self::new(self.settings.clone(), self.faults)
         };
         if self.faults.repeat_steps_after_leader_change {
@@ -289,51 +290,14 @@
         state: &ControlState,
         out: &mut Outputs,
     ) {
-        let reply = match request {
-            ControlRequest::Watch(watch) => return self.on_watch(now, tag, watch, state, out),
-            ControlRequest::Propose {
-                intent_id,
-                base_revision,
-                intent,
-            } => {
-                let command = ControlCommand::Propose {
-                    intent_id,
-                    base_revision,
-                    intent,
-                };
-                return self.propose(Waiter::Client(tag), command, out);
-            }
-            ControlRequest::Confirm { intent_id, plan } => {
-                let command = ControlCommand::Confirm { intent_id, plan };
-                return self.propose(Waiter::Client(tag), command, out);
-            }
-            ControlRequest::Cancel { intent_id, plan } => {
-                let command = ControlCommand::Cancel { intent_id, plan };
-                return self.propose(Waiter::Client(tag), command, out);
-            }
-            ControlRequest::Publish {
-                intent_id,
-                pool,
-                version,
-            } => {
-                let command = ControlCommand::Publish {
-                    intent_id,
-                    pool,
-                    version,
-                };
-                return self.propose(Waiter::Client(tag), command, out);
-            }
-            ControlRequest::ShowPlan(id) => match state.plan(id) {
-                Some(plan) => ControlReply::Plan(Box::new(plan.clone())),
-                None => ControlReply::Refused(ControlRefusal::UnknownPlan(id)),
-            },
-            ControlRequest::ListPlans => ControlReply::Plans(listed_plans(state)),
-            ControlRequest::Status => ControlReply::Status(Box::new(self.status(now, state))),
-            ControlRequest::ReadConfiguration => {
-                ControlReply::Configuration(Box::new(state.configuration().clone()))
+        match requests::sort(request) {
+            SortedRequest::Watch(watch) => self.on_watch(now, tag, watch, state, out),
+            SortedRequest::Change(command) => self.propose(Waiter::Client(tag), command, out),
+            SortedRequest::Look(look) => {
+                let reply = self.look(now, look, state);
+                out.push(LeaderOutput::Reply { tag, reply });
             }
-        };
-        out.push(LeaderOutput::Reply { tag, reply });
+        }
     }
 
     fn on_applied(
