lab: settings of a fleet are written as TOML documents; process interface of the simulator

Cause: the fleet wrote moved settings with Display of toml::Value, which renders a table inline, and the settings parser refused the file at line 1. Now toml::to_string writes the document.

Beside it the interface between the simulator's kernel and its processes, so that both can be built at the same time.

--- a/crates/wingshore-lab/src/fleet/site.rs
+++ b/crates/wingshore-lab/src/fleet/site.rs
@@ -1,7 +1,9 @@
 //! Reads `sites/<site>/` and moves every address to a free port of this machine.
 
 use super::FleetError;
-use super::error::{ParseLabSnafu, ParseTomlSnafu, PortsSnafu, ReadFileSnafu, SiteSettingsSnafu};
+use super::error::{
+    ParseLabSnafu, ParseTomlSnafu, PortsSnafu, ReadFileSnafu, SiteSettingsSnafu, WriteTomlSnafu,
+};
 use super::lab_settings::LabSettings;
 use snafu::ResultExt;
 use std::collections::BTreeMap;
@@ -131,7 +133,9 @@
         .context(ParseTomlSnafu { path })?;
     move_data(&mut value, data);
     move_addresses(&mut value, ports).context(PortsSnafu)?;
-    Ok(value.to_string())
+    toml::to_string(&value).context(WriteTomlSnafu {
+        name: path.to_string_lossy(),
+    })
 }
 
 fn move_data(value: &mut toml::Value, data: &Path) {
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/process.rs
@@ -0,0 +1,260 @@
+//! What a simulated process is, and the messages between processes.
+
+use crate::events::Event;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_types::api::{
+    AcknowledgeBody, BatchBody, PublishBody, PullBody, SubmitReply, SubmitRequest,
+};
+use wingshore_types::platform::{
+    CacheEvents, EngineCompletionRequest, EngineOrder, EngineState, EngineStreamEvent, FencedReply,
+    LoadReport, MachineList, ScoreReply, ScoreRequest,
+};
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{GroupId, Instant, PoolId, RequestId, ServiceId, Verdict, WeightVersion};
+
+/// Names one call (a request with its answer) within its caller's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A request to a back end, to the platform or to a node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// To an engine: generate; answered by stream events.
+    Generate(EngineCompletionRequest),
+    /// To an engine: drop the attempt.
+    Cancel {
+        /// The attempt.
+        request_id: String,
+    },
+    /// To an engine: a fenced order.
+    Order(EngineOrder),
+    /// To an engine: its state.
+    State,
+    /// To an engine or a live server: its load.
+    Load,
+    /// To an engine: cache events after a sequence.
+    CacheEvents {
+        /// The last sequence seen.
+        after: u64,
+    },
+    /// To the machine list.
+    Machines,
+    /// To the weight store: a version; answered once it is whole.
+    FetchWeights {
+        /// The version.
+        version: WeightVersion,
+    },
+    /// To the weight store: the trainer stores a version.
+    StoreWeights {
+        /// The model.
+        model: String,
+        /// The version.
+        version: WeightVersion,
+    },
+    /// To a scorer.
+    Score(ScoreRequest),
+    /// To a live server, or to a node on its way there.
+    Live(LiveCall),
+    /// To a node: submit samples.
+    Submit {
+        /// The pool.
+        pool: PoolId,
+        /// The samples.
+        body: SubmitRequest,
+    },
+    /// To a node: pull a step's batch.
+    Pull {
+        /// The pool.
+        pool: PoolId,
+        /// The step.
+        step: u64,
+        /// What is asked for.
+        body: PullBody,
+    },
+    /// To a node: acknowledge a step's batch.
+    Acknowledge {
+        /// The pool.
+        pool: PoolId,
+        /// The step.
+        step: u64,
+        /// By whom.
+        body: AcknowledgeBody,
+    },
+    /// To a node: a new weight version.
+    Publish {
+        /// The pool.
+        pool: PoolId,
+        /// The version.
+        body: PublishBody,
+    },
+}
+
+/// A request of a live caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LiveCall {
+    /// The caller's own id of the request.
+    pub request: String,
+    /// The service asked.
+    pub service: ServiceId,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Whether it must not be repeated.
+    pub no_repeat: bool,
+    /// Whether it changes something.
+    pub charge: bool,
+    /// How long the caller waits.
+    pub deadline: Duration,
+}
+
+/// A part or the whole of an answer to a [`Call`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// An event of a stream; the last one is [`EngineStreamEvent::Finished`].
+    Stream(EngineStreamEvent),
+    /// An order was taken.
+    OrderAccepted,
+    /// An order was below one already taken.
+    OrderFenced(FencedReply),
+    /// An engine's state.
+    State(EngineState),
+    /// A load report.
+    Load(LoadReport),
+    /// Cache events.
+    CacheEvents(CacheEvents),
+    /// The machine list.
+    Machines(MachineList),
+    /// A sample's score.
+    Score(ScoreReply),
+    /// A live answer.
+    Live {
+        /// HTTP status.
+        status: u16,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// The samples were taken in.
+    Submitted(SubmitReply),
+    /// A batch.
+    Batch(BatchBody),
+    /// Done; nothing to say.
+    Done,
+    /// Not done.
+    Refused {
+        /// Whether it may have run.
+        verdict: Verdict,
+        /// Stable code.
+        code: String,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// The connection broke before the answer was whole: the caller's side of a cut or of a
+    /// process that died. Made by the simulated network, never by a process.
+    Broken,
+}
+
+/// What travels between processes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SimMessage {
+    /// Consensus, between members of a group; may be lost.
+    Consensus {
+        /// The group.
+        group: GroupId,
+        /// The message.
+        message: Vec<u8>,
+    },
+    /// A request to a group, as in [`wingshore_types::protocol::wire::Frame::Request`].
+    GroupRequest {
+        /// Comes back with the reply.
+        id: RequestId,
+        /// The group.
+        group: GroupId,
+        /// What is asked.
+        body: GroupRequest,
+    },
+    /// The reply to a request to a group.
+    GroupReply {
+        /// Of the request.
+        id: RequestId,
+        /// The answer.
+        body: GroupReply,
+    },
+    /// A call.
+    Call {
+        /// Comes back with each answer.
+        id: CallId,
+        /// What is asked.
+        call: Call,
+    },
+    /// A part or the whole of its answer.
+    Answer {
+        /// Of the call.
+        id: CallId,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The caller of a call is gone or does not want it any more.
+    HangUp {
+        /// The call.
+        id: CallId,
+    },
+}
+
+/// What reaches a process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProcessInput {
+    /// The time that [`Process::next_wake`] named has come.
+    Wake,
+    /// A message.
+    Message {
+        /// The sender.
+        from: SocketAddr,
+        /// What it says.
+        message: SimMessage,
+    },
+    /// A planned stop begins (SIGTERM).
+    Stop,
+    /// A switch of a stand-in, for scenarios.
+    Fault(ProcessFault),
+}
+
+/// Failure switches of stand-ins.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProcessFault {
+    /// A switch of an engine.
+    Engine(crate::stand_ins::engine::messages::EngineFault),
+    /// The process says that it is leaving, or that it stays after all.
+    Leaving(bool),
+    /// The next `count` answers are lost after the work was done.
+    LoseAnswers {
+        /// How many.
+        count: u32,
+    },
+}
+
+/// What a process wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProcessOutput {
+    /// Send a message.
+    Send {
+        /// The receiver.
+        to: SocketAddr,
+        /// What it says.
+        message: SimMessage,
+    },
+    /// Record what happened, for the checkers.
+    Record(Event),
+    /// The planned stop is complete; the process exits.
+    Exit,
+}
+
+/// A simulated process without disk.
+///
+/// `now` is the process's own clock, which may drift and stand still. A killed process is dropped
+/// and made anew by its maker, with nothing but its settings.
+pub trait Process {
+    /// Handles one input.
+    fn step(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>);
+    /// When it next wants [`ProcessInput::Wake`], by its own clock.
+    fn next_wake(&self) -> Option<Instant>;
+}
