--- a/crates/wingshore-control/src/state/mod.rs
+++ b/crates/wingshore-control/src/state/mod.rs
@@ -24,6 +24,7 @@
 };
 use wingshore_types::machine::{ReplicatedState, RestoreError};
 use wingshore_types::protocol::control::{ConfigurationUpdate, Plan};
+use wingshore_types::snapshot;
 
 pub use answers::ANSWERS_KEPT;
 pub use estimate::ASSUMED_SWAP_MS;
@@ -149,19 +150,10 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        // Encoding plain data into a growing vector does not fail; an empty snapshot is refused
-        // by `restore`.
-        postcard::to_extend(self, vec![SNAPSHOT_FORMAT]).unwrap_or_default()
+        snapshot::encode(SNAPSHOT_FORMAT, self)
     }
 
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
-        let Some((&SNAPSHOT_FORMAT, encoded)) = bytes.split_first() else {
-            return Err(RestoreError {
-                message: format!("not a control snapshot of format {SNAPSHOT_FORMAT}"),
-            });
-        };
-        postcard::from_bytes(encoded).map_err(|error| RestoreError {
-            message: format!("control snapshot is damaged: {error}"),
-        })
+        snapshot::decode("control", SNAPSHOT_FORMAT, bytes)
     }
 }
--- a/crates/wingshore-ledger/src/claims/state.rs
+++ b/crates/wingshore-ledger/src/claims/state.rs
@@ -11,6 +11,7 @@
 use wingshore_types::protocol::claims::{
     ClaimKey, ClaimOutcome, Claimant, ClaimsReply, ClaimsRequest, StoredAnswer,
 };
+use wingshore_types::snapshot;
 
 /// How long a claim is kept after its last change.
 pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
@@ -290,29 +291,12 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        let start = vec![SNAPSHOT_VERSION];
-        // Encoding into memory fails for no value of these types.
-        postcard::to_extend(self, start).unwrap_or_default()
+        snapshot::encode(SNAPSHOT_VERSION, self)
     }
 
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
-        let body = match bytes.split_first() {
-            Some((&SNAPSHOT_VERSION, body)) => body,
-            Some((version, _)) => return Err(error(format!("unknown format version {version}"))),
-            None => return Err(error("empty".to_owned())),
-        };
-        let (mut state, rest) = postcard::take_from_bytes::<Self>(body)
-            .map_err(|cause| error(format!("damaged: {cause}")))?;
-        if !rest.is_empty() {
-            return Err(error(format!("{} bytes too many", rest.len())));
-        }
+        let mut state: Self = snapshot::decode("claims", SNAPSHOT_VERSION, bytes)?;
         state.rebuild();
         Ok(state)
     }
 }
-
-fn error(what: String) -> RestoreError {
-    RestoreError {
-        message: format!("claims snapshot: {what}"),
-    }
-}
--- a/crates/wingshore-ledger/src/samples/state.rs
+++ b/crates/wingshore-ledger/src/samples/state.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use wingshore_types::machine::{ReplicatedState, RestoreError};
 use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply};
+use wingshore_types::snapshot;
 use wingshore_types::{LogIndex, PoolId};
 
 /// First byte of a snapshot.
@@ -104,31 +105,14 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        let start = vec![SNAPSHOT_VERSION];
-        // Encoding into memory fails for no value of these types.
-        postcard::to_extend(self, start).unwrap_or_default()
+        snapshot::encode(SNAPSHOT_VERSION, self)
     }
 
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
-        let body = match bytes.split_first() {
-            Some((&SNAPSHOT_VERSION, body)) => body,
-            Some((version, _)) => return Err(error(format!("unknown format version {version}"))),
-            None => return Err(error("empty".to_owned())),
-        };
-        let (mut state, rest) = postcard::take_from_bytes::<Self>(body)
-            .map_err(|cause| error(format!("damaged: {cause}")))?;
-        if !rest.is_empty() {
-            return Err(error(format!("{} bytes too many", rest.len())));
-        }
+        let mut state: Self = snapshot::decode("ledger", SNAPSHOT_VERSION, bytes)?;
         for pool in state.pools.values_mut() {
             pool.rebuild_indexes();
         }
         Ok(state)
     }
 }
-
-fn error(what: String) -> RestoreError {
-    RestoreError {
-        message: format!("ledger snapshot: {what}"),
-    }
-}
--- a/crates/wingshore-types/src/lib.rs
+++ b/crates/wingshore-types/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 pub mod protocol;
 pub mod sample;
+pub mod snapshot;
 pub mod time;
 pub mod verdict;
 
