--- a/crates/wingshore-lab/src/sim/mod.rs
+++ b/crates/wingshore-lab/src/sim/mod.rs
@@ -6,4 +6,5 @@
 //! [`crate::events::Event`] and judged by [`crate::checks`], the checkers that also judge a fleet
 //! of real processes.
 
+pub mod client;
 pub mod process;
