lab: simulated calls tell a refused connection from a broken one; completions of live callers

Cause: a node gives the verdict not_run only where no connection was made, so the caller's side of a simulated call must tell the two apart; live callers ask for completions too. Change: Answer::Unreachable beside Answer::Broken, Call::Complete, the model in Call::FetchWeights, switches for the machine list and for late state answers, and what the network promises about order, breaks and hang-ups.

--- a/crates/wingshore-lab/src/sim/process.rs
+++ b/crates/wingshore-lab/src/sim/process.rs
@@ -8,10 +8,12 @@
 };
 use wingshore_types::platform::{
     CacheEvents, EngineCompletionRequest, EngineOrder, EngineState, EngineStreamEvent, FencedReply,
-    LoadReport, MachineList, ScoreReply, ScoreRequest,
+    LoadReport, MachineList, MachineState, ScoreReply, ScoreRequest,
 };
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
-use wingshore_types::{GroupId, Instant, PoolId, RequestId, ServiceId, Verdict, WeightVersion};
+use wingshore_types::{
+    GroupId, Instant, PoolId, RequestId, ServerId, ServiceId, Token, Verdict, WeightVersion,
+};
 
 /// Names one call (a request with its answer) within its caller's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,6 +44,8 @@
     Machines,
     /// To the weight store: a version; answered once it is whole.
     FetchWeights {
+        /// The model.
+        model: String,
         /// The version.
         version: WeightVersion,
     },
@@ -56,6 +60,8 @@
     Score(ScoreRequest),
     /// To a live server, or to a node on its way there.
     Live(LiveCall),
+    /// To a node: a streamed completion; answered by stream events.
+    Complete(CompletionCall),
     /// To a node: submit samples.
     Submit {
         /// The pool.
@@ -107,7 +113,27 @@
     pub deadline: Duration,
 }
 
+/// A completion that a live caller asks a node for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CompletionCall {
+    /// The caller's own id of the request.
+    pub request: String,
+    /// The model asked for.
+    pub model: String,
+    /// Prompt tokens.
+    pub prompt: Vec<Token>,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Seed of the generation.
+    pub seed: u64,
+    /// How long the caller waits.
+    pub deadline: Duration,
+}
+
 /// A part or the whole of an answer to a [`Call`].
+///
+/// Parts of one answer arrive in the order in which they were sent, as on one connection; a part
+/// that is lost breaks the call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     /// An event of a stream; the last one is [`EngineStreamEvent::Finished`].
@@ -148,8 +174,12 @@
         /// When to come back.
         retry_after: Option<Duration>,
     },
-    /// The connection broke before the answer was whole: the caller's side of a cut or of a
-    /// process that died. Made by the simulated network, never by a process.
+    /// No connection could be made: nothing of the call was sent. Made by the simulated network,
+    /// never by a process.
+    Unreachable,
+    /// The connection broke after the call was sent and before the answer was whole: the caller's
+    /// side of a cut or of a process that died. The call may have arrived. Made by the simulated
+    /// network, never by a process.
     Broken,
 }
 
@@ -193,7 +223,8 @@
         /// The answer.
         answer: Answer,
     },
-    /// The caller of a call is gone or does not want it any more.
+    /// The caller of a call is gone or does not want it any more. The simulated network sends it
+    /// for callers that died.
     HangUp {
         /// The call.
         id: CallId,
@@ -225,6 +256,20 @@
     Engine(crate::stand_ins::engine::messages::EngineFault),
     /// The process says that it is leaving, or that it stays after all.
     Leaving(bool),
+    /// To the machine list: a machine's state from now on; the list tells it after its lag.
+    Machine {
+        /// Which machine.
+        server: ServerId,
+        /// Its state.
+        state: MachineState,
+    },
+    /// An engine's next `count` answers about its state are sent `by` late, as they were read.
+    LateStates {
+        /// How many.
+        count: u32,
+        /// How late.
+        by: Duration,
+    },
     /// The next `count` answers are lost after the work was done.
     LoseAnswers {
         /// How many.
@@ -251,7 +296,8 @@
 /// A simulated process without disk.
 ///
 /// `now` is the process's own clock, which may drift and stand still. A killed process is dropped
-/// and made anew by its maker, with nothing but its settings.
+/// and made anew by its maker, with nothing but its settings. A process made at `now` wants its
+/// first [`ProcessInput::Wake`] at `now` and records [`Event::Started`] then.
 pub trait Process {
     /// Handles one input.
     fn step(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>);
