replica: a member that was not founded prints a command that exists

It named `wingshore ctl members add`, which there is none of; an operator with a lost disk was sent into a usage error. Now it prints the `members replace` command with its own identity and address. Tested by the program's test of a lost data folder.

--- a/crates/wingshore-replica/src/process.rs
+++ b/crates/wingshore-replica/src/process.rs
@@ -168,7 +168,8 @@
         }
         eprintln!(
             "replica {} of site `{}` at {} was not founded with the site: it waits until it is a \
-             member. Add it with `wingshore ctl members add {} {}`.",
+             member. To have it take the place of lost member OLD:\n  \
+             wingshore ctl --replicas … members replace OLD {} {}",
             self.id(),
             self.site,
             self.address(),
