ctl: a lost disk is replaced at its own address; plans, status and refusals say more

Fault: `members replace OLD NEW ADDRESS` for a replica that came back on an empty folder at its usual address was always refused ("member 3 at ... has the same identity or address; remove it first"). Consensus takes one member per address, and the command added the new member before it removed the old one. Weighed: letting consensus hold two members at one address (then peers, hints and addresses of members need a rule for which one is meant) against removing the lost one first where the address is the same. The lost member does not vote any more: of 2f+1 members with one lost, f-1 further losses are borne before and after the removal, so nothing is given up by the order.

Also: each change of a plan is told against the configuration (`staleness_bound 2 -> 3`), costs in words, a site file that changes nothing is no refusal any more but says so (exit 0), `status` shows members, pools, versions and who lags, refusals and missing answers name the next step, `format --id` lists the identities allowed.

--- a/crates/wingshore/src/ctl/members.rs
+++ b/crates/wingshore/src/ctl/members.rs
@@ -5,7 +5,9 @@
 use crate::failure::{ArgumentSnafu, Failure};
 use serde::Serialize;
 use snafu::OptionExt;
-use std::time::Duration;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 use wingshore_types::protocol::membership::{
     Member, Membership, MembershipReply, MembershipRequest,
 };
@@ -14,17 +16,61 @@
 
 /// Between two looks at a member that catches up.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(100);
+/// Between two lines about what is waited for.
+const TELL_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The members of one group.
 #[derive(Serialize)]
-struct GroupMembers {
+pub struct GroupMembers {
     group: String,
     leader: ReplicaId,
-    membership: Membership,
+    /// Voters and learners.
+    pub membership: Membership,
     synced: Vec<(ReplicaId, u64)>,
     last_index: u64,
 }
 
+impl GroupMembers {
+    /// Every member, and what it is.
+    pub fn all(&self) -> impl Iterator<Item = (&Member, &'static str)> {
+        let voters = self
+            .membership
+            .voters
+            .iter()
+            .map(|member| (member, "voter"));
+        let learners = self.membership.learners.iter();
+        voters.chain(learners.map(|member| (member, "learner")))
+    }
+
+    /// Entries that a member does not have on its disk yet, as far as known.
+    pub fn entries_behind(&self, id: ReplicaId) -> Option<u64> {
+        let synced = self.synced_index(id)?;
+        Some(self.last_index.saturating_sub(synced))
+    }
+
+    fn has(&self, id: ReplicaId) -> bool {
+        self.all().any(|(member, _)| member.id == id)
+    }
+
+    fn is_voter(&self, id: ReplicaId) -> bool {
+        self.membership.voters.iter().any(|member| member.id == id)
+    }
+
+    fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        let mut members = self.all();
+        members
+            .find(|(member, _)| member.id == id)
+            .map(|(member, _)| member.address)
+    }
+
+    fn synced_index(&self, id: ReplicaId) -> Option<u64> {
+        let mut synced = self.synced.iter();
+        synced
+            .find(|(member, _)| *member == id)
+            .map(|(_, index)| *index)
+    }
+}
+
 /// What one replica wrote its log ring to.
 #[derive(Serialize)]
 struct DumpedLog {
@@ -41,9 +87,7 @@
     match &flags.command {
         MembersCommand::Show(_) => show_all(session, &groups),
         MembersCommand::Replace(replace) => {
-            for group in &groups {
-                replace_in(session, *group, replace)?;
-            }
+            self::replace(session, &groups, replace)?;
             show_all(session, &groups)
         }
         MembersCommand::Transfer(transfer) => {
@@ -56,6 +100,28 @@
     }
 }
 
+fn replace(
+    session: &Session,
+    groups: &[GroupId],
+    flags: &MembersReplaceArguments,
+) -> Result<(), Failure> {
+    let address = flags.address.parse().ok().context(ArgumentSnafu {
+        argument: "address",
+        found: format!("\"{}\"", flags.address),
+        allowed: "an IP address and port",
+    })?;
+    let new = Member {
+        id: ReplicaId(flags.new),
+        address,
+    };
+    let old = ReplicaId(flags.old);
+    check_known(&read_all(session, groups)?, old, new.id)?;
+    for group in groups {
+        replace_in(session, *group, old, &new)?;
+    }
+    Ok(())
+}
+
 /// Makes every replica named on the command line write its log ring out.
 ///
 /// # Errors
@@ -82,10 +148,7 @@
 }
 
 fn show_all(session: &Session, groups: &[GroupId]) -> Result<(), Failure> {
-    let mut all = Vec::new();
-    for group in groups {
-        all.push(read_members(session, *group)?);
-    }
+    let all = read_all(session, groups)?;
     session.print(&all, |all| {
         let lines: Vec<String> = all.iter().map(members_text).collect();
         lines.join("\n")
@@ -93,7 +156,16 @@
     Ok(())
 }
 
-fn read_members(session: &Session, group: GroupId) -> Result<GroupMembers, Failure> {
+fn read_all(session: &Session, groups: &[GroupId]) -> Result<Vec<GroupMembers>, Failure> {
+    let groups = groups.iter();
+    groups.map(|group| read_members(session, *group)).collect()
+}
+
+/// Reads the members of one group.
+///
+/// # Errors
+/// When it does not answer.
+pub fn read_members(session: &Session, group: GroupId) -> Result<GroupMembers, Failure> {
     match session.membership(group, MembershipRequest::Show)? {
         MembershipReply::Members {
             membership,
@@ -111,76 +183,99 @@
     }
 }
 
+/// Refuses identities that no group knows, before anything is changed.
+fn check_known(all: &[GroupMembers], old: ReplicaId, new: ReplicaId) -> Result<(), Failure> {
+    let is_known = |id| all.iter().any(|members| members.has(id));
+    if is_known(old) || is_known(new) {
+        return Ok(());
+    }
+    let voters = all.iter().flat_map(|members| &members.membership.voters);
+    let ids: BTreeSet<String> = voters.map(|member| member.id.to_string()).collect();
+    let ids: Vec<String> = ids.into_iter().collect();
+    let message = format!("there is no member {old}; there are: {}", ids.join(", "));
+    Err(Failure::Refused { message })
+}
+
 /// Each step is left out where it was done before, so the command may be run again.
 fn replace_in(
     session: &Session,
     group: GroupId,
-    flags: &MembersReplaceArguments,
+    old: ReplicaId,
+    new: &Member,
 ) -> Result<(), Failure> {
-    let new = Member {
-        id: ReplicaId(flags.new),
-        address: flags.address.parse().ok().context(ArgumentSnafu {
-            argument: "address",
-            found: format!("\"{}\"", flags.address),
-            allowed: "an IP address and port",
-        })?,
-    };
-    let old = ReplicaId(flags.old);
-    let before = read_members(session, group)?.membership;
-    let is_voter = before.voters.iter().any(|member| member.id == new.id);
-    let is_learner = before.learners.iter().any(|member| member.id == new.id);
-    if !is_voter && !is_learner {
-        session.membership(group, MembershipRequest::AddLearner(new.clone()))?;
+    let before = read_members(session, group)?;
+    if !before.has(new.id) {
+        // The new member listens where the lost one did: one address, one member. The lost one
+        // does not vote any more, so the group bears no fewer losses without it.
+        if before.address_of(old) == Some(new.address) {
+            change(session, group, &MembershipRequest::Remove(old))?;
+        }
+        change(session, group, &MembershipRequest::AddLearner(new.clone()))?;
     }
-    if !is_voter {
-        await_caught_up(session, group, new.id)?;
-        session.membership(group, MembershipRequest::Promote(new.id))?;
+    if !before.is_voter(new.id) {
+        await_synced(session, group, &[new.id])?;
+        change(session, group, &MembershipRequest::Promote(new.id))?;
     }
-    if before.voters.iter().any(|member| member.id == old) {
-        session.membership(group, MembershipRequest::Remove(old))?;
+    let promoted = read_members(session, group)?;
+    if promoted.has(old) {
+        if promoted.leader == old {
+            change(
+                session,
+                group,
+                &MembershipRequest::TransferLeadership(new.id),
+            )?;
+        }
+        change(session, group, &MembershipRequest::Remove(old))?;
     }
-    await_all_synced(session, group)
+    // When every voter has all entries on its disk any one may be lost.
+    let voters = read_members(session, group)?.membership.voters;
+    let voters: Vec<ReplicaId> = voters.iter().map(|member| member.id).collect();
+    await_synced(session, group, &voters)
 }
 
-fn await_caught_up(session: &Session, group: GroupId, id: ReplicaId) -> Result<(), Failure> {
+/// Has a group change its members. Refusals may pass by themselves (a leader that is new, an
+/// earlier change, a learner just behind), so it asks again for a while.
+fn change(session: &Session, group: GroupId, request: &MembershipRequest) -> Result<(), Failure> {
+    let deadline = Instant::now() + session.timeout();
     loop {
-        let members = read_members(session, group)?;
-        if synced_index(&members, id) >= Some(members.last_index) {
-            return Ok(());
+        match session.membership(group, request.clone()) {
+            Ok(_) => return Ok(()),
+            Err(Failure::MembersRefused { .. }) if Instant::now() < deadline => {
+                std::thread::sleep(CATCH_UP_INTERVAL);
+            }
+            Err(failure) => return Err(failure),
         }
-        std::thread::sleep(CATCH_UP_INTERVAL);
     }
 }
 
-/// Waits until every voter has all entries on its disk: then any one may be lost.
-fn await_all_synced(session: &Session, group: GroupId) -> Result<(), Failure> {
+/// Waits until these members have on disk all that the leader had at the beginning.
+fn await_synced(session: &Session, group: GroupId, ids: &[ReplicaId]) -> Result<(), Failure> {
     let goal = read_members(session, group)?.last_index;
+    let mut told = Instant::now();
     loop {
         let members = read_members(session, group)?;
-        let mut voters = members.membership.voters.iter();
-        if voters.all(|voter| synced_index(&members, voter.id) >= Some(goal)) {
+        let behind = ids
+            .iter()
+            .find(|id| members.synced_index(**id) < Some(goal));
+        let Some(behind) = behind else {
             return Ok(());
+        };
+        if told.elapsed() >= TELL_INTERVAL {
+            told = Instant::now();
+            let synced = members.synced_index(*behind).unwrap_or(0);
+            eprintln!("{group}: waiting for member {behind}, which has {synced} of {goal} entries");
         }
         std::thread::sleep(CATCH_UP_INTERVAL);
     }
 }
 
-fn synced_index(members: &GroupMembers, id: ReplicaId) -> Option<u64> {
-    let mut synced = members.synced.iter();
-    synced
-        .find(|(member, _)| *member == id)
-        .map(|(_, index)| *index)
-}
-
 fn members_text(members: &GroupMembers) -> String {
     let mut text = format!(
         "{}: leader {}, last index {}",
         members.group, members.leader, members.last_index
     );
-    let voters = members.membership.voters.iter().map(|m| (m, "voter"));
-    let learners = members.membership.learners.iter().map(|m| (m, "learner"));
-    for (member, kind) in voters.chain(learners) {
-        let synced = synced_index(members, member.id).unwrap_or(0);
+    for (member, kind) in members.all() {
+        let synced = members.synced_index(member.id).unwrap_or(0);
         text.push_str(&format!(
             "\n  {kind} {} at {}, synced up to {synced}",
             member.id, member.address
--- a/crates/wingshore/src/ctl/mod.rs
+++ b/crates/wingshore/src/ctl/mod.rs
@@ -1,15 +1,17 @@
 //! `wingshore ctl`: intents, plans, confirmations, status, members.
 
 pub mod arguments;
+mod diff;
 mod members;
 mod plans;
 mod render;
 mod session;
+mod site_status;
 
 use crate::failure::Failure;
 use arguments::{CtlArguments, CtlCommand};
 use session::Session;
-use wingshore_types::protocol::control::{Intent, PlanStep};
+use wingshore_types::protocol::control::Intent;
 
 /// Runs one operator's command.
 ///
@@ -18,7 +20,7 @@
 pub fn run(flags: &CtlArguments) -> Result<(), Failure> {
     let session = Session::open(flags)?;
     match &flags.command {
-        CtlCommand::Status(_) => plans::status(&session),
+        CtlCommand::Status(_) => site_status::show(&session),
         CtlCommand::Configuration(_) => plans::configuration(&session),
         CtlCommand::Plan(plan) => plans::propose(&session, plan),
         CtlCommand::Drain(drain) => {
@@ -33,13 +35,3 @@
         CtlCommand::DumpLog(_) => members::dump_logs(&session),
     }
 }
-
-/// A plan's step in a few words.
-fn step_text(step: &PlanStep) -> String {
-    match step {
-        PlanStep::Change(change) => format!("change {}", render::change_text(change)),
-        PlanStep::Swap { server, version } => format!("swap {server} to version {version}"),
-        PlanStep::AwaitInForce => "wait until in force on every node".to_owned(),
-        PlanStep::AwaitIdle(server) => format!("wait until {server} is idle"),
-    }
-}
--- a/crates/wingshore/src/ctl/plans.rs
+++ b/crates/wingshore/src/ctl/plans.rs
@@ -5,6 +5,7 @@
 use crate::ctl::session::{Session, intent_id, unexpected};
 use crate::failure::{Failure, SettingsSnafu};
 use crate::settings_file;
+use serde::Serialize;
 use snafu::ResultExt;
 use std::time::Duration;
 use wingshore_settings::{SiteFile, site_from_text};
@@ -15,18 +16,11 @@
 /// Between two looks at a running plan.
 const WAIT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Shows the site at a glance.
-///
-/// # Errors
-/// When the control group does not answer.
-pub fn status(session: &Session) -> Result<(), Failure> {
-    match session.control(ControlRequest::Status)? {
-        ControlReply::Status(status) => {
-            session.print(&*status, render::status_text);
-            Ok(())
-        }
-        other => Err(unexpected(&other)),
-    }
+/// The answer to a site file that the configuration equals already; there is no plan then.
+#[derive(Serialize)]
+struct NothingToChange {
+    nothing_to_change: bool,
+    revision: Revision,
 }
 
 /// Shows the configuration.
@@ -50,8 +44,13 @@
             let text = settings_file::read(&apply.file)?;
             let site = site_from_text(&apply.file, &text).context(SettingsSnafu)?;
             let current = read_configuration(session)?;
+            let changes = changes(&current, &site, apply.prune);
+            if changes.is_empty() {
+                print_nothing_to_change(session, &current, &apply.file);
+                return Ok(());
+            }
             base = base.or(Some(current.revision));
-            Intent::Apply(changes(&current, &site, apply.prune))
+            Intent::Apply(changes)
         }
         PlanCommand::MovePool(wanted) => Intent::MovePool {
             pool: wanted.pool.as_str().into(),
@@ -78,8 +77,7 @@
         base_revision,
         intent,
     };
-    print_plan(session, &ask_for_plan(session, request)?);
-    Ok(())
+    print_plan(session, &ask_for_plan(session, request)?)
 }
 
 /// Shows one plan.
@@ -88,8 +86,7 @@
 /// When the control group does not answer, or knows no such plan.
 pub fn show(session: &Session, plan: u64) -> Result<(), Failure> {
     let request = ControlRequest::ShowPlan(PlanId(plan));
-    print_plan(session, &ask_for_plan(session, request)?);
-    Ok(())
+    print_plan(session, &ask_for_plan(session, request)?)
 }
 
 /// Shows all plans.
@@ -122,7 +119,7 @@
         std::thread::sleep(WAIT_INTERVAL);
         current = ask_for_plan(session, ControlRequest::ShowPlan(plan))?;
     }
-    print_plan(session, &current);
+    print_plan(session, &current)?;
     match current.state {
         PlanState::Running { .. } | PlanState::Done => Ok(()),
         other => Err(Failure::PlanEnded {
@@ -141,8 +138,7 @@
         intent_id: intent_id(flags.intent.as_deref())?,
         plan: PlanId(flags.plan),
     };
-    print_plan(session, &ask_for_plan(session, request)?);
-    Ok(())
+    print_plan(session, &ask_for_plan(session, request)?)
 }
 
 fn ask_for_plan(session: &Session, request: ControlRequest) -> Result<Plan, Failure> {
@@ -152,11 +148,34 @@
     }
 }
 
-fn print_plan(session: &Session, plan: &Plan) {
-    session.print(plan, render::plan_text);
+/// A proposed plan is told against the configuration as it is, so that it can be judged.
+fn print_plan(session: &Session, plan: &Plan) -> Result<(), Failure> {
+    let current = match plan.state {
+        PlanState::Proposed if !session.prints_json() => Some(read_configuration(session)?),
+        _ => None,
+    };
+    session.print(plan, |plan| render::plan_text(plan, current.as_ref()));
+    Ok(())
 }
 
-fn read_configuration(session: &Session) -> Result<Configuration, Failure> {
+fn print_nothing_to_change(session: &Session, current: &Configuration, file: &str) {
+    let nothing = NothingToChange {
+        nothing_to_change: true,
+        revision: current.revision,
+    };
+    session.print(&nothing, |nothing| {
+        format!(
+            "nothing to change: revision {} is what {file} says",
+            nothing.revision
+        )
+    });
+}
+
+/// The configuration as committed.
+///
+/// # Errors
+/// When the control group does not answer.
+pub fn read_configuration(session: &Session) -> Result<Configuration, Failure> {
     match session.control(ControlRequest::ReadConfiguration)? {
         ControlReply::Configuration(configuration) => Ok(*configuration),
         other => Err(unexpected(&other)),
--- a/crates/wingshore/src/ctl/render.rs
+++ b/crates/wingshore/src/ctl/render.rs
@@ -1,9 +1,9 @@
 //! Plain text for people.
 
-use crate::ctl::step_text;
+use crate::ctl::diff::{change_text, pool_text, server_text, service_text};
 use std::fmt::Write as _;
-use wingshore_types::configuration::{Configuration, ConfigurationChange, ServiceKind};
-use wingshore_types::protocol::control::{InForce, Plan, PlanCost, PlanState, Status};
+use wingshore_types::configuration::Configuration;
+use wingshore_types::protocol::control::{Intent, Plan, PlanCost, PlanState, PlanStep};
 
 /// Appends one line; writing to a `String` cannot fail.
 macro_rules! line {
@@ -24,37 +24,18 @@
     }
 }
 
-/// A change in a few words.
-pub fn change_text(change: &ConfigurationChange) -> String {
-    match change {
-        ConfigurationChange::PutService(service) => format!("service {}", service.id),
-        ConfigurationChange::RemoveService(id) => format!("remove service {id}"),
-        ConfigurationChange::PutServer(server) => {
-            format!("server {} at {}", server.id, server.address)
-        }
-        ConfigurationChange::RemoveServer(id) => format!("remove server {id}"),
-        ConfigurationChange::SetAdmission { server, admission } => {
-            format!("admission of {server} to {admission:?}").to_lowercase()
-        }
-        ConfigurationChange::PutPool(pool) => format!("pool {}", pool.id),
-        ConfigurationChange::RemovePool(id) => format!("remove pool {id}"),
-        ConfigurationChange::SetTargetVersion { pool, version } => {
-            format!("target version of {pool} to {version}")
-        }
-    }
-}
-
-/// A plan with its steps and cost.
-pub fn plan_text(plan: &Plan) -> String {
+/// A plan with its steps and cost; `current` is what the changes are told against.
+pub fn plan_text(plan: &Plan, current: Option<&Configuration>) -> String {
     let mut text = plan_line(plan);
     for (position, step) in plan.steps.iter().enumerate() {
-        let _ = write!(text, "\n  {:>3}. {}", position + 1, step_text(step));
+        let step = step_text(step, current);
+        let _ = write!(text, "\n  {:>3}. {step}", position + 1);
     }
     let _ = write!(text, "\n  cost: {}", cost_text(&plan.cost));
     if plan.state == PlanState::Proposed {
         let _ = write!(
             text,
-            "\n  nothing happens until: wingshore ctl … confirm {}",
+            "\n  nothing happens until: wingshore ctl --replicas … confirm {}",
             plan.id
         );
     }
@@ -70,114 +51,84 @@
     lines.join("\n")
 }
 
-/// The site at a glance.
-pub fn status_text(status: &Status) -> String {
-    let mut text = String::new();
-    line!(
-        text,
-        "leader: replica {}, epoch {}",
-        status.leader,
-        status.epoch
-    );
-    line!(text, "{}", in_force_text(&status.in_force));
-    line!(text, "nodes: {}", status.nodes.len());
-    for node in &status.nodes {
-        line!(text, "  {} has revision {}", node.node, node.in_force);
-    }
-    line!(text, "engines: {}", status.engines.len());
-    for engine in &status.engines {
-        let version = show(engine.version);
-        let ordered = show(engine.ordered);
-        line!(
-            text,
-            "  {} serves version {version}, ordered {ordered}, {} failed swaps",
-            engine.server,
-            engine.failures
-        );
-    }
-    line!(text, "open plans: {}", status.open_plans.len());
-    for plan in &status.open_plans {
-        line!(text, "  {}", plan_line(plan));
-    }
-    text.trim_end().to_owned()
-}
-
 /// The configuration.
 pub fn configuration_text(configuration: &Configuration) -> String {
     let mut text = format!("revision {}\n", configuration.revision);
     for service in configuration.services.values() {
-        let kind = match &service.kind {
-            ServiceKind::Engines { model } => format!("engines of {model}"),
-            ServiceKind::Live => "live".to_owned(),
-        };
-        line!(
-            text,
-            "service {}: {kind}, {} slots a server, live share {}/1000",
-            service.id,
-            service.slots_per_server,
-            service.live_share.0
-        );
+        line!(text, "service {}: {}", service.id, service_text(service));
         for server in configuration.servers_of(&service.id) {
-            let admission = format!("{:?}", server.admission).to_lowercase();
-            line!(
-                text,
-                "  server {}: {} in {}, {admission}",
-                server.id,
-                server.address,
-                server.zone
-            );
+            line!(text, "  server {}: {}", server.id, server_text(server));
         }
     }
     for pool in configuration.pools.values() {
-        line!(
-            text,
-            "pool {}: service {}, trainer {}, staleness bound {}, target version {}",
-            pool.id,
-            pool.service,
-            pool.trainer,
-            pool.staleness_bound,
-            pool.target_version
-        );
+        line!(text, "pool {}: {}", pool.id, pool_text(pool));
     }
     text.trim_end().to_owned()
 }
 
-fn plan_line(plan: &Plan) -> String {
+/// A plan in one line.
+pub fn plan_line(plan: &Plan) -> String {
     format!(
-        "plan {} (intent {}, base revision {}): {}",
+        "plan {} (to {}; base revision {}, intent {}): {}",
         plan.id,
-        plan.intent_id,
+        intent_text(&plan.intent),
         plan.base_revision,
+        plan.intent_id,
         state_text(&plan.state)
     )
 }
 
-fn cost_text(cost: &PlanCost) -> String {
-    format!(
-        "{} servers affected, at most {} away at once ({} of {} slots), about {} ms, \
-         trainer idle about {} ms, engines up to {} versions behind",
-        cost.servers_affected,
-        cost.servers_away_at_once,
-        cost.slots_away_at_once,
-        cost.slots_total,
-        cost.duration_ms,
-        cost.trainer_idle_ms,
-        cost.staleness_versions
-    )
+/// A time in the unit that people would use.
+pub fn duration_text(milliseconds: u64) -> String {
+    let seconds = milliseconds as f64 / 1000.0;
+    match milliseconds {
+        0..1_000 => format!("{milliseconds} ms"),
+        1_000..120_000 => format!("{seconds:.1} s"),
+        _ => format!("{:.0} min", seconds / 60.0),
+    }
 }
 
-fn in_force_text(in_force: &InForce) -> String {
-    let mut text = format!(
-        "configuration: revision {} committed, {} in force everywhere",
-        in_force.committed, in_force.everywhere
-    );
-    if !in_force.waiting_for.is_empty() {
-        let names: Vec<&str> = in_force.waiting_for.iter().map(|n| n.as_str()).collect();
-        let _ = write!(text, ", waiting for {}", names.join(", "));
+fn intent_text(intent: &Intent) -> String {
+    match intent {
+        Intent::Apply(changes) => format!("apply {} changes", changes.len()),
+        Intent::MovePool { pool, version } => format!("move pool {pool} to version {version}"),
+        Intent::Drain(server) => format!("drain {server}"),
+        Intent::Restore(server) => format!("restore {server}"),
+    }
+}
+
+/// A plan's step in a few words.
+fn step_text(step: &PlanStep, current: Option<&Configuration>) -> String {
+    match step {
+        PlanStep::Change(change) => change_text(change, current),
+        PlanStep::Swap { server, version } => format!("swap {server} to version {version}"),
+        PlanStep::AwaitInForce => "wait until in force on every node".to_owned(),
+        PlanStep::AwaitIdle(server) => format!("wait until {server} is idle"),
     }
-    text
 }
 
-fn show<T: std::fmt::Display>(value: Option<T>) -> String {
-    value.map_or_else(|| "unknown".to_owned(), |value| value.to_string())
+fn cost_text(cost: &PlanCost) -> String {
+    let mut parts = vec![format!("about {}", duration_text(cost.duration_ms))];
+    if cost.servers_away_at_once == 0 {
+        parts.push("no server goes away".to_owned());
+    } else {
+        parts.push(format!(
+            "{} of {} servers concerned away at once ({} of {} slots)",
+            cost.servers_away_at_once,
+            cost.servers_affected,
+            cost.slots_away_at_once,
+            cost.slots_total
+        ));
+    }
+    if cost.trainer_idle_ms > 0 {
+        let idle = duration_text(cost.trainer_idle_ms);
+        parts.push(format!("trainer idle about {idle} longer"));
+    }
+    if cost.staleness_versions > 0 {
+        let versions = cost.staleness_versions;
+        parts.push(format!(
+            "engines up to {versions} versions apart until done"
+        ));
+    }
+    parts.join("; ")
 }
--- a/crates/wingshore/src/ctl/session.rs
+++ b/crates/wingshore/src/ctl/session.rs
@@ -42,12 +42,22 @@
         &self.replicas
     }
 
+    /// How long one answer is waited for.
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// Whether output is for scripts.
+    pub fn prints_json(&self) -> bool {
+        self.json
+    }
+
     /// Asks the control group.
     ///
     /// # Errors
     /// When it does not answer, or refuses.
     pub fn control(&self, request: ControlRequest) -> Result<ControlReply, Failure> {
-        let hint = resend_hint(&request);
+        let hint = no_answer_hint(&request);
         let request = GroupRequest::Control(request);
         let reply = self
             .client
@@ -75,10 +85,10 @@
         let reply = self
             .client
             .call(group, request, self.timeout)
-            .context(CallSnafu { hint: "" })?;
+            .context(CallSnafu { hint: NO_ANSWER })?;
         match reply {
             GroupReply::Membership(MembershipReply::Refused { message }) => {
-                Err(Failure::Refused { message })
+                Err(Failure::MembersRefused { group, message })
             }
             GroupReply::Membership(reply) => Ok(reply),
             other => Err(unexpected(&other)),
@@ -92,7 +102,7 @@
     pub fn at(&self, address: SocketAddr, request: GroupRequest) -> Result<GroupReply, Failure> {
         self.client
             .call_at(address, GroupId::Control, request, self.timeout)
-            .context(CallSnafu { hint: "" })
+            .context(CallSnafu { hint: NO_ANSWER })
     }
 
     /// Prints `value` as JSON, or what `text` makes of it.
@@ -142,27 +152,38 @@
         .collect()
 }
 
-/// How to ask again without asking twice.
-fn resend_hint(request: &ControlRequest) -> String {
+/// What to look at when nobody answers.
+const NO_ANSWER: &str = "\nnext: are the addresses of --replicas right, and does more than half \
+                         of the members run? GET /readyz at a replica's `admin` address says \
+                         whether it knows a leader";
+
+/// What to look at, and how to ask again without asking twice.
+fn no_answer_hint(request: &ControlRequest) -> String {
     match request {
         ControlRequest::Propose { intent_id, .. }
         | ControlRequest::Confirm { intent_id, .. }
         | ControlRequest::Cancel { intent_id, .. } => {
-            format!("\nto ask again safely, add: --intent {intent_id}")
+            format!("{NO_ANSWER}\nto ask again safely, add: --intent {intent_id}")
         }
-        _ => String::new(),
+        _ => NO_ANSWER.to_owned(),
     }
 }
 
 fn refusal_text(refusal: &ControlRefusal) -> String {
     match refusal {
         ControlRefusal::Conflict { current, message } => {
-            format!("conflict, the configuration is at revision {current} now: {message}")
+            format!(
+                "conflict, the configuration is at revision {current} now: {message}\n\
+                 next: look at `configuration`, and plan again"
+            )
         }
         ControlRefusal::Invalid { message } => message.clone(),
-        ControlRefusal::UnknownPlan(plan) => format!("there is no plan {plan}"),
+        ControlRefusal::UnknownPlan(plan) => {
+            format!("there is no plan {plan}; `plans` lists those that are kept")
+        }
         ControlRefusal::WrongState { state } => {
-            format!("the plan is {}", super::render::state_text(state))
+            let state = super::render::state_text(state);
+            format!("the plan is {state}; next: plan again if it is still wanted")
         }
     }
 }
--- a/crates/wingshore/src/failure.rs
+++ b/crates/wingshore/src/failure.rs
@@ -4,6 +4,7 @@
 use wingshore_client::CallError;
 use wingshore_settings::SettingsErrors;
 use wingshore_storage::StorageError;
+use wingshore_types::GroupId;
 
 /// Exit status of a bad command line or bad settings.
 pub const EXIT_USAGE: u8 = 2;
@@ -69,11 +70,22 @@
         hint: String,
     },
     /// A group refused; nothing was changed.
-    #[snafu(display("refused: {message}"))]
+    #[snafu(display("refused, nothing was changed: {message}"))]
     Refused {
         /// Why.
         message: String,
     },
+    /// A group refused to change its members; what was done before stays.
+    #[snafu(display(
+        "group {group} refused: {message}\nnext: mend that and run the same command again; steps \
+         that are done are left out"
+    ))]
+    MembersRefused {
+        /// Which group.
+        group: GroupId,
+        /// Why.
+        message: String,
+    },
     /// A plan ended otherwise than done.
     #[snafu(display("plan {plan} {message}"))]
     PlanEnded {
--- a/crates/wingshore/src/format.rs
+++ b/crates/wingshore/src/format.rs
@@ -28,7 +28,7 @@
         ArgumentSnafu {
             argument: "--id",
             found: id.to_string(),
-            allowed: "the `id` of one of the [[founding]] members",
+            allowed: founding_ids(&membership),
         }
     );
     let file_system: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
@@ -42,6 +42,16 @@
     Ok(())
 }
 
+/// The identities as an error shows them.
+fn founding_ids(membership: &Membership) -> String {
+    let ids = membership.voters.iter().map(|member| member.id.to_string());
+    let ids: Vec<String> = ids.collect();
+    format!(
+        "the `id` of one of the [[founding]] members: {}",
+        ids.join(", ")
+    )
+}
+
 fn founding_membership(settings: &ReplicaSettings) -> Membership {
     let member = |founding: &wingshore_settings::FoundingMember| Member {
         id: founding.id,
--- /dev/null
+++ b/crates/wingshore/tests/command_line.rs
@@ -0,0 +1,162 @@
+//! Help, version, wrong arguments, and `wingshore check` on broken files.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{path_text, wingshore};
+
+const REPLICA: &str = r#"role = "replica"
+site = "farewind"
+name = "replica-1"
+zone = "regina-hall"
+listen = "127.0.0.1:7101"
+data = "data/replica-1"
+[[founding]]
+id = 1
+address = "127.0.0.1:7101"
+"#;
+
+const SITE: &str = r#"role = "site"
+zones = ["regina-hall"]
+[[service]]
+id = "fare-lm"
+kind = "engines"
+model = "dispute-7b"
+[[server]]
+id = "engine-1"
+service = "fare-lm"
+address = "127.0.0.1:9101"
+zone = "regina-hall"
+"#;
+
+/// The whole file, what is replaced in it by what, and what each error line must hold, in order.
+#[rustfmt::skip]
+const BROKEN: &[(&str, &str, &str, &[&[&str]])] = &[
+    (REPLICA, "zone =", "zoen =", &[&[":1:", "`zone`", "found nothing", "1 to 64 of a-z"], &[":4:", "`zoen`", "an unknown key", "allowed: role, site, name, zone"]]),
+    (REPLICA, "\"data/replica-1\"", "7", &[&[":6:", "`data`", "found 7", "text"]]),
+    (REPLICA, "[[founding]]", "configuration_lease = \"5\"\n[[founding]]", &[&[":7:", "`configuration_lease`", "found \"5\"", "a duration with unit from \"500ms\" to \"30s\""]]),
+    (REPLICA, "[[founding]]", "configuration_lease = \"2m\"\n[[founding]]", &[&[":7:", "`configuration_lease`", "found \"2m\"", "to \"30s\""]]),
+    (REPLICA, "[[founding]]", "snapshot_every = 16\n[[founding]]", &[&[":7:", "`snapshot_every`", "found 16", "KiB, MiB, GiB"]]),
+    (REPLICA, "[[founding]]", "[timing]\nheartbeat = \"1s\"\n[[founding]]", &[&["`timing.election_timeout`", "found 1s", "at least four heartbeats"]]),
+    (REPLICA, "id = 1", "id = 0", &[&[":8:", "`founding[1].id`", "found 0", "from 1 to"]]),
+    (REPLICA, "replica\"\nsite", "replika\"\nsite", &[&[":1:", "`role`", "found \"replika\"", "\"replica\", \"relay\", \"node\", \"site\""]]),
+    (REPLICA, "\"127.0.0.1:7101\"\ndata", "\"127.0.0.1\"\ndata", &[&[":5:", "`listen`", "found \"127.0.0.1\"", "an IP address and port"]]),
+    (REPLICA, "site =", "site", &[&[":2:", "(syntax)", "TOML"]]),
+    (SITE, "zone = \"regina-hall\"", "zone = \"regina\"", &[&[":11:", "`server[1].zone`", "found \"regina\"", "\"regina-hall\""]]),
+    (SITE, "service = \"fare-lm\"", "service = \"fare\"", &[&[":9:", "`server[1].service`", "found \"fare\"", "\"fare-lm\""]]),
+    (SITE, "[[server]]", "[[service]]\nid = \"fare-lm\"\nkind = \"live\"\n[[server]]", &[&[":8:", "`service[2].id`", "\"fare-lm\" twice", "each id once"]]),
+    (SITE, "kind = \"engines\"", "kind = \"engine\"", &[&[":5:", "`service[1].kind`", "found \"engine\"", "\"engines\", \"live\""]]),
+];
+
+#[gtest]
+fn check_names_every_error_of_a_broken_file() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let path = path_text(&folder.path().join("broken.toml"));
+    for (whole, from, to, wanted) in BROKEN {
+        expect_that!(*whole, contains_substring(*from));
+        std::fs::write(&path, whole.replacen(from, to, 1))?;
+        let answer = wingshore(&["check", "--settings", &path]);
+        expect_that!(answer.code, some(eq(2)), "{to}");
+        let lines: Vec<&str> = answer.stderr.lines().collect();
+        for parts in *wanted {
+            let named = lines.iter().any(|line| {
+                line.starts_with(&path) && parts.iter().all(|part| line.contains(part))
+            });
+            expect_true!(named, "{to} gave {lines:?}");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn check_accepts_the_files_of_the_sites() -> Result<()> {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sites");
+    let mut checked = 0;
+    for site in ["farewind", "roster"] {
+        for folder in [
+            site.to_owned(),
+            format!("{site}/replicas"),
+            format!("{site}/nodes"),
+        ] {
+            for entry in std::fs::read_dir(root.join(folder))? {
+                let path = entry?.path();
+                if path.is_dir() || path.ends_with("lab.toml") {
+                    continue;
+                }
+                let answer = wingshore(&["check", "--settings", &path_text(&path)]);
+                expect_that!(answer.code, some(eq(0)), "{answer:?}");
+                checked += 1;
+            }
+        }
+    }
+    expect_that!(checked, ge(18));
+    Ok(())
+}
+
+#[gtest]
+fn help_names_commands_and_examples() {
+    let top = wingshore(&["--help"]);
+    expect_that!(top.code, some(eq(0)));
+    for word in [
+        "replica",
+        "relay",
+        "node",
+        "format",
+        "check",
+        "ctl",
+        "Examples:",
+    ] {
+        expect_that!(top.stdout, contains_substring(word));
+    }
+    let commands: &[(&[&str], &str)] = &[
+        (&["replica"], "--settings"),
+        (&["relay"], "--settings"),
+        (&["node"], "--settings"),
+        (&["format"], "--id"),
+        (&["check"], "--settings"),
+        (&["ctl"], "--replicas"),
+        (&["ctl", "plan"], "move-pool"),
+        (&["ctl", "plan", "apply"], "--prune"),
+        (&["ctl", "confirm"], "--wait"),
+        (&["ctl", "members", "replace"], "identity of the new member"),
+    ];
+    for (words, part) in commands {
+        let mut all = words.to_vec();
+        all.push("--help");
+        let answer = wingshore(&all);
+        expect_that!(answer.code, some(eq(0)), "{words:?}");
+        expect_that!(answer.stdout, contains_substring(*part), "{words:?}");
+    }
+    let version = wingshore(&["--version"]);
+    expect_that!(
+        version.stdout,
+        eq(&format!("wingshore {}\n", env!("CARGO_PKG_VERSION")))
+    );
+}
+
+/// Arguments, exit status, and what standard error must hold.
+#[rustfmt::skip]
+const WRONG: &[(&[&str], i32, &[&str])] = &[
+    (&[], 2, &["no command", "--help"]),
+    (&["check", "--settings", "/nowhere/x.toml"], 2, &["cannot read /nowhere/x.toml"]),
+    (&["ctl", "--replicas", "localhost:1", "status"], 2, &["--replicas", "\"localhost:1\"", "IP addresses and ports"]),
+    (&["ctl", "--replicas", "127.0.0.1:1", "plan", "--intent", "xyz", "drain", "a"], 2, &["--intent", "xyz", "hexadecimal"]),
+    (&["ctl", "--replicas", "127.0.0.1:1", "--timeout", "1", "status"], 1, &["no answer from group control", "127.0.0.1:1", "connection refused", "--replicas"]),
+    (&["ctl", "--replicas", "127.0.0.1:1", "--timeout", "1", "confirm", "4"], 1, &["no answer", "to ask again safely", "--intent"]),
+];
+
+#[gtest]
+fn wrong_arguments_say_what_is_allowed() {
+    for (arguments, code, parts) in WRONG {
+        let answer = wingshore(arguments);
+        expect_that!(answer.code, some(eq(*code)), "{arguments:?}");
+        let text = answer.stderr.to_lowercase();
+        for part in *parts {
+            expect_that!(
+                text,
+                contains_substring(part.to_lowercase()),
+                "{arguments:?}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore/tests/replicas.rs
@@ -0,0 +1,131 @@
+//! Replicas as processes: planned stop, a lost data folder, log dumps, and starting wrongly.
+
+mod support;
+
+use googletest::prelude::*;
+use serde_json::Value;
+use support::{Site, path_text, wait_for, wingshore};
+
+#[gtest]
+fn sigterm_is_a_planned_stop() {
+    let mut site = Site::start();
+    let leader = site.ctl_json(&["status"])["leader"].as_u64().unwrap_or(1) as usize;
+    let (code, stderr) = site.take(leader).stop();
+    expect_that!(code, some(eq(0)), "{stderr}");
+    // The others go on, and the stopped one comes back.
+    expect_that!(
+        site.ctl_json(&["status"])["leader"].as_u64(),
+        some(not(eq(leader as u64)))
+    );
+    site.start_replica(leader);
+    wait_for("all to be in step", || all_synced(&site).then_some(()));
+    for number in 1..=3 {
+        let (code, stderr) = site.take(number).stop();
+        expect_that!(code, some(eq(0)), "{stderr}");
+    }
+}
+
+#[gtest]
+fn a_lost_data_folder_is_replaced_by_a_new_member() {
+    let mut site = Site::start();
+    let leader = site.ctl_json(&["status"])["leader"].as_u64().unwrap_or(1) as usize;
+    let lost = leader % 3 + 1;
+    site.take(lost).kill();
+    std::fs::remove_dir_all(site.data(lost)).expect("the folder is there");
+    site.start_replica(lost);
+    let address = site.listen[lost - 1].to_string();
+    let new = wait_for("the new identity", || {
+        new_identity(&site.errors(lost), &address)
+    });
+
+    let unknown = site.try_ctl(&["members", "replace", "9", &new, &address]);
+    expect_that!(unknown.code, some(eq(3)));
+    expect_that!(unknown.stderr, contains_substring("there is no member 9"));
+
+    let replaced = site.ctl_json(&["members", "replace", &lost.to_string(), &new, &address]);
+    for group in replaced.as_array().into_iter().flatten() {
+        let voters = voters(group);
+        expect_that!(voters, contains(eq(&new)));
+        expect_that!(voters, not(contains(eq(&lost.to_string()))));
+        expect_that!(voters.len(), eq(3));
+    }
+    // Once it has ended the loss of any one further machine is harmless.
+    site.take(leader).kill();
+    site.ctl(&["status"]);
+}
+
+#[gtest]
+fn a_log_is_written_out_when_asked_for() {
+    let site = Site::start();
+    let dumped = site.ctl_json(&["dump-log"]);
+    expect_that!(dumped.as_array().map(Vec::len), some(eq(3)));
+    for dump in dumped.as_array().into_iter().flatten() {
+        let path = dump["written_to"].as_str().unwrap_or("");
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        expect_that!(
+            text,
+            contains_substring("written because of: asked for"),
+            "{dump}"
+        );
+        expect_that!(text, contains_substring("started"), "{dump}");
+    }
+}
+
+#[gtest]
+fn wrong_starts_are_refused_with_the_next_step() {
+    let mut site = Site::start();
+    let file = path_text(&site.path("replica-1.toml"));
+    let again = wingshore(&["format", "--settings", &file, "--id", "1"]);
+    expect_that!(again.code, some(eq(1)));
+    expect_that!(again.stderr, contains_substring(path_text(&site.data(1))));
+    let stranger = wingshore(&["format", "--settings", &file, "--id", "9"]);
+    expect_that!(stranger.code, some(eq(2)));
+    expect_that!(
+        stranger.stderr,
+        contains_substring(
+            "--id: found 9; allowed: the `id` of one of the [[founding]] members: 1, 2, 3"
+        )
+    );
+    let twice = wingshore(&["replica", "--settings", &file]);
+    expect_that!(twice.code, some(eq(1)));
+    expect_that!(twice.stderr, contains_substring(path_text(&site.data(1))));
+    site.take(1).kill();
+    let listen = site.listen[1].to_string();
+    let taken = wingshore(&["replica", "--settings", &file, "--listen", &listen]);
+    expect_that!(taken.code, some(eq(1)));
+    expect_that!(taken.stderr, contains_substring(listen));
+    expect_that!(
+        site.ctl(&["status"]).stdout,
+        contains_substring("leader: replica")
+    );
+}
+
+fn all_synced(site: &Site) -> bool {
+    let members = site.ctl_json(&["members", "show"]);
+    let mut groups = members.as_array().into_iter().flatten();
+    groups.all(|group| {
+        let mut synced = group["synced"].as_array().into_iter().flatten();
+        synced.all(|member| member[1] == group["last_index"])
+    })
+}
+
+fn voters(group: &Value) -> Vec<String> {
+    let voters = group["membership"]["voters"].as_array();
+    voters
+        .into_iter()
+        .flatten()
+        .map(|member| member["id"].to_string())
+        .collect()
+}
+
+/// The identity and the command that a replica on an empty folder prints at its start.
+fn new_identity(text: &str, address: &str) -> Option<String> {
+    let words: Vec<&str> = text.split_whitespace().collect();
+    let command = words.iter().position(|word| *word == "replace")?;
+    let [_, _, id, printed] = words.get(command..command + 4)? else {
+        return None;
+    };
+    let id: u64 = id.parse().ok()?;
+    let is_new = id > u64::from(u32::MAX) && printed.starts_with(address);
+    is_new.then(|| id.to_string())
+}
