lab: simulated engine, live server, scorer, weight store and machine list

Cause: the simulator needs the platform's side as pure step functions that record the events which the checkers judge. Change: five processes on the same cores as the stand-ins; the decisions of the live server, the scorer and the machine list move out of their HTTP code into cores that both use. A live server's answers name its boot, so that a restarted one never repeats an answer's bytes.

--- a/crates/wingshore-lab/src/sim/mod.rs
+++ b/crates/wingshore-lab/src/sim/mod.rs
@@ -8,3 +8,4 @@
 
 pub mod client;
 pub mod process;
+pub mod processes;
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/processes/engine.rs
@@ -0,0 +1,420 @@
+//! A simulated model engine: [`EngineCore`] behind calls, and fetches of weights.
+
+use super::wiring::{
+    CallNumbers, InboundCall, Timers, failed, hang_up, not_run, record, send_call,
+};
+use crate::events::Event;
+use crate::sim::process::{
+    Answer, Call, CallId, Process, ProcessFault, ProcessInput, ProcessOutput, SimMessage,
+};
+use crate::stand_ins::engine::fence::OrderAnswer;
+use crate::stand_ins::engine::{
+    EngineCore, EngineFault, EngineInput, EngineOutput, EngineSettings,
+};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_types::generator::hash_tokens;
+use wingshore_types::platform::{EngineCompletionRequest, EngineOrder, EngineState};
+use wingshore_types::{Instant, Verdict, WeightVersion};
+
+/// How often a fetch is tried again.
+const FETCH_ATTEMPTS: u32 = 40;
+/// Pause before a fetch is tried again when the store names none.
+const FETCH_RETRY: Duration = Duration::from_millis(250);
+/// Longest fetch.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(60);
+/// When to come back after a refusal.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Something to do later.
+#[derive(Clone, Debug)]
+enum Later {
+    /// Send a fetch, or give it up when it was sent as this call.
+    Fetch(Fetch, Option<CallId>),
+    /// Send a state that was read earlier.
+    State(InboundCall, Box<EngineState>),
+}
+
+/// A fetch of weights.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    version: WeightVersion,
+    store: SocketAddr,
+    attempts_left: u32,
+}
+
+/// The process.
+pub struct SimEngine {
+    core: EngineCore,
+    model: String,
+    boot_id: u64,
+    started_at: Option<Instant>,
+    calls: CallNumbers,
+    streams: BTreeMap<String, InboundCall>,
+    fetches: BTreeMap<CallId, Fetch>,
+    timers: Timers<Later>,
+    frozen_until: Option<Instant>,
+    held: VecDeque<ProcessInput>,
+    late_states: (u32, Duration),
+    answers_to_lose: u32,
+}
+
+impl SimEngine {
+    /// An engine that starts at `now`.
+    pub fn new(now: Instant, settings: EngineSettings, boot_id: u64) -> Self {
+        Self {
+            model: settings.model.clone(),
+            core: EngineCore::new(now, settings, boot_id),
+            boot_id,
+            started_at: Some(now),
+            calls: CallNumbers::new(boot_id),
+            streams: BTreeMap::new(),
+            fetches: BTreeMap::new(),
+            timers: Timers::default(),
+            frozen_until: None,
+            held: VecDeque::new(),
+            late_states: (0, Duration::ZERO),
+            answers_to_lose: 0,
+        }
+    }
+
+    fn is_frozen(&self, now: Instant) -> bool {
+        self.frozen_until.is_some_and(|until| now < until)
+    }
+
+    fn handle(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>) {
+        match input {
+            ProcessInput::Wake => self.drive(now, EngineInput::Tick, out),
+            ProcessInput::Message { from, message } => self.on_message(now, from, message, out),
+            ProcessInput::Stop => out.push(ProcessOutput::Exit),
+            ProcessInput::Fault(fault) => self.on_fault(now, fault, out),
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        message: SimMessage,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        match message {
+            SimMessage::Call { id, call } => self.on_call(now, InboundCall { from, id }, call, out),
+            SimMessage::Answer { id, answer } => self.on_fetch_answer(now, id, &answer, out),
+            SimMessage::HangUp { id } => self.on_hang_up(now, InboundCall { from, id }, out),
+            SimMessage::Consensus { .. }
+            | SimMessage::GroupRequest { .. }
+            | SimMessage::GroupReply { .. } => {}
+        }
+    }
+
+    fn on_call(
+        &mut self,
+        now: Instant,
+        caller: InboundCall,
+        call: Call,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        match call {
+            Call::Generate(request) => self.generate(now, caller, request, out),
+            Call::Cancel { request_id } => {
+                self.drive(now, EngineInput::Cancel { request_id }, out);
+                self.answer(caller, Answer::Done, out);
+            }
+            Call::Order(order) => self.order(now, caller, order, out),
+            Call::State => self.state(now, caller, out),
+            Call::Load => {
+                let load = self.core.load(now);
+                self.answer(caller, Answer::Load(load), out);
+            }
+            Call::CacheEvents { after } => {
+                let events = self.core.cache_events(now, after);
+                self.answer(caller, Answer::CacheEvents(events), out);
+            }
+            _ => caller.answer(not_run("no_such_path", None), out),
+        }
+    }
+
+    fn generate(
+        &mut self,
+        now: Instant,
+        caller: InboundCall,
+        request: EngineCompletionRequest,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        let started = Event::AttemptStarted {
+            request: request.request_id.clone(),
+            prompt_hash: hash_tokens(&request.prompt),
+            seed: request.seed,
+            resumed_tokens: request.resume.len() as u32,
+        };
+        self.streams.insert(request.request_id.clone(), caller);
+        let mut outputs = Vec::new();
+        self.core
+            .step(now, EngineInput::Submit(request), &mut outputs);
+        let mut started = Some(started);
+        for output in outputs {
+            if let EngineOutput::Started { .. } = output {
+                out.extend(started.take().map(ProcessOutput::Record));
+            }
+            self.carry_out(now, output, out);
+        }
+    }
+
+    fn order(
+        &mut self,
+        now: Instant,
+        caller: InboundCall,
+        order: EngineOrder,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        let fence = order.fence;
+        let mut outputs = Vec::new();
+        self.core.step(now, EngineInput::Order(order), &mut outputs);
+        for output in outputs {
+            if let EngineOutput::OrderAnswered { order, judgement } = &output
+                && order.fence == fence
+            {
+                let answer = match judgement.answer {
+                    OrderAnswer::Accepted => Answer::OrderAccepted,
+                    OrderAnswer::Fenced(reply) => Answer::OrderFenced(reply),
+                };
+                self.answer(caller, answer, out);
+            }
+            self.carry_out(now, output, out);
+        }
+    }
+
+    fn state(&mut self, now: Instant, caller: InboundCall, out: &mut Vec<ProcessOutput>) {
+        let state = self.core.state();
+        let (late, by) = self.late_states;
+        if late > 0 {
+            self.late_states.0 -= 1;
+            self.timers
+                .set(now + by, Later::State(caller, Box::new(state)));
+        } else {
+            self.answer(caller, Answer::State(state), out);
+        }
+    }
+
+    /// Answers, unless a switch says that this answer is lost.
+    fn answer(&mut self, caller: InboundCall, answer: Answer, out: &mut Vec<ProcessOutput>) {
+        if self.answers_to_lose > 0 {
+            self.answers_to_lose -= 1;
+        } else {
+            caller.answer(answer, out);
+        }
+    }
+
+    fn on_hang_up(&mut self, now: Instant, caller: InboundCall, out: &mut Vec<ProcessOutput>) {
+        let attempt = self.streams.iter().find(|(_, from)| **from == caller);
+        if let Some(request_id) = attempt.map(|(request_id, _)| request_id.clone()) {
+            self.drive(now, EngineInput::Cancel { request_id }, out);
+        }
+    }
+
+    fn on_fault(&mut self, now: Instant, fault: ProcessFault, out: &mut Vec<ProcessOutput>) {
+        match fault {
+            ProcessFault::Engine(fault) => {
+                if let EngineFault::Freeze(duration) = fault {
+                    self.frozen_until = Some(now + duration);
+                }
+                let fault_name = name_of(fault).to_owned();
+                record(Event::FaultInjected { fault: fault_name }, out);
+                self.drive(now, EngineInput::Fault(fault), out);
+            }
+            ProcessFault::LateStates { count, by } => self.late_states = (count, by),
+            ProcessFault::LoseAnswers { count } => self.answers_to_lose = count,
+            ProcessFault::Leaving(_) | ProcessFault::Machine { .. } => {}
+        }
+    }
+
+    fn drive(&mut self, now: Instant, input: EngineInput, out: &mut Vec<ProcessOutput>) {
+        let mut outputs = Vec::new();
+        self.core.step(now, input, &mut outputs);
+        for output in outputs {
+            self.carry_out(now, output, out);
+        }
+    }
+
+    /// Passes one output of the core on.
+    fn carry_out(&mut self, now: Instant, output: EngineOutput, out: &mut Vec<ProcessOutput>) {
+        match output {
+            EngineOutput::Started { .. } => {}
+            EngineOutput::RefusedNotRun { request_id, reason } => {
+                if let Some(caller) = self.streams.remove(&request_id) {
+                    caller.answer(not_run(reason, Some(RETRY_AFTER)), out);
+                }
+                let request = request_id;
+                record(Event::RefusedNotRun { request }, out);
+            }
+            EngineOutput::Event { request_id, event } => {
+                if let Some(caller) = self.streams.get(&request_id) {
+                    caller.answer(Answer::Stream(event), out);
+                }
+            }
+            EngineOutput::Finished { sequence } => {
+                self.streams.remove(&sequence.request_id);
+                let event = Event::AttemptFinished {
+                    prompt_hash: sequence.prompt_hash,
+                    seed: sequence.seed,
+                    tokens_hash: hash_tokens(&sequence.tokens),
+                    token_count: sequence.tokens.len() as u32,
+                    request: sequence.request_id,
+                };
+                record(event, out);
+            }
+            EngineOutput::Dropped { request_id, reason } => {
+                if let Some(caller) = self.streams.remove(&request_id) {
+                    caller.answer(failed(reason.as_str()), out);
+                }
+                let (request, reason) = (request_id, reason.as_str().to_owned());
+                record(Event::AttemptDropped { request, reason }, out);
+            }
+            EngineOutput::OrderAnswered { order, judgement } => record(
+                Event::OrderAnswered {
+                    epoch: order.fence.epoch.0,
+                    sequence: order.fence.sequence.0,
+                    accepted: judgement.answer == OrderAnswer::Accepted,
+                    repeated: judgement.repeated,
+                },
+                out,
+            ),
+            EngineOutput::VersionInForce(version) => record(Event::VersionInForce { version }, out),
+            EngineOutput::FetchWeights { version, source } => {
+                self.begin_fetch(now, version, &source, out);
+            }
+        }
+    }
+
+    fn begin_fetch(
+        &mut self,
+        now: Instant,
+        version: WeightVersion,
+        source: &str,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        match address_of(source) {
+            Some(store) => {
+                let fetch = Fetch {
+                    version,
+                    store,
+                    attempts_left: FETCH_ATTEMPTS,
+                };
+                self.fetch(now, fetch, out);
+            }
+            None => self.end_fetch(now, version, false, out),
+        }
+    }
+
+    fn fetch(&mut self, now: Instant, fetch: Fetch, out: &mut Vec<ProcessOutput>) {
+        let Some(attempts_left) = fetch.attempts_left.checked_sub(1) else {
+            return self.end_fetch(now, fetch.version, false, out);
+        };
+        let fetch = Fetch {
+            attempts_left,
+            ..fetch
+        };
+        let id = self.calls.draw();
+        let (model, version) = (self.model.clone(), fetch.version);
+        send_call(fetch.store, id, Call::FetchWeights { model, version }, out);
+        self.fetches.insert(id, fetch);
+        self.timers
+            .set(now + FETCH_TIMEOUT, Later::Fetch(fetch, Some(id)));
+    }
+
+    fn on_fetch_answer(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        answer: &Answer,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        let Some(fetch) = self.fetches.remove(&id) else {
+            return;
+        };
+        let again = match answer {
+            Answer::Done => return self.end_fetch(now, fetch.version, true, out),
+            Answer::Refused {
+                retry_after: Some(pause),
+                verdict: Verdict::NotRun,
+                ..
+            } => *pause,
+            Answer::Broken | Answer::Unreachable => FETCH_RETRY,
+            _ => return self.end_fetch(now, fetch.version, false, out),
+        };
+        self.timers.set(now + again, Later::Fetch(fetch, None));
+    }
+
+    fn end_fetch(
+        &mut self,
+        now: Instant,
+        version: WeightVersion,
+        succeeded: bool,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        let fetched = EngineInput::WeightsFetched { version, succeeded };
+        self.drive(now, fetched, out);
+    }
+
+    fn run_timers(&mut self, now: Instant, out: &mut Vec<ProcessOutput>) {
+        while let Some(later) = self.timers.take_due(now) {
+            match later {
+                Later::Fetch(fetch, None) => self.fetch(now, fetch, out),
+                Later::Fetch(fetch, Some(id)) => {
+                    if self.fetches.remove(&id).is_some() {
+                        hang_up(fetch.store, id, out);
+                        self.fetch(now, fetch, out);
+                    }
+                }
+                Later::State(caller, state) => caller.answer(Answer::State(*state), out),
+            }
+        }
+    }
+}
+
+impl Process for SimEngine {
+    fn step(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>) {
+        if self.started_at.take().is_some() {
+            let boot_id = self.boot_id;
+            record(Event::Started { boot_id }, out);
+        }
+        if self.is_frozen(now) && !matches!(input, ProcessInput::Fault(_)) {
+            if input != ProcessInput::Wake {
+                self.held.push_back(input);
+            }
+            return;
+        }
+        self.frozen_until = self.frozen_until.filter(|until| now < *until);
+        self.run_timers(now, out);
+        while let Some(held) = self.held.pop_front() {
+            self.handle(now, held, out);
+        }
+        self.handle(now, input, out);
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        if self.started_at.is_some() || self.frozen_until.is_some() {
+            return self.started_at.or(self.frozen_until);
+        }
+        [self.core.next_wake(), self.timers.next()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+/// The source of an order names a store by its URL.
+fn address_of(source: &str) -> Option<SocketAddr> {
+    let address = source.trim_start_matches("http://");
+    address.split('/').next()?.parse().ok()
+}
+
+fn name_of(fault: EngineFault) -> &'static str {
+    match fault {
+        EngineFault::Freeze(_) => "freeze",
+        EngineFault::FailNextSwap => "fail_next_swap",
+        EngineFault::StepTime(_) => "slow",
+    }
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/processes/live_server.rs
@@ -0,0 +1,130 @@
+//! A simulated live server: runs charges and look-ups, records each execution, and refuses by its
+//! own word when it is full or leaving.
+
+use super::wiring::{InboundCall, Timers, not_run, record};
+use crate::events::Event;
+use crate::hashing::hash_bytes;
+use crate::sim::process::{
+    Answer, Call, LiveCall, Process, ProcessFault, ProcessInput, ProcessOutput, SimMessage,
+};
+use crate::stand_ins::live_server::LiveServerSettings;
+use crate::stand_ins::live_server::core::LiveServerCore;
+use std::time::Duration;
+use wingshore_types::Instant;
+
+/// When to come back after a refusal.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Status of an answer.
+const OK: u16 = 200;
+
+/// The process.
+pub struct SimLiveServer {
+    core: LiveServerCore,
+    boot_id: u64,
+    started_at: Option<Instant>,
+    running: Timers<(InboundCall, LiveCall)>,
+    answers_to_lose: u32,
+}
+
+impl SimLiveServer {
+    /// A live server that starts at `now`.
+    pub fn new(now: Instant, name: &str, settings: LiveServerSettings, boot_id: u64) -> Self {
+        Self {
+            core: LiveServerCore::new(name, settings, boot_id),
+            boot_id,
+            started_at: Some(now),
+            running: Timers::default(),
+            answers_to_lose: 0,
+        }
+    }
+
+    fn on_call(
+        &mut self,
+        now: Instant,
+        caller: InboundCall,
+        call: Call,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        match call {
+            Call::Load => {
+                let since_start = Duration::from_nanos(now.0);
+                let report = self.core.load_report(since_start);
+                caller.answer(Answer::Load(report), out);
+            }
+            Call::Live(call) => match self.core.admit() {
+                Ok(()) => {
+                    let time = self.core.service_time();
+                    self.running.set(now + time, (caller, call));
+                }
+                Err(code) => {
+                    let request = call.request;
+                    record(Event::RefusedNotRun { request }, out);
+                    caller.answer(not_run(code, Some(RETRY_AFTER)), out);
+                }
+            },
+            _ => caller.answer(not_run("no_such_path", None), out),
+        }
+    }
+
+    fn end(&mut self, caller: InboundCall, call: LiveCall, out: &mut Vec<ProcessOutput>) {
+        let kind = if call.charge { "/charge" } else { "/lookup" };
+        let asked = hash_bytes(call.request.as_bytes());
+        let body = self.core.answer(&call.request, kind, asked);
+        self.core.release();
+        let executed = Event::Executed {
+            request: call.request,
+            key: call.key,
+            charge: call.charge,
+            status: OK,
+            answer_hash: hash_bytes(&body),
+        };
+        record(executed, out);
+        if self.answers_to_lose > 0 {
+            self.answers_to_lose -= 1;
+            return;
+        }
+        caller.answer(Answer::Live { status: OK, body }, out);
+    }
+
+    fn on_fault(&mut self, fault: &ProcessFault, out: &mut Vec<ProcessOutput>) {
+        match fault {
+            ProcessFault::Leaving(leaving) => {
+                self.core.set_leaving(*leaving);
+                let server = self.core.name().to_owned();
+                let event = if *leaving {
+                    Event::Leaving { server }
+                } else {
+                    Event::Staying { server }
+                };
+                record(event, out);
+            }
+            ProcessFault::LoseAnswers { count } => self.answers_to_lose = *count,
+            _ => {}
+        }
+    }
+}
+
+impl Process for SimLiveServer {
+    fn step(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>) {
+        if self.started_at.take().is_some() {
+            let boot_id = self.boot_id;
+            record(Event::Started { boot_id }, out);
+        }
+        while let Some((caller, call)) = self.running.take_due(now) {
+            self.end(caller, call, out);
+        }
+        match input {
+            ProcessInput::Message {
+                from,
+                message: SimMessage::Call { id, call },
+            } => self.on_call(now, InboundCall { from, id }, call, out),
+            ProcessInput::Fault(fault) => self.on_fault(&fault, out),
+            ProcessInput::Stop => out.push(ProcessOutput::Exit),
+            ProcessInput::Message { .. } | ProcessInput::Wake => {}
+        }
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        self.started_at.or(self.running.next())
+    }
+}
--- a/crates/wingshore-lab/src/stand_ins/live_server.rs
+++ b/crates/wingshore-lab/src/stand_ins/live_server.rs
@@ -1,6 +1,9 @@
 //! Stand-in for a live server: runs charges and look-ups, logs each execution, and refuses by its
 //! own word when it is full or leaving.
 
+pub mod core;
+
+use self::core::LiveServerCore;
 use super::StandInError;
 use super::settings::{ServerSettings, load};
 use crate::durations;
@@ -8,22 +11,17 @@
 use crate::events::Event;
 use crate::hashing::hash_bytes;
 use crate::http_server::{Incoming, serve};
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
-use wingshore_types::platform::{LoadReport, NOT_RUN_HEADER};
+use wingshore_types::platform::NOT_RUN_HEADER;
 
 /// Header by which callers name their requests.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header with the caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
-/// How old a load report may become.
-const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Status of a process that was told to crash.
 const CRASH_STATUS: i32 = 101;
 /// How often a request looks whether a freeze is over.
@@ -72,16 +70,12 @@
     },
 }
 
-/// The server's state.
+/// The server.
 struct LiveServer {
     name: String,
-    settings: LiveServerSettings,
-    generator: Mutex<ChaCha8Rng>,
-    in_flight: AtomicU32,
-    leaving: AtomicBool,
-    executions: AtomicU64,
+    core: Mutex<LiveServerCore>,
+    started: Instant,
     frozen_until: Mutex<Option<Instant>>,
-    load: Mutex<(Instant, u32)>,
     log: EventLog,
 }
 
@@ -94,15 +88,12 @@
     let log = EventLog::open(&settings.process.log, &settings.process.name)?;
     let boot_id: u64 = rand::random();
     log.write(Event::Started { boot_id });
+    let name = settings.process.name.clone();
     let server = Arc::new(LiveServer {
-        name: settings.process.name.clone(),
-        generator: Mutex::new(ChaCha8Rng::seed_from_u64(settings.behaviour.seed)),
-        settings: settings.behaviour,
-        in_flight: AtomicU32::new(0),
-        leaving: AtomicBool::new(false),
-        executions: AtomicU64::new(0),
+        core: Mutex::new(LiveServerCore::new(&name, settings.behaviour, boot_id)),
+        name,
+        started: Instant::now(),
         frozen_until: Mutex::new(None),
-        load: Mutex::new((Instant::now(), 0)),
         log,
     });
     let handler = Arc::new(move |incoming| server.handle(incoming));
@@ -122,9 +113,12 @@
         }
         self.wait_while_frozen();
         match (incoming.method.as_str(), incoming.path.as_str()) {
-            ("GET", "/load") => incoming.respond_json(200, &self.load_report()),
+            ("GET", "/load") => {
+                let report = lock(&self.core).load_report(self.started.elapsed());
+                incoming.respond_json(200, &report);
+            }
             ("POST", "/lab/leaving") => {
-                self.leaving.store(true, Ordering::SeqCst);
+                lock(&self.core).set_leaving(true);
                 self.log.write(Event::Leaving {
                     server: self.name.clone(),
                 });
@@ -135,15 +129,14 @@
     }
 
     fn admit(&self, incoming: Incoming) {
-        let before = self.in_flight.fetch_add(1, Ordering::SeqCst);
-        if self.leaving.load(Ordering::SeqCst) {
-            self.refuse(incoming, "leaving");
-        } else if before >= self.settings.slots {
-            self.refuse(incoming, "overloaded");
-        } else {
-            self.execute(incoming);
+        let admitted = lock(&self.core).admit();
+        match admitted {
+            Err(code) => self.refuse(incoming, code),
+            Ok(()) => {
+                self.execute(incoming);
+                lock(&self.core).release();
+            }
         }
-        self.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 
     fn refuse(&self, incoming: Incoming, code: &str) {
@@ -160,8 +153,10 @@
     }
 
     fn execute(&self, incoming: Incoming) {
-        thread::sleep(self.service_time());
-        let answer = self.answer(&incoming);
+        let time = lock(&self.core).service_time();
+        thread::sleep(time);
+        let asked = hash_bytes(&incoming.body);
+        let answer = lock(&self.core).answer(&request_id(&incoming), &incoming.path, asked);
         self.log.write(Event::Executed {
             request: request_id(&incoming),
             key: incoming.header(KEY_HEADER),
@@ -172,37 +167,6 @@
         incoming.respond(200, &[("content-type", "application/json")], answer);
     }
 
-    fn answer(&self, incoming: &Incoming) -> Vec<u8> {
-        let execution = self.executions.fetch_add(1, Ordering::SeqCst);
-        let body = serde_json::json!({
-            "server": self.name,
-            "execution": execution,
-            "request": request_id(incoming),
-            "path": incoming.path,
-            "asked": hash_bytes(&incoming.body),
-            "receipt": "r".repeat(self.settings.answer_bytes),
-        });
-        body.to_string().into_bytes()
-    }
-
-    fn service_time(&self) -> Duration {
-        let mut generator = lock(&self.generator);
-        let uniform: f64 = generator.random_range(f64::EPSILON..1.0);
-        self.settings.shortest_service + self.settings.mean_further_service.mul_f64(-uniform.ln())
-    }
-
-    fn load_report(&self) -> LoadReport {
-        let mut load = lock(&self.load);
-        if load.0.elapsed() >= LOAD_REPORT_INTERVAL {
-            *load = (Instant::now(), self.in_flight.load(Ordering::SeqCst));
-        }
-        LoadReport {
-            in_flight: load.1,
-            queue: 0,
-            age_ms: load.0.elapsed().as_millis() as u64,
-        }
-    }
-
     fn inject(&self, incoming: Incoming) {
         match incoming.json::<LiveFault>() {
             Ok(LiveFault::Crash) => std::process::exit(CRASH_STATUS),
--- a/crates/wingshore-lab/src/stand_ins/machine_list.rs
+++ b/crates/wingshore-lab/src/stand_ins/machine_list.rs
@@ -1,5 +1,8 @@
 //! Stand-in for the platform's machine list, which lags behind the truth.
 
+pub mod core;
+
+use self::core::MachineListCore;
 use super::StandInError;
 use super::settings::{ServerSettings, load};
 use crate::durations;
@@ -8,10 +11,10 @@
 use crate::http_server::{Incoming, serve};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
-use wingshore_types::ServerId;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use wingshore_types::platform::{Machine, MachineList, MachineState};
+use wingshore_types::{Instant, ServerId};
 
 /// How the machine list behaves.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,17 +37,9 @@
     pub state: MachineState,
 }
 
-/// A change that the list tells after the lag.
-struct Change {
-    at: Instant,
-    server: ServerId,
-    state: MachineState,
-}
-
 struct Machines {
-    lag: Duration,
-    initial: Vec<Machine>,
-    changes: Mutex<Vec<Change>>,
+    core: Mutex<MachineListCore>,
+    started: std::time::Instant,
     log: EventLog,
 }
 
@@ -59,9 +54,8 @@
         boot_id: rand::random(),
     });
     let machines = Arc::new(Machines {
-        lag: settings.behaviour.lag,
-        initial: settings.behaviour.machines,
-        changes: Mutex::new(Vec::new()),
+        core: Mutex::new(MachineListCore::new(settings.behaviour)),
+        started: std::time::Instant::now(),
         log,
     });
     let handler = Arc::new(move |incoming| machines.handle(incoming));
@@ -94,35 +88,20 @@
             MachineState::Leaving => Event::Leaving { server },
             MachineState::Live => Event::Staying { server },
         });
-        let change = Change {
-            at: Instant::now(),
-            server: request.server,
-            state: request.state,
-        };
-        self.changes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(change);
+        let now = self.now();
+        self.core().change(now, request.server, request.state);
     }
 
-    /// The list as it was one lag ago.
     fn list(&self) -> MachineList {
-        let mut machines = self.initial.clone();
-        let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
-        let told = changes
-            .iter()
-            .filter(|change| change.at.elapsed() >= self.lag);
-        for change in told {
-            for machine in &mut machines {
-                if machine.id == change.server {
-                    machine.state = change.state;
-                }
-            }
-        }
-        let lag_ms = self.lag.as_millis() as u64;
-        MachineList {
-            as_of: (now_us() / 1000).saturating_sub(lag_ms),
-            machines,
-        }
+        let now = self.now();
+        self.core().list(now, now_us() / 1000)
+    }
+
+    fn core(&self) -> MutexGuard<'_, MachineListCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Instant {
+        Instant::ZERO + self.started.elapsed()
     }
 }
--- a/crates/wingshore-lab/src/stand_ins/scorer.rs
+++ b/crates/wingshore-lab/src/stand_ins/scorer.rs
@@ -1,13 +1,14 @@
 //! Stand-in for a scoring service: slow at times, failing at times, and asked twice at times.
 
+pub mod core;
+
+use self::core::ScorerCore;
 use super::StandInError;
 use super::settings::{ServerSettings, load};
 use crate::durations;
 use crate::event_log::EventLog;
 use crate::events::Event;
 use crate::http_server::{Incoming, serve};
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -47,8 +48,7 @@
 }
 
 struct Scorer {
-    settings: ScorerSettings,
-    generator: Mutex<ChaCha8Rng>,
+    core: Mutex<ScorerCore>,
     log: EventLog,
 }
 
@@ -63,8 +63,7 @@
         boot_id: rand::random(),
     });
     let scorer = Arc::new(Scorer {
-        generator: Mutex::new(ChaCha8Rng::seed_from_u64(settings.behaviour.seed)),
-        settings: settings.behaviour,
+        core: Mutex::new(ScorerCore::new(settings.behaviour)),
         log,
     });
     let handler = Arc::new(move |incoming| scorer.handle(incoming));
@@ -107,20 +106,12 @@
 
     /// Takes its time; says whether it succeeds.
     fn work(&self) -> bool {
-        let (slow, failing) = {
-            let mut generator = self
-                .generator
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            let slow = generator.random_range(0..1000) < self.settings.slow_permille;
-            let failing = generator.random_range(0..1000) < self.settings.failing_permille;
-            (slow, failing)
-        };
-        thread::sleep(if slow {
-            self.settings.slow_time
-        } else {
-            self.settings.usual_time
-        });
-        !failing
+        let scoring = self
+            .core
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .draw();
+        thread::sleep(scoring.time);
+        scoring.succeeds
     }
 }
