group: a planned stop answers what still waits

Cause: where a stop ended without a hand-over (a single member, or nobody reachable), requests without an answer, membership changes and transfers under way were left without one; callers saw a closed connection and had to wait for it.

Ruled out: the hand-over itself answers its requests (test of 300 claims under a stop).

Change: Host gives up everything that waits before it reports Stopped. 'Not the leader' where nothing was proposed since the request, 'unknown' otherwise.

Run: group members test fails without the change (1 of 12: no reply to the waiting request), all 12 pass with it.

--- a/crates/wingshore-group/src/leading.rs
+++ b/crates/wingshore-group/src/leading.rs
@@ -160,6 +160,16 @@
         self.announce(Leadership::Following { leader }, out);
     }
 
+    /// Answers everything that still waits: nothing more will come of it here.
+    pub(crate) fn give_up_all(&mut self, out: &mut Vec<HostOutput<L>>) {
+        self.give_up_requests(out);
+        self.give_up_proposals(out);
+        if let Some(transfer) = self.transfer.take() {
+            let (tag, reply) = (transfer.tag, HostReply::Unknown);
+            out.push(HostOutput::Reply { tag, reply });
+        }
+    }
+
     /// Answers the requests that a lost leadership leaves: those without any proposal since
     /// their arrival have had no effect.
     fn give_up_requests(&mut self, out: &mut Vec<HostOutput<L>>) {
--- a/crates/wingshore-group/src/stop.rs
+++ b/crates/wingshore-group/src/stop.rs
@@ -1,4 +1,4 @@
-//! Planned stop: no more requests, proposals finished, leadership handed over.
+//! Planned stop: no more requests, proposals finished, leadership handed over, what is left answered.
 
 use crate::host::Host;
 use crate::interface::HostOutput;
@@ -77,6 +77,7 @@
             }
         }
         self.stop = StopPhase::Stopped;
+        self.give_up_all(out);
         out.push(HostOutput::Stopped);
     }
 }
--- a/crates/wingshore-group/tests/members.rs
+++ b/crates/wingshore-group/tests/members.rs
@@ -213,11 +213,18 @@
         if isolated {
             cluster.isolate(leader);
         }
+        let waiting = cluster.request(leader, Request::Wait);
+        let transfer = MembershipRequest::TransferLeadership(ReplicaId(voters));
+        let transferring = cluster.membership_request(leader, transfer);
         cluster.feed(leader, vec![HostInput::Stop]);
         let stopped = cluster.run_until(SECOND * 10, |cluster| {
             cluster.replicas[&ReplicaId(leader)].has_stopped
         });
         verify_that!(stopped, eq(true))?;
+        // What waits is answered all the same.
+        for tag in [waiting, transferring] {
+            verify_that!(cluster.replies.get(&tag), some(anything()))?;
+        }
     }
     Ok(())
 }
