replica: every taken request is answered; tests of the driver

Cause: the crate had no tests. Reading it for them showed two faults. Requests in a group's queue, or at its host, got no answer when the group ended. And the group thread waited for its writer while it still held the receiving end of the queue: with 4096 events in it (consensus messages arrive all the time) the writer waited for room that nobody made, and the replica could not end.

Change: what is left in the queue is answered 'not the leader', what the host still had 'unknown', by the origin itself when it is dropped; the queue is dropped before the writer is awaited. Replica::start_on takes a file system, so that tests can make syncs fail.

--- a/crates/wingshore-replica/src/frames.rs
+++ b/crates/wingshore-replica/src/frames.rs
@@ -51,10 +51,7 @@
             connection.reply(id, self.dump_log());
             return;
         }
-        let origin = RequestOrigin {
-            connection: connection.clone(),
-            id,
-        };
+        let origin = RequestOrigin::new(connection, id);
         match self.groups.get(&group) {
             Some(port) => port.request(origin, body),
             None => origin.reply(GroupReply::Rejected(format!(
--- a/crates/wingshore-replica/src/group/driver.rs
+++ b/crates/wingshore-replica/src/group/driver.rs
@@ -76,14 +76,14 @@
     let name = setup.group.to_string();
     thread::Builder::new()
         .name(name.clone())
-        .spawn(move || run(setup, inbox, &outbox, effects))
+        .spawn(move || run(setup, inbox, outbox, effects))
         .context(ThreadSnafu { name })
 }
 
 fn run<L: HostedLeader>(
     setup: GroupSetup,
     inbox: Inbox<L>,
-    outbox: &Outbox<L>,
+    outbox: Outbox<L>,
     effects: impl EffectRunner<L>,
 ) -> Result<(), ReplicaError> {
     let group = setup.group;
@@ -111,13 +111,23 @@
         events: Vec::new(),
         stopped: false,
     };
-    let ended = driver.run(outbox);
+    let ended = driver.run(&outbox);
+    refuse_waiting(&outbox);
+    // Whoever waits for room in a full queue goes on, the writer among them.
+    drop(outbox);
     // The driver and with it the writer's channel are gone: the writer ends.
     let written = writer.join();
     ended?;
     written.map_err(|_| ReplicaError::Panicked { group })
 }
 
+/// Answers the requests that the group's end left in the queue: none of them has had an effect.
+fn refuse_waiting<L: HostedLeader>(outbox: &Outbox<L>) {
+    for (origin, _) in outbox.requests.try_iter() {
+        origin.reply(GroupReply::NotLeader { leader: None });
+    }
+}
+
 struct Driver<L: HostedLeader, E> {
     group: GroupId,
     host: Host<L>,
--- a/crates/wingshore-replica/src/group/port.rs
+++ b/crates/wingshore-replica/src/group/port.rs
@@ -13,19 +13,39 @@
 /// Other inputs that may wait; beyond that consensus messages are dropped.
 const WAITING_EVENTS: usize = 4096;
 
-/// Where a request came from.
+/// Where a request came from. One that is dropped without an answer, as when its group ends, is
+/// answered [`GroupReply::Unknown`].
 pub(crate) struct RequestOrigin {
-    pub(crate) connection: ConnectionHandle,
-    pub(crate) id: RequestId,
+    connection: ConnectionHandle,
+    id: RequestId,
+    answered: bool,
 }
 
 impl RequestOrigin {
+    /// The request `id` of `connection`.
+    pub(crate) fn new(connection: &ConnectionHandle, id: RequestId) -> Self {
+        Self {
+            connection: connection.clone(),
+            id,
+            answered: false,
+        }
+    }
+
     /// Answers the request.
-    pub(crate) fn reply(&self, body: GroupReply) {
+    pub(crate) fn reply(mut self, body: GroupReply) {
+        self.answered = true;
         self.connection.reply(self.id, body);
     }
 }
 
+impl Drop for RequestOrigin {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.connection.reply(self.id, GroupReply::Unknown);
+        }
+    }
+}
+
 /// A request on its way to a group's thread.
 pub(crate) enum GroupCall<R> {
     /// To the leader machine.
--- a/crates/wingshore-replica/src/process.rs
+++ b/crates/wingshore-replica/src/process.rs
@@ -71,7 +71,18 @@
         settings: ReplicaSettings,
         diagnostics: Diagnostics,
     ) -> Result<Self, ReplicaError> {
-        let fs: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
+        Self::start_on(Arc::new(RealFileSystem), settings, diagnostics)
+    }
+
+    /// As [`Replica::start`], on a file system of the caller's choice.
+    ///
+    /// # Errors
+    /// As [`Replica::start`].
+    pub fn start_on(
+        fs: Arc<dyn FileSystem>,
+        settings: ReplicaSettings,
+        diagnostics: Diagnostics,
+    ) -> Result<Self, ReplicaError> {
         let folder = DataFolder::open_or_join(&fs, &settings.data, &settings.site, rand::random())
             .context(FolderSnafu)?;
         let replica = folder.identity().replica;
--- /dev/null
+++ b/crates/wingshore-replica/tests/site.rs
@@ -0,0 +1,320 @@
+//! Three replicas of one site in one process: forming groups, crashes, new members, faults.
+
+mod support;
+
+use googletest::prelude::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use support::disk::FailingDisk;
+use support::{CLAIMS, PATIENCE, SITE, TestSite, claim_request, wait_for, wait_until};
+use wingshore_replica::ReplicaError;
+use wingshore_storage::{RealFileSystem, StorageError};
+use wingshore_transport::{ConnectOptions, Connection, FrameHandler, encode};
+use wingshore_types::protocol::claims::ClaimsReply;
+use wingshore_types::protocol::control::{ControlReply, ControlRequest};
+use wingshore_types::protocol::membership::{Member, MembershipReply, MembershipRequest};
+use wingshore_types::protocol::wire::{Frame, GroupReply, GroupRequest, Hello, WIRE_VERSION};
+use wingshore_types::{GroupId, ReplicaId};
+
+#[gtest]
+fn three_replicas_form_their_groups_and_commit() -> Result<()> {
+    let site = TestSite::start(3);
+    verify_that!(site.claim("key", "one"), eq(&ClaimsReply::Granted))?;
+    verify_that!(
+        site.claim("key", "two"),
+        matches_pattern!(ClaimsReply::Taken { .. })
+    )?;
+    let status = GroupRequest::Control(ControlRequest::Status);
+    let GroupReply::Control(ControlReply::Status(status)) = site.call(GroupId::Control, status)
+    else {
+        return fail!("no status");
+    };
+    verify_that!(status.leader.0, all![ge(1), le(3)])?;
+    let wrong_kind = GroupRequest::Control(ControlRequest::Status);
+    verify_that!(
+        site.call(CLAIMS, wrong_kind.clone()),
+        matches_pattern!(GroupReply::Rejected(_))
+    )?;
+    verify_that!(
+        site.call(GroupId::Claims(60), wrong_kind),
+        matches_pattern!(GroupReply::Rejected(_))
+    )
+}
+
+/// Each in turn, then all at once: what was granted stays granted.
+#[gtest]
+fn crashed_replicas_come_back_with_all_they_had() -> Result<()> {
+    let mut site = TestSite::start(3);
+    let mut keys = Vec::new();
+    for place in 0..3 {
+        for moment in ["before", "away"] {
+            if moment == "away" {
+                site.crash(place);
+            }
+            let key = format!("{moment} {place}");
+            verify_that!(site.claim(&key, "one"), eq(&ClaimsReply::Granted))?;
+            keys.push(key);
+        }
+        site.start_replica(place);
+    }
+    (0..3).for_each(|place| site.crash(place));
+    (0..3).for_each(|place| site.start_replica(place));
+    for key in &keys {
+        verify_that!(
+            site.claim(key, "two"),
+            matches_pattern!(ClaimsReply::Taken { .. })
+        )?;
+    }
+    let ids: Vec<_> = (0..3).map(|place| site.replica(place).id().0).collect();
+    verify_that!(ids, elements_are![eq(&1), eq(&2), eq(&3)])
+}
+
+#[gtest]
+fn an_empty_folder_comes_back_as_a_new_member_and_only_by_replacement() -> Result<()> {
+    let mut site = TestSite::start(3);
+    verify_that!(site.claim("early", "one"), eq(&ClaimsReply::Granted))?;
+    let lost = (site.leader() + 1) % 3;
+    let old = TestSite::id(lost);
+    site.crash(lost);
+    std::fs::remove_dir_all(site.data(lost)).expect("the disk is lost");
+    site.start_replica(lost);
+    let new = site.replica(lost).id();
+    verify_that!(new.0, gt(u64::from(u32::MAX)))?;
+
+    // It is no member by itself, and has no say.
+    verify_that!(site.claim("meanwhile", "one"), eq(&ClaimsReply::Granted))?;
+    let (membership, ..) = site.members();
+    let voters: Vec<ReplicaId> = membership.voters.iter().map(|voter| voter.id).collect();
+    verify_that!(
+        voters,
+        unordered_elements_are![eq(&ReplicaId(1)), eq(&ReplicaId(2)), eq(&ReplicaId(3))]
+    )?;
+    let survivor = (lost + 1) % 3;
+    site.crash(survivor);
+    let refused = site.client.call(
+        CLAIMS,
+        GroupRequest::Claims(claim_request("without quorum", "one")),
+        Duration::from_secs(3),
+    );
+    verify_that!(refused, err(anything()))?;
+    site.start_replica(survivor);
+
+    replace(&site, old, new, lost);
+    // Now it counts: the other follower may go.
+    let other = (0..3)
+        .find(|place| *place != lost && *place != site_leader(&site))
+        .expect("one of three");
+    site.crash(other);
+    for key in ["early", "meanwhile"] {
+        verify_that!(
+            site.claim(key, "two"),
+            matches_pattern!(ClaimsReply::Taken { .. })
+        )?;
+    }
+    // Its folder keeps the new identity.
+    site.crash(lost);
+    site.start_replica(lost);
+    verify_that!(site.replica(lost).id(), eq(new))
+}
+
+/// As `ctl members replace` does where the address stays.
+fn replace(site: &TestSite, old: ReplicaId, new: ReplicaId, place: usize) {
+    let member = Member {
+        id: new,
+        address: site.addresses[place],
+    };
+    let steps = [
+        MembershipRequest::Remove(old),
+        MembershipRequest::AddLearner(member),
+        MembershipRequest::Promote(new),
+    ];
+    for step in steps {
+        wait_until("a step of the replacement", || {
+            site.change_members(step.clone()) == MembershipReply::Done
+        });
+    }
+}
+
+/// Place of the leader, new members included.
+fn site_leader(site: &TestSite) -> usize {
+    let (_, leader, ..) = site.members();
+    (0..3)
+        .find(|place| site.replica(*place).id() == leader)
+        .expect("one of the replicas")
+}
+
+#[gtest]
+fn folders_of_others_are_refused() -> Result<()> {
+    let mut site = TestSite::formatted(3);
+    site.start_replica(0);
+    let start = |place: usize, change: &dyn Fn(&TestSite)| {
+        change(&site);
+        site.try_start(place, Arc::new(RealFileSystem)).err()
+    };
+    // In use by a replica that runs.
+    verify_that!(
+        start(0, &|_| ()),
+        some(matches_pattern!(ReplicaError::Folder {
+            source: matches_pattern!(StorageError::Locked { .. })
+        }))
+    )?;
+    // Data without an identity.
+    let lose_identity = |site: &TestSite| {
+        std::fs::remove_file(site.data(1).join("identity")).expect("removed");
+        std::fs::create_dir_all(site.data(1).join("control")).expect("created");
+    };
+    verify_that!(
+        start(1, &lose_identity),
+        some(matches_pattern!(ReplicaError::Folder {
+            source: matches_pattern!(StorageError::NoIdentity { .. })
+        }))
+    )?;
+    // Another site's.
+    let mut settings = site.settings(2);
+    settings.site = "elsewhere".to_owned();
+    let diagnostics = wingshore_diagnostics::Diagnostics::new("replica", 64, None);
+    let refused = wingshore_replica::Replica::start(settings, diagnostics).err();
+    verify_that!(
+        refused,
+        some(matches_pattern!(ReplicaError::Folder {
+            source: matches_pattern!(StorageError::WrongSite { .. })
+        }))
+    )
+}
+
+#[gtest]
+fn a_failed_sync_ends_the_replica_and_loses_nothing() -> Result<()> {
+    let mut site = TestSite::formatted(3);
+    let disk = FailingDisk::default();
+    site.start_replica_on(0, &(Arc::new(disk.clone()) as _));
+    site.start_replica(1);
+    site.start_replica(2);
+    verify_that!(site.claim("early", "one"), eq(&ClaimsReply::Granted))?;
+    disk.fail();
+    // Followers write too, so the next commit reaches the broken disk.
+    verify_that!(site.claim("late", "one"), eq(&ClaimsReply::Granted))?;
+    wait_until("the replica notices", || site.replica(0).has_ended());
+    let ended = site.replicas[0].take().expect("it ran").abort();
+    verify_that!(
+        ended,
+        err(matches_pattern!(ReplicaError::Storage {
+            source: matches_pattern!(StorageError::Io {
+                operation: eq(&"sync"),
+                ..
+            }),
+            ..
+        }))
+    )?;
+    for key in ["early", "late"] {
+        verify_that!(
+            site.claim(key, "two"),
+            matches_pattern!(ClaimsReply::Taken { .. })
+        )?;
+    }
+    site.start_replica(0);
+    wait_until("it has caught up", || {
+        let (_, _, synced, last) = site.members();
+        synced.iter().all(|(_, index)| *index == last)
+    });
+    Ok(())
+}
+
+#[gtest]
+fn the_admin_listener_tells_health_readiness_and_metrics() -> Result<()> {
+    let mut site = TestSite::formatted(3);
+    site.start_replica(0);
+    // Alone it is healthy, and not ready.
+    verify_that!(site.admin(0, "/healthz").0, eq(200))?;
+    let (status, body) = site.admin(0, "/readyz");
+    verify_that!(status, eq(503))?;
+    verify_that!(body, contains_substring("control"))?;
+    verify_that!(site.admin(0, "/elsewhere").0, eq(404))?;
+    site.start_replica(1);
+    wait_until("two of three are ready", || {
+        [0, 1]
+            .iter()
+            .all(|&place| site.admin(place, "/readyz").0 == 200)
+    });
+    verify_that!(site.claim("key", "one"), eq(&ClaimsReply::Granted))?;
+    let leader = site.leader();
+    wait_until("the metrics tell of the commit", || {
+        let (status, text) = site.admin(leader, "/metrics");
+        status == 200
+            && text.contains("wingshore_replica_leading{group=\"claims-1\"} 1")
+            && text.contains("wingshore_replica_write_seconds_count{group=\"claims-1\"}")
+            && text.ends_with("# EOF\n")
+    });
+    Ok(())
+}
+
+struct NoFrames;
+
+impl FrameHandler for NoFrames {
+    fn on_frame(&self, _: &wingshore_transport::ConnectionHandle, _: Frame) {}
+}
+
+/// What a stranger sends after its connection stands: each is refused by closing.
+#[gtest]
+fn garbage_is_refused_without_harm() -> Result<()> {
+    let site = TestSite::start(3);
+    verify_that!(site.claim("early", "one"), eq(&ClaimsReply::Granted))?;
+    let hello = |site: &str, replica| {
+        let hello = Hello {
+            version: WIRE_VERSION,
+            site: site.to_owned(),
+            replica,
+        };
+        encode(&Frame::Hello(hello)).expect("encoded")
+    };
+    let mut oversized = hello(SITE, None);
+    let mut header = encode(&Frame::KeepAlive).expect("encoded");
+    header[6..10].copy_from_slice(&u32::MAX.to_le_bytes());
+    oversized.extend(&header);
+    let mut damaged = hello(SITE, None);
+    let mut frame = encode(&Frame::KeepAlive).expect("encoded");
+    *frame.last_mut().expect("a body") ^= 0xff;
+    damaged.extend(frame);
+    let cases = [
+        vec![0xa5; 4096],
+        header,
+        hello("elsewhere", None),
+        oversized,
+        damaged,
+        [hello(SITE, None), vec![0; 100_000]].concat(),
+    ];
+    for (case, bytes) in cases.iter().enumerate() {
+        for address in &site.addresses {
+            let mut stream = TcpStream::connect(address).expect("connected");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            // The replica may close before all is written.
+            let _ = stream.write_all(bytes);
+            let mut answer = Vec::new();
+            let ended = stream.read_to_end(&mut answer);
+            let timed_out =
+                ended.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+            verify_that!((case, timed_out), eq((case, false)))?;
+        }
+    }
+    // Consensus messages that mean nothing, from one who claims to be a member.
+    let options = ConnectOptions {
+        replica: Some(ReplicaId(2)),
+        ..ConnectOptions::new(SITE, PATIENCE)
+    };
+    let connection = wait_for("a connection", || {
+        Connection::open(site.addresses[0], &options, Arc::new(NoFrames)).ok()
+    });
+    for (group, length) in [(CLAIMS, 0), (CLAIMS, 1000), (GroupId::Claims(60), 9)] {
+        let message = vec![0xff; length];
+        verify_that!(
+            connection.send(&Frame::Consensus { group, message }),
+            ok(anything())
+        )?;
+    }
+    verify_that!(site.claim("late", "one"), eq(&ClaimsReply::Granted))?;
+    let ended: Vec<bool> = (0..3)
+        .map(|place| site.replica(place).has_ended())
+        .collect();
+    verify_that!(ended, each(eq(&false)))
+}
--- /dev/null
+++ b/crates/wingshore-replica/tests/support/mod.rs
@@ -0,0 +1,252 @@
+//! A site of replicas in one process: real sockets, real folders.
+#![allow(dead_code)]
+
+pub mod disk;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use wingshore_client::GroupClient;
+use wingshore_diagnostics::Diagnostics;
+use wingshore_replica::{Replica, ReplicaError};
+use wingshore_settings::{Overrides, ReplicaSettings, replica_from_text};
+use wingshore_storage::{DataFolder, FileSystem, RealFileSystem};
+use wingshore_types::protocol::claims::{ClaimKey, Claimant, ClaimsReply, ClaimsRequest};
+use wingshore_types::protocol::membership::{
+    Member, Membership, MembershipReply, MembershipRequest,
+};
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{GroupId, NodeId, ReplicaId};
+
+/// Longest wait for anything a test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+/// The group that most tests write to.
+pub const CLAIMS: GroupId = GroupId::Claims(1);
+/// Name of the site.
+pub const SITE: &str = "test";
+/// Between two looks at a condition.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Replicas of one site; each may be away.
+pub struct TestSite {
+    pub folder: TempDir,
+    pub addresses: Vec<SocketAddr>,
+    pub replicas: Vec<Option<Replica>>,
+    pub client: GroupClient,
+}
+
+impl TestSite {
+    /// Formats and starts founding members 1 to `count`.
+    pub fn start(count: usize) -> Self {
+        let mut site = Self::formatted(count);
+        (0..count).for_each(|place| site.start_replica(place));
+        site
+    }
+
+    /// Formats founding members 1 to `count`.
+    pub fn formatted(count: usize) -> Self {
+        let listeners: Vec<_> = (0..count)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .collect();
+        let addresses: Vec<_> = listeners
+            .iter()
+            .map(|listener| listener.local_addr().expect("an address"))
+            .collect();
+        let client = GroupClient::new(SITE, addresses.clone(), 1);
+        let site = Self {
+            folder: tempfile::tempdir().expect("a folder"),
+            addresses,
+            replicas: (0..count).map(|_| None).collect(),
+            client,
+        };
+        (0..count).for_each(|place| site.format(place));
+        site
+    }
+
+    pub fn id(place: usize) -> ReplicaId {
+        ReplicaId(place as u64 + 1)
+    }
+
+    pub fn data(&self, place: usize) -> PathBuf {
+        self.folder.path().join(format!("replica-{place}"))
+    }
+
+    fn format(&self, place: usize) {
+        let voters = self.addresses.iter().enumerate();
+        let membership = Membership {
+            voters: voters
+                .map(|(place, address)| Member {
+                    id: Self::id(place),
+                    address: *address,
+                })
+                .collect(),
+            learners: Vec::new(),
+        };
+        let fs: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
+        let path = self.data(place);
+        DataFolder::format(&fs, &path, SITE, Self::id(place), membership).expect("formatted");
+    }
+
+    pub fn settings(&self, place: usize) -> ReplicaSettings {
+        let founding: String = self
+            .addresses
+            .iter()
+            .enumerate()
+            .map(|(place, address)| {
+                let id = Self::id(place);
+                format!("[[founding]]\nid = {id}\naddress = \"{address}\"\n")
+            })
+            .collect();
+        let (listen, data) = (self.addresses[place], self.data(place));
+        let text = format!(
+            r#"
+role = "replica"
+site = "{SITE}"
+name = "replica-{place}"
+zone = "zone"
+listen = "{listen}"
+admin = "127.0.0.1:0"
+data = "{}"
+{founding}
+[timing]
+heartbeat = "50ms"
+election_timeout = "600ms"
+lease = "400ms"
+"#,
+            data.display()
+        );
+        replica_from_text("test", &text, &Overrides::default()).expect("settings")
+    }
+
+    /// Starts a replica on the machine's own disk.
+    pub fn start_replica(&mut self, place: usize) {
+        self.start_replica_on(place, &(Arc::new(RealFileSystem) as _));
+    }
+
+    /// Starts a replica. Its address may be in use for a moment by an outgoing connection.
+    pub fn start_replica_on(&mut self, place: usize, fs: &Arc<dyn FileSystem>) {
+        let replica = wait_for("a replica starts", || {
+            match self.try_start(place, Arc::clone(fs)) {
+                Ok(replica) => Some(replica),
+                Err(ReplicaError::Listen { .. }) => None,
+                Err(error) => panic!("replica {place}: {error}"),
+            }
+        });
+        self.replicas[place] = Some(replica);
+    }
+
+    pub fn try_start(
+        &self,
+        place: usize,
+        fs: Arc<dyn FileSystem>,
+    ) -> Result<Replica, ReplicaError> {
+        let logs = self.folder.path().join("logs");
+        let diagnostics = Diagnostics::new("replica", 1024, Some(&logs));
+        Replica::start_on(fs, self.settings(place), diagnostics)
+    }
+
+    pub fn replica(&self, place: usize) -> &Replica {
+        self.replicas[place].as_ref().expect("it runs")
+    }
+
+    /// Ends a replica without any hand-over.
+    pub fn crash(&mut self, place: usize) {
+        let replica = self.replicas[place].take().expect("it runs");
+        replica.abort().expect("no group had failed");
+    }
+
+    /// Ends a replica in a planned stop.
+    pub fn stop(&mut self, place: usize) {
+        let replica = self.replicas[place].take().expect("it runs");
+        replica.stop().expect("no group had failed");
+    }
+
+    /// The answer of `group`'s leader.
+    pub fn call(&self, group: GroupId, request: GroupRequest) -> GroupReply {
+        let reply = self.client.call(group, request, PATIENCE);
+        reply.expect("an answer")
+    }
+
+    /// Claims `key` for `node`.
+    pub fn claim(&self, key: &str, node: &str) -> ClaimsReply {
+        match self.call(CLAIMS, GroupRequest::Claims(claim_request(key, node))) {
+            GroupReply::Claims(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn change_members(&self, request: MembershipRequest) -> MembershipReply {
+        match self.call(CLAIMS, GroupRequest::Membership(request)) {
+            GroupReply::Membership(reply) => reply,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Members of the claims group, its leader, and how far each has synced beside the last index.
+    pub fn members(&self) -> (Membership, ReplicaId, Vec<(ReplicaId, u64)>, u64) {
+        match self.change_members(MembershipRequest::Show) {
+            MembershipReply::Members {
+                membership,
+                leader,
+                synced,
+                last_index,
+            } => (membership, leader, synced, last_index),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Place of the replica that leads the claims group.
+    pub fn leader(&self) -> usize {
+        let (_, leader, _, _) = self.members();
+        usize::try_from(leader.0 - 1).expect("a founding member")
+    }
+
+    /// The response of a replica's admin listener, head and body.
+    pub fn admin(&self, place: usize, path: &str) -> (u16, String) {
+        let address = self.replica(place).admin_address().expect("it has one");
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .build()
+            .into();
+        let mut response = agent
+            .get(format!("http://{address}{path}"))
+            .call()
+            .expect("a response");
+        let body = response.body_mut().read_to_string().expect("a body");
+        (response.status().as_u16(), body)
+    }
+}
+
+pub fn claim_request(key: &str, node: &str) -> ClaimsRequest {
+    ClaimsRequest::Claim {
+        key: ClaimKey {
+            service: "service".to_owned(),
+            key: key.to_owned(),
+        },
+        fingerprint: 7,
+        claimant: Claimant {
+            node: NodeId::new(node),
+            boot_id: 1,
+            attempt: 1,
+        },
+    }
+}
+
+/// Waits until `look` finds something.
+pub fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < deadline, "waited in vain: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Waits until `condition` holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    wait_for(what, || condition().then_some(()));
+}
