lab: the fleet's operator asks again under the same intent

Cause: to wait for a plan, the operator confirmed it a second time under a new identity. Where the plan was done by then, the control group rightly refused: "the plan is done", and the fleet gave up after 30 s of asking. Resends after a lost answer drew a new identity too. Ruled out: the control group. A resend of a confirmation under its own intent gets the first answer (its tests, and a read of the answers kept). Change: each command of the operator has one identity, sent again while no answer comes; waiting is part of the one confirmation; a refusal is an answer and leads to a new plan until the limit.

--- a/crates/wingshore-lab/src/fleet/error.rs
+++ b/crates/wingshore-lab/src/fleet/error.rs
@@ -91,6 +91,14 @@
         /// What it wrote.
         output: String,
     },
+    /// An operator's command was refused; nothing was changed.
+    #[snafu(display("`wingshore {command}` was refused: {output}"))]
+    Refused {
+        /// The command.
+        command: String,
+        /// What it wrote.
+        output: String,
+    },
     /// A name of `lab.toml` does not exist at the site.
     #[snafu(display("lab.toml names {kind} `{name}`, which the site does not have"))]
     UnknownName {
--- a/crates/wingshore-lab/src/fleet/operator.rs
+++ b/crates/wingshore-lab/src/fleet/operator.rs
@@ -1,18 +1,22 @@
 //! The operator of a site: `wingshore ctl` as people use it.
 
-use super::error::{FleetError, OperatorSnafu};
+use super::error::{FleetError, OperatorSnafu, RefusedSnafu};
+use rand::RngExt;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
+use wingshore_types::IntentId;
 use wingshore_types::protocol::control::{Plan, Status};
 
 /// Pause before a command is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long one command waits for an answer, in seconds.
 const COMMAND_TIMEOUT: &str = "5";
+/// Exit status of a command that was refused: nothing was changed.
+const REFUSED: i32 = 3;
 
 /// Runs `wingshore ctl`.
 #[derive(Clone, Debug)]
@@ -50,16 +54,12 @@
         self.ask(&["status"])
     }
 
-    /// States an intent and confirms its plan; answers the plan as it stands after that.
+    /// States an intent and confirms its plan; answers the plan as it stood after that.
     ///
     /// # Errors
     /// When a command still fails at the end of `limit`.
     pub fn carry_out(&self, intent: &[&str], limit: Duration) -> Result<Plan, FleetError> {
-        let mut words = vec!["plan"];
-        words.extend(intent);
-        let plan: Plan = self.ask_until(&words, limit)?;
-        let id = plan.id.to_string();
-        self.ask_until(&["confirm", &id], limit)
+        self.propose_and_confirm(intent, &[], limit)
     }
 
     /// States an intent, confirms its plan and waits until it is done.
@@ -67,9 +67,44 @@
     /// # Errors
     /// When a command still fails at the end of `limit`.
     pub fn carry_out_whole(&self, intent: &[&str], limit: Duration) -> Result<Plan, FleetError> {
-        let plan = self.carry_out(intent, limit)?;
-        let id = plan.id.to_string();
-        self.ask_until(&["confirm", &id, "--wait"], limit)
+        self.propose_and_confirm(intent, &["--wait"], limit)
+    }
+
+    /// A refused plan or confirmation is an answer: what follows it is a new plan.
+    fn propose_and_confirm(
+        &self,
+        intent: &[&str],
+        confirm_flags: &[&str],
+        limit: Duration,
+    ) -> Result<Plan, FleetError> {
+        let end = Instant::now() + limit;
+        loop {
+            let confirmed = self.answered(&["plan"], intent, end).and_then(|plan| {
+                let id = plan.id.to_string();
+                self.answered(&["confirm", &id], confirm_flags, end)
+            });
+            match confirmed {
+                Err(FleetError::Refused { .. }) if Instant::now() < end => {
+                    thread::sleep(RETRY_PAUSE);
+                }
+                confirmed => return confirmed,
+            }
+        }
+    }
+
+    /// Runs a command under an identity of its own, and asks again under the same identity while
+    /// no answer comes: so it takes effect once.
+    fn answered(&self, command: &[&str], rest: &[&str], end: Instant) -> Result<Plan, FleetError> {
+        let identity = IntentId(rand::rng().random()).to_string();
+        let words = [command, &["--intent", &identity], rest].concat();
+        loop {
+            match self.ask(&words) {
+                Err(FleetError::Operator { .. }) if Instant::now() < end => {
+                    thread::sleep(RETRY_PAUSE);
+                }
+                answer => return answer,
+            }
+        }
     }
 
     /// Runs a command of `ctl` and gives its text.
@@ -91,21 +126,6 @@
         })
     }
 
-    fn ask_until<T: DeserializeOwned>(
-        &self,
-        words: &[&str],
-        limit: Duration,
-    ) -> Result<T, FleetError> {
-        let end = Instant::now() + limit;
-        loop {
-            match self.ask(words) {
-                Ok(answer) => return Ok(answer),
-                Err(error) if Instant::now() >= end => return Err(error),
-                Err(_) => thread::sleep(RETRY_PAUSE),
-            }
-        }
-    }
-
     fn run(&self, words: &[&str]) -> Result<String, FleetError> {
         let command = words.join(" ");
         let output = Command::new(&self.program)
@@ -119,7 +139,11 @@
         if output.status.success() {
             return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
         }
+        let refused = output.status.code() == Some(REFUSED);
         let output = String::from_utf8_lossy(&output.stderr).into_owned();
+        if refused {
+            return RefusedSnafu { command, output }.fail();
+        }
         OperatorSnafu { command, output }.fail()
     }
 }
