transport: frames and bytes are counted and shown among the metrics of each role

Cause: nothing told what a process sends and receives; neither /proc nor the roles' metrics count socket bytes.

Change: process-wide counters at the places where frames are queued, written and read, and a collector that replica, relay and node register.

Ruled out: /proc/<pid>/io counts read and write, not the recv and send that the standard library uses for sockets.

--- a/crates/wingshore-node/src/metrics.rs
+++ b/crates/wingshore-node/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use std::time::Duration;
+use wingshore_transport::TrafficCollector;
 
 /// Smallest bucket of the latency histogram, in seconds.
 const FIRST_BUCKET: f64 = 0.000_25;
@@ -92,6 +93,9 @@
         metrics.register_configuration();
         metrics.register_rollouts();
         metrics
+            .registry
+            .register_collector(Box::new(TrafficCollector));
+        metrics
     }
 
     /// Counts an answered request.
--- a/crates/wingshore-relay/src/driver/metrics.rs
+++ b/crates/wingshore-relay/src/driver/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use std::sync::atomic::{AtomicBool, Ordering};
+use wingshore_transport::TrafficCollector;
 
 /// All metrics of a relay.
 #[derive(Debug)]
@@ -42,6 +43,9 @@
         metrics.register_gauges();
         metrics.register_counters();
         metrics
+            .registry
+            .register_collector(Box::new(TrafficCollector));
+        metrics
     }
 
     /// Takes the relay's state over.
--- a/crates/wingshore-replica/src/metrics.rs
+++ b/crates/wingshore-replica/src/metrics.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use wingshore_transport::TrafficCollector;
 use wingshore_types::{GroupId, LogIndex};
 
 /// Shortest write that the histogram tells apart, in seconds.
@@ -68,6 +69,7 @@
     /// No group yet.
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("wingshore_replica");
+        registry.register_collector(Box::new(TrafficCollector));
         let mut gauge = |name: &str, help: &str| {
             let family = Gauges::default();
             registry.register(name, help, family.clone());
--- a/crates/wingshore-transport/src/codec.rs
+++ b/crates/wingshore-transport/src/codec.rs
@@ -20,7 +20,7 @@
 const MAGIC: [u8; 4] = *b"WSHR";
 
 /// Bytes of the header: magic, version (2), length (4), checksum (4); numbers little-endian.
-const HEADER_BYTES: usize = 14;
+pub const HEADER_BYTES: usize = 14;
 
 /// Space reserved for a body before its bytes have come; larger bodies grow as they arrive.
 const BODY_RESERVE_BYTES: usize = 64 << 10;
--- a/crates/wingshore-transport/src/connection.rs
+++ b/crates/wingshore-transport/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::codec::{MAX_FRAME_BYTES, encode, read_frame};
 use crate::error::{EncodeSnafu, FrameError, SendError};
 use crate::queue::{NextWrite, OutboundQueue};
+use crate::traffic::{CountingReader, count_received_frame, count_sent_bytes, count_sent_frame};
 use snafu::ResultExt;
 use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -94,7 +95,9 @@
     /// When the frame was not queued; then no byte of it leaves.
     pub fn send(&self, frame: &Frame) -> Result<(), SendError> {
         let bytes = encode(frame).context(EncodeSnafu)?;
-        self.shared.queue.push(bytes)
+        self.shared.queue.push(bytes)?;
+        count_sent_frame();
+        Ok(())
     }
 
     /// Answers a request. A peer that does not read its replies loses the connection, so that it
@@ -141,13 +144,13 @@
     }
 
     fn read_frames(&self, handler: &dyn FrameHandler) {
-        let mut reader = BufReader::new(&self.shared.stream);
-        loop {
-            match read_frame(&mut reader, MAX_FRAME_BYTES) {
-                Ok(Frame::KeepAlive) => {}
-                Ok(Frame::Hello(_) | Frame::Refused(_)) => return,
-                Ok(frame) => handler.on_frame(self, frame),
-                Err(_) => return,
+        let mut reader = BufReader::new(CountingReader(&self.shared.stream));
+        while let Ok(frame) = read_frame(&mut reader, MAX_FRAME_BYTES) {
+            count_received_frame();
+            match frame {
+                Frame::KeepAlive => {}
+                Frame::Hello(_) | Frame::Refused(_) => return,
+                frame => handler.on_frame(self, frame),
             }
         }
     }
@@ -163,12 +166,17 @@
         let keep_alive = encode(&Frame::KeepAlive)?;
         let mut stream = &self.shared.stream;
         loop {
-            let written = match self.shared.queue.take(KEEP_ALIVE_INTERVAL) {
-                NextWrite::Bytes(bytes) => stream.write_all(&bytes),
-                NextWrite::Idle => stream.write_all(&keep_alive),
+            let bytes = match self.shared.queue.take(KEEP_ALIVE_INTERVAL) {
+                NextWrite::Bytes(bytes) => bytes,
+                NextWrite::Idle => {
+                    count_sent_frame();
+                    keep_alive.clone()
+                }
                 NextWrite::Finished => return Ok(()),
             };
+            let written = stream.write_all(&bytes);
             written.map_err(|source| FrameError::Io { source })?;
+            count_sent_bytes(bytes.len());
         }
     }
 }
--- a/crates/wingshore-transport/src/lib.rs
+++ b/crates/wingshore-transport/src/lib.rs
@@ -15,12 +15,15 @@
 mod peer;
 mod queue;
 mod server;
+mod traffic;
 
 pub use codec::{
-    Header, MAX_FRAME_BYTES, MAX_HELLO_BYTES, decode_body, decode_header, encode, read_frame,
+    HEADER_BYTES, Header, MAX_FRAME_BYTES, MAX_HELLO_BYTES, decode_body, decode_header, encode,
+    read_frame,
 };
 pub use connection::{ConnectionHandle, ConnectionId, FrameHandler, IDLE_LIMIT};
 pub use error::{BindError, ConnectError, FrameError, SendError};
 pub use outgoing::{ConnectOptions, Connection};
 pub use peer::{Peer, PeerOptions};
 pub use server::{Server, ServerOptions};
+pub use traffic::{Traffic, TrafficCollector};
--- /dev/null
+++ b/crates/wingshore-transport/src/traffic.rs
@@ -0,0 +1,99 @@
+//! Frames and bytes of all connections of this process.
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use std::fmt;
+use std::io::{self, Read};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static FRAMES_SENT: AtomicU64 = AtomicU64::new(0);
+static BYTES_SENT: AtomicU64 = AtomicU64::new(0);
+static FRAMES_RECEIVED: AtomicU64 = AtomicU64::new(0);
+static BYTES_RECEIVED: AtomicU64 = AtomicU64::new(0);
+
+/// What went over this process's connections since its start, keep-alives included, handshakes
+/// and the headers of TCP and IP not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Frames handed to connections.
+    pub frames_sent: u64,
+    /// Bytes written to sockets.
+    pub bytes_sent: u64,
+    /// Frames received whole.
+    pub frames_received: u64,
+    /// Bytes read from sockets.
+    pub bytes_received: u64,
+}
+
+impl Traffic {
+    /// The counts at this moment.
+    pub fn now() -> Self {
+        Self {
+            frames_sent: FRAMES_SENT.load(Ordering::Relaxed),
+            bytes_sent: BYTES_SENT.load(Ordering::Relaxed),
+            frames_received: FRAMES_RECEIVED.load(Ordering::Relaxed),
+            bytes_received: BYTES_RECEIVED.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// Shows [`Traffic::now`] as counters of a metrics registry.
+#[derive(Debug, Default)]
+pub struct TrafficCollector;
+
+impl Collector for TrafficCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let traffic = Traffic::now();
+        let rows = [
+            ("frames_sent", "Frames sent", traffic.frames_sent),
+            (
+                "frame_bytes_sent",
+                "Bytes of frames sent",
+                traffic.bytes_sent,
+            ),
+            (
+                "frames_received",
+                "Frames received",
+                traffic.frames_received,
+            ),
+            (
+                "frame_bytes_received",
+                "Bytes of frames received",
+                traffic.bytes_received,
+            ),
+        ];
+        for (name, help, value) in rows {
+            let counter = ConstCounter::new(value);
+            let metric = encoder.encode_descriptor(name, help, None, counter.metric_type())?;
+            counter.encode(metric)?;
+        }
+        Ok(())
+    }
+}
+
+/// Counts a frame that was queued.
+pub(crate) fn count_sent_frame() {
+    FRAMES_SENT.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Counts bytes that were written.
+pub(crate) fn count_sent_bytes(count: usize) {
+    BYTES_SENT.fetch_add(count as u64, Ordering::Relaxed);
+}
+
+/// Counts a frame that came whole.
+pub(crate) fn count_received_frame() {
+    FRAMES_RECEIVED.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Counts the bytes read through it.
+pub(crate) struct CountingReader<R>(pub(crate) R);
+
+impl<R: Read> Read for CountingReader<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let count = self.0.read(buffer)?;
+        BYTES_RECEIVED.fetch_add(count as u64, Ordering::Relaxed);
+        Ok(count)
+    }
+}
