lab: hollow sites, to read off what each role costs as a site grows

Many hollow nodes (frames and state machines of the configuration watch, the first of them with view and router) and hollow servers (state, fence, fetches) in one process around real replicas, relays and nodes. Processor time and memory from /proc, frames and bytes from the roles' metrics, HTTP bytes counted at the hollow servers.

Tests: a small site with real processes, parsing of what is read and printed.

--- a/crates/wingshore-lab/src/lib.rs
+++ b/crates/wingshore-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod events;
 pub mod fleet;
 pub mod hashing;
+pub mod hollow;
 pub mod http_client;
 pub mod http_server;
 pub mod sim;
--- a/crates/wingshore-lab/src/main.rs
+++ b/crates/wingshore-lab/src/main.rs
@@ -4,9 +4,10 @@
 use std::error::Error;
 use std::process::ExitCode;
 use wingshore_lab::fleet::FleetCommand;
+use wingshore_lab::hollow::HollowCommand;
 use wingshore_lab::stand_ins::StandInCommand;
 
-/// Proof harness of wingshore: stand-ins, fleets, checks.
+/// Proof harness of wingshore: stand-ins, fleets, checks, hollow sites.
 #[derive(FromArgs)]
 struct Arguments {
     #[argh(subcommand)]
@@ -18,6 +19,7 @@
 enum Command {
     StandIn(StandInCommand),
     Fleet(FleetCommand),
+    Hollow(HollowCommand),
 }
 
 fn main() -> ExitCode {
@@ -40,5 +42,6 @@
             Ok(true)
         }
         Command::Fleet(command) => Ok(command.run()?),
+        Command::Hollow(command) => Ok(command.run()?),
     }
 }
