http: agents by server and addresses without threads, for nodes and replicas

Cause (perf, a node at 1,000 servers): 80 % of the probe threads' time went into the HTTP library's pool, which compares each idle connection with each other at every return; each new connection started a thread to resolve an IP number; and each connection held 256 KiB of buffers.

Ruled out: the router; it did not show among the first forty symbols.

Probes, scores, cancels, orders and state readings have buffers of 8 KiB; payload connections 64 KiB.

--- a/crates/wingshore-node/src/upstream/agent.rs
+++ b/crates/wingshore-node/src/upstream/agent.rs
@@ -1,16 +1,21 @@
-//! The HTTP client: one with pooled connections, one that opens a connection for each request.
+//! The HTTP clients: with pooled connections for payload and for small questions, and with a
+//! connection for each request.
 
 use crate::http::HeaderList;
 use crate::upstream::connector::MarkingConnector;
 use std::net::SocketAddr;
 use std::time::Duration;
-use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Body, Error, http};
+use wingshore_http::{AgentPool, IpResolver};
 
 /// Idle connections kept to one server.
 const IDLE_PER_SERVER: usize = 16;
-/// Idle connections kept in all.
-const IDLE_IN_ALL: usize = 512;
+/// Idle connections kept to the servers that share an agent.
+const IDLE_PER_AGENT: usize = 16;
+/// Buffers of a connection for payload, each way, in bytes; an answer's head fits into one.
+const PAYLOAD_BUFFER: usize = 64 << 10;
+/// Buffers of a connection for small questions, each way, in bytes.
+const SMALL_BUFFER: usize = 8 << 10;
 /// Idle connections are not kept longer than this.
 const MAX_IDLE: Duration = Duration::from_secs(5);
 /// Longest time for connecting.
@@ -21,6 +26,8 @@
 pub enum Connections {
     /// It may: should the server close at that very moment, it is sent again or fails.
     Pooled,
+    /// It may, and question and answer are small: its buffers are, since a node asks many servers.
+    Small,
     /// It may not.
     Fresh,
 }
@@ -47,7 +54,8 @@
 /// Sends requests to back ends. Clones share connections.
 #[derive(Clone, Debug)]
 pub struct UpstreamClient {
-    pooled: Agent,
+    pooled: AgentPool,
+    small: AgentPool,
     fresh: Agent,
 }
 
@@ -59,7 +67,9 @@
 
 impl Default for InterruptibleClient {
     fn default() -> Self {
-        Self { agent: agent(0, 0) }
+        Self {
+            agent: agent(0, PAYLOAD_BUFFER),
+        }
     }
 }
 
@@ -88,8 +98,9 @@
     /// A client without connections yet.
     pub fn new() -> Self {
         Self {
-            pooled: agent(IDLE_PER_SERVER, IDLE_IN_ALL),
-            fresh: agent(0, 0),
+            pooled: AgentPool::new(|| agent(IDLE_PER_AGENT, PAYLOAD_BUFFER)),
+            small: AgentPool::new(|| agent(IDLE_PER_AGENT, SMALL_BUFFER)),
+            fresh: agent(0, PAYLOAD_BUFFER),
         }
     }
 
@@ -99,7 +110,8 @@
     /// As the HTTP client reports them; see [`crate::upstream::failure_of`].
     pub fn send(&self, request: &UpstreamRequest<'_>) -> Result<http::Response<Body>, Error> {
         let agent = match request.connections {
-            Connections::Pooled => &self.pooled,
+            Connections::Pooled => self.pooled.agent(request.address),
+            Connections::Small => self.small.agent(request.address),
             Connections::Fresh => &self.fresh,
         };
         send_by(agent, request)
@@ -129,7 +141,8 @@
         .build();
     agent.run(built)
 }
-fn agent(idle_per_server: usize, idle_in_all: usize) -> Agent {
+
+fn agent(idle: usize, buffer: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .allow_non_standard_methods(true)
@@ -139,13 +152,11 @@
         .user_agent("")
         .accept("")
         .timeout_connect(Some(CONNECT_TIMEOUT))
-        .max_idle_connections(idle_in_all)
-        .max_idle_connections_per_host(idle_per_server)
+        .max_idle_connections(idle)
+        .max_idle_connections_per_host(idle.min(IDLE_PER_SERVER))
         .max_idle_age(MAX_IDLE)
+        .input_buffer_size(buffer)
+        .output_buffer_size(buffer)
         .build();
-    Agent::with_parts(
-        config,
-        MarkingConnector::default(),
-        DefaultResolver::default(),
-    )
+    Agent::with_parts(config, MarkingConnector::default(), IpResolver)
 }
--- a/crates/wingshore-node/src/upstream/json.rs
+++ b/crates/wingshore-node/src/upstream/json.rs
@@ -118,7 +118,7 @@
             headers: &headers,
             body,
             timeout,
-            connections: Connections::Pooled,
+            connections: Connections::Small,
         };
         let response = self
             .send(&request)
--- a/crates/wingshore-replica/src/effects/carrier.rs
+++ b/crates/wingshore-replica/src/effects/carrier.rs
@@ -50,7 +50,7 @@
         let order_workers = (workers / ORDER_SHARE).max(1);
         let reading_workers = workers.saturating_sub(order_workers).max(1);
         let carrier = Carrier {
-            client: EngineClient::new(settings.orders.timeout, workers),
+            client: EngineClient::new(settings.orders.timeout),
             lease: Arc::clone(&lease),
             clock,
             inbox: inbox.clone(),
--- a/crates/wingshore-replica/src/effects/engine.rs
+++ b/crates/wingshore-replica/src/effects/engine.rs
@@ -6,38 +6,39 @@
 use std::time::Duration;
 use ureq::Agent;
 use ureq::http::{Response, StatusCode};
+use ureq::unversioned::transport::DefaultConnector;
 use wingshore_control::OrderAnswer;
+use wingshore_http::{AgentPool, IpResolver};
 use wingshore_types::Verdict;
 use wingshore_types::platform::{EngineOrder, EngineState, LoadReport, NOT_RUN_HEADER};
 
 /// Connections kept open to one server.
 const IDLE_PER_SERVER: usize = 1;
+/// Connections kept open to the servers that share an agent: engines that swap are read often.
+const IDLE_PER_AGENT: usize = 8;
+/// A connection is not kept longer than this.
+const MAX_IDLE: Duration = Duration::from_secs(2);
+/// Buffers of a connection, each way, in bytes; questions and answers are small.
+const BUFFER: usize = 8 << 10;
 
 /// Calls engines; clones share their connections.
 #[derive(Clone)]
 pub(crate) struct EngineClient {
-    agent: Agent,
+    agents: AgentPool,
 }
 
 impl EngineClient {
-    /// A client that gives a call up after `timeout` and keeps at most `most_idle` connections.
-    pub(crate) fn new(timeout: Duration, most_idle: usize) -> Self {
-        let config = Agent::config_builder()
-            .timeout_global(Some(timeout))
-            .http_status_as_error(false)
-            .max_idle_connections(most_idle)
-            .max_idle_connections_per_host(IDLE_PER_SERVER)
-            .max_redirects(0)
-            .build();
+    /// A client that gives a call up after `timeout`.
+    pub(crate) fn new(timeout: Duration) -> Self {
         Self {
-            agent: Agent::new_with_config(config),
+            agents: AgentPool::new(|| agent(timeout)),
         }
     }
 
     /// `POST /orders`.
     pub(crate) fn send_order(&self, address: SocketAddr, order: &EngineOrder) -> OrderAnswer {
         let url = format!("http://{address}/orders");
-        match self.agent.post(&url).send_json(order) {
+        match self.agents.agent(address).post(&url).send_json(order) {
             Ok(response) => order_answer(response),
             Err(error) => OrderAnswer::Failed(verdict_of(&error)),
         }
@@ -45,16 +46,17 @@
 
     /// `GET /state`.
     pub(crate) fn read_state(&self, address: SocketAddr) -> Result<EngineState, Verdict> {
-        self.read(&format!("http://{address}/state"))
+        self.read(address, "/state")
     }
 
     /// `GET /load`.
     pub(crate) fn read_load(&self, address: SocketAddr) -> Result<LoadReport, Verdict> {
-        self.read(&format!("http://{address}/load"))
+        self.read(address, "/load")
     }
 
-    fn read<T: DeserializeOwned>(&self, url: &str) -> Result<T, Verdict> {
-        let called = self.agent.get(url).call();
+    fn read<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T, Verdict> {
+        let url = format!("http://{address}{path}");
+        let called = self.agents.agent(address).get(&url).call();
         let mut response = called.map_err(|error| verdict_of(&error))?;
         if response.status() != StatusCode::OK {
             return Err(verdict_of_refusal(&response));
@@ -63,6 +65,21 @@
     }
 }
 
+fn agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .http_status_as_error(false)
+        .max_idle_connections(IDLE_PER_AGENT)
+        .max_idle_connections_per_host(IDLE_PER_SERVER)
+        .max_idle_age(MAX_IDLE)
+        .max_redirects(0)
+        .proxy(None)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
+        .build();
+    Agent::with_parts(config, DefaultConnector::default(), IpResolver)
+}
+
 fn order_answer(mut response: Response<ureq::Body>) -> OrderAnswer {
     match response.status() {
         StatusCode::ACCEPTED => OrderAnswer::Accepted,
