node: a planned stop answers or refuses every request to its end

Cause: after the last request in flight the edge stopped taking requests, but its listener and the connections that callers keep stayed open until the process had ended, 5 to 20 ms later. A request sent then was cut, and its caller could not know whether it ran. Ruled out: requests in flight (none was cut); the callers' client (a refused connection is told apart). Change: the edge refuses new requests until all else has ended. Answers during the stop say that their connection ends. Then listening ends in order: no new connection is made, those made before are served, later ones are refused by the system. The process ends once callers have let go of their connections, 2 s at most. A connection on which a caller sent nothing for these 2 s may still be cut: HTTP/1.1 has no way to end it in order. Test: callers on kept and on new connections, through a whole stop; before, some were cut (1 and more of 4 callers). The test of a drained server read a counter right after the answer, though requests are counted after their answer is written; it failed in 3 of about 10 runs on a busy machine. It waits for the same figure now.

--- a/crates/wingshore-node/src/http/caller.rs
+++ b/crates/wingshore-node/src/http/caller.rs
@@ -1,13 +1,13 @@
 //! One caller's request at the edge, from its head to its answer.
 
 use crate::http::body::{BodyError, drain_chunks, read_body};
-use crate::http::connections::DistrustedConnections;
+use crate::http::connections::Connections;
 use crate::http::event_stream::EventStream;
 use crate::http::framing::{BodyLength, FramingError, body_length};
 use crate::http::headers::HeaderList;
 use crate::http::respond::EdgeAnswer;
 use crate::http::route::{Route, RouteError, parse_route};
-use std::io::{self, Cursor};
+use std::io::{self, Cursor, Write};
 use std::sync::Arc;
 use tiny_http::{HTTPVersion, Header, Request, Response, StatusCode};
 
@@ -22,12 +22,12 @@
     route: Result<Route, RouteError>,
     length: Result<BodyLength, FramingError>,
     body_read: bool,
-    connections: Arc<DistrustedConnections>,
+    connections: Arc<Connections>,
 }
 
 impl Caller {
     /// Parses the head of `request`.
-    pub fn new(request: Request, connections: &Arc<DistrustedConnections>) -> Self {
+    pub fn new(request: Request, connections: &Arc<Connections>) -> Self {
         let headers = HeaderList::new(request.headers().iter().map(|header| {
             let name = header.field.as_str().as_str().to_owned();
             (name, header.value.as_str().trim().to_owned())
@@ -99,6 +99,11 @@
     /// Sends a whole answer. A caller that has gone is no error.
     pub fn respond(self, answer: EdgeAnswer) {
         let method_is_head = self.request.method().as_str() == "HEAD";
+        if self.may_be_drained() && self.connections.are_closing() {
+            // As below: there is nothing to be done about a failed write.
+            let _ = write_last_answer(self.request.into_writer(), &answer, method_is_head);
+            return;
+        }
         let response = response_of(answer, method_is_head);
         if self.may_be_drained() {
             // What else could be done about a failed write?
@@ -134,16 +139,49 @@
     }
 }
 
-fn response_of(answer: EdgeAnswer, method_is_head: bool) -> Response<Cursor<Vec<u8>>> {
+/// The length that an answer declares: of an answer without its body, the length it would have.
+fn declared_length(answer: &EdgeAnswer, method_is_head: bool) -> usize {
     let declared = answer
         .headers
         .iter()
         .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
         .and_then(|(_, value)| value.parse().ok());
-    let length = match declared {
+    match declared {
         Some(declared) if method_is_head => declared,
         _ => answer.body.len(),
-    };
+    }
+}
+
+/// Writes an answer after which the caller sends nothing more on its connection. The HTTP library
+/// does not let this be said.
+fn write_last_answer(
+    mut writer: Box<dyn Write + Send>,
+    answer: &EdgeAnswer,
+    method_is_head: bool,
+) -> io::Result<()> {
+    let status = StatusCode(answer.status);
+    let mut bytes = Vec::new();
+    let (code, reason) = (answer.status, status.default_reason_phrase());
+    write!(bytes, "HTTP/1.1 {code} {reason}\r\nConnection: close\r\n")?;
+    let length = declared_length(answer, method_is_head);
+    write!(bytes, "Content-Length: {length}\r\n")?;
+    for (name, value) in &answer.headers {
+        let is_own = ["connection", "content-length", "transfer-encoding"];
+        let is_own = is_own.iter().any(|own| name.eq_ignore_ascii_case(own));
+        if !is_own && Header::from_bytes(name.as_bytes(), value.as_bytes()).is_ok() {
+            write!(bytes, "{name}: {value}\r\n")?;
+        }
+    }
+    bytes.extend_from_slice(b"\r\n");
+    if !method_is_head {
+        bytes.extend_from_slice(&answer.body);
+    }
+    writer.write_all(&bytes)?;
+    writer.flush()
+}
+
+fn response_of(answer: EdgeAnswer, method_is_head: bool) -> Response<Cursor<Vec<u8>>> {
+    let length = declared_length(&answer, method_is_head);
     let headers = answer
         .headers
         .iter()
--- a/crates/wingshore-node/src/http/mod.rs
+++ b/crates/wingshore-node/src/http/mod.rs
@@ -6,6 +6,8 @@
 mod event_stream;
 mod framing;
 mod headers;
+mod listener;
+mod open_connections;
 mod respond;
 mod route;
 mod server;
--- a/crates/wingshore-node/src/http/server.rs
+++ b/crates/wingshore-node/src/http/server.rs
@@ -2,7 +2,9 @@
 //! group for each kind of work, so that long work of one kind never holds up another.
 
 use crate::http::caller::Caller;
-use crate::http::connections::DistrustedConnections;
+use crate::http::connections::Connections;
+use crate::http::listener::ListenerHandle;
+use crate::http::open_connections::open_connections;
 use crate::http::route::Route;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use std::io;
@@ -12,15 +14,17 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
-use tiny_http::Server;
+use tiny_http::{Request, Server};
 
 /// Threads for status pages and for refusals, each.
 const SMALL_GROUP: usize = 4;
 /// Between two looks at what is in flight, during a stop.
 const STOP_POLL: Duration = Duration::from_millis(10);
-/// How long nothing may be in flight before a stop believes it: a request may be on its way from
-/// the socket to a worker.
-const STOP_QUIET: Duration = Duration::from_millis(100);
+/// How long there may be neither a connection nor a request before the server ends.
+const CLOSE_QUIET: Duration = Duration::from_millis(50);
+/// How long callers have to use each connection that they keep once more, and so learn that it
+/// ends. A request on one that stayed unused that long may be cut.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Kinds of work, each with its own workers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,9 +66,11 @@
     in_flight: Arc<AtomicUsize>,
 }
 
-/// A listening server. Stopped by [`EdgeServer::stop`].
+/// A listening server. Ended by [`EdgeServer::drain`], then [`EdgeServer::close`].
 pub struct EdgeServer {
     server: Arc<Server>,
+    listener: ListenerHandle,
+    connections: Arc<Connections>,
     address: SocketAddr,
     in_flight: Arc<AtomicUsize>,
     acceptor: Option<JoinHandle<()>>,
@@ -83,6 +89,8 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
+        let handle_on_listener = ListenerHandle::of(&listener)?;
+        let connections = Arc::new(Connections::default());
         let server = Server::from_listener(listener, None)
             .map(Arc::new)
             .map_err(io::Error::other)?;
@@ -98,13 +106,19 @@
             status: group("status", SMALL_GROUP, handle)?,
             refusal: group("refusal", SMALL_GROUP, refuse)?,
         };
-        let accepting = Arc::clone(&server);
-        let counter = Arc::clone(&in_flight);
+        let acceptor = Acceptor {
+            server: Arc::clone(&server),
+            connections: Arc::clone(&connections),
+            queues,
+            in_flight: Arc::clone(&in_flight),
+        };
         let acceptor = thread::Builder::new()
             .name("accept".to_owned())
-            .spawn(move || accept(&accepting, &queues, &counter))?;
+            .spawn(move || acceptor.run())?;
         Ok(Self {
             server,
+            listener: handle_on_listener,
+            connections,
             address,
             in_flight,
             acceptor: Some(acceptor),
@@ -117,36 +131,56 @@
         self.address
     }
 
-    /// Waits until nothing is in flight, `grace` at most, then stops listening. Answers how many
-    /// requests were still in flight. The handler must refuse new requests meanwhile.
-    pub fn stop(mut self, grace: Duration) -> usize {
-        let left = self.wait_until_idle(grace);
+    /// Waits until nothing is in flight, `grace` at most; answers how many requests still are. The
+    /// handler must refuse new requests meanwhile, and go on doing so until [`EdgeServer::close`].
+    pub fn drain(&self, grace: Duration) -> usize {
+        self.connections.close_after_answers();
+        let give_up = Instant::now() + grace;
+        loop {
+            let left = self.in_flight.load(Ordering::SeqCst);
+            if left == 0 || Instant::now() >= give_up {
+                return left;
+            }
+            thread::sleep(STOP_POLL);
+        }
+    }
+
+    /// Ends listening, answers what still comes on connections that were made before, and ends.
+    ///
+    /// # Errors
+    /// When listening could not be ended in order; it has ended all the same.
+    pub fn close(mut self) -> io::Result<()> {
+        self.connections.close_after_answers();
+        let closed = self.listener.close();
+        let is_idle = wait_until_left_alone(self.address.port(), &self.in_flight);
         self.server.unblock();
         if let Some(acceptor) = self.acceptor.take() {
             // The acceptor has no result, and a panic of it was reported when it happened.
             let _ = acceptor.join();
         }
-        if left == 0 {
+        if is_idle {
             for worker in self.workers.drain(..) {
                 let _ = worker.join();
             }
         }
-        left
+        closed
     }
+}
 
-    fn wait_until_idle(&self, grace: Duration) -> usize {
-        let give_up = Instant::now() + grace;
-        let mut idle_since = Instant::now();
-        loop {
-            let left = self.in_flight.load(Ordering::SeqCst);
-            if left > 0 {
-                idle_since = Instant::now();
-            }
-            if idle_since.elapsed() >= STOP_QUIET || Instant::now() >= give_up {
-                return left;
-            }
-            thread::sleep(STOP_POLL);
+/// Waits until callers have let go of their connections and nothing was in flight for a while,
+/// [`CLOSE_LIMIT`] at most; says whether nothing is in flight.
+fn wait_until_left_alone(port: u16, in_flight: &AtomicUsize) -> bool {
+    let give_up = Instant::now() + CLOSE_LIMIT;
+    let mut alone_since = Instant::now();
+    loop {
+        let is_idle = in_flight.load(Ordering::SeqCst) == 0;
+        if !is_idle || open_connections(port) > 0 {
+            alone_since = Instant::now();
+        }
+        if alone_since.elapsed() >= CLOSE_QUIET || Instant::now() >= give_up {
+            return is_idle;
         }
+        thread::sleep(STOP_POLL);
     }
 }
 
@@ -172,20 +206,38 @@
     }
 }
 
-fn accept(server: &Server, queues: &Queues, in_flight: &Arc<AtomicUsize>) {
-    let connections = Arc::new(DistrustedConnections::default());
-    // Ends by `unblock`, which makes `recv` fail.
-    while let Ok(request) = server.recv() {
-        in_flight.fetch_add(1, Ordering::SeqCst);
-        let caller = Caller::new(request, &connections);
+/// Takes requests and hands them to the workers.
+struct Acceptor {
+    server: Arc<Server>,
+    connections: Arc<Connections>,
+    queues: Queues,
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl Acceptor {
+    fn run(self) {
+        loop {
+            match self.server.recv() {
+                Ok(request) => self.take(request),
+                // Listening has ended; connections that were made before go on.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                // `unblock` makes `recv` fail.
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn take(&self, request: Request) {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let caller = Caller::new(request, &self.connections);
         let kind = WorkKind::of(&caller);
         let counted = Counted {
             caller,
-            in_flight: Arc::clone(in_flight),
+            in_flight: Arc::clone(&self.in_flight),
         };
-        if let Err(TrySendError::Full(counted)) = queues.of(kind).try_send(counted) {
+        if let Err(TrySendError::Full(counted)) = self.queues.of(kind).try_send(counted) {
             // Waits: a flood is slowed down where it comes in.
-            let _ = queues.refusal.send(counted);
+            let _ = self.queues.refusal.send(counted);
         }
     }
 }
--- a/crates/wingshore-node/src/run.rs
+++ b/crates/wingshore-node/src/run.rs
@@ -122,7 +122,7 @@
     /// all threads. New requests are refused meanwhile.
     pub fn finish(self) {
         let logger = self.node.diagnostics.logger();
-        let left = self.edge.stop(self.node.settings.stop_grace);
+        let left = self.edge.drain(self.node.settings.stop_grace);
         if left > 0 {
             warn!(logger, "stopped with requests in flight"; "requests" => left);
         }
@@ -136,6 +136,10 @@
         self.prober.join();
         self.errands.finish(&self.node);
         drop(self.watcher);
+        // Last: until then callers are told that their requests did not run.
+        if let Err(error) = self.edge.close() {
+            warn!(logger, "listening could not be ended in order"; "error" => %error);
+        }
         info!(logger, "node stopped");
     }
 }
--- a/crates/wingshore-node/tests/lifecycle.rs
+++ b/crates/wingshore-node/tests/lifecycle.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use common::back_end::{BackEnd, write_whole};
-use common::caller::{get, post};
+use common::caller::{get, post, post_bytes, read_answer};
 use common::groups::ScriptedGroups;
-use common::{LIVE, TestNode, live_site, put_server, wait_until};
+use common::{LIVE, PATIENCE, TestNode, live_site, put_server, wait_until};
 use googletest::prelude::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -77,13 +79,15 @@
         expect_that!(post(node.address(), &charges(), "", "x").text(), eq("one"));
     }
     expect_that!(servers[0].count(), eq(before));
-    let metrics = get(node.address(), "/metrics").text();
-    expect_that!(
-        metrics,
-        contains_substring("wingshore_configuration_revision 4\n")
-    );
-    let counted = r#"wingshore_requests_total{kind="forward",code="ok"} 21"#;
-    expect_that!(metrics, contains_substring(counted));
+    // A request is counted after its answer was written, so the last one may be counted later.
+    for line in [
+        "wingshore_configuration_revision 4\n",
+        "wingshore_requests_total{kind=\"forward\",code=\"ok\"} 21\n",
+    ] {
+        wait_until(line, || {
+            get(node.address(), "/metrics").text().contains(line)
+        });
+    }
     node.finish();
 }
 
@@ -114,10 +118,49 @@
     let answer = in_flight.join().expect("the caller gets its answer");
     expect_that!(answer.text(), eq("charged in the end"));
     stopping.join().expect("the node stops");
-    expect_that!(std::net::TcpStream::connect(address), err(anything()));
+    expect_that!(TcpStream::connect(address), err(anything()));
     expect_that!(server.count(), eq(1));
 }
 
+/// Sends requests until nobody listens any more, on one connection as long as it may be kept or
+/// on a new one each; answers how many were cut.
+fn call_until_refused(address: SocketAddr, keeps_connection: bool) -> usize {
+    let mut cut = 0;
+    while let Ok(mut stream) = TcpStream::connect(address) {
+        let limited = stream.set_read_timeout(Some(PATIENCE));
+        limited.expect("a timeout can be set");
+        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        loop {
+            let written = stream.write_all(&post_bytes(&charges(), "", "x"));
+            if written.is_err() || !reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+                cut += 1;
+                break;
+            }
+            let answer = read_answer(&mut reader);
+            let ends = answer.header("connection").is_some_and(|it| it == "close");
+            if ends || !keeps_connection {
+                break;
+            }
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    cut
+}
+
+#[gtest]
+fn through_a_whole_planned_stop_each_request_is_answered_or_finds_nobody() {
+    let server = BackEnd::answering("charged");
+    let groups = live_site(&[&server]);
+    let node = TestNode::start(&groups, "node-a", "");
+    let address = node.address();
+    let callers = [true, true, false, false];
+    let callers = callers.map(|keeps| thread::spawn(move || call_until_refused(address, keeps)));
+    wait_until("callers are answered", || server.count() > 20);
+    node.finish();
+    let cut = callers.map(|caller| caller.join().expect("a caller ends"));
+    expect_that!(cut, eq([0; 4]));
+}
+
 #[gtest]
 fn a_planned_stop_without_work_ends_although_the_groups_are_silent() {
     let server = BackEnd::answering("charged");
