lab: measure state: commits, elections, changes in force, recovery

Cause: what keeping state costs was not known.

Change: 'wingshore-lab measure state' runs real replica processes with real syncs and measures commits a second and their latency beside the bare disk, time without a leader after kills, time from a confirmed change to in force on every node (also with one frozen, whose waiting requests must not go by the old configuration; exit status 1 otherwise), and recovery against state size.

Ruled out: counting from the confirmation's answer. It counts from the sending of the confirmation.

--- a/crates/wingshore-lab/src/lib.rs
+++ b/crates/wingshore-lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod hollow;
 pub mod http_client;
 pub mod http_server;
+pub mod measure;
 pub mod sim;
 pub mod stand_ins;
--- a/crates/wingshore-lab/src/main.rs
+++ b/crates/wingshore-lab/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 use wingshore_lab::fleet::FleetCommand;
 use wingshore_lab::hollow::HollowCommand;
+use wingshore_lab::measure::MeasureCommand;
 use wingshore_lab::stand_ins::StandInCommand;
 
 /// Proof harness of wingshore: stand-ins, fleets, checks, hollow sites.
@@ -20,6 +21,7 @@
     StandIn(StandInCommand),
     Fleet(FleetCommand),
     Hollow(HollowCommand),
+    Measure(MeasureCommand),
 }
 
 fn main() -> ExitCode {
@@ -43,5 +45,6 @@
         }
         Command::Fleet(command) => Ok(command.run()?),
         Command::Hollow(command) => Ok(command.run()?),
+        Command::Measure(command) => command.run(),
     }
 }
