ledger, request: requests, waiting pulls, finishing, indexes and errors in modules of their own

Moved, not changed: what a request asks for, pulls that wait, the end of a generation, the indexes by stage, the errors that end a request.

--- a/crates/wingshore-ledger/src/samples/leader.rs
+++ b/crates/wingshore-ledger/src/samples/leader.rs
@@ -4,29 +4,24 @@
 use super::faults::Faults;
 use super::lease_clock::LeaseClock;
 use super::pool::{FULL_RETRY_AFTER_MS, PoolLedger};
-use super::pulls::{PullStanding, not_ready};
+use super::requests::{answer_from_state, operation_of, request_pool};
 use super::scoring::ScoringOffers;
 use super::state::LedgerState;
+use super::waiting_pulls::WaitingPull;
 use crate::batching::ProposalQueue;
 use crate::{NoEffect, NoEvent};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 use wingshore_types::machine::{
     LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
 };
-use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply, LedgerRequest, PullRequest};
+use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply, LedgerRequest};
 use wingshore_types::{Epoch, Instant, LeaseId, PoolId, StepId, WeightVersion};
 
-/// Longest time a pull waits, whatever it asks for.
-const MAX_PULL_WAIT: Duration = Duration::from_secs(60);
-/// Most pulls that wait at once; further ones are answered at once.
-const MAX_WAITING_PULLS: usize = 256;
-
-type Outputs = LeaderOutputs<LedgerLeader>;
+pub(super) type Outputs = LeaderOutputs<LedgerLeader>;
 
 /// Who waits for an operation to be applied.
 #[derive(Debug)]
-enum Waiting {
+pub(super) enum Waiting {
     Client(RequestTag),
     /// A lease request: the deadlines of what is granted begin when it is applied.
     LeaseClient(RequestTag, PoolId),
@@ -35,27 +30,18 @@
     Version,
 }
 
-/// A pull that waits for enough samples.
-#[derive(Debug)]
-struct WaitingPull {
-    tag: RequestTag,
-    pool: PoolId,
-    pull: PullRequest,
-    deadline: Instant,
-}
-
 /// The leader machine of a ledger group.
 #[derive(Debug, Default)]
 pub struct LedgerLeader {
     queue: ProposalQueue<Operation, Waiting>,
     lease_clock: LeaseClock,
     offers: ScoringOffers,
-    pulls: Vec<WaitingPull>,
+    pub(super) pulls: Vec<WaitingPull>,
     /// Pools with a hand-over on its way into the log.
-    handing_over: BTreeSet<PoolId>,
+    pub(super) handing_over: BTreeSet<PoolId>,
     /// Newest trainer versions on their way into the log.
-    observing: BTreeMap<PoolId, WeightVersion>,
-    faults: Faults,
+    pub(super) observing: BTreeMap<PoolId, WeightVersion>,
+    pub(super) faults: Faults,
 }
 
 impl LedgerLeader {
@@ -150,7 +136,7 @@
         self.enqueue(operation, waiting, out);
     }
 
-    fn enqueue(&mut self, operation: Operation, waiting: Waiting, out: &mut Outputs) {
+    pub(super) fn enqueue(&mut self, operation: Operation, waiting: Waiting, out: &mut Outputs) {
         let bytes = operation.estimated_bytes();
         let Err(refused) = self.queue.push(operation, bytes, waiting) else {
             return;
@@ -210,108 +196,6 @@
         }
     }
 
-    fn wait_for_pull(
-        &mut self,
-        now: Instant,
-        tag: RequestTag,
-        pool: PoolId,
-        pull: PullRequest,
-        out: &mut Outputs,
-    ) {
-        if self.pulls.len() >= MAX_WAITING_PULLS {
-            return refuse(tag, not_ready(0), out);
-        }
-        let wait = Duration::from_millis(pull.wait_ms).min(MAX_PULL_WAIT);
-        self.pulls.push(WaitingPull {
-            tag,
-            pool,
-            pull,
-            deadline: now + wait,
-        });
-    }
-
-    /// Answers the pulls that can be answered now and proposes what the others need.
-    fn advance_pulls(&mut self, now: Instant, state: &LedgerState, out: &mut Outputs) {
-        for waiting in std::mem::take(&mut self.pulls) {
-            let Some(pool) = state.pool(&waiting.pool) else {
-                refuse(waiting.tag, LedgerRefusal::UnknownPool, out);
-                continue;
-            };
-            if let Some(answer) = self.advance_pull(now, &waiting, pool, out) {
-                reply(waiting.tag, answer, out);
-            } else {
-                self.pulls.push(waiting);
-            }
-        }
-    }
-
-    fn advance_pull(
-        &mut self,
-        now: Instant,
-        waiting: &WaitingPull,
-        pool: &PoolLedger,
-        out: &mut Outputs,
-    ) -> Option<LedgerReply> {
-        match pool.pull_standing(&waiting.pull) {
-            Err(refusal) => Some(LedgerReply::Refused(refusal)),
-            Ok(PullStanding::Recorded(_)) if self.faults.forget_handover => {
-                Some(self.answer_anew(waiting, pool, out))
-            }
-            Ok(PullStanding::Recorded(batch)) => Some(LedgerReply::Batch(Box::new(batch.clone()))),
-            Ok(PullStanding::NewerVersion) => {
-                self.observe(waiting, out);
-                None
-            }
-            Ok(PullStanding::Ready) => {
-                self.propose_hand_over(waiting, out);
-                let batch = || Box::new(pool.preview(&waiting.pull));
-                let early = self.faults.answer_before_commit;
-                early.then(|| LedgerReply::Batch(batch()))
-            }
-            Ok(PullStanding::Waiting { ready }) if now >= waiting.deadline => {
-                Some(LedgerReply::Refused(not_ready(ready)))
-            }
-            Ok(PullStanding::Waiting { .. }) => None,
-        }
-    }
-
-    fn observe(&mut self, waiting: &WaitingPull, out: &mut Outputs) {
-        let version = waiting.pull.weight_version;
-        let on_its_way = self.observing.get(&waiting.pool);
-        if on_its_way.is_some_and(|newest| *newest >= version) {
-            return;
-        }
-        self.observing.insert(waiting.pool.clone(), version);
-        let operation = Operation::ObserveVersion {
-            pool: waiting.pool.clone(),
-            version,
-        };
-        self.enqueue(operation, Waiting::Version, out);
-    }
-
-    fn propose_hand_over(&mut self, waiting: &WaitingPull, out: &mut Outputs) {
-        if !self.handing_over.insert(waiting.pool.clone()) {
-            return;
-        }
-        let operation = Operation::HandOver {
-            pool: waiting.pool.clone(),
-            pull: waiting.pull.clone(),
-        };
-        let waits = Waiting::HandOver(waiting.pool.clone(), waiting.pull.step);
-        self.enqueue(operation, waits, out);
-    }
-
-    /// The deliberate fault [`Faults::forget_handover`]: other samples for the same step.
-    fn answer_anew(
-        &mut self,
-        waiting: &WaitingPull,
-        pool: &PoolLedger,
-        out: &mut Outputs,
-    ) -> LedgerReply {
-        self.propose_hand_over(waiting, out);
-        LedgerReply::Batch(Box::new(pool.preview(&waiting.pull)))
-    }
-
     fn finish_waiting(
         &mut self,
         now: Instant,
@@ -334,24 +218,6 @@
         }
     }
 
-    /// Answers the pulls of a step whose hand-over was refused, unless waiting may help.
-    fn refuse_pulls(
-        &mut self,
-        pool: &PoolId,
-        step: StepId,
-        answer: LedgerReply,
-        out: &mut Outputs,
-    ) {
-        if !matches!(answer, LedgerReply::Refused(LedgerRefusal::Invalid { .. })) {
-            return;
-        }
-        let of_step =
-            |waiting: &mut WaitingPull| waiting.pool == *pool && waiting.pull.step == step;
-        for waiting in self.pulls.extract_if(.., of_step) {
-            reply(waiting.tag, answer.clone(), out);
-        }
-    }
-
     fn start_leases(&mut self, now: Instant, pool: &PoolId, answer: &LedgerReply) {
         let LedgerReply::Leases(granted) = answer else {
             return;
@@ -450,112 +316,10 @@
     }
 }
 
-fn reply(tag: RequestTag, reply: LedgerReply, out: &mut Outputs) {
+pub(super) fn reply(tag: RequestTag, reply: LedgerReply, out: &mut Outputs) {
     out.push(LeaderOutput::Reply { tag, reply });
 }
 
-fn refuse(tag: RequestTag, refusal: LedgerRefusal, out: &mut Outputs) {
+pub(super) fn refuse(tag: RequestTag, refusal: LedgerRefusal, out: &mut Outputs) {
     reply(tag, LedgerReply::Refused(refusal), out);
 }
-
-fn request_pool(request: &LedgerRequest) -> &PoolId {
-    match request {
-        LedgerRequest::Configure { pool, .. }
-        | LedgerRequest::Submit { pool, .. }
-        | LedgerRequest::Lease { pool, .. }
-        | LedgerRequest::Renew { pool, .. }
-        | LedgerRequest::Return { pool, .. }
-        | LedgerRequest::Finish { pool, .. }
-        | LedgerRequest::Unscored { pool, .. }
-        | LedgerRequest::Score { pool, .. }
-        | LedgerRequest::Pull { pool, .. }
-        | LedgerRequest::Acknowledge { pool, .. }
-        | LedgerRequest::Counts { pool } => pool,
-    }
-}
-
-/// The answer to a request that would change nothing; it costs no log entry.
-fn answer_from_state(request: &LedgerRequest, pool: &PoolLedger) -> Option<LedgerReply> {
-    match request {
-        LedgerRequest::Submit { prompts, .. } => pool.answer_submission(prompts),
-        LedgerRequest::Lease { node, boot_id, .. } => {
-            let changes = pool.lease_would_change(node, *boot_id);
-            (!changes).then(|| LedgerReply::Leases(Vec::new()))
-        }
-        LedgerRequest::Return { lease, .. } => {
-            (!pool.is_active(*lease)).then_some(LedgerReply::Done)
-        }
-        LedgerRequest::Score { sample, lease, .. } => {
-            (!pool.awaits_score(*sample, *lease)).then_some(LedgerReply::First(false))
-        }
-        LedgerRequest::Acknowledge { trainer, step, .. } => {
-            let repeated = pool.is_acknowledged(*step) && *trainer == pool.settings().trainer;
-            repeated.then_some(LedgerReply::Done)
-        }
-        _ => None,
-    }
-}
-
-/// The operation a request asks for, when it is one that changes the state.
-fn operation_of(request: LedgerRequest) -> Option<Operation> {
-    let operation = match request {
-        LedgerRequest::Submit { pool, prompts } => Operation::Submit { pool, prompts },
-        LedgerRequest::Lease {
-            pool,
-            node,
-            boot_id,
-            most,
-        } => Operation::Lease {
-            pool,
-            node,
-            boot_id,
-            most,
-        },
-        LedgerRequest::Return {
-            pool,
-            lease,
-            partial,
-        } => Operation::Return {
-            pool,
-            lease,
-            partial,
-        },
-        LedgerRequest::Finish {
-            pool,
-            sample,
-            lease,
-            generation,
-        } => Operation::Finish {
-            pool,
-            sample,
-            lease,
-            generation,
-        },
-        LedgerRequest::Score {
-            pool,
-            sample,
-            lease,
-            score,
-        } => Operation::Score {
-            pool,
-            sample,
-            lease,
-            score,
-        },
-        LedgerRequest::Acknowledge {
-            pool,
-            trainer,
-            step,
-        } => Operation::Acknowledge {
-            pool,
-            trainer,
-            step,
-        },
-        LedgerRequest::Configure { .. }
-        | LedgerRequest::Renew { .. }
-        | LedgerRequest::Unscored { .. }
-        | LedgerRequest::Pull { .. }
-        | LedgerRequest::Counts { .. } => return None,
-    };
-    Some(operation)
-}
--- a/crates/wingshore-ledger/src/samples/mod.rs
+++ b/crates/wingshore-ledger/src/samples/mod.rs
@@ -8,15 +8,19 @@
 
 mod command;
 mod faults;
+mod finishing;
+mod indexes;
 mod leader;
 mod lease_clock;
 mod leases;
 mod numbers;
 mod pool;
 mod pulls;
+mod requests;
 mod scoring;
 mod stage;
 mod state;
+mod waiting_pulls;
 
 pub use command::{LedgerCommand, Operation, PoolSettings};
 pub use faults::Faults;
--- a/crates/wingshore-ledger/src/samples/pool.rs
+++ b/crates/wingshore-ledger/src/samples/pool.rs
@@ -2,10 +2,10 @@
 
 use super::command::PoolSettings;
 use super::faults::Faults;
-use super::leases::LeaseTable;
+use super::indexes::Indexes;
 use super::numbers::{NumberSet, Remembered};
 use super::pulls::HandOver;
-use super::stage::{Finished, Holder, OpenSample, QueueKey, Stage};
+use super::stage::{Holder, OpenSample, QueueKey, Stage};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use wingshore_types::protocol::ledger::{LedgerCounts, LedgerRefusal, LedgerReply, SampleLease};
@@ -32,60 +32,15 @@
     pub(super) acknowledged_step: Option<StepId>,
     pub(super) acknowledged_count: u64,
     next_submission: u64,
-    next_lease: u64,
-    duplicates_dropped: u64,
-    regenerated: u64,
+    pub(super) next_lease: u64,
+    pub(super) duplicates_dropped: u64,
+    pub(super) regenerated: u64,
     #[serde(skip)]
     pub(super) indexes: Indexes,
     #[serde(skip)]
     pub(super) faults: Faults,
 }
 
-/// Where to find samples of each stage; rebuilt from the samples after a restore.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Indexes {
-    pub(super) pending: BTreeSet<QueueKey>,
-    pub(super) leases: LeaseTable,
-    pub(super) finished: BTreeSet<QueueKey>,
-    pub(super) scored: BTreeSet<QueueKey>,
-    /// Samples that were handed over and are not acknowledged yet.
-    pub(super) delivered: BTreeMap<SampleNumber, StepId>,
-}
-
-impl Indexes {
-    fn insert(&mut self, sample: &OpenSample) {
-        match &sample.stage {
-            Stage::Pending { .. } => {
-                self.pending.insert(sample.key);
-            }
-            Stage::Leased { lease, holder, .. } => {
-                self.leases.insert(*lease, sample.key.number(), holder);
-            }
-            Stage::Finished(_) => {
-                self.finished.insert(sample.key);
-            }
-            Stage::Scored { .. } => {
-                self.scored.insert(sample.key);
-            }
-        }
-    }
-
-    pub(super) fn remove(&mut self, sample: &OpenSample) {
-        match &sample.stage {
-            Stage::Pending { .. } => {
-                self.pending.remove(&sample.key);
-            }
-            Stage::Leased { lease, holder, .. } => self.leases.remove(*lease, holder),
-            Stage::Finished(_) => {
-                self.finished.remove(&sample.key);
-            }
-            Stage::Scored { .. } => {
-                self.scored.remove(&sample.key);
-            }
-        }
-    }
-}
-
 impl PoolLedger {
     pub(super) fn new(settings: PoolSettings, faults: Faults) -> Self {
         Self {
@@ -261,31 +216,6 @@
         LedgerReply::Done
     }
 
-    pub(super) fn finish(
-        &mut self,
-        number: SampleNumber,
-        lease: LeaseId,
-        generation: Generation,
-    ) -> LedgerReply {
-        let Some(sample) = self.open.get(&number) else {
-            return self.finish_closed(number, lease, generation);
-        };
-        if let Err(refusal) = self.check_finish(sample, lease, &generation) {
-            return LedgerReply::Refused(refusal);
-        }
-        let is_finished = matches!(sample.stage, Stage::Finished(_) | Stage::Scored { .. });
-        if is_finished && !self.faults.accept_second_finish {
-            self.duplicates_dropped += 1;
-            return LedgerReply::First(false);
-        }
-        if self.is_too_old(generation.oldest_version()) && !self.faults.hand_over_without_age_check
-        {
-            return self.finish_too_old(number, lease);
-        }
-        self.set_stage(number, Stage::Finished(Finished { lease, generation }));
-        LedgerReply::First(true)
-    }
-
     /// Drops generations that the trainer's version has left too far behind: whole ones are
     /// generated again, partial ones are forgotten.
     pub(super) fn observe_version(&mut self, version: WeightVersion) -> LedgerReply {
@@ -352,7 +282,7 @@
         Ok(())
     }
 
-    fn add_pending(&mut self, key: QueueKey, prompt: Prompt) {
+    pub(super) fn add_pending(&mut self, key: QueueKey, prompt: Prompt) {
         let sample = OpenSample {
             key,
             prompt,
@@ -418,78 +348,7 @@
         self.set_stage(number, Stage::Pending { partial });
     }
 
-    fn check_finish(
-        &self,
-        sample: &OpenSample,
-        lease: LeaseId,
-        generation: &Generation,
-    ) -> Result<(), LedgerRefusal> {
-        check_generation(generation, sample.prompt.max_tokens)?;
-        if generation.tokens.is_empty() {
-            return Err(invalid(
-                "a finished generation needs a token at least".to_owned(),
-            ));
-        }
-        let other = self.indexes.leases.sample(lease);
-        let is_other_samples = other.is_some_and(|number| number != sample.key.number());
-        if lease.0 >= self.next_lease || is_other_samples {
-            return Err(invalid(format!(
-                "lease {lease} was not granted for sample {}",
-                sample.key.number()
-            )));
-        }
-        Ok(())
-    }
-
-    fn finish_closed(
-        &mut self,
-        number: SampleNumber,
-        lease: LeaseId,
-        generation: Generation,
-    ) -> LedgerReply {
-        let is_forgotten = self.acknowledged.remembers(number.0) == Remembered::Forgotten;
-        if !self.is_known(number) && !is_forgotten {
-            return LedgerReply::Refused(invalid(format!("sample {number} was not submitted")));
-        }
-        if self.faults.accept_second_finish {
-            self.reopen_delivered(number, Finished { lease, generation });
-        }
-        self.duplicates_dropped += 1;
-        LedgerReply::First(false)
-    }
-
-    /// The deliberate fault [`Faults::accept_second_finish`] for a delivered sample.
-    fn reopen_delivered(&mut self, number: SampleNumber, finished: Finished) {
-        let Some(step) = self.indexes.delivered.get(&number) else {
-            return;
-        };
-        let delivered = self.handed_over.get(step).and_then(|hand_over| {
-            let samples = &hand_over.batch.samples;
-            samples.iter().find(|sample| sample.number == number)
-        });
-        let Some(delivered) = delivered else {
-            return;
-        };
-        let prompt = Prompt {
-            number,
-            tokens: delivered.prompt.clone(),
-            max_tokens: finished.generation.tokens.len() as u32,
-            seed: 0,
-        };
-        self.add_pending(QueueKey::new(0, &prompt), prompt);
-        self.set_stage(number, Stage::Finished(finished));
-    }
-
-    fn finish_too_old(&mut self, number: SampleNumber, lease: LeaseId) -> LedgerReply {
-        if self.indexes.leases.sample(lease) == Some(number) {
-            self.regenerated += 1;
-            let partial = Generation::default();
-            self.set_stage(number, Stage::Pending { partial });
-        }
-        LedgerReply::First(false)
-    }
-
-    fn is_too_old(&self, oldest: Option<WeightVersion>) -> bool {
+    pub(super) fn is_too_old(&self, oldest: Option<WeightVersion>) -> bool {
         oldest.is_some_and(|oldest| oldest < self.oldest_useful())
     }
 
@@ -529,7 +388,11 @@
     LedgerRefusal::Invalid { message }
 }
 
-fn check_generation(generation: &Generation, max_tokens: u32) -> Result<(), LedgerRefusal> {
+/// Checks the shape and the length of a generation.
+pub(super) fn check_generation(
+    generation: &Generation,
+    max_tokens: u32,
+) -> Result<(), LedgerRefusal> {
     if !generation.is_well_formed() {
         return Err(invalid(
             "segments must cover the tokens exactly, in order".to_owned(),
--- /dev/null
+++ b/crates/wingshore-ledger/src/samples/requests.rs
@@ -0,0 +1,110 @@
+//! What a request to a ledger group asks for: its pool, an answer that needs no log entry, or an
+//! operation for the log.
+
+use super::command::Operation;
+use super::pool::PoolLedger;
+use wingshore_types::PoolId;
+use wingshore_types::protocol::ledger::{LedgerReply, LedgerRequest};
+
+/// The pool a request is about.
+pub(super) fn request_pool(request: &LedgerRequest) -> &PoolId {
+    match request {
+        LedgerRequest::Configure { pool, .. }
+        | LedgerRequest::Submit { pool, .. }
+        | LedgerRequest::Lease { pool, .. }
+        | LedgerRequest::Renew { pool, .. }
+        | LedgerRequest::Return { pool, .. }
+        | LedgerRequest::Finish { pool, .. }
+        | LedgerRequest::Unscored { pool, .. }
+        | LedgerRequest::Score { pool, .. }
+        | LedgerRequest::Pull { pool, .. }
+        | LedgerRequest::Acknowledge { pool, .. }
+        | LedgerRequest::Counts { pool } => pool,
+    }
+}
+
+/// The answer to a request that would change nothing; it costs no log entry.
+pub(super) fn answer_from_state(request: &LedgerRequest, pool: &PoolLedger) -> Option<LedgerReply> {
+    match request {
+        LedgerRequest::Submit { prompts, .. } => pool.answer_submission(prompts),
+        LedgerRequest::Lease { node, boot_id, .. } => {
+            let changes = pool.lease_would_change(node, *boot_id);
+            (!changes).then(|| LedgerReply::Leases(Vec::new()))
+        }
+        LedgerRequest::Return { lease, .. } => {
+            (!pool.is_active(*lease)).then_some(LedgerReply::Done)
+        }
+        LedgerRequest::Score { sample, lease, .. } => {
+            (!pool.awaits_score(*sample, *lease)).then_some(LedgerReply::First(false))
+        }
+        LedgerRequest::Acknowledge { trainer, step, .. } => {
+            let repeated = pool.is_acknowledged(*step) && *trainer == pool.settings().trainer;
+            repeated.then_some(LedgerReply::Done)
+        }
+        _ => None,
+    }
+}
+
+/// The operation a request asks for, when it is one that changes the state.
+pub(super) fn operation_of(request: LedgerRequest) -> Option<Operation> {
+    let operation = match request {
+        LedgerRequest::Submit { pool, prompts } => Operation::Submit { pool, prompts },
+        LedgerRequest::Lease {
+            pool,
+            node,
+            boot_id,
+            most,
+        } => Operation::Lease {
+            pool,
+            node,
+            boot_id,
+            most,
+        },
+        LedgerRequest::Return {
+            pool,
+            lease,
+            partial,
+        } => Operation::Return {
+            pool,
+            lease,
+            partial,
+        },
+        LedgerRequest::Finish {
+            pool,
+            sample,
+            lease,
+            generation,
+        } => Operation::Finish {
+            pool,
+            sample,
+            lease,
+            generation,
+        },
+        LedgerRequest::Score {
+            pool,
+            sample,
+            lease,
+            score,
+        } => Operation::Score {
+            pool,
+            sample,
+            lease,
+            score,
+        },
+        LedgerRequest::Acknowledge {
+            pool,
+            trainer,
+            step,
+        } => Operation::Acknowledge {
+            pool,
+            trainer,
+            step,
+        },
+        LedgerRequest::Configure { .. }
+        | LedgerRequest::Renew { .. }
+        | LedgerRequest::Unscored { .. }
+        | LedgerRequest::Pull { .. }
+        | LedgerRequest::Counts { .. } => return None,
+    };
+    Some(operation)
+}
--- /dev/null
+++ b/crates/wingshore-ledger/src/samples/waiting_pulls.rs
@@ -0,0 +1,147 @@
+//! Pulls that wait on the leader until their samples are ready.
+
+use super::command::Operation;
+use super::leader::{LedgerLeader, Outputs, Waiting, refuse, reply};
+use super::pool::PoolLedger;
+use super::pulls::{PullStanding, not_ready};
+use super::state::LedgerState;
+use std::time::Duration;
+use wingshore_types::machine::RequestTag;
+use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply, PullRequest};
+use wingshore_types::{Instant, PoolId, StepId};
+
+/// Longest time a pull waits, whatever it asks for.
+const MAX_PULL_WAIT: Duration = Duration::from_secs(60);
+/// Most pulls that wait at once; further ones are answered at once.
+const MAX_WAITING_PULLS: usize = 256;
+
+/// A pull that waits for enough samples.
+#[derive(Debug)]
+pub(super) struct WaitingPull {
+    tag: RequestTag,
+    pool: PoolId,
+    pull: PullRequest,
+    deadline: Instant,
+}
+
+impl LedgerLeader {
+    pub(super) fn wait_for_pull(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        pool: PoolId,
+        pull: PullRequest,
+        out: &mut Outputs,
+    ) {
+        if self.pulls.len() >= MAX_WAITING_PULLS {
+            return refuse(tag, not_ready(0), out);
+        }
+        let wait = Duration::from_millis(pull.wait_ms).min(MAX_PULL_WAIT);
+        self.pulls.push(WaitingPull {
+            tag,
+            pool,
+            pull,
+            deadline: now + wait,
+        });
+    }
+
+    /// Answers the pulls that can be answered now and proposes what the others need.
+    pub(super) fn advance_pulls(&mut self, now: Instant, state: &LedgerState, out: &mut Outputs) {
+        for waiting in std::mem::take(&mut self.pulls) {
+            let Some(pool) = state.pool(&waiting.pool) else {
+                refuse(waiting.tag, LedgerRefusal::UnknownPool, out);
+                continue;
+            };
+            if let Some(answer) = self.advance_pull(now, &waiting, pool, out) {
+                reply(waiting.tag, answer, out);
+            } else {
+                self.pulls.push(waiting);
+            }
+        }
+    }
+
+    fn advance_pull(
+        &mut self,
+        now: Instant,
+        waiting: &WaitingPull,
+        pool: &PoolLedger,
+        out: &mut Outputs,
+    ) -> Option<LedgerReply> {
+        match pool.pull_standing(&waiting.pull) {
+            Err(refusal) => Some(LedgerReply::Refused(refusal)),
+            Ok(PullStanding::Recorded(_)) if self.faults.forget_handover => {
+                Some(self.answer_anew(waiting, pool, out))
+            }
+            Ok(PullStanding::Recorded(batch)) => Some(LedgerReply::Batch(Box::new(batch.clone()))),
+            Ok(PullStanding::NewerVersion) => {
+                self.observe(waiting, out);
+                None
+            }
+            Ok(PullStanding::Ready) => {
+                self.propose_hand_over(waiting, out);
+                let batch = || Box::new(pool.preview(&waiting.pull));
+                let early = self.faults.answer_before_commit;
+                early.then(|| LedgerReply::Batch(batch()))
+            }
+            Ok(PullStanding::Waiting { ready }) if now >= waiting.deadline => {
+                Some(LedgerReply::Refused(not_ready(ready)))
+            }
+            Ok(PullStanding::Waiting { .. }) => None,
+        }
+    }
+
+    fn observe(&mut self, waiting: &WaitingPull, out: &mut Outputs) {
+        let version = waiting.pull.weight_version;
+        let on_its_way = self.observing.get(&waiting.pool);
+        if on_its_way.is_some_and(|newest| *newest >= version) {
+            return;
+        }
+        self.observing.insert(waiting.pool.clone(), version);
+        let operation = Operation::ObserveVersion {
+            pool: waiting.pool.clone(),
+            version,
+        };
+        self.enqueue(operation, Waiting::Version, out);
+    }
+
+    fn propose_hand_over(&mut self, waiting: &WaitingPull, out: &mut Outputs) {
+        if !self.handing_over.insert(waiting.pool.clone()) {
+            return;
+        }
+        let operation = Operation::HandOver {
+            pool: waiting.pool.clone(),
+            pull: waiting.pull.clone(),
+        };
+        let waits = Waiting::HandOver(waiting.pool.clone(), waiting.pull.step);
+        self.enqueue(operation, waits, out);
+    }
+
+    /// The deliberate fault [`Faults::forget_handover`]: other samples for the same step.
+    fn answer_anew(
+        &mut self,
+        waiting: &WaitingPull,
+        pool: &PoolLedger,
+        out: &mut Outputs,
+    ) -> LedgerReply {
+        self.propose_hand_over(waiting, out);
+        LedgerReply::Batch(Box::new(pool.preview(&waiting.pull)))
+    }
+
+    /// Answers the pulls of a step whose hand-over was refused, unless waiting may help.
+    pub(super) fn refuse_pulls(
+        &mut self,
+        pool: &PoolId,
+        step: StepId,
+        answer: LedgerReply,
+        out: &mut Outputs,
+    ) {
+        if !matches!(answer, LedgerReply::Refused(LedgerRefusal::Invalid { .. })) {
+            return;
+        }
+        let of_step =
+            |waiting: &mut WaitingPull| waiting.pool == *pool && waiting.pull.step == step;
+        for waiting in self.pulls.extract_if(.., of_step) {
+            reply(waiting.tag, answer.clone(), out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-request/src/errors.rs
@@ -0,0 +1,81 @@
+//! The errors that end a caller's request.
+
+use crate::answer::{ErrorCode, RequestError};
+use crate::attempt::{AttemptFailure, FailureKind};
+use std::time::Duration;
+use wingshore_types::Verdict;
+use wingshore_types::protocol::claims::ClaimsReply;
+
+/// When to ask again where nothing better is known.
+pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// The error after the last attempt, which failed; `verdict` is the worst of all attempts.
+pub(crate) fn attempt_error(
+    failure: &AttemptFailure,
+    verdict: Verdict,
+    expired: bool,
+) -> RequestError {
+    let code = match failure.kind {
+        _ if expired => ErrorCode::DeadlineExceeded,
+        FailureKind::ConnectFailed => ErrorCode::ConnectFailed,
+        FailureKind::RefusedByServer => ErrorCode::RefusedByServer,
+        FailureKind::ConnectionLost => ErrorCode::ConnectionLost,
+        FailureKind::AnswerCut => ErrorCode::AnswerCut,
+        FailureKind::AnswerTooLarge => ErrorCode::AnswerTooLarge,
+        FailureKind::TimedOut => ErrorCode::DeadlineExceeded,
+        FailureKind::BadAnswer => ErrorCode::BadAnswer,
+        FailureKind::LeaseLost => ErrorCode::LeaseLost,
+    };
+    RequestError {
+        code,
+        verdict,
+        message: failure.message.clone(),
+        retry_after: Some(failure.retry_after.unwrap_or(DEFAULT_RETRY_AFTER)),
+    }
+}
+
+/// The error of a request whose deadline passed.
+pub(crate) fn deadline_error(verdict: Verdict) -> RequestError {
+    RequestError {
+        code: ErrorCode::DeadlineExceeded,
+        verdict,
+        message: "the deadline passed before an answer came".to_owned(),
+        retry_after: Some(DEFAULT_RETRY_AFTER),
+    }
+}
+
+/// The error for a claim that was not granted.
+pub(crate) fn claim_error(reply: &ClaimsReply) -> RequestError {
+    let (code, verdict, message, retry_after_ms) = match reply {
+        ClaimsReply::Taken { retry_after_ms } => (
+            ErrorCode::KeyTaken,
+            Verdict::MayHaveRun,
+            "a request with this idempotency key is running or ended without a known outcome",
+            Some(*retry_after_ms),
+        ),
+        ClaimsReply::Mismatch => (
+            ErrorCode::KeyMismatch,
+            Verdict::NotRun,
+            "this idempotency key was used for a request with another method, path or body",
+            None,
+        ),
+        ClaimsReply::Full { retry_after_ms } => (
+            ErrorCode::ClaimsFull,
+            Verdict::NotRun,
+            "too many idempotency keys are kept at the moment",
+            Some(*retry_after_ms),
+        ),
+        _ => (
+            ErrorCode::AlreadyRan,
+            Verdict::Ran,
+            "the request with this idempotency key ran; its answer is not kept",
+            None,
+        ),
+    };
+    RequestError {
+        code,
+        verdict,
+        message: message.to_owned(),
+        retry_after: retry_after_ms.map(Duration::from_millis),
+    }
+}
--- a/crates/wingshore-request/src/execution.rs
+++ b/crates/wingshore-request/src/execution.rs
@@ -6,16 +6,14 @@
 
 use crate::answer::{ErrorCode, FinalAnswer, RequestError};
 use crate::attempt::{AnswerBody, AttemptEnd, AttemptFailure, FailureKind};
+use crate::errors::{DEFAULT_RETRY_AFTER, attempt_error, claim_error, deadline_error};
 use crate::faults::Faults;
 use crate::specification::{ClaimIntent, ExecutionLimits, RequestSpecification};
 use std::net::SocketAddr;
-use std::time::Duration;
 use wingshore_routing::{AttemptOutcome, Refusal, RefusalCode, Router, Ticket};
 use wingshore_types::protocol::claims::{ClaimOutcome, ClaimsReply, ClaimsRequest, StoredAnswer};
 use wingshore_types::{GroupId, Instant, ServerId, Verdict};
 
-/// When to ask again where nothing better is known.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// First status that counts as the server's own failure.
 const FIRST_SERVER_ERROR: u16 = 500;
 
@@ -362,7 +360,9 @@
         if !is_own_fault && self.may_send_again(now, verdict, router) {
             return self.wait_before_retry(now, in_flight.server, out);
         }
-        self.give_up(self.error_of(now, &failure), out);
+        let expired = now >= self.specification.route.deadline;
+        let error = attempt_error(&failure, self.verdict, expired);
+        self.give_up(error, out);
     }
 
     fn may_send_again(&self, now: Instant, verdict: Verdict, router: &mut Router) -> bool {
@@ -465,27 +465,6 @@
         out.push(ExecutionOutput::Answer(answer));
         self.phase = Phase::Over;
     }
-
-    fn error_of(&self, now: Instant, failure: &AttemptFailure) -> RequestError {
-        let expired = now >= self.specification.route.deadline;
-        let code = match failure.kind {
-            _ if expired => ErrorCode::DeadlineExceeded,
-            FailureKind::ConnectFailed => ErrorCode::ConnectFailed,
-            FailureKind::RefusedByServer => ErrorCode::RefusedByServer,
-            FailureKind::ConnectionLost => ErrorCode::ConnectionLost,
-            FailureKind::AnswerCut => ErrorCode::AnswerCut,
-            FailureKind::AnswerTooLarge => ErrorCode::AnswerTooLarge,
-            FailureKind::TimedOut => ErrorCode::DeadlineExceeded,
-            FailureKind::BadAnswer => ErrorCode::BadAnswer,
-            FailureKind::LeaseLost => ErrorCode::LeaseLost,
-        };
-        RequestError {
-            code,
-            verdict: self.verdict,
-            message: failure.message.clone(),
-            retry_after: Some(failure.retry_after.unwrap_or(DEFAULT_RETRY_AFTER)),
-        }
-    }
 }
 
 fn claim_output(claim: &ClaimIntent) -> ExecutionOutput {
@@ -508,48 +487,3 @@
         latency: now.since(in_flight.sent_at),
     }
 }
-
-fn deadline_error(verdict: Verdict) -> RequestError {
-    RequestError {
-        code: ErrorCode::DeadlineExceeded,
-        verdict,
-        message: "the deadline passed before an answer came".to_owned(),
-        retry_after: Some(DEFAULT_RETRY_AFTER),
-    }
-}
-
-/// The error for a claim that was not granted.
-fn claim_error(reply: &ClaimsReply) -> RequestError {
-    let (code, verdict, message, retry_after_ms) = match reply {
-        ClaimsReply::Taken { retry_after_ms } => (
-            ErrorCode::KeyTaken,
-            Verdict::MayHaveRun,
-            "a request with this idempotency key is running or ended without a known outcome",
-            Some(*retry_after_ms),
-        ),
-        ClaimsReply::Mismatch => (
-            ErrorCode::KeyMismatch,
-            Verdict::NotRun,
-            "this idempotency key was used for a request with another method, path or body",
-            None,
-        ),
-        ClaimsReply::Full { retry_after_ms } => (
-            ErrorCode::ClaimsFull,
-            Verdict::NotRun,
-            "too many idempotency keys are kept at the moment",
-            Some(*retry_after_ms),
-        ),
-        _ => (
-            ErrorCode::AlreadyRan,
-            Verdict::Ran,
-            "the request with this idempotency key ran; its answer is not kept",
-            None,
-        ),
-    };
-    RequestError {
-        code,
-        verdict,
-        message: message.to_owned(),
-        retry_after: retry_after_ms.map(Duration::from_millis),
-    }
-}
--- a/crates/wingshore-request/src/lib.rs
+++ b/crates/wingshore-request/src/lib.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod configuration_view;
+mod errors;
 mod execution;
 mod faults;
 mod specification;
