--- a/crates/wingshore/src/ctl/arguments.rs
+++ b/crates/wingshore/src/ctl/arguments.rs
@@ -222,6 +222,8 @@
 pub enum MembersCommand {
     /// Show them.
     Show(MembersShowArguments),
+    /// Wait for them.
+    Wait(MembersWaitArguments),
     /// Replace one.
     Replace(MembersReplaceArguments),
     /// Hand leadership over.
@@ -233,6 +235,12 @@
 #[argh(subcommand, name = "show")]
 pub struct MembersShowArguments {}
 
+/// Wait until every member has on its disk what its group's leader has: then the next one may be
+/// stopped. `--timeout` does not limit this.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "wait")]
+pub struct MembersWaitArguments {}
+
 /// Replace a member in every group: takes the new one in, waits until it has caught up, lets it
 /// vote, and removes the old one. Ends only when the loss of any one further machine is harmless.
 #[derive(FromArgs)]
--- a/crates/wingshore/src/ctl/members.rs
+++ b/crates/wingshore/src/ctl/members.rs
@@ -90,6 +90,12 @@
             self::replace(session, &groups, replace)?;
             show_all(session, &groups)
         }
+        MembersCommand::Wait(_) => {
+            for group in &groups {
+                await_all_synced(session, *group)?;
+            }
+            show_all(session, &groups)
+        }
         MembersCommand::Transfer(transfer) => {
             let request = MembershipRequest::TransferLeadership(ReplicaId(transfer.to));
             for group in &groups {
@@ -227,7 +233,11 @@
         }
         change(session, group, &MembershipRequest::Remove(old))?;
     }
-    // When every voter has all entries on its disk any one may be lost.
+    await_all_synced(session, group)
+}
+
+/// Waits until every voter has all entries on its disk: then any one may be lost.
+fn await_all_synced(session: &Session, group: GroupId) -> Result<(), Failure> {
     let voters = read_members(session, group)?.membership.voters;
     let voters: Vec<ReplicaId> = voters.iter().map(|member| member.id).collect();
     await_synced(session, group, &voters)
--- a/crates/wingshore/src/ctl/render.rs
+++ b/crates/wingshore/src/ctl/render.rs
@@ -109,26 +109,26 @@
 
 fn cost_text(cost: &PlanCost) -> String {
     let mut parts = vec![format!("about {}", duration_text(cost.duration_ms))];
-    if cost.servers_away_at_once == 0 {
-        parts.push("no server goes away".to_owned());
-    } else {
-        parts.push(format!(
-            "{} of {} servers concerned away at once ({} of {} slots)",
-            cost.servers_away_at_once,
-            cost.servers_affected,
-            cost.slots_away_at_once,
-            cost.slots_total
-        ));
-    }
+    parts.push(away_text(cost));
     if cost.trainer_idle_ms > 0 {
         let idle = duration_text(cost.trainer_idle_ms);
         parts.push(format!("trainer idle about {idle} longer"));
     }
     if cost.staleness_versions > 0 {
         let versions = cost.staleness_versions;
-        parts.push(format!(
-            "engines up to {versions} versions apart until done"
-        ));
+        parts.push(format!("versions apart until done: {versions} at most"));
     }
     parts.join("; ")
 }
+
+fn away_text(cost: &PlanCost) -> String {
+    let slots = format!("{} of {} slots", cost.slots_away_at_once, cost.slots_total);
+    match (cost.servers_away_at_once, cost.servers_affected) {
+        (0, _) => "no server goes away".to_owned(),
+        (1, 1) => format!("1 server goes away ({slots})"),
+        (away, affected) if away == affected => format!("{away} servers go away ({slots})"),
+        (away, affected) => {
+            format!("{affected} servers in turn, at most {away} away at once ({slots})")
+        }
+    }
+}
--- a/crates/wingshore/src/ctl/site_status.rs
+++ b/crates/wingshore/src/ctl/site_status.rs
@@ -104,7 +104,7 @@
 fn leader_text(site: &SiteStatus) -> String {
     let members = &site.members;
     let mut text = format!(
-        "leader: replica {} since epoch {}\nmembers: {}\n",
+        "leader: replica {} (epoch {})\nmembers: {}\n",
         site.status.leader,
         site.status.epoch,
         members.membership.voters.len()
