--- a/crates/wingshore-lab/src/fleet/running.rs
+++ b/crates/wingshore-lab/src/fleet/running.rs
@@ -85,9 +85,7 @@
         for caller in &mut self.callers {
             caller.stop(STOP_LIMIT)?;
         }
-        if let Some(watch) = self.watch.take() {
-            watch.stop();
-        }
+        self.stop_watching();
         for process in self.nodes.iter_mut().chain(&mut self.replicas) {
             process.stop(STOP_LIMIT)?;
         }
@@ -97,6 +95,13 @@
         Ok(())
     }
 
+    /// Ends the watch of the configuration, which costs the processes a little.
+    pub fn stop_watching(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.stop();
+        }
+    }
+
     /// A node by name.
     ///
     /// # Errors
