node: events of a stream leave at once

Cause: the HTTP library leaves Nagle's algorithm on. The head of an event stream is written and flushed by itself, so the first event waited until the caller acknowledged the head, which a kept connection delays by up to 40 ms.

Ruled out: buffering in the node or in the engine stand-in.

Change: the listening socket has TCP_NODELAY, which accepted connections take over.

--- a/crates/wingshore-node/src/http/server.rs
+++ b/crates/wingshore-node/src/http/server.rs
@@ -7,6 +7,7 @@
 use crate::http::open_connections::open_connections;
 use crate::http::route::Route;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use socket2::SockRef;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -88,6 +89,9 @@
         handler: Arc<dyn EdgeHandler>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
+        // Connections take this over. Without it the first event of a stream waits for the caller
+        // to acknowledge the head, which it delays by up to 40 ms.
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
         let address = listener.local_addr()?;
         let handle_on_listener = ListenerHandle::of(&listener)?;
         let connections = Arc::new(Connections::default());
