node: the lease gauge shows zero only once the lease has run out

Cause: the gauge was rounded down, so it showed 0 up to one millisecond before the lease ended.

Change: the gauge is rounded up. The test is unchanged.

--- a/crates/wingshore-node/src/serve/edge.rs
+++ b/crates/wingshore-node/src/serve/edge.rs
@@ -9,6 +9,8 @@
 
 /// When to come back to a node whose workers are all busy.
 const RETRY_AFTER_OVERLOAD: Duration = Duration::from_millis(100);
+/// Nanoseconds of a millisecond.
+const NANOSECONDS_OF_MILLISECOND: u128 = 1_000_000;
 
 /// Serves a node's callers.
 pub struct NodeEdge {
@@ -32,10 +34,12 @@
     fn metrics(&self) -> EdgeAnswer {
         const PROMETHEUS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
         let lease_left = self.node.view().lease_left(self.node.clock.now());
+        // Rounded up: zero is shown only once the lease has run out.
+        let milliseconds = lease_left.as_nanos().div_ceil(NANOSECONDS_OF_MILLISECOND);
         self.node
             .metrics
             .configuration_lease_ms
-            .set(lease_left.as_millis() as i64);
+            .set(milliseconds as i64);
         EdgeAnswer::new(200, PROMETHEUS, self.node.metrics.text().into_bytes())
     }
 }
