settings: every key with default and range on a page that a test compares with the parsers

Cause: defaults and ranges stood in constants and doc comments only; a page written by hand would drift from them. Weighed: a list of settings beside the parsers (stands twice, may forget a key) against having the parsers themselves note each key they ask for, with default and rule, while they read an almost empty file. The second was taken: `catalogue()`. The page's first three columns must equal it, in order, for each role; the fourth, what it is for, must not be empty.

Rules that stood in errors only are used for both (`rules.rs`, `DurationSetting::rule`). A list that must hold an address says so as its rule (`replicas`, `upstream`); before, its allowed text did not say what an address looks like.

--- a/crates/wingshore-settings/src/error.rs
+++ b/crates/wingshore-settings/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of settings files, gathered so that all are shown at once.
 
+use crate::KeyDescription;
 use std::cell::RefCell;
 use std::fmt;
 
@@ -56,6 +57,7 @@
 pub(crate) struct ErrorSink {
     file: String,
     errors: RefCell<Vec<SettingsError>>,
+    keys: RefCell<Vec<KeyDescription>>,
 }
 
 impl ErrorSink {
@@ -63,9 +65,28 @@
         Self {
             file: file.to_owned(),
             errors: RefCell::default(),
+            keys: RefCell::default(),
         }
     }
 
+    /// Notes a key that was asked for; asked twice it counts once.
+    pub(crate) fn note_key(&self, key: String, default: Option<String>, allowed: &str) {
+        let mut keys = self.keys.borrow_mut();
+        if keys.iter().all(|known| known.key != key) {
+            let allowed = allowed.to_owned();
+            keys.push(KeyDescription {
+                key,
+                default,
+                allowed,
+            });
+        }
+    }
+
+    /// All keys that were asked for, in that order.
+    pub(crate) fn into_keys(self) -> Vec<KeyDescription> {
+        self.keys.into_inner()
+    }
+
     pub(crate) fn add(&self, line: usize, key: &str, found: String, allowed: &str) {
         self.errors.borrow_mut().push(SettingsError {
             file: self.file.clone(),
--- a/crates/wingshore-settings/src/lib.rs
+++ b/crates/wingshore-settings/src/lib.rs
@@ -4,15 +4,18 @@
 //! (`"250ms"`) and sizes (`"16MiB"`) carry their units. A role's settings may be overridden by
 //! flags through [`Overrides`].
 
+mod catalogue;
 mod document;
 mod error;
 mod node;
 mod reader;
 mod relay;
 mod replica;
+mod rules;
 mod site;
 mod units;
 
+pub use catalogue::{KeyDescription, RoleDescription, catalogue};
 pub use error::{SettingsError, SettingsErrors};
 pub use node::{
     HttpSettings, NodeSettings, RolloutSettings, RoutingSettings, WithoutLease, node_from_text,
--- a/crates/wingshore-settings/src/node.rs
+++ b/crates/wingshore-settings/src/node.rs
@@ -202,12 +202,9 @@
     sink.finish(settings)
 }
 
-fn read(keys: TableReader<'_>) -> Option<NodeSettings> {
+pub(crate) fn read(keys: TableReader<'_>) -> Option<NodeSettings> {
     let process = relay::read_process(&keys, "node");
-    let replicas = keys.addresses("replicas");
-    if replicas.is_empty() {
-        keys.reject("replicas", "no address", "at least one replica's address");
-    }
+    let replicas = keys.some_addresses("replicas");
     let relays = keys.addresses("relays");
     let machine_list = keys.optional_address("machine_list");
     let machine_list_poll = keys.duration(&MACHINE_LIST_POLL);
--- a/crates/wingshore-settings/src/reader.rs
+++ b/crates/wingshore-settings/src/reader.rs
@@ -2,6 +2,7 @@
 
 use crate::document::{Entries, Located, Value};
 use crate::error::ErrorSink;
+use crate::rules::{ABSENT, ADDRESS_RULE, NAME_RULE, TEXT_RULE, choice_rule, is_name};
 use crate::units::{
     DurationSetting, IntegerSetting, SizeSetting, parse_duration, parse_size, show_size,
 };
@@ -9,9 +10,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const NAME_RULE: &str = "1 to 64 of a-z, 0-9 and `-`, beginning with a letter";
-const ADDRESS_RULE: &str = "an IP address and port such as \"127.0.0.1:7101\"";
-
 /// Reads one table.
 pub(crate) struct TableReader<'a> {
     sink: &'a ErrorSink,
@@ -39,12 +37,18 @@
 
     /// A name of a thing, checked for its spelling.
     pub(crate) fn name<T: for<'t> From<&'t str>>(&self, key: &'static str) -> Option<T> {
+        self.note(key, None, NAME_RULE);
         let located = self.required(key, NAME_RULE)?;
         self.parse_name(key, located)
     }
 
     /// A list of names without repeats; absent is empty.
     pub(crate) fn names<T: for<'t> From<&'t str>>(&self, key: &'static str) -> Vec<T> {
+        self.note(
+            key,
+            Some("[]".to_owned()),
+            &format!("a list of names, each {NAME_RULE}"),
+        );
         let items = self.list(key);
         self.refuse_repeats(key, items);
         items
@@ -55,51 +59,61 @@
 
     /// Free text that must be there and not be empty.
     pub(crate) fn text(&self, key: &'static str) -> Option<String> {
-        const RULE: &str = "text that is not empty";
-        let located = self.required(key, RULE)?;
-        match &located.value {
-            Value::Text(text) if !text.is_empty() => Some(text.clone()),
-            other => self.refuse(located.line, key, other.describe(), RULE),
-        }
+        self.note(key, None, TEXT_RULE);
+        let located = self.required(key, TEXT_RULE)?;
+        self.parse_text(key, located)
     }
 
     /// Free text that may be absent.
     pub(crate) fn optional_text(&self, key: &'static str) -> Option<String> {
-        self.get(key).and_then(|_| self.text(key))
+        self.note(key, Some(ABSENT.to_owned()), TEXT_RULE);
+        let located = self.get(key)?;
+        self.parse_text(key, located)
     }
 
     /// An address that must be there.
     pub(crate) fn address(&self, key: &'static str) -> Option<SocketAddr> {
+        self.note(key, None, ADDRESS_RULE);
         let located = self.required(key, ADDRESS_RULE)?;
         self.parse_address(key, located)
     }
 
     /// An address that may be absent.
     pub(crate) fn optional_address(&self, key: &'static str) -> Option<SocketAddr> {
+        self.note(key, Some(ABSENT.to_owned()), ADDRESS_RULE);
         let located = self.get(key)?;
         self.parse_address(key, located)
     }
 
     /// A list of addresses without repeats; absent is empty.
     pub(crate) fn addresses(&self, key: &'static str) -> Vec<SocketAddr> {
-        let items = self.list(key);
-        self.refuse_repeats(key, items);
-        items
-            .iter()
-            .filter_map(|item| self.parse_address(key, item))
-            .collect()
+        self.note(
+            key,
+            Some("[]".to_owned()),
+            &format!("a list, each {ADDRESS_RULE}"),
+        );
+        self.parse_addresses(key)
+    }
+
+    /// A list of addresses without repeats that must hold one at least.
+    pub(crate) fn some_addresses(&self, key: &'static str) -> Vec<SocketAddr> {
+        let rule = format!("a list of at least one, each {ADDRESS_RULE}");
+        self.note(key, None, &rule);
+        let addresses = self.parse_addresses(key);
+        if addresses.is_empty() {
+            self.reject(key, "no address", &rule);
+        }
+        addresses
     }
 
     /// A duration; absent is the default.
     pub(crate) fn duration(&self, setting: &DurationSetting) -> Duration {
+        let rule = setting.rule();
+        let default = humantime::format_duration(setting.default).to_string();
+        self.note(setting.key, Some(default), &rule);
         let Some(located) = self.get(setting.key) else {
             return setting.default;
         };
-        let rule = format!(
-            "a duration with unit from \"{}\" to \"{}\"",
-            humantime::format_duration(setting.minimum),
-            humantime::format_duration(setting.maximum)
-        );
         let parsed = match &located.value {
             Value::Text(text) => parse_duration(text),
             _ => None,
@@ -111,14 +125,11 @@
 
     /// A size in bytes; absent is the default.
     pub(crate) fn size(&self, setting: &SizeSetting) -> u64 {
+        let rule = setting.rule();
+        self.note(setting.key, Some(show_size(setting.default)), &rule);
         let Some(located) = self.get(setting.key) else {
             return setting.default;
         };
-        let rule = format!(
-            "a size with unit (KiB, MiB, GiB) from \"{}\" to \"{}\"",
-            show_size(setting.minimum),
-            show_size(setting.maximum)
-        );
         let parsed = match &located.value {
             Value::Text(text) => parse_size(text),
             _ => None,
@@ -130,6 +141,11 @@
 
     /// A whole number; absent is the default.
     pub(crate) fn integer(&self, setting: &IntegerSetting) -> u64 {
+        self.note(
+            setting.key,
+            Some(setting.default.to_string()),
+            &setting.rule(),
+        );
         let Some(located) = self.get(setting.key) else {
             return setting.default;
         };
@@ -139,7 +155,9 @@
 
     /// A whole number that must be there.
     pub(crate) fn required_integer(&self, setting: &IntegerSetting) -> Option<u64> {
-        let located = self.required(setting.key, &integer_rule(setting))?;
+        let rule = setting.rule();
+        self.note(setting.key, None, &rule);
+        let located = self.required(setting.key, &rule)?;
         self.parse_integer(setting, located)
     }
 
@@ -150,6 +168,7 @@
 
     /// True or false; absent is the default.
     pub(crate) fn boolean(&self, key: &'static str, default: bool) -> bool {
+        self.note(key, Some(default.to_string()), "true or false");
         let Some(located) = self.get(key) else {
             return default;
         };
@@ -161,15 +180,21 @@
         }
     }
 
-    /// One of several words; absent is the default.
-    pub(crate) fn choice<T: Copy>(
+    /// One of several words; absent is the default, which is one of them too.
+    pub(crate) fn choice<T: Copy + PartialEq>(
         &self,
         key: &'static str,
         default: T,
         choices: &[(&str, T)],
     ) -> T {
+        let rule = choice_rule(choices);
+        let mut words = choices.iter();
+        let word = words.find(|(_, choice)| *choice == default);
+        self.note(key, word.map(|(word, _)| (*word).to_owned()), &rule);
         match self.get(key) {
-            Some(_) => self.required_choice(key, choices).unwrap_or(default),
+            Some(located) => self
+                .parse_choice(key, located, choices, &rule)
+                .unwrap_or(default),
             None => default,
         }
     }
@@ -180,14 +205,10 @@
         key: &'static str,
         choices: &[(&str, T)],
     ) -> Option<T> {
-        let words: Vec<String> = choices.iter().map(|(w, _)| format!("\"{w}\"")).collect();
-        let rule = format!("one of {}", words.join(", "));
+        let rule = choice_rule(choices);
+        self.note(key, None, &rule);
         let located = self.required(key, &rule)?;
-        let chosen = match &located.value {
-            Value::Text(text) => choices.iter().find(|(word, _)| word == text),
-            _ => None,
-        };
-        self.or_refuse(key, located, chosen.map(|(_, choice)| *choice), &rule)
+        self.parse_choice(key, located, choices, &rule)
     }
 
     /// A table below this one; where it is absent every key of it takes its default.
@@ -242,6 +263,11 @@
         }
     }
 
+    /// Notes a key for the list of settings; without a default it must be there.
+    fn note(&self, key: &'static str, default: Option<String>, allowed: &str) {
+        self.sink.note_key(self.path_of(key), default, allowed);
+    }
+
     fn get(&self, key: &'static str) -> Option<&'a Located> {
         let mut known = self.known.borrow_mut();
         if !known.contains(&key) {
@@ -286,6 +312,28 @@
         }
     }
 
+    fn parse_text(&self, key: &'static str, located: &Located) -> Option<String> {
+        let valid = match &located.value {
+            Value::Text(text) if !text.is_empty() => Some(text.clone()),
+            _ => None,
+        };
+        self.or_refuse(key, located, valid, TEXT_RULE)
+    }
+
+    fn parse_choice<T: Copy>(
+        &self,
+        key: &'static str,
+        located: &Located,
+        choices: &[(&str, T)],
+        rule: &str,
+    ) -> Option<T> {
+        let chosen = match &located.value {
+            Value::Text(text) => choices.iter().find(|(word, _)| word == text),
+            _ => None,
+        };
+        self.or_refuse(key, located, chosen.map(|(_, choice)| *choice), rule)
+    }
+
     fn parse_name<T: for<'t> From<&'t str>>(
         &self,
         key: &'static str,
@@ -304,7 +352,16 @@
             _ => None,
         };
         let valid = parsed.filter(|value| (setting.minimum..=setting.maximum).contains(value));
-        self.or_refuse(setting.key, located, valid, &integer_rule(setting))
+        self.or_refuse(setting.key, located, valid, &setting.rule())
+    }
+
+    fn parse_addresses(&self, key: &'static str) -> Vec<SocketAddr> {
+        let items = self.list(key);
+        self.refuse_repeats(key, items);
+        items
+            .iter()
+            .filter_map(|item| self.parse_address(key, item))
+            .collect()
     }
 
     fn parse_address(&self, key: &'static str, located: &Located) -> Option<SocketAddr> {
@@ -341,17 +398,3 @@
         }
     }
 }
-
-fn integer_rule(setting: &IntegerSetting) -> String {
-    format!(
-        "a whole number from {} to {}",
-        setting.minimum, setting.maximum
-    )
-}
-
-fn is_name(text: &str) -> bool {
-    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-    (1..=64).contains(&text.len())
-        && text.starts_with(|c: char| c.is_ascii_lowercase())
-        && text.chars().all(allowed)
-}
--- a/crates/wingshore-settings/src/relay.rs
+++ b/crates/wingshore-settings/src/relay.rs
@@ -79,19 +79,12 @@
     sink.finish(settings)
 }
 
-fn read(keys: TableReader<'_>) -> Option<RelaySettings> {
+pub(crate) fn read(keys: TableReader<'_>) -> Option<RelaySettings> {
     let process = read_process(&keys, "relay");
     let admin = keys.optional_address("admin");
-    let upstream = keys.addresses("upstream");
+    let upstream = keys.some_addresses("upstream");
     let dump_folder = keys.optional_text("data").map(PathBuf::from);
     let log_lines = keys.small_integer(&LOG_LINES);
-    if upstream.is_empty() {
-        keys.reject(
-            "upstream",
-            "no address",
-            "at least one address of a replica or relay",
-        );
-    }
     keys.finish();
     let process = process?;
     Some(RelaySettings {
--- a/crates/wingshore-settings/src/replica.rs
+++ b/crates/wingshore-settings/src/replica.rs
@@ -178,7 +178,7 @@
     sink.finish(settings)
 }
 
-fn read(keys: TableReader<'_>) -> Option<ReplicaSettings> {
+pub(crate) fn read(keys: TableReader<'_>) -> Option<ReplicaSettings> {
     let process = relay::read_process(&keys, "replica");
     let admin = keys.optional_address("admin");
     let data = keys.text("data");
--- a/crates/wingshore-settings/src/site.rs
+++ b/crates/wingshore-settings/src/site.rs
@@ -101,7 +101,7 @@
     sink.finish(site)
 }
 
-fn read(keys: TableReader<'_>) -> SiteFile {
+pub(crate) fn read(keys: TableReader<'_>) -> SiteFile {
     keys.required_choice("role", &[("site", ())]);
     let zones: BTreeSet<ZoneId> = keys.names("zones").into_iter().collect();
     let services = read_services(&keys);
--- a/crates/wingshore-settings/src/units.rs
+++ b/crates/wingshore-settings/src/units.rs
@@ -29,6 +29,35 @@
     pub(crate) maximum: u64,
 }
 
+impl DurationSetting {
+    /// The range as errors and the list of settings show it.
+    pub(crate) fn rule(&self) -> String {
+        format!(
+            "a duration with unit from \"{}\" to \"{}\"",
+            humantime::format_duration(self.minimum),
+            humantime::format_duration(self.maximum)
+        )
+    }
+}
+
+impl IntegerSetting {
+    /// The range as errors and the list of settings show it.
+    pub(crate) fn rule(&self) -> String {
+        format!("a whole number from {} to {}", self.minimum, self.maximum)
+    }
+}
+
+impl SizeSetting {
+    /// The range as errors and the list of settings show it.
+    pub(crate) fn rule(&self) -> String {
+        format!(
+            "a size with unit (KiB, MiB, GiB) from \"{}\" to \"{}\"",
+            show_size(self.minimum),
+            show_size(self.maximum)
+        )
+    }
+}
+
 /// One kibibyte.
 pub(crate) const KIB: u64 = 1024;
 /// One mebibyte.
--- /dev/null
+++ b/crates/wingshore-settings/tests/page.rs
@@ -0,0 +1,62 @@
+//! `docs/operations/settings.md` lists every key with its default and what is allowed, and no other.
+
+use googletest::prelude::*;
+use std::path::Path;
+use wingshore_settings::{KeyDescription, catalogue};
+
+/// The cells of a key's row that the parsers decide; the last one is for people.
+fn cells(key: &KeyDescription) -> [String; 3] {
+    let default = match &key.default {
+        Some(default) => format!("`{default}`"),
+        None => "must be there".to_owned(),
+    };
+    let name = key.key.replace("[1]", "[]");
+    [format!("`{name}`"), default, key.allowed.clone()]
+}
+
+/// The rows of the table under the heading of `role`.
+fn rows(page: &str, role: &str) -> Vec<Vec<String>> {
+    let heading = format!("\n## `role = \"{role}\"`\n");
+    let section = page.split(&heading).nth(1).unwrap_or_default();
+    let section = section.split("\n## ").next().unwrap_or_default();
+    let lines = section.lines().filter(|line| line.starts_with("| `"));
+    lines
+        .map(|line| {
+            let line = line.trim_start_matches('|').trim_end_matches('|');
+            line.split(" | ")
+                .map(|cell| cell.trim().to_owned())
+                .collect()
+        })
+        .collect()
+}
+
+#[gtest]
+fn the_page_lists_every_setting_as_it_is_parsed() -> Result<()> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operations/settings.md");
+    let page = std::fs::read_to_string(path)?;
+    for role in catalogue() {
+        let rows = rows(&page, role.role);
+        let listed: Vec<[String; 3]> = role.keys.iter().map(cells).collect();
+        let found: Vec<Vec<String>> = rows
+            .iter()
+            .map(|row| row[..3.min(row.len())].to_vec())
+            .collect();
+        let expected: Vec<Vec<String>> = listed.iter().map(|row| row.to_vec()).collect();
+        expect_that!(found, eq(&expected), "{}", role.role);
+        for row in &rows {
+            expect_that!(
+                row.get(3).map(String::len),
+                some(gt(10)),
+                "what it is for: {row:?}"
+            );
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn every_role_has_settings() {
+    for role in catalogue() {
+        expect_that!(role.keys.len(), gt(5), "{}", role.role);
+    }
+}
