--- a/crates/wingshore-lab/src/sim/process.rs
+++ b/crates/wingshore-lab/src/sim/process.rs
@@ -156,8 +156,10 @@
     Live {
         /// HTTP status.
         status: u16,
-        /// The body.
+        /// The body, as much of it as came.
         body: Vec<u8>,
+        /// Whether the body came to its declared end.
+        whole: bool,
     },
     /// The samples were taken in.
     Submitted(SubmitReply),
@@ -270,6 +272,11 @@
         /// How late.
         by: Duration,
     },
+    /// A live server's next `count` answers are cut in the middle of their bodies.
+    CutAnswers {
+        /// How many.
+        count: u32,
+    },
     /// The next `count` answers are lost after the work was done.
     LoseAnswers {
         /// How many.
--- a/crates/wingshore-lab/src/sim/processes/engine.rs
+++ b/crates/wingshore-lab/src/sim/processes/engine.rs
@@ -132,6 +132,14 @@
                 let events = self.core.cache_events(now, after);
                 self.answer(caller, Answer::CacheEvents(events), out);
             }
+            Call::FetchWeights { version, .. } => {
+                let answer = if self.core.holds_version(version) {
+                    Answer::Done
+                } else {
+                    not_run("version_not_held", None)
+                };
+                self.answer(caller, answer, out);
+            }
             _ => caller.answer(not_run("no_such_path", None), out),
         }
     }
@@ -226,7 +234,9 @@
             }
             ProcessFault::LateStates { count, by } => self.late_states = (count, by),
             ProcessFault::LoseAnswers { count } => self.answers_to_lose = count,
-            ProcessFault::Leaving(_) | ProcessFault::Machine { .. } => {}
+            ProcessFault::Leaving(_)
+            | ProcessFault::Machine { .. }
+            | ProcessFault::CutAnswers { .. } => {}
         }
     }
 
--- a/crates/wingshore-lab/src/sim/processes/live_server.rs
+++ b/crates/wingshore-lab/src/sim/processes/live_server.rs
@@ -24,6 +24,7 @@
     started_at: Option<Instant>,
     running: Timers<(InboundCall, LiveCall)>,
     answers_to_lose: u32,
+    answers_to_cut: u32,
 }
 
 impl SimLiveServer {
@@ -35,6 +36,7 @@
             started_at: Some(now),
             running: Timers::default(),
             answers_to_lose: 0,
+            answers_to_cut: 0,
         }
     }
 
@@ -69,7 +71,7 @@
     fn end(&mut self, caller: InboundCall, call: LiveCall, out: &mut Vec<ProcessOutput>) {
         let kind = if call.charge { "/charge" } else { "/lookup" };
         let asked = hash_bytes(call.request.as_bytes());
-        let body = self.core.answer(&call.request, kind, asked);
+        let mut body = self.core.answer(&call.request, kind, asked);
         self.core.release();
         let executed = Event::Executed {
             request: call.request,
@@ -83,7 +85,17 @@
             self.answers_to_lose -= 1;
             return;
         }
-        caller.answer(Answer::Live { status: OK, body }, out);
+        let whole = self.answers_to_cut == 0;
+        if !whole {
+            self.answers_to_cut -= 1;
+            body.truncate(body.len() / 2);
+        }
+        let answer = Answer::Live {
+            status: OK,
+            body,
+            whole,
+        };
+        caller.answer(answer, out);
     }
 
     fn on_fault(&mut self, fault: &ProcessFault, out: &mut Vec<ProcessOutput>) {
@@ -99,6 +111,7 @@
                 record(event, out);
             }
             ProcessFault::LoseAnswers { count } => self.answers_to_lose = *count,
+            ProcessFault::CutAnswers { count } => self.answers_to_cut = *count,
             _ => {}
         }
     }
--- a/crates/wingshore-lab/src/sim/processes/mod.rs
+++ b/crates/wingshore-lab/src/sim/processes/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod live_server;
 pub mod machine_list;
+pub mod node;
 pub mod scorer;
 pub mod weight_store;
 pub mod wiring;
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/processes/node/probes.rs
@@ -0,0 +1,99 @@
+//! Asks back ends how they are, as the router wants it, and reads the machine list.
+
+use super::core::{NodeContext, UpstreamPurpose};
+use super::upstream::News;
+use crate::sim::process::{Answer, Call};
+use std::time::Duration;
+use wingshore_routing::{ProbeKind, ProbeTarget};
+use wingshore_types::{Instant, ServerId};
+
+/// Between two looks at which probes are due.
+const POLL: Duration = Duration::from_millis(50);
+/// One reading of the machine list is given up after this time.
+const MACHINES_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Probes and readings of the machine list.
+pub struct Probes {
+    next_look: Instant,
+    next_reading: Option<Instant>,
+}
+
+impl Probes {
+    /// Probes that begin at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            next_look: now,
+            next_reading: Some(now),
+        }
+    }
+
+    /// When [`Probes::on_wake`] is wanted.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let reading = self.next_reading.unwrap_or(self.next_look);
+        Some(self.next_look.min(reading))
+    }
+
+    /// Sends what is due.
+    pub fn on_wake(&mut self, context: &mut NodeContext<'_>) {
+        if self.next_look <= context.now {
+            self.next_look = context.now + POLL;
+            for target in context.core.router.probe_targets(context.now) {
+                probe(context, target);
+            }
+        }
+        if self.next_reading.is_some_and(|at| at <= context.now) {
+            self.next_reading = None;
+            read_machines(context);
+        }
+    }
+
+    /// Takes what came of a reading of the machine list.
+    pub fn on_machines(&mut self, context: &mut NodeContext<'_>, news: News) {
+        self.next_reading = Some(context.now + context.core.settings.machine_list_poll);
+        if let News::Answer(Answer::Machines(list)) = news {
+            context.core.router.on_machine_list(context.now, &list);
+        }
+    }
+}
+
+/// Tells the router what came of a probe.
+pub fn on_probe(context: &mut NodeContext<'_>, server: &ServerId, kind: ProbeKind, news: News) {
+    let (now, router) = (context.now, &mut context.core.router);
+    match (kind, news) {
+        (ProbeKind::EngineState, News::Answer(Answer::State(state))) => {
+            router.on_engine_state(now, server, &state);
+        }
+        (ProbeKind::Load, News::Answer(Answer::Load(report))) => {
+            router.on_load(now, server, &report);
+        }
+        (ProbeKind::CacheEvents { .. }, News::Answer(Answer::CacheEvents(events))) => {
+            router.on_cache_events(now, server, &events);
+        }
+        _ => router.on_probe_failed(now, server),
+    }
+}
+
+fn probe(context: &mut NodeContext<'_>, target: ProbeTarget) {
+    let call = match target.kind {
+        ProbeKind::EngineState => Call::State,
+        ProbeKind::Load => Call::Load,
+        ProbeKind::CacheEvents { after } => Call::CacheEvents { after },
+    };
+    let timeout = context.core.settings.probe_timeout;
+    let purpose = UpstreamPurpose::Probe(target.server, target.kind);
+    let (now, out) = (context.now, &mut *context.out);
+    context
+        .upstream
+        .call(now, target.address, call, timeout, purpose, out);
+}
+
+fn read_machines(context: &mut NodeContext<'_>) {
+    let Some(address) = context.core.settings.machine_list else {
+        return;
+    };
+    let (now, purpose) = (context.now, UpstreamPurpose::Machines);
+    let (call, timeout) = (Call::Machines, MACHINES_TIMEOUT);
+    context
+        .upstream
+        .call(now, address, call, timeout, purpose, context.out);
+}
--- a/crates/wingshore-lab/src/sim/processes/wiring.rs
+++ b/crates/wingshore-lab/src/sim/processes/wiring.rs
@@ -109,6 +109,22 @@
     out.push(ProcessOutput::Record(event));
 }
 
+/// Why a call is not taken; it has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotTaken {
+    /// Stable code.
+    pub code: &'static str,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl NotTaken {
+    /// The answer that says so.
+    pub fn answer(self) -> Answer {
+        not_run(self.code, self.retry_after)
+    }
+}
+
 /// A back end's own word that it did not run a call.
 pub fn not_run(code: &str, retry_after: Option<Duration>) -> Answer {
     Answer::Refused {
