--- /dev/null
+++ b/crates/wingshore-lab/src/sim/processes/trainer.rs
@@ -0,0 +1,341 @@
+//! A simulated trainer: submits prompts ahead, pulls steps, trains for a while, publishes versions
+//! and acknowledges. What it has noted outlives it, as the log of the stand-in does.
+
+use super::wiring::{CallNumbers, Timers, hang_up, record, send_call};
+use crate::events::{DeliveredSample, Event};
+use crate::hashing::hash_bytes;
+use crate::sim::process::{Answer, Call, CallId, Process, ProcessInput, ProcessOutput, SimMessage};
+use crate::stand_ins::trainer::progress::Progress;
+use crate::stand_ins::trainer::prompts::{numbers_of, prompt_of};
+use crate::stand_ins::trainer::settings::TrainingSettings;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wingshore_types::api::{
+    AcknowledgeBody, BatchBody, PublishBody, PullBody, SampleBody, SubmitReply, SubmitRequest,
+};
+use wingshore_types::generator::hash_tokens;
+use wingshore_types::{Instant, PoolId, SampleNumber, StepId, TrainerId, WeightVersion};
+
+/// Pause before a call is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// How much longer than the pull itself a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Codes after which asking again cannot help.
+const FINAL_CODES: [&str; 4] = ["wrong_step", "wrong_trainer", "invalid_request", "conflict"];
+
+/// Where a trainer keeps what it has noted; handed to it at each start.
+pub type TrainerDisk = Rc<RefCell<Progress>>;
+
+/// Settings of a [`SimTrainer`].
+#[derive(Clone, Debug)]
+pub struct SimTrainerSettings {
+    /// Its name towards the service.
+    pub trainer: TrainerId,
+    /// The node beside it.
+    pub node: SocketAddr,
+    /// Where it puts its weights.
+    pub weight_store: SocketAddr,
+    /// Its pool.
+    pub pool: PoolId,
+    /// The model it trains.
+    pub model: String,
+    /// The pool's staleness bound, for the log.
+    pub staleness_bound: u64,
+    /// The training itself.
+    pub training: TrainingSettings,
+}
+
+/// What it is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Activity {
+    Submit(StepId),
+    Pull {
+        began: Instant,
+    },
+    Train {
+        began: Instant,
+    },
+    Store(WeightVersion),
+    Publish(WeightVersion),
+    Acknowledge,
+    /// Refused for good, or all done after the word to stop.
+    Over,
+}
+
+/// Something to do later.
+#[derive(Clone, Copy, Debug)]
+enum Later {
+    /// Send the current call.
+    Send,
+    /// Give this call up and send it again.
+    GiveUp(CallId),
+    /// The step is trained.
+    Trained,
+}
+
+/// The process.
+pub struct SimTrainer {
+    settings: SimTrainerSettings,
+    disk: TrainerDisk,
+    boot_id: u64,
+    started_at: Option<Instant>,
+    numbers: CallNumbers,
+    activity: Activity,
+    submitted_through: StepId,
+    waiting: Option<CallId>,
+    timers: Timers<Later>,
+    is_stopping: bool,
+}
+
+impl SimTrainer {
+    /// A trainer that starts at `now` with what it noted before.
+    pub fn new(
+        now: Instant,
+        settings: SimTrainerSettings,
+        disk: TrainerDisk,
+        boot_id: u64,
+    ) -> Self {
+        let next_step = disk.borrow().next_step;
+        Self {
+            settings,
+            disk,
+            boot_id,
+            started_at: Some(now),
+            numbers: CallNumbers::new(boot_id),
+            activity: Activity::Submit(next_step),
+            submitted_through: next_step,
+            waiting: None,
+            timers: Timers::default(),
+            is_stopping: false,
+        }
+    }
+
+    fn step_number(&self) -> StepId {
+        self.disk.borrow().next_step
+    }
+
+    fn note(&self, event: Event, out: &mut Vec<ProcessOutput>) {
+        self.disk.borrow_mut().follow(&event);
+        record(event, out);
+    }
+
+    /// Goes on to the next step: submits ahead, or pulls.
+    fn next_step(&mut self, now: Instant, out: &mut Vec<ProcessOutput>) {
+        let step = self.step_number();
+        let wanted = step.0 + self.settings.training.steps_ahead;
+        self.activity = if !self.is_stopping && self.submitted_through.0 <= wanted {
+            Activity::Submit(self.submitted_through)
+        } else if self.is_stopping && step >= self.submitted_through {
+            out.push(ProcessOutput::Exit);
+            Activity::Over
+        } else {
+            Activity::Pull { began: now }
+        };
+        self.send(now, out);
+    }
+
+    fn send(&mut self, now: Instant, out: &mut Vec<ProcessOutput>) {
+        let Some((to, call)) = self.current_call() else {
+            return;
+        };
+        let id = self.numbers.draw();
+        send_call(to, id, call, out);
+        self.waiting = Some(id);
+        let limit = CALL_TIMEOUT + self.settings.training.pull_wait;
+        self.timers.set(now + limit, Later::GiveUp(id));
+    }
+
+    fn current_call(&self) -> Option<(SocketAddr, Call)> {
+        let settings = &self.settings;
+        let (pool, trainer) = (settings.pool.clone(), settings.trainer.clone());
+        let step = self.step_number().0;
+        let call = match self.activity {
+            Activity::Submit(step) => {
+                let numbers = numbers_of(&settings.training, step).map(SampleNumber);
+                let prompts = numbers.map(|number| prompt_of(&settings.training, number));
+                let prompts = prompts.collect();
+                let body = SubmitRequest { prompts };
+                Call::Submit { pool, body }
+            }
+            Activity::Pull { .. } => {
+                let body = PullBody {
+                    trainer,
+                    weight_version: self.disk.borrow().version,
+                    count: settings.training.batch,
+                    wait_ms: settings.training.pull_wait.as_millis() as u64,
+                };
+                Call::Pull { pool, step, body }
+            }
+            Activity::Store(version) => {
+                let model = settings.model.clone();
+                let call = Call::StoreWeights { model, version };
+                return Some((settings.weight_store, call));
+            }
+            Activity::Publish(version) => {
+                let body = PublishBody { version };
+                Call::Publish { pool, body }
+            }
+            Activity::Acknowledge => {
+                let body = AcknowledgeBody { trainer };
+                Call::Acknowledge { pool, step, body }
+            }
+            Activity::Train { .. } | Activity::Over => return None,
+        };
+        Some((settings.node, call))
+    }
+
+    fn on_answer(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        answer: Answer,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        if self.waiting != Some(id) {
+            return;
+        }
+        self.waiting = None;
+        match (self.activity, answer) {
+            (Activity::Submit(step), Answer::Submitted(reply)) => {
+                self.on_submitted(step, reply, out);
+                self.next_step(now, out);
+            }
+            (Activity::Pull { began }, Answer::Batch(batch)) => {
+                self.on_batch(now, began, &batch, out);
+            }
+            (Activity::Store(version), Answer::Done) => {
+                self.activity = Activity::Publish(version);
+                self.send(now, out);
+            }
+            (Activity::Publish(version), Answer::Done) => {
+                self.note(Event::Published { version }, out);
+                self.activity = Activity::Acknowledge;
+                self.send(now, out);
+            }
+            (Activity::Acknowledge, Answer::Done) => {
+                let step = self.step_number();
+                self.note(Event::Acknowledged { step }, out);
+                self.next_step(now, out);
+            }
+            (_, Answer::Refused { code, .. }) if FINAL_CODES.contains(&code.as_str()) => {
+                self.activity = Activity::Over;
+            }
+            _ => self.timers.set(now + RETRY_PAUSE, Later::Send),
+        }
+    }
+
+    fn on_submitted(&mut self, step: StepId, reply: SubmitReply, out: &mut Vec<ProcessOutput>) {
+        self.submitted_through = StepId(step.0 + 1);
+        let numbers = numbers_of(&self.settings.training, step);
+        let event = Event::Submitted {
+            samples: numbers.map(SampleNumber).collect(),
+            added: reply.added,
+            known: reply.known,
+        };
+        self.note(event, out);
+    }
+
+    fn on_batch(
+        &mut self,
+        now: Instant,
+        began: Instant,
+        batch: &BatchBody,
+        out: &mut Vec<ProcessOutput>,
+    ) {
+        let step = self.step_number();
+        let bytes = serde_json::to_vec(batch).unwrap_or_default();
+        let event = Event::BatchDelivered {
+            pool: self.settings.pool.to_string(),
+            step,
+            trainer_version: self.disk.borrow().version,
+            staleness_bound: self.settings.staleness_bound,
+            asked: self.settings.training.batch,
+            body_hash: hash_bytes(&bytes),
+            repeated: self.disk.borrow().open_batches.contains_key(&step),
+            waited_us: now.since(began).as_micros() as u64,
+            samples: batch.samples.iter().map(|s| self.delivered(s)).collect(),
+        };
+        self.note(event, out);
+        if self.disk.borrow().trained == Some(step) {
+            return self.publish(now, out);
+        }
+        self.activity = Activity::Train { began: now };
+        let step_time = self.settings.training.step_time;
+        self.timers.set(now + step_time, Later::Trained);
+    }
+
+    fn delivered(&self, sample: &SampleBody) -> DeliveredSample {
+        let submitted = prompt_of(&self.settings.training, sample.number);
+        DeliveredSample {
+            number: sample.number,
+            prompt_hash: hash_tokens(&sample.prompt),
+            submitted_prompt_hash: hash_tokens(&submitted.tokens),
+            seed: submitted.seed,
+            max_tokens: submitted.max_tokens,
+            token_count: sample.tokens.len() as u32,
+            tokens_hash: hash_tokens(&sample.tokens),
+            segments: sample.segments.clone(),
+            score: sample.score,
+        }
+    }
+
+    /// Publishes the version that this step completes, unless that was done before a restart.
+    fn publish(&mut self, now: Instant, out: &mut Vec<ProcessOutput>) {
+        let steps = self.settings.training.steps_per_version.max(1);
+        let version = WeightVersion((self.step_number().0 + 1) / steps);
+        self.activity = if version > self.disk.borrow().version {
+            Activity::Store(version)
+        } else {
+            Activity::Acknowledge
+        };
+        self.send(now, out);
+    }
+
+    fn run_timers(&mut self, now: Instant, out: &mut Vec<ProcessOutput>) {
+        while let Some(later) = self.timers.take_due(now) {
+            match later {
+                Later::Send => self.send(now, out),
+                Later::GiveUp(id) if self.waiting == Some(id) => {
+                    self.waiting = None;
+                    let to = self.current_call().map(|(to, _)| to);
+                    hang_up(to.unwrap_or(self.settings.node), id, out);
+                    self.timers.set(now + RETRY_PAUSE, Later::Send);
+                }
+                Later::GiveUp(_) => {}
+                Later::Trained => {
+                    if let Activity::Train { began } = self.activity {
+                        let step = self.step_number();
+                        let busy_us = now.since(began).as_micros() as u64;
+                        self.note(Event::Trained { step, busy_us }, out);
+                        self.publish(now, out);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Process for SimTrainer {
+    fn step(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>) {
+        if self.started_at.take().is_some() {
+            let boot_id = self.boot_id;
+            record(Event::Started { boot_id }, out);
+            self.send(now, out);
+        }
+        self.run_timers(now, out);
+        match input {
+            ProcessInput::Message {
+                message: SimMessage::Answer { id, answer },
+                ..
+            } => self.on_answer(now, id, answer, out),
+            ProcessInput::Stop => self.is_stopping = true,
+            ProcessInput::Message { .. } | ProcessInput::Fault(_) | ProcessInput::Wake => {}
+        }
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        self.started_at.or(self.timers.next())
+    }
+}
