consensus: election timeouts differ by a quarter, not by the whole of the shortest

Cause: after a kill a group had no leader for 1.48 s (p50 of 20 kills), of which 1 s is the silence that the leader lease rests on and the most of the rest was the random part of the timeout, drawn between none and another whole second.

Ruled out: a shorter silence (it bears the lease of 700 ms, and machines that stall). Campaigning when the leader's connection closes: votes are refused until the silence is over in any case.

Change: Timing::election_spread; replicas use a quarter of the shortest timeout, 250 ms at the default.

Conclusion: two members that campaign at once cost a second; with 250 ms that needs votes that take tens of milliseconds.

--- a/crates/wingshore-consensus/src/config.rs
+++ b/crates/wingshore-consensus/src/config.rs
@@ -14,8 +14,11 @@
 /// that a quorum acknowledged; so its lease ends before any quorum can elect another leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
-    /// Shortest time without a leader before an election; the longest is twice this.
+    /// Shortest time without a leader before an election.
     pub election_timeout: Duration,
+    /// Most by which a member waits longer, drawn anew each time. Long against the time that a
+    /// vote takes, so that members seldom campaign at once; beyond that it is time without a leader.
+    pub election_spread: Duration,
     /// Time between a leader's heartbeat rounds.
     pub heartbeat_interval: Duration,
     /// Length of the leader lease before the drift margin; at most `election_timeout`.
@@ -28,6 +31,7 @@
     fn default() -> Self {
         Self {
             election_timeout: Duration::from_millis(500),
+            election_spread: Duration::from_millis(125),
             heartbeat_interval: Duration::from_millis(50),
             lease: Duration::from_millis(450),
             drift: Permille(20),
--- a/crates/wingshore-consensus/src/raft.rs
+++ b/crates/wingshore-consensus/src/raft.rs
@@ -288,12 +288,13 @@
         true
     }
 
-    /// Draws the next election timeout, between one and two election timeouts from `now`.
+    /// Draws the next election timeout.
     pub(crate) fn reset_election_deadline(&mut self, now: Instant) {
-        let timeout = self.timing.election_timeout;
+        let spread = self.timing.election_spread.as_nanos();
         let extra = self
             .random
-            .random_range(0..=u64::try_from(timeout.as_nanos()).unwrap_or(u64::MAX));
+            .random_range(0..=u64::try_from(spread).unwrap_or(u64::MAX));
+        let timeout = self.timing.election_timeout;
         self.election_deadline = now + timeout + std::time::Duration::from_nanos(extra);
     }
 
--- a/crates/wingshore-consensus/tests/support/mod.rs
+++ b/crates/wingshore-consensus/tests/support/mod.rs
@@ -19,6 +19,7 @@
 pub fn timing() -> Timing {
     Timing {
         election_timeout: Duration::from_millis(500),
+        election_spread: Duration::from_millis(500),
         heartbeat_interval: Duration::from_millis(50),
         lease: Duration::from_millis(450),
         drift: Permille(20),
--- a/crates/wingshore-replica/src/start.rs
+++ b/crates/wingshore-replica/src/start.rs
@@ -19,6 +19,9 @@
 use wingshore_storage::{DataFolder, FileSystem, GroupStore};
 use wingshore_types::GroupId;
 
+/// Election timeouts differ by up to this part of the shortest one.
+const ELECTION_SPREAD_PART: u32 = 4;
+
 /// A group whose thread runs.
 pub(crate) struct RunningGroup {
     pub(crate) group: GroupId,
@@ -126,6 +129,7 @@
     HostConfig {
         timing: Timing {
             election_timeout: timing.election_timeout,
+            election_spread: timing.election_timeout / ELECTION_SPREAD_PART,
             heartbeat_interval: timing.heartbeat,
             lease: timing.lease,
             drift: timing.clock_drift,
--- a/crates/wingshore-settings/src/replica.rs
+++ b/crates/wingshore-settings/src/replica.rs
@@ -59,7 +59,7 @@
 pub struct TimingSettings {
     /// Between a leader's heartbeats. Default 100ms, 5ms to 5s.
     pub heartbeat: Duration,
-    /// Shortest silence after which a member campaigns; the longest is twice that.
+    /// Shortest silence after which a member campaigns; the longest is a quarter more.
     /// Default 1s, 50ms to 60s, at least four heartbeats.
     pub election_timeout: Duration,
     /// How long a quorum's answer lets a leader act. Default 700ms, below `election_timeout`
