--- a/crates/wingshore-lab/src/stand_ins/engine/cache.rs
+++ b/crates/wingshore-lab/src/stand_ins/engine/cache.rs
@@ -2,7 +2,8 @@
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use wingshore_types::generator::hash_tokens;
 use wingshore_types::platform::{CacheEvent, CacheEventKind};
@@ -26,6 +27,9 @@
     event_delay: Duration,
     event_loss_permille: u32,
     entries: BTreeMap<u64, Entry>,
+    /// Entries in the order of their last use; of those used at once the longest goes first.
+    by_use: BTreeSet<(u64, Reverse<u32>, u64)>,
+    tokens_held: u64,
     uses: u64,
     next_sequence: u64,
     events: VecDeque<(Instant, CacheEvent)>,
@@ -39,6 +43,8 @@
             event_delay,
             event_loss_permille,
             entries: BTreeMap::new(),
+            by_use: BTreeSet::new(),
+            tokens_held: 0,
             uses: 0,
             next_sequence: 1,
             events: VecDeque::new(),
@@ -47,10 +53,7 @@
 
     /// Tokens held. An entry stands for its last block; shorter prefixes are entries too.
     pub fn tokens_held(&self) -> u64 {
-        self.entries
-            .values()
-            .map(|entry| u64::from(entry.own_tokens))
-            .sum()
+        self.tokens_held
     }
 
     /// Tokens of the longest cached prefix of `tokens`; marks it as used.
@@ -58,10 +61,16 @@
         self.uses += 1;
         let mut longest = 0;
         for (hash, length) in self.block_hashes(tokens) {
-            let Some(entry) = self.entries.get_mut(&hash) else {
+            let Some(entry) = self.entries.get(&hash).copied() else {
                 break;
             };
-            entry.last_use = self.uses;
+            self.put(
+                hash,
+                Entry {
+                    last_use: self.uses,
+                    ..entry
+                },
+            );
             longest = length;
         }
         longest
@@ -76,7 +85,7 @@
                 own_tokens: length - (length - 1) / self.block_tokens * self.block_tokens,
                 last_use: self.uses,
             };
-            if self.entries.insert(hash, entry).is_none() {
+            if self.put(hash, entry) {
                 self.publish(now, hash, length, CacheEventKind::Stored, generator);
             }
         }
@@ -84,16 +93,11 @@
 
     /// Evicts least recently used entries until at most `tokens` are held.
     pub fn shrink_to(&mut self, now: Instant, tokens: u64, generator: &mut ChaCha8Rng) {
-        while self.tokens_held() > tokens {
-            let oldest = self
-                .entries
-                .iter()
-                .min_by_key(|(_, entry)| (entry.last_use, std::cmp::Reverse(entry.tokens)))
-                .map(|(hash, entry)| (*hash, entry.tokens));
-            let Some((hash, length)) = oldest else {
+        while self.tokens_held > tokens {
+            let Some((_, Reverse(length), hash)) = self.by_use.first().copied() else {
                 return;
             };
-            self.entries.remove(&hash);
+            self.remove(hash);
             self.publish(now, hash, length, CacheEventKind::Evicted, generator);
         }
     }
@@ -107,6 +111,27 @@
             .collect()
     }
 
+    /// Adds or replaces an entry; answers whether it is new.
+    fn put(&mut self, hash: u64, entry: Entry) -> bool {
+        let is_new = !self.remove(hash);
+        self.tokens_held += u64::from(entry.own_tokens);
+        self.by_use
+            .insert((entry.last_use, Reverse(entry.tokens), hash));
+        self.entries.insert(hash, entry);
+        is_new
+    }
+
+    /// Removes an entry; answers whether it was there.
+    fn remove(&mut self, hash: u64) -> bool {
+        let Some(entry) = self.entries.remove(&hash) else {
+            return false;
+        };
+        self.tokens_held -= u64::from(entry.own_tokens);
+        self.by_use
+            .remove(&(entry.last_use, Reverse(entry.tokens), hash));
+        true
+    }
+
     /// Hash and length of each prefix that ends with a block, and of the whole.
     fn block_hashes(&self, tokens: &[Token]) -> Vec<(u64, u32)> {
         let block = self.block_tokens as usize;
