lab: bench in simulated time, by the product's policy or a baseline

A discrete-event model drives the product's own Router, RolloutRunner, ledger and control group (without consensus: entries are applied after a commit time) over the stand-in's EngineCore, with zones, crashes, failing swaps, a rate-limited weight store, lagging load reports, cache events with gaps, bursty live completions. The baseline goes round robin, waits for the whole batch and swaps all engines at once. The lower bound is token work over engine capacity, the longest sample, and training time.

Tests: same seed, same figures on any number of threads; no run beats the bound.

--- a/crates/wingshore-lab/src/lib.rs
+++ b/crates/wingshore-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing here is ever deployed.
 
+pub mod bench;
 pub mod checks;
 pub mod durations;
 pub mod event_log;
--- a/crates/wingshore-lab/src/main.rs
+++ b/crates/wingshore-lab/src/main.rs
@@ -3,12 +3,13 @@
 use argh::FromArgs;
 use std::error::Error;
 use std::process::ExitCode;
+use wingshore_lab::bench::BenchCommand;
 use wingshore_lab::fleet::FleetCommand;
 use wingshore_lab::hollow::HollowCommand;
 use wingshore_lab::measure::MeasureCommand;
 use wingshore_lab::stand_ins::StandInCommand;
 
-/// Proof harness of wingshore: stand-ins, fleets, checks, hollow sites.
+/// Proof harness of wingshore: stand-ins, fleets, checks, hollow sites, benchmarks.
 #[derive(FromArgs)]
 struct Arguments {
     #[argh(subcommand)]
@@ -22,6 +23,7 @@
     Fleet(FleetCommand),
     Hollow(HollowCommand),
     Measure(MeasureCommand),
+    Bench(BenchCommand),
 }
 
 fn main() -> ExitCode {
@@ -46,5 +48,9 @@
         Command::Fleet(command) => Ok(command.run()?),
         Command::Hollow(command) => Ok(command.run()?),
         Command::Measure(command) => command.run(),
+        Command::Bench(command) => {
+            command.run()?;
+            Ok(true)
+        }
     }
 }
