--- a/crates/wingshore-lab/src/fleet/mod.rs
+++ b/crates/wingshore-lab/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 use error::PrintSnafu;
 use faults::FaultList;
 use layout::{Layout, Programs, RunFolder};
+use progress::Progress;
 use report::Report;
 use running::RunningSite;
 use schedule::{Performer, schedule};
@@ -35,6 +36,8 @@
 
 /// Between two lines of progress.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a run goes on at most to come to the steps asked for.
+const STEPS_LIMIT: Duration = Duration::from_secs(120);
 /// Longest sleep of the run's loop.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -53,6 +56,9 @@
     /// length of the run, start and stop not counted (20)
     #[argh(option, default = "20")]
     seconds: u64,
+    /// go on beyond that length until so many steps are trained (0)
+    #[argh(option, default = "0")]
+    steps: u64,
     /// seed of the load (1)
     #[argh(option, default = "1")]
     seed: u64,
@@ -125,7 +131,9 @@
         let mut due = schedule(length, &self.faults.0).into_iter().peekable();
         let started = Instant::now();
         let mut next_line = PROGRESS_INTERVAL;
-        while started.elapsed() < length || due.peek().is_some() {
+        let mut steps = 0;
+        let is_short = |steps| steps < self.steps && started.elapsed() < length + STEPS_LIMIT;
+        while started.elapsed() < length || due.peek().is_some() || is_short(steps) {
             if let Some(action) = due.next_if(|due| due.at <= started.elapsed()) {
                 eprintln!(
                     "{:>4.0} s: {:?}",
@@ -135,7 +143,9 @@
                 performer.perform(running, action.action)?;
             }
             if started.elapsed() >= next_line {
-                eprintln!("{}", progress::line(&folder.logs(), started.elapsed())?);
+                let progress = Progress::read(&folder.logs())?;
+                eprintln!("{:>4.0} s: {progress}", started.elapsed().as_secs_f64());
+                steps = progress.steps;
                 next_line += PROGRESS_INTERVAL;
             }
             thread::sleep(TICK);
