node: slow callers hold up nobody, and no accepted connection is left without a thread

A body that came slowly held the worker that read it; a refusal waited for the rest of the body too. 24 such callers (8 workers, their queue, 4 refusers and theirs) stopped the whole node, status pages included. 2. A caller that took nothing of its stream held a worker and an engine's slot for ever: writing has no time limit. 3. The HTTP library's pool counts a thread as waiting until it has woken up. Connections accepted meanwhile are queued and wait until another connection ends.

Ruled out: a time limit for reading on the listener (accept would end by it), and one for writing (the connection would stay open with a part of an answer sent, and the rest would be taken from the next one).

The system closes the connection of a caller that takes nothing for `http.slow_caller_limit` (10 s by default).

Left: a request head that never ends still holds a thread of the library, nothing else.

--- a/crates/wingshore-node/src/http/caller.rs
+++ b/crates/wingshore-node/src/http/caller.rs
@@ -15,6 +15,9 @@
 /// at once when a request is let go, and an absurd length would then end the process.
 const MAX_DRAINED_BODY: u64 = 1 << 30;
 
+/// The HTTP library reads bodies up to this length together with their heads.
+const MAX_LIBRARY_BODY: u64 = 1024;
+
 /// A request whose head was read. Its head is parsed once, here.
 pub struct Caller {
     request: Request,
@@ -22,6 +25,7 @@
     route: Result<Route, RouteError>,
     length: Result<BodyLength, FramingError>,
     body_read: bool,
+    read_ahead: Option<Result<Vec<u8>, BodyError>>,
     connections: Arc<Connections>,
 }
 
@@ -47,6 +51,7 @@
             route,
             length,
             body_read: false,
+            read_ahead: None,
             connections: Arc::clone(connections),
         }
     }
@@ -76,11 +81,33 @@
         *self.request.http_version() >= HTTPVersion(1, 1)
     }
 
+    /// Whether reading its body, or letting it go, may wait for the caller. The HTTP library has
+    /// read small bodies together with their heads.
+    pub fn may_keep_waiting(&self) -> bool {
+        let is_expected = self.headers.first("expect").is_some();
+        match self.length {
+            _ if self.body_read => false,
+            Ok(BodyLength::Empty) => false,
+            Ok(BodyLength::Exact(length)) => length > MAX_LIBRARY_BODY || is_expected,
+            Ok(BodyLength::Chunked) | Err(_) => true,
+        }
+    }
+
+    /// Reads its body before it is asked for; [`Caller::read_body`] then does not wait.
+    pub fn read_ahead(&mut self, limit: u64) {
+        if let Ok(length) = self.length {
+            self.read_ahead = Some(self.read_body(length, limit));
+        }
+    }
+
     /// Reads its body whole; to be called once.
     ///
     /// # Errors
     /// As [`read_body`].
     pub fn read_body(&mut self, length: BodyLength, limit: u64) -> Result<Vec<u8>, BodyError> {
+        if let Some(read) = self.read_ahead.take() {
+            return read;
+        }
         if length == BodyLength::Chunked {
             self.drain_chunks(limit);
         }
--- a/crates/wingshore-node/src/http/listener.rs
+++ b/crates/wingshore-node/src/http/listener.rs
@@ -72,7 +72,7 @@
 }
 
 /// Where a socket that listens at `address` is reached from this machine.
-fn reachable(address: SocketAddr) -> SocketAddr {
+pub(super) fn reachable(address: SocketAddr) -> SocketAddr {
     let ip = match address.ip() {
         IpAddr::V4(ip) if ip.is_unspecified() => Ipv4Addr::LOCALHOST.into(),
         IpAddr::V6(ip) if ip.is_unspecified() => Ipv6Addr::LOCALHOST.into(),
--- a/crates/wingshore-node/src/http/mod.rs
+++ b/crates/wingshore-node/src/http/mod.rs
@@ -1,12 +1,14 @@
 //! The HTTP edge towards callers: framing checks, routes, bodies, answers and event streams.
 
 mod body;
+mod body_readers;
 mod caller;
 mod connections;
 mod event_stream;
 mod framing;
 mod headers;
 mod listener;
+mod nudger;
 mod open_connections;
 mod respond;
 mod route;
--- a/crates/wingshore-node/src/http/server.rs
+++ b/crates/wingshore-node/src/http/server.rs
@@ -1,13 +1,15 @@
 //! The listening side: one thread takes requests and hands them to bounded groups of workers, one
 //! group for each kind of work, so that long work of one kind never holds up another.
 
+use crate::http::body_readers::BodyReaders;
 use crate::http::caller::Caller;
 use crate::http::connections::Connections;
-use crate::http::listener::ListenerHandle;
+use crate::http::listener::{ListenerHandle, reachable};
+use crate::http::nudger::{Nudger, NudgerThread};
 use crate::http::open_connections::open_connections;
 use crate::http::route::Route;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -16,9 +18,14 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tiny_http::{Request, Server};
+use wingshore_settings::HttpSettings;
 
 /// Threads for status pages and for refusals, each.
 const SMALL_GROUP: usize = 4;
+/// A connection without traffic is asked after this time whether its caller still exists.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(15);
+/// Between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Between two looks at what is in flight, during a stop.
 const STOP_POLL: Duration = Duration::from_millis(10);
 /// How long there may be neither a connection nor a request before the server ends.
@@ -62,11 +69,20 @@
 }
 
 /// Counts a request from its arrival to the end of its answer.
-struct Counted {
-    caller: Caller,
+pub(super) struct Counted {
+    pub(super) caller: Caller,
     in_flight: Arc<AtomicUsize>,
 }
 
+impl Counted {
+    /// Has `task` answer it. A panic is reported by the process's hook; the thread goes on.
+    pub(super) fn answer_by(self, handler: &dyn EdgeHandler, task: Task) {
+        let Self { caller, in_flight } = self;
+        let _ = catch_unwind(AssertUnwindSafe(|| task(handler, caller)));
+        in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// A listening server. Ended by [`EdgeServer::drain`], then [`EdgeServer::close`].
 pub struct EdgeServer {
     server: Arc<Server>,
@@ -75,23 +91,23 @@
     address: SocketAddr,
     in_flight: Arc<AtomicUsize>,
     acceptor: Option<JoinHandle<()>>,
+    nudger: Option<NudgerThread>,
     workers: Vec<JoinHandle<()>>,
 }
 
 impl EdgeServer {
-    /// Binds `address` and serves with `workers` threads for each kind of work.
+    /// Binds `address` and serves with a group of threads for each kind of work.
     ///
     /// # Errors
     /// When the address cannot be bound or a thread cannot be started.
     pub fn start(
         address: SocketAddr,
-        workers: usize,
+        settings: &HttpSettings,
         handler: Arc<dyn EdgeHandler>,
     ) -> io::Result<Self> {
+        let workers = settings.workers;
         let listener = TcpListener::bind(address)?;
-        // Connections take this over. Without it the first event of a stream waits for the caller
-        // to acknowledge the head, which it delays by up to 40 ms.
-        SockRef::from(&listener).set_tcp_nodelay(true)?;
+        set_connection_options(&listener, settings.slow_caller_limit)?;
         let address = listener.local_addr()?;
         let handle_on_listener = ListenerHandle::of(&listener)?;
         let connections = Arc::new(Connections::default());
@@ -110,10 +126,13 @@
             status: group("status", SMALL_GROUP, handle)?,
             refusal: group("refusal", SMALL_GROUP, refuse)?,
         };
+        let (nudger, nudger_thread) = Nudger::start(reachable(address))?;
         let acceptor = Acceptor {
             server: Arc::clone(&server),
             connections: Arc::clone(&connections),
-            queues,
+            queues: Arc::new(queues),
+            body_readers: BodyReaders::new(settings.max_request_body, &handler),
+            nudger,
             in_flight: Arc::clone(&in_flight),
         };
         let acceptor = thread::Builder::new()
@@ -126,6 +145,7 @@
             address,
             in_flight,
             acceptor: Some(acceptor),
+            nudger: Some(nudger_thread),
             workers: threads,
         })
     }
@@ -162,6 +182,9 @@
             // The acceptor has no result, and a panic of it was reported when it happened.
             let _ = acceptor.join();
         }
+        if let Some(nudger) = self.nudger.take() {
+            nudger.join();
+        }
         if is_idle {
             for worker in self.workers.drain(..) {
                 let _ = worker.join();
@@ -171,6 +194,23 @@
     }
 }
 
+/// Sets what connections take over from the socket that accepts them.
+fn set_connection_options(listener: &TcpListener, slow_caller_limit: Duration) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    // Without it the first event of a stream waits for the caller to acknowledge the head, which
+    // it delays by up to 40 ms.
+    socket.set_tcp_nodelay(true)?;
+    // The system closes the connection of a caller that takes nothing of its answer for so long.
+    // A limit on writing would leave it open with a part of an answer sent, and the rest would be
+    // taken from the next one.
+    socket.set_tcp_user_timeout(Some(slow_caller_limit))?;
+    // Callers that vanished without closing are noticed.
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
 /// Waits until callers have let go of their connections and nothing was in flight for a while,
 /// [`CLOSE_LIMIT`] at most; says whether nothing is in flight.
 fn wait_until_left_alone(port: u16, in_flight: &AtomicUsize) -> bool {
@@ -188,10 +228,10 @@
     }
 }
 
-type Task = fn(&dyn EdgeHandler, Caller);
+pub(super) type Task = fn(&dyn EdgeHandler, Caller);
 
 /// One queue for each group of workers; a queue holds no more than its group has threads.
-struct Queues {
+pub(super) struct Queues {
     forward: Sender<Counted>,
     completion: Sender<Counted>,
     trainer: Sender<Counted>,
@@ -200,6 +240,15 @@
 }
 
 impl Queues {
+    /// Hands a request to its workers.
+    pub(super) fn add(&self, counted: Counted) {
+        let kind = WorkKind::of(&counted.caller);
+        if let Err(TrySendError::Full(counted)) = self.of(kind).try_send(counted) {
+            // Waits: a flood is slowed down where it comes in.
+            let _ = self.refusal.send(counted);
+        }
+    }
+
     fn of(&self, kind: WorkKind) -> &Sender<Counted> {
         match kind {
             WorkKind::Forward => &self.forward,
@@ -214,7 +263,9 @@
 struct Acceptor {
     server: Arc<Server>,
     connections: Arc<Connections>,
-    queues: Queues,
+    queues: Arc<Queues>,
+    body_readers: BodyReaders,
+    nudger: Nudger,
     in_flight: Arc<AtomicUsize>,
 }
 
@@ -232,16 +283,16 @@
     }
 
     fn take(&self, request: Request) {
+        self.nudger.on_request(request.remote_addr());
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        let caller = Caller::new(request, &self.connections);
-        let kind = WorkKind::of(&caller);
         let counted = Counted {
-            caller,
+            caller: Caller::new(request, &self.connections),
             in_flight: Arc::clone(&self.in_flight),
         };
-        if let Err(TrySendError::Full(counted)) = self.queues.of(kind).try_send(counted) {
-            // Waits: a flood is slowed down where it comes in.
-            let _ = self.queues.refusal.send(counted);
+        if counted.caller.may_keep_waiting() {
+            self.body_readers.read(counted, &self.queues);
+        } else {
+            self.queues.add(counted);
         }
     }
 }
@@ -266,9 +317,7 @@
 }
 
 fn work(receiver: &Receiver<Counted>, handler: &dyn EdgeHandler, task: Task) {
-    while let Ok(Counted { caller, in_flight }) = receiver.recv() {
-        // A panic is reported by the process's hook; the worker goes on with the next request.
-        let _ = catch_unwind(AssertUnwindSafe(|| task(handler, caller)));
-        in_flight.fetch_sub(1, Ordering::SeqCst);
+    while let Ok(counted) = receiver.recv() {
+        counted.answer_by(handler, task);
     }
 }
--- a/crates/wingshore-node/src/run.rs
+++ b/crates/wingshore-node/src/run.rs
@@ -97,7 +97,7 @@
     let threads = start_background(&node)?;
     let handler = Arc::new(NodeEdge::new(Arc::clone(&node), announcer));
     let address = node.settings.listen;
-    let edge = EdgeServer::start(address, node.settings.http.workers, handler)
+    let edge = EdgeServer::start(address, &node.settings.http, handler)
         .context(ListenSnafu { address })?;
     info!(node.diagnostics.logger(), "node serves";
         "address" => edge.address().to_string(), "boot" => node.boot_id);
--- a/crates/wingshore-node/tests/common/mod.rs
+++ b/crates/wingshore-node/tests/common/mod.rs
@@ -80,6 +80,8 @@
 workers = 8
 max_request_body = "64KiB"
 max_answer_body = "64KiB"
+slow_caller_limit = "500ms"
+
 "#
     );
     node_from_text("node.toml", &text, &Overrides::default()).expect("the settings are valid")
--- a/crates/wingshore-settings/src/node.rs
+++ b/crates/wingshore-settings/src/node.rs
@@ -68,6 +68,9 @@
     pub max_request_body: u64,
     /// Largest buffered body of an answer. Default 64MiB, 1KiB to 1GiB.
     pub max_answer_body: u64,
+    /// How long a caller may take nothing of its answer before its connection is closed. Default
+    /// 10s, 100ms to 1h.
+    pub slow_caller_limit: Duration,
 }
 
 /// Choice of back ends.
@@ -136,6 +139,12 @@
     minimum: KIB,
     maximum: GIB,
 };
+const SLOW_CALLER_LIMIT: DurationSetting = DurationSetting {
+    key: "slow_caller_limit",
+    default: Duration::from_secs(10),
+    minimum: Duration::from_millis(100),
+    maximum: Duration::from_secs(3600),
+};
 const CHOICES: IntegerSetting = IntegerSetting {
     key: "choices",
     default: 2,
@@ -250,6 +259,7 @@
         workers: keys.small_integer(&WORKERS),
         max_request_body: keys.size(&MAX_REQUEST_BODY),
         max_answer_body: keys.size(&MAX_ANSWER_BODY),
+        slow_caller_limit: keys.duration(&SLOW_CALLER_LIMIT),
     };
     keys.finish();
     http
