control: a weight store's limit holds over all services that fetch from it

Cause: fetches were counted service by service.

Change: fetches are counted over all services with swaps to do. Services of which no engine has the version yet, nor fetches it, get one place each before any gets more, so that none waits until another is done.

Ruled out: sharing the places evenly; a service with a source of its own grows by itself, so the first place is worth most.

The check of sources was moved out of the test beside it, unchanged.

--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod polling;
 mod requests;
 mod service_index;
+mod store_fetches;
 mod swap_scheduler;
 mod swap_steps;
 mod swap_times;
--- a/crates/wingshore-control/src/leader/swap_scheduler.rs
+++ b/crates/wingshore-control/src/leader/swap_scheduler.rs
@@ -3,6 +3,7 @@
 use super::engine::Engine;
 use super::engines::Engines;
 use super::orders::SwapOrder;
+use super::store_fetches::StoreFetches;
 use crate::settings::LeaderSettings;
 use crate::state::ControlState;
 use crate::swaps::{SwapCandidate, SwapLimits, SwapStart, swaps_to_begin};
@@ -30,27 +31,81 @@
 }
 
 impl Engines {
-    /// Gives new orders to swap.
+    /// Gives new orders to swap. Stores have few places: the services of which no engine has, or
+    /// fetches, what is wanted get one each before any gets more, so that all can go on from
+    /// engine to engine soon.
     pub(super) fn begin_swaps(&mut self, view: SchedulerView<'_>) {
+        let mut unsettled = Vec::new();
         for service in self.index.unsettled() {
             if let Some((version, store)) = view.state.wanted_weights(&service) {
-                self.begin_swaps_of(&service, Wanted { version, store }, view);
+                unsettled.push((service, Wanted { version, store }));
             }
         }
+        let mut fetches = self.store_fetches(&unsettled);
+        for (service, wanted) in &unsettled {
+            if !self.has_source(service, *wanted) {
+                self.begin_swaps_of(service, *wanted, 1, &mut fetches, view);
+            }
+        }
+        for (service, wanted) in &unsettled {
+            self.begin_swaps_of(service, *wanted, usize::MAX, &mut fetches, view);
+        }
     }
 
-    fn begin_swaps_of(&mut self, service: &ServiceId, wanted: Wanted, view: SchedulerView<'_>) {
+    /// Begins swaps of a service, at most `from_store` of them from the store.
+    fn begin_swaps_of(
+        &mut self,
+        service: &ServiceId,
+        wanted: Wanted,
+        from_store: usize,
+        fetches: &mut StoreFetches,
+        view: SchedulerView<'_>,
+    ) {
         let candidates = self.candidates(service, wanted, view);
-        let limits = limits(service, candidates.len(), view);
+        let mut limits = limits(service, candidates.len(), view);
+        let is_own = |candidate: &&SwapCandidate<'_>| candidate.fetching_from == Some(wanted.store);
+        let own = candidates.iter().filter(is_own).count();
+        let all = fetches.count(wanted.store);
+        let free = limits.fetches_per_store.saturating_sub(all);
+        limits.fetches_per_store = own + free.min(from_store);
         let mut starts = swaps_to_begin(&candidates, wanted.version, wanted.store, limits);
         starts.extend(self.repeated_swaps(service, wanted, view));
         for start in starts {
+            if start.source == wanted.store {
+                fetches.add(wanted.store);
+            }
             self.order_swap(start, wanted.version, view);
         }
         let is_settled = self.repeated.is_empty() && self.is_settled(service, wanted, view);
         self.index.set_settled(service, is_settled);
     }
 
+    /// Fetches that go on from the stores of these services.
+    fn store_fetches(&self, services: &[(ServiceId, Wanted)]) -> StoreFetches {
+        let mut fetches = StoreFetches::default();
+        for (service, wanted) in services {
+            for engine in self.members(service) {
+                if engine.fetching_from(wanted.store) == Some(wanted.store) {
+                    fetches.add(wanted.store);
+                }
+            }
+        }
+        fetches
+    }
+
+    /// Whether an engine of the service has what is wanted, or fetches it.
+    fn has_source(&self, service: &ServiceId, wanted: Wanted) -> bool {
+        self.members(service).any(|engine| {
+            let fetches = engine.has_order() && engine.ordered_version() == Some(wanted.version);
+            fetches || engine.version() == Some(wanted.version)
+        })
+    }
+
+    fn members(&self, service: &ServiceId) -> impl Iterator<Item = &Engine> {
+        let members = self.index.members(service).iter();
+        members.filter_map(|id| self.engines.get(id))
+    }
+
     /// Engines of a service that take work and answer.
     fn candidates<'a>(
         &self,
--- a/crates/wingshore-control/tests/swaps.rs
+++ b/crates/wingshore-control/tests/swaps.rs
@@ -7,11 +7,11 @@
 use std::net::SocketAddr;
 use support::Group;
 use support::engine::Fleet;
-use support::site::{POOL, Site, address, engine_name, store};
+use support::site::{self, POOL, Site, address, engine_name, store};
 use wingshore_control::LeaderSettings;
 use wingshore_control::swaps::{SwapCandidate, SwapLimits, SwapStart, swaps_to_begin};
 use wingshore_types::WeightVersion;
-use wingshore_types::configuration::{ConfigurationChange, Permille};
+use wingshore_types::configuration::{ConfigurationChange, Permille, Pool, ServiceKind};
 use wingshore_types::ids::ServerId;
 
 /// One engine of a case: its version, where it fetches from, and whether it may swap.
@@ -181,18 +181,85 @@
         engines: 100,
         ..Site::default()
     };
-    let settings = LeaderSettings::default();
     let mut group = Group::new(&site);
     let mut fleet = Fleet::new(100, 1);
     fleet.load_ms = 900;
     fleet.run(&mut group, 2_000);
     group.publish(POOL, 2);
-    let mut most_from: BTreeMap<String, usize> = BTreeMap::new();
     fleet.run_until(&mut group, 60_000, |fleet, _| fleet.count_at(2) > 90);
+    expect_sources_within_limits(&fleet);
+    expect_that!(fleet.most_loading, all![le(25), ge(20)]);
+}
+
+#[gtest]
+fn services_that_share_a_store_share_its_places_and_none_waits_for_the_last() {
+    let settings = LeaderSettings::default();
+    let services = 12;
+    let of_each = 70;
+    let mut group = Group::new(&Site {
+        engines: of_each,
+        ..Site::default()
+    });
+    for number in 1..services {
+        let service = format!("lm-{number}");
+        let kind = ServiceKind::Engines { model: "m".into() };
+        group.apply_change(ConfigurationChange::PutService(site::service(
+            &service, kind,
+        )));
+        for engine in number * of_each..(number + 1) * of_each {
+            let name = engine_name(engine);
+            let server = site::server(&name, &service, engine);
+            group.apply_change(ConfigurationChange::PutServer(server));
+        }
+        let pool = Pool {
+            service: service.as_str().into(),
+            ..site::pool(&format!("pool-{number}"))
+        };
+        group.apply_change(ConfigurationChange::PutPool(pool));
+    }
+    let engines = services * of_each;
+    let mut fleet = Fleet::new(engines, 1);
+    fleet.load_ms = 900;
+    fleet.run(&mut group, 5_000);
+    group.publish(POOL, 2);
+    for number in 1..services {
+        group.publish(&format!("pool-{number}"), 2);
+    }
+    fleet.run_until(&mut group, 120_000, |fleet, _| {
+        fleet.count_at(2) == engines as usize
+    });
+    expect_sources_within_limits(&fleet);
+    // All services have a first source after as many rounds of the store as it takes.
+    let is_of = |number: u32, server: &ServerId| {
+        let engines = number * of_each..(number + 1) * of_each;
+        let mut names = engines.map(engine_name);
+        names.any(|name| name == server.as_str())
+    };
+    for number in 0..services {
+        let first = fleet
+            .orders
+            .iter()
+            .position(|(_, server, _)| is_of(number, server));
+        let (at, _, _) = &fleet.orders[first.expect("an order")];
+        let (began, _, _) = &fleet.orders[0];
+        let rounds = u64::from(services / settings.fetches_per_store);
+        expect_that!(
+            at.since(*began).as_millis() as u64,
+            le(rounds * 2_000),
+            "{number}"
+        );
+    }
+}
+
+/// No source served more at any moment than its limit.
+fn expect_sources_within_limits(fleet: &Fleet) {
+    let settings = LeaderSettings::default();
+    let load_ms = u128::from(fleet.load_ms);
+    let mut most_from: BTreeMap<String, usize> = BTreeMap::new();
     for moment in fleet.orders.iter().map(|(at, _, _)| *at) {
         let mut now: BTreeMap<String, usize> = BTreeMap::new();
         for (sent, _, order) in &fleet.orders {
-            if *sent <= moment && moment.since(*sent).as_millis() < 900 {
+            if *sent <= moment && moment.since(*sent).as_millis() < load_ms {
                 *now.entry(format!("{:?}", order.order)).or_default() += 1;
             }
         }
@@ -209,14 +276,13 @@
         };
         expect_that!(count, le(limit as usize), "{source}");
     }
-    expect_that!(fleet.most_loading, all![le(25), ge(20)]);
 }
 
 #[gtest]
 fn two_pools_of_a_service_share_its_engines_and_the_higher_version_wins() {
     let mut group = Group::new(&Site::default());
     let mut fleet = Fleet::new(8, 1);
-    let other = support::site::pool("transfers");
+    let other = site::pool("transfers");
     group.apply_change(ConfigurationChange::PutPool(other));
     group.publish(POOL, 2);
     group.publish("transfers", 3);
