routing: servers of unused services are not probed, and probes keep to a pace

Cause: a node probed the subset of every service, two to three questions to each server every half second: with 31 pools 1,240 servers. Ruled out: smaller subsets; they cost the choice among servers and still grow with the number of services.

Change: only services that requests asked for within the last minute, or have requests in flight, are probed; the most overdue server goes first, as far as probes_per_second (a node's default: 40) allows.

Cost: a round over 40 engines, three questions each, takes 3 s and not 0.5 s, so a silent server is found unhealthy by probes after 9 s; failed requests eject it before. Reports of load and version count for 5 s and 10 s as before.

Tests: the pace is kept and no server is passed over; servers of an unused service are not probed and are again with the first request.

--- a/crates/wingshore-node/src/state.rs
+++ b/crates/wingshore-node/src/state.rs
@@ -197,6 +197,7 @@
     RouterSettings {
         choices: settings.routing.choices as u32,
         probe_interval: settings.routing.probe_interval,
+        probes_per_second: settings.routing.probes_per_second,
         subset_size: settings.routing.subset as u32,
         retry_share: settings.routing.retry_budget,
         most_ejected: settings.routing.max_ejected,
--- a/crates/wingshore-routing/src/fleet.rs
+++ b/crates/wingshore-routing/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::subset::SubsetSize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use wingshore_types::{Instant, ServerId, ServiceId, WeightVersion};
 
 /// Position in [`Fleet::servers`].
@@ -128,6 +129,8 @@
     /// Members that new work may go to.
     pub(crate) open: ByZone,
     pub(crate) subset: SubsetSize,
+    /// When a request last asked for it; before that, when it was first configured.
+    pub(crate) used_at: Instant,
     pub(crate) grown_at: Instant,
     pub(crate) exhausted_at: Instant,
     pub(crate) in_flight: ByClass<u32>,
@@ -145,6 +148,12 @@
 }
 
 impl ServiceState {
+    /// Whether requests asked for it lately, or are in flight.
+    pub(crate) fn is_used(&self, now: Instant, unused_after: Duration) -> bool {
+        let in_flight = self.in_flight.get(Class::Live) + self.in_flight.get(Class::Rollout);
+        in_flight > 0 || now.since(self.used_at) < unused_after
+    }
+
     /// Live requests in flight, and all of others, whose class is unknown.
     pub(crate) fn live_demand(&self, now: Instant) -> u32 {
         let others = self.persistence.mean(now) * self.open.len() as u64;
--- a/crates/wingshore-routing/src/lib.rs
+++ b/crates/wingshore-routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod load;
 mod membership;
 mod outlier;
+mod pace;
 mod persistence;
 mod request;
 mod retry;
--- a/crates/wingshore-routing/src/router.rs
+++ b/crates/wingshore-routing/src/router.rs
@@ -14,6 +14,7 @@
 use crate::faults::Faults;
 use crate::fleet::{Fleet, ServiceIndex};
 use crate::hash::{hash_text, mix};
+use crate::pace::Pace;
 use crate::settings::RouterSettings;
 use crate::tickets::Tickets;
 use rand_chacha::ChaCha8Rng;
@@ -35,6 +36,7 @@
     fleet: Fleet,
     affinity: Affinity,
     tickets: Tickets,
+    pace: Pace,
 }
 
 impl Router {
@@ -56,6 +58,7 @@
             fleet: Fleet::default(),
             affinity,
             tickets: Tickets::default(),
+            pace: Pace::default(),
             settings,
         }
     }
--- a/crates/wingshore-routing/src/router/configure.rs
+++ b/crates/wingshore-routing/src/router/configure.rs
@@ -22,7 +22,7 @@
             return;
         }
         self.revision = configuration.revision;
-        self.put_services(configuration);
+        self.put_services(now, configuration);
         self.remove_absent_servers(configuration);
         for server in configuration.servers.values() {
             self.put_server(server);
@@ -55,29 +55,36 @@
         }
     }
 
-    fn put_services(&mut self, configuration: &Configuration) {
+    fn put_services(&mut self, now: Instant, configuration: &Configuration) {
         for state in &mut self.fleet.services {
             state.is_configured = configuration.services.contains_key(&state.id);
         }
         for service in configuration.services.values() {
-            self.put_service(service);
+            self.put_service(now, service);
         }
     }
 
-    fn put_service(&mut self, service: &configuration::Service) {
+    fn put_service(&mut self, now: Instant, service: &configuration::Service) {
         let guaranteed = !self.faults.no_share_guarantee;
         let shares = SlotShares::new(service, self.settings.live_reserve, guaranteed);
         let is_engines = matches!(service.kind, ServiceKind::Engines { .. });
         let index = match self.fleet.service_index(&service.id) {
             Some(index) => index,
-            None => self.fleet.add_service(self.new_service(service, shares)),
+            None => self
+                .fleet
+                .add_service(self.new_service(now, service, shares)),
         };
         let state = self.fleet.service_mut(index);
         state.shares = shares;
         state.is_engines = is_engines;
     }
 
-    fn new_service(&self, service: &configuration::Service, shares: SlotShares) -> ServiceState {
+    fn new_service(
+        &self,
+        now: Instant,
+        service: &configuration::Service,
+        shares: SlotShares,
+    ) -> ServiceState {
         let limits = BudgetLimits {
             share: self.settings.retry_share,
             per_second: self.settings.retry_least_per_second,
@@ -92,6 +99,7 @@
             members: ByZone::default(),
             open: ByZone::default(),
             subset: SubsetSize::new(self.settings.subset_size),
+            used_at: now,
             grown_at: Instant::ZERO,
             exhausted_at: Instant::ZERO,
             in_flight: ByClass::default(),
--- a/crates/wingshore-routing/src/router/decide.rs
+++ b/crates/wingshore-routing/src/router/decide.rs
@@ -25,6 +25,7 @@
     /// A [`Refusal`]: nothing was sent, the verdict is `NotRun`.
     pub fn admit(&mut self, now: Instant, request: &RouteRequest) -> Result<Admitted, Refusal> {
         let service = self.configured_service(request)?;
+        self.fleet.service_mut(service).used_at = now;
         if now >= request.deadline {
             return Err(deadline_passed());
         }
--- a/crates/wingshore-routing/src/router/probe.rs
+++ b/crates/wingshore-routing/src/router/probe.rs
@@ -1,5 +1,5 @@
-//! Which servers to poll, and when: only those of the subset, so that the cost does not grow
-//! with the fleet.
+//! Which servers to poll, and when: only those of the subset of services in use, and no more in a
+//! second than the pace allows, so that the cost does not grow with the fleet.
 
 use super::Router;
 use crate::fleet::{ServerIndex, ServiceIndex};
@@ -12,39 +12,39 @@
 const SHRINK_AFTER: Duration = Duration::from_secs(60);
 
 impl Router {
-    /// The probes that are due; each is counted as asked.
+    /// The probes that are due; each is counted as asked. Those that the pace does not allow yet
+    /// come first the next time.
     pub fn probe_targets(&mut self, now: Instant) -> Vec<ProbeTarget> {
-        let mut targets = Vec::new();
         for service in 0..self.fleet.services.len() as ServiceIndex {
             self.refresh_if_due(now, service);
             self.shrink_subset(now, service);
-            self.probe_service(now, service, &mut targets);
+        }
+        let per_second = self.settings.probes_per_second;
+        self.pace.gain(now, per_second);
+        let mut targets = Vec::new();
+        for index in self.due_servers(now) {
+            let kinds = self.probe_kinds(index);
+            if !self.pace.take(kinds.len(), per_second) {
+                break;
+            }
+            self.schedule_probe(now, index);
+            self.push_probes(index, kinds, &mut targets);
         }
         targets
     }
 
-    fn probe_service(
-        &mut self,
-        now: Instant,
-        service: ServiceIndex,
-        targets: &mut Vec<ProbeTarget>,
-    ) {
-        let state = self.fleet.service(service);
-        let is_engines = state.is_engines;
-        let due: Vec<ServerIndex> = state
-            .members
-            .iter()
-            .filter(|index| {
-                self.fleet
-                    .server(*index)
-                    .next_probe
-                    .is_none_or(|at| now >= at)
-            })
+    /// Members of services in use whose probes are due, the most overdue first.
+    fn due_servers(&self, now: Instant) -> Vec<ServerIndex> {
+        let services = self.fleet.services.iter();
+        let members = services
+            .filter(|service| service.is_used(now, self.settings.unused_after))
+            .flat_map(|service| service.members.iter());
+        let next_probe = |index: &ServerIndex| self.fleet.server(*index).next_probe;
+        let mut due: Vec<ServerIndex> = members
+            .filter(|index| next_probe(index).is_none_or(|at| now >= at))
             .collect();
-        for index in due {
-            self.schedule_probe(now, index);
-            self.push_probes(index, is_engines, targets);
-        }
+        due.sort_by_key(next_probe);
+        due
     }
 
     /// The first interval is cut by the server's rank, so that probes spread over time.
@@ -59,24 +59,33 @@
         server.next_probe = Some(now + (interval - cut));
     }
 
-    fn push_probes(&self, index: ServerIndex, is_engines: bool, targets: &mut Vec<ProbeTarget>) {
-        let server = self.fleet.server(index);
-        let mut push = |kind| {
-            targets.push(ProbeTarget {
-                server: server.id.clone(),
-                address: server.address,
-                kind,
-            });
-        };
-        push(ProbeKind::Load);
-        if !is_engines {
-            return;
+    /// What a server is asked: engines tell more than live servers.
+    fn probe_kinds(&self, index: ServerIndex) -> Vec<ProbeKind> {
+        let mut kinds = vec![ProbeKind::Load];
+        let service = self.fleet.server(index).service;
+        if !self.fleet.service(service).is_engines {
+            return kinds;
         }
-        push(ProbeKind::EngineState);
+        kinds.push(ProbeKind::EngineState);
         if self.settings.affinity_bonus > 0 {
             let after = self.affinity.last_sequence(index);
-            push(ProbeKind::CacheEvents { after });
+            kinds.push(ProbeKind::CacheEvents { after });
         }
+        kinds
+    }
+
+    fn push_probes(
+        &self,
+        index: ServerIndex,
+        kinds: Vec<ProbeKind>,
+        targets: &mut Vec<ProbeTarget>,
+    ) {
+        let server = self.fleet.server(index);
+        targets.extend(kinds.into_iter().map(|kind| ProbeTarget {
+            server: server.id.clone(),
+            address: server.address,
+            kind,
+        }));
     }
 
     fn shrink_subset(&mut self, now: Instant, service: ServiceIndex) {
--- a/crates/wingshore-routing/src/settings.rs
+++ b/crates/wingshore-routing/src/settings.rs
@@ -24,6 +24,13 @@
     /// Time between two probes of one server. Default 1 s, 50 ms to 1 min.
     #[serde(deserialize_with = "duration")]
     pub probe_interval: Duration,
+    /// Most probes in a second, over all services; where that is too few, rounds take longer.
+    /// Default 1000, 1 to 100,000.
+    pub probes_per_second: u32,
+    /// Time without requests after which the servers of a service are probed no longer.
+    /// Default 1 min, 1 s to 1 h.
+    #[serde(deserialize_with = "duration")]
+    pub unused_after: Duration,
     /// Failed rounds of probes in a row that make a server unhealthy. Default 3, 1 to 100.
     pub unhealthy_after: u32,
     /// Good rounds of probes in a row that make it healthy again. Default 2, 1 to 100.
@@ -97,6 +104,8 @@
             zone_penalty: 2,
             slow_start: Duration::from_secs(10),
             probe_interval: Duration::from_secs(1),
+            probes_per_second: 1000,
+            unused_after: MINUTE,
             unhealthy_after: 3,
             healthy_after: 2,
             refusal_pause: Duration::from_millis(200),
@@ -155,6 +164,7 @@
         let rows = [
             ("choices", self.choices, 1..=8),
             ("zone_penalty", self.zone_penalty, 0..=1000),
+            ("probes_per_second", self.probes_per_second, 1..=100_000),
             ("unhealthy_after", self.unhealthy_after, 1..=100),
             ("healthy_after", self.healthy_after, 1..=100),
             ("affinity_bonus", self.affinity_bonus, 0..=100),
@@ -204,6 +214,7 @@
                 self.refusal_pause_most,
                 10 * MILLISECOND..=MINUTE,
             ),
+            ("unused_after", self.unused_after, SECOND..=HOUR),
             ("state_lifetime", self.state_lifetime, SECOND..=5 * MINUTE),
             (
                 "load_lifetime",
--- a/crates/wingshore-routing/tests/subset.rs
+++ b/crates/wingshore-routing/tests/subset.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use support::*;
-use wingshore_routing::{ProbeKind, Router, RouterSettings};
+use wingshore_routing::{AttemptOutcome, ProbeKind, Router, RouterSettings};
 use wingshore_types::configuration::Configuration;
 use wingshore_types::{Revision, ServerId, ZoneId};
 
@@ -117,6 +117,47 @@
     expect_that!(largest, le(8), "of 40 in one of 100 ticks");
 }
 
+/// 40 engines, three probes each, at 30 probes a second: a round takes four seconds, not one.
+#[gtest]
+fn probes_keep_to_their_pace_and_none_is_passed_over() {
+    let settings = RouterSettings {
+        probes_per_second: 30,
+        ..RouterSettings::default()
+    };
+    let mut router = Router::new(settings, ZoneId::new("zone-0"), 1);
+    router.on_configuration(at(0), &site(600, 1, 8, 500));
+    let mut probed: BTreeMap<ServerId, u32> = BTreeMap::new();
+    let mut count = 0;
+    for millisecond in (0..40_000).step_by(50) {
+        let targets = router.probe_targets(at(millisecond));
+        count += targets.len();
+        for target in targets {
+            if target.kind == ProbeKind::Load {
+                *probed.entry(target.server).or_default() += 1;
+            }
+        }
+    }
+    expect_that!(count, all!(ge(1150), le(1230)));
+    let rounds: Vec<u32> = probed.into_values().collect();
+    let least = rounds.iter().min().copied();
+    let most = rounds.iter().max().copied();
+    expect_that!(least, some(ge(9)));
+    expect_that!(most, some(le(12)), "{rounds:?}");
+}
+
+#[gtest]
+fn servers_of_a_service_that_nobody_asks_for_are_not_probed() {
+    let mut router = node(1, 40, &site(600, 1, 8, 500));
+    expect_that!(router.probe_targets(at(59_000)), not(is_empty()));
+    expect_that!(router.probe_targets(at(61_000)), is_empty());
+    let admitted = router.admit(at(62_000), &live()).expect("room");
+    expect_that!(router.probe_targets(at(62_050)), not(is_empty()));
+    // As long as a request is in flight the service is in use.
+    expect_that!(router.probe_targets(at(200_000)), not(is_empty()));
+    router.on_finished(at(200_000), admitted.ticket, AttemptOutcome::Cancelled);
+    expect_that!(router.probe_targets(at(202_000)), is_empty());
+}
+
 /// 300 nodes choose 40 of 1,000 servers each; an even spread is 12 nodes a server. Rendezvous
 /// hashing spreads as by chance: standard deviation near the root of the mean.
 #[gtest]
--- a/crates/wingshore-settings/src/node.rs
+++ b/crates/wingshore-settings/src/node.rs
@@ -82,6 +82,8 @@
     pub subset: usize,
     /// Between polls of one server. Default 500ms, 50ms to 60s.
     pub probe_interval: Duration,
+    /// Most polls in a second, over all servers. Default 40, 1 to 10000.
+    pub probes_per_second: u32,
     /// After which a poll has failed. Default 1s, 20ms to 60s.
     pub probe_timeout: Duration,
     /// Retries allowed, in thousandths of requests. Default 200, 0 to 1000.
@@ -163,6 +165,12 @@
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+const PROBES_PER_SECOND: IntegerSetting = IntegerSetting {
+    key: "probes_per_second",
+    default: 40,
+    minimum: 1,
+    maximum: 10_000,
+};
 const PROBE_TIMEOUT: DurationSetting = DurationSetting {
     key: "probe_timeout",
     default: Duration::from_secs(1),
@@ -270,6 +278,7 @@
         choices: keys.small_integer(&CHOICES),
         subset: keys.small_integer(&SUBSET),
         probe_interval: keys.duration(&PROBE_INTERVAL),
+        probes_per_second: keys.small_integer(&PROBES_PER_SECOND),
         probe_timeout: keys.duration(&PROBE_TIMEOUT),
         retry_budget: Permille(keys.small_integer(&RETRY_BUDGET)),
         max_ejected: Permille(keys.small_integer(&MAX_EJECTED)),
