lab: stand-ins leave no accepted connection without a thread either

Cause: stand-ins use the same HTTP library as nodes, whose pool of threads can leave a connection of a burst waiting until another one ends (found at the node by slow_callers). A node would see that as a back end that does not answer until the deadline.

Change: the module that nudges the library stands in wingshore-http; nodes and stand-ins use it.

--- a/crates/wingshore-node/src/http/nudger.rs
+++ b/crates/wingshore-http/src/nudger.rs
@@ -3,7 +3,7 @@
 //! Its pool of threads counts a thread as waiting until that thread has woken up. Connections that
 //! are accepted meanwhile are queued for it and then wait until some other connection ends, which
 //! callers that keep theirs may never do. Each further connection makes one thread look at that
-//! queue, so the node connects to itself: once for each new caller, because connections come in
+//! queue, so a server connects to itself: once for each new caller, because connections come in
 //! bursts, and now and then besides.
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
@@ -26,21 +26,21 @@
 /// Most callers that are remembered; a forgotten one costs a nudge.
 const MOST_CALLERS: usize = 8192;
 
-/// Connects to the node itself; see the module's page.
-pub(super) struct Nudger {
+/// Connects to the process's own server; see the module's page.
+pub struct Nudger {
     nudges: Sender<()>,
     known: Mutex<BTreeSet<SocketAddr>>,
 }
 
 /// The thread that nudges; ends when its [`Nudger`] has gone.
-pub(super) struct NudgerThread(JoinHandle<()>);
+pub struct NudgerThread(JoinHandle<()>);
 
 impl Nudger {
     /// Starts nudging the server at `address`.
     ///
     /// # Errors
     /// When no thread can be started.
-    pub(super) fn start(address: SocketAddr) -> io::Result<(Self, NudgerThread)> {
+    pub fn start(address: SocketAddr) -> io::Result<(Self, NudgerThread)> {
         let (nudges, wanted) = bounded(QUEUE);
         let thread = thread::Builder::new()
             .name("nudge".to_owned())
@@ -53,7 +53,7 @@
     }
 
     /// A request came from `caller`.
-    pub(super) fn on_request(&self, caller: Option<&SocketAddr>) {
+    pub fn on_request(&self, caller: Option<&SocketAddr>) {
         let Some(caller) = caller else {
             return;
         };
@@ -71,7 +71,7 @@
 
 impl NudgerThread {
     /// Waits for its end.
-    pub(super) fn join(self) {
+    pub fn join(self) {
         // A panic was reported when it happened.
         let _ = self.0.join();
     }
--- a/crates/wingshore-lab/src/http_server.rs
+++ b/crates/wingshore-lab/src/http_server.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 use tiny_http::{Header, Request, Response, Server};
+use wingshore_http::Nudger;
 
 /// Largest body that is read, in bytes.
 const LARGEST_BODY: u64 = 256 * 1024 * 1024;
@@ -190,7 +191,13 @@
         address,
         message: error.to_string(),
     })?;
+    let listen_error = |error: std::io::Error| ListenError {
+        address,
+        message: error.to_string(),
+    };
+    let (nudger, _nudging) = Nudger::start(address).map_err(listen_error)?;
     for request in server.incoming_requests() {
+        nudger.on_request(request.remote_addr());
         let handler = Arc::clone(&handler);
         thread::spawn(move || {
             if let Some(incoming) = Incoming::read(request) {
--- a/crates/wingshore-node/src/http/mod.rs
+++ b/crates/wingshore-node/src/http/mod.rs
@@ -8,7 +8,6 @@
 mod framing;
 mod headers;
 mod listener;
-mod nudger;
 mod open_connections;
 mod respond;
 mod route;
--- a/crates/wingshore-node/src/http/server.rs
+++ b/crates/wingshore-node/src/http/server.rs
@@ -5,7 +5,6 @@
 use crate::http::caller::Caller;
 use crate::http::connections::Connections;
 use crate::http::listener::{ListenerHandle, reachable};
-use crate::http::nudger::{Nudger, NudgerThread};
 use crate::http::open_connections::open_connections;
 use crate::http::route::Route;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
@@ -18,6 +17,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tiny_http::{Request, Server};
+use wingshore_http::{Nudger, NudgerThread};
 use wingshore_settings::HttpSettings;
 
 /// Threads for status pages and for refusals, each.
