lab: fleets fail on planned stops that fail, and say how long no leader answered

Cause: a run passed although a process had to be killed at its planned stop, and a fault that found nothing to hit counted as made. Ruled out as reason of earlier passes: the logs of the single-fault runs show the kill, freeze, lost disk and failed swap. Change: a planned stop that does not succeed is noted, reported and fails the run; faults that find no target are errors. After a leader is killed or frozen the fleet notes when the control group answers under another one; the watch notes when a revision is in force everywhere, looking four times a second instead of two.

--- a/crates/wingshore-lab/src/checks/summary.rs
+++ b/crates/wingshore-lab/src/checks/summary.rs
@@ -33,6 +33,13 @@
     pub staleness_p99: u64,
     /// Largest.
     pub staleness_max: u64,
+    /// How long the control group had no leader, each time its leader was killed or frozen.
+    pub leaderless_us: Vec<u64>,
+    /// Longest time from a revision's commit until it was in force everywhere, both as the watch
+    /// saw them: to about a quarter of a second.
+    pub in_force_max_us: u64,
+    /// Planned stops that did not succeed, by process.
+    pub failed_stops: Vec<String>,
     /// Latency of answered requests by kind.
     pub latency: BTreeMap<CallKind, Latency>,
     /// Time to the first token of completions.
@@ -61,6 +68,10 @@
     for record in log.records() {
         match &record.event {
             Event::Trained { .. } => summary.steps += 1,
+            Event::LeaderFound { after_us } => summary.leaderless_us.push(*after_us),
+            Event::ProcessAction { process, action } if action == "stop_failed" => {
+                summary.failed_stops.push(process.clone());
+            }
             Event::Published { .. } => summary.versions_published += 1,
             Event::BatchDelivered {
                 repeated: false,
@@ -94,6 +105,7 @@
     }
     summary.samples_delivered = staleness.len() as u64;
     summary.trainer_idle = trainer_idle(log);
+    summary.in_force_max_us = in_force_max_us(log);
     summarize_staleness(&mut summary, staleness);
     summary.latency = latencies
         .into_iter()
@@ -114,6 +126,25 @@
     summary.staleness_p99 = staleness[(staleness.len() - 1) * 99 / 100];
 }
 
+fn in_force_max_us(log: &RunLog) -> u64 {
+    let mut waiting: Vec<(u64, u64)> = Vec::new();
+    let mut longest = 0;
+    for record in log.records() {
+        match &record.event {
+            Event::RevisionCommitted { revision } => waiting.push((*revision, record.at_us)),
+            Event::RevisionInForce { revision } => waiting.retain(|(committed, since_us)| {
+                let is_in_force = committed <= revision;
+                if is_in_force {
+                    longest = longest.max(record.at_us.saturating_sub(*since_us));
+                }
+                !is_in_force
+            }),
+            _ => {}
+        }
+    }
+    longest
+}
+
 fn latency_of(values: &[u64]) -> Latency {
     let Ok(mut histogram) = Histogram::<u64>::new(DIGITS) else {
         return Latency::default();
--- a/crates/wingshore-lab/src/events.rs
+++ b/crates/wingshore-lab/src/events.rs
@@ -274,8 +274,18 @@
         /// The revision.
         revision: u64,
     },
+    /// The control group was first seen to hold this revision in force everywhere.
+    RevisionInForce {
+        /// The revision.
+        revision: u64,
+    },
+    /// The control group answered under another leader after its leader was killed or frozen.
+    LeaderFound {
+        /// Time since then.
+        after_us: u64,
+    },
     /// The fleet did something to a process: `start`, `stop`, `kill`, `freeze`, `wake`,
-    /// `lose_disk`.
+    /// `lose_disk`; or a planned stop of it did not succeed: `stop_failed`.
     ProcessAction {
         /// The process.
         process: String,
--- a/crates/wingshore-lab/src/fleet/faults.rs
+++ b/crates/wingshore-lab/src/fleet/faults.rs
@@ -1,19 +1,26 @@
 //! Faults of a real fleet: by signals, by deleting data folders, by the stand-ins' switches.
 
-use super::error::FleetError;
+use super::error::{FleetError, UnknownNameSnafu};
 use super::running::RunningSite;
 use super::schedule::post;
+use crate::events::Event;
 use crate::stand_ins::engine::faults::FaultRequest;
+use snafu::OptionExt;
 use std::path::Path;
 use std::str::FromStr;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a killed process stays away.
 const AWAY: Duration = Duration::from_secs(2);
 /// How long a frozen leader stays frozen: longer than any lease.
 const FROZEN: Duration = Duration::from_secs(6);
 
+/// How long the control group may take to have another leader.
+const LEADER_LIMIT: Duration = Duration::from_secs(30);
+/// Pause between two looks for it.
+const LEADER_POLL: Duration = Duration::from_millis(10);
+
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -89,20 +96,45 @@
 
 fn kill_leader(site: &mut RunningSite) -> Result<(), FleetError> {
     let leader = site.leader()?;
-    let replica = site.replica(&leader)?;
-    replica.kill()?;
-    thread::sleep(AWAY);
-    replica.start_again()
+    site.replica(&leader)?.kill()?;
+    let since = Instant::now();
+    await_other_leader(site, &leader, since)?;
+    thread::sleep(AWAY.saturating_sub(since.elapsed()));
+    site.replica(&leader)?.start_again()
+}
+
+/// Waits until the control group answers under another leader than `before`, and notes how long
+/// it took since `since`: until then no operator is answered.
+fn await_other_leader(site: &RunningSite, before: &str, since: Instant) -> Result<(), FleetError> {
+    loop {
+        let leader = site.leader();
+        let elapsed = since.elapsed();
+        match leader {
+            Ok(leader) if leader != before => {
+                site.log.write(Event::LeaderFound {
+                    after_us: elapsed.as_micros() as u64,
+                });
+                return Ok(());
+            }
+            Err(error) if elapsed >= LEADER_LIMIT => return Err(error),
+            Ok(name) if elapsed >= LEADER_LIMIT => {
+                let kind = "other leader than";
+                return UnknownNameSnafu { kind, name }.fail();
+            }
+            _ => thread::sleep(LEADER_POLL),
+        }
+    }
 }
 
 fn kill_node(site: &mut RunningSite) -> Result<(), FleetError> {
-    let Some(node) = site
+    let node = site
         .nodes
         .iter_mut()
         .find(|node| node.name().contains("trainer"))
-    else {
-        return Ok(());
-    };
+        .context(UnknownNameSnafu {
+            kind: "node",
+            name: "of the trainer",
+        })?;
     node.kill()?;
     thread::sleep(AWAY);
     node.start_again()
@@ -110,10 +142,11 @@
 
 fn freeze_leader(site: &mut RunningSite) -> Result<(), FleetError> {
     let leader = site.leader()?;
-    let replica = site.replica(&leader)?;
-    replica.freeze()?;
-    thread::sleep(FROZEN);
-    replica.wake()
+    site.replica(&leader)?.freeze()?;
+    let since = Instant::now();
+    await_other_leader(site, &leader, since)?;
+    thread::sleep(FROZEN.saturating_sub(since.elapsed()));
+    site.replica(&leader)?.wake()
 }
 
 /// The first server of the platform's side that takes the switch is an engine.
@@ -124,7 +157,11 @@
             return Ok(());
         }
     }
-    Ok(())
+    UnknownNameSnafu {
+        kind: "server",
+        name: "that is an engine",
+    }
+    .fail()
 }
 
 fn restart_all(site: &mut RunningSite) -> Result<(), FleetError> {
--- a/crates/wingshore-lab/src/fleet/process.rs
+++ b/crates/wingshore-lab/src/fleet/process.rs
@@ -150,12 +150,23 @@
         String::from_utf8_lossy(&output[start..]).into_owned()
     }
 
-    /// Planned stop: SIGTERM, then waits; kills it after `limit`. Says whether it stopped by
-    /// itself with success.
+    /// Planned stop: SIGTERM, then waits; kills it after `limit`. A stop that does not end by
+    /// itself with success is noted as `stop_failed`, and the run fails.
     ///
     /// # Errors
     /// When it cannot be signalled.
-    pub fn stop(&mut self, limit: Duration) -> Result<bool, FleetError> {
+    pub fn stop(&mut self, limit: Duration) -> Result<(), FleetError> {
+        if !self.end(limit)? {
+            self.note("stop_failed");
+        }
+        Ok(())
+    }
+
+    /// SIGTERM, then waits; kills it after `limit`. Says whether it ended by itself with success.
+    ///
+    /// # Errors
+    /// When it cannot be signalled.
+    pub fn end(&mut self, limit: Duration) -> Result<bool, FleetError> {
         if !self.is_running() {
             return Ok(false);
         }
@@ -174,14 +185,6 @@
         Ok(false)
     }
 
-    /// Ends a stand-in that has no planned stop: SIGTERM without judging its status.
-    ///
-    /// # Errors
-    /// When it cannot be signalled.
-    pub fn end(&mut self, limit: Duration) -> Result<(), FleetError> {
-        self.stop(limit).map(|_| ())
-    }
-
     /// Kills it at once.
     ///
     /// # Errors
--- a/crates/wingshore-lab/src/fleet/report.rs
+++ b/crates/wingshore-lab/src/fleet/report.rs
@@ -46,6 +46,7 @@
     pub fn passed(&self) -> bool {
         self.violations.is_empty()
             && self.summary.steps > FEWEST_STEPS
+            && self.summary.failed_stops.is_empty()
             && self.ended_by_themselves.is_empty()
     }
 
@@ -65,6 +66,9 @@
         for process in &self.ended_by_themselves {
             text.push_str(&format!("\nended by itself: {process}"));
         }
+        for process in &self.summary.failed_stops {
+            text.push_str(&format!("\nplanned stop failed: {process}"));
+        }
         text.push_str(if self.passed() {
             "\npassed"
         } else {
@@ -113,6 +117,12 @@
             "first token",
             shown(&summary.first_token)
         ));
+        let seconds = |us: u64| format!("{:.2} s", us as f64 / 1e6);
+        let in_force = seconds(summary.in_force_max_us);
+        text.push_str(&format!("\n  in force everywhere within {in_force}"));
+        for leaderless in &summary.leaderless_us {
+            text.push_str(&format!("\n  no leader for {}", seconds(*leaderless)));
+        }
         text.push_str(&format!("\n  assumed engine step: {}", self.assumed_step));
         text
     }
--- a/crates/wingshore-lab/src/fleet/running.rs
+++ b/crates/wingshore-lab/src/fleet/running.rs
@@ -90,7 +90,8 @@
             process.stop(STOP_LIMIT)?;
         }
         for process in &mut self.platform {
-            process.end(END_LIMIT)?;
+            // Stand-ins have no planned stop: their status is not judged.
+            let _succeeded = process.end(END_LIMIT)?;
         }
         Ok(())
     }
--- a/crates/wingshore-lab/src/fleet/watch.rs
+++ b/crates/wingshore-lab/src/fleet/watch.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Between two looks.
-const INTERVAL: Duration = Duration::from_millis(500);
+const INTERVAL: Duration = Duration::from_millis(250);
 /// Longest look at one node.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(500);
 /// The gauge of a node that tells the revision in force.
@@ -43,8 +43,8 @@
         };
         let watch_control = {
             let (stop, log) = (Arc::clone(&stop), log.clone());
-            let mut newest = 0;
-            thread::spawn(move || repeat(&stop, || look_at_control(&operator, &log, &mut newest)))
+            let mut newest = Newest::default();
+            thread::spawn(move || repeat(&stop, || newest.look_at_control(&operator, &log)))
         };
         Self {
             stop,
@@ -91,16 +91,29 @@
     line.trim().parse().ok()
 }
 
-/// Logs each newly committed revision, and what the control group holds to be in force.
-fn look_at_control(operator: &Operator, log: &EventLog, newest: &mut u64) {
-    let Ok(status) = operator.status() else {
-        return;
-    };
-    let committed = status.in_force.committed.0;
-    if committed != *newest {
-        log.write(Event::RevisionCommitted {
-            revision: committed,
-        });
-        *newest = committed;
+/// The revisions that the control group was last seen to hold.
+#[derive(Default)]
+struct Newest {
+    committed: u64,
+    in_force: u64,
+}
+
+impl Newest {
+    /// Logs each newly committed revision, and each that the control group newly holds to be in
+    /// force everywhere.
+    fn look_at_control(&mut self, operator: &Operator, log: &EventLog) {
+        let Ok(status) = operator.status() else {
+            return;
+        };
+        let revision = status.in_force.committed.0;
+        if revision != self.committed {
+            log.write(Event::RevisionCommitted { revision });
+            self.committed = revision;
+        }
+        let revision = status.in_force.everywhere.0;
+        if revision != self.in_force {
+            log.write(Event::RevisionInForce { revision });
+            self.in_force = revision;
+        }
     }
 }
--- a/crates/wingshore-lab/tests/checks.rs
+++ b/crates/wingshore-lab/tests/checks.rs
@@ -441,6 +441,27 @@
     }
 }
 
+#[gtest]
+fn figures_of_leaders_revisions_and_stops_are_those_of_the_log() {
+    let fleet = |seconds, event| record(seconds, "fleet", event);
+    let action = |action: &str| Event::ProcessAction {
+        process: "node-a".to_owned(),
+        action: action.to_owned(),
+    };
+    let summary = summarize(&RunLog::new(vec![
+        fleet(1, Event::RevisionCommitted { revision: 4 }),
+        fleet(2, Event::RevisionInForce { revision: 3 }),
+        fleet(3, Event::RevisionCommitted { revision: 5 }),
+        fleet(4, Event::LeaderFound { after_us: 800_000 }),
+        fleet(4, action("stop")),
+        fleet(6, Event::RevisionInForce { revision: 5 }),
+        fleet(7, action("stop_failed")),
+    ]));
+    expect_that!(summary.in_force_max_us, eq(5 * SECOND));
+    expect_that!(summary.leaderless_us, elements_are![eq(&800_000)]);
+    expect_that!(summary.failed_stops, elements_are![eq("node-a")]);
+}
+
 #[gtest]
 fn figures_are_those_of_the_log() {
     let summary = summarize(&RunLog::new(good()));
