--- /dev/null
+++ b/crates/wingshore-control/tests/growth.rs
@@ -0,0 +1,80 @@
+//! What a long life leaves behind: nothing that grows with it.
+
+mod support;
+
+use googletest::prelude::*;
+use std::time::Duration;
+use support::site::{Site, pool, server, service};
+use support::{Group, plan_of};
+use wingshore_control::{CLOSED_PLANS_KEPT, OPEN_PLANS_LIMIT};
+use wingshore_types::configuration::{ConfigurationChange, Pool, ServiceKind};
+use wingshore_types::machine::ReplicatedState;
+use wingshore_types::protocol::control::Intent;
+
+/// Longer than any lease of a node.
+const LEASE_AND_MORE: Duration = Duration::from_secs(30);
+/// After so many rounds all that is kept up to a bound is full: each leaves one more open plan,
+/// three closed ones and nine answers.
+const FULL: u32 = OPEN_PLANS_LIMIT as u32 + 100;
+/// Rounds after that. Few enough that no number outgrows two bytes as it is encoded (16,383):
+/// that would look like growth.
+const MORE: u32 = 200;
+/// What is kept by a bound in bytes goes up and down by one change.
+const SLACK: usize = 1_000;
+
+/// Names that were never there before come and go; a node is there for once; some plans stay
+/// proposed, one is cancelled, one is refused.
+fn round(group: &mut Group, number: u32) {
+    let name = format!("{number:06}");
+    let service_of = service(&name, ServiceKind::Engines { model: "m".into() });
+    let changes = vec![
+        ConfigurationChange::PutService(service_of),
+        ConfigurationChange::PutServer(server(&name, &name, 500_000 + number)),
+        ConfigurationChange::PutPool(Pool {
+            service: name.as_str().into(),
+            ..pool(&name)
+        }),
+    ];
+    group.confirm_intent(Intent::Apply(changes));
+    group.publish(&name, 2);
+    let revision = group.configuration().revision.0;
+    group.watch(&format!("node-{name}"), u64::from(number), revision, 10);
+    let cancelled = plan_of(group.propose(Intent::Drain(name.as_str().into())));
+    group.cancel(cancelled.id);
+    group.propose(Intent::Drain("nobody".into()));
+    group.propose(Intent::Drain("live-0".into()));
+    group.pass(100);
+    group.confirm_intent(Intent::Apply(vec![
+        ConfigurationChange::RemovePool(name.as_str().into()),
+        ConfigurationChange::RemoveServer(name.as_str().into()),
+        ConfigurationChange::RemoveService(name.as_str().into()),
+    ]));
+    group.now = group.now + LEASE_AND_MORE;
+    group.tick();
+    group.replies.clear();
+    group.effects.clear();
+    group.committed.clear();
+}
+
+/// Sizes of the replicated state and of the leader's memory.
+fn sizes(group: &Group) -> (usize, usize) {
+    let memory = format!("{:?}", group.leader).len();
+    (group.state.snapshot().len(), memory)
+}
+
+#[gtest]
+fn a_control_group_does_not_grow_with_what_it_has_done() -> Result<()> {
+    let mut group = Group::new(&Site::planned(2));
+    (0..FULL).for_each(|number| round(&mut group, number));
+    verify_that!(
+        group.state.plans().count(),
+        ge(CLOSED_PLANS_KEPT + OPEN_PLANS_LIMIT - 1)
+    )?;
+    let early = sizes(&group);
+    (FULL..FULL + MORE).for_each(|number| round(&mut group, number));
+    let late = sizes(&group);
+    println!("snapshot and memory after {FULL} rounds and {MORE} more: {early:?}, {late:?}");
+    verify_that!(group.configuration().revision.0, lt(16_384))?;
+    verify_that!(late.0, le(early.0 + SLACK))?;
+    verify_that!(late.1, le(early.1 + SLACK))
+}
