group: a host can be given the makers of its machines

A simulation also has to see what each member applies. MachineFactory makes leader machines and prepares states that were made or restored; production uses the default one. Nothing else changed.

--- a/crates/wingshore-group/src/applying.rs
+++ b/crates/wingshore-group/src/applying.rs
@@ -10,7 +10,7 @@
 
 impl<L> Host<L>
 where
-    L: LeaderMachine + Default,
+    L: LeaderMachine + Default + 'static,
     L::State: Default,
 {
     /// Applies a committed entry and tells whoever proposed it.
@@ -63,6 +63,7 @@
             index,
             message: error.message,
         })?;
+        (self.machines.prepare)(&mut self.state);
         self.applied_bytes = 0;
         Ok(())
     }
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{HostConfig, HostError, HostInput, HostOutput, HostReply, Leadership};
 use crate::leading::{Leading, Proposal};
+use crate::machines::MachineFactory;
 use crate::membership::PendingTransfer;
 use crate::stop::StopPhase;
 use rand::SeedableRng;
@@ -37,12 +38,13 @@
     pub(crate) election_timeout: std::time::Duration,
     snapshot_every_bytes: u64,
     pub(crate) applied_bytes: u64,
+    pub(crate) machines: MachineFactory<L>,
     has_failed: bool,
 }
 
 impl<L> Host<L>
 where
-    L: LeaderMachine + Default,
+    L: LeaderMachine + Default + 'static,
     L::State: Default,
 {
     /// Starts from what storage recovered.
@@ -54,6 +56,21 @@
         config: HostConfig,
         recovered: RecoveredLog,
     ) -> Result<Self, HostError> {
+        Self::with_machines(now, config, recovered, MachineFactory::default())
+    }
+
+    /// As [`Host::new`], with machines made by `machines`.
+    ///
+    /// # Errors
+    /// As [`Host::new`].
+    pub fn with_machines(
+        now: Instant,
+        config: HostConfig,
+        recovered: RecoveredLog,
+        machines: MachineFactory<L>,
+    ) -> Result<Self, HostError> {
+        let mut state = L::State::default();
+        (machines.prepare)(&mut state);
         let raft_config = RaftConfig {
             id: config.id,
             bootstrap: config.bootstrap,
@@ -68,7 +85,7 @@
         let mut host = Self {
             id: config.id,
             raft,
-            state: L::State::default(),
+            state,
             leading: None,
             proposals: BTreeMap::new(),
             held: VecDeque::new(),
@@ -80,6 +97,7 @@
             election_timeout: config.timing.election_timeout,
             snapshot_every_bytes: config.snapshot_every_bytes,
             applied_bytes: 0,
+            machines,
             has_failed: false,
         };
         for output in outputs {
--- a/crates/wingshore-group/src/leading.rs
+++ b/crates/wingshore-group/src/leading.rs
@@ -30,7 +30,7 @@
 
 impl<L> Host<L>
 where
-    L: LeaderMachine + Default,
+    L: LeaderMachine + Default + 'static,
     L::State: Default,
 {
     /// Takes a client's request, if it can be answered here.
@@ -108,7 +108,7 @@
             return Ok(());
         }
         let epoch = Epoch(applied_term);
-        let mut machine = L::default();
+        let mut machine = (self.machines.leader)();
         let mut wanted = Vec::new();
         machine.on_leadership(now, epoch, &self.state, &mut wanted);
         self.leading = Some(Leading {
--- a/crates/wingshore-group/src/lib.rs
+++ b/crates/wingshore-group/src/lib.rs
@@ -8,9 +8,11 @@
 mod host;
 mod interface;
 mod leading;
+mod machines;
 mod membership;
 mod stop;
 
 pub use host::Host;
 pub use interface::{HostConfig, HostError, HostInput, HostOutput, HostReply, Leadership};
+pub use machines::{MachineFactory, PrepareState};
 pub use wingshore_consensus::{Faults, Limits, Timing};
--- a/crates/wingshore-group/src/membership.rs
+++ b/crates/wingshore-group/src/membership.rs
@@ -17,7 +17,7 @@
 
 impl<L> Host<L>
 where
-    L: LeaderMachine + Default,
+    L: LeaderMachine + Default + 'static,
     L::State: Default,
 {
     /// Takes a request about members, if it can be answered here.
--- a/crates/wingshore-group/src/stop.rs
+++ b/crates/wingshore-group/src/stop.rs
@@ -43,7 +43,7 @@
 
 impl<L> Host<L>
 where
-    L: LeaderMachine + Default,
+    L: LeaderMachine + Default + 'static,
     L::State: Default,
 {
     /// Begins a planned stop.
