lab: kernel of the simulator, 18 scenarios of the control group, wingshore-lab sim

World (queue of events, drifting clocks, freezes, kills, traps on outputs), network (delays, losses, one-way cuts that are silent or stall, connections that break), replicas with the folder, stores and hosts of production on simulated disks, operators who race and send again, followers of the configuration, an administrator who replaces lost members, and engines. An observer judges what only a simulator sees: equal logs and states, acknowledged changes, fresh reads, one answer an intent, one plan a base, steps done once, in force everywhere, progress after healing. Not yet: scenarios of ledgers, trainers and nodes, and the tests that deliberate faults are caught.

--- a/crates/wingshore-lab/src/main.rs
+++ b/crates/wingshore-lab/src/main.rs
@@ -7,9 +7,10 @@
 use wingshore_lab::fleet::FleetCommand;
 use wingshore_lab::hollow::HollowCommand;
 use wingshore_lab::measure::MeasureCommand;
+use wingshore_lab::sim::command::SimCommand;
 use wingshore_lab::stand_ins::StandInCommand;
 
-/// Proof harness of wingshore: stand-ins, fleets, checks, hollow sites, benchmarks.
+/// Proof harness of wingshore: stand-ins, fleets, simulations, checks, hollow sites, benchmarks.
 #[derive(FromArgs)]
 struct Arguments {
     #[argh(subcommand)]
@@ -24,6 +25,7 @@
     Hollow(HollowCommand),
     Measure(MeasureCommand),
     Bench(BenchCommand),
+    Sim(SimCommand),
 }
 
 fn main() -> ExitCode {
@@ -52,5 +54,6 @@
             command.run()?;
             Ok(true)
         }
+        Command::Sim(command) => Ok(command.run()?),
     }
 }
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/history.rs
@@ -0,0 +1,65 @@
+//! The running hash of a simulation's history: the same seed must give the same one.
+
+use super::process::SimMessage;
+use std::fmt::{self, Write};
+
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// FNV-1a over all that happened, in its order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HistoryHash(u64);
+
+impl Default for HistoryHash {
+    fn default() -> Self {
+        Self(OFFSET)
+    }
+}
+
+impl HistoryHash {
+    /// The hash so far.
+    pub fn value(self) -> u64 {
+        self.0
+    }
+
+    /// Adds bytes.
+    pub fn bytes(&mut self, bytes: &[u8]) {
+        self.0 = bytes.iter().fold(self.0, |hash, byte| {
+            (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
+        });
+    }
+
+    /// Adds a number.
+    pub fn number(&mut self, number: u64) {
+        self.bytes(&number.to_le_bytes());
+    }
+
+    /// Adds how a value prints.
+    pub fn value_of(&mut self, value: &impl fmt::Debug) {
+        // Writing to the hash never fails.
+        let _ = write!(self, "{value:?}");
+    }
+
+    /// Adds a message.
+    pub fn message(&mut self, message: &SimMessage) {
+        match message {
+            SimMessage::Consensus { message, .. } => self.bytes(message),
+            SimMessage::GroupRequest { id, body, .. } => {
+                self.number(id.0);
+                self.bytes(&postcard::to_stdvec(body).unwrap_or_default());
+            }
+            SimMessage::GroupReply { id, body } => {
+                self.number(id.0);
+                self.bytes(&postcard::to_stdvec(body).unwrap_or_default());
+            }
+            other => self.value_of(other),
+        }
+    }
+}
+
+impl Write for HistoryHash {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.bytes(text.as_bytes());
+        Ok(())
+    }
+}
--- a/crates/wingshore-lab/src/sim/mod.rs
+++ b/crates/wingshore-lab/src/sim/mod.rs
@@ -4,8 +4,23 @@
 //! Every process is a [`process::Process`]: inputs and the local time in, outputs out. The same
 //! seed gives the same history, event for event. What happens is recorded with
 //! [`crate::events::Event`] and judged by [`crate::checks`], the checkers that also judge a fleet
-//! of real processes.
+//! of real processes. Beside them the [`observer`] judges what only a simulator can see.
 
+pub mod administrator;
 pub mod client;
+pub mod clock;
+pub mod command;
+pub mod history;
+pub mod network;
+pub mod observed;
+pub mod observer;
+pub mod operator;
 pub mod process;
 pub mod processes;
+pub mod replica;
+pub mod runs;
+pub mod scenarios;
+pub mod site;
+pub mod slot;
+pub mod watcher;
+pub mod world;
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/operator.rs
@@ -0,0 +1,480 @@
+//! Simulated operators: they change the configuration by plans, race with each other, and send
+//! again what was not answered.
+
+use super::client::{CallResult, GroupCalls};
+use super::observer::{ObserverHandle, SimPromise};
+use super::process::{Call, CallId, Process, ProcessInput, ProcessOutput, SimMessage};
+use super::slot::{Boot, Maker};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use wingshore_types::configuration::{Admission, ConfigurationChange, Server};
+use wingshore_types::protocol::control::{
+    ControlRefusal, ControlReply, ControlRequest, Intent, Plan, PlanState,
+};
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{
+    GroupId, Instant, IntentId, PlanId, PoolId, Revision, ServerId, ServiceId, WeightVersion,
+    ZoneId,
+};
+
+/// Longest time of one call; what is not answered then is sent again under the same identity.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before a call is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time an operator thinks between two calls.
+const LONGEST_THINKING: Duration = Duration::from_millis(40);
+/// Chance that an answered intent is sent once more.
+const RESEND_CHANCE: f64 = 0.5;
+/// The server that racing operators change.
+const CONTESTED: &str = "contested";
+/// Where that is.
+const CONTESTED_ADDRESS: SocketAddr = SocketAddr::new(
+    std::net::IpAddr::V4(std::net::Ipv4Addr::new(127, 99, 0, 1)),
+    1,
+);
+
+/// What an operator is to do, and how far they have come; outlives the operator's process.
+#[derive(Clone, Default)]
+pub struct Desk(Arc<Mutex<DeskState>>);
+
+/// Something to be done as it is.
+#[derive(Clone, Debug)]
+enum Job {
+    State(Intent),
+    Publish {
+        pool: PoolId,
+        version: WeightVersion,
+        model: String,
+        store: SocketAddr,
+    },
+}
+
+#[derive(Default)]
+struct DeskState {
+    /// What is to be done first, in order.
+    jobs: VecDeque<Job>,
+    /// Changes of their own still to be made.
+    changes: u32,
+    /// Whether those go to the contested server.
+    races: bool,
+    drawn: u64,
+    ended: u32,
+    /// The plan under way, as last answered.
+    plan: Option<Plan>,
+}
+
+impl Desk {
+    /// An operator with `changes` of their own to make, with `races` to the contested server.
+    pub fn new(changes: u32, races: bool) -> Self {
+        let desk = Self::default();
+        desk.lock().changes = changes;
+        desk.lock().races = races;
+        desk
+    }
+
+    /// Puts an intent on the desk.
+    pub fn add(&self, intent: Intent) {
+        self.lock().jobs.push_back(Job::State(intent));
+    }
+
+    /// Puts a publication on the desk: the weights are stored, then the version is told.
+    pub fn publish(&self, pool: PoolId, version: WeightVersion, model: &str, store: SocketAddr) {
+        let model = model.to_owned();
+        self.lock().jobs.push_back(Job::Publish {
+            pool,
+            version,
+            model,
+            store,
+        });
+    }
+
+    /// Gives further changes to make.
+    pub fn add_changes(&self, changes: u32) {
+        self.lock().changes += changes;
+    }
+
+    /// Whether all is done.
+    pub fn is_done(&self) -> bool {
+        let state = self.lock();
+        state.jobs.is_empty() && state.changes == 0
+    }
+
+    /// How many intents came to an end.
+    pub fn ended(&self) -> u32 {
+        self.lock().ended
+    }
+
+    /// The plan last answered.
+    pub fn plan(&self) -> Option<Plan> {
+        self.lock().plan.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a call is for.
+#[derive(Clone, Debug)]
+enum Purpose {
+    Status {
+        floor: Revision,
+    },
+    Propose {
+        intent: IntentId,
+    },
+    Confirm {
+        intent: IntentId,
+        plan: Box<Plan>,
+    },
+    Follow {
+        plan: PlanId,
+    },
+    Publish {
+        intent: IntentId,
+    },
+    /// An intent once more, for its answer alone.
+    Again {
+        intent: IntentId,
+    },
+}
+
+/// One call: kept until it is answered.
+#[derive(Clone, Debug)]
+struct Errand {
+    purpose: Purpose,
+    request: ControlRequest,
+}
+
+struct Operator {
+    number: u8,
+    desk: Desk,
+    calls: GroupCalls<Errand>,
+    observer: ObserverHandle,
+    random: ChaCha8Rng,
+    waiting: VecDeque<(Instant, Errand)>,
+    /// What the current intent adds.
+    server: Option<ServerId>,
+}
+
+/// Makes an operator who works from `desk`.
+pub fn maker(number: u8, replicas: Vec<SocketAddr>, desk: Desk, observer: ObserverHandle) -> Maker {
+    Box::new(move |boot| {
+        let mut operator = Operator {
+            number,
+            desk: desk.clone(),
+            calls: GroupCalls::new(replicas.clone(), boot.seed),
+            observer: observer.clone(),
+            random: random_of(boot),
+            waiting: VecDeque::new(),
+            server: None,
+        };
+        operator.begin(boot.now);
+        Ok(Box::new(operator))
+    })
+}
+
+fn random_of(boot: Boot) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(boot.seed)
+}
+
+impl Operator {
+    /// Looks at the site first; everything else follows from the answer.
+    fn begin(&mut self, now: Instant) {
+        let floor = self.observer.acknowledged_revision();
+        let errand = Errand {
+            purpose: Purpose::Status { floor },
+            request: ControlRequest::Status,
+        };
+        self.later(now, errand);
+    }
+
+    fn later(&mut self, now: Instant, errand: Errand) {
+        let thinking = self.random.random_range(Duration::ZERO..LONGEST_THINKING);
+        self.waiting.push_back((now + thinking, errand));
+    }
+
+    fn send(&mut self, now: Instant, mut errand: Errand, out: &mut Vec<ProcessOutput>) {
+        if let Purpose::Status { floor } = &mut errand.purpose {
+            *floor = self.observer.acknowledged_revision();
+        }
+        if let Purpose::Publish { .. } = errand.purpose {
+            self.store_weights(out);
+        }
+        let body = GroupRequest::Control(errand.request.clone());
+        self.calls
+            .call(now, GroupId::Control, body, CALL_TIMEOUT, errand, out);
+    }
+
+    fn store_weights(&mut self, out: &mut Vec<ProcessOutput>) {
+        let desk = self.desk.lock();
+        if let Some(Job::Publish {
+            version,
+            model,
+            store,
+            ..
+        }) = desk.jobs.front()
+        {
+            let call = Call::StoreWeights {
+                model: model.clone(),
+                version: *version,
+            };
+            let message = SimMessage::Call {
+                id: CallId(version.0),
+                call,
+            };
+            out.push(ProcessOutput::Send {
+                to: *store,
+                message,
+            });
+        }
+    }
+
+    fn on_result(&mut self, now: Instant, errand: Errand, result: CallResult) {
+        let Ok(GroupReply::Control(reply)) = result else {
+            self.waiting.push_back((now + RETRY_PAUSE, errand));
+            return;
+        };
+        match errand.purpose {
+            Purpose::Status { floor } => self.on_status(now, floor, &reply),
+            Purpose::Propose { intent } => self.on_proposed(now, intent, errand.request, reply),
+            Purpose::Confirm { intent, plan } => {
+                self.on_confirmed(now, intent, &plan, errand.request, &reply);
+            }
+            Purpose::Follow { plan } => self.on_followed(now, plan, &reply),
+            Purpose::Publish { intent } => {
+                self.note_answer(intent, &reply);
+                self.maybe_again(now, intent, &errand.request);
+                self.end_intent(now, None, false);
+            }
+            Purpose::Again { intent } => self.note_answer(intent, &reply),
+        }
+    }
+
+    fn on_status(&mut self, now: Instant, floor: Revision, reply: &ControlReply) {
+        let ControlReply::Status(status) = reply else {
+            return self.begin(now);
+        };
+        let committed = status.in_force.committed;
+        self.observer.revision_told(committed, floor);
+        self.observer.in_force_told(status.in_force.everywhere);
+        let intent_id = IntentId(self.random.random());
+        let errand = match self.next_job() {
+            Some(Job::Publish { pool, version, .. }) => Errand {
+                purpose: Purpose::Publish { intent: intent_id },
+                request: ControlRequest::Publish {
+                    intent_id,
+                    pool,
+                    version,
+                },
+            },
+            Some(Job::State(intent)) => Errand {
+                purpose: Purpose::Propose { intent: intent_id },
+                request: ControlRequest::Propose {
+                    intent_id,
+                    base_revision: self.server.as_ref().map(|_| committed),
+                    intent,
+                },
+            },
+            None => return self.begin(now + LONGEST_THINKING * 4),
+        };
+        self.later(now, errand);
+    }
+
+    /// The next thing to do. Changes of the operator's own are stated against what they saw.
+    fn next_job(&mut self) -> Option<Job> {
+        let mut desk = self.desk.lock();
+        self.server = None;
+        if let Some(job) = desk.jobs.front() {
+            return Some(job.clone());
+        }
+        if desk.changes == 0 {
+            return None;
+        }
+        desk.drawn += 1;
+        let zone = format!("operator-{}-{}", self.number, desk.drawn);
+        let server = match desk.races {
+            true => new_server(CONTESTED, &zone, CONTESTED_ADDRESS),
+            false => new_server(&zone, &zone, own_address(self.number, desk.drawn)),
+        };
+        self.server = Some(server.id.clone());
+        let change = ConfigurationChange::PutServer(server);
+        Some(Job::State(Intent::Apply(vec![change])))
+    }
+
+    fn on_proposed(
+        &mut self,
+        now: Instant,
+        intent: IntentId,
+        request: ControlRequest,
+        reply: ControlReply,
+    ) {
+        self.note_answer(intent, &reply);
+        self.maybe_again(now, intent, &request);
+        let ControlReply::Plan(plan) = reply else {
+            return self.end_intent(now, None, false);
+        };
+        let confirm_id = IntentId(self.random.random());
+        let request = ControlRequest::Confirm {
+            intent_id: confirm_id,
+            plan: plan.id,
+        };
+        let purpose = Purpose::Confirm {
+            intent: confirm_id,
+            plan,
+        };
+        self.later(now, Errand { purpose, request });
+    }
+
+    fn on_confirmed(
+        &mut self,
+        now: Instant,
+        intent: IntentId,
+        proposed: &Plan,
+        request: ControlRequest,
+        reply: &ControlReply,
+    ) {
+        self.note_answer(intent, reply);
+        self.maybe_again(now, intent, &request);
+        let ControlReply::Plan(plan) = reply else {
+            return self.end_intent(now, None, false);
+        };
+        if self.server.as_ref().map(ServerId::as_str) == Some(CONTESTED) {
+            self.observer.contested_changed(proposed);
+        }
+        self.follow(now, plan);
+    }
+
+    /// Waits for the end of a plan that runs.
+    fn follow(&mut self, now: Instant, plan: &Plan) {
+        match plan.state {
+            PlanState::Proposed | PlanState::Running { .. } => {
+                self.desk.lock().plan = Some(plan.clone());
+                let errand = Errand {
+                    purpose: Purpose::Follow { plan: plan.id },
+                    request: ControlRequest::ShowPlan(plan.id),
+                };
+                self.later(now + RETRY_PAUSE, errand);
+            }
+            _ => self.end_intent(now, Some(plan), plan.state == PlanState::Done),
+        }
+    }
+
+    fn on_followed(&mut self, now: Instant, id: PlanId, reply: &ControlReply) {
+        match reply {
+            ControlReply::Plan(plan) => self.follow(now, plan),
+            other => {
+                let detail = format!("plan {id} was confirmed, then answered {other:?}");
+                self.observer.violate(SimPromise::AcknowledgedKept, detail);
+                self.end_intent(now, None, false);
+            }
+        }
+    }
+
+    /// One intent has ended. A refused one of the operator's own is stated anew, against what is
+    /// found then.
+    fn end_intent(&mut self, now: Instant, plan: Option<&Plan>, is_done: bool) {
+        let server = self.server.take();
+        if let Some(server) = server.clone().filter(|id| id.as_str() != CONTESTED) {
+            self.observer.server_answered(server, is_done);
+        }
+        {
+            let mut desk = self.desk.lock();
+            desk.plan = plan.cloned().or(desk.plan.take());
+            match server {
+                None => {
+                    desk.jobs.pop_front();
+                    desk.ended += 1;
+                }
+                Some(_) if is_done => {
+                    desk.changes = desk.changes.saturating_sub(1);
+                    desk.ended += 1;
+                }
+                Some(_) => {}
+            }
+        }
+        self.begin(now);
+    }
+
+    fn note_answer(&self, intent: IntentId, reply: &ControlReply) {
+        let answer = match reply {
+            ControlReply::Plan(plan) => format!("plan {}", plan.id),
+            ControlReply::Refused(ControlRefusal::Conflict { .. }) => "conflict".to_owned(),
+            other => format!("{other:?}"),
+        };
+        self.observer.intent_answered(intent, &answer);
+    }
+
+    fn maybe_again(&mut self, now: Instant, intent: IntentId, request: &ControlRequest) {
+        if self.random.random_bool(RESEND_CHANCE) {
+            let errand = Errand {
+                purpose: Purpose::Again { intent },
+                request: request.clone(),
+            };
+            self.later(now, errand);
+        }
+    }
+}
+
+impl Process for Operator {
+    fn step(&mut self, now: Instant, input: ProcessInput, out: &mut Vec<ProcessOutput>) {
+        match input {
+            ProcessInput::Wake => self.calls.on_wake(now, out),
+            ProcessInput::Message { from, message } => {
+                self.calls.on_message(now, from, &message, out);
+            }
+            ProcessInput::Stop => out.push(ProcessOutput::Exit),
+            ProcessInput::Fault(_) => {}
+        }
+        for (errand, result) in self.calls.take_results() {
+            self.on_result(now, errand, result);
+        }
+        let due: Vec<Errand> = self.take_due(now);
+        for errand in due {
+            self.send(now, errand, out);
+        }
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        let waiting = self.waiting.iter().map(|(at, _)| *at).min();
+        [waiting, self.calls.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+impl Operator {
+    fn take_due(&mut self, now: Instant) -> Vec<Errand> {
+        let (due, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.waiting = waiting;
+        let due: VecDeque<(Instant, Errand)> = due;
+        due.into_iter().map(|(_, errand)| errand).collect()
+    }
+}
+
+/// The service that operators' own servers belong to.
+pub fn service() -> ServiceId {
+    ServiceId::new("changed")
+}
+
+fn own_address(operator: u8, drawn: u64) -> SocketAddr {
+    let [.., high, low] = drawn.to_be_bytes();
+    SocketAddr::from(([127, 100 + operator, high, low], 1))
+}
+
+fn new_server(name: &str, zone: &str, address: SocketAddr) -> Server {
+    Server {
+        id: ServerId::new(name),
+        service: service(),
+        address,
+        zone: ZoneId::new(zone),
+        admission: Admission::Open,
+    }
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/replica/kind.rs
@@ -0,0 +1,195 @@
+//! The kinds of groups, and what each wants done outside.
+
+use crate::sim::observed::ObservableState;
+use crate::sim::process::{Answer, Call};
+use std::net::SocketAddr;
+use wingshore_control::{ControlEffect, ControlEvent, ControlLeader, LeaderSettings, OrderAnswer};
+use wingshore_ledger::claims::ClaimsLeader;
+use wingshore_ledger::samples::LedgerLeader;
+use wingshore_types::machine::LeaderMachine;
+use wingshore_types::platform::OrderFence;
+use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
+use wingshore_types::{Instant, ReplicaId, ServerId, Verdict};
+
+/// What a call to a back end was for.
+#[derive(Clone, Debug)]
+pub enum EffectOrigin {
+    /// An order.
+    Order {
+        /// The engine.
+        server: ServerId,
+        /// The order's fence.
+        fence: OrderFence,
+    },
+    /// A reading of an engine's state.
+    State {
+        /// The engine.
+        server: ServerId,
+        /// When it was asked.
+        asked_at: Instant,
+    },
+    /// A reading of a live server's load.
+    Load {
+        /// The server.
+        server: ServerId,
+        /// When it was asked.
+        asked_at: Instant,
+    },
+}
+
+/// A call to a back end.
+pub struct EffectCall {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What is asked.
+    pub call: Call,
+    /// What for.
+    pub origin: EffectOrigin,
+}
+
+/// A leader machine that a simulated replica can host.
+pub trait SimLeader: LeaderMachine<State: ObservableState + Default> + Default + 'static {
+    /// The request, when it is one of this kind.
+    fn request_of(body: GroupRequest) -> Option<Self::Request>;
+    /// The reply as it travels.
+    fn reply_body(reply: Self::Reply) -> GroupReply;
+    /// What the leader machine is told first.
+    fn first_event(_replica: ReplicaId, _settings: &LeaderSettings) -> Option<Self::Event> {
+        None
+    }
+    /// The call that an effect is.
+    fn call_of(now: Instant, effect: Self::Effect) -> Option<EffectCall>;
+    /// What an answer to it means; no answer is [`Answer::Broken`].
+    fn event_of(origin: EffectOrigin, answer: Answer) -> Option<Self::Event>;
+}
+
+impl SimLeader for ControlLeader {
+    fn request_of(body: GroupRequest) -> Option<Self::Request> {
+        match body {
+            GroupRequest::Control(request) => Some(request),
+            _ => None,
+        }
+    }
+
+    fn reply_body(reply: Self::Reply) -> GroupReply {
+        GroupReply::Control(reply)
+    }
+
+    fn first_event(replica: ReplicaId, settings: &LeaderSettings) -> Option<ControlEvent> {
+        Some(ControlEvent::Configured {
+            replica,
+            settings: Box::new(settings.clone()),
+        })
+    }
+
+    fn call_of(now: Instant, effect: ControlEffect) -> Option<EffectCall> {
+        let (to, call, origin) = match effect {
+            ControlEffect::SendOrder {
+                server,
+                address,
+                order,
+            } => {
+                let fence = order.fence;
+                let origin = EffectOrigin::Order { server, fence };
+                (address, Call::Order(order), origin)
+            }
+            ControlEffect::ReadState { server, address } => {
+                let asked_at = now;
+                (
+                    address,
+                    Call::State,
+                    EffectOrigin::State { server, asked_at },
+                )
+            }
+            ControlEffect::ReadLoad { server, address } => {
+                let asked_at = now;
+                (address, Call::Load, EffectOrigin::Load { server, asked_at })
+            }
+        };
+        Some(EffectCall { to, call, origin })
+    }
+
+    fn event_of(origin: EffectOrigin, answer: Answer) -> Option<ControlEvent> {
+        Some(match origin {
+            EffectOrigin::Order { server, fence } => ControlEvent::OrderAnswered {
+                server,
+                fence,
+                answer: order_answer(answer),
+            },
+            EffectOrigin::State { server, asked_at } => ControlEvent::StateRead {
+                server,
+                asked_at,
+                state: match answer {
+                    Answer::State(state) => Ok(state),
+                    other => Err(verdict_of(&other)),
+                },
+            },
+            EffectOrigin::Load { server, asked_at } => ControlEvent::LoadRead {
+                server,
+                asked_at,
+                load: match answer {
+                    Answer::Load(load) => Ok(load),
+                    other => Err(verdict_of(&other)),
+                },
+            },
+        })
+    }
+}
+
+fn order_answer(answer: Answer) -> OrderAnswer {
+    match answer {
+        Answer::OrderAccepted => OrderAnswer::Accepted,
+        Answer::OrderFenced(reply) => OrderAnswer::Fenced(reply),
+        other => OrderAnswer::Failed(verdict_of(&other)),
+    }
+}
+
+fn verdict_of(answer: &Answer) -> Verdict {
+    match answer {
+        Answer::Unreachable => Verdict::NotRun,
+        Answer::Refused { verdict, .. } => *verdict,
+        _ => Verdict::MayHaveRun,
+    }
+}
+
+impl SimLeader for LedgerLeader {
+    fn request_of(body: GroupRequest) -> Option<Self::Request> {
+        match body {
+            GroupRequest::Ledger(request) => Some(request),
+            _ => None,
+        }
+    }
+
+    fn reply_body(reply: Self::Reply) -> GroupReply {
+        GroupReply::Ledger(reply)
+    }
+
+    fn call_of(_now: Instant, _effect: Self::Effect) -> Option<EffectCall> {
+        None
+    }
+
+    fn event_of(_origin: EffectOrigin, _answer: Answer) -> Option<Self::Event> {
+        None
+    }
+}
+
+impl SimLeader for ClaimsLeader {
+    fn request_of(body: GroupRequest) -> Option<Self::Request> {
+        match body {
+            GroupRequest::Claims(request) => Some(request),
+            _ => None,
+        }
+    }
+
+    fn reply_body(reply: Self::Reply) -> GroupReply {
+        GroupReply::Claims(reply)
+    }
+
+    fn call_of(_now: Instant, _effect: Self::Effect) -> Option<EffectCall> {
+        None
+    }
+
+    fn event_of(_origin: EffectOrigin, _answer: Answer) -> Option<Self::Event> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/replica/settings.rs
@@ -0,0 +1,55 @@
+//! What a simulated replica is made with.
+
+use crate::sim::observer::ObserverHandle;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_control::LeaderSettings;
+use wingshore_group::{Limits, Timing};
+use wingshore_types::protocol::membership::Membership;
+
+/// Deliberate faults of replicas; all off outside tests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaFaults {
+    /// Of the replicated log.
+    pub consensus: wingshore_group::Faults,
+    /// Of the control group.
+    pub control: wingshore_control::Faults,
+    /// Of ledger groups.
+    pub ledger: wingshore_ledger::samples::Faults,
+    /// Of claims groups.
+    pub claims: wingshore_ledger::claims::Faults,
+    /// A replica whose disk was lost is formatted again under its old identity.
+    pub format_again: bool,
+}
+
+/// Settings of all replicas of a site.
+#[derive(Clone)]
+pub struct ReplicaSettings {
+    /// The founding members.
+    pub founding: Membership,
+    /// Ledger groups.
+    pub ledger_groups: u16,
+    /// Claims groups.
+    pub claims_groups: u16,
+    /// Timing of elections and leases.
+    pub timing: Timing,
+    /// Limits of consensus messages.
+    pub limits: Limits,
+    /// Bytes of log between snapshots.
+    pub snapshot_every_bytes: u64,
+    /// Bytes of a log segment.
+    pub segment_bytes: u64,
+    /// Times and limits of the control group's leader.
+    pub leader: LeaderSettings,
+    /// After this time without an answer a call to a back end is given up.
+    pub call_timeout: Duration,
+    /// Deliberate faults.
+    pub faults: ReplicaFaults,
+    /// Where members report.
+    pub observer: ObserverHandle,
+}
+
+/// Where the founding member `number`, from 0, listens.
+pub fn founding_address(founding: &Membership, number: usize) -> Option<SocketAddr> {
+    founding.voters.get(number).map(|member| member.address)
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/scenarios/control.rs
@@ -0,0 +1,192 @@
+//! The control group's leader in trouble: cut off, frozen, killed, with work in flight.
+
+use super::Scenario;
+use super::faults::{Fault, any_cut, pause};
+use crate::sim::process::{ProcessOutput, SimMessage};
+use crate::sim::replica::is_order;
+use crate::sim::site::{Site, SiteSettings};
+use crate::sim::slot::{Trap, TrapAction};
+use rand::RngExt;
+use std::time::Duration;
+use wingshore_types::protocol::control::ControlReply;
+use wingshore_types::protocol::wire::GroupReply;
+
+/// A site that moves engines while operators work.
+const MOVING: SiteSettings = SiteSettings {
+    engines: 6,
+    operators: 1,
+    changes: 6,
+    ..WORKING
+};
+
+/// A site with operators at work.
+const WORKING: SiteSettings = SiteSettings {
+    replicas: 3,
+    watchers: 2,
+    operators: 2,
+    racers: 1,
+    changes: 12,
+    engines: 0,
+};
+
+/// The scenarios of this file.
+pub fn scenarios() -> Vec<Scenario> {
+    vec![
+        Scenario {
+            name: "quiet",
+            settings: MOVING,
+            run: quiet,
+        },
+        Scenario {
+            name: "leader-cut-off",
+            settings: MOVING,
+            run: leader_cut_off,
+        },
+        Scenario {
+            name: "frozen-before-send",
+            settings: MOVING,
+            run: frozen_before_send,
+        },
+        Scenario {
+            name: "frozen-leader",
+            settings: WORKING,
+            run: frozen_leader,
+        },
+        Scenario {
+            name: "one-way-cuts",
+            settings: WORKING,
+            run: one_way_cuts,
+        },
+        Scenario {
+            name: "killed-before-answer",
+            settings: WORKING,
+            run: killed_before_answer,
+        },
+        Scenario {
+            name: "killed-while-moving",
+            settings: MOVING,
+            run: killed_while_moving,
+        },
+    ]
+}
+
+fn quiet(site: &mut Site) {
+    site.move_pool(1);
+    pause(site, 1_000, 4_000);
+}
+
+/// The leader is cut off right after it has sent an order, and goes on believing.
+fn leader_cut_off(site: &mut Site) {
+    for version in 1..=2 {
+        site.move_pool(version);
+        let leader = site.leader();
+        let skip = site.world.random().random_range(0..6);
+        site.world
+            .set_trap(leader, order_trap(skip, TrapAction::CutOffAfter));
+        pause(site, 500, 6_000);
+        site.heal();
+        pause(site, 100, 2_000);
+    }
+}
+
+/// The leader stands still between its lease check and the sending of an order.
+fn frozen_before_send(site: &mut Site) {
+    for version in 1..=2 {
+        site.move_pool(version);
+        let leader = site.leader();
+        let skip = site.world.random().random_range(0..6);
+        let time = Duration::from_millis(site.world.random().random_range(300..20_000));
+        let action = TrapAction::FreezeBefore(time);
+        site.world.set_trap(leader, order_trap(skip, action));
+        pause(site, 2_000, 22_000);
+    }
+}
+
+/// Leaders stand still for longer and shorter than their lease.
+fn frozen_leader(site: &mut Site) {
+    for _ in 0..4 {
+        Fault::FreezeLeader.strike(site);
+        pause(site, 300, 3_000);
+    }
+}
+
+fn one_way_cuts(site: &mut Site) {
+    for _ in 0..4 {
+        Fault::OneWay.strike(site);
+        if site.world.random().random_bool(0.5) {
+            cut_clients_one_way(site);
+        }
+        pause(site, 300, 4_000);
+        site.heal();
+        pause(site, 0, 1_000);
+    }
+}
+
+/// Requests reach a replica, and its answers do not come back, or the other way.
+fn cut_clients_one_way(site: &mut Site) {
+    let replica = site.any_replica();
+    let kind = any_cut(site);
+    let is_outgoing = site.world.random().random_bool(0.7);
+    for client in site.world.addresses("operator") {
+        match is_outgoing {
+            true => site.world.cut(replica, client, kind),
+            false => site.world.cut(client, replica, kind),
+        }
+    }
+}
+
+/// The leader commits an intent and dies before, or right after, it answers.
+fn killed_before_answer(site: &mut Site) {
+    for _ in 0..4 {
+        let leader = site.leader();
+        let action = match site.world.random().random_bool(0.7) {
+            true => TrapAction::KillBefore,
+            false => TrapAction::KillAfter,
+        };
+        let trap = Trap {
+            wanted: Box::new(is_plan_answer),
+            skip: site.world.random().random_range(0..4),
+            action,
+        };
+        site.world.set_trap(leader, trap);
+        pause(site, 300, 3_000);
+        site.heal();
+    }
+}
+
+/// Leaders die while engines swap.
+fn killed_while_moving(site: &mut Site) {
+    for version in 1..=2 {
+        site.move_pool(version);
+        for _ in 0..2 {
+            pause(site, 200, 3_000);
+            match site.world.random().random_bool(0.5) {
+                true => Fault::LoseLeader.strike(site),
+                false => Fault::Kill.strike(site),
+            }
+            pause(site, 200, 3_000);
+            site.heal();
+        }
+    }
+}
+
+fn order_trap(skip: u32, action: TrapAction) -> Trap {
+    Trap {
+        wanted: Box::new(is_order),
+        skip,
+        action,
+    }
+}
+
+fn is_plan_answer(output: &ProcessOutput) -> bool {
+    matches!(
+        output,
+        ProcessOutput::Send {
+            message: SimMessage::GroupReply {
+                body: GroupReply::Control(ControlReply::Plan(_)),
+                ..
+            },
+            ..
+        }
+    )
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/scenarios/disks.rs
@@ -0,0 +1,142 @@
+//! Disks and storage calls that fail, and disks that are lost.
+
+use super::Scenario;
+use super::faults::{Fault, any_cut, pause};
+use crate::sim::site::{Site, SiteSettings};
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest time for a repair while nothing else is wrong.
+const REPAIR_LIMIT: Duration = Duration::from_secs(30);
+
+const WORKING: SiteSettings = SiteSettings {
+    replicas: 3,
+    watchers: 1,
+    operators: 3,
+    racers: 0,
+    changes: 12,
+    engines: 0,
+};
+
+/// The scenarios of this file.
+pub fn scenarios() -> Vec<Scenario> {
+    vec![
+        Scenario {
+            name: "storage-kills",
+            settings: WORKING,
+            run: storage_kills,
+        },
+        Scenario {
+            name: "sync-failures",
+            settings: WORKING,
+            run: sync_failures,
+        },
+        Scenario {
+            name: "disk-lost",
+            settings: WORKING,
+            run: disk_lost,
+        },
+        Scenario {
+            name: "second-machine-lost",
+            settings: WORKING,
+            run: second_machine_lost,
+        },
+        Scenario {
+            name: "power-lost",
+            settings: WORKING,
+            run: power_lost,
+        },
+    ]
+}
+
+/// Replicas die in storage calls around commits, one after another and together.
+fn storage_kills(site: &mut Site) {
+    for _ in 0..6 {
+        Fault::StorageKill.strike(site);
+        if site.world.random().random_bool(0.3) {
+            Fault::StorageKill.strike(site);
+        }
+        pause(site, 100, 1_500);
+        site.heal();
+    }
+}
+
+fn sync_failures(site: &mut Site) {
+    for _ in 0..4 {
+        Fault::SyncFailure.strike(site);
+        pause(site, 100, 1_500);
+        site.heal();
+    }
+}
+
+/// A member is behind, another loses its disk, and the third is cut off: the two that are left
+/// must not decide anything by themselves, for what was acknowledged is on neither.
+fn disk_lost(site: &mut Site) {
+    let [behind, lost, whole] = shuffled(site);
+    let kind = any_cut(site);
+    site.world.isolate(behind, kind);
+    pause(site, 300, 2_000);
+    let Some(old) = site.lose_disk(lost) else {
+        return;
+    };
+    let kind = any_cut(site);
+    site.world.isolate(whole, kind);
+    site.world.rejoin(behind);
+    site.world.cut(behind, whole, kind);
+    site.world.cut(whole, behind, kind);
+    site.world.start(lost);
+    pause(site, 500, 4_000);
+    site.world.rejoin(whole);
+    if site.world.random().random_bool(0.5) {
+        pause(site, 0, 2_000);
+    }
+    site.repair(lost, old);
+    pause(site, 100, 3_000);
+}
+
+/// A second machine is lost for good right after the repair of the first has finished.
+fn second_machine_lost(site: &mut Site) {
+    let [first, second, _] = shuffled(site);
+    pause(site, 100, 1_500);
+    let Some(old) = site.lose_disk(first) else {
+        return;
+    };
+    site.world.start(first);
+    site.repair(first, old);
+    let repairs = site.repairs.clone();
+    if !site.world.run_until(REPAIR_LIMIT, |_| repairs.are_done()) {
+        return;
+    }
+    let Some(old) = site.lose_disk(second) else {
+        return;
+    };
+    pause(site, 100, 3_000);
+    site.world.start(second);
+    site.repair(second, old);
+    pause(site, 100, 3_000);
+}
+
+/// All machines lose power at once.
+fn power_lost(site: &mut Site) {
+    for _ in 0..3 {
+        pause(site, 100, 1_500);
+        for replica in site.replicas.clone() {
+            if site.world.random().random_bool(0.5) {
+                pause(site, 0, 5);
+            }
+            site.world.kill(replica, false);
+        }
+        pause(site, 10, 1_000);
+        site.heal();
+    }
+}
+
+fn shuffled(site: &mut Site) -> [SocketAddr; 3] {
+    let mut replicas = [site.replicas[0], site.replicas[1], site.replicas[2]];
+    for last in [2, 1] {
+        let other = site.world.random().random_range(0..=last);
+        replicas.swap(last, other);
+    }
+    replicas
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/scenarios/mixed.rs
@@ -0,0 +1,63 @@
+//! Two faults at once, and the same fault twice.
+
+use super::Scenario;
+use super::faults::{Fault, pause};
+use crate::sim::site::{Site, SiteSettings};
+
+const WORKING: SiteSettings = SiteSettings {
+    replicas: 3,
+    watchers: 2,
+    operators: 2,
+    racers: 2,
+    changes: 15,
+    engines: 3,
+};
+
+/// The scenarios of this file.
+pub fn scenarios() -> Vec<Scenario> {
+    vec![
+        Scenario {
+            name: "two-at-once",
+            settings: WORKING,
+            run: two_at_once,
+        },
+        Scenario {
+            name: "same-twice",
+            settings: WORKING,
+            run: same_twice,
+        },
+        Scenario {
+            name: "five-replicas",
+            settings: SiteSettings {
+                replicas: 5,
+                ..WORKING
+            },
+            run: two_at_once,
+        },
+    ]
+}
+
+fn two_at_once(site: &mut Site) {
+    for version in 1..=3 {
+        site.move_pool(version);
+        Fault::draw(site).strike(site);
+        pause(site, 0, 300);
+        Fault::draw(site).strike(site);
+        pause(site, 300, 5_000);
+        site.heal();
+        pause(site, 0, 1_500);
+    }
+}
+
+fn same_twice(site: &mut Site) {
+    for version in 1..=3 {
+        site.move_pool(version);
+        let fault = Fault::draw(site);
+        fault.strike(site);
+        pause(site, 100, 2_500);
+        fault.strike(site);
+        pause(site, 100, 2_500);
+        site.heal();
+        pause(site, 0, 1_500);
+    }
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/scenarios/mod.rs
@@ -0,0 +1,64 @@
+//! Scenarios: what is done to a site, as a function of a seed.
+
+mod clients;
+mod control;
+mod disks;
+mod faults;
+mod mixed;
+
+use super::replica::ReplicaFaults;
+use super::site::{Site, SiteSettings};
+use serde::Serialize;
+
+/// One scenario.
+#[derive(Clone, Copy)]
+pub struct Scenario {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// What the site consists of.
+    pub settings: SiteSettings,
+    /// What is done to it, once it is founded and before it is healed.
+    pub run: fn(&mut Site),
+}
+
+/// All scenarios.
+pub fn all() -> Vec<Scenario> {
+    let mut all = control::scenarios();
+    all.extend(disks::scenarios());
+    all.extend(clients::scenarios());
+    all.extend(mixed::scenarios());
+    all
+}
+
+/// What came of one seed of one scenario.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Outcome {
+    /// The scenario.
+    pub scenario: &'static str,
+    /// The seed.
+    pub seed: u64,
+    /// Events handled.
+    pub events: u64,
+    /// Simulated time, in milliseconds.
+    pub simulated_ms: u64,
+    /// Hash of the whole history.
+    pub history: u64,
+    /// Broken promises, and what was found.
+    pub violations: Vec<(String, String)>,
+}
+
+/// Runs one seed of a scenario, with deliberate faults where a test asks for them.
+pub fn run(scenario: &Scenario, seed: u64, faults: ReplicaFaults, trace: bool) -> Outcome {
+    let mut site = Site::new(scenario.settings, faults, seed, trace);
+    site.found();
+    (scenario.run)(&mut site);
+    site.settle();
+    Outcome {
+        scenario: scenario.name,
+        seed,
+        events: site.world.handled(),
+        simulated_ms: site.world.now().as_millis(),
+        violations: site.judge(),
+        history: site.world.history_hash(),
+    }
+}
