--- a/crates/wingshore-control/src/leader/leases.rs
+++ b/crates/wingshore-control/src/leader/leases.rs
@@ -99,6 +99,13 @@
         nodes
     }
 
+    /// Node processes that hold a lease, and those of them that are behind `committed`.
+    pub(crate) fn counts(&self, committed: Revision) -> (usize, usize) {
+        let leases = self.leases.values();
+        let behind = leases.filter(|lease| lease.in_force < committed).count();
+        (self.leases.len(), behind)
+    }
+
     /// The newest revision known to be in force everywhere, as of the last update.
     pub(crate) fn everywhere(&self) -> Revision {
         self.everywhere
--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -50,6 +50,19 @@
     Nobody,
 }
 
+/// How far the configuration has come, for monitoring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigurationProgress {
+    /// The newest committed revision.
+    pub committed: Revision,
+    /// The newest one known to be in force everywhere, as of the last tick.
+    pub everywhere: Revision,
+    /// Node processes that hold a configuration lease.
+    pub nodes: usize,
+    /// Those of them that have not acknowledged the newest revision.
+    pub nodes_behind: usize,
+}
+
 /// Watches and leases of nodes, execution of plans, orders to engines.
 #[derive(Debug, Default)]
 pub struct ControlLeader {
@@ -78,6 +91,18 @@
         }
     }
 
+    /// How far the configuration has come.
+    pub fn progress(&self, state: &ControlState) -> ConfigurationProgress {
+        let committed = state.configuration().revision;
+        let (nodes, nodes_behind) = self.leases.counts(committed);
+        ConfigurationProgress {
+            committed,
+            everywhere: self.leases.everywhere(),
+            nodes,
+            nodes_behind,
+        }
+    }
+
     fn propose(&mut self, waiter: Waiter, command: ControlCommand, out: &mut Outputs) {
         self.last_proposal += 1;
         let tag = ProposalTag(self.last_proposal);
--- a/crates/wingshore-control/src/lib.rs
+++ b/crates/wingshore-control/src/lib.rs
@@ -17,7 +17,7 @@
 pub use command::{CommandReply, ControlCommand, StepResult};
 pub use effect::{ControlEffect, ControlEvent, OrderAnswer};
 pub use faults::Faults;
-pub use leader::ControlLeader;
+pub use leader::{ConfigurationProgress, ControlLeader};
 pub use settings::LeaderSettings;
 pub use state::{
     ANSWERS_KEPT, ASSUMED_SWAP_MS, CHANGE_BYTES_KEPT, CHANGES_KEPT, CHANGES_PER_INTENT,
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -268,6 +268,11 @@
         self.leading.is_some()
     }
 
+    /// The leader machine, while it runs.
+    pub fn leader_machine(&self) -> Option<&L> {
+        self.leading.as_ref().map(|leading| &leading.machine)
+    }
+
     /// Whether this replica holds the quorum lease at `now`.
     pub fn holds_lease(&self, now: Instant) -> bool {
         self.raft.holds_lease(now)
--- a/crates/wingshore-node/src/metrics.rs
+++ b/crates/wingshore-node/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use std::time::Duration;
 use wingshore_transport::TrafficCollector;
+use wingshore_types::protocol::ledger::Batch;
 
 /// Smallest bucket of the latency histogram, in seconds.
 const FIRST_BUCKET: f64 = 0.000_25;
@@ -17,6 +18,9 @@
 /// Number of buckets; the last bound is about two minutes.
 const BUCKETS: u16 = 20;
 
+/// Bounds of the histogram of staleness, in versions.
+const STALENESS_BUCKETS: [f64; 9] = [0.0, 1.0, 2.0, 3.0, 4.0, 8.0, 16.0, 32.0, 64.0];
+
 /// Labels of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -60,10 +64,25 @@
     pub rollout_samples_finished: Counter,
     /// Samples scored.
     pub rollout_samples_scored: Counter,
+    /// How long pulls that got a batch waited: what a trainer is idle for the rollouts' sake.
+    pub pull_wait: Histogram,
+    /// Staleness of delivered samples: the trainer's version less the oldest segment's.
+    pub delivered_staleness: Histogram,
+    /// Servers ejected as failing, as this node sees them.
+    pub servers_ejected: Gauge,
     /// Promises found broken; anything but zero is a fault of wingshore.
     pub broken_promises: Counter,
 }
 
+/// A request that is being worked on.
+pub struct InFlight(Gauge);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
@@ -87,17 +106,40 @@
             rollout_tokens: Counter::default(),
             rollout_samples_finished: Counter::default(),
             rollout_samples_scored: Counter::default(),
+            pull_wait: latency_histogram(),
+            delivered_staleness: Histogram::new(STALENESS_BUCKETS),
+            servers_ejected: Gauge::default(),
             broken_promises: Counter::default(),
         };
         metrics.register_requests();
         metrics.register_configuration();
         metrics.register_rollouts();
+        metrics.register_deliveries();
         metrics
             .registry
             .register_collector(Box::new(TrafficCollector));
         metrics
     }
 
+    /// Counts a request as being worked on until the guard is dropped.
+    pub fn begin(&self, kind: &'static str) -> InFlight {
+        let gauge = self.in_flight.get_or_create_owned(&KindLabel { kind });
+        gauge.inc();
+        InFlight(gauge)
+    }
+
+    /// Notes a batch that a trainer gets after it waited.
+    pub fn on_delivered(&self, batch: &Batch, waited: Duration) {
+        self.pull_wait.observe(waited.as_secs_f64());
+        for sample in &batch.samples {
+            let oldest = sample.generation.oldest_version();
+            if let Some(oldest) = oldest {
+                let staleness = batch.weight_version.0.saturating_sub(oldest.0);
+                self.delivered_staleness.observe(staleness as f64);
+            }
+        }
+    }
+
     /// Counts an answered request.
     pub fn on_answered(&self, kind: &'static str, code: &str, latency: Duration) {
         let code = code.to_owned();
@@ -190,6 +232,26 @@
             self.rollout_samples_scored.clone(),
         );
     }
+
+    fn register_deliveries(&mut self) {
+        let registry = &mut self.registry;
+        registry.register_with_unit(
+            "pull_wait",
+            "Time that pulls with a batch waited for it",
+            Unit::Seconds,
+            self.pull_wait.clone(),
+        );
+        registry.register(
+            "delivered_staleness_versions",
+            "Trainer's version less the oldest segment's, of each delivered sample",
+            self.delivered_staleness.clone(),
+        );
+        registry.register(
+            "servers_ejected",
+            "Servers ejected as failing by this node",
+            self.servers_ejected.clone(),
+        );
+    }
 }
 
 fn latency_histogram() -> Histogram {
--- a/crates/wingshore-node/src/serve/completions.rs
+++ b/crates/wingshore-node/src/serve/completions.rs
@@ -33,6 +33,7 @@
 /// Serves `POST /v1/completions`.
 pub fn serve(node: &NodeState, mut caller: Caller) {
     let started = Instant::now();
+    let _in_flight = node.metrics.begin(KIND);
     let code = match prepare(node, &mut caller) {
         Ok(prepared) => complete(node, caller, prepared),
         Err(error) => {
--- a/crates/wingshore-node/src/serve/edge.rs
+++ b/crates/wingshore-node/src/serve/edge.rs
@@ -33,7 +33,10 @@
 
     fn metrics(&self) -> EdgeAnswer {
         const PROMETHEUS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        let lease_left = self.node.view().lease_left(self.node.clock.now());
+        let now = self.node.clock.now();
+        let lease_left = self.node.view().lease_left(now);
+        let ejected = self.node.router().ejected();
+        self.node.metrics.servers_ejected.set(ejected as i64);
         // Rounded up: zero is shown only once the lease has run out.
         let milliseconds = lease_left.as_nanos().div_ceil(NANOSECONDS_OF_MILLISECOND);
         self.node
--- a/crates/wingshore-node/src/serve/forward.rs
+++ b/crates/wingshore-node/src/serve/forward.rs
@@ -25,6 +25,7 @@
 /// Forwards a request to a server of `service`.
 pub fn serve(node: &NodeState, mut caller: Caller, service: ServiceId, target: &str) {
     let started = Instant::now();
+    let _in_flight = node.metrics.begin(KIND);
     let (code, answer) = match forward(node, &mut caller, service, target) {
         Ok(answer) => ("ok".to_owned(), answer),
         Err(error) => (error.code.clone(), error.answer()),
--- a/crates/wingshore-node/src/serve/trainer.rs
+++ b/crates/wingshore-node/src/serve/trainer.rs
@@ -67,6 +67,7 @@
 /// Serves one of a trainer's requests.
 pub fn serve(desk: Desk<'_>, mut caller: Caller, errand: Errand) {
     let started = Instant::now();
+    let _in_flight = desk.node.metrics.begin(KIND);
     let (code, answer) = match answer(desk, &mut caller, errand) {
         Ok(answer) => ("ok".to_owned(), answer),
         Err(error) => (error.code.clone(), error.answer()),
@@ -104,6 +105,7 @@
 
     fn pull(self, intake: &Intake, pool: &PoolId, step: StepId) -> Result<EdgeAnswer, EdgeError> {
         let body: PullBody = parse(&intake.body)?;
+        let began = Instant::now();
         let wait = Duration::from_millis(body.wait_ms).min(MAX_PULL_WAIT);
         let request = LedgerRequest::Pull {
             pool: pool.clone(),
@@ -118,6 +120,7 @@
         match self.ask_ledger(pool, request, intake.deadline(wait + PULL_MARGIN))? {
             LedgerReply::Batch(batch) => {
                 self.check_batch(pool, &batch)?;
+                self.node.metrics.on_delivered(&batch, began.elapsed());
                 Ok(EdgeAnswer::json(200, &batch_body(*batch)))
             }
             other => Err(unexpected(&other)),
--- a/crates/wingshore-node/tests/lifecycle.rs
+++ b/crates/wingshore-node/tests/lifecycle.rs
@@ -83,6 +83,8 @@
     for line in [
         "wingshore_configuration_revision 4\n",
         "wingshore_requests_total{kind=\"forward\",code=\"ok\"} 21\n",
+        "wingshore_requests_in_flight{kind=\"forward\"} 0\n",
+        "wingshore_servers_ejected 0\n",
     ] {
         wait_until(line, || {
             get(node.address(), "/metrics").text().contains(line)
@@ -106,6 +108,9 @@
     let address = node.address();
     let in_flight = thread::spawn(move || post(address, &charges(), "", "x"));
     wait_until("the request is at the server", || server.count() == 1);
+    let metrics = get(address, "/metrics").text();
+    let gauge = "wingshore_requests_in_flight{kind=\"forward\"} 1\n";
+    expect_that!(metrics, contains_substring(gauge));
     node.stop.stop();
     let stopping = thread::spawn(move || node.finish());
     let refused = post(address, &charges(), "", "x");
--- a/crates/wingshore-node/tests/trainer.rs
+++ b/crates/wingshore-node/tests/trainer.rs
@@ -82,6 +82,14 @@
     expect_that!(pulled.json(), eq(&expected));
     let again = post(node.address(), &path("steps/3/pull"), "", pull);
     expect_that!(again.body, eq(&pulled.body));
+    let metrics = common::caller::get(node.address(), "/metrics").text();
+    for line in [
+        "wingshore_pull_wait_seconds_count 2\n",
+        "wingshore_delivered_staleness_versions_count 2\n",
+        "wingshore_delivered_staleness_versions_sum 2.0\n",
+    ] {
+        expect_that!(metrics, contains_substring(line));
+    }
     let acknowledge = r#"{"trainer":"trainer-1"}"#;
     let acknowledged = post(node.address(), &path("steps/3/ack"), "", acknowledge);
     expect_that!(acknowledged.status, eq(200));
--- a/crates/wingshore-replica/src/group/driver.rs
+++ b/crates/wingshore-replica/src/group/driver.rs
@@ -1,5 +1,6 @@
 //! The thread that owns a group's host.
 
+use super::delays::Delays;
 use super::kind::HostedLeader;
 use super::port::{GroupCall, GroupEvent, Inbox, Outbox, RequestOrigin};
 use super::writer::{self, WriteJob};
@@ -16,7 +17,7 @@
 use std::time::Duration;
 use wingshore_group::{Host, HostConfig, HostInput, HostOutput, HostReply, Leadership};
 use wingshore_storage::GroupStore;
-use wingshore_types::log::RecoveredLog;
+use wingshore_types::log::{RecoveredLog, WriteBatch};
 use wingshore_types::machine::RequestTag;
 use wingshore_types::protocol::wire::GroupReply;
 use wingshore_types::{Epoch, GroupId, Instant, ReplicaId};
@@ -26,6 +27,8 @@
 /// Longest sleep without any input.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
+/// Time between looks at how far the configuration has come; the error of what is measured.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
 /// No lease lasts longer, in milliseconds.
 const LONGEST_LEASE_MILLIS: u32 = 60_000;
 
@@ -110,6 +113,9 @@
         next_tag: 0,
         events: Vec::new(),
         stopped: false,
+        commits: Delays::default(),
+        revisions: None,
+        next_progress: Instant::default(),
     };
     let ended = driver.run(&outbox);
     refuse_waiting(&outbox);
@@ -142,6 +148,11 @@
     /// Events that arose in this thread, for the next step.
     events: Vec<L::Event>,
     stopped: bool,
+    /// Own log entries until they are committed.
+    commits: Delays,
+    /// Revisions of this leadership until they are in force everywhere.
+    revisions: Option<Delays>,
+    next_progress: Instant,
 }
 
 impl<L: HostedLeader, E: EffectRunner<L>> Driver<L, E> {
@@ -163,7 +174,7 @@
             for output in outputs.drain(..) {
                 self.carry_out(output)?;
             }
-            self.update_metrics();
+            self.update_metrics(now);
         }
         Ok(())
     }
@@ -244,6 +255,7 @@
         match output {
             HostOutput::Send { to, message } => self.peers.send(to, self.group, message),
             HostOutput::Write { token, batch } => {
+                self.note_appended(&batch);
                 // A writer that is gone has reported why.
                 let _ = self.writes.send(WriteJob { token, batch });
             }
@@ -290,13 +302,52 @@
         }
     }
 
-    fn update_metrics(&self) {
+    /// A leader's own entries are followed until they are committed.
+    fn note_appended(&mut self, batch: &WriteBatch) {
+        if self.host.is_leader()
+            && let Some(last) = batch.append.last()
+        {
+            self.commits.begin(last.index.0, self.clock.now());
+        }
+    }
+
+    fn update_metrics(&mut self, now: Instant) {
         let leader = self.host.leader().is_some();
         self.metrics
             .update(self.host.is_leader(), leader, self.host.term());
         let commit = self.host.commit_index();
         self.metrics
             .update_log(commit, self.host.applied_index(), self.waiting.len());
+        if self.host.is_leader() {
+            let delays = self.commits.end(commit.0, now);
+            self.metrics.on_committed(&delays);
+        } else {
+            self.commits = Delays::after(commit.0);
+        }
+        self.update_configuration(now);
+    }
+
+    fn update_configuration(&mut self, now: Instant) {
+        if now < self.next_progress {
+            return;
+        }
+        self.next_progress = now + PROGRESS_INTERVAL;
+        if !L::KNOWS_CONFIGURATION {
+            return;
+        }
+        let machine = self.host.leader_machine();
+        let progress = machine.and_then(|leader| leader.configuration_progress(self.host.state()));
+        self.metrics.on_configuration(progress.as_ref());
+        let Some(progress) = progress else {
+            self.revisions = None;
+            return;
+        };
+        // Revisions from before this leadership are not measured.
+        let newest = progress.committed.0;
+        let revisions = self.revisions.get_or_insert_with(|| Delays::after(newest));
+        revisions.begin(newest, now);
+        let delays = revisions.end(progress.everywhere.0, now);
+        self.metrics.on_in_force(&delays);
     }
 }
 
--- a/crates/wingshore-replica/src/group/kind.rs
+++ b/crates/wingshore-replica/src/group/kind.rs
@@ -1,6 +1,6 @@
 //! The kinds of groups, and how their requests and replies travel.
 
-use wingshore_control::ControlLeader;
+use wingshore_control::{ConfigurationProgress, ControlLeader};
 use wingshore_ledger::claims::ClaimsLeader;
 use wingshore_ledger::samples::LedgerLeader;
 use wingshore_types::machine::LeaderMachine;
@@ -14,9 +14,17 @@
     fn request_of(body: GroupRequest) -> Option<Self::Request>;
     /// The reply as it travels.
     fn reply_body(reply: Self::Reply) -> GroupReply;
+    /// Whether this kind knows how far the configuration has come.
+    const KNOWS_CONFIGURATION: bool = false;
+    /// How far the configuration has come, where this kind knows.
+    fn configuration_progress(&self, _state: &Self::State) -> Option<ConfigurationProgress> {
+        None
+    }
 }
 
 impl HostedLeader for ControlLeader {
+    const KNOWS_CONFIGURATION: bool = true;
+
     fn request_of(body: GroupRequest) -> Option<Self::Request> {
         match body {
             GroupRequest::Control(request) => Some(request),
@@ -27,6 +35,10 @@
     fn reply_body(reply: Self::Reply) -> GroupReply {
         GroupReply::Control(reply)
     }
+
+    fn configuration_progress(&self, state: &Self::State) -> Option<ConfigurationProgress> {
+        Some(self.progress(state))
+    }
 }
 
 impl HostedLeader for LedgerLeader {
--- a/crates/wingshore-replica/src/group/mod.rs
+++ b/crates/wingshore-replica/src/group/mod.rs
@@ -1,5 +1,6 @@
 //! One replicated group in this process: its threads and the way to them.
 
+mod delays;
 mod driver;
 mod kind;
 mod port;
--- a/crates/wingshore-replica/src/metrics.rs
+++ b/crates/wingshore-replica/src/metrics.rs
@@ -10,6 +10,8 @@
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use wingshore_control::ConfigurationProgress;
 use wingshore_transport::TrafficCollector;
 use wingshore_types::{GroupId, LogIndex};
 
@@ -20,6 +22,11 @@
 /// Buckets of the histogram; the last one ends at 3.3 s.
 const BUCKETS: u16 = 16;
 
+/// Shortest time until a revision is in force everywhere that is told apart, in seconds.
+const SHORTEST_IN_FORCE: f64 = 0.05;
+/// Buckets for it; the last one ends at 25.6 s.
+const IN_FORCE_BUCKETS: u16 = 10;
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct GroupLabel {
     group: String,
@@ -48,6 +55,17 @@
     requests_waiting: Gauges,
     leaderships: Family<GroupLabel, Counter>,
     write_seconds: Family<GroupLabel, Histogram, WriteBuckets>,
+    commit_seconds: Family<GroupLabel, Histogram, WriteBuckets>,
+    configuration: Arc<ConfigurationMetrics>,
+}
+
+/// How far the configuration has come, as the leader of the control group knows.
+struct ConfigurationMetrics {
+    committed_revision: Gauge,
+    in_force_revision: Gauge,
+    nodes: Gauge,
+    nodes_behind: Gauge,
+    in_force_seconds: Histogram,
 }
 
 /// Those of one group.
@@ -62,6 +80,8 @@
     pub(crate) leaderships: Counter,
     /// How long writes took until they were durable.
     pub(crate) write_seconds: Histogram,
+    commit_seconds: Histogram,
+    configuration: Arc<ConfigurationMetrics>,
     ready: AtomicBool,
 }
 
@@ -87,6 +107,10 @@
         let write_seconds = Family::new_with_constructor(WriteBuckets);
         let help = "Time until a write to the group's log was durable";
         registry.register_with_unit("write", help, Unit::Seconds, write_seconds.clone());
+        let commit_seconds = Family::new_with_constructor(WriteBuckets);
+        let help = "Time from a leader's append to the group's log until it was committed";
+        registry.register_with_unit("commit", help, Unit::Seconds, commit_seconds.clone());
+        let configuration = Arc::new(ConfigurationMetrics::registered(&mut registry));
         Self {
             registry,
             leading,
@@ -97,6 +121,8 @@
             requests_waiting,
             leaderships,
             write_seconds,
+            commit_seconds,
+            configuration,
         }
     }
 
@@ -114,6 +140,8 @@
             requests_waiting: self.requests_waiting.get_or_create_owned(&label),
             leaderships: self.leaderships.get_or_create_owned(&label),
             write_seconds: self.write_seconds.get_or_create_owned(&label),
+            commit_seconds: self.commit_seconds.get_or_create_owned(&label),
+            configuration: Arc::clone(&self.configuration),
             ready: AtomicBool::new(false),
         })
     }
@@ -129,7 +157,78 @@
     }
 }
 
+impl ConfigurationMetrics {
+    fn registered(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            committed_revision: Gauge::default(),
+            in_force_revision: Gauge::default(),
+            nodes: Gauge::default(),
+            nodes_behind: Gauge::default(),
+            in_force_seconds: Histogram::new(exponential_buckets(
+                SHORTEST_IN_FORCE,
+                BUCKET_FACTOR,
+                IN_FORCE_BUCKETS,
+            )),
+        };
+        let mut gauge = |name: &str, help: &str, gauge: &Gauge| {
+            registry.register(name, help, gauge.clone());
+        };
+        let help = "Newest committed revision of the configuration; 0 where this replica does not lead the control group, as for the next three";
+        gauge(
+            "configuration_committed_revision",
+            help,
+            &metrics.committed_revision,
+        );
+        let help = "Newest revision in force on every node";
+        gauge(
+            "configuration_in_force_revision",
+            help,
+            &metrics.in_force_revision,
+        );
+        let help = "Node processes that hold a configuration lease";
+        gauge("nodes", help, &metrics.nodes);
+        let help = "Those of them that have not acknowledged the newest revision";
+        gauge("nodes_behind", help, &metrics.nodes_behind);
+        let help = "Time from a committed revision until it was in force everywhere";
+        let histogram = metrics.in_force_seconds.clone();
+        registry.register_with_unit("configuration_in_force", help, Unit::Seconds, histogram);
+        metrics
+    }
+}
+
 impl GroupMetrics {
+    /// Notes how long entries took until they were committed.
+    pub(crate) fn on_committed(&self, delays: &[Duration]) {
+        for delay in delays {
+            self.commit_seconds.observe(delay.as_secs_f64());
+        }
+    }
+
+    /// Notes how far the configuration has come; `None` where this replica does not lead.
+    pub(crate) fn on_configuration(&self, progress: Option<&ConfigurationProgress>) {
+        let metrics = &self.configuration;
+        let gauge = |value: u64| saturate(value);
+        metrics
+            .committed_revision
+            .set(gauge(progress.map_or(0, |progress| progress.committed.0)));
+        metrics
+            .in_force_revision
+            .set(gauge(progress.map_or(0, |progress| progress.everywhere.0)));
+        metrics
+            .nodes
+            .set(gauge(progress.map_or(0, |progress| progress.nodes as u64)));
+        let behind = progress.map_or(0, |progress| progress.nodes_behind as u64);
+        metrics.nodes_behind.set(gauge(behind));
+    }
+
+    /// Notes how long revisions took until they were in force everywhere.
+    pub(crate) fn on_in_force(&self, delays: &[Duration]) {
+        for delay in delays {
+            let histogram = &self.configuration.in_force_seconds;
+            histogram.observe(delay.as_secs_f64());
+        }
+    }
+
     /// Sets what concerns leadership.
     pub(crate) fn update(&self, leading: bool, leader_known: bool, term: u64) {
         self.leading.set(i64::from(leading));
--- a/crates/wingshore-routing/src/router/report.rs
+++ b/crates/wingshore-routing/src/router/report.rs
@@ -18,6 +18,12 @@
         found
     }
 
+    /// Servers that are ejected as failing.
+    pub fn ejected(&self) -> usize {
+        let servers = self.fleet.servers.iter();
+        servers.filter(|server| server.outlier.is_ejected()).count()
+    }
+
     /// What is known of a server; `None` when the configuration does not have it.
     pub fn server_view(&self, now: Instant, id: &ServerId) -> Option<ServerView> {
         let server = self.fleet.server(self.fleet.server_index(id)?);
