--- a/crates/wingshore-node/tests/common/back_end.rs
+++ b/crates/wingshore-node/tests/common/back_end.rs
@@ -36,6 +36,16 @@
 pub struct BackEnd {
     address: SocketAddr,
     arrived: Arc<Mutex<Vec<Arrived>>>,
+    word: Arc<Mutex<Word>>,
+}
+
+/// What a back end answers to probes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    Staying,
+    Draining,
+    /// It closes without a word.
+    Nothing,
 }
 
 impl BackEnd {
@@ -47,13 +57,25 @@
         let arrived = Arc::new(Mutex::new(Vec::new()));
         let script: Arc<Script> = Arc::new(script);
         let log = Arc::clone(&arrived);
+        let word = Arc::new(Mutex::new(Word::Staying));
+        let own_word = Arc::clone(&word);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (script, log) = (Arc::clone(&script), Arc::clone(&log));
-                thread::spawn(move || serve(stream, script.as_ref(), &log));
+                let word = *own_word.lock().unwrap();
+                thread::spawn(move || serve(stream, script.as_ref(), &log, word));
             }
         });
-        Self { address, arrived }
+        Self {
+            address,
+            arrived,
+            word,
+        }
+    }
+
+    /// From now on probes are answered by this word.
+    pub fn say(&self, word: Word) {
+        *self.word.lock().unwrap() = word;
     }
 
     /// Answers everything with 200 and `body`.
@@ -112,13 +134,15 @@
     write(stream, b"0\r\n\r\n");
 }
 
-fn serve(mut stream: TcpStream, script: &Script, log: &Mutex<Vec<Arrived>>) {
+fn serve(mut stream: TcpStream, script: &Script, log: &Mutex<Vec<Arrived>>, word: Word) {
     let Some(arrived) = read_request(&stream) else {
         return;
     };
     if arrived.is_probe() {
-        let body = probe_answer(&arrived.target);
-        write_whole(&mut stream, 200, "", body.as_bytes());
+        if word != Word::Nothing {
+            let body = probe_answer(&arrived.target, word == Word::Draining);
+            write_whole(&mut stream, 200, "", body.as_bytes());
+        }
     } else {
         log.lock().unwrap().push(arrived.clone());
         script(&arrived, &mut stream);
@@ -126,11 +150,11 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
-fn probe_answer(target: &str) -> String {
+fn probe_answer(target: &str, is_draining: bool) -> String {
     if target.starts_with("/state") {
         return serde_json::json!({
             "boot_id": 1, "role": "rollout", "models": ["fare-explainer"], "weight_version": 1,
-            "loading": null, "last_order": null, "draining": false, "in_flight": 0, "queue": 0,
+            "loading": null, "last_order": null, "draining": is_draining, "in_flight": 0, "queue": 0,
             "kv_free": 1000
         })
         .to_string();
--- /dev/null
+++ b/crates/wingshore-node/tests/outages.rs
@@ -0,0 +1,193 @@
+//! When back ends fail, all of them or one that leaves, and when an owner of a key falls silent.
+
+mod common;
+
+use common::back_end::{
+    Arrived, BackEnd, Word, write_end, write_event, write_stream_head, write_whole,
+};
+use common::caller::{get, post};
+use common::{LIVE, MODEL, TestNode, engine_site, live_site, wait_until};
+use googletest::prelude::*;
+use serde_json::json;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use wingshore_types::ServerId;
+use wingshore_types::configuration::{Admission, ConfigurationChange};
+
+/// Requests of the outage.
+const REQUESTS: usize = 500;
+/// What the router's budget allows besides its share: saved up, and per second.
+const BURST: f64 = 20.0;
+const PER_SECOND: f64 = 5.0;
+/// Longer than a test waits for one answer: a request held back to it fails the test.
+const FAR_DEADLINE: &str = "X-Wingshore-Deadline-Ms: 600000\r\n";
+
+#[gtest]
+fn an_outage_is_not_multiplied_and_its_requests_are_answered_at_once() {
+    let is_down = Arc::new(AtomicBool::new(true));
+    let servers = [0, 1, 2].map(|_| {
+        let is_down = Arc::clone(&is_down);
+        BackEnd::start(move |_, stream| {
+            if !is_down.load(Ordering::SeqCst) {
+                write_whole(stream, 200, "", b"card");
+            }
+        })
+    });
+    let groups = live_site(&[&servers[0], &servers[1], &servers[2]]);
+    let node = TestNode::start(&groups, "node-a", "routing = { retry_budget = 100 }");
+    let target = format!("/{LIVE}/cards/1");
+    let look_up = || get_with(&node, &target, FAR_DEADLINE);
+    let begun = Instant::now();
+    for _ in 0..REQUESTS {
+        let answer = look_up();
+        expect_that!(answer.error().1, any!(eq("not_run"), eq("may_have_run")));
+        expect_that!(answer.header("retry-after"), some(anything()));
+    }
+    let attempts: usize = servers.iter().map(BackEnd::count).sum();
+    let first = REQUESTS as f64;
+    let allowed = first * 1.1 + BURST + PER_SECOND * (begun.elapsed().as_secs_f64() + 1.0);
+    expect_that!(attempts as f64, le(allowed));
+    expect_that!(attempts, gt(REQUESTS / 2), "the floor keeps servers in use");
+    is_down.store(false, Ordering::SeqCst);
+    wait_until("requests are answered again", || look_up().status == 200);
+    node.finish();
+}
+
+fn get_with(node: &TestNode, target: &str, headers: &str) -> common::caller::Answer {
+    let request = format!("GET {target} HTTP/1.1\r\nHost: node\r\n{headers}\r\n");
+    common::caller::exchange(node.address(), request.as_bytes())
+}
+
+fn engine(arrived: &Arrived, stream: &mut TcpStream) {
+    if arrived.target != "/v1/completions" {
+        return write_whole(stream, 200, "", b"{}");
+    }
+    write_stream_head(stream);
+    write_event(stream, r#"{"tokens":[7],"weight_version":1}"#);
+    write_event(
+        stream,
+        r#"{"finish_reason":"length","usage":{"prompt_tokens":1,"completion_tokens":1}}"#,
+    );
+    write_end(stream);
+}
+
+/// Who says that an engine leaves, or that it stays.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Source {
+    Configuration,
+    MachineList,
+    OwnWord,
+    HealthCheck,
+}
+
+/// Any one of the sources stops new work, and the others' word that it stays does not outweigh it.
+#[gtest]
+fn an_engine_that_any_source_calls_leaving_gets_nothing_new() {
+    use Source::{Configuration, HealthCheck, MachineList, OwnWord};
+    for source in [Configuration, MachineList, OwnWord, HealthCheck] {
+        let engines = [BackEnd::start(engine), BackEnd::start(engine)];
+        let groups = engine_site(&[&engines[0], &engines[1]]);
+        let listed = Arc::new(Mutex::new(None));
+        let list = machine_list(engines.each_ref().map(BackEnd::address), &listed);
+        let more = format!(
+            "machine_list = \"{}\"\nmachine_list_poll = \"100ms\"\n\
+             routing = {{ probe_interval = \"50ms\" }}",
+            list.address()
+        );
+        let node = TestNode::start(&groups, "node-a", &more);
+        let prompts = AtomicU32::new(1);
+        let ask = || {
+            // Equal prompts would go to the engine that has them in its cache.
+            let prompt = [prompts.fetch_add(1, Ordering::SeqCst)];
+            let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": 1 }).to_string();
+            post(node.address(), "/v1/completions", "", &body).status
+        };
+        wait_until("an engine serves", || ask() == 200);
+        let number = usize::from(engines[0].count() == 0);
+        let leaving = &engines[number];
+        match source {
+            Configuration => groups.commit(ConfigurationChange::SetAdmission {
+                server: ServerId::new(&format!("lm-{number}")),
+                admission: Admission::Draining,
+            }),
+            MachineList => *listed.lock().expect("not poisoned") = Some(number),
+            OwnWord => leaving.say(Word::Draining),
+            HealthCheck => leaving.say(Word::Nothing),
+        }
+        wait_until("the engine gets nothing new", || {
+            let before = leaving.count();
+            (0..10).all(|_| ask() == 200) && leaving.count() == before
+        });
+        let before = leaving.count();
+        for _ in 0..30 {
+            expect_that!(ask(), eq(200), "{source:?}");
+        }
+        expect_that!(leaving.count(), eq(before), "{source:?}");
+        node.finish();
+    }
+}
+
+/// A machine list on which the machine of one engine may be leaving.
+fn machine_list(engines: [SocketAddr; 2], leaving: &Arc<Mutex<Option<usize>>>) -> BackEnd {
+    let leaving = Arc::clone(leaving);
+    BackEnd::start(move |_, stream| {
+        let leaving = *leaving.lock().expect("not poisoned");
+        let machine = |number: usize| {
+            let state = if leaving == Some(number) {
+                "leaving"
+            } else {
+                "live"
+            };
+            json!({
+                "id": format!("lm-{number}"), "address": engines[number], "zone": "regina-hall",
+                "services": ["fare-lm"], "state": state,
+            })
+        };
+        let as_of = 1 + u64::from(leaving.is_some());
+        let list = json!({ "as_of": as_of, "machines": [machine(0), machine(1)] });
+        write_whole(stream, 200, "", list.to_string().as_bytes());
+    })
+}
+
+/// The owner of a key falls silent with its request in flight: neither its restarted self nor
+/// another node sends the request again.
+#[gtest]
+fn a_key_whose_owner_fell_silent_ends_in_may_have_run_everywhere() {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = Arc::clone(&release);
+    let server = BackEnd::start(move |_, stream| {
+        while !held.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        write_whole(stream, 200, "", b"charged once");
+    });
+    let groups = live_site(&[&server]);
+    let owner = TestNode::start(&groups, "node-a", "");
+    let target = format!("/{LIVE}/charges");
+    let headers = format!("Idempotency-Key: ride-9\r\n{FAR_DEADLINE}");
+    let silent = owner.address();
+    let first = {
+        let (target, headers) = (target.clone(), headers.clone());
+        thread::spawn(move || post(silent, &target, &headers, "x"))
+    };
+    wait_until("the charge has left", || server.count() == 1);
+    for name in ["node-a", "node-b"] {
+        let other = TestNode::start(&groups, name, "");
+        for _ in 0..5 {
+            let answer = post(other.address(), &target, &headers, "x");
+            expect_that!(answer.status, eq(409));
+            let expected = ("key_taken".to_owned(), "may_have_run".to_owned());
+            expect_that!(answer.error(), eq(&expected));
+            expect_that!(answer.header("retry-after"), some(anything()));
+        }
+        other.finish();
+    }
+    expect_that!(server.count(), eq(1));
+    release.store(true, Ordering::SeqCst);
+    expect_that!(first.join().expect("the caller ends").status, eq(200));
+    expect_that!(get(silent, "/healthz").status, eq(200));
+    owner.finish();
+}
