ledger, node: a batch larger than one answer is read in parts

Ruled out: a larger frame: it would hold up heartbeats' neighbours longer and double the memory of both sides. Change: the hand-over is recorded whole, as before; a pull answers its first part of about 8 MiB, and the node reads the rest by BatchPart from what was recorded, so a pull that fails in between may be repeated and gives the same batch. A batch may take 128 MiB, twice the planned size.

--- a/crates/wingshore-ledger/src/samples/pulls.rs
+++ b/crates/wingshore-ledger/src/samples/pulls.rs
@@ -1,15 +1,18 @@
 //! Hand-over to the trainer and its acknowledgement.
 
 use super::pool::{PoolLedger, invalid};
-use super::stage::{OpenSample, QueueKey, Stage};
+use super::stage::{OpenSample, QueueKey, Stage, encoded_bytes};
 use serde::{Deserialize, Serialize};
 use wingshore_types::protocol::ledger::{Batch, LedgerRefusal, LedgerReply, PullRequest};
 use wingshore_types::{Sample, StepId, TrainerId, WeightVersion};
 
 /// Most steps that are handed over and not acknowledged: the one in training and one prefetched.
 pub(crate) const MAX_OPEN_STEPS: usize = 2;
-/// Most bytes of a batch: it is one answer, which must fit one frame between processes.
-pub(crate) const MAX_BATCH_BYTES: usize = 60 << 20;
+/// Most bytes of a batch: it is held in memory, and in snapshots, until it is acknowledged.
+pub(crate) const MAX_BATCH_BYTES: usize = 128 << 20;
+/// A part of a batch takes no further sample beyond this many bytes, so that it fits a frame
+/// between processes and holds up other answers on its connection only briefly.
+pub(crate) const PART_BYTES: usize = 8 << 20;
 /// When to come back after a pull that found too few samples, in milliseconds.
 pub(crate) const NOT_READY_RETRY_AFTER_MS: u64 = 100;
 
@@ -69,6 +72,31 @@
             .map(|hand_over| &hand_over.batch)
     }
 
+    /// The part of a handed-over batch that begins with sample `from`.
+    ///
+    /// # Errors
+    /// When the step is not handed over to this trainer at the moment, or has no such sample.
+    pub(super) fn batch_part(
+        &self,
+        trainer: &TrainerId,
+        step: StepId,
+        from: u32,
+    ) -> Result<Batch, LedgerRefusal> {
+        self.check_trainer(trainer)?;
+        let Some(batch) = self.recorded(step) else {
+            return Err(wrong_step(format!(
+                "step {step} is not handed over, or was acknowledged already"
+            )));
+        };
+        if from >= batch.total {
+            return Err(invalid(format!(
+                "from is {from}; step {step} has {} samples, counted from 0",
+                batch.total
+            )));
+        }
+        Ok(part_of(batch, from as usize))
+    }
+
     /// Records a hand-over, unless it is recorded already. The batch itself is not part of the
     /// reply: the leader reads it from the state, and followers need no copy.
     pub(super) fn hand_over(&mut self, pull: &PullRequest) -> LedgerReply {
@@ -203,6 +231,7 @@
         Batch {
             step: pull.step,
             weight_version: self.version_checked(pull),
+            total: samples.len() as u32,
             samples,
         }
     }
@@ -240,6 +269,22 @@
     }
 }
 
+/// The part of a batch that begins with sample `from`; one sample at least, where there is one.
+pub(super) fn part_of(batch: &Batch, from: usize) -> Batch {
+    let mut bytes = 0;
+    let samples = batch.samples.iter().skip(from).take_while(|sample| {
+        let has_room = bytes < PART_BYTES;
+        bytes += encoded_bytes(&sample.prompt, &sample.generation);
+        has_room
+    });
+    Batch {
+        step: batch.step,
+        weight_version: batch.weight_version,
+        total: batch.total,
+        samples: samples.cloned().collect(),
+    }
+}
+
 /// The refusal of a pull that found too few samples.
 pub(crate) fn not_ready(ready: u32) -> LedgerRefusal {
     LedgerRefusal::NotReady {
--- a/crates/wingshore-ledger/src/samples/requests.rs
+++ b/crates/wingshore-ledger/src/samples/requests.rs
@@ -18,6 +18,7 @@
         | LedgerRequest::Unscored { pool, .. }
         | LedgerRequest::Score { pool, .. }
         | LedgerRequest::Pull { pool, .. }
+        | LedgerRequest::BatchPart { pool, .. }
         | LedgerRequest::Acknowledge { pool, .. }
         | LedgerRequest::Counts { pool } => pool,
     }
@@ -37,6 +38,15 @@
         LedgerRequest::Score { sample, lease, .. } => {
             (!pool.awaits_score(*sample, *lease)).then_some(LedgerReply::First(false))
         }
+        LedgerRequest::BatchPart {
+            trainer,
+            step,
+            from,
+            ..
+        } => Some(match pool.batch_part(trainer, *step, *from) {
+            Ok(part) => LedgerReply::Batch(Box::new(part)),
+            Err(refusal) => LedgerReply::Refused(refusal),
+        }),
         LedgerRequest::Acknowledge { trainer, step, .. } => {
             let repeated = pool.is_acknowledged(*step) && *trainer == pool.settings().trainer;
             repeated.then_some(LedgerReply::Done)
@@ -104,6 +114,7 @@
         | LedgerRequest::Renew { .. }
         | LedgerRequest::Unscored { .. }
         | LedgerRequest::Pull { .. }
+        | LedgerRequest::BatchPart { .. }
         | LedgerRequest::Counts { .. } => return None,
     };
     Some(operation)
--- a/crates/wingshore-ledger/src/samples/stage.rs
+++ b/crates/wingshore-ledger/src/samples/stage.rs
@@ -93,15 +93,19 @@
 
     /// About the bytes it takes in a batch; not fewer.
     pub(crate) fn encoded_bytes(&self) -> usize {
-        const FIXED: usize = 64;
-        const PER_SEGMENT: usize = 20;
-        let generation = self.stage.generation();
-        let tokens = self.prompt.tokens.iter().chain(&generation.tokens);
-        let tokens: usize = tokens.map(|token| encoded_token_bytes(*token)).sum();
-        FIXED + PER_SEGMENT * generation.segments.len() + tokens
+        encoded_bytes(&self.prompt.tokens, self.stage.generation())
     }
 }
 
+/// About the bytes that a sample takes in a batch; not fewer.
+pub(crate) fn encoded_bytes(prompt: &[Token], generation: &Generation) -> usize {
+    const FIXED: usize = 64;
+    const PER_SEGMENT: usize = 20;
+    let tokens = prompt.iter().chain(&generation.tokens);
+    let tokens: usize = tokens.map(|token| encoded_token_bytes(*token)).sum();
+    FIXED + PER_SEGMENT * generation.segments.len() + tokens
+}
+
 /// Length of a token as a variable-length integer of seven bits a byte.
 fn encoded_token_bytes(token: Token) -> usize {
     const BITS_PER_BYTE: u32 = 7;
--- a/crates/wingshore-ledger/src/samples/waiting_pulls.rs
+++ b/crates/wingshore-ledger/src/samples/waiting_pulls.rs
@@ -3,11 +3,11 @@
 use super::command::Operation;
 use super::leader::{LedgerLeader, Outputs, Waiting, refuse, reply};
 use super::pool::PoolLedger;
-use super::pulls::{PullStanding, not_ready};
+use super::pulls::{PullStanding, not_ready, part_of};
 use super::state::LedgerState;
 use std::time::Duration;
 use wingshore_types::machine::RequestTag;
-use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply, PullRequest};
+use wingshore_types::protocol::ledger::{Batch, LedgerRefusal, LedgerReply, PullRequest};
 use wingshore_types::{Instant, PoolId, StepId};
 
 /// Longest time a pull waits, whatever it asks for.
@@ -72,16 +72,15 @@
             Ok(PullStanding::Recorded(_)) if self.faults.forget_handover => {
                 Some(self.answer_anew(waiting, pool, out))
             }
-            Ok(PullStanding::Recorded(batch)) => Some(LedgerReply::Batch(Box::new(batch.clone()))),
+            Ok(PullStanding::Recorded(batch)) => Some(first_part(batch)),
             Ok(PullStanding::NewerVersion) => {
                 self.observe(waiting, out);
                 None
             }
             Ok(PullStanding::Ready) => {
                 self.propose_hand_over(waiting, out);
-                let batch = || Box::new(pool.preview(&waiting.pull));
                 let early = self.faults.answer_before_commit;
-                early.then(|| LedgerReply::Batch(batch()))
+                early.then(|| first_part(&pool.preview(&waiting.pull)))
             }
             Ok(PullStanding::Waiting { ready }) if now >= waiting.deadline => {
                 Some(LedgerReply::Refused(not_ready(ready)))
@@ -124,7 +123,7 @@
         out: &mut Outputs,
     ) -> LedgerReply {
         self.propose_hand_over(waiting, out);
-        LedgerReply::Batch(Box::new(pool.preview(&waiting.pull)))
+        first_part(&pool.preview(&waiting.pull))
     }
 
     /// Answers the pulls of a step whose hand-over was refused, unless waiting may help.
@@ -145,3 +144,7 @@
         }
     }
 }
+
+fn first_part(batch: &Batch) -> LedgerReply {
+    LedgerReply::Batch(Box::new(part_of(batch, 0)))
+}
--- a/crates/wingshore-node/src/serve/trainer.rs
+++ b/crates/wingshore-node/src/serve/trainer.rs
@@ -21,7 +21,7 @@
 };
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
 use wingshore_types::{
-    GroupId, IntentId, PoolId, Revision, Sample, StepId, Verdict, WeightVersion,
+    GroupId, IntentId, PoolId, Revision, Sample, StepId, TrainerId, Verdict, WeightVersion,
 };
 
 /// Label of a trainer's requests in metrics.
@@ -32,6 +32,8 @@
 const MAX_PULL_WAIT: Duration = Duration::from_secs(600);
 /// Time for a pull beyond the wait it asks for.
 const PULL_MARGIN: Duration = Duration::from_secs(5);
+/// Time for the further parts of a large batch, when the caller states no deadline.
+const PARTS_TIME: Duration = Duration::from_secs(30);
 /// When to ask again after a group did not answer.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -107,6 +109,7 @@
         let body: PullBody = parse(&intake.body)?;
         let began = Instant::now();
         let wait = Duration::from_millis(body.wait_ms).min(MAX_PULL_WAIT);
+        let trainer = body.trainer.clone();
         let request = LedgerRequest::Pull {
             pool: pool.clone(),
             pull: PullRequest {
@@ -117,16 +120,46 @@
                 wait_ms: wait.as_millis() as u64,
             },
         };
+        let give_up_at = began + intake.deadline(wait + PULL_MARGIN + PARTS_TIME);
         match self.ask_ledger(pool, request, intake.deadline(wait + PULL_MARGIN))? {
-            LedgerReply::Batch(batch) => {
+            LedgerReply::Batch(first) => {
+                let batch = self.whole_batch(pool, &trainer, *first, give_up_at)?;
                 self.check_batch(pool, &batch)?;
                 self.node.metrics.on_delivered(&batch, began.elapsed());
-                Ok(EdgeAnswer::json(200, &batch_body(*batch)))
+                Ok(EdgeAnswer::json(200, &batch_body(batch)))
             }
             other => Err(unexpected(&other)),
         }
     }
 
+    /// Fetches what a large batch has beside its first part. Each part is read from what was
+    /// recorded at the hand-over, so a pull that fails in between may be repeated.
+    fn whole_batch(
+        self,
+        pool: &PoolId,
+        trainer: &TrainerId,
+        first: Batch,
+        give_up_at: Instant,
+    ) -> Result<Batch, EdgeError> {
+        let mut batch = first;
+        while batch.samples.len() < batch.total as usize {
+            let request = LedgerRequest::BatchPart {
+                pool: pool.clone(),
+                trainer: trainer.clone(),
+                step: batch.step,
+                from: batch.samples.len() as u32,
+            };
+            let left = give_up_at.saturating_duration_since(Instant::now());
+            match self.ask_ledger(pool, request, left)? {
+                LedgerReply::Batch(part) if !part.samples.is_empty() => {
+                    batch.samples.extend(part.samples);
+                }
+                other => return Err(unexpected(&other)),
+            }
+        }
+        Ok(batch)
+    }
+
     fn acknowledge(
         self,
         intake: &Intake,
--- a/crates/wingshore-node/tests/trainer.rs
+++ b/crates/wingshore-node/tests/trainer.rs
@@ -39,6 +39,7 @@
     LedgerReply::Batch(Box::new(Batch {
         step: StepId(3),
         weight_version: WeightVersion(2),
+        total: 1,
         samples: vec![Sample {
             number: SampleNumber(7),
             prompt: vec![1, 2],
@@ -190,6 +191,41 @@
     node.finish();
 }
 
+/// A part of a batch of three samples: those that begin with `from`, two at most.
+fn part(from: u32) -> LedgerReply {
+    let samples = (from..3).take(2).map(|number| Sample {
+        number: SampleNumber(u64::from(number)),
+        prompt: vec![1, 2],
+        generation: generation(2),
+        score: 0.5,
+    });
+    LedgerReply::Batch(Box::new(Batch {
+        step: StepId(3),
+        weight_version: WeightVersion(2),
+        total: 3,
+        samples: samples.collect(),
+    }))
+}
+
+#[gtest]
+fn a_batch_in_parts_reaches_the_trainer_whole() {
+    let engine = BackEnd::start(idle_engine);
+    let groups = engine_site(&[&engine]);
+    groups.script_ledger(|request| match request {
+        LedgerRequest::Pull { .. } => part(0),
+        LedgerRequest::BatchPart { from, .. } => part(from),
+        _ => LedgerReply::Done,
+    });
+    let node = TestNode::start(&groups, "node-a", "");
+    let pull = r#"{"trainer":"trainer-1","weight_version":2,"count":3,"wait_ms":0}"#;
+    let answer = post(node.address(), &path("steps/3/pull"), "", pull);
+    let body: Value = serde_json::from_str(&answer.text()).expect("a batch");
+    let samples = body["samples"].as_array().expect("samples");
+    let numbers: Vec<&Value> = samples.iter().map(|sample| &sample["number"]).collect();
+    expect_that!(numbers, eq(&vec![&json!(0), &json!(1), &json!(2)]));
+    node.finish();
+}
+
 /// A ledger with one sample to generate and to score.
 #[derive(Default)]
 struct OneSampleLedger {
--- a/crates/wingshore-types/src/protocol/ledger.rs
+++ b/crates/wingshore-types/src/protocol/ledger.rs
@@ -36,14 +36,17 @@
     pub wait_ms: u64,
 }
 
-/// A handed-over batch; a repeated pull of the same step gets the same one.
+/// A handed-over batch, or a part of one that is too large for one answer. A repeated pull of the
+/// same step gets the same one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
     /// The step.
     pub step: StepId,
     /// The trainer's version that staleness was checked against.
     pub weight_version: WeightVersion,
-    /// The samples, in order.
+    /// Samples in the whole batch.
+    pub total: u32,
+    /// The samples of this part, in order.
     pub samples: Vec<Sample>,
 }
 
@@ -157,6 +160,17 @@
         /// What is asked.
         pull: PullRequest,
     },
+    /// Asks for a further part of a batch that was handed over.
+    BatchPart {
+        /// Which pool.
+        pool: PoolId,
+        /// Who asks.
+        trainer: TrainerId,
+        /// Which step.
+        step: StepId,
+        /// The part's first sample, counted from 0 in the whole batch.
+        from: u32,
+    },
     /// The trainer has the batch safe: it is freed.
     Acknowledge {
         /// Which pool.
@@ -241,7 +255,7 @@
     First(bool),
     /// To a question for unscored samples.
     Unscored(Vec<UnscoredSample>),
-    /// To a pull.
+    /// To a pull: the batch's first part, which mostly is all of it; to a further part.
     Batch(Box<Batch>),
     /// Counts.
     Counts(LedgerCounts),
