--- a/crates/wingshore-group/src/applying.rs
+++ b/crates/wingshore-group/src/applying.rs
@@ -65,6 +65,7 @@
         })?;
         (self.machines.prepare)(&mut self.state);
         self.applied_bytes = 0;
+        self.snapshot_bytes = state.len() as u64;
         Ok(())
     }
 }
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -14,6 +14,9 @@
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
+/// Snapshots cost about so many bytes of writing for each byte of log, however large the state.
+const SNAPSHOT_BYTES_PER_LOG_BYTE: u64 = 2;
+
 /// One replicated group on one replica: its log, its state and, while it leads, its leader
 /// machine.
 ///
@@ -39,6 +42,8 @@
     snapshot_every_bytes: u64,
     pub(crate) applied_bytes: u64,
     pub(crate) machines: MachineFactory<L>,
+    /// Size of the newest snapshot.
+    pub(crate) snapshot_bytes: u64,
     has_failed: bool,
 }
 
@@ -98,6 +103,7 @@
             snapshot_every_bytes: config.snapshot_every_bytes,
             applied_bytes: 0,
             machines,
+            snapshot_bytes: 0,
             has_failed: false,
         };
         for output in outputs {
@@ -220,13 +226,22 @@
     }
 
     fn take_snapshot_when_due(&mut self) -> Result<(), HostError> {
-        if self.applied_bytes >= self.snapshot_every_bytes && self.raft.can_compact() {
+        if self.applied_bytes >= self.snapshot_interval() && self.raft.can_compact() {
+            let snapshot = self.state.snapshot();
             self.applied_bytes = 0;
-            self.raft.compact(self.state.snapshot())?;
+            self.snapshot_bytes = snapshot.len() as u64;
+            self.raft.compact(snapshot)?;
         }
         Ok(())
     }
 
+    /// Bytes of log from one snapshot to the next. They grow with the state, so that what is
+    /// written for snapshots stays in proportion to the log.
+    fn snapshot_interval(&self) -> u64 {
+        let share = self.snapshot_bytes / SNAPSHOT_BYTES_PER_LOG_BYTE;
+        self.snapshot_every_bytes.max(share)
+    }
+
     fn stop_on_error(&mut self, result: Result<(), HostError>, out: &mut Vec<HostOutput<L>>) {
         if let Err(error) = result {
             self.has_failed = true;
--- a/crates/wingshore-group/src/interface.rs
+++ b/crates/wingshore-group/src/interface.rs
@@ -20,7 +20,8 @@
     pub timing: Timing,
     /// Limits of messages between members.
     pub limits: Limits,
-    /// A snapshot is taken when this many bytes of log were applied since the last one.
+    /// A snapshot is taken when this many bytes of log were applied since the last one, or half
+    /// as many as that one has, whichever is more.
     pub snapshot_every_bytes: u64,
     /// Deliberate faults; all off outside tests.
     pub faults: Faults,
--- a/crates/wingshore-group/tests/members.rs
+++ b/crates/wingshore-group/tests/members.rs
@@ -260,6 +260,20 @@
     Ok(())
 }
 
+/// A state that only grows: each byte of log costs a few bytes of snapshots, not ever more.
+#[gtest]
+fn snapshots_cost_in_proportion_to_the_log() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(1);
+    cluster.add_numbers(leader, (0..4_000).map(|number| u64::MAX - number));
+    let replica = cluster.replica(leader);
+    println!(
+        "{} of log, {} of snapshots",
+        replica.log_bytes, replica.snapshot_bytes
+    );
+    verify_that!(replica.snapshot_bytes, gt(replica.log_bytes / 10))?;
+    verify_that!(replica.snapshot_bytes, lt(replica.log_bytes * 3))
+}
+
 #[gtest]
 fn an_unknown_command_stops_the_host() -> Result<()> {
     let (mut cluster, _) = Cluster::led(1);
--- a/crates/wingshore-group/tests/support/cluster.rs
+++ b/crates/wingshore-group/tests/support/cluster.rs
@@ -16,6 +16,9 @@
 /// Time between two looks at the clocks.
 const QUANTUM: Duration = Duration::from_millis(5);
 
+/// Bytes that an entry takes beside its data, on disk and in limits.
+const ENTRY_HEADER_BYTES: usize = 16;
+
 /// A host of the test machine.
 pub type TestHost = Host<NumbersLeader>;
 /// An answer of the test machine's host.
@@ -34,9 +37,24 @@
     pub failure: Option<String>,
     /// Records of each write.
     pub writes: Vec<usize>,
+    /// Bytes of entries written.
+    pub log_bytes: usize,
+    /// Bytes of snapshots written.
+    pub snapshot_bytes: usize,
     incarnation: u64,
 }
 
+impl Replica {
+    fn note_write(&mut self, batch: &WriteBatch) {
+        self.writes.push(batch.append.len());
+        let entries = batch.append.iter();
+        let entries = entries.map(|record| ENTRY_HEADER_BYTES + record.data.len());
+        self.log_bytes += entries.sum::<usize>();
+        let snapshot = batch.snapshot.as_ref();
+        self.snapshot_bytes += snapshot.map_or(0, |snapshot| snapshot.data.len());
+    }
+}
+
 /// Something that happens later.
 enum Event {
     Deliver {
@@ -109,6 +127,8 @@
             has_stopped: false,
             failure: None,
             writes: Vec::new(),
+            log_bytes: 0,
+            snapshot_bytes: 0,
             incarnation: 0,
         };
         self.replicas.insert(id, replica);
@@ -311,7 +331,7 @@
             HostOutput::Write { token, batch } => {
                 let replica = self.replica(id.0);
                 assert!(replica.underway.is_none(), "one write at a time");
-                replica.writes.push(batch.append.len());
+                replica.note_write(&batch);
                 replica.underway = Some((token, batch));
                 let incarnation = replica.incarnation;
                 let event = Event::Durable {
