lab: a trainer that has trained a step acknowledges it after a restart, and does not pull it

After the restart the trainer pulled the step once more, was refused for good (wrong_step, as the API says for acknowledged steps) and never went on. Ruled out: a lost batch; the trainer had noted the step as trained before it acknowledged. Change: stand-in and simulated trainer skip the pull of a step noted as trained. A stop waits for all that was submitted in any boot, not only in the last one.

--- a/crates/wingshore-lab/src/sim/processes/trainer.rs
+++ b/crates/wingshore-lab/src/sim/processes/trainer.rs
@@ -116,6 +116,11 @@
         self.disk.borrow().next_step
     }
 
+    fn submitted_ever(&self) -> StepId {
+        let batch = self.settings.training.batch;
+        self.disk.borrow().submitted_through(batch)
+    }
+
     fn note(&self, event: Event, out: &mut Vec<ProcessOutput>) {
         self.disk.borrow_mut().follow(&event);
         record(event, out);
@@ -127,9 +132,12 @@
         let wanted = step.0 + self.settings.training.steps_ahead;
         self.activity = if !self.is_stopping && self.submitted_through.0 <= wanted {
             Activity::Submit(self.submitted_through)
-        } else if self.is_stopping && step >= self.submitted_through {
+        } else if self.is_stopping && step >= self.submitted_ever() {
             out.push(ProcessOutput::Exit);
             Activity::Over
+        } else if self.disk.borrow().trained == Some(step) {
+            // It may have been acknowledged already, with the answer lost.
+            return self.publish(now, out);
         } else {
             Activity::Pull { began: now }
         };
@@ -258,9 +266,6 @@
             samples: batch.samples.iter().map(|s| self.delivered(s)).collect(),
         };
         self.note(event, out);
-        if self.disk.borrow().trained == Some(step) {
-            return self.publish(now, out);
-        }
         self.activity = Activity::Train { began: now };
         let step_time = self.settings.training.step_time;
         self.timers.set(now + step_time, Later::Trained);
--- a/crates/wingshore-lab/src/stand_ins/trainer/mod.rs
+++ b/crates/wingshore-lab/src/stand_ins/trainer/mod.rs
@@ -61,11 +61,12 @@
             let step = self.progress.next_step;
             if !self.service.is_stopping() {
                 self.submit_ahead(step)?;
-            } else if step >= self.submitted_through {
+            } else if step >= self.progress.submitted_through(self.settings.training.batch) {
                 return Ok(());
             }
-            self.pull(step)?;
+            // A step that was trained may have been acknowledged already, with the answer lost.
             if self.progress.trained != Some(step) {
+                self.pull(step)?;
                 self.train_step(step);
             }
             self.publish_after(step)?;
--- a/crates/wingshore-lab/src/stand_ins/trainer/progress.rs
+++ b/crates/wingshore-lab/src/stand_ins/trainer/progress.rs
@@ -13,8 +13,10 @@
     pub version: WeightVersion,
     /// Batches received and not yet acknowledged: the hash of each answer.
     pub open_batches: BTreeMap<StepId, u64>,
-    /// Steps trained and not yet acknowledged: they are not trained twice.
+    /// The last step trained; until it is acknowledged it is neither pulled nor trained again.
     pub trained: Option<StepId>,
+    /// Samples submitted so far: the numbers below.
+    pub submitted: u64,
 }
 
 impl Progress {
@@ -27,6 +29,11 @@
         progress
     }
 
+    /// The first step whose samples were not all submitted.
+    pub fn submitted_through(&self, batch: u32) -> StepId {
+        StepId(self.submitted / u64::from(batch.max(1)))
+    }
+
     /// Takes one event into account.
     pub fn follow(&mut self, event: &Event) {
         match event {
@@ -35,6 +42,10 @@
             } => {
                 self.open_batches.entry(*step).or_insert(*body_hash);
             }
+            Event::Submitted { samples, .. } => {
+                let end = samples.iter().map(|number| number.0 + 1).max();
+                self.submitted = self.submitted.max(end.unwrap_or(0));
+            }
             Event::Trained { step, .. } => self.trained = Some(*step),
             Event::Published { version } => self.version = *version,
             Event::Acknowledged { step } => {
