--- /dev/null
+++ b/crates/wingshore-lab/src/sim/data_layout.rs
@@ -0,0 +1,347 @@
+//! Plain parameters of a [`super::data_site::DataSite`], and the settings that its processes get.
+
+use super::observer::ObserverHandle;
+use super::processes::live_caller::SimLiveCallerSettings;
+use super::processes::node::SimNodeSettings;
+use super::processes::trainer::SimTrainerSettings;
+use super::replica::{ReplicaFaults, ReplicaSettings};
+use crate::stand_ins::engine::EngineSettings;
+use crate::stand_ins::engine::length::LengthDistribution;
+use crate::stand_ins::live_caller::settings::LoadSettings;
+use crate::stand_ins::live_server::LiveServerSettings;
+use crate::stand_ins::machine_list::MachineListSettings;
+use crate::stand_ins::scorer::ScorerSettings;
+use crate::stand_ins::trainer::settings::TrainingSettings;
+use crate::stand_ins::weight_store::WeightStoreSettings;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use wingshore_control::LeaderSettings;
+use wingshore_types::configuration::{
+    Admission, ConfigurationChange, Permille, Pool, Server, Service, ServiceKind, SwapPolicy,
+};
+use wingshore_types::platform::{Machine, MachineState};
+use wingshore_types::protocol::membership::{Member, Membership};
+use wingshore_types::{PoolId, ReplicaId, ServerId, ServiceId, TrainerId, WeightVersion, ZoneId};
+
+/// Port of all processes.
+const PORT: u16 = 1000;
+/// The service of engines.
+const ENGINES: &str = "engines";
+/// The service of live servers.
+const RIDES: &str = "rides";
+/// The pool of samples.
+const POOL: &str = "pool";
+/// The one zone.
+const ZONE: &str = "zone";
+/// Ledger and claims groups.
+const GROUPS: u16 = 1;
+
+/// Kinds of machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Replicas.
+    Replica,
+    /// Nodes.
+    Node,
+    /// Engines.
+    Engine,
+    /// Live servers.
+    LiveServer,
+    /// Live callers, each beside the node of its number.
+    Caller,
+    /// The trainer, beside the first node.
+    Trainer,
+    /// The scorer.
+    Scorer,
+    /// The weight store.
+    Store,
+    /// The machine list.
+    MachineList,
+    /// Who sets the site up.
+    Operator,
+}
+
+impl Place {
+    /// Name of its machine `number`.
+    pub fn name(self, number: usize) -> String {
+        let kind = match self {
+            Self::Replica => "replica",
+            Self::Node => "node",
+            Self::Engine => "engine",
+            Self::LiveServer => "live",
+            Self::Caller => "caller",
+            Self::Trainer => "trainer",
+            Self::Scorer => "scorer",
+            Self::Store => "store",
+            Self::MachineList => "machines",
+            Self::Operator => "operator",
+        };
+        format!("{kind}-{number}")
+    }
+}
+
+/// Where the machine `number` of a kind is.
+pub fn address(place: Place, number: usize) -> SocketAddr {
+    let number = u8::try_from(number).unwrap_or(u8::MAX);
+    SocketAddr::from((Ipv4Addr::new(127, 1, place as u8, number), PORT))
+}
+
+/// What a site consists of, and how its data path behaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DataSettings {
+    /// Replicas.
+    pub replicas: usize,
+    /// Nodes.
+    pub nodes: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Live servers.
+    pub live_servers: usize,
+    /// Most versions a delivered sample may lie behind.
+    pub staleness_bound: u64,
+    /// How long a node may hold a sample without renewing its lease.
+    pub sample_lease: Duration,
+    /// Samples of a step.
+    pub batch: u32,
+    /// Requests a second of each live caller.
+    pub requests_per_second: f64,
+    /// How far the machine list lags.
+    pub machine_lag: Duration,
+}
+
+impl Default for DataSettings {
+    fn default() -> Self {
+        Self {
+            replicas: 3,
+            nodes: 4,
+            engines: 3,
+            live_servers: 3,
+            staleness_bound: 1,
+            sample_lease: Duration::from_secs(2),
+            batch: 8,
+            requests_per_second: 8.0,
+            machine_lag: Duration::from_secs(1),
+        }
+    }
+}
+
+impl DataSettings {
+    /// How many machines of a kind there are.
+    pub fn count(&self, place: Place) -> usize {
+        match place {
+            Place::Replica => self.replicas,
+            Place::Node | Place::Caller => self.nodes,
+            Place::Engine => self.engines,
+            Place::LiveServer => self.live_servers,
+            _ => 1,
+        }
+    }
+
+    /// Lengths of generations.
+    pub fn lengths(&self) -> LengthDistribution {
+        let engine = DataLayout::new(self).engine();
+        LengthDistribution {
+            median: engine.length_median,
+            sigma: engine.length_sigma,
+        }
+    }
+
+    /// Settings of all replicas.
+    pub fn replicas(
+        &self,
+        random: &mut ChaCha8Rng,
+        faults: ReplicaFaults,
+        observer: ObserverHandle,
+    ) -> ReplicaSettings {
+        let voters = (0..self.replicas).map(|number| Member {
+            id: ReplicaId(number as u64 + 1),
+            address: address(Place::Replica, number),
+        });
+        let leader = LeaderSettings {
+            swap_timeout: Duration::from_secs(10),
+            ..LeaderSettings::default()
+        };
+        ReplicaSettings {
+            founding: Membership {
+                voters: voters.collect(),
+                learners: Vec::new(),
+            },
+            ledger_groups: GROUPS,
+            claims_groups: GROUPS,
+            timing: wingshore_group::Timing::default(),
+            limits: wingshore_group::Limits::default(),
+            snapshot_every_bytes: random.random_range(20_000..200_000),
+            segment_bytes: random.random_range(10_000..100_000),
+            call_timeout: leader.order_timeout,
+            leader,
+            faults,
+            observer,
+        }
+    }
+}
+
+/// Settings of the processes of a site.
+pub struct DataLayout {
+    site: DataSettings,
+}
+
+impl DataLayout {
+    /// The settings that follow from `site`.
+    pub fn new(site: &DataSettings) -> Self {
+        Self { site: *site }
+    }
+
+    /// Of an engine: generations of some hundred milliseconds.
+    pub fn engine(&self) -> EngineSettings {
+        EngineSettings {
+            length_median: 24.0,
+            ..EngineSettings::default()
+        }
+    }
+
+    /// Of a live server.
+    pub fn live_server(&self, number: usize) -> LiveServerSettings {
+        LiveServerSettings {
+            answer_bytes: 32,
+            mean_further_service: Duration::from_millis(20),
+            seed: number as u64,
+            ..LiveServerSettings::default()
+        }
+    }
+
+    /// Of the weight store.
+    pub fn weight_store(&self) -> WeightStoreSettings {
+        WeightStoreSettings::default()
+    }
+
+    /// Of the scorer.
+    pub fn scorer(&self) -> ScorerSettings {
+        ScorerSettings::default()
+    }
+
+    /// Of the machine list.
+    pub fn machine_list(&self) -> MachineListSettings {
+        let servers = self.servers().into_iter();
+        MachineListSettings {
+            lag: self.site.machine_lag,
+            machines: servers
+                .map(|server| Machine {
+                    id: server.id,
+                    address: server.address,
+                    zone: server.zone,
+                    services: vec![server.service],
+                    state: MachineState::Live,
+                })
+                .collect(),
+        }
+    }
+
+    /// Of a node.
+    pub fn node(&self, number: usize) -> SimNodeSettings {
+        let replicas = (0..self.site.replicas).map(|number| address(Place::Replica, number));
+        let name = Place::Node.name(number);
+        SimNodeSettings {
+            machine_list: Some(address(Place::MachineList, 0)),
+            claims_groups: GROUPS,
+            pools: vec![PoolId::new(POOL)],
+            max_streams: 16,
+            rollout_tick: Duration::from_millis(50),
+            ..SimNodeSettings::new(&name, ZONE, replicas.collect())
+        }
+    }
+
+    /// Of a live caller.
+    pub fn caller(&self, number: usize, seed: u64) -> SimLiveCallerSettings {
+        SimLiveCallerSettings {
+            name: Place::Caller.name(number),
+            node_name: Place::Node.name(number),
+            node: address(Place::Node, number),
+            service: ServiceId::new(RIDES),
+            model: Some(self.engine().model),
+            load: LoadSettings {
+                requests_per_second: self.site.requests_per_second,
+                completion_permille: 100,
+                resend_permille: 300,
+                deadline: Duration::from_secs(2),
+                seed,
+                ..LoadSettings::default()
+            },
+        }
+    }
+
+    /// Of the trainer.
+    pub fn trainer(&self) -> SimTrainerSettings {
+        SimTrainerSettings {
+            trainer: self.trainer_id(),
+            node: address(Place::Node, 0),
+            weight_store: address(Place::Store, 0),
+            pool: PoolId::new(POOL),
+            model: self.engine().model,
+            staleness_bound: self.site.staleness_bound,
+            training: TrainingSettings {
+                batch: self.site.batch,
+                steps_ahead: 2,
+                max_tokens: 96,
+                step_time: Duration::from_millis(300),
+                ..TrainingSettings::default()
+            },
+        }
+    }
+
+    /// The changes that set the site up.
+    pub fn first_changes(&self) -> Vec<ConfigurationChange> {
+        let service = |id, kind| {
+            ConfigurationChange::PutService(Service {
+                id: ServiceId::new(id),
+                kind,
+                slots_per_server: 16,
+                live_share: Permille(500),
+                default_deadline_ms: 10_000,
+            })
+        };
+        let model = self.engine().model;
+        let mut changes = vec![
+            service(RIDES, ServiceKind::Live),
+            service(ENGINES, ServiceKind::Engines { model }),
+        ];
+        let servers = self.servers().into_iter();
+        changes.extend(servers.map(ConfigurationChange::PutServer));
+        changes.push(ConfigurationChange::PutPool(Pool {
+            id: PoolId::new(POOL),
+            service: ServiceId::new(ENGINES),
+            trainer: self.trainer_id(),
+            staleness_bound: self.site.staleness_bound,
+            idle_weight: Permille(500),
+            ledger: 1,
+            scorer: address(Place::Scorer, 0),
+            weight_store: address(Place::Store, 0),
+            swap: SwapPolicy::Automatic,
+            max_open_samples: 1000,
+            sample_lease_ms: self.site.sample_lease.as_millis() as u64,
+            target_version: WeightVersion(0),
+        }));
+        changes
+    }
+
+    fn trainer_id(&self) -> TrainerId {
+        TrainerId::new(&Place::Trainer.name(0))
+    }
+
+    fn servers(&self) -> Vec<Server> {
+        let of = |place: Place, service: &str| -> Vec<Server> {
+            let servers = (0..self.site.count(place)).map(|number| Server {
+                id: ServerId::new(&place.name(number)),
+                service: ServiceId::new(service),
+                address: address(place, number),
+                zone: ZoneId::new(ZONE),
+                admission: Admission::Open,
+            });
+            servers.collect()
+        };
+        let mut servers = of(Place::Engine, ENGINES);
+        servers.extend(of(Place::LiveServer, RIDES));
+        servers
+    }
+}
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/data_site.rs
@@ -0,0 +1,268 @@
+//! A simulated site with its whole data path: replicas of all groups, nodes, engines, live servers,
+//! a trainer with its scorer and weight store, live callers and the machine list.
+
+use super::data_layout::{DataLayout, DataSettings, Place, address};
+use super::network::NetworkSettings;
+use super::observer::{ObserverHandle, SimPromise};
+use super::operator::{self, Desk};
+use super::process::{Process, ProcessFault};
+use super::processes::engine::SimEngine;
+use super::processes::live_caller::SimLiveCaller;
+use super::processes::live_server::SimLiveServer;
+use super::processes::machine_list::SimMachineList;
+use super::processes::node::{NodeFaults, SimNode};
+use super::processes::scorer::SimScorer;
+use super::processes::trainer::{SimTrainer, TrainerDisk};
+use super::processes::weight_store::SimWeightStore;
+use super::replica::{self, ReplicaFaults};
+use super::slot::{Boot, Maker};
+use super::world::World;
+use crate::checks::{Limits, RunLog, check_all};
+use rand::RngExt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_storage::memory::{Faults as DiskFaults, MemoryFileSystem};
+use wingshore_types::platform::MachineState;
+use wingshore_types::protocol::control::Intent;
+use wingshore_types::{GroupId, ServerId};
+
+/// Longest time until a healthy site has done what was asked of it.
+const SETTLE_LIMIT: Duration = Duration::from_secs(120);
+
+/// Deliberate faults of all processes; all off outside tests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SimFaults {
+    /// Of replicas.
+    pub replica: ReplicaFaults,
+    /// Of nodes.
+    pub node: NodeFaults,
+}
+
+impl From<ReplicaFaults> for SimFaults {
+    fn from(replica: ReplicaFaults) -> Self {
+        Self {
+            replica,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<NodeFaults> for SimFaults {
+    fn from(node: NodeFaults) -> Self {
+        Self {
+            node,
+            ..Self::default()
+        }
+    }
+}
+
+/// A site in a world of its own.
+pub struct DataSite {
+    /// The world.
+    pub world: World,
+    /// What the simulator sees.
+    pub observer: ObserverHandle,
+    /// What the site consists of.
+    pub settings: DataSettings,
+    founder: Desk,
+    disks: Vec<MemoryFileSystem>,
+    trainer: TrainerDisk,
+}
+
+impl DataSite {
+    /// A site whose processes have all been started.
+    pub fn new(settings: DataSettings, faults: SimFaults, seed: u64, trace: bool) -> Self {
+        let observer = ObserverHandle::default();
+        let mut site = Self {
+            world: World::new(seed, observer.clone(), trace),
+            observer,
+            settings,
+            founder: Desk::new(0, false),
+            disks: Vec::new(),
+            trainer: TrainerDisk::default(),
+        };
+        site.add_replicas(faults.replica);
+        site.add_platform();
+        site.add_founder();
+        site.add_nodes(faults.node);
+        site
+    }
+
+    /// Waits until the configuration stands and begins the trainer's and the callers' work.
+    pub fn found(&mut self) {
+        let founder = self.founder.clone();
+        self.await_or_violate("the first configuration", |_| founder.is_done());
+        self.add_callers();
+    }
+
+    /// All machines of a kind.
+    pub fn all(&self, place: Place) -> Vec<SocketAddr> {
+        let count = self.settings.count(place);
+        (0..count).map(|number| address(place, number)).collect()
+    }
+
+    /// Any machine of a kind.
+    pub fn any(&mut self, place: Place) -> SocketAddr {
+        let count = self.settings.count(place).max(1);
+        address(place, self.world.random().random_range(0..count))
+    }
+
+    /// The leader of a group, or any replica where none is known.
+    pub fn leader(&self, group: GroupId) -> SocketAddr {
+        let leader = self.observer.leader(group);
+        leader.unwrap_or(address(Place::Replica, 0))
+    }
+
+    /// A machine leaves, or stays after all: the list learns of it, and a live server says so
+    /// itself.
+    pub fn set_leaving(&mut self, place: Place, number: usize, leaving: bool) {
+        let state = match leaving {
+            true => MachineState::Leaving,
+            false => MachineState::Live,
+        };
+        let server = ServerId::new(&place.name(number));
+        let list = address(Place::MachineList, 0);
+        self.world
+            .inject(list, ProcessFault::Machine { server, state });
+        if place == Place::LiveServer {
+            let fault = ProcessFault::Leaving(leaving);
+            self.world.inject(address(place, number), fault);
+        }
+    }
+
+    /// Waits until `condition` holds on a site that has no reason not to get there.
+    pub fn await_or_violate(&mut self, what: &str, condition: impl Fn(&World) -> bool) -> bool {
+        let holds = self.world.run_until(SETTLE_LIMIT, condition);
+        if !holds {
+            let detail = format!("{what} has not come within {SETTLE_LIMIT:?}");
+            self.observer.violate(SimPromise::Liveness, detail);
+        }
+        holds
+    }
+
+    /// Heals disks and links, lets all go on that stood still and starts what is down.
+    pub fn heal(&mut self) {
+        for disk in &self.disks {
+            disk.set_faults(DiskFaults::default());
+        }
+        self.world.set_network(NetworkSettings::default());
+        self.world.heal_all();
+    }
+
+    /// Heals everything, has the callers finish, and the trainer pull all that it has submitted.
+    pub fn settle(&mut self) {
+        self.heal();
+        let mut finishing = self.all(Place::Caller);
+        finishing.push(address(Place::Trainer, 0));
+        for address in finishing.clone() {
+            self.world.stop(address);
+        }
+        self.await_or_violate("the end of all callers and of the trainer", |world| {
+            finishing.iter().all(|address| !world.is_up(*address))
+        });
+    }
+
+    /// Judges the whole run.
+    pub fn judge(&self) -> Vec<(String, String)> {
+        let mut records = self.world.records().to_vec();
+        records.extend(self.observer.records());
+        let limits = Limits::stated(self.settings.lengths());
+        let checked = check_all(&RunLog::new(records), &limits).into_iter();
+        let checked = checked.map(|found| (found.promise.as_str().to_owned(), found.detail));
+        let seen = self.observer.violations().into_iter();
+        let seen = seen.map(|found| {
+            let detail = format!("{} us: {}", found.at.0 / 1000, found.detail);
+            (found.promise.as_str().to_owned(), detail)
+        });
+        checked.chain(seen).collect()
+    }
+
+    /// How far the trainer has come: steps acknowledged.
+    pub fn steps(&self) -> u64 {
+        self.trainer.borrow().next_step.0
+    }
+
+    fn add(&mut self, place: Place, number: usize, maker: Maker) {
+        let name = place.name(number);
+        self.world.add(&name, address(place, number), maker);
+    }
+
+    fn add_replicas(&mut self, faults: ReplicaFaults) {
+        let observer = self.observer.clone();
+        let settings = self
+            .settings
+            .replicas(self.world.random(), faults, observer);
+        for number in 0..self.settings.count(Place::Replica) {
+            let disk = MemoryFileSystem::new();
+            self.disks.push(disk.clone());
+            self.add(
+                Place::Replica,
+                number,
+                replica::maker(settings.clone(), disk, number),
+            );
+        }
+    }
+
+    fn add_platform(&mut self) {
+        let layout = DataLayout::new(&self.settings);
+        let list = layout.machine_list();
+        let maker = maker(move |boot| SimMachineList::new(boot.now, list.clone(), boot.seed));
+        self.add(Place::MachineList, 0, maker);
+        let store = layout.weight_store();
+        let maker =
+            self::maker(move |boot| SimWeightStore::new(boot.now, store.clone(), boot.seed));
+        self.add(Place::Store, 0, maker);
+        let scorer = layout.scorer();
+        let maker = self::maker(move |boot| SimScorer::new(boot.now, scorer.clone(), boot.seed));
+        self.add(Place::Scorer, 0, maker);
+        for number in 0..self.settings.count(Place::Engine) {
+            let engine = layout.engine();
+            let maker =
+                self::maker(move |boot| SimEngine::new(boot.now, engine.clone(), boot.seed));
+            self.add(Place::Engine, number, maker);
+        }
+        for number in 0..self.settings.count(Place::LiveServer) {
+            let (name, server) = (Place::LiveServer.name(number), layout.live_server(number));
+            let maker = self::maker(move |boot| {
+                SimLiveServer::new(boot.now, &name, server.clone(), boot.seed)
+            });
+            self.add(Place::LiveServer, number, maker);
+        }
+    }
+
+    fn add_founder(&mut self) {
+        let changes = DataLayout::new(&self.settings).first_changes();
+        self.founder.add(Intent::Apply(changes));
+        let (replicas, observer) = (self.all(Place::Replica), self.observer.clone());
+        let maker = operator::maker(0, replicas, self.founder.clone(), observer);
+        self.add(Place::Operator, 0, maker);
+    }
+
+    fn add_nodes(&mut self, faults: NodeFaults) {
+        for number in 0..self.settings.count(Place::Node) {
+            let mut node = DataLayout::new(&self.settings).node(number);
+            node.faults = faults;
+            let maker = maker(move |boot| SimNode::new(boot.now, node.clone(), boot.seed));
+            self.add(Place::Node, number, maker);
+        }
+    }
+
+    fn add_callers(&mut self) {
+        let layout = DataLayout::new(&self.settings);
+        for number in 0..self.settings.count(Place::Caller) {
+            let seed = self.world.random().random();
+            let caller = layout.caller(number, seed);
+            let maker = maker(move |boot| SimLiveCaller::new(boot.now, caller.clone(), boot.seed));
+            self.add(Place::Caller, number, maker);
+        }
+        let (trainer, disk) = (layout.trainer(), self.trainer.clone());
+        let maker =
+            maker(move |boot| SimTrainer::new(boot.now, trainer.clone(), disk.clone(), boot.seed));
+        self.add(Place::Trainer, 0, maker);
+    }
+}
+
+/// A maker of a process that always starts.
+fn maker<P: Process + 'static>(make: impl Fn(Boot) -> P + 'static) -> Maker {
+    Box::new(move |boot| Ok(Box::new(make(boot))))
+}
--- a/crates/wingshore-lab/src/sim/mod.rs
+++ b/crates/wingshore-lab/src/sim/mod.rs
@@ -10,6 +10,8 @@
 pub mod client;
 pub mod clock;
 pub mod command;
+pub mod data_layout;
+pub mod data_site;
 pub mod history;
 pub mod network;
 pub mod observed;
--- a/crates/wingshore-lab/src/sim/runs.rs
+++ b/crates/wingshore-lab/src/sim/runs.rs
@@ -1,6 +1,6 @@
 //! Many seeds of many scenarios, over threads. Each seed runs in one thread alone.
 
-use super::replica::ReplicaFaults;
+use super::data_site::SimFaults;
 use super::scenarios::{self, Outcome, Scenario};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -50,9 +50,10 @@
 pub fn run_all(
     scenarios: &[Scenario],
     seeds: Range<u64>,
-    faults: ReplicaFaults,
+    faults: impl Into<SimFaults>,
     threads: Option<NonZero<usize>>,
 ) -> Vec<Outcome> {
+    let faults = faults.into();
     let jobs: Vec<(usize, u64)> = (0..scenarios.len())
         .flat_map(|scenario| seeds.clone().map(move |seed| (scenario, seed)))
         .collect();
--- a/crates/wingshore-lab/src/sim/scenarios/clients.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/clients.rs
@@ -1,6 +1,6 @@
 //! Operators who race, and processes that come back after many changes.
 
-use super::Scenario;
+use super::ControlScenario;
 use super::faults::{Fault, any_cut, pause};
 use crate::sim::site::{Kind, Site, SiteSettings, address};
 use rand::RngExt;
@@ -33,19 +33,19 @@
 };
 
 /// The scenarios of this file.
-pub fn scenarios() -> Vec<Scenario> {
+pub fn scenarios() -> Vec<ControlScenario> {
     vec![
-        Scenario {
+        ControlScenario {
             name: "racing-operators",
             settings: RACING,
             run: racing_operators,
         },
-        Scenario {
+        ControlScenario {
             name: "back-after-500-changes",
             settings: FOLLOWING,
             run: back_after_many_changes,
         },
-        Scenario {
+        ControlScenario {
             name: "followers-in-trouble",
             settings: SiteSettings {
                 operators: 2,
--- a/crates/wingshore-lab/src/sim/scenarios/control.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/control.rs
@@ -1,6 +1,6 @@
 //! The control group's leader in trouble: cut off, frozen, killed, with work in flight.
 
-use super::Scenario;
+use super::ControlScenario;
 use super::faults::{Fault, any_cut, pause};
 use crate::sim::process::{ProcessOutput, SimMessage};
 use crate::sim::replica::is_order;
@@ -30,39 +30,39 @@
 };
 
 /// The scenarios of this file.
-pub fn scenarios() -> Vec<Scenario> {
+pub fn scenarios() -> Vec<ControlScenario> {
     vec![
-        Scenario {
+        ControlScenario {
             name: "quiet",
             settings: MOVING,
             run: quiet,
         },
-        Scenario {
+        ControlScenario {
             name: "leader-cut-off",
             settings: MOVING,
             run: leader_cut_off,
         },
-        Scenario {
+        ControlScenario {
             name: "frozen-before-send",
             settings: MOVING,
             run: frozen_before_send,
         },
-        Scenario {
+        ControlScenario {
             name: "frozen-leader",
             settings: WORKING,
             run: frozen_leader,
         },
-        Scenario {
+        ControlScenario {
             name: "one-way-cuts",
             settings: WORKING,
             run: one_way_cuts,
         },
-        Scenario {
+        ControlScenario {
             name: "killed-before-answer",
             settings: WORKING,
             run: killed_before_answer,
         },
-        Scenario {
+        ControlScenario {
             name: "killed-while-moving",
             settings: MOVING,
             run: killed_while_moving,
--- a/crates/wingshore-lab/src/sim/scenarios/disks.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/disks.rs
@@ -1,6 +1,6 @@
 //! Disks and storage calls that fail, and disks that are lost.
 
-use super::Scenario;
+use super::ControlScenario;
 use super::faults::{Fault, any_cut, pause};
 use crate::sim::site::{Site, SiteSettings};
 use rand::RngExt;
@@ -20,29 +20,29 @@
 };
 
 /// The scenarios of this file.
-pub fn scenarios() -> Vec<Scenario> {
+pub fn scenarios() -> Vec<ControlScenario> {
     vec![
-        Scenario {
+        ControlScenario {
             name: "storage-kills",
             settings: WORKING,
             run: storage_kills,
         },
-        Scenario {
+        ControlScenario {
             name: "sync-failures",
             settings: WORKING,
             run: sync_failures,
         },
-        Scenario {
+        ControlScenario {
             name: "disk-lost",
             settings: WORKING,
             run: disk_lost,
         },
-        Scenario {
+        ControlScenario {
             name: "second-machine-lost",
             settings: WORKING,
             run: second_machine_lost,
         },
-        Scenario {
+        ControlScenario {
             name: "power-lost",
             settings: WORKING,
             run: power_lost,
--- a/crates/wingshore-lab/src/sim/scenarios/mixed.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/mixed.rs
@@ -1,6 +1,6 @@
 //! Two faults at once, and the same fault twice.
 
-use super::Scenario;
+use super::ControlScenario;
 use super::faults::{Fault, pause};
 use crate::sim::site::{Site, SiteSettings};
 
@@ -14,19 +14,19 @@
 };
 
 /// The scenarios of this file.
-pub fn scenarios() -> Vec<Scenario> {
+pub fn scenarios() -> Vec<ControlScenario> {
     vec![
-        Scenario {
+        ControlScenario {
             name: "two-at-once",
             settings: WORKING,
             run: two_at_once,
         },
-        Scenario {
+        ControlScenario {
             name: "same-twice",
             settings: WORKING,
             run: same_twice,
         },
-        Scenario {
+        ControlScenario {
             name: "five-replicas",
             settings: SiteSettings {
                 replicas: 5,
--- a/crates/wingshore-request/src/execution.rs
+++ b/crates/wingshore-request/src/execution.rs
@@ -461,7 +461,10 @@
         });
     }
 
-    fn finish(&mut self, answer: FinalAnswer, out: &mut Vec<ExecutionOutput>) {
+    fn finish(&mut self, mut answer: FinalAnswer, out: &mut Vec<ExecutionOutput>) {
+        if let (FinalAnswer::Error(error), true) = (&mut answer, self.faults.deny_having_run) {
+            error.verdict = Verdict::NotRun;
+        }
         out.push(ExecutionOutput::Answer(answer));
         self.phase = Phase::Over;
     }
--- a/crates/wingshore-request/src/faults.rs
+++ b/crates/wingshore-request/src/faults.rs
@@ -9,4 +9,6 @@
     pub send_before_claim: bool,
     /// Gives an answer whose body was cut short as if it were whole.
     pub accept_short_body: bool,
+    /// Says of each request that failed that it did not run.
+    pub deny_having_run: bool,
 }
