--- a/crates/wingshore-lab/src/stand_ins/trainer/mod.rs
+++ b/crates/wingshore-lab/src/stand_ins/trainer/mod.rs
@@ -61,7 +61,11 @@
             let step = self.progress.next_step;
             if !self.service.is_stopping() {
                 self.submit_ahead(step)?;
-            } else if step >= self.progress.submitted_through(self.settings.training.batch) {
+            } else if step
+                >= self
+                    .progress
+                    .submitted_through(self.settings.training.batch)
+            {
                 return Ok(());
             }
             // A step that was trained may have been acknowledged already, with the answer lost.
