control: engines that swap are asked when their swap should be over

Cause: they were asked every half second from the order on. Each round of fetches then took up to half a second longer than the fetch, and with thousands of swaps the questions used up their own pace.

Change: the first question comes after 14 sixteenths of the service's usual time of a swap (committed, measured), at most 5 s after the order, so that a failure is seen by then; further ones each sixteenth.

--- a/crates/wingshore-control/src/leader/engines.rs
+++ b/crates/wingshore-control/src/leader/engines.rs
@@ -101,19 +101,18 @@
     /// Takes in an engine's report, or that there was none.
     pub(crate) fn on_state(
         &mut self,
-        now: Instant,
         id: &ServerId,
         asked_at: Instant,
-        state: Option<EngineState>,
-        settings: &LeaderSettings,
+        report: Option<EngineState>,
+        view: SchedulerView<'_>,
     ) -> Option<FinishedSwap> {
         let engine = self.engines.get_mut(id)?;
         if asked_at < self.began {
             return None;
         }
         let version = engine.version();
-        let took = match state {
-            Some(state) => engine.on_report(now, asked_at, state, settings),
+        let took = match report {
+            Some(report) => engine.on_report(view.now, asked_at, report, view.settings),
             None => {
                 engine.on_silence(asked_at);
                 None
@@ -123,7 +122,8 @@
         if is_busy || engine.version() != version {
             self.index.set_settled(engine.service(), false);
         }
-        self.polls.on_answer(id, asked_at, is_busy, settings);
+        let questions = is_busy.then(|| view.swap_questions(engine.service()));
+        self.polls.on_answer(id, asked_at, questions, view.settings);
         Some(FinishedSwap {
             service: engine.service().clone(),
             took: took?,
--- a/crates/wingshore-control/src/leader/mod.rs
+++ b/crates/wingshore-control/src/leader/mod.rs
@@ -27,6 +27,7 @@
 use requests::{Look, SortedRequest};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use swap_scheduler::SchedulerView;
 use swap_times::SwapTimes;
 use watches::{OpenWatch, Watches};
 use wingshore_types::ids::{Epoch, PlanId, ReplicaId, Revision, ServerId};
@@ -238,9 +239,12 @@
             .map(|report| report.in_flight.saturating_add(report.queue));
         self.executor
             .on_load(server, asked_at, Duration::ZERO, in_flight);
-        let finished = self
-            .engines
-            .on_state(now, server, asked_at, report, &self.settings);
+        let view = SchedulerView {
+            now,
+            state,
+            settings: &self.settings,
+        };
+        let finished = self.engines.on_state(server, asked_at, report, view);
         let measured = finished.and_then(|swap| self.swap_times.record(now, swap, state));
         if let Some(command) = measured {
             self.propose(Waiter::Nobody, command, out);
--- a/crates/wingshore-control/src/leader/polling.rs
+++ b/crates/wingshore-control/src/leader/polling.rs
@@ -11,6 +11,40 @@
 /// Most unused questions that may be asked at once later, as a time at full pace.
 const BURST: Duration = Duration::from_millis(200);
 
+/// An engine is asked first when this part of the usual time of a swap is over, in sixteenths.
+const FIRST_QUESTION: u32 = 14;
+/// Parts of the usual time of a swap between two further questions.
+const QUESTIONS_PER_SWAP: u32 = 16;
+/// Longest time from an order to the first question: a failed swap is to be noticed by then.
+const LONGEST_UNASKED: Duration = Duration::from_secs(5);
+/// Shortest time between two questions to an engine that swaps.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// When an engine that swaps is asked whether it is done. Each question before that costs a
+/// reading, and each moment after it delays those that could fetch from this engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SwapQuestions {
+    /// From the order to the first question.
+    pub(crate) first: Duration,
+    /// Between two further ones.
+    pub(crate) interval: Duration,
+}
+
+impl SwapQuestions {
+    /// For swaps that usually take `usual`, where that is known.
+    pub(crate) fn new(usual: Option<Duration>, settings: &LeaderSettings) -> Self {
+        let longest = settings.poll_interval;
+        let usual = usual.unwrap_or(longest);
+        let interval = usual / QUESTIONS_PER_SWAP;
+        Self {
+            first: (usual * FIRST_QUESTION / QUESTIONS_PER_SWAP)
+                .min(LONGEST_UNASKED)
+                .max(longest),
+            interval: interval.max(SHORTEST_INTERVAL).min(longest),
+        }
+    }
+}
+
 /// One server's place in the schedule.
 #[derive(Clone, Copy, Debug)]
 struct Slot {
@@ -71,12 +105,13 @@
         due
     }
 
-    /// A question was answered, or failed: the next one follows after a while.
+    /// A question was answered, or failed: the next one follows after a while, sooner when the
+    /// engine is in a swap.
     pub(crate) fn on_answer(
         &mut self,
         server: &ServerId,
         asked_at: Instant,
-        is_busy: bool,
+        swap: Option<SwapQuestions>,
         settings: &LeaderSettings,
     ) {
         let Some(slot) = self.slots.get(server).copied() else {
@@ -85,10 +120,9 @@
         if slot.asked_at.is_none_or(|newest| newest > asked_at) {
             return;
         }
-        let interval = if is_busy {
-            settings.poll_interval
-        } else {
-            self.steady_interval(settings)
+        let interval = match swap {
+            Some(questions) => questions.interval,
+            None => self.steady_interval(settings),
         };
         self.put(
             server,
@@ -109,6 +143,16 @@
         }
     }
 
+    /// Moves a server's next question to `at`, sooner or later, unless one is on its way.
+    pub(crate) fn ask_at(&mut self, server: &ServerId, at: Instant) {
+        let Some(slot) = self.slots.get(server).copied() else {
+            return;
+        };
+        if slot.asked_at.is_none() {
+            self.put(server, Slot { due: at, ..slot });
+        }
+    }
+
     /// Engines at rest take half of the pace at most; the rest is for those that swap.
     fn steady_interval(&self, settings: &LeaderSettings) -> Duration {
         let servers = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
--- a/crates/wingshore-control/src/leader/swap_scheduler.rs
+++ b/crates/wingshore-control/src/leader/swap_scheduler.rs
@@ -3,11 +3,13 @@
 use super::engine::Engine;
 use super::engines::Engines;
 use super::orders::SwapOrder;
+use super::polling::SwapQuestions;
 use super::store_fetches::StoreFetches;
 use crate::settings::LeaderSettings;
 use crate::state::ControlState;
 use crate::swaps::{SwapCandidate, SwapLimits, SwapStart, swaps_to_begin};
 use std::net::SocketAddr;
+use std::time::Duration;
 use wingshore_types::Instant;
 use wingshore_types::configuration::{Admission, Server};
 use wingshore_types::ids::{ServerId, ServiceId, WeightVersion};
@@ -30,6 +32,14 @@
     pub(crate) settings: &'a LeaderSettings,
 }
 
+impl SchedulerView<'_> {
+    /// When engines of a service that swap are asked.
+    pub(super) fn swap_questions(&self, service: &ServiceId) -> SwapQuestions {
+        let usual = self.state.swap_time(service).map(Duration::from_millis);
+        SwapQuestions::new(usual, self.settings)
+    }
+}
+
 impl Engines {
     /// Gives new orders to swap. Stores have few places: the services of which no engine has, or
     /// fetches, what is wanted get one each before any gets more, so that all can go on from
@@ -170,8 +180,9 @@
         let fence = self.fences.next();
         let order = SwapOrder::new(view.now, fence, version, start.source, boot_id);
         engine.give_order(view.now, order);
-        let poll_at = view.now + view.settings.poll_interval;
-        self.polls.hurry(&start.server, poll_at);
+        let questions = view.swap_questions(engine.service());
+        let first = view.now + questions.first;
+        self.polls.ask_at(&start.server, first);
         self.ordered.insert(start.server);
     }
 }
--- a/crates/wingshore-control/tests/swaps.rs
+++ b/crates/wingshore-control/tests/swaps.rs
@@ -311,4 +311,6 @@
     );
     expect_that!(took, le(33_000));
     expect_that!(fleet.most_loading, le(2_500));
+    // Engines are asked when their swaps should be over, not all the while.
+    expect_that!(fleet.reads - reads, le(28_000));
 }
