--- a/crates/wingshore-lab/src/hollow/mod.rs
+++ b/crates/wingshore-lab/src/hollow/mod.rs
@@ -17,6 +17,7 @@
 pub mod server;
 pub mod servers;
 pub mod sizes;
+pub mod trainers;
 pub mod usage;
 
 use crate::fleet::program;
@@ -28,6 +29,7 @@
 use snafu::ResultExt;
 use std::path::PathBuf;
 use std::time::Duration;
+use trainers::TrainerLoad;
 
 /// Entries of configuration copies that hollow nodes hold in all, at most: nodes times servers.
 /// One takes about half a kilobyte with its place in the router.
@@ -69,6 +71,21 @@
     /// length of the windows at rest and under changes, in seconds (10)
     #[argh(option, default = "10")]
     seconds: u64,
+    /// time from the joining of the nodes to the first window, in seconds (3)
+    #[argh(option, default = "3")]
+    settle_seconds: u64,
+    /// pools with a hollow trainer, whose samples go through the ledgers; 0 leaves that out (0)
+    #[argh(option, default = "0")]
+    trainers: usize,
+    /// samples of all trainers in a second (200)
+    #[argh(option, default = "200.0")]
+    samples_per_second: f64,
+    /// generated tokens of a sample (512)
+    #[argh(option, default = "512")]
+    tokens: usize,
+    /// ledger groups that the trainers share (1)
+    #[argh(option, default = "1")]
+    ledgers: usize,
     /// how long an engine fetches weights, in milliseconds (2000)
     #[argh(option, default = "2000")]
     fetch_ms: u64,
@@ -127,6 +144,13 @@
             changes_per_hour: self.changes_per_hour,
             timed_changes: self.timed_changes,
             window: Duration::from_secs(self.seconds),
+            settle: Duration::from_secs(self.settle_seconds),
+            samples: (self.trainers > 0).then_some(TrainerLoad {
+                trainers: self.trainers.min(sizes.pools),
+                samples_per_second: self.samples_per_second.max(1.0),
+                tokens: self.tokens,
+                ledgers: self.ledgers.clamp(1, 64),
+            }),
             fetch_time: Duration::from_millis(self.fetch_ms),
             threads: self.threads.max(1),
         })
--- a/crates/wingshore-lab/src/hollow/processes.rs
+++ b/crates/wingshore-lab/src/hollow/processes.rs
@@ -57,11 +57,17 @@
 }
 
 impl Processes {
-    /// Starts replicas and relays; settings, data and output lie under `folder`.
+    /// Starts replicas with so many ledger groups, and relays; settings, data and output lie under
+    /// `folder`.
     ///
     /// # Errors
     /// When one cannot be started.
-    pub fn start(folder: &Path, program: &Path, sizes: &Sizes) -> Result<Self, HollowError> {
+    pub fn start(
+        folder: &Path,
+        program: &Path,
+        sizes: &Sizes,
+        ledgers: usize,
+    ) -> Result<Self, HollowError> {
         let ports = free_addresses(2 * (REPLICAS + sizes.relays))?;
         let (frames, admin) = ports.split_at(REPLICAS + sizes.relays);
         let (replicas, relays) = frames.split_at(REPLICAS);
@@ -74,7 +80,7 @@
             relays: relays.to_vec(),
             running: Vec::new(),
         };
-        processes.start_replicas(admin)?;
+        processes.start_replicas(admin, ledgers)?;
         processes.start_relays(&admin[REPLICAS..], sizes)?;
         Ok(processes)
     }
@@ -159,7 +165,7 @@
         Ok(())
     }
 
-    fn start_replicas(&mut self, admin: &[SocketAddr]) -> Result<(), HollowError> {
+    fn start_replicas(&mut self, admin: &[SocketAddr], ledgers: usize) -> Result<(), HollowError> {
         let operator = Operator::new(&self.program, &self.replicas);
         for (index, listen) in self.replicas.clone().into_iter().enumerate() {
             let name = format!("replica-{}", index + 1);
@@ -167,6 +173,7 @@
             let mut text = head("replica", &name, "zone-1", listen);
             let _infallible = writeln!(text, "admin = \"{}\"", admin[index]);
             let _infallible = writeln!(text, "data = {:?}", data.to_string_lossy());
+            let _infallible = writeln!(text, "ledger_groups = {ledgers}");
             let _infallible = writeln!(text, "[orders]\nworkers = {ORDER_WORKERS}");
             for (member, address) in self.replicas.iter().enumerate() {
                 let id = member + 1;
--- a/crates/wingshore-lab/src/hollow/report.rs
+++ b/crates/wingshore-lab/src/hollow/report.rs
@@ -14,7 +14,7 @@
 const MEGABYTE: f64 = 1e6;
 
 /// A run's measurements.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Sizes and conditions.
     pub run: RunFacts,
@@ -24,10 +24,12 @@
     pub changes: ChangeTimes,
     /// A version for all pools at once.
     pub weights: WeightTimes,
+    /// Samples through the ledgers during the window `samples`, where that was asked for.
+    pub samples: Option<SampleRates>,
 }
 
 /// Sizes and conditions.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RunFacts {
     /// Nodes, hollow and real.
     pub nodes: usize,
@@ -89,6 +91,10 @@
     pub resident_megabytes_most: f64,
     /// Threads of the one with most.
     pub threads_most: u64,
+    /// Durable writes of one a second, the mean.
+    pub syncs: f64,
+    /// Bytes that one writes to disk a second, the mean.
+    pub disk_bytes: f64,
     /// Frames of one, the mean.
     pub frames: Rates,
 }
@@ -140,6 +146,23 @@
     pub most_fetches_at_once: u64,
 }
 
+/// Samples through the ledgers.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SampleRates {
+    /// Trainers.
+    pub trainers: usize,
+    /// Ledger groups.
+    pub ledgers: usize,
+    /// Generated tokens of a sample.
+    pub tokens: usize,
+    /// Samples a second that were wanted.
+    pub wanted: f64,
+    /// Samples a second that were acknowledged.
+    pub acknowledged: f64,
+    /// Requests that were not answered as they should.
+    pub failed: u64,
+}
+
 impl Rates {
     /// The growth between two counts, a second.
     pub fn between(before: FrameCounts, after: FrameCounts, seconds: f64) -> Self {
@@ -188,10 +211,15 @@
         usage.threads_most = usage.threads_most.max(after.threads);
         let rates = Rates::between(before.frames, after.frames, seconds);
         usage.frames = usage.frames.plus(rates);
+        usage.syncs += after.syncs.saturating_sub(before.syncs) as f64 / seconds;
+        let written = after.disk_bytes.saturating_sub(before.disk_bytes);
+        usage.disk_bytes += written as f64 / seconds;
     }
     let mut usages: Vec<RoleUsage> = roles.into_values().collect();
     for usage in &mut usages {
         usage.processor_permille /= usage.processes as f64;
+        usage.syncs /= usage.processes as f64;
+        usage.disk_bytes /= usage.processes as f64;
         usage.frames = usage.frames.per(usage.processes);
     }
     usages
@@ -206,6 +234,8 @@
             processor_permille_most: 0.0,
             resident_megabytes_most: 0.0,
             threads_most: 0,
+            syncs: 0.0,
+            disk_bytes: 0.0,
             frames: Rates::default(),
         }
     }
@@ -273,7 +303,20 @@
             weights.all_seconds,
             weights.most_seconds,
             weights.most_fetches_at_once
-        )
+        )?;
+        if let Some(samples) = &self.samples {
+            writeln!(
+                text,
+                "samples of {} tokens, {} trainers, {} ledger groups: {:.0}/s of {:.0}/s wanted, {} requests failed",
+                samples.tokens,
+                samples.trainers,
+                samples.ledgers,
+                samples.acknowledged,
+                samples.wanted,
+                samples.failed
+            )?;
+        }
+        Ok(())
     }
 }
 
@@ -287,7 +330,7 @@
         for usage in &self.roles {
             writeln!(
                 text,
-                "  {:<9}x{:<3} cpu {:7.1} permille (most {:7.1}) rss {:7.1} MB threads {:5} out {:8.1}/s {:9.0} B/s in {:8.1}/s {:9.0} B/s",
+                "  {:<9}x{:<3} cpu {:7.1} permille (most {:7.1}) rss {:7.1} MB threads {:5} out {:8.1}/s {:9.0} B/s in {:8.1}/s {:9.0} B/s syncs {:6.1}/s disk {:9.0} B/s",
                 format!("{:?}", usage.role),
                 usage.processes,
                 usage.processor_permille,
@@ -297,7 +340,9 @@
                 usage.frames.frames_sent,
                 usage.frames.bytes_sent,
                 usage.frames.frames_received,
-                usage.frames.bytes_received
+                usage.frames.bytes_received,
+                usage.syncs,
+                usage.disk_bytes
             )?;
         }
         writeln!(
--- a/crates/wingshore-lab/src/hollow/run.rs
+++ b/crates/wingshore-lab/src/hollow/run.rs
@@ -6,10 +6,11 @@
 use super::operator::ControlClient;
 use super::processes::{Processes, Role};
 use super::report::{
-    ChangeTimes, HttpRates, Rates, Report, RunFacts, WeightTimes, Window, by_role,
+    ChangeTimes, HttpRates, Rates, Report, RunFacts, SampleRates, WeightTimes, Window, by_role,
 };
 use super::servers::{HollowServers, HttpCounters};
 use super::sizes::{FIRST_VERSION, Sizes};
+use super::trainers::{TrainerLoad, Trainers};
 use super::usage::{FrameCounts, Usage, status_number};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -29,8 +30,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 /// The hollow nodes start spread over this time.
 const JOIN_SPREAD: Duration = Duration::from_secs(2);
-/// Time between the joining of the last node and the first measurement.
-const SETTLE: Duration = Duration::from_secs(3);
+/// Time in which trainers come to their pace.
+const TRAINERS_WARM: Duration = Duration::from_secs(3);
 /// Where the weight store would listen; nobody calls it.
 const WEIGHT_STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 /// Seconds of an hour.
@@ -53,10 +54,20 @@
     pub window: Duration,
     /// Time of one fetch of weights.
     pub fetch_time: Duration,
+    /// Time between the joining of the last node and the first measurement.
+    pub settle: Duration,
+    /// Samples through the ledgers; none leaves that window out.
+    pub samples: Option<TrainerLoad>,
     /// Threads that serve hollow nodes, and as many that serve hollow servers.
     pub threads: usize,
 }
 
+impl RunOptions {
+    fn ledgers(&self) -> usize {
+        self.samples.map_or(1, |load| load.ledgers)
+    }
+}
+
 /// A site that runs.
 struct Running<'a> {
     options: &'a RunOptions,
@@ -83,7 +94,7 @@
     let load_average = load_average();
     let sizes = &options.sizes;
     let servers = HollowServers::start(sizes.servers, options.threads, options.fetch_time)?;
-    let mut processes = Processes::start(folder, program, sizes)?;
+    let mut processes = Processes::start(folder, program, sizes, options.ledgers())?;
     let control = ControlClient::new(processes.replicas());
     fill(
         &control,
@@ -102,7 +113,7 @@
     let joined_seconds = began.elapsed().as_secs_f64();
     processes.start_nodes(options.real_nodes, hollow, sizes)?;
     processes.set_leader(control.status()?.leader.0);
-    thread::sleep(SETTLE);
+    thread::sleep(options.settle);
     let mut running = Running {
         options,
         servers,
@@ -110,10 +121,10 @@
         control,
         crowd,
     };
-    let (windows, changes, weights) = running.measure()?;
+    let mut report = running.measure()?;
     let lab = Usage::read(std::process::id(), None)?;
     running.processes.stop()?;
-    let run = RunFacts {
+    report.run = RunFacts {
         nodes: sizes.nodes,
         real_nodes: options.real_nodes,
         whole_copies: options.whole_copies,
@@ -127,12 +138,7 @@
         lab_resident_megabytes: lab.resident_bytes as f64 / 1e6,
         lab_threads: lab.threads,
     };
-    Ok(Report {
-        run,
-        windows,
-        changes,
-        weights,
-    })
+    Ok(report)
 }
 
 fn fill(control: &ControlClient, changes: Vec<ConfigurationChange>) -> Result<(), HollowError> {
@@ -193,22 +199,49 @@
 }
 
 impl Running<'_> {
-    fn measure(&mut self) -> Result<(Vec<Window>, ChangeTimes, WeightTimes), HollowError> {
+    fn measure(&mut self) -> Result<Report, HollowError> {
+        let mut report = Report::default();
         let rest = self.window("rest", |_| Ok(0))?;
         eprintln!("measured at rest");
-        let mut windows = vec![rest];
+        report.windows.push(rest);
         if self.options.changes_per_hour > 0 {
-            windows.push(self.window("changes", Self::change_steadily)?);
+            let changes = self.window("changes", Self::change_steadily)?;
+            report.windows.push(changes);
             eprintln!("measured under changes");
         }
-        let changes = self.time_changes()?;
-        let mut weights = WeightTimes::default();
+        if let Some(load) = self.options.samples {
+            report.samples = Some(self.measure_samples(load, &mut report.windows)?);
+            eprintln!("measured with trainers");
+        }
+        report.changes = self.time_changes()?;
         let swap = self.window("weights", |running| {
-            weights = running.time_weights()?;
+            report.weights = running.time_weights()?;
             Ok(running.options.sizes.pools as u64)
         })?;
-        windows.push(swap);
-        Ok((windows, changes, weights))
+        report.windows.push(swap);
+        Ok(report)
+    }
+
+    fn measure_samples(
+        &mut self,
+        load: TrainerLoad,
+        windows: &mut Vec<Window>,
+    ) -> Result<SampleRates, HollowError> {
+        let trainers = Trainers::start(load, self.processes.replicas())?;
+        thread::sleep(TRAINERS_WARM);
+        let before = trainers.acknowledged();
+        let window = self.window("samples", |_| Ok(0))?;
+        let acknowledged = trainers.acknowledged() - before;
+        let rates = SampleRates {
+            trainers: load.trainers,
+            ledgers: load.ledgers,
+            tokens: load.tokens,
+            wanted: load.samples_per_second,
+            acknowledged: acknowledged as f64 / window.seconds,
+            failed: trainers.failed(),
+        };
+        windows.push(window);
+        Ok(rates)
     }
 
     /// Measures while `work` runs, and on until the usual length of a window.
--- a/crates/wingshore-lab/src/hollow/usage.rs
+++ b/crates/wingshore-lab/src/hollow/usage.rs
@@ -9,6 +9,8 @@
 
 /// Ticks of processor time in a second, as Linux tells them to programs.
 const TICKS_PER_SECOND: f64 = 100.0;
+/// The metric that counts a replica's durable writes, one line a group.
+const WRITES_METRIC: &str = "wingshore_replica_write_seconds_count{";
 /// Longest reading of a process's metrics.
 const METRICS_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -21,6 +23,10 @@
     pub resident_bytes: u64,
     /// Threads.
     pub threads: u64,
+    /// Bytes written to disk.
+    pub disk_bytes: u64,
+    /// Writes made durable; zero where the process has no metrics of them.
+    pub syncs: u64,
     /// Frames sent and received, with their bytes; zero where the process has no metrics.
     pub frames: FrameCounts,
 }
@@ -46,11 +52,15 @@
     pub fn read(id: u32, metrics: Option<SocketAddr>) -> Result<Self, HollowError> {
         let statistics = proc_file(id, "stat")?;
         let status = proc_file(id, "status")?;
+        let disk = proc_file(id, "io")?;
+        let metrics = metrics.map(read_metrics).unwrap_or_default();
         Ok(Self {
             processor_seconds: processor_seconds(&statistics),
             resident_bytes: status_number(&status, "VmRSS:") * 1024,
             threads: status_number(&status, "Threads:"),
-            frames: metrics.map(read_frames).unwrap_or_default(),
+            disk_bytes: status_number(&disk, "write_bytes:"),
+            syncs: sync_count(&metrics),
+            frames: frame_counts(&metrics),
         })
     }
 }
@@ -70,18 +80,27 @@
     (ticks(11) + ticks(12)) / TICKS_PER_SECOND
 }
 
-/// The number after `key` in `/proc/<id>/status`.
+/// The number after `key` in `/proc/<id>/status` or `/proc/<id>/io`.
 pub fn status_number(status: &str, key: &str) -> u64 {
     let line = status.lines().find_map(|line| line.strip_prefix(key));
     let word = line.and_then(|line| line.split_whitespace().next());
     word.and_then(|word| word.parse().ok()).unwrap_or(0)
 }
 
-fn read_frames(address: SocketAddr) -> FrameCounts {
+fn read_metrics(address: SocketAddr) -> String {
     let client = HttpClient::new(METRICS_TIMEOUT);
     let answer = client.get(&format!("http://{address}/metrics"), &[]);
     let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
-    frame_counts(&text.unwrap_or_default())
+    text.unwrap_or_default()
+}
+
+/// Durable writes of all groups among a replica's metrics.
+pub fn sync_count(metrics: &str) -> u64 {
+    let counts = metrics
+        .lines()
+        .filter(|line| line.starts_with(WRITES_METRIC));
+    let numbers = counts.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    numbers.sum()
 }
 
 /// The transport's counters among a process's metrics.
--- a/crates/wingshore-lab/tests/hollow.rs
+++ b/crates/wingshore-lab/tests/hollow.rs
@@ -6,7 +6,9 @@
 use wingshore_lab::hollow::processes::Role;
 use wingshore_lab::hollow::report::Report;
 use wingshore_lab::hollow::sizes::Sizes;
-use wingshore_lab::hollow::usage::{FrameCounts, frame_counts, processor_seconds, status_number};
+use wingshore_lab::hollow::usage::{
+    FrameCounts, frame_counts, processor_seconds, status_number, sync_count,
+};
 
 /// Runs the program with these flags and `--json`; answers the last line it printed.
 fn last_line(flags: &str) -> String {
@@ -24,7 +26,8 @@
 #[gtest]
 fn a_small_site_is_measured_whole() {
     let flags = "--nodes 10 --servers 20 --relays 1 --real-nodes 1 --changes-per-hour 3600 \
-                 --timed-changes 2 --seconds 2 --fetch-ms 50";
+                 --timed-changes 2 --seconds 2 --fetch-ms 50 --trainers 1 --samples-per-second 64 \
+                 --tokens 8";
     let report = Report::from_json(&last_line(flags)).expect("a report");
 
     let names: Vec<&str> = report
@@ -32,7 +35,7 @@
         .iter()
         .map(|window| window.name.as_str())
         .collect();
-    expect_that!(names, eq(&vec!["rest", "changes", "weights"]));
+    expect_that!(names, eq(&vec!["rest", "changes", "samples", "weights"]));
     for window in &report.windows {
         let roles: Vec<(Role, usize)> = window
             .roles
@@ -58,6 +61,12 @@
     }
     expect_that!(report.changes.in_force_seconds, len(eq(2)));
     expect_that!(report.changes.last_node_seconds, len(eq(2)));
+    let samples = report.samples.expect("trainers ran");
+    expect_that!(samples.acknowledged, gt(0.0));
+    expect_that!(samples.failed, eq(0));
+    let leader = &report.windows[2].roles[0];
+    expect_that!(leader.role, eq(Role::Leader));
+    expect_that!(leader.syncs, gt(0.0));
     expect_that!(report.weights.engines, eq(19));
     expect_that!(report.weights.all_seconds, some(gt(0.0)));
     expect_that!(report.weights.most_fetches_at_once, all![ge(1), le(4)]);
@@ -112,4 +121,8 @@
         bytes_received: 60,
     };
     expect_that!(frame_counts(metrics), eq(counts));
+    let writes = "wingshore_replica_write_seconds_sum{group=\"control\"} 9.0\n\
+                  wingshore_replica_write_seconds_count{group=\"control\"} 7\n\
+                  wingshore_replica_write_seconds_count{group=\"ledger-1\"} 8\n";
+    expect_that!(sync_count(writes), eq(15));
 }
