node: a planned stop that cuts requests leaves its log ring

It only warned into the ring, which ended with the process: an operator had no trace of what was cut. Now the ring is written out, as for a broken promise. Test: a stop without grace and a server that is slow; without the change no file.

--- a/crates/wingshore-node/src/run.rs
+++ b/crates/wingshore-node/src/run.rs
@@ -124,7 +124,10 @@
         let logger = self.node.diagnostics.logger();
         let left = self.edge.drain(self.node.settings.stop_grace);
         if left > 0 {
-            warn!(logger, "stopped with requests in flight"; "requests" => left);
+            let what = format!("stopped with {left} requests in flight");
+            warn!(logger, "{}", what);
+            // A failed dump has said so on standard error.
+            let _ = self.node.diagnostics.dump(&what);
         }
         for rollouts in self.rollouts {
             rollouts.join();
--- a/crates/wingshore-node/tests/common/mod.rs
+++ b/crates/wingshore-node/tests/common/mod.rs
@@ -48,7 +48,8 @@
     pub fn start_unready(groups: &ScriptedGroups, name: &str, more: &str) -> Self {
         let stop = StopSignal::new();
         let settings = settings(groups.address(), name, more);
-        let diagnostics = Diagnostics::new("node", settings.log_lines, None);
+        let folder = settings.dump_folder.clone();
+        let diagnostics = Diagnostics::new("node", settings.log_lines, folder.as_deref());
         let running = start(settings, diagnostics, stop.clone()).expect("the node must start");
         Self { running, stop }
     }
--- a/crates/wingshore-node/tests/lifecycle.rs
+++ b/crates/wingshore-node/tests/lifecycle.rs
@@ -127,6 +127,41 @@
     expect_that!(server.count(), eq(1));
 }
 
+#[gtest]
+fn a_planned_stop_that_cuts_a_request_leaves_its_log() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let server = BackEnd::start(|_, stream| {
+        thread::sleep(Duration::from_millis(500));
+        write_whole(stream, 200, "", b"charged too late");
+    });
+    let groups = live_site(&[&server]);
+    let settings = format!(
+        "stop_grace = \"0s\"\ndata = \"{}\"",
+        folder.path().display()
+    );
+    let node = TestNode::start(&groups, "node-a", &settings);
+    let address = node.address();
+    let caller = thread::spawn(move || {
+        TcpStream::connect(address).and_then(|mut stream| {
+            stream.write_all(&post_bytes(&charges(), "", "x"))?;
+            Ok(stream)
+        })
+    });
+    wait_until("the request is at the server", || server.count() == 1);
+    node.finish();
+    let stream = caller.join().expect("the caller ends");
+    expect_that!(stream, ok(anything()));
+    let mut logs = String::new();
+    for entry in std::fs::read_dir(folder.path())? {
+        logs.push_str(&std::fs::read_to_string(entry?.path())?);
+    }
+    expect_that!(
+        logs,
+        contains_substring("stopped with 1 requests in flight")
+    );
+    Ok(())
+}
+
 /// Sends requests until nobody listens any more, on one connection as long as it may be kept or
 /// on a new one each; answers how many were cut.
 fn call_until_refused(address: SocketAddr, keeps_connection: bool) -> usize {
