--- a/crates/wingshore-settings/src/document.rs
+++ b/crates/wingshore-settings/src/document.rs
@@ -1,7 +1,7 @@
 //! A parsed TOML document in which every value knows its line.
 
 use crate::Overrides;
-use crate::error::ErrorSink;
+use crate::error::{ErrorSink, SettingsErrors};
 use crate::reader::TableReader;
 use std::collections::BTreeMap;
 use toml::Spanned;
@@ -86,6 +86,24 @@
     }
 }
 
+/// Parses a file of one role: flags first, then `read`, which asks for every key.
+///
+/// # Errors
+/// All that is wrong with it.
+pub(crate) fn parse_role<T>(
+    file: &str,
+    text: &str,
+    overrides: &Overrides,
+    read: impl FnOnce(TableReader<'_>) -> Option<T>,
+) -> Result<T, SettingsErrors> {
+    let sink = ErrorSink::new(file);
+    let settings = Document::parse(text, &sink).and_then(|mut document| {
+        document.override_with(overrides);
+        read(document.reader(&sink))
+    });
+    sink.finish(settings)
+}
+
 fn convert_table(text: &str, table: &DeTable<'_>) -> Entries {
     table
         .iter()
--- a/crates/wingshore-settings/src/node.rs
+++ b/crates/wingshore-settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Settings of the node role.
 
-use crate::document::Document;
-use crate::error::{ErrorSink, SettingsErrors};
+use crate::document::parse_role;
+use crate::error::SettingsErrors;
 use crate::reader::TableReader;
 use crate::replica::LOG_LINES;
 use crate::units::{DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
@@ -211,12 +211,7 @@
     text: &str,
     overrides: &Overrides,
 ) -> Result<NodeSettings, SettingsErrors> {
-    let sink = ErrorSink::new(file);
-    let settings = Document::parse(text, &sink).and_then(|mut document| {
-        document.override_with(overrides);
-        read(document.reader(&sink))
-    });
-    sink.finish(settings)
+    parse_role(file, text, overrides, read)
 }
 
 pub(crate) fn read(keys: TableReader<'_>) -> Option<NodeSettings> {
--- a/crates/wingshore-settings/src/relay.rs
+++ b/crates/wingshore-settings/src/relay.rs
@@ -1,8 +1,8 @@
 //! Settings of the relay role, and the keys that every role has.
 
 use crate::Overrides;
-use crate::document::Document;
-use crate::error::{ErrorSink, SettingsErrors};
+use crate::document::parse_role;
+use crate::error::SettingsErrors;
 use crate::reader::TableReader;
 use crate::replica::LOG_LINES;
 use std::net::SocketAddr;
@@ -71,12 +71,7 @@
     text: &str,
     overrides: &Overrides,
 ) -> Result<RelaySettings, SettingsErrors> {
-    let sink = ErrorSink::new(file);
-    let settings = Document::parse(text, &sink).and_then(|mut document| {
-        document.override_with(overrides);
-        read(document.reader(&sink))
-    });
-    sink.finish(settings)
+    parse_role(file, text, overrides, read)
 }
 
 pub(crate) fn read(keys: TableReader<'_>) -> Option<RelaySettings> {
