rollout: long samples on a leaving engine move with their KV cache where copying is cheaper

Cause: a sample on a leaving engine was cancelled and resumed elsewhere by computing its whole context anew; export and import of engines were not used.

Change: after the grace time the runner compares copying (20 ms and 5 ms per thousand tokens) with computing (30 ms per thousand), both assumed, since the users have yet to confirm their engines. From 800 tokens on it takes a slot on another engine and has the cache copied while the attempt goes on, then resumes there from all tokens that have come. Where copying fails, or the other engine began to leave meanwhile, the sample is resumed without its cache, as before. The stand-in engine takes time to import and uses imported cache for any request that begins with its tokens, since the attempt goes on meanwhile.

Ruled out: exporting after the cancel. The engine has let the cache go by then.

Left: simulated engines do not exchange cache; there attempts are resumed without it.

--- a/crates/wingshore-lab/src/bench/world/ledger.rs
+++ b/crates/wingshore-lab/src/bench/world/ledger.rs
@@ -87,6 +87,12 @@
                 let (delay, result) = self.score();
                 self.after(delay, Event::Runner(RolloutInput::Scored { call, result }));
             }
+            // Simulated engines do not exchange cache: attempts are resumed without it.
+            RolloutOutput::CopyCache { attempt, .. } => {
+                let is_copied = false;
+                let answer = RolloutInput::CacheCopied { attempt, is_copied };
+                self.after(Duration::ZERO, Event::Runner(answer));
+            }
             RolloutOutput::Stopped => {}
         }
     }
--- a/crates/wingshore-lab/src/sim/processes/node/rollouts.rs
+++ b/crates/wingshore-lab/src/sim/processes/node/rollouts.rs
@@ -212,6 +212,11 @@
                     .upstream
                     .call(now, address, score, timeout, purpose, context.out);
             }
+            // Simulated engines do not exchange cache: attempts are resumed without it.
+            RolloutOutput::CopyCache { attempt, .. } => {
+                let is_copied = false;
+                return Some(RolloutInput::CacheCopied { attempt, is_copied });
+            }
             RolloutOutput::Stopped => self.has_stopped = true,
         }
         None
--- a/crates/wingshore-lab/src/stand_ins/engine/core.rs
+++ b/crates/wingshore-lab/src/stand_ins/engine/core.rs
@@ -9,6 +9,7 @@
 use super::settings::EngineSettings;
 use super::weights::{WeightChange, Weights};
 use std::collections::BTreeSet;
+use std::time::Duration;
 use wingshore_types::platform::{
     CacheEvents, EngineCompletionRequest, EngineOrder, EngineState, LoadReport, OrderBody,
 };
@@ -143,6 +144,15 @@
         }
     }
 
+    /// How long taking over the cache of so many tokens takes.
+    pub fn copy_time(&self, tokens: usize) -> Duration {
+        let settings = &self.settings;
+        settings.kv_copy_base
+            + settings
+                .kv_copy_per_thousand
+                .mul_f64(tokens as f64 / 1000.0)
+    }
+
     /// Prompt and generated tokens of an attempt whose cache is to be exported.
     pub fn export(&self, request_id: &str) -> Option<Vec<Token>> {
         self.scheduler.tokens_of(request_id)
--- a/crates/wingshore-lab/src/stand_ins/engine/routes.rs
+++ b/crates/wingshore-lab/src/stand_ins/engine/routes.rs
@@ -10,6 +10,7 @@
 use crossbeam_channel::Receiver;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 use wingshore_types::generator::hash_tokens;
 use wingshore_types::platform::{
@@ -200,6 +201,7 @@
         .and_then(|answer| serde_json::from_slice::<Vec<Token>>(&answer.body).ok());
     match tokens {
         Some(tokens) => {
+            thread::sleep(driver.read(|core, _| core.copy_time(tokens.len())));
             driver.input(EngineInput::KvImported { tokens });
             incoming.respond_json(200, &serde_json::json!({}));
         }
--- a/crates/wingshore-lab/src/stand_ins/engine/scheduler.rs
+++ b/crates/wingshore-lab/src/stand_ins/engine/scheduler.rs
@@ -8,9 +8,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
-use wingshore_types::generator::hash_tokens;
 use wingshore_types::platform::{CacheEvent, EngineCompletionRequest, EngineStreamEvent};
 use wingshore_types::{Instant, Token, WeightVersion};
 
@@ -26,7 +25,7 @@
     lengths: LengthDistribution,
     generator: ChaCha8Rng,
     cache: PrefixCache,
-    imported: BTreeMap<u64, u32>,
+    imported: VecDeque<Vec<Token>>,
     waiting: BTreeMap<QueuePlace, Sequence>,
     running: Vec<Sequence>,
     arrivals: u64,
@@ -49,7 +48,7 @@
             lengths,
             generator: ChaCha8Rng::seed_from_u64(seed),
             cache,
-            imported: BTreeMap::new(),
+            imported: VecDeque::new(),
             waiting: BTreeMap::new(),
             running: Vec::new(),
             arrivals: 0,
@@ -95,15 +94,31 @@
         self.waiting.insert(place, sequence);
     }
 
-    /// Takes cache computed elsewhere for exactly these tokens.
+    /// Takes cache computed elsewhere for these tokens; it is good for any request that begins
+    /// with some of them.
     pub fn import(&mut self, tokens: &[Token]) {
-        self.imported
-            .insert(hash_tokens(tokens), tokens.len() as u32);
+        self.imported.push_back(tokens.to_vec());
         if self.imported.len() > IMPORTS_KEPT {
-            self.imported.pop_first();
+            self.imported.pop_front();
         }
     }
 
+    /// Uses up the imported cache that covers most of `tokens`; answers how many.
+    fn take_imported(&mut self, tokens: &[Token]) -> u32 {
+        let common = |cache: &Vec<Token>| {
+            let pairs = cache.iter().zip(tokens);
+            pairs.take_while(|(one, other)| one == other).count()
+        };
+        let lengths = self.imported.iter().map(common).enumerate();
+        let Some((index, length)) = lengths.max_by_key(|(_, length)| *length) else {
+            return 0;
+        };
+        if length > 0 {
+            self.imported.remove(index);
+        }
+        length as u32
+    }
+
     /// Forgets an attempt.
     pub fn cancel(&mut self, request_id: &str, out: &mut Vec<EngineOutput>) {
         let before = self.running.len() + self.waiting.len();
@@ -216,7 +231,7 @@
 
     fn prefill(&mut self, now: Instant, mut sequence: Sequence) -> u64 {
         let tokens = sequence.prefill_tokens();
-        let imported = self.imported.remove(&hash_tokens(&tokens)).unwrap_or(0);
+        let imported = self.take_imported(&tokens);
         let cached = self.cache.longest_prefix(&tokens).max(imported);
         sequence.cached_tokens = cached.min(sequence.request.prompt.len() as u32);
         self.cache
--- a/crates/wingshore-node/src/rollout/driver.rs
+++ b/crates/wingshore-node/src/rollout/driver.rs
@@ -3,6 +3,7 @@
 use crate::rollout::streams::{RolloutStream, RunningStreams};
 use crate::rollout::workers::Workers;
 use crate::state::NodeState;
+use crate::upstream::copy_cache;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use slog::{info, warn};
 use std::io;
@@ -11,8 +12,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use wingshore_rollout::{
-    CallId, OverIssue, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner, RolloutSettings,
-    ScoreCallId, StreamEnd,
+    AttemptId, CallId, OverIssue, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner,
+    RolloutSettings, ScoreCallId, StreamEnd,
 };
 use wingshore_types::configuration::{Configuration, ServiceKind};
 use wingshore_types::platform::{ScoreReply, ScoreRequest};
@@ -26,6 +27,8 @@
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Threads for calls to ledgers, for each pool.
 const LEDGER_CALLERS: usize = 8;
+/// Threads that have KV caches copied, for each pool.
+const CACHE_COPIERS: usize = 4;
 /// Where scorers take samples.
 const SCORE: &str = "/score";
 /// A straggler runs at least this long before it is tried on a second engine.
@@ -72,6 +75,7 @@
         stream_workers: Workers::start("stream", streams)?,
         ledger_workers: Workers::start("ledger", LEDGER_CALLERS)?,
         score_workers: Workers::start("score", settings.score_concurrency as usize)?,
+        cache_workers: Workers::start("cache", CACHE_COPIERS)?,
         inputs,
     };
     let runner = RolloutRunner::new(settings, pool.clone());
@@ -113,6 +117,7 @@
     stream_workers: Workers,
     ledger_workers: Workers,
     score_workers: Workers,
+    cache_workers: Workers,
     inputs: Sender<RolloutInput>,
 }
 
@@ -200,6 +205,12 @@
                 self.streams.interrupt(attempt);
                 self.node.cancel_at_engine(address, &request_id);
             }
+            RolloutOutput::CopyCache {
+                attempt,
+                request_id,
+                from,
+                to,
+            } => self.copy_cache(attempt, request_id, from, to),
             RolloutOutput::Score {
                 call,
                 address,
@@ -245,6 +256,15 @@
         });
     }
 
+    fn copy_cache(&self, attempt: AttemptId, request_id: String, from: SocketAddr, to: SocketAddr) {
+        let (node, inputs) = (Arc::clone(&self.node), self.inputs.clone());
+        self.cache_workers.add(move || {
+            let is_copied = copy_cache(&node.upstream, request_id, from, to).is_ok();
+            // The runner listens until its calls have ended.
+            let _ = inputs.send(RolloutInput::CacheCopied { attempt, is_copied });
+        });
+    }
+
     fn score(
         &self,
         call: ScoreCallId,
@@ -274,6 +294,7 @@
         self.stream_workers.finish();
         self.ledger_workers.finish();
         self.score_workers.finish();
+        self.cache_workers.finish();
     }
 }
 
--- a/crates/wingshore-node/src/upstream/mod.rs
+++ b/crates/wingshore-node/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod answer;
+mod cache;
 mod connector;
 mod engine;
 mod event_reader;
@@ -10,6 +11,7 @@
 
 pub use agent::{Connections, InterruptibleClient, UpstreamClient, UpstreamRequest};
 pub use answer::{ServerAnswer, ServerReply};
+pub use cache::copy_cache;
 pub use engine::{EngineAttempt, EngineEnd};
 pub use event_reader::{EventReader, StreamError};
 pub use failure::{failure_of, failure_of_read};
--- a/crates/wingshore-rollout/src/lib.rs
+++ b/crates/wingshore-rollout/src/lib.rs
@@ -14,6 +14,7 @@
 //! * `scoring`: finished samples on their way through the scorer
 //! * `stopping`: the planned stop
 
+mod cache_moves;
 mod faults;
 mod held;
 mod messages;
@@ -27,6 +28,7 @@
 mod streams;
 mod window;
 
+pub use cache_moves::CacheMoveCosts;
 pub use faults::Faults;
 pub use messages::{
     AttemptId, CallId, PoolBinding, RolloutInput, RolloutOutput, ScoreCallId, StreamEnd,
--- a/crates/wingshore-rollout/src/messages.rs
+++ b/crates/wingshore-rollout/src/messages.rs
@@ -84,6 +84,13 @@
         /// The answer.
         result: Result<LedgerReply, Verdict>,
     },
+    /// The end of [`RolloutOutput::CopyCache`].
+    CacheCopied {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// Whether the other engine has the cache.
+        is_copied: bool,
+    },
     /// The answer to [`RolloutOutput::Score`], or the verdict when none came.
     Scored {
         /// Which request.
@@ -129,6 +136,18 @@
         /// The engine's name for the attempt.
         request_id: String,
     },
+    /// Copy the KV cache of an attempt that runs (`POST /kv/export` on its engine, then `POST
+    /// /kv/import` on the other). Answered by [`RolloutInput::CacheCopied`].
+    CopyCache {
+        /// Which attempt; it goes on meanwhile.
+        attempt: AttemptId,
+        /// Its engine's name for it.
+        request_id: String,
+        /// Its engine.
+        from: SocketAddr,
+        /// The engine that it will be resumed on.
+        to: SocketAddr,
+    },
     /// Ask the pool's scorer (`POST /score`).
     Score {
         /// Comes back with the answer.
--- a/crates/wingshore-rollout/src/placement.rs
+++ b/crates/wingshore-rollout/src/placement.rs
@@ -39,7 +39,7 @@
             since.is_some_and(|since| now.since(since) >= grace)
         };
         for id in self.attempts_where(is_due) {
-            self.move_elsewhere(context, id);
+            self.move_off(context, id);
         }
     }
 
@@ -99,11 +99,6 @@
             .collect()
     }
 
-    fn move_elsewhere(&mut self, context: &mut Context<'_>, id: AttemptId) {
-        self.counters.moved += 1;
-        self.cancel(context, id, Tokens::Keep);
-    }
-
     /// Attempts on an engine, the one with the fewest tokens first.
     fn attempts_on(&self, server: &ServerId) -> Vec<AttemptId> {
         let mut running: Vec<(usize, AttemptId)> = self
--- a/crates/wingshore-rollout/src/runner.rs
+++ b/crates/wingshore-rollout/src/runner.rs
@@ -38,6 +38,8 @@
     pub cut: u64,
     /// Attempts moved off an engine.
     pub moved: u64,
+    /// Of those, the ones whose KV cache was copied.
+    pub moved_with_cache: u64,
     /// Second attempts of stragglers.
     pub over_issued: u64,
     /// Generations finished.
@@ -157,6 +159,9 @@
             }
             RolloutInput::Ledger { call, result } => self.on_ledger(context, call, result.ok()),
             RolloutInput::Scored { call, result } => self.on_scored(context, call, result.ok()),
+            RolloutInput::CacheCopied { attempt, is_copied } => {
+                self.on_cache_copied(context, attempt, is_copied);
+            }
             RolloutInput::Tick => self.on_tick(context),
             RolloutInput::Stop => self.on_stop(context),
         }
--- a/crates/wingshore-rollout/src/settings.rs
+++ b/crates/wingshore-rollout/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a runner.
 
+use crate::cache_moves::CacheMoveCosts;
 use std::time::Duration;
 use wingshore_types::NodeId;
 
@@ -38,6 +39,8 @@
     pub priority: i32,
     /// How long attempts on a leaving engine may go on before they are moved.
     pub leaving_grace: Duration,
+    /// When attempts on a leaving engine move with their KV cache; `None` for never.
+    pub cache_moves: Option<CacheMoveCosts>,
     /// Second attempts of stragglers; `None` for none.
     pub over_issue: Option<OverIssue>,
     /// Most samples at the scorer at once.
@@ -65,6 +68,7 @@
             stall_timeout: Duration::from_secs(5),
             priority: 0,
             leaving_grace: Duration::from_secs(2),
+            cache_moves: Some(CacheMoveCosts::default()),
             over_issue: None,
             score_concurrency: 32,
             score_timeout: Duration::from_secs(5),
--- a/crates/wingshore-rollout/src/streams.rs
+++ b/crates/wingshore-rollout/src/streams.rs
@@ -28,6 +28,8 @@
     pub(crate) last_event: Instant,
     /// Since when its engine is seen to be leaving.
     pub(crate) leaving_since: Option<Instant>,
+    /// Where it goes on once its KV cache is there.
+    pub(crate) next: Option<Admitted>,
 }
 
 /// What becomes of an ended attempt's tokens.
@@ -79,8 +81,21 @@
         };
         let is_second = !sample.attempts.is_empty();
         let admitted = self.admit(context, &sample, avoided, is_second)?;
+        self.start_on(context, lease, &sample, admitted, generation);
+        Ok(())
+    }
+
+    /// Starts an attempt at a held sample in a slot that is taken already.
+    pub(crate) fn start_on(
+        &mut self,
+        context: &mut Context<'_>,
+        lease: LeaseId,
+        sample: &HeldSample,
+        admitted: Admitted,
+        generation: Generation,
+    ) {
         let attempt = self.next_attempt();
-        let request = self.engine_request(attempt, &sample, &generation);
+        let request = self.engine_request(attempt, sample, &generation);
         context.out.push(RolloutOutput::StartStream {
             attempt,
             server: admitted.server.clone(),
@@ -88,7 +103,6 @@
             request: Box::new(request),
         });
         self.remember_attempt(context.now, attempt, lease, admitted, generation);
-        Ok(())
     }
 
     pub(crate) fn on_chunk(
@@ -194,7 +208,7 @@
         }
     }
 
-    fn admit(
+    pub(crate) fn admit(
         &mut self,
         context: &mut Context<'_>,
         sample: &HeldSample,
@@ -264,6 +278,7 @@
             started: now,
             last_event: now,
             leaving_since: None,
+            next: None,
         };
         self.counters.attempts += 1;
         self.counters.resumed += u64::from(resumed_tokens > 0);
@@ -278,7 +293,10 @@
         id: AttemptId,
         outcome: Option<AttemptOutcome>,
     ) -> Option<Attempt> {
-        let attempt = self.attempts.remove(&id)?;
+        let mut attempt = self.attempts.remove(&id)?;
+        if let Some(next) = attempt.next.take() {
+            self.let_go(context, &next);
+        }
         let outcome = outcome.unwrap_or(AttemptOutcome::Success {
             latency: context.now.since(attempt.started),
         });
@@ -355,7 +373,7 @@
         self.reports.add(context.now, key, request);
     }
 
-    fn request_id(&self, attempt: AttemptId) -> String {
+    pub(crate) fn request_id(&self, attempt: AttemptId) -> String {
         let (node, boot_id) = (&self.settings.node, self.settings.boot_id);
         format!("{node}-{boot_id:016x}-{}-{attempt}", self.pool)
     }
--- a/crates/wingshore-rollout/tests/support/mod.rs
+++ b/crates/wingshore-rollout/tests/support/mod.rs
@@ -14,8 +14,8 @@
 use trainer::Trainer;
 use wingshore_ledger::samples::{Faults as LedgerFaults, LedgerLeader};
 use wingshore_rollout::{
-    CallId, Faults, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner, RolloutSettings,
-    ScoreCallId,
+    CacheMoveCosts, CallId, Faults, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner,
+    RolloutSettings, ScoreCallId,
 };
 use wingshore_routing::{Router, RouterSettings};
 use wingshore_types::configuration::{
@@ -209,6 +209,10 @@
                 let boot_id = self.nodes[index].boot_id;
                 self.engines.cancel((index, boot_id, attempt));
             }
+            RolloutOutput::CopyCache { attempt, .. } => {
+                let is_copied = attempt.0 % 2 == 0;
+                self.queue(index, RolloutInput::CacheCopied { attempt, is_copied });
+            }
             RolloutOutput::Score { call, request, .. } => self.score(index, call, &request),
             RolloutOutput::Stopped => self.nodes[index].stopped = true,
         }
@@ -399,6 +403,11 @@
     rollout.stall_timeout = Duration::from_secs(1);
     rollout.first_event_timeout = Duration::from_secs(1);
     rollout.leaving_grace = Duration::from_millis(500);
+    // Copying always pays.
+    rollout.cache_moves = Some(CacheMoveCosts {
+        copy_base: Duration::ZERO,
+        ..CacheMoveCosts::default()
+    });
     (settings.tune)(&mut rollout);
     let seed = index as u64;
     let mut router = Router::new(RouterSettings::default(), ZoneId::new("a"), seed);
