--- a/crates/wingshore-group/src/applying.rs
+++ b/crates/wingshore-group/src/applying.rs
@@ -23,7 +23,7 @@
         entry: &Entry,
         out: &mut Vec<HostOutput<L>>,
     ) -> Result<(), HostError> {
-        self.applied_bytes += entry.size() as u64;
+        self.snapshots.applied(entry.size());
         let proposal = self.proposals.remove(&entry.index);
         match entry.kind {
             EntryKind::Empty => {}
@@ -64,8 +64,7 @@
             message: error.message,
         })?;
         (self.machines.prepare)(&mut self.state);
-        self.applied_bytes = 0;
-        self.snapshot_bytes = state.len() as u64;
+        self.snapshots.taken(state.len());
         Ok(())
     }
 }
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -4,6 +4,7 @@
 use crate::leading::{Leading, Proposal};
 use crate::machines::MachineFactory;
 use crate::membership::PendingTransfer;
+use crate::snapshots::SnapshotSchedule;
 use crate::stop::StopPhase;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -14,9 +15,6 @@
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
-/// Snapshots cost about so many bytes of writing for each byte of log, however large the state.
-const SNAPSHOT_BYTES_PER_LOG_BYTE: u64 = 2;
-
 /// One replicated group on one replica: its log, its state and, while it leads, its leader
 /// machine.
 ///
@@ -39,11 +37,8 @@
     pub(crate) stop: StopPhase,
     pub(crate) announced: Option<Leadership>,
     pub(crate) election_timeout: std::time::Duration,
-    snapshot_every_bytes: u64,
-    pub(crate) applied_bytes: u64,
     pub(crate) machines: MachineFactory<L>,
-    /// Size of the newest snapshot.
-    pub(crate) snapshot_bytes: u64,
+    pub(crate) snapshots: SnapshotSchedule,
     has_failed: bool,
 }
 
@@ -100,10 +95,8 @@
             stop: StopPhase::Running,
             announced: None,
             election_timeout: config.timing.election_timeout,
-            snapshot_every_bytes: config.snapshot_every_bytes,
-            applied_bytes: 0,
             machines,
-            snapshot_bytes: 0,
+            snapshots: SnapshotSchedule::new(config.snapshot_every_bytes, config.seed),
             has_failed: false,
         };
         for output in outputs {
@@ -226,22 +219,14 @@
     }
 
     fn take_snapshot_when_due(&mut self) -> Result<(), HostError> {
-        if self.applied_bytes >= self.snapshot_interval() && self.raft.can_compact() {
+        if self.snapshots.is_due() && self.raft.can_compact() {
             let snapshot = self.state.snapshot();
-            self.applied_bytes = 0;
-            self.snapshot_bytes = snapshot.len() as u64;
+            self.snapshots.taken(snapshot.len());
             self.raft.compact(snapshot)?;
         }
         Ok(())
     }
 
-    /// Bytes of log from one snapshot to the next. They grow with the state, so that what is
-    /// written for snapshots stays in proportion to the log.
-    fn snapshot_interval(&self) -> u64 {
-        let share = self.snapshot_bytes / SNAPSHOT_BYTES_PER_LOG_BYTE;
-        self.snapshot_every_bytes.max(share)
-    }
-
     fn stop_on_error(&mut self, result: Result<(), HostError>, out: &mut Vec<HostOutput<L>>) {
         if let Err(error) = result {
             self.has_failed = true;
--- a/crates/wingshore-group/src/interface.rs
+++ b/crates/wingshore-group/src/interface.rs
@@ -21,7 +21,7 @@
     /// Limits of messages between members.
     pub limits: Limits,
     /// A snapshot is taken when this many bytes of log were applied since the last one, or half
-    /// as many as that one has, whichever is more.
+    /// as many as that one has, whichever is more, and up to half of that again.
     pub snapshot_every_bytes: u64,
     /// Deliberate faults; all off outside tests.
     pub faults: Faults,
--- a/crates/wingshore-group/src/lib.rs
+++ b/crates/wingshore-group/src/lib.rs
@@ -10,6 +10,7 @@
 mod leading;
 mod machines;
 mod membership;
+mod snapshots;
 mod stop;
 
 pub use host::Host;
--- a/crates/wingshore-group/tests/members.rs
+++ b/crates/wingshore-group/tests/members.rs
@@ -274,6 +274,20 @@
     verify_that!(replica.snapshot_bytes, lt(replica.log_bytes * 3))
 }
 
+/// Else all members would hold up commits at once.
+#[gtest]
+fn members_take_their_snapshots_at_different_entries() -> Result<()> {
+    let (mut cluster, leader) = Cluster::led(3);
+    cluster.add_numbers(leader, 0..2_000);
+    let [first, second, third] = [1, 2, 3].map(|id| cluster.replica(id).snapshot_indexes.clone());
+    verify_that!(first.len(), gt(10))?;
+    let common: Vec<_> = first
+        .iter()
+        .filter(|index| second.contains(index) && third.contains(index))
+        .collect();
+    verify_that!(common, is_empty())
+}
+
 #[gtest]
 fn an_unknown_command_stops_the_host() -> Result<()> {
     let (mut cluster, _) = Cluster::led(1);
--- a/crates/wingshore-group/tests/support/cluster.rs
+++ b/crates/wingshore-group/tests/support/cluster.rs
@@ -11,7 +11,7 @@
 use wingshore_types::log::WriteBatch;
 use wingshore_types::machine::RequestTag;
 use wingshore_types::protocol::membership::{MembershipReply, MembershipRequest};
-use wingshore_types::{Instant, ReplicaId};
+use wingshore_types::{Instant, LogIndex, ReplicaId};
 
 /// Time between two looks at the clocks.
 const QUANTUM: Duration = Duration::from_millis(5);
@@ -41,6 +41,8 @@
     pub log_bytes: usize,
     /// Bytes of snapshots written.
     pub snapshot_bytes: usize,
+    /// Where snapshots ended.
+    pub snapshot_indexes: BTreeSet<LogIndex>,
     incarnation: u64,
 }
 
@@ -50,8 +52,10 @@
         let entries = batch.append.iter();
         let entries = entries.map(|record| ENTRY_HEADER_BYTES + record.data.len());
         self.log_bytes += entries.sum::<usize>();
-        let snapshot = batch.snapshot.as_ref();
-        self.snapshot_bytes += snapshot.map_or(0, |snapshot| snapshot.data.len());
+        if let Some(snapshot) = &batch.snapshot {
+            self.snapshot_bytes += snapshot.data.len();
+            self.snapshot_indexes.insert(snapshot.index);
+        }
     }
 }
 
@@ -129,6 +133,7 @@
             writes: Vec::new(),
             log_bytes: 0,
             snapshot_bytes: 0,
+            snapshot_indexes: BTreeSet::new(),
             incarnation: 0,
         };
         self.replicas.insert(id, replica);
--- a/crates/wingshore-lab/src/measure/state/commits.rs
+++ b/crates/wingshore-lab/src/measure/state/commits.rs
@@ -90,18 +90,23 @@
     Ok(CommitReport { bare_disk, runs })
 }
 
-fn run(
+/// Commits of `clients` clients for `length`; each run claims keys of its own.
+///
+/// # Errors
+/// When the site does not answer.
+pub fn run(
     site: &StateSite,
     groups: u16,
     clients: usize,
     length: Duration,
 ) -> Result<CommitRun, StateError> {
+    let name: u64 = rand::random();
     for group in 1..=groups {
         // The group has a leader, and the connection to it stands.
         commit(
             &site.client,
             GroupId::Claims(group),
-            format!("first {clients}"),
+            format!("{name}-first"),
         )?;
     }
     let connections = clients.div_ceil(CLIENTS_PER_CONNECTION);
@@ -112,7 +117,7 @@
         .map(|number| {
             let client = connections[number / CLIENTS_PER_CONNECTION].clone();
             let group = GroupId::Claims(number as u16 % groups + 1);
-            thread::spawn(move || commit_until(&client, group, (clients, number), end))
+            thread::spawn(move || commit_until(&client, group, (name, number), end))
         })
         .collect();
     let mut samples = Vec::new();
@@ -132,7 +137,7 @@
 fn commit_until(
     client: &GroupClient,
     group: GroupId,
-    name: (usize, usize),
+    name: (u64, usize),
     end: Instant,
 ) -> Result<Vec<Duration>, StateError> {
     let mut samples = Vec::new();
--- a/crates/wingshore-lab/src/measure/state/mod.rs
+++ b/crates/wingshore-lab/src/measure/state/mod.rs
@@ -10,6 +10,7 @@
 pub mod leaderless;
 pub mod recovery;
 pub mod site;
+pub mod snapshots;
 pub mod switched_server;
 
 use argh::FromArgs;
@@ -25,6 +26,7 @@
     Leaderless,
     InForce,
     Recovery,
+    Snapshots,
 }
 
 impl std::str::FromStr for Part {
@@ -36,7 +38,8 @@
             "leaderless" => Ok(Self::Leaderless),
             "in-force" => Ok(Self::InForce),
             "recovery" => Ok(Self::Recovery),
-            _ => Err("allowed: commits, leaderless, in-force, recovery".to_owned()),
+            "snapshots" => Ok(Self::Snapshots),
+            _ => Err("allowed: commits, leaderless, in-force, recovery, snapshots".to_owned()),
         }
     }
 }
@@ -53,7 +56,7 @@
     /// print one JSON object as the last line
     #[argh(switch)]
     json: bool,
-    /// measure only this: commits, leaderless, in-force or recovery
+    /// measure only this: commits, leaderless, in-force, recovery or snapshots
     #[argh(option)]
     only: Option<Part>,
     /// length of each measurement of commits (3)
@@ -74,6 +77,7 @@
     leaderless: Option<leaderless::LeaderlessReport>,
     in_force: Option<in_force::InForceReport>,
     recovery: Option<recovery::RecoveryReport>,
+    snapshots: Option<snapshots::SnapshotReport>,
 }
 
 impl StateCommand {
@@ -97,6 +101,9 @@
         if self.measures(Part::Recovery) {
             report.recovery = Some(print(recovery::measure(&root)?));
         }
+        if self.measures(Part::Snapshots) {
+            report.snapshots = Some(print(snapshots::measure(&root, length)?));
+        }
         if self.json {
             let text = serde_json::to_string(&report);
             println!("{}", text.map_err(|source| StateError::Print { source })?);
