ctl: a member is not replaced by itself

Cause: `members replace` with the same identity twice found the new member to vote already and went on to remove the old one, that is, the same: a group of three had two members left and the command said it was done. Found by a fleet that lost the disk of one replica three times and named a stale identity. Change: refused before anything is changed. The test of a lost folder asks for it; before, the leader's group refused only because the leader itself was named, and a follower would have been removed.

--- a/crates/wingshore/src/ctl/members.rs
+++ b/crates/wingshore/src/ctl/members.rs
@@ -121,6 +121,10 @@
         address,
     };
     let old = ReplicaId(flags.old);
+    if old == new.id {
+        let message = format!("{old} is named as the member to remove and as the new one");
+        return Err(Failure::Refused { message });
+    }
     check_known(&read_all(session, groups)?, old, new.id)?;
     for group in groups {
         replace_in(session, *group, old, &new)?;
--- a/crates/wingshore/tests/replicas.rs
+++ b/crates/wingshore/tests/replicas.rs
@@ -38,15 +38,26 @@
         new_identity(&site.errors(lost), &address)
     });
 
-    let unknown = site.try_ctl(&["members", "replace", "9", &new, &address]);
-    expect_that!(unknown.code, some(eq(3)));
-    expect_that!(unknown.stderr, contains_substring("there is no member 9"));
+    let lost_id = lost.to_string();
+    let leader_id = leader.to_string();
+    for (old, new, refusal) in [
+        ("9", new.as_str(), "there is no member 9"),
+        (
+            &leader_id,
+            &leader_id,
+            "as the member to remove and as the new",
+        ),
+    ] {
+        let refused = site.try_ctl(&["members", "replace", old, new, &address]);
+        expect_that!(refused.code, some(eq(3)));
+        expect_that!(refused.stderr, contains_substring(refusal));
+    }
 
-    let replaced = site.ctl_json(&["members", "replace", &lost.to_string(), &new, &address]);
+    let replaced = site.ctl_json(&["members", "replace", &lost_id, &new, &address]);
     for group in replaced.as_array().into_iter().flatten() {
         let voters = voters(group);
         expect_that!(voters, contains(eq(&new)));
-        expect_that!(voters, not(contains(eq(&lost.to_string()))));
+        expect_that!(voters, not(contains(eq(&lost_id))));
         expect_that!(voters.len(), eq(3));
     }
     // Once it has ended the loss of any one further machine is harmless.
