lab: a disk may be lost again

Cause: the identity of a replica that came back empty was read off the end of its output; at a second loss that still showed the identity of the first, before the new process had printed its own. Change: the identity of the lost member is not taken for the new one.

--- a/crates/wingshore-lab/src/fleet/lost_disk.rs
+++ b/crates/wingshore-lab/src/fleet/lost_disk.rs
@@ -46,18 +46,22 @@
         process: name.clone(),
         action: "lose_disk".to_owned(),
     });
-    let new = new_identity(site, &name)?;
+    let new = new_identity(site, &name, old)?;
     replace(site, &name, old, new)?;
     site.set_identity(&name, new);
     Ok(())
 }
 
-/// The identity that a new member prints at its start.
-fn new_identity(site: &mut RunningSite, name: &str) -> Result<ReplicaId, FleetError> {
+/// The identity that a new member prints at its start, after it lost that of `old`.
+fn new_identity(
+    site: &mut RunningSite,
+    name: &str,
+    old: ReplicaId,
+) -> Result<ReplicaId, FleetError> {
     let end = Instant::now() + IDENTITY_LIMIT;
     loop {
         let output = site.replica(name)?.output_end();
-        if let Some(identity) = identity_in(&output) {
+        if let Some(identity) = identity_in(&output, old) {
             return Ok(identity);
         }
         if Instant::now() >= end {
@@ -73,13 +77,15 @@
     }
 }
 
-/// The last number of an output that can only be the identity of a member that joined later.
-fn identity_in(output: &str) -> Option<ReplicaId> {
+/// The last number of an output that can only be the identity of a member that joined later; none
+/// while that is still the identity of `old`, which printed it at an earlier start.
+pub fn identity_in(output: &str, old: ReplicaId) -> Option<ReplicaId> {
     output
         .split(|character: char| !character.is_ascii_digit())
         .filter_map(|digits| digits.parse::<u64>().ok())
         .rfind(|number| *number > u64::from(u32::MAX))
         .map(ReplicaId)
+        .filter(|identity| *identity != old)
 }
 
 fn replace(
