lab: calls on their way to a process that ends in order find their connection refused

The real node closes its listener first, so that such a connection is refused and the request did not run. Ruled out: the node's stop itself; it had nothing in flight for the quiet time. Change: the network breaks only calls that have arrived when a process ends in order; the rest are refused at arrival. A process that dies breaks all of them, as before.

--- a/crates/wingshore-lab/src/sim/network.rs
+++ b/crates/wingshore-lab/src/sim/network.rs
@@ -47,6 +47,18 @@
     Stalled,
 }
 
+/// How a process went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// Its machine is gone: nobody is told.
+    Silent,
+    /// It died: its connections break.
+    Broken,
+    /// It ended in order: its listener closed first, so that calls on their way find their
+    /// connection refused; all others break.
+    InOrder,
+}
+
 /// A message on its way.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parcel {
@@ -64,6 +76,8 @@
     caller: SocketAddr,
     callee: SocketAddr,
     kind: ExchangeKind,
+    /// The request has reached the callee.
+    has_arrived: bool,
     /// A part of the answer was lost: no later part is given out.
     has_gap: bool,
 }
@@ -186,11 +200,25 @@
                 }
             }
             // A request whose caller has hung up or died meanwhile still arrives.
-            other => other,
+            other => {
+                self.note_arrival(&other);
+                other
+            }
         };
         Some(Parcel { from, to, message })
     }
 
+    fn note_arrival(&mut self, message: &SimMessage) {
+        let id = match message {
+            SimMessage::GroupRequest { id, .. } => id.0,
+            SimMessage::Call { id, .. } => id.0,
+            _ => return,
+        };
+        if let Some(exchange) = self.exchanges.get_mut(&id) {
+            exchange.has_arrived = true;
+        }
+    }
+
     /// A request has found nobody: its connection was refused.
     pub fn refuse(&mut self, now: Instant, parcel: &Parcel) -> Arrivals {
         let id = match &parcel.message {
@@ -203,9 +231,14 @@
         arrivals
     }
 
-    /// A process is gone. Where `noticed`, whoever waits for it sees its connection break;
-    /// otherwise there is silence.
-    pub fn process_gone(&mut self, now: Instant, gone: SocketAddr, noticed: bool) -> Arrivals {
+    /// A process is gone; who waits for it learns what [`Departure`] says.
+    pub fn process_gone(
+        &mut self,
+        now: Instant,
+        gone: SocketAddr,
+        departure: Departure,
+    ) -> Arrivals {
+        let noticed = departure != Departure::Silent;
         let mut arrivals = Vec::new();
         let calling = self.exchanges_where(|exchange| exchange.caller == gone);
         for id in calling {
@@ -218,7 +251,10 @@
                 self.send_on_connection(now, Parcel { from, to, message }, &mut arrivals);
             }
         }
-        let called = self.exchanges_where(|exchange| exchange.callee == gone);
+        let in_order = departure == Departure::InOrder;
+        let called = self.exchanges_where(|exchange| {
+            exchange.callee == gone && (exchange.has_arrived || !in_order)
+        });
         for id in called {
             if noticed {
                 self.break_exchange(now, id, &mut arrivals);
@@ -241,6 +277,7 @@
             caller,
             callee,
             kind,
+            has_arrived: false,
             has_gap: false,
         };
         self.exchanges.insert(id, exchange);
--- a/crates/wingshore-lab/src/sim/world.rs
+++ b/crates/wingshore-lab/src/sim/world.rs
@@ -2,7 +2,7 @@
 
 use super::clock::LocalClock;
 use super::history::HistoryHash;
-use super::network::{Arrivals, CutKind, Network, NetworkSettings, Parcel};
+use super::network::{Arrivals, CutKind, Departure, Network, NetworkSettings, Parcel};
 use super::observer::{ObserverHandle, SimPromise};
 use super::process::{ProcessFault, ProcessInput, ProcessOutput, SimMessage};
 use super::replica;
@@ -174,7 +174,11 @@
         slot.refuses = noticed;
         let name = slot.name.clone();
         self.record_action(&name, "kill");
-        let arrivals = self.network.process_gone(self.now, address, noticed);
+        let departure = match noticed {
+            true => Departure::Broken,
+            false => Departure::Silent,
+        };
+        let arrivals = self.network.process_gone(self.now, address, departure);
         self.schedule_arrivals(arrivals);
     }
 
@@ -459,7 +463,8 @@
                 if let Some(slot) = self.slots.get_mut(&address) {
                     slot.process = None;
                 }
-                let arrivals = self.network.process_gone(self.now, address, true);
+                let departure = Departure::InOrder;
+                let arrivals = self.network.process_gone(self.now, address, departure);
                 self.schedule_arrivals(arrivals);
             }
             // A process that ends by itself has crashed.
