--- a/crates/wingshore-lab/src/sim/scenarios/data_path.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/data_path.rs
@@ -35,11 +35,12 @@
 
 /// The scenarios of this file.
 pub fn scenarios() -> Vec<DataScenario> {
-    let named: [(&'static str, Act); 10] = [
+    let named: [(&'static str, Act); 11] = [
         ("data-calm", calm),
         ("trainer-killed", trainer_killed),
         ("late-finishes", late_finishes),
         ("node-killed", node_killed),
+        ("node-frozen-before-send", node_frozen_before_send),
         ("engine-crash", engine_crash),
         ("swap-fails", swap_fails),
         ("live-trouble", live_trouble),
@@ -148,6 +149,31 @@
     }
 }
 
+/// Nodes stand still right before they send a request to a server, an attempt to an engine or word
+/// to a group, and send it when they wake.
+fn node_frozen_before_send(site: &mut DataSite) {
+    for _ in 0..ROUNDS * 2 {
+        let node = site.any(Place::Node);
+        let wanted: fn(&ProcessOutput) -> bool = match site.world.random().random_range(0..4) {
+            0 => |output| is_call(output, |call| matches!(call, Call::Live(_))),
+            1 => |output| is_call(output, |call| matches!(call, Call::Generate(_))),
+            2 => |output| is_call(output, |call| matches!(call, Call::Score(_))),
+            _ => |output| is_group_request(output),
+        };
+        let time = site
+            .world
+            .random()
+            .random_range(200..LONGEST_NODE_FREEZE_MS);
+        let trap = Trap {
+            wanted: Box::new(wanted),
+            skip: site.world.random().random_range(0..3),
+            action: TrapAction::FreezeBefore(Duration::from_millis(time)),
+        };
+        site.world.set_trap(node, trap);
+        pause(site, 500, 6_000);
+    }
+}
+
 /// Engines die, stand still and come back with their first weights.
 fn engine_crash(site: &mut DataSite) {
     for _ in 0..ROUNDS {
@@ -345,6 +371,13 @@
     matches!(output, ProcessOutput::Record(event) if wanted(event))
 }
 
+fn is_group_request(output: &ProcessOutput) -> bool {
+    let ProcessOutput::Send { message, .. } = output else {
+        return false;
+    };
+    matches!(message, SimMessage::GroupRequest { group, .. } if *group != GroupId::Control)
+}
+
 fn is_call(output: &ProcessOutput, wanted: impl Fn(&Call) -> bool) -> bool {
     matches!(
         output,
