lab: hollow sites time faults: a frozen region, a relay and a leader that die

`--faults`: a change while a twelfth of the hollow nodes is frozen, their waking, the most nodes without a lease after a relay was killed, and the time until a change is accepted and in force after the leader was killed.

--- a/crates/wingshore-lab/src/hollow/crowd.rs
+++ b/crates/wingshore-lab/src/hollow/crowd.rs
@@ -5,7 +5,7 @@
 use super::node::HollowNode;
 use snafu::ResultExt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,8 @@
     seen: Arc<Vec<Seen>>,
     traffic: Arc<LinkTraffic>,
     stop: Arc<AtomicBool>,
+    /// Nodes below this number do nothing.
+    frozen: Arc<AtomicUsize>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -57,6 +59,7 @@
             seen: Arc::new(nodes.iter().map(|_| Seen::default()).collect()),
             traffic: Arc::default(),
             stop: Arc::default(),
+            frozen: Arc::default(),
             threads: Vec::new(),
         };
         let mut shares: Vec<Vec<(usize, HollowNode)>> = (0..threads).map(|_| Vec::new()).collect();
@@ -77,12 +80,16 @@
         let seen = Arc::clone(&self.seen);
         let traffic = Arc::clone(&self.traffic);
         let stop = Arc::clone(&self.stop);
+        let frozen = Arc::clone(&self.frozen);
         let thread = thread::Builder::new()
             .name("hollow-nodes".to_owned())
             .spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
+                    let frozen = frozen.load(Ordering::Relaxed);
                     for (number, node) in &mut share {
-                        node.step(clock.now(), &traffic);
+                        if *number >= frozen {
+                            node.step(clock.now(), &traffic);
+                        }
                         seen[*number].take(node, clock);
                     }
                     thread::sleep(SWEEP_PAUSE);
@@ -93,6 +100,21 @@
         Ok(())
     }
 
+    /// How many nodes there are.
+    pub fn len(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
+    /// Lets the nodes below this number do nothing, and all others go on.
+    pub fn freeze(&self, count: usize) {
+        self.frozen.store(count, Ordering::Relaxed);
+    }
+
     /// The lowest revision that any node has in force.
     pub fn lowest_revision(&self) -> u64 {
         let revisions = self.seen.iter();
--- a/crates/wingshore-lab/src/hollow/mod.rs
+++ b/crates/wingshore-lab/src/hollow/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod crowd;
 pub mod error;
+pub mod faults;
 pub mod http;
 pub mod link;
 pub mod node;
@@ -86,6 +87,10 @@
     /// ledger groups that the trainers share (1)
     #[argh(option, default = "1")]
     ledgers: usize,
+    /// at the end, time a change while a twelfth of the nodes is frozen, after a relay has died and
+    /// after the leader has
+    #[argh(switch)]
+    faults: bool,
     /// how long an engine fetches weights, in milliseconds (2000)
     #[argh(option, default = "2000")]
     fetch_ms: u64,
@@ -145,6 +150,7 @@
             timed_changes: self.timed_changes,
             window: Duration::from_secs(self.seconds),
             settle: Duration::from_secs(self.settle_seconds),
+            faults: self.faults,
             samples: (self.trainers > 0).then_some(TrainerLoad {
                 trainers: self.trainers.min(sizes.pools),
                 samples_per_second: self.samples_per_second.max(1.0),
--- a/crates/wingshore-lab/src/hollow/processes.rs
+++ b/crates/wingshore-lab/src/hollow/processes.rs
@@ -120,6 +120,18 @@
             .collect()
     }
 
+    /// Kills the first process of a role; it counts for nothing from then on.
+    ///
+    /// # Errors
+    /// When it cannot be signalled.
+    pub fn kill(&mut self, role: Role) -> Result<(), HollowError> {
+        let mut processes = self.running.iter_mut();
+        if let Some(process) = processes.find(|process| process.role == role) {
+            process.process.kill()?;
+        }
+        Ok(())
+    }
+
     /// Where the real nodes tell their metrics.
     pub fn node_addresses(&self) -> Vec<SocketAddr> {
         let nodes = self.running.iter();
--- a/crates/wingshore-lab/src/hollow/report.rs
+++ b/crates/wingshore-lab/src/hollow/report.rs
@@ -1,5 +1,6 @@
 //! What a run measured.
 
+use super::faults::FaultTimes;
 use super::processes::Role;
 use super::usage::{FrameCounts, Usage};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,8 @@
     pub weights: WeightTimes,
     /// Samples through the ledgers during the window `samples`, where that was asked for.
     pub samples: Option<SampleRates>,
+    /// What faults cost, where that was asked for.
+    pub faults: Option<FaultTimes>,
 }
 
 /// Sizes and conditions.
@@ -316,6 +319,9 @@
                 samples.failed
             )?;
         }
+        if let Some(faults) = &self.faults {
+            writeln!(text, "{faults:#?}")?;
+        }
         Ok(())
     }
 }
--- a/crates/wingshore-lab/src/hollow/run.rs
+++ b/crates/wingshore-lab/src/hollow/run.rs
@@ -56,6 +56,8 @@
     pub fetch_time: Duration,
     /// Time between the joining of the last node and the first measurement.
     pub settle: Duration,
+    /// Whether faults are timed at the end.
+    pub faults: bool,
     /// Samples through the ledgers; none leaves that window out.
     pub samples: Option<TrainerLoad>,
     /// Threads that serve hollow nodes, and as many that serve hollow servers.
@@ -69,12 +71,12 @@
 }
 
 /// A site that runs.
-struct Running<'a> {
-    options: &'a RunOptions,
+pub(super) struct Running<'a> {
+    pub(super) options: &'a RunOptions,
     servers: HollowServers,
-    processes: Processes,
-    control: ControlClient,
-    crowd: Crowd,
+    pub(super) processes: Processes,
+    pub(super) control: ControlClient,
+    pub(super) crowd: Crowd,
 }
 
 /// What everything had used at one moment.
@@ -176,7 +178,7 @@
 }
 
 /// Looks until `look` is satisfied; it says how far things are otherwise.
-fn wait_for<T>(
+pub(super) fn wait_for<T>(
     what: &'static str,
     mut look: impl FnMut() -> Result<T, String>,
 ) -> Result<T, HollowError> {
@@ -219,6 +221,9 @@
             Ok(running.options.sizes.pools as u64)
         })?;
         report.windows.push(swap);
+        if self.options.faults {
+            report.faults = Some(self.time_faults()?);
+        }
         Ok(report)
     }
 
@@ -312,7 +317,7 @@
     }
 
     /// A change that leaves everything as it is, and is a revision like any other.
-    fn change(&self, number: usize) -> ConfigurationChange {
+    pub(super) fn change(&self, number: usize) -> ConfigurationChange {
         let server = number % self.options.sizes.servers;
         let address = self.servers.addresses()[server];
         ConfigurationChange::PutServer(self.options.sizes.server(server, address))
--- a/crates/wingshore-lab/tests/hollow.rs
+++ b/crates/wingshore-lab/tests/hollow.rs
@@ -27,7 +27,7 @@
 fn a_small_site_is_measured_whole() {
     let flags = "--nodes 10 --servers 20 --relays 1 --real-nodes 1 --changes-per-hour 3600 \
                  --timed-changes 2 --seconds 2 --fetch-ms 50 --trainers 1 --samples-per-second 64 \
-                 --tokens 8";
+                 --tokens 8 --faults";
     let report = Report::from_json(&last_line(flags)).expect("a report");
 
     let names: Vec<&str> = report
@@ -67,6 +67,16 @@
     let leader = &report.windows[2].roles[0];
     expect_that!(leader.role, eq(Role::Leader));
     expect_that!(leader.syncs, gt(0.0));
+    let faults = report.faults.expect("faults happened");
+    expect_that!(faults.frozen_nodes, eq(1));
+    // A frozen node is waited for until its lease has run out.
+    expect_that!(faults.frozen_in_force_seconds, gt(1.0));
+    expect_that!(faults.woken_seconds, gt(0.0));
+    expect_that!(faults.relay, none());
+    expect_that!(
+        faults.leader_in_force_seconds,
+        ge(faults.leader_accepted_seconds)
+    );
     expect_that!(report.weights.engines, eq(19));
     expect_that!(report.weights.all_seconds, some(gt(0.0)));
     expect_that!(report.weights.most_fetches_at_once, all![ge(1), le(4)]);
