node: without a lease the watch of the configuration does not wait

Cause: a node that was frozen served again only 1.0 s after it woke. The answer that waited at its socket was counted from a watch sent before the freeze, so its lease was over; the next watch waited a second for news, of which there was none, before it brought a lease.

Ruled out: the connection (an answer was there) and the route to the leader.

Change: a watch that is sent without a lease held asks to be answered at once.

The new test fails without the change (waits in vain).

--- a/crates/wingshore-node/src/background/watch.rs
+++ b/crates/wingshore-node/src/background/watch.rs
@@ -30,8 +30,15 @@
 }
 
 impl WatchHandler for NodeWatch {
+    /// Without a lease the watch waits for nothing: its answer brings one, also without news.
     fn next_watch(&mut self) -> WatchRequest {
-        let position = self.node.view().watch_position();
+        let view = self.node.view();
+        let position = view.watch_position();
+        let wait = match view.holds_lease(self.node.clock.now()) {
+            true => self.wait,
+            false => Duration::ZERO,
+        };
+        drop(view);
         WatchRequest {
             have: position.have,
             acknowledgements: vec![NodeAcknowledgement {
@@ -39,7 +46,7 @@
                 boot_id: self.node.boot_id,
                 in_force: position.in_force,
             }],
-            wait_ms: self.wait.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
         }
     }
 
--- a/crates/wingshore-node/tests/common/groups.rs
+++ b/crates/wingshore-node/tests/common/groups.rs
@@ -36,6 +36,8 @@
     published: Mutex<Vec<ControlRequest>>,
     lease_ms: AtomicU64,
     is_silent: AtomicBool,
+    watch_waits: Mutex<Vec<u64>>,
+    watch_delay_ms: AtomicU64,
     ledger: Mutex<Option<LedgerScript>>,
 }
 
@@ -56,6 +58,8 @@
             published: Mutex::default(),
             lease_ms: AtomicU64::new(60_000),
             is_silent: AtomicBool::new(false),
+            watch_waits: Mutex::default(),
+            watch_delay_ms: AtomicU64::new(0),
             ledger: Mutex::new(None),
         });
         let options = ServerOptions {
@@ -93,6 +97,17 @@
         self.state.lease_ms.store(lease_ms, Ordering::SeqCst);
     }
 
+    /// From now on answers to watches are late by so much.
+    pub fn delay_watches(&self, delay: Duration) {
+        let delay_ms = delay.as_millis() as u64;
+        self.state.watch_delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
+    /// How long each watch so far asked to wait, in milliseconds.
+    pub fn watch_waits(&self) -> Vec<u64> {
+        self.state.watch_waits.lock().unwrap().clone()
+    }
+
     pub fn script_ledger(
         &self,
         script: impl Fn(LedgerRequest) -> LedgerReply + Send + Sync + 'static,
@@ -152,6 +167,7 @@
     }
 
     fn watch(&self, watch: &WatchRequest) -> Option<ControlReply> {
+        self.watch_waits.lock().unwrap().push(watch.wait_ms);
         for acknowledgement in &watch.acknowledgements {
             let revision = acknowledgement.in_force.0;
             self.acknowledged.fetch_max(revision, Ordering::SeqCst);
@@ -163,6 +179,8 @@
         if self.is_silent.load(Ordering::SeqCst) {
             return None;
         }
+        let delay_ms = self.watch_delay_ms.load(Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(delay_ms));
         let changes = self.changes.lock().unwrap();
         let news = changes.get(watch.have.0 as usize..).unwrap_or_default();
         let update = if news.is_empty() {
--- a/crates/wingshore-node/tests/lifecycle.rs
+++ b/crates/wingshore-node/tests/lifecycle.rs
@@ -62,6 +62,24 @@
     }
 }
 
+/// As after a freeze: the answer that was waiting brings a lease that is over already.
+#[gtest]
+fn a_node_whose_lease_ran_out_asks_for_one_without_waiting() {
+    let lease = Duration::from_millis(300);
+    let server = BackEnd::answering("charged");
+    let groups = live_site(&[&server]);
+    groups.set_lease(lease);
+    let node = TestNode::start(&groups, "node-a", "");
+    let first_waiting = || groups.watch_waits().iter().position(|wait| *wait > 0);
+    wait_until("a watch waits", || first_waiting().is_some());
+    groups.delay_watches(lease * 2);
+    wait_until("a later one does not wait", || {
+        let waits = groups.watch_waits();
+        waits[first_waiting().unwrap_or_default()..].contains(&0)
+    });
+    node.finish();
+}
+
 #[gtest]
 fn a_drained_server_gets_nothing_once_the_change_is_acknowledged() {
     let servers = [BackEnd::answering("zero"), BackEnd::answering("one")];
