--- a/crates/wingshore-node/tests/outages.rs
+++ b/crates/wingshore-node/tests/outages.rs
@@ -61,6 +61,29 @@
     common::caller::exchange(node.address(), request.as_bytes())
 }
 
+/// Each attempt tells its server how long the caller still waits; retries do not begin anew.
+#[gtest]
+fn the_time_that_is_left_goes_on_to_the_server_with_each_attempt() {
+    let lingering = |_: &Arrived, _: &mut TcpStream| thread::sleep(Duration::from_millis(50));
+    let server = BackEnd::start(lingering);
+    let groups = live_site(&[&server]);
+    let node = TestNode::start(&groups, "node-a", "");
+    let target = format!("/{LIVE}/cards/1");
+    let answer = get_with(&node, &target, "X-Wingshore-Deadline-Ms: 9000\r\n");
+    expect_that!(answer.status, eq(502));
+    let arrived = server.arrived();
+    let left = arrived.iter().filter_map(|request| {
+        let left = request.header("x-wingshore-deadline-ms")?;
+        left.parse::<u64>().ok()
+    });
+    let left: Vec<u64> = left.collect();
+    expect_that!(left.len(), eq(3));
+    expect_that!(left[0], le(9000));
+    expect_that!(left[1], le(left[0] - 50));
+    expect_that!(left[2], le(left[1] - 50));
+    node.finish();
+}
+
 fn engine(arrived: &Arrived, stream: &mut TcpStream) {
     if arrived.target != "/v1/completions" {
         return write_whole(stream, 200, "", b"{}");
