replica, relay: status pages leave no accepted connection without a thread

Cause: the admin listeners use the same HTTP library as nodes, whose pool of threads can leave a connection of a burst waiting until another one ends (found at the node by its test slow_callers). A health check that keeps its connection could so hold up another one.

Change: both use the nudger of wingshore-http.

--- a/crates/wingshore-relay/src/driver/admin.rs
+++ b/crates/wingshore-relay/src/driver/admin.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use tiny_http::{Header, Request, Response, Server};
+use wingshore_http::Nudger;
 
 /// Media type of Prometheus text.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -23,12 +24,15 @@
     /// Listens on `address`.
     pub(super) fn start(address: SocketAddr, metrics: Arc<Metrics>) -> io::Result<Self> {
         let server = Server::http(address).map_err(io::Error::other)?;
+        let own = server.server_addr().to_ip().unwrap_or(address);
+        let (nudger, _) = Nudger::start(own)?;
         let server = Arc::new(server);
         let serving = Arc::clone(&server);
         let thread = thread::Builder::new()
             .name("relay-admin".to_owned())
             .spawn(move || {
                 for request in serving.incoming_requests() {
+                    nudger.on_request(request.remote_addr());
                     respond(request, &metrics);
                 }
             })?;
--- a/crates/wingshore-replica/src/admin.rs
+++ b/crates/wingshore-replica/src/admin.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use tiny_http::{Header, Method, Request, Response, Server};
+use wingshore_http::Nudger;
 use wingshore_types::GroupId;
 
 /// Content type of the metrics.
@@ -43,12 +44,14 @@
             let message = error.to_string();
             AdminSnafu { address, message }.build()
         })?;
+        let own = server.server_addr().to_ip().unwrap_or(address);
+        let (nudger, _) = Nudger::start(own).context(ThreadSnafu { name: "nudge" })?;
         let server = Arc::new(server);
         let serving = Arc::clone(&server);
         let name = "admin".to_owned();
         let thread = thread::Builder::new()
             .name(name.clone())
-            .spawn(move || serve(&serving, &state))
+            .spawn(move || serve(&serving, &state, &nudger))
             .context(ThreadSnafu { name })?;
         Ok(Self {
             server,
@@ -72,8 +75,9 @@
     }
 }
 
-fn serve(server: &Server, state: &AdminState) {
+fn serve(server: &Server, state: &AdminState, nudger: &Nudger) {
     for request in server.incoming_requests() {
+        nudger.on_request(request.remote_addr());
         let answer = state.answer(request.method(), request.url());
         respond(request, answer);
     }
