rollout, types: binding of a pool and intent of a publication are shared by node and simulator

Cause: the simulated node had copies of two decisions of the real node's drivers, so that the simulator judged the copies. The bytes of the intent are those of before.

--- a/crates/wingshore-lab/src/sim/processes/node/desk.rs
+++ b/crates/wingshore-lab/src/sim/processes/node/desk.rs
@@ -13,7 +13,7 @@
     Batch, LedgerRefusal, LedgerReply, LedgerRequest, PullRequest,
 };
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
-use wingshore_types::{GroupId, IntentId, PoolId, Revision, StepId, Verdict, WeightVersion};
+use wingshore_types::{GroupId, IntentId, PoolId, Revision, StepId, Verdict};
 
 /// How long a group is asked.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -192,7 +192,7 @@
         }
         Call::Publish { pool, body } => {
             let request = GroupRequest::Control(ControlRequest::Publish {
-                intent_id: publication_intent(&pool, body.version),
+                intent_id: IntentId::of_publication(&pool, body.version),
                 pool: pool.clone(),
                 version: body.version,
             });
@@ -203,12 +203,6 @@
     Some((pool, GroupRequest::Ledger(request), timeout))
 }
 
-/// The same publication always has the same intent.
-fn publication_intent(pool: &PoolId, version: WeightVersion) -> IntentId {
-    let name = crate::hashing::hash_bytes(format!("publish/{pool}/{version}").as_bytes());
-    IntentId(u128::from(name) << 64 | u128::from(version.0))
-}
-
 fn answer_of(result: CallResult) -> Answer {
     let reply = match result {
         Ok(reply) => reply,
--- a/crates/wingshore-lab/src/sim/processes/node/rollouts.rs
+++ b/crates/wingshore-lab/src/sim/processes/node/rollouts.rs
@@ -14,7 +14,6 @@
     AttemptId, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner, RolloutSettings,
     ScoreCallId, StreamEnd,
 };
-use wingshore_types::configuration::{Configuration, ServiceKind};
 use wingshore_types::platform::{EngineCompletionRequest, EngineStreamEvent};
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
 use wingshore_types::{GroupId, Instant, PoolId, Revision, Verdict};
@@ -158,7 +157,7 @@
         let configuration = context.core.configuration();
         if self.known != Some(configuration.revision) {
             self.known = Some(configuration.revision);
-            if let Some(binding) = binding_of(&configuration, &self.pool) {
+            if let Some(binding) = PoolBinding::find(&configuration, &self.pool) {
                 self.ledger = Some(GroupId::Ledger(binding.pool.ledger));
                 inputs.push(RolloutInput::Pool(Box::new(binding)));
             }
@@ -245,16 +244,3 @@
         None
     }
 }
-
-fn binding_of(configuration: &Configuration, id: &PoolId) -> Option<PoolBinding> {
-    let pool = configuration.pools.get(id)?;
-    let service = configuration.services.get(&pool.service)?;
-    let ServiceKind::Engines { model } = &service.kind else {
-        return None;
-    };
-    Some(PoolBinding {
-        revision: configuration.revision,
-        pool: pool.clone(),
-        model: model.clone(),
-    })
-}
--- a/crates/wingshore-node/src/rollout/driver.rs
+++ b/crates/wingshore-node/src/rollout/driver.rs
@@ -15,7 +15,6 @@
     AttemptId, CallId, OverIssue, PoolBinding, RolloutInput, RolloutOutput, RolloutRunner,
     RolloutSettings, ScoreCallId, StreamEnd,
 };
-use wingshore_types::configuration::{Configuration, ServiceKind};
 use wingshore_types::platform::{ScoreReply, ScoreRequest};
 use wingshore_types::protocol::ledger::{LedgerReply, LedgerRequest};
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
@@ -155,7 +154,7 @@
         let configuration = self.node.configuration();
         if self.known != Some(configuration.revision) {
             self.known = Some(configuration.revision);
-            if let Some(binding) = binding_of(&configuration, &self.pool) {
+            if let Some(binding) = PoolBinding::find(&configuration, &self.pool) {
                 self.ledger = Some(GroupId::Ledger(binding.pool.ledger));
                 inputs.push(RolloutInput::Pool(Box::new(binding)));
             }
@@ -314,16 +313,3 @@
         Err(error) => Err(error.verdict()),
     }
 }
-
-fn binding_of(configuration: &Configuration, id: &PoolId) -> Option<PoolBinding> {
-    let pool = configuration.pools.get(id)?;
-    let service = configuration.services.get(&pool.service)?;
-    let ServiceKind::Engines { model } = &service.kind else {
-        return None;
-    };
-    Some(PoolBinding {
-        revision: configuration.revision,
-        pool: pool.clone(),
-        model: model.clone(),
-    })
-}
--- a/crates/wingshore-node/src/serve/trainer.rs
+++ b/crates/wingshore-node/src/serve/trainer.rs
@@ -20,9 +20,7 @@
     Batch, LedgerRefusal, LedgerReply, LedgerRequest, PullRequest,
 };
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
-use wingshore_types::{
-    GroupId, IntentId, PoolId, Revision, Sample, StepId, TrainerId, Verdict, WeightVersion,
-};
+use wingshore_types::{GroupId, IntentId, PoolId, Revision, Sample, StepId, TrainerId, Verdict};
 
 /// Label of a trainer's requests in metrics.
 const KIND: &str = "trainer";
@@ -182,7 +180,7 @@
         let body: PublishBody = parse(&intake.body)?;
         self.find_pool(pool)?;
         let request = GroupRequest::Control(ControlRequest::Publish {
-            intent_id: publication_intent(pool, body.version),
+            intent_id: IntentId::of_publication(pool, body.version),
             pool: pool.clone(),
             version: body.version,
         });
@@ -273,21 +271,6 @@
     }
 }
 
-/// The same publication always has the same intent, so that a resend changes nothing.
-pub fn publication_intent(pool: &PoolId, version: WeightVersion) -> IntentId {
-    const OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
-    const PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
-    let bytes = b"publish\0"
-        .iter()
-        .copied()
-        .chain(pool.as_str().bytes())
-        .chain([0])
-        .chain(version.0.to_le_bytes());
-    IntentId(bytes.fold(OFFSET, |hash, byte| {
-        (hash ^ u128::from(byte)).wrapping_mul(PRIME)
-    }))
-}
-
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, EdgeError> {
     serde_json::from_slice(body).map_err(|error| EdgeError::not_run(400, "invalid_request", error))
 }
--- a/crates/wingshore-rollout/src/messages.rs
+++ b/crates/wingshore-rollout/src/messages.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_types::configuration::Pool;
+use wingshore_types::configuration::{Configuration, Pool, ServiceKind};
 use wingshore_types::platform::{EngineCompletionRequest, FinishReason, ScoreRequest, Usage};
 use wingshore_types::protocol::ledger::{LedgerReply, LedgerRequest};
-use wingshore_types::{Revision, ServerId, Token, Verdict, WeightVersion};
+use wingshore_types::{PoolId, Revision, ServerId, Token, Verdict, WeightVersion};
 
 /// One attempt at one sample on one engine, unique within a boot of the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -37,6 +37,22 @@
     pub model: String,
 }
 
+impl PoolBinding {
+    /// The binding of the pool `id`; `None` while it or its engines are not configured.
+    pub fn find(configuration: &Configuration, id: &PoolId) -> Option<Self> {
+        let pool = configuration.pools.get(id)?;
+        let service = configuration.services.get(&pool.service)?;
+        let ServiceKind::Engines { model } = &service.kind else {
+            return None;
+        };
+        Some(Self {
+            revision: configuration.revision,
+            pool: pool.clone(),
+            model: model.clone(),
+        })
+    }
+}
+
 /// How a stream ended without its final event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
--- a/crates/wingshore-types/src/ids.rs
+++ b/crates/wingshore-types/src/ids.rs
@@ -136,6 +136,21 @@
 pub struct IntentId(pub u128);
 
 impl IntentId {
+    /// The intent of a publication: always the same, so that a resend changes nothing.
+    pub fn of_publication(pool: &PoolId, version: WeightVersion) -> Self {
+        const OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
+        const PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
+        let bytes = b"publish\0"
+            .iter()
+            .copied()
+            .chain(pool.as_str().bytes())
+            .chain([0])
+            .chain(version.0.to_le_bytes());
+        Self(bytes.fold(OFFSET, |hash, byte| {
+            (hash ^ u128::from(byte)).wrapping_mul(PRIME)
+        }))
+    }
+
     /// Parses 1 to 32 hexadecimal digits.
     pub fn from_hex(text: &str) -> Option<Self> {
         u128::from_str_radix(text, 16).ok().map(Self)
