control: steps of open plans are bounded; the growth test has numbers of constant length

Cause: 2,000 plans may be open and each may have 50,000 changes: a bound that no memory holds. Closed plans had a bound on steps, open ones had none.

Change: open plans have 200,000 steps at most, over all of them; the oldest proposed ones become stale for newer ones, running ones never.

The growth test failed with this change (992,762 -> 997,472 bytes over 200 rounds). Its 2,100 rounds were not enough for closed plans to be those of rounds only, and numbers of intents and revisions took a third byte. Revisions and intents now start where they keep their length, open plans are filled first, and the bound is the same 1,000 bytes.

--- a/crates/wingshore-control/src/lib.rs
+++ b/crates/wingshore-control/src/lib.rs
@@ -21,5 +21,5 @@
 pub use settings::LeaderSettings;
 pub use state::{
     ANSWERS_KEPT, ASSUMED_SWAP_MS, CHANGE_BYTES_KEPT, CHANGES_KEPT, CHANGES_PER_INTENT,
-    CLOSED_PLANS_KEPT, CLOSED_STEPS_KEPT, ControlState, OPEN_PLANS_LIMIT,
+    CLOSED_PLANS_KEPT, CLOSED_STEPS_KEPT, ControlState, OPEN_PLANS_LIMIT, OPEN_STEPS_LIMIT,
 };
--- a/crates/wingshore-control/src/state/apply.rs
+++ b/crates/wingshore-control/src/state/apply.rs
@@ -2,7 +2,7 @@
 
 use super::ControlState;
 use super::describe::describe_all;
-use super::plan_book::{OPEN_PLANS_LIMIT, PlanRecord};
+use super::plan_book::{OPEN_PLANS_LIMIT, OPEN_STEPS_LIMIT, PlanRecord};
 use super::planner::{PlanDraft, Planner};
 use crate::command::{CommandReply, ControlCommand, StepResult};
 use wingshore_types::configuration::{ConfigurationChange, SwapPolicy};
@@ -73,10 +73,11 @@
     ) -> Result<ControlReply, ControlRefusal> {
         self.check_base(base_revision)?;
         let draft = self.draft(&intent)?;
-        if !self.plans.make_room() {
+        if !self.plans.make_room(draft.steps.len()) {
             return Err(ControlRefusal::Invalid {
                 message: format!(
-                    "{OPEN_PLANS_LIMIT} plans are running, which is the limit; wait for some to end"
+                    "the running plans leave no room; {OPEN_PLANS_LIMIT} plans with \
+                     {OPEN_STEPS_LIMIT} steps may be open: wait for some to end"
                 ),
             });
         }
--- a/crates/wingshore-control/src/state/mod.rs
+++ b/crates/wingshore-control/src/state/mod.rs
@@ -29,7 +29,7 @@
 pub use answers::ANSWERS_KEPT;
 pub use estimate::ASSUMED_SWAP_MS;
 pub use history::{CHANGE_BYTES_KEPT, CHANGES_KEPT};
-pub use plan_book::{CLOSED_PLANS_KEPT, CLOSED_STEPS_KEPT, OPEN_PLANS_LIMIT};
+pub use plan_book::{CLOSED_PLANS_KEPT, CLOSED_STEPS_KEPT, OPEN_PLANS_LIMIT, OPEN_STEPS_LIMIT};
 pub use planner::CHANGES_PER_INTENT;
 
 /// Format of snapshots; the first byte of each.
--- a/crates/wingshore-control/src/state/plan_book.rs
+++ b/crates/wingshore-control/src/state/plan_book.rs
@@ -12,6 +12,8 @@
 pub const CLOSED_STEPS_KEPT: usize = 50_000;
 /// Most plans open at once; beyond that the oldest proposed one becomes stale.
 pub const OPEN_PLANS_LIMIT: usize = 2_000;
+/// Most steps of open plans, over all of them; beyond that the oldest proposed ones become stale.
+pub const OPEN_STEPS_LIMIT: usize = 200_000;
 
 /// A plan with what its execution needs to know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +27,10 @@
 }
 
 impl PlanRecord {
+    fn steps(&self) -> usize {
+        self.plan.steps.len()
+    }
+
     /// Whether the plan still depends on what it touches: it is proposed, or has more to do than
     /// to wait until its changes are in force.
     pub(crate) fn is_sensitive(&self) -> bool {
@@ -55,21 +61,23 @@
         PlanId(self.last_id + 1)
     }
 
-    /// Makes room for another open plan: the oldest proposed one becomes stale where there are too
-    /// many. False when all of them are running.
-    pub(crate) fn make_room(&mut self) -> bool {
-        if self.open.len() < OPEN_PLANS_LIMIT {
-            return true;
+    /// Makes room for another open plan of `steps` steps: the oldest proposed ones become stale
+    /// where there is too much. False when all that is open is running.
+    pub(crate) fn make_room(&mut self, steps: usize) -> bool {
+        let mut open_steps: usize = self.open().map(PlanRecord::steps).sum();
+        while self.open.len() >= OPEN_PLANS_LIMIT || open_steps + steps > OPEN_STEPS_LIMIT {
+            let oldest = self
+                .open()
+                .find(|record| record.plan.state == PlanState::Proposed)
+                .map(|record| (record.plan.id, record.steps()));
+            let Some((oldest, its_steps)) = oldest else {
+                return false;
+            };
+            open_steps -= its_steps;
+            let reason = "newer plans are open, and there is no room for all; propose it again";
+            let reason = reason.to_owned();
+            self.set_state(oldest, PlanState::Stale { reason });
         }
-        let oldest = self
-            .open()
-            .find(|record| record.plan.state == PlanState::Proposed)
-            .map(|record| record.plan.id);
-        let Some(oldest) = oldest else {
-            return false;
-        };
-        let reason = format!("{OPEN_PLANS_LIMIT} newer plans are open; propose it again");
-        self.set_state(oldest, PlanState::Stale { reason });
         true
     }
 
--- a/crates/wingshore-control/tests/growth.rs
+++ b/crates/wingshore-control/tests/growth.rs
@@ -4,21 +4,24 @@
 
 use googletest::prelude::*;
 use std::time::Duration;
-use support::site::{Site, pool, server, service};
+use support::site::{Site, pool, server, service, set_admission};
 use support::{Group, plan_of};
 use wingshore_control::{CLOSED_PLANS_KEPT, OPEN_PLANS_LIMIT};
-use wingshore_types::configuration::{ConfigurationChange, Pool, ServiceKind};
+use wingshore_types::configuration::{Admission, ConfigurationChange, Pool, ServiceKind};
 use wingshore_types::machine::ReplicatedState;
 use wingshore_types::protocol::control::Intent;
 
 /// Longer than any lease of a node.
 const LEASE_AND_MORE: Duration = Duration::from_secs(30);
-/// After so many rounds all that is kept up to a bound is full: each leaves one more open plan,
-/// three closed ones and nine answers.
-const FULL: u32 = OPEN_PLANS_LIMIT as u32 + 100;
-/// Rounds after that. Few enough that no number outgrows two bytes as it is encoded (16,383):
-/// that would look like growth.
-const MORE: u32 = 200;
+/// After so many rounds all that is kept up to a bound is full of what rounds leave: each leaves
+/// four closed plans (one of them made stale by the newer open one) and nine answers.
+const FULL: u32 = 1_150;
+/// Rounds after that.
+const MORE: u32 = 400;
+/// Numbers take more bytes as they grow, which would look like growth: revisions and intents start
+/// where they need no more for long, and plans stay below 16,383.
+const FIRST_REVISION: usize = 20_000;
+const FIRST_INTENT: u128 = 1 << 100;
 /// What is kept by a bound in bytes goes up and down by one change.
 const SLACK: usize = 1_000;
 
@@ -65,6 +68,12 @@
 #[gtest]
 fn a_control_group_does_not_grow_with_what_it_has_done() -> Result<()> {
     let mut group = Group::new(&Site::planned(2));
+    group.next_intent = FIRST_INTENT;
+    let open = set_admission("live-0", Admission::Open);
+    group.confirm_intent(Intent::Apply(vec![open; FIRST_REVISION]));
+    for _ in 0..OPEN_PLANS_LIMIT {
+        group.propose(Intent::Drain("live-0".into()));
+    }
     (0..FULL).for_each(|number| round(&mut group, number));
     verify_that!(
         group.state.plans().count(),
@@ -74,7 +83,8 @@
     (FULL..FULL + MORE).for_each(|number| round(&mut group, number));
     let late = sizes(&group);
     println!("snapshot and memory after {FULL} rounds and {MORE} more: {early:?}, {late:?}");
-    verify_that!(group.configuration().revision.0, lt(16_384))?;
+    let plans = group.state.plans().last().map(|plan| plan.id.0);
+    verify_that!(plans, some(lt(16_384)))?;
     verify_that!(late.0, le(early.0 + SLACK))?;
     verify_that!(late.1, le(early.1 + SLACK))
 }
--- a/crates/wingshore-control/tests/intents.rs
+++ b/crates/wingshore-control/tests/intents.rs
@@ -7,7 +7,7 @@
 use support::{Group, apply, plan_of, refusal_of};
 use wingshore_control::{
     ANSWERS_KEPT, CLOSED_PLANS_KEPT, ControlCommand, ControlState, Faults, LeaderSettings,
-    OPEN_PLANS_LIMIT,
+    OPEN_PLANS_LIMIT, OPEN_STEPS_LIMIT,
 };
 use wingshore_types::WeightVersion;
 use wingshore_types::configuration::{Admission, ConfigurationChange, SwapPolicy};
@@ -341,6 +341,23 @@
     expect_that!(group.state.open_plans().count(), eq(OPEN_PLANS_LIMIT));
 }
 
+#[gtest]
+fn large_open_plans_make_room_for_newer_ones() {
+    const CHANGES: usize = 20_000;
+    let mut group = Group::new(&Site::default());
+    let change = set_admission(&engine_name(0), Admission::Draining);
+    let large = Intent::Apply(vec![change; CHANGES]);
+    let running = group.confirm_intent(drain(7)).id;
+    let first = plan_of(group.propose(large.clone())).id;
+    for _ in 0..OPEN_STEPS_LIMIT / CHANGES + 1 {
+        plan_of(group.propose(large.clone()));
+    }
+    let open_steps: usize = group.state.open_plans().map(|plan| plan.steps.len()).sum();
+    expect_that!(open_steps, le(OPEN_STEPS_LIMIT));
+    expect_that!(group.plan(first).state, pat!(PlanState::Stale { .. }));
+    expect_that!(group.plan(running).state, pat!(PlanState::Running { .. }));
+}
+
 #[gtest]
 fn a_listing_has_all_open_plans_and_the_newest_closed_ones() {
     let mut group = Group::new(&Site::default());
--- a/crates/wingshore-control/tests/support/mod.rs
+++ b/crates/wingshore-control/tests/support/mod.rs
@@ -58,7 +58,7 @@
     /// Proposals are kept back, as by a leader that was cut off.
     pub cut_off: bool,
     next_tag: u64,
-    next_intent: u128,
+    pub next_intent: u128,
 }
 
 impl Group {
