control: an engine that was started again is ordered again

Starting the engines again, which makes them forget the fences, did not help: the leader had noted "follows a newer leader" for the rest of its leadership (plan stuck at its first swap for 20 s, until a change of leader). The note now ends with the engine's boot. A leader that truly is deposed sends nothing without its lease, and a late order to an engine that started again is a limit that docs/design/0004 names already.

Test: the engine that is left alone is ordered once it has started again; without the change it fails.

--- a/crates/wingshore-control/src/leader/engine.rs
+++ b/crates/wingshore-control/src/leader/engine.rs
@@ -216,6 +216,11 @@
             return None;
         }
         self.silent_since = None;
+        if self.boot_id().is_some_and(|boot| boot != state.boot_id) {
+            // It has forgotten whom it followed. Whether this leader is still one is for its lease
+            // to say, not for the engine.
+            self.deposed = false;
+        }
         self.note_foreign_load(now, &state, settings);
         let progress = self
             .order
--- a/crates/wingshore-control/tests/orders.rs
+++ b/crates/wingshore-control/tests/orders.rs
@@ -262,6 +262,17 @@
         read(&mut group, now, report(Some(1), None));
     }
     expect_that!(orders(&mut group), is_empty());
+    // Until it starts again: then it follows nobody, as where the newer leader was of a site that
+    // is no more.
+    group.pass(5_000);
+    let now = group.now;
+    let restarted = EngineState {
+        boot_id: 2,
+        ..report(Some(1), None)
+    };
+    read(&mut group, now, restarted);
+    group.pass(5_000);
+    expect_that!(orders(&mut group).len(), ge(1));
 }
 
 #[gtest]
