wingshore: output to a reader that is gone is no panic

`wingshore ctl status | head -1` panicked with a stack trace, since println! does on a closed pipe; exit status 101 after a confirmation that had been carried out. All output goes through one function that takes a closed pipe for what it is. Test: standard output is a pipe without a reader; exit status 0 and nothing on standard error.

--- a/crates/wingshore/src/check.rs
+++ b/crates/wingshore/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::arguments::CheckArguments;
 use crate::failure::{Failure, SettingsSnafu};
+use crate::output;
 use crate::settings_file;
 use snafu::ResultExt;
 use wingshore_settings::{AnySettings, any_from_text};
@@ -13,7 +14,8 @@
 pub fn run(flags: &CheckArguments) -> Result<(), Failure> {
     let text = settings_file::read(&flags.settings)?;
     let settings = any_from_text(&flags.settings, &text).context(SettingsSnafu)?;
-    println!("{}: good settings of {}", flags.settings, kind(&settings));
+    let kind = kind(&settings);
+    output::line(&format!("{}: good settings of {kind}", flags.settings));
     Ok(())
 }
 
--- a/crates/wingshore/src/ctl/session.rs
+++ b/crates/wingshore/src/ctl/session.rs
@@ -2,6 +2,7 @@
 
 use crate::ctl::arguments::CtlArguments;
 use crate::failure::{ArgumentSnafu, CallSnafu, Failure};
+use crate::output;
 use rand::RngExt;
 use serde::Serialize;
 use snafu::{OptionExt, ResultExt};
@@ -109,11 +110,11 @@
     pub fn print<T: Serialize>(&self, value: &T, text: impl FnOnce(&T) -> String) {
         if self.json {
             match serde_json::to_string(value) {
-                Ok(json) => println!("{json}"),
+                Ok(json) => output::line(&json),
                 Err(error) => eprintln!("cannot print as JSON: {error}"),
             }
         } else {
-            println!("{}", text(value));
+            output::line(&text(value));
         }
     }
 }
--- a/crates/wingshore/src/format.rs
+++ b/crates/wingshore/src/format.rs
@@ -2,6 +2,7 @@
 
 use crate::arguments::FormatArguments;
 use crate::failure::{ArgumentSnafu, Failure, FormatSnafu, SettingsSnafu};
+use crate::output;
 use crate::settings_file;
 use snafu::{ResultExt, ensure};
 use std::sync::Arc;
@@ -34,11 +35,11 @@
     let file_system: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
     DataFolder::format(&file_system, &settings.data, &settings.site, id, membership)
         .context(FormatSnafu)?;
-    println!(
+    output::line(&format!(
         "{}: formatted as founding member {id} of site `{}`",
         settings.data.display(),
         settings.site
-    );
+    ));
     Ok(())
 }
 
--- a/crates/wingshore/src/main.rs
+++ b/crates/wingshore/src/main.rs
@@ -5,6 +5,7 @@
 mod ctl;
 mod failure;
 mod format;
+mod output;
 mod roles;
 mod settings_file;
 
@@ -14,7 +15,7 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     if arguments.version {
-        println!("wingshore {}", env!("CARGO_PKG_VERSION"));
+        output::line(concat!("wingshore ", env!("CARGO_PKG_VERSION")));
         return ExitCode::SUCCESS;
     }
     let Some(command) = arguments.command else {
--- a/crates/wingshore/tests/command_line.rs
+++ b/crates/wingshore/tests/command_line.rs
@@ -156,3 +156,16 @@
         }
     }
 }
+
+#[gtest]
+fn a_reader_that_is_gone_is_no_failure() -> Result<()> {
+    let (reader, writer) = std::io::pipe()?;
+    drop(reader);
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_wingshore"))
+        .arg("--version")
+        .stdout(writer)
+        .output()?;
+    expect_that!(output.status.code(), some(eq(0)));
+    expect_that!(String::from_utf8_lossy(&output.stderr), eq(""));
+    Ok(())
+}
