settings: one mistake in a service is one error

`kind = "engine"` in a site file was named, and with it four errors that were none: `model` as an unknown key, and every server and pool of that service as naming one that does not exist. A service with an error keeps its name now; a duplicate one adds nothing; `model` is known while the kind is not.

--- a/crates/wingshore-settings/src/site.rs
+++ b/crates/wingshore-settings/src/site.rs
@@ -109,33 +109,49 @@
     let pools = read_pools(&keys, &services);
     keys.finish();
     SiteFile {
-        services,
+        services: services.whole,
         servers,
         pools,
     }
 }
 
-fn read_services(keys: &TableReader<'_>) -> Vec<Service> {
-    let mut services = Vec::new();
+/// Services as far as they can be read. One with an error still has its name, so that what
+/// refers to it is not called wrong for that.
+#[derive(Default)]
+struct Services {
+    whole: Vec<Service>,
+    names: Vec<ServiceId>,
+}
+
+fn read_services(keys: &TableReader<'_>) -> Services {
+    let mut services = Services::default();
     let mut ids = BTreeSet::new();
     for table in keys.tables("service") {
-        let service = read_service(&table);
-        refuse_duplicate(&table, service.as_ref().map(|s| s.id.as_str()), &mut ids);
-        services.extend(service);
+        let id = table.name::<ServiceId>("id");
+        refuse_duplicate(&table, id.as_ref().map(ServiceId::as_str), &mut ids);
+        let is_new = id.as_ref().is_some_and(|id| !services.names.contains(id));
+        let service = read_service(&table, id.clone());
+        if is_new {
+            services.names.extend(id);
+            services.whole.extend(service);
+        }
         table.finish();
     }
     services
 }
 
-fn read_service(keys: &TableReader<'_>) -> Option<Service> {
-    let id = keys.name::<ServiceId>("id");
+fn read_service(keys: &TableReader<'_>, id: Option<ServiceId>) -> Option<Service> {
     let kinds = [("engines", Kind::Engines), ("live", Kind::Live)];
     let kind = match keys.required_choice("kind", &kinds) {
         Some(Kind::Engines) => keys
             .text("model")
             .map(|model| ServiceKind::Engines { model }),
         Some(Kind::Live) => Some(ServiceKind::Live),
-        None => None,
+        None => {
+            // Whether it is to have a model is not known.
+            let _ = keys.optional_text("model");
+            None
+        }
     };
     let slots_per_server = keys.small_integer(&SLOTS_PER_SERVER);
     let live_share = Permille(keys.small_integer(&LIVE_SHARE));
@@ -151,7 +167,7 @@
 
 fn read_servers(
     keys: &TableReader<'_>,
-    services: &[Service],
+    services: &Services,
     zones: &BTreeSet<ZoneId>,
 ) -> Vec<Server> {
     let mut servers = Vec::new();
@@ -174,7 +190,7 @@
 
 fn read_server(
     keys: &TableReader<'_>,
-    services: &[Service],
+    services: &Services,
     zones: &BTreeSet<ZoneId>,
 ) -> Option<Server> {
     let id = keys.name::<ServerId>("id");
@@ -199,7 +215,7 @@
     })
 }
 
-fn read_pools(keys: &TableReader<'_>, services: &[Service]) -> Vec<Pool> {
+fn read_pools(keys: &TableReader<'_>, services: &Services) -> Vec<Pool> {
     let mut pools = Vec::new();
     let mut ids = BTreeSet::new();
     for table in keys.tables("pool") {
@@ -211,7 +227,7 @@
     pools
 }
 
-fn read_pool(keys: &TableReader<'_>, services: &[Service]) -> Option<Pool> {
+fn read_pool(keys: &TableReader<'_>, services: &Services) -> Option<Pool> {
     let id = keys.name::<PoolId>("id");
     let service = keys.name::<ServiceId>("service");
     let trainer = keys.name::<TrainerId>("trainer");
@@ -250,16 +266,17 @@
     })
 }
 
-fn check_service(keys: &TableReader<'_>, id: &ServiceId, services: &[Service]) {
-    if services.iter().any(|service| &service.id == id) {
+fn check_service(keys: &TableReader<'_>, id: &ServiceId, services: &Services) {
+    if services.names.contains(id) {
         return;
     }
-    let known: Vec<&str> = services.iter().map(|s| s.id.as_str()).collect();
+    let known: Vec<&str> = services.names.iter().map(ServiceId::as_str).collect();
     keys.reject("service", &format!("\"{id}\""), &one_of("service", &known));
 }
 
-fn check_engines(keys: &TableReader<'_>, id: &ServiceId, services: &[Service]) {
+fn check_engines(keys: &TableReader<'_>, id: &ServiceId, services: &Services) {
     let live = services
+        .whole
         .iter()
         .any(|service| &service.id == id && service.kind == ServiceKind::Live);
     if live {
--- a/crates/wingshore/tests/command_line.rs
+++ b/crates/wingshore/tests/command_line.rs
@@ -5,47 +5,27 @@
 use googletest::prelude::*;
 use support::{path_text, wingshore};
 
-const REPLICA: &str = r#"role = "replica"
-site = "farewind"
-name = "replica-1"
-zone = "regina-hall"
-listen = "127.0.0.1:7101"
-data = "data/replica-1"
-[[founding]]
-id = 1
-address = "127.0.0.1:7101"
-"#;
-
-const SITE: &str = r#"role = "site"
-zones = ["regina-hall"]
-[[service]]
-id = "fare-lm"
-kind = "engines"
-model = "dispute-7b"
-[[server]]
-id = "engine-1"
-service = "fare-lm"
-address = "127.0.0.1:9101"
-zone = "regina-hall"
-"#;
+const REPLICA: &str = include_str!("../../../examples/first-site/replica-1.toml");
+const SITE: &str = include_str!("../../../examples/first-site/site.toml");
 
 /// The whole file, what is replaced in it by what, and what each error line must hold, in order.
 #[rustfmt::skip]
 const BROKEN: &[(&str, &str, &str, &[&[&str]])] = &[
-    (REPLICA, "zone =", "zoen =", &[&[":1:", "`zone`", "found nothing", "1 to 64 of a-z"], &[":4:", "`zoen`", "an unknown key", "allowed: role, site, name, zone"]]),
-    (REPLICA, "\"data/replica-1\"", "7", &[&[":6:", "`data`", "found 7", "text"]]),
-    (REPLICA, "[[founding]]", "configuration_lease = \"5\"\n[[founding]]", &[&[":7:", "`configuration_lease`", "found \"5\"", "a duration with unit from \"500ms\" to \"30s\""]]),
-    (REPLICA, "[[founding]]", "configuration_lease = \"2m\"\n[[founding]]", &[&[":7:", "`configuration_lease`", "found \"2m\"", "to \"30s\""]]),
-    (REPLICA, "[[founding]]", "snapshot_every = 16\n[[founding]]", &[&[":7:", "`snapshot_every`", "found 16", "KiB, MiB, GiB"]]),
+    (REPLICA, "zone =", "zoen =", &[&[":1:", "`zone`", "found nothing", "1 to 64 of a-z"], &[":5:", "`zoen`", "an unknown key", "allowed: role, site, name, zone"]]),
+    (REPLICA, "\"data/first-site/replica-1\"", "7", &[&[":10:", "`data`", "found 7", "text"]]),
+    (REPLICA, "[[founding]]", "configuration_lease = \"5\"\n[[founding]]", &[&[":13:", "`configuration_lease`", "found \"5\"", "a duration with unit from \"500ms\" to \"30s\""]]),
+    (REPLICA, "[[founding]]", "configuration_lease = \"2m\"\n[[founding]]", &[&[":13:", "`configuration_lease`", "found \"2m\"", "to \"30s\""]]),
+    (REPLICA, "[[founding]]", "snapshot_every = 16\n[[founding]]", &[&[":13:", "`snapshot_every`", "found 16", "KiB, MiB, GiB"]]),
     (REPLICA, "[[founding]]", "[timing]\nheartbeat = \"1s\"\n[[founding]]", &[&["`timing.election_timeout`", "found 1s", "at least four heartbeats"]]),
-    (REPLICA, "id = 1", "id = 0", &[&[":8:", "`founding[1].id`", "found 0", "from 1 to"]]),
-    (REPLICA, "replica\"\nsite", "replika\"\nsite", &[&[":1:", "`role`", "found \"replika\"", "\"replica\", \"relay\", \"node\", \"site\""]]),
-    (REPLICA, "\"127.0.0.1:7101\"\ndata", "\"127.0.0.1\"\ndata", &[&[":5:", "`listen`", "found \"127.0.0.1\"", "an IP address and port"]]),
-    (REPLICA, "site =", "site", &[&[":2:", "(syntax)", "TOML"]]),
-    (SITE, "zone = \"regina-hall\"", "zone = \"regina\"", &[&[":11:", "`server[1].zone`", "found \"regina\"", "\"regina-hall\""]]),
-    (SITE, "service = \"fare-lm\"", "service = \"fare\"", &[&[":9:", "`server[1].service`", "found \"fare\"", "\"fare-lm\""]]),
-    (SITE, "[[server]]", "[[service]]\nid = \"fare-lm\"\nkind = \"live\"\n[[server]]", &[&[":8:", "`service[2].id`", "\"fare-lm\" twice", "each id once"]]),
-    (SITE, "kind = \"engines\"", "kind = \"engine\"", &[&[":5:", "`service[1].kind`", "found \"engine\"", "\"engines\", \"live\""]]),
+    (REPLICA, "id = 1", "id = 0", &[&[":14:", "`founding[1].id`", "found 0", "from 1 to"]]),
+    (REPLICA, "id = 3", "id = 2", &[&[":22:", "`founding[3].id`", "2 twice", "each identity once"]]),
+    (REPLICA, "role = \"replica\"", "role = \"replika\"", &[&[":2:", "`role`", "found \"replika\"", "\"replica\", \"relay\", \"node\", \"site\""]]),
+    (REPLICA, "listen = \"127.0.0.1:6101\"", "listen = \"127.0.0.1\"", &[&[":7:", "`listen`", "found \"127.0.0.1\"", "an IP address and port"]]),
+    (REPLICA, "site =", "site", &[&[":3:", "(syntax)", "TOML"]]),
+    (SITE, "zone = \"hall-1\"", "zone = \"hall\"", &[&[":24:", "`server[1].zone`", "found \"hall\"", "\"hall-1\", \"hall-2\", \"hall-3\""]]),
+    (SITE, "service = \"drafts-lm\"", "service = \"drafts\"", &[&[":22:", "`server[1].service`", "found \"drafts\"", "\"drafts-lm\""]]),
+    (SITE, "id = \"engine-2\"", "id = \"engine-1\"", &[&[":27:", "`server[2].id`", "\"engine-1\" twice", "each id once"]]),
+    (SITE, "kind = \"engines\"", "kind = \"engine\"", &[&[":7:", "`service[1].kind`", "found \"engine\"", "\"engines\", \"live\""]]),
 ];
 
 #[gtest]
@@ -64,6 +44,8 @@
             });
             expect_true!(named, "{to} gave {lines:?}");
         }
+        // What is wrong is named once; nothing else is called wrong for it.
+        expect_that!(lines, len(eq(wanted.len())), "{to}");
     }
     Ok(())
 }
