--- /dev/null
+++ b/crates/wingshore-lab/src/sim/desk.rs
@@ -0,0 +1,88 @@
+//! What a simulated operator is to do; it outlives the operator's process.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use wingshore_types::protocol::control::{Intent, Plan};
+use wingshore_types::{PoolId, WeightVersion};
+
+/// What an operator is to do, and how far they have come; outlives the operator's process.
+#[derive(Clone, Default)]
+pub struct Desk(Arc<Mutex<DeskState>>);
+
+/// Something to be done as it is.
+#[derive(Clone, Debug)]
+pub(super) enum Job {
+    State(Intent),
+    Publish {
+        pool: PoolId,
+        version: WeightVersion,
+        model: String,
+        store: SocketAddr,
+    },
+}
+
+#[derive(Default)]
+pub(super) struct DeskState {
+    /// What is to be done first, in order.
+    pub(super) jobs: VecDeque<Job>,
+    /// Changes of their own still to be made.
+    pub(super) changes: u32,
+    /// Whether those go to the contested server.
+    pub(super) races: bool,
+    pub(super) drawn: u64,
+    pub(super) ended: u32,
+    /// The plan under way, as last answered.
+    pub(super) plan: Option<Plan>,
+}
+
+impl Desk {
+    /// An operator with `changes` of their own to make, with `races` to the contested server.
+    pub fn new(changes: u32, races: bool) -> Self {
+        let desk = Self::default();
+        desk.lock().changes = changes;
+        desk.lock().races = races;
+        desk
+    }
+
+    /// Puts an intent on the desk.
+    pub fn add(&self, intent: Intent) {
+        self.lock().jobs.push_back(Job::State(intent));
+    }
+
+    /// Puts a publication on the desk: the weights are stored, then the version is told.
+    pub fn publish(&self, pool: PoolId, version: WeightVersion, model: &str, store: SocketAddr) {
+        let model = model.to_owned();
+        self.lock().jobs.push_back(Job::Publish {
+            pool,
+            version,
+            model,
+            store,
+        });
+    }
+
+    /// Gives further changes to make.
+    pub fn add_changes(&self, changes: u32) {
+        self.lock().changes += changes;
+    }
+
+    /// Whether all is done.
+    pub fn is_done(&self) -> bool {
+        let state = self.lock();
+        state.jobs.is_empty() && state.changes == 0
+    }
+
+    /// How many intents came to an end.
+    pub fn ended(&self) -> u32 {
+        self.lock().ended
+    }
+
+    /// The plan last answered.
+    pub fn plan(&self) -> Option<Plan> {
+        self.lock().plan.clone()
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/wingshore-lab/src/sim/observer.rs
+++ b/crates/wingshore-lab/src/sim/observer.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use wingshore_control::ControlState;
 use wingshore_types::configuration::Configuration;
+use wingshore_types::platform::OrderFence;
 use wingshore_types::protocol::control::{Plan, PlanState, PlanStep};
 use wingshore_types::{
     Epoch, GroupId, Instant, IntentId, LogIndex, PlanId, ReplicaId, Revision, ServerId,
@@ -30,6 +31,8 @@
     IntentsOnce,
     /// A plan changes the configuration only against the base it was made for.
     BaseKept,
+    /// An engine takes no order of a leadership older than one it has obeyed.
+    OrdersFenced,
     /// Steps of a plan are carried out once.
     StepsOnce,
     /// A revision that is said to be in force everywhere is so on each node that holds a lease.
@@ -50,6 +53,7 @@
             Self::ReadsFresh => "reads_fresh",
             Self::IntentsOnce => "intents_once",
             Self::BaseKept => "base_kept",
+            Self::OrdersFenced => "orders_fenced",
             Self::StepsOnce => "steps_once",
             Self::InForceTrue => "in_force_true",
             Self::Liveness => "liveness",
@@ -79,6 +83,12 @@
     acknowledged: Revision,
     applied: BTreeMap<(GroupId, ReplicaId), LogIndex>,
     leaders: BTreeMap<GroupId, (Epoch, ReplicaId)>,
+    /// The newest leadership of each member of the control group.
+    epochs: BTreeMap<ReplicaId, Epoch>,
+    /// The newest leadership that sent each order, whatever the order says of itself.
+    orders: BTreeMap<(ServerId, OrderFence), Epoch>,
+    /// The newest leadership whose order each engine took.
+    obeyed: BTreeMap<String, Epoch>,
     /// The identity that each replica's folder gave it at its last start.
     members: BTreeMap<SocketAddr, ReplicaId>,
     in_force: Revision,
@@ -122,6 +132,9 @@
     /// A leadership has begun.
     pub fn leads(&self, group: GroupId, member: ReplicaId, epoch: Epoch) {
         let mut observer = self.lock();
+        if group == GroupId::Control {
+            observer.epochs.insert(member, epoch);
+        }
         let newest = observer.leaders.entry(group).or_insert((epoch, member));
         if epoch >= newest.0 {
             *newest = (epoch, member);
@@ -204,9 +217,34 @@
         }
     }
 
-    /// A process has started: an engine that did has lost its version.
+    /// A member has sent an order.
+    pub fn order_sent(&self, server: &ServerId, fence: OrderFence, member: ReplicaId) {
+        let mut observer = self.lock();
+        let epoch = observer.epochs.get(&member).copied().unwrap_or_default();
+        let sent = observer.orders.entry((server.clone(), fence)).or_default();
+        *sent = (*sent).max(epoch);
+    }
+
+    /// An engine has taken an order for the first time.
+    pub fn order_taken(&self, server: &str, fence: OrderFence) {
+        let mut observer = self.lock();
+        let sent = observer.orders.get(&(ServerId::new(server), fence));
+        let Some(epoch) = sent.copied() else {
+            return;
+        };
+        let newest = observer.obeyed.entry(server.to_owned()).or_default();
+        let before = *newest;
+        *newest = before.max(epoch);
+        if epoch < before {
+            let detail = format!("{server} took {fence:?} of leadership {epoch} after {before}");
+            observer.violate(SimPromise::OrdersFenced, detail);
+        }
+    }
+
+    /// A process has started: an engine that did has lost its version and its fence.
     pub fn process_started(&self, name: &str) {
         let mut observer = self.lock();
+        observer.obeyed.remove(name);
         observer
             .swapped
             .retain(|(server, _)| server.as_str() != name);
--- a/crates/wingshore-lab/src/sim/operator.rs
+++ b/crates/wingshore-lab/src/sim/operator.rs
@@ -2,6 +2,8 @@
 //! again what was not answered.
 
 use super::client::{CallResult, GroupCalls};
+pub use super::desk::Desk;
+use super::desk::Job;
 use super::observer::{ObserverHandle, SimPromise};
 use super::process::{Call, CallId, Process, ProcessInput, ProcessOutput, SimMessage};
 use super::slot::{Boot, Maker};
@@ -9,17 +11,13 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use wingshore_types::configuration::{Admission, ConfigurationChange, Server};
 use wingshore_types::protocol::control::{
     ControlRefusal, ControlReply, ControlRequest, Intent, Plan, PlanState,
 };
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
-use wingshore_types::{
-    GroupId, Instant, IntentId, PlanId, PoolId, Revision, ServerId, ServiceId, WeightVersion,
-    ZoneId,
-};
+use wingshore_types::{GroupId, Instant, IntentId, PlanId, Revision, ServerId, ServiceId, ZoneId};
 
 /// Longest time of one call; what is not answered then is sent again under the same identity.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -37,87 +35,6 @@
     1,
 );
 
-/// What an operator is to do, and how far they have come; outlives the operator's process.
-#[derive(Clone, Default)]
-pub struct Desk(Arc<Mutex<DeskState>>);
-
-/// Something to be done as it is.
-#[derive(Clone, Debug)]
-enum Job {
-    State(Intent),
-    Publish {
-        pool: PoolId,
-        version: WeightVersion,
-        model: String,
-        store: SocketAddr,
-    },
-}
-
-#[derive(Default)]
-struct DeskState {
-    /// What is to be done first, in order.
-    jobs: VecDeque<Job>,
-    /// Changes of their own still to be made.
-    changes: u32,
-    /// Whether those go to the contested server.
-    races: bool,
-    drawn: u64,
-    ended: u32,
-    /// The plan under way, as last answered.
-    plan: Option<Plan>,
-}
-
-impl Desk {
-    /// An operator with `changes` of their own to make, with `races` to the contested server.
-    pub fn new(changes: u32, races: bool) -> Self {
-        let desk = Self::default();
-        desk.lock().changes = changes;
-        desk.lock().races = races;
-        desk
-    }
-
-    /// Puts an intent on the desk.
-    pub fn add(&self, intent: Intent) {
-        self.lock().jobs.push_back(Job::State(intent));
-    }
-
-    /// Puts a publication on the desk: the weights are stored, then the version is told.
-    pub fn publish(&self, pool: PoolId, version: WeightVersion, model: &str, store: SocketAddr) {
-        let model = model.to_owned();
-        self.lock().jobs.push_back(Job::Publish {
-            pool,
-            version,
-            model,
-            store,
-        });
-    }
-
-    /// Gives further changes to make.
-    pub fn add_changes(&self, changes: u32) {
-        self.lock().changes += changes;
-    }
-
-    /// Whether all is done.
-    pub fn is_done(&self) -> bool {
-        let state = self.lock();
-        state.jobs.is_empty() && state.changes == 0
-    }
-
-    /// How many intents came to an end.
-    pub fn ended(&self) -> u32 {
-        self.lock().ended
-    }
-
-    /// The plan last answered.
-    pub fn plan(&self) -> Option<Plan> {
-        self.lock().plan.clone()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, DeskState> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// What a call is for.
 #[derive(Clone, Debug)]
 enum Purpose {
--- a/crates/wingshore-lab/src/sim/replica/group.rs
+++ b/crates/wingshore-lab/src/sim/replica/group.rs
@@ -22,7 +22,7 @@
 /// Time of a sync that is held up.
 const SLOW_SYNC: Duration = Duration::from_millis(60);
 /// One sync of this many is held up.
-const SLOW_SYNC_SHARE: u32 = 200;
+const SLOW_SYNC_SHARE: u32 = 40;
 
 /// Where a request came from.
 #[derive(Clone, Copy, Debug)]
--- a/crates/wingshore-lab/src/sim/replica/mod.rs
+++ b/crates/wingshore-lab/src/sim/replica/mod.rs
@@ -299,9 +299,11 @@
 
 impl SimReplica {
     fn show_order(&self, call: &Call, origin: &EffectOrigin) {
-        if let (Call::Order(order), EffectOrigin::Order { server, .. }) = (call, origin)
-            && let OrderBody::LoadWeights { version, .. } = &order.order
-        {
+        let (Call::Order(order), EffectOrigin::Order { server, fence }) = (call, origin) else {
+            return;
+        };
+        self.observer.order_sent(server, *fence, self.id);
+        if let OrderBody::LoadWeights { version, .. } = &order.order {
             self.observer.load_ordered(server, *version);
         }
     }
--- a/crates/wingshore-lab/src/sim/scenarios/control.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/control.rs
@@ -1,15 +1,13 @@
 //! The control group's leader in trouble: cut off, frozen, killed, with work in flight.
 
 use super::ControlScenario;
-use super::faults::{Fault, any_cut, pause};
-use crate::sim::process::{ProcessOutput, SimMessage};
+use super::faults::{Fault, any_cut, is_plan_answer, pause};
+use crate::sim::network::CutKind;
 use crate::sim::replica::is_order;
 use crate::sim::site::{Site, SiteSettings};
 use crate::sim::slot::{Trap, TrapAction};
 use rand::RngExt;
 use std::time::Duration;
-use wingshore_types::protocol::control::ControlReply;
-use wingshore_types::protocol::wire::GroupReply;
 
 /// A site that moves engines while operators work.
 const MOVING: SiteSettings = SiteSettings {
@@ -52,6 +50,16 @@
             settings: WORKING,
             run: frozen_leader,
         },
+        ControlScenario {
+            name: "frozen-without-members",
+            settings: WORKING,
+            run: frozen_without_members,
+        },
+        ControlScenario {
+            name: "leader-without-members",
+            settings: WORKING,
+            run: leader_without_members,
+        },
         ControlScenario {
             name: "one-way-cuts",
             settings: WORKING,
@@ -110,6 +118,43 @@
     }
 }
 
+/// The leader stands still and hears nothing of the other members; when it goes on, the first it
+/// finds are requests of operators who have just come.
+fn frozen_without_members(site: &mut Site) {
+    for _ in 0..4 {
+        let leader = site.leader();
+        for other in site.replicas.clone() {
+            site.world.cut(leader, other, CutKind::Silent);
+            site.world.cut(other, leader, CutKind::Silent);
+        }
+        let time = site.world.random().random_range(1_200..2_500);
+        site.world.freeze(leader, Duration::from_millis(time));
+        site.world.run_for(Duration::from_millis(time - 200));
+        for operator in site.world.addresses("operator") {
+            site.world.kill(operator, true);
+            site.world.start(operator);
+        }
+        pause(site, 400, 1_500);
+        site.heal();
+        pause(site, 100, 1_000);
+    }
+}
+
+/// The leader loses the other members, but not its callers: they still ask it.
+fn leader_without_members(site: &mut Site) {
+    for _ in 0..4 {
+        let leader = site.leader();
+        let kind = any_cut(site);
+        for other in site.replicas.clone() {
+            site.world.cut(leader, other, kind);
+            site.world.cut(other, leader, kind);
+        }
+        pause(site, 300, 4_000);
+        site.heal();
+        pause(site, 100, 1_000);
+    }
+}
+
 fn one_way_cuts(site: &mut Site) {
     for _ in 0..4 {
         Fault::OneWay.strike(site);
@@ -177,16 +222,3 @@
         action,
     }
 }
-
-fn is_plan_answer(output: &ProcessOutput) -> bool {
-    matches!(
-        output,
-        ProcessOutput::Send {
-            message: SimMessage::GroupReply {
-                body: GroupReply::Control(ControlReply::Plan(_)),
-                ..
-            },
-            ..
-        }
-    )
-}
--- a/crates/wingshore-lab/src/sim/scenarios/disks.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/disks.rs
@@ -1,8 +1,9 @@
 //! Disks and storage calls that fail, and disks that are lost.
 
 use super::ControlScenario;
-use super::faults::{Fault, any_cut, pause};
+use super::faults::{Fault, any_cut, is_done_answer, pause};
 use crate::sim::site::{Site, SiteSettings};
+use crate::sim::slot::{Trap, TrapAction};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,7 +45,10 @@
         },
         ControlScenario {
             name: "power-lost",
-            settings: WORKING,
+            settings: SiteSettings {
+                changes: 60,
+                ..WORKING
+            },
             run: power_lost,
         },
     ]
@@ -117,21 +121,40 @@
     pause(site, 100, 3_000);
 }
 
-/// All machines lose power at once.
+/// All machines lose power at once; two of three come back first, and decide by what they find.
 fn power_lost(site: &mut Site) {
-    for _ in 0..3 {
-        pause(site, 100, 1_500);
+    for _ in 0..6 {
+        pause(site, 50, 800);
+        let mut order = shuffled(site);
+        if site.world.random().random_bool(0.7) {
+            let leader = site.leader();
+            lose_leader_after_answer(site, leader);
+            order.sort_by_key(|replica| *replica == leader);
+        }
         for replica in site.replicas.clone() {
-            if site.world.random().random_bool(0.5) {
-                pause(site, 0, 5);
-            }
             site.world.kill(replica, false);
         }
         pause(site, 10, 1_000);
+        let [first, second, _] = order;
+        site.world.start(first);
+        site.world.start(second);
+        pause(site, 500, 2_000);
         site.heal();
     }
 }
 
+/// The leader dies right after it has told an operator that a plan is done.
+fn lose_leader_after_answer(site: &mut Site, leader: SocketAddr) {
+    let trap = Trap {
+        wanted: Box::new(is_done_answer),
+        skip: 0,
+        action: TrapAction::KillAfter,
+    };
+    site.world.set_trap(leader, trap);
+    let limit = Duration::from_secs(1);
+    site.world.run_until(limit, |world| !world.has_trap(leader));
+}
+
 fn shuffled(site: &mut Site) -> [SocketAddr; 3] {
     let mut replicas = [site.replicas[0], site.replicas[1], site.replicas[2]];
     for last in [2, 1] {
--- a/crates/wingshore-lab/src/sim/scenarios/faults.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/faults.rs
@@ -1,10 +1,13 @@
 //! Faults that scenarios draw from.
 
 use crate::sim::network::{CutKind, NetworkSettings};
+use crate::sim::process::{ProcessOutput, SimMessage};
 use crate::sim::site::Site;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use wingshore_types::protocol::control::{ControlReply, PlanState};
+use wingshore_types::protocol::wire::GroupReply;
 
 /// One kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,3 +116,32 @@
         }
     }
 }
+
+/// Whether an output answers an operator with a plan.
+pub fn is_plan_answer(output: &ProcessOutput) -> bool {
+    matches!(
+        output,
+        ProcessOutput::Send {
+            message: SimMessage::GroupReply {
+                body: GroupReply::Control(ControlReply::Plan(_)),
+                ..
+            },
+            ..
+        }
+    )
+}
+
+/// Whether an output tells an operator that a plan is done.
+pub fn is_done_answer(output: &ProcessOutput) -> bool {
+    let ProcessOutput::Send {
+        message: SimMessage::GroupReply { body, .. },
+        ..
+    } = output
+    else {
+        return false;
+    };
+    match body {
+        GroupReply::Control(ControlReply::Plan(plan)) => plan.state == PlanState::Done,
+        _ => false,
+    }
+}
--- a/crates/wingshore-lab/src/sim/site.rs
+++ b/crates/wingshore-lab/src/sim/site.rs
@@ -2,9 +2,10 @@
 //! engines, around one [`World`].
 
 use super::administrator::{self, Repairs};
+use super::desk::Desk;
 use super::network::NetworkSettings;
 use super::observer::{ObserverHandle, SimPromise};
-use super::operator::{self, Desk};
+use super::operator;
 use super::processes::engine::SimEngine;
 use super::processes::weight_store::SimWeightStore;
 use super::replica::{self, ReplicaFaults, ReplicaSettings};
@@ -19,23 +20,18 @@
 use std::time::Duration;
 use wingshore_control::LeaderSettings;
 use wingshore_storage::memory::{Faults as DiskFaults, MemoryFileSystem};
-use wingshore_types::configuration::{
-    Admission, ConfigurationChange, Permille, Pool, Server, Service, ServiceKind, SwapPolicy,
-};
 use wingshore_types::protocol::control::Intent;
 use wingshore_types::protocol::membership::{Member, Membership};
-use wingshore_types::{
-    GroupId, PoolId, ReplicaId, ServerId, ServiceId, TrainerId, WeightVersion, ZoneId,
-};
+use wingshore_types::{GroupId, PoolId, ReplicaId, WeightVersion};
 
 /// Longest time until a healthy site has done what was asked of it.
 const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 /// Port of all processes.
 const PORT: u16 = 1000;
 /// The service of engines.
-const ENGINES: &str = "engines";
+pub(super) const ENGINES: &str = "engines";
 /// The pool of engines.
-const POOL: &str = "pool";
+pub(super) const POOL: &str = "pool";
 
 /// Kinds of machines, as a part of their addresses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,6 +109,11 @@
         site
     }
 
+    /// What the site consists of.
+    pub fn settings(&self) -> &SiteSettings {
+        &self.settings
+    }
+
     /// The groups of the site.
     pub fn groups(&self) -> Vec<GroupId> {
         GroupId::all(0, 0)
@@ -376,57 +377,4 @@
             self.world.add(&name, address(Kind::Engine, number), maker);
         }
     }
-
-    fn first_changes(&self) -> Vec<ConfigurationChange> {
-        let service = |id: ServiceId, kind| {
-            ConfigurationChange::PutService(Service {
-                id,
-                kind,
-                slots_per_server: 8,
-                live_share: Permille(500),
-                default_deadline_ms: 10_000,
-            })
-        };
-        let mut changes = vec![service(operator::service(), ServiceKind::Live)];
-        if self.settings.engines == 0 {
-            return changes;
-        }
-        let model = EngineSettings::default().model;
-        let engines = ServiceId::new(ENGINES);
-        changes.push(service(engines.clone(), ServiceKind::Engines { model }));
-        for number in 0..self.settings.engines {
-            changes.push(ConfigurationChange::PutServer(Server {
-                id: ServerId::new(&format!("engine-{number}")),
-                service: engines.clone(),
-                address: address(Kind::Engine, number),
-                zone: ZoneId::new("zone"),
-                admission: Admission::Open,
-            }));
-        }
-        changes.push(ConfigurationChange::PutPool(Pool {
-            id: PoolId::new(POOL),
-            service: engines,
-            trainer: TrainerId::new("trainer"),
-            staleness_bound: 2,
-            idle_weight: Permille(500),
-            ledger: 1,
-            scorer: address(Kind::Store, 1),
-            weight_store: address(Kind::Store, 0),
-            swap: SwapPolicy::Planned,
-            max_open_samples: 100,
-            sample_lease_ms: 5_000,
-            target_version: WeightVersion(0),
-        }));
-        changes
-    }
-
-    fn last_change(&self) -> ConfigurationChange {
-        ConfigurationChange::PutService(Service {
-            id: operator::service(),
-            kind: ServiceKind::Live,
-            slots_per_server: 9,
-            live_share: Permille(400),
-            default_deadline_ms: 20_000,
-        })
-    }
 }
--- /dev/null
+++ b/crates/wingshore-lab/src/sim/trace.rs
@@ -0,0 +1,18 @@
+//! What a traced run prints of messages.
+
+use super::process::SimMessage;
+use super::replica;
+use wingshore_types::Instant;
+
+/// Most characters of a message.
+const MOST_TRACED: usize = 300;
+
+/// Prints a message that has arrived.
+pub fn print(now: Instant, from: &str, to: &str, message: &SimMessage) {
+    let text = match message {
+        SimMessage::Consensus { message, .. } => replica::describe(message),
+        other => format!("{other:?}"),
+    };
+    let text: String = text.chars().take(MOST_TRACED).collect();
+    println!("{:>14} {from} -> {to}: {text}", now.0 / 1000);
+}
--- a/crates/wingshore-lab/src/sim/world.rs
+++ b/crates/wingshore-lab/src/sim/world.rs
@@ -3,17 +3,18 @@
 use super::clock::LocalClock;
 use super::history::HistoryHash;
 use super::network::{Arrivals, CutKind, Departure, Network, NetworkSettings, Parcel};
-use super::observer::{ObserverHandle, SimPromise};
-use super::process::{ProcessFault, ProcessInput, ProcessOutput, SimMessage};
-use super::replica;
-use super::slot::{Boot, Frozen, Maker, Slot, Trap, TrapAction};
+use super::observer::ObserverHandle;
+use super::process::{ProcessInput, ProcessOutput};
+use super::slot::{Maker, Slot, TrapAction};
+use super::trace;
 use crate::events::{Event, Record};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_types::Instant;
+use wingshore_types::platform::OrderFence;
+use wingshore_types::{Epoch, Instant, OrderSequence};
 
 /// Shortest time between two wakes of a process.
 const SHORTEST_SLEEP: Duration = Duration::from_micros(20);
@@ -25,7 +26,7 @@
 const MOST_DRIFT_PPM: i64 = 15_000;
 
 /// What is to happen.
-enum Happening {
+pub(super) enum Happening {
     Arrive(Parcel),
     Wake { process: SocketAddr },
     Thaw { process: SocketAddr, boot: u64 },
@@ -33,12 +34,12 @@
 
 /// All processes, the network between them, and what is to happen.
 pub struct World {
-    now: Instant,
+    pub(super) now: Instant,
     queue: BTreeMap<(Instant, u64), Happening>,
     next_sequence: u64,
-    random: ChaCha8Rng,
-    network: Network,
-    slots: BTreeMap<SocketAddr, Slot>,
+    pub(super) random: ChaCha8Rng,
+    pub(super) network: Network,
+    pub(super) slots: BTreeMap<SocketAddr, Slot>,
     records: Vec<Record>,
     history: HistoryHash,
     handled: u64,
@@ -125,147 +126,6 @@
         named.map(|(address, _)| *address).collect()
     }
 
-    /// Starts the process, unless it runs.
-    pub fn start(&mut self, address: SocketAddr) {
-        let seed = self.random.random();
-        let Some(slot) = self.slots.get_mut(&address) else {
-            return;
-        };
-        if slot.process.is_some() {
-            return;
-        }
-        let boot = Boot {
-            now: slot.clock.local(self.now),
-            seed,
-            number: slot.boots,
-        };
-        slot.boots += 1;
-        slot.is_stopping = false;
-        slot.refuses = true;
-        slot.wake_at = None;
-        let made = (slot.maker)(boot);
-        let name = slot.name.clone();
-        match made {
-            Ok(process) => {
-                slot.process = Some(process);
-                self.record_action(&name, "start");
-                self.schedule_wake(address);
-            }
-            Err(reason) => {
-                let detail = format!("{name} does not start: {reason}");
-                self.note(&detail);
-                self.observer.violate(SimPromise::NoCrash, detail);
-            }
-        }
-    }
-
-    /// Kills the process: all it knew is gone. Where `noticed`, its connections break; otherwise
-    /// the machine itself is gone and there is silence.
-    pub fn kill(&mut self, address: SocketAddr, noticed: bool) {
-        let Some(slot) = self.slots.get_mut(&address) else {
-            return;
-        };
-        if slot.process.take().is_none() {
-            return;
-        }
-        slot.frozen = None;
-        slot.wake_at = None;
-        slot.trap = None;
-        slot.refuses = noticed;
-        let name = slot.name.clone();
-        self.record_action(&name, "kill");
-        let departure = match noticed {
-            true => Departure::Broken,
-            false => Departure::Silent,
-        };
-        let arrivals = self.network.process_gone(self.now, address, departure);
-        self.schedule_arrivals(arrivals);
-    }
-
-    /// Begins a planned stop.
-    pub fn stop(&mut self, address: SocketAddr) {
-        let Some(slot) = self.slots.get_mut(&address) else {
-            return;
-        };
-        slot.is_stopping = true;
-        let name = slot.name.clone();
-        self.record_action(&name, "stop");
-        self.give(address, ProcessInput::Stop);
-    }
-
-    /// Lets the process stand still for a while: what reaches it waits.
-    pub fn freeze(&mut self, address: SocketAddr, duration: Duration) {
-        let Some(slot) = self.slots.get_mut(&address) else {
-            return;
-        };
-        if slot.process.is_none() || slot.frozen.is_some() {
-            return;
-        }
-        slot.frozen = Some(Frozen::default());
-        let (name, boot) = (slot.name.clone(), slot.boots);
-        self.record_action(&name, "freeze");
-        let thaw = Happening::Thaw {
-            process: address,
-            boot,
-        };
-        self.schedule(self.now + duration, thaw);
-    }
-
-    /// Waits for an output of the process.
-    pub fn set_trap(&mut self, address: SocketAddr, trap: Trap) {
-        if let Some(slot) = self.slots.get_mut(&address) {
-            slot.trap = Some(trap);
-        }
-    }
-
-    /// Whether a trap still waits.
-    pub fn has_trap(&self, address: SocketAddr) -> bool {
-        let slot = self.slots.get(&address);
-        slot.is_some_and(|slot| slot.trap.is_some())
-    }
-
-    /// Switches a fault of a stand-in on.
-    pub fn inject(&mut self, address: SocketAddr, fault: ProcessFault) {
-        self.give(address, ProcessInput::Fault(fault));
-    }
-
-    /// Cuts all links of a machine, to it and from it.
-    pub fn isolate(&mut self, address: SocketAddr, kind: CutKind) {
-        for other in self.slots.keys().copied().collect::<Vec<_>>() {
-            self.cut(address, other, kind);
-            self.cut(other, address, kind);
-        }
-    }
-
-    /// Cuts one link in one direction.
-    pub fn cut(&mut self, from: SocketAddr, to: SocketAddr, kind: CutKind) {
-        if from != to {
-            self.network.cut(from, to, kind);
-        }
-    }
-
-    /// Heals all links of a machine.
-    pub fn rejoin(&mut self, address: SocketAddr) {
-        for (from, to) in self.network.cuts() {
-            if from == address || to == address {
-                let arrivals = self.network.heal(self.now, from, to);
-                self.schedule_arrivals(arrivals);
-            }
-        }
-    }
-
-    /// Heals all links, lets all frozen processes go on and starts all that are down.
-    pub fn heal_all(&mut self) {
-        for address in self.slots.keys().copied().collect::<Vec<_>>() {
-            self.rejoin(address);
-            self.thaw(address);
-            if let Some(slot) = self.slots.get_mut(&address) {
-                slot.trap = None;
-            }
-            self.start(address);
-        }
-    }
-
     /// Handles all that happens within `duration`.
     pub fn run_for(&mut self, duration: Duration) {
         let until = self.now + duration;
@@ -288,9 +148,7 @@
     /// Records what happened, for the checkers.
     pub fn record(&mut self, source: &str, event: Event) {
         self.note_with(source, &event);
-        if let Event::Started { .. } = event {
-            self.observer.process_started(source);
-        }
+        self.show(source, &event);
         self.records.push(Record {
             at_us: self.now.0 / 1000,
             source: source.to_owned(),
@@ -298,6 +156,26 @@
         });
     }
 
+    /// Shows the observer what it judges by.
+    fn show(&self, source: &str, event: &Event) {
+        match event {
+            Event::Started { .. } => self.observer.process_started(source),
+            Event::OrderAnswered {
+                epoch,
+                sequence,
+                accepted: true,
+                repeated: false,
+            } => {
+                let fence = OrderFence {
+                    epoch: Epoch(*epoch),
+                    sequence: OrderSequence(*sequence),
+                };
+                self.observer.order_taken(source, fence);
+            }
+            _ => {}
+        }
+    }
+
     /// Records what was done to a process.
     pub fn record_action(&mut self, process: &str, action: &str) {
         let event = Event::ProcessAction {
@@ -370,7 +248,7 @@
         }
     }
 
-    fn thaw(&mut self, address: SocketAddr) {
+    pub(super) fn thaw(&mut self, address: SocketAddr) {
         let Some(slot) = self.slots.get_mut(&address) else {
             return;
         };
@@ -387,7 +265,7 @@
     }
 
     /// Gives an input to the process, or keeps it while it stands still.
-    fn give(&mut self, address: SocketAddr, input: ProcessInput) {
+    pub(super) fn give(&mut self, address: SocketAddr, input: ProcessInput) {
         let Some(slot) = self.slots.get_mut(&address) else {
             return;
         };
@@ -472,7 +350,7 @@
         }
     }
 
-    fn schedule_wake(&mut self, address: SocketAddr) {
+    pub(super) fn schedule_wake(&mut self, address: SocketAddr) {
         let now = self.now;
         let Some(slot) = self.slots.get_mut(&address) else {
             return;
@@ -492,18 +370,18 @@
         }
     }
 
-    fn schedule_arrivals(&mut self, arrivals: Arrivals) {
+    pub(super) fn schedule_arrivals(&mut self, arrivals: Arrivals) {
         for (at, parcel) in arrivals {
             self.schedule(at, Happening::Arrive(parcel));
         }
     }
 
-    fn schedule(&mut self, at: Instant, happening: Happening) {
+    pub(super) fn schedule(&mut self, at: Instant, happening: Happening) {
         self.queue.insert((at, self.next_sequence), happening);
         self.next_sequence += 1;
     }
 
-    fn note(&mut self, text: &str) {
+    pub(super) fn note(&mut self, text: &str) {
         self.note_with("world", &text);
     }
 
@@ -517,15 +395,11 @@
 
     fn print_parcel(&self, parcel: &Parcel) {
         let name = |address| self.slots.get(&address).map_or("?", |slot| &slot.name);
-        let (from, to) = (name(parcel.from), name(parcel.to));
-        let text = match &parcel.message {
-            SimMessage::Consensus { message, .. } => replica::describe(message),
-            other => format!("{other:?}"),
-        };
-        let text: String = text.chars().take(MOST_TRACED).collect();
-        println!("{:>14} {from} -> {to}: {text}", self.now.0 / 1000);
+        trace::print(
+            self.now,
+            name(parcel.from),
+            name(parcel.to),
+            &parcel.message,
+        );
     }
 }
-
-/// Most characters of a message in a trace.
-const MOST_TRACED: usize = 300;
