--- a/crates/wingshore-lab/src/sim/world.rs
+++ b/crates/wingshore-lab/src/sim/world.rs
@@ -176,15 +176,6 @@
         }
     }
 
-    /// Records what was done to a process.
-    pub fn record_action(&mut self, process: &str, action: &str) {
-        let event = Event::ProcessAction {
-            process: process.to_owned(),
-            action: action.to_owned(),
-        };
-        self.record("world", event);
-    }
-
     fn step_before(&mut self, until: Instant) -> bool {
         if self.handled >= MOST_EVENTS {
             return false;
--- a/crates/wingshore-lab/src/sim/world_faults.rs
+++ b/crates/wingshore-lab/src/sim/world_faults.rs
@@ -5,6 +5,7 @@
 use super::process::{ProcessFault, ProcessInput};
 use super::slot::{Boot, Frozen, Trap};
 use super::world::{Happening, World};
+use crate::events::Event;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -150,4 +151,13 @@
             self.start(address);
         }
     }
+
+    /// Records what was done to a process.
+    pub fn record_action(&mut self, process: &str, action: &str) {
+        let event = Event::ProcessAction {
+            process: process.to_owned(),
+            action: action.to_owned(),
+        };
+        self.record("world", event);
+    }
 }
