ledger: how far ahead of its trainer a pool generates follows from its weight on idle time

Cause: all submitted steps are generated as fast as engines allow, so whole steps lie ready when a version is published; the pool's idle_weight was checked and shown but used by no decision. Change: the leader grants leases only while fewer than 1 + 3 (weight / 1000)^2 steps are leased, finished or scored; no limit at 1000. The pool's settings in the ledger carry the weight.

--- a/crates/wingshore-lab/src/hollow/trainers.rs
+++ b/crates/wingshore-lab/src/hollow/trainers.rs
@@ -150,6 +150,7 @@
             staleness_bound: 4,
             max_open_samples: 100_000,
             sample_lease_ms: 10_000,
+            idle_weight: wingshore_types::configuration::Permille::WHOLE,
             trainer: self.name.clone(),
         };
         match self.call(request) {
--- a/crates/wingshore-lab/src/measure/state/recovery.rs
+++ b/crates/wingshore-lab/src/measure/state/recovery.rs
@@ -114,6 +114,7 @@
         staleness_bound: 4,
         max_open_samples: u32::MAX,
         sample_lease_ms: 10_000,
+        idle_weight: wingshore_types::configuration::Permille::WHOLE,
         trainer: TrainerId::new("trainer"),
     };
     ask_ledger(site, configure)?;
--- a/crates/wingshore-lab/src/sim/processes/node/desk.rs
+++ b/crates/wingshore-lab/src/sim/processes/node/desk.rs
@@ -135,6 +135,7 @@
             staleness_bound: pool.staleness_bound,
             max_open_samples: pool.max_open_samples,
             sample_lease_ms: pool.sample_lease_ms,
+            idle_weight: pool.idle_weight,
             trainer: pool.trainer.clone(),
         });
         let (now, purpose) = (context.now, GroupPurpose::Desk(caller));
--- a/crates/wingshore-ledger/examples/ledger_cost.rs
+++ b/crates/wingshore-ledger/examples/ledger_cost.rs
@@ -230,6 +230,7 @@
         staleness_bound: 2,
         max_open_samples: samples as u32,
         sample_lease_ms: 10_000,
+        idle_weight: wingshore_types::configuration::Permille::WHOLE,
         trainer: trainer(),
     };
     let operation = Operation::Configure {
--- a/crates/wingshore-ledger/src/samples/command.rs
+++ b/crates/wingshore-ledger/src/samples/command.rs
@@ -1,6 +1,7 @@
 //! What stands in the log of a ledger group.
 
 use serde::{Deserialize, Serialize};
+use wingshore_types::configuration::Permille;
 use wingshore_types::protocol::ledger::PullRequest;
 use wingshore_types::{
     Generation, LeaseId, NodeId, PoolId, Prompt, Revision, SampleNumber, StepId, TrainerId,
@@ -25,6 +26,8 @@
     pub max_open_samples: u32,
     /// How long a lease holds without renewal, in milliseconds.
     pub sample_lease_ms: u64,
+    /// Weight on trainer idle time against staleness: how far ahead of the trainer to generate.
+    pub idle_weight: Permille,
     /// The one trainer the samples go to.
     pub trainer: TrainerId,
 }
--- a/crates/wingshore-ledger/src/samples/leader.rs
+++ b/crates/wingshore-ledger/src/samples/leader.rs
@@ -1,6 +1,7 @@
 //! What only the leader of a ledger group does.
 
 use super::command::{LedgerCommand, Operation, PoolSettings};
+use super::depth::GenerationDepth;
 use super::faults::Faults;
 use super::lease_clock::LeaseClock;
 use super::pool::{FULL_RETRY_AFTER_MS, PoolLedger};
@@ -36,6 +37,7 @@
     queue: ProposalQueue<Operation, Waiting>,
     lease_clock: LeaseClock,
     offers: ScoringOffers,
+    depth: GenerationDepth,
     pub(super) pulls: Vec<WaitingPull>,
     /// Pools with a hand-over on its way into the log.
     pub(super) handing_over: BTreeSet<PoolId>,
@@ -84,12 +86,27 @@
                 reply(tag, LedgerReply::Counts(ledger.counts()), out);
             }
             (LedgerRequest::Pull { pool, pull }, Some(_)) => {
+                self.depth.on_pull(&pool, pull.count);
                 self.wait_for_pull(now, tag, pool, pull, out);
             }
-            (request, Some(ledger)) => match answer_from_state(&request, ledger) {
-                Some(answer) => reply(tag, answer, out),
-                None => self.enqueue_request(tag, request, out),
-            },
+            (request @ LedgerRequest::Lease { .. }, Some(ledger)) => {
+                let request = self.depth.limit(request, ledger);
+                self.answer_or_enqueue(tag, request, ledger, out);
+            }
+            (request, Some(ledger)) => self.answer_or_enqueue(tag, request, ledger, out),
+        }
+    }
+
+    fn answer_or_enqueue(
+        &mut self,
+        tag: RequestTag,
+        request: LedgerRequest,
+        ledger: &PoolLedger,
+        out: &mut Outputs,
+    ) {
+        match answer_from_state(&request, ledger) {
+            Some(answer) => reply(tag, answer, out),
+            None => self.enqueue_request(tag, request, out),
         }
     }
 
@@ -106,6 +123,7 @@
             staleness_bound,
             max_open_samples,
             sample_lease_ms,
+            idle_weight,
             trainer,
         } = request
         else {
@@ -119,6 +137,7 @@
             staleness_bound,
             max_open_samples,
             sample_lease_ms,
+            idle_weight,
             trainer,
         };
         let operation = Operation::Configure { pool, settings };
--- a/crates/wingshore-ledger/src/samples/mod.rs
+++ b/crates/wingshore-ledger/src/samples/mod.rs
@@ -7,6 +7,7 @@
 //! ends leases that were not renewed, and proposes the rest.
 
 mod command;
+mod depth;
 mod faults;
 mod finishing;
 mod indexes;
--- a/crates/wingshore-ledger/src/samples/pool.rs
+++ b/crates/wingshore-ledger/src/samples/pool.rs
@@ -101,9 +101,10 @@
     }
 
     /// Whether a lease request would change anything.
-    pub(super) fn lease_would_change(&self, node: &NodeId, boot_id: u64) -> bool {
+    pub(super) fn lease_would_change(&self, node: &NodeId, boot_id: u64, most: u32) -> bool {
         let old_boots = self.indexes.leases.of_other_boots(node, boot_id);
-        !self.indexes.pending.is_empty() || !old_boots.is_empty()
+        let grants = most > 0 && !self.indexes.pending.is_empty();
+        grants || !old_boots.is_empty()
     }
 
     pub(super) fn rebuild_indexes(&mut self) {
--- a/crates/wingshore-ledger/src/samples/requests.rs
+++ b/crates/wingshore-ledger/src/samples/requests.rs
@@ -28,8 +28,13 @@
 pub(super) fn answer_from_state(request: &LedgerRequest, pool: &PoolLedger) -> Option<LedgerReply> {
     match request {
         LedgerRequest::Submit { prompts, .. } => pool.answer_submission(prompts),
-        LedgerRequest::Lease { node, boot_id, .. } => {
-            let changes = pool.lease_would_change(node, *boot_id);
+        LedgerRequest::Lease {
+            node,
+            boot_id,
+            most,
+            ..
+        } => {
+            let changes = pool.lease_would_change(node, *boot_id, *most);
             (!changes).then(|| LedgerReply::Leases(Vec::new()))
         }
         LedgerRequest::Return { lease, .. } => {
--- a/crates/wingshore-ledger/tests/samples_model.rs
+++ b/crates/wingshore-ledger/tests/samples_model.rs
@@ -300,6 +300,7 @@
                 staleness_bound: BOUND,
                 max_open_samples: MAX_OPEN as u32,
                 sample_lease_ms: LEASE_MS,
+                idle_weight: wingshore_types::configuration::Permille::WHOLE,
                 trainer: trainer(),
             },
         });
--- a/crates/wingshore-ledger/tests/support/mod.rs
+++ b/crates/wingshore-ledger/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use wingshore_ledger::samples::{Faults, LedgerLeader, LedgerState};
+use wingshore_types::configuration::Permille;
 use wingshore_types::machine::{
     LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, ReplicatedState, RequestTag,
 };
@@ -157,12 +158,22 @@
 }
 
 pub fn configure(revision: u64, staleness_bound: u64, max_open_samples: u32) -> LedgerRequest {
+    configure_weight(revision, staleness_bound, max_open_samples, Permille::WHOLE)
+}
+
+pub fn configure_weight(
+    revision: u64,
+    staleness_bound: u64,
+    max_open_samples: u32,
+    idle_weight: Permille,
+) -> LedgerRequest {
     LedgerRequest::Configure {
         pool: pool(),
         revision: Revision(revision),
         staleness_bound,
         max_open_samples,
         sample_lease_ms: LEASE_MS,
+        idle_weight,
         trainer: trainer(),
     }
 }
--- a/crates/wingshore-node/src/background/pools.rs
+++ b/crates/wingshore-node/src/background/pools.rs
@@ -34,6 +34,7 @@
             staleness_bound: pool.staleness_bound,
             max_open_samples: pool.max_open_samples,
             sample_lease_ms: pool.sample_lease_ms,
+            idle_weight: pool.idle_weight,
             trainer: pool.trainer.clone(),
         });
         match node
@@ -63,5 +64,6 @@
         && one.staleness_bound == other.staleness_bound
         && one.max_open_samples == other.max_open_samples
         && one.sample_lease_ms == other.sample_lease_ms
+        && one.idle_weight == other.idle_weight
         && one.trainer == other.trainer
 }
--- a/crates/wingshore-rollout/src/runner.rs
+++ b/crates/wingshore-rollout/src/runner.rs
@@ -200,6 +200,7 @@
             staleness_bound: binding.pool.staleness_bound,
             max_open_samples: binding.pool.max_open_samples,
             sample_lease_ms: binding.pool.sample_lease_ms,
+            idle_weight: binding.pool.idle_weight,
             trainer: binding.pool.trainer.clone(),
         };
         self.reports.add(now, ReportKey::Configure, request);
--- a/crates/wingshore-types/src/configuration.rs
+++ b/crates/wingshore-types/src/configuration.rs
@@ -102,6 +102,8 @@
     /// Most versions a delivered sample's oldest segment may lie behind the trainer's version.
     pub staleness_bound: u64,
     /// Weight between the two measures: 0 counts staleness only, 1000 trainer idle time only.
+    /// Default 500, 0 to 1000. The ledger lets at most `1 + 3 (weight / 1000)^2` steps be generated
+    /// ahead of the trainer, and any number at 1000.
     pub idle_weight: Permille,
     /// The ledger group that holds its samples.
     pub ledger: u16,
--- a/crates/wingshore-types/src/protocol/ledger.rs
+++ b/crates/wingshore-types/src/protocol/ledger.rs
@@ -87,6 +87,8 @@
         max_open_samples: u32,
         /// See [`crate::configuration::Pool`].
         sample_lease_ms: u64,
+        /// See [`crate::configuration::Pool`].
+        idle_weight: crate::configuration::Permille,
         /// The one trainer its samples go to.
         trainer: TrainerId,
     },
