--- a/crates/wingshore-lab/src/bench/command.rs
+++ b/crates/wingshore-lab/src/bench/command.rs
@@ -1,16 +1,25 @@
 //! The command line of `wingshore-lab bench`.
 
+use super::hot_path::{AllocationCount, measure_all, text};
+use super::plot::{Panel, PlotError, draw};
 use super::report::Report;
 use super::runs::run_all;
 use super::scenario::{Policy, RunOptions, Scenario, ScenarioError};
 use crate::fleet::program::workspace;
 use argh::FromArgs;
+use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use std::ops::RangeInclusive;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Runs at once when nothing is said.
 const THREADS: usize = 4;
+/// Site when nothing is said.
+const DEFAULT_SITE: &str = "farewind";
+/// Sites of a plot.
+const PLOTTED_SITES: [&str; 2] = ["farewind", "roster"];
+/// Weights of a plot.
+const WEIGHTS: [u16; 5] = [0, 250, 500, 750, 1000];
 
 /// Why a benchmark gave no figures.
 #[derive(Debug, Snafu)]
@@ -27,6 +36,14 @@
         /// Why.
         source: hdrhistogram::CreationError,
     },
+    /// The plot cannot be written.
+    #[snafu(display("{}: {source}", path.display()))]
+    Plot {
+        /// Where.
+        path: PathBuf,
+        /// Why.
+        source: PlotError,
+    },
     /// The report cannot be written as JSON.
     #[snafu(display("{source}"))]
     Json {
@@ -44,8 +61,8 @@
     example = "{command_name} --site roster --policy baseline --step-time-scale 0.5 --json"
 )]
 pub struct BenchCommand {
-    /// farewind or roster: a folder under `sites`
-    #[argh(option)]
+    /// farewind or roster: a folder under `sites` (farewind)
+    #[argh(option, default = "DEFAULT_SITE.to_owned()")]
     site: String,
     /// baseline or default (default)
     #[argh(option, default = "Policy::Default")]
@@ -68,6 +85,12 @@
     /// runs at once (4)
     #[argh(option, default = "THREADS")]
     threads: usize,
+    /// sweep the weight at both sites and draw idle time against staleness into this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
+    /// measure the cost of one routing decision instead
+    #[argh(switch)]
+    hot_path: bool,
     /// print one JSON object
     #[argh(switch)]
     json: bool,
@@ -92,33 +115,78 @@
 }
 
 impl BenchCommand {
-    /// Runs and prints.
+    /// Runs and prints; `allocations` counts those of this process.
     ///
     /// # Errors
-    /// When the site's files are missing or wrong.
-    pub fn run(&self) -> Result<(), BenchError> {
-        let report = self.report()?;
+    /// When the site's files are missing or wrong, or the plot cannot be written.
+    pub fn run(&self, allocations: AllocationCount) -> Result<(), BenchError> {
+        if self.hot_path {
+            let rows = measure_all(allocations);
+            return self.print(&rows, || text(&rows));
+        }
+        if let Some(path) = &self.plot {
+            return self.draw(path);
+        }
+        let report = self.report(&self.site, self.policy, self.weight)?;
+        self.print(&report, || report.text())
+    }
+
+    fn print<T: Serialize>(
+        &self,
+        value: &T,
+        text: impl FnOnce() -> String,
+    ) -> Result<(), BenchError> {
         if self.json {
-            println!("{}", serde_json::to_string(&report).context(JsonSnafu)?);
+            println!("{}", serde_json::to_string(value).context(JsonSnafu)?);
         } else {
-            print!("{}", report.text());
+            print!("{}", text());
         }
         Ok(())
     }
 
-    fn report(&self) -> Result<Report, BenchError> {
+    fn draw(&self, path: &Path) -> Result<(), BenchError> {
+        let panels: Result<Vec<Panel>, BenchError> =
+            PLOTTED_SITES.iter().map(|site| self.panel(site)).collect();
+        draw(path, &panels?).map_err(|source| BenchError::Plot {
+            path: path.to_owned(),
+            source,
+        })
+    }
+
+    fn panel(&self, site: &str) -> Result<Panel, BenchError> {
+        let mut sweep = Vec::new();
+        for weight in WEIGHTS {
+            let report = self.report(site, Policy::Default, Some(weight))?;
+            self.print(&report, || report.text())?;
+            sweep.push(report);
+        }
+        let baseline = self.report(site, Policy::Baseline, None)?;
+        self.print(&baseline, || baseline.text())?;
+        Ok(Panel {
+            site: site.to_owned(),
+            sweep,
+            baseline,
+        })
+    }
+
+    fn report(
+        &self,
+        site: &str,
+        policy: Policy,
+        weight: Option<u16>,
+    ) -> Result<Report, BenchError> {
         let sites = self.sites.clone();
         let sites = sites.unwrap_or_else(|| workspace().join("sites"));
         let options = RunOptions {
-            policy: self.policy,
-            weight: self.weight,
+            policy,
+            weight,
             step_time_scale: self.step_time_scale,
             without_rollouts: self.without_rollouts,
             flood: self.flood,
         };
-        let scenario = Scenario::read(&sites.join(&self.site), options).context(ScenarioSnafu)?;
+        let scenario = Scenario::read(&sites.join(site), options).context(ScenarioSnafu)?;
         let runs =
             run_all(&scenario, self.seeds.0.clone(), self.threads).context(HistogramSnafu)?;
-        Ok(Report::new(&self.site, &scenario, runs))
+        Ok(Report::new(site, &scenario, runs))
     }
 }
--- a/crates/wingshore-routing/examples/hot_path.rs
+++ b/crates/wingshore-lab/src/bench/hot_path.rs
@@ -1,13 +1,10 @@
-//! Measures the cost of one decision: `admit` followed by `on_finished`, in nanoseconds and
-//! allocations, at several fleet sizes.
-//!
-//! `cargo run --release -p wingshore-routing --example hot_path`
-#![allow(unsafe_code)] // a global allocator that counts cannot be written without it
+//! `wingshore-lab bench --hot-path`: the cost of one routing decision, `admit` followed by
+//! `on_finished`, in nanoseconds and allocations, at several fleet sizes.
 
-use std::alloc::{GlobalAlloc, Layout, System};
+use serde::Serialize;
+use std::collections::VecDeque;
 use std::hint::black_box;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant as Clock};
 use wingshore_routing::{AttemptOutcome, Class, RouteRequest, Router, RouterSettings};
 use wingshore_types::configuration::{
@@ -16,31 +13,52 @@
 use wingshore_types::platform::EngineState;
 use wingshore_types::{Instant, Revision, ServerId, ServiceId, WeightVersion, ZoneId};
 
-/// Counts allocations of the whole process.
-struct CountingAllocator;
+/// Answers how many allocations the process has made.
+pub type AllocationCount = fn() -> u64;
 
-static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
-
-// SAFETY: every call is passed on unchanged to the system's allocator.
-unsafe impl GlobalAlloc for CountingAllocator {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
-        // SAFETY: the caller's promises are passed on.
-        unsafe { System.alloc(layout) }
-    }
+/// Fleet sizes.
+const ENGINES: [usize; 4] = [10, 100, 1_000, 10_000];
+/// Servers a node uses: the usual number, and all.
+const SUBSETS: [u32; 2] = [40, u32::MAX];
+/// Measured decisions of each row.
+const DECISIONS: usize = 1_000_000;
+/// Requests kept in flight while measuring, per engine that is used.
+const IN_FLIGHT_PER_ENGINE: usize = 2;
+/// Decisions before those that are measured.
+const WARM_UP: usize = 20_000;
 
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        // SAFETY: the caller's promises are passed on.
-        unsafe { System.dealloc(pointer, layout) }
-    }
+/// One row.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct HotPathRow {
+    /// Engines of the service.
+    pub engines: usize,
+    /// Engines the node uses.
+    pub subset: usize,
+    /// Time of a decision.
+    pub nanoseconds: f64,
+    /// Allocations of a decision.
+    pub allocations: f64,
 }
 
-#[global_allocator]
-static ALLOCATOR: CountingAllocator = CountingAllocator;
+/// All rows.
+pub fn measure_all(allocations: AllocationCount) -> Vec<HotPathRow> {
+    let rows = ENGINES
+        .into_iter()
+        .flat_map(|engines| SUBSETS.map(|subset| (engines, subset)));
+    rows.map(|(engines, subset)| measure(engines, subset, DECISIONS, allocations))
+        .collect()
+}
 
-/// Requests kept in flight while measuring, per engine that is used.
-const IN_FLIGHT_PER_ENGINE: usize = 2;
-const WARM_UP: usize = 20_000;
+/// For people.
+pub fn text(rows: &[HotPathRow]) -> String {
+    let head = "engines  used  ns/decision  allocations/decision\n".to_owned();
+    rows.iter().fold(head, |text, row| {
+        format!(
+            "{text}{:>7}  {:>5}  {:>11.0}  {:>20.3}\n",
+            row.engines, row.subset, row.nanoseconds, row.allocations
+        )
+    })
+}
 
 fn configuration(engines: usize) -> Configuration {
     let service = Service {
@@ -98,7 +116,13 @@
     }
 }
 
-fn measure(engines: usize, subset_size: u32, decisions: usize) -> (f64, f64) {
+/// One row: a fleet of so many engines.
+fn measure(
+    engines: usize,
+    subset_size: u32,
+    decisions: usize,
+    allocations: AllocationCount,
+) -> HotPathRow {
     let settings = RouterSettings {
         subset_size,
         ..RouterSettings::default()
@@ -111,7 +135,7 @@
         router.on_engine_state(start, server, &engine_state());
     }
     let used = engines.min(subset_size as usize);
-    let mut window = std::collections::VecDeque::new();
+    let mut window = VecDeque::new();
     let requests = [
         request(Class::Live, None),
         request(Class::Rollout, None),
@@ -136,29 +160,15 @@
         }
     };
     run(WARM_UP.min(decisions), 0);
-    let allocations = ALLOCATIONS.load(Ordering::Relaxed);
+    let before = allocations();
     let clock = Clock::now();
     run(decisions, WARM_UP);
     let elapsed = clock.elapsed();
-    let allocated = ALLOCATIONS.load(Ordering::Relaxed) - allocations;
-    (
-        elapsed.as_nanos() as f64 / decisions as f64,
-        allocated as f64 / decisions as f64,
-    )
-}
-
-fn main() {
-    println!("engines  subset  ns/decision  allocations/decision");
-    for engines in [10, 100, 1_000, 10_000] {
-        for subset in [40, u32::MAX] {
-            let decisions = 1_000_000;
-            let (nanoseconds, allocations) = measure(engines, subset, decisions);
-            let subset = if subset == u32::MAX {
-                "all".to_owned()
-            } else {
-                subset.to_string()
-            };
-            println!("{engines:>7}  {subset:>6}  {nanoseconds:>11.0}  {allocations:>20.3}");
-        }
+    let allocated = allocations() - before;
+    HotPathRow {
+        engines,
+        subset: used,
+        nanoseconds: elapsed.as_nanos() as f64 / decisions as f64,
+        allocations: allocated as f64 / decisions as f64,
     }
 }
--- a/crates/wingshore-lab/src/bench/mod.rs
+++ b/crates/wingshore-lab/src/bench/mod.rs
@@ -5,6 +5,8 @@
 //! * `world`: one run; `queue`, `random`, `group`, `engines`, `store`, `live`, `trainer` serve it
 //! * `baseline`: the simple policy
 //! * `bound`, `figures`, `report`: what comes of it
+//! * `plot`: idle time against staleness at several weights
+//! * `hot_path`: the cost of one routing decision
 //! * `runs`, `command`: runs over seeds, the command line
 
 pub mod baseline;
@@ -13,7 +15,9 @@
 pub mod engines;
 pub mod figures;
 pub mod group;
+pub mod hot_path;
 pub mod live;
+pub mod plot;
 pub mod queue;
 pub mod random;
 pub mod report;
--- a/crates/wingshore-lab/src/main.rs
+++ b/crates/wingshore-lab/src/main.rs
@@ -1,5 +1,7 @@
 //! Entry point of the `wingshore-lab` program: parses the command line and wires subcommands.
 
+mod counting_allocator;
+
 use argh::FromArgs;
 use std::error::Error;
 use std::process::ExitCode;
@@ -51,7 +53,7 @@
         Command::Hollow(command) => Ok(command.run()?),
         Command::Measure(command) => command.run(),
         Command::Bench(command) => {
-            command.run()?;
+            command.run(counting_allocator::allocations)?;
             Ok(true)
         }
         Command::Sim(command) => Ok(command.run()?),
