routing: a few engines are kept for live requests, and live requests avoid engines that fetch weights

Cause: an engine's step takes as long as its whole batch needs, so a live request beside many rollouts is slow however early it gets its slot; and an engine stands still while fetched weights take force. Change: in services of 8 engines or more the live share is packed: the first engines of an order that all nodes share by hash take live requests first and get no rollouts while the recent peak of live demand needs them, at most the live share of the engines; elsewhere that much less is guaranteed to live requests. An engine whose report says that it loads a version costs live requests more. Not tried: fewer slots for rollouts on every engine.

--- a/crates/wingshore-routing/src/admission.rs
+++ b/crates/wingshore-routing/src/admission.rs
@@ -44,6 +44,36 @@
         }
     }
 
+    /// Shares of one server while `kept` of `servers` servers are kept for live requests: those
+    /// are live requests' alone, and of the others that much less is guaranteed to them, rounded
+    /// up to whole slots.
+    pub(crate) fn with_homes(self, is_home: bool, kept: usize, servers: usize) -> Self {
+        if kept == 0 {
+            return self;
+        }
+        let whole = u64::from(self.live) * servers as u64;
+        let at_homes = u64::from(self.slots) * kept as u64;
+        let others = servers.saturating_sub(kept).max(1) as u64;
+        let elsewhere = whole.saturating_sub(at_homes).div_ceil(others);
+        let (live, reserve) = match is_home {
+            true => (self.slots, self.slots),
+            false => {
+                let live = u32::try_from(elsewhere).unwrap_or(self.live);
+                (live, self.reserve.min(live))
+            }
+        };
+        Self {
+            live,
+            reserve,
+            ..self
+        }
+    }
+
+    /// Slots of a server.
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Slots guaranteed to a class.
     pub(crate) fn guarantee(&self, class: Class) -> u32 {
         match class {
--- a/crates/wingshore-routing/src/balance.rs
+++ b/crates/wingshore-routing/src/balance.rs
@@ -10,6 +10,7 @@
 use crate::affinity::Hint;
 use crate::class::Class;
 use crate::fleet::{Server, ServerIndex, ServiceState};
+use crate::homes::MOST_OFFERED;
 use crate::request::RouteRequest;
 use crate::settings::RouterSettings;
 use rand_chacha::ChaCha8Rng;
@@ -21,6 +22,9 @@
 /// A server that has just returned counts as this share (in thousandths) of a server.
 const SLOW_START_LEAST: u64 = 100;
 
+/// What a live request avoids by going to a server that will not stand still for new weights.
+const LOADING: u64 = 1000 * REQUEST;
+
 /// Why no server was found.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Nothing {
@@ -42,6 +46,8 @@
     pub(crate) service: &'a ServiceState,
     pub(crate) request: &'a RouteRequest,
     pub(crate) borrowing: Borrowing,
+    /// How many servers are kept for live requests.
+    pub(crate) homes_kept: usize,
     /// Whether versions are checked; false only under a deliberate fault.
     pub(crate) check_version: bool,
     /// Whether leaving servers are taken too; true only under a deliberate fault.
@@ -71,6 +77,7 @@
         for hint in hints {
             self.offer_hint(hint, &mut best);
         }
+        self.offer_homes(&mut best);
         for zone in self.service.open.both() {
             self.draw(zone, random, &mut best);
         }
@@ -115,6 +122,17 @@
         can_take
     }
 
+    /// Live requests are offered the servers kept for them.
+    fn offer_homes(&self, best: &mut Best) {
+        if self.request.class == Class::Rollout {
+            return;
+        }
+        let kept = self.service.homes.open.iter().take(MOST_OFFERED);
+        for (_, index) in kept.filter(|(place, _)| *place < self.homes_kept) {
+            self.offer(*index, best);
+        }
+    }
+
     /// A cached prefix makes its server a candidate, if it is an open member.
     fn offer_hint(&self, hint: &Hint, best: &mut Best) {
         let server = &self.servers[hint.server as usize];
@@ -166,7 +184,8 @@
         }
         nothing.any_useful = true;
         let class = self.request.class;
-        nothing.below_guarantee |= server.load.own_of(class) < self.service.shares.guarantee(class);
+        let shares = self.service.shares_of(server, self.homes_kept);
+        nothing.below_guarantee |= server.load.own_of(class) < shares.guarantee(class);
         has_room
     }
 
@@ -175,7 +194,7 @@
     }
 
     fn has_room(&self, server: &Server) -> bool {
-        let shares = &self.service.shares;
+        let shares = self.service.shares_of(server, self.homes_kept);
         let foreign = rounded(self.foreign(server));
         shares.has_room(&server.load, foreign, self.request.class, self.borrowing)
     }
@@ -200,7 +219,10 @@
     fn cost(&self, server: &Server) -> u64 {
         let own = u64::from(server.load.own()) + 1;
         let load = own * REQUEST + self.foreign(server);
-        let cost = load * REQUEST / self.ramp(server);
+        let mut cost = load * REQUEST / self.ramp(server);
+        if self.request.class == Class::Live && server.is_loading {
+            cost += LOADING;
+        }
         match server.in_own_zone {
             true => cost,
             false => cost + u64::from(self.settings.zone_penalty) * REQUEST,
--- a/crates/wingshore-routing/src/fleet.rs
+++ b/crates/wingshore-routing/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::balance::rounded;
 use crate::class::{ByClass, Class};
 use crate::demand::Peak;
+use crate::homes::Homes;
 use crate::load::Load;
 use crate::membership::{Membership, Standing};
 use crate::outlier::Outlier;
@@ -31,6 +32,10 @@
     pub(crate) is_member: bool,
     /// Its place in this node's order; see [`crate::subset::rank`].
     pub(crate) rank: u64,
+    /// Its place in the order that all nodes share; see [`crate::homes`].
+    pub(crate) shared_place: usize,
+    /// Whether it fetches weights, by its own last report: it will stand still for a moment.
+    pub(crate) is_loading: bool,
     pub(crate) membership: Membership,
     pub(crate) outlier: Outlier,
     pub(crate) load: Load,
@@ -128,6 +133,8 @@
     pub(crate) members: ByZone,
     /// Members that new work may go to.
     pub(crate) open: ByZone,
+    /// Engines kept for live requests.
+    pub(crate) homes: Homes,
     pub(crate) subset: SubsetSize,
     /// When a request last asked for it; before that, when it was first configured.
     pub(crate) used_at: Instant,
@@ -154,6 +161,18 @@
         in_flight > 0 || now.since(self.used_at) < unused_after
     }
 
+    /// How many servers are kept for live requests now.
+    pub(crate) fn homes_kept(&self, now: Instant, burst_memory: Duration) -> usize {
+        let peak = self.live_peak.value(now, burst_memory);
+        self.homes.kept(peak, self.open.len(), self.shares.slots())
+    }
+
+    /// Shares of one server while so many homes are kept.
+    pub(crate) fn shares_of(&self, server: &Server, kept: usize) -> SlotShares {
+        let is_home = server.shared_place < kept;
+        self.shares.with_homes(is_home, kept, self.homes.servers())
+    }
+
     /// Live requests in flight, and all of others, whose class is unknown.
     pub(crate) fn live_demand(&self, now: Instant) -> u32 {
         let others = self.persistence.mean(now) * self.open.len() as u64;
--- a/crates/wingshore-routing/src/lib.rs
+++ b/crates/wingshore-routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod fleet;
 mod hash;
+mod homes;
 mod load;
 mod membership;
 mod outlier;
--- a/crates/wingshore-routing/src/router.rs
+++ b/crates/wingshore-routing/src/router.rs
@@ -126,12 +126,16 @@
         } = &mut self.fleet;
         let state = &mut services[service as usize];
         state.open.clear();
+        state.homes.open.clear();
         state.next_change = None;
         state.epoch += 1;
         for index in state.members.iter() {
             let server = &servers[index as usize];
             if server.is_open(now, ignore_leaving) {
                 state.open.push(index, server.in_own_zone);
+                if state.homes.includes(server.shared_place) {
+                    state.homes.open.push((server.shared_place, index));
+                }
             }
             let changes = [
                 server.outlier.ejected_until(),
@@ -140,6 +144,7 @@
             let next = changes.into_iter().flatten().filter(|at| *at > now).min();
             state.next_change = earlier(state.next_change, next);
         }
+        state.homes.open.sort_unstable();
     }
 }
 
--- a/crates/wingshore-routing/src/router/configure.rs
+++ b/crates/wingshore-routing/src/router/configure.rs
@@ -5,6 +5,7 @@
 use crate::class::ByClass;
 use crate::demand::Peak;
 use crate::fleet::{ByZone, Server, ServerIndex, ServiceIndex, ServiceState};
+use crate::homes::{Homes, shared_rank};
 use crate::load::Load;
 use crate::membership::Membership;
 use crate::outlier::Outlier;
@@ -28,6 +29,7 @@
             self.put_server(server);
         }
         self.rank_servers();
+        self.place_servers(configuration);
         self.refresh_all(now);
     }
 
@@ -98,6 +100,7 @@
             ranked: ByZone::default(),
             members: ByZone::default(),
             open: ByZone::default(),
+            homes: Homes::default(),
             subset: SubsetSize::new(self.settings.subset_size),
             used_at: now,
             grown_at: Instant::ZERO,
@@ -166,6 +169,8 @@
             in_own_zone: false,
             is_member: false,
             rank: rank(self.seed, &configured.id),
+            shared_place: usize::MAX,
+            is_loading: false,
             membership,
             outlier: Outlier::default(),
             load: Load::default(),
@@ -184,6 +189,28 @@
         server.load.forget_reports();
         server.outlier = Outlier::default();
         server.version = None;
+        server.is_loading = false;
+    }
+
+    /// Gives the servers of every service their places in the order that all nodes share.
+    fn place_servers(&mut self, configuration: &Configuration) {
+        for service in configuration.services.values() {
+            let Some(index) = self.fleet.service_index(&service.id) else {
+                continue;
+            };
+            let ranked = &self.fleet.service(index).ranked;
+            let mut order: Vec<(u64, ServerIndex)> = ranked
+                .iter()
+                .map(|server| (shared_rank(&self.fleet.server(server).id), server))
+                .collect();
+            order.sort_unstable();
+            let is_engines = matches!(service.kind, ServiceKind::Engines { .. });
+            let homes = &mut self.fleet.service_mut(index).homes;
+            homes.resize(order.len(), service.live_share, is_engines);
+            for (place, (_, server)) in order.into_iter().enumerate() {
+                self.fleet.server_mut(server).shared_place = place;
+            }
+        }
     }
 
     /// Orders the servers of every service; the subsets are chosen anew after it.
--- a/crates/wingshore-routing/src/router/decide.rs
+++ b/crates/wingshore-routing/src/router/decide.rs
@@ -79,6 +79,7 @@
             service: state,
             request,
             borrowing: self.borrowing(now, state, request.class),
+            homes_kept: state.homes_kept(now, self.settings.burst_memory),
             check_version: !self.faults.ignore_unknown_version,
             ignore_leaving: self.faults.ignore_draining,
         };
@@ -92,7 +93,11 @@
             Class::Rollout => {
                 let peak = state.live_peak.value(now, self.settings.burst_memory);
                 let missing = peak.saturating_sub(state.live_demand(now));
-                missing.div_ceil(state.open.len().max(1) as u32)
+                match state.homes_kept(now, self.settings.burst_memory) {
+                    0 => missing.div_ceil(state.open.len().max(1) as u32),
+                    // The homes have room for it.
+                    _ => 0,
+                }
             }
         };
         Borrowing {
--- a/crates/wingshore-routing/src/router/observe.rs
+++ b/crates/wingshore-routing/src/router/observe.rs
@@ -26,6 +26,7 @@
         let version_until = now + self.settings.state_lifetime;
         self.change(now, index, |server| {
             server.version = state.weight_version;
+            server.is_loading = state.loading.is_some();
             server.version_until = version_until;
             server.membership.draining_by_state = state.draining;
         });
