--- a/crates/wingshore-lab/src/hollow/mod.rs
+++ b/crates/wingshore-lab/src/hollow/mod.rs
@@ -18,6 +18,7 @@
 pub mod server;
 pub mod servers;
 pub mod sizes;
+pub mod timed;
 pub mod trainers;
 pub mod usage;
 
--- a/crates/wingshore-lab/src/hollow/run.rs
+++ b/crates/wingshore-lab/src/hollow/run.rs
@@ -5,11 +5,9 @@
 use super::node::{HollowNode, NodeCopy};
 use super::operator::ControlClient;
 use super::processes::{Processes, Role};
-use super::report::{
-    ChangeTimes, HttpRates, Rates, Report, RunFacts, SampleRates, WeightTimes, Window, by_role,
-};
+use super::report::{HttpRates, Rates, Report, RunFacts, SampleRates, Window, by_role};
 use super::servers::{HollowServers, HttpCounters};
-use super::sizes::{FIRST_VERSION, Sizes};
+use super::sizes::Sizes;
 use super::trainers::{TrainerLoad, Trainers};
 use super::usage::{FrameCounts, Usage, status_number};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -17,25 +15,20 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
-use wingshore_types::WeightVersion;
 use wingshore_types::configuration::ConfigurationChange;
 
 /// Changes of one plan while the site is filled.
 const CHANGES_PER_PLAN: usize = 5_000;
 /// Longest time until the site is filled and all nodes have joined.
 const START_LIMIT: Duration = Duration::from_secs(120);
-/// Longest time that is waited for one change, and for a version on all engines.
-const LONGEST_WAIT: Duration = Duration::from_secs(90);
 /// Between two looks at a condition.
-const LOOK_PAUSE: Duration = Duration::from_millis(5);
+pub(super) const LOOK_PAUSE: Duration = Duration::from_millis(5);
 /// The hollow nodes start spread over this time.
 const JOIN_SPREAD: Duration = Duration::from_secs(2);
 /// Time in which trainers come to their pace.
 const TRAINERS_WARM: Duration = Duration::from_secs(3);
 /// Where the weight store would listen; nobody calls it.
 const WEIGHT_STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
-/// Seconds of an hour.
-const HOUR: f64 = 3600.0;
 
 /// What a run is to do.
 #[derive(Clone, Copy, Debug)]
@@ -73,7 +66,7 @@
 /// A site that runs.
 pub(super) struct Running<'a> {
     pub(super) options: &'a RunOptions,
-    servers: HollowServers,
+    pub(super) servers: HollowServers,
     pub(super) processes: Processes,
     pub(super) control: ControlClient,
     pub(super) crowd: Crowd,
@@ -299,84 +292,6 @@
             node_http: both(&http.node),
         })
     }
-
-    /// Changes at the wanted rate, none waiting for the one before.
-    fn change_steadily(&mut self) -> Result<u64, HollowError> {
-        let began = Instant::now();
-        let per_second = f64::from(self.options.changes_per_hour) / HOUR;
-        let count = (self.options.window.as_secs_f64() * per_second)
-            .round()
-            .max(1.0) as u64;
-        for number in 0..count {
-            let due = Duration::from_secs_f64(number as f64 / per_second);
-            thread::sleep(due.saturating_sub(began.elapsed()));
-            let plan = self.control.propose(vec![self.change(number as usize)])?;
-            self.control.confirm(plan)?;
-        }
-        Ok(count)
-    }
-
-    /// A change that leaves everything as it is, and is a revision like any other.
-    pub(super) fn change(&self, number: usize) -> ConfigurationChange {
-        let server = number % self.options.sizes.servers;
-        let address = self.servers.addresses()[server];
-        ConfigurationChange::PutServer(self.options.sizes.server(server, address))
-    }
-
-    fn time_changes(&mut self) -> Result<ChangeTimes, HollowError> {
-        let mut times = ChangeTimes::default();
-        for number in 0..self.options.timed_changes {
-            let target = self.crowd.lowest_revision() + 1;
-            let plan = self.control.propose(vec![self.change(number)])?;
-            let began = Instant::now();
-            self.control.confirm(plan)?;
-            wait_for("a change on all hollow nodes", || {
-                let lowest = self.crowd.lowest_revision();
-                (lowest >= target)
-                    .then_some(())
-                    .ok_or_else(|| format!("revision {lowest}"))
-            })?;
-            times.last_node_seconds.push(began.elapsed().as_secs_f64());
-            self.control.wait_until_done(plan, LONGEST_WAIT)?;
-            times.in_force_seconds.push(began.elapsed().as_secs_f64());
-        }
-        times.last_node_seconds.sort_by(f64::total_cmp);
-        times.in_force_seconds.sort_by(f64::total_cmp);
-        Ok(times)
-    }
-
-    /// Publishes a version to all pools at once and waits until all engines serve it.
-    fn time_weights(&mut self) -> Result<WeightTimes, HollowError> {
-        let sizes = self.options.sizes;
-        let version = WeightVersion(FIRST_VERSION.0 + 1);
-        let is_engine = |server: usize| sizes.pool_of(server).is_some();
-        let engines = (0..sizes.servers)
-            .filter(|server| is_engine(*server))
-            .count();
-        let began = Instant::now();
-        for pool in 0..sizes.pools {
-            self.control.publish(Sizes::pool(pool), version)?;
-        }
-        let mut times = WeightTimes {
-            engines,
-            fetch_seconds: self.options.fetch_time.as_secs_f64(),
-            ..WeightTimes::default()
-        };
-        while times.all_seconds.is_none() && began.elapsed() < LONGEST_WAIT {
-            thread::sleep(LOOK_PAUSE * 4);
-            let served = self.servers.count_at(version, is_engine);
-            let seconds = began.elapsed().as_secs_f64();
-            if times.most_seconds.is_none() && served * 100 >= engines * 99 {
-                times.most_seconds = Some(seconds);
-            }
-            if served == engines {
-                times.all_seconds = Some(seconds);
-            }
-        }
-        let most = &self.servers.fetches().most_at_once;
-        times.most_fetches_at_once = most.load(Ordering::Relaxed);
-        Ok(times)
-    }
 }
 
 fn http_rates(before: (u64, u64), after: (u64, u64), seconds: f64) -> HttpRates {
