--- a/crates/wingshore-lab/src/sim/data_layout.rs
+++ b/crates/wingshore-lab/src/sim/data_layout.rs
@@ -18,6 +18,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use wingshore_control::LeaderSettings;
+use wingshore_rollout::OverIssue;
 use wingshore_types::configuration::{
     Admission, ConfigurationChange, Permille, Pool, Server, Service, ServiceKind, SwapPolicy,
 };
@@ -38,6 +39,12 @@
 /// Ledger and claims groups.
 const GROUPS: u16 = 1;
 
+/// When a straggler gets a second attempt, where any does.
+const OVER_ISSUE: OverIssue = OverIssue {
+    after: Duration::from_millis(500),
+    most: 4,
+};
+
 /// Kinds of machines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -109,6 +116,8 @@
     pub requests_per_second: f64,
     /// How far the machine list lags.
     pub machine_lag: Duration,
+    /// Whether stragglers get a second attempt.
+    pub over_issue: bool,
 }
 
 impl Default for DataSettings {
@@ -123,11 +132,23 @@
             batch: 8,
             requests_per_second: 8.0,
             machine_lag: Duration::from_secs(1),
+            over_issue: false,
         }
     }
 }
 
 impl DataSettings {
+    /// The same site with bounds and times as they may be, too.
+    pub fn varied(self, random: &mut ChaCha8Rng) -> Self {
+        Self {
+            staleness_bound: random.random_range(0..=2),
+            sample_lease: Duration::from_millis(random.random_range(1_000..4_000)),
+            machine_lag: Duration::from_millis(random.random_range(200..2_000)),
+            over_issue: random.random_bool(0.5),
+            ..self
+        }
+    }
+
     /// How many machines of a kind there are.
     pub fn count(&self, place: Place) -> usize {
         match place {
@@ -247,6 +268,7 @@
             claims_groups: GROUPS,
             pools: vec![PoolId::new(POOL)],
             max_streams: 16,
+            over_issue: self.site.over_issue.then_some(OVER_ISSUE),
             rollout_tick: Duration::from_millis(50),
             ..SimNodeSettings::new(&name, ZONE, replicas.collect())
         }
--- a/crates/wingshore-lab/src/sim/data_site.rs
+++ b/crates/wingshore-lab/src/sim/data_site.rs
@@ -70,13 +70,14 @@
 }
 
 impl DataSite {
-    /// A site whose processes have all been started.
+    /// A site whose processes have all been started; the seed also varies `settings`.
     pub fn new(settings: DataSettings, faults: SimFaults, seed: u64, trace: bool) -> Self {
         let observer = ObserverHandle::default();
+        let mut world = World::new(seed, observer.clone(), trace);
         let mut site = Self {
-            world: World::new(seed, observer.clone(), trace),
+            settings: settings.varied(world.random()),
+            world,
             observer,
-            settings,
             founder: Desk::new(0, false),
             disks: Vec::new(),
             trainer: TrainerDisk::default(),
@@ -150,8 +151,15 @@
     }
 
     /// Heals everything, has the callers finish, and the trainer pull all that it has submitted.
+    ///
+    /// A trainer that died while it submitted submits the same again first: a stop before that
+    /// would leave samples that are submitted and not noted.
     pub fn settle(&mut self) {
         self.heal();
+        let (before, trainer) = (self.steps(), self.trainer.clone());
+        self.await_or_violate("the trainer's next step", |_| {
+            trainer.borrow().next_step.0 > before
+        });
         let mut finishing = self.all(Place::Caller);
         finishing.push(address(Place::Trainer, 0));
         for address in finishing.clone() {
