types: requests and replies of a group travel by conversions; ledger: the faulty wrapper goes

Change: TryFrom<GroupRequest> and Into<GroupReply> beside the frames, used by both; the wrapper and its two traits are gone.

--- a/crates/wingshore-group/tests/members.rs
+++ b/crates/wingshore-group/tests/members.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 use support::cluster::Cluster;
 use support::member::{config, member};
-use support::numbers::Request;
-use wingshore_group::{HostInput, HostReply};
-use wingshore_types::ReplicaId;
+use support::numbers::{Numbers, NumbersLeader, Request};
+use wingshore_group::{Host, HostInput, HostReply, MachineFactory};
 use wingshore_types::protocol::membership::{MembershipReply, MembershipRequest};
+use wingshore_types::{Instant, ReplicaId};
 
 const SECOND: Duration = Duration::from_secs(1);
 const JOINER: u64 = 40;
@@ -260,6 +260,28 @@
     Ok(())
 }
 
+/// What a factory sets on a state, such as a deliberate fault, outlives a snapshot.
+#[gtest]
+fn a_state_that_was_restored_is_prepared_like_a_new_one() -> Result<()> {
+    const MARK: u64 = 1_000_000;
+    let (mut cluster, leader) = Cluster::led(3);
+    cluster.add_numbers(leader, 0..500);
+    cluster.run(SECOND);
+    let recovered = cluster.replica(leader).disk.contents.clone();
+    verify_that!(recovered.snapshot, some(anything()))?;
+    let machines = MachineFactory::<NumbersLeader> {
+        leader: Box::new(NumbersLeader::default),
+        prepare: Box::new(|state: &mut Numbers| state.applied.push(MARK)),
+    };
+    let config = cluster.replica(leader).config.clone();
+    let host = Host::with_machines(Instant::ZERO, config, recovered, machines);
+    let marks = host.map(|host| {
+        let applied = host.state().applied.iter();
+        applied.filter(|number| **number == MARK).count()
+    });
+    verify_that!(marks.ok(), some(eq(1)))
+}
+
 /// A state that only grows: each byte of log costs a few bytes of snapshots, not ever more.
 #[gtest]
 fn snapshots_cost_in_proportion_to_the_log() -> Result<()> {
--- a/crates/wingshore-lab/src/sim/replica/group.rs
+++ b/crates/wingshore-lab/src/sim/replica/group.rs
@@ -194,7 +194,7 @@
             return;
         };
         out.push(match reply {
-            HostReply::Reply(reply) => GroupOutput::Reply(origin, L::reply_body(reply)),
+            HostReply::Reply(reply) => GroupOutput::Reply(origin, reply.into()),
             HostReply::Membership(reply) => {
                 GroupOutput::Reply(origin, GroupReply::Membership(reply))
             }
@@ -210,9 +210,9 @@
         self.next_tag += 1;
         let input = match body {
             GroupRequest::Membership(request) => HostInput::Membership { tag, request },
-            body => match L::request_of(body) {
-                Some(request) => HostInput::Request { tag, request },
-                None => {
+            body => match L::Request::try_from(body) {
+                Ok(request) => HostInput::Request { tag, request },
+                Err(_) => {
                     let reason = "the group is of another kind than the request".to_owned();
                     let reply = GroupReply::Rejected(reason);
                     return out.push(GroupOutput::Reply(origin, reply));
--- a/crates/wingshore-lab/src/sim/replica/kind.rs
+++ b/crates/wingshore-lab/src/sim/replica/kind.rs
@@ -48,11 +48,14 @@
 }
 
 /// A leader machine that a simulated replica can host.
-pub trait SimLeader: LeaderMachine<State: ObservableState + Default> + Default + 'static {
-    /// The request, when it is one of this kind.
-    fn request_of(body: GroupRequest) -> Option<Self::Request>;
-    /// The reply as it travels.
-    fn reply_body(reply: Self::Reply) -> GroupReply;
+pub trait SimLeader:
+    LeaderMachine<
+        State: ObservableState + Default,
+        Request: TryFrom<GroupRequest>,
+        Reply: Into<GroupReply>,
+    > + Default
+    + 'static
+{
     /// What the leader machine is told first.
     fn first_event(_replica: ReplicaId, _settings: &LeaderSettings) -> Option<Self::Event> {
         None
@@ -64,17 +67,6 @@
 }
 
 impl SimLeader for ControlLeader {
-    fn request_of(body: GroupRequest) -> Option<Self::Request> {
-        match body {
-            GroupRequest::Control(request) => Some(request),
-            _ => None,
-        }
-    }
-
-    fn reply_body(reply: Self::Reply) -> GroupReply {
-        GroupReply::Control(reply)
-    }
-
     fn first_event(replica: ReplicaId, settings: &LeaderSettings) -> Option<ControlEvent> {
         Some(ControlEvent::Configured {
             replica,
@@ -153,17 +145,6 @@
 }
 
 impl SimLeader for LedgerLeader {
-    fn request_of(body: GroupRequest) -> Option<Self::Request> {
-        match body {
-            GroupRequest::Ledger(request) => Some(request),
-            _ => None,
-        }
-    }
-
-    fn reply_body(reply: Self::Reply) -> GroupReply {
-        GroupReply::Ledger(reply)
-    }
-
     fn call_of(_now: Instant, _effect: Self::Effect) -> Option<EffectCall> {
         None
     }
@@ -174,17 +155,6 @@
 }
 
 impl SimLeader for ClaimsLeader {
-    fn request_of(body: GroupRequest) -> Option<Self::Request> {
-        match body {
-            GroupRequest::Claims(request) => Some(request),
-            _ => None,
-        }
-    }
-
-    fn reply_body(reply: Self::Reply) -> GroupReply {
-        GroupReply::Claims(reply)
-    }
-
     fn call_of(_now: Instant, _effect: Self::Effect) -> Option<EffectCall> {
         None
     }
--- a/crates/wingshore-ledger/src/lib.rs
+++ b/crates/wingshore-ledger/src/lib.rs
@@ -2,12 +2,10 @@
 //!
 //! * [`samples`]: the life of rollout samples, from submission to the trainer's acknowledgement.
 //! * [`claims`]: idempotency keys, claimed before a request leaves for a back end.
-//! * [`faulty`]: either with deliberate faults, for tests and simulators.
 //! * [`batching`]: how either leader gathers requests into log commands.
 
 pub mod batching;
 pub mod claims;
-pub mod faulty;
 pub mod samples;
 
 /// The effect of a leader that has none.
--- a/crates/wingshore-ledger/src/samples/faults.rs
+++ b/crates/wingshore-ledger/src/samples/faults.rs
@@ -1,8 +1,5 @@
 //! Deliberate faults, by which tests show that a broken promise is noticed.
 
-use super::leader::LedgerLeader;
-use super::state::LedgerState;
-use crate::faulty::TakesFaults;
 use serde::{Deserialize, Serialize};
 
 /// Faults to switch on; all are off by default, and only tests switch any on.
@@ -27,19 +24,3 @@
         forget_handover: false,
     };
 }
-
-impl TakesFaults for LedgerState {
-    type Faults = Faults;
-
-    fn set_faults(&mut self, faults: Faults) {
-        self.set_faults(faults);
-    }
-}
-
-impl TakesFaults for LedgerLeader {
-    type Faults = Faults;
-
-    fn set_faults(&mut self, faults: Faults) {
-        self.set_faults(faults);
-    }
-}
--- a/crates/wingshore-ledger/tests/claims.rs
+++ b/crates/wingshore-ledger/tests/claims.rs
@@ -10,7 +10,6 @@
 use wingshore_ledger::claims::{
     ClaimsCommand, ClaimsLeader, ClaimsLimits, ClaimsState, Faults, RESEND_WINDOW, RETENTION,
 };
-use wingshore_ledger::faulty::{FaultSelection, Faulty};
 use wingshore_types::machine::ReplicatedState;
 use wingshore_types::protocol::claims::{
     ClaimKey, ClaimOutcome, Claimant, ClaimsReply, ClaimsRequest, StoredAnswer,
@@ -256,17 +255,10 @@
     second_runs
 }
 
-/// The deliberate fault, chosen by type as a simulator does.
-struct GrantTaken;
-
-impl FaultSelection for GrantTaken {
-    type Faults = Faults;
-    const FAULTS: Faults = Faults { grant_taken: true };
-}
-
 #[gtest]
 fn granting_a_taken_key_is_noticed() {
-    let state = Faulty::<ClaimsState, GrantTaken>::default();
+    let mut state = ClaimsState::default();
+    state.set_faults(Faults { grant_taken: true });
     let actions = vec![Action::Claim(1, 0, 1), Action::Claim(1, 0, 2)];
     expect_that!(second_runs(state, actions), eq(1));
 }
--- a/crates/wingshore-ledger/tests/samples_faults.rs
+++ b/crates/wingshore-ledger/tests/samples_faults.rs
@@ -9,7 +9,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use support::*;
-use wingshore_ledger::faulty::{FaultSelection, Faulty};
 use wingshore_ledger::samples::{Faults, LedgerLeader};
 use wingshore_types::protocol::ledger::{Batch, LedgerReply, LedgerRequest};
 use wingshore_types::{Instant, LeaseId};
@@ -218,28 +217,3 @@
     };
     expect_that!(run_all(forget).0.other_bytes, gt(0));
 }
-
-/// A fault chosen by type, as a simulator does for a host.
-struct NoAgeCheck;
-
-impl FaultSelection for NoAgeCheck {
-    type Faults = Faults;
-    const FAULTS: Faults = Faults {
-        hand_over_without_age_check: true,
-        ..Faults::NONE
-    };
-}
-
-#[gtest]
-fn a_fault_chosen_by_type_outlives_a_restore() {
-    let mut group: Group<Faulty<LedgerLeader, NoAgeCheck>> =
-        Group::new(Faulty::default(), Faulty::default());
-    group.call(configure(1, BOUND, MAX_OPEN));
-    group.call(submit([1]));
-    group.call(lease("a", 1, 1));
-    group.restore();
-    group.call(finish(1, LeaseId(0), &[1]));
-    group.call(score(1, LeaseId(0)));
-    let reply = group.call(pull(0, 9, 1, 0));
-    expect_that!(reply, some(matches_pattern!(LedgerReply::Batch(_))));
-}
--- a/crates/wingshore-replica/src/group/driver.rs
+++ b/crates/wingshore-replica/src/group/driver.rs
@@ -278,7 +278,7 @@
             return;
         };
         let body = match reply {
-            HostReply::Reply(reply) => L::reply_body(reply),
+            HostReply::Reply(reply) => reply.into(),
             HostReply::Membership(reply) => GroupReply::Membership(reply),
             HostReply::NotLeader { leader } => GroupReply::NotLeader {
                 leader: leader.and_then(|leader| self.peers.address_of(leader)),
--- a/crates/wingshore-replica/src/group/kind.rs
+++ b/crates/wingshore-replica/src/group/kind.rs
@@ -8,12 +8,14 @@
 
 /// A leader machine whose requests and replies travel in frames.
 pub(crate) trait HostedLeader:
-    LeaderMachine<State: Default, Request: Send, Event: Send> + Default + 'static
+    LeaderMachine<
+        State: Default,
+        Request: Send + TryFrom<GroupRequest>,
+        Reply: Into<GroupReply>,
+        Event: Send,
+    > + Default
+    + 'static
 {
-    /// The request, when it is one of this kind.
-    fn request_of(body: GroupRequest) -> Option<Self::Request>;
-    /// The reply as it travels.
-    fn reply_body(reply: Self::Reply) -> GroupReply;
     /// Whether this kind knows how far the configuration has come.
     const KNOWS_CONFIGURATION: bool = false;
     /// How far the configuration has come, where this kind knows.
@@ -25,44 +27,11 @@
 impl HostedLeader for ControlLeader {
     const KNOWS_CONFIGURATION: bool = true;
 
-    fn request_of(body: GroupRequest) -> Option<Self::Request> {
-        match body {
-            GroupRequest::Control(request) => Some(request),
-            _ => None,
-        }
-    }
-
-    fn reply_body(reply: Self::Reply) -> GroupReply {
-        GroupReply::Control(reply)
-    }
-
     fn configuration_progress(&self, state: &Self::State) -> Option<ConfigurationProgress> {
         Some(self.progress(state))
     }
 }
 
-impl HostedLeader for LedgerLeader {
-    fn request_of(body: GroupRequest) -> Option<Self::Request> {
-        match body {
-            GroupRequest::Ledger(request) => Some(request),
-            _ => None,
-        }
-    }
-
-    fn reply_body(reply: Self::Reply) -> GroupReply {
-        GroupReply::Ledger(reply)
-    }
-}
-
-impl HostedLeader for ClaimsLeader {
-    fn request_of(body: GroupRequest) -> Option<Self::Request> {
-        match body {
-            GroupRequest::Claims(request) => Some(request),
-            _ => None,
-        }
-    }
+impl HostedLeader for LedgerLeader {}
 
-    fn reply_body(reply: Self::Reply) -> GroupReply {
-        GroupReply::Claims(reply)
-    }
-}
+impl HostedLeader for ClaimsLeader {}
--- a/crates/wingshore-replica/src/group/port.rs
+++ b/crates/wingshore-replica/src/group/port.rs
@@ -125,9 +125,9 @@
     fn request(&self, origin: RequestOrigin, body: GroupRequest) {
         let call = match body {
             GroupRequest::Membership(request) => GroupCall::Membership(request),
-            body => match L::request_of(body) {
-                Some(request) => GroupCall::Machine(request),
-                None => {
+            body => match L::Request::try_from(body) {
+                Ok(request) => GroupCall::Machine(request),
+                Err(_) => {
                     let reason = "the group is of another kind than the request";
                     origin.reply(GroupReply::Rejected(reason.to_owned()));
                     return;
--- a/crates/wingshore-types/src/protocol/wire.rs
+++ b/crates/wingshore-types/src/protocol/wire.rs
@@ -125,3 +125,30 @@
     /// Sent instead of a [`Hello`] before the connection is closed.
     Refused(ConnectionRefusal),
 }
+
+/// Lets the requests and replies of one kind of group travel in frames.
+macro_rules! travels_as {
+    ($variant:ident, $request:ty, $reply:ty) => {
+        impl TryFrom<GroupRequest> for $request {
+            /// The request, which is one to another kind of group.
+            type Error = Box<GroupRequest>;
+
+            fn try_from(body: GroupRequest) -> Result<Self, Self::Error> {
+                match body {
+                    GroupRequest::$variant(request) => Ok(request),
+                    other => Err(Box::new(other)),
+                }
+            }
+        }
+
+        impl From<$reply> for GroupReply {
+            fn from(reply: $reply) -> Self {
+                Self::$variant(reply)
+            }
+        }
+    };
+}
+
+travels_as!(Control, ControlRequest, ControlReply);
+travels_as!(Ledger, LedgerRequest, LedgerReply);
+travels_as!(Claims, ClaimsRequest, ClaimsReply);
