--- a/crates/wingshore-lab/src/sim/scenarios/data_path.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/data_path.rs
@@ -1,6 +1,7 @@
 //! Scenarios of the data path: trainers, rollouts, engines, live requests.
 
 use super::Outcome;
+use super::ledger_leader::ledger_leader_lost;
 use crate::events::Event;
 use crate::sim::data_layout::{DataSettings, Place, address};
 use crate::sim::data_site::{DataSite, SimFaults};
@@ -14,7 +15,7 @@
 use wingshore_types::GroupId;
 
 /// How often a scenario does what it does.
-const ROUNDS: usize = 4;
+pub(super) const ROUNDS: usize = 4;
 /// Longest time a node stands still: shorter than its callers' patience, so that a cut answer can
 /// be told from a late one.
 const LONGEST_NODE_FREEZE_MS: u64 = 5_000;
@@ -35,9 +36,10 @@
 
 /// The scenarios of this file.
 pub fn scenarios() -> Vec<DataScenario> {
-    let named: [(&'static str, Act); 11] = [
+    let named: [(&'static str, Act); 12] = [
         ("data-calm", calm),
         ("trainer-killed", trainer_killed),
+        ("ledger-leader-lost", ledger_leader_lost),
         ("late-finishes", late_finishes),
         ("node-killed", node_killed),
         ("node-frozen-before-send", node_frozen_before_send),
@@ -328,7 +330,7 @@
     }
 }
 
-fn pause(site: &mut DataSite, shortest_ms: u64, longest_ms: u64) {
+pub(super) fn pause(site: &mut DataSite, shortest_ms: u64, longest_ms: u64) {
     let time = site.world.random().random_range(shortest_ms..=longest_ms);
     site.world.run_for(Duration::from_millis(time));
 }
--- a/crates/wingshore-lab/src/sim/scenarios/mod.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/mod.rs
@@ -5,6 +5,7 @@
 mod data_path;
 mod disks;
 mod faults;
+mod ledger_leader;
 mod mixed;
 
 use self::data_path::DataScenario;
--- a/crates/wingshore-lab/tests/sim_data_path.rs
+++ b/crates/wingshore-lab/tests/sim_data_path.rs
@@ -67,6 +67,11 @@
             "trainer-killed",
             replica(|faults| faults.ledger.forget_handover = true),
         ),
+        (
+            "exactly_once",
+            "ledger-leader-lost",
+            replica(|faults| faults.ledger.answer_before_commit = true),
+        ),
         (
             "whole_answers",
             "live-trouble",
