lab: scenario in which the scorer and the machine list die and the weight store is away

Cause: no scenario of the simulator killed processes of the platform other than engines and live servers, although any process may die in the middle of a step. Change: scenario platform-killed, by traps before or after a message leaves.

--- a/crates/wingshore-lab/src/sim/scenarios/data_path.rs
+++ b/crates/wingshore-lab/src/sim/scenarios/data_path.rs
@@ -36,7 +36,7 @@
 
 /// The scenarios of this file.
 pub fn scenarios() -> Vec<DataScenario> {
-    let named: [(&'static str, Act); 12] = [
+    let named: [(&'static str, Act); 13] = [
         ("data-calm", calm),
         ("trainer-killed", trainer_killed),
         ("ledger-leader-lost", ledger_leader_lost),
@@ -45,6 +45,7 @@
         ("node-frozen-before-send", node_frozen_before_send),
         ("engine-crash", engine_crash),
         ("swap-fails", swap_fails),
+        ("platform-killed", platform_killed),
         ("live-trouble", live_trouble),
         ("server-leaving", server_leaving),
         ("planned-stops", planned_stops),
@@ -220,6 +221,31 @@
     }
 }
 
+/// The scorer and the machine list die, at any time or right before or after a message leaves; the
+/// weight store is away.
+fn platform_killed(site: &mut DataSite) {
+    for _ in 0..ROUNDS {
+        let process = match site.world.random().random_range(0..3) {
+            0 | 1 => address(Place::Scorer, 0),
+            _ => address(Place::MachineList, 0),
+        };
+        let wanted = |output: &ProcessOutput| matches!(output, ProcessOutput::Send { .. });
+        let trap = Trap {
+            wanted: Box::new(wanted),
+            skip: site.world.random().random_range(0..20),
+            action: any_death(site),
+        };
+        site.world.set_trap(process, trap);
+        if site.world.random().random_bool(0.3) {
+            let store = address(Place::Store, 0);
+            site.world.isolate(store, CutKind::Silent);
+        }
+        pause(site, 500, 4_000);
+        site.heal();
+        pause(site, 200, 2_000);
+    }
+}
+
 /// Live servers die, cut and lose answers; nodes are cut off from servers and replicas, killed and
 /// frozen.
 fn live_trouble(site: &mut DataSite) {
