--- a/crates/wingshore-routing/src/homes.rs
+++ b/crates/wingshore-routing/src/homes.rs
@@ -17,7 +17,7 @@
 /// Smaller services share all their engines.
 const LEAST_SERVERS: usize = 8;
 /// A home serves this part of its slots, in thousandths, before another one is kept.
-const FILL: u64 = 750;
+const FILL: u64 = 500;
 /// Homes that one live request is offered, at most.
 pub(crate) const MOST_OFFERED: usize = 4;
 
