--- /dev/null
+++ b/crates/wingshore-ledger/tests/model/mod.rs
@@ -0,0 +1,272 @@
+//! What the ledger is meant to do, over plain maps, and what a test does to it.
+
+use crate::support::BOUND;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use wingshore_types::protocol::ledger::{LedgerRefusal, LedgerReply};
+
+pub const MAX_OPEN: usize = 10;
+pub const NUMBERS: u64 = 14;
+pub const NODES: [&str; 2] = ["a", "b"];
+
+/// What the test does next; numbers are taken modulo what exists. With `own`, a report names the
+/// lease that the sample is really under; steps are counted from the one before the next.
+#[derive(Clone, Debug)]
+pub enum Action {
+    Submit(Vec<u64>),
+    Lease {
+        node: usize,
+        boot_id: u64,
+        most: u32,
+    },
+    Expire(usize),
+    Return {
+        lease: usize,
+        versions: Vec<u64>,
+    },
+    Finish {
+        number: u64,
+        own: bool,
+        lease: usize,
+        versions: Vec<u64>,
+    },
+    Score {
+        number: u64,
+        own: bool,
+        lease: usize,
+    },
+    Observe(u64),
+    HandOver {
+        step: u64,
+        version: u64,
+        count: u32,
+    },
+    Acknowledge(u64),
+    Restore,
+}
+
+pub fn actions() -> impl Strategy<Value = Vec<Action>> {
+    let versions = || prop::collection::vec(3..6u64, 0..4);
+    let own = || prop::bool::weighted(0.8);
+    let step = || prop_oneof![1 => Just(0u64), 6 => Just(1), 1 => Just(2)];
+    let action = prop_oneof![
+        2 => prop::collection::vec(0..NUMBERS, 1..6).prop_map(Action::Submit),
+        4 => (0..2usize, prop::bool::weighted(0.1), 0..5u32).prop_map(|(node, boot_id, most)| {
+            let boot_id = u64::from(boot_id);
+            Action::Lease { node, boot_id, most }
+        }),
+        1 => any::<usize>().prop_map(Action::Expire),
+        1 => (any::<usize>(), versions())
+            .prop_map(|(lease, versions)| Action::Return { lease, versions }),
+        12 => (0..NUMBERS, own(), any::<usize>(), versions()).prop_map(
+            |(number, own, lease, versions)| Action::Finish { number, own, lease, versions }
+        ),
+        12 => (0..NUMBERS, own(), any::<usize>())
+            .prop_map(|(number, own, lease)| Action::Score { number, own, lease }),
+        1 => (1..6u64).prop_map(Action::Observe),
+        5 => (step(), 3..7u64, 1..4u32)
+            .prop_map(|(step, version, count)| Action::HandOver { step, version, count }),
+        2 => step().prop_map(Action::Acknowledge),
+        1 => Just(Action::Restore),
+    ];
+    prop::collection::vec(action, 1..200)
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Place {
+    Pending,
+    Leased(u64, usize, u64),
+    Finished(u64, Vec<u64>),
+    Scored(Vec<u64>),
+    Delivered(u64),
+    Acknowledged,
+}
+
+/// What the ledger is meant to do, over plain maps.
+#[derive(Default)]
+pub struct Model {
+    /// Number -> (submission, place, versions of the tokens kept for resumption).
+    pub samples: BTreeMap<u64, (u64, Place, Vec<u64>)>,
+    pub batches: BTreeMap<u64, Vec<u64>>,
+    pub submissions: u64,
+    pub leases: u64,
+    pub version: u64,
+    pub acknowledged_step: Option<u64>,
+}
+
+impl Model {
+    pub fn floor(&self) -> u64 {
+        self.version.saturating_sub(BOUND)
+    }
+
+    pub fn too_old(&self, versions: &[u64]) -> bool {
+        versions.iter().any(|version| *version < self.floor())
+    }
+
+    /// Numbers at places that satisfy `wanted`, oldest submission first.
+    pub fn queue(&self, wanted: impl Fn(&Place) -> bool) -> Vec<u64> {
+        let mut found: Vec<(u64, u64)> = self
+            .samples
+            .iter()
+            .filter(|(_, (_, place, _))| wanted(place))
+            .map(|(number, (submission, _, _))| (*submission, *number))
+            .collect();
+        found.sort();
+        found.into_iter().map(|(_, number)| number).collect()
+    }
+
+    pub fn holder_of(&self, lease: u64) -> Option<u64> {
+        let is_lease = |place: &Place| matches!(place, Place::Leased(id, _, _) if *id == lease);
+        self.queue(is_lease).first().copied()
+    }
+
+    pub fn put(&mut self, number: u64, place: Place) {
+        if let Some(sample) = self.samples.get_mut(&number) {
+            sample.1 = place;
+        }
+    }
+
+    pub fn submit(&mut self, numbers: &[u64]) -> LedgerReply {
+        let new: BTreeSet<u64> = numbers
+            .iter()
+            .filter(|number| !self.samples.contains_key(number))
+            .copied()
+            .collect();
+        let open = self.queue(|place| *place != Place::Acknowledged).len();
+        if open + new.len() > MAX_OPEN && !new.is_empty() {
+            return LedgerReply::Refused(LedgerRefusal::Full {
+                retry_after_ms: 500,
+            });
+        }
+        for number in &new {
+            let sample = (self.submissions, Place::Pending, vec![]);
+            self.samples.insert(*number, sample);
+        }
+        self.submissions += 1;
+        LedgerReply::Submitted {
+            added: new.len() as u32,
+            known: (numbers.len() - new.len()) as u32,
+        }
+    }
+
+    /// Numbers that are leased now, in order.
+    pub fn lease(&mut self, node: usize, boot_id: u64, most: u32) -> Vec<u64> {
+        for number in self.queue(
+            |place| matches!(place, Place::Leased(_, n, boot) if *n == node && *boot != boot_id),
+        ) {
+            self.put(number, Place::Pending);
+        }
+        let mut chosen = self.queue(|place| *place == Place::Pending);
+        chosen.truncate(most as usize);
+        for number in &chosen {
+            self.put(*number, Place::Leased(self.leases, node, boot_id));
+            self.leases += 1;
+        }
+        chosen
+    }
+
+    pub fn give_back(&mut self, lease: u64, versions: &[u64]) {
+        let Some(number) = self.holder_of(lease) else {
+            return;
+        };
+        self.put(number, Place::Pending);
+        let too_old = self.too_old(versions);
+        if let Some((_, _, kept)) = self.samples.get_mut(&number)
+            && !too_old
+            && versions.len() >= kept.len()
+        {
+            *kept = versions.to_vec();
+        }
+    }
+
+    pub fn finish(&mut self, number: u64, lease: u64, versions: &[u64]) -> Option<bool> {
+        let (_, place, _) = self.samples.get(&number)?;
+        match place {
+            Place::Delivered(_) | Place::Acknowledged => return Some(false),
+            _ if versions.is_empty() || lease >= self.leases => return None,
+            _ if self.holder_of(lease).is_some_and(|other| other != number) => return None,
+            Place::Finished(..) | Place::Scored(_) => return Some(false),
+            Place::Pending | Place::Leased(..) => {}
+        }
+        if self.too_old(versions) {
+            if self.holder_of(lease) == Some(number) {
+                self.put(number, Place::Pending);
+                self.samples.get_mut(&number)?.2.clear();
+            }
+            return Some(false);
+        }
+        self.put(number, Place::Finished(lease, versions.to_vec()));
+        Some(true)
+    }
+
+    pub fn score(&mut self, number: u64, lease: u64) -> bool {
+        match self.samples.get(&number) {
+            Some((_, Place::Finished(own, versions), _)) if *own == lease => {
+                let place = Place::Scored(versions.clone());
+                self.put(number, place);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub fn observe(&mut self, version: u64) {
+        self.version = self.version.max(version);
+        let floor = self.floor();
+        let too_old = |versions: &[u64]| versions.iter().any(|version| *version < floor);
+        for (_, place, kept) in self.samples.values_mut() {
+            let is_useless = match place {
+                Place::Finished(_, versions) | Place::Scored(versions) => too_old(versions),
+                _ => false,
+            };
+            if is_useless {
+                *place = Place::Pending;
+                kept.clear();
+            }
+            if too_old(kept) {
+                kept.clear();
+            }
+        }
+    }
+
+    pub fn step_is_allowed(&self, step: u64) -> bool {
+        let last = self.batches.keys().next_back().copied();
+        let next = last.max(self.acknowledged_step).map(|last| last + 1);
+        next.is_none_or(|next| next == step) && self.batches.len() < 2
+    }
+
+    /// The batch of the step afterwards.
+    pub fn hand_over(&mut self, step: u64, version: u64, count: usize) -> Option<Vec<u64>> {
+        if let Some(batch) = self.batches.get(&step) {
+            return Some(batch.clone()).filter(|batch| batch.len() == count);
+        }
+        if !self.step_is_allowed(step) {
+            return None;
+        }
+        self.observe(version);
+        let mut chosen = self.queue(|place| matches!(place, Place::Scored(_)));
+        if chosen.len() < count {
+            return None;
+        }
+        chosen.truncate(count);
+        for number in &chosen {
+            self.put(*number, Place::Delivered(step));
+        }
+        self.batches.insert(step, chosen.clone());
+        Some(chosen)
+    }
+
+    pub fn acknowledge(&mut self, step: u64) -> bool {
+        if self.acknowledged_step.is_some_and(|last| step <= last) {
+            return true;
+        }
+        if self.batches.keys().next() != Some(&step) {
+            return false;
+        }
+        for number in self.batches.remove(&step).unwrap_or_default() {
+            self.put(number, Place::Acknowledged);
+        }
+        self.acknowledged_step = Some(step);
+        true
+    }
+}
--- a/crates/wingshore-relay/tests/simulation/mod.rs
+++ b/crates/wingshore-relay/tests/simulation/mod.rs
@@ -2,16 +2,17 @@
 //!
 //! The leader is a model written for this test; relays and the nodes' views are the real ones.
 
+mod events;
 pub mod leader;
 
+use events::{Answer, Event, Node, Relay, Watcher, new_node, new_relay};
 use leader::{Leader, LeaderAnswer};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use wingshore_relay::{RelayInput, RelayOutput, RelayState, RelayTiming, WatchTag};
-use wingshore_request::{ConfigurationView, WithoutLease};
-use wingshore_types::protocol::control::{ConfigurationUpdate, NodeAcknowledgement, WatchRequest};
+use wingshore_relay::{RelayInput, RelayOutput, WatchTag};
+use wingshore_types::protocol::control::{NodeAcknowledgement, WatchRequest};
 use wingshore_types::{Instant, NodeId, Revision};
 
 /// The lease as nodes count it; the leader counts the same, without any margin.
@@ -42,68 +43,6 @@
     Relay(usize),
 }
 
-/// Who sent a watch to a relay, and the sender's number for it.
-#[derive(Clone, Copy, Debug)]
-enum Watcher {
-    Node { node: usize, number: u64 },
-    Relay { relay: usize, number: u64 },
-}
-
-#[derive(Clone, Debug)]
-enum Answer {
-    Update(ConfigurationUpdate, Duration),
-    Unavailable,
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    NodeSends(usize),
-    NodeGivesUp {
-        node: usize,
-        number: u64,
-    },
-    AtRelay {
-        relay: usize,
-        from: Watcher,
-        request: WatchRequest,
-    },
-    Answered {
-        to: Watcher,
-        answer: Answer,
-    },
-    AtLeader {
-        relay: usize,
-        number: u64,
-        request: WatchRequest,
-    },
-    UpstreamGivesUp {
-        relay: usize,
-        number: u64,
-    },
-    LeaderTick,
-    RelayTick(usize),
-    Commit,
-    NodeRestarts(usize),
-    NodeMoves(usize),
-    NodeFreezes(usize),
-    RelayRestarts(usize),
-}
-
-struct Node {
-    view: ConfigurationView,
-    boot_id: u64,
-    relay: usize,
-    outstanding: Option<(u64, Instant)>,
-    frozen_until: Instant,
-}
-
-struct Relay {
-    state: RelayState,
-    parent: Parent,
-    watchers: BTreeMap<WatchTag, Watcher>,
-    outstanding: Option<u64>,
-}
-
 /// Everything, and the events to come.
 pub struct World {
     now: Instant,
@@ -503,26 +442,3 @@
         }
     }
 }
-
-fn new_node(boot_id: u64, relay: usize) -> Node {
-    Node {
-        view: ConfigurationView::new(WithoutLease::Refuse),
-        boot_id,
-        relay,
-        outstanding: None,
-        frozen_until: Instant::ZERO,
-    }
-}
-
-fn new_relay(now: Instant, parent: Parent) -> Relay {
-    let timing = RelayTiming {
-        kept_changes: 4,
-        ..RelayTiming::default()
-    };
-    Relay {
-        state: RelayState::new(now, timing),
-        parent,
-        watchers: BTreeMap::new(),
-        outstanding: None,
-    }
-}
