lab: what a trainer records of a delivered sample stands once

Cause (search for repeated code): the trainer stand-in and the simulated trainer each built the record that the checkers of versions and of exactly once judge by, so a change to one would have let the two judge by different records. Moved beside the prompts they share; no behaviour changed, tests unchanged.

--- a/crates/wingshore-lab/src/sim/processes/trainer.rs
+++ b/crates/wingshore-lab/src/sim/processes/trainer.rs
@@ -2,20 +2,19 @@
 //! and acknowledges. What it has noted outlives it, as the log of the stand-in does.
 
 use super::wiring::{CallNumbers, Timers, hang_up, record, send_call};
-use crate::events::{DeliveredSample, Event};
+use crate::events::Event;
 use crate::hashing::hash_bytes;
 use crate::sim::process::{Answer, Call, CallId, Process, ProcessInput, ProcessOutput, SimMessage};
 use crate::stand_ins::trainer::progress::Progress;
-use crate::stand_ins::trainer::prompts::{numbers_of, prompt_of};
+use crate::stand_ins::trainer::prompts::{delivered, numbers_of, prompt_of};
 use crate::stand_ins::trainer::settings::TrainingSettings;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use wingshore_types::api::{
-    AcknowledgeBody, BatchBody, PublishBody, PullBody, SampleBody, SubmitReply, SubmitRequest,
+    AcknowledgeBody, BatchBody, PublishBody, PullBody, SubmitReply, SubmitRequest,
 };
-use wingshore_types::generator::hash_tokens;
 use wingshore_types::{Instant, PoolId, SampleNumber, StepId, TrainerId, WeightVersion};
 
 /// Pause before a call is sent again.
@@ -263,7 +262,11 @@
             body_hash: hash_bytes(&bytes),
             repeated: self.disk.borrow().open_batches.contains_key(&step),
             waited_us: now.since(began).as_micros() as u64,
-            samples: batch.samples.iter().map(|s| self.delivered(s)).collect(),
+            samples: batch
+                .samples
+                .iter()
+                .map(|sample| delivered(&self.settings.training, sample))
+                .collect(),
         };
         self.note(event, out);
         self.activity = Activity::Train { began: now };
@@ -271,21 +274,6 @@
         self.timers.set(now + step_time, Later::Trained);
     }
 
-    fn delivered(&self, sample: &SampleBody) -> DeliveredSample {
-        let submitted = prompt_of(&self.settings.training, sample.number);
-        DeliveredSample {
-            number: sample.number,
-            prompt_hash: hash_tokens(&sample.prompt),
-            submitted_prompt_hash: hash_tokens(&submitted.tokens),
-            seed: submitted.seed,
-            max_tokens: submitted.max_tokens,
-            token_count: sample.tokens.len() as u32,
-            tokens_hash: hash_tokens(&sample.tokens),
-            segments: sample.segments.clone(),
-            score: sample.score,
-        }
-    }
-
     /// Publishes the version that this step completes, unless that was done before a restart.
     fn publish(&mut self, now: Instant, out: &mut Vec<ProcessOutput>) {
         let steps = self.settings.training.steps_per_version.max(1);
--- a/crates/wingshore-lab/src/stand_ins/trainer/mod.rs
+++ b/crates/wingshore-lab/src/stand_ins/trainer/mod.rs
@@ -9,10 +9,10 @@
 use super::StandInError;
 use super::settings::load;
 use crate::event_log::{EventLog, read_log};
-use crate::events::{DeliveredSample, Event};
+use crate::events::Event;
 use crate::hashing::hash_bytes;
 use progress::Progress;
-use prompts::{numbers_of, prompt_of};
+use prompts::{delivered, numbers_of, prompt_of};
 use service::{PulledBatch, Service, ServiceError};
 use settings::TrainerSettings;
 use std::path::Path;
@@ -20,8 +20,6 @@
 use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::{Duration, Instant};
-use wingshore_types::api::SampleBody;
-use wingshore_types::generator::hash_tokens;
 use wingshore_types::{SampleNumber, StepId, WeightVersion};
 
 /// Trains until it is told to stop by SIGTERM; it then pulls all that it has submitted, so that
@@ -123,26 +121,11 @@
             repeated: self.progress.open_batches.contains_key(&step),
             waited_us: waited.as_micros() as u64,
             samples: samples
-                .map(|sample| self.delivered_sample(sample))
+                .map(|sample| delivered(&self.settings.training, sample))
                 .collect(),
         }
     }
 
-    fn delivered_sample(&self, sample: &SampleBody) -> DeliveredSample {
-        let submitted = prompt_of(&self.settings.training, sample.number);
-        DeliveredSample {
-            number: sample.number,
-            prompt_hash: hash_tokens(&sample.prompt),
-            submitted_prompt_hash: hash_tokens(&submitted.tokens),
-            seed: submitted.seed,
-            max_tokens: submitted.max_tokens,
-            token_count: sample.tokens.len() as u32,
-            tokens_hash: hash_tokens(&sample.tokens),
-            segments: sample.segments.clone(),
-            score: sample.score,
-        }
-    }
-
     fn train_step(&mut self, step: StepId) {
         let began = Instant::now();
         thread::sleep(self.settings.training.step_time);
--- a/crates/wingshore-lab/src/stand_ins/trainer/prompts.rs
+++ b/crates/wingshore-lab/src/stand_ins/trainer/prompts.rs
@@ -1,9 +1,12 @@
 //! The prompts of a trainer: a function of its seed and a sample's number, so that a trainer that
-//! starts again submits the very same ones.
+//! starts again submits the very same ones; and what is recorded of the samples that come back.
 
 use super::settings::TrainingSettings;
+use crate::events::DeliveredSample;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use wingshore_types::api::SampleBody;
+use wingshore_types::generator::hash_tokens;
 use wingshore_types::{Prompt, SampleNumber, StepId, Token};
 
 /// Largest token of a prompt.
@@ -39,3 +42,19 @@
         .map(|_| generator.random_range(0..LARGEST_TOKEN))
         .collect()
 }
+
+/// What the trainer records of a sample that it received, beside what it had submitted.
+pub fn delivered(training: &TrainingSettings, sample: &SampleBody) -> DeliveredSample {
+    let submitted = prompt_of(training, sample.number);
+    DeliveredSample {
+        number: sample.number,
+        prompt_hash: hash_tokens(&sample.prompt),
+        submitted_prompt_hash: hash_tokens(&submitted.tokens),
+        seed: submitted.seed,
+        max_tokens: submitted.max_tokens,
+        token_count: sample.tokens.len() as u32,
+        tokens_hash: hash_tokens(&sample.tokens),
+        segments: sample.segments.clone(),
+        score: sample.score,
+    }
+}
