--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -0,0 +1,156 @@
+//! What the leader knows of each engine besides its registration.
+
+use crate::ids::{InstanceId, ModelName, ServiceName};
+use crate::registry::ServerRecord;
+use crate::state::CoordinationState;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_types::Instant;
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Engine {
+    pub(crate) record: ServerRecord,
+    /// Items that are assigned to it.
+    pub(crate) running: usize,
+    /// Gets no items before this time.
+    pub(crate) paused_until: Instant,
+    /// Faults in a row.
+    pub(crate) faults: u32,
+    /// The model whose weights it is loading.
+    pub(crate) loading: Option<ModelName>,
+    /// Items that run at once.
+    pub(crate) slots: usize,
+}
+
+impl Engine {
+    /// The version of `model` it holds at least.
+    pub(crate) fn version_of(&self, model: &ModelName) -> u64 {
+        self.record.version_of(model).unwrap_or(0)
+    }
+
+    /// Whether it takes an item of `model` at `now`.
+    pub(crate) fn takes(&self, now: Instant, model: Option<&ModelName>, min_version: u64) -> bool {
+        let loading = model.is_some() && self.loading.as_ref() == model;
+        let holds = model.is_none_or(|model| self.version_of(model) >= min_version);
+        !self.record.draining
+            && !loading
+            && holds
+            && now >= self.paused_until
+            && self.running < self.slots
+    }
+}
+
+/// All engines: servers of services that the configuration says are engines.
+#[derive(Default)]
+pub(crate) struct Engines {
+    all: BTreeMap<InstanceId, Engine>,
+}
+
+impl Engines {
+    /// Takes over what the state holds; keeps what is known of engines that are still there.
+    pub(crate) fn begin(&mut self, state: &CoordinationState) {
+        self.all
+            .retain(|instance, _| state.servers().contains_key(instance));
+        let instances: Vec<InstanceId> = state.servers().keys().cloned().collect();
+        for instance in instances {
+            self.server_changed(&instance, state);
+        }
+    }
+
+    /// The registry holds something else of this server.
+    pub(crate) fn server_changed(&mut self, instance: &InstanceId, state: &CoordinationState) {
+        let record = state.servers().get(instance);
+        let Some(record) = record.filter(|record| is_engine(&record.service, state)) else {
+            self.all.remove(instance);
+            return;
+        };
+        let slots = record.slots.max(1) as usize;
+        let engine = self.all.entry(instance.clone()).or_insert_with(|| Engine {
+            record: record.clone(),
+            running: 0,
+            paused_until: Instant::ZERO,
+            faults: 0,
+            loading: None,
+            slots,
+        });
+        let known = std::mem::replace(&mut engine.record, record.clone());
+        for entry in &known.models {
+            engine.record.raise_version(&entry.model, entry.version);
+        }
+        engine.slots = slots;
+    }
+
+    /// The engine of this run.
+    pub(crate) fn get(&self, instance: &InstanceId) -> Option<&Engine> {
+        self.all.get(instance)
+    }
+
+    /// The engine of this run.
+    pub(crate) fn get_mut(&mut self, instance: &InstanceId) -> Option<&mut Engine> {
+        self.all.get_mut(instance)
+    }
+
+    /// All engines.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Engine)> {
+        self.all.iter()
+    }
+
+    /// All engines of a service.
+    pub(crate) fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (&'a InstanceId, &'a Engine)> + 'a {
+        self.all
+            .iter()
+            .filter(move |(_, engine)| engine.record.service == *service)
+    }
+
+    /// An item was assigned to it.
+    pub(crate) fn started(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.all.get_mut(instance) {
+            engine.running += 1;
+        }
+    }
+
+    /// An item that was assigned to it is over.
+    pub(crate) fn ended(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.all.get_mut(instance) {
+            engine.running = engine.running.saturating_sub(1);
+        }
+    }
+
+    /// An item ran whole on it.
+    pub(crate) fn succeeded(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.all.get_mut(instance) {
+            engine.faults = 0;
+        }
+    }
+
+    /// It failed, or did not take an item: it gets none for a while.
+    pub(crate) fn pause(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        first: Duration,
+        most: Duration,
+    ) {
+        let Some(engine) = self.all.get_mut(instance) else {
+            return;
+        };
+        // Items that ended together are one fault.
+        if now < engine.paused_until {
+            return;
+        }
+        let factor = 1_u32 << engine.faults.min(8);
+        engine.faults += 1;
+        engine.paused_until = now + (first * factor).min(most);
+    }
+}
+
+fn is_engine(service: &ServiceName, state: &CoordinationState) -> bool {
+    let configuration = state.configuration();
+    configuration
+        .and_then(|configuration| configuration.service(service))
+        .is_some_and(|service| service.engine.is_some())
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -0,0 +1,220 @@
+//! Items of batch jobs on their way: which wait, which run where, what they have so far.
+
+use super::engines::Engines;
+use crate::ids::{GatewayId, InstanceId, ItemKey, JobId};
+use crate::messages::AssignmentId;
+use crate::state::CoordinationState;
+use std::collections::{BTreeMap, HashMap};
+use wingshore_types::{Epoch, Instant};
+
+/// A try that is under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub(crate) item: ItemKey,
+    pub(crate) gateway: GatewayId,
+    pub(crate) instance: InstanceId,
+}
+
+/// What earlier tries at an item have left.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Progress {
+    /// Data of the kept events, separated by line feeds.
+    pub(crate) text: String,
+    /// How many events that is.
+    pub(crate) events: u64,
+    /// Identifier of the last one.
+    pub(crate) last_event: Option<u64>,
+    /// Versions that made them.
+    pub(crate) versions: Vec<u64>,
+    /// Tries that the engine ran and failed.
+    pub(crate) failures: u32,
+    /// Not placed before this time.
+    pub(crate) not_before: Option<Instant>,
+    /// The try under way.
+    pub(crate) assignment: Option<AssignmentId>,
+    /// A result is proposed.
+    pub(crate) ended: bool,
+}
+
+/// Order in which waiting items are placed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    /// Rank of the route.
+    pub(crate) priority: u8,
+    /// Jobs in the order of their acceptance.
+    pub(crate) job: u64,
+    /// Items in the order of the submission.
+    pub(crate) index: u32,
+}
+
+/// All items that are not listed.
+#[derive(Default)]
+pub(crate) struct Items {
+    epoch: Epoch,
+    next_assignment: u64,
+    next_job: u64,
+    jobs: HashMap<JobId, u64>,
+    waiting: BTreeMap<Rank, ItemKey>,
+    running: BTreeMap<AssignmentId, Running>,
+    progress: BTreeMap<ItemKey, Progress>,
+    /// The engine that ran an item of a group last, by job.
+    group_homes: HashMap<JobId, HashMap<String, InstanceId>>,
+}
+
+impl Items {
+    /// A new leadership: every item that is not listed waits, until a gateway says that it runs it.
+    pub(crate) fn begin(&mut self, epoch: Epoch, state: &CoordinationState) {
+        self.epoch = epoch;
+        for id in state.jobs().keys() {
+            self.add_job(id, state);
+        }
+    }
+
+    /// A job was accepted.
+    pub(crate) fn add_job(&mut self, id: &JobId, state: &CoordinationState) {
+        let Some(job) = state.jobs().get(id).filter(|job| !job.ended) else {
+            return;
+        };
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        self.jobs.insert(id.clone(), self.next_job);
+        self.next_job += 1;
+        for index in job.open_items() {
+            let item = ItemKey {
+                job: id.clone(),
+                index,
+            };
+            self.progress.insert(item.clone(), Progress::default());
+            self.wait(item);
+        }
+    }
+
+    /// Forgets all items of a job; gives the tries under way.
+    pub(crate) fn remove_job(&mut self, id: &JobId) -> Vec<(AssignmentId, Running)> {
+        self.jobs.remove(id);
+        self.group_homes.remove(id);
+        self.waiting.retain(|_, item| item.job != *id);
+        self.progress.retain(|item, _| item.job != *id);
+        let ended: Vec<AssignmentId> = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.item.job == *id)
+            .map(|(assignment, _)| *assignment)
+            .collect();
+        ended
+            .into_iter()
+            .filter_map(|assignment| Some((assignment, self.running.remove(&assignment)?)))
+            .collect()
+    }
+
+    /// Puts an item among those that wait.
+    pub(crate) fn wait(&mut self, item: ItemKey) {
+        let Some(job) = self.jobs.get(&item.job) else {
+            return;
+        };
+        let rank = Rank {
+            priority: 0,
+            job: *job,
+            index: item.index,
+        };
+        self.waiting.insert(rank, item);
+    }
+
+    /// The items that wait, in their order.
+    pub(crate) fn waiting(&self) -> Vec<(Rank, ItemKey)> {
+        self.waiting
+            .iter()
+            .map(|(rank, item)| (rank.clone(), item.clone()))
+            .collect()
+    }
+
+    /// Whether none waits.
+    pub(crate) fn none_waits(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes an item out of those that wait.
+    pub(crate) fn take(&mut self, rank: &Rank) {
+        self.waiting.remove(rank);
+    }
+
+    /// An identifier for a new try.
+    pub(crate) fn next_assignment(&mut self) -> AssignmentId {
+        self.next_assignment += 1;
+        AssignmentId {
+            epoch: self.epoch,
+            number: self.next_assignment,
+        }
+    }
+
+    /// A try begins, or is known to be under way.
+    pub(crate) fn start(&mut self, assignment: AssignmentId, running: Running) {
+        if let Some(progress) = self.progress.get_mut(&running.item) {
+            progress.assignment = Some(assignment);
+        }
+        self.running.insert(assignment, running);
+    }
+
+    /// A try is over.
+    pub(crate) fn end(&mut self, assignment: AssignmentId) -> Option<Running> {
+        let running = self.running.remove(&assignment)?;
+        if let Some(progress) = self.progress.get_mut(&running.item)
+            && progress.assignment == Some(assignment)
+        {
+            progress.assignment = None;
+        }
+        Some(running)
+    }
+
+    /// What earlier tries have left; `None` for an item that is listed or forgotten.
+    pub(crate) fn progress(&self, item: &ItemKey) -> Option<&Progress> {
+        self.progress.get(item)
+    }
+
+    /// As [`Items::progress`].
+    pub(crate) fn progress_mut(&mut self, item: &ItemKey) -> Option<&mut Progress> {
+        self.progress.get_mut(item)
+    }
+
+    /// The item's result is proposed: it needs nothing more.
+    pub(crate) fn finish(&mut self, item: &ItemKey) {
+        if let Some(progress) = self.progress.get_mut(item) {
+            progress.ended = true;
+            progress.text = String::new();
+        }
+        self.waiting.retain(|_, waiting| waiting != item);
+    }
+
+    /// A gateway is gone with all it ran: its items wait again.
+    pub(crate) fn gateway_lost(&mut self, gateway: GatewayId, engines: &mut Engines) {
+        let lost: Vec<AssignmentId> = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.gateway == gateway)
+            .map(|(assignment, _)| *assignment)
+            .collect();
+        for assignment in lost {
+            if let Some(running) = self.end(assignment) {
+                engines.ended(&running.instance);
+                self.wait(running.item);
+            }
+        }
+    }
+
+    /// The engine that ran an item of the group last.
+    pub(crate) fn group_home(&self, job: &JobId, group: &str) -> Option<&InstanceId> {
+        self.group_homes.get(job)?.get(group)
+    }
+
+    /// An engine runs an item of the group.
+    pub(crate) fn set_group_home(&mut self, job: &JobId, group: &str, instance: &InstanceId) {
+        let homes = self.group_homes.entry(job.clone()).or_default();
+        homes.insert(group.to_owned(), instance.clone());
+    }
+
+    /// Takes an item out of those that wait.
+    pub(crate) fn take_item(&mut self, item: &ItemKey) {
+        self.waiting.retain(|_, waiting| waiting != item);
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -0,0 +1,259 @@
+//! Submitting, reading and ending batch jobs.
+
+use super::{CoordinationLeader, Effect, Outputs, Waiter, reply};
+use crate::ids::{ItemKey, JobId};
+use crate::jobs::{Job, JobSubmission};
+use crate::messages::{CoordinatorMessage, JobPage, Reply};
+use crate::routes::RouteTable;
+use crate::state::{Command, CoordinationState};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::machine::{LeaderOutput, RequestTag};
+
+/// Bytes of a result besides its text, roughly.
+const RESULT_OVERHEAD: usize = 160;
+
+/// Since when each job is known to this leader. A new leader counts from its beginning, so that
+/// nothing is given up or forgotten too early.
+#[derive(Default)]
+pub(crate) struct JobClock {
+    known_since: HashMap<JobId, Instant>,
+}
+
+impl JobClock {
+    /// A new leadership.
+    pub(crate) fn begin<'a>(&mut self, now: Instant, jobs: impl Iterator<Item = &'a JobId>) {
+        self.known_since = jobs.map(|id| (id.clone(), now)).collect();
+    }
+}
+
+/// Readers that wait for a result.
+#[derive(Default)]
+pub(crate) struct Readers {
+    waiting: Vec<Reader>,
+}
+
+struct Reader {
+    tag: RequestTag,
+    job: JobId,
+    from: u64,
+    until: Instant,
+}
+
+impl CoordinationLeader {
+    pub(crate) fn submit_job(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        submission: Arc<JobSubmission>,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        if state.jobs().contains_key(&submission.id) {
+            return reply(tag, Reply::Done, out);
+        }
+        let id = submission.id.clone();
+        self.job_clock.known_since.entry(id.clone()).or_insert(now);
+        self.propose(Command::AcceptJob(submission), Waiter::Job(id, tag), out);
+    }
+
+    pub(crate) fn job_accepted(
+        &mut self,
+        now: Instant,
+        job: JobId,
+        tag: RequestTag,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        reply(tag, Reply::Done, out);
+        self.items.add_job(&job, state);
+        self.place_items(now, state, out);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one request")]
+    pub(crate) fn read_job(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        job: JobId,
+        from: u64,
+        wait: Duration,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(known) = state.jobs().get(&job) else {
+            return reply(tag, Reply::Unknown, out);
+        };
+        let has_some = (known.results.len() as u64) > from;
+        if has_some || wait.is_zero() || known.ended {
+            let page = page(known, from, self.settings.page_bytes);
+            return reply(tag, Reply::Page(page), out);
+        }
+        self.readers.waiting.push(Reader {
+            tag,
+            job,
+            from,
+            until: now + wait,
+        });
+    }
+
+    /// Results of a job were listed: readers that wait for them are answered.
+    pub(crate) fn results_listed(
+        &mut self,
+        job: &JobId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.answer_readers(state, out, |reader| reader.job == *job);
+    }
+
+    /// Readers whose time is over are answered.
+    pub(crate) fn answer_waiting_readers(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.answer_readers(state, out, |reader| now >= reader.until);
+    }
+
+    fn answer_readers(
+        &mut self,
+        state: &CoordinationState,
+        out: &mut Outputs,
+        is_due: impl Fn(&Reader) -> bool,
+    ) {
+        let page_bytes = self.settings.page_bytes;
+        let due = self.readers.waiting.extract_if(.., |reader| is_due(reader));
+        for reader in due {
+            let answer = state.jobs().get(&reader.job).map_or(Reply::Unknown, |job| {
+                Reply::Page(page(job, reader.from, page_bytes))
+            });
+            reply(reader.tag, answer, out);
+        }
+    }
+
+    pub(crate) fn end_job(
+        &mut self,
+        tag: RequestTag,
+        id: JobId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(job) = state.jobs().get(&id) else {
+            return reply(tag, Reply::Unknown, out);
+        };
+        for (assignment, running) in self.items.remove_job(&id) {
+            self.engines.ended(&running.instance);
+            if let Some(gateway) = self.gateways.get_mut(&running.gateway) {
+                gateway.running = gateway.running.saturating_sub(1);
+            }
+            let message = CoordinatorMessage::Cancel { assignment };
+            let effect = Effect::ToGateway(running.gateway, message);
+            out.push(LeaderOutput::Effect(effect));
+        }
+        if job.ended {
+            return reply(tag, Reply::Done, out);
+        }
+        self.propose(Command::EndJob(id), Waiter::Request(tag), out);
+    }
+
+    /// Gives up items that have been queued for longer than their route allows, or whose route is
+    /// gone.
+    pub(crate) fn give_up_items(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(configuration) = state.configuration() else {
+            return;
+        };
+        if self.items.none_waits() {
+            return;
+        }
+        let routes = RouteTable::new(configuration);
+        let given_up: Vec<ItemKey> = self
+            .items
+            .waiting()
+            .into_iter()
+            .map(|(_, item)| item)
+            .filter(|item| self.is_given_up(now, item, &routes, state))
+            .collect();
+        for item in given_up {
+            self.abandon(&item, out);
+        }
+    }
+
+    fn is_given_up(
+        &self,
+        now: Instant,
+        item: &ItemKey,
+        routes: &RouteTable,
+        state: &CoordinationState,
+    ) -> bool {
+        let Some(job) = state.jobs().get(&item.job) else {
+            return false;
+        };
+        let Some(contents) = job.submission.items.get(item.index as usize) else {
+            return false;
+        };
+        let Some(route) = routes.find(&job.submission.host, &contents.path) else {
+            return true;
+        };
+        let since = self.job_clock.known_since.get(&item.job);
+        match (since, route.max_queue) {
+            (Some(since), Some(most)) => now.since(*since) > most,
+            _ => false,
+        }
+    }
+
+    /// Forgets jobs that ended long ago.
+    pub(crate) fn forget_jobs(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let retention = self.settings.job_retention;
+        let old: Vec<JobId> = state
+            .jobs()
+            .iter()
+            .filter(|(_, job)| job.ended)
+            .filter(|(id, _)| {
+                let since = self.job_clock.known_since.get(*id);
+                since.is_some_and(|since| now.since(*since) > retention)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in old {
+            // Counted anew, so that the proposal is not made again before it is applied.
+            self.job_clock.known_since.insert(id.clone(), now);
+            self.propose(Command::ForgetJob(id.clone()), Waiter::Result(id), out);
+        }
+    }
+}
+
+/// Results from a position on, as many as fit, at least one if there is one.
+fn page(job: &Job, from: u64, most_bytes: usize) -> JobPage {
+    let start = usize::try_from(from).unwrap_or(usize::MAX);
+    let mut bytes = 0;
+    let results = job
+        .results
+        .iter()
+        .skip(start)
+        .take_while(|result| {
+            let fits = bytes == 0 || bytes + result.text.len() + RESULT_OVERHEAD <= most_bytes;
+            bytes += result.text.len() + RESULT_OVERHEAD;
+            fits
+        })
+        .cloned()
+        .collect();
+    JobPage {
+        total: job.submission.items.len() as u64,
+        from,
+        results,
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -0,0 +1,408 @@
+//! What only the group's leader does.
+
+mod engines;
+mod items;
+mod jobs;
+mod placement;
+mod rollout;
+mod servers;
+mod settings;
+
+pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
+pub use settings::LeaderSettings;
+
+use crate::ids::{GatewayId, InstanceId, JobId, ModelName};
+use crate::messages::{
+    AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, Reply, Request,
+    RunningItem, SiteView, ViewChange,
+};
+use crate::state::{Command, CoordinationState};
+use engines::Engines;
+use items::Items;
+use jobs::JobClock;
+use rollout::Rollout;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use wingshore_types::machine::{
+    LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
+};
+use wingshore_types::{Epoch, Instant};
+
+/// News from outside the group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A gateway has connected to this coordinator.
+    GatewayConnected(GatewayHello),
+    /// A gateway tells its state.
+    GatewayStatus(GatewayId, GatewayStatus),
+    /// A gateway tells which items it runs.
+    GatewayRunning(GatewayId, Vec<RunningItem>),
+    /// The connection of a gateway has ended.
+    GatewayGone(GatewayId),
+    /// A gateway's try at an item is over.
+    ItemEnded {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Which try.
+        assignment: AssignmentId,
+        /// What came of it.
+        outcome: ItemOutcome,
+    },
+    /// An engine answered an order, or did not.
+    Ordered {
+        /// The engine.
+        instance: InstanceId,
+        /// The answer.
+        answer: OrderAnswer,
+    },
+    /// An engine answered how it stands, or did not.
+    Reported {
+        /// The engine.
+        instance: InstanceId,
+        /// The answer; `None` without one.
+        report: Option<EngineReport>,
+    },
+}
+
+/// What is to be done outside the group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a message to one gateway.
+    ToGateway(GatewayId, CoordinatorMessage),
+    /// Send a change of the view to all gateways.
+    ToAllGateways(CoordinatorMessage),
+    /// Give an engine an order.
+    Order(WeightOrder),
+    /// Ask an engine how it stands.
+    AskReport {
+        /// The engine.
+        instance: InstanceId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// Outputs of the leader machine.
+pub(crate) type Outputs = LeaderOutputs<CoordinationLeader>;
+
+/// A gateway that is connected to this leader.
+#[derive(Clone, Debug)]
+pub(crate) struct Gateway {
+    pub(crate) zone: String,
+    pub(crate) status: GatewayStatus,
+    pub(crate) running: usize,
+    /// Whether it has told which items it runs.
+    pub(crate) introduced: bool,
+}
+
+/// Who waits for a proposal.
+enum Waiter {
+    /// A request that is answered with [`Reply::Done`].
+    Request(RequestTag),
+    /// A configuration: the gateways get it first.
+    Configuration(RequestTag),
+    /// A change of a server: the gateways get it first.
+    Server(InstanceId, Option<RequestTag>),
+    /// A job was accepted: its items can be placed.
+    Job(JobId, RequestTag),
+    /// Results were listed: readers may wait for them.
+    Result(JobId),
+    /// Orders may be given from here on.
+    Orders,
+    /// A version was named.
+    Version(RequestTag),
+}
+
+/// The leader machine of the coordination group.
+///
+/// Invariant: it holds nothing that must survive it; all of that is in [`CoordinationState`].
+pub struct CoordinationLeader {
+    settings: LeaderSettings,
+    epoch: Epoch,
+    /// Items are placed from this time on: gateways first tell what they run.
+    place_from: Instant,
+    next_proposal: u64,
+    waiters: HashMap<ProposalTag, Waiter>,
+    gateways: BTreeMap<GatewayId, Gateway>,
+    heartbeats: servers::Heartbeats,
+    engines: Engines,
+    items: Items,
+    job_clock: JobClock,
+    readers: jobs::Readers,
+    rollout: Rollout,
+}
+
+impl Default for CoordinationLeader {
+    fn default() -> Self {
+        Self::new(LeaderSettings::default())
+    }
+}
+
+impl CoordinationLeader {
+    /// A leader machine with these settings.
+    pub fn new(settings: LeaderSettings) -> Self {
+        Self {
+            settings,
+            epoch: Epoch(0),
+            place_from: Instant::ZERO,
+            next_proposal: 0,
+            waiters: HashMap::new(),
+            gateways: BTreeMap::new(),
+            heartbeats: servers::Heartbeats::default(),
+            engines: Engines::default(),
+            items: Items::default(),
+            job_clock: JobClock::default(),
+            readers: jobs::Readers::default(),
+            rollout: Rollout::default(),
+        }
+    }
+
+    fn propose(&mut self, command: Command, waiter: Waiter, out: &mut Outputs) {
+        let tag = ProposalTag(self.next_proposal);
+        self.next_proposal += 1;
+        self.waiters.insert(tag, waiter);
+        out.push(LeaderOutput::Propose { tag, command });
+    }
+
+    fn change_view(&self, change: ViewChange, out: &mut Outputs) {
+        let epoch = self.epoch;
+        let message = CoordinatorMessage::Change { epoch, change };
+        out.push(LeaderOutput::Effect(Effect::ToAllGateways(message)));
+    }
+
+    fn welcome(&self, gateway: GatewayId, state: &CoordinationState, out: &mut Outputs) {
+        let message = CoordinatorMessage::Welcome {
+            epoch: self.epoch,
+            view: SiteView {
+                configuration: state.configuration().cloned(),
+                servers: state.servers().values().cloned().collect(),
+            },
+        };
+        out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+    }
+
+    fn put_configuration(
+        &mut self,
+        tag: RequestTag,
+        configuration: Arc<crate::SiteConfiguration>,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        if let Err(error) = configuration.check() {
+            return reply(tag, Reply::Refused(error.to_string()), out);
+        }
+        let held = state.configuration().map_or(0, |held| held.version);
+        if state.configuration().is_some() && configuration.version <= held {
+            return reply(tag, Reply::Done, out);
+        }
+        let command = Command::Configure(configuration);
+        self.propose(command, Waiter::Configuration(tag), out);
+    }
+
+    fn name_version(
+        &mut self,
+        tag: RequestTag,
+        model: ModelName,
+        version: u64,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let named = state.named_versions().get(&model).copied().unwrap_or(0);
+        if version <= named {
+            return reply(tag, Reply::Done, out);
+        }
+        let command = Command::NameVersion { model, version };
+        self.propose(command, Waiter::Version(tag), out);
+    }
+
+    fn on_gateway(&mut self, hello: GatewayHello, state: &CoordinationState, out: &mut Outputs) {
+        let gateway = Gateway {
+            zone: hello.zone,
+            status: hello.status,
+            running: 0,
+            introduced: false,
+        };
+        self.welcome(hello.gateway, state, out);
+        self.gateways.insert(hello.gateway, gateway);
+        self.items.gateway_lost(hello.gateway, &mut self.engines);
+    }
+
+    fn on_running(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        running: Vec<RunningItem>,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(known) = self.gateways.get_mut(&gateway) else {
+            return;
+        };
+        known.introduced = true;
+        for item in running {
+            self.adopt(gateway, item, state, out);
+        }
+        self.place_items(now, state, out);
+    }
+
+    fn on_gateway_gone(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.gateways.remove(&gateway);
+        self.items.gateway_lost(gateway, &mut self.engines);
+        self.place_items(now, state, out);
+    }
+}
+
+/// Answers a request.
+pub(crate) fn reply(tag: RequestTag, reply: Reply, out: &mut Outputs) {
+    out.push(LeaderOutput::Reply { tag, reply });
+}
+
+impl LeaderMachine for CoordinationLeader {
+    type State = CoordinationState;
+    type Request = Request;
+    type Reply = Reply;
+    type Effect = Effect;
+    type Event = Event;
+
+    fn on_leadership(
+        &mut self,
+        now: Instant,
+        epoch: Epoch,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.epoch = epoch;
+        self.place_from = now + self.settings.introduction_time;
+        self.heartbeats.begin(now, state.servers().keys());
+        self.engines.begin(state);
+        self.items.begin(epoch, state);
+        self.job_clock.begin(now, state.jobs().keys());
+        self.begin_rollout(now, state, out);
+    }
+
+    fn on_request(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        request: Request,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        match request {
+            Request::PutConfiguration(configuration) => {
+                self.put_configuration(tag, configuration, state, out);
+            }
+            Request::ReadConfiguration => {
+                let configuration = state.configuration().cloned();
+                reply(tag, Reply::Configuration(configuration), out);
+            }
+            Request::Heartbeat(heartbeat) => self.on_heartbeat(now, tag, heartbeat, state, out),
+            Request::Deregister(instance) => self.on_deregister(tag, instance, state, out),
+            Request::NameVersion { model, version } => {
+                self.name_version(tag, model, version, state, out);
+            }
+            Request::SubmitJob(submission) => self.submit_job(now, tag, submission, state, out),
+            Request::ReadJob { job, from, wait } => {
+                self.read_job(now, tag, job, from, wait, state, out);
+            }
+            Request::ReadItem { job, item } => read_item(tag, &job, &item, state, out),
+            Request::EndJob(job) => self.end_job(tag, job, state, out),
+        }
+    }
+
+    fn on_applied(
+        &mut self,
+        now: Instant,
+        tag: ProposalTag,
+        (): (),
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(waiter) = self.waiters.remove(&tag) else {
+            return;
+        };
+        match waiter {
+            Waiter::Request(tag) => reply(tag, Reply::Done, out),
+            Waiter::Configuration(tag) => {
+                if let Some(configuration) = state.configuration() {
+                    self.change_view(ViewChange::Configuration(Arc::clone(configuration)), out);
+                }
+                reply(tag, Reply::Done, out);
+                self.engines.begin(state);
+                self.place_items(now, state, out);
+            }
+            Waiter::Server(instance, tag) => self.server_changed(now, instance, tag, state, out),
+            Waiter::Job(job, tag) => self.job_accepted(now, job, tag, state, out),
+            Waiter::Result(job) => self.results_listed(&job, state, out),
+            Waiter::Orders => self.rollout.may_order(),
+            Waiter::Version(tag) => {
+                reply(tag, Reply::Done, out);
+                self.drive_rollout(now, state, out);
+            }
+        }
+    }
+
+    fn on_event(
+        &mut self,
+        now: Instant,
+        event: Event,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        match event {
+            Event::GatewayConnected(hello) => self.on_gateway(hello, state, out),
+            Event::GatewayStatus(gateway, status) => {
+                if let Some(known) = self.gateways.get_mut(&gateway) {
+                    known.status = status;
+                }
+            }
+            Event::GatewayRunning(gateway, running) => {
+                self.on_running(now, gateway, running, state, out);
+            }
+            Event::GatewayGone(gateway) => self.on_gateway_gone(now, gateway, state, out),
+            Event::ItemEnded {
+                gateway,
+                assignment,
+                outcome,
+            } => self.on_item_ended(now, gateway, assignment, outcome, state, out),
+            Event::Ordered { instance, answer } => {
+                self.on_ordered(now, &instance, answer, state, out);
+            }
+            Event::Reported { instance, report } => {
+                self.on_reported(now, &instance, report, state, out);
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
+        self.expire_servers(now, state, out);
+        self.answer_waiting_readers(now, state, out);
+        self.give_up_items(now, state, out);
+        self.forget_jobs(now, state, out);
+        self.drive_rollout(now, state, out);
+        self.place_items(now, state, out);
+    }
+}
+
+fn read_item(
+    tag: RequestTag,
+    job: &JobId,
+    item: &crate::ItemId,
+    state: &CoordinationState,
+    out: &mut Outputs,
+) {
+    let known = state.jobs().get(job);
+    let item = known.and_then(|job| {
+        let (index, item) = job.find_item(item)?;
+        (!job.is_listed(index)).then_some(item)
+    });
+    let answer = item.map_or(Reply::Unknown, |item| Reply::Item(item.body.clone()));
+    reply(tag, answer, out);
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -0,0 +1,418 @@
+//! Which engine runs an item, through which gateway, and what follows from its end.
+
+use super::items::{Progress, Rank, Running};
+use super::{CoordinationLeader, Effect, Outputs, Waiter};
+use crate::configuration::{Route, SiteConfiguration};
+use crate::ids::{GatewayId, InstanceId, ItemKey, ModelName, ServiceName};
+use crate::jobs::{ItemState, Job, JobItem, ListedResult};
+use crate::messages::{
+    AssignmentId, CoordinatorMessage, ItemAssignment, ItemOutcome, NotRunReason, RunningItem,
+};
+use crate::routes::RouteTable;
+use crate::state::{Command, CoordinationState};
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::machine::LeaderOutput;
+
+/// An item that was not run is not placed again for this long.
+const NOT_RUN_PAUSE: Duration = Duration::from_millis(30);
+/// An item that failed is not placed again for this long.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+/// Most items that one gateway runs at once.
+const MOST_ITEMS_OF_A_GATEWAY: usize = 96;
+
+impl CoordinationLeader {
+    /// Places as many waiting items as engines and gateways take.
+    pub(crate) fn place_items(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        if self.items.none_waits() || self.gateways.is_empty() || now < self.place_from {
+            return;
+        }
+        let Some(configuration) = state.configuration() else {
+            return;
+        };
+        let routes = RouteTable::new(configuration);
+        for (rank, item) in self.items.waiting() {
+            let Some(job) = state.jobs().get(&item.job) else {
+                self.items.take(&rank);
+                continue;
+            };
+            self.place(now, &rank, &item, job, &routes, configuration, out);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one step of `place_items`")]
+    fn place(
+        &mut self,
+        now: Instant,
+        rank: &Rank,
+        key: &ItemKey,
+        job: &Job,
+        routes: &RouteTable,
+        configuration: &SiteConfiguration,
+        out: &mut Outputs,
+    ) {
+        let Some(item) = job.submission.items.get(key.index as usize) else {
+            return self.items.take(rank);
+        };
+        let Some(progress) = self.items.progress(key) else {
+            return self.items.take(rank);
+        };
+        if progress.not_before.is_some_and(|earliest| now < earliest) {
+            return;
+        }
+        let host = &job.submission.host;
+        let Some(route) = routes.find(host, &item.path).cloned() else {
+            return;
+        };
+        let Some(service) = route.target_for(stable_hash(&item.group)) else {
+            return;
+        };
+        let progress = progress.clone();
+        let Some(instance) = self.choose_engine(now, service, job, item, &progress, configuration)
+        else {
+            return;
+        };
+        let zone = self
+            .engines
+            .get(&instance)
+            .map(|engine| engine.record.zone.clone());
+        let Some(gateway) = self.choose_gateway(zone.as_deref()) else {
+            return;
+        };
+        self.items.take(rank);
+        self.assign(gateway, instance, key, job, item, &route, &progress, out);
+    }
+
+    fn choose_engine(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        job: &Job,
+        item: &JobItem,
+        progress: &Progress,
+        configuration: &SiteConfiguration,
+    ) -> Option<InstanceId> {
+        let model = job.submission.model.as_ref();
+        let min_version = job.submission.min_version;
+        let home = self.group_engine(job, item);
+        let profile = configuration.service(service)?.engine.as_ref();
+        let slots = profile.map_or(usize::MAX, |profile| profile.slots as usize);
+        self.engines
+            .of_service(service)
+            .filter(|(_, engine)| engine.takes(now, model, min_version) && engine.running < slots)
+            .min_by_key(|(instance, engine)| {
+                let is_home = home.as_ref() == Some(*instance);
+                let same_version = keeps_version(model, progress, engine.version_of_any(model));
+                let load = engine.running.saturating_sub(if is_home { 3 } else { 0 });
+                (!same_version, load, (*instance).clone())
+            })
+            .map(|(instance, _)| instance.clone())
+    }
+
+    /// The engine that most probably holds the prompt of the item's group.
+    fn group_engine(&self, job: &Job, item: &JobItem) -> Option<InstanceId> {
+        self.items
+            .group_home(&job.submission.id, &item.group)
+            .cloned()
+    }
+
+    fn choose_gateway(&self, zone: Option<&str>) -> Option<GatewayId> {
+        self.gateways
+            .iter()
+            .filter(|(_, gateway)| gateway.introduced && gateway.status.takes_items)
+            .filter(|(_, gateway)| gateway.running < MOST_ITEMS_OF_A_GATEWAY)
+            .min_by_key(|(_, gateway)| {
+                let far = zone != Some(gateway.zone.as_str());
+                gateway.running + if far { 4 } else { 0 }
+            })
+            .map(|(id, _)| *id)
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one step of `place`")]
+    fn assign(
+        &mut self,
+        gateway: GatewayId,
+        instance: InstanceId,
+        key: &ItemKey,
+        job: &Job,
+        item: &JobItem,
+        route: &Route,
+        progress: &Progress,
+        out: &mut Outputs,
+    ) {
+        let Some(engine) = self.engines.get(&instance) else {
+            return;
+        };
+        let single_version = route
+            .single_version
+            .then(|| progress.versions.last().copied())
+            .flatten();
+        let address = engine.record.address;
+        let assignment = self.items.next_assignment();
+        let message = CoordinatorMessage::Assign(ItemAssignment {
+            assignment,
+            item: key.clone(),
+            request: item.id.clone(),
+            instance: instance.clone(),
+            address,
+            host: job.submission.host.clone(),
+            path: item.path.clone(),
+            headers: item.headers.clone(),
+            body: item.body.clone(),
+            after_event: progress.last_event,
+            expected_version: single_version,
+            priority: route.priority,
+        });
+        out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+        self.engines.started(&instance);
+        if let Some(known) = self.gateways.get_mut(&gateway) {
+            known.running += 1;
+        }
+        self.items
+            .set_group_home(&job.submission.id, &item.group, &instance);
+        let running = Running {
+            item: key.clone(),
+            gateway,
+            instance,
+        };
+        self.items.start(assignment, running);
+    }
+
+    /// A gateway runs an item that an earlier leader assigned.
+    pub(crate) fn adopt(
+        &mut self,
+        gateway: GatewayId,
+        running: RunningItem,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let RunningItem {
+            assignment,
+            item,
+            instance,
+        } = running;
+        let is_open = state
+            .jobs()
+            .get(&item.job)
+            .is_some_and(|job| !job.ended && !job.is_listed(item.index));
+        let is_free = self
+            .items
+            .progress(&item)
+            .is_some_and(|progress| progress.assignment.is_none() && !progress.ended);
+        if !is_open || !is_free {
+            let message = CoordinatorMessage::Cancel { assignment };
+            return out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+        }
+        self.items.take_item(&item);
+        self.engines.started(&instance);
+        if let Some(known) = self.gateways.get_mut(&gateway) {
+            known.running += 1;
+        }
+        let running = Running {
+            item,
+            gateway,
+            instance,
+        };
+        self.items.start(assignment, running);
+    }
+
+    pub(crate) fn on_item_ended(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        assignment: AssignmentId,
+        outcome: ItemOutcome,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(running) = self.items.end(assignment) else {
+            return;
+        };
+        if let Some(known) = self.gateways.get_mut(&gateway) {
+            known.running = known.running.saturating_sub(1);
+        }
+        self.engines.ended(&running.instance);
+        let has_ended = self
+            .items
+            .progress(&running.item)
+            .is_none_or(|progress| progress.ended);
+        if !has_ended {
+            self.take_outcome(now, &running, outcome, state, out);
+        }
+        self.place_items(now, state, out);
+    }
+
+    fn take_outcome(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        outcome: ItemOutcome,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        match outcome {
+            ItemOutcome::Finished {
+                text,
+                events,
+                versions,
+            } => {
+                self.engines.succeeded(&running.instance);
+                self.keep(&running.item, &text, events, None, &versions);
+                self.list_success(&running.item, out);
+            }
+            ItemOutcome::Interrupted {
+                text,
+                events,
+                last_event,
+                versions,
+                engine_suspect,
+            } => {
+                if engine_suspect {
+                    self.pause_engine(now, &running.instance);
+                }
+                self.keep(&running.item, &text, events, last_event, &versions);
+                self.items.wait(running.item.clone());
+            }
+            ItemOutcome::NotRun(reason) => self.not_run(now, running, reason),
+            ItemOutcome::Failed => self.failed(now, running, state, out),
+            ItemOutcome::Impossible => self.abandon(&running.item, out),
+        }
+    }
+
+    fn pause_engine(&mut self, now: Instant, instance: &InstanceId) {
+        let settings = &self.settings;
+        let (first, most) = (settings.engine_pause, settings.most_engine_pause);
+        self.engines.pause(now, instance, first, most);
+    }
+
+    fn not_run(&mut self, now: Instant, running: &Running, reason: NotRunReason) {
+        match reason {
+            NotRunReason::Unreachable => self.pause_engine(now, &running.instance),
+            NotRunReason::Full | NotRunReason::Mismatch => {
+                if let Some(engine) = self.engines.get_mut(&running.instance) {
+                    engine.paused_until = engine.paused_until.max(now + NOT_RUN_PAUSE * 3);
+                }
+            }
+            NotRunReason::Stopping => {}
+        }
+        if let Some(progress) = self.items.progress_mut(&running.item) {
+            progress.not_before = Some(now + NOT_RUN_PAUSE);
+        }
+        self.items.wait(running.item.clone());
+    }
+
+    fn failed(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let most = self.most_attempts(&running.item, state);
+        let Some(progress) = self.items.progress_mut(&running.item) else {
+            return;
+        };
+        progress.failures += 1;
+        progress.not_before = Some(now + FAILED_PAUSE);
+        if progress.failures >= most {
+            return self.abandon(&running.item, out);
+        }
+        self.items.wait(running.item.clone());
+    }
+
+    fn most_attempts(&self, item: &ItemKey, state: &CoordinationState) -> u32 {
+        let attempts = state.configuration().and_then(|configuration| {
+            let job = state.jobs().get(&item.job)?;
+            let path = &job.submission.items.get(item.index as usize)?.path;
+            let routes = RouteTable::new(configuration);
+            Some(routes.find(&job.submission.host, path)?.max_attempts)
+        });
+        attempts.unwrap_or(1).max(1)
+    }
+
+    fn keep(
+        &mut self,
+        item: &ItemKey,
+        text: &str,
+        events: u64,
+        last_event: Option<u64>,
+        versions: &[u64],
+    ) {
+        let Some(progress) = self.items.progress_mut(item) else {
+            return;
+        };
+        if events == 0 {
+            return;
+        }
+        if progress.events > 0 {
+            progress.text.push('\n');
+        }
+        progress.text.push_str(text);
+        progress.events += events;
+        progress.last_event = last_event.or(progress.last_event);
+        for version in versions {
+            if !progress.versions.contains(version) {
+                progress.versions.push(*version);
+            }
+        }
+    }
+
+    fn list_success(&mut self, item: &ItemKey, out: &mut Outputs) {
+        let Some(progress) = self.items.progress_mut(item) else {
+            return;
+        };
+        let result = ListedResult {
+            index: item.index,
+            state: ItemState::Succeeded,
+            text: std::mem::take(&mut progress.text),
+            versions: std::mem::take(&mut progress.versions),
+        };
+        self.list(item, result, out);
+    }
+
+    /// Gives an item up.
+    pub(crate) fn abandon(&mut self, item: &ItemKey, out: &mut Outputs) {
+        let result = ListedResult {
+            index: item.index,
+            state: ItemState::Abandoned,
+            text: String::new(),
+            versions: Vec::new(),
+        };
+        self.list(item, result, out);
+    }
+
+    fn list(&mut self, item: &ItemKey, result: ListedResult, out: &mut Outputs) {
+        self.items.finish(item);
+        let job = item.job.clone();
+        let command = Command::ListResult {
+            job: job.clone(),
+            result,
+        };
+        self.propose(command, Waiter::Result(job), out);
+    }
+}
+
+impl super::engines::Engine {
+    fn version_of_any(&self, model: Option<&ModelName>) -> u64 {
+        model.map_or(0, |model| self.version_of(model))
+    }
+}
+
+/// Whether an engine at `version` goes on with the version that made the last event.
+fn keeps_version(model: Option<&ModelName>, progress: &Progress, version: u64) -> bool {
+    model.is_none() || progress.versions.last().is_none_or(|last| *last == version)
+}
+
+/// The same number for the same text in every process (FNV-1a).
+fn stable_hash(text: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    text.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -0,0 +1,149 @@
+//! The registry's leader side: heartbeats, drains, departures, expiry.
+
+use super::{CoordinationLeader, Outputs, Waiter, reply};
+use crate::ids::InstanceId;
+use crate::messages::{Reply, ViewChange};
+use crate::registry::{Heartbeat, ServerRecord};
+use crate::state::{Command, CoordinationState};
+use std::collections::BTreeMap;
+use wingshore_types::Instant;
+use wingshore_types::machine::RequestTag;
+
+/// When each server was last heard of.
+#[derive(Default)]
+pub(crate) struct Heartbeats {
+    last: BTreeMap<InstanceId, LastHeartbeat>,
+}
+
+#[derive(Clone, Copy)]
+struct LastHeartbeat {
+    at: Instant,
+    sequence: u64,
+}
+
+impl Heartbeats {
+    /// A new leadership counts from its beginning.
+    pub(crate) fn begin<'a>(&mut self, now: Instant, known: impl Iterator<Item = &'a InstanceId>) {
+        let heard = LastHeartbeat {
+            at: now,
+            sequence: 0,
+        };
+        self.last = known.map(|instance| (instance.clone(), heard)).collect();
+    }
+
+    /// Notes a heartbeat; says whether it is newer than all before.
+    fn note(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
+        let sequence = heartbeat.sequence;
+        let instance = heartbeat.server.instance.clone();
+        let last = self.last.entry(instance).or_insert(LastHeartbeat {
+            at: now,
+            sequence: 0,
+        });
+        if sequence < last.sequence {
+            return false;
+        }
+        *last = LastHeartbeat { at: now, sequence };
+        true
+    }
+
+    /// Whether the server has been silent since before `limit`.
+    fn silent_since(&self, instance: &InstanceId, limit: Instant) -> bool {
+        self.last.get(instance).is_none_or(|last| last.at < limit)
+    }
+}
+
+impl CoordinationLeader {
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        heartbeat: Heartbeat,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let instance = heartbeat.server.instance.clone();
+        let is_newest = self.heartbeats.note(now, &heartbeat);
+        if state.has_departed(&instance) || !is_newest {
+            return reply(tag, Reply::Done, out);
+        }
+        let wanted = merged(heartbeat.server, state);
+        if state.servers().get(&instance) == Some(&wanted) {
+            return reply(tag, Reply::Done, out);
+        }
+        let command = Command::Register(wanted);
+        self.propose(command, Waiter::Server(instance, Some(tag)), out);
+    }
+
+    pub(crate) fn on_deregister(
+        &mut self,
+        tag: RequestTag,
+        instance: InstanceId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        if state.has_departed(&instance) {
+            return reply(tag, Reply::Done, out);
+        }
+        let command = Command::Depart(instance.clone());
+        self.propose(command, Waiter::Server(instance, Some(tag)), out);
+    }
+
+    /// What the registry holds of a server has changed: gateways get it, then the server its
+    /// acknowledgement.
+    pub(crate) fn server_changed(
+        &mut self,
+        now: Instant,
+        instance: InstanceId,
+        tag: Option<RequestTag>,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        match state.servers().get(&instance) {
+            Some(server) => self.change_view(ViewChange::Server(server.clone()), out),
+            None => self.change_view(ViewChange::Gone(instance.clone()), out),
+        }
+        if let Some(tag) = tag {
+            reply(tag, Reply::Done, out);
+        }
+        self.engines.server_changed(&instance, state);
+        self.place_items(now, state, out);
+    }
+
+    pub(crate) fn expire_servers(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let limit = now - self.settings.server_expiry;
+        let silent: Vec<InstanceId> = state
+            .servers()
+            .keys()
+            .filter(|instance| self.heartbeats.silent_since(instance, limit))
+            .cloned()
+            .collect();
+        for instance in silent {
+            // Counted anew, so that the proposal is not made again before it is applied.
+            self.heartbeats.last.insert(
+                instance.clone(),
+                LastHeartbeat {
+                    at: now,
+                    sequence: 0,
+                },
+            );
+            let command = Command::Expire(instance.clone());
+            self.propose(command, Waiter::Server(instance, None), out);
+        }
+    }
+}
+
+/// What the registry should hold after `server` has told its state.
+fn merged(mut server: ServerRecord, state: &CoordinationState) -> ServerRecord {
+    if let Some(held) = state.servers().get(&server.instance) {
+        server.draining |= held.draining;
+        for entry in &held.models {
+            server.raise_version(&entry.model, entry.version);
+        }
+    }
+    server
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -0,0 +1,54 @@
+//! Settings of the leader machine.
+
+use std::time::Duration;
+
+/// Settings of the leader machine; the same on all members.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaderSettings {
+    /// Name of this machine, given to engines as the holder of orders.
+    pub node: String,
+    /// A server that is not heard of for this long leaves the registry.
+    pub server_expiry: Duration,
+    /// A new leader gives orders only this long after another machine may have given its last.
+    pub order_handover: Duration,
+    /// A new leader waits this long for gateways to tell which items they run.
+    pub introduction_time: Duration,
+    /// Most engines that load weights at once.
+    pub concurrent_loads: usize,
+    /// Time from an order to the first look at how it went.
+    pub load_time: Duration,
+    /// Time between further looks.
+    pub report_interval: Duration,
+    /// An order or look without an answer is over after this time.
+    pub engine_timeout: Duration,
+    /// An ended job is remembered this long.
+    pub job_retention: Duration,
+    /// An engine at fault gets no items for this long at first, and twice as long each time.
+    pub engine_pause: Duration,
+    /// The longest such time.
+    pub most_engine_pause: Duration,
+    /// A gateway that is not heard of for this long runs nothing any more.
+    pub gateway_expiry: Duration,
+    /// Most bytes of results in one answer.
+    pub page_bytes: usize,
+}
+
+impl Default for LeaderSettings {
+    fn default() -> Self {
+        Self {
+            node: String::new(),
+            server_expiry: Duration::from_secs(6),
+            order_handover: Duration::from_millis(3300),
+            introduction_time: Duration::from_millis(300),
+            concurrent_loads: 2,
+            load_time: Duration::from_millis(900),
+            report_interval: Duration::from_millis(150),
+            engine_timeout: Duration::from_secs(1),
+            job_retention: Duration::from_secs(130),
+            engine_pause: Duration::from_millis(250),
+            most_engine_pause: Duration::from_secs(4),
+            gateway_expiry: Duration::from_millis(2500),
+            page_bytes: 900 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions of a site whose callers share gateways: the configuration, the registry of servers,
+//! batch jobs and the weight versions of models.
+//!
+//! One replicated group holds all of it. [`CoordinationState`] is the replicated part;
+//! [`CoordinationLeader`] runs on the group's leader only: it places items of batch jobs on
+//! engines, brings engines to the versions that trainers named, and tells gateways what changes.
+//! Neither reads a clock, opens a socket or a file, or draws randomness.
+
+mod configuration;
+mod ids;
+mod jobs;
+mod leader;
+mod links;
+mod messages;
+mod registry;
+mod routes;
+mod state;
+
+pub use configuration::{
+    ConfigurationError, EngineProfile, IngressLimits, Route, RouteKind, RouteTarget, Service,
+    SiteConfiguration,
+};
+pub use ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServiceName};
+pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
+pub use leader::{
+    CoordinationLeader, Effect, EngineReport, Event, LeaderSettings, OrderAnswer, WeightOrder,
+};
+pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame};
+pub use messages::{
+    AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
+    ItemAssignment, ItemOutcome, JobPage, NotRunReason, Reply, Request, RunningItem, SiteView,
+    ViewChange,
+};
+pub use registry::{Heartbeat, ModelVersion, ServerRecord};
+pub use routes::RouteTable;
+pub use state::{Command, CoordinationState, OrderHolder};
--- /dev/null
+++ b/crates/wingshore-coordination/src/links.rs
@@ -0,0 +1,40 @@
+//! Links between the site's own processes: who is at the other end, and what is said there.
+
+use crate::messages::{GatewayHello, GatewayMessage};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use wingshore_types::ReplicaId;
+use wingshore_types::protocol::byte_vector;
+
+/// A coordinator introduces itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoordinatorHello {
+    /// Its identity, bound to its data folder.
+    pub id: ReplicaId,
+    /// Name of its machine.
+    pub node: String,
+    /// Where it listens for the site's own processes.
+    pub internal: SocketAddr,
+    /// Where it listens for operators, trainers and servers.
+    pub control: SocketAddr,
+}
+
+/// What arrives at a coordinator's internal port.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum IncomingFrame {
+    /// First frame of a gateway.
+    Gateway(GatewayHello),
+    /// A later frame of a gateway.
+    FromGateway(GatewayMessage),
+    /// A frame of another coordinator.
+    Coordinator(CoordinatorFrame),
+}
+
+/// What coordinators say to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CoordinatorFrame {
+    /// First frame on a connection, and again from time to time.
+    Hello(CoordinatorHello),
+    /// A message of the replicated log.
+    Consensus(#[serde(with = "byte_vector")] Vec<u8>),
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -0,0 +1,298 @@
+//! What gateways and coordinators say to each other, and what callers ask of the group.
+
+use crate::configuration::SiteConfiguration;
+use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
+use crate::jobs::{JobSubmission, ResultRecord};
+use crate::registry::{Heartbeat, ServerRecord};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use wingshore_types::Epoch;
+use wingshore_types::protocol::byte_vector;
+
+/// A request to the group; only its leader answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Puts a configuration in force, if its version is the highest.
+    PutConfiguration(Arc<SiteConfiguration>),
+    /// The configuration in force.
+    ReadConfiguration,
+    /// A server tells its state.
+    Heartbeat(Heartbeat),
+    /// A server is gone, or about to end.
+    Deregister(InstanceId),
+    /// A trainer has published a version.
+    NameVersion {
+        /// Of which model.
+        model: ModelName,
+        /// The version.
+        version: u64,
+    },
+    /// Accepts a batch job durably.
+    SubmitJob(Arc<JobSubmission>),
+    /// Results of a batch job from a position on.
+    ReadJob {
+        /// The job.
+        job: JobId,
+        /// The first position wanted.
+        from: u64,
+        /// How long the answer may wait for a result.
+        wait: Duration,
+    },
+    /// The body of an item that is not listed.
+    ReadItem {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+    },
+    /// Ends a batch job.
+    EndJob(JobId),
+}
+
+/// The group's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// What was asked is durable, or was so before.
+    Done,
+    /// The configuration in force; `None` before the first one.
+    Configuration(Option<Arc<SiteConfiguration>>),
+    /// Results of a job.
+    Page(JobPage),
+    /// The body of an item.
+    Item(#[serde(with = "byte_vector")] Vec<u8>),
+    /// There is no such job, or no such item that is not listed.
+    Unknown,
+    /// The request cannot be carried out by anybody; says why.
+    Refused(String),
+}
+
+/// Results of a job from a position on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobPage {
+    /// Items of the job.
+    pub total: u64,
+    /// Position of the first result here.
+    pub from: u64,
+    /// Results in order.
+    pub results: Vec<Arc<ResultRecord>>,
+}
+
+/// First message of a gateway on a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayHello {
+    /// The gateway's run.
+    pub gateway: GatewayId,
+    /// Name of its machine.
+    pub node: String,
+    /// Where clients reach it.
+    pub front: SocketAddr,
+    /// Where it stands.
+    pub zone: String,
+    /// Region of that zone.
+    pub region: String,
+    /// As of now.
+    pub status: GatewayStatus,
+}
+
+/// An item that a gateway is running.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningItem {
+    /// The try.
+    pub assignment: AssignmentId,
+    /// The item.
+    pub item: ItemKey,
+    /// The engine that runs it.
+    pub instance: InstanceId,
+}
+
+/// What a gateway says again and again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayStatus {
+    /// Whether clients may be sent to it.
+    pub ready: bool,
+    /// Whether it takes items to run.
+    pub takes_items: bool,
+    /// Version of the configuration it acts by; 0 without one.
+    pub configuration: u64,
+}
+
+/// Names one try at an item, over all leaderships.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AssignmentId {
+    /// The leadership that made it.
+    pub epoch: Epoch,
+    /// Its number within the leadership.
+    pub number: u64,
+}
+
+/// From a gateway to a coordinator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum GatewayMessage {
+    /// As of now.
+    Status(GatewayStatus),
+    /// Answer to a welcome: all items that it runs, or whose end it has not told yet.
+    Running(Vec<RunningItem>),
+    /// A request to the group, made for a caller.
+    Call {
+        /// Comes back with the reply.
+        id: u64,
+        /// What is asked.
+        request: Request,
+    },
+    /// A try at an item is over.
+    ItemEnded {
+        /// Which try.
+        assignment: AssignmentId,
+        /// The item.
+        item: ItemKey,
+        /// What came of it.
+        outcome: ItemOutcome,
+    },
+}
+
+/// From a coordinator to a gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CoordinatorMessage {
+    /// The coordinator leads; all that a gateway must know.
+    Welcome {
+        /// The leadership.
+        epoch: Epoch,
+        /// The whole view.
+        view: SiteView,
+    },
+    /// What a gateway must know has changed.
+    Change {
+        /// The leadership.
+        epoch: Epoch,
+        /// What has changed.
+        change: ViewChange,
+    },
+    /// Answer to a call.
+    Reply {
+        /// Which call.
+        id: u64,
+        /// The answer.
+        reply: CallReply,
+    },
+    /// An item to run.
+    Assign(ItemAssignment),
+    /// The result of a try is of no more use.
+    Cancel {
+        /// Which try.
+        assignment: AssignmentId,
+    },
+    /// A sign of life.
+    Alive {
+        /// Where coordinators listen for the site's own processes, as far as this one knows.
+        coordinators: Vec<SocketAddr>,
+    },
+}
+
+/// Answer to a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CallReply {
+    /// The group's answer.
+    Reply(Reply),
+    /// This coordinator does not lead; the call had no effect.
+    NotLeader,
+    /// Leadership was lost meanwhile; the call may or may not take effect.
+    Unknown,
+}
+
+/// All that a gateway must know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SiteView {
+    /// The configuration in force.
+    pub configuration: Option<Arc<SiteConfiguration>>,
+    /// All servers.
+    pub servers: Vec<ServerRecord>,
+}
+
+/// A change of the view.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ViewChange {
+    /// Another configuration is in force.
+    Configuration(Arc<SiteConfiguration>),
+    /// A server is new or has changed.
+    Server(ServerRecord),
+    /// A server is gone.
+    Gone(InstanceId),
+}
+
+/// A try at an item: everything the gateway needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemAssignment {
+    /// Names the try.
+    pub assignment: AssignmentId,
+    /// The item.
+    pub item: ItemKey,
+    /// The item's own identifier, sent to the engine as the request's.
+    pub request: ItemId,
+    /// The engine.
+    pub instance: InstanceId,
+    /// Where the engine listens.
+    pub address: SocketAddr,
+    /// The host that the job named.
+    pub host: String,
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Vec<(String, String)>,
+    /// Body of the request.
+    #[serde(with = "byte_vector")]
+    pub body: Vec<u8>,
+    /// The last event of an earlier try that is kept; the engine goes on behind it.
+    pub after_event: Option<u64>,
+    /// The only version that may make the events; set where versions must not mix.
+    pub expected_version: Option<u64>,
+    /// Rank at the engine; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// What came of a try at an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemOutcome {
+    /// The stream has ended whole.
+    Finished {
+        /// The data of the events of this try, separated by line feeds.
+        text: String,
+        /// How many events.
+        events: u64,
+        /// The versions that made them.
+        versions: Vec<u64>,
+    },
+    /// The stream broke off; what came before counts.
+    Interrupted {
+        /// The data of the whole events of this try.
+        text: String,
+        /// How many events.
+        events: u64,
+        /// Identifier of the last one.
+        last_event: Option<u64>,
+        /// The versions that made them.
+        versions: Vec<u64>,
+        /// Whether the engine seems to be at fault, rather than the gateway that stops.
+        engine_suspect: bool,
+    },
+    /// The engine has not run it.
+    NotRun(NotRunReason),
+    /// The engine has run it and failed.
+    Failed,
+    /// The engine says that the item can never be done.
+    Impossible,
+}
+
+/// Why an item was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotRunReason {
+    /// The engine is full or loads weights.
+    Full,
+    /// The address belongs to another run of a server, or the version differs.
+    Mismatch,
+    /// No connection came up.
+    Unreachable,
+    /// The gateway takes no items.
+    Stopping,
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/routes.rs
@@ -0,0 +1,42 @@
+//! Finding the route of a request.
+
+use crate::configuration::{Route, SiteConfiguration};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The routes of one configuration, by host and prefix.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// The routes of `configuration`.
+    pub fn new(configuration: &SiteConfiguration) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let routes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`. A port behind the host
+    /// counts for nothing.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let routes = self.hosts.get(&host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Whether any route has this host.
+    pub fn knows_host(&self, host: &str) -> bool {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        self.hosts.contains_key(&host)
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -0,0 +1,44 @@
+//! Changes of the replicated state, as they stand in the log.
+
+use super::OrderHolder;
+use crate::configuration::SiteConfiguration;
+use crate::ids::{InstanceId, JobId, ModelName};
+use crate::jobs::{JobSubmission, ListedResult};
+use crate::registry::ServerRecord;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A change of the replicated state. New kinds are added at the end: the codec counts them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Puts a configuration in force, if its version is the highest.
+    Configure(Arc<SiteConfiguration>),
+    /// A server is new, or what the registry holds of it has changed.
+    Register(ServerRecord),
+    /// A server's run is over for good.
+    Depart(InstanceId),
+    /// A server has not been heard of for too long; it may come back.
+    Expire(InstanceId),
+    /// A trainer has published a version.
+    NameVersion {
+        /// Of which model.
+        model: ModelName,
+        /// The version.
+        version: u64,
+    },
+    /// Accepts a batch job; one that is known already stays as it is.
+    AcceptJob(Arc<JobSubmission>),
+    /// Lists a result; the first one of an item counts.
+    ListResult {
+        /// The job.
+        job: JobId,
+        /// The result.
+        result: ListedResult,
+    },
+    /// Ends a batch job.
+    EndJob(JobId),
+    /// Removes an ended job that nobody may ask for any more.
+    ForgetJob(JobId),
+    /// Says who gives orders to engines from here on.
+    HoldOrders(OrderHolder),
+}
--- /dev/null
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -0,0 +1,161 @@
+//! The replicated state.
+
+mod command;
+
+pub use command::Command;
+
+use crate::configuration::SiteConfiguration;
+use crate::ids::{InstanceId, JobId, ModelName};
+use crate::jobs::{Job, ListedResult};
+use crate::registry::ServerRecord;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use wingshore_types::machine::{ReplicatedState, RestoreError};
+use wingshore_types::{Epoch, LogIndex};
+
+/// Departed runs of servers that are remembered, so that a late heartbeat does not bring one back.
+const MOST_DEPARTED: usize = 8192;
+
+/// Who gave the last orders to engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderHolder {
+    /// Name of its machine.
+    pub node: String,
+    /// Its leadership; the fence of its orders.
+    pub epoch: Epoch,
+}
+
+/// Configuration, registry, batch jobs and named versions of a site.
+///
+/// Invariants: the configuration's version never falls; a departed run of a server never comes
+/// back; named versions never fall; results of jobs are only added to.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CoordinationState {
+    configuration: Option<Arc<SiteConfiguration>>,
+    servers: BTreeMap<InstanceId, ServerRecord>,
+    departed: BTreeSet<InstanceId>,
+    /// In the order of departure, oldest first.
+    departures: VecDeque<InstanceId>,
+    named_versions: BTreeMap<ModelName, u64>,
+    jobs: BTreeMap<JobId, Job>,
+    order_holder: Option<OrderHolder>,
+}
+
+impl CoordinationState {
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<SiteConfiguration>> {
+        self.configuration.as_ref()
+    }
+
+    /// All registered servers.
+    pub fn servers(&self) -> &BTreeMap<InstanceId, ServerRecord> {
+        &self.servers
+    }
+
+    /// Whether this run of a server has departed.
+    pub fn has_departed(&self, instance: &InstanceId) -> bool {
+        self.departed.contains(instance)
+    }
+
+    /// The newest named version of each model.
+    pub fn named_versions(&self) -> &BTreeMap<ModelName, u64> {
+        &self.named_versions
+    }
+
+    /// All jobs that are remembered.
+    pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
+        &self.jobs
+    }
+
+    /// Who gave the last orders to engines.
+    pub fn order_holder(&self) -> Option<&OrderHolder> {
+        self.order_holder.as_ref()
+    }
+
+    fn configure(&mut self, configuration: Arc<SiteConfiguration>) {
+        let held = self.configuration.as_ref().map(|held| held.version);
+        if held.is_none_or(|held| configuration.version > held) {
+            self.configuration = Some(configuration);
+        }
+    }
+
+    fn register(&mut self, mut server: ServerRecord) {
+        if self.departed.contains(&server.instance) {
+            return;
+        }
+        if let Some(held) = self.servers.get(&server.instance) {
+            server.draining |= held.draining;
+            for entry in &held.models {
+                server.raise_version(&entry.model, entry.version);
+            }
+        }
+        self.servers.insert(server.instance.clone(), server);
+    }
+
+    fn depart(&mut self, instance: InstanceId) {
+        self.servers.remove(&instance);
+        if !self.departed.insert(instance.clone()) {
+            return;
+        }
+        self.departures.push_back(instance);
+        if self.departures.len() > MOST_DEPARTED
+            && let Some(oldest) = self.departures.pop_front()
+        {
+            self.departed.remove(&oldest);
+        }
+    }
+
+    fn name_version(&mut self, model: ModelName, version: u64) {
+        let named = self.named_versions.entry(model).or_default();
+        *named = version.max(*named);
+    }
+
+    fn list(&mut self, job: &JobId, result: ListedResult) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.list(result);
+        }
+    }
+}
+
+impl ReplicatedState for CoordinationState {
+    type Command = Command;
+    type Reply = ();
+
+    fn apply(&mut self, _index: LogIndex, command: Command) {
+        match command {
+            Command::Configure(configuration) => self.configure(configuration),
+            Command::Register(server) => self.register(server),
+            Command::Depart(instance) => self.depart(instance),
+            Command::Expire(instance) => {
+                self.servers.remove(&instance);
+            }
+            Command::NameVersion { model, version } => self.name_version(model, version),
+            Command::AcceptJob(submission) => {
+                let id = submission.id.clone();
+                self.jobs.entry(id).or_insert_with(|| Job::new(submission));
+            }
+            Command::ListResult { job, result } => self.list(&job, result),
+            Command::EndJob(id) => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.ended = true;
+                }
+            }
+            Command::ForgetJob(id) => {
+                self.jobs.remove(&id);
+            }
+            Command::HoldOrders(holder) => self.order_holder = Some(holder),
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        // The state holds only types that the codec can encode.
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
+        postcard::from_bytes(bytes).map_err(|error| RestoreError {
+            message: error.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/control.rs
@@ -0,0 +1,45 @@
+//! Connections of operators, trainers, servers and clients that ask for gateways.
+
+use crate::protocol::HttpAnswer;
+use wingshore_net::http::{HeadWriter, RequestReader};
+use wingshore_types::Instant;
+
+/// Most bytes of a request's head.
+pub(crate) const MOST_HEAD: usize = 32 * 1024;
+/// Most bytes of a request's body.
+pub(crate) const MOST_BODY: usize = 48 * 1024 * 1024;
+
+/// One HTTP connection to this process.
+pub(crate) struct ControlConnection {
+    pub(crate) reader: RequestReader,
+    /// The target of the request that waits for its answer.
+    pub(crate) waiting: Option<String>,
+    /// Whether to close after the answer.
+    pub(crate) close_after: bool,
+    /// When it was last used.
+    pub(crate) used: Instant,
+}
+
+impl ControlConnection {
+    /// A new connection.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            reader: RequestReader::default(),
+            waiting: None,
+            close_after: false,
+            used: now,
+        }
+    }
+}
+
+/// The bytes of an answer.
+pub(crate) fn encode(answer: &HttpAnswer, close: bool) -> Vec<u8> {
+    let mut writer = HeadWriter::answer(answer.status);
+    for (name, value) in &answer.headers {
+        writer = writer.header(name, value);
+    }
+    if close {
+        writer = writer.header("Connection", "close");
+    }
+    writer.body(&answer.body)
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/directory.rs
@@ -0,0 +1,116 @@
+//! Gateways that are connected to this coordinator, and which of them clients may use.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordination::{GatewayHello, GatewayId, GatewayStatus};
+use wingshore_net::ConnectionId;
+use wingshore_types::Instant;
+
+/// Most addresses in one answer.
+const MOST_ADDRESSES: usize = 64;
+/// From this many gateways in a client's own zone on, it gets only those.
+const ENOUGH_IN_ZONE: usize = 2;
+
+/// A gateway as a client is told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayAddress {
+    /// Where clients reach it.
+    pub front: SocketAddr,
+}
+
+/// One gateway.
+pub(crate) struct ConnectedGateway {
+    pub(crate) hello: GatewayHello,
+    pub(crate) connection: ConnectionId,
+    pub(crate) heard: Instant,
+}
+
+/// All gateways that are connected.
+#[derive(Default)]
+pub(crate) struct Directory {
+    gateways: BTreeMap<GatewayId, ConnectedGateway>,
+}
+
+impl Directory {
+    /// A gateway has introduced itself; gives its connection before, if it had another.
+    pub(crate) fn connected(
+        &mut self,
+        now: Instant,
+        hello: GatewayHello,
+        connection: ConnectionId,
+    ) -> Option<ConnectionId> {
+        let gateway = ConnectedGateway {
+            hello,
+            connection,
+            heard: now,
+        };
+        let before = self.gateways.insert(gateway.hello.gateway, gateway);
+        before
+            .map(|gateway| gateway.connection)
+            .filter(|before| *before != connection)
+    }
+
+    /// A gateway has told its state.
+    pub(crate) fn heard(&mut self, now: Instant, id: GatewayId, status: GatewayStatus) {
+        if let Some(gateway) = self.gateways.get_mut(&id) {
+            gateway.heard = now;
+            gateway.hello.status = status;
+        }
+    }
+
+    /// A connection is gone; says whether it was the gateway's newest one.
+    pub(crate) fn disconnected(&mut self, id: GatewayId, connection: ConnectionId) -> bool {
+        let is_newest = self
+            .gateways
+            .get(&id)
+            .is_some_and(|gateway| gateway.connection == connection);
+        if is_newest {
+            self.gateways.remove(&id);
+        }
+        is_newest
+    }
+
+    /// Connections of gateways that have been silent for longer than `limit`.
+    pub(crate) fn silent(&self, now: Instant, limit: Duration) -> Vec<ConnectionId> {
+        self.gateways
+            .values()
+            .filter(|gateway| now.since(gateway.heard) > limit)
+            .map(|gateway| gateway.connection)
+            .collect()
+    }
+
+    /// The connection of a gateway.
+    pub(crate) fn connection(&self, id: GatewayId) -> Option<ConnectionId> {
+        Some(self.gateways.get(&id)?.connection)
+    }
+
+    /// All gateways.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &ConnectedGateway> {
+        self.gateways.values()
+    }
+
+    /// Gateways for a client in `zone` that were heard of within `fresh`.
+    pub(crate) fn for_client(
+        &self,
+        now: Instant,
+        zone: &str,
+        fresh: Duration,
+    ) -> Vec<GatewayAddress> {
+        let ready: Vec<&ConnectedGateway> = self
+            .gateways
+            .values()
+            .filter(|gateway| gateway.hello.status.ready && now.since(gateway.heard) <= fresh)
+            .collect();
+        let near = ready.iter().filter(|gateway| gateway.hello.zone == zone);
+        let only_near = near.count() >= ENOUGH_IN_ZONE;
+        ready
+            .iter()
+            .filter(|gateway| !only_near || gateway.hello.zone == zone)
+            .take(MOST_ADDRESSES)
+            .map(|gateway| GatewayAddress {
+                front: gateway.hello.front,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/identity.rs
@@ -0,0 +1,49 @@
+//! Who this member is: a founder of the site, or one that joins it.
+
+use crate::error::{CoordinatorError, StorageSnafu};
+use crate::settings::CoordinatorSettings;
+use snafu::ResultExt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use wingshore_storage::{DataFolder, FileSystem};
+use wingshore_types::ReplicaId;
+use wingshore_types::protocol::membership::{Member, Membership};
+
+/// Name that data folders are bound to.
+const SITE: &str = "coordination";
+
+/// Opens the data folder. An empty one becomes that of a founder, if the site begins with this
+/// start and the seeds name this machine; else that of a new member.
+pub(crate) fn open(
+    fs: &Arc<dyn FileSystem>,
+    settings: &CoordinatorSettings,
+) -> Result<DataFolder, CoordinatorError> {
+    let own = settings.internal_address();
+    let seeds = settings.seed_addresses();
+    let place = seeds.iter().position(|seed| *seed == own);
+    if let Some(place) = place.filter(|_| settings.founding) {
+        let founding = founding(&seeds);
+        let id = founding.voters[place].id;
+        match DataFolder::format(fs, &settings.data, SITE, id, founding) {
+            Ok(folder) => return Ok(folder),
+            Err(wingshore_storage::StorageError::NotEmpty { .. }) => {}
+            Err(source) => return Err(CoordinatorError::Storage { source }),
+        }
+    }
+    DataFolder::open_or_join(fs, &settings.data, SITE, rand::random()).context(StorageSnafu)
+}
+
+/// The founders: the seeds in ascending order, numbered from 1.
+fn founding(seeds: &[SocketAddr]) -> Membership {
+    let voters = (1_u64..)
+        .zip(seeds)
+        .map(|(number, address)| Member {
+            id: ReplicaId(number),
+            address: *address,
+        })
+        .collect();
+    Membership {
+        voters,
+        learners: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/protocol.rs
@@ -0,0 +1,115 @@
+//! What a deployment's wire must translate.
+
+use crate::directory::GatewayAddress;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordination::{EngineReport, OrderAnswer, Reply, Request, WeightOrder};
+use wingshore_net::http::{AnswerHead, WholeRequest};
+
+/// An HTTP answer, whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// The status code.
+    pub status: u16,
+    /// Header lines besides those that frame the body.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A question that each coordinator answers from what it knows itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LocalQuestion {
+    /// Which gateways a client in this place may use.
+    Gateways {
+        /// The client's zone.
+        zone: String,
+    },
+    /// Begin to empty a coordinator's machine, so that it can be taken away.
+    Retire {
+        /// The machine.
+        node: String,
+    },
+    /// How far that is.
+    RetireProgress {
+        /// The machine.
+        node: String,
+    },
+}
+
+/// A call of an operator, trainer, server or client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlCall {
+    /// For the group's leader.
+    Group(Request),
+    /// For this coordinator.
+    Local(LocalQuestion),
+    /// No call, or one that cannot be read.
+    Invalid(HttpAnswer),
+}
+
+/// What to answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlAnswer {
+    /// The group's answer.
+    Reply(Reply),
+    /// Gateways for a client.
+    Gateways {
+        /// They, in the order of preference.
+        gateways: Vec<GatewayAddress>,
+        /// How long the client may use them.
+        ttl: Duration,
+    },
+    /// The leader is there: ask it.
+    Redirect {
+        /// Its control address.
+        leader: SocketAddr,
+        /// The path and query that were asked for.
+        target: String,
+    },
+    /// Nobody can answer now; the call had no effect.
+    Unavailable,
+    /// The call may or may not take effect.
+    Unknown,
+    /// The machine is being emptied.
+    Retiring,
+    /// The machine can be taken away.
+    Retired,
+    /// Too few machines would be left.
+    TooFewLeft,
+    /// There is no such machine.
+    NoSuchMachine,
+}
+
+/// Translates the control interface.
+pub trait ControlProtocol {
+    /// Reads a call.
+    fn read(&self, request: &WholeRequest) -> ControlCall;
+    /// Writes the answer.
+    fn write(&self, answer: &ControlAnswer) -> HttpAnswer;
+}
+
+/// A call to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineCall {
+    /// The method.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// Header lines besides those that frame the body.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Translates calls to engines.
+pub trait EngineProtocol {
+    /// An order.
+    fn order(&self, order: &WeightOrder) -> EngineCall;
+    /// What an engine answered to an order.
+    fn order_answer(&self, head: &AnswerHead) -> OrderAnswer;
+    /// The question how an engine stands.
+    fn report(&self, instance: &wingshore_coordination::InstanceId) -> EngineCall;
+    /// What an engine answered to it.
+    fn report_answer(&self, head: &AnswerHead, body: &[u8]) -> Option<EngineReport>;
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of a coordinator process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Settings of a coordinator process, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CoordinatorSettings {
+    /// Name of the machine.
+    pub node: String,
+    /// Where it stands.
+    pub zone: String,
+    /// The machine's address.
+    pub ip: IpAddr,
+    /// Where operators, trainers and servers call.
+    pub control: SocketAddr,
+    /// Where clients ask for gateways.
+    pub directory: Option<SocketAddr>,
+    /// Port for the site's own processes; the same on all machines.
+    pub internal_port: u16,
+    /// Addresses of coordinators as far as known when the settings were written.
+    pub seeds: Vec<IpAddr>,
+    /// The data folder.
+    pub data: PathBuf,
+    /// Whether the site begins with this start.
+    pub founding: bool,
+    /// Silence after which a member campaigns.
+    pub election_timeout: Duration,
+    /// Time between a leader's heartbeats.
+    pub heartbeat: Duration,
+    /// Length of the leader's lease.
+    pub lease: Duration,
+    /// Bytes of log between snapshots.
+    pub snapshot_every_bytes: u64,
+    /// How long a client may use an answer of the directory.
+    pub directory_ttl: Duration,
+    /// Silence after which a server leaves the registry.
+    pub server_expiry: Duration,
+    /// Time that a new leader leaves to the orders of the one before.
+    pub order_handover: Duration,
+    /// Most engines that load weights at once.
+    pub concurrent_loads: usize,
+    /// Time that an engine takes to load weights.
+    pub load_time: Duration,
+    /// How long an ended job is remembered.
+    pub job_retention: Duration,
+    /// Within which a planned stop must be over.
+    pub stop_limit: Duration,
+}
+
+impl CoordinatorSettings {
+    /// Where this process listens for the site's own processes.
+    pub fn internal_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.internal_port)
+    }
+
+    /// Where the seeds listen for the site's own processes, in ascending order.
+    pub fn seed_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .map(|ip| SocketAddr::new(*ip, self.internal_port))
+            .collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/writer.rs
@@ -0,0 +1,72 @@
+//! The thread that makes the group's writes durable.
+
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use std::thread;
+use wingshore_net::ReactorWaker;
+use wingshore_storage::{GroupStore, StorageError};
+use wingshore_types::log::WriteBatch;
+
+/// One write asked for.
+struct WriteJob {
+    token: u64,
+    batch: WriteBatch,
+}
+
+/// What became of writes.
+pub(crate) enum WriteEvent {
+    /// The write with this token, and all before it, are durable.
+    Persisted(u64),
+    /// A write failed; nothing more will be written.
+    Failed(StorageError),
+}
+
+/// Handle of the thread that writes.
+pub(crate) struct Writer {
+    jobs: Sender<WriteJob>,
+    events: Receiver<WriteEvent>,
+}
+
+impl Writer {
+    /// Starts the thread.
+    pub(crate) fn start(store: GroupStore, waker: ReactorWaker) -> std::io::Result<Self> {
+        let (jobs, job_receiver) = unbounded();
+        let (event_sender, events) = unbounded();
+        thread::Builder::new()
+            .name("writer".to_owned())
+            .spawn(move || run(store, &job_receiver, &event_sender, &waker))?;
+        Ok(Self { jobs, events })
+    }
+
+    /// Asks for a write.
+    pub(crate) fn write(&self, token: u64, batch: WriteBatch) {
+        // A thread that is gone has said why.
+        let _ = self.jobs.send(WriteJob { token, batch });
+    }
+
+    /// What has become of writes since the last call.
+    pub(crate) fn events(&self) -> impl Iterator<Item = WriteEvent> + '_ {
+        self.events.try_iter()
+    }
+}
+
+fn run(
+    mut store: GroupStore,
+    jobs: &Receiver<WriteJob>,
+    events: &Sender<WriteEvent>,
+    waker: &ReactorWaker,
+) {
+    for job in jobs {
+        let event = match store.write(&job.batch) {
+            Ok(()) => WriteEvent::Persisted(job.token),
+            Err(error) => WriteEvent::Failed(error),
+        };
+        let is_last = matches!(event, WriteEvent::Failed(_));
+        if events.send(event).is_err() {
+            return;
+        }
+        waker.wake();
+        if is_last {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -0,0 +1,206 @@
+//! Calls about batch jobs, passed on to the group's leader.
+
+use crate::process::Gateway;
+use crate::protocol::{BatchAnswer, BatchCall};
+use crate::timers::TimerKey;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use wingshore_coordination::{CallReply, GatewayMessage, IncomingFrame, Reply, Request};
+use wingshore_net::ConnectionId;
+use wingshore_net::http::WholeRequest;
+use wingshore_types::Instant;
+
+/// Time that the group has for a call, besides what the call may wait.
+const CALL_LIMIT: Duration = Duration::from_millis(1300);
+/// Time that the group has to accept a job.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(2500);
+/// A call without an answer is sent again after this time: the leader may be cut off.
+const RESEND_AFTER: Duration = Duration::from_millis(700);
+/// When to come back after a call that had no effect.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// One call that waits for the group.
+struct Call {
+    client: ConnectionId,
+    request: Request,
+    until: Instant,
+    sent_to: Option<ConnectionId>,
+    /// Whether it may take effect.
+    may_take_effect: bool,
+}
+
+/// All calls that wait.
+#[derive(Default)]
+pub(crate) struct Calls {
+    waiting: HashMap<u64, Call>,
+    next: u64,
+}
+
+impl Gateway {
+    /// Passes a call on.
+    pub(crate) fn begin_batch_call(&mut self, now: Instant, client: ConnectionId, call: BatchCall) {
+        let (request, limit) = match call {
+            BatchCall::Read { job, from, wait } => {
+                (Request::ReadJob { job, from, wait }, CALL_LIMIT + wait)
+            }
+            BatchCall::ReadItem { job, item } => (Request::ReadItem { job, item }, CALL_LIMIT),
+            BatchCall::End { job } => (Request::EndJob(job), SUBMIT_LIMIT),
+        };
+        self.begin_call(now, client, request, limit);
+    }
+
+    /// Reads a batch job and passes it on.
+    pub(crate) fn submit_job(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        request: &WholeRequest,
+    ) {
+        match self.protocol.read_submission(request) {
+            Ok(submission) => {
+                let request = Request::SubmitJob(Arc::new(submission));
+                self.begin_call(now, client, request, SUBMIT_LIMIT);
+            }
+            Err(reason) => self.answer_batch(now, client, &BatchAnswer::Refused(reason)),
+        }
+    }
+
+    fn begin_call(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        request: Request,
+        limit: Duration,
+    ) {
+        let id = self.calls.next;
+        self.calls.next += 1;
+        let call = Call {
+            client,
+            request,
+            until: now + limit,
+            sent_to: None,
+            may_take_effect: false,
+        };
+        self.calls.waiting.insert(id, call);
+        self.set_client_call(client, id);
+        self.send_call(now, id);
+    }
+
+    /// Sends a call to the leader, if one is known.
+    fn send_call(&mut self, now: Instant, id: u64) {
+        let leader = self.coordinators.leader();
+        let Some(call) = self.calls.waiting.get_mut(&id) else {
+            return;
+        };
+        call.sent_to = leader;
+        let mut look_at = call.until;
+        if let Some(leader) = leader {
+            call.may_take_effect = true;
+            let request = call.request.clone();
+            // A call that may wait is not late before that time.
+            if !matches!(request, Request::ReadJob { .. }) {
+                look_at = look_at.min(now + RESEND_AFTER);
+            }
+            let frame = IncomingFrame::FromGateway(GatewayMessage::Call { id, request });
+            self.send_frame(leader, &frame);
+        }
+        self.timers.arm(look_at, TimerKey::Call(id));
+    }
+
+    /// Calls that were sent on a connection that is gone wait for another leader.
+    pub(crate) fn calls_lost(&mut self, _now: Instant, connection: ConnectionId) {
+        for call in self.calls.waiting.values_mut() {
+            if call.sent_to == Some(connection) {
+                call.sent_to = None;
+            }
+        }
+    }
+
+    /// There is a leader: sends what waits for one.
+    pub(crate) fn resend_calls(&mut self, now: Instant) {
+        let leader = self.coordinators.leader();
+        let unsent: Vec<u64> = self
+            .calls
+            .waiting
+            .iter()
+            .filter(|(_, call)| call.sent_to != leader)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in unsent {
+            self.send_call(now, id);
+        }
+    }
+
+    pub(crate) fn on_call_timer(&mut self, now: Instant, id: u64) {
+        let Some(call) = self.calls.waiting.get(&id) else {
+            return;
+        };
+        if now < call.until {
+            if !matches!(call.request, Request::ReadJob { .. }) || call.sent_to.is_none() {
+                self.send_call(now, id);
+            } else {
+                let until = call.until;
+                self.timers.arm(until, TimerKey::Call(id));
+            }
+            return;
+        }
+        let Some(call) = self.calls.waiting.remove(&id) else {
+            return;
+        };
+        let is_read = matches!(
+            call.request,
+            Request::ReadJob { .. } | Request::ReadItem { .. }
+        );
+        let answer = if is_read || !call.may_take_effect {
+            BatchAnswer::Unavailable(COME_BACK)
+        } else {
+            BatchAnswer::Uncertain
+        };
+        self.answer_batch(now, call.client, &answer);
+    }
+
+    pub(crate) fn on_call_reply(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        id: u64,
+        reply: CallReply,
+    ) {
+        let Some(call) = self.calls.waiting.get_mut(&id) else {
+            return;
+        };
+        let reply = match reply {
+            CallReply::Reply(reply) => reply,
+            CallReply::NotLeader | CallReply::Unknown => {
+                // The next welcome, or the timer, sends it again.
+                if call.sent_to == Some(connection) {
+                    call.sent_to = None;
+                }
+                return;
+            }
+        };
+        let Some(call) = self.calls.waiting.remove(&id) else {
+            return;
+        };
+        let answer = match (&call.request, reply) {
+            (Request::SubmitJob(_), Reply::Done) => BatchAnswer::Accepted,
+            (Request::EndJob(_), Reply::Done) => BatchAnswer::Ended,
+            (_, Reply::Page(page)) => BatchAnswer::Page(page),
+            (_, Reply::Item(body)) => BatchAnswer::Item(body),
+            (_, Reply::Refused(reason)) => BatchAnswer::Refused(reason),
+            (_, _) => BatchAnswer::Unknown,
+        };
+        self.answer_batch(now, call.client, &answer);
+    }
+
+    fn answer_batch(&mut self, now: Instant, client: ConnectionId, answer: &BatchAnswer) {
+        let answer = self.protocol.write_batch(answer);
+        self.answer_client(now, client, &answer);
+    }
+
+    /// The client of a call is gone.
+    pub(crate) fn forget_call(&mut self, id: u64) {
+        self.calls.waiting.remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -0,0 +1,249 @@
+//! Connections of clients: reading requests, writing answers, time limits.
+
+use crate::forward::Exchange;
+use crate::process::Gateway;
+use crate::protocol::{HttpAnswer, OwnAnswer};
+use crate::timers::TimerKey;
+use wingshore_coordination::RouteKind;
+use wingshore_net::ConnectionId;
+use wingshore_net::http::{HeadWriter, RequestReader, WholeRequest};
+use wingshore_types::Instant;
+
+/// How much longer than a head a body may take to arrive.
+const BODY_TIME_FACTOR: u32 = 3;
+
+/// What a client's connection waits for.
+pub(crate) enum ClientState {
+    /// The next request.
+    Reading {
+        /// When the first byte of a request that is not whole arrived.
+        begun: Option<Instant>,
+    },
+    /// The answer of a server.
+    Exchange(Box<Exchange>),
+    /// The answer of the group.
+    Call(u64),
+}
+
+/// One client's connection.
+pub(crate) struct Client {
+    pub(crate) reader: RequestReader,
+    pub(crate) state: ClientState,
+    pub(crate) close_after: bool,
+    /// Whether this is a connection of the deployment's checks.
+    pub(crate) is_check: bool,
+    pub(crate) used: Instant,
+    is_answering: bool,
+}
+
+impl Client {
+    /// A new connection.
+    pub(crate) fn new(now: Instant, is_check: bool) -> Self {
+        Self {
+            reader: RequestReader::default(),
+            state: ClientState::Reading { begun: None },
+            close_after: false,
+            is_check,
+            used: now,
+            is_answering: false,
+        }
+    }
+
+    /// Whether it waits for nothing.
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(self.state, ClientState::Reading { begun: None })
+    }
+}
+
+impl Gateway {
+    /// Bytes of a client have arrived, or its last answer has gone out.
+    pub(crate) fn on_client_input(&mut self, now: Instant, connection: ConnectionId) {
+        let limits = self.view.limits();
+        let Some(client) = self.clients.get_mut(&connection) else {
+            return;
+        };
+        client.used = now;
+        let ClientState::Reading { begun } = &mut client.state else {
+            return;
+        };
+        let Some(input) = self.reactor.input(connection) else {
+            return;
+        };
+        let next = client
+            .reader
+            .next(input, limits.head_bytes, limits.body_bytes);
+        match next {
+            Ok(None) => {
+                let has_begun = !input.is_empty() || client.reader.is_under_way();
+                if has_begun && begun.is_none() {
+                    *begun = Some(now);
+                    let key = TimerKey::Client(connection);
+                    self.timers.arm(now + limits.head_timeout, key);
+                }
+            }
+            Ok(Some(request)) => {
+                *begun = None;
+                client.close_after = request.head.wants_close() || self.stopping_since.is_some();
+                self.on_request(now, connection, request);
+            }
+            Err(error) => {
+                client.close_after = true;
+                let answer = HttpAnswer {
+                    status: error.status(),
+                    headers: Vec::new(),
+                    body: error.to_string().into_bytes(),
+                };
+                self.answer_client(now, connection, &answer);
+            }
+        }
+    }
+
+    fn on_request(&mut self, now: Instant, connection: ConnectionId, request: WholeRequest) {
+        let is_check = self
+            .clients
+            .get(&connection)
+            .is_some_and(|client| client.is_check);
+        if is_check {
+            let answer = self
+                .protocol
+                .write_ready(&request.head, self.status().ready);
+            return self.answer_client(now, connection, &answer);
+        }
+        if !self.view.is_configured() {
+            return self.answer_own(
+                now,
+                connection,
+                &OwnAnswer::NotRun(super::forward::COME_BACK),
+            );
+        }
+        if let Some(call) = self.protocol.read_batch_call(&request.head) {
+            return self.begin_batch_call(now, connection, call);
+        }
+        let host = request.head.headers.text("host").unwrap_or_default();
+        let Some(route) = self.view.routes().find(host, request.head.path()).cloned() else {
+            return self.answer_own(now, connection, &OwnAnswer::NoRoute);
+        };
+        if route.kind == RouteKind::Batch && request.head.method == "POST" {
+            return self.submit_job(now, connection, &request);
+        }
+        self.begin_exchange(now, connection, request, route);
+    }
+
+    /// Answers with an answer of the gateway's own.
+    pub(crate) fn answer_own(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        answer: &OwnAnswer,
+    ) {
+        let answer = self.protocol.write_own(answer);
+        self.answer_client(now, connection, &answer);
+    }
+
+    /// Answers a client whole.
+    pub(crate) fn answer_client(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        answer: &HttpAnswer,
+    ) {
+        let mut writer = HeadWriter::answer(answer.status);
+        for (name, value) in &answer.headers {
+            writer = writer.header(name, value);
+        }
+        self.finish_client(now, connection, writer, &answer.body);
+    }
+
+    /// Sends the last bytes of an answer and goes on to the client's next request.
+    pub(crate) fn finish_client(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        mut writer: HeadWriter,
+        body: &[u8],
+    ) {
+        let stopping = self.stopping_since.is_some();
+        let Some(client) = self.clients.get_mut(&connection) else {
+            return;
+        };
+        client.state = ClientState::Reading { begun: None };
+        client.used = now;
+        client.close_after |= stopping;
+        if client.close_after {
+            writer = writer.header("Connection", "close");
+        }
+        self.reactor.send(connection, &writer.body(body));
+        if client.close_after {
+            self.clients.remove(&connection);
+            self.reactor.close_when_flushed(connection);
+            return;
+        }
+        // Requests that came in one piece are answered in turn, without recursion.
+        if std::mem::replace(&mut client.is_answering, true) {
+            return;
+        }
+        let has_input = self
+            .reactor
+            .input(connection)
+            .is_some_and(|input| !input.is_empty());
+        if has_input {
+            self.on_client_input(now, connection);
+        }
+        if let Some(client) = self.clients.get_mut(&connection) {
+            client.is_answering = false;
+        }
+        let idle = self.view.limits().idle_timeout;
+        self.timers.arm(now + idle, TimerKey::Client(connection));
+    }
+
+    /// Notes that a client waits for the group.
+    pub(crate) fn set_client_call(&mut self, connection: ConnectionId, id: u64) {
+        if let Some(client) = self.clients.get_mut(&connection) {
+            client.state = ClientState::Call(id);
+        }
+    }
+
+    /// A client's time may be over.
+    pub(crate) fn on_client_timer(&mut self, now: Instant, connection: ConnectionId) {
+        let limits = self.view.limits();
+        let Some(client) = self.clients.get_mut(&connection) else {
+            return;
+        };
+        let ClientState::Reading { begun } = client.state else {
+            return;
+        };
+        let Some(begun) = begun else {
+            let until = client.used + limits.idle_timeout;
+            if now >= until {
+                self.close_client(connection);
+            } else {
+                self.timers.arm(until, TimerKey::Client(connection));
+            }
+            return;
+        };
+        let factor = if client.reader.is_under_way() {
+            BODY_TIME_FACTOR
+        } else {
+            1
+        };
+        let until = begun + limits.head_timeout * factor;
+        if now < until {
+            return self.timers.arm(until, TimerKey::Client(connection));
+        }
+        client.close_after = true;
+        self.answer_own(now, connection, &OwnAnswer::TooSlow);
+    }
+
+    /// Closes a client's connection and drops what it waits for.
+    pub(crate) fn close_client(&mut self, connection: ConnectionId) {
+        self.reactor.close(connection);
+        let Some(client) = self.clients.remove(&connection) else {
+            return;
+        };
+        match client.state {
+            ClientState::Reading { .. } => {}
+            ClientState::Exchange(exchange) => self.drop_exchange(&exchange),
+            ClientState::Call(id) => self.forget_call(id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -0,0 +1,249 @@
+//! Links to the coordinators, and which of them leads.
+
+use crate::process::{Gateway, LinkRole};
+use slog::{info, warn};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordination::{
+    CoordinatorMessage, GatewayHello, GatewayMessage, IncomingFrame, RunningItem,
+};
+use wingshore_net::{ConnectOptions, ConnectionId, frame};
+use wingshore_types::Instant;
+
+/// Sent bytes may stay unacknowledged this long.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
+/// Between attempts to connect.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
+/// An attempt to connect is over after this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// A coordinator that is silent for this long is disconnected.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// The link to one coordinator.
+pub(crate) struct CoordinatorLink {
+    connection: Option<ConnectionId>,
+    up: bool,
+    /// Of the last attempt, or the end of the last connection.
+    since: Instant,
+    heard: Instant,
+    /// Other coordinators it knows.
+    knows: Vec<SocketAddr>,
+}
+
+/// All links.
+#[derive(Default)]
+pub(crate) struct Coordinators {
+    links: BTreeMap<SocketAddr, CoordinatorLink>,
+    /// The coordinator whose leadership is the newest known, while the link is up.
+    leader: Option<SocketAddr>,
+}
+
+impl Coordinators {
+    /// The connection to the leader.
+    pub(crate) fn leader(&self) -> Option<ConnectionId> {
+        let link = self.links.get(self.leader.as_ref()?)?;
+        link.connection.filter(|_| link.up)
+    }
+
+    /// All connections that are up.
+    pub(crate) fn connected(&self) -> Vec<ConnectionId> {
+        self.links
+            .values()
+            .filter(|link| link.up)
+            .filter_map(|link| link.connection)
+            .collect()
+    }
+}
+
+impl Gateway {
+    /// Connects to all known coordinators there is no connection to.
+    pub(crate) fn dial_coordinators(&mut self, now: Instant) {
+        let mut wanted = self.settings.seed_addresses();
+        for link in self.coordinators.links.values() {
+            wanted.extend(&link.knows);
+        }
+        wanted.sort_unstable();
+        wanted.dedup();
+        self.coordinators
+            .links
+            .retain(|address, link| link.connection.is_some() || wanted.contains(address));
+        for address in wanted {
+            self.dial(now, address);
+        }
+    }
+
+    fn dial(&mut self, now: Instant, address: SocketAddr) {
+        if let Some(link) = self.coordinators.links.get(&address) {
+            let is_late = !link.up && now.since(link.since) >= CONNECT_TIMEOUT;
+            let is_silent = link.up && now.since(link.heard) >= SILENCE;
+            match link.connection {
+                Some(connection) if is_late || is_silent => {
+                    return self.on_link_ended(now, connection, address);
+                }
+                Some(_) => return,
+                None if now.since(link.since) < CONNECT_INTERVAL => return,
+                None => {}
+            }
+        }
+        let options = ConnectOptions {
+            unacknowledged_limit: UNACKNOWLEDGED_LIMIT,
+        };
+        let connection = self.reactor.connect(address, options);
+        if let Some(connection) = connection {
+            self.links.insert(connection, LinkRole { address });
+        }
+        let knows = self
+            .coordinators
+            .links
+            .remove(&address)
+            .map(|link| link.knows)
+            .unwrap_or_default();
+        let link = CoordinatorLink {
+            connection,
+            up: false,
+            since: now,
+            heard: now,
+            knows,
+        };
+        self.coordinators.links.insert(address, link);
+    }
+
+    pub(crate) fn on_link_up(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        address: SocketAddr,
+    ) {
+        let Some(link) = self.coordinators.links.get_mut(&address) else {
+            return;
+        };
+        link.up = true;
+        link.heard = now;
+        let hello = GatewayHello {
+            gateway: self.id,
+            node: self.settings.node.clone(),
+            front: self.settings.front,
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+            status: self.status(),
+        };
+        self.send_frame(connection, &IncomingFrame::Gateway(hello));
+    }
+
+    pub(crate) fn on_link_ended(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        address: SocketAddr,
+    ) {
+        self.reactor.close(connection);
+        self.links.remove(&connection);
+        if let Some(link) = self.coordinators.links.get_mut(&address) {
+            if link.up {
+                info!(self.logger, "coordinator lost"; "address" => %address);
+            }
+            link.connection = None;
+            link.up = false;
+            link.since = now;
+        }
+        if self.coordinators.leader == Some(address) {
+            self.coordinators.leader = None;
+        }
+        self.calls_lost(now, connection);
+    }
+
+    pub(crate) fn on_link_input(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        address: SocketAddr,
+    ) {
+        loop {
+            let Some(input) = self.reactor.input(connection) else {
+                return;
+            };
+            match frame::decode::<CoordinatorMessage>(input) {
+                Ok(Some(message)) => self.on_coordinator(now, connection, address, message),
+                Ok(None) => return,
+                Err(error) => {
+                    warn!(self.logger, "link closed"; "error" => %error);
+                    return self.on_link_ended(now, connection, address);
+                }
+            }
+        }
+    }
+
+    fn on_coordinator(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        address: SocketAddr,
+        message: CoordinatorMessage,
+    ) {
+        if let Some(link) = self.coordinators.links.get_mut(&address) {
+            link.heard = now;
+        }
+        match message {
+            CoordinatorMessage::Welcome { epoch, view } => {
+                let version = self.view.version();
+                if self.view.welcome(epoch, view) {
+                    info!(self.logger, "leader"; "address" => %address, "epoch" => epoch.0,
+                        "configuration" => self.view.version());
+                    self.coordinators.leader = Some(address);
+                    self.tell_running(connection);
+                    self.resend_calls(now);
+                    self.view_changed(version);
+                }
+            }
+            CoordinatorMessage::Change { epoch, change } => {
+                let version = self.view.version();
+                if self.view.change(epoch, change) {
+                    self.view_changed(version);
+                }
+            }
+            CoordinatorMessage::Reply { id, reply } => {
+                self.on_call_reply(now, connection, id, reply)
+            }
+            CoordinatorMessage::Assign(assignment) => self.begin_item(now, assignment),
+            CoordinatorMessage::Cancel { assignment } => self.cancel_item(assignment),
+            CoordinatorMessage::Alive { coordinators } => {
+                if let Some(link) = self.coordinators.links.get_mut(&address) {
+                    link.knows = coordinators;
+                }
+            }
+        }
+    }
+
+    /// Something in the view is new.
+    fn view_changed(&mut self, version_before: u64) {
+        if self.view.version() != version_before {
+            info!(self.logger, "configuration"; "version" => self.view.version(),
+                "before" => version_before);
+            self.tell_status();
+        }
+    }
+
+    /// Tells a new leader which items run here; the ends that were not told follow.
+    fn tell_running(&mut self, connection: ConnectionId) {
+        let running: Vec<RunningItem> = self.items.running().collect();
+        let message = GatewayMessage::Running(running);
+        self.send_frame(connection, &IncomingFrame::FromGateway(message));
+        self.tell_ended_items(connection);
+    }
+
+    /// Tells all coordinators how this gateway stands.
+    pub(crate) fn tell_status(&mut self) {
+        let message = IncomingFrame::FromGateway(GatewayMessage::Status(self.status()));
+        for connection in self.coordinators.connected() {
+            self.send_frame(connection, &message);
+        }
+    }
+
+    pub(crate) fn send_frame(&mut self, connection: ConnectionId, frame: &IncomingFrame) {
+        match frame::encode(frame) {
+            Ok(bytes) => self.reactor.send(connection, &bytes),
+            Err(error) => warn!(self.logger, "frame not encoded"; "error" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/event_stream.rs
@@ -0,0 +1,94 @@
+//! Reading streams of events (`text/event-stream`) as their bytes arrive.
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Its identifier, where it is a number.
+    pub id: Option<u64>,
+    /// Its data lines, joined by line feeds.
+    pub data: String,
+    /// Whether it has data at all.
+    pub has_data: bool,
+    /// The weight version that makes this event and those behind it, where that changes.
+    pub version: Option<u64>,
+}
+
+/// Reads the events of one stream. An event counts once the blank line behind it has come.
+#[derive(Default)]
+pub struct EventReader {
+    buffer: Vec<u8>,
+    event: StreamEvent,
+    is_empty: bool,
+    version_field: String,
+}
+
+impl EventReader {
+    /// A reader of a stream in which the field `version_field` (in lower case) tells versions.
+    pub fn new(version_field: &str) -> Self {
+        Self {
+            buffer: Vec::new(),
+            event: StreamEvent::default(),
+            is_empty: true,
+            version_field: version_field.to_ascii_lowercase(),
+        }
+    }
+
+    /// Takes `bytes` and gives the events that are whole with them. Bytes that are not UTF-8 make
+    /// the stream unusable: `None`.
+    pub fn read(&mut self, bytes: &[u8]) -> Option<Vec<StreamEvent>> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        let mut start = 0;
+        while let Some(length) = self.buffer[start..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.buffer[start..start + length];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let line = std::str::from_utf8(line).ok()?;
+            take_line(
+                line,
+                &self.version_field,
+                &mut self.event,
+                &mut self.is_empty,
+                &mut events,
+            );
+            start += length + 1;
+        }
+        self.buffer.drain(..start);
+        Some(events)
+    }
+
+    /// Whether part of an event has come.
+    pub fn is_within_event(&self) -> bool {
+        !self.is_empty || !self.buffer.is_empty()
+    }
+}
+
+fn take_line(
+    line: &str,
+    version_field: &str,
+    event: &mut StreamEvent,
+    is_empty: &mut bool,
+    events: &mut Vec<StreamEvent>,
+) {
+    if line.is_empty() {
+        let event = std::mem::take(event);
+        if !std::mem::replace(is_empty, true) {
+            events.push(event);
+        }
+        return;
+    }
+    *is_empty = false;
+    let (field, value) = line.split_once(':').unwrap_or((line, ""));
+    let value = value.strip_prefix(' ').unwrap_or(value);
+    match field {
+        "id" => event.id = value.trim().parse().ok(),
+        "data" => {
+            if event.has_data {
+                event.data.push('\n');
+            }
+            event.has_data = true;
+            event.data.push_str(value);
+        }
+        _ if field == version_field => event.version = value.trim().parse().ok(),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/items.rs
@@ -0,0 +1,346 @@
+//! Running items of batch jobs on engines.
+
+use crate::event_stream::{EventReader, StreamEvent};
+use crate::process::Gateway;
+use crate::timers::TimerKey;
+use crate::upstream::Task;
+use slog::info;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_coordination::{
+    AssignmentId, GatewayMessage, IncomingFrame, ItemAssignment, ItemKey, ItemOutcome,
+    NotRunReason, RunningItem,
+};
+use wingshore_net::ConnectionId;
+use wingshore_net::http::{AnswerHead, HeadWriter};
+use wingshore_types::Instant;
+
+/// A connection to an engine must be up within this time.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// An engine must begin to answer, and go on, within this time.
+const STALL_LIMIT: Duration = Duration::from_millis(2500);
+
+/// One try that is under way, or whose end was not told.
+struct ItemRun {
+    assignment: ItemAssignment,
+    upstream: Option<ConnectionId>,
+    text: String,
+    events: u64,
+    last_event: Option<u64>,
+    versions: Vec<u64>,
+    /// The version that makes the next event.
+    version: Option<u64>,
+    /// When the engine was last heard of.
+    heard: Instant,
+    /// What came of it, until a leader was told.
+    outcome: Option<ItemOutcome>,
+}
+
+/// All tries of this gateway.
+#[derive(Default)]
+pub(crate) struct Items {
+    runs: BTreeMap<AssignmentId, ItemRun>,
+}
+
+impl Items {
+    /// What runs, and what has ended without a leader being told.
+    pub(crate) fn running(&self) -> impl Iterator<Item = RunningItem> + '_ {
+        self.runs.values().map(|run| RunningItem {
+            assignment: run.assignment.assignment,
+            item: run.assignment.item.clone(),
+            instance: run.assignment.instance.clone(),
+        })
+    }
+
+    /// How many run.
+    pub(crate) fn count(&self) -> usize {
+        self.runs.len()
+    }
+}
+
+impl Gateway {
+    pub(crate) fn begin_item(&mut self, now: Instant, assignment: ItemAssignment) {
+        let id = assignment.assignment;
+        let bytes = self.encode_item(&assignment);
+        let run = ItemRun {
+            upstream: None,
+            text: String::new(),
+            events: 0,
+            last_event: None,
+            versions: Vec::new(),
+            version: None,
+            heard: now,
+            outcome: None,
+            assignment,
+        };
+        let (instance, address) = (run.assignment.instance.clone(), run.assignment.address);
+        self.items.runs.insert(id, run);
+        if !self.status().takes_items {
+            return self.end_item(id, ItemOutcome::NotRun(NotRunReason::Stopping));
+        }
+        let sent = self.upstreams.send(
+            now,
+            &mut self.reactor,
+            &instance,
+            address,
+            Task::Item(id),
+            &bytes,
+        );
+        let Some(upstream) = sent else {
+            return self.end_item(id, ItemOutcome::NotRun(NotRunReason::Unreachable));
+        };
+        if let Some(run) = self.items.runs.get_mut(&id) {
+            run.upstream = Some(upstream);
+        }
+        self.timers.arm(now + CONNECT_LIMIT, TimerKey::Item(id));
+    }
+
+    fn encode_item(&self, assignment: &ItemAssignment) -> Vec<u8> {
+        let names = self.protocol.header_names();
+        let mut writer = HeadWriter::request("POST", &assignment.path)
+            .header("Host", &assignment.host)
+            .header(names.request_id, &assignment.request);
+        for (name, value) in &assignment.headers {
+            writer = writer.header(name, value);
+        }
+        writer = writer
+            .header(names.expected_instance, &assignment.instance)
+            .header(names.priority, assignment.priority);
+        if let Some(event) = assignment.after_event {
+            writer = writer.header(names.last_event, event);
+        }
+        if let Some(version) = assignment.expected_version {
+            writer = writer.header(names.expected_version, version);
+        }
+        writer.body(&assignment.body)
+    }
+
+    /// Bytes of an engine's answer have arrived and are in its reader.
+    pub(crate) fn on_item_input(&mut self, now: Instant, id: AssignmentId, upstream: ConnectionId) {
+        let names = self.protocol.header_names().clone();
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        run.heard = now;
+        let Some(connection) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        let Some(head) = connection.reader.head() else {
+            return;
+        };
+        if !head.is_success() {
+            return;
+        }
+        if connection.events.is_none() {
+            let is_own = head.headers.get(names.request_id)
+                == Some(run.assignment.request.as_str().as_bytes());
+            let is_signed = head.headers.get(names.signature).is_some();
+            if !is_own || !is_signed {
+                return self.item_broken(now, id);
+            }
+            run.version = head.headers.number(names.version);
+            connection.events = Some(EventReader::new(names.version));
+        }
+        let body = connection.reader.take_body();
+        let events = connection
+            .events
+            .as_mut()
+            .and_then(|events| events.read(&body));
+        match events {
+            Some(events) => events.into_iter().for_each(|event| run.take(event)),
+            None => self.item_broken(now, id),
+        }
+    }
+
+    /// An engine's answer is whole.
+    pub(crate) fn item_answered(&mut self, id: AssignmentId, head: &AnswerHead, clean: bool) {
+        let not_run = head
+            .headers
+            .get(self.protocol.header_names().not_run)
+            .is_some();
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        let outcome = match head.status {
+            421 => ItemOutcome::NotRun(NotRunReason::Mismatch),
+            _ if not_run => ItemOutcome::NotRun(NotRunReason::Full),
+            200..=299 if clean => run.finished(),
+            200..=299 => run.interrupted(false),
+            422 => ItemOutcome::Impossible,
+            _ => ItemOutcome::Failed,
+        };
+        self.end_item(id, outcome);
+    }
+
+    /// The connection of a try ended without a whole answer.
+    pub(crate) fn item_connection_ended(&mut self, id: AssignmentId, was_up: bool) {
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        run.upstream = None;
+        let outcome = if was_up {
+            run.interrupted(true)
+        } else {
+            ItemOutcome::NotRun(NotRunReason::Unreachable)
+        };
+        self.end_item(id, outcome);
+    }
+
+    /// What an engine sends is no stream: the connection is closed.
+    fn item_broken(&mut self, _now: Instant, id: AssignmentId) {
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        let outcome = run.interrupted(false);
+        if let Some(upstream) = run.upstream.take() {
+            self.upstreams.close(&mut self.reactor, upstream);
+        }
+        self.end_item(id, outcome);
+    }
+
+    /// An engine may have been silent for too long.
+    pub(crate) fn on_item_timer(&mut self, now: Instant, id: AssignmentId) {
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        let Some(upstream) = run.upstream else {
+            return;
+        };
+        let up = self
+            .upstreams
+            .get(upstream)
+            .is_some_and(|upstream| upstream.up);
+        let limit = if up { STALL_LIMIT } else { CONNECT_LIMIT };
+        if now < run.heard + limit {
+            return self.timers.arm(run.heard + limit, TimerKey::Item(id));
+        }
+        self.upstreams.close(&mut self.reactor, upstream);
+        self.item_connection_ended(id, up);
+    }
+
+    /// A leader has no more use for a try.
+    pub(crate) fn cancel_item(&mut self, id: AssignmentId) {
+        if let Some(run) = self.items.runs.remove(&id)
+            && let Some(upstream) = run.upstream
+        {
+            self.upstreams.close(&mut self.reactor, upstream);
+        }
+    }
+
+    fn end_item(&mut self, id: AssignmentId, outcome: ItemOutcome) {
+        let leader = self.coordinators.leader();
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        run.upstream = None;
+        if !matches!(outcome, ItemOutcome::Finished { .. }) {
+            info!(self.logger, "item ended"; "item" => %run.assignment.request,
+                "job" => %run.assignment.item.job, "engine" => %run.assignment.instance,
+                "outcome" => outcome_name(&outcome), "events" => run.events);
+        }
+        run.outcome = Some(outcome);
+        if let Some(leader) = leader {
+            self.tell_ended_items(leader);
+        }
+    }
+
+    /// Tells the leader the ends that it was not told.
+    pub(crate) fn tell_ended_items(&mut self, leader: ConnectionId) {
+        let ended: Vec<AssignmentId> = self
+            .items
+            .runs
+            .iter()
+            .filter(|(_, run)| run.outcome.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            let Some(run) = self.items.runs.remove(&id) else {
+                continue;
+            };
+            let item: ItemKey = run.assignment.item;
+            let Some(outcome) = run.outcome else {
+                continue;
+            };
+            let message = GatewayMessage::ItemEnded {
+                assignment: id,
+                item,
+                outcome,
+            };
+            self.send_frame(leader, &IncomingFrame::FromGateway(message));
+        }
+    }
+
+    /// Hands back all items: another gateway goes on with them.
+    pub(crate) fn hand_items_back(&mut self) {
+        let running: Vec<AssignmentId> = self
+            .items
+            .runs
+            .iter()
+            .filter(|(_, run)| run.outcome.is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in running {
+            let Some(run) = self.items.runs.get_mut(&id) else {
+                continue;
+            };
+            let outcome = run.interrupted(false);
+            if let Some(upstream) = run.upstream.take() {
+                self.upstreams.close(&mut self.reactor, upstream);
+            }
+            self.end_item(id, outcome);
+        }
+    }
+}
+
+impl ItemRun {
+    fn take(&mut self, event: StreamEvent) {
+        if let Some(version) = event.version {
+            self.version = Some(version);
+        }
+        if !event.has_data {
+            return;
+        }
+        if self.events > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        self.events += 1;
+        self.last_event = event.id.or(self.last_event);
+        if let Some(version) = self.version
+            && !self.versions.contains(&version)
+        {
+            self.versions.push(version);
+        }
+    }
+
+    fn finished(&mut self) -> ItemOutcome {
+        ItemOutcome::Finished {
+            text: std::mem::take(&mut self.text),
+            events: self.events,
+            versions: std::mem::take(&mut self.versions),
+        }
+    }
+
+    fn interrupted(&mut self, engine_suspect: bool) -> ItemOutcome {
+        ItemOutcome::Interrupted {
+            text: std::mem::take(&mut self.text),
+            events: self.events,
+            last_event: self.last_event,
+            versions: std::mem::take(&mut self.versions),
+            engine_suspect,
+        }
+    }
+}
+
+fn outcome_name(outcome: &ItemOutcome) -> &'static str {
+    match outcome {
+        ItemOutcome::Finished { .. } => "finished",
+        ItemOutcome::Interrupted { .. } => "interrupted",
+        ItemOutcome::NotRun(NotRunReason::Full) => "engine full",
+        ItemOutcome::NotRun(NotRunReason::Mismatch) => "engine mismatch",
+        ItemOutcome::NotRun(NotRunReason::Unreachable) => "engine unreachable",
+        ItemOutcome::NotRun(NotRunReason::Stopping) => "gateway stopping",
+        ItemOutcome::Failed => "failed",
+        ItemOutcome::Impossible => "impossible",
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! Process of a gateway: the shared ingress of a site.
+//!
+//! One thread owns all sockets. Clients' requests are forwarded to servers, within the attempts,
+//! time-outs and kinds of their routes; items of batch jobs are run on engines as the coordination
+//! group's leader assigns them; calls about batch jobs are passed on to that leader. All state is
+//! soft: a gateway may be killed at any time. What callers and servers speak is translated by an
+//! [`IngressProtocol`].
+
+mod balance;
+mod calls;
+mod clients;
+mod coordinators;
+mod error;
+mod event_stream;
+mod forward;
+mod items;
+mod process;
+mod protocol;
+mod settings;
+mod timers;
+mod upstream;
+mod view;
+
+pub use error::GatewayError;
+pub use event_stream::{EventReader, StreamEvent};
+pub use process::{Gateway, StopRequest};
+pub use protocol::{BatchAnswer, BatchCall, HeaderNames, HttpAnswer, IngressProtocol, OwnAnswer};
+pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/wingshore-gateway/src/process.rs
@@ -0,0 +1,378 @@
+//! One gateway process from start to end: the loop that owns all sockets.
+
+use crate::balance::Balancer;
+use crate::calls::Calls;
+use crate::clients::Client;
+use crate::coordinators::Coordinators;
+use crate::error::{GatewayError, NetSnafu};
+use crate::items::Items;
+use crate::protocol::IngressProtocol;
+use crate::settings::GatewaySettings;
+use crate::timers::{TimerKey, Timers};
+use crate::upstream::{Task, Upstreams};
+use crate::view::View;
+use slog::{Logger, info};
+use snafu::ResultExt;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use wingshore_coordination::{GatewayId, GatewayStatus};
+use wingshore_net::Clock;
+use wingshore_net::http::BodyStatus;
+use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor};
+use wingshore_types::Instant;
+
+/// Sent bytes may stay unacknowledged this long on connections of clients.
+const CLIENT_LIMIT: Duration = Duration::from_secs(8);
+/// Between signs of life to coordinators.
+const STATUS_INTERVAL: Duration = Duration::from_millis(400);
+/// Between looks at what has become due.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for sockets.
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+/// After this many times the directory's time to live no client uses this gateway any more.
+const TTL_FACTOR: u32 = 3;
+/// Left before the end of a planned stop for the last answers to arrive.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// What signals ask of a process.
+#[derive(Clone, Debug, Default)]
+pub struct StopRequest {
+    /// Set by a planned stop.
+    pub stop: Arc<AtomicBool>,
+}
+
+/// What a connection to a coordinator is.
+#[derive(Clone, Copy)]
+pub(crate) struct LinkRole {
+    pub(crate) address: SocketAddr,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) logger: Logger,
+    pub(crate) id: GatewayId,
+    pub(crate) reactor: Reactor,
+    pub(crate) protocol: Box<dyn IngressProtocol>,
+    pub(crate) view: View,
+    pub(crate) clients: HashMap<ConnectionId, Client>,
+    pub(crate) links: HashMap<ConnectionId, LinkRole>,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) balancer: Balancer,
+    pub(crate) coordinators: Coordinators,
+    pub(crate) calls: Calls,
+    pub(crate) items: Items,
+    pub(crate) timers: Timers,
+    pub(crate) split_counter: u64,
+    pub(crate) stopping_since: Option<Instant>,
+    clock: Clock,
+    ready_listener: Option<ListenerId>,
+    stop: StopRequest,
+    next_status: Instant,
+    next_housekeeping: Instant,
+}
+
+impl Gateway {
+    /// Listens.
+    ///
+    /// # Errors
+    /// When an address cannot be used.
+    pub fn start(
+        settings: GatewaySettings,
+        protocol: Box<dyn IngressProtocol>,
+        stop: StopRequest,
+        logger: Logger,
+    ) -> Result<Self, GatewayError> {
+        let mut reactor = Reactor::new().context(NetSnafu)?;
+        let most = settings.most_connections;
+        reactor
+            .listen(settings.front, CLIENT_LIMIT, most)
+            .context(NetSnafu)?;
+        let ready_listener = settings
+            .ready
+            .map(|address| reactor.listen(address, CLIENT_LIMIT, most))
+            .transpose()
+            .context(NetSnafu)?;
+        info!(logger, "started"; "node" => &settings.node, "front" => %settings.front);
+        Ok(Self {
+            settings,
+            logger,
+            id: GatewayId(rand::random()),
+            reactor,
+            protocol,
+            view: View::default(),
+            clients: HashMap::new(),
+            links: HashMap::new(),
+            upstreams: Upstreams::default(),
+            balancer: Balancer::default(),
+            coordinators: Coordinators::default(),
+            calls: Calls::default(),
+            items: Items::default(),
+            timers: Timers::default(),
+            split_counter: rand::random(),
+            stopping_since: None,
+            clock: Clock::start(),
+            ready_listener,
+            stop,
+            next_status: Instant::ZERO,
+            next_housekeeping: Instant::ZERO,
+        })
+    }
+
+    /// Serves until a planned stop.
+    ///
+    /// # Errors
+    /// When sockets cannot be waited for.
+    pub fn run(mut self) -> Result<(), GatewayError> {
+        let mut events = Vec::new();
+        loop {
+            let wait = self.time_to_wait();
+            self.reactor.poll(wait, &mut events).context(NetSnafu)?;
+            let now = self.clock.now();
+            for event in events.drain(..) {
+                self.on_net_event(now, event);
+            }
+            self.fire_timers(now);
+            self.keep_house(now);
+            if self.has_stopped(now) {
+                info!(self.logger, "stopped"; "node" => &self.settings.node);
+                // What is queued leaves with the last turn.
+                self.reactor
+                    .poll(Duration::ZERO, &mut events)
+                    .context(NetSnafu)?;
+                return Ok(());
+            }
+        }
+    }
+
+    fn time_to_wait(&self) -> Duration {
+        let now = self.clock.now();
+        let mut due = self.next_status.min(self.next_housekeeping);
+        if let Some(timer) = self.timers.next() {
+            due = due.min(timer);
+        }
+        due.since(now).min(LONGEST_WAIT)
+    }
+
+    /// How this gateway stands.
+    pub(crate) fn status(&self) -> GatewayStatus {
+        let stopping = self.stopping_since.is_some();
+        GatewayStatus {
+            ready: self.view.is_configured() && !stopping,
+            takes_items: self.view.is_configured() && !stopping,
+            configuration: self.view.version(),
+        }
+    }
+
+    fn on_net_event(&mut self, now: Instant, event: NetEvent) {
+        match event {
+            NetEvent::Accepted {
+                listener,
+                connection,
+            } => {
+                let is_check = Some(listener) == self.ready_listener;
+                self.clients.insert(connection, Client::new(now, is_check));
+                let idle = self.view.limits().idle_timeout;
+                self.timers.arm(now + idle, TimerKey::Client(connection));
+            }
+            NetEvent::Connected(connection) => self.on_connected(now, connection),
+            NetEvent::Received(connection) => self.on_received(now, connection),
+            NetEvent::EndOfInput(connection) => self.on_end_of_input(now, connection),
+            NetEvent::Broken(connection) => self.on_broken(now, connection),
+        }
+    }
+
+    fn on_connected(&mut self, now: Instant, connection: ConnectionId) {
+        if let Some(link) = self.links.get(&connection) {
+            let address = link.address;
+            return self.on_link_up(now, connection, address);
+        }
+        let Some(upstream) = self.upstreams.get_mut(connection) else {
+            return;
+        };
+        upstream.up = true;
+        match upstream.task {
+            Some(Task::Exchange(client)) => self.exchange_sent(now, client),
+            Some(Task::Item(_)) | None => {}
+        }
+    }
+
+    fn on_received(&mut self, now: Instant, connection: ConnectionId) {
+        if let Some(link) = self.links.get(&connection) {
+            let address = link.address;
+            return self.on_link_input(now, connection, address);
+        }
+        if self.upstreams.owns(connection) {
+            return self.on_upstream_input(now, connection);
+        }
+        self.on_client_input(now, connection);
+    }
+
+    fn on_upstream_input(&mut self, now: Instant, connection: ConnectionId) {
+        let Some(upstream) = self.upstreams.get_mut(connection) else {
+            return;
+        };
+        let Some(task) = upstream.task else {
+            // Bytes that nobody asked for: whatever comes next cannot be trusted.
+            self.upstreams.close(&mut self.reactor, connection);
+            return;
+        };
+        let Some(input) = self.reactor.input(connection) else {
+            return;
+        };
+        let status = upstream.reader.read(input);
+        let clean = input.is_empty();
+        if let Task::Item(id) = task {
+            self.on_item_input(now, id, connection);
+        }
+        match status {
+            Ok(BodyStatus::Partial) => {}
+            Ok(BodyStatus::Whole) => self.upstream_answered(now, connection, task, clean),
+            Err(_) => self.upstream_ended(now, connection),
+        }
+    }
+
+    /// The answer on a connection is whole; `clean` when nothing came behind it.
+    fn upstream_answered(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        task: Task,
+        clean: bool,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(connection) else {
+            return;
+        };
+        let instance = upstream.instance.clone();
+        let reader = std::mem::replace(
+            &mut upstream.reader,
+            wingshore_net::http::AnswerReader::new(false),
+        );
+        let within_event = upstream
+            .events
+            .as_ref()
+            .is_some_and(crate::event_stream::EventReader::is_within_event);
+        let Some(answer) = reader.into_answer(clean) else {
+            return;
+        };
+        if answer.reusable {
+            self.upstreams.release(now, connection, &answer.head);
+        } else {
+            self.upstreams.close(&mut self.reactor, connection);
+        }
+        match task {
+            Task::Exchange(client) => self.exchange_answered(now, client, &instance, answer),
+            Task::Item(id) => self.item_answered(id, &answer.head, !within_event),
+        }
+    }
+
+    fn on_end_of_input(&mut self, now: Instant, connection: ConnectionId) {
+        if self.links.contains_key(&connection) {
+            return self.on_broken(now, connection);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(connection) {
+            let whole = upstream.task.is_some() && upstream.reader.is_whole_at_close();
+            match upstream.task {
+                Some(task) if whole => {
+                    self.upstream_answered(now, connection, task, false);
+                }
+                _ => self.upstream_ended(now, connection),
+            }
+            return;
+        }
+        self.close_client(connection);
+    }
+
+    fn on_broken(&mut self, now: Instant, connection: ConnectionId) {
+        if let Some(link) = self.links.get(&connection) {
+            let address = link.address;
+            return self.on_link_ended(now, connection, address);
+        }
+        if self.upstreams.owns(connection) {
+            return self.upstream_ended(now, connection);
+        }
+        self.close_client(connection);
+    }
+
+    /// A connection to a server ended without a whole answer.
+    fn upstream_ended(&mut self, now: Instant, connection: ConnectionId) {
+        let Some(closed) = self.upstreams.close(&mut self.reactor, connection) else {
+            return;
+        };
+        match closed.task {
+            Some(Task::Exchange(client)) => {
+                self.exchange_broken(now, client, &closed.instance, closed.up);
+            }
+            Some(Task::Item(id)) => self.item_connection_ended(id, closed.up),
+            None => {}
+        }
+    }
+
+    fn fire_timers(&mut self, now: Instant) {
+        while let Some(key) = self.timers.take_due(now) {
+            match key {
+                TimerKey::Client(connection) => self.on_client_timer(now, connection),
+                TimerKey::Exchange(client) => self.on_exchange_timer(now, client),
+                TimerKey::Item(id) => self.on_item_timer(now, id),
+                TimerKey::Call(id) => self.on_call_timer(now, id),
+            }
+        }
+    }
+
+    fn keep_house(&mut self, now: Instant) {
+        if now >= self.next_status {
+            self.next_status = now + STATUS_INTERVAL;
+            self.tell_status();
+        }
+        if now < self.next_housekeeping {
+            return;
+        }
+        self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+        self.dial_coordinators(now);
+        let view = &self.view;
+        self.upstreams
+            .close_idle(now, &mut self.reactor, |instance| view.knows(instance));
+        self.balancer.retain(|instance| view.knows(instance));
+        self.begin_stop(now);
+    }
+
+    fn begin_stop(&mut self, now: Instant) {
+        if self.stopping_since.is_some() || !self.stop.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        info!(self.logger, "planned stop"; "node" => &self.settings.node);
+        self.stopping_since = Some(now);
+        self.tell_status();
+        self.hand_items_back();
+    }
+
+    /// Whether a planned stop is over: nobody waits for an answer, and no client can have an
+    /// address of this gateway that it was given before.
+    fn has_stopped(&mut self, now: Instant) -> bool {
+        let Some(since) = self.stopping_since else {
+            return false;
+        };
+        let stopped_for = now.since(since);
+        if stopped_for >= self.settings.stop_limit {
+            return true;
+        }
+        let unused_after = self.settings.directory_ttl * TTL_FACTOR;
+        let is_late = stopped_for + STOP_MARGIN >= self.settings.stop_limit;
+        if stopped_for < unused_after && !is_late {
+            return false;
+        }
+        let idle: Vec<ConnectionId> = self
+            .clients
+            .iter()
+            .filter(|(_, client)| client.is_idle())
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in idle {
+            self.close_client(connection);
+        }
+        self.clients.is_empty() && self.items.count() == 0
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -0,0 +1,122 @@
+//! What a deployment's wire must translate.
+
+use std::time::Duration;
+use wingshore_coordination::{ItemId, JobId, JobPage, JobSubmission};
+use wingshore_net::http::{RequestHead, WholeRequest};
+
+/// An HTTP answer, whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// The status code.
+    pub status: u16,
+    /// Header lines besides those that frame the body.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Names of the headers that a gateway reads or sets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeaderNames {
+    /// Identity of a request; servers answer with the same.
+    pub request_id: &'static str,
+    /// Milliseconds that the sender will wait.
+    pub deadline: &'static str,
+    /// The run of a server that a request is meant for.
+    pub expected_instance: &'static str,
+    /// The weight version that a request is meant for.
+    pub expected_version: &'static str,
+    /// A server's word that it has not run the request.
+    pub not_run: &'static str,
+    /// On every answer of a server itself.
+    pub signature: &'static str,
+    /// A server's requests running, requests waiting and slots, joined by commas.
+    pub load: &'static str,
+    /// The last event that the receiver of a stream has.
+    pub last_event: &'static str,
+    /// Rank of a request at an engine.
+    pub priority: &'static str,
+    /// The weight version that makes what follows.
+    pub version: &'static str,
+}
+
+/// A call about a batch job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BatchCall {
+    /// Results from a position on.
+    Read {
+        /// The job.
+        job: JobId,
+        /// The first position.
+        from: u64,
+        /// How long the answer may wait.
+        wait: Duration,
+    },
+    /// The body of an item.
+    ReadItem {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+    },
+    /// Ends the job.
+    End {
+        /// The job.
+        job: JobId,
+    },
+}
+
+/// What to answer to a call about a batch job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BatchAnswer {
+    /// The job is accepted.
+    Accepted,
+    /// Results.
+    Page(JobPage),
+    /// Body of an item.
+    Item(Vec<u8>),
+    /// The job is ended.
+    Ended,
+    /// There is no such job or item.
+    Unknown,
+    /// The call had no effect; come back after this time.
+    Unavailable(Duration),
+    /// The call may or may not take effect.
+    Uncertain,
+    /// The call is refused; says why.
+    Refused(String),
+}
+
+/// A gateway's own answer to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnAnswer {
+    /// No route for this host and path.
+    NoRoute,
+    /// Not run; come back after this time.
+    NotRun(Duration),
+    /// Not run: it did not arrive whole in time.
+    TooSlow,
+    /// It may have run; no answer of a server came whole.
+    Broken,
+    /// It may have run; its time is over.
+    OutOfTime,
+}
+
+/// Translates what callers and servers speak.
+pub trait IngressProtocol {
+    /// Names of headers.
+    fn header_names(&self) -> &HeaderNames;
+    /// Reads a call about a batch job; `None` when the request is none.
+    fn read_batch_call(&self, head: &RequestHead) -> Option<BatchCall>;
+    /// Reads a batch job.
+    ///
+    /// # Errors
+    /// Says what is wrong, where, and what is allowed.
+    fn read_submission(&self, request: &WholeRequest) -> Result<JobSubmission, String>;
+    /// Writes the answer to a call about a batch job.
+    fn write_batch(&self, answer: &BatchAnswer) -> HttpAnswer;
+    /// Writes an answer of the gateway's own.
+    fn write_own(&self, answer: &OwnAnswer) -> HttpAnswer;
+    /// Writes the answer to the question whether the gateway is ready.
+    fn write_ready(&self, head: &RequestHead, ready: bool) -> HttpAnswer;
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/settings.rs
@@ -0,0 +1,43 @@
+//! Settings of a gateway process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// Settings of a gateway process, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the machine.
+    pub node: String,
+    /// Where it stands.
+    pub zone: String,
+    /// Region of that zone.
+    pub region: String,
+    /// Where clients connect.
+    pub front: SocketAddr,
+    /// Where the deployment asks whether it is ready.
+    pub ready: Option<SocketAddr>,
+    /// Port for the site's own processes; the same on all machines.
+    pub internal_port: u16,
+    /// Addresses of coordinators as far as known when the settings were written.
+    pub seeds: Vec<IpAddr>,
+    /// Most connections of all kinds at a time.
+    pub most_connections: usize,
+    /// How long clients may go on using an address that they were given.
+    pub directory_ttl: Duration,
+    /// Within which a planned stop must be over.
+    pub stop_limit: Duration,
+}
+
+impl GatewaySettings {
+    /// Where the seeds listen for the site's own processes.
+    pub fn seed_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .map(|ip| SocketAddr::new(*ip, self.internal_port))
+            .collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/upstream.rs
@@ -0,0 +1,190 @@
+//! Connections to servers: one request at a time on each, kept for the next one.
+
+use crate::event_stream::EventReader;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordination::{AssignmentId, InstanceId};
+use wingshore_net::http::{AnswerHead, AnswerReader};
+use wingshore_net::{ConnectOptions, ConnectionId, Reactor};
+use wingshore_types::Instant;
+
+/// Sent bytes may stay unacknowledged this long.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+/// Idle connections are kept this long where the server does not say.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+/// A connection is not used in the last part of the time that the server keeps it.
+const KEEP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Who uses a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Task {
+    /// The exchange of a client's connection.
+    Exchange(ConnectionId),
+    /// A try at an item.
+    Item(AssignmentId),
+}
+
+/// One connection to a server.
+pub(crate) struct Upstream {
+    pub(crate) instance: InstanceId,
+    /// Whether it has come up: from then on bytes may have left.
+    pub(crate) up: bool,
+    pub(crate) task: Option<Task>,
+    pub(crate) reader: AnswerReader,
+    /// For streams.
+    pub(crate) events: Option<EventReader>,
+    /// When the task began.
+    pub(crate) since: Instant,
+    idle_until: Instant,
+    keep: Duration,
+}
+
+/// All connections to servers.
+#[derive(Default)]
+pub(crate) struct Upstreams {
+    all: HashMap<ConnectionId, Upstream>,
+    idle: HashMap<InstanceId, Vec<ConnectionId>>,
+}
+
+impl Upstreams {
+    /// Sends a request on an idle connection, or a new one; `None` when the system refuses one.
+    pub(crate) fn send(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        instance: &InstanceId,
+        address: SocketAddr,
+        task: Task,
+        bytes: &[u8],
+    ) -> Option<ConnectionId> {
+        let connection = match self.take_idle(now, reactor, instance) {
+            Some(connection) => connection,
+            None => self.connect(now, reactor, instance, address)?,
+        };
+        let upstream = self.all.get_mut(&connection)?;
+        upstream.task = Some(task);
+        upstream.since = now;
+        upstream.reader = AnswerReader::new(false);
+        upstream.events = None;
+        reactor.send(connection, bytes);
+        Some(connection)
+    }
+
+    fn connect(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        instance: &InstanceId,
+        address: SocketAddr,
+    ) -> Option<ConnectionId> {
+        let options = ConnectOptions {
+            unacknowledged_limit: UNACKNOWLEDGED_LIMIT,
+        };
+        let connection = reactor.connect(address, options)?;
+        let upstream = Upstream {
+            instance: instance.clone(),
+            up: false,
+            task: None,
+            reader: AnswerReader::new(false),
+            events: None,
+            since: now,
+            idle_until: now,
+            keep: DEFAULT_KEEP,
+        };
+        self.all.insert(connection, upstream);
+        Some(connection)
+    }
+
+    fn take_idle(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        instance: &InstanceId,
+    ) -> Option<ConnectionId> {
+        let idle = self.idle.get_mut(instance)?;
+        while let Some(connection) = idle.pop() {
+            let is_kept = self
+                .all
+                .get(&connection)
+                .is_some_and(|upstream| now < upstream.idle_until);
+            if is_kept && reactor.is_open(connection) {
+                return Some(connection);
+            }
+            reactor.close(connection);
+            self.all.remove(&connection);
+        }
+        None
+    }
+
+    /// A connection and its use.
+    pub(crate) fn get_mut(&mut self, connection: ConnectionId) -> Option<&mut Upstream> {
+        self.all.get_mut(&connection)
+    }
+
+    /// A connection and its use.
+    pub(crate) fn get(&self, connection: ConnectionId) -> Option<&Upstream> {
+        self.all.get(&connection)
+    }
+
+    /// Whether a connection leads to a server.
+    pub(crate) fn owns(&self, connection: ConnectionId) -> bool {
+        self.all.contains_key(&connection)
+    }
+
+    /// The answer was whole and nothing came behind it: the connection waits for its next use.
+    pub(crate) fn release(&mut self, now: Instant, connection: ConnectionId, head: &AnswerHead) {
+        let Some(upstream) = self.all.get_mut(&connection) else {
+            return;
+        };
+        upstream.task = None;
+        upstream.keep = keep_time(head).unwrap_or(upstream.keep);
+        upstream.idle_until = now + upstream.keep.saturating_sub(KEEP_MARGIN);
+        let idle = self.idle.entry(upstream.instance.clone()).or_default();
+        idle.push(connection);
+    }
+
+    /// The connection is of no more use.
+    pub(crate) fn close(
+        &mut self,
+        reactor: &mut Reactor,
+        connection: ConnectionId,
+    ) -> Option<Upstream> {
+        reactor.close(connection);
+        let upstream = self.all.remove(&connection)?;
+        if let Some(idle) = self.idle.get_mut(&upstream.instance) {
+            idle.retain(|other| *other != connection);
+        }
+        Some(upstream)
+    }
+
+    /// Closes connections that have been idle for too long, or whose server is not known any more.
+    pub(crate) fn close_idle(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        is_known: impl Fn(&InstanceId) -> bool,
+    ) {
+        let old: Vec<ConnectionId> = self
+            .all
+            .iter()
+            .filter(|(_, upstream)| upstream.task.is_none())
+            .filter(|(_, upstream)| now >= upstream.idle_until || !is_known(&upstream.instance))
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in old {
+            self.close(reactor, connection);
+        }
+        self.idle.retain(|_, connections| !connections.is_empty());
+    }
+}
+
+/// How long a server keeps an idle connection, as its answer says.
+fn keep_time(head: &AnswerHead) -> Option<Duration> {
+    let text = head.headers.text("keep-alive")?;
+    let seconds = text
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|value| value.parse().ok())?;
+    Some(Duration::from_secs(seconds))
+}
--- /dev/null
+++ b/crates/wingshore-gateway/src/view.rs
@@ -0,0 +1,101 @@
+//! What a gateway knows of its site: the configuration and the servers, as the leader told it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wingshore_coordination::{
+    IngressLimits, InstanceId, RouteTable, ServerRecord, ServiceName, SiteConfiguration, SiteView,
+    ViewChange,
+};
+use wingshore_types::Epoch;
+
+/// The view of one gateway.
+///
+/// Invariants: the configuration's version never falls; nothing is taken from a leadership that
+/// is older than the newest one known.
+#[derive(Default)]
+pub(crate) struct View {
+    epoch: Epoch,
+    configuration: Option<Arc<SiteConfiguration>>,
+    routes: RouteTable,
+    servers: BTreeMap<InstanceId, ServerRecord>,
+}
+
+impl View {
+    /// A leader has told its whole view; says whether it was taken.
+    pub(crate) fn welcome(&mut self, epoch: Epoch, view: SiteView) -> bool {
+        if epoch < self.epoch {
+            return false;
+        }
+        self.epoch = epoch;
+        if let Some(configuration) = view.configuration {
+            self.configure(configuration);
+        }
+        let servers = view.servers.into_iter();
+        self.servers = servers
+            .map(|server| (server.instance.clone(), server))
+            .collect();
+        true
+    }
+
+    /// A leader has told a change; says whether it was taken.
+    pub(crate) fn change(&mut self, epoch: Epoch, change: ViewChange) -> bool {
+        if epoch != self.epoch {
+            return false;
+        }
+        match change {
+            ViewChange::Configuration(configuration) => self.configure(configuration),
+            ViewChange::Server(server) => {
+                self.servers.insert(server.instance.clone(), server);
+            }
+            ViewChange::Gone(instance) => {
+                self.servers.remove(&instance);
+            }
+        }
+        true
+    }
+
+    fn configure(&mut self, configuration: Arc<SiteConfiguration>) {
+        if configuration.version <= self.version() {
+            return;
+        }
+        self.routes = RouteTable::new(&configuration);
+        self.configuration = Some(configuration);
+    }
+
+    /// Version of the configuration; 0 without one.
+    pub(crate) fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |held| held.version)
+    }
+
+    /// Whether there is a configuration.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.configuration.is_some()
+    }
+
+    /// The routes in force.
+    pub(crate) fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// What callers may send.
+    pub(crate) fn limits(&self) -> IngressLimits {
+        self.configuration
+            .as_ref()
+            .map_or_else(IngressLimits::default, |held| held.limits)
+    }
+
+    /// The servers of a service that take new requests.
+    pub(crate) fn servers_of<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a ServerRecord> + 'a {
+        self.servers
+            .values()
+            .filter(move |server| server.service == *service && !server.draining)
+    }
+
+    /// Whether a server is known.
+    pub(crate) fn knows(&self, instance: &InstanceId) -> bool {
+        self.servers.contains_key(instance)
+    }
+}
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -298,6 +298,13 @@
         self.raft.commit_index()
     }
 
+    /// Whether this replica leads and knows that `id` holds all that is committed, durably.
+    pub fn is_caught_up(&self, id: ReplicaId) -> bool {
+        let known = self.raft.match_indexes();
+        let index = known.iter().find(|(member, _)| *member == id);
+        index.is_some_and(|(_, index)| *index >= self.raft.commit_index())
+    }
+
     /// The members, as of the newest entry that changes them.
     pub fn membership(&self) -> &Membership {
         self.raft.membership()
--- /dev/null
+++ b/crates/wingshore-net/src/http/head.rs
@@ -0,0 +1,227 @@
+//! Heads of requests and answers.
+
+use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
+
+/// Most header lines of a message.
+const MOST_HEADERS: usize = 96;
+
+/// Why bytes are not an HTTP/1.1 message.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum HttpError {
+    /// The head is longer than allowed.
+    #[snafu(display("a head of more than {limit} bytes"))]
+    HeadTooLong {
+        /// What is allowed.
+        limit: usize,
+    },
+    /// Not a head.
+    #[snafu(display("not an HTTP head: {reason}"))]
+    Malformed {
+        /// From the parser.
+        reason: String,
+    },
+    /// The end of the body cannot be told.
+    #[snafu(display("unusable framing: {reason}"))]
+    Framing {
+        /// Why.
+        reason: &'static str,
+    },
+}
+
+/// Header lines, in order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers {
+    lines: Vec<(Bytes, Bytes)>,
+}
+
+impl Headers {
+    /// The first value of `name`, whatever its case.
+    pub fn get<'a>(&'a self, name: &str) -> Option<&'a [u8]> {
+        self.all(name).next()
+    }
+
+    /// The first value of `name` as text without blanks around it.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok().map(str::trim)
+    }
+
+    /// The first value of `name` as a number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.text(name)?.parse().ok()
+    }
+
+    /// All values of `name`.
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
+        self.lines
+            .iter()
+            .filter(move |(line, _)| line.eq_ignore_ascii_case(name.as_bytes()))
+            .map(|(_, value)| value.as_ref())
+    }
+
+    /// Whether a comma-separated header holds `token`.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name).any(|value| {
+            value
+                .split(|byte| *byte == b',')
+                .any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+        })
+    }
+
+    /// All lines.
+    pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        self.lines
+            .iter()
+            .map(|(name, value)| (name.as_ref(), value.as_ref()))
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method, as sent.
+    pub method: String,
+    /// Path and query, as sent.
+    pub target: String,
+    /// Whether the peer speaks HTTP/1.1 rather than 1.0.
+    pub is_http11: bool,
+    /// The header lines.
+    pub headers: Headers,
+}
+
+impl RequestHead {
+    /// The target without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or(&self.target)
+    }
+
+    /// A parameter of the query, as sent.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.target.split_once('?')?;
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    }
+
+    /// Whether the connection is to be closed after this exchange.
+    pub fn wants_close(&self) -> bool {
+        self.headers.has_token("connection", "close") || !self.is_http11
+    }
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The status code.
+    pub status: u16,
+    /// Whether the peer speaks HTTP/1.1 rather than 1.0.
+    pub is_http11: bool,
+    /// The header lines.
+    pub headers: Headers,
+}
+
+impl AnswerHead {
+    /// Whether the connection is to be closed after this exchange.
+    pub fn wants_close(&self) -> bool {
+        self.headers.has_token("connection", "close") || !self.is_http11
+    }
+
+    /// Whether the status says success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// Takes a request's head out of `input`; `None` when it is not whole yet.
+///
+/// # Errors
+/// When the bytes are no head, or one longer than `most_bytes`.
+pub fn read_request_head(
+    input: &mut BytesMut,
+    most_bytes: usize,
+) -> Result<Option<RequestHead>, HttpError> {
+    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut parsed = httparse::Request::new(&mut lines);
+    let Some(length) = parse_status(parsed.parse(input), input.len(), most_bytes)? else {
+        return Ok(None);
+    };
+    let method = parsed.method.unwrap_or_default().to_owned();
+    let target = parsed.path.unwrap_or_default().to_owned();
+    let is_http11 = parsed.version == Some(1);
+    let ranges = header_ranges(input, parsed.headers);
+    let headers = take_headers(input, length, ranges);
+    Ok(Some(RequestHead {
+        method,
+        target,
+        is_http11,
+        headers,
+    }))
+}
+
+/// Takes an answer's head out of `input`; `None` when it is not whole yet.
+///
+/// # Errors
+/// When the bytes are no head, or one longer than `most_bytes`.
+pub fn read_answer_head(
+    input: &mut BytesMut,
+    most_bytes: usize,
+) -> Result<Option<AnswerHead>, HttpError> {
+    let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut parsed = httparse::Response::new(&mut lines);
+    let Some(length) = parse_status(parsed.parse(input), input.len(), most_bytes)? else {
+        return Ok(None);
+    };
+    let status = parsed.code.unwrap_or_default();
+    let is_http11 = parsed.version == Some(1);
+    let ranges = header_ranges(input, parsed.headers);
+    let headers = take_headers(input, length, ranges);
+    Ok(Some(AnswerHead {
+        status,
+        is_http11,
+        headers,
+    }))
+}
+
+fn parse_status(
+    result: httparse::Result<usize>,
+    available: usize,
+    most_bytes: usize,
+) -> Result<Option<usize>, HttpError> {
+    match result {
+        Ok(httparse::Status::Complete(length)) if length <= most_bytes => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if available <= most_bytes => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            HeadTooLongSnafu { limit: most_bytes }.fail()
+        }
+        Err(error) => MalformedSnafu {
+            reason: error.to_string(),
+        }
+        .fail(),
+    }
+}
+
+/// Where name and value of a header line stand in the buffer.
+type HeaderRange = (std::ops::Range<usize>, std::ops::Range<usize>);
+
+fn header_ranges(input: &BytesMut, headers: &[httparse::Header<'_>]) -> Vec<HeaderRange> {
+    let start = input.as_ptr() as usize;
+    let range = |part: &[u8]| {
+        let from = part.as_ptr() as usize - start;
+        from..from + part.len()
+    };
+    headers
+        .iter()
+        .map(|header| (range(header.name.as_bytes()), range(header.value)))
+        .collect()
+}
+
+fn take_headers(input: &mut BytesMut, length: usize, ranges: Vec<HeaderRange>) -> Headers {
+    let head = input.split_to(length).freeze();
+    let lines = ranges
+        .into_iter()
+        .map(|(name, value)| (head.slice(name), head.slice(value)))
+        .collect();
+    Headers { lines }
+}
--- /dev/null
+++ b/crates/wingshore-net/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP/1.1 messages in buffers.
+
+mod body;
+mod encode;
+mod exchange;
+mod head;
+
+pub use body::{BodyReader, BodyStatus, Framing};
+pub use encode::{HeadWriter, write_chunk, write_last_chunk};
+pub use exchange::{AnswerReader, RequestError, RequestReader, WholeAnswer, WholeRequest};
+pub use head::{AnswerHead, Headers, HttpError, RequestHead, read_answer_head, read_request_head};
--- /dev/null
+++ b/crates/wingshore-net/src/lib.rs
@@ -0,0 +1,15 @@
+//! Readiness loop, HTTP/1.1 framing and frames, for processes that serve many peers on one thread.
+//!
+//! [`Reactor`] owns sockets and their buffers and knows no protocol. [`http`] reads and writes
+//! HTTP/1.1 messages in buffers and knows no sockets. [`frame`] does the same for the
+//! length-prefixed `postcard` frames that a site's own processes exchange.
+
+mod clock;
+pub mod frame;
+pub mod http;
+mod reactor;
+
+pub use clock::Clock;
+pub use reactor::{
+    ConnectOptions, ConnectionId, ListenerId, NetError, NetEvent, Reactor, ReactorWaker,
+};
--- /dev/null
+++ b/crates/wingshore-net/src/reactor.rs
@@ -0,0 +1,553 @@
+//! Sockets, their buffers, and what becomes ready on them.
+
+use bytes::{Buf, BytesMut};
+use mio::event::Event as ReadyEvent;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use slab::Slab;
+use snafu::{ResultExt, Snafu};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Most events taken from the kernel at a time.
+const EVENTS_AT_A_TIME: usize = 256;
+/// Bytes read from a socket at a time.
+const READ_CHUNK: usize = 16 * 1024;
+/// Most bytes taken from one connection before others get their turn.
+const READ_TURN: usize = 256 * 1024;
+/// The token of the waker; connections and listeners count from 0.
+const WAKER_TOKEN: Token = Token(usize::MAX - 1);
+/// Tokens from here on are listeners.
+const LISTENER_BASE: usize = 1 << 40;
+
+/// One connection in the life of one reactor; never used for a second connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId {
+    slot: usize,
+    generation: u64,
+}
+
+/// One listening socket of a reactor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ListenerId(usize);
+
+/// What has happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NetEvent {
+    /// A peer has connected.
+    Accepted {
+        /// At which listener.
+        listener: ListenerId,
+        /// The new connection.
+        connection: ConnectionId,
+    },
+    /// A connection that was asked for is up.
+    Connected(ConnectionId),
+    /// Bytes were added to the input buffer.
+    Received(ConnectionId),
+    /// The peer will send no more; all it sent is in the input buffer. The connection stays
+    /// until it is closed.
+    EndOfInput(ConnectionId),
+    /// The connection broke or never came up; its input buffer is gone.
+    Broken(ConnectionId),
+}
+
+/// Why a socket cannot be used.
+#[derive(Debug, Snafu)]
+pub enum NetError {
+    /// The readiness facility of the system failed.
+    #[snafu(display("cannot {action}: {source}"))]
+    System {
+        /// What was tried.
+        action: &'static str,
+        /// From the system.
+        source: io::Error,
+    },
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// From the system.
+        source: io::Error,
+    },
+}
+
+/// How a connection is made.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectOptions {
+    /// Longest time that sent bytes may stay unacknowledged before the connection counts as broken.
+    pub unacknowledged_limit: Duration,
+}
+
+/// Wakes a reactor from another thread.
+#[derive(Clone, Debug)]
+pub struct ReactorWaker(Arc<Waker>);
+
+impl ReactorWaker {
+    /// Ends the wait that is under way, or the next one.
+    pub fn wake(&self) {
+        // It fails only when the reactor is gone.
+        let _ = self.0.wake();
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    generation: u64,
+    input: BytesMut,
+    output: BytesMut,
+    connecting: bool,
+    input_ended: bool,
+    close_when_flushed: bool,
+    writable: bool,
+    dirty: bool,
+    read_pending: bool,
+}
+
+struct Listener {
+    socket: TcpListener,
+    unacknowledged_limit: Duration,
+    most_connections: usize,
+}
+
+/// All sockets of a process, and the wait for any of them.
+///
+/// Invariant: a [`ConnectionId`] refers to a live connection or to none; after
+/// [`NetEvent::Broken`] or [`Reactor::close`] nothing more is reported for it.
+pub struct Reactor {
+    poll: Poll,
+    events: Events,
+    waker: Arc<Waker>,
+    connections: Slab<Connection>,
+    listeners: Vec<Listener>,
+    accepted: usize,
+    generation: u64,
+    dirty: Vec<ConnectionId>,
+    unread: Vec<ConnectionId>,
+    scratch: Box<[u8]>,
+    ready: Vec<Ready>,
+}
+
+/// An event of the kernel, copied out of its buffer.
+#[derive(Clone, Copy)]
+struct Ready {
+    token: Token,
+    readable: bool,
+    writable: bool,
+    ended: bool,
+    failed: bool,
+}
+
+impl From<&ReadyEvent> for Ready {
+    fn from(event: &ReadyEvent) -> Self {
+        Self {
+            token: event.token(),
+            readable: event.is_readable(),
+            writable: event.is_writable(),
+            ended: event.is_read_closed(),
+            failed: event.is_error(),
+        }
+    }
+}
+
+impl Reactor {
+    /// A reactor without sockets.
+    ///
+    /// # Errors
+    /// When the system gives no readiness facility.
+    pub fn new() -> Result<Self, NetError> {
+        let poll = Poll::new().context(SystemSnafu { action: "poll" })?;
+        let waker = Waker::new(poll.registry(), WAKER_TOKEN);
+        let waker = waker.context(SystemSnafu {
+            action: "make a waker",
+        })?;
+        Ok(Self {
+            poll,
+            events: Events::with_capacity(EVENTS_AT_A_TIME),
+            waker: Arc::new(waker),
+            connections: Slab::new(),
+            listeners: Vec::new(),
+            accepted: 0,
+            generation: 0,
+            dirty: Vec::new(),
+            unread: Vec::new(),
+            scratch: vec![0; READ_CHUNK].into_boxed_slice(),
+            ready: Vec::new(),
+        })
+    }
+
+    /// Wakes this reactor from other threads.
+    pub fn waker(&self) -> ReactorWaker {
+        ReactorWaker(Arc::clone(&self.waker))
+    }
+
+    /// Listens on `address`. Beyond `most_connections` over all listeners, new ones are closed.
+    ///
+    /// # Errors
+    /// When the address cannot be used.
+    pub fn listen(
+        &mut self,
+        address: SocketAddr,
+        unacknowledged_limit: Duration,
+        most_connections: usize,
+    ) -> Result<ListenerId, NetError> {
+        let mut socket = TcpListener::bind(address).context(ListenSnafu { address })?;
+        let id = ListenerId(self.listeners.len());
+        let token = Token(LISTENER_BASE + id.0);
+        self.poll
+            .registry()
+            .register(&mut socket, token, Interest::READABLE)
+            .context(SystemSnafu {
+                action: "register a listener",
+            })?;
+        self.listeners.push(Listener {
+            socket,
+            unacknowledged_limit,
+            most_connections,
+        });
+        Ok(id)
+    }
+
+    /// Where a listener listens.
+    pub fn local_address(&self, listener: ListenerId) -> Option<SocketAddr> {
+        self.listeners.get(listener.0)?.socket.local_addr().ok()
+    }
+
+    /// Begins to connect. [`NetEvent::Connected`] or [`NetEvent::Broken`] follows; `None` when
+    /// the system refuses at once.
+    pub fn connect(
+        &mut self,
+        address: SocketAddr,
+        options: ConnectOptions,
+    ) -> Option<ConnectionId> {
+        let stream = TcpStream::connect(address).ok()?;
+        self.add(stream, true, options.unacknowledged_limit)
+    }
+
+    /// Waits until something happens, `timeout` at most, and pushes what did.
+    ///
+    /// # Errors
+    /// When the readiness facility fails.
+    pub fn poll(&mut self, timeout: Duration, out: &mut Vec<NetEvent>) -> Result<(), NetError> {
+        self.flush(out);
+        let timeout = if self.unread.is_empty() && out.is_empty() {
+            timeout
+        } else {
+            Duration::ZERO
+        };
+        match self.poll.poll(&mut self.events, Some(timeout)) {
+            Err(error) if error.kind() != ErrorKind::Interrupted => {
+                return Err(error).context(SystemSnafu {
+                    action: "wait for sockets",
+                });
+            }
+            _ => {}
+        }
+        let mut ready = std::mem::take(&mut self.ready);
+        ready.extend(self.events.iter().map(Ready::from));
+        for event in ready.drain(..) {
+            self.on_ready(event, out);
+        }
+        self.ready = ready;
+        for id in std::mem::take(&mut self.unread) {
+            self.read(id, out);
+        }
+        Ok(())
+    }
+
+    fn on_ready(&mut self, event: Ready, out: &mut Vec<NetEvent>) {
+        if event.token == WAKER_TOKEN {
+            return;
+        }
+        if event.token.0 >= LISTENER_BASE {
+            self.accept(ListenerId(event.token.0 - LISTENER_BASE), out);
+            return;
+        }
+        let slot = event.token.0;
+        let Some(connection) = self.connections.get_mut(slot) else {
+            return;
+        };
+        let id = ConnectionId {
+            slot,
+            generation: connection.generation,
+        };
+        if connection.connecting && (event.writable || event.failed) {
+            let failed = event.failed
+                || !matches!(connection.stream.take_error(), Ok(None))
+                || connection.stream.peer_addr().is_err();
+            if failed {
+                return self.break_off(id, out);
+            }
+            connection.connecting = false;
+            out.push(NetEvent::Connected(id));
+        }
+        if event.writable {
+            connection.writable = true;
+            self.mark_dirty(id);
+        }
+        if event.readable || event.ended || event.failed {
+            self.read(id, out);
+        }
+    }
+
+    fn accept(&mut self, listener: ListenerId, out: &mut Vec<NetEvent>) {
+        loop {
+            let Some(entry) = self.listeners.get(listener.0) else {
+                return;
+            };
+            let stream = match entry.socket.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                // A connection that was reset before it was taken leaves the others to take.
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => continue,
+                Err(_) => return,
+            };
+            let limit = entry.unacknowledged_limit;
+            if self.connections.len() >= entry.most_connections {
+                continue;
+            }
+            let Some(connection) = self.add(stream, false, limit) else {
+                continue;
+            };
+            self.accepted += 1;
+            out.push(NetEvent::Accepted {
+                listener,
+                connection,
+            });
+        }
+    }
+
+    fn add(
+        &mut self,
+        mut stream: TcpStream,
+        connecting: bool,
+        unacknowledged_limit: Duration,
+    ) -> Option<ConnectionId> {
+        // Neither option is needed for correctness on systems that lack it.
+        let _ = stream.set_nodelay(true);
+        let socket = socket2::SockRef::from(&stream);
+        let _ = socket.set_tcp_user_timeout(Some(unacknowledged_limit));
+        self.generation += 1;
+        let entry = self.connections.vacant_entry();
+        let slot = entry.key();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll
+            .registry()
+            .register(&mut stream, Token(slot), interest)
+            .ok()?;
+        entry.insert(Connection {
+            stream,
+            generation: self.generation,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            connecting,
+            input_ended: false,
+            close_when_flushed: false,
+            writable: !connecting,
+            dirty: false,
+            read_pending: false,
+        });
+        Some(ConnectionId {
+            slot,
+            generation: self.generation,
+        })
+    }
+
+    fn read(&mut self, id: ConnectionId, out: &mut Vec<NetEvent>) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        let outcome = match self.get_mut(id) {
+            Some(connection) if !connection.input_ended => {
+                connection.read_pending = false;
+                read_available(connection, &mut scratch)
+            }
+            _ => {
+                self.scratch = scratch;
+                return;
+            }
+        };
+        self.scratch = scratch;
+        if outcome.received > 0 {
+            out.push(NetEvent::Received(id));
+        }
+        match outcome.end {
+            ReadEnd::Drained => {}
+            ReadEnd::MoreLater => self.mark_unread(id),
+            ReadEnd::EndOfInput => {
+                if let Some(connection) = self.get_mut(id) {
+                    connection.input_ended = true;
+                }
+                out.push(NetEvent::EndOfInput(id));
+            }
+            ReadEnd::Broken => self.break_off(id, out),
+        }
+    }
+
+    fn mark_unread(&mut self, id: ConnectionId) {
+        if let Some(connection) = self
+            .get_mut(id)
+            .filter(|connection| !connection.read_pending)
+        {
+            connection.read_pending = true;
+            self.unread.push(id);
+        }
+    }
+
+    fn mark_dirty(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.get_mut(id).filter(|connection| !connection.dirty) {
+            connection.dirty = true;
+            self.dirty.push(id);
+        }
+    }
+
+    /// Queues bytes; they leave at the next [`Reactor::poll`].
+    pub fn send(&mut self, id: ConnectionId, bytes: &[u8]) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.output.extend_from_slice(bytes);
+            self.mark_dirty(id);
+        }
+    }
+
+    /// Closes once all queued bytes have left; what the peer sends meanwhile is read and dropped.
+    pub fn close_when_flushed(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.close_when_flushed = true;
+            self.mark_dirty(id);
+        }
+    }
+
+    /// Closes at once; queued bytes are dropped.
+    pub fn close(&mut self, id: ConnectionId) {
+        if self.get_mut(id).is_some() {
+            let mut connection = self.connections.remove(id.slot);
+            // Both only free what the system frees at the close anyway.
+            let _ = self.poll.registry().deregister(&mut connection.stream);
+            let _ = connection.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Received bytes that were not taken yet.
+    pub fn input(&mut self, id: ConnectionId) -> Option<&mut BytesMut> {
+        self.get_mut(id).map(|connection| &mut connection.input)
+    }
+
+    /// Bytes that wait to leave.
+    pub fn queued(&self, id: ConnectionId) -> usize {
+        self.get(id).map_or(0, |connection| connection.output.len())
+    }
+
+    /// Whether the connection is there.
+    pub fn is_open(&self, id: ConnectionId) -> bool {
+        self.get(id).is_some()
+    }
+
+    /// Connections that are open, on their way up or being flushed.
+    pub fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// The other end's address.
+    pub fn peer_address(&self, id: ConnectionId) -> Option<SocketAddr> {
+        self.get(id)?.stream.peer_addr().ok()
+    }
+
+    fn flush(&mut self, out: &mut Vec<NetEvent>) {
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(connection) = self.get_mut(id) else {
+                continue;
+            };
+            connection.dirty = false;
+            if connection.connecting {
+                continue;
+            }
+            match write_queued(connection) {
+                Ok(()) if connection.output.is_empty() && connection.close_when_flushed => {
+                    self.end_output(id);
+                }
+                Ok(()) => {}
+                Err(_) => self.break_off(id, out),
+            }
+        }
+    }
+
+    /// All is sent: closes. Unread input would turn the close into a reset, which may overtake
+    /// the last bytes, so that the peer gets an orderly end first.
+    fn end_output(&mut self, id: ConnectionId) {
+        let Some(connection) = self.get_mut(id) else {
+            return;
+        };
+        let _ = connection.stream.shutdown(Shutdown::Write);
+        self.close(id);
+    }
+
+    fn break_off(&mut self, id: ConnectionId, out: &mut Vec<NetEvent>) {
+        self.close(id);
+        out.push(NetEvent::Broken(id));
+    }
+
+    fn get(&self, id: ConnectionId) -> Option<&Connection> {
+        self.connections
+            .get(id.slot)
+            .filter(|connection| connection.generation == id.generation)
+    }
+
+    fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Connection> {
+        self.connections
+            .get_mut(id.slot)
+            .filter(|connection| connection.generation == id.generation)
+    }
+}
+
+/// How a turn of reading ended.
+enum ReadEnd {
+    Drained,
+    MoreLater,
+    EndOfInput,
+    Broken,
+}
+
+struct ReadOutcome {
+    received: usize,
+    end: ReadEnd,
+}
+
+fn read_available(connection: &mut Connection, scratch: &mut [u8]) -> ReadOutcome {
+    let mut received = 0;
+    loop {
+        let end = match connection.stream.read(scratch) {
+            Ok(0) => ReadEnd::EndOfInput,
+            Ok(count) => {
+                received += count;
+                if !connection.close_when_flushed {
+                    connection.input.extend_from_slice(&scratch[..count]);
+                }
+                if count < scratch.len() {
+                    ReadEnd::Drained
+                } else if received < READ_TURN {
+                    continue;
+                } else {
+                    ReadEnd::MoreLater
+                }
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => ReadEnd::Drained,
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(_) => ReadEnd::Broken,
+        };
+        return ReadOutcome { received, end };
+    }
+}
+
+fn write_queued(connection: &mut Connection) -> io::Result<()> {
+    while connection.writable && !connection.output.is_empty() {
+        match connection.stream.write(&connection.output) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(count) => connection.output.advance(count),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => connection.writable = false,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
