coordination, gateway: the text of a broken try travels with the item

A try that was broken off left its events with the leader; the next leader adopted the try after it and listed the events of that one alone. Ruled out: event ids that jump (the events of both tries, printed in a trial, follow each other without a gap). Change: an assignment carries all events so far, a gateway's outcome is the whole text, and the gateway keeps it until the leader says that it is committed. Test: a_new_leader_lists_the_whole_text_of_an_item_that_was_gone_on_with.

Conclusion: soft state that a result depends on must be where the result is made.

--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -2,7 +2,7 @@
 
 use super::engines::Engines;
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId};
-use crate::messages::AssignmentId;
+use crate::messages::{AssignmentId, ItemText};
 use crate::state::CoordinationState;
 use std::collections::{BTreeMap, HashMap};
 use wingshore_types::{Epoch, Instant};
@@ -18,14 +18,8 @@
 /// What earlier tries at an item have left.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
-    /// Data of the kept events, separated by line feeds.
-    pub(crate) text: String,
-    /// How many events that is.
-    pub(crate) events: u64,
-    /// Identifier of the last one.
-    pub(crate) last_event: Option<u64>,
-    /// Versions that made them.
-    pub(crate) versions: Vec<u64>,
+    /// All events so far.
+    pub(crate) kept: ItemText,
     /// Tries that the engine ran and failed.
     pub(crate) failures: u32,
     /// Not placed before this time.
@@ -181,7 +175,7 @@
     pub(crate) fn finish(&mut self, item: &ItemKey) {
         if let Some(progress) = self.progress.get_mut(item) {
             progress.ended = true;
-            progress.text = String::new();
+            progress.kept = ItemText::default();
         }
         self.waiting.retain(|_, waiting| waiting != item);
     }
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -1,16 +1,17 @@
 //! Submitting, reading and ending batch jobs.
 
-use super::{CoordinationLeader, Effect, Outputs, Waiter, reply};
+use super::placement::release;
+use super::{CoordinationLeader, Outputs, Waiter, reply};
 use crate::ids::{ItemKey, JobId};
 use crate::jobs::{Job, JobSubmission};
-use crate::messages::{CoordinatorMessage, JobPage, Reply};
+use crate::messages::{JobPage, Reply};
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use wingshore_types::Instant;
-use wingshore_types::machine::{LeaderOutput, RequestTag};
+use wingshore_types::machine::RequestTag;
 
 /// Bytes of a result besides its text, roughly.
 const RESULT_OVERHEAD: usize = 160;
@@ -150,9 +151,7 @@
             if let Some(gateway) = self.gateways.get_mut(&running.gateway) {
                 gateway.running = gateway.running.saturating_sub(1);
             }
-            let message = CoordinatorMessage::Cancel { assignment };
-            let effect = Effect::ToGateway(running.gateway, message);
-            out.push(LeaderOutput::Effect(effect));
+            release(running.gateway, assignment, out);
         }
         if job.ended {
             return reply(tag, Reply::Done, out);
@@ -231,7 +230,7 @@
         for id in old {
             // Counted anew, so that the proposal is not made again before it is applied.
             self.job_clock.known_since.insert(id.clone(), now);
-            self.propose(Command::ForgetJob(id.clone()), Waiter::Result(id), out);
+            self.propose(Command::ForgetJob(id), Waiter::Nobody, out);
         }
     }
 }
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -106,8 +106,13 @@
     Server(InstanceId, Option<RequestTag>),
     /// A job was accepted: its items can be placed.
     Job(JobId, RequestTag),
-    /// Results were listed: readers may wait for them.
-    Result(JobId),
+    /// A result was listed: readers may wait for it, and the gateway keeps it until then.
+    Result {
+        job: JobId,
+        finished: Option<(GatewayId, AssignmentId)>,
+    },
+    /// Nobody.
+    Nobody,
     /// Orders may be given from here on.
     Orders,
     /// A version was named.
@@ -340,7 +345,13 @@
             }
             Waiter::Server(instance, tag) => self.server_changed(now, instance, tag, state, out),
             Waiter::Job(job, tag) => self.job_accepted(now, job, tag, state, out),
-            Waiter::Result(job) => self.results_listed(&job, state, out),
+            Waiter::Result { job, finished } => {
+                if let Some((gateway, assignment)) = finished {
+                    placement::release(gateway, assignment, out);
+                }
+                self.results_listed(&job, state, out);
+            }
+            Waiter::Nobody => {}
             Waiter::Orders => self.rollout.may_order(),
             Waiter::Version(tag) => {
                 reply(tag, Reply::Done, out);
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -6,7 +6,8 @@
 use crate::ids::{GatewayId, InstanceId, ItemKey, ModelName, ServiceName};
 use crate::jobs::{ItemState, Job, JobItem, ListedResult};
 use crate::messages::{
-    AssignmentId, CoordinatorMessage, ItemAssignment, ItemOutcome, NotRunReason, RunningItem,
+    AssignmentId, CoordinatorMessage, ItemAssignment, ItemOutcome, ItemText, NotRunReason,
+    RunningItem,
 };
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
@@ -150,7 +151,7 @@
         };
         let single_version = route
             .single_version
-            .then(|| progress.versions.last().copied())
+            .then(|| progress.kept.versions.last().copied())
             .flatten();
         let address = engine.record.address;
         let assignment = self.items.next_assignment();
@@ -164,7 +165,7 @@
             path: item.path.clone(),
             headers: item.headers.clone(),
             body: item.body.clone(),
-            after_event: progress.last_event,
+            kept: progress.kept.clone(),
             expected_version: single_version,
             priority: route.priority,
         });
@@ -205,8 +206,7 @@
             .progress(&item)
             .is_some_and(|progress| progress.assignment.is_none() && !progress.ended);
         if !is_open || !is_free {
-            let message = CoordinatorMessage::Cancel { assignment };
-            return out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+            return release(gateway, assignment, out);
         }
         self.items.take_item(&item);
         self.engines.started(&instance);
@@ -231,7 +231,7 @@
         out: &mut Outputs,
     ) {
         let Some(running) = self.items.end(assignment) else {
-            return;
+            return release(gateway, assignment, out);
         };
         if let Some(known) = self.gateways.get_mut(&gateway) {
             known.running = known.running.saturating_sub(1);
@@ -241,8 +241,18 @@
             .items
             .progress(&running.item)
             .is_none_or(|progress| progress.ended);
-        if !has_ended {
-            self.take_outcome(now, &running, outcome, state, out);
+        match outcome {
+            ItemOutcome::Finished(text) if !has_ended => {
+                self.engines.succeeded(&running.instance);
+                let finished = (gateway, assignment);
+                self.list_success(&running.item, text, finished, out);
+            }
+            outcome => {
+                release(gateway, assignment, out);
+                if !has_ended {
+                    self.take_outcome(now, &running, outcome, state, out);
+                }
+            }
         }
         self.place_items(now, state, out);
     }
@@ -256,31 +266,23 @@
         out: &mut Outputs,
     ) {
         match outcome {
-            ItemOutcome::Finished {
-                text,
-                events,
-                versions,
-            } => {
-                self.engines.succeeded(&running.instance);
-                self.keep(&running.item, &text, events, None, &versions);
-                self.list_success(&running.item, out);
-            }
             ItemOutcome::Interrupted {
                 text,
-                events,
-                last_event,
-                versions,
                 engine_suspect,
             } => {
                 if engine_suspect {
                     self.pause_engine(now, &running.instance);
                 }
-                self.keep(&running.item, &text, events, last_event, &versions);
+                if let Some(progress) = self.items.progress_mut(&running.item) {
+                    progress.kept = text;
+                }
                 self.items.wait(running.item.clone());
             }
             ItemOutcome::NotRun(reason) => self.not_run(now, running, reason),
             ItemOutcome::Failed => self.failed(now, running, state, out),
-            ItemOutcome::Impossible => self.abandon(&running.item, out),
+            ItemOutcome::Impossible | ItemOutcome::Finished(_) => {
+                self.abandon(&running.item, out);
+            }
         }
     }
 
@@ -335,44 +337,20 @@
         attempts.unwrap_or(1).max(1)
     }
 
-    fn keep(
+    fn list_success(
         &mut self,
         item: &ItemKey,
-        text: &str,
-        events: u64,
-        last_event: Option<u64>,
-        versions: &[u64],
+        text: ItemText,
+        finished: (GatewayId, AssignmentId),
+        out: &mut Outputs,
     ) {
-        let Some(progress) = self.items.progress_mut(item) else {
-            return;
-        };
-        if events == 0 {
-            return;
-        }
-        if progress.events > 0 {
-            progress.text.push('\n');
-        }
-        progress.text.push_str(text);
-        progress.events += events;
-        progress.last_event = last_event.or(progress.last_event);
-        for version in versions {
-            if !progress.versions.contains(version) {
-                progress.versions.push(*version);
-            }
-        }
-    }
-
-    fn list_success(&mut self, item: &ItemKey, out: &mut Outputs) {
-        let Some(progress) = self.items.progress_mut(item) else {
-            return;
-        };
         let result = ListedResult {
             index: item.index,
             state: ItemState::Succeeded,
-            text: std::mem::take(&mut progress.text),
-            versions: std::mem::take(&mut progress.versions),
+            text: text.text,
+            versions: text.versions,
         };
-        self.list(item, result, out);
+        self.list(item, result, Some(finished), out);
     }
 
     /// Gives an item up.
@@ -383,17 +361,24 @@
             text: String::new(),
             versions: Vec::new(),
         };
-        self.list(item, result, out);
+        self.list(item, result, None, out);
     }
 
-    fn list(&mut self, item: &ItemKey, result: ListedResult, out: &mut Outputs) {
+    /// Proposes a result; the gateway that made it keeps it until it is committed.
+    fn list(
+        &mut self,
+        item: &ItemKey,
+        result: ListedResult,
+        finished: Option<(GatewayId, AssignmentId)>,
+        out: &mut Outputs,
+    ) {
         self.items.finish(item);
         let job = item.job.clone();
         let command = Command::ListResult {
             job: job.clone(),
             result,
         };
-        self.propose(command, Waiter::Result(job), out);
+        self.propose(command, Waiter::Result { job, finished }, out);
     }
 }
 
@@ -403,9 +388,20 @@
     }
 }
 
+/// Tells a gateway that a try is of no more use.
+pub(crate) fn release(gateway: GatewayId, assignment: AssignmentId, out: &mut Outputs) {
+    let message = CoordinatorMessage::Release { assignment };
+    out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+}
+
 /// Whether an engine at `version` goes on with the version that made the last event.
 fn keeps_version(model: Option<&ModelName>, progress: &Progress, version: u64) -> bool {
-    model.is_none() || progress.versions.last().is_none_or(|last| *last == version)
+    model.is_none()
+        || progress
+            .kept
+            .versions
+            .last()
+            .is_none_or(|last| *last == version)
 }
 
 /// The same number for the same text in every process (FNV-1a).
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -178,8 +178,8 @@
     },
     /// An item to run.
     Assign(ItemAssignment),
-    /// The result of a try is of no more use.
-    Cancel {
+    /// A try is of no more use: one that runs is ended, one that has ended is forgotten.
+    Release {
         /// Which try.
         assignment: AssignmentId,
     },
@@ -243,36 +243,38 @@
     /// Body of the request.
     #[serde(with = "byte_vector")]
     pub body: Vec<u8>,
-    /// The last event of an earlier try that is kept; the engine goes on behind it.
-    pub after_event: Option<u64>,
+    /// What earlier tries have left; the engine goes on behind it.
+    pub kept: ItemText,
     /// The only version that may make the events; set where versions must not mix.
     pub expected_version: Option<u64>,
     /// Rank at the engine; 0 is the most urgent.
     pub priority: u8,
 }
 
+/// Text of an item from its first event on, over all tries that made it.
+///
+/// It travels with the item, so that a change of leaders loses nothing of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemText {
+    /// The data of the events, separated by line feeds.
+    pub text: String,
+    /// How many events.
+    pub events: u64,
+    /// Identifier of the last one.
+    pub last_event: Option<u64>,
+    /// The versions that made them, in the order of their first event.
+    pub versions: Vec<u64>,
+}
+
 /// What came of a try at an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemOutcome {
     /// The stream has ended whole.
-    Finished {
-        /// The data of the events of this try, separated by line feeds.
-        text: String,
-        /// How many events.
-        events: u64,
-        /// The versions that made them.
-        versions: Vec<u64>,
-    },
+    Finished(ItemText),
     /// The stream broke off; what came before counts.
     Interrupted {
-        /// The data of the whole events of this try.
-        text: String,
-        /// How many events.
-        events: u64,
-        /// Identifier of the last one.
-        last_event: Option<u64>,
-        /// The versions that made them.
-        versions: Vec<u64>,
+        /// All events so far, also those of earlier tries.
+        text: ItemText,
         /// Whether the engine seems to be at fault, rather than the gateway that stops.
         engine_suspect: bool,
     },
--- /dev/null
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -0,0 +1,221 @@
+//! Items of batch jobs: placement, broken tries, leaders that change.
+
+mod support;
+
+use googletest::prelude::*;
+use support::{Group, engine, job};
+use wingshore_coordination::{
+    CoordinatorMessage, Effect, Event, GatewayId, ItemAssignment, ItemOutcome, ItemState, ItemText,
+    JobId, Reply, Request, RunningItem,
+};
+
+fn text(events: u64) -> ItemText {
+    let data: Vec<String> = (1..=events)
+        .map(|number| format!("event {number}"))
+        .collect();
+    ItemText {
+        text: data.join("\n"),
+        events,
+        last_event: Some(events),
+        versions: vec![1],
+    }
+}
+
+fn end(group: &mut Group, gateway: GatewayId, assignment: &ItemAssignment, outcome: ItemOutcome) {
+    group.event(Event::ItemEnded {
+        gateway,
+        assignment: assignment.assignment,
+        outcome,
+    });
+}
+
+fn running(assignment: &ItemAssignment) -> RunningItem {
+    RunningItem {
+        assignment: assignment.assignment,
+        item: assignment.item.clone(),
+        instance: assignment.instance.clone(),
+    }
+}
+
+fn group_with_job(items: u32) -> (Group, GatewayId) {
+    let mut group = Group::new();
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(job("j", items)));
+    (group, gateway)
+}
+
+fn results(group: &Group) -> Vec<(ItemState, String)> {
+    let job = &group.state.jobs()[&JobId::from("j")];
+    job.results
+        .iter()
+        .map(|result| (result.state, result.text.clone()))
+        .collect()
+}
+
+#[gtest]
+fn an_accepted_job_is_placed_and_its_result_listed() {
+    let (mut group, gateway) = group_with_job(1);
+    let assigned = group.assignments();
+    assert_that!(assigned, len(eq(1)));
+    end(
+        &mut group,
+        gateway,
+        &assigned[0],
+        ItemOutcome::Finished(text(3)),
+    );
+    expect_that!(
+        results(&group),
+        elements_are![eq(&(ItemState::Succeeded, text(3).text))]
+    );
+}
+
+#[gtest]
+fn a_broken_try_is_gone_on_with_behind_its_last_event() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    let outcome = ItemOutcome::Interrupted {
+        text: text(2),
+        engine_suspect: false,
+    };
+    end(&mut group, gateway, &first, outcome);
+    let second = group.assignments().remove(0);
+    expect_that!(second.kept, eq(&text(2)));
+}
+
+/// A leader that took over while a second try ran used to list only the events of that try: the
+/// text of the first one was with the old leader.
+#[gtest]
+fn a_new_leader_lists_the_whole_text_of_an_item_that_was_gone_on_with() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    let outcome = ItemOutcome::Interrupted {
+        text: text(2),
+        engine_suspect: false,
+    };
+    end(&mut group, gateway, &first, outcome);
+    let second = group.assignments().remove(0);
+    group.change_leader("coordinator-b");
+    group.connect_gateway(1);
+    group.event(Event::GatewayRunning(gateway, vec![running(&second)]));
+    // The gateway goes on from what the assignment carries.
+    let mut whole = second.kept.clone();
+    whole.text.push_str("\nevent 3");
+    whole.events += 1;
+    end(&mut group, gateway, &second, ItemOutcome::Finished(whole));
+    expect_that!(
+        results(&group),
+        elements_are![eq(&(ItemState::Succeeded, text(3).text))]
+    );
+}
+
+#[gtest]
+fn a_new_leader_does_not_place_what_a_gateway_still_runs() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    group.change_leader("coordinator-b");
+    group.connect_gateway(1);
+    group.event(Event::GatewayRunning(gateway, vec![running(&first)]));
+    group.wait(std::time::Duration::from_secs(2));
+    expect_that!(group.assignments(), is_empty());
+}
+
+#[gtest]
+fn the_gateway_keeps_a_finished_text_until_it_is_committed() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    end(&mut group, gateway, &first, ItemOutcome::Finished(text(1)));
+    let release = Effect::ToGateway(
+        gateway,
+        CoordinatorMessage::Release {
+            assignment: first.assignment,
+        },
+    );
+    expect_that!(group.effects, contains(eq(&release)));
+}
+
+#[gtest]
+fn a_result_that_is_told_twice_is_listed_once() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    end(&mut group, gateway, &first, ItemOutcome::Finished(text(1)));
+    end(&mut group, gateway, &first, ItemOutcome::Finished(text(1)));
+    expect_that!(results(&group), len(eq(1)));
+}
+
+#[gtest]
+fn items_of_a_lost_gateway_are_placed_on_another_one() {
+    let (mut group, gateway) = group_with_job(2);
+    let first = group.assignments();
+    assert_that!(first, len(eq(2)));
+    group.add_gateway(2);
+    group.event(Event::GatewayGone(gateway));
+    expect_that!(group.assignments(), len(eq(2)));
+}
+
+#[gtest]
+fn an_item_that_an_engine_calls_impossible_is_abandoned() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    end(&mut group, gateway, &first, ItemOutcome::Impossible);
+    expect_that!(
+        results(&group),
+        elements_are![eq(&(ItemState::Abandoned, String::new()))]
+    );
+}
+
+#[gtest]
+fn an_item_is_abandoned_after_the_attempts_of_its_route() {
+    let (mut group, gateway) = group_with_job(1);
+    for _ in 0..3 {
+        group.wait(std::time::Duration::from_millis(500));
+        let assigned = group.assignments().remove(0);
+        end(&mut group, gateway, &assigned, ItemOutcome::Failed);
+    }
+    expect_that!(
+        results(&group),
+        elements_are![eq(&(ItemState::Abandoned, String::new()))]
+    );
+}
+
+#[gtest]
+fn an_ended_job_releases_what_runs_and_can_still_be_read() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    expect_that!(
+        group.ask(Request::EndJob(JobId::from("j"))),
+        some(eq(&Reply::Done))
+    );
+    let release = Effect::ToGateway(
+        gateway,
+        CoordinatorMessage::Release {
+            assignment: first.assignment,
+        },
+    );
+    expect_that!(group.effects, contains(eq(&release)));
+    let page = group.ask(Request::ReadJob {
+        job: JobId::from("j"),
+        from: 0,
+        wait: std::time::Duration::from_secs(1),
+    });
+    expect_that!(page, some(matches_pattern!(Reply::Page(_))));
+}
+
+#[gtest]
+fn no_engine_gets_more_items_than_it_has_slots() {
+    let (mut group, _) = group_with_job(10);
+    expect_that!(group.assignments(), len(eq(4)));
+}
+
+#[gtest]
+fn an_engine_behind_the_oldest_version_of_a_job_gets_none_of_it() {
+    let mut group = Group::new();
+    group.add_gateway(1);
+    group.heartbeat(engine("old", 1));
+    let mut submission = (*job("j", 1)).clone();
+    submission.min_version = 2;
+    group.ask(Request::SubmitJob(std::sync::Arc::new(submission)));
+    expect_that!(group.assignments(), is_empty());
+    group.heartbeat(engine("new", 2));
+    expect_that!(group.assignments(), len(eq(1)));
+}
--- /dev/null
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -0,0 +1,245 @@
+//! A coordination group of one member whose proposals are committed at once, and the data that
+//! tests put into it.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use wingshore_coordination::{
+    CoordinationLeader, CoordinationState, CoordinatorMessage, Effect, EngineProfile, Event,
+    GatewayHello, GatewayId, GatewayStatus, Heartbeat, IngressLimits, InstanceId, ItemAssignment,
+    ItemId, JobId, JobItem, JobSubmission, LeaderSettings, ModelName, ModelVersion, Reply, Request,
+    Route, RouteKind, RouteTarget, ServerRecord, Service, ServiceName, SiteConfiguration,
+};
+use wingshore_types::machine::{LeaderMachine, LeaderOutput, ReplicatedState, RequestTag};
+use wingshore_types::{Epoch, Instant, LogIndex};
+
+/// Longer than a new leader waits for gateways.
+const INTRODUCTIONS: Duration = Duration::from_secs(1);
+
+/// A group of one member.
+pub struct Group {
+    pub now: Instant,
+    pub state: CoordinationState,
+    pub leader: CoordinationLeader,
+    pub effects: Vec<Effect>,
+    pub replies: Vec<(RequestTag, Reply)>,
+    settings: LeaderSettings,
+    index: u64,
+    epoch: u64,
+    next_tag: u64,
+    sequence: u64,
+}
+
+impl Group {
+    /// A group with the usual configuration.
+    pub fn new() -> Self {
+        let settings = LeaderSettings {
+            node: "coordinator-a".to_owned(),
+            ..LeaderSettings::default()
+        };
+        let mut group = Self {
+            now: Instant::ZERO,
+            state: CoordinationState::default(),
+            leader: CoordinationLeader::new(settings.clone()),
+            effects: Vec::new(),
+            replies: Vec::new(),
+            settings,
+            index: 0,
+            epoch: 0,
+            next_tag: 0,
+            sequence: 0,
+        };
+        group.change_leader("coordinator-a");
+        group.ask(Request::PutConfiguration(Arc::new(configuration(1))));
+        group
+    }
+
+    /// Another machine becomes leader; nothing volatile is left.
+    pub fn change_leader(&mut self, node: &str) {
+        self.epoch += 1;
+        self.settings.node = node.to_owned();
+        self.leader = CoordinationLeader::new(self.settings.clone());
+        self.effects.clear();
+        let mut out = Vec::new();
+        let epoch = Epoch(self.epoch);
+        self.leader
+            .on_leadership(self.now, epoch, &self.state, &mut out);
+        self.settle(out);
+    }
+
+    /// Asks and gives the answer, if there is one at once.
+    pub fn ask(&mut self, request: Request) -> Option<Reply> {
+        self.next_tag += 1;
+        let tag = RequestTag(self.next_tag);
+        let mut out = Vec::new();
+        self.leader
+            .on_request(self.now, tag, request, &self.state, &mut out);
+        self.settle(out);
+        let position = self.replies.iter().position(|(known, _)| *known == tag)?;
+        Some(self.replies.remove(position).1)
+    }
+
+    /// Something happens outside.
+    pub fn event(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.leader.on_event(self.now, event, &self.state, &mut out);
+        self.settle(out);
+    }
+
+    /// Time passes, with a tick each 50 ms.
+    pub fn wait(&mut self, duration: Duration) {
+        const TICK: Duration = Duration::from_millis(50);
+        let until = self.now + duration;
+        while self.now < until {
+            self.now = self.now + TICK;
+            let mut out = Vec::new();
+            self.leader.on_tick(self.now, &self.state, &mut out);
+            self.settle(out);
+        }
+    }
+
+    fn settle(&mut self, out: Vec<LeaderOutput<wingshore_coordination::Command, Reply, Effect>>) {
+        let mut queue = VecDeque::from(out);
+        while let Some(output) = queue.pop_front() {
+            match output {
+                LeaderOutput::Propose { tag, command } => {
+                    self.index += 1;
+                    self.state.apply(LogIndex(self.index), command);
+                    let mut more = Vec::new();
+                    self.leader
+                        .on_applied(self.now, tag, (), &self.state, &mut more);
+                    queue.extend(more);
+                }
+                LeaderOutput::Reply { tag, reply } => self.replies.push((tag, reply)),
+                LeaderOutput::Effect(effect) => self.effects.push(effect),
+            }
+        }
+    }
+
+    /// A gateway connects and runs nothing; a new leader waits for that.
+    pub fn add_gateway(&mut self, id: u64) -> GatewayId {
+        let gateway = self.connect_gateway(id);
+        self.event(Event::GatewayRunning(gateway, Vec::new()));
+        self.wait(INTRODUCTIONS);
+        gateway
+    }
+
+    /// A gateway connects, and has not told yet what it runs.
+    pub fn connect_gateway(&mut self, id: u64) -> GatewayId {
+        let gateway = GatewayId(id);
+        self.event(Event::GatewayConnected(GatewayHello {
+            gateway,
+            node: format!("edge-{id}"),
+            front: ([10, 1, 0, 1], 80).into(),
+            zone: "a".to_owned(),
+            region: "r".to_owned(),
+            status: GatewayStatus {
+                ready: true,
+                takes_items: true,
+                configuration: 1,
+            },
+        }));
+        gateway
+    }
+
+    /// An engine registers, or tells its state again.
+    pub fn heartbeat(&mut self, server: ServerRecord) -> Option<Reply> {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.ask(Request::Heartbeat(Heartbeat { server, sequence }))
+    }
+
+    /// Items that were assigned since the last call.
+    pub fn assignments(&mut self) -> Vec<ItemAssignment> {
+        let effects = std::mem::take(&mut self.effects);
+        let (assigned, others): (Vec<Effect>, Vec<Effect>) =
+            effects.into_iter().partition(|effect| {
+                matches!(effect, Effect::ToGateway(_, CoordinatorMessage::Assign(_)))
+            });
+        self.effects = others;
+        assigned
+            .into_iter()
+            .filter_map(|effect| match effect {
+                Effect::ToGateway(_, CoordinatorMessage::Assign(assignment)) => Some(assignment),
+                _ => None,
+            })
+            .collect()
+    }
+}
+
+/// A configuration with one engine service and one batch route.
+pub fn configuration(version: u64) -> SiteConfiguration {
+    let service = ServiceName::from("llm");
+    SiteConfiguration {
+        version,
+        routes: vec![Route {
+            name: "rollouts".to_owned(),
+            host: "site.example".to_owned(),
+            path_prefix: "/rollouts/".to_owned(),
+            kind: RouteKind::Batch,
+            timeout: Duration::from_secs(10),
+            target_latency: Duration::from_millis(400),
+            priority: 1,
+            targets: vec![RouteTarget {
+                service: service.clone(),
+                weight: 1,
+            }],
+            max_attempts: 3,
+            max_queue: Some(Duration::from_secs(40)),
+            due: Some(Duration::from_millis(7500)),
+            single_version: false,
+            resumable: true,
+        }],
+        services: vec![Service {
+            name: service,
+            health_path: "/health".to_owned(),
+            max_connections: 100,
+            engine: Some(EngineProfile {
+                slots: 4,
+                cache_tokens: 50_000,
+                models: vec![ModelName::from("m")],
+            }),
+        }],
+        limits: IngressLimits::default(),
+        document: format!("version {version}").into_bytes(),
+    }
+}
+
+/// An engine of the service, with one model.
+pub fn engine(name: &str, version: u64) -> ServerRecord {
+    ServerRecord {
+        instance: InstanceId::from(name),
+        service: ServiceName::from("llm"),
+        address: ([10, 2, 0, 1], 9000).into(),
+        zone: "a".to_owned(),
+        slots: 4,
+        draining: false,
+        models: vec![ModelVersion {
+            model: ModelName::from("m"),
+            version,
+        }],
+    }
+}
+
+/// A batch job with `items` items in one group.
+pub fn job(id: &str, items: u32) -> Arc<JobSubmission> {
+    Arc::new(JobSubmission {
+        id: JobId::from(id),
+        host: "site.example".to_owned(),
+        step: 0,
+        model: Some(ModelName::from("m")),
+        min_version: 1,
+        desired: 1,
+        items: (0..items)
+            .map(|number| JobItem {
+                id: ItemId::from(format!("{id}-{number}")),
+                path: "/rollouts/x".to_owned(),
+                headers: Vec::new(),
+                body: vec![1, 2, 3],
+                tokens: 100,
+                group: "g".to_owned(),
+            })
+            .collect(),
+    })
+}
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -206,7 +206,7 @@
                 self.on_call_reply(now, connection, id, reply)
             }
             CoordinatorMessage::Assign(assignment) => self.begin_item(now, assignment),
-            CoordinatorMessage::Cancel { assignment } => self.cancel_item(assignment),
+            CoordinatorMessage::Release { assignment } => self.release_item(assignment),
             CoordinatorMessage::Alive { coordinators } => {
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
                     link.knows = coordinators;
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, GatewayMessage, IncomingFrame, ItemAssignment, ItemKey, ItemOutcome,
+    AssignmentId, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome, ItemText,
     NotRunReason, RunningItem,
 };
 use wingshore_net::ConnectionId;
@@ -24,16 +24,16 @@
 struct ItemRun {
     assignment: ItemAssignment,
     upstream: Option<ConnectionId>,
-    text: String,
-    events: u64,
-    last_event: Option<u64>,
-    versions: Vec<u64>,
+    /// All events so far, also those of earlier tries.
+    text: ItemText,
     /// The version that makes the next event.
     version: Option<u64>,
     /// When the engine was last heard of.
     heard: Instant,
-    /// What came of it, until a leader was told.
+    /// What came of it, until a leader has made it durable.
     outcome: Option<ItemOutcome>,
+    /// The connection on which that was told.
+    told: Option<ConnectionId>,
 }
 
 /// All tries of this gateway.
@@ -64,13 +64,11 @@
         let bytes = self.encode_item(&assignment);
         let run = ItemRun {
             upstream: None,
-            text: String::new(),
-            events: 0,
-            last_event: None,
-            versions: Vec::new(),
+            text: assignment.kept.clone(),
             version: None,
             heard: now,
             outcome: None,
+            told: None,
             assignment,
         };
         let (instance, address) = (run.assignment.instance.clone(), run.assignment.address);
@@ -106,7 +104,7 @@
         writer = writer
             .header(names.expected_instance, &assignment.instance)
             .header(names.priority, assignment.priority);
-        if let Some(event) = assignment.after_event {
+        if let Some(event) = assignment.kept.last_event {
             writer = writer.header(names.last_event, event);
         }
         if let Some(version) = assignment.expected_version {
@@ -164,7 +162,7 @@
         let outcome = match head.status {
             421 => ItemOutcome::NotRun(NotRunReason::Mismatch),
             _ if not_run => ItemOutcome::NotRun(NotRunReason::Full),
-            200..=299 if clean => run.finished(),
+            200..=299 if clean => ItemOutcome::Finished(std::mem::take(&mut run.text)),
             200..=299 => run.interrupted(false),
             422 => ItemOutcome::Impossible,
             _ => ItemOutcome::Failed,
@@ -219,7 +217,7 @@
     }
 
     /// A leader has no more use for a try.
-    pub(crate) fn cancel_item(&mut self, id: AssignmentId) {
+    pub(crate) fn release_item(&mut self, id: AssignmentId) {
         if let Some(run) = self.items.runs.remove(&id)
             && let Some(upstream) = run.upstream
         {
@@ -233,10 +231,10 @@
             return;
         };
         run.upstream = None;
-        if !matches!(outcome, ItemOutcome::Finished { .. }) {
+        if !matches!(outcome, ItemOutcome::Finished(_)) {
             info!(self.logger, "item ended"; "item" => %run.assignment.request,
                 "job" => %run.assignment.item.job, "engine" => %run.assignment.instance,
-                "outcome" => outcome_name(&outcome), "events" => run.events);
+                "outcome" => outcome_name(&outcome), "events" => run.text.events);
         }
         run.outcome = Some(outcome);
         if let Some(leader) = leader {
@@ -246,27 +244,20 @@
 
     /// Tells the leader the ends that it was not told.
     pub(crate) fn tell_ended_items(&mut self, leader: ConnectionId) {
-        let ended: Vec<AssignmentId> = self
-            .items
-            .runs
-            .iter()
-            .filter(|(_, run)| run.outcome.is_some())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in ended {
-            let Some(run) = self.items.runs.remove(&id) else {
-                continue;
-            };
-            let item: ItemKey = run.assignment.item;
-            let Some(outcome) = run.outcome else {
+        let mut frames = Vec::new();
+        for (id, run) in &mut self.items.runs {
+            let Some(outcome) = run.outcome.as_ref().filter(|_| run.told != Some(leader)) else {
                 continue;
             };
-            let message = GatewayMessage::ItemEnded {
-                assignment: id,
-                item,
-                outcome,
-            };
-            self.send_frame(leader, &IncomingFrame::FromGateway(message));
+            frames.push(IncomingFrame::FromGateway(GatewayMessage::ItemEnded {
+                assignment: *id,
+                item: run.assignment.item.clone(),
+                outcome: outcome.clone(),
+            }));
+            run.told = Some(leader);
+        }
+        for frame in frames {
+            self.send_frame(leader, &frame);
         }
     }
 
@@ -300,33 +291,23 @@
         if !event.has_data {
             return;
         }
-        if self.events > 0 {
-            self.text.push('\n');
+        let text = &mut self.text;
+        if text.events > 0 {
+            text.text.push('\n');
         }
-        self.text.push_str(&event.data);
-        self.events += 1;
-        self.last_event = event.id.or(self.last_event);
+        text.text.push_str(&event.data);
+        text.events += 1;
+        text.last_event = event.id.or(text.last_event);
         if let Some(version) = self.version
-            && !self.versions.contains(&version)
+            && !text.versions.contains(&version)
         {
-            self.versions.push(version);
-        }
-    }
-
-    fn finished(&mut self) -> ItemOutcome {
-        ItemOutcome::Finished {
-            text: std::mem::take(&mut self.text),
-            events: self.events,
-            versions: std::mem::take(&mut self.versions),
+            text.versions.push(version);
         }
     }
 
     fn interrupted(&mut self, engine_suspect: bool) -> ItemOutcome {
         ItemOutcome::Interrupted {
             text: std::mem::take(&mut self.text),
-            events: self.events,
-            last_event: self.last_event,
-            versions: std::mem::take(&mut self.versions),
             engine_suspect,
         }
     }
@@ -334,7 +315,7 @@
 
 fn outcome_name(outcome: &ItemOutcome) -> &'static str {
     match outcome {
-        ItemOutcome::Finished { .. } => "finished",
+        ItemOutcome::Finished(_) => "finished",
         ItemOutcome::Interrupted { .. } => "interrupted",
         ItemOutcome::NotRun(NotRunReason::Full) => "engine full",
         ItemOutcome::NotRun(NotRunReason::Mismatch) => "engine mismatch",
