--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -0,0 +1,104 @@
+//! What the leader decides, as it is logged: the inputs of each decision and its outcome.
+
+use crate::ids::{GatewayId, InstanceId, ItemId, JobId, ModelName};
+use crate::messages::AssignmentId;
+
+/// A decision of the leader.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A batch job was accepted.
+    JobAccepted {
+        /// The job.
+        job: JobId,
+        /// Its items.
+        items: usize,
+        /// Step of the trainer.
+        step: u64,
+        /// The model.
+        model: Option<ModelName>,
+        /// The oldest version that may make its tokens.
+        min_version: u64,
+        /// The newest named version of the model.
+        named_version: u64,
+    },
+    /// The caller has ended a batch job.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// Its items.
+        items: usize,
+        /// Results that are listed.
+        listed: usize,
+        /// Tries that are ended with it.
+        running: usize,
+    },
+    /// An item was placed.
+    ItemAssigned {
+        /// The try.
+        assignment: AssignmentId,
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+        /// The engine.
+        instance: InstanceId,
+        /// Items that run there, this one too.
+        engine_running: usize,
+        /// Version that the engine holds at least.
+        engine_version: u64,
+        /// The gateway that runs it.
+        gateway: GatewayId,
+        /// The last event of earlier tries.
+        after_event: Option<u64>,
+    },
+    /// A try was over without a whole result.
+    ItemRetried {
+        /// The try.
+        assignment: AssignmentId,
+        /// The job.
+        job: JobId,
+        /// The item's place in the job.
+        index: u32,
+        /// The engine.
+        instance: InstanceId,
+        /// What came of the try.
+        reason: &'static str,
+    },
+    /// An item was given up.
+    ItemAbandoned {
+        /// The job.
+        job: JobId,
+        /// The item's place in the job.
+        index: u32,
+        /// Why.
+        reason: &'static str,
+    },
+    /// What the registry holds of a server has changed.
+    ServerChanged {
+        /// The server.
+        instance: InstanceId,
+        /// How: registered, draining, gone.
+        change: &'static str,
+    },
+    /// A trainer has named a version.
+    VersionNamed {
+        /// Of which model.
+        model: ModelName,
+        /// The version.
+        version: u64,
+    },
+    /// An engine holds a named version.
+    VersionReached {
+        /// The engine.
+        instance: InstanceId,
+        /// The model.
+        model: ModelName,
+        /// The version.
+        version: u64,
+    },
+    /// A configuration came into force.
+    Configured {
+        /// Its version.
+        version: u64,
+    },
+}
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -1,7 +1,7 @@
 //! Submitting, reading and ending batch jobs.
 
 use super::placement::release;
-use super::{CoordinationLeader, Outputs, Waiter, reply};
+use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
 use crate::ids::{ItemKey, JobId};
 use crate::jobs::{Job, JobSubmission};
 use crate::messages::{JobPage, Reply};
@@ -70,6 +70,22 @@
     ) {
         reply(tag, Reply::Done, out);
         self.items.add_job(&job, state);
+        if let Some(known) = state.jobs().get(&job) {
+            let submission = &known.submission;
+            let model = submission.model.clone();
+            let named = model
+                .as_ref()
+                .and_then(|model| state.named_versions().get(model));
+            let decision = Decision::JobAccepted {
+                job,
+                items: submission.items.len(),
+                step: submission.step,
+                min_version: submission.min_version,
+                named_version: named.copied().unwrap_or(1),
+                model,
+            };
+            log(decision, out);
+        }
         self.place_items(now, state, out);
     }
 
@@ -146,7 +162,17 @@
         let Some(job) = state.jobs().get(&id) else {
             return reply(tag, Reply::Unknown, out);
         };
-        for (assignment, running) in self.items.remove_job(&id) {
+        let ended = self.items.remove_job(&id);
+        if !job.ended {
+            let decision = Decision::JobEnded {
+                job: id.clone(),
+                items: job.submission.items.len(),
+                listed: job.results.len(),
+                running: ended.len(),
+            };
+            log(decision, out);
+        }
+        for (assignment, running) in ended {
             self.engines.ended(&running.instance);
             if let Some(gateway) = self.gateways.get_mut(&running.gateway) {
                 gateway.running = gateway.running.saturating_sub(1);
@@ -182,7 +208,11 @@
             .filter(|item| self.is_given_up(now, item, &routes, state))
             .collect();
         for item in given_up {
-            self.abandon(&item, out);
+            self.abandon(
+                &item,
+                "its time in the queue is over or its route is gone",
+                out,
+            );
         }
     }
 
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! What only the group's leader does.
 
+mod decision;
 mod engines;
 mod items;
 mod jobs;
@@ -8,6 +9,7 @@
 mod servers;
 mod settings;
 
+pub use decision::Decision;
 pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
 pub use settings::LeaderSettings;
 
@@ -72,6 +74,8 @@
     ToGateway(GatewayId, CoordinatorMessage),
     /// Send a change of the view to all gateways.
     ToAllGateways(CoordinatorMessage),
+    /// Log a decision.
+    Log(Decision),
     /// Give an engine an order.
     Order(WeightOrder),
     /// Ask an engine how it stands.
@@ -217,6 +221,11 @@
         if version <= named {
             return reply(tag, Reply::Done, out);
         }
+        let decision = Decision::VersionNamed {
+            model: model.clone(),
+            version,
+        };
+        log(decision, out);
         let command = Command::NameVersion { model, version };
         self.propose(command, Waiter::Version(tag), out);
     }
@@ -264,6 +273,11 @@
     }
 }
 
+/// Logs a decision.
+pub(crate) fn log(decision: Decision, out: &mut Outputs) {
+    out.push(LeaderOutput::Effect(Effect::Log(decision)));
+}
+
 /// Answers a request.
 pub(crate) fn reply(tag: RequestTag, reply: Reply, out: &mut Outputs) {
     out.push(LeaderOutput::Reply { tag, reply });
@@ -338,6 +352,8 @@
             Waiter::Configuration(tag) => {
                 if let Some(configuration) = state.configuration() {
                     self.change_view(ViewChange::Configuration(Arc::clone(configuration)), out);
+                    let version = configuration.version;
+                    log(Decision::Configured { version }, out);
                 }
                 reply(tag, Reply::Done, out);
                 self.engines.begin(state);
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -1,7 +1,7 @@
 //! Which engine runs an item, through which gateway, and what follows from its end.
 
 use super::items::{Progress, Rank, Running};
-use super::{CoordinationLeader, Effect, Outputs, Waiter};
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::configuration::{Route, SiteConfiguration};
 use crate::ids::{GatewayId, InstanceId, ItemKey, ModelName, ServiceName};
 use crate::jobs::{ItemState, Job, JobItem, ListedResult};
@@ -170,6 +170,17 @@
             priority: route.priority,
         });
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+        let decision = Decision::ItemAssigned {
+            assignment,
+            job: job.submission.id.clone(),
+            item: item.id.clone(),
+            instance: instance.clone(),
+            engine_running: engine.running + 1,
+            engine_version: engine.version_of_any(job.submission.model.as_ref()),
+            gateway,
+            after_event: progress.kept.last_event,
+        };
+        log(decision, out);
         self.engines.started(&instance);
         if let Some(known) = self.gateways.get_mut(&gateway) {
             known.running += 1;
@@ -250,6 +261,14 @@
             outcome => {
                 release(gateway, assignment, out);
                 if !has_ended {
+                    let decision = Decision::ItemRetried {
+                        assignment,
+                        job: running.item.job.clone(),
+                        index: running.item.index,
+                        instance: running.instance.clone(),
+                        reason: outcome.name(),
+                    };
+                    log(decision, out);
                     self.take_outcome(now, &running, outcome, state, out);
                 }
             }
@@ -281,7 +300,11 @@
             ItemOutcome::NotRun(reason) => self.not_run(now, running, reason),
             ItemOutcome::Failed => self.failed(now, running, state, out),
             ItemOutcome::Impossible | ItemOutcome::Finished(_) => {
-                self.abandon(&running.item, out);
+                self.abandon(
+                    &running.item,
+                    "the engine says that it can never be done",
+                    out,
+                );
             }
         }
     }
@@ -322,7 +345,7 @@
         progress.failures += 1;
         progress.not_before = Some(now + FAILED_PAUSE);
         if progress.failures >= most {
-            return self.abandon(&running.item, out);
+            return self.abandon(&running.item, "it failed as often as its route allows", out);
         }
         self.items.wait(running.item.clone());
     }
@@ -354,7 +377,13 @@
     }
 
     /// Gives an item up.
-    pub(crate) fn abandon(&mut self, item: &ItemKey, out: &mut Outputs) {
+    pub(crate) fn abandon(&mut self, item: &ItemKey, reason: &'static str, out: &mut Outputs) {
+        let decision = Decision::ItemAbandoned {
+            job: item.job.clone(),
+            index: item.index,
+            reason,
+        };
+        log(decision, out);
         let result = ListedResult {
             index: item.index,
             state: ItemState::Abandoned,
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -7,7 +7,7 @@
 //! late does nothing.
 
 use super::engines::Engine;
-use super::{CoordinationLeader, Effect, Outputs, Waiter};
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{InstanceId, ModelName, ServiceName};
 use crate::messages::ViewChange;
 use crate::registry::ModelVersion;
@@ -437,7 +437,15 @@
         };
         let mut has_risen = false;
         for entry in &report.models {
-            has_risen |= engine.record.raise_version(&entry.model, entry.version);
+            if engine.record.raise_version(&entry.model, entry.version) {
+                has_risen = true;
+                let decision = Decision::VersionReached {
+                    instance: instance.clone(),
+                    model: entry.model.clone(),
+                    version: entry.version,
+                };
+                log(decision, out);
+            }
         }
         if !report.busy {
             engine.loading = None;
--- a/crates/wingshore-coordination/src/leader/servers.rs
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -1,6 +1,6 @@
 //! The registry's leader side: heartbeats, drains, departures, expiry.
 
-use super::{CoordinationLeader, Outputs, Waiter, reply};
+use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
 use crate::ids::InstanceId;
 use crate::messages::{Reply, ViewChange};
 use crate::registry::{Heartbeat, ServerRecord};
@@ -102,6 +102,16 @@
             Some(server) => self.change_view(ViewChange::Server(server.clone()), out),
             None => self.change_view(ViewChange::Gone(instance.clone()), out),
         }
+        let change = match state.servers().get(&instance) {
+            Some(server) if server.draining => "draining",
+            Some(_) => "registered",
+            None => "gone",
+        };
+        let decision = Decision::ServerChanged {
+            instance: instance.clone(),
+            change,
+        };
+        log(decision, out);
         if let Some(tag) = tag {
             reply(tag, Reply::Done, out);
         }
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -298,3 +298,23 @@
     /// The gateway takes no items.
     Stopping,
 }
+
+impl ItemOutcome {
+    /// What came of the try, in words.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Finished(_) => "finished",
+            Self::Interrupted {
+                engine_suspect: true,
+                ..
+            } => "the engine broke off",
+            Self::Interrupted { .. } => "the gateway broke off",
+            Self::NotRun(NotRunReason::Full) => "the engine is full or loads weights",
+            Self::NotRun(NotRunReason::Mismatch) => "another server or version is there",
+            Self::NotRun(NotRunReason::Unreachable) => "no connection to the engine",
+            Self::NotRun(NotRunReason::Stopping) => "the gateway stops",
+            Self::Failed => "the engine failed",
+            Self::Impossible => "the engine says that it can never be done",
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -0,0 +1,77 @@
+//! Log lines of the leader's decisions.
+
+use slog::{Logger, info};
+use wingshore_coordination::{Decision, ModelName};
+
+/// Writes one line for a decision.
+pub(crate) fn log(logger: &Logger, decision: &Decision) {
+    match decision {
+        Decision::JobAccepted {
+            job,
+            items,
+            step,
+            model,
+            min_version,
+            named_version,
+        } => {
+            info!(logger, "job accepted"; "job" => %job, "items" => items, "step" => step,
+                "model" => model.as_ref().map(ModelName::as_str), "min_version" => min_version,
+                "named_version" => named_version);
+        }
+        Decision::JobEnded {
+            job,
+            items,
+            listed,
+            running,
+        } => {
+            info!(logger, "job ended"; "job" => %job, "items" => items, "listed" => listed,
+                "running" => running);
+        }
+        Decision::ItemAssigned {
+            assignment,
+            job,
+            item,
+            instance,
+            engine_running,
+            engine_version,
+            gateway,
+            after_event,
+        } => {
+            info!(logger, "item assigned"; "job" => %job, "item" => %item,
+                "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance,
+                "engine_running" => engine_running, "engine_version" => engine_version,
+                "gateway" => gateway.0, "after_event" => after_event);
+        }
+        Decision::ItemRetried {
+            assignment,
+            job,
+            index,
+            instance,
+            reason,
+        } => {
+            info!(logger, "item retried"; "job" => %job, "index" => index,
+                "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance,
+                "reason" => reason);
+        }
+        Decision::ItemAbandoned { job, index, reason } => {
+            info!(logger, "item abandoned"; "job" => %job, "index" => index, "reason" => reason);
+        }
+        Decision::ServerChanged { instance, change } => {
+            info!(logger, "server"; "server" => %instance, "change" => change);
+        }
+        Decision::VersionNamed { model, version } => {
+            info!(logger, "version named"; "model" => %model, "version" => version);
+        }
+        Decision::VersionReached {
+            instance,
+            model,
+            version,
+        } => {
+            info!(logger, "version reached"; "engine" => %instance, "model" => %model,
+                "version" => version);
+        }
+        Decision::Configured { version } => {
+            info!(logger, "configuration in force"; "version" => version);
+        }
+    }
+}
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -6,6 +6,7 @@
 //! knows no wire but that of the site's own processes.
 
 mod control;
+mod decisions;
 mod directory;
 mod engine_calls;
 mod error;
--- a/crates/wingshore-coordinator/src/process.rs
+++ b/crates/wingshore-coordinator/src/process.rs
@@ -1,6 +1,7 @@
 //! One coordinator process from start to end: the loop that owns sockets and the group's host.
 
 use crate::control::{self, ControlConnection};
+use crate::decisions;
 use crate::directory::Directory;
 use crate::engine_calls::EngineCalls;
 use crate::error::{CoordinatorError, GroupSnafu, NetSnafu, StorageSnafu, ThreadSnafu};
@@ -330,6 +331,10 @@
                 self.send_to_all_gateways(&message);
                 None
             }
+            Effect::Log(decision) => {
+                decisions::log(&self.logger, &decision);
+                None
+            }
             Effect::Order(order) => {
                 info!(self.logger, "order"; "engine" => %order.instance, "model" => %order.model,
                     "version" => order.version, "fence" => order.fence.0);
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -234,7 +234,7 @@
         if !matches!(outcome, ItemOutcome::Finished(_)) {
             info!(self.logger, "item ended"; "item" => %run.assignment.request,
                 "job" => %run.assignment.item.job, "engine" => %run.assignment.instance,
-                "outcome" => outcome_name(&outcome), "events" => run.text.events);
+                "outcome" => outcome.name(), "events" => run.text.events);
         }
         run.outcome = Some(outcome);
         if let Some(leader) = leader {
@@ -312,16 +312,3 @@
         }
     }
 }
-
-fn outcome_name(outcome: &ItemOutcome) -> &'static str {
-    match outcome {
-        ItemOutcome::Finished(_) => "finished",
-        ItemOutcome::Interrupted { .. } => "interrupted",
-        ItemOutcome::NotRun(NotRunReason::Full) => "engine full",
-        ItemOutcome::NotRun(NotRunReason::Mismatch) => "engine mismatch",
-        ItemOutcome::NotRun(NotRunReason::Unreachable) => "engine unreachable",
-        ItemOutcome::NotRun(NotRunReason::Stopping) => "gateway stopping",
-        ItemOutcome::Failed => "failed",
-        ItemOutcome::Impossible => "impossible",
-    }
-}
