coordination: long items run where they are fastest, engines take turns with their models' versions

The leader's decisions show long items on slow engines, items that stand still 0.9 s while their engine loads, and 3 of 9 engines carrying one model's 80 items in turns. Ruled out: waiting for slots in general (first placement takes 0.00 s at p50 in nearly all steps), late acceptance. Change: gateways tell how far items are; the leader measures each engine's time an event, places long items (by the caller's estimate or because they outlasted an earlier job) where that is best and no load is to come, moves items off engines a quarter slower, and lets engines one version behind wait with their load while long items run.

--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -38,6 +38,8 @@
     pub body: Vec<u8>,
     /// Tokens of its prompt and the most it puts out, together.
     pub tokens: u64,
+    /// The caller's estimate of the tokens that it puts out; often far off.
+    pub expected_output: Option<u64>,
     /// Items of one group share their prompt and count only together.
     pub group: String,
 }
--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -64,6 +64,17 @@
         /// What came of the try.
         reason: &'static str,
     },
+    /// An item goes on at a faster engine.
+    ItemMoved {
+        /// The try that is broken off.
+        assignment: AssignmentId,
+        /// The job.
+        job: JobId,
+        /// The item's place in the job.
+        index: u32,
+        /// The engine that is too slow.
+        instance: InstanceId,
+    },
     /// An item was given up.
     ItemAbandoned {
         /// The job.
--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use wingshore_types::Instant;
 
+/// Weight of the newest measurement of an engine's pace.
+const PACE_WEIGHT: f64 = 0.15;
+
 /// One engine.
 #[derive(Clone, Debug)]
 pub(crate) struct Engine {
@@ -21,9 +24,20 @@
     pub(crate) loading: Option<ModelName>,
     /// Items that run at once.
     pub(crate) slots: usize,
+    /// Time from event to event of a stream if it ran alone, in milliseconds, as measured lately.
+    pub(crate) pace: Option<f64>,
+    /// Until then streams may stand still: it loads weights, or has just done so.
+    pub(crate) unsteady_until: Instant,
+    /// Long items that run on it.
+    pub(crate) long_running: usize,
 }
 
 impl Engine {
+    /// Time from event to event for one more item, in milliseconds.
+    pub(crate) fn expected_pace(&self) -> Option<f64> {
+        Some(self.pace? * slow_down(self.running + 1))
+    }
+
     /// The version of `model` it holds at least.
     pub(crate) fn version_of(&self, model: &ModelName) -> u64 {
         self.record.version_of(model).unwrap_or(0)
@@ -73,6 +87,9 @@
             faults: 0,
             loading: None,
             slots,
+            pace: None,
+            unsteady_until: Instant::ZERO,
+            long_running: 0,
         });
         let known = std::mem::replace(&mut engine.record, record.clone());
         for entry in &known.models {
@@ -120,6 +137,35 @@
         }
     }
 
+    /// A stream of it brought `events` in `time`.
+    pub(crate) fn paced(&mut self, instance: &InstanceId, events: u64, time: Duration) {
+        let Some(engine) = self.all.get_mut(instance) else {
+            return;
+        };
+        if events == 0 {
+            return;
+        }
+        let measured = time.as_secs_f64() * 1000.0 / events as f64;
+        let sample = measured / slow_down(engine.running);
+        let known = engine.pace.unwrap_or(sample);
+        engine.pace = Some(known + (sample - known) * PACE_WEIGHT);
+    }
+
+    /// How many long items run on each.
+    pub(crate) fn set_long_running(&mut self, counts: &BTreeMap<InstanceId, usize>) {
+        for (instance, engine) in &mut self.all {
+            engine.long_running = counts.get(instance).copied().unwrap_or(0);
+        }
+    }
+
+    /// The best pace of any engine of a service, in milliseconds an event.
+    pub(crate) fn best_pace(&self, service: &ServiceName) -> Option<f64> {
+        let paces = self
+            .of_service(service)
+            .filter_map(|(_, engine)| engine.pace);
+        paces.min_by(f64::total_cmp)
+    }
+
     /// An item ran whole on it.
     pub(crate) fn succeeded(&mut self, instance: &InstanceId) {
         if let Some(engine) = self.all.get_mut(instance) {
@@ -148,6 +194,13 @@
     }
 }
 
+/// How many times longer an engine takes from event to event with this many items than with none.
+pub(crate) fn slow_down(running: usize) -> f64 {
+    /// By how much each item slows the others down.
+    const EACH: f64 = 0.009;
+    1.0 + EACH * running as f64
+}
+
 fn is_engine(service: &ServiceName, state: &CoordinationState) -> bool {
     let configuration = state.configuration();
     configuration
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -1,18 +1,28 @@
 //! Items of batch jobs on their way: which wait, which run where, what they have so far.
 
 use super::engines::Engines;
-use crate::ids::{GatewayId, InstanceId, ItemKey, JobId};
+use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId};
+use crate::jobs::JobItem;
 use crate::messages::{AssignmentId, ItemText};
 use crate::state::CoordinationState;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use wingshore_types::{Epoch, Instant};
 
+/// Items that have outlasted their jobs are remembered up to this many.
+const MOST_OUTLASTING: usize = 4096;
+/// An item is long from this many times the mean estimate on.
+const LONG_FACTOR: u64 = 2;
+
 /// A try that is under way.
 #[derive(Clone, Debug)]
 pub(crate) struct Running {
     pub(crate) item: ItemKey,
     pub(crate) gateway: GatewayId,
     pub(crate) instance: InstanceId,
+    /// Events at the last word of the gateway, and when that came.
+    pub(crate) seen: Option<(u64, Instant)>,
+    /// Whether the gateway was told to break it off.
+    pub(crate) interrupted: bool,
 }
 
 /// What earlier tries at an item have left.
@@ -28,6 +38,14 @@
     pub(crate) assignment: Option<AssignmentId>,
     /// A result is proposed.
     pub(crate) ended: bool,
+    /// Times that it was moved from one engine to another.
+    pub(crate) moves: u32,
+    /// The engine that it was moved away from.
+    pub(crate) avoid: Option<InstanceId>,
+    /// The caller's estimate of its length; longer ones are placed first.
+    pub(crate) expected: u64,
+    /// Whether it is one of the longest: by the estimate, or by an earlier job that it outlasted.
+    pub(crate) is_long: bool,
 }
 
 /// Order in which waiting items are placed.
@@ -37,6 +55,8 @@
     pub(crate) priority: u8,
     /// Jobs in the order of their acceptance.
     pub(crate) job: u64,
+    /// The longest first.
+    pub(crate) length: std::cmp::Reverse<u64>,
     /// Items in the order of the submission.
     pub(crate) index: u32,
 }
@@ -51,6 +71,8 @@
     waiting: BTreeMap<Rank, ItemKey>,
     running: BTreeMap<AssignmentId, Running>,
     progress: BTreeMap<ItemKey, Progress>,
+    /// Items that were running when their job ended.
+    outlasting: HashSet<ItemId>,
     /// The engine that ran an item of a group last, by job.
     group_homes: HashMap<JobId, HashMap<String, InstanceId>>,
 }
@@ -74,18 +96,44 @@
         }
         self.jobs.insert(id.clone(), self.next_job);
         self.next_job += 1;
+        let long_from = long_output(&job.submission.items);
         for index in job.open_items() {
             let item = ItemKey {
                 job: id.clone(),
                 index,
             };
-            self.progress.insert(item.clone(), Progress::default());
+            let contents = job.submission.items.get(index as usize);
+            let expected = contents.and_then(|item| item.expected_output).unwrap_or(0);
+            let outlasted = contents.is_some_and(|item| self.outlasting.contains(&item.id));
+            let progress = Progress {
+                expected: if outlasted { u64::MAX } else { expected },
+                is_long: outlasted || expected >= long_from,
+                ..Progress::default()
+            };
+            self.progress.insert(item.clone(), progress);
             self.wait(item);
         }
     }
 
-    /// Forgets all items of a job; gives the tries under way.
-    pub(crate) fn remove_job(&mut self, id: &JobId) -> Vec<(AssignmentId, Running)> {
+    /// Forgets all items of a job; gives the tries under way. What still runs has outlasted the
+    /// job, and may come again in another one.
+    pub(crate) fn remove_job(
+        &mut self,
+        id: &JobId,
+        state: &CoordinationState,
+    ) -> Vec<(AssignmentId, Running)> {
+        let submission = state.jobs().get(id).map(|job| &job.submission);
+        for running in self
+            .running
+            .values()
+            .filter(|running| running.item.job == *id)
+        {
+            let item = submission.and_then(|job| job.items.get(running.item.index as usize));
+            self.outlasting.extend(item.map(|item| item.id.clone()));
+        }
+        if self.outlasting.len() > MOST_OUTLASTING {
+            self.outlasting.clear();
+        }
         self.jobs.remove(id);
         self.group_homes.remove(id);
         self.waiting.retain(|_, item| item.job != *id);
@@ -107,9 +155,14 @@
         let Some(job) = self.jobs.get(&item.job) else {
             return;
         };
+        let expected = self
+            .progress
+            .get(&item)
+            .map_or(0, |progress| progress.expected);
         let rank = Rank {
             priority: 0,
             job: *job,
+            length: std::cmp::Reverse(expected),
             index: item.index,
         };
         self.waiting.insert(rank, item);
@@ -161,6 +214,16 @@
         Some(running)
     }
 
+    /// The tries under way.
+    pub(crate) fn running(&self) -> impl Iterator<Item = (&AssignmentId, &Running)> {
+        self.running.iter()
+    }
+
+    /// A try under way.
+    pub(crate) fn running_mut(&mut self, assignment: AssignmentId) -> Option<&mut Running> {
+        self.running.get_mut(&assignment)
+    }
+
     /// What earlier tries have left; `None` for an item that is listed or forgotten.
     pub(crate) fn progress(&self, item: &ItemKey) -> Option<&Progress> {
         self.progress.get(item)
@@ -212,3 +275,13 @@
         self.waiting.retain(|_, waiting| waiting != item);
     }
 }
+
+/// The estimate from which on an item of a job is a long one.
+fn long_output(items: &[JobItem]) -> u64 {
+    let estimates = items.iter().filter_map(|item| item.expected_output);
+    let (sum, count) = estimates.fold((0, 0), |(sum, count), estimate| (sum + estimate, count + 1));
+    if count == 0 {
+        return u64::MAX;
+    }
+    sum / count * LONG_FACTOR
+}
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -162,7 +162,7 @@
         let Some(job) = state.jobs().get(&id) else {
             return reply(tag, Reply::Unknown, out);
         };
-        let ended = self.items.remove_job(&id);
+        let ended = self.items.remove_job(&id, state);
         if !job.ended {
             let decision = Decision::JobEnded {
                 job: id.clone(),
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -4,6 +4,7 @@
 mod engines;
 mod items;
 mod jobs;
+mod moves;
 mod placement;
 mod rollout;
 mod servers;
@@ -15,8 +16,8 @@
 
 use crate::ids::{GatewayId, InstanceId, JobId, ModelName};
 use crate::messages::{
-    AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, Reply, Request,
-    RunningItem, SiteView, ViewChange,
+    AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
+    Reply, Request, RunningItem, SiteView, ViewChange,
 };
 use crate::state::{Command, CoordinationState};
 use engines::Engines;
@@ -40,6 +41,8 @@
     GatewayStatus(GatewayId, GatewayStatus),
     /// A gateway tells which items it runs.
     GatewayRunning(GatewayId, Vec<RunningItem>),
+    /// A gateway tells how far its items are.
+    ItemsProgressed(Vec<ItemProgress>),
     /// The connection of a gateway has ended.
     GatewayGone(GatewayId),
     /// A gateway's try at an item is over.
@@ -393,6 +396,7 @@
             Event::GatewayRunning(gateway, running) => {
                 self.on_running(now, gateway, running, state, out);
             }
+            Event::ItemsProgressed(progress) => self.on_progress(now, progress, state, out),
             Event::GatewayGone(gateway) => self.on_gateway_gone(now, gateway, state, out),
             Event::ItemEnded {
                 gateway,
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -0,0 +1,155 @@
+//! Moving items away from engines that are slower than others.
+
+use super::{CoordinationLeader, Decision, Effect, Outputs, log};
+use crate::ids::{GatewayId, InstanceId};
+use crate::messages::{AssignmentId, CoordinatorMessage, ItemProgress};
+use crate::state::CoordinationState;
+use wingshore_types::Instant;
+use wingshore_types::machine::LeaderOutput;
+
+/// An item moves where its events come this many times faster.
+const WORTH_MOVING: f64 = 1.25;
+/// Where they come this many times faster, it moves at once.
+const MUCH_FASTER: f64 = 1.8;
+/// Events after which an item counts as a long one.
+const LONG_EVENTS: u64 = 20;
+/// Events after which an item has proved to be a long one.
+const PROVED_LONG_EVENTS: u64 = 30;
+/// Events after which an item may move at all.
+const FEWEST_EVENTS: u64 = 3;
+/// Most times that one item moves.
+const MOST_MOVES: u32 = 2;
+/// Slots that a move leaves free where it goes.
+const SPARE_SLOTS: usize = 1;
+/// Fewest events of a measurement of pace.
+const FEWEST_MEASURED: u64 = 2;
+
+impl CoordinationLeader {
+    /// A gateway tells how far its items are.
+    pub(crate) fn on_progress(
+        &mut self,
+        now: Instant,
+        progress: Vec<ItemProgress>,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        for ItemProgress { assignment, events } in progress {
+            let Some(running) = self.items.running_mut(assignment) else {
+                continue;
+            };
+            let Some((before, at)) = running.seen else {
+                running.seen = Some((events, now));
+                continue;
+            };
+            let instance = running.instance.clone();
+            let engine = self.engines.get(&instance);
+            let steady = engine
+                .is_some_and(|engine| engine.loading.is_none() && now >= engine.unsteady_until);
+            if !steady {
+                running.seen = Some((events, now));
+                continue;
+            }
+            let new = events.saturating_sub(before);
+            if new < FEWEST_MEASURED {
+                continue;
+            }
+            running.seen = Some((events, now));
+            self.engines.paced(&instance, new, now.since(at));
+        }
+        self.count_long_items();
+        self.move_items(now, state, out);
+    }
+
+    /// Counts, for each engine, the items that are long or have proved to be.
+    pub(crate) fn count_long_items(&mut self) {
+        let mut counts: std::collections::BTreeMap<InstanceId, usize> = Default::default();
+        for (_, running) in self.items.running() {
+            let events = running.seen.map_or(0, |(events, _)| events);
+            let expected = self.items.progress(&running.item);
+            let is_long =
+                events >= PROVED_LONG_EVENTS || expected.is_some_and(|progress| progress.is_long);
+            if is_long {
+                *counts.entry(running.instance.clone()).or_default() += 1;
+            }
+        }
+        self.engines.set_long_running(&counts);
+    }
+
+    /// Breaks off the items that go on faster elsewhere.
+    fn move_items(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
+        let mut promised: std::collections::BTreeMap<InstanceId, usize> = Default::default();
+        let candidates: Vec<(AssignmentId, GatewayId)> = self
+            .items
+            .running()
+            .filter(|(_, running)| !running.interrupted)
+            .map(|(assignment, running)| (*assignment, running.gateway))
+            .collect();
+        for (assignment, gateway) in candidates {
+            let Some(target) = self.better_engine(now, assignment, &promised, state) else {
+                continue;
+            };
+            *promised.entry(target).or_default() += 1;
+            self.interrupt(assignment, gateway, out);
+        }
+    }
+
+    fn interrupt(&mut self, assignment: AssignmentId, gateway: GatewayId, out: &mut Outputs) {
+        let Some(running) = self.items.running_mut(assignment) else {
+            return;
+        };
+        running.interrupted = true;
+        let (item, instance) = (running.item.clone(), running.instance.clone());
+        if let Some(progress) = self.items.progress_mut(&item) {
+            progress.moves += 1;
+            progress.avoid = Some(instance.clone());
+        }
+        let decision = Decision::ItemMoved {
+            assignment,
+            job: item.job,
+            index: item.index,
+            instance,
+        };
+        log(decision, out);
+        let message = CoordinatorMessage::Interrupt { assignment };
+        out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+    }
+
+    /// An engine with a free slot on which the item goes on much faster.
+    fn better_engine(
+        &self,
+        now: Instant,
+        assignment: AssignmentId,
+        promised: &std::collections::BTreeMap<InstanceId, usize>,
+        state: &CoordinationState,
+    ) -> Option<InstanceId> {
+        let (_, running) = self.items.running().find(|(id, _)| **id == assignment)?;
+        let (events, _) = running
+            .seen
+            .filter(|(events, _)| *events >= FEWEST_EVENTS)?;
+        let progress = self.items.progress(&running.item)?;
+        if progress.moves >= MOST_MOVES || progress.ended {
+            return None;
+        }
+        let engine = self.engines.get(&running.instance)?;
+        let pace = engine.expected_pace()?;
+        let job = state.jobs().get(&running.item.job)?;
+        let model = job.submission.model.as_ref();
+        let min_version = job.submission.min_version;
+        let gain = if events >= LONG_EVENTS {
+            WORTH_MOVING
+        } else {
+            MUCH_FASTER
+        };
+        self.engines
+            .of_service(&engine.record.service)
+            .filter(|(instance, other)| {
+                let promised = promised.get(*instance).copied().unwrap_or(0);
+                other.takes(now, model, min_version)
+                    && other.running + promised + SPARE_SLOTS < other.slots
+            })
+            .filter_map(|(instance, other)| Some((other.expected_pace()?, instance)))
+            .filter(|(other, _)| pace > other * gain)
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .map(|(_, instance)| instance.clone())
+    }
+}
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -1,5 +1,6 @@
 //! Which engine runs an item, through which gateway, and what follows from its end.
 
+use super::engines::{Engine, slow_down};
 use super::items::{Progress, Rank, Running};
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::configuration::{Route, SiteConfiguration};
@@ -42,7 +43,7 @@
                 self.items.take(&rank);
                 continue;
             };
-            self.place(now, &rank, &item, job, &routes, configuration, out);
+            self.place(now, &rank, &item, job, &routes, configuration, state, out);
         }
     }
 
@@ -55,6 +56,7 @@
         job: &Job,
         routes: &RouteTable,
         configuration: &SiteConfiguration,
+        state: &CoordinationState,
         out: &mut Outputs,
     ) {
         let Some(item) = job.submission.items.get(key.index as usize) else {
@@ -74,7 +76,8 @@
             return;
         };
         let progress = progress.clone();
-        let Some(instance) = self.choose_engine(now, service, job, item, &progress, configuration)
+        let Some(instance) =
+            self.choose_engine(now, service, job, item, &progress, configuration, state)
         else {
             return;
         };
@@ -89,6 +92,7 @@
         self.assign(gateway, instance, key, job, item, &route, &progress, out);
     }
 
+    #[expect(clippy::too_many_arguments, reason = "one step of `place`")]
     fn choose_engine(
         &self,
         now: Instant,
@@ -97,22 +101,35 @@
         item: &JobItem,
         progress: &Progress,
         configuration: &SiteConfiguration,
+        state: &CoordinationState,
     ) -> Option<InstanceId> {
         let model = job.submission.model.as_ref();
         let min_version = job.submission.min_version;
         let home = self.group_engine(job, item);
         let profile = configuration.service(service)?.engine.as_ref();
         let slots = profile.map_or(usize::MAX, |profile| profile.slots as usize);
+        let best_pace = self.engines.best_pace(service).unwrap_or(1.0);
         self.engines
             .of_service(service)
+            .filter(|(instance, _)| progress.avoid.as_ref() != Some(*instance))
             .filter(|(_, engine)| engine.takes(now, model, min_version) && engine.running < slots)
-            .min_by_key(|(instance, engine)| {
-                let is_home = home.as_ref() == Some(*instance);
+            .map(|(instance, engine)| {
+                let is_home = home.as_ref() == Some(instance);
                 let same_version = keeps_version(model, progress, engine.version_of_any(model));
-                let load = engine.running.saturating_sub(if is_home { 3 } else { 0 });
-                (!same_version, load, (*instance).clone())
+                let is_newest = model.is_none_or(|model| {
+                    let named = state.named_versions().get(model).copied();
+                    engine.version_of(model) >= named.unwrap_or(0)
+                });
+                let cost = if progress.is_long {
+                    long_cost(engine, best_pace, is_newest)
+                } else {
+                    short_cost(engine, best_pace, is_home)
+                };
+                let cost = cost + if same_version { 0.0 } else { OTHER_VERSION };
+                (cost, instance)
             })
-            .map(|(instance, _)| instance.clone())
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .map(|(_, instance)| instance.clone())
     }
 
     /// The engine that most probably holds the prompt of the item's group.
@@ -191,6 +208,8 @@
             item: key.clone(),
             gateway,
             instance,
+            seen: None,
+            interrupted: false,
         };
         self.items.start(assignment, running);
     }
@@ -228,6 +247,8 @@
             item,
             gateway,
             instance,
+            seen: None,
+            interrupted: false,
         };
         self.items.start(assignment, running);
     }
@@ -423,6 +444,29 @@
     out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
 }
 
+/// What it costs to go on with an item under another version than before.
+const OTHER_VERSION: f64 = 0.05;
+
+/// What a long item costs on an engine: the time that it takes there, and the standing still while
+/// the engine loads weights that it still lacks.
+fn long_cost(engine: &Engine, best_pace: f64, is_newest: bool) -> f64 {
+    const LOAD_TO_COME: f64 = 0.1;
+    let pace = engine.pace.unwrap_or(best_pace) / best_pace;
+    let load_to_come = if is_newest { 0.0 } else { LOAD_TO_COME };
+    pace * slow_down(engine.running) + load_to_come
+}
+
+/// What a short item costs on an engine: mostly that it slows others down.
+fn short_cost(engine: &Engine, best_pace: f64, is_home: bool) -> f64 {
+    /// What each item that runs there counts.
+    const LOAD: f64 = 0.04;
+    /// What the shared part of a prompt is worth that need not be read again.
+    const HOME: f64 = 0.06;
+    let pace = engine.pace.unwrap_or(best_pace) / best_pace;
+    let home = if is_home { HOME } else { 0.0 };
+    pace.sqrt() + LOAD * engine.running as f64 - home
+}
+
 /// Whether an engine at `version` goes on with the version that made the last event.
 fn keeps_version(model: Option<&ModelName>, progress: &Progress, version: u64) -> bool {
     model.is_none()
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -6,7 +6,6 @@
 //! leadership as their fence and the engine's count of orders, so that one that is carried out
 //! late does nothing.
 
-use super::engines::Engine;
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{InstanceId, ModelName, ServiceName};
 use crate::messages::ViewChange;
@@ -14,6 +13,7 @@
 use crate::state::{Command, CoordinationState, OrderHolder};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use wingshore_types::machine::LeaderOutput;
 use wingshore_types::{Epoch, Instant};
 
@@ -22,6 +22,9 @@
 /// An engine that was left alone is tried again after this many report intervals.
 const LEFT_ALONE_INTERVALS: u32 = 20;
 
+/// Streams of an engine that has loaded weights are steady again after this time.
+const AFTER_LOAD: Duration = Duration::from_millis(500);
+
 /// An order to load weights.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightOrder {
@@ -92,14 +95,25 @@
     tries: u32,
 }
 
+/// A load that would bring an engine to a named version.
+struct WantedLoad {
+    instance: InstanceId,
+    service: ServiceName,
+    model: ModelName,
+    /// The newest named version.
+    named: u64,
+    /// How many versions the engine is behind.
+    lag: u64,
+}
+
 /// All loading that is under way.
 #[derive(Default)]
 pub(crate) struct Rollout {
     claim_at: Option<Instant>,
     may_order: bool,
     loads: BTreeMap<InstanceId, Load>,
-    /// The model that each engine is kept up to date with, where a service has several.
-    homes: BTreeMap<InstanceId, ModelName>,
+    /// Loads of each version so far.
+    begun: BTreeMap<(ModelName, u64), usize>,
 }
 
 impl Rollout {
@@ -126,7 +140,7 @@
         let holder = state.order_holder();
         let is_own = holder.is_none_or(|holder| holder.node == self.settings.node);
         let wait = if is_own {
-            std::time::Duration::ZERO
+            Duration::ZERO
         } else {
             self.settings.order_handover
         };
@@ -154,7 +168,6 @@
         }
         self.drop_finished_loads(state);
         self.continue_loads(now, out);
-        self.choose_homes(state);
         self.begin_loads(now, state, out);
     }
 
@@ -216,117 +229,114 @@
     }
 
     fn begin_loads(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
-        let mut behind: Vec<(u64, InstanceId, ModelName, u64)> = self
-            .engines
-            .iter()
-            .filter(|(instance, engine)| {
-                !engine.record.draining && !self.rollout.loads.contains_key(*instance)
-            })
-            .filter_map(|(instance, engine)| self.lag(instance, engine, state))
-            .collect();
-        behind.sort_by_key(|(lag, instance, ..)| (std::cmp::Reverse(*lag), instance.clone()));
-        for (_, instance, model, version) in behind {
+        let mut wanted = self.wanted_loads(state);
+        wanted.sort_by_key(|load| {
+            let long_running = self.long_running(&load.instance);
+            let instance = load.instance.clone();
+            (std::cmp::Reverse(load.lag), long_running, instance)
+        });
+        for load in wanted {
             if self.rollout.active() >= self.settings.concurrent_loads {
                 return;
             }
-            let phase = Phase::Asked(now);
-            self.ask_report(&instance, out);
-            let load = Load {
-                model,
-                version,
-                phase,
-                tries: 0,
-            };
-            self.rollout.loads.insert(instance, load);
+            if self.rollout.loads.contains_key(&load.instance) || !self.is_worth_it(&load) {
+                continue;
+            }
+            self.begin_load(now, load, out);
         }
     }
 
-    /// How far an engine is behind with the model it is kept up to date with.
-    fn lag(
-        &self,
-        instance: &InstanceId,
-        engine: &Engine,
-        state: &CoordinationState,
-    ) -> Option<(u64, InstanceId, ModelName, u64)> {
-        let home = self.rollout.homes.get(instance);
-        let candidates = engine
-            .record
-            .models
-            .iter()
-            .filter(|entry| home.is_none_or(|home| entry.model == *home));
-        candidates
-            .filter_map(|entry| {
-                let named = *state.named_versions().get(&entry.model)?;
-                let lag = named.checked_sub(entry.version).filter(|lag| *lag > 0)?;
-                Some((lag, instance.clone(), entry.model.clone(), named))
-            })
-            .max_by_key(|(lag, ..)| *lag)
+    fn begin_load(&mut self, now: Instant, wanted: WantedLoad, out: &mut Outputs) {
+        let WantedLoad {
+            instance,
+            model,
+            named,
+            ..
+        } = wanted;
+        self.ask_report(&instance, out);
+        let begun = self.rollout.begun.entry((model.clone(), named));
+        *begun.or_default() += 1;
+        let load = Load {
+            model,
+            version: named,
+            phase: Phase::Asked(now),
+            tries: 0,
+        };
+        self.rollout.loads.insert(instance, load);
     }
 
-    /// Shares the engines of each service out among its models, by the tokens that are asked of
-    /// each; an engine stays with its model as long as the shares are about right.
-    fn choose_homes(&mut self, state: &CoordinationState) {
-        let mut services: BTreeMap<ServiceName, Vec<InstanceId>> = BTreeMap::new();
+    /// All loads that would bring an engine to a named version.
+    fn wanted_loads(&self, state: &CoordinationState) -> Vec<WantedLoad> {
+        let mut wanted = Vec::new();
         for (instance, engine) in self.engines.iter() {
-            if engine.record.models.len() > 1 && !engine.record.draining {
-                let service = engine.record.service.clone();
-                services.entry(service).or_default().push(instance.clone());
+            if engine.record.draining || self.rollout.loads.contains_key(instance) {
+                continue;
+            }
+            for entry in &engine.record.models {
+                let named = state.named_versions().get(&entry.model).copied();
+                let named = named.unwrap_or(0);
+                if named > entry.version {
+                    wanted.push(WantedLoad {
+                        instance: instance.clone(),
+                        service: engine.record.service.clone(),
+                        model: entry.model.clone(),
+                        named,
+                        lag: named - entry.version,
+                    });
+                }
             }
         }
-        let demand = demand(state);
-        let mut homes = BTreeMap::new();
-        for instances in services.into_values() {
-            self.share_out(&instances, &demand, &mut homes);
-        }
-        self.rollout.homes = homes;
+        wanted
     }
 
-    fn share_out(
-        &self,
-        instances: &[InstanceId],
-        demand: &BTreeMap<ModelName, u64>,
-        homes: &mut BTreeMap<InstanceId, ModelName>,
-    ) {
-        let models = self.models_of(instances);
-        if models.is_empty() {
-            return;
+    /// Whether a load should begin now.
+    ///
+    /// Work may run on the newest version and the one before, so an engine one version behind is
+    /// still of use: it loads only within its model's share of the loads of this version, and not
+    /// while long items would stand still for it. An engine that is further behind loads, unless
+    /// it has long items and others carry its model meanwhile.
+    fn is_worth_it(&self, load: &WantedLoad) -> bool {
+        let has_long_items = self.long_running(&load.instance) > 0;
+        if load.lag > 1 {
+            return !has_long_items || !self.others_carry(load);
         }
-        let quotas = quotas(&models, instances.len(), demand);
-        let mut counts = vec![0_usize; models.len()];
-        let mut free = Vec::new();
-        for instance in instances {
-            let known = self.rollout.homes.get(instance);
-            let place = known.and_then(|home| models.iter().position(|model| model == home));
-            match place.filter(|place| counts[*place] <= quotas[*place]) {
-                Some(place) => {
-                    counts[place] += 1;
-                    homes.insert(instance.clone(), models[place].clone());
-                }
-                None => free.push(instance),
-            }
-        }
-        for instance in free {
-            let deficit = |place: &usize| quotas[*place] as i64 - counts[*place] as i64;
-            let Some(place) = (0..models.len()).max_by_key(deficit) else {
-                return;
+        let key = (load.model.clone(), load.named);
+        let begun = self.rollout.begun.get(&key).copied().unwrap_or(0);
+        !has_long_items && begun < self.share_of_loads(load)
+    }
+
+    /// How many engines of a service load one version of a model, where its models take turns.
+    fn share_of_loads(&self, load: &WantedLoad) -> usize {
+        let engines = self.engines.of_service(&load.service).count();
+        let models = self
+            .engines
+            .get(&load.instance)
+            .map_or(1, |engine| engine.record.models.len());
+        engines / models.max(1)
+    }
+
+    /// Whether at least half of the engines that serve a model can run what asks for the version
+    /// before the newest.
+    fn others_carry(&self, load: &WantedLoad) -> bool {
+        let (mut all, mut usable) = (0, 0);
+        for (_, engine) in self.engines.of_service(&load.service) {
+            let Some(version) = engine.record.version_of(&load.model) else {
+                continue;
             };
-            counts[place] += 1;
-            homes.insert(instance.clone(), models[place].clone());
+            if engine.record.draining {
+                continue;
+            }
+            all += 1;
+            let is_usable = version + 1 >= load.named && engine.loading.is_none();
+            usable += usize::from(is_usable);
         }
+        usable * 2 >= all
     }
 
-    fn models_of(&self, instances: &[InstanceId]) -> Vec<ModelName> {
-        let first = instances
-            .first()
-            .and_then(|instance| self.engines.get(instance));
-        let mut models: Vec<ModelName> = first
-            .map(|engine| engine.record.models.iter())
-            .into_iter()
-            .flatten()
-            .map(|entry| entry.model.clone())
-            .collect();
-        models.sort();
-        models
+    fn long_running(&self, instance: &InstanceId) -> usize {
+        self.engines
+            .get(instance)
+            .map_or(0, |engine| engine.long_running)
     }
 
     pub(crate) fn on_reported(
@@ -447,8 +457,8 @@
                 log(decision, out);
             }
         }
-        if !report.busy {
-            engine.loading = None;
+        if !report.busy && engine.loading.take().is_some() {
+            engine.unsteady_until = now + AFTER_LOAD;
         }
         if has_risen {
             let change = ViewChange::Server(engine.record.clone());
@@ -458,41 +468,6 @@
     }
 }
 
-/// Tokens that the known jobs ask of each model.
-fn demand(state: &CoordinationState) -> BTreeMap<ModelName, u64> {
-    let mut demand = BTreeMap::new();
-    for job in state.jobs().values() {
-        let submission = &job.submission;
-        if let Some(model) = &submission.model {
-            let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
-            *demand.entry(model.clone()).or_default() += tokens;
-        }
-    }
-    demand
-}
-
-/// How many of `engines` each model gets: in proportion to its demand, at least one where there
-/// are enough.
-fn quotas(models: &[ModelName], engines: usize, demand: &BTreeMap<ModelName, u64>) -> Vec<usize> {
-    let wanted: Vec<u64> = models
-        .iter()
-        .map(|model| demand.get(model).copied().unwrap_or(0) + 1)
-        .collect();
-    let total: u64 = wanted.iter().sum();
-    let mut quotas = vec![usize::from(engines >= models.len()); models.len()];
-    while quotas.iter().sum::<usize>() < engines {
-        let deficit = |place: &usize| {
-            let fair = wanted[*place] as f64 * engines as f64 / total as f64;
-            ((fair - quotas[*place] as f64) * 1000.0) as i64
-        };
-        let Some(place) = (0..models.len()).max_by_key(deficit) else {
-            break;
-        };
-        quotas[place] += 1;
-    }
-    quotas
-}
-
 /// Whether a route to this service wants all events of a result from one version.
 fn any_single_version(service: &ServiceName, state: &CoordinationState) -> bool {
     state.configuration().is_some_and(|configuration| {
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -29,8 +29,8 @@
 pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame};
 pub use messages::{
     AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
-    ItemAssignment, ItemOutcome, ItemText, JobPage, NotRunReason, Reply, Request, RunningItem,
-    SiteView, ViewChange,
+    ItemAssignment, ItemOutcome, ItemProgress, ItemText, JobPage, NotRunReason, Reply, Request,
+    RunningItem, SiteView, ViewChange,
 };
 pub use registry::{Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -96,6 +96,15 @@
     pub status: GatewayStatus,
 }
 
+/// How far a try is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemProgress {
+    /// The try.
+    pub assignment: AssignmentId,
+    /// Events of the item so far, also those of earlier tries.
+    pub events: u64,
+}
+
 /// An item that a gateway is running.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningItem {
@@ -134,6 +143,8 @@
     Status(GatewayStatus),
     /// Answer to a welcome: all items that it runs, or whose end it has not told yet.
     Running(Vec<RunningItem>),
+    /// How far the items are that run.
+    Progress(Vec<ItemProgress>),
     /// A request to the group, made for a caller.
     Call {
         /// Comes back with the reply.
@@ -178,6 +189,11 @@
     },
     /// An item to run.
     Assign(ItemAssignment),
+    /// A try is to be broken off: the item goes on elsewhere.
+    Interrupt {
+        /// Which try.
+        assignment: AssignmentId,
+    },
     /// A try is of no more use: one that runs is ended, one that has ended is forgotten.
     Release {
         /// Which try.
--- /dev/null
+++ b/crates/wingshore-coordination/tests/registry.rs
@@ -0,0 +1,123 @@
+//! Configuration and registry: what is acknowledged, in which order, and what never comes back.
+
+mod support;
+
+use googletest::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+use support::{Group, configuration, engine};
+use wingshore_coordination::{
+    CoordinatorMessage, Effect, Heartbeat, InstanceId, Reply, Request, ViewChange,
+};
+
+fn put(group: &mut Group, version: u64) -> Option<Reply> {
+    group.ask(Request::PutConfiguration(Arc::new(configuration(version))))
+}
+
+fn held(group: &mut Group) -> u64 {
+    match group.ask(Request::ReadConfiguration) {
+        Some(Reply::Configuration(Some(configuration))) => configuration.version,
+        _ => 0,
+    }
+}
+
+#[gtest]
+fn the_highest_version_is_in_force_whatever_comes_after_it() {
+    let mut group = Group::new();
+    expect_that!(put(&mut group, 7), some(eq(&Reply::Done)));
+    expect_that!(put(&mut group, 3), some(eq(&Reply::Done)));
+    expect_that!(held(&mut group), eq(7));
+}
+
+#[gtest]
+fn other_content_under_the_version_held_is_acknowledged_and_dropped() {
+    let mut group = Group::new();
+    put(&mut group, 7);
+    let mut other = configuration(7);
+    other.document = b"other".to_vec();
+    let answer = group.ask(Request::PutConfiguration(Arc::new(other)));
+    expect_that!(answer, some(eq(&Reply::Done)));
+    let read = group.ask(Request::ReadConfiguration);
+    let expected = Reply::Configuration(Some(Arc::new(configuration(7))));
+    expect_that!(read, some(eq(&expected)));
+}
+
+#[gtest]
+fn an_invalid_configuration_is_refused_and_nothing_changes() {
+    let mut group = Group::new();
+    let mut invalid = configuration(9);
+    invalid.routes[0].timeout = Duration::ZERO;
+    let answer = group.ask(Request::PutConfiguration(Arc::new(invalid)));
+    expect_that!(answer, some(matches_pattern!(Reply::Refused(_))));
+    expect_that!(held(&mut group), eq(1));
+}
+
+#[gtest]
+fn gateways_get_a_draining_server_before_it_is_acknowledged() {
+    let mut group = Group::new();
+    group.heartbeat(engine("e", 1));
+    group.effects.clear();
+    let mut leaving = engine("e", 1);
+    leaving.draining = true;
+    expect_that!(group.heartbeat(leaving.clone()), some(eq(&Reply::Done)));
+    let told = group.effects.iter().any(|effect| {
+        matches!(effect, Effect::ToAllGateways(CoordinatorMessage::Change {
+            change: ViewChange::Server(server), ..
+        }) if server.draining)
+    });
+    expect_that!(told, eq(true));
+}
+
+#[gtest]
+fn a_late_heartbeat_does_not_undo_a_drain() {
+    let mut group = Group::new();
+    let heartbeat = |draining: bool, sequence: u64| {
+        let mut server = engine("e", 1);
+        server.draining = draining;
+        Request::Heartbeat(Heartbeat { server, sequence })
+    };
+    group.ask(heartbeat(false, 1));
+    group.ask(heartbeat(true, 3));
+    group.ask(heartbeat(false, 2));
+    let instance = InstanceId::from("e");
+    expect_that!(group.state.servers()[&instance].draining, eq(true));
+}
+
+#[gtest]
+fn a_late_heartbeat_does_not_bring_a_departed_server_back() {
+    let mut group = Group::new();
+    group.heartbeat(engine("e", 1));
+    group.ask(Request::Deregister(InstanceId::from("e")));
+    group.change_leader("coordinator-b");
+    expect_that!(group.heartbeat(engine("e", 1)), some(eq(&Reply::Done)));
+    expect_that!(group.state.servers(), is_empty());
+}
+
+#[gtest]
+fn a_silent_server_leaves_the_registry_and_may_come_back() {
+    let mut group = Group::new();
+    group.heartbeat(engine("e", 1));
+    group.wait(Duration::from_secs(7));
+    expect_that!(group.state.servers(), is_empty());
+    group.heartbeat(engine("e", 1));
+    expect_that!(group.state.servers(), len(eq(1)));
+}
+
+#[gtest]
+fn a_new_leader_does_not_count_silence_from_before_it() {
+    let mut group = Group::new();
+    group.heartbeat(engine("e", 1));
+    group.wait(Duration::from_secs(5));
+    group.change_leader("coordinator-b");
+    group.wait(Duration::from_secs(5));
+    expect_that!(group.state.servers(), len(eq(1)));
+}
+
+#[gtest]
+fn a_version_of_an_engine_never_falls() {
+    let mut group = Group::new();
+    group.heartbeat(engine("e", 5));
+    group.heartbeat(engine("e", 4));
+    let instance = InstanceId::from("e");
+    expect_that!(group.state.servers()[&instance].models[0].version, eq(5));
+}
--- /dev/null
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -0,0 +1,184 @@
+//! Bringing engines to named versions: how many at once, which first, under whose orders.
+
+mod support;
+
+use googletest::prelude::*;
+use std::time::Duration;
+use support::{Group, engine, job};
+use wingshore_coordination::{
+    Effect, EngineReport, Event, InstanceId, ItemProgress, ModelName, ModelVersion, OrderAnswer,
+    Request, WeightOrder,
+};
+
+fn name_version(group: &mut Group, version: u64) {
+    let model = ModelName::from("m");
+    group.ask(Request::NameVersion { model, version });
+}
+
+fn orders(group: &mut Group) -> Vec<WeightOrder> {
+    let effects = std::mem::take(&mut group.effects);
+    effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Order(order) => Some(order),
+            _ => None,
+        })
+        .collect()
+}
+
+fn asked(group: &mut Group) -> Vec<InstanceId> {
+    let effects = std::mem::take(&mut group.effects);
+    effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::AskReport { instance, .. } => Some(instance),
+            _ => None,
+        })
+        .collect()
+}
+
+fn report(group: &mut Group, instance: &InstanceId, version: u64, busy: bool) {
+    group.event(Event::Reported {
+        instance: instance.clone(),
+        report: Some(EngineReport {
+            models: vec![ModelVersion {
+                model: ModelName::from("m"),
+                version,
+            }],
+            busy,
+            sequence: 7,
+        }),
+    });
+}
+
+fn group_of_engines(count: u32) -> Group {
+    let mut group = Group::new();
+    group.add_gateway(1);
+    for number in 0..count {
+        group.heartbeat(engine(&format!("e{number}"), 1));
+    }
+    group
+}
+
+#[gtest]
+fn an_engine_is_looked_at_before_it_is_ordered() {
+    let mut group = group_of_engines(1);
+    name_version(&mut group, 2);
+    let looked_at = asked(&mut group);
+    assert_that!(looked_at, len(eq(1)));
+    report(&mut group, &looked_at[0], 1, false);
+    let orders = orders(&mut group);
+    assert_that!(orders, len(eq(1)));
+    expect_that!(orders[0].expected_sequence, eq(7));
+    expect_that!(orders[0].holder.as_str(), eq("coordinator-a"));
+}
+
+#[gtest]
+fn only_so_many_engines_load_at_once() {
+    let mut group = group_of_engines(5);
+    name_version(&mut group, 3);
+    expect_that!(asked(&mut group), len(eq(2)));
+}
+
+#[gtest]
+fn an_engine_that_holds_the_version_makes_room_for_the_next_one() {
+    let mut group = group_of_engines(3);
+    name_version(&mut group, 2);
+    let first = asked(&mut group);
+    report(&mut group, &first[0], 1, false);
+    group.event(Event::Ordered {
+        instance: first[0].clone(),
+        answer: OrderAnswer::Accepted,
+    });
+    group.wait(Duration::from_millis(950));
+    asked(&mut group);
+    report(&mut group, &first[0], 2, false);
+    expect_that!(asked(&mut group), len(ge(1)));
+}
+
+#[gtest]
+fn a_new_leader_on_another_machine_gives_no_order_before_the_time_of_the_old_one_is_over() {
+    let mut group = group_of_engines(1);
+    name_version(&mut group, 2);
+    group.change_leader("coordinator-b");
+    group.wait(Duration::from_secs(3));
+    expect_that!(asked(&mut group), is_empty());
+    group.wait(Duration::from_millis(500));
+    expect_that!(asked(&mut group), not(is_empty()));
+}
+
+#[gtest]
+fn fences_rise_with_each_leadership() {
+    let mut group = group_of_engines(1);
+    name_version(&mut group, 2);
+    let looked_at = asked(&mut group);
+    report(&mut group, &looked_at[0], 1, false);
+    let before = orders(&mut group).remove(0).fence;
+    // The same machine may go on at once.
+    group.change_leader("coordinator-a");
+    group.wait(Duration::from_millis(100));
+    let looked_at = asked(&mut group);
+    report(&mut group, &looked_at[0], 1, false);
+    expect_that!(orders(&mut group).remove(0).fence, gt(before));
+}
+
+#[gtest]
+fn an_order_without_an_answer_is_followed_by_a_look_and_not_by_an_order() {
+    let mut group = group_of_engines(1);
+    name_version(&mut group, 2);
+    let looked_at = asked(&mut group);
+    report(&mut group, &looked_at[0], 1, false);
+    orders(&mut group);
+    group.event(Event::Ordered {
+        instance: looked_at[0].clone(),
+        answer: OrderAnswer::Unknown,
+    });
+    group.wait(Duration::from_millis(300));
+    let effects = std::mem::take(&mut group.effects);
+    let looks = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::AskReport { .. }));
+    expect_that!(looks.count(), ge(1));
+    let orders = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Order(_)));
+    expect_that!(orders.count(), eq(0));
+}
+
+#[gtest]
+fn an_engine_one_version_behind_does_not_load_while_a_long_item_runs_on_it() {
+    let mut group = group_of_engines(1);
+    group.ask(Request::SubmitJob(job("j", 1)));
+    let assigned = group.assignments().remove(0);
+    group.event(Event::ItemsProgressed(vec![ItemProgress {
+        assignment: assigned.assignment,
+        events: 50,
+    }]));
+    name_version(&mut group, 2);
+    group.wait(Duration::from_millis(200));
+    expect_that!(asked(&mut group), is_empty());
+}
+
+#[gtest]
+fn a_long_item_moves_from_a_slow_engine_to_a_fast_one() {
+    let mut group = group_of_engines(2);
+    group.ask(Request::SubmitJob(job("j", 2)));
+    let assigned = group.assignments();
+    assert_that!(assigned, len(eq(2)));
+    assert_that!(assigned[0].instance, not(eq(&assigned[1].instance)));
+    for step in 1..=12_u64 {
+        group.wait(Duration::from_millis(400));
+        let progress = |index: usize, events: u64| ItemProgress {
+            assignment: assigned[index].assignment,
+            events,
+        };
+        let fast = progress(0, step * 10);
+        let slow = progress(1, step * 4);
+        group.event(Event::ItemsProgressed(vec![fast, slow]));
+    }
+    let interrupted = group.effects.iter().any(|effect| {
+        matches!(effect, Effect::ToGateway(_, wingshore_coordination::CoordinatorMessage::Interrupt { assignment })
+            if *assignment == assigned[1].assignment)
+    });
+    expect_that!(interrupted, eq(true));
+}
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -238,6 +238,7 @@
                 headers: Vec::new(),
                 body: vec![1, 2, 3],
                 tokens: 100,
+                expected_output: None,
                 group: "g".to_owned(),
             })
             .collect(),
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -53,6 +53,15 @@
                 "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance,
                 "reason" => reason);
         }
+        Decision::ItemMoved {
+            assignment,
+            job,
+            index,
+            instance,
+        } => {
+            info!(logger, "item moved"; "job" => %job, "index" => index,
+                "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance);
+        }
         Decision::ItemAbandoned { job, index, reason } => {
             info!(logger, "item abandoned"; "job" => %job, "index" => index, "reason" => reason);
         }
--- a/crates/wingshore-coordinator/src/process.rs
+++ b/crates/wingshore-coordinator/src/process.rs
@@ -614,6 +614,7 @@
                 Event::GatewayStatus(gateway, status)
             }
             GatewayMessage::Running(running) => Event::GatewayRunning(gateway, running),
+            GatewayMessage::Progress(progress) => Event::ItemsProgressed(progress),
             GatewayMessage::Call { id, request } => {
                 self.ask_group(request, Waiting::Gateway(connection, id));
                 return;
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -206,6 +206,7 @@
                 self.on_call_reply(now, connection, id, reply)
             }
             CoordinatorMessage::Assign(assignment) => self.begin_item(now, assignment),
+            CoordinatorMessage::Interrupt { assignment } => self.interrupt_item(assignment),
             CoordinatorMessage::Release { assignment } => self.release_item(assignment),
             CoordinatorMessage::Alive { coordinators } => {
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
@@ -240,6 +241,18 @@
         }
     }
 
+    /// Tells the leader how far the items are that run here.
+    pub(crate) fn tell_progress(&mut self) {
+        let Some(leader) = self.coordinators.leader() else {
+            return;
+        };
+        let progress = self.items.progress();
+        if !progress.is_empty() {
+            let message = GatewayMessage::Progress(progress);
+            self.send_frame(leader, &IncomingFrame::FromGateway(message));
+        }
+    }
+
     pub(crate) fn send_frame(&mut self, connection: ConnectionId, frame: &IncomingFrame) {
         match frame::encode(frame) {
             Ok(bytes) => self.reactor.send(connection, &bytes),
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome, ItemText,
-    NotRunReason, RunningItem,
+    AssignmentId, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome, ItemProgress,
+    ItemText, NotRunReason, RunningItem,
 };
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter};
@@ -52,6 +52,17 @@
         })
     }
 
+    /// How far those are that run.
+    pub(crate) fn progress(&self) -> Vec<ItemProgress> {
+        let running = self.runs.values().filter(|run| run.outcome.is_none());
+        running
+            .map(|run| ItemProgress {
+                assignment: run.assignment.assignment,
+                events: run.text.events,
+            })
+            .collect()
+    }
+
     /// How many run.
     pub(crate) fn count(&self) -> usize {
         self.runs.len()
@@ -271,16 +282,24 @@
             .map(|(id, _)| *id)
             .collect();
         for id in running {
-            let Some(run) = self.items.runs.get_mut(&id) else {
-                continue;
-            };
-            let outcome = run.interrupted(false);
-            if let Some(upstream) = run.upstream.take() {
-                self.upstreams.close(&mut self.reactor, upstream);
-            }
-            self.end_item(id, outcome);
+            self.interrupt_item(id);
         }
     }
+
+    /// Breaks a try off: its item goes on elsewhere.
+    pub(crate) fn interrupt_item(&mut self, id: AssignmentId) {
+        let Some(run) = self.items.runs.get_mut(&id) else {
+            return;
+        };
+        if run.outcome.is_some() {
+            return;
+        }
+        let outcome = run.interrupted(false);
+        if let Some(upstream) = run.upstream.take() {
+            self.upstreams.close(&mut self.reactor, upstream);
+        }
+        self.end_item(id, outcome);
+    }
 }
 
 impl ItemRun {
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -326,6 +326,7 @@
         if now >= self.next_status {
             self.next_status = now + STATUS_INTERVAL;
             self.tell_status();
+            self.tell_progress();
         }
         if now < self.next_housekeeping {
             return;
