storage, coordinator: a full disk is waited out instead of ending the process

Tests: wingshore-storage/tests/full_disk.rs.

Conclusion: a follower or leader with a full disk stays; the other two commit.

--- a/crates/wingshore-coordinator/src/identity.rs
+++ b/crates/wingshore-coordinator/src/identity.rs
@@ -1,11 +1,9 @@
 //! Who this member is: a founder of the site, or one that joins it.
 
-use crate::error::{CoordinatorError, StorageSnafu};
 use crate::settings::CoordinatorSettings;
-use snafu::ResultExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use wingshore_storage::{DataFolder, FileSystem};
+use wingshore_storage::{DataFolder, FileSystem, StorageError};
 use wingshore_types::ReplicaId;
 use wingshore_types::protocol::membership::{Member, Membership};
 
@@ -17,7 +15,7 @@
 pub(crate) fn open(
     fs: &Arc<dyn FileSystem>,
     settings: &CoordinatorSettings,
-) -> Result<DataFolder, CoordinatorError> {
+) -> Result<DataFolder, StorageError> {
     let own = settings.internal_address();
     let seeds = settings.seed_addresses();
     let place = seeds.iter().position(|seed| *seed == own);
@@ -26,11 +24,11 @@
         let id = founding.voters[place].id;
         match DataFolder::format(fs, &settings.data, SITE, id, founding) {
             Ok(folder) => return Ok(folder),
-            Err(wingshore_storage::StorageError::NotEmpty { .. }) => {}
-            Err(source) => return Err(CoordinatorError::Storage { source }),
+            Err(StorageError::NotEmpty { .. }) => {}
+            Err(error) => return Err(error),
         }
     }
-    DataFolder::open_or_join(fs, &settings.data, SITE, rand::random()).context(StorageSnafu)
+    DataFolder::open_or_join(fs, &settings.data, SITE, rand::random())
 }
 
 /// The founders: the seeds in ascending order, numbered from 1.
--- a/crates/wingshore-coordinator/src/process.rs
+++ b/crates/wingshore-coordinator/src/process.rs
@@ -13,7 +13,7 @@
     ControlAnswer, ControlCall, ControlProtocol, EngineProtocol, HttpAnswer, LocalQuestion,
 };
 use crate::settings::CoordinatorSettings;
-use crate::writer::{WriteEvent, Writer};
+use crate::writer::{WriteEvent, Writer, wait_for_space};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use std::collections::{BTreeMap, HashMap};
@@ -30,7 +30,9 @@
 };
 use wingshore_net::http::WholeRequest;
 use wingshore_net::{ConnectOptions, ConnectionId, ListenerId, NetEvent, Reactor, frame};
-use wingshore_storage::{DataFolder, FileSystem, GroupStore, RealFileSystem};
+use wingshore_storage::{
+    DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
+};
 use wingshore_types::configuration::Permille;
 use wingshore_types::machine::RequestTag;
 use wingshore_types::protocol::membership::{MembershipReply, MembershipRequest};
@@ -145,9 +147,12 @@
     ) -> Result<Self, CoordinatorError> {
         let clock = Clock::start();
         let fs: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
-        let folder = identity::open(&fs, &settings)?;
+        let mut wait = |error: &StorageError| wait_for_space(&logger, error);
+        let folder = with_space(&mut wait, || identity::open(&fs, &settings));
+        let folder = folder.context(StorageSnafu)?;
         let directory = folder.group_directory(GroupId::Control);
-        let (store, recovered) = GroupStore::open(fs, &directory).context(StorageSnafu)?;
+        let opened = PatientStore::open(fs, &directory, &mut wait);
+        let (store, recovered) = opened.context(StorageSnafu)?;
         let mut reactor = Reactor::new().context(NetSnafu)?;
         let listen = |reactor: &mut Reactor, address, limit| {
             reactor
@@ -160,7 +165,7 @@
         }
         let internal = settings.internal_address();
         let internal_listener = listen(&mut reactor, internal, LINK_LIMIT)?;
-        let writer = Writer::start(store, reactor.waker()).context(ThreadSnafu)?;
+        let writer = Writer::start(store, reactor.waker(), logger.clone()).context(ThreadSnafu)?;
         let host = open_host(&settings, &folder, clock.now(), recovered)?;
         info!(logger, "started"; "node" => &settings.node, "member" => folder.identity().replica.0,
             "founder" => folder.identity().founding.is_some(), "applied" => host.applied_index().0);
--- a/crates/wingshore-coordinator/src/writer.rs
+++ b/crates/wingshore-coordinator/src/writer.rs
@@ -1,11 +1,22 @@
 //! The thread that makes the group's writes durable.
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
+use slog::{Logger, warn};
 use std::thread;
+use std::time::Duration;
 use wingshore_net::ReactorWaker;
-use wingshore_storage::{GroupStore, StorageError};
+use wingshore_storage::{PatientStore, StorageError};
 use wingshore_types::log::WriteBatch;
 
+/// Between attempts to write on a full disk.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Waits for space on a full disk.
+pub(crate) fn wait_for_space(logger: &Logger, error: &StorageError) {
+    warn!(logger, "the disk is full"; "error" => %error);
+    thread::sleep(FULL_DISK_PAUSE);
+}
+
 /// One write asked for.
 struct WriteJob {
     token: u64,
@@ -28,12 +39,16 @@
 
 impl Writer {
     /// Starts the thread.
-    pub(crate) fn start(store: GroupStore, waker: ReactorWaker) -> std::io::Result<Self> {
+    pub(crate) fn start(
+        store: PatientStore,
+        waker: ReactorWaker,
+        logger: Logger,
+    ) -> std::io::Result<Self> {
         let (jobs, job_receiver) = unbounded();
         let (event_sender, events) = unbounded();
         thread::Builder::new()
             .name("writer".to_owned())
-            .spawn(move || run(store, &job_receiver, &event_sender, &waker))?;
+            .spawn(move || run(store, &job_receiver, &event_sender, &waker, &logger))?;
         Ok(Self { jobs, events })
     }
 
@@ -50,13 +65,14 @@
 }
 
 fn run(
-    mut store: GroupStore,
+    mut store: PatientStore,
     jobs: &Receiver<WriteJob>,
     events: &Sender<WriteEvent>,
     waker: &ReactorWaker,
+    logger: &Logger,
 ) {
     for job in jobs {
-        let event = match store.write(&job.batch) {
+        let event = match store.write(&job.batch, &mut |error| wait_for_space(logger, error)) {
             Ok(()) => WriteEvent::Persisted(job.token),
             Err(error) => WriteEvent::Failed(error),
         };
--- a/crates/wingshore-storage/src/error.rs
+++ b/crates/wingshore-storage/src/error.rs
@@ -114,3 +114,16 @@
         reason: reason.into(),
     }
 }
+
+impl StorageError {
+    /// Whether the disk refused a write because it is full.
+    pub fn is_for_want_of_space(&self) -> bool {
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+        )
+    }
+}
--- a/crates/wingshore-storage/src/memory.rs
+++ b/crates/wingshore-storage/src/memory.rs
@@ -21,6 +21,8 @@
     pub crash_at: Option<u64>,
     /// From this call on syncs of files fail, without making anything durable.
     pub fail_syncs_from: Option<u64>,
+    /// The disk is full: appended bytes fit in part, and the call is refused.
+    pub full: bool,
 }
 
 /// A file system in memory. Clones share one disk.
@@ -168,7 +170,13 @@
 
 impl File for MemoryFile {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.state()?.change(|disk| disk.append(self.id, bytes))
+        let mut state = self.state()?;
+        if state.faults.full {
+            let fitting = &bytes[..bytes.len() / 2];
+            state.change(|disk| disk.append(self.id, fitting))?;
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        state.change(|disk| disk.append(self.id, bytes))
     }
 
     fn sync(&mut self) -> io::Result<()> {
--- /dev/null
+++ b/crates/wingshore-storage/tests/full_disk.rs
@@ -0,0 +1,127 @@
+//! A disk that is full for a while: nothing that was reported is lost, and what waited is written.
+
+use googletest::prelude::*;
+use std::path::Path;
+use std::sync::Arc;
+use wingshore_storage::memory::{Faults, MemoryFileSystem};
+use wingshore_storage::{FileSystem, PatientStore, StorageError};
+use wingshore_types::LogIndex;
+use wingshore_types::log::{LogRecord, RecoveredLog, StoredSnapshot, WriteBatch};
+
+const DIRECTORY: &str = "/data/group";
+
+fn open(disk: &MemoryFileSystem) -> (PatientStore, RecoveredLog) {
+    let fs: Arc<dyn FileSystem> = Arc::new(disk.clone());
+    PatientStore::open(fs, Path::new(DIRECTORY), &mut |_| ()).expect("the store opens")
+}
+
+fn record(index: u64) -> LogRecord {
+    LogRecord {
+        index: LogIndex(index),
+        term: 1,
+        data: vec![index as u8; 100],
+    }
+}
+
+fn append(indexes: std::ops::RangeInclusive<u64>) -> WriteBatch {
+    WriteBatch {
+        append: indexes.map(record).collect(),
+        ..WriteBatch::default()
+    }
+}
+
+fn full(disk: &MemoryFileSystem, is_full: bool) {
+    disk.set_faults(Faults {
+        full: is_full,
+        ..Faults::default()
+    });
+}
+
+/// Writes while the disk is full for `refusals` attempts; gives how often it was refused.
+fn write_with_refusals(
+    disk: &MemoryFileSystem,
+    store: &mut PatientStore,
+    batch: &WriteBatch,
+    refusals: u32,
+) -> u32 {
+    full(disk, refusals > 0);
+    let mut count = 0;
+    store
+        .write(batch, &mut |_| {
+            count += 1;
+            full(disk, count < refusals);
+        })
+        .expect("the batch is written at last");
+    count
+}
+
+fn indexes(log: &RecoveredLog) -> Vec<u64> {
+    log.records.iter().map(|record| record.index.0).collect()
+}
+
+#[gtest]
+fn a_refused_batch_is_written_once_there_is_space() {
+    let disk = MemoryFileSystem::new();
+    let (mut store, _) = open(&disk);
+    write_with_refusals(&disk, &mut store, &append(1..=3), 0);
+    let refused = write_with_refusals(&disk, &mut store, &append(4..=5), 3);
+    expect_that!(refused, eq(3));
+    write_with_refusals(&disk, &mut store, &append(6..=6), 0);
+    disk.restart(1);
+    let (_, log) = open(&disk);
+    expect_that!(indexes(&log), container_eq([1, 2, 3, 4, 5, 6]));
+}
+
+#[gtest]
+fn a_loss_of_power_while_the_disk_is_full_keeps_what_was_reported() {
+    for seed in 0..50 {
+        let disk = MemoryFileSystem::new();
+        let (mut store, _) = open(&disk);
+        write_with_refusals(&disk, &mut store, &append(1..=3), 0);
+        full(&disk, true);
+        // The machine comes back with space: the write that waited is made whole.
+        store
+            .write(&append(4..=5), &mut |_| disk.restart(seed))
+            .expect("the batch is written after the restart");
+        disk.restart(seed + 1);
+        let (_, log) = open(&disk);
+        expect_that!(indexes(&log), container_eq([1, 2, 3, 4, 5]), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn a_refused_snapshot_and_the_entries_after_it_are_written_once_there_is_space() {
+    let disk = MemoryFileSystem::new();
+    let (mut store, _) = open(&disk);
+    write_with_refusals(&disk, &mut store, &append(1..=3), 0);
+    let batch = WriteBatch {
+        snapshot: Some(StoredSnapshot {
+            index: LogIndex(3),
+            term: 1,
+            data: vec![7; 1000],
+        }),
+        append: vec![record(4)],
+        discard_through: Some(LogIndex(3)),
+        ..WriteBatch::default()
+    };
+    write_with_refusals(&disk, &mut store, &batch, 2);
+    disk.restart(2);
+    let (_, log) = open(&disk);
+    expect_that!(indexes(&log), container_eq([4]));
+    expect_that!(
+        log.snapshot.map(|snapshot| snapshot.index),
+        some(eq(LogIndex(3)))
+    );
+}
+
+#[gtest]
+fn another_error_of_the_disk_stays_fatal() {
+    let disk = MemoryFileSystem::new();
+    let (mut store, _) = open(&disk);
+    disk.set_faults(Faults {
+        fail_syncs_from: Some(1),
+        ..Faults::default()
+    });
+    let result = store.write(&append(1..=1), &mut |_| panic!("no wait for other errors"));
+    expect_that!(result, err(matches_pattern!(StorageError::Io { .. })));
+}
