coordinator: machines are emptied and taken away; coordination: what a gateway tells twice goes on

(1) POST /retire was answered 503: nothing emptied a machine. Change: names of machines and retirements are in the group's state; the planner first lets a successor vote, then a leader that is to leave hand over, then removes the member; 409 where fewer than the wanted voters would be left, succeeded only once all voters hold all that is committed. Tests: wingshore-coordinator/tests/membership.rs. By its log and the code: a new leader welcomed a gateway twice, was told twice what runs there, took the second telling for a second try and released the item at the gateway while it still counted it as running. Change: a try that is known is not adopted again, and a try that its gateway does not speak of for 2 s is placed again.

Conclusion: a leader's belief in soft state is refreshed, not only set.

--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -23,6 +23,8 @@
     pub(crate) seen: Option<(u64, Instant)>,
     /// Whether the gateway was told to break it off.
     pub(crate) interrupted: bool,
+    /// When the gateway last spoke of it.
+    pub(crate) heard: Instant,
 }
 
 /// What earlier tries at an item have left.
@@ -219,6 +221,11 @@
         self.running.iter()
     }
 
+    /// Whether a try is known to be under way.
+    pub(crate) fn is_running(&self, assignment: AssignmentId) -> bool {
+        self.running.contains_key(&assignment)
+    }
+
     /// A try under way.
     pub(crate) fn running_mut(&mut self, assignment: AssignmentId) -> Option<&mut Running> {
         self.running.get_mut(&assignment)
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -258,7 +258,7 @@
         };
         known.introduced = true;
         for item in running {
-            self.adopt(gateway, item, state, out);
+            self.adopt(gateway, now, item, state, out);
         }
         self.place_items(now, state, out);
     }
@@ -336,6 +336,20 @@
             }
             Request::ReadItem { job, item } => read_item(tag, &job, &item, state, out),
             Request::EndJob(job) => self.end_job(tag, job, state, out),
+            Request::DescribeMember { member, node } => {
+                if state.member_nodes().get(&member) == Some(&node) {
+                    return reply(tag, Reply::Done, out);
+                }
+                let command = Command::DescribeMember { member, node };
+                self.propose(command, Waiter::Request(tag), out);
+            }
+            Request::RetireMember { member, node } => {
+                if state.retired_members().get(&node) == Some(&member) {
+                    return reply(tag, Reply::Done, out);
+                }
+                let command = Command::RetireMember { member, node };
+                self.propose(command, Waiter::Request(tag), out);
+            }
         }
     }
 
@@ -416,6 +430,7 @@
         self.expire_servers(now, state, out);
         self.answer_waiting_readers(now, state, out);
         self.give_up_items(now, state, out);
+        self.end_silent_items(now, out);
         self.forget_jobs(now, state, out);
         self.drive_rollout(now, state, out);
         self.place_items(now, state, out);
--- a/crates/wingshore-coordination/src/leader/moves.rs
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -37,6 +37,7 @@
             let Some(running) = self.items.running_mut(assignment) else {
                 continue;
             };
+            running.heard = now;
             let Some((before, at)) = running.seen else {
                 running.seen = Some((events, now));
                 continue;
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -89,7 +89,9 @@
             return;
         };
         self.items.take(rank);
-        self.assign(gateway, instance, key, job, item, &route, &progress, out);
+        self.assign(
+            gateway, instance, key, job, item, &route, &progress, now, out,
+        );
     }
 
     #[expect(clippy::too_many_arguments, reason = "one step of `place`")]
@@ -161,6 +163,7 @@
         item: &JobItem,
         route: &Route,
         progress: &Progress,
+        now: Instant,
         out: &mut Outputs,
     ) {
         let Some(engine) = self.engines.get(&instance) else {
@@ -210,6 +213,7 @@
             instance,
             seen: None,
             interrupted: false,
+            heard: now,
         };
         self.items.start(assignment, running);
     }
@@ -218,6 +222,7 @@
     pub(crate) fn adopt(
         &mut self,
         gateway: GatewayId,
+        now: Instant,
         running: RunningItem,
         state: &CoordinationState,
         out: &mut Outputs,
@@ -227,6 +232,10 @@
             item,
             instance,
         } = running;
+        // A gateway that was welcomed twice tells twice.
+        if self.items.is_running(assignment) {
+            return;
+        }
         let is_open = state
             .jobs()
             .get(&item.job)
@@ -249,10 +258,41 @@
             instance,
             seen: None,
             interrupted: false,
+            heard: now,
         };
         self.items.start(assignment, running);
     }
 
+    /// Tries that their gateways do not speak of any more are over.
+    pub(crate) fn end_silent_items(&mut self, now: Instant, out: &mut Outputs) {
+        let limit = self.settings.item_silence;
+        let silent: Vec<AssignmentId> = self
+            .items
+            .running()
+            .filter(|(_, running)| now.since(running.heard) > limit)
+            .map(|(assignment, _)| *assignment)
+            .collect();
+        for assignment in silent {
+            let Some(running) = self.items.end(assignment) else {
+                continue;
+            };
+            self.engines.ended(&running.instance);
+            if let Some(known) = self.gateways.get_mut(&running.gateway) {
+                known.running = known.running.saturating_sub(1);
+            }
+            release(running.gateway, assignment, out);
+            let decision = Decision::ItemRetried {
+                assignment,
+                job: running.item.job.clone(),
+                index: running.item.index,
+                instance: running.instance,
+                reason: "the gateway does not speak of it any more",
+            };
+            log(decision, out);
+            self.items.wait(running.item);
+        }
+    }
+
     pub(crate) fn on_item_ended(
         &mut self,
         now: Instant,
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -29,6 +29,8 @@
     pub most_engine_pause: Duration,
     /// A gateway that is not heard of for this long runs nothing any more.
     pub gateway_expiry: Duration,
+    /// A try that its gateway does not speak of for this long is over.
+    pub item_silence: Duration,
     /// Most bytes of results in one answer.
     pub page_bytes: usize,
 }
@@ -48,6 +50,7 @@
             engine_pause: Duration::from_millis(250),
             most_engine_pause: Duration::from_secs(4),
             gateway_expiry: Duration::from_millis(2500),
+            item_silence: Duration::from_secs(2),
             page_bytes: 900 * 1024,
         }
     }
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_types::Epoch;
 use wingshore_types::protocol::byte_vector;
+use wingshore_types::{Epoch, ReplicaId};
 
 /// A request to the group; only its leader answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -49,6 +49,20 @@
     },
     /// Ends a batch job.
     EndJob(JobId),
+    /// Notes the name of a coordinator's machine.
+    DescribeMember {
+        /// The coordinator.
+        member: ReplicaId,
+        /// Its machine.
+        node: String,
+    },
+    /// Notes that a coordinator is to leave the group for good.
+    RetireMember {
+        /// The coordinator.
+        member: ReplicaId,
+        /// Its machine.
+        node: String,
+    },
 }
 
 /// The group's answer.
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -7,6 +7,7 @@
 use crate::registry::ServerRecord;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use wingshore_types::ReplicaId;
 
 /// A change of the replicated state. New kinds are added at the end: the codec counts them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -41,4 +42,18 @@
     ForgetJob(JobId),
     /// Says who gives orders to engines from here on.
     HoldOrders(OrderHolder),
+    /// Notes the name of a coordinator's machine.
+    DescribeMember {
+        /// The coordinator.
+        member: ReplicaId,
+        /// Its machine.
+        node: String,
+    },
+    /// A coordinator is to leave the group for good.
+    RetireMember {
+        /// The coordinator.
+        member: ReplicaId,
+        /// Its machine.
+        node: String,
+    },
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use wingshore_types::machine::{ReplicatedState, RestoreError};
-use wingshore_types::{Epoch, LogIndex};
+use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
 /// Departed runs of servers that are remembered, so that a late heartbeat does not bring one back.
 const MOST_DEPARTED: usize = 8192;
@@ -40,6 +40,10 @@
     named_versions: BTreeMap<ModelName, u64>,
     jobs: BTreeMap<JobId, Job>,
     order_holder: Option<OrderHolder>,
+    /// Machines of coordinators, as they named themselves.
+    member_nodes: BTreeMap<ReplicaId, String>,
+    /// Coordinators that are to leave, or have left, for good; the newest of each machine.
+    retired_members: BTreeMap<String, ReplicaId>,
 }
 
 impl CoordinationState {
@@ -68,6 +72,16 @@
         &self.jobs
     }
 
+    /// Machines of coordinators, as they named themselves.
+    pub fn member_nodes(&self) -> &BTreeMap<ReplicaId, String> {
+        &self.member_nodes
+    }
+
+    /// Coordinators that are to leave, or have left, for good, by their machines.
+    pub fn retired_members(&self) -> &BTreeMap<String, ReplicaId> {
+        &self.retired_members
+    }
+
     /// Who gave the last orders to engines.
     pub fn order_holder(&self) -> Option<&OrderHolder> {
         self.order_holder.as_ref()
@@ -144,6 +158,12 @@
             Command::ForgetJob(id) => {
                 self.jobs.remove(&id);
             }
+            Command::DescribeMember { member, node } => {
+                self.member_nodes.insert(member, node);
+            }
+            Command::RetireMember { member, node } => {
+                self.retired_members.insert(node, member);
+            }
             Command::HoldOrders(holder) => self.order_holder = Some(holder),
         }
     }
--- a/crates/wingshore-coordinator/src/membership.rs
+++ b/crates/wingshore-coordinator/src/membership.rs
@@ -1,6 +1,6 @@
 //! Which change the group's members need next. A decision without I/O.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_types::protocol::membership::{Member, Membership, MembershipRequest};
@@ -33,9 +33,25 @@
     /// All coordinators that have introduced themselves, by identity.
     pub heard: &'a BTreeMap<ReplicaId, Joiner>,
     /// Members that hold all that is committed.
-    pub caught_up: &'a dyn Fn(ReplicaId) -> bool,
+    pub caught_up: BTreeSet<ReplicaId>,
     /// Voters that are wanted.
     pub voters: usize,
+    /// Members that are to leave, or have left, for good.
+    pub retired: &'a BTreeSet<ReplicaId>,
+}
+
+impl MembershipView<'_> {
+    /// Whether the group would bear a loss right now without this member: it is none, enough
+    /// others vote, and all of them hold all that is committed.
+    pub fn is_whole_without(&self, id: ReplicaId) -> bool {
+        let is_member = members(self.membership).any(|member| member.id == id);
+        let voters = &self.membership.voters;
+        !is_member
+            && voters.len() >= self.voters
+            && voters
+                .iter()
+                .all(|voter| self.caught_up.contains(&voter.id))
+    }
 }
 
 /// Plans one change at a time.
@@ -54,6 +70,7 @@
     /// The change that is needed next, if any.
     pub fn plan(&self, now: Instant, view: &MembershipView<'_>) -> Option<MembershipRequest> {
         self.replaced_member(now, view)
+            .or_else(|| self.retirement(now, view))
             .or_else(|| self.learner_to_promote(now, view))
             .or_else(|| self.joiner_to_add(now, view))
             .or_else(|| self.silent_learner(now, view))
@@ -78,6 +95,57 @@
             .map(|member| MembershipRequest::Remove(member.id))
     }
 
+    /// Whether enough coordinators would be left without `id`: as many as are to vote, heard of
+    /// lately.
+    pub fn can_retire(&self, now: Instant, id: ReplicaId, view: &MembershipView<'_>) -> bool {
+        let mut left: BTreeSet<ReplicaId> = members(view.membership)
+            .map(|member| member.id)
+            .filter(|member| self.silence(now, *member, view) < VOTER_SILENCE)
+            .collect();
+        let fresh = view.heard.values();
+        left.extend(
+            fresh
+                .filter(|joiner| now.since(joiner.heard) < JOINER_SILENCE)
+                .map(|joiner| joiner.id),
+        );
+        left.insert(view.own);
+        left.remove(&id);
+        left.retain(|member| !view.retired.contains(member));
+        left.len() >= view.voters
+    }
+
+    /// The next step towards a group without the members that are to leave: first a successor
+    /// votes, then a leader that is to leave hands over, then the member goes.
+    fn retirement(&self, now: Instant, view: &MembershipView<'_>) -> Option<MembershipRequest> {
+        let is_retired = |member: &&Member| view.retired.contains(&member.id);
+        if let Some(learner) = view.membership.learners.iter().find(is_retired) {
+            return Some(MembershipRequest::Remove(learner.id));
+        }
+        let leaving = view.membership.voters.iter().find(is_retired)?;
+        if view.membership.voters.len() <= view.voters {
+            let ready = self.ready_learner(now, view)?;
+            return Some(MembershipRequest::Promote(ready));
+        }
+        if leaving.id != view.own {
+            return Some(MembershipRequest::Remove(leaving.id));
+        }
+        let mut others = view.membership.voters.iter().map(|voter| voter.id);
+        let successor = others.find(|id| {
+            let silence = self.silence(now, *id, view);
+            !view.retired.contains(id) && view.caught_up.contains(id) && silence < JOINER_SILENCE
+        })?;
+        Some(MembershipRequest::TransferLeadership(successor))
+    }
+
+    /// A learner that can vote.
+    fn ready_learner(&self, now: Instant, view: &MembershipView<'_>) -> Option<ReplicaId> {
+        let mut learners = view.membership.learners.iter().map(|learner| learner.id);
+        learners.find(|id| {
+            let silence = self.silence(now, *id, view);
+            !view.retired.contains(id) && view.caught_up.contains(id) && silence < JOINER_SILENCE
+        })
+    }
+
     /// A learner that has caught up votes where a voter is missing, or in the place of one that
     /// is silent.
     fn learner_to_promote(
@@ -85,11 +153,9 @@
         now: Instant,
         view: &MembershipView<'_>,
     ) -> Option<MembershipRequest> {
-        let ready = view.membership.learners.iter().find(|learner| {
-            (view.caught_up)(learner.id) && self.silence(now, learner.id, view) < JOINER_SILENCE
-        })?;
+        let ready = self.ready_learner(now, view)?;
         if view.membership.voters.len() < view.voters {
-            return Some(MembershipRequest::Promote(ready.id));
+            return Some(MembershipRequest::Promote(ready));
         }
         let voters = view.membership.voters.iter();
         let silent = voters
@@ -103,7 +169,10 @@
             let is_fresh = now.since(joiner.heard) < JOINER_SILENCE;
             let clashes =
                 |member: &Member| member.id == joiner.id || member.address == joiner.address;
-            is_fresh && joiner.id != view.own && !members(view.membership).any(clashes)
+            is_fresh
+                && joiner.id != view.own
+                && !view.retired.contains(&joiner.id)
+                && !members(view.membership).any(clashes)
         };
         view.heard.values().find(is_new).map(|joiner| {
             MembershipRequest::AddLearner(Member {
--- /dev/null
+++ b/crates/wingshore-coordinator/tests/membership.rs
@@ -0,0 +1,208 @@
+//! Which change the group's members need next.
+
+use googletest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordinator::{Joiner, MembershipPlanner, MembershipView};
+use wingshore_types::protocol::membership::{Member, Membership, MembershipRequest};
+use wingshore_types::{Instant, ReplicaId};
+
+/// A group of three as its leader, member 1, sees it.
+struct Site {
+    now: Instant,
+    membership: Membership,
+    heard: BTreeMap<ReplicaId, Joiner>,
+    caught_up: BTreeSet<ReplicaId>,
+    retired: BTreeSet<ReplicaId>,
+    planner: MembershipPlanner,
+}
+
+fn address(machine: u64) -> SocketAddr {
+    ([10, 0, 0, machine as u8], 7700).into()
+}
+
+fn member(id: u64, machine: u64) -> Member {
+    Member {
+        id: ReplicaId(id),
+        address: address(machine),
+    }
+}
+
+impl Site {
+    fn new() -> Self {
+        let mut planner = MembershipPlanner::default();
+        planner.begin(Instant::from_millis(1_000));
+        let mut site = Self {
+            now: Instant::from_millis(60_000),
+            membership: Membership {
+                voters: vec![member(1, 1), member(2, 2), member(3, 3)],
+                learners: Vec::new(),
+            },
+            heard: BTreeMap::new(),
+            caught_up: [1, 2, 3].map(ReplicaId).into(),
+            retired: BTreeSet::new(),
+            planner,
+        };
+        site.hear(2, 2, 0);
+        site.hear(3, 3, 0);
+        site
+    }
+
+    /// Machine `machine` with identity `id` was last heard of `ago` milliseconds ago.
+    fn hear(&mut self, id: u64, machine: u64, ago: u64) {
+        let joiner = Joiner {
+            id: ReplicaId(id),
+            address: address(machine),
+            heard: self.now - Duration::from_millis(ago),
+        };
+        self.heard.insert(joiner.id, joiner);
+    }
+
+    fn view(&self) -> MembershipView<'_> {
+        MembershipView {
+            own: ReplicaId(1),
+            membership: &self.membership,
+            heard: &self.heard,
+            caught_up: self.caught_up.clone(),
+            voters: 3,
+            retired: &self.retired,
+        }
+    }
+
+    fn plan(&self) -> Option<MembershipRequest> {
+        self.planner.plan(self.now, &self.view())
+    }
+}
+
+#[gtest]
+fn a_whole_group_needs_no_change() {
+    expect_that!(Site::new().plan(), none());
+}
+
+#[gtest]
+fn a_silent_voter_stays_while_nobody_can_take_its_place() {
+    let mut site = Site::new();
+    site.hear(3, 3, 20_000);
+    expect_that!(site.plan(), none());
+}
+
+#[gtest]
+fn an_empty_disk_at_a_known_address_replaces_the_member_there() {
+    let mut site = Site::new();
+    site.heard.remove(&ReplicaId(3));
+    site.hear(99, 3, 0);
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Remove(ReplicaId(3))))
+    );
+    site.membership.voters.pop();
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::AddLearner(member(99, 3))))
+    );
+    site.membership.learners.push(member(99, 3));
+    expect_that!(site.plan(), none());
+    site.caught_up.insert(ReplicaId(99));
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Promote(ReplicaId(99))))
+    );
+}
+
+#[gtest]
+fn a_machine_at_a_new_address_takes_the_place_of_a_silent_voter() {
+    let mut site = Site::new();
+    site.hear(3, 3, 5_000);
+    site.hear(99, 4, 0);
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::AddLearner(member(99, 4))))
+    );
+    site.membership.learners.push(member(99, 4));
+    site.caught_up.insert(ReplicaId(99));
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Remove(ReplicaId(3))))
+    );
+    site.membership.voters.pop();
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Promote(ReplicaId(99))))
+    );
+}
+
+#[gtest]
+fn an_added_machine_stays_a_learner_while_all_voters_are_there() {
+    let mut site = Site::new();
+    site.hear(99, 4, 0);
+    site.membership.learners.push(member(99, 4));
+    site.caught_up.insert(ReplicaId(99));
+    expect_that!(site.plan(), none());
+}
+
+#[gtest]
+fn silence_from_before_the_leadership_does_not_count() {
+    let mut site = Site::new();
+    site.heard.clear();
+    site.planner.begin(site.now - Duration::from_millis(500));
+    site.hear(99, 4, 0);
+    site.membership.learners.push(member(99, 4));
+    site.caught_up.insert(ReplicaId(99));
+    expect_that!(site.plan(), none());
+}
+
+#[gtest]
+fn a_machine_of_three_cannot_be_emptied() {
+    let site = Site::new();
+    let can = site
+        .planner
+        .can_retire(site.now, ReplicaId(2), &site.view());
+    expect_that!(can, eq(false));
+}
+
+#[gtest]
+fn a_retired_voter_goes_only_after_its_successor_votes() {
+    let mut site = Site::new();
+    site.hear(99, 4, 0);
+    site.membership.learners.push(member(99, 4));
+    let can = site
+        .planner
+        .can_retire(site.now, ReplicaId(2), &site.view());
+    expect_that!(can, eq(true));
+    site.retired.insert(ReplicaId(2));
+    expect_that!(site.plan(), none(), "the successor has not caught up");
+    site.caught_up.insert(ReplicaId(99));
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Promote(ReplicaId(99))))
+    );
+    site.membership.learners.clear();
+    site.membership.voters.push(member(99, 4));
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Remove(ReplicaId(2))))
+    );
+    expect_that!(site.view().is_whole_without(ReplicaId(2)), eq(false));
+    site.membership.voters.remove(1);
+    expect_that!(site.view().is_whole_without(ReplicaId(2)), eq(true));
+    expect_that!(site.plan(), none(), "what has left is not taken in again");
+}
+
+#[gtest]
+fn a_leader_that_is_to_leave_hands_over_first() {
+    let mut site = Site::new();
+    site.retired.insert(ReplicaId(1));
+    site.membership.voters.push(member(99, 4));
+    site.hear(99, 4, 0);
+    site.caught_up.insert(ReplicaId(99));
+    let transfer = MembershipRequest::TransferLeadership(ReplicaId(2));
+    expect_that!(site.plan(), some(eq(&transfer)));
+}
+
+#[gtest]
+fn a_group_is_not_whole_while_a_voter_lags() {
+    let mut site = Site::new();
+    site.caught_up.remove(&ReplicaId(3));
+    expect_that!(site.view().is_whole_without(ReplicaId(9)), eq(false));
+}
