gateway: streams of events are passed on and taken up at another server; settings are read again at a signal

Streams: whole events only, within one answer, behind the last event that was passed on, where the route allows it; an answer that cannot be gone on with is cut so that it does not look complete.

--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -21,7 +21,7 @@
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
 pub use membership::{Joiner, MembershipPlanner, MembershipView};
-pub use process::{Coordinator, StopRequest};
+pub use process::Coordinator;
 pub use protocol::{
     ControlAnswer, ControlCall, ControlProtocol, EngineCall, EngineProtocol, HttpAnswer,
     LocalQuestion,
--- a/crates/wingshore-coordinator/src/process.rs
+++ b/crates/wingshore-coordinator/src/process.rs
@@ -19,7 +19,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use wingshore_coordination::{
     CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, Effect,
@@ -29,7 +28,9 @@
     Host, HostConfig, HostInput, HostOutput, HostReply, Leadership, MachineFactory, Timing,
 };
 use wingshore_net::http::WholeRequest;
-use wingshore_net::{ConnectOptions, ConnectionId, ListenerId, NetEvent, Reactor, frame};
+use wingshore_net::{
+    ConnectOptions, ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals, frame,
+};
 use wingshore_storage::{
     DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
 };
@@ -65,13 +66,6 @@
 /// The most by which any clock runs fast or slow, in thousandths.
 const CLOCK_DRIFT: Permille = Permille(20);
 
-/// What signals ask of a process.
-#[derive(Clone, Debug, Default)]
-pub struct StopRequest {
-    /// Set by a planned stop.
-    pub stop: Arc<AtomicBool>,
-}
-
 /// Who waits for the group's answer.
 enum Waiting {
     Caller(ConnectionId),
@@ -114,7 +108,8 @@
     protocol: Box<dyn ControlProtocol>,
     host: Host<CoordinationLeader>,
     writer: Writer,
-    stop: StopRequest,
+    signals: Signals,
+    seed_source: SeedSource,
     stopping_since: Option<Instant>,
     stopped: bool,
     roles: HashMap<ConnectionId, Role>,
@@ -144,7 +139,8 @@
         settings: CoordinatorSettings,
         protocol: Box<dyn ControlProtocol>,
         engine_protocol: Box<dyn EngineProtocol>,
-        stop: StopRequest,
+        signals: Signals,
+        seed_source: SeedSource,
         logger: Logger,
     ) -> Result<Self, CoordinatorError> {
         let clock = Clock::start();
@@ -180,7 +176,8 @@
             protocol,
             host,
             writer,
-            stop,
+            signals,
+            seed_source,
             stopping_since: None,
             stopped: false,
             roles: HashMap::new(),
@@ -742,9 +739,25 @@
         }
         self.close_idle_callers(now);
         self.plan_members(now);
+        self.reload();
         self.begin_stop(now);
     }
 
+    /// Reads the seeds again where the settings have changed. Seeds that cannot be read leave
+    /// those before in force.
+    fn reload(&mut self) {
+        if !self.signals.take_reload() {
+            return;
+        }
+        match (self.seed_source)() {
+            Ok(seeds) => {
+                info!(self.logger, "reloaded"; "seeds" => ?seeds);
+                self.settings.seeds = seeds;
+            }
+            Err(reason) => warn!(self.logger, "not reloaded"; "reason" => reason),
+        }
+    }
+
     fn greet(&mut self) {
         let links: Vec<ConnectionId> = self
             .dials
@@ -926,7 +939,7 @@
     }
 
     fn begin_stop(&mut self, now: Instant) {
-        if !self.stop.stop.load(Ordering::Relaxed) {
+        if !self.signals.is_stopping() {
             return;
         }
         match self.stopping_since {
--- a/crates/wingshore-gateway/src/clients.rs
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -166,13 +166,23 @@
         let Some(client) = self.clients.get_mut(&connection) else {
             return;
         };
-        client.state = ClientState::Reading { begun: None };
-        client.used = now;
         client.close_after |= stopping;
         if client.close_after {
             writer = writer.header("Connection", "close");
         }
         self.reactor.send(connection, &writer.body(body));
+        self.end_exchange(now, connection);
+    }
+
+    /// The answer to a client is out: goes on to its next request, or closes.
+    pub(crate) fn end_exchange(&mut self, now: Instant, connection: ConnectionId) {
+        let stopping = self.stopping_since.is_some();
+        let Some(client) = self.clients.get_mut(&connection) else {
+            return;
+        };
+        client.state = ClientState::Reading { begun: None };
+        client.used = now;
+        client.close_after |= stopping;
         if client.close_after {
             self.clients.remove(&connection);
             self.reactor.close_when_flushed(connection);
--- a/crates/wingshore-gateway/src/event_stream.rs
+++ b/crates/wingshore-gateway/src/event_stream.rs
@@ -92,3 +92,21 @@
         _ => {}
     }
 }
+
+/// Takes the whole events out of the front of `buffer`, as the bytes that they are.
+pub fn take_whole_events(buffer: &mut Vec<u8>) -> Vec<u8> {
+    let mut end = 0;
+    let mut line_start = 0;
+    for (position, byte) in buffer.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buffer[line_start..position];
+        if line.is_empty() || line == b"\r" {
+            end = position + 1;
+        }
+        line_start = position + 1;
+    }
+    let rest = buffer.split_off(end);
+    std::mem::replace(buffer, rest)
+}
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::clients::ClientState;
 use crate::process::Gateway;
 use crate::protocol::OwnAnswer;
+use crate::streams::PassedStream;
 use crate::timers::TimerKey;
 use crate::upstream::Task;
 use slog::info;
@@ -28,8 +29,8 @@
 /// A request on its way.
 pub(crate) struct Exchange {
     request: WholeRequest,
-    id: Vec<u8>,
-    route: Arc<Route>,
+    pub(crate) id: Vec<u8>,
+    pub(crate) route: Arc<Route>,
     service: ServiceName,
     begun: Instant,
     /// By then it is answered, whatever has come.
@@ -44,6 +45,8 @@
     upstream: Option<ConnectionId>,
     /// The present try is given up at this time, if another server can be tried.
     attempt_until: Instant,
+    /// What has been passed on of a stream; set once its head has been.
+    pub(crate) stream: Option<PassedStream>,
 }
 
 /// What became of a try.
@@ -101,6 +104,7 @@
             tried: Vec::new(),
             upstream: None,
             attempt_until: now + limit,
+            stream: None,
         };
         self.timers.arm(exchange.until, TimerKey::Exchange(client));
         self.try_server(now, client, Box::new(exchange));
@@ -154,7 +158,7 @@
     }
 
     fn answer_limit(&self, now: Instant, exchange: &Exchange) -> Instant {
-        let repeatable = exchange.route.kind == RouteKind::Safe;
+        let repeatable = is_repeatable(&exchange.route);
         if repeatable && exchange.attempts + 1 < exchange.route.max_attempts {
             let patience = exchange.route.target_latency * PATIENCE_FACTOR;
             return exchange.until.min(now + patience);
@@ -166,7 +170,12 @@
         let names = self.protocol.header_names();
         let head = &exchange.request.head;
         let mut writer = HeadWriter::request(&head.method, &head.target);
-        let own = [names.deadline, names.expected_instance];
+        let resumed_after = exchange
+            .stream
+            .as_ref()
+            .and_then(|stream| stream.last_event);
+        let mut own = vec![names.deadline, names.expected_instance];
+        own.extend(resumed_after.map(|_| names.last_event));
         for (name, value) in end_to_end(&head.headers) {
             if !own
                 .iter()
@@ -179,6 +188,9 @@
         writer = writer
             .header(names.deadline, left)
             .header(names.expected_instance, &server.instance);
+        if let Some(event) = resumed_after {
+            writer = writer.header(names.last_event, event);
+        }
         let has_body = !exchange.request.body.is_empty() || head.method != "GET";
         if has_body {
             writer.body(&exchange.request.body)
@@ -205,7 +217,7 @@
         self.timers.arm(until, TimerKey::Exchange(client));
     }
 
-    fn exchange_mut(&mut self, client: ConnectionId) -> Option<&mut Exchange> {
+    pub(crate) fn exchange_mut(&mut self, client: ConnectionId) -> Option<&mut Exchange> {
         match &mut self.clients.get_mut(&client)?.state {
             ClientState::Exchange(exchange) => Some(exchange),
             _ => None,
@@ -226,6 +238,9 @@
         let Some(exchange) = self.exchange_mut(client) else {
             return;
         };
+        if exchange.stream.is_some() && answer.head.is_success() {
+            return self.finish_stream(now, client);
+        }
         let latency = now.since(exchange.begun);
         let is_own = answer.head.headers.get(names.request_id) == Some(exchange.id.as_slice());
         let is_signed = answer.head.headers.get(names.signature).is_some();
@@ -313,8 +328,8 @@
             return self.next_try(now, client, exchange);
         }
         match failure.answer {
-            Some(answer) => self.pass_on(now, client, &answer),
-            None => self.give_up(now, client, &exchange),
+            Some(answer) if exchange.stream.is_none() => self.pass_on(now, client, &answer),
+            _ => self.give_up(now, client, &exchange),
         }
     }
 
@@ -333,6 +348,9 @@
 
     /// Answers that there is no answer, and whether the request may have run.
     fn give_up(&mut self, now: Instant, client: ConnectionId, exchange: &Exchange) {
+        if exchange.stream.is_some() {
+            return self.break_stream(client, exchange);
+        }
         let answer = if !exchange.may_have_run {
             OwnAnswer::NotRun(COME_BACK)
         } else if now >= exchange.until {
@@ -353,7 +371,11 @@
         let Some(exchange) = self.exchange_mut(client) else {
             return;
         };
-        let (until, attempt_until) = (exchange.until, exchange.attempt_until);
+        let attempt_until = match &exchange.stream {
+            Some(_) => exchange.until,
+            None => exchange.attempt_until,
+        };
+        let until = exchange.until;
         if now < until && now < attempt_until {
             return self.timers.arm(attempt_until, TimerKey::Exchange(client));
         }
@@ -390,8 +412,17 @@
 /// The upper bits of the counter are spread best.
 const SPLIT_SHIFT: u32 = 33;
 
+/// Whether a request of the route may run more than once.
+fn is_repeatable(route: &Route) -> bool {
+    match route.kind {
+        RouteKind::Safe => true,
+        RouteKind::Streaming => route.resumable,
+        RouteKind::Unsafe | RouteKind::Batch => false,
+    }
+}
+
 fn may_try_again(exchange: &Exchange) -> bool {
-    let repeatable = exchange.route.kind == RouteKind::Safe;
+    let repeatable = is_repeatable(&exchange.route);
     let may_repeat = repeatable || !exchange.may_have_run;
     may_repeat
         && exchange.attempts < exchange.route.max_attempts.max(1)
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -17,12 +17,13 @@
 mod process;
 mod protocol;
 mod settings;
+mod streams;
 mod timers;
 mod upstream;
 mod view;
 
 pub use error::GatewayError;
-pub use event_stream::{EventReader, StreamEvent};
-pub use process::{Gateway, StopRequest};
+pub use event_stream::{EventReader, StreamEvent, take_whole_events};
+pub use process::Gateway;
 pub use protocol::{BatchAnswer, BatchCall, HeaderNames, HttpAnswer, IngressProtocol, OwnAnswer};
 pub use settings::GatewaySettings;
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -11,17 +11,15 @@
 use crate::timers::{TimerKey, Timers};
 use crate::upstream::{Task, Upstreams};
 use crate::view::View;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use wingshore_coordination::{GatewayId, GatewayStatus};
 use wingshore_net::Clock;
 use wingshore_net::http::BodyStatus;
-use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor};
+use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
 /// Sent bytes may stay unacknowledged this long on connections of clients.
@@ -37,13 +35,6 @@
 /// Left before the end of a planned stop for the last answers to arrive.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
-/// What signals ask of a process.
-#[derive(Clone, Debug, Default)]
-pub struct StopRequest {
-    /// Set by a planned stop.
-    pub stop: Arc<AtomicBool>,
-}
-
 /// What a connection to a coordinator is.
 #[derive(Clone, Copy)]
 pub(crate) struct LinkRole {
@@ -70,7 +61,8 @@
     pub(crate) stopping_since: Option<Instant>,
     clock: Clock,
     ready_listener: Option<ListenerId>,
-    stop: StopRequest,
+    signals: Signals,
+    seed_source: SeedSource,
     next_status: Instant,
     next_housekeeping: Instant,
 }
@@ -83,7 +75,8 @@
     pub fn start(
         settings: GatewaySettings,
         protocol: Box<dyn IngressProtocol>,
-        stop: StopRequest,
+        signals: Signals,
+        seed_source: SeedSource,
         logger: Logger,
     ) -> Result<Self, GatewayError> {
         let mut reactor = Reactor::new().context(NetSnafu)?;
@@ -116,7 +109,8 @@
             stopping_since: None,
             clock: Clock::start(),
             ready_listener,
-            stop,
+            signals,
+            seed_source,
             next_status: Instant::ZERO,
             next_housekeeping: Instant::ZERO,
         })
@@ -225,8 +219,9 @@
         };
         let status = upstream.reader.read(input);
         let clean = input.is_empty();
-        if let Task::Item(id) = task {
-            self.on_item_input(now, id, connection);
+        match task {
+            Task::Item(id) => self.on_item_input(now, id, connection),
+            Task::Exchange(client) => self.on_exchange_input(now, client, connection),
         }
         match status {
             Ok(BodyStatus::Partial) => {}
@@ -337,11 +332,27 @@
         self.upstreams
             .close_idle(now, &mut self.reactor, |instance| view.knows(instance));
         self.balancer.retain(|instance| view.knows(instance));
+        self.reload();
         self.begin_stop(now);
     }
 
+    /// Reads the seeds again where the settings have changed. Seeds that cannot be read leave
+    /// those before in force.
+    fn reload(&mut self) {
+        if !self.signals.take_reload() {
+            return;
+        }
+        match (self.seed_source)() {
+            Ok(seeds) => {
+                info!(self.logger, "reloaded"; "seeds" => ?seeds);
+                self.settings.seeds = seeds;
+            }
+            Err(reason) => warn!(self.logger, "not reloaded"; "reason" => reason),
+        }
+    }
+
     fn begin_stop(&mut self, now: Instant) {
-        if self.stopping_since.is_some() || !self.stop.stop.load(Ordering::Relaxed) {
+        if self.stopping_since.is_some() || !self.signals.is_stopping() {
             return;
         }
         info!(self.logger, "planned stop"; "node" => &self.settings.node);
--- a/crates/wingshore-net/src/lib.rs
+++ b/crates/wingshore-net/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod frame;
 pub mod http;
 mod reactor;
+mod signals;
 
 pub use clock::Clock;
 pub use reactor::{
     ConnectOptions, ConnectionId, ListenerId, NetError, NetEvent, Reactor, ReactorWaker,
 };
+pub use signals::{SeedSource, Signals};
