--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -3,6 +3,17 @@
 use crate::ids::{GatewayId, InstanceId, ItemId, JobId, ModelName};
 use crate::messages::AssignmentId;
 
+impl Decision {
+    /// The request that the decision is about, where it went well: lines about such ones may be
+    /// sampled.
+    pub fn sampled_by(&self) -> Option<&ItemId> {
+        match self {
+            Self::ItemAssigned { item, .. } | Self::ItemListed { item, .. } => Some(item),
+            _ => None,
+        }
+    }
+}
+
 /// A decision of the leader.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -75,6 +86,19 @@
         /// The engine that is too slow.
         instance: InstanceId,
     },
+    /// A result is committed.
+    ItemListed {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+        /// Its position in the job.
+        position: u64,
+        /// Versions that made it.
+        versions: Vec<u64>,
+        /// Time since the job was known here.
+        age: std::time::Duration,
+    },
     /// An item was given up.
     ItemAbandoned {
         /// The job.
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -178,6 +178,11 @@
             .collect()
     }
 
+    /// How many wait.
+    pub(crate) fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether none waits.
     pub(crate) fn none_waits(&self) -> bool {
         self.waiting.is_empty()
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -116,6 +116,31 @@
         });
     }
 
+    /// Logs a result that was just listed, which is the last one of its job.
+    pub(crate) fn log_listed(
+        &self,
+        now: Instant,
+        id: &JobId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(job) = state.jobs().get(id) else {
+            return;
+        };
+        let Some(result) = job.results.last() else {
+            return;
+        };
+        let since = self.job_clock.known_since.get(id).copied().unwrap_or(now);
+        let decision = Decision::ItemListed {
+            job: id.clone(),
+            item: result.id.clone(),
+            position: job.results.len() as u64 - 1,
+            versions: result.versions.clone(),
+            age: now.since(since),
+        };
+        log(decision, out);
+    }
+
     /// Results of a job were listed: readers that wait for them are answered.
     pub(crate) fn results_listed(
         &mut self,
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -90,6 +90,17 @@
     },
 }
 
+/// How much a leader has in hand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaderFigures {
+    /// Items without an engine.
+    pub items_waiting: usize,
+    /// Items on engines.
+    pub items_running: usize,
+    /// Engines that load weights.
+    pub engines_loading: usize,
+}
+
 /// Outputs of the leader machine.
 pub(crate) type Outputs = LeaderOutputs<CoordinationLeader>;
 
@@ -170,6 +181,18 @@
         }
     }
 
+    /// How much it has in hand.
+    pub fn figures(&self) -> LeaderFigures {
+        let engines = self.engines.iter();
+        LeaderFigures {
+            items_waiting: self.items.waiting_count(),
+            items_running: self.items.running().count(),
+            engines_loading: engines
+                .filter(|(_, engine)| engine.loading.is_some())
+                .count(),
+        }
+    }
+
     fn propose(&mut self, command: Command, waiter: Waiter, out: &mut Outputs) {
         let tag = ProposalTag(self.next_proposal);
         self.next_proposal += 1;
@@ -380,6 +403,7 @@
             Waiter::Job(job, tag) => self.job_accepted(now, job, tag, state, out),
             Waiter::Result { job, finished } => {
                 if let Some((gateway, assignment)) = finished {
+                    self.log_listed(now, &job, state, out);
                     placement::release(gateway, assignment, out);
                 }
                 self.results_listed(&job, state, out);
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -74,6 +74,20 @@
     Unknown,
 }
 
+impl OrderAnswer {
+    /// The answer in a word.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::AlreadyHeld => "already_held",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// How far the loading of one engine is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -65,6 +65,25 @@
     },
 }
 
+impl Request {
+    /// What is asked, in a word.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::PutConfiguration(_) => "put_configuration",
+            Self::ReadConfiguration => "read_configuration",
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Deregister(_) => "deregister",
+            Self::NameVersion { .. } => "name_version",
+            Self::SubmitJob(_) => "submit_job",
+            Self::ReadJob { .. } => "read_job",
+            Self::ReadItem { .. } => "read_item",
+            Self::EndJob(_) => "end_job",
+            Self::DescribeMember { .. } => "describe_member",
+            Self::RetireMember { .. } => "retire_member",
+        }
+    }
+}
+
 /// The group's answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -62,6 +62,16 @@
             info!(logger, "item moved"; "job" => %job, "index" => index,
                 "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance);
         }
+        Decision::ItemListed {
+            job,
+            item,
+            position,
+            versions,
+            age,
+        } => {
+            info!(logger, "item listed"; "job" => %job, "item" => %item, "position" => position,
+                "versions" => ?versions, "age_ms" => age.as_millis() as u64);
+        }
         Decision::ItemAbandoned { job, index, reason } => {
             info!(logger, "item abandoned"; "job" => %job, "index" => index, "reason" => reason);
         }
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -13,6 +13,7 @@
 mod identity;
 
 mod membership;
+mod metrics;
 mod process;
 mod protocol;
 mod settings;
--- /dev/null
+++ b/crates/wingshore-coordinator/src/metrics.rs
@@ -0,0 +1,248 @@
+//! What a coordinator tells monitoring.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+
+/// Shortest time that the histograms tell apart, in seconds.
+const SHORTEST: f64 = 0.000_5;
+/// Each bucket reaches twice as far as the one before.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Buckets; the last one ends at 8.2 s.
+const BUCKETS: u16 = 15;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabel {
+    call: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone)]
+struct Buckets;
+
+impl MetricConstructor<Histogram> for Buckets {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(exponential_buckets(SHORTEST, BUCKET_FACTOR, BUCKETS))
+    }
+}
+
+/// Values that are read when monitoring asks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Readings {
+    pub(crate) leading: bool,
+    pub(crate) leader_known: bool,
+    pub(crate) term: u64,
+    pub(crate) commit_index: u64,
+    pub(crate) applied_index: u64,
+    pub(crate) voters: usize,
+    pub(crate) learners: usize,
+    pub(crate) gateways: usize,
+    pub(crate) servers: usize,
+    pub(crate) servers_draining: usize,
+    pub(crate) jobs_open: usize,
+    pub(crate) items_waiting: usize,
+    pub(crate) items_running: usize,
+    pub(crate) engines_loading: usize,
+    pub(crate) configuration: u64,
+    pub(crate) log_lines_left_out: u64,
+}
+
+/// All metrics of a coordinator.
+pub(crate) struct CoordinatorMetrics {
+    registry: Registry,
+    calls: Family<CallLabels, Counter>,
+    call_seconds: Family<CallLabel, Histogram, Buckets>,
+    write_seconds: Histogram,
+    orders: Family<OutcomeLabel, Counter>,
+    tries: Family<OutcomeLabel, Counter>,
+    leaderships: Counter,
+    member_changes: Counter,
+    gauges: Vec<(&'static str, Gauge)>,
+}
+
+/// Gauges: name and help.
+const GAUGES: [(&str, &str); 16] = [
+    ("leading", "1 where this coordinator leads the group"),
+    ("leader_known", "1 where it knows a leader"),
+    ("term", "Term of the group; the fence of orders"),
+    (
+        "commit_index",
+        "Last entry of the log known to be committed",
+    ),
+    (
+        "applied_index",
+        "Last entry of the log applied to the state",
+    ),
+    ("voters", "Members that vote"),
+    ("learners", "Members that only receive"),
+    ("gateways", "Gateways in touch"),
+    ("servers", "Servers in the registry"),
+    (
+        "servers_draining",
+        "Servers in the registry that are leaving",
+    ),
+    ("jobs_open", "Batch jobs that are not ended"),
+    (
+        "items_waiting",
+        "Items without an engine; 0 where it does not lead",
+    ),
+    (
+        "items_running",
+        "Items on engines; 0 where it does not lead",
+    ),
+    (
+        "engines_loading",
+        "Engines that load weights; 0 where it does not lead",
+    ),
+    (
+        "configuration_version",
+        "Version of the configuration in force here",
+    ),
+    (
+        "log_lines_left_out",
+        "Log lines left out for want of budget",
+    ),
+];
+
+impl CoordinatorMetrics {
+    /// All at zero.
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("wingshore_coordinator"),
+            calls: Family::default(),
+            call_seconds: Family::new_with_constructor(Buckets),
+            write_seconds: Buckets.new_metric(),
+            orders: Family::default(),
+            tries: Family::default(),
+            leaderships: Counter::default(),
+            member_changes: Counter::default(),
+            gauges: Vec::new(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "calls",
+            "Calls to the group by kind and how they ended here",
+            self.calls.clone(),
+        );
+        registry.register_with_unit(
+            "call",
+            "From a call's arrival to its answer, committed where it changes something",
+            Unit::Seconds,
+            self.call_seconds.clone(),
+        );
+        registry.register_with_unit(
+            "write",
+            "Until a write to the log was synced on this disk",
+            Unit::Seconds,
+            self.write_seconds.clone(),
+        );
+        registry.register(
+            "orders",
+            "Orders to engines by their answers",
+            self.orders.clone(),
+        );
+        registry.register(
+            "tries",
+            "Tries at items of batch jobs by what came of them",
+            self.tries.clone(),
+        );
+        registry.register(
+            "leaderships",
+            "Leaderships that began here",
+            self.leaderships.clone(),
+        );
+        registry.register(
+            "member_changes",
+            "Changes of members asked for here",
+            self.member_changes.clone(),
+        );
+        for (name, help) in GAUGES {
+            let gauge = Gauge::default();
+            self.registry.register(name, help, gauge.clone());
+            self.gauges.push((name, gauge));
+        }
+    }
+
+    /// A call to the group has ended.
+    pub(crate) fn call_ended(&self, call: &'static str, outcome: &'static str, time: Duration) {
+        let labels = CallLabels { call, outcome };
+        self.calls.get_or_create(&labels).inc();
+        let histogram = self.call_seconds.get_or_create(&CallLabel { call });
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// A write was synced.
+    pub(crate) fn written(&self, time: Duration) {
+        self.write_seconds.observe(time.as_secs_f64());
+    }
+
+    /// An engine has answered an order, or has not.
+    pub(crate) fn ordered(&self, outcome: &'static str) {
+        self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// A gateway has told what came of a try.
+    pub(crate) fn try_ended(&self, outcome: &'static str) {
+        self.tries.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// A leadership began here.
+    pub(crate) fn leadership_began(&self) {
+        self.leaderships.inc();
+    }
+
+    /// A change of members was asked for.
+    pub(crate) fn member_change(&self) {
+        self.member_changes.inc();
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self, readings: &Readings) -> String {
+        let count = |value: usize| value as u64;
+        let values = [
+            u64::from(readings.leading),
+            u64::from(readings.leader_known),
+            readings.term,
+            readings.commit_index,
+            readings.applied_index,
+            count(readings.voters),
+            count(readings.learners),
+            count(readings.gateways),
+            count(readings.servers),
+            count(readings.servers_draining),
+            count(readings.jobs_open),
+            count(readings.items_waiting),
+            count(readings.items_running),
+            count(readings.engines_loading),
+            readings.configuration,
+            readings.log_lines_left_out,
+        ];
+        for ((_, gauge), value) in self.gauges.iter().zip(values) {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -0,0 +1,207 @@
+//! Calls of operators, trainers, servers and clients.
+
+use super::*;
+
+/// Type of the text that monitoring reads.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+impl Coordinator {
+    pub(super) fn on_control_input(&mut self, now: Instant, connection: ConnectionId) {
+        let Some(Role::Control(control)) = self.roles.get_mut(&connection) else {
+            return;
+        };
+        control.used = now;
+        if control.waiting.is_some() {
+            return;
+        }
+        let Some(input) = self.reactor.input(connection) else {
+            return;
+        };
+        let next = control
+            .reader
+            .next(input, control::MOST_HEAD, control::MOST_BODY);
+        match next {
+            Ok(None) => {}
+            Ok(Some(request)) => {
+                control.waiting = Some(request.head.target.clone());
+                control.close_after = request.head.wants_close();
+                self.on_call(now, connection, &request);
+            }
+            Err(error) => {
+                control.close_after = true;
+                let answer = HttpAnswer {
+                    status: error.status(),
+                    headers: Vec::new(),
+                    body: error.to_string().into_bytes(),
+                };
+                self.answer(connection, &answer);
+            }
+        }
+    }
+
+    /// Monitoring asks: all metrics are answered, whatever the path.
+    pub(super) fn on_metrics_input(&mut self, connection: ConnectionId) {
+        let Some(input) = self.reactor.input(connection) else {
+            return;
+        };
+        let Some(Role::Metrics(control)) = self.roles.get_mut(&connection) else {
+            return;
+        };
+        let next = control
+            .reader
+            .next(input, control::MOST_HEAD, control::MOST_BODY);
+        let answer = match next {
+            Ok(None) => return,
+            Ok(Some(_)) => HttpAnswer {
+                status: 200,
+                headers: vec![("Content-Type".to_owned(), METRICS_TYPE.to_owned())],
+                body: self.metrics.text(&self.readings()).into_bytes(),
+            },
+            Err(error) => HttpAnswer {
+                status: error.status(),
+                headers: Vec::new(),
+                body: Vec::new(),
+            },
+        };
+        self.reactor
+            .send(connection, &control::encode(&answer, true));
+        self.roles.remove(&connection);
+        self.reactor.close_when_flushed(connection);
+    }
+
+    fn readings(&self) -> Readings {
+        let state = self.host.state();
+        let membership = self.host.membership();
+        let leader = self.host.leader_machine();
+        let figures = leader.map(CoordinationLeader::figures).unwrap_or_default();
+        let draining = state.servers().values().filter(|server| server.draining);
+        Readings {
+            leading: self.host.is_leader(),
+            leader_known: self.host.leader().is_some(),
+            term: self.host.term(),
+            commit_index: self.host.commit_index().0,
+            applied_index: self.host.applied_index().0,
+            voters: membership.voters.len(),
+            learners: membership.learners.len(),
+            gateways: self.directory.iter().count(),
+            servers: state.servers().len(),
+            servers_draining: draining.count(),
+            jobs_open: state.jobs().values().filter(|job| !job.ended).count(),
+            items_waiting: figures.items_waiting,
+            items_running: figures.items_running,
+            engines_loading: figures.engines_loading,
+            configuration: state.configuration().map_or(0, |held| held.version),
+            log_lines_left_out: self.log_counts.left_out(),
+        }
+    }
+
+    pub(super) fn on_call(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        request: &WholeRequest,
+    ) {
+        match self.protocol.read(request) {
+            ControlCall::Group(request) => self.ask_group(request, Waiting::Caller(connection)),
+            ControlCall::Local(LocalQuestion::Retire { node }) if self.host.is_leader() => {
+                self.begin_retirement(now, connection, &node);
+            }
+            ControlCall::Local(
+                LocalQuestion::Retire { .. } | LocalQuestion::RetireProgress { .. },
+            ) if !self.host.is_leader() => {
+                let leader = self.host.leader();
+                let answer = self.redirect(connection, leader);
+                let answer = self.protocol.write(&answer);
+                self.answer(connection, &answer);
+            }
+            ControlCall::Local(question) => {
+                let answer = self.answer_locally(now, &question);
+                let answer = self.protocol.write(&answer);
+                self.answer(connection, &answer);
+            }
+            ControlCall::Invalid(answer) => self.answer(connection, &answer),
+        }
+    }
+
+    pub(super) fn answer_locally(&self, now: Instant, question: &LocalQuestion) -> ControlAnswer {
+        match question {
+            LocalQuestion::Gateways { zone } => {
+                let gateways = self.directory.for_client(now, zone, GATEWAY_FRESH);
+                if gateways.is_empty() {
+                    return ControlAnswer::Unavailable;
+                }
+                ControlAnswer::Gateways {
+                    gateways,
+                    ttl: self.settings.directory_ttl,
+                }
+            }
+            LocalQuestion::Retire { .. } => ControlAnswer::Unavailable,
+            LocalQuestion::RetireProgress { node } => self.retirement_progress(now, node),
+        }
+    }
+
+    pub(super) fn answer_caller(&mut self, connection: ConnectionId, reply: HostReply<Reply>) {
+        let answer = match reply {
+            HostReply::Reply(reply) => ControlAnswer::Reply(reply),
+            HostReply::NotLeader { leader } => self.redirect(connection, leader),
+            HostReply::Membership(_) | HostReply::Unknown => ControlAnswer::Unknown,
+        };
+        let answer = self.protocol.write(&answer);
+        self.answer(connection, &answer);
+    }
+
+    pub(super) fn redirect(
+        &self,
+        connection: ConnectionId,
+        leader: Option<ReplicaId>,
+    ) -> ControlAnswer {
+        let leader = leader.and_then(|leader| self.hellos.get(&leader));
+        let target = match self.roles.get(&connection) {
+            Some(Role::Control(control)) => control.waiting.clone(),
+            _ => None,
+        };
+        match (leader, target) {
+            (Some(hello), Some(target)) => ControlAnswer::Redirect {
+                leader: hello.control,
+                target,
+            },
+            _ => ControlAnswer::Unavailable,
+        }
+    }
+
+    pub(super) fn answer(&mut self, connection: ConnectionId, answer: &HttpAnswer) {
+        let now = self.clock.now();
+        let Some(Role::Control(control)) = self.roles.get_mut(&connection) else {
+            return;
+        };
+        control.waiting = None;
+        control.used = now;
+        let close = control.close_after;
+        let bytes = control::encode(answer, close);
+        self.reactor.send(connection, &bytes);
+        if close {
+            self.reactor.close_when_flushed(connection);
+            self.roles.remove(&connection);
+            return;
+        }
+        // Another request may have arrived meanwhile.
+        self.on_control_input(now, connection);
+    }
+
+    pub(super) fn close_idle_callers(&mut self, now: Instant) {
+        let idle: Vec<ConnectionId> = self
+            .roles
+            .iter()
+            .filter(|(_, role)| match role {
+                Role::Control(control) => {
+                    control.waiting.is_none() && now.since(control.used) > CALLER_IDLE
+                }
+                _ => false,
+            })
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in idle {
+            self.on_ended(now, connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -0,0 +1,221 @@
+//! Links to gateways and to other coordinators.
+
+use super::*;
+
+impl Coordinator {
+    pub(super) fn on_connected(&mut self, _now: Instant, connection: ConnectionId) {
+        let Some(Role::Dialed(address)) = self.roles.get(&connection) else {
+            return;
+        };
+        if let Some(dial) = self.dials.get_mut(address) {
+            dial.up = true;
+        }
+        self.introduce(connection);
+    }
+
+    pub(super) fn introduce(&mut self, connection: ConnectionId) {
+        let hello = CoordinatorHello {
+            id: self.folder.identity().replica,
+            node: self.settings.node.clone(),
+            internal: self.settings.internal_address(),
+            control: self.settings.control,
+        };
+        let frame = IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello));
+        self.send_frame(connection, &frame);
+    }
+
+    pub(super) fn on_link_input(&mut self, now: Instant, connection: ConnectionId) {
+        loop {
+            let Some(input) = self.reactor.input(connection) else {
+                return;
+            };
+            match frame::decode::<IncomingFrame>(input) {
+                Ok(Some(frame)) => self.on_frame(now, connection, frame),
+                Ok(None) => return,
+                Err(error) => {
+                    warn!(self.logger, "link closed"; "error" => %error);
+                    return self.on_ended(now, connection);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_frame(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        frame: IncomingFrame,
+    ) {
+        match frame {
+            IncomingFrame::Gateway(hello) => {
+                if let Some(Role::Link(link)) = self.roles.get_mut(&connection) {
+                    link.gateway = Some(hello.gateway);
+                }
+                let event = Event::GatewayConnected(hello.clone());
+                if let Some(before) = self.directory.connected(now, hello, connection) {
+                    self.reactor.close(before);
+                    self.roles.remove(&before);
+                }
+                self.inputs.push(HostInput::Event(event));
+            }
+            IncomingFrame::FromGateway(message) => {
+                let Some(Role::Link(Link {
+                    gateway: Some(gateway),
+                    ..
+                })) = self.roles.get(&connection)
+                else {
+                    return;
+                };
+                let gateway = *gateway;
+                self.on_gateway_message(now, connection, gateway, message);
+            }
+            IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello)) => {
+                self.on_hello(now, connection, hello);
+            }
+            IncomingFrame::Coordinator(CoordinatorFrame::Consensus(message)) => {
+                if let Some(from) = self.coordinator_at(connection) {
+                    if let Some(joiner) = self.heard.get_mut(&from) {
+                        joiner.heard = now;
+                    }
+                    self.inputs.push(HostInput::Consensus { from, message });
+                }
+            }
+        }
+    }
+
+    pub(super) fn coordinator_at(&self, connection: ConnectionId) -> Option<ReplicaId> {
+        self.routes
+            .iter()
+            .find(|(_, routes)| routes.contains(&connection))
+            .map(|(id, _)| *id)
+    }
+
+    pub(super) fn on_hello(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        hello: CoordinatorHello,
+    ) {
+        let joiner = Joiner {
+            id: hello.id,
+            address: hello.internal,
+            heard: now,
+        };
+        // One address has one identity at a time: the one that was heard last.
+        self.heard
+            .retain(|id, known| *id == hello.id || known.address != hello.internal);
+        self.heard.insert(hello.id, joiner);
+        let routes = self.routes.entry(hello.id).or_default();
+        if !routes.contains(&connection) {
+            routes.push(connection);
+        }
+        if let Some(Role::Link(link)) = self.roles.get_mut(&connection)
+            && link.coordinator.is_none()
+        {
+            link.coordinator = Some(hello.id);
+            self.introduce(connection);
+        }
+        self.hellos.insert(hello.id, hello);
+    }
+
+    pub(super) fn on_gateway_message(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        gateway: GatewayId,
+        message: GatewayMessage,
+    ) {
+        let event = match message {
+            GatewayMessage::Status(status) => {
+                self.directory.heard(now, gateway, status);
+                Event::GatewayStatus(gateway, status)
+            }
+            GatewayMessage::Running(running) => Event::GatewayRunning(gateway, running),
+            GatewayMessage::Progress(progress) => Event::ItemsProgressed(progress),
+            GatewayMessage::Call { id, request } => {
+                self.ask_group(request, Waiting::Gateway(connection, id));
+                return;
+            }
+            GatewayMessage::ItemEnded {
+                assignment,
+                outcome,
+                ..
+            } => {
+                self.metrics.try_ended(outcome.name());
+                Event::ItemEnded {
+                    gateway,
+                    assignment,
+                    outcome,
+                }
+            }
+        };
+        self.inputs.push(HostInput::Event(event));
+    }
+
+    pub(super) fn greet(&mut self) {
+        let links: Vec<ConnectionId> = self
+            .dials
+            .values()
+            .filter(|dial| dial.up)
+            .filter_map(|dial| dial.connection)
+            .collect();
+        for connection in links {
+            self.introduce(connection);
+        }
+        let membership = self.host.membership();
+        let members = membership.voters.iter().chain(&membership.learners);
+        let coordinators = members.map(|member| member.address).collect();
+        self.send_to_all_gateways(&CoordinatorMessage::Alive { coordinators });
+    }
+
+    /// Connects to all members and seeds there is no connection to.
+    pub(super) fn dial_members(&mut self, now: Instant) {
+        let own = self.settings.internal_address();
+        let membership = self.host.membership();
+        let members = membership.voters.iter().chain(&membership.learners);
+        let mut wanted: Vec<SocketAddr> = members.map(|member| member.address).collect();
+        wanted.extend(self.settings.seed_addresses());
+        wanted.sort_unstable();
+        wanted.dedup();
+        wanted.retain(|address| *address != own);
+        let superfluous: Vec<SocketAddr> = self
+            .dials
+            .keys()
+            .filter(|address| !wanted.contains(address))
+            .copied()
+            .collect();
+        for address in superfluous {
+            if let Some(connection) = self.dials.remove(&address).and_then(|dial| dial.connection) {
+                self.on_ended(now, connection);
+            }
+        }
+        for address in wanted {
+            self.dial(now, address);
+        }
+    }
+
+    pub(super) fn dial(&mut self, now: Instant, address: SocketAddr) {
+        if let Some(dial) = self.dials.get(&address) {
+            let is_late = !dial.up && now.since(dial.since) >= CONNECT_TIMEOUT;
+            match dial.connection {
+                Some(connection) if is_late => return self.on_ended(now, connection),
+                Some(_) => return,
+                None if now.since(dial.since) < CONNECT_INTERVAL => return,
+                None => {}
+            }
+        }
+        let options = ConnectOptions {
+            unacknowledged_limit: LINK_LIMIT,
+        };
+        let connection = self.reactor.connect(address, options);
+        if let Some(connection) = connection {
+            self.roles.insert(connection, Role::Dialed(address));
+        }
+        let dial = Dial {
+            connection,
+            up: false,
+            since: now,
+        };
+        self.dials.insert(address, dial);
+    }
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -0,0 +1,125 @@
+//! Members of the group: whom the leader takes in, lets go and empties.
+
+use super::*;
+
+impl Coordinator {
+    /// Lets the leader change the members where that is needed.
+    pub(super) fn plan_members(&mut self, now: Instant) {
+        if !self.host.is_leader() || self.change_under_way {
+            return;
+        }
+        self.describe_members();
+        let retired = self.retired_members();
+        let view = self.membership_view(&retired);
+        if let Some(request) = self.planner.plan(now, &view) {
+            self.metrics.member_change();
+            info!(self.logger, "member change"; "request" => ?request);
+            self.change_under_way = true;
+            self.request_change(request);
+        }
+    }
+
+    pub(super) fn membership_view<'a>(
+        &'a self,
+        retired: &'a BTreeSet<ReplicaId>,
+    ) -> MembershipView<'a> {
+        let membership = self.host.membership();
+        let members = membership.voters.iter().chain(&membership.learners);
+        MembershipView {
+            own: self.folder.identity().replica,
+            membership,
+            heard: &self.heard,
+            caught_up: members
+                .map(|member| member.id)
+                .filter(|id| self.host.is_caught_up(*id))
+                .collect(),
+            voters: self.settings.seed_addresses().len().max(1),
+            retired,
+        }
+    }
+
+    pub(super) fn retired_members(&self) -> BTreeSet<ReplicaId> {
+        let retired = self.host.state().retired_members();
+        retired.values().copied().collect()
+    }
+
+    /// Notes the machines of coordinators that are not noted yet.
+    pub(super) fn describe_members(&mut self) {
+        let own = (self.folder.identity().replica, self.settings.node.clone());
+        let others = self
+            .hellos
+            .values()
+            .map(|hello| (hello.id, hello.node.clone()));
+        let known = self.host.state().member_nodes();
+        let news: Vec<(ReplicaId, String)> = others
+            .chain([own])
+            .filter(|(id, node)| known.get(id) != Some(node))
+            .collect();
+        for (member, node) in news {
+            let request = Request::DescribeMember { member, node };
+            self.ask_group(request, Waiting::Nobody);
+        }
+    }
+
+    /// A machine is to be emptied: what the leader answers at once, or `None` when it is to be
+    /// noted first.
+    pub(super) fn begin_retirement(&mut self, now: Instant, connection: ConnectionId, node: &str) {
+        let retired = self.retired_members();
+        let view = self.membership_view(&retired);
+        let own = (view.own, self.settings.node.as_str());
+        let answer = match member_of(&self.host, own, node) {
+            _ if !self.host.holds_lease(now) => ControlAnswer::Unavailable,
+            None => ControlAnswer::NoSuchMachine,
+            Some(id) if retired.contains(&id) => ControlAnswer::Retiring,
+            Some(id) if !self.planner.can_retire(now, id, &view) => ControlAnswer::TooFewLeft,
+            Some(member) => {
+                info!(self.logger, "retirement"; "node" => node, "member" => member.0);
+                let node = node.to_owned();
+                let request = Request::RetireMember { member, node };
+                return self.ask_group(request, Waiting::Caller(connection));
+            }
+        };
+        let answer = self.protocol.write(&answer);
+        self.answer(connection, &answer);
+    }
+
+    pub(super) fn retirement_progress(&self, now: Instant, node: &str) -> ControlAnswer {
+        if !self.host.holds_lease(now) {
+            return ControlAnswer::Unavailable;
+        }
+        let Some(member) = self.host.state().retired_members().get(node) else {
+            return ControlAnswer::NoSuchMachine;
+        };
+        let retired = self.retired_members();
+        if self.membership_view(&retired).is_whole_without(*member) {
+            ControlAnswer::Retired
+        } else {
+            ControlAnswer::Retiring
+        }
+    }
+
+    pub(super) fn request_change(&mut self, request: MembershipRequest) {
+        let tag = self.tag(Waiting::Planner, "change_members");
+        self.inputs.push(HostInput::Membership { tag, request });
+    }
+}
+
+/// The coordinator on a machine: a member of the group, or one that has introduced itself.
+fn member_of(
+    host: &Host<CoordinationLeader>,
+    own: (ReplicaId, &str),
+    node: &str,
+) -> Option<ReplicaId> {
+    if own.1 == node {
+        return Some(own.0);
+    }
+    let membership = host.membership();
+    let members = membership.voters.iter().chain(&membership.learners);
+    let nodes = host.state().member_nodes();
+    let mut on_node =
+        members.filter(|member| nodes.get(&member.id).is_some_and(|name| name == node));
+    on_node.next().map(|member| member.id).or_else(|| {
+        let retired = host.state().retired_members();
+        retired.get(node).copied()
+    })
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -0,0 +1,470 @@
+//! One coordinator process from start to end: the loop that owns sockets and the group's host.
+
+mod callers;
+mod links;
+mod members;
+mod outputs;
+
+use crate::control::{self, ControlConnection};
+use crate::decisions;
+use crate::directory::Directory;
+use crate::engine_calls::EngineCalls;
+use crate::error::{CoordinatorError, GroupSnafu, NetSnafu, StorageSnafu, ThreadSnafu};
+use crate::identity;
+use wingshore_net::Clock;
+
+use crate::membership::{Joiner, MembershipPlanner, MembershipView};
+use crate::metrics::{CoordinatorMetrics, Readings};
+use crate::protocol::{
+    ControlAnswer, ControlCall, ControlProtocol, EngineProtocol, HttpAnswer, LocalQuestion,
+};
+use crate::settings::CoordinatorSettings;
+use crate::writer::{WriteEvent, Writer, wait_for_space};
+use slog::{Logger, info, warn};
+use snafu::ResultExt;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use wingshore_coordination::{
+    CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorHello, CoordinatorMessage,
+    Decision, Effect, Event, GatewayId, GatewayMessage, IncomingFrame, LeaderSettings, Reply,
+    Request,
+};
+use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
+use wingshore_group::{
+    Host, HostConfig, HostInput, HostOutput, HostReply, Leadership, MachineFactory, Timing,
+};
+use wingshore_net::http::WholeRequest;
+use wingshore_net::{
+    ConnectOptions, ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals, frame,
+};
+use wingshore_storage::{
+    DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
+};
+use wingshore_types::configuration::Permille;
+use wingshore_types::machine::RequestTag;
+use wingshore_types::protocol::membership::{MembershipReply, MembershipRequest};
+use wingshore_types::{GroupId, Instant, ReplicaId};
+
+/// Sent bytes may stay unacknowledged this long on links of the site.
+const LINK_LIMIT: Duration = Duration::from_millis(1500);
+/// Sent bytes may stay unacknowledged this long on connections of callers.
+const CALLER_LIMIT: Duration = Duration::from_secs(5);
+/// Most connections of others at a time.
+const MOST_CONNECTIONS: usize = 6000;
+/// Between attempts to connect to another coordinator.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
+/// An attempt to connect is over after this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Between introductions on a link, and signs of life to gateways.
+const HELLO_INTERVAL: Duration = Duration::from_millis(300);
+/// Between looks at what has become due.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
+/// A gateway that is silent for this long is disconnected.
+const GATEWAY_SILENCE: Duration = Duration::from_millis(1600);
+/// A gateway is shown to clients only if it was heard of within this time.
+const GATEWAY_FRESH: Duration = Duration::from_millis(1300);
+/// Idle connections of callers are closed after this time.
+const CALLER_IDLE: Duration = Duration::from_secs(30);
+/// Longest wait for sockets.
+const LONGEST_WAIT: Duration = Duration::from_millis(250);
+/// Election timeouts differ by up to this part of the shortest one.
+const ELECTION_SPREAD_PART: u32 = 2;
+/// The most by which any clock runs fast or slow, in thousandths.
+const CLOCK_DRIFT: Permille = Permille(20);
+
+/// Who waits for the group's answer.
+enum Waiting {
+    Caller(ConnectionId),
+    Gateway(ConnectionId, u64),
+    Planner,
+    /// Something that is asked again if it does not come about.
+    Nobody,
+}
+
+/// A call that waits for the group's answer.
+struct PendingCall {
+    waiting: Waiting,
+    call: &'static str,
+    since: Instant,
+}
+
+/// What a connection is.
+enum Role {
+    Control(ControlConnection),
+    /// Of monitoring.
+    Metrics(ControlConnection),
+    /// Accepted on the internal port.
+    Link(Link),
+    /// Made to another coordinator.
+    Dialed(SocketAddr),
+}
+
+#[derive(Default)]
+struct Link {
+    gateway: Option<GatewayId>,
+    coordinator: Option<ReplicaId>,
+}
+
+/// A connection made to another coordinator.
+struct Dial {
+    connection: Option<ConnectionId>,
+    up: bool,
+    since: Instant,
+}
+
+/// A running coordinator.
+pub struct Coordinator {
+    settings: CoordinatorSettings,
+    logger: Logger,
+    clock: Clock,
+    folder: DataFolder,
+    reactor: Reactor,
+    internal_listener: ListenerId,
+    metrics_listener: Option<ListenerId>,
+    metrics: CoordinatorMetrics,
+    log_counts: LogCounts,
+    sampler: RequestSampler,
+    protocol: Box<dyn ControlProtocol>,
+    host: Host<CoordinationLeader>,
+    writer: Writer,
+    signals: Signals,
+    seed_source: SeedSource,
+    stopping_since: Option<Instant>,
+    stopped: bool,
+    roles: HashMap<ConnectionId, Role>,
+    dials: BTreeMap<SocketAddr, Dial>,
+    /// Coordinators by identity, as they introduced themselves.
+    heard: BTreeMap<ReplicaId, Joiner>,
+    hellos: BTreeMap<ReplicaId, CoordinatorHello>,
+    /// Connections that lead to a coordinator, newest last.
+    routes: BTreeMap<ReplicaId, Vec<ConnectionId>>,
+    directory: Directory,
+    engines: EngineCalls,
+    waiting: HashMap<RequestTag, PendingCall>,
+    next_tag: u64,
+    planner: MembershipPlanner,
+    change_under_way: bool,
+    next_housekeeping: Instant,
+    next_hello: Instant,
+    inputs: Vec<HostInput<CoordinationLeader>>,
+}
+
+impl Coordinator {
+    /// Opens the data folder and listens.
+    ///
+    /// # Errors
+    /// When the folder or an address cannot be used.
+    pub fn start(
+        settings: CoordinatorSettings,
+        protocol: Box<dyn ControlProtocol>,
+        engine_protocol: Box<dyn EngineProtocol>,
+        signals: Signals,
+        seed_source: SeedSource,
+        logger: Logger,
+        log_counts: LogCounts,
+    ) -> Result<Self, CoordinatorError> {
+        let clock = Clock::start();
+        let fs: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
+        let mut wait = |error: &StorageError| wait_for_space(&logger, error);
+        let folder = with_space(&mut wait, || identity::open(&fs, &settings));
+        let folder = folder.context(StorageSnafu)?;
+        let directory = folder.group_directory(GroupId::Control);
+        let opened = PatientStore::open(fs, &directory, &mut wait);
+        let (store, recovered) = opened.context(StorageSnafu)?;
+        let mut reactor = Reactor::new().context(NetSnafu)?;
+        let listen = |reactor: &mut Reactor, address, limit| {
+            reactor
+                .listen(address, limit, MOST_CONNECTIONS)
+                .context(NetSnafu)
+        };
+        listen(&mut reactor, settings.control, CALLER_LIMIT)?;
+        if let Some(address) = settings.directory {
+            listen(&mut reactor, address, CALLER_LIMIT)?;
+        }
+        let internal = settings.internal_address();
+        let internal_listener = listen(&mut reactor, internal, LINK_LIMIT)?;
+        let metrics_listener = settings
+            .metrics
+            .map(|address| listen(&mut reactor, address, CALLER_LIMIT))
+            .transpose()?;
+        let writer = Writer::start(store, reactor.waker(), logger.clone()).context(ThreadSnafu)?;
+        let host = open_host(&settings, &folder, clock.now(), recovered)?;
+        info!(logger, "started"; "node" => &settings.node, "member" => folder.identity().replica.0,
+            "founder" => folder.identity().founding.is_some(), "applied" => host.applied_index().0);
+        Ok(Self {
+            logger,
+            clock,
+            folder,
+            reactor,
+            internal_listener,
+            metrics_listener,
+            metrics: CoordinatorMetrics::new(),
+            log_counts,
+            sampler: RequestSampler::new(LogBudget::default()),
+            protocol,
+            host,
+            writer,
+            signals,
+            seed_source,
+            stopping_since: None,
+            stopped: false,
+            roles: HashMap::new(),
+            dials: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            hellos: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            directory: Directory::default(),
+            engines: EngineCalls::new(engine_protocol),
+            waiting: HashMap::new(),
+            next_tag: 0,
+            planner: MembershipPlanner::default(),
+            change_under_way: false,
+            next_housekeeping: Instant::ZERO,
+            next_hello: Instant::ZERO,
+            inputs: Vec::new(),
+            settings,
+        })
+    }
+
+    /// Serves until a planned stop.
+    ///
+    /// # Errors
+    /// When the group cannot go on: a failed write, damaged storage.
+    pub fn run(mut self) -> Result<(), CoordinatorError> {
+        let mut events = Vec::new();
+        let mut outputs = Vec::new();
+        while !self.stopped {
+            let wait = self.time_to_wait();
+            self.reactor.poll(wait, &mut events).context(NetSnafu)?;
+            let now = self.clock.now();
+            for event in events.drain(..) {
+                self.on_net_event(now, event);
+            }
+            self.take_write_events()?;
+            self.keep_house(now);
+            if now >= self.host.next_tick() {
+                self.inputs.push(HostInput::Tick);
+            }
+            self.step_host(now, &mut outputs)?;
+        }
+        info!(self.logger, "stopped"; "node" => &self.settings.node);
+        Ok(())
+    }
+
+    fn time_to_wait(&self) -> Duration {
+        if !self.inputs.is_empty() {
+            return Duration::ZERO;
+        }
+        let now = self.clock.now();
+        let due = self
+            .host
+            .next_tick()
+            .min(self.next_housekeeping)
+            .min(self.next_hello);
+        due.since(now).min(LONGEST_WAIT)
+    }
+
+    fn take_write_events(&mut self) -> Result<(), CoordinatorError> {
+        for event in self.writer.events() {
+            match event {
+                WriteEvent::Persisted { token, took } => {
+                    self.metrics.written(took);
+                    self.inputs.push(HostInput::Persisted { token });
+                }
+                WriteEvent::Failed(source) => return Err(source).context(StorageSnafu),
+            }
+        }
+        Ok(())
+    }
+
+    fn on_net_event(&mut self, now: Instant, event: NetEvent) {
+        match event {
+            NetEvent::Accepted {
+                listener,
+                connection,
+            } => {
+                let role = if listener == self.internal_listener {
+                    Role::Link(Link::default())
+                } else if Some(listener) == self.metrics_listener {
+                    Role::Metrics(ControlConnection::new(now))
+                } else {
+                    Role::Control(ControlConnection::new(now))
+                };
+                self.roles.insert(connection, role);
+            }
+            NetEvent::Connected(connection) => self.on_connected(now, connection),
+            NetEvent::Received(connection) => self.on_received(now, connection),
+            NetEvent::EndOfInput(connection) => {
+                // A caller that has ended its side still waits for its answer.
+                let waits = matches!(
+                    self.roles.get(&connection),
+                    Some(Role::Control(control)) if control.waiting.is_some()
+                );
+                if !waits {
+                    self.on_ended(now, connection);
+                } else if let Some(Role::Control(control)) = self.roles.get_mut(&connection) {
+                    control.close_after = true;
+                }
+            }
+            NetEvent::Broken(connection) => self.on_ended(now, connection),
+        }
+    }
+
+    fn on_received(&mut self, now: Instant, connection: ConnectionId) {
+        if self.engines.owns(connection) {
+            let event = self.engines.on_received(now, &mut self.reactor, connection);
+            return self.take_engine_events(event);
+        }
+        match self.roles.get(&connection) {
+            Some(Role::Control(_)) => self.on_control_input(now, connection),
+            Some(Role::Metrics(_)) => self.on_metrics_input(connection),
+            Some(Role::Link(_) | Role::Dialed(_)) => self.on_link_input(now, connection),
+            None => {}
+        }
+    }
+
+    fn on_ended(&mut self, now: Instant, connection: ConnectionId) {
+        if self.engines.owns(connection) {
+            let event = self.engines.on_ended(&mut self.reactor, connection);
+            return self.take_engine_events(event);
+        }
+        self.reactor.close(connection);
+        match self.roles.remove(&connection) {
+            Some(Role::Link(Link {
+                gateway: Some(gateway),
+                ..
+            })) if self.directory.disconnected(gateway, connection) => {
+                info!(self.logger, "gateway lost"; "gateway" => gateway.0);
+                self.inputs
+                    .push(HostInput::Event(Event::GatewayGone(gateway)));
+            }
+            Some(Role::Dialed(address)) => {
+                if let Some(dial) = self.dials.get_mut(&address) {
+                    dial.connection = None;
+                    dial.up = false;
+                    dial.since = now;
+                }
+            }
+            _ => {}
+        }
+        for routes in self.routes.values_mut() {
+            routes.retain(|route| *route != connection);
+        }
+    }
+
+    /// Engines have answered, or have not.
+    fn take_engine_events(&mut self, events: impl IntoIterator<Item = Event>) {
+        for event in events {
+            if let Event::Ordered { instance, answer } = &event {
+                self.metrics.ordered(answer.name());
+                info!(self.logger, "order answered"; "engine" => %instance, "answer" => answer.name());
+            }
+            self.inputs.push(HostInput::Event(event));
+        }
+    }
+
+    fn ask_group(&mut self, request: Request, waiting: Waiting) {
+        let tag = self.tag(waiting, request.kind());
+        self.inputs.push(HostInput::Request { tag, request });
+    }
+
+    fn tag(&mut self, waiting: Waiting, call: &'static str) -> RequestTag {
+        let tag = RequestTag(self.next_tag);
+        self.next_tag += 1;
+        let pending = PendingCall {
+            waiting,
+            call,
+            since: self.clock.now(),
+        };
+        self.waiting.insert(tag, pending);
+        tag
+    }
+
+    /// What is due by time: connections, signs of life, members, the planned stop.
+    fn keep_house(&mut self, now: Instant) {
+        if now >= self.next_hello {
+            self.next_hello = now + HELLO_INTERVAL;
+            self.greet();
+        }
+        if now < self.next_housekeeping {
+            return;
+        }
+        self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+        self.dial_members(now);
+        let events = self.engines.expire(now, &mut self.reactor);
+        self.inputs.extend(events.into_iter().map(HostInput::Event));
+        for connection in self.directory.silent(now, GATEWAY_SILENCE) {
+            self.on_ended(now, connection);
+        }
+        self.close_idle_callers(now);
+        self.plan_members(now);
+        self.reload();
+        self.begin_stop(now);
+    }
+
+    /// Reads the seeds again where the settings have changed. Seeds that cannot be read leave
+    /// those before in force.
+    fn reload(&mut self) {
+        if !self.signals.take_reload() {
+            return;
+        }
+        match (self.seed_source)() {
+            Ok(seeds) => {
+                info!(self.logger, "reloaded"; "seeds" => ?seeds);
+                self.settings.seeds = seeds;
+            }
+            Err(reason) => warn!(self.logger, "not reloaded"; "reason" => reason),
+        }
+    }
+
+    fn begin_stop(&mut self, now: Instant) {
+        if !self.signals.is_stopping() {
+            return;
+        }
+        match self.stopping_since {
+            None => {
+                info!(self.logger, "planned stop"; "node" => &self.settings.node);
+                self.stopping_since = Some(now);
+                self.inputs.push(HostInput::Stop);
+            }
+            Some(since) if now.since(since) >= self.settings.stop_limit => self.stopped = true,
+            Some(_) => {}
+        }
+    }
+}
+
+fn open_host(
+    settings: &CoordinatorSettings,
+    folder: &DataFolder,
+    now: Instant,
+    recovered: wingshore_types::log::RecoveredLog,
+) -> Result<Host<CoordinationLeader>, CoordinatorError> {
+    let identity = folder.identity();
+    let config = HostConfig {
+        timing: Timing {
+            election_timeout: settings.election_timeout,
+            election_spread: settings.election_timeout / ELECTION_SPREAD_PART,
+            heartbeat_interval: settings.heartbeat,
+            lease: settings.lease,
+            drift: CLOCK_DRIFT,
+        },
+        snapshot_every_bytes: settings.snapshot_every_bytes,
+        ..HostConfig::new(identity.replica, identity.founding.clone(), rand::random())
+    };
+    let leader_settings = LeaderSettings {
+        node: settings.node.clone(),
+        server_expiry: settings.server_expiry,
+        order_handover: settings.order_handover,
+        concurrent_loads: settings.concurrent_loads,
+        load_time: settings.load_time,
+        job_retention: settings.job_retention,
+        ..LeaderSettings::default()
+    };
+    let machines = MachineFactory {
+        leader: Box::new(move || CoordinationLeader::new(leader_settings.clone())),
+        ..MachineFactory::default()
+    };
+    Host::with_machines(now, config, recovered, machines).context(GroupSnafu)
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -0,0 +1,172 @@
+//! What the group's host wants done.
+
+use super::*;
+
+impl Coordinator {
+    pub(super) fn step_host(
+        &mut self,
+        now: Instant,
+        outputs: &mut Vec<HostOutput<CoordinationLeader>>,
+    ) -> Result<(), CoordinatorError> {
+        let inputs = std::mem::take(&mut self.inputs);
+        if inputs.is_empty() {
+            return Ok(());
+        }
+        self.host.step_all(now, inputs, outputs);
+        for output in outputs.drain(..) {
+            self.carry_out(now, output)?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn carry_out(
+        &mut self,
+        now: Instant,
+        output: HostOutput<CoordinationLeader>,
+    ) -> Result<(), CoordinatorError> {
+        match output {
+            HostOutput::Send { to, message } => self.send_consensus(to, message),
+            HostOutput::Write { token, batch } => self.writer.write(token, batch),
+            HostOutput::Reply { tag, reply } => self.on_reply(tag, reply),
+            HostOutput::Effect(effect) => self.on_effect(now, effect),
+            HostOutput::MembershipChanged(membership) => {
+                info!(self.logger, "members"; "membership" => ?membership);
+                self.dial_members(now);
+            }
+            HostOutput::Leadership(leadership) => self.on_leadership(now, leadership),
+            HostOutput::Stopped => self.stopped = true,
+            HostOutput::Failed(source) => return Err(source).context(GroupSnafu),
+        }
+        Ok(())
+    }
+
+    pub(super) fn on_leadership(&mut self, now: Instant, leadership: Leadership) {
+        self.change_under_way = false;
+        match leadership {
+            Leadership::Leading { epoch } => {
+                info!(self.logger, "leading"; "node" => &self.settings.node, "epoch" => epoch.0);
+                self.metrics.leadership_began();
+                self.planner.begin(now);
+                let gateways = self.directory.iter();
+                let known = gateways.map(|gateway| gateway.hello.clone());
+                let events = known.map(|hello| HostInput::Event(Event::GatewayConnected(hello)));
+                self.inputs.extend(events);
+            }
+            Leadership::Following { leader } => {
+                info!(self.logger, "following"; "node" => &self.settings.node,
+                    "leader" => leader.map(|leader| leader.0));
+            }
+        }
+    }
+
+    pub(super) fn on_effect(&mut self, now: Instant, effect: Effect) {
+        let event = match effect {
+            Effect::ToGateway(gateway, message) => {
+                if let Some(connection) = self.directory.connection(gateway) {
+                    self.send_frame(connection, &message);
+                }
+                None
+            }
+            Effect::ToAllGateways(message) => {
+                self.send_to_all_gateways(&message);
+                None
+            }
+            Effect::Log(decision) => {
+                self.log_decision(now, &decision);
+                None
+            }
+            Effect::Order(order) => {
+                info!(self.logger, "order"; "engine" => %order.instance, "model" => %order.model,
+                    "version" => order.version, "fence" => order.fence.0);
+                self.engines.order(now, &mut self.reactor, &order)
+            }
+            Effect::AskReport { instance, address } => {
+                self.engines
+                    .report(now, &mut self.reactor, &instance, address)
+            }
+        };
+        self.take_engine_events(event);
+    }
+
+    fn log_decision(&mut self, now: Instant, decision: &Decision) {
+        if let Some(item) = decision.sampled_by() {
+            let time = Duration::from_millis(now.as_millis());
+            if !self.sampler.takes(time, item.as_str()) {
+                return;
+            }
+        }
+        decisions::log(&self.logger, decision);
+    }
+
+    pub(super) fn send_to_all_gateways(&mut self, message: &CoordinatorMessage) {
+        let Ok(bytes) = frame::encode(message) else {
+            return;
+        };
+        for gateway in self.directory.iter() {
+            self.reactor.send(gateway.connection, &bytes);
+        }
+    }
+
+    pub(super) fn send_consensus(&mut self, to: ReplicaId, message: Vec<u8>) {
+        let Some(connection) = self.route_to(to) else {
+            return;
+        };
+        let frame = IncomingFrame::Coordinator(CoordinatorFrame::Consensus(message));
+        self.send_frame(connection, &frame);
+    }
+
+    /// A connection that leads to a coordinator.
+    pub(super) fn route_to(&self, to: ReplicaId) -> Option<ConnectionId> {
+        let routes = self.routes.get(&to)?;
+        let mut open = routes.iter().rev().copied();
+        open.find(|connection| self.reactor.is_open(*connection))
+    }
+
+    pub(super) fn send_frame<M: serde::Serialize>(
+        &mut self,
+        connection: ConnectionId,
+        message: &M,
+    ) {
+        match frame::encode(message) {
+            Ok(bytes) => self.reactor.send(connection, &bytes),
+            Err(error) => warn!(self.logger, "frame not encoded"; "error" => %error),
+        }
+    }
+
+    pub(super) fn on_reply(&mut self, tag: RequestTag, reply: HostReply<Reply>) {
+        let Some(pending) = self.waiting.remove(&tag) else {
+            return;
+        };
+        let time = self.clock.now().since(pending.since);
+        let outcome = outcome_name(&reply);
+        self.metrics.call_ended(pending.call, outcome, time);
+        match pending.waiting {
+            Waiting::Caller(connection) => self.answer_caller(connection, reply),
+            Waiting::Gateway(connection, id) => {
+                let reply = match reply {
+                    HostReply::Reply(reply) => CallReply::Reply(reply),
+                    HostReply::NotLeader { .. } => CallReply::NotLeader,
+                    HostReply::Membership(_) | HostReply::Unknown => CallReply::Unknown,
+                };
+                self.send_frame(connection, &CoordinatorMessage::Reply { id, reply });
+            }
+            Waiting::Planner => {
+                self.change_under_way = false;
+                if let HostReply::Membership(MembershipReply::Refused { message }) = reply {
+                    info!(self.logger, "member change refused"; "reason" => message);
+                }
+            }
+            Waiting::Nobody => {}
+        }
+    }
+}
+
+fn outcome_name(reply: &HostReply<Reply>) -> &'static str {
+    match reply {
+        HostReply::Reply(Reply::Unknown) => "nothing_there",
+        HostReply::Reply(Reply::Refused(_)) => "refused",
+        HostReply::Reply(_) | HostReply::Membership(_) => "answered",
+        HostReply::NotLeader { .. } => "not_leader",
+        HostReply::Unknown => "uncertain",
+    }
+}
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -17,6 +17,8 @@
     pub control: SocketAddr,
     /// Where clients ask for gateways.
     pub directory: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
     /// Port for the site's own processes; the same on all machines.
     pub internal_port: u16,
     /// Addresses of coordinators as far as known when the settings were written.
--- a/crates/wingshore-coordinator/src/writer.rs
+++ b/crates/wingshore-coordinator/src/writer.rs
@@ -3,7 +3,7 @@
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use slog::{Logger, warn};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wingshore_net::ReactorWaker;
 use wingshore_storage::{PatientStore, StorageError};
 use wingshore_types::log::WriteBatch;
@@ -26,7 +26,12 @@
 /// What became of writes.
 pub(crate) enum WriteEvent {
     /// The write with this token, and all before it, are durable.
-    Persisted(u64),
+    Persisted {
+        /// Of the write.
+        token: u64,
+        /// From the begin of the write to its sync.
+        took: Duration,
+    },
     /// A write failed; nothing more will be written.
     Failed(StorageError),
 }
@@ -72,8 +77,12 @@
     logger: &Logger,
 ) {
     for job in jobs {
+        let begun = Instant::now();
         let event = match store.write(&job.batch, &mut |error| wait_for_space(logger, error)) {
-            Ok(()) => WriteEvent::Persisted(job.token),
+            Ok(()) => WriteEvent::Persisted {
+                token: job.token,
+                took: begun.elapsed(),
+            },
             Err(error) => WriteEvent::Failed(error),
         };
         let is_last = matches!(event, WriteEvent::Failed(_));
--- a/crates/wingshore-diagnostics/src/lib.rs
+++ b/crates/wingshore-diagnostics/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod ring;
 mod stop;
+mod structured;
 
 pub use ring::{DumpError, LogRing};
 pub use stop::StopSignal;
+pub use structured::{LogBudget, LogCounts, RequestSampler, StructuredLog};
 
 use slog::{Drain, Logger};
 use std::path::{Path, PathBuf};
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -3,6 +3,7 @@
 use crate::process::Gateway;
 use crate::protocol::{BatchAnswer, BatchCall};
 use crate::timers::TimerKey;
+use slog::info;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -148,6 +149,7 @@
         let Some(call) = self.calls.waiting.remove(&id) else {
             return;
         };
+        let kind = call.request.kind();
         let is_read = matches!(
             call.request,
             Request::ReadJob { .. } | Request::ReadItem { .. }
@@ -157,6 +159,10 @@
         } else {
             BatchAnswer::Uncertain
         };
+        info!(self.logger, "call given up"; "call" => kind, "subject" => subject(&call.request),
+            "leader_known" => self.coordinators.leader().is_some(), "answer" => answer.name(),
+            "epoch" => self.view.epoch().0);
+        self.metrics.call_ended(kind, answer.name());
         self.answer_batch(now, call.client, &answer);
     }
 
@@ -191,6 +197,13 @@
             (_, Reply::Refused(reason)) => BatchAnswer::Refused(reason),
             (_, _) => BatchAnswer::Unknown,
         };
+        let kind = call.request.kind();
+        self.metrics.call_ended(kind, answer.name());
+        if !matches!(call.request, Request::ReadJob { .. }) {
+            info!(self.logger, "call answered"; "call" => kind,
+                "subject" => subject(&call.request), "answer" => answer.name(),
+                "epoch" => self.view.epoch().0);
+        }
         self.answer_batch(now, call.client, &answer);
     }
 
@@ -204,3 +217,14 @@
         self.calls.waiting.remove(&id);
     }
 }
+
+/// What a call is about.
+fn subject(request: &Request) -> String {
+    match request {
+        Request::SubmitJob(submission) => submission.id.to_string(),
+        Request::ReadJob { job, .. } | Request::ReadItem { job, .. } | Request::EndJob(job) => {
+            job.to_string()
+        }
+        other => other.kind().to_owned(),
+    }
+}
--- a/crates/wingshore-gateway/src/clients.rs
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::process::Gateway;
 use crate::protocol::{HttpAnswer, OwnAnswer};
 use crate::timers::TimerKey;
+use std::time::Duration;
 use wingshore_coordination::RouteKind;
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HeadWriter, RequestReader, WholeRequest};
@@ -12,6 +13,9 @@
 /// How much longer than a head a body may take to arrive.
 const BODY_TIME_FACTOR: u32 = 3;
 
+/// Stands for the route in metrics where there is none.
+const NO_ROUTE: &str = "none";
+
 /// What a client's connection waits for.
 pub(crate) enum ClientState {
     /// The next request.
@@ -25,25 +29,36 @@
     Call(u64),
 }
 
+/// Who calls on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Clients.
+    Front,
+    /// The deployment's checks of readiness.
+    Ready,
+    /// Monitoring.
+    Metrics,
+}
+
 /// One client's connection.
 pub(crate) struct Client {
     pub(crate) reader: RequestReader,
     pub(crate) state: ClientState,
     pub(crate) close_after: bool,
-    /// Whether this is a connection of the deployment's checks.
-    pub(crate) is_check: bool,
+    /// Who calls.
+    pub(crate) purpose: Purpose,
     pub(crate) used: Instant,
     is_answering: bool,
 }
 
 impl Client {
     /// A new connection.
-    pub(crate) fn new(now: Instant, is_check: bool) -> Self {
+    pub(crate) fn new(now: Instant, purpose: Purpose) -> Self {
         Self {
             reader: RequestReader::default(),
             state: ClientState::Reading { begun: None },
             close_after: false,
-            is_check,
+            purpose,
             used: now,
             is_answering: false,
         }
@@ -99,15 +114,18 @@
     }
 
     fn on_request(&mut self, now: Instant, connection: ConnectionId, request: WholeRequest) {
-        let is_check = self
-            .clients
-            .get(&connection)
-            .is_some_and(|client| client.is_check);
-        if is_check {
-            let answer = self
-                .protocol
-                .write_ready(&request.head, self.status().ready);
-            return self.answer_client(now, connection, &answer);
+        let purpose = self.clients.get(&connection).map(|client| client.purpose);
+        match purpose {
+            Some(Purpose::Ready) => {
+                let ready = self.status().ready;
+                let answer = self.protocol.write_ready(&request.head, ready);
+                return self.answer_client(now, connection, &answer);
+            }
+            Some(Purpose::Metrics) => {
+                let answer = self.metrics_answer();
+                return self.answer_client(now, connection, &answer);
+            }
+            Some(Purpose::Front) | None => {}
         }
         if !self.view.is_configured() {
             return self.answer_own(
@@ -121,6 +139,8 @@
         }
         let host = request.head.headers.text("host").unwrap_or_default();
         let Some(route) = self.view.routes().find(host, request.head.path()).cloned() else {
+            self.metrics
+                .request_ended(NO_ROUTE, OwnAnswer::NoRoute.name(), Duration::ZERO);
             return self.answer_own(now, connection, &OwnAnswer::NoRoute);
         };
         if route.kind == RouteKind::Batch && request.head.method == "POST" {
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -32,7 +32,7 @@
     pub(crate) id: Vec<u8>,
     pub(crate) route: Arc<Route>,
     service: ServiceName,
-    begun: Instant,
+    pub(crate) begun: Instant,
     /// By then it is answered, whatever has come.
     until: Instant,
     /// Tries that may have run.
@@ -258,9 +258,38 @@
             return self.attempt_failed(now, client, instance, failure);
         }
         self.balancer.answered(instance, latency);
+        self.log_served(now, client, instance, answer.head.status);
         self.pass_on(now, client, &answer);
     }
 
+    /// A request was answered by a server.
+    fn log_served(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        instance: &InstanceId,
+        status: u16,
+    ) {
+        let Some(ClientState::Exchange(exchange)) =
+            self.clients.get(&client).map(|client| &client.state)
+        else {
+            return;
+        };
+        let time = now.since(exchange.begun);
+        self.metrics.attempt_ended("answered");
+        self.metrics
+            .request_ended(&exchange.route.name, "served", time);
+        let id = text(&exchange.id);
+        let steady = Duration::from_millis(now.as_millis());
+        if self.sampler.takes(steady, &id) {
+            info!(self.logger, "served"; "request" => id, "route" => &exchange.route.name,
+                "service" => %exchange.service, "server" => %instance, "status" => status,
+                "attempts" => exchange.attempts + 1, "refusals" => exchange.refusals,
+                "after_ms" => time.as_millis() as u64, "configuration" => self.view.version(),
+                "epoch" => self.view.epoch().0);
+        }
+    }
+
     pub(crate) fn note_load(&mut self, now: Instant, instance: &InstanceId, head: &AnswerHead) {
         let Some(load) = head.headers.text(self.protocol.header_names().load) else {
             return;
@@ -317,6 +346,7 @@
         info!(self.logger, "attempt failed"; "request" => text(&exchange.id),
             "server" => %instance, "reason" => failure.reason, "verdict" => ?failure.verdict,
             "after_ms" => now.since(exchange.begun).as_millis() as u64);
+        self.metrics.attempt_ended(failure.reason);
         exchange.upstream = None;
         if failure.verdict == Verdict::NotRun {
             exchange.refusals += 1;
@@ -328,7 +358,12 @@
             return self.next_try(now, client, exchange);
         }
         match failure.answer {
-            Some(answer) if exchange.stream.is_none() => self.pass_on(now, client, &answer),
+            Some(answer) if exchange.stream.is_none() => {
+                let time = now.since(exchange.begun);
+                let route = &exchange.route.name;
+                self.metrics.request_ended(route, "server_error", time);
+                self.pass_on(now, client, &answer);
+            }
             _ => self.give_up(now, client, &exchange),
         }
     }
@@ -349,7 +384,7 @@
     /// Answers that there is no answer, and whether the request may have run.
     fn give_up(&mut self, now: Instant, client: ConnectionId, exchange: &Exchange) {
         if exchange.stream.is_some() {
-            return self.break_stream(client, exchange);
+            return self.break_stream(now, client, exchange);
         }
         let answer = if !exchange.may_have_run {
             OwnAnswer::NotRun(COME_BACK)
@@ -358,8 +393,13 @@
         } else {
             OwnAnswer::Broken
         };
-        info!(self.logger, "given up"; "request" => text(&exchange.id),
-            "route" => &exchange.route.name, "answer" => ?answer,
+        let time = now.since(exchange.begun);
+        self.metrics
+            .request_ended(&exchange.route.name, answer.name(), time);
+        let known = self.view.servers_of(&exchange.service).count();
+        info!(self.logger, "given up"; "service" => %exchange.service, "servers" => known,
+            "epoch" => self.view.epoch().0, "request" => text(&exchange.id),
+            "route" => &exchange.route.name, "answer" => answer.name(),
             "attempts" => exchange.attempts, "refusals" => exchange.refusals,
             "after_ms" => now.since(exchange.begun).as_millis() as u64,
             "configuration" => self.view.version());
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -28,6 +28,7 @@
     text: ItemText,
     /// The version that makes the next event.
     version: Option<u64>,
+    begun: Instant,
     /// When the engine was last heard of.
     heard: Instant,
     /// What came of it, until a leader has made it durable.
@@ -77,6 +78,7 @@
             upstream: None,
             text: assignment.kept.clone(),
             version: None,
+            begun: now,
             heard: now,
             outcome: None,
             told: None,
@@ -237,15 +239,21 @@
     }
 
     fn end_item(&mut self, id: AssignmentId, outcome: ItemOutcome) {
+        let now = self.clock.now();
         let leader = self.coordinators.leader();
         let Some(run) = self.items.runs.get_mut(&id) else {
             return;
         };
         run.upstream = None;
-        if !matches!(outcome, ItemOutcome::Finished(_)) {
+        let time = now.since(run.begun);
+        self.metrics.item_ended(outcome.name(), time);
+        let failed = !matches!(outcome, ItemOutcome::Finished(_));
+        let steady = Duration::from_millis(now.as_millis());
+        if failed || self.sampler.takes(steady, run.assignment.request.as_str()) {
             info!(self.logger, "item ended"; "item" => %run.assignment.request,
                 "job" => %run.assignment.item.job, "engine" => %run.assignment.instance,
-                "outcome" => outcome.name(), "events" => run.text.events);
+                "outcome" => outcome.name(), "epoch" => id.epoch.0, "try" => id.number,
+                "after_ms" => time.as_millis() as u64, "events" => run.text.events);
         }
         run.outcome = Some(outcome);
         if let Some(leader) = leader {
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod event_stream;
 mod forward;
 mod items;
+mod metrics;
 mod process;
 mod protocol;
 mod settings;
--- /dev/null
+++ b/crates/wingshore-gateway/src/metrics.rs
@@ -0,0 +1,218 @@
+//! What a gateway tells monitoring.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use std::time::Duration;
+
+/// Shortest time that the histograms tell apart, in seconds.
+const SHORTEST: f64 = 0.005;
+/// Each bucket reaches twice as far as the one before.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Buckets; the last one ends at 10.2 s.
+const BUCKETS: u16 = 12;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RequestLabels {
+    route: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RouteLabel {
+    route: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone)]
+struct Buckets;
+
+impl MetricConstructor<Histogram> for Buckets {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(exponential_buckets(SHORTEST, BUCKET_FACTOR, BUCKETS))
+    }
+}
+
+/// Values that are read when monitoring asks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Readings {
+    pub(crate) clients: usize,
+    pub(crate) connections: usize,
+    pub(crate) items: usize,
+    pub(crate) coordinators: usize,
+    pub(crate) leader_known: bool,
+    pub(crate) ready: bool,
+    pub(crate) configuration: u64,
+    pub(crate) log_lines_left_out: u64,
+}
+
+/// All metrics of a gateway.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    request_seconds: Family<RouteLabel, Histogram, Buckets>,
+    attempts: Family<OutcomeLabel, Counter>,
+    items: Family<OutcomeLabel, Counter>,
+    item_seconds: Histogram,
+    calls: Family<CallLabels, Counter>,
+    clients: Gauge,
+    connections: Gauge,
+    items_running: Gauge,
+    coordinators: Gauge,
+    leader_known: Gauge,
+    ready: Gauge,
+    configuration: Gauge,
+    log_lines_left_out: Gauge,
+}
+
+impl GatewayMetrics {
+    /// All at zero.
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("wingshore_gateway"),
+            requests: Family::default(),
+            request_seconds: Family::new_with_constructor(Buckets),
+            attempts: Family::default(),
+            items: Family::default(),
+            item_seconds: Buckets.new_metric(),
+            calls: Family::default(),
+            clients: Gauge::default(),
+            connections: Gauge::default(),
+            items_running: Gauge::default(),
+            coordinators: Gauge::default(),
+            leader_known: Gauge::default(),
+            ready: Gauge::default(),
+            configuration: Gauge::default(),
+            log_lines_left_out: Gauge::default(),
+        };
+        metrics.register_counters();
+        metrics.register_gauges();
+        metrics
+    }
+
+    fn register_counters(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Live requests by route and how they ended",
+            self.requests.clone(),
+        );
+        registry.register_with_unit(
+            "request",
+            "From a live request's arrival to its answer",
+            Unit::Seconds,
+            self.request_seconds.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Sends of live requests to servers by what came of them",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "items",
+            "Tries at items of batch jobs by what came of them",
+            self.items.clone(),
+        );
+        registry.register_with_unit(
+            "item",
+            "From a try's begin to its end",
+            Unit::Seconds,
+            self.item_seconds.clone(),
+        );
+        registry.register(
+            "calls",
+            "Calls about batch jobs by kind and how they ended",
+            self.calls.clone(),
+        );
+    }
+
+    fn register_gauges(&mut self) {
+        let gauges = [
+            ("clients", "Connections of clients", &self.clients),
+            ("connections", "Connections of all kinds", &self.connections),
+            ("items_running", "Tries under way", &self.items_running),
+            ("coordinators", "Coordinators in touch", &self.coordinators),
+            (
+                "leader_known",
+                "1 where the group's leader is in touch",
+                &self.leader_known,
+            ),
+            ("ready", "1 where clients may be sent here", &self.ready),
+            (
+                "configuration_version",
+                "Version of the configuration acted by",
+                &self.configuration,
+            ),
+            (
+                "log_lines_left_out",
+                "Log lines left out for want of budget",
+                &self.log_lines_left_out,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            self.registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// A live request has ended.
+    pub(crate) fn request_ended(&self, route: &str, outcome: &'static str, time: Duration) {
+        let route = route.to_owned();
+        let label = RouteLabel {
+            route: route.clone(),
+        };
+        let labels = RequestLabels { route, outcome };
+        self.requests.get_or_create(&labels).inc();
+        let histogram = self.request_seconds.get_or_create(&label);
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// A send of a live request has ended.
+    pub(crate) fn attempt_ended(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// A try at an item has ended.
+    pub(crate) fn item_ended(&self, outcome: &'static str, time: Duration) {
+        self.items.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.item_seconds.observe(time.as_secs_f64());
+    }
+
+    /// A call about a batch job has ended.
+    pub(crate) fn call_ended(&self, call: &'static str, outcome: &'static str) {
+        let labels = CallLabels { call, outcome };
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self, readings: Readings) -> String {
+        let as_gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        self.clients.set(as_gauge(readings.clients));
+        self.connections.set(as_gauge(readings.connections));
+        self.items_running.set(as_gauge(readings.items));
+        self.coordinators.set(as_gauge(readings.coordinators));
+        self.leader_known.set(i64::from(readings.leader_known));
+        self.ready.set(i64::from(readings.ready));
+        let version = i64::try_from(readings.configuration).unwrap_or(i64::MAX);
+        self.configuration.set(version);
+        let left_out = i64::try_from(readings.log_lines_left_out).unwrap_or(i64::MAX);
+        self.log_lines_left_out.set(left_out);
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -2,10 +2,12 @@
 
 use crate::balance::Balancer;
 use crate::calls::Calls;
-use crate::clients::Client;
+use crate::clients::{Client, Purpose};
 use crate::coordinators::Coordinators;
 use crate::error::{GatewayError, NetSnafu};
 use crate::items::Items;
+use crate::metrics::{GatewayMetrics, Readings};
+use crate::protocol::HttpAnswer;
 use crate::protocol::IngressProtocol;
 use crate::settings::GatewaySettings;
 use crate::timers::{TimerKey, Timers};
@@ -17,6 +19,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{GatewayId, GatewayStatus};
+use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_net::Clock;
 use wingshore_net::http::BodyStatus;
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
@@ -35,6 +38,9 @@
 /// Left before the end of a planned stop for the last answers to arrive.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// Type of the text that monitoring reads.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// What a connection to a coordinator is.
 #[derive(Clone, Copy)]
 pub(crate) struct LinkRole {
@@ -57,10 +63,14 @@
     pub(crate) calls: Calls,
     pub(crate) items: Items,
     pub(crate) timers: Timers,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) sampler: RequestSampler,
     pub(crate) split_counter: u64,
     pub(crate) stopping_since: Option<Instant>,
-    clock: Clock,
+    pub(crate) clock: Clock,
     ready_listener: Option<ListenerId>,
+    metrics_listener: Option<ListenerId>,
+    log_counts: LogCounts,
     signals: Signals,
     seed_source: SeedSource,
     next_status: Instant,
@@ -78,6 +88,7 @@
         signals: Signals,
         seed_source: SeedSource,
         logger: Logger,
+        log_counts: LogCounts,
     ) -> Result<Self, GatewayError> {
         let mut reactor = Reactor::new().context(NetSnafu)?;
         let most = settings.most_connections;
@@ -89,6 +100,11 @@
             .map(|address| reactor.listen(address, CLIENT_LIMIT, most))
             .transpose()
             .context(NetSnafu)?;
+        let metrics_listener = settings
+            .metrics
+            .map(|address| reactor.listen(address, CLIENT_LIMIT, most))
+            .transpose()
+            .context(NetSnafu)?;
         info!(logger, "started"; "node" => &settings.node, "front" => %settings.front);
         Ok(Self {
             settings,
@@ -109,6 +125,10 @@
             stopping_since: None,
             clock: Clock::start(),
             ready_listener,
+            metrics_listener,
+            log_counts,
+            metrics: GatewayMetrics::new(),
+            sampler: RequestSampler::new(LogBudget::default()),
             signals,
             seed_source,
             next_status: Instant::ZERO,
@@ -161,14 +181,40 @@
         }
     }
 
+    /// All metrics, for monitoring.
+    pub(crate) fn metrics_answer(&self) -> HttpAnswer {
+        let status = self.status();
+        let readings = Readings {
+            clients: self.clients.len(),
+            connections: self.reactor.connection_count(),
+            items: self.items.count(),
+            coordinators: self.coordinators.connected().len(),
+            leader_known: self.coordinators.leader().is_some(),
+            ready: status.ready,
+            configuration: status.configuration,
+            log_lines_left_out: self.log_counts.left_out(),
+        };
+        HttpAnswer {
+            status: 200,
+            headers: vec![("Content-Type".to_owned(), METRICS_TYPE.to_owned())],
+            body: self.metrics.text(readings).into_bytes(),
+        }
+    }
+
     fn on_net_event(&mut self, now: Instant, event: NetEvent) {
         match event {
             NetEvent::Accepted {
                 listener,
                 connection,
             } => {
-                let is_check = Some(listener) == self.ready_listener;
-                self.clients.insert(connection, Client::new(now, is_check));
+                let purpose = if Some(listener) == self.ready_listener {
+                    Purpose::Ready
+                } else if Some(listener) == self.metrics_listener {
+                    Purpose::Metrics
+                } else {
+                    Purpose::Front
+                };
+                self.clients.insert(connection, Client::new(now, purpose));
                 let idle = self.view.limits().idle_timeout;
                 self.timers.arm(now + idle, TimerKey::Client(connection));
             }
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -102,6 +102,32 @@
     OutOfTime,
 }
 
+impl OwnAnswer {
+    /// The answer in a word.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::NoRoute => "no_route",
+            Self::NotRun(_) => "not_run",
+            Self::TooSlow => "too_slow",
+            Self::Broken => "broken",
+            Self::OutOfTime => "out_of_time",
+        }
+    }
+}
+
+impl BatchAnswer {
+    /// The answer in a word.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted | Self::Page(_) | Self::Item(_) | Self::Ended => "answered",
+            Self::Unknown => "nothing_there",
+            Self::Unavailable(_) => "unavailable",
+            Self::Uncertain => "uncertain",
+            Self::Refused(_) => "refused",
+        }
+    }
+}
+
 /// Translates what callers and servers speak.
 pub trait IngressProtocol {
     /// Names of headers.
--- a/crates/wingshore-gateway/src/settings.rs
+++ b/crates/wingshore-gateway/src/settings.rs
@@ -16,6 +16,8 @@
     pub front: SocketAddr,
     /// Where the deployment asks whether it is ready.
     pub ready: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
     /// Port for the site's own processes; the same on all machines.
     pub internal_port: u16,
     /// Addresses of coordinators as far as known when the settings were written.
--- a/crates/wingshore-gateway/src/streams.rs
+++ b/crates/wingshore-gateway/src/streams.rs
@@ -93,6 +93,10 @@
             self.clients.remove(&client);
             return self.reactor.close_when_flushed(client);
         }
+        if let Some(exchange) = self.exchange_mut(client) {
+            let (route, time) = (exchange.route.name.clone(), now.since(exchange.begun));
+            self.metrics.request_ended(&route, "served", time);
+        }
         let mut last = Vec::new();
         write_last_chunk(&mut last);
         self.reactor.send(client, &last);
@@ -100,7 +104,10 @@
     }
 
     /// The stream cannot be gone on with: the answer must not look complete.
-    pub(crate) fn break_stream(&mut self, client: ConnectionId, exchange: &Exchange) {
+    pub(crate) fn break_stream(&mut self, now: Instant, client: ConnectionId, exchange: &Exchange) {
+        let time = now.since(exchange.begun);
+        self.metrics
+            .request_ended(&exchange.route.name, "stream_broken", time);
         info!(self.logger, "stream broken off"; "request" => String::from_utf8_lossy(&exchange.id).into_owned(),
             "route" => &exchange.route.name,
             "last_event" => exchange.stream.as_ref().and_then(|stream| stream.last_event));
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -72,6 +72,11 @@
         self.configuration.is_some()
     }
 
+    /// The newest leadership known.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
     /// The routes in force.
     pub(crate) fn routes(&self) -> &RouteTable {
         &self.routes
