--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -82,6 +82,30 @@
             Self::RetireMember { .. } => "retire_member",
         }
     }
+
+    /// What the call is about, for logs.
+    pub fn subject(&self) -> String {
+        match self {
+            Self::PutConfiguration(configuration) => format!("version {}", configuration.version),
+            Self::ReadConfiguration => "configuration".to_owned(),
+            Self::Heartbeat(heartbeat) => heartbeat.server.instance.to_string(),
+            Self::Deregister(instance) => instance.to_string(),
+            Self::NameVersion { model, version } => format!("{model} version {version}"),
+            Self::SubmitJob(submission) => submission.id.to_string(),
+            Self::ReadJob { job, .. } | Self::ReadItem { job, .. } | Self::EndJob(job) => {
+                job.to_string()
+            }
+            Self::DescribeMember { node, .. } | Self::RetireMember { node, .. } => node.clone(),
+        }
+    }
+
+    /// Whether each answer is worth a line of the log: calls of people and trainers, which are few.
+    pub fn is_rare(&self) -> bool {
+        matches!(
+            self,
+            Self::PutConfiguration(_) | Self::NameVersion { .. } | Self::RetireMember { .. }
+        )
+    }
 }
 
 /// The group's answer.
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -155,7 +155,9 @@
         connection: ConnectionId,
         leader: Option<ReplicaId>,
     ) -> ControlAnswer {
-        let leader = leader.and_then(|leader| self.hellos.get(&leader));
+        let leader = leader
+            .filter(|leader| self.route_to(*leader).is_some())
+            .and_then(|leader| self.hellos.get(&leader));
         let target = match self.roles.get(&connection) {
             Some(Role::Control(control)) => control.waiting.clone(),
             _ => None,
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -51,6 +51,8 @@
                 if let Some(Role::Link(link)) = self.roles.get_mut(&connection) {
                     link.gateway = Some(hello.gateway);
                 }
+                info!(self.logger, "gateway connected"; "gateway" => hello.gateway.0,
+                    "node" => &hello.node, "zone" => &hello.zone);
                 let event = Event::GatewayConnected(hello.clone());
                 if let Some(before) = self.directory.connected(now, hello, connection) {
                     self.reactor.close(before);
@@ -106,6 +108,9 @@
             .retain(|id, known| *id == hello.id || known.address != hello.internal);
         self.heard.insert(hello.id, joiner);
         let routes = self.routes.entry(hello.id).or_default();
+        if routes.is_empty() {
+            info!(self.logger, "coordinator reached"; "member" => hello.id.0, "node" => &hello.node);
+        }
         if !routes.contains(&connection) {
             routes.push(connection);
         }
--- a/crates/wingshore-coordinator/src/process/members.rs
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -99,7 +99,7 @@
     }
 
     pub(super) fn request_change(&mut self, request: MembershipRequest) {
-        let tag = self.tag(Waiting::Planner, "change_members");
+        let tag = self.tag(Waiting::Planner, "change_members", None);
         self.inputs.push(HostInput::Membership { tag, request });
     }
 }
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -87,6 +87,8 @@
 struct PendingCall {
     waiting: Waiting,
     call: &'static str,
+    /// What it is about, where each answer is logged.
+    subject: Option<String>,
     since: Instant,
 }
 
@@ -349,8 +351,12 @@
             }
             _ => {}
         }
-        for routes in self.routes.values_mut() {
+        for (member, routes) in &mut self.routes {
+            let before = routes.len();
             routes.retain(|route| *route != connection);
+            if before > 0 && routes.is_empty() {
+                info!(self.logger, "coordinator lost"; "member" => member.0);
+            }
         }
     }
 
@@ -366,16 +372,18 @@
     }
 
     fn ask_group(&mut self, request: Request, waiting: Waiting) {
-        let tag = self.tag(waiting, request.kind());
+        let subject = request.is_rare().then(|| request.subject());
+        let tag = self.tag(waiting, request.kind(), subject);
         self.inputs.push(HostInput::Request { tag, request });
     }
 
-    fn tag(&mut self, waiting: Waiting, call: &'static str) -> RequestTag {
+    fn tag(&mut self, waiting: Waiting, call: &'static str, subject: Option<String>) -> RequestTag {
         let tag = RequestTag(self.next_tag);
         self.next_tag += 1;
         let pending = PendingCall {
             waiting,
             call,
+            subject,
             since: self.clock.now(),
         };
         self.waiting.insert(tag, pending);
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -88,6 +88,15 @@
         self.take_engine_events(event);
     }
 
+    /// Voters that there is a connection to, and this one.
+    fn members_in_touch(&self) -> usize {
+        let voters = self.host.membership().voters.iter();
+        let own = self.folder.identity().replica;
+        voters
+            .filter(|voter| voter.id == own || self.route_to(voter.id).is_some())
+            .count()
+    }
+
     fn log_decision(&mut self, now: Instant, decision: &Decision) {
         if let Some(item) = decision.sampled_by() {
             let time = Duration::from_millis(now.as_millis());
@@ -140,6 +149,14 @@
         let time = self.clock.now().since(pending.since);
         let outcome = outcome_name(&reply);
         self.metrics.call_ended(pending.call, outcome, time);
+        if let Some(subject) = pending.subject {
+            let leader = self.host.leader().map(|leader| leader.0);
+            info!(self.logger, "call answered"; "call" => pending.call, "subject" => subject,
+                "outcome" => outcome, "after_ms" => time.as_millis() as u64,
+                "term" => self.host.term(), "leader" => leader,
+                "members_in_touch" => self.members_in_touch(),
+                "voters" => self.host.membership().voters.len());
+        }
         match pending.waiting {
             Waiting::Caller(connection) => self.answer_caller(connection, reply),
             Waiting::Gateway(connection, id) => {
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -159,7 +159,7 @@
         } else {
             BatchAnswer::Uncertain
         };
-        info!(self.logger, "call given up"; "call" => kind, "subject" => subject(&call.request),
+        info!(self.logger, "call given up"; "call" => kind, "subject" => call.request.subject(),
             "leader_known" => self.coordinators.leader().is_some(), "answer" => answer.name(),
             "epoch" => self.view.epoch().0);
         self.metrics.call_ended(kind, answer.name());
@@ -201,7 +201,7 @@
         self.metrics.call_ended(kind, answer.name());
         if !matches!(call.request, Request::ReadJob { .. }) {
             info!(self.logger, "call answered"; "call" => kind,
-                "subject" => subject(&call.request), "answer" => answer.name(),
+                "subject" => call.request.subject(), "answer" => answer.name(),
                 "epoch" => self.view.epoch().0);
         }
         self.answer_batch(now, call.client, &answer);
@@ -217,14 +217,3 @@
         self.calls.waiting.remove(&id);
     }
 }
-
-/// What a call is about.
-fn subject(request: &Request) -> String {
-    match request {
-        Request::SubmitJob(submission) => submission.id.to_string(),
-        Request::ReadJob { job, .. } | Request::ReadItem { job, .. } | Request::EndJob(job) => {
-            job.to_string()
-        }
-        other => other.kind().to_owned(),
-    }
-}
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -120,6 +120,7 @@
         };
         link.up = true;
         link.heard = now;
+        info!(self.logger, "coordinator reached"; "address" => %address);
         let hello = GatewayHello {
             gateway: self.id,
             node: self.settings.node.clone(),
