--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -57,6 +57,10 @@
         engine_running: usize,
         /// Version that the engine holds at least.
         engine_version: u64,
+        /// Time from event to event there with one item, in microseconds, as measured lately.
+        engine_pace_us: Option<u64>,
+        /// Whether it counts as a long one.
+        is_long: bool,
         /// The gateway that runs it.
         gateway: GatewayId,
         /// The last event of earlier tries.
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -54,6 +54,8 @@
         /// What came of it.
         outcome: ItemOutcome,
     },
+    /// Connections to these coordinators' machines have ended lately, or are down.
+    CoordinatorsLost(Vec<String>),
     /// An engine answered an order, or did not.
     Ordered {
         /// The engine.
@@ -409,7 +411,10 @@
                 self.results_listed(&job, state, out);
             }
             Waiter::Nobody => {}
-            Waiter::Orders => self.rollout.may_order(),
+            Waiter::Orders => {
+                self.rollout.may_order();
+                self.drive_rollout(now, state, out);
+            }
             Waiter::Version(tag) => {
                 reply(tag, Reply::Done, out);
                 self.drive_rollout(now, state, out);
@@ -441,6 +446,7 @@
                 assignment,
                 outcome,
             } => self.on_item_ended(now, gateway, assignment, outcome, state, out),
+            Event::CoordinatorsLost(nodes) => self.on_coordinators_lost(now, &nodes, state, out),
             Event::Ordered { instance, answer } => {
                 self.on_ordered(now, &instance, answer, state, out);
             }
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -197,6 +197,8 @@
             instance: instance.clone(),
             engine_running: engine.running + 1,
             engine_version: engine.version_of_any(job.submission.model.as_ref()),
+            engine_pace_us: engine.pace.map(|pace| (pace * 1000.0) as u64),
+            is_long: progress.is_long,
             gateway,
             after_event: progress.kept.last_event,
         };
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -2,7 +2,8 @@
 //!
 //! One machine gives orders at a time. A new leader claims that in the log before its first
 //! order; where another machine held it before, only after
-//! [`LeaderSettings::order_handover`](super::LeaderSettings::order_handover). Orders carry the
+//! [`LeaderSettings::order_handover`](super::LeaderSettings::order_handover), unless the connection
+//! to that machine was lost. Orders carry the
 //! leadership as their fence and the engine's count of orders, so that one that is carried out
 //! late does nothing.
 
@@ -162,6 +163,24 @@
         self.drive_rollout(now, state, out);
     }
 
+    /// Machines have gone out of touch. Where the one that gave orders before is among them, its
+    /// leadership ended with a loss that all sides know of: nothing more is to come from it, and
+    /// engines refuse its fence once they have seen a higher one. Its time need not be waited out.
+    pub(crate) fn on_coordinators_lost(
+        &mut self,
+        now: Instant,
+        nodes: &[String],
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let holder = state.order_holder();
+        let is_lost = holder.is_some_and(|holder| nodes.contains(&holder.node));
+        if is_lost && let Some(claim_at) = &mut self.rollout.claim_at {
+            *claim_at = now.min(*claim_at);
+            self.drive_rollout(now, state, out);
+        }
+    }
+
     /// Claims, looks and orders what is due.
     pub(crate) fn drive_rollout(
         &mut self,
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -107,6 +107,18 @@
     expect_that!(asked(&mut group), not(is_empty()));
 }
 
+#[gtest]
+fn a_new_leader_orders_at_once_where_the_machine_before_it_was_lost() {
+    let mut group = group_of_engines(1);
+    name_version(&mut group, 2);
+    group.change_leader("coordinator-b");
+    group.wait(Duration::from_millis(200));
+    group.event(Event::CoordinatorsLost(vec!["coordinator-c".to_owned()]));
+    expect_that!(asked(&mut group), is_empty(), "another machine was lost");
+    group.event(Event::CoordinatorsLost(vec!["coordinator-a".to_owned()]));
+    expect_that!(asked(&mut group), not(is_empty()));
+}
+
 #[gtest]
 fn fences_rise_with_each_leadership() {
     let mut group = group_of_engines(1);
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -34,12 +34,15 @@
             instance,
             engine_running,
             engine_version,
+            engine_pace_us,
+            is_long,
             gateway,
             after_event,
         } => {
             info!(logger, "item assigned"; "job" => %job, "item" => %item,
                 "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance,
                 "engine_running" => engine_running, "engine_version" => engine_version,
+                "engine_pace_us" => engine_pace_us, "is_long" => is_long,
                 "gateway" => gateway.0, "after_event" => after_event);
         }
         Decision::ItemRetried {
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -140,6 +140,8 @@
     /// Coordinators by identity, as they introduced themselves.
     heard: BTreeMap<ReplicaId, Joiner>,
     hellos: BTreeMap<ReplicaId, CoordinatorHello>,
+    /// When the last connection to each coordinator's machine was lost.
+    lost_at: BTreeMap<String, Instant>,
     /// Connections that lead to a coordinator, newest last.
     routes: BTreeMap<ReplicaId, Vec<ConnectionId>>,
     directory: Directory,
@@ -216,6 +218,7 @@
             dials: BTreeMap::new(),
             heard: BTreeMap::new(),
             hellos: BTreeMap::new(),
+            lost_at: BTreeMap::new(),
             routes: BTreeMap::new(),
             directory: Directory::default(),
             engines: EngineCalls::new(engine_protocol),
@@ -351,13 +354,22 @@
             }
             _ => {}
         }
+        let mut lost = Vec::new();
         for (member, routes) in &mut self.routes {
             let before = routes.len();
             routes.retain(|route| *route != connection);
             if before > 0 && routes.is_empty() {
                 info!(self.logger, "coordinator lost"; "member" => member.0);
+                lost.extend(self.hellos.get(member).map(|hello| hello.node.clone()));
             }
         }
+        if !lost.is_empty() {
+            for node in &lost {
+                self.lost_at.insert(node.clone(), now);
+            }
+            let event = Event::CoordinatorsLost(lost);
+            self.inputs.push(HostInput::Event(event));
+        }
     }
 
     /// Engines have answered, or have not.
