--- a/crates/wingshore-gateway/src/balance.rs
+++ b/crates/wingshore-gateway/src/balance.rs
@@ -9,6 +9,8 @@
 const FIRST_LATENCY_MS: f64 = 20.0;
 /// Weight of the newest latency in the average.
 const LATENCY_WEIGHT: f64 = 0.3;
+/// After this time a measured latency counts half.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(4);
 /// How long a server's own word about its load counts.
 const LOAD_FRESH: Duration = Duration::from_millis(1000);
 /// A server at fault gets nothing for this long at first, and twice as long each time.
@@ -27,6 +29,8 @@
     reported_at: Option<Instant>,
     faults: u32,
     paused_until: Instant,
+    /// When it last answered, or was last too slow.
+    known_at: Instant,
 }
 
 impl Default for Server {
@@ -38,20 +42,31 @@
             reported_at: None,
             faults: 0,
             paused_until: Instant::ZERO,
+            known_at: Instant::ZERO,
         }
     }
 }
 
+impl Server {
+    /// The latency that is expected. What was measured counts less the older it is, so that a
+    /// server that was slow once is tried again.
+    fn expected_latency(&self, now: Instant) -> f64 {
+        let age = now.since(self.known_at).as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
+        let weight = 0.5_f64.powf(age);
+        FIRST_LATENCY_MS + (self.latency_ms - FIRST_LATENCY_MS) * weight
+    }
+}
+
 /// What is remembered of all servers.
 #[derive(Default)]
-pub(crate) struct Balancer {
+pub struct Balancer {
     servers: HashMap<InstanceId, Server>,
 }
 
 impl Balancer {
     /// The best of `candidates` besides those in `avoid`. Servers at fault are taken only where
     /// there is no other.
-    pub(crate) fn choose<'a>(
+    pub fn choose<'a>(
         &self,
         now: Instant,
         zone: &str,
@@ -82,23 +97,24 @@
         } else {
             0.0
         };
-        paused + server.latency_ms * (1.0 + load / slots * 2.0) * distance
+        paused + server.expected_latency(now) * (1.0 + load / slots * 2.0) * distance
     }
 
     /// A request is sent.
-    pub(crate) fn started(&mut self, instance: &InstanceId) {
+    pub fn started(&mut self, instance: &InstanceId) {
         self.entry(instance).in_flight += 1;
     }
 
     /// A request is over, however it ended.
-    pub(crate) fn ended(&mut self, instance: &InstanceId) {
+    pub fn ended(&mut self, instance: &InstanceId) {
         let server = self.entry(instance);
         server.in_flight = server.in_flight.saturating_sub(1);
     }
 
     /// A request was answered after `latency`.
-    pub(crate) fn answered(&mut self, instance: &InstanceId, latency: Duration) {
+    pub fn answered(&mut self, now: Instant, instance: &InstanceId, latency: Duration) {
         let server = self.entry(instance);
+        server.known_at = now;
         server.faults = 0;
         server.paused_until = Instant::ZERO;
         let newest = latency.as_secs_f64() * 1000.0;
@@ -106,21 +122,22 @@
     }
 
     /// A request was given up after `latency` without an answer: it would have taken longer.
-    pub(crate) fn too_slow(&mut self, instance: &InstanceId, latency: Duration) {
+    pub fn too_slow(&mut self, now: Instant, instance: &InstanceId, latency: Duration) {
         let server = self.entry(instance);
+        server.known_at = now;
         let newest = latency.as_secs_f64() * 1000.0;
         server.latency_ms = server.latency_ms.max(newest);
     }
 
     /// A server has told its load.
-    pub(crate) fn reported(&mut self, now: Instant, instance: &InstanceId, busy: u32) {
+    pub fn reported(&mut self, now: Instant, instance: &InstanceId, busy: u32) {
         let server = self.entry(instance);
         server.reported_busy = busy;
         server.reported_at = Some(now);
     }
 
     /// A server did not take a request, or broke off.
-    pub(crate) fn failed(&mut self, now: Instant, instance: &InstanceId) {
+    pub fn failed(&mut self, now: Instant, instance: &InstanceId) {
         let server = self.entry(instance);
         if now < server.paused_until {
             return;
@@ -131,7 +148,7 @@
     }
 
     /// Forgets servers that `is_known` does not hold any more.
-    pub(crate) fn retain(&mut self, is_known: impl Fn(&InstanceId) -> bool) {
+    pub fn retain(&mut self, is_known: impl Fn(&InstanceId) -> bool) {
         self.servers
             .retain(|instance, server| server.in_flight > 0 || is_known(instance));
     }
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -257,7 +257,7 @@
             failure.answer = Some(answer);
             return self.attempt_failed(now, client, instance, failure);
         }
-        self.balancer.answered(instance, latency);
+        self.balancer.answered(now, instance, latency);
         self.log_served(now, client, instance, answer.head.status);
         self.pass_on(now, client, &answer);
     }
@@ -427,7 +427,7 @@
         };
         self.balancer.ended(&closed.instance);
         self.balancer
-            .too_slow(&closed.instance, now.since(closed.since));
+            .too_slow(now, &closed.instance, now.since(closed.since));
         let verdict = if closed.up {
             Verdict::MayHaveRun
         } else {
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -23,8 +23,10 @@
 mod upstream;
 mod view;
 
+pub use balance::Balancer;
 pub use error::GatewayError;
 pub use event_stream::{EventReader, StreamEvent, take_whole_events};
 pub use process::Gateway;
 pub use protocol::{BatchAnswer, BatchCall, HeaderNames, HttpAnswer, IngressProtocol, OwnAnswer};
 pub use settings::GatewaySettings;
+pub use view::View;
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -13,7 +13,7 @@
 /// Invariants: the configuration's version never falls; nothing is taken from a leadership that
 /// is older than the newest one known.
 #[derive(Default)]
-pub(crate) struct View {
+pub struct View {
     epoch: Epoch,
     configuration: Option<Arc<SiteConfiguration>>,
     routes: RouteTable,
@@ -22,7 +22,7 @@
 
 impl View {
     /// A leader has told its whole view; says whether it was taken.
-    pub(crate) fn welcome(&mut self, epoch: Epoch, view: SiteView) -> bool {
+    pub fn welcome(&mut self, epoch: Epoch, view: SiteView) -> bool {
         if epoch < self.epoch {
             return false;
         }
@@ -38,7 +38,7 @@
     }
 
     /// A leader has told a change; says whether it was taken.
-    pub(crate) fn change(&mut self, epoch: Epoch, change: ViewChange) -> bool {
+    pub fn change(&mut self, epoch: Epoch, change: ViewChange) -> bool {
         if epoch != self.epoch {
             return false;
         }
@@ -63,34 +63,34 @@
     }
 
     /// Version of the configuration; 0 without one.
-    pub(crate) fn version(&self) -> u64 {
+    pub fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |held| held.version)
     }
 
     /// Whether there is a configuration.
-    pub(crate) fn is_configured(&self) -> bool {
+    pub fn is_configured(&self) -> bool {
         self.configuration.is_some()
     }
 
     /// The newest leadership known.
-    pub(crate) fn epoch(&self) -> Epoch {
+    pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
     /// The routes in force.
-    pub(crate) fn routes(&self) -> &RouteTable {
+    pub fn routes(&self) -> &RouteTable {
         &self.routes
     }
 
     /// What callers may send.
-    pub(crate) fn limits(&self) -> IngressLimits {
+    pub fn limits(&self) -> IngressLimits {
         self.configuration
             .as_ref()
             .map_or_else(IngressLimits::default, |held| held.limits)
     }
 
     /// The servers of a service that take new requests.
-    pub(crate) fn servers_of<'a>(
+    pub fn servers_of<'a>(
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a ServerRecord> + 'a {
@@ -100,7 +100,7 @@
     }
 
     /// Whether a server is known.
-    pub(crate) fn knows(&self, instance: &InstanceId) -> bool {
+    pub fn knows(&self, instance: &InstanceId) -> bool {
         self.servers.contains_key(instance)
     }
 }
--- /dev/null
+++ b/crates/wingshore-net/tests/reactor.rs
@@ -0,0 +1,152 @@
+//! Real sockets on loopback.
+
+use googletest::prelude::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use wingshore_net::{ConnectOptions, ConnectionId, NetEvent, Reactor};
+
+const LIMIT: Duration = Duration::from_secs(5);
+const OPTIONS: ConnectOptions = ConnectOptions {
+    unacknowledged_limit: LIMIT,
+};
+
+/// Polls until an event is as wanted.
+fn wait_for<T>(reactor: &mut Reactor, mut wanted: impl FnMut(NetEvent) -> Option<T>) -> T {
+    let deadline = Instant::now() + LIMIT * 4;
+    let mut events = Vec::new();
+    loop {
+        assert!(Instant::now() < deadline, "the event did not come");
+        reactor
+            .poll(Duration::from_millis(50), &mut events)
+            .expect("the reactor polls");
+        for event in events.drain(..) {
+            if let Some(found) = wanted(event) {
+                return found;
+            }
+        }
+    }
+}
+
+fn listening() -> (Reactor, SocketAddr) {
+    let mut reactor = Reactor::new().expect("a reactor");
+    let address = ([127, 0, 0, 1], 0).into();
+    let listener = reactor.listen(address, LIMIT, 3).expect("it listens");
+    let address = reactor.local_address(listener).expect("an address");
+    (reactor, address)
+}
+
+fn accepted(reactor: &mut Reactor) -> ConnectionId {
+    wait_for(reactor, |event| match event {
+        NetEvent::Accepted { connection, .. } => Some(connection),
+        _ => None,
+    })
+}
+
+#[gtest]
+fn bytes_go_both_ways() {
+    let (mut reactor, address) = listening();
+    let mut peer = TcpStream::connect(address).expect("a connection");
+    let connection = accepted(&mut reactor);
+    peer.write_all(b"question").expect("bytes leave");
+    wait_for(&mut reactor, |event| {
+        (event == NetEvent::Received(connection)).then_some(())
+    });
+    let input = reactor.input(connection).map(|input| input.to_vec());
+    expect_that!(input, some(eq(&b"question".to_vec())));
+    reactor.send(connection, b"answer");
+    reactor.close_when_flushed(connection);
+    let reading = std::thread::spawn(move || {
+        let mut answer = String::new();
+        peer.read_to_string(&mut answer).expect("an orderly end");
+        answer
+    });
+    let mut events = Vec::new();
+    while !reading.is_finished() {
+        reactor
+            .poll(Duration::from_millis(10), &mut events)
+            .expect("the reactor polls");
+    }
+    expect_that!(reading.join().expect("no panic").as_str(), eq("answer"));
+    expect_that!(reactor.is_open(connection), eq(false));
+}
+
+#[gtest]
+fn more_than_a_socket_takes_is_sent_in_the_end() {
+    const LENGTH: usize = 8 << 20;
+    let (mut reactor, address) = listening();
+    let mut peer = TcpStream::connect(address).expect("a connection");
+    let connection = accepted(&mut reactor);
+    reactor.send(connection, &vec![7; LENGTH]);
+    reactor.close_when_flushed(connection);
+    let reading = std::thread::spawn(move || {
+        let mut bytes = Vec::new();
+        peer.read_to_end(&mut bytes).expect("an orderly end");
+        bytes.len()
+    });
+    let mut events = Vec::new();
+    while !reading.is_finished() {
+        reactor
+            .poll(Duration::from_millis(10), &mut events)
+            .expect("the reactor polls");
+    }
+    expect_that!(reading.join().expect("no panic"), eq(LENGTH));
+}
+
+#[gtest]
+fn a_connection_that_was_asked_for_comes_up_or_breaks() {
+    let mut reactor = Reactor::new().expect("a reactor");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let connection = reactor.connect(address, OPTIONS).expect("it begins");
+    reactor.send(connection, b"early");
+    wait_for(&mut reactor, |event| {
+        (event == NetEvent::Connected(connection)).then_some(())
+    });
+    drop(listener);
+    let refused = reactor.connect(address, OPTIONS);
+    if let Some(refused) = refused {
+        wait_for(&mut reactor, |event| {
+            (event == NetEvent::Broken(refused)).then_some(())
+        });
+        expect_that!(reactor.is_open(refused), eq(false));
+    }
+}
+
+#[gtest]
+fn beyond_the_limit_connections_are_closed() {
+    let (mut reactor, address) = listening();
+    let peers: Vec<TcpStream> = (0..3)
+        .map(|_| TcpStream::connect(address).expect("a connection"))
+        .collect();
+    let mut count = 0;
+    wait_for(&mut reactor, |event| {
+        count += u32::from(matches!(event, NetEvent::Accepted { .. }));
+        (count == 3).then_some(())
+    });
+    let mut surplus = TcpStream::connect(address).expect("a connection");
+    let mut events = Vec::new();
+    for _ in 0..5 {
+        reactor
+            .poll(Duration::from_millis(20), &mut events)
+            .expect("the reactor polls");
+    }
+    surplus
+        .set_read_timeout(Some(LIMIT))
+        .expect("a timeout is set");
+    let end = surplus.read(&mut [0; 8]);
+    expect_that!(matches!(end, Ok(0) | Err(_)), eq(true));
+    drop(peers);
+}
+
+#[gtest]
+fn a_waker_ends_the_wait_of_another_thread() {
+    let mut reactor = Reactor::new().expect("a reactor");
+    let waker = reactor.waker();
+    let begun = Instant::now();
+    std::thread::spawn(move || waker.wake());
+    reactor
+        .poll(LIMIT, &mut Vec::new())
+        .expect("the reactor polls");
+    expect_that!(begun.elapsed(), lt(LIMIT));
+}
