coordination, gateway: events of long items are committed as they grow; calls to engines are over sooner

Ruled out: the time to elect (0.5 to 0.7 s). Change: a gateway hands in each 24 events of an item; they are committed and kept until the item is listed or its job ends; whoever runs the item next goes on behind them. Short items never hand anything in. Calls to engines without an answer are over after 450 ms instead of 900: engines answer orders at once. Tests: events_that_were_handed_in_outlast_gateway_and_leader and two beside it.

--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -1,7 +1,9 @@
 //! Batch jobs: what was submitted, and the results listed so far.
 
 use crate::ids::{ItemId, JobId, ModelName};
+use crate::messages::ItemText;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingshore_types::protocol::byte_vector;
 
@@ -90,6 +92,8 @@
     pub results: Vec<Arc<ResultRecord>>,
     /// For each item, whether it is listed.
     listed: Vec<bool>,
+    /// The first events of items that are not listed.
+    kept: BTreeMap<u32, ItemText>,
     /// Whether the caller has ended it.
     pub ended: bool,
 }
@@ -102,6 +106,7 @@
             submission,
             results: Vec::new(),
             listed,
+            kept: BTreeMap::new(),
             ended: false,
         }
     }
@@ -115,6 +120,7 @@
         if std::mem::replace(&mut self.listed[index], true) {
             return false;
         }
+        self.kept.remove(&result.index);
         self.results.push(Arc::new(ResultRecord {
             id: item.id.clone(),
             state: result.state,
@@ -124,6 +130,28 @@
         true
     }
 
+    /// Keeps events of an item that follow those kept before; others are dropped.
+    pub fn keep(&mut self, index: u32, after_events: u64, text: ItemText) {
+        if self.is_listed(index) || self.ended {
+            return;
+        }
+        let kept = self.kept.entry(index).or_default();
+        if kept.events == after_events {
+            kept.extend(text);
+        }
+    }
+
+    /// The first events of an item that is not listed.
+    pub fn kept(&self, index: u32) -> Option<&ItemText> {
+        self.kept.get(&index)
+    }
+
+    /// The caller has ended the job: nothing more of it is run.
+    pub fn end(&mut self) {
+        self.ended = true;
+        self.kept.clear();
+    }
+
     /// Whether the item at `index` is listed.
     pub fn is_listed(&self, index: u32) -> bool {
         self.listed.get(index as usize).copied().unwrap_or(true)
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -226,6 +226,13 @@
         self.running.iter()
     }
 
+    /// The item of a try that is under way and has no result proposed.
+    pub(crate) fn item_of(&self, assignment: AssignmentId) -> Option<ItemKey> {
+        let running = self.running.get(&assignment)?;
+        let progress = self.progress.get(&running.item)?;
+        (!progress.ended).then(|| running.item.clone())
+    }
+
     /// Whether a try is known to be under way.
     pub(crate) fn is_running(&self, assignment: AssignmentId) -> bool {
         self.running.contains_key(&assignment)
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -17,7 +17,7 @@
 use crate::ids::{GatewayId, InstanceId, JobId, ModelName};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
-    Reply, Request, RunningItem, SiteView, ViewChange,
+    ItemText, Reply, Request, RunningItem, SiteView, ViewChange,
 };
 use crate::state::{Command, CoordinationState};
 use engines::Engines;
@@ -41,6 +41,15 @@
     GatewayStatus(GatewayId, GatewayStatus),
     /// A gateway tells which items it runs.
     GatewayRunning(GatewayId, Vec<RunningItem>),
+    /// A gateway hands in events of a long item.
+    ItemKept {
+        /// Which try.
+        assignment: AssignmentId,
+        /// Events of the item that were kept before.
+        after_events: u64,
+        /// The events behind them.
+        text: ItemText,
+    },
     /// A gateway tells how far its items are.
     ItemsProgressed(Vec<ItemProgress>),
     /// The connection of a gateway has ended.
@@ -439,6 +448,11 @@
             Event::GatewayRunning(gateway, running) => {
                 self.on_running(now, gateway, running, state, out);
             }
+            Event::ItemKept {
+                assignment,
+                after_events,
+                text,
+            } => self.keep_text(assignment, after_events, text, out),
             Event::ItemsProgressed(progress) => self.on_progress(now, progress, state, out),
             Event::GatewayGone(gateway) => self.on_gateway_gone(now, gateway, state, out),
             Event::ItemEnded {
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -7,8 +7,8 @@
 use crate::ids::{GatewayId, InstanceId, ItemKey, ModelName, ServiceName};
 use crate::jobs::{ItemState, Job, JobItem, ListedResult};
 use crate::messages::{
-    AssignmentId, CoordinatorMessage, ItemAssignment, ItemOutcome, ItemText, NotRunReason,
-    RunningItem,
+    AssignmentId, CoordinatorMessage, DurablePrefix, ItemAssignment, ItemOutcome, ItemText,
+    NotRunReason, RunningItem,
 };
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
@@ -75,7 +75,13 @@
         let Some(service) = route.target_for(stable_hash(&item.group)) else {
             return;
         };
-        let progress = progress.clone();
+        let mut progress = progress.clone();
+        // The log may hold more than this leader was told: what it had from a gateway that is gone.
+        if let Some(durable) = job.kept(key.index)
+            && durable.events > progress.kept.events
+        {
+            progress.kept = durable.clone();
+        }
         let Some(instance) =
             self.choose_engine(now, service, job, item, &progress, configuration, state)
         else {
@@ -169,9 +175,19 @@
         let Some(engine) = self.engines.get(&instance) else {
             return;
         };
-        let single_version = route
+        let version = engine.version_of_any(job.submission.model.as_ref());
+        let kept_version = progress.kept.versions.last().copied();
+        // Where versions must not mix, an engine at another one begins anew.
+        let begins_anew = route.single_version && kept_version.is_some_and(|kept| kept != version);
+        let (kept, durable) = if begins_anew {
+            (ItemText::default(), DurablePrefix::default())
+        } else {
+            let durable = job.kept(key.index).map(ItemText::extent);
+            (progress.kept.clone(), durable.unwrap_or_default())
+        };
+        let expected_version = route
             .single_version
-            .then(|| progress.kept.versions.last().copied())
+            .then(|| kept.versions.last().copied())
             .flatten();
         let address = engine.record.address;
         let assignment = self.items.next_assignment();
@@ -185,8 +201,9 @@
             path: item.path.clone(),
             headers: item.headers.clone(),
             body: item.body.clone(),
-            kept: progress.kept.clone(),
-            expected_version: single_version,
+            kept,
+            durable,
+            expected_version,
             priority: route.priority,
         });
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
@@ -265,6 +282,25 @@
         self.items.start(assignment, running);
     }
 
+    /// Makes events of a long item durable.
+    pub(crate) fn keep_text(
+        &mut self,
+        assignment: AssignmentId,
+        after_events: u64,
+        text: ItemText,
+        out: &mut Outputs,
+    ) {
+        let Some(item) = self.items.item_of(assignment) else {
+            return;
+        };
+        let command = Command::KeepText {
+            item,
+            after_events,
+            text,
+        };
+        self.propose(command, Waiter::Nobody, out);
+    }
+
     /// Tries that their gateways do not speak of any more are over.
     pub(crate) fn end_silent_items(&mut self, now: Instant, out: &mut Outputs) {
         let limit = self.settings.item_silence;
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -28,9 +28,9 @@
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame};
 pub use messages::{
-    AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
-    ItemAssignment, ItemOutcome, ItemProgress, ItemText, JobPage, NotRunReason, Reply, Request,
-    RunningItem, SiteView, ViewChange,
+    AssignmentId, CallReply, CoordinatorMessage, DurablePrefix, GatewayHello, GatewayMessage,
+    GatewayStatus, ItemAssignment, ItemOutcome, ItemProgress, ItemText, JobPage, NotRunReason,
+    Reply, Request, RunningItem, SiteView, ViewChange,
 };
 pub use registry::{Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -202,6 +202,15 @@
     Running(Vec<RunningItem>),
     /// How far the items are that run.
     Progress(Vec<ItemProgress>),
+    /// Events of a long item that are to outlast this gateway and the leader.
+    Keep {
+        /// The try.
+        assignment: AssignmentId,
+        /// Events of the item that were kept before.
+        after_events: u64,
+        /// The events behind them.
+        text: ItemText,
+    },
     /// A request to the group, made for a caller.
     Call {
         /// Comes back with the reply.
@@ -318,6 +327,8 @@
     pub body: Vec<u8>,
     /// What earlier tries have left; the engine goes on behind it.
     pub kept: ItemText,
+    /// How much of that the group's log holds.
+    pub durable: DurablePrefix,
     /// The only version that may make the events; set where versions must not mix.
     pub expected_version: Option<u64>,
     /// Rank at the engine; 0 is the most urgent.
@@ -339,6 +350,59 @@
     pub versions: Vec<u64>,
 }
 
+/// How much of an item's text the group's log holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DurablePrefix {
+    /// In events.
+    pub events: u64,
+    /// In bytes of text.
+    pub bytes: usize,
+}
+
+impl ItemText {
+    /// The events behind `prefix`, as a text of their own.
+    pub fn after(&self, prefix: DurablePrefix) -> Self {
+        let rest = self.text.get(prefix.bytes..).unwrap_or_default();
+        // The line feed between two events belongs to neither.
+        let rest = match prefix.events {
+            0 => rest,
+            _ => rest.strip_prefix('\n').unwrap_or(rest),
+        };
+        Self {
+            text: rest.to_owned(),
+            events: self.events.saturating_sub(prefix.events),
+            last_event: self.last_event,
+            versions: self.versions.clone(),
+        }
+    }
+
+    /// Adds the events of `more` at the end.
+    pub fn extend(&mut self, more: Self) {
+        if more.events == 0 {
+            return;
+        }
+        if self.events > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(&more.text);
+        self.events += more.events;
+        self.last_event = more.last_event.or(self.last_event);
+        for version in more.versions {
+            if !self.versions.contains(&version) {
+                self.versions.push(version);
+            }
+        }
+    }
+
+    /// All of it, as a prefix.
+    pub fn extent(&self) -> DurablePrefix {
+        DurablePrefix {
+            events: self.events,
+            bytes: self.text.len(),
+        }
+    }
+}
+
 /// What came of a try at an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemOutcome {
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -2,8 +2,9 @@
 
 use super::OrderHolder;
 use crate::configuration::SiteConfiguration;
-use crate::ids::{InstanceId, JobId, ModelName};
+use crate::ids::{InstanceId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ListedResult};
+use crate::messages::ItemText;
 use crate::registry::ServerRecord;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -56,4 +57,13 @@
         /// Its machine.
         node: String,
     },
+    /// Keeps the first events of an item that is not listed yet.
+    KeepText {
+        /// The item.
+        item: ItemKey,
+        /// Events that were kept before.
+        after_events: u64,
+        /// The events behind them.
+        text: ItemText,
+    },
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -152,7 +152,16 @@
             Command::ListResult { job, result } => self.list(&job, result),
             Command::EndJob(id) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
-                    job.ended = true;
+                    job.end();
+                }
+            }
+            Command::KeepText {
+                item,
+                after_events,
+                text,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&item.job) {
+                    job.keep(item.index, after_events, text);
                 }
             }
             Command::ForgetJob(id) => {
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -177,6 +177,65 @@
     expect_that!(results(&group), len(eq(1)));
 }
 
+/// Parts of `text(6)` as a gateway hands them in.
+fn part(from: u64, to: u64) -> ItemText {
+    text(to).after(text(from).extent())
+}
+
+fn keep(group: &mut Group, assignment: &ItemAssignment, from: u64, to: u64) {
+    group.event(Event::ItemKept {
+        assignment: assignment.assignment,
+        after_events: from,
+        text: part(from, to),
+    });
+}
+
+#[gtest]
+fn events_that_were_handed_in_outlast_gateway_and_leader() {
+    let (mut group, _) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    keep(&mut group, &first, 0, 2);
+    keep(&mut group, &first, 2, 4);
+    group.change_leader("coordinator-b");
+    group.add_gateway(2);
+    let second = group.assignments().remove(0);
+    expect_that!(second.kept, eq(&text(4)));
+    expect_that!(second.durable, eq(text(4).extent()));
+}
+
+#[gtest]
+fn events_that_do_not_follow_those_handed_in_are_dropped() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    keep(&mut group, &first, 0, 2);
+    keep(&mut group, &first, 3, 4);
+    keep(&mut group, &first, 0, 2);
+    group.event(Event::GatewayGone(gateway));
+    group.add_gateway(2);
+    let second = group.assignments().remove(0);
+    expect_that!(second.kept, eq(&text(2)));
+}
+
+#[gtest]
+fn a_broken_try_goes_on_behind_more_than_was_handed_in() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    keep(&mut group, &first, 0, 2);
+    let outcome = ItemOutcome::Interrupted {
+        text: text(3),
+        engine_suspect: false,
+    };
+    end(&mut group, gateway, &first, outcome);
+    let second = group.assignments().remove(0);
+    expect_that!(second.kept, eq(&text(3)));
+    expect_that!(second.durable, eq(text(2).extent()));
+    // What the second try hands in follows what the log holds.
+    keep(&mut group, &second, 2, 5);
+    group.event(Event::GatewayGone(gateway));
+    group.add_gateway(2);
+    expect_that!(group.assignments().remove(0).kept, eq(&text(5)));
+}
+
 #[gtest]
 fn items_of_a_lost_gateway_are_placed_on_another_one() {
     let (mut group, gateway) = group_with_job(2);
--- a/crates/wingshore-coordinator/src/engine_calls.rs
+++ b/crates/wingshore-coordinator/src/engine_calls.rs
@@ -10,8 +10,8 @@
 use wingshore_net::{ConnectOptions, ConnectionId, Reactor};
 use wingshore_types::Instant;
 
-/// A call without an answer is over after this time.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// A call without an answer is over after this time: engines answer at once, whatever they do.
+const CALL_TIMEOUT: Duration = Duration::from_millis(450);
 /// An idle connection is closed after this time.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -137,6 +137,15 @@
             }
             GatewayMessage::Running(running) => Event::GatewayRunning(gateway, running),
             GatewayMessage::Progress(progress) => Event::ItemsProgressed(progress),
+            GatewayMessage::Keep {
+                assignment,
+                after_events,
+                text,
+            } => Event::ItemKept {
+                assignment,
+                after_events,
+                text,
+            },
             GatewayMessage::Call { id, request } => {
                 self.ask_group(request, Waiting::Gateway(connection, id));
                 return;
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome, ItemProgress,
-    ItemText, NotRunReason, RunningItem,
+    AssignmentId, DurablePrefix, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome,
+    ItemProgress, ItemText, NotRunReason, RunningItem,
 };
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter};
@@ -20,12 +20,17 @@
 /// An engine must begin to answer, and go on, within this time.
 const STALL_LIMIT: Duration = Duration::from_millis(2500);
 
+/// So many events of an item are handed in together, to outlast this process.
+const HANDED_IN_EVENTS: u64 = 24;
+
 /// One try that is under way, or whose end was not told.
 struct ItemRun {
     assignment: ItemAssignment,
     upstream: Option<ConnectionId>,
     /// All events so far, also those of earlier tries.
     text: ItemText,
+    /// How much of that was handed in to outlast this process.
+    handed_in: DurablePrefix,
     /// The version that makes the next event.
     version: Option<u64>,
     begun: Instant,
@@ -77,6 +82,7 @@
         let run = ItemRun {
             upstream: None,
             text: assignment.kept.clone(),
+            handed_in: assignment.durable,
             version: None,
             begun: now,
             heard: now,
@@ -163,6 +169,29 @@
         }
     }
 
+    /// Hands in the events of long items that were not handed in yet.
+    pub(crate) fn hand_in_texts(&mut self) {
+        let Some(leader) = self.coordinators.leader() else {
+            return;
+        };
+        let mut frames = Vec::new();
+        for (id, run) in &mut self.items.runs {
+            let new = run.text.events.saturating_sub(run.handed_in.events);
+            if run.outcome.is_some() || new < HANDED_IN_EVENTS {
+                continue;
+            }
+            frames.push(IncomingFrame::FromGateway(GatewayMessage::Keep {
+                assignment: *id,
+                after_events: run.handed_in.events,
+                text: run.text.after(run.handed_in),
+            }));
+            run.handed_in = run.text.extent();
+        }
+        for frame in frames {
+            self.send_frame(leader, &frame);
+        }
+    }
+
     /// An engine's answer is whole.
     pub(crate) fn item_answered(&mut self, id: AssignmentId, head: &AnswerHead, clean: bool) {
         let not_run = head
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -368,6 +368,7 @@
             self.next_status = now + STATUS_INTERVAL;
             self.tell_status();
             self.tell_progress();
+            self.hand_in_texts();
         }
         if now < self.next_housekeeping {
             return;
