lab: the simulated disk's faults name only what they set

Cause: since the simulated disk can be full, wingshore-lab did not compile: I had checked only the crates that I changed.

--- a/crates/wingshore-lab/src/sim/site.rs
+++ b/crates/wingshore-lab/src/sim/site.rs
@@ -148,7 +148,7 @@
         if let Some(disk) = self.disk(address) {
             disk.set_faults(DiskFaults {
                 crash_at: Some(disk.calls() + call),
-                fail_syncs_from: None,
+                ..DiskFaults::default()
             });
         }
     }
@@ -157,8 +157,8 @@
     pub fn fail_syncs(&self, address: SocketAddr) {
         if let Some(disk) = self.disk(address) {
             disk.set_faults(DiskFaults {
-                crash_at: None,
                 fail_syncs_from: Some(disk.calls() + 1),
+                ..DiskFaults::default()
             });
         }
     }
