coordination: placement and outcomes apart; routes are built once for each configuration

The table of routes was built at each placement; it is now built when a configuration comes into force, and nothing is looked at while no engine has a free slot.

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -79,7 +79,7 @@
             self.all.remove(instance);
             return;
         };
-        let slots = record.slots.max(1) as usize;
+        let slots = slots_of(record, state);
         let engine = self.all.entry(instance.clone()).or_insert_with(|| Engine {
             record: record.clone(),
             running: 0,
@@ -98,6 +98,13 @@
         engine.slots = slots;
     }
 
+    /// Whether any engine runs fewer items than it can.
+    pub(crate) fn has_free_slots(&self) -> bool {
+        self.all
+            .values()
+            .any(|engine| engine.running < engine.slots)
+    }
+
     /// The engine of this run.
     pub(crate) fn get(&self, instance: &InstanceId) -> Option<&Engine> {
         self.all.get(instance)
@@ -201,6 +208,16 @@
     1.0 + EACH * running as f64
 }
 
+/// Requests that an engine runs at once, by its own word and by the configuration.
+fn slots_of(record: &ServerRecord, state: &CoordinationState) -> usize {
+    let profile = state
+        .configuration()
+        .and_then(|configuration| configuration.service(&record.service))
+        .and_then(|service| service.engine.as_ref());
+    let most = profile.map_or(u32::MAX, |profile| profile.slots);
+    record.slots.min(most).max(1) as usize
+}
+
 fn is_engine(service: &ServiceName, state: &CoordinationState) -> bool {
     let configuration = state.configuration();
     configuration
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -27,6 +27,25 @@
     pub(crate) heard: Instant,
 }
 
+impl Running {
+    /// A try that begins, or that a gateway says it runs.
+    pub(crate) fn new(
+        now: Instant,
+        item: ItemKey,
+        gateway: GatewayId,
+        instance: InstanceId,
+    ) -> Self {
+        Self {
+            item,
+            gateway,
+            instance,
+            seen: None,
+            interrupted: false,
+            heard: now,
+        }
+    }
+}
+
 /// What earlier tries at an item have left.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -1,11 +1,10 @@
 //! Submitting, reading and ending batch jobs.
 
-use super::placement::release;
+use super::outcomes::release;
 use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
 use crate::ids::{ItemKey, JobId};
 use crate::jobs::{Job, JobSubmission};
 use crate::messages::{JobPage, Reply};
-use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -198,10 +197,7 @@
             log(decision, out);
         }
         for (assignment, running) in ended {
-            self.engines.ended(&running.instance);
-            if let Some(gateway) = self.gateways.get_mut(&running.gateway) {
-                gateway.running = gateway.running.saturating_sub(1);
-            }
+            self.note_end(&running);
             release(running.gateway, assignment, out);
         }
         if job.ended {
@@ -218,19 +214,15 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        let Some(configuration) = state.configuration() else {
-            return;
-        };
-        if self.items.none_waits() {
+        if self.items.none_waits() || state.configuration().is_none() {
             return;
         }
-        let routes = RouteTable::new(configuration);
         let given_up: Vec<ItemKey> = self
             .items
             .waiting()
             .into_iter()
             .map(|(_, item)| item)
-            .filter(|item| self.is_given_up(now, item, &routes, state))
+            .filter(|item| self.is_given_up(now, item, state))
             .collect();
         for item in given_up {
             self.abandon(
@@ -241,20 +233,14 @@
         }
     }
 
-    fn is_given_up(
-        &self,
-        now: Instant,
-        item: &ItemKey,
-        routes: &RouteTable,
-        state: &CoordinationState,
-    ) -> bool {
+    fn is_given_up(&self, now: Instant, item: &ItemKey, state: &CoordinationState) -> bool {
         let Some(job) = state.jobs().get(&item.job) else {
             return false;
         };
         let Some(contents) = job.submission.items.get(item.index as usize) else {
             return false;
         };
-        let Some(route) = routes.find(&job.submission.host, &contents.path) else {
+        let Some(route) = self.routes.find(&job.submission.host, &contents.path) else {
             return true;
         };
         let since = self.job_clock.known_since.get(&item.job);
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod items;
 mod jobs;
 mod moves;
+mod outcomes;
 mod placement;
 mod rollout;
 mod servers;
@@ -19,6 +20,7 @@
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
     ItemText, Reply, Request, RunningItem, SiteView, ViewChange,
 };
+use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
 use engines::Engines;
 use items::Items;
@@ -165,6 +167,8 @@
     job_clock: JobClock,
     readers: jobs::Readers,
     rollout: Rollout,
+    /// The routes of the configuration in force.
+    routes: RouteTable,
 }
 
 impl Default for CoordinationLeader {
@@ -189,6 +193,7 @@
             job_clock: JobClock::default(),
             readers: jobs::Readers::default(),
             rollout: Rollout::default(),
+            routes: RouteTable::default(),
         }
     }
 
@@ -310,6 +315,11 @@
     }
 }
 
+fn routes_of(state: &CoordinationState) -> RouteTable {
+    let configuration = state.configuration();
+    configuration.map_or_else(RouteTable::default, |held| RouteTable::new(held))
+}
+
 /// Logs a decision.
 pub(crate) fn log(decision: Decision, out: &mut Outputs) {
     out.push(LeaderOutput::Effect(Effect::Log(decision)));
@@ -338,6 +348,7 @@
         self.place_from = now + self.settings.introduction_time;
         self.heartbeats.begin(now, state.servers().keys());
         self.engines.begin(state);
+        self.routes = routes_of(state);
         self.items.begin(epoch, state);
         self.job_clock.begin(now, state.jobs().keys());
         self.begin_rollout(now, state, out);
@@ -407,6 +418,7 @@
                     log(Decision::Configured { version }, out);
                 }
                 reply(tag, Reply::Done, out);
+                self.routes = routes_of(state);
                 self.engines.begin(state);
                 self.place_items(now, state, out);
             }
@@ -415,7 +427,7 @@
             Waiter::Result { job, finished } => {
                 if let Some((gateway, assignment)) = finished {
                     self.log_listed(now, &job, state, out);
-                    placement::release(gateway, assignment, out);
+                    outcomes::release(gateway, assignment, out);
                 }
                 self.results_listed(&job, state, out);
             }
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -0,0 +1,289 @@
+//! What follows from the end of a try at an item.
+
+use super::items::Running;
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
+use crate::ids::{GatewayId, InstanceId, ItemKey};
+use crate::jobs::{ItemState, ListedResult};
+use crate::messages::{
+    AssignmentId, CoordinatorMessage, ItemOutcome, ItemText, NotRunReason, RunningItem,
+};
+use crate::state::{Command, CoordinationState};
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::machine::LeaderOutput;
+
+/// An item that was not run is not placed again for this long.
+const NOT_RUN_PAUSE: Duration = Duration::from_millis(30);
+/// An engine that did not take an item gets none for this long.
+const REFUSED_PAUSE: Duration = Duration::from_millis(90);
+/// An item that failed is not placed again for this long.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+
+impl CoordinationLeader {
+    /// A gateway runs an item that an earlier leader assigned.
+    pub(crate) fn adopt(
+        &mut self,
+        gateway: GatewayId,
+        now: Instant,
+        running: RunningItem,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let RunningItem {
+            assignment,
+            item,
+            instance,
+        } = running;
+        // A gateway that was welcomed twice tells twice.
+        if self.items.is_running(assignment) {
+            return;
+        }
+        let is_open = state
+            .jobs()
+            .get(&item.job)
+            .is_some_and(|job| !job.ended && !job.is_listed(item.index));
+        let is_free = self
+            .items
+            .progress(&item)
+            .is_some_and(|progress| progress.assignment.is_none() && !progress.ended);
+        if !is_open || !is_free {
+            return release(gateway, assignment, out);
+        }
+        self.items.take_item(&item);
+        let running = Running::new(now, item, gateway, instance);
+        self.start(assignment, running);
+    }
+
+    /// Makes events of a long item durable.
+    pub(crate) fn keep_text(
+        &mut self,
+        assignment: AssignmentId,
+        after_events: u64,
+        text: ItemText,
+        out: &mut Outputs,
+    ) {
+        let Some(item) = self.items.item_of(assignment) else {
+            return;
+        };
+        let command = Command::KeepText {
+            item,
+            after_events,
+            text,
+        };
+        self.propose(command, Waiter::Nobody, out);
+    }
+
+    /// Tries that their gateways do not speak of any more are over.
+    pub(crate) fn end_silent_items(&mut self, now: Instant, out: &mut Outputs) {
+        let limit = self.settings.item_silence;
+        let silent: Vec<AssignmentId> = self
+            .items
+            .running()
+            .filter(|(_, running)| now.since(running.heard) > limit)
+            .map(|(assignment, _)| *assignment)
+            .collect();
+        for assignment in silent {
+            let Some(running) = self.items.end(assignment) else {
+                continue;
+            };
+            self.note_end(&running);
+            release(running.gateway, assignment, out);
+            let decision = Decision::ItemRetried {
+                assignment,
+                job: running.item.job.clone(),
+                index: running.item.index,
+                instance: running.instance,
+                reason: "the gateway does not speak of it any more",
+            };
+            log(decision, out);
+            self.items.wait(running.item);
+        }
+    }
+
+    pub(crate) fn on_item_ended(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        assignment: AssignmentId,
+        outcome: ItemOutcome,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(running) = self.items.end(assignment) else {
+            return release(gateway, assignment, out);
+        };
+        self.note_end(&running);
+        let has_ended = self
+            .items
+            .progress(&running.item)
+            .is_none_or(|progress| progress.ended);
+        match outcome {
+            ItemOutcome::Finished(text) if !has_ended => {
+                self.engines.succeeded(&running.instance);
+                let finished = (gateway, assignment);
+                self.list_success(&running.item, text, finished, out);
+            }
+            outcome => {
+                release(gateway, assignment, out);
+                if !has_ended {
+                    let decision = Decision::ItemRetried {
+                        assignment,
+                        job: running.item.job.clone(),
+                        index: running.item.index,
+                        instance: running.instance.clone(),
+                        reason: outcome.name(),
+                    };
+                    log(decision, out);
+                    self.take_outcome(now, &running, outcome, state, out);
+                }
+            }
+        }
+        self.place_items(now, state, out);
+    }
+
+    fn take_outcome(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        outcome: ItemOutcome,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        match outcome {
+            ItemOutcome::Interrupted {
+                text,
+                engine_suspect,
+            } => {
+                if engine_suspect {
+                    self.pause_engine(now, &running.instance);
+                }
+                if let Some(progress) = self.items.progress_mut(&running.item) {
+                    progress.kept = text;
+                }
+                self.items.wait(running.item.clone());
+            }
+            ItemOutcome::NotRun(reason) => self.not_run(now, running, reason),
+            ItemOutcome::Failed => self.failed(now, running, state, out),
+            ItemOutcome::Impossible | ItemOutcome::Finished(_) => {
+                self.abandon(
+                    &running.item,
+                    "the engine says that it can never be done",
+                    out,
+                );
+            }
+        }
+    }
+
+    fn pause_engine(&mut self, now: Instant, instance: &InstanceId) {
+        let settings = &self.settings;
+        let (first, most) = (settings.engine_pause, settings.most_engine_pause);
+        self.engines.pause(now, instance, first, most);
+    }
+
+    fn not_run(&mut self, now: Instant, running: &Running, reason: NotRunReason) {
+        match reason {
+            NotRunReason::Unreachable => self.pause_engine(now, &running.instance),
+            NotRunReason::Full | NotRunReason::Mismatch => {
+                if let Some(engine) = self.engines.get_mut(&running.instance) {
+                    engine.paused_until = engine.paused_until.max(now + REFUSED_PAUSE);
+                }
+            }
+            NotRunReason::Stopping => {}
+        }
+        if let Some(progress) = self.items.progress_mut(&running.item) {
+            progress.not_before = Some(now + NOT_RUN_PAUSE);
+        }
+        self.items.wait(running.item.clone());
+    }
+
+    fn failed(
+        &mut self,
+        now: Instant,
+        running: &Running,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let most = self.most_attempts(&running.item, state);
+        let Some(progress) = self.items.progress_mut(&running.item) else {
+            return;
+        };
+        progress.failures += 1;
+        progress.not_before = Some(now + FAILED_PAUSE);
+        if progress.failures >= most {
+            return self.abandon(&running.item, "it failed as often as its route allows", out);
+        }
+        self.items.wait(running.item.clone());
+    }
+
+    fn most_attempts(&self, item: &ItemKey, state: &CoordinationState) -> u32 {
+        let attempts = state.jobs().get(&item.job).and_then(|job| {
+            let path = &job.submission.items.get(item.index as usize)?.path;
+            Some(self.routes.find(&job.submission.host, path)?.max_attempts)
+        });
+        attempts.unwrap_or(1).max(1)
+    }
+
+    fn list_success(
+        &mut self,
+        item: &ItemKey,
+        text: ItemText,
+        finished: (GatewayId, AssignmentId),
+        out: &mut Outputs,
+    ) {
+        let result = ListedResult {
+            index: item.index,
+            state: ItemState::Succeeded,
+            text: text.text,
+            versions: text.versions,
+        };
+        self.list(item, result, Some(finished), out);
+    }
+
+    /// Gives an item up.
+    pub(crate) fn abandon(&mut self, item: &ItemKey, reason: &'static str, out: &mut Outputs) {
+        let decision = Decision::ItemAbandoned {
+            job: item.job.clone(),
+            index: item.index,
+            reason,
+        };
+        log(decision, out);
+        let result = ListedResult {
+            index: item.index,
+            state: ItemState::Abandoned,
+            text: String::new(),
+            versions: Vec::new(),
+        };
+        self.list(item, result, None, out);
+    }
+
+    /// Proposes a result; the gateway that made it keeps it until it is committed.
+    fn list(
+        &mut self,
+        item: &ItemKey,
+        result: ListedResult,
+        finished: Option<(GatewayId, AssignmentId)>,
+        out: &mut Outputs,
+    ) {
+        self.items.finish(item);
+        let job = item.job.clone();
+        let command = Command::ListResult {
+            job: job.clone(),
+            result,
+        };
+        self.propose(command, Waiter::Result { job, finished }, out);
+    }
+
+    /// Its engine and its gateway have one item less.
+    pub(crate) fn note_end(&mut self, running: &Running) {
+        self.engines.ended(&running.instance);
+        if let Some(known) = self.gateways.get_mut(&running.gateway) {
+            known.running = known.running.saturating_sub(1);
+        }
+    }
+}
+
+/// Tells a gateway that a try is of no more use.
+pub(crate) fn release(gateway: GatewayId, assignment: AssignmentId, out: &mut Outputs) {
+    let message = CoordinatorMessage::Release { assignment };
+    out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+}
