--- a/crates/wingshore-net/src/reactor.rs
+++ b/crates/wingshore-net/src/reactor.rs
@@ -101,6 +101,9 @@
     output: BytesMut,
     connecting: bool,
     input_ended: bool,
+    /// The peer has ended its side, or the connection failed: the end stands behind what can be
+    /// read, and no further event tells of it.
+    end_is_near: bool,
     close_when_flushed: bool,
     writable: bool,
     dirty: bool,
@@ -284,6 +287,7 @@
             connection.connecting = false;
             out.push(NetEvent::Connected(id));
         }
+        connection.end_is_near |= event.ended || event.failed;
         if event.writable {
             connection.writable = true;
             self.mark_dirty(id);
@@ -345,6 +349,7 @@
             output: BytesMut::new(),
             connecting,
             input_ended: false,
+            end_is_near: false,
             close_when_flushed: false,
             writable: !connecting,
             dirty: false,
@@ -523,7 +528,9 @@
                 if !connection.close_when_flushed {
                     connection.input.extend_from_slice(&scratch[..count]);
                 }
-                if count < scratch.len() {
+                // A short read has taken all there was; what comes later has an event of its own.
+                let is_drained = count < scratch.len() && !connection.end_is_near;
+                if is_drained {
                     ReadEnd::Drained
                 } else if received < READ_TURN {
                     continue;
--- a/crates/wingshore-net/tests/reactor.rs
+++ b/crates/wingshore-net/tests/reactor.rs
@@ -71,6 +71,27 @@
     expect_that!(reactor.is_open(connection), eq(false));
 }
 
+/// Bytes and the end behind them that arrive before one look used to be reported as bytes only:
+/// no second event follows for the end.
+#[gtest]
+fn an_end_that_arrives_together_with_bytes_is_noticed() {
+    let (mut reactor, address) = listening();
+    let mut peer = TcpStream::connect(address).expect("a connection");
+    let connection = accepted(&mut reactor);
+    peer.write_all(b"last words").expect("bytes leave");
+    drop(peer);
+    // Both are there before the reactor looks.
+    std::thread::sleep(Duration::from_millis(100));
+    let mut received = false;
+    wait_for(&mut reactor, |event| {
+        received |= event == NetEvent::Received(connection);
+        (event == NetEvent::EndOfInput(connection)).then_some(())
+    });
+    expect_that!(received, eq(true));
+    let input = reactor.input(connection).map(|input| input.to_vec());
+    expect_that!(input, some(eq(&b"last words".to_vec())));
+}
+
 #[gtest]
 fn more_than_a_socket_takes_is_sent_in_the_end() {
     const LENGTH: usize = 8 << 20;
