--- a/crates/wingshore-coordinator/src/control.rs
+++ b/crates/wingshore-coordinator/src/control.rs
@@ -1,7 +1,6 @@
 //! Connections of operators, trainers, servers and clients that ask for gateways.
 
-use crate::protocol::HttpAnswer;
-use wingshore_net::http::{HeadWriter, RequestReader};
+use wingshore_net::http::{HttpAnswer, RequestReader};
 use wingshore_types::Instant;
 
 /// Most bytes of a request's head.
@@ -34,10 +33,7 @@
 
 /// The bytes of an answer.
 pub(crate) fn encode(answer: &HttpAnswer, close: bool) -> Vec<u8> {
-    let mut writer = HeadWriter::answer(answer.status);
-    for (name, value) in &answer.headers {
-        writer = writer.header(name, value);
-    }
+    let mut writer = answer.head();
     if close {
         writer = writer.header("Connection", "close");
     }
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -24,7 +24,6 @@
 pub use membership::{Joiner, MembershipPlanner, MembershipView};
 pub use process::Coordinator;
 pub use protocol::{
-    ControlAnswer, ControlCall, ControlProtocol, EngineCall, EngineProtocol, HttpAnswer,
-    LocalQuestion,
+    ControlAnswer, ControlCall, ControlProtocol, EngineCall, EngineProtocol, LocalQuestion,
 };
 pub use settings::CoordinatorSettings;
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -1,6 +1,14 @@
 //! Calls of operators, trainers, servers and clients.
 
-use super::*;
+use super::{CALLER_IDLE, Coordinator, GATEWAY_FRESH, Role, Waiting};
+use crate::control;
+use crate::metrics::Readings;
+use crate::protocol::{ControlAnswer, ControlCall, LocalQuestion};
+use wingshore_coordination::{CoordinationLeader, Reply};
+use wingshore_group::HostReply;
+use wingshore_net::ConnectionId;
+use wingshore_net::http::{HttpAnswer, WholeRequest};
+use wingshore_types::{Instant, ReplicaId};
 
 /// Type of the text that monitoring reads.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -29,11 +37,7 @@
             }
             Err(error) => {
                 control.close_after = true;
-                let answer = HttpAnswer {
-                    status: error.status(),
-                    headers: Vec::new(),
-                    body: error.to_string().into_bytes(),
-                };
+                let answer = HttpAnswer::plain(error.status(), error.to_string());
                 self.answer(connection, &answer);
             }
         }
@@ -57,11 +61,7 @@
                 headers: vec![("Content-Type".to_owned(), METRICS_TYPE.to_owned())],
                 body: self.metrics.text(&self.readings()).into_bytes(),
             },
-            Err(error) => HttpAnswer {
-                status: error.status(),
-                headers: Vec::new(),
-                body: Vec::new(),
-            },
+            Err(error) => HttpAnswer::plain(error.status(), error.to_string()),
         };
         self.reactor
             .send(connection, &control::encode(&answer, true));
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -1,6 +1,18 @@
 //! Links to gateways and to other coordinators.
 
-use super::*;
+use super::{
+    CONNECT_INTERVAL, CONNECT_TIMEOUT, Coordinator, Dial, LINK_LIMIT, Link, Role, Waiting,
+};
+use crate::membership::Joiner;
+use slog::{info, warn};
+use std::net::SocketAddr;
+use wingshore_coordination::{
+    CoordinatorFrame, CoordinatorHello, CoordinatorMessage, Event, GatewayId, GatewayMessage,
+    IncomingFrame,
+};
+use wingshore_group::HostInput;
+use wingshore_net::{ConnectOptions, ConnectionId, frame};
+use wingshore_types::{Instant, ReplicaId};
 
 impl Coordinator {
     pub(super) fn on_connected(&mut self, _now: Instant, connection: ConnectionId) {
--- a/crates/wingshore-coordinator/src/process/members.rs
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -1,6 +1,15 @@
 //! Members of the group: whom the leader takes in, lets go and empties.
 
-use super::*;
+use super::{Coordinator, Waiting};
+use crate::membership::MembershipView;
+use crate::protocol::ControlAnswer;
+use slog::info;
+use std::collections::BTreeSet;
+use wingshore_coordination::{CoordinationLeader, Request};
+use wingshore_group::{Host, HostInput};
+use wingshore_net::ConnectionId;
+use wingshore_types::protocol::membership::MembershipRequest;
+use wingshore_types::{Instant, ReplicaId};
 
 impl Coordinator {
     /// Lets the leader change the members where that is needed.
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -5,46 +5,35 @@
 mod members;
 mod outputs;
 
-use crate::control::{self, ControlConnection};
-use crate::decisions;
+use crate::control::ControlConnection;
 use crate::directory::Directory;
 use crate::engine_calls::EngineCalls;
 use crate::error::{CoordinatorError, GroupSnafu, NetSnafu, StorageSnafu, ThreadSnafu};
 use crate::identity;
 use wingshore_net::Clock;
 
-use crate::membership::{Joiner, MembershipPlanner, MembershipView};
-use crate::metrics::{CoordinatorMetrics, Readings};
-use crate::protocol::{
-    ControlAnswer, ControlCall, ControlProtocol, EngineProtocol, HttpAnswer, LocalQuestion,
-};
+use crate::membership::{Joiner, MembershipPlanner};
+use crate::metrics::CoordinatorMetrics;
+use crate::protocol::{ControlProtocol, EngineProtocol};
 use crate::settings::CoordinatorSettings;
 use crate::writer::{WriteEvent, Writer, wait_for_space};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use wingshore_coordination::{
-    CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorHello, CoordinatorMessage,
-    Decision, Effect, Event, GatewayId, GatewayMessage, IncomingFrame, LeaderSettings, Reply,
-    Request,
+    CoordinationLeader, CoordinatorHello, Event, GatewayId, LeaderSettings, Request,
 };
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
-use wingshore_group::{
-    Host, HostConfig, HostInput, HostOutput, HostReply, Leadership, MachineFactory, Timing,
-};
-use wingshore_net::http::WholeRequest;
-use wingshore_net::{
-    ConnectOptions, ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals, frame,
-};
+use wingshore_group::{Host, HostConfig, HostInput, MachineFactory, Timing};
+use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
 use wingshore_storage::{
     DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
 };
 use wingshore_types::configuration::Permille;
 use wingshore_types::machine::RequestTag;
-use wingshore_types::protocol::membership::{MembershipReply, MembershipRequest};
 use wingshore_types::{GroupId, Instant, ReplicaId};
 
 /// Sent bytes may stay unacknowledged this long on links of the site.
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -1,6 +1,20 @@
 //! What the group's host wants done.
 
-use super::*;
+use super::{Coordinator, Waiting};
+use crate::decisions;
+use crate::error::{CoordinatorError, GroupSnafu};
+use slog::{info, warn};
+use snafu::ResultExt;
+use std::time::Duration;
+use wingshore_coordination::{
+    CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
+    IncomingFrame, Reply,
+};
+use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
+use wingshore_net::{ConnectionId, frame};
+use wingshore_types::machine::RequestTag;
+use wingshore_types::protocol::membership::MembershipReply;
+use wingshore_types::{Instant, ReplicaId};
 
 impl Coordinator {
     pub(super) fn step_host(
--- a/crates/wingshore-coordinator/src/protocol.rs
+++ b/crates/wingshore-coordinator/src/protocol.rs
@@ -4,18 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{EngineReport, OrderAnswer, Reply, Request, WeightOrder};
-use wingshore_net::http::{AnswerHead, WholeRequest};
-
-/// An HTTP answer, whole.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HttpAnswer {
-    /// The status code.
-    pub status: u16,
-    /// Header lines besides those that frame the body.
-    pub headers: Vec<(String, String)>,
-    /// The body.
-    pub body: Vec<u8>,
-}
+use wingshore_net::http::{AnswerHead, HttpAnswer, WholeRequest};
 
 /// A question that each coordinator answers from what it knows itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/wingshore-gateway/src/clients.rs
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -2,12 +2,12 @@
 
 use crate::forward::Exchange;
 use crate::process::Gateway;
-use crate::protocol::{HttpAnswer, OwnAnswer};
+use crate::protocol::OwnAnswer;
 use crate::timers::TimerKey;
 use std::time::Duration;
 use wingshore_coordination::RouteKind;
 use wingshore_net::ConnectionId;
-use wingshore_net::http::{HeadWriter, RequestReader, WholeRequest};
+use wingshore_net::http::{HeadWriter, HttpAnswer, RequestReader, WholeRequest};
 use wingshore_types::Instant;
 
 /// How much longer than a head a body may take to arrive.
@@ -103,11 +103,7 @@
             }
             Err(error) => {
                 client.close_after = true;
-                let answer = HttpAnswer {
-                    status: error.status(),
-                    headers: Vec::new(),
-                    body: error.to_string().into_bytes(),
-                };
+                let answer = HttpAnswer::plain(error.status(), error.to_string());
                 self.answer_client(now, connection, &answer);
             }
         }
@@ -167,11 +163,7 @@
         connection: ConnectionId,
         answer: &HttpAnswer,
     ) {
-        let mut writer = HeadWriter::answer(answer.status);
-        for (name, value) in &answer.headers {
-            writer = writer.header(name, value);
-        }
-        self.finish_client(now, connection, writer, &answer.body);
+        self.finish_client(now, connection, answer.head(), &answer.body);
     }
 
     /// Sends the last bytes of an answer and goes on to the client's next request.
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -7,7 +7,6 @@
 use crate::error::{GatewayError, NetSnafu};
 use crate::items::Items;
 use crate::metrics::{GatewayMetrics, Readings};
-use crate::protocol::HttpAnswer;
 use crate::protocol::IngressProtocol;
 use crate::settings::GatewaySettings;
 use crate::timers::{TimerKey, Timers};
@@ -21,7 +20,7 @@
 use wingshore_coordination::{GatewayId, GatewayStatus};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_net::Clock;
-use wingshore_net::http::BodyStatus;
+use wingshore_net::http::{BodyStatus, HttpAnswer};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -2,18 +2,7 @@
 
 use std::time::Duration;
 use wingshore_coordination::{ItemId, JobId, JobPage, JobSubmission};
-use wingshore_net::http::{RequestHead, WholeRequest};
-
-/// An HTTP answer, whole.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HttpAnswer {
-    /// The status code.
-    pub status: u16,
-    /// Header lines besides those that frame the body.
-    pub headers: Vec<(String, String)>,
-    /// The body.
-    pub body: Vec<u8>,
-}
+use wingshore_net::http::{HttpAnswer, RequestHead, WholeRequest};
 
 /// Names of the headers that a gateway reads or sets.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/wingshore-net/src/http/mod.rs
+++ b/crates/wingshore-net/src/http/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 messages in buffers.
 
+mod answer;
 mod body;
 mod encode;
 mod exchange;
 mod head;
 
+pub use answer::HttpAnswer;
 pub use body::{BodyReader, BodyStatus, Framing};
 pub use encode::{HeadWriter, write_chunk, write_last_chunk};
 pub use exchange::{AnswerReader, RequestError, RequestReader, WholeAnswer, WholeRequest};
