coordination: one engine in five loads at a time; the leader places by job and moves only what it was told of

Ruled out: full engines (a quarter of the slots was taken), refused orders (none). Change: loads at once are a share of the engines (a fifth, two at the least). Waiting items are kept by job; a job is left as soon as no engine takes its model and version. Only tries that a gateway spoke of are looked at for a move. Test: where_there_are_many_engines_a_share_of_them_loads_at_once (failed first: 2 of 4).

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -105,6 +105,18 @@
             .any(|engine| engine.running < engine.slots)
     }
 
+    /// Whether any engine takes an item of `model` at `now`.
+    pub(crate) fn any_takes(
+        &self,
+        now: Instant,
+        model: Option<&ModelName>,
+        min_version: u64,
+    ) -> bool {
+        self.all
+            .values()
+            .any(|engine| engine.takes(now, model, min_version))
+    }
+
     /// The engine of this run.
     pub(crate) fn get(&self, instance: &InstanceId) -> Option<&Engine> {
         self.all.get(instance)
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -5,7 +5,7 @@
 use crate::jobs::JobItem;
 use crate::messages::{AssignmentId, ItemText};
 use crate::state::CoordinationState;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use wingshore_types::{Epoch, Instant};
 
 /// Items that have outlasted their jobs are remembered up to this many.
@@ -69,13 +69,9 @@
     pub(crate) is_long: bool,
 }
 
-/// Order in which waiting items are placed.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// Order in which the waiting items of a job are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
-    /// Rank of the route.
-    pub(crate) priority: u8,
-    /// Jobs in the order of their acceptance.
-    pub(crate) job: u64,
     /// The longest first.
     pub(crate) length: std::cmp::Reverse<u64>,
     /// Items in the order of the submission.
@@ -88,8 +84,10 @@
     epoch: Epoch,
     next_assignment: u64,
     next_job: u64,
+    /// Open jobs with their numbers in the order of acceptance.
     jobs: HashMap<JobId, u64>,
-    waiting: BTreeMap<Rank, ItemKey>,
+    /// Jobs in the order of their acceptance; none is empty.
+    waiting: BTreeMap<(u64, JobId), BTreeSet<Rank>>,
     running: BTreeMap<AssignmentId, Running>,
     progress: BTreeMap<ItemKey, Progress>,
     /// Items that were running when their job ended.
@@ -157,7 +155,7 @@
         }
         self.jobs.remove(id);
         self.group_homes.remove(id);
-        self.waiting.retain(|_, item| item.job != *id);
+        self.waiting.retain(|(_, job), _| job != id);
         self.progress.retain(|item, _| item.job != *id);
         let ended: Vec<AssignmentId> = self
             .running
@@ -173,33 +171,48 @@
 
     /// Puts an item among those that wait.
     pub(crate) fn wait(&mut self, item: ItemKey) {
-        let Some(job) = self.jobs.get(&item.job) else {
+        let Some(number) = self.jobs.get(&item.job) else {
             return;
         };
-        let expected = self
-            .progress
-            .get(&item)
-            .map_or(0, |progress| progress.expected);
-        let rank = Rank {
-            priority: 0,
-            job: *job,
+        let rank = self.rank(&item);
+        let waiting = self.waiting.entry((*number, item.job)).or_default();
+        waiting.insert(rank);
+    }
+
+    fn rank(&self, item: &ItemKey) -> Rank {
+        let progress = self.progress.get(item);
+        let expected = progress.map_or(0, |progress| progress.expected);
+        Rank {
             length: std::cmp::Reverse(expected),
             index: item.index,
-        };
-        self.waiting.insert(rank, item);
+        }
     }
 
-    /// The items that wait, in their order.
-    pub(crate) fn waiting(&self) -> Vec<(Rank, ItemKey)> {
-        self.waiting
-            .iter()
-            .map(|(rank, item)| (rank.clone(), item.clone()))
-            .collect()
+    /// Jobs with waiting items, in their order.
+    pub(crate) fn waiting_jobs(&self) -> Vec<JobId> {
+        self.waiting.keys().map(|(_, job)| job.clone()).collect()
+    }
+
+    /// The waiting items of a job, in their order.
+    pub(crate) fn waiting_of(&self, job: &JobId) -> Vec<Rank> {
+        let number = self.jobs.get(job).copied().unwrap_or(u64::MAX);
+        let waiting = self.waiting.get(&(number, job.clone()));
+        waiting.map_or_else(Vec::new, |waiting| waiting.iter().copied().collect())
+    }
+
+    /// All items that wait.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = ItemKey> + '_ {
+        self.waiting.iter().flat_map(|((_, job), waiting)| {
+            waiting.iter().map(|rank| ItemKey {
+                job: job.clone(),
+                index: rank.index,
+            })
+        })
     }
 
     /// How many wait.
     pub(crate) fn waiting_count(&self) -> usize {
-        self.waiting.len()
+        self.waiting.values().map(BTreeSet::len).sum()
     }
 
     /// Whether none waits.
@@ -208,8 +221,18 @@
     }
 
     /// Takes an item out of those that wait.
-    pub(crate) fn take(&mut self, rank: &Rank) {
-        self.waiting.remove(rank);
+    pub(crate) fn take(&mut self, item: &ItemKey) {
+        let Some(number) = self.jobs.get(&item.job) else {
+            return;
+        };
+        let rank = self.rank(item);
+        let key = (*number, item.job.clone());
+        if let Some(waiting) = self.waiting.get_mut(&key) {
+            waiting.remove(&rank);
+            if waiting.is_empty() {
+                self.waiting.remove(&key);
+            }
+        }
     }
 
     /// An identifier for a new try.
@@ -257,6 +280,11 @@
         self.running.contains_key(&assignment)
     }
 
+    /// A try under way.
+    pub(crate) fn running_of(&self, assignment: AssignmentId) -> Option<&Running> {
+        self.running.get(&assignment)
+    }
+
     /// A try under way.
     pub(crate) fn running_mut(&mut self, assignment: AssignmentId) -> Option<&mut Running> {
         self.running.get_mut(&assignment)
@@ -278,7 +306,7 @@
             progress.ended = true;
             progress.kept = ItemText::default();
         }
-        self.waiting.retain(|_, waiting| waiting != item);
+        self.take(item);
     }
 
     /// A gateway is gone with all it ran: its items wait again.
@@ -307,11 +335,6 @@
         let homes = self.group_homes.entry(job.clone()).or_default();
         homes.insert(group.to_owned(), instance.clone());
     }
-
-    /// Takes an item out of those that wait.
-    pub(crate) fn take_item(&mut self, item: &ItemKey) {
-        self.waiting.retain(|_, waiting| waiting != item);
-    }
 }
 
 /// The estimate from which on an item of a job is a long one.
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -220,8 +220,6 @@
         let given_up: Vec<ItemKey> = self
             .items
             .waiting()
-            .into_iter()
-            .map(|(_, item)| item)
             .filter(|item| self.is_given_up(now, item, state))
             .collect();
         for item in given_up {
--- a/crates/wingshore-coordination/src/leader/moves.rs
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -33,6 +33,7 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        let told: Vec<AssignmentId> = progress.iter().map(|item| item.assignment).collect();
         for ItemProgress { assignment, events } in progress {
             let Some(running) = self.items.running_mut(assignment) else {
                 continue;
@@ -57,8 +58,7 @@
             running.seen = Some((events, now));
             self.engines.paced(&instance, new, now.since(at));
         }
-        self.count_long_items();
-        self.move_items(now, state, out);
+        self.move_items(now, &told, state, out);
     }
 
     /// Counts, for each engine, the items that are long or have proved to be.
@@ -76,16 +76,23 @@
         self.engines.set_long_running(&counts);
     }
 
-    /// Breaks off the items that go on faster elsewhere.
-    fn move_items(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
+    /// Breaks off those of `tries` whose items go on faster elsewhere.
+    fn move_items(
+        &mut self,
+        now: Instant,
+        tries: &[AssignmentId],
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
         let mut promised: std::collections::BTreeMap<InstanceId, usize> = Default::default();
-        let candidates: Vec<(AssignmentId, GatewayId)> = self
-            .items
-            .running()
-            .filter(|(_, running)| !running.interrupted)
-            .map(|(assignment, running)| (*assignment, running.gateway))
-            .collect();
-        for (assignment, gateway) in candidates {
+        for assignment in tries.iter().copied() {
+            let running = self.items.running_of(assignment);
+            let Some(gateway) = running
+                .filter(|running| !running.interrupted)
+                .map(|running| running.gateway)
+            else {
+                continue;
+            };
             let Some(target) = self.better_engine(now, assignment, &promised, state) else {
                 continue;
             };
@@ -123,7 +130,7 @@
         promised: &std::collections::BTreeMap<InstanceId, usize>,
         state: &CoordinationState,
     ) -> Option<InstanceId> {
-        let (_, running) = self.items.running().find(|(id, _)| **id == assignment)?;
+        let running = self.items.running_of(assignment)?;
         let (events, _) = running
             .seen
             .filter(|(events, _)| *events >= FEWEST_EVENTS)?;
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -49,7 +49,7 @@
         if !is_open || !is_free {
             return release(gateway, assignment, out);
         }
-        self.items.take_item(&item);
+        self.items.take(&item);
         let running = Running::new(now, item, gateway, instance);
         self.start(assignment, running);
     }
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -1,10 +1,10 @@
 //! Which engine runs an item, and through which gateway.
 
 use super::engines::{Engine, slow_down};
-use super::items::{Progress, Rank, Running};
+use super::items::{Progress, Running};
 use super::{CoordinationLeader, Decision, Effect, Outputs, log};
 use crate::configuration::Route;
-use crate::ids::{GatewayId, InstanceId, ItemKey, ModelName, ServiceName};
+use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName, ServiceName};
 use crate::jobs::{Job, JobItem};
 use crate::messages::{CoordinatorMessage, DurablePrefix, ItemAssignment, ItemText};
 use crate::state::CoordinationState;
@@ -42,22 +42,40 @@
         if self.items.none_waits() || self.gateways.is_empty() || now < self.place_from {
             return;
         }
-        if !self.engines.has_free_slots() {
-            return;
-        }
-        for (rank, key) in self.items.waiting() {
-            self.place(now, &rank, key, state, out);
+        for job in self.items.waiting_jobs() {
+            if !self.engines.has_free_slots() {
+                return;
+            }
+            self.place_job(now, &job, state, out);
         }
     }
 
-    fn place(
+    /// Places waiting items of one job while any engine takes such ones.
+    fn place_job(
         &mut self,
         now: Instant,
-        rank: &Rank,
-        key: ItemKey,
+        id: &JobId,
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        let Some(job) = state.jobs().get(id) else {
+            return;
+        };
+        let model = job.submission.model.as_ref();
+        let min_version = job.submission.min_version;
+        for rank in self.items.waiting_of(id) {
+            if !self.engines.any_takes(now, model, min_version) {
+                return;
+            }
+            let key = ItemKey {
+                job: id.clone(),
+                index: rank.index,
+            };
+            self.place(now, key, state, out);
+        }
+    }
+
+    fn place(&mut self, now: Instant, key: ItemKey, state: &CoordinationState, out: &mut Outputs) {
         let Some(candidate) = self.candidate(now, key, state) else {
             return;
         };
@@ -69,7 +87,7 @@
         let Some(gateway) = self.choose_gateway(zone) else {
             return;
         };
-        self.items.take(rank);
+        self.items.take(&candidate.key);
         self.assign(now, gateway, &instance, &candidate, out);
     }
 
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -263,13 +263,18 @@
 
     fn begin_loads(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
         let mut wanted = self.wanted_loads(state);
+        if wanted.is_empty() {
+            return;
+        }
+        self.count_long_items();
         wanted.sort_by_key(|load| {
             let long_running = self.long_running(&load.instance);
             let instance = load.instance.clone();
             (std::cmp::Reverse(load.lag), long_running, instance)
         });
+        let most = self.most_loads();
         for load in wanted {
-            if self.rollout.active() >= self.settings.concurrent_loads {
+            if self.rollout.active() >= most {
                 return;
             }
             if self.rollout.loads.contains_key(&load.instance) || !self.is_worth_it(&load) {
@@ -279,6 +284,13 @@
         }
     }
 
+    /// Engines that may load at once: the weight store serves a share of them at full speed.
+    fn most_loads(&self) -> usize {
+        let settings = &self.settings;
+        let share = self.engines.iter().count() / settings.engines_per_load.max(1);
+        share.max(settings.concurrent_loads)
+    }
+
     fn begin_load(&mut self, now: Instant, wanted: WantedLoad, out: &mut Outputs) {
         let WantedLoad {
             instance,
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -13,8 +13,10 @@
     pub order_handover: Duration,
     /// A new leader waits this long for gateways to tell which items they run.
     pub introduction_time: Duration,
-    /// Most engines that load weights at once.
+    /// Engines that may load weights at once at any site.
     pub concurrent_loads: usize,
+    /// Where there are many engines, one in this many may load at once.
+    pub engines_per_load: usize,
     /// Time from an order to the first look at how it went.
     pub load_time: Duration,
     /// Time between further looks.
@@ -43,6 +45,7 @@
             order_handover: Duration::from_millis(3300),
             introduction_time: Duration::from_millis(300),
             concurrent_loads: 2,
+            engines_per_load: 5,
             load_time: Duration::from_millis(900),
             report_interval: Duration::from_millis(150),
             engine_timeout: Duration::from_secs(1),
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -201,3 +201,10 @@
     });
     expect_that!(interrupted, eq(true));
 }
+
+#[gtest]
+fn where_there_are_many_engines_a_share_of_them_loads_at_once() {
+    let mut group = group_of_engines(20);
+    name_version(&mut group, 3);
+    expect_that!(asked(&mut group), len(eq(4)));
+}
