--- a/crates/wingshore-coordinator/src/membership.rs
+++ b/crates/wingshore-coordinator/src/membership.rs
@@ -12,6 +12,8 @@
 const LEARNER_SILENCE: Duration = Duration::from_secs(8);
 /// A joiner that was last heard of longer ago is not taken in.
 const JOINER_SILENCE: Duration = Duration::from_secs(1);
+/// Most voters: each further one makes every commit dearer.
+const MOST_VOTERS: usize = 7;
 
 /// A coordinator that has introduced itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,20 +36,33 @@
     pub heard: &'a BTreeMap<ReplicaId, Joiner>,
     /// Members that hold all that is committed.
     pub caught_up: BTreeSet<ReplicaId>,
-    /// Voters that are wanted.
-    pub voters: usize,
+    /// Members whose loss at one time the group must bear.
+    pub losses_borne: usize,
     /// Members that are to leave, or have left, for good.
     pub retired: &'a BTreeSet<ReplicaId>,
 }
 
 impl MembershipView<'_> {
+    /// The fewest voters that bear the losses.
+    fn fewest_voters(&self) -> usize {
+        2 * self.losses_borne + 1
+    }
+
+    /// Voters that are wanted: an odd number, and as many members as possible. So each majority of
+    /// the members holds a majority of the voters, whichever way the members are cut apart.
+    pub fn wanted_voters(&self) -> usize {
+        let staying = members(self.membership).filter(|member| !self.retired.contains(&member.id));
+        let odd = staying.count().saturating_sub(1) / 2 * 2 + 1;
+        odd.min(MOST_VOTERS).max(self.fewest_voters())
+    }
+
     /// Whether the group would bear a loss right now without this member: it is none, enough
     /// others vote, and all of them hold all that is committed.
     pub fn is_whole_without(&self, id: ReplicaId) -> bool {
         let is_member = members(self.membership).any(|member| member.id == id);
         let voters = &self.membership.voters;
         !is_member
-            && voters.len() >= self.voters
+            && voters.len() >= self.wanted_voters()
             && voters
                 .iter()
                 .all(|voter| self.caught_up.contains(&voter.id))
@@ -111,7 +126,7 @@
         left.insert(view.own);
         left.remove(&id);
         left.retain(|member| !view.retired.contains(member));
-        left.len() >= view.voters
+        left.len() >= view.fewest_voters()
     }
 
     /// The next step towards a group without the members that are to leave: first a successor
@@ -122,7 +137,7 @@
             return Some(MembershipRequest::Remove(learner.id));
         }
         let leaving = view.membership.voters.iter().find(is_retired)?;
-        if view.membership.voters.len() <= view.voters {
+        if view.membership.voters.len() <= view.wanted_voters() {
             let ready = self.ready_learner(now, view)?;
             return Some(MembershipRequest::Promote(ready));
         }
@@ -154,7 +169,7 @@
         view: &MembershipView<'_>,
     ) -> Option<MembershipRequest> {
         let ready = self.ready_learner(now, view)?;
-        if view.membership.voters.len() < view.voters {
+        if view.membership.voters.len() < view.wanted_voters() {
             return Some(MembershipRequest::Promote(ready));
         }
         let voters = view.membership.voters.iter();
--- a/crates/wingshore-coordinator/src/process/members.rs
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -42,7 +42,7 @@
                 .map(|member| member.id)
                 .filter(|id| self.host.is_caught_up(*id))
                 .collect(),
-            voters: self.settings.seed_addresses().len().max(1),
+            losses_borne: self.settings.losses_borne,
             retired,
         }
     }
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -27,6 +27,8 @@
     pub data: PathBuf,
     /// Whether the site begins with this start.
     pub founding: bool,
+    /// Coordinators whose loss at one time the site must bear.
+    pub losses_borne: usize,
     /// Silence after which a member campaigns.
     pub election_timeout: Duration,
     /// Time between a leader's heartbeats.
@@ -41,7 +43,7 @@
     pub server_expiry: Duration,
     /// Time that a new leader leaves to the orders of the one before.
     pub order_handover: Duration,
-    /// Most engines that load weights at once.
+    /// Engines that may load weights at once at any site.
     pub concurrent_loads: usize,
     /// Time that an engine takes to load weights.
     pub load_time: Duration,
--- a/crates/wingshore-coordinator/tests/membership.rs
+++ b/crates/wingshore-coordinator/tests/membership.rs
@@ -15,6 +15,7 @@
     heard: BTreeMap<ReplicaId, Joiner>,
     caught_up: BTreeSet<ReplicaId>,
     retired: BTreeSet<ReplicaId>,
+    losses_borne: usize,
     planner: MembershipPlanner,
 }
 
@@ -42,6 +43,7 @@
             heard: BTreeMap::new(),
             caught_up: [1, 2, 3].map(ReplicaId).into(),
             retired: BTreeSet::new(),
+            losses_borne: 1,
             planner,
         };
         site.hear(2, 2, 0);
@@ -65,7 +67,7 @@
             membership: &self.membership,
             heard: &self.heard,
             caught_up: self.caught_up.clone(),
-            voters: 3,
+            losses_borne: self.losses_borne,
             retired: &self.retired,
         }
     }
@@ -206,3 +208,50 @@
     site.caught_up.remove(&ReplicaId(3));
     expect_that!(site.view().is_whole_without(ReplicaId(9)), eq(false));
 }
+
+#[gtest]
+fn a_group_that_is_to_bear_two_losses_grows_to_five_voters() {
+    let mut site = Site::new();
+    site.losses_borne = 2;
+    for (id, machine) in [(4, 4), (5, 5)] {
+        site.hear(id, machine, 0);
+        site.membership.learners.push(member(id, machine));
+        site.caught_up.insert(ReplicaId(id));
+    }
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Promote(ReplicaId(4))))
+    );
+}
+
+#[gtest]
+fn of_six_members_five_vote_so_that_each_majority_of_members_can_commit() {
+    let mut site = Site::new();
+    for (id, machine) in [(4, 4), (5, 5), (6, 6)] {
+        site.hear(id, machine, 0);
+        site.membership.learners.push(member(id, machine));
+    }
+    expect_that!(site.view().wanted_voters(), eq(5));
+    site.membership.learners.pop();
+    site.membership.learners.pop();
+    expect_that!(site.view().wanted_voters(), eq(3));
+}
+
+#[gtest]
+fn a_machine_can_be_emptied_only_while_enough_are_left_to_bear_the_losses() {
+    let mut site = Site::new();
+    for (id, machine) in [(4, 4), (5, 5)] {
+        site.hear(id, machine, 0);
+        site.membership.voters.push(member(id, machine));
+    }
+    let leaving = ReplicaId(5);
+    expect_that!(
+        site.planner.can_retire(site.now, leaving, &site.view()),
+        eq(true)
+    );
+    site.losses_borne = 2;
+    expect_that!(
+        site.planner.can_retire(site.now, leaving, &site.view()),
+        eq(false)
+    );
+}
