--- a/crates/wingshore-node/tests/shares.rs
+++ b/crates/wingshore-node/tests/shares.rs
@@ -7,8 +7,10 @@
 use common::{ENGINES, MODEL, TestNode, engine_site, wait_until};
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use std::sync::Arc;
+use std::io::ErrorKind;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 use wingshore_types::configuration::{ConfigurationChange, Permille, Service, ServiceKind};
@@ -24,13 +26,50 @@
 /// What is counted of the busier side before the two are compared.
 const ENOUGH: usize = 300;
 
-/// What the engine served, and how many requests of each class it had at once.
+/// What the engine served, and how many requests it had at once.
 #[derive(Default)]
 struct Served {
     live: AtomicUsize,
     rollout: AtomicUsize,
-    at_once: AtomicUsize,
-    most_at_once: AtomicUsize,
+    open: OpenRequests,
+}
+
+/// Requests that the engine works on. One whose connection the node has closed is none any more:
+/// an engine drops it.
+#[derive(Default)]
+struct OpenRequests {
+    streams: Mutex<Vec<(usize, TcpStream)>>,
+    next: AtomicUsize,
+    most: AtomicUsize,
+}
+
+impl OpenRequests {
+    fn begin(&self, stream: &TcpStream) -> usize {
+        let number = self.next.fetch_add(1, Ordering::SeqCst);
+        let own = stream.try_clone().expect("a socket can be cloned");
+        let mut streams = self.streams.lock().unwrap();
+        streams.retain(|(_, stream)| is_open(stream));
+        streams.push((number, own));
+        self.most.fetch_max(streams.len(), Ordering::SeqCst);
+        number
+    }
+
+    fn end(&self, number: usize) {
+        let mut streams = self.streams.lock().unwrap();
+        streams.retain(|(open, _)| *open != number);
+    }
+
+    fn most(&self) -> usize {
+        self.most.load(Ordering::SeqCst)
+    }
+}
+
+/// Whether the other side has not closed the connection. Nothing more is read from it otherwise.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("a socket has flags");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("a socket has flags");
+    matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
 }
 
 fn engine(served: Arc<Served>) -> BackEnd {
@@ -41,10 +80,9 @@
         if arrived.target != "/v1/completions" {
             return write_whole(stream, 200, "", b"{}");
         }
-        let at_once = served.at_once.fetch_add(1, Ordering::SeqCst) + 1;
-        served.most_at_once.fetch_max(at_once, Ordering::SeqCst);
+        let number = served.open.begin(stream);
         thread::sleep(SERVICE_TIME);
-        served.at_once.fetch_sub(1, Ordering::SeqCst);
+        served.open.end(number);
         let body: Value = serde_json::from_slice(&arrived.body).unwrap_or_default();
         let is_live = body["priority"] == json!(LIVE_PRIORITY);
         let class = if is_live {
@@ -157,10 +195,7 @@
         ge((live + rollout) / 3),
         "rollouts have their half"
     );
-    expect_that!(
-        served.most_at_once.load(Ordering::SeqCst),
-        le(SLOTS as usize)
-    );
+    expect_that!(served.open.most(), le(SLOTS as usize));
     for caller in callers {
         caller.join().expect("a caller ends");
     }
