--- a/crates/wingshore-consensus/src/entry.rs
+++ b/crates/wingshore-consensus/src/entry.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::sync::Arc;
+use wingshore_types::codec::encode_exactly;
 use wingshore_types::log::{LogRecord, StoredSnapshot};
+use wingshore_types::protocol::byte_vector;
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::{LogIndex, ReplicaId};
 
@@ -91,6 +93,7 @@
     /// What it is for.
     pub kind: EntryKind,
     /// The command, or the encoded membership.
+    #[serde(with = "byte_vector")]
     pub data: Arc<[u8]>,
 }
 
@@ -193,6 +196,7 @@
     /// The members as of the snapshot's index.
     pub membership: Membership,
     /// The replicated state, as it encodes itself.
+    #[serde(with = "byte_vector")]
     pub state: Vec<u8>,
 }
 
@@ -200,7 +204,7 @@
     /// As bytes.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, CodecError> {
         let what = "snapshot";
-        postcard::to_allocvec(&(SNAPSHOT_FORMAT, self)).context(EncodeSnafu { what })
+        encode_exactly(&(SNAPSHOT_FORMAT, self)).context(EncodeSnafu { what })
     }
 
     /// The contents of a stored snapshot.
--- a/crates/wingshore-consensus/src/message.rs
+++ b/crates/wingshore-consensus/src/message.rs
@@ -3,6 +3,7 @@
 use crate::entry::Entry;
 use serde::{Deserialize, Serialize};
 use wingshore_types::LogIndex;
+use wingshore_types::protocol::byte_vector;
 
 /// A message and the sender's term.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -133,5 +134,6 @@
     /// Where the part begins.
     pub offset: u64,
     /// The part.
+    #[serde(with = "byte_vector")]
     pub data: Vec<u8>,
 }
--- a/crates/wingshore-consensus/src/persistence.rs
+++ b/crates/wingshore-consensus/src/persistence.rs
@@ -126,7 +126,7 @@
         let entries = log.slice(first, log.last_index(), usize::MAX);
         let batch = WriteBatch {
             hard_state: self.encode_hard_state(hard_state)?,
-            snapshot: self.snapshot.take().map(|snapshot| (*snapshot).clone()),
+            snapshot: self.snapshot.take(),
             truncate_from: self.truncate_from.take(),
             append: entries.iter().map(Entry::to_record).collect(),
             discard_through: self.discard_through.take(),
--- a/crates/wingshore-consensus/src/snapshot.rs
+++ b/crates/wingshore-consensus/src/snapshot.rs
@@ -55,6 +55,7 @@
             state,
         };
         let data = contents.encode()?;
+        drop(contents);
         let snapshot = Arc::new(StoredSnapshot { index, term, data });
         let through = self
             .log
@@ -142,7 +143,7 @@
                 index: chunk.index,
                 term: chunk.term,
                 total: chunk.total,
-                data: Vec::new(),
+                data: Vec::with_capacity(capacity_for(chunk.total)),
             },
         };
         if chunk.offset == incoming.received() {
@@ -194,6 +195,13 @@
     }
 }
 
+/// What is set aside for a snapshot of `total` bytes, by the word of its sender.
+fn capacity_for(total: u64) -> usize {
+    /// Not more than this before the bytes are there.
+    const MOST: usize = 256 << 20;
+    usize::try_from(total).map_or(MOST, |total| total.min(MOST))
+}
+
 /// At most `length` bytes from `offset`.
 fn part_of(data: &[u8], offset: u64, length: usize) -> &[u8] {
     let from = usize::try_from(offset)
--- a/crates/wingshore-consensus/tests/support/disk.rs
+++ b/crates/wingshore-consensus/tests/support/disk.rs
@@ -27,7 +27,7 @@
             contents.hard_state = batch.hard_state.clone();
         }
         if count > 1 && batch.snapshot.is_some() {
-            contents.snapshot = batch.snapshot.clone();
+            contents.snapshot = batch.snapshot.as_deref().cloned();
         }
         if let Some(from) = batch.truncate_from.filter(|_| count > 2) {
             contents.records.retain(|record| record.index < from);
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
+use wingshore_types::codec::encode_exactly;
 use wingshore_types::machine::{ReplicatedState, RestoreError};
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
@@ -179,7 +180,7 @@
 
     fn snapshot(&self) -> Vec<u8> {
         // The state holds only types that the codec can encode.
-        postcard::to_allocvec(self).unwrap_or_default()
+        encode_exactly(self).unwrap_or_default()
     }
 
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
--- a/crates/wingshore-storage/src/frame.rs
+++ b/crates/wingshore-storage/src/frame.rs
@@ -26,13 +26,19 @@
 
 /// Appends a frame with `payload` to `out`, to stand at `offset` of its file.
 pub(crate) fn encode(salt: u64, offset: u64, payload: &[u8], out: &mut Vec<u8>) {
-    let length = payload.len() as u32;
-    out.extend_from_slice(&MAGIC);
-    out.extend_from_slice(&length.to_le_bytes());
-    out.extend_from_slice(&checksum(salt, offset, payload).to_le_bytes());
+    out.extend_from_slice(&header(salt, offset, payload));
     out.extend_from_slice(payload);
 }
 
+/// The bytes before `payload` in a frame that is to stand at `offset` of its file.
+pub(crate) fn header(salt: u64, offset: u64, payload: &[u8]) -> [u8; HEADER_BYTES] {
+    let mut header = [0; HEADER_BYTES];
+    header[..4].copy_from_slice(&MAGIC);
+    header[4..8].copy_from_slice(&(payload.len() as u32).to_le_bytes());
+    header[8..].copy_from_slice(&checksum(salt, offset, payload).to_le_bytes());
+    header
+}
+
 /// Largest payload that a frame can hold, in bytes.
 pub(crate) const MOST_PAYLOAD_BYTES: usize = u32::MAX as usize;
 
--- a/crates/wingshore-storage/src/snapshot.rs
+++ b/crates/wingshore-storage/src/snapshot.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use std::io;
 use std::path::Path;
+use wingshore_types::codec::encode_exactly;
 
 /// Name of the snapshot of a group.
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
@@ -24,16 +25,16 @@
 ) -> Result<(), StorageError> {
     let path = directory.join(name);
     let aside = directory.join(format!("{name}{TEMPORARY_SUFFIX}"));
-    let payload = postcard::to_stdvec(value)
+    let payload = encode_exactly(value)
         .map_err(io::Error::other)
         .during("encode", &path)?;
     if payload.len() > frame::MOST_PAYLOAD_BYTES {
         return Err(io::Error::from(io::ErrorKind::FileTooLarge)).during("encode", &path);
     }
-    let mut bytes = Vec::with_capacity(payload.len());
-    frame::encode(WHOLE_FILE_SALT, 0, &payload, &mut bytes);
+    let header = frame::header(WHOLE_FILE_SALT, 0, &payload);
     let mut file = fs.create(&aside).during("create", &aside)?;
-    file.append(&bytes).during("write", &aside)?;
+    file.append(&header).during("write", &aside)?;
+    file.append(&payload).during("write", &aside)?;
     file.sync().during("sync", &aside)?;
     fs.rename(&aside, &path).during("rename", &aside)?;
     fs.sync_directory(directory)
--- a/crates/wingshore-storage/tests/damage.rs
+++ b/crates/wingshore-storage/tests/damage.rs
@@ -29,11 +29,11 @@
 
 fn snapshot(index: u64) -> WriteBatch {
     WriteBatch {
-        snapshot: Some(StoredSnapshot {
+        snapshot: Some(Arc::new(StoredSnapshot {
             index: LogIndex(index),
             term: 1,
             data: vec![7; 100],
-        }),
+        })),
         discard_through: Some(LogIndex(index)),
         ..WriteBatch::default()
     }
--- a/crates/wingshore-storage/tests/full_disk.rs
+++ b/crates/wingshore-storage/tests/full_disk.rs
@@ -95,11 +95,11 @@
     let (mut store, _) = open(&disk);
     write_with_refusals(&disk, &mut store, &append(1..=3), 0);
     let batch = WriteBatch {
-        snapshot: Some(StoredSnapshot {
+        snapshot: Some(Arc::new(StoredSnapshot {
             index: LogIndex(3),
             term: 1,
             data: vec![7; 1000],
-        }),
+        })),
         append: vec![record(4)],
         discard_through: Some(LogIndex(3)),
         ..WriteBatch::default()
--- a/crates/wingshore-storage/tests/model.rs
+++ b/crates/wingshore-storage/tests/model.rs
@@ -80,12 +80,12 @@
             }
             Kind::Compact { at, keep_behind } => {
                 let index = base + at.min(last - base);
-                batch.snapshot = snapshot(index, self.term_at(index));
+                batch.snapshot = snapshot(index, self.term_at(index)).map(Arc::new);
                 batch.discard_through = Some(LogIndex(index.saturating_sub(keep_behind)));
             }
             Kind::Install { ahead, truncate } => {
                 let index = last + ahead;
-                batch.snapshot = snapshot(index, term);
+                batch.snapshot = snapshot(index, term).map(Arc::new);
                 batch.truncate_from = truncate.then_some(LogIndex(1));
                 next = index + 1;
             }
@@ -116,7 +116,7 @@
             states.push(self.log.clone());
         }
         if let Some(snapshot) = &batch.snapshot {
-            self.log.snapshot = Some(snapshot.clone());
+            self.log.snapshot = Some(snapshot.as_ref().clone());
             let mut found = self.log.clone();
             if self.is_overridden() {
                 found.records.clear();
--- a/crates/wingshore-types/src/lib.rs
+++ b/crates/wingshore-types/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`platform`] and [`api`] as JSON over HTTP.
 
 pub mod api;
+pub mod codec;
 pub mod configuration;
 pub mod generator;
 pub mod ids;
--- a/crates/wingshore-types/src/log.rs
+++ b/crates/wingshore-types/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::LogIndex;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// One log entry as it stands on disk; the payload's format belongs to the consensus crate.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,8 +34,8 @@
 pub struct WriteBatch {
     /// Replaces the hard state (term and vote), encoded by the consensus crate.
     pub hard_state: Option<Vec<u8>>,
-    /// Replaces the snapshot.
-    pub snapshot: Option<StoredSnapshot>,
+    /// Replaces the snapshot; shared, since it may be large.
+    pub snapshot: Option<Arc<StoredSnapshot>>,
     /// Removes the records from this index on.
     pub truncate_from: Option<LogIndex>,
     /// Adds records; the first one follows the last one kept.
--- a/crates/wingshore-types/src/protocol/byte_vector.rs
+++ b/crates/wingshore-types/src/protocol/byte_vector.rs
@@ -1,4 +1,5 @@
-//! Byte vectors encoded as one piece rather than byte by byte: `#[serde(with = "byte_vector")]`.
+//! Byte vectors, and shared ones, encoded as one piece rather than byte by byte:
+//! `#[serde(with = "byte_vector")]`.
 //!
 //! In `postcard` both forms are the same bytes; this one is only faster.
 
@@ -21,8 +22,13 @@
 ///
 /// # Errors
 /// As the deserializer's.
-pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
-    deserializer.deserialize_byte_buf(BytesVisitor)
+pub fn deserialize<'de, D, B>(deserializer: D) -> Result<B, D::Error>
+where
+    D: Deserializer<'de>,
+    B: From<Vec<u8>>,
+{
+    let bytes = deserializer.deserialize_byte_buf(BytesVisitor)?;
+    Ok(B::from(bytes))
 }
 
 struct BytesVisitor;
