--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Batch jobs: what was submitted, and the results listed so far.
 
 use crate::ids::{ItemId, JobId, ModelName};
-use crate::messages::ItemText;
+use crate::text::{ItemText, ResultText};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,6 +26,25 @@
     pub items: Vec<JobItem>,
 }
 
+impl JobSubmission {
+    /// The same job with items that are only names.
+    fn without_contents(&self) -> Self {
+        let name_of = |item: &JobItem| JobItem {
+            id: item.id.clone(),
+            path: String::new(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            tokens: item.tokens,
+            expected_output: item.expected_output,
+            group: String::new(),
+        };
+        Self {
+            items: self.items.iter().map(name_of).collect(),
+            ..self.clone()
+        }
+    }
+}
+
 /// One item of a batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobItem {
@@ -63,7 +82,7 @@
     /// How it ended.
     pub state: ItemState,
     /// The data of all events, separated by line feeds.
-    pub text: String,
+    pub text: ResultText,
     /// The weight versions that made them, in the order of their first event.
     pub versions: Vec<u64>,
 }
@@ -76,7 +95,7 @@
     /// How it ended.
     pub state: ItemState,
     /// The data of all events, separated by line feeds.
-    pub text: String,
+    pub text: ResultText,
     /// The weight versions that made them.
     pub versions: Vec<u64>,
 }
@@ -146,10 +165,12 @@
         self.kept.get(&index)
     }
 
-    /// The caller has ended the job: nothing more of it is run.
+    /// The caller has ended the job: nothing more of it is run, so that what its items were is not
+    /// needed any more.
     pub fn end(&mut self) {
         self.ended = true;
         self.kept.clear();
+        self.submission = Arc::new(self.submission.without_contents());
     }
 
     /// Whether the item at `index` is listed.
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -3,8 +3,9 @@
 use super::engines::Engines;
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId};
 use crate::jobs::JobItem;
-use crate::messages::{AssignmentId, ItemText};
+use crate::messages::AssignmentId;
 use crate::state::CoordinationState;
+use crate::text::ItemText;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use wingshore_types::{Epoch, Instant};
 
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -283,8 +283,9 @@
         .iter()
         .skip(start)
         .take_while(|result| {
-            let fits = bytes == 0 || bytes + result.text.len() + RESULT_OVERHEAD <= most_bytes;
-            bytes += result.text.len() + RESULT_OVERHEAD;
+            let size = result.text.length() + RESULT_OVERHEAD;
+            let fits = bytes == 0 || bytes + size <= most_bytes;
+            bytes += size;
             fits
         })
         .cloned()
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -18,10 +18,11 @@
 use crate::ids::{GatewayId, InstanceId, JobId, ModelName};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
-    ItemText, Reply, Request, RunningItem, SiteView, ViewChange,
+    Reply, Request, RunningItem, SiteView, ViewChange,
 };
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
+use crate::text::ItemText;
 use engines::Engines;
 use items::Items;
 use jobs::JobClock;
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -4,10 +4,9 @@
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{GatewayId, InstanceId, ItemKey};
 use crate::jobs::{ItemState, ListedResult};
-use crate::messages::{
-    AssignmentId, CoordinatorMessage, ItemOutcome, ItemText, NotRunReason, RunningItem,
-};
+use crate::messages::{AssignmentId, CoordinatorMessage, ItemOutcome, NotRunReason, RunningItem};
 use crate::state::{Command, CoordinationState};
+use crate::text::{FinishedText, ItemText, ResultText};
 use std::time::Duration;
 use wingshore_types::Instant;
 use wingshore_types::machine::LeaderOutput;
@@ -226,7 +225,7 @@
     fn list_success(
         &mut self,
         item: &ItemKey,
-        text: ItemText,
+        text: FinishedText,
         finished: (GatewayId, AssignmentId),
         out: &mut Outputs,
     ) {
@@ -250,7 +249,7 @@
         let result = ListedResult {
             index: item.index,
             state: ItemState::Abandoned,
-            text: String::new(),
+            text: ResultText::default(),
             versions: Vec::new(),
         };
         self.list(item, result, None, out);
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -15,6 +15,7 @@
 mod registry;
 mod routes;
 mod state;
+mod text;
 
 pub use configuration::{
     ConfigurationError, EngineProfile, IngressLimits, Route, RouteKind, RouteTarget, Service,
@@ -28,10 +29,11 @@
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame};
 pub use messages::{
-    AssignmentId, CallReply, CoordinatorMessage, DurablePrefix, GatewayHello, GatewayMessage,
-    GatewayStatus, ItemAssignment, ItemOutcome, ItemProgress, ItemText, JobPage, NotRunReason,
-    Reply, Request, RunningItem, SiteView, ViewChange,
+    AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
+    ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply, Request, RunningItem,
+    SiteView, ViewChange,
 };
 pub use registry::{Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
 pub use state::{Command, CoordinationState, OrderHolder};
+pub use text::{DurablePrefix, FinishedText, ItemText, ResultText, TextError};
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -4,6 +4,7 @@
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ResultRecord};
 use crate::registry::{Heartbeat, ServerRecord};
+use crate::text::{DurablePrefix, FinishedText, ItemText};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -335,79 +336,11 @@
     pub priority: u8,
 }
 
-/// Text of an item from its first event on, over all tries that made it.
-///
-/// It travels with the item, so that a change of leaders loses nothing of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ItemText {
-    /// The data of the events, separated by line feeds.
-    pub text: String,
-    /// How many events.
-    pub events: u64,
-    /// Identifier of the last one.
-    pub last_event: Option<u64>,
-    /// The versions that made them, in the order of their first event.
-    pub versions: Vec<u64>,
-}
-
-/// How much of an item's text the group's log holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DurablePrefix {
-    /// In events.
-    pub events: u64,
-    /// In bytes of text.
-    pub bytes: usize,
-}
-
-impl ItemText {
-    /// The events behind `prefix`, as a text of their own.
-    pub fn after(&self, prefix: DurablePrefix) -> Self {
-        let rest = self.text.get(prefix.bytes..).unwrap_or_default();
-        // The line feed between two events belongs to neither.
-        let rest = match prefix.events {
-            0 => rest,
-            _ => rest.strip_prefix('\n').unwrap_or(rest),
-        };
-        Self {
-            text: rest.to_owned(),
-            events: self.events.saturating_sub(prefix.events),
-            last_event: self.last_event,
-            versions: self.versions.clone(),
-        }
-    }
-
-    /// Adds the events of `more` at the end.
-    pub fn extend(&mut self, more: Self) {
-        if more.events == 0 {
-            return;
-        }
-        if self.events > 0 {
-            self.text.push('\n');
-        }
-        self.text.push_str(&more.text);
-        self.events += more.events;
-        self.last_event = more.last_event.or(self.last_event);
-        for version in more.versions {
-            if !self.versions.contains(&version) {
-                self.versions.push(version);
-            }
-        }
-    }
-
-    /// All of it, as a prefix.
-    pub fn extent(&self) -> DurablePrefix {
-        DurablePrefix {
-            events: self.events,
-            bytes: self.text.len(),
-        }
-    }
-}
-
 /// What came of a try at an item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemOutcome {
     /// The stream has ended whole.
-    Finished(ItemText),
+    Finished(FinishedText),
     /// The stream broke off; what came before counts.
     Interrupted {
         /// All events so far, also those of earlier tries.
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -49,7 +49,7 @@
     let job = &group.state.jobs()[&JobId::from("j")];
     job.results
         .iter()
-        .map(|result| (result.state, result.text.clone()))
+        .map(|result| (result.state, result.text.unpack().unwrap()))
         .collect()
 }
 
@@ -62,7 +62,7 @@
         &mut group,
         gateway,
         &assigned[0],
-        ItemOutcome::Finished(text(3)),
+        ItemOutcome::Finished(text(3).into()),
     );
     expect_that!(
         results(&group),
@@ -102,7 +102,12 @@
     let mut whole = second.kept.clone();
     whole.text.push_str("\nevent 3");
     whole.events += 1;
-    end(&mut group, gateway, &second, ItemOutcome::Finished(whole));
+    end(
+        &mut group,
+        gateway,
+        &second,
+        ItemOutcome::Finished(whole.into()),
+    );
     expect_that!(
         results(&group),
         elements_are![eq(&(ItemState::Succeeded, text(3).text))]
@@ -158,7 +163,12 @@
 fn the_gateway_keeps_a_finished_text_until_it_is_committed() {
     let (mut group, gateway) = group_with_job(1);
     let first = group.assignments().remove(0);
-    end(&mut group, gateway, &first, ItemOutcome::Finished(text(1)));
+    end(
+        &mut group,
+        gateway,
+        &first,
+        ItemOutcome::Finished(text(1).into()),
+    );
     let release = Effect::ToGateway(
         gateway,
         CoordinatorMessage::Release {
@@ -172,8 +182,18 @@
 fn a_result_that_is_told_twice_is_listed_once() {
     let (mut group, gateway) = group_with_job(1);
     let first = group.assignments().remove(0);
-    end(&mut group, gateway, &first, ItemOutcome::Finished(text(1)));
-    end(&mut group, gateway, &first, ItemOutcome::Finished(text(1)));
+    end(
+        &mut group,
+        gateway,
+        &first,
+        ItemOutcome::Finished(text(1).into()),
+    );
+    end(
+        &mut group,
+        gateway,
+        &first,
+        ItemOutcome::Finished(text(1).into()),
+    );
     expect_that!(results(&group), len(eq(1)));
 }
 
@@ -312,3 +332,22 @@
     group.heartbeat(engine("new", 2));
     expect_that!(group.assignments(), len(eq(1)));
 }
+
+#[gtest]
+fn an_ended_job_keeps_its_results_and_lets_the_contents_of_its_items_go() {
+    let (mut group, gateway) = group_with_job(2);
+    let first = group.assignments().remove(0);
+    let outcome = ItemOutcome::Finished(text(3).into());
+    end(&mut group, gateway, &first, outcome);
+    group.ask(Request::EndJob(JobId::from("j")));
+    expect_that!(
+        results(&group),
+        elements_are![eq(&(ItemState::Succeeded, text(3).text))]
+    );
+    let job = &group.state.jobs()[&JobId::from("j")];
+    expect_that!(job.submission.items, len(eq(2)));
+    for item in &job.submission.items {
+        expect_that!(item.body, is_empty());
+        expect_that!(item.headers, is_empty());
+    }
+}
--- a/crates/wingshore-coordination/tests/state_properties.rs
+++ b/crates/wingshore-coordination/tests/state_properties.rs
@@ -32,7 +32,7 @@
         } else {
             ItemState::Abandoned
         },
-        text,
+        text: wingshore_coordination::ResultText::pack(&text),
         versions: vec![1],
     })
 }
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -1,13 +1,13 @@
 //! Calls about batch jobs, passed on to the group's leader.
 
 use crate::process::Gateway;
-use crate::protocol::{BatchAnswer, BatchCall};
+use crate::protocol::{BatchAnswer, BatchCall, ReadPage};
 use crate::timers::TimerKey;
-use slog::info;
+use slog::{info, warn};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{CallReply, GatewayMessage, IncomingFrame, Reply, Request};
+use wingshore_coordination::{CallReply, GatewayMessage, IncomingFrame, JobPage, Reply, Request};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::WholeRequest;
 use wingshore_types::Instant;
@@ -192,7 +192,7 @@
         let answer = match (&call.request, reply) {
             (Request::SubmitJob(_), Reply::Done) => BatchAnswer::Accepted,
             (Request::EndJob(_), Reply::Done) => BatchAnswer::Ended,
-            (_, Reply::Page(page)) => BatchAnswer::Page(page),
+            (_, Reply::Page(page)) => self.read_page(&page),
             (_, Reply::Item(body)) => BatchAnswer::Item(body),
             (_, Reply::Refused(reason)) => BatchAnswer::Refused(reason),
             (_, _) => BatchAnswer::Unknown,
@@ -207,6 +207,16 @@
         self.answer_batch(now, call.client, &answer);
     }
 
+    fn read_page(&self, page: &JobPage) -> BatchAnswer {
+        match ReadPage::unpack(page) {
+            Ok(page) => BatchAnswer::Page(page),
+            Err(error) => {
+                warn!(self.logger, "results not read"; "error" => %error);
+                BatchAnswer::Unavailable(COME_BACK)
+            }
+        }
+    }
+
     fn answer_batch(&mut self, now: Instant, client: ConnectionId, answer: &BatchAnswer) {
         let answer = self.protocol.write_batch(answer);
         self.answer_client(now, client, &answer);
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -204,7 +204,7 @@
         let outcome = match head.status {
             421 => ItemOutcome::NotRun(NotRunReason::Mismatch),
             _ if not_run => ItemOutcome::NotRun(NotRunReason::Full),
-            200..=299 if clean => ItemOutcome::Finished(std::mem::take(&mut run.text)),
+            200..=299 if clean => ItemOutcome::Finished(std::mem::take(&mut run.text).into()),
             200..=299 => run.interrupted(false),
             422 => ItemOutcome::Impossible,
             _ => ItemOutcome::Failed,
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -27,6 +27,8 @@
 pub use error::GatewayError;
 pub use event_stream::{EventReader, StreamEvent, take_whole_events};
 pub use process::Gateway;
-pub use protocol::{BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer};
+pub use protocol::{
+    BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer, ReadPage, ReadResult,
+};
 pub use settings::GatewaySettings;
 pub use view::View;
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -1,7 +1,7 @@
 //! What a deployment's wire must translate.
 
 use std::time::Duration;
-use wingshore_coordination::{ItemId, JobId, JobPage, JobSubmission};
+use wingshore_coordination::{ItemId, ItemState, JobId, JobPage, JobSubmission, TextError};
 use wingshore_net::http::{HttpAnswer, RequestHead, WholeRequest};
 
 /// Names of the headers that a gateway reads or sets.
@@ -61,7 +61,7 @@
     /// The job is accepted.
     Accepted,
     /// Results.
-    Page(JobPage),
+    Page(ReadPage),
     /// Body of an item.
     Item(Vec<u8>),
     /// The job is ended.
@@ -76,6 +76,52 @@
     Refused(String),
 }
 
+/// Results of a job from a position on, as a client reads them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadPage {
+    /// Items of the job.
+    pub total: u64,
+    /// Position of the first result here.
+    pub from: u64,
+    /// Results in order.
+    pub results: Vec<ReadResult>,
+}
+
+/// One result, as a client reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadResult {
+    /// The item.
+    pub id: ItemId,
+    /// How it ended.
+    pub state: ItemState,
+    /// The data of all events, separated by line feeds.
+    pub text: String,
+    /// The weight versions that made them.
+    pub versions: Vec<u64>,
+}
+
+impl ReadPage {
+    /// The page with its texts unpacked.
+    ///
+    /// # Errors
+    /// When a text is damaged.
+    pub fn unpack(page: &JobPage) -> Result<Self, TextError> {
+        let results = page.results.iter().map(|result| {
+            Ok(ReadResult {
+                id: result.id.clone(),
+                state: result.state,
+                text: result.text.unpack()?,
+                versions: result.versions.clone(),
+            })
+        });
+        Ok(Self {
+            total: page.total,
+            from: page.from,
+            results: results.collect::<Result<_, TextError>>()?,
+        })
+    }
+}
+
 /// A gateway's own answer to a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnAnswer {
