--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -176,7 +176,9 @@
         if let Some(address) = settings.directory {
             listen(&mut reactor, address, CALLER_LIMIT)?;
         }
-        let internal = settings.internal_address();
+        let internal = settings
+            .internal_bind
+            .unwrap_or_else(|| settings.internal_address());
         let internal_listener = listen(&mut reactor, internal, LINK_LIMIT)?;
         let metrics_listener = settings
             .metrics
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -21,6 +21,9 @@
     pub metrics: Option<SocketAddr>,
     /// Port for the site's own processes; the same on all machines.
     pub internal_port: u16,
+    /// Where to listen for the site's own processes, where that is not where they reach this one:
+    /// behind a translation of addresses.
+    pub internal_bind: Option<SocketAddr>,
     /// Addresses of coordinators as far as known when the settings were written.
     pub seeds: Vec<IpAddr>,
     /// The data folder.
