coordinator: one that joins hears of all members; a voter that is gone is replaced before the group grows

Two disks are lost at the end while all machines lose power. So one of five voters was dead, and two more lost their disks. A second fault beside it: where both were taken in, the dead one counted as a member, and the group grew to seven voters with it. Ruled out: late catching up (members that were taken in voted within 0.7 s). Change: a coordinator tells others the members it knows, and one that is no member yet dials them. Only members that are heard of count for the number of voters; a silent voter gives its place before the group grows; a long silent one leaves where more vote than are wanted.

--- a/crates/wingshore-coordination/src/links.rs
+++ b/crates/wingshore-coordination/src/links.rs
@@ -17,6 +17,9 @@
     pub internal: SocketAddr,
     /// Where it listens for operators, trainers and servers.
     pub control: SocketAddr,
+    /// Where the members that it knows listen for the site's own processes: one that is to join
+    /// may know only some of them.
+    pub members: Vec<SocketAddr>,
 }
 
 /// What arrives at a coordinator's internal port.
--- a/crates/wingshore-coordinator/src/membership.rs
+++ b/crates/wingshore-coordinator/src/membership.rs
@@ -48,21 +48,27 @@
         2 * self.losses_borne + 1
     }
 
-    /// Voters that are wanted: an odd number, and as many members as possible. So each majority of
-    /// the members holds a majority of the voters, whichever way the members are cut apart.
-    pub fn wanted_voters(&self) -> usize {
-        let staying = members(self.membership).filter(|member| !self.retired.contains(&member.id));
-        let odd = staying.count().saturating_sub(1) / 2 * 2 + 1;
+    /// Voters that are wanted: an odd number, and as many of the members that are there as
+    /// possible. So each majority of them holds a majority of the voters, whichever way they are
+    /// cut apart.
+    pub fn wanted_voters(&self, now: Instant) -> usize {
+        let is_there = |member: &&Member| {
+            let heard = self.heard.get(&member.id);
+            let is_heard = heard.is_some_and(|joiner| now.since(joiner.heard) < VOTER_SILENCE);
+            (member.id == self.own || is_heard) && !self.retired.contains(&member.id)
+        };
+        let there = members(self.membership).filter(is_there).count();
+        let odd = there.saturating_sub(1) / 2 * 2 + 1;
         odd.min(MOST_VOTERS).max(self.fewest_voters())
     }
 
     /// Whether the group would bear a loss right now without this member: it is none, enough
     /// others vote, and all of them hold all that is committed.
-    pub fn is_whole_without(&self, id: ReplicaId) -> bool {
+    pub fn is_whole_without(&self, now: Instant, id: ReplicaId) -> bool {
         let is_member = members(self.membership).any(|member| member.id == id);
         let voters = &self.membership.voters;
         !is_member
-            && voters.len() >= self.wanted_voters()
+            && voters.len() >= self.wanted_voters(now)
             && voters
                 .iter()
                 .all(|voter| self.caught_up.contains(&voter.id))
@@ -89,6 +95,7 @@
             .or_else(|| self.learner_to_promote(now, view))
             .or_else(|| self.joiner_to_add(now, view))
             .or_else(|| self.silent_learner(now, view))
+            .or_else(|| self.superfluous_voter(now, view))
     }
 
     /// A member whose address now belongs to another identity: its folder is lost.
@@ -137,7 +144,7 @@
             return Some(MembershipRequest::Remove(learner.id));
         }
         let leaving = view.membership.voters.iter().find(is_retired)?;
-        if view.membership.voters.len() <= view.wanted_voters() {
+        if view.membership.voters.len() <= view.wanted_voters(now) {
             let ready = self.ready_learner(now, view)?;
             return Some(MembershipRequest::Promote(ready));
         }
@@ -169,14 +176,38 @@
         view: &MembershipView<'_>,
     ) -> Option<MembershipRequest> {
         let ready = self.ready_learner(now, view)?;
-        if view.membership.voters.len() < view.wanted_voters() {
-            return Some(MembershipRequest::Promote(ready));
+        let voters = view.membership.voters.len();
+        let silent = self.silent_voter(now, VOTER_SILENCE, view);
+        match silent {
+            Some(silent) if voters >= view.fewest_voters() => {
+                Some(MembershipRequest::Remove(silent))
+            }
+            _ => (voters < view.wanted_voters(now)).then_some(MembershipRequest::Promote(ready)),
         }
-        let voters = view.membership.voters.iter();
-        let silent = voters
-            .filter(|voter| voter.id != view.own)
-            .find(|voter| self.silence(now, voter.id, view) >= VOTER_SILENCE)?;
-        Some(MembershipRequest::Remove(silent.id))
+    }
+
+    /// A voter that has long been silent, where more vote than are wanted: each loss weighs less
+    /// without it.
+    fn superfluous_voter(
+        &self,
+        now: Instant,
+        view: &MembershipView<'_>,
+    ) -> Option<MembershipRequest> {
+        let is_superfluous = view.membership.voters.len() > view.wanted_voters(now);
+        let silent = self.silent_voter(now, LEARNER_SILENCE, view);
+        let silent = silent.filter(|_| is_superfluous);
+        silent.map(MembershipRequest::Remove)
+    }
+
+    fn silent_voter(
+        &self,
+        now: Instant,
+        limit: Duration,
+        view: &MembershipView<'_>,
+    ) -> Option<ReplicaId> {
+        let voters = view.membership.voters.iter().map(|voter| voter.id);
+        let mut others = voters.filter(|voter| *voter != view.own);
+        others.find(|voter| self.silence(now, *voter, view) >= limit)
     }
 
     fn joiner_to_add(&self, now: Instant, view: &MembershipView<'_>) -> Option<MembershipRequest> {
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -31,6 +31,7 @@
             node: self.settings.node.clone(),
             internal: self.settings.internal_address(),
             control: self.settings.control,
+            members: self.member_addresses(),
         };
         let frame = IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello));
         self.send_frame(connection, &frame);
@@ -188,18 +189,25 @@
         for connection in links {
             self.introduce(connection);
         }
+        let coordinators = self.member_addresses();
+        self.send_to_all_gateways(&CoordinatorMessage::Alive { coordinators });
+    }
+
+    /// Where the members listen for the site's own processes.
+    fn member_addresses(&self) -> Vec<SocketAddr> {
         let membership = self.host.membership();
         let members = membership.voters.iter().chain(&membership.learners);
-        let coordinators = members.map(|member| member.address).collect();
-        self.send_to_all_gateways(&CoordinatorMessage::Alive { coordinators });
+        members.map(|member| member.address).collect()
     }
 
     /// Connects to all members and seeds there is no connection to.
     pub(super) fn dial_members(&mut self, now: Instant) {
         let own = self.settings.internal_address();
-        let membership = self.host.membership();
-        let members = membership.voters.iter().chain(&membership.learners);
-        let mut wanted: Vec<SocketAddr> = members.map(|member| member.address).collect();
+        let mut wanted = self.member_addresses();
+        if !wanted.contains(&own) {
+            // The leader must hear of this one before it can be a member.
+            wanted.extend(self.hellos.values().flat_map(|hello| &hello.members));
+        }
         wanted.extend(self.settings.seed_addresses());
         wanted.sort_unstable();
         wanted.dedup();
--- a/crates/wingshore-coordinator/src/process/members.rs
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -100,7 +100,10 @@
             return ControlAnswer::NoSuchMachine;
         };
         let retired = self.retired_members();
-        if self.membership_view(&retired).is_whole_without(*member) {
+        if self
+            .membership_view(&retired)
+            .is_whole_without(now, *member)
+        {
             ControlAnswer::Retired
         } else {
             ControlAnswer::Retiring
--- a/crates/wingshore-coordinator/tests/membership.rs
+++ b/crates/wingshore-coordinator/tests/membership.rs
@@ -185,9 +185,15 @@
         site.plan(),
         some(eq(&MembershipRequest::Remove(ReplicaId(2))))
     );
-    expect_that!(site.view().is_whole_without(ReplicaId(2)), eq(false));
+    expect_that!(
+        site.view().is_whole_without(site.now, ReplicaId(2)),
+        eq(false)
+    );
     site.membership.voters.remove(1);
-    expect_that!(site.view().is_whole_without(ReplicaId(2)), eq(true));
+    expect_that!(
+        site.view().is_whole_without(site.now, ReplicaId(2)),
+        eq(true)
+    );
     expect_that!(site.plan(), none(), "what has left is not taken in again");
 }
 
@@ -206,7 +212,10 @@
 fn a_group_is_not_whole_while_a_voter_lags() {
     let mut site = Site::new();
     site.caught_up.remove(&ReplicaId(3));
-    expect_that!(site.view().is_whole_without(ReplicaId(9)), eq(false));
+    expect_that!(
+        site.view().is_whole_without(site.now, ReplicaId(9)),
+        eq(false)
+    );
 }
 
 #[gtest]
@@ -231,10 +240,10 @@
         site.hear(id, machine, 0);
         site.membership.learners.push(member(id, machine));
     }
-    expect_that!(site.view().wanted_voters(), eq(5));
+    expect_that!(site.view().wanted_voters(site.now), eq(5));
     site.membership.learners.pop();
     site.membership.learners.pop();
-    expect_that!(site.view().wanted_voters(), eq(3));
+    expect_that!(site.view().wanted_voters(site.now), eq(3));
 }
 
 #[gtest]
@@ -255,3 +264,41 @@
         eq(false)
     );
 }
+
+/// Two machines were replaced while their predecessors still voted: five voters became seven, two
+/// of them gone, and a loss of two more left no majority.
+#[gtest]
+fn a_voter_that_is_gone_is_replaced_before_the_group_grows() {
+    let mut site = Site::new();
+    site.losses_borne = 2;
+    for (id, machine) in [(4, 4), (5, 5)] {
+        site.hear(id, machine, 0);
+        site.membership.voters.push(member(id, machine));
+    }
+    site.hear(3, 3, 5_000);
+    for (id, machine) in [(6, 6), (7, 7)] {
+        site.hear(id, machine, 0);
+        site.membership.learners.push(member(id, machine));
+        site.caught_up.insert(ReplicaId(id));
+    }
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Remove(ReplicaId(3))))
+    );
+}
+
+#[gtest]
+fn a_voter_that_has_long_been_gone_leaves_where_fewer_bear_the_losses() {
+    let mut site = Site::new();
+    for (id, machine) in [(4, 4), (5, 5)] {
+        site.hear(id, machine, 0);
+        site.membership.voters.push(member(id, machine));
+    }
+    site.hear(5, 5, 20_000);
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::Remove(ReplicaId(5))))
+    );
+    site.losses_borne = 2;
+    expect_that!(site.plan(), none(), "five voters are the fewest");
+}
