--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -121,6 +121,18 @@
     lag: u64,
 }
 
+/// Order in which loads begin: what is of no use any more first, of these the model that the
+/// fewest engines can run, so that no model's items wait while others' engines are renewed.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct LoadRank {
+    is_still_usable: bool,
+    /// Engines that can run the model.
+    usable: usize,
+    lag: std::cmp::Reverse<u64>,
+    long_running: usize,
+    instance: InstanceId,
+}
+
 /// All loading that is under way.
 #[derive(Default)]
 pub(crate) struct Rollout {
@@ -267,10 +279,13 @@
             return;
         }
         self.count_long_items();
-        wanted.sort_by_key(|load| {
-            let long_running = self.long_running(&load.instance);
-            let instance = load.instance.clone();
-            (std::cmp::Reverse(load.lag), long_running, instance)
+        let usable = self.usable_engines(state);
+        wanted.sort_by_cached_key(|load| LoadRank {
+            is_still_usable: load.lag <= 1,
+            usable: usable.get(&load.model).copied().unwrap_or(0),
+            lag: std::cmp::Reverse(load.lag),
+            long_running: self.long_running(&load.instance),
+            instance: load.instance.clone(),
         });
         let most = self.most_loads();
         for load in wanted {
@@ -284,6 +299,23 @@
         }
     }
 
+    /// How many engines can run what asks for the version before the newest, or are about to.
+    fn usable_engines(&self, state: &CoordinationState) -> BTreeMap<ModelName, usize> {
+        let mut usable: BTreeMap<ModelName, usize> = BTreeMap::new();
+        for (instance, engine) in self.engines.iter() {
+            for entry in &engine.record.models {
+                let named = state.named_versions().get(&entry.model).copied();
+                let load = self.rollout.loads.get(instance);
+                let is_loading = load.is_some_and(|load| load.model == entry.model);
+                let is_usable = entry.version + 1 >= named.unwrap_or(0);
+                if !engine.record.draining && (is_usable || is_loading) {
+                    *usable.entry(entry.model.clone()).or_default() += 1;
+                }
+            }
+        }
+        usable
+    }
+
     /// Engines that may load at once: the weight store serves a share of them at full speed.
     fn most_loads(&self) -> usize {
         let settings = &self.settings;
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -208,3 +208,35 @@
     name_version(&mut group, 3);
     expect_that!(asked(&mut group), len(eq(4)));
 }
+
+/// Two models were named at once, and all loads went to the one whose engines come first.
+#[gtest]
+fn the_model_that_fewer_engines_can_run_is_loaded_first() {
+    let mut group = Group::new();
+    group.add_gateway(1);
+    // All engines serve both models; six can run "m", none "n", which is fewer versions behind.
+    for number in 0..10 {
+        let mut server = engine(&format!("e{number}"), if number < 4 { 1 } else { 4 });
+        server.models.push(ModelVersion {
+            model: ModelName::from("n"),
+            version: 2,
+        });
+        group.heartbeat(server);
+    }
+    name_version(&mut group, 5);
+    let model = ModelName::from("n");
+    group.ask(Request::NameVersion { model, version: 5 });
+    // The first loads are those of the model that was named first. Once they are over, the others
+    // follow.
+    for instance in asked(&mut group) {
+        report(&mut group, &instance, 5, false);
+    }
+    for instance in asked(&mut group) {
+        report(&mut group, &instance, 1, false);
+    }
+    let ordered = orders(&mut group);
+    assert_that!(ordered, not(is_empty()));
+    for order in ordered {
+        expect_that!(order.model.as_str(), eq("n"));
+    }
+}
