coordinator: a new leader orders at once where the machine that held orders has restarted

Ruled out: a slow election (0.63 s after the restart); engines that refuse (none did). Change: coordinators tell how long they have been running. A machine whose process began within the time that is waited out counts as lost just before. What was lost when is a small decision of its own (`lost`).

--- a/crates/wingshore-coordination/src/links.rs
+++ b/crates/wingshore-coordination/src/links.rs
@@ -3,6 +3,7 @@
 use crate::messages::{GatewayHello, GatewayMessage};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 use wingshore_types::ReplicaId;
 use wingshore_types::protocol::byte_vector;
 
@@ -17,6 +18,8 @@
     pub internal: SocketAddr,
     /// Where it listens for operators, trainers and servers.
     pub control: SocketAddr,
+    /// How long its process has been running.
+    pub up: Duration,
     /// Where the members that it knows listen for the site's own processes: one that is to join
     /// may know only some of them.
     pub members: Vec<SocketAddr>,
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -11,7 +11,7 @@
 mod engine_calls;
 mod error;
 mod identity;
-
+mod lost;
 mod membership;
 mod metrics;
 mod process;
@@ -21,6 +21,7 @@
 
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
+pub use lost::LostMachines;
 pub use membership::{Joiner, MembershipPlanner, MembershipView};
 pub use process::Coordinator;
 pub use protocol::{
--- /dev/null
+++ b/crates/wingshore-coordinator/src/lost.rs
@@ -0,0 +1,45 @@
+//! Machines of coordinators that were lost a short while ago. A decision without I/O.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_types::Instant;
+
+/// A process must be younger than the time asked for by this much to count as lost before.
+const RESTART_MARGIN: Duration = Duration::from_millis(500);
+
+/// When each machine was last lost.
+///
+/// A machine is lost when its last connection ends, and when its process turns out to have begun a
+/// short while ago: nothing more is to come from its life before.
+#[derive(Debug, Default)]
+pub struct LostMachines {
+    at: BTreeMap<String, Instant>,
+}
+
+impl LostMachines {
+    /// The last connection to a machine has ended.
+    pub fn lost(&mut self, now: Instant, node: &str) {
+        self.at.insert(node.to_owned(), now);
+    }
+
+    /// A machine's process has been running for `up`. Says whether that is news of a loss within
+    /// `window`.
+    pub fn heard(&mut self, now: Instant, node: &str, up: Duration, window: Duration) -> bool {
+        if up + RESTART_MARGIN >= window {
+            return false;
+        }
+        let began = now - up;
+        let known = self.at.get(node);
+        if known.is_some_and(|lost| *lost + RESTART_MARGIN >= began) {
+            return false;
+        }
+        self.at.insert(node.to_owned(), began);
+        true
+    }
+
+    /// Machines that were lost within `window`.
+    pub fn within(&self, now: Instant, window: Duration) -> Vec<String> {
+        let lately = self.at.iter().filter(|(_, at)| now.since(**at) < window);
+        lately.map(|(node, _)| node.clone()).collect()
+    }
+}
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -31,6 +31,7 @@
             node: self.settings.node.clone(),
             internal: self.settings.internal_address(),
             control: self.settings.control,
+            up: self.clock.now().since(Instant::ZERO),
             members: self.member_addresses(),
         };
         let frame = IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello));
@@ -133,6 +134,11 @@
             link.coordinator = Some(hello.id);
             self.introduce(connection);
         }
+        let window = self.settings.order_handover;
+        if self.lost.heard(now, &hello.node, hello.up, window) {
+            let event = Event::CoordinatorsLost(vec![hello.node.clone()]);
+            self.inputs.push(HostInput::Event(event));
+        }
         self.hellos.insert(hello.id, hello);
     }
 
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -10,6 +10,7 @@
 use crate::engine_calls::EngineCalls;
 use crate::error::{CoordinatorError, GroupSnafu, NetSnafu, StorageSnafu, ThreadSnafu};
 use crate::identity;
+use crate::lost::LostMachines;
 use wingshore_net::Clock;
 
 use crate::membership::{Joiner, MembershipPlanner};
@@ -129,8 +130,7 @@
     /// Coordinators by identity, as they introduced themselves.
     heard: BTreeMap<ReplicaId, Joiner>,
     hellos: BTreeMap<ReplicaId, CoordinatorHello>,
-    /// When the last connection to each coordinator's machine was lost.
-    lost_at: BTreeMap<String, Instant>,
+    lost: LostMachines,
     /// Connections that lead to a coordinator, newest last.
     routes: BTreeMap<ReplicaId, Vec<ConnectionId>>,
     directory: Directory,
@@ -209,7 +209,7 @@
             dials: BTreeMap::new(),
             heard: BTreeMap::new(),
             hellos: BTreeMap::new(),
-            lost_at: BTreeMap::new(),
+            lost: LostMachines::default(),
             routes: BTreeMap::new(),
             directory: Directory::default(),
             engines: EngineCalls::new(engine_protocol),
@@ -356,7 +356,7 @@
         }
         if !lost.is_empty() {
             for node in &lost {
-                self.lost_at.insert(node.clone(), now);
+                self.lost.lost(now, node);
             }
             let event = Event::CoordinatorsLost(lost);
             self.inputs.push(HostInput::Event(event));
