coordination: which engine loads next has a module of its own

The choice moved to leader/load_choice.rs, which asks the rollout for what it needs; no decision changed.

--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -4,6 +4,7 @@
 mod engines;
 mod items;
 mod jobs;
+mod load_choice;
 mod moves;
 mod outcomes;
 mod placement;
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -110,29 +110,6 @@
     tries: u32,
 }
 
-/// A load that would bring an engine to a named version.
-struct WantedLoad {
-    instance: InstanceId,
-    service: ServiceName,
-    model: ModelName,
-    /// The newest named version.
-    named: u64,
-    /// How many versions the engine is behind.
-    lag: u64,
-}
-
-/// Order in which loads begin: what is of no use any more first, of these the model that the
-/// fewest engines can run, so that no model's items wait while others' engines are renewed.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct LoadRank {
-    is_still_usable: bool,
-    /// Engines that can run the model.
-    usable: usize,
-    lag: std::cmp::Reverse<u64>,
-    long_running: usize,
-    instance: InstanceId,
-}
-
 /// All loading that is under way.
 #[derive(Default)]
 pub(crate) struct Rollout {
@@ -149,7 +126,37 @@
         self.may_order = true;
     }
 
-    fn active(&self) -> usize {
+    /// The model whose weights an engine is to load.
+    pub(super) fn model_loaded_by(&self, instance: &InstanceId) -> Option<&ModelName> {
+        self.loads.get(instance).map(|load| &load.model)
+    }
+
+    /// Loads of one version that have begun so far.
+    pub(super) fn begun_loads(&self, model: &ModelName, version: u64) -> usize {
+        let key = (model.clone(), version);
+        self.begun.get(&key).copied().unwrap_or(0)
+    }
+
+    /// An engine is to load a version: it is looked at first.
+    pub(super) fn begin_load(
+        &mut self,
+        now: Instant,
+        instance: InstanceId,
+        model: ModelName,
+        version: u64,
+    ) {
+        *self.begun.entry((model.clone(), version)).or_default() += 1;
+        let load = Load {
+            model,
+            version,
+            phase: Phase::Asked(now),
+            tries: 0,
+        };
+        self.loads.insert(instance, load);
+    }
+
+    /// Engines that are loading.
+    pub(super) fn active(&self) -> usize {
         self.loads
             .values()
             .filter(|load| !matches!(load.phase, Phase::LeftAlone(_)))
@@ -263,7 +270,7 @@
         }
     }
 
-    fn ask_report(&self, instance: &InstanceId, out: &mut Outputs) {
+    pub(super) fn ask_report(&self, instance: &InstanceId, out: &mut Outputs) {
         if let Some(engine) = self.engines.get(instance) {
             let effect = Effect::AskReport {
                 instance: instance.clone(),
@@ -273,149 +280,6 @@
         }
     }
 
-    fn begin_loads(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
-        let mut wanted = self.wanted_loads(state);
-        if wanted.is_empty() {
-            return;
-        }
-        self.count_long_items();
-        let usable = self.usable_engines(state);
-        wanted.sort_by_cached_key(|load| LoadRank {
-            is_still_usable: load.lag <= 1,
-            usable: usable.get(&load.model).copied().unwrap_or(0),
-            lag: std::cmp::Reverse(load.lag),
-            long_running: self.long_running(&load.instance),
-            instance: load.instance.clone(),
-        });
-        let most = self.most_loads();
-        for load in wanted {
-            if self.rollout.active() >= most {
-                return;
-            }
-            if self.rollout.loads.contains_key(&load.instance) || !self.is_worth_it(&load) {
-                continue;
-            }
-            self.begin_load(now, load, out);
-        }
-    }
-
-    /// How many engines can run what asks for the version before the newest, or are about to.
-    fn usable_engines(&self, state: &CoordinationState) -> BTreeMap<ModelName, usize> {
-        let mut usable: BTreeMap<ModelName, usize> = BTreeMap::new();
-        for (instance, engine) in self.engines.iter() {
-            for entry in &engine.record.models {
-                let named = state.named_versions().get(&entry.model).copied();
-                let load = self.rollout.loads.get(instance);
-                let is_loading = load.is_some_and(|load| load.model == entry.model);
-                let is_usable = entry.version + 1 >= named.unwrap_or(0);
-                if !engine.record.draining && (is_usable || is_loading) {
-                    *usable.entry(entry.model.clone()).or_default() += 1;
-                }
-            }
-        }
-        usable
-    }
-
-    /// Engines that may load at once: the weight store serves a share of them at full speed.
-    fn most_loads(&self) -> usize {
-        let settings = &self.settings;
-        let share = self.engines.iter().count() / settings.engines_per_load.max(1);
-        share.max(settings.concurrent_loads)
-    }
-
-    fn begin_load(&mut self, now: Instant, wanted: WantedLoad, out: &mut Outputs) {
-        let WantedLoad {
-            instance,
-            model,
-            named,
-            ..
-        } = wanted;
-        self.ask_report(&instance, out);
-        let begun = self.rollout.begun.entry((model.clone(), named));
-        *begun.or_default() += 1;
-        let load = Load {
-            model,
-            version: named,
-            phase: Phase::Asked(now),
-            tries: 0,
-        };
-        self.rollout.loads.insert(instance, load);
-    }
-
-    /// All loads that would bring an engine to a named version.
-    fn wanted_loads(&self, state: &CoordinationState) -> Vec<WantedLoad> {
-        let mut wanted = Vec::new();
-        for (instance, engine) in self.engines.iter() {
-            if engine.record.draining || self.rollout.loads.contains_key(instance) {
-                continue;
-            }
-            for entry in &engine.record.models {
-                let named = state.named_versions().get(&entry.model).copied();
-                let named = named.unwrap_or(0);
-                if named > entry.version {
-                    wanted.push(WantedLoad {
-                        instance: instance.clone(),
-                        service: engine.record.service.clone(),
-                        model: entry.model.clone(),
-                        named,
-                        lag: named - entry.version,
-                    });
-                }
-            }
-        }
-        wanted
-    }
-
-    /// Whether a load should begin now.
-    ///
-    /// Work may run on the newest version and the one before, so an engine one version behind is
-    /// still of use: it loads only within its model's share of the loads of this version, and not
-    /// while long items would stand still for it. An engine that is further behind loads, unless
-    /// it has long items and others carry its model meanwhile.
-    fn is_worth_it(&self, load: &WantedLoad) -> bool {
-        let has_long_items = self.long_running(&load.instance) > 0;
-        if load.lag > 1 {
-            return !has_long_items || !self.others_carry(load);
-        }
-        let key = (load.model.clone(), load.named);
-        let begun = self.rollout.begun.get(&key).copied().unwrap_or(0);
-        !has_long_items && begun < self.share_of_loads(load)
-    }
-
-    /// How many engines of a service load one version of a model, where its models take turns.
-    fn share_of_loads(&self, load: &WantedLoad) -> usize {
-        let engines = self.engines.of_service(&load.service).count();
-        let models = self
-            .engines
-            .get(&load.instance)
-            .map_or(1, |engine| engine.record.models.len());
-        engines / models.max(1)
-    }
-
-    /// Whether at least half of the engines that serve a model can run what asks for the version
-    /// before the newest.
-    fn others_carry(&self, load: &WantedLoad) -> bool {
-        let (mut all, mut usable) = (0, 0);
-        for (_, engine) in self.engines.of_service(&load.service) {
-            let Some(version) = engine.record.version_of(&load.model) else {
-                continue;
-            };
-            if engine.record.draining {
-                continue;
-            }
-            all += 1;
-            let is_usable = version + 1 >= load.named && engine.loading.is_none();
-            usable += usize::from(is_usable);
-        }
-        usable * 2 >= all
-    }
-
-    fn long_running(&self, instance: &InstanceId) -> usize {
-        self.engines
-            .get(instance)
-            .map_or(0, |engine| engine.long_running)
-    }
-
     pub(crate) fn on_reported(
         &mut self,
         now: Instant,
