replica/tests: each site has a loopback address of its own

The wait goes on only for an address in use (any other error panics), so a listener held the port that had been found free on 127.0.0.1 beforehand: admin listeners of the same tests take free ports there. Ruled out: the changed storage (other errors would have been said); load (60 s). Change: ports are looked for on an address that only this site uses. Nothing that is checked changed.

--- a/crates/wingshore-replica/tests/support/mod.rs
+++ b/crates/wingshore-replica/tests/support/mod.rs
@@ -3,9 +3,10 @@
 
 pub mod disk;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 use wingshore_client::GroupClient;
@@ -47,8 +48,9 @@
 
     /// Formats founding members 1 to `count`.
     pub fn formatted(count: usize) -> Self {
+        let host = own_host();
         let listeners: Vec<_> = (0..count)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .map(|_| TcpListener::bind((host, 0)).expect("a free port"))
             .collect();
         let addresses: Vec<_> = listeners
             .iter()
@@ -250,3 +252,15 @@
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     wait_for(what, || condition().then_some(()));
 }
+
+/// A loopback address that no other site uses. Ports that are found free on a shared one are taken
+/// at times by other listeners, before the replica that they were found for starts.
+fn own_host() -> IpAddr {
+    static SITES: AtomicU8 = AtomicU8::new(1);
+    /// Second parts of the addresses of these sites begin here.
+    const FIRST: u32 = 20;
+    const COUNT: u32 = 60;
+    let process = FIRST + std::process::id() % COUNT;
+    let site = SITES.fetch_add(1, Ordering::Relaxed);
+    IpAddr::from([127, process as u8, site, 1])
+}
