--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -1,7 +1,9 @@
 //! Batch jobs: what was submitted, and the results listed so far.
 
 use crate::ids::{ItemId, JobId, ModelName};
-use crate::text::{ItemText, ResultText};
+use crate::messages::AssignmentId;
+use crate::scoring::{Scorer, UnscoredText};
+use crate::text::{FinishedText, ItemText, ResultText};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -37,6 +39,7 @@
             tokens: item.tokens,
             expected_output: item.expected_output,
             group: String::new(),
+            scorer: None,
         };
         Self {
             items: self.items.iter().map(name_of).collect(),
@@ -63,6 +66,8 @@
     pub expected_output: Option<u64>,
     /// Items of one group share their prompt and count only together.
     pub group: String,
+    /// What scores its text; `None` where texts have no score.
+    pub scorer: Option<Scorer>,
 }
 
 /// How an item ended.
@@ -85,6 +90,8 @@
     pub text: ResultText,
     /// The weight versions that made them, in the order of their first event.
     pub versions: Vec<u64>,
+    /// What its scorer said; `None` without one.
+    pub score: Option<String>,
 }
 
 /// A listed result; its position in the job never changes.
@@ -98,6 +105,8 @@
     pub text: ResultText,
     /// The weight versions that made them.
     pub versions: Vec<u64>,
+    /// What its scorer said; `None` without one.
+    pub score: Option<String>,
 }
 
 /// An accepted batch job.
@@ -113,6 +122,8 @@
     listed: Vec<bool>,
     /// The first events of items that are not listed.
     kept: BTreeMap<u32, ItemText>,
+    /// Whole texts that wait for their scores; of items that are not listed.
+    unscored: BTreeMap<u32, UnscoredText>,
     /// Whether the caller has ended it.
     pub ended: bool,
 }
@@ -126,6 +137,7 @@
             results: Vec::new(),
             listed,
             kept: BTreeMap::new(),
+            unscored: BTreeMap::new(),
             ended: false,
         }
     }
@@ -140,18 +152,71 @@
             return false;
         }
         self.kept.remove(&result.index);
+        self.unscored.remove(&result.index);
         self.results.push(Arc::new(ResultRecord {
             id: item.id.clone(),
             state: result.state,
             text: result.text,
             versions: result.versions,
+            score: result.score,
         }));
         true
     }
 
+    /// Keeps the whole text of an item until it has a score; the first one counts.
+    pub fn keep_unscored(&mut self, index: u32, made_by: AssignmentId, text: FinishedText) {
+        if self.ended || self.is_listed(index) || self.unscored.contains_key(&index) {
+            return;
+        }
+        self.kept.remove(&index);
+        let unscored = UnscoredText {
+            made_by,
+            text,
+            failures: 0,
+        };
+        self.unscored.insert(index, unscored);
+    }
+
+    /// Lists an item with its score, if its text is the one that was scored.
+    pub fn list_scored(&mut self, index: u32, made_by: AssignmentId, score: String) -> bool {
+        let is_scored_text = |unscored: &UnscoredText| unscored.made_by == made_by;
+        if !self.unscored.get(&index).is_some_and(is_scored_text) {
+            return false;
+        }
+        let Some(unscored) = self.unscored.remove(&index) else {
+            return false;
+        };
+        self.list(ListedResult {
+            index,
+            state: ItemState::Succeeded,
+            text: unscored.text.text,
+            versions: unscored.text.versions,
+            score: Some(score),
+        })
+    }
+
+    /// Scoring servers have failed for an item, `failures` times.
+    pub fn count_scoring_failures(&mut self, index: u32, made_by: AssignmentId, failures: u32) {
+        if let Some(unscored) = self.unscored.get_mut(&index)
+            && unscored.made_by == made_by
+        {
+            unscored.failures = unscored.failures.saturating_add(failures);
+        }
+    }
+
+    /// The whole text of an item that waits for its score.
+    pub fn unscored(&self, index: u32) -> Option<&UnscoredText> {
+        self.unscored.get(&index)
+    }
+
+    /// All items whose texts wait for their scores.
+    pub fn unscored_items(&self) -> impl Iterator<Item = (u32, &UnscoredText)> {
+        self.unscored.iter().map(|(index, text)| (*index, text))
+    }
+
     /// Keeps events of an item that follow those kept before; others are dropped.
     pub fn keep(&mut self, index: u32, after_events: u64, text: ItemText) {
-        if self.is_listed(index) || self.ended {
+        if self.is_listed(index) || self.ended || self.unscored.contains_key(&index) {
             return;
         }
         let kept = self.kept.entry(index).or_default();
@@ -170,6 +235,7 @@
     pub fn end(&mut self) {
         self.ended = true;
         self.kept.clear();
+        self.unscored.clear();
         self.submission = Arc::new(self.submission.without_contents());
     }
 
--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{GatewayId, InstanceId, ItemId, JobId, ModelName};
 use crate::messages::AssignmentId;
+use crate::scoring::ScoringDecision;
 
 impl Decision {
     /// The request that the decision is about, where it went well: lines about such ones may be
@@ -9,6 +10,7 @@
     pub fn sampled_by(&self) -> Option<&ItemId> {
         match self {
             Self::ItemAssigned { item, .. } | Self::ItemListed { item, .. } => Some(item),
+            Self::Scoring(ScoringDecision::Assigned { id, .. }) => Some(id),
             _ => None,
         }
     }
@@ -103,6 +105,8 @@
         /// Time since the job was known here.
         age: std::time::Duration,
     },
+    /// About a scoring.
+    Scoring(ScoringDecision),
     /// An item was given up.
     ItemAbandoned {
         /// The job.
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -125,13 +125,17 @@
             let contents = job.submission.items.get(index as usize);
             let expected = contents.and_then(|item| item.expected_output).unwrap_or(0);
             let outlasted = contents.is_some_and(|item| self.outlasting.contains(&item.id));
+            let has_text = job.unscored(index).is_some();
             let progress = Progress {
+                ended: has_text,
                 expected: if outlasted { u64::MAX } else { expected },
                 is_long: outlasted || expected >= long_from,
                 ..Progress::default()
             };
             self.progress.insert(item.clone(), progress);
-            self.wait(item);
+            if !has_text {
+                self.wait(item);
+            }
         }
     }
 
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -1,6 +1,7 @@
 //! Submitting, reading and ending batch jobs.
 
 use super::outcomes::release;
+use super::scoring::release_scoring;
 use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
 use crate::ids::{ItemKey, JobId};
 use crate::jobs::{Job, JobSubmission};
@@ -54,11 +55,33 @@
         if state.jobs().contains_key(&submission.id) {
             return reply(tag, Reply::Done, out);
         }
+        if let Some(reason) = self.missing_scorer_route(&submission, state) {
+            return reply(tag, Reply::Refused(reason), out);
+        }
         let id = submission.id.clone();
         self.job_clock.known_since.entry(id.clone()).or_insert(now);
         self.propose(Command::AcceptJob(submission), Waiter::Job(id, tag), out);
     }
 
+    /// Says which item names a scorer that no route leads to.
+    fn missing_scorer_route(
+        &self,
+        submission: &JobSubmission,
+        state: &CoordinationState,
+    ) -> Option<String> {
+        state.configuration()?;
+        submission.items.iter().find_map(|item| {
+            let scorer = item.scorer.as_ref()?;
+            if self.routes.find(&scorer.host, &scorer.path).is_some() {
+                return None;
+            }
+            Some(format!(
+                "item `{}`: its scorer is at `{}{}`; allowed is a host and path that a route leads",
+                item.id, scorer.host, scorer.path
+            ))
+        })
+    }
+
     pub(crate) fn job_accepted(
         &mut self,
         now: Instant,
@@ -200,6 +223,9 @@
             self.note_end(&running);
             release(running.gateway, assignment, out);
         }
+        for (gateway, scoring) in self.scorings.remove_job(&id) {
+            release_scoring(gateway, scoring, out);
+        }
         if job.ended {
             return reply(tag, Reply::Done, out);
         }
@@ -214,12 +240,14 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        if self.items.none_waits() || state.configuration().is_none() {
+        if state.configuration().is_none() {
             return;
         }
+        let unscored = self.scorings.items().cloned();
         let given_up: Vec<ItemKey> = self
             .items
             .waiting()
+            .chain(unscored)
             .filter(|item| self.is_given_up(now, item, state))
             .collect();
         for item in given_up {
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod outcomes;
 mod placement;
 mod rollout;
+mod scoring;
 mod servers;
 mod settings;
 
@@ -16,18 +17,20 @@
 pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
 pub use settings::LeaderSettings;
 
-use crate::ids::{GatewayId, InstanceId, JobId, ModelName};
+use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
     Reply, Request, RunningItem, SiteView, ViewChange,
 };
 use crate::routes::RouteTable;
+use crate::scoring::{RunningScoring, ScoringOutcome};
 use crate::state::{Command, CoordinationState};
 use crate::text::ItemText;
 use engines::Engines;
 use items::Items;
 use jobs::JobClock;
 use rollout::Rollout;
+use scoring::Scorings;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,8 +46,15 @@
     GatewayConnected(GatewayHello),
     /// A gateway tells its state.
     GatewayStatus(GatewayId, GatewayStatus),
-    /// A gateway tells which items it runs.
-    GatewayRunning(GatewayId, Vec<RunningItem>),
+    /// A gateway tells what it has in hand.
+    GatewayRunning {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Tries at items.
+        items: Vec<RunningItem>,
+        /// Scorings.
+        scorings: Vec<RunningScoring>,
+    },
     /// A gateway hands in events of a long item.
     ItemKept {
         /// Which try.
@@ -56,6 +66,17 @@
     },
     /// A gateway tells how far its items are.
     ItemsProgressed(Vec<ItemProgress>),
+    /// A gateway tells which scorings it has in hand.
+    ScoringsInHand(Vec<AssignmentId>),
+    /// A gateway's scoring is over.
+    ScoringEnded {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Which scoring.
+        scoring: AssignmentId,
+        /// What came of it.
+        outcome: ScoringOutcome,
+    },
     /// The connection of a gateway has ended.
     GatewayGone(GatewayId),
     /// A gateway's try at an item is over.
@@ -114,6 +135,10 @@
     pub items_running: usize,
     /// Engines that load weights.
     pub engines_loading: usize,
+    /// Texts that wait for a scoring.
+    pub scorings_waiting: usize,
+    /// Scorings that gateways have in hand.
+    pub scorings_running: usize,
 }
 
 /// Outputs of the leader machine.
@@ -144,6 +169,21 @@
         job: JobId,
         finished: Option<(GatewayId, AssignmentId)>,
     },
+    /// A text was made durable before its score: the gateway keeps it until then.
+    TextKept {
+        gateway: GatewayId,
+        made_by: AssignmentId,
+    },
+    /// A score was committed: the gateway keeps it until then.
+    Scored {
+        item: ItemKey,
+        finished: (GatewayId, AssignmentId),
+    },
+    /// Failures of scoring servers were counted: the gateway keeps them until then.
+    ScoringCounted {
+        gateway: GatewayId,
+        scoring: AssignmentId,
+    },
     /// Nobody.
     Nobody,
     /// Orders may be given from here on.
@@ -169,6 +209,7 @@
     job_clock: JobClock,
     readers: jobs::Readers,
     rollout: Rollout,
+    scorings: Scorings,
     /// The routes of the configuration in force.
     routes: RouteTable,
 }
@@ -195,6 +236,7 @@
             job_clock: JobClock::default(),
             readers: jobs::Readers::default(),
             rollout: Rollout::default(),
+            scorings: Scorings::default(),
             routes: RouteTable::default(),
         }
     }
@@ -208,6 +250,8 @@
             engines_loading: engines
                 .filter(|(_, engine)| engine.loading.is_some())
                 .count(),
+            scorings_waiting: self.scorings.waiting_count(),
+            scorings_running: self.scorings.running_count(),
         }
     }
 
@@ -274,7 +318,13 @@
         self.propose(command, Waiter::Version(tag), out);
     }
 
-    fn on_gateway(&mut self, hello: GatewayHello, state: &CoordinationState, out: &mut Outputs) {
+    fn on_gateway(
+        &mut self,
+        now: Instant,
+        hello: GatewayHello,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
         let gateway = Gateway {
             zone: hello.zone,
             status: hello.status,
@@ -284,13 +334,14 @@
         self.welcome(hello.gateway, state, out);
         self.gateways.insert(hello.gateway, gateway);
         self.items.gateway_lost(hello.gateway, &mut self.engines);
+        self.scoring_gateway_lost(now, hello.gateway);
     }
 
     fn on_running(
         &mut self,
         now: Instant,
         gateway: GatewayId,
-        running: Vec<RunningItem>,
+        (items, scorings): (Vec<RunningItem>, Vec<RunningScoring>),
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
@@ -298,9 +349,12 @@
             return;
         };
         known.introduced = true;
-        for item in running {
+        for item in items {
             self.adopt(gateway, now, item, state, out);
         }
+        for scoring in scorings {
+            self.adopt_scoring(now, gateway, scoring, state, out);
+        }
         self.place_items(now, state, out);
     }
 
@@ -313,7 +367,9 @@
     ) {
         self.gateways.remove(&gateway);
         self.items.gateway_lost(gateway, &mut self.engines);
+        self.scoring_gateway_lost(now, gateway);
         self.place_items(now, state, out);
+        self.place_scorings(now, state, out);
     }
 }
 
@@ -352,6 +408,7 @@
         self.engines.begin(state);
         self.routes = routes_of(state);
         self.items.begin(epoch, state);
+        self.scorings.begin(now, state);
         self.job_clock.begin(now, state.jobs().keys());
         self.begin_rollout(now, state, out);
     }
@@ -433,6 +490,11 @@
                 }
                 self.results_listed(&job, state, out);
             }
+            Waiter::TextKept { gateway, made_by } => outcomes::release(gateway, made_by, out),
+            Waiter::Scored { item, finished } => self.scored(now, &item, finished, state, out),
+            Waiter::ScoringCounted { gateway, scoring } => {
+                scoring::release_scoring(gateway, scoring, out);
+            }
             Waiter::Nobody => {}
             Waiter::Orders => {
                 self.rollout.may_order();
@@ -453,15 +515,23 @@
         out: &mut Outputs,
     ) {
         match event {
-            Event::GatewayConnected(hello) => self.on_gateway(hello, state, out),
+            Event::GatewayConnected(hello) => self.on_gateway(now, hello, state, out),
             Event::GatewayStatus(gateway, status) => {
                 if let Some(known) = self.gateways.get_mut(&gateway) {
                     known.status = status;
                 }
             }
-            Event::GatewayRunning(gateway, running) => {
-                self.on_running(now, gateway, running, state, out);
-            }
+            Event::GatewayRunning {
+                gateway,
+                items,
+                scorings,
+            } => self.on_running(now, gateway, (items, scorings), state, out),
+            Event::ScoringsInHand(scorings) => self.on_scoring(now, &scorings),
+            Event::ScoringEnded {
+                gateway,
+                scoring,
+                outcome,
+            } => self.on_scoring_ended(now, gateway, scoring, outcome, state, out),
             Event::ItemKept {
                 assignment,
                 after_events,
@@ -489,9 +559,11 @@
         self.answer_waiting_readers(now, state, out);
         self.give_up_items(now, state, out);
         self.end_silent_items(now, out);
+        self.end_silent_scorings(now);
         self.forget_jobs(now, state, out);
         self.drive_rollout(now, state, out);
         self.place_items(now, state, out);
+        self.place_scorings(now, state, out);
     }
 }
 
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -1,6 +1,7 @@
 //! What follows from the end of a try at an item.
 
 use super::items::Running;
+use super::scoring::release_scoring;
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{GatewayId, InstanceId, ItemKey};
 use crate::jobs::{ItemState, ListedResult};
@@ -40,7 +41,8 @@
         let is_open = state
             .jobs()
             .get(&item.job)
-            .is_some_and(|job| !job.ended && !job.is_listed(item.index));
+            .filter(|job| !job.ended && !job.is_listed(item.index))
+            .is_some_and(|job| job.unscored(item.index).is_none());
         let is_free = self
             .items
             .progress(&item)
@@ -109,7 +111,7 @@
         out: &mut Outputs,
     ) {
         let Some(running) = self.items.end(assignment) else {
-            return release(gateway, assignment, out);
+            return self.release_unknown(gateway, assignment, out);
         };
         self.note_end(&running);
         let has_ended = self
@@ -120,10 +122,15 @@
             ItemOutcome::Finished(text) if !has_ended => {
                 self.engines.succeeded(&running.instance);
                 let finished = (gateway, assignment);
-                self.list_success(&running.item, text, finished, out);
+                let item = &running.item;
+                if Self::scorer_of(item, state).is_some() {
+                    self.keep_unscored(now, item, text, finished, out);
+                } else {
+                    self.list_success(item, text, finished, out);
+                }
             }
             outcome => {
-                release(gateway, assignment, out);
+                self.release_unknown(gateway, assignment, out);
                 if !has_ended {
                     let decision = Decision::ItemRetried {
                         assignment,
@@ -140,6 +147,14 @@
         self.place_items(now, state, out);
     }
 
+    /// A try is of no use, and neither is the scoring that may have followed it.
+    fn release_unknown(&self, gateway: GatewayId, assignment: AssignmentId, out: &mut Outputs) {
+        release(gateway, assignment, out);
+        if !self.scorings.has(assignment) {
+            release_scoring(gateway, assignment, out);
+        }
+    }
+
     fn take_outcome(
         &mut self,
         now: Instant,
@@ -234,6 +249,7 @@
             state: ItemState::Succeeded,
             text: text.text,
             versions: text.versions,
+            score: None,
         };
         self.list(item, result, Some(finished), out);
     }
@@ -251,7 +267,11 @@
             state: ItemState::Abandoned,
             text: ResultText::default(),
             versions: Vec::new(),
+            score: None,
         };
+        for (gateway, scoring) in self.scorings.remove_item(item) {
+            release_scoring(gateway, scoring, out);
+        }
         self.list(item, result, None, out);
     }
 
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -200,7 +200,7 @@
             gateway,
             after_event: kept.last_event,
         };
-        let message = CoordinatorMessage::Assign(ItemAssignment {
+        let message = CoordinatorMessage::Assign(Box::new(ItemAssignment {
             assignment,
             item: candidate.key.clone(),
             request: item.id.clone(),
@@ -214,7 +214,8 @@
             durable,
             expected_version,
             priority: candidate.route.priority,
-        });
+            scorer: item.scorer.clone(),
+        }));
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
         log(decision, out);
         let running = Running::new(now, candidate.key.clone(), gateway, instance.clone());
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -2,9 +2,9 @@
 //!
 //! One machine gives orders at a time. A new leader claims that in the log before its first
 //! order; where another machine held it before, only after
-//! [`LeaderSettings::order_handover`](super::LeaderSettings::order_handover), unless the connection
-//! to that machine was lost. Orders carry the
-//! leadership as their fence and the engine's count of orders, so that one that is carried out
+//! [`LeaderSettings::order_handover`](super::LeaderSettings::order_handover). Only where engines
+//! refuse lower fences, and the connection to that machine was lost, it need not wait. Orders carry
+//! the leadership as their fence and the engine's count of orders, so that one that is carried out
 //! late does nothing.
 
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
@@ -192,6 +192,9 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        if !self.settings.engines_check_fences {
+            return;
+        }
         let holder = state.order_holder();
         let is_lost = holder.is_some_and(|holder| nodes.contains(&holder.node));
         if is_lost && let Some(claim_at) = &mut self.rollout.claim_at {
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/scoring.rs
@@ -0,0 +1,451 @@
+//! Scorings on the leader's side: which gateway asks for which text's score, and what follows.
+
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
+use crate::ids::{GatewayId, ItemKey, JobId};
+use crate::messages::{AssignmentId, CoordinatorMessage};
+use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome};
+use crate::state::{Command, CoordinationState};
+use crate::text::FinishedText;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::machine::LeaderOutput;
+
+/// A scoring without an answer is tried again after this time at first, and twice as long each
+/// time.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// The longest such time.
+const MOST_PAUSE: Duration = Duration::from_secs(1);
+/// Most scorings that one gateway has in hand by this leader's word.
+const MOST_SCORINGS_OF_A_GATEWAY: usize = 256;
+
+/// A scoring that a gateway has in hand.
+#[derive(Clone, Debug)]
+struct Running {
+    item: ItemKey,
+    made_by: AssignmentId,
+    gateway: GatewayId,
+    /// When the gateway last spoke of it.
+    heard: Instant,
+}
+
+/// A text whose score nobody asks for at present.
+#[derive(Clone, Debug)]
+struct Waiting {
+    made_by: AssignmentId,
+    not_before: Instant,
+}
+
+/// All scorings of this leadership.
+///
+/// Invariant: an item is in at most one of `waiting` and `running`.
+#[derive(Default)]
+pub(crate) struct Scorings {
+    waiting: BTreeMap<ItemKey, Waiting>,
+    running: BTreeMap<AssignmentId, Running>,
+    /// Scorings in a row without a score, by item.
+    tries: BTreeMap<ItemKey, u32>,
+}
+
+impl Scorings {
+    /// A new leadership: every text without a score waits, until a gateway says that it has it in
+    /// hand.
+    pub(crate) fn begin(&mut self, now: Instant, state: &CoordinationState) {
+        for (id, job) in state.jobs().iter().filter(|(_, job)| !job.ended) {
+            for (index, unscored) in job.unscored_items() {
+                let item = ItemKey {
+                    job: id.clone(),
+                    index,
+                };
+                self.wait(item, unscored.made_by, now);
+            }
+        }
+    }
+
+    /// Scorings that gateways have in hand.
+    pub(crate) fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Texts whose score nobody asks for at present.
+    pub(crate) fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Items whose texts have no score yet.
+    pub(crate) fn items(&self) -> impl Iterator<Item = &ItemKey> {
+        let running = self.running.values().map(|running| &running.item);
+        self.waiting.keys().chain(running)
+    }
+
+    fn wait(&mut self, item: ItemKey, made_by: AssignmentId, not_before: Instant) {
+        let waiting = Waiting {
+            made_by,
+            not_before,
+        };
+        self.waiting.insert(item, waiting);
+    }
+
+    fn start(&mut self, scoring: AssignmentId, running: Running) {
+        self.waiting.remove(&running.item);
+        self.running.insert(scoring, running);
+    }
+
+    /// Whether a gateway has this scoring in hand.
+    pub(crate) fn has(&self, scoring: AssignmentId) -> bool {
+        self.running.contains_key(&scoring)
+    }
+
+    fn is_in_hand(&self, item: &ItemKey) -> bool {
+        self.running.values().any(|running| running.item == *item)
+    }
+
+    /// Forgets an item; gives the gateways that have it in hand.
+    pub(crate) fn remove_item(&mut self, item: &ItemKey) -> Vec<(GatewayId, AssignmentId)> {
+        self.remove(|other| other == item)
+    }
+
+    /// Forgets all items of a job; gives the gateways that have them in hand.
+    pub(crate) fn remove_job(&mut self, job: &JobId) -> Vec<(GatewayId, AssignmentId)> {
+        self.remove(|item| item.job == *job)
+    }
+
+    fn remove(&mut self, is_meant: impl Fn(&ItemKey) -> bool) -> Vec<(GatewayId, AssignmentId)> {
+        self.waiting.retain(|item, _| !is_meant(item));
+        self.tries.retain(|item, _| !is_meant(item));
+        let removed = self.take_running(|running| is_meant(&running.item));
+        removed
+            .into_iter()
+            .map(|(scoring, running)| (running.gateway, scoring))
+            .collect()
+    }
+
+    /// Takes out those in hand that are meant.
+    fn take_running(
+        &mut self,
+        is_meant: impl Fn(&Running) -> bool,
+    ) -> Vec<(AssignmentId, Running)> {
+        if !self.running.values().any(&is_meant) {
+            return Vec::new();
+        }
+        let (taken, left) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|(_, running)| is_meant(running));
+        self.running = left;
+        BTreeMap::into_iter(taken).collect()
+    }
+
+    /// How long an item pauses after a scoring without a score.
+    fn next_pause(&mut self, item: &ItemKey) -> Duration {
+        let tries = self.tries.entry(item.clone()).or_default();
+        let factor = 1_u32 << (*tries).min(8);
+        *tries += 1;
+        (FIRST_PAUSE * factor).min(MOST_PAUSE)
+    }
+}
+
+impl CoordinationLeader {
+    /// What scores the text of an item.
+    pub(crate) fn scorer_of<'a>(
+        item: &ItemKey,
+        state: &'a CoordinationState,
+    ) -> Option<&'a Scorer> {
+        let job = state.jobs().get(&item.job)?;
+        let contents = job.submission.items.get(item.index as usize)?;
+        contents.scorer.as_ref()
+    }
+
+    /// A try has made the whole text of an item that is to be scored: the text is made durable
+    /// while the gateway that has it asks for the score.
+    pub(crate) fn keep_unscored(
+        &mut self,
+        now: Instant,
+        item: &ItemKey,
+        text: FinishedText,
+        (gateway, made_by): (GatewayId, AssignmentId),
+        out: &mut Outputs,
+    ) {
+        self.items.finish(item);
+        let running = Running {
+            item: item.clone(),
+            made_by,
+            gateway,
+            heard: now,
+        };
+        self.scorings.start(made_by, running);
+        let command = Command::KeepUnscored {
+            item: item.clone(),
+            made_by,
+            text,
+        };
+        let waiter = Waiter::TextKept { gateway, made_by };
+        self.propose(command, waiter, out);
+    }
+
+    /// A gateway has a scoring in hand that an earlier leader knew of.
+    pub(crate) fn adopt_scoring(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        scoring: RunningScoring,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let RunningScoring {
+            scoring,
+            item,
+            made_by,
+        } = scoring;
+        if self.scorings.running.contains_key(&scoring) {
+            return;
+        }
+        let job = state.jobs().get(&item.job).filter(|job| !job.ended);
+        let kept = job.and_then(|job| job.unscored(item.index));
+        let is_own_text = match kept {
+            Some(kept) => kept.made_by == made_by,
+            // The text may come right behind, from the gateway that made it.
+            None => scoring == made_by && self.items.is_running(made_by),
+        };
+        let is_open = job.is_some_and(|job| !job.is_listed(item.index));
+        if !is_open || !is_own_text || self.scorings.is_in_hand(&item) {
+            return release_scoring(gateway, scoring, out);
+        }
+        let running = Running {
+            item,
+            made_by,
+            gateway,
+            heard: now,
+        };
+        self.scorings.start(scoring, running);
+    }
+
+    /// A gateway speaks of the scorings that it has in hand.
+    pub(crate) fn on_scoring(&mut self, now: Instant, scorings: &[AssignmentId]) {
+        for scoring in scorings {
+            if let Some(running) = self.scorings.running.get_mut(scoring) {
+                running.heard = now;
+            }
+        }
+    }
+
+    /// A gateway is gone: texts that are durable, or about to be, are scored elsewhere.
+    pub(crate) fn scoring_gateway_lost(&mut self, now: Instant, gateway: GatewayId) {
+        self.scorings_lost(now, |running| running.gateway == gateway);
+    }
+
+    /// Scorings that their gateways do not speak of any more are over.
+    pub(crate) fn end_silent_scorings(&mut self, now: Instant) {
+        let limit = self.settings.item_silence;
+        self.scorings_lost(now, |running| now.since(running.heard) > limit);
+    }
+
+    fn scorings_lost(&mut self, now: Instant, is_lost: impl Fn(&Running) -> bool) {
+        for (_, running) in self.scorings.take_running(is_lost) {
+            // Where the text was never told, its item runs again.
+            let progress = self.items.progress(&running.item);
+            if progress.is_some_and(|progress| progress.ended) {
+                self.scorings.wait(running.item, running.made_by, now);
+            }
+        }
+    }
+
+    /// Gives texts that wait for a score to gateways.
+    pub(crate) fn place_scorings(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        if self.scorings.waiting.is_empty() || now < self.place_from {
+            return;
+        }
+        let due: Vec<(ItemKey, AssignmentId)> = self
+            .scorings
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| now >= waiting.not_before)
+            .map(|(item, waiting)| (item.clone(), waiting.made_by))
+            .collect();
+        for (item, made_by) in due {
+            let Some(gateway) = self.choose_scoring_gateway() else {
+                return;
+            };
+            self.assign_scoring(now, item, made_by, gateway, state, out);
+        }
+    }
+
+    fn choose_scoring_gateway(&self) -> Option<GatewayId> {
+        let mut in_hand: BTreeMap<GatewayId, usize> = BTreeMap::new();
+        for running in self.scorings.running.values() {
+            *in_hand.entry(running.gateway).or_default() += 1;
+        }
+        let count = |gateway: &GatewayId| in_hand.get(gateway).copied().unwrap_or(0);
+        self.gateways
+            .iter()
+            .filter(|(_, gateway)| gateway.introduced && gateway.status.takes_items)
+            .map(|(id, _)| (count(id), *id))
+            .filter(|(count, _)| *count < MOST_SCORINGS_OF_A_GATEWAY)
+            .min()
+            .map(|(_, id)| id)
+    }
+
+    fn assign_scoring(
+        &mut self,
+        now: Instant,
+        item: ItemKey,
+        made_by: AssignmentId,
+        gateway: GatewayId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let contents = state
+            .jobs()
+            .get(&item.job)
+            .and_then(|job| job.submission.items.get(item.index as usize));
+        let Some((contents, scorer)) =
+            contents.and_then(|contents| Some((contents, contents.scorer.clone()?)))
+        else {
+            self.scorings.waiting.remove(&item);
+            return;
+        };
+        let scoring = self.items.next_assignment();
+        let decision = ScoringDecision::Assigned {
+            scoring,
+            item: item.clone(),
+            id: contents.id.clone(),
+            request: scorer.request.clone(),
+            gateway,
+        };
+        log(Decision::Scoring(decision), out);
+        let message = CoordinatorMessage::Score(ScoringAssignment {
+            scoring,
+            item: item.clone(),
+            id: contents.id.clone(),
+            made_by,
+            scorer,
+        });
+        out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+        let running = Running {
+            item,
+            made_by,
+            gateway,
+            heard: now,
+        };
+        self.scorings.start(scoring, running);
+    }
+
+    pub(crate) fn on_scoring_ended(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        scoring: AssignmentId,
+        outcome: ScoringOutcome,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(running) = self.scorings.running.remove(&scoring) else {
+            return release_scoring(gateway, scoring, out);
+        };
+        let Running { item, made_by, .. } = running;
+        let reason = outcome.name();
+        match outcome {
+            ScoringOutcome::Scored(score) => {
+                self.scorings.tries.remove(&item);
+                let command = Command::ListScored {
+                    item: item.clone(),
+                    made_by,
+                    score,
+                };
+                let finished = (gateway, scoring);
+                let waiter = Waiter::Scored { item, finished };
+                self.propose(command, waiter, out);
+            }
+            ScoringOutcome::Failed(failures) => {
+                let known = kept_failures(&item, state).saturating_add(failures);
+                if known >= self.most_scoring_attempts(&item, state) {
+                    release_scoring(gateway, scoring, out);
+                    let reason = "its scoring failed as often as the route allows";
+                    return self.abandon(&item, reason, out);
+                }
+                self.retry_scoring(now, scoring, &item, made_by, (reason, known), out);
+                let command = Command::CountScoringFailures {
+                    item,
+                    made_by,
+                    failures,
+                };
+                let waiter = Waiter::ScoringCounted { gateway, scoring };
+                self.propose(command, waiter, out);
+            }
+            ScoringOutcome::NotScored(_) => {
+                release_scoring(gateway, scoring, out);
+                let known = kept_failures(&item, state);
+                self.retry_scoring(now, scoring, &item, made_by, (reason, known), out);
+            }
+        }
+    }
+
+    fn retry_scoring(
+        &mut self,
+        now: Instant,
+        scoring: AssignmentId,
+        item: &ItemKey,
+        made_by: AssignmentId,
+        (reason, failures): (&'static str, u32),
+        out: &mut Outputs,
+    ) {
+        let pause = self.scorings.next_pause(item);
+        self.scorings.wait(item.clone(), made_by, now + pause);
+        let decision = ScoringDecision::Retried {
+            scoring,
+            item: item.clone(),
+            reason,
+            failures,
+            pause,
+        };
+        log(Decision::Scoring(decision), out);
+    }
+
+    /// A score was committed: the item is listed, unless the text that the group holds is another
+    /// try's.
+    pub(crate) fn scored(
+        &mut self,
+        now: Instant,
+        item: &ItemKey,
+        (gateway, scoring): (GatewayId, AssignmentId),
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        release_scoring(gateway, scoring, out);
+        let Some(job) = state.jobs().get(&item.job) else {
+            return;
+        };
+        if job.is_listed(item.index) {
+            self.log_listed(now, &item.job, state, out);
+            return self.results_listed(&item.job, state, out);
+        }
+        if let Some(unscored) = job.unscored(item.index)
+            && !self.scorings.is_in_hand(item)
+        {
+            self.scorings.wait(item.clone(), unscored.made_by, now);
+        }
+    }
+
+    fn most_scoring_attempts(&self, item: &ItemKey, state: &CoordinationState) -> u32 {
+        let scorer = Self::scorer_of(item, state);
+        let route = scorer.and_then(|scorer| self.routes.find(&scorer.host, &scorer.path));
+        route.map_or(u32::MAX, |route| route.max_attempts).max(1)
+    }
+}
+
+/// Failures of scoring servers that the group has counted for an item.
+fn kept_failures(item: &ItemKey, state: &CoordinationState) -> u32 {
+    let job = state.jobs().get(&item.job);
+    let unscored = job.and_then(|job| job.unscored(item.index));
+    unscored.map_or(0, |unscored| unscored.failures)
+}
+
+/// Tells a gateway that a scoring is of no more use.
+pub(crate) fn release_scoring(gateway: GatewayId, scoring: AssignmentId, out: &mut Outputs) {
+    let message = CoordinatorMessage::ReleaseScoring { scoring };
+    out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
+}
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -11,6 +11,9 @@
     pub server_expiry: Duration,
     /// A new leader gives orders only this long after another machine may have given its last.
     pub order_handover: Duration,
+    /// Whether engines refuse orders whose fence is lower than one that they have seen. Where they
+    /// do not look, only time keeps the orders of two machines apart.
+    pub engines_check_fences: bool,
     /// A new leader waits this long for gateways to tell which items they run.
     pub introduction_time: Duration,
     /// Engines that may load weights at once at any site.
@@ -43,6 +46,7 @@
             node: String::new(),
             server_expiry: Duration::from_secs(6),
             order_handover: Duration::from_millis(3300),
+            engines_check_fences: false,
             introduction_time: Duration::from_millis(300),
             concurrent_loads: 2,
             engines_per_load: 5,
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -14,6 +14,7 @@
 mod messages;
 mod registry;
 mod routes;
+mod scoring;
 mod state;
 mod text;
 
@@ -35,5 +36,9 @@
 };
 pub use registry::{Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
+pub use scoring::{
+    NotScoredReason, RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome,
+    UnscoredText,
+};
 pub use state::{Command, CoordinationState, OrderHolder};
 pub use text::{DurablePrefix, FinishedText, ItemText, ResultText, TextError};
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -4,6 +4,7 @@
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ResultRecord};
 use crate::registry::{Heartbeat, ServerRecord};
+use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringOutcome};
 use crate::text::{DurablePrefix, FinishedText, ItemText};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -199,10 +200,17 @@
 pub enum GatewayMessage {
     /// As of now.
     Status(GatewayStatus),
-    /// Answer to a welcome: all items that it runs, or whose end it has not told yet.
-    Running(Vec<RunningItem>),
+    /// Answer to a welcome: all that it has in hand, or whose end it has not told yet.
+    Running {
+        /// Tries at items.
+        items: Vec<RunningItem>,
+        /// Scorings.
+        scorings: Vec<RunningScoring>,
+    },
     /// How far the items are that run.
     Progress(Vec<ItemProgress>),
+    /// The scorings that it has in hand.
+    Scoring(Vec<AssignmentId>),
     /// Events of a long item that are to outlast this gateway and the leader.
     Keep {
         /// The try.
@@ -228,6 +236,13 @@
         /// What came of it.
         outcome: ItemOutcome,
     },
+    /// A scoring is over.
+    ScoringEnded {
+        /// Which one.
+        scoring: AssignmentId,
+        /// What came of it.
+        outcome: ScoringOutcome,
+    },
 }
 
 /// From a coordinator to a gateway.
@@ -255,7 +270,7 @@
         reply: CallReply,
     },
     /// An item to run.
-    Assign(ItemAssignment),
+    Assign(Box<ItemAssignment>),
     /// A try is to be broken off: the item goes on elsewhere.
     Interrupt {
         /// Which try.
@@ -266,6 +281,13 @@
         /// Which try.
         assignment: AssignmentId,
     },
+    /// A text to be scored.
+    Score(ScoringAssignment),
+    /// A scoring is of no more use: one that is under way is ended, one that has ended is forgotten.
+    ReleaseScoring {
+        /// Which one.
+        scoring: AssignmentId,
+    },
     /// A sign of life.
     Alive {
         /// Where coordinators listen for the site's own processes, as far as this one knows.
@@ -334,6 +356,8 @@
     pub expected_version: Option<u64>,
     /// Rank at the engine; 0 is the most urgent.
     pub priority: u8,
+    /// What scores the text once it is whole.
+    pub scorer: Option<Scorer>,
 }
 
 /// What came of a try at an item.
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -4,8 +4,9 @@
 use crate::configuration::SiteConfiguration;
 use crate::ids::{InstanceId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ListedResult};
+use crate::messages::AssignmentId;
 use crate::registry::ServerRecord;
-use crate::text::ItemText;
+use crate::text::{FinishedText, ItemText};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wingshore_types::ReplicaId;
@@ -66,4 +67,31 @@
         /// The events behind them.
         text: ItemText,
     },
+    /// Keeps the whole text of an item until it has a score; the first one of an item counts.
+    KeepUnscored {
+        /// The item.
+        item: ItemKey,
+        /// The try that made the text.
+        made_by: AssignmentId,
+        /// The text.
+        text: FinishedText,
+    },
+    /// Lists an item with its score, if its text is the one of that try.
+    ListScored {
+        /// The item.
+        item: ItemKey,
+        /// The try whose text was scored.
+        made_by: AssignmentId,
+        /// The score.
+        score: String,
+    },
+    /// Counts failures of scoring servers.
+    CountScoringFailures {
+        /// The item.
+        item: ItemKey,
+        /// The try whose text was to be scored.
+        made_by: AssignmentId,
+        /// How many.
+        failures: u32,
+    },
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -165,6 +165,33 @@
                     job.keep(item.index, after_events, text);
                 }
             }
+            Command::KeepUnscored {
+                item,
+                made_by,
+                text,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&item.job) {
+                    job.keep_unscored(item.index, made_by, text);
+                }
+            }
+            Command::ListScored {
+                item,
+                made_by,
+                score,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&item.job) {
+                    job.list_scored(item.index, made_by, score);
+                }
+            }
+            Command::CountScoringFailures {
+                item,
+                made_by,
+                failures,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&item.job) {
+                    job.count_scoring_failures(item.index, made_by, failures);
+                }
+            }
             Command::ForgetJob(id) => {
                 self.jobs.remove(&id);
             }
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -37,6 +37,14 @@
     }
 }
 
+fn told_running(gateway: GatewayId, items: Vec<RunningItem>) -> Event {
+    Event::GatewayRunning {
+        gateway,
+        items,
+        scorings: Vec::new(),
+    }
+}
+
 fn group_with_job(items: u32) -> (Group, GatewayId) {
     let mut group = Group::new();
     let gateway = group.add_gateway(1);
@@ -97,7 +105,7 @@
     let second = group.assignments().remove(0);
     group.change_leader("coordinator-b");
     group.connect_gateway(1);
-    group.event(Event::GatewayRunning(gateway, vec![running(&second)]));
+    group.event(told_running(gateway, vec![running(&second)]));
     // The gateway goes on from what the assignment carries.
     let mut whole = second.kept.clone();
     whole.text.push_str("\nevent 3");
@@ -120,7 +128,7 @@
     let first = group.assignments().remove(0);
     group.change_leader("coordinator-b");
     group.connect_gateway(1);
-    group.event(Event::GatewayRunning(gateway, vec![running(&first)]));
+    group.event(told_running(gateway, vec![running(&first)]));
     for events in 1..=5 {
         group.wait(std::time::Duration::from_millis(400));
         let assignment = first.assignment;
@@ -140,8 +148,8 @@
     let first = group.assignments().remove(0);
     group.change_leader("coordinator-b");
     group.connect_gateway(1);
-    group.event(Event::GatewayRunning(gateway, vec![running(&first)]));
-    group.event(Event::GatewayRunning(gateway, vec![running(&first)]));
+    group.event(told_running(gateway, vec![running(&first)]));
+    group.event(told_running(gateway, vec![running(&first)]));
     let released = group.effects.iter().any(|effect| {
         matches!(
             effect,
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use support::{Group, engine, job};
 use wingshore_coordination::{
-    Effect, EngineReport, Event, InstanceId, ItemProgress, ModelName, ModelVersion, OrderAnswer,
-    Request, WeightOrder,
+    Effect, EngineReport, Event, InstanceId, ItemProgress, LeaderSettings, ModelName, ModelVersion,
+    OrderAnswer, Request, WeightOrder,
 };
 
 fn name_version(group: &mut Group, version: u64) {
@@ -107,6 +107,23 @@
     expect_that!(asked(&mut group), not(is_empty()));
 }
 
+#[gtest]
+fn where_engines_do_not_check_fences_only_time_keeps_two_machines_apart() {
+    let mut group = Group::with_settings(LeaderSettings {
+        engines_check_fences: false,
+        ..LeaderSettings::default()
+    });
+    group.add_gateway(1);
+    group.heartbeat(engine("e0", 1));
+    name_version(&mut group, 2);
+    group.change_leader("coordinator-b");
+    group.event(Event::CoordinatorsLost(vec!["coordinator-a".to_owned()]));
+    group.wait(Duration::from_secs(3));
+    expect_that!(asked(&mut group), is_empty());
+    group.wait(Duration::from_millis(500));
+    expect_that!(asked(&mut group), not(is_empty()));
+}
+
 #[gtest]
 fn a_new_leader_orders_at_once_where_the_machine_before_it_was_lost() {
     let mut group = group_of_engines(1);
--- /dev/null
+++ b/crates/wingshore-coordination/tests/scoring.rs
@@ -0,0 +1,340 @@
+//! Scorings: between a whole text and its score, whatever is lost.
+
+mod support;
+
+use googletest::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+use support::{Group, engine, job, scored_job, scoring_route};
+use wingshore_coordination::{
+    AssignmentId, CoordinatorMessage, Effect, Event, GatewayId, ItemAssignment, ItemKey,
+    ItemOutcome, ItemState, ItemText, JobId, NotScoredReason, Reply, Request, RunningItem,
+    RunningScoring, ScoringAssignment, ScoringOutcome,
+};
+
+/// Longer than any pause between scorings.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+fn text() -> ItemText {
+    ItemText {
+        text: "one\ntwo".to_owned(),
+        events: 2,
+        last_event: Some(2),
+        versions: vec![1],
+    }
+}
+
+fn item() -> ItemKey {
+    ItemKey {
+        job: JobId::from("j"),
+        index: 0,
+    }
+}
+
+/// A group with one item to be scored, assigned to a gateway.
+fn group_with_item() -> (Group, GatewayId, ItemAssignment) {
+    let mut group = Group::new();
+    group.configure_with(scoring_route());
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(scored_job("j", 1)));
+    let assignment = group.assignments().remove(0);
+    (group, gateway, assignment)
+}
+
+fn finish(group: &mut Group, gateway: GatewayId, assignment: &ItemAssignment) {
+    group.event(Event::ItemEnded {
+        gateway,
+        assignment: assignment.assignment,
+        outcome: ItemOutcome::Finished(text().into()),
+    });
+}
+
+fn end_scoring(
+    group: &mut Group,
+    gateway: GatewayId,
+    scoring: AssignmentId,
+    outcome: ScoringOutcome,
+) {
+    group.event(Event::ScoringEnded {
+        gateway,
+        scoring,
+        outcome,
+    });
+}
+
+fn scored(score: &str) -> ScoringOutcome {
+    ScoringOutcome::Scored(score.to_owned())
+}
+
+fn running(group: &mut Group, gateway: GatewayId, scorings: Vec<RunningScoring>) {
+    group.event(Event::GatewayRunning {
+        gateway,
+        items: Vec::new(),
+        scorings,
+    });
+}
+
+/// Scorings given to gateways since the last call.
+fn scorings(group: &mut Group) -> Vec<(GatewayId, ScoringAssignment)> {
+    let effects = std::mem::take(&mut group.effects);
+    effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::ToGateway(gateway, CoordinatorMessage::Score(scoring)) => {
+                Some((gateway, scoring))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn is_released(group: &Group, wanted: AssignmentId) -> bool {
+    group.effects.iter().any(|effect| {
+        matches!(effect, Effect::ToGateway(_, CoordinatorMessage::ReleaseScoring { scoring })
+            if *scoring == wanted)
+    })
+}
+
+/// State and score of each result.
+fn results(group: &Group) -> Vec<(ItemState, Option<String>)> {
+    let job = &group.state.jobs()[&JobId::from("j")];
+    job.results
+        .iter()
+        .map(|result| (result.state, result.score.clone()))
+        .collect()
+}
+
+fn listed(score: &str) -> Vec<(ItemState, Option<String>)> {
+    vec![(ItemState::Succeeded, Some(score.to_owned()))]
+}
+
+#[gtest]
+fn a_text_is_listed_only_with_its_score() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    expect_that!(results(&group), is_empty());
+    end_scoring(&mut group, gateway, assignment.assignment, scored("stamp"));
+    expect_that!(results(&group), eq(&listed("stamp")));
+    expect_that!(is_released(&group, assignment.assignment), is_true());
+}
+
+#[gtest]
+fn an_item_without_a_scorer_is_listed_without_a_score() {
+    let mut group = Group::new();
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(job("j", 1)));
+    let assignment = group.assignments().remove(0);
+    finish(&mut group, gateway, &assignment);
+    expect_that!(results(&group), eq(&vec![(ItemState::Succeeded, None)]));
+}
+
+#[gtest]
+fn a_gateway_lost_between_text_and_score_costs_a_scoring_and_not_a_run() {
+    let (mut group, gateway, assignment) = group_with_item();
+    let other = group.add_gateway(2);
+    finish(&mut group, gateway, &assignment);
+    group.event(Event::GatewayGone(gateway));
+    let again = scorings(&mut group);
+    assert_that!(again, len(eq(1)));
+    expect_that!(again[0].0, eq(other));
+    expect_that!(again[0].1.made_by, eq(assignment.assignment));
+    expect_that!(group.assignments(), is_empty());
+    end_scoring(&mut group, other, again[0].1.scoring, scored("stamp"));
+    expect_that!(results(&group), eq(&listed("stamp")));
+}
+
+#[gtest]
+fn a_gateway_lost_before_its_text_was_told_costs_a_run() {
+    let (mut group, gateway, _) = group_with_item();
+    group.add_gateway(2);
+    group.event(Event::GatewayGone(gateway));
+    expect_that!(scorings(&mut group), is_empty());
+    group.wait(Duration::from_secs(1));
+    expect_that!(scorings(&mut group), is_empty());
+}
+
+#[gtest]
+fn a_new_leader_has_a_durable_text_scored_and_not_made_again() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    group.change_leader("coordinator-b");
+    let other = group.add_gateway(2);
+    let again = scorings(&mut group);
+    assert_that!(again, len(eq(1)));
+    expect_that!(group.assignments(), is_empty());
+    end_scoring(&mut group, other, again[0].1.scoring, scored("stamp"));
+    expect_that!(results(&group), eq(&listed("stamp")));
+}
+
+#[gtest]
+fn a_new_leader_leaves_a_scoring_to_the_gateway_that_has_it() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    group.change_leader("coordinator-b");
+    group.connect_gateway(1);
+    let own = RunningScoring {
+        scoring: assignment.assignment,
+        item: item(),
+        made_by: assignment.assignment,
+    };
+    running(&mut group, gateway, vec![own.clone(), own]);
+    group.wait(Duration::from_secs(1));
+    expect_that!(scorings(&mut group), is_empty());
+    end_scoring(&mut group, gateway, assignment.assignment, scored("stamp"));
+    expect_that!(results(&group), eq(&listed("stamp")));
+}
+
+/// The leader before was gone before it had made the text durable: the gateway tells all again.
+#[gtest]
+fn a_text_and_its_score_that_no_leader_made_durable_are_taken_from_the_gateway() {
+    let (mut group, gateway, assignment) = group_with_item();
+    group.change_leader("coordinator-b");
+    group.connect_gateway(1);
+    group.event(Event::GatewayRunning {
+        gateway,
+        items: vec![RunningItem {
+            assignment: assignment.assignment,
+            item: item(),
+            instance: assignment.instance.clone(),
+        }],
+        scorings: vec![RunningScoring {
+            scoring: assignment.assignment,
+            item: item(),
+            made_by: assignment.assignment,
+        }],
+    });
+    finish(&mut group, gateway, &assignment);
+    end_scoring(&mut group, gateway, assignment.assignment, scored("stamp"));
+    expect_that!(results(&group), eq(&listed("stamp")));
+}
+
+#[gtest]
+fn a_score_of_another_try_is_not_taken() {
+    let (mut group, gateway, assignment) = group_with_item();
+    let other = group.add_gateway(2);
+    finish(&mut group, gateway, &assignment);
+    group.change_leader("coordinator-b");
+    group.connect_gateway(2);
+    let foreign = AssignmentId {
+        number: assignment.assignment.number + 7,
+        ..assignment.assignment
+    };
+    let claimed = RunningScoring {
+        scoring: foreign,
+        item: item(),
+        made_by: foreign,
+    };
+    running(&mut group, other, vec![claimed]);
+    expect_that!(is_released(&group, foreign), is_true());
+    end_scoring(&mut group, other, foreign, scored("foreign"));
+    expect_that!(results(&group), is_empty());
+}
+
+#[gtest]
+fn failures_are_counted_over_leaders_until_the_route_allows_no_more() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    let two_failures = ScoringOutcome::Failed(2);
+    end_scoring(&mut group, gateway, assignment.assignment, two_failures);
+    expect_that!(results(&group), is_empty());
+    group.change_leader("coordinator-b");
+    let other = group.add_gateway(2);
+    let again = scorings(&mut group).remove(0).1;
+    end_scoring(&mut group, other, again.scoring, ScoringOutcome::Failed(1));
+    expect_that!(results(&group), is_empty());
+    group.wait(LONGEST_PAUSE);
+    let again = scorings(&mut group).remove(0).1;
+    end_scoring(&mut group, other, again.scoring, ScoringOutcome::Failed(1));
+    expect_that!(results(&group), eq(&vec![(ItemState::Abandoned, None)]));
+}
+
+#[gtest]
+fn a_scoring_that_did_not_run_counts_as_no_failure_and_comes_again() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    let mut scoring = assignment.assignment;
+    for _ in 0..20 {
+        let outcome = ScoringOutcome::NotScored(NotScoredReason::Refused);
+        end_scoring(&mut group, gateway, scoring, outcome);
+        group.wait(LONGEST_PAUSE);
+        let again = scorings(&mut group);
+        assert_that!(again, len(eq(1)));
+        scoring = again[0].1.scoring;
+        group.event(Event::ScoringsInHand(vec![scoring]));
+    }
+    expect_that!(results(&group), is_empty());
+    end_scoring(&mut group, gateway, scoring, scored("stamp"));
+    expect_that!(results(&group), eq(&listed("stamp")));
+}
+
+#[gtest]
+fn a_scoring_that_its_gateway_does_not_speak_of_begins_again() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    group.wait(Duration::from_secs(4));
+    expect_that!(scorings(&mut group), not(is_empty()));
+}
+
+#[gtest]
+fn the_end_of_a_job_ends_its_scorings() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    let answer = group.ask(Request::EndJob(JobId::from("j")));
+    expect_that!(answer, some(eq(&Reply::Done)));
+    expect_that!(is_released(&group, assignment.assignment), is_true());
+    group.event(Event::GatewayGone(gateway));
+    group.add_gateway(2);
+    expect_that!(scorings(&mut group), is_empty());
+    end_scoring(&mut group, gateway, assignment.assignment, scored("late"));
+    expect_that!(results(&group), is_empty());
+}
+
+#[gtest]
+fn an_end_that_crosses_a_text_ends_the_scoring_that_followed_it() {
+    let (mut group, gateway, assignment) = group_with_item();
+    group.ask(Request::EndJob(JobId::from("j")));
+    group.effects.clear();
+    finish(&mut group, gateway, &assignment);
+    expect_that!(is_released(&group, assignment.assignment), is_true());
+}
+
+#[gtest]
+fn an_item_whose_text_gets_no_score_in_time_is_given_up() {
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    group.wait(Duration::from_secs(41));
+    expect_that!(results(&group), eq(&vec![(ItemState::Abandoned, None)]));
+}
+
+#[gtest]
+fn a_scorer_that_no_route_leads_to_is_refused_by_name() {
+    let mut group = Group::new();
+    let answer = group.ask(Request::SubmitJob(scored_job("j", 1)));
+    let refused =
+        |reason: &String| reason.contains("`j-0`") && reason.contains("site.example/score/1");
+    expect_that!(
+        matches!(&answer, Some(Reply::Refused(reason)) if refused(reason)),
+        is_true()
+    );
+    expect_that!(group.state.jobs().len(), eq(0));
+}
+
+#[gtest]
+fn what_is_submitted_again_is_accepted_also_when_its_scorers_route_is_gone() {
+    let (mut group, _, _) = group_with_item();
+    let without_route = support::configuration(9);
+    group.ask(Request::PutConfiguration(Arc::new(without_route)));
+    let answer = group.ask(Request::SubmitJob(scored_job("j", 1)));
+    expect_that!(answer, some(eq(&Reply::Done)));
+}
+
+#[gtest]
+fn the_state_keeps_unscored_texts_over_a_snapshot() {
+    use wingshore_types::machine::ReplicatedState;
+    let (mut group, gateway, assignment) = group_with_item();
+    finish(&mut group, gateway, &assignment);
+    let restored = wingshore_coordination::CoordinationState::restore(&group.state.snapshot());
+    expect_that!(restored.unwrap() == group.state, is_true());
+}
--- a/crates/wingshore-coordination/tests/state_properties.rs
+++ b/crates/wingshore-coordination/tests/state_properties.rs
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 use support::{configuration, engine, job};
 use wingshore_coordination::{
-    Command, CoordinationState, InstanceId, ItemKey, ItemState, ItemText, JobId, ListedResult,
-    ModelName,
+    AssignmentId, Command, CoordinationState, FinishedText, InstanceId, ItemKey, ItemState,
+    ItemText, JobId, ListedResult, ModelName, ResultText,
 };
-use wingshore_types::LogIndex;
 use wingshore_types::machine::ReplicatedState;
+use wingshore_types::{Epoch, LogIndex};
 
 /// Items of each job.
 const ITEMS: u32 = 4;
@@ -34,9 +34,30 @@
         },
         text: wingshore_coordination::ResultText::pack(&text),
         versions: vec![1],
+        score: None,
     })
 }
 
+/// The try, out of a few, that made or scored a text.
+fn made_by() -> impl Strategy<Value = AssignmentId> {
+    (0..3_u64).prop_map(|number| AssignmentId {
+        epoch: Epoch(1),
+        number,
+    })
+}
+
+/// The text that a try made; its score is the same.
+fn text_of(made_by: AssignmentId) -> String {
+    format!("text of try {}", made_by.number)
+}
+
+fn item_key(job: &str, index: u32) -> ItemKey {
+    ItemKey {
+        job: JobId::from(job),
+        index,
+    }
+}
+
 fn kept_text() -> impl Strategy<Value = ItemText> {
     (1..4_u64, "[a-z]{1,4}").prop_map(|(events, text)| ItemText {
         text,
@@ -75,6 +96,30 @@
                 text,
             }
         }),
+        (job_id(), 0..ITEMS + 1, made_by()).prop_map(|(id, index, made_by)| {
+            Command::KeepUnscored {
+                item: item_key(&id, index),
+                made_by,
+                text: FinishedText {
+                    text: ResultText::pack(&text_of(made_by)),
+                    versions: vec![1],
+                },
+            }
+        }),
+        (job_id(), 0..ITEMS + 1, made_by()).prop_map(|(id, index, made_by)| {
+            Command::ListScored {
+                item: item_key(&id, index),
+                made_by,
+                score: text_of(made_by),
+            }
+        }),
+        (job_id(), 0..ITEMS + 1, made_by(), 1..3_u32).prop_map(|(id, index, made_by, failures)| {
+            Command::CountScoringFailures {
+                item: item_key(&id, index),
+                made_by,
+                failures,
+            }
+        }),
         job_id().prop_map(|id| Command::EndJob(JobId::from(id))),
     ]
 }
@@ -131,6 +176,15 @@
         for index in 0..ITEMS {
             let kept = job.kept(index);
             assert!(kept.is_none() || !job.is_listed(index));
+            let unscored = job.unscored(index);
+            assert!(unscored.is_none() || !job.is_listed(index));
+            assert!(unscored.is_none() || kept.is_none());
+        }
+        for result in &job.results {
+            if let Some(score) = &result.score {
+                let text = result.text.unpack().unwrap();
+                assert_eq!(*score, text, "a score of another try's text");
+            }
         }
     }
 }
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -9,7 +9,7 @@
     CoordinationLeader, CoordinationState, CoordinatorMessage, Effect, EngineProfile, Event,
     GatewayHello, GatewayId, GatewayStatus, Heartbeat, IngressLimits, InstanceId, ItemAssignment,
     ItemId, JobId, JobItem, JobSubmission, LeaderSettings, ModelName, ModelVersion, Reply, Request,
-    Route, RouteKind, RouteTarget, ServerRecord, Service, ServiceName, SiteConfiguration,
+    Route, RouteKind, RouteTarget, Scorer, ServerRecord, Service, ServiceName, SiteConfiguration,
 };
 use wingshore_types::machine::{LeaderMachine, LeaderOutput, ReplicatedState, RequestTag};
 use wingshore_types::{Epoch, Instant, LogIndex};
@@ -34,9 +34,17 @@
 impl Group {
     /// A group with the usual configuration.
     pub fn new() -> Self {
+        Self::with_settings(LeaderSettings {
+            engines_check_fences: true,
+            ..LeaderSettings::default()
+        })
+    }
+
+    /// A group whose leaders have these settings.
+    pub fn with_settings(settings: LeaderSettings) -> Self {
         let settings = LeaderSettings {
             node: "coordinator-a".to_owned(),
-            ..LeaderSettings::default()
+            ..settings
         };
         let mut group = Self {
             now: Instant::ZERO,
@@ -55,6 +63,13 @@
         group
     }
 
+    /// Puts one more route in force.
+    pub fn configure_with(&mut self, route: Route) {
+        let mut next = configuration(2);
+        next.routes.push(route);
+        self.ask(Request::PutConfiguration(Arc::new(next)));
+    }
+
     /// Another machine becomes leader; nothing volatile is left.
     pub fn change_leader(&mut self, node: &str) {
         self.epoch += 1;
@@ -120,7 +135,11 @@
     /// A gateway connects and runs nothing; a new leader waits for that.
     pub fn add_gateway(&mut self, id: u64) -> GatewayId {
         let gateway = self.connect_gateway(id);
-        self.event(Event::GatewayRunning(gateway, Vec::new()));
+        self.event(Event::GatewayRunning {
+            gateway,
+            items: Vec::new(),
+            scorings: Vec::new(),
+        });
         self.wait(INTRODUCTIONS);
         gateway
     }
@@ -161,7 +180,7 @@
         assigned
             .into_iter()
             .filter_map(|effect| match effect {
-                Effect::ToGateway(_, CoordinatorMessage::Assign(assignment)) => Some(assignment),
+                Effect::ToGateway(_, CoordinatorMessage::Assign(assignment)) => Some(*assignment),
                 _ => None,
             })
             .collect()
@@ -240,7 +259,36 @@
                 tokens: 100,
                 expected_output: None,
                 group: "g".to_owned(),
+                scorer: None,
             })
             .collect(),
     })
 }
+
+/// As [`job`], with a scorer for each item.
+pub fn scored_job(id: &str, items: u32) -> Arc<JobSubmission> {
+    let mut submission = JobSubmission::clone(&job(id, items));
+    for item in &mut submission.items {
+        item.scorer = Some(Scorer {
+            request: ItemId::from(format!("score-{}", item.id)),
+            host: "site.example".to_owned(),
+            path: "/score/1".to_owned(),
+            body: vec![7],
+        });
+    }
+    Arc::new(submission)
+}
+
+/// The route of scorers; it allows four attempts.
+pub fn scoring_route() -> Route {
+    Route {
+        name: "scores".to_owned(),
+        path_prefix: "/score/".to_owned(),
+        kind: RouteKind::Safe,
+        max_attempts: 4,
+        max_queue: None,
+        due: None,
+        resumable: false,
+        ..configuration(1).routes.remove(0)
+    }
+}
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Log lines of the leader's decisions.
 
 use slog::{Logger, info};
-use wingshore_coordination::{Decision, ModelName};
+use wingshore_coordination::{Decision, ModelName, ScoringDecision};
 
 /// Writes one line for a decision.
 pub(crate) fn log(logger: &Logger, decision: &Decision) {
@@ -78,6 +78,7 @@
         Decision::ItemAbandoned { job, index, reason } => {
             info!(logger, "item abandoned"; "job" => %job, "index" => index, "reason" => reason);
         }
+        Decision::Scoring(decision) => log_scoring(logger, decision),
         Decision::ServerChanged { instance, change } => {
             info!(logger, "server"; "server" => %instance, "change" => change);
         }
@@ -97,3 +98,30 @@
         }
     }
 }
+
+fn log_scoring(logger: &Logger, decision: &ScoringDecision) {
+    match decision {
+        ScoringDecision::Assigned {
+            scoring,
+            item,
+            id,
+            request,
+            gateway,
+        } => {
+            info!(logger, "scoring assigned"; "job" => %item.job, "item" => %id,
+                "request" => %request, "epoch" => scoring.epoch.0, "scoring" => scoring.number,
+                "gateway" => gateway.0);
+        }
+        ScoringDecision::Retried {
+            scoring,
+            item,
+            reason,
+            failures,
+            pause,
+        } => {
+            info!(logger, "scoring retried"; "job" => %item.job, "index" => item.index,
+                "epoch" => scoring.epoch.0, "scoring" => scoring.number, "reason" => reason,
+                "failures" => failures, "pause_ms" => pause.as_millis() as u64);
+        }
+    }
+}
--- a/crates/wingshore-coordinator/src/engine_calls.rs
+++ b/crates/wingshore-coordinator/src/engine_calls.rs
@@ -181,6 +181,21 @@
         Some(without_answer(entry.instance, &call.question))
     }
 
+    /// Gives up all orders without an answer; what has not left of them does not leave.
+    pub(crate) fn drop_orders(&mut self, reactor: &mut Reactor) -> Vec<Event> {
+        let is_order = |call: &CallUnderWay| matches!(call.question, Question::Order);
+        let orders: Vec<ConnectionId> = self
+            .connections
+            .values()
+            .filter(|entry| entry.call.as_ref().is_some_and(is_order))
+            .map(|entry| entry.connection)
+            .collect();
+        orders
+            .into_iter()
+            .filter_map(|connection| self.on_ended(reactor, connection))
+            .collect()
+    }
+
     /// Gives up calls without an answer and closes idle connections.
     pub(crate) fn expire(&mut self, now: Instant, reactor: &mut Reactor) -> Vec<Event> {
         let old: Vec<ConnectionId> = self
--- a/crates/wingshore-coordinator/src/metrics.rs
+++ b/crates/wingshore-coordinator/src/metrics.rs
@@ -58,6 +58,8 @@
     pub(crate) items_waiting: usize,
     pub(crate) items_running: usize,
     pub(crate) engines_loading: usize,
+    pub(crate) scorings_waiting: usize,
+    pub(crate) scorings_running: usize,
     pub(crate) configuration: u64,
     pub(crate) log_lines_left_out: u64,
 }
@@ -70,13 +72,14 @@
     write_seconds: Histogram,
     orders: Family<OutcomeLabel, Counter>,
     tries: Family<OutcomeLabel, Counter>,
+    scorings: Family<OutcomeLabel, Counter>,
     leaderships: Counter,
     member_changes: Counter,
     gauges: Vec<(&'static str, Gauge)>,
 }
 
 /// Gauges: name and help.
-const GAUGES: [(&str, &str); 16] = [
+const GAUGES: [(&str, &str); 18] = [
     ("leading", "1 where this coordinator leads the group"),
     ("leader_known", "1 where it knows a leader"),
     ("term", "Term of the group; the fence of orders"),
@@ -109,6 +112,14 @@
         "engines_loading",
         "Engines that load weights; 0 where it does not lead",
     ),
+    (
+        "scorings_waiting",
+        "Texts that wait for a scoring; 0 where it does not lead",
+    ),
+    (
+        "scorings_running",
+        "Scorings that gateways have in hand; 0 where it does not lead",
+    ),
     (
         "configuration_version",
         "Version of the configuration in force here",
@@ -129,6 +140,7 @@
             write_seconds: Buckets.new_metric(),
             orders: Family::default(),
             tries: Family::default(),
+            scorings: Family::default(),
             leaderships: Counter::default(),
             member_changes: Counter::default(),
             gauges: Vec::new(),
@@ -166,6 +178,11 @@
             "Tries at items of batch jobs by what came of them",
             self.tries.clone(),
         );
+        registry.register(
+            "scorings",
+            "Scorings of texts by what came of them",
+            self.scorings.clone(),
+        );
         registry.register(
             "leaderships",
             "Leaderships that began here",
@@ -206,6 +223,11 @@
         self.tries.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// A gateway has told what came of a scoring.
+    pub(crate) fn scoring_ended(&self, outcome: &'static str) {
+        self.scorings.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// A leadership began here.
     pub(crate) fn leadership_began(&self) {
         self.leaderships.inc();
@@ -234,6 +256,8 @@
             count(readings.items_waiting),
             count(readings.items_running),
             count(readings.engines_loading),
+            count(readings.scorings_waiting),
+            count(readings.scorings_running),
             readings.configuration,
             readings.log_lines_left_out,
         ];
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -90,6 +90,8 @@
             items_waiting: figures.items_waiting,
             items_running: figures.items_running,
             engines_loading: figures.engines_loading,
+            scorings_waiting: figures.scorings_waiting,
+            scorings_running: figures.scorings_running,
             configuration: state.configuration().map_or(0, |held| held.version),
             log_lines_left_out: self.log_counts.left_out(),
         }
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -154,8 +154,21 @@
                 self.directory.heard(now, gateway, status);
                 Event::GatewayStatus(gateway, status)
             }
-            GatewayMessage::Running(running) => Event::GatewayRunning(gateway, running),
+            GatewayMessage::Running { items, scorings } => Event::GatewayRunning {
+                gateway,
+                items,
+                scorings,
+            },
             GatewayMessage::Progress(progress) => Event::ItemsProgressed(progress),
+            GatewayMessage::Scoring(scorings) => Event::ScoringsInHand(scorings),
+            GatewayMessage::ScoringEnded { scoring, outcome } => {
+                self.metrics.scoring_ended(outcome.name());
+                Event::ScoringEnded {
+                    gateway,
+                    scoring,
+                    outcome,
+                }
+            }
             GatewayMessage::Keep {
                 assignment,
                 after_events,
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -244,11 +244,21 @@
                 self.inputs.push(HostInput::Tick);
             }
             self.step_host(now, &mut outputs)?;
+            self.drop_orders_without_lease();
         }
         info!(self.logger, "stopped"; "node" => &self.settings.node);
         Ok(())
     }
 
+    /// Orders that could still leave after the lease are not to: another machine may count on that.
+    fn drop_orders_without_lease(&mut self) {
+        if self.host.holds_lease(self.clock.now()) {
+            return;
+        }
+        let events = self.engines.drop_orders(&mut self.reactor);
+        self.take_engine_events(events);
+    }
+
     fn time_to_wait(&self) -> Duration {
         if !self.inputs.is_empty() {
             return Duration::ZERO;
@@ -468,6 +478,7 @@
         node: settings.node.clone(),
         server_expiry: settings.server_expiry,
         order_handover: settings.order_handover,
+        engines_check_fences: settings.engines_check_fences,
         concurrent_loads: settings.concurrent_loads,
         load_time: settings.load_time,
         job_retention: settings.job_retention,
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use wingshore_coordination::{
     CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
-    IncomingFrame, Reply,
+    IncomingFrame, OrderAnswer, Reply,
 };
 use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
 use wingshore_net::{ConnectionId, frame};
@@ -92,6 +92,14 @@
                 self.log_decision(now, &decision);
                 None
             }
+            Effect::Order(order) if !self.host.holds_lease(self.clock.now()) => {
+                info!(self.logger, "order not given"; "engine" => %order.instance,
+                    "reason" => "the lease is over", "fence" => order.fence.0);
+                Some(Event::Ordered {
+                    instance: order.instance,
+                    answer: OrderAnswer::Refused,
+                })
+            }
             Effect::Order(order) => {
                 info!(self.logger, "order"; "engine" => %order.instance, "model" => %order.model,
                     "version" => order.version, "fence" => order.fence.0);
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -46,6 +46,8 @@
     pub server_expiry: Duration,
     /// Time that a new leader leaves to the orders of the one before.
     pub order_handover: Duration,
+    /// Whether engines refuse orders whose fence is lower than one that they have seen.
+    pub engines_check_fences: bool,
     /// Engines that may load weights at once at any site.
     pub concurrent_loads: usize,
     /// Time that an engine takes to load weights.
--- a/crates/wingshore-diagnostics/src/structured.rs
+++ b/crates/wingshore-diagnostics/src/structured.rs
@@ -5,7 +5,7 @@
 //! how many. Lines about requests are sampled by the request's identity, so that those of a
 //! sampled request are all there; lines about failures are not sampled.
 
-use slog::{Drain, Logger, OwnedKVList, Record, o};
+use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
@@ -26,6 +26,8 @@
 pub struct LogBudget {
     /// Most lines a second.
     pub lines_per_second: u64,
+    /// Of these, kept for lines about failures (warnings and errors).
+    pub kept_for_failures: u64,
     /// Most lines a second about requests that went well; beyond them fewer requests are sampled.
     pub sampled_lines_per_second: u64,
 }
@@ -34,6 +36,7 @@
     fn default() -> Self {
         Self {
             lines_per_second: 400,
+            kept_for_failures: 100,
             sampled_lines_per_second: 200,
         }
     }
@@ -130,12 +133,22 @@
 
 impl BudgetDrain {
     /// Counts a line; says whether it fits.
-    fn takes(&self) -> bool {
+    fn takes(&self, level: Level) -> bool {
         let second = self.begun.elapsed().as_secs() / WINDOW.as_secs();
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.lines.store(0, Ordering::Relaxed);
         }
-        self.lines.fetch_add(1, Ordering::Relaxed) < self.budget.lines_per_second
+        let kept = if level.is_at_least(Level::Warning) {
+            0
+        } else {
+            self.budget.kept_for_failures
+        };
+        let most = self.budget.lines_per_second.saturating_sub(kept);
+        let fits = self.lines.load(Ordering::Relaxed) < most;
+        if fits {
+            self.lines.fetch_add(1, Ordering::Relaxed);
+        }
+        fits
     }
 }
 
@@ -144,7 +157,7 @@
     type Err = slog::Never;
 
     fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), slog::Never> {
-        if !self.takes() {
+        if !self.takes(record.level()) {
             self.unreported.fetch_add(1, Ordering::Relaxed);
             self.counts.left_out.fetch_add(1, Ordering::Relaxed);
             return Ok(());
--- a/crates/wingshore-diagnostics/tests/sampler.rs
+++ b/crates/wingshore-diagnostics/tests/sampler.rs
@@ -6,6 +6,7 @@
 
 const BUDGET: LogBudget = LogBudget {
     lines_per_second: 1000,
+    kept_for_failures: 100,
     sampled_lines_per_second: 100,
 };
 
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -63,7 +63,11 @@
                 let request = Request::SubmitJob(Arc::new(submission));
                 self.begin_call(now, client, request, SUBMIT_LIMIT);
             }
-            Err(reason) => self.answer_batch(now, client, &BatchAnswer::Refused(reason)),
+            Err(reason) => {
+                let answer = BatchAnswer::Refused(reason);
+                self.log_refused(now, Some(&request.head), answer.name(), answer.reason());
+                self.answer_batch(now, client, &answer);
+            }
         }
     }
 
@@ -159,7 +163,7 @@
         } else {
             BatchAnswer::Uncertain
         };
-        info!(self.logger, "call given up"; "call" => kind, "subject" => call.request.subject(),
+        warn!(self.logger, "call given up"; "call" => kind, "subject" => call.request.subject(),
             "leader_known" => self.coordinators.leader().is_some(), "answer" => answer.name(),
             "epoch" => self.view.epoch().0);
         self.metrics.call_ended(kind, answer.name());
--- a/crates/wingshore-gateway/src/clients.rs
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -1,10 +1,9 @@
 //! Connections of clients: reading requests, writing answers, time limits.
 
-use crate::forward::Exchange;
+use crate::exchange::ExchangeId;
 use crate::process::Gateway;
 use crate::protocol::OwnAnswer;
 use crate::timers::TimerKey;
-use std::time::Duration;
 use wingshore_coordination::RouteKind;
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HeadWriter, HttpAnswer, RequestReader, WholeRequest};
@@ -13,9 +12,6 @@
 /// How much longer than a head a body may take to arrive.
 const BODY_TIME_FACTOR: u32 = 3;
 
-/// Stands for the route in metrics where there is none.
-const NO_ROUTE: &str = "none";
-
 /// What a client's connection waits for.
 pub(crate) enum ClientState {
     /// The next request.
@@ -24,7 +20,7 @@
         begun: Option<Instant>,
     },
     /// The answer of a server.
-    Exchange(Box<Exchange>),
+    Exchange(ExchangeId),
     /// The answer of the group.
     Call(u64),
 }
@@ -102,9 +98,7 @@
                 self.on_request(now, connection, request);
             }
             Err(error) => {
-                client.close_after = true;
-                let answer = HttpAnswer::plain(error.status(), error.to_string());
-                self.answer_client(now, connection, &answer);
+                self.refuse_unreadable(now, connection, &error);
             }
         }
     }
@@ -124,25 +118,20 @@
             Some(Purpose::Front) | None => {}
         }
         if !self.view.is_configured() {
-            return self.answer_own(
-                now,
-                connection,
-                &OwnAnswer::NotRun(super::forward::COME_BACK),
-            );
+            let reason = "no configuration is known yet";
+            return self.refuse_not_run(now, connection, &request.head, reason);
         }
         if let Some(call) = self.protocol.read_batch_call(&request.head) {
             return self.begin_batch_call(now, connection, call);
         }
         let host = request.head.headers.text("host").unwrap_or_default();
         let Some(route) = self.view.routes().find(host, request.head.path()).cloned() else {
-            self.metrics
-                .request_ended(NO_ROUTE, OwnAnswer::NoRoute.name(), Duration::ZERO);
-            return self.answer_own(now, connection, &OwnAnswer::NoRoute);
+            return self.refuse_without_route(now, connection, &request.head);
         };
         if route.kind == RouteKind::Batch && request.head.method == "POST" {
             return self.submit_job(now, connection, &request);
         }
-        self.begin_exchange(now, connection, request, route);
+        self.begin_client_exchange(now, connection, request, route);
     }
 
     /// Answers with an answer of the gateway's own.
@@ -252,8 +241,7 @@
         if now < until {
             return self.timers.arm(until, TimerKey::Client(connection));
         }
-        client.close_after = true;
-        self.answer_own(now, connection, &OwnAnswer::TooSlow);
+        self.refuse_too_slow(now, connection);
     }
 
     /// Closes a client's connection and drops what it waits for.
@@ -264,7 +252,7 @@
         };
         match client.state {
             ClientState::Reading { .. } => {}
-            ClientState::Exchange(exchange) => self.drop_exchange(&exchange),
+            ClientState::Exchange(exchange) => self.drop_exchange(exchange),
             ClientState::Call(id) => self.forget_call(id),
         }
     }
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -46,6 +46,12 @@
         link.connection.filter(|_| link.up)
     }
 
+    /// How long ago the leader was last heard of.
+    pub(crate) fn leader_silence(&self, now: Instant) -> Option<Duration> {
+        let link = self.links.get(self.leader.as_ref()?)?;
+        Some(now.since(link.heard))
+    }
+
     /// All connections that are up.
     pub(crate) fn connected(&self) -> Vec<ConnectionId> {
         self.links
@@ -194,6 +200,7 @@
                     self.coordinators.leader = Some(address);
                     self.tell_running(connection);
                     self.resend_calls(now);
+                    self.start_scorings(now);
                     self.view_changed(version);
                 }
             }
@@ -206,9 +213,11 @@
             CoordinatorMessage::Reply { id, reply } => {
                 self.on_call_reply(now, connection, id, reply)
             }
-            CoordinatorMessage::Assign(assignment) => self.begin_item(now, assignment),
+            CoordinatorMessage::Assign(assignment) => self.begin_item(now, *assignment),
             CoordinatorMessage::Interrupt { assignment } => self.interrupt_item(assignment),
             CoordinatorMessage::Release { assignment } => self.release_item(assignment),
+            CoordinatorMessage::Score(assignment) => self.begin_scoring(now, assignment),
+            CoordinatorMessage::ReleaseScoring { scoring } => self.release_scoring(now, scoring),
             CoordinatorMessage::Alive { coordinators } => {
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
                     link.knows = coordinators;
@@ -228,10 +237,12 @@
 
     /// Tells a new leader which items run here; the ends that were not told follow.
     fn tell_running(&mut self, connection: ConnectionId) {
-        let running: Vec<RunningItem> = self.items.running().collect();
-        let message = GatewayMessage::Running(running);
+        let items: Vec<RunningItem> = self.items.running().collect();
+        let scorings = self.scorings.running().collect();
+        let message = GatewayMessage::Running { items, scorings };
         self.send_frame(connection, &IncomingFrame::FromGateway(message));
         self.tell_ended_items(connection);
+        self.tell_ended_scorings(connection);
     }
 
     /// Tells all coordinators how this gateway stands.
@@ -252,6 +263,11 @@
             let message = GatewayMessage::Progress(progress);
             self.send_frame(leader, &IncomingFrame::FromGateway(message));
         }
+        let scorings = self.scorings.in_hand();
+        if !scorings.is_empty() {
+            let message = GatewayMessage::Scoring(scorings);
+            self.send_frame(leader, &IncomingFrame::FromGateway(message));
+        }
     }
 
     pub(crate) fn send_frame(&mut self, connection: ConnectionId, frame: &IncomingFrame) {
--- /dev/null
+++ b/crates/wingshore-gateway/src/exchange.rs
@@ -0,0 +1,136 @@
+//! One request on its way to servers: who it is made for, and what has come of it so far.
+
+use crate::streams::PassedStream;
+use std::collections::HashMap;
+use std::sync::Arc;
+use wingshore_coordination::{AssignmentId, InstanceId, Route, RouteKind, ServiceName};
+use wingshore_net::ConnectionId;
+use wingshore_net::http::{WholeAnswer, WholeRequest};
+use wingshore_types::Instant;
+use wingshore_types::verdict::Verdict;
+
+/// Refusals of servers that one request may meet besides its attempts.
+const MOST_REFUSALS: u32 = 3;
+
+/// Names one exchange within a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ExchangeId(u64);
+
+/// Who a request is made for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// The client of a connection.
+    Client(ConnectionId),
+    /// A scoring.
+    Scoring(AssignmentId),
+}
+
+/// A request on its way.
+pub(crate) struct Exchange {
+    pub(crate) origin: Origin,
+    pub(crate) request: WholeRequest,
+    /// Identity of the request.
+    pub(crate) id: Vec<u8>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) begun: Instant,
+    /// By then it is answered, whatever has come.
+    pub(crate) until: Instant,
+    /// Tries that may have run.
+    pub(crate) attempts: u32,
+    /// Tries that a server refused or that found none.
+    pub(crate) refusals: u32,
+    /// Tries that a server ran and failed, by its own word.
+    pub(crate) server_failures: u32,
+    /// Whether any try may have run.
+    pub(crate) may_have_run: bool,
+    pub(crate) tried: Vec<InstanceId>,
+    pub(crate) upstream: Option<ConnectionId>,
+    /// The present try is given up at this time, if another server can be tried.
+    pub(crate) attempt_until: Instant,
+    /// What has been passed on of a stream; set once its head has been.
+    pub(crate) stream: Option<PassedStream>,
+}
+
+impl Exchange {
+    /// Whether the request may go to one more server.
+    pub(crate) fn may_try_again(&self) -> bool {
+        let may_repeat = is_repeatable(&self.route) || !self.may_have_run;
+        may_repeat
+            && self.attempts < self.route.max_attempts.max(1)
+            && self.refusals <= MOST_REFUSALS
+    }
+
+    /// Its identity as text.
+    pub(crate) fn id_text(&self) -> String {
+        String::from_utf8_lossy(&self.id).into_owned()
+    }
+
+    /// The connection of the client that it is made for.
+    pub(crate) fn client(&self) -> Option<ConnectionId> {
+        match self.origin {
+            Origin::Client(client) => Some(client),
+            Origin::Scoring(_) => None,
+        }
+    }
+}
+
+/// Whether a request of the route may run more than once.
+pub(crate) fn is_repeatable(route: &Route) -> bool {
+    match route.kind {
+        RouteKind::Safe => true,
+        RouteKind::Streaming => route.resumable,
+        RouteKind::Unsafe | RouteKind::Batch => false,
+    }
+}
+
+/// What became of a try that brought no usable answer.
+pub(crate) struct Failure {
+    pub(crate) verdict: Verdict,
+    /// Whether the server seems to be at fault.
+    pub(crate) suspect: bool,
+    pub(crate) reason: &'static str,
+    /// The server's own answer, where there is one.
+    pub(crate) answer: Option<WholeAnswer>,
+}
+
+impl Failure {
+    pub(crate) fn new(verdict: Verdict, suspect: bool, reason: &'static str) -> Self {
+        Self {
+            verdict,
+            suspect,
+            reason,
+            answer: None,
+        }
+    }
+}
+
+/// All requests on their way.
+#[derive(Default)]
+pub(crate) struct Exchanges {
+    all: HashMap<ExchangeId, Exchange>,
+    next: u64,
+}
+
+impl Exchanges {
+    /// A name for a new exchange.
+    pub(crate) fn next_id(&mut self) -> ExchangeId {
+        self.next += 1;
+        ExchangeId(self.next)
+    }
+
+    /// Puts an exchange back, or in for the first time.
+    pub(crate) fn put(&mut self, id: ExchangeId, exchange: Exchange) {
+        self.all.insert(id, exchange);
+    }
+
+    /// Takes an exchange out.
+    pub(crate) fn take(&mut self, id: ExchangeId) -> Option<Exchange> {
+        self.all.remove(&id)
+    }
+
+    /// An exchange.
+    pub(crate) fn get_mut(&mut self, id: ExchangeId) -> Option<&mut Exchange> {
+        self.all.get_mut(&id)
+    }
+}
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -1,15 +1,16 @@
-//! Forwarding live requests: attempts, verdicts, time limits.
+//! Forwarding requests to servers: attempts, verdicts, time limits. Live requests and scorings go
+//! the same way; only what follows from the end differs.
 
 use crate::clients::ClientState;
+use crate::exchange::{Exchange, ExchangeId, Failure, Origin, is_repeatable};
 use crate::process::Gateway;
 use crate::protocol::OwnAnswer;
-use crate::streams::PassedStream;
 use crate::timers::TimerKey;
 use crate::upstream::Task;
-use slog::info;
+use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{InstanceId, Route, RouteKind, ServerRecord, ServiceName};
+use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter, Headers, WholeAnswer, WholeRequest};
 use wingshore_types::Instant;
@@ -23,95 +24,97 @@
 const PATIENCE_FACTOR: u32 = 2;
 /// An answer must have left this long before the client's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
-/// Refusals of servers that one request may meet besides its attempts.
-const MOST_REFUSALS: u32 = 3;
-
-/// A request on its way.
-pub(crate) struct Exchange {
-    request: WholeRequest,
-    pub(crate) id: Vec<u8>,
-    pub(crate) route: Arc<Route>,
-    service: ServiceName,
-    pub(crate) begun: Instant,
-    /// By then it is answered, whatever has come.
-    until: Instant,
-    /// Tries that may have run.
-    attempts: u32,
-    /// Tries that a server refused or that found none.
-    refusals: u32,
-    /// Whether any try may have run.
-    may_have_run: bool,
-    tried: Vec<InstanceId>,
-    upstream: Option<ConnectionId>,
-    /// The present try is given up at this time, if another server can be tried.
-    attempt_until: Instant,
-    /// What has been passed on of a stream; set once its head has been.
-    pub(crate) stream: Option<PassedStream>,
-}
-
-/// What became of a try.
-struct Failure {
-    verdict: Verdict,
-    /// Whether the server seems to be at fault.
-    suspect: bool,
-    reason: &'static str,
-    /// The server's own answer, where there is one.
-    answer: Option<WholeAnswer>,
-}
-
-impl Failure {
-    fn new(verdict: Verdict, suspect: bool, reason: &'static str) -> Self {
-        Self {
-            verdict,
-            suspect,
-            reason,
-            answer: None,
-        }
-    }
-}
+/// Spreads successive requests over the services of a split.
+const SPLIT_STRIDE: u64 = 0x9e37_79b9_7f4a_7c15;
+/// The upper bits of the counter are spread best.
+const SPLIT_SHIFT: u32 = 33;
 
 impl Gateway {
-    pub(crate) fn begin_exchange(
+    /// A client's request is to be forwarded.
+    pub(crate) fn begin_client_exchange(
         &mut self,
         now: Instant,
         client: ConnectionId,
         request: WholeRequest,
         route: Arc<Route>,
     ) {
-        let names = self.protocol.header_names();
-        let id = request.head.headers.get(names.request_id);
-        let id = id.unwrap_or_default().to_vec();
-        let deadline = request.head.headers.number(names.deadline);
+        let Some(service) = self.next_target(&route) else {
+            return self.refuse_not_run(now, client, &request.head, "its route has no service");
+        };
+        let deadline = request
+            .head
+            .headers
+            .number(self.protocol.header_names().deadline);
         let limit = deadline
             .map(Duration::from_millis)
             .map_or(route.timeout, |deadline| {
                 route.timeout.min(deadline.saturating_sub(DEADLINE_MARGIN))
             });
+        let exchange = self.new_exchange(now, Origin::Client(client), request, route, service);
+        let id = self.exchanges.next_id();
+        self.begin_exchange(now, id, exchange, limit);
+    }
+
+    /// The service that the next request of a route goes to.
+    pub(crate) fn next_target(&mut self, route: &Route) -> Option<ServiceName> {
         self.split_counter = self.split_counter.wrapping_add(SPLIT_STRIDE);
-        let Some(service) = route.target_for(self.split_counter >> SPLIT_SHIFT).cloned() else {
-            return self.answer_own(now, client, &OwnAnswer::NotRun(COME_BACK));
-        };
-        let exchange = Exchange {
+        route.target_for(self.split_counter >> SPLIT_SHIFT).cloned()
+    }
+
+    /// A request that no server has got yet.
+    pub(crate) fn new_exchange(
+        &self,
+        now: Instant,
+        origin: Origin,
+        request: WholeRequest,
+        route: Arc<Route>,
+        service: ServiceName,
+    ) -> Exchange {
+        let id = request
+            .head
+            .headers
+            .get(self.protocol.header_names().request_id);
+        let id = id.unwrap_or_default().to_vec();
+        Exchange {
+            origin,
             request,
             id,
             route,
             service,
             begun: now,
-            until: now + limit,
+            until: now,
             attempts: 0,
             refusals: 0,
+            server_failures: 0,
             may_have_run: false,
             tried: Vec::new(),
             upstream: None,
-            attempt_until: now + limit,
+            attempt_until: now,
             stream: None,
-        };
-        self.timers.arm(exchange.until, TimerKey::Exchange(client));
-        self.try_server(now, client, Box::new(exchange));
+        }
+    }
+
+    /// Sends a request on its way; it is over within `limit`.
+    pub(crate) fn begin_exchange(
+        &mut self,
+        now: Instant,
+        id: ExchangeId,
+        mut exchange: Exchange,
+        limit: Duration,
+    ) {
+        exchange.until = now + limit;
+        exchange.attempt_until = exchange.until;
+        self.timers.arm(exchange.until, TimerKey::Exchange(id));
+        if let Some(client) = exchange.client()
+            && let Some(known) = self.clients.get_mut(&client)
+        {
+            known.state = ClientState::Exchange(id);
+        }
+        self.try_server(now, id, exchange);
     }
 
     /// Sends the request to the next server, or answers that there is none.
-    fn try_server(&mut self, now: Instant, client: ConnectionId, mut exchange: Box<Exchange>) {
+    fn try_server(&mut self, now: Instant, id: ExchangeId, mut exchange: Exchange) {
         let candidates = self.view.servers_of(&exchange.service);
         let zone = &self.settings.zone;
         let chosen = self
@@ -119,7 +122,7 @@
             .choose(now, zone, candidates, &exchange.tried)
             .cloned();
         let Some(server) = chosen else {
-            return self.give_up(now, client, &exchange);
+            return self.give_up(now, &exchange);
         };
         let bytes = self.encode_request(now, &exchange, &server);
         exchange.tried.push(server.instance.clone());
@@ -128,21 +131,19 @@
             &mut self.reactor,
             &server.instance,
             server.address,
-            Task::Exchange(client),
+            Task::Exchange(id),
             &bytes,
         );
         let Some(upstream) = sent else {
             exchange.refusals += 1;
-            return self.next_try(now, client, exchange);
+            return self.next_try(now, id, exchange);
         };
         self.balancer.started(&server.instance);
         exchange.upstream = Some(upstream);
         exchange.attempt_until = self.attempt_limit(now, &exchange, upstream);
-        let look_at = exchange.attempt_until;
-        if let Some(known) = self.clients.get_mut(&client) {
-            known.state = ClientState::Exchange(exchange);
-        }
-        self.timers.arm(look_at, TimerKey::Exchange(client));
+        self.timers
+            .arm(exchange.attempt_until, TimerKey::Exchange(id));
+        self.exchanges.put(id, exchange);
     }
 
     /// Until when a try may take before another server is tried.
@@ -154,16 +155,7 @@
         if !is_up {
             return exchange.until.min(now + CONNECT_LIMIT);
         }
-        self.answer_limit(now, exchange)
-    }
-
-    fn answer_limit(&self, now: Instant, exchange: &Exchange) -> Instant {
-        let repeatable = is_repeatable(&exchange.route);
-        if repeatable && exchange.attempts + 1 < exchange.route.max_attempts {
-            let patience = exchange.route.target_latency * PATIENCE_FACTOR;
-            return exchange.until.min(now + patience);
-        }
-        exchange.until
+        answer_limit(now, exchange)
     }
 
     fn encode_request(&self, now: Instant, exchange: &Exchange, server: &ServerRecord) -> Vec<u8> {
@@ -200,86 +192,74 @@
     }
 
     /// A connection to a server has come up with a request on it.
-    pub(crate) fn exchange_sent(&mut self, now: Instant, client: ConnectionId) {
-        let Some(exchange) = self.exchange_mut(client) else {
-            return;
-        };
-        exchange.attempt_until = exchange.until;
-        let Some(ClientState::Exchange(exchange)) =
-            self.clients.get(&client).map(|client| &client.state)
-        else {
+    pub(crate) fn exchange_sent(&mut self, now: Instant, id: ExchangeId) {
+        let Some(exchange) = self.exchanges.get_mut(id) else {
             return;
         };
-        let until = self.answer_limit(now, exchange);
-        if let Some(exchange) = self.exchange_mut(client) {
-            exchange.attempt_until = until;
-        }
-        self.timers.arm(until, TimerKey::Exchange(client));
-    }
-
-    pub(crate) fn exchange_mut(&mut self, client: ConnectionId) -> Option<&mut Exchange> {
-        match &mut self.clients.get_mut(&client)?.state {
-            ClientState::Exchange(exchange) => Some(exchange),
-            _ => None,
-        }
+        exchange.attempt_until = answer_limit(now, exchange);
+        self.timers
+            .arm(exchange.attempt_until, TimerKey::Exchange(id));
     }
 
     /// A server's answer is whole.
     pub(crate) fn exchange_answered(
         &mut self,
         now: Instant,
-        client: ConnectionId,
+        id: ExchangeId,
         instance: &InstanceId,
         answer: WholeAnswer,
     ) {
         self.balancer.ended(instance);
         let names = self.protocol.header_names().clone();
         self.note_load(now, instance, &answer.head);
-        let Some(exchange) = self.exchange_mut(client) else {
+        let Some(exchange) = self.exchanges.get_mut(id) else {
             return;
         };
         if exchange.stream.is_some() && answer.head.is_success() {
-            return self.finish_stream(now, client);
+            return self.finish_stream(now, id);
         }
         let latency = now.since(exchange.begun);
         let is_own = answer.head.headers.get(names.request_id) == Some(exchange.id.as_slice());
         let is_signed = answer.head.headers.get(names.signature).is_some();
         if answer.head.headers.get(names.not_run).is_some() || answer.head.status == 421 {
             let failure = Failure::new(Verdict::NotRun, false, "refused by the server");
-            return self.attempt_failed(now, client, instance, failure);
+            return self.attempt_failed(now, id, instance, failure);
         }
         if !is_own || (answer.head.is_success() && !is_signed) {
             let failure = Failure::new(Verdict::MayHaveRun, false, "not the answer");
-            return self.attempt_failed(now, client, instance, failure);
+            return self.attempt_failed(now, id, instance, failure);
         }
         if answer.head.status >= 500 {
             let mut failure = Failure::new(Verdict::Ran, false, "the server failed");
             failure.answer = Some(answer);
-            return self.attempt_failed(now, client, instance, failure);
+            return self.attempt_failed(now, id, instance, failure);
         }
         self.balancer.answered(now, instance, latency);
-        self.log_served(now, client, instance, answer.head.status);
-        self.pass_on(now, client, &answer);
+        self.metrics.attempt_ended("answered");
+        let Some(exchange) = self.exchanges.take(id) else {
+            return;
+        };
+        match exchange.origin {
+            Origin::Client(client) => {
+                self.log_served(now, &exchange, instance, answer.head.status);
+                self.pass_on(now, client, &answer);
+            }
+            Origin::Scoring(scoring) => self.scoring_answered(now, scoring, &exchange, &answer),
+        }
     }
 
     /// A request was answered by a server.
     fn log_served(
         &mut self,
         now: Instant,
-        client: ConnectionId,
+        exchange: &Exchange,
         instance: &InstanceId,
         status: u16,
     ) {
-        let Some(ClientState::Exchange(exchange)) =
-            self.clients.get(&client).map(|client| &client.state)
-        else {
-            return;
-        };
         let time = now.since(exchange.begun);
-        self.metrics.attempt_ended("answered");
         self.metrics
             .request_ended(&exchange.route.name, "served", time);
-        let id = text(&exchange.id);
+        let id = exchange.id_text();
         let steady = Duration::from_millis(now.as_millis());
         if self.sampler.takes(steady, &id) {
             info!(self.logger, "served"; "request" => id, "route" => &exchange.route.name,
@@ -312,7 +292,7 @@
     pub(crate) fn exchange_broken(
         &mut self,
         now: Instant,
-        client: ConnectionId,
+        id: ExchangeId,
         instance: &InstanceId,
         was_up: bool,
     ) {
@@ -322,28 +302,23 @@
         } else {
             Failure::new(Verdict::NotRun, true, "no connection")
         };
-        self.attempt_failed(now, client, instance, failure);
+        self.attempt_failed(now, id, instance, failure);
     }
 
     fn attempt_failed(
         &mut self,
         now: Instant,
-        client: ConnectionId,
+        id: ExchangeId,
         instance: &InstanceId,
         failure: Failure,
     ) {
         if failure.suspect {
             self.balancer.failed(now, instance);
         }
-        let Some(known) = self.clients.get_mut(&client) else {
-            return;
-        };
-        let reading = ClientState::Reading { begun: None };
-        let ClientState::Exchange(mut exchange) = std::mem::replace(&mut known.state, reading)
-        else {
+        let Some(mut exchange) = self.exchanges.take(id) else {
             return;
         };
-        info!(self.logger, "attempt failed"; "request" => text(&exchange.id),
+        warn!(self.logger, "attempt failed"; "request" => exchange.id_text(),
             "server" => %instance, "reason" => failure.reason, "verdict" => ?failure.verdict,
             "after_ms" => now.since(exchange.begun).as_millis() as u64);
         self.metrics.attempt_ended(failure.reason);
@@ -354,17 +329,18 @@
             exchange.attempts += 1;
             exchange.may_have_run = true;
         }
-        if may_try_again(&exchange) && self.has_another(&exchange) {
-            return self.next_try(now, client, exchange);
+        exchange.server_failures += u32::from(is_server_failure(&failure));
+        if exchange.may_try_again() && self.has_another(&exchange) {
+            return self.next_try(now, id, exchange);
         }
-        match failure.answer {
-            Some(answer) if exchange.stream.is_none() => {
+        match (failure.answer, exchange.origin) {
+            (Some(answer), Origin::Client(client)) if exchange.stream.is_none() => {
                 let time = now.since(exchange.begun);
                 let route = &exchange.route.name;
                 self.metrics.request_ended(route, "server_error", time);
                 self.pass_on(now, client, &answer);
             }
-            _ => self.give_up(now, client, &exchange),
+            _ => self.give_up(now, &exchange),
         }
     }
 
@@ -374,18 +350,26 @@
             .any(|server| !exchange.tried.contains(&server.instance))
     }
 
-    fn next_try(&mut self, now: Instant, client: ConnectionId, exchange: Box<Exchange>) {
-        if now >= exchange.until || !may_try_again(&exchange) {
-            return self.give_up(now, client, &exchange);
+    fn next_try(&mut self, now: Instant, id: ExchangeId, exchange: Exchange) {
+        if now >= exchange.until || !exchange.may_try_again() {
+            return self.give_up(now, &exchange);
         }
-        self.try_server(now, client, exchange);
+        self.try_server(now, id, exchange);
     }
 
-    /// Answers that there is no answer, and whether the request may have run.
-    fn give_up(&mut self, now: Instant, client: ConnectionId, exchange: &Exchange) {
-        if exchange.stream.is_some() {
-            return self.break_stream(now, client, exchange);
+    /// No server has answered, and none is asked any more.
+    fn give_up(&mut self, now: Instant, exchange: &Exchange) {
+        match exchange.origin {
+            Origin::Client(client) if exchange.stream.is_some() => {
+                self.break_stream(now, client, exchange);
+            }
+            Origin::Client(client) => self.answer_given_up(now, client, exchange),
+            Origin::Scoring(scoring) => self.scoring_given_up(now, scoring, exchange),
         }
+    }
+
+    /// Answers that there is no answer, and whether the request may have run.
+    fn answer_given_up(&mut self, now: Instant, client: ConnectionId, exchange: &Exchange) {
         let answer = if !exchange.may_have_run {
             OwnAnswer::NotRun(COME_BACK)
         } else if now >= exchange.until {
@@ -397,8 +381,8 @@
         self.metrics
             .request_ended(&exchange.route.name, answer.name(), time);
         let known = self.view.servers_of(&exchange.service).count();
-        info!(self.logger, "given up"; "service" => %exchange.service, "servers" => known,
-            "epoch" => self.view.epoch().0, "request" => text(&exchange.id),
+        warn!(self.logger, "given up"; "service" => %exchange.service, "servers" => known,
+            "epoch" => self.view.epoch().0, "request" => exchange.id_text(),
             "route" => &exchange.route.name, "answer" => answer.name(),
             "attempts" => exchange.attempts, "refusals" => exchange.refusals,
             "after_ms" => now.since(exchange.begun).as_millis() as u64,
@@ -407,8 +391,8 @@
     }
 
     /// The time of a try, or of the whole request, may be over.
-    pub(crate) fn on_exchange_timer(&mut self, now: Instant, client: ConnectionId) {
-        let Some(exchange) = self.exchange_mut(client) else {
+    pub(crate) fn on_exchange_timer(&mut self, now: Instant, id: ExchangeId) {
+        let Some(exchange) = self.exchanges.get_mut(id) else {
             return;
         };
         let attempt_until = match &exchange.stream {
@@ -417,7 +401,7 @@
         };
         let until = exchange.until;
         if now < until && now < attempt_until {
-            return self.timers.arm(attempt_until, TimerKey::Exchange(client));
+            return self.timers.arm(attempt_until, TimerKey::Exchange(id));
         }
         let Some(upstream) = exchange.upstream.take() else {
             return;
@@ -434,12 +418,13 @@
             Verdict::NotRun
         };
         let failure = Failure::new(verdict, !closed.up, "too slow");
-        self.attempt_failed(now, client, &closed.instance, failure);
+        self.attempt_failed(now, id, &closed.instance, failure);
     }
 
-    /// The client is gone: its server need not go on.
-    pub(crate) fn drop_exchange(&mut self, exchange: &Exchange) {
-        if let Some(upstream) = exchange.upstream
+    /// Nobody waits for the answer any more: its server need not go on.
+    pub(crate) fn drop_exchange(&mut self, id: ExchangeId) {
+        let upstream = self.exchanges.take(id).and_then(|known| known.upstream);
+        if let Some(upstream) = upstream
             && let Some(closed) = self.upstreams.close(&mut self.reactor, upstream)
         {
             self.balancer.ended(&closed.instance);
@@ -447,26 +432,20 @@
     }
 }
 
-/// Spreads successive requests over the services of a split.
-const SPLIT_STRIDE: u64 = 0x9e37_79b9_7f4a_7c15;
-/// The upper bits of the counter are spread best.
-const SPLIT_SHIFT: u32 = 33;
-
-/// Whether a request of the route may run more than once.
-fn is_repeatable(route: &Route) -> bool {
-    match route.kind {
-        RouteKind::Safe => true,
-        RouteKind::Streaming => route.resumable,
-        RouteKind::Unsafe | RouteKind::Batch => false,
+/// Until when a server that has a request may take before another one is tried.
+fn answer_limit(now: Instant, exchange: &Exchange) -> Instant {
+    let repeatable = is_repeatable(&exchange.route);
+    if repeatable && exchange.attempts + 1 < exchange.route.max_attempts {
+        let patience = exchange.route.target_latency * PATIENCE_FACTOR;
+        return exchange.until.min(now + patience);
     }
+    exchange.until
 }
 
-fn may_try_again(exchange: &Exchange) -> bool {
-    let repeatable = is_repeatable(&exchange.route);
-    let may_repeat = repeatable || !exchange.may_have_run;
-    may_repeat
-        && exchange.attempts < exchange.route.max_attempts.max(1)
-        && exchange.refusals <= MOST_REFUSALS
+/// Whether a server said that it ran the request and failed.
+fn is_server_failure(failure: &Failure) -> bool {
+    let answer = failure.answer.as_ref();
+    answer.is_some_and(|answer| answer.head.status == 500)
 }
 
 /// Header lines that are not for one connection only.
@@ -489,7 +468,3 @@
             .any(|other| name.eq_ignore_ascii_case(other.as_bytes()))
     })
 }
-
-fn text(id: &[u8]) -> String {
-    String::from_utf8_lossy(id).into_owned()
-}
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use wingshore_coordination::{
     AssignmentId, DurablePrefix, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome,
-    ItemProgress, ItemText, NotRunReason, RunningItem,
+    ItemProgress, ItemText, NotRunReason, RunningItem, ScoringAssignment,
 };
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter};
@@ -201,15 +201,23 @@
         let Some(run) = self.items.runs.get_mut(&id) else {
             return;
         };
+        let mut scoring = None;
         let outcome = match head.status {
             421 => ItemOutcome::NotRun(NotRunReason::Mismatch),
             _ if not_run => ItemOutcome::NotRun(NotRunReason::Full),
-            200..=299 if clean => ItemOutcome::Finished(std::mem::take(&mut run.text).into()),
+            200..=299 if clean => {
+                let text = std::mem::take(&mut run.text);
+                scoring = run.scoring();
+                ItemOutcome::Finished(text.into())
+            }
             200..=299 => run.interrupted(false),
             422 => ItemOutcome::Impossible,
             _ => ItemOutcome::Failed,
         };
         self.end_item(id, outcome);
+        if let Some(scoring) = scoring {
+            self.begin_scoring(self.clock.now(), scoring);
+        }
     }
 
     /// The connection of a try ended without a whole answer.
@@ -340,6 +348,18 @@
 }
 
 impl ItemRun {
+    /// The scoring of its text, if there is to be one. It bears the name of the try.
+    fn scoring(&self) -> Option<ScoringAssignment> {
+        let assignment = &self.assignment;
+        Some(ScoringAssignment {
+            scoring: assignment.assignment,
+            item: assignment.item.clone(),
+            id: assignment.request.clone(),
+            made_by: assignment.assignment,
+            scorer: assignment.scorer.clone()?,
+        })
+    }
+
     fn take(&mut self, event: StreamEvent) {
         if let Some(version) = event.version {
             self.version = Some(version);
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -12,11 +12,15 @@
 mod coordinators;
 mod error;
 mod event_stream;
+mod exchange;
 mod forward;
 mod items;
+mod limit;
 mod metrics;
 mod process;
 mod protocol;
+mod refusals;
+mod scoring;
 mod settings;
 mod streams;
 mod timers;
@@ -26,6 +30,7 @@
 pub use balance::Balancer;
 pub use error::GatewayError;
 pub use event_stream::{EventReader, StreamEvent, take_whole_events};
+pub use limit::{ConcurrencyLimit, Sign};
 pub use process::Gateway;
 pub use protocol::{
     BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer, ReadPage, ReadResult,
--- a/crates/wingshore-gateway/src/metrics.rs
+++ b/crates/wingshore-gateway/src/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) clients: usize,
     pub(crate) connections: usize,
     pub(crate) items: usize,
+    pub(crate) scorings: usize,
+    pub(crate) scorings_queued: usize,
     pub(crate) coordinators: usize,
     pub(crate) leader_known: bool,
     pub(crate) ready: bool,
@@ -68,10 +70,14 @@
     attempts: Family<OutcomeLabel, Counter>,
     items: Family<OutcomeLabel, Counter>,
     item_seconds: Histogram,
+    scorings: Family<OutcomeLabel, Counter>,
+    scoring_seconds: Histogram,
     calls: Family<CallLabels, Counter>,
     clients: Gauge,
     connections: Gauge,
     items_running: Gauge,
+    scorings_running: Gauge,
+    scorings_queued: Gauge,
     coordinators: Gauge,
     leader_known: Gauge,
     ready: Gauge,
@@ -89,10 +95,14 @@
             attempts: Family::default(),
             items: Family::default(),
             item_seconds: Buckets.new_metric(),
+            scorings: Family::default(),
+            scoring_seconds: Buckets.new_metric(),
             calls: Family::default(),
             clients: Gauge::default(),
             connections: Gauge::default(),
             items_running: Gauge::default(),
+            scorings_running: Gauge::default(),
+            scorings_queued: Gauge::default(),
             coordinators: Gauge::default(),
             leader_known: Gauge::default(),
             ready: Gauge::default(),
@@ -133,6 +143,17 @@
             Unit::Seconds,
             self.item_seconds.clone(),
         );
+        registry.register(
+            "scorings",
+            "Scorings of texts by what came of them",
+            self.scorings.clone(),
+        );
+        registry.register_with_unit(
+            "scoring",
+            "From a whole text to its score",
+            Unit::Seconds,
+            self.scoring_seconds.clone(),
+        );
         registry.register(
             "calls",
             "Calls about batch jobs by kind and how they ended",
@@ -145,6 +166,16 @@
             ("clients", "Connections of clients", &self.clients),
             ("connections", "Connections of all kinds", &self.connections),
             ("items_running", "Tries under way", &self.items_running),
+            (
+                "scorings_running",
+                "Scorings in hand",
+                &self.scorings_running,
+            ),
+            (
+                "scorings_queued",
+                "Scorings whose request has not been sent",
+                &self.scorings_queued,
+            ),
             ("coordinators", "Coordinators in touch", &self.coordinators),
             (
                 "leader_known",
@@ -191,6 +222,12 @@
         self.item_seconds.observe(time.as_secs_f64());
     }
 
+    /// A scoring has ended.
+    pub(crate) fn scoring_ended(&self, outcome: &'static str, time: Duration) {
+        self.scorings.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.scoring_seconds.observe(time.as_secs_f64());
+    }
+
     /// A call about a batch job has ended.
     pub(crate) fn call_ended(&self, call: &'static str, outcome: &'static str) {
         let labels = CallLabels { call, outcome };
@@ -203,6 +240,8 @@
         self.clients.set(as_gauge(readings.clients));
         self.connections.set(as_gauge(readings.connections));
         self.items_running.set(as_gauge(readings.items));
+        self.scorings_running.set(as_gauge(readings.scorings));
+        self.scorings_queued.set(as_gauge(readings.scorings_queued));
         self.coordinators.set(as_gauge(readings.coordinators));
         self.leader_known.set(i64::from(readings.leader_known));
         self.ready.set(i64::from(readings.ready));
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -5,9 +5,11 @@
 use crate::clients::{Client, Purpose};
 use crate::coordinators::Coordinators;
 use crate::error::{GatewayError, NetSnafu};
+use crate::exchange::Exchanges;
 use crate::items::Items;
 use crate::metrics::{GatewayMetrics, Readings};
 use crate::protocol::IngressProtocol;
+use crate::scoring::Scorings;
 use crate::settings::GatewaySettings;
 use crate::timers::{TimerKey, Timers};
 use crate::upstream::{Task, Upstreams};
@@ -61,6 +63,8 @@
     pub(crate) coordinators: Coordinators,
     pub(crate) calls: Calls,
     pub(crate) items: Items,
+    pub(crate) exchanges: Exchanges,
+    pub(crate) scorings: Scorings,
     pub(crate) timers: Timers,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) sampler: RequestSampler,
@@ -119,6 +123,8 @@
             coordinators: Coordinators::default(),
             calls: Calls::default(),
             items: Items::default(),
+            exchanges: Exchanges::default(),
+            scorings: Scorings::default(),
             timers: Timers::default(),
             split_counter: rand::random(),
             stopping_since: None,
@@ -187,6 +193,8 @@
             clients: self.clients.len(),
             connections: self.reactor.connection_count(),
             items: self.items.count(),
+            scorings: self.scorings.count(),
+            scorings_queued: self.scorings.queued(),
             coordinators: self.coordinators.connected().len(),
             leader_known: self.coordinators.leader().is_some(),
             ready: status.ready,
@@ -234,7 +242,7 @@
         };
         upstream.up = true;
         match upstream.task {
-            Some(Task::Exchange(client)) => self.exchange_sent(now, client),
+            Some(Task::Exchange(id)) => self.exchange_sent(now, id),
             Some(Task::Item(_)) | None => {}
         }
     }
@@ -266,7 +274,7 @@
         let clean = input.is_empty();
         match task {
             Task::Item(id) => self.on_item_input(now, id, connection),
-            Task::Exchange(client) => self.on_exchange_input(now, client, connection),
+            Task::Exchange(id) => self.on_exchange_input(now, id, connection),
         }
         match status {
             Ok(BodyStatus::Partial) => {}
@@ -304,7 +312,7 @@
             self.upstreams.close(&mut self.reactor, connection);
         }
         match task {
-            Task::Exchange(client) => self.exchange_answered(now, client, &instance, answer),
+            Task::Exchange(id) => self.exchange_answered(now, id, &instance, answer),
             Task::Item(id) => self.item_answered(id, &answer.head, !within_event),
         }
     }
@@ -343,8 +351,8 @@
             return;
         };
         match closed.task {
-            Some(Task::Exchange(client)) => {
-                self.exchange_broken(now, client, &closed.instance, closed.up);
+            Some(Task::Exchange(id)) => {
+                self.exchange_broken(now, id, &closed.instance, closed.up);
             }
             Some(Task::Item(id)) => self.item_connection_ended(id, closed.up),
             None => {}
@@ -355,7 +363,7 @@
         while let Some(key) = self.timers.take_due(now) {
             match key {
                 TimerKey::Client(connection) => self.on_client_timer(now, connection),
-                TimerKey::Exchange(client) => self.on_exchange_timer(now, client),
+                TimerKey::Exchange(id) => self.on_exchange_timer(now, id),
                 TimerKey::Item(id) => self.on_item_timer(now, id),
                 TimerKey::Call(id) => self.on_call_timer(now, id),
             }
@@ -378,6 +386,7 @@
         self.upstreams
             .close_idle(now, &mut self.reactor, |instance| view.knows(instance));
         self.balancer.retain(|instance| view.knows(instance));
+        self.start_scorings(now);
         self.reload();
         self.begin_stop(now);
     }
@@ -405,6 +414,7 @@
         self.stopping_since = Some(now);
         self.tell_status();
         self.hand_items_back();
+        self.hand_scorings_back(now);
     }
 
     /// Whether a planned stop is over: nobody waits for an answer, and no client can have an
@@ -431,6 +441,6 @@
         for connection in idle {
             self.close_client(connection);
         }
-        self.clients.is_empty() && self.items.count() == 0
+        self.clients.is_empty() && self.items.count() == 0 && self.scorings.count() == 0
     }
 }
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -98,6 +98,8 @@
     pub text: String,
     /// The weight versions that made them.
     pub versions: Vec<u64>,
+    /// What its scorer said; `None` without one.
+    pub score: Option<String>,
 }
 
 impl ReadPage {
@@ -112,6 +114,7 @@
                 state: result.state,
                 text: result.text.unpack()?,
                 versions: result.versions.clone(),
+                score: result.score.clone(),
             })
         });
         Ok(Self {
@@ -161,6 +164,14 @@
             Self::Refused(_) => "refused",
         }
     }
+
+    /// What is wrong with a call that is refused; empty otherwise.
+    pub fn reason(&self) -> &str {
+        match self {
+            Self::Refused(reason) => reason,
+            _ => "",
+        }
+    }
 }
 
 /// Translates what callers and servers speak.
--- /dev/null
+++ b/crates/wingshore-gateway/src/refusals.rs
@@ -0,0 +1,94 @@
+//! Answers of the gateway's own to requests that no server was offered, and why they were given.
+
+use crate::forward::COME_BACK;
+use crate::process::Gateway;
+use crate::protocol::OwnAnswer;
+use slog::warn;
+use std::fmt::Display;
+use std::time::Duration;
+use wingshore_net::ConnectionId;
+use wingshore_net::http::{HttpAnswer, RequestError, RequestHead};
+use wingshore_types::Instant;
+
+/// Stands for the route in metrics where there is none.
+const NO_ROUTE: &str = "none";
+
+impl Gateway {
+    /// Refuses a request as not run; the client may come back.
+    pub(crate) fn refuse_not_run(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        head: &RequestHead,
+        reason: &str,
+    ) {
+        let answer = OwnAnswer::NotRun(COME_BACK);
+        self.log_refused(now, Some(head), answer.name(), reason);
+        self.metrics
+            .request_ended(NO_ROUTE, answer.name(), Duration::ZERO);
+        self.answer_own(now, client, &answer);
+    }
+
+    /// Refuses a request that no route leads.
+    pub(crate) fn refuse_without_route(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        head: &RequestHead,
+    ) {
+        let answer = OwnAnswer::NoRoute;
+        let reason = "no route of the configuration in force has this host and path";
+        self.log_refused(now, Some(head), answer.name(), reason);
+        self.metrics
+            .request_ended(NO_ROUTE, answer.name(), Duration::ZERO);
+        self.answer_own(now, client, &answer);
+    }
+
+    /// Refuses a request that did not arrive whole in time; its connection is of no more use.
+    pub(crate) fn refuse_too_slow(&mut self, now: Instant, client: ConnectionId) {
+        let Some(known) = self.clients.get_mut(&client) else {
+            return;
+        };
+        known.close_after = true;
+        let head = known.reader.head().cloned();
+        let answer = OwnAnswer::TooSlow;
+        let reason = "it did not arrive whole within the limits of the configuration";
+        self.log_refused(now, head.as_ref(), answer.name(), reason);
+        self.answer_own(now, client, &answer);
+    }
+
+    /// Refuses bytes that are no request, or one over a limit; their connection is of no more use.
+    pub(crate) fn refuse_unreadable(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        error: &RequestError,
+    ) {
+        let Some(known) = self.clients.get_mut(&client) else {
+            return;
+        };
+        known.close_after = true;
+        let head = known.reader.head().cloned();
+        self.log_refused(now, head.as_ref(), "unreadable", error);
+        let answer = HttpAnswer::plain(error.status(), error.to_string());
+        self.answer_client(now, client, &answer);
+    }
+
+    /// One line for an answer that was given without offering the request to a server.
+    pub(crate) fn log_refused(
+        &self,
+        now: Instant,
+        head: Option<&RequestHead>,
+        answer: &'static str,
+        reason: impl Display,
+    ) {
+        let name = self.protocol.header_names().request_id;
+        let text = |name| head.and_then(|head| head.headers.text(name));
+        warn!(self.logger, "refused"; "request" => text(name), "host" => text("host"),
+            "path" => head.map(RequestHead::path), "answer" => answer, "reason" => %reason,
+            "configuration" => self.view.version(), "epoch" => self.view.epoch().0,
+            "leader_known" => self.coordinators.leader().is_some(),
+            "leader_heard_ms" => self.coordinators.leader_silence(now).map(|time| time.as_millis() as u64),
+            "stopping" => self.stopping_since.is_some());
+    }
+}
--- a/crates/wingshore-gateway/src/streams.rs
+++ b/crates/wingshore-gateway/src/streams.rs
@@ -4,7 +4,8 @@
 //! at another server behind the last whole event, within the same answer.
 
 use crate::event_stream::{EventReader, take_whole_events};
-use crate::forward::{Exchange, end_to_end};
+use crate::exchange::{Exchange, ExchangeId};
+use crate::forward::end_to_end;
 use crate::process::Gateway;
 use slog::info;
 use wingshore_coordination::RouteKind;
@@ -31,11 +32,14 @@
     pub(crate) fn on_exchange_input(
         &mut self,
         now: Instant,
-        client: ConnectionId,
+        exchange_id: ExchangeId,
         upstream: ConnectionId,
     ) {
         let names = self.protocol.header_names().clone();
-        let Some(exchange) = self.exchange_mut(client) else {
+        let Some(exchange) = self.exchanges.get_mut(exchange_id) else {
+            return;
+        };
+        let Some(client) = exchange.client() else {
             return;
         };
         if exchange.route.kind != RouteKind::Streaming {
@@ -63,7 +67,7 @@
             }
             self.reactor.send(client, &writer.chunked());
         }
-        let Some(exchange) = self.exchange_mut(client) else {
+        let Some(exchange) = self.exchanges.get_mut(exchange_id) else {
             return;
         };
         let stream = exchange.stream.get_or_insert_with(|| PassedStream {
@@ -84,19 +88,24 @@
     }
 
     /// The server has ended the stream; it is whole unless that was inside an event.
-    pub(crate) fn finish_stream(&mut self, now: Instant, client: ConnectionId) {
-        let within_event = self
-            .exchange_mut(client)
-            .and_then(|exchange| exchange.stream.as_ref())
+    pub(crate) fn finish_stream(&mut self, now: Instant, id: ExchangeId) {
+        let Some(exchange) = self.exchanges.take(id) else {
+            return;
+        };
+        let Some(client) = exchange.client() else {
+            return;
+        };
+        let within_event = exchange
+            .stream
+            .as_ref()
             .is_some_and(|stream| !stream.partial.is_empty());
         if within_event {
             self.clients.remove(&client);
             return self.reactor.close_when_flushed(client);
         }
-        if let Some(exchange) = self.exchange_mut(client) {
-            let (route, time) = (exchange.route.name.clone(), now.since(exchange.begun));
-            self.metrics.request_ended(&route, "served", time);
-        }
+        let time = now.since(exchange.begun);
+        self.metrics
+            .request_ended(&exchange.route.name, "served", time);
         let mut last = Vec::new();
         write_last_chunk(&mut last);
         self.reactor.send(client, &last);
--- a/crates/wingshore-gateway/src/timers.rs
+++ b/crates/wingshore-gateway/src/timers.rs
@@ -1,5 +1,6 @@
 //! What is to be looked at by time.
 
+use crate::exchange::ExchangeId;
 use std::collections::BTreeSet;
 use wingshore_coordination::AssignmentId;
 use wingshore_net::ConnectionId;
@@ -10,8 +11,8 @@
 pub(crate) enum TimerKey {
     /// A client's connection.
     Client(ConnectionId),
-    /// The exchange of a client's connection.
-    Exchange(ConnectionId),
+    /// A request on its way.
+    Exchange(ExchangeId),
     /// An item that runs.
     Item(AssignmentId),
     /// A call to the group.
--- a/crates/wingshore-gateway/src/upstream.rs
+++ b/crates/wingshore-gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to servers: one request at a time on each, kept for the next one.
 
 use crate::event_stream::EventReader;
+use crate::exchange::ExchangeId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,8 +20,8 @@
 /// Who uses a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Task {
-    /// The exchange of a client's connection.
-    Exchange(ConnectionId),
+    /// A request of a client, or a scoring's.
+    Exchange(ExchangeId),
     /// A try at an item.
     Item(AssignmentId),
 }
--- a/crates/wingshore-net/src/http/exchange.rs
+++ b/crates/wingshore-net/src/http/exchange.rs
@@ -64,6 +64,8 @@
 #[derive(Default)]
 pub struct RequestReader {
     under_way: Option<(RequestHead, BodyReader, Vec<u8>)>,
+    /// Head of a request that cannot be read on.
+    unreadable: Option<RequestHead>,
 }
 
 impl RequestReader {
@@ -81,34 +83,56 @@
             let Some(head) = read_request_head(input, most_head)? else {
                 return Ok(None);
             };
-            let framing = Framing::of_request(&head)?;
-            if matches!(framing, Framing::Length(length) if length > most_body as u64) {
-                return BodyTooLongSnafu { limit: most_body }.fail();
+            match body_reader(&head, most_body) {
+                Ok(reader) => self.under_way = Some((head, reader, Vec::new())),
+                Err(error) => {
+                    self.unreadable = Some(head);
+                    return Err(error);
+                }
             }
-            self.under_way = Some((head, BodyReader::new(framing), Vec::new()));
         }
         let Some((head, mut reader, mut body)) = self.under_way.take() else {
             return Ok(None);
         };
-        let status = reader.read(input, &mut body)?;
-        if body.len() > most_body {
-            return BodyTooLongSnafu { limit: most_body }.fail();
-        }
+        let status = reader.read(input, &mut body).map_err(RequestError::from);
+        let status = match status {
+            Ok(_) if body.len() > most_body => BodyTooLongSnafu { limit: most_body }.fail(),
+            status => status,
+        };
         match status {
-            BodyStatus::Whole => Ok(Some(WholeRequest { head, body })),
-            BodyStatus::Partial => {
+            Err(error) => {
+                self.unreadable = Some(head);
+                Err(error)
+            }
+            Ok(BodyStatus::Whole) => Ok(Some(WholeRequest { head, body })),
+            Ok(BodyStatus::Partial) => {
                 self.under_way = Some((head, reader, body));
                 Ok(None)
             }
         }
     }
 
+    /// Head of the request that is being read, or that could not be read on.
+    pub fn head(&self) -> Option<&RequestHead> {
+        let under_way = self.under_way.as_ref().map(|(head, _, _)| head);
+        under_way.or(self.unreadable.as_ref())
+    }
+
     /// Whether part of a request was read.
     pub fn is_under_way(&self) -> bool {
         self.under_way.is_some()
     }
 }
 
+/// Reads the body of a request, unless it is known to be too long.
+fn body_reader(head: &RequestHead, most_body: usize) -> Result<BodyReader, RequestError> {
+    let framing = Framing::of_request(head)?;
+    if matches!(framing, Framing::Length(length) if length > most_body as u64) {
+        return BodyTooLongSnafu { limit: most_body }.fail();
+    }
+    Ok(BodyReader::new(framing))
+}
+
 /// Reads the answer to one request.
 pub struct AnswerReader {
     to_head_request: bool,
--- a/crates/wingshore-net/src/http/head.rs
+++ b/crates/wingshore-net/src/http/head.rs
@@ -36,6 +36,17 @@
 }
 
 impl Headers {
+    /// These lines, in their order.
+    pub fn from_lines<'a>(lines: impl IntoIterator<Item = (&'a str, &'a str)>) -> Self {
+        let copy = |text: &str| Bytes::copy_from_slice(text.as_bytes());
+        let lines = lines.into_iter();
+        Self {
+            lines: lines
+                .map(|(name, value)| (copy(name), copy(value)))
+                .collect(),
+        }
+    }
+
     /// The first value of `name`, whatever its case.
     pub fn get<'a>(&'a self, name: &str) -> Option<&'a [u8]> {
         self.all(name).next()
