gateway, coordinator: results are read from the copy of the state in the gateway's zone

Change: what is listed never changes, so a gateway asks the coordinator of its own zone first, which answers from what it has applied, or waits for a result within the time that the read may wait. That there is nothing more, or no such job, only the leader says. A copy that has been silent for 650 ms is not asked; a link that ends sends its reads to the leader.

--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Batch jobs: what was submitted, and the results listed so far.
 
 use crate::ids::{ItemId, JobId, ModelName};
-use crate::messages::AssignmentId;
+use crate::messages::{AssignmentId, JobPage};
 use crate::scoring::{Scorer, UnscoredText};
 use crate::text::{FinishedText, ItemText, ResultText};
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,9 @@
 use std::sync::Arc;
 use wingshore_types::protocol::byte_vector;
 
+/// Bytes of a result besides its text, roughly.
+const RESULT_OVERHEAD: usize = 160;
+
 /// A batch job as a caller submits it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSubmission {
@@ -239,6 +242,35 @@
         self.submission = Arc::new(self.submission.without_contents());
     }
 
+    /// Results from a position on, as many as fit into `most_bytes`, at least one if there is one.
+    pub fn page(&self, from: u64, most_bytes: usize) -> JobPage {
+        let start = usize::try_from(from).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let results = self
+            .results
+            .iter()
+            .skip(start)
+            .take_while(|result| {
+                let size = result.text.length() + RESULT_OVERHEAD;
+                let fits = bytes == 0 || bytes + size <= most_bytes;
+                bytes += size;
+                fits
+            })
+            .cloned()
+            .collect();
+        JobPage {
+            total: self.submission.items.len() as u64,
+            from,
+            results,
+        }
+    }
+
+    /// As [`Job::page`]; `None` without any result from that position on.
+    pub fn page_if_any(&self, from: u64, most_bytes: usize) -> Option<JobPage> {
+        let has_some = self.results.len() as u64 > from;
+        has_some.then(|| self.page(from, most_bytes))
+    }
+
     /// Whether the item at `index` is listed.
     pub fn is_listed(&self, index: u32) -> bool {
         self.listed.get(index as usize).copied().unwrap_or(true)
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -4,8 +4,8 @@
 use super::scoring::release_scoring;
 use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
 use crate::ids::{ItemKey, JobId};
-use crate::jobs::{Job, JobSubmission};
-use crate::messages::{JobPage, Reply};
+use crate::jobs::JobSubmission;
+use crate::messages::Reply;
 use crate::state::{Command, CoordinationState};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,9 +13,6 @@
 use wingshore_types::Instant;
 use wingshore_types::machine::RequestTag;
 
-/// Bytes of a result besides its text, roughly.
-const RESULT_OVERHEAD: usize = 160;
-
 /// Since when each job is known to this leader. A new leader counts from its beginning, so that
 /// nothing is given up or forgotten too early.
 #[derive(Default)]
@@ -127,7 +124,7 @@
         };
         let has_some = (known.results.len() as u64) > from;
         if has_some || wait.is_zero() || known.ended {
-            let page = page(known, from, self.settings.page_bytes);
+            let page = known.page(from, self.settings.page_bytes);
             return reply(tag, Reply::Page(page), out);
         }
         self.readers.waiting.push(Reader {
@@ -193,7 +190,7 @@
         let due = self.readers.waiting.extract_if(.., |reader| is_due(reader));
         for reader in due {
             let answer = state.jobs().get(&reader.job).map_or(Reply::Unknown, |job| {
-                Reply::Page(page(job, reader.from, page_bytes))
+                Reply::Page(job.page(reader.from, page_bytes))
             });
             reply(reader.tag, answer, out);
         }
@@ -301,26 +298,3 @@
         }
     }
 }
-
-/// Results from a position on, as many as fit, at least one if there is one.
-fn page(job: &Job, from: u64, most_bytes: usize) -> JobPage {
-    let start = usize::try_from(from).unwrap_or(usize::MAX);
-    let mut bytes = 0;
-    let results = job
-        .results
-        .iter()
-        .skip(start)
-        .take_while(|result| {
-            let size = result.text.length() + RESULT_OVERHEAD;
-            let fits = bytes == 0 || bytes + size <= most_bytes;
-            bytes += size;
-            fits
-        })
-        .cloned()
-        .collect();
-    JobPage {
-        total: job.submission.items.len() as u64,
-        from,
-        results,
-    }
-}
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -243,6 +243,17 @@
         /// What came of it.
         outcome: ScoringOutcome,
     },
+    /// Reads results of a job from the receiver's own copy of the state.
+    ReadCopy {
+        /// Comes back with the reply.
+        id: u64,
+        /// The job.
+        job: JobId,
+        /// The first position wanted.
+        from: u64,
+        /// How long the answer may wait for a result.
+        wait: Duration,
+    },
 }
 
 /// From a coordinator to a gateway.
@@ -292,6 +303,8 @@
     Alive {
         /// Where coordinators listen for the site's own processes, as far as this one knows.
         coordinators: Vec<SocketAddr>,
+        /// Where this one stands.
+        zone: String,
     },
 }
 
@@ -304,6 +317,8 @@
     NotLeader,
     /// Leadership was lost meanwhile; the call may or may not take effect.
     Unknown,
+    /// This copy holds nothing that answers the call; the leader may.
+    Nothing,
 }
 
 /// All that a gateway must know.
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -178,6 +178,12 @@
                 after_events,
                 text,
             },
+            GatewayMessage::ReadCopy {
+                id,
+                job,
+                from,
+                wait,
+            } => return self.read_copy(now, connection, (id, job, from, wait)),
             GatewayMessage::Call { id, request } => {
                 self.ask_group(request, Waiting::Gateway(connection, id));
                 return;
@@ -209,7 +215,8 @@
             self.introduce(connection);
         }
         let coordinators = self.member_addresses();
-        self.send_to_all_gateways(&CoordinatorMessage::Alive { coordinators });
+        let zone = self.settings.zone.clone();
+        self.send_to_all_gateways(&CoordinatorMessage::Alive { coordinators, zone });
     }
 
     /// Where the members listen for the site's own processes.
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! One coordinator process from start to end: the loop that owns sockets and the group's host.
 
 mod callers;
+mod copies;
 mod links;
 mod members;
 mod outputs;
@@ -136,6 +137,8 @@
     directory: Directory,
     engines: EngineCalls,
     waiting: HashMap<RequestTag, PendingCall>,
+    /// Gateways that wait for a result in this member's copy of the state.
+    copy_readers: Vec<copies::CopyReader>,
     next_tag: u64,
     planner: MembershipPlanner,
     change_under_way: bool,
@@ -214,6 +217,7 @@
             directory: Directory::default(),
             engines: EngineCalls::new(engine_protocol),
             waiting: HashMap::new(),
+            copy_readers: Vec::new(),
             next_tag: 0,
             planner: MembershipPlanner::default(),
             change_under_way: false,
@@ -245,6 +249,7 @@
             }
             self.step_host(now, &mut outputs)?;
             self.drop_orders_without_lease();
+            self.answer_copy_readers(now);
         }
         info!(self.logger, "stopped"; "node" => &self.settings.node);
         Ok(())
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -21,14 +21,33 @@
 /// When to come back after a call that had no effect.
 const COME_BACK: Duration = Duration::from_millis(250);
 
+/// Where a call was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Receiver {
+    /// The group's leader.
+    Leader(ConnectionId),
+    /// A coordinator that answers from its copy of the state.
+    Copy(ConnectionId),
+}
+
+impl Receiver {
+    fn connection(self) -> ConnectionId {
+        match self {
+            Self::Leader(connection) | Self::Copy(connection) => connection,
+        }
+    }
+}
+
 /// One call that waits for the group.
 struct Call {
     client: ConnectionId,
     request: Request,
     until: Instant,
-    sent_to: Option<ConnectionId>,
+    sent_to: Option<Receiver>,
     /// Whether it may take effect.
     may_take_effect: bool,
+    /// Whether a copy of the state near by may answer it.
+    may_read_copy: bool,
 }
 
 /// All calls that wait.
@@ -86,19 +105,53 @@
             until: now + limit,
             sent_to: None,
             may_take_effect: false,
+            may_read_copy: true,
         };
         self.calls.waiting.insert(id, call);
         self.set_client_call(client, id);
         self.send_call(now, id);
     }
 
-    /// Sends a call to the leader, if one is known.
+    /// Sends a call to where it can be answered.
     fn send_call(&mut self, now: Instant, id: u64) {
+        if !self.send_to_copy(now, id) {
+            self.send_to_leader(now, id);
+        }
+    }
+
+    /// Reads results from a copy of the state near by, if there is one.
+    fn send_to_copy(&mut self, now: Instant, id: u64) -> bool {
+        let copy = self.coordinators.near_copy(now, &self.settings.zone);
+        let Some(call) = self.calls.waiting.get_mut(&id) else {
+            return false;
+        };
+        let Request::ReadJob { job, from, wait } = &call.request else {
+            return false;
+        };
+        let Some(copy) = copy.filter(|_| call.may_read_copy) else {
+            return false;
+        };
+        let message = GatewayMessage::ReadCopy {
+            id,
+            job: job.clone(),
+            from: *from,
+            wait: *wait,
+        };
+        call.may_read_copy = false;
+        call.sent_to = Some(Receiver::Copy(copy));
+        let until = call.until;
+        self.send_frame(copy, &IncomingFrame::FromGateway(message));
+        self.timers.arm(until, TimerKey::Call(id));
+        true
+    }
+
+    /// Sends a call to the leader, if one is known.
+    fn send_to_leader(&mut self, now: Instant, id: u64) {
         let leader = self.coordinators.leader();
         let Some(call) = self.calls.waiting.get_mut(&id) else {
             return;
         };
-        call.sent_to = leader;
+        call.sent_to = leader.map(Receiver::Leader);
         let mut look_at = call.until;
         if let Some(leader) = leader {
             call.may_take_effect = true;
@@ -114,22 +167,30 @@
     }
 
     /// Calls that were sent on a connection that is gone wait for another leader.
-    pub(crate) fn calls_lost(&mut self, _now: Instant, connection: ConnectionId) {
-        for call in self.calls.waiting.values_mut() {
-            if call.sent_to == Some(connection) {
-                call.sent_to = None;
+    pub(crate) fn calls_lost(&mut self, now: Instant, connection: ConnectionId) {
+        let mut from_copy = Vec::new();
+        for (id, call) in &mut self.calls.waiting {
+            match call.sent_to {
+                Some(Receiver::Copy(copy)) if copy == connection => from_copy.push(*id),
+                Some(Receiver::Leader(leader)) if leader == connection => call.sent_to = None,
+                _ => {}
             }
         }
+        for id in from_copy {
+            self.send_to_leader(now, id);
+        }
     }
 
     /// There is a leader: sends what waits for one.
     pub(crate) fn resend_calls(&mut self, now: Instant) {
         let leader = self.coordinators.leader();
+        let leader = leader.map(Receiver::Leader);
+        let is_at_copy = |call: &Call| matches!(call.sent_to, Some(Receiver::Copy(_)));
         let unsent: Vec<u64> = self
             .calls
             .waiting
             .iter()
-            .filter(|(_, call)| call.sent_to != leader)
+            .filter(|(_, call)| call.sent_to != leader && !is_at_copy(call))
             .map(|(id, _)| *id)
             .collect();
         for id in unsent {
@@ -182,9 +243,12 @@
         };
         let reply = match reply {
             CallReply::Reply(reply) => reply,
-            CallReply::NotLeader | CallReply::Unknown => {
+            CallReply::Nothing if call.sent_to == Some(Receiver::Copy(connection)) => {
+                return self.ask_leader_instead(now, id);
+            }
+            CallReply::NotLeader | CallReply::Unknown | CallReply::Nothing => {
                 // The next welcome, or the timer, sends it again.
-                if call.sent_to == Some(connection) {
+                if call.sent_to.map(Receiver::connection) == Some(connection) {
                     call.sent_to = None;
                 }
                 return;
@@ -211,6 +275,18 @@
         self.answer_batch(now, call.client, &answer);
     }
 
+    /// A copy of the state had nothing: the leader says whether there is anything, by the rest of
+    /// the time that the answer may wait.
+    fn ask_leader_instead(&mut self, now: Instant, id: u64) {
+        if let Some(call) = self.calls.waiting.get_mut(&id)
+            && let Request::ReadJob { wait, .. } = &mut call.request
+        {
+            let rest = call.until.since(now).saturating_sub(CALL_LIMIT);
+            *wait = rest.min(*wait);
+        }
+        self.send_to_leader(now, id);
+    }
+
     fn read_page(&self, page: &JobPage) -> BatchAnswer {
         match ReadPage::unpack(page) {
             Ok(page) => BatchAnswer::Page(page),
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -20,6 +20,9 @@
 /// A coordinator that is silent for this long is disconnected.
 const SILENCE: Duration = Duration::from_millis(1200);
 
+/// A coordinator's copy of the state is read only if it was heard of within this time.
+const COPY_FRESH: Duration = Duration::from_millis(650);
+
 /// The link to one coordinator.
 pub(crate) struct CoordinatorLink {
     connection: Option<ConnectionId>,
@@ -29,6 +32,8 @@
     heard: Instant,
     /// Other coordinators it knows.
     knows: Vec<SocketAddr>,
+    /// Where it stands, once it has said so.
+    zone: Option<String>,
 }
 
 /// All links.
@@ -46,6 +51,21 @@
         link.connection.filter(|_| link.up)
     }
 
+    /// The connection to a coordinator in `zone` that is well, unless the leader stands there.
+    pub(crate) fn near_copy(&self, now: Instant, zone: &str) -> Option<ConnectionId> {
+        let mut near = self.links.iter().filter(|(_, link)| {
+            let is_fresh = now.since(link.heard) <= COPY_FRESH;
+            link.up && is_fresh && link.zone.as_deref() == Some(zone)
+        });
+        if near
+            .clone()
+            .any(|(address, _)| Some(*address) == self.leader)
+        {
+            return None;
+        }
+        near.find_map(|(_, link)| link.connection)
+    }
+
     /// How long ago the leader was last heard of.
     pub(crate) fn leader_silence(&self, now: Instant) -> Option<Duration> {
         let link = self.links.get(self.leader.as_ref()?)?;
@@ -111,6 +131,7 @@
             since: now,
             heard: now,
             knows,
+            zone: None,
         };
         self.coordinators.links.insert(address, link);
     }
@@ -218,9 +239,10 @@
             CoordinatorMessage::Release { assignment } => self.release_item(assignment),
             CoordinatorMessage::Score(assignment) => self.begin_scoring(now, assignment),
             CoordinatorMessage::ReleaseScoring { scoring } => self.release_scoring(now, scoring),
-            CoordinatorMessage::Alive { coordinators } => {
+            CoordinatorMessage::Alive { coordinators, zone } => {
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
                     link.knows = coordinators;
+                    link.zone = Some(zone);
                 }
             }
         }
