--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -169,9 +169,10 @@
                 item,
                 made_by,
                 text,
+                versions,
             } => {
                 if let Some(job) = self.jobs.get_mut(&item.job) {
-                    job.keep_unscored(item.index, made_by, text);
+                    job.keep_unscored(item.index, made_by, text, versions);
                 }
             }
             Command::ListScored {
