--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -83,6 +83,8 @@
 #[derive(Default)]
 pub(crate) struct Items {
     epoch: Epoch,
+    /// Whether the longest items of a job are placed first.
+    longest_first: bool,
     next_assignment: u64,
     next_job: u64,
     /// Open jobs with their numbers in the order of acceptance.
@@ -99,8 +101,9 @@
 
 impl Items {
     /// A new leadership: every item that is not listed waits, until a gateway says that it runs it.
-    pub(crate) fn begin(&mut self, epoch: Epoch, state: &CoordinationState) {
+    pub(crate) fn begin(&mut self, epoch: Epoch, longest_first: bool, state: &CoordinationState) {
         self.epoch = epoch;
+        self.longest_first = longest_first;
         for id in state.jobs().keys() {
             self.add_job(id, state);
         }
@@ -187,6 +190,7 @@
     fn rank(&self, item: &ItemKey) -> Rank {
         let progress = self.progress.get(item);
         let expected = progress.map_or(0, |progress| progress.expected);
+        let expected = if self.longest_first { expected } else { 0 };
         Rank {
             length: std::cmp::Reverse(expected),
             index: item.index,
--- a/crates/wingshore-coordination/src/leader/load_choice.rs
+++ b/crates/wingshore-coordination/src/leader/load_choice.rs
@@ -44,7 +44,11 @@
         let usable = self.usable_engines(state);
         wanted.sort_by_cached_key(|load| LoadRank {
             is_still_usable: load.lag <= 1,
-            usable: usable.get(&load.model).copied().unwrap_or(0),
+            usable: usable
+                .get(&load.model)
+                .filter(|_| self.settings.policy.scarce_models_first)
+                .copied()
+                .unwrap_or(0),
             lag: std::cmp::Reverse(load.lag),
             long_running: self.long_running(&load.instance),
             instance: load.instance.clone(),
@@ -126,7 +130,8 @@
     /// while long items would stand still for it. An engine that is further behind loads, unless
     /// it has long items and others carry its model meanwhile.
     fn is_worth_it(&self, load: &WantedLoad) -> bool {
-        let has_long_items = self.long_running(&load.instance) > 0;
+        let spares = self.settings.policy.loads_spare_long_items;
+        let has_long_items = spares && self.long_running(&load.instance) > 0;
         if load.lag > 1 {
             return !has_long_items || !self.others_carry(load);
         }
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -8,12 +8,14 @@
 mod moves;
 mod outcomes;
 mod placement;
+mod policy;
 mod rollout;
 mod scoring;
 mod servers;
 mod settings;
 
 pub use decision::Decision;
+pub use policy::LeaderPolicy;
 pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
 pub use settings::LeaderSettings;
 
@@ -407,7 +409,8 @@
         self.heartbeats.begin(now, state.servers().keys());
         self.engines.begin(state);
         self.routes = routes_of(state);
-        self.items.begin(epoch, state);
+        let longest_first = self.settings.policy.long_items_first;
+        self.items.begin(epoch, longest_first, state);
         self.scorings.begin(now, state);
         self.job_clock.begin(now, state.jobs().keys());
         self.begin_rollout(now, state, out);
--- a/crates/wingshore-coordination/src/leader/moves.rs
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -84,6 +84,9 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        if !self.settings.policy.moves {
+            return;
+        }
         let mut promised: std::collections::BTreeMap<InstanceId, usize> = Default::default();
         for assignment in tries.iter().copied() {
             let running = self.items.running_of(assignment);
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -135,7 +135,8 @@
         let min_version = candidate.job.submission.min_version;
         let home = self
             .items
-            .group_home(&candidate.job.submission.id, &candidate.item.group);
+            .group_home(&candidate.job.submission.id, &candidate.item.group)
+            .filter(|_| self.settings.policy.prompt_homes);
         let best_pace = self.engines.best_pace(&candidate.service).unwrap_or(1.0);
         let newest = model.and_then(|model| state.named_versions().get(model).copied());
         self.engines
@@ -144,7 +145,7 @@
             .filter(|(_, engine)| engine.takes(now, model, min_version))
             .map(|(instance, engine)| {
                 let version = engine.version_of_any(model);
-                let cost = if progress.is_long {
+                let cost = if progress.is_long && self.settings.policy.long_items_first {
                     let is_newest = version >= newest.unwrap_or(0);
                     long_cost(engine, best_pace, is_newest)
                 } else {
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the leader machine.
 
+use super::policy::LeaderPolicy;
 use std::time::Duration;
 
 /// Settings of the leader machine; the same on all members.
@@ -38,6 +39,8 @@
     pub item_silence: Duration,
     /// Most bytes of results in one answer.
     pub page_bytes: usize,
+    /// Which mechanisms of choice are on.
+    pub policy: LeaderPolicy,
 }
 
 impl Default for LeaderSettings {
@@ -59,6 +62,7 @@
             gateway_expiry: Duration::from_millis(2500),
             item_silence: Duration::from_secs(2),
             page_bytes: 900 * 1024,
+            policy: LeaderPolicy::default(),
         }
     }
 }
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -25,8 +25,8 @@
 pub use ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServiceName};
 pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
-    CoordinationLeader, Decision, Effect, EngineReport, Event, LeaderFigures, LeaderSettings,
-    OrderAnswer, WeightOrder,
+    CoordinationLeader, Decision, Effect, EngineReport, Event, LeaderFigures, LeaderPolicy,
+    LeaderSettings, OrderAnswer, WeightOrder,
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame};
 pub use messages::{
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -491,6 +491,7 @@
         concurrent_loads: settings.concurrent_loads,
         load_time: settings.load_time,
         job_retention: settings.job_retention,
+        policy: settings.leader_policy,
         ..LeaderSettings::default()
     };
     let machines = MachineFactory {
--- a/crates/wingshore-coordinator/src/process/orders.rs
+++ b/crates/wingshore-coordinator/src/process/orders.rs
@@ -22,7 +22,8 @@
         let Some(wait) = machine.and_then(|machine| machine.order_wait(now)) else {
             return;
         };
-        if self.has_returned_leadership || wait < WORTH_RETURNING {
+        let may_return = self.settings.returns_leadership && !self.has_returned_leadership;
+        if !may_return || wait < WORTH_RETURNING {
             return;
         }
         let Some(member) = self.ready_order_holder(now) else {
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
+use wingshore_coordination::LeaderPolicy;
 
 /// Settings of a coordinator process, checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,6 +53,10 @@
     pub concurrent_loads: usize,
     /// Time that an engine takes to load weights.
     pub load_time: Duration,
+    /// Which mechanisms of choice of the leader are on.
+    pub leader_policy: LeaderPolicy,
+    /// Whether leadership goes back to the machine that gave the last orders.
+    pub returns_leadership: bool,
     /// How long an ended job is remembered.
     pub job_retention: Duration,
     /// Within which a planned stop must be over.
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -128,7 +128,8 @@
         let Request::ReadJob { job, from, wait } = &call.request else {
             return false;
         };
-        let Some(copy) = copy.filter(|_| call.may_read_copy) else {
+        let may_read_copy = call.may_read_copy && self.settings.policy.near_copies;
+        let Some(copy) = copy.filter(|_| may_read_copy) else {
             return false;
         };
         let message = GatewayMessage::ReadCopy {
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -35,5 +35,5 @@
 pub use protocol::{
     BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer, ReadPage, ReadResult,
 };
-pub use settings::GatewaySettings;
+pub use settings::{GatewayPolicy, GatewaySettings};
 pub use view::View;
--- a/crates/wingshore-gateway/src/scoring.rs
+++ b/crates/wingshore-gateway/src/scoring.rs
@@ -131,7 +131,7 @@
         let slots = self.view.servers_of(&service).map(|server| server.slots);
         let most = slots.sum::<u32>() as usize / SLOTS_PART;
         let limit = self.scorings.limits.entry(service.clone()).or_default();
-        if !limit.allows(most) {
+        if self.settings.policy.scoring_limit && !limit.allows(most) {
             return false;
         }
         limit.begun();
--- a/crates/wingshore-gateway/src/settings.rs
+++ b/crates/wingshore-gateway/src/settings.rs
@@ -28,6 +28,26 @@
     pub directory_ttl: Duration,
     /// Within which a planned stop must be over.
     pub stop_limit: Duration,
+    /// Which mechanisms of choice are on.
+    pub policy: GatewayPolicy,
+}
+
+/// Switches of a gateway's mechanisms of choice, for measuring what each is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayPolicy {
+    /// Results are read from the copy of the state in the gateway's zone.
+    pub near_copies: bool,
+    /// Scorings keep within a limit that adapts to what their servers take.
+    pub scoring_limit: bool,
+}
+
+impl Default for GatewayPolicy {
+    fn default() -> Self {
+        Self {
+            near_copies: true,
+            scoring_limit: true,
+        }
+    }
 }
 
 impl GatewaySettings {
