--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -0,0 +1,113 @@
+//! What the leader machine hears from outside the group, and what it wants done there.
+
+use super::{Decision, EngineReport, OrderAnswer, WeightOrder};
+use crate::ids::{GatewayId, InstanceId};
+use crate::messages::{
+    AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
+    RunningItem,
+};
+use crate::scoring::{RunningScoring, ScoringOutcome};
+use crate::text::ItemText;
+use std::net::SocketAddr;
+
+/// News from outside the group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A gateway has connected to this coordinator.
+    GatewayConnected(GatewayHello),
+    /// A gateway tells its state.
+    GatewayStatus(GatewayId, GatewayStatus),
+    /// A gateway tells what it has in hand.
+    GatewayRunning {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Tries at items.
+        items: Vec<RunningItem>,
+        /// Scorings.
+        scorings: Vec<RunningScoring>,
+    },
+    /// A gateway hands in events of a long item.
+    ItemKept {
+        /// Which try.
+        assignment: AssignmentId,
+        /// Events of the item that were kept before.
+        after_events: u64,
+        /// The events behind them.
+        text: ItemText,
+    },
+    /// A gateway tells how far its items are.
+    ItemsProgressed(Vec<ItemProgress>),
+    /// A gateway tells which scorings it has in hand.
+    ScoringsInHand(Vec<AssignmentId>),
+    /// A gateway's scoring is over.
+    ScoringEnded {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Which scoring.
+        scoring: AssignmentId,
+        /// What came of it.
+        outcome: ScoringOutcome,
+    },
+    /// The connection of a gateway has ended.
+    GatewayGone(GatewayId),
+    /// A gateway's try at an item is over.
+    ItemEnded {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Which try.
+        assignment: AssignmentId,
+        /// What came of it.
+        outcome: ItemOutcome,
+    },
+    /// Connections to these coordinators' machines have ended lately, or are down.
+    CoordinatorsLost(Vec<String>),
+    /// An engine answered an order, or did not.
+    Ordered {
+        /// The engine.
+        instance: InstanceId,
+        /// The answer.
+        answer: OrderAnswer,
+    },
+    /// An engine answered how it stands, or did not.
+    Reported {
+        /// The engine.
+        instance: InstanceId,
+        /// The answer; `None` without one.
+        report: Option<EngineReport>,
+    },
+}
+
+/// What is to be done outside the group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a message to one gateway.
+    ToGateway(GatewayId, CoordinatorMessage),
+    /// Send a change of the view to all gateways.
+    ToAllGateways(CoordinatorMessage),
+    /// Log a decision.
+    Log(Decision),
+    /// Give an engine an order.
+    Order(WeightOrder),
+    /// Ask an engine how it stands.
+    AskReport {
+        /// The engine.
+        instance: InstanceId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// How much a leader has in hand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaderFigures {
+    /// Items without an engine.
+    pub items_waiting: usize,
+    /// Items on engines.
+    pub items_running: usize,
+    /// Engines that load weights.
+    pub engines_loading: usize,
+    /// Texts that wait for a scoring.
+    pub scorings_waiting: usize,
+    /// Scorings that gateways have in hand.
+    pub scorings_running: usize,
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/host.rs
@@ -0,0 +1,52 @@
+//! The group's host, as the settings want it.
+
+use crate::error::{CoordinatorError, GroupSnafu};
+use crate::settings::CoordinatorSettings;
+use snafu::ResultExt;
+use wingshore_coordination::{CoordinationLeader, LeaderSettings};
+use wingshore_group::{Host, HostConfig, MachineFactory, Timing};
+use wingshore_storage::DataFolder;
+use wingshore_types::Instant;
+use wingshore_types::configuration::Permille;
+
+/// Election timeouts differ by up to this part of the shortest one.
+const ELECTION_SPREAD_PART: u32 = 2;
+/// The most by which any clock runs fast or slow, in thousandths.
+const CLOCK_DRIFT: Permille = Permille(20);
+
+/// Opens the host with what the disk held.
+pub(super) fn open(
+    settings: &CoordinatorSettings,
+    folder: &DataFolder,
+    now: Instant,
+    recovered: wingshore_types::log::RecoveredLog,
+) -> Result<Host<CoordinationLeader>, CoordinatorError> {
+    let identity = folder.identity();
+    let config = HostConfig {
+        timing: Timing {
+            election_timeout: settings.election_timeout,
+            election_spread: settings.election_timeout / ELECTION_SPREAD_PART,
+            heartbeat_interval: settings.heartbeat,
+            lease: settings.lease,
+            drift: CLOCK_DRIFT,
+        },
+        snapshot_every_bytes: settings.snapshot_every_bytes,
+        ..HostConfig::new(identity.replica, identity.founding.clone(), rand::random())
+    };
+    let leader_settings = LeaderSettings {
+        node: settings.node.clone(),
+        server_expiry: settings.server_expiry,
+        order_handover: settings.order_handover,
+        engines_check_fences: settings.engines_check_fences,
+        concurrent_loads: settings.concurrent_loads,
+        load_time: settings.load_time,
+        job_retention: settings.job_retention,
+        policy: settings.leader_policy,
+        ..LeaderSettings::default()
+    };
+    let machines = MachineFactory {
+        leader: Box::new(move || CoordinationLeader::new(leader_settings.clone())),
+        ..MachineFactory::default()
+    };
+    Host::with_machines(now, config, recovered, machines).context(GroupSnafu)
+}
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod copies;
+mod host;
 mod links;
 mod members;
 mod orders;
@@ -10,7 +11,7 @@
 use crate::control::ControlConnection;
 use crate::directory::Directory;
 use crate::engine_calls::EngineCalls;
-use crate::error::{CoordinatorError, GroupSnafu, NetSnafu, StorageSnafu, ThreadSnafu};
+use crate::error::{CoordinatorError, NetSnafu, StorageSnafu, ThreadSnafu};
 use crate::identity;
 use crate::lost::LostMachines;
 use wingshore_net::Clock;
@@ -26,16 +27,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{
-    CoordinationLeader, CoordinatorHello, Event, GatewayId, LeaderSettings, Request,
-};
+use wingshore_coordination::{CoordinationLeader, CoordinatorHello, Event, GatewayId, Request};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
-use wingshore_group::{Host, HostConfig, HostInput, MachineFactory, Timing};
+use wingshore_group::{Host, HostInput};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
 use wingshore_storage::{
     DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
 };
-use wingshore_types::configuration::Permille;
 use wingshore_types::machine::RequestTag;
 use wingshore_types::{GroupId, Instant, ReplicaId};
 
@@ -61,10 +59,6 @@
 const CALLER_IDLE: Duration = Duration::from_secs(30);
 /// Longest wait for sockets.
 const LONGEST_WAIT: Duration = Duration::from_millis(250);
-/// Election timeouts differ by up to this part of the shortest one.
-const ELECTION_SPREAD_PART: u32 = 2;
-/// The most by which any clock runs fast or slow, in thousandths.
-const CLOCK_DRIFT: Permille = Permille(20);
 
 /// Who waits for the group's answer.
 enum Waiting {
@@ -191,7 +185,7 @@
             .map(|address| listen(&mut reactor, address, CALLER_LIMIT))
             .transpose()?;
         let writer = Writer::start(store, reactor.waker(), logger.clone()).context(ThreadSnafu)?;
-        let host = open_host(&settings, &folder, clock.now(), recovered)?;
+        let host = host::open(&settings, &folder, clock.now(), recovered)?;
         info!(logger, "started"; "node" => &settings.node, "member" => folder.identity().replica.0,
             "founder" => folder.identity().founding.is_some(), "applied" => host.applied_index().0);
         Ok(Self {
@@ -464,39 +458,3 @@
         }
     }
 }
-
-fn open_host(
-    settings: &CoordinatorSettings,
-    folder: &DataFolder,
-    now: Instant,
-    recovered: wingshore_types::log::RecoveredLog,
-) -> Result<Host<CoordinationLeader>, CoordinatorError> {
-    let identity = folder.identity();
-    let config = HostConfig {
-        timing: Timing {
-            election_timeout: settings.election_timeout,
-            election_spread: settings.election_timeout / ELECTION_SPREAD_PART,
-            heartbeat_interval: settings.heartbeat,
-            lease: settings.lease,
-            drift: CLOCK_DRIFT,
-        },
-        snapshot_every_bytes: settings.snapshot_every_bytes,
-        ..HostConfig::new(identity.replica, identity.founding.clone(), rand::random())
-    };
-    let leader_settings = LeaderSettings {
-        node: settings.node.clone(),
-        server_expiry: settings.server_expiry,
-        order_handover: settings.order_handover,
-        engines_check_fences: settings.engines_check_fences,
-        concurrent_loads: settings.concurrent_loads,
-        load_time: settings.load_time,
-        job_retention: settings.job_retention,
-        policy: settings.leader_policy,
-        ..LeaderSettings::default()
-    };
-    let machines = MachineFactory {
-        leader: Box::new(move || CoordinationLeader::new(leader_settings.clone())),
-        ..MachineFactory::default()
-    };
-    Host::with_machines(now, config, recovered, machines).context(GroupSnafu)
-}
