--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::ids::{ItemId, JobId, ModelName};
 use crate::messages::{AssignmentId, JobPage};
 use crate::scoring::{Scorer, UnscoredText};
-use crate::text::{FinishedText, ItemText, ResultText, TextBehindPrefix};
+use crate::text::{FinishedText, ItemText, ResultText};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -166,25 +166,15 @@
         true
     }
 
-    /// Keeps the whole text of an item until it has a score; the first one counts. One whose
-    /// beginning is not kept is dropped.
-    pub fn keep_unscored(
-        &mut self,
-        index: u32,
-        made_by: AssignmentId,
-        text: TextBehindPrefix,
-        versions: Vec<u64>,
-    ) {
+    /// Keeps the whole text of an item until it has a score; the first one counts.
+    pub fn keep_unscored(&mut self, index: u32, made_by: AssignmentId, text: FinishedText) {
         if self.ended || self.is_listed(index) || self.unscored.contains_key(&index) {
             return;
         }
-        let Some(text) = text.join(self.kept.get(&index)) else {
-            return;
-        };
         self.kept.remove(&index);
         let unscored = UnscoredText {
             made_by,
-            text: FinishedText { text, versions },
+            text,
             failures: 0,
         };
         self.unscored.insert(index, unscored);
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -318,14 +318,6 @@
         self.take(item);
     }
 
-    /// A proposed result could not be taken: the item waits again.
-    pub(crate) fn reopen(&mut self, item: &ItemKey) {
-        if let Some(progress) = self.progress.get_mut(item) {
-            progress.ended = false;
-            self.wait(item.clone());
-        }
-    }
-
     /// A gateway is gone with all it ran: its items wait again.
     pub(crate) fn gateway_lost(&mut self, gateway: GatewayId, engines: &mut Engines) {
         let lost: Vec<AssignmentId> = self
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -72,8 +72,8 @@
     },
     /// A text was made durable before its score: the gateway keeps it until then.
     TextKept {
-        item: ItemKey,
-        finished: (GatewayId, AssignmentId),
+        gateway: GatewayId,
+        made_by: AssignmentId,
     },
     /// A score was committed: the gateway keeps it until then.
     Scored {
@@ -392,7 +392,7 @@
                 }
                 self.results_listed(&job, state, out);
             }
-            Waiter::TextKept { item, finished } => self.text_kept(&item, finished, state, out),
+            Waiter::TextKept { gateway, made_by } => outcomes::release(gateway, made_by, out),
             Waiter::Scored { item, finished } => self.scored(now, &item, finished, state, out),
             Waiter::ScoringCounted { gateway, scoring } => {
                 scoring::release_scoring(gateway, scoring, out);
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -124,7 +124,7 @@
                 let finished = (gateway, assignment);
                 let item = &running.item;
                 if Self::scorer_of(item, state).is_some() {
-                    self.keep_unscored(now, item, text, finished, state, out);
+                    self.keep_unscored(now, item, text, finished, out);
                 } else {
                     self.list_success(item, text, finished, out);
                 }
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -182,11 +182,6 @@
         self.drive_rollout(now, state, out);
     }
 
-    /// How long this leader still gives no order, for the sake of the machine before it.
-    pub fn order_wait(&self, now: Instant) -> Option<Duration> {
-        self.rollout.claim_at.map(|at| at.since(now))
-    }
-
     /// Machines have gone out of touch. Where the one that gave orders before is among them, its
     /// leadership ended with a loss that all sides know of: nothing more is to come from it, and
     /// engines refuse its fence once they have seen a higher one. Its time need not be waited out.
--- a/crates/wingshore-coordination/src/leader/scoring.rs
+++ b/crates/wingshore-coordination/src/leader/scoring.rs
@@ -1,12 +1,12 @@
 //! Scorings on the leader's side: which gateway asks for which text's score, and what follows.
 
 use super::scorings::Running;
-use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log, outcomes};
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{GatewayId, ItemKey};
 use crate::messages::{AssignmentId, CoordinatorMessage};
 use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome};
 use crate::state::{Command, CoordinationState};
-use crate::text::{FinishedText, ResultText, TextBehindPrefix};
+use crate::text::FinishedText;
 use std::collections::BTreeMap;
 use wingshore_types::Instant;
 use wingshore_types::machine::LeaderOutput;
@@ -33,7 +33,6 @@
         item: &ItemKey,
         text: FinishedText,
         (gateway, made_by): (GatewayId, AssignmentId),
-        state: &CoordinationState,
         out: &mut Outputs,
     ) {
         self.items.finish(item);
@@ -47,38 +46,12 @@
         let command = Command::KeepUnscored {
             item: item.clone(),
             made_by,
-            text: text_behind_kept(item, text.text, state),
-            versions: text.versions,
-        };
-        let waiter = Waiter::TextKept {
-            item: item.clone(),
-            finished: (gateway, made_by),
+            text,
         };
+        let waiter = Waiter::TextKept { gateway, made_by };
         self.propose(command, waiter, out);
     }
 
-    /// A text was committed: its gateway need not hold it any more. One that the group could not
-    /// take is made again.
-    pub(crate) fn text_kept(
-        &mut self,
-        item: &ItemKey,
-        (gateway, made_by): (GatewayId, AssignmentId),
-        state: &CoordinationState,
-        out: &mut Outputs,
-    ) {
-        outcomes::release(gateway, made_by, out);
-        let job = state.jobs().get(&item.job).filter(|job| !job.ended);
-        let is_missing =
-            job.is_some_and(|job| !job.is_listed(item.index) && job.unscored(item.index).is_none());
-        if !is_missing {
-            return;
-        }
-        for (gateway, scoring) in self.scorings.remove_item(item) {
-            release_scoring(gateway, scoring, out);
-        }
-        self.items.reopen(item);
-    }
-
     /// A gateway has a scoring in hand that an earlier leader knew of.
     pub(crate) fn adopt_scoring(
         &mut self,
@@ -334,16 +307,6 @@
     }
 }
 
-/// A whole text without what the group's log holds of it.
-fn text_behind_kept(
-    item: &ItemKey,
-    text: ResultText,
-    state: &CoordinationState,
-) -> TextBehindPrefix {
-    let job = state.jobs().get(&item.job);
-    TextBehindPrefix::new(text, job.and_then(|job| job.kept(item.index)))
-}
-
 /// Failures of scoring servers that the group has counted for an item.
 fn kept_failures(item: &ItemKey, state: &CoordinationState) -> u32 {
     let job = state.jobs().get(&item.job);
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -41,4 +41,4 @@
     UnscoredText,
 };
 pub use state::{Command, CoordinationState, OrderHolder};
-pub use text::{DurablePrefix, FinishedText, ItemText, ResultText, TextBehindPrefix, TextError};
+pub use text::{DurablePrefix, FinishedText, ItemText, ResultText, TextError};
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -6,7 +6,7 @@
 use crate::jobs::{JobSubmission, ListedResult};
 use crate::messages::AssignmentId;
 use crate::registry::ServerRecord;
-use crate::text::{ItemText, TextBehindPrefix};
+use crate::text::{FinishedText, ItemText};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wingshore_types::ReplicaId;
@@ -74,9 +74,7 @@
         /// The try that made the text.
         made_by: AssignmentId,
         /// The text.
-        text: TextBehindPrefix,
-        /// The weight versions that made it, in the order of their first event.
-        versions: Vec<u64>,
+        text: FinishedText,
     },
     /// Lists an item with its score, if its text is the one of that try.
     ListScored {
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -169,10 +169,9 @@
                 item,
                 made_by,
                 text,
-                versions,
             } => {
                 if let Some(job) = self.jobs.get_mut(&item.job) {
-                    job.keep_unscored(item.index, made_by, text, versions);
+                    job.keep_unscored(item.index, made_by, text);
                 }
             }
             Command::ListScored {
--- a/crates/wingshore-coordination/src/text.rs
+++ b/crates/wingshore-coordination/src/text.rs
@@ -94,51 +94,6 @@
     }
 }
 
-/// A whole text whose beginning the group's log may hold already: only what follows is sent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TextBehindPrefix {
-    /// Bytes of the kept text that begin this one.
-    prefix_bytes: usize,
-    /// What follows them; the whole text without a prefix.
-    rest: ResultText,
-}
-
-impl TextBehindPrefix {
-    /// All of `text`.
-    pub fn whole(text: ResultText) -> Self {
-        Self {
-            prefix_bytes: 0,
-            rest: text,
-        }
-    }
-
-    /// `text` without what is `kept`, if that begins it.
-    pub fn new(text: ResultText, kept: Option<&ItemText>) -> Self {
-        let kept = kept.map_or("", |kept| kept.text.as_str());
-        let rest = match text.unpack() {
-            Ok(whole) if !kept.is_empty() => whole.strip_prefix(kept).map(ResultText::pack),
-            _ => None,
-        };
-        match rest {
-            Some(rest) => Self {
-                prefix_bytes: kept.len(),
-                rest,
-            },
-            None => Self::whole(text),
-        }
-    }
-
-    /// The whole text; `None` where what is `kept` does not hold its beginning.
-    pub fn join(self, kept: Option<&ItemText>) -> Option<ResultText> {
-        if self.prefix_bytes == 0 {
-            return Some(self.rest);
-        }
-        let prefix = kept?.text.get(..self.prefix_bytes)?;
-        let rest = self.rest.unpack().ok()?;
-        Some(ResultText::pack(&format!("{prefix}{rest}")))
-    }
-}
-
 /// A text that is kept for long and read seldom: compressed (DEFLATE, RFC 1951).
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResultText {
--- a/crates/wingshore-coordinator/src/process/members.rs
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -17,10 +17,6 @@
         if !self.host.is_leader() || self.change_under_way {
             return;
         }
-        self.return_leadership(now);
-        if self.change_under_way {
-            return;
-        }
         self.describe_members();
         let retired = self.retired_members();
         let view = self.membership_view(&retired);
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -5,7 +5,6 @@
 mod host;
 mod links;
 mod members;
-mod orders;
 mod outputs;
 
 use crate::control::ControlConnection;
@@ -137,8 +136,6 @@
     next_tag: u64,
     planner: MembershipPlanner,
     change_under_way: bool,
-    /// Whether leadership was handed back during this leadership.
-    has_returned_leadership: bool,
     next_housekeeping: Instant,
     next_hello: Instant,
     inputs: Vec<HostInput<CoordinationLeader>>,
@@ -218,7 +215,6 @@
             next_tag: 0,
             planner: MembershipPlanner::default(),
             change_under_way: false,
-            has_returned_leadership: false,
             next_housekeeping: Instant::ZERO,
             next_hello: Instant::ZERO,
             inputs: Vec::new(),
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -60,7 +60,6 @@
             Leadership::Leading { epoch } => {
                 info!(self.logger, "leading"; "node" => &self.settings.node, "epoch" => epoch.0);
                 self.metrics.leadership_began();
-                self.has_returned_leadership = false;
                 self.planner.begin(now);
                 let lost = self.lost.within(now, self.settings.order_handover);
                 let event = Event::CoordinatorsLost(lost);
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -55,8 +55,6 @@
     pub load_time: Duration,
     /// Which mechanisms of choice of the leader are on.
     pub leader_policy: LeaderPolicy,
-    /// Whether leadership goes back to the machine that gave the last orders.
-    pub returns_leadership: bool,
     /// How long an ended job is remembered.
     pub job_retention: Duration,
     /// Within which a planned stop must be over.
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -21,7 +21,7 @@
 const STALL_LIMIT: Duration = Duration::from_millis(2500);
 
 /// So many events of an item are handed in together, to outlast this process.
-const HANDED_IN_EVENTS: u64 = 12;
+const HANDED_IN_EVENTS: u64 = 24;
 
 /// One try that is under way, or whose end was not told.
 struct ItemRun {
