coordination, coordinator: gateways that connect share one view, without models and the operator's document

Cause: a new leader welcomed 250 gateways with a copy of the whole view each (128 engines with six models, some 19 MB of copies at once, and 14 kB encoded 250 times), and each load of weights sent the engine's record to all of them, though gateways never look at versions. Change: GatewayView holds what gateways were told; one shared view until the next change, encoded once; versions and the document stay with the coordinators.

--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod decision;
 mod engines;
+mod gateway_view;
 mod interface;
 mod items;
 mod jobs;
@@ -25,12 +26,13 @@
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, Reply, Request, RunningItem,
-    SiteView, ViewChange,
+    ViewChange,
 };
 use crate::routes::RouteTable;
 use crate::scoring::RunningScoring;
 use crate::state::{Command, CoordinationState};
 use engines::Engines;
+use gateway_view::GatewayView;
 use items::Items;
 use jobs::JobClock;
 use rollout::Rollout;
@@ -113,6 +115,8 @@
     scorings: Scorings,
     /// The routes of the configuration in force.
     routes: RouteTable,
+    /// What gateways are told.
+    gateway_view: GatewayView,
 }
 
 impl Default for CoordinationLeader {
@@ -139,6 +143,7 @@
             rollout: Rollout::default(),
             scorings: Scorings::default(),
             routes: RouteTable::default(),
+            gateway_view: GatewayView::default(),
         }
     }
 
@@ -163,19 +168,16 @@
         out.push(LeaderOutput::Propose { tag, command });
     }
 
-    fn change_view(&self, change: ViewChange, out: &mut Outputs) {
+    fn tell_gateways(&self, change: ViewChange, out: &mut Outputs) {
         let epoch = self.epoch;
         let message = CoordinatorMessage::Change { epoch, change };
         out.push(LeaderOutput::Effect(Effect::ToAllGateways(message)));
     }
 
-    fn welcome(&self, gateway: GatewayId, state: &CoordinationState, out: &mut Outputs) {
+    fn welcome(&mut self, gateway: GatewayId, out: &mut Outputs) {
         let message = CoordinatorMessage::Welcome {
             epoch: self.epoch,
-            view: SiteView {
-                configuration: state.configuration().cloned(),
-                servers: state.servers().values().cloned().collect(),
-            },
+            view: self.gateway_view.whole(),
         };
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
     }
@@ -219,20 +221,14 @@
         self.propose(command, Waiter::Version(tag), out);
     }
 
-    fn on_gateway(
-        &mut self,
-        now: Instant,
-        hello: GatewayHello,
-        state: &CoordinationState,
-        out: &mut Outputs,
-    ) {
+    fn on_gateway(&mut self, now: Instant, hello: GatewayHello, out: &mut Outputs) {
         let gateway = Gateway {
             zone: hello.zone,
             status: hello.status,
             running: 0,
             introduced: false,
         };
-        self.welcome(hello.gateway, state, out);
+        self.welcome(hello.gateway, out);
         self.gateways.insert(hello.gateway, gateway);
         self.items.gateway_lost(hello.gateway, &mut self.engines);
         self.scoring_gateway_lost(now, hello.gateway);
@@ -308,6 +304,7 @@
         self.heartbeats.begin(now, state.servers().keys());
         self.engines.begin(state);
         self.routes = routes_of(state);
+        self.gateway_view.begin(state);
         let longest_first = self.settings.policy.long_items_first;
         self.items.begin(epoch, longest_first, state);
         self.scorings.begin(now, state);
@@ -373,8 +370,10 @@
         match waiter {
             Waiter::Request(tag) => reply(tag, Reply::Done, out),
             Waiter::Configuration(tag) => {
+                if let Some(change) = self.gateway_view.configured(state) {
+                    self.tell_gateways(change, out);
+                }
                 if let Some(configuration) = state.configuration() {
-                    self.change_view(ViewChange::Configuration(Arc::clone(configuration)), out);
                     let version = configuration.version;
                     log(Decision::Configured { version }, out);
                 }
@@ -417,7 +416,7 @@
         out: &mut Outputs,
     ) {
         match event {
-            Event::GatewayConnected(hello) => self.on_gateway(now, hello, state, out),
+            Event::GatewayConnected(hello) => self.on_gateway(now, hello, out),
             Event::GatewayStatus(gateway, status) => {
                 if let Some(known) = self.gateways.get_mut(&gateway) {
                     known.status = status;
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -9,7 +9,6 @@
 
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{InstanceId, ModelName, ServiceName};
-use crate::messages::ViewChange;
 use crate::registry::ModelVersion;
 use crate::state::{Command, CoordinationState, OrderHolder};
 use std::collections::BTreeMap;
@@ -405,8 +404,6 @@
             engine.unsteady_until = now + AFTER_LOAD;
         }
         if has_risen {
-            let change = ViewChange::Server(engine.record.clone());
-            self.change_view(change, out);
             self.place_items(now, state, out);
         }
     }
--- a/crates/wingshore-coordination/src/leader/servers.rs
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -2,7 +2,7 @@
 
 use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
 use crate::ids::InstanceId;
-use crate::messages::{Reply, ViewChange};
+use crate::messages::Reply;
 use crate::registry::{Heartbeat, ServerRecord};
 use crate::state::{Command, CoordinationState};
 use std::collections::BTreeMap;
@@ -98,9 +98,8 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        match state.servers().get(&instance) {
-            Some(server) => self.change_view(ViewChange::Server(server.clone()), out),
-            None => self.change_view(ViewChange::Gone(instance.clone()), out),
+        if let Some(change) = self.gateway_view.server_changed(&instance, state) {
+            self.tell_gateways(change, out);
         }
         let change = match state.servers().get(&instance) {
             Some(server) if server.draining => "draining",
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -326,8 +326,8 @@
 pub struct SiteView {
     /// The configuration in force.
     pub configuration: Option<Arc<SiteConfiguration>>,
-    /// All servers.
-    pub servers: Vec<ServerRecord>,
+    /// All servers, without their models; shared by all that it is sent to.
+    pub servers: Arc<Vec<ServerRecord>>,
 }
 
 /// A change of the view.
--- a/crates/wingshore-coordination/src/registry.rs
+++ b/crates/wingshore-coordination/src/registry.rs
@@ -42,6 +42,14 @@
 }
 
 impl ServerRecord {
+    /// The same server without its models, which change with each load of weights.
+    pub fn without_models(&self) -> Self {
+        Self {
+            models: Vec::new(),
+            ..self.clone()
+        }
+    }
+
     /// The version of `model` it holds; `None` when it does not serve the model.
     pub fn version_of(&self, model: &ModelName) -> Option<u64> {
         let known = self.models.iter().find(|entry| entry.model == *model)?;
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod links;
 mod members;
 mod outputs;
+mod welcomes;
 
 use crate::control::ControlConnection;
 use crate::directory::Directory;
@@ -133,6 +134,7 @@
     waiting: HashMap<RequestTag, PendingCall>,
     /// Gateways that wait for a result in this member's copy of the state.
     copy_readers: Vec<copies::CopyReader>,
+    welcomes: welcomes::Welcomes,
     next_tag: u64,
     planner: MembershipPlanner,
     change_under_way: bool,
@@ -212,6 +214,7 @@
             engines: EngineCalls::new(engine_protocol),
             waiting: HashMap::new(),
             copy_readers: Vec::new(),
+            welcomes: welcomes::Welcomes::default(),
             next_tag: 0,
             planner: MembershipPlanner::default(),
             change_under_way: false,
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 use wingshore_coordination::{
     CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
-    IncomingFrame, OrderAnswer, Reply,
+    GatewayId, IncomingFrame, OrderAnswer, Reply, SiteView,
 };
 use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
 use wingshore_net::{ConnectionId, frame};
 use wingshore_types::machine::RequestTag;
 use wingshore_types::protocol::membership::MembershipReply;
-use wingshore_types::{Instant, ReplicaId};
+use wingshore_types::{Epoch, Instant, ReplicaId};
 
 impl Coordinator {
     pub(super) fn step_host(
@@ -78,6 +78,10 @@
 
     pub(super) fn on_effect(&mut self, now: Instant, effect: Effect) {
         let event = match effect {
+            Effect::ToGateway(gateway, CoordinatorMessage::Welcome { epoch, view }) => {
+                self.welcome(gateway, epoch, view);
+                None
+            }
             Effect::ToGateway(gateway, message) => {
                 if let Some(connection) = self.directory.connection(gateway) {
                     self.send_frame(connection, &message);
@@ -113,6 +117,16 @@
         self.take_engine_events(event);
     }
 
+    fn welcome(&mut self, gateway: GatewayId, epoch: Epoch, view: SiteView) {
+        let Some(connection) = self.directory.connection(gateway) else {
+            return;
+        };
+        match self.welcomes.frame(epoch, view) {
+            Ok(bytes) => self.reactor.send(connection, bytes),
+            Err(error) => warn!(self.logger, "frame not encoded"; "error" => %error),
+        }
+    }
+
     /// Voters that there is a connection to, and this one.
     fn members_in_touch(&self) -> usize {
         let voters = self.host.membership().voters.iter();
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -30,9 +30,9 @@
         if let Some(configuration) = view.configuration {
             self.configure(configuration);
         }
-        let servers = view.servers.into_iter();
+        let servers = view.servers.iter();
         self.servers = servers
-            .map(|server| (server.instance.clone(), server))
+            .map(|server| (server.instance.clone(), server.clone()))
             .collect();
         true
     }
--- a/crates/wingshore-gateway/tests/view.rs
+++ b/crates/wingshore-gateway/tests/view.rs
@@ -33,7 +33,7 @@
 fn whole(version: u64, servers: Vec<ServerRecord>) -> SiteView {
     SiteView {
         configuration: Some(configuration(version)),
-        servers,
+        servers: Arc::new(servers),
     }
 }
 
