--- a/crates/wingshore-consensus/src/accessors.rs
+++ b/crates/wingshore-consensus/src/accessors.rs
@@ -26,11 +26,11 @@
         matches!(self.role, Role::Leader(_))
     }
 
-    /// Whether this member leads and an entry of its own term is committed, so that it has
-    /// applied all that was ever committed before.
-    pub fn has_committed_own_term(&self) -> bool {
+    /// Whether this member leads and has applied an entry of its own term, and so all that was
+    /// ever committed before.
+    pub fn has_applied_own_term(&self) -> bool {
         match &self.role {
-            Role::Leader(leader) => self.commit_index >= leader.first_index,
+            Role::Leader(leader) => self.last_applied >= leader.first_index,
             _ => false,
         }
     }
--- a/crates/wingshore-consensus/src/change.rs
+++ b/crates/wingshore-consensus/src/change.rs
@@ -161,7 +161,7 @@
     /// entry of its own term, so that quorums before and after the change overlap.
     fn membership_to_change(&self) -> Result<Membership, ChangeError> {
         self.check_may_propose().context(ProposeSnafu)?;
-        ensure!(self.has_committed_own_term(), TooEarlySnafu);
+        ensure!(self.has_applied_own_term(), TooEarlySnafu);
         let index = self.members.last_change();
         ensure!(index <= self.commit_index, ChangeUnderwaySnafu { index });
         Ok(self.members.current().clone())
--- a/crates/wingshore-consensus/src/config.rs
+++ b/crates/wingshore-consensus/src/config.rs
@@ -78,6 +78,11 @@
     /// Bytes of entries kept in the log behind a snapshot, so that a follower that is a little
     /// behind needs no snapshot.
     pub retained_log_bytes: usize,
+    /// Bytes of applied entries kept in memory for followers that are behind; the disk keeps more.
+    pub cached_log_bytes: usize,
+    /// Most bytes of entries given out to be applied between two flushes, so that a member that
+    /// applies a long log goes on answering meanwhile; a single larger entry goes alone.
+    pub apply_bytes: usize,
 }
 
 impl Default for Limits {
@@ -89,6 +94,8 @@
             snapshot_chunk_bytes: 256 * 1024,
             snapshot_chunks_in_flight: 4,
             retained_log_bytes: 1024 * 1024,
+            cached_log_bytes: 6 * 1024 * 1024,
+            apply_bytes: 512 * 1024,
         }
     }
 }
--- a/crates/wingshore-consensus/src/entry.rs
+++ b/crates/wingshore-consensus/src/entry.rs
@@ -1,5 +1,6 @@
 //! Log entries, the hard state and snapshot contents, and how they are encoded.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 use wingshore_types::log::{LogRecord, StoredSnapshot};
 use wingshore_types::protocol::byte_vector;
 use wingshore_types::protocol::membership::Membership;
+use wingshore_types::snapshot_data::{SnapshotData, SnapshotState};
 use wingshore_types::{LogIndex, ReplicaId};
 
 /// Format of the encoded hard state.
@@ -191,20 +193,24 @@
 }
 
 /// What a snapshot's bytes hold.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SnapshotContents {
     /// The members as of the snapshot's index.
     pub membership: Membership,
-    /// The replicated state, as it encodes itself.
-    #[serde(with = "byte_vector")]
-    pub state: Vec<u8>,
+    /// The replicated state, as it encodes itself; shares the snapshot's bytes.
+    pub state: Bytes,
 }
 
 impl SnapshotContents {
-    /// As bytes.
-    pub(crate) fn encode(&self) -> Result<Vec<u8>, CodecError> {
+    /// The bytes of a snapshot: the format, the members, and the state behind its length.
+    pub(crate) fn encode(
+        membership: &Membership,
+        state: SnapshotState,
+    ) -> Result<SnapshotData, CodecError> {
         let what = "snapshot";
-        encode_exactly(&(SNAPSHOT_FORMAT, self)).context(EncodeSnafu { what })
+        let head = encode_exactly(&(SNAPSHOT_FORMAT, membership, state.length()));
+        let head = head.context(EncodeSnafu { what })?;
+        Ok(SnapshotData::new(head, state))
     }
 
     /// The contents of a stored snapshot.
@@ -213,10 +219,16 @@
     /// When the bytes are damaged or of another format version.
     pub fn decode(snapshot: &StoredSnapshot) -> Result<Self, CodecError> {
         let what = "snapshot";
-        check_format(&snapshot.data, what, SNAPSHOT_FORMAT)?;
-        let (_, contents): (u8, Self) =
-            postcard::from_bytes(&snapshot.data).context(DecodeSnafu { what })?;
-        Ok(contents)
+        let data = snapshot.data.to_bytes();
+        check_format(&data, what, SNAPSHOT_FORMAT)?;
+        let ((_, membership, length), rest): ((u8, Membership, u64), &[u8]) =
+            postcard::take_from_bytes(&data).context(DecodeSnafu { what })?;
+        if rest.len() as u64 != length {
+            let source = postcard::Error::DeserializeUnexpectedEnd;
+            return Err(source).context(DecodeSnafu { what });
+        }
+        let state = data.slice(data.len() - rest.len()..);
+        Ok(Self { membership, state })
     }
 }
 
--- a/crates/wingshore-consensus/src/leader.rs
+++ b/crates/wingshore-consensus/src/leader.rs
@@ -94,6 +94,7 @@
             transfer: None,
             next_heartbeat: now,
         }));
+        self.awaiting_snapshot.clear();
         self.append_own(EntryKind::Empty, Arc::from([]));
         self.set_leader(Some(self.id), out);
         self.send_heartbeats(now, out);
--- a/crates/wingshore-consensus/src/log.rs
+++ b/crates/wingshore-consensus/src/log.rs
@@ -13,6 +13,8 @@
     base_index: LogIndex,
     base_term: u64,
     entries: VecDeque<Entry>,
+    /// Sum of [`Entry::size`] over `entries`.
+    bytes: usize,
 }
 
 impl RaftLog {
@@ -22,6 +24,7 @@
             base_index,
             base_term,
             entries: VecDeque::new(),
+            bytes: 0,
         }
     }
 
@@ -65,25 +68,39 @@
     /// Adds an entry; its index must be the next one.
     pub(crate) fn append(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index.0, self.last_index().0 + 1);
+        self.bytes += entry.size();
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from `index` on.
     pub(crate) fn truncate_from(&mut self, index: LogIndex) {
         let kept = index.0.saturating_sub(self.base_index.0 + 1);
-        self.entries
-            .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        let kept = usize::try_from(kept).unwrap_or(usize::MAX);
+        while self.entries.len() > kept {
+            let removed = self.entries.pop_back();
+            self.bytes -= removed.map_or(0, |entry| entry.size());
+        }
     }
 
     /// Removes the entries up to `index`.
     pub(crate) fn compact_through(&mut self, index: LogIndex) {
-        while self.base_index < index {
-            let Some(entry) = self.entries.pop_front() else {
-                return;
-            };
-            self.base_index = entry.index;
-            self.base_term = entry.term;
-        }
+        while self.base_index < index && self.remove_first() {}
+    }
+
+    /// Removes the oldest entries up to `index` while more than `bytes` remain.
+    pub(crate) fn trim_through(&mut self, index: LogIndex, bytes: usize) {
+        while self.base_index < index && self.bytes > bytes && self.remove_first() {}
+    }
+
+    /// Removes the oldest entry; says whether there was one.
+    fn remove_first(&mut self) -> bool {
+        let Some(entry) = self.entries.pop_front() else {
+            return false;
+        };
+        self.bytes -= entry.size();
+        self.base_index = entry.index;
+        self.base_term = entry.term;
+        true
     }
 
     /// The entries of `from..=through`, at most `most_bytes` unless the first alone is larger.
--- a/crates/wingshore-consensus/src/progress.rs
+++ b/crates/wingshore-consensus/src/progress.rs
@@ -65,6 +65,9 @@
     reported: u64,
     /// The place from which chunks were last sent again because of an acknowledgement.
     resent_from: Option<u64>,
+    /// Bytes of the snapshot from an offset on: it may be encoded anew for each part, so that
+    /// several chunks are taken at a time.
+    encoded: (u64, Vec<u8>),
 }
 
 impl SnapshotTransfer {
@@ -75,15 +78,38 @@
             received: 0,
             reported: 0,
             resent_from: None,
+            encoded: (0, Vec::new()),
         }
     }
 
+    /// At most `length` bytes from `offset` on, encoding at least `ahead` bytes at a time.
+    pub(crate) fn part(&mut self, offset: u64, length: usize, ahead: u64) -> Vec<u8> {
+        if let Some(part) = self.encoded_part(offset, length) {
+            return part;
+        }
+        let ahead = usize::try_from(ahead).unwrap_or(usize::MAX).max(length);
+        self.encoded = (offset, self.snapshot.data.part(offset, ahead));
+        self.encoded_part(offset, length).unwrap_or_default()
+    }
+
+    /// The part, if it is encoded already: whole, or up to the snapshot's end.
+    fn encoded_part(&self, offset: u64, length: usize) -> Option<Vec<u8>> {
+        let (from, bytes) = &self.encoded;
+        let begin = usize::try_from(offset.checked_sub(*from)?).ok()?;
+        let rest = bytes.get(begin..)?;
+        let reaches_end = from + bytes.len() as u64 >= self.snapshot.data.length();
+        if rest.len() < length && !reaches_end {
+            return None;
+        }
+        Some(rest.get(..length).unwrap_or(rest).to_vec())
+    }
+
     /// Sends again what is not acknowledged, since nothing has come of it for a while. A follower
     /// that had all of it, and still has not acknowledged its index, restarted before it was
     /// durable: it needs it from the beginning.
     fn resend(&mut self) {
         self.received = self.received.min(self.reported);
-        if self.received >= self.snapshot.data.len() as u64 {
+        if self.received >= self.snapshot.data.length() {
             self.received = 0;
         }
         self.reported = self.received;
@@ -251,6 +277,14 @@
         }
     }
 
+    /// The last entry of the snapshot that is being sent there.
+    pub(crate) fn snapshot_under_way(&self) -> Option<LogIndex> {
+        match &self.state {
+            ProgressState::Snapshot(transfer) => Some(transfer.snapshot.index),
+            _ => None,
+        }
+    }
+
     /// Starts to send a snapshot.
     pub(crate) fn send_snapshot(&mut self, snapshot: Arc<StoredSnapshot>) {
         self.state = ProgressState::Snapshot(SnapshotTransfer::new(snapshot));
--- a/crates/wingshore-consensus/src/raft.rs
+++ b/crates/wingshore-consensus/src/raft.rs
@@ -9,9 +9,11 @@
 use crate::message::{Body, Message};
 use crate::persistence::Persistence;
 use crate::snapshot::IncomingSnapshot;
+use bytes::Bytes;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::sync::Weak;
 use wingshore_types::log::{StoredSnapshot, WriteBatch};
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
@@ -59,7 +61,7 @@
         /// The last entry the snapshot contains.
         index: LogIndex,
         /// The replicated state, as it encoded itself.
-        state: Vec<u8>,
+        state: Bytes,
     },
     /// Leadership as this member sees it has changed.
     Leadership {
@@ -119,12 +121,19 @@
     pub(crate) enrolled: bool,
     pub(crate) log: RaftLog,
     pub(crate) members: Members,
-    pub(crate) snapshot: Option<Arc<StoredSnapshot>>,
+    /// The last entry that the snapshot on disk contains, or is to contain; 0 without one.
+    pub(crate) snapshot_index: LogIndex,
+    /// The snapshot that was made last, while something still holds it: a write or a transfer.
+    pub(crate) recent_snapshot: Weak<StoredSnapshot>,
+    /// Members that need a snapshot, and there is none to send.
+    pub(crate) awaiting_snapshot: BTreeSet<ReplicaId>,
 
     pub(crate) role: Role,
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) commit_index: LogIndex,
     pub(crate) last_applied: LogIndex,
+    /// Bytes of entries given out to be applied since the last flush.
+    pub(crate) applied_since_flush: usize,
     pub(crate) verified_index: LogIndex,
     pub(crate) owes_acknowledgement: bool,
     pub(crate) incoming: Option<IncomingSnapshot>,
@@ -151,6 +160,8 @@
     /// # Errors
     /// When the hard state does not encode; the member must not go on.
     pub fn flush(&mut self, now: Instant, out: &mut Vec<Output>) -> Result<(), CodecError> {
+        self.applied_since_flush = 0;
+        self.apply_committed(out);
         self.replicate(out);
         self.continue_transfer(now, out);
         self.acknowledge_when_complete(out);
@@ -158,11 +169,30 @@
         if let Some((token, batch)) = self.persistence.next_write(&self.log, &hard_state)? {
             out.push(Output::Write { token, batch });
         }
+        self.trim_log();
         Ok(())
     }
 
+    /// Drops entries from memory that are applied and durable, beyond what followers that are a
+    /// little behind may need. A snapshot that is being sent holds the entries after it back, but
+    /// not for long: a receiver that takes nothing must not fill the memory.
+    fn trim_log(&mut self) {
+        /// Entries behind a snapshot under way may take this many times the usual space.
+        const HELD_BACK: usize = 4;
+        let kept = self.limits.cached_log_bytes;
+        let through = self.last_applied.min(self.persistence.persisted_index());
+        let sent = self.oldest_snapshot_under_way();
+        let held = sent.map_or(through, |sent| sent.min(through));
+        self.log.trim_through(held, kept);
+        self.log.trim_through(through, kept * HELD_BACK);
+        self.members.compact_through(self.log.base_index());
+    }
+
     /// When [`Input::Tick`] is wanted at the latest.
     pub fn next_deadline(&self) -> Instant {
+        if self.last_applied < self.commit_index {
+            return Instant::ZERO;
+        }
         match &self.role {
             Role::Leader(leader) => leader.next_deadline(),
             Role::PreCandidate(ballot) | Role::Candidate(ballot) => {
@@ -367,11 +397,23 @@
             return;
         }
         self.commit_index = index;
+        self.apply_committed(out);
+    }
+
+    /// Gives out committed entries to be applied, as many as fit between two flushes. A leader that
+    /// answers reads never lags behind what is committed.
+    fn apply_committed(&mut self, out: &mut Vec<Output>) {
         while self.last_applied < self.commit_index {
             let next = LogIndex(self.last_applied.0 + 1);
             let Some(entry) = self.log.entry(next) else {
                 return;
             };
+            let bytes = self.applied_since_flush + entry.size();
+            let is_full = self.applied_since_flush > 0 && bytes > self.limits.apply_bytes;
+            if is_full && !self.has_applied_own_term() {
+                return;
+            }
+            self.applied_since_flush = bytes;
             out.push(Output::Apply(entry.clone()));
             self.last_applied = next;
         }
--- a/crates/wingshore-consensus/src/recovery.rs
+++ b/crates/wingshore-consensus/src/recovery.rs
@@ -7,7 +7,8 @@
 use crate::persistence::Persistence;
 use crate::raft::{Output, Raft, Role};
 use snafu::{ResultExt, Snafu, ensure};
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::sync::Weak;
 use wingshore_types::log::{LogRecord, RecoveredLog, StoredSnapshot};
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::{Instant, LogIndex};
@@ -66,11 +67,13 @@
     ) -> Result<Self, RecoveryError> {
         config.timing.check().context(SettingsSnafu)?;
         let hard_state = decode_hard_state(recovered.hard_state.as_deref())?;
-        let snapshot = recovered.snapshot.map(Arc::new);
-        let contents = decode_snapshot(snapshot.as_deref())?;
+        let snapshot = recovered.snapshot;
+        let contents = decode_snapshot(snapshot.as_ref())?;
         let (base_index, base_term) = snapshot
             .as_ref()
             .map_or((LogIndex(0), 0), |snapshot| (snapshot.index, snapshot.term));
+        // Its bytes are not needed any more, and may be many.
+        drop(snapshot);
         let mut raft = Self {
             id: config.id,
             random: config.random,
@@ -82,11 +85,14 @@
             enrolled: hard_state.enrolled,
             log: RaftLog::new(base_index, base_term),
             members: Members::default(),
-            snapshot,
+            snapshot_index: base_index,
+            recent_snapshot: Weak::new(),
+            awaiting_snapshot: BTreeSet::new(),
             role: Role::Follower,
             leader: None,
             commit_index: base_index,
             last_applied: base_index,
+            applied_since_flush: 0,
             verified_index: LogIndex(0),
             owes_acknowledgement: false,
             incoming: None,
@@ -102,7 +108,7 @@
                 state: contents.state,
             });
         }
-        raft.recover_records(&recovered.records)?;
+        raft.recover_records(recovered.records)?;
         if let Some(founding) = config.bootstrap {
             raft.bootstrap(&founding)?;
         }
@@ -113,21 +119,22 @@
 
     /// Takes over the records after the snapshot. Records that do not agree with the snapshot
     /// are from before it replaced the log, and go.
-    fn recover_records(&mut self, records: &[LogRecord]) -> Result<(), RecoveryError> {
+    fn recover_records(&mut self, records: Vec<LogRecord>) -> Result<(), RecoveryError> {
         let base_index = self.log.base_index();
-        let agrees = agrees_with_snapshot(records, base_index, self.log.last_term());
+        let agrees = agrees_with_snapshot(&records, base_index, self.log.last_term());
+        let first = records.first().map(|first| first.index);
         if agrees {
-            for record in records.iter().filter(|record| record.index > base_index) {
-                self.recover_record(record)?;
+            let behind = records
+                .into_iter()
+                .filter(|record| record.index > base_index);
+            for record in behind {
+                self.recover_record(&record)?;
             }
         }
         self.persistence = Persistence::recovered(self.log.last_index());
         if !agrees {
             self.persistence.discard_all_records();
-        } else if records
-            .first()
-            .is_some_and(|first| first.index <= base_index)
-        {
+        } else if first.is_some_and(|first| first <= base_index) {
             self.persistence.discard(base_index);
         }
         Ok(())
@@ -155,7 +162,7 @@
 
     /// Begins a founding member's log, unless it has begun.
     fn bootstrap(&mut self, founding: &Membership) -> Result<(), RecoveryError> {
-        if self.snapshot.is_some() || self.log.last_index() > LogIndex(0) {
+        if self.snapshot_index > LogIndex(0) || self.log.last_index() > LogIndex(0) {
             return Ok(());
         }
         let index = LogIndex(1);
--- a/crates/wingshore-consensus/src/snapshot.rs
+++ b/crates/wingshore-consensus/src/snapshot.rs
@@ -4,10 +4,11 @@
 use crate::log::RaftLog;
 use crate::members::Members;
 use crate::message::{Body, SnapshotChunk};
-use crate::progress::ProgressState;
-use crate::raft::{Output, Raft};
+use crate::progress::{Progress, ProgressState};
+use crate::raft::{Output, Raft, Role};
 use std::sync::Arc;
 use wingshore_types::log::StoredSnapshot;
+use wingshore_types::snapshot_data::SnapshotState;
 use wingshore_types::{LogIndex, ReplicaId};
 
 /// A snapshot that is being received. It belongs to one leadership: another leader's encoding of
@@ -33,11 +34,8 @@
 impl Raft {
     /// Whether a snapshot can be taken now: what it would cover is durable in the log.
     pub fn can_compact(&self) -> bool {
-        let covered = self
-            .snapshot
-            .as_ref()
-            .map_or(LogIndex(0), |snapshot| snapshot.index);
-        self.last_applied > covered && self.last_applied <= self.persistence.persisted_index()
+        self.last_applied > self.snapshot_index
+            && self.last_applied <= self.persistence.persisted_index()
     }
 
     /// Takes `state`, as of the last applied entry, as the snapshot, and compacts the log behind
@@ -45,31 +43,68 @@
     ///
     /// # Errors
     /// When the snapshot does not encode.
-    pub fn compact(&mut self, state: Vec<u8>) -> Result<(), CodecError> {
-        let index = self.last_applied;
-        let Some(term) = self.log.term_at(index).filter(|_| self.can_compact()) else {
+    pub fn compact(&mut self, state: impl Into<SnapshotState>) -> Result<(), CodecError> {
+        if !self.can_compact() {
+            return Ok(());
+        }
+        let Some(snapshot) = self.snapshot_of(state.into())? else {
             return Ok(());
         };
-        let contents = SnapshotContents {
-            membership: self.members.as_of(index).clone(),
-            state,
-        };
-        let data = contents.encode()?;
-        drop(contents);
-        let snapshot = Arc::new(StoredSnapshot { index, term, data });
         let through = self
             .log
-            .compaction_point(index, self.limits.retained_log_bytes);
+            .compaction_point(snapshot.index, self.limits.retained_log_bytes);
         self.log.compact_through(through);
         self.members.compact_through(through);
-        self.persistence.compacted(Arc::clone(&snapshot), through);
-        self.snapshot = Some(snapshot);
+        self.snapshot_index = snapshot.index;
+        self.persistence.compacted(snapshot, through);
         Ok(())
     }
 
-    /// Starts to send the snapshot to a member that needs entries which are compacted away.
+    /// Whether a member needs a snapshot and none is at hand: [`Raft::provide_snapshot`] is wanted.
+    pub fn wants_snapshot(&self) -> bool {
+        self.is_leader() && !self.awaiting_snapshot.is_empty()
+    }
+
+    /// Takes `state`, as of the last applied entry, to be sent to the members that need a
+    /// snapshot. Nothing is written: it is held only until they have it.
+    ///
+    /// # Errors
+    /// When the snapshot does not encode.
+    pub fn provide_snapshot(&mut self, state: impl Into<SnapshotState>) -> Result<(), CodecError> {
+        let Some(snapshot) = self.snapshot_of(state.into())? else {
+            return Ok(());
+        };
+        for to in std::mem::take(&mut self.awaiting_snapshot) {
+            if let Some(progress) = self.progress_mut(to) {
+                progress.send_snapshot(Arc::clone(&snapshot));
+            }
+        }
+        Ok(())
+    }
+
+    /// `state` as the snapshot of the last applied entry; `None` when the log does not know its
+    /// term.
+    fn snapshot_of(
+        &mut self,
+        state: SnapshotState,
+    ) -> Result<Option<Arc<StoredSnapshot>>, CodecError> {
+        let index = self.last_applied;
+        let Some(term) = self.log.term_at(index) else {
+            return Ok(None);
+        };
+        let data = SnapshotContents::encode(self.members.as_of(index), state)?;
+        let snapshot = Arc::new(StoredSnapshot { index, term, data });
+        self.recent_snapshot = Arc::downgrade(&snapshot);
+        Ok(Some(snapshot))
+    }
+
+    /// Starts to send a snapshot to a member that needs entries which are compacted away: the
+    /// recent one if the log goes on from it, or else one that is asked for.
     pub(crate) fn start_snapshot(&mut self, to: ReplicaId) {
-        let Some(snapshot) = self.snapshot.clone() else {
+        let base = self.log.base_index();
+        let recent = self.recent_snapshot.upgrade();
+        let Some(snapshot) = recent.filter(|snapshot| snapshot.index >= base) else {
+            self.awaiting_snapshot.insert(to);
             return;
         };
         if let Some(progress) = self.progress_mut(to) {
@@ -77,6 +112,15 @@
         }
     }
 
+    /// The last entry of the oldest snapshot that is being sent.
+    pub(crate) fn oldest_snapshot_under_way(&self) -> Option<LogIndex> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let progress = leader.progress.values();
+        progress.filter_map(Progress::snapshot_under_way).min()
+    }
+
     /// Sends the next chunks that may be under way.
     pub(crate) fn send_snapshot_chunks(&mut self, to: ReplicaId, out: &mut Vec<Output>) {
         let chunk_bytes = self.limits.snapshot_chunk_bytes.max(1);
@@ -89,18 +133,19 @@
         };
         let mut chunks = Vec::new();
         let snapshot = Arc::clone(&transfer.snapshot);
-        let total = snapshot.data.len() as u64;
+        let total = snapshot.data.length();
         let limit = total.min(transfer.received.saturating_add(window));
         while transfer.sent < limit {
-            let data = part_of(&snapshot.data, transfer.sent, chunk_bytes);
+            let offset = transfer.sent;
+            let data = transfer.part(offset, chunk_bytes, window);
+            transfer.sent += data.len() as u64;
             chunks.push(SnapshotChunk {
                 index: snapshot.index,
                 term: snapshot.term,
                 total,
-                offset: transfer.sent,
-                data: data.to_vec(),
+                offset,
+                data,
             });
-            transfer.sent += data.len() as u64;
         }
         for chunk in chunks {
             self.send(to, Body::SnapshotChunk(chunk), out);
@@ -162,7 +207,7 @@
         let snapshot = StoredSnapshot {
             index: incoming.index,
             term: incoming.term,
-            data: incoming.data,
+            data: incoming.data.into(),
         };
         // Damaged bytes are dropped; the leader sends the snapshot again.
         if let Ok(contents) = SnapshotContents::decode(&snapshot) {
@@ -185,8 +230,8 @@
         self.last_applied = index;
         self.verified_index = index;
         self.owes_acknowledgement = true;
-        self.persistence.replaced_by(Arc::clone(&snapshot));
-        self.snapshot = Some(snapshot);
+        self.snapshot_index = index;
+        self.persistence.replaced_by(snapshot);
         out.push(Output::Restore {
             index,
             state: contents.state,
@@ -201,12 +246,3 @@
     const MOST: usize = 256 << 20;
     usize::try_from(total).map_or(MOST, |total| total.min(MOST))
 }
-
-/// At most `length` bytes from `offset`.
-fn part_of(data: &[u8], offset: u64, length: usize) -> &[u8] {
-    let from = usize::try_from(offset)
-        .unwrap_or(usize::MAX)
-        .min(data.len());
-    let rest = data.get(from..).unwrap_or_default();
-    rest.get(..length).unwrap_or(rest)
-}
--- a/crates/wingshore-consensus/tests/snapshots.rs
+++ b/crates/wingshore-consensus/tests/snapshots.rs
@@ -40,6 +40,7 @@
         cluster.propose(leader, b"command").or_fail()?;
         cluster.run(Duration::from_millis(100));
         let state = vec![7; STATE_BYTES];
+        cluster.node(leader).provided_state = Some(state.clone());
         cluster.act(leader, |raft, _, _| raft.compact(state).unwrap());
         cluster.cut.clear();
         let applied = cluster.raft(leader).last_applied();
@@ -59,8 +60,101 @@
             eq(true)
         )?;
         let least = (STATE_BYTES / CHUNK_BYTES) as u64;
-        verify_that!(cluster.sent_snapshot_chunks, lt(10 * least))
-            .with_failure_message(|| format!("seed {seed}"))?;
+        verify_that!(
+            cluster.sent_snapshot_chunks,
+            all![ge(least), lt(10 * least)]
+        )
+        .with_failure_message(|| format!("seed {seed}"))?;
     }
     Ok(())
 }
+
+/// What is applied and durable is held by the disk: memory keeps only what a follower that is a
+/// little behind may need, however long the log on disk grows between snapshots.
+#[gtest]
+fn a_log_without_snapshots_does_not_fill_the_memory() -> Result<()> {
+    let limits = support::small_limits();
+    let mut cluster = Cluster::with(3, 1, Faults::default(), limits);
+    let has_leader = |cluster: &Cluster| cluster.ready_leader().is_some();
+    cluster.run_until(Duration::from_secs(5), has_leader);
+    for _ in 0..100 {
+        let leader = cluster.ready_leader().or_fail()?;
+        cluster.propose(leader, &[1; 16]).or_fail()?;
+        cluster.run(Duration::from_millis(20));
+    }
+    cluster.run(Duration::from_millis(500));
+    let entry_bytes = 16 + 16;
+    let most = (limits.cached_log_bytes / entry_bytes + 1) as u64;
+    for id in 1..=3 {
+        let raft = cluster.raft(id);
+        let held = raft.last_index().0 + 1 - raft.first_index().0;
+        verify_that!(held, le(most)).with_failure_message(|| format!("member {id}"))?;
+        verify_that!(
+            cluster.nodes[&ReplicaId(id)].disk.contents.records.len(),
+            ge(100)
+        )?;
+    }
+    Ok(())
+}
+
+/// A member that was away for longer than the memory of the log reaches back is sent a snapshot,
+/// though none was ever written.
+#[gtest]
+fn a_member_that_was_away_for_long_gets_a_snapshot_made_for_it() -> Result<()> {
+    let mut cluster = Cluster::with(3, 2, Faults::default(), support::small_limits());
+    let has_leader = |cluster: &Cluster| cluster.ready_leader().is_some();
+    cluster.run_until(Duration::from_secs(5), has_leader);
+    let leader = cluster.ready_leader().or_fail()?;
+    let away = (1..=3).find(|id| *id != leader).or_fail()?;
+    cluster.isolate(away);
+    for _ in 0..60 {
+        cluster.propose(leader, &[1; 16]).or_fail()?;
+        cluster.run(Duration::from_millis(10));
+    }
+    cluster.cut.clear();
+    let applied = cluster.raft(leader).last_applied();
+    let is_back = |cluster: &Cluster| cluster.raft(away).last_applied() >= applied;
+    verify_that!(cluster.run_until(Duration::from_secs(5), is_back), eq(true))?;
+    verify_that!(cluster.sent_snapshot_chunks, gt(0))
+}
+
+/// A member that learns of a long committed log applies it in parts, and wants to be called again
+/// at once for the next one.
+#[gtest]
+fn a_long_log_is_applied_in_parts() -> Result<()> {
+    let limits = Limits {
+        apply_bytes: 64,
+        cached_log_bytes: 1 << 20,
+        append_bytes: 1 << 20,
+        in_flight_bytes: 1 << 20,
+        ..support::small_limits()
+    };
+    let mut cluster = Cluster::with(3, 3, Faults::default(), limits);
+    let has_leader = |cluster: &Cluster| cluster.ready_leader().is_some();
+    cluster.run_until(Duration::from_secs(5), has_leader);
+    let leader = cluster.ready_leader().or_fail()?;
+    let away = (1..=3).find(|id| *id != leader).or_fail()?;
+    cluster.isolate(away);
+    for _ in 0..50 {
+        cluster.propose(leader, &[1; 16]).or_fail()?;
+        cluster.run(Duration::from_millis(10));
+    }
+    cluster.cut.clear();
+    let mut largest = 0;
+    let mut before = cluster.raft(away).last_applied().0;
+    let applied = cluster.raft(leader).last_applied().0;
+    let mut has_lagged = false;
+    for _ in 0..5_000 {
+        cluster.run(Duration::from_micros(500));
+        let raft = cluster.raft(away);
+        has_lagged |= raft.last_applied() < raft.commit_index();
+        if raft.last_applied() < raft.commit_index() {
+            verify_that!(raft.next_deadline(), eq(wingshore_types::Instant::ZERO))?;
+        }
+        largest = largest.max(raft.last_applied().0 - before);
+        before = raft.last_applied().0;
+    }
+    verify_that!(before, ge(applied))?;
+    verify_that!(has_lagged, eq(true))?;
+    verify_that!(largest, lt(50))
+}
--- a/crates/wingshore-consensus/tests/support/cluster.rs
+++ b/crates/wingshore-consensus/tests/support/cluster.rs
@@ -128,6 +128,7 @@
             faults: self.faults,
             limits: self.limits,
             commands: Vec::new(),
+            provided_state: None,
         };
         node.start(self.now, &mut self.checker);
         self.nodes.insert(id, node);
@@ -193,9 +194,8 @@
 
     /// A leader that has committed an entry of its term and holds the lease.
     pub fn ready_leader(&self) -> Option<u64> {
-        self.leader().filter(|leader| {
-            self.raft(*leader).has_committed_own_term() && self.holds_lease(*leader)
-        })
+        self.leader()
+            .filter(|leader| self.raft(*leader).has_applied_own_term() && self.holds_lease(*leader))
     }
 
     /// Proposes a command at `id`.
@@ -419,7 +419,7 @@
             let may_answer = node
                 .raft
                 .as_ref()
-                .is_some_and(|raft| raft.holds_lease(local) && raft.has_committed_own_term());
+                .is_some_and(|raft| raft.holds_lease(local) && raft.has_applied_own_term());
             if may_answer {
                 self.checker.on_read(node.applied.index);
             }
--- a/crates/wingshore-consensus/tests/support/mod.rs
+++ b/crates/wingshore-consensus/tests/support/mod.rs
@@ -35,6 +35,8 @@
         snapshot_chunk_bytes: 24,
         snapshot_chunks_in_flight: 2,
         retained_log_bytes: 128,
+        cached_log_bytes: 192,
+        apply_bytes: 96,
     }
 }
 
--- a/crates/wingshore-consensus/tests/support/node.rs
+++ b/crates/wingshore-consensus/tests/support/node.rs
@@ -38,6 +38,8 @@
     pub limits: Limits,
     /// Commands applied by this incarnation.
     pub commands: Vec<Vec<u8>>,
+    /// What it provides as a snapshot in place of what it has applied.
+    pub provided_state: Option<Vec<u8>>,
 }
 
 impl Node {
@@ -120,9 +122,30 @@
         for output in out {
             self.carry_out(output, &mut sends, checker);
         }
+        self.provide_snapshot_when_wanted(local, &mut sends, checker);
         sends
     }
 
+    /// Sends a snapshot of what is applied to members that need entries which are gone.
+    fn provide_snapshot_when_wanted(
+        &mut self,
+        local: Instant,
+        sends: &mut Vec<(ReplicaId, Message)>,
+        checker: &mut Checker,
+    ) {
+        let Some(raft) = self.raft.as_mut().filter(|raft| raft.wants_snapshot()) else {
+            return;
+        };
+        let state = self.provided_state.clone();
+        let state = state.unwrap_or_else(|| self.applied.encode());
+        raft.provide_snapshot(state).unwrap();
+        let mut out = Vec::new();
+        raft.flush(local, &mut out).unwrap();
+        for output in out {
+            self.carry_out(output, sends, checker);
+        }
+    }
+
     fn carry_out(
         &mut self,
         output: Output,
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -10,9 +10,11 @@
 use crate::registry::ServerRecord;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{self, Write};
 use std::sync::Arc;
 use wingshore_types::codec::encode_exactly;
 use wingshore_types::machine::{ReplicatedState, RestoreError};
+use wingshore_types::snapshot_data::{FrozenState, SnapshotState};
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
 /// Departed runs of servers that are remembered, so that a late heartbeat does not bring one back.
@@ -210,9 +212,23 @@
         encode_exactly(self).unwrap_or_default()
     }
 
+    fn freeze(&self) -> SnapshotState {
+        // Submissions and results are shared with the copy.
+        let frozen = SnapshotState::frozen(Arc::new(self.clone()));
+        frozen.unwrap_or_else(|_| self.snapshot().into())
+    }
+
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
         postcard::from_bytes(bytes).map_err(|error| RestoreError {
             message: error.to_string(),
         })
     }
 }
+
+impl FrozenState for CoordinationState {
+    fn write_to(&self, out: &mut dyn Write) -> io::Result<()> {
+        postcard::to_io(self, out)
+            .map(|_| ())
+            .map_err(io::Error::other)
+    }
+}
--- a/crates/wingshore-group/src/applying.rs
+++ b/crates/wingshore-group/src/applying.rs
@@ -64,7 +64,7 @@
             message: error.message,
         })?;
         (self.machines.prepare)(&mut self.state);
-        self.snapshots.taken(state.len());
+        self.snapshots.taken(state.len() as u64);
         Ok(())
     }
 }
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -166,6 +166,9 @@
         self.propose_held();
         self.continue_stop(now, out);
         self.take_snapshot_when_due()?;
+        if self.raft.wants_snapshot() {
+            self.raft.provide_snapshot(self.state.freeze())?;
+        }
         let mut outputs = Vec::new();
         self.raft.flush(now, &mut outputs)?;
         self.carry_out_all(now, outputs, out)
@@ -220,8 +223,8 @@
 
     fn take_snapshot_when_due(&mut self) -> Result<(), HostError> {
         if self.snapshots.is_due() && self.raft.can_compact() {
-            let snapshot = self.state.snapshot();
-            self.snapshots.taken(snapshot.len());
+            let snapshot = self.state.freeze();
+            self.snapshots.taken(snapshot.length());
             self.raft.compact(snapshot)?;
         }
         Ok(())
--- a/crates/wingshore-group/src/snapshots.rs
+++ b/crates/wingshore-group/src/snapshots.rs
@@ -45,8 +45,8 @@
     }
 
     /// The state is that of a snapshot of `bytes` now.
-    pub(crate) fn taken(&mut self, bytes: usize) {
-        let share = bytes as u64 / SNAPSHOT_BYTES_PER_LOG_BYTE;
+    pub(crate) fn taken(&mut self, bytes: u64) {
+        let share = bytes / SNAPSHOT_BYTES_PER_LOG_BYTE;
         let interval = self.shortest.max(share);
         let more = self.random.random_range(0..=interval / SPREAD_PART);
         self.applied = 0;
--- a/crates/wingshore-group/tests/support/cluster.rs
+++ b/crates/wingshore-group/tests/support/cluster.rs
@@ -53,7 +53,7 @@
         let entries = entries.map(|record| ENTRY_HEADER_BYTES + record.data.len());
         self.log_bytes += entries.sum::<usize>();
         if let Some(snapshot) = &batch.snapshot {
-            self.snapshot_bytes += snapshot.data.len();
+            self.snapshot_bytes += snapshot.data.length() as usize;
             self.snapshot_indexes.insert(snapshot.index);
         }
     }
--- a/crates/wingshore-net/src/reactor.rs
+++ b/crates/wingshore-net/src/reactor.rs
@@ -17,6 +17,9 @@
 const READ_CHUNK: usize = 16 * 1024;
 /// Most bytes taken from one connection before others get their turn.
 const READ_TURN: usize = 256 * 1024;
+/// An empty buffer that has grown beyond this many bytes is given back: a process with hundreds of
+/// connections that each carried one large message must not hold on to all of them.
+const KEPT_BUFFER: usize = 32 * 1024;
 /// The token of the waker; connections and listeners count from 0.
 const WAKER_TOKEN: Token = Token(usize::MAX - 1);
 /// Tokens from here on are listeners.
@@ -526,6 +529,7 @@
             Ok(count) => {
                 received += count;
                 if !connection.close_when_flushed {
+                    give_back(&mut connection.input);
                     connection.input.extend_from_slice(&scratch[..count]);
                 }
                 // A short read has taken all there was; what comes later has an event of its own.
@@ -556,5 +560,13 @@
             Err(error) => return Err(error),
         }
     }
+    give_back(&mut connection.output);
     Ok(())
 }
+
+/// Frees a buffer that is empty and large.
+fn give_back(buffer: &mut BytesMut) {
+    if buffer.is_empty() && buffer.capacity() > KEPT_BUFFER {
+        *buffer = BytesMut::new();
+    }
+}
--- a/crates/wingshore-storage/src/frame.rs
+++ b/crates/wingshore-storage/src/frame.rs
@@ -4,6 +4,8 @@
 //! the frame's place (a caller's salt and its offset in the file) beside its payload, so that
 //! a payload which itself holds copied frames never passes for the frames of a file.
 
+use std::io;
+
 /// Starts each frame.
 const MAGIC: [u8; 4] = *b"WSF1";
 /// Bytes before the payload.
@@ -26,16 +28,17 @@
 
 /// Appends a frame with `payload` to `out`, to stand at `offset` of its file.
 pub(crate) fn encode(salt: u64, offset: u64, payload: &[u8], out: &mut Vec<u8>) {
-    out.extend_from_slice(&header(salt, offset, payload));
+    let checksum = checksum(salt, offset, payload);
+    out.extend_from_slice(&header(payload.len(), checksum));
     out.extend_from_slice(payload);
 }
 
-/// The bytes before `payload` in a frame that is to stand at `offset` of its file.
-pub(crate) fn header(salt: u64, offset: u64, payload: &[u8]) -> [u8; HEADER_BYTES] {
+/// The bytes before a payload of `length` bytes with this checksum.
+pub(crate) fn header(length: usize, checksum: u32) -> [u8; HEADER_BYTES] {
     let mut header = [0; HEADER_BYTES];
     header[..4].copy_from_slice(&MAGIC);
-    header[4..8].copy_from_slice(&(payload.len() as u32).to_le_bytes());
-    header[8..].copy_from_slice(&checksum(salt, offset, payload).to_le_bytes());
+    header[4..8].copy_from_slice(&(length as u32).to_le_bytes());
+    header[8..].copy_from_slice(&checksum.to_le_bytes());
     header
 }
 
@@ -82,10 +85,37 @@
 }
 
 fn checksum(salt: u64, offset: u64, payload: &[u8]) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&salt.to_le_bytes());
-    hasher.update(&offset.to_le_bytes());
-    hasher.update(&(payload.len() as u64).to_le_bytes());
-    hasher.update(payload);
-    hasher.finalize()
+    let mut checksum = Checksum::new(salt, offset, payload.len());
+    checksum.0.update(payload);
+    checksum.finish()
+}
+
+/// The checksum of a payload that is produced piece by piece.
+pub(crate) struct Checksum(crc32fast::Hasher);
+
+impl Checksum {
+    /// Of a payload of `length` bytes in a frame that is to stand at `offset` of its file.
+    pub(crate) fn new(salt: u64, offset: u64, length: usize) -> Self {
+        let mut hasher = crc32fast::Hasher::new();
+        hasher.update(&salt.to_le_bytes());
+        hasher.update(&offset.to_le_bytes());
+        hasher.update(&(length as u64).to_le_bytes());
+        Self(hasher)
+    }
+
+    /// Of all that was written.
+    pub(crate) fn finish(self) -> u32 {
+        self.0.finalize()
+    }
+}
+
+impl io::Write for Checksum {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.update(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
--- a/crates/wingshore-storage/src/store.rs
+++ b/crates/wingshore-storage/src/store.rs
@@ -143,7 +143,7 @@
         }
         if let Some(snapshot) = &batch.snapshot {
             self.write_records(records)?;
-            snapshot::write_whole(self.fs.as_ref(), &self.directory, SNAPSHOT_FILE, snapshot)?;
+            snapshot::write_snapshot(self.fs.as_ref(), &self.directory, snapshot)?;
             self.snapshot_index = snapshot.index;
         }
         if let Some(from) = batch.truncate_from {
--- a/crates/wingshore-storage/tests/damage.rs
+++ b/crates/wingshore-storage/tests/damage.rs
@@ -32,7 +32,7 @@
         snapshot: Some(Arc::new(StoredSnapshot {
             index: LogIndex(index),
             term: 1,
-            data: vec![7; 100],
+            data: vec![7; 100].into(),
         })),
         discard_through: Some(LogIndex(index)),
         ..WriteBatch::default()
--- a/crates/wingshore-storage/tests/full_disk.rs
+++ b/crates/wingshore-storage/tests/full_disk.rs
@@ -98,7 +98,7 @@
         snapshot: Some(Arc::new(StoredSnapshot {
             index: LogIndex(3),
             term: 1,
-            data: vec![7; 1000],
+            data: vec![7; 1000].into(),
         })),
         append: vec![record(4)],
         discard_through: Some(LogIndex(3)),
--- a/crates/wingshore-storage/tests/model.rs
+++ b/crates/wingshore-storage/tests/model.rs
@@ -147,7 +147,7 @@
     (index > 0).then(|| StoredSnapshot {
         index: LogIndex(index),
         term,
-        data: vec![index as u8; 50],
+        data: vec![index as u8; 50].into(),
     })
 }
 
--- a/crates/wingshore-types/src/lib.rs
+++ b/crates/wingshore-types/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod protocol;
 pub mod sample;
 pub mod snapshot;
+pub mod snapshot_data;
 pub mod time;
 pub mod verdict;
 
--- a/crates/wingshore-types/src/log.rs
+++ b/crates/wingshore-types/src/log.rs
@@ -1,6 +1,7 @@
 //! What the replicated log asks of durable storage, as plain data.
 
 use crate::ids::LogIndex;
+use crate::snapshot_data::SnapshotData;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -23,9 +24,8 @@
     pub index: LogIndex,
     /// That entry's term.
     pub term: u64,
-    /// Membership and state, encoded by the group crate.
-    #[serde(with = "crate::protocol::byte_vector")]
-    pub data: Vec<u8>,
+    /// Membership and state, encoded by the consensus crate.
+    pub data: SnapshotData,
 }
 
 /// Changes to durable storage. They are made in the order of the fields, and all of them are
--- a/crates/wingshore-types/src/machine.rs
+++ b/crates/wingshore-types/src/machine.rs
@@ -4,6 +4,7 @@
 //! production drivers and the simulator drive the same code.
 
 use crate::ids::{Epoch, LogIndex};
+use crate::snapshot_data::SnapshotState;
 use crate::time::Instant;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -37,6 +38,11 @@
     fn apply(&mut self, index: LogIndex, command: Self::Command) -> Self::Reply;
     /// The whole state as bytes.
     fn snapshot(&self) -> Vec<u8>;
+    /// The whole state, to be encoded when its bytes are needed; the same bytes as those of
+    /// [`ReplicatedState::snapshot`]. A large state shares its parts instead of being encoded here.
+    fn freeze(&self) -> SnapshotState {
+        self.snapshot().into()
+    }
     /// The state that [`ReplicatedState::snapshot`] wrote.
     ///
     /// # Errors
