coordinator: at most as many members as losses and zones ask for; the other coordinators stand by

Change: members are the fewest voters or one a zone, and a spare; joiners stand by (6 MB) until a member is lost, first those in a zone without one. They answer the directory from what gateways tell them and redirect by the word of members: introductions go to all that are connected. A machine that stands by can be retired. Gateways read only from coordinators that hold a copy. Weighed: a count in the deploy file (added machines would get no coordinator, and a retirement would find no successor).

--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -28,7 +28,7 @@
     CoordinationLeader, Decision, Effect, EngineReport, Event, LeaderFigures, LeaderPolicy,
     LeaderSettings, OrderAnswer, WeightOrder,
 };
-pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame};
+pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame, KnownLeader};
 pub use messages::{
     AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
     ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply, Request, RunningItem,
--- a/crates/wingshore-coordination/src/links.rs
+++ b/crates/wingshore-coordination/src/links.rs
@@ -14,6 +14,8 @@
     pub id: ReplicaId,
     /// Name of its machine.
     pub node: String,
+    /// Where it stands.
+    pub zone: String,
     /// Where it listens for the site's own processes.
     pub internal: SocketAddr,
     /// Where it listens for operators, trainers and servers.
@@ -23,6 +25,17 @@
     /// Where the members that it knows listen for the site's own processes: one that is to join
     /// may know only some of them.
     pub members: Vec<SocketAddr>,
+    /// Whom it knows to lead the group.
+    pub leader: Option<KnownLeader>,
+}
+
+/// A leadership as a member knows it; the one with the highest term is the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KnownLeader {
+    /// The term.
+    pub term: u64,
+    /// Its leader.
+    pub leader: ReplicaId,
 }
 
 /// What arrives at a coordinator's internal port.
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -305,6 +305,8 @@
         coordinators: Vec<SocketAddr>,
         /// Where this one stands.
         zone: String,
+        /// Whether it holds a copy of the state that results can be read from.
+        has_copy: bool,
     },
 }
 
--- a/crates/wingshore-coordinator/src/membership.rs
+++ b/crates/wingshore-coordinator/src/membership.rs
@@ -14,6 +14,9 @@
 const JOINER_SILENCE: Duration = Duration::from_secs(1);
 /// Most voters: each further one makes every commit dearer.
 const MOST_VOTERS: usize = 7;
+/// Members besides those that the losses and zones ask for: one that can vote at once in the place
+/// of a lost one. Each further one holds the whole state in memory and is sent the whole log.
+const SPARE_MEMBERS: usize = 1;
 
 /// A coordinator that has introduced itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +25,8 @@
     pub id: ReplicaId,
     /// Where it listens for the site's own processes.
     pub address: SocketAddr,
+    /// Where it stands.
+    pub zone: String,
     /// When it was last heard of.
     pub heard: Instant,
 }
@@ -30,6 +35,8 @@
 pub struct MembershipView<'a> {
     /// The leader itself.
     pub own: ReplicaId,
+    /// Where it stands.
+    pub own_zone: &'a str,
     /// The members.
     pub membership: &'a Membership,
     /// All coordinators that have introduced themselves, by identity.
@@ -48,16 +55,50 @@
         2 * self.losses_borne + 1
     }
 
+    /// Members that are wanted: as many as bear the losses, and one in each zone whose gateways
+    /// read from it, and a spare. The other coordinators stand by without the group's state.
+    pub fn wanted_members(&self, now: Instant) -> usize {
+        let zones: BTreeSet<&str> = self
+            .fresh(now)
+            .map(|joiner| joiner.zone.as_str())
+            .chain([self.own_zone])
+            .collect();
+        self.fewest_voters().max(zones.len()) + SPARE_MEMBERS
+    }
+
+    /// Coordinators other than the leader that are heard of and are not to leave.
+    fn fresh(&self, now: Instant) -> impl Iterator<Item = &Joiner> {
+        self.heard.values().filter(move |joiner| {
+            let is_fresh = now.since(joiner.heard) < VOTER_SILENCE;
+            is_fresh && joiner.id != self.own && !self.retired.contains(&joiner.id)
+        })
+    }
+
+    /// Members that are there: the leader, and those that are heard of and are not to leave.
+    fn members_there(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let fresh: BTreeSet<ReplicaId> = self.fresh(now).map(|joiner| joiner.id).collect();
+        members(self.membership).filter(move |member| {
+            let is_own = member.id == self.own && !self.retired.contains(&member.id);
+            is_own || fresh.contains(&member.id)
+        })
+    }
+
+    /// Zones in which a member is there.
+    fn zones_with_members(&self, now: Instant) -> BTreeSet<&str> {
+        let others = self
+            .members_there(now)
+            .filter_map(|member| self.heard.get(&member.id));
+        others
+            .map(|joiner| joiner.zone.as_str())
+            .chain([self.own_zone])
+            .collect()
+    }
+
     /// Voters that are wanted: an odd number, and as many of the members that are there as
     /// possible. So each majority of them holds a majority of the voters, whichever way they are
     /// cut apart.
     pub fn wanted_voters(&self, now: Instant) -> usize {
-        let is_there = |member: &&Member| {
-            let heard = self.heard.get(&member.id);
-            let is_heard = heard.is_some_and(|joiner| now.since(joiner.heard) < VOTER_SILENCE);
-            (member.id == self.own || is_heard) && !self.retired.contains(&member.id)
-        };
-        let there = members(self.membership).filter(is_there).count();
+        let there = self.members_there(now).count();
         let odd = there.saturating_sub(1) / 2 * 2 + 1;
         odd.min(MOST_VOTERS).max(self.fewest_voters())
     }
@@ -210,7 +251,12 @@
         others.find(|voter| self.silence(now, *voter, view) >= limit)
     }
 
+    /// A coordinator that stands by is taken in while fewer members are there than are wanted,
+    /// rather one in a zone without a member.
     fn joiner_to_add(&self, now: Instant, view: &MembershipView<'_>) -> Option<MembershipRequest> {
+        if view.members_there(now).count() >= view.wanted_members(now) {
+            return None;
+        }
         let is_new = |joiner: &&Joiner| {
             let is_fresh = now.since(joiner.heard) < JOINER_SILENCE;
             let clashes =
@@ -220,7 +266,10 @@
                 && !view.retired.contains(&joiner.id)
                 && !members(view.membership).any(clashes)
         };
-        view.heard.values().find(is_new).map(|joiner| {
+        let zones = view.zones_with_members(now);
+        let joiners = view.heard.values().filter(is_new);
+        let best = joiners.min_by_key(|joiner| zones.contains(joiner.zone.as_str()));
+        best.map(|joiner| {
             MembershipRequest::AddLearner(Member {
                 id: joiner.id,
                 address: joiner.address,
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -158,6 +158,7 @@
         leader: Option<ReplicaId>,
     ) -> ControlAnswer {
         let leader = leader
+            .or_else(|| self.known_leader().map(|known| known.leader))
             .filter(|leader| self.route_to(*leader).is_some())
             .and_then(|leader| self.hellos.get(&leader));
         let target = match self.roles.get(&connection) {
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -6,14 +6,18 @@
 use crate::membership::Joiner;
 use slog::{info, warn};
 use std::net::SocketAddr;
+use std::time::Duration;
 use wingshore_coordination::{
     CoordinatorFrame, CoordinatorHello, CoordinatorMessage, Event, GatewayId, GatewayMessage,
-    IncomingFrame,
+    IncomingFrame, KnownLeader,
 };
 use wingshore_group::HostInput;
 use wingshore_net::{ConnectOptions, ConnectionId, frame};
 use wingshore_types::{Instant, ReplicaId};
 
+/// The word of another coordinator on who leads counts for this long: three introductions.
+const LEADER_WORD_FRESH: Duration = Duration::from_millis(900);
+
 impl Coordinator {
     pub(super) fn on_connected(&mut self, _now: Instant, connection: ConnectionId) {
         let Some(Role::Dialed(address)) = self.roles.get(&connection) else {
@@ -29,10 +33,12 @@
         let hello = CoordinatorHello {
             id: self.folder.identity().replica,
             node: self.settings.node.clone(),
+            zone: self.settings.zone.clone(),
             internal: self.settings.internal_address(),
             control: self.settings.control,
             up: self.clock.now().since(Instant::ZERO),
             members: self.member_addresses(),
+            leader: self.known_leader(),
         };
         let frame = IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello));
         self.send_frame(connection, &frame);
@@ -115,6 +121,7 @@
         let joiner = Joiner {
             id: hello.id,
             address: hello.internal,
+            zone: hello.zone.clone(),
             heard: now,
         };
         // One address has one identity at a time: the one that was heard last.
@@ -205,18 +212,50 @@
     }
 
     pub(super) fn greet(&mut self) {
-        let links: Vec<ConnectionId> = self
-            .dials
-            .values()
-            .filter(|dial| dial.up)
-            .filter_map(|dial| dial.connection)
-            .collect();
+        let others: Vec<ReplicaId> = self.routes.keys().copied().collect();
+        let links = others.into_iter().filter_map(|other| self.route_to(other));
+        let links: Vec<ConnectionId> = links.collect();
         for connection in links {
             self.introduce(connection);
         }
-        let coordinators = self.member_addresses();
-        let zone = self.settings.zone.clone();
-        self.send_to_all_gateways(&CoordinatorMessage::Alive { coordinators, zone });
+        let alive = CoordinatorMessage::Alive {
+            coordinators: self.coordinator_addresses(),
+            zone: self.settings.zone.clone(),
+            has_copy: self.is_member() && self.host.leader().is_some(),
+        };
+        self.send_to_all_gateways(&alive);
+    }
+
+    /// Whether this coordinator is a member of the group, rather than one that stands by.
+    pub(super) fn is_member(&self) -> bool {
+        let membership = self.host.membership();
+        let mut members = membership.voters.iter().chain(&membership.learners);
+        members.any(|member| member.id == self.folder.identity().replica)
+    }
+
+    /// Whom this coordinator knows to lead: by the log, or by the word of others where it stands
+    /// by or was taken out of the group without learning of it.
+    pub(super) fn known_leader(&self) -> Option<KnownLeader> {
+        if let Some(leader) = self.host.leader() {
+            let term = self.host.term();
+            return Some(KnownLeader { term, leader });
+        }
+        let now = self.clock.now();
+        let members = self.hellos.values().filter(|hello| {
+            let joiner = self.heard.get(&hello.id);
+            joiner.is_some_and(|joiner| now.since(joiner.heard) < LEADER_WORD_FRESH)
+        });
+        members.filter_map(|hello| hello.leader).max()
+    }
+
+    /// Where members and those that stand by listen for the site's own processes.
+    fn coordinator_addresses(&self) -> Vec<SocketAddr> {
+        let standby = self.heard.values().map(|joiner| joiner.address);
+        let mut addresses = self.member_addresses();
+        addresses.extend(standby);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
     }
 
     /// Where the members listen for the site's own processes.
--- a/crates/wingshore-coordinator/src/process/members.rs
+++ b/crates/wingshore-coordinator/src/process/members.rs
@@ -36,6 +36,7 @@
         let members = membership.voters.iter().chain(&membership.learners);
         MembershipView {
             own: self.folder.identity().replica,
+            own_zone: &self.settings.zone,
             membership,
             heard: &self.heard,
             caught_up: members
@@ -76,7 +77,9 @@
         let retired = self.retired_members();
         let view = self.membership_view(&retired);
         let own = (view.own, self.settings.node.as_str());
-        let answer = match member_of(&self.host, own, node) {
+        let standby = self.hellos.values().find(|hello| hello.node == node);
+        let known = member_of(&self.host, own, node).or_else(|| standby.map(|hello| hello.id));
+        let answer = match known {
             _ if !self.host.holds_lease(now) => ControlAnswer::Unavailable,
             None => ControlAnswer::NoSuchMachine,
             Some(id) if retired.contains(&id) => ControlAnswer::Retiring,
--- a/crates/wingshore-coordinator/tests/membership.rs
+++ b/crates/wingshore-coordinator/tests/membership.rs
@@ -16,6 +16,7 @@
     caught_up: BTreeSet<ReplicaId>,
     retired: BTreeSet<ReplicaId>,
     losses_borne: usize,
+    own_zone: String,
     planner: MembershipPlanner,
 }
 
@@ -23,6 +24,14 @@
     ([10, 0, 0, machine as u8], 7700).into()
 }
 
+/// Each machine stands in a zone of its own, but those from 100 on: they share two.
+fn zone_of(machine: u64) -> String {
+    match machine {
+        100.. => format!("shared-{}", machine % 2),
+        _ => format!("zone-{machine}"),
+    }
+}
+
 fn member(id: u64, machine: u64) -> Member {
     Member {
         id: ReplicaId(id),
@@ -44,6 +53,7 @@
             caught_up: [1, 2, 3].map(ReplicaId).into(),
             retired: BTreeSet::new(),
             losses_borne: 1,
+            own_zone: zone_of(1),
             planner,
         };
         site.hear(2, 2, 0);
@@ -56,6 +66,7 @@
         let joiner = Joiner {
             id: ReplicaId(id),
             address: address(machine),
+            zone: zone_of(machine),
             heard: self.now - Duration::from_millis(ago),
         };
         self.heard.insert(joiner.id, joiner);
@@ -64,6 +75,7 @@
     fn view(&self) -> MembershipView<'_> {
         MembershipView {
             own: ReplicaId(1),
+            own_zone: &self.own_zone,
             membership: &self.membership,
             heard: &self.heard,
             caught_up: self.caught_up.clone(),
@@ -302,3 +314,43 @@
     site.losses_borne = 2;
     expect_that!(site.plan(), none(), "five voters are the fewest");
 }
+
+/// A site of three zones with two losses to bear wants six members; the rest stand by.
+#[gtest]
+fn coordinators_beyond_those_that_are_wanted_stand_by() {
+    let mut site = Site::new();
+    site.losses_borne = 2;
+    site.own_zone = zone_of(100);
+    site.heard.clear();
+    site.membership.voters = (1..=5).map(|id| member(id, 99 + id)).collect();
+    site.membership.learners = vec![member(6, 105)];
+    site.caught_up = (1..=6).map(ReplicaId).collect();
+    for id in 2..=9 {
+        site.hear(id, 99 + id, 0);
+    }
+    expect_that!(site.plan(), none());
+    // A member that is lost leaves a place to one that stands by.
+    site.membership.learners.clear();
+    site.heard.remove(&ReplicaId(6));
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::AddLearner(member(7, 106))))
+    );
+}
+
+/// Gateways read from the member in their zone: a zone without one is served first.
+#[gtest]
+fn a_zone_without_a_member_is_served_first() {
+    let mut site = Site::new();
+    site.own_zone = zone_of(100);
+    site.heard.clear();
+    site.membership.voters = vec![member(1, 100), member(2, 102), member(3, 104)];
+    site.hear(2, 102, 0);
+    site.hear(3, 104, 0);
+    site.hear(4, 106, 0);
+    site.hear(5, 107, 0);
+    expect_that!(
+        site.plan(),
+        some(eq(&MembershipRequest::AddLearner(member(5, 107))))
+    );
+}
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -32,8 +32,8 @@
     heard: Instant,
     /// Other coordinators it knows.
     knows: Vec<SocketAddr>,
-    /// Where it stands, once it has said so.
-    zone: Option<String>,
+    /// Where it stands, once it has said so and holds a copy of the state.
+    copy_zone: Option<String>,
 }
 
 /// All links.
@@ -55,7 +55,7 @@
     pub(crate) fn near_copy(&self, now: Instant, zone: &str) -> Option<ConnectionId> {
         let mut near = self.links.iter().filter(|(_, link)| {
             let is_fresh = now.since(link.heard) <= COPY_FRESH;
-            link.up && is_fresh && link.zone.as_deref() == Some(zone)
+            link.up && is_fresh && link.copy_zone.as_deref() == Some(zone)
         });
         if near
             .clone()
@@ -131,7 +131,7 @@
             since: now,
             heard: now,
             knows,
-            zone: None,
+            copy_zone: None,
         };
         self.coordinators.links.insert(address, link);
     }
@@ -239,10 +239,14 @@
             CoordinatorMessage::Release { assignment } => self.release_item(assignment),
             CoordinatorMessage::Score(assignment) => self.begin_scoring(now, assignment),
             CoordinatorMessage::ReleaseScoring { scoring } => self.release_scoring(now, scoring),
-            CoordinatorMessage::Alive { coordinators, zone } => {
+            CoordinatorMessage::Alive {
+                coordinators,
+                zone,
+                has_copy,
+            } => {
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
                     link.knows = coordinators;
-                    link.zone = Some(zone);
+                    link.copy_zone = has_copy.then_some(zone);
                 }
             }
         }
