coordination: quick handovers of orders do not follow each other

Change: a machine's orders are settled once it has held them for the handover time, which it notes in the log; only settled orders are taken over at once, all others after the handover time. Test: quick_handovers_do_not_follow_each_other fails without the change.

--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -398,7 +398,7 @@
             }
             Waiter::Nobody => {}
             Waiter::Orders => {
-                self.rollout.may_order();
+                self.rollout.may_order(now + self.settings.order_handover);
                 self.drive_rollout(now, state, out);
             }
             Waiter::Version(tag) => {
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -114,6 +114,8 @@
 pub(crate) struct Rollout {
     claim_at: Option<Instant>,
     may_order: bool,
+    /// When the orders of this leadership count as settled.
+    settle_at: Option<Instant>,
     loads: BTreeMap<InstanceId, Load>,
     /// Loads of each version so far.
     begun: BTreeMap<(ModelName, u64), usize>,
@@ -121,8 +123,9 @@
 
 impl Rollout {
     /// The claim is committed.
-    pub(crate) fn may_order(&mut self) {
+    pub(crate) fn may_order(&mut self, settle_at: Instant) {
         self.may_order = true;
+        self.settle_at = Some(settle_at);
     }
 
     /// The model whose weights an engine is to load.
@@ -181,9 +184,22 @@
         self.drive_rollout(now, state, out);
     }
 
+    /// Notes in the log that this machine has held orders for the time of a handover.
+    fn settle_orders(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
+        if self.rollout.settle_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.rollout.settle_at = None;
+        if !state.orders_are_settled() {
+            self.propose(Command::SettleOrders(self.epoch), Waiter::Nobody, out);
+        }
+    }
+
     /// Machines have gone out of touch. Where the one that gave orders before is among them, its
     /// leadership ended with a loss that all sides know of: nothing more is to come from it, and
-    /// engines refuse its fence once they have seen a higher one. Its time need not be waited out.
+    /// engines refuse its fence once they have seen a higher one. Its time need not be waited out,
+    /// unless it has held orders only since a short while: machines that fall one after the other,
+    /// and come back, would take turns.
     pub(crate) fn on_coordinators_lost(
         &mut self,
         now: Instant,
@@ -191,7 +207,7 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        if !self.settings.engines_check_fences {
+        if !self.settings.engines_check_fences || !state.orders_are_settled() {
             return;
         }
         let holder = state.order_holder();
@@ -217,6 +233,7 @@
             };
             self.propose(Command::HoldOrders(holder), Waiter::Orders, out);
         }
+        self.settle_orders(now, state, out);
         if !self.rollout.may_order || state.named_versions().is_empty() {
             return;
         }
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -9,7 +9,7 @@
 use crate::text::{FinishedText, ItemText};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
-use wingshore_types::ReplicaId;
+use wingshore_types::{Epoch, ReplicaId};
 
 /// A change of the replicated state. New kinds are added at the end: the codec counts them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -94,4 +94,6 @@
         /// How many.
         failures: u32,
     },
+    /// The leadership that gives orders has held them for the time of a handover.
+    SettleOrders(Epoch),
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -43,6 +43,8 @@
     named_versions: BTreeMap<ModelName, u64>,
     jobs: BTreeMap<JobId, Job>,
     order_holder: Option<OrderHolder>,
+    /// Whether the machine that gives orders has held them for the time of a handover.
+    orders_settled: bool,
     /// Machines of coordinators, as they named themselves.
     member_nodes: BTreeMap<ReplicaId, String>,
     /// Coordinators that are to leave, or have left, for good; the newest of each machine.
@@ -90,6 +92,26 @@
         self.order_holder.as_ref()
     }
 
+    /// Whether the machine that gives orders has held them for the time of a handover: if it is
+    /// lost now, no other machine's orders are so young that engines could see three machines take
+    /// turns.
+    pub fn orders_are_settled(&self) -> bool {
+        self.orders_settled
+    }
+
+    fn hold_orders(&mut self, holder: OrderHolder) {
+        let before = self.order_holder.as_ref();
+        // The first holder follows no other one, and one machine is one holder over all its terms.
+        let is_same = before.is_some_and(|before| before.node == holder.node);
+        self.orders_settled = before.is_none() || (is_same && self.orders_settled);
+        self.order_holder = Some(holder);
+    }
+
+    fn settle_orders(&mut self, epoch: Epoch) {
+        let holder = self.order_holder.as_ref();
+        self.orders_settled |= holder.is_some_and(|holder| holder.epoch == epoch);
+    }
+
     fn configure(&mut self, configuration: Arc<SiteConfiguration>) {
         let held = self.configuration.as_ref().map(|held| held.version);
         if held.is_none_or(|held| configuration.version > held) {
@@ -203,7 +225,8 @@
             Command::RetireMember { member, node } => {
                 self.retired_members.insert(node, member);
             }
-            Command::HoldOrders(holder) => self.order_holder = Some(holder),
+            Command::HoldOrders(holder) => self.hold_orders(holder),
+            Command::SettleOrders(epoch) => self.settle_orders(epoch),
         }
     }
 
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -136,6 +136,32 @@
     expect_that!(asked(&mut group), not(is_empty()));
 }
 
+/// Machines that lead for a moment and fall, one after the other, must not take turns in giving
+/// orders: only one handover is quick until its machine has held orders for a while.
+#[gtest]
+fn quick_handovers_do_not_follow_each_other() {
+    let mut group = group_of_engines(1);
+    name_version(&mut group, 2);
+    group.change_leader("coordinator-b");
+    group.event(Event::CoordinatorsLost(vec!["coordinator-a".to_owned()]));
+    group.wait(Duration::from_millis(100));
+    expect_that!(asked(&mut group), len(eq(1)));
+    group.change_leader("coordinator-c");
+    group.event(Event::CoordinatorsLost(vec!["coordinator-b".to_owned()]));
+    group.wait(Duration::from_millis(3000));
+    expect_that!(asked(&mut group), is_empty());
+    group.wait(Duration::from_millis(600));
+    expect_that!(asked(&mut group), not(is_empty()));
+    // Once it has held them for that time, the next handover is quick again.
+    group.heartbeat(engine("e0", 1));
+    group.wait(Duration::from_millis(4000));
+    group.effects.clear();
+    group.change_leader("coordinator-d");
+    group.event(Event::CoordinatorsLost(vec!["coordinator-c".to_owned()]));
+    group.wait(Duration::from_millis(100));
+    expect_that!(asked(&mut group), not(is_empty()));
+}
+
 #[gtest]
 fn fences_rise_with_each_leadership() {
     let mut group = group_of_engines(1);
