coordination: the items of an engine go through one gateway

Change: an engine keeps the gateway that ran its last item, while that takes items and is not full. Test: the_items_of_an_engine_go_through_one_gateway.

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -1,6 +1,6 @@
 //! What the leader knows of each engine besides its registration.
 
-use crate::ids::{InstanceId, ModelName, ServiceName};
+use crate::ids::{GatewayId, InstanceId, ModelName, ServiceName};
 use crate::registry::ServerRecord;
 use crate::state::CoordinationState;
 use std::collections::BTreeMap;
@@ -28,6 +28,8 @@
     pub(crate) pace: Option<f64>,
     /// Until then streams may stand still: it loads weights, or has just done so.
     pub(crate) unsteady_until: Instant,
+    /// The gateway that ran its last item: it has connections to it.
+    pub(crate) gateway: Option<GatewayId>,
     /// Long items that run on it.
     pub(crate) long_running: usize,
 }
@@ -89,6 +91,7 @@
             slots,
             pace: None,
             unsteady_until: Instant::ZERO,
+            gateway: None,
             long_running: 0,
         });
         let known = std::mem::replace(&mut engine.record, record.clone());
@@ -142,10 +145,11 @@
             .filter(move |(_, engine)| engine.record.service == *service)
     }
 
-    /// An item was assigned to it.
-    pub(crate) fn started(&mut self, instance: &InstanceId) {
+    /// An item was assigned to it, through a gateway.
+    pub(crate) fn started(&mut self, instance: &InstanceId, gateway: GatewayId) {
         if let Some(engine) = self.all.get_mut(instance) {
             engine.running += 1;
+            engine.gateway = Some(gateway);
         }
     }
 
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -2,7 +2,7 @@
 
 use super::engines::{Engine, slow_down};
 use super::items::{Progress, Running};
-use super::{CoordinationLeader, Decision, Effect, Outputs, log};
+use super::{CoordinationLeader, Decision, Effect, Gateway, Outputs, log};
 use crate::configuration::Route;
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName, ServiceName};
 use crate::jobs::{Job, JobItem};
@@ -83,9 +83,7 @@
         let Some(instance) = self.choose_engine(now, &candidate, state) else {
             return;
         };
-        let engine = self.engines.get(&instance);
-        let zone = engine.map(|engine| engine.record.zone.as_str());
-        let Some(gateway) = self.choose_gateway(zone) else {
+        let Some(gateway) = self.choose_gateway(self.engines.get(&instance)) else {
             return;
         };
         self.items.take(&candidate.key);
@@ -157,14 +155,29 @@
             .map(|(_, instance)| instance.clone())
     }
 
-    fn choose_gateway(&self, zone: Option<&str>) -> Option<GatewayId> {
+    /// The gateway that has connections to the engine, or else one with little work, rather in the
+    /// engine's zone.
+    fn choose_gateway(&self, engine: Option<&Engine>) -> Option<GatewayId> {
+        /// Items by which a gateway in another zone must have less work.
+        const FAR: usize = 4;
+        let takes_more = |gateway: &Gateway| {
+            gateway.introduced
+                && gateway.status.takes_items
+                && gateway.running < MOST_ITEMS_OF_A_GATEWAY
+        };
+        let connected = engine.and_then(|engine| engine.gateway);
+        if let Some(connected) =
+            connected.filter(|id| self.gateways.get(id).is_some_and(takes_more))
+        {
+            return Some(connected);
+        }
+        let zone = engine.map(|engine| engine.record.zone.as_str());
         self.gateways
             .iter()
-            .filter(|(_, gateway)| gateway.introduced && gateway.status.takes_items)
-            .filter(|(_, gateway)| gateway.running < MOST_ITEMS_OF_A_GATEWAY)
+            .filter(|(_, gateway)| takes_more(gateway))
             .min_by_key(|(_, gateway)| {
-                let far = zone != Some(gateway.zone.as_str());
-                gateway.running + if far { 4 } else { 0 }
+                let is_far = zone != Some(gateway.zone.as_str());
+                gateway.running + if is_far { FAR } else { 0 }
             })
             .map(|(id, _)| *id)
     }
@@ -227,7 +240,7 @@
 
     /// A try begins, or is known to be under way.
     pub(crate) fn start(&mut self, assignment: crate::AssignmentId, running: Running) {
-        self.engines.started(&running.instance);
+        self.engines.started(&running.instance, running.gateway);
         if let Some(known) = self.gateways.get_mut(&running.gateway) {
             known.running += 1;
         }
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -359,3 +359,24 @@
         expect_that!(item.headers, is_empty());
     }
 }
+
+/// A gateway keeps its connections to an engine: the engine's items go through it, so that not each
+/// of them opens a connection.
+#[gtest]
+fn the_items_of_an_engine_go_through_one_gateway() {
+    let mut group = Group::new();
+    for gateway in 1..=3 {
+        group.add_gateway(gateway);
+    }
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(job("j", 4)));
+    let gateways: std::collections::BTreeSet<GatewayId> = group
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::ToGateway(gateway, CoordinatorMessage::Assign(_)) => Some(*gateway),
+            _ => None,
+        })
+        .collect();
+    expect_that!(gateways, len(eq(1)));
+}
