coordination, coordinator, gateway: what gateways out of touch have made counts; heartbeats are answered by any coordinator

And items begun 2 s before the loss of all machines kept nothing, those of 76 events 50. Change: a whole text of an attempt that the leader had given up counts if the item has no result; long items hand in 5 events at a time (24 before, 24 still for others); a new leader says what the log holds of a text, with its checksum, and parts that were lost are handed in again unless the log has another attempt's events. 2. Where a gateway's connection was reset, its items were released and begun again elsewhere, though it was back in 0.3 s. Change: a coordinator that does not lead answers a heartbeat that says what the leader has acknowledged, and tells the leader once in 300 ms whom it heard of; what is new is passed on; the leader looks through all servers, items and jobs for what has expired each 250 ms, not each 50. Tests of lost gateways say now how long the gateway was silent.

--- a/crates/wingshore-coordination/src/leader/interface.rs
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -1,14 +1,17 @@
 //! What the leader machine hears from outside the group, and what it wants done there.
 
 use super::{Decision, EngineReport, OrderAnswer, WeightOrder};
-use crate::ids::{GatewayId, InstanceId};
+use crate::ids::{GatewayId, InstanceId, ItemKey};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
     RunningItem,
 };
+use crate::registry::HeardServer;
 use crate::scoring::{RunningScoring, ScoringOutcome};
 use crate::text::ItemText;
 use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_types::ReplicaId;
 
 /// News from outside the group.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,16 +52,30 @@
         outcome: ScoringOutcome,
     },
     /// The connection of a gateway has ended.
-    GatewayGone(GatewayId),
+    GatewayGone {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// How long it had been silent before.
+        silence: Duration,
+    },
     /// A gateway's try at an item is over.
     ItemEnded {
         /// Which gateway.
         gateway: GatewayId,
         /// Which try.
         assignment: AssignmentId,
+        /// The item.
+        item: ItemKey,
         /// What came of it.
         outcome: ItemOutcome,
     },
+    /// Another coordinator has heard of servers that say what the registry holds.
+    ServersHeard {
+        /// The coordinator.
+        from: ReplicaId,
+        /// The servers.
+        servers: Vec<HeardServer>,
+    },
     /// Connections to these coordinators' machines have ended lately, or are down.
     CoordinatorsLost(Vec<String>),
     /// An engine answered an order, or did not.
@@ -84,6 +101,13 @@
     ToGateway(GatewayId, CoordinatorMessage),
     /// Send a change of the view to all gateways.
     ToAllGateways(CoordinatorMessage),
+    /// Tell another coordinator that the registry does not hold these servers.
+    UnknownServers {
+        /// The coordinator.
+        to: ReplicaId,
+        /// The servers.
+        instances: Vec<InstanceId>,
+    },
     /// Log a decision.
     Log(Decision),
     /// Give an engine an order.
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -326,6 +326,10 @@
             .filter(|(_, running)| running.gateway == gateway)
             .map(|(assignment, _)| *assignment)
             .collect();
+        self.end_and_wait(lost, engines);
+    }
+
+    fn end_and_wait(&mut self, lost: Vec<AssignmentId>, engines: &mut Engines) {
         for assignment in lost {
             if let Some(running) = self.end(assignment) {
                 engines.ended(&running.instance);
@@ -334,6 +338,25 @@
         }
     }
 
+    /// A gateway that is back tells all that it runs: what it does not speak of waits again. Gives
+    /// how many of its attempts go on.
+    pub(crate) fn gateway_tells(
+        &mut self,
+        gateway: GatewayId,
+        told: &BTreeSet<AssignmentId>,
+        engines: &mut Engines,
+    ) -> usize {
+        let known = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.gateway == gateway);
+        let (kept, lost): (Vec<AssignmentId>, Vec<AssignmentId>) = known
+            .map(|(assignment, _)| *assignment)
+            .partition(|assignment| told.contains(assignment));
+        self.end_and_wait(lost, engines);
+        kept.len()
+    }
+
     /// The engine that ran an item of the group last.
     pub(crate) fn group_home(&self, job: &JobId, group: &str) -> Option<&InstanceId> {
         self.group_homes.get(job)?.get(group)
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -39,17 +39,24 @@
 use scorings::Scorings;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 use wingshore_types::machine::{
     LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
 };
 use wingshore_types::{Epoch, Instant};
 
+/// Between two looks through all servers, items and jobs for what has expired: their limits are
+/// seconds, and a look costs time in proportion to all of them.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Outputs of the leader machine.
 pub(crate) type Outputs = LeaderOutputs<CoordinationLeader>;
 
 /// A gateway that is connected to this leader.
 #[derive(Clone, Debug)]
 pub(crate) struct Gateway {
+    /// Name of its machine.
+    pub(crate) node: String,
     pub(crate) zone: String,
     pub(crate) status: GatewayStatus,
     pub(crate) running: usize,
@@ -57,6 +64,14 @@
     pub(crate) introduced: bool,
 }
 
+/// A gateway whose connection has ended a moment ago. Its items run on: where only the connection
+/// broke, it is back with them before they could be begun again elsewhere.
+struct AwayGateway {
+    gateway: GatewayId,
+    node: String,
+    lost_at: Instant,
+}
+
 /// Who waits for a proposal.
 enum Waiter {
     /// A request that is answered with [`Reply::Done`].
@@ -103,9 +118,12 @@
     epoch: Epoch,
     /// Items are placed from this time on: gateways first tell what they run.
     place_from: Instant,
+    /// When all servers, items and jobs are next looked through for what has expired.
+    next_sweep: Instant,
     next_proposal: u64,
     waiters: HashMap<ProposalTag, Waiter>,
     gateways: BTreeMap<GatewayId, Gateway>,
+    away: Vec<AwayGateway>,
     heartbeats: servers::Heartbeats,
     engines: Engines,
     items: Items,
@@ -132,9 +150,11 @@
             settings,
             epoch: Epoch(0),
             place_from: Instant::ZERO,
+            next_sweep: Instant::ZERO,
             next_proposal: 0,
             waiters: HashMap::new(),
             gateways: BTreeMap::new(),
+            away: Vec::new(),
             heartbeats: servers::Heartbeats::default(),
             engines: Engines::default(),
             items: Items::default(),
@@ -223,17 +243,37 @@
 
     fn on_gateway(&mut self, now: Instant, hello: GatewayHello, out: &mut Outputs) {
         let gateway = Gateway {
+            node: hello.node,
             zone: hello.zone,
             status: hello.status,
             running: 0,
             introduced: false,
         };
         self.welcome(hello.gateway, out);
+        self.restarted_gateways_lost(hello.gateway, &gateway.node);
         self.gateways.insert(hello.gateway, gateway);
-        self.items.gateway_lost(hello.gateway, &mut self.engines);
         self.scoring_gateway_lost(now, hello.gateway);
     }
 
+    /// A process that begins on a machine takes the place of the one before: what that ran is lost.
+    fn restarted_gateways_lost(&mut self, begun: GatewayId, node: &str) {
+        let is_before = |away: &AwayGateway| away.node == node && away.gateway != begun;
+        let before = self.away.extract_if(.., |away| is_before(away));
+        let before: Vec<GatewayId> = before.map(|away| away.gateway).collect();
+        for gateway in before {
+            self.items.gateway_lost(gateway, &mut self.engines);
+        }
+    }
+
+    /// Gateways that were away for too long are lost with all that they ran.
+    fn away_gateways_lost(&mut self, now: Instant) {
+        let lost = self.away.extract_if(.., |away| now >= away.lost_at);
+        let lost: Vec<GatewayId> = lost.map(|away| away.gateway).collect();
+        for gateway in lost {
+            self.items.gateway_lost(gateway, &mut self.engines);
+        }
+    }
+
     fn on_running(
         &mut self,
         now: Instant,
@@ -245,7 +285,13 @@
         let Some(known) = self.gateways.get_mut(&gateway) else {
             return;
         };
-        known.introduced = true;
+        // One that was welcomed twice tells twice, the second time without what it was given since.
+        let is_first = !std::mem::replace(&mut known.introduced, true);
+        if is_first {
+            self.away.retain(|away| away.gateway != gateway);
+            let told = items.iter().map(|item| item.assignment).collect();
+            known.running = self.items.gateway_tells(gateway, &told, &mut self.engines);
+        }
         for item in items {
             self.adopt(gateway, now, item, state, out);
         }
@@ -258,12 +304,20 @@
     fn on_gateway_gone(
         &mut self,
         now: Instant,
-        gateway: GatewayId,
+        (gateway, silence): (GatewayId, Duration),
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        self.gateways.remove(&gateway);
-        self.items.gateway_lost(gateway, &mut self.engines);
+        let Some(known) = self.gateways.remove(&gateway) else {
+            return;
+        };
+        let grace = self.settings.gateway_return.saturating_sub(silence);
+        self.away.push(AwayGateway {
+            gateway,
+            node: known.node,
+            lost_at: now + grace,
+        });
+        self.away_gateways_lost(now);
         self.scoring_gateway_lost(now, gateway);
         self.place_items(now, state, out);
         self.place_scorings(now, state, out);
@@ -439,12 +493,18 @@
                 text,
             } => self.keep_text(assignment, after_events, text, out),
             Event::ItemsProgressed(progress) => self.on_progress(now, progress, state, out),
-            Event::GatewayGone(gateway) => self.on_gateway_gone(now, gateway, state, out),
+            Event::GatewayGone { gateway, silence } => {
+                self.on_gateway_gone(now, (gateway, silence), state, out);
+            }
             Event::ItemEnded {
                 gateway,
                 assignment,
+                item,
                 outcome,
-            } => self.on_item_ended(now, gateway, assignment, outcome, state, out),
+            } => self.on_item_ended(now, gateway, (assignment, item), outcome, state, out),
+            Event::ServersHeard { from, servers } => {
+                self.on_servers_heard(now, from, servers, state, out);
+            }
             Event::CoordinatorsLost(nodes) => self.on_coordinators_lost(now, &nodes, state, out),
             Event::Ordered { instance, answer } => {
                 self.on_ordered(now, &instance, answer, state, out);
@@ -456,12 +516,16 @@
     }
 
     fn on_tick(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
-        self.expire_servers(now, state, out);
         self.answer_waiting_readers(now, state, out);
-        self.give_up_items(now, state, out);
-        self.end_silent_items(now, out);
-        self.end_silent_scorings(now);
-        self.forget_jobs(now, state, out);
+        self.away_gateways_lost(now);
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.expire_servers(now, state, out);
+            self.give_up_items(now, state, out);
+            self.end_silent_items(now, out);
+            self.end_silent_scorings(now);
+            self.forget_jobs(now, state, out);
+        }
         self.drive_rollout(now, state, out);
         self.place_items(now, state, out);
         self.place_scorings(now, state, out);
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -51,6 +51,11 @@
             return release(gateway, assignment, out);
         }
         self.items.take(&item);
+        let job = state.jobs().get(&item.job);
+        let held = job.and_then(|job| job.kept(item.index));
+        let held = held.map(ItemText::held).unwrap_or_default();
+        let message = CoordinatorMessage::HandInFrom { assignment, held };
+        out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
         let running = Running::new(now, item, gateway, instance);
         self.start(assignment, running);
     }
@@ -105,13 +110,14 @@
         &mut self,
         now: Instant,
         gateway: GatewayId,
-        assignment: AssignmentId,
+        (assignment, item): (AssignmentId, ItemKey),
         outcome: ItemOutcome,
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
         let Some(running) = self.items.end(assignment) else {
-            return self.release_unknown(gateway, assignment, out);
+            let finished = (gateway, assignment);
+            return self.on_forgotten_end(now, finished, &item, outcome, state, out);
         };
         self.note_end(&running);
         let has_ended = self
@@ -122,12 +128,7 @@
             ItemOutcome::Finished(text) if !has_ended => {
                 self.engines.succeeded(&running.instance);
                 let finished = (gateway, assignment);
-                let item = &running.item;
-                if Self::scorer_of(item, state).is_some() {
-                    self.keep_unscored(now, item, text, finished, out);
-                } else {
-                    self.list_success(item, text, finished, out);
-                }
+                self.take_text(now, &running.item, text, finished, state, out);
             }
             outcome => {
                 self.release_unknown(gateway, assignment, out);
@@ -147,6 +148,49 @@
         self.place_items(now, state, out);
     }
 
+    /// A try is over that this leader had given up, because its gateway was out of touch. A whole
+    /// text is a result all the same, whatever runs for the item meanwhile: the first one counts.
+    fn on_forgotten_end(
+        &mut self,
+        now: Instant,
+        (gateway, assignment): (GatewayId, AssignmentId),
+        item: &ItemKey,
+        outcome: ItemOutcome,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let progress = self.items.progress(item);
+        let open = progress.filter(|progress| !progress.ended);
+        let (Some(progress), ItemOutcome::Finished(text)) = (open, outcome) else {
+            return self.release_unknown(gateway, assignment, out);
+        };
+        if let Some(other) = progress.assignment
+            && let Some(running) = self.items.end(other)
+        {
+            self.note_end(&running);
+            release(running.gateway, other, out);
+        }
+        self.take_text(now, item, text, (gateway, assignment), state, out);
+        self.place_items(now, state, out);
+    }
+
+    /// A try has made the whole text of an item that has no result yet.
+    fn take_text(
+        &mut self,
+        now: Instant,
+        item: &ItemKey,
+        text: FinishedText,
+        finished: (GatewayId, AssignmentId),
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        if Self::scorer_of(item, state).is_some() {
+            self.keep_unscored(now, item, text, finished, out);
+        } else {
+            self.list_success(item, text, finished, out);
+        }
+    }
+
     /// A try is of no use, and neither is the scoring that may have followed it.
     fn release_unknown(&self, gateway: GatewayId, assignment: AssignmentId, out: &mut Outputs) {
         release(gateway, assignment, out);
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -229,6 +229,7 @@
             expected_version,
             priority: candidate.route.priority,
             scorer: item.scorer.clone(),
+            is_long: candidate.progress.is_long,
         }));
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
         log(decision, out);
@@ -253,11 +254,11 @@
     let kept = &candidate.progress.kept;
     let kept_version = kept.versions.last().copied();
     let would_mix = kept_version.is_some_and(|kept| kept != version);
-    if candidate.route.single_version && would_mix {
-        return (ItemText::default(), DurablePrefix::default());
-    }
     let durable = candidate.job.kept(candidate.key.index);
     let durable = durable.map(ItemText::extent).unwrap_or_default();
+    if candidate.route.single_version && would_mix {
+        return (ItemText::default(), durable);
+    }
     (kept.clone(), durable)
 }
 
--- a/crates/wingshore-coordination/src/leader/servers.rs
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -1,13 +1,13 @@
 //! The registry's leader side: heartbeats, drains, departures, expiry.
 
-use super::{CoordinationLeader, Decision, Outputs, Waiter, log, reply};
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log, reply};
 use crate::ids::InstanceId;
 use crate::messages::Reply;
-use crate::registry::{Heartbeat, ServerRecord};
+use crate::registry::{HeardServer, Heartbeat, ServerRecord};
 use crate::state::{Command, CoordinationState};
 use std::collections::BTreeMap;
-use wingshore_types::Instant;
-use wingshore_types::machine::RequestTag;
+use wingshore_types::machine::{LeaderOutput, RequestTag};
+use wingshore_types::{Instant, ReplicaId};
 
 /// When each server was last heard of.
 #[derive(Default)]
@@ -32,9 +32,7 @@
     }
 
     /// Notes a heartbeat; says whether it is newer than all before.
-    fn note(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
-        let sequence = heartbeat.sequence;
-        let instance = heartbeat.server.instance.clone();
+    fn note(&mut self, now: Instant, instance: InstanceId, sequence: u64) -> bool {
         let last = self.last.entry(instance).or_insert(LastHeartbeat {
             at: now,
             sequence: 0,
@@ -62,7 +60,9 @@
         out: &mut Outputs,
     ) {
         let instance = heartbeat.server.instance.clone();
-        let is_newest = self.heartbeats.note(now, &heartbeat);
+        let is_newest = self
+            .heartbeats
+            .note(now, instance.clone(), heartbeat.sequence);
         if state.has_departed(&instance) || !is_newest {
             return reply(tag, Reply::Done, out);
         }
@@ -74,6 +74,32 @@
         self.propose(command, Waiter::Server(instance, Some(tag)), out);
     }
 
+    /// Another coordinator answered heartbeats that say what the registry holds.
+    pub(crate) fn on_servers_heard(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        servers: Vec<HeardServer>,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let mut unknown = Vec::new();
+        for HeardServer { instance, sequence } in servers {
+            if state.servers().contains_key(&instance) {
+                self.heartbeats.note(now, instance, sequence);
+            } else if !state.has_departed(&instance) {
+                unknown.push(instance);
+            }
+        }
+        if !unknown.is_empty() {
+            let effect = Effect::UnknownServers {
+                to: from,
+                instances: unknown,
+            };
+            out.push(LeaderOutput::Effect(effect));
+        }
+    }
+
     pub(crate) fn on_deregister(
         &mut self,
         tag: RequestTag,
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -33,8 +33,9 @@
     pub engine_pause: Duration,
     /// The longest such time.
     pub most_engine_pause: Duration,
-    /// A gateway that is not heard of for this long runs nothing any more.
-    pub gateway_expiry: Duration,
+    /// A gateway whose connection has ended keeps its items if it is back within this time, counted
+    /// from when it was last heard of.
+    pub gateway_return: Duration,
     /// A try that its gateway does not speak of for this long is over.
     pub item_silence: Duration,
     /// Most bytes of results in one answer.
@@ -59,7 +60,7 @@
             job_retention: Duration::from_secs(130),
             engine_pause: Duration::from_millis(250),
             most_engine_pause: Duration::from_secs(4),
-            gateway_expiry: Duration::from_millis(2500),
+            gateway_return: Duration::from_millis(900),
             item_silence: Duration::from_secs(2),
             page_bytes: 900 * 1024,
             policy: LeaderPolicy::default(),
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -34,11 +34,11 @@
     ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply, Request, RunningItem,
     SiteView, ViewChange,
 };
-pub use registry::{Heartbeat, ModelVersion, ServerRecord};
+pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
 pub use scoring::{
     NotScoredReason, RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome,
     UnscoredText,
 };
 pub use state::{Command, CoordinationState, OrderHolder};
-pub use text::{DurablePrefix, FinishedText, ItemText, ResultText, TextError};
+pub use text::{DurablePrefix, FinishedText, HeldPrefix, ItemText, ResultText, TextError};
--- a/crates/wingshore-coordination/src/links.rs
+++ b/crates/wingshore-coordination/src/links.rs
@@ -1,6 +1,8 @@
 //! Links between the site's own processes: who is at the other end, and what is said there.
 
+use crate::ids::InstanceId;
 use crate::messages::{GatewayHello, GatewayMessage};
+use crate::registry::{HeardServer, Heartbeat};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -56,4 +58,22 @@
     Hello(CoordinatorHello),
     /// A message of the replicated log.
     Consensus(#[serde(with = "byte_vector")] Vec<u8>),
+    /// To the leader: servers whose heartbeats say what the registry holds.
+    Heard(Vec<HeardServer>),
+    /// From the leader: servers that the registry does not hold.
+    UnknownServers(Vec<InstanceId>),
+    /// To the leader: a heartbeat that says something new.
+    Heartbeat {
+        /// Comes back with the reply.
+        id: u64,
+        /// The heartbeat.
+        heartbeat: Heartbeat,
+    },
+    /// From the leader: what came of a heartbeat that was passed on.
+    HeartbeatReply {
+        /// Which one.
+        id: u64,
+        /// Whether what it says is durable.
+        is_durable: bool,
+    },
 }
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -5,7 +5,7 @@
 use crate::jobs::{JobSubmission, ResultRecord};
 use crate::registry::{Heartbeat, ServerRecord};
 use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringOutcome};
-use crate::text::{DurablePrefix, FinishedText, ItemText};
+use crate::text::{DurablePrefix, FinishedText, HeldPrefix, ItemText};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -292,6 +292,14 @@
         /// Which try.
         assignment: AssignmentId,
     },
+    /// How much of an item's text the group's log holds, for a try that a new leader has taken
+    /// over: parts that were handed in to the leader before may be lost.
+    HandInFrom {
+        /// Which try.
+        assignment: AssignmentId,
+        /// What the log holds.
+        held: HeldPrefix,
+    },
     /// A text to be scored.
     Score(ScoringAssignment),
     /// A scoring is of no more use: one that is under way is ended, one that has ended is forgotten.
@@ -367,7 +375,8 @@
     pub body: Vec<u8>,
     /// What earlier tries have left; the engine goes on behind it.
     pub kept: ItemText,
-    /// How much of that the group's log holds.
+    /// How much of the item's text the group's log holds. Where that is more than `kept`, the
+    /// attempt begins anew, and its events do not belong behind those of the log.
     pub durable: DurablePrefix,
     /// The only version that may make the events; set where versions must not mix.
     pub expected_version: Option<u64>,
@@ -375,6 +384,8 @@
     pub priority: u8,
     /// What scores the text once it is whole.
     pub scorer: Option<Scorer>,
+    /// Whether it is expected to be one of the longest of its job.
+    pub is_long: bool,
 }
 
 /// What came of a try at an item.
--- a/crates/wingshore-coordination/src/registry.rs
+++ b/crates/wingshore-coordination/src/registry.rs
@@ -41,6 +41,15 @@
     pub sequence: u64,
 }
 
+/// A server that a coordinator has heard of, and that says what the registry holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardServer {
+    /// The server.
+    pub instance: InstanceId,
+    /// Of its newest heartbeat.
+    pub sequence: u64,
+}
+
 impl ServerRecord {
     /// The same server without its models, which change with each load of weights.
     pub fn without_models(&self) -> Self {
--- a/crates/wingshore-coordination/src/text.rs
+++ b/crates/wingshore-coordination/src/text.rs
@@ -32,6 +32,23 @@
     pub bytes: usize,
 }
 
+/// The first events of an item as the group's log holds them, told to a gateway that runs the item.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldPrefix {
+    /// How much it is.
+    pub extent: DurablePrefix,
+    /// CRC-32 of its text: another attempt may have made other events.
+    pub checksum: u32,
+}
+
+impl HeldPrefix {
+    /// Whether `text` begins with it.
+    pub fn begins(&self, text: &ItemText) -> bool {
+        let begin = text.text.as_bytes().get(..self.extent.bytes);
+        begin.is_some_and(|begin| crc32fast::hash(begin) == self.checksum)
+    }
+}
+
 impl ItemText {
     /// The events behind `prefix`, as a text of their own.
     pub fn after(&self, prefix: DurablePrefix) -> Self {
@@ -67,6 +84,14 @@
         }
     }
 
+    /// All of it, as the log holds it.
+    pub fn held(&self) -> HeldPrefix {
+        HeldPrefix {
+            extent: self.extent(),
+            checksum: crc32fast::hash(self.text.as_bytes()),
+        }
+    }
+
     /// All of it, as a prefix.
     pub fn extent(&self) -> DurablePrefix {
         DurablePrefix {
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -21,10 +21,19 @@
     }
 }
 
+/// The connection of a gateway ends after a long silence: it is lost with all that it runs.
+fn gone(gateway: GatewayId) -> Event {
+    Event::GatewayGone {
+        gateway,
+        silence: std::time::Duration::from_secs(2),
+    }
+}
+
 fn end(group: &mut Group, gateway: GatewayId, assignment: &ItemAssignment, outcome: ItemOutcome) {
     group.event(Event::ItemEnded {
         gateway,
         assignment: assignment.assignment,
+        item: assignment.item.clone(),
         outcome,
     });
 }
@@ -238,7 +247,7 @@
     keep(&mut group, &first, 0, 2);
     keep(&mut group, &first, 3, 4);
     keep(&mut group, &first, 0, 2);
-    group.event(Event::GatewayGone(gateway));
+    group.event(gone(gateway));
     group.add_gateway(2);
     let second = group.assignments().remove(0);
     expect_that!(second.kept, eq(&text(2)));
@@ -259,7 +268,7 @@
     expect_that!(second.durable, eq(text(2).extent()));
     // What the second try hands in follows what the log holds.
     keep(&mut group, &second, 2, 5);
-    group.event(Event::GatewayGone(gateway));
+    group.event(gone(gateway));
     group.add_gateway(2);
     expect_that!(group.assignments().remove(0).kept, eq(&text(5)));
 }
@@ -270,7 +279,7 @@
     let first = group.assignments();
     assert_that!(first, len(eq(2)));
     group.add_gateway(2);
-    group.event(Event::GatewayGone(gateway));
+    group.event(gone(gateway));
     expect_that!(group.assignments(), len(eq(2)));
 }
 
@@ -360,6 +369,69 @@
     }
 }
 
+/// A gateway that was cut off finishes what it runs; its text is as good as the one of the attempt
+/// that took its place, and earlier.
+#[gtest]
+fn a_result_of_a_gateway_that_was_out_of_touch_counts_when_it_is_back() {
+    let (mut group, gateway) = group_with_job(1);
+    let first = group.assignments().remove(0);
+    let other = group.add_gateway(2);
+    group.event(gone(gateway));
+    group.wait(std::time::Duration::from_millis(100));
+    let second = group.assignments().remove(0);
+    group.connect_gateway(1);
+    group.event(told_running(gateway, vec![running(&first)]));
+    end(
+        &mut group,
+        gateway,
+        &first,
+        ItemOutcome::Finished(text(3).into()),
+    );
+    expect_that!(results(&group), len(eq(1)));
+    let is_released = |effect: &Effect| {
+        let Effect::ToGateway(to, CoordinatorMessage::Release { assignment }) = effect else {
+            return false;
+        };
+        *to == other && *assignment == second.assignment
+    };
+    expect_that!(group.effects.iter().any(is_released), eq(true));
+    // The second one ends as well: nothing is listed twice.
+    end(
+        &mut group,
+        other,
+        &second,
+        ItemOutcome::Finished(text(3).into()),
+    );
+    expect_that!(results(&group), len(eq(1)));
+}
+
+/// Parts that were handed in to a leader that fell may be lost: the gateway learns from which event
+/// on the next leader has none.
+#[gtest]
+fn a_new_leader_says_how_much_of_a_text_it_holds() {
+    let (mut group, gateway) = group_with_job(1);
+    let assignment = group.assignments().remove(0);
+    group.event(Event::ItemKept {
+        assignment: assignment.assignment,
+        after_events: 0,
+        text: text(2),
+    });
+    group.change_leader("coordinator-b");
+    group.connect_gateway(1);
+    group.event(told_running(gateway, vec![running(&assignment)]));
+    let held = group.effects.iter().find_map(|effect| match effect {
+        Effect::ToGateway(_, CoordinatorMessage::HandInFrom { held, .. }) => Some(*held),
+        _ => None,
+    });
+    expect_that!(held, some(eq(text(2).held())));
+    let is_of = |text: &ItemText| held.is_some_and(|held| held.begins(text));
+    expect_that!(is_of(&text(5)), eq(true));
+    let mut other = text(5);
+    other.text = other.text.replace("event 1", "evenT 1");
+    expect_that!(is_of(&other), eq(false), "another attempt's events");
+    expect_that!(is_of(&text(1)), eq(false), "shorter than what is held");
+}
+
 /// A gateway keeps its connections to an engine: the engine's items go through it, so that not each
 /// of them opens a connection.
 #[gtest]
@@ -380,3 +452,44 @@
         .collect();
     expect_that!(gateways, len(eq(1)));
 }
+
+/// Where only the connection of a gateway broke, its items run on: they are not begun again elsewhere
+/// unless it stays away.
+#[gtest]
+fn a_gateway_whose_connection_broke_keeps_its_items_if_it_is_back_soon() {
+    let (mut group, gateway) = group_with_job(2);
+    let assignments = group.assignments();
+    group.add_gateway(2);
+    let broken = Event::GatewayGone {
+        gateway,
+        silence: std::time::Duration::ZERO,
+    };
+    group.event(broken.clone());
+    group.wait(std::time::Duration::from_millis(500));
+    expect_that!(group.assignments(), is_empty());
+    group.connect_gateway(1);
+    group.event(told_running(gateway, vec![running(&assignments[0])]));
+    group.wait(std::time::Duration::from_millis(100));
+    let again: Vec<_> = group.assignments();
+    expect_that!(again, len(eq(1)), "what it does not speak of is lost");
+    expect_that!(again[0].item, eq(&assignments[1].item));
+    group.event(broken);
+    group.wait(std::time::Duration::from_millis(1000));
+    let is_first = |assignment: &ItemAssignment| assignment.item == assignments[0].item;
+    expect_that!(group.assignments().iter().any(is_first), eq(true));
+}
+
+/// A process that begins on the machine of a gateway takes its place: nothing is left to wait for.
+#[gtest]
+fn a_gateway_that_was_started_anew_has_lost_its_items() {
+    let (mut group, gateway) = group_with_job(1);
+    group.assignments();
+    group.add_gateway(2);
+    group.event(Event::GatewayGone {
+        gateway,
+        silence: std::time::Duration::ZERO,
+    });
+    group.start_gateway_anew(1, 7);
+    group.wait(std::time::Duration::from_millis(50));
+    expect_that!(group.assignments(), len(eq(1)));
+}
--- a/crates/wingshore-coordination/tests/scoring.rs
+++ b/crates/wingshore-coordination/tests/scoring.rs
@@ -42,10 +42,19 @@
     (group, gateway, assignment)
 }
 
+/// The connection of a gateway ends after a long silence: it is lost with all that it runs.
+fn gone(gateway: GatewayId) -> Event {
+    Event::GatewayGone {
+        gateway,
+        silence: std::time::Duration::from_secs(2),
+    }
+}
+
 fn finish(group: &mut Group, gateway: GatewayId, assignment: &ItemAssignment) {
     group.event(Event::ItemEnded {
         gateway,
         assignment: assignment.assignment,
+        item: assignment.item.clone(),
         outcome: ItemOutcome::Finished(text().into()),
     });
 }
@@ -135,7 +144,7 @@
     let (mut group, gateway, assignment) = group_with_item();
     let other = group.add_gateway(2);
     finish(&mut group, gateway, &assignment);
-    group.event(Event::GatewayGone(gateway));
+    group.event(gone(gateway));
     let again = scorings(&mut group);
     assert_that!(again, len(eq(1)));
     expect_that!(again[0].0, eq(other));
@@ -149,7 +158,7 @@
 fn a_gateway_lost_before_its_text_was_told_costs_a_run() {
     let (mut group, gateway, _) = group_with_item();
     group.add_gateway(2);
-    group.event(Event::GatewayGone(gateway));
+    group.event(gone(gateway));
     expect_that!(scorings(&mut group), is_empty());
     group.wait(Duration::from_secs(1));
     expect_that!(scorings(&mut group), is_empty());
@@ -284,7 +293,7 @@
     let answer = group.ask(Request::EndJob(JobId::from("j")));
     expect_that!(answer, some(eq(&Reply::Done)));
     expect_that!(is_released(&group, assignment.assignment), is_true());
-    group.event(Event::GatewayGone(gateway));
+    group.event(gone(gateway));
     group.add_gateway(2);
     expect_that!(scorings(&mut group), is_empty());
     end_scoring(&mut group, gateway, assignment.assignment, scored("late"));
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -146,10 +146,15 @@
 
     /// A gateway connects, and has not told yet what it runs.
     pub fn connect_gateway(&mut self, id: u64) -> GatewayId {
+        self.start_gateway_anew(id, id)
+    }
+
+    /// A process of another identity connects from the machine of gateway `machine`.
+    pub fn start_gateway_anew(&mut self, machine: u64, id: u64) -> GatewayId {
         let gateway = GatewayId(id);
         self.event(Event::GatewayConnected(GatewayHello {
             gateway,
-            node: format!("edge-{id}"),
+            node: format!("edge-{machine}"),
             front: ([10, 1, 0, 1], 80).into(),
             zone: "a".to_owned(),
             region: "r".to_owned(),
--- a/crates/wingshore-coordinator/src/directory.rs
+++ b/crates/wingshore-coordinator/src/directory.rs
@@ -59,16 +59,17 @@
         }
     }
 
-    /// A connection is gone; says whether it was the gateway's newest one.
-    pub(crate) fn disconnected(&mut self, id: GatewayId, connection: ConnectionId) -> bool {
-        let is_newest = self
-            .gateways
-            .get(&id)
-            .is_some_and(|gateway| gateway.connection == connection);
-        if is_newest {
-            self.gateways.remove(&id);
+    /// A connection is gone; gives the gateway if it was its newest one.
+    pub(crate) fn disconnected(
+        &mut self,
+        id: GatewayId,
+        connection: ConnectionId,
+    ) -> Option<ConnectedGateway> {
+        let known = self.gateways.get(&id)?;
+        if known.connection != connection {
+            return None;
         }
-        is_newest
+        self.gateways.remove(&id)
     }
 
     /// Connections of gateways that have been silent for longer than `limit`.
--- /dev/null
+++ b/crates/wingshore-coordinator/src/heartbeats.rs
@@ -0,0 +1,79 @@
+//! Heartbeats of servers that reach a coordinator which does not lead. A decision without I/O.
+//!
+//! Most heartbeats say what the registry holds already. They are answered here, and the leader is
+//! told in one message an interval who was heard of; only what is new goes to it whole. So its work
+//! grows with what changes, not with the number of servers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use wingshore_coordination::{HeardServer, Heartbeat, InstanceId, ServerRecord};
+use wingshore_types::Instant;
+
+/// A server that is silent for this long is forgotten here; longer than servers stay registered.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// What is to be done with a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeartbeatVerdict {
+    /// The registry holds what it says: it can be acknowledged here.
+    Known,
+    /// The leader must acknowledge it.
+    New,
+}
+
+/// A server as the leader acknowledged it.
+struct KnownServer {
+    record: ServerRecord,
+    heard: Instant,
+}
+
+/// What this coordinator knows of servers whose heartbeats reach it.
+#[derive(Default)]
+pub struct HeartbeatRelay {
+    known: HashMap<InstanceId, KnownServer>,
+    /// Heard of since the leader was told last, with the highest sequence.
+    heard: BTreeMap<InstanceId, u64>,
+}
+
+impl HeartbeatRelay {
+    /// A heartbeat has arrived, and the leader is in touch.
+    pub fn offer(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatVerdict {
+        let instance = &heartbeat.server.instance;
+        let Some(known) = self.known.get_mut(instance) else {
+            return HeartbeatVerdict::New;
+        };
+        if known.record != heartbeat.server {
+            return HeartbeatVerdict::New;
+        }
+        known.heard = now;
+        let sequence = self.heard.entry(instance.clone()).or_default();
+        *sequence = heartbeat.sequence.max(*sequence);
+        HeartbeatVerdict::Known
+    }
+
+    /// The leader has acknowledged a heartbeat that was passed on to it.
+    pub fn acknowledged(&mut self, now: Instant, server: ServerRecord) {
+        let known = KnownServer {
+            record: server.clone(),
+            heard: now,
+        };
+        self.known.insert(server.instance, known);
+    }
+
+    /// The registry does not hold these servers (any more): their next heartbeats go to the leader.
+    pub fn unknown(&mut self, instances: &[InstanceId]) {
+        for instance in instances {
+            self.known.remove(instance);
+        }
+    }
+
+    /// Servers that were heard of since the last call, to be told to the leader.
+    pub fn take_heard(&mut self, now: Instant) -> Vec<HeardServer> {
+        self.known
+            .retain(|_, known| now.since(known.heard) < FORGET_AFTER);
+        let heard = std::mem::take(&mut self.heard).into_iter();
+        heard
+            .map(|(instance, sequence)| HeardServer { instance, sequence })
+            .collect()
+    }
+}
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod engine_calls;
 mod error;
+mod heartbeats;
 mod identity;
 mod lost;
 mod membership;
@@ -21,6 +22,7 @@
 
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
+pub use heartbeats::{HeartbeatRelay, HeartbeatVerdict};
 pub use lost::LostMachines;
 pub use membership::{Joiner, MembershipPlanner, MembershipView};
 pub use process::Coordinator;
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -4,7 +4,7 @@
 use crate::control;
 use crate::metrics::Readings;
 use crate::protocol::{ControlAnswer, ControlCall, LocalQuestion};
-use wingshore_coordination::{CoordinationLeader, Reply};
+use wingshore_coordination::{CoordinationLeader, Reply, Request};
 use wingshore_group::HostReply;
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HttpAnswer, WholeRequest};
@@ -104,6 +104,9 @@
         request: &WholeRequest,
     ) {
         match self.protocol.read(request) {
+            ControlCall::Group(Request::Heartbeat(heartbeat)) if !self.host.is_leader() => {
+                self.pass_on_heartbeat(now, connection, heartbeat);
+            }
             ControlCall::Group(request) => self.ask_group(request, Waiting::Caller(connection)),
             ControlCall::Local(LocalQuestion::Retire { node }) if self.host.is_leader() => {
                 self.begin_retirement(now, connection, &node);
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use wingshore_coordination::{
     CoordinatorFrame, CoordinatorHello, CoordinatorMessage, Event, GatewayId, GatewayMessage,
-    IncomingFrame, KnownLeader,
+    IncomingFrame, KnownLeader, Request,
 };
 use wingshore_group::HostInput;
 use wingshore_net::{ConnectOptions, ConnectionId, frame};
@@ -94,6 +94,22 @@
             IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello)) => {
                 self.on_hello(now, connection, hello);
             }
+            IncomingFrame::Coordinator(CoordinatorFrame::Heard(servers)) => {
+                if let Some(from) = self.coordinator_at(connection) {
+                    let event = Event::ServersHeard { from, servers };
+                    self.inputs.push(HostInput::Event(event));
+                }
+            }
+            IncomingFrame::Coordinator(CoordinatorFrame::UnknownServers(instances)) => {
+                self.heartbeats.unknown(&instances);
+            }
+            IncomingFrame::Coordinator(CoordinatorFrame::Heartbeat { id, heartbeat }) => {
+                let waiting = Waiting::Coordinator(connection, id);
+                self.ask_group(Request::Heartbeat(heartbeat), waiting);
+            }
+            IncomingFrame::Coordinator(CoordinatorFrame::HeartbeatReply { id, is_durable }) => {
+                self.on_heartbeat_reply(now, id, is_durable);
+            }
             IncomingFrame::Coordinator(CoordinatorFrame::Consensus(message)) => {
                 if let Some(from) = self.coordinator_at(connection) {
                     if let Some(joiner) = self.heard.get_mut(&from) {
@@ -197,13 +213,14 @@
             }
             GatewayMessage::ItemEnded {
                 assignment,
+                item,
                 outcome,
-                ..
             } => {
                 self.metrics.try_ended(outcome.name());
                 Event::ItemEnded {
                     gateway,
                     assignment,
+                    item,
                     outcome,
                 }
             }
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod copies;
+mod heartbeats;
 mod host;
 mod links;
 mod members;
@@ -12,6 +13,7 @@
 use crate::directory::Directory;
 use crate::engine_calls::EngineCalls;
 use crate::error::{CoordinatorError, NetSnafu, StorageSnafu, ThreadSnafu};
+use crate::heartbeats::HeartbeatRelay;
 use crate::identity;
 use crate::lost::LostMachines;
 use wingshore_net::Clock;
@@ -64,6 +66,8 @@
 enum Waiting {
     Caller(ConnectionId),
     Gateway(ConnectionId, u64),
+    /// A coordinator that passed a heartbeat on.
+    Coordinator(ConnectionId, u64),
     Planner,
     /// Something that is asked again if it does not come about.
     Nobody,
@@ -135,6 +139,9 @@
     /// Gateways that wait for a result in this member's copy of the state.
     copy_readers: Vec<copies::CopyReader>,
     welcomes: welcomes::Welcomes,
+    heartbeats: HeartbeatRelay,
+    /// Heartbeats that were passed on to the leader.
+    passed_on: HashMap<u64, heartbeats::PassedOn>,
     next_tag: u64,
     planner: MembershipPlanner,
     change_under_way: bool,
@@ -215,6 +222,8 @@
             waiting: HashMap::new(),
             copy_readers: Vec::new(),
             welcomes: welcomes::Welcomes::default(),
+            heartbeats: HeartbeatRelay::default(),
+            passed_on: HashMap::new(),
             next_tag: 0,
             planner: MembershipPlanner::default(),
             change_under_way: false,
@@ -343,11 +352,7 @@
             Some(Role::Link(Link {
                 gateway: Some(gateway),
                 ..
-            })) if self.directory.disconnected(gateway, connection) => {
-                info!(self.logger, "gateway lost"; "gateway" => gateway.0);
-                self.inputs
-                    .push(HostInput::Event(Event::GatewayGone(gateway)));
-            }
+            })) => self.on_gateway_ended(now, gateway, connection),
             Some(Role::Dialed(address)) => {
                 if let Some(dial) = self.dials.get_mut(&address) {
                     dial.connection = None;
@@ -375,6 +380,16 @@
         }
     }
 
+    fn on_gateway_ended(&mut self, now: Instant, gateway: GatewayId, connection: ConnectionId) {
+        let Some(known) = self.directory.disconnected(gateway, connection) else {
+            return;
+        };
+        info!(self.logger, "gateway lost"; "gateway" => gateway.0);
+        let silence = now.since(known.heard);
+        let event = Event::GatewayGone { gateway, silence };
+        self.inputs.push(HostInput::Event(event));
+    }
+
     /// Engines have answered, or have not.
     fn take_engine_events(&mut self, events: impl IntoIterator<Item = Event>) {
         for event in events {
@@ -410,6 +425,7 @@
         if now >= self.next_hello {
             self.next_hello = now + HELLO_INTERVAL;
             self.greet();
+            self.tell_heard(now);
         }
         if now < self.next_housekeeping {
             return;
@@ -422,6 +438,7 @@
             self.on_ended(now, connection);
         }
         self.close_idle_callers(now);
+        self.give_up_passed_on(now);
         self.plan_members(now);
         self.reload();
         self.begin_stop(now);
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -92,6 +92,13 @@
                 self.send_to_all_gateways(&message);
                 None
             }
+            Effect::UnknownServers { to, instances } => {
+                if let Some(connection) = self.route_to(to) {
+                    let frame = CoordinatorFrame::UnknownServers(instances);
+                    self.send_frame(connection, &IncomingFrame::Coordinator(frame));
+                }
+                None
+            }
             Effect::Log(decision) => {
                 self.log_decision(now, &decision);
                 None
@@ -206,6 +213,11 @@
                 };
                 self.send_frame(connection, &CoordinatorMessage::Reply { id, reply });
             }
+            Waiting::Coordinator(connection, id) => {
+                let is_durable = matches!(reply, HostReply::Reply(Reply::Done));
+                let reply = CoordinatorFrame::HeartbeatReply { id, is_durable };
+                self.send_frame(connection, &IncomingFrame::Coordinator(reply));
+            }
             Waiting::Planner => {
                 self.change_under_way = false;
                 if let HostReply::Membership(MembershipReply::Refused { message }) = reply {
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -15,6 +15,8 @@
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
 /// Between attempts to connect.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
+/// A link that was up for this long was no failed attempt.
+const STEADY_LINK: Duration = Duration::from_secs(2);
 /// An attempt to connect is over after this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// A coordinator that is silent for this long is disconnected.
@@ -171,9 +173,16 @@
             if link.up {
                 info!(self.logger, "coordinator lost"; "address" => %address);
             }
+            // A link that broke after a while is tried again at once: the leader keeps the items of
+            // this gateway for a moment only.
+            let was_steady = link.up && now.since(link.since) >= STEADY_LINK;
             link.connection = None;
             link.up = false;
-            link.since = now;
+            link.since = if was_steady {
+                now - CONNECT_INTERVAL
+            } else {
+                now
+            };
         }
         if self.coordinators.leader == Some(address) {
             self.coordinators.leader = None;
@@ -236,6 +245,9 @@
             }
             CoordinatorMessage::Assign(assignment) => self.begin_item(now, *assignment),
             CoordinatorMessage::Interrupt { assignment } => self.interrupt_item(assignment),
+            CoordinatorMessage::HandInFrom { assignment, held } => {
+                self.items.hand_in_from(assignment, held);
+            }
             CoordinatorMessage::Release { assignment } => self.release_item(assignment),
             CoordinatorMessage::Score(assignment) => self.begin_scoring(now, assignment),
             CoordinatorMessage::ReleaseScoring { scoring } => self.release_scoring(now, scoring),
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, DurablePrefix, GatewayMessage, IncomingFrame, ItemAssignment, ItemOutcome,
-    ItemProgress, ItemText, NotRunReason, RunningItem, ScoringAssignment,
+    AssignmentId, DurablePrefix, GatewayMessage, HeldPrefix, IncomingFrame, ItemAssignment,
+    ItemOutcome, ItemProgress, ItemText, NotRunReason, RunningItem, ScoringAssignment,
 };
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter};
@@ -20,8 +20,12 @@
 /// An engine must begin to answer, and go on, within this time.
 const STALL_LIMIT: Duration = Duration::from_millis(2500);
 
-/// So many events of an item are handed in together, to outlast this process.
+/// So many events of an item are handed in together, to outlast this process. An item that has
+/// fewer is begun again at little cost: 2 s at 78 ms an event.
 const HANDED_IN_EVENTS: u64 = 24;
+/// So many events of a long item are handed in together: those that an engine makes between two
+/// looks (400 ms at 78 ms an event). Its job waits for it, so that each lost event is lost time.
+const HANDED_IN_EVENTS_OF_LONG: u64 = 5;
 
 /// One try that is under way, or whose end was not told.
 struct ItemRun {
@@ -31,6 +35,8 @@
     text: ItemText,
     /// How much of that was handed in to outlast this process.
     handed_in: DurablePrefix,
+    /// Whether its events follow those that the log holds.
+    may_hand_in: bool,
     /// The version that makes the next event.
     version: Option<u64>,
     begun: Instant,
@@ -69,6 +75,15 @@
             .collect()
     }
 
+    /// The log holds this much of an item's text: what follows is handed in again, unless the log
+    /// has its events from another attempt.
+    pub(crate) fn hand_in_from(&mut self, id: AssignmentId, held: HeldPrefix) {
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.may_hand_in = held.begins(&run.text);
+            run.handed_in = held.extent;
+        }
+    }
+
     /// How many run.
     pub(crate) fn count(&self) -> usize {
         self.runs.len()
@@ -83,6 +98,7 @@
             upstream: None,
             text: assignment.kept.clone(),
             handed_in: assignment.durable,
+            may_hand_in: assignment.durable.events <= assignment.kept.events,
             version: None,
             begun: now,
             heard: now,
@@ -177,7 +193,8 @@
         let mut frames = Vec::new();
         for (id, run) in &mut self.items.runs {
             let new = run.text.events.saturating_sub(run.handed_in.events);
-            if run.outcome.is_some() || new < HANDED_IN_EVENTS {
+            let is_due = run.may_hand_in && new >= run.handed_in_together();
+            if run.outcome.is_some() || !is_due {
                 continue;
             }
             frames.push(IncomingFrame::FromGateway(GatewayMessage::Keep {
@@ -348,6 +365,16 @@
 }
 
 impl ItemRun {
+    /// Events that are handed in together.
+    fn handed_in_together(&self) -> u64 {
+        let has_proved_long = self.handed_in.events >= HANDED_IN_EVENTS;
+        if self.assignment.is_long || has_proved_long {
+            HANDED_IN_EVENTS_OF_LONG
+        } else {
+            HANDED_IN_EVENTS
+        }
+    }
+
     /// The scoring of its text, if there is to be one. It bears the name of the try.
     fn scoring(&self) -> Option<ScoringAssignment> {
         let assignment = &self.assignment;
