coordination: loads go to the model with the fewest engines at its newest version, within its share

The four models with long texts got 24 for their version 2, so that their step 3, which runs on nothing older, waited 1.5 to 3 s at the median for an engine, and its last text 0.9 to 2.2 s: time that no later step makes up. Besides, an engine with a long item of any model did not load, though loads of another model leave a stream alone (7.0 to 7.2 s for 89 events in either case); and each look at what to load compared every engine with every other (732 x 122, at each answer of an engine). Change: the model with the fewest engines at its newest version loads next; beyond its share only for items that wait; only long items of its own model hold an engine back; engines with most room first; short items leave engines with newer weights than they need to the next job; one look through the engines, and none while as many load as may. Tests: a_model_that_is_far_behind_does_not_take_all_loads, long_items_of_another_model_do_not_hold_a_load_back, both red before.

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -30,8 +30,8 @@
     pub(crate) unsteady_until: Instant,
     /// The gateway that ran its last item: it has connections to it.
     pub(crate) gateway: Option<GatewayId>,
-    /// Long items that run on it.
-    pub(crate) long_running: usize,
+    /// Long items that run on it, by their model.
+    pub(crate) long_running: BTreeMap<ModelName, usize>,
 }
 
 impl Engine {
@@ -92,7 +92,7 @@
             pace: None,
             unsteady_until: Instant::ZERO,
             gateway: None,
-            long_running: 0,
+            long_running: BTreeMap::new(),
         });
         let known = std::mem::replace(&mut engine.record, record.clone());
         for entry in &known.models {
@@ -135,6 +135,17 @@
         self.all.iter()
     }
 
+    /// How many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.all.len()
+    }
+
+    /// The most models that one engine serves; at least one.
+    pub(crate) fn models_of_an_engine(&self) -> usize {
+        let counts = self.all.values().map(|engine| engine.record.models.len());
+        counts.max().unwrap_or(1).max(1)
+    }
+
     /// All engines of a service.
     pub(crate) fn of_service<'a>(
         &'a self,
@@ -174,10 +185,23 @@
         engine.pace = Some(known + (sample - known) * PACE_WEIGHT);
     }
 
-    /// How many long items run on each.
-    pub(crate) fn set_long_running(&mut self, counts: &BTreeMap<InstanceId, usize>) {
-        for (instance, engine) in &mut self.all {
-            engine.long_running = counts.get(instance).copied().unwrap_or(0);
+    /// Forgets which long items run on each.
+    pub(crate) fn clear_long_running(&mut self) {
+        for engine in self.all.values_mut() {
+            engine.long_running.clear();
+        }
+    }
+
+    /// A long item of `model` runs on it.
+    pub(crate) fn add_long_running(&mut self, instance: &InstanceId, model: &ModelName) {
+        let Some(engine) = self.all.get_mut(instance) else {
+            return;
+        };
+        match engine.long_running.get_mut(model) {
+            Some(count) => *count += 1,
+            None => {
+                engine.long_running.insert(model.clone(), 1);
+            }
         }
     }
 
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -219,6 +219,12 @@
         })
     }
 
+    /// How many items of each job wait.
+    pub(crate) fn waiting_by_job(&self) -> impl Iterator<Item = (&JobId, usize)> {
+        let waiting = self.waiting.iter();
+        waiting.map(|((_, job), items)| (job, items.len()))
+    }
+
     /// How many wait.
     pub(crate) fn waiting_count(&self) -> usize {
         self.waiting.values().map(BTreeSet::len).sum()
--- a/crates/wingshore-coordination/src/leader/load_choice.rs
+++ b/crates/wingshore-coordination/src/leader/load_choice.rs
@@ -1,175 +1,186 @@
 //! Which engine loads which model's weights next.
+//!
+//! Loads are what a site with many engines is short of: the weight store serves a share of them at
+//! full speed, and each version that a trainer names wants some. The next job of a trainer runs on
+//! the newest version or the one before, so what counts is that each model has engines at its newest
+//! version when that job comes.
 
 use super::{CoordinationLeader, Outputs};
-use crate::ids::{InstanceId, ModelName, ServiceName};
+use crate::ids::{InstanceId, ModelName};
 use crate::state::CoordinationState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use wingshore_types::Instant;
 
 /// A load that would bring an engine to a named version.
 struct WantedLoad {
     instance: InstanceId,
-    service: ServiceName,
-    model: ModelName,
-    /// The newest named version.
-    named: u64,
     /// How many versions the engine is behind.
     lag: u64,
+    /// Long items of the model that run on the engine.
+    long_running: usize,
+    /// Slots of the engine that are taken, by items of any model.
+    busy_slots: usize,
+}
+
+impl WantedLoad {
+    /// Work may run on the newest version and the one before.
+    fn is_still_usable(&self) -> bool {
+        self.lag <= 1
+    }
+
+    /// Order in which engines load a model's version: first those that are of no use to it any more,
+    /// of these the ones without long items of it, then those with the most room.
+    fn rank(&self) -> (bool, usize, usize, &InstanceId) {
+        (
+            self.is_still_usable(),
+            self.long_running,
+            self.busy_slots,
+            &self.instance,
+        )
+    }
 }
 
-/// Order in which loads begin: what is of no use any more first, of these the model that the
-/// fewest engines can run, so that no model's items wait while others' engines are renewed.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct LoadRank {
-    is_still_usable: bool,
-    /// Engines that can run the model.
+/// The engines of one model, and what they could load.
+#[derive(Default)]
+struct ModelLoads {
+    /// The newest named version.
+    named: u64,
+    /// Engines that serve the model.
+    engines: usize,
+    /// Those that can run what asks for the version before the newest.
     usable: usize,
-    lag: std::cmp::Reverse<u64>,
-    long_running: usize,
-    instance: InstanceId,
+    /// Those that hold the newest version, or are loading it.
+    newest: usize,
+    /// Engines for each model where all share alike; at least one.
+    share: usize,
+    /// Items of the model that wait for an engine.
+    waiting: usize,
+    wanted: VecDeque<WantedLoad>,
+}
+
+impl ModelLoads {
+    /// Takes the next load that should begin now.
+    ///
+    /// An engine one version behind is still of use: it does not load while long items of the model
+    /// would stand still for it; those of other models go on. An engine that is further behind
+    /// loads, unless it has such items and others carry the model meanwhile. Beyond the model's share
+    /// engines load only for items that wait.
+    fn take(&mut self, spares_long_items: bool) -> Option<WantedLoad> {
+        if self.newest >= self.share && self.waiting == 0 {
+            return None;
+        }
+        let others_carry = self.usable * 2 >= self.engines;
+        let position = self.wanted.iter().position(|load| {
+            let has_long_items = spares_long_items && load.long_running > 0;
+            !has_long_items || !(load.is_still_usable() || others_carry)
+        })?;
+        let load = self.wanted.remove(position)?;
+        self.newest += 1;
+        Some(load)
+    }
 }
 
 impl CoordinationLeader {
+    /// Begins as many loads as the weight store serves, each for the model that has the fewest
+    /// engines at its newest version.
     pub(super) fn begin_loads(
         &mut self,
         now: Instant,
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        let mut wanted = self.wanted_loads(state);
-        if wanted.is_empty() {
+        let most = self.most_loads();
+        if self.rollout.active() >= most {
             return;
         }
-        self.count_long_items();
-        let usable = self.usable_engines(state);
-        wanted.sort_by_cached_key(|load| LoadRank {
-            is_still_usable: load.lag <= 1,
-            usable: usable
-                .get(&load.model)
-                .filter(|_| self.settings.policy.scarce_models_first)
-                .copied()
-                .unwrap_or(0),
-            lag: std::cmp::Reverse(load.lag),
-            long_running: self.long_running(&load.instance),
-            instance: load.instance.clone(),
-        });
-        let most = self.most_loads();
-        for load in wanted {
-            if self.rollout.active() >= most {
-                return;
-            }
-            if self.rollout.model_loaded_by(&load.instance).is_some() || !self.is_worth_it(&load) {
-                continue;
+        self.count_long_items(state);
+        let mut models = self.loads_by_model(state);
+        let policy = self.settings.policy;
+        while self.rollout.active() < most {
+            let mut order: Vec<&ModelName> = models.keys().collect();
+            if policy.scarce_models_first {
+                order.sort_by_key(|model| models.get(model).map(|loads| loads.newest));
             }
-            self.begin_load(now, load, out);
-        }
-    }
-
-    /// How many engines can run what asks for the version before the newest, or are about to.
-    fn usable_engines(&self, state: &CoordinationState) -> BTreeMap<ModelName, usize> {
-        let mut usable: BTreeMap<ModelName, usize> = BTreeMap::new();
-        for (instance, engine) in self.engines.iter() {
-            for entry in &engine.record.models {
-                let named = state.named_versions().get(&entry.model).copied();
-                let is_loading = self.rollout.model_loaded_by(instance) == Some(&entry.model);
-                let is_usable = entry.version + 1 >= named.unwrap_or(0);
-                if !engine.record.draining && (is_usable || is_loading) {
-                    *usable.entry(entry.model.clone()).or_default() += 1;
-                }
+            let order: Vec<ModelName> = order.into_iter().cloned().collect();
+            let next = order.into_iter().find_map(|model| {
+                let loads = models.get_mut(&model)?;
+                let load = loads.take(policy.loads_spare_long_items)?;
+                Some((model, loads.named, load.instance))
+            });
+            let Some((model, named, instance)) = next else {
+                return;
+            };
+            // One engine loads one model at a time.
+            for loads in models.values_mut() {
+                loads.wanted.retain(|load| load.instance != instance);
             }
+            self.ask_report(&instance, out);
+            self.rollout.begin_load(now, instance, model, named);
         }
-        usable
     }
 
     /// Engines that may load at once: the weight store serves a share of them at full speed.
     fn most_loads(&self) -> usize {
         let settings = &self.settings;
-        let share = self.engines.iter().count() / settings.engines_per_load.max(1);
+        let share = self.engines.count() / settings.engines_per_load.max(1);
         share.max(settings.concurrent_loads)
     }
 
-    fn begin_load(&mut self, now: Instant, wanted: WantedLoad, out: &mut Outputs) {
-        let WantedLoad {
-            instance,
-            model,
-            named,
-            ..
-        } = wanted;
-        self.ask_report(&instance, out);
-        self.rollout.begin_load(now, instance, model, named);
-    }
-
-    /// All loads that would bring an engine to a named version.
-    fn wanted_loads(&self, state: &CoordinationState) -> Vec<WantedLoad> {
-        let mut wanted = Vec::new();
+    /// For each model, how its engines stand and all loads that would bring one to the newest version.
+    fn loads_by_model(&self, state: &CoordinationState) -> BTreeMap<ModelName, ModelLoads> {
+        let mut models: BTreeMap<ModelName, ModelLoads> = BTreeMap::new();
+        for (model, named) in state.named_versions() {
+            let loads = ModelLoads {
+                named: *named,
+                ..ModelLoads::default()
+            };
+            models.insert(model.clone(), loads);
+        }
         for (instance, engine) in self.engines.iter() {
-            if engine.record.draining || self.rollout.model_loaded_by(instance).is_some() {
+            if engine.record.draining {
                 continue;
             }
+            let loading = self.rollout.model_loaded_by(instance);
             for entry in &engine.record.models {
-                let named = state.named_versions().get(&entry.model).copied();
-                let named = named.unwrap_or(0);
-                if named > entry.version {
-                    wanted.push(WantedLoad {
+                let Some(loads) = models.get_mut(&entry.model) else {
+                    continue;
+                };
+                let is_loading = loading == Some(&entry.model);
+                loads.engines += 1;
+                loads.usable += usize::from(entry.version + 1 >= loads.named && !is_loading);
+                loads.newest += usize::from(entry.version >= loads.named || is_loading);
+                if entry.version < loads.named && loading.is_none() {
+                    let long_running = engine.long_running.get(&entry.model);
+                    loads.wanted.push_back(WantedLoad {
                         instance: instance.clone(),
-                        service: engine.record.service.clone(),
-                        model: entry.model.clone(),
-                        named,
-                        lag: named - entry.version,
+                        lag: loads.named - entry.version,
+                        long_running: long_running.copied().unwrap_or(0),
+                        busy_slots: engine.running,
                     });
                 }
             }
         }
-        wanted
-    }
-
-    /// Whether a load should begin now.
-    ///
-    /// Work may run on the newest version and the one before, so an engine one version behind is
-    /// still of use: it loads only within its model's share of the loads of this version, and not
-    /// while long items would stand still for it. An engine that is further behind loads, unless
-    /// it has long items and others carry its model meanwhile.
-    fn is_worth_it(&self, load: &WantedLoad) -> bool {
-        let spares = self.settings.policy.loads_spare_long_items;
-        let has_long_items = spares && self.long_running(&load.instance) > 0;
-        if load.lag > 1 {
-            return !has_long_items || !self.others_carry(load);
+        let count = self.engines.models_of_an_engine();
+        for loads in models.values_mut() {
+            loads.share = loads.engines.div_ceil(count);
+            let wanted = loads.wanted.make_contiguous();
+            wanted.sort_by(|left, right| left.rank().cmp(&right.rank()));
         }
-        let begun = self.rollout.begun_loads(&load.model, load.named);
-        !has_long_items && begun < self.share_of_loads(load)
-    }
-
-    /// How many engines of a service load one version of a model, where its models take turns.
-    fn share_of_loads(&self, load: &WantedLoad) -> usize {
-        let engines = self.engines.of_service(&load.service).count();
-        let models = self
-            .engines
-            .get(&load.instance)
-            .map_or(1, |engine| engine.record.models.len());
-        engines / models.max(1)
+        self.count_waiting(state, &mut models);
+        models
     }
 
-    /// Whether at least half of the engines that serve a model can run what asks for the version
-    /// before the newest.
-    fn others_carry(&self, load: &WantedLoad) -> bool {
-        let (mut all, mut usable) = (0, 0);
-        for (_, engine) in self.engines.of_service(&load.service) {
-            let Some(version) = engine.record.version_of(&load.model) else {
-                continue;
-            };
-            if engine.record.draining {
-                continue;
+    fn count_waiting(
+        &self,
+        state: &CoordinationState,
+        models: &mut BTreeMap<ModelName, ModelLoads>,
+    ) {
+        for (job, waiting) in self.items.waiting_by_job() {
+            let job = state.jobs().get(job);
+            let model = job.and_then(|job| job.submission.model.as_ref());
+            if let Some(loads) = model.and_then(|model| models.get_mut(model)) {
+                loads.waiting += waiting;
             }
-            all += 1;
-            let is_usable = version + 1 >= load.named && engine.loading.is_none();
-            usable += usize::from(is_usable);
         }
-        usable * 2 >= all
-    }
-
-    fn long_running(&self, instance: &InstanceId) -> usize {
-        self.engines
-            .get(instance)
-            .map_or(0, |engine| engine.long_running)
     }
 }
--- a/crates/wingshore-coordination/src/leader/moves.rs
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -61,19 +61,19 @@
         self.move_items(now, &told, state, out);
     }
 
-    /// Counts, for each engine, the items that are long or have proved to be.
-    pub(crate) fn count_long_items(&mut self) {
-        let mut counts: std::collections::BTreeMap<InstanceId, usize> = Default::default();
+    /// Counts, for each engine and model, the items that are long or have proved to be.
+    pub(crate) fn count_long_items(&mut self, state: &CoordinationState) {
+        self.engines.clear_long_running();
         for (_, running) in self.items.running() {
             let events = running.seen.map_or(0, |(events, _)| events);
             let expected = self.items.progress(&running.item);
             let is_long =
                 events >= PROVED_LONG_EVENTS || expected.is_some_and(|progress| progress.is_long);
-            if is_long {
-                *counts.entry(running.instance.clone()).or_default() += 1;
+            let job = state.jobs().get(&running.item.job).filter(|_| is_long);
+            if let Some(model) = job.and_then(|job| job.submission.model.as_ref()) {
+                self.engines.add_long_running(&running.instance, model);
             }
         }
-        self.engines.set_long_running(&counts);
     }
 
     /// Breaks off those of `tries` whose items go on faster elsewhere.
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -147,7 +147,8 @@
                     let is_newest = version >= newest.unwrap_or(0);
                     long_cost(engine, best_pace, is_newest)
                 } else {
-                    short_cost(engine, best_pace, home == Some(instance))
+                    let is_spare = version > min_version;
+                    short_cost(engine, best_pace, home == Some(instance), is_spare)
                 };
                 (cost + version_cost(model, progress, version), instance)
             })
@@ -278,14 +279,18 @@
 }
 
 /// What a short item costs on an engine: mostly that it slows others down.
-fn short_cost(engine: &Engine, best_pace: f64, is_home: bool) -> f64 {
+fn short_cost(engine: &Engine, best_pace: f64, is_home: bool, is_spare: bool) -> f64 {
     /// What each item that runs there counts.
     const LOAD: f64 = 0.04;
     /// What the shared part of a prompt is worth that need not be read again.
     const HOME: f64 = 0.06;
+    /// What it costs to take a slot on an engine with newer weights than the item needs: few engines
+    /// have them yet, and the next job can run on no other. As much as three items that run there.
+    const NEWER_THAN_NEEDED: f64 = 0.12;
     let pace = engine.pace.unwrap_or(best_pace) / best_pace;
     let home = if is_home { HOME } else { 0.0 };
-    pace.sqrt() + LOAD * engine.running as f64 - home
+    let newer = if is_spare { NEWER_THAN_NEEDED } else { 0.0 };
+    pace.sqrt() + LOAD * engine.running as f64 + newer - home
 }
 
 /// What it costs to go on with an item under another version than before.
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -117,8 +117,6 @@
     /// When the orders of this leadership count as settled.
     settle_at: Option<Instant>,
     loads: BTreeMap<InstanceId, Load>,
-    /// Loads of each version so far.
-    begun: BTreeMap<(ModelName, u64), usize>,
 }
 
 impl Rollout {
@@ -133,12 +131,6 @@
         self.loads.get(instance).map(|load| &load.model)
     }
 
-    /// Loads of one version that have begun so far.
-    pub(super) fn begun_loads(&self, model: &ModelName, version: u64) -> usize {
-        let key = (model.clone(), version);
-        self.begun.get(&key).copied().unwrap_or(0)
-    }
-
     /// An engine is to load a version: it is looked at first.
     pub(super) fn begin_load(
         &mut self,
@@ -147,7 +139,6 @@
         model: ModelName,
         version: u64,
     ) {
-        *self.begun.entry((model.clone(), version)).or_default() += 1;
         let load = Load {
             model,
             version,
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -245,6 +245,93 @@
     expect_that!(interrupted, eq(true));
 }
 
+/// Engines that serve two models; "n" was named three versions further, "m" one.
+fn group_of_two_models(engines: u32) -> Group {
+    let mut group = Group::new();
+    group.add_gateway(1);
+    for number in 0..engines {
+        let mut server = engine(&format!("e{number:02}"), 1);
+        server.models.push(ModelVersion {
+            model: ModelName::from("n"),
+            version: 1,
+        });
+        group.heartbeat(server);
+    }
+    group
+}
+
+/// Answers each question with the newest version of the model that the engine is to load, until no
+/// engine is asked any more; gives how many loads of each model began.
+fn load_all(group: &mut Group) -> (usize, usize) {
+    let mut begun = (0, 0);
+    for _ in 0..50 {
+        for instance in asked(group) {
+            group.event(Event::Reported {
+                instance: instance.clone(),
+                report: Some(EngineReport {
+                    models: Vec::new(),
+                    busy: false,
+                    sequence: 1,
+                }),
+            });
+            for order in orders(group) {
+                if order.model == ModelName::from("m") {
+                    begun.0 += 1;
+                } else {
+                    begun.1 += 1;
+                }
+                group.event(Event::Reported {
+                    instance: order.instance,
+                    report: Some(EngineReport {
+                        models: vec![ModelVersion {
+                            model: order.model,
+                            version: order.version,
+                        }],
+                        busy: false,
+                        sequence: 2,
+                    }),
+                });
+            }
+        }
+        group.wait(Duration::from_millis(50));
+    }
+    begun
+}
+
+/// Engines of a model that is many versions behind are of no use to its newest jobs, but no more of
+/// them are needed than the model's share: the loads are needed by the other model, whose next job
+/// may ask for the version that no engine has yet.
+#[gtest]
+fn a_model_that_is_far_behind_does_not_take_all_loads() {
+    let mut group = group_of_two_models(10);
+    let model = ModelName::from("n");
+    group.ask(Request::NameVersion { model, version: 4 });
+    name_version(&mut group, 2);
+    expect_that!(load_all(&mut group), eq((5, 5)));
+}
+
+/// A stream goes on while its engine loads another model's weights.
+#[gtest]
+fn long_items_of_another_model_do_not_hold_a_load_back() {
+    let mut group = group_of_two_models(1);
+    let mut long = (*job("j", 2)).clone();
+    long.items[0].expected_output = Some(1);
+    long.items[1].expected_output = Some(100);
+    group.ask(Request::SubmitJob(std::sync::Arc::new(long)));
+    expect_that!(group.assignments(), len(eq(2)));
+    name_version(&mut group, 2);
+    group.wait(Duration::from_millis(200));
+    expect_that!(
+        asked(&mut group),
+        is_empty(),
+        "its own model's long item runs"
+    );
+    let model = ModelName::from("n");
+    group.ask(Request::NameVersion { model, version: 2 });
+    group.wait(Duration::from_millis(200));
+    expect_that!(asked(&mut group), not(is_empty()));
+}
+
 #[gtest]
 fn where_there_are_many_engines_a_share_of_them_loads_at_once() {
     let mut group = group_of_engines(20);
