coordinator: gateways are not told of coordinators that are gone

Cause, by reading: the addresses of coordinators that stand by came from all that were ever heard of, so that gateways would dial machines that were replaced for as long as the members run. Change: only those that were heard of within 10 s.

--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -18,6 +18,10 @@
 /// The word of another coordinator on who leads counts for this long: three introductions.
 const LEADER_WORD_FRESH: Duration = Duration::from_millis(900);
 
+/// One that stands by and is silent for this long is not told to gateways any more: its machine may
+/// be gone for good.
+const STANDBY_SILENCE: Duration = Duration::from_secs(10);
+
 impl Coordinator {
     pub(super) fn on_connected(&mut self, _now: Instant, connection: ConnectionId) {
         let Some(Role::Dialed(address)) = self.roles.get(&connection) else {
@@ -267,7 +271,12 @@
 
     /// Where members and those that stand by listen for the site's own processes.
     fn coordinator_addresses(&self) -> Vec<SocketAddr> {
-        let standby = self.heard.values().map(|joiner| joiner.address);
+        let now = self.clock.now();
+        let fresh = self
+            .heard
+            .values()
+            .filter(|joiner| now.since(joiner.heard) < STANDBY_SILENCE);
+        let standby = fresh.map(|joiner| joiner.address);
         let mut addresses = self.member_addresses();
         addresses.extend(standby);
         addresses.sort_unstable();
