coordinator: gauges and a log line for what a member holds: results, bytes of texts, bytes of log, what a start reads

Cause: the record of coordinators over their memory limit leaves three causes open, and one figure for the whole process cannot tell them apart. No change of logic; the page of metrics is compared with the code by platform/tests/metrics, passed.

--- a/crates/wingshore-consensus/src/accessors.rs
+++ b/crates/wingshore-consensus/src/accessors.rs
@@ -16,6 +16,11 @@
         self.term
     }
 
+    /// Bytes of the log's entries that are in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// The current term's leader, when known.
     pub fn leader(&self) -> Option<ReplicaId> {
         self.leader
--- a/crates/wingshore-consensus/src/log.rs
+++ b/crates/wingshore-consensus/src/log.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Bytes of the entries in memory.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// The last compacted index.
     pub(crate) fn base_index(&self) -> LogIndex {
         self.base_index
--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -271,6 +271,12 @@
         has_some.then(|| self.page(from, most_bytes))
     }
 
+    /// Bytes that the texts of its results take in memory.
+    pub fn text_bytes(&self) -> usize {
+        let texts = self.results.iter().map(|result| &result.text);
+        texts.map(ResultText::packed_length).sum()
+    }
+
     /// Whether the item at `index` is listed.
     pub fn is_listed(&self, index: u32) -> bool {
         self.listed.get(index as usize).copied().unwrap_or(true)
--- a/crates/wingshore-coordination/src/text.rs
+++ b/crates/wingshore-coordination/src/text.rs
@@ -176,4 +176,9 @@
     pub fn length(&self) -> usize {
         self.length as usize
     }
+
+    /// Bytes of the text as it is kept.
+    pub fn packed_length(&self) -> usize {
+        self.packed.len()
+    }
 }
--- a/crates/wingshore-coordinator/src/metrics.rs
+++ b/crates/wingshore-coordinator/src/metrics.rs
@@ -61,6 +61,9 @@
     pub(crate) scorings_waiting: usize,
     pub(crate) scorings_running: usize,
     pub(crate) configuration: u64,
+    pub(crate) results: usize,
+    pub(crate) result_text_bytes: usize,
+    pub(crate) log_bytes: usize,
     pub(crate) log_lines_left_out: u64,
 }
 
@@ -79,7 +82,7 @@
 }
 
 /// Gauges: name and help.
-const GAUGES: [(&str, &str); 18] = [
+const GAUGES: [(&str, &str); 21] = [
     ("leading", "1 where this coordinator leads the group"),
     ("leader_known", "1 where it knows a leader"),
     ("term", "Term of the group; the fence of orders"),
@@ -124,6 +127,15 @@
         "configuration_version",
         "Version of the configuration in force here",
     ),
+    ("results", "Results of batch jobs that are remembered"),
+    (
+        "result_text_bytes",
+        "Bytes that the texts of results take in memory",
+    ),
+    (
+        "log_bytes",
+        "Bytes that entries of the group's log take in memory",
+    ),
     (
         "log_lines_left_out",
         "Log lines left out for want of budget",
@@ -259,6 +271,9 @@
             count(readings.scorings_waiting),
             count(readings.scorings_running),
             readings.configuration,
+            count(readings.results),
+            count(readings.result_text_bytes),
+            count(readings.log_bytes),
             readings.log_lines_left_out,
         ];
         for ((_, gauge), value) in self.gauges.iter().zip(values) {
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -4,7 +4,7 @@
 use crate::control;
 use crate::metrics::Readings;
 use crate::protocol::{ControlAnswer, ControlCall, LocalQuestion};
-use wingshore_coordination::{CoordinationLeader, Reply, Request};
+use wingshore_coordination::{CoordinationLeader, Job, Reply, Request};
 use wingshore_group::HostReply;
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HttpAnswer, WholeRequest};
@@ -93,6 +93,9 @@
             scorings_waiting: figures.scorings_waiting,
             scorings_running: figures.scorings_running,
             configuration: state.configuration().map_or(0, |held| held.version),
+            results: state.jobs().values().map(|job| job.results.len()).sum(),
+            result_text_bytes: state.jobs().values().map(Job::text_bytes).sum(),
+            log_bytes: self.host.log_bytes(),
             log_lines_left_out: self.log_counts.left_out(),
         }
     }
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -36,6 +36,7 @@
 use wingshore_storage::{
     DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
 };
+use wingshore_types::log::RecoveredLog;
 use wingshore_types::machine::RequestTag;
 use wingshore_types::{GroupId, Instant, ReplicaId};
 
@@ -172,6 +173,7 @@
         let directory = folder.group_directory(GroupId::Control);
         let opened = PatientStore::open(fs, &directory, &mut wait);
         let (store, recovered) = opened.context(StorageSnafu)?;
+        log_recovered(&logger, &recovered);
         let mut reactor = Reactor::new().context(NetSnafu)?;
         let listen = |reactor: &mut Reactor, address, limit| {
             reactor
@@ -474,3 +476,17 @@
         }
     }
 }
+
+/// What a start has to hold at once: the state of the snapshot, and all of the log behind it.
+fn log_recovered(logger: &Logger, recovered: &RecoveredLog) {
+    let snapshot = recovered.snapshot.as_ref();
+    let log_bytes: usize = recovered
+        .records
+        .iter()
+        .map(|record| record.data.len())
+        .sum();
+    info!(logger, "read from disk";
+        "snapshot_index" => snapshot.map_or(0, |snapshot| snapshot.index.0),
+        "snapshot_bytes" => snapshot.map_or(0, |snapshot| snapshot.data.length()),
+        "log_entries" => recovered.records.len(), "log_bytes" => log_bytes);
+}
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -301,6 +301,11 @@
         self.raft.commit_index()
     }
 
+    /// Bytes of the log's entries that are in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.raft.log_bytes()
+    }
+
     /// Whether this replica leads and knows that `id` holds all that is committed, durably.
     pub fn is_caught_up(&self, id: ReplicaId) -> bool {
         let known = self.raft.match_indexes();
