--- a/crates/wingshore-consensus/src/config.rs
+++ b/crates/wingshore-consensus/src/config.rs
@@ -2,10 +2,12 @@
 
 use rand_chacha::ChaCha8Rng;
 use snafu::Snafu;
+use std::sync::Arc;
 use std::time::Duration;
 use wingshore_types::ReplicaId;
 use wingshore_types::configuration::Permille;
 use wingshore_types::protocol::membership::Membership;
+use wingshore_types::snapshot_spool::SnapshotSpool;
 
 /// Timing of elections and leases.
 ///
@@ -134,6 +136,8 @@
     pub limits: Limits,
     /// Deliberate faults; all off outside tests.
     pub faults: Faults,
+    /// Where snapshots are gathered while they are received.
+    pub spool: Arc<dyn SnapshotSpool>,
 }
 
 /// A setting that does not fit.
--- a/crates/wingshore-consensus/src/entry.rs
+++ b/crates/wingshore-consensus/src/entry.rs
@@ -1,8 +1,8 @@
 //! Log entries, the hard state and snapshot contents, and how they are encoded.
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
+use std::io;
 use std::sync::Arc;
 use wingshore_types::codec::encode_exactly;
 use wingshore_types::log::{LogRecord, StoredSnapshot};
@@ -14,7 +14,11 @@
 /// Format of the encoded hard state.
 const HARD_STATE_FORMAT: u8 = 1;
 /// Format of the encoded snapshot contents.
-const SNAPSHOT_FORMAT: u8 = 1;
+const SNAPSHOT_FORMAT: u8 = 2;
+/// The format before: the state's length stands before the state.
+const SNAPSHOT_FORMAT_WITH_LENGTH: u8 = 1;
+/// Most bytes before the state of a snapshot: some thousand members.
+const MOST_HEAD_BYTES: u64 = 64 << 10;
 
 /// Bytes could not be encoded or decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -35,6 +39,14 @@
         /// From the codec.
         source: postcard::Error,
     },
+    /// Bytes cannot be read.
+    #[snafu(display("{what} cannot be read: {reason}"))]
+    Unreadable {
+        /// Which kind of value.
+        what: &'static str,
+        /// From the disk.
+        reason: String,
+    },
     /// Bytes of another format version.
     #[snafu(display("{what} has format {found}; this program knows {known}"))]
     Format {
@@ -198,40 +210,54 @@
     /// The members as of the snapshot's index.
     pub membership: Membership,
     /// The replicated state, as it encodes itself; shares the snapshot's bytes.
-    pub state: Bytes,
+    pub state: SnapshotState,
 }
 
 impl SnapshotContents {
-    /// The bytes of a snapshot: the format, the members, and the state behind its length.
+    /// The bytes of a snapshot: the format, the members, and the state to the end.
     pub(crate) fn encode(
         membership: &Membership,
         state: SnapshotState,
     ) -> Result<SnapshotData, CodecError> {
         let what = "snapshot";
-        let head = encode_exactly(&(SNAPSHOT_FORMAT, membership, state.length()));
-        let head = head.context(EncodeSnafu { what })?;
+        let head = encode_exactly(&(SNAPSHOT_FORMAT, membership)).context(EncodeSnafu { what })?;
         Ok(SnapshotData::new(head, state))
     }
 
     /// The contents of a stored snapshot.
     ///
     /// # Errors
-    /// When the bytes are damaged or of another format version.
+    /// When the bytes are damaged, of another format version, or cannot be read.
     pub fn decode(snapshot: &StoredSnapshot) -> Result<Self, CodecError> {
         let what = "snapshot";
-        let data = snapshot.data.to_bytes();
-        check_format(&data, what, SNAPSHOT_FORMAT)?;
-        let ((_, membership, length), rest): ((u8, Membership, u64), &[u8]) =
-            postcard::take_from_bytes(&data).context(DecodeSnafu { what })?;
-        if rest.len() as u64 != length {
+        let head = snapshot.data.beginning(MOST_HEAD_BYTES);
+        let head = head.map_err(|error| unreadable(what, &error))?;
+        let has_length = head.first() == Some(&SNAPSHOT_FORMAT_WITH_LENGTH);
+        if !has_length {
+            check_format(&head, what, SNAPSHOT_FORMAT)?;
+        }
+        let ((_, membership), mut rest): ((u8, Membership), &[u8]) =
+            postcard::take_from_bytes(&head).context(DecodeSnafu { what })?;
+        let mut length = None;
+        if has_length {
+            let (value, behind) =
+                postcard::take_from_bytes::<u64>(rest).context(DecodeSnafu { what })?;
+            (length, rest) = (Some(value), behind);
+        }
+        let state = snapshot.data.behind((head.len() - rest.len()) as u64);
+        if length.is_some_and(|length| length != state.length()) {
             let source = postcard::Error::DeserializeUnexpectedEnd;
             return Err(source).context(DecodeSnafu { what });
         }
-        let state = data.slice(data.len() - rest.len()..);
         Ok(Self { membership, state })
     }
 }
 
+fn unreadable(what: &'static str, error: &io::Error) -> CodecError {
+    let reason = error.to_string();
+    CodecError::Unreadable { what, reason }
+}
+
 /// Checks the format byte that leads encoded values.
 fn check_format(bytes: &[u8], what: &'static str, known: u8) -> Result<(), CodecError> {
     let found = bytes.first().copied().unwrap_or_default();
--- a/crates/wingshore-consensus/src/progress.rs
+++ b/crates/wingshore-consensus/src/progress.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use wingshore_types::LogIndex;
 use wingshore_types::log::StoredSnapshot;
+use wingshore_types::snapshot_data::PartReader;
 
 /// Heartbeat replies without progress after which appends under way count as lost.
 const STALLED_REPLIES: u32 = 2;
 
 /// How entries go to a follower.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) enum ProgressState {
     /// Looking for the last entry in common, one message at a time.
     Probe {
@@ -52,7 +53,7 @@
 }
 
 /// A snapshot on its way in chunks.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct SnapshotTransfer {
     /// The snapshot.
     pub(crate) snapshot: Arc<StoredSnapshot>,
@@ -65,43 +66,27 @@
     reported: u64,
     /// The place from which chunks were last sent again because of an acknowledgement.
     resent_from: Option<u64>,
-    /// Bytes of the snapshot from an offset on: it may be encoded anew for each part, so that
-    /// several chunks are taken at a time.
-    encoded: (u64, Vec<u8>),
+    /// Reads the snapshot's bytes.
+    parts: PartReader,
 }
 
 impl SnapshotTransfer {
     fn new(snapshot: Arc<StoredSnapshot>) -> Self {
+        let parts = PartReader::new(snapshot.data.clone());
         Self {
             snapshot,
             sent: 0,
             received: 0,
             reported: 0,
             resent_from: None,
-            encoded: (0, Vec::new()),
+            parts,
         }
     }
 
-    /// At most `length` bytes from `offset` on, encoding at least `ahead` bytes at a time.
-    pub(crate) fn part(&mut self, offset: u64, length: usize, ahead: u64) -> Vec<u8> {
-        if let Some(part) = self.encoded_part(offset, length) {
-            return part;
-        }
-        let ahead = usize::try_from(ahead).unwrap_or(usize::MAX).max(length);
-        self.encoded = (offset, self.snapshot.data.part(offset, ahead));
-        self.encoded_part(offset, length).unwrap_or_default()
-    }
-
-    /// The part, if it is encoded already: whole, or up to the snapshot's end.
-    fn encoded_part(&self, offset: u64, length: usize) -> Option<Vec<u8>> {
-        let (from, bytes) = &self.encoded;
-        let begin = usize::try_from(offset.checked_sub(*from)?).ok()?;
-        let rest = bytes.get(begin..)?;
-        let reaches_end = from + bytes.len() as u64 >= self.snapshot.data.length();
-        if rest.len() < length && !reaches_end {
-            return None;
-        }
-        Some(rest.get(..length).unwrap_or(rest).to_vec())
+    /// At most `length` bytes from `offset` on; none when they cannot be read: the state that is
+    /// sent says why, and the transfer is begun again when nothing comes of it.
+    pub(crate) fn part(&mut self, offset: u64, length: usize) -> Vec<u8> {
+        self.parts.part(offset, length).unwrap_or_default()
     }
 
     /// Sends again what is not acknowledged, since nothing has come of it for a while. A follower
@@ -140,7 +125,7 @@
 /// One follower.
 ///
 /// Invariant: `match_index < next_index`.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Progress {
     /// The last entry known to be durable there and equal to the leader's.
     pub(crate) match_index: LogIndex,
--- a/crates/wingshore-consensus/src/raft.rs
+++ b/crates/wingshore-consensus/src/raft.rs
@@ -9,13 +9,14 @@
 use crate::message::{Body, Message};
 use crate::persistence::Persistence;
 use crate::snapshot::IncomingSnapshot;
-use bytes::Bytes;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
-use std::sync::Weak;
+use std::sync::{Arc, Weak};
 use wingshore_types::log::{StoredSnapshot, WriteBatch};
 use wingshore_types::protocol::membership::Membership;
+use wingshore_types::snapshot_data::SnapshotState;
+use wingshore_types::snapshot_spool::SnapshotSpool;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
 /// What a member reacts to.
@@ -61,7 +62,7 @@
         /// The last entry the snapshot contains.
         index: LogIndex,
         /// The replicated state, as it encoded itself.
-        state: Bytes,
+        state: SnapshotState,
     },
     /// Leadership as this member sees it has changed.
     Leadership {
@@ -136,6 +137,8 @@
     pub(crate) applied_since_flush: usize,
     pub(crate) verified_index: LogIndex,
     pub(crate) owes_acknowledgement: bool,
+    /// Where a snapshot is gathered that is being received.
+    pub(crate) spool: Arc<dyn SnapshotSpool>,
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) last_contact: Instant,
     pub(crate) election_deadline: Instant,
--- a/crates/wingshore-consensus/src/recovery.rs
+++ b/crates/wingshore-consensus/src/recovery.rs
@@ -95,6 +95,7 @@
             applied_since_flush: 0,
             verified_index: LogIndex(0),
             owes_acknowledgement: false,
+            spool: config.spool,
             incoming: None,
             last_contact: now,
             election_deadline: now,
--- a/crates/wingshore-consensus/src/snapshot.rs
+++ b/crates/wingshore-consensus/src/snapshot.rs
@@ -6,9 +6,11 @@
 use crate::message::{Body, SnapshotChunk};
 use crate::progress::{Progress, ProgressState};
 use crate::raft::{Output, Raft, Role};
+use std::io;
 use std::sync::Arc;
 use wingshore_types::log::StoredSnapshot;
 use wingshore_types::snapshot_data::SnapshotState;
+use wingshore_types::snapshot_spool::SpooledSnapshot;
 use wingshore_types::{LogIndex, ReplicaId};
 
 /// A snapshot that is being received. It belongs to one leadership: another leader's encoding of
@@ -18,7 +20,8 @@
     index: LogIndex,
     term: u64,
     total: u64,
-    data: Vec<u8>,
+    received: u64,
+    data: Box<dyn SpooledSnapshot>,
 }
 
 impl IncomingSnapshot {
@@ -26,8 +29,13 @@
         (self.index, self.term, self.total) == (chunk.index, chunk.term, chunk.total)
     }
 
-    fn received(&self) -> u64 {
-        self.data.len() as u64
+    /// Adds a part, if it is the next one.
+    fn append(&mut self, chunk: &SnapshotChunk) -> io::Result<()> {
+        if chunk.offset == self.received {
+            self.data.append(&chunk.data)?;
+            self.received += chunk.data.len() as u64;
+        }
+        Ok(())
     }
 }
 
@@ -137,7 +145,10 @@
         let limit = total.min(transfer.received.saturating_add(window));
         while transfer.sent < limit {
             let offset = transfer.sent;
-            let data = transfer.part(offset, chunk_bytes, window);
+            let data = transfer.part(offset, chunk_bytes);
+            if data.is_empty() {
+                break;
+            }
             transfer.sent += data.len() as u64;
             chunks.push(SnapshotChunk {
                 index: snapshot.index,
@@ -175,39 +186,51 @@
             return self.advance_commit(chunk.index, out);
         }
         let index = chunk.index;
-        let received = self.collect(chunk);
+        let received = self.collect(&chunk);
         self.send(from, Body::SnapshotReceived { index, received }, out);
         self.install_when_complete(out);
     }
 
-    /// Adds a chunk if it is the next one; says how much there is.
-    fn collect(&mut self, chunk: SnapshotChunk) -> u64 {
-        let mut incoming = match self.incoming.take() {
-            Some(incoming) if incoming.is_of(&chunk) => incoming,
-            _ => IncomingSnapshot {
-                index: chunk.index,
-                term: chunk.term,
-                total: chunk.total,
-                data: Vec::with_capacity(capacity_for(chunk.total)),
-            },
+    /// Adds a chunk if it is the next one; says how much there is. What cannot be gathered is
+    /// given up, and its sender begins anew.
+    fn collect(&mut self, chunk: &SnapshotChunk) -> u64 {
+        let known = self.incoming.take().filter(|known| known.is_of(chunk));
+        let Some(mut incoming) = known.or_else(|| self.begin_incoming(chunk)) else {
+            return 0;
         };
-        if chunk.offset == incoming.received() {
-            incoming.data.extend_from_slice(&chunk.data);
+        if incoming.append(chunk).is_err() {
+            return 0;
         }
-        let received = incoming.received();
+        let received = incoming.received;
         self.incoming = Some(incoming);
         received
     }
 
+    /// The spool says why when it has no place.
+    fn begin_incoming(&self, chunk: &SnapshotChunk) -> Option<IncomingSnapshot> {
+        let data = self.spool.begin().ok()?;
+        Some(IncomingSnapshot {
+            index: chunk.index,
+            term: chunk.term,
+            total: chunk.total,
+            received: 0,
+            data,
+        })
+    }
+
     fn install_when_complete(&mut self, out: &mut Vec<Output>) {
-        let is_complete = |incoming: &mut IncomingSnapshot| incoming.received() >= incoming.total;
+        let is_complete = |incoming: &mut IncomingSnapshot| incoming.received >= incoming.total;
         let Some(incoming) = self.incoming.take_if(is_complete) else {
             return;
         };
+        // The spool says why; the leader sends the snapshot again.
+        let Ok(data) = incoming.data.finish() else {
+            return;
+        };
         let snapshot = StoredSnapshot {
             index: incoming.index,
             term: incoming.term,
-            data: incoming.data.into(),
+            data,
         };
         // Damaged bytes are dropped; the leader sends the snapshot again.
         if let Ok(contents) = SnapshotContents::decode(&snapshot) {
@@ -239,10 +262,3 @@
         out.push(Output::MembershipChanged(contents.membership));
     }
 }
-
-/// What is set aside for a snapshot of `total` bytes, by the word of its sender.
-fn capacity_for(total: u64) -> usize {
-    /// Not more than this before the bytes are there.
-    const MOST: usize = 256 << 20;
-    usize::try_from(total).map_or(MOST, |total| total.min(MOST))
-}
--- a/crates/wingshore-consensus/tests/support/node.rs
+++ b/crates/wingshore-consensus/tests/support/node.rs
@@ -5,9 +5,11 @@
 use super::timing;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
 use wingshore_consensus::{Faults, Input, Limits, Message, Output, Raft, RaftConfig};
 use wingshore_types::log::WriteBatch;
 use wingshore_types::protocol::membership::Membership;
+use wingshore_types::snapshot_spool::MemorySpool;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
 /// A write that is under way.
@@ -64,6 +66,7 @@
             timing: timing(),
             limits: self.limits,
             faults: self.faults,
+            spool: Arc::new(MemorySpool),
         };
         self.applied = Applied::default();
         self.commands.clear();
@@ -73,7 +76,7 @@
         self.raft = Some(raft);
         for output in out {
             if let Output::Restore { index, state } = output {
-                self.applied = Applied::decode(&state);
+                self.applied = Applied::decode(&state.to_bytes().unwrap());
                 checker.on_restore(index, self.applied);
             }
         }
@@ -181,7 +184,7 @@
                 }
             }
             Output::Restore { index, state } => {
-                self.applied = Applied::decode(&state);
+                self.applied = Applied::decode(&state.to_bytes().unwrap());
                 checker.on_restore(index, self.applied);
             }
             Output::Leadership { leader, .. } if leader == Some(self.id) => {
--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -69,8 +69,8 @@
     pub expected_output: Option<u64>,
     /// Items of one group share their prompt and count only together.
     pub group: String,
-    /// What scores its text; `None` where texts have no score.
-    pub scorer: Option<Scorer>,
+    /// What scores its text; `None` where texts have no score. Most have none: it takes no room then.
+    pub scorer: Option<Box<Scorer>>,
 }
 
 /// How an item ended.
@@ -145,6 +145,18 @@
         }
     }
 
+    /// All of it but its results.
+    pub(crate) fn without_results(&self) -> Self {
+        Self {
+            submission: Arc::clone(&self.submission),
+            results: Vec::new(),
+            listed: self.listed.clone(),
+            kept: self.kept.clone(),
+            unscored: self.unscored.clone(),
+            ended: self.ended,
+        }
+    }
+
     /// Lists a result, unless its item is listed already or does not exist.
     pub fn list(&mut self, result: ListedResult) -> bool {
         let index = result.index as usize;
@@ -274,7 +286,7 @@
     /// Bytes that the texts of its results take in memory.
     pub fn text_bytes(&self) -> usize {
         let texts = self.results.iter().map(|result| &result.text);
-        texts.map(ResultText::packed_length).sum()
+        texts.map(ResultText::bytes_in_memory).sum()
     }
 
     /// Whether the item at `index` is listed.
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -232,7 +232,7 @@
             durable,
             expected_version,
             priority: candidate.route.priority,
-            scorer: item.scorer.clone(),
+            scorer: item.scorer.as_deref().cloned(),
             is_long: candidate.progress.is_long,
         }));
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
--- a/crates/wingshore-coordination/src/leader/scoring.rs
+++ b/crates/wingshore-coordination/src/leader/scoring.rs
@@ -22,7 +22,7 @@
     ) -> Option<&'a Scorer> {
         let job = state.jobs().get(&item.job)?;
         let contents = job.submission.items.get(item.index as usize)?;
-        contents.scorer.as_ref()
+        contents.scorer.as_deref()
     }
 
     /// A try has made the whole text of an item that is to be scored: the text is made durable
@@ -192,7 +192,7 @@
             item: item.clone(),
             id: contents.id.clone(),
             made_by,
-            scorer,
+            scorer: *scorer,
         });
         out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
         let running = Running {
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -17,6 +17,7 @@
 mod scoring;
 mod state;
 mod text;
+mod text_store;
 
 pub use configuration::{
     ConfigurationError, EngineProfile, IngressLimits, Route, RouteKind, RouteTarget, Service,
@@ -41,4 +42,7 @@
     UnscoredText,
 };
 pub use state::{Command, CoordinationState, OrderHolder};
-pub use text::{DurablePrefix, FinishedText, HeldPrefix, ItemText, ResultText, TextError};
+pub use text::{
+    DurablePrefix, FinishedText, HeldPrefix, ItemText, PackedText, ResultText, TextError, TextPlace,
+};
+pub use text_store::TextStore;
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -1,20 +1,22 @@
 //! The replicated state.
 
 mod command;
+mod snapshot;
 
 pub use command::Command;
 
 use crate::configuration::SiteConfiguration;
 use crate::ids::{InstanceId, JobId, ModelName};
-use crate::jobs::{Job, ListedResult};
+use crate::jobs::Job;
 use crate::registry::ServerRecord;
+use crate::text_store::{TextStore, TextStoreHandle};
 use serde::{Deserialize, Serialize};
+use snapshot::FrozenCoordination;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io::{self, Write};
+use std::io::Read;
 use std::sync::Arc;
-use wingshore_types::codec::encode_exactly;
 use wingshore_types::machine::{ReplicatedState, RestoreError};
-use wingshore_types::snapshot_data::{FrozenState, SnapshotState};
+use wingshore_types::snapshot_data::SnapshotState;
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
 /// Departed runs of servers that are remembered, so that a late heartbeat does not bring one back.
@@ -49,9 +51,17 @@
     member_nodes: BTreeMap<ReplicaId, String>,
     /// Coordinators that are to leave, or have left, for good; the newest of each machine.
     retired_members: BTreeMap<String, ReplicaId>,
+    /// Where texts of results go that memory has no room for.
+    #[serde(skip)]
+    texts: TextStoreHandle,
 }
 
 impl CoordinationState {
+    /// Gives the state a store for the texts of its results.
+    pub fn keep_texts_in(&mut self, store: Arc<dyn TextStore>) {
+        self.texts = TextStoreHandle(Some(store));
+    }
+
     /// The configuration in force.
     pub fn configuration(&self) -> Option<&Arc<SiteConfiguration>> {
         self.configuration.as_ref()
@@ -150,9 +160,38 @@
         *named = version.max(*named);
     }
 
-    fn list(&mut self, job: &JobId, result: ListedResult) {
-        if let Some(job) = self.jobs.get_mut(job) {
-            job.list(result);
+    /// Changes a job by `list`, which says whether it has listed a result.
+    fn list(&mut self, job: &JobId, list: impl FnOnce(&mut Job) -> bool) {
+        let Some(job) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if list(job)
+            && let Some(result) = job.results.last()
+        {
+            self.texts.hold(result.text.packed());
+        }
+    }
+
+    /// All but its jobs.
+    fn without_jobs(&self) -> Self {
+        Self {
+            configuration: self.configuration.clone(),
+            servers: self.servers.clone(),
+            departed: self.departed.clone(),
+            departures: self.departures.clone(),
+            named_versions: self.named_versions.clone(),
+            jobs: BTreeMap::new(),
+            order_holder: self.order_holder.clone(),
+            orders_settled: self.orders_settled,
+            member_nodes: self.member_nodes.clone(),
+            retired_members: self.retired_members.clone(),
+            texts: TextStoreHandle::default(),
+        }
+    }
+
+    fn add_job(&mut self, job: Option<Box<Job>>) {
+        if let Some(job) = job {
+            self.jobs.insert(job.submission.id.clone(), *job);
         }
     }
 }
@@ -174,7 +213,7 @@
                 let id = submission.id.clone();
                 self.jobs.entry(id).or_insert_with(|| Job::new(submission));
             }
-            Command::ListResult { job, result } => self.list(&job, result),
+            Command::ListResult { job, result } => self.list(&job, |job| job.list(result)),
             Command::EndJob(id) => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.end();
@@ -202,11 +241,7 @@
                 item,
                 made_by,
                 score,
-            } => {
-                if let Some(job) = self.jobs.get_mut(&item.job) {
-                    job.list_scored(item.index, made_by, score);
-                }
-            }
+            } => self.list(&item.job, |job| job.list_scored(item.index, made_by, score)),
             Command::CountScoringFailures {
                 item,
                 made_by,
@@ -231,27 +266,23 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        // The state holds only types that the codec can encode.
-        encode_exactly(self).unwrap_or_default()
+        // Only a disk that fails keeps a state from being encoded.
+        let bytes = self.freeze().to_bytes();
+        bytes.map(Into::into).unwrap_or_default()
     }
 
     fn freeze(&self) -> SnapshotState {
-        // Submissions and results are shared with the copy.
-        let frozen = SnapshotState::frozen(Arc::new(self.clone()));
-        frozen.unwrap_or_else(|_| self.snapshot().into())
+        SnapshotState::Frozen(Arc::new(FrozenCoordination::of(self)))
     }
 
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError> {
-        postcard::from_bytes(bytes).map_err(|error| RestoreError {
-            message: error.to_string(),
-        })
+        let mut state = Self::default();
+        state.restore_from(&mut &*bytes)?;
+        Ok(state)
     }
-}
 
-impl FrozenState for CoordinationState {
-    fn write_to(&self, out: &mut dyn Write) -> io::Result<()> {
-        postcard::to_io(self, out)
-            .map(|_| ())
-            .map_err(io::Error::other)
+    fn restore_from(&mut self, reader: &mut dyn Read) -> Result<(), RestoreError> {
+        *self = snapshot::restore(&self.texts, reader)?;
+        Ok(())
     }
 }
--- a/crates/wingshore-coordination/src/text.rs
+++ b/crates/wingshore-coordination/src/text.rs
@@ -3,9 +3,12 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use snafu::Snafu;
-use std::io::{Read, Write};
+use std::fmt::{self, Debug, Formatter};
+use std::io::{self, Read, Write};
+use std::sync::{Arc, PoisonError, RwLock};
+use wingshore_types::blob::Blob;
 use wingshore_types::protocol::byte_vector;
 
 /// Text of an item from its first event on, over all tries that made it.
@@ -119,22 +122,102 @@
     }
 }
 
-/// A text that is kept for long and read seldom: compressed (DEFLATE, RFC 1951).
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// A text that is kept for long and read seldom: compressed (DEFLATE, RFC 1951), in memory or on
+/// disk. Clones share it.
+#[derive(Clone, Debug, Default)]
 pub struct ResultText {
     /// Bytes of the text itself.
     length: u64,
-    /// The compressed bytes; none for an empty text.
-    #[serde(with = "byte_vector")]
-    packed: Vec<u8>,
+    packed: Arc<PackedText>,
+}
+
+/// The compressed bytes of a text.
+#[derive(Debug, Default)]
+pub struct PackedText {
+    place: RwLock<TextPlace>,
+}
+
+/// Where the compressed bytes of a text are.
+#[derive(Clone)]
+pub enum TextPlace {
+    /// In memory; none for an empty text.
+    Memory(Arc<[u8]>),
+    /// On this machine's disk.
+    Disk(Arc<dyn Blob>),
 }
 
 /// A kept text cannot be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("a kept text of {length} bytes is damaged"))]
-pub struct TextError {
-    /// Bytes that it should have.
-    length: u64,
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum TextError {
+    /// Its bytes are not those of a text.
+    #[snafu(display("a kept text of {length} bytes is damaged"))]
+    Damaged {
+        /// Bytes that it should have.
+        length: u64,
+    },
+    /// Its bytes cannot be read.
+    #[snafu(display("a kept text cannot be read: {reason}"))]
+    Unreadable {
+        /// From the disk.
+        reason: String,
+    },
+}
+
+impl Default for TextPlace {
+    fn default() -> Self {
+        Self::Memory(Arc::from([]))
+    }
+}
+
+impl Debug for TextPlace {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Memory(bytes) => write!(formatter, "Memory({} bytes)", bytes.len()),
+            Self::Disk(blob) => write!(formatter, "Disk({:?})", blob.place()),
+        }
+    }
+}
+
+impl TextPlace {
+    /// The compressed bytes.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn read(&self) -> io::Result<Arc<[u8]>> {
+        match self {
+            Self::Memory(bytes) => Ok(Arc::clone(bytes)),
+            Self::Disk(blob) => blob.read().map(Arc::from),
+        }
+    }
+
+    /// Compressed bytes.
+    pub fn length(&self) -> usize {
+        match self {
+            Self::Memory(bytes) => bytes.len(),
+            Self::Disk(blob) => blob.place().length as usize,
+        }
+    }
+}
+
+impl PackedText {
+    fn at(place: TextPlace) -> Arc<Self> {
+        let place = RwLock::new(place);
+        Arc::new(Self { place })
+    }
+
+    /// Where the bytes are now.
+    pub fn place(&self) -> TextPlace {
+        self.place
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// The same bytes stand on disk from now on.
+    pub fn move_to(&self, blob: Arc<dyn Blob>) {
+        let mut place = self.place.write().unwrap_or_else(PoisonError::into_inner);
+        *place = TextPlace::Disk(blob);
+    }
 }
 
 impl ResultText {
@@ -146,29 +229,35 @@
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
         // A vector takes all that is written to it.
         let written = encoder.write_all(text.as_bytes());
-        let mut packed = written.and_then(|()| encoder.finish()).unwrap_or_default();
-        packed.shrink_to_fit();
-        Self {
-            length: text.len() as u64,
-            packed,
-        }
+        let packed = written.and_then(|()| encoder.finish()).unwrap_or_default();
+        Self::at(text.len() as u64, TextPlace::Memory(packed.into()))
+    }
+
+    /// A text of `length` bytes whose compressed bytes are at `place`.
+    pub(crate) fn at(length: u64, place: TextPlace) -> Self {
+        let packed = PackedText::at(place);
+        Self { length, packed }
     }
 
     /// The text.
     ///
     /// # Errors
-    /// When the kept bytes are damaged.
+    /// When the kept bytes are damaged, or cannot be read.
     pub fn unpack(&self) -> Result<String, TextError> {
         let length = self.length;
         if length == 0 {
             return Ok(String::new());
         }
+        let packed = self.packed.place().read();
+        let packed = packed.map_err(|error| TextError::Unreadable {
+            reason: error.to_string(),
+        })?;
         let mut text = String::new();
-        let decoder = DeflateDecoder::new(self.packed.as_slice());
+        let decoder = DeflateDecoder::new(&packed[..]);
         let read = decoder.take(length + 1).read_to_string(&mut text);
         match read {
             Ok(_) if text.len() as u64 == length => Ok(text),
-            _ => TextSnafu { length }.fail(),
+            _ => DamagedSnafu { length }.fail(),
         }
     }
 
@@ -177,8 +266,53 @@
         self.length as usize
     }
 
-    /// Bytes of the text as it is kept.
-    pub fn packed_length(&self) -> usize {
-        self.packed.len()
+    /// Its compressed bytes.
+    pub fn packed(&self) -> &Arc<PackedText> {
+        &self.packed
+    }
+
+    /// Bytes of memory that its compressed bytes take.
+    pub fn bytes_in_memory(&self) -> usize {
+        match self.packed.place() {
+            TextPlace::Memory(bytes) => bytes.len(),
+            TextPlace::Disk(_) => 0,
+        }
+    }
+}
+
+impl PartialEq for ResultText {
+    /// Texts that cannot be read are equal to none.
+    fn eq(&self, other: &Self) -> bool {
+        let places = (self.packed.place(), other.packed.place());
+        let bytes = (places.0.read(), places.1.read());
+        self.length == other.length && matches!(bytes, (Ok(own), Ok(others)) if own == others)
+    }
+}
+
+impl Eq for ResultText {}
+
+/// A text as it is sent: its length and its compressed bytes.
+#[derive(Serialize, Deserialize)]
+struct SentText {
+    length: u64,
+    #[serde(with = "byte_vector")]
+    packed: Arc<[u8]>,
+}
+
+impl Serialize for ResultText {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let packed = self.packed.place().read();
+        let sent = SentText {
+            length: self.length,
+            packed: packed.map_err(serde::ser::Error::custom)?,
+        };
+        sent.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for ResultText {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let SentText { length, packed } = SentText::deserialize(deserializer)?;
+        Ok(Self::at(length, TextPlace::Memory(packed)))
     }
 }
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -274,12 +274,12 @@
 pub fn scored_job(id: &str, items: u32) -> Arc<JobSubmission> {
     let mut submission = JobSubmission::clone(&job(id, items));
     for item in &mut submission.items {
-        item.scorer = Some(Scorer {
+        item.scorer = Some(Box::new(Scorer {
             request: ItemId::from(format!("score-{}", item.id)),
             host: "site.example".to_owned(),
             path: "/score/1".to_owned(),
             body: vec![7],
-        });
+        }));
     }
     Arc::new(submission)
 }
--- /dev/null
+++ b/crates/wingshore-coordinator/src/budget.rs
@@ -0,0 +1,63 @@
+//! How the memory that a coordinator may have is shared out.
+
+use std::fmt::{self, Display, Formatter};
+
+/// Part of the limit for texts of results: what is more moves to disk. With the log before the next
+/// snapshot and twice its reading at a start, half of the limit stays free for what follows from the
+/// number of servers, gateways and open jobs.
+const TEXTS_PART: u64 = 8;
+/// Part of the limit for the log between two snapshots, which a start holds whole.
+const LOG_PART: u64 = 8;
+/// Part of the limit for applied entries that are kept for members that are behind.
+const CACHED_LOG_PART: u64 = 32;
+/// Least share of any, in bytes: a job's largest texts.
+const LEAST_SHARE: u64 = 4 << 20;
+
+/// The memory that a coordinator may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryBudget {
+    /// In bytes.
+    limit: u64,
+}
+
+impl MemoryBudget {
+    /// Where the settings name no limit, in bytes.
+    pub const DEFAULT_LIMIT: u64 = 256 << 20;
+
+    /// Of a process that may have `limit` bytes.
+    pub fn new(limit: u64) -> Self {
+        Self { limit }
+    }
+
+    /// Bytes of texts of results that may stand in memory.
+    pub fn texts(&self) -> usize {
+        self.share(TEXTS_PART)
+    }
+
+    /// Bytes of applied entries of the log that may stand in memory.
+    pub fn cached_log(&self) -> usize {
+        self.share(CACHED_LOG_PART)
+    }
+
+    fn share(&self, part: u64) -> usize {
+        let share = (self.limit / part).max(LEAST_SHARE);
+        usize::try_from(share).unwrap_or(usize::MAX)
+    }
+
+    /// Bytes of log between snapshots.
+    pub fn log_between_snapshots(&self) -> u64 {
+        (self.limit / LOG_PART).max(LEAST_SHARE)
+    }
+}
+
+impl Display for MemoryBudget {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} bytes: {} of texts, {} of log between snapshots",
+            self.limit,
+            self.texts(),
+            self.log_between_snapshots()
+        )
+    }
+}
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -1,10 +1,11 @@
 //! Process of a coordinator: one member of the coordination group.
 //!
 //! One thread owns all sockets and the group's [`Host`](wingshore_group::Host); a second one makes
-//! writes durable. What operators, trainers and servers say comes in through a
+//! writes durable, a third one moves texts that memory has no room for to disk. What operators, trainers and servers say comes in through a
 //! [`ControlProtocol`], what engines are told leaves through an [`EngineProtocol`]: this crate
 //! knows no wire but that of the site's own processes.
 
+mod budget;
 mod control;
 mod decisions;
 mod directory;
@@ -18,8 +19,11 @@
 mod process;
 mod protocol;
 mod settings;
+mod spool;
+mod texts;
 mod writer;
 
+pub use budget::MemoryBudget;
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
 pub use heartbeats::{HeartbeatRelay, HeartbeatVerdict};
--- a/crates/wingshore-coordinator/src/process/host.rs
+++ b/crates/wingshore-coordinator/src/process/host.rs
@@ -2,12 +2,16 @@
 
 use crate::error::{CoordinatorError, GroupSnafu};
 use crate::settings::CoordinatorSettings;
+use crate::spool::FileSpool;
+use crate::texts::TextArchive;
 use snafu::ResultExt;
-use wingshore_coordination::{CoordinationLeader, LeaderSettings};
-use wingshore_group::{Host, HostConfig, MachineFactory, Timing};
+use std::sync::Arc;
+use wingshore_coordination::{CoordinationLeader, CoordinationState, LeaderSettings, TextStore};
+use wingshore_group::{Host, HostConfig, Limits, MachineFactory, Timing};
 use wingshore_storage::DataFolder;
 use wingshore_types::Instant;
 use wingshore_types::configuration::Permille;
+use wingshore_types::log::RecoveredLog;
 
 /// Election timeouts differ by up to this part of the shortest one.
 const ELECTION_SPREAD_PART: u32 = 2;
@@ -19,7 +23,9 @@
     settings: &CoordinatorSettings,
     folder: &DataFolder,
     now: Instant,
-    recovered: wingshore_types::log::RecoveredLog,
+    recovered: RecoveredLog,
+    texts: Arc<TextArchive>,
+    spool: FileSpool,
 ) -> Result<Host<CoordinationLeader>, CoordinatorError> {
     let identity = folder.identity();
     let config = HostConfig {
@@ -30,7 +36,13 @@
             lease: settings.lease,
             drift: CLOCK_DRIFT,
         },
-        snapshot_every_bytes: settings.snapshot_every_bytes,
+        snapshot_every_bytes: settings.memory.log_between_snapshots(),
+        most_log_bytes: settings.memory.log_between_snapshots(),
+        spool: Arc::new(spool),
+        limits: Limits {
+            cached_log_bytes: settings.memory.cached_log(),
+            ..Limits::default()
+        },
         ..HostConfig::new(identity.replica, identity.founding.clone(), rand::random())
     };
     let leader_settings = LeaderSettings {
@@ -46,7 +58,9 @@
     };
     let machines = MachineFactory {
         leader: Box::new(move || CoordinationLeader::new(leader_settings.clone())),
-        ..MachineFactory::default()
+        prepare: Box::new(move |state: &mut CoordinationState| {
+            state.keep_texts_in(Arc::clone(&texts) as Arc<dyn TextStore>);
+        }),
     };
     Host::with_machines(now, config, recovered, machines).context(GroupSnafu)
 }
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -22,6 +22,8 @@
 use crate::metrics::CoordinatorMetrics;
 use crate::protocol::{ControlProtocol, EngineProtocol};
 use crate::settings::CoordinatorSettings;
+use crate::spool::FileSpool;
+use crate::texts::TextArchive;
 use crate::writer::{WriteEvent, Writer, wait_for_space};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
@@ -171,6 +173,15 @@
         let folder = with_space(&mut wait, || identity::open(&fs, &settings));
         let folder = folder.context(StorageSnafu)?;
         let directory = folder.group_directory(GroupId::Control);
+        let texts = with_space(&mut wait, || {
+            let (data, budget) = (&settings.data, settings.memory.texts());
+            TextArchive::open(Arc::clone(&fs), data, budget, logger.clone())
+        });
+        let texts = Arc::new(texts.context(StorageSnafu)?);
+        let spool = with_space(&mut wait, || {
+            FileSpool::open(Arc::clone(&fs), &settings.data, logger.clone())
+        });
+        let spool = spool.context(StorageSnafu)?;
         let opened = PatientStore::open(fs, &directory, &mut wait);
         let (store, recovered) = opened.context(StorageSnafu)?;
         log_recovered(&logger, &recovered);
@@ -193,9 +204,17 @@
             .map(|address| listen(&mut reactor, address, CALLER_LIMIT))
             .transpose()?;
         let writer = Writer::start(store, reactor.waker(), logger.clone()).context(ThreadSnafu)?;
-        let host = host::open(&settings, &folder, clock.now(), recovered)?;
+        let host = host::open(
+            &settings,
+            &folder,
+            clock.now(),
+            recovered,
+            Arc::clone(&texts),
+            spool,
+        )?;
+        texts.remove_unreferenced();
         info!(logger, "started"; "node" => &settings.node, "member" => folder.identity().replica.0,
-            "founder" => folder.identity().founding.is_some(), "applied" => host.applied_index().0);
+            "memory" => %settings.memory, "founder" => folder.identity().founding.is_some(), "applied" => host.applied_index().0);
         Ok(Self {
             logger,
             clock,
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a coordinator process.
 
+use crate::budget::MemoryBudget;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -39,8 +40,8 @@
     pub heartbeat: Duration,
     /// Length of the leader's lease.
     pub lease: Duration,
-    /// Bytes of log between snapshots.
-    pub snapshot_every_bytes: u64,
+    /// Memory that the process may have.
+    pub memory: MemoryBudget,
     /// How long a client may use an answer of the directory.
     pub directory_ttl: Duration,
     /// Silence after which a server leaves the registry.
--- /dev/null
+++ b/crates/wingshore-coordinator/src/spool.rs
@@ -0,0 +1,157 @@
+//! Snapshots that are received gather in a file: a state of many megabytes need not stand in memory
+//! beside the one that it replaces.
+
+use slog::{Logger, warn};
+use std::fmt::{self, Debug, Formatter};
+use std::io::{self, BufReader, Read};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use wingshore_storage::{File, FileReader, FileSystem, StorageError};
+use wingshore_types::snapshot_data::{FrozenState, SnapshotData, SnapshotState};
+use wingshore_types::snapshot_spool::{SnapshotSpool, SpooledSnapshot};
+
+/// Name of the folder in the data folder.
+const FOLDER: &str = "incoming";
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 256 << 10;
+
+/// Gathers snapshots in files of its folder. Nothing there outlasts the process.
+pub(crate) struct FileSpool {
+    fs: Arc<dyn FileSystem>,
+    folder: PathBuf,
+    begun: AtomicU64,
+    logger: Logger,
+}
+
+impl FileSpool {
+    /// Opens the folder and removes what an earlier process left there.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub(crate) fn open(
+        fs: Arc<dyn FileSystem>,
+        data: &Path,
+        logger: Logger,
+    ) -> Result<Self, StorageError> {
+        let folder = data.join(FOLDER);
+        let failed = |operation, source| StorageError::Io {
+            operation,
+            path: folder.clone(),
+            source,
+        };
+        fs.create_directory(&folder)
+            .map_err(|source| failed("create directory", source))?;
+        let names = fs.list(&folder).map_err(|source| failed("list", source))?;
+        for name in names {
+            fs.remove(&folder.join(name))
+                .map_err(|source| failed("remove from", source))?;
+        }
+        let begun = AtomicU64::new(0);
+        Ok(Self {
+            fs,
+            folder,
+            begun,
+            logger,
+        })
+    }
+}
+
+impl Debug for FileSpool {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "FileSpool({})", self.folder.display())
+    }
+}
+
+impl SnapshotSpool for FileSpool {
+    fn begin(&self) -> io::Result<Box<dyn SpooledSnapshot>> {
+        let number = self.begun.fetch_add(1, Ordering::Relaxed);
+        let place = SpoolFile {
+            fs: Arc::clone(&self.fs),
+            path: self.folder.join(number.to_string()),
+            logger: self.logger.clone(),
+        };
+        let file = place.logged(self.fs.create(&place.path))?;
+        Ok(Box::new(Spooled {
+            place,
+            file,
+            length: 0,
+        }))
+    }
+}
+
+/// A file that goes when nothing needs it any more.
+struct SpoolFile {
+    fs: Arc<dyn FileSystem>,
+    path: PathBuf,
+    logger: Logger,
+}
+
+impl SpoolFile {
+    /// Passes a result on, and logs an error.
+    fn logged<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        if let Err(error) = &result {
+            warn!(self.logger, "a received state cannot be gathered";
+                "file" => %self.path.display(), "error" => %error);
+        }
+        result
+    }
+}
+
+impl Drop for SpoolFile {
+    fn drop(&mut self) {
+        if let Err(error) = self.fs.remove(&self.path) {
+            warn!(self.logger, "a received state is not removed"; "error" => %error);
+        }
+    }
+}
+
+/// A snapshot that is being received.
+struct Spooled {
+    place: SpoolFile,
+    file: Box<dyn File>,
+    length: u64,
+}
+
+impl Debug for Spooled {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Spooled({} bytes)", self.length)
+    }
+}
+
+impl SpooledSnapshot for Spooled {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let appended = self.file.append(bytes);
+        self.place.logged(appended)?;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn finish(self: Box<Self>) -> io::Result<SnapshotData> {
+        let received = Received {
+            place: self.place,
+            length: self.length,
+        };
+        Ok(SnapshotState::Frozen(Arc::new(received)).into())
+    }
+}
+
+/// A snapshot that was received whole.
+struct Received {
+    place: SpoolFile,
+    length: u64,
+}
+
+impl FrozenState for Received {
+    fn length(&self) -> u64 {
+        self.length
+    }
+
+    fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>> {
+        let file = self
+            .place
+            .logged(self.place.fs.open_to_read(&self.place.path))?;
+        let reader = FileReader::new(file, 0);
+        Ok(Box::new(BufReader::with_capacity(READ_BYTES, reader)))
+    }
+}
--- a/crates/wingshore-group/src/applying.rs
+++ b/crates/wingshore-group/src/applying.rs
@@ -6,6 +6,7 @@
 use wingshore_consensus::{Entry, EntryKind};
 use wingshore_types::machine::{LeaderMachine, ReplicatedState};
 use wingshore_types::protocol::membership::MembershipReply;
+use wingshore_types::snapshot_data::SnapshotState;
 use wingshore_types::{Instant, LogIndex};
 
 impl<L> Host<L>
@@ -58,15 +59,25 @@
     }
 
     /// Replaces the state by a snapshot's.
-    pub(crate) fn restore(&mut self, index: LogIndex, state: &[u8]) -> Result<(), HostError> {
-        // The state before goes first: two whole ones beside the snapshot's bytes may be too much.
+    pub(crate) fn restore(
+        &mut self,
+        index: LogIndex,
+        snapshot: &SnapshotState,
+    ) -> Result<(), HostError> {
+        // The state before goes first: two whole ones may be too much.
         self.state = L::State::default();
-        self.state = L::State::restore(state).map_err(|error| HostError::Restore {
+        (self.machines.prepare)(&mut self.state);
+        let mut reader = snapshot.reader().map_err(|error| HostError::Restore {
+            index,
+            message: error.to_string(),
+        })?;
+        let restored = self.state.restore_from(&mut reader);
+        restored.map_err(|error| HostError::Restore {
             index,
             message: error.message,
         })?;
         (self.machines.prepare)(&mut self.state);
-        self.snapshots.taken(state.len() as u64);
+        self.snapshots.taken(snapshot.length());
         Ok(())
     }
 }
--- a/crates/wingshore-group/src/host.rs
+++ b/crates/wingshore-group/src/host.rs
@@ -78,6 +78,7 @@
             timing: config.timing,
             limits: config.limits,
             faults: config.faults,
+            spool: config.spool,
         };
         let mut outputs = Vec::new();
         let raft = Raft::new(now, raft_config, recovered, &mut outputs)
@@ -96,7 +97,11 @@
             announced: None,
             election_timeout: config.timing.election_timeout,
             machines,
-            snapshots: SnapshotSchedule::new(config.snapshot_every_bytes, config.seed),
+            snapshots: SnapshotSchedule::new(
+                config.snapshot_every_bytes,
+                config.most_log_bytes,
+                config.seed,
+            ),
             has_failed: false,
         };
         for output in outputs {
--- a/crates/wingshore-group/src/interface.rs
+++ b/crates/wingshore-group/src/interface.rs
@@ -1,10 +1,12 @@
 //! What a host takes and gives.
 
 use snafu::Snafu;
+use std::sync::Arc;
 use wingshore_consensus::{CodecError, Faults, Limits, RecoveryError, Timing};
 use wingshore_types::log::WriteBatch;
 use wingshore_types::machine::{LeaderMachine, RequestTag};
 use wingshore_types::protocol::membership::{Membership, MembershipReply, MembershipRequest};
+use wingshore_types::snapshot_spool::{MemorySpool, SnapshotSpool};
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
 /// Settings of one hosted group.
@@ -23,8 +25,13 @@
     /// A snapshot is taken when this many bytes of log were applied since the last one, or half
     /// as many as that one has, whichever is more, and up to half of that again.
     pub snapshot_every_bytes: u64,
+    /// However large a snapshot is, the next one is taken after this many bytes of log, and up to
+    /// half of that again: a start holds the log behind the snapshot.
+    pub most_log_bytes: u64,
     /// Deliberate faults; all off outside tests.
     pub faults: Faults,
+    /// Where snapshots are gathered while they are received.
+    pub spool: Arc<dyn SnapshotSpool>,
 }
 
 impl HostConfig {
@@ -40,7 +47,9 @@
             timing: Timing::default(),
             limits: Limits::default(),
             snapshot_every_bytes: Self::DEFAULT_SNAPSHOT_EVERY_BYTES,
+            most_log_bytes: u64::MAX,
             faults: Faults::default(),
+            spool: Arc::new(MemorySpool),
         }
     }
 }
--- a/crates/wingshore-group/src/machines.rs
+++ b/crates/wingshore-group/src/machines.rs
@@ -10,7 +10,7 @@
 pub struct MachineFactory<L: LeaderMachine> {
     /// Makes the leader machine of a new leadership.
     pub leader: Box<dyn Fn() -> L + Send>,
-    /// Prepares a state that was just made, or restored from a snapshot.
+    /// Prepares a state that was just made, and again once it is restored from a snapshot.
     pub prepare: PrepareState<L::State>,
 }
 
--- a/crates/wingshore-group/src/snapshots.rs
+++ b/crates/wingshore-group/src/snapshots.rs
@@ -16,16 +16,19 @@
 #[derive(Debug)]
 pub(crate) struct SnapshotSchedule {
     shortest: u64,
+    longest: u64,
     random: ChaCha8Rng,
     applied: u64,
     due_at: u64,
 }
 
 impl SnapshotSchedule {
-    /// Intervals of `shortest` bytes of log or more; `seed` differs between members.
-    pub(crate) fn new(shortest: u64, seed: u64) -> Self {
+    /// Intervals of `shortest` bytes of log or more, and `longest` or less besides their spread;
+    /// `seed` differs between members.
+    pub(crate) fn new(shortest: u64, longest: u64, seed: u64) -> Self {
         let mut schedule = Self {
             shortest,
+            longest,
             random: ChaCha8Rng::seed_from_u64(seed),
             applied: 0,
             due_at: 0,
@@ -47,7 +50,7 @@
     /// The state is that of a snapshot of `bytes` now.
     pub(crate) fn taken(&mut self, bytes: u64) {
         let share = bytes / SNAPSHOT_BYTES_PER_LOG_BYTE;
-        let interval = self.shortest.max(share);
+        let interval = share.min(self.longest).max(self.shortest);
         let more = self.random.random_range(0..=interval / SPREAD_PART);
         self.applied = 0;
         self.due_at = interval.saturating_add(more);
--- a/crates/wingshore-replica/tests/support/disk.rs
+++ b/crates/wingshore-replica/tests/support/disk.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use wingshore_storage::{File, FileSystem, Lock, RealFileSystem};
+use wingshore_storage::{File, FileSystem, Lock, ReadableFile, RealFileSystem};
 
 /// A disk whose syncs of files fail once [`FailingDisk::fail`] was called.
 #[derive(Clone, Default)]
@@ -58,6 +58,10 @@
         RealFileSystem.read(path)
     }
 
+    fn open_to_read(&self, path: &Path) -> io::Result<Arc<dyn ReadableFile>> {
+        RealFileSystem.open_to_read(path)
+    }
+
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
         RealFileSystem.rename(from, to)
     }
--- a/crates/wingshore-storage/src/file_system.rs
+++ b/crates/wingshore-storage/src/file_system.rs
@@ -1,8 +1,9 @@
 //! What storage asks of a file system. Only what is synced survives a crash: bytes by
 //! [`File::sync`], names in a directory by [`FileSystem::sync_directory`].
 
-use std::io;
+use std::io::{self, Read};
 use std::path::Path;
+use std::sync::Arc;
 
 /// A file opened for appending.
 pub trait File: Send {
@@ -26,6 +27,36 @@
     fn truncate(&mut self, length: u64) -> io::Result<()>;
 }
 
+/// A file opened for reading.
+pub trait ReadableFile: Send + Sync {
+    /// Reads bytes from `offset` on; gives how many, 0 at the end of the file.
+    ///
+    /// # Errors
+    /// Any error of the disk.
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> io::Result<usize>;
+}
+
+/// Reads a file from an offset on, one piece after the other.
+pub struct FileReader {
+    file: Arc<dyn ReadableFile>,
+    position: u64,
+}
+
+impl FileReader {
+    /// Of `file`, from `position` on.
+    pub fn new(file: Arc<dyn ReadableFile>, position: u64) -> Self {
+        Self { file, position }
+    }
+}
+
+impl Read for FileReader {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let count = self.file.read_at(self.position, buffer)?;
+        self.position += count as u64;
+        Ok(count)
+    }
+}
+
 /// Keeps other processes out of a folder until it is dropped.
 pub trait Lock: Send + Sync {}
 
@@ -49,6 +80,12 @@
     /// `NotFound` when it does not exist; any error of the disk.
     fn read(&self, path: &Path) -> io::Result<Vec<u8>>;
 
+    /// Opens a file that exists for reading.
+    ///
+    /// # Errors
+    /// `NotFound` when it does not exist; any error of the disk.
+    fn open_to_read(&self, path: &Path) -> io::Result<Arc<dyn ReadableFile>>;
+
     /// Renames a file within its directory, replacing one of the new name, in one step.
     ///
     /// # Errors
--- a/crates/wingshore-storage/src/frame.rs
+++ b/crates/wingshore-storage/src/frame.rs
@@ -4,12 +4,17 @@
 //! the frame's place (a caller's salt and its offset in the file) beside its payload, so that
 //! a payload which itself holds copied frames never passes for the frames of a file.
 
-use std::io;
+use std::io::{self, Read};
 
 /// Starts each frame.
 const MAGIC: [u8; 4] = *b"WSF1";
 /// Bytes before the payload.
-const HEADER_BYTES: usize = 12;
+pub(crate) const HEADER_BYTES: usize = 12;
+
+/// What is wrong with frames.
+pub(crate) const CUT_HEADER: &str = "the frame's header is cut short";
+pub(crate) const CUT_PAYLOAD: &str = "the frame is cut short";
+pub(crate) const WRONG_CHECKSUM: &str = "the frame's checksum does not match";
 
 /// What stands at an offset.
 pub(crate) enum Scan<'a> {
@@ -17,8 +22,6 @@
     Frame {
         /// Its content.
         payload: &'a [u8],
-        /// Where the next one starts.
-        next: usize,
     },
     /// The end of the file, exactly.
     End,
@@ -52,22 +55,73 @@
         return Scan::End;
     }
     let Some((header, body)) = rest.split_at_checked(HEADER_BYTES) else {
-        return Scan::Bad("the frame's header is cut short");
+        return Scan::Bad(CUT_HEADER);
+    };
+    let (length, expected) = match read_header(header) {
+        Ok(read) => read,
+        Err(reason) => return Scan::Bad(reason),
     };
+    let Some(payload) = body.get(..length) else {
+        return Scan::Bad(CUT_PAYLOAD);
+    };
+    if expected != checksum(salt, offset as u64, payload) {
+        return Scan::Bad(WRONG_CHECKSUM);
+    }
+    Scan::Frame { payload }
+}
+
+/// Length and checksum of the payload behind a header.
+pub(crate) fn read_header(header: &[u8]) -> Result<(usize, u32), &'static str> {
+    if header.len() < HEADER_BYTES {
+        return Err(CUT_HEADER);
+    }
     if !header.starts_with(&MAGIC) {
-        return Scan::Bad("no frame starts here");
+        return Err("no frame starts here");
     }
-    let length = read_u32(header, 4) as usize;
-    let Some(payload) = body.get(..length) else {
-        return Scan::Bad("the frame is cut short");
+    Ok((read_u32(header, 4) as usize, read_u32(header, 8)))
+}
+
+/// What a reader gives next.
+pub(crate) enum NextFrame {
+    /// A whole frame.
+    Frame {
+        /// Its content.
+        payload: Vec<u8>,
+        /// Where the next one starts.
+        next: u64,
+    },
+    /// The end of the file, exactly.
+    End,
+    /// Something else.
+    Bad(&'static str),
+}
+
+/// Reads the frame that stands at `offset` of a file, from a reader that has come there.
+pub(crate) fn read_next(reader: &mut impl Read, salt: u64, offset: u64) -> io::Result<NextFrame> {
+    let mut header = Vec::new();
+    let most = HEADER_BYTES as u64;
+    reader.by_ref().take(most).read_to_end(&mut header)?;
+    if header.is_empty() {
+        return Ok(NextFrame::End);
+    }
+    let (length, expected) = match read_header(&header) {
+        Ok(read) => read,
+        Err(reason) => return Ok(NextFrame::Bad(reason)),
     };
-    if read_u32(header, 8) != checksum(salt, offset as u64, payload) {
-        return Scan::Bad("the frame's checksum does not match");
+    // Grows as the bytes come: the length may be damaged.
+    let mut payload = Vec::new();
+    reader
+        .by_ref()
+        .take(length as u64)
+        .read_to_end(&mut payload)?;
+    if payload.len() < length {
+        return Ok(NextFrame::Bad(CUT_PAYLOAD));
     }
-    Scan::Frame {
-        payload,
-        next: offset + HEADER_BYTES + length,
+    if expected != checksum(salt, offset, &payload) {
+        return Ok(NextFrame::Bad(WRONG_CHECKSUM));
     }
+    let next = offset + most + length as u64;
+    Ok(NextFrame::Frame { payload, next })
 }
 
 /// The offset of the first whole frame after `offset`, when there is one.
--- a/crates/wingshore-storage/src/lib.rs
+++ b/crates/wingshore-storage/src/lib.rs
@@ -9,6 +9,7 @@
 //! All access to disk goes through [`FileSystem`], so that tests and simulations can lose
 //! unsynced data, tear writes and crash at any call; see [`memory`].
 
+mod blobs;
 mod error;
 mod file_system;
 mod folder;
@@ -21,8 +22,9 @@
 mod snapshot;
 mod store;
 
+pub use blobs::{BlobFiles, BlobWriter, StoredBlob};
 pub use error::StorageError;
-pub use file_system::{File, FileSystem, Lock};
+pub use file_system::{File, FileReader, FileSystem, Lock, ReadableFile};
 pub use folder::{DataFolder, Identity};
 pub use patient::{PatientStore, with_space};
 pub use real::RealFileSystem;
--- a/crates/wingshore-storage/src/memory.rs
+++ b/crates/wingshore-storage/src/memory.rs
@@ -6,7 +6,7 @@
 
 mod disk;
 
-use crate::file_system::{File, FileSystem, Lock};
+use crate::file_system::{File, FileSystem, Lock, ReadableFile};
 use disk::{Disk, FileId};
 use std::collections::BTreeSet;
 use std::io;
@@ -193,6 +193,14 @@
     }
 }
 
+impl ReadableFile for MemoryFile {
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        let state = self.state()?;
+        state.check_alive()?;
+        state.disk.read_at(self.id, offset, buffer)
+    }
+}
+
 struct MemoryLock {
     system: MemoryFileSystem,
     path: PathBuf,
@@ -242,6 +250,19 @@
         state.disk.read(path)
     }
 
+    fn open_to_read(&self, path: &Path) -> io::Result<Arc<dyn ReadableFile>> {
+        let state = self.state();
+        state.check_alive()?;
+        let id = state.disk.find(path)?;
+        let boot = state.boot;
+        drop(state);
+        Ok(Arc::new(MemoryFile {
+            system: self.clone(),
+            id,
+            boot,
+        }))
+    }
+
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
         self.state().change(|disk| disk.rename(from, to))
     }
--- a/crates/wingshore-storage/src/memory/disk.rs
+++ b/crates/wingshore-storage/src/memory/disk.rs
@@ -77,6 +77,15 @@
         Ok(content.current.clone())
     }
 
+    pub(super) fn read_at(&self, id: FileId, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        let content = self.contents.get(&id).ok_or_else(not_found)?;
+        let offset = usize::try_from(offset).unwrap_or(usize::MAX);
+        let rest = content.current.get(offset..).unwrap_or_default();
+        let count = rest.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&rest[..count]);
+        Ok(count)
+    }
+
     pub(super) fn append(&mut self, id: FileId, bytes: &[u8]) -> io::Result<()> {
         self.content_mut(id)?.current.extend_from_slice(bytes);
         Ok(())
--- a/crates/wingshore-storage/src/real.rs
+++ b/crates/wingshore-storage/src/real.rs
@@ -1,9 +1,10 @@
 //! The machine's own file system.
 
-use crate::file_system::{File, FileSystem, Lock};
+use crate::file_system::{File, FileSystem, Lock, ReadableFile};
 use std::fs;
-use std::io::{self, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// The machine's own file system, through the standard library.
 #[derive(Clone, Copy, Debug, Default)]
@@ -16,6 +17,17 @@
     _file: fs::File,
 }
 
+/// Its place of reading is moved for each read.
+struct RealReadableFile(Mutex<fs::File>);
+
+impl ReadableFile for RealReadableFile {
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> io::Result<usize> {
+        let mut file = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        file.seek(SeekFrom::Start(offset))?;
+        file.read(buffer)
+    }
+}
+
 impl Lock for RealLock {}
 
 impl File for RealFile {
@@ -47,6 +59,12 @@
         fs::read(path)
     }
 
+    fn open_to_read(&self, path: &Path) -> io::Result<Arc<dyn ReadableFile>> {
+        Ok(Arc::new(RealReadableFile(Mutex::new(fs::File::open(
+            path,
+        )?))))
+    }
+
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
         fs::rename(from, to)
     }
--- a/crates/wingshore-storage/src/segment.rs
+++ b/crates/wingshore-storage/src/segment.rs
@@ -1,14 +1,16 @@
 //! One file of the log.
 
 use crate::error::{IoContext, StorageError, damaged};
-use crate::file_system::{File, FileSystem};
-use crate::frame::{self, Scan};
+use crate::file_system::{File, FileReader, FileSystem};
+use crate::frame::{self, NextFrame};
 use crate::journal::{FORMAT, Record, Replay};
 use std::borrow::Cow;
-use std::io;
+use std::io::{self, BufReader};
 use std::path::{Path, PathBuf};
 use wingshore_types::LogIndex;
 
+/// Bytes of a segment that are read at a time.
+const READ_BYTES: usize = 64 << 10;
 /// Start of the names of segments.
 const PREFIX: &str = "log-";
 
@@ -49,10 +51,9 @@
     replay: &mut Replay,
 ) -> Result<ClosedSegment, StorageError> {
     let path = path_of(directory, sequence);
-    let bytes = fs.read(&path).during("read", &path)?;
-    let reading = read_frames(&path, sequence, &bytes, replay)?;
+    let reading = read_frames(fs, &path, sequence, replay)?;
     if let Some(reason) = reading.bad {
-        return Err(damaged(&path, reading.length as u64, reason));
+        return Err(damaged(&path, reading.length, reason));
     }
     Ok(ClosedSegment {
         path,
@@ -71,9 +72,9 @@
     replay: &mut Replay,
 ) -> Result<Option<ActiveSegment>, StorageError> {
     let path = path_of(directory, sequence);
-    let bytes = fs.read(&path).during("read", &path)?;
-    let reading = read_frames(&path, sequence, &bytes, replay)?;
+    let reading = read_frames(fs, &path, sequence, replay)?;
     if let Some(reason) = reading.bad {
+        let bytes = fs.read(&path).during("read", &path)?;
         refuse_damage_before_tail(&path, sequence, &bytes, reading.length, reason)?;
     }
     if reading.length == 0 {
@@ -81,15 +82,14 @@
     }
     let mut file = fs.open(&path).during("open", &path)?;
     if reading.bad.is_some() {
-        let length = reading.length as u64;
-        file.truncate(length).during("truncate", &path)?;
+        file.truncate(reading.length).during("truncate", &path)?;
         file.sync().during("sync", &path)?;
     }
     Ok(Some(ActiveSegment {
         path,
         sequence,
         file,
-        length: reading.length as u64,
+        length: reading.length,
         last_index: reading.last_index,
         buffer: Vec::new(),
     }))
@@ -98,35 +98,39 @@
 /// How far the frames of a segment could be read.
 struct Reading {
     /// Bytes of whole frames.
-    length: usize,
+    length: u64,
     /// Why the rest could not be read, when there is a rest.
     bad: Option<&'static str>,
     /// The highest index of an entry.
     last_index: Option<LogIndex>,
 }
 
+/// Reads a segment frame by frame: only one of them stands in memory beside its records.
 fn read_frames(
+    fs: &dyn FileSystem,
     path: &Path,
     sequence: u64,
-    bytes: &[u8],
     replay: &mut Replay,
 ) -> Result<Reading, StorageError> {
+    let file = fs.open_to_read(path).during("open", path)?;
+    let mut file = BufReader::with_capacity(READ_BYTES, FileReader::new(file, 0));
     let mut reading = Reading {
         length: 0,
         bad: None,
         last_index: None,
     };
     loop {
-        match frame::scan(sequence, reading.length, bytes) {
-            Scan::End => return Ok(reading),
-            Scan::Bad(reason) => {
+        let read = frame::read_next(&mut file, sequence, reading.length);
+        match read.during("read", path)? {
+            NextFrame::End => return Ok(reading),
+            NextFrame::Bad(reason) => {
                 reading.bad = Some(reason);
                 return Ok(reading);
             }
-            Scan::Frame { payload, next } => {
+            NextFrame::Frame { payload, next } => {
                 replay
-                    .take_frame(payload)
-                    .map_err(|reason| damaged(path, reading.length as u64, reason))?;
+                    .take_frame(&payload)
+                    .map_err(|reason| damaged(path, reading.length, reason))?;
                 reading.last_index = reading.last_index.max(replay.last_index());
                 reading.length = next;
             }
@@ -140,14 +144,14 @@
     path: &Path,
     sequence: u64,
     bytes: &[u8],
-    bad_at: usize,
+    bad_at: u64,
     reason: &str,
 ) -> Result<(), StorageError> {
-    match frame::find_after(sequence, bad_at, bytes) {
+    match frame::find_after(sequence, bad_at as usize, bytes) {
         None => Ok(()),
         Some(next) => Err(damaged(
             path,
-            bad_at as u64,
+            bad_at,
             format!("{reason}, and a whole frame follows at byte {next}"),
         )),
     }
--- a/crates/wingshore-storage/src/snapshot.rs
+++ b/crates/wingshore-storage/src/snapshot.rs
@@ -1,14 +1,17 @@
 //! The snapshot file: one, replaced as a whole.
 
 use crate::error::{IoContext, StorageError, damaged};
-use crate::file_system::{File, FileSystem};
+use crate::file_system::{File, FileReader, FileSystem, ReadableFile};
 use crate::frame::{self, Scan};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::io::{self, BufWriter, Write};
+use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::path::Path;
+use std::sync::Arc;
+use wingshore_types::LogIndex;
 use wingshore_types::codec::encode_exactly;
 use wingshore_types::log::StoredSnapshot;
+use wingshore_types::snapshot_data::{FrozenState, SnapshotState};
 
 /// Name of the snapshot of a group.
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
@@ -16,6 +19,10 @@
 pub(crate) const TEMPORARY_SUFFIX: &str = ".new";
 /// Bytes of a file that are written as a whole which are collected for one write.
 const WRITE_BYTES: usize = 256 << 10;
+/// Bytes of a snapshot that are read at a time.
+const READ_BYTES: usize = 256 << 10;
+/// Most bytes of index, term and length before a snapshot's data.
+const MOST_HEAD_BYTES: u64 = 32;
 /// Salt of the frames of files that are written as a whole.
 const WHOLE_FILE_SALT: u64 = u64::MAX;
 
@@ -40,16 +47,103 @@
     directory: &Path,
     snapshot: &StoredSnapshot,
 ) -> Result<(), StorageError> {
+    let data = snapshot.data.for_own_disk();
     // The codec writes bytes as their length and themselves.
-    let head = encode_exactly(&(snapshot.index, snapshot.term, snapshot.data.length()))
+    let head = encode_exactly(&(snapshot.index, snapshot.term, data.length()))
         .map_err(io::Error::other)
         .during("encode", &directory.join(SNAPSHOT_FILE))?;
-    let length = usize::try_from(snapshot.data.length()).unwrap_or(usize::MAX);
+    let length = usize::try_from(data.length()).unwrap_or(usize::MAX);
     let length = length.saturating_add(head.len());
     write_payload(fs, directory, SNAPSHOT_FILE, length, &|out| {
         out.write_all(&head)?;
-        snapshot.data.write_to(out)
-    })
+        data.write_to(out)
+    })?;
+    snapshot.data.written();
+    Ok(())
+}
+
+/// Opens the snapshot that [`write_snapshot`] wrote, and checks all of it; `None` when it never did.
+/// Its bytes stay on disk until they are needed.
+pub(crate) fn open_snapshot(
+    fs: &dyn FileSystem,
+    directory: &Path,
+) -> Result<Option<StoredSnapshot>, StorageError> {
+    let path = directory.join(SNAPSHOT_FILE);
+    let file = match fs.open_to_read(&path) {
+        Ok(file) => file,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(error).during("open", &path),
+    };
+    let length = check_frame(&path, &file)?;
+    let payload = frame::HEADER_BYTES as u64;
+    let mut head = Vec::new();
+    FileReader::new(Arc::clone(&file), payload)
+        .take(length.min(MOST_HEAD_BYTES))
+        .read_to_end(&mut head)
+        .during("read", &path)?;
+    let unreadable = |error| damaged(&path, 0, format!("unreadable content: {error}"));
+    let ((index, term, data_length), rest): ((LogIndex, u64, u64), &[u8]) =
+        postcard::take_from_bytes(&head).map_err(unreadable)?;
+    let skipped = (head.len() - rest.len()) as u64;
+    if skipped + data_length != length {
+        return Err(damaged(
+            &path,
+            0,
+            "the snapshot has another length than it says",
+        ));
+    }
+    let state = FileRange {
+        file,
+        offset: payload + skipped,
+        length: data_length,
+    };
+    let data = SnapshotState::Frozen(Arc::new(state)).into();
+    Ok(Some(StoredSnapshot { index, term, data }))
+}
+
+/// Checks the only frame of a file piece by piece; gives the length of its payload.
+fn check_frame(path: &Path, file: &Arc<dyn ReadableFile>) -> Result<u64, StorageError> {
+    let mut reader = FileReader::new(Arc::clone(file), 0);
+    let mut header = Vec::new();
+    reader
+        .by_ref()
+        .take(frame::HEADER_BYTES as u64)
+        .read_to_end(&mut header)
+        .during("read", path)?;
+    if header.is_empty() {
+        return Err(damaged(path, 0, "the file is empty"));
+    }
+    let (length, expected) =
+        frame::read_header(&header).map_err(|reason| damaged(path, 0, reason))?;
+    let mut checksum = frame::Checksum::new(WHOLE_FILE_SALT, 0, length);
+    let mut payload = BufReader::with_capacity(READ_BYTES, reader).take(length as u64);
+    let read = io::copy(&mut payload, &mut checksum).during("read", path)?;
+    if read < length as u64 {
+        return Err(damaged(path, 0, frame::CUT_PAYLOAD));
+    }
+    if checksum.finish() != expected {
+        return Err(damaged(path, 0, frame::WRONG_CHECKSUM));
+    }
+    Ok(read)
+}
+
+/// A part of a file, read when it is needed. The file stays readable also once it is replaced.
+struct FileRange {
+    file: Arc<dyn ReadableFile>,
+    offset: u64,
+    length: u64,
+}
+
+impl FrozenState for FileRange {
+    fn length(&self) -> u64 {
+        self.length
+    }
+
+    fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>> {
+        let reader = FileReader::new(Arc::clone(&self.file), self.offset);
+        let reader = BufReader::with_capacity(READ_BYTES, reader);
+        Ok(Box::new(reader.take(self.length)))
+    }
 }
 
 /// Writes a payload of `length` bytes as one frame. It is produced twice: its checksum stands before it.
@@ -107,7 +201,7 @@
         Err(error) => return Err(error).during("read", &path),
     };
     let payload = match frame::scan(WHOLE_FILE_SALT, 0, &bytes) {
-        Scan::Frame { payload, .. } => payload,
+        Scan::Frame { payload } => payload,
         Scan::End => return Err(damaged(&path, 0, "the file is empty")),
         Scan::Bad(reason) => return Err(damaged(&path, 0, reason)),
     };
--- a/crates/wingshore-storage/src/store.rs
+++ b/crates/wingshore-storage/src/store.rs
@@ -56,8 +56,7 @@
         segment_bytes: u64,
     ) -> Result<(Self, RecoveredLog), StorageError> {
         create_directory(fs.as_ref(), directory)?;
-        let snapshot: Option<StoredSnapshot> =
-            snapshot::read_whole(fs.as_ref(), directory, SNAPSHOT_FILE)?;
+        let snapshot = snapshot::open_snapshot(fs.as_ref(), directory)?;
         let mut replay = Replay::default();
         let (closed, active) = replay_segments(fs.as_ref(), directory, &mut replay)?;
         let (recovered, overridden) = replay
--- a/crates/wingshore-storage/tests/model.rs
+++ b/crates/wingshore-storage/tests/model.rs
@@ -153,8 +153,16 @@
 
 fn open(disk: &MemoryFileSystem) -> Result<(GroupStore, RecoveredLog), TestCaseError> {
     let fs: Arc<dyn FileSystem> = Arc::new(disk.clone());
-    GroupStore::open_with(fs, Path::new(DIRECTORY), SEGMENT_BYTES)
-        .map_err(|error| TestCaseError::fail(error.to_string()))
+    let opened = GroupStore::open_with(fs, Path::new(DIRECTORY), SEGMENT_BYTES);
+    let (store, mut recovered) = opened.map_err(|error| TestCaseError::fail(error.to_string()))?;
+    // A snapshot is read from disk when it is needed: here at once, since the disk is restarted.
+    if let Some(snapshot) = &mut recovered.snapshot {
+        let bytes = snapshot.data.to_bytes();
+        snapshot.data = bytes
+            .map_err(|error| TestCaseError::fail(error.to_string()))?
+            .into();
+    }
+    Ok((store, recovered))
 }
 
 /// Writes until the disk crashes; gives the states that may be found.
--- a/crates/wingshore-types/src/lib.rs
+++ b/crates/wingshore-types/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`platform`] and [`api`] as JSON over HTTP.
 
 pub mod api;
+pub mod blob;
 pub mod codec;
 pub mod configuration;
 pub mod generator;
@@ -16,6 +17,7 @@
 pub mod sample;
 pub mod snapshot;
 pub mod snapshot_data;
+pub mod snapshot_spool;
 pub mod time;
 pub mod verdict;
 
--- a/crates/wingshore-types/src/machine.rs
+++ b/crates/wingshore-types/src/machine.rs
@@ -8,6 +8,8 @@
 use crate::time::Instant;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::fmt::Display;
+use std::io::Read;
 
 /// A state machine that takes inputs and pushes outputs.
 pub trait Machine {
@@ -26,6 +28,14 @@
     pub message: String,
 }
 
+impl RestoreError {
+    /// What went wrong, as it describes itself.
+    pub fn from_display(error: impl Display) -> Self {
+        let message = error.to_string();
+        Self { message }
+    }
+}
+
 /// The replicated part: the same commands in the same order give the same state and replies on
 /// every member. Times come inside commands.
 pub trait ReplicatedState: Sized {
@@ -48,6 +58,20 @@
     /// # Errors
     /// When the bytes are not a snapshot of this format version.
     fn restore(bytes: &[u8]) -> Result<Self, RestoreError>;
+
+    /// Replaces this state by the one that [`ReplicatedState::snapshot`] or
+    /// [`ReplicatedState::freeze`] wrote. A large state is read piece by piece.
+    ///
+    /// # Errors
+    /// As [`ReplicatedState::restore`], or when the bytes cannot be read.
+    fn restore_from(&mut self, reader: &mut dyn Read) -> Result<(), RestoreError> {
+        let mut bytes = Vec::new();
+        reader
+            .read_to_end(&mut bytes)
+            .map_err(RestoreError::from_display)?;
+        *self = Self::restore(&bytes)?;
+        Ok(())
+    }
 }
 
 /// Names one client request within one leader's memory.
--- a/crates/wingshore-types/src/snapshot_data.rs
+++ b/crates/wingshore-types/src/snapshot_data.rs
@@ -1,21 +1,37 @@
-//! The bytes of a snapshot, encoded only as they are needed.
+//! The bytes of a snapshot, encoded or read from disk only as they are needed.
 //!
 //! A state of many megabytes must not stand in memory twice, once as itself and once encoded: it
-//! is frozen (a copy that shares its large parts) and encoded while it is written or sent.
+//! is frozen (a copy that shares its large parts) and encoded while it is written or sent, and it
+//! is read piece by piece where it is restored.
 
 use bytes::Bytes;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt::{self, Debug, Formatter};
-use std::io::{self, Write};
+use std::io::{self, Cursor, Read, Write};
 use std::sync::Arc;
 
-/// A value that is encoded when its bytes are needed, each time to the same bytes.
+/// Most bytes that are copied at a time.
+const COPY_BYTES: usize = 256 << 10;
+
+/// Bytes that are produced when they are read, each time the same ones.
 pub trait FrozenState: Send + Sync {
-    /// Writes all of it.
+    /// How many.
+    fn length(&self) -> u64;
+
+    /// All of them, from the first one on.
     ///
     /// # Errors
-    /// When `out` fails.
-    fn write_to(&self, out: &mut dyn Write) -> io::Result<()>;
+    /// When what they are made from cannot be read.
+    fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>>;
+
+    /// The form for this machine's own disk, where that is another one: it refers to what stands
+    /// there besides.
+    fn for_own_disk(self: Arc<Self>) -> Option<SnapshotState> {
+        None
+    }
+
+    /// It is durable on this machine's disk, in the place of the snapshot before.
+    fn written(&self) {}
 }
 
 /// An encoded state, or one that is encoded when it is read.
@@ -23,40 +39,41 @@
 pub enum SnapshotState {
     /// The bytes.
     Encoded(Bytes),
-    /// Encoded when it is read.
-    Frozen {
-        /// The state.
-        state: Arc<dyn FrozenState>,
-        /// Bytes that it encodes to.
-        length: u64,
-    },
+    /// Produced when they are read.
+    Frozen(Arc<dyn FrozenState>),
 }
 
 impl SnapshotState {
-    /// A state that is encoded when it is read.
-    ///
-    /// # Errors
-    /// When it does not encode.
-    pub fn frozen(state: Arc<dyn FrozenState>) -> io::Result<Self> {
-        let mut counter = Counter(0);
-        state.write_to(&mut counter)?;
-        let length = counter.0;
-        Ok(Self::Frozen { state, length })
-    }
-
     /// Bytes in all.
     pub fn length(&self) -> u64 {
         match self {
             Self::Encoded(bytes) => bytes.len() as u64,
-            Self::Frozen { length, .. } => *length,
+            Self::Frozen(state) => state.length(),
         }
     }
 
-    fn write_to(&self, out: &mut dyn Write) -> io::Result<()> {
+    /// All bytes, from the first one on.
+    ///
+    /// # Errors
+    /// When what they are made from cannot be read.
+    pub fn reader(&self) -> io::Result<Box<dyn Read + Send>> {
         match self {
-            Self::Encoded(bytes) => out.write_all(bytes),
-            Self::Frozen { state, .. } => state.write_to(out),
+            Self::Encoded(bytes) => Ok(Box::new(Cursor::new(bytes.clone()))),
+            Self::Frozen(state) => Arc::clone(state).reader(),
+        }
+    }
+
+    /// All bytes, in memory.
+    ///
+    /// # Errors
+    /// When what they are made from cannot be read.
+    pub fn to_bytes(&self) -> io::Result<Bytes> {
+        if let Self::Encoded(bytes) = self {
+            return Ok(bytes.clone());
         }
+        let mut bytes = Vec::new();
+        self.reader()?.read_to_end(&mut bytes)?;
+        Ok(bytes.into())
     }
 }
 
@@ -66,16 +83,33 @@
     }
 }
 
+impl Debug for SnapshotState {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "SnapshotState({} bytes)", self.length())
+    }
+}
+
+impl PartialEq for SnapshotState {
+    /// States that cannot be read are equal to none.
+    fn eq(&self, other: &Self) -> bool {
+        self.length() == other.length()
+            && matches!((self.to_bytes(), other.to_bytes()), (Ok(own), Ok(others)) if own == others)
+    }
+}
+
+impl Eq for SnapshotState {}
+
 /// A state behind a head: all bytes of a snapshot.
-#[derive(Clone)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SnapshotData {
-    head: Vec<u8>,
+    head: Bytes,
     state: SnapshotState,
 }
 
 impl SnapshotData {
     /// `state` behind `head`.
     pub fn new(head: Vec<u8>, state: SnapshotState) -> Self {
+        let head = head.into();
         Self { head, state }
     }
 
@@ -84,35 +118,84 @@
         self.head.len() as u64 + self.state.length()
     }
 
+    /// All bytes, from the first one on.
+    ///
+    /// # Errors
+    /// When what they are made from cannot be read.
+    pub fn reader(&self) -> io::Result<Box<dyn Read + Send>> {
+        let head = Cursor::new(self.head.clone());
+        Ok(Box::new(head.chain(self.state.reader()?)))
+    }
+
     /// Writes all of it.
     ///
     /// # Errors
-    /// When `out` fails.
+    /// When it cannot be read, or `out` fails.
     pub fn write_to(&self, out: &mut dyn Write) -> io::Result<()> {
-        out.write_all(&self.head)?;
-        self.state.write_to(out)
+        let mut reader = self.reader()?;
+        let mut buffer = vec![0; COPY_BYTES];
+        loop {
+            match reader.read(&mut buffer)? {
+                0 => return Ok(()),
+                count => out.write_all(&buffer[..count])?,
+            }
+        }
     }
 
-    /// At most `length` bytes from `offset` on; fewer at the end.
-    pub fn part(&self, offset: u64, length: usize) -> Vec<u8> {
-        let mut window = Window {
-            skip: offset,
-            length,
-            bytes: Vec::with_capacity(length),
+    /// All bytes, in memory.
+    ///
+    /// # Errors
+    /// When what they are made from cannot be read.
+    pub fn to_bytes(&self) -> io::Result<Bytes> {
+        if self.head.is_empty() {
+            return self.state.to_bytes();
+        }
+        let mut bytes = Vec::new();
+        self.reader()?.read_to_end(&mut bytes)?;
+        Ok(bytes.into())
+    }
+
+    /// The first `most` bytes, or all if there are fewer.
+    ///
+    /// # Errors
+    /// When what they are made from cannot be read.
+    pub fn beginning(&self, most: u64) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        self.reader()?.take(most).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    /// What stands behind the first `skipped` bytes.
+    pub fn behind(&self, skipped: u64) -> SnapshotState {
+        if skipped == self.head.len() as u64 {
+            return self.state.clone();
+        }
+        if let SnapshotState::Encoded(bytes) = &self.state
+            && self.head.is_empty()
+        {
+            let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+            return SnapshotState::Encoded(bytes.slice(skipped.min(bytes.len())..));
+        }
+        let data = self.clone();
+        SnapshotState::Frozen(Arc::new(Tail { data, skipped }))
+    }
+
+    /// The form for this machine's own disk.
+    pub fn for_own_disk(&self) -> Self {
+        let state = match &self.state {
+            SnapshotState::Frozen(state) => Arc::clone(state).for_own_disk(),
+            SnapshotState::Encoded(_) => None,
         };
-        // It fails only once the window is full.
-        let _ = self.write_to(&mut window);
-        window.bytes
-    }
-
-    /// All bytes.
-    pub fn to_bytes(&self) -> Bytes {
-        match &self.state {
-            SnapshotState::Encoded(bytes) if self.head.is_empty() => bytes.clone(),
-            _ => {
-                let length = usize::try_from(self.length()).unwrap_or(usize::MAX);
-                self.part(0, length).into()
-            }
+        Self {
+            head: self.head.clone(),
+            state: state.unwrap_or_else(|| self.state.clone()),
+        }
+    }
+
+    /// It is durable on this machine's disk, in the place of the snapshot before.
+    pub fn written(&self) {
+        if let SnapshotState::Frozen(state) = &self.state {
+            state.written();
         }
     }
 }
@@ -129,23 +212,16 @@
     }
 }
 
-impl Debug for SnapshotData {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        write!(formatter, "SnapshotData({} bytes)", self.length())
-    }
-}
-
-impl PartialEq for SnapshotData {
-    fn eq(&self, other: &Self) -> bool {
-        self.length() == other.length() && self.to_bytes() == other.to_bytes()
+impl From<SnapshotState> for SnapshotData {
+    fn from(state: SnapshotState) -> Self {
+        Self::new(Vec::new(), state)
     }
 }
 
-impl Eq for SnapshotData {}
-
 impl Serialize for SnapshotData {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_bytes(&self.to_bytes())
+        let bytes = self.to_bytes().map_err(serde::ser::Error::custom)?;
+        serializer.serialize_bytes(&bytes)
     }
 }
 
@@ -155,42 +231,63 @@
     }
 }
 
-/// Counts what is written.
-struct Counter(u64);
+/// What stands behind the first bytes of a snapshot.
+struct Tail {
+    data: SnapshotData,
+    skipped: u64,
+}
 
-impl Write for Counter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0 += bytes.len() as u64;
-        Ok(bytes.len())
+impl FrozenState for Tail {
+    fn length(&self) -> u64 {
+        self.data.length().saturating_sub(self.skipped)
     }
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
+    fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>> {
+        let mut reader = self.data.reader()?;
+        io::copy(&mut reader.by_ref().take(self.skipped), &mut io::sink())?;
+        Ok(reader)
     }
 }
 
-/// Takes a part of what is written, and refuses more behind it.
-struct Window {
-    skip: u64,
-    length: usize,
-    bytes: Vec<u8>,
+/// Reads a snapshot part by part, mostly one after the other: only a part before the last one read
+/// makes it begin anew.
+pub struct PartReader {
+    data: SnapshotData,
+    open: Option<(u64, Box<dyn Read + Send>)>,
 }
 
-impl Write for Window {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let skipped = self.skip.min(bytes.len() as u64);
-        self.skip -= skipped;
-        // Bounded by the length of a slice.
-        let rest = &bytes[skipped as usize..];
-        let space = self.length - self.bytes.len();
-        if space == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
-        self.bytes.extend_from_slice(&rest[..rest.len().min(space)]);
-        Ok(bytes.len())
+impl PartReader {
+    /// Of `data`.
+    pub fn new(data: SnapshotData) -> Self {
+        Self { data, open: None }
     }
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
+    /// At most `length` bytes from `offset` on; fewer at the end.
+    ///
+    /// # Errors
+    /// When what they are made from cannot be read.
+    pub fn part(&mut self, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        let (position, mut reader) = match self.open.take() {
+            Some((position, reader)) if position <= offset => (position, reader),
+            _ => (0, self.data.reader()?),
+        };
+        io::copy(
+            &mut reader.by_ref().take(offset - position),
+            &mut io::sink(),
+        )?;
+        let mut bytes = Vec::with_capacity(length);
+        reader
+            .by_ref()
+            .take(length as u64)
+            .read_to_end(&mut bytes)?;
+        self.open = Some((offset + bytes.len() as u64, reader));
+        Ok(bytes)
+    }
+}
+
+impl Debug for PartReader {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let position = self.open.as_ref().map(|(position, _)| *position);
+        write!(formatter, "PartReader({:?} at {position:?})", self.data)
     }
 }
