--- a/crates/wingshore-coordinator/src/budget.rs
+++ b/crates/wingshore-coordinator/src/budget.rs
@@ -5,7 +5,7 @@
 /// Part of the limit for texts of results: what is more moves to disk. With the log before the next
 /// snapshot and twice its reading at a start, half of the limit stays free for what follows from the
 /// number of servers, gateways and open jobs.
-const TEXTS_PART: u64 = 8;
+const TEXTS_PART: u64 = 12;
 /// Part of the limit for the log between two snapshots, which a start holds whole.
 const LOG_PART: u64 = 8;
 /// Part of the limit for applied entries that are kept for members that are behind.
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -34,3 +34,5 @@
     ControlAnswer, ControlCall, ControlProtocol, EngineCall, EngineProtocol, LocalQuestion,
 };
 pub use settings::CoordinatorSettings;
+pub use spool::FileSpool;
+pub use texts::TextArchive;
--- a/crates/wingshore-coordinator/src/spool.rs
+++ b/crates/wingshore-coordinator/src/spool.rs
@@ -17,7 +17,7 @@
 const READ_BYTES: usize = 256 << 10;
 
 /// Gathers snapshots in files of its folder. Nothing there outlasts the process.
-pub(crate) struct FileSpool {
+pub struct FileSpool {
     fs: Arc<dyn FileSystem>,
     folder: PathBuf,
     begun: AtomicU64,
@@ -29,7 +29,7 @@
     ///
     /// # Errors
     /// When the disk fails.
-    pub(crate) fn open(
+    pub fn open(
         fs: Arc<dyn FileSystem>,
         data: &Path,
         logger: Logger,
--- a/crates/wingshore-coordinator/src/texts.rs
+++ b/crates/wingshore-coordinator/src/texts.rs
@@ -57,10 +57,17 @@
 }
 
 /// The store of texts of one member. Its thread ends with it.
-pub(crate) struct TextArchive {
+pub struct TextArchive {
     shared: Arc<Shared>,
 }
 
+impl TextArchive {
+    /// Bytes of the texts in memory, with those of texts that were let go and not yet noticed.
+    pub fn bytes_in_memory(&self) -> usize {
+        self.shared.queue().bytes
+    }
+}
+
 impl Debug for TextArchive {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let queue = self.shared.queue();
@@ -88,7 +95,7 @@
     ///
     /// # Errors
     /// When the disk fails, or the thread does not start.
-    pub(crate) fn open(
+    pub fn open(
         fs: Arc<dyn FileSystem>,
         data: &Path,
         budget: usize,
@@ -118,7 +125,7 @@
     }
 
     /// Removes files that the snapshot on disk, which was just restored, does not refer to.
-    pub(crate) fn remove_unreferenced(&self) {
+    pub fn remove_unreferenced(&self) {
         let logger = &self.shared.logger;
         match self.shared.files.remove_unreferenced() {
             Ok(0) => {}
--- /dev/null
+++ b/crates/wingshore-coordinator/tests/texts.rs
@@ -0,0 +1,141 @@
+//! The store of texts keeps to its budget, whatever the disk does, and received states gather on disk.
+
+use googletest::prelude::*;
+use slog::{Discard, Logger, o};
+use std::io::Read;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wingshore_coordination::{ResultText, TextPlace, TextStore};
+use wingshore_coordinator::{FileSpool, TextArchive};
+use wingshore_storage::FileSystem;
+use wingshore_storage::memory::{Faults, MemoryFileSystem};
+use wingshore_types::snapshot_spool::SnapshotSpool;
+
+const DATA: &str = "/data";
+const BUDGET: usize = 100_000;
+/// Longest wait for the thread that moves texts.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+fn archive(disk: &MemoryFileSystem) -> TextArchive {
+    let fs: Arc<dyn FileSystem> = Arc::new(disk.clone());
+    TextArchive::open(fs, Path::new(DATA), BUDGET, logger()).expect("the archive opens")
+}
+
+/// A text that does not pack well.
+fn text(number: usize) -> String {
+    let numbers = (0..1000_usize).map(|place| (place * 7919 + number * 104_729) ^ (place * place));
+    numbers.map(|value| format!("{value:x}")).collect()
+}
+
+fn hold(archive: &TextArchive, number: usize) -> ResultText {
+    let packed = ResultText::pack(&text(number));
+    archive.hold(packed.packed());
+    packed
+}
+
+fn is_on_disk(text: &ResultText) -> bool {
+    matches!(text.packed().place(), TextPlace::Disk(_))
+}
+
+fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < deadline, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[gtest]
+fn the_oldest_texts_move_to_disk_and_read_the_same() {
+    let disk = MemoryFileSystem::new();
+    let archive = archive(&disk);
+    let texts: Vec<ResultText> = (0..300).map(|number| hold(&archive, number)).collect();
+    wait_until("the budget is kept", || archive.bytes_in_memory() <= BUDGET);
+    expect_that!(is_on_disk(&texts[0]), eq(true));
+    expect_that!(is_on_disk(&texts[299]), eq(false));
+    let in_memory: usize = texts.iter().map(ResultText::bytes_in_memory).sum();
+    expect_that!(in_memory, le(BUDGET));
+    for (number, packed) in texts.iter().enumerate() {
+        expect_that!(packed.unpack(), ok(eq(&text(number))));
+    }
+}
+
+#[gtest]
+fn texts_that_were_let_go_make_room_without_a_write() {
+    let disk = MemoryFileSystem::new();
+    let archive = archive(&disk);
+    let calls = disk.calls();
+    for number in 0..300 {
+        drop(hold(&archive, number));
+    }
+    wait_until("the budget is kept", || archive.bytes_in_memory() <= BUDGET);
+    let kept = hold(&archive, 1);
+    expect_that!(is_on_disk(&kept), eq(false));
+    // A text may be taken up to be moved in the moment before it is let go.
+    expect_that!(disk.calls() - calls, le(300));
+}
+
+#[gtest]
+fn a_full_disk_leaves_texts_in_memory_until_there_is_space() {
+    let disk = MemoryFileSystem::new();
+    let archive = archive(&disk);
+    let full = Faults {
+        full: true,
+        ..Faults::default()
+    };
+    disk.set_faults(full);
+    let texts: Vec<ResultText> = (0..100).map(|number| hold(&archive, number)).collect();
+    archive.wait_for_room();
+    expect_that!(texts.iter().any(is_on_disk), eq(false));
+    disk.set_faults(Faults::default());
+    wait_until("the budget is kept", || archive.bytes_in_memory() <= BUDGET);
+    for (number, packed) in texts.iter().enumerate() {
+        expect_that!(packed.unpack(), ok(eq(&text(number))));
+    }
+}
+
+fn incoming(disk: &MemoryFileSystem) -> usize {
+    let folder = Path::new(DATA).join("incoming");
+    disk.list(&folder).expect("a list").len()
+}
+
+fn spool(disk: &MemoryFileSystem) -> FileSpool {
+    let fs: Arc<dyn FileSystem> = Arc::new(disk.clone());
+    FileSpool::open(fs, Path::new(DATA), logger()).expect("the spool opens")
+}
+
+#[gtest]
+fn a_received_state_stands_on_disk_as_long_as_it_is_needed() {
+    let disk = MemoryFileSystem::new();
+    let spool = spool(&disk);
+    let mut gathered = spool.begin().expect("there is space");
+    gathered.append(b"first, ").expect("there is space");
+    gathered.append(b"second").expect("there is space");
+    let data = gathered.finish().expect("there is space");
+    for _ in 0..2 {
+        let mut read = String::new();
+        let mut reader = data.reader().expect("the file is there");
+        reader.read_to_string(&mut read).expect("the file is read");
+        expect_that!(read, eq("first, second"));
+    }
+    expect_that!(incoming(&disk), eq(1));
+    drop(data);
+    expect_that!(incoming(&disk), eq(0));
+}
+
+#[gtest]
+fn what_an_earlier_process_was_receiving_is_removed() {
+    let disk = MemoryFileSystem::new();
+    let first = spool(&disk);
+    let mut gathered = first.begin().expect("there is space");
+    gathered.append(b"half").expect("there is space");
+    // As a killed process would, without cleaning up.
+    std::mem::forget(gathered);
+    spool(&disk);
+    expect_that!(incoming(&disk), eq(0));
+}
--- a/crates/wingshore-storage/src/blobs.rs
+++ b/crates/wingshore-storage/src/blobs.rs
@@ -14,7 +14,7 @@
 
 /// Size from which on a file is closed and a new one begun, in bytes: a small part of what a disk
 /// has, since a file goes only as a whole.
-const FILE_BYTES: u64 = 8 << 20;
+const DEFAULT_FILE_BYTES: u64 = 8 << 20;
 /// Start of the names of files.
 const PREFIX: &str = "blobs-";
 
@@ -110,7 +110,11 @@
             reader,
             shared: Arc::clone(self),
         });
-        self.book().held.insert(number, Arc::downgrade(&file));
+        let mut book = self.book();
+        book.held.insert(number, Arc::downgrade(&file));
+        // A file that is in use again is not released any more.
+        book.released.retain(|(_, released)| *released != number);
+        drop(book);
         Ok(file)
     }
 }
@@ -123,6 +127,18 @@
     pub fn open(
         fs: Arc<dyn FileSystem>,
         directory: &Path,
+    ) -> Result<(Self, BlobWriter), StorageError> {
+        Self::open_with(fs, directory, DEFAULT_FILE_BYTES)
+    }
+
+    /// As [`BlobFiles::open`], with files of another size.
+    ///
+    /// # Errors
+    /// As [`BlobFiles::open`].
+    pub fn open_with(
+        fs: Arc<dyn FileSystem>,
+        directory: &Path,
+        file_bytes: u64,
     ) -> Result<(Self, BlobWriter), StorageError> {
         fs.create_directory(directory)
             .during("create directory", directory)?;
@@ -135,6 +151,7 @@
         let last = files.numbers()?.into_iter().max().unwrap_or(0);
         let writer = BlobWriter {
             shared: Arc::clone(&files.shared),
+            file_bytes,
             next_number: last + 1,
             active: None,
         };
@@ -220,6 +237,7 @@
 /// Writes blobs; one thread owns it.
 pub struct BlobWriter {
     shared: Arc<Shared>,
+    file_bytes: u64,
     next_number: u64,
     active: Option<ActiveFile>,
 }
@@ -246,7 +264,7 @@
         if stored.is_err() && active.length == 0 {
             // Its space may be what is wanted. Where it stays, it goes at the next start.
             let _ = self.shared.fs.remove(&path);
-        } else if stored.is_ok() && active.length < FILE_BYTES {
+        } else if stored.is_ok() && active.length < self.file_bytes {
             self.active = Some(active);
         }
         stored
