coordination: a job waits outside while the contents of open jobs fill their share of memory

Change: an eighth of the memory limit; beyond it a submission is refused at once (503, come back after 1 s, a warning in the log), jobs that were taken go on, and a job that is alone is taken whatever its size. The test failed without it by not compiling (a new reply). Sites' jobs are far from the bound: 192 items with their contents are some 100 kB, the share is 16 MB at the smallest limit seen.

--- a/crates/wingshore-coordination/src/jobs.rs
+++ b/crates/wingshore-coordination/src/jobs.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use wingshore_types::protocol::byte_vector;
 
+/// Bytes of an item besides its texts and its body, roughly.
+const ITEM_OVERHEAD: usize = 250;
 /// Bytes of a result besides its text, roughly.
 const RESULT_OVERHEAD: usize = 160;
 
@@ -32,6 +34,17 @@
 }
 
 impl JobSubmission {
+    /// Bytes of memory that its items take, roughly.
+    pub fn bytes(&self) -> usize {
+        let bytes_of = |item: &JobItem| {
+            let headers = item.headers.iter();
+            let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+            let scorer = item.scorer.as_ref().map_or(0, |scorer| scorer.body.len());
+            ITEM_OVERHEAD + headers + item.path.len() + item.body.len() + scorer
+        };
+        self.items.iter().map(bytes_of).sum()
+    }
+
     /// The same job with items that are only names.
     fn without_contents(&self) -> Self {
         let name_of = |item: &JobItem| JobItem {
--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -34,6 +34,17 @@
         /// The newest named version of the model.
         named_version: u64,
     },
+    /// A batch job was refused: memory has no room for it now.
+    JobRefused {
+        /// The job.
+        job: JobId,
+        /// Its bytes.
+        bytes: usize,
+        /// Bytes of the jobs that are open.
+        open_bytes: usize,
+        /// The most that open jobs may have together.
+        most_bytes: usize,
+    },
     /// The caller has ended a batch job.
     JobEnded {
         /// The job.
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -55,6 +55,9 @@
         if let Some(reason) = self.missing_scorer_route(&submission, state) {
             return reply(tag, Reply::Refused(reason), out);
         }
+        if self.refuse_for_want_of_room(tag, &submission, state, out) {
+            return;
+        }
         let id = submission.id.clone();
         self.job_clock.known_since.entry(id.clone()).or_insert(now);
         self.propose(Command::AcceptJob(submission), Waiter::Job(id, tag), out);
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! What only the group's leader does.
 
+mod admission;
 mod decision;
 mod engines;
 mod gateway_view;
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -40,6 +40,8 @@
     pub item_silence: Duration,
     /// Most bytes of results in one answer.
     pub page_bytes: usize,
+    /// Most bytes that the contents of open jobs may have together.
+    pub most_open_job_bytes: usize,
     /// Which mechanisms of choice are on.
     pub policy: LeaderPolicy,
 }
@@ -63,6 +65,7 @@
             gateway_return: Duration::from_millis(900),
             item_silence: Duration::from_secs(2),
             page_bytes: 900 * 1024,
+            most_open_job_bytes: 32 << 20,
             policy: LeaderPolicy::default(),
         }
     }
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -125,6 +125,8 @@
     Unknown,
     /// The request cannot be carried out by anybody; says why.
     Refused(String),
+    /// The request had no effect, for want of room; come back after this time.
+    ComeBack(Duration),
 }
 
 /// Results of a job from a position on.
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -24,7 +24,7 @@
     pub leader: CoordinationLeader,
     pub effects: Vec<Effect>,
     pub replies: Vec<(RequestTag, Reply)>,
-    settings: LeaderSettings,
+    pub settings: LeaderSettings,
     index: u64,
     epoch: u64,
     next_tag: u64,
--- a/crates/wingshore-coordinator/src/budget.rs
+++ b/crates/wingshore-coordinator/src/budget.rs
@@ -8,6 +8,8 @@
 const TEXTS_PART: u64 = 12;
 /// Part of the limit for the log between two snapshots, which a start holds whole.
 const LOG_PART: u64 = 8;
+/// Part of the limit for the contents of open jobs, which stand in the state and in snapshots.
+const OPEN_JOBS_PART: u64 = 8;
 /// Part of the limit for applied entries that are kept for members that are behind.
 const CACHED_LOG_PART: u64 = 32;
 /// Least share of any, in bytes: a job's largest texts.
@@ -34,6 +36,11 @@
         self.share(TEXTS_PART)
     }
 
+    /// Bytes of the contents of open jobs.
+    pub fn open_jobs(&self) -> usize {
+        self.share(OPEN_JOBS_PART)
+    }
+
     /// Bytes of applied entries of the log that may stand in memory.
     pub fn cached_log(&self) -> usize {
         self.share(CACHED_LOG_PART)
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -1,6 +1,6 @@
 //! Log lines of the leader's decisions.
 
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use wingshore_coordination::{Decision, ModelName, ScoringDecision};
 
 /// Writes one line for a decision.
@@ -18,6 +18,15 @@
                 "model" => model.as_ref().map(ModelName::as_str), "min_version" => min_version,
                 "named_version" => named_version);
         }
+        Decision::JobRefused {
+            job,
+            bytes,
+            open_bytes,
+            most_bytes,
+        } => {
+            warn!(logger, "job refused: no room in memory"; "job" => %job, "bytes" => bytes,
+                "open_bytes" => open_bytes, "most_bytes" => most_bytes);
+        }
         Decision::JobEnded {
             job,
             items,
--- a/crates/wingshore-coordinator/src/process/host.rs
+++ b/crates/wingshore-coordinator/src/process/host.rs
@@ -53,6 +53,7 @@
         concurrent_loads: settings.concurrent_loads,
         load_time: settings.load_time,
         job_retention: settings.job_retention,
+        most_open_job_bytes: settings.memory.open_jobs(),
         policy: settings.leader_policy,
         ..LeaderSettings::default()
     };
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -233,6 +233,7 @@
     match reply {
         HostReply::Reply(Reply::Unknown) => "nothing_there",
         HostReply::Reply(Reply::Refused(_)) => "refused",
+        HostReply::Reply(Reply::ComeBack(_)) => "no_room",
         HostReply::Reply(_) | HostReply::Membership(_) => "answered",
         HostReply::NotLeader { .. } => "not_leader",
         HostReply::Unknown => "uncertain",
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -264,6 +264,7 @@
             (_, Reply::Page(page)) => self.read_page(&page),
             (_, Reply::Item(body)) => BatchAnswer::Item(body),
             (_, Reply::Refused(reason)) => BatchAnswer::Refused(reason),
+            (_, Reply::ComeBack(after)) => BatchAnswer::Unavailable(after),
             (_, _) => BatchAnswer::Unknown,
         };
         let kind = call.request.kind();
