--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -153,23 +153,22 @@
     }
 
     /// For each version of `model` from `min_version` on, and each number of items that run on an
-    /// engine, the fastest engine of a service that takes such an item at `now`: the best one is
-    /// among them.
+    /// engine, the fastest engine of a service with a free slot that `accepts` takes: the best one
+    /// is among them. Engines whose pace is not known come first.
     pub(crate) fn best_of_each<'a>(
         &'a self,
-        now: Instant,
         service: &ServiceName,
         model: Option<&ModelName>,
         min_version: u64,
-        avoid: Option<&InstanceId>,
-    ) -> impl Iterator<Item = (&'a InstanceId, &'a Engine)> + use<'a> {
+        accepts: impl Fn(&InstanceId, &Engine) -> bool,
+    ) -> Vec<(&'a InstanceId, &'a Engine)> {
         let takes = |number| {
-            self.numbered(number).is_some_and(|(instance, engine)| {
-                avoid != Some(instance) && engine.takes(now, model, min_version)
-            })
+            let known = self.numbered(number);
+            known.is_some_and(|(instance, engine)| accepts(instance, engine))
         };
         let best = self.free.best_of_each(service, model, min_version, takes);
-        best.into_iter().filter_map(|number| self.numbered(number))
+        let known = best.into_iter().filter_map(|number| self.numbered(number));
+        known.collect()
     }
 
     fn numbered(&self, number: EngineNumber) -> Option<(&InstanceId, &Engine)> {
--- a/crates/wingshore-coordination/src/leader/moves.rs
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -150,11 +150,18 @@
             MUCH_FASTER
         };
         self.engines
-            .best_of_each(now, &engine.record.service, model, min_version, None)
-            .filter(|(instance, other)| {
-                let promised = promised.get(*instance).copied().unwrap_or(0);
-                other.running + promised + SPARE_SLOTS < other.slots
-            })
+            .best_of_each(
+                &engine.record.service,
+                model,
+                min_version,
+                |instance, other| {
+                    let promised = promised.get(instance).copied().unwrap_or(0);
+                    other.pace.is_some()
+                        && other.takes(now, model, min_version)
+                        && other.running + promised + SPARE_SLOTS < other.slots
+                },
+            )
+            .into_iter()
             .filter_map(|(instance, other)| Some((other.expected_pace()?, instance)))
             .filter(|(other, _)| pace > other * gain)
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -174,7 +174,13 @@
             .filter(|(_, engine)| engine.record.service == candidate.service)
             .filter(|(_, engine)| engine.takes(now, model, min_version));
         self.engines
-            .best_of_each(now, &candidate.service, model, min_version, avoid)
+            .best_of_each(
+                &candidate.service,
+                model,
+                min_version,
+                |instance, engine| avoid != Some(instance) && engine.takes(now, model, min_version),
+            )
+            .into_iter()
             .chain(at_home)
             .map(|(instance, engine)| {
                 let version = engine.version_of_any(model);
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -533,3 +533,43 @@
         some(eq(&Reply::Done))
     );
 }
+
+/// Tells that an item has brought one event more each `pace`, twice.
+fn get_on(group: &mut Group, item: &ItemAssignment, pace: std::time::Duration) {
+    for events in [4, 8, 12] {
+        group.event(Event::ItemsProgressed(vec![ItemProgress {
+            assignment: item.assignment,
+            events,
+        }]));
+        group.now = group.now + pace * 4;
+    }
+}
+
+/// Seen as a loss of worth in paired plays of days on which servers are replaced: engines that are
+/// new, and whose pace is not known yet, hid the faster ones from items on a slow engine.
+#[gtest]
+fn a_new_engine_does_not_hide_a_fast_one_from_an_item_on_a_slow_one() {
+    let mut group = Group::new();
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.heartbeat(engine("e2", 1));
+    group.ask(Request::SubmitJob(job("j", 1)));
+    group.ask(Request::SubmitJob(job("k", 1)));
+    let items = group.assignments();
+    expect_that!(items[0].instance, not(eq(&items[1].instance)));
+    get_on(&mut group, &items[1], std::time::Duration::from_millis(10));
+    end(
+        &mut group,
+        gateway,
+        &items[1],
+        ItemOutcome::Finished(text(12).into()),
+    );
+    group.heartbeat(engine("e3", 1));
+    group.effects.clear();
+    get_on(&mut group, &items[0], std::time::Duration::from_millis(100));
+    let interrupts = |effect: &Effect| {
+        matches!(effect, Effect::ToGateway(_, CoordinatorMessage::Interrupt { assignment })
+            if *assignment == items[0].assignment)
+    };
+    expect_that!(group.effects.iter().any(interrupts), eq(true));
+}
