--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/disk.rs
@@ -0,0 +1,70 @@
+//! What a coordinator has on its disk, opened at the start.
+
+use crate::error::{CoordinatorError, StorageSnafu};
+use crate::identity;
+use crate::settings::CoordinatorSettings;
+use crate::spool::FileSpool;
+use crate::texts::TextArchive;
+use crate::writer::wait_for_space;
+use slog::{Logger, info};
+use snafu::ResultExt;
+use std::sync::Arc;
+use wingshore_storage::{
+    DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
+};
+use wingshore_types::GroupId;
+use wingshore_types::log::RecoveredLog;
+
+/// The parts of an open data folder.
+pub(super) struct Opened {
+    pub(super) folder: DataFolder,
+    pub(super) store: PatientStore,
+    pub(super) recovered: RecoveredLog,
+    pub(super) texts: Arc<TextArchive>,
+    pub(super) spool: FileSpool,
+}
+
+/// Opens the data folder; waits while the disk is full.
+///
+/// # Errors
+/// When the disk fails, or something that was durable is damaged.
+pub(super) fn open(
+    settings: &CoordinatorSettings,
+    logger: &Logger,
+) -> Result<Opened, CoordinatorError> {
+    let fs: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
+    let mut wait = |error: &StorageError| wait_for_space(logger, error);
+    let folder = with_space(&mut wait, || identity::open(&fs, settings));
+    let folder = folder.context(StorageSnafu)?;
+    let texts = with_space(&mut wait, || {
+        let (data, budget) = (&settings.data, settings.memory.texts());
+        TextArchive::open(Arc::clone(&fs), data, budget, logger.clone())
+    });
+    let texts = Arc::new(texts.context(StorageSnafu)?);
+    let spool = with_space(&mut wait, || {
+        FileSpool::open(Arc::clone(&fs), &settings.data, logger.clone())
+    });
+    let spool = spool.context(StorageSnafu)?;
+    let directory = folder.group_directory(GroupId::Control);
+    let opened = PatientStore::open(fs, &directory, &mut wait);
+    let (store, recovered) = opened.context(StorageSnafu)?;
+    log_recovered(logger, &recovered);
+    Ok(Opened {
+        folder,
+        store,
+        recovered,
+        texts,
+        spool,
+    })
+}
+
+/// What a start has to hold at once: the state of the snapshot, and all of the log behind it.
+fn log_recovered(logger: &Logger, recovered: &RecoveredLog) {
+    let snapshot = recovered.snapshot.as_ref();
+    let records = recovered.records.iter();
+    let log_bytes: usize = records.map(|record| record.data.len()).sum();
+    info!(logger, "read from disk";
+        "snapshot_index" => snapshot.map_or(0, |snapshot| snapshot.index.0),
+        "snapshot_bytes" => snapshot.map_or(0, |snapshot| snapshot.data.length()),
+        "log_entries" => recovered.records.len(), "log_bytes" => log_bytes);
+}
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod copies;
+mod disk;
 mod heartbeats;
 mod host;
 mod links;
@@ -14,7 +15,6 @@
 use crate::engine_calls::EngineCalls;
 use crate::error::{CoordinatorError, NetSnafu, StorageSnafu, ThreadSnafu};
 use crate::heartbeats::HeartbeatRelay;
-use crate::identity;
 use crate::lost::LostMachines;
 use wingshore_net::Clock;
 
@@ -22,9 +22,7 @@
 use crate::metrics::CoordinatorMetrics;
 use crate::protocol::{ControlProtocol, EngineProtocol};
 use crate::settings::CoordinatorSettings;
-use crate::spool::FileSpool;
-use crate::texts::TextArchive;
-use crate::writer::{WriteEvent, Writer, wait_for_space};
+use crate::writer::{WriteEvent, Writer};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use std::collections::{BTreeMap, HashMap};
@@ -35,12 +33,9 @@
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_group::{Host, HostInput};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
-use wingshore_storage::{
-    DataFolder, FileSystem, PatientStore, RealFileSystem, StorageError, with_space,
-};
-use wingshore_types::log::RecoveredLog;
+use wingshore_storage::DataFolder;
 use wingshore_types::machine::RequestTag;
-use wingshore_types::{GroupId, Instant, ReplicaId};
+use wingshore_types::{Instant, ReplicaId};
 
 /// Sent bytes may stay unacknowledged this long on links of the site.
 const LINK_LIMIT: Duration = Duration::from_millis(1500);
@@ -168,23 +163,13 @@
         log_counts: LogCounts,
     ) -> Result<Self, CoordinatorError> {
         let clock = Clock::start();
-        let fs: Arc<dyn FileSystem> = Arc::new(RealFileSystem);
-        let mut wait = |error: &StorageError| wait_for_space(&logger, error);
-        let folder = with_space(&mut wait, || identity::open(&fs, &settings));
-        let folder = folder.context(StorageSnafu)?;
-        let directory = folder.group_directory(GroupId::Control);
-        let texts = with_space(&mut wait, || {
-            let (data, budget) = (&settings.data, settings.memory.texts());
-            TextArchive::open(Arc::clone(&fs), data, budget, logger.clone())
-        });
-        let texts = Arc::new(texts.context(StorageSnafu)?);
-        let spool = with_space(&mut wait, || {
-            FileSpool::open(Arc::clone(&fs), &settings.data, logger.clone())
-        });
-        let spool = spool.context(StorageSnafu)?;
-        let opened = PatientStore::open(fs, &directory, &mut wait);
-        let (store, recovered) = opened.context(StorageSnafu)?;
-        log_recovered(&logger, &recovered);
+        let disk::Opened {
+            folder,
+            store,
+            recovered,
+            texts,
+            spool,
+        } = disk::open(&settings, &logger)?;
         let mut reactor = Reactor::new().context(NetSnafu)?;
         let listen = |reactor: &mut Reactor, address, limit| {
             reactor
@@ -495,17 +480,3 @@
         }
     }
 }
-
-/// What a start has to hold at once: the state of the snapshot, and all of the log behind it.
-fn log_recovered(logger: &Logger, recovered: &RecoveredLog) {
-    let snapshot = recovered.snapshot.as_ref();
-    let log_bytes: usize = recovered
-        .records
-        .iter()
-        .map(|record| record.data.len())
-        .sum();
-    info!(logger, "read from disk";
-        "snapshot_index" => snapshot.map_or(0, |snapshot| snapshot.index.0),
-        "snapshot_bytes" => snapshot.map_or(0, |snapshot| snapshot.data.length()),
-        "log_entries" => recovered.records.len(), "log_bytes" => log_bytes);
-}
--- a/crates/wingshore-coordinator/src/spool.rs
+++ b/crates/wingshore-coordinator/src/spool.rs
@@ -3,18 +3,16 @@
 
 use slog::{Logger, warn};
 use std::fmt::{self, Debug, Formatter};
-use std::io::{self, BufReader, Read};
+use std::io::{self, Read};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use wingshore_storage::{File, FileReader, FileSystem, StorageError};
+use wingshore_storage::{File, FileRange, FileSystem, StorageError};
 use wingshore_types::snapshot_data::{FrozenState, SnapshotData, SnapshotState};
 use wingshore_types::snapshot_spool::{SnapshotSpool, SpooledSnapshot};
 
 /// Name of the folder in the data folder.
 const FOLDER: &str = "incoming";
-/// Bytes that are read at a time.
-const READ_BYTES: usize = 256 << 10;
 
 /// Gathers snapshots in files of its folder. Nothing there outlasts the process.
 pub struct FileSpool {
@@ -128,30 +126,28 @@
     }
 
     fn finish(self: Box<Self>) -> io::Result<SnapshotData> {
+        let opened = self.place.fs.open_to_read(&self.place.path);
+        let file = self.place.logged(opened)?;
         let received = Received {
-            place: self.place,
-            length: self.length,
+            range: Arc::new(FileRange::new(file, 0, self.length)),
+            _place: self.place,
         };
         Ok(SnapshotState::Frozen(Arc::new(received)).into())
     }
 }
 
-/// A snapshot that was received whole.
+/// A snapshot that was received whole; its file goes with it.
 struct Received {
-    place: SpoolFile,
-    length: u64,
+    range: Arc<FileRange>,
+    _place: SpoolFile,
 }
 
 impl FrozenState for Received {
     fn length(&self) -> u64 {
-        self.length
+        self.range.length()
     }
 
     fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>> {
-        let file = self
-            .place
-            .logged(self.place.fs.open_to_read(&self.place.path))?;
-        let reader = FileReader::new(file, 0);
-        Ok(Box::new(BufReader::with_capacity(READ_BYTES, reader)))
+        Arc::clone(&self.range).reader()
     }
 }
--- a/crates/wingshore-storage/src/file_system.rs
+++ b/crates/wingshore-storage/src/file_system.rs
@@ -1,9 +1,13 @@
 //! What storage asks of a file system. Only what is synced survives a crash: bytes by
 //! [`File::sync`], names in a directory by [`FileSystem::sync_directory`].
 
-use std::io::{self, Read};
+use std::io::{self, BufReader, Read};
 use std::path::Path;
 use std::sync::Arc;
+use wingshore_types::snapshot_data::FrozenState;
+
+/// Bytes of large files that are read at a time.
+pub(crate) const READ_BYTES: usize = 256 << 10;
 
 /// A file opened for appending.
 pub trait File: Send {
@@ -57,6 +61,36 @@
     }
 }
 
+/// A part of a file, read when it is needed. The file stays readable also once it is replaced.
+pub struct FileRange {
+    file: Arc<dyn ReadableFile>,
+    offset: u64,
+    length: u64,
+}
+
+impl FileRange {
+    /// `length` bytes of `file` from `offset` on.
+    pub fn new(file: Arc<dyn ReadableFile>, offset: u64, length: u64) -> Self {
+        Self {
+            file,
+            offset,
+            length,
+        }
+    }
+}
+
+impl FrozenState for FileRange {
+    fn length(&self) -> u64 {
+        self.length
+    }
+
+    fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>> {
+        let reader = FileReader::new(Arc::clone(&self.file), self.offset);
+        let reader = BufReader::with_capacity(READ_BYTES, reader);
+        Ok(Box::new(reader.take(self.length)))
+    }
+}
+
 /// Keeps other processes out of a folder until it is dropped.
 pub trait Lock: Send + Sync {}
 
--- a/crates/wingshore-storage/src/lib.rs
+++ b/crates/wingshore-storage/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use blobs::{BlobFiles, BlobWriter, StoredBlob};
 pub use error::StorageError;
-pub use file_system::{File, FileReader, FileSystem, Lock, ReadableFile};
+pub use file_system::{File, FileRange, FileReader, FileSystem, Lock, ReadableFile};
 pub use folder::{DataFolder, Identity};
 pub use patient::{PatientStore, with_space};
 pub use real::RealFileSystem;
--- a/crates/wingshore-storage/src/snapshot.rs
+++ b/crates/wingshore-storage/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! The snapshot file: one, replaced as a whole.
 
 use crate::error::{IoContext, StorageError, damaged};
-use crate::file_system::{File, FileReader, FileSystem, ReadableFile};
+use crate::file_system::{File, FileRange, FileReader, FileSystem, READ_BYTES, ReadableFile};
 use crate::frame::{self, Scan};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -11,7 +11,7 @@
 use wingshore_types::LogIndex;
 use wingshore_types::codec::encode_exactly;
 use wingshore_types::log::StoredSnapshot;
-use wingshore_types::snapshot_data::{FrozenState, SnapshotState};
+use wingshore_types::snapshot_data::SnapshotState;
 
 /// Name of the snapshot of a group.
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
@@ -19,8 +19,6 @@
 pub(crate) const TEMPORARY_SUFFIX: &str = ".new";
 /// Bytes of a file that are written as a whole which are collected for one write.
 const WRITE_BYTES: usize = 256 << 10;
-/// Bytes of a snapshot that are read at a time.
-const READ_BYTES: usize = 256 << 10;
 /// Most bytes of index, term and length before a snapshot's data.
 const MOST_HEAD_BYTES: u64 = 32;
 /// Salt of the frames of files that are written as a whole.
@@ -92,11 +90,7 @@
             "the snapshot has another length than it says",
         ));
     }
-    let state = FileRange {
-        file,
-        offset: payload + skipped,
-        length: data_length,
-    };
+    let state = FileRange::new(file, payload + skipped, data_length);
     let data = SnapshotState::Frozen(Arc::new(state)).into();
     Ok(Some(StoredSnapshot { index, term, data }))
 }
@@ -127,25 +121,6 @@
     Ok(read)
 }
 
-/// A part of a file, read when it is needed. The file stays readable also once it is replaced.
-struct FileRange {
-    file: Arc<dyn ReadableFile>,
-    offset: u64,
-    length: u64,
-}
-
-impl FrozenState for FileRange {
-    fn length(&self) -> u64 {
-        self.length
-    }
-
-    fn reader(self: Arc<Self>) -> io::Result<Box<dyn Read + Send>> {
-        let reader = FileReader::new(Arc::clone(&self.file), self.offset);
-        let reader = BufReader::with_capacity(READ_BYTES, reader);
-        Ok(Box::new(reader.take(self.length)))
-    }
-}
-
 /// Writes a payload of `length` bytes as one frame. It is produced twice: its checksum stands before it.
 fn write_payload(
     fs: &dyn FileSystem,
