coordinator: nobody waits for a disk that hangs to make room for texts

Cause, found by reading the new store: beyond its budget each text that was listed waited up to 20 ms for the thread that moves texts; on a hanging disk that is 20 ms for each result, and a leader would lose its lease while the others commit. Change: a batch that takes more than 100 ms is on a disk that hangs, and only a start waits for it.

--- a/crates/wingshore-coordinator/src/texts.rs
+++ b/crates/wingshore-coordinator/src/texts.rs
@@ -10,7 +10,7 @@
 use std::path::Path;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wingshore_coordination::{PackedText, TextPlace, TextStore};
 use wingshore_storage::{BlobFiles, BlobWriter, FileSystem, StorageError, StoredBlob};
 use wingshore_types::blob::{Blob, BlobPlace};
@@ -26,6 +26,9 @@
 const TOLERATED_PART: usize = 4;
 /// Longest wait of one who brings a single text: the loop that it runs in has others to answer.
 const WAIT_FOR_ONE: Duration = Duration::from_millis(20);
+/// A batch that takes longer than this to be moved is on a disk that hangs: a hundred times what a
+/// sync takes. Nobody waits for it then but a start.
+const HANGING_AFTER: Duration = Duration::from_millis(100);
 /// Between attempts to move texts after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -43,6 +46,8 @@
     bytes: usize,
     /// Whether the last attempt to move texts failed.
     is_stuck: bool,
+    /// Since when a batch is being moved.
+    moving_since: Option<Instant>,
     /// Whether a snapshot has become durable since files were last removed.
     may_remove: bool,
     is_closed: bool,
@@ -88,6 +93,12 @@
         let most = self.budget + self.budget / TOLERATED_PART;
         queue.bytes > most && !queue.is_stuck && !queue.is_closed
     }
+
+    /// Whether there is soon to be room.
+    fn makes_room(&self, queue: &Queue) -> bool {
+        let hangs = |since: Instant| since.elapsed() >= HANGING_AFTER;
+        self.is_crowded(queue) && !queue.moving_since.is_some_and(hangs)
+    }
 }
 
 impl TextArchive {
@@ -156,12 +167,12 @@
         if queue.bytes > self.shared.budget {
             self.shared.changed.notify_all();
         }
-        if self.shared.is_crowded(&queue) {
-            let is_crowded = |queue: &mut Queue| self.shared.is_crowded(queue);
+        if self.shared.makes_room(&queue) {
+            let makes_room = |queue: &mut Queue| self.shared.makes_room(queue);
             let waited = self
                 .shared
                 .changed
-                .wait_timeout_while(queue, WAIT_FOR_ONE, is_crowded);
+                .wait_timeout_while(queue, WAIT_FOR_ONE, makes_room);
             drop(waited);
         }
     }
@@ -221,6 +232,7 @@
             if queue.bytes > budget {
                 let texts = take_oldest(&mut queue, budget - budget / FREED_PART);
                 if !texts.is_empty() {
+                    queue.moving_since = Some(Instant::now());
                     return Some(texts);
                 }
                 self.shared.changed.notify_all();
@@ -246,6 +258,7 @@
         let mut queue = self.shared.queue();
         queue.bytes = queue.bytes.saturating_sub(moved);
         queue.is_stuck = false;
+        queue.moving_since = None;
         drop(queue);
         self.shared.changed.notify_all();
         Ok(())
@@ -255,6 +268,7 @@
         warn!(self.shared.logger, "texts stay in memory"; "error" => %error);
         let mut queue = self.shared.queue();
         queue.is_stuck = true;
+        queue.moving_since = None;
         for text in texts.iter().rev() {
             if let TextPlace::Memory(bytes) = text.place() {
                 queue.texts.push_front(HeldText {
--- a/crates/wingshore-coordinator/tests/texts.rs
+++ b/crates/wingshore-coordinator/tests/texts.rs
@@ -2,14 +2,15 @@
 
 use googletest::prelude::*;
 use slog::{Discard, Logger, o};
-use std::io::Read;
+use std::io::{self, Read};
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use wingshore_coordination::{ResultText, TextPlace, TextStore};
 use wingshore_coordinator::{FileSpool, TextArchive};
-use wingshore_storage::FileSystem;
 use wingshore_storage::memory::{Faults, MemoryFileSystem};
+use wingshore_storage::{File, FileSystem, Lock, ReadableFile};
 use wingshore_types::snapshot_spool::SnapshotSpool;
 
 const DATA: &str = "/data";
@@ -99,6 +100,102 @@
     }
 }
 
+/// A disk whose files take no bytes while it hangs.
+#[derive(Clone)]
+struct HangingDisk {
+    disk: MemoryFileSystem,
+    hangs: Arc<AtomicBool>,
+}
+
+struct HangingFile {
+    file: Box<dyn File>,
+    hangs: Arc<AtomicBool>,
+}
+
+impl File for HangingFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        while self.hangs.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        self.file.append(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.file.sync()
+    }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        self.file.truncate(length)
+    }
+}
+
+impl FileSystem for HangingDisk {
+    fn create(&self, path: &Path) -> io::Result<Box<dyn File>> {
+        let file = self.disk.create(path)?;
+        let hangs = Arc::clone(&self.hangs);
+        Ok(Box::new(HangingFile { file, hangs }))
+    }
+
+    fn open(&self, path: &Path) -> io::Result<Box<dyn File>> {
+        self.disk.open(path)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        self.disk.read(path)
+    }
+
+    fn open_to_read(&self, path: &Path) -> io::Result<Arc<dyn ReadableFile>> {
+        self.disk.open_to_read(path)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        self.disk.rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        self.disk.remove(path)
+    }
+
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        self.disk.list(directory)
+    }
+
+    fn create_directory(&self, path: &Path) -> io::Result<()> {
+        self.disk.create_directory(path)
+    }
+
+    fn sync_directory(&self, path: &Path) -> io::Result<()> {
+        self.disk.sync_directory(path)
+    }
+
+    fn lock(&self, path: &Path) -> io::Result<Box<dyn Lock>> {
+        self.disk.lock(path)
+    }
+}
+
+/// A leader whose disk hangs goes on with what the others make durable: it must not wait for its own
+/// disk with each result. Found by reading: each text beyond the budget waited 20 ms.
+#[gtest]
+fn a_disk_that_hangs_holds_nobody_up() {
+    let hanging = HangingDisk {
+        disk: MemoryFileSystem::new(),
+        hangs: Arc::new(AtomicBool::new(true)),
+    };
+    let fs: Arc<dyn FileSystem> = Arc::new(hanging.clone());
+    let archive = TextArchive::open(fs, Path::new(DATA), BUDGET, logger());
+    let archive = archive.expect("the archive opens");
+    let texts: Vec<ResultText> = (0..400)
+        .map(|number| ResultText::pack(&text(number)))
+        .collect();
+    let begun = Instant::now();
+    for text in &texts {
+        archive.hold(text.packed());
+    }
+    expect_that!(begun.elapsed(), le(Duration::from_secs(2)));
+    hanging.hangs.store(false, Ordering::SeqCst);
+    wait_until("the budget is kept", || archive.bytes_in_memory() <= BUDGET);
+}
+
 fn incoming(disk: &MemoryFileSystem) -> usize {
     let folder = Path::new(DATA).join("incoming");
     disk.list(&folder).expect("a list").len()
