--- /dev/null
+++ b/crates/wingshore-coordination/tests/moves.rs
@@ -0,0 +1,51 @@
+//! Items that move from slow engines to faster ones.
+
+mod support;
+
+use googletest::prelude::*;
+use std::time::Duration;
+use support::{Group, engine, job};
+use wingshore_coordination::{
+    CoordinatorMessage, Effect, Event, FinishedText, ItemAssignment, ItemOutcome, ItemProgress,
+    Request,
+};
+
+/// Tells that an item has brought one event more each `pace`, twice.
+fn get_on(group: &mut Group, item: &ItemAssignment, pace: Duration) {
+    for events in [4, 8, 12] {
+        group.event(Event::ItemsProgressed(vec![ItemProgress {
+            assignment: item.assignment,
+            events,
+        }]));
+        group.now = group.now + pace * 4;
+    }
+}
+
+/// Seen as a loss of worth in paired plays of days on which servers are replaced: engines that are
+/// new, and whose pace is not known yet, hid the faster ones from items on a slow engine.
+#[gtest]
+fn a_new_engine_does_not_hide_a_fast_one_from_an_item_on_a_slow_one() {
+    let mut group = Group::new();
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.heartbeat(engine("e2", 1));
+    group.ask(Request::SubmitJob(job("j", 1)));
+    group.ask(Request::SubmitJob(job("k", 1)));
+    let items = group.assignments();
+    expect_that!(items[0].instance, not(eq(&items[1].instance)));
+    get_on(&mut group, &items[1], Duration::from_millis(10));
+    group.event(Event::ItemEnded {
+        gateway,
+        assignment: items[1].assignment,
+        item: items[1].item.clone(),
+        outcome: ItemOutcome::Finished(FinishedText::default()),
+    });
+    group.heartbeat(engine("e3", 1));
+    group.effects.clear();
+    get_on(&mut group, &items[0], Duration::from_millis(100));
+    let interrupts = |effect: &Effect| {
+        matches!(effect, Effect::ToGateway(_, CoordinatorMessage::Interrupt { assignment })
+            if *assignment == items[0].assignment)
+    };
+    expect_that!(group.effects.iter().any(interrupts), eq(true));
+}
--- /dev/null
+++ b/crates/wingshore-coordinator/tests/simulation/mod.rs
@@ -0,0 +1,434 @@
+//! The simulation: time, messages, faults, engines, and what engines see.
+
+pub mod machine;
+
+use machine::{Fault, Input, LOAD, MACHINES, MODEL, Machine, configuration, engine_record};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use wingshore_coordination::{
+    CoordinationLeader, Effect, EngineReport, Event, Heartbeat, InstanceId, ModelName,
+    ModelVersion, OrderAnswer, Request, WeightOrder,
+};
+use wingshore_group::{HostInput, HostOutput};
+use wingshore_storage::memory::MemoryFileSystem;
+use wingshore_types::machine::RequestTag;
+use wingshore_types::{Instant, ReplicaId};
+
+const ENGINES: usize = 12;
+/// Time between looks of the simulation.
+const STEP: Duration = Duration::from_millis(5);
+/// Simulated time of a run.
+const RUN: Duration = Duration::from_secs(90);
+/// The users' bound: two machines do not give orders to one engine within this time.
+const LEASE: Duration = Duration::from_secs(3);
+/// Orders that arrive this soon after their sender was thawed, or its link healed, do not count.
+const THAW: Duration = Duration::from_millis(300);
+/// Time between new versions, heartbeats and faults.
+const VERSION_INTERVAL: Duration = Duration::from_millis(2500);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const FAULT_INTERVAL: Duration = Duration::from_millis(4000);
+
+/// An order on its way; by whom.
+struct Travelling {
+    arrives: Instant,
+    order: WeightOrder,
+    machine: usize,
+}
+
+/// An engine: carries out what fits its count of orders, whoever it comes from.
+struct Engine {
+    version: u64,
+    loading: Option<(Instant, u64)>,
+    orders: u64,
+    /// The last order that counts: when, of which machine, with which fence.
+    last: Option<(Instant, usize, u64)>,
+}
+
+/// A site of machines and engines.
+pub struct Simulation {
+    now: Instant,
+    random: StdRng,
+    fault: Fault,
+    machines: Vec<Machine>,
+    engines: BTreeMap<InstanceId, Engine>,
+    travelling: Vec<Travelling>,
+    next_tag: u64,
+    version: u64,
+    sequence: u64,
+    /// Orders that were checked.
+    pub counted: usize,
+    /// Machines whose orders were checked.
+    pub holders: BTreeSet<usize>,
+}
+
+impl Simulation {
+    pub fn new(seed: u64, fault: Fault) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let machines = (0..MACHINES).map(|_| Machine {
+            disk: MemoryFileSystem::new(),
+            running: None,
+            drift: random.random_range(-10..=10),
+            starts_at: Instant::ZERO,
+            frozen_until: Instant::ZERO,
+            cut_until: Instant::ZERO,
+            cut_from_engines_until: Instant::ZERO,
+            inbox: Vec::new(),
+            held_orders: Vec::new(),
+        });
+        let machines = machines.collect();
+        let engines = (0..ENGINES).map(|number| {
+            let engine = Engine {
+                version: 1,
+                loading: None,
+                orders: 0,
+                last: None,
+            };
+            (InstanceId::from(format!("e{number}")), engine)
+        });
+        Self {
+            now: Instant::ZERO,
+            engines: engines.collect(),
+            machines,
+            random,
+            fault,
+            travelling: Vec::new(),
+            next_tag: 0,
+            version: 1,
+            sequence: 0,
+            counted: 0,
+            holders: BTreeSet::new(),
+        }
+    }
+
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.random.random_range(range))
+    }
+
+    /// Runs; gives what broke first.
+    pub fn run(&mut self) -> Result<(), String> {
+        let end = Instant::ZERO + RUN;
+        let (mut versions, mut heartbeats) = (Instant::ZERO, Instant::ZERO);
+        let mut faults = Instant::ZERO + Duration::from_secs(6);
+        while self.now < end {
+            self.now = self.now + STEP;
+            if self.now >= heartbeats {
+                heartbeats = self.now + HEARTBEAT_INTERVAL;
+                self.tell_leaders_of_engines();
+            }
+            if self.now >= versions {
+                versions = self.now + VERSION_INTERVAL;
+                self.name_version();
+            }
+            if self.now >= faults {
+                faults = self.now + FAULT_INTERVAL;
+                self.strike();
+            }
+            self.deliver_orders()?;
+            for machine in 0..MACHINES {
+                self.run_machine(machine);
+            }
+        }
+        Ok(())
+    }
+
+    fn strike(&mut self) {
+        let machine = self.random.random_range(0..MACHINES);
+        // Rather the one that leads: it has something to get wrong.
+        let leader = (0..MACHINES).find(|index| {
+            let running = self.machines[*index].running.as_ref();
+            running.is_some_and(|(host, _)| host.is_leader())
+        });
+        let machine = if self.random.random_bool(0.6) {
+            leader.unwrap_or(machine)
+        } else {
+            machine
+        };
+        let until = self.now + self.millis(200..8000);
+        let down = self.now + self.millis(100..1500);
+        let seed = self.random.random();
+        let struck = &mut self.machines[machine];
+        let kind = self.random.random_range(0..5);
+        match kind {
+            0 => {
+                struck.running = None;
+                struck.inbox.clear();
+                struck.held_orders.clear();
+                struck.disk.restart(seed);
+                struck.starts_at = down;
+            }
+            1 | 2 => struck.frozen_until = struck.frozen_until.max(until),
+            3 => struck.cut_until = struck.cut_until.max(until),
+            _ => struck.cut_from_engines_until = struck.cut_from_engines_until.max(until),
+        }
+        if kind < 4 {
+            self.tell_of_lost(machine);
+        }
+    }
+
+    /// The others notice that connections to a machine have ended.
+    fn tell_of_lost(&mut self, lost: usize) {
+        let at = self.now + self.millis(1..1500);
+        for (index, machine) in self.machines.iter_mut().enumerate() {
+            if index != lost {
+                let event = Event::CoordinatorsLost(vec![format!("machine-{lost}")]);
+                machine.inbox.push((at, Input::Event(event)));
+            }
+        }
+    }
+
+    fn ask_leaders(&mut self, request: &Request) {
+        for machine in &mut self.machines {
+            let is_leader = machine
+                .running
+                .as_ref()
+                .is_some_and(|(host, _)| host.is_leader());
+            if is_leader {
+                machine
+                    .inbox
+                    .push((self.now, Input::Request(request.clone())));
+            }
+        }
+    }
+
+    fn tell_leaders_of_engines(&mut self) {
+        self.ask_leaders(&Request::PutConfiguration(Arc::new(configuration())));
+        for number in 0..ENGINES {
+            self.sequence += 1;
+            let version = self.engines[&InstanceId::from(format!("e{number}"))].version;
+            let heartbeat = Heartbeat {
+                server: engine_record(number, version),
+                sequence: self.sequence,
+            };
+            self.ask_leaders(&Request::Heartbeat(heartbeat));
+        }
+    }
+
+    fn name_version(&mut self) {
+        self.version += 1;
+        self.ask_leaders(&Request::NameVersion {
+            model: ModelName::from(MODEL),
+            version: self.version,
+        });
+    }
+
+    fn run_machine(&mut self, index: usize) {
+        let now = self.now;
+        let seed = self.random.random();
+        let fault = self.fault;
+        let machine = &mut self.machines[index];
+        if machine.running.is_none() && now >= machine.starts_at {
+            machine.start(index, now, fault, seed);
+        }
+        if !machine.is_awake(now) {
+            return;
+        }
+        // What passed the look at the lease before the machine stood still leaves now.
+        for order in std::mem::take(&mut machine.held_orders) {
+            self.send_order(index, order);
+        }
+        let machine = &mut self.machines[index];
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut machine.inbox)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        machine.inbox = later;
+        let local = machine.local(now);
+        let Some((host, _)) = &mut machine.running else {
+            return;
+        };
+        let mut inputs: Vec<HostInput<CoordinationLeader>> = Vec::new();
+        for (_, input) in due {
+            inputs.push(match input {
+                Input::Consensus(from, message) => HostInput::Consensus { from, message },
+                Input::Persisted(token) => HostInput::Persisted { token },
+                Input::Event(event) => HostInput::Event(event),
+                Input::Request(request) => {
+                    self.next_tag += 1;
+                    let tag = RequestTag(self.next_tag);
+                    HostInput::Request { tag, request }
+                }
+            });
+        }
+        if local >= host.next_tick() {
+            inputs.push(HostInput::Tick);
+        }
+        let mut outputs = Vec::new();
+        host.step_all(local, inputs, &mut outputs);
+        for output in outputs {
+            self.carry_out(index, output);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, output: HostOutput<CoordinationLeader>) {
+        match output {
+            HostOutput::Send { to, message } => {
+                let target = to.0 as usize - 1;
+                let is_cut = self.machines[index].cut_until > self.now
+                    || self.machines[target].cut_until > self.now;
+                if !is_cut {
+                    let at = self.now + self.millis(1..15);
+                    let from = ReplicaId(index as u64 + 1);
+                    let input = Input::Consensus(from, message);
+                    self.machines[target].inbox.push((at, input));
+                }
+            }
+            HostOutput::Write { token, batch } => {
+                let at = self.now + self.millis(1..12);
+                let machine = &mut self.machines[index];
+                if let Some((_, store)) = &mut machine.running {
+                    store.write(&batch).expect("the disk works");
+                }
+                machine.inbox.push((at, Input::Persisted(token)));
+            }
+            HostOutput::Effect(Effect::Order(order)) => self.give_order(index, order),
+            HostOutput::Effect(Effect::AskReport { instance, .. }) => {
+                self.report(index, &instance);
+            }
+            HostOutput::Failed(error) => panic!("machine {index} cannot go on: {error}"),
+            _ => {}
+        }
+    }
+
+    /// As the coordinator's process does: a look at the lease right before the order leaves.
+    fn give_order(&mut self, index: usize, order: WeightOrder) {
+        let strikes_now = self.random.random_bool(0.05);
+        let until = self.now + self.millis(300..4500);
+        let machine = &mut self.machines[index];
+        let local = machine.local(self.now);
+        let holds_lease = machine
+            .running
+            .as_ref()
+            .is_some_and(|(host, _)| host.holds_lease(local));
+        if !holds_lease {
+            let event = Event::Ordered {
+                instance: order.instance,
+                answer: OrderAnswer::Refused,
+            };
+            machine.inbox.push((self.now, Input::Event(event)));
+        } else if strikes_now {
+            machine.frozen_until = until;
+            machine.held_orders.push(order);
+        } else {
+            self.send_order(index, order);
+        }
+    }
+
+    fn send_order(&mut self, index: usize, order: WeightOrder) {
+        let cut = self.machines[index].cut_from_engines_until;
+        let arrives = self.now.max(cut) + self.millis(1..20);
+        self.travelling.push(Travelling {
+            arrives,
+            order,
+            machine: index,
+        });
+    }
+
+    fn report(&mut self, index: usize, instance: &InstanceId) {
+        let at = self.now + self.millis(2..30);
+        let is_cut = self.machines[index].cut_from_engines_until > self.now;
+        let engine = &self.engines[instance];
+        let report = EngineReport {
+            models: vec![ModelVersion {
+                model: ModelName::from(MODEL),
+                version: engine.version,
+            }],
+            busy: engine.loading.is_some(),
+            sequence: engine.orders,
+        };
+        let event = Event::Reported {
+            instance: instance.clone(),
+            report: (!is_cut).then_some(report),
+        };
+        self.machines[index].inbox.push((at, Input::Event(event)));
+    }
+
+    fn deliver_orders(&mut self) -> Result<(), String> {
+        let now = self.now;
+        for engine in self.engines.values_mut() {
+            if let Some((_, version)) = engine.loading.take_if(|(at, _)| *at <= now) {
+                engine.version = engine.version.max(version);
+            }
+        }
+        let (mut due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.travelling)
+            .into_iter()
+            .partition(|order| order.arrives <= now);
+        self.travelling = later;
+        due.sort_by_key(|order| order.arrives);
+        for order in due {
+            self.check(&order)?;
+            self.take_order(&order);
+        }
+        Ok(())
+    }
+
+    /// What an engine sees: fences that never fall, and no two machines within the users' bound.
+    fn check(&mut self, travelling: &Travelling) -> Result<(), String> {
+        let Travelling {
+            arrives,
+            order,
+            machine,
+        } = travelling;
+        let sender = &self.machines[*machine];
+        let calm_from = sender.frozen_until.max(sender.cut_from_engines_until) + THAW;
+        let is_exempt = *arrives < calm_from && calm_from > Instant::ZERO + THAW;
+        if is_exempt {
+            return Ok(());
+        }
+        self.counted += 1;
+        self.holders.insert(*machine);
+        let Some(engine) = self.engines.get_mut(&order.instance) else {
+            return Ok(());
+        };
+        let fence = order.fence.0;
+        if let Some((last, holder, last_fence)) = engine.last {
+            let gap = arrives.since(last);
+            if fence < last_fence {
+                return Err(format!(
+                    "{}: fence {fence} after {last_fence}",
+                    order.instance
+                ));
+            }
+            if holder != *machine && (gap < LEASE || fence == last_fence) {
+                return Err(format!(
+                    "{}: machine {machine} {gap:?} after machine {holder}, fence {fence} after {last_fence}",
+                    order.instance
+                ));
+            }
+        }
+        engine.last = Some((*arrives, *machine, fence));
+        Ok(())
+    }
+
+    /// Carries an order out, now or seconds later; its count of orders is looked at then.
+    fn take_order(&mut self, travelling: &Travelling) {
+        let Travelling { order, machine, .. } = travelling;
+        let answer_at = self.now + self.millis(1..20);
+        let is_late = self.random.random_bool(0.1);
+        let late_at = self.now + self.millis(2000..12_000);
+        let load_until = self.now + LOAD;
+        let Some(engine) = self.engines.get_mut(&order.instance) else {
+            return;
+        };
+        let answer = if is_late {
+            // Left unanswered; carried out later, where nothing has changed since.
+            if engine.orders == order.expected_sequence {
+                engine.loading.get_or_insert((late_at, order.version));
+            }
+            OrderAnswer::Unknown
+        } else if engine.orders != order.expected_sequence {
+            OrderAnswer::Conflict
+        } else {
+            engine.orders += 1;
+            engine.loading = Some((load_until, order.version));
+            OrderAnswer::Accepted
+        };
+        let event = Event::Ordered {
+            instance: order.instance.clone(),
+            answer,
+        };
+        let machine = &mut self.machines[*machine];
+        machine.inbox.push((answer_at, Input::Event(event)));
+    }
+}
