--- a/crates/wingshore-coordinator/src/budget.rs
+++ b/crates/wingshore-coordinator/src/budget.rs
@@ -12,8 +12,8 @@
 const OPEN_JOBS_PART: u64 = 8;
 /// Part of the limit for applied entries that are kept for members that are behind.
 const CACHED_LOG_PART: u64 = 32;
-/// Least share of any, in bytes: a job's largest texts.
-const LEAST_SHARE: u64 = 4 << 20;
+/// Least share of any, in bytes: with less, each text would be a sync of its own.
+const LEAST_SHARE: u64 = 64 << 10;
 
 /// The memory that a coordinator may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
