--- /dev/null
+++ b/crates/wingshore-coordination/src/state/snapshot/read.rs
@@ -0,0 +1,139 @@
+//! Restoring a state, record by record.
+
+use super::{FORMAT, LAST_FIRST_BYTE_BEFORE, LENGTH_BYTES, Record, SavedResult, SavedText};
+use crate::jobs::{Job, ResultRecord};
+use crate::state::CoordinationState;
+use crate::text::{ResultText, TextPlace};
+use crate::text_store::TextStoreHandle;
+use std::io::Read;
+use std::sync::Arc;
+use wingshore_types::machine::RestoreError;
+
+/// Largest record, in bytes: a submission is at most as large as a caller's body.
+const MOST_RECORD_BYTES: usize = 256 << 20;
+
+/// Reads a state; texts go to its store as they come.
+pub(in crate::state) fn restore(
+    texts: &TextStoreHandle,
+    reader: &mut dyn Read,
+) -> Result<CoordinationState, RestoreError> {
+    let mut format = [0];
+    reader
+        .read_exact(&mut format)
+        .map_err(RestoreError::from_display)?;
+    match format[0] {
+        FORMAT => restore_records(texts, reader),
+        0..=LAST_FIRST_BYTE_BEFORE => restore_whole(texts, &format, reader),
+        unknown => Err(RestoreError::from_display(format!(
+            "the state has format {unknown}; this program knows formats up to {FORMAT}"
+        ))),
+    }
+}
+
+fn restore_records(
+    texts: &TextStoreHandle,
+    reader: &mut dyn Read,
+) -> Result<CoordinationState, RestoreError> {
+    let Record::Site(mut state) = read_record(reader)? else {
+        return Err(RestoreError::from_display(
+            "the first record is not the site's",
+        ));
+    };
+    state.texts = texts.clone();
+    let mut job: Option<Box<Job>> = None;
+    loop {
+        match read_record(reader)? {
+            Record::Job(next) => state.add_job(job.replace(next)),
+            Record::Result(saved) => {
+                let Some(job) = &mut job else {
+                    return Err(RestoreError::from_display("a result without a job"));
+                };
+                job.results
+                    .push(Arc::new(read_result(texts, saved, reader)?));
+            }
+            Record::End => {
+                state.add_job(job);
+                return Ok(*state);
+            }
+            Record::Site(_) => return Err(RestoreError::from_display("a second site")),
+        }
+    }
+}
+
+fn read_record(reader: &mut dyn Read) -> Result<Record, RestoreError> {
+    let mut length = [0; LENGTH_BYTES];
+    reader
+        .read_exact(&mut length)
+        .map_err(RestoreError::from_display)?;
+    let bytes = read_bytes(reader, u32::from_le_bytes(length))?;
+    postcard::from_bytes(&bytes).map_err(RestoreError::from_display)
+}
+
+fn read_bytes(reader: &mut dyn Read, length: u32) -> Result<Vec<u8>, RestoreError> {
+    let length = length as usize;
+    if length > MOST_RECORD_BYTES {
+        let message = format!("a record of {length} bytes; allowed are {MOST_RECORD_BYTES}");
+        return Err(RestoreError::from_display(message));
+    }
+    let mut bytes = Vec::new();
+    reader
+        .take(length as u64)
+        .read_to_end(&mut bytes)
+        .map_err(RestoreError::from_display)?;
+    if bytes.len() < length {
+        return Err(RestoreError::from_display("the state is cut short"));
+    }
+    Ok(bytes)
+}
+
+fn read_result(
+    texts: &TextStoreHandle,
+    saved: SavedResult,
+    reader: &mut dyn Read,
+) -> Result<ResultRecord, RestoreError> {
+    let place = match saved.text {
+        SavedText::Follows(length) => TextPlace::Memory(read_bytes(reader, length)?.into()),
+        SavedText::OnDisk(place) => {
+            let store = texts
+                .0
+                .as_ref()
+                .ok_or("a text on disk, and no store of texts");
+            let store = store.map_err(RestoreError::from_display)?;
+            TextPlace::Disk(store.find(place).map_err(RestoreError::from_display)?)
+        }
+    };
+    let is_in_memory = matches!(place, TextPlace::Memory(_));
+    let text = ResultText::at(saved.text_length, place);
+    if is_in_memory {
+        texts.hold(text.packed());
+        texts.wait_for_room();
+    }
+    Ok(ResultRecord {
+        id: saved.id,
+        state: saved.state,
+        text,
+        versions: saved.versions,
+        score: saved.score,
+    })
+}
+
+/// Reads a state of the format before, which stands in memory whole for that.
+fn restore_whole(
+    texts: &TextStoreHandle,
+    begin: &[u8],
+    reader: &mut dyn Read,
+) -> Result<CoordinationState, RestoreError> {
+    let mut bytes = begin.to_vec();
+    reader
+        .read_to_end(&mut bytes)
+        .map_err(RestoreError::from_display)?;
+    let mut state: CoordinationState =
+        postcard::from_bytes(&bytes).map_err(RestoreError::from_display)?;
+    drop(bytes);
+    state.texts = texts.clone();
+    for result in state.jobs.values().flat_map(|job| &job.results) {
+        texts.hold(result.text.packed());
+    }
+    texts.wait_for_room();
+    Ok(state)
+}
--- a/crates/wingshore-coordinator/src/budget.rs
+++ b/crates/wingshore-coordinator/src/budget.rs
@@ -2,9 +2,9 @@
 
 use std::fmt::{self, Display, Formatter};
 
-/// Part of the limit for texts of results: what is more moves to disk. With the log before the next
-/// snapshot and twice its reading at a start, half of the limit stays free for what follows from the
-/// number of servers, gateways and open jobs.
+/// Part of the limit for texts of results: what is more moves to disk. Together the shares leave half
+/// of the limit for what follows from the number of servers, gateways and remembered items: on days of
+/// 300 s members took 16 to 32 % of theirs.
 const TEXTS_PART: u64 = 12;
 /// Part of the limit for the log between two snapshots, which a start holds whole.
 const LOG_PART: u64 = 8;
