coordination: a move looks at a few engines of known pace

Since moves ask before they choose, an item that told how far it is went through all engines whose pace is not known, and all with one free slot. Change: a move looks at no more than eight engines of known pace for each version and load; placement looks on until one takes the item.

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -1,6 +1,6 @@
 //! What the leader knows of each engine besides its registration.
 
-use super::free_slots::{EngineNumber, FreeSlots, PaceStep};
+use super::free_slots::{EngineNumber, FreeSlots, Look, PaceStep};
 use crate::ids::{GatewayId, InstanceId, ModelName, ServiceName};
 use crate::registry::{ModelVersion, ServerRecord};
 use crate::state::CoordinationState;
@@ -160,13 +160,16 @@
         service: &ServiceName,
         model: Option<&ModelName>,
         min_version: u64,
+        look: Look,
         accepts: impl Fn(&InstanceId, &Engine) -> bool,
     ) -> Vec<(&'a InstanceId, &'a Engine)> {
         let takes = |number| {
             let known = self.numbered(number);
             known.is_some_and(|(instance, engine)| accepts(instance, engine))
         };
-        let best = self.free.best_of_each(service, model, min_version, takes);
+        let best = self
+            .free
+            .best_of_each(service, model, min_version, look, takes);
         let known = best.into_iter().filter_map(|number| self.numbered(number));
         known.collect()
     }
--- a/crates/wingshore-coordination/src/leader/free_slots.rs
+++ b/crates/wingshore-coordination/src/leader/free_slots.rs
@@ -116,6 +116,7 @@
         service: &ServiceName,
         model: Option<&ModelName>,
         min_version: u64,
+        look: Look,
         takes: impl Fn(EngineNumber) -> bool,
     ) -> Vec<EngineNumber> {
         let group = Group {
@@ -129,24 +130,56 @@
         for places in versions.range(min_version..).map(|(_, places)| places) {
             let mut next = places.first().copied();
             while let Some(first) = next {
-                let with_as_many = places.range(first..);
-                let mut with_as_many =
-                    with_as_many.take_while(|place| place.running == first.running);
+                let begin = look.begin_of(first.running);
+                let mut with_as_many = places
+                    .range(begin..)
+                    .take_while(|place| place.running == first.running)
+                    .take(look.most_looks());
                 let found = with_as_many.find(|place| takes(place.number));
                 best.extend(found.map(|place| place.number));
-                next = places.range(begin_of(first.running + 1)..).next().copied();
+                next = places
+                    .range(Look::Any.begin_of(first.running + 1)..)
+                    .next()
+                    .copied();
             }
         }
         best
     }
 }
 
-/// Before all engines that run `running` items.
-fn begin_of(running: usize) -> Place {
-    Place {
-        running,
-        pace: PaceStep(None),
-        number: EngineNumber(0),
+/// Which engines are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Look {
+    /// All, until one takes the item: none is to be left out.
+    Any,
+    /// Some of those whose pace is known, the fastest first: for what need not be done at all.
+    FastestKnown,
+}
+
+impl Look {
+    /// Before the engines that run `running` items.
+    fn begin_of(self, running: usize) -> Place {
+        let pace = match self {
+            Self::Any => PaceStep(None),
+            Self::FastestKnown => PaceStep(Some(0)),
+        };
+        let number = EngineNumber(0);
+        Place {
+            running,
+            pace,
+            number,
+        }
+    }
+
+    /// Engines with the same version and as many items that are looked at.
+    fn most_looks(self) -> usize {
+        /// With more, each item of a site of 3,000 servers that tells how far it is costs as much as
+        /// all engines without a free slot to spare.
+        const MOST_OF_FASTEST: usize = 8;
+        match self {
+            Self::Any => usize::MAX,
+            Self::FastestKnown => MOST_OF_FASTEST,
+        }
     }
 }
 
--- a/crates/wingshore-coordination/src/leader/moves.rs
+++ b/crates/wingshore-coordination/src/leader/moves.rs
@@ -1,5 +1,6 @@
 //! Moving items away from engines that are slower than others.
 
+use super::free_slots::Look;
 use super::items::Avoided;
 use super::{CoordinationLeader, Decision, Effect, Outputs, log};
 use crate::ids::{GatewayId, InstanceId};
@@ -168,6 +169,7 @@
                 &engine.record.service,
                 model,
                 min_version,
+                Look::FastestKnown,
                 |instance, other| {
                     let promised = promised.get(instance).copied().unwrap_or(0);
                     other.pace.is_some()
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -1,6 +1,7 @@
 //! Which engine runs an item, and through which gateway.
 
 use super::engines::{Engine, slow_down};
+use super::free_slots::Look;
 use super::gateways::Gateway;
 use super::items::{Progress, Running};
 use super::{CoordinationLeader, Decision, Effect, Outputs, log};
@@ -178,6 +179,7 @@
                 &candidate.service,
                 model,
                 min_version,
+                Look::Any,
                 |instance, engine| avoid != Some(instance) && engine.takes(now, model, min_version),
             )
             .into_iter()
