--- a/crates/wingshore-consensus/src/entry.rs
+++ b/crates/wingshore-consensus/src/entry.rs
@@ -141,6 +141,7 @@
 
     /// Bytes it counts for in limits.
     pub fn size(&self) -> usize {
+        /// Bytes of index and term, eight each.
         const HEADER: usize = 16;
         HEADER + self.data.len()
     }
--- a/crates/wingshore-control/src/state/apply.rs
+++ b/crates/wingshore-control/src/state/apply.rs
@@ -255,7 +255,9 @@
 
 /// Hash of a command without regard to anything but its content (FNV-1a over its encoding).
 fn fingerprint(command: &ControlCommand) -> u64 {
+    /// Offset basis of the 64-bit hash, as FNV-1a defines it.
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    /// Prime of the 64-bit hash, as FNV-1a defines it.
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     let encoded = postcard::to_stdvec(command).unwrap_or_default();
     encoded.iter().fold(OFFSET, |hash, byte| {
--- a/crates/wingshore-diagnostics/src/stop.rs
+++ b/crates/wingshore-diagnostics/src/stop.rs
@@ -48,6 +48,7 @@
 
     /// Waits until the signal is given.
     pub fn wait(&self) {
+        /// Any time will do: the wait goes on until the signal.
         const SLICE: Duration = Duration::from_secs(3600);
         while !self.wait_timeout(SLICE) {}
     }
