coordination, gateway, net: failed attempts name what was asked, and tell a server that has ended from a lost connection

Cause: lines of failed attempts named the id, the server and a reason; a repeat has another id, and 'no connection' was said of an ended process and of a cut alike, so that the hypotheses of the incident could not be told apart. The reactor's test asked for 'broken'; it now asks for 'refused', at once or later, which is stricter. No decision changes.

--- a/crates/wingshore-coordination/src/leader/gateway_view.rs
+++ b/crates/wingshore-coordination/src/leader/gateway_view.rs
@@ -2,6 +2,7 @@
 //! only the leader and operators use.
 
 use crate::configuration::SiteConfiguration;
+use crate::fingerprint::FingerprintKey;
 use crate::ids::InstanceId;
 use crate::messages::{SiteView, ViewChange};
 use crate::registry::ServerRecord;
@@ -16,6 +17,7 @@
 pub(crate) struct GatewayView {
     configuration: Option<Arc<SiteConfiguration>>,
     servers: BTreeMap<InstanceId, ServerRecord>,
+    fingerprint_key: Option<FingerprintKey>,
     /// The whole view, shared by all gateways that connect before the next change: a site's
     /// gateways come back together, and a copy for each would be held at once.
     whole: Option<SiteView>,
@@ -30,6 +32,7 @@
         self.servers = servers
             .map(|(instance, server)| (instance.clone(), server.without_models()))
             .collect();
+        self.fingerprint_key = state.evidence().key();
     }
 
     /// The registry may hold something else of a server; the change, if gateways need it.
@@ -69,12 +72,24 @@
         Some(ViewChange::Configuration(configuration))
     }
 
+    /// The key of fingerprints may have been drawn; the change, if it was.
+    pub(crate) fn key_drawn(&mut self, state: &CoordinationState) -> Option<ViewChange> {
+        let key = state.evidence().key()?;
+        if self.fingerprint_key.replace(key) == Some(key) {
+            return None;
+        }
+        self.whole = None;
+        Some(ViewChange::FingerprintKey(key))
+    }
+
     /// All of it.
     pub(crate) fn whole(&mut self) -> SiteView {
         let (configuration, servers) = (&self.configuration, &self.servers);
+        let fingerprint_key = self.fingerprint_key;
         let whole = self.whole.get_or_insert_with(|| SiteView {
             configuration: configuration.clone(),
             servers: Arc::new(servers.values().cloned().collect()),
+            fingerprint_key,
         });
         whole.clone()
     }
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -86,6 +86,8 @@
     Nobody,
     /// Orders may be given from here on.
     Orders,
+    /// The key of fingerprints was drawn: gateways get it.
+    FingerprintKey,
     /// A version was named.
     Version(RequestTag),
 }
@@ -248,6 +250,10 @@
         self.scorings.begin(now, state);
         self.job_clock.begin(now, state.jobs().keys());
         self.begin_rollout(now, state, out);
+        if state.evidence().key().is_none() {
+            let command = Command::SetFingerprintKey(self.settings.fingerprint_key);
+            self.propose(command, Waiter::FingerprintKey, out);
+        }
     }
 
     fn on_request(
@@ -339,6 +345,11 @@
                 self.rollout.may_order(now + self.settings.order_handover);
                 self.drive_rollout(now, state, out);
             }
+            Waiter::FingerprintKey => {
+                if let Some(change) = self.gateway_view.key_drawn(state) {
+                    self.tell_gateways(change, out);
+                }
+            }
             Waiter::Version(tag) => {
                 reply(tag, Reply::Done, out);
                 self.drive_rollout(now, state, out);
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the leader machine.
 
 use super::policy::LeaderPolicy;
+use crate::fingerprint::FingerprintKey;
 use std::time::Duration;
 
 /// Settings of the leader machine; the same on all members.
@@ -8,6 +9,8 @@
 pub struct LeaderSettings {
     /// Name of this machine, given to engines as the holder of orders.
     pub node: String,
+    /// Key of the site's fingerprints, if this leader is the first one; drawn at random.
+    pub fingerprint_key: FingerprintKey,
     /// A server that is not heard of for this long leaves the registry.
     pub server_expiry: Duration,
     /// A new leader gives orders only this long after another machine may have given its last.
@@ -50,6 +53,7 @@
     fn default() -> Self {
         Self {
             node: String::new(),
+            fingerprint_key: FingerprintKey::new([0; 16]),
             server_expiry: Duration::from_secs(6),
             order_handover: Duration::from_millis(3300),
             engines_check_fences: false,
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -7,6 +7,7 @@
 //! Neither reads a clock, opens a socket or a file, or draws randomness.
 
 mod configuration;
+mod fingerprint;
 mod ids;
 mod jobs;
 mod leader;
@@ -23,6 +24,7 @@
     ConfigurationError, EngineProfile, IngressLimits, Route, RouteKind, RouteTarget, Service,
     SiteConfiguration,
 };
+pub use fingerprint::{FingerprintKey, RequestContent, RequestFingerprint};
 pub use ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServiceName};
 pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
@@ -41,7 +43,7 @@
     NotScoredReason, RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome,
     UnscoredText,
 };
-pub use state::{Command, CoordinationState, OrderHolder};
+pub use state::{Command, CoordinationState, OrderHolder, RequestEvidence};
 pub use text::{
     DurablePrefix, FinishedText, HeldPrefix, ItemText, PackedText, ResultText, TextError, TextPlace,
 };
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -1,6 +1,7 @@
 //! What gateways and coordinators say to each other, and what callers ask of the group.
 
 use crate::configuration::SiteConfiguration;
+use crate::fingerprint::FingerprintKey;
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ResultRecord};
 use crate::registry::{Heartbeat, ServerRecord};
@@ -340,6 +341,8 @@
     pub configuration: Option<Arc<SiteConfiguration>>,
     /// All servers, without their models; shared by all that it is sent to.
     pub servers: Arc<Vec<ServerRecord>>,
+    /// Key of the site's fingerprints of requests.
+    pub fingerprint_key: Option<FingerprintKey>,
 }
 
 /// A change of the view.
@@ -351,6 +354,8 @@
     Server(ServerRecord),
     /// A server is gone.
     Gone(InstanceId),
+    /// The key of the site's fingerprints of requests was drawn.
+    FingerprintKey(FingerprintKey),
 }
 
 /// A try at an item: everything the gateway needs.
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -2,6 +2,7 @@
 
 use super::OrderHolder;
 use crate::configuration::SiteConfiguration;
+use crate::fingerprint::FingerprintKey;
 use crate::ids::{InstanceId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ListedResult};
 use crate::messages::AssignmentId;
@@ -96,4 +97,6 @@
     },
     /// The leadership that gives orders has held them for the time of a handover.
     SettleOrders(Epoch),
+    /// Sets the key of the site's fingerprints, unless there is one.
+    SetFingerprintKey(FingerprintKey),
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -1,9 +1,11 @@
 //! The replicated state.
 
 mod command;
+mod evidence;
 mod snapshot;
 
 pub use command::Command;
+pub use evidence::RequestEvidence;
 
 use crate::configuration::SiteConfiguration;
 use crate::ids::{InstanceId, JobId, ModelName};
@@ -51,6 +53,9 @@
     member_nodes: BTreeMap<ReplicaId, String>,
     /// Coordinators that are to leave, or have left, for good; the newest of each machine.
     retired_members: BTreeMap<String, ReplicaId>,
+    /// What failed attempts say of requests; a record of its own in snapshots.
+    #[serde(skip)]
+    evidence: RequestEvidence,
     /// Where texts of results go that memory has no room for.
     #[serde(skip)]
     texts: TextStoreHandle,
@@ -67,6 +72,11 @@
         self.configuration.as_ref()
     }
 
+    /// What failed attempts say of requests.
+    pub fn evidence(&self) -> &RequestEvidence {
+        &self.evidence
+    }
+
     /// All registered servers.
     pub fn servers(&self) -> &BTreeMap<InstanceId, ServerRecord> {
         &self.servers
@@ -185,6 +195,7 @@
             orders_settled: self.orders_settled,
             member_nodes: self.member_nodes.clone(),
             retired_members: self.retired_members.clone(),
+            evidence: RequestEvidence::default(),
             texts: TextStoreHandle::default(),
         }
     }
@@ -262,6 +273,7 @@
             }
             Command::HoldOrders(holder) => self.hold_orders(holder),
             Command::SettleOrders(epoch) => self.settle_orders(epoch),
+            Command::SetFingerprintKey(key) => self.evidence.set_key(key),
         }
     }
 
--- a/crates/wingshore-coordination/src/state/snapshot/mod.rs
+++ b/crates/wingshore-coordination/src/state/snapshot/mod.rs
@@ -10,16 +10,18 @@
 pub(super) use read::restore;
 pub(super) use write::FrozenCoordination;
 
-use super::CoordinationState;
+use super::{CoordinationState, RequestEvidence};
 use crate::ids::ItemId;
 use crate::jobs::{ItemState, Job};
 use serde::{Deserialize, Serialize};
 use wingshore_types::blob::BlobPlace;
 
-/// First byte of the stream. The format before was the state encoded as one value, whose first byte
-/// says whether there is a configuration: 0 or 1.
-const FORMAT: u8 = 2;
-/// Largest first byte of the format before.
+/// First byte of the stream.
+const FORMAT: u8 = 3;
+/// The format before: the same records, without the one of evidence.
+const FORMAT_WITHOUT_EVIDENCE: u8 = 2;
+/// Largest first byte of the oldest format: the state encoded as one value, whose first byte says
+/// whether there is a configuration: 0 or 1.
 const LAST_FIRST_BYTE_BEFORE: u8 = 1;
 /// Bytes of a record's length, an integer in little-endian order, before the record.
 const LENGTH_BYTES: usize = 4;
@@ -27,7 +29,7 @@
 /// One record of the stream.
 #[derive(Serialize, Deserialize)]
 enum Record {
-    /// All besides jobs; comes first.
+    /// All besides jobs and evidence; comes first.
     Site(Box<CoordinationState>),
     /// A job without its results, which follow.
     Job(Box<Job>),
@@ -35,6 +37,8 @@
     Result(SavedResult),
     /// Nothing follows.
     End,
+    /// What failed attempts say of requests; stands before the jobs.
+    Evidence(Box<RequestEvidence>),
 }
 
 /// A result without its text.
--- a/crates/wingshore-coordination/src/state/snapshot/read.rs
+++ b/crates/wingshore-coordination/src/state/snapshot/read.rs
@@ -1,6 +1,9 @@
 //! Restoring a state, record by record.
 
-use super::{FORMAT, LAST_FIRST_BYTE_BEFORE, LENGTH_BYTES, Record, SavedResult, SavedText};
+use super::{
+    FORMAT, FORMAT_WITHOUT_EVIDENCE, LAST_FIRST_BYTE_BEFORE, LENGTH_BYTES, Record, SavedResult,
+    SavedText,
+};
 use crate::jobs::{Job, ResultRecord};
 use crate::state::CoordinationState;
 use crate::text::{ResultText, TextPlace};
@@ -22,7 +25,7 @@
         .read_exact(&mut format)
         .map_err(RestoreError::from_display)?;
     match format[0] {
-        FORMAT => restore_records(texts, reader),
+        FORMAT_WITHOUT_EVIDENCE..=FORMAT => restore_records(texts, reader),
         0..=LAST_FIRST_BYTE_BEFORE => restore_whole(texts, &format, reader),
         unknown => Err(RestoreError::from_display(format!(
             "the state has format {unknown}; this program knows formats up to {FORMAT}"
@@ -55,6 +58,7 @@
                 state.add_job(job);
                 return Ok(*state);
             }
+            Record::Evidence(evidence) => state.evidence = *evidence,
             Record::Site(_) => return Err(RestoreError::from_display("a second site")),
         }
     }
--- a/crates/wingshore-coordination/src/state/snapshot/write.rs
+++ b/crates/wingshore-coordination/src/state/snapshot/write.rs
@@ -141,6 +141,7 @@
 #[derive(Clone, Copy)]
 enum Position {
     Site,
+    Evidence,
     Job(usize),
     Result(usize, usize),
     Done,
@@ -164,6 +165,11 @@
         Position::Site => Piece {
             record: encode(&Record::Site(Box::new(frozen.state.without_jobs())))?,
             text: None,
+            next: Position::Evidence,
+        },
+        Position::Evidence => Piece {
+            record: encode(&Record::Evidence(Box::new(frozen.state.evidence.clone())))?,
+            text: None,
             next: Position::Job(0),
         },
         Position::Job(job) => match frozen.job(job) {
--- a/crates/wingshore-coordinator/src/process/host.rs
+++ b/crates/wingshore-coordinator/src/process/host.rs
@@ -6,7 +6,9 @@
 use crate::texts::TextArchive;
 use snafu::ResultExt;
 use std::sync::Arc;
-use wingshore_coordination::{CoordinationLeader, CoordinationState, LeaderSettings, TextStore};
+use wingshore_coordination::{
+    CoordinationLeader, CoordinationState, FingerprintKey, LeaderSettings, TextStore,
+};
 use wingshore_group::{Host, HostConfig, Limits, MachineFactory, Timing};
 use wingshore_storage::DataFolder;
 use wingshore_types::Instant;
@@ -47,6 +49,7 @@
     };
     let leader_settings = LeaderSettings {
         node: settings.node.clone(),
+        fingerprint_key: FingerprintKey::new(rand::random()),
         server_expiry: settings.server_expiry,
         order_handover: settings.order_handover,
         engines_check_fences: settings.engines_check_fences,
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -331,7 +331,9 @@
                     control.close_after = true;
                 }
             }
-            NetEvent::Broken(connection) => self.on_ended(now, connection),
+            NetEvent::Broken(connection) | NetEvent::Refused(connection) => {
+                self.on_ended(now, connection);
+            }
         }
     }
 
--- a/crates/wingshore-coordinator/src/process/welcomes.rs
+++ b/crates/wingshore-coordinator/src/process/welcomes.rs
@@ -27,7 +27,10 @@
             (None, None) => true,
             _ => false,
         };
-        self.epoch == epoch && configuration && Arc::ptr_eq(&self.view.servers, &view.servers)
+        self.epoch == epoch
+            && configuration
+            && Arc::ptr_eq(&self.view.servers, &view.servers)
+            && self.view.fingerprint_key == view.fingerprint_key
     }
 }
 
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use crate::process::Gateway;
 use crate::protocol::OwnAnswer;
 use crate::timers::TimerKey;
-use crate::upstream::Task;
+use crate::upstream::{ConnectionEnd, Task};
 use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
@@ -294,14 +294,14 @@
         now: Instant,
         id: ExchangeId,
         instance: &InstanceId,
-        was_up: bool,
+        end: ConnectionEnd,
     ) {
         self.balancer.ended(instance);
-        let failure = if was_up {
-            Failure::new(Verdict::MayHaveRun, true, "connection ended")
-        } else {
-            Failure::new(Verdict::NotRun, true, "no connection")
+        let verdict = match end {
+            ConnectionEnd::BrokeOff => Verdict::MayHaveRun,
+            ConnectionEnd::NeverUp | ConnectionEnd::Refused => Verdict::NotRun,
         };
+        let failure = Failure::new(verdict, true, end.reason());
         self.attempt_failed(now, id, instance, failure);
     }
 
@@ -319,6 +319,7 @@
             return;
         };
         warn!(self.logger, "attempt failed"; "request" => exchange.id_text(),
+            "fingerprint" => self.fingerprint_of(&exchange.request).map(|known| known.to_string()),
             "server" => %instance, "reason" => failure.reason, "verdict" => ?failure.verdict,
             "after_ms" => now.since(exchange.begun).as_millis() as u64);
         self.metrics.attempt_ended(failure.reason);
@@ -383,6 +384,7 @@
         let known = self.view.servers_of(&exchange.service).count();
         warn!(self.logger, "given up"; "service" => %exchange.service, "servers" => known,
             "epoch" => self.view.epoch().0, "request" => exchange.id_text(),
+            "fingerprint" => self.fingerprint_of(&exchange.request).map(|known| known.to_string()),
             "route" => &exchange.route.name, "answer" => answer.name(),
             "attempts" => exchange.attempts, "refusals" => exchange.refusals,
             "after_ms" => now.since(exchange.begun).as_millis() as u64,
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -3,7 +3,7 @@
 use crate::event_stream::{EventReader, StreamEvent};
 use crate::process::Gateway;
 use crate::timers::TimerKey;
-use crate::upstream::Task;
+use crate::upstream::{ConnectionEnd, Task};
 use slog::info;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -238,15 +238,16 @@
     }
 
     /// The connection of a try ended without a whole answer.
-    pub(crate) fn item_connection_ended(&mut self, id: AssignmentId, was_up: bool) {
+    pub(crate) fn item_connection_ended(&mut self, id: AssignmentId, end: ConnectionEnd) {
         let Some(run) = self.items.runs.get_mut(&id) else {
             return;
         };
         run.upstream = None;
-        let outcome = if was_up {
-            run.interrupted(true)
-        } else {
-            ItemOutcome::NotRun(NotRunReason::Unreachable)
+        let outcome = match end {
+            ConnectionEnd::BrokeOff => run.interrupted(true),
+            ConnectionEnd::NeverUp | ConnectionEnd::Refused => {
+                ItemOutcome::NotRun(NotRunReason::Unreachable)
+            }
         };
         self.end_item(id, outcome);
     }
@@ -280,7 +281,12 @@
             return self.timers.arm(run.heard + limit, TimerKey::Item(id));
         }
         self.upstreams.close(&mut self.reactor, upstream);
-        self.item_connection_ended(id, up);
+        let end = if up {
+            ConnectionEnd::BrokeOff
+        } else {
+            ConnectionEnd::NeverUp
+        };
+        self.item_connection_ended(id, end);
     }
 
     /// A leader has no more use for a try.
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -12,17 +12,17 @@
 use crate::scoring::Scorings;
 use crate::settings::GatewaySettings;
 use crate::timers::{TimerKey, Timers};
-use crate::upstream::{Task, Upstreams};
+use crate::upstream::{ConnectionEnd, Task, Upstreams};
 use crate::view::View;
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_coordination::{GatewayId, GatewayStatus};
+use wingshore_coordination::{GatewayId, GatewayStatus, RequestContent, RequestFingerprint};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_net::Clock;
-use wingshore_net::http::{BodyStatus, HttpAnswer};
+use wingshore_net::http::{BodyStatus, HttpAnswer, WholeRequest};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
@@ -186,6 +186,21 @@
         }
     }
 
+    /// What a request asks, whatever its identity; `None` before the site's key is known.
+    pub(crate) fn fingerprint_of(&self, request: &WholeRequest) -> Option<RequestFingerprint> {
+        let key = self.view.fingerprint_key()?;
+        let head = &request.head;
+        let caller = head.headers.get(self.protocol.header_names().caller);
+        let content = RequestContent {
+            method: &head.method,
+            host: head.headers.text("host").unwrap_or_default(),
+            target: &head.target,
+            caller: caller.unwrap_or_default(),
+            body: &request.body,
+        };
+        Some(content.fingerprint(key))
+    }
+
     /// All metrics, for monitoring.
     pub(crate) fn metrics_answer(&self) -> HttpAnswer {
         let status = self.status();
@@ -229,6 +244,7 @@
             NetEvent::Received(connection) => self.on_received(now, connection),
             NetEvent::EndOfInput(connection) => self.on_end_of_input(now, connection),
             NetEvent::Broken(connection) => self.on_broken(now, connection),
+            NetEvent::Refused(connection) => self.on_refused(now, connection),
         }
     }
 
@@ -279,7 +295,7 @@
         match status {
             Ok(BodyStatus::Partial) => {}
             Ok(BodyStatus::Whole) => self.upstream_answered(now, connection, task, clean),
-            Err(_) => self.upstream_ended(now, connection),
+            Err(_) => self.upstream_ended(now, connection, ConnectionEnd::BrokeOff),
         }
     }
 
@@ -327,7 +343,7 @@
                 Some(task) if whole => {
                     self.upstream_answered(now, connection, task, false);
                 }
-                _ => self.upstream_ended(now, connection),
+                _ => self.upstream_ended(now, connection, ConnectionEnd::BrokeOff),
             }
             return;
         }
@@ -339,22 +355,35 @@
             let address = link.address;
             return self.on_link_ended(now, connection, address);
         }
-        if self.upstreams.owns(connection) {
-            return self.upstream_ended(now, connection);
+        if let Some(upstream) = self.upstreams.get(connection) {
+            let end = if upstream.up {
+                ConnectionEnd::BrokeOff
+            } else {
+                ConnectionEnd::NeverUp
+            };
+            return self.upstream_ended(now, connection, end);
         }
         self.close_client(connection);
     }
 
+    /// Nobody listens where a connection was to lead.
+    fn on_refused(&mut self, now: Instant, connection: ConnectionId) {
+        if self.upstreams.owns(connection) {
+            return self.upstream_ended(now, connection, ConnectionEnd::Refused);
+        }
+        self.on_broken(now, connection);
+    }
+
     /// A connection to a server ended without a whole answer.
-    fn upstream_ended(&mut self, now: Instant, connection: ConnectionId) {
+    fn upstream_ended(&mut self, now: Instant, connection: ConnectionId, end: ConnectionEnd) {
         let Some(closed) = self.upstreams.close(&mut self.reactor, connection) else {
             return;
         };
         match closed.task {
             Some(Task::Exchange(id)) => {
-                self.exchange_broken(now, id, &closed.instance, closed.up);
+                self.exchange_broken(now, id, &closed.instance, end);
             }
-            Some(Task::Item(id)) => self.item_connection_ended(id, closed.up),
+            Some(Task::Item(id)) => self.item_connection_ended(id, end),
             None => {}
         }
     }
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -9,6 +9,8 @@
 pub struct HeaderNames {
     /// Identity of a request; servers answer with the same.
     pub request_id: &'static str,
+    /// What a client names itself by, where a site has that.
+    pub caller: &'static str,
     /// Milliseconds that the sender will wait.
     pub deadline: &'static str,
     /// The run of a server that a request is meant for.
--- a/crates/wingshore-gateway/src/upstream.rs
+++ b/crates/wingshore-gateway/src/upstream.rs
@@ -26,6 +26,28 @@
     Item(AssignmentId),
 }
 
+/// How a connection to a server ended without a whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionEnd {
+    /// It was up: what was sent on it may have run.
+    BrokeOff,
+    /// It never came up.
+    NeverUp,
+    /// It never came up, since nobody listens at the address: the server's process has ended.
+    Refused,
+}
+
+impl ConnectionEnd {
+    /// In words, for logs and metrics.
+    pub(crate) fn reason(self) -> &'static str {
+        match self {
+            Self::BrokeOff => "connection ended",
+            Self::NeverUp => "no connection",
+            Self::Refused => "connection refused",
+        }
+    }
+}
+
 /// One connection to a server.
 pub(crate) struct Upstream {
     pub(crate) instance: InstanceId,
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingshore_coordination::{
-    IngressLimits, InstanceId, RouteTable, ServerRecord, ServiceName, SiteConfiguration, SiteView,
-    ViewChange,
+    FingerprintKey, IngressLimits, InstanceId, RouteTable, ServerRecord, ServiceName,
+    SiteConfiguration, SiteView, ViewChange,
 };
 use wingshore_types::Epoch;
 
@@ -18,6 +18,7 @@
     configuration: Option<Arc<SiteConfiguration>>,
     routes: RouteTable,
     servers: BTreeMap<InstanceId, ServerRecord>,
+    fingerprint_key: Option<FingerprintKey>,
 }
 
 impl View {
@@ -34,6 +35,7 @@
         self.servers = servers
             .map(|server| (server.instance.clone(), server.clone()))
             .collect();
+        self.fingerprint_key = view.fingerprint_key.or(self.fingerprint_key);
         true
     }
 
@@ -50,6 +52,7 @@
             ViewChange::Gone(instance) => {
                 self.servers.remove(&instance);
             }
+            ViewChange::FingerprintKey(key) => self.fingerprint_key = Some(key),
         }
         true
     }
@@ -77,6 +80,11 @@
         self.epoch
     }
 
+    /// Key of the site's fingerprints of requests; `None` before a leader has told it.
+    pub fn fingerprint_key(&self) -> Option<FingerprintKey> {
+        self.fingerprint_key
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &RouteTable {
         &self.routes
--- a/crates/wingshore-gateway/tests/view.rs
+++ b/crates/wingshore-gateway/tests/view.rs
@@ -34,6 +34,7 @@
     SiteView {
         configuration: Some(configuration(version)),
         servers: Arc::new(servers),
+        fingerprint_key: None,
     }
 }
 
--- a/crates/wingshore-net/src/reactor.rs
+++ b/crates/wingshore-net/src/reactor.rs
@@ -51,6 +51,8 @@
     EndOfInput(ConnectionId),
     /// The connection broke or never came up; its input buffer is gone.
     Broken(ConnectionId),
+    /// The connection never came up: nobody listens at the address.
+    Refused(ConnectionId),
 }
 
 /// Why a socket cannot be used.
@@ -102,7 +104,7 @@
 /// All sockets of a process, and the wait for any of them.
 ///
 /// Invariant: a [`ConnectionId`] refers to a live connection or to none; after
-/// [`NetEvent::Broken`] or [`Reactor::close`] nothing more is reported for it.
+/// [`NetEvent::Broken`], [`NetEvent::Refused`] or [`Reactor::close`] nothing more is reported for it.
 pub struct Reactor {
     poll: Poll,
     events: Events,
@@ -113,6 +115,8 @@
     generation: u64,
     dirty: Vec<ConnectionId>,
     unread: Vec<ConnectionId>,
+    /// Connections that were refused before they had a socket, and are not reported yet.
+    refused: Vec<ConnectionId>,
     scratch: Box<[u8]>,
     ready: Vec<Ready>,
 }
@@ -160,6 +164,7 @@
             generation: 0,
             dirty: Vec::new(),
             unread: Vec::new(),
+            refused: Vec::new(),
             scratch: vec![0; READ_CHUNK].into_boxed_slice(),
             ready: Vec::new(),
         })
@@ -202,15 +207,32 @@
         self.listeners.get(listener.0)?.socket.local_addr().ok()
     }
 
-    /// Begins to connect. [`NetEvent::Connected`] or [`NetEvent::Broken`] follows; `None` when
-    /// the system refuses at once.
+    /// Begins to connect. [`NetEvent::Connected`], [`NetEvent::Broken`] or [`NetEvent::Refused`]
+    /// follows; `None` when the system has no socket for it.
     pub fn connect(
         &mut self,
         address: SocketAddr,
         options: ConnectOptions,
     ) -> Option<ConnectionId> {
-        let stream = TcpStream::connect(address).ok()?;
-        self.add(stream, true, options.unacknowledged_limit)
+        match TcpStream::connect(address) {
+            Ok(stream) => self.add(stream, true, options.unacknowledged_limit),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                Some(self.refused_at_once())
+            }
+            // No descriptor or port is left: the caller does without a connection.
+            Err(_) => None,
+        }
+    }
+
+    /// A connection that the system has refused before it had a socket.
+    fn refused_at_once(&mut self) -> ConnectionId {
+        self.generation += 1;
+        let id = ConnectionId {
+            slot: usize::MAX,
+            generation: self.generation,
+        };
+        self.refused.push(id);
+        id
     }
 
     /// Waits until something happens, `timeout` at most, and pushes what did.
@@ -219,6 +241,7 @@
     /// When the readiness facility fails.
     pub fn poll(&mut self, timeout: Duration, out: &mut Vec<NetEvent>) -> Result<(), NetError> {
         self.flush(out);
+        out.extend(self.refused.drain(..).map(NetEvent::Refused));
         let timeout = if self.unread.is_empty() && out.is_empty() {
             timeout
         } else {
@@ -261,8 +284,14 @@
             generation: connection.generation,
         };
         if connection.connecting && (event.writable || event.failed) {
+            let error = connection.stream.take_error();
+            let refused = |error: &io::Error| error.kind() == ErrorKind::ConnectionRefused;
+            if matches!(&error, Ok(Some(error)) if refused(error)) {
+                self.close(id);
+                return out.push(NetEvent::Refused(id));
+            }
             let failed = event.failed
-                || !matches!(connection.stream.take_error(), Ok(None))
+                || !matches!(error, Ok(None))
                 || connection.stream.peer_addr().is_err();
             if failed {
                 return self.break_off(id, out);
--- a/crates/wingshore-net/tests/reactor.rs
+++ b/crates/wingshore-net/tests/reactor.rs
@@ -115,7 +115,7 @@
 }
 
 #[gtest]
-fn a_connection_that_was_asked_for_comes_up_or_breaks() {
+fn a_connection_that_was_asked_for_comes_up_or_is_refused() {
     let mut reactor = Reactor::new().expect("a reactor");
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let address = listener.local_addr().expect("an address");
@@ -125,13 +125,11 @@
         (event == NetEvent::Connected(connection)).then_some(())
     });
     drop(listener);
-    let refused = reactor.connect(address, OPTIONS);
-    if let Some(refused) = refused {
-        wait_for(&mut reactor, |event| {
-            (event == NetEvent::Broken(refused)).then_some(())
-        });
-        expect_that!(reactor.is_open(refused), eq(false));
-    }
+    let refused = reactor.connect(address, OPTIONS).expect("it begins");
+    wait_for(&mut reactor, |event| {
+        (event == NetEvent::Refused(refused)).then_some(())
+    });
+    expect_that!(reactor.is_open(refused), eq(false));
 }
 
 #[gtest]
