coordination, gateway: a request under which three servers have ended reaches no more of them, at any gateway

Cause: what a gateway learned of a failed attempt was forgotten with the request. A repeat has another identity and reaches another gateway, so each began from nothing, and servers ended as long as callers came. Change: evidence (request fingerprint, run of a server) counts once the server is seen to have ended: nobody listens at its address, it answers as another run, or another run registers there. A lost connection opens the next connection at once, which is kept; refused, it is the evidence.

--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -1,8 +1,10 @@
 //! What the leader decides, as it is logged: the inputs of each decision and its outcome.
 
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemId, JobId, ModelName};
 use crate::messages::AssignmentId;
 use crate::scoring::ScoringDecision;
+use crate::state::Suspect;
 
 impl Decision {
     /// The request that the decision is about, where it went well: lines about such ones may be
@@ -150,6 +152,26 @@
         /// The version.
         version: u64,
     },
+    /// A server has ended under a request.
+    RequestSuspected {
+        /// The request.
+        request: RequestFingerprint,
+        /// The run of the server.
+        instance: InstanceId,
+        /// The gateway that saw it.
+        gateway: GatewayId,
+        /// Servers that had ended under the request before.
+        ended_before: usize,
+    },
+    /// So many servers have ended under a request that it is rejected from now on.
+    RequestRejected(Suspect),
+    /// A request is let off.
+    RequestCleared {
+        /// The request.
+        request: RequestFingerprint,
+        /// Why.
+        reason: &'static str,
+    },
     /// A configuration came into force.
     Configured {
         /// Its version.
--- a/crates/wingshore-coordination/src/leader/gateway_view.rs
+++ b/crates/wingshore-coordination/src/leader/gateway_view.rs
@@ -1,12 +1,13 @@
 //! What gateways are told of the site: the configuration and the servers, without the parts that
 //! only the leader and operators use.
 
+use super::evidence::TOLD_FROM;
 use crate::configuration::SiteConfiguration;
-use crate::fingerprint::FingerprintKey;
+use crate::fingerprint::{FingerprintKey, RequestFingerprint};
 use crate::ids::InstanceId;
 use crate::messages::{SiteView, ViewChange};
 use crate::registry::ServerRecord;
-use crate::state::CoordinationState;
+use crate::state::{CoordinationState, Suspect};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -18,6 +19,7 @@
     configuration: Option<Arc<SiteConfiguration>>,
     servers: BTreeMap<InstanceId, ServerRecord>,
     fingerprint_key: Option<FingerprintKey>,
+    suspects: BTreeMap<RequestFingerprint, Suspect>,
     /// The whole view, shared by all gateways that connect before the next change: a site's
     /// gateways come back together, and a copy for each would be held at once.
     whole: Option<SiteView>,
@@ -33,6 +35,11 @@
             .map(|(instance, server)| (instance.clone(), server.without_models()))
             .collect();
         self.fingerprint_key = state.evidence().key();
+        let suspects = state.evidence().suspects();
+        self.suspects = suspects
+            .filter(|suspect| suspect.ended.len() >= TOLD_FROM)
+            .map(|suspect| (suspect.fingerprint, suspect))
+            .collect();
     }
 
     /// The registry may hold something else of a server; the change, if gateways need it.
@@ -82,14 +89,40 @@
         Some(ViewChange::FingerprintKey(key))
     }
 
+    /// Evidence against a request may have changed; the change, if gateways need it.
+    pub(crate) fn evidence_changed(
+        &mut self,
+        request: RequestFingerprint,
+        state: &CoordinationState,
+    ) -> Option<ViewChange> {
+        let ended = state.evidence().ended_under(request).to_vec();
+        let change = if ended.len() < TOLD_FROM {
+            self.suspects.remove(&request)?;
+            ViewChange::Cleared(request)
+        } else {
+            let suspect = Suspect {
+                fingerprint: request,
+                ended,
+            };
+            let known = self.suspects.insert(request, suspect.clone());
+            if known.as_ref() == Some(&suspect) {
+                return None;
+            }
+            ViewChange::Suspect(suspect)
+        };
+        self.whole = None;
+        Some(change)
+    }
+
     /// All of it.
     pub(crate) fn whole(&mut self) -> SiteView {
         let (configuration, servers) = (&self.configuration, &self.servers);
-        let fingerprint_key = self.fingerprint_key;
+        let (fingerprint_key, suspects) = (self.fingerprint_key, &self.suspects);
         let whole = self.whole.get_or_insert_with(|| SiteView {
             configuration: configuration.clone(),
             servers: Arc::new(servers.values().cloned().collect()),
             fingerprint_key,
+            suspects: Arc::new(suspects.values().cloned().collect()),
         });
         whole.clone()
     }
--- a/crates/wingshore-coordination/src/leader/interface.rs
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -1,6 +1,7 @@
 //! What the leader machine hears from outside the group, and what it wants done there.
 
 use super::{Decision, EngineReport, OrderAnswer, WeightOrder};
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemKey};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
@@ -8,6 +9,7 @@
 };
 use crate::registry::HeardServer;
 use crate::scoring::{RunningScoring, ScoringOutcome};
+use crate::state::CrashEvidence;
 use crate::text::ItemText;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -51,6 +53,15 @@
         /// What came of it.
         outcome: ScoringOutcome,
     },
+    /// A gateway has seen servers end under requests.
+    RequestsCrashed {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// What it has seen.
+        evidence: Vec<CrashEvidence>,
+    },
+    /// Runs of requests under which servers had ended went well at a gateway.
+    RequestsRan(Vec<RequestFingerprint>),
     /// The connection of a gateway has ended.
     GatewayGone {
         /// Which gateway.
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod decision;
 mod engines;
+mod evidence;
 mod free_slots;
 mod gateway_view;
 mod gateways;
@@ -21,16 +22,19 @@
 mod settings;
 
 pub use decision::Decision;
+pub use evidence::EVIDENCE_LIFETIME;
 pub use interface::{Effect, Event, LeaderFigures};
 pub use policy::LeaderPolicy;
 pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
 pub use settings::LeaderSettings;
 
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName};
 use crate::messages::{AssignmentId, Reply, Request};
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
 use engines::Engines;
+use evidence::EvidenceClock;
 use gateway_view::GatewayView;
 use gateways::{AwayGateway, Gateway};
 use items::Items;
@@ -88,6 +92,8 @@
     Orders,
     /// The key of fingerprints was drawn: gateways get it.
     FingerprintKey,
+    /// Evidence against requests has changed: gateways get it.
+    Evidence(Vec<RequestFingerprint>),
     /// A version was named.
     Version(RequestTag),
 }
@@ -113,6 +119,7 @@
     readers: jobs::Readers,
     rollout: Rollout,
     scorings: Scorings,
+    evidence_clock: EvidenceClock,
     /// The routes of the configuration in force.
     routes: RouteTable,
     /// What gateways are told.
@@ -144,6 +151,7 @@
             readers: jobs::Readers::default(),
             rollout: Rollout::default(),
             scorings: Scorings::default(),
+            evidence_clock: EvidenceClock::default(),
             routes: RouteTable::default(),
             gateway_view: GatewayView::default(),
         }
@@ -249,6 +257,7 @@
         self.items.begin(epoch, longest_first, state);
         self.scorings.begin(now, state);
         self.job_clock.begin(now, state.jobs().keys());
+        self.evidence_clock.begin(now, state);
         self.begin_rollout(now, state, out);
         if state.evidence().key().is_none() {
             let command = Command::SetFingerprintKey(self.settings.fingerprint_key);
@@ -345,6 +354,7 @@
                 self.rollout.may_order(now + self.settings.order_handover);
                 self.drive_rollout(now, state, out);
             }
+            Waiter::Evidence(requests) => self.evidence_changed(now, requests, state, out),
             Waiter::FingerprintKey => {
                 if let Some(change) = self.gateway_view.key_drawn(state) {
                     self.tell_gateways(change, out);
@@ -388,6 +398,10 @@
                 text,
             } => self.keep_text(assignment, after_events, text, out),
             Event::ItemsProgressed(progress) => self.on_progress(now, progress, state, out),
+            Event::RequestsCrashed { gateway, evidence } => {
+                self.on_requests_crashed(gateway, evidence, state, out);
+            }
+            Event::RequestsRan(requests) => self.on_requests_ran(requests, state, out),
             Event::GatewayGone { gateway, silence } => {
                 self.on_gateway_gone(now, (gateway, silence), state, out);
             }
@@ -420,6 +434,7 @@
             self.end_silent_items(now, out);
             self.end_silent_scorings(now);
             self.forget_jobs(now, state, out);
+            self.relieve_requests(now, state, out);
         }
         self.drive_rollout(now, state, out);
         self.place_items(now, state, out);
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -14,6 +14,9 @@
 
 /// An item that was not run is not placed again for this long.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(30);
+/// An item that is rejected since servers have ended under it is offered to a gateway again after
+/// this time, for the case that it was let off. It is given up when its route says so, not earlier.
+const REJECTED_PAUSE: Duration = Duration::from_secs(2);
 /// An engine that did not take an item gets none for this long.
 const REFUSED_PAUSE: Duration = Duration::from_millis(90);
 /// An item that failed is not placed again for this long.
@@ -246,10 +249,14 @@
                 let until = now + REFUSED_PAUSE;
                 self.engines.pause_until(&running.instance, until);
             }
-            NotRunReason::Stopping => {}
+            NotRunReason::Stopping | NotRunReason::Rejected => {}
         }
+        let pause = match reason {
+            NotRunReason::Rejected => REJECTED_PAUSE,
+            _ => NOT_RUN_PAUSE,
+        };
         if let Some(progress) = self.items.progress_mut(&running.item) {
-            progress.not_before = Some(now + NOT_RUN_PAUSE);
+            progress.not_before = Some(now + pause);
         }
         self.items.wait(running.item.clone());
     }
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -28,8 +28,8 @@
 pub use ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServiceName};
 pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
-    CoordinationLeader, Decision, Effect, EngineReport, Event, LeaderFigures, LeaderPolicy,
-    LeaderSettings, OrderAnswer, WeightOrder,
+    CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect, EngineReport, Event, LeaderFigures,
+    LeaderPolicy, LeaderSettings, OrderAnswer, WeightOrder,
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame, KnownLeader};
 pub use messages::{
@@ -43,7 +43,10 @@
     NotScoredReason, RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome,
     UnscoredText,
 };
-pub use state::{Command, CoordinationState, OrderHolder, RequestEvidence};
+pub use state::{
+    Command, CoordinationState, CrashEvidence, MOST_SUSPECTS, OrderHolder, REJECTED_FROM,
+    RequestEvidence, Suspect,
+};
 pub use text::{
     DurablePrefix, FinishedText, HeldPrefix, ItemText, PackedText, ResultText, TextError, TextPlace,
 };
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -1,11 +1,12 @@
 //! What gateways and coordinators say to each other, and what callers ask of the group.
 
 use crate::configuration::SiteConfiguration;
-use crate::fingerprint::FingerprintKey;
+use crate::fingerprint::{FingerprintKey, RequestFingerprint};
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ResultRecord};
 use crate::registry::{Heartbeat, ServerRecord};
 use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringOutcome};
+use crate::state::{CrashEvidence, Suspect};
 use crate::text::{DurablePrefix, FinishedText, HeldPrefix, ItemText};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -246,6 +247,10 @@
         /// What came of it.
         outcome: ScoringOutcome,
     },
+    /// Servers have ended while they ran requests.
+    RequestsCrashed(Vec<CrashEvidence>),
+    /// Runs of requests under which servers had ended went well.
+    RequestsRan(Vec<RequestFingerprint>),
     /// Reads results of a job from the receiver's own copy of the state.
     ReadCopy {
         /// Comes back with the reply.
@@ -343,6 +348,8 @@
     pub servers: Arc<Vec<ServerRecord>>,
     /// Key of the site's fingerprints of requests.
     pub fingerprint_key: Option<FingerprintKey>,
+    /// Requests under which servers have ended, more than one each.
+    pub suspects: Arc<Vec<Suspect>>,
 }
 
 /// A change of the view.
@@ -356,6 +363,10 @@
     Gone(InstanceId),
     /// The key of the site's fingerprints of requests was drawn.
     FingerprintKey(FingerprintKey),
+    /// More servers have ended under a request, or less evidence against it counts.
+    Suspect(Suspect),
+    /// A request is no suspect any more.
+    Cleared(RequestFingerprint),
 }
 
 /// A try at an item: everything the gateway needs.
@@ -426,6 +437,8 @@
     Unreachable,
     /// The gateway takes no items.
     Stopping,
+    /// Servers have ended under what the item asks.
+    Rejected,
 }
 
 impl ItemOutcome {
@@ -442,6 +455,7 @@
             Self::NotRun(NotRunReason::Mismatch) => "another server or version is there",
             Self::NotRun(NotRunReason::Unreachable) => "no connection to the engine",
             Self::NotRun(NotRunReason::Stopping) => "the gateway stops",
+            Self::NotRun(NotRunReason::Rejected) => "servers have ended under it",
             Self::Failed => "the engine failed",
             Self::Impossible => "the engine says that it can never be done",
         }
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -1,8 +1,8 @@
 //! Changes of the replicated state, as they stand in the log.
 
-use super::OrderHolder;
+use super::{CrashEvidence, OrderHolder};
 use crate::configuration::SiteConfiguration;
-use crate::fingerprint::FingerprintKey;
+use crate::fingerprint::{FingerprintKey, RequestFingerprint};
 use crate::ids::{InstanceId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ListedResult};
 use crate::messages::AssignmentId;
@@ -99,4 +99,10 @@
     SettleOrders(Epoch),
     /// Sets the key of the site's fingerprints, unless there is one.
     SetFingerprintKey(FingerprintKey),
+    /// Servers have ended under requests.
+    NoteCrashes(Vec<CrashEvidence>),
+    /// The oldest evidence against these requests counts no longer.
+    RelieveRequests(Vec<RequestFingerprint>),
+    /// No evidence against these requests counts any longer.
+    ClearRequests(Vec<RequestFingerprint>),
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -5,7 +5,7 @@
 mod snapshot;
 
 pub use command::Command;
-pub use evidence::RequestEvidence;
+pub use evidence::{CrashEvidence, MOST_SUSPECTS, REJECTED_FROM, RequestEvidence, Suspect};
 
 use crate::configuration::SiteConfiguration;
 use crate::ids::{InstanceId, JobId, ModelName};
@@ -274,6 +274,17 @@
             Command::HoldOrders(holder) => self.hold_orders(holder),
             Command::SettleOrders(epoch) => self.settle_orders(epoch),
             Command::SetFingerprintKey(key) => self.evidence.set_key(key),
+            Command::NoteCrashes(news) => {
+                news.into_iter().for_each(|news| self.evidence.note(news));
+            }
+            Command::RelieveRequests(requests) => {
+                let relieve = |request| self.evidence.relieve(request);
+                requests.into_iter().for_each(relieve);
+            }
+            Command::ClearRequests(requests) => {
+                let clear = |request| self.evidence.clear(request);
+                requests.into_iter().for_each(clear);
+            }
         }
     }
 
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Log lines of the leader's decisions.
 
 use slog::{Logger, info, warn};
-use wingshore_coordination::{Decision, ModelName, ScoringDecision};
+use wingshore_coordination::{Decision, InstanceId, ModelName, ScoringDecision};
 
 /// Writes one line for a decision.
 pub(crate) fn log(logger: &Logger, decision: &Decision) {
@@ -102,6 +102,23 @@
             info!(logger, "version reached"; "engine" => %instance, "model" => %model,
                 "version" => version);
         }
+        Decision::RequestSuspected {
+            request,
+            instance,
+            gateway,
+            ended_before,
+        } => {
+            warn!(logger, "server ended under request"; "fingerprint" => %request,
+                "server" => %instance, "gateway" => gateway.0, "ended_before" => ended_before);
+        }
+        Decision::RequestRejected(suspect) => {
+            let ended: Vec<&str> = suspect.ended.iter().map(InstanceId::as_str).collect();
+            warn!(logger, "request rejected from now on"; "fingerprint" => %suspect.fingerprint,
+                "ended" => ended.join(","));
+        }
+        Decision::RequestCleared { request, reason } => {
+            warn!(logger, "request let off"; "fingerprint" => %request, "reason" => reason);
+        }
         Decision::Configured { version } => {
             info!(logger, "configuration in force"; "version" => version);
         }
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -205,6 +205,10 @@
                 after_events,
                 text,
             },
+            GatewayMessage::RequestsCrashed(evidence) => {
+                Event::RequestsCrashed { gateway, evidence }
+            }
+            GatewayMessage::RequestsRan(requests) => Event::RequestsRan(requests),
             GatewayMessage::ReadCopy {
                 id,
                 job,
--- a/crates/wingshore-coordinator/src/process/welcomes.rs
+++ b/crates/wingshore-coordinator/src/process/welcomes.rs
@@ -31,6 +31,7 @@
             && configuration
             && Arc::ptr_eq(&self.view.servers, &view.servers)
             && self.view.fingerprint_key == view.fingerprint_key
+            && Arc::ptr_eq(&self.view.suspects, &view.suspects)
     }
 }
 
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -228,7 +228,9 @@
                     info!(self.logger, "leader"; "address" => %address, "epoch" => epoch.0,
                         "configuration" => self.view.version());
                     self.coordinators.leader = Some(address);
+                    self.servers_registered(now);
                     self.tell_running(connection);
+                    self.tell_untold_evidence();
                     self.resend_calls(now);
                     self.start_scorings(now);
                     self.view_changed(version);
@@ -236,7 +238,9 @@
             }
             CoordinatorMessage::Change { epoch, change } => {
                 let version = self.view.version();
+                let news = change.clone();
                 if self.view.change(epoch, change) {
+                    self.note_change(now, &news);
                     self.view_changed(version);
                 }
             }
--- /dev/null
+++ b/crates/wingshore-gateway/src/crashes.rs
@@ -0,0 +1,163 @@
+//! Under which requests servers have ended, as far as this gateway has seen it.
+//!
+//! A lost connection says little: it may have been reset, cut, or its answer lost. It counts
+//! against the requests on it only once the server itself is seen to have ended: nobody listens at
+//! its address any more, or another run of a server is there. Many requests may stand on a server
+//! that ends; which of them is the cause shows only when more servers end under it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordination::{CrashEvidence, EVIDENCE_LIFETIME, InstanceId, RequestFingerprint};
+use wingshore_types::Instant;
+
+/// A server that is not seen to have ended within this time after a connection was lost had not:
+/// a server that crashed is back, or missed by its heartbeats, within 6 s.
+const EXPLAINED_WITHIN: Duration = Duration::from_secs(8);
+/// Most pieces of evidence that are kept to be told again; a piece has 60 bytes.
+const MOST_FOUND: usize = 512;
+/// Most requests that are remembered for one server whose connections were lost: more than it runs
+/// at once.
+const MOST_BROKEN_OF_A_SERVER: usize = 64;
+
+/// Requests whose connections to one server were lost.
+#[derive(Debug)]
+struct BrokenRuns {
+    address: SocketAddr,
+    requests: Vec<RequestFingerprint>,
+    /// When the first one was lost.
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct Found {
+    evidence: CrashEvidence,
+    at: Instant,
+}
+
+/// What this gateway has seen.
+///
+/// Invariant: no piece of evidence is found twice, and none about a server that was not seen to
+/// have ended.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    /// Lost connections that are not explained yet, by the run of the server.
+    broken: BTreeMap<InstanceId, BrokenRuns>,
+    /// Runs of servers that were seen to have ended, and when.
+    ended: BTreeMap<InstanceId, Instant>,
+    /// Evidence that the leader has not told all gateways, the oldest first.
+    found: Vec<Found>,
+}
+
+impl CrashWatch {
+    /// A connection was lost while a server ran a request. Gives the evidence, if the server is
+    /// known to have ended.
+    pub fn broke_off(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        address: SocketAddr,
+        request: RequestFingerprint,
+    ) -> Option<CrashEvidence> {
+        if self.ended.contains_key(instance) {
+            return self.find(now, request, instance);
+        }
+        let broken = self.broken.entry(instance.clone());
+        let broken = broken.or_insert_with(|| BrokenRuns {
+            address,
+            requests: Vec::new(),
+            since: now,
+        });
+        let has_room = broken.requests.len() < MOST_BROKEN_OF_A_SERVER;
+        if has_room && !broken.requests.contains(&request) {
+            broken.requests.push(request);
+        }
+        None
+    }
+
+    /// Whether connections to a server were lost, and it is not known whether it has ended.
+    pub fn is_unexplained(&self, instance: &InstanceId) -> bool {
+        self.broken.contains_key(instance)
+    }
+
+    /// A run of a server is seen to have ended. Gives the evidence that follows.
+    pub fn server_ended(&mut self, now: Instant, instance: &InstanceId) -> Vec<CrashEvidence> {
+        self.ended.insert(instance.clone(), now);
+        let requests = self.broken.remove(instance).map(|broken| broken.requests);
+        let requests = requests.unwrap_or_default().into_iter();
+        requests
+            .filter_map(|request| self.find(now, request, instance))
+            .collect()
+    }
+
+    /// A run of a server is registered at an address: the one before it has ended.
+    pub fn registered(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        address: SocketAddr,
+    ) -> Vec<CrashEvidence> {
+        let is_before = |(other, broken): &(&InstanceId, &BrokenRuns)| {
+            broken.address == address && *other != instance
+        };
+        let before = self.broken.iter().filter(is_before);
+        let before: Vec<InstanceId> = before.map(|(other, _)| other.clone()).collect();
+        let ended = before.iter();
+        ended
+            .flat_map(|instance| self.server_ended(now, instance))
+            .collect()
+    }
+
+    /// The leader has told all gateways under which servers a request ended: what is among them
+    /// need not be told again.
+    pub fn told(&mut self, request: RequestFingerprint, ended: &[InstanceId]) {
+        self.found.retain(|found| {
+            let evidence = &found.evidence;
+            evidence.fingerprint != request || !ended.contains(&evidence.instance)
+        });
+    }
+
+    /// A request is no suspect any more.
+    pub fn cleared(&mut self, request: RequestFingerprint) {
+        self.found
+            .retain(|found| found.evidence.fingerprint != request);
+    }
+
+    /// Evidence that the leader may not know.
+    pub fn untold(&self) -> impl Iterator<Item = &CrashEvidence> {
+        self.found.iter().map(|found| &found.evidence)
+    }
+
+    /// Forgets what is too old to count.
+    pub fn expire(&mut self, now: Instant) {
+        self.broken
+            .retain(|_, broken| now.since(broken.since) < EXPLAINED_WITHIN);
+        self.ended.retain(|_, at| now.since(*at) < EXPLAINED_WITHIN);
+        self.found
+            .retain(|found| now.since(found.at) < EVIDENCE_LIFETIME);
+    }
+
+    fn find(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        instance: &InstanceId,
+    ) -> Option<CrashEvidence> {
+        let evidence = CrashEvidence {
+            fingerprint,
+            instance: instance.clone(),
+        };
+        if self.found.iter().any(|found| found.evidence == evidence) {
+            return None;
+        }
+        if self.found.len() >= MOST_FOUND {
+            self.found.remove(0);
+        }
+        let found = Found {
+            evidence: evidence.clone(),
+            at: now,
+        };
+        self.found.push(found);
+        Some(evidence)
+    }
+}
--- a/crates/wingshore-gateway/src/exchange.rs
+++ b/crates/wingshore-gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request on its way to servers: who it is made for, and what has come of it so far.
 
 use crate::streams::PassedStream;
+use crate::suspects::INNOCENT_AFTER;
 use std::collections::HashMap;
 use std::sync::Arc;
 use wingshore_coordination::{AssignmentId, InstanceId, Route, RouteKind, ServiceName};
@@ -48,6 +49,8 @@
     pub(crate) upstream: Option<ConnectionId>,
     /// The present try is given up at this time, if another server can be tried.
     pub(crate) attempt_until: Instant,
+    /// Whether so many servers have ended under it that no other one is to run it.
+    pub(crate) rejected: bool,
     /// What has been passed on of a stream; set once its head has been.
     pub(crate) stream: Option<PassedStream>,
 }
@@ -61,6 +64,13 @@
             && self.refusals <= MOST_REFUSALS
     }
 
+    /// Whether the present server has made events of a stream for so long that the request is not
+    /// what ends the server.
+    pub(crate) fn has_streamed_long(&self, now: Instant) -> bool {
+        let stream = self.stream.as_ref();
+        stream.is_some_and(|stream| now.since(stream.since) >= INNOCENT_AFTER)
+    }
+
     /// Its identity as text.
     pub(crate) fn id_text(&self) -> String {
         String::from_utf8_lossy(&self.id).into_owned()
@@ -129,6 +139,11 @@
         self.all.remove(&id)
     }
 
+    /// An exchange.
+    pub(crate) fn get(&self, id: ExchangeId) -> Option<&Exchange> {
+        self.all.get(&id)
+    }
+
     /// An exchange.
     pub(crate) fn get_mut(&mut self, id: ExchangeId) -> Option<&mut Exchange> {
         self.all.get_mut(&id)
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName};
+use wingshore_coordination::{EVIDENCE_LIFETIME, InstanceId, Route, ServerRecord, ServiceName};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter, Headers, WholeAnswer, WholeRequest};
 use wingshore_types::Instant;
@@ -24,6 +24,8 @@
 const PATIENCE_FACTOR: u32 = 2;
 /// An answer must have left this long before the client's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// Status by which a server says that a request was meant for another run of a server.
+const MISDIRECTED: u16 = 421;
 /// Spreads successive requests over the services of a split.
 const SPLIT_STRIDE: u64 = 0x9e37_79b9_7f4a_7c15;
 /// The upper bits of the counter are spread best.
@@ -90,6 +92,7 @@
             tried: Vec::new(),
             upstream: None,
             attempt_until: now,
+            rejected: false,
             stream: None,
         }
     }
@@ -115,6 +118,11 @@
 
     /// Sends the request to the next server, or answers that there is none.
     fn try_server(&mut self, now: Instant, id: ExchangeId, mut exchange: Exchange) {
+        if self.is_rejected(&exchange.request) {
+            self.log_rejected(&exchange);
+            exchange.rejected = true;
+            return self.give_up(now, &exchange);
+        }
         let candidates = self.view.servers_of(&exchange.service);
         let zone = &self.settings.zone;
         let chosen = self
@@ -221,7 +229,10 @@
         let latency = now.since(exchange.begun);
         let is_own = answer.head.headers.get(names.request_id) == Some(exchange.id.as_slice());
         let is_signed = answer.head.headers.get(names.signature).is_some();
-        if answer.head.headers.get(names.not_run).is_some() || answer.head.status == 421 {
+        if answer.head.status == MISDIRECTED {
+            self.server_has_ended(now, instance);
+        }
+        if answer.head.headers.get(names.not_run).is_some() || answer.head.status == MISDIRECTED {
             let failure = Failure::new(Verdict::NotRun, false, "refused by the server");
             return self.attempt_failed(now, id, instance, failure);
         }
@@ -239,6 +250,9 @@
         let Some(exchange) = self.exchanges.take(id) else {
             return;
         };
+        if answer.head.is_success() {
+            self.exchange_ran_well(&exchange.request);
+        }
         match exchange.origin {
             Origin::Client(client) => {
                 self.log_served(now, &exchange, instance, answer.head.status);
@@ -298,9 +312,12 @@
     ) {
         self.balancer.ended(instance);
         let verdict = match end {
-            ConnectionEnd::BrokeOff => Verdict::MayHaveRun,
+            ConnectionEnd::BrokeOff | ConnectionEnd::Silent => Verdict::MayHaveRun,
             ConnectionEnd::NeverUp | ConnectionEnd::Refused => Verdict::NotRun,
         };
+        if end == ConnectionEnd::BrokeOff {
+            self.exchange_broke_off(now, id, instance);
+        }
         let failure = Failure::new(verdict, true, end.reason());
         self.attempt_failed(now, id, instance, failure);
     }
@@ -371,7 +388,9 @@
 
     /// Answers that there is no answer, and whether the request may have run.
     fn answer_given_up(&mut self, now: Instant, client: ConnectionId, exchange: &Exchange) {
-        let answer = if !exchange.may_have_run {
+        let answer = if !exchange.may_have_run && exchange.rejected {
+            OwnAnswer::Rejected(EVIDENCE_LIFETIME)
+        } else if !exchange.may_have_run {
             OwnAnswer::NotRun(COME_BACK)
         } else if now >= exchange.until {
             OwnAnswer::OutOfTime
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -28,8 +28,8 @@
 const HANDED_IN_EVENTS_OF_LONG: u64 = 5;
 
 /// One try that is under way, or whose end was not told.
-struct ItemRun {
-    assignment: ItemAssignment,
+pub(crate) struct ItemRun {
+    pub(crate) assignment: ItemAssignment,
     upstream: Option<ConnectionId>,
     /// All events so far, also those of earlier tries.
     text: ItemText,
@@ -40,6 +40,8 @@
     /// The version that makes the next event.
     version: Option<u64>,
     begun: Instant,
+    /// When its first event came.
+    pub(crate) first_event: Option<Instant>,
     /// When the engine was last heard of.
     heard: Instant,
     /// What came of it, until a leader has made it durable.
@@ -64,6 +66,11 @@
         })
     }
 
+    /// An attempt.
+    pub(crate) fn run(&self, id: AssignmentId) -> Option<&ItemRun> {
+        self.runs.get(&id)
+    }
+
     /// How far those are that run.
     pub(crate) fn progress(&self) -> Vec<ItemProgress> {
         let running = self.runs.values().filter(|run| run.outcome.is_none());
@@ -101,13 +108,18 @@
             may_hand_in: assignment.durable.events <= assignment.kept.events,
             version: None,
             begun: now,
+            first_event: None,
             heard: now,
             outcome: None,
             told: None,
             assignment,
         };
         let (instance, address) = (run.assignment.instance.clone(), run.assignment.address);
+        let is_rejected = self.is_item_rejected(&run.assignment);
         self.items.runs.insert(id, run);
+        if is_rejected {
+            return self.end_item(id, ItemOutcome::NotRun(NotRunReason::Rejected));
+        }
         if !self.status().takes_items {
             return self.end_item(id, ItemOutcome::NotRun(NotRunReason::Stopping));
         }
@@ -180,7 +192,12 @@
             .as_mut()
             .and_then(|events| events.read(&body));
         match events {
-            Some(events) => events.into_iter().for_each(|event| run.take(event)),
+            Some(events) => {
+                if !events.is_empty() {
+                    run.first_event.get_or_insert(now);
+                }
+                events.into_iter().for_each(|event| run.take(event));
+            }
             None => self.item_broken(now, id),
         }
     }
@@ -210,7 +227,13 @@
     }
 
     /// An engine's answer is whole.
-    pub(crate) fn item_answered(&mut self, id: AssignmentId, head: &AnswerHead, clean: bool) {
+    pub(crate) fn item_answered(
+        &mut self,
+        now: Instant,
+        id: AssignmentId,
+        head: &AnswerHead,
+        clean: bool,
+    ) {
         let not_run = head
             .headers
             .get(self.protocol.header_names().not_run)
@@ -231,20 +254,31 @@
             422 => ItemOutcome::Impossible,
             _ => ItemOutcome::Failed,
         };
+        if matches!(outcome, ItemOutcome::Finished(_)) {
+            self.item_ran_well(id);
+        }
         self.end_item(id, outcome);
         if let Some(scoring) = scoring {
-            self.begin_scoring(self.clock.now(), scoring);
+            self.begin_scoring(now, scoring);
         }
     }
 
     /// The connection of a try ended without a whole answer.
-    pub(crate) fn item_connection_ended(&mut self, id: AssignmentId, end: ConnectionEnd) {
+    pub(crate) fn item_connection_ended(
+        &mut self,
+        now: Instant,
+        id: AssignmentId,
+        end: ConnectionEnd,
+    ) {
+        if end == ConnectionEnd::BrokeOff {
+            self.item_broke_off(now, id);
+        }
         let Some(run) = self.items.runs.get_mut(&id) else {
             return;
         };
         run.upstream = None;
         let outcome = match end {
-            ConnectionEnd::BrokeOff => run.interrupted(true),
+            ConnectionEnd::BrokeOff | ConnectionEnd::Silent => run.interrupted(true),
             ConnectionEnd::NeverUp | ConnectionEnd::Refused => {
                 ItemOutcome::NotRun(NotRunReason::Unreachable)
             }
@@ -282,11 +316,11 @@
         }
         self.upstreams.close(&mut self.reactor, upstream);
         let end = if up {
-            ConnectionEnd::BrokeOff
+            ConnectionEnd::Silent
         } else {
             ConnectionEnd::NeverUp
         };
-        self.item_connection_ended(id, end);
+        self.item_connection_ended(now, id, end);
     }
 
     /// A leader has no more use for a try.
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -4,6 +4,7 @@
 use crate::calls::Calls;
 use crate::clients::{Client, Purpose};
 use crate::coordinators::Coordinators;
+use crate::crashes::CrashWatch;
 use crate::error::{GatewayError, NetSnafu};
 use crate::exchange::Exchanges;
 use crate::items::Items;
@@ -19,10 +20,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_coordination::{GatewayId, GatewayStatus, RequestContent, RequestFingerprint};
+use wingshore_coordination::{GatewayId, GatewayStatus};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_net::Clock;
-use wingshore_net::http::{BodyStatus, HttpAnswer, WholeRequest};
+use wingshore_net::http::{BodyStatus, HttpAnswer};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
@@ -60,6 +61,7 @@
     pub(crate) links: HashMap<ConnectionId, LinkRole>,
     pub(crate) upstreams: Upstreams,
     pub(crate) balancer: Balancer,
+    pub(crate) crashes: CrashWatch,
     pub(crate) coordinators: Coordinators,
     pub(crate) calls: Calls,
     pub(crate) items: Items,
@@ -120,6 +122,7 @@
             links: HashMap::new(),
             upstreams: Upstreams::default(),
             balancer: Balancer::default(),
+            crashes: CrashWatch::default(),
             coordinators: Coordinators::default(),
             calls: Calls::default(),
             items: Items::default(),
@@ -186,21 +189,6 @@
         }
     }
 
-    /// What a request asks, whatever its identity; `None` before the site's key is known.
-    pub(crate) fn fingerprint_of(&self, request: &WholeRequest) -> Option<RequestFingerprint> {
-        let key = self.view.fingerprint_key()?;
-        let head = &request.head;
-        let caller = head.headers.get(self.protocol.header_names().caller);
-        let content = RequestContent {
-            method: &head.method,
-            host: head.headers.text("host").unwrap_or_default(),
-            target: &head.target,
-            caller: caller.unwrap_or_default(),
-            body: &request.body,
-        };
-        Some(content.fingerprint(key))
-    }
-
     /// All metrics, for monitoring.
     pub(crate) fn metrics_answer(&self) -> HttpAnswer {
         let status = self.status();
@@ -259,7 +247,8 @@
         upstream.up = true;
         match upstream.task {
             Some(Task::Exchange(id)) => self.exchange_sent(now, id),
-            Some(Task::Item(_)) | None => {}
+            Some(Task::Item(_)) => {}
+            None => self.upstreams.keep_opened(now, connection),
         }
     }
 
@@ -329,7 +318,7 @@
         }
         match task {
             Task::Exchange(id) => self.exchange_answered(now, id, &instance, answer),
-            Task::Item(id) => self.item_answered(id, &answer.head, !within_event),
+            Task::Item(id) => self.item_answered(now, id, &answer.head, !within_event),
         }
     }
 
@@ -379,11 +368,14 @@
         let Some(closed) = self.upstreams.close(&mut self.reactor, connection) else {
             return;
         };
+        if end == ConnectionEnd::Refused {
+            self.server_has_ended(now, &closed.instance);
+        }
         match closed.task {
             Some(Task::Exchange(id)) => {
                 self.exchange_broken(now, id, &closed.instance, end);
             }
-            Some(Task::Item(id)) => self.item_connection_ended(id, end),
+            Some(Task::Item(id)) => self.item_connection_ended(now, id, end),
             None => {}
         }
     }
@@ -415,6 +407,7 @@
         self.upstreams
             .close_idle(now, &mut self.reactor, |instance| view.knows(instance));
         self.balancer.retain(|instance| view.knows(instance));
+        self.crashes.expire(now);
         self.start_scorings(now);
         self.reload();
         self.begin_stop(now);
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -134,6 +134,8 @@
     NoRoute,
     /// Not run; come back after this time.
     NotRun(Duration),
+    /// Not run: servers have ended under it. It is let off after this time at the earliest.
+    Rejected(Duration),
     /// Not run: it did not arrive whole in time.
     TooSlow,
     /// It may have run; no answer of a server came whole.
@@ -148,6 +150,7 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NotRun(_) => "not_run",
+            Self::Rejected(_) => "rejected",
             Self::TooSlow => "too_slow",
             Self::Broken => "broken",
             Self::OutOfTime => "out_of_time",
--- a/crates/wingshore-gateway/src/streams.rs
+++ b/crates/wingshore-gateway/src/streams.rs
@@ -25,6 +25,8 @@
     pub(crate) last_event: Option<u64>,
     /// The connection that the present part comes from.
     from: ConnectionId,
+    /// When that part began.
+    pub(crate) since: Instant,
 }
 
 impl Gateway {
@@ -75,8 +77,9 @@
             events: EventReader::new(names.version),
             last_event: None,
             from: upstream,
+            since: now,
         });
-        let whole = stream.take(upstream, &body);
+        let whole = stream.take(now, upstream, &body);
         let mut chunk = Vec::new();
         write_chunk(&mut chunk, &whole);
         self.reactor.send(client, &chunk);
@@ -106,6 +109,7 @@
         let time = now.since(exchange.begun);
         self.metrics
             .request_ended(&exchange.route.name, "served", time);
+        self.exchange_ran_well(&exchange.request);
         let mut last = Vec::new();
         write_last_chunk(&mut last);
         self.reactor.send(client, &last);
@@ -127,11 +131,12 @@
 
 impl PassedStream {
     /// Takes bytes and gives those of whole events.
-    fn take(&mut self, from: ConnectionId, body: &[u8]) -> Vec<u8> {
+    fn take(&mut self, now: Instant, from: ConnectionId, body: &[u8]) -> Vec<u8> {
         if self.from != from {
             // What the server before left unfinished comes whole from this one.
             self.partial.clear();
             self.from = from;
+            self.since = now;
         }
         self.partial.extend_from_slice(body);
         let whole = take_whole_events(&mut self.partial);
--- a/crates/wingshore-gateway/src/upstream.rs
+++ b/crates/wingshore-gateway/src/upstream.rs
@@ -31,6 +31,8 @@
 pub(crate) enum ConnectionEnd {
     /// It was up: what was sent on it may have run.
     BrokeOff,
+    /// It was up, and was closed here since the server was silent for too long.
+    Silent,
     /// It never came up.
     NeverUp,
     /// It never came up, since nobody listens at the address: the server's process has ended.
@@ -42,6 +44,7 @@
     pub(crate) fn reason(self) -> &'static str {
         match self {
             Self::BrokeOff => "connection ended",
+            Self::Silent => "too slow",
             Self::NeverUp => "no connection",
             Self::Refused => "connection refused",
         }
@@ -94,6 +97,30 @@
         Some(connection)
     }
 
+    /// Opens a connection for whatever comes next; it is kept once it is up.
+    pub(crate) fn open(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        instance: &InstanceId,
+        address: SocketAddr,
+    ) {
+        let connection = self.connect(now, reactor, instance, address);
+        let upstream = connection.and_then(|connection| self.all.get_mut(&connection));
+        if let Some(upstream) = upstream {
+            upstream.idle_until = now + DEFAULT_KEEP;
+        }
+    }
+
+    /// A connection that was opened for whatever comes next is up.
+    pub(crate) fn keep_opened(&mut self, now: Instant, connection: ConnectionId) {
+        if let Some(upstream) = self.all.get_mut(&connection) {
+            upstream.idle_until = now + upstream.keep.saturating_sub(KEEP_MARGIN);
+            let idle = self.idle.entry(upstream.instance.clone()).or_default();
+            idle.push(connection);
+        }
+    }
+
     fn connect(
         &mut self,
         now: Instant,
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingshore_coordination::{
-    FingerprintKey, IngressLimits, InstanceId, RouteTable, ServerRecord, ServiceName,
-    SiteConfiguration, SiteView, ViewChange,
+    FingerprintKey, IngressLimits, InstanceId, RequestFingerprint, RouteTable, ServerRecord,
+    ServiceName, SiteConfiguration, SiteView, ViewChange,
 };
 use wingshore_types::Epoch;
 
@@ -19,6 +19,8 @@
     routes: RouteTable,
     servers: BTreeMap<InstanceId, ServerRecord>,
     fingerprint_key: Option<FingerprintKey>,
+    /// Runs of servers that ended under requests.
+    suspects: BTreeMap<RequestFingerprint, Vec<InstanceId>>,
 }
 
 impl View {
@@ -36,6 +38,10 @@
             .map(|server| (server.instance.clone(), server.clone()))
             .collect();
         self.fingerprint_key = view.fingerprint_key.or(self.fingerprint_key);
+        let suspects = view.suspects.iter();
+        self.suspects = suspects
+            .map(|suspect| (suspect.fingerprint, suspect.ended.clone()))
+            .collect();
         true
     }
 
@@ -53,6 +59,12 @@
                 self.servers.remove(&instance);
             }
             ViewChange::FingerprintKey(key) => self.fingerprint_key = Some(key),
+            ViewChange::Suspect(suspect) => {
+                self.suspects.insert(suspect.fingerprint, suspect.ended);
+            }
+            ViewChange::Cleared(request) => {
+                self.suspects.remove(&request);
+            }
         }
         true
     }
@@ -85,6 +97,26 @@
         self.fingerprint_key
     }
 
+    /// Whether any request is known under which servers have ended.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    /// Runs of servers that ended under a request.
+    pub fn ended_under(&self, request: RequestFingerprint) -> &[InstanceId] {
+        self.suspects.get(&request).map_or(&[], Vec::as_slice)
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values()
+    }
+
+    /// A server.
+    pub fn server(&self, instance: &InstanceId) -> Option<&ServerRecord> {
+        self.servers.get(instance)
+    }
+
     /// The routes in force.
     pub fn routes(&self) -> &RouteTable {
         &self.routes
--- a/crates/wingshore-gateway/tests/view.rs
+++ b/crates/wingshore-gateway/tests/view.rs
@@ -35,6 +35,7 @@
         configuration: Some(configuration(version)),
         servers: Arc::new(servers),
         fingerprint_key: None,
+        suspects: Arc::default(),
     }
 }
 
