coordination: an ending counts against a request only if it stood on half of the servers that ended with this one

Change: the leader weighs evidence 300 ms after it was told. Where many servers of a service end at one moment no single request is the cause. Gateways tell when the connection was lost, and decide by what they have seen themselves only without a leader.

--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -152,7 +152,7 @@
         /// The version.
         version: u64,
     },
-    /// A server has ended under a request.
+    /// A server has ended under a request, which may count against it.
     RequestSuspected {
         /// The request.
         request: RequestFingerprint,
@@ -160,8 +160,14 @@
         instance: InstanceId,
         /// The gateway that saw it.
         gateway: GatewayId,
-        /// Servers that had ended under the request before.
+        /// Servers of the service that ended together, this one too.
+        ended_together: usize,
+        /// Those of them that the request stood on.
+        under_request: usize,
+        /// Endings that counted against the request before.
         ended_before: usize,
+        /// Whether it counts.
+        counted: bool,
     },
     /// So many servers have ended under a request that it is rejected from now on.
     RequestRejected(Suspect),
--- a/crates/wingshore-coordination/src/leader/evidence.rs
+++ b/crates/wingshore-coordination/src/leader/evidence.rs
@@ -1,12 +1,17 @@
-//! The leader's part in what is learned of requests from failed attempts: makes it durable, tells
-//! all gateways, and lets it go in time.
+//! The leader's part in what is learned of requests from failed attempts: weighs what gateways have
+//! seen, makes it durable, tells all gateways, and lets it go in time.
+//!
+//! Many requests stand on a server when it ends, and most are innocent. Where many servers of a
+//! service end at one moment, no single request is the cause: one counts only if it stood on at
+//! least half of them. What several requests have in common after one ending, the next ones tell
+//! apart.
 
 use super::{CoordinationLeader, Decision, Outputs, Waiter, log};
 use crate::fingerprint::RequestFingerprint;
-use crate::ids::GatewayId;
-use crate::messages::ViewChange;
+use crate::ids::{GatewayId, InstanceId, ServiceName};
+use crate::messages::{SeenCrash, ViewChange};
 use crate::state::{Command, CoordinationState, CrashEvidence, REJECTED_FROM};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wingshore_types::Instant;
 
@@ -18,20 +23,111 @@
 /// request may then run once more, and costs one server if nothing was repaired: six an hour.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
 
-/// When there was news of each request last. A new leader counts from its beginning, so that
-/// nothing is let go too early.
+/// Servers that end within this time of each other end together. A request that ends its server
+/// does so within 200 ms and is then sent to the next one.
+const TOGETHER: Duration = Duration::from_millis(300);
+/// Evidence is weighed this long after it was told, so that other gateways have told theirs: a lost
+/// connection shows at once, and the way to the leader takes some ms.
+const WEIGHED_AFTER: Duration = Duration::from_millis(300);
+/// Endings are remembered this long, for evidence that a gateway tells late, after a change of
+/// leaders.
+const ENDINGS_KEPT: Duration = Duration::from_secs(60);
+/// Most pieces of evidence that wait to be weighed, 100 bytes each: those of 400 servers with 16
+/// requests each that end at once. What is beyond is dropped: with so many no request is the cause.
+const MOST_PENDING: usize = 6400;
+
+/// What gateways have told and was not weighed yet, and when servers ended.
 #[derive(Default)]
-pub(crate) struct EvidenceClock {
+pub(crate) struct Evidence {
+    pending: Vec<Pending>,
+    /// Runs of servers that ended under requests.
+    endings: BTreeMap<InstanceId, Ending>,
+    /// When there was news of each request last. A new leader counts from its beginning, so that
+    /// nothing is let go too early.
     news: BTreeMap<RequestFingerprint, Instant>,
 }
 
-impl EvidenceClock {
+struct Pending {
+    evidence: CrashEvidence,
+    gateway: GatewayId,
+    told_at: Instant,
+}
+
+struct Ending {
+    service: Option<ServiceName>,
+    at: Instant,
+    /// The requests that stood on the server.
+    requests: BTreeSet<RequestFingerprint>,
+}
+
+/// How an ending speaks against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Weight {
+    /// Servers of the service that ended together.
+    together: usize,
+    /// Those of them that the request stood on.
+    under_request: usize,
+}
+
+impl Weight {
+    fn counts(self) -> bool {
+        2 * self.under_request >= self.together
+    }
+}
+
+impl Evidence {
     /// A new leadership.
     pub(crate) fn begin(&mut self, now: Instant, state: &CoordinationState) {
         let suspects = state.evidence().suspects();
         self.news = suspects.map(|known| (known.fingerprint, now)).collect();
     }
 
+    fn take(
+        &mut self,
+        now: Instant,
+        gateway: GatewayId,
+        seen: SeenCrash,
+        state: &CoordinationState,
+    ) {
+        let SeenCrash { evidence, ago } = seen;
+        let server = state.servers().get(&evidence.instance);
+        let ending = self.endings.entry(evidence.instance.clone());
+        let ending = ending.or_insert_with(|| Ending {
+            service: server.map(|server| server.service.clone()),
+            at: now - ago,
+            requests: BTreeSet::new(),
+        });
+        let is_news = ending.requests.insert(evidence.fingerprint);
+        if is_news && self.pending.len() < MOST_PENDING {
+            self.pending.push(Pending {
+                evidence,
+                gateway,
+                told_at: now,
+            });
+        }
+    }
+
+    fn weight(&self, evidence: &CrashEvidence) -> Weight {
+        let Some(ending) = self.endings.get(&evidence.instance) else {
+            return Weight {
+                together: 1,
+                under_request: 1,
+            };
+        };
+        let is_together = |other: &&Ending| {
+            let apart = other.at.since(ending.at).max(ending.at.since(other.at));
+            other.service == ending.service && apart <= TOGETHER
+        };
+        let together = self.endings.values().filter(is_together);
+        let under_request = together.clone();
+        Weight {
+            together: together.count(),
+            under_request: under_request
+                .filter(|other| other.requests.contains(&evidence.fingerprint))
+                .count(),
+        }
+    }
+
     /// Requests without news for too long; their time begins anew.
     fn take_old(&mut self, now: Instant) -> Vec<RequestFingerprint> {
         let is_old = |at: &Instant| now.since(*at) >= EVIDENCE_LIFETIME;
@@ -48,31 +144,54 @@
     /// A gateway has seen servers end under requests.
     pub(crate) fn on_requests_crashed(
         &mut self,
+        now: Instant,
         gateway: GatewayId,
-        evidence: Vec<CrashEvidence>,
+        seen: Vec<SeenCrash>,
         state: &CoordinationState,
-        out: &mut Outputs,
     ) {
-        let is_news = |evidence: &CrashEvidence| state.evidence().is_news(evidence);
-        let news: Vec<CrashEvidence> = evidence.into_iter().filter(is_news).collect();
-        if news.is_empty() {
-            return;
+        for seen in seen {
+            self.evidence.take(now, gateway, seen, state);
         }
-        for CrashEvidence {
-            fingerprint,
-            instance,
-        } in &news
+    }
+
+    /// Weighs the evidence that is due, and proposes what counts.
+    pub(crate) fn weigh_evidence(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let is_due = |pending: &mut Pending| now.since(pending.told_at) >= WEIGHED_AFTER;
+        let due: Vec<Pending> = self.evidence.pending.extract_if(.., is_due).collect();
+        let mut counts = Vec::new();
+        for Pending {
+            evidence, gateway, ..
+        } in due
         {
+            let weight = self.evidence.weight(&evidence);
+            let counted = weight.counts() && state.evidence().is_news(&evidence);
             let decision = Decision::RequestSuspected {
-                request: *fingerprint,
-                instance: instance.clone(),
+                request: evidence.fingerprint,
+                instance: evidence.instance.clone(),
                 gateway,
-                ended_before: state.evidence().ended_under(*fingerprint).len(),
+                ended_together: weight.together,
+                under_request: weight.under_request,
+                ended_before: state.evidence().ended_under(evidence.fingerprint).len(),
+                counted,
             };
             log(decision, out);
+            if counted {
+                counts.push(evidence);
+            }
+        }
+        self.evidence
+            .endings
+            .retain(|_, ending| now.since(ending.at) < ENDINGS_KEPT);
+        if counts.is_empty() {
+            return;
         }
-        let requests = news.iter().map(|evidence| evidence.fingerprint).collect();
-        let command = Command::NoteCrashes(news);
+        let requests = counts.iter().map(|evidence| evidence.fingerprint).collect();
+        let command = Command::NoteCrashes(counts);
         self.propose(command, Waiter::Evidence(requests), out);
     }
 
@@ -83,6 +202,9 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        self.evidence
+            .pending
+            .retain(|pending| !requests.contains(&pending.evidence.fingerprint));
         let is_known =
             |request: &RequestFingerprint| !state.evidence().ended_under(*request).is_empty();
         let known: Vec<RequestFingerprint> = requests.into_iter().filter(is_known).collect();
@@ -109,11 +231,10 @@
         out: &mut Outputs,
     ) {
         for request in requests {
-            let ended = state.evidence().ended_under(request);
-            if ended.is_empty() {
-                self.evidence_clock.news.remove(&request);
+            if state.evidence().ended_under(request).is_empty() {
+                self.evidence.news.remove(&request);
             } else {
-                self.evidence_clock.news.insert(request, now);
+                self.evidence.news.insert(request, now);
             }
             let Some(change) = self.gateway_view.evidence_changed(request, state) else {
                 continue;
@@ -134,7 +255,7 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        let old = self.evidence_clock.take_old(now);
+        let old = self.evidence.take_old(now);
         if old.is_empty() {
             return;
         }
--- a/crates/wingshore-coordination/src/leader/interface.rs
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -5,11 +5,10 @@
 use crate::ids::{GatewayId, InstanceId, ItemKey};
 use crate::messages::{
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
-    RunningItem,
+    RunningItem, SeenCrash,
 };
 use crate::registry::HeardServer;
 use crate::scoring::{RunningScoring, ScoringOutcome};
-use crate::state::CrashEvidence;
 use crate::text::ItemText;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,7 +57,7 @@
         /// Which gateway.
         gateway: GatewayId,
         /// What it has seen.
-        evidence: Vec<CrashEvidence>,
+        seen: Vec<SeenCrash>,
     },
     /// Runs of requests under which servers had ended went well at a gateway.
     RequestsRan(Vec<RequestFingerprint>),
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -34,7 +34,7 @@
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
 use engines::Engines;
-use evidence::EvidenceClock;
+use evidence::Evidence;
 use gateway_view::GatewayView;
 use gateways::{AwayGateway, Gateway};
 use items::Items;
@@ -119,7 +119,7 @@
     readers: jobs::Readers,
     rollout: Rollout,
     scorings: Scorings,
-    evidence_clock: EvidenceClock,
+    evidence: Evidence,
     /// The routes of the configuration in force.
     routes: RouteTable,
     /// What gateways are told.
@@ -151,7 +151,7 @@
             readers: jobs::Readers::default(),
             rollout: Rollout::default(),
             scorings: Scorings::default(),
-            evidence_clock: EvidenceClock::default(),
+            evidence: Evidence::default(),
             routes: RouteTable::default(),
             gateway_view: GatewayView::default(),
         }
@@ -257,7 +257,7 @@
         self.items.begin(epoch, longest_first, state);
         self.scorings.begin(now, state);
         self.job_clock.begin(now, state.jobs().keys());
-        self.evidence_clock.begin(now, state);
+        self.evidence.begin(now, state);
         self.begin_rollout(now, state, out);
         if state.evidence().key().is_none() {
             let command = Command::SetFingerprintKey(self.settings.fingerprint_key);
@@ -398,8 +398,8 @@
                 text,
             } => self.keep_text(assignment, after_events, text, out),
             Event::ItemsProgressed(progress) => self.on_progress(now, progress, state, out),
-            Event::RequestsCrashed { gateway, evidence } => {
-                self.on_requests_crashed(gateway, evidence, state, out);
+            Event::RequestsCrashed { gateway, seen } => {
+                self.on_requests_crashed(now, gateway, seen, state);
             }
             Event::RequestsRan(requests) => self.on_requests_ran(requests, state, out),
             Event::GatewayGone { gateway, silence } => {
@@ -436,6 +436,7 @@
             self.forget_jobs(now, state, out);
             self.relieve_requests(now, state, out);
         }
+        self.weigh_evidence(now, state, out);
         self.drive_rollout(now, state, out);
         self.place_items(now, state, out);
         self.place_scorings(now, state, out);
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -35,7 +35,7 @@
 pub use messages::{
     AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
     ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply, Request, RunningItem,
-    SiteView, ViewChange,
+    SeenCrash, SiteView, ViewChange,
 };
 pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -199,6 +199,15 @@
     pub number: u64,
 }
 
+/// A gateway has seen a server end under a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenCrash {
+    /// The request and the server.
+    pub evidence: CrashEvidence,
+    /// How long ago its connection was lost.
+    pub ago: Duration,
+}
+
 /// From a gateway to a coordinator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum GatewayMessage {
@@ -248,7 +257,7 @@
         outcome: ScoringOutcome,
     },
     /// Servers have ended while they ran requests.
-    RequestsCrashed(Vec<CrashEvidence>),
+    RequestsCrashed(Vec<SeenCrash>),
     /// Runs of requests under which servers had ended went well.
     RequestsRan(Vec<RequestFingerprint>),
     /// Reads results of a job from the receiver's own copy of the state.
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -106,10 +106,15 @@
             request,
             instance,
             gateway,
+            ended_together,
+            under_request,
             ended_before,
+            counted,
         } => {
             warn!(logger, "server ended under request"; "fingerprint" => %request,
-                "server" => %instance, "gateway" => gateway.0, "ended_before" => ended_before);
+                "server" => %instance, "gateway" => gateway.0, "ended_before" => ended_before,
+                "ended_together" => ended_together, "under_request" => under_request,
+                "counted" => counted);
         }
         Decision::RequestRejected(suspect) => {
             let ended: Vec<&str> = suspect.ended.iter().map(InstanceId::as_str).collect();
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -205,9 +205,7 @@
                 after_events,
                 text,
             },
-            GatewayMessage::RequestsCrashed(evidence) => {
-                Event::RequestsCrashed { gateway, evidence }
-            }
+            GatewayMessage::RequestsCrashed(seen) => Event::RequestsCrashed { gateway, seen },
             GatewayMessage::RequestsRan(requests) => Event::RequestsRan(requests),
             GatewayMessage::ReadCopy {
                 id,
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -230,7 +230,7 @@
                     self.coordinators.leader = Some(address);
                     self.servers_registered(now);
                     self.tell_running(connection);
-                    self.tell_untold_evidence();
+                    self.tell_untold_evidence(now);
                     self.resend_calls(now);
                     self.start_scorings(now);
                     self.view_changed(version);
--- a/crates/wingshore-gateway/src/crashes.rs
+++ b/crates/wingshore-gateway/src/crashes.rs
@@ -8,12 +8,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_coordination::{CrashEvidence, EVIDENCE_LIFETIME, InstanceId, RequestFingerprint};
+use wingshore_coordination::{CrashEvidence, InstanceId, RequestFingerprint, SeenCrash};
 use wingshore_types::Instant;
 
 /// A server that is not seen to have ended within this time after a connection was lost had not:
 /// a server that crashed is back, or missed by its heartbeats, within 6 s.
 const EXPLAINED_WITHIN: Duration = Duration::from_secs(8);
+/// Evidence is told to each new leader for this long: a site without one for longer has lost more.
+const TOLD_FOR: Duration = Duration::from_secs(60);
 /// Most pieces of evidence that are kept to be told again; a piece has 60 bytes.
 const MOST_FOUND: usize = 512;
 /// Most requests that are remembered for one server whose connections were lost: more than it runs
@@ -25,13 +27,14 @@
 struct BrokenRuns {
     address: SocketAddr,
     requests: Vec<RequestFingerprint>,
-    /// When the first one was lost.
+    /// When the first connection was lost: the server ended then, if it did.
     since: Instant,
 }
 
 #[derive(Debug)]
 struct Found {
     evidence: CrashEvidence,
+    /// When the server ended.
     at: Instant,
 }
 
@@ -43,7 +46,7 @@
 pub struct CrashWatch {
     /// Lost connections that are not explained yet, by the run of the server.
     broken: BTreeMap<InstanceId, BrokenRuns>,
-    /// Runs of servers that were seen to have ended, and when.
+    /// Runs of servers that were seen to have ended, and when they did.
     ended: BTreeMap<InstanceId, Instant>,
     /// Evidence that the leader has not told all gateways, the oldest first.
     found: Vec<Found>,
@@ -58,9 +61,9 @@
         instance: &InstanceId,
         address: SocketAddr,
         request: RequestFingerprint,
-    ) -> Option<CrashEvidence> {
-        if self.ended.contains_key(instance) {
-            return self.find(now, request, instance);
+    ) -> Option<SeenCrash> {
+        if let Some(at) = self.ended.get(instance).copied() {
+            return self.find(now, at, request, instance);
         }
         let broken = self.broken.entry(instance.clone());
         let broken = broken.or_insert_with(|| BrokenRuns {
@@ -81,12 +84,14 @@
     }
 
     /// A run of a server is seen to have ended. Gives the evidence that follows.
-    pub fn server_ended(&mut self, now: Instant, instance: &InstanceId) -> Vec<CrashEvidence> {
-        self.ended.insert(instance.clone(), now);
-        let requests = self.broken.remove(instance).map(|broken| broken.requests);
+    pub fn server_ended(&mut self, now: Instant, instance: &InstanceId) -> Vec<SeenCrash> {
+        let broken = self.broken.remove(instance);
+        let at = broken.as_ref().map_or(now, |broken| broken.since);
+        self.ended.entry(instance.clone()).or_insert(at);
+        let requests = broken.map(|broken| broken.requests);
         let requests = requests.unwrap_or_default().into_iter();
         requests
-            .filter_map(|request| self.find(now, request, instance))
+            .filter_map(|request| self.find(now, at, request, instance))
             .collect()
     }
 
@@ -96,7 +101,7 @@
         now: Instant,
         instance: &InstanceId,
         address: SocketAddr,
-    ) -> Vec<CrashEvidence> {
+    ) -> Vec<SeenCrash> {
         let is_before = |(other, broken): &(&InstanceId, &BrokenRuns)| {
             broken.address == address && *other != instance
         };
@@ -128,21 +133,27 @@
         self.found.iter().map(|found| &found.evidence)
     }
 
+    /// The same, as it is told to a leader.
+    pub fn to_tell(&self, now: Instant) -> Vec<SeenCrash> {
+        let found = self.found.iter();
+        found.map(|found| found.seen(now)).collect()
+    }
+
     /// Forgets what is too old to count.
     pub fn expire(&mut self, now: Instant) {
         self.broken
             .retain(|_, broken| now.since(broken.since) < EXPLAINED_WITHIN);
         self.ended.retain(|_, at| now.since(*at) < EXPLAINED_WITHIN);
-        self.found
-            .retain(|found| now.since(found.at) < EVIDENCE_LIFETIME);
+        self.found.retain(|found| now.since(found.at) < TOLD_FOR);
     }
 
     fn find(
         &mut self,
         now: Instant,
+        at: Instant,
         fingerprint: RequestFingerprint,
         instance: &InstanceId,
-    ) -> Option<CrashEvidence> {
+    ) -> Option<SeenCrash> {
         let evidence = CrashEvidence {
             fingerprint,
             instance: instance.clone(),
@@ -153,11 +164,18 @@
         if self.found.len() >= MOST_FOUND {
             self.found.remove(0);
         }
-        let found = Found {
-            evidence: evidence.clone(),
-            at: now,
-        };
+        let found = Found { evidence, at };
+        let seen = found.seen(now);
         self.found.push(found);
-        Some(evidence)
+        Some(seen)
+    }
+}
+
+impl Found {
+    fn seen(&self, now: Instant) -> SeenCrash {
+        SeenCrash {
+            evidence: self.evidence.clone(),
+            ago: now.since(self.at),
+        }
     }
 }
--- a/crates/wingshore-gateway/src/suspects.rs
+++ b/crates/wingshore-gateway/src/suspects.rs
@@ -6,8 +6,8 @@
 use slog::warn;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, CrashEvidence, GatewayMessage, IncomingFrame, InstanceId, ItemAssignment,
-    REJECTED_FROM, RequestContent, RequestFingerprint, ViewChange,
+    AssignmentId, GatewayMessage, IncomingFrame, InstanceId, ItemAssignment, REJECTED_FROM,
+    RequestContent, RequestFingerprint, SeenCrash, ViewChange,
 };
 use wingshore_net::http::WholeRequest;
 use wingshore_types::Instant;
@@ -48,9 +48,13 @@
         Some(content.fingerprint(key))
     }
 
-    /// Runs of servers that ended under a request, by the leader's word and by what was seen here.
+    /// Runs of servers that ended under a request, by the leader's word. Where there is none now,
+    /// what was seen here counts too: the leader weighs it, and knows more.
     pub(crate) fn ended_under(&self, request: RequestFingerprint) -> Vec<InstanceId> {
         let mut ended = self.view.ended_under(request).to_vec();
+        if self.coordinators.leader().is_some() {
+            return ended;
+        }
         let untold = self.crashes.untold();
         let untold = untold.filter(|evidence| evidence.fingerprint == request);
         for evidence in untold {
@@ -177,40 +181,41 @@
         }
     }
 
-    fn take_evidence(&mut self, evidence: Vec<CrashEvidence>) {
-        if evidence.is_empty() {
+    fn take_evidence(&mut self, seen: Vec<SeenCrash>) {
+        if seen.is_empty() {
             return;
         }
-        for CrashEvidence {
-            fingerprint,
-            instance,
-        } in &evidence
-        {
-            warn!(self.logger, "server ended under request"; "fingerprint" => %fingerprint,
-                "server" => %instance, "ended" => self.ended_under(*fingerprint).len());
+        for SeenCrash { evidence, ago } in &seen {
+            warn!(self.logger, "server ended under request";
+                "fingerprint" => %evidence.fingerprint, "server" => %evidence.instance,
+                "ago_ms" => ago.as_millis() as u64);
         }
-        self.tell_evidence(evidence);
+        self.tell_evidence(seen);
     }
 
     /// Tells a new leader what was found here.
-    pub(crate) fn tell_untold_evidence(&mut self) {
-        let untold: Vec<CrashEvidence> = self.crashes.untold().cloned().collect();
+    pub(crate) fn tell_untold_evidence(&mut self, now: Instant) {
+        let untold = self.crashes.to_tell(now);
         if !untold.is_empty() {
             self.tell_evidence(untold);
         }
     }
 
-    fn tell_evidence(&mut self, evidence: Vec<CrashEvidence>) {
+    fn tell_evidence(&mut self, seen: Vec<SeenCrash>) {
         if let Some(leader) = self.coordinators.leader() {
-            let message = GatewayMessage::RequestsCrashed(evidence);
+            let message = GatewayMessage::RequestsCrashed(seen);
             self.send_frame(leader, &IncomingFrame::FromGateway(message));
         }
     }
 
     /// A run of a request went well: if servers had ended under it, it was not the cause.
     fn ran_well(&mut self, request: Option<RequestFingerprint>) {
-        let suspect = request.filter(|request| !self.ended_under(*request).is_empty());
-        let Some(request) = suspect else {
+        let is_suspect = |request: &RequestFingerprint| {
+            let mut untold = self.crashes.untold();
+            !self.view.ended_under(*request).is_empty()
+                || untold.any(|evidence| evidence.fingerprint == *request)
+        };
+        let Some(request) = request.filter(is_suspect) else {
             return;
         };
         self.crashes.cleared(request);
