clock: elapsed time counts while a machine is suspended

Cause: all time in the processes was the steady clock, which stands still while a machine is suspended: after it a leader would trust a lease that has run out for everybody else, and give orders or answer reads beside its successor. A suspension is to the state machines what a freeze is.

--- a/crates/wingshore-client/src/watcher.rs
+++ b/crates/wingshore-client/src/watcher.rs
@@ -5,7 +5,8 @@
 use std::io;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use wingshore_clock::BootTime;
 use wingshore_types::GroupId;
 use wingshore_types::protocol::control::{
     ConfigurationUpdate, ControlReply, ControlRequest, WatchRequest,
@@ -26,7 +27,7 @@
 
     /// An answer came. The lease counts from `sent_at`, which lies before any attempt to send the
     /// watch; it never shortens one that was granted before.
-    fn on_update(&mut self, sent_at: Instant, update: ConfigurationUpdate, lease_ms: u64);
+    fn on_update(&mut self, sent_at: BootTime, update: ConfigurationUpdate, lease_ms: u64);
 
     /// The watch failed; it is tried again after a short pause.
     fn on_failure(&mut self, reason: &str) {
@@ -110,7 +111,7 @@
         let request = handler.next_watch();
         let timeout = Duration::from_millis(request.wait_ms) + CALL_MARGIN;
         let body = GroupRequest::Control(ControlRequest::Watch(request));
-        let sent_at = Instant::now();
+        let sent_at = BootTime::now();
         let outcome = client.call(GroupId::Control, body, timeout);
         match update_of(outcome) {
             Ok((update, lease_ms)) => handler.on_update(sent_at, update, lease_ms),
--- a/crates/wingshore-client/tests/watcher.rs
+++ b/crates/wingshore-client/tests/watcher.rs
@@ -4,9 +4,10 @@
 
 use crossbeam_channel::{Sender, unbounded};
 use googletest::prelude::*;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use support::{SITE, replica};
 use wingshore_client::{ConfigurationWatcher, GroupClient, WatchHandler};
+use wingshore_clock::BootTime;
 use wingshore_types::Revision;
 use wingshore_types::protocol::control::{
     ConfigurationUpdate, ControlReply, ControlRequest, WatchRequest,
@@ -18,7 +19,7 @@
 /// Holds a revision that grows by one with each answer.
 struct Counting {
     have: Revision,
-    updates: Sender<(Instant, u64, Revision)>,
+    updates: Sender<(BootTime, u64, Revision)>,
     failures: Sender<String>,
 }
 
@@ -31,7 +32,7 @@
         }
     }
 
-    fn on_update(&mut self, sent_at: Instant, _update: ConfigurationUpdate, lease_ms: u64) {
+    fn on_update(&mut self, sent_at: BootTime, _update: ConfigurationUpdate, lease_ms: u64) {
         self.have.0 += 1;
         let _ = self.updates.send((sent_at, lease_ms, self.have));
     }
@@ -66,14 +67,14 @@
         updates,
         failures,
     };
-    let before = Instant::now();
+    let before = BootTime::now();
     let mut watcher = ConfigurationWatcher::start(client, Box::new(handler)).unwrap();
     for number in 0..5 {
         let (sent_at, lease_ms, have) = seen.recv_timeout(PATIENCE).unwrap();
         expect_that!(lease_ms, eq(5000 + number));
         expect_that!(have, eq(Revision(number + 1)));
         expect_that!(sent_at, ge(before));
-        expect_that!(sent_at, le(Instant::now()));
+        expect_that!(sent_at, le(BootTime::now()));
     }
     expect_that!(failed.recv_timeout(PATIENCE), ok(eq("not now")));
     watcher.stop();
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -16,7 +16,7 @@
 use crate::error::{CoordinatorError, NetSnafu, StorageSnafu, ThreadSnafu};
 use crate::heartbeats::HeartbeatRelay;
 use crate::lost::LostMachines;
-use wingshore_net::Clock;
+use wingshore_clock::Clock;
 
 use crate::membership::{Joiner, MembershipPlanner};
 use crate::metrics::CoordinatorMetrics;
--- a/crates/wingshore-coordinator/tests/orders_simulation.rs
+++ b/crates/wingshore-coordinator/tests/orders_simulation.rs
@@ -3,8 +3,8 @@
 //! Such engines carry out whatever arrives. So that two leaders never give orders beside each other,
 //! one leads under a lease, looks at it before each order, and waits out the time of the machine
 //! before it. The simulation runs the real members with their logs, and strikes them: killed,
-//! frozen (also between the look at the lease and the send), cut off from each other or from the
-//! engines, several at once. The checker knows only which orders reached an engine, and when.
+//! frozen, suspended (also between the look at the lease and the send), cut off from each other or
+//! from the engines, several at once. The checker knows only which orders reached an engine, and when.
 
 mod simulation;
 
@@ -46,3 +46,9 @@
     let (broken, _, _) = run_seeds(0..40, Fault::TrustsFences);
     assert!(broken.is_some());
 }
+
+#[test]
+fn a_leader_whose_clock_stands_still_while_it_is_suspended_is_seen() {
+    let (broken, _, _) = run_seeds(0..80, Fault::StoppedClock);
+    assert!(broken.is_some());
+}
--- a/crates/wingshore-coordinator/tests/simulation/machine.rs
+++ b/crates/wingshore-coordinator/tests/simulation/machine.rs
@@ -30,6 +30,8 @@
     ShortHandover,
     /// A new leader counts on engines that refuse lower fences.
     TrustsFences,
+    /// Machines go by a clock that stands still while they are suspended.
+    StoppedClock,
 }
 
 /// Something that reaches a member.
@@ -45,6 +47,10 @@
     pub running: Option<(Host<CoordinationLeader>, GroupStore)>,
     /// Its clock goes faster or slower by this part of a thousand.
     pub drift: i64,
+    /// Whether its own clock counts suspensions.
+    pub counts_suspensions: bool,
+    /// How long it was suspended so far.
+    pub suspended: Duration,
     pub starts_at: Instant,
     pub frozen_until: Instant,
     /// Cut off from the other machines, and from the engines, until then.
@@ -96,6 +102,11 @@
 impl Machine {
     /// The time that its own clock shows.
     pub fn local(&self, now: Instant) -> Instant {
+        let now = if self.counts_suspensions {
+            now
+        } else {
+            now - self.suspended
+        };
         let nanos = i128::from(now.0) * i128::from(1000 + self.drift) / 1000;
         Instant(u64::try_from(nanos).unwrap_or(0) + 1_000_000_000)
     }
@@ -125,7 +136,7 @@
         };
         let handover = match fault {
             Fault::ShortHandover => HANDOVER / 10,
-            Fault::None | Fault::TrustsFences => HANDOVER,
+            Fault::None | Fault::TrustsFences | Fault::StoppedClock => HANDOVER,
         };
         let settings = LeaderSettings {
             node: format!("machine-{index}"),
@@ -142,6 +153,13 @@
         self.running = Some((host.expect("the host starts"), store));
     }
 
+    /// It stands still until then, its clock with it unless that counts suspensions.
+    pub fn suspend(&mut self, now: Instant, until: Instant) {
+        let from = now.max(self.frozen_until);
+        self.suspended += until.since(from);
+        self.frozen_until = self.frozen_until.max(until);
+    }
+
     pub fn is_awake(&self, now: Instant) -> bool {
         self.running.is_some() && now >= self.frozen_until
     }
--- a/crates/wingshore-coordinator/tests/simulation/mod.rs
+++ b/crates/wingshore-coordinator/tests/simulation/mod.rs
@@ -30,6 +30,8 @@
 const VERSION_INTERVAL: Duration = Duration::from_millis(2500);
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 const FAULT_INTERVAL: Duration = Duration::from_millis(4000);
+/// A machine that is cut off while it is suspended hears from the others this long after.
+const CUT_AFTER_SUSPENSION: Duration = Duration::from_secs(2);
 
 /// An order on its way; by whom.
 struct Travelling {
@@ -71,6 +73,8 @@
             disk: MemoryFileSystem::new(),
             running: None,
             drift: random.random_range(-10..=10),
+            counts_suspensions: fault != Fault::StoppedClock,
+            suspended: Duration::ZERO,
             starts_at: Instant::ZERO,
             frozen_until: Instant::ZERO,
             cut_until: Instant::ZERO,
@@ -148,9 +152,10 @@
         };
         let until = self.now + self.millis(200..8000);
         let down = self.now + self.millis(100..1500);
+        let now = self.now;
         let seed = self.random.random();
         let struck = &mut self.machines[machine];
-        let kind = self.random.random_range(0..5);
+        let kind = self.random.random_range(0..7);
         match kind {
             0 => {
                 struck.running = None;
@@ -161,9 +166,15 @@
             }
             1 | 2 => struck.frozen_until = struck.frozen_until.max(until),
             3 => struck.cut_until = struck.cut_until.max(until),
-            _ => struck.cut_from_engines_until = struck.cut_from_engines_until.max(until),
+            4 => struck.cut_from_engines_until = struck.cut_from_engines_until.max(until),
+            5 => struck.suspend(now, until),
+            _ => {
+                // It is cut off from the others a little longer than it is suspended.
+                struck.suspend(now, until);
+                struck.cut_until = struck.cut_until.max(until + CUT_AFTER_SUSPENSION);
+            }
         }
-        if kind < 4 {
+        if kind != 4 {
             self.tell_of_lost(machine);
         }
     }
@@ -308,7 +319,7 @@
             };
             machine.inbox.push((self.now, Input::Event(event)));
         } else if strikes_now {
-            machine.frozen_until = until;
+            machine.suspend(self.now, until);
             machine.held_orders.push(order);
         } else {
             self.send_order(index, order);
--- a/crates/wingshore-net/src/lib.rs
+++ b/crates/wingshore-net/src/lib.rs
@@ -4,14 +4,12 @@
 //! HTTP/1.1 messages in buffers and knows no sockets. [`frame`] does the same for the
 //! length-prefixed `postcard` frames that a site's own processes exchange.
 
-mod clock;
 mod connection;
 pub mod frame;
 pub mod http;
 mod reactor;
 mod signals;
 
-pub use clock::Clock;
 pub use reactor::{
     ConnectOptions, ConnectionId, ListenerId, NetError, NetEvent, Reactor, ReactorWaker,
 };
--- a/crates/wingshore-node/src/background/watch.rs
+++ b/crates/wingshore-node/src/background/watch.rs
@@ -3,8 +3,9 @@
 use crate::state::NodeState;
 use slog::{info, warn};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use wingshore_client::WatchHandler;
+use wingshore_clock::BootTime;
 use wingshore_request::UpdateOutcome;
 use wingshore_types::protocol::control::{ConfigurationUpdate, NodeAcknowledgement, WatchRequest};
 
@@ -52,7 +53,7 @@
 
     /// The router has the new configuration before it is acknowledged, and before the lease that
     /// came with it counts: both happen under the lock of the view.
-    fn on_update(&mut self, sent_at: Instant, update: ConfigurationUpdate, lease_ms: u64) {
+    fn on_update(&mut self, sent_at: BootTime, update: ConfigurationUpdate, lease_ms: u64) {
         let lease = Duration::from_millis(lease_ms);
         self.wait = MAX_WATCH_WAIT.min(lease / LEASE_DIVISOR);
         let node = &self.node;
--- a/crates/wingshore-node/src/lib.rs
+++ b/crates/wingshore-node/src/lib.rs
@@ -2,7 +2,6 @@
 //! samples of the rollout pools it is set up for.
 
 mod background;
-mod clock;
 pub mod http;
 mod metrics;
 mod rollout;
--- a/crates/wingshore-node/src/state.rs
+++ b/crates/wingshore-node/src/state.rs
@@ -1,7 +1,6 @@
 //! What the threads of a node share.
 
 use crate::background::{Errand, Errands};
-use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::upstream::UpstreamClient;
 use slog::{error, warn};
@@ -10,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use wingshore_client::GroupClient;
+use wingshore_clock::Clock;
 use wingshore_diagnostics::{Diagnostics, StopSignal};
 use wingshore_request::{ConfigurationView, ExecutionLimits, Faults, NotAdmitted, WithoutLease};
 use wingshore_routing::{Router, RouterSettings};
--- a/crates/wingshore-relay/src/driver/mod.rs
+++ b/crates/wingshore-relay/src/driver/mod.rs
@@ -1,7 +1,6 @@
 //! Drives a relay with sockets, threads and a clock.
 
 mod admin;
-mod clock;
 mod frames;
 mod metrics;
 mod run;
--- a/crates/wingshore-relay/src/driver/run.rs
+++ b/crates/wingshore-relay/src/driver/run.rs
@@ -1,7 +1,6 @@
 //! The relay's main loop.
 
 use super::admin::AdminServer;
-use super::clock::Clock;
 use super::frames::{RelayFrames, Watchers};
 use super::metrics::Metrics;
 use super::upstream;
@@ -15,6 +14,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 use wingshore_client::GroupClient;
+use wingshore_clock::Clock;
 use wingshore_diagnostics::{Diagnostics, StopSignal};
 use wingshore_settings::RelaySettings;
 use wingshore_transport::{BindError, ConnectionHandle, ConnectionId, Server, ServerOptions};
--- a/crates/wingshore-relay/tests/fan_out.rs
+++ b/crates/wingshore-relay/tests/fan_out.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant as StandardInstant};
 use wingshore_client::{ConfigurationWatcher, GroupClient, WatchHandler};
+use wingshore_clock::{BootTime, Clock};
 use wingshore_diagnostics::Diagnostics;
 use wingshore_relay::RunningRelay;
 use wingshore_request::{ConfigurationView, WithoutLease};
@@ -29,7 +30,7 @@
 
 /// Two scripted replicas, one of which leads; the other one is silent, as if cut off.
 struct Control {
-    origin: StandardInstant,
+    clock: Clock,
     state: Mutex<ControlState>,
 }
 
@@ -51,7 +52,7 @@
     }
 
     fn now(&self) -> Instant {
-        Instant::ZERO + self.origin.elapsed()
+        self.clock.now()
     }
 
     fn answer_due(&self) {
@@ -114,7 +115,7 @@
 /// A node's part of the watch.
 struct Node {
     name: NodeId,
-    origin: StandardInstant,
+    clock: Clock,
     view: Arc<Mutex<ConfigurationView>>,
 }
 
@@ -132,8 +133,8 @@
         }
     }
 
-    fn on_update(&mut self, sent_at: StandardInstant, update: ConfigurationUpdate, lease_ms: u64) {
-        let sent_at = Instant::ZERO + sent_at.duration_since(self.origin);
+    fn on_update(&mut self, sent_at: BootTime, update: ConfigurationUpdate, lease_ms: u64) {
+        let sent_at = self.clock.at(sent_at);
         let lease = Duration::from_millis(lease_ms);
         self.view.lock().unwrap().apply(sent_at, update, lease);
     }
@@ -183,7 +184,7 @@
 impl Site {
     fn start() -> Self {
         let control = Arc::new(Control {
-            origin: StandardInstant::now(),
+            clock: Clock::start(),
             state: Mutex::new(ControlState {
                 leads: 0,
                 leader: Leader::new(LEASE),
--- a/crates/wingshore-replica/src/effects/carrier.rs
+++ b/crates/wingshore-replica/src/effects/carrier.rs
@@ -2,7 +2,6 @@
 
 use super::engine::EngineClient;
 use super::lease::LeaseView;
-use crate::clock::Clock;
 use crate::error::{ReplicaError, ThreadSnafu};
 use crate::group::{EffectRunner, GroupEvent, Inbox};
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
@@ -10,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
+use wingshore_clock::Clock;
 use wingshore_control::{ControlEffect, ControlEvent, ControlLeader, LeaderSettings, OrderAnswer};
 use wingshore_settings::OrderSettings;
 use wingshore_types::platform::EngineOrder;
--- a/crates/wingshore-replica/src/lib.rs
+++ b/crates/wingshore-replica/src/lib.rs
@@ -6,7 +6,6 @@
 //! Orders to engines are carried by a few threads of their own.
 
 mod admin;
-mod clock;
 mod effects;
 mod error;
 mod frames;
--- a/crates/wingshore-replica/src/process.rs
+++ b/crates/wingshore-replica/src/process.rs
@@ -1,7 +1,6 @@
 //! One replica process from start to end.
 
 use crate::admin::{Admin, AdminState};
-use crate::clock::Clock;
 use crate::error::{FolderSnafu, ListenSnafu, ReplicaError};
 use crate::frames::FrameDispatcher;
 use crate::peers::Peers;
@@ -12,6 +11,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
+use wingshore_clock::Clock;
 use wingshore_diagnostics::{Diagnostics, StopSignal};
 use wingshore_settings::ReplicaSettings;
 use wingshore_storage::{DataFolder, FileSystem, RealFileSystem};
--- a/crates/wingshore-replica/src/start.rs
+++ b/crates/wingshore-replica/src/start.rs
@@ -1,6 +1,5 @@
 //! Opens the groups of a replica.
 
-use crate::clock::Clock;
 use crate::effects::{ControlEffects, EffectSettings, LeaseView};
 use crate::error::{ReplicaError, StorageSnafu};
 use crate::group::{self, EffectRunner, GroupPort, GroupSetup, HostedLeader, Inbox, NoEffects};
@@ -10,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use wingshore_clock::Clock;
 use wingshore_control::{ControlLeader, LeaderSettings};
 use wingshore_diagnostics::Diagnostics;
 use wingshore_group::{HostConfig, Timing};
