--- a/crates/wingshore-relay/tests/fan_out.rs
+++ b/crates/wingshore-relay/tests/fan_out.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::{Duration, Instant as StandardInstant};
+use std::time::Duration;
 use wingshore_client::{ConfigurationWatcher, GroupClient, WatchHandler};
 use wingshore_clock::{BootTime, Clock};
 use wingshore_diagnostics::Diagnostics;
@@ -222,7 +222,7 @@
         let view = Arc::new(Mutex::new(ConfigurationView::new(WithoutLease::Refuse)));
         let node = Node {
             name: NodeId::new(&format!("node-{number}")),
-            origin: self.control.origin,
+            clock: self.control.clock,
             view: Arc::clone(&view),
         };
         self.views.push(view);
