coordination: an engine where nobody listens gets no items before its next heartbeat

Change: a refused connection means that the process has ended, unless the way is cut: the engine waits for its next heartbeat, which a crashed one never sends, and one behind a cut sends within 1.2 s.

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -20,6 +20,9 @@
     pub(crate) running: usize,
     /// Gets no items before this time.
     pub(crate) paused_until: Instant,
+    /// Nobody listened at its address: it gets no items before it is heard of again. A server
+    /// that crashed never is; one that was cut off is within its heartbeat interval.
+    pub(crate) unheard: bool,
     /// Faults in a row.
     pub(crate) faults: u32,
     /// The model whose weights it is loading.
@@ -52,6 +55,7 @@
         let loading = model.is_some() && self.loading.as_ref() == model;
         let holds = model.is_none_or(|model| self.version_of(model) >= min_version);
         !self.record.draining
+            && !self.unheard
             && !loading
             && holds
             && now >= self.paused_until
@@ -67,6 +71,8 @@
 pub(crate) struct Engines {
     all: BTreeMap<InstanceId, Engine>,
     by_number: HashMap<EngineNumber, InstanceId>,
+    /// How many are unheard of: usually none.
+    unheard: usize,
     next_number: u32,
     free: FreeSlots,
     /// Engines whose pace is known, the fastest first, by their service.
@@ -115,6 +121,7 @@
             record,
             running: 0,
             paused_until: Instant::ZERO,
+            unheard: false,
             faults: 0,
             loading: None,
             slots,
@@ -132,6 +139,7 @@
         let Some(engine) = self.all.remove(instance) else {
             return;
         };
+        self.unheard -= usize::from(engine.unheard);
         self.free.remove(&engine);
         self.by_number.remove(&engine.number);
         self.forget_pace(&engine);
@@ -202,6 +210,25 @@
         }
     }
 
+    /// Nobody listens at its address: it gets no items before its next heartbeat.
+    pub(crate) fn await_heartbeat(&mut self, instance: &InstanceId) {
+        if let Some(engine) = self.all.get_mut(instance) {
+            let was_unheard = std::mem::replace(&mut engine.unheard, true);
+            self.unheard += usize::from(!was_unheard);
+        }
+    }
+
+    /// It was heard of.
+    pub(crate) fn heard(&mut self, instance: &InstanceId) {
+        if self.unheard == 0 {
+            return;
+        }
+        if let Some(engine) = self.all.get_mut(instance) {
+            let was_unheard = std::mem::replace(&mut engine.unheard, false);
+            self.unheard -= usize::from(was_unheard);
+        }
+    }
+
     /// It has told its versions; gives those that are news.
     pub(crate) fn raise_versions(
         &mut self,
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -245,6 +245,10 @@
     fn not_run(&mut self, now: Instant, running: &Running, reason: NotRunReason) {
         match reason {
             NotRunReason::Unreachable => self.pause_engine(now, &running.instance),
+            NotRunReason::Ended => {
+                self.pause_engine(now, &running.instance);
+                self.engines.await_heartbeat(&running.instance);
+            }
             NotRunReason::Full | NotRunReason::Mismatch => {
                 let until = now + REFUSED_PAUSE;
                 self.engines.pause_until(&running.instance, until);
--- a/crates/wingshore-coordination/src/leader/servers.rs
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -99,6 +99,9 @@
             .heartbeats
             .note(now, instance.clone(), heartbeat.sequence);
         let is_known = state.servers().contains_key(&instance);
+        if is_newest {
+            self.engines.heard(&instance);
+        }
         if state.has_departed(&instance)
             || !is_newest
             || (!is_known && self.heartbeats.may_be_outdated(&instance))
@@ -148,6 +151,7 @@
         let mut unknown = Vec::new();
         for HeardServer { instance, sequence } in servers {
             if state.servers().contains_key(&instance) {
+                self.engines.heard(&instance);
                 self.heartbeats.note(now, instance, sequence);
             } else if !state.has_departed(&instance) {
                 unknown.push(instance);
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -444,6 +444,8 @@
     Mismatch,
     /// No connection came up.
     Unreachable,
+    /// Nobody listens at its address.
+    Ended,
     /// The gateway takes no items.
     Stopping,
     /// Servers have ended under what the item asks.
@@ -463,6 +465,7 @@
             Self::NotRun(NotRunReason::Full) => "the engine is full or loads weights",
             Self::NotRun(NotRunReason::Mismatch) => "another server or version is there",
             Self::NotRun(NotRunReason::Unreachable) => "no connection to the engine",
+            Self::NotRun(NotRunReason::Ended) => "nobody listens at the engine's address",
             Self::NotRun(NotRunReason::Stopping) => "the gateway stops",
             Self::NotRun(NotRunReason::Rejected) => "servers have ended under it",
             Self::Failed => "the engine failed",
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -288,9 +288,8 @@
         run.upstream = None;
         let outcome = match lost.end {
             ConnectionEnd::BrokeOff | ConnectionEnd::Silent => run.interrupted(true),
-            ConnectionEnd::NeverUp | ConnectionEnd::Refused => {
-                ItemOutcome::NotRun(NotRunReason::Unreachable)
-            }
+            ConnectionEnd::NeverUp => ItemOutcome::NotRun(NotRunReason::Unreachable),
+            ConnectionEnd::Refused => ItemOutcome::NotRun(NotRunReason::Ended),
         };
         self.end_item(id, outcome);
     }
