--- a/crates/wingshore-coordination/src/state/evidence.rs
+++ b/crates/wingshore-coordination/src/state/evidence.rs
@@ -75,6 +75,13 @@
         self.suspects.values()
     }
 
+    /// How many requests there are under which servers have ended, and how many of them are
+    /// rejected.
+    pub fn counts(&self) -> (usize, usize) {
+        let rejected = self.suspects.values().filter(|suspect| suspect.rejected);
+        (self.suspects.len(), rejected.count())
+    }
+
     /// Sets the key, unless there is one: fingerprints under another key would name nothing known.
     pub(super) fn set_key(&mut self, key: FingerprintKey) {
         self.key.get_or_insert(key);
--- a/crates/wingshore-coordinator/src/metrics.rs
+++ b/crates/wingshore-coordinator/src/metrics.rs
@@ -60,6 +60,8 @@
     pub(crate) engines_loading: usize,
     pub(crate) scorings_waiting: usize,
     pub(crate) scorings_running: usize,
+    pub(crate) suspect_requests: usize,
+    pub(crate) rejected_requests: usize,
     pub(crate) configuration: u64,
     pub(crate) results: usize,
     pub(crate) result_text_bytes: usize,
@@ -82,7 +84,7 @@
 }
 
 /// Gauges: name and help.
-const GAUGES: [(&str, &str); 21] = [
+const GAUGES: [(&str, &str); 23] = [
     ("leading", "1 where this coordinator leads the group"),
     ("leader_known", "1 where it knows a leader"),
     ("term", "Term of the group; the fence of orders"),
@@ -123,6 +125,14 @@
         "scorings_running",
         "Scorings that gateways have in hand; 0 where it does not lead",
     ),
+    (
+        "suspect_requests",
+        "Requests under which servers have ended; at most 1,024",
+    ),
+    (
+        "rejected_requests",
+        "Requests that no server is to run, since servers have ended under them",
+    ),
     (
         "configuration_version",
         "Version of the configuration in force here",
@@ -270,6 +280,8 @@
             count(readings.engines_loading),
             count(readings.scorings_waiting),
             count(readings.scorings_running),
+            count(readings.suspect_requests),
+            count(readings.rejected_requests),
             readings.configuration,
             count(readings.results),
             count(readings.result_text_bytes),
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -74,6 +74,7 @@
         let membership = self.host.membership();
         let leader = self.host.leader_machine();
         let figures = leader.map(CoordinationLeader::figures).unwrap_or_default();
+        let (suspect_requests, rejected_requests) = state.evidence().counts();
         let draining = state.servers().values().filter(|server| server.draining);
         Readings {
             leading: self.host.is_leader(),
@@ -92,6 +93,8 @@
             engines_loading: figures.engines_loading,
             scorings_waiting: figures.scorings_waiting,
             scorings_running: figures.scorings_running,
+            suspect_requests,
+            rejected_requests,
             configuration: state.configuration().map_or(0, |held| held.version),
             results: state.jobs().values().map(|job| job.results.len()).sum(),
             result_text_bytes: state.jobs().values().map(Job::text_bytes).sum(),
--- a/crates/wingshore-gateway/src/crashes.rs
+++ b/crates/wingshore-gateway/src/crashes.rs
@@ -18,6 +18,9 @@
 const TOLD_FOR: Duration = Duration::from_secs(60);
 /// Most pieces of evidence that are kept to be told again; a piece has 60 bytes.
 const MOST_FOUND: usize = 512;
+/// Connections that are opened to find out whether one server has ended: the first one may still
+/// find its port open, and break with it.
+const MOST_LOOKS: u32 = 3;
 /// Most requests that are remembered for one server whose connections were lost: more than it runs
 /// at once.
 const MOST_BROKEN_OF_A_SERVER: usize = 64;
@@ -29,6 +32,8 @@
     requests: Vec<RequestFingerprint>,
     /// When the first connection was lost: the server ended then, if it did.
     since: Instant,
+    /// Connections that were opened to find out.
+    looks: u32,
 }
 
 #[derive(Debug)]
@@ -70,6 +75,7 @@
             address,
             requests: Vec::new(),
             since: now,
+            looks: 0,
         });
         let has_room = broken.requests.len() < MOST_BROKEN_OF_A_SERVER;
         if has_room && !broken.requests.contains(&request) {
@@ -78,9 +84,11 @@
         None
     }
 
-    /// Whether connections to a server were lost, and it is not known whether it has ended.
-    pub fn is_unexplained(&self, instance: &InstanceId) -> bool {
-        self.broken.contains_key(instance)
+    /// Where to open a connection to find out whether a server has ended, if one is to be opened.
+    pub fn look(&mut self, instance: &InstanceId) -> Option<SocketAddr> {
+        let broken = self.broken.get_mut(instance)?;
+        broken.looks += 1;
+        (broken.looks <= MOST_LOOKS).then_some(broken.address)
     }
 
     /// A run of a server is seen to have ended. Gives the evidence that follows.
--- a/crates/wingshore-gateway/src/metrics.rs
+++ b/crates/wingshore-gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     pub(crate) items: usize,
     pub(crate) scorings: usize,
     pub(crate) scorings_queued: usize,
+    pub(crate) suspects: usize,
+    pub(crate) evidence: usize,
     pub(crate) coordinators: usize,
     pub(crate) leader_known: bool,
     pub(crate) ready: bool,
@@ -78,6 +80,8 @@
     items_running: Gauge,
     scorings_running: Gauge,
     scorings_queued: Gauge,
+    suspects: Gauge,
+    evidence: Gauge,
     coordinators: Gauge,
     leader_known: Gauge,
     ready: Gauge,
@@ -103,6 +107,8 @@
             items_running: Gauge::default(),
             scorings_running: Gauge::default(),
             scorings_queued: Gauge::default(),
+            suspects: Gauge::default(),
+            evidence: Gauge::default(),
             coordinators: Gauge::default(),
             leader_known: Gauge::default(),
             ready: Gauge::default(),
@@ -176,6 +182,16 @@
                 "Scorings whose request has not been sent",
                 &self.scorings_queued,
             ),
+            (
+                "suspect_requests",
+                "Requests under which several servers have ended, as the leader has told",
+                &self.suspects,
+            ),
+            (
+                "crash_evidence",
+                "Endings of servers under requests seen here lately; at most 512",
+                &self.evidence,
+            ),
             ("coordinators", "Coordinators in touch", &self.coordinators),
             (
                 "leader_known",
@@ -242,6 +258,8 @@
         self.items_running.set(as_gauge(readings.items));
         self.scorings_running.set(as_gauge(readings.scorings));
         self.scorings_queued.set(as_gauge(readings.scorings_queued));
+        self.suspects.set(as_gauge(readings.suspects));
+        self.evidence.set(as_gauge(readings.evidence));
         self.coordinators.set(as_gauge(readings.coordinators));
         self.leader_known.set(i64::from(readings.leader_known));
         self.ready.set(i64::from(readings.ready));
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -198,6 +198,8 @@
             items: self.items.count(),
             scorings: self.scorings.count(),
             scorings_queued: self.scorings.queued(),
+            suspects: self.view.suspect_count(),
+            evidence: self.crashes.untold().count(),
             coordinators: self.coordinators.connected().len(),
             leader_known: self.coordinators.leader().is_some(),
             ready: status.ready,
@@ -379,7 +381,7 @@
         match closed.task {
             Some(Task::Exchange(id)) => self.exchange_broken(now, id, &lost),
             Some(Task::Item(id)) => self.item_connection_ended(now, id, &lost),
-            None => {}
+            None => self.look_at(now, &lost.instance),
         }
     }
 
--- a/crates/wingshore-gateway/src/suspects.rs
+++ b/crates/wingshore-gateway/src/suspects.rs
@@ -156,11 +156,15 @@
             return;
         };
         let address = server.address;
-        let is_first = !self.crashes.is_unexplained(instance);
         let evidence = self.crashes.broke_off(now, instance, address, request);
-        let is_open = evidence.is_none();
         self.take_evidence(evidence.into_iter().collect());
-        if is_first && is_open {
+        self.look_at(now, instance);
+    }
+
+    /// Opens a connection to a server whose connections were lost, unless it is known to have
+    /// ended: it is refused if the server has, and kept for the next request otherwise.
+    pub(crate) fn look_at(&mut self, now: Instant, instance: &InstanceId) {
+        if let Some(address) = self.crashes.look(instance) {
             self.upstreams
                 .open(now, &mut self.reactor, instance, address);
         }
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -102,6 +102,11 @@
         !self.suspects.is_empty()
     }
 
+    /// How many there are.
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+
     /// What the leader has told of a request under which servers have ended.
     pub fn suspect(&self, request: RequestFingerprint) -> Option<&Suspect> {
         self.suspects.get(&request)
