--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -3,11 +3,10 @@
 mod support;
 
 use googletest::prelude::*;
-use std::time::Duration;
 use support::{Group, engine, job};
 use wingshore_coordination::{
     CoordinatorMessage, Effect, Event, GatewayId, ItemAssignment, ItemOutcome, ItemProgress,
-    ItemState, ItemText, JobId, NotRunReason, Reply, Request, RunningItem,
+    ItemState, ItemText, JobId, Reply, Request, RunningItem,
 };
 
 fn text(events: u64) -> ItemText {
@@ -30,15 +29,6 @@
     }
 }
 
-fn end(group: &mut Group, gateway: GatewayId, assignment: &ItemAssignment, outcome: ItemOutcome) {
-    group.event(Event::ItemEnded {
-        gateway,
-        assignment: assignment.assignment,
-        item: assignment.item.clone(),
-        outcome,
-    });
-}
-
 fn running(assignment: &ItemAssignment) -> RunningItem {
     RunningItem {
         assignment: assignment.assignment,
@@ -55,14 +45,6 @@
     }
 }
 
-fn group_with_job(items: u32) -> (Group, GatewayId) {
-    let mut group = Group::new();
-    let gateway = group.add_gateway(1);
-    group.heartbeat(engine("e1", 1));
-    group.ask(Request::SubmitJob(job("j", items)));
-    (group, gateway)
-}
-
 fn results(group: &Group) -> Vec<(ItemState, String)> {
     let job = &group.state.jobs()[&JobId::from("j")];
     job.results
@@ -73,15 +55,10 @@
 
 #[gtest]
 fn an_accepted_job_is_placed_and_its_result_listed() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let assigned = group.assignments();
     assert_that!(assigned, len(eq(1)));
-    end(
-        &mut group,
-        gateway,
-        &assigned[0],
-        ItemOutcome::Finished(text(3).into()),
-    );
+    group.end_item(gateway, &assigned[0], ItemOutcome::Finished(text(3).into()));
     expect_that!(
         results(&group),
         elements_are![eq(&(ItemState::Succeeded, text(3).text))]
@@ -90,13 +67,13 @@
 
 #[gtest]
 fn a_broken_try_is_gone_on_with_behind_its_last_event() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     let outcome = ItemOutcome::Interrupted {
         text: text(2),
         engine_suspect: false,
     };
-    end(&mut group, gateway, &first, outcome);
+    group.end_item(gateway, &first, outcome);
     let second = group.assignments().remove(0);
     expect_that!(second.kept, eq(&text(2)));
 }
@@ -105,13 +82,13 @@
 /// text of the first one was with the old leader.
 #[gtest]
 fn a_new_leader_lists_the_whole_text_of_an_item_that_was_gone_on_with() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     let outcome = ItemOutcome::Interrupted {
         text: text(2),
         engine_suspect: false,
     };
-    end(&mut group, gateway, &first, outcome);
+    group.end_item(gateway, &first, outcome);
     let second = group.assignments().remove(0);
     group.change_leader("coordinator-b");
     group.connect_gateway(1);
@@ -120,12 +97,7 @@
     let mut whole = second.kept.clone();
     whole.text.push_str("\nevent 3");
     whole.events += 1;
-    end(
-        &mut group,
-        gateway,
-        &second,
-        ItemOutcome::Finished(whole.into()),
-    );
+    group.end_item(gateway, &second, ItemOutcome::Finished(whole.into()));
     expect_that!(
         results(&group),
         elements_are![eq(&(ItemState::Succeeded, text(3).text))]
@@ -134,7 +106,7 @@
 
 #[gtest]
 fn a_new_leader_does_not_place_what_a_gateway_still_runs() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     group.change_leader("coordinator-b");
     group.connect_gateway(1);
@@ -154,7 +126,7 @@
 /// the leader took it to be running all the same, and the item was never placed again.
 #[gtest]
 fn what_a_gateway_tells_twice_goes_on() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     group.change_leader("coordinator-b");
     group.connect_gateway(1);
@@ -171,7 +143,7 @@
 
 #[gtest]
 fn a_try_that_its_gateway_does_not_speak_of_is_placed_again() {
-    let (mut group, _) = group_with_job(1);
+    let (mut group, _) = Group::with_job(1);
     assert_that!(group.assignments(), len(eq(1)));
     group.wait(std::time::Duration::from_secs(3));
     expect_that!(group.assignments(), len(eq(1)));
@@ -179,14 +151,9 @@
 
 #[gtest]
 fn the_gateway_keeps_a_finished_text_until_it_is_committed() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
-    end(
-        &mut group,
-        gateway,
-        &first,
-        ItemOutcome::Finished(text(1).into()),
-    );
+    group.end_item(gateway, &first, ItemOutcome::Finished(text(1).into()));
     let release = Effect::ToGateway(
         gateway,
         CoordinatorMessage::Release {
@@ -198,20 +165,10 @@
 
 #[gtest]
 fn a_result_that_is_told_twice_is_listed_once() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
-    end(
-        &mut group,
-        gateway,
-        &first,
-        ItemOutcome::Finished(text(1).into()),
-    );
-    end(
-        &mut group,
-        gateway,
-        &first,
-        ItemOutcome::Finished(text(1).into()),
-    );
+    group.end_item(gateway, &first, ItemOutcome::Finished(text(1).into()));
+    group.end_item(gateway, &first, ItemOutcome::Finished(text(1).into()));
     expect_that!(results(&group), len(eq(1)));
 }
 
@@ -230,7 +187,7 @@
 
 #[gtest]
 fn events_that_were_handed_in_outlast_gateway_and_leader() {
-    let (mut group, _) = group_with_job(1);
+    let (mut group, _) = Group::with_job(1);
     let first = group.assignments().remove(0);
     keep(&mut group, &first, 0, 2);
     keep(&mut group, &first, 2, 4);
@@ -243,7 +200,7 @@
 
 #[gtest]
 fn events_that_do_not_follow_those_handed_in_are_dropped() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     keep(&mut group, &first, 0, 2);
     keep(&mut group, &first, 3, 4);
@@ -256,14 +213,14 @@
 
 #[gtest]
 fn a_broken_try_goes_on_behind_more_than_was_handed_in() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     keep(&mut group, &first, 0, 2);
     let outcome = ItemOutcome::Interrupted {
         text: text(3),
         engine_suspect: false,
     };
-    end(&mut group, gateway, &first, outcome);
+    group.end_item(gateway, &first, outcome);
     let second = group.assignments().remove(0);
     expect_that!(second.kept, eq(&text(3)));
     expect_that!(second.durable, eq(text(2).extent()));
@@ -276,7 +233,7 @@
 
 #[gtest]
 fn items_of_a_lost_gateway_are_placed_on_another_one() {
-    let (mut group, gateway) = group_with_job(2);
+    let (mut group, gateway) = Group::with_job(2);
     let first = group.assignments();
     assert_that!(first, len(eq(2)));
     group.add_gateway(2);
@@ -286,9 +243,9 @@
 
 #[gtest]
 fn an_item_that_an_engine_calls_impossible_is_abandoned() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
-    end(&mut group, gateway, &first, ItemOutcome::Impossible);
+    group.end_item(gateway, &first, ItemOutcome::Impossible);
     expect_that!(
         results(&group),
         elements_are![eq(&(ItemState::Abandoned, String::new()))]
@@ -297,11 +254,11 @@
 
 #[gtest]
 fn an_item_is_abandoned_after_the_attempts_of_its_route() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     for _ in 0..3 {
         group.wait(std::time::Duration::from_millis(500));
         let assigned = group.assignments().remove(0);
-        end(&mut group, gateway, &assigned, ItemOutcome::Failed);
+        group.end_item(gateway, &assigned, ItemOutcome::Failed);
     }
     expect_that!(
         results(&group),
@@ -311,7 +268,7 @@
 
 #[gtest]
 fn an_ended_job_releases_what_runs_and_can_still_be_read() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     expect_that!(
         group.ask(Request::EndJob(JobId::from("j"))),
@@ -334,7 +291,7 @@
 
 #[gtest]
 fn no_engine_gets_more_items_than_it_has_slots() {
-    let (mut group, _) = group_with_job(10);
+    let (mut group, _) = Group::with_job(10);
     expect_that!(group.assignments(), len(eq(4)));
 }
 
@@ -353,10 +310,10 @@
 
 #[gtest]
 fn an_ended_job_keeps_its_results_and_lets_the_contents_of_its_items_go() {
-    let (mut group, gateway) = group_with_job(2);
+    let (mut group, gateway) = Group::with_job(2);
     let first = group.assignments().remove(0);
     let outcome = ItemOutcome::Finished(text(3).into());
-    end(&mut group, gateway, &first, outcome);
+    group.end_item(gateway, &first, outcome);
     group.ask(Request::EndJob(JobId::from("j")));
     expect_that!(
         results(&group),
@@ -374,7 +331,7 @@
 /// that took its place, and earlier.
 #[gtest]
 fn a_result_of_a_gateway_that_was_out_of_touch_counts_when_it_is_back() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let first = group.assignments().remove(0);
     let other = group.add_gateway(2);
     group.event(gone(gateway));
@@ -382,12 +339,7 @@
     let second = group.assignments().remove(0);
     group.connect_gateway(1);
     group.event(told_running(gateway, vec![running(&first)]));
-    end(
-        &mut group,
-        gateway,
-        &first,
-        ItemOutcome::Finished(text(3).into()),
-    );
+    group.end_item(gateway, &first, ItemOutcome::Finished(text(3).into()));
     expect_that!(results(&group), len(eq(1)));
     let is_released = |effect: &Effect| {
         let Effect::ToGateway(to, CoordinatorMessage::Release { assignment }) = effect else {
@@ -397,12 +349,7 @@
     };
     expect_that!(group.effects.iter().any(is_released), eq(true));
     // The second one ends as well: nothing is listed twice.
-    end(
-        &mut group,
-        other,
-        &second,
-        ItemOutcome::Finished(text(3).into()),
-    );
+    group.end_item(other, &second, ItemOutcome::Finished(text(3).into()));
     expect_that!(results(&group), len(eq(1)));
 }
 
@@ -410,7 +357,7 @@
 /// on the next leader has none.
 #[gtest]
 fn a_new_leader_says_how_much_of_a_text_it_holds() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     let assignment = group.assignments().remove(0);
     group.event(Event::ItemKept {
         assignment: assignment.assignment,
@@ -458,7 +405,7 @@
 /// unless it stays away.
 #[gtest]
 fn a_gateway_whose_connection_broke_keeps_its_items_if_it_is_back_soon() {
-    let (mut group, gateway) = group_with_job(2);
+    let (mut group, gateway) = Group::with_job(2);
     let assignments = group.assignments();
     group.add_gateway(2);
     let broken = Event::GatewayGone {
@@ -483,7 +430,7 @@
 /// A process that begins on the machine of a gateway takes its place: nothing is left to wait for.
 #[gtest]
 fn a_gateway_that_was_started_anew_has_lost_its_items() {
-    let (mut group, gateway) = group_with_job(1);
+    let (mut group, gateway) = Group::with_job(1);
     group.assignments();
     group.add_gateway(2);
     group.event(Event::GatewayGone {
@@ -494,34 +441,3 @@
     group.wait(std::time::Duration::from_millis(50));
     expect_that!(group.assignments(), len(eq(1)));
 }
-
-/// Seen: an item was sent to one dead engine ten times in half a second. Cause: a refused connection
-/// paused the engine for 250 ms, and it was tried again until it had been silent for 6 s.
-#[gtest]
-fn an_engine_where_nobody_listens_gets_no_items_before_its_next_heartbeat() {
-    let (mut group, gateway) = group_with_job(1);
-    let first = group.assignments().remove(0);
-    let ended = ItemOutcome::NotRun(NotRunReason::Ended);
-    end(&mut group, gateway, &first, ended);
-    group.wait(Duration::from_secs(4));
-    expect_that!(group.assignments(), is_empty());
-    // Only the way of that gateway was cut.
-    group.heartbeat(engine("e1", 1));
-    group.wait(Duration::from_millis(100));
-    expect_that!(group.assignments(), len(eq(1)));
-}
-
-#[gtest]
-fn an_item_that_is_rejected_waits_and_takes_no_engine() {
-    let (mut group, gateway) = group_with_job(1);
-    let first = group.assignments().remove(0);
-    let rejected = ItemOutcome::NotRun(NotRunReason::Rejected);
-    end(&mut group, gateway, &first, rejected);
-    group.wait(Duration::from_secs(1));
-    expect_that!(group.assignments(), is_empty());
-    // The engine is not paused for it.
-    group.ask(Request::SubmitJob(job("other", 1)));
-    expect_that!(group.assignments(), len(eq(1)));
-    // Nor is the item given up early.
-    expect_that!(results(&group), is_empty());
-}
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -9,8 +9,9 @@
 use wingshore_coordination::{
     CoordinationLeader, CoordinationState, CoordinatorMessage, Effect, EngineProfile, Event,
     GatewayHello, GatewayId, GatewayStatus, Heartbeat, IngressLimits, InstanceId, ItemAssignment,
-    ItemId, JobId, JobItem, JobSubmission, LeaderSettings, ModelName, ModelVersion, Reply, Request,
-    Route, RouteKind, RouteTarget, Scorer, ServerRecord, Service, ServiceName, SiteConfiguration,
+    ItemId, ItemOutcome, JobId, JobItem, JobSubmission, LeaderSettings, ModelName, ModelVersion,
+    Reply, Request, Route, RouteKind, RouteTarget, Scorer, ServerRecord, Service, ServiceName,
+    SiteConfiguration,
 };
 use wingshore_types::machine::{LeaderMachine, LeaderOutput, ReplicatedState, RequestTag};
 use wingshore_types::{Epoch, Instant, LogIndex};
@@ -168,6 +169,30 @@
         gateway
     }
 
+    /// A group with a gateway, an engine, and a job of so many items.
+    pub fn with_job(items: u32) -> (Self, GatewayId) {
+        let mut group = Self::new();
+        let gateway = group.add_gateway(1);
+        group.heartbeat(engine("e1", 1));
+        group.ask(Request::SubmitJob(job("j", items)));
+        (group, gateway)
+    }
+
+    /// An attempt at an item is over.
+    pub fn end_item(
+        &mut self,
+        gateway: GatewayId,
+        assignment: &ItemAssignment,
+        outcome: ItemOutcome,
+    ) {
+        self.event(Event::ItemEnded {
+            gateway,
+            assignment: assignment.assignment,
+            item: assignment.item.clone(),
+            outcome,
+        });
+    }
+
     /// An engine registers, or tells its state again.
     pub fn heartbeat(&mut self, server: ServerRecord) -> Option<Reply> {
         self.sequence += 1;
--- a/crates/wingshore-net/src/lib.rs
+++ b/crates/wingshore-net/src/lib.rs
@@ -5,12 +5,12 @@
 //! length-prefixed `postcard` frames that a site's own processes exchange.
 
 mod connection;
+mod event;
 pub mod frame;
 pub mod http;
 mod reactor;
 mod signals;
 
-pub use reactor::{
-    ConnectOptions, ConnectionId, ListenerId, NetError, NetEvent, Reactor, ReactorWaker,
-};
+pub use event::{ConnectOptions, NetError, NetEvent};
+pub use reactor::{ConnectionId, ListenerId, Reactor, ReactorWaker};
 pub use signals::{SeedSource, Signals};
