gateway: a send counts as a cause from 2 ms on

10 ms would have passed over requests that end their servers at once: 35 ms and more were seen, but a shorter request may end one sooner. The bound only has to keep sends of the same moment apart, which arrive while the server's end is on its way back.

--- a/crates/wingshore-gateway/src/suspects.rs
+++ b/crates/wingshore-gateway/src/suspects.rs
@@ -19,8 +19,8 @@
 
 /// A request that was sent less than this long before the connection was lost did not bring it on:
 /// where several servers end at once, it was sent to the next one while word of its end was on
-/// the way. A server needs longer to get and begin a request, and 30 ms and more in all cases seen.
-const GUILTY_FROM: Duration = Duration::from_millis(10);
+/// the way. Request and reset alone need as long as this between two zones of one region.
+const GUILTY_FROM: Duration = Duration::from_millis(2);
 
 impl Gateway {
     /// What a request asks, whatever its identity; `None` before the site's key is known.
