coordination: items that may be what ends engines run apart from each other, and wait until the last ending is weighed

Change: a broken item names what it asks, unless it ran for 1 s; one under which an engine has just ended, or did so before, waits 450 ms until that is weighed; those under which two have ended go to engines without another such item. The unit test fails without the change.

--- a/crates/wingshore-coordination/src/leader/evidence.rs
+++ b/crates/wingshore-coordination/src/leader/evidence.rs
@@ -114,6 +114,12 @@
         }
     }
 
+    /// Whether an ending under a request was told and not weighed yet.
+    pub(crate) fn is_pending(&self, request: RequestFingerprint) -> bool {
+        let mut pending = self.pending.iter();
+        pending.any(|pending| pending.evidence.fingerprint == request)
+    }
+
     fn weight(&self, evidence: &CrashEvidence) -> Weight {
         let Some(ending) = self.endings.get(&evidence.instance) else {
             return Weight {
--- a/crates/wingshore-coordination/src/leader/items.rs
+++ b/crates/wingshore-coordination/src/leader/items.rs
@@ -1,6 +1,7 @@
 //! Items of batch jobs on their way: which wait, which run where, what they have so far.
 
 use super::engines::Engines;
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
 use crate::jobs::JobItem;
 use crate::messages::AssignmentId;
@@ -80,6 +81,8 @@
     pub(crate) moves: u32,
     /// The engine that it was moved away from.
     pub(crate) avoid: Option<Avoided>,
+    /// What it asks, once an engine broke it off early.
+    pub(crate) request: Option<RequestFingerprint>,
     /// The caller's estimate of its length; longer ones are placed first.
     pub(crate) expected: u64,
     /// Whether it is one of the longest: by the estimate, or by an earlier job that it outlasted.
@@ -309,6 +312,19 @@
         self.running.iter()
     }
 
+    /// Whether an item that `is_suspect` runs on an engine.
+    pub(crate) fn has_suspect_on(
+        &self,
+        instance: &InstanceId,
+        is_suspect: impl Fn(&Progress) -> bool,
+    ) -> bool {
+        let mut running = self.running.values();
+        running.any(|running| {
+            let progress = self.progress.get(&running.item);
+            running.instance == *instance && progress.is_some_and(&is_suspect)
+        })
+    }
+
     /// The item of a try that is under way and has no result proposed.
     pub(crate) fn item_of(&self, assignment: AssignmentId) -> Option<ItemKey> {
         let running = self.running.get(&assignment)?;
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -3,9 +3,12 @@
 use super::items::Running;
 use super::scoring::release_scoring;
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemKey};
 use crate::jobs::{ItemState, ListedResult};
-use crate::messages::{AssignmentId, CoordinatorMessage, ItemOutcome, NotRunReason, RunningItem};
+use crate::messages::{
+    AssignmentId, BreakCause, CoordinatorMessage, ItemOutcome, NotRunReason, RunningItem,
+};
 use crate::state::{Command, CoordinationState};
 use crate::text::{FinishedText, ItemText, ResultText};
 use std::time::Duration;
@@ -17,6 +20,9 @@
 /// An item that is rejected since servers have ended under it is offered to a gateway again after
 /// this time, for the case that it was let off. It is given up when its route says so, not earlier.
 const REJECTED_PAUSE: Duration = Duration::from_secs(2);
+/// An item that may be what ends engines waits this long, so that the last ending is weighed
+/// (300 ms, at the next tick) before it could end one more.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(450);
 /// An engine that did not take an item gets none for this long.
 const REFUSED_PAUSE: Duration = Duration::from_millis(90);
 /// An item that failed is not placed again for this long.
@@ -212,16 +218,14 @@
         out: &mut Outputs,
     ) {
         match outcome {
-            ItemOutcome::Interrupted {
-                text,
-                engine_suspect,
-            } => {
-                if engine_suspect {
-                    self.pause_engine(now, &running.instance);
-                }
+            ItemOutcome::Interrupted { text, cause } => {
                 if let Some(progress) = self.items.progress_mut(&running.item) {
                     progress.kept = text;
                 }
+                if let BreakCause::Engine(request) = cause {
+                    self.pause_engine(now, &running.instance);
+                    self.note_break(now, &running.item, request, state);
+                }
                 self.items.wait(running.item.clone());
             }
             ItemOutcome::NotRun(reason) => self.not_run(now, running, reason),
@@ -236,6 +240,28 @@
         }
     }
 
+    /// An engine broke an item off. Where one has ended under it a moment before, or a while ago, it
+    /// may be the cause of both: it waits until that is weighed.
+    fn note_break(
+        &mut self,
+        now: Instant,
+        item: &ItemKey,
+        request: Option<RequestFingerprint>,
+        state: &CoordinationState,
+    ) {
+        let Some(request) = request else {
+            return;
+        };
+        let may_be_cause =
+            self.evidence.is_pending(request) || state.evidence().ended_under(request) > 0;
+        if let Some(progress) = self.items.progress_mut(item) {
+            progress.request = Some(request);
+            if may_be_cause {
+                progress.not_before = Some(now + SUSPECT_PAUSE);
+            }
+        }
+    }
+
     fn pause_engine(&mut self, now: Instant, instance: &InstanceId) {
         let settings = &self.settings;
         let (first, most) = (settings.engine_pause, settings.most_engine_pause);
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -1,6 +1,7 @@
 //! Which engine runs an item, and through which gateway.
 
 use super::engines::{Engine, slow_down};
+use super::evidence::TOLD_FROM;
 use super::free_slots::Look;
 use super::gateways::Gateway;
 use super::items::{Progress, Running};
@@ -106,7 +107,8 @@
         }
         let Some(instance) = self.choose_engine(now, &candidate, state) else {
             // One that it is to avoid may take others.
-            if candidate.progress.avoided(now).is_some() {
+            let progress = &candidate.progress;
+            if progress.avoided(now).is_some() || is_suspect(progress, state) {
                 return Err(NotPlaced::NotNow);
             }
             let service = candidate.service;
@@ -169,18 +171,28 @@
         let best_pace = self.engines.best_pace(&candidate.service).unwrap_or(1.0);
         let newest = model.and_then(|model| state.named_versions().get(model).copied());
         let avoid = progress.avoided(now);
+        let is_suspect = |progress: &Progress| is_suspect(progress, state);
+        let has_to_be_apart = is_suspect(progress);
+        let is_apart = |instance: &InstanceId| {
+            !has_to_be_apart || !self.items.has_suspect_on(instance, is_suspect)
+        };
         let at_home = home
             .filter(|home| avoid != Some(*home))
             .and_then(|home| Some((home, self.engines.get(home)?)))
             .filter(|(_, engine)| engine.record.service == candidate.service)
-            .filter(|(_, engine)| engine.takes(now, model, min_version));
+            .filter(|(_, engine)| engine.takes(now, model, min_version))
+            .filter(|(home, _)| is_apart(home));
         self.engines
             .best_of_each(
                 &candidate.service,
                 model,
                 min_version,
                 Look::Any,
-                |instance, engine| avoid != Some(instance) && engine.takes(now, model, min_version),
+                |instance, engine| {
+                    avoid != Some(instance)
+                        && engine.takes(now, model, min_version)
+                        && is_apart(instance)
+                },
             )
             .into_iter()
             .chain(at_home)
@@ -294,6 +306,13 @@
     }
 }
 
+/// Whether several servers have ended under an item. Such items run on engines apart from each
+/// other: the next ending then tells which of them is the cause.
+fn is_suspect(progress: &Progress, state: &CoordinationState) -> bool {
+    let request = progress.request;
+    request.is_some_and(|request| state.evidence().ended_under(request) >= TOLD_FROM)
+}
+
 /// With which text a try begins. Where versions must not mix, an engine at another one begins anew.
 fn start_of(candidate: &Candidate<'_>, version: u64) -> (ItemText, DurablePrefix) {
     let kept = &candidate.progress.kept;
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -33,9 +33,9 @@
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame, KnownLeader};
 pub use messages::{
-    AssignmentId, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage, GatewayStatus,
-    ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply, Request, RunningItem,
-    SeenCrash, SiteView, ViewChange,
+    AssignmentId, BreakCause, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage,
+    GatewayStatus, ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply,
+    Request, RunningItem, SeenCrash, SiteView, ViewChange,
 };
 pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -424,8 +424,8 @@
     Interrupted {
         /// All events so far, also those of earlier tries.
         text: ItemText,
-        /// Whether the engine seems to be at fault, rather than the gateway that stops.
-        engine_suspect: bool,
+        /// What broke it off.
+        cause: BreakCause,
     },
     /// The engine has not run it.
     NotRun(NotRunReason),
@@ -435,6 +435,16 @@
     Impossible,
 }
 
+/// What broke a try at an item off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BreakCause {
+    /// The gateway, which stops or was told to.
+    Gateway,
+    /// The engine, or the way to it. Names what the item asks, unless it ran for so long that it is
+    /// not what ends engines.
+    Engine(Option<RequestFingerprint>),
+}
+
 /// Why an item was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotRunReason {
@@ -457,11 +467,10 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Finished(_) => "finished",
-            Self::Interrupted {
-                engine_suspect: true,
-                ..
-            } => "the engine broke off",
-            Self::Interrupted { .. } => "the gateway broke off",
+            Self::Interrupted { cause, .. } => match cause {
+                BreakCause::Gateway => "the gateway broke off",
+                BreakCause::Engine(_) => "the engine broke off",
+            },
             Self::NotRun(NotRunReason::Full) => "the engine is full or loads weights",
             Self::NotRun(NotRunReason::Mismatch) => "another server or version is there",
             Self::NotRun(NotRunReason::Unreachable) => "no connection to the engine",
--- a/crates/wingshore-coordination/tests/evidence.rs
+++ b/crates/wingshore-coordination/tests/evidence.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 use support::{Group, engine};
 use wingshore_coordination::{
-    CoordinationState, CoordinatorMessage, CrashEvidence, EVIDENCE_LIFETIME, Effect, Event,
-    FingerprintKey, GatewayId, InstanceId, MOST_SUSPECTS, RequestContent, RequestFingerprint,
-    SeenCrash, Suspect, ViewChange,
+    BreakCause, CoordinationState, CoordinatorMessage, CrashEvidence, EVIDENCE_LIFETIME, Effect,
+    Event, FingerprintKey, GatewayId, InstanceId, ItemOutcome, ItemText, MOST_SUSPECTS,
+    RequestContent, RequestFingerprint, SeenCrash, Suspect, ViewChange,
 };
 use wingshore_types::machine::ReplicatedState;
 
@@ -192,3 +192,36 @@
     expect_that!(rejected, eq(1));
     expect_that!(is_rejected(&group.state, request(0)), eq(true));
 }
+
+/// Seen: an item that ends its engines took the others of its engine with it from one engine to the
+/// next, so that all stood on the same endings, and one more was rejected with it.
+#[gtest]
+fn items_that_may_be_the_cause_run_on_engines_apart_from_each_other() {
+    let (mut group, gateway) = Group::with_job(2);
+    let both = group.assignments();
+    assert_that!(both, len(eq(2)));
+    let requests = [request(1), request(2)];
+    for server in ["e1", "e2"] {
+        let seen = requests.iter().map(|request| seen(*request, server));
+        tell(&mut group, seen.collect());
+        group.wait(WEIGHED);
+    }
+    for (assignment, request) in both.iter().zip(requests) {
+        let broke_off = ItemOutcome::Interrupted {
+            text: ItemText::default(),
+            cause: BreakCause::Engine(Some(request)),
+        };
+        group.end_item(gateway, assignment, broke_off);
+    }
+    group.heartbeat(engine("e3", 1));
+    group.heartbeat(engine("e4", 1));
+    expect_that!(
+        group.assignments(),
+        is_empty(),
+        "the last ending is weighed first"
+    );
+    group.wait(APART);
+    let again = group.assignments();
+    assert_that!(again, len(eq(2)));
+    expect_that!(again[0].instance, not(eq(&again[1].instance)));
+}
--- a/crates/wingshore-coordination/tests/items.rs
+++ b/crates/wingshore-coordination/tests/items.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use support::{Group, engine, job};
 use wingshore_coordination::{
-    CoordinatorMessage, Effect, Event, GatewayId, ItemAssignment, ItemOutcome, ItemProgress,
-    ItemState, ItemText, JobId, Reply, Request, RunningItem,
+    BreakCause, CoordinatorMessage, Effect, Event, GatewayId, ItemAssignment, ItemOutcome,
+    ItemProgress, ItemState, ItemText, JobId, Reply, Request, RunningItem,
 };
 
 fn text(events: u64) -> ItemText {
@@ -71,7 +71,7 @@
     let first = group.assignments().remove(0);
     let outcome = ItemOutcome::Interrupted {
         text: text(2),
-        engine_suspect: false,
+        cause: BreakCause::Gateway,
     };
     group.end_item(gateway, &first, outcome);
     let second = group.assignments().remove(0);
@@ -86,7 +86,7 @@
     let first = group.assignments().remove(0);
     let outcome = ItemOutcome::Interrupted {
         text: text(2),
-        engine_suspect: false,
+        cause: BreakCause::Gateway,
     };
     group.end_item(gateway, &first, outcome);
     let second = group.assignments().remove(0);
@@ -218,7 +218,7 @@
     keep(&mut group, &first, 0, 2);
     let outcome = ItemOutcome::Interrupted {
         text: text(3),
-        engine_suspect: false,
+        cause: BreakCause::Gateway,
     };
     group.end_item(gateway, &first, outcome);
     let second = group.assignments().remove(0);
--- a/crates/wingshore-coordination/tests/moves.rs
+++ b/crates/wingshore-coordination/tests/moves.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use support::{Group, engine, job};
 use wingshore_coordination::{
-    CoordinatorMessage, Effect, Event, FinishedText, ItemAssignment, ItemOutcome, ItemProgress,
-    ItemText, Request,
+    BreakCause, CoordinatorMessage, Effect, Event, FinishedText, ItemAssignment, ItemOutcome,
+    ItemProgress, ItemText, Request,
 };
 
 /// Tells that an item has brought one event more each `pace`, twice.
@@ -76,7 +76,7 @@
         item: items[0].item.clone(),
         outcome: ItemOutcome::Interrupted {
             text: ItemText::default(),
-            engine_suspect: false,
+            cause: BreakCause::Gateway,
         },
     });
     expect_that!(group.assignments(), is_empty());
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -8,8 +8,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, DurablePrefix, GatewayMessage, HeldPrefix, IncomingFrame, ItemAssignment,
-    ItemOutcome, ItemProgress, ItemText, NotRunReason, RunningItem, ScoringAssignment,
+    AssignmentId, BreakCause, DurablePrefix, GatewayMessage, HeldPrefix, IncomingFrame,
+    ItemAssignment, ItemOutcome, ItemProgress, ItemText, NotRunReason, RunningItem,
+    ScoringAssignment,
 };
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter};
@@ -259,7 +260,7 @@
                 scoring = run.scoring();
                 ItemOutcome::Finished(text.into())
             }
-            200..=299 => run.interrupted(false),
+            200..=299 => run.interrupted(BreakCause::Gateway),
             422 => ItemOutcome::Impossible,
             _ => ItemOutcome::Failed,
         };
@@ -279,15 +280,17 @@
         id: AssignmentId,
         lost: &LostSend,
     ) {
+        let request = self.possible_cause(now, id);
         if lost.end == ConnectionEnd::BrokeOff {
-            self.item_broke_off(now, id, lost);
+            self.run_broke_off(now, lost, request);
         }
+        let cause = BreakCause::Engine(request);
         let Some(run) = self.items.runs.get_mut(&id) else {
             return;
         };
         run.upstream = None;
         let outcome = match lost.end {
-            ConnectionEnd::BrokeOff | ConnectionEnd::Silent => run.interrupted(true),
+            ConnectionEnd::BrokeOff | ConnectionEnd::Silent => run.interrupted(cause),
             ConnectionEnd::NeverUp => ItemOutcome::NotRun(NotRunReason::Unreachable),
             ConnectionEnd::Refused => ItemOutcome::NotRun(NotRunReason::Ended),
         };
@@ -299,7 +302,7 @@
         let Some(run) = self.items.runs.get_mut(&id) else {
             return;
         };
-        let outcome = run.interrupted(false);
+        let outcome = run.interrupted(BreakCause::Gateway);
         if let Some(upstream) = run.upstream.take() {
             self.upstreams.close(&mut self.reactor, upstream);
         }
@@ -408,7 +411,7 @@
         if run.outcome.is_some() {
             return;
         }
-        let outcome = run.interrupted(false);
+        let outcome = run.interrupted(BreakCause::Gateway);
         if let Some(upstream) = run.upstream.take() {
             self.upstreams.close(&mut self.reactor, upstream);
         }
@@ -460,10 +463,10 @@
         }
     }
 
-    fn interrupted(&mut self, engine_suspect: bool) -> ItemOutcome {
+    fn interrupted(&mut self, cause: BreakCause) -> ItemOutcome {
         ItemOutcome::Interrupted {
             text: std::mem::take(&mut self.text),
-            engine_suspect,
+            cause,
         }
     }
 }
--- a/crates/wingshore-gateway/src/suspects.rs
+++ b/crates/wingshore-gateway/src/suspects.rs
@@ -118,6 +118,21 @@
             "route" => &exchange.route.name, "service" => %exchange.service);
     }
 
+    /// What an item asks whose connection was lost; `None` if it ran for so long that it is not what
+    /// ends engines.
+    pub(crate) fn possible_cause(
+        &self,
+        now: Instant,
+        id: AssignmentId,
+    ) -> Option<RequestFingerprint> {
+        let run = self.items.run(id)?;
+        let streamed_for = run.first_event.map(|first| now.since(first));
+        if streamed_for.is_some_and(|time| time >= INNOCENT_AFTER) {
+            return None;
+        }
+        self.fingerprint_of_item(&run.assignment)
+    }
+
     /// The connection of a live request or a scoring was lost while a server ran it.
     pub(crate) fn exchange_broke_off(&mut self, now: Instant, id: ExchangeId, lost: &LostSend) {
         let known = self.exchanges.get(id);
@@ -126,22 +141,9 @@
         self.run_broke_off(now, lost, request);
     }
 
-    /// The connection of an item was lost while an engine ran it.
-    pub(crate) fn item_broke_off(&mut self, now: Instant, id: AssignmentId, lost: &LostSend) {
-        let Some(run) = self.items.run(id) else {
-            return;
-        };
-        let streamed_for = run.first_event.map(|first| now.since(first));
-        if streamed_for.is_some_and(|time| time >= INNOCENT_AFTER) {
-            return;
-        }
-        let request = self.fingerprint_of_item(&run.assignment);
-        self.run_broke_off(now, lost, request);
-    }
-
     /// A connection was lost while a server ran a request: finds out whether the server has ended.
     /// Servers that are leaving end by themselves.
-    fn run_broke_off(
+    pub(crate) fn run_broke_off(
         &mut self,
         now: Instant,
         lost: &LostSend,
