ledger, client: constants of estimates and of two examples say what they are

Those of the ledger are estimates of bytes in the log, those of the examples assumed loads; no run stands behind them, and the lines say so. Comments only.

--- a/crates/wingshore-client/examples/loopback_bench.rs
+++ b/crates/wingshore-client/examples/loopback_bench.rs
@@ -19,8 +19,11 @@
 use wingshore_types::{GroupId, NodeId, Revision};
 
 const SITE: &str = "bench";
+/// Time for which calls are counted: thousands of them on loopback.
 const MEASURED_FOR: Duration = Duration::from_secs(3);
+/// Connections that are held open without calls, to see what one costs.
 const IDLE_CONNECTIONS: usize = 1000;
+/// Longest wait for one call; a call on loopback takes less than a millisecond.
 const PATIENCE: Duration = Duration::from_secs(10);
 
 type BenchResult<T> = Result<T, Box<dyn Error + Send + Sync>>;
--- a/crates/wingshore-ledger/examples/ledger_cost.rs
+++ b/crates/wingshore-ledger/examples/ledger_cost.rs
@@ -12,9 +12,13 @@
     WeightVersion,
 };
 
+/// Tokens of each prompt; an assumed length.
 const PROMPT_TOKENS: u32 = 200;
+/// Samples that are submitted together; an assumed number.
 const SUBMISSION: u64 = 64;
+/// Samples that are leased together; an assumed number.
 const LEASES_PER_REQUEST: u32 = 64;
+/// Bytes of a page of memory, in which the system counts what a process holds.
 const PAGE_BYTES: u64 = 4096;
 
 /// Cost of one kind of operation.
--- a/crates/wingshore-ledger/src/claims/command.rs
+++ b/crates/wingshore-ledger/src/claims/command.rs
@@ -15,6 +15,7 @@
 
 /// About how many bytes a request takes in the log.
 pub(super) fn estimated_bytes(request: &ClaimsRequest) -> usize {
+    /// Bytes of a request besides its key and answer: identifiers, time and framing; an estimate.
     const FIXED: usize = 64;
     let (key, answer) = match request {
         ClaimsRequest::Claim { key, .. } => (key, 0),
--- a/crates/wingshore-ledger/src/samples/command.rs
+++ b/crates/wingshore-ledger/src/samples/command.rs
@@ -143,8 +143,11 @@
 
     /// About how many bytes it takes in the log.
     pub fn estimated_bytes(&self) -> usize {
+        /// Bytes of a command besides its items: identifiers and framing; an estimate.
         const FIXED: usize = 64;
+        /// Bytes of a token: it has 32 bits, of which the codec leaves out what is zero.
         const PER_TOKEN: usize = 4;
+        /// Bytes of an item besides its tokens; an estimate.
         const PER_ITEM: usize = 16;
         let variable = match self {
             Self::Submit { prompts, .. } => prompts
