--- a/crates/wingshore-clock/src/lib.rs
+++ b/crates/wingshore-clock/src/lib.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// The machine's time of day, in milliseconds since the start of 1970. It may jump: only what is
+/// agreed on with others goes by it, and no wait does.
+pub fn wall_ms() -> i64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    // Before 1970 the machine's time is wrong in any case.
+    since.map_or(0, |since| {
+        i64::try_from(since.as_millis()).unwrap_or(i64::MAX)
+    })
+}
+
 /// The time since an origin; all copies share one.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/crates/wingshore-coordination/src/configuration.rs
+++ b/crates/wingshore-coordination/src/configuration.rs
@@ -2,6 +2,8 @@
 //! choose.
 
 use crate::ids::{ModelName, ServiceName};
+use crate::scaling::Scaling;
+use crate::tenants::{Tenant, TenantError, check_tenants};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::collections::BTreeSet;
@@ -19,6 +21,8 @@
     pub services: Vec<Service>,
     /// What callers may send, and how long they may take.
     pub limits: IngressLimits,
+    /// Who may call; empty where a site does not tell its callers apart.
+    pub tenants: Vec<Tenant>,
     /// The document as the operator sent it, for reading it back.
     #[serde(with = "byte_vector")]
     pub document: Vec<u8>,
@@ -53,6 +57,8 @@
     pub single_version: bool,
     /// Whether a stream may be continued at another server.
     pub resumable: bool,
+    /// Whether it is open to all, where a site has tenants.
+    pub public: bool,
 }
 
 /// What may be repeated.
@@ -78,7 +84,7 @@
 }
 
 /// A set of servers that stand in for each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -88,6 +94,8 @@
     pub max_connections: u32,
     /// Set where the servers are model engines.
     pub engine: Option<EngineProfile>,
+    /// Set where the number of servers can be ordered.
+    pub scaling: Option<Scaling>,
 }
 
 /// What the engines of a service have in common.
@@ -170,6 +178,12 @@
         /// What it has.
         prefix: String,
     },
+    /// Something is wrong with the tenants.
+    #[snafu(display("{source}"), context(false))]
+    Tenants {
+        /// What.
+        source: TenantError,
+    },
     /// Two services of one name.
     #[snafu(display("service `{service}` stands twice; allowed is once"))]
     SameService {
@@ -184,6 +198,7 @@
     /// # Errors
     /// Says the first thing that is wrong, where, and what is allowed.
     pub fn check(&self) -> Result<(), ConfigurationError> {
+        check_tenants(&self.tenants)?;
         let services = self.service_names()?;
         let mut places = std::collections::BTreeMap::new();
         for route in &self.routes {
@@ -213,6 +228,11 @@
         Ok(names)
     }
 
+    /// Whether callers have to show a key on this route.
+    pub fn asks_for_key(&self, route: &Route) -> bool {
+        !self.tenants.is_empty() && !route.public
+    }
+
     /// The service of this name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
--- a/crates/wingshore-coordination/src/ids.rs
+++ b/crates/wingshore-coordination/src/ids.rs
@@ -40,8 +40,12 @@
 }
 
 text_id! {
-    /// One run of a server process; a restarted server has another one.
-    InstanceId
+    /// What a server calls itself. It may start again under the same name.
+    ServerName
+}
+text_id! {
+    /// A tenant: callers that share their keys, and are told apart from others.
+    TenantName
 }
 text_id! {
     /// A service: a set of servers that stand in for each other.
@@ -51,10 +55,6 @@
     /// A model that engines serve.
     ModelName
 }
-text_id! {
-    /// A batch job; chosen by the caller that submits it.
-    JobId
-}
 text_id! {
     /// An item of a batch job; chosen by the caller, unique within its job.
     ItemId
@@ -65,6 +65,51 @@
 #[serde(transparent)]
 pub struct GatewayId(pub u64);
 
+/// A batch job. Its name is chosen by the caller that submits it, and belongs to the caller's
+/// tenant: the same name of another tenant is another job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId {
+    tenant: Option<TenantName>,
+    name: Arc<str>,
+}
+
+impl JobId {
+    /// The job of this name that belongs to a tenant, or to nobody.
+    #[must_use]
+    pub fn of_tenant(self, tenant: Option<TenantName>) -> Self {
+        Self {
+            tenant,
+            name: self.name,
+        }
+    }
+
+    /// Whose job it is; `None` where callers are not told apart.
+    pub fn tenant(&self) -> Option<&TenantName> {
+        self.tenant.as_ref()
+    }
+}
+
+impl From<&str> for JobId {
+    fn from(name: &str) -> Self {
+        Self {
+            tenant: None,
+            name: Arc::from(name),
+        }
+    }
+}
+
+impl From<String> for JobId {
+    fn from(name: String) -> Self {
+        Self::from(name.as_str())
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.name)
+    }
+}
+
 /// An item by its job and its place in the submission.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ItemKey {
@@ -73,3 +118,58 @@
     /// The item's place in the submission, from 0.
     pub index: u32,
 }
+
+/// When a server started, by its own word: milliseconds since the start of 1970.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct BornAt(pub u64);
+
+/// One run of a server process. A server that starts again under its name is another run: it holds
+/// nothing that the one before held, and its counts start anew.
+///
+/// Runs of one name are in the order of their starts; one that does not say when it started comes
+/// before all that do.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct InstanceId {
+    name: ServerName,
+    born: Option<BornAt>,
+}
+
+impl InstanceId {
+    /// The run of `name` that started at `born`; `None` where servers do not say that, and have a
+    /// name of its own for each run.
+    pub fn new(name: ServerName, born: Option<BornAt>) -> Self {
+        Self { name, born }
+    }
+
+    /// What the server calls itself: by this, requests say which server they are meant for.
+    pub fn name(&self) -> &ServerName {
+        &self.name
+    }
+
+    /// When it started.
+    pub fn born(&self) -> Option<BornAt> {
+        self.born
+    }
+}
+
+impl From<&str> for InstanceId {
+    fn from(name: &str) -> Self {
+        Self::new(ServerName::from(name), None)
+    }
+}
+
+impl From<String> for InstanceId {
+    fn from(name: String) -> Self {
+        Self::new(ServerName::from(name), None)
+    }
+}
+
+impl fmt::Display for InstanceId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born {
+            Some(born) => write!(formatter, "{}@{}", self.name, born.0),
+            None => write!(formatter, "{}", self.name),
+        }
+    }
+}
--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -5,6 +5,7 @@
 use crate::messages::AssignmentId;
 use crate::scoring::ScoringDecision;
 use crate::state::Suspect;
+use crate::usage::UsageWindow;
 
 impl Decision {
     /// The request that the decision is about, where it went well: lines about such ones may be
@@ -23,7 +24,7 @@
 pub enum Decision {
     /// A batch job was accepted.
     JobAccepted {
-        /// The job.
+        /// The job, and with it whose it is.
         job: JobId,
         /// Its items.
         items: usize,
@@ -178,6 +179,15 @@
         /// Why.
         reason: &'static str,
     },
+    /// The counts of a window of usage are fixed.
+    UsageClosed {
+        /// The window.
+        window: UsageWindow,
+        /// Tenants with requests in it.
+        tenants: usize,
+        /// Requests of all of them.
+        requests: u64,
+    },
     /// A configuration came into force.
     Configured {
         /// Its version.
--- a/crates/wingshore-coordination/src/leader/gateway_view.rs
+++ b/crates/wingshore-coordination/src/leader/gateway_view.rs
@@ -135,6 +135,7 @@
         routes: configuration.routes.clone(),
         services: configuration.services.clone(),
         limits: configuration.limits,
+        tenants: configuration.tenants.clone(),
         document: Vec::new(),
     })
 }
--- a/crates/wingshore-coordination/src/leader/gateways.rs
+++ b/crates/wingshore-coordination/src/leader/gateways.rs
@@ -114,6 +114,7 @@
         let Some(known) = self.gateways.remove(&gateway) else {
             return;
         };
+        self.keep_usage_of(gateway, out);
         let grace = self.settings.gateway_return.saturating_sub(silence);
         self.away.push(AwayGateway {
             gateway,
--- a/crates/wingshore-coordination/src/leader/interface.rs
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -7,9 +7,12 @@
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
     RunningItem, SeenCrash,
 };
+use crate::provider::{ProviderAnswer, UsageReport};
 use crate::registry::HeardServer;
 use crate::scoring::{RunningScoring, ScoringOutcome};
+use crate::site_time::WallTime;
 use crate::text::ItemText;
+use crate::usage::{UsageWindow, WindowUsage};
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_types::ReplicaId;
@@ -88,6 +91,22 @@
     },
     /// Connections to these coordinators' machines have ended lately, or are down.
     CoordinatorsLost(Vec<String>),
+    /// The site has agreed on its time of day.
+    TimeAgreed(WallTime),
+    /// A gateway tells totals of requests that began to run.
+    UsageTold {
+        /// Which gateway.
+        gateway: GatewayId,
+        /// Its totals.
+        usage: Vec<WindowUsage>,
+    },
+    /// The provider answered a report of usage, or did not.
+    UsageAnswered {
+        /// Of which window.
+        window: UsageWindow,
+        /// The answer.
+        answer: ProviderAnswer,
+    },
     /// An engine answered an order, or did not.
     Ordered {
         /// The engine.
@@ -120,6 +139,8 @@
     },
     /// Log a decision.
     Log(Decision),
+    /// Report a window's usage to the provider.
+    ReportUsage(UsageReport),
     /// Give an engine an order.
     Order(WeightOrder),
     /// Ask an engine how it stands.
--- a/crates/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/wingshore-coordination/src/leader/jobs.rs
@@ -49,7 +49,7 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        if state.jobs().contains_key(&submission.id) {
+        if state.find_job(&submission.id).is_some() {
             return reply(tag, Reply::Done, out);
         }
         if let Some(reason) = self.missing_scorer_route(&submission, state) {
@@ -122,7 +122,7 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        let Some(known) = state.jobs().get(&job) else {
+        let Some((job, known)) = state.find_job(&job) else {
             return reply(tag, Reply::Unknown, out);
         };
         let has_some = (known.results.len() as u64) > from;
@@ -132,7 +132,7 @@
         }
         self.readers.waiting.push(Reader {
             tag,
-            job,
+            job: job.clone(),
             from,
             until: now + wait,
         });
@@ -202,14 +202,14 @@
     pub(crate) fn end_job(
         &mut self,
         tag: RequestTag,
-        id: JobId,
+        id: &JobId,
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        let Some(job) = state.jobs().get(&id) else {
+        let Some((id, job)) = state.find_job(id) else {
             return reply(tag, Reply::Unknown, out);
         };
-        let ended = self.items.remove_job(&id, state);
+        let ended = self.items.remove_job(id, state);
         if !job.ended {
             let decision = Decision::JobEnded {
                 job: id.clone(),
@@ -223,13 +223,14 @@
             self.note_end(&running);
             release(running.gateway, assignment, out);
         }
-        for (gateway, scoring) in self.scorings.remove_job(&id) {
+        for (gateway, scoring) in self.scorings.remove_job(id) {
             release_scoring(gateway, scoring, out);
         }
         if job.ended {
             return reply(tag, Reply::Done, out);
         }
-        self.propose(Command::EndJob(id), Waiter::Request(tag), out);
+        let command = Command::EndJob(id.clone());
+        self.propose(command, Waiter::Request(tag), out);
     }
 
     /// Gives up items that have been queued for longer than their route allows, or whose route is
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -20,6 +20,7 @@
 mod scorings;
 mod servers;
 mod settings;
+mod usage;
 
 pub use decision::Decision;
 pub use evidence::{EVIDENCE_LIFETIME, REJECTED_FROM};
@@ -27,12 +28,14 @@
 pub use policy::LeaderPolicy;
 pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
 pub use settings::LeaderSettings;
+pub use usage::UsageDuty;
 
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName};
 use crate::messages::{AssignmentId, Reply, Request};
 use crate::routes::RouteTable;
 use crate::state::{Command, CoordinationState};
+use crate::usage::UsageWindow;
 use engines::Engines;
 use evidence::Evidence;
 use gateway_view::GatewayView;
@@ -44,6 +47,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
+use usage::UsageReporter;
 use wingshore_types::machine::{
     LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, RequestTag,
 };
@@ -98,6 +102,8 @@
     Evidence(Vec<RequestFingerprint>),
     /// A version was named.
     Version(RequestTag),
+    /// The counts of a window were committed.
+    UsageClosed(UsageWindow),
 }
 
 /// The leader machine of the coordination group.
@@ -122,6 +128,7 @@
     rollout: Rollout,
     scorings: Scorings,
     evidence: Evidence,
+    usage: UsageReporter,
     /// The routes of the configuration in force.
     routes: RouteTable,
     /// What gateways are told.
@@ -154,6 +161,7 @@
             rollout: Rollout::default(),
             scorings: Scorings::default(),
             evidence: Evidence::default(),
+            usage: UsageReporter::default(),
             routes: RouteTable::default(),
             gateway_view: GatewayView::default(),
         }
@@ -260,6 +268,7 @@
         self.scorings.begin(now, state);
         self.job_clock.begin(now, state.jobs().keys());
         self.evidence.begin(now, state);
+        self.usage.begin(now);
         self.begin_rollout(now, state, out);
         if state.evidence().key().is_none() {
             let command = Command::SetFingerprintKey(self.settings.fingerprint_key);
@@ -284,7 +293,7 @@
                 reply(tag, Reply::Configuration(configuration), out);
             }
             Request::Heartbeat(heartbeat) => self.on_heartbeat(now, tag, heartbeat, state, out),
-            Request::Deregister(instance) => self.on_deregister(tag, instance, state, out),
+            Request::Deregister(name) => self.on_deregister(now, tag, name, state, out),
             Request::NameVersion { model, version } => {
                 self.name_version(tag, model, version, state, out);
             }
@@ -293,7 +302,7 @@
                 self.read_job(now, tag, job, from, wait, state, out);
             }
             Request::ReadItem { job, item } => read_item(tag, &job, &item, state, out),
-            Request::EndJob(job) => self.end_job(tag, job, state, out),
+            Request::EndJob(job) => self.end_job(tag, &job, state, out),
             Request::DescribeMember { member, node } => {
                 if state.member_nodes().get(&member) == Some(&node) {
                     return reply(tag, Reply::Done, out);
@@ -363,6 +372,7 @@
                     self.tell_gateways(change, out);
                 }
             }
+            Waiter::UsageClosed(window) => self.usage_closed(now, window, state, out),
             Waiter::Version(tag) => {
                 reply(tag, Reply::Done, out);
                 self.drive_rollout(now, state, out);
@@ -418,6 +428,13 @@
                 self.on_servers_heard(now, from, servers, state, out);
             }
             Event::CoordinatorsLost(nodes) => self.on_coordinators_lost(now, &nodes, state, out),
+            Event::TimeAgreed(wall) => self.usage.time_agreed(now, wall),
+            Event::UsageTold { gateway, usage } => {
+                self.usage.told(gateway, usage, state.usage());
+            }
+            Event::UsageAnswered { window, answer } => {
+                self.on_usage_answered(now, window, answer, out);
+            }
             Event::Ordered { instance, answer } => {
                 self.on_ordered(now, &instance, answer, state, out);
             }
@@ -441,6 +458,7 @@
         }
         self.weigh_evidence(now, state, out);
         self.drive_rollout(now, state, out);
+        self.drive_usage(now, state, out);
         self.place_items(now, state, out);
         self.place_scorings(now, state, out);
     }
@@ -453,8 +471,8 @@
     state: &CoordinationState,
     out: &mut Outputs,
 ) {
-    let known = state.jobs().get(job);
-    let item = known.and_then(|job| {
+    let known = state.find_job(job);
+    let item = known.and_then(|(_, job)| {
         let (index, item) = job.find_item(item)?;
         (!job.is_listed(index)).then_some(item)
     });
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -135,6 +135,12 @@
             .progress(&running.item)
             .is_none_or(|progress| progress.ended);
         match outcome {
+            ItemOutcome::Finished(text)
+                if !has_ended && is_too_old(&text, &running.item, state) =>
+            {
+                self.release_unknown(gateway, assignment, out);
+                self.begin_anew(now, (assignment, &running), out);
+            }
             ItemOutcome::Finished(text) if !has_ended => {
                 self.engines.succeeded(&running.instance);
                 let finished = (gateway, assignment);
@@ -158,6 +164,31 @@
         self.place_items(now, state, out);
     }
 
+    /// An engine made a text under a version that is older than the job allows: one that started
+    /// again, or carried an order out late, may hold less than it is known for. Nothing of the text
+    /// counts, and the engine is asked how it stands before it gets more.
+    fn begin_anew(
+        &mut self,
+        now: Instant,
+        (assignment, running): (AssignmentId, &Running),
+        out: &mut Outputs,
+    ) {
+        let decision = Decision::ItemRetried {
+            assignment,
+            job: running.item.job.clone(),
+            index: running.item.index,
+            instance: running.instance.clone(),
+            reason: "its text is of an older version than its job allows",
+        };
+        log(decision, out);
+        self.pause_engine(now, &running.instance);
+        self.ask_report(&running.instance, out);
+        if let Some(progress) = self.items.progress_mut(&running.item) {
+            progress.kept = ItemText::default();
+        }
+        self.items.wait(running.item.clone());
+    }
+
     /// A try is over that this leader had given up, because its gateway was out of touch. A whole
     /// text is a result all the same, whatever runs for the item meanwhile: the first one counts.
     fn on_forgotten_end(
@@ -174,6 +205,9 @@
         let (Some(progress), ItemOutcome::Finished(text)) = (open, outcome) else {
             return self.release_unknown(gateway, assignment, out);
         };
+        if is_too_old(&text, item, state) {
+            return self.release_unknown(gateway, assignment, out);
+        }
         if let Some(other) = progress.assignment
             && let Some(running) = self.items.end(other)
         {
@@ -382,6 +416,13 @@
     }
 }
 
+/// Whether a text is of a version that its job does not allow.
+fn is_too_old(text: &FinishedText, item: &ItemKey, state: &CoordinationState) -> bool {
+    let job = state.jobs().get(&item.job);
+    let oldest = job.map_or(0, |job| job.submission.min_version);
+    text.versions.iter().any(|version| *version < oldest)
+}
+
 /// Tells a gateway that a try is of no more use.
 pub(crate) fn release(gateway: GatewayId, assignment: AssignmentId, out: &mut Outputs) {
     let message = CoordinatorMessage::Release { assignment };
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -145,6 +145,9 @@
         {
             progress.kept = durable.clone();
         }
+        if !progress.kept.is_made_since(job.submission.min_version) {
+            progress.kept = ItemText::default();
+        }
         Some(Candidate {
             key,
             job,
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -135,6 +135,12 @@
         self.settle_at = Some(settle_at);
     }
 
+    /// Whether this machine may act: its claim is committed, and the time of the holder before is
+    /// over.
+    pub(super) fn holds_orders(&self) -> bool {
+        self.may_order
+    }
+
     /// The model whose weights an engine is to load.
     pub(super) fn model_loaded_by(&self, instance: &InstanceId) -> Option<&ModelName> {
         self.loads.get(instance).map(|load| &load.model)
--- a/crates/wingshore-coordination/src/leader/servers.rs
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -1,15 +1,20 @@
 //! The registry's leader side: heartbeats, drains, departures, expiry.
 
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log, reply};
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, ServerName};
 use crate::messages::Reply;
 use crate::registry::{HeardServer, Heartbeat, ServerRecord};
 use crate::state::{Command, CoordinationState};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use wingshore_types::machine::{LeaderOutput, RequestTag};
 use wingshore_types::{Instant, ReplicaId};
 
+/// Calls of a run that has ended may arrive this long after the next one of its name: heartbeats and
+/// deregistrations are under way for seconds at the most where links are cut.
+const LATE_CALLS: Duration = Duration::from_secs(5);
+
 /// A run of a server that was superseded at its address comes back with its second heartbeat: the
 /// first one may have been under way since before it ended, for seconds.
 const HEARTBEATS_TO_COME_BACK: u32 = 2;
@@ -22,6 +27,9 @@
     /// most one for each server: a run that is not heard of again is dropped when the next one at
     /// its address is superseded.
     superseded: BTreeMap<InstanceId, Superseded>,
+    /// Until when a deregistration under a name may be one of the run before, and a heartbeat one of
+    /// before its deregistration.
+    ambiguous: BTreeMap<ServerName, Instant>,
 }
 
 struct Superseded {
@@ -79,6 +87,17 @@
         superseded.heartbeats < HEARTBEATS_TO_COME_BACK
     }
 
+    /// From now on, and for a while, calls under this name may be of a run that is over.
+    fn expect_late_calls(&mut self, now: Instant, name: &ServerName) {
+        self.ambiguous.retain(|_, until| now < *until);
+        self.ambiguous.insert(name.clone(), now + LATE_CALLS);
+    }
+
+    /// Whether a call under this name may be of a run that is over.
+    fn may_be_late(&self, now: Instant, name: &ServerName) -> bool {
+        self.ambiguous.get(name).is_some_and(|until| now < *until)
+    }
+
     /// Whether the server has been silent since before `limit`.
     fn silent_since(&self, instance: &InstanceId, limit: Instant) -> bool {
         self.last.get(instance).is_none_or(|last| last.at < limit)
@@ -94,6 +113,9 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        if let Some(reason) = foreign(&heartbeat.server, state) {
+            return reply(tag, Reply::Refused(reason), out);
+        }
         let instance = heartbeat.server.instance.clone();
         let is_newest = self
             .heartbeats
@@ -104,7 +126,8 @@
         }
         if state.has_departed(&instance)
             || !is_newest
-            || (!is_known && self.heartbeats.may_be_outdated(&instance))
+            || is_of_an_earlier_run(&instance, state)
+            || (!is_known && self.may_be_outdated(now, &instance))
         {
             return reply(tag, Reply::Done, out);
         }
@@ -114,6 +137,7 @@
         }
         if !is_known {
             self.supersede_others(&wanted, state, out);
+            self.end_earlier_runs(now, &instance, state, out);
         }
         let command = Command::Register(wanted);
         self.propose(command, Waiter::Server(instance, Some(tag)), out);
@@ -130,7 +154,9 @@
         out: &mut Outputs,
     ) {
         let others = state.servers().values();
+        let name = server.instance.name();
         let others = others.filter(|other| other.address == server.address);
+        let others = others.filter(|other| other.instance.name() != name);
         let others: Vec<InstanceId> = others.map(|other| other.instance.clone()).collect();
         self.heartbeats.supersede(server.address, &others);
         for instance in others {
@@ -139,6 +165,36 @@
         }
     }
 
+    /// Whether a heartbeat of a run that the registry does not hold may be one of before its end.
+    fn may_be_outdated(&mut self, now: Instant, instance: &InstanceId) -> bool {
+        let after_deregistration =
+            instance.born().is_some() && self.heartbeats.may_be_late(now, instance.name());
+        after_deregistration || self.heartbeats.may_be_outdated(instance)
+    }
+
+    /// A server has started again under its name: the runs before have ended for good.
+    fn end_earlier_runs(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let runs = state.runs_of(instance.name());
+        let earlier: Vec<InstanceId> = runs
+            .map(|(run, _)| run)
+            .filter(|run| *run < instance)
+            .cloned()
+            .collect();
+        if earlier.is_empty() {
+            return;
+        }
+        self.heartbeats.expect_late_calls(now, instance.name());
+        for run in earlier {
+            self.propose(Command::Depart(run.clone()), Waiter::Server(run, None), out);
+        }
+    }
+
     /// Another coordinator answered heartbeats that say what the registry holds.
     pub(crate) fn on_servers_heard(
         &mut self,
@@ -166,13 +222,39 @@
         }
     }
 
+    /// A server deregisters. It does not say which of its runs ends: where a new one has just
+    /// registered, the call may be a late one of the run before, and is not acknowledged. A server
+    /// that means it calls again.
     pub(crate) fn on_deregister(
         &mut self,
+        now: Instant,
         tag: RequestTag,
-        instance: InstanceId,
+        name: ServerName,
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
+        let newest = state.runs_of(&name).last().map(|(run, _)| run.clone());
+        let Some(newest) = newest else {
+            return self.deregister_unknown(now, tag, name, state, out);
+        };
+        if newest.born().is_some() && self.heartbeats.may_be_late(now, &name) {
+            return reply(tag, Reply::ComeBack(LATE_CALLS), out);
+        }
+        let command = Command::Depart(newest.clone());
+        self.propose(command, Waiter::Server(newest, Some(tag)), out);
+    }
+
+    /// A server deregisters that the registry does not hold: its heartbeats may still be under way.
+    fn deregister_unknown(
+        &mut self,
+        now: Instant,
+        tag: RequestTag,
+        name: ServerName,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.heartbeats.expect_late_calls(now, &name);
+        let instance = InstanceId::new(name, None);
         if state.has_departed(&instance) {
             return reply(tag, Reply::Done, out);
         }
@@ -238,6 +320,33 @@
     }
 }
 
+/// Whether a later run of the same server is registered.
+fn is_of_an_earlier_run(instance: &InstanceId, state: &CoordinationState) -> bool {
+    state
+        .runs_of(instance.name())
+        .any(|(run, _)| run > instance)
+}
+
+/// Why an entry names no server to use: it is of a service that the configuration does not have, or
+/// says what the run that it names cannot have become. Such entries come from another writer, and
+/// are to disturb nobody.
+fn foreign(server: &ServerRecord, state: &CoordinationState) -> Option<String> {
+    let service = &server.service;
+    if let Some(held) = state.servers().get(&server.instance) {
+        let is_same = held.service == *service && held.address == server.address;
+        return (!is_same).then(|| {
+            format!(
+                "server `{}`: service `{service}` at {}; allowed is what this run registered: `{}` at {}",
+                server.instance, server.address, held.service, held.address
+            )
+        });
+    }
+    let configuration = state.configuration()?;
+    configuration.service(service).is_none().then(|| {
+        format!("service `{service}` is unknown; allowed are the services of the configuration")
+    })
+}
+
 /// What the registry should hold after `server` has told its state.
 fn merged(mut server: ServerRecord, state: &CoordinationState) -> ServerRecord {
     if let Some(held) = state.servers().get(&server.instance) {
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the leader machine.
 
 use super::policy::LeaderPolicy;
+use super::usage::UsageDuty;
 use crate::fingerprint::FingerprintKey;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
     pub server_expiry: Duration,
     /// A new leader gives orders only this long after another machine may have given its last.
     pub order_handover: Duration,
+    /// Reports of usage that the site owes its provider; `None` where it owes none.
+    pub usage: Option<UsageDuty>,
     /// Whether engines refuse orders whose fence is lower than one that they have seen. Where they
     /// do not look, only time keeps the orders of two machines apart.
     pub engines_check_fences: bool,
@@ -56,6 +59,7 @@
             fingerprint_key: FingerprintKey::new([0; 16]),
             server_expiry: Duration::from_secs(6),
             order_handover: Duration::from_millis(3300),
+            usage: None,
             engines_check_fences: false,
             introduction_time: Duration::from_millis(300),
             concurrent_loads: 2,
--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/usage.rs
@@ -0,0 +1,273 @@
+//! Reports of usage: closing a window, and sending its report.
+//!
+//! A window's counts are committed before its report is sent for the first time, so that whoever
+//! leads, and however often, sends the same. The holder of orders sends: its claim keeps the calls
+//! of two machines apart as it does for orders to engines.
+
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
+use crate::ids::GatewayId;
+use crate::provider::{DutyHolder, ProviderAnswer, UsageReport};
+use crate::site_time::WallTime;
+use crate::state::{Command, CoordinationState, SiteUsage};
+use crate::usage::{UsageCounts, UsageWindow, WindowUsage};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::machine::LeaderOutput;
+
+/// A window is closed after this part of the time in which its report is due: gateways tell their
+/// counts each 400 ms, and the rest of the time is for calls that have to be made again.
+const CLOSE_PART: f64 = 0.4;
+/// A new leader hears what gateways have counted before it closes a window.
+const TELLING_TIME: Duration = Duration::from_millis(1500);
+/// Windows that ended this many before the present one are not made up for.
+const MOST_BEHIND: u64 = 24;
+/// Reports under way at once.
+const MOST_SENDING: usize = 2;
+/// Pause after a first call without success; twice as long after each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// The longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Reports of usage that a site owes its provider.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsageDuty {
+    /// Length of a window.
+    pub window: Duration,
+    /// Time after the end of a window in which its report is due.
+    pub due: Duration,
+}
+
+/// One report on its way.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sending {
+    is_under_way: bool,
+    failures: u32,
+    not_before: Instant,
+}
+
+/// What the leader knows of usage besides what is durable.
+#[derive(Default)]
+pub(crate) struct UsageReporter {
+    /// A time of day that the site agreed on, and when.
+    agreed: Option<(WallTime, Instant)>,
+    /// Totals of gateways in windows that are open.
+    totals: BTreeMap<UsageWindow, BTreeMap<GatewayId, UsageCounts>>,
+    /// The window whose counts are being committed.
+    closing: Option<UsageWindow>,
+    sending: BTreeMap<UsageWindow, Sending>,
+    /// Whether another holder has acted: this one does not any more.
+    is_fenced: bool,
+    close_from: Instant,
+}
+
+impl UsageReporter {
+    /// A new leadership.
+    pub(crate) fn begin(&mut self, now: Instant) {
+        self.close_from = now + TELLING_TIME;
+    }
+
+    /// The site has agreed on its time of day.
+    pub(crate) fn time_agreed(&mut self, now: Instant, wall: WallTime) {
+        self.agreed = Some((wall, now));
+    }
+
+    fn site_time(&self, now: Instant) -> Option<WallTime> {
+        let (wall, at) = self.agreed?;
+        let since = i64::try_from(now.since(at).as_millis()).unwrap_or(i64::MAX);
+        Some(WallTime(wall.0.saturating_add(since)))
+    }
+
+    /// A gateway has told totals.
+    pub(crate) fn told(
+        &mut self,
+        gateway: GatewayId,
+        usage: Vec<WindowUsage>,
+        durable: &SiteUsage,
+    ) {
+        for WindowUsage { window, counts } in usage {
+            if durable.closed().is_none_or(|closed| window > closed) {
+                self.totals
+                    .entry(window)
+                    .or_default()
+                    .insert(gateway, counts);
+            }
+        }
+    }
+
+    /// What a gateway has told of windows that are open.
+    fn told_by(&self, gateway: GatewayId) -> Vec<WindowUsage> {
+        let totals = self.totals.iter();
+        totals
+            .filter_map(|(window, gateways)| {
+                let counts = gateways.get(&gateway)?.clone();
+                let window = *window;
+                Some(WindowUsage { window, counts })
+            })
+            .collect()
+    }
+
+    /// All that was counted in a window. What a gateway told lately stands for what was kept of it.
+    fn counts_of(&self, window: UsageWindow, durable: &SiteUsage) -> UsageCounts {
+        let mut sum = UsageCounts::default();
+        let totals = self.totals.get(&window);
+        let is_told = |gateway: &GatewayId| totals.is_some_and(|told| told.contains_key(gateway));
+        let kept = durable
+            .kept(window)
+            .filter(|(gateway, _)| !is_told(gateway));
+        let told = totals.into_iter().flatten();
+        for (_, counts) in kept.chain(told) {
+            sum.add(counts);
+        }
+        sum
+    }
+
+    /// The window to be closed next, if its time has come.
+    fn next_to_close(
+        &self,
+        now: Instant,
+        duty: UsageDuty,
+        durable: &SiteUsage,
+    ) -> Option<UsageWindow> {
+        if self.closing.is_some() || now < self.close_from {
+            return None;
+        }
+        let time = self.site_time(now)?;
+        let present = UsageWindow::at(time, duty.window);
+        let oldest = UsageWindow(present.0.saturating_sub(MOST_BEHIND));
+        let first = UsageWindow(present.0.saturating_sub(1));
+        let next = durable
+            .closed()
+            .map_or(first, |closed| closed.next().max(oldest));
+        let wait = duty.due.mul_f64(CLOSE_PART);
+        let closes_at = next.end(duty.window).0 + i64::try_from(wait.as_millis()).ok()?;
+        (time.0 >= closes_at).then_some(next)
+    }
+
+    /// Windows whose reports are to be sent now.
+    fn to_send(&mut self, now: Instant, durable: &SiteUsage) -> Vec<UsageWindow> {
+        let waiting = durable.waiting();
+        self.sending
+            .retain(|window, _| waiting.contains_key(window));
+        if self.is_fenced {
+            return Vec::new();
+        }
+        let under_way = self.sending.values().filter(|send| send.is_under_way);
+        let room = MOST_SENDING.saturating_sub(under_way.count());
+        let mut due = Vec::new();
+        for window in waiting.keys() {
+            let send = self.sending.entry(*window).or_default();
+            if due.len() < room && !send.is_under_way && now >= send.not_before {
+                send.is_under_way = true;
+                due.push(*window);
+            }
+        }
+        due
+    }
+
+    fn failed(&mut self, now: Instant, window: UsageWindow) {
+        if let Some(send) = self.sending.get_mut(&window) {
+            let factor = 1_u32 << send.failures.min(8);
+            send.failures += 1;
+            send.is_under_way = false;
+            send.not_before = now + (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
+        }
+    }
+}
+
+impl CoordinationLeader {
+    /// Closes windows and sends reports that are due.
+    pub(crate) fn drive_usage(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let Some(duty) = self.settings.usage else {
+            return;
+        };
+        let configuration = state.configuration();
+        if configuration.is_none_or(|held| held.tenants.is_empty()) {
+            return;
+        }
+        if let Some(window) = self.usage.next_to_close(now, duty, state.usage()) {
+            let counts = self.usage.counts_of(window, state.usage());
+            self.usage.closing = Some(window);
+            let command = Command::CloseUsageWindow { window, counts };
+            self.propose(command, Waiter::UsageClosed(window), out);
+        }
+        if self.rollout.holds_orders() {
+            self.send_reports(now, state, out);
+        }
+    }
+
+    fn send_reports(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
+        for window in self.usage.to_send(now, state.usage()) {
+            let Some(counts) = state.usage().waiting().get(&window) else {
+                continue;
+            };
+            let report = UsageReport {
+                window,
+                counts: counts.clone(),
+                holder: self.duty_holder(),
+            };
+            out.push(LeaderOutput::Effect(Effect::ReportUsage(report)));
+        }
+    }
+
+    /// This machine, as it acts in this leadership.
+    pub(crate) fn duty_holder(&self) -> DutyHolder {
+        DutyHolder {
+            node: self.settings.node.clone(),
+            fence: self.epoch,
+        }
+    }
+
+    /// The counts of a window are committed.
+    pub(crate) fn usage_closed(
+        &mut self,
+        now: Instant,
+        window: UsageWindow,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.usage.closing = None;
+        self.usage.totals = self.usage.totals.split_off(&window.next());
+        let counts = state.usage().waiting().get(&window);
+        let decision = Decision::UsageClosed {
+            window,
+            tenants: counts.map_or(0, |counts| counts.0.len()),
+            requests: counts.map_or(0, |counts| counts.0.values().sum()),
+        };
+        log(decision, out);
+        self.drive_usage(now, state, out);
+    }
+
+    /// The provider has answered a report, or has not.
+    pub(crate) fn on_usage_answered(
+        &mut self,
+        now: Instant,
+        window: UsageWindow,
+        answer: ProviderAnswer,
+        out: &mut Outputs,
+    ) {
+        match answer {
+            ProviderAnswer::Done => {
+                self.usage.sending.remove(&window);
+                self.propose(Command::UsageReported(window), Waiter::Nobody, out);
+            }
+            ProviderAnswer::Conflict => self.usage.is_fenced = true,
+            ProviderAnswer::Busy | ProviderAnswer::Refused | ProviderAnswer::Unknown => {
+                self.usage.failed(now, window);
+            }
+        }
+    }
+
+    /// A gateway is gone: what it had counted is kept beyond this leadership.
+    pub(crate) fn keep_usage_of(&mut self, gateway: GatewayId, out: &mut Outputs) {
+        let usage = self.usage.told_by(gateway);
+        if !usage.is_empty() {
+            self.propose(Command::KeepUsage { gateway, usage }, Waiter::Nobody, out);
+        }
+    }
+}
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -13,41 +13,54 @@
 mod leader;
 mod links;
 mod messages;
+mod provider;
 mod registry;
 mod routes;
+mod scaling;
 mod scoring;
+mod site_time;
 mod state;
+mod tenants;
 mod text;
 mod text_store;
+mod usage;
 
 pub use configuration::{
     ConfigurationError, EngineProfile, IngressLimits, Route, RouteKind, RouteTarget, Service,
     SiteConfiguration,
 };
 pub use fingerprint::{FingerprintKey, RequestContent, RequestFingerprint};
-pub use ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServiceName};
+pub use ids::{
+    BornAt, GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServerName, ServiceName,
+    TenantName,
+};
 pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
     CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect, EngineReport, Event, LeaderFigures,
-    LeaderPolicy, LeaderSettings, OrderAnswer, REJECTED_FROM, WeightOrder,
+    LeaderPolicy, LeaderSettings, OrderAnswer, REJECTED_FROM, UsageDuty, WeightOrder,
 };
-pub use links::{CoordinatorFrame, CoordinatorHello, IncomingFrame, KnownLeader};
+pub use links::{CoordinatorFrame, CoordinatorHello, HeartbeatAnswer, IncomingFrame, KnownLeader};
 pub use messages::{
     AssignmentId, BreakCause, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage,
     GatewayStatus, ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply,
     Request, RunningItem, SeenCrash, SiteView, ViewChange,
 };
+pub use provider::{DutyHolder, ProviderAnswer, UsageReport};
 pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
+pub use scaling::{CapacityPool, Scaling};
 pub use scoring::{
     NotScoredReason, RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome,
     UnscoredText,
 };
+pub use site_time::{SiteClock, WallTime};
 pub use state::{
     Command, CoordinationState, CrashEvidence, MOST_ENDINGS, MOST_SUSPECTS, OrderHolder,
-    RequestEvidence, Suspect,
+    RequestEvidence, SiteUsage, Suspect,
 };
+pub use tenants::{ApiKey, Caller, KeyTable, Tenant, TenantError};
 pub use text::{
     DurablePrefix, FinishedText, HeldPrefix, ItemText, PackedText, ResultText, TextError, TextPlace,
 };
 pub use text_store::TextStore;
+pub use usage::{UsageCounts, UsageMeter, UsageWindow, WindowUsage};
--- a/crates/wingshore-coordination/src/links.rs
+++ b/crates/wingshore-coordination/src/links.rs
@@ -3,6 +3,7 @@
 use crate::ids::InstanceId;
 use crate::messages::{GatewayHello, GatewayMessage};
 use crate::registry::{HeardServer, Heartbeat};
+use crate::site_time::WallTime;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     pub internal: SocketAddr,
     /// Where it listens for operators, trainers and servers.
     pub control: SocketAddr,
+    /// Its time of day.
+    pub wall: WallTime,
     /// How long its process has been running.
     pub up: Duration,
     /// Where the members that it knows listen for the site's own processes: one that is to join
@@ -73,7 +76,18 @@
     HeartbeatReply {
         /// Which one.
         id: u64,
-        /// Whether what it says is durable.
-        is_durable: bool,
+        /// What came of it.
+        answer: HeartbeatAnswer,
     },
 }
+
+/// What came of a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HeartbeatAnswer {
+    /// What it says is durable.
+    Durable,
+    /// It names no server to use; says why.
+    Refused(String),
+    /// It may or may not take effect.
+    Unknown,
+}
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -2,12 +2,14 @@
 
 use crate::configuration::SiteConfiguration;
 use crate::fingerprint::{FingerprintKey, RequestFingerprint};
-use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName};
+use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServerName};
 use crate::jobs::{JobSubmission, ResultRecord};
 use crate::registry::{Heartbeat, ServerRecord};
 use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringOutcome};
+use crate::site_time::WallTime;
 use crate::state::{CrashEvidence, Suspect};
 use crate::text::{DurablePrefix, FinishedText, HeldPrefix, ItemText};
+use crate::usage::WindowUsage;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,8 +26,8 @@
     ReadConfiguration,
     /// A server tells its state.
     Heartbeat(Heartbeat),
-    /// A server is gone, or about to end.
-    Deregister(InstanceId),
+    /// A server is gone, or about to end. It does not say which of its runs.
+    Deregister(ServerName),
     /// A trainer has published a version.
     NameVersion {
         /// Of which model.
@@ -93,7 +95,7 @@
             Self::PutConfiguration(configuration) => format!("version {}", configuration.version),
             Self::ReadConfiguration => "configuration".to_owned(),
             Self::Heartbeat(heartbeat) => heartbeat.server.instance.to_string(),
-            Self::Deregister(instance) => instance.to_string(),
+            Self::Deregister(server) => server.to_string(),
             Self::NameVersion { model, version } => format!("{model} version {version}"),
             Self::SubmitJob(submission) => submission.id.to_string(),
             Self::ReadJob { job, .. } | Self::ReadItem { job, .. } | Self::EndJob(job) => {
@@ -258,6 +260,8 @@
     },
     /// Servers have ended while they ran requests.
     RequestsCrashed(Vec<SeenCrash>),
+    /// Requests that began to run, as totals of this gateway for windows that are open.
+    Usage(Vec<WindowUsage>),
     /// Runs of requests under which servers had ended went well.
     RequestsRan(Vec<RequestFingerprint>),
     /// Reads results of a job from the receiver's own copy of the state.
@@ -332,6 +336,8 @@
         zone: String,
         /// Whether it holds a copy of the state that results can be read from.
         has_copy: bool,
+        /// Its time of day.
+        wall: WallTime,
     },
 }
 
--- a/crates/wingshore-coordination/src/registry.rs
+++ b/crates/wingshore-coordination/src/registry.rs
@@ -28,6 +28,8 @@
     pub slots: u32,
     /// Whether it is leaving: it finishes what it has and gets nothing new.
     pub draining: bool,
+    /// Whether its provider may take it away at short notice.
+    pub reclaimable: bool,
     /// Models and versions; for engines.
     pub models: Vec<ModelVersion>,
 }
--- a/crates/wingshore-coordination/src/routes.rs
+++ b/crates/wingshore-coordination/src/routes.rs
@@ -27,16 +27,17 @@
     /// The route of `host` with the longest prefix that begins `path`. A port behind the host
     /// counts for nothing.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        let routes = self.hosts.get(&host)?;
-        routes
-            .iter()
+        self.of_host(host)
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Whether any route has this host.
-    pub fn knows_host(&self, host: &str) -> bool {
-        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        self.hosts.contains_key(&host)
+    /// The routes of `host`.
+    pub fn of_host(&self, host: &str) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.get(&host_name(host)).into_iter().flatten()
     }
 }
+
+/// The name of a host without its port, in lower case.
+fn host_name(host: &str) -> String {
+    host.split(':').next().unwrap_or(host).to_ascii_lowercase()
+}
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -3,11 +3,12 @@
 use super::{CrashEvidence, OrderHolder};
 use crate::configuration::SiteConfiguration;
 use crate::fingerprint::{FingerprintKey, RequestFingerprint};
-use crate::ids::{InstanceId, ItemKey, JobId, ModelName};
+use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName};
 use crate::jobs::{JobSubmission, ListedResult};
 use crate::messages::AssignmentId;
 use crate::registry::ServerRecord;
 use crate::text::{FinishedText, ItemText};
+use crate::usage::{UsageCounts, UsageWindow, WindowUsage};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use wingshore_types::{Epoch, ReplicaId};
@@ -107,4 +108,20 @@
     RelieveRequests(Vec<RequestFingerprint>),
     /// No evidence against these requests counts any longer.
     ClearRequests(Vec<RequestFingerprint>),
+    /// Keeps what a gateway that is gone had counted.
+    KeepUsage {
+        /// The gateway.
+        gateway: GatewayId,
+        /// Its totals.
+        usage: Vec<WindowUsage>,
+    },
+    /// Fixes the report of a window; the first one counts.
+    CloseUsageWindow {
+        /// The window.
+        window: UsageWindow,
+        /// What is reported.
+        counts: UsageCounts,
+    },
+    /// The provider has acknowledged the report of a window.
+    UsageReported(UsageWindow),
 }
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -3,12 +3,14 @@
 mod command;
 mod evidence;
 mod snapshot;
+mod usage;
 
 pub use command::Command;
 pub use evidence::{CrashEvidence, MOST_ENDINGS, MOST_SUSPECTS, RequestEvidence, Suspect};
+pub use usage::SiteUsage;
 
 use crate::configuration::SiteConfiguration;
-use crate::ids::{InstanceId, JobId, ModelName};
+use crate::ids::{InstanceId, JobId, ModelName, ServerName};
 use crate::jobs::Job;
 use crate::registry::ServerRecord;
 use crate::text_store::{TextStore, TextStoreHandle};
@@ -53,6 +55,8 @@
     member_nodes: BTreeMap<ReplicaId, String>,
     /// Coordinators that are to leave, or have left, for good; the newest of each machine.
     retired_members: BTreeMap<String, ReplicaId>,
+    /// Requests that began to run, for the provider's bill.
+    usage: SiteUsage,
     /// What failed attempts say of requests; a record of its own in snapshots.
     #[serde(skip)]
     evidence: RequestEvidence,
@@ -77,11 +81,26 @@
         &self.evidence
     }
 
+    /// Requests that began to run, for the provider's bill.
+    pub fn usage(&self) -> &SiteUsage {
+        &self.usage
+    }
+
     /// All registered servers.
     pub fn servers(&self) -> &BTreeMap<InstanceId, ServerRecord> {
         &self.servers
     }
 
+    /// All registered runs of a server, in the order of their starts: usually one.
+    pub fn runs_of<'a>(
+        &'a self,
+        name: &'a ServerName,
+    ) -> impl Iterator<Item = (&'a InstanceId, &'a ServerRecord)> + 'a {
+        let first = InstanceId::new(name.clone(), None);
+        let runs = self.servers.range(first..);
+        runs.take_while(move |(instance, _)| instance.name() == name)
+    }
+
     /// Whether this run of a server has departed.
     pub fn has_departed(&self, instance: &InstanceId) -> bool {
         self.departed.contains(instance)
@@ -97,6 +116,13 @@
         &self.jobs
     }
 
+    /// The job that a caller means. One that was submitted before the site had tenants belongs to
+    /// nobody: it stays open to all that know its name.
+    pub fn find_job(&self, id: &JobId) -> Option<(&JobId, &Job)> {
+        let own = self.jobs.get_key_value(id);
+        own.or_else(|| self.jobs.get_key_value(&id.clone().of_tenant(None)))
+    }
+
     /// Machines of coordinators, as they named themselves.
     pub fn member_nodes(&self) -> &BTreeMap<ReplicaId, String> {
         &self.member_nodes
@@ -195,6 +221,7 @@
             orders_settled: self.orders_settled,
             member_nodes: self.member_nodes.clone(),
             retired_members: self.retired_members.clone(),
+            usage: self.usage.clone(),
             evidence: RequestEvidence::default(),
             texts: TextStoreHandle::default(),
         }
@@ -273,6 +300,9 @@
             }
             Command::HoldOrders(holder) => self.hold_orders(holder),
             Command::SettleOrders(epoch) => self.settle_orders(epoch),
+            Command::KeepUsage { gateway, usage } => self.usage.keep(gateway, usage),
+            Command::CloseUsageWindow { window, counts } => self.usage.close(window, counts),
+            Command::UsageReported(window) => self.usage.reported(window),
             Command::SetFingerprintKey(key) => self.evidence.set_key(key),
             Command::NoteCrashes(news) => {
                 news.into_iter().for_each(|news| self.evidence.note(news));
--- a/crates/wingshore-coordination/src/text.rs
+++ b/crates/wingshore-coordination/src/text.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Whether no event is of a version before `oldest`.
+    pub fn is_made_since(&self, oldest: u64) -> bool {
+        self.versions.iter().all(|version| *version >= oldest)
+    }
+
     /// All of it, as the log holds it.
     pub fn held(&self) -> HeldPrefix {
         HeldPrefix {
--- a/crates/wingshore-coordination/tests/moves.rs
+++ b/crates/wingshore-coordination/tests/moves.rs
@@ -69,7 +69,7 @@
         outcome: ItemOutcome::Finished(FinishedText::default()),
     });
     get_on(&mut group, &items[0], Duration::from_millis(100));
-    group.ask(Request::Deregister(items[1].instance.clone()));
+    group.ask(Request::Deregister(items[1].instance.name().clone()));
     group.event(Event::ItemEnded {
         gateway,
         assignment: items[0].assignment,
--- a/crates/wingshore-coordination/tests/placement_properties.rs
+++ b/crates/wingshore-coordination/tests/placement_properties.rs
@@ -109,7 +109,7 @@
             }
             Step::Depart(which) => {
                 let name = InstanceId::from(self.name(*which));
-                self.group.ask(Request::Deregister(name));
+                self.group.ask(Request::Deregister(name.name().clone()));
             }
             Step::Raise(which, version) => {
                 let name = InstanceId::from(self.name(*which));
--- a/crates/wingshore-coordination/tests/registry.rs
+++ b/crates/wingshore-coordination/tests/registry.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use support::{Group, address_of, configuration, engine};
 use wingshore_coordination::{
-    CoordinatorMessage, Effect, Heartbeat, InstanceId, Reply, Request, ViewChange,
+    CoordinatorMessage, Effect, Heartbeat, InstanceId, Reply, Request, ServerName, ViewChange,
 };
 
 fn put(group: &mut Group, version: u64) -> Option<Reply> {
@@ -87,7 +87,7 @@
 fn a_late_heartbeat_does_not_bring_a_departed_server_back() {
     let mut group = Group::new();
     group.heartbeat(engine("e", 1));
-    group.ask(Request::Deregister(InstanceId::from("e")));
+    group.ask(Request::Deregister(ServerName::from("e")));
     group.change_leader("coordinator-b");
     expect_that!(group.heartbeat(engine("e", 1)), some(eq(&Reply::Done)));
     expect_that!(group.state.servers(), is_empty());
@@ -148,7 +148,7 @@
     let told = group.effects.iter().any(|effect| {
         matches!(effect, Effect::ToAllGateways(CoordinatorMessage::Change {
             change: ViewChange::Gone(instance), ..
-        }) if instance.as_str() == "first")
+        }) if instance.name().as_str() == "first")
     });
     expect_that!(told, eq(true));
 }
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -240,6 +240,7 @@
             due: Some(Duration::from_millis(7500)),
             single_version: false,
             resumable: true,
+            public: false,
         }],
         services: vec![Service {
             name: service,
@@ -250,8 +251,10 @@
                 cache_tokens: 50_000,
                 models: vec![ModelName::from("m")],
             }),
+            scaling: None,
         }],
         limits: IngressLimits::default(),
+        tenants: Vec::new(),
         document: format!("version {version}").into_bytes(),
     }
 }
@@ -274,6 +277,7 @@
         zone: "a".to_owned(),
         slots: 4,
         draining: false,
+        reclaimable: false,
         models: vec![ModelVersion {
             model: ModelName::from("m"),
             version,
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Log lines of the leader's decisions.
 
 use slog::{Logger, info, warn};
-use wingshore_coordination::{Decision, InstanceId, ModelName, ScoringDecision};
+use wingshore_coordination::{Decision, ModelName, ScoringDecision, TenantName};
 
 /// Writes one line for a decision.
 pub(crate) fn log(logger: &Logger, decision: &Decision) {
@@ -14,7 +14,8 @@
             min_version,
             named_version,
         } => {
-            info!(logger, "job accepted"; "job" => %job, "items" => items, "step" => step,
+            info!(logger, "job accepted"; "job" => %job,
+                "tenant" => job.tenant().map(TenantName::as_str), "items" => items, "step" => step,
                 "model" => model.as_ref().map(ModelName::as_str), "min_version" => min_version,
                 "named_version" => named_version);
         }
@@ -117,13 +118,21 @@
                 "counted" => counted);
         }
         Decision::RequestRejected(suspect) => {
-            let ended: Vec<&str> = suspect.ended.iter().map(InstanceId::as_str).collect();
+            let ended: Vec<String> = suspect.ended.iter().map(ToString::to_string).collect();
             warn!(logger, "request rejected from now on"; "fingerprint" => %suspect.fingerprint,
                 "ended" => ended.join(","));
         }
         Decision::RequestCleared { request, reason } => {
             warn!(logger, "request let off"; "fingerprint" => %request, "reason" => reason);
         }
+        Decision::UsageClosed {
+            window,
+            tenants,
+            requests,
+        } => {
+            info!(logger, "usage closed"; "window" => window.0, "tenants" => tenants,
+                "requests" => requests);
+        }
         Decision::Configured { version } => {
             info!(logger, "configuration in force"; "version" => version);
         }
--- a/crates/wingshore-coordinator/src/engine_calls.rs
+++ b/crates/wingshore-coordinator/src/engine_calls.rs
@@ -1,43 +1,27 @@
-//! Calls to engines: orders, and questions how they stand. One connection an engine, one call at
-//! a time on it.
+//! Calls to engines: orders, and questions how they stand.
 
-use crate::protocol::{EngineCall, EngineProtocol};
-use std::collections::BTreeMap;
+use crate::outgoing_calls::{EndedCall, OutgoingCalls};
+use crate::protocol::EngineProtocol;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{Event, InstanceId, OrderAnswer, WeightOrder};
-use wingshore_net::http::{AnswerReader, BodyStatus, HeadWriter, WholeAnswer};
-use wingshore_net::{ConnectOptions, ConnectionId, Reactor};
+use wingshore_net::{ConnectionId, Reactor};
 use wingshore_types::Instant;
 
 /// A call without an answer is over after this time: engines answer at once, whatever they do.
 const CALL_TIMEOUT: Duration = Duration::from_millis(450);
-/// An idle connection is closed after this time.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
 
 /// What was asked.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Question {
     Order,
     Report,
 }
 
-struct CallUnderWay {
-    question: Question,
-    since: Instant,
-    reader: AnswerReader,
-}
-
-struct EngineConnection {
-    connection: ConnectionId,
-    instance: InstanceId,
-    call: Option<CallUnderWay>,
-    used: Instant,
-}
-
-/// All calls under way.
+/// All calls to engines under way.
 pub(crate) struct EngineCalls {
     protocol: Box<dyn EngineProtocol>,
-    connections: BTreeMap<ConnectionId, EngineConnection>,
+    calls: OutgoingCalls<InstanceId, Question>,
 }
 
 impl EngineCalls {
@@ -45,13 +29,13 @@
     pub(crate) fn new(protocol: Box<dyn EngineProtocol>) -> Self {
         Self {
             protocol,
-            connections: BTreeMap::new(),
+            calls: OutgoingCalls::new(CALL_TIMEOUT),
         }
     }
 
     /// Whether a connection is one of these.
     pub(crate) fn owns(&self, connection: ConnectionId) -> bool {
-        self.connections.contains_key(&connection)
+        self.calls.owns(connection)
     }
 
     /// Gives an order.
@@ -62,14 +46,11 @@
         order: &WeightOrder,
     ) -> Option<Event> {
         let call = self.protocol.order(order);
-        self.begin(
-            now,
-            reactor,
-            &order.instance,
-            order.address,
-            call,
-            Question::Order,
-        )
+        let engine = (&order.instance, order.address);
+        let ended = self
+            .calls
+            .begin(now, reactor, engine, &call, Question::Order);
+        ended.map(|ended| self.event(ended))
     }
 
     /// Asks how an engine stands.
@@ -81,47 +62,11 @@
         address: SocketAddr,
     ) -> Option<Event> {
         let call = self.protocol.report(instance);
-        self.begin(now, reactor, instance, address, call, Question::Report)
-    }
-
-    fn begin(
-        &mut self,
-        now: Instant,
-        reactor: &mut Reactor,
-        instance: &InstanceId,
-        address: SocketAddr,
-        call: EngineCall,
-        question: Question,
-    ) -> Option<Event> {
-        let idle = self.connections.values().find(|entry| {
-            entry.instance == *instance
-                && entry.call.is_none()
-                && now.since(entry.used) < IDLE_LIMIT
-                && reactor.is_open(entry.connection)
-        });
-        let options = ConnectOptions {
-            unacknowledged_limit: CALL_TIMEOUT,
-        };
-        let connection = idle
-            .map(|entry| entry.connection)
-            .or_else(|| reactor.connect(address, options));
-        let Some(connection) = connection else {
-            return Some(without_answer(instance.clone(), &question));
-        };
-        reactor.send(connection, &encode(&call, address));
-        let under_way = CallUnderWay {
-            question,
-            since: now,
-            reader: AnswerReader::new(false),
-        };
-        let entry = EngineConnection {
-            connection,
-            instance: instance.clone(),
-            call: Some(under_way),
-            used: now,
-        };
-        self.connections.insert(connection, entry);
-        None
+        let engine = (instance, address);
+        let ended = self
+            .calls
+            .begin(now, reactor, engine, &call, Question::Report);
+        ended.map(|ended| self.event(ended))
     }
 
     /// Bytes have arrived.
@@ -131,42 +76,8 @@
         reactor: &mut Reactor,
         connection: ConnectionId,
     ) -> Option<Event> {
-        let entry = self.connections.get_mut(&connection)?;
-        let Some(call) = &mut entry.call else {
-            // Bytes that nobody asked for.
-            self.close(reactor, connection);
-            return None;
-        };
-        let input = reactor.input(connection)?;
-        let status = call.reader.read(input);
-        let is_clean = input.is_empty();
-        match status {
-            Ok(BodyStatus::Partial) => None,
-            Ok(BodyStatus::Whole) => {
-                let call = entry.call.take()?;
-                let instance = entry.instance.clone();
-                entry.used = now;
-                let answer = call.reader.into_answer(is_clean)?;
-                if !answer.reusable {
-                    self.close(reactor, connection);
-                }
-                Some(self.event(instance, &call.question, &answer))
-            }
-            Err(_) => self.on_ended(reactor, connection),
-        }
-    }
-
-    fn event(&self, instance: InstanceId, question: &Question, answer: &WholeAnswer) -> Event {
-        match question {
-            Question::Order => Event::Ordered {
-                instance,
-                answer: self.protocol.order_answer(&answer.head),
-            },
-            Question::Report => Event::Reported {
-                instance,
-                report: self.protocol.report_answer(&answer.head, &answer.body),
-            },
-        }
+        let ended = self.calls.on_received(now, reactor, connection);
+        ended.map(|ended| self.event(ended))
     }
 
     /// The connection has ended.
@@ -175,69 +86,41 @@
         reactor: &mut Reactor,
         connection: ConnectionId,
     ) -> Option<Event> {
-        reactor.close(connection);
-        let entry = self.connections.remove(&connection)?;
-        let call = entry.call?;
-        Some(without_answer(entry.instance, &call.question))
+        let ended = self.calls.on_ended(reactor, connection);
+        ended.map(|ended| self.event(ended))
     }
 
     /// Gives up all orders without an answer; what has not left of them does not leave.
     pub(crate) fn drop_orders(&mut self, reactor: &mut Reactor) -> Vec<Event> {
-        let is_order = |call: &CallUnderWay| matches!(call.question, Question::Order);
-        let orders: Vec<ConnectionId> = self
-            .connections
-            .values()
-            .filter(|entry| entry.call.as_ref().is_some_and(is_order))
-            .map(|entry| entry.connection)
-            .collect();
-        orders
-            .into_iter()
-            .filter_map(|connection| self.on_ended(reactor, connection))
-            .collect()
+        let is_order = |question: &Question| *question == Question::Order;
+        let ended = self.calls.give_up(reactor, is_order);
+        ended.into_iter().map(|ended| self.event(ended)).collect()
     }
 
     /// Gives up calls without an answer and closes idle connections.
     pub(crate) fn expire(&mut self, now: Instant, reactor: &mut Reactor) -> Vec<Event> {
-        let old: Vec<ConnectionId> = self
-            .connections
-            .values()
-            .filter(|entry| match &entry.call {
-                Some(call) => now.since(call.since) >= CALL_TIMEOUT,
-                None => now.since(entry.used) >= IDLE_LIMIT,
-            })
-            .map(|entry| entry.connection)
-            .collect();
-        old.into_iter()
-            .filter_map(|connection| self.on_ended(reactor, connection))
-            .collect()
-    }
-
-    fn close(&mut self, reactor: &mut Reactor, connection: ConnectionId) {
-        reactor.close(connection);
-        self.connections.remove(&connection);
+        let ended = self.calls.expire(now, reactor);
+        ended.into_iter().map(|ended| self.event(ended)).collect()
     }
-}
-
-fn without_answer(instance: InstanceId, question: &Question) -> Event {
-    match question {
-        Question::Order => Event::Ordered {
-            instance,
-            answer: OrderAnswer::Unknown,
-        },
-        Question::Report => Event::Reported {
-            instance,
-            report: None,
-        },
-    }
-}
 
-fn encode(call: &EngineCall, address: SocketAddr) -> Vec<u8> {
-    let mut writer = HeadWriter::request(call.method, &call.target).header("Host", address);
-    for (name, value) in &call.headers {
-        writer = writer.header(name, value);
-    }
-    if call.method == "GET" {
-        return writer.end();
+    fn event(&self, ended: EndedCall<InstanceId, Question>) -> Event {
+        let EndedCall {
+            target: instance,
+            question,
+            answer,
+        } = ended;
+        match question {
+            Question::Order => Event::Ordered {
+                instance,
+                answer: answer.map_or(OrderAnswer::Unknown, |answer| {
+                    self.protocol.order_answer(&answer.head)
+                }),
+            },
+            Question::Report => Event::Reported {
+                instance,
+                report: answer
+                    .and_then(|answer| self.protocol.report_answer(&answer.head, &answer.body)),
+            },
+        }
     }
-    writer.body(&call.body)
 }
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -16,8 +16,10 @@
 mod lost;
 mod membership;
 mod metrics;
+mod outgoing_calls;
 mod process;
 mod protocol;
+mod provider_calls;
 mod settings;
 mod spool;
 mod texts;
@@ -31,8 +33,9 @@
 pub use membership::{Joiner, MembershipPlanner, MembershipView};
 pub use process::Coordinator;
 pub use protocol::{
-    ControlAnswer, ControlCall, ControlProtocol, EngineCall, EngineProtocol, LocalQuestion,
+    ControlAnswer, ControlCall, ControlProtocol, EngineProtocol, LocalQuestion, OutgoingCall,
+    ProviderProtocol,
 };
-pub use settings::CoordinatorSettings;
+pub use settings::{CoordinatorSettings, ProviderSettings};
 pub use spool::FileSpool;
 pub use texts::TextArchive;
--- a/crates/wingshore-coordinator/src/metrics.rs
+++ b/crates/wingshore-coordinator/src/metrics.rs
@@ -76,6 +76,7 @@
     call_seconds: Family<CallLabel, Histogram, Buckets>,
     write_seconds: Histogram,
     orders: Family<OutcomeLabel, Counter>,
+    provider_calls: Family<CallLabels, Counter>,
     tries: Family<OutcomeLabel, Counter>,
     scorings: Family<OutcomeLabel, Counter>,
     leaderships: Counter,
@@ -161,6 +162,7 @@
             call_seconds: Family::new_with_constructor(Buckets),
             write_seconds: Buckets.new_metric(),
             orders: Family::default(),
+            provider_calls: Family::default(),
             tries: Family::default(),
             scorings: Family::default(),
             leaderships: Counter::default(),
@@ -195,6 +197,11 @@
             "Orders to engines by their answers",
             self.orders.clone(),
         );
+        registry.register(
+            "provider_calls",
+            "Calls to the provider by what was asked and its answer",
+            self.provider_calls.clone(),
+        );
         registry.register(
             "tries",
             "Tries at items of batch jobs by what came of them",
@@ -240,6 +247,12 @@
         self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// The provider has answered a call, or has not.
+    pub(crate) fn provider_answered(&self, call: &'static str, outcome: &'static str) {
+        let labels = CallLabels { call, outcome };
+        self.provider_calls.get_or_create(&labels).inc();
+    }
+
     /// A gateway has told what came of a try.
     pub(crate) fn try_ended(&self, outcome: &'static str) {
         self.tries.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -4,6 +4,8 @@
 use crate::control;
 use crate::metrics::Readings;
 use crate::protocol::{ControlAnswer, ControlCall, LocalQuestion};
+use slog::warn;
+use std::time::Duration;
 use wingshore_coordination::{CoordinationLeader, Job, Reply, Request};
 use wingshore_group::HostReply;
 use wingshore_net::ConnectionId;
@@ -130,7 +132,13 @@
                 let answer = self.protocol.write(&answer);
                 self.answer(connection, &answer);
             }
-            ControlCall::Invalid(answer) => self.answer(connection, &answer),
+            ControlCall::Invalid { answer, reason } => {
+                self.metrics
+                    .call_ended("unreadable", "refused", Duration::ZERO);
+                warn!(self.logger, "call refused"; "call" => &request.head.method,
+                    "path" => request.head.path(), "reason" => reason);
+                self.answer(connection, &answer);
+            }
         }
     }
 
--- a/crates/wingshore-coordinator/src/process/copies.rs
+++ b/crates/wingshore-coordinator/src/process/copies.rs
@@ -30,8 +30,8 @@
         connection: ConnectionId,
         (id, job, from, wait): (u64, JobId, u64, Duration),
     ) {
-        let known = self.host.state().jobs().get(&job);
-        let may_grow = known.is_some_and(|job| !job.ended);
+        let known = self.host.state().find_job(&job);
+        let may_grow = known.is_some_and(|(_, job)| !job.ended);
         let reader = CopyReader {
             connection,
             id,
@@ -55,8 +55,8 @@
 
     /// Answers a reader; says whether it need not wait any more.
     fn answer_copy_reader(&mut self, now: Instant, reader: &CopyReader) -> bool {
-        let job = self.host.state().jobs().get(&reader.job);
-        let page = job.and_then(|job| job.page_if_any(reader.from, PAGE_BYTES));
+        let job = self.host.state().find_job(&reader.job);
+        let page = job.and_then(|(_, job)| job.page_if_any(reader.from, PAGE_BYTES));
         let reply = match page {
             Some(page) => CallReply::Reply(Reply::Page(page)),
             None if now >= reader.until => CallReply::Nothing,
--- a/crates/wingshore-coordinator/src/process/heartbeats.rs
+++ b/crates/wingshore-coordinator/src/process/heartbeats.rs
@@ -4,7 +4,9 @@
 use crate::heartbeats::HeartbeatVerdict;
 use crate::protocol::ControlAnswer;
 use std::time::Duration;
-use wingshore_coordination::{CoordinatorFrame, Heartbeat, IncomingFrame, Reply, ServerRecord};
+use wingshore_coordination::{
+    CoordinatorFrame, Heartbeat, HeartbeatAnswer, IncomingFrame, Reply, ServerRecord,
+};
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
 
@@ -47,15 +49,17 @@
     }
 
     /// The leader has answered a heartbeat that was passed on.
-    pub(super) fn on_heartbeat_reply(&mut self, now: Instant, id: u64, is_durable: bool) {
+    pub(super) fn on_heartbeat_reply(&mut self, now: Instant, id: u64, answer: HeartbeatAnswer) {
         let Some(passed_on) = self.passed_on.remove(&id) else {
             return;
         };
-        let answer = if is_durable {
-            self.heartbeats.acknowledged(now, passed_on.server);
-            ControlAnswer::Reply(Reply::Done)
-        } else {
-            ControlAnswer::Unavailable
+        let answer = match answer {
+            HeartbeatAnswer::Durable => {
+                self.heartbeats.acknowledged(now, passed_on.server);
+                ControlAnswer::Reply(Reply::Done)
+            }
+            HeartbeatAnswer::Refused(reason) => ControlAnswer::Reply(Reply::Refused(reason)),
+            HeartbeatAnswer::Unknown => ControlAnswer::Unavailable,
         };
         self.answer_heartbeat(passed_on.caller, &answer);
     }
--- a/crates/wingshore-coordinator/src/process/host.rs
+++ b/crates/wingshore-coordinator/src/process/host.rs
@@ -55,6 +55,10 @@
         engines_check_fences: settings.engines_check_fences,
         concurrent_loads: settings.concurrent_loads,
         load_time: settings.load_time,
+        usage: settings
+            .provider
+            .as_ref()
+            .and_then(|provider| provider.usage),
         job_retention: settings.job_retention,
         most_open_job_bytes: settings.memory.open_jobs(),
         policy: settings.leader_policy,
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -40,6 +40,7 @@
             zone: self.settings.zone.clone(),
             internal: self.settings.internal_address(),
             control: self.settings.control,
+            wall: super::wall_time(),
             up: self.clock.now().since(Instant::ZERO),
             members: self.member_addresses(),
             leader: self.known_leader(),
@@ -111,8 +112,8 @@
                 let waiting = Waiting::Coordinator(connection, id);
                 self.ask_group(Request::Heartbeat(heartbeat), waiting);
             }
-            IncomingFrame::Coordinator(CoordinatorFrame::HeartbeatReply { id, is_durable }) => {
-                self.on_heartbeat_reply(now, id, is_durable);
+            IncomingFrame::Coordinator(CoordinatorFrame::HeartbeatReply { id, answer }) => {
+                self.on_heartbeat_reply(now, id, answer);
             }
             IncomingFrame::Coordinator(CoordinatorFrame::Consensus(message)) => {
                 if let Some(from) = self.coordinator_at(connection) {
@@ -138,6 +139,7 @@
         connection: ConnectionId,
         hello: CoordinatorHello,
     ) {
+        self.site_clock.heard(now, hello.id, hello.wall);
         let joiner = Joiner {
             id: hello.id,
             address: hello.internal,
@@ -206,6 +208,7 @@
                 text,
             },
             GatewayMessage::RequestsCrashed(seen) => Event::RequestsCrashed { gateway, seen },
+            GatewayMessage::Usage(usage) => Event::UsageTold { gateway, usage },
             GatewayMessage::RequestsRan(requests) => Event::RequestsRan(requests),
             GatewayMessage::ReadCopy {
                 id,
@@ -245,6 +248,7 @@
             coordinators: self.coordinator_addresses(),
             zone: self.settings.zone.clone(),
             has_copy: self.is_member() && self.host.leader().is_some(),
+            wall: super::wall_time(),
         };
         self.send_to_all_gateways(&alive);
     }
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -20,7 +20,8 @@
 
 use crate::membership::{Joiner, MembershipPlanner};
 use crate::metrics::CoordinatorMetrics;
-use crate::protocol::{ControlProtocol, EngineProtocol};
+use crate::protocol::{ControlProtocol, EngineProtocol, ProviderProtocol};
+use crate::provider_calls::ProviderCalls;
 use crate::settings::CoordinatorSettings;
 use crate::writer::{WriteEvent, Writer};
 use slog::{Logger, info, warn};
@@ -29,7 +30,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{CoordinationLeader, CoordinatorHello, Event, GatewayId, Request};
+use wingshore_coordination::{
+    CoordinationLeader, CoordinatorHello, Event, GatewayId, Request, SiteClock, WallTime,
+};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_group::{Host, HostInput};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
@@ -133,6 +136,8 @@
     routes: BTreeMap<ReplicaId, Vec<ConnectionId>>,
     directory: Directory,
     engines: EngineCalls,
+    provider: Option<ProviderCalls>,
+    site_clock: SiteClock<ReplicaId>,
     waiting: HashMap<RequestTag, PendingCall>,
     /// Gateways that wait for a result in this member's copy of the state.
     copy_readers: Vec<copies::CopyReader>,
@@ -156,7 +161,7 @@
     pub fn start(
         settings: CoordinatorSettings,
         protocol: Box<dyn ControlProtocol>,
-        engine_protocol: Box<dyn EngineProtocol>,
+        (engine_protocol, provider_protocol): (Box<dyn EngineProtocol>, Box<dyn ProviderProtocol>),
         signals: Signals,
         seed_source: SeedSource,
         logger: Logger,
@@ -225,6 +230,11 @@
             routes: BTreeMap::new(),
             directory: Directory::default(),
             engines: EngineCalls::new(engine_protocol),
+            provider: settings
+                .provider
+                .clone()
+                .map(|provider| ProviderCalls::new(provider_protocol, provider)),
+            site_clock: SiteClock::default(),
             waiting: HashMap::new(),
             copy_readers: Vec::new(),
             welcomes: welcomes::Welcomes::default(),
@@ -267,13 +277,16 @@
         Ok(())
     }
 
-    /// Orders that could still leave after the lease are not to: another machine may count on that.
+    /// Orders and calls to the provider that could still leave after the lease are not to: another machine may count on that.
     fn drop_orders_without_lease(&mut self) {
         if self.host.holds_lease(self.clock.now()) {
             return;
         }
-        let events = self.engines.drop_orders(&mut self.reactor);
-        self.take_engine_events(events);
+        let mut events = self.engines.drop_orders(&mut self.reactor);
+        if let Some(provider) = &mut self.provider {
+            events.extend(provider.drop_all(&mut self.reactor));
+        }
+        self.take_call_events(events);
     }
 
     fn time_to_wait(&self) -> Duration {
@@ -340,7 +353,15 @@
     fn on_received(&mut self, now: Instant, connection: ConnectionId) {
         if self.engines.owns(connection) {
             let event = self.engines.on_received(now, &mut self.reactor, connection);
-            return self.take_engine_events(event);
+            return self.take_call_events(event);
+        }
+        if let Some(provider) = self
+            .provider
+            .as_mut()
+            .filter(|calls| calls.owns(connection))
+        {
+            let event = provider.on_received(now, &mut self.reactor, connection);
+            return self.take_call_events(event);
         }
         match self.roles.get(&connection) {
             Some(Role::Control(_)) => self.on_control_input(now, connection),
@@ -353,7 +374,15 @@
     fn on_ended(&mut self, now: Instant, connection: ConnectionId) {
         if self.engines.owns(connection) {
             let event = self.engines.on_ended(&mut self.reactor, connection);
-            return self.take_engine_events(event);
+            return self.take_call_events(event);
+        }
+        if let Some(provider) = self
+            .provider
+            .as_mut()
+            .filter(|calls| calls.owns(connection))
+        {
+            let event = provider.on_ended(&mut self.reactor, connection);
+            return self.take_call_events(event);
         }
         self.reactor.close(connection);
         match self.roles.remove(&connection) {
@@ -398,12 +427,21 @@
         self.inputs.push(HostInput::Event(event));
     }
 
-    /// Engines have answered, or have not.
-    fn take_engine_events(&mut self, events: impl IntoIterator<Item = Event>) {
+    /// Engines or the provider have answered, or have not.
+    fn take_call_events(&mut self, events: impl IntoIterator<Item = Event>) {
         for event in events {
-            if let Event::Ordered { instance, answer } = &event {
-                self.metrics.ordered(answer.name());
-                info!(self.logger, "order answered"; "engine" => %instance, "answer" => answer.name());
+            match &event {
+                Event::Ordered { instance, answer } => {
+                    self.metrics.ordered(answer.name());
+                    info!(self.logger, "order answered"; "engine" => %instance,
+                        "answer" => answer.name());
+                }
+                Event::UsageAnswered { window, answer } => {
+                    self.metrics.provider_answered("usage", answer.name());
+                    info!(self.logger, "usage report answered"; "window" => window.0,
+                        "answer" => answer.name());
+                }
+                _ => {}
             }
             self.inputs.push(HostInput::Event(event));
         }
@@ -440,8 +478,12 @@
         }
         self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
         self.dial_members(now);
-        let events = self.engines.expire(now, &mut self.reactor);
-        self.inputs.extend(events.into_iter().map(HostInput::Event));
+        let mut events = self.engines.expire(now, &mut self.reactor);
+        if let Some(provider) = &mut self.provider {
+            events.extend(provider.expire(now, &mut self.reactor));
+        }
+        self.take_call_events(events);
+        self.agree_on_time(now);
         for connection in self.directory.silent(now, GATEWAY_SILENCE) {
             self.on_ended(now, connection);
         }
@@ -452,6 +494,17 @@
         self.begin_stop(now);
     }
 
+    /// Tells the leader machine the time of day that the site agrees on.
+    fn agree_on_time(&mut self, now: Instant) {
+        let own = self.folder.identity().replica;
+        self.site_clock.heard(now, own, wall_time());
+        if self.host.is_leader()
+            && let Some(wall) = self.site_clock.now(now)
+        {
+            self.inputs.push(HostInput::Event(Event::TimeAgreed(wall)));
+        }
+    }
+
     /// Reads the seeds again where the settings have changed. Seeds that cannot be read leave
     /// those before in force.
     fn reload(&mut self) {
@@ -482,3 +535,8 @@
         }
     }
 }
+
+/// This machine's time of day.
+fn wall_time() -> WallTime {
+    WallTime(wingshore_clock::wall_ms())
+}
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 use wingshore_coordination::{
     CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
-    GatewayId, IncomingFrame, OrderAnswer, Reply, SiteView,
+    GatewayId, HeartbeatAnswer, IncomingFrame, OrderAnswer, ProviderAnswer, Reply, SiteView,
+    UsageReport,
 };
 use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
 use wingshore_net::{ConnectionId, frame};
@@ -103,6 +104,7 @@
                 self.log_decision(now, &decision);
                 None
             }
+            Effect::ReportUsage(report) => self.report_usage(now, &report),
             Effect::Order(order) if !self.host.holds_lease(self.clock.now()) => {
                 info!(self.logger, "order not given"; "engine" => %order.instance,
                     "reason" => "the lease is over", "fence" => order.fence.0);
@@ -121,7 +123,21 @@
                     .report(now, &mut self.reactor, &instance, address)
             }
         };
-        self.take_engine_events(event);
+        self.take_call_events(event);
+    }
+
+    /// Reports usage, unless the lease is over by now: another machine may count on that.
+    fn report_usage(&mut self, now: Instant, report: &UsageReport) -> Option<Event> {
+        let UsageReport { window, holder, .. } = report;
+        let provider = self.provider.as_mut()?;
+        if !self.host.holds_lease(self.clock.now()) {
+            info!(self.logger, "usage not reported"; "window" => window.0,
+                "reason" => "the lease is over", "fence" => holder.fence.0);
+            let (window, answer) = (*window, ProviderAnswer::Refused);
+            return Some(Event::UsageAnswered { window, answer });
+        }
+        info!(self.logger, "usage report"; "window" => window.0, "fence" => holder.fence.0);
+        provider.report_usage(now, &mut self.reactor, report)
     }
 
     fn welcome(&mut self, gateway: GatewayId, epoch: Epoch, view: SiteView) {
@@ -214,8 +230,12 @@
                 self.send_frame(connection, &CoordinatorMessage::Reply { id, reply });
             }
             Waiting::Coordinator(connection, id) => {
-                let is_durable = matches!(reply, HostReply::Reply(Reply::Done));
-                let reply = CoordinatorFrame::HeartbeatReply { id, is_durable };
+                let answer = match reply {
+                    HostReply::Reply(Reply::Done) => HeartbeatAnswer::Durable,
+                    HostReply::Reply(Reply::Refused(reason)) => HeartbeatAnswer::Refused(reason),
+                    _ => HeartbeatAnswer::Unknown,
+                };
+                let reply = CoordinatorFrame::HeartbeatReply { id, answer };
                 self.send_frame(connection, &IncomingFrame::Coordinator(reply));
             }
             Waiting::Planner => {
--- a/crates/wingshore-coordinator/src/protocol.rs
+++ b/crates/wingshore-coordinator/src/protocol.rs
@@ -3,7 +3,9 @@
 use crate::directory::GatewayAddress;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_coordination::{EngineReport, OrderAnswer, Reply, Request, WeightOrder};
+use wingshore_coordination::{
+    EngineReport, OrderAnswer, ProviderAnswer, Reply, Request, UsageReport, WeightOrder,
+};
 use wingshore_net::http::{AnswerHead, HttpAnswer, WholeRequest};
 
 /// A question that each coordinator answers from what it knows itself.
@@ -34,7 +36,12 @@
     /// For this coordinator.
     Local(LocalQuestion),
     /// No call, or one that cannot be read.
-    Invalid(HttpAnswer),
+    Invalid {
+        /// What to answer.
+        answer: HttpAnswer,
+        /// What is wrong, for the log.
+        reason: String,
+    },
 }
 
 /// What to answer.
@@ -78,9 +85,9 @@
     fn write(&self, answer: &ControlAnswer) -> HttpAnswer;
 }
 
-/// A call to an engine.
+/// A call to an engine or to the provider.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineCall {
+pub struct OutgoingCall {
     /// The method.
     pub method: &'static str,
     /// Path and query.
@@ -94,11 +101,19 @@
 /// Translates calls to engines.
 pub trait EngineProtocol {
     /// An order.
-    fn order(&self, order: &WeightOrder) -> EngineCall;
+    fn order(&self, order: &WeightOrder) -> OutgoingCall;
     /// What an engine answered to an order.
     fn order_answer(&self, head: &AnswerHead) -> OrderAnswer;
     /// The question how an engine stands.
-    fn report(&self, instance: &wingshore_coordination::InstanceId) -> EngineCall;
+    fn report(&self, instance: &wingshore_coordination::InstanceId) -> OutgoingCall;
     /// What an engine answered to it.
     fn report_answer(&self, head: &AnswerHead, body: &[u8]) -> Option<EngineReport>;
 }
+
+/// Translates calls to the provider of the site's machines.
+pub trait ProviderProtocol {
+    /// A report of usage.
+    fn usage(&self, report: &UsageReport) -> OutgoingCall;
+    /// What the provider answered to a call.
+    fn answer(&self, head: &AnswerHead) -> ProviderAnswer;
+}
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
-use wingshore_coordination::LeaderPolicy;
+use wingshore_coordination::{LeaderPolicy, UsageDuty};
 
 /// Settings of a coordinator process, checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,12 +56,25 @@
     pub load_time: Duration,
     /// Which mechanisms of choice of the leader are on.
     pub leader_policy: LeaderPolicy,
+    /// The provider of the site's machines; `None` where there is nothing to ask of it.
+    pub provider: Option<ProviderSettings>,
     /// How long an ended job is remembered.
     pub job_retention: Duration,
     /// Within which a planned stop must be over.
     pub stop_limit: Duration,
 }
 
+/// How the provider of the site's machines is called.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProviderSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Calls that it takes in a second from all machines of the site together.
+    pub calls_per_second: f64,
+    /// Reports of usage that the site owes it.
+    pub usage: Option<UsageDuty>,
+}
+
 impl CoordinatorSettings {
     /// Where this process listens for the site's own processes.
     pub fn internal_address(&self) -> SocketAddr {
--- a/crates/wingshore-coordinator/tests/heartbeats.rs
+++ b/crates/wingshore-coordinator/tests/heartbeats.rs
@@ -15,6 +15,7 @@
             zone: "a".to_owned(),
             slots: 4,
             draining,
+            reclaimable: false,
             models: Vec::new(),
         },
         sequence,
--- a/crates/wingshore-coordinator/tests/simulation/machine.rs
+++ b/crates/wingshore-coordinator/tests/simulation/machine.rs
@@ -73,6 +73,7 @@
         zone: "a".to_owned(),
         slots: 4,
         draining: false,
+        reclaimable: false,
         models: vec![ModelVersion {
             model: ModelName::from(MODEL),
             version,
@@ -93,8 +94,10 @@
                 cache_tokens: 1000,
                 models: vec![ModelName::from(MODEL)],
             }),
+            scaling: None,
         }],
         limits: IngressLimits::default(),
+        tenants: Vec::new(),
         document: Vec::new(),
     }
 }
--- a/crates/wingshore-gateway/src/calls.rs
+++ b/crates/wingshore-gateway/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls about batch jobs, passed on to the group's leader.
 
+use crate::access::tenant_of;
 use crate::process::Gateway;
 use crate::protocol::{BatchAnswer, BatchCall, ReadPage};
 use crate::timers::TimerKey;
@@ -7,7 +8,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{CallReply, GatewayMessage, IncomingFrame, JobPage, Reply, Request};
+use wingshore_coordination::{
+    CallReply, Caller, GatewayMessage, IncomingFrame, JobId, JobPage, Reply, Request,
+};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::WholeRequest;
 use wingshore_types::Instant;
@@ -59,13 +62,24 @@
 
 impl Gateway {
     /// Passes a call on.
-    pub(crate) fn begin_batch_call(&mut self, now: Instant, client: ConnectionId, call: BatchCall) {
+    pub(crate) fn begin_batch_call(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        call: BatchCall,
+        caller: Option<&Caller>,
+    ) {
+        let own = |job: JobId| job.of_tenant(tenant_of(caller));
         let (request, limit) = match call {
             BatchCall::Read { job, from, wait } => {
+                let job = own(job);
                 (Request::ReadJob { job, from, wait }, CALL_LIMIT + wait)
             }
-            BatchCall::ReadItem { job, item } => (Request::ReadItem { job, item }, CALL_LIMIT),
-            BatchCall::End { job } => (Request::EndJob(job), SUBMIT_LIMIT),
+            BatchCall::ReadItem { job, item } => {
+                let job = own(job);
+                (Request::ReadItem { job, item }, CALL_LIMIT)
+            }
+            BatchCall::End { job } => (Request::EndJob(own(job)), SUBMIT_LIMIT),
         };
         self.begin_call(now, client, request, limit);
     }
@@ -76,9 +90,11 @@
         now: Instant,
         client: ConnectionId,
         request: &WholeRequest,
+        caller: Option<&Caller>,
     ) {
         match self.protocol.read_submission(request) {
-            Ok(submission) => {
+            Ok(mut submission) => {
+                submission.id = submission.id.of_tenant(tenant_of(caller));
                 let request = Request::SubmitJob(Arc::new(submission));
                 self.begin_call(now, client, request, SUBMIT_LIMIT);
             }
--- a/crates/wingshore-gateway/src/clients.rs
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -91,6 +91,7 @@
                     let key = TimerKey::Client(connection);
                     self.timers.arm(now + limits.head_timeout, key);
                 }
+                self.refuse_early(now, connection);
             }
             Ok(Some(request)) => {
                 *begun = None;
@@ -122,16 +123,23 @@
             return self.refuse_not_run(now, connection, &request.head, reason);
         }
         if let Some(call) = self.protocol.read_batch_call(&request.head) {
-            return self.begin_batch_call(now, connection, call);
+            return match self.admit_batch_call(&request.head) {
+                Ok(caller) => self.begin_batch_call(now, connection, call, caller.as_ref()),
+                Err(answer) => self.refuse_caller(now, connection, &request.head, &answer),
+            };
         }
         let host = request.head.headers.text("host").unwrap_or_default();
         let Some(route) = self.view.routes().find(host, request.head.path()).cloned() else {
             return self.refuse_without_route(now, connection, &request.head);
         };
+        let caller = match self.admit(&request.head, &route) {
+            Ok(caller) => caller,
+            Err(answer) => return self.refuse_caller(now, connection, &request.head, &answer),
+        };
         if route.kind == RouteKind::Batch && request.head.method == "POST" {
-            return self.submit_job(now, connection, &request);
+            return self.submit_job(now, connection, &request, caller.as_ref());
         }
-        self.begin_client_exchange(now, connection, request, route);
+        self.begin_client_exchange(now, connection, (request, caller), route);
     }
 
     /// Answers with an answer of the gateway's own.
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -233,6 +233,8 @@
                     self.tell_untold_evidence(now);
                     self.resend_calls(now);
                     self.start_scorings(now);
+                    self.usage.tell_all();
+                    self.tell_usage();
                     self.view_changed(version);
                 }
             }
@@ -259,7 +261,9 @@
                 coordinators,
                 zone,
                 has_copy,
+                wall,
             } => {
+                self.site_clock.heard(now, address, wall);
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
                     link.knows = coordinators;
                     link.copy_zone = has_copy.then_some(zone);
--- a/crates/wingshore-gateway/src/exchange.rs
+++ b/crates/wingshore-gateway/src/exchange.rs
@@ -4,7 +4,9 @@
 use crate::suspects::INNOCENT_AFTER;
 use std::collections::HashMap;
 use std::sync::Arc;
-use wingshore_coordination::{AssignmentId, InstanceId, Route, RouteKind, ServiceName};
+use wingshore_coordination::{
+    AssignmentId, InstanceId, Route, RouteKind, ServiceName, TenantName, UsageWindow,
+};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{WholeAnswer, WholeRequest};
 use wingshore_types::Instant;
@@ -29,6 +31,10 @@
 /// A request on its way.
 pub(crate) struct Exchange {
     pub(crate) origin: Origin,
+    /// The tenant that it is run for.
+    pub(crate) tenant: Option<TenantName>,
+    /// The window of usage that the present attempt is counted in.
+    pub(crate) counted_in: Option<UsageWindow>,
     pub(crate) request: WholeRequest,
     /// Identity of the request.
     pub(crate) id: Vec<u8>,
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwarding requests to servers: attempts, verdicts, time limits. Live requests and scorings go
 //! the same way; only what follows from the end differs.
 
+use crate::access::tenant_of;
 use crate::clients::ClientState;
 use crate::exchange::{Exchange, ExchangeId, Failure, Origin, is_repeatable};
 use crate::process::Gateway;
@@ -10,7 +11,9 @@
 use slog::{info, warn};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{EVIDENCE_LIFETIME, InstanceId, Route, ServerRecord, ServiceName};
+use wingshore_coordination::{
+    Caller, EVIDENCE_LIFETIME, InstanceId, Route, ServerRecord, ServiceName,
+};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter, Headers, WholeAnswer, WholeRequest};
 use wingshore_types::Instant;
@@ -37,7 +40,7 @@
         &mut self,
         now: Instant,
         client: ConnectionId,
-        request: WholeRequest,
+        (request, caller): (WholeRequest, Option<Caller>),
         route: Arc<Route>,
     ) {
         let Some(service) = self.next_target(&route) else {
@@ -52,7 +55,8 @@
             .map_or(route.timeout, |deadline| {
                 route.timeout.min(deadline.saturating_sub(DEADLINE_MARGIN))
             });
-        let exchange = self.new_exchange(now, Origin::Client(client), request, route, service);
+        let mut exchange = self.new_exchange(now, Origin::Client(client), request, route, service);
+        exchange.tenant = tenant_of(caller.as_ref());
         let id = self.exchanges.next_id();
         self.begin_exchange(now, id, exchange, limit);
     }
@@ -79,6 +83,8 @@
         let id = id.unwrap_or_default().to_vec();
         Exchange {
             origin,
+            tenant: None,
+            counted_in: None,
             request,
             id,
             route,
@@ -118,7 +124,7 @@
 
     /// Sends the request to the next server, or answers that there is none.
     fn try_server(&mut self, now: Instant, id: ExchangeId, mut exchange: Exchange) {
-        if self.is_rejected(&exchange.request) {
+        if self.is_rejected(&exchange) {
             self.log_rejected(&exchange);
             exchange.rejected = true;
             return self.give_up(now, &exchange);
@@ -147,6 +153,9 @@
             return self.next_try(now, id, exchange);
         };
         self.balancer.started(&server.instance);
+        if matches!(exchange.origin, Origin::Client(_)) {
+            self.usage_sent(now, &mut exchange);
+        }
         exchange.upstream = Some(upstream);
         exchange.attempt_until = self.attempt_limit(now, &exchange, upstream);
         self.timers
@@ -176,7 +185,7 @@
             .and_then(|stream| stream.last_event);
         let mut own = vec![names.deadline, names.expected_instance];
         own.extend(resumed_after.map(|_| names.last_event));
-        for (name, value) in end_to_end(&head.headers) {
+        for (name, value) in self.lines_for_servers(&head.headers) {
             if !own
                 .iter()
                 .any(|own| name.eq_ignore_ascii_case(own.as_bytes()))
@@ -187,7 +196,10 @@
         let left = exchange.until.since(now).as_millis();
         writer = writer
             .header(names.deadline, left)
-            .header(names.expected_instance, &server.instance);
+            .header(names.expected_instance, server.instance.name());
+        if let Some(tenant) = &exchange.tenant {
+            writer = writer.header(names.tenant, tenant);
+        }
         if let Some(event) = resumed_after {
             writer = writer.header(names.last_event, event);
         }
@@ -251,7 +263,7 @@
             return;
         };
         if answer.head.is_success() {
-            self.exchange_ran_well(&exchange.request);
+            self.exchange_ran_well(&exchange);
         }
         match exchange.origin {
             Origin::Client(client) => {
@@ -331,20 +343,21 @@
             return;
         };
         warn!(self.logger, "attempt failed"; "request" => exchange.id_text(),
-            "fingerprint" => self.fingerprint_of(&exchange.request).map(|known| known.to_string()),
+            "fingerprint" => self.fingerprint_of(&exchange).map(|known| known.to_string()),
             "server" => %instance, "reason" => failure.reason, "verdict" => ?failure.verdict,
             "after_ms" => now.since(exchange.begun).as_millis() as u64);
         self.metrics.attempt_ended(failure.reason);
         exchange.upstream = None;
         if failure.verdict == Verdict::NotRun {
+            self.usage_not_run(&mut exchange);
             exchange.refusals += 1;
         } else {
             exchange.attempts += 1;
             exchange.may_have_run = true;
         }
         exchange.server_failures += u32::from(is_server_failure(&failure));
-        let may_try_again = exchange.may_try_again()
-            && !(exchange.may_have_run && self.is_suspect(&exchange.request));
+        let may_try_again =
+            exchange.may_try_again() && !(exchange.may_have_run && self.is_suspect(&exchange));
         if may_try_again && self.has_another(&exchange) {
             return self.next_try(now, id, exchange);
         }
@@ -400,7 +413,7 @@
         let known = self.view.servers_of(&exchange.service).count();
         warn!(self.logger, "given up"; "service" => %exchange.service, "servers" => known,
             "epoch" => self.view.epoch().0, "request" => exchange.id_text(),
-            "fingerprint" => self.fingerprint_of(&exchange.request).map(|known| known.to_string()),
+            "fingerprint" => self.fingerprint_of(exchange).map(|known| known.to_string()),
             "route" => &exchange.route.name, "answer" => answer.name(),
             "attempts" => exchange.attempts, "refusals" => exchange.refusals,
             "after_ms" => now.since(exchange.begun).as_millis() as u64,
--- a/crates/wingshore-gateway/src/items.rs
+++ b/crates/wingshore-gateway/src/items.rs
@@ -154,11 +154,14 @@
         let mut writer = HeadWriter::request("POST", &assignment.path)
             .header("Host", &assignment.host)
             .header(names.request_id, &assignment.request);
-        for (name, value) in &assignment.headers {
+        for (name, value) in self.item_lines(assignment) {
             writer = writer.header(name, value);
         }
+        if let Some(tenant) = assignment.item.job.tenant() {
+            writer = writer.header(names.tenant, tenant);
+        }
         writer = writer
-            .header(names.expected_instance, &assignment.instance)
+            .header(names.expected_instance, assignment.instance.name())
             .header(names.priority, assignment.priority);
         if let Some(event) = assignment.kept.last_event {
             writer = writer.header(names.last_event, event);
@@ -169,6 +172,23 @@
         writer.body(&assignment.body)
     }
 
+    /// Header lines of an item as its caller gave them: without a tenant or a key, where the site
+    /// tells callers apart.
+    fn item_lines<'a>(
+        &self,
+        assignment: &'a ItemAssignment,
+    ) -> impl Iterator<Item = (&'a str, &'a str)> {
+        let names = self.protocol.header_names();
+        let has_tenant = assignment.item.job.tenant().is_some();
+        let is_own = move |name: &str| {
+            name.eq_ignore_ascii_case(names.tenant)
+                || (has_tenant && name.eq_ignore_ascii_case(names.authorization))
+        };
+        let lines = assignment.headers.iter();
+        let lines = lines.map(|(name, value)| (name.as_str(), value.as_str()));
+        lines.filter(move |(name, _)| !is_own(name))
+    }
+
     /// Bytes of an engine's answer have arrived and are in its reader.
     pub(crate) fn on_item_input(&mut self, now: Instant, id: AssignmentId, upstream: ConnectionId) {
         let names = self.protocol.header_names().clone();
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! soft: a gateway may be killed at any time. What callers and servers speak is translated by an
 //! [`IngressProtocol`].
 
+mod access;
 mod balance;
 mod calls;
 mod clients;
@@ -27,6 +28,7 @@
 mod suspects;
 mod timers;
 mod upstream;
+mod usage;
 mod view;
 
 pub use balance::Balancer;
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_clock::Clock;
-use wingshore_coordination::{GatewayId, GatewayStatus};
+use wingshore_coordination::{GatewayId, GatewayStatus, SiteClock, UsageMeter};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_net::http::{BodyStatus, HttpAnswer};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent, Reactor, SeedSource, Signals};
@@ -68,6 +68,8 @@
     pub(crate) exchanges: Exchanges,
     pub(crate) scorings: Scorings,
     pub(crate) timers: Timers,
+    pub(crate) usage: UsageMeter,
+    pub(crate) site_clock: SiteClock<SocketAddr>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) sampler: RequestSampler,
     pub(crate) split_counter: u64,
@@ -129,6 +131,8 @@
             exchanges: Exchanges::default(),
             scorings: Scorings::default(),
             timers: Timers::default(),
+            usage: UsageMeter::default(),
+            site_clock: SiteClock::default(),
             split_counter: rand::random(),
             stopping_since: None,
             clock: Clock::start(),
@@ -402,6 +406,7 @@
             self.tell_status();
             self.tell_progress();
             self.hand_in_texts();
+            self.tell_usage();
         }
         if now < self.next_housekeeping {
             return;
--- a/crates/wingshore-gateway/src/protocol.rs
+++ b/crates/wingshore-gateway/src/protocol.rs
@@ -1,16 +1,18 @@
 //! What a deployment's wire must translate.
 
 use std::time::Duration;
-use wingshore_coordination::{ItemId, ItemState, JobId, JobPage, JobSubmission, TextError};
-use wingshore_net::http::{HttpAnswer, RequestHead, WholeRequest};
+use wingshore_coordination::{ApiKey, ItemId, ItemState, JobId, JobPage, JobSubmission, TextError};
+use wingshore_net::http::{Headers, HttpAnswer, RequestHead, WholeRequest};
 
 /// Names of the headers that a gateway reads or sets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeaderNames {
     /// Identity of a request; servers answer with the same.
     pub request_id: &'static str,
-    /// What a client names itself by, where a site has that.
-    pub caller: &'static str,
+    /// What a client shows its key in.
+    pub authorization: &'static str,
+    /// The tenant that a request is run for; set by gateways only.
+    pub tenant: &'static str,
     /// Milliseconds that the sender will wait.
     pub deadline: &'static str,
     /// The run of a server that a request is meant for.
@@ -132,6 +134,8 @@
 pub enum OwnAnswer {
     /// No route for this host and path.
     NoRoute,
+    /// The route asks for a key, and none that is in force was shown.
+    Unauthorized,
     /// Not run; come back after this time.
     NotRun(Duration),
     /// Not run: servers have ended under it. It is let off after this time at the earliest.
@@ -149,6 +153,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
             Self::NotRun(_) => "not_run",
             Self::Rejected(_) => "rejected",
             Self::TooSlow => "too_slow",
@@ -183,6 +188,8 @@
 pub trait IngressProtocol {
     /// Names of headers.
     fn header_names(&self) -> &HeaderNames;
+    /// The key that a caller shows; `None` without one.
+    fn read_key(&self, headers: &Headers) -> Option<ApiKey>;
     /// Reads a call about a batch job; `None` when the request is none.
     fn read_batch_call(&self, head: &RequestHead) -> Option<BatchCall>;
     /// Reads a batch job.
--- a/crates/wingshore-gateway/src/refusals.rs
+++ b/crates/wingshore-gateway/src/refusals.rs
@@ -1,5 +1,6 @@
 //! Answers of the gateway's own to requests that no server was offered, and why they were given.
 
+use crate::clients::Purpose;
 use crate::forward::COME_BACK;
 use crate::process::Gateway;
 use crate::protocol::OwnAnswer;
@@ -44,6 +45,46 @@
         self.answer_own(now, client, &answer);
     }
 
+    /// Refuses a request whose caller is not let in.
+    pub(crate) fn refuse_caller(
+        &mut self,
+        now: Instant,
+        client: ConnectionId,
+        head: &RequestHead,
+        answer: &OwnAnswer,
+    ) {
+        let has_key = self.protocol.read_key(&head.headers).is_some();
+        let reason = if has_key {
+            "the key that it shows is not in force"
+        } else {
+            "its route asks for a key, and it shows none"
+        };
+        self.log_refused(now, Some(head), answer.name(), reason);
+        self.metrics
+            .request_ended(NO_ROUTE, answer.name(), Duration::ZERO);
+        self.answer_own(now, client, answer);
+    }
+
+    /// Refuses a request whose head alone says that it cannot be let in; the rest of it is not
+    /// read.
+    pub(crate) fn refuse_early(&mut self, now: Instant, client: ConnectionId) {
+        let Some(known) = self.clients.get(&client) else {
+            return;
+        };
+        let head = known
+            .reader
+            .head()
+            .filter(|_| known.purpose == Purpose::Front);
+        let refusal = head.and_then(|head| Some((self.early_refusal(head)?, head.clone())));
+        let Some((answer, head)) = refusal else {
+            return;
+        };
+        if let Some(known) = self.clients.get_mut(&client) {
+            known.close_after = true;
+        }
+        self.refuse_caller(now, client, &head, &answer);
+    }
+
     /// Refuses a request that did not arrive whole in time; its connection is of no more use.
     pub(crate) fn refuse_too_slow(&mut self, now: Instant, client: ConnectionId) {
         let Some(known) = self.clients.get_mut(&client) else {
--- a/crates/wingshore-gateway/src/scoring.rs
+++ b/crates/wingshore-gateway/src/scoring.rs
@@ -166,7 +166,9 @@
         };
         let origin = Origin::Scoring(id);
         let timeout = route.timeout;
-        let exchange = self.new_exchange(now, origin, request, route, service.clone());
+        let tenant = run.assignment.item.job.tenant().cloned();
+        let mut exchange = self.new_exchange(now, origin, request, route, service.clone());
+        exchange.tenant = tenant;
         let name = self.exchanges.next_id();
         if let Some(run) = self.scorings.runs.get_mut(&id) {
             run.exchange = Some((name, service));
--- a/crates/wingshore-gateway/src/settings.rs
+++ b/crates/wingshore-gateway/src/settings.rs
@@ -28,6 +28,9 @@
     pub directory_ttl: Duration,
     /// Within which a planned stop must be over.
     pub stop_limit: Duration,
+    /// Length of the windows in which requests are counted for the provider; `None` where they are
+    /// not counted.
+    pub usage_window: Option<Duration>,
     /// Which mechanisms of choice are on.
     pub policy: GatewayPolicy,
 }
--- a/crates/wingshore-gateway/src/streams.rs
+++ b/crates/wingshore-gateway/src/streams.rs
@@ -113,7 +113,7 @@
         let time = now.since(exchange.begun);
         self.metrics
             .request_ended(&exchange.route.name, "served", time);
-        self.exchange_ran_well(&exchange.request);
+        self.exchange_ran_well(&exchange);
         let mut last = Vec::new();
         write_last_chunk(&mut last);
         self.reactor.send(client, &last);
--- a/crates/wingshore-gateway/src/suspects.rs
+++ b/crates/wingshore-gateway/src/suspects.rs
@@ -8,9 +8,8 @@
 use std::time::Duration;
 use wingshore_coordination::{
     AssignmentId, GatewayMessage, IncomingFrame, InstanceId, ItemAssignment, REJECTED_FROM,
-    RequestContent, RequestFingerprint, SeenCrash, ViewChange,
+    RequestContent, RequestFingerprint, SeenCrash, TenantName, ViewChange,
 };
-use wingshore_net::http::WholeRequest;
 use wingshore_types::Instant;
 
 /// A stream that has brought events for this long is not what ends its server: such a request does
@@ -24,10 +23,13 @@
 
 impl Gateway {
     /// What a request asks, whatever its identity; `None` before the site's key is known.
-    pub(crate) fn fingerprint_of(&self, request: &WholeRequest) -> Option<RequestFingerprint> {
+    pub(crate) fn fingerprint_of(&self, exchange: &Exchange) -> Option<RequestFingerprint> {
         let key = self.view.fingerprint_key()?;
+        let request = &exchange.request;
         let head = &request.head;
-        let caller = head.headers.get(self.protocol.header_names().caller);
+        let shown = head.headers.get(self.protocol.header_names().authorization);
+        let tenant = exchange.tenant.as_ref();
+        let caller = tenant.map_or(shown, |tenant| Some(tenant.as_str().as_bytes()));
         let content = RequestContent {
             method: &head.method,
             host: head.headers.text("host").unwrap_or_default(),
@@ -41,14 +43,17 @@
     /// As [`Gateway::fingerprint_of`], for an item.
     pub(crate) fn fingerprint_of_item(&self, item: &ItemAssignment) -> Option<RequestFingerprint> {
         let key = self.view.fingerprint_key()?;
-        let name = self.protocol.header_names().caller;
+        let name = self.protocol.header_names().authorization;
         let mut headers = item.headers.iter();
-        let caller = headers.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let shown = headers.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let shown = shown.map(|(_, value)| value.as_str());
+        let tenant = item.item.job.tenant().map(TenantName::as_str);
+        let caller = tenant.or(shown).unwrap_or_default();
         let content = RequestContent {
             method: "POST",
             host: &item.host,
             target: &item.path,
-            caller: caller.map_or(&[], |(_, value)| value.as_bytes()),
+            caller: caller.as_bytes(),
             body: &item.body,
         };
         Some(content.fingerprint(key))
@@ -83,20 +88,20 @@
     }
 
     /// Whether so many servers have ended under this request that no other one is to run it.
-    pub(crate) fn is_rejected(&self, request: &WholeRequest) -> bool {
+    pub(crate) fn is_rejected(&self, exchange: &Exchange) -> bool {
         self.knows_suspects()
             && self
-                .fingerprint_of(request)
+                .fingerprint_of(exchange)
                 .is_some_and(|known| self.is_known_rejected(known))
     }
 
     /// Whether so many servers have ended under this request that one attempt sends it to one
     /// server only: if it is the cause, each more would end the next one before the leader could
     /// tell.
-    pub(crate) fn is_suspect(&self, request: &WholeRequest) -> bool {
+    pub(crate) fn is_suspect(&self, exchange: &Exchange) -> bool {
         self.knows_suspects()
             && self
-                .fingerprint_of(request)
+                .fingerprint_of(exchange)
                 .is_some_and(|known| self.view.suspect(known).is_some())
     }
 
@@ -110,7 +115,7 @@
 
     /// One line for a request that is not sent to any server.
     pub(crate) fn log_rejected(&self, exchange: &Exchange) {
-        let known = self.fingerprint_of(&exchange.request);
+        let known = self.fingerprint_of(exchange);
         let ended = known.map(|known| self.ended_under(known));
         let ended: Vec<String> = ended.iter().flatten().map(ToString::to_string).collect();
         warn!(self.logger, "request rejected"; "request" => exchange.id_text(),
@@ -137,7 +142,7 @@
     pub(crate) fn exchange_broke_off(&mut self, now: Instant, id: ExchangeId, lost: &LostSend) {
         let known = self.exchanges.get(id);
         let suspect = known.filter(|exchange| !exchange.has_streamed_long(now));
-        let request = suspect.and_then(|exchange| self.fingerprint_of(&exchange.request));
+        let request = suspect.and_then(|exchange| self.fingerprint_of(exchange));
         self.run_broke_off(now, lost, request);
     }
 
@@ -273,14 +278,14 @@
         if !std::mem::replace(&mut stream.cleared, true)
             && let Some(exchange) = self.exchanges.get(id)
         {
-            self.ran_well(self.fingerprint_of(&exchange.request));
+            self.ran_well(self.fingerprint_of(exchange));
         }
     }
 
     /// A live request or a scoring went well.
-    pub(crate) fn exchange_ran_well(&mut self, request: &WholeRequest) {
+    pub(crate) fn exchange_ran_well(&mut self, exchange: &Exchange) {
         if self.knows_suspects() {
-            self.ran_well(self.fingerprint_of(request));
+            self.ran_well(self.fingerprint_of(exchange));
         }
     }
 
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingshore_coordination::{
-    FingerprintKey, IngressLimits, InstanceId, RequestFingerprint, RouteTable, ServerRecord,
-    ServiceName, SiteConfiguration, SiteView, Suspect, ViewChange,
+    ApiKey, Caller, FingerprintKey, IngressLimits, InstanceId, KeyTable, RequestFingerprint, Route,
+    RouteKind, RouteTable, ServerRecord, ServiceName, SiteConfiguration, SiteView, Suspect,
+    ViewChange,
 };
 use wingshore_types::Epoch;
 
@@ -17,6 +18,7 @@
     epoch: Epoch,
     configuration: Option<Arc<SiteConfiguration>>,
     routes: RouteTable,
+    keys: KeyTable,
     servers: BTreeMap<InstanceId, ServerRecord>,
     fingerprint_key: Option<FingerprintKey>,
     /// Requests under which servers have ended.
@@ -74,6 +76,7 @@
             return;
         }
         self.routes = RouteTable::new(&configuration);
+        self.keys = KeyTable::new(&configuration.tenants);
         self.configuration = Some(configuration);
     }
 
@@ -127,6 +130,30 @@
         &self.routes
     }
 
+    /// Whether callers are told apart by their keys.
+    pub fn has_tenants(&self) -> bool {
+        let configuration = self.configuration.as_ref();
+        configuration.is_some_and(|held| !held.tenants.is_empty())
+    }
+
+    /// Whether callers have to show a key on this route.
+    pub fn asks_for_key(&self, route: &Route) -> bool {
+        let configuration = self.configuration.as_ref();
+        configuration.is_some_and(|held| held.asks_for_key(route))
+    }
+
+    /// Whether callers have to show a key to ask for batch jobs at this host: calls about a job do
+    /// not say by which route it was submitted.
+    pub fn asks_for_key_of_jobs(&self, host: &str) -> bool {
+        let is_public = |route: &Arc<Route>| route.kind == RouteKind::Batch && route.public;
+        self.has_tenants() && !self.routes.of_host(host).any(is_public)
+    }
+
+    /// The caller that a key opens for.
+    pub fn caller(&self, key: &ApiKey) -> Option<&Caller> {
+        self.keys.find(key)
+    }
+
     /// What callers may send.
     pub fn limits(&self) -> IngressLimits {
         self.configuration
--- a/crates/wingshore-gateway/tests/balance.rs
+++ b/crates/wingshore-gateway/tests/balance.rs
@@ -14,6 +14,7 @@
         zone: "a".to_owned(),
         slots: 4,
         draining: false,
+        reclaimable: false,
         models: Vec::new(),
     }
 }
--- a/crates/wingshore-gateway/tests/crash_simulation/world.rs
+++ b/crates/wingshore-gateway/tests/crash_simulation/world.rs
@@ -162,6 +162,7 @@
             zone: "z".to_owned(),
             slots: 16,
             draining: self.servers[index].draining,
+            reclaimable: false,
             models: Vec::new(),
         };
         self.group.register(self.now, record);
--- a/crates/wingshore-gateway/tests/view.rs
+++ b/crates/wingshore-gateway/tests/view.rs
@@ -14,6 +14,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: IngressLimits::default(),
+        tenants: Vec::new(),
         document: Vec::new(),
     })
 }
@@ -26,6 +27,7 @@
         zone: "a".to_owned(),
         slots: 1,
         draining,
+        reclaimable: false,
         models: Vec::new(),
     }
 }
