--- a/crates/wingshore-coordination/src/leader/usage.rs
+++ b/crates/wingshore-coordination/src/leader/usage.rs
@@ -145,7 +145,7 @@
     }
 
     /// Windows whose reports are to be sent now.
-    fn to_send(&mut self, now: Instant, durable: &SiteUsage) -> Vec<UsageWindow> {
+    fn take_due(&mut self, now: Instant, durable: &SiteUsage) -> Vec<UsageWindow> {
         let waiting = durable.waiting();
         self.sending
             .retain(|window, _| waiting.contains_key(window));
@@ -202,7 +202,7 @@
     }
 
     fn send_reports(&mut self, now: Instant, state: &CoordinationState, out: &mut Outputs) {
-        for window in self.usage.to_send(now, state.usage()) {
+        for window in self.usage.take_due(now, state.usage()) {
             let Some(counts) = state.usage().waiting().get(&window) else {
                 continue;
             };
