--- /dev/null
+++ b/crates/wingshore-coordination/src/leader/capacity.rs
@@ -0,0 +1,231 @@
+//! Ordering servers: how many of each service are to be had where.
+//!
+//! A number is committed before it is ordered, so that a successor goes on with it rather than with
+//! one of its own. An order is given again until the provider acknowledges it, and later while the
+//! registry shows another number: an older order may have been carried out late, or servers may be
+//! lost. Which numbers are wanted is [`super::capacity_plan`]'s.
+
+use super::capacity_plan::{PoolDemand, wanted};
+use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
+use crate::configuration::Service;
+use crate::provider::{CapacityOrder, ProviderAnswer};
+use crate::scaling::{CapacityPool, Scaling};
+use crate::state::{Command, CoordinationState};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use wingshore_types::Instant;
+use wingshore_types::machine::LeaderOutput;
+
+/// Between two looks at what is wanted.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a first order without success; twice as long after each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// The longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Servers that were ordered are missed this long after they should serve.
+const BOOT_MARGIN: Duration = Duration::from_secs(4);
+
+/// How an order stands.
+#[derive(Clone, Copy, Debug, Default)]
+struct OrderState {
+    is_under_way: bool,
+    failures: u32,
+    not_before: Instant,
+    /// The number that the provider has acknowledged, and when.
+    acknowledged: Option<(u32, Instant)>,
+    /// Whether another holder has acted on it: this one does not any more.
+    is_fenced: bool,
+}
+
+/// What the leader knows of servers ordered besides what is durable.
+#[derive(Default)]
+pub(crate) struct Capacity {
+    orders: BTreeMap<CapacityPool, OrderState>,
+    looked_at: Option<Instant>,
+    /// Pools whose number is being committed.
+    proposed: BTreeSet<CapacityPool>,
+    /// The most items that were open at once lately, by service, and until when that counts.
+    demand: BTreeMap<crate::ServiceName, (usize, Instant)>,
+}
+
+impl CoordinationLeader {
+    /// Decides how many servers are wanted, and orders what is due.
+    pub(crate) fn drive_capacity(
+        &mut self,
+        now: Instant,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let looked_at = self.capacity.looked_at;
+        let is_due = looked_at.is_none_or(|at| now.since(at) >= LOOK_INTERVAL);
+        let Some(configuration) = state.configuration().filter(|_| is_due) else {
+            return;
+        };
+        if !self.settings.orders_servers || !self.rollout.holds_orders() {
+            return;
+        }
+        self.capacity.looked_at = Some(now);
+        let configuration = std::sync::Arc::clone(configuration);
+        for service in &configuration.services {
+            if let Some(scaling) = &service.scaling {
+                self.want_servers(now, service, scaling, state, out);
+                self.order_servers(now, service, scaling, state, out);
+            }
+        }
+    }
+
+    /// Commits the numbers that are wanted of a service's servers.
+    fn want_servers(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        scaling: &Scaling,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let demand = self.demand_of(now, service, state);
+        for (pool, count) in wanted(&service.name, scaling, &demand, self.settings.capacity) {
+            let known = state.capacity().get(&pool).copied();
+            if known == Some(count) || self.capacity.proposed.contains(&pool) {
+                continue;
+            }
+            let decision = Decision::CapacityWanted {
+                pool: pool.clone(),
+                count,
+                before: known,
+                open_items: demand.open_items,
+            };
+            log(decision, out);
+            self.capacity.proposed.insert(pool.clone());
+            let command = Command::WantCapacity {
+                pool: pool.clone(),
+                count,
+            };
+            self.propose(command, Waiter::CapacityWanted(pool), out);
+        }
+    }
+
+    /// What is asked of a service, and what it has.
+    fn demand_of(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        state: &CoordinationState,
+    ) -> PoolDemand {
+        let open_now = self.items.waiting_count() + self.items.running().count();
+        let remembered = self.settings.capacity_memory;
+        let known = self.capacity.demand.entry(service.name.clone());
+        let (most, until) = known.or_insert((open_now, now + remembered));
+        if open_now >= *most || now >= *until {
+            (*most, *until) = (open_now, now + remembered);
+        }
+        let open_items = *most;
+        let servers = state.servers().values();
+        let mut demand = PoolDemand {
+            open_items,
+            slots: service.engine.as_ref().map_or(1, |engine| engine.slots),
+            ..PoolDemand::default()
+        };
+        for server in servers.filter(|server| server.service == service.name) {
+            if !server.draining && !server.reclaimable {
+                *demand.present.entry(server.zone.clone()).or_default() += 1;
+            }
+        }
+        for (pool, count) in state.capacity() {
+            if pool.service == service.name {
+                demand.ordered.insert(pool.clone(), *count);
+            }
+        }
+        demand
+    }
+
+    /// Gives orders for which there is reason.
+    fn order_servers(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        scaling: &Scaling,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        let holder = self.duty_holder();
+        for (pool, count) in state.capacity() {
+            if pool.service != service.name {
+                continue;
+            }
+            let present = present_in(pool, state);
+            let order = self.capacity.orders.entry(pool.clone()).or_default();
+            if order.is_under_way || order.is_fenced || now < order.not_before {
+                continue;
+            }
+            let is_had = order.acknowledged.is_some_and(|(acknowledged, at)| {
+                let is_booting = now < at + scaling.boot + BOOT_MARGIN;
+                acknowledged == *count && (is_booting || present == *count)
+            });
+            if is_had {
+                continue;
+            }
+            order.is_under_way = true;
+            let effect = Effect::OrderCapacity(CapacityOrder {
+                pool: pool.clone(),
+                count: *count,
+                holder: holder.clone(),
+            });
+            out.push(LeaderOutput::Effect(effect));
+        }
+    }
+
+    /// A number is committed.
+    pub(crate) fn capacity_wanted(
+        &mut self,
+        now: Instant,
+        pool: &CapacityPool,
+        state: &CoordinationState,
+        out: &mut Outputs,
+    ) {
+        self.capacity.proposed.remove(pool);
+        self.capacity.looked_at = None;
+        if let Some(order) = self.capacity.orders.get_mut(pool) {
+            order.not_before = now;
+        }
+        self.drive_capacity(now, state, out);
+    }
+
+    /// The provider has answered an order, or has not.
+    pub(crate) fn on_capacity_answered(
+        &mut self,
+        now: Instant,
+        pool: &CapacityPool,
+        (count, answer): (u32, ProviderAnswer),
+    ) {
+        let Some(order) = self.capacity.orders.get_mut(pool) else {
+            return;
+        };
+        order.is_under_way = false;
+        match answer {
+            ProviderAnswer::Done => {
+                order.acknowledged = Some((count, now));
+                order.failures = 0;
+            }
+            // Of servers that may be taken away it says that there are none to be had.
+            ProviderAnswer::Conflict if !pool.reclaimable => order.is_fenced = true,
+            _ => {
+                let factor = 1_u32 << order.failures.min(8);
+                order.failures += 1;
+                order.not_before = now + (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Servers of a pool that are registered and not leaving.
+fn present_in(pool: &CapacityPool, state: &CoordinationState) -> u32 {
+    let servers = state.servers().values();
+    let present = servers.filter(|server| {
+        server.service == pool.service
+            && server.zone == pool.zone
+            && server.reclaimable == pool.reclaimable
+            && !server.draining
+    });
+    u32::try_from(present.count()).unwrap_or(u32::MAX)
+}
--- a/crates/wingshore-coordination/src/leader/decision.rs
+++ b/crates/wingshore-coordination/src/leader/decision.rs
@@ -3,6 +3,7 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemId, JobId, ModelName};
 use crate::messages::AssignmentId;
+use crate::scaling::CapacityPool;
 use crate::scoring::ScoringDecision;
 use crate::state::Suspect;
 use crate::usage::UsageWindow;
@@ -179,6 +180,17 @@
         /// Why.
         reason: &'static str,
     },
+    /// Another number of servers is wanted.
+    CapacityWanted {
+        /// Of which servers.
+        pool: CapacityPool,
+        /// How many.
+        count: u32,
+        /// The number wanted before.
+        before: Option<u32>,
+        /// The most items that were open at once lately.
+        open_items: usize,
+    },
     /// The counts of a window of usage are fixed.
     UsageClosed {
         /// The window.
--- a/crates/wingshore-coordination/src/leader/interface.rs
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -7,8 +7,9 @@
     AssignmentId, CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress,
     RunningItem, SeenCrash,
 };
-use crate::provider::{ProviderAnswer, UsageReport};
+use crate::provider::{CapacityOrder, ProviderAnswer, UsageReport};
 use crate::registry::HeardServer;
+use crate::scaling::CapacityPool;
 use crate::scoring::{RunningScoring, ScoringOutcome};
 use crate::site_time::WallTime;
 use crate::text::ItemText;
@@ -100,6 +101,15 @@
         /// Its totals.
         usage: Vec<WindowUsage>,
     },
+    /// The provider answered an order for servers, or did not.
+    CapacityAnswered {
+        /// Of which servers.
+        pool: CapacityPool,
+        /// How many were ordered.
+        count: u32,
+        /// The answer.
+        answer: ProviderAnswer,
+    },
     /// The provider answered a report of usage, or did not.
     UsageAnswered {
         /// Of which window.
@@ -139,6 +149,8 @@
     },
     /// Log a decision.
     Log(Decision),
+    /// Order the number of servers in a pool.
+    OrderCapacity(CapacityOrder),
     /// Report a window's usage to the provider.
     ReportUsage(UsageReport),
     /// Give an engine an order.
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -1,6 +1,8 @@
 //! What only the group's leader does.
 
 mod admission;
+mod capacity;
+mod capacity_plan;
 mod decision;
 mod engines;
 mod evidence;
@@ -22,6 +24,7 @@
 mod settings;
 mod usage;
 
+pub use capacity_plan::CapacityPolicy;
 pub use decision::Decision;
 pub use evidence::{EVIDENCE_LIFETIME, REJECTED_FROM};
 pub use interface::{Effect, Event, LeaderFigures};
@@ -34,9 +37,11 @@
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName};
 use crate::messages::{AssignmentId, Reply, Request};
 use crate::routes::RouteTable;
+use crate::scaling::CapacityPool;
 use crate::state::{Command, CoordinationState};
 use crate::tenants::TenantRanks;
 use crate::usage::UsageWindow;
+use capacity::Capacity;
 use engines::Engines;
 use evidence::Evidence;
 use gateway_view::GatewayView;
@@ -105,6 +110,8 @@
     Version(RequestTag),
     /// The counts of a window were committed.
     UsageClosed(UsageWindow),
+    /// The number of servers in a pool was committed.
+    CapacityWanted(CapacityPool),
 }
 
 /// The leader machine of the coordination group.
@@ -130,6 +137,7 @@
     scorings: Scorings,
     evidence: Evidence,
     usage: UsageReporter,
+    capacity: Capacity,
     /// The routes of the configuration in force.
     routes: RouteTable,
     /// Ranks of tenants in the configuration in force.
@@ -165,6 +173,7 @@
             scorings: Scorings::default(),
             evidence: Evidence::default(),
             usage: UsageReporter::default(),
+            capacity: Capacity::default(),
             routes: RouteTable::default(),
             ranks: TenantRanks::default(),
             gateway_view: GatewayView::default(),
@@ -379,6 +388,7 @@
                     self.tell_gateways(change, out);
                 }
             }
+            Waiter::CapacityWanted(pool) => self.capacity_wanted(now, &pool, state, out),
             Waiter::UsageClosed(window) => self.usage_closed(now, window, state, out),
             Waiter::Version(tag) => {
                 reply(tag, Reply::Done, out);
@@ -439,6 +449,11 @@
             Event::UsageTold { gateway, usage } => {
                 self.usage.told(gateway, usage, state.usage());
             }
+            Event::CapacityAnswered {
+                pool,
+                count,
+                answer,
+            } => self.on_capacity_answered(now, &pool, (count, answer)),
             Event::UsageAnswered { window, answer } => {
                 self.on_usage_answered(now, window, answer, out);
             }
@@ -466,6 +481,7 @@
         self.weigh_evidence(now, state, out);
         self.drive_rollout(now, state, out);
         self.drive_usage(now, state, out);
+        self.drive_capacity(now, state, out);
         self.place_items(now, state, out);
         self.place_scorings(now, state, out);
     }
--- a/crates/wingshore-coordination/src/leader/settings.rs
+++ b/crates/wingshore-coordination/src/leader/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the leader machine.
 
+use super::capacity_plan::CapacityPolicy;
 use super::policy::LeaderPolicy;
 use super::usage::UsageDuty;
 use crate::fingerprint::FingerprintKey;
@@ -18,6 +19,12 @@
     pub order_handover: Duration,
     /// Reports of usage that the site owes its provider; `None` where it owes none.
     pub usage: Option<UsageDuty>,
+    /// Whether the number of servers is ordered from their provider.
+    pub orders_servers: bool,
+    /// How it is chosen.
+    pub capacity: CapacityPolicy,
+    /// The most that was open at once counts for this long when it is chosen.
+    pub capacity_memory: Duration,
     /// Whether engines refuse orders whose fence is lower than one that they have seen. Where they
     /// do not look, only time keeps the orders of two machines apart.
     pub engines_check_fences: bool,
@@ -60,6 +67,9 @@
             server_expiry: Duration::from_secs(6),
             order_handover: Duration::from_millis(3300),
             usage: None,
+            orders_servers: false,
+            capacity: CapacityPolicy::ByDemand,
+            capacity_memory: Duration::from_secs(20),
             engines_check_fences: false,
             introduction_time: Duration::from_millis(300),
             concurrent_loads: 2,
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -36,8 +36,9 @@
 };
 pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
-    CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect, EngineReport, Event, LeaderFigures,
-    LeaderPolicy, LeaderSettings, OrderAnswer, REJECTED_FROM, UsageDuty, WeightOrder,
+    CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect, EngineReport, Event,
+    LeaderFigures, LeaderPolicy, LeaderSettings, OrderAnswer, REJECTED_FROM, UsageDuty,
+    WeightOrder,
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, HeartbeatAnswer, IncomingFrame, KnownLeader};
 pub use messages::{
@@ -45,7 +46,7 @@
     GatewayStatus, ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply,
     Request, RunningItem, SeenCrash, SiteView, ViewChange,
 };
-pub use provider::{DutyHolder, ProviderAnswer, UsageReport};
+pub use provider::{CapacityOrder, DutyHolder, ProviderAnswer, UsageReport};
 pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
 pub use routes::RouteTable;
 pub use scaling::{CapacityPool, Scaling};
--- a/crates/wingshore-coordination/src/provider.rs
+++ b/crates/wingshore-coordination/src/provider.rs
@@ -1,5 +1,6 @@
 //! What is asked of the provider of a site's machines, by one coordinator at a time.
 
+use crate::scaling::CapacityPool;
 use crate::usage::{UsageCounts, UsageWindow};
 use wingshore_types::Epoch;
 
@@ -23,6 +24,17 @@
     pub holder: DutyHolder,
 }
 
+/// An order for the number of servers of one kind in one zone. A pool is a subject of a holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CapacityOrder {
+    /// Of which servers.
+    pub pool: CapacityPool,
+    /// How many.
+    pub count: u32,
+    /// Who gives it.
+    pub holder: DutyHolder,
+}
+
 /// What the provider answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProviderAnswer {
--- a/crates/wingshore-coordination/src/state/command.rs
+++ b/crates/wingshore-coordination/src/state/command.rs
@@ -7,6 +7,7 @@
 use crate::jobs::{JobSubmission, ListedResult};
 use crate::messages::AssignmentId;
 use crate::registry::ServerRecord;
+use crate::scaling::CapacityPool;
 use crate::text::{FinishedText, ItemText};
 use crate::usage::{UsageCounts, UsageWindow, WindowUsage};
 use serde::{Deserialize, Serialize};
@@ -124,6 +125,13 @@
     },
     /// The provider has acknowledged the report of a window.
     UsageReported(UsageWindow),
+    /// So many servers are wanted in a pool.
+    WantCapacity {
+        /// Of which servers.
+        pool: CapacityPool,
+        /// How many.
+        count: u32,
+    },
     /// Puts a configuration in force, if its version is the highest.
     Configure(Arc<SiteConfiguration>),
     /// A server is new, or what the registry holds of it has changed.
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -15,6 +15,7 @@
 use crate::ids::{InstanceId, JobId, ModelName, ServerName};
 use crate::jobs::Job;
 use crate::registry::ServerRecord;
+use crate::scaling::CapacityPool;
 use crate::text_store::{TextStore, TextStoreHandle};
 use serde::{Deserialize, Serialize};
 use snapshot::FrozenCoordination;
@@ -59,6 +60,8 @@
     retired_members: BTreeMap<String, ReplicaId>,
     /// Requests that began to run, for the provider's bill.
     usage: SiteUsage,
+    /// Numbers of servers that are wanted.
+    capacity: BTreeMap<CapacityPool, u32>,
     /// What failed attempts say of requests; a record of its own in snapshots.
     #[serde(skip)]
     evidence: RequestEvidence,
@@ -83,6 +86,11 @@
         &self.evidence
     }
 
+    /// Numbers of servers that are wanted.
+    pub fn capacity(&self) -> &BTreeMap<CapacityPool, u32> {
+        &self.capacity
+    }
+
     /// Requests that began to run, for the provider's bill.
     pub fn usage(&self) -> &SiteUsage {
         &self.usage
@@ -224,6 +232,7 @@
             member_nodes: self.member_nodes.clone(),
             retired_members: self.retired_members.clone(),
             usage: self.usage.clone(),
+            capacity: self.capacity.clone(),
             evidence: RequestEvidence::default(),
             texts: TextStoreHandle::default(),
         }
@@ -307,6 +316,9 @@
             }
             Command::HoldOrders(holder) => self.hold_orders(holder),
             Command::SettleOrders(epoch) => self.settle_orders(epoch),
+            Command::WantCapacity { pool, count } => {
+                self.capacity.insert(pool, count);
+            }
             Command::KeepUsage { gateway, usage } => self.usage.keep(gateway, usage),
             Command::CloseUsageWindow { window, counts } => self.usage.close(window, counts),
             Command::UsageReported(window) => self.usage.reported(window),
--- a/crates/wingshore-coordinator/src/decisions.rs
+++ b/crates/wingshore-coordinator/src/decisions.rs
@@ -125,6 +125,16 @@
         Decision::RequestCleared { request, reason } => {
             warn!(logger, "request let off"; "fingerprint" => %request, "reason" => reason);
         }
+        Decision::CapacityWanted {
+            pool,
+            count,
+            before,
+            open_items,
+        } => {
+            info!(logger, "servers wanted"; "service" => %pool.service, "zone" => &pool.zone,
+                "reclaimable" => pool.reclaimable, "count" => count, "before" => before,
+                "open_items" => open_items);
+        }
         Decision::UsageClosed {
             window,
             tenants,
--- a/crates/wingshore-coordinator/src/process/host.rs
+++ b/crates/wingshore-coordinator/src/process/host.rs
@@ -59,6 +59,11 @@
             .provider
             .as_ref()
             .and_then(|provider| provider.usage),
+        orders_servers: settings
+            .provider
+            .as_ref()
+            .is_some_and(|provider| provider.orders_servers),
+        capacity: settings.capacity,
         job_retention: settings.job_retention,
         most_open_job_bytes: settings.memory.open_jobs(),
         policy: settings.leader_policy,
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -441,6 +441,16 @@
                     info!(self.logger, "usage report answered"; "window" => window.0,
                         "answer" => answer.name());
                 }
+                Event::CapacityAnswered {
+                    pool,
+                    count,
+                    answer,
+                } => {
+                    self.metrics.provider_answered("servers", answer.name());
+                    info!(self.logger, "order for servers answered"; "service" => %pool.service,
+                        "zone" => &pool.zone, "reclaimable" => pool.reclaimable,
+                        "count" => count, "answer" => answer.name());
+                }
                 _ => {}
             }
             self.inputs.push(HostInput::Event(event));
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -7,9 +7,9 @@
 use snafu::ResultExt;
 use std::time::Duration;
 use wingshore_coordination::{
-    CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
-    GatewayId, HeartbeatAnswer, IncomingFrame, OrderAnswer, ProviderAnswer, Reply, SiteView,
-    UsageReport,
+    CallReply, CapacityOrder, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision,
+    Effect, Event, GatewayId, HeartbeatAnswer, IncomingFrame, OrderAnswer, ProviderAnswer, Reply,
+    SiteView, UsageReport,
 };
 use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
 use wingshore_net::{ConnectionId, frame};
@@ -104,6 +104,7 @@
                 self.log_decision(now, &decision);
                 None
             }
+            Effect::OrderCapacity(order) => self.order_capacity(now, &order),
             Effect::ReportUsage(report) => self.report_usage(now, &report),
             Effect::Order(order) if !self.host.holds_lease(self.clock.now()) => {
                 info!(self.logger, "order not given"; "engine" => %order.instance,
@@ -140,6 +141,28 @@
         provider.report_usage(now, &mut self.reactor, report)
     }
 
+    /// Orders servers, unless the lease is over by now.
+    fn order_capacity(&mut self, now: Instant, order: &CapacityOrder) -> Option<Event> {
+        let CapacityOrder {
+            pool,
+            count,
+            holder,
+        } = order;
+        let provider = self.provider.as_mut()?;
+        if !self.host.holds_lease(self.clock.now()) {
+            info!(self.logger, "servers not ordered"; "service" => %pool.service,
+                "zone" => &pool.zone, "reason" => "the lease is over", "fence" => holder.fence.0);
+            return Some(Event::CapacityAnswered {
+                pool: pool.clone(),
+                count: *count,
+                answer: ProviderAnswer::Refused,
+            });
+        }
+        info!(self.logger, "servers ordered"; "service" => %pool.service, "zone" => &pool.zone,
+            "reclaimable" => pool.reclaimable, "count" => count, "fence" => holder.fence.0);
+        provider.order_capacity(now, &mut self.reactor, order)
+    }
+
     fn welcome(&mut self, gateway: GatewayId, epoch: Epoch, view: SiteView) {
         let Some(connection) = self.directory.connection(gateway) else {
             return;
--- a/crates/wingshore-coordinator/src/protocol.rs
+++ b/crates/wingshore-coordinator/src/protocol.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{
-    EngineReport, OrderAnswer, ProviderAnswer, Reply, Request, UsageReport, WeightOrder,
+    CapacityOrder, EngineReport, OrderAnswer, ProviderAnswer, Reply, Request, UsageReport,
+    WeightOrder,
 };
 use wingshore_net::http::{AnswerHead, HttpAnswer, WholeRequest};
 
@@ -114,6 +115,8 @@
 pub trait ProviderProtocol {
     /// A report of usage.
     fn usage(&self, report: &UsageReport) -> OutgoingCall;
+    /// An order for servers.
+    fn capacity(&self, order: &CapacityOrder) -> OutgoingCall;
     /// What the provider answered to a call.
     fn answer(&self, head: &AnswerHead) -> ProviderAnswer;
 }
--- a/crates/wingshore-coordinator/src/provider_calls.rs
+++ b/crates/wingshore-coordinator/src/provider_calls.rs
@@ -1,13 +1,15 @@
-//! Calls to the provider of the site's machines: reports of usage.
+//! Calls to the provider of the site's machines: reports of usage, orders for servers.
 //!
 //! Only the holder of orders calls, so that what it sends is what the whole site sends: it keeps
 //! within the rate that the provider takes from all together.
 
 use crate::outgoing_calls::{EndedCall, OutgoingCalls};
-use crate::protocol::ProviderProtocol;
+use crate::protocol::{OutgoingCall, ProviderProtocol};
 use crate::settings::ProviderSettings;
 use std::time::Duration;
-use wingshore_coordination::{Event, ProviderAnswer, UsageReport, UsageWindow};
+use wingshore_coordination::{
+    CapacityOrder, CapacityPool, Event, ProviderAnswer, UsageReport, UsageWindow,
+};
 use wingshore_net::{ConnectionId, Reactor};
 use wingshore_types::Instant;
 
@@ -20,9 +22,10 @@
 const BURST: Duration = Duration::from_millis(500);
 
 /// What was asked.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 enum Question {
     Usage(UsageWindow),
+    Capacity(CapacityPool, u32),
 }
 
 /// All calls to the provider under way.
@@ -57,13 +60,34 @@
         reactor: &mut Reactor,
         report: &UsageReport,
     ) -> Option<Event> {
-        let question = Question::Usage(report.window);
+        let call = self.protocol.usage(report);
+        self.begin(now, reactor, &call, Question::Usage(report.window))
+    }
+
+    /// Orders the number of servers in a pool.
+    pub(crate) fn order_capacity(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        order: &CapacityOrder,
+    ) -> Option<Event> {
+        let call = self.protocol.capacity(order);
+        let question = Question::Capacity(order.pool.clone(), order.count);
+        self.begin(now, reactor, &call, question)
+    }
+
+    fn begin(
+        &mut self,
+        now: Instant,
+        reactor: &mut Reactor,
+        call: &OutgoingCall,
+        question: Question,
+    ) -> Option<Event> {
         if !self.may_call(now) {
             return Some(event(question, ProviderAnswer::Busy));
         }
-        let call = self.protocol.usage(report);
         let provider = (&(), self.settings.address);
-        let ended = self.calls.begin(now, reactor, provider, &call, question);
+        let ended = self.calls.begin(now, reactor, provider, call, question);
         ended.map(|ended| self.event(ended))
     }
 
@@ -122,5 +146,10 @@
 fn event(question: Question, answer: ProviderAnswer) -> Event {
     match question {
         Question::Usage(window) => Event::UsageAnswered { window, answer },
+        Question::Capacity(pool, count) => Event::CapacityAnswered {
+            pool,
+            count,
+            answer,
+        },
     }
 }
--- a/crates/wingshore-coordinator/src/settings.rs
+++ b/crates/wingshore-coordinator/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
-use wingshore_coordination::{LeaderPolicy, UsageDuty};
+use wingshore_coordination::{CapacityPolicy, LeaderPolicy, UsageDuty};
 
 /// Settings of a coordinator process, checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,6 +54,8 @@
     pub concurrent_loads: usize,
     /// Time that an engine takes to load weights.
     pub load_time: Duration,
+    /// How the number of servers is chosen where it can be ordered.
+    pub capacity: CapacityPolicy,
     /// Which mechanisms of choice of the leader are on.
     pub leader_policy: LeaderPolicy,
     /// The provider of the site's machines; `None` where there is nothing to ask of it.
@@ -73,6 +75,8 @@
     pub calls_per_second: f64,
     /// Reports of usage that the site owes it.
     pub usage: Option<UsageDuty>,
+    /// Whether the number of servers is ordered from it.
+    pub orders_servers: bool,
 }
 
 impl CoordinatorSettings {
