coordination: loads follow the work, not the number of engines

Cause: each version was brought to as many engines as a model's share of all, whatever was asked of it.

Ruled out: the number of engines that items need (by_demand orders none at sites that cannot be scaled).

A model without work lately keeps its share.

Test: loads_follow_the_work_and_not_the_number_of_engines; without open items all 200 engines load, with 16 items 8 to 16 of them.

--- a/crates/wingshore-coordination/src/leader/load_choice.rs
+++ b/crates/wingshore-coordination/src/leader/load_choice.rs
@@ -15,6 +15,11 @@
 /// one in five of 3,000 engines, and no look holds up what else a leader does.
 const MOST_BEGUN_AT_ONCE: usize = 32;
 
+/// Engines at a model's newest version that are enough, as a multiple of those that all its open items
+/// fill: long items stay on engines at the version before. Loads follow the work by that, not the number of
+/// engines: at 3,000 engines a day of 252 items a step took 3,150 orders, nearly all for nothing.
+const ENOUGH_FACTOR: usize = 2;
+
 /// A load that would bring an engine to a named version.
 struct WantedLoad {
     instance: InstanceId,
@@ -61,6 +66,10 @@
     share: usize,
     /// Items of the model that wait for an engine.
     waiting: usize,
+    /// The most items of the model that were open at once lately.
+    open: usize,
+    /// Slots of its engines.
+    slots: usize,
     wanted: Vec<WantedLoad>,
 }
 
@@ -87,10 +96,22 @@
         self.wanted.sort_by(|left, right| by_rank(right, left));
     }
 
-    /// Takes the next load. Beyond the model's share engines load only for items that wait. What
+    /// Engines that are to hold the newest version, whatever waits: the model's share, or what its items
+    /// fill with room to spare, where that is less. Where it had none lately nothing is known of what is
+    /// to come.
+    fn enough(&self) -> usize {
+        if self.open == 0 {
+            return self.share;
+        }
+        let slots_each = (self.slots / self.engines.max(1)).max(1);
+        let filled = self.open.div_ceil(slots_each);
+        self.share.min((filled * ENOUGH_FACTOR).max(1))
+    }
+
+    /// Takes the next load. Beyond what is enough engines load only for items that wait. What
     /// loads already is left out.
     fn take(&mut self, loading: &BTreeSet<InstanceId>) -> Option<WantedLoad> {
-        if self.newest >= self.share && self.waiting == 0 {
+        if self.newest >= self.enough() && self.waiting == 0 {
             return None;
         }
         while let Some(load) = self.wanted.pop() {
@@ -118,6 +139,7 @@
         }
         self.count_long_items();
         let mut models = self.loads_by_model(state);
+        self.note_peaks(now, &mut models);
         let policy = self.settings.policy;
         let mut loading = BTreeSet::new();
         while self.rollout.active() < most && loading.len() < MOST_BEGUN_AT_ONCE {
@@ -170,6 +192,7 @@
                 };
                 let is_loading = loading == Some(&entry.model);
                 loads.engines += 1;
+                loads.slots += engine.slots;
                 loads.usable += usize::from(entry.version + 1 >= loads.named && !is_loading);
                 loads.newest += usize::from(entry.version >= loads.named || is_loading);
                 if entry.version < loads.named && loading.is_none() {
@@ -188,20 +211,33 @@
             loads.share = loads.engines.div_ceil(count);
             loads.rank_wanted(self.settings.policy.loads_spare_long_items);
         }
-        self.count_waiting(state, &mut models);
+        self.count_items(state, &mut models);
         models
     }
 
-    fn count_waiting(
-        &self,
-        state: &CoordinationState,
-        models: &mut BTreeMap<ModelName, ModelLoads>,
-    ) {
+    /// Puts the most items that were open lately in place of those that are open now: between two steps
+    /// there are few.
+    fn note_peaks(&mut self, now: Instant, models: &mut BTreeMap<ModelName, ModelLoads>) {
+        let span = self.settings.capacity_memory;
+        for (model, loads) in models {
+            let peak = self.rollout.peak_of(model);
+            loads.open = peak.note(now, loads.open, span);
+        }
+    }
+
+    fn count_items(&self, state: &CoordinationState, models: &mut BTreeMap<ModelName, ModelLoads>) {
         for (job, waiting) in self.items.waiting_by_job() {
             let job = state.jobs().get(job);
             let model = job.and_then(|job| job.submission.model.as_ref());
             if let Some(loads) = model.and_then(|model| models.get_mut(model)) {
                 loads.waiting += waiting;
+                loads.open += waiting;
+            }
+        }
+        for (_, running) in self.items.running() {
+            let model = running.model.as_ref();
+            if let Some(loads) = model.and_then(|model| models.get_mut(model)) {
+                loads.open += 1;
             }
         }
     }
--- a/crates/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/wingshore-coordination/src/leader/rollout.rs
@@ -7,6 +7,7 @@
 //! the leadership as their fence and the engine's count of orders, so that one that is carried out
 //! late does nothing.
 
+use super::capacity_plan::Peak;
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::ids::{InstanceId, ModelName, ServiceName};
 use crate::registry::ModelVersion;
@@ -126,6 +127,8 @@
     loads: BTreeMap<InstanceId, Load>,
     /// When all engines were last looked at for loads.
     looked_at: Instant,
+    /// The most items of each model that were open at once lately.
+    peaks: BTreeMap<ModelName, Peak>,
 }
 
 impl Rollout {
@@ -163,6 +166,11 @@
         self.loads.insert(instance, load);
     }
 
+    /// The most items of a model that were open at once lately.
+    pub(super) fn peak_of(&mut self, model: &ModelName) -> &mut Peak {
+        self.peaks.entry(model.clone()).or_default()
+    }
+
     /// Engines that are loading.
     pub(super) fn active(&self) -> usize {
         self.loads
--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -340,6 +340,37 @@
 }
 
 /// Two models were named at once, and all loads went to the one whose engines come first.
+/// Engines that were looked at to load within 1.5 s, each of which then reports what it holds; items that
+/// their gateway does not speak of for longer would be placed anew.
+fn engines_that_load(group: &mut Group, version: u64) -> usize {
+    let mut loaded = 0;
+    for _ in 0..30 {
+        for instance in asked(group) {
+            loaded += 1;
+            report(group, &instance, version, false);
+        }
+        group.wait(Duration::from_millis(50));
+    }
+    loaded
+}
+
+/// Seen at 3,000 engines: 947 to 3,234 orders a day for steps of some 250 items, nearly all for nothing, and the price of
+/// orders was the largest of all. Cause: each version was brought to all engines that a model could have, whatever
+/// was asked of it.
+#[gtest]
+fn loads_follow_the_work_and_not_the_number_of_engines() {
+    let mut group = group_of_engines(200);
+    group.ask(Request::SubmitJob(job("j", 16)));
+    group.wait(Duration::from_millis(100));
+    name_version(&mut group, 2);
+    // Sixteen items fill four engines of four slots.
+    expect_that!(engines_that_load(&mut group, 2), all![ge(8), le(16)]);
+    // Nothing is known of the work of a model that had none: all engines take its version.
+    let mut idle = group_of_engines(200);
+    name_version(&mut idle, 2);
+    expect_that!(engines_that_load(&mut idle, 2), eq(200));
+}
+
 #[gtest]
 fn the_model_that_fewer_engines_can_run_is_loaded_first() {
     let mut group = Group::new();
