hashing: FNV-1a from the library in place of seven copies; constants say where they come from

Cause: the same hash stood in seven crates, each with its two constants, of which six had no word on their origin; ten constants in all had no doc line.

Change: the crate fnv in all seven places; doc lines with unit and origin for the rest; the clock says beside its panic why it is none of a typed error.

Proof: wingshore-lab/tests/hashing.rs holds the published values ("", "a", "foobar") and that parts hash like the whole; tests of routing, request, control, types pass unchanged. No change of behaviour, nothing measured.

--- a/crates/wingshore-clock/src/lib.rs
+++ b/crates/wingshore-clock/src/lib.rs
@@ -29,6 +29,8 @@
     pub fn now() -> Self {
         let time = clock_gettime(CLOCK);
         Self(time.map_or_else(
+            // A typed error could only be answered by ending the process: whoever asks for the time goes
+            // on to judge a lease or a limit by it, and a made-up time would let two machines act.
             |error| panic!("no boot-time clock: {error}"),
             Duration::from,
         ))
--- a/crates/wingshore-control/src/state/apply.rs
+++ b/crates/wingshore-control/src/state/apply.rs
@@ -5,6 +5,8 @@
 use super::plan_book::{OPEN_PLANS_LIMIT, OPEN_STEPS_LIMIT, PlanRecord};
 use super::planner::{PlanDraft, Planner};
 use crate::command::{CommandReply, ControlCommand, StepResult};
+use fnv::FnvHasher;
+use std::hash::Hasher;
 use wingshore_types::configuration::{ConfigurationChange, SwapPolicy};
 use wingshore_types::ids::{IntentId, PlanId, PoolId, Revision, ServiceId, WeightVersion};
 use wingshore_types::protocol::control::{ControlRefusal, ControlReply, Intent, Plan, PlanState};
@@ -255,12 +257,8 @@
 
 /// Hash of a command without regard to anything but its content (FNV-1a over its encoding).
 fn fingerprint(command: &ControlCommand) -> u64 {
-    /// Offset basis of the 64-bit hash, as FNV-1a defines it.
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    /// Prime of the 64-bit hash, as FNV-1a defines it.
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
     let encoded = postcard::to_stdvec(command).unwrap_or_default();
-    encoded.iter().fold(OFFSET, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
-    })
+    let mut hasher = FnvHasher::default();
+    hasher.write(&encoded);
+    hasher.finish()
 }
--- a/crates/wingshore-lab/src/sim/history.rs
+++ b/crates/wingshore-lab/src/sim/history.rs
@@ -1,10 +1,9 @@
 //! The running hash of a simulation's history: the same seed must give the same one.
 
 use super::process::SimMessage;
+use fnv::FnvHasher;
 use std::fmt::{self, Write};
-
-const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const PRIME: u64 = 0x0000_0100_0000_01b3;
+use std::hash::Hasher;
 
 /// FNV-1a over all that happened, in its order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,7 +11,7 @@
 
 impl Default for HistoryHash {
     fn default() -> Self {
-        Self(OFFSET)
+        Self(FnvHasher::default().finish())
     }
 }
 
@@ -24,9 +23,9 @@
 
     /// Adds bytes.
     pub fn bytes(&mut self, bytes: &[u8]) {
-        self.0 = bytes.iter().fold(self.0, |hash, byte| {
-            (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
-        });
+        let mut hasher = FnvHasher::with_key(self.0);
+        hasher.write(bytes);
+        self.0 = hasher.finish();
     }
 
     /// Adds a number.
--- a/crates/wingshore-ledger/src/samples/stage.rs
+++ b/crates/wingshore-ledger/src/samples/stage.rs
@@ -99,7 +99,10 @@
 
 /// About the bytes that a sample takes in a batch; not fewer.
 pub(crate) fn encoded_bytes(prompt: &[Token], generation: &Generation) -> usize {
+    /// Bytes of all but tokens and segments. The codec needs 48 at the most: 10 for each of the
+    /// number and three lengths, 8 for the score.
     const FIXED: usize = 64;
+    /// Bytes of a segment at the most: 10 for its version, 5 for each end of its range.
     const PER_SEGMENT: usize = 20;
     let tokens = prompt.iter().chain(&generation.tokens);
     let tokens: usize = tokens.map(|token| encoded_token_bytes(*token)).sum();
@@ -108,6 +111,7 @@
 
 /// Length of a token as a variable-length integer of seven bits a byte.
 fn encoded_token_bytes(token: Token) -> usize {
+    /// Bits of a number in each byte; the eighth says whether more follow, as the codec defines it.
     const BITS_PER_BYTE: u32 = 7;
     let bits = Token::BITS - token.leading_zeros();
     bits.div_ceil(BITS_PER_BYTE).max(1) as usize
--- a/crates/wingshore-node/src/serve/intake.rs
+++ b/crates/wingshore-node/src/serve/intake.rs
@@ -2,6 +2,8 @@
 
 use crate::http::{BodyError, Caller, CallerHeaders, EdgeError};
 use crate::state::NodeState;
+use fnv::FnvHasher;
+use std::hash::Hasher;
 use std::time::Duration;
 use wingshore_request::{ClaimIntent, claims_group};
 use wingshore_types::ServiceId;
@@ -71,10 +73,9 @@
 
 /// FNV-1a over method, target and body, which every node computes alike.
 fn fingerprint(method: &str, target: &str, body: &[u8]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let head = method.bytes().chain([0]).chain(target.bytes()).chain([0]);
-    head.chain(body.iter().copied()).fold(OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
+    let mut hasher = FnvHasher::default();
+    for part in [method.as_bytes(), &[0], target.as_bytes(), &[0], body] {
+        hasher.write(part);
+    }
+    hasher.finish()
 }
--- a/crates/wingshore-replica/src/group/driver.rs
+++ b/crates/wingshore-replica/src/group/driver.rs
@@ -353,6 +353,8 @@
 
 /// When the lease that is held at `now` ends, to the millisecond below; `None` when it is not held.
 fn lease_until<L: HostedLeader>(host: &Host<L>, now: Instant) -> Option<Instant> {
+    /// How exactly the end is found: the answer is early by less than this, never late. Chosen small
+    /// beside leases, which last hundreds of milliseconds.
     const STEP: Duration = Duration::from_millis(1);
     if !host.holds_lease(now) {
         return None;
--- a/crates/wingshore-request/src/specification.rs
+++ b/crates/wingshore-request/src/specification.rs
@@ -1,5 +1,7 @@
 //! What is to be executed: a parsed request and its limits.
 
+use fnv::FnvHasher;
+use std::hash::Hasher;
 use std::time::Duration;
 use wingshore_routing::RouteRequest;
 use wingshore_types::GroupId;
@@ -61,21 +63,10 @@
 
 /// The claims group that holds `key` when keys are spread over `shards` groups.
 pub fn claims_group(key: &ClaimKey, shards: u16) -> GroupId {
-    let hash = fnv1a(
-        key.service
-            .as_bytes()
-            .iter()
-            .chain([&0])
-            .chain(key.key.as_bytes()),
-    );
-    GroupId::claims_for(hash, shards)
-}
-
-/// FNV-1a, which every node computes alike.
-fn fnv1a<'a>(bytes: impl Iterator<Item = &'a u8>) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    bytes.fold(OFFSET, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
-    })
+    // FNV-1a, which every node computes alike.
+    let mut hasher = FnvHasher::default();
+    for part in [key.service.as_bytes(), &[0], key.key.as_bytes()] {
+        hasher.write(part);
+    }
+    GroupId::claims_for(hasher.finish(), shards)
 }
--- a/crates/wingshore-routing/examples/routing_study/queueing.rs
+++ b/crates/wingshore-routing/examples/routing_study/queueing.rs
@@ -13,13 +13,19 @@
 use wingshore_types::platform::LoadReport;
 use wingshore_types::{Instant, ServerId, ZoneId};
 
+/// Servers of the one service; the size at which `docs/design/0006-routing.md` gives its figures.
 const SERVERS: usize = 40;
+/// Nodes, each with a router of its own; chosen so that a node sees a tenth of the requests itself.
 const NODES: usize = 10;
+/// Requests that a server works on at once; chosen for the study.
 const PARALLEL: usize = 8;
+/// Part of the servers' capacity that arrivals ask for; chosen so that queues form, and end.
 const UTILISATION: f64 = 0.85;
-/// Simulated time and the part of it that is not counted, in service times.
+/// Simulated time, in service times.
 const LENGTH: u64 = 600;
+/// The part of it, from its beginning, that is not counted: queues begin empty.
 const WARM_UP: u64 = 100;
+/// Runs of each variant, whose queues are taken together.
 const SEEDS: u64 = 5;
 
 /// What is varied.
--- a/crates/wingshore-routing/src/hash.rs
+++ b/crates/wingshore-routing/src/hash.rs
@@ -1,5 +1,6 @@
 //! Small deterministic hash functions: the same on every machine and in every run.
 
+use fnv::FnvHasher;
 use std::hash::Hasher;
 
 /// Finaliser of SplitMix64.
@@ -12,11 +13,9 @@
 
 /// FNV-1a.
 pub(crate) fn hash_text(text: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    text.bytes().fold(OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
+    let mut hasher = FnvHasher::default();
+    hasher.write(text.as_bytes());
+    hasher.finish()
 }
 
 /// Hasher for keys that are hashes already, as maps of the standard library want it.
--- a/crates/wingshore-types/src/generator.rs
+++ b/crates/wingshore-types/src/generator.rs
@@ -5,6 +5,8 @@
 
 use crate::ids::WeightVersion;
 use crate::sample::Token;
+use fnv::FnvHasher;
+use std::hash::Hasher;
 
 /// Vocabulary size of the stand-in model.
 pub const VOCABULARY: u32 = 1 << 24;
@@ -17,14 +19,11 @@
 
 /// Hash of prompt tokens (FNV-1a over their bytes).
 pub fn hash_tokens(tokens: &[Token]) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    tokens
-        .iter()
-        .flat_map(|token| token.to_le_bytes())
-        .fold(OFFSET, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-        })
+    let mut hasher = FnvHasher::default();
+    for token in tokens {
+        hasher.write(&token.to_le_bytes());
+    }
+    hasher.finish()
 }
 
 /// Finaliser of SplitMix64.
