pauses after failures double in one place

Change: doubled_pause in wingshore-types, used by all eight. The bounds on doublings (6, 8, 16) fall away: in all of them the longest pause is reached before. Answers of the provider are told apart by name, an order's answer is two arguments in place of a pair.

No change of behaviour, nothing measured.

--- a/crates/wingshore-control/src/leader/engine.rs
+++ b/crates/wingshore-control/src/leader/engine.rs
@@ -5,9 +5,9 @@
 use crate::settings::LeaderSettings;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::ids::{ServiceId, WeightVersion};
 use wingshore_types::platform::{EngineOrder, EngineState, OrderFence};
+use wingshore_types::{Instant, doubled_pause};
 
 /// An engine's report, with when it was asked for.
 #[derive(Clone, Debug)]
@@ -270,13 +270,13 @@
     /// The wait doubles with each failure in a row.
     fn end_failure(&mut self, now: Instant, settings: &LeaderSettings) {
         self.order = None;
-        let doublings = self.failures.min(MOST_DOUBLINGS);
+        let wait = doubled_pause(
+            settings.swap_backoff,
+            self.failures,
+            settings.longest_swap_backoff,
+        );
         self.failures = self.failures.saturating_add(1);
         self.failures_of_version = self.failures_of_version.saturating_add(1);
-        let wait = settings.swap_backoff * (1 << doublings);
-        self.quarantined_until = now + wait.min(settings.longest_swap_backoff);
+        self.quarantined_until = now + wait;
     }
 }
-
-/// Keeps the doubled wait within its type.
-const MOST_DOUBLINGS: u32 = 16;
--- a/crates/wingshore-coordination/src/leader/capacity.rs
+++ b/crates/wingshore-coordination/src/leader/capacity.rs
@@ -12,9 +12,10 @@
 use crate::scaling::{CapacityPool, Scaling};
 use crate::state::{Command, CoordinationState};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::machine::LeaderOutput;
+use wingshore_types::{Instant, doubled_pause};
 
 /// Between two looks at what is wanted.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
@@ -65,7 +66,7 @@
             return;
         }
         self.capacity.looked_at = Some(now);
-        let configuration = std::sync::Arc::clone(configuration);
+        let configuration = Arc::clone(configuration);
         for service in &configuration.services {
             if let Some(scaling) = &service.scaling {
                 self.want_servers(now, service, scaling, state, out);
@@ -185,7 +186,8 @@
         &mut self,
         now: Instant,
         pool: &CapacityPool,
-        (count, answer): (u32, ProviderAnswer),
+        count: u32,
+        answer: ProviderAnswer,
     ) {
         let Some(order) = self.capacity.orders.get_mut(pool) else {
             return;
@@ -198,10 +200,12 @@
             }
             // Of servers that may be taken away it says that there are none to be had.
             ProviderAnswer::Conflict if !pool.reclaimable => order.is_fenced = true,
-            _ => {
-                let factor = 1_u32 << order.failures.min(8);
+            ProviderAnswer::Conflict
+            | ProviderAnswer::Busy
+            | ProviderAnswer::Refused
+            | ProviderAnswer::Unknown => {
+                order.not_before = now + doubled_pause(FIRST_PAUSE, order.failures, LONGEST_PAUSE);
                 order.failures += 1;
-                order.not_before = now + (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
             }
         }
     }
--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -6,7 +6,7 @@
 use crate::state::CoordinationState;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
-use wingshore_types::Instant;
+use wingshore_types::{Instant, doubled_pause};
 
 /// Weight of the newest measurement of an engine's pace.
 const PACE_WEIGHT: f64 = 0.15;
@@ -383,9 +383,8 @@
         if now < engine.paused_until {
             return;
         }
-        let factor = 1_u32 << engine.faults.min(8);
+        engine.paused_until = now + doubled_pause(first, engine.faults, most);
         engine.faults += 1;
-        engine.paused_until = now + (first * factor).min(most);
     }
 }
 
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -406,7 +406,7 @@
                 pool,
                 count,
                 answer,
-            } => self.on_capacity_answered(now, &pool, (count, answer)),
+            } => self.on_capacity_answered(now, &pool, count, answer),
             Event::UsageAnswered { window, answer } => {
                 self.on_usage_answered(now, window, answer, out);
             }
--- a/crates/wingshore-coordination/src/leader/scorings.rs
+++ b/crates/wingshore-coordination/src/leader/scorings.rs
@@ -5,7 +5,7 @@
 use crate::state::CoordinationState;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wingshore_types::Instant;
+use wingshore_types::{Instant, doubled_pause};
 
 /// A scoring without an answer is tried again after this time at first, and twice as long each
 /// time.
@@ -132,8 +132,8 @@
     /// How long an item pauses after a scoring without a score.
     pub(super) fn next_pause(&mut self, item: &ItemKey) -> Duration {
         let tries = self.tries.entry(item.clone()).or_default();
-        let factor = 1_u32 << (*tries).min(8);
+        let pause = doubled_pause(FIRST_PAUSE, *tries, MOST_PAUSE);
         *tries += 1;
-        (FIRST_PAUSE * factor).min(MOST_PAUSE)
+        pause
     }
 }
--- a/crates/wingshore-coordination/src/leader/usage.rs
+++ b/crates/wingshore-coordination/src/leader/usage.rs
@@ -12,8 +12,8 @@
 use crate::usage::{UsageCounts, UsageWindow, WindowUsage};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::machine::LeaderOutput;
+use wingshore_types::{Instant, doubled_pause};
 
 /// A window is closed after this part of the time in which its report is due: gateways tell their
 /// counts each 400 ms, and the rest of the time is for calls that have to be made again.
@@ -177,10 +177,9 @@
 
     fn failed(&mut self, now: Instant, window: UsageWindow) {
         if let Some(send) = self.sending.get_mut(&window) {
-            let factor = 1_u32 << send.failures.min(8);
+            send.not_before = now + doubled_pause(FIRST_PAUSE, send.failures, LONGEST_PAUSE);
             send.failures += 1;
             send.is_under_way = false;
-            send.not_before = now + (FIRST_PAUSE * factor).min(LONGEST_PAUSE);
         }
     }
 }
--- a/crates/wingshore-gateway/src/balance.rs
+++ b/crates/wingshore-gateway/src/balance.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wingshore_coordination::{InstanceId, ServerRecord};
-use wingshore_types::Instant;
+use wingshore_types::{Instant, doubled_pause};
 
 /// Latency of a server that has not answered yet, in milliseconds.
 const FIRST_LATENCY_MS: f64 = 20.0;
@@ -142,9 +142,8 @@
         if now < server.paused_until {
             return;
         }
-        let factor = 1_u32 << server.faults.min(6);
+        server.paused_until = now + doubled_pause(FIRST_PAUSE, server.faults, MOST_PAUSE);
         server.faults += 1;
-        server.paused_until = now + (FIRST_PAUSE * factor).min(MOST_PAUSE);
     }
 
     /// Forgets servers that `is_known` does not hold any more.
--- a/crates/wingshore-routing/src/membership.rs
+++ b/crates/wingshore-routing/src/membership.rs
@@ -12,8 +12,8 @@
 //! empty list must not close a fleet.
 
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::configuration::Admission;
+use wingshore_types::{Instant, doubled_pause};
 
 /// The merged view of one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,8 +98,7 @@
 
     /// The server refused a request as not run.
     pub(crate) fn on_refusal(&mut self, now: Instant, pause: Duration, most: Duration) {
-        let factor = 1_u32 << self.refusals.min(16);
-        let pause = pause.saturating_mul(factor).min(most);
+        let pause = doubled_pause(pause, self.refusals, most);
         self.refusals = self.refusals.saturating_add(1);
         self.refused_until = self.refused_until.max(now + pause);
     }
--- a/crates/wingshore-routing/src/outlier.rs
+++ b/crates/wingshore-routing/src/outlier.rs
@@ -2,11 +2,8 @@
 //! is ejected at one time, so that a fault that all of them share ejects only that share.
 
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::configuration::Permille;
-
-/// Longest sequence of doublings.
-const MOST_DOUBLINGS: u32 = 16;
+use wingshore_types::{Instant, doubled_pause};
 
 /// Limits of ejection.
 #[derive(Clone, Copy, Debug)]
@@ -52,8 +49,7 @@
 
     /// Ejects it.
     pub(crate) fn eject(&mut self, now: Instant, limits: EjectionLimits) {
-        let factor = 1_u32 << self.ejections.min(MOST_DOUBLINGS);
-        let time = limits.time.saturating_mul(factor).min(limits.time_most);
+        let time = doubled_pause(limits.time, self.ejections, limits.time_most);
         self.ejections = self.ejections.saturating_add(1);
         self.failures = 0;
         self.ejected_until = Some(now + time);
--- a/crates/wingshore-types/src/lib.rs
+++ b/crates/wingshore-types/src/lib.rs
@@ -27,5 +27,5 @@
     WeightVersion, ZoneId,
 };
 pub use sample::{Generation, Prompt, Sample, Segment, Token};
-pub use time::Instant;
+pub use time::{Instant, doubled_pause};
 pub use verdict::{ErrorBody, ErrorDetail, Verdict};
--- a/crates/wingshore-types/src/time.rs
+++ b/crates/wingshore-types/src/time.rs
@@ -32,6 +32,13 @@
     }
 }
 
+/// The pause after a failure: `first`, twice as long after each of the `failures` in a row before it,
+/// and `longest` at the most.
+pub fn doubled_pause(first: Duration, failures: u32, longest: Duration) -> Duration {
+    let factor = 1_u32.checked_shl(failures).unwrap_or(u32::MAX);
+    first.saturating_mul(factor).min(longest)
+}
+
 impl Add<Duration> for Instant {
     type Output = Self;
     fn add(self, duration: Duration) -> Self {
