orders for servers go by the items of the service, not of the site

Cause, found by reading: what each service with a Scaling was taken to need were the open items of the whole site. A second such service, though it ran none of them, was ordered servers with each job.

Ruled out: a limit to services with an engine profile: two of those split the work as well.

Change: items that run on the service's own engines, and its part of those that wait, by the weights of their route. Where one service runs all items, the number is the one of before.

--- a/crates/wingshore-coordination/src/configuration.rs
+++ b/crates/wingshore-coordination/src/configuration.rs
@@ -274,6 +274,14 @@
             .sum()
     }
 
+    /// The part of its requests that goes to a service, from 0 to 1.
+    pub fn part_of(&self, service: &ServiceName) -> f64 {
+        let own = self.targets.iter();
+        let own = own.filter(|target| target.service == *service);
+        let own: u64 = own.map(|target| u64::from(target.weight)).sum();
+        own as f64 / self.total_weight().max(1) as f64
+    }
+
     /// The service for a request with this number; numbers spread evenly give each service its
     /// share.
     pub fn target_for(&self, number: u64) -> Option<&ServiceName> {
--- a/crates/wingshore-coordination/src/leader/capacity.rs
+++ b/crates/wingshore-coordination/src/leader/capacity.rs
@@ -8,6 +8,7 @@
 use super::capacity_plan::{CapacityDemand, Peak, wanted};
 use super::{CoordinationLeader, Decision, Effect, Outputs, Waiter, log};
 use crate::configuration::Service;
+use crate::ids::ServiceName;
 use crate::provider::{CapacityOrder, ProviderAnswer};
 use crate::scaling::{CapacityPool, Scaling};
 use crate::state::{Command, CoordinationState};
@@ -45,8 +46,8 @@
     looked_at: Option<Instant>,
     /// Pools whose number is being committed.
     proposed: BTreeSet<CapacityPool>,
-    /// Items that were open at once lately.
-    open_items: Peak,
+    /// Items that were open at once lately, by the service that runs them.
+    open_items: BTreeMap<ServiceName, Peak>,
 }
 
 impl CoordinationLeader {
@@ -113,10 +114,12 @@
         service: &Service,
         state: &CoordinationState,
     ) -> CapacityDemand {
-        let open_now = self.items.waiting_count() + self.items.running().count();
+        let open_now = self.open_items_of(&service.name, state);
         let span = self.settings.capacity_memory;
+        let peaks = &mut self.capacity.open_items;
+        let peak = peaks.entry(service.name.clone()).or_default();
         let mut demand = CapacityDemand {
-            open_items: self.capacity.open_items.note(now, open_now, span),
+            open_items: peak.note(now, open_now, span),
             slots: service.engine.as_ref().map_or(1, |engine| engine.slots),
             staying: BTreeMap::new(),
         };
@@ -129,6 +132,20 @@
         demand
     }
 
+    /// Items that a service runs, and its part of those that wait. A job's items are taken to go the way
+    /// of its first one.
+    fn open_items_of(&self, service: &ServiceName, state: &CoordinationState) -> usize {
+        let engines = self.engines.iter();
+        let engines = engines.filter(|(_, engine)| engine.record.service == *service);
+        let running: usize = engines.map(|(_, engine)| engine.running).sum();
+        let waiting = self.items.waiting_by_job().map(|(job, count)| {
+            let route = self.route_of_job(job, state);
+            let part = route.map_or(0.0, |route| route.part_of(service));
+            (count as f64 * part).ceil() as usize
+        });
+        running + waiting.sum::<usize>()
+    }
+
     /// Gives orders for which there is reason.
     fn order_servers(
         &mut self,
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -77,12 +77,21 @@
     }
 
     fn job_rank(&self, id: &JobId, state: &CoordinationState) -> u8 {
-        let job = state.jobs().get(id).map(|job| &job.submission);
-        let route = job.and_then(|job| self.routes.find(&job.host, &job.items.first()?.path));
+        let route = self.route_of_job(id, state);
         let of_route = route.map_or(u8::MAX, |route| route.priority);
         self.ranks.rank(id.tenant(), of_route)
     }
 
+    /// The route of a job's first item.
+    pub(super) fn route_of_job(
+        &self,
+        id: &JobId,
+        state: &CoordinationState,
+    ) -> Option<&Arc<Route>> {
+        let job = &state.jobs().get(id)?.submission;
+        self.routes.find(&job.host, &job.items.first()?.path)
+    }
+
     /// Places waiting items of one job while any engine takes such ones.
     fn place_job(
         &mut self,
--- a/crates/wingshore-coordination/tests/capacity.rs
+++ b/crates/wingshore-coordination/tests/capacity.rs
@@ -219,3 +219,40 @@
         expect_that!(order.holder.node.as_str(), eq("coordinator-b"));
     }
 }
+
+/// A site with two services whose servers can be had, of which one runs items.
+///
+/// Seen by reading: the number of open items of the whole site was taken for what each service
+/// needs, so that servers of a service that runs none of them were ordered with each job.
+#[gtest]
+fn servers_are_ordered_for_the_service_that_runs_the_items_only() {
+    let mut group = Group::with_settings(LeaderSettings {
+        orders_servers: true,
+        engines_check_fences: true,
+        ..LeaderSettings::default()
+    });
+    let other = ServiceName::from("other");
+    let mut site = configuration(2);
+    site.services[0].scaling = Some(scaling());
+    let mut idle = site.services[0].clone();
+    idle.name = other.clone();
+    site.services.push(idle);
+    group.ask(Request::PutConfiguration(Arc::new(site)));
+    for number in 0..4 {
+        group.heartbeat(engine(&format!("e{number}"), 1));
+        group.heartbeat(ServerRecord {
+            service: other.clone(),
+            ..engine(&format!("o{number}"), 1)
+        });
+    }
+    group.ask(Request::SubmitJob(job("j", 200)));
+    group.wait(Duration::from_secs(1));
+    let orders = take_orders(&mut group);
+    let ordered = |service: &ServiceName| -> u32 {
+        let orders = orders.iter();
+        let orders = orders.filter(|order| order.pool.service == *service);
+        orders.map(|order| order.count).sum()
+    };
+    expect_that!(ordered(&ServiceName::from("llm")), eq(3));
+    expect_that!(ordered(&other), eq(0));
+}
