coordinator, gateway: calls under the lease in one module; parameters in place of pairs

Cause: of the three calls that need the lease two stood in duties.rs, the third in the match of outputs.rs; the provider, a request's caller and a try came as pairs; that a text is of old versions stood twice.

Change: moved and named, nothing else. The comment on the separator of identifiers says why no name holds it.

Proof: tests of coordination, coordinator and gateway pass unchanged. Nothing measured.

--- a/crates/wingshore-coordination/src/ids.rs
+++ b/crates/wingshore-coordination/src/ids.rs
@@ -5,7 +5,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// Stands between the parts of an encoded identifier; names have no control characters.
+/// Stands between the parts of an encoded identifier. Names of servers and jobs come from targets of
+/// requests, whose reader takes no control characters; those of tenants are checked.
 const SEPARATOR: char = '\n';
 
 /// The name of an encoded identifier, and what stands behind it.
--- a/crates/wingshore-coordination/src/leader/outcomes.rs
+++ b/crates/wingshore-coordination/src/leader/outcomes.rs
@@ -139,7 +139,7 @@
                 if !has_ended && is_too_old(&text, &running.item, state) =>
             {
                 self.release_unknown(gateway, assignment, out);
-                self.begin_anew(now, (assignment, &running), out);
+                self.begin_anew(now, assignment, &running, out);
             }
             ItemOutcome::Finished(text) if !has_ended => {
                 self.engines.succeeded(&running.instance);
@@ -170,7 +170,8 @@
     fn begin_anew(
         &mut self,
         now: Instant,
-        (assignment, running): (AssignmentId, &Running),
+        assignment: AssignmentId,
+        running: &Running,
         out: &mut Outputs,
     ) {
         let decision = Decision::ItemRetried {
@@ -420,7 +421,7 @@
 fn is_too_old(text: &FinishedText, item: &ItemKey, state: &CoordinationState) -> bool {
     let job = state.jobs().get(&item.job);
     let oldest = job.map_or(0, |job| job.submission.min_version);
-    text.versions.iter().any(|version| *version < oldest)
+    !text.is_made_since(oldest)
 }
 
 /// Tells a gateway that a try is of no more use.
--- a/crates/wingshore-coordination/src/text.rs
+++ b/crates/wingshore-coordination/src/text.rs
@@ -89,7 +89,7 @@
 
     /// Whether no event is of a version before `oldest`.
     pub fn is_made_since(&self, oldest: u64) -> bool {
-        self.versions.iter().all(|version| *version >= oldest)
+        are_since(&self.versions, oldest)
     }
 
     /// All of it, as the log holds it.
@@ -118,6 +118,17 @@
     pub versions: Vec<u64>,
 }
 
+impl FinishedText {
+    /// Whether no event is of a version before `oldest`.
+    pub fn is_made_since(&self, oldest: u64) -> bool {
+        are_since(&self.versions, oldest)
+    }
+}
+
+fn are_since(versions: &[u64], oldest: u64) -> bool {
+    versions.iter().all(|version| *version >= oldest)
+}
+
 impl From<ItemText> for FinishedText {
     fn from(item: ItemText) -> Self {
         Self {
--- a/crates/wingshore-coordinator/src/outgoing_calls.rs
+++ b/crates/wingshore-coordinator/src/outgoing_calls.rs
@@ -87,20 +87,27 @@
     pub provider: Box<dyn ProviderProtocol>,
 }
 
+/// The provider, as it is called.
+struct Provider {
+    address: SocketAddr,
+    /// Keeps within the calls that it takes.
+    rate: CallRate,
+}
+
 /// All calls under way.
 pub(crate) struct OutgoingCalls {
     protocols: CallProtocols,
-    /// Where the provider is, and how many calls it takes; `None` where there is nothing to ask of it.
-    provider: Option<(SocketAddr, CallRate)>,
+    /// `None` where there is nothing to ask of it.
+    provider: Option<Provider>,
     connections: BTreeMap<ConnectionId, CallConnection>,
 }
 
 impl OutgoingCalls {
     /// No calls yet.
     pub(crate) fn new(protocols: CallProtocols, provider: Option<&ProviderSettings>) -> Self {
-        let provider = provider.map(|provider| {
-            let rate = CallRate::new(provider.calls_per_second);
-            (provider.address, rate)
+        let provider = provider.map(|settings| Provider {
+            address: settings.address,
+            rate: CallRate::new(settings.calls_per_second),
         });
         Self {
             protocols,
@@ -171,13 +178,12 @@
         call: &OutgoingCall,
         question: ProviderQuestion,
     ) -> Option<Event> {
-        let (address, rate) = self.provider.as_mut()?;
-        let address = *address;
-        if !rate.takes(now) {
+        let provider = self.provider.as_mut()?;
+        if !provider.rate.takes(now) {
             return Some(provider_event(question, ProviderAnswer::Busy));
         }
-        let provider = (Callee::Provider, address);
-        self.begin(now, reactor, provider, call, Question::Provider(question))
+        let callee = (Callee::Provider, provider.address);
+        self.begin(now, reactor, callee, call, Question::Provider(question))
     }
 
     /// Makes a call; gives its end where no connection can be made.
--- a/crates/wingshore-coordinator/src/process/duties.rs
+++ b/crates/wingshore-coordinator/src/process/duties.rs
@@ -3,12 +3,15 @@
 
 use super::Coordinator;
 use slog::info;
-use wingshore_coordination::{CapacityOrder, Event, ProviderAnswer, UsageReport, WallTime};
+use wingshore_coordination::{
+    CapacityOrder, Event, OrderAnswer, ProviderAnswer, UsageReport, WallTime, WeightOrder,
+};
 use wingshore_group::HostInput;
 use wingshore_types::Instant;
 
 impl Coordinator {
-    /// Orders and calls to the provider that could still leave after the lease are not to: another machine may count on that.
+    /// Orders and calls to the provider that could still leave after the lease are not to: another
+    /// machine may count on that.
     pub(super) fn drop_orders_without_lease(&mut self) {
         if self.host.holds_lease(self.clock.now()) {
             return;
@@ -58,6 +61,19 @@
         }
     }
 
+    /// Orders an engine to load weights, unless the lease is over by now.
+    pub(super) fn order_load(&mut self, now: Instant, order: &WeightOrder) -> Option<Event> {
+        if !self.host.holds_lease(self.clock.now()) {
+            info!(self.logger, "order not given"; "engine" => %order.instance,
+                "reason" => "the lease is over", "fence" => order.fence.0);
+            let (instance, answer) = (order.instance.clone(), OrderAnswer::Refused);
+            return Some(Event::Ordered { instance, answer });
+        }
+        info!(self.logger, "order"; "engine" => %order.instance, "model" => %order.model,
+            "version" => order.version, "fence" => order.fence.0);
+        self.calls.order(now, &mut self.reactor, order)
+    }
+
     /// Reports usage, unless the lease is over by now: another machine may count on that.
     pub(super) fn report_usage(&mut self, now: Instant, report: &UsageReport) -> Option<Event> {
         let UsageReport { window, holder, .. } = report;
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use wingshore_coordination::{
     CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
-    GatewayId, HeartbeatAnswer, IncomingFrame, OrderAnswer, Reply, SiteView,
+    GatewayId, HeartbeatAnswer, IncomingFrame, Reply, SiteView,
 };
 use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
 use wingshore_net::{ConnectionId, frame};
@@ -105,19 +105,7 @@
             }
             Effect::OrderCapacity(order) => self.order_capacity(now, &order),
             Effect::ReportUsage(report) => self.report_usage(now, &report),
-            Effect::Order(order) if !self.host.holds_lease(self.clock.now()) => {
-                info!(self.logger, "order not given"; "engine" => %order.instance,
-                    "reason" => "the lease is over", "fence" => order.fence.0);
-                Some(Event::Ordered {
-                    instance: order.instance,
-                    answer: OrderAnswer::Refused,
-                })
-            }
-            Effect::Order(order) => {
-                info!(self.logger, "order"; "engine" => %order.instance, "model" => %order.model,
-                    "version" => order.version, "fence" => order.fence.0);
-                self.calls.order(now, &mut self.reactor, &order)
-            }
+            Effect::Order(order) => self.order_load(now, &order),
             Effect::AskReport { instance, address } => {
                 self.calls
                     .ask_report(now, &mut self.reactor, &instance, address)
--- a/crates/wingshore-gateway/src/clients.rs
+++ b/crates/wingshore-gateway/src/clients.rs
@@ -139,7 +139,7 @@
         if route.kind == RouteKind::Batch && request.head.method == "POST" {
             return self.submit_job(now, connection, &request, caller.as_ref());
         }
-        self.begin_client_exchange(now, connection, (request, caller), route);
+        self.begin_client_exchange(now, connection, request, caller.as_ref(), route);
     }
 
     /// Answers with an answer of the gateway's own.
--- a/crates/wingshore-gateway/src/forward.rs
+++ b/crates/wingshore-gateway/src/forward.rs
@@ -39,7 +39,8 @@
         &mut self,
         now: Instant,
         client: ConnectionId,
-        (request, caller): (WholeRequest, Option<Caller>),
+        request: WholeRequest,
+        caller: Option<&Caller>,
         route: Arc<Route>,
     ) {
         let Some(service) = self.next_target(&route) else {
@@ -55,7 +56,7 @@
                 route.timeout.min(deadline.saturating_sub(DEADLINE_MARGIN))
             });
         let mut exchange = self.new_exchange(now, Origin::Client(client), request, route, service);
-        exchange.tenant = tenant_of(caller.as_ref());
+        exchange.tenant = tenant_of(caller);
         let id = self.exchanges.next_id();
         self.begin_exchange(now, id, exchange, limit);
     }
