--- a/crates/wingshore-coordination/src/leader/evidence.rs
+++ b/crates/wingshore-coordination/src/leader/evidence.rs
@@ -13,19 +13,12 @@
 use super::{CoordinationLeader, Decision, Outputs, Waiter, log};
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ServiceName};
-use crate::messages::{SeenCrash, ViewChange};
-use crate::state::{Command, CoordinationState, CrashEvidence, MOST_ENDINGS};
+use crate::messages::SeenCrash;
+use crate::state::{Command, CoordinationState, CrashEvidence, MOST_ENDINGS, REJECTED_FROM};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// A request may be rejected once so many servers have ended under it without one run of it that
-/// went well. Two may be chance: an attempt and its repeat, while servers end for other reasons.
-pub const REJECTED_FROM: usize = 3;
-/// Gateways are told of a request from so many ended servers on: the next one may be the last, so
-/// that each run of it that goes well counts. With a single one most are innocent, and many stand
-/// on each server that ends.
-pub(crate) const TOLD_FROM: usize = REJECTED_FROM - 1;
 /// After this time without news the oldest evidence against a request counts no longer. A rejected
 /// request may then run once more, and costs one server if nothing was repaired: six an hour.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
@@ -278,15 +271,10 @@
             } else {
                 self.evidence.news.insert(request, now);
             }
-            let Some(change) = self.gateway_view.evidence_changed(request, state) else {
-                continue;
-            };
-            if let ViewChange::Suspect(suspect) = &change
-                && suspect.rejected
-            {
+            let suspect = state.evidence().suspect(request);
+            if let Some(suspect) = suspect.filter(|suspect| suspect.rejected) {
                 log(Decision::RequestRejected(suspect.clone()), out);
             }
-            self.tell_gateways(change, out);
         }
     }
 
--- a/crates/wingshore-coordination/src/leader/gateways.rs
+++ b/crates/wingshore-coordination/src/leader/gateways.rs
@@ -2,7 +2,7 @@
 
 use super::{CoordinationLeader, Effect, Outputs};
 use crate::ids::GatewayId;
-use crate::messages::{CoordinatorMessage, GatewayHello, GatewayStatus, RunningItem, ViewChange};
+use crate::messages::{CoordinatorMessage, GatewayHello, GatewayStatus, RunningItem};
 use crate::scoring::RunningScoring;
 use crate::state::CoordinationState;
 use std::time::Duration;
@@ -30,20 +30,6 @@
 }
 
 impl CoordinationLeader {
-    pub(super) fn tell_gateways(&self, change: ViewChange, out: &mut Outputs) {
-        let epoch = self.epoch;
-        let message = CoordinatorMessage::Change { epoch, change };
-        out.push(LeaderOutput::Effect(Effect::ToAllGateways(message)));
-    }
-
-    fn welcome(&mut self, gateway: GatewayId, out: &mut Outputs) {
-        let message = CoordinatorMessage::Welcome {
-            epoch: self.epoch,
-            view: self.gateway_view.whole(),
-        };
-        out.push(LeaderOutput::Effect(Effect::ToGateway(gateway, message)));
-    }
-
     pub(super) fn on_gateway(&mut self, now: Instant, hello: GatewayHello, out: &mut Outputs) {
         let gateway = Gateway {
             node: hello.node,
@@ -52,7 +38,9 @@
             running: 0,
             introduced: false,
         };
-        self.welcome(hello.gateway, out);
+        let message = CoordinatorMessage::Leading { epoch: self.epoch };
+        let effect = Effect::ToGateway(hello.gateway, message);
+        out.push(LeaderOutput::Effect(effect));
         self.restarted_gateways_lost(hello.gateway, &gateway.node);
         self.gateways.insert(hello.gateway, gateway);
         self.scoring_gateway_lost(now, hello.gateway);
--- a/crates/wingshore-coordination/src/leader/interface.rs
+++ b/crates/wingshore-coordination/src/leader/interface.rs
@@ -138,8 +138,6 @@
 pub enum Effect {
     /// Send a message to one gateway.
     ToGateway(GatewayId, CoordinatorMessage),
-    /// Send a change of the view to all gateways.
-    ToAllGateways(CoordinatorMessage),
     /// Tell another coordinator that the registry does not hold these servers.
     UnknownServers {
         /// The coordinator.
--- a/crates/wingshore-coordination/src/leader/mod.rs
+++ b/crates/wingshore-coordination/src/leader/mod.rs
@@ -8,7 +8,6 @@
 mod engines;
 mod evidence;
 mod free_slots;
-mod gateway_view;
 mod gateways;
 mod interface;
 mod items;
@@ -27,7 +26,7 @@
 
 pub use capacity_plan::{CapacityDemand, CapacityPolicy, Peak, wanted as wanted_capacity};
 pub use decision::Decision;
-pub use evidence::{EVIDENCE_LIFETIME, REJECTED_FROM};
+pub use evidence::EVIDENCE_LIFETIME;
 pub use interface::{Effect, Event, LeaderFigures};
 pub use policy::LeaderPolicy;
 pub use rollout::{EngineReport, OrderAnswer, WeightOrder};
@@ -45,7 +44,6 @@
 use capacity::Capacity;
 use engines::Engines;
 use evidence::Evidence;
-use gateway_view::GatewayView;
 use gateways::{AwayGateway, Gateway};
 use items::Items;
 use jobs::JobClock;
@@ -70,9 +68,9 @@
 enum Waiter {
     /// A request that is answered with [`Reply::Done`].
     Request(RequestTag),
-    /// A configuration: the gateways get it first.
+    /// A configuration.
     Configuration(RequestTag),
-    /// A change of a server: the gateways get it first.
+    /// A change of a server.
     Server(InstanceId, Option<RequestTag>),
     /// A job was accepted: its items can be placed.
     Job(JobId, RequestTag),
@@ -100,11 +98,9 @@
     Nobody,
     /// Orders may be given from here on.
     Orders,
-    /// The key of fingerprints was drawn: gateways get it.
-    FingerprintKey,
-    /// More servers have ended under requests: gateways get it, and some may be rejected.
+    /// More servers have ended under requests: some may be rejected.
     CrashesNoted(Vec<RequestFingerprint>),
-    /// Evidence against requests has changed: gateways get it.
+    /// Evidence against requests has changed.
     Evidence(Vec<RequestFingerprint>),
     /// A version was named.
     Version(RequestTag),
@@ -142,8 +138,6 @@
     routes: RouteTable,
     /// Ranks of tenants in the configuration in force.
     ranks: TenantRanks,
-    /// What gateways are told.
-    gateway_view: GatewayView,
 }
 
 impl Default for CoordinationLeader {
@@ -176,7 +170,6 @@
             capacity: Capacity::default(),
             routes: RouteTable::default(),
             ranks: TenantRanks::default(),
-            gateway_view: GatewayView::default(),
         }
     }
 
@@ -231,7 +224,6 @@
         self.heartbeats.begin(now, state.servers().keys());
         self.engines.begin(state);
         self.take_configuration(state);
-        self.gateway_view.begin(state);
         let longest_first = self.settings.policy.long_items_first;
         self.items.begin(epoch, longest_first, state);
         self.scorings.begin(now, state);
@@ -241,7 +233,7 @@
         self.begin_rollout(now, state, out);
         if state.evidence().key().is_none() {
             let command = Command::SetFingerprintKey(self.settings.fingerprint_key);
-            self.propose(command, Waiter::FingerprintKey, out);
+            self.propose(command, Waiter::Nobody, out);
         }
     }
 
@@ -303,9 +295,6 @@
         match waiter {
             Waiter::Request(tag) => reply(tag, Reply::Done, out),
             Waiter::Configuration(tag) => {
-                if let Some(change) = self.gateway_view.configured(state) {
-                    self.tell_gateways(change, out);
-                }
                 if let Some(configuration) = state.configuration() {
                     let version = configuration.version;
                     log(Decision::Configured { version }, out);
@@ -336,11 +325,6 @@
             }
             Waiter::CrashesNoted(requests) => self.crashes_noted(now, requests, state, out),
             Waiter::Evidence(requests) => self.evidence_changed(now, requests, state, out),
-            Waiter::FingerprintKey => {
-                if let Some(change) = self.gateway_view.key_drawn(state) {
-                    self.tell_gateways(change, out);
-                }
-            }
             Waiter::CapacityWanted(pool) => self.capacity_wanted(now, &pool, state, out),
             Waiter::UsageClosed(window) => self.usage_closed(now, window, state, out),
             Waiter::Version(tag) => {
--- a/crates/wingshore-coordination/src/leader/placement.rs
+++ b/crates/wingshore-coordination/src/leader/placement.rs
@@ -1,7 +1,6 @@
 //! Which engine runs an item, and through which gateway.
 
 use super::engines::{Engine, slow_down};
-use super::evidence::TOLD_FROM;
 use super::free_slots::Look;
 use super::gateways::Gateway;
 use super::items::{Progress, Running};
@@ -10,7 +9,7 @@
 use crate::ids::{GatewayId, InstanceId, ItemKey, JobId, ModelName, ServiceName};
 use crate::jobs::{Job, JobItem};
 use crate::messages::{CoordinatorMessage, ItemAssignment};
-use crate::state::CoordinationState;
+use crate::state::{CoordinationState, TOLD_FROM};
 use crate::text::{DurablePrefix, ItemText};
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/wingshore-coordination/src/leader/servers.rs
+++ b/crates/wingshore-coordination/src/leader/servers.rs
@@ -288,8 +288,7 @@
         self.propose(command, Waiter::Server(instance, Some(tag)), out);
     }
 
-    /// What the registry holds of a server has changed: gateways get it, then the server its
-    /// acknowledgement.
+    /// What the registry holds of a server has changed.
     pub(crate) fn server_changed(
         &mut self,
         now: Instant,
@@ -298,9 +297,6 @@
         state: &CoordinationState,
         out: &mut Outputs,
     ) {
-        if let Some(change) = self.gateway_view.server_changed(&instance, state) {
-            self.tell_gateways(change, out);
-        }
         let change = match state.servers().get(&instance) {
             Some(server) if server.draining => "draining",
             Some(_) => "registered",
--- a/crates/wingshore-coordination/src/lib.rs
+++ b/crates/wingshore-coordination/src/lib.rs
@@ -24,6 +24,7 @@
 mod text;
 mod text_store;
 mod usage;
+mod view;
 
 pub use configuration::{
     ConfigurationError, EngineProfile, IngressLimits, Route, RouteKind, RouteTarget, Service,
@@ -37,14 +38,14 @@
 pub use jobs::{ItemState, Job, JobItem, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
     CapacityDemand, CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect,
-    EngineReport, Event, LeaderFigures, LeaderPolicy, LeaderSettings, OrderAnswer, Peak,
-    REJECTED_FROM, UsageDuty, WeightOrder, wanted_capacity,
+    EngineReport, Event, LeaderFigures, LeaderPolicy, LeaderSettings, OrderAnswer, Peak, UsageDuty,
+    WeightOrder, wanted_capacity,
 };
 pub use links::{CoordinatorFrame, CoordinatorHello, HeartbeatAnswer, IncomingFrame, KnownLeader};
 pub use messages::{
     AssignmentId, BreakCause, CallReply, CoordinatorMessage, GatewayHello, GatewayMessage,
     GatewayStatus, ItemAssignment, ItemOutcome, ItemProgress, JobPage, NotRunReason, Reply,
-    Request, RunningItem, SeenCrash, SiteView, ViewChange,
+    Request, RunningItem, SeenCrash,
 };
 pub use provider::{CapacityOrder, DutyHolder, ProviderAnswer, UsageReport};
 pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
@@ -56,8 +57,8 @@
 };
 pub use site_time::{SiteClock, WallTime};
 pub use state::{
-    Command, CoordinationState, CrashEvidence, MOST_ENDINGS, MOST_SUSPECTS, OrderHolder,
-    RequestEvidence, SiteUsage, Suspect,
+    Command, CoordinationState, CrashEvidence, KnownChanges, MOST_ENDINGS, MOST_SUSPECTS,
+    OrderHolder, REJECTED_FROM, RequestEvidence, SiteUsage, Suspect,
 };
 pub use tenants::{ApiKey, Caller, KeyTable, Tenant, TenantError};
 pub use text::{
@@ -65,3 +66,4 @@
 };
 pub use text_store::TextStore;
 pub use usage::{UsageCounts, UsageMeter, UsageWindow, WindowUsage};
+pub use view::{SiteView, ViewChange, ViewContent, ViewUpdate};
--- a/crates/wingshore-coordination/src/messages.rs
+++ b/crates/wingshore-coordination/src/messages.rs
@@ -1,21 +1,22 @@
 //! What gateways and coordinators say to each other, and what callers ask of the group.
 
 use crate::configuration::SiteConfiguration;
-use crate::fingerprint::{FingerprintKey, RequestFingerprint};
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServerName};
 use crate::jobs::{JobSubmission, ResultRecord};
-use crate::registry::{Heartbeat, ServerRecord};
+use crate::registry::Heartbeat;
 use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringOutcome};
 use crate::site_time::WallTime;
-use crate::state::{CrashEvidence, Suspect};
+use crate::state::CrashEvidence;
 use crate::text::{DurablePrefix, FinishedText, HeldPrefix, ItemText};
 use crate::usage::WindowUsage;
+use crate::view::ViewUpdate;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use wingshore_types::protocol::byte_vector;
-use wingshore_types::{Epoch, ReplicaId};
+use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
 /// A request to the group; only its leader answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -264,6 +265,13 @@
     Usage(Vec<WindowUsage>),
     /// Runs of requests under which servers had ended went well.
     RequestsRan(Vec<RequestFingerprint>),
+    /// Asks the receiver to tell the view, and each change of it from here on.
+    FollowView {
+        /// The last entry of the log that the view of this gateway accounts for.
+        since: Option<LogIndex>,
+    },
+    /// The receiver need not tell the view any more.
+    LeaveView,
     /// Reads results of a job from the receiver's own copy of the state.
     ReadCopy {
         /// Comes back with the reply.
@@ -280,20 +288,13 @@
 /// From a coordinator to a gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CoordinatorMessage {
-    /// The coordinator leads; all that a gateway must know.
-    Welcome {
+    /// The coordinator leads: it gives out items, and answers calls.
+    Leading {
         /// The leadership.
         epoch: Epoch,
-        /// The whole view.
-        view: SiteView,
-    },
-    /// What a gateway must know has changed.
-    Change {
-        /// The leadership.
-        epoch: Epoch,
-        /// What has changed.
-        change: ViewChange,
     },
+    /// What a gateway that follows the view here must know.
+    View(ViewUpdate),
     /// Answer to a call.
     Reply {
         /// Which call.
@@ -334,8 +335,9 @@
         coordinators: Vec<SocketAddr>,
         /// Where this one stands.
         zone: String,
-        /// Whether it holds a copy of the state that results can be read from.
-        has_copy: bool,
+        /// The last entry of the log in its copy of the state, which results and the view can be
+        /// read from; `None` without a copy, or while it knows no leader.
+        copy: Option<LogIndex>,
         /// Its time of day.
         wall: WallTime,
     },
@@ -354,36 +356,6 @@
     Nothing,
 }
 
-/// All that a gateway must know.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct SiteView {
-    /// The configuration in force.
-    pub configuration: Option<Arc<SiteConfiguration>>,
-    /// All servers, without their models; shared by all that it is sent to.
-    pub servers: Arc<Vec<ServerRecord>>,
-    /// Key of the site's fingerprints of requests.
-    pub fingerprint_key: Option<FingerprintKey>,
-    /// Requests under which servers have ended, more than one each.
-    pub suspects: Arc<Vec<Suspect>>,
-}
-
-/// A change of the view.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum ViewChange {
-    /// Another configuration is in force.
-    Configuration(Arc<SiteConfiguration>),
-    /// A server is new or has changed.
-    Server(ServerRecord),
-    /// A server is gone.
-    Gone(InstanceId),
-    /// The key of the site's fingerprints of requests was drawn.
-    FingerprintKey(FingerprintKey),
-    /// More servers have ended under a request, or less evidence against it counts.
-    Suspect(Suspect),
-    /// A request is no suspect any more.
-    Cleared(RequestFingerprint),
-}
-
 /// A try at an item: everything the gateway needs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemAssignment {
--- a/crates/wingshore-coordination/src/state/evidence.rs
+++ b/crates/wingshore-coordination/src/state/evidence.rs
@@ -5,6 +5,13 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
+/// A request may be rejected once so many servers have ended under it without one run of it that
+/// went well. Two may be chance: an attempt and its repeat, while servers end for other reasons.
+pub const REJECTED_FROM: usize = 3;
+/// Gateways are told of a request from so many ended servers on: the next one may be the last, so
+/// that each run of it that goes well counts. With a single one most are innocent, and many stand
+/// on each server that ends.
+pub(crate) const TOLD_FROM: usize = REJECTED_FROM - 1;
 /// Servers that are remembered for each request: with so many it is rejected in any case.
 pub const MOST_ENDINGS: usize = 4;
 /// Requests under which servers have ended that are remembered: 200 bytes each. A caller that sends
--- a/crates/wingshore-coordination/src/state/mod.rs
+++ b/crates/wingshore-coordination/src/state/mod.rs
@@ -5,13 +5,20 @@
 mod evidence;
 mod snapshot;
 mod usage;
+mod view;
+mod view_history;
 
 pub use command::Command;
 pub use earlier::{EarlierConfiguration, EarlierServer, EarlierState};
-pub use evidence::{CrashEvidence, MOST_ENDINGS, MOST_SUSPECTS, RequestEvidence, Suspect};
+pub(crate) use evidence::TOLD_FROM;
+pub use evidence::{
+    CrashEvidence, MOST_ENDINGS, MOST_SUSPECTS, REJECTED_FROM, RequestEvidence, Suspect,
+};
 pub use usage::SiteUsage;
+pub use view::KnownChanges;
 
 use crate::configuration::SiteConfiguration;
+use crate::fingerprint::RequestFingerprint;
 use crate::ids::{InstanceId, JobId, ModelName, ServerName};
 use crate::jobs::Job;
 use crate::registry::ServerRecord;
@@ -22,6 +29,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::Read;
 use std::sync::Arc;
+use view_history::{ViewHistory, ViewPart};
 use wingshore_types::machine::{ReplicatedState, RestoreError};
 use wingshore_types::snapshot_data::SnapshotState;
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
@@ -68,6 +76,9 @@
     /// Where texts of results go that memory has no room for.
     #[serde(skip)]
     texts: TextStoreHandle,
+    /// Which parts of the gateways' view changed when.
+    #[serde(skip)]
+    view_history: ViewHistory,
 }
 
 impl CoordinationState {
@@ -168,14 +179,20 @@
         self.orders_settled |= holder.is_some_and(|holder| holder.epoch == epoch);
     }
 
-    fn configure(&mut self, configuration: Arc<SiteConfiguration>) {
+    fn configure(&mut self, index: LogIndex, configuration: Arc<SiteConfiguration>) {
         let held = self.configuration.as_ref().map(|held| held.version);
         if held.is_none_or(|held| configuration.version > held) {
             self.configuration = Some(configuration);
+            self.view_history.note(index, ViewPart::Configuration);
         }
     }
 
-    fn register(&mut self, mut server: ServerRecord) {
+    fn register(&mut self, index: LogIndex, server: ServerRecord) {
+        let instance = server.instance.clone();
+        self.change_server(index, instance, |state| state.hold_server(server));
+    }
+
+    fn hold_server(&mut self, mut server: ServerRecord) {
         if self.departed.contains(&server.instance) {
             return;
         }
@@ -206,6 +223,20 @@
         *named = version.max(*named);
     }
 
+    /// Changes what is known of each of these requests.
+    fn change_each(
+        &mut self,
+        index: LogIndex,
+        requests: Vec<RequestFingerprint>,
+        change: impl Fn(&mut RequestEvidence, RequestFingerprint),
+    ) {
+        self.change_evidence(index, requests.clone(), |state| {
+            for request in requests {
+                change(&mut state.evidence, request);
+            }
+        });
+    }
+
     /// Changes a job by `list`, which says whether it has listed a result.
     fn list(&mut self, job: &JobId, list: impl FnOnce(&mut Job) -> bool) {
         let Some(job) = self.jobs.get_mut(job) else {
@@ -235,6 +266,7 @@
             capacity: self.capacity.clone(),
             evidence: RequestEvidence::default(),
             texts: TextStoreHandle::default(),
+            view_history: ViewHistory::default(),
         }
     }
 
@@ -249,19 +281,22 @@
     type Command = Command;
     type Reply = ();
 
-    fn apply(&mut self, _index: LogIndex, command: Command) {
+    fn apply(&mut self, index: LogIndex, command: Command) {
+        self.view_history.begin(index);
         match command {
             Command::ConfigureEarlier(configuration) => {
                 let configuration = Arc::unwrap_or_clone(configuration);
-                self.configure(Arc::new(configuration.into()));
-            }
-            Command::RegisterEarlier(server) => self.register(server.into()),
-            Command::Configure(configuration) => self.configure(configuration),
-            Command::Register(server) => self.register(server),
-            Command::Depart(instance) => self.depart(instance),
-            Command::Expire(instance) => {
-                self.servers.remove(&instance);
+                self.configure(index, Arc::new(configuration.into()));
             }
+            Command::RegisterEarlier(server) => self.register(index, server.into()),
+            Command::Configure(configuration) => self.configure(index, configuration),
+            Command::Register(server) => self.register(index, server),
+            Command::Depart(instance) => self.change_server(index, instance.clone(), |state| {
+                state.depart(instance);
+            }),
+            Command::Expire(instance) => self.change_server(index, instance.clone(), |state| {
+                state.servers.remove(&instance);
+            }),
             Command::NameVersion { model, version } => self.name_version(model, version),
             Command::AcceptJob(submission) => {
                 let id = submission.id.clone();
@@ -322,21 +357,24 @@
             Command::KeepUsage { gateway, usage } => self.usage.keep(gateway, usage),
             Command::CloseUsageWindow { window, counts } => self.usage.close(window, counts),
             Command::UsageReported(window) => self.usage.reported(window),
-            Command::SetFingerprintKey(key) => self.evidence.set_key(key),
+            Command::SetFingerprintKey(key) => {
+                self.evidence.set_key(key);
+                self.view_history.note(index, ViewPart::FingerprintKey);
+            }
             Command::NoteCrashes(news) => {
-                news.into_iter().for_each(|news| self.evidence.note(news));
+                let requests = news.iter().map(|news| news.fingerprint).collect();
+                self.change_evidence(index, requests, |state| {
+                    news.into_iter().for_each(|news| state.evidence.note(news));
+                });
             }
             Command::RejectRequests(requests) => {
-                let reject = |request| self.evidence.reject(request);
-                requests.into_iter().for_each(reject);
+                self.change_each(index, requests, RequestEvidence::reject);
             }
             Command::RelieveRequests(requests) => {
-                let relieve = |request| self.evidence.relieve(request);
-                requests.into_iter().for_each(relieve);
+                self.change_each(index, requests, RequestEvidence::relieve);
             }
             Command::ClearRequests(requests) => {
-                let clear = |request| self.evidence.clear(request);
-                requests.into_iter().for_each(clear);
+                self.change_each(index, requests, RequestEvidence::clear);
             }
         }
     }
--- /dev/null
+++ b/crates/wingshore-coordination/src/state/view.rs
@@ -0,0 +1,137 @@
+//! The gateways' view of the state.
+
+use super::evidence::{Suspect, TOLD_FROM};
+use super::view_history::ViewPart;
+use super::{CoordinationState, ServerRecord};
+use crate::configuration::SiteConfiguration;
+use crate::fingerprint::RequestFingerprint;
+use crate::ids::InstanceId;
+use crate::view::{SiteView, ViewChange};
+use std::sync::Arc;
+use wingshore_types::LogIndex;
+
+/// How far the changes of a state's view are known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownChanges {
+    /// Changes behind this entry are known; `None` for a state that was just restored.
+    pub complete_from: Option<LogIndex>,
+    /// The last entry that is known to have changed anything.
+    pub newest: Option<LogIndex>,
+}
+
+impl CoordinationState {
+    /// All that gateways are told.
+    pub fn view(&self) -> SiteView {
+        let servers = self.servers.values();
+        let suspects = self.evidence.suspects().filter(|known| is_told(known));
+        SiteView {
+            configuration: self.configuration.as_ref().map(for_gateways),
+            servers: servers.map(ServerRecord::without_models).collect(),
+            fingerprint_key: self.evidence.key(),
+            suspects: suspects.cloned().collect(),
+        }
+    }
+
+    /// How far the changes of the view are known.
+    pub fn known_view_changes(&self) -> KnownChanges {
+        KnownChanges {
+            complete_from: self.view_history.complete_from(),
+            newest: self.view_history.newest(),
+        }
+    }
+
+    /// How many parts of the view have changed behind `since`; `None` where that is not known.
+    pub fn view_change_count(&self, since: LogIndex) -> Option<usize> {
+        let from = self.view_history.complete_from()?;
+        (since >= from).then(|| self.view_history.parts_since(since).count())
+    }
+
+    /// What has changed in the view behind `since`, each part as it is now; `None` where that is
+    /// not known any more.
+    pub fn view_changes(&self, since: LogIndex) -> Option<Vec<ViewChange>> {
+        let from = self.view_history.complete_from()?;
+        if since < from {
+            return None;
+        }
+        let parts = self.view_history.parts_since(since);
+        Some(parts.filter_map(|part| self.view_change(part)).collect())
+    }
+
+    fn view_change(&self, part: &ViewPart) -> Option<ViewChange> {
+        match part {
+            ViewPart::Configuration => {
+                let configuration = self.configuration.as_ref()?;
+                Some(ViewChange::Configuration(for_gateways(configuration)))
+            }
+            ViewPart::Server(instance) => Some(match self.servers.get(instance) {
+                Some(server) => ViewChange::Server(server.without_models()),
+                None => ViewChange::Gone(instance.clone()),
+            }),
+            ViewPart::FingerprintKey => self.evidence.key().map(ViewChange::FingerprintKey),
+            ViewPart::Suspect(request) => {
+                let suspect = self.evidence.suspect(*request);
+                Some(match suspect.filter(|known| is_told(known)) {
+                    Some(suspect) => ViewChange::Suspect(suspect.clone()),
+                    None => ViewChange::Cleared(*request),
+                })
+            }
+        }
+    }
+
+    /// Applies `change`, and notes whether gateways see a server differently after it.
+    pub(super) fn change_server(
+        &mut self,
+        index: LogIndex,
+        instance: InstanceId,
+        change: impl FnOnce(&mut Self),
+    ) {
+        let seen = |state: &Self| {
+            state
+                .servers
+                .get(&instance)
+                .map(ServerRecord::without_models)
+        };
+        let before = seen(self);
+        change(self);
+        if before != seen(self) {
+            self.view_history.note(index, ViewPart::Server(instance));
+        }
+    }
+
+    /// Applies `change` to what is known of requests, and notes those of which gateways are or
+    /// were told.
+    pub(super) fn change_evidence(
+        &mut self,
+        index: LogIndex,
+        requests: Vec<RequestFingerprint>,
+        change: impl FnOnce(&mut Self),
+    ) {
+        let told = |state: &Self, request: &RequestFingerprint| {
+            state.evidence.suspect(*request).is_some_and(is_told)
+        };
+        let before: Vec<bool> = requests.iter().map(|request| told(self, request)).collect();
+        change(self);
+        for (request, told_before) in requests.into_iter().zip(before) {
+            if told_before || told(self, &request) {
+                self.view_history.note(index, ViewPart::Suspect(request));
+            }
+        }
+    }
+}
+
+/// Whether gateways are told of it.
+fn is_told(suspect: &Suspect) -> bool {
+    suspect.ended.len() >= TOLD_FROM
+}
+
+/// The configuration without the operator's document, which only coordinators read back.
+fn for_gateways(configuration: &Arc<SiteConfiguration>) -> Arc<SiteConfiguration> {
+    Arc::new(SiteConfiguration {
+        version: configuration.version,
+        routes: configuration.routes.clone(),
+        services: configuration.services.clone(),
+        limits: configuration.limits,
+        tenants: configuration.tenants.clone(),
+        document: Vec::new(),
+    })
+}
--- a/crates/wingshore-coordination/tests/evidence.rs
+++ b/crates/wingshore-coordination/tests/evidence.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 use support::{Group, engine};
 use wingshore_coordination::{
-    BreakCause, CoordinationState, CoordinatorMessage, CrashEvidence, EVIDENCE_LIFETIME, Effect,
-    Event, FingerprintKey, GatewayId, InstanceId, ItemOutcome, ItemText, MOST_SUSPECTS,
-    RequestContent, RequestFingerprint, SeenCrash, Suspect, ViewChange,
+    BreakCause, CoordinationState, CrashEvidence, EVIDENCE_LIFETIME, Event, FingerprintKey,
+    GatewayId, InstanceId, ItemOutcome, ItemText, MOST_SUSPECTS, RequestContent,
+    RequestFingerprint, SeenCrash, Suspect, ViewChange,
 };
 use wingshore_types::machine::ReplicatedState;
 
@@ -64,11 +64,7 @@
 
 /// What gateways were told last of a request.
 fn told(group: &Group, request: RequestFingerprint) -> Option<Suspect> {
-    let changes = group.effects.iter().rev();
-    let mut changes = changes.filter_map(|effect| match effect {
-        Effect::ToAllGateways(CoordinatorMessage::Change { change, .. }) => Some(change),
-        _ => None,
-    });
+    let mut changes = group.told.iter().rev();
     changes.find_map(|change| match change {
         ViewChange::Suspect(suspect) if suspect.fingerprint == request => {
             Some(Some(suspect.clone()))
--- a/crates/wingshore-coordination/tests/registry.rs
+++ b/crates/wingshore-coordination/tests/registry.rs
@@ -6,9 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::{Group, address_of, configuration, engine};
-use wingshore_coordination::{
-    CoordinatorMessage, Effect, Heartbeat, InstanceId, Reply, Request, ServerName, ViewChange,
-};
+use wingshore_coordination::{Heartbeat, InstanceId, Reply, Request, ServerName, ViewChange};
 
 fn put(group: &mut Group, version: u64) -> Option<Reply> {
     group.ask(Request::PutConfiguration(Arc::new(configuration(version))))
@@ -56,15 +54,14 @@
 fn gateways_get_a_draining_server_before_it_is_acknowledged() {
     let mut group = Group::new();
     group.heartbeat(engine("e", 1));
-    group.effects.clear();
+    group.told.clear();
     let mut leaving = engine("e", 1);
     leaving.draining = true;
     expect_that!(group.heartbeat(leaving.clone()), some(eq(&Reply::Done)));
-    let told = group.effects.iter().any(|effect| {
-        matches!(effect, Effect::ToAllGateways(CoordinatorMessage::Change {
-            change: ViewChange::Server(server), ..
-        }) if server.draining)
-    });
+    let told = group
+        .told
+        .iter()
+        .any(|change| matches!(change, ViewChange::Server(server) if server.draining));
     expect_that!(told, eq(true));
 }
 
@@ -142,13 +139,11 @@
     let mut group = Group::new();
     group.heartbeat(run_at("first", "a"));
     group.heartbeat(run_at("other", "b"));
-    group.effects.clear();
+    group.told.clear();
     group.heartbeat(run_at("second", "a"));
     expect_that!(registered(&group), elements_are![eq("other"), eq("second")]);
-    let told = group.effects.iter().any(|effect| {
-        matches!(effect, Effect::ToAllGateways(CoordinatorMessage::Change {
-            change: ViewChange::Gone(instance), ..
-        }) if instance.name().as_str() == "first")
+    let told = group.told.iter().any(|change| {
+        matches!(change, ViewChange::Gone(instance) if instance.name().as_str() == "first")
     });
     expect_that!(told, eq(true));
 }
--- a/crates/wingshore-coordination/tests/runs.rs
+++ b/crates/wingshore-coordination/tests/runs.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 use support::{Group, address_of, engine};
 use wingshore_coordination::{
-    BornAt, CoordinatorMessage, Effect, Heartbeat, InstanceId, Reply, Request, ServerName,
-    ServerRecord, ServiceName, ViewChange,
+    BornAt, Heartbeat, InstanceId, Reply, Request, ServerName, ServerRecord, ServiceName,
+    ViewChange,
 };
 
 /// Longer than a deregistration may be a late one of the run before.
@@ -47,16 +47,15 @@
 fn a_server_that_starts_again_holds_nothing_of_before() {
     let mut group = Group::new();
     beat(&mut group, record("e", 100, 5), 9);
-    group.effects.clear();
+    group.told.clear();
     beat(&mut group, record("e", 200, 1), 1);
     expect_that!(registered(&group), elements_are![eq(&run("e", 200))]);
     let held = &group.state.servers()[&run("e", 200)];
     expect_that!(held.models[0].version, eq(1));
-    let told_gone = group.effects.iter().any(|effect| {
-        matches!(effect, Effect::ToAllGateways(CoordinatorMessage::Change {
-            change: ViewChange::Gone(gone), ..
-        }) if *gone == run("e", 100))
-    });
+    let told_gone = group
+        .told
+        .iter()
+        .any(|change| matches!(change, ViewChange::Gone(gone) if *gone == run("e", 100)));
     expect_that!(told_gone, eq(true));
 }
 
--- a/crates/wingshore-coordination/tests/support/mod.rs
+++ b/crates/wingshore-coordination/tests/support/mod.rs
@@ -11,7 +11,7 @@
     GatewayHello, GatewayId, GatewayStatus, Heartbeat, IngressLimits, InstanceId, ItemAssignment,
     ItemId, ItemOutcome, JobId, JobItem, JobSubmission, LeaderSettings, ModelName, ModelVersion,
     Reply, Request, Route, RouteKind, RouteTarget, Scorer, ServerRecord, Service, ServiceName,
-    SiteConfiguration,
+    SiteConfiguration, ViewChange,
 };
 use wingshore_types::machine::{LeaderMachine, LeaderOutput, ReplicatedState, RequestTag};
 use wingshore_types::{Epoch, Instant, LogIndex};
@@ -26,6 +26,8 @@
     pub leader: CoordinationLeader,
     pub effects: Vec<Effect>,
     pub replies: Vec<(RequestTag, Reply)>,
+    /// What gateways are told, in order: each entry's changes once it is applied.
+    pub told: Vec<ViewChange>,
     pub settings: LeaderSettings,
     index: u64,
     epoch: u64,
@@ -54,6 +56,7 @@
             leader: CoordinationLeader::new(settings.clone()),
             effects: Vec::new(),
             replies: Vec::new(),
+            told: Vec::new(),
             settings,
             index: 0,
             epoch: 0,
@@ -122,7 +125,11 @@
             match output {
                 LeaderOutput::Propose { tag, command } => {
                     self.index += 1;
+                    let before = LogIndex(self.index - 1);
                     self.state.apply(LogIndex(self.index), command);
+                    let changes = self.state.view_changes(before);
+                    self.told
+                        .extend(changes.expect("the entry before is remembered"));
                     let mut more = Vec::new();
                     self.leader
                         .on_applied(self.now, tag, (), &self.state, &mut more);
--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod spool;
 mod texts;
+mod view_feed;
 mod writer;
 
 pub use budget::MemoryBudget;
@@ -40,3 +41,4 @@
 pub use settings::{CoordinatorSettings, ProviderSettings};
 pub use spool::FileSpool;
 pub use texts::TextArchive;
+pub use view_feed::{FeedLinks, FeedSource, ViewFeed};
--- a/crates/wingshore-coordinator/src/process/links.rs
+++ b/crates/wingshore-coordinator/src/process/links.rs
@@ -81,8 +81,11 @@
                 let event = Event::GatewayConnected(hello.clone());
                 if let Some(before) = self.directory.connected(now, hello, connection) {
                     self.reactor.close(before);
+                    self.view_feed.leave(before);
                     self.roles.remove(&before);
                 }
+                let alive = self.sign_of_life();
+                self.send_frame(connection, &alive);
                 self.inputs.push(HostInput::Event(event));
             }
             IncomingFrame::FromGateway(message) => {
@@ -210,6 +213,10 @@
             GatewayMessage::RequestsCrashed(seen) => Event::RequestsCrashed { gateway, seen },
             GatewayMessage::Usage(usage) => Event::UsageTold { gateway, usage },
             GatewayMessage::RequestsRan(requests) => Event::RequestsRan(requests),
+            GatewayMessage::FollowView { since } => {
+                return self.view_feed.follow(connection, since);
+            }
+            GatewayMessage::LeaveView => return self.view_feed.leave(connection),
             GatewayMessage::ReadCopy {
                 id,
                 job,
@@ -244,13 +251,19 @@
         for connection in links {
             self.introduce(connection);
         }
-        let alive = CoordinatorMessage::Alive {
+        let alive = self.sign_of_life();
+        self.send_to_all_gateways(&alive);
+    }
+
+    /// What gateways are told from time to time.
+    pub(super) fn sign_of_life(&self) -> CoordinatorMessage {
+        let has_copy = self.is_member() && self.host.leader().is_some();
+        CoordinatorMessage::Alive {
             coordinators: self.coordinator_addresses(),
             zone: self.settings.zone.clone(),
-            has_copy: self.is_member() && self.host.leader().is_some(),
+            copy: has_copy.then(|| self.host.applied_index()),
             wall: super::duties::wall_time(),
-        };
-        self.send_to_all_gateways(&alive);
+        }
     }
 
     /// Whether this coordinator is a member of the group, rather than one that stands by.
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -9,7 +9,7 @@
 mod links;
 mod members;
 mod outputs;
-mod welcomes;
+mod views;
 
 use crate::control::ControlConnection;
 use crate::directory::Directory;
@@ -23,6 +23,7 @@
 use crate::outgoing_calls::{CallProtocols, OutgoingCalls};
 use crate::protocol::ControlProtocol;
 use crate::settings::CoordinatorSettings;
+use crate::view_feed::ViewFeed;
 use crate::writer::{WriteEvent, Writer};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
@@ -140,7 +141,7 @@
     waiting: HashMap<RequestTag, PendingCall>,
     /// Gateways that wait for a result in this member's copy of the state.
     copy_readers: Vec<copies::CopyReader>,
-    welcomes: welcomes::Welcomes,
+    view_feed: ViewFeed<ConnectionId>,
     heartbeats: HeartbeatRelay,
     /// Heartbeats that were passed on to the leader.
     passed_on: HashMap<u64, heartbeats::PassedOn>,
@@ -232,7 +233,7 @@
             site_clock: SiteClock::default(),
             waiting: HashMap::new(),
             copy_readers: Vec::new(),
-            welcomes: welcomes::Welcomes::default(),
+            view_feed: ViewFeed::default(),
             heartbeats: HeartbeatRelay::default(),
             passed_on: HashMap::new(),
             next_tag: 0,
@@ -265,6 +266,7 @@
                 self.inputs.push(HostInput::Tick);
             }
             self.step_host(now, &mut outputs)?;
+            self.tell_view();
             self.drop_orders_without_lease();
             self.answer_copy_readers(now);
         }
@@ -352,6 +354,7 @@
             return self.take_call_events(event);
         }
         self.reactor.close(connection);
+        self.view_feed.leave(connection);
         match self.roles.remove(&connection) {
             Some(Role::Link(Link {
                 gateway: Some(gateway),
@@ -418,6 +421,7 @@
         if now >= self.next_hello {
             self.next_hello = now + HELLO_INTERVAL;
             self.greet();
+            self.tell_view_revision();
             self.tell_heard(now);
         }
         if now < self.next_housekeeping {
--- a/crates/wingshore-coordinator/src/process/outputs.rs
+++ b/crates/wingshore-coordinator/src/process/outputs.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 use wingshore_coordination::{
     CallReply, CoordinationLeader, CoordinatorFrame, CoordinatorMessage, Decision, Effect, Event,
-    GatewayId, HeartbeatAnswer, IncomingFrame, Reply, SiteView,
+    HeartbeatAnswer, IncomingFrame, Reply,
 };
 use wingshore_group::{HostInput, HostOutput, HostReply, Leadership};
 use wingshore_net::{ConnectionId, frame};
 use wingshore_types::machine::RequestTag;
 use wingshore_types::protocol::membership::MembershipReply;
-use wingshore_types::{Epoch, Instant, ReplicaId};
+use wingshore_types::{Instant, ReplicaId};
 
 impl Coordinator {
     pub(super) fn step_host(
@@ -74,24 +74,19 @@
                     "leader" => leader.map(|leader| leader.0));
             }
         }
+        // Gateways need a copy of the view that knows its leader.
+        let alive = self.sign_of_life();
+        self.send_to_all_gateways(&alive);
     }
 
     pub(super) fn on_effect(&mut self, now: Instant, effect: Effect) {
         let event = match effect {
-            Effect::ToGateway(gateway, CoordinatorMessage::Welcome { epoch, view }) => {
-                self.welcome(gateway, epoch, view);
-                None
-            }
             Effect::ToGateway(gateway, message) => {
                 if let Some(connection) = self.directory.connection(gateway) {
                     self.send_frame(connection, &message);
                 }
                 None
             }
-            Effect::ToAllGateways(message) => {
-                self.send_to_all_gateways(&message);
-                None
-            }
             Effect::UnknownServers { to, instances } => {
                 if let Some(connection) = self.route_to(to) {
                     let frame = CoordinatorFrame::UnknownServers(instances);
@@ -114,16 +109,6 @@
         self.take_call_events(event);
     }
 
-    fn welcome(&mut self, gateway: GatewayId, epoch: Epoch, view: SiteView) {
-        let Some(connection) = self.directory.connection(gateway) else {
-            return;
-        };
-        match self.welcomes.frame(epoch, view) {
-            Ok(bytes) => self.reactor.send(connection, bytes),
-            Err(error) => warn!(self.logger, "frame not encoded"; "error" => %error),
-        }
-    }
-
     /// Voters that there is a connection to, and this one.
     fn members_in_touch(&self) -> usize {
         let voters = self.host.membership().voters.iter();
@@ -144,11 +129,13 @@
     }
 
     pub(super) fn send_to_all_gateways(&mut self, message: &CoordinatorMessage) {
-        let Ok(bytes) = frame::encode(message) else {
-            return;
-        };
-        for gateway in self.directory.iter() {
-            self.reactor.send(gateway.connection, &bytes);
+        match frame::encode(message) {
+            Ok(bytes) => {
+                for gateway in self.directory.iter() {
+                    self.reactor.send(gateway.connection, &bytes);
+                }
+            }
+            Err(error) => warn!(self.logger, "frame not encoded"; "error" => %error),
         }
     }
 
--- /dev/null
+++ b/crates/wingshore-coordinator/src/process/views.rs
@@ -0,0 +1,41 @@
+//! The view of the site, told to the gateways that follow it here.
+
+use super::Coordinator;
+use crate::view_feed::{FeedLinks, FeedSource};
+use bytes::Bytes;
+use slog::warn;
+use wingshore_net::{ConnectionId, Reactor};
+
+impl FeedLinks<ConnectionId> for Reactor {
+    fn queued(&self, link: ConnectionId) -> usize {
+        Reactor::queued(self, link)
+    }
+
+    fn send(&mut self, link: ConnectionId, frame: &Bytes) {
+        self.send_shared(link, frame);
+    }
+}
+
+impl Coordinator {
+    /// Tells gateways what has changed since the last turn of the loop.
+    pub(super) fn tell_view(&mut self) {
+        let source = FeedSource {
+            state: self.host.state(),
+            applied: self.host.applied_index(),
+        };
+        if let Err(error) = self.view_feed.tell(source, &mut self.reactor) {
+            warn!(self.logger, "view not encoded"; "error" => %error);
+        }
+    }
+
+    /// Tells gateways that know all how far the log is, from time to time.
+    pub(super) fn tell_view_revision(&mut self) {
+        let source = FeedSource {
+            state: self.host.state(),
+            applied: self.host.applied_index(),
+        };
+        if let Err(error) = self.view_feed.tell_revision(source, &mut self.reactor) {
+            warn!(self.logger, "view not encoded"; "error" => %error);
+        }
+    }
+}
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -1,15 +1,18 @@
 //! Links to the coordinators, and which of them leads.
 
 use crate::process::{Gateway, LinkRole};
+use crate::view::UpdateVerdict;
+use crate::view_source::{Candidate, Choice, ViewSource};
 use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{
-    CoordinatorMessage, GatewayHello, GatewayMessage, IncomingFrame, RunningItem,
+    CoordinatorMessage, GatewayHello, GatewayMessage, IncomingFrame, RunningItem, ViewContent,
+    ViewUpdate,
 };
 use wingshore_net::{ConnectOptions, ConnectionId, frame};
-use wingshore_types::Instant;
+use wingshore_types::{Instant, LogIndex};
 
 /// Sent bytes may stay unacknowledged this long.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
@@ -34,8 +37,23 @@
     heard: Instant,
     /// Other coordinators it knows.
     knows: Vec<SocketAddr>,
-    /// Where it stands, once it has said so and holds a copy of the state.
-    copy_zone: Option<String>,
+    /// Its copy of the state, once it has said that it holds one.
+    copy: Option<StateCopy>,
+}
+
+/// A coordinator's copy of the state.
+struct StateCopy {
+    zone: String,
+    /// The last entry of the log that it accounts for.
+    revision: LogIndex,
+}
+
+impl CoordinatorLink {
+    /// Its copy, if the link is up and it was heard of lately.
+    fn fresh_copy(&self, now: Instant) -> Option<&StateCopy> {
+        let is_fresh = self.up && now.since(self.heard) <= COPY_FRESH;
+        self.copy.as_ref().filter(|_| is_fresh)
+    }
 }
 
 /// All links.
@@ -44,6 +62,7 @@
     links: BTreeMap<SocketAddr, CoordinatorLink>,
     /// The coordinator whose leadership is the newest known, while the link is up.
     leader: Option<SocketAddr>,
+    view_source: ViewSource,
 }
 
 impl Coordinators {
@@ -56,8 +75,8 @@
     /// The connection to a coordinator in `zone` that is well, unless the leader stands there.
     pub(crate) fn near_copy(&self, now: Instant, zone: &str) -> Option<ConnectionId> {
         let mut near = self.links.iter().filter(|(_, link)| {
-            let is_fresh = now.since(link.heard) <= COPY_FRESH;
-            link.up && is_fresh && link.copy_zone.as_deref() == Some(zone)
+            let copy = link.fresh_copy(now);
+            copy.is_some_and(|copy| copy.zone == zone)
         });
         if near
             .clone()
@@ -68,6 +87,43 @@
         near.find_map(|(_, link)| link.connection)
     }
 
+    /// The coordinator to follow the view at from now on, if it is another one.
+    fn choose_view_source(
+        &mut self,
+        now: Instant,
+        (zone, salt): (&str, u64),
+        known: Option<LogIndex>,
+    ) -> Option<ViewSourceChange> {
+        let links = self.links.iter();
+        let candidates = links.filter_map(|(address, link)| {
+            let copy = link.fresh_copy(now)?;
+            Some(Candidate {
+                address: *address,
+                is_near: copy.zone == zone,
+                leads: Some(*address) == self.leader,
+                revision: copy.revision,
+            })
+        });
+        let candidates: Vec<Candidate> = candidates.collect();
+        let before = self.view_source.current();
+        let choice = Choice {
+            candidates: &candidates,
+            known,
+            salt,
+        };
+        let address = self.view_source.choose(now, &choice)?;
+        Some(ViewSourceChange {
+            before: before.and_then(|before| self.connection(before)),
+            address,
+            connection: self.connection(address)?,
+        })
+    }
+
+    fn connection(&self, address: SocketAddr) -> Option<ConnectionId> {
+        let link = self.links.get(&address)?;
+        link.connection.filter(|_| link.up)
+    }
+
     /// How long ago the leader was last heard of.
     pub(crate) fn leader_silence(&self, now: Instant) -> Option<Duration> {
         let link = self.links.get(self.leader.as_ref()?)?;
@@ -84,7 +140,63 @@
     }
 }
 
+/// The view is followed at another coordinator from now on.
+struct ViewSourceChange {
+    before: Option<ConnectionId>,
+    address: SocketAddr,
+    connection: ConnectionId,
+}
+
 impl Gateway {
+    /// Follows the view where it is best told.
+    pub(crate) fn follow_view(&mut self, now: Instant) {
+        let place = (self.settings.zone.as_str(), self.id.0);
+        let since = self.view.revision();
+        let change = self.coordinators.choose_view_source(now, place, since);
+        let Some(change) = change else {
+            return;
+        };
+        info!(self.logger, "view followed"; "address" => %change.address,
+            "revision" => since.map(|since| since.0));
+        if let Some(before) = change.before {
+            let message = GatewayMessage::LeaveView;
+            self.send_frame(before, &IncomingFrame::FromGateway(message));
+        }
+        self.ask_for_view(change.connection);
+    }
+
+    fn ask_for_view(&mut self, connection: ConnectionId) {
+        let since = self.view.revision();
+        let message = GatewayMessage::FollowView { since };
+        self.send_frame(connection, &IncomingFrame::FromGateway(message));
+    }
+
+    /// A coordinator has told the view, or changes of it.
+    fn on_view(&mut self, now: Instant, connection: ConnectionId, update: ViewUpdate) {
+        let version = self.view.version();
+        let changes = match &update.content {
+            ViewContent::Whole(_) => None,
+            ViewContent::Changes { changes, .. } => Some(changes.clone()),
+        };
+        match self.view.update(update) {
+            UpdateVerdict::Taken => {}
+            UpdateVerdict::Old => return,
+            UpdateVerdict::Gap => return self.ask_for_view(connection),
+        }
+        match changes {
+            Some(changes) => {
+                for change in &changes {
+                    self.note_change(now, change);
+                }
+            }
+            None => {
+                self.servers_registered(now);
+                self.start_scorings(now);
+            }
+        }
+        self.view_changed(version);
+    }
+
     /// Connects to all known coordinators there is no connection to.
     pub(crate) fn dial_coordinators(&mut self, now: Instant) {
         let mut wanted = self.settings.seed_addresses();
@@ -133,7 +245,7 @@
             since: now,
             heard: now,
             knows,
-            copy_zone: None,
+            copy: None,
         };
         self.coordinators.links.insert(address, link);
     }
@@ -187,6 +299,8 @@
         if self.coordinators.leader == Some(address) {
             self.coordinators.leader = None;
         }
+        self.coordinators.view_source.link_ended(address);
+        self.follow_view(now);
         self.calls_lost(now, connection);
     }
 
@@ -222,30 +336,20 @@
             link.heard = now;
         }
         match message {
-            CoordinatorMessage::Welcome { epoch, view } => {
-                let version = self.view.version();
-                if self.view.welcome(epoch, view) {
+            CoordinatorMessage::Leading { epoch } => {
+                if self.view.led(epoch) {
                     info!(self.logger, "leader"; "address" => %address, "epoch" => epoch.0,
                         "configuration" => self.view.version());
                     self.coordinators.leader = Some(address);
-                    self.servers_registered(now);
                     self.tell_running(connection);
                     self.tell_untold_evidence(now);
                     self.resend_calls(now);
                     self.start_scorings(now);
                     self.usage.tell_all();
                     self.tell_usage();
-                    self.view_changed(version);
-                }
-            }
-            CoordinatorMessage::Change { epoch, change } => {
-                let version = self.view.version();
-                let news = change.clone();
-                if self.view.change(epoch, change) {
-                    self.note_change(now, &news);
-                    self.view_changed(version);
                 }
             }
+            CoordinatorMessage::View(update) => self.on_view(now, connection, update),
             CoordinatorMessage::Reply { id, reply } => {
                 self.on_call_reply(now, connection, id, reply)
             }
@@ -260,14 +364,15 @@
             CoordinatorMessage::Alive {
                 coordinators,
                 zone,
-                has_copy,
+                copy,
                 wall,
             } => {
                 self.site_clock.heard(now, address, wall);
                 if let Some(link) = self.coordinators.links.get_mut(&address) {
                     link.knows = coordinators;
-                    link.copy_zone = has_copy.then_some(zone);
+                    link.copy = copy.map(|revision| StateCopy { zone, revision });
                 }
+                self.follow_view(now);
             }
         }
     }
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod upstream;
 mod usage;
 mod view;
+mod view_source;
 
 pub use balance::Balancer;
 pub use crashes::CrashWatch;
@@ -42,4 +43,5 @@
     BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer, ReadPage, ReadResult,
 };
 pub use settings::{GatewayPolicy, GatewaySettings};
-pub use view::View;
+pub use view::{UpdateVerdict, View};
+pub use view_source::{Candidate, Choice, ViewSource};
--- a/crates/wingshore-gateway/src/process.rs
+++ b/crates/wingshore-gateway/src/process.rs
@@ -413,6 +413,7 @@
         }
         self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
         self.dial_coordinators(now);
+        self.follow_view(now);
         let view = &self.view;
         self.upstreams
             .close_idle(now, &mut self.reactor, |instance| view.knows(instance));
--- a/crates/wingshore-gateway/src/view.rs
+++ b/crates/wingshore-gateway/src/view.rs
@@ -5,17 +5,31 @@
 use wingshore_coordination::{
     ApiKey, Caller, FingerprintKey, IngressLimits, InstanceId, KeyTable, RequestFingerprint, Route,
     RouteKind, RouteTable, ServerRecord, ServiceName, SiteConfiguration, SiteView, Suspect,
-    ViewChange,
+    ViewChange, ViewContent, ViewUpdate,
 };
-use wingshore_types::Epoch;
+use wingshore_types::{Epoch, LogIndex};
+
+/// What became of an update of the view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateVerdict {
+    /// It was taken.
+    Taken,
+    /// The view accounts for more already.
+    Old,
+    /// It goes on from an entry that the view does not account for.
+    Gap,
+}
 
 /// The view of one gateway.
 ///
-/// Invariants: the configuration's version never falls; nothing is taken from a leadership that
-/// is older than the newest one known.
+/// Invariants: the configuration's version never falls; nothing is taken that accounts for less of
+/// the log than the view does, nor changes that leave a gap behind what it accounts for; no leader
+/// is believed that is older than the newest one known.
 #[derive(Default)]
 pub struct View {
     epoch: Epoch,
+    /// The last entry of the log that it accounts for.
+    revision: Option<LogIndex>,
     configuration: Option<Arc<SiteConfiguration>>,
     routes: RouteTable,
     keys: KeyTable,
@@ -26,32 +40,50 @@
 }
 
 impl View {
-    /// A leader has told its whole view; says whether it was taken.
-    pub fn welcome(&mut self, epoch: Epoch, view: SiteView) -> bool {
+    /// A coordinator says that it leads; says whether it is believed.
+    pub fn led(&mut self, epoch: Epoch) -> bool {
         if epoch < self.epoch {
             return false;
         }
         self.epoch = epoch;
+        true
+    }
+
+    /// A coordinator has told the view, or changes of it; says what became of that.
+    pub fn update(&mut self, update: ViewUpdate) -> UpdateVerdict {
+        let ViewUpdate { revision, content } = update;
+        if self.revision.is_some_and(|known| revision < known) {
+            return UpdateVerdict::Old;
+        }
+        match content {
+            ViewContent::Whole(view) => self.replace(view),
+            ViewContent::Changes { since, changes } => {
+                if self.revision.is_none_or(|known| known < since) {
+                    return UpdateVerdict::Gap;
+                }
+                changes.into_iter().for_each(|change| self.change(change));
+            }
+        }
+        self.revision = Some(revision);
+        UpdateVerdict::Taken
+    }
+
+    fn replace(&mut self, view: SiteView) {
         if let Some(configuration) = view.configuration {
             self.configure(configuration);
         }
-        let servers = view.servers.iter();
+        let servers = view.servers.into_iter();
         self.servers = servers
-            .map(|server| (server.instance.clone(), server.clone()))
+            .map(|server| (server.instance.clone(), server))
             .collect();
         self.fingerprint_key = view.fingerprint_key.or(self.fingerprint_key);
-        let suspects = view.suspects.iter();
+        let suspects = view.suspects.into_iter();
         self.suspects = suspects
-            .map(|suspect| (suspect.fingerprint, suspect.clone()))
+            .map(|suspect| (suspect.fingerprint, suspect))
             .collect();
-        true
     }
 
-    /// A leader has told a change; says whether it was taken.
-    pub fn change(&mut self, epoch: Epoch, change: ViewChange) -> bool {
-        if epoch != self.epoch {
-            return false;
-        }
+    fn change(&mut self, change: ViewChange) {
         match change {
             ViewChange::Configuration(configuration) => self.configure(configuration),
             ViewChange::Server(server) => {
@@ -68,7 +100,6 @@
                 self.suspects.remove(&request);
             }
         }
-        true
     }
 
     fn configure(&mut self, configuration: Arc<SiteConfiguration>) {
@@ -80,6 +111,11 @@
         self.configuration = Some(configuration);
     }
 
+    /// The last entry of the log that the view accounts for.
+    pub fn revision(&self) -> Option<LogIndex> {
+        self.revision
+    }
+
     /// Version of the configuration; 0 without one.
     pub fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |held| held.version)
--- a/crates/wingshore-gateway/tests/crash_simulation/group.rs
+++ b/crates/wingshore-gateway/tests/crash_simulation/group.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 use wingshore_coordination::{
-    Command, CoordinationLeader, CoordinationState, CoordinatorMessage, Effect, Event, Heartbeat,
-    LeaderSettings, Reply, Request, ServerRecord, ViewChange,
+    Command, CoordinationLeader, CoordinationState, Effect, Event, Heartbeat, LeaderSettings,
+    Reply, Request, ServerRecord, ViewChange,
 };
 use wingshore_types::machine::{LeaderMachine, LeaderOutput, ReplicatedState, RequestTag};
 use wingshore_types::{Epoch, Instant, LogIndex};
@@ -74,15 +74,15 @@
             match output {
                 LeaderOutput::Propose { tag, command } => {
                     self.index += 1;
+                    let before = LogIndex(self.index - 1);
                     self.state.apply(LogIndex(self.index), command);
+                    let changes = self.state.view_changes(before);
+                    self.told
+                        .extend(changes.expect("the entry before is remembered"));
                     let mut more = Vec::new();
                     self.leader.on_applied(now, tag, (), &self.state, &mut more);
                     queue.extend(more);
                 }
-                LeaderOutput::Effect(Effect::ToAllGateways(CoordinatorMessage::Change {
-                    change,
-                    ..
-                })) => self.told.push(change),
                 LeaderOutput::Effect(_) | LeaderOutput::Reply { .. } => {}
             }
         }
--- a/crates/wingshore-gateway/tests/view.rs
+++ b/crates/wingshore-gateway/tests/view.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use wingshore_coordination::{
     IngressLimits, InstanceId, ServerRecord, ServiceName, SiteConfiguration, SiteView, ViewChange,
+    ViewContent, ViewUpdate,
 };
-use wingshore_gateway::View;
-use wingshore_types::Epoch;
+use wingshore_gateway::{UpdateVerdict, View};
+use wingshore_types::{Epoch, LogIndex};
 
 fn configuration(version: u64) -> Arc<SiteConfiguration> {
     Arc::new(SiteConfiguration {
@@ -32,53 +33,106 @@
     }
 }
 
-fn whole(version: u64, servers: Vec<ServerRecord>) -> SiteView {
-    SiteView {
-        configuration: Some(configuration(version)),
-        servers: Arc::new(servers),
-        fingerprint_key: None,
-        suspects: Arc::default(),
+fn whole(revision: u64, version: u64, servers: Vec<ServerRecord>) -> ViewUpdate {
+    ViewUpdate {
+        revision: LogIndex(revision),
+        content: ViewContent::Whole(SiteView {
+            configuration: Some(configuration(version)),
+            servers,
+            fingerprint_key: None,
+            suspects: Vec::new(),
+        }),
     }
 }
 
+fn changes(since: u64, revision: u64, changes: Vec<ViewChange>) -> ViewUpdate {
+    ViewUpdate {
+        revision: LogIndex(revision),
+        content: ViewContent::Changes {
+            since: LogIndex(since),
+            changes,
+        },
+    }
+}
+
+fn servers(view: &View) -> usize {
+    view.servers_of(&ServiceName::from("s")).count()
+}
+
 #[gtest]
 fn an_older_configuration_is_not_taken() {
     let mut view = View::default();
-    view.welcome(Epoch(2), whole(7, Vec::new()));
-    view.change(Epoch(2), ViewChange::Configuration(configuration(5)));
+    view.update(whole(10, 7, Vec::new()));
+    let older = ViewChange::Configuration(configuration(5));
+    view.update(changes(10, 11, vec![older]));
     expect_that!(view.version(), eq(7));
-    // A later leader that has caught up to less than this gateway knows.
-    view.welcome(Epoch(3), whole(6, Vec::new()));
+    // A copy that has caught up to more of the log, but holds an older version.
+    view.update(whole(12, 6, Vec::new()));
     expect_that!(view.version(), eq(7));
 }
 
 #[gtest]
 fn a_leader_of_an_older_term_is_not_believed() {
     let mut view = View::default();
-    view.welcome(Epoch(5), whole(7, vec![server("a", false)]));
-    expect_that!(view.welcome(Epoch(4), whole(9, Vec::new())), eq(false));
+    expect_that!(view.led(Epoch(5)), eq(true));
+    expect_that!(view.led(Epoch(4)), eq(false));
+    expect_that!(view.epoch(), eq(Epoch(5)));
+}
+
+#[gtest]
+fn a_copy_that_is_behind_is_not_believed() {
+    let mut view = View::default();
+    view.update(whole(10, 7, vec![server("a", false)]));
+    let behind = view.update(whole(9, 9, Vec::new()));
+    expect_that!(behind, eq(UpdateVerdict::Old));
     let drained = ViewChange::Server(server("a", true));
-    expect_that!(view.change(Epoch(4), drained), eq(false));
-    expect_that!(view.servers_of(&ServiceName::from("s")).count(), eq(1));
+    let behind = view.update(changes(8, 9, vec![drained]));
+    expect_that!(behind, eq(UpdateVerdict::Old));
+    expect_that!(servers(&view), eq(1));
+    expect_that!(view.revision(), some(eq(LogIndex(10))));
+}
+
+#[gtest]
+fn changes_that_leave_a_gap_are_not_taken() {
+    let mut view = View::default();
+    let gone = || vec![ViewChange::Gone(InstanceId::from("a"))];
+    let first = view.update(changes(3, 12, gone()));
+    expect_that!(first, eq(UpdateVerdict::Gap));
+    view.update(whole(10, 7, vec![server("a", false)]));
+    let late = view.update(changes(11, 12, gone()));
+    expect_that!(late, eq(UpdateVerdict::Gap));
+    expect_that!(servers(&view), eq(1));
+}
+
+/// Two copies may tell the same entries, one after the other.
+#[gtest]
+fn changes_that_overlap_are_taken() {
+    let mut view = View::default();
+    view.update(whole(10, 7, vec![server("a", false)]));
+    let added = ViewChange::Server(server("b", false));
+    view.update(changes(10, 12, vec![added.clone()]));
+    let gone = ViewChange::Gone(InstanceId::from("a"));
+    let verdict = view.update(changes(10, 13, vec![added, gone]));
+    expect_that!(verdict, eq(UpdateVerdict::Taken));
+    expect_that!(view.knows(&InstanceId::from("a")), eq(false));
+    expect_that!(view.knows(&InstanceId::from("b")), eq(true));
 }
 
 #[gtest]
 fn a_draining_server_gets_nothing_new() {
     let mut view = View::default();
-    view.welcome(
-        Epoch(1),
-        whole(1, vec![server("a", false), server("b", false)]),
-    );
-    view.change(Epoch(1), ViewChange::Server(server("a", true)));
-    view.change(Epoch(1), ViewChange::Gone(InstanceId::from("b")));
-    expect_that!(view.servers_of(&ServiceName::from("s")).count(), eq(0));
+    view.update(whole(10, 1, vec![server("a", false), server("b", false)]));
+    let drained = ViewChange::Server(server("a", true));
+    let gone = ViewChange::Gone(InstanceId::from("b"));
+    view.update(changes(10, 11, vec![drained, gone]));
+    expect_that!(servers(&view), eq(0));
 }
 
 #[gtest]
-fn a_new_leader_replaces_the_servers() {
+fn a_whole_view_replaces_the_servers() {
     let mut view = View::default();
-    view.welcome(Epoch(1), whole(1, vec![server("a", false)]));
-    view.welcome(Epoch(2), whole(1, vec![server("b", false)]));
+    view.update(whole(10, 1, vec![server("a", false)]));
+    view.update(whole(20, 1, vec![server("b", false)]));
     expect_that!(view.knows(&InstanceId::from("a")), eq(false));
     expect_that!(view.knows(&InstanceId::from("b")), eq(true));
 }
--- a/crates/wingshore-net/src/connection.rs
+++ b/crates/wingshore-net/src/connection.rs
@@ -1,21 +1,19 @@
 //! One connection of the reactor: its buffers, and one turn of reading or writing.
 
-use bytes::{Buf, BytesMut};
+use crate::output::{OutputQueue, give_back};
+use bytes::BytesMut;
 use mio::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
 
 /// Most bytes taken from one connection before others get their turn.
 const READ_TURN: usize = 256 * 1024;
-/// An empty buffer that has grown beyond this many bytes is given back: a process with hundreds of
-/// connections that each carried one large message must not hold on to all of them.
-const KEPT_BUFFER: usize = 32 * 1024;
 
 /// One socket and its buffers.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
     pub(crate) generation: u64,
     pub(crate) input: BytesMut,
-    pub(crate) output: BytesMut,
+    pub(crate) output: OutputQueue,
     pub(crate) connecting: bool,
     pub(crate) input_ended: bool,
     /// The peer has ended its side, or the connection failed: the end stands behind what can be
@@ -74,7 +72,7 @@
 /// Writes queued bytes, as many as the system takes.
 pub(crate) fn write_queued(connection: &mut Connection) -> io::Result<()> {
     while connection.writable && !connection.output.is_empty() {
-        match connection.stream.write(&connection.output) {
+        match connection.stream.write(connection.output.front()) {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
             Ok(count) => connection.output.advance(count),
             Err(error) if error.kind() == ErrorKind::WouldBlock => connection.writable = false,
@@ -82,13 +80,6 @@
             Err(error) => return Err(error),
         }
     }
-    give_back(&mut connection.output);
+    connection.output.give_back();
     Ok(())
 }
-
-/// Frees a buffer that is empty and large.
-fn give_back(buffer: &mut BytesMut) {
-    if buffer.is_empty() && buffer.capacity() > KEPT_BUFFER {
-        *buffer = BytesMut::new();
-    }
-}
--- a/crates/wingshore-net/src/lib.rs
+++ b/crates/wingshore-net/src/lib.rs
@@ -8,6 +8,7 @@
 mod event;
 pub mod frame;
 pub mod http;
+mod output;
 mod reactor;
 mod signals;
 
--- a/crates/wingshore-net/src/reactor.rs
+++ b/crates/wingshore-net/src/reactor.rs
@@ -2,7 +2,8 @@
 
 use crate::connection::{Connection, ReadEnd, read_available, write_queued};
 use crate::event::{ConnectOptions, ListenSnafu, NetError, NetEvent, SystemSnafu};
-use bytes::BytesMut;
+use crate::output::OutputQueue;
+use bytes::{Bytes, BytesMut};
 use mio::event::Event as ReadyEvent;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -308,7 +309,7 @@
             stream,
             generation: self.generation,
             input: BytesMut::new(),
-            output: BytesMut::new(),
+            output: OutputQueue::default(),
             connecting,
             input_ended: false,
             end_is_near: false,
@@ -372,7 +373,15 @@
     /// Queues bytes; they leave at the next [`Reactor::poll`].
     pub fn send(&mut self, id: ConnectionId, bytes: &[u8]) {
         if let Some(connection) = self.get_mut(id) {
-            connection.output.extend_from_slice(bytes);
+            connection.output.push(bytes);
+            self.mark_dirty(id);
+        }
+    }
+
+    /// Queues bytes that many connections are sent: long ones are held once, not copied for each.
+    pub fn send_shared(&mut self, id: ConnectionId, bytes: &Bytes) {
+        if let Some(connection) = self.get_mut(id) {
+            connection.output.push_shared(bytes);
             self.mark_dirty(id);
         }
     }
--- a/crates/wingshore-net/tests/reactor.rs
+++ b/crates/wingshore-net/tests/reactor.rs
@@ -169,3 +169,40 @@
         .expect("the reactor polls");
     expect_that!(begun.elapsed(), lt(LIMIT));
 }
+
+/// What is queued by copy and what is shared with other connections leaves in its order, also where
+/// the peer reads slowly.
+#[gtest]
+fn shared_bytes_leave_in_order_with_copied_ones() {
+    let (mut reactor, address) = listening();
+    let peer = TcpStream::connect(address).expect("a connection");
+    let connection = accepted(&mut reactor);
+    let long = bytes::Bytes::from(vec![b'l'; 600_000]);
+    let short = bytes::Bytes::from_static(b"short");
+    let mut expected = Vec::new();
+    for _ in 0..3 {
+        reactor.send(connection, b"copied");
+        reactor.send_shared(connection, &short);
+        reactor.send_shared(connection, &long);
+        expected.extend_from_slice(b"copiedshort");
+        expected.extend_from_slice(&long);
+    }
+    expect_that!(reactor.queued(connection), eq(expected.len()));
+    reactor.close_when_flushed(connection);
+    let reading = std::thread::spawn(move || {
+        let mut peer = peer;
+        let mut received = Vec::new();
+        std::thread::sleep(Duration::from_millis(50));
+        peer.read_to_end(&mut received).expect("bytes arrive");
+        received
+    });
+    let deadline = Instant::now() + LIMIT;
+    let mut events = Vec::new();
+    while reactor.is_open(connection) && Instant::now() < deadline {
+        reactor
+            .poll(Duration::from_millis(20), &mut events)
+            .expect("the reactor polls");
+    }
+    let received = reading.join().expect("the peer reads");
+    expect_that!(received == expected, eq(true));
+}
