coordination: items and loads go to engines that gateways are connected to

Cause: an engine of unknown pace counts as the best one known and came first among engines with as many items.

Ruled out: connections closed by engines or by time: gateways keep them, but no second item came.

Change: among engines with as many items, one without a connection is left for items that find none with one within 3 % of the fastest known pace; of equal use, engines with connections load first.

--- a/crates/wingshore-coordination/src/leader/engines.rs
+++ b/crates/wingshore-coordination/src/leader/engines.rs
@@ -179,9 +179,10 @@
             let known = self.numbered(number);
             known.is_some_and(|(instance, engine)| accepts(instance, engine))
         };
+        let fastest = self.fastest(service).map(|(step, _)| step);
         let best = self
             .free
-            .best_of_each(service, model, min_version, look, takes);
+            .best_of_each((service, fastest), model, min_version, look, takes);
         let known = best.into_iter().filter_map(|number| self.numbered(number));
         known.collect()
     }
@@ -357,8 +358,12 @@
 
     /// The best pace of any engine of a service, in milliseconds an event, within a step of paces.
     pub(crate) fn best_pace(&self, service: &ServiceName) -> Option<f64> {
-        let (_, fastest) = self.paces.get(service)?.first()?;
-        self.numbered(*fastest)?.1.pace
+        let (_, fastest) = self.fastest(service)?;
+        self.numbered(fastest)?.1.pace
+    }
+
+    fn fastest(&self, service: &ServiceName) -> Option<(PaceStep, EngineNumber)> {
+        self.paces.get(service)?.first().copied()
     }
 
     /// An item ran whole on it.
--- a/crates/wingshore-coordination/src/leader/free_slots.rs
+++ b/crates/wingshore-coordination/src/leader/free_slots.rs
@@ -33,12 +33,36 @@
         };
         Self(pace.map(steps))
     }
+
+    /// Whether it is about as good as the fastest known one.
+    fn is_similar(self, fastest: Option<Self>) -> bool {
+        match (self.0, fastest.and_then(|fastest| fastest.0)) {
+            (Some(own), Some(fastest)) => own <= fastest + SIMILAR_STEPS,
+            // Nothing speaks against one of unknown pace that is connected already.
+            (None, _) | (_, None) => true,
+        }
+    }
+}
+
+/// An engine without a connection is left for items that find no idle one with a connection, of
+/// which the pace is at most this many steps, 3 %, behind the fastest known: as much as paces that
+/// are measured once differ by chance. Engines of unknown pace count as the best, so that each item
+/// of a site with many more engines than items would go to one that nothing is known of, on a new
+/// connection.
+const SIMILAR_STEPS: u32 = 3;
+
+/// Whether the gateway through which an engine's items go has connections to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Connected {
+    Yes,
+    No,
 }
 
 /// An engine's place among those that hold the same version of a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
     running: usize,
+    connected: Connected,
     pace: PaceStep,
     number: EngineNumber,
 }
@@ -110,10 +134,11 @@
 
     /// For each version from `min_version` on and each number of items that run on an engine, the
     /// engine with the best pace of which `takes` holds: the best one for an item is among them,
-    /// since of two such engines that differ in pace only, the faster is better.
+    /// since of two such engines that differ in pace only, the faster is better. One without a
+    /// connection is among them only where that is not similar to the `fastest` known pace.
     pub(crate) fn best_of_each(
         &self,
-        service: &ServiceName,
+        (service, fastest): (&ServiceName, Option<PaceStep>),
         model: Option<&ModelName>,
         min_version: u64,
         look: Look,
@@ -130,15 +155,21 @@
         for places in versions.range(min_version..).map(|(_, places)| places) {
             let mut next = places.first().copied();
             while let Some(first) = next {
-                let begin = look.begin_of(first.running);
-                let mut with_as_many = places
-                    .range(begin..)
-                    .take_while(|place| place.running == first.running)
-                    .take(look.most_looks());
-                let found = with_as_many.find(|place| takes(place.number));
-                best.extend(found.map(|place| place.number));
+                let found = |connected: Connected| {
+                    let alike = places.range(look.begin_of(first.running, connected)..);
+                    let alike = alike.take_while(|place| {
+                        place.running == first.running && place.connected == connected
+                    });
+                    let mut looked_at = alike.take(look.most_looks());
+                    looked_at.find(|place| takes(place.number)).copied()
+                };
+                let connected = found(Connected::Yes);
+                best.extend(connected.map(|place| place.number));
+                if !connected.is_some_and(|place| place.pace.is_similar(fastest)) {
+                    best.extend(found(Connected::No).map(|place| place.number));
+                }
                 next = places
-                    .range(Look::Any.begin_of(first.running + 1)..)
+                    .range(Look::Any.begin_of(first.running + 1, Connected::Yes)..)
                     .next()
                     .copied();
             }
@@ -157,8 +188,8 @@
 }
 
 impl Look {
-    /// Before the engines that run `running` items.
-    fn begin_of(self, running: usize) -> Place {
+    /// Before the engines that run `running` items, and have connections or have none.
+    fn begin_of(self, running: usize, connected: Connected) -> Place {
         let pace = match self {
             Self::Any => PaceStep(None),
             Self::FastestKnown => PaceStep(Some(0)),
@@ -166,6 +197,7 @@
         let number = EngineNumber(0);
         Place {
             running,
+            connected,
             pace,
             number,
         }
@@ -190,6 +222,10 @@
 fn place_of(engine: &Engine) -> Place {
     Place {
         running: engine.running,
+        connected: match engine.gateway {
+            Some(_) => Connected::Yes,
+            None => Connected::No,
+        },
         pace: PaceStep::of(engine.pace),
         number: engine.number,
     }
--- a/crates/wingshore-coordination/src/leader/load_choice.rs
+++ b/crates/wingshore-coordination/src/leader/load_choice.rs
@@ -29,6 +29,8 @@
     long_running: usize,
     /// Slots of the engine that are taken, by items of any model.
     busy_slots: usize,
+    /// Whether no gateway has connections to it.
+    is_unconnected: bool,
 }
 
 impl WantedLoad {
@@ -38,14 +40,15 @@
     }
 
     /// Order in which engines load a model's version: first those that are of no use to it any more,
-    /// of these the ones without long items of it, then those with the most room. Slow ones do not come
-    /// last: where a fifth of the engines is slow for a while, too few would be left that hold a version
+    /// of these the ones without long items of it, then those with the most room, then those that items
+    /// have run on: the next ones need no new connections. Slow ones do not come last: where a fifth of the engines is slow for a while, too few would be left that hold a version
     /// (steps of 8.1 to 8.5 s in place of 7.5, by the simulation of steps).
-    fn rank(&self) -> (bool, usize, usize, &InstanceId) {
+    fn rank(&self) -> (bool, usize, usize, bool, &InstanceId) {
         (
             self.is_still_usable(),
             self.long_running,
             self.busy_slots,
+            self.is_unconnected,
             &self.instance,
         )
     }
@@ -202,6 +205,7 @@
                         lag: loads.named - entry.version,
                         long_running: long_running.copied().unwrap_or(0),
                         busy_slots: engine.running,
+                        is_unconnected: engine.gateway.is_none(),
                     });
                 }
             }
