coordinator: a gateway that is silent for 1 s is given up, unless the silence is the coordinator's own

Cause: items of a gateway that is cut off stood still until its link was closed, 1.6 s later, though one whose link breaks is given up 0.9 s after it was last heard of.

Ruled out: a shorter limit alone: a coordinator whose turn took 0.6 s, as a new leader's does while it applies its log, would find hundreds of gateways silent whose words wait to be read.

Change: 1.0 s, two and a half intervals in which gateways tell their state; silence counts only while the coordinator's own looks come in time, and 0.5 s after it stood still.

Tests: silence.rs.

--- a/crates/wingshore-coordinator/src/lib.rs
+++ b/crates/wingshore-coordinator/src/lib.rs
@@ -20,6 +20,7 @@
 mod process;
 mod protocol;
 mod settings;
+mod silence;
 mod spool;
 mod texts;
 mod view_feed;
@@ -39,6 +40,7 @@
     ProviderProtocol,
 };
 pub use settings::{CoordinatorSettings, ProviderSettings};
+pub use silence::SilenceJudge;
 pub use spool::FileSpool;
 pub use texts::TextArchive;
 pub use view_feed::{FeedLinks, FeedSource, ViewFeed};
--- a/crates/wingshore-coordinator/src/process/mod.rs
+++ b/crates/wingshore-coordinator/src/process/mod.rs
@@ -23,6 +23,7 @@
 use crate::outgoing_calls::{CallProtocols, OutgoingCalls};
 use crate::protocol::ControlProtocol;
 use crate::settings::CoordinatorSettings;
+use crate::silence::SilenceJudge;
 use crate::view_feed::ViewFeed;
 use crate::writer::{WriteEvent, Writer};
 use slog::{Logger, info, warn};
@@ -55,8 +56,10 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(300);
 /// Between looks at what has become due.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
-/// A gateway that is silent for this long is disconnected.
-const GATEWAY_SILENCE: Duration = Duration::from_millis(1600);
+/// A gateway that is silent for this long is disconnected, and what it ran is begun elsewhere: two
+/// and a half of the intervals in which it tells its state. While a gateway is cut off its items
+/// stand still for this time; a step that waits for one of them is over as much later.
+const GATEWAY_SILENCE: Duration = Duration::from_millis(1000);
 /// A gateway is shown to clients only if it was heard of within this time.
 const GATEWAY_FRESH: Duration = Duration::from_millis(1300);
 /// Idle connections of callers are closed after this time.
@@ -150,6 +153,7 @@
     next_tag: u64,
     planner: MembershipPlanner,
     change_under_way: bool,
+    silence_judge: SilenceJudge,
     next_housekeeping: Instant,
     next_hello: Instant,
     inputs: Vec<HostInput<CoordinationLeader>>,
@@ -242,6 +246,7 @@
             next_tag: 0,
             planner: MembershipPlanner::default(),
             change_under_way: false,
+            silence_judge: SilenceJudge::default(),
             next_housekeeping: Instant::ZERO,
             next_hello: Instant::ZERO,
             inputs: Vec::new(),
@@ -435,8 +440,10 @@
         let events = self.calls.expire(now, &mut self.reactor);
         self.take_call_events(events);
         self.agree_on_time(now);
-        for connection in self.directory.silent(now, GATEWAY_SILENCE) {
-            self.on_ended(now, connection);
+        if self.silence_judge.look(now) {
+            for connection in self.directory.silent(now, GATEWAY_SILENCE) {
+                self.on_ended(now, connection);
+            }
         }
         self.close_idle_callers(now);
         self.give_up_passed_on(now);
