--- a/crates/wingshore-coordination/tests/rollout.rs
+++ b/crates/wingshore-coordination/tests/rollout.rs
@@ -341,7 +341,6 @@
     expect_that!(asked(&mut group), len(eq(4)));
 }
 
-/// Two models were named at once, and all loads went to the one whose engines come first.
 /// Engines that were looked at to load within 1.5 s, each of which then reports what it holds; items that
 /// their gateway does not speak of for longer would be placed anew.
 fn engines_that_load(group: &mut Group, version: u64) -> usize {
@@ -373,6 +372,7 @@
     expect_that!(engines_that_load(&mut idle, 2), eq(200));
 }
 
+/// Two models were named at once, and all loads went to the one whose engines come first.
 #[gtest]
 fn the_model_that_fewer_engines_can_run_is_loaded_first() {
     let mut group = Group::new();
--- a/crates/wingshore-coordinator/src/metrics.rs
+++ b/crates/wingshore-coordinator/src/metrics.rs
@@ -52,6 +52,7 @@
     pub(crate) voters: usize,
     pub(crate) learners: usize,
     pub(crate) gateways: usize,
+    pub(crate) view_followers: usize,
     pub(crate) servers: usize,
     pub(crate) servers_draining: usize,
     pub(crate) jobs_open: usize,
@@ -85,7 +86,7 @@
 }
 
 /// Gauges: name and help.
-const GAUGES: [(&str, &str); 23] = [
+const GAUGES: [(&str, &str); 24] = [
     ("leading", "1 where this coordinator leads the group"),
     ("leader_known", "1 where it knows a leader"),
     ("term", "Term of the group; the fence of orders"),
@@ -100,6 +101,7 @@
     ("voters", "Members that vote"),
     ("learners", "Members that only receive"),
     ("gateways", "Gateways in touch"),
+    ("view_followers", "Gateways that follow the view here"),
     ("servers", "Servers in the registry"),
     (
         "servers_draining",
@@ -285,6 +287,7 @@
             count(readings.voters),
             count(readings.learners),
             count(readings.gateways),
+            count(readings.view_followers),
             count(readings.servers),
             count(readings.servers_draining),
             count(readings.jobs_open),
--- a/crates/wingshore-coordinator/src/process/callers.rs
+++ b/crates/wingshore-coordinator/src/process/callers.rs
@@ -87,6 +87,7 @@
             voters: membership.voters.len(),
             learners: membership.learners.len(),
             gateways: self.directory.iter().count(),
+            view_followers: self.view_feed.followers(),
             servers: state.servers().len(),
             servers_draining: draining.count(),
             jobs_open: state.jobs().values().filter(|job| !job.ended).count(),
--- a/crates/wingshore-gateway/src/coordinators.rs
+++ b/crates/wingshore-gateway/src/coordinators.rs
@@ -1,15 +1,14 @@
 //! Links to the coordinators, and which of them leads.
 
 use crate::process::{Gateway, LinkRole};
-use crate::view::UpdateVerdict;
+use crate::view_following::ViewSourceChange;
 use crate::view_source::{Candidate, Choice, ViewSource};
 use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{
-    CoordinatorMessage, GatewayHello, GatewayMessage, IncomingFrame, RunningItem, ViewContent,
-    ViewUpdate,
+    CoordinatorMessage, GatewayHello, GatewayMessage, IncomingFrame, RunningItem,
 };
 use wingshore_net::{ConnectOptions, ConnectionId, frame};
 use wingshore_types::{Instant, LogIndex};
@@ -88,7 +87,7 @@
     }
 
     /// The coordinator to follow the view at from now on, if it is another one.
-    fn choose_view_source(
+    pub(crate) fn choose_view_source(
         &mut self,
         now: Instant,
         (zone, salt): (&str, u64),
@@ -140,63 +139,7 @@
     }
 }
 
-/// The view is followed at another coordinator from now on.
-struct ViewSourceChange {
-    before: Option<ConnectionId>,
-    address: SocketAddr,
-    connection: ConnectionId,
-}
-
 impl Gateway {
-    /// Follows the view where it is best told.
-    pub(crate) fn follow_view(&mut self, now: Instant) {
-        let place = (self.settings.zone.as_str(), self.id.0);
-        let since = self.view.revision();
-        let change = self.coordinators.choose_view_source(now, place, since);
-        let Some(change) = change else {
-            return;
-        };
-        info!(self.logger, "view followed"; "address" => %change.address,
-            "revision" => since.map(|since| since.0));
-        if let Some(before) = change.before {
-            let message = GatewayMessage::LeaveView;
-            self.send_frame(before, &IncomingFrame::FromGateway(message));
-        }
-        self.ask_for_view(change.connection);
-    }
-
-    fn ask_for_view(&mut self, connection: ConnectionId) {
-        let since = self.view.revision();
-        let message = GatewayMessage::FollowView { since };
-        self.send_frame(connection, &IncomingFrame::FromGateway(message));
-    }
-
-    /// A coordinator has told the view, or changes of it.
-    fn on_view(&mut self, now: Instant, connection: ConnectionId, update: ViewUpdate) {
-        let version = self.view.version();
-        let changes = match &update.content {
-            ViewContent::Whole(_) => None,
-            ViewContent::Changes { changes, .. } => Some(changes.clone()),
-        };
-        match self.view.update(update) {
-            UpdateVerdict::Taken => {}
-            UpdateVerdict::Old => return,
-            UpdateVerdict::Gap => return self.ask_for_view(connection),
-        }
-        match changes {
-            Some(changes) => {
-                for change in &changes {
-                    self.note_change(now, change);
-                }
-            }
-            None => {
-                self.servers_registered(now);
-                self.start_scorings(now);
-            }
-        }
-        self.view_changed(version);
-    }
-
     /// Connects to all known coordinators there is no connection to.
     pub(crate) fn dial_coordinators(&mut self, now: Instant) {
         let mut wanted = self.settings.seed_addresses();
@@ -379,15 +322,6 @@
         }
     }
 
-    /// Something in the view is new.
-    fn view_changed(&mut self, version_before: u64) {
-        if self.view.version() != version_before {
-            info!(self.logger, "configuration"; "version" => self.view.version(),
-                "before" => version_before);
-            self.tell_status();
-        }
-    }
-
     /// Tells a new leader which items run here; the ends that were not told follow.
     fn tell_running(&mut self, connection: ConnectionId) {
         let items: Vec<RunningItem> = self.items.running().collect();
--- a/crates/wingshore-gateway/src/lib.rs
+++ b/crates/wingshore-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod upstream;
 mod usage;
 mod view;
+mod view_following;
 mod view_source;
 
 pub use balance::Balancer;
