consensus: heartbeats are not brought forward after a commit

With up to twice the heartbeats a leader took members to have lost what was still under way to them: a stall is counted in answered heartbeats without progress (STALLED_REPLIES), not in time.

--- a/crates/wingshore-consensus/src/leader.rs
+++ b/crates/wingshore-consensus/src/leader.rs
@@ -9,7 +9,6 @@
 use snafu::{Snafu, ensure};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
 /// Why a proposal is not taken. Nothing was appended.
@@ -34,20 +33,10 @@
     pub(crate) first_index: LogIndex,
     /// The hand-over under way.
     pub(crate) transfer: Option<Transfer>,
-    last_heartbeat: Instant,
     next_heartbeat: Instant,
 }
 
 impl LeaderState {
-    /// Entries were committed: the other members learn of it with the next append, or with a round
-    /// of heartbeats that is brought forward to half an interval after the last one. What members
-    /// tell their own callers is then some ms old, not up to an interval, for at most twice as many
-    /// rounds.
-    fn bring_heartbeat_forward(&mut self, interval: Duration) {
-        let due = self.last_heartbeat + interval / 2;
-        self.next_heartbeat = self.next_heartbeat.min(due);
-    }
-
     /// When something is to be done at the latest.
     pub(crate) fn next_deadline(&self) -> Instant {
         match &self.transfer {
@@ -103,7 +92,6 @@
             rounds: HeartbeatRounds::new(now),
             first_index: next_index,
             transfer: None,
-            last_heartbeat: now,
             next_heartbeat: now,
         }));
         self.awaiting_snapshot.clear();
@@ -131,7 +119,6 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.last_heartbeat = now;
         leader.next_heartbeat = now + self.timing.heartbeat_interval;
         let round = leader.rounds.begin(now);
         let mut requests = Vec::new();
@@ -218,16 +205,8 @@
             LogIndex(reached.unwrap_or(0))
         };
         let is_own_term = self.log.term_at(index) == Some(self.term);
-        if !is_own_term && !self.faults.commit_previous_term {
-            return;
-        }
-        let before = self.commit_index;
-        self.advance_commit(index, out);
-        let interval = self.timing.heartbeat_interval;
-        if self.commit_index > before
-            && let Role::Leader(leader) = &mut self.role
-        {
-            leader.bring_heartbeat_forward(interval);
+        if is_own_term || self.faults.commit_previous_term {
+            self.advance_commit(index, out);
         }
     }
 
