--- a/crates/wingshore-coordination/src/leader/evidence.rs
+++ b/crates/wingshore-coordination/src/leader/evidence.rs
@@ -1,5 +1,5 @@
 //! The leader's part in what is learned of requests from failed attempts: weighs what gateways have
-//! seen, makes it durable, tells all gateways, and lets it go in time.
+//! seen, makes it durable, and lets it go in time. Gateways are told by the view.
 //!
 //! Many requests stand on a server when it ends, and most are innocent. Two things tell them apart:
 //!
@@ -245,7 +245,7 @@
         self.propose(Command::ClearRequests(known), waiter, out);
     }
 
-    /// More servers have ended under these requests: gateways are told, and some are rejected.
+    /// More servers have ended under these requests: some are rejected.
     pub(crate) fn crashes_noted(
         &mut self,
         now: Instant,
@@ -257,7 +257,7 @@
         self.evidence_changed(now, requests, state, out);
     }
 
-    /// Evidence against these requests has changed: gateways are told.
+    /// Evidence against these requests has changed: notes when, and logs those that are rejected.
     pub(crate) fn evidence_changed(
         &mut self,
         now: Instant,
