coordinator: log lines and metrics of the states that a leader sends

Cause: a member that lacks too much of the log is sent the whole state, and nothing told of it. In the incident two members were sent it for 12 s; logs and metrics could not tell whether bytes were sent again, a new sending began, or the receiver dropped what it had. Safe: nothing is sent or decided otherwise; no frame changes.

--- a/crates/gateways/wingshore-coordinator/src/lib.rs
+++ b/crates/gateways/wingshore-coordinator/src/lib.rs
@@ -7,7 +7,7 @@
 //! - Decisions, without I/O and clocks: [`membership`](MembershipPlanner), [`lost`](LostMachines),
 //!   [`silence`](SilenceJudge), [`heartbeats`](HeartbeatRelay), [`directory`](GatewayAddress),
 //!   [`call_rate`](CallRate), [`budget`](MemoryBudget), [`view_feed`](ViewFeed), [`dials`](Dials),
-//!   `text_queue`, `forwarded_heartbeats`.
+//!   [`sent_states`](SentStates), `text_queue`, `forwarded_heartbeats`.
 //! - State: `peers` (other coordinators), [`texts`](TextArchive) and [`spool`](FileSpool) on disk.
 //! - Edges: [`ControlProtocol`], [`EngineProtocol`], [`ProviderProtocol`] translate the wire of a
 //!   deployment; this crate knows no wire but that of the site's own processes.
@@ -31,6 +31,7 @@
 mod peers;
 mod process;
 mod protocol;
+mod sent_states;
 mod settings;
 mod silence;
 mod spool;
@@ -53,6 +54,7 @@
     ControlAnswer, ControlCall, ControlProtocol, EngineProtocol, LocalQuestion, OutgoingCall,
     ProviderProtocol,
 };
+pub use sent_states::{Look, SendingPhase, SendingReport, SentStates};
 pub use settings::{CoordinatorSettings, ProviderSettings};
 pub use silence::SilenceJudge;
 pub use spool::FileSpool;
--- a/crates/gateways/wingshore-coordinator/src/metrics.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics.rs
@@ -75,6 +75,8 @@
     pub(crate) results: usize,
     pub(crate) result_text_bytes: usize,
     pub(crate) log_bytes: usize,
+    pub(crate) state_receivers: usize,
+    pub(crate) state_bytes_left: u64,
     pub(crate) log_lines_left_out: u64,
 }
 
@@ -90,6 +92,8 @@
     scorings: Family<OutcomeLabel, Counter>,
     leaderships: Counter,
     member_changes: Counter,
+    state_sent: Counter,
+    state_sent_again: Counter,
     /// In the order of [`GAUGES`].
     gauges: Vec<Gauge>,
 }
@@ -105,7 +109,7 @@
     GaugeEntry { name, help, read }
 }
 
-static GAUGES: [GaugeEntry; 26] = [
+static GAUGES: [GaugeEntry; 28] = [
     gauge(
         "leading",
         "1 where this coordinator leads the group",
@@ -219,6 +223,16 @@
         "Bytes that entries of the group's log take in memory",
         |readings| readings.log_bytes as u64,
     ),
+    gauge(
+        "state_receivers",
+        "Members that are being sent the state; 0 where it does not lead",
+        |readings| readings.state_receivers as u64,
+    ),
+    gauge(
+        "state_bytes_left",
+        "Bytes of the state that these members lack",
+        |readings| readings.state_bytes_left,
+    ),
     gauge(
         "log_lines_left_out",
         "Log lines left out for want of budget",
@@ -240,6 +254,8 @@
             scorings: Family::default(),
             leaderships: Counter::default(),
             member_changes: Counter::default(),
+            state_sent: Counter::default(),
+            state_sent_again: Counter::default(),
             gauges: Vec::new(),
         };
         metrics.register();
@@ -295,6 +311,18 @@
             "Changes of members asked for here",
             self.member_changes.clone(),
         );
+        registry.register_with_unit(
+            "state_sent",
+            "Bytes of the state sent to members that lack too much of the log",
+            Unit::Bytes,
+            self.state_sent.clone(),
+        );
+        registry.register_with_unit(
+            "state_sent_again",
+            "Those of them that were sent before",
+            Unit::Bytes,
+            self.state_sent_again.clone(),
+        );
         for entry in &GAUGES {
             let gauge = Gauge::default();
             registry.register(entry.name, entry.help, gauge.clone());
@@ -346,6 +374,12 @@
         self.member_changes.inc();
     }
 
+    /// Bytes of the state have been sent, some of them not for the first time.
+    pub(crate) fn state_sent(&self, bytes: u64, again: u64) {
+        self.state_sent.inc_by(bytes);
+        self.state_sent_again.inc_by(again);
+    }
+
     /// All metrics as text.
     pub(crate) fn text(&self, readings: &Readings) -> String {
         for (gauge, entry) in self.gauges.iter().zip(&GAUGES) {
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -110,6 +110,8 @@
             results: state.jobs().values().map(|job| job.results.len()).sum(),
             result_text_bytes: state.jobs().values().map(Job::text_bytes).sum(),
             log_bytes: self.host.log_bytes(),
+            state_receivers: self.sent_states.receivers(),
+            state_bytes_left: self.sent_states.bytes_left(),
             log_lines_left_out: self.log_counts.left_out(),
         }
     }
--- a/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
@@ -44,6 +44,7 @@
         self.answer_late_heartbeats(now);
         self.plan_members(now);
         self.report_shortage(now);
+        self.report_sent_states(now);
         self.reload();
         self.begin_stop(now);
     }
--- a/crates/gateways/wingshore-coordinator/src/process/members.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/members.rs
@@ -4,6 +4,7 @@
 use super::{Coordinator, Waiting};
 use crate::membership::{MembershipView, Shortage, losses_borne_by, members};
 use crate::protocol::ControlAnswer;
+use crate::sent_states::SendingPhase;
 use slog::{info, warn};
 use std::collections::BTreeSet;
 use wingshore_coordination::{CoordinationLeader, Request};
@@ -59,6 +60,25 @@
         }
     }
 
+    /// Says how far the sending of the state to members is that lack too much of the log.
+    pub(super) fn report_sent_states(&mut self, now: Instant) {
+        let sendings = self.host.snapshots_under_way();
+        let look = self.sent_states.look(now, &sendings);
+        self.metrics.state_sent(look.sent, look.sent_again);
+        for report in look.reports {
+            let phase = match report.phase {
+                SendingPhase::Begun => "state sending begun",
+                SendingPhase::UnderWay => "state under way",
+                SendingPhase::Over => "state sending over",
+            };
+            let sending = report.sending;
+            info!(self.logger, "{}", phase; "member" => sending.to.0,
+                "index" => sending.index.0, "bytes" => sending.total,
+                "received" => sending.received, "sent" => sending.sent,
+                "sent_again" => sending.sent_again, "age_ms" => report.age.as_millis() as u64);
+        }
+    }
+
     fn membership_view<'a>(&'a self, retired: &'a BTreeSet<ReplicaId>) -> MembershipView<'a> {
         let membership = self.host.membership();
         MembershipView {
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -41,6 +41,7 @@
 use crate::outgoing_calls::OutgoingCalls;
 use crate::peers::Peers;
 use crate::protocol::ControlProtocol;
+use crate::sent_states::SentStates;
 use crate::settings::CoordinatorSettings;
 use crate::view_feed::ViewFeed;
 use crate::writer::{WriteEvent, Writer};
@@ -92,6 +93,7 @@
     heartbeats: HeartbeatRelay,
     forwarded: ForwardedHeartbeats,
     members: MemberChanges,
+    sent_states: SentStates,
     schedule: Schedule,
     inputs: Vec<HostInput<CoordinationLeader>>,
 }
--- a/crates/gateways/wingshore-coordinator/src/process/start.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/start.rs
@@ -14,6 +14,7 @@
 use crate::outgoing_calls::{CallProtocols, OutgoingCalls};
 use crate::peers::Peers;
 use crate::protocol::ControlProtocol;
+use crate::sent_states::SentStates;
 use crate::settings::CoordinatorSettings;
 use crate::view_feed::ViewFeed;
 use crate::writer::Writer;
@@ -112,6 +113,7 @@
             heartbeats: HeartbeatRelay::default(),
             forwarded: ForwardedHeartbeats::default(),
             members: MemberChanges::default(),
+            sent_states: SentStates::default(),
             schedule: Schedule::default(),
             inputs: Vec::new(),
             settings,
--- /dev/null
+++ b/crates/gateways/wingshore-coordinator/tests/sent_states.rs
@@ -0,0 +1,87 @@
+//! What is told of the states that a leader sends: each begin and end, the progress once a second, and
+//! bytes that count once.
+
+use googletest::prelude::*;
+use std::time::Duration;
+use wingshore_coordinator::{SendingPhase, SentStates};
+use wingshore_group::SnapshotSending;
+use wingshore_types::{Instant, LogIndex, ReplicaId};
+
+fn at(millis: u64) -> Instant {
+    Instant::ZERO + Duration::from_millis(millis)
+}
+
+fn sending(received: u64, sent: u64, sent_again: u64) -> SnapshotSending {
+    SnapshotSending {
+        to: ReplicaId(7),
+        index: LogIndex(40),
+        total: 1_000,
+        received,
+        sent,
+        sent_again,
+    }
+}
+
+fn phases(
+    states: &mut SentStates,
+    now: Instant,
+    sendings: &[SnapshotSending],
+) -> Vec<SendingPhase> {
+    let look = states.look(now, sendings);
+    look.reports.iter().map(|report| report.phase).collect()
+}
+
+#[gtest]
+fn begin_and_end_are_told_and_the_progress_once_a_second() {
+    let mut states = SentStates::default();
+    let seen = |states: &mut SentStates, millis| phases(states, at(millis), &[sending(0, 100, 0)]);
+    expect_that!(
+        seen(&mut states, 0),
+        elements_are![eq(&SendingPhase::Begun)]
+    );
+    for millis in (100..1_000).step_by(100) {
+        expect_that!(seen(&mut states, millis), is_empty());
+    }
+    expect_that!(
+        seen(&mut states, 1_000),
+        elements_are![eq(&SendingPhase::UnderWay)]
+    );
+    expect_that!(seen(&mut states, 1_100), is_empty());
+    expect_that!(states.receivers(), eq(1));
+    expect_that!(states.bytes_left(), eq(1_000));
+    expect_that!(
+        phases(&mut states, at(1_200), &[]),
+        elements_are![eq(&SendingPhase::Over)]
+    );
+    expect_that!(states.receivers(), eq(0));
+}
+
+#[gtest]
+fn each_byte_that_is_sent_counts_once() {
+    let mut states = SentStates::default();
+    let first = states.look(at(0), &[sending(0, 300, 0)]);
+    expect_that!((first.sent, first.sent_again), eq((300, 0)));
+    let second = states.look(at(100), &[sending(200, 700, 150)]);
+    expect_that!((second.sent, second.sent_again), eq((400, 150)));
+    let third = states.look(at(200), &[sending(200, 700, 150)]);
+    expect_that!((third.sent, third.sent_again), eq((0, 0)));
+}
+
+/// A sending that begins anew for the same member is another one: what was sent before is told with its
+/// end.
+#[gtest]
+fn a_sending_that_begins_anew_is_another_one() {
+    let mut states = SentStates::default();
+    states.look(at(0), &[sending(600, 900, 100)]);
+    let look = states.look(at(100), &[sending(0, 100, 0)]);
+    let told: Vec<_> = look
+        .reports
+        .iter()
+        .map(|report| (report.phase, report.sending.sent))
+        .collect();
+    expect_that!(
+        told,
+        eq(&vec![(SendingPhase::Over, 900), (SendingPhase::Begun, 100)])
+    );
+    expect_that!(look.sent, eq(100));
+}
--- a/crates/shared/wingshore-consensus/src/accessors.rs
+++ b/crates/shared/wingshore-consensus/src/accessors.rs
@@ -1,5 +1,6 @@
 //! What a member answers about itself, without any change.
 
+use crate::outgoing::SnapshotSending;
 use crate::progress::Progress;
 use crate::raft::Raft;
 use crate::role::Role;
@@ -107,6 +108,16 @@
             .collect()
     }
 
+    /// The snapshots that this leader is sending; none on others.
+    pub fn snapshots_under_way(&self) -> Vec<SnapshotSending> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let members = leader.progress.iter();
+        let sending = members.filter_map(|(id, progress)| progress.snapshot_sending(*id));
+        sending.collect()
+    }
+
     /// The last entry known to be durable on `id`, as this leader knows it.
     pub(crate) fn match_index(&self, id: ReplicaId) -> LogIndex {
         if id == self.id {
--- a/crates/shared/wingshore-consensus/src/lib.rs
+++ b/crates/shared/wingshore-consensus/src/lib.rs
@@ -27,6 +27,7 @@
 mod log;
 mod members;
 mod message;
+mod outgoing;
 mod persistence;
 mod progress;
 mod raft;
@@ -45,6 +46,7 @@
 pub use message::{
     AppendRejection, AppendRequest, Body, HeartbeatRequest, Message, SnapshotChunk, VoteRequest,
 };
+pub use outgoing::SnapshotSending;
 pub use raft::Raft;
 pub use recovery::RecoveryError;
 pub use timing::{ConfigError, Timing};
--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -13,11 +13,11 @@
 //!   log: it is probed anew, which is right in the second case and harmless in the first.
 
 use crate::limits::Limits;
+use crate::outgoing::{OutgoingSnapshot, SnapshotSending};
 use std::collections::VecDeque;
 use std::sync::Arc;
-use wingshore_types::LogIndex;
 use wingshore_types::log::StoredSnapshot;
-use wingshore_types::snapshot_data::PartReader;
+use wingshore_types::{LogIndex, ReplicaId};
 
 /// Heartbeat replies without progress after which what is under way counts as lost. It holds for
 /// heartbeats that are rarer than appends take to be acknowledged: with twice as many the leader sent
@@ -35,7 +35,7 @@
     /// Streaming, with a limit on what is under way.
     Replicate(InFlight),
     /// Sending a snapshot.
-    Snapshot(SnapshotTransfer),
+    Snapshot(OutgoingSnapshot),
 }
 
 /// Appends sent and not yet acknowledged: the last index and the bytes of each.
@@ -66,76 +66,6 @@
     }
 }
 
-/// A snapshot that is being sent in chunks.
-#[derive(Debug)]
-pub(crate) struct SnapshotTransfer {
-    /// The snapshot.
-    pub(crate) snapshot: Arc<StoredSnapshot>,
-    /// Bytes sent.
-    pub(crate) sent: u64,
-    /// Bytes the follower has.
-    pub(crate) received: u64,
-    /// Bytes by the follower's last acknowledgement: fewer where an earlier one overtook it, or where
-    /// the follower has restarted.
-    reported: u64,
-    /// The place from which chunks were last sent again because of an acknowledgement.
-    resent_from: Option<u64>,
-    /// Reads the snapshot's bytes.
-    parts: PartReader,
-}
-
-impl SnapshotTransfer {
-    fn new(snapshot: Arc<StoredSnapshot>) -> Self {
-        let parts = PartReader::new(snapshot.data.clone());
-        Self {
-            snapshot,
-            sent: 0,
-            received: 0,
-            reported: 0,
-            resent_from: None,
-            parts,
-        }
-    }
-
-    /// At most `length` bytes from `offset` on; none when they cannot be read: the state that is
-    /// sent logs why, and the transfer is begun again once the follower is stalled.
-    pub(crate) fn part(&mut self, offset: u64, length: usize) -> Vec<u8> {
-        self.parts.part(offset, length).unwrap_or_default()
-    }
-
-    /// Sends again what is not acknowledged, since the follower is stalled. A follower
-    /// that had all of it, and still has not acknowledged its index, restarted before it was
-    /// durable: it needs it from the beginning.
-    fn resend(&mut self) {
-        self.received = self.received.min(self.reported);
-        if self.received >= self.snapshot.data.length() {
-            self.received = 0;
-        }
-        self.reported = self.received;
-        self.resent_from = None;
-        self.sent = self.received;
-    }
-
-    /// The follower has `received` bytes; `true` when that is more than before.
-    ///
-    /// An acknowledgement without news answers a chunk after a gap. The chunks after
-    /// the gap are sent again once for each place: doing so for each acknowledgement would bring
-    /// on as many acknowledgements again, and more on a network that reorders.
-    fn acknowledge(&mut self, received: u64) -> bool {
-        self.reported = received;
-        if received > self.received {
-            self.received = received;
-            self.sent = self.sent.max(received);
-            return true;
-        }
-        if received == self.received && self.resent_from != Some(received) {
-            self.resent_from = Some(received);
-            self.sent = received;
-        }
-        false
-    }
-}
-
 /// One follower.
 ///
 /// Invariant: `match_index < next_index`.
@@ -203,7 +133,7 @@
             }
             ProgressState::Probe { .. } => {}
             ProgressState::Replicate(in_flight) => in_flight.acknowledge(match_index),
-            ProgressState::Snapshot(transfer) if match_index >= transfer.snapshot.index => {
+            ProgressState::Snapshot(outgoing) if match_index >= outgoing.snapshot.index => {
                 self.probe_from(LogIndex(self.match_index.0 + 1));
             }
             ProgressState::Snapshot(_) => {}
@@ -250,9 +180,9 @@
             ProgressState::Replicate(in_flight) => {
                 needs_log || (stalled && !in_flight.messages.is_empty())
             }
-            ProgressState::Snapshot(transfer) => {
+            ProgressState::Snapshot(outgoing) => {
                 if stalled {
-                    transfer.resend();
+                    outgoing.resend();
                 }
                 false
             }
@@ -267,10 +197,10 @@
 
     /// The follower has `received` bytes of the snapshot at `index`.
     pub(crate) fn on_snapshot_received(&mut self, index: LogIndex, received: u64) {
-        let ProgressState::Snapshot(transfer) = &mut self.state else {
+        let ProgressState::Snapshot(outgoing) = &mut self.state else {
             return;
         };
-        if transfer.snapshot.index == index && transfer.acknowledge(received) {
+        if outgoing.snapshot.index == index && outgoing.acknowledge(received) {
             self.idle_replies = 0;
         }
     }
@@ -278,14 +208,22 @@
     /// The last entry of the snapshot that is being sent to it.
     pub(crate) fn snapshot_under_way(&self) -> Option<LogIndex> {
         match &self.state {
-            ProgressState::Snapshot(transfer) => Some(transfer.snapshot.index),
+            ProgressState::Snapshot(outgoing) => Some(outgoing.snapshot.index),
+            _ => None,
+        }
+    }
+
+    /// How far the sending of a snapshot to it, which is `id`, is.
+    pub(crate) fn snapshot_sending(&self, id: ReplicaId) -> Option<SnapshotSending> {
+        match &self.state {
+            ProgressState::Snapshot(outgoing) => Some(outgoing.report(id)),
             _ => None,
         }
     }
 
     /// Starts to send a snapshot.
     pub(crate) fn send_snapshot(&mut self, snapshot: Arc<StoredSnapshot>) {
-        self.state = ProgressState::Snapshot(SnapshotTransfer::new(snapshot));
+        self.state = ProgressState::Snapshot(OutgoingSnapshot::new(snapshot));
     }
 
     /// Searches for the last entry in common from before `next_index`.
--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -111,20 +111,19 @@
         let Some(progress) = self.progress_mut(to) else {
             return;
         };
-        let ProgressState::Snapshot(transfer) = &mut progress.state else {
+        let ProgressState::Snapshot(outgoing) = &mut progress.state else {
             return;
         };
         let mut chunks = Vec::new();
-        let snapshot = Arc::clone(&transfer.snapshot);
+        let snapshot = Arc::clone(&outgoing.snapshot);
         let total = snapshot.data.length();
-        let limit = total.min(transfer.received.saturating_add(window));
-        while transfer.sent < limit {
-            let offset = transfer.sent;
-            let data = transfer.part(offset, chunk_bytes);
+        let limit = total.min(outgoing.received.saturating_add(window));
+        while outgoing.next_offset < limit {
+            let offset = outgoing.next_offset;
+            let data = outgoing.next_part(chunk_bytes);
             if data.is_empty() {
                 break;
             }
-            transfer.sent += data.len() as u64;
             chunks.push(SnapshotChunk {
                 index: snapshot.index,
                 term: snapshot.term,
--- a/crates/shared/wingshore-group/src/host.rs
+++ b/crates/shared/wingshore-group/src/host.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
-use wingshore_consensus::{Input, Message, Output, Raft, RaftConfig};
+use wingshore_consensus::{Input, Message, Output, Raft, RaftConfig, SnapshotSending};
 use wingshore_types::log::RecoveredLog;
 use wingshore_types::machine::{LeaderMachine, ProposalTag, ReplicatedState, RequestTag};
 use wingshore_types::protocol::membership::Membership;
@@ -317,6 +317,11 @@
         index.is_some_and(|(_, index)| *index >= self.raft.commit_index())
     }
 
+    /// The states that this replica, as leader, is sending to members; none on others.
+    pub fn snapshots_under_way(&self) -> Vec<SnapshotSending> {
+        self.raft.snapshots_under_way()
+    }
+
     /// The members, as of the newest entry that changes them.
     pub fn membership(&self) -> &Membership {
         self.raft.membership()
--- a/crates/shared/wingshore-group/src/lib.rs
+++ b/crates/shared/wingshore-group/src/lib.rs
@@ -18,4 +18,4 @@
 pub use host::Host;
 pub use interface::{HostConfig, HostError, HostInput, HostOutput, HostReply, Leadership};
 pub use machines::{MachineFactory, PrepareState};
-pub use wingshore_consensus::{Faults, Limits, Timing};
+pub use wingshore_consensus::{Faults, Limits, SnapshotSending, Timing};
