consensus: a state that is sent goes back once for a gap, and reads nothing twice

What callers saw: batch jobs that had been accepted could not be read at the end, nor the configuration. Two coordinators had lost their disks and were sent the state for 12 s without getting it; two more were lost, and no majority was left. Cause: an acknowledgement without news was taken for a gap each time, and the leader sent the window again. It also answers a chunk that comes twice, and what is sent again does come twice: from the first chunk on that came late (the path between two members changes when the second of their connections is up) each window went out two to four times, to the end. Each time the state was read and encoded again from its first byte, so that the leader's processor was used up and the rate fell with the offset; beyond some 30 MB of state it did not end. Change: after it went back the leader does not go back again for acknowledgements until the follower has more than was under way then; chunks that are not acknowledged are held (a window, 1 MiB to each receiver) and sent from there. Safe: a true gap within what is sent again is found as before by answered heartbeats (a stall); what was sent is the same bytes; no frame changes. Ruled out: the receiver dropped nothing (no line, acknowledgements only rise); one sending went to one member at a time, of one state.

--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -1,5 +1,12 @@
 //! A snapshot that this leader is sending.
+//!
+//! Chunks go out in order, a window of them at a time. A gap, or a stalled follower, makes the leader go
+//! back to what the follower has. Two rules keep that cheap: what was sent is held until it is
+//! acknowledged, since to read it again means to read all that is before it; and until the follower has
+//! what was under way, acknowledgements without news do not make the leader go back once more,
+//! since what comes twice is acknowledged so.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use wingshore_types::log::StoredSnapshot;
 use wingshore_types::snapshot_data::PartReader;
@@ -22,6 +29,19 @@
     pub sent_again: u64,
 }
 
+/// A chunk that was sent and is not acknowledged.
+#[derive(Debug)]
+struct HeldChunk {
+    offset: u64,
+    data: Vec<u8>,
+}
+
+impl HeldChunk {
+    fn end(&self) -> u64 {
+        self.offset + self.data.len() as u64
+    }
+}
+
 /// A snapshot that is being sent in chunks.
 #[derive(Debug)]
 pub(crate) struct OutgoingSnapshot {
@@ -34,10 +54,13 @@
     /// Bytes by the follower's last acknowledgement: fewer where an earlier one overtook it, or where
     /// the follower has restarted.
     reported: u64,
-    /// The place from which chunks were last sent again because of an acknowledgement.
-    resent_from: Option<u64>,
+    /// The leader went back last when it had sent up to here: until the follower has more, an
+    /// acknowledgement without news tells of a chunk that came twice.
+    went_back_at: Option<u64>,
     /// Reads the snapshot's bytes.
     parts: PartReader,
+    /// Chunks that the follower has not acknowledged, in order and without gap.
+    held: VecDeque<HeldChunk>,
     /// Bytes that were sent, and those of them that were sent again.
     sent: u64,
     sent_again: u64,
@@ -53,8 +76,9 @@
             next_offset: 0,
             received: 0,
             reported: 0,
-            resent_from: None,
+            went_back_at: None,
             parts,
+            held: VecDeque::new(),
             sent: 0,
             sent_again: 0,
             furthest: 0,
@@ -65,13 +89,34 @@
     /// state that is sent logs why, and it is sent again once the follower is stalled.
     pub(crate) fn next_part(&mut self, length: usize) -> Vec<u8> {
         let offset = self.next_offset;
-        let part = self.parts.part(offset, length).unwrap_or_default();
-        let end = offset + part.len() as u64;
-        self.sent += part.len() as u64;
+        let held = self.held.iter().find(|chunk| chunk.offset == offset);
+        let part = match held {
+            Some(chunk) => chunk.data.clone(),
+            None => self.read_part(offset, length),
+        };
+        self.count_sent(offset, part.len() as u64);
+        self.next_offset = offset + part.len() as u64;
+        part
+    }
+
+    fn read_part(&mut self, offset: u64, length: usize) -> Vec<u8> {
+        let data = self.parts.part(offset, length).unwrap_or_default();
+        let follows = self.held.back().is_none_or(|last| last.end() == offset);
+        if !follows {
+            self.held.clear();
+        }
+        if !data.is_empty() {
+            let data = data.clone();
+            self.held.push_back(HeldChunk { offset, data });
+        }
+        data
+    }
+
+    fn count_sent(&mut self, offset: u64, bytes: u64) {
+        let end = offset + bytes;
+        self.sent += bytes;
         self.sent_again += end.min(self.furthest).saturating_sub(offset);
         self.furthest = self.furthest.max(end);
-        self.next_offset = end;
-        part
     }
 
     /// Sends again what is not acknowledged, since the follower is stalled. A follower
@@ -83,29 +128,43 @@
             self.received = 0;
         }
         self.reported = self.received;
-        self.resent_from = None;
+        self.go_back();
+    }
+
+    /// The next chunk is the first one that the follower lacks.
+    fn go_back(&mut self) {
+        self.went_back_at = Some(self.furthest);
         self.next_offset = self.received;
     }
 
     /// The follower has `received` bytes; `true` when that is more than before.
     ///
-    /// An acknowledgement without news answers a chunk after a gap. The chunks after
-    /// the gap are sent again once for each place: doing so for each acknowledgement would bring
-    /// on as many acknowledgements again, and more on a network that reorders.
+    /// An acknowledgement without news answers a chunk after a gap, or one that came twice. The
+    /// leader goes back for the first one only: what it sends again comes twice in its turn where
+    /// nothing was lost, and to go back for that would send every window twice to the end.
     pub(crate) fn acknowledge(&mut self, received: u64) -> bool {
         self.reported = received;
         if received > self.received {
             self.received = received;
             self.next_offset = self.next_offset.max(received);
+            self.release_acknowledged();
             return true;
         }
-        if received == self.received && self.resent_from != Some(received) {
-            self.resent_from = Some(received);
-            self.next_offset = received;
+        let may_be_gap = self.went_back_at.is_none_or(|end| received > end);
+        if received == self.received && may_be_gap {
+            self.go_back();
         }
         false
     }
 
+    fn release_acknowledged(&mut self) {
+        while let Some(first) = self.held.front()
+            && first.end() <= self.received
+        {
+            self.held.pop_front();
+        }
+    }
+
     /// How far it is.
     pub(crate) fn report(&self, to: ReplicaId) -> SnapshotSending {
         SnapshotSending {
