consensus: failing tests of a member that answers several heartbeats at once

What is seen: a member that stood still for 400 ms, and has all that it was sent waiting in its socket, answers eight heartbeats at once; the leader takes two answers without progress for a loss and sends again what is on its way: 417 chunks for 401, 54 entries for 40. Aim: nothing was lost, so nothing is sent again.

--- a/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
@@ -10,7 +10,7 @@
 use support::cluster::{Cluster, Network};
 use support::counted::CountedState;
 use wingshore_consensus::{Faults, Limits};
-use wingshore_types::ReplicaId;
+use wingshore_types::{LogIndex, ReplicaId};
 
 /// Bytes of a chunk.
 const CHUNK_BYTES: usize = 64;
@@ -27,50 +27,89 @@
     bytes_read: u64,
 }
 
-/// Sends the state to a member that was away for long, on a network that keeps the order but for the
-/// chunks of these numbers.
-fn send_state(late: &[u64], doubled: &[u64]) -> Result<Sending> {
-    let limits = Limits {
-        snapshot_chunk_bytes: CHUNK_BYTES,
-        snapshot_chunks_in_flight: usize::try_from(WINDOW).or_fail()?,
-        retained_log_bytes: 0,
-        ..support::small_limits()
-    };
+/// Three members on a network that keeps the order.
+fn ordered_cluster(limits: Limits) -> Cluster {
     let mut cluster = Cluster::with(3, 1, Faults::default(), limits);
     cluster.network = Network {
         min_delay: Duration::from_millis(1),
         max_delay: Duration::from_millis(1),
         ..Network::default()
     };
-    cluster.late_chunks = late.iter().copied().collect();
-    cluster.doubled_chunks = doubled.iter().copied().collect();
-    cluster.isolate(RECEIVER);
+    cluster
+}
+
+fn wait_for_leader(cluster: &mut Cluster) -> Result<u64> {
     let has_leader = |cluster: &Cluster| cluster.ready_leader().is_some();
     verify_that!(
         cluster.run_until(Duration::from_secs(5), has_leader),
         eq(true)
     )?;
-    let leader = cluster.ready_leader().or_fail()?;
-    for _ in 0..60 {
-        cluster.propose(leader, &[1; 16]).or_fail()?;
-        cluster.run(Duration::from_millis(10));
+    cluster.ready_leader().or_fail()
+}
+
+/// A member stands still for eight heartbeats.
+fn freeze(cluster: &mut Cluster, id: u64) {
+    let until = cluster.now + 8 * support::timing().heartbeat_interval;
+    cluster.node(id).frozen_until = until;
+}
+
+/// A member that was away for long, and the leader that is to send it a state.
+struct Scene {
+    cluster: Cluster,
+    leader: u64,
+    state: CountedState,
+    applied: LogIndex,
+}
+
+impl Scene {
+    fn new() -> Result<Self> {
+        let limits = Limits {
+            snapshot_chunk_bytes: CHUNK_BYTES,
+            snapshot_chunks_in_flight: usize::try_from(WINDOW).or_fail()?,
+            retained_log_bytes: 0,
+            ..support::small_limits()
+        };
+        let mut cluster = ordered_cluster(limits);
+        cluster.isolate(RECEIVER);
+        let leader = wait_for_leader(&mut cluster)?;
+        for _ in 0..60 {
+            cluster.propose(leader, &[1; 16]).or_fail()?;
+            cluster.run(Duration::from_millis(10));
+        }
+        let state = CountedState::new(CHUNKS * CHUNK_BYTES as u64);
+        cluster.node(leader).provided_state = Some(state.state());
+        cluster.cut.clear();
+        let applied = cluster.raft(leader).last_applied();
+        Ok(Self {
+            cluster,
+            leader,
+            state,
+            applied,
+        })
+    }
+
+    /// Runs until the member has the state and what follows it.
+    fn run(mut self) -> Result<Sending> {
+        let applied = self.applied;
+        let has_caught_up = |cluster: &Cluster| {
+            let receiver = cluster.nodes[&ReplicaId(RECEIVER)].raft.as_ref();
+            receiver.is_some_and(|raft| raft.last_applied() >= applied)
+        };
+        let duration = Duration::from_secs(20);
+        verify_that!(self.cluster.run_until(duration, has_caught_up), eq(true))?;
+        Ok(Sending {
+            chunks: self.cluster.sent_snapshot_chunks,
+            bytes_read: self.state.bytes_read(),
+        })
     }
-    let state = CountedState::new(CHUNKS * CHUNK_BYTES as u64);
-    cluster.node(leader).provided_state = Some(state.state());
-    cluster.cut.clear();
-    let applied = cluster.raft(leader).last_applied();
-    let has_caught_up = |cluster: &Cluster| {
-        let receiver = cluster.nodes[&ReplicaId(RECEIVER)].raft.as_ref();
-        receiver.is_some_and(|raft| raft.last_applied() >= applied)
-    };
-    verify_that!(
-        cluster.run_until(Duration::from_secs(20), has_caught_up),
-        eq(true)
-    )?;
-    Ok(Sending {
-        chunks: cluster.sent_snapshot_chunks,
-        bytes_read: state.bytes_read(),
-    })
+}
+
+/// Sends the state, with the chunks of these numbers late or twice.
+fn send_state(late: &[u64], doubled: &[u64]) -> Result<Sending> {
+    let mut scene = Scene::new()?;
+    scene.cluster.late_chunks = late.iter().copied().collect();
+    scene.cluster.doubled_chunks = doubled.iter().copied().collect();
+    scene.run()
 }
 
 /// Chunks of the whole with its head.
@@ -127,3 +166,41 @@
     expect_that!(sending.bytes_read, eq(CHUNKS * CHUNK_BYTES as u64));
     Ok(())
 }
+
+/// A member that stood still answers all heartbeats at once that waited in its socket: nothing is lost, and
+/// nothing is sent again. A member with an empty disk does the same when its first write is durable.
+#[gtest]
+fn a_member_that_stood_still_is_sent_no_chunk_again() -> Result<()> {
+    let mut scene = Scene::new()?;
+    let half = |cluster: &Cluster| cluster.sent_snapshot_chunks >= CHUNKS / 2;
+    verify_that!(
+        scene.cluster.run_until(Duration::from_secs(5), half),
+        eq(true)
+    )?;
+    freeze(&mut scene.cluster, RECEIVER);
+    let sending = scene.run()?;
+    verify_that!(sending.chunks, eq(chunks_of_all()))
+}
+
+/// The same for entries of the log.
+#[gtest]
+fn a_member_that_stood_still_is_sent_no_entry_again() -> Result<()> {
+    let limits = Limits {
+        cached_log_bytes: 1 << 20,
+        ..support::small_limits()
+    };
+    let mut cluster = ordered_cluster(limits);
+    let leader = wait_for_leader(&mut cluster)?;
+    let other = (1..=3).find(|id| *id != leader).or_fail()?;
+    cluster.run(Duration::from_secs(1));
+    let before = cluster.sent_entries;
+    freeze(&mut cluster, other);
+    let proposed = 20;
+    for _ in 0..proposed {
+        cluster.propose(leader, &[1; 16]).or_fail()?;
+        cluster.run(Duration::from_millis(40));
+    }
+    cluster.run(Duration::from_secs(1));
+    let others = 2;
+    verify_that!(cluster.sent_entries - before, eq(others * proposed))
+}
--- a/crates/shared/wingshore-consensus/tests/support/cluster.rs
+++ b/crates/shared/wingshore-consensus/tests/support/cluster.rs
@@ -76,6 +76,8 @@
     pub checker: Checker,
     pub random: ChaCha8Rng,
     pub sent_snapshot_chunks: u64,
+    /// Entries in appends, each as often as it was sent.
+    pub sent_entries: u64,
     /// Numbers of snapshot chunks, counted from 1, that come after those sent next, as when the path
     /// between two members changes.
     pub late_chunks: BTreeSet<u64>,
@@ -105,6 +107,7 @@
             checker: Checker::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             sent_snapshot_chunks: 0,
+            sent_entries: 0,
             late_chunks: BTreeSet::new(),
             doubled_chunks: BTreeSet::new(),
             faults,
@@ -274,6 +277,7 @@
     fn send(&mut self, from: ReplicaId, to: ReplicaId, message: Message) {
         match message.body {
             Body::SnapshotChunk(_) => self.sent_snapshot_chunks += 1,
+            Body::Append(ref request) => self.sent_entries += request.entries.len() as u64,
             Body::VoteReply { granted: true } => self.checker.on_vote(message.term, from, to),
             Body::Vote(_) => self.checker.on_vote(message.term, from, from),
             _ => {}
