consensus: answers to heartbeats that come at once are one answer

Cause: a stall was counted in answered heartbeats. A member that stood still, or whose first write takes longer than two heartbeats, answers several at once, and the leader sent again what was on its way. Change: a follower is stalled once answers without progress lie half a heartbeat interval or more apart. Safe: answers to heartbeats sent in turn lie an interval apart, so that a true loss is found as soon as before; no frame changes.

--- a/crates/shared/wingshore-consensus/src/leader.rs
+++ b/crates/shared/wingshore-consensus/src/leader.rs
@@ -121,9 +121,16 @@
     }
 
     /// A member answered a heartbeat.
-    pub(crate) fn on_heartbeat_reply(&mut self, from: ReplicaId, round: u64, needs_log: bool) {
+    pub(crate) fn on_heartbeat_reply(
+        &mut self,
+        now: Instant,
+        from: ReplicaId,
+        round: u64,
+        needs_log: bool,
+    ) {
+        let interval = self.timing.heartbeat_interval;
         if let Some(progress) = self.progress_mut(from) {
-            progress.on_heartbeat_reply(round, needs_log);
+            progress.on_heartbeat_reply(now, interval, round, needs_log);
             self.count_rounds();
         }
     }
--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -3,11 +3,13 @@
 //! - Inputs: acknowledgements and rejections of appends, answers to heartbeats, acknowledged bytes of a
 //!   snapshot; the limits of what may be under way ([`Limits`]).
 //! - Rule: a follower whose log is not known is probed with one append at a time until one is accepted;
-//!   from then on entries are streamed up to the limits. A follower that answers
-//!   [`STALLED_REPLIES`] heartbeats without any progress is stalled: what is under way counts as lost and
-//!   is sent again, entries from the last acknowledged one, a snapshot from its last acknowledged byte.
+//!   from then on entries are streamed up to the limits. A follower that answers heartbeats without any
+//!   progress, the last of them half a heartbeat interval or more after the first, is
+//!   stalled: what is under way counts as lost and is sent again, entries from the last acknowledged
+//!   one, a snapshot from its last acknowledged byte.
 //! - Why: messages may be lost, repeated and overtaken, and each heartbeat is answered, so that answers
-//!   without progress are the sign of a loss.
+//!   without progress are the sign of a loss. Answers that come at once are one answer: a follower that
+//!   stood still, or waited for its first write, gives them together.
 //! - Old or missing inputs: an acknowledgement that is older than what is known changes nothing. A
 //!   rejection from a log that is shorter than what was acknowledged is old, or the follower has lost its
 //!   log: it is probed anew, which is right in the second case and harmless in the first.
@@ -16,13 +18,13 @@
 use crate::outgoing::{OutgoingSnapshot, SnapshotSending};
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 use wingshore_types::log::StoredSnapshot;
-use wingshore_types::{LogIndex, ReplicaId};
+use wingshore_types::{Instant, LogIndex, ReplicaId};
 
-/// Heartbeat replies without progress after which what is under way counts as lost. It holds for
-/// heartbeats that are rarer than appends take to be acknowledged: with twice as many the leader sent
-/// again what was still on its way. The figure itself is chosen, not measured.
-const STALLED_REPLIES: u32 = 2;
+/// The heartbeat interval divided by this lies at least between two replies that count as two: more than
+/// between those that waited together, less than between those to heartbeats that were sent in turn.
+const STALL_DIVISOR: u32 = 2;
 
 /// How entries are sent to a follower.
 #[derive(Debug)]
@@ -79,8 +81,8 @@
     pub(crate) state: ProgressState,
     /// The last heartbeat round it answered.
     pub(crate) acknowledged_round: u64,
-    /// Heartbeat replies since the last progress.
-    idle_replies: u32,
+    /// The first heartbeat reply since the last progress.
+    idle_since: Option<Instant>,
 }
 
 impl Progress {
@@ -91,7 +93,7 @@
             next_index,
             state: ProgressState::Probe { sent: false },
             acknowledged_round: 0,
-            idle_replies: 0,
+            idle_since: None,
         }
     }
 
@@ -123,7 +125,7 @@
         let advanced = match_index > self.match_index;
         if advanced {
             self.match_index = match_index;
-            self.idle_replies = 0;
+            self.idle_since = None;
         }
         let probed = LogIndex(self.next_index.0.saturating_sub(1));
         self.next_index = self.next_index.max(LogIndex(self.match_index.0 + 1));
@@ -167,21 +169,26 @@
         }
     }
 
-    /// The follower answered heartbeat `round`; what seems lost is sent again.
-    pub(crate) fn on_heartbeat_reply(&mut self, round: u64, needs_log: bool) {
+    /// The follower answered heartbeat `round` at `now`; what seems lost is sent again.
+    pub(crate) fn on_heartbeat_reply(
+        &mut self,
+        now: Instant,
+        heartbeat_interval: Duration,
+        round: u64,
+        needs_log: bool,
+    ) {
         self.acknowledged_round = self.acknowledged_round.max(round);
-        self.idle_replies += 1;
-        let stalled = self.idle_replies >= STALLED_REPLIES;
+        let is_stalled = self.is_stalled(now, heartbeat_interval);
         let restart = match &mut self.state {
             ProgressState::Probe { sent } => {
                 *sent = false;
                 false
             }
             ProgressState::Replicate(in_flight) => {
-                needs_log || (stalled && !in_flight.messages.is_empty())
+                needs_log || (is_stalled && !in_flight.messages.is_empty())
             }
             ProgressState::Snapshot(outgoing) => {
-                if stalled {
+                if is_stalled {
                     outgoing.resend();
                 }
                 false
@@ -190,9 +197,17 @@
         if restart {
             self.probe_from(LogIndex(self.match_index.0 + 1));
         }
-        if stalled {
-            self.idle_replies = 0;
+    }
+
+    /// Notes a reply without progress; `true` where the ones since the last progress, or since the
+    /// last stall, tell of a loss.
+    fn is_stalled(&mut self, now: Instant, heartbeat_interval: Duration) -> bool {
+        let since = *self.idle_since.get_or_insert(now);
+        let is_stalled = now.since(since) >= heartbeat_interval / STALL_DIVISOR;
+        if is_stalled {
+            self.idle_since = None;
         }
+        is_stalled
     }
 
     /// The follower has `received` bytes of the snapshot at `index`.
@@ -201,7 +216,7 @@
             return;
         };
         if outgoing.snapshot.index == index && outgoing.acknowledge(received) {
-            self.idle_replies = 0;
+            self.idle_since = None;
         }
     }
 
--- a/crates/shared/wingshore-consensus/src/raft.rs
+++ b/crates/shared/wingshore-consensus/src/raft.rs
@@ -189,7 +189,7 @@
             Body::AppendRejected(rejection) => self.on_append_rejected(from, rejection),
             Body::Heartbeat(request) => self.on_heartbeat(from, request, out),
             Body::HeartbeatReply { round, needs_log } => {
-                self.on_heartbeat_reply(from, round, needs_log);
+                self.on_heartbeat_reply(now, from, round, needs_log);
             }
             Body::SnapshotChunk(chunk) => self.on_snapshot_chunk(from, chunk, out),
             Body::SnapshotReceived { index, received } => {
--- a/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
@@ -56,7 +56,6 @@
 /// A member that was away for long, and the leader that is to send it a state.
 struct Scene {
     cluster: Cluster,
-    leader: u64,
     state: CountedState,
     applied: LogIndex,
 }
@@ -82,7 +81,6 @@
         let applied = cluster.raft(leader).last_applied();
         Ok(Self {
             cluster,
-            leader,
             state,
             applied,
         })
@@ -204,3 +202,25 @@
     let others = 2;
     verify_that!(cluster.sent_entries - before, eq(others * proposed))
 }
+
+/// Entries that are sent now and then, with heartbeats answered between them, are sent once.
+#[gtest]
+fn an_answer_that_was_under_way_before_an_entry_says_nothing_of_it() -> Result<()> {
+    let limits = Limits {
+        cached_log_bytes: 1 << 20,
+        ..support::small_limits()
+    };
+    let mut cluster = ordered_cluster(limits);
+    cluster.network.min_delay = Duration::from_millis(4);
+    cluster.network.max_delay = Duration::from_millis(4);
+    let leader = wait_for_leader(&mut cluster)?;
+    cluster.run(Duration::from_secs(1));
+    let before = cluster.sent_entries;
+    let proposed = 200;
+    for number in 0..proposed {
+        cluster.propose(leader, &[1; 16]).or_fail()?;
+        cluster.run(Duration::from_millis(85 + 5 * (number % 20)));
+    }
+    let others = 2;
+    verify_that!(cluster.sent_entries - before, eq(others * proposed))
+}
