consensus: an answer counts towards a stall only while something is under way

Cause: answers to heartbeats while nothing was under way were counted, so that the first answer after an entry was sent, which was itself under way before it, often made the leader send the entry again and stream no further until it was acknowledged. Change: only answers while something is under way and not acknowledged count. Safe: a lost entry is still found by two answers after it; no frame changes.

--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -81,7 +81,7 @@
     pub(crate) state: ProgressState,
     /// The last heartbeat round it answered.
     pub(crate) acknowledged_round: u64,
-    /// The first heartbeat reply since the last progress.
+    /// The first heartbeat reply without progress, while something is under way.
     idle_since: Option<Instant>,
 }
 
@@ -184,9 +184,7 @@
                 *sent = false;
                 false
             }
-            ProgressState::Replicate(in_flight) => {
-                needs_log || (is_stalled && !in_flight.messages.is_empty())
-            }
+            ProgressState::Replicate(_) => needs_log || is_stalled,
             ProgressState::Snapshot(outgoing) => {
                 if is_stalled {
                     outgoing.resend();
@@ -199,9 +197,23 @@
         }
     }
 
+    /// Whether something is under way that is not acknowledged.
+    fn has_sent(&self) -> bool {
+        match &self.state {
+            ProgressState::Probe { sent } => *sent,
+            ProgressState::Replicate(in_flight) => !in_flight.messages.is_empty(),
+            ProgressState::Snapshot(_) => true,
+        }
+    }
+
     /// Notes a reply without progress; `true` where the ones since the last progress, or since the
-    /// last stall, tell of a loss.
+    /// last stall, tell of a loss. A reply while nothing was under way says nothing of what is sent
+    /// after it.
     fn is_stalled(&mut self, now: Instant, heartbeat_interval: Duration) -> bool {
+        if !self.has_sent() {
+            self.idle_since = None;
+            return false;
+        }
         let since = *self.idle_since.get_or_insert(now);
         let is_stalled = now.since(since) >= heartbeat_interval / STALL_DIVISOR;
         if is_stalled {
