--- a/crates/shared/wingshore-consensus/tests/review_findings.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_disturbances.rs
@@ -1,4 +1,6 @@
-//! Findings of a cold review of the sending of states. Each of these fails on the code as it is.
+//! The sending of a state where the path reorders and loses, the receiver restarts or writes slowly, the
+//! state cannot be read, and the leader compacts its log: it must go on at the pace of the path, and send
+//! and read little more than the state.
 
 mod support;
 
--- a/crates/shared/wingshore-consensus/tests/review_soak.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_soak.rs
@@ -1,4 +1,4 @@
-//! A soak of a cold review: states are sent over networks that lose, double and reorder, to a member that
+//! A soak: states are sent over networks that lose, double and reorder, to a member that
 //! restarts midway; each sending ends, with the very bytes.
 
 mod support;
