consensus: chunks of a state may overtake each other, and repeats are counted

What is seen: since the leader ignored answers without news up to a place in the state, a path that reorders, with or without losses, and a receiver that restarted waited for a stall in nearly each window (23.5 s, 25.0 s and 1,025 ms). Cause: a place does not tell how many answers are repeats, and after a restart nearly the whole state lay before it; and the receiver dropped each chunk that came early. Change: the leader ignores as many answers without news as were under way or are sent again, until the follower has more than what was under way; the receiver keeps up to eight chunks that come early. Safe: an older receiver drops early chunks as before and answers the same; an older leader sees answers that jump further; no frame changes. Memory: eight chunks (2 MiB) at a receiver.

--- a/crates/shared/wingshore-consensus/src/incoming.rs
+++ b/crates/shared/wingshore-consensus/src/incoming.rs
@@ -1,10 +1,15 @@
 //! A snapshot that this member is receiving.
 
 use crate::message::SnapshotChunk;
+use std::collections::BTreeMap;
 use std::io;
 use wingshore_types::LogIndex;
 use wingshore_types::snapshot_spool::SpooledSnapshot;
 
+/// Chunks after a gap that are kept until it is closed: two windows of the usual size. What is more is
+/// dropped and sent again.
+const MAX_EARLY_CHUNKS: usize = 8;
+
 /// A snapshot that is being received. It belongs to one leadership: another leader's encoding of
 /// the same state need not be equal byte for byte.
 #[derive(Debug)]
@@ -17,6 +22,8 @@
     pub(crate) total: u64,
     /// Bytes that have come, without gap.
     pub(crate) received: u64,
+    /// Chunks after a gap, by their offset.
+    pub(crate) early: BTreeMap<u64, Vec<u8>>,
     /// What has come.
     pub(crate) data: Box<dyn SpooledSnapshot>,
 }
@@ -27,12 +34,36 @@
         (self.index, self.term, self.total) == (chunk.index, chunk.term, chunk.total)
     }
 
-    /// Adds a part, if it is the next one.
+    /// Adds a chunk, and those that were waiting for it.
     pub(crate) fn append(&mut self, chunk: &SnapshotChunk) -> io::Result<()> {
+        if chunk.offset > self.received {
+            self.keep_early(chunk);
+            return Ok(());
+        }
         if chunk.offset == self.received {
-            self.data.append(&chunk.data)?;
-            self.received += chunk.data.len() as u64;
+            self.append_next(&chunk.data)?;
+        }
+        while let Some(first) = self.early.first_entry()
+            && *first.key() <= self.received
+        {
+            let (offset, data) = first.remove_entry();
+            if offset == self.received {
+                self.append_next(&data)?;
+            }
         }
         Ok(())
     }
+
+    fn append_next(&mut self, data: &[u8]) -> io::Result<()> {
+        self.data.append(data)?;
+        self.received += data.len() as u64;
+        Ok(())
+    }
+
+    /// A path that changes lets chunks overtake each other.
+    fn keep_early(&mut self, chunk: &SnapshotChunk) {
+        if self.early.len() < MAX_EARLY_CHUNKS {
+            self.early.insert(chunk.offset, chunk.data.clone());
+        }
+    }
 }
--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -1,10 +1,11 @@
 //! A snapshot that this leader is sending.
 //!
-//! Chunks go out in order, a window of them at a time. A gap, or a stalled follower, makes the leader go
-//! back to what the follower has. Two rules keep that cheap: what was sent is held until it is
-//! acknowledged, since to read it again means to read all that is before it; and until the follower has
-//! what was under way, acknowledgements without news do not make the leader go back once more,
-//! since what comes twice is acknowledged so.
+//! Chunks go out in order, a window of them at a time, and each is answered by how much the follower has
+//! without gap. An answer without news comes of a chunk after a gap, and the leader goes back to what
+//! the follower has; or of a chunk that came twice. Two rules keep that cheap. As many
+//! answers without news as chunks are under way or sent again do not make the leader go back once more:
+//! to go back for each would send every window twice to the end. And what was sent is held until it is
+//! acknowledged, since to read it again means to read all that is before it.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -54,9 +55,11 @@
     /// Bytes by the follower's last acknowledgement: fewer where an earlier one overtook it, or where
     /// the follower has restarted.
     reported: u64,
-    /// The leader went back last when it had sent up to here: until the follower has more, an
-    /// acknowledgement without news tells of a chunk that came twice.
-    went_back_at: Option<u64>,
+    /// Answers without news that are expected since the leader went back.
+    expected_repeats: usize,
+    /// Where the next chunk began when the leader last went back: once the follower has more, no
+    /// repeat is expected any more.
+    went_back_from: u64,
     /// Reads the snapshot's bytes.
     parts: PartReader,
     /// Chunks that the follower has not acknowledged, in order and without gap.
@@ -76,7 +79,8 @@
             next_offset: 0,
             received: 0,
             reported: 0,
-            went_back_at: None,
+            expected_repeats: 0,
+            went_back_from: 0,
             parts,
             held: VecDeque::new(),
             sent: 0,
@@ -131,32 +135,44 @@
         self.go_back();
     }
 
-    /// The next chunk is the first one that the follower lacks.
+    /// The next chunk is the first one that the follower lacks. Those under way may still be answered
+    /// without news, and so may each of them that is sent again.
     fn go_back(&mut self) {
-        self.went_back_at = Some(self.furthest);
+        self.expected_repeats = 2 * self.held.len();
+        self.went_back_from = self.next_offset;
         self.next_offset = self.received;
     }
 
     /// The follower has `received` bytes; `true` when that is more than before.
-    ///
-    /// An acknowledgement without news answers a chunk after a gap, or one that came twice. The
-    /// leader goes back for the first one only: what it sends again comes twice in its turn where
-    /// nothing was lost, and to go back for that would send every window twice to the end.
     pub(crate) fn acknowledge(&mut self, received: u64) -> bool {
         self.reported = received;
         if received > self.received {
-            self.received = received;
-            self.next_offset = self.next_offset.max(received);
-            self.release_acknowledged();
+            self.advance(received);
             return true;
         }
-        let may_be_gap = self.went_back_at.is_none_or(|end| received > end);
-        if received == self.received && may_be_gap {
-            self.go_back();
+        if received == self.received {
+            self.answer_without_news();
         }
         false
     }
 
+    fn advance(&mut self, received: u64) {
+        self.received = received;
+        self.next_offset = self.next_offset.max(received);
+        self.release_acknowledged();
+        if received > self.went_back_from {
+            self.expected_repeats = 0;
+        }
+    }
+
+    fn answer_without_news(&mut self) {
+        if self.expected_repeats > 0 {
+            self.expected_repeats -= 1;
+        } else {
+            self.go_back();
+        }
+    }
+
     fn release_acknowledged(&mut self) {
         while let Some(first) = self.held.front()
             && first.end() <= self.received
--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -9,6 +9,7 @@
 use crate::progress::{Progress, ProgressState};
 use crate::raft::Raft;
 use crate::role::Role;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use wingshore_types::log::StoredSnapshot;
 use wingshore_types::snapshot_data::SnapshotState;
@@ -188,6 +189,7 @@
             term: chunk.term,
             total: chunk.total,
             received: 0,
+            early: BTreeMap::new(),
             data,
         })
     }
