consensus: a late chunk of an older state leaves a newer one alone

Cause: any chunk of a state that the member has, or of another index, made it drop what it was gathering, also one that came late over an older path. Change: it drops only what is as old as the chunk, and ignores chunks older than what it gathers. Safe: one leadership sends a member states of rising index, and another leader clears what is gathered.

--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -145,7 +145,7 @@
         }
     }
 
-    /// Takes part of a snapshot from the leader.
+    /// Takes part of a snapshot from the leader. A late part of an older one changes nothing.
     pub(crate) fn on_snapshot_chunk(
         &mut self,
         from: ReplicaId,
@@ -155,12 +155,17 @@
         let is_known =
             chunk.index <= self.commit_index || self.log.matches(chunk.index, chunk.term);
         if is_known {
-            self.incoming = None;
+            let is_old = |incoming: &mut IncomingSnapshot| incoming.index <= chunk.index;
+            drop(self.incoming.take_if(is_old));
             self.verified_index = self.verified_index.max(chunk.index);
             self.owes_acknowledgement = true;
             return self.advance_commit(chunk.index, out);
         }
         let index = chunk.index;
+        let gathers_newer = |incoming: &IncomingSnapshot| incoming.index > index;
+        if self.incoming.as_ref().is_some_and(gathers_newer) {
+            return;
+        }
         let received = self.collect(&chunk);
         self.send(from, Body::SnapshotReceived { index, received }, out);
         self.install_when_complete(out);
