consensus: a state that cannot be read is tried again once the member is stalled

Cause: a part that cannot be read was asked for at each flush, and each time all that is before it was read again: 589 times the whole state in a second of writes. Change: after a failure nothing is read until the next stall, as the comment said. Safe: the stall comes with two answered heartbeats, as for a loss.

--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -62,6 +62,8 @@
     went_back_from: u64,
     /// Reads the snapshot's bytes.
     parts: PartReader,
+    /// The next chunk could not be read.
+    is_unreadable: bool,
     /// Chunks that the follower has not acknowledged, in order and without gap.
     held: VecDeque<HeldChunk>,
     /// Bytes that were sent, and those of them that were sent again.
@@ -82,6 +84,7 @@
             expected_repeats: 0,
             went_back_from: 0,
             parts,
+            is_unreadable: false,
             held: VecDeque::new(),
             sent: 0,
             sent_again: 0,
@@ -104,7 +107,11 @@
     }
 
     fn read_part(&mut self, offset: u64, length: usize) -> Vec<u8> {
+        if self.is_unreadable {
+            return Vec::new();
+        }
         let data = self.parts.part(offset, length).unwrap_or_default();
+        self.is_unreadable = data.is_empty();
         let follows = self.held.back().is_none_or(|last| last.end() == offset);
         if !follows {
             self.held.clear();
@@ -127,6 +134,7 @@
     /// that had all of it, and still has not acknowledged its index, restarted before it was
     /// durable: it needs it from the beginning.
     pub(crate) fn resend(&mut self) {
+        self.is_unreadable = false;
         self.received = self.received.min(self.reported);
         if self.received >= self.snapshot.data.length() {
             self.received = 0;
