consensus: a member that writes the state it has is probed, not sent it again

Cause: a member that had all of the state, and was still writing it to its disk, got the first window again at each stall, since it might have restarted: 72 chunks in 2 s, 1 MiB for two heartbeats each in the product. Change: it is probed with the first chunk, at the first stall and then after twice as many each time, at most eight apart; only a member that restarted answers that. Safe: a member that restarted is found by the probe after at most eight stalls, and mostly by the first, since its connection ends; no frame changes.

--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -7,6 +7,7 @@
 //! to go back for each would send every window twice to the end. And what was sent is held until it is
 //! acknowledged, since to read it again means to read all that is before it.
 
+use crate::message::SnapshotChunk;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use wingshore_types::log::StoredSnapshot;
@@ -30,6 +31,9 @@
     pub sent_again: u64,
 }
 
+/// Stalls after which a follower that has all of it is probed again at the latest.
+const MAX_STALLS_BETWEEN_PROBES: u32 = 7;
+
 /// A chunk that was sent and is not acknowledged.
 #[derive(Debug)]
 struct HeldChunk {
@@ -43,15 +47,38 @@
     }
 }
 
+/// When a follower that had all of a snapshot is asked whether it still has it: at once, and then after twice as many
+/// stalls each time.
+#[derive(Debug, Default)]
+struct DurabilityProbe {
+    stalls: u32,
+    next_at: u32,
+    is_due: bool,
+}
+
+impl DurabilityProbe {
+    fn on_stall(&mut self) {
+        self.stalls += 1;
+        if self.stalls > self.next_at {
+            self.next_at = self.stalls + self.stalls.min(MAX_STALLS_BETWEEN_PROBES);
+            self.is_due = true;
+        }
+    }
+
+    fn take(&mut self) -> bool {
+        std::mem::take(&mut self.is_due)
+    }
+}
+
 /// A snapshot that is being sent in chunks.
 #[derive(Debug)]
 pub(crate) struct OutgoingSnapshot {
     /// The snapshot.
     pub(crate) snapshot: Arc<StoredSnapshot>,
     /// Where the next chunk begins.
-    pub(crate) next_offset: u64,
+    next_offset: u64,
     /// Bytes the follower has.
-    pub(crate) received: u64,
+    received: u64,
     /// Bytes by the follower's last acknowledgement: fewer where an earlier one overtook it, or where
     /// the follower has restarted.
     reported: u64,
@@ -64,6 +91,8 @@
     parts: PartReader,
     /// The next chunk could not be read.
     is_unreadable: bool,
+    /// Asks a follower that has all of it, and does not say that it is durable, whether it still has it.
+    probe: DurabilityProbe,
     /// Chunks that the follower has not acknowledged, in order and without gap.
     held: VecDeque<HeldChunk>,
     /// Bytes that were sent, and those of them that were sent again.
@@ -85,6 +114,7 @@
             went_back_from: 0,
             parts,
             is_unreadable: false,
+            probe: DurabilityProbe::default(),
             held: VecDeque::new(),
             sent: 0,
             sent_again: 0,
@@ -92,9 +122,38 @@
         }
     }
 
+    /// The chunks of at most `length` bytes that go out now, with at most `window` bytes under way.
+    pub(crate) fn next_chunks(&mut self, length: usize, window: u64) -> Vec<SnapshotChunk> {
+        let mut chunks = Vec::new();
+        if let Some(first) = self.take_probe(length) {
+            chunks.push(self.chunk(0, first));
+        }
+        let total = self.snapshot.data.length();
+        let limit = total.min(self.received.saturating_add(window));
+        while self.next_offset < limit {
+            let offset = self.next_offset;
+            let data = self.next_part(length);
+            if data.is_empty() {
+                break;
+            }
+            chunks.push(self.chunk(offset, data));
+        }
+        chunks
+    }
+
+    fn chunk(&self, offset: u64, data: Vec<u8>) -> SnapshotChunk {
+        SnapshotChunk {
+            index: self.snapshot.index,
+            term: self.snapshot.term,
+            total: self.snapshot.data.length(),
+            offset,
+            data,
+        }
+    }
+
     /// At most `length` bytes from where the next chunk begins; none when they cannot be read: the
     /// state that is sent logs why, and it is sent again once the follower is stalled.
-    pub(crate) fn next_part(&mut self, length: usize) -> Vec<u8> {
+    fn next_part(&mut self, length: usize) -> Vec<u8> {
         let offset = self.next_offset;
         let held = self.held.iter().find(|chunk| chunk.offset == offset);
         let part = match held {
@@ -130,19 +189,30 @@
         self.furthest = self.furthest.max(end);
     }
 
-    /// Sends again what is not acknowledged, since the follower is stalled. A follower
-    /// that had all of it, and still has not acknowledged its index, restarted before it was
-    /// durable: it needs it from the beginning.
+    /// Sends again what is not acknowledged, since the follower is stalled. One that had all of it,
+    /// and has not acknowledged its index, is still writing it, or has restarted before it was durable:
+    /// it is probed with the first chunk, which only one that restarted answers.
     pub(crate) fn resend(&mut self) {
         self.is_unreadable = false;
         self.received = self.received.min(self.reported);
         if self.received >= self.snapshot.data.length() {
-            self.received = 0;
+            return self.probe.on_stall();
         }
+        self.probe = DurabilityProbe::default();
         self.reported = self.received;
         self.go_back();
     }
 
+    /// The first chunk, if the follower is to be probed with it now.
+    fn take_probe(&mut self, length: usize) -> Option<Vec<u8>> {
+        if !self.probe.take() {
+            return None;
+        }
+        let part = self.parts.part(0, length).ok()?;
+        self.count_sent(0, part.len() as u64);
+        Some(part)
+    }
+
     /// The next chunk is the first one that the follower lacks. Those under way may still be answered
     /// without news, and so may each of them that is sent again.
     fn go_back(&mut self) {
--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -115,25 +115,7 @@
         let ProgressState::Snapshot(outgoing) = &mut progress.state else {
             return;
         };
-        let mut chunks = Vec::new();
-        let snapshot = Arc::clone(&outgoing.snapshot);
-        let total = snapshot.data.length();
-        let limit = total.min(outgoing.received.saturating_add(window));
-        while outgoing.next_offset < limit {
-            let offset = outgoing.next_offset;
-            let data = outgoing.next_part(chunk_bytes);
-            if data.is_empty() {
-                break;
-            }
-            chunks.push(SnapshotChunk {
-                index: snapshot.index,
-                term: snapshot.term,
-                total,
-                offset,
-                data,
-            });
-        }
-        for chunk in chunks {
+        for chunk in outgoing.next_chunks(chunk_bytes, window) {
             self.send(to, Body::SnapshotChunk(chunk), out);
         }
     }
