--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// When a follower that had all of a snapshot is asked whether it still has it: at once, and then after twice as many
-/// stalls each time.
+/// When a follower that had all of a snapshot is asked whether it still has it: at once, and then after
+/// twice as many stalls each time.
 #[derive(Debug, Default)]
 struct DurabilityProbe {
     stalls: u32,
--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -37,8 +37,11 @@
         let through = self
             .log
             .compaction_point(snapshot.index, self.limits.retained_log_bytes);
-        self.log.compact_through(through);
-        self.members.compact_through(through);
+        // A member that is being sent a state needs the log behind that one, or else another state.
+        let held_back = self.oldest_snapshot_under_way();
+        let forgotten = held_back.map_or(through, |sent| sent.min(through));
+        self.log.compact_through(forgotten);
+        self.members.compact_through(forgotten);
         self.snapshot_index = snapshot.index;
         self.persistence.compacted(snapshot, through);
         Ok(())
