consensus: a member has caught up that holds what was committed a heartbeat ago

Change: it must hold what was committed one to two heartbeat rounds ago, and the newest change of members.

--- a/crates/shared/wingshore-consensus/src/change.rs
+++ b/crates/shared/wingshore-consensus/src/change.rs
@@ -117,7 +117,7 @@
         self.propose_membership(membership, out)
     }
 
-    /// Makes a learner a voter, if it has synced all that is committed.
+    /// Makes a learner a voter, if it has caught up.
     ///
     /// # Errors
     /// See [`ChangeError`].
@@ -138,7 +138,7 @@
             return NotALearnerSnafu { id }.fail();
         };
         let synced = self.match_index(id);
-        let needed = self.commit_index;
+        let needed = self.caught_up_index();
         ensure!(synced >= needed, NotCaughtUpSnafu { id, synced, needed });
         let member = membership.learners.remove(position);
         membership.voters.push(member);
--- a/crates/shared/wingshore-consensus/src/leader.rs
+++ b/crates/shared/wingshore-consensus/src/leader.rs
@@ -9,7 +9,7 @@
 use crate::message::{AppendRejection, AppendRequest, Body, HeartbeatRequest};
 use crate::progress::Progress;
 use crate::raft::Raft;
-use crate::role::{LeaderState, Role};
+use crate::role::{LeaderState, RecentCommits, Role};
 use snafu::{Snafu, ensure};
 use std::sync::Arc;
 use wingshore_types::{Instant, LogIndex, ReplicaId};
@@ -72,6 +72,7 @@
             first_index: next_index,
             transfer: None,
             next_heartbeat: now,
+            commits: RecentCommits::default(),
         }));
         self.awaiting_snapshot.clear();
         self.append_own(EntryKind::Empty, Arc::from([]));
@@ -99,6 +100,7 @@
             return;
         };
         leader.next_heartbeat = now + self.timing.heartbeat_interval;
+        leader.commits.note(self.commit_index);
         let round = leader.rounds.begin(now);
         let mut requests = Vec::new();
         for (id, progress) in &leader.progress {
--- a/crates/shared/wingshore-consensus/src/role.rs
+++ b/crates/shared/wingshore-consensus/src/role.rs
@@ -42,6 +42,28 @@
     pub(crate) transfer: Option<Transfer>,
     /// When the next heartbeat round is due.
     pub(crate) next_heartbeat: Instant,
+    /// What was committed at the last heartbeats.
+    pub(crate) commits: RecentCommits,
+}
+
+/// What was committed at the last two heartbeat rounds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RecentCommits {
+    last: Option<LogIndex>,
+    before_last: Option<LogIndex>,
+}
+
+impl RecentCommits {
+    /// A heartbeat round begins.
+    pub(crate) fn note(&mut self, commit_index: LogIndex) {
+        self.before_last = self.last;
+        self.last = Some(commit_index);
+    }
+
+    /// What was committed one to two rounds ago; `None` before the second round.
+    pub(crate) fn settled(&self) -> Option<LogIndex> {
+        self.before_last
+    }
 }
 
 impl LeaderState {
--- a/crates/shared/wingshore-group/src/host.rs
+++ b/crates/shared/wingshore-group/src/host.rs
@@ -310,11 +310,10 @@
         self.raft.log_bytes()
     }
 
-    /// Whether this replica leads and knows that `id` holds all that is committed, durably.
+    /// Whether this replica leads and knows that `id` holds durably what was committed a heartbeat
+    /// round ago.
     pub fn is_caught_up(&self, id: ReplicaId) -> bool {
-        let known = self.raft.match_indexes();
-        let index = known.iter().find(|(member, _)| *member == id);
-        index.is_some_and(|(_, index)| *index >= self.raft.commit_index())
+        self.raft.is_caught_up(id)
     }
 
     /// The states that this replica, as leader, is sending to members; none on others.
