--- a/crates/gateways/wingshore-coordinator/src/forwarded_heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/src/forwarded_heartbeats.rs
@@ -8,7 +8,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wingshore_coordination::ServerRecord;
-use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
 
 /// A heartbeat that the leader has not acknowledged is answered as unavailable after this time: a
@@ -16,25 +15,33 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// A heartbeat that was forwarded to the leader.
-pub(crate) struct ForwardedHeartbeat {
+pub struct ForwardedHeartbeat<K> {
     /// Whoever waits for the answer.
-    pub(crate) caller: ConnectionId,
+    pub caller: K,
     /// What the server said of itself.
-    pub(crate) server: ServerRecord,
+    pub server: ServerRecord,
     /// When it was forwarded.
-    pub(crate) since: Instant,
+    pub since: Instant,
 }
 
 /// All of them that are not answered, by the number that the leader answers with.
-#[derive(Default)]
-pub(crate) struct ForwardedHeartbeats {
-    by_id: HashMap<u64, ForwardedHeartbeat>,
+pub struct ForwardedHeartbeats<K> {
+    by_id: HashMap<u64, ForwardedHeartbeat<K>>,
     next_id: u64,
 }
 
-impl ForwardedHeartbeats {
+impl<K> Default for ForwardedHeartbeats<K> {
+    fn default() -> Self {
+        Self {
+            by_id: HashMap::new(),
+            next_id: 0,
+        }
+    }
+}
+
+impl<K> ForwardedHeartbeats<K> {
     /// A heartbeat is forwarded; gives its number.
-    pub(crate) fn add(&mut self, forwarded: ForwardedHeartbeat) -> u64 {
+    pub fn add(&mut self, forwarded: ForwardedHeartbeat<K>) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
         self.by_id.insert(id, forwarded);
@@ -42,14 +49,14 @@
     }
 
     /// The leader has answered.
-    pub(crate) fn take(&mut self, id: u64) -> Option<ForwardedHeartbeat> {
+    pub fn take(&mut self, id: u64) -> Option<ForwardedHeartbeat<K>> {
         self.by_id.remove(&id)
     }
 
     /// Takes out those that have waited for too long.
-    pub(crate) fn take_late(&mut self, now: Instant) -> Vec<ForwardedHeartbeat> {
+    pub fn take_late(&mut self, now: Instant) -> Vec<ForwardedHeartbeat<K>> {
         let is_late =
-            |forwarded: &ForwardedHeartbeat| now.since(forwarded.since) >= FORWARD_TIMEOUT;
+            |forwarded: &ForwardedHeartbeat<K>| now.since(forwarded.since) >= FORWARD_TIMEOUT;
         let late = self.by_id.extract_if(|_, forwarded| is_late(forwarded));
         late.map(|(_, forwarded)| forwarded).collect()
     }
--- a/crates/gateways/wingshore-coordinator/src/lib.rs
+++ b/crates/gateways/wingshore-coordinator/src/lib.rs
@@ -7,7 +7,7 @@
 //! - Decisions, without I/O and clocks: [`membership`](MembershipPlanner), [`lost`](LostMachines),
 //!   [`silence`](SilenceJudge), [`heartbeats`](HeartbeatRelay), [`directory`](GatewayAddress),
 //!   [`call_rate`](CallRate), [`budget`](MemoryBudget), [`view_feed`](ViewFeed), [`dials`](Dials),
-//!   [`sent_states`](SentStates), `text_queue`, `forwarded_heartbeats`.
+//!   [`sent_states`](SentStates), [`forwarded_heartbeats`](ForwardedHeartbeats), `text_queue`.
 //! - State: `peers` (other coordinators), [`texts`](TextArchive) and [`spool`](FileSpool) on disk.
 //! - Edges: [`ControlProtocol`], [`EngineProtocol`], [`ProviderProtocol`] translate the wire of a
 //!   deployment; this crate knows no wire but that of the site's own processes.
@@ -45,6 +45,7 @@
 pub use dials::{DialStep, Dials};
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
+pub use forwarded_heartbeats::{ForwardedHeartbeat, ForwardedHeartbeats};
 pub use heartbeats::{HeartbeatRelay, HeartbeatVerdict};
 pub use lost::LostMachines;
 pub use membership::{Joiner, MembershipPlanner, MembershipView, Shortage};
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -91,7 +91,7 @@
     /// The coordinators that gateways were sent last.
     announced_coordinators: Vec<SocketAddr>,
     heartbeats: HeartbeatRelay,
-    forwarded: ForwardedHeartbeats,
+    forwarded: ForwardedHeartbeats<ConnectionId>,
     members: MemberChanges,
     sent_states: SentStates,
     schedule: Schedule,
