coordinator: a late answer to a forwarded heartbeat counts, and the same is forwarded once

What callers see: while the leader took longer than 0.8 s, all heartbeats of a server were answered as unavailable, for as long as it was slow. Now only those before its first answer are; each is still answered within 0.8 s. Cause: the record of what was forwarded went with the answer to the server, so the leader's answer taught nothing and each heartbeat was forwarded whole again. Change: what was forwarded stays under way until the leader answers or its link ends (its callers are told so at once then). The same from that server waits for the same answer and is reported as heard of; after half of the time in which servers expire (3 s of 6) it is forwarded again, under the same number. What is late is forgotten after the expiry, and beyond 20,000 the oldest go. Safe: no frame changes. Another record, or another leader, is forwarded at once, and only the answer to the newest tells what the registry holds. A drain is always forwarded, and a late answer to one teaches nothing: the leader answers an older heartbeat as done once a newer one has reached it, before that is durable. What waits is reported with the sequence under way, so that it never outdates that.

--- a/crates/gateways/wingshore-coordinator/src/heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/src/heartbeats.rs
@@ -2,8 +2,9 @@
 //!
 //! Question: may this coordinator acknowledge a heartbeat itself? Inputs: the heartbeat, and the
 //! record of that server that the leader acknowledged through here. Rule: a heartbeat that says
-//! what the leader acknowledged is acknowledged here, and the leader is sent in one message an
-//! interval which servers were heard of; all else is forwarded whole. Why: the leader's work grows
+//! what the leader acknowledged, in time or late, is acknowledged here, and the leader is sent in one
+//! message an interval which servers were heard of; all else is forwarded whole, or waits for the
+//! answer to the same ([`ForwardedHeartbeats`](crate::ForwardedHeartbeats)). Why: the leader's work grows
 //! with what changes, not with the number of servers; before, 1,000 servers sent it 400 new
 //! connections a second by redirects and filled its third of a core, then 61 a second reached the
 //! busiest coordinator.
@@ -55,11 +56,16 @@
             return HeartbeatVerdict::New;
         }
         known.heard = now;
-        let sequence = self.heard.entry(instance.clone()).or_default();
-        *sequence = heartbeat.sequence.max(*sequence);
+        self.heard(instance.clone(), heartbeat.sequence);
         HeartbeatVerdict::Known
     }
 
+    /// A server was heard of whose heartbeat brings the leader nothing that is not on its way to it.
+    pub fn heard(&mut self, instance: InstanceId, sequence: u64) {
+        let highest = self.heard.entry(instance).or_default();
+        *highest = sequence.max(*highest);
+    }
+
     /// The leader has acknowledged a heartbeat that was passed on to it.
     pub fn acknowledged(&mut self, now: Instant, server: ServerRecord) {
         let known = KnownServer {
--- a/crates/gateways/wingshore-coordinator/src/lib.rs
+++ b/crates/gateways/wingshore-coordinator/src/lib.rs
@@ -45,7 +45,7 @@
 pub use dials::{DialStep, Dials};
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
-pub use forwarded_heartbeats::{ForwardedHeartbeat, ForwardedHeartbeats};
+pub use forwarded_heartbeats::{AnsweredHeartbeat, ForwardStep, ForwardedHeartbeats, LeaderRoute};
 pub use heartbeats::{HeartbeatRelay, HeartbeatVerdict};
 pub use lost::LostMachines;
 pub use membership::{Joiner, MembershipPlanner, MembershipView, Shortage};
--- a/crates/gateways/wingshore-coordinator/src/process/coordinators.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/coordinators.rs
@@ -64,6 +64,7 @@
 
     /// A connection has ended that may have led to a coordinator.
     pub(super) fn on_coordinator_ended(&mut self, now: Instant, connection: ConnectionId) {
+        let led_to_coordinator = self.peers.at(connection).is_some();
         let lost = self.peers.disconnected(now, connection);
         for peer in &lost {
             info!(self.logger, "coordinator lost"; "member" => peer.member.0);
@@ -73,6 +74,9 @@
             let event = Event::CoordinatorsLost(nodes);
             self.inputs.push(HostInput::Event(event));
         }
+        if led_to_coordinator {
+            self.answer_lost_heartbeats(connection);
+        }
     }
 
     /// Introduces this coordinator again to all others, and sends gateways an `Alive` message.
--- a/crates/gateways/wingshore-coordinator/src/process/heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats of servers at a coordinator that does not lead.
 
 use super::Coordinator;
-use crate::forwarded_heartbeats::ForwardedHeartbeat;
+use crate::forwarded_heartbeats::{ForwardStep, LeaderRoute};
 use crate::heartbeats::HeartbeatVerdict;
 use crate::protocol::ControlAnswer;
 use wingshore_coordination::{CoordinatorFrame, Heartbeat, HeartbeatAnswer, IncomingFrame, Reply};
@@ -9,56 +9,64 @@
 use wingshore_types::Instant;
 
 impl Coordinator {
-    /// Acknowledges a heartbeat that says nothing new; forwards any other one to the leader.
+    /// Acknowledges a heartbeat that says nothing new; forwards any other one to the leader, unless the
+    /// same is under way.
     pub(super) fn forward_heartbeat(
         &mut self,
         now: Instant,
         caller: ConnectionId,
         heartbeat: Heartbeat,
     ) {
-        let leader = self.known_leader();
-        let Some(link) = leader.and_then(|known| self.route_to(known.leader)) else {
+        let Some(route) = self.leader_route() else {
             return self.answer_heartbeat(caller, &ControlAnswer::Unavailable);
         };
         if self.heartbeats.offer(now, &heartbeat) == HeartbeatVerdict::Known {
             return self.answer_heartbeat(caller, &ControlAnswer::Reply(Reply::Done));
         }
-        let id = self.forwarded.add(ForwardedHeartbeat {
-            caller,
-            server: heartbeat.server.clone(),
-            since: now,
-        });
-        let frame = CoordinatorFrame::Heartbeat { id, heartbeat };
-        self.send_frame(link, &IncomingFrame::Coordinator(frame));
+        match self.forwarded.offer(now, route, caller, &heartbeat) {
+            ForwardStep::Wait { sequence } => {
+                self.heartbeats.heard(heartbeat.server.instance, sequence);
+            }
+            ForwardStep::Forward(id) => {
+                let frame = CoordinatorFrame::Heartbeat { id, heartbeat };
+                self.send_frame(route.link, &IncomingFrame::Coordinator(frame));
+            }
+        }
     }
 
     /// The leader has answered a heartbeat that was forwarded.
     pub(super) fn on_heartbeat_reply(&mut self, now: Instant, id: u64, answer: HeartbeatAnswer) {
-        let Some(forwarded) = self.forwarded.take(id) else {
+        let Some(forwarded) = self.forwarded.answered(id) else {
             return;
         };
         let answer = match answer {
             HeartbeatAnswer::Durable => {
-                self.heartbeats.acknowledged(now, forwarded.server);
+                if let Some(server) = forwarded.newest {
+                    self.heartbeats.acknowledged(now, server);
+                }
                 ControlAnswer::Reply(Reply::Done)
             }
             HeartbeatAnswer::Refused(reason) => ControlAnswer::Reply(Reply::Refused(reason)),
             HeartbeatAnswer::Unknown => ControlAnswer::Unavailable,
         };
-        self.answer_heartbeat(forwarded.caller, &answer);
+        self.answer_heartbeats(&forwarded.callers, &answer);
     }
 
     /// Answers heartbeats that the leader has not acknowledged in time.
     pub(super) fn answer_late_heartbeats(&mut self, now: Instant) {
-        for forwarded in self.forwarded.take_late(now) {
-            self.answer_heartbeat(forwarded.caller, &ControlAnswer::Unavailable);
-        }
+        let late = self.forwarded.take_late(now);
+        self.answer_heartbeats(&late, &ControlAnswer::Unavailable);
+    }
+
+    /// Answers heartbeats that were forwarded over a link that has ended.
+    pub(super) fn answer_lost_heartbeats(&mut self, link: ConnectionId) {
+        let lost = self.forwarded.link_ended(link);
+        self.answer_heartbeats(&lost, &ControlAnswer::Unavailable);
     }
 
     /// Reports to the leader which servers were heard of here.
     pub(super) fn report_heard(&mut self, now: Instant) {
-        let leader = self.known_leader();
-        let Some(link) = leader.and_then(|known| self.route_to(known.leader)) else {
+        let Some(LeaderRoute { link, .. }) = self.leader_route() else {
             return;
         };
         let heard = self.heartbeats.take_heard(now);
@@ -68,6 +76,18 @@
         }
     }
 
+    fn leader_route(&self) -> Option<LeaderRoute<ConnectionId>> {
+        let leader = self.known_leader()?.leader;
+        let link = self.route_to(leader)?;
+        Some(LeaderRoute { leader, link })
+    }
+
+    fn answer_heartbeats(&mut self, callers: &[ConnectionId], answer: &ControlAnswer) {
+        for caller in callers {
+            self.answer_heartbeat(*caller, answer);
+        }
+    }
+
     fn answer_heartbeat(&mut self, caller: ConnectionId, answer: &ControlAnswer) {
         let answer = self.protocol.write(answer);
         self.answer(caller, &answer);
--- a/crates/gateways/wingshore-coordinator/src/process/start.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/start.rs
@@ -111,7 +111,7 @@
             view_feed: ViewFeed::default(),
             announced_coordinators: Vec::new(),
             heartbeats: HeartbeatRelay::default(),
-            forwarded: ForwardedHeartbeats::default(),
+            forwarded: ForwardedHeartbeats::new(settings.server_expiry()),
             members: MemberChanges::default(),
             sent_states: SentStates::default(),
             schedule: Schedule::default(),
--- a/crates/gateways/wingshore-coordinator/tests/forwarded_heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/tests/forwarded_heartbeats.rs
@@ -10,11 +10,13 @@
 use std::time::Duration;
 use wingshore_coordination::{Heartbeat, InstanceId, ServerRecord, ServiceName};
 use wingshore_coordinator::{
-    ForwardedHeartbeat, ForwardedHeartbeats, HeartbeatRelay, HeartbeatVerdict,
+    ForwardStep, ForwardedHeartbeats, HeartbeatRelay, HeartbeatVerdict, LeaderRoute,
 };
-use wingshore_types::Instant;
+use wingshore_types::{Instant, ReplicaId};
 
 const INTERVAL: u64 = 1_200;
+/// Servers that are silent for so long leave the registry.
+const EXPIRY: Duration = Duration::from_millis(5 * INTERVAL);
 /// Between two turns of the simulation.
 const TURN: u64 = 50;
 /// Between two reports of servers that were heard of.
@@ -42,6 +44,11 @@
     }
 }
 
+const ROUTE: LeaderRoute<u64> = LeaderRoute {
+    leader: ReplicaId(1),
+    link: 1,
+};
+
 /// What came of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Answer {
@@ -59,13 +66,14 @@
 enum Step {
     Answer(Answer),
     Forward(u64),
+    Wait,
 }
 
 impl Relay {
     fn new() -> Self {
         Self {
             known: HeartbeatRelay::default(),
-            forwarded: ForwardedHeartbeats::default(),
+            forwarded: ForwardedHeartbeats::new(EXPIRY),
         }
     }
 
@@ -73,26 +81,30 @@
         if self.known.offer(now, heartbeat) == HeartbeatVerdict::Known {
             return Step::Answer(Answer::Done);
         }
-        Step::Forward(self.forwarded.add(ForwardedHeartbeat {
-            caller,
-            server: heartbeat.server.clone(),
-            since: now,
-        }))
+        match self.forwarded.offer(now, ROUTE, caller, heartbeat) {
+            ForwardStep::Forward(id) => Step::Forward(id),
+            ForwardStep::Wait { sequence } => {
+                let instance = heartbeat.server.instance.clone();
+                self.known.heard(instance, sequence);
+                Step::Wait
+            }
+        }
     }
 
     /// The leader has made durable what was forwarded under this number; gives whom that answers.
     fn durable(&mut self, now: Instant, id: u64) -> Vec<u64> {
-        let Some(forwarded) = self.forwarded.take(id) else {
+        let Some(forwarded) = self.forwarded.answered(id) else {
             return Vec::new();
         };
-        self.known.acknowledged(now, forwarded.server);
-        vec![forwarded.caller]
+        if let Some(server) = forwarded.newest {
+            self.known.acknowledged(now, server);
+        }
+        forwarded.callers
     }
 
     /// Whom to tell that nobody could acknowledge the heartbeat.
     fn take_late(&mut self, now: Instant) -> Vec<u64> {
-        let late = self.forwarded.take_late(now);
-        late.into_iter().map(|forwarded| forwarded.caller).collect()
+        self.forwarded.take_late(now)
     }
 }
 
@@ -151,6 +163,7 @@
             let heartbeat = heartbeat(server, now / INTERVAL + 1);
             match relay.offer(at(now), caller, &heartbeat) {
                 Step::Answer(answer) => outcome.answer(now, caller, answer),
+                Step::Wait => {}
                 Step::Forward(id) => {
                     replies.push_back((now + delay, id));
                     let instance = heartbeat.server.instance;
@@ -193,3 +206,172 @@
         );
     }
 }
+
+/// One that needs longer than it takes until the same is repeated is sent it again only then, and its
+/// first answer ends that.
+#[gtest]
+fn a_leader_that_is_slower_still_is_sent_it_seldom_until_it_answers() {
+    for delay in [2_000, 4_000, 7_000] {
+        let outcome = simulate(200, 20, delay);
+        let repeated = delay / (EXPIRY.as_millis() as u64 / 2);
+        expect_that!(
+            most_forwarded(&outcome),
+            le(1 + repeated as u32),
+            "delay {delay}"
+        );
+        expect_that!(outcome.done, ge(200), "delay {delay}");
+    }
+}
+
+/// A heartbeat may be lost without a sign: it is forwarded again while the server is still registered.
+#[gtest]
+fn what_the_leader_never_answers_is_forwarded_again_before_the_server_expires() {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    expect_that!(
+        relay.offer(at(0), ROUTE, 1, &heartbeat(1, 1)),
+        eq(ForwardStep::Forward(0))
+    );
+    for beat in [1, 2] {
+        let now = at(beat * INTERVAL);
+        relay.take_late(now);
+        let step = relay.offer(now, ROUTE, 1, &heartbeat(1, beat + 1));
+        expect_that!(step, eq(ForwardStep::Wait { sequence: 1 }));
+    }
+    let now = at(3 * INTERVAL);
+    relay.take_late(now);
+    expect_that!(
+        relay.offer(now, ROUTE, 1, &heartbeat(1, 4)),
+        eq(ForwardStep::Forward(0))
+    );
+    expect_that!(now.since(at(0)) + at(INTERVAL).since(at(0)), lt(EXPIRY));
+}
+
+#[gtest]
+fn a_heartbeat_that_waits_for_the_same_is_answered_with_it() -> Result<()> {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    relay.offer(at(0), ROUTE, 1, &heartbeat(1, 1));
+    expect_that!(relay.take_late(at(800)), eq(&vec![1]));
+    relay.offer(at(INTERVAL), ROUTE, 2, &heartbeat(1, 2));
+    expect_that!(relay.take_late(at(INTERVAL + 700)), is_empty());
+    let answered = relay.answered(0).or_fail()?;
+    expect_that!(answered.callers, eq(&vec![2]));
+    expect_that!(answered.newest, some(eq(&heartbeat(1, 1).server)));
+    expect_that!(relay.answered(0), none());
+    Ok(())
+}
+
+/// What a server says anew is forwarded at once, and an answer to what it said before neither
+/// acknowledges it nor tells what the registry holds.
+#[gtest]
+fn another_statement_is_forwarded_at_once_and_only_its_answer_counts() -> Result<()> {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    let mut changed = heartbeat(1, 2);
+    changed.server.slots = 8;
+    relay.offer(at(0), ROUTE, 1, &heartbeat(1, 1));
+    expect_that!(
+        relay.offer(at(100), ROUTE, 2, &changed),
+        eq(ForwardStep::Forward(1))
+    );
+    let outdated = relay.answered(0).or_fail()?;
+    expect_that!(outdated.callers, eq(&vec![1]));
+    expect_that!(outdated.newest, none());
+    let answered = relay.answered(1).or_fail()?;
+    expect_that!(answered.callers, eq(&vec![2]));
+    expect_that!(answered.newest, some(eq(&changed.server)));
+    Ok(())
+}
+
+/// One that was under way for long does not take the place of what its server has said since.
+#[gtest]
+fn an_older_heartbeat_that_comes_later_tells_nothing() -> Result<()> {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    let mut changed = heartbeat(1, 2);
+    changed.server.slots = 8;
+    relay.offer(at(0), ROUTE, 1, &changed);
+    expect_that!(
+        relay.offer(at(100), ROUTE, 2, &heartbeat(1, 1)),
+        eq(ForwardStep::Forward(1))
+    );
+    expect_that!(relay.answered(1).or_fail()?.newest, none());
+    expect_that!(
+        relay.answered(0).or_fail()?.newest,
+        some(eq(&changed.server))
+    );
+    Ok(())
+}
+
+/// A drain binds once it is acknowledged: only an answer to that very heartbeat, in time, counts.
+#[gtest]
+fn a_server_that_drains_is_forwarded_until_it_is_answered_in_time() {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    relay.offer(at(0), ROUTE, 1, &heartbeat(1, 1));
+    let draining = |sequence| {
+        let mut heartbeat = heartbeat(1, sequence);
+        heartbeat.server.draining = true;
+        heartbeat
+    };
+    for beat in 1..4 {
+        let now = at(beat * INTERVAL);
+        expect_that!(
+            relay.offer(now, ROUTE, 1, &draining(beat + 1)),
+            eq(ForwardStep::Forward(beat))
+        );
+        relay.take_late(now + Duration::from_millis(800));
+        expect_that!(relay.answered(beat), none());
+    }
+    for (soon, id) in [(0, 4), (300, 5)] {
+        let now = at(4 * INTERVAL + soon);
+        expect_that!(
+            relay.offer(now, ROUTE, 1, &draining(id + 1)),
+            eq(ForwardStep::Forward(id))
+        );
+    }
+}
+
+/// What went to a leader that is lost is forwarded anew with the next heartbeat.
+#[gtest]
+fn what_was_forwarded_to_a_lost_leader_is_forwarded_anew() {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    relay.offer(at(0), ROUTE, 1, &heartbeat(1, 1));
+    relay.offer(at(0), ROUTE, 2, &heartbeat(2, 1));
+    let other = LeaderRoute {
+        leader: ReplicaId(2),
+        link: 2,
+    };
+    expect_that!(
+        relay.offer(at(100), other, 3, &heartbeat(1, 2)),
+        eq(ForwardStep::Forward(2))
+    );
+    expect_that!(
+        relay.link_ended(ROUTE.link),
+        unordered_elements_are![eq(&1), eq(&2)]
+    );
+    expect_that!(relay.answered(0), none());
+    expect_that!(
+        relay.offer(at(200), ROUTE, 4, &heartbeat(2, 2)),
+        eq(ForwardStep::Forward(3))
+    );
+    expect_that!(
+        relay.offer(at(200), other, 5, &heartbeat(1, 3)),
+        eq(ForwardStep::Wait { sequence: 2 })
+    );
+}
+
+/// A leader that never answers costs memory neither for long nor without bound.
+#[gtest]
+fn what_is_never_answered_is_forgotten_in_time_and_beyond_a_number() {
+    let mut relay = ForwardedHeartbeats::new(EXPIRY);
+    relay.offer(at(0), ROUTE, 1, &heartbeat(1, 1));
+    relay.take_late(at(800));
+    relay.take_late(at(0) + EXPIRY);
+    expect_that!(relay.answered(0), none());
+
+    let later = at(10_000);
+    for server in 0..20_001 {
+        relay.offer(later, ROUTE, server, &heartbeat(server as usize, 1));
+    }
+    relay.take_late(later + Duration::from_millis(800));
+    expect_that!(relay.answered(1), none());
+    expect_that!(relay.answered(2), some(anything()));
+    expect_that!(relay.answered(20_001), some(anything()));
+}
