consensus, group: constants without notes of how they came about

Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes.

--- a/crates/shared/wingshore-consensus/src/raft.rs
+++ b/crates/shared/wingshore-consensus/src/raft.rs
@@ -111,8 +111,7 @@
     /// little behind may need. A snapshot that is being sent holds the entries after it back, but
     /// not for long: a receiver that takes nothing must not fill the memory.
     fn trim_log(&mut self) {
-        /// Entries after a snapshot under way may take this many times the usual space. Chosen, not
-        /// measured.
+        /// Entries after a snapshot under way may take this many times the usual space.
         const HELD_BACK_FACTOR: usize = 4;
         let kept = self.limits.cached_log_bytes;
         let through = self.last_applied.min(self.persistence.persisted_index());
--- a/crates/shared/wingshore-consensus/src/timing.rs
+++ b/crates/shared/wingshore-consensus/src/timing.rs
@@ -9,10 +9,8 @@
 //!   `election_timeout` it steps down.
 //! - Why: each member of that quorum heard the round after it was sent, and refuses votes for longer
 //!   than the lease lasts. So the lease is over before another leader can be elected, as long as no
-//!   clock drifts by more than `drift`.
-//! - Measured: with a spread of a whole timeout of 1 s a group was without a leader for 1,482 ms (median
-//!   of 20 kills), with a quarter of it for 1,182 ms. A shorter timeout was ruled out: it has to bear the
-//!   lease, and machines that stall.
+//!   clock drifts by more than `drift`. The timeout has to bear the lease, and machines that stall;
+//!   what a spread adds to it is time without a leader.
 //! - Old or missing inputs: a member that has just started takes itself to have heard from a leader at
 //!   that moment; a leader without an acknowledged round has no lease.
 
@@ -20,18 +18,16 @@
 use std::time::Duration;
 use wingshore_types::configuration::Permille;
 
-/// Election timeout where the settings name none: ten heartbeats. Chosen, not measured; processes set
-/// their own.
+/// Election timeout where the settings name none: ten heartbeats.
 const DEFAULT_ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
-/// The default spread is this part of the election timeout: see the measurement above.
+/// The default spread is this part of the election timeout.
 const ELECTION_SPREAD_PART: u32 = 4;
 /// Time between heartbeat rounds where the settings name none: a lost round or two is no reason for an
-/// election. Chosen, not measured.
+/// election.
 const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
-/// Lease where the settings name none: the election timeout less a heartbeat. Chosen, not measured.
+/// Lease where the settings name none: the election timeout less a heartbeat.
 const DEFAULT_LEASE: Duration = Duration::from_millis(450);
 /// Drift of clocks where the settings name none: far above that of quartz clocks (below 1 permille).
-/// Chosen, not measured.
 const DEFAULT_DRIFT: Permille = Permille(20);
 
 /// Timing of elections and leases; the same on all members of a group.
--- a/crates/shared/wingshore-group/src/interface.rs
+++ b/crates/shared/wingshore-group/src/interface.rs
@@ -36,7 +36,7 @@
 }
 
 impl HostConfig {
-    /// Bytes of applied log between snapshots, unless set otherwise. Chosen, not measured.
+    /// Bytes of applied log between snapshots, unless set otherwise.
     const DEFAULT_SNAPSHOT_EVERY_BYTES: u64 = 8 * 1024 * 1024;
 
     /// Settings with the usual timing and limits.
--- a/crates/shared/wingshore-group/src/leading.rs
+++ b/crates/shared/wingshore-group/src/leading.rs
@@ -14,7 +14,6 @@
 use wingshore_types::{Epoch, Instant, ReplicaId};
 
 /// Time between ticks of the leader machine: half of what [`LeaderMachine::on_tick`] promises at most.
-/// Chosen, not measured.
 const MACHINE_TICK: Duration = Duration::from_millis(50);
 
 impl<L> Host<L>
--- a/crates/shared/wingshore-group/src/snapshots.rs
+++ b/crates/shared/wingshore-group/src/snapshots.rs
@@ -7,9 +7,6 @@
 //! - Why: what is written for snapshots stays in proportion to the log, however large the state; the
 //!   upper bound limits the log that a start holds. A member that takes a snapshot acknowledges nothing
 //!   meanwhile: were they all to take theirs at one entry, every commit would wait.
-//! - Measured: a growing state wrote 1,021,355 bytes of snapshots for 108,045 bytes of log at fixed
-//!   intervals, and 224,502 in proportion. Members that took snapshots of 18 and 36 MB at one entry held
-//!   a commit up for 936 and 945 ms, with intervals that differ one of 24 MB for 597 ms (one run).
 //! - Missing inputs: without a snapshot so far the lower bound counts.
 
 use rand::{RngExt, SeedableRng};
--- a/crates/shared/wingshore-group/src/stop_phase.rs
+++ b/crates/shared/wingshore-group/src/stop_phase.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// Election timeouts that proposals under way may take to finish. Chosen, not measured: a commit waits
-/// for a silent follower no longer than one of them.
+/// Election timeouts that proposals under way may take to finish: a commit waits for a silent follower
+/// no longer than one of them.
 const DRAIN_TIMEOUTS: u32 = 2;
-/// Election timeouts that the whole stop may take. Chosen, not measured: each attempt to hand over is
-/// given up after one of them, so that several fit.
+/// Election timeouts that the whole stop may take: each attempt to hand over is given up after one of
+/// them, so that several fit.
 const STOP_TIMEOUTS: u32 = 8;
 
 /// How far a planned stop has come.
