storage, types, diagnostics: constants without notes of how they came about

Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes.

--- a/crates/shared/wingshore-diagnostics/src/structured.rs
+++ b/crates/shared/wingshore-diagnostics/src/structured.rs
@@ -10,8 +10,6 @@
 //!   proportion if there were too many lines, and doubles if there were fewer than half as many. The same
 //!   request is chosen in every process with the same share, so that all lines of a sampled request are
 //!   written. Lines about failures are not sampled.
-//!
-//! The figures of the budget are chosen, not measured.
 
 use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
@@ -20,11 +18,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// Lines that may wait for the thread that writes. Chosen, not measured.
+/// Lines that may wait for the thread that writes.
 const QUEUE: usize = 2048;
 /// The time over which the budget is counted.
 const WINDOW: Duration = Duration::from_secs(1);
-/// Longest wait at the end of a process for lines that were not written yet. Chosen, not measured.
+/// Longest wait at the end of a process for lines that were not written yet.
 const FLUSH_LIMIT: Duration = Duration::from_millis(250);
 /// The share in which all requests are in the sample.
 const WHOLE: u64 = 1 << 16;
--- a/crates/shared/wingshore-storage/src/blobs.rs
+++ b/crates/shared/wingshore-storage/src/blobs.rs
@@ -12,7 +12,7 @@
 use wingshore_types::blob::{Blob, BlobPlace};
 
 /// Size from which on a file is closed and a new one begun, in bytes: a small part of a disk, since a
-/// file is only removed as a whole. Chosen, not measured.
+/// file is only removed as a whole.
 const DEFAULT_FILE_BYTES: u64 = 8 << 20;
 /// Start of the names of files.
 const PREFIX: &str = "blobs-";
--- a/crates/shared/wingshore-storage/src/snapshot.rs
+++ b/crates/shared/wingshore-storage/src/snapshot.rs
@@ -20,7 +20,7 @@
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 /// Added to the name of a file that is being written.
 pub(crate) const TEMPORARY_SUFFIX: &str = ".new";
-/// Bytes that are collected for one write to a file that is replaced as a whole. Chosen, not measured.
+/// Bytes that are collected for one write to a file that is replaced as a whole.
 const WRITE_BYTES: usize = 256 << 10;
 /// Maximal bytes of index, term and length before a snapshot's data.
 const MAX_HEAD_BYTES: u64 = 32;
--- a/crates/shared/wingshore-storage/src/store.rs
+++ b/crates/shared/wingshore-storage/src/store.rs
@@ -11,8 +11,8 @@
 use wingshore_types::LogIndex;
 use wingshore_types::log::{RecoveredLog, StoredSnapshot, WriteBatch};
 
-/// Size from which on a segment is closed and a new one begun, in bytes. Chosen, not measured; space is
-/// given back in steps of it.
+/// Size from which on a segment is closed and a new one begun, in bytes; space is given back in steps
+/// of it.
 const DEFAULT_SEGMENT_BYTES: u64 = 8 << 20;
 
 /// Number of the first segment of a log.
--- a/crates/shared/wingshore-types/src/snapshot_data.rs
+++ b/crates/shared/wingshore-types/src/snapshot_data.rs
@@ -10,7 +10,7 @@
 use std::io::{self, Cursor, Read, Write};
 use std::sync::Arc;
 
-/// Maximal bytes that are copied at a time. Chosen, not measured.
+/// Maximal bytes that are copied at a time.
 const COPY_BYTES: usize = 256 << 10;
 
 /// Bytes that are produced when they are read, each time the same ones.
