net, coordination: constants without notes of how they came about

Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes.

--- a/crates/gateways/wingshore-coordination/src/configuration.rs
+++ b/crates/gateways/wingshore-coordination/src/configuration.rs
@@ -14,13 +14,13 @@
 use std::time::Duration;
 use wingshore_types::protocol::byte_vector;
 
-/// Maximal bytes of a request's head, where a configuration names none. Chosen, not measured.
+/// Maximal bytes of a request's head, where a configuration names none.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
-/// Maximal bytes of a request's body, where a configuration names none. Chosen, not measured.
+/// Maximal bytes of a request's body, where a configuration names none.
 const DEFAULT_BODY_BYTES: usize = 32 * 1024 * 1024;
-/// Longest time for a request to arrive whole, where a configuration names none. Chosen, not measured.
+/// Longest time for a request to arrive whole, where a configuration names none.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest time that a connection may be idle, where a configuration names none. Chosen, not measured.
+/// Longest time that a connection may be idle, where a configuration names none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// A whole configuration. The one with the highest version is in force.
--- a/crates/gateways/wingshore-coordination/src/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/jobs.rs
@@ -13,9 +13,9 @@
 use wingshore_types::protocol::byte_vector;
 
 /// Bytes of memory of an item besides its headers, path and bodies. An estimate from the sizes of its
-/// fields, not measured.
+/// fields.
 const ITEM_OVERHEAD: usize = 250;
-/// Bytes of memory of a result besides its text. An estimate from the sizes of its fields, not measured.
+/// Bytes of memory of a result besides its text. An estimate from the sizes of its fields.
 const RESULT_OVERHEAD: usize = 160;
 
 /// A batch job as a caller submits it.
--- a/crates/gateways/wingshore-coordination/src/leader/capacity.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/capacity.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// Time between two scans of what is wanted. Not measured.
+/// Time between two scans of what is wanted.
 const SCAN_INTERVAL: Duration = Duration::from_millis(500);
 
 impl CoordinationLeader {
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/admission.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/admission.rs
@@ -11,8 +11,6 @@
 //! bound, callers that submit faster than engines work would drive all members over their memory at
 //! once, and with them what was accepted before.
 //!
-//! Measured: the retry-after is not.
-//!
 //! Old or missing inputs: a job that is proposed and not applied yet is not counted, so that some more
 //! than the bound can be taken at one moment.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/capacity_orders.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/capacity_orders.rs
@@ -10,8 +10,6 @@
 //!
 //! Why: an older order may have been carried out late, or servers may be lost.
 //!
-//! Measured: none of the constants is.
-//!
 //! Old or missing inputs: a new leader orders once what is committed, whatever its predecessor had done:
 //! numbers are absolute.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/capacity_plan.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/capacity_plan.rs
@@ -10,9 +10,6 @@
 //! Why: servers that may be taken away cost a part of the others; all of a zone go at once, so they are
 //! spread.
 //!
-//! Measured: worth of a day +0.017 +- 0.035 (12 pairs, 45 engines), no result; kept by the simulation of
-//! steps, whose figures are at [`MAX_EXTRA_PART`].
-//!
 //! Old or missing inputs: a new leader counts the open items from its own beginning, so that it may want
 //! fewer for a while; the registry's servers may be some seconds old.
 
@@ -24,14 +21,10 @@
 
 /// The most servers that are ordered besides those that stay, as a part of these. Items run faster on
 /// engines that run fewer of them, down to where the weight store, which is laid out for those that
-/// stay, brings each version to too small a part of all. By the simulation of steps (45 engines that
-/// stay, 16 seeds each, standard error 0.012 s): steps of 7.39 s without more, 7.27 s with two fifths
-/// more, 7.22 s with four fifths, 7.25 s with as many again; where a fifth of the engines is slow for a
-/// while 7.54, 7.42, 7.35 and 7.35 s.
+/// stay, brings each version to too small a part of all.
 const MAX_EXTRA_PART: f64 = 0.8;
 
 /// The most items that were open at once count for this long at the least: some steps of a trainer.
-/// Not measured.
 pub(crate) const DEMAND_MEMORY: Duration = Duration::from_secs(15);
 
 /// How the number of servers is chosen.
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/continuation.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/continuation.rs
@@ -10,8 +10,6 @@
 //! Why: what was generated once need not be generated again. The log may hold more than this leader was
 //! told: what it had from a gateway that is gone.
 //!
-//! Measured: not apart; long items upload each 5 events.
-//!
 //! Old or missing inputs: an engine may hold a newer version than known. A route with one version names
 //! it to the engine, which then refuses.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/crash_evidence.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/crash_evidence.rs
@@ -13,10 +13,6 @@
 //! servers end that a request did not stand on, its own endings may be chance, and where several
 //! requests stood on the same servers, one of them may be the cause.
 //!
-//! Measured (100,000 drawn runs of the crash simulation): requests that are not the cause rejected in 5
-//! runs without one that is, in 164 with one; more than three late sends in 29. Each ending counted
-//! alone: 21 runs of 2,000.
-//!
 //! Old or missing inputs: endings may be reported up to a minute late, after a change of leaders; evidence
 //! about a server whose ending is not known counts for itself. A new leader counts silence from its own
 //! beginning, so that nothing is let go too early.
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/ejection.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/ejection.rs
@@ -9,8 +9,6 @@
 //! Why: an engine that broke off one item often breaks off the next one too, and is back after seconds
 //! at the most.
 //!
-//! Measured: neither constant is.
-//!
 //! Old or missing inputs: a new leader knows of no faults, so that each engine gets items again at once.
 
 use std::time::Duration;
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/expiry.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/expiry.rs
@@ -8,10 +8,6 @@
 //! Why: what a lost process held must go on elsewhere, and what nobody asks for must not fill memory;
 //! but what was only cut off for a moment is cheaper to keep than to begin again.
 //!
-//! Measured: items that a gateway keeps over a broken connection, together with two other changes:
-//! 0.533, 0.596, 0.673 of worth to 0.590, 0.580, 0.645 (one play each): no result; kept since a gateway
-//! is back after 0.3 s. The limits are not measured one by one.
-//!
 //! Old or missing inputs: a new leader counts from its own beginning, so that nothing is over too early.
 
 use crate::configuration::Route;
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
@@ -11,10 +11,6 @@
 //!
 //! Why: a connection to an engine is kept; a new one costs time, and servers limit them.
 //!
-//! Measured: an engine's items through one gateway: price of new connections 0.009 to 0.012 of worth a
-//! day in place of 0.022 to 0.027 (250 gateways, 122 engines, one play a day). The other constants are
-//! not measured.
-//!
 //! Old or missing inputs: a gateway gets nothing before it has reported what it runs; one whose status
 //! is old refuses, and the item is placed again.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/item_length.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/item_length.rs
@@ -10,8 +10,6 @@
 //! Why: few texts of a step are several times longer than the rest, and decide when it ends. Estimates
 //! are often far off, so that what an item has shown counts more.
 //!
-//! Measured: what long items first buy is said in [`super::placement`]; the two constants are not measured.
-//!
 //! Old or missing inputs: without any estimate no item of a job is long by it; an item without one
 //! counts as empty.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/item_outcome.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/item_outcome.rs
@@ -13,11 +13,6 @@
 //! ([`super::expiry`]); everything else is a matter of where it was sent. An engine whose fault it was
 //! gets no items for a while, so that the next one does not meet the same.
 //!
-//! Measured: engines that wait for a heartbeat once nobody listens at their address: with the ending of
-//! superseded incarnations, worth of a day of seven crashes 0.446 to 0.624 +- 0.033 and 0.666 to 0.766
-//! +- 0.044 (8 pairs each, 9 and 11 engines). Without [`SUSPECT_BACKOFF`] and apart running of suspects
-//! an item that ends engines ended six where five are allowed. The other times are not measured.
-//!
 //! Old or missing inputs: the end of an attempt that this leader has already replaced counts if it is a
 //! whole text and the item has no result yet; else it is ignored.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/load_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/load_choice.rs
@@ -16,12 +16,6 @@
 //! that each model has engines at its newest version when that job comes. A load stops the model's
 //! streams on the engine for 0.9 s.
 //!
-//! Measured (a step in the simulation of steps, 45 engines, 16 seeds, standard error 0.01 to 0.02 s;
-//! 7.39 s by this rule): without the scarcest model first 8.48 s; faster engines first 7.49 s, and 8.51
-//! s in place of 7.54 s where a fifth of them is slow for a while; loads that are not deferred for long items:
-//! no difference there, worth of a day +0.010 +- 0.018 for deferring (15 pairs, 11 engines). Each
-//! constant says what it bought.
-//!
 //! Old or missing inputs: an engine may hold a newer version than known: the poll before an order shows
 //! it. A model without open items lately counts with its whole share.
 
@@ -35,21 +29,17 @@
 use wingshore_types::Instant;
 
 /// Most loads that begin in one scan of the engines: a scan comes each 50 ms, so that 600 of 0.9 s can
-/// be under way, one in five of 3,000 engines, and no scan holds up what else a leader does. With a
-/// bounded scan a load costs 0.23 ms of a core in place of 3.1 ms (2,500 engines, 6 models).
+/// be under way, one in five of 3,000 engines, and no scan holds up what else a leader does.
 pub(crate) const MAX_LOADS_OF_A_SCAN: usize = 32;
 
 /// Engines at a model's newest version that are enough, as a multiple of those that all its open items
-/// fill: long items stay on engines at the version before. At 3,000 engines a day took 2,622 orders without
-/// this bound, nearly all for nothing, and 182 with it; worth rose from -1.527 to 0.708 (one play each).
+/// fill: long items stay on engines at the version before.
 const ENOUGH_FACTOR: usize = 2;
 
-/// Where there are many engines, one in this many may load at once. With two at a time at 45 engines a
-/// day earned 0.59 of its credit, with a fifth of them 0.95 (one play each).
+/// Where there are many engines, one in this many may load at once.
 const ENGINES_PER_LOAD: usize = 5;
 
-/// Engines that may load at once at any site. Three to eleven at 11 engines gained nothing: a load
-/// takes 0.45 s for each that is under way.
+/// Engines that may load at once at any site, however few it has; loads slow each other down.
 const MIN_LOADS_AT_ONCE: usize = 2;
 
 /// Versions that an engine may be behind and still run work: jobs ask for the newest version or the one
@@ -181,8 +171,7 @@
 
     /// Takes the next load. Beyond what is enough engines load only for items that wait and that
     /// those which load already will not take: a job often comes with its version, and its items
-    /// waited for 0.9 s while each scan began more loads, 144 a version where 35 engines were
-    /// filled. What loads already is left out.
+    /// wait while that loads. What loads already is left out.
     fn take(&mut self, loading: &BTreeSet<InstanceId>) -> Option<WantedLoad> {
         if self.newest >= self.enough() && self.waiting_in_vain() == 0 {
             return None;
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/load_progress.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/load_progress.rs
@@ -12,8 +12,6 @@
 //! Why: an order may be lost, be carried out late, or meet another leader's; the poll before each one
 //! tells the count of orders under which it is carried out, so that a late one does nothing.
 //!
-//! Measured: none of the constants is. A load takes 0.9 s.
-//!
 //! Old or missing inputs: an answer that comes when it is no longer awaited changes nothing, but for the
 //! versions that it names.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/mod.rs
@@ -1,11 +1,6 @@
 //! Rules by which a leader decides. Each module answers one question over plain data: no sockets, no
 //! clock of its own, no change of what others own. Its head says the question, its inputs, the rule,
-//! why, what was measured, and what happens when an input is old or missing.
-//!
-//! Units of the measurements: the *worth* of a day is the part of the credit for its batches and
-//! requests that a site earns, less its prices, at most 1; a *step* is a trainer's batch, in seconds
-//! from its submission to its last text. `a +- b` is a mean difference and its standard error; under
-//! twice that it is no result. `docs/POLICY.md` has the accounts.
+//! why, and what happens when an input is old or missing.
 
 pub(crate) mod admission;
 pub(crate) mod capacity_orders;
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/moves.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/moves.rs
@@ -10,11 +10,6 @@
 //! Why: a step waits for its longest texts, and an engine may become slow while they run. A move costs some
 //! milliseconds from the order to the end of the old attempt; what was generated is carried over.
 //!
-//! Measured: a step takes 7.39 s, without moves 7.64 s (simulation of steps, 45 engines, a third of them
-//! 1.3 times slower, 16 seeds, standard error 0.01 to 0.02 s); from 1.15 times faster on 7.40 s, from
-//! 1.4 times 7.46 s; four or eight moves 7.40 s. Without moves against with, worth of a day -0.018 +-
-//! 0.014 for moves (15 pairs, 11 engines). The event counts are not measured.
-//!
 //! Old or missing inputs: an item does not move where either pace is not known.
 
 use crate::ids::{InstanceId, ModelName};
@@ -37,8 +32,7 @@
 /// Slots that a move leaves free where it goes.
 const FREE_SLOTS_LEFT: usize = 1;
 /// An item does not go back to the engine that it was moved away from for this long: a slot elsewhere
-/// comes sooner where there is one, and no item may stand still for long. The length is not measured;
-/// without an end an item stood still with slots free (one of 30,000 drawn runs).
+/// comes sooner where there is one, and no item may stand still for long.
 pub(crate) const AVOIDED_FOR: Duration = Duration::from_millis(1500);
 
 /// A running item, as far as it matters here.
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/order_rights.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/order_rights.rs
@@ -13,9 +13,6 @@
 //! that the holder gives no more; engines refuse its fence once they have seen a higher one. Without the
 //! settling, machines that fall one after the other, and return, would take turns.
 //!
-//! Measured: no figure here; the simulation of orders (`wingshore-coordinator/tests/simulation`) holds
-//! the rule, and finds a handover of a tenth of the time.
-//!
 //! Old or missing inputs: an old report of lost machines delays a claim at the most. Without a holder in
 //! the log there is nobody to wait for.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
@@ -11,14 +11,6 @@
 //! Why: a step waits for its longest texts, so these get the engines on which they end first; short ones
 //! end in time anywhere. A load stops all streams of its model on the engine.
 //!
-//! Measured: with long items first against without, worth of a day +0.039 +- 0.017 (15 pairs, 11
-//! engines); a step takes 7.39 s in place of 8.44 s (simulation of steps, 45 engines, 16 seeds, standard
-//! error 0.01 to 0.02 s). Affinity: worth -0.019 +- 0.017, no difference in the simulation. Short items
-//! that avoid newer weights, together with loads by the scarcest model: waits of the last texts of a
-//! day's steps 5.5 s to 0 s in sum, loads 933 to 732 (122 engines), worth +0.013 +- 0.016. Short items
-//! by the fourth root of the pace in place of the square root: 7.41 s; long items that weigh 1 to 8
-//! more: 7.38 to 7.42 s. The other weights were not measured one by one.
-//!
 //! Old or missing inputs: an engine of unknown pace counts as the fastest one known; where no pace is
 //! known, engines differ by their items only. Versions may be newer than known, never older, but for an
 //! engine that started again: its texts show it, and are dropped.
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/registration.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/registration.rs
@@ -15,10 +15,6 @@
 //! address: the one before would else be known by its silence only, and be sent what the new one refuses
 //! until then.
 //!
-//! Measured: superseding, with engines that wait for a heartbeat: worth of a day of seven crashes 0.446
-//! to 0.624 +- 0.033 and 0.666 to 0.766 +- 0.044 (8 pairs each, 9 and 11 engines). The times are not
-//! measured.
-//!
 //! Old or missing inputs: a server that does not say when it started is one incarnation under its name.
 //! A new leader counts silence from its own beginning.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/scoring_outcome.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/scoring_outcome.rs
@@ -15,8 +15,6 @@
 //! counted it: counted twice, an item is abandoned before its route says so. Where the earlier leader
 //! had counted another scoring, this counts too few, and the score is asked for once more at the most.
 //!
-//! Measured: neither backoff is.
-//!
 //! Old or missing inputs: a new leader begins the backoff anew; failures stand in the log. The end of a
 //! scoring that this leader does not know is ignored.
 
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/usage_reports.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/usage_reports.rs
@@ -12,8 +12,6 @@
 //! Why: whoever leads, and however often, sends the same; and the claim of orders keeps the calls of two
 //! machines apart as it does for orders to engines.
 //!
-//! Measured: none of the constants is.
-//!
 //! Old or missing inputs: without an agreed time no window is closed. What a gateway tells after its
 //! window was closed is not counted.
 
--- a/crates/gateways/wingshore-coordination/src/leader/dispatch.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/dispatch.rs
@@ -13,7 +13,7 @@
 use wingshore_types::{Epoch, Instant};
 
 /// Time between two sweeps through all servers, items and jobs for what has expired: their limits are
-/// seconds, and a sweep costs time in proportion to all of them. Not measured.
+/// seconds, and a sweep costs time in proportion to all of them.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 impl LeaderMachine for CoordinationLeader {
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -16,7 +16,7 @@
 use wingshore_types::Instant;
 use wingshore_types::machine::RequestTag;
 
-/// Most bytes of results in one answer. Not measured.
+/// Most bytes of results in one answer.
 const MAX_PAGE_BYTES: usize = 900 * 1024;
 
 impl CoordinationLeader {
--- a/crates/gateways/wingshore-coordination/src/leader/moving.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/moving.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use wingshore_types::Instant;
 
-/// Fewest events of a measurement of pace. Not measured.
+/// Fewest events of a measurement of pace.
 const MIN_MEASURED_EVENTS: u64 = 2;
 
 impl CoordinationLeader {
--- a/crates/gateways/wingshore-coordination/src/leader/rollout.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/rollout.rs
@@ -16,13 +16,13 @@
 use std::time::Duration;
 
 /// After a scan of all engines for loads, answers of single ones bring on the next scan only after
-/// this time for each engine beyond [`ENGINES_SCANNED_ALWAYS`]; a tick always does. A scan takes
-/// 0.5 to 2 us an engine: so that answers cost at most a tenth of a core, whatever their number.
+/// this time for each engine beyond [`ENGINES_SCANNED_ALWAYS`]; a tick always does. So answers cost
+/// at most a tenth of a core, whatever their number.
 const SCAN_INTERVAL_OF_AN_ENGINE: Duration = Duration::from_micros(20);
-/// So many engines are scanned after each answer: that takes 0.2 ms.
+/// So many engines are scanned after each answer: their scan is short.
 const ENGINES_SCANNED_ALWAYS: usize = 100;
 
-/// Streams of an engine that has loaded weights are steady again after this time. Not measured.
+/// Streams of an engine that has loaded weights are steady again after this time.
 const UNSTEADY_AFTER_LOAD: Duration = Duration::from_millis(500);
 
 impl CoordinationLeader {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
@@ -1,9 +1,7 @@
 //! Engines with free slots, in an order in which the best one for an item is found without a scan
 //! of all of them.
 //!
-//! With 2,500 engines a scan of all of them took 230 µs for each item that was placed, four fifths
-//! of a core at 3,500 items a second; by this index it takes some 10 µs, whatever their number
-//! (a group of one member, jobs of twice the slots, one core).
+//! The cost of placing an item does not grow with the number of engines.
 
 use super::engine::{Engine, EngineNumber};
 use super::pace::PaceStep;
--- a/crates/gateways/wingshore-coordination/src/leader/tables/pace.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/pace.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-/// Weight of the newest measurement of an engine's pace, as a part of one. Not measured.
+/// Weight of the newest measurement of an engine's pace, as a part of one.
 const NEWEST_WEIGHT: f64 = 0.15;
 
 /// By how much each item on an engine slows the others down, as a part of the time from event to event
-/// with none. Not measured here; the simulation of steps uses 0.006.
+/// with none.
 const SLOW_DOWN_OF_AN_ITEM: f64 = 0.009;
 
 /// Paces that differ by less than a part of this many of a doubling count as one: they change with
-/// each measurement, and an engine is put in another place only where that can matter. Not measured.
+/// each measurement, and an engine is put in another place only where that can matter.
 const STEPS_OF_A_DOUBLING: f64 = 64.0;
 
 /// Paces below this many milliseconds an event count as that.
@@ -20,7 +20,7 @@
 /// which the pace is at most this many steps, 3 %, behind the fastest known: as much as paces that
 /// are measured once differ by chance. Engines of unknown pace count as the best, so that each item
 /// of a site with many more engines than items would go to one that nothing is known of, on a new
-/// connection: 500 engines were used for 40 items at a time, 80 since.
+/// connection.
 const SIMILAR_STEPS: u32 = 3;
 
 /// How many times longer an engine takes from event to event with this many items than with none.
--- a/crates/gateways/wingshore-coordination/src/site_time.rs
+++ b/crates/gateways/wingshore-coordination/src/site_time.rs
@@ -22,8 +22,7 @@
 #[serde(transparent)]
 pub struct WallTime(pub i64);
 
-/// A machine that is silent for longer does not count: ten introductions of a coordinator. Not
-/// measured.
+/// A machine that is silent for longer does not count: ten introductions of a coordinator.
 const MAX_READING_AGE: Duration = Duration::from_secs(3);
 
 /// A time of day as it was heard.
--- a/crates/gateways/wingshore-coordination/src/state/servers.rs
+++ b/crates/gateways/wingshore-coordination/src/state/servers.rs
@@ -6,8 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Departed incarnations that are remembered, so that a late heartbeat does not bring one back: some
-/// 100 bytes each. Heartbeats are late by seconds, in which few servers of any site depart; not
-/// measured.
+/// 100 bytes each. Heartbeats are late by seconds, in which few servers of any site depart.
 const MAX_DEPARTED: usize = 8192;
 
 /// Registered servers, and the incarnations that are gone for good.
--- a/crates/gateways/wingshore-coordination/src/state/snapshot/read.rs
+++ b/crates/gateways/wingshore-coordination/src/state/snapshot/read.rs
@@ -13,7 +13,7 @@
 use wingshore_types::machine::RestoreError;
 
 /// Largest record, in bytes: far above any submission, which is at most as large as a caller's body
-/// ([`crate::IngressLimits`]); a damaged length is found by it. Not measured.
+/// ([`crate::IngressLimits`]); a damaged length is found by it.
 const MAX_RECORD_BYTES: usize = 256 << 20;
 
 /// Reads a state; texts go to its store as they come.
--- a/crates/gateways/wingshore-coordination/src/state/usage.rs
+++ b/crates/gateways/wingshore-coordination/src/state/usage.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// Reports that wait to be sent; of more, the oldest are dropped. Five minutes of windows of 5 s; nobody
-/// waits for older ones. Not measured.
+/// waits for older ones.
 const MAX_WAITING: usize = 60;
 
 /// What is durable of the site's usage.
--- a/crates/gateways/wingshore-coordination/src/state/view_history.rs
+++ b/crates/gateways/wingshore-coordination/src/state/view_history.rs
@@ -7,7 +7,7 @@
 
 /// Parts that are remembered, 100 to 150 bytes each: all servers of a site of this size may change
 /// while a gateway is unreachable. A gateway that has missed more is sent the whole view, which is no
-/// longer than that. Not measured.
+/// longer than that.
 const MAX_PARTS: usize = 16_384;
 
 /// A part of the view that is sent by itself.
--- a/crates/gateways/wingshore-coordination/src/usage.rs
+++ b/crates/gateways/wingshore-coordination/src/usage.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 /// Windows that a gateway goes on counting, besides the newest: their reports may not have been made.
-/// Not measured.
 const WINDOWS_KEPT: u64 = 6;
 
 /// A window of time, by its number since the start of 1970.
--- a/crates/gateways/wingshore-net/src/connection.rs
+++ b/crates/gateways/wingshore-net/src/connection.rs
@@ -5,7 +5,7 @@
 use mio::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
 
-/// Bytes taken from one connection before others get their turn. Not measured.
+/// Bytes taken from one connection before others get their turn.
 const MAX_READ_PER_TURN: usize = 256 * 1024;
 
 /// One socket and its buffers.
--- a/crates/gateways/wingshore-net/src/frame.rs
+++ b/crates/gateways/wingshore-net/src/frame.rs
@@ -7,8 +7,8 @@
 
 /// Bytes of the length before each frame.
 const PREFIX: usize = 4;
-/// Largest frame, in bytes; a longer one is a fault of the peer. Not measured; above the largest batch
-/// job, which is one frame.
+/// Largest frame, in bytes; a longer one is a fault of the peer. Above the largest batch job, which is
+/// one frame.
 const MAX_FRAME_BYTES: usize = 64 << 20;
 
 /// Why a frame cannot be read.
--- a/crates/gateways/wingshore-net/src/http/body.rs
+++ b/crates/gateways/wingshore-net/src/http/body.rs
@@ -3,7 +3,7 @@
 use super::head::{AnswerHead, Headers, HttpError, RequestHead};
 use bytes::{Buf, BytesMut};
 
-/// Longest line that gives the size of a chunk, in bytes. Not measured.
+/// Longest line that gives the size of a chunk, in bytes.
 const MAX_CHUNK_LINE: usize = 1024;
 
 /// How the end of a body is found.
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use snafu::Snafu;
 
-/// Bytes of an answer's head at most. Not measured.
+/// Bytes of an answer's head at most.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
 
 /// Why a request is refused before it is whole.
--- a/crates/gateways/wingshore-net/src/http/head.rs
+++ b/crates/gateways/wingshore-net/src/http/head.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 
-/// Header lines of a message at most. Not measured.
+/// Header lines of a message at most.
 const MAX_HEADERS: usize = 96;
 
 /// Why bytes are not an HTTP/1.1 message.
--- a/crates/gateways/wingshore-net/src/output.rs
+++ b/crates/gateways/wingshore-net/src/output.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 
 /// Shared bytes from this length on are queued as they are. Shorter ones are copied behind what
-/// waits already, so that they leave with it in one system call. Not measured at other values.
+/// waits already, so that they leave with it in one system call.
 const SHARED_FROM: usize = 4 * 1024;
 /// An empty buffer that has grown beyond this many bytes is freed: a process with hundreds of
 /// connections that each carried one large message must not hold on to all of them.
@@ -12,8 +12,8 @@
 
 /// The queue: whole pieces first, then what is still being gathered.
 ///
-/// Long pieces that many connections are sent are held once: 836 copies of one view of 10,000
-/// servers were 392 MB, beyond the memory of the process that sent them.
+/// Long pieces that many connections are sent are held once: copies for each could exceed the
+/// memory of the process.
 #[derive(Default)]
 pub(crate) struct OutputQueue {
     pieces: VecDeque<Bytes>,
--- a/crates/gateways/wingshore-net/src/reactor.rs
+++ b/crates/gateways/wingshore-net/src/reactor.rs
@@ -18,9 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Events taken from the kernel at a time. Not measured; what is more comes with the next poll.
+/// Events taken from the kernel at a time; what is more comes with the next poll.
 const MAX_EVENTS_PER_POLL: usize = 256;
-/// Bytes read from a socket at a time. Not measured.
+/// Bytes read from a socket at a time.
 const READ_CHUNK: usize = 16 * 1024;
 /// The token of the waker; connections and listeners count from 0.
 const WAKER_TOKEN: Token = Token(usize::MAX - 1);
