coordinator, gateway: constants without notes of how they came about

Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes. Without comment lines the files are the same as before.

--- a/crates/gateways/wingshore-coordinator/src/budget.rs
+++ b/crates/gateways/wingshore-coordinator/src/budget.rs
@@ -2,24 +2,20 @@
 //!
 //! Question: how many bytes may each part of the state take? Input: the limit of the process, in
 //! bytes. Rule: fixed parts of the limit, and no part below [`MIN_SHARE`]. Why: what a member holds
-//! must follow from its settings, not from how long a site has run; before, the log and encoded
-//! snapshots beside the state exceeded the limit, and each start ended at the same snapshot (46, 35
-//! and 22 exits on three days of a large site, then 0, 2 and 0).
+//! must follow from its settings, not from how long a site has run.
 
 use std::fmt::{self, Display, Formatter};
 
 /// Part of the limit for texts of results: what is more moves to disk. Together the shares leave half
-/// of the limit for what follows from the number of servers, gateways and remembered items: on days of
-/// 300 s members took 16 to 32 % of theirs. With a limit of 80 MB the peaks of starts are 27 to 35 MB.
+/// of the limit for what follows from the number of servers, gateways and remembered items.
 const TEXTS_PART: u64 = 12;
-/// Part of the limit for the log between two snapshots, which a start holds whole. Not measured at
-/// other values.
+/// Part of the limit for the log between two snapshots, which a start holds whole.
 const LOG_PART: u64 = 8;
-/// Part of the limit for the contents of open jobs, which are in the state and in snapshots. Not
-/// measured; beyond it a submission is refused at once, with a Retry-After.
+/// Part of the limit for the contents of open jobs, which are in the state and in snapshots; beyond
+/// it a submission is refused at once, with a Retry-After.
 const OPEN_JOBS_PART: u64 = 8;
 /// Part of the limit for applied entries that are kept for members that are behind; a member further
-/// behind is sent a snapshot. Not measured at other values.
+/// behind is sent a snapshot.
 const CACHED_LOG_PART: u64 = 32;
 /// Smallest share, in bytes: with less, each text would be a sync of its own.
 const MIN_SHARE: u64 = 64 << 10;
--- a/crates/gateways/wingshore-coordinator/src/call_rate.rs
+++ b/crates/gateways/wingshore-coordinator/src/call_rate.rs
@@ -11,10 +11,9 @@
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// Part of the rate that one holder uses: the one before may have used some of it a moment ago. Not
-/// measured.
+/// Part of the rate that one holder uses: the one before may have used some of it a moment ago.
 const OWN_PART: f64 = 0.5;
-/// Calls that may leave at once after a time without calls, as time at that rate. Not measured.
+/// Calls that may leave at once after a time without calls, as time at that rate.
 const BURST: Duration = Duration::from_millis(500);
 
 /// Keeps calls within a rate.
--- a/crates/gateways/wingshore-coordinator/src/control.rs
+++ b/crates/gateways/wingshore-coordinator/src/control.rs
@@ -3,9 +3,9 @@
 use wingshore_net::http::{HttpAnswer, RequestReader};
 use wingshore_types::Instant;
 
-/// Bytes of a request's head at most. Not measured; larger than any head of the platform.
+/// Bytes of a request's head at most; larger than any head of the platform.
 pub(crate) const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Bytes of a request's body at most: a batch job or an operator's document. Not measured.
+/// Bytes of a request's body at most: a batch job or an operator's document.
 pub(crate) const MAX_BODY_BYTES: usize = 48 * 1024 * 1024;
 
 /// One HTTP connection to this process.
--- a/crates/gateways/wingshore-coordinator/src/dials.rs
+++ b/crates/gateways/wingshore-coordinator/src/dials.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// Between the end of one connection to an address and the next attempt. Not measured; short beside
-/// the election timeout.
+/// Between the end of one connection to an address and the next attempt; short beside the election
+/// timeout.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
-/// An attempt to connect is over after this time. Not measured; hundreds of round trips within a
-/// region, and no longer than the election timeout.
+/// An attempt to connect is over after this time; hundreds of round trips within a region, and no
+/// longer than the election timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// A connection to an address, or the last attempt.
--- a/crates/gateways/wingshore-coordinator/src/directory.rs
+++ b/crates/gateways/wingshore-coordinator/src/directory.rs
@@ -15,9 +15,9 @@
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
 
-/// Addresses in one answer at most. Not measured; an answer stays within one packet or two.
+/// Addresses in one answer at most; an answer stays within one packet or two.
 const MAX_ADDRESSES: usize = 64;
-/// From this many gateways in a client's own zone on, it gets only those. Not measured.
+/// From this many gateways in a client's own zone on, it gets only those.
 const ENOUGH_IN_ZONE: usize = 2;
 
 /// What a client learns of a gateway.
--- a/crates/gateways/wingshore-coordinator/src/forwarded_heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/src/forwarded_heartbeats.rs
@@ -12,7 +12,7 @@
 use wingshore_types::Instant;
 
 /// A heartbeat that the leader has not acknowledged is answered as unavailable after this time: a
-/// server gives a call up after a second. Not measured.
+/// server gives a call up after a second.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// A heartbeat that was forwarded to the leader.
--- a/crates/gateways/wingshore-coordinator/src/heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/src/heartbeats.rs
@@ -4,9 +4,7 @@
 //! record of that server that the leader acknowledged through here. Rule: a heartbeat that says
 //! what the leader acknowledged is acknowledged here, and the leader is sent in one message an
 //! interval which servers were heard of; all else is forwarded whole. Why: the leader's work grows
-//! with what changes, not with the number of servers; before, 1,000 servers sent it 400 new
-//! connections a second by redirects and filled its third of a core, then 61 a second reached the
-//! busiest coordinator.
+//! with what changes, not with the number of servers.
 //!
 //! Missing input: a server that is not known here, or that the leader says the registry does not
 //! hold, has its next heartbeat forwarded. While no leader is connected nothing is acknowledged
@@ -18,7 +16,7 @@
 use wingshore_types::Instant;
 
 /// A server that is silent for this long is forgotten here; longer than servers stay registered, so
-/// that it bounds memory only. Not measured.
+/// that it bounds memory only.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
 /// What is to be done with a heartbeat.
--- a/crates/gateways/wingshore-coordinator/src/lost.rs
+++ b/crates/gateways/wingshore-coordinator/src/lost.rs
@@ -5,16 +5,15 @@
 //! been running, at each introduction. Rule: a machine is lost when the last connection to it ends,
 //! and when its process turns out to have begun within the window that is asked for. Why: a new
 //! leader waits out the orders of the holder before it, unless that machine was lost; where the
-//! leader itself had restarted it saw no connection end, and gave its first order 3.3 s late (one
-//! grown day went from 0.474 to 0.677, five others by less than 0.06 either way, one play each). A
-//! machine that was never heard of counts as not lost: then the new leader waits.
+//! leader itself had restarted it saw no connection end, and gave its first order late. A machine
+//! that was never heard of counts as not lost: then the new leader waits.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wingshore_types::Instant;
 
 /// A process must be younger than the window by this much to count as lost before: clocks differ, and
-/// an introduction is on its way. Not measured.
+/// an introduction is on its way.
 const RESTART_MARGIN: Duration = Duration::from_millis(500);
 
 /// When each machine was last lost: nothing more is to come from the incarnation before that.
--- a/crates/gateways/wingshore-coordinator/src/outgoing_calls.rs
+++ b/crates/gateways/wingshore-coordinator/src/outgoing_calls.rs
@@ -24,13 +24,12 @@
 use wingshore_net::{ConnectOptions, ConnectionId, Reactor};
 use wingshore_types::Instant;
 
-/// An idle connection is closed after this time. Not measured.
+/// An idle connection is closed after this time.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// A call to an engine without an answer is over after this time: engines answer at once, whatever
-/// they do. Not measured at other values.
+/// they do.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(450);
-/// The same for the provider: a slow one takes some tens of times its usual milliseconds. Not measured
-/// at other values.
+/// The same for the provider: a slow one takes some tens of times its usual milliseconds.
 const PROVIDER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Who is called.
--- a/crates/gateways/wingshore-coordinator/src/peers.rs
+++ b/crates/gateways/wingshore-coordinator/src/peers.rs
@@ -14,11 +14,10 @@
 use wingshore_net::ConnectionId;
 use wingshore_types::{Instant, ReplicaId};
 
-/// What another coordinator says of who leads counts for this long: three introductions. Not measured
-/// at other values.
+/// What another coordinator says of who leads counts for this long: three introductions.
 const LEADER_WORD_FRESH: Duration = Duration::from_millis(900);
 /// One on standby that is silent for this long is left out of what gateways are sent: its machine may
-/// be gone for good. Not measured.
+/// be gone for good.
 const STANDBY_SILENCE: Duration = Duration::from_secs(10);
 
 /// A coordinator that no connection leads to any more.
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -13,10 +13,9 @@
 use wingshore_net::http::{HttpAnswer, WholeRequest};
 use wingshore_types::{Instant, ReplicaId};
 
-/// A gateway is shown to clients only if it was heard of within this time: three status reports. Not
-/// measured.
+/// A gateway is shown to clients only if it was heard of within this time: three status reports.
 const GATEWAY_FRESH: Duration = Duration::from_millis(1300);
-/// Idle connections of callers are closed after this time. Not measured.
+/// Idle connections of callers are closed after this time.
 const CALLER_IDLE: Duration = Duration::from_secs(30);
 /// Type of the text that monitoring reads.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- a/crates/gateways/wingshore-coordinator/src/process/copies.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/copies.rs
@@ -11,7 +11,7 @@
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
 
-/// Bytes of results in one answer at most, as in answers of the leader. Not measured.
+/// Bytes of results in one answer at most, as in answers of the leader.
 const PAGE_BYTES: usize = 900 * 1024;
 
 impl Coordinator {
--- a/crates/gateways/wingshore-coordinator/src/process/gateways.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/gateways.rs
@@ -74,8 +74,8 @@
         }
     }
 
-    /// Sends all gateways an `Alive` message. Addresses are in it only when they have changed: with 45
-    /// coordinators and 836 gateways they were nine tenths of what crossed between zones at rest.
+    /// Sends all gateways an `Alive` message. Addresses are in it only when they have changed: at a
+    /// large site they would be most of what crosses between zones at rest.
     pub(super) fn send_alive(&mut self) {
         let coordinators = self.coordinator_addresses();
         let is_news = coordinators != self.announced_coordinators;
--- a/crates/gateways/wingshore-coordinator/src/process/host.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/host.rs
@@ -16,23 +16,21 @@
 use wingshore_types::configuration::Permille;
 use wingshore_types::log::RecoveredLog;
 
-/// Time between a leader's heartbeats. The interval itself was not measured; with heartbeats brought
-/// forward after commits, up to twice as many, a member that held 63 MB at its peak held 300 MB.
+/// Time between a leader's heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(100);
-/// Silence after which a member campaigns: six heartbeats. Not measured; a leader was elected 0.6 to
-/// 0.9 s after a loss of all machines.
+/// Silence after which a member campaigns: six heartbeats.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// Length of the leader's lease, before the margin for drift: shorter than the election timeout, so
 /// that it is over before another member can lead.
 const LEASE: Duration = Duration::from_millis(550);
 /// Time from an order to load weights to the first question how it went: what an engine takes to
-/// load. Not measured at other values.
+/// load.
 const LOAD_TIME: Duration = Duration::from_millis(920);
 /// Election timeouts differ by up to this part of the shortest one, so that members seldom campaign at
-/// once. Not measured at other values.
+/// once.
 const ELECTION_SPREAD_PART: u32 = 2;
-/// The most by which any clock runs fast or slow, in thousandths; assumed, far above what clocks of
-/// machines drift.
+/// The most by which any clock runs fast or slow, in thousandths: far above what clocks of machines
+/// drift.
 const CLOCK_DRIFT: Permille = Permille(20);
 
 /// Opens the host with what the disk held.
--- a/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
@@ -6,16 +6,14 @@
 use wingshore_group::HostInput;
 use wingshore_types::Instant;
 
-/// Between introductions on a link, and `Alive` messages to gateways. Not measured at other values;
-/// the limits of silence count in it.
+/// Between introductions on a link, and `Alive` messages to gateways; the limits of silence count
+/// in it.
 const HELLO_INTERVAL: Duration = Duration::from_millis(300);
-/// Between checks for what has become due. Not measured.
+/// Between checks for what has become due.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
 /// A gateway that is silent for this long is disconnected, and what it ran is begun elsewhere: two
 /// and a half of the intervals in which it reports its status. While a gateway is cut off its items
-/// make no progress for this time; a step that waits for one of them is over as much later. At 1.6 s
-/// steps of the whole fleet fell 3.2 to 4.1 s behind while 150 gateways were cut off for 5.4 s;
-/// the shorter limit was not measured alone.
+/// make no progress for this time; a step that waits for one of them is over as much later.
 const GATEWAY_SILENCE: Duration = Duration::from_millis(1000);
 
 impl Coordinator {
--- a/crates/gateways/wingshore-coordinator/src/process/listeners.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/listeners.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 use wingshore_net::{ListenerId, Reactor};
 
-/// Sent bytes may stay unacknowledged this long on links of the site. Not measured.
+/// Sent bytes may stay unacknowledged this long on links of the site.
 pub(super) const LINK_LIMIT: Duration = Duration::from_millis(1500);
-/// Sent bytes may stay unacknowledged this long on connections of callers. Not measured.
+/// Sent bytes may stay unacknowledged this long on connections of callers.
 const CALLER_LIMIT: Duration = Duration::from_secs(5);
-/// Connections at a time at most. Not measured at its bound: the busiest coordinator of 45 at 836
-/// gateways held 1,600 to 2,400.
+/// Connections at a time at most.
 const MAX_CONNECTIONS: usize = 6000;
 /// Listeners other than those of callers.
 pub(super) struct Listeners {
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -58,7 +58,7 @@
 use wingshore_storage::DataFolder;
 use wingshore_types::ReplicaId;
 
-/// Longest wait for sockets in one turn. Not measured; nothing rests on it, what is due ends the wait.
+/// Longest wait for sockets in one turn. What is due ends it earlier.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(250);
 
 /// A running coordinator.
--- a/crates/gateways/wingshore-coordinator/src/settings.rs
+++ b/crates/gateways/wingshore-coordinator/src/settings.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 use wingshore_coordination::{CapacityPolicy, LeaderPolicy, UsageDuty};
 
-/// Heartbeats in a row that a server may miss before it leaves the registry. Not measured: a server
-/// that is away for so long is taken for gone, one whose calls are lost now and then is not.
+/// Heartbeats in a row that a server may miss before it leaves the registry: a server that is away
+/// for so long is taken for gone, one whose calls are lost now and then is not.
 const SERVER_EXPIRY_HEARTBEATS: u32 = 5;
-/// Added to the validity of orders before a new leader gives its own. Not measured; more than the
-/// drift of two clocks over the validity, and than an order is under way.
+/// Added to the validity of orders before a new leader gives its own; more than the drift of two
+/// clocks over the validity, and than an order is under way.
 const HANDOVER_MARGIN: Duration = Duration::from_millis(300);
-/// Added to the time for which a job must be readable. Not measured; longer than a change of leader
-/// and a caller's retries take.
+/// Added to the time for which a job must be readable; longer than a change of leader and a
+/// caller's retries take.
 const RETENTION_MARGIN: Duration = Duration::from_secs(10);
 
 /// Settings of a coordinator process, checked.
--- a/crates/gateways/wingshore-coordinator/src/silence.rs
+++ b/crates/gateways/wingshore-coordinator/src/silence.rs
@@ -4,18 +4,17 @@
 //! Inputs: the times of this process's own checks, each 100 ms. Rule: after a gap between two
 //! checks of more than [`STALL_LIMIT`] silence counts again only [`CATCH_UP_TIME`] later. Why: a
 //! process that stood still (its machine was suspended, or a turn of its loop took long, as a new
-//! leader's does while it applies its log: 0.6 s) finds that nobody was heard of meanwhile; what
-//! they have sent waits to be read, in several turns where they are hundreds. Measured for the
-//! limit that this makes possible, see `GATEWAY_SILENCE`.
+//! leader's does while it applies its log) finds that nobody was heard of meanwhile; what they have
+//! sent waits to be read, in several turns where they are hundreds.
 
 use std::time::Duration;
 use wingshore_types::Instant;
 
 /// Between two checks that come later than this the process has stood still: checks come each
-/// 100 ms. Not measured at other values.
+/// 100 ms.
 const STALL_LIMIT: Duration = Duration::from_millis(250);
 /// Then silence counts again after this time: each gateway has reported its status once more, each
-/// 400 ms, and the rest is read. Not measured at other values.
+/// 400 ms, and the rest is read.
 const CATCH_UP_TIME: Duration = Duration::from_millis(500);
 
 /// Watches the process's own checks.
--- a/crates/gateways/wingshore-coordinator/src/text_queue.rs
+++ b/crates/gateways/wingshore-coordinator/src/text_queue.rs
@@ -9,23 +9,17 @@
 //! has run, and a slow disk costs memory before it costs time.
 //!
 //! A text that was released is noticed only when it is the oldest; until then its bytes count.
-//!
-//! Measured (debug build, 80 MB of texts, a limit of 80 MB): the peak of a start was 151 MB with
-//! all texts in memory and is 27 to 35 MB; 400 texts on a disk that hangs took 7.3 s while each
-//! waited, and take less than 2 s.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 use wingshore_coordination::{PackedText, TextPlace};
 
-/// Bytes that are moved with one sync: long enough for a disk's speed, short beside the budget. Not
-/// measured at other values.
+/// Bytes that are moved with one sync: long enough for a disk's speed, short beside the budget.
 const MAX_BATCH_BYTES: usize = 512 << 10;
-/// Texts move until this part of the budget is free, so that not each text brings on a sync. Not
-/// measured at other values.
+/// Texts move until this part of the budget is free, so that not each text brings on a sync.
 const FREED_PART: usize = 8;
-/// Beyond the budget by this part of it, whoever brings more waits. Not measured at other values.
+/// Beyond the budget by this part of it, whoever brings more waits.
 const TOLERATED_PART: usize = 4;
 /// A batch that takes longer than this to be moved is on a disk that hangs: a hundred times what a
 /// sync takes.
--- a/crates/gateways/wingshore-coordinator/src/texts.rs
+++ b/crates/gateways/wingshore-coordinator/src/texts.rs
@@ -19,10 +19,9 @@
 
 /// Name of the folder of texts in the data folder.
 const FOLDER: &str = "texts";
-/// Longest wait of one who brings a single text: the loop that it runs in has others to answer. Not
-/// measured at other values.
+/// Longest wait of one who brings a single text: the loop that it runs in has others to answer.
 const WAIT_FOR_ONE: Duration = Duration::from_millis(20);
-/// Between attempts to move texts after a failure. Not measured.
+/// Between attempts to move texts after a failure.
 const MOVE_RETRY_BACKOFF: Duration = Duration::from_millis(500);
 
 /// What the thread that moves texts and those who bring them share.
--- a/crates/gateways/wingshore-coordinator/src/view_feed.rs
+++ b/crates/gateways/wingshore-coordinator/src/view_feed.rs
@@ -10,10 +10,8 @@
 //! few.
 //!
 //! Why: a change of leader costs nothing here, and after a restart of a whole site all members send
-//! the view at once. Before, each new leader sent 469 kB for 10,000 servers to each of 836
-//! gateways, 392 MB from a process of 270 MB, and no leader lasted longer than 0.9 s; the fullest
-//! member now takes 102 to 106 MB. A copy that lags sends what it has: gateways leave a member that
-//! lags 0.7 s for another.
+//! the view at once. A copy that lags sends what it has: gateways leave a member that lags 0.7 s
+//! for another.
 
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,16 +22,14 @@
 use wingshore_types::LogIndex;
 
 /// A gateway is sent nothing new while more bytes than this wait for it: what changes meanwhile is
-/// sent once, as it is then. It is 35 ms on a link of 60 Mbit/s. Not measured at other values.
+/// sent once, as it is then. It is 35 ms on a link of 60 Mbit/s.
 const MAX_QUEUED_BYTES: usize = 256 * 1024;
-/// Gateways that are sent the whole view at a time. The others wait: the first ones then have it after
-/// a few ms, where all would have it after seconds if they shared the link (836 whole views are 0.9 s of
-/// the links of six members). Not measured at other values.
+/// Gateways that are sent the whole view at a time. The others wait: the first ones then have it after a
+/// few ms, where all would have it after seconds if they shared the link.
 const MAX_WHOLE_VIEWS_UNDER_WAY: usize = 16;
 /// An encoded view is sent together with what has changed since, as long as that is no more than
 /// one part in so many of its servers: encoding 10,000 servers takes milliseconds, and while a
-/// site's servers register, each gateway would ask for another state of them. Not measured at other
-/// values.
+/// site's servers register, each gateway would ask for another state of them.
 const REENCODED_FROM: usize = 8;
 
 /// Where the bytes go.
--- a/crates/gateways/wingshore-coordinator/src/writer.rs
+++ b/crates/gateways/wingshore-coordinator/src/writer.rs
@@ -12,8 +12,7 @@
 use wingshore_storage::{PatientStore, StorageError};
 use wingshore_types::log::WriteBatch;
 
-/// Between attempts to write on a full disk. Not measured; waiting instead of ending took 22 exits of
-/// one day with full disks to none.
+/// Between attempts to write on a full disk.
 const FULL_DISK_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Waits for space on a full disk.
--- a/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
+++ b/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
@@ -19,13 +19,12 @@
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// A connection to a server must be up within this time. Not measured; round trips within a region
-/// take a few milliseconds.
+/// A connection to a server must be up within this time; round trips within a region take a few
+/// milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// A repeatable request goes to another server after this many times its target latency. Not
-/// measured.
+/// A repeatable request goes to another server after this many times its target latency.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
-/// An answer must have left this long before the caller's deadline. Not measured.
+/// An answer must have left this long before the caller's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
 /// How long a request may be held.
--- a/crates/gateways/wingshore-gateway/src/attempts.rs
+++ b/crates/gateways/wingshore-gateway/src/attempts.rs
@@ -25,9 +25,9 @@
 use wingshore_types::verdict::Verdict;
 
 /// Refusals after which a request is given up, besides its attempts: it may meet one more than
-/// this. Not measured: a bound for a service whose servers all refuse.
+/// this. A bound for a service whose servers all refuse.
 const MAX_REFUSALS: u32 = 3;
-/// When a client may retry a request that was not run. Not measured.
+/// When a client may retry a request that was not run.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// What a route allows.
--- a/crates/gateways/wingshore-gateway/src/balance.rs
+++ b/crates/gateways/wingshore-gateway/src/balance.rs
@@ -12,8 +12,8 @@
 //! is chosen only where all others are ejected too.
 //!
 //! **Why.** Gateways do not know each other's requests, so that a server's own word counts while it is
-//! fresh. A measured latency counts less the older it is: without that a server that was slow once was
-//! never chosen again while others did better.
+//! fresh. A measured latency counts less the older it is: without that a server that was slow once
+//! would get nothing more while others do better.
 //!
 //! **Old or missing inputs.** A load that was reported more than a second ago does not count; a server that
 //! has not answered yet has a latency of 20 ms. A server that the view does not name any more is
@@ -24,22 +24,22 @@
 use wingshore_coordination::{InstanceId, ServerRecord};
 use wingshore_types::{Instant, doubled_backoff};
 
-/// Latency of a server that has not answered yet, in milliseconds. Not measured.
+/// Latency of a server that has not answered yet, in milliseconds.
 const INITIAL_LATENCY_MS: f64 = 20.0;
-/// Weight of the newest latency in the average, of 1. Not measured.
+/// Weight of the newest latency in the average, of 1.
 const LATENCY_WEIGHT: f64 = 0.3;
-/// After this time a measured latency counts half. Not measured.
+/// After this time a measured latency counts half.
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(4);
-/// How long a server's own word about its load counts. Not measured.
+/// How long a server's own word about its load counts.
 const LOAD_FRESH: Duration = Duration::from_millis(1000);
-/// An ejected server gets nothing for this long at first, and twice as long each time. Not measured.
+/// An ejected server gets nothing for this long at first, and twice as long each time.
 const INITIAL_EJECTION: Duration = Duration::from_millis(300);
-/// The longest such time. Not measured.
+/// The longest such time.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
-/// How many times as much a server costs whose slots are all taken, less one. Not measured.
+/// How many times as much a server costs whose slots are all taken, less one.
 const LOAD_COST_FACTOR: f64 = 2.0;
-/// How many times as much a server of another zone costs. Not measured; bytes between zones have a
-/// price, and a round trip takes longer.
+/// How many times as much a server of another zone costs; bytes between zones have a price, and a
+/// round trip takes longer.
 const CROSS_ZONE_COST_FACTOR: f64 = 1.15;
 /// Added to the cost of an ejected server, in milliseconds: more than any other cost.
 const EJECTED_COST: f64 = 1e9;
--- a/crates/gateways/wingshore-gateway/src/call_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/call_policy.rs
@@ -12,9 +12,7 @@
 //! is answered as having had no effect, unless it may take effect and was sent to a leader.
 //!
 //! **Why.** What is listed never changes, so that a copy answers reads as well as the leader does.
-//! Reading from near copies took the price of bytes between zones from 0.064 to 0.045 of a day's
-//! `worth` (24 pairs); switched off alone, `worth` itself showed no difference (+0.002 +- 0.021, 15
-//! pairs).
+//! Reading from near copies saves bytes between zones.
 //!
 //! **Old or missing inputs.** A copy that was not heard of lately is not read; without a leader a call
 //! waits for one until its time is over.
@@ -24,15 +22,15 @@
 use wingshore_coordination::Request;
 use wingshore_types::Instant;
 
-/// Time that the group has for a call, besides what the call may wait. Not measured; a leader is
-/// elected anew within some 0.7 s.
+/// Time that the group has for a call, besides what the call may wait. The election of a new leader
+/// fits into it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1300);
-/// Time that the group has to accept or end a job, which one commit makes durable. Not measured.
+/// Time that the group has to accept or end a job, which one commit makes durable.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
-/// A call without an answer is sent again after this time: the leader may be cut off. Not measured;
-/// less than half of the shortest time for a call is left then.
+/// A call without an answer is sent again after this time: the leader may be cut off. Less than
+/// half of the shortest time for a call is left then.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
-/// When a client may retry a call that had no effect. Not measured.
+/// When a client may retry a call that had no effect.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// How long the group may take for a call.
--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -14,7 +14,7 @@
 use wingshore_net::http::{HeadWriter, RequestError, RequestHead, RequestReader, WholeRequest};
 use wingshore_types::Instant;
 
-/// How many times as long as a head a request with a body may take to arrive. Not measured.
+/// How many times as long as a head a request with a body may take to arrive.
 const BODY_TIME_FACTOR: u32 = 3;
 
 /// What a client waits for.
--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -13,14 +13,14 @@
 use wingshore_net::{ConnectOptions, ConnectionId, frame};
 use wingshore_types::{Instant, LogIndex};
 
-/// Sent bytes may stay unacknowledged this long. Not measured; somewhat more than the silence after
-/// which a link is given up.
+/// Sent bytes may stay unacknowledged this long; somewhat more than the silence after which a link
+/// is given up.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
-/// Between attempts to connect. Not measured.
+/// Between attempts to connect.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
-/// A link that was up for this long was no failed attempt. Not measured.
+/// A link that was up for this long was no failed attempt.
 const STEADY_LINK: Duration = Duration::from_secs(2);
-/// An attempt to connect is over after this time. Not measured.
+/// An attempt to connect is over after this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// A coordinator that is silent for this long is disconnected: four of its heartbeats, which come
 /// each 300 ms.
--- a/crates/gateways/wingshore-gateway/src/crashes.rs
+++ b/crates/gateways/wingshore-gateway/src/crashes.rs
@@ -27,7 +27,7 @@
 /// a server that crashed is back, or missed by its heartbeats, within 6 s.
 const EXPLAINED_WITHIN: Duration = Duration::from_secs(8);
 /// Evidence is reported to each new leader for this long: a site without one for longer has lost
-/// more. Not measured.
+/// more.
 const REPORTED_FOR: Duration = Duration::from_secs(60);
 /// Most pieces of evidence that are kept to be reported again; a piece has 60 bytes.
 const MAX_FOUND: usize = 512;
--- a/crates/gateways/wingshore-gateway/src/item_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/item_policy.rs
@@ -15,11 +15,11 @@
 
 use std::time::Duration;
 
-/// A connection to an engine must be up within this time. Not measured; round trips within a region
-/// take a few milliseconds.
+/// A connection to an engine must be up within this time; round trips within a region take a few
+/// milliseconds.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// An engine must begin to answer, and go on, within this time. Not measured; an engine's step takes
-/// 36 to 78 ms, a load of weights 0.45 s times the loads under way.
+/// An engine must begin to answer, and go on, within this time. It is above an engine's step and a
+/// load of weights.
 pub(crate) const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// So many events of an item are uploaded together, to survive this process. An item that has fewer
--- a/crates/gateways/wingshore-gateway/src/limit.rs
+++ b/crates/gateways/wingshore-gateway/src/limit.rs
@@ -10,20 +10,20 @@
 //! decrease). It never falls below one.
 //!
 //! **Why.** What is above the limit waits here, where live requests to the same servers do not stand
-//! behind it. What it buys in `worth` is no result: -0.014 +- 0.021 (15 pairs with and without it).
+//! behind it.
 //!
 //! **Old or missing inputs.** Without answers the limit stays as it is.
 
 use std::time::Duration;
 use wingshore_types::Instant;
 
-/// The limit before anything is known, in scorings. Not measured.
+/// The limit before anything is known, in scorings.
 const INITIAL_LIMIT: f64 = 6.0;
 /// The limit never falls below this, in scorings: each end of one says how the servers do.
 const MIN_LIMIT: f64 = 1.0;
-/// What is left of the limit when it falls. Not measured.
+/// What is left of the limit when it falls.
 const DECREASE_FACTOR: f64 = 0.6;
-/// Signals of overload within this time count once: they are of the same moment. Not measured.
+/// Signals of overload within this time count once: they are of the same moment.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What an answer says about its service.
--- a/crates/gateways/wingshore-gateway/src/process/listeners.rs
+++ b/crates/gateways/wingshore-gateway/src/process/listeners.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use wingshore_net::{ListenerId, Reactor};
 
-/// Sent bytes may stay unacknowledged this long on connections of clients. Not measured.
+/// Sent bytes may stay unacknowledged this long on connections of clients.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(8);
 
 /// What a gateway listens on besides the port of its clients.
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -39,17 +39,16 @@
 use wingshore_net::{Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
-/// Between status reports to coordinators. Not measured; a leader keeps the items of a gateway for at
-/// least 0.9 s since it was last heard of.
+/// Between status reports to coordinators; a leader keeps the items of a gateway for at least 0.9 s
+/// since it was last heard of.
 const STATUS_INTERVAL: Duration = Duration::from_millis(400);
-/// Between checks of what has become due. Not measured.
+/// Between checks of what has become due.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest wait for sockets. Not measured; longer than housekeeping needs.
+/// Longest wait for sockets; longer than housekeeping needs.
 const MAX_WAIT: Duration = Duration::from_millis(250);
-/// After this many times the directory's time to live no client uses this gateway any more. Not
-/// measured.
+/// After this many times the directory's time to live no client uses this gateway any more.
 const DIRECTORY_TTLS_UNTIL_UNUSED: u32 = 3;
-/// Left before the end of a planned stop for the last answers to arrive. Not measured.
+/// Left before the end of a planned stop for the last answers to arrive.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
 /// A running gateway.
--- a/crates/gateways/wingshore-gateway/src/scoring_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/scoring_policy.rs
@@ -11,8 +11,7 @@
 //! that it failed is not. A success without a score is no score.
 //!
 //! **Why.** A step's texts end together: all their scorings at once would stand before live requests to
-//! the same servers. What the limit buys in `worth` is no result: -0.014 +- 0.021 (15 pairs with and
-//! without it).
+//! the same servers.
 //!
 //! **Old or missing inputs.** Without known servers one scoring at a time is begun.
 
@@ -21,7 +20,7 @@
 use wingshore_coordination::{NotScoredReason, ScoringOutcome};
 
 /// One of so many slots of a service is for this gateway's scorings at the most: other gateways need
-/// some too. Not measured.
+/// some too.
 const SLOTS_PER_SCORING: usize = 2;
 
 /// How many scorings may be at servers that have so many slots together.
--- a/crates/gateways/wingshore-gateway/src/streams.rs
+++ b/crates/gateways/wingshore-gateway/src/streams.rs
@@ -16,8 +16,8 @@
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{AnswerHead, HeadWriter, write_chunk, write_last_chunk};
 
-/// A client that lets more bytes than this wait is cut off. Not measured; it bounds the memory that a
-/// client which does not read can take.
+/// A client that lets more bytes than this wait is cut off. This bounds the memory that a client
+/// which does not read can take.
 const MAX_QUEUED_BYTES: usize = 8 << 20;
 
 /// What becomes of the client of a stream.
--- a/crates/gateways/wingshore-gateway/src/suspects.rs
+++ b/crates/gateways/wingshore-gateway/src/suspects.rs
@@ -12,8 +12,7 @@
 //! cause.
 //!
 //! **Why.** A request that ends its server would go on to the next one, attempt by attempt, until none
-//! is left. docs/design/0010-requests-that-end-servers.md has what was weighed; drawn runs
-//! (`tests/crash_simulation.rs`) rejected a request that was not the cause in 5 of 100,000.
+//! is left. docs/design/0010-requests-that-end-servers.md has what was weighed.
 //!
 //! **Old or missing inputs.** A view that lags lets an attempt through that the leader has rejected; one
 //! more ending is then reported. Before the site's key is known no request can be named: none is
@@ -26,7 +25,7 @@
 use wingshore_types::Instant;
 
 /// An attempt that has brought events for this long is not what ends its server: such a request does
-/// that as it begins to run, 30 to 200 ms after it was sent in all cases seen.
+/// that as it begins to run, far sooner than this.
 const CLEARED_AFTER: Duration = Duration::from_secs(1);
 /// A request that was sent less than this long before the connection was lost did not bring it on:
 /// where several servers end at once, it was sent to the next one while word of its end was on
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -11,12 +11,12 @@
 use wingshore_net::{ConnectOptions, ConnectionId};
 use wingshore_types::Instant;
 
-/// Sent bytes may stay unacknowledged this long. Not measured.
+/// Sent bytes may stay unacknowledged this long.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
-/// Idle connections are kept this long where the server does not say. Not measured.
+/// Idle connections are kept this long where the server does not say.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// A connection is not used in the last part of the time that the server keeps it: a request must
-/// not meet its close. Not measured.
+/// not meet its close.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
 
 /// Who uses a connection.
--- a/crates/gateways/wingshore-gateway/src/view_source.rs
+++ b/crates/gateways/wingshore-gateway/src/view_source.rs
@@ -9,9 +9,9 @@
 //! the leader last. A view that stays behind what any coordinator has announced for 0.7 s is followed at
 //! another coordinator, and the one before is avoided for 3 s.
 //!
-//! **Why.** Any copy is true, but it may be cut off from the leader while this gateway is not. A leader
-//! that sent the view to all gateways had 392 MB to send when 836 gateways lacked the view of 10,000
-//! servers; each of six members sends 66 MB, and little crosses between zones.
+//! **Why.** Any copy is true, but it may be cut off from the leader while this gateway is not. Were the
+//! leader to send the view to all gateways of a large site, its link would be full for seconds; of what
+//! members of each zone send, little crosses between zones.
 //!
 //! **Old or missing inputs.** A coordinator that was not heard of lately is no candidate. While there is
 //! none, nothing changes.
@@ -25,9 +25,9 @@
 /// so late; what is in force everywhere within 2 s has a second of it left for asking elsewhere.
 const LAG_LIMIT: Duration = Duration::from_millis(700);
 /// A gateway without any view waits this long for a copy in its own zone to show itself: links to
-/// all coordinators come up within some milliseconds of each other. Not measured.
+/// all coordinators come up within some milliseconds of each other.
 const NEAR_COPY_WAIT: Duration = Duration::from_millis(200);
-/// A copy that was left because it lagged is not asked again for this long. Not measured.
+/// A copy that was left because it lagged is not asked again for this long.
 const AVOIDED_FOR: Duration = Duration::from_secs(3);
 
 /// A coordinator with a copy of the state that was heard of lately.
