client, request: constants without notes of how they came about

Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes. Without comment lines the files are the same as before.

--- a/crates/nodes/wingshore-client/src/pool.rs
+++ b/crates/nodes/wingshore-client/src/pool.rs
@@ -10,10 +10,10 @@
 use wingshore_transport::ConnectOptions;
 
 /// Longest time until a connection is open, and longest silence during its handshake: below the most
-/// that an attempt gets, so that another replica still has its turn. Not measured.
+/// that an attempt gets, so that another replica still has its turn.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
 
-/// Calls that come this soon after a failed attempt to connect share its failure. Not measured.
+/// Calls that come this soon after a failed attempt to connect share its failure.
 const FAILURE_SHARED_FOR: Duration = Duration::from_millis(20);
 
 /// Connections by address.
--- a/crates/nodes/wingshore-client/src/retry.rs
+++ b/crates/nodes/wingshore-client/src/retry.rs
@@ -8,7 +8,7 @@
 //! step and the whole.
 //!
 //! Why: a leader that was cut off silently must not use up the whole call, and callers that failed
-//! at the same moment must not return at the same moment. None of the figures is measured.
+//! at the same moment must not return at the same moment.
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
--- a/crates/nodes/wingshore-client/src/route.rs
+++ b/crates/nodes/wingshore-client/src/route.rs
@@ -13,10 +13,10 @@
 use wingshore_types::GroupId;
 
 /// How long a replica that failed an attempt is passed over while there are others: half of the
-/// default election timeout. Not measured.
+/// default election timeout.
 const SUSPECT_TIME: Duration = Duration::from_millis(500);
 
-/// Most addresses learned from hints that are kept beside the listed ones. Not measured.
+/// Most addresses learned from hints that are kept beside the listed ones.
 const MAX_LEARNED: usize = 16;
 
 /// What a client knows about where groups are led. Reads no clock.
--- a/crates/nodes/wingshore-client/src/watcher.rs
+++ b/crates/nodes/wingshore-client/src/watcher.rs
@@ -14,10 +14,10 @@
 };
 use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
 
-/// Time for one watch beyond what it asks the other side to wait. Not measured.
+/// Time for one watch beyond what it asks the other side to wait.
 const CALL_MARGIN: Duration = Duration::from_millis(1500);
 
-/// Backoff after a watch that failed or was refused. Not measured.
+/// Backoff after a watch that failed or was refused.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(100);
 
 /// What the watcher asks for and reports; called from the watcher's thread only.
--- a/crates/nodes/wingshore-request/src/errors.rs
+++ b/crates/nodes/wingshore-request/src/errors.rs
@@ -13,7 +13,7 @@
 use wingshore_types::Verdict;
 use wingshore_types::protocol::claims::ClaimsReply;
 
-/// Retry-after where neither server nor claims group names one. Not measured.
+/// Retry-after where neither server nor claims group names one.
 pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// The error after the last attempt, which failed; `verdict` is the worst of all attempts.
--- a/crates/nodes/wingshore-request/src/retry.rs
+++ b/crates/nodes/wingshore-request/src/retry.rs
@@ -17,7 +17,7 @@
 use wingshore_routing::RefusalCode;
 use wingshore_types::{Instant, Verdict};
 
-/// The backoff doubles this often at most: with the default of 5 ms it ends at 5.12 s. Not measured.
+/// The backoff doubles this often at most: with the default of 5 ms it ends at 5.12 s.
 const MAX_BACKOFF_DOUBLINGS: u32 = 10;
 
 /// Whether a request may be sent again after its attempt number `attempts` failed with `verdict`.
--- a/crates/nodes/wingshore-request/src/specification.rs
+++ b/crates/nodes/wingshore-request/src/specification.rs
@@ -41,15 +41,13 @@
 /// Limits of one execution.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ExecutionLimits {
-    /// Most attempts, the first one included; 3 unless set. Not measured.
+    /// Most attempts, the first one included; 3 unless set.
     pub attempts: u32,
-    /// Longest time to wait for a free slot before the request is refused; 100 ms unless set. Not
-    /// measured.
+    /// Longest time to wait for a free slot before the request is refused; 100 ms unless set.
     pub slot_wait: Duration,
-    /// Time between two polls for a free slot; 5 ms unless set. Not measured.
+    /// Time between two polls for a free slot; 5 ms unless set.
     pub slot_poll: Duration,
-    /// Backoff before the second attempt, doubled for each further one; 5 ms unless set. Not
-    /// measured.
+    /// Backoff before the second attempt, doubled for each further one; 5 ms unless set.
     pub backoff: Duration,
 }
 
