ledger: what nodes ask for is turned into operations by a function of its own

Change: `operation_of_node` holds the requests of nodes about samples they lease (Lease, Return, Finish, Score); `operation_of` still names every kind of request, so that a new one does not compile unnoticed. Safe: the same request gives the same operation; tests unchanged.

--- a/crates/nodes/wingshore-ledger/src/samples/requests.rs
+++ b/crates/nodes/wingshore-ledger/src/samples/requests.rs
@@ -62,8 +62,33 @@
 
 /// The operation a request asks for, when it is one that changes the state.
 pub(super) fn operation_of(request: LedgerRequest) -> Option<Operation> {
+    match request {
+        LedgerRequest::Submit { pool, prompts } => Some(Operation::Submit { pool, prompts }),
+        LedgerRequest::Acknowledge {
+            pool,
+            trainer,
+            step,
+        } => Some(Operation::Acknowledge {
+            pool,
+            trainer,
+            step,
+        }),
+        LedgerRequest::Lease { .. }
+        | LedgerRequest::Return { .. }
+        | LedgerRequest::Finish { .. }
+        | LedgerRequest::Score { .. } => operation_of_node(request),
+        LedgerRequest::Configure { .. }
+        | LedgerRequest::Renew { .. }
+        | LedgerRequest::Unscored { .. }
+        | LedgerRequest::Pull { .. }
+        | LedgerRequest::BatchPart { .. }
+        | LedgerRequest::Counts { .. } => None,
+    }
+}
+
+/// The operation that a node asks for about samples it leases.
+fn operation_of_node(request: LedgerRequest) -> Option<Operation> {
     let operation = match request {
-        LedgerRequest::Submit { pool, prompts } => Operation::Submit { pool, prompts },
         LedgerRequest::Lease {
             pool,
             node,
@@ -106,21 +131,7 @@
             lease,
             score,
         },
-        LedgerRequest::Acknowledge {
-            pool,
-            trainer,
-            step,
-        } => Operation::Acknowledge {
-            pool,
-            trainer,
-            step,
-        },
-        LedgerRequest::Configure { .. }
-        | LedgerRequest::Renew { .. }
-        | LedgerRequest::Unscored { .. }
-        | LedgerRequest::Pull { .. }
-        | LedgerRequest::BatchPart { .. }
-        | LedgerRequest::Counts { .. } => return None,
+        _ => return None,
     };
     Some(operation)
 }
