rollout: starting attempts is a module of its own

Functions are moved, not changed. Safe: tests unchanged; nothing outside the crate names the modules.

--- a/crates/nodes/wingshore-rollout/src/lib.rs
+++ b/crates/nodes/wingshore-rollout/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! * `window`: how many samples to hold, from what the router admits
 //! * `held`: leased samples that are not finished yet
-//! * `streams`: attempts on engines, from start to end
+//! * `starting`: starting attempts on engines
+//! * `streams`: attempts on engines, from their first event to their end
 //! * `placement`: moving attempts off engines
 //! * `cache_moves`: whether an attempt moves with its KV cache
 //! * `second_attempts`: second attempts of stragglers
@@ -27,6 +28,7 @@
 mod scoring;
 mod second_attempts;
 mod settings;
+mod starting;
 mod stopping;
 mod streams;
 mod window;
--- a/crates/nodes/wingshore-rollout/src/streams.rs
+++ b/crates/nodes/wingshore-rollout/src/streams.rs
@@ -1,25 +1,16 @@
-//! Attempts on engines, from start to end. Segments come from the engines' stamps alone.
+//! Attempts on engines, from their first event to their end. Segments come from the engines' stamps
+//! alone.
 
-use crate::held::{HeldSample, is_older_than};
+use crate::held::is_older_than;
 use crate::messages::{AttemptId, RolloutOutput, StreamEnd};
 use crate::reports::ReportKey;
 use crate::runner::{Context, RETRY_BACKOFF, RolloutRunner};
 use std::net::SocketAddr;
-use std::time::Duration;
-use wingshore_routing::{
-    Admitted, AttemptOutcome, Class, Refusal, RefusalCode, RouteRequest, Ticket,
-};
-use wingshore_types::generator::hash_tokens;
-use wingshore_types::platform::{EngineCompletionRequest, Usage};
+use wingshore_routing::{Admitted, AttemptOutcome, Ticket};
+use wingshore_types::platform::Usage;
 use wingshore_types::protocol::ledger::LedgerRequest;
 use wingshore_types::{Generation, Instant, LeaseId, ServerId, Token, Verdict, WeightVersion};
 
-/// The engine's limit for one attempt, from its start.
-const ATTEMPT_DEADLINE: Duration = Duration::from_secs(600);
-/// Priority of rollouts on engines; higher goes first. Live requests without a priority of their own
-/// have the same.
-const ROLLOUT_PRIORITY: i32 = 0;
-
 /// One attempt that runs.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
@@ -49,69 +40,6 @@
 }
 
 impl RolloutRunner {
-    /// Starts waiting samples until the router has no slot.
-    pub(crate) fn start_waiting(&mut self, context: &mut Context<'_>) {
-        if context.now < self.refused_until || self.stopping_since.is_some() {
-            return;
-        }
-        for lease in self.held.startable(context.now) {
-            if let Err(refusal) = self.start(context, lease, None) {
-                let backoff = refusal.retry_after.unwrap_or(RETRY_BACKOFF);
-                self.refused_until = context.now + backoff;
-                let running = self.attempts.len() as u32;
-                match refusal.code {
-                    RefusalCode::NoCapacity => self.window.on_refused(context.now, running),
-                    _ => self.window.on_no_engine(running),
-                }
-                return;
-            }
-        }
-        if self.held.waiting() == 0 {
-            let running = self.attempts.len() as u32;
-            self.window.on_all_running(context.now, running);
-        }
-    }
-
-    /// Starts an attempt at a held sample; `resume` replaces the tokens that ended attempts left.
-    pub(crate) fn start(
-        &mut self,
-        context: &mut Context<'_>,
-        lease: LeaseId,
-        resume: Option<(Generation, ServerId)>,
-    ) -> Result<(), Refusal> {
-        let Some(sample) = self.held.get(lease).cloned() else {
-            return Ok(());
-        };
-        let (generation, avoided) = match resume {
-            Some((generation, running_on)) => (generation, Some(running_on)),
-            None => (sample.partial.clone(), sample.avoided.clone()),
-        };
-        let is_second = !sample.attempts.is_empty();
-        let admitted = self.admit(context, &sample, avoided, is_second)?;
-        self.start_on(context, lease, &sample, admitted, generation);
-        Ok(())
-    }
-
-    /// Starts an attempt at a held sample in a slot that is taken already.
-    pub(crate) fn start_on(
-        &mut self,
-        context: &mut Context<'_>,
-        lease: LeaseId,
-        sample: &HeldSample,
-        admitted: Admitted,
-        generation: Generation,
-    ) {
-        let attempt = self.next_attempt();
-        let request = self.engine_request(attempt, sample, &generation);
-        context.out.push(RolloutOutput::StartStream {
-            attempt,
-            server: admitted.server.clone(),
-            address: admitted.address,
-            request: Box::new(request),
-        });
-        self.remember_attempt(context.now, attempt, lease, admitted, generation);
-    }
-
     pub(crate) fn on_chunk(
         &mut self,
         context: &mut Context<'_>,
@@ -215,84 +143,6 @@
         }
     }
 
-    pub(crate) fn admit(
-        &mut self,
-        context: &mut Context<'_>,
-        sample: &HeldSample,
-        avoided: Option<ServerId>,
-        is_second: bool,
-    ) -> Result<Admitted, Refusal> {
-        let Some(binding) = &self.binding else {
-            return Err(no_binding());
-        };
-        let mut request = RouteRequest {
-            service: binding.pool.service.clone(),
-            class: Class::Rollout,
-            prefix_hash: Some(hash_tokens(&sample.prompt.tokens)),
-            tokens_estimate: sample.prompt.tokens.len() as u32,
-            deadline: context.now + ATTEMPT_DEADLINE,
-            no_repeat: false,
-            excluded: avoided.into_iter().collect(),
-            oldest_useful: Some(self.oldest_useful),
-        };
-        let first = context.router.admit(context.now, &request);
-        if first.is_ok() || request.excluded.is_empty() || is_second {
-            return first;
-        }
-        // Rather the engine that failed it before than none.
-        request.excluded.clear();
-        context.router.admit(context.now, &request)
-    }
-
-    fn engine_request(
-        &self,
-        attempt: AttemptId,
-        sample: &HeldSample,
-        resume: &Generation,
-    ) -> EngineCompletionRequest {
-        let binding = self.binding.as_ref();
-        let deadline = ATTEMPT_DEADLINE.as_millis();
-        EngineCompletionRequest {
-            request_id: self.request_id(attempt),
-            model: binding.map_or_else(String::new, |binding| binding.model.clone()),
-            adapter: None,
-            prompt: sample.prompt.tokens.clone(),
-            resume: resume.tokens.clone(),
-            max_tokens: sample.prompt.max_tokens,
-            priority: ROLLOUT_PRIORITY,
-            stream: true,
-            deadline_ms: u64::try_from(deadline).unwrap_or(u64::MAX),
-            seed: sample.prompt.seed,
-        }
-    }
-
-    fn remember_attempt(
-        &mut self,
-        now: Instant,
-        id: AttemptId,
-        lease: LeaseId,
-        admitted: Admitted,
-        generation: Generation,
-    ) {
-        let resumed_tokens = generation.tokens.len();
-        let attempt = Attempt {
-            lease,
-            ticket: admitted.ticket,
-            server: admitted.server,
-            address: admitted.address,
-            generation,
-            resumed_tokens,
-            started: now,
-            last_event: now,
-            leaving_since: None,
-            next: None,
-        };
-        self.counters.attempts += 1;
-        self.counters.resumed += u64::from(resumed_tokens > 0);
-        self.attempts.insert(id, attempt);
-        self.held.update(lease, |sample| sample.attempts.push(id));
-    }
-
     /// Takes an attempt out and gives its slot back; without an outcome it was a success.
     fn end_attempt(
         &mut self,
@@ -392,11 +242,3 @@
     generation.segments.clear();
     generation.append(version, &tokens);
 }
-
-fn no_binding() -> Refusal {
-    Refusal {
-        code: RefusalCode::UnknownService,
-        message: "the pool's configuration is not known yet".to_owned(),
-        retry_after: None,
-    }
-}
