tests: what the decoders do with forms that they do not know

Cause: builds of two ages run side by side, and nothing stated how the decoder of one treats what the other may write more, less or otherwise. A range of formats in the hello can only rest on that. Change: new test files beside the golden ones.

Safe: tests alone; no golden file or existing test is touched.

--- /dev/null
+++ b/crates/gateways/wingshore-coordination/tests/unknown_forms.rs
@@ -0,0 +1,187 @@
+//! What the decoders of messages, commands and snapshots do with what a newer build may write.
+//!
+//! The rules of formats stand on this: bytes after the end of a value are ignored, whatever they
+//! mean; a variant that is not known, and a value that ends too early, are refused.
+
+use googletest::prelude::*;
+use serde::de::DeserializeOwned;
+use std::fmt::Debug;
+use wingshore_coordination::{
+    CallReply, Command, CoordinationState, CoordinatorFrame, CoordinatorMessage, GatewayMessage,
+    IncomingFrame, ItemOutcome, Reply, Request,
+};
+use wingshore_types::LogIndex;
+use wingshore_types::machine::ReplicatedState;
+
+const CALL_REPLIES: &str = include_str!("golden/call_replies.txt");
+const COMMANDS: &str = include_str!("golden/commands.txt");
+const COORDINATOR_FRAMES: &str = include_str!("golden/coordinator_frames.txt");
+const COORDINATOR_MESSAGES: &str = include_str!("golden/coordinator_messages.txt");
+const GATEWAY_MESSAGES: &str = include_str!("golden/gateway_messages.txt");
+const INCOMING_FRAMES: &str = include_str!("golden/incoming_frames.txt");
+const ITEM_OUTCOMES: &str = include_str!("golden/item_outcomes.txt");
+const REPLIES: &str = include_str!("golden/replies.txt");
+const REQUESTS: &str = include_str!("golden/requests.txt");
+
+/// Bytes that nobody writes today, among them the marks of variants and long integers.
+const MORE: &[&[u8]] = &[&[0], &[1, 1], &[0xff; 12], b"a range or anything else"];
+
+/// Names and bytes of the lines of a golden file.
+fn lines(golden: &str) -> Vec<(&str, Vec<u8>)> {
+    let named = golden.lines().map(|line| line.split_once(' ').unwrap());
+    named.map(|(name, digits)| (name, unhex(digits))).collect()
+}
+
+fn unhex(digits: &str) -> Vec<u8> {
+    let pairs = (0..digits.len()).step_by(2);
+    pairs
+        .map(|at| u8::from_str_radix(&digits[at..at + 2], 16).unwrap())
+        .collect()
+}
+
+/// Each line is read as the same value with more bytes after its end.
+fn ignores_more<T: DeserializeOwned + PartialEq + Debug>(golden: &str) {
+    for (name, bytes) in lines(golden) {
+        let alone: T = postcard::from_bytes(&bytes).unwrap();
+        for more in MORE {
+            let longer = [&bytes, *more].concat();
+            let (read, rest): (T, &[u8]) = postcard::take_from_bytes(&longer).unwrap();
+            expect_that!(read == alone, eq(true), "{name}: {read:?}");
+            expect_that!(rest, eq(*more), "{name}");
+            let read: T = postcard::from_bytes(&longer).unwrap();
+            expect_that!(read == alone, eq(true), "{name}: {read:?}");
+        }
+    }
+}
+
+/// No beginning of a line is read as a value.
+fn refuses_less<T: DeserializeOwned + Debug>(golden: &str) {
+    for (name, bytes) in lines(golden) {
+        for length in 0..bytes.len() {
+            let read = postcard::from_bytes::<T>(&bytes[..length]);
+            expect_that!(read.is_err(), eq(true), "{name}, {length} bytes: {read:?}");
+        }
+    }
+}
+
+/// The variant after the last one is refused, whatever follows.
+fn refuses_next_variant<T: DeserializeOwned + Debug>(golden: &str) {
+    let last = lines(golden).iter().map(|(_, bytes)| bytes[0]).max();
+    let mut bytes = vec![last.unwrap() + 1];
+    bytes.extend([0; 200]);
+    let read = postcard::from_bytes::<T>(&bytes);
+    expect_that!(read.is_err(), eq(true), "{read:?}");
+}
+
+#[gtest]
+fn bytes_after_the_end_of_messages_are_ignored() {
+    ignores_more::<IncomingFrame>(INCOMING_FRAMES);
+    ignores_more::<CoordinatorFrame>(COORDINATOR_FRAMES);
+    ignores_more::<GatewayMessage>(GATEWAY_MESSAGES);
+    ignores_more::<CoordinatorMessage>(COORDINATOR_MESSAGES);
+    ignores_more::<CallReply>(CALL_REPLIES);
+    ignores_more::<Request>(REQUESTS);
+    ignores_more::<Reply>(REPLIES);
+    ignores_more::<ItemOutcome>(ITEM_OUTCOMES);
+}
+
+#[gtest]
+fn messages_that_end_too_early_are_refused() {
+    refuses_less::<IncomingFrame>(INCOMING_FRAMES);
+    refuses_less::<CoordinatorFrame>(COORDINATOR_FRAMES);
+    refuses_less::<GatewayMessage>(GATEWAY_MESSAGES);
+    refuses_less::<CoordinatorMessage>(COORDINATOR_MESSAGES);
+}
+
+#[gtest]
+fn unknown_variants_of_messages_are_refused() {
+    refuses_next_variant::<IncomingFrame>(INCOMING_FRAMES);
+    refuses_next_variant::<CoordinatorFrame>(COORDINATOR_FRAMES);
+    refuses_next_variant::<GatewayMessage>(GATEWAY_MESSAGES);
+    refuses_next_variant::<CoordinatorMessage>(COORDINATOR_MESSAGES);
+    refuses_next_variant::<CallReply>(CALL_REPLIES);
+    refuses_next_variant::<Request>(REQUESTS);
+    refuses_next_variant::<Reply>(REPLIES);
+}
+
+/// A hello of a coordinator stands in an envelope, and ends with it.
+#[gtest]
+fn bytes_after_a_hello_of_a_coordinator_are_ignored_in_its_envelope() {
+    let hello = lines(COORDINATOR_FRAMES)
+        .into_iter()
+        .find(|(name, _)| *name == "hello");
+    let (_, hello) = hello.unwrap();
+    /// The variant of frames between coordinators.
+    const COORDINATOR: u8 = 2;
+    let alone = [&[COORDINATOR], hello.as_slice()].concat();
+    let expected: IncomingFrame = postcard::from_bytes(&alone).unwrap();
+    for more in MORE {
+        let longer = [&alone, *more].concat();
+        let read: IncomingFrame = postcard::from_bytes(&longer).unwrap();
+        expect_that!(read, eq(&expected));
+    }
+}
+
+/// A field that is appended to a command is dropped without a word: members of two builds would
+/// hold different states.
+#[gtest]
+fn bytes_after_the_end_of_commands_are_ignored() {
+    ignores_more::<Command>(COMMANDS);
+}
+
+#[gtest]
+fn unknown_commands_and_cut_ones_are_refused() {
+    refuses_next_variant::<Command>(COMMANDS);
+    refuses_less::<Command>(COMMANDS);
+}
+
+fn state() -> CoordinationState {
+    let mut state = CoordinationState::default();
+    for (index, (_, bytes)) in (1..).zip(lines(COMMANDS)) {
+        state.apply(LogIndex(index), postcard::from_bytes(&bytes).unwrap());
+    }
+    state
+}
+
+fn refusal(bytes: &[u8]) -> String {
+    CoordinationState::restore(bytes).unwrap_err().message
+}
+
+#[gtest]
+fn a_snapshot_of_a_newer_format_is_refused_by_its_first_byte() {
+    let mut bytes = state().snapshot();
+    bytes[0] += 1;
+    expect_that!(
+        refusal(&bytes),
+        eq("the state has format 5; this program knows formats up to 4")
+    );
+}
+
+/// Bytes of the first record of a snapshot, after the format and the record's length.
+fn first_record(snapshot: &[u8]) -> std::ops::Range<usize> {
+    let length = u32::from_le_bytes(snapshot[1..5].try_into().unwrap());
+    5..5 + length as usize
+}
+
+/// A field that is appended to the state is dropped without a word.
+#[gtest]
+fn bytes_after_the_end_of_a_record_of_a_snapshot_are_ignored() {
+    let state = state();
+    let mut bytes = state.snapshot();
+    let record = first_record(&bytes);
+    bytes.splice(record.end..record.end, [7, 7, 7]);
+    let length = u32::try_from(record.len() + 3).unwrap();
+    bytes[1..5].copy_from_slice(&length.to_le_bytes());
+    let restored = CoordinationState::restore(&bytes).unwrap();
+    expect_that!(restored == state, eq(true));
+}
+
+#[gtest]
+fn an_unknown_record_of_a_snapshot_is_refused() {
+    let mut bytes = state().snapshot();
+    /// The variant after the last one.
+    const UNKNOWN: u8 = 6;
+    let record = first_record(&bytes);
+    bytes[record.start] = UNKNOWN;
+    expect_that!(CoordinationState::restore(&bytes).is_err(), eq(true));
+}
