coordination, coordinator, gateway: hellos say which formats their sender speaks

Cause: a peer whose frames differ was noticed only by a frame that fails to decode (`link closed`, no address) or is read as something else; nothing could ever change between two builds. Change: after its last field a hello carries the oldest and the newest format that its sender speaks, (1, 1) now: the hello of gateways and coordinators, and the sign of life with which a coordinator answers a gateway's hello. The newest of both ranges is the link's; a hello without a range is of format 1. Without a common one the peer is told the own range, the link is closed and counted (..._peers_refused on both sides), and one line names the address and both ranges, again only when they change. One place writes and reads it (messages/formats.rs); judging is a pure function. frame::decode_with_rest gives the bytes after a message. Safe: no present field or golden byte changes; hellos.txt is the old golden bytes with 0101 after them. What is decoded otherwise is what it was. Not built: a pause before a refused peer is dialled again.

--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -42,9 +42,10 @@
     WeightOrder, wanted_capacity,
 };
 pub use messages::{
-    BreakCause, CallReply, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, GatewayHello,
-    GatewayMessage, GatewayStatus, HeartbeatAnswer, IncomingFrame, ItemAssignment, ItemOutcome,
-    ItemProgress, KnownLeader, NotRunReason, Reply, Request, RunningItem, SeenCrash,
+    BreakCause, CallReply, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, FormatRange,
+    GatewayHello, GatewayMessage, GatewayStatus, HeartbeatAnswer, IncomingFrame, ItemAssignment,
+    ItemOutcome, ItemProgress, KnownLeader, NotRunReason, Refusal, RefusedPeers, Reply, Request,
+    RunningItem, SeenCrash, with_own_formats,
 };
 pub use provider::{CapacityOrder, DutyHolder, ProviderAnswer, UsageReport};
 pub use registry::{HeardServer, Heartbeat, ModelVersion, ServerRecord};
--- /dev/null
+++ b/crates/gateways/wingshore-coordination/tests/formats.rs
@@ -0,0 +1,79 @@
+//! Which format two processes speak, and what a hello with formats looks like.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::net::SocketAddr;
+use wingshore_coordination::{FormatRange, Refusal, RefusedPeers};
+
+fn range(oldest: u16, newest: u16) -> FormatRange {
+    FormatRange { oldest, newest }
+}
+
+fn any_range() -> impl Strategy<Value = FormatRange> {
+    (1_u16..20, 1_u16..20).prop_map(|(one, other)| range(one.min(other), one.max(other)))
+}
+
+fn peer() -> SocketAddr {
+    ([10, 0, 0, 1], 7000).into()
+}
+
+proptest! {
+    /// Both sides find the same, without a word more.
+    #[test]
+    fn the_newest_format_of_both_is_spoken(one in any_range(), other in any_range()) {
+        let of_both = |format: &u16| {
+            (one.oldest..=one.newest).contains(format)
+                && (other.oldest..=other.newest).contains(format)
+        };
+        prop_assert_eq!(one.common(other), (1..20).rev().find(of_both));
+        prop_assert_eq!(one.common(other), other.common(one));
+    }
+}
+
+#[gtest]
+fn a_range_that_is_none_has_no_format_in_common() {
+    expect_that!(range(1, 3).common(range(3, 1)), none());
+}
+
+#[gtest]
+fn a_hello_without_a_range_is_of_the_first_format() {
+    expect_that!(FormatRange::after_hello(&[]), ok(eq(&range(1, 1))));
+}
+
+#[gtest]
+fn what_follows_a_range_is_ignored() {
+    expect_that!(
+        FormatRange::after_hello(&[2, 3, 200, 7]),
+        ok(eq(&range(2, 3)))
+    );
+}
+
+#[gtest]
+fn half_a_range_is_none() {
+    expect_that!(FormatRange::after_hello(&[2]), err(anything()));
+}
+
+#[gtest]
+fn a_peer_is_news_once_for_what_it_says() {
+    let mut refused = RefusedPeers::default();
+    let refusal = |formats, is_news| Err(Refusal { formats, is_news });
+    expect_that!(refused.judge(peer(), &[]), eq(Ok(1)));
+    let (newer, newest) = (Some(range(2, 3)), Some(range(3, 3)));
+    expect_that!(refused.judge(peer(), &[2, 3]), eq(refusal(newer, true)));
+    expect_that!(refused.judge(peer(), &[2, 3]), eq(refusal(newer, false)));
+    expect_that!(refused.judge(peer(), &[3, 3]), eq(refusal(newest, true)));
+    expect_that!(refused.judge(peer(), &[3]), eq(refusal(None, true)));
+    expect_that!(refused.judge(peer(), &[3]), eq(refusal(None, false)));
+    expect_that!(refused.judge(peer(), &[1, 9]), eq(Ok(1)));
+    expect_that!(refused.judge(peer(), &[3]), eq(refusal(None, true)));
+}
+
+#[gtest]
+fn a_refusal_says_what_the_peer_speaks() {
+    let refusal = |formats| Refusal {
+        formats,
+        is_news: true,
+    };
+    expect_that!(refusal(Some(range(2, 3))).to_string(), eq("2 to 3"));
+    expect_that!(refusal(None).to_string(), eq("unreadable"));
+}
--- /dev/null
+++ b/crates/gateways/wingshore-coordination/tests/golden_hellos.rs
@@ -0,0 +1,90 @@
+//! Bytes of the first message on each kind of link, with the formats that its sender speaks.
+
+#[allow(dead_code, reason = "one of its checks is for other files")]
+mod golden;
+
+use golden::check_bytes;
+use golden::examples::{address, gateway_id, gateway_status};
+use googletest::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt::Debug;
+use std::time::Duration;
+use wingshore_coordination::{
+    CoordinatorFrame, CoordinatorHello, CoordinatorMessage, FormatRange, GatewayHello,
+    IncomingFrame, KnownLeader, WallTime, with_own_formats,
+};
+use wingshore_types::{LogIndex, ReplicaId};
+
+fn gateway() -> IncomingFrame {
+    IncomingFrame::Gateway(GatewayHello {
+        gateway: gateway_id(),
+        node: "edge-1".to_owned(),
+        front: address(4, 80),
+        zone: "zone-a".to_owned(),
+        region: "region-1".to_owned(),
+        status: gateway_status(),
+    })
+}
+
+fn coordinator() -> IncomingFrame {
+    IncomingFrame::Coordinator(CoordinatorFrame::Hello(CoordinatorHello {
+        id: ReplicaId(2),
+        node: "storage-2".to_owned(),
+        zone: "zone-b".to_owned(),
+        internal: address(2, 7000),
+        control: address(2, 7001),
+        wall: WallTime(1_700_000_000_123),
+        up: Duration::from_secs(61),
+        members: vec![address(2, 7000), address(3, 7000)],
+        leader: Some(KnownLeader {
+            term: 300,
+            leader: ReplicaId(3),
+        }),
+    }))
+}
+
+fn answer_to_a_gateway() -> CoordinatorMessage {
+    CoordinatorMessage::Alive {
+        coordinators: Some(vec![address(2, 7000), address(3, 7000)]),
+        zone: "zone-a".to_owned(),
+        copy: Some(LogIndex(400)),
+        wall: WallTime(1_700_000_000_123),
+    }
+}
+
+fn sent<M: Serialize>(hello: &M) -> Vec<u8> {
+    postcard::to_allocvec(&with_own_formats(hello)).unwrap()
+}
+
+#[gtest]
+fn hellos_keep_their_bytes() {
+    let examples = [
+        ("gateway", sent(&gateway())),
+        ("coordinator", sent(&coordinator())),
+        ("answer_to_a_gateway", sent(&answer_to_a_gateway())),
+    ];
+    check_bytes(include_str!("golden/hellos.txt"), &examples);
+}
+
+/// A program that knows no formats reads the same message; one that does reads both.
+fn is_read_by_both<M>(hello: &M)
+where
+    M: Serialize + DeserializeOwned + PartialEq + Debug,
+{
+    let bytes = sent(hello);
+    let alone = postcard::to_allocvec(hello).unwrap();
+    expect_that!(bytes.starts_with(&alone), eq(true));
+    let read: M = postcard::from_bytes(&bytes).unwrap();
+    expect_that!(&read, eq(hello));
+    let (read, rest): (M, &[u8]) = postcard::take_from_bytes(&bytes).unwrap();
+    expect_that!(&read, eq(hello));
+    expect_that!(FormatRange::after_hello(rest), ok(eq(&FormatRange::OWN)));
+}
+
+#[gtest]
+fn programs_that_know_no_formats_read_hellos_with_them() {
+    is_read_by_both(&gateway());
+    is_read_by_both(&coordinator());
+    is_read_by_both(&answer_to_a_gateway());
+}
--- a/crates/gateways/wingshore-coordinator/src/metrics.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics.rs
@@ -92,6 +92,7 @@
     scorings: Family<OutcomeLabel, Counter>,
     leaderships: Counter,
     member_changes: Counter,
+    peers_refused: Counter,
     state_sent: Counter,
     state_sent_again: Counter,
     /// In the order of [`GAUGES`].
@@ -254,6 +255,7 @@
             scorings: Family::default(),
             leaderships: Counter::default(),
             member_changes: Counter::default(),
+            peers_refused: Counter::default(),
             state_sent: Counter::default(),
             state_sent_again: Counter::default(),
             gauges: Vec::new(),
@@ -311,6 +313,11 @@
             "Changes of members asked for here",
             self.member_changes.clone(),
         );
+        registry.register(
+            "peers_refused",
+            "Connections refused since the process at the other end speaks no common format",
+            self.peers_refused.clone(),
+        );
         registry.register_with_unit(
             "state_sent",
             "Bytes of the state sent to members that lack too much of the log",
@@ -374,6 +381,11 @@
         self.member_changes.inc();
     }
 
+    /// A peer that speaks no common format was refused.
+    pub(crate) fn peer_refused(&self) {
+        self.peers_refused.inc();
+    }
+
     /// Bytes of the state have been sent, some of them not for the first time.
     pub(crate) fn state_sent(&self, bytes: u64, again: u64) {
         self.state_sent.inc_by(bytes);
--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -45,6 +45,11 @@
             return self.take_call_events(event);
         }
         self.reactor.close(connection);
+        self.forget(now, connection);
+    }
+
+    /// Ends what a link or a dialled connection was for.
+    pub(super) fn forget(&mut self, now: Instant, connection: ConnectionId) {
         self.view_feed.leave(connection);
         match self.roles.remove(&connection) {
             Some(Role::Link(Link {
--- a/crates/gateways/wingshore-coordinator/src/process/coordinators.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/coordinators.rs
@@ -6,7 +6,7 @@
 use slog::info;
 use std::net::SocketAddr;
 use wingshore_coordination::{
-    CoordinatorFrame, CoordinatorHello, Event, IncomingFrame, KnownLeader,
+    CoordinatorFrame, CoordinatorHello, Event, IncomingFrame, KnownLeader, with_own_formats,
 };
 use wingshore_group::HostInput;
 use wingshore_net::{ConnectOptions, ConnectionId};
@@ -22,7 +22,7 @@
         self.introduce(connection);
     }
 
-    fn introduce(&mut self, connection: ConnectionId) {
+    pub(super) fn introduce(&mut self, connection: ConnectionId) {
         let hello = CoordinatorHello {
             id: self.folder.identity().replica,
             node: self.settings.node.clone(),
@@ -35,7 +35,7 @@
             leader: self.known_leader(),
         };
         let frame = IncomingFrame::Coordinator(CoordinatorFrame::Hello(hello));
-        self.send_frame(connection, &frame);
+        self.send_frame(connection, &with_own_formats(&frame));
     }
 
     pub(super) fn on_coordinator_hello(
--- a/crates/gateways/wingshore-coordinator/src/process/gateways.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/gateways.rs
@@ -3,7 +3,9 @@
 use super::{Coordinator, Role, Waiting};
 use slog::info;
 use std::net::SocketAddr;
-use wingshore_coordination::{CoordinatorMessage, Event, GatewayHello, GatewayId, GatewayMessage};
+use wingshore_coordination::{
+    CoordinatorMessage, Event, GatewayHello, GatewayId, GatewayMessage, with_own_formats,
+};
 use wingshore_group::HostInput;
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
@@ -28,7 +30,7 @@
         }
         let coordinators = self.coordinator_addresses();
         let alive = self.alive_message(Some(coordinators));
-        self.send_frame(connection, &alive);
+        self.send_frame(connection, &with_own_formats(&alive));
         self.inputs.push(HostInput::Event(event));
     }
 
@@ -84,7 +86,10 @@
         self.send_to_all_gateways(&alive);
     }
 
-    fn alive_message(&self, coordinators: Option<Vec<SocketAddr>>) -> CoordinatorMessage {
+    pub(super) fn alive_message(
+        &self,
+        coordinators: Option<Vec<SocketAddr>>,
+    ) -> CoordinatorMessage {
         let has_copy = self.is_member() && self.host.leader().is_some();
         CoordinatorMessage::Alive {
             coordinators,
--- a/crates/gateways/wingshore-coordinator/src/process/links.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/links.rs
@@ -14,8 +14,8 @@
             let Some(input) = self.reactor.input(connection) else {
                 return;
             };
-            match frame::decode::<IncomingFrame>(input) {
-                Ok(Some(frame)) => self.on_frame(now, connection, frame),
+            match frame::decode_with_rest::<IncomingFrame>(input) {
+                Ok(Some((frame, rest))) => self.on_frame(now, connection, frame, &rest),
                 Ok(None) => return,
                 Err(error) => {
                     warn!(self.logger, "link closed"; "error" => %error);
@@ -25,9 +25,22 @@
         }
     }
 
-    fn on_frame(&mut self, now: Instant, connection: ConnectionId, frame: IncomingFrame) {
+    /// `rest` is what the frame holds after the message's end.
+    fn on_frame(
+        &mut self,
+        now: Instant,
+        connection: ConnectionId,
+        frame: IncomingFrame,
+        rest: &[u8],
+    ) {
         match frame {
-            IncomingFrame::Gateway(hello) => self.on_gateway_hello(now, connection, hello),
+            IncomingFrame::Gateway(hello) => {
+                if self.speaks_with(hello.front, rest) {
+                    self.on_gateway_hello(now, connection, hello);
+                } else {
+                    self.refuse_gateway(now, connection);
+                }
+            }
             IncomingFrame::FromGateway(message) => {
                 if let Some(Role::Link(Link {
                     gateway: Some(gateway),
@@ -39,7 +52,7 @@
                 }
             }
             IncomingFrame::Coordinator(frame) => {
-                self.on_coordinator_frame(now, connection, frame);
+                self.on_coordinator_frame(now, connection, frame, rest);
             }
         }
     }
@@ -49,9 +62,16 @@
         now: Instant,
         connection: ConnectionId,
         frame: CoordinatorFrame,
+        rest: &[u8],
     ) {
         match frame {
-            CoordinatorFrame::Hello(hello) => self.on_coordinator_hello(now, connection, hello),
+            CoordinatorFrame::Hello(hello) => {
+                if self.speaks_with(hello.internal, rest) {
+                    self.on_coordinator_hello(now, connection, hello);
+                } else {
+                    self.refuse_coordinator(now, connection);
+                }
+            }
             CoordinatorFrame::Heard(servers) => {
                 if let Some(from) = self.peers.at(connection) {
                     let event = Event::ServersReported { from, servers };
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod copy_readers;
 mod disk;
 mod duties;
+mod formats;
 mod gateways;
 mod group;
 mod heartbeats;
@@ -51,7 +52,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_clock::Clock;
-use wingshore_coordination::{CoordinationLeader, SiteClock};
+use wingshore_coordination::{CoordinationLeader, RefusedPeers, SiteClock};
 use wingshore_diagnostics::{LogCounts, RequestSampler};
 use wingshore_group::{Host, HostInput};
 use wingshore_net::{ConnectionId, Reactor, SeedSource, Signals};
@@ -81,6 +82,7 @@
     roles: HashMap<ConnectionId, Role>,
     dials: Dials<ConnectionId>,
     peers: Peers,
+    refused_peers: RefusedPeers,
     directory: Directory,
     calls: OutgoingCalls,
     site_clock: SiteClock<ReplicaId>,
--- a/crates/gateways/wingshore-coordinator/src/process/start.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/start.rs
@@ -23,7 +23,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use wingshore_clock::Clock;
-use wingshore_coordination::{CoordinationLeader, SiteClock};
+use wingshore_coordination::{CoordinationLeader, RefusedPeers, SiteClock};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_group::Host;
 use wingshore_net::{Reactor, SeedSource, Signals};
@@ -103,6 +103,7 @@
             roles: HashMap::new(),
             dials: Dials::default(),
             peers: Peers::default(),
+            refused_peers: RefusedPeers::default(),
             directory: Directory::default(),
             calls: OutgoingCalls::new(call_protocols, settings.provider.as_ref()),
             site_clock: SiteClock::default(),
--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -5,11 +5,14 @@
 
 use crate::runtime::Runtime;
 use crate::view_source::Candidate;
+use serde::Serialize;
 use slog::{info, warn};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_coordination::{GatewayMessage, IncomingFrame};
+use wingshore_coordination::{
+    FormatRange, GatewayHello, GatewayMessage, IncomingFrame, RefusedPeers, with_own_formats,
+};
 use wingshore_net::{ConnectOptions, ConnectionId, frame};
 use wingshore_types::{Instant, LogIndex};
 
@@ -36,6 +39,8 @@
     /// Of the last attempt, or the end of the last connection.
     since: Instant,
     heard: Instant,
+    /// Whether it has said that it lives, and with that which formats it speaks.
+    introduced: bool,
     /// Other coordinators it knows.
     knows: Vec<SocketAddr>,
     /// Its copy of the state, once it has said that it holds one.
@@ -81,6 +86,7 @@
     addresses: HashMap<ConnectionId, SocketAddr>,
     /// The coordinator whose leadership is the newest known, while the link is up.
     leader: Option<SocketAddr>,
+    refused: RefusedPeers,
 }
 
 impl Coordinators {
@@ -187,6 +193,7 @@
             up: false,
             since: now,
             heard: now,
+            introduced: false,
             knows: before.map(|link| link.knows).unwrap_or_default(),
             copy: None,
         };
@@ -242,6 +249,32 @@
         }
     }
 
+    /// A coordinator has said that it lives, with `rest` after that: whether it can be spoken with. The
+    /// first time on a link it says there which formats it speaks.
+    pub(crate) fn speaks_with(
+        &mut self,
+        runtime: &Runtime,
+        address: SocketAddr,
+        rest: &[u8],
+    ) -> bool {
+        let Some(link) = self.links.get_mut(&address) else {
+            return false;
+        };
+        if std::mem::replace(&mut link.introduced, true) {
+            return true;
+        }
+        let Err(refusal) = self.refused.judge(address, rest) else {
+            return true;
+        };
+        runtime.metrics.peer_refused();
+        if refusal.is_news {
+            warn!(runtime.logger, "peer refused: no common format";
+                "address" => %address, "peer_formats" => %refusal,
+                "own_formats" => %FormatRange::OWN);
+        }
+        false
+    }
+
     /// A coordinator leads.
     pub(crate) fn set_leader(&mut self, address: SocketAddr) {
         self.leader = Some(address);
@@ -276,8 +309,13 @@
     send_frame(runtime, connection, &IncomingFrame::FromGateway(message));
 }
 
-/// Sends a frame to a coordinator.
-pub(crate) fn send_frame(runtime: &mut Runtime, connection: ConnectionId, frame: &IncomingFrame) {
+/// Sends a hello to a coordinator, with the formats that are spoken here.
+pub(crate) fn send_hello(runtime: &mut Runtime, connection: ConnectionId, hello: GatewayHello) {
+    let frame = IncomingFrame::Gateway(hello);
+    send_frame(runtime, connection, &with_own_formats(&frame));
+}
+
+fn send_frame<M: Serialize>(runtime: &mut Runtime, connection: ConnectionId, frame: &M) {
     match frame::encode(frame) {
         Ok(bytes) => runtime.reactor.send(connection, &bytes),
         Err(error) => warn!(runtime.logger, "frame not encoded"; "error" => %error),
--- a/crates/gateways/wingshore-gateway/src/metrics.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics.rs
@@ -146,6 +146,7 @@
     scorings: Family<OutcomeLabel, Counter>,
     scoring_seconds: Histogram,
     calls: Family<CallLabels, Counter>,
+    peers_refused: Counter,
     /// Those of [`GAUGES`].
     gauges: Vec<Gauge>,
 }
@@ -163,6 +164,7 @@
             scorings: Family::default(),
             scoring_seconds: Buckets.new_metric(),
             calls: Family::default(),
+            peers_refused: Counter::default(),
             gauges: Vec::new(),
         };
         metrics.register_counters();
@@ -215,6 +217,11 @@
             "Calls about batch jobs by kind and how they ended",
             self.calls.clone(),
         );
+        registry.register(
+            "peers_refused",
+            "Connections refused since the coordinator at the other end speaks no common format",
+            self.peers_refused.clone(),
+        );
     }
 
     fn register_gauges(&mut self) {
@@ -261,6 +268,11 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// A coordinator that speaks no common format was refused.
+    pub(crate) fn peer_refused(&self) {
+        self.peers_refused.inc();
+    }
+
     /// All metrics as text.
     pub(crate) fn text(&self, readings: Readings) -> String {
         for (gauge, entry) in self.gauges.iter().zip(GAUGES) {
--- a/crates/gateways/wingshore-gateway/src/process/group.rs
+++ b/crates/gateways/wingshore-gateway/src/process/group.rs
@@ -1,14 +1,14 @@
 //! Wiring of the links to the coordination group: what its messages do, and what it is sent.
 
 use super::Gateway;
-use crate::coordinators::{StateCopy, send, send_frame};
+use crate::coordinators::{StateCopy, send, send_hello};
 use crate::crash_reports;
 use crate::ids::CallId;
 use crate::view_following::{self, ViewNews};
 use slog::{info, warn};
 use std::net::SocketAddr;
 use wingshore_coordination::{
-    CoordinatorMessage, GatewayHello, GatewayMessage, IncomingFrame, RunningItem, ViewUpdate,
+    CoordinatorMessage, GatewayHello, GatewayMessage, RunningItem, ViewUpdate,
 };
 use wingshore_net::{ConnectionId, frame};
 use wingshore_types::Epoch;
@@ -42,8 +42,7 @@
             region: self.settings.region.clone(),
             status: self.status(),
         };
-        let frame = IncomingFrame::Gateway(hello);
-        send_frame(&mut self.environment.runtime, connection, &frame);
+        send_hello(&mut self.environment.runtime, connection, hello);
     }
 
     pub(super) fn on_link_ended(&mut self, connection: ConnectionId, address: SocketAddr) {
@@ -60,8 +59,13 @@
             let Some(input) = self.environment.runtime.reactor.input(connection) else {
                 return;
             };
-            match frame::decode::<CoordinatorMessage>(input) {
-                Ok(Some(message)) => self.on_coordinator(connection, address, message),
+            match frame::decode_with_rest::<CoordinatorMessage>(input) {
+                Ok(Some((message, rest))) => {
+                    if !self.speaks_with(address, &message, &rest) {
+                        return self.on_link_ended(connection, address);
+                    }
+                    self.on_coordinator(connection, address, message);
+                }
                 Ok(None) => return,
                 Err(error) => {
                     warn!(self.environment.runtime.logger, "link closed"; "error" => %error);
@@ -71,6 +75,19 @@
         }
     }
 
+    /// Whether the coordinator can be spoken with, as far as its message and what came after it say.
+    fn speaks_with(
+        &mut self,
+        address: SocketAddr,
+        message: &CoordinatorMessage,
+        rest: &[u8],
+    ) -> bool {
+        let is_introduction = matches!(message, CoordinatorMessage::Alive { .. });
+        let environment = &mut self.environment;
+        let coordinators = &mut environment.site.coordinators;
+        !is_introduction || coordinators.speaks_with(&environment.runtime, address, rest)
+    }
+
     fn on_coordinator(
         &mut self,
         connection: ConnectionId,
--- a/crates/gateways/wingshore-net/src/frame.rs
+++ b/crates/gateways/wingshore-net/src/frame.rs
@@ -44,6 +44,17 @@
 /// # Errors
 /// When the bytes are no frame of this type; the connection is of no more use.
 pub fn decode<M: DeserializeOwned>(input: &mut BytesMut) -> Result<Option<M>, FrameError> {
+    let decoded = decode_with_rest(input)?;
+    Ok(decoded.map(|(message, _)| message))
+}
+
+/// As [`decode`], with the bytes that the frame holds after the message's end.
+///
+/// # Errors
+/// As for [`decode`].
+pub fn decode_with_rest<M: DeserializeOwned>(
+    input: &mut BytesMut,
+) -> Result<Option<(M, Vec<u8>)>, FrameError> {
     let Some(prefix) = input.first_chunk::<PREFIX>() else {
         return Ok(None);
     };
@@ -56,7 +67,9 @@
         return Ok(None);
     }
     let frame = &input[PREFIX..PREFIX + length];
-    let message = postcard::from_bytes(frame).map_err(|source| FrameError::Malformed { source })?;
+    let decoded = postcard::take_from_bytes(frame);
+    let (message, rest) = decoded.map_err(|source| FrameError::Malformed { source })?;
+    let rest = rest.to_vec();
     input.advance(PREFIX + length);
-    Ok(Some(message))
+    Ok(Some((message, rest)))
 }
--- a/crates/gateways/wingshore-net/tests/frames_of_other_builds.rs
+++ b/crates/gateways/wingshore-net/tests/frames_of_other_builds.rs
@@ -98,3 +98,14 @@
         "{read:?}"
     );
 }
+
+/// A receiver that asks for them gets the bytes after the end, and nothing of the next frame.
+#[gtest]
+fn bytes_after_the_end_are_given_to_who_asks() {
+    let mut input = BytesMut::from(frame_with(&second(), &[1, 2, 3]).as_slice());
+    input.extend_from_slice(&frame::encode(&Known::First(7)).unwrap());
+    let read = frame::decode_with_rest::<Known>(&mut input).unwrap();
+    expect_that!(read, some(eq(&(second(), vec![1, 2, 3]))));
+    let read = frame::decode_with_rest::<Known>(&mut input).unwrap();
+    expect_that!(read, some(eq(&(Known::First(7), Vec::new()))));
+}
