coordinator: the simulation of orders sees a clock that stands still in enough seeds

So the range was too small for a fault that one run in a hundred shows, and its pass was luck: 400 seeds now. In return the test without a fault runs four times as many seeds, with bounds four times as high.

--- a/crates/gateways/wingshore-coordinator/tests/orders_simulation.rs
+++ b/crates/gateways/wingshore-coordinator/tests/orders_simulation.rs
@@ -28,11 +28,11 @@
 
 #[test]
 fn engines_never_see_two_machines_give_orders_beside_each_other() {
-    let (broken, counted, handovers) = run_seeds(0..40, Fault::None);
+    let (broken, counted, handovers) = run_seeds(0..160, Fault::None);
     assert_eq!(broken, None);
     // Enough was ordered, and by several machines, for the check to mean something.
-    assert!(counted > 1000, "{counted} orders");
-    assert!(handovers > 20, "{handovers} runs with several holders");
+    assert!(counted > 4000, "{counted} orders");
+    assert!(handovers > 80, "{handovers} runs with several holders");
 }
 
 #[test]
@@ -47,8 +47,9 @@
     assert!(broken.is_some());
 }
 
+/// One run in a hundred shows it: a suspension has to fall between the look at the lease and the send.
 #[test]
 fn a_leader_whose_clock_stands_still_while_it_is_suspended_is_seen() {
-    let (broken, _, _) = run_seeds(0..80, Fault::StoppedClock);
+    let (broken, _, _) = run_seeds(0..400, Fault::StoppedClock);
     assert!(broken.is_some());
 }
