consensus: a failing test of a path that is longer than a heartbeat interval

What is seen: heartbeats from before a chunk are answered while the chunk is on its way, and count as answers without progress: 801 chunks for 401. A leader without processor time for a while makes a path as long.

--- a/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
@@ -224,3 +224,16 @@
     let others = 2;
     verify_that!(cluster.sent_entries - before, eq(others * proposed))
 }
+
+/// On a path that is longer than a heartbeat interval, heartbeats from before a chunk are answered while the
+/// chunk is on its way: each chunk and each entry is sent once.
+#[gtest]
+fn on_a_path_longer_than_a_heartbeat_nothing_is_sent_again() -> Result<()> {
+    let mut scene = Scene::new()?;
+    let way = support::timing().heartbeat_interval * 6 / 5;
+    scene.cluster.network.min_delay = way;
+    scene.cluster.network.max_delay = way;
+    let sending = scene.run()?;
+    expect_that!(sending.chunks, eq(chunks_of_all()));
+    Ok(())
+}
