consensus: only heartbeats sent after what is under way tell of a stall

Cause: an answer to a heartbeat that was sent before a chunk or an entry counted against it, so that on a path longer than a heartbeat interval, or behind a leader that had no processor time for as long, each window was taken for lost. Change: the leader notes the round in which something was last sent, and counts answers to later rounds only. Safe: messages of one connection keep their order, so that an answer to a later heartbeat without progress tells of a loss as before; a lost append before others is told by a rejection. No frame changes.

--- a/crates/shared/wingshore-consensus/src/leader.rs
+++ b/crates/shared/wingshore-consensus/src/leader.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// The heartbeat round that was begun last; 0 on others than the leader.
+    pub(crate) fn current_round(&self) -> u64 {
+        match &self.role {
+            Role::Leader(leader) => leader.rounds.current(),
+            _ => 0,
+        }
+    }
+
     /// Extends the lease by the latest round that a quorum has answered.
     fn count_rounds(&mut self) {
         let Role::Leader(leader) = &mut self.role else {
@@ -229,8 +237,10 @@
         let entries = self.log.slice(next_index, last_index, limits.append_bytes);
         let sent_through = entries.last().map_or(prev_index, |entry| entry.index);
         let bytes = entries.iter().map(Entry::size).sum();
+        let round = self.current_round();
         if let Some(progress) = self.progress_mut(to) {
             progress.on_sent(sent_through, bytes);
+            progress.on_sent_in(round);
         }
         let request = AppendRequest {
             prev_index,
--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -3,12 +3,13 @@
 //! - Inputs: acknowledgements and rejections of appends, answers to heartbeats, acknowledged bytes of a
 //!   snapshot; the limits of what may be under way ([`Limits`]).
 //! - Rule: a follower whose log is not known is probed with one append at a time until one is accepted;
-//!   from then on entries are streamed up to the limits. A follower that answers heartbeats without any
-//!   progress, the last of them half a heartbeat interval or more after the first, is
-//!   stalled: what is under way counts as lost and is sent again, entries from the last acknowledged
+//!   from then on entries are streamed up to the limits. A follower that answers heartbeats which were
+//!   sent after what is under way, without any progress, the last of them half a heartbeat interval or
+//!   more after the first, is stalled: what is under way counts as lost and is sent again, entries from the last acknowledged
 //!   one, a snapshot from its last acknowledged byte.
 //! - Why: messages may be lost, repeated and overtaken, and each heartbeat is answered, so that answers
-//!   without progress are the sign of a loss. Answers that come at once are one answer: a follower that
+//!   without progress are the sign of a loss. An answer to an earlier heartbeat says nothing of what was
+//!   sent after it, and answers that come at once are one answer: a follower that
 //!   stood still, or waited for its first write, gives them together.
 //! - Old or missing inputs: an acknowledgement that is older than what is known changes nothing. A
 //!   rejection from a log that is shorter than what was acknowledged is old, or the follower has lost its
@@ -81,7 +82,9 @@
     pub(crate) state: ProgressState,
     /// The last heartbeat round it answered.
     pub(crate) acknowledged_round: u64,
-    /// The first heartbeat reply without progress, while something is under way.
+    /// The heartbeat round in which something was last sent.
+    sent_round: u64,
+    /// The first reply without progress to a heartbeat that was sent after that.
     idle_since: Option<Instant>,
 }
 
@@ -93,6 +96,7 @@
             next_index,
             state: ProgressState::Probe { sent: false },
             acknowledged_round: 0,
+            sent_round: 0,
             idle_since: None,
         }
     }
@@ -108,6 +112,12 @@
         }
     }
 
+    /// Something was sent in heartbeat round `round`.
+    pub(crate) fn on_sent_in(&mut self, round: u64) {
+        self.sent_round = round;
+        self.idle_since = None;
+    }
+
     /// An append that ends at `last_index` was sent.
     pub(crate) fn on_sent(&mut self, last_index: LogIndex, bytes: usize) {
         match &mut self.state {
@@ -178,7 +188,8 @@
         needs_log: bool,
     ) {
         self.acknowledged_round = self.acknowledged_round.max(round);
-        let is_stalled = self.is_stalled(now, heartbeat_interval);
+        let is_later = round > self.sent_round;
+        let is_stalled = is_later && self.is_stalled(now, heartbeat_interval);
         let restart = match &mut self.state {
             ProgressState::Probe { sent } => {
                 *sent = false;
@@ -206,12 +217,10 @@
         }
     }
 
-    /// Notes a reply without progress; `true` where the ones since the last progress, or since the
-    /// last stall, tell of a loss. A reply while nothing was under way says nothing of what is sent
-    /// after it.
+    /// Notes a reply without progress to a heartbeat that was sent after what is under way; `true`
+    /// where the ones since the last progress, or since the last stall, tell of a loss.
     fn is_stalled(&mut self, now: Instant, heartbeat_interval: Duration) -> bool {
         if !self.has_sent() {
-            self.idle_since = None;
             return false;
         }
         let since = *self.idle_since.get_or_insert(now);
--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -112,13 +112,18 @@
     pub(crate) fn send_snapshot_chunks(&mut self, to: ReplicaId, out: &mut Vec<Output>) {
         let chunk_bytes = self.limits.snapshot_chunk_bytes.max(1);
         let window = (chunk_bytes * self.limits.snapshot_chunks_in_flight.max(1)) as u64;
+        let round = self.current_round();
         let Some(progress) = self.progress_mut(to) else {
             return;
         };
         let ProgressState::Snapshot(outgoing) = &mut progress.state else {
             return;
         };
-        for chunk in outgoing.next_chunks(chunk_bytes, window) {
+        let chunks = outgoing.next_chunks(chunk_bytes, window);
+        if !chunks.is_empty() {
+            progress.on_sent_in(round);
+        }
+        for chunk in chunks {
             self.send(to, Body::SnapshotChunk(chunk), out);
         }
     }
