--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -65,16 +65,30 @@
     alive: Arc<AtomicBool>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((LOOPBACK, 0)).unwrap();
-    listener.local_addr().unwrap()
+/// Port of clients at a site's own address.
+const FRONT_PORT: u16 = 6200;
+/// Port of the readiness check at a site's own address.
+const READY_PORT: u16 = 6201;
+/// First of the second parts of these addresses.
+const FIRST_NETWORK: u8 = 190;
+
+/// An address that no other site uses. Ports of a shared one that were found free beforehand were at times
+/// taken by others before the gateway listened there: it ended, and the test waited for ever (8 of 60 runs, six
+/// at a time).
+fn own_host() -> IpAddr {
+    static STARTED: AtomicU8 = AtomicU8::new(0);
+    let network = FIRST_NETWORK + STARTED.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::from([127, network, high, low])
 }
 
 impl Site {
     /// Starts the gateway and takes its link; it has no view yet.
     pub(crate) fn start() -> Self {
         let listener = TcpListener::bind((LOOPBACK, 0)).unwrap();
-        let (front, ready) = (free_address(), free_address());
+        let host = own_host();
+        let front = SocketAddr::from((host, FRONT_PORT));
+        let ready = SocketAddr::from((host, READY_PORT));
         let log = LogKeys::default();
         let stop = start_gateway(front, ready, listener.local_addr().unwrap().port(), &log);
         let (stream, _) = listener.accept().unwrap();
