gateway: a planned stop leaves time for the reads that it holds

What callers saw: a read of a batch job that may wait for a result, sent to a gateway late in its planned stop, ended with the connection: the gateway held it for up to 1 s, beyond its stop limit. Cause: the wait did not regard the stop. Change: while a gateway stops, an answer is held only until the margin before the limit that is kept for the last answers. Safe: a read that comes later is answered at once with what there is; nothing else changes.

--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -238,6 +238,16 @@
         self.scorings.return_queued(&mut self.environment);
     }
 
+    /// How long an answer may be held: a planned stop must not cut it.
+    fn time_to_hold(&self) -> Duration {
+        let Some(since) = self.stopping_since else {
+            return Duration::MAX;
+        };
+        let stopped_for = self.environment.runtime.now.since(since);
+        let hold_until = self.settings.stop_limit.saturating_sub(STOP_MARGIN);
+        hold_until.saturating_sub(stopped_for)
+    }
+
     /// Whether a planned stop is over: nobody waits for an answer, and no client can have an
     /// address of this gateway that it was given before.
     fn has_stopped(&mut self) -> bool {
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -46,6 +46,7 @@
             }
             Admission::Refused(refusal) => self.refuse(client, &request.head, refusal),
             Admission::BatchCall(call, caller) => {
+                let call = call.held_for_at_most(self.time_to_hold());
                 let request = request_of(call, tenant_of(caller.as_ref()));
                 self.begin_call(client, request);
             }
--- a/crates/gateways/wingshore-gateway/src/protocol.rs
+++ b/crates/gateways/wingshore-gateway/src/protocol.rs
@@ -62,6 +62,20 @@
     },
 }
 
+impl BatchCall {
+    /// The same call, whose answer is held for at most `limit`.
+    pub(crate) fn held_for_at_most(self, limit: Duration) -> Self {
+        match self {
+            Self::Read { job, from, wait } => Self::Read {
+                job,
+                from,
+                wait: wait.min(limit),
+            },
+            Self::ReadItem { .. } | Self::End { .. } => self,
+        }
+    }
+}
+
 /// What to answer to a call about a batch job.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BatchAnswer {
