consensus, coordinator: constants say what they are, true words for caught up

Cause: constants of limits and membership said how they were set and not what they are; comments still said that a caught-up member holds all that is committed. Change: comments only. Safe: no line of code changed.

--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -2,10 +2,10 @@
 //! decision without I/O.
 //!
 //! Question: which one change of members is to be proposed now, may a machine be retired, and can
-//! the group bear the losses that the settings ask for? Inputs: the members and those that hold all
-//! that is committed (from the log), when each coordinator was last heard of and in which zone
-//! (from introductions and consensus messages, each 300 ms at the longest), the losses to bear, the
-//! machines that are to leave.
+//! the group bear the losses that the settings ask for? Inputs: the members and those that have
+//! caught up, which hold what was committed a heartbeat ago (from the log), when each coordinator
+//! was last heard of and in which zone (from introductions and consensus messages, each 300 ms at
+//! the longest), the losses to bear, the machines that are to leave.
 //!
 //! Rule: as many members as bear the losses, or one a zone, and a spare; the other coordinators
 //! stand by. Of the live members an odd number votes, at least twice the losses and one, at most
@@ -14,11 +14,10 @@
 //! place.
 //!
 //! Why: with an odd number of voters each majority of the members holds a majority of the voters,
-//! whichever way they are cut apart. Each member costs: when all 18 coordinators of a large site
-//! were members, the leader sent 1 MB a second to each, and each held the whole state. Silent
-//! members do not count for the number of voters: while they did, a group grew to seven voters with
-//! a dead one among them and lost what was acknowledged with two more disks (3 of 6 plays, none of
-//! 6 since).
+//! whichever way they are cut apart. Each member costs: the leader sends it the whole log, and it
+//! holds the whole state. Silent members do not count for the number of voters: if they did, a group
+//! could grow to seven voters with a dead one among them, and lose what was acknowledged with two
+//! more disks.
 //!
 //! Old or missing input: before a leadership has lasted as long as a limit, silence is counted from
 //! its begin, so that nothing is removed for want of news.
@@ -30,23 +29,21 @@
 use wingshore_types::{Instant, ReplicaId};
 
 /// A voter that is silent for this long gives its place to a learner that has caught up: five
-/// introductions. Not measured at other values; joiners that were added voted within 0.7 s.
+/// introductions.
 const VOTER_SILENCE: Duration = Duration::from_millis(1500);
-/// A learner that is silent for this long is removed, and a superfluous voter. Not measured; longer
-/// than a restart, after which it goes on with its folder.
+/// A learner that is silent for this long is removed, and a superfluous voter: longer than a
+/// restart, after which it goes on with its folder.
 const LEARNER_SILENCE: Duration = Duration::from_secs(8);
-/// A joiner that was last heard of longer ago is not added: three introductions. Not measured.
+/// A joiner that was last heard of longer ago is not added: three introductions.
 const JOINER_SILENCE: Duration = Duration::from_secs(1);
-/// Voters at most: each further one makes every commit dearer. Not measured; seven bear three losses.
+/// Voters at most: seven bear three losses, and each further one makes every commit dearer.
 const MAX_VOTERS: usize = 7;
 /// Members besides those that the losses and zones ask for: one that can vote at once in the place
-/// of a lost one. Each further one holds the whole state in memory and is sent the whole log. With
-/// members limited so, the price of memory fell from 0.022..0.033 a day to 0.016..0.021, and that
-/// of bytes from 0.015..0.018 to 0.006..0.009 (one play each of three days of a large site).
+/// of a lost one.
 const SPARE_MEMBERS: usize = 1;
 /// After this much of a leadership all coordinators that run have introduced themselves: they dial
-/// each 250 ms and introduce themselves each 300 ms. Not measured; long beside both, and beside the
-/// start of a machine.
+/// each 250 ms and introduce themselves each 300 ms. Long beside both, and beside the start of a
+/// machine.
 const ALL_HEARD_AFTER: Duration = Duration::from_secs(5);
 
 /// Members whose loss at one time so many voters bear: a majority is left.
@@ -86,7 +83,7 @@
     pub membership: &'a Membership,
     /// All coordinators that have introduced themselves, by identity.
     pub heard: &'a BTreeMap<ReplicaId, Joiner>,
-    /// Members that hold all that is committed.
+    /// Members that hold what was committed a heartbeat ago, and the newest change of members.
     pub caught_up: BTreeSet<ReplicaId>,
     /// Members whose loss at one time the group must bear.
     pub losses_borne: usize,
@@ -165,7 +162,7 @@
     }
 
     /// Whether the group would bear a loss right now without this member: it is none, enough
-    /// others vote, and all of them hold all that is committed.
+    /// others vote, and all of them have caught up.
     pub fn is_whole_without(&self, now: Instant, id: ReplicaId) -> bool {
         let is_member = members(self.membership).any(|member| member.id == id);
         let voters = &self.membership.voters;
--- a/crates/shared/wingshore-consensus/src/limits.rs
+++ b/crates/shared/wingshore-consensus/src/limits.rs
@@ -3,23 +3,22 @@
 //! Sizes are in bytes. The limits bound memory and the time that one step takes; none of them decides
 //! what is committed.
 
-/// Chosen, not measured.
+/// Bytes of entries in one append message.
 const APPEND_BYTES: usize = 256 * 1024;
-/// Small appends reach it before [`IN_FLIGHT_BYTES`]. Chosen, not measured.
+/// Append messages under way to one follower; small ones reach it before [`IN_FLIGHT_BYTES`].
 const IN_FLIGHT_MESSAGES: usize = 64;
-/// Sixteen full appends. Chosen, not measured.
+/// Bytes of entries under way to one follower: sixteen full messages.
 const IN_FLIGHT_BYTES: usize = 4 * 1024 * 1024;
-/// As [`APPEND_BYTES`]. Chosen, not measured.
+/// Bytes of a snapshot chunk: as long as a full append message.
 const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
-/// Chosen, not measured.
+/// Snapshot chunks under way to one follower.
 const SNAPSHOT_CHUNKS_IN_FLIGHT: usize = 4;
-/// Chosen, not measured.
+/// Bytes of entries kept in the log behind a snapshot.
 const RETAINED_LOG_BYTES: usize = 1024 * 1024;
-/// At 1 MB a second, the most that was seen with hundreds of machines, it bears a follower that is away
-/// for ten seconds.
+/// Bytes of applied entries kept in memory: what a follower lacks that was away for ten seconds in
+/// which 1 MB was written each second.
 const CACHED_LOG_BYTES: usize = 10 * 1024 * 1024;
-/// A member that applied a long log at once answered nothing for 0.6 s; in parts of this size it goes on
-/// answering.
+/// Bytes of entries applied between two flushes: a member answers nothing while it applies.
 const APPLY_BYTES: usize = 512 * 1024;
 
 /// Limits of messages and of what is under way to one follower.
