consensus: the head of change says when a learner votes, as the code does

Cause: it said that a learner votes once it has all that is committed; `caught_up_index` asks for what was committed one to two heartbeat rounds ago, and the newest change of members.

--- a/crates/shared/wingshore-consensus/src/change.rs
+++ b/crates/shared/wingshore-consensus/src/change.rs
@@ -2,9 +2,9 @@
 //!
 //! One member at a time, and only from a committed membership, under a leader that has applied an entry
 //! of its own term: then each quorum before the change shares a member with each quorum after it. A
-//! learner becomes a voter once it has durably all that is committed, so that its vote weakens no
-//! quorum. The leader cannot remove itself; it transfers leadership first. A refused change appends
-//! nothing.
+//! learner becomes a voter once it holds durably what was committed a heartbeat ago and the newest change
+//! of members, so that it lacks little of the log and knows itself for a voter. The leader cannot remove
+//! itself; it transfers leadership first. A refused change appends nothing.
 
 use crate::entry::{CodecError, Entry};
 use crate::interface::Output;
