crates, platform: each constant says what it is and its unit

Cause: constants of settings, router, lab, transport and others had no doc line; the router's settings said which defaults were measured, which tells a reader nothing of what they do. Change: comments only. Safe: no line of code changed.

--- a/crates/gateways/wingshore-gateway/src/encode.rs
+++ b/crates/gateways/wingshore-gateway/src/encode.rs
@@ -115,6 +115,7 @@
 
 /// Whether a header line is for one connection only, or frames what is sent there.
 fn is_of_one_connection(name: &[u8]) -> bool {
+    /// Names of header lines, in small letters.
     const OF_ONE_CONNECTION: [&str; 10] = [
         "connection",
         "keep-alive",
--- a/crates/lab/wingshore-lab/src/fleet/schedule.rs
+++ b/crates/lab/wingshore-lab/src/fleet/schedule.rs
@@ -46,6 +46,7 @@
 
 /// Operations at fixed parts of the run, faults spread evenly between.
 pub fn schedule(length: Duration, faults: &[Fault]) -> Vec<DueAction> {
+    /// The part of the run after which an operation is due, and the operation.
     const OPERATIONS: [(f64, Action); 5] = [
         (0.15, Action::Drain),
         (0.20, Action::Leave),
--- a/crates/lab/wingshore-lab/src/sim/command.rs
+++ b/crates/lab/wingshore-lab/src/sim/command.rs
@@ -141,6 +141,7 @@
     }
 }
 
+/// Milliseconds in an hour.
 const MILLISECONDS_PER_HOUR: f64 = 3_600_000.0;
 
 fn as_json(value: &impl serde::Serialize) -> Result<String, SimError> {
--- a/crates/lab/wingshore-lab/src/sim/scenarios/clients.rs
+++ b/crates/lab/wingshore-lab/src/sim/scenarios/clients.rs
@@ -16,6 +16,7 @@
 /// Longest time for all of them.
 const CHANGES_LIMIT: Duration = Duration::from_secs(60);
 
+/// A site whose operators race for the same server.
 const RACING: SiteSettings = SiteSettings {
     replicas: 3,
     watchers: 1,
@@ -25,6 +26,7 @@
     engines: 0,
 };
 
+/// A site with watchers, whose configuration only the scenario changes.
 const FOLLOWING: SiteSettings = SiteSettings {
     watchers: 4,
     racers: 0,
--- a/crates/lab/wingshore-lab/src/sim/scenarios/disks.rs
+++ b/crates/lab/wingshore-lab/src/sim/scenarios/disks.rs
@@ -11,6 +11,7 @@
 /// Longest time for a repair while nothing else is wrong.
 const REPAIR_LIMIT: Duration = Duration::from_secs(30);
 
+/// A site of three replicas with operators at work.
 const WORKING: SiteSettings = SiteSettings {
     replicas: 3,
     watchers: 1,
--- a/crates/lab/wingshore-lab/src/sim/scenarios/mixed.rs
+++ b/crates/lab/wingshore-lab/src/sim/scenarios/mixed.rs
@@ -4,6 +4,7 @@
 use super::faults::Fault;
 use crate::sim::site::{Site, SiteSettings};
 
+/// A site of three replicas with operators and engines at work.
 const WORKING: SiteSettings = SiteSettings {
     replicas: 3,
     watchers: 2,
--- a/crates/lab/wingshore-lab/src/stand_ins/scorer/process.rs
+++ b/crates/lab/wingshore-lab/src/stand_ins/scorer/process.rs
@@ -107,6 +107,7 @@
 
 /// The score of generated tokens: any fixed function will do, as long as a checker knows it.
 fn score_of(tokens_hash: u64) -> f64 {
+    /// Scores that differ.
     const STEPS: u64 = 1000;
     (tokens_hash % STEPS) as f64 / STEPS as f64
 }
--- a/crates/nodes/wingshore-node/src/http/listener.rs
+++ b/crates/nodes/wingshore-node/src/http/listener.rs
@@ -16,12 +16,15 @@
 /// The flag of a packet that asks for a connection.
 const SYNCHRONIZE: u32 = 0x02;
 
-/// Filter instructions of the system: load 16 bits, load 8 bits, jump where equal, jump where a
-/// bit is set, give the length of the packet that is kept.
+/// Filter instruction of the system: load 16 bits.
 const LOAD_HALF: u16 = 0x28;
+/// Filter instruction: load 8 bits.
 const LOAD_BYTE: u16 = 0x30;
+/// Filter instruction: jump where equal.
 const JUMP_EQUAL: u16 = 0x15;
+/// Filter instruction: jump where a bit is set.
 const JUMP_SET: u16 = 0x45;
+/// Filter instruction: give the length of the packet that is kept.
 const RETURN: u16 = 0x06;
 /// Keeps a packet whole.
 const WHOLE: u32 = u32::MAX;
--- a/crates/nodes/wingshore-routing/src/settings.rs
+++ b/crates/nodes/wingshore-routing/src/settings.rs
@@ -10,9 +10,8 @@
 
 /// All settings of a [`crate::Router`]; each has a default, so that an empty table is valid.
 ///
-/// Measurements bear on `choices` (see `balance`), `live_reserve` and `burst_memory` (see `admission`),
-/// the retry budget (see `retry`) and `subset_size` (see `subset`). The other defaults were not
-/// measured.
+/// What `choices` does stands in `balance`, `live_reserve` and `burst_memory` in `admission`, the retry
+/// budget in `retry`, `subset_size` in `subset`.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RouterSettings {
@@ -149,9 +148,13 @@
     pub allowed: String,
 }
 
+/// One millisecond, for the ranges below.
 const MILLISECOND: Duration = Duration::from_millis(1);
+/// One second.
 const SECOND: Duration = Duration::from_secs(1);
+/// One minute.
 const MINUTE: Duration = Duration::from_secs(60);
+/// One hour.
 const HOUR: Duration = Duration::from_secs(3600);
 
 impl RouterSettings {
--- a/crates/nodes/wingshore-settings/src/node.rs
+++ b/crates/nodes/wingshore-settings/src/node.rs
@@ -107,90 +107,105 @@
     pub over_issue: bool,
 }
 
+/// Time between readings of the machine list.
 const MACHINE_LIST_POLL: DurationSetting = DurationSetting {
     key: "machine_list_poll",
     default: Duration::from_secs(1),
     minimum: Duration::from_millis(100),
     maximum: Duration::from_secs(60),
 };
+/// How long a planned stop waits for what runs.
 const STOP_GRACE: DurationSetting = DurationSetting {
     key: "stop_grace",
     default: Duration::from_secs(30),
     minimum: Duration::ZERO,
     maximum: Duration::from_secs(3600),
 };
+/// Threads that serve requests.
 const WORKERS: IntegerSetting = IntegerSetting {
     key: "workers",
     default: 64,
     minimum: 1,
     maximum: 4096,
 };
+/// Bytes of the largest body of a request.
 const MAX_REQUEST_BODY: SizeSetting = SizeSetting {
     key: "max_request_body",
     default: 16 * MIB,
     minimum: KIB,
     maximum: GIB,
 };
+/// Bytes of the largest buffered body of an answer.
 const MAX_ANSWER_BODY: SizeSetting = SizeSetting {
     key: "max_answer_body",
     default: 64 * MIB,
     minimum: KIB,
     maximum: GIB,
 };
+/// How long a caller may take nothing of its answer before its connection is closed.
 const SLOW_CALLER_LIMIT: DurationSetting = DurationSetting {
     key: "slow_caller_limit",
     default: Duration::from_secs(10),
     minimum: Duration::from_millis(100),
     maximum: Duration::from_secs(3600),
 };
+/// Servers compared for each choice.
 const CHOICES: IntegerSetting = IntegerSetting {
     key: "choices",
     default: 2,
     minimum: 1,
     maximum: 8,
 };
+/// Servers of each service that a node uses and polls.
 const SUBSET: IntegerSetting = IntegerSetting {
     key: "subset",
     default: 40,
     minimum: 1,
     maximum: 1000,
 };
+/// Time between polls of one server.
 const PROBE_INTERVAL: DurationSetting = DurationSetting {
     key: "probe_interval",
     default: Duration::from_millis(500),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// Most polls in a second, over all servers.
 const PROBES_PER_SECOND: IntegerSetting = IntegerSetting {
     key: "probes_per_second",
     default: 40,
     minimum: 1,
     maximum: 10_000,
 };
+/// Time after which a poll has failed.
 const PROBE_TIMEOUT: DurationSetting = DurationSetting {
     key: "probe_timeout",
     default: Duration::from_secs(1),
     minimum: Duration::from_millis(20),
     maximum: Duration::from_secs(60),
 };
+/// Retries allowed, in thousandths of requests.
 const RETRY_BUDGET: IntegerSetting = IntegerSetting {
     key: "retry_budget",
     default: 200,
     minimum: 0,
     maximum: 1000,
 };
+/// Most servers of a service ejected as failing, in thousandths of its servers.
 const MAX_EJECTED: IntegerSetting = IntegerSetting {
     key: "max_ejected",
     default: 500,
     minimum: 0,
     maximum: 1000,
 };
+/// Most samples being generated at once.
 const MAX_STREAMS: IntegerSetting = IntegerSetting {
     key: "max_streams",
     default: 64,
     minimum: 1,
     maximum: 4096,
 };
+/// Most samples being scored at once.
 const MAX_SCORINGS: IntegerSetting = IntegerSetting {
     key: "max_scorings",
     default: 16,
--- a/crates/nodes/wingshore-settings/src/replica.rs
+++ b/crates/nodes/wingshore-settings/src/replica.rs
@@ -85,78 +85,91 @@
     pub workers: usize,
 }
 
+/// Ledger groups of the site.
 const LEDGER_GROUPS: IntegerSetting = IntegerSetting {
     key: "ledger_groups",
     default: 1,
     minimum: 1,
     maximum: 64,
 };
+/// Claims groups of the site.
 pub(crate) const CLAIMS_GROUPS: IntegerSetting = IntegerSetting {
     key: "claims_groups",
     default: 1,
     minimum: 1,
     maximum: 64,
 };
+/// Bytes of log after which a group writes a snapshot.
 const SNAPSHOT_EVERY: SizeSetting = SizeSetting {
     key: "snapshot_every",
     default: 16 * MIB,
     minimum: MIB / 16,
     maximum: 4 * GIB,
 };
+/// How long a node's configuration lease lasts.
 const CONFIGURATION_LEASE: DurationSetting = DurationSetting {
     key: "configuration_lease",
     default: Duration::from_secs(5),
     minimum: Duration::from_millis(500),
     maximum: Duration::from_secs(30),
 };
+/// Lines kept in the log ring.
 pub(crate) const LOG_LINES: IntegerSetting = IntegerSetting {
     key: "log_lines",
     default: 4096,
     minimum: 64,
     maximum: 1_000_000,
 };
+/// Time between a leader's heartbeats.
 const HEARTBEAT: DurationSetting = DurationSetting {
     key: "heartbeat",
     default: Duration::from_millis(100),
     minimum: Duration::from_millis(5),
     maximum: Duration::from_secs(5),
 };
+/// Shortest silence after which a member campaigns.
 const ELECTION_TIMEOUT: DurationSetting = DurationSetting {
     key: "election_timeout",
     default: Duration::from_secs(1),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// How long a quorum's answer lets a leader act.
 const LEASE: DurationSetting = DurationSetting {
     key: "lease",
     default: Duration::from_millis(700),
     minimum: Duration::from_millis(10),
     maximum: Duration::from_secs(60),
 };
+/// Most that two clocks' rates differ, in thousandths.
 const CLOCK_DRIFT: IntegerSetting = IntegerSetting {
     key: "clock_drift",
     default: 50,
     minimum: 0,
     maximum: 200,
 };
+/// Time between readings of an engine's state.
 const STATE_POLL: DurationSetting = DurationSetting {
     key: "state_poll",
     default: Duration::from_millis(500),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// Time after which an order or a reading is given up.
 const ORDER_TIMEOUT: DurationSetting = DurationSetting {
     key: "timeout",
     default: Duration::from_secs(2),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// Threads that carry orders and readings.
 const ORDER_WORKERS: IntegerSetting = IntegerSetting {
     key: "workers",
     default: 8,
     minimum: 1,
     maximum: 256,
 };
+/// Identity of a founding member; it must be there, so the default is not used.
 const FOUNDING_ID: IntegerSetting = IntegerSetting {
     key: "id",
     default: 0,
--- a/crates/nodes/wingshore-settings/src/site.rs
+++ b/crates/nodes/wingshore-settings/src/site.rs
@@ -42,48 +42,56 @@
     Live,
 }
 
+/// Most requests in flight on one server.
 const SLOTS_PER_SERVER: IntegerSetting = IntegerSetting {
     key: "slots_per_server",
     default: 16,
     minimum: 1,
     maximum: 4096,
 };
+/// Slots guaranteed to live requests, in thousandths.
 const LIVE_SHARE: IntegerSetting = IntegerSetting {
     key: "live_share",
     default: 500,
     minimum: 0,
     maximum: 1000,
 };
+/// Longest time that a request takes whose caller states no deadline.
 const DEFAULT_DEADLINE: DurationSetting = DurationSetting {
     key: "default_deadline",
     default: Duration::from_secs(30),
     minimum: Duration::from_millis(10),
     maximum: Duration::from_secs(3600),
 };
+/// Most versions by which a delivered sample lags the trainer's.
 const STALENESS_BOUND: IntegerSetting = IntegerSetting {
     key: "staleness_bound",
     default: 2,
     minimum: 0,
     maximum: 1000,
 };
+/// Weight of the trainer's idle time against staleness, in thousandths.
 const IDLE_WEIGHT: IntegerSetting = IntegerSetting {
     key: "idle_weight",
     default: 500,
     minimum: 0,
     maximum: 1000,
 };
+/// Number of the ledger group that holds a pool's samples.
 const LEDGER: IntegerSetting = IntegerSetting {
     key: "ledger",
     default: 1,
     minimum: 1,
     maximum: 64,
 };
+/// Most samples submitted and not yet acknowledged.
 const MAX_OPEN_SAMPLES: IntegerSetting = IntegerSetting {
     key: "max_open_samples",
     default: 65_536,
     minimum: 1,
     maximum: 1_000_000,
 };
+/// How long a node may hold a sample without renewing its lease.
 const SAMPLE_LEASE: DurationSetting = DurationSetting {
     key: "sample_lease",
     default: Duration::from_secs(10),
--- a/crates/nodes/wingshore-transport/src/connection.rs
+++ b/crates/nodes/wingshore-transport/src/connection.rs
@@ -194,6 +194,7 @@
 }
 
 fn next_id() -> ConnectionId {
+    /// Identity of the next connection of this process.
     static NEXT: AtomicU64 = AtomicU64::new(1);
     ConnectionId(NEXT.fetch_add(1, Ordering::Relaxed))
 }
--- a/crates/nodes/wingshore-transport/src/traffic.rs
+++ b/crates/nodes/wingshore-transport/src/traffic.rs
@@ -7,9 +7,13 @@
 use std::io::{self, Read};
 use std::sync::atomic::{AtomicU64, Ordering};
 
+/// Frames handed to all connections of this process since its start.
 static FRAMES_SENT: AtomicU64 = AtomicU64::new(0);
+/// Bytes written to them.
 static BYTES_SENT: AtomicU64 = AtomicU64::new(0);
+/// Whole frames read from them.
 static FRAMES_RECEIVED: AtomicU64 = AtomicU64::new(0);
+/// Bytes read from them.
 static BYTES_RECEIVED: AtomicU64 = AtomicU64::new(0);
 
 /// What went over this process's connections since its start, keep-alives included, handshakes
--- a/crates/shared/wingshore-clock/src/lib.rs
+++ b/crates/shared/wingshore-clock/src/lib.rs
@@ -13,6 +13,7 @@
 /// Counts suspensions. Other systems' steady clock does so by itself.
 #[cfg(any(target_os = "linux", target_os = "android"))]
 const CLOCK: ClockId = ClockId::CLOCK_BOOTTIME;
+/// The steady clock, which counts suspensions here.
 #[cfg(not(any(target_os = "linux", target_os = "android")))]
 const CLOCK: ClockId = ClockId::CLOCK_MONOTONIC;
 
--- a/crates/shared/wingshore-storage/src/frame.rs
+++ b/crates/shared/wingshore-storage/src/frame.rs
@@ -11,9 +11,11 @@
 /// Bytes before the payload.
 pub(crate) const HEADER_BYTES: usize = 12;
 
-/// What is wrong with frames.
+/// What is wrong with a frame that ends within its header.
 pub(crate) const CUT_HEADER: &str = "the frame's header is cut short";
+/// What is wrong with a frame that ends within its payload.
 pub(crate) const CUT_PAYLOAD: &str = "the frame is cut short";
+/// What is wrong with a frame whose bytes are not those that were written.
 pub(crate) const WRONG_CHECKSUM: &str = "the frame's checksum does not match";
 
 /// What is found at an offset.
--- a/crates/shared/wingshore-types/src/ids.rs
+++ b/crates/shared/wingshore-types/src/ids.rs
@@ -138,7 +138,9 @@
 impl IntentId {
     /// The intent of a publication: always the same, so that a resend changes nothing.
     pub fn of_publication(pool: &PoolId, version: WeightVersion) -> Self {
+        /// Offset basis of FNV-1a with 128 bits.
         const OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
+        /// Prime of FNV-1a with 128 bits.
         const PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
         let bytes = b"publish\0"
             .iter()
