coordinator: a group with a silent voter is not whole

What operators saw: a machine that is emptied was answered to be retired while another voter had been silent for seconds; taken away, and one more loss, and the majority is gone. Cause: whether the group is whole asked what each voter is known to hold, and what the leader last knew of a lost one may be all there is. Change: each voter must also have been heard of lately, as a successor must. Safe: the answer comes later, never earlier; the machine stays until then.

--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -162,7 +162,7 @@
     }
 
     /// Whether the group would bear a loss right now without this member: it is none, enough
-    /// others vote, and all of them have caught up.
+    /// others vote, and all of them are heard of and have caught up.
     pub fn is_whole_without(&self, now: Instant, id: ReplicaId) -> bool {
         let is_member = members(self.membership).any(|member| member.id == id);
         let voters = &self.membership.voters;
@@ -170,7 +170,14 @@
             && voters.len() >= self.target_voters(now)
             && voters
                 .iter()
-                .all(|voter| self.caught_up.contains(&voter.id))
+                .all(|voter| self.caught_up.contains(&voter.id) && self.is_live(now, voter.id))
+    }
+
+    /// Whether it is the leader itself, or was heard of lately: what a lost member is known to hold is
+    /// gone with it.
+    fn is_live(&self, now: Instant, id: ReplicaId) -> bool {
+        let is_heard = |joiner: &Joiner| now.since(joiner.heard) < VOTER_SILENCE;
+        id == self.own || self.heard.get(&id).is_some_and(is_heard)
     }
 }
 
