consensus: a receiver keeps what it has gathered while the term lasts

What a site saw: a member that was cut off for a moment while it was sent the state was sent all of it again, by the same leader. Cause: the member asked whether it would be elected, and what it had gathered was dropped when it followed its leader again. Change: it is dropped with the term, as a state belongs to the leadership that sends it, and a term has one leader. Safe: chunks are matched by index, term and length of the state as before. Measured: a_receiver_that_was_cut_off_for_a_while_goes_on_where_it_was failed (nearly all sent twice), passes; all other tests of the crate that passed still pass.

--- a/crates/shared/wingshore-consensus/src/raft.rs
+++ b/crates/shared/wingshore-consensus/src/raft.rs
@@ -221,11 +221,12 @@
             self.vote = None;
             self.persistence.hard_state_changed();
             self.deferred.clear();
+            // It came from the leader of a term; that one goes on where it was while the term lasts.
+            self.incoming = None;
         }
         self.role = Role::Follower;
         self.verified_index = LogIndex(0);
         self.owes_acknowledgement = false;
-        self.incoming = None;
         self.reset_election_deadline(now);
         self.set_leader(leader, out);
     }
