consensus: a rejection leaves a state that is under way alone

What a site saw: a sending that was nearly through was given up for another one. Cause: a late rejection, from a log shorter than what the member had acknowledged since, was looked at before the state of the sending. Change: while a state is under way rejections change nothing. Safe: no append is sent then, so each of them is old; a member that has truly lost its log rejects the append after the state.

--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -13,7 +13,8 @@
 //!   stood still, or waited for its first write, gives them together.
 //! - Old or missing inputs: an acknowledgement that is older than what is known changes nothing. A
 //!   rejection from a log that is shorter than what was acknowledged is old, or the follower has lost its
-//!   log: it is probed anew, which is right in the second case and harmless in the first.
+//!   log: it is probed anew, which is right in the second case and harmless in the first. While a snapshot
+//!   is under way each rejection is old, since no append is sent then.
 
 use crate::limits::Limits;
 use crate::outgoing::{OutgoingSnapshot, SnapshotSending};
@@ -161,6 +162,11 @@
         agreed: LogIndex,
         last_index: LogIndex,
     ) {
+        let is_news = match &self.state {
+            ProgressState::Probe { .. } => rejected.0 + 1 == self.next_index.0,
+            ProgressState::Replicate(_) => rejected > self.match_index,
+            ProgressState::Snapshot(_) => return,
+        };
         if last_index < self.match_index {
             // The follower lost what it had acknowledged, or the message is old. Sending again
             // is right in the first case and harmless in the second.
@@ -168,11 +174,6 @@
             self.probe_from(LogIndex(last_index.0 + 1));
             return;
         }
-        let is_news = match &self.state {
-            ProgressState::Probe { .. } => rejected.0 + 1 == self.next_index.0,
-            ProgressState::Replicate(_) => rejected > self.match_index,
-            ProgressState::Snapshot(_) => false,
-        };
         if is_news {
             let next = LogIndex(agreed.0.min(rejected.0.saturating_sub(1)) + 1);
             self.probe_from(next.max(LogIndex(self.match_index.0 + 1)));
