consensus: a probe is sent again by the rule of stalls

What a site saw: the first entries behind a state, or to a member that had been away, went out several times though nothing was lost. Cause: each answer to a heartbeat, also to one sent before the probe, permitted the next probe; what is streamed and states had a rule of stalls, probes had not. Change: a probe counts as lost by the same rule. Safe: a lost probe is sent again after two answered heartbeats where it was one.

--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -5,8 +5,8 @@
 //! - Rule: a follower whose log is not known is probed with one append at a time until one is accepted;
 //!   from then on entries are streamed up to the limits. A follower that answers heartbeats which were
 //!   sent after what is under way, without any progress, the last of them half a heartbeat interval or
-//!   more after the first, is stalled: what is under way counts as lost and is sent again, entries from the last acknowledged
-//!   one, a snapshot from its last acknowledged byte.
+//!   more after the first, is stalled: what is under way counts as lost and is sent again, a probe as it
+//!   was, entries from the last acknowledged one, a snapshot from its last acknowledged byte.
 //! - Why: messages may be lost, repeated and overtaken, and each heartbeat is answered, so that answers
 //!   without progress are the sign of a loss. An answer to an earlier heartbeat says nothing of what was
 //!   sent after it, and answers that come at once are one answer: a follower that
@@ -193,7 +193,7 @@
         let is_stalled = is_later && self.is_stalled(now, heartbeat_interval);
         let restart = match &mut self.state {
             ProgressState::Probe { sent } => {
-                *sent = false;
+                *sent &= !is_stalled;
                 false
             }
             ProgressState::Replicate(_) => needs_log || is_stalled,
