consensus: an overtaken acknowledgement is no restart

What a site saw: the whole state was read again, and its end sent again at each stall, though the member had all of it. Cause: at a stall the acknowledgement that came last was taken for what the member has; one that was overtaken names a chunk that is not held any more. Change: fewer bytes by no more than may be under way count as a restart only at a second stall. Safe: a member that has restarted answers the probe, or what is sent again, with the same again, and is believed then; fewer by more than a window is believed at once.

--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -79,9 +79,13 @@
     next_offset: u64,
     /// Bytes the follower has.
     received: u64,
-    /// Bytes by the follower's last acknowledgement: fewer where an earlier one overtook it, or where
+    /// Bytes by the follower's last acknowledgement: fewer where a later one overtook it, or where
     /// the follower has restarted.
     reported: u64,
+    /// At a stall the last acknowledgement was of fewer bytes than were received; until there are more.
+    is_restart_suspected: bool,
+    /// Bytes that may be under way.
+    window: u64,
     /// Answers without news that are expected since the leader went back.
     expected_repeats: usize,
     /// Where the next chunk began when the leader last went back: once the follower has more, no
@@ -110,6 +114,8 @@
             next_offset: 0,
             received: 0,
             reported: 0,
+            is_restart_suspected: false,
+            window: 0,
             expected_repeats: 0,
             went_back_from: 0,
             parts,
@@ -124,6 +130,7 @@
 
     /// The chunks of at most `length` bytes that go out now, with at most `window` bytes under way.
     pub(crate) fn next_chunks(&mut self, length: usize, window: u64) -> Vec<SnapshotChunk> {
+        self.window = window;
         let mut chunks = Vec::new();
         if let Some(first) = self.take_probe(length) {
             chunks.push(self.chunk(0, first));
@@ -194,15 +201,28 @@
     /// it is probed with the first chunk, which only one that restarted answers.
     pub(crate) fn resend(&mut self) {
         self.is_unreadable = false;
-        self.received = self.received.min(self.reported);
+        if self.has_restarted() {
+            self.received = self.reported;
+        }
+        self.reported = self.received;
         if self.received >= self.snapshot.data.length() {
             return self.probe.on_stall();
         }
         self.probe = DurabilityProbe::default();
-        self.reported = self.received;
         self.go_back();
     }
 
+    /// Whether the follower has fewer bytes than it acknowledged. An acknowledgement that another one
+    /// overtook says so too, but only by what may be under way, and not at two stalls.
+    fn has_restarted(&mut self) -> bool {
+        if self.reported >= self.received {
+            return false;
+        }
+        let may_be_overtaken = self.reported.saturating_add(self.window) >= self.received;
+        let was_suspected = std::mem::replace(&mut self.is_restart_suspected, true);
+        !may_be_overtaken || was_suspected
+    }
+
     /// The first chunk, if the follower is to be probed with it now.
     fn take_probe(&mut self, length: usize) -> Option<Vec<u8>> {
         if !self.probe.take() {
@@ -236,6 +256,7 @@
 
     fn advance(&mut self, received: u64) {
         self.received = received;
+        self.is_restart_suspected = false;
         self.next_offset = self.next_offset.max(received);
         self.release_acknowledged();
         if received > self.went_back_from {
