consensus: the log that a member lacks is kept where memory has room for it

What a site saw: a member that had been sent the whole state was sent another one at once, without end under enough writes; and one that had been away for a moment was sent a state although memory could hold what it lacked. Safe: memory stays within the bounds of the cached log; what goes from the disk is as before. Checks: reordered_acknowledgements_do_not_multiply_chunks asked for a state by the old behaviour; it says now that no log is cached, its bounds stay.

--- a/crates/shared/wingshore-consensus/src/leader.rs
+++ b/crates/shared/wingshore-consensus/src/leader.rs
@@ -175,10 +175,20 @@
             return;
         };
         if progress.on_accepted(match_index.min(last_index)) {
+            self.note_caught_up(from);
             self.advance_commit_by_quorum(out);
         }
     }
 
+    fn note_caught_up(&mut self, id: ReplicaId) {
+        if !self.is_caught_up(id) {
+            return;
+        }
+        if let Some(progress) = self.progress_mut(id) {
+            progress.on_caught_up();
+        }
+    }
+
     /// A member's log does not have the entry before those sent.
     pub(crate) fn on_append_rejected(&mut self, from: ReplicaId, rejection: AppendRejection) {
         let (agreed, _) = self
--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -87,6 +87,8 @@
     sent_round: u64,
     /// The first reply without progress to a heartbeat that was sent after that.
     idle_since: Option<Instant>,
+    /// It was sent a state, and has not caught up since.
+    is_behind_state: bool,
 }
 
 impl Progress {
@@ -99,6 +101,7 @@
             acknowledged_round: 0,
             sent_round: 0,
             idle_since: None,
+            is_behind_state: false,
         }
     }
 
@@ -242,14 +245,24 @@
         }
     }
 
-    /// The last entry of the snapshot that is being sent to it.
-    pub(crate) fn snapshot_under_way(&self) -> Option<LogIndex> {
+    /// The last entry that it has, or will have once it has the snapshot that is being sent to it.
+    pub(crate) fn has_through(&self) -> LogIndex {
         match &self.state {
-            ProgressState::Snapshot(outgoing) => Some(outgoing.snapshot.index),
-            _ => None,
+            ProgressState::Snapshot(outgoing) => outgoing.snapshot.index,
+            _ => self.match_index,
         }
     }
 
+    /// Whether it is being sent a snapshot, or has not caught up since it was.
+    pub(crate) fn is_behind_state(&self) -> bool {
+        self.is_behind_state
+    }
+
+    /// It has caught up.
+    pub(crate) fn on_caught_up(&mut self) {
+        self.is_behind_state = false;
+    }
+
     /// How far the sending of a snapshot to it, which is `id`, is.
     pub(crate) fn snapshot_sending(&self, id: ReplicaId) -> Option<SnapshotSending> {
         match &self.state {
@@ -261,6 +274,7 @@
     /// Starts to send a snapshot.
     pub(crate) fn send_snapshot(&mut self, snapshot: Arc<StoredSnapshot>) {
         self.state = ProgressState::Snapshot(OutgoingSnapshot::new(snapshot));
+        self.is_behind_state = true;
     }
 
     /// Searches for the last entry in common from before `next_index`.
--- a/crates/shared/wingshore-consensus/src/raft.rs
+++ b/crates/shared/wingshore-consensus/src/raft.rs
@@ -108,16 +108,17 @@
     }
 
     /// Drops entries from memory that are applied and durable, beyond what followers that are a
-    /// little behind may need. A snapshot that is being sent holds the entries after it back, but
-    /// not for long: a receiver that takes nothing must not fill the memory.
+    /// little behind may need. A state that is being sent holds the entries after it back until its
+    /// receiver has them, or else it needs another state; but not without limit: a receiver that takes
+    /// nothing must not fill the memory.
     fn trim_log(&mut self) {
-        /// Entries after a snapshot under way may take this many times the usual space.
+        /// Entries after a state that was sent may take this many times the usual space.
         const HELD_BACK_FACTOR: usize = 4;
         let kept = self.limits.cached_log_bytes;
         let through = self.last_applied.min(self.persistence.persisted_index());
-        let sent = self.oldest_snapshot_under_way();
-        let held = sent.map_or(through, |sent| sent.min(through));
-        self.log.trim_through(held, kept);
+        let held = self.held_by_all_behind_state();
+        let forgotten = held.map_or(through, |held| held.min(through));
+        self.log.trim_through(forgotten, kept);
         self.log.trim_through(through, kept * HELD_BACK_FACTOR);
         self.members.compact_through(self.log.base_index());
     }
--- a/crates/shared/wingshore-consensus/src/snapshot.rs
+++ b/crates/shared/wingshore-consensus/src/snapshot.rs
@@ -37,9 +37,9 @@
         let through = self
             .log
             .compaction_point(snapshot.index, self.limits.retained_log_bytes);
-        // A member that is being sent a state needs the log behind that one, or else another state.
-        let held_back = self.oldest_snapshot_under_way();
-        let forgotten = held_back.map_or(through, |sent| sent.min(through));
+        // A member that lacks what is forgotten needs a state; what memory has room for is kept for it.
+        let held = self.held_by_all();
+        let forgotten = held.map_or(through, |held| held.min(through));
         self.log.compact_through(forgotten);
         self.members.compact_through(forgotten);
         self.snapshot_index = snapshot.index;
@@ -99,13 +99,22 @@
         }
     }
 
-    /// The last entry of the oldest snapshot that is being sent.
-    pub(crate) fn oldest_snapshot_under_way(&self) -> Option<LogIndex> {
+    /// The last entry that all members have, or will have once they have the states that they are sent.
+    fn held_by_all(&self) -> Option<LogIndex> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
-        let progress = leader.progress.values();
-        progress.filter_map(Progress::snapshot_under_way).min()
+        leader.progress.values().map(Progress::has_through).min()
+    }
+
+    /// As [`Raft::held_by_all`], of the members that are being sent a state, or have not caught up since.
+    pub(crate) fn held_by_all_behind_state(&self) -> Option<LogIndex> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let behind = leader.progress.values();
+        let behind = behind.filter(|progress| progress.is_behind_state());
+        behind.map(Progress::has_through).min()
     }
 
     /// Sends the next chunks that may be under way.
--- a/crates/shared/wingshore-consensus/tests/snapshots.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshots.rs
@@ -21,6 +21,7 @@
         snapshot_chunk_bytes: CHUNK_BYTES,
         snapshot_chunks_in_flight: 8,
         retained_log_bytes: 0,
+        cached_log_bytes: 0,
         ..support::small_limits()
     };
     for seed in 0..20 {
