--- a/crates/shared/wingshore-consensus/tests/snapshot_review.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_review.rs
@@ -463,3 +463,26 @@
     println!("took {took:?}, chunks {}", cluster.sent_snapshot_chunks);
     verify_that!(took, le(Duration::from_secs(6)))
 }
+
+/// A member that had all of the state, was long in writing it and restarts before it is durable is sent it again
+/// in time, however seldom it is probed by then.
+#[gtest]
+fn a_member_that_restarts_while_it_writes_is_sent_the_state_again_soon() -> Result<()> {
+    let state = CountedState::new(CHUNKS * CHUNK_BYTES as u64);
+    let (mut cluster, leader) = about_to_send(state.state())?;
+    cluster.run_until(Duration::from_secs(5), chunks_sent_at_least(100));
+    cluster.stuck_disks.insert(ReplicaId(RECEIVER));
+    finish(&mut cluster, leader)?;
+    cluster.run_until(Duration::from_secs(5), |_| false);
+    cluster.crash(RECEIVER, 0);
+    cluster.stuck_disks.clear();
+    cluster.restart(RECEIVER);
+    let (begin, sent) = (cluster.now, cluster.sent_snapshot_chunks);
+    finish(&mut cluster, leader)?;
+    let took = cluster.now.since(begin);
+    let chunks = cluster.sent_snapshot_chunks - sent;
+    println!("again after {took:?}, {chunks} chunks");
+    expect_that!(took, le(Duration::from_secs(3)));
+    expect_that!(chunks, le(chunks_of_all() + 2 * WINDOW));
+    Ok(())
+}
