consensus: a member has caught up by the heartbeats that it has answered

What operators saw: a learner with a steady lag of more than two heartbeats, as on a busy machine or a slow disk, was never promoted under writes, so that nobody took a lost voter's place. Cause: it had to hold what was committed one to two rounds before now, whatever way its answers have. Change: it has to hold what was committed one round before the newest that it has answered. Safe: the path does not count, and a disk that stands still does, as its test asks; what is committed lies on a quorum whichever member is promoted.

--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -3,9 +3,9 @@
 //!
 //! Question: which one change of members is to be proposed now, may a machine be retired, and can
 //! the group bear the losses that the settings ask for? Inputs: the members and those that have
-//! caught up, which hold what was committed a heartbeat ago (from the log), when each coordinator
-//! was last heard of and in which zone (from introductions and consensus messages, each 300 ms at
-//! the longest), the losses to bear, the machines that are to leave.
+//! caught up, which hold what was committed before a heartbeat that they answered (from the log),
+//! when each coordinator was last heard of and in which zone (from introductions and consensus
+//! messages, each 300 ms at the longest), the losses to bear, the machines that are to leave.
 //!
 //! Rule: as many members as bear the losses, or one a zone, and a spare; the other coordinators
 //! stand by. Of the live members an odd number votes, at least twice the losses and one, at most
@@ -83,7 +83,8 @@
     pub membership: &'a Membership,
     /// All coordinators that have introduced themselves, by identity.
     pub heard: &'a BTreeMap<ReplicaId, Joiner>,
-    /// Members that hold what was committed a heartbeat ago, and the newest change of members.
+    /// Members that hold what was committed before a heartbeat that they answered, and the newest change of
+    /// members.
     pub caught_up: BTreeSet<ReplicaId>,
     /// Members whose loss at one time the group must bear.
     pub losses_borne: usize,
--- a/crates/shared/wingshore-consensus/src/accessors.rs
+++ b/crates/shared/wingshore-consensus/src/accessors.rs
@@ -118,13 +118,15 @@
         sending.collect()
     }
 
-    /// The last entry that a member has to hold to count as caught up: what was committed one to two
-    /// heartbeat rounds ago. What is committed now is on its way to each member, and to one that is
-    /// further away than a majority it always is. The newest change of members counts in any case: a
+    /// The last entry that `id` has to hold to count as caught up: what was committed a heartbeat round before
+    /// the newest one that it has answered. What is committed now is on its way to each member, and to one that
+    /// is further away than a majority it always is. The newest change of members counts in any case: a
     /// voter that does not know itself for a member cannot vote.
-    pub fn caught_up_index(&self) -> LogIndex {
-        let settled = match &self.role {
-            Role::Leader(leader) => leader.commits.settled(),
+    pub(crate) fn caught_up_index(&self, id: ReplicaId) -> LogIndex {
+        let settled = match (&self.role, self.progress(id)) {
+            (Role::Leader(leader), Some(progress)) => {
+                leader.commits.before(progress.acknowledged_round)
+            }
             _ => None,
         };
         let settled = settled.unwrap_or(self.commit_index);
@@ -135,7 +137,7 @@
     /// Whether this member leads and knows that `id` holds durably all that counts.
     pub fn is_caught_up(&self, id: ReplicaId) -> bool {
         let is_member = self.members.member_ids().any(|member| member == id);
-        self.is_leader() && is_member && self.match_index(id) >= self.caught_up_index()
+        self.is_leader() && is_member && self.match_index(id) >= self.caught_up_index(id)
     }
 
     /// The last entry known to be durable on `id`, as this leader knows it.
--- a/crates/shared/wingshore-consensus/src/change.rs
+++ b/crates/shared/wingshore-consensus/src/change.rs
@@ -2,8 +2,8 @@
 //!
 //! One member at a time, and only from a committed membership, under a leader that has applied an entry
 //! of its own term: then each quorum before the change shares a member with each quorum after it. A
-//! learner becomes a voter once it holds durably what was committed a heartbeat ago and the newest change
-//! of members, so that it lacks little of the log and knows itself for a voter. The leader cannot remove
+//! learner becomes a voter once it holds durably what was committed before a heartbeat that it has answered, and
+//! the newest change of members, so that it lacks little of the log and knows itself for a voter. The leader cannot remove
 //! itself; it transfers leadership first. A refused change appends nothing.
 
 use crate::entry::{CodecError, Entry};
@@ -138,7 +138,7 @@
             return NotALearnerSnafu { id }.fail();
         };
         let synced = self.match_index(id);
-        let needed = self.caught_up_index();
+        let needed = self.caught_up_index(id);
         ensure!(synced >= needed, NotCaughtUpSnafu { id, synced, needed });
         let member = membership.learners.remove(position);
         membership.voters.push(member);
--- a/crates/shared/wingshore-consensus/src/leader.rs
+++ b/crates/shared/wingshore-consensus/src/leader.rs
@@ -100,8 +100,8 @@
             return;
         };
         leader.next_heartbeat = now + self.timing.heartbeat_interval;
-        leader.commits.note(self.commit_index);
         let round = leader.rounds.begin(now);
+        leader.commits.note(round, self.commit_index);
         let mut requests = Vec::new();
         for (id, progress) in &leader.progress {
             let commit_index = self.commit_index.min(progress.match_index);
--- a/crates/shared/wingshore-consensus/src/role.rs
+++ b/crates/shared/wingshore-consensus/src/role.rs
@@ -2,7 +2,7 @@
 
 use crate::lease::HeartbeatRounds;
 use crate::progress::Progress;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wingshore_types::{Instant, LogIndex, ReplicaId};
 
 /// What a member does in its term.
@@ -46,23 +46,33 @@
     pub(crate) commits: RecentCommits,
 }
 
-/// What was committed at the last two heartbeat rounds.
-#[derive(Clone, Copy, Debug, Default)]
+/// What was committed when the last heartbeat rounds began.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct RecentCommits {
-    last: Option<LogIndex>,
-    before_last: Option<LogIndex>,
+    /// Rounds and what was committed at the begin of each, oldest first.
+    rounds: VecDeque<(u64, LogIndex)>,
 }
 
 impl RecentCommits {
+    /// Rounds that are remembered; a member that has answered none of them is compared with the oldest.
+    const KEPT: usize = 16;
+
     /// A heartbeat round begins.
-    pub(crate) fn note(&mut self, commit_index: LogIndex) {
-        self.before_last = self.last;
-        self.last = Some(commit_index);
+    pub(crate) fn note(&mut self, round: u64, commit_index: LogIndex) {
+        if self.rounds.len() == Self::KEPT {
+            self.rounds.pop_front();
+        }
+        self.rounds.push_back((round, commit_index));
     }
 
-    /// What was committed one to two rounds ago; `None` before the second round.
-    pub(crate) fn settled(&self) -> Option<LogIndex> {
-        self.before_last
+    /// What was committed one round before `answered` began; `None` before the second round.
+    pub(crate) fn before(&self, answered: u64) -> Option<LogIndex> {
+        if self.rounds.len() < 2 {
+            return None;
+        }
+        let mut newest_first = self.rounds.iter().rev();
+        let earlier = newest_first.find(|(round, _)| *round < answered);
+        earlier.or(self.rounds.front()).map(|(_, index)| *index)
     }
 }
 
