consensus: the window of a sending grows where answers are late

What a site saw: a lost disk was whole only after the limit of 6 s though nothing was lost. Cause: what may be under way was fixed, 1 MB, whatever time an answer takes: at 0.2 s there and back the pace is 5 MB a second. Change: where less than two windows are acknowledged in a heartbeat round, the window doubles, up to four times the usual one, and is the usual one again after a loss; a receiver keeps as many early chunks. Safe: where answers come soon nothing changes; an older receiver drops early chunks and is sent them again, as before. Memory: 4 MB for each receiver at most where it was 1 MB.

--- a/crates/shared/wingshore-consensus/src/incoming.rs
+++ b/crates/shared/wingshore-consensus/src/incoming.rs
@@ -6,9 +6,9 @@
 use wingshore_types::LogIndex;
 use wingshore_types::snapshot_spool::SpooledSnapshot;
 
-/// Chunks after a gap that are kept until it is closed: two windows of the usual size. What is more is
-/// dropped and sent again.
-const MAX_EARLY_CHUNKS: usize = 8;
+/// Chunks after a gap that are kept until it is closed: a window of the usual size, grown as far as it may.
+/// What is more is dropped and sent again.
+const MAX_EARLY_CHUNKS: usize = 16;
 
 /// A snapshot that is being received. It belongs to one leadership: another leader's encoding of
 /// the same state need not be equal byte for byte.
--- a/crates/shared/wingshore-consensus/src/leader.rs
+++ b/crates/shared/wingshore-consensus/src/leader.rs
@@ -102,6 +102,7 @@
         leader.next_heartbeat = now + self.timing.heartbeat_interval;
         let round = leader.rounds.begin(now);
         leader.commits.note(round, self.commit_index);
+        leader.progress.values_mut().for_each(Progress::on_round);
         let mut requests = Vec::new();
         for (id, progress) in &leader.progress {
             let commit_index = self.commit_index.min(progress.match_index);
--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -1,7 +1,9 @@
 //! A snapshot that this leader is sending.
 //!
 //! Chunks go out in order, a window of them at a time, and each is answered by how much the follower has
-//! without gap. An answer without news comes of a chunk after a gap, and the leader goes back to what
+//! without gap. Where less than two windows are acknowledged in a heartbeat round, the answers are late, and the
+//! window grows, or else the pace would be a window for each way there and back; it is small again when
+//! something was lost. An answer without news comes of a chunk after a gap, and the leader goes back to what
 //! the follower has; or of a chunk that came twice. Two rules keep that cheap. As many
 //! answers without news as chunks are under way or sent again do not make the leader go back once more:
 //! to go back for each would send every window twice to the end. And what was sent is held until it is
@@ -31,6 +33,10 @@
     pub sent_again: u64,
 }
 
+/// The window grows up to this many times the usual one.
+const MAX_GROWTH: u64 = 4;
+/// The window does not grow where so many usual ones are acknowledged in a heartbeat round.
+const WINDOWS_IN_ROUND: u64 = 2;
 /// Stalls after which a follower that has all of it is probed again at the latest.
 const MAX_STALLS_BETWEEN_PROBES: u32 = 7;
 
@@ -84,8 +90,12 @@
     reported: u64,
     /// At a stall the last acknowledgement was of fewer bytes than were received; until there are more.
     is_restart_suspected: bool,
-    /// Bytes that may be under way.
-    window: u64,
+    /// Bytes that may be under way where answers come soon.
+    usual_window: u64,
+    /// How many usual windows may be under way.
+    growth: u64,
+    /// Bytes the follower had when the last heartbeat round began.
+    received_before_round: u64,
     /// Answers without news that are expected since the leader went back.
     expected_repeats: usize,
     /// Where the next chunk began when the leader last went back: once the follower has more, no
@@ -115,7 +125,9 @@
             received: 0,
             reported: 0,
             is_restart_suspected: false,
-            window: 0,
+            usual_window: 0,
+            growth: 1,
+            received_before_round: 0,
             expected_repeats: 0,
             went_back_from: 0,
             parts,
@@ -128,14 +140,16 @@
         }
     }
 
-    /// The chunks of at most `length` bytes that go out now, with at most `window` bytes under way.
-    pub(crate) fn next_chunks(&mut self, length: usize, window: u64) -> Vec<SnapshotChunk> {
-        self.window = window;
+    /// The chunks of at most `length` bytes that go out now, with at most `usual_window` bytes under way
+    /// where answers come soon.
+    pub(crate) fn next_chunks(&mut self, length: usize, usual_window: u64) -> Vec<SnapshotChunk> {
+        self.usual_window = usual_window;
         let mut chunks = Vec::new();
         if let Some(first) = self.take_probe(length) {
             chunks.push(self.chunk(0, first));
         }
         let total = self.snapshot.data.length();
+        let window = usual_window.saturating_mul(self.growth);
         let limit = total.min(self.received.saturating_add(window));
         while self.next_offset < limit {
             let offset = self.next_offset;
@@ -218,7 +232,8 @@
         if self.reported >= self.received {
             return false;
         }
-        let may_be_overtaken = self.reported.saturating_add(self.window) >= self.received;
+        let under_way = self.usual_window.saturating_mul(MAX_GROWTH);
+        let may_be_overtaken = self.reported.saturating_add(under_way) >= self.received;
         let was_suspected = std::mem::replace(&mut self.is_restart_suspected, true);
         !may_be_overtaken || was_suspected
     }
@@ -236,11 +251,22 @@
     /// The next chunk is the first one that the follower lacks. Those under way may still be answered
     /// without news, and so may each of them that is sent again.
     fn go_back(&mut self) {
+        self.growth = 1;
         self.expected_repeats = 2 * self.held.len();
         self.went_back_from = self.next_offset;
         self.next_offset = self.received;
     }
 
+    /// A heartbeat round begins: the window grows where answers are late. One that gets none may be lost.
+    pub(crate) fn on_round(&mut self) {
+        let acknowledged = self.received.saturating_sub(self.received_before_round);
+        self.received_before_round = self.received;
+        let enough = self.usual_window.saturating_mul(WINDOWS_IN_ROUND);
+        if acknowledged > 0 && acknowledged < enough {
+            self.growth = MAX_GROWTH.min(self.growth * 2);
+        }
+    }
+
     /// The follower has `received` bytes; `true` when that is more than before.
     pub(crate) fn acknowledge(&mut self, received: u64) -> bool {
         self.reported = received;
--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -183,6 +183,13 @@
         }
     }
 
+    /// A heartbeat round begins.
+    pub(crate) fn on_round(&mut self) {
+        if let ProgressState::Snapshot(outgoing) = &mut self.state {
+            outgoing.on_round();
+        }
+    }
+
     /// The follower answered heartbeat `round` at `now`; what seems lost is sent again.
     pub(crate) fn on_heartbeat_reply(
         &mut self,
