coordinator: metrics split into counters and gauges, a line for each gauge

Cause: each gauge stood three times (field, row with a closure, name), each counter three times (field, default, registration), in one file of 406 lines. Change: `metrics/counters.rs` holds what is registered and counted, `metrics/gauges.rs` what is read at a scrape: a row declares the reading, its gauge and help text. The reading of the configuration's version takes the name of its metric. Safe: names, help texts, units, buckets and order are the same; golden_metrics.rs is untouched. Tests: wingshore-coordinator 66 passed, golden_metrics and metrics of wingshore-platform 1 each passed; clippy of the coordinator is clean.

--- /dev/null
+++ b/crates/gateways/wingshore-coordinator/src/metrics/counters.rs
@@ -0,0 +1,178 @@
+//! Counters and histograms: their names, labels and buckets.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::{Family, MetricConstructor};
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Metric, Registry, Unit};
+
+/// Upper end of the first bucket of the histograms, in seconds.
+const MIN_BUCKET_SECONDS: f64 = 0.000_5;
+/// Each bucket reaches twice as far as the one before.
+const BUCKET_FACTOR: f64 = 2.0;
+/// Buckets; the last one ends at 8.2 s.
+const BUCKETS: u16 = 15;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct CallLabels {
+    pub(super) call: &'static str,
+    pub(super) outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct CallLabel {
+    pub(super) call: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(super) struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone)]
+pub(super) struct Buckets;
+
+impl MetricConstructor<Histogram> for Buckets {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(exponential_buckets(
+            MIN_BUCKET_SECONDS,
+            BUCKET_FACTOR,
+            BUCKETS,
+        ))
+    }
+}
+
+/// What was asked of this coordinator, and what it asked of others.
+pub(super) struct WorkMetrics {
+    pub(super) calls: Family<CallLabels, Counter>,
+    pub(super) call_seconds: Family<CallLabel, Histogram, Buckets>,
+    pub(super) write_seconds: Histogram,
+    pub(super) orders: Family<OutcomeLabel, Counter>,
+    pub(super) provider_calls: Family<CallLabels, Counter>,
+    pub(super) attempts: Family<OutcomeLabel, Counter>,
+    pub(super) scorings: Family<OutcomeLabel, Counter>,
+}
+
+impl WorkMetrics {
+    /// All at zero.
+    pub(super) fn register(registry: &mut Registry) -> Self {
+        Self {
+            calls: registered(
+                registry,
+                "calls",
+                "Calls to the group by kind and how they ended here",
+                Family::default(),
+            ),
+            call_seconds: registered_with_unit(
+                registry,
+                "call",
+                "From a call's arrival to its answer, committed where it changes something",
+                Unit::Seconds,
+                Family::new_with_constructor(Buckets),
+            ),
+            write_seconds: registered_with_unit(
+                registry,
+                "write",
+                "Until a write to the log was synced on this disk",
+                Unit::Seconds,
+                Buckets.new_metric(),
+            ),
+            orders: registered(
+                registry,
+                "orders",
+                "Orders to engines by their answers",
+                Family::default(),
+            ),
+            provider_calls: registered(
+                registry,
+                "provider_calls",
+                "Calls to the provider by what was asked and its answer",
+                Family::default(),
+            ),
+            attempts: registered(
+                registry,
+                "tries",
+                "Attempts at items of batch jobs by their outcome",
+                Family::default(),
+            ),
+            scorings: registered(
+                registry,
+                "scorings",
+                "Scorings of texts by their outcome",
+                Family::default(),
+            ),
+        }
+    }
+}
+
+/// What happened in the group of coordinators.
+pub(super) struct GroupMetrics {
+    pub(super) leaderships: Counter,
+    pub(super) member_changes: Counter,
+    pub(super) peers_refused: Counter,
+    pub(super) state_sent: Counter,
+    pub(super) state_sent_again: Counter,
+}
+
+impl GroupMetrics {
+    /// All at zero.
+    pub(super) fn register(registry: &mut Registry) -> Self {
+        Self {
+            leaderships: registered(
+                registry,
+                "leaderships",
+                "Leaderships that began here",
+                Counter::default(),
+            ),
+            member_changes: registered(
+                registry,
+                "member_changes",
+                "Changes of members asked for here",
+                Counter::default(),
+            ),
+            peers_refused: registered(
+                registry,
+                "peers_refused",
+                "Connections refused since the process at the other end speaks no common format",
+                Counter::default(),
+            ),
+            state_sent: registered_with_unit(
+                registry,
+                "state_sent",
+                "Bytes of the state sent to members that lack too much of the log",
+                Unit::Bytes,
+                Counter::default(),
+            ),
+            state_sent_again: registered_with_unit(
+                registry,
+                "state_sent_again",
+                "Those of them that were sent before",
+                Unit::Bytes,
+                Counter::default(),
+            ),
+        }
+    }
+}
+
+/// Counts one more with this outcome.
+pub(super) fn count(family: &Family<OutcomeLabel, Counter>, outcome: &'static str) {
+    family.get_or_create(&OutcomeLabel { outcome }).inc();
+}
+
+/// The metric, once the registry shows it.
+fn registered<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+/// The metric, once the registry shows it with its unit behind its name.
+fn registered_with_unit<M: Metric + Clone>(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    unit: Unit,
+    metric: M,
+) -> M {
+    registry.register_with_unit(name, help, unit, metric.clone());
+    metric
+}
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -105,7 +105,7 @@
             scorings_running: figures.scorings_running,
             suspect_requests,
             rejected_requests,
-            configuration: state.configuration().map_or(0, |held| held.version),
+            configuration_version: state.configuration().map_or(0, |held| held.version),
             results: state.jobs().values().map(|job| job.results.len()).sum(),
             result_text_bytes: state.jobs().values().map(Job::text_bytes).sum(),
             log_bytes: self.host.log_bytes(),
