settings: one way to read a setting with a range

Cause: durations, sizes and whole numbers each had a struct of the same four fields, a rule and a reading of their own, alike to the letter but for parsing and showing. Change: `Setting<T>` with a trait for what differs; the reader has `ranged` and `required_ranged`. The constants stay as they are, with named fields: each is a row of a table, and three values without their names read worse.

--- a/crates/nodes/wingshore-settings/src/node.rs
+++ b/crates/nodes/wingshore-settings/src/node.rs
@@ -6,7 +6,7 @@
 use crate::error::SettingsErrors;
 use crate::reader::TableReader;
 use crate::replica::{CLAIMS_GROUPS, LOG_LINES};
-use crate::units::{DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
+use crate::units::{Bytes, DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
 use crate::{Overrides, relay};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -131,16 +131,16 @@
 /// Bytes of the largest body of a request.
 const MAX_REQUEST_BODY: SizeSetting = SizeSetting {
     key: "max_request_body",
-    default: 16 * MIB,
-    minimum: KIB,
-    maximum: GIB,
+    default: Bytes(16 * MIB),
+    minimum: Bytes(KIB),
+    maximum: Bytes(GIB),
 };
 /// Bytes of the largest buffered body of an answer.
 const MAX_ANSWER_BODY: SizeSetting = SizeSetting {
     key: "max_answer_body",
-    default: 64 * MIB,
-    minimum: KIB,
-    maximum: GIB,
+    default: Bytes(64 * MIB),
+    minimum: Bytes(KIB),
+    maximum: Bytes(GIB),
 };
 /// How long a caller may take nothing of its answer before its connection is closed.
 const SLOW_CALLER_LIMIT: DurationSetting = DurationSetting {
@@ -230,7 +230,7 @@
     let replicas = keys.some_addresses("replicas");
     let relays = keys.addresses("relays");
     let machine_list = keys.optional_address("machine_list");
-    let machine_list_poll = keys.duration(&MACHINE_LIST_POLL);
+    let machine_list_poll = keys.ranged(&MACHINE_LIST_POLL);
     let claims_groups = keys.small_integer(&CLAIMS_GROUPS);
     let without_lease = keys.choice(
         "without_lease",
@@ -240,7 +240,7 @@
             ("serve", WithoutLease::Serve),
         ],
     );
-    let stop_grace = keys.duration(&STOP_GRACE);
+    let stop_grace = keys.ranged(&STOP_GRACE);
     let http = read_http(keys.table("http"));
     let routing = read_routing(keys.table("routing"));
     let rollout = read_rollout(keys.table("rollout"));
@@ -271,9 +271,9 @@
 fn read_http(keys: TableReader<'_>) -> HttpSettings {
     let http = HttpSettings {
         workers: keys.small_integer(&WORKERS),
-        max_request_body: keys.size(&MAX_REQUEST_BODY),
-        max_answer_body: keys.size(&MAX_ANSWER_BODY),
-        slow_caller_limit: keys.duration(&SLOW_CALLER_LIMIT),
+        max_request_body: keys.ranged(&MAX_REQUEST_BODY).0,
+        max_answer_body: keys.ranged(&MAX_ANSWER_BODY).0,
+        slow_caller_limit: keys.ranged(&SLOW_CALLER_LIMIT),
     };
     keys.finish();
     http
@@ -283,9 +283,9 @@
     let routing = RoutingSettings {
         choices: keys.small_integer(&CHOICES),
         subset: keys.small_integer(&SUBSET),
-        probe_interval: keys.duration(&PROBE_INTERVAL),
+        probe_interval: keys.ranged(&PROBE_INTERVAL),
         probes_per_second: keys.small_integer(&PROBES_PER_SECOND),
-        probe_timeout: keys.duration(&PROBE_TIMEOUT),
+        probe_timeout: keys.ranged(&PROBE_TIMEOUT),
         retry_budget: Permille(keys.small_integer(&RETRY_BUDGET)),
         max_ejected: Permille(keys.small_integer(&MAX_EJECTED)),
     };
--- a/crates/nodes/wingshore-settings/src/reader.rs
+++ b/crates/nodes/wingshore-settings/src/reader.rs
@@ -3,12 +3,9 @@
 use crate::document::{Entries, Located, Value};
 use crate::error::ErrorSink;
 use crate::rules::{ABSENT, ADDRESS_RULE, NAME_RULE, TEXT_RULE, choice_rule, is_name};
-use crate::units::{
-    DurationSetting, IntegerSetting, SizeSetting, parse_duration, parse_size, show_size,
-};
+use crate::units::{IntegerSetting, RangedValue, Setting};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Reads one table.
 pub(crate) struct TableReader<'a> {
@@ -106,64 +103,25 @@
         addresses
     }
 
-    /// A duration; absent is the default.
-    pub(crate) fn duration(&self, setting: &DurationSetting) -> Duration {
-        let rule = setting.rule();
-        let default = humantime::format_duration(setting.default).to_string();
-        self.note(setting.key, Some(default), &rule);
-        let Some(located) = self.get(setting.key) else {
-            return setting.default;
-        };
-        let parsed = match &located.value {
-            Value::Text(text) => parse_duration(text),
-            _ => None,
-        };
-        let valid = parsed.filter(|value| (setting.minimum..=setting.maximum).contains(value));
-        self.or_refuse(setting.key, located, valid, &rule)
-            .unwrap_or(setting.default)
+    /// A value within a range; absent is the default.
+    pub(crate) fn ranged<T: RangedValue>(&self, setting: &Setting<T>) -> T {
+        self.note(setting.key, Some(setting.default.show()), &setting.rule());
+        let located = self.get(setting.key);
+        let valid = located.and_then(|located| self.parse_ranged(setting, located));
+        valid.unwrap_or(setting.default)
     }
 
-    /// A size in bytes; absent is the default.
-    pub(crate) fn size(&self, setting: &SizeSetting) -> u64 {
-        let rule = setting.rule();
-        self.note(setting.key, Some(show_size(setting.default)), &rule);
-        let Some(located) = self.get(setting.key) else {
-            return setting.default;
-        };
-        let parsed = match &located.value {
-            Value::Text(text) => parse_size(text),
-            _ => None,
-        };
-        let valid = parsed.filter(|value| (setting.minimum..=setting.maximum).contains(value));
-        self.or_refuse(setting.key, located, valid, &rule)
-            .unwrap_or(setting.default)
-    }
-
-    /// A whole number; absent is the default.
-    pub(crate) fn integer(&self, setting: &IntegerSetting) -> u64 {
-        self.note(
-            setting.key,
-            Some(setting.default.to_string()),
-            &setting.rule(),
-        );
-        let Some(located) = self.get(setting.key) else {
-            return setting.default;
-        };
-        self.parse_integer(setting, located)
-            .unwrap_or(setting.default)
-    }
-
-    /// A whole number that must be there.
-    pub(crate) fn required_integer(&self, setting: &IntegerSetting) -> Option<u64> {
+    /// A value within a range that must be there.
+    pub(crate) fn required_ranged<T: RangedValue>(&self, setting: &Setting<T>) -> Option<T> {
         let rule = setting.rule();
         self.note(setting.key, None, &rule);
         let located = self.required(setting.key, &rule)?;
-        self.parse_integer(setting, located)
+        self.parse_ranged(setting, located)
     }
 
     /// A whole number that fits the range of `setting` and a smaller type.
     pub(crate) fn small_integer<T: TryFrom<u64> + Default>(&self, setting: &IntegerSetting) -> T {
-        T::try_from(self.integer(setting)).unwrap_or_default()
+        T::try_from(self.ranged(setting)).unwrap_or_default()
     }
 
     /// True or false; absent is the default.
@@ -346,12 +304,8 @@
         self.or_refuse(key, located, valid, NAME_RULE)
     }
 
-    fn parse_integer(&self, setting: &IntegerSetting, located: &Located) -> Option<u64> {
-        let parsed = match &located.value {
-            Value::Integer(integer) => u64::try_from(*integer).ok(),
-            _ => None,
-        };
-        let valid = parsed.filter(|value| (setting.minimum..=setting.maximum).contains(value));
+    fn parse_ranged<T: RangedValue>(&self, setting: &Setting<T>, located: &Located) -> Option<T> {
+        let valid = setting.parse(&located.value);
         self.or_refuse(setting.key, located, valid, &setting.rule())
     }
 
--- a/crates/nodes/wingshore-settings/src/replica.rs
+++ b/crates/nodes/wingshore-settings/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::document::parse_role;
 use crate::error::SettingsErrors;
 use crate::reader::TableReader;
-use crate::units::{DurationSetting, GIB, IntegerSetting, MIB, SizeSetting};
+use crate::units::{Bytes, DurationSetting, GIB, IntegerSetting, MIB, SizeSetting};
 use crate::{Overrides, relay};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -102,9 +102,9 @@
 /// Bytes of log after which a group writes a snapshot.
 const SNAPSHOT_EVERY: SizeSetting = SizeSetting {
     key: "snapshot_every",
-    default: 16 * MIB,
-    minimum: MIB / 16,
-    maximum: 4 * GIB,
+    default: Bytes(16 * MIB),
+    minimum: Bytes(MIB / 16),
+    maximum: Bytes(4 * GIB),
 };
 /// How long a node's configuration lease lasts.
 const CONFIGURATION_LEASE: DurationSetting = DurationSetting {
@@ -199,9 +199,9 @@
     let claims_groups = keys.small_integer(&CLAIMS_GROUPS);
     let founding = read_founding(&keys);
     let timing = read_timing(keys.table("timing"));
-    let snapshot_every = keys.size(&SNAPSHOT_EVERY);
+    let snapshot_every = keys.ranged(&SNAPSHOT_EVERY).0;
     let orders = read_orders(keys.table("orders"));
-    let configuration_lease = keys.duration(&CONFIGURATION_LEASE);
+    let configuration_lease = keys.ranged(&CONFIGURATION_LEASE);
     let log_lines = keys.small_integer(&LOG_LINES);
     check_founding_size(&keys, keys.tables("founding").len());
     keys.finish();
@@ -229,7 +229,7 @@
     let mut ids = BTreeSet::new();
     let mut addresses = BTreeSet::new();
     for member in keys.tables("founding") {
-        let id = member.required_integer(&FOUNDING_ID).map(ReplicaId);
+        let id = member.required_ranged(&FOUNDING_ID).map(ReplicaId);
         let address = member.address("address");
         if let Some(id) = id
             && !ids.insert(id)
@@ -258,9 +258,9 @@
 
 fn read_timing(keys: TableReader<'_>) -> TimingSettings {
     let timing = TimingSettings {
-        heartbeat: keys.duration(&HEARTBEAT),
-        election_timeout: keys.duration(&ELECTION_TIMEOUT),
-        lease: keys.duration(&LEASE),
+        heartbeat: keys.ranged(&HEARTBEAT),
+        election_timeout: keys.ranged(&ELECTION_TIMEOUT),
+        lease: keys.ranged(&LEASE),
         clock_drift: Permille(keys.small_integer(&CLOCK_DRIFT)),
     };
     if timing.election_timeout < timing.heartbeat * 4 {
@@ -284,8 +284,8 @@
 
 fn read_orders(keys: TableReader<'_>) -> OrderSettings {
     let orders = OrderSettings {
-        state_poll: keys.duration(&STATE_POLL),
-        timeout: keys.duration(&ORDER_TIMEOUT),
+        state_poll: keys.ranged(&STATE_POLL),
+        timeout: keys.ranged(&ORDER_TIMEOUT),
         workers: keys.small_integer(&ORDER_WORKERS),
     };
     keys.finish();
--- a/crates/nodes/wingshore-settings/src/site.rs
+++ b/crates/nodes/wingshore-settings/src/site.rs
@@ -163,7 +163,7 @@
     };
     let slots_per_server = keys.small_integer(&SLOTS_PER_SERVER);
     let live_share = Permille(keys.small_integer(&LIVE_SHARE));
-    let default_deadline_ms = milliseconds(keys.duration(&DEFAULT_DEADLINE));
+    let default_deadline_ms = milliseconds(keys.ranged(&DEFAULT_DEADLINE));
     Some(Service {
         id: id?,
         kind: kind?,
@@ -249,11 +249,11 @@
             ("planned", SwapPolicy::Planned),
         ],
     );
-    let staleness_bound = keys.integer(&STALENESS_BOUND);
+    let staleness_bound = keys.ranged(&STALENESS_BOUND);
     let idle_weight = Permille(keys.small_integer(&IDLE_WEIGHT));
     let ledger = keys.small_integer(&LEDGER);
     let max_open_samples = keys.small_integer(&MAX_OPEN_SAMPLES);
-    let sample_lease_ms = milliseconds(keys.duration(&SAMPLE_LEASE));
+    let sample_lease_ms = milliseconds(keys.ranged(&SAMPLE_LEASE));
     if let Some(service) = &service {
         check_service(keys, service, services);
         check_engines(keys, service, services);
--- a/crates/nodes/wingshore-settings/src/units.rs
+++ b/crates/nodes/wingshore-settings/src/units.rs
@@ -1,60 +1,115 @@
-//! Numbers with units.
+//! Settings with a range, and numbers with units.
 
+use crate::document::Value;
 use std::time::Duration;
 
-/// A duration setting: key, default and range.
+/// A setting with a range.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct DurationSetting {
+pub(crate) struct Setting<T> {
     pub(crate) key: &'static str,
-    pub(crate) default: Duration,
-    pub(crate) minimum: Duration,
-    pub(crate) maximum: Duration,
+    pub(crate) default: T,
+    pub(crate) minimum: T,
+    pub(crate) maximum: T,
 }
 
-/// A whole-number setting: key, default and range.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct IntegerSetting {
-    pub(crate) key: &'static str,
-    pub(crate) default: u64,
-    pub(crate) minimum: u64,
-    pub(crate) maximum: u64,
-}
+/// A duration setting.
+pub(crate) type DurationSetting = Setting<Duration>;
+/// A whole-number setting.
+pub(crate) type IntegerSetting = Setting<u64>;
+/// A size setting.
+pub(crate) type SizeSetting = Setting<Bytes>;
 
-/// A size setting in bytes: key, default and range.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SizeSetting {
-    pub(crate) key: &'static str,
-    pub(crate) default: u64,
-    pub(crate) minimum: u64,
-    pub(crate) maximum: u64,
-}
+/// A number of bytes.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub(crate) struct Bytes(pub(crate) u64);
 
-impl DurationSetting {
+impl<T: RangedValue> Setting<T> {
     /// The range as errors and the list of settings show it.
     pub(crate) fn rule(&self) -> String {
-        format!(
-            "a duration with unit from \"{}\" to \"{}\"",
-            humantime::format_duration(self.minimum),
-            humantime::format_duration(self.maximum)
-        )
+        T::rule(&self.minimum.show(), &self.maximum.show())
+    }
+
+    /// What `value` says, if that is within the range.
+    pub(crate) fn parse(&self, value: &Value) -> Option<T> {
+        let parsed = T::parse(value);
+        parsed.filter(|value| (self.minimum..=self.maximum).contains(value))
     }
 }
 
-impl IntegerSetting {
-    /// The range as errors and the list of settings show it.
-    pub(crate) fn rule(&self) -> String {
-        format!("a whole number from {} to {}", self.minimum, self.maximum)
+/// What a setting with a range may be.
+pub(crate) trait RangedValue: Copy + PartialOrd {
+    /// The value as errors and the list of settings show it.
+    fn show(self) -> String;
+
+    /// What is allowed from `minimum` to `maximum`.
+    fn rule(minimum: &str, maximum: &str) -> String;
+
+    /// The value in a file, whatever its size; `None` where it is another kind of value.
+    fn parse(value: &Value) -> Option<Self>;
+}
+
+impl RangedValue for Duration {
+    fn show(self) -> String {
+        humantime::format_duration(self).to_string()
+    }
+
+    fn rule(minimum: &str, maximum: &str) -> String {
+        format!("a duration with unit from \"{minimum}\" to \"{maximum}\"")
+    }
+
+    /// Parses `"250ms"`, `"5s"`, `"1h 30m"`; a number without a unit is refused.
+    fn parse(value: &Value) -> Option<Self> {
+        let Value::Text(text) = value else {
+            return None;
+        };
+        humantime::parse_duration(text).ok()
     }
 }
 
-impl SizeSetting {
-    /// The range as errors and the list of settings show it.
-    pub(crate) fn rule(&self) -> String {
-        format!(
-            "a size with unit (KiB, MiB, GiB) from \"{}\" to \"{}\"",
-            show_size(self.minimum),
-            show_size(self.maximum)
-        )
+impl RangedValue for u64 {
+    fn show(self) -> String {
+        self.to_string()
+    }
+
+    fn rule(minimum: &str, maximum: &str) -> String {
+        format!("a whole number from {minimum} to {maximum}")
+    }
+
+    fn parse(value: &Value) -> Option<Self> {
+        let Value::Integer(integer) = value else {
+            return None;
+        };
+        Self::try_from(*integer).ok()
+    }
+}
+
+impl RangedValue for Bytes {
+    fn show(self) -> String {
+        let Self(bytes) = self;
+        if bytes >= GIB && bytes.is_multiple_of(GIB) {
+            format!("{}GiB", bytes / GIB)
+        } else if bytes >= MIB && bytes.is_multiple_of(MIB) {
+            format!("{}MiB", bytes / MIB)
+        } else {
+            format!("{}KiB", bytes / KIB)
+        }
+    }
+
+    fn rule(minimum: &str, maximum: &str) -> String {
+        format!("a size with unit (KiB, MiB, GiB) from \"{minimum}\" to \"{maximum}\"")
+    }
+
+    /// Parses `"512KiB"`, `"16MiB"`, `"2GiB"`; a number without a unit is refused.
+    fn parse(value: &Value) -> Option<Self> {
+        const UNITS: [(&str, u64); 3] = [("KiB", KIB), ("MiB", MIB), ("GiB", GIB)];
+        let Value::Text(text) = value else {
+            return None;
+        };
+        let (number, unit) = UNITS
+            .iter()
+            .find_map(|(suffix, unit)| Some((text.strip_suffix(suffix)?, unit)))?;
+        let number: u64 = number.trim().parse().ok()?;
+        number.checked_mul(*unit).map(Self)
     }
 }
 
@@ -64,29 +119,3 @@
 pub(crate) const MIB: u64 = 1024 * KIB;
 /// One gibibyte.
 pub(crate) const GIB: u64 = 1024 * MIB;
-
-/// Parses `"250ms"`, `"5s"`, `"1h 30m"`; a number without a unit is refused.
-pub(crate) fn parse_duration(text: &str) -> Option<Duration> {
-    humantime::parse_duration(text).ok()
-}
-
-/// Parses `"512KiB"`, `"16MiB"`, `"2GiB"`; a number without a unit is refused.
-pub(crate) fn parse_size(text: &str) -> Option<u64> {
-    const UNITS: [(&str, u64); 3] = [("KiB", KIB), ("MiB", MIB), ("GiB", GIB)];
-    let (number, unit) = UNITS
-        .iter()
-        .find_map(|(suffix, unit)| Some((text.strip_suffix(suffix)?, unit)))?;
-    let number: u64 = number.trim().parse().ok()?;
-    number.checked_mul(*unit)
-}
-
-/// A size as an error shows it.
-pub(crate) fn show_size(bytes: u64) -> String {
-    if bytes >= GIB && bytes.is_multiple_of(GIB) {
-        format!("{}GiB", bytes / GIB)
-    } else if bytes >= MIB && bytes.is_multiple_of(MIB) {
-        format!("{}MiB", bytes / MIB)
-    } else {
-        format!("{}KiB", bytes / KIB)
-    }
-}
