gateway, docs: followers learn of a commit within 100 ms, not 50

Cause: comments and pages said 50 ms; a leader's heartbeats come each 100 ms, and none is brought forward after a commit. Safe: no line of code changed. By reading `HEARTBEAT` of the coordinator; not measured anew. Tests: wingshore-gateway 56 passed.

--- a/crates/gateways/wingshore-gateway/src/view_source.rs
+++ b/crates/gateways/wingshore-gateway/src/view_source.rs
@@ -21,8 +21,9 @@
 use wingshore_types::{Instant, LogIndex};
 
 /// The view may lag this long behind the newest entry that any coordinator has announced. Copies
-/// learn of commits each 50 ms and announce them to their followers each 300 ms, so that one that works is never
-/// so late; what is in force everywhere within 2 s has a second of it left for asking elsewhere.
+/// learn of commits each 100 ms and announce them to their followers each 300 ms, so that one that
+/// works is never so late; what is in force everywhere within 2 s has a second of it left for asking
+/// elsewhere.
 const LAG_LIMIT: Duration = Duration::from_millis(700);
 /// A gateway without any view waits this long for a copy in its own zone to show itself: links to
 /// all coordinators come up within some milliseconds of each other.
