coordinator, gateway: doc comments that a newcomer can read

Cause: some said "all of them" of nothing named, or what a thing is by half; two were wrong: a coordinator may retire where as many are left as bear the losses, and reads of results go to a copy in the gateway's zone before the leader. Change: comments only; a link in the docs that led nowhere. Safe: no line of code changed.

--- a/crates/gateways/wingshore-coordinator/src/call_rate.rs
+++ b/crates/gateways/wingshore-coordinator/src/call_rate.rs
@@ -19,14 +19,14 @@
 /// Keeps calls within a rate.
 #[derive(Clone, Debug)]
 pub struct CallRate {
-    /// What one call uses up of it.
+    /// Time of the rate that one call uses up.
     price: Duration,
-    /// When the calls made so far have used it up.
+    /// Until when the calls made so far have used it up.
     paid_until: Instant,
 }
 
 impl CallRate {
-    /// A rate, in calls a second that the provider takes from the whole site.
+    /// From the calls a second that the provider takes from the whole site.
     pub fn new(calls_per_second: f64) -> Self {
         let own = (calls_per_second * OWN_PART).max(f64::MIN_POSITIVE);
         Self {
--- a/crates/gateways/wingshore-coordinator/src/dials.rs
+++ b/crates/gateways/wingshore-coordinator/src/dials.rs
@@ -36,7 +36,7 @@
     Wait,
 }
 
-/// All of them, by address.
+/// Connections that this coordinator makes, by address.
 pub struct Dials<K> {
     by_address: BTreeMap<SocketAddr, Dial<K>>,
 }
--- a/crates/gateways/wingshore-coordinator/src/forwarded_heartbeats.rs
+++ b/crates/gateways/wingshore-coordinator/src/forwarded_heartbeats.rs
@@ -80,7 +80,7 @@
     callers: Vec<WaitingCaller<K>>,
 }
 
-/// All of them that are not answered, by the number that the leader answers with.
+/// Heartbeats that were forwarded and are not answered, by the number that the leader answers with.
 ///
 /// Invariant: `newest` names only what is in `by_id`.
 pub struct ForwardedHeartbeats<K> {
--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -222,7 +222,7 @@
             .map(|member| MembershipRequest::Remove(member.id))
     }
 
-    /// Whether enough coordinators would be left without `id`: as many as are to vote, heard of
+    /// Whether enough coordinators would be left without `id`: as many as bear the losses, heard of
     /// lately.
     pub fn can_retire(&self, now: Instant, id: ReplicaId, view: &MembershipView<'_>) -> bool {
         let mut left: BTreeSet<ReplicaId> = members(view.membership)
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -76,6 +76,7 @@
         self.reactor.close_when_flushed(connection);
     }
 
+    /// What the gauges are set to.
     fn readings(&self) -> Readings {
         let state = self.host.state();
         let membership = self.host.membership();
--- a/crates/gateways/wingshore-coordinator/src/process/copy_readers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/copy_readers.rs
@@ -7,11 +7,11 @@
 /// A gateway that reads, and waits for a result.
 pub(super) struct CopyReader {
     pub(super) connection: ConnectionId,
-    /// Of its call.
+    /// Number of its call, which the answer carries.
     pub(super) id: u64,
     pub(super) job: JobId,
     /// The first position that it asks for.
     pub(super) from: u64,
-    /// How long it waits for a result.
+    /// When it is answered at the latest, with or without a result.
     pub(super) until: Instant,
 }
--- a/crates/gateways/wingshore-coordinator/src/process/group.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/group.rs
@@ -39,6 +39,7 @@
         })
     }
 
+    /// Steps the group once with all inputs that have gathered, and carries out what it wants.
     pub(super) fn step_host(
         &mut self,
         now: Instant,
@@ -76,6 +77,7 @@
         Ok(())
     }
 
+    /// Leads from now on, or follows: a leader is told what this machine knows of the site.
     fn on_leadership(&mut self, now: Instant, leadership: Leadership) {
         self.members.is_changing = false;
         match leadership {
--- a/crates/gateways/wingshore-coordinator/src/process/links.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/links.rs
@@ -25,7 +25,7 @@
         }
     }
 
-    /// `rest` is what the frame holds after the message's end.
+    /// Takes one frame. `rest` is what it holds after the message's end, as a newer sender adds it.
     fn on_frame(
         &mut self,
         now: Instant,
--- a/crates/gateways/wingshore-coordinator/src/process/members.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/members.rs
@@ -1,5 +1,5 @@
 //! Members of the group: changes that the leader asks for, and machines that are to be emptied.
-//! What is to be done is decided by [`MembershipPlanner`].
+//! What is to be done is decided by [`MembershipPlanner`](crate::MembershipPlanner).
 
 use super::{Coordinator, Waiting};
 use crate::membership::{MembershipView, Shortage, losses_borne_by, members};
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -74,29 +74,43 @@
     log_counts: LogCounts,
     sampler: RequestSampler,
     protocol: Box<dyn ControlProtocol>,
+    /// The member of the group that runs here: the log, the state and, on the leader, its decisions.
     host: Host<CoordinationLeader>,
+    /// Makes what the host writes durable, on a thread of its own.
     writer: Writer,
     signals: Signals,
+    /// Reads the seeds from the settings again.
     seed_source: SeedSource,
     stop: PlannedStop,
+    /// What each connection is for; calls to engines and to the provider are in `calls`.
     roles: HashMap<ConnectionId, Role>,
+    /// Connections made to other coordinators.
     dials: Dials<ConnectionId>,
     peers: Peers,
+    /// Peers that speak no format that is spoken here, as far as they were logged.
     refused_peers: RefusedPeers,
+    /// Gateways that are connected here.
     directory: Directory,
+    /// Calls to engines and to the provider.
     calls: OutgoingCalls,
+    /// The time of day that the site agrees on.
     site_clock: SiteClock<ReplicaId>,
+    /// Who waits for which answer of the group.
     pending: PendingCalls,
     /// Gateways that wait for a result in this member's copy of the state.
     copy_readers: Vec<CopyReader>,
+    /// What each gateway that follows the view here has of it.
     view_feed: ViewFeed<ConnectionId>,
     /// The coordinators that gateways were sent last.
     announced_coordinators: Vec<SocketAddr>,
+    /// Servers whose heartbeats are acknowledged here, without the leader.
     heartbeats: HeartbeatRelay,
+    /// Heartbeats that the leader is to acknowledge and has not answered yet.
     forwarded: ForwardedHeartbeats<ConnectionId>,
     members: MemberChanges,
     sent_states: SentStates,
     schedule: Schedule,
+    /// Inputs of the host, for its next step.
     inputs: Vec<HostInput<CoordinationLeader>>,
 }
 
@@ -129,6 +143,7 @@
         Ok(())
     }
 
+    /// Until something is due, if no socket has anything before.
     fn time_to_wait(&self) -> Duration {
         if !self.inputs.is_empty() {
             return Duration::ZERO;
@@ -138,6 +153,7 @@
         due.since(now).min(MAX_POLL_WAIT)
     }
 
+    /// Tells the host what has become durable.
     fn take_write_events(&mut self) -> Result<(), CoordinatorError> {
         for event in self.writer.events() {
             match event {
--- a/crates/gateways/wingshore-coordinator/src/process/pending.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/pending.rs
@@ -22,13 +22,15 @@
 /// A call that waits for the group's answer.
 pub(super) struct PendingCall {
     pub(super) waiting: Waiting,
+    /// Kind of the call, as logs and metrics name it.
     pub(super) call: &'static str,
-    /// What it is about, where each answer is logged.
+    /// What it is about; only of calls whose answers are logged each.
     pub(super) subject: Option<String>,
+    /// When it was made.
     pub(super) since: Instant,
 }
 
-/// All of them, by the tag that the group answers with.
+/// Calls that wait for the group's answer, by the tag that it answers with.
 #[derive(Default)]
 pub(super) struct PendingCalls {
     by_tag: HashMap<RequestTag, PendingCall>,
--- a/crates/gateways/wingshore-coordinator/src/process/roles.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/roles.rs
@@ -1,21 +1,23 @@
-//! What a connection of a coordinator is.
+//! What a connection of a coordinator is for.
 
 use crate::control::ControlConnection;
 use std::net::SocketAddr;
 use wingshore_coordination::GatewayId;
 use wingshore_types::ReplicaId;
 
-/// What a connection is.
+/// What a connection is for.
 pub(super) enum Role {
+    /// Calls of operators, trainers, servers or clients.
     Control(ControlConnection),
-    /// Of monitoring.
+    /// Monitoring reads metrics.
     Metrics(ControlConnection),
-    /// Accepted on the internal port.
+    /// A process of the site has connected to the internal port.
     Link(Link),
-    /// Made to another coordinator.
+    /// Made from here to this address of another coordinator.
     Dialed(SocketAddr),
 }
 
+/// Who is at the other end of a link; nobody until it has introduced itself.
 #[derive(Default)]
 pub(super) struct Link {
     pub(super) gateway: Option<GatewayId>,
--- a/crates/gateways/wingshore-coordinator/src/process/schedule.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/schedule.rs
@@ -1,9 +1,9 @@
-//! When what is due by time, and how far the planned stop is.
+//! When the duties that go by time are due, and how far the planned stop is.
 
 use crate::silence::SilenceJudge;
 use wingshore_types::Instant;
 
-/// When what is due.
+/// When the duties that go by time are due.
 #[derive(Default)]
 pub(super) struct Schedule {
     /// When housekeeping is due.
@@ -15,7 +15,7 @@
 }
 
 impl Schedule {
-    /// When something is due next.
+    /// When the next of them is due.
     pub(super) fn next(&self) -> Instant {
         self.next_housekeeping.min(self.next_hello)
     }
--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -36,8 +36,10 @@
 struct CoordinatorLink {
     connection: Option<ConnectionId>,
     up: bool,
-    /// Of the last attempt, or the end of the last connection.
+    /// When the last attempt to connect began, or its connection ended; one that had lasted counts as
+    /// ended long enough ago to be made again at once.
     since: Instant,
+    /// When a message of it last came.
     heard: Instant,
     /// Whether it has said that it lives, and with that which formats it speaks.
     introduced: bool,
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! One thread owns all sockets. Clients' requests are forwarded to servers, within the attempts,
 //! time-outs and kinds of their routes; items of batch jobs are run on engines as the coordination
-//! group's leader assigns them; calls about batch jobs are passed on to that leader. All state is
-//! soft: a gateway may be killed at any time. What callers and servers speak is translated by an
-//! [`IngressProtocol`].
+//! group's leader assigns them; calls about batch jobs are passed on to that leader, reads of results
+//! to a copy of the state in the gateway's zone first. All state is soft: a gateway may be killed at
+//! any time. What callers and servers speak is translated by an [`IngressProtocol`].
 
 mod admission;
 mod answers;
--- a/crates/gateways/wingshore-gateway/src/servers.rs
+++ b/crates/gateways/wingshore-gateway/src/servers.rs
@@ -7,7 +7,10 @@
 /// Connections to servers, and what is remembered of each.
 #[derive(Default)]
 pub(crate) struct Servers {
+    /// Connections to them.
     pub(crate) upstreams: Upstreams,
+    /// Their latencies, loads and failures, by which live requests are spread.
     pub(crate) balancer: Balancer,
+    /// Which of them have ended, and under which requests.
     pub(crate) crashes: CrashWatch,
 }
--- a/crates/gateways/wingshore-gateway/src/site.rs
+++ b/crates/gateways/wingshore-gateway/src/site.rs
@@ -10,6 +10,8 @@
     pub(crate) protocol: Box<dyn IngressProtocol>,
     /// The zone that the gateway stands in.
     pub(crate) zone: String,
+    /// The configuration and the servers, as the group's log has them.
     pub(crate) view: View,
+    /// Links to the coordinators.
     pub(crate) coordinators: Coordinators,
 }
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -78,13 +78,16 @@
     pub(crate) instance: InstanceId,
     /// Whether it has come up: from then on bytes may have left.
     pub(crate) up: bool,
+    /// Who uses it now; nobody while it is idle.
     pub(crate) task: Option<Task>,
     pub(crate) reader: AnswerReader,
-    /// For streams.
+    /// Reads the answer's events, where that is a stream of them.
     pub(crate) events: Option<EventReader>,
     /// When the task began.
     pub(crate) since: Instant,
+    /// Until when it may be used again, while it is idle.
     idle_until: Instant,
+    /// How long the server keeps it while it is idle.
     keep: Duration,
 }
 
@@ -92,6 +95,7 @@
 #[derive(Default)]
 pub(crate) struct Upstreams {
     all: HashMap<ConnectionId, Upstream>,
+    /// Those that wait for their next use, by the server that they lead to.
     idle: HashMap<InstanceId, Vec<ConnectionId>>,
 }
 
--- a/crates/gateways/wingshore-gateway/src/view_source.rs
+++ b/crates/gateways/wingshore-gateway/src/view_source.rs
@@ -58,9 +58,11 @@
 /// The coordinator that is followed.
 #[derive(Debug, Default)]
 pub struct ViewSource {
+    /// Where the view is followed now.
     current: Option<SocketAddr>,
     /// Since when a newer entry is known than the view accounts for, and that entry.
     lag: Option<(Instant, LogIndex)>,
+    /// Until when a copy that was left because it lagged is not asked again, and which one.
     avoided: Option<(Instant, SocketAddr)>,
     /// Since when there are candidates and none is followed.
     waiting_since: Option<Instant>,
