consensus: a learner is taken in while a change of voters waits to be committed

Cause: an addition was refused while any earlier change was not committed, and each later change waited for it. A coordinator with an empty disk was so added a number of commits after it was heard of, and only then sent the state.

Change: only changes of voters wait, and only for the last change of voters. What is there already as asked is still done only once it is committed.

Why it is safe: a learner belongs to no quorum. Its addition is an entry like a command under the voters that are in force; between a committed change of voters and the one under way there is never a third set of voters.

--- a/crates/shared/wingshore-consensus/src/change.rs
+++ b/crates/shared/wingshore-consensus/src/change.rs
@@ -1,10 +1,11 @@
 //! When may a leader change the membership, and how?
 //!
-//! One member at a time, and only from a committed membership, under a leader that has applied an entry
-//! of its own term: then each quorum before the change shares a member with each quorum after it. A
-//! learner becomes a voter once it has durably all that is committed, so that its vote weakens no
-//! quorum. The leader cannot remove itself; it transfers leadership first. A refused change appends
-//! nothing.
+//! One voter at a time, and only once the change of voters before is committed, under a leader that has
+//! applied an entry of its own term: then each quorum before the change shares a member with each quorum
+//! after it. A learner belongs to no quorum, so that it is taken in, or removed, without waiting for another
+//! change: one that lacks the state is sent it at once. A learner becomes a voter once it has durably
+//! all that is committed, so that its vote weakens no quorum. The leader cannot remove itself; it transfers
+//! leadership first. A refused change appends nothing.
 
 use crate::entry::{CodecError, Entry};
 use crate::interface::Output;
@@ -28,7 +29,7 @@
     /// The leader has not committed an entry of its term yet.
     #[snafu(display("the leader has not committed an entry of its term yet; try again"))]
     TooEarly,
-    /// An earlier change is not committed yet.
+    /// An earlier change is not committed yet: one of voters, or this very one.
     #[snafu(display("the change at index {index} is not committed yet; one change at a time"))]
     ChangeUnderway {
         /// Index of the earlier change.
@@ -102,7 +103,7 @@
     ) -> Result<ChangeOutcome, ChangeError> {
         let mut membership = self.membership_to_change()?;
         if membership.learners.contains(&member) || membership.voters.contains(&member) {
-            return Ok(ChangeOutcome::AlreadyDone);
+            return self.already_done();
         }
         let clash = membership
             .voters
@@ -128,7 +129,7 @@
     ) -> Result<ChangeOutcome, ChangeError> {
         let mut membership = self.membership_to_change()?;
         if membership.voters.iter().any(|voter| voter.id == id) {
-            return Ok(ChangeOutcome::AlreadyDone);
+            return self.already_done();
         }
         let position = membership
             .learners
@@ -158,28 +159,47 @@
         ensure!(id != self.id, RemovesLeaderSnafu { id });
         let is_member = self.members.member_ids().any(|member| member == id);
         if !is_member {
-            return Ok(ChangeOutcome::AlreadyDone);
+            return self.already_done();
         }
         membership.voters.retain(|member| member.id != id);
         membership.learners.retain(|member| member.id != id);
         self.propose_membership(membership, out)
     }
 
-    /// The membership a change may start from: committed, under a leader that has committed an
-    /// entry of its own term, so that quorums before and after the change overlap.
+    /// The membership a change may start from: the newest, under a leader that has committed an entry
+    /// of its own term.
     fn membership_to_change(&self) -> Result<Membership, ChangeError> {
         self.check_may_propose().context(ProposeSnafu)?;
         ensure!(self.has_applied_own_term(), TooEarlySnafu);
-        let index = self.members.last_change();
-        ensure!(index <= self.commit_index, ChangeUnderwaySnafu { index });
         Ok(self.members.current().clone())
     }
 
+    /// The newest membership is as asked: done if it is committed.
+    fn already_done(&self) -> Result<ChangeOutcome, ChangeError> {
+        self.check_committed(self.members.last_change())?;
+        Ok(ChangeOutcome::AlreadyDone)
+    }
+
+    /// The change at `index` is committed.
+    fn check_committed(&self, index: LogIndex) -> Result<(), ChangeError> {
+        ensure!(index <= self.commit_index, ChangeUnderwaySnafu { index });
+        Ok(())
+    }
+
+    /// Voters may be changed from a committed set only, so that quorums before and after overlap.
+    fn check_voters(&self, membership: &Membership) -> Result<(), ChangeError> {
+        if membership.voters == self.members.current().voters {
+            return Ok(());
+        }
+        self.check_committed(self.members.last_change_of_voters())
+    }
+
     fn propose_membership(
         &mut self,
         membership: Membership,
         out: &mut Vec<Output>,
     ) -> Result<ChangeOutcome, ChangeError> {
+        self.check_voters(&membership)?;
         let index = LogIndex(self.log.last_index().0 + 1);
         let term = self.term;
         let entry = Entry::membership(index, term, &membership).context(CodecSnafu)?;
--- a/crates/shared/wingshore-consensus/src/members.rs
+++ b/crates/shared/wingshore-consensus/src/members.rs
@@ -41,6 +41,16 @@
         self.changes.back().map_or(LogIndex(0), |(index, _)| *index)
     }
 
+    /// Index of the newest change of voters after the base; 0 when there is none.
+    pub(crate) fn last_change_of_voters(&self) -> LogIndex {
+        let before = std::iter::once(&self.base).chain(self.changes.iter().map(|(_, made)| made));
+        let changes = self.changes.iter().zip(before);
+        let of_voters = changes.filter(|((_, made), before)| made.voters != before.voters);
+        of_voters
+            .last()
+            .map_or(LogIndex(0), |((index, _), _)| *index)
+    }
+
     /// A change was appended at `index`.
     pub(crate) fn append(&mut self, index: LogIndex, membership: Membership) {
         self.changes.push_back((index, membership));
--- /dev/null
+++ b/crates/shared/wingshore-consensus/tests/changing_members.rs
@@ -0,0 +1,171 @@
+//! Random runs in which voters and learners change beside each other, with losses, crashes, cut links and
+//! slow disks: nothing that was committed is lost, and the group goes on once all is healed.
+//!
+//! Further seeds by hand: `WINGSHORE_CONSENSUS_SEEDS=2000 cargo test -p wingshore-consensus
+//! --test changing_members -- --nocapture`.
+
+mod support;
+
+use googletest::prelude::*;
+use rand::RngExt;
+use std::time::Duration;
+use support::cluster::{Cluster, Network};
+use support::member;
+use wingshore_consensus::{ChangeError, ChangeOutcome, Raft};
+use wingshore_types::ReplicaId;
+
+/// Environment variable with the number of seeds, for runs by hand.
+const SEEDS_VARIABLE: &str = "WINGSHORE_CONSENSUS_SEEDS";
+/// Seeds of each run of the test.
+const SEEDS: u64 = 40;
+/// Founding members.
+const VOTERS: u64 = 5;
+/// All machines; those that are no founders can be taken in.
+const MACHINES: u64 = 9;
+/// Rounds of a run.
+const ROUNDS: u32 = 600;
+/// Time of a round.
+const ROUND: Duration = Duration::from_millis(20);
+/// Attempts of a healed group to commit something; a second or two each.
+const HEALED_ROUNDS: u32 = 20;
+/// Voters are removed down to so many.
+const FEWEST_VOTERS: usize = 3;
+
+/// What runs did.
+#[derive(Default)]
+struct Counts {
+    changes: u64,
+    /// Changes that were appended while the one before was not committed.
+    beside: u64,
+    commits: usize,
+}
+
+fn draw_network(cluster: &mut Cluster) -> Network {
+    let random = &mut cluster.random;
+    Network {
+        loss: random.random_range(0.0..0.1),
+        duplication: 0.05,
+        min_delay: Duration::from_micros(200),
+        max_delay: Duration::from_millis(random.random_range(2..60)),
+        stragglers: 0.03,
+        straggler_delay: Duration::from_millis(1500),
+        sync: Duration::from_millis(random.random_range(1..200)),
+    }
+}
+
+fn start_stopped(cluster: &mut Cluster) {
+    for id in 1..=MACHINES {
+        if cluster.node(id).raft.is_none() {
+            cluster.restart(id);
+        }
+    }
+}
+
+/// Whether the newest membership of the leader is not committed.
+fn is_changing(raft: &mut Raft) -> bool {
+    // An addition that is there already is refused until it is committed.
+    let Some(known) = raft.membership().voters.first().cloned() else {
+        return false;
+    };
+    let asked = raft.add_learner(known, &mut Vec::new());
+    matches!(asked, Err(ChangeError::ChangeUnderway { .. }))
+}
+
+fn change_members(cluster: &mut Cluster, counts: &mut Counts) {
+    let Some(leader) = cluster.leader() else {
+        return;
+    };
+    let id = cluster.random.random_range(1..=MACHINES);
+    let choice = cluster.random.random_range(0..3);
+    cluster.act(leader, |raft, _, out| {
+        let is_beside = is_changing(raft);
+        let may_remove = raft.membership().voters.len() > FEWEST_VOTERS;
+        let asked = match choice {
+            0 => raft.add_learner(member(id), out),
+            1 => raft.promote(ReplicaId(id), out),
+            _ if may_remove => raft.remove(ReplicaId(id), out),
+            _ => return,
+        };
+        if let Ok(ChangeOutcome::Proposed { .. }) = asked {
+            counts.changes += 1;
+            counts.beside += u64::from(is_beside);
+        }
+    });
+}
+
+fn act(cluster: &mut Cluster, counts: &mut Counts, round: u32) {
+    let id = cluster.random.random_range(1..=MACHINES);
+    match cluster.random.random_range(0..24) {
+        0..8 => change_members(cluster, counts),
+        8..14 => {
+            if let Some(leader) = cluster.leader() {
+                let _ = cluster.propose(leader, &round.to_be_bytes());
+            }
+        }
+        14 => cluster.crash_anywhere(id),
+        15 => cluster.isolate(id),
+        16 => {
+            let until = cluster.now + Duration::from_millis(700);
+            cluster.node(id).frozen_until = until;
+        }
+        17 | 18 => start_stopped(cluster),
+        19 | 20 => cluster.cut.clear(),
+        _ => {}
+    }
+}
+
+/// Whether a healed group commits something new.
+fn commits_again(cluster: &mut Cluster) -> bool {
+    for _ in 0..HEALED_ROUNDS {
+        if let Some(leader) = cluster.ready_leader()
+            && let Ok(index) = cluster.propose(leader, b"healed")
+        {
+            let is_committed = |cluster: &Cluster| {
+                cluster.leader() == Some(leader) && cluster.raft(leader).commit_index() >= index
+            };
+            if cluster.run_until(Duration::from_secs(1), is_committed) {
+                return true;
+            }
+        }
+        cluster.run(Duration::from_secs(1));
+    }
+    false
+}
+
+fn run(seed: u64, counts: &mut Counts) -> Result<()> {
+    let mut cluster = Cluster::new(VOTERS, seed);
+    for id in VOTERS + 1..=MACHINES {
+        cluster.add_node(id, false, VOTERS);
+    }
+    cluster.network = draw_network(&mut cluster);
+    for round in 0..ROUNDS {
+        act(&mut cluster, counts, round);
+        cluster.run(ROUND);
+        cluster.check_logs();
+        verify_that!(cluster.checker.violation, none())?;
+    }
+    start_stopped(&mut cluster);
+    cluster.cut.clear();
+    cluster.network = Network::default();
+    verify_that!(commits_again(&mut cluster), eq(true))?;
+    verify_that!(cluster.checker.violation, none())?;
+    counts.commits += cluster.checker.committed_entries();
+    Ok(())
+}
+
+#[gtest]
+fn members_that_change_beside_each_other_lose_nothing() -> Result<()> {
+    let seeds = std::env::var(SEEDS_VARIABLE).ok();
+    let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
+    let mut counts = Counts::default();
+    for seed in 0..seeds {
+        run(seed, &mut counts).with_failure_message(|| format!("seed {seed}"))?;
+    }
+    let Counts {
+        changes,
+        beside,
+        commits,
+    } = counts;
+    println!("{seeds} seeds: {changes} changes, {beside} beside another, {commits} commits");
+    verify_that!(beside, gt(0))
+}
