coordinator: a coordinator without the state is added beside another change

Cause: the leader asked for one change of members at a time, additions among them; where two came back and commits were slow, one waited for four changes of others (2.06 s of the 2.27 s until it held the state).

Change: while a removal, promotion or transfer waits for its answer, the planner is asked for additions, and nothing waits for an addition. The choice of whom to add, and the order of the other changes, are as before.

Safe: consensus refuses what may not be appended; the planner counts members of the newest membership, so that nobody is added twice; a refused addition is asked for again at the next look, as before.

Test: returning_coordinators.rs plays the planner with a commit of 3 s and a sending of 2 s: both hold the state within 6 s, and the site ends with five voters and a learner.

--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -11,7 +11,7 @@
 //! stand by. Of the live members an odd number votes, at least twice the losses and one, at most
 //! [`MAX_VOTERS`]. One change at a time, in the order of [`MembershipPlanner::plan`]: a member
 //! whose disk is lost goes first, a voter that is silent goes only when a learner can take its
-//! place.
+//! place. Only a coordinator that is taken in waits for no other change.
 //!
 //! Why: with an odd number of voters each majority of the members holds a majority of the voters,
 //! whichever way they are cut apart. Each member costs: when all 18 coordinators of a large site
@@ -177,7 +177,7 @@
     }
 }
 
-/// Plans one change at a time.
+/// Plans one change at a time, and additions beside it.
 #[derive(Debug, Default)]
 pub struct MembershipPlanner {
     /// Members that were never heard of count from here.
@@ -196,6 +196,16 @@
             .is_some_and(|since| now.since(since) >= ALL_HEARD_AFTER)
     }
 
+    /// The change that is needed beside one that is not committed yet: a coordinator without the state
+    /// is taken in at once, since a learner belongs to no quorum.
+    pub fn plan_beside(
+        &self,
+        now: Instant,
+        view: &MembershipView<'_>,
+    ) -> Option<MembershipRequest> {
+        self.joiner_to_add(now, view)
+    }
+
     /// The change that is needed next, if any.
     pub fn plan(&self, now: Instant, view: &MembershipView<'_>) -> Option<MembershipRequest> {
         self.replaced_member(now, view)
--- a/crates/gateways/wingshore-coordinator/src/process/member_changes.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/member_changes.rs
@@ -7,7 +7,7 @@
 pub(super) struct MemberChanges {
     /// Chooses the changes.
     pub(super) planner: MembershipPlanner,
-    /// Whether a change was asked for and is not answered yet.
+    /// Whether a change other than an addition was asked for and is not answered yet.
     pub(super) is_changing: bool,
     /// The shortage of coordinators that was logged last.
     pub(super) reported_shortage: Option<Shortage>,
--- a/crates/gateways/wingshore-coordinator/src/process/members.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/members.rs
@@ -16,16 +16,23 @@
 impl Coordinator {
     /// Lets the leader change the members where that is needed.
     pub(super) fn plan_members(&mut self, now: Instant) {
-        if !self.host.is_leader() || self.members.is_changing {
+        if !self.host.is_leader() {
             return;
         }
-        self.describe_members();
+        if !self.members.is_changing {
+            self.describe_members();
+        }
         let retired = self.retired_members();
         let view = self.membership_view(&retired);
-        if let Some(request) = self.members.planner.plan(now, &view) {
+        let planner = &self.members.planner;
+        let planned = if self.members.is_changing {
+            planner.plan_beside(now, &view)
+        } else {
+            planner.plan(now, &view)
+        };
+        if let Some(request) = planned {
             self.metrics.member_change();
             info!(self.logger, "member change"; "request" => ?request);
-            self.members.is_changing = true;
             self.request_change(request);
         }
     }
@@ -158,8 +165,15 @@
         }
     }
 
+    /// Asks for a change. No other one waits for an addition.
     fn request_change(&mut self, request: MembershipRequest) {
-        let tag = self.tag(Waiting::Planner, "change_members", None);
+        let waiting = if matches!(request, MembershipRequest::AddLearner(_)) {
+            Waiting::Nobody
+        } else {
+            self.members.is_changing = true;
+            Waiting::Planner
+        };
+        let tag = self.tag(waiting, "change_members", None);
         self.inputs.push(HostInput::Membership { tag, request });
     }
 }
--- /dev/null
+++ b/crates/gateways/wingshore-coordinator/tests/returning_coordinators.rs
@@ -0,0 +1,167 @@
+//! Coordinators that come back with empty disks hold the state in time, also where each commit is slow.
+//!
+//! Seen: beside writers of files a coordinator was added 2.06 s after all had heard of it, and held the
+//! state 0.2 s later. It came about by four changes before its own, for another coordinator that came
+//! back too; each waited until the one before was committed. Cause: an addition was one of the changes that
+//! wait for each other. Proof: changes are played here with a commit that takes long.
+
+use googletest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use wingshore_coordinator::{Joiner, MembershipPlanner, MembershipView};
+use wingshore_types::protocol::membership::{Member, Membership, MembershipRequest};
+use wingshore_types::{Instant, ReplicaId};
+
+/// A coordinator holds the state within this time of its start with an empty disk.
+const WHOLE_AGAIN: Duration = Duration::from_secs(6);
+/// Between two looks of the leader.
+const LOOK: Duration = Duration::from_millis(100);
+/// From the append of a change to its commit: so long that no more than one fits beside the sending.
+const COMMIT: Duration = Duration::from_secs(3);
+/// From the addition of a member until it holds the state.
+const SENDING: Duration = Duration::from_secs(2);
+/// The machines whose disks are lost. Machine 1 leads, machine 6 is a learner.
+const LOST: [u64; 2] = [2, 3];
+/// What is added to a machine's number for its identity after the loss.
+const ANEW: u64 = 10;
+
+fn address(machine: u64) -> SocketAddr {
+    ([10, 0, 0, machine as u8], 7700).into()
+}
+
+fn member(id: u64) -> Member {
+    Member {
+        id: ReplicaId(id),
+        address: address(id % ANEW),
+    }
+}
+
+/// Six coordinators as their leader sees them, two of which come back with empty disks.
+struct Site {
+    now: Instant,
+    membership: Membership,
+    heard: BTreeMap<ReplicaId, Joiner>,
+    planner: MembershipPlanner,
+    /// When the change of voters that is under way will be committed.
+    committed_at: Option<Instant>,
+    added_at: BTreeMap<ReplicaId, Instant>,
+}
+
+impl Site {
+    fn new() -> Self {
+        let now = Instant::from_millis(60_000);
+        let mut planner = MembershipPlanner::default();
+        planner.begin(Instant::from_millis(1_000));
+        Self {
+            now,
+            membership: Membership {
+                voters: (1..=5).map(member).collect(),
+                learners: vec![member(6)],
+            },
+            heard: BTreeMap::new(),
+            planner,
+            committed_at: None,
+            added_at: BTreeMap::new(),
+        }
+    }
+
+    fn hear_all(&mut self) {
+        let back = LOST.map(|machine| machine + ANEW);
+        for id in [4, 5, 6].into_iter().chain(back) {
+            let Member { id, address } = member(id);
+            let joiner = Joiner {
+                id,
+                address,
+                zone: format!("zone-{}", address.ip()),
+                heard: self.now,
+            };
+            self.heard.insert(id, joiner);
+        }
+    }
+
+    fn holds_state(&self, id: ReplicaId) -> bool {
+        let added = self.added_at.get(&id);
+        added.is_some_and(|added| self.now.since(*added) >= SENDING)
+    }
+
+    fn caught_up(&self) -> BTreeSet<ReplicaId> {
+        let others = [4, 5, 6].map(ReplicaId);
+        let returned = self.added_at.keys().copied();
+        let returned = returned.filter(|id| self.holds_state(*id));
+        others.into_iter().chain(returned).collect()
+    }
+
+    fn plan(&self) -> Option<MembershipRequest> {
+        let retired = BTreeSet::new();
+        let view = MembershipView {
+            own: ReplicaId(1),
+            own_zone: "zone-1",
+            membership: &self.membership,
+            heard: &self.heard,
+            caught_up: self.caught_up(),
+            losses_borne: 2,
+            retired: &retired,
+        };
+        match self.committed_at {
+            Some(_) => self.planner.plan_beside(self.now, &view),
+            None => self.planner.plan(self.now, &view),
+        }
+    }
+
+    fn look(&mut self) {
+        self.committed_at.take_if(|at| self.now >= *at);
+        match self.plan() {
+            Some(MembershipRequest::AddLearner(member)) => {
+                self.added_at.insert(member.id, self.now);
+                self.membership.learners.push(member);
+                return;
+            }
+            Some(MembershipRequest::Remove(id)) => {
+                self.membership.voters.retain(|member| member.id != id);
+                self.membership.learners.retain(|member| member.id != id);
+            }
+            Some(MembershipRequest::Promote(id)) => {
+                self.membership.learners.retain(|member| member.id != id);
+                self.membership.voters.push(member(id.0));
+            }
+            _ => return,
+        }
+        assert!(
+            self.committed_at.is_none(),
+            "one change of voters at a time"
+        );
+        self.committed_at = Some(self.now + COMMIT);
+    }
+}
+
+#[gtest]
+fn two_that_come_back_hold_the_state_in_time_whatever_a_commit_takes() {
+    let mut site = Site::new();
+    let begun = site.now;
+    while site.now.since(begun) < WHOLE_AGAIN {
+        site.hear_all();
+        site.look();
+        site.now = site.now + LOOK;
+    }
+    for machine in LOST {
+        let id = ReplicaId(machine + ANEW);
+        expect_that!(site.holds_state(id), eq(true), "{id}");
+    }
+}
+
+#[gtest]
+fn a_site_with_two_that_came_back_has_five_voters_that_hold_the_state_in_the_end() {
+    let mut site = Site::new();
+    for _ in 0..600 {
+        site.hear_all();
+        site.look();
+        site.now = site.now + LOOK;
+    }
+    let voters: BTreeSet<u64> = site.membership.voters.iter().map(|it| it.id.0).collect();
+    let lost = LOST.map(|machine| voters.contains(&machine));
+    expect_that!(lost, eq([false, false]));
+    expect_that!(voters.len(), eq(5));
+    expect_that!(site.membership.learners.len(), eq(1));
+    expect_that!(site.plan(), none());
+}
