gateway: tests of calls that a planned stop runs out of time for, failing

The promise that a planned stop cuts no request in flight is not kept for calls about jobs: they are held for a time of their own that takes no notice of the stop.

--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -3,6 +3,7 @@
 //! with the way the code is laid out.
 
 mod bytes {
+    mod planned_stop;
     pub mod protocol;
     pub mod site;
     pub mod view;
--- /dev/null
+++ b/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
@@ -0,0 +1,70 @@
+//! What clients get from a gateway whose planned stop runs out of time.
+//!
+//! The gateway runs in the test, which plays its coordinator and its servers and decides who is silent. Whatever
+//! is due in a turn of the gateway's loop is done before the loop may end, so that no result hangs on how fast the
+//! machine is.
+
+use crate::bytes::site::{Server, Site, read_message};
+use crate::bytes::view::view;
+use googletest::prelude::*;
+use std::io::Write;
+use std::net::TcpStream;
+
+fn site_with(server: &Server) -> Site {
+    Site::with_view(view(server.address(), Vec::new()))
+}
+
+/// Begins a call about a job.
+fn call(site: &Site, kind: &str) -> TcpStream {
+    let mut client = site.client();
+    let request =
+        format!("GET /jobs/{kind}/j HTTP/1.1\r\nHost: open.test\r\nAuthorization: key-1\r\n\r\n");
+    client.write_all(request.as_bytes()).unwrap();
+    client
+}
+
+fn last_answer(body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+/// In soaks, gateways that were told to stop while coordinators had lost their disks held reads for 1.4 and 2.0 s
+/// and then cut them (seeds 2146958500594871715 and 3660868761312130446). A call without an answer had a time of
+/// its own, 1.3 s and more, which took no notice of the stop: the process ended before the call did.
+#[gtest]
+fn calls_that_a_leader_never_answers_are_answered_at_the_end_of_a_stop() {
+    let server = Server::start();
+    for (kind, answer) in [
+        ("read", "unavailable 250"),
+        ("item", "unavailable 250"),
+        ("end", "uncertain"),
+    ] {
+        let site = site_with(&server);
+        let mut client = call(&site, kind);
+        site.next_message();
+        site.stop();
+        expect_that!(
+            read_message(&mut client),
+            eq(&last_answer(answer)),
+            "{kind}"
+        );
+    }
+}
+
+/// The same cause without a leader: what was sent to none has had no effect, and its client may repeat it.
+#[gtest]
+fn calls_that_no_leader_got_have_no_effect_at_the_end_of_a_stop() {
+    let server = Server::start();
+    for kind in ["read", "end"] {
+        let site = Site::start();
+        site.await_follower();
+        site.send_view(view(server.address(), Vec::new()));
+        let mut client = call(&site, kind);
+        site.stop();
+        expect_that!(
+            read_message(&mut client),
+            eq(&last_answer("unavailable 250")),
+            "{kind}"
+        );
+    }
+}
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -11,7 +11,7 @@
 
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use wingshore_coordination::{
-    CoordinatorMessage, GatewayMessage, IncomingFrame, ViewUpdate, WallTime,
+    CoordinatorMessage, GatewayMessage, GatewayStatus, IncomingFrame, ViewUpdate, WallTime,
 };
 use wingshore_diagnostics::LogCounts;
 use wingshore_gateway::{Gateway, GatewayPolicy, GatewaySettings};
@@ -140,27 +140,46 @@
     /// Starts a gateway whose coordinator leads and has sent it `view`.
     pub(crate) fn with_view(view: ViewUpdate) -> Self {
         let site = Self::start();
-        site.expect(|message| matches!(message, IncomingFrame::Gateway(_)));
+        site.await_follower();
+        site.send(&CoordinatorMessage::Leading { epoch: Epoch(1) });
         site.expect(|message| {
             matches!(
                 message,
-                IncomingFrame::FromGateway(GatewayMessage::FollowView { since: None })
+                IncomingFrame::FromGateway(GatewayMessage::Running { .. })
             )
         });
-        site.send(&CoordinatorMessage::Leading { epoch: Epoch(1) });
-        site.expect(|message| {
+        site.send_view(view);
+        site
+    }
+
+    /// The gateway says who it is and asks for the view.
+    pub(crate) fn await_follower(&self) {
+        self.expect(|message| matches!(message, IncomingFrame::Gateway(_)));
+        self.expect(|message| {
             matches!(
                 message,
-                IncomingFrame::FromGateway(GatewayMessage::Running { .. })
+                IncomingFrame::FromGateway(GatewayMessage::FollowView { since: None })
             )
         });
-        site.send(&CoordinatorMessage::View(view));
-        let is_configured = |message: &IncomingFrame| match message {
-            IncomingFrame::FromGateway(GatewayMessage::Status(status)) => status.configuration > 0,
+    }
+
+    /// Sends the view, and waits until it is in force.
+    pub(crate) fn send_view(&self, view: ViewUpdate) {
+        self.send(&CoordinatorMessage::View(view));
+        self.await_status(|status| status.configuration > 0);
+    }
+
+    /// The next status of this kind that the gateway reports.
+    pub(crate) fn await_status(&self, is_expected: impl Fn(&GatewayStatus) -> bool) {
+        self.expect(|message| match message {
+            IncomingFrame::FromGateway(GatewayMessage::Status(status)) => is_expected(status),
             _ => false,
-        };
-        site.expect(is_configured);
-        site
+        });
+    }
+
+    /// Begins the gateway's planned stop.
+    pub(crate) fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
     }
 
     pub(crate) fn send(&self, message: &CoordinatorMessage) {
@@ -214,7 +233,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.stop();
         self.alive.store(false, Ordering::Relaxed);
     }
 }
