gateway: a call has no longer than a planned stop leaves

Cause: a call about a job that nobody answers had 1.3 s, 2.5 s for commits, and the time it may wait, whether the gateway was stopping or not. Only the wait of reads that came during the stop regarded it. Where coordinators had lost their disks, the process ended before its calls did, and cut them.

Change: the end of the stop, less 0.2 s for the answers to leave, is a deadline for all calls: those that wait when it begins are cut to it, those that come later begin with it. A call that comes when nothing is left is refused at once with a time to come back, a commit already when no more than 0.7 s is left, the time after which it would be sent again.

Safe: a call is answered as without effect only where it is a read, or was sent to no leader; a commit that a leader got is answered as uncertain, as before. A call that nobody can answer is answered sooner than before only during a stop, where it would have been cut.

--- a/crates/gateways/wingshore-gateway/src/call_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/call_policy.rs
@@ -4,18 +4,23 @@
 //! No I/O; `now` is passed in.
 //!
 //! **Inputs.** The call; whether a copy of the state may still answer it; when its time is over;
-//! whether it was sent to a leader.
+//! whether it was sent to a leader; how long a planned stop still waits for answers.
 //!
 //! **Rule.** Results are read from a fresh copy of the state in the gateway's own zone, once; whatever
 //! the copy cannot answer, and every other call, goes to the leader. A call that is not to wait is sent
 //! again after 0.7 s, and at once to each new leader: all calls may be repeated. A call whose time is over
-//! is answered as having had no effect, unless it may take effect and was sent to a leader.
+//! is answered as having had no effect, unless it may take effect and was sent to a leader. A planned stop
+//! leaves no call more time than itself has: calls that wait are cut to that; a read that comes when nothing is
+//! left, and a commit that comes when less is left than the time after which it is sent again, are refused at
+//! once.
 //!
 //! **Why.** What is listed never changes, so that a copy answers reads as well as the leader does.
-//! Reading from near copies saves bytes between zones.
+//! Reading from near copies saves bytes between zones. A call that outlasts the process gets no answer at
+//! all. A commit is refused sooner, since one that was sent and not answered cannot be told from one that
+//! has taken effect.
 //!
 //! **Old or missing inputs.** A copy that was not heard of lately is not read; without a leader a call
-//! waits for one until its time is over.
+//! waits for one until its time is over; without a planned stop every call has its own time.
 
 use crate::protocol::BatchAnswer;
 use std::time::Duration;
@@ -33,12 +38,18 @@
 /// When a client may retry a call that had no effect.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// How long the group may take for a call.
-pub(crate) fn time_limit(request: &Request) -> Duration {
-    match request {
-        Request::ReadJob { wait, .. } => CALL_TIMEOUT + *wait,
-        Request::ReadItem { .. } => CALL_TIMEOUT,
-        _ => COMMIT_TIMEOUT,
+/// How long the group may take for a call that comes now; `None` if the call is refused at once.
+/// `stop_leaves` is how long a planned stop still waits for answers, if there is one.
+pub fn call_time_limit(request: &Request, stop_leaves: Option<Duration>) -> Option<Duration> {
+    let (own_limit, least) = match request {
+        Request::ReadJob { wait, .. } => (CALL_TIMEOUT + *wait, Duration::ZERO),
+        Request::ReadItem { .. } => (CALL_TIMEOUT, Duration::ZERO),
+        _ => (COMMIT_TIMEOUT, RESEND_AFTER),
+    };
+    match stop_leaves {
+        Some(left) if left <= least => None,
+        Some(left) => Some(own_limit.min(left)),
+        None => Some(own_limit),
     }
 }
 
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -3,7 +3,7 @@
 //! Owns the calls; relies on the links to the coordinators. Whom a call is sent to, and when again,
 //! is decided in [`call_policy`].
 
-use crate::call_policy;
+use crate::call_policy::{self, RETRY_AFTER, call_time_limit};
 use crate::coordinators::send;
 use crate::ids::CallId;
 use crate::protocol::{BatchAnswer, BatchCall, ReadPage};
@@ -60,6 +60,8 @@
     next: u64,
     /// Whether results are read from copies of the state.
     reads_copies: bool,
+    /// By then every call is answered, once a planned stop has begun.
+    stop_at: Option<Instant>,
 }
 
 impl Calls {
@@ -69,23 +71,33 @@
             waiting: HashMap::new(),
             next: 0,
             reads_copies,
+            stop_at: None,
         }
     }
 
     /// Passes a call on.
+    ///
+    /// # Errors
+    /// The answer, where a planned stop leaves too little time for the call.
     pub(crate) fn begin(
         &mut self,
         runtime: &mut Runtime,
         site: &Site,
         client: ConnectionId,
         request: Request,
-    ) -> CallId {
+    ) -> Result<CallId, BatchAnswer> {
         let now = runtime.now;
+        let stop_leaves = self.stop_at.map(|stop_at| stop_at.since(now));
+        let Some(time_limit) = call_time_limit(&request, stop_leaves) else {
+            let answer = BatchAnswer::Unavailable(RETRY_AFTER);
+            log_given_up(runtime, site, &request, &answer);
+            return Err(answer);
+        };
         let id = CallId(self.next);
         self.next += 1;
         let call = Call {
             client,
-            until: now + call_policy::time_limit(&request),
+            until: now + time_limit,
             request,
             sent_to: None,
             may_take_effect: false,
@@ -93,7 +105,18 @@
         };
         self.waiting.insert(id, call);
         self.send_call(runtime, site, id);
-        id
+        Ok(id)
+    }
+
+    /// A planned stop answers every call by `stop_at`, also those that come later.
+    pub(crate) fn stop_by(&mut self, runtime: &mut Runtime, stop_at: Instant) {
+        self.stop_at = Some(stop_at);
+        for (id, call) in &mut self.waiting {
+            if call.until > stop_at {
+                call.until = stop_at;
+                runtime.timers.arm(stop_at, TimerKey::Call(*id));
+            }
+        }
     }
 
     /// Sends a call to where it can be answered.
@@ -200,12 +223,8 @@
             return None;
         }
         let call = self.waiting.remove(&id)?;
-        let kind = call.request.kind();
         let answer = call_policy::late_answer(&call.request, call.may_take_effect);
-        warn!(runtime.logger, "call given up"; "call" => kind, "subject" => call.request.subject(),
-            "leader_known" => site.coordinators.leader().is_some(), "answer" => answer.name(),
-            "epoch" => site.view.epoch().0);
-        runtime.metrics.call_ended(kind, answer.name());
+        log_given_up(runtime, site, &call.request, &answer);
         Some(CallEnd {
             client: call.client,
             answer,
@@ -268,6 +287,15 @@
     }
 }
 
+/// Nobody answers a call any more.
+fn log_given_up(runtime: &Runtime, site: &Site, request: &Request, answer: &BatchAnswer) {
+    let kind = request.kind();
+    warn!(runtime.logger, "call given up"; "call" => kind, "subject" => request.subject(),
+        "leader_known" => site.coordinators.leader().is_some(), "answer" => answer.name(),
+        "epoch" => site.view.epoch().0);
+    runtime.metrics.call_ended(kind, answer.name());
+}
+
 /// What the group is asked for a call of `tenant`.
 pub(crate) fn request_of(call: BatchCall, tenant: Option<TenantName>) -> Request {
     let own = |job: JobId| job.of_tenant(tenant);
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -58,6 +58,7 @@
     AttemptHistory, Circumstances, NextStep, RetryLimits, after_failure, given_up_answer,
 };
 pub use balance::Balancer;
+pub use call_policy::call_time_limit;
 pub use crashes::CrashWatch;
 pub use error::GatewayError;
 pub use event_stream::{EventReader, StreamEvent, take_whole_events};
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -50,6 +50,8 @@
 const DIRECTORY_TTLS_UNTIL_UNUSED: u32 = 3;
 /// Left before the end of a planned stop for the last answers to arrive.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Left before the end of a planned stop for the answers to calls that nobody has answered to leave.
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(200);
 
 /// A running gateway.
 pub struct Gateway {
@@ -233,6 +235,8 @@
         let logger = &self.environment.runtime.logger;
         info!(logger, "planned stop"; "node" => &self.settings.node);
         self.stopping_since = Some(now);
+        let stop_at = now + self.settings.stop_limit.saturating_sub(LAST_ANSWERS_MARGIN);
+        self.calls.stop_by(&mut self.environment.runtime, stop_at);
         self.report_status();
         self.items.return_all(&mut self.environment);
         self.scorings.return_queued(&mut self.environment);
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -126,8 +126,10 @@
 
     fn begin_call(&mut self, client: ConnectionId, request: Request) {
         let (runtime, site) = (&mut self.environment.runtime, &self.environment.site);
-        let id = self.calls.begin(runtime, site, client, request);
-        self.clients.set_waiting(client, Waiting::Call(id));
+        match self.calls.begin(runtime, site, client, request) {
+            Ok(id) => self.clients.set_waiting(client, Waiting::Call(id)),
+            Err(answer) => self.answer_batch(client, &answer),
+        }
     }
 
     /// A call may be late, or its time over.
--- a/crates/gateways/wingshore-gateway/tests/policies.rs
+++ b/crates/gateways/wingshore-gateway/tests/policies.rs
@@ -1,10 +1,11 @@
-//! What engines' answers to items and the ends of scorings mean, and when texts are uploaded.
+//! What engines' answers to items and the ends of scorings mean, when texts are uploaded, and how long calls take.
 
 use googletest::prelude::*;
-use wingshore_coordination::{NotScoredReason, ScoringOutcome};
+use std::time::Duration;
+use wingshore_coordination::{ItemId, JobId, NotScoredReason, Request, ScoringOutcome};
 use wingshore_gateway::{
-    AttemptHistory, ItemAnswer, LoadSignal, ScoringEnd, answered, classify_item_answer, given_up,
-    is_upload_due, max_scorings,
+    AttemptHistory, ItemAnswer, LoadSignal, ScoringEnd, answered, call_time_limit,
+    classify_item_answer, given_up, is_upload_due, max_scorings,
 };
 
 #[gtest]
@@ -87,3 +88,41 @@
     }
     expect_that!(max_scorings(7), eq(3));
 }
+
+/// A stopping gateway gave calls more time than its stop left, and cut those that were not answered in it. A
+/// commit that is sent in the last moment and not answered would be uncertain, where a refusal lets its client
+/// go elsewhere at once.
+#[gtest]
+fn a_call_has_no_longer_than_a_planned_stop_leaves() {
+    let job = JobId::from("j");
+    let read = Request::ReadJob {
+        job: job.clone(),
+        from: 0,
+        wait: Duration::from_millis(400),
+    };
+    let item = Request::ReadItem {
+        job: job.clone(),
+        item: ItemId::from("i"),
+    };
+    let end = Request::EndJob(job);
+    let table = [
+        (&read, None, Some(1700)),
+        (&read, Some(1701), Some(1700)),
+        (&read, Some(1699), Some(1699)),
+        (&read, Some(1), Some(1)),
+        (&read, Some(0), None),
+        (&item, None, Some(1300)),
+        (&item, Some(1299), Some(1299)),
+        (&item, Some(0), None),
+        (&end, None, Some(2500)),
+        (&end, Some(2499), Some(2499)),
+        (&end, Some(701), Some(701)),
+        (&end, Some(700), None),
+        (&end, Some(0), None),
+    ];
+    for (request, stop_leaves, expected) in table {
+        let time = call_time_limit(request, stop_leaves.map(Duration::from_millis));
+        let expected = expected.map(Duration::from_millis);
+        expect_that!(time, eq(expected), "{} {stop_leaves:?}", request.kind());
+    }
+}
