gateway: a test of a live request whose server outlasts a planned stop, failing

The same cause as that of calls: a live request has the time of its route, whether the gateway is stopping or not.

--- a/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
@@ -14,6 +14,14 @@
     Site::with_view(view(server.address(), Vec::new()))
 }
 
+/// Sends a request on a connection of its own.
+fn request(site: &Site, path: &str) -> TcpStream {
+    let mut client = site.client();
+    let request = format!("GET {path} HTTP/1.1\r\nHost: open.test\r\nId: r-1\r\n\r\n");
+    client.write_all(request.as_bytes()).unwrap();
+    client
+}
+
 /// Begins a call about a job.
 fn call(site: &Site, kind: &str) -> TcpStream {
     let mut client = site.client();
@@ -24,8 +32,12 @@
 }
 
 fn last_answer(body: &str) -> String {
+    last_answer_with("200 OK", body)
+}
+
+fn last_answer_with(status: &str, body: &str) -> String {
     let length = body.len();
-    format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}")
+    format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
 /// In soaks, gateways that were told to stop while coordinators had lost their disks held reads for 1.4 and 2.0 s
@@ -68,3 +80,19 @@
         );
     }
 }
+
+/// By reading: a stopping gateway waited for a server as long as the route allows, and cut the client of a request
+/// whose server outlasted the stop. The users' rule lets it cut only what was sent within 3 s after the SIGTERM. A
+/// request that may have run is not answered as if it had not.
+#[gtest]
+fn a_request_whose_server_outlasts_a_stop_is_answered_at_its_end() {
+    let server = Server::start();
+    let site = site_with(&server);
+    let mut client = request(&site, "/live/x");
+    let _silent = server.accept();
+    site.stop();
+    expect_that!(
+        read_message(&mut client),
+        eq(&last_answer_with("503 Service Unavailable", "out_of_time"))
+    );
+}
