gateway: a live request ends with a planned stop

Cause: a request to a server had the time of its route, also where the process would end before. Its client was cut; the users' rule allows that only for what was sent within 3 s after the SIGTERM.

Change: the end of the stop, to the instant, is a deadline for all requests on their way to servers, also for those that come later; servers are told of it by the deadline that they get.

Safe: nothing ends sooner than it did, since the process ended then. What may have run is answered as out of time, never as not run. A stream that has begun is still broken off at the end and does not look complete.

--- a/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
+++ b/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
@@ -3,15 +3,17 @@
 //! No I/O; `now` is passed in.
 //!
 //! **Inputs.** The route's timeout and target latency, the milliseconds that the caller will wait,
-//! and which attempt it is of how many.
+//! which attempt it is of how many, and the end of a planned stop.
 //!
 //! **Rule.** A request has the shorter of its route's timeout and its caller's deadline, less a
-//! margin for the way back. A connection has a short time of its own to come up. A server that has the
+//! margin for the way back. It ends with a planned stop at the latest, and not sooner: a server at work may
+//! answer up to then. A connection has a short time of its own to come up. A server that has the
 //! request keeps it to the end, unless the request may run twice and an attempt is left: then another
 //! server is asked after twice the target latency.
 //!
 //! **Why.** A machine that is cut off or stands still answers nothing at all: a repeatable request that
-//! waits for it would miss its target, and another server can still answer in time.
+//! waits for it would miss its target, and another server can still answer in time. A request that outlasts
+//! the process gets no answer at all.
 //!
 //! **Missing inputs.** Without a deadline of the caller the route's timeout counts.
 
--- a/crates/gateways/wingshore-gateway/src/exchange.rs
+++ b/crates/gateways/wingshore-gateway/src/exchange.rs
@@ -92,6 +92,12 @@
         RetryLimits::of(&self.route)
     }
 
+    /// It is answered by `end`, and sooner where its own time ends sooner.
+    pub(crate) fn end_by(&mut self, end: Instant) {
+        self.until = self.until.min(end);
+        self.attempt_until = self.attempt_until.min(end);
+    }
+
     /// Until when a server that has the request now may take before another one is asked.
     pub(crate) fn answer_deadline(&self, now: Instant) -> Instant {
         let (attempts, target) = (self.history.attempts, self.route.target_latency);
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use crate::forward_log as log;
 use crate::ids::ExchangeId;
 use crate::request_suspicion;
+use crate::runtime::Runtime;
 use crate::split::ServiceSplit;
 use crate::streams::{self, StreamClient};
 use crate::timers::TimerKey;
@@ -24,6 +25,7 @@
 use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::WholeAnswer;
+use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
 
 /// All requests on their way.
@@ -31,6 +33,8 @@
     all: HashMap<ExchangeId, Exchange>,
     next: u64,
     split: ServiceSplit,
+    /// By then every request is answered, once a planned stop has begun.
+    stop_at: Option<Instant>,
 }
 
 impl Exchanges {
@@ -40,6 +44,7 @@
             all: HashMap::new(),
             next: 0,
             split: ServiceSplit::new(seed),
+            stop_at: None,
         }
     }
 
@@ -60,13 +65,27 @@
         &mut self,
         environment: &mut Environment,
         id: ExchangeId,
-        exchange: Exchange,
+        mut exchange: Exchange,
     ) -> Option<ExchangeEnd> {
+        if let Some(stop_at) = self.stop_at {
+            exchange.end_by(stop_at);
+        }
         let timers = &mut environment.runtime.timers;
         timers.arm(exchange.until, TimerKey::Exchange(id));
         self.send_to_server(environment, id, exchange)
     }
 
+    /// A planned stop ends every request by `stop_at`, also those that come later.
+    pub(crate) fn stop_by(&mut self, runtime: &mut Runtime, stop_at: Instant) {
+        self.stop_at = Some(stop_at);
+        for (id, exchange) in &mut self.all {
+            exchange.end_by(stop_at);
+            runtime
+                .timers
+                .arm(exchange.deadline(), TimerKey::Exchange(*id));
+        }
+    }
+
     /// Sends a request to the next server that takes it; gives it up if there is none.
     fn send_to_server(
         &mut self,
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -235,8 +235,11 @@
         let logger = &self.environment.runtime.logger;
         info!(logger, "planned stop"; "node" => &self.settings.node);
         self.stopping_since = Some(now);
-        let stop_at = now + self.settings.stop_limit.saturating_sub(LAST_ANSWERS_MARGIN);
-        self.calls.stop_by(&mut self.environment.runtime, stop_at);
+        let runtime = &mut self.environment.runtime;
+        let stop_at = now + self.settings.stop_limit;
+        self.calls.stop_by(runtime, stop_at - LAST_ANSWERS_MARGIN);
+        // A server that is at work may answer up to the end.
+        self.exchanges.stop_by(runtime, stop_at);
         self.report_status();
         self.items.return_all(&mut self.environment);
         self.scorings.return_queued(&mut self.environment);
