gateway: a test of a long answer that a planned stop cuts, failing

Of an answer of 24 MB, whose client read on half a second after the stop had begun, 3.9 MB arrived, both on a connection that was kept and on one that was to close.

--- a/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
@@ -4,11 +4,17 @@
 //! is due in a turn of the gateway's loop is done before the loop may end, so that no result hangs on how fast the
 //! machine is.
 
-use crate::bytes::site::{Server, Site, read_message};
+use crate::bytes::site::{Server, Site, StopTimes, read_message};
 use crate::bytes::view::view;
 use googletest::prelude::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
+
+/// Longer than what the sockets between a gateway and its client hold.
+const LONG_ANSWER: usize = 24 << 20;
+/// All of its body; stands in no head.
+const BODY: u8 = b'*';
 
 fn site_with(server: &Server) -> Site {
     Site::with_view(view(server.address(), Vec::new()))
@@ -96,3 +102,36 @@
         eq(&last_answer_with("503 Service Unavailable", "out_of_time"))
     );
 }
+
+/// By reading: an answer counted as out once it was queued. A connection that waits for nothing else was closed when
+/// the stop began, and the process ended when nobody waited, whatever of an answer had not left yet: a client that
+/// reads slowly got a part of it.
+#[gtest]
+fn an_answer_that_has_not_left_whole_is_not_cut_by_a_stop() {
+    let server = Server::start();
+    let stop_times = StopTimes {
+        limit: Duration::from_secs(20),
+        ..StopTimes::default()
+    };
+    for ending in ["", "Connection: close\r\n"] {
+        let site = Site::with_view_and_stop(view(server.address(), Vec::new()), stop_times);
+        let mut client = site.client();
+        let request = format!("GET /live/x HTTP/1.1\r\nHost: open.test\r\nId: r-1\r\n{ending}\r\n");
+        client.write_all(request.as_bytes()).unwrap();
+        let (mut upstream, _) = server.accept();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nId: r-1\r\nSignature: s\r\nContent-Length: {LONG_ANSWER}\r\n\r\n"
+        );
+        upstream.write_all(head.as_bytes()).unwrap();
+        upstream.write_all(&vec![BODY; LONG_ANSWER]).unwrap();
+        // Its first byte says that the answer is under way.
+        client.peek(&mut [0]).unwrap();
+        site.stop();
+        site.await_status(|status| !status.ready);
+        std::thread::sleep(Duration::from_millis(500));
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).unwrap();
+        let body = answer.iter().filter(|byte| **byte == BODY);
+        expect_that!(body.count(), eq(LONG_ANSWER), "{ending}");
+    }
+}
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -82,15 +82,38 @@
     IpAddr::from([127, network, high, low])
 }
 
+/// How long a gateway goes on once it is to stop.
+#[derive(Clone, Copy)]
+pub(crate) struct StopTimes {
+    /// Within which a planned stop must be over.
+    pub(crate) limit: Duration,
+    /// How long clients may go on using an address that they were given.
+    pub(crate) directory_ttl: Duration,
+}
+
+impl Default for StopTimes {
+    fn default() -> Self {
+        Self {
+            limit: Duration::from_secs(1),
+            directory_ttl: Duration::from_millis(10),
+        }
+    }
+}
+
 impl Site {
     /// Starts the gateway and takes its link; it has no view yet.
     pub(crate) fn start() -> Self {
+        Self::start_with(StopTimes::default())
+    }
+
+    fn start_with(stop_times: StopTimes) -> Self {
         let listener = TcpListener::bind((LOOPBACK, 0)).unwrap();
         let host = own_host();
         let front = SocketAddr::from((host, FRONT_PORT));
         let ready = SocketAddr::from((host, READY_PORT));
         let log = LogKeys::default();
-        let stop = start_gateway(front, ready, listener.local_addr().unwrap().port(), &log);
+        let internal_port = listener.local_addr().unwrap().port();
+        let stop = start_gateway((front, ready), internal_port, stop_times, &log);
         let (stream, _) = listener.accept().unwrap();
         let (sender, received) = channel();
         let mut reading = stream.try_clone().unwrap();
@@ -139,7 +162,12 @@
 
     /// Starts a gateway whose coordinator leads and has sent it `view`.
     pub(crate) fn with_view(view: ViewUpdate) -> Self {
-        let site = Self::start();
+        Self::with_view_and_stop(view, StopTimes::default())
+    }
+
+    /// As [`Site::with_view`], of a gateway that goes on for so long once it is to stop.
+    pub(crate) fn with_view_and_stop(view: ViewUpdate, stop_times: StopTimes) -> Self {
+        let site = Self::start_with(stop_times);
         site.await_follower();
         site.send(&CoordinatorMessage::Leading { epoch: Epoch(1) });
         site.expect(|message| {
@@ -239,9 +267,9 @@
 }
 
 fn start_gateway(
-    front: SocketAddr,
-    ready: SocketAddr,
+    (front, ready): (SocketAddr, SocketAddr),
     internal_port: u16,
+    stop_times: StopTimes,
     log: &LogKeys,
 ) -> Arc<AtomicBool> {
     let signals = Signals::default();
@@ -257,8 +285,8 @@
         internal_port,
         seeds: vec![LOOPBACK],
         most_connections: 64,
-        directory_ttl: Duration::from_millis(10),
-        stop_limit: Duration::from_secs(1),
+        directory_ttl: stop_times.directory_ttl,
+        stop_limit: stop_times.limit,
         usage_window: Some(Duration::from_secs(60)),
         policy: GatewayPolicy::default(),
     };
