gateway: a planned stop waits until its answers have left

Cause: an answer counted as out once it was queued. A connection without a further request was closed when the stop began, which drops what is queued on it; connections that were to close after their answer were not waited for at all.

Change: a connection is idle only once nothing is queued on it, and the process does not end before those that are to close have closed, within the time of the stop.

Safe: a client that does not read holds the stop up to its limit, as one that waits for an answer does; its connection is closed sooner by the limit on bytes that stay unacknowledged.

--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -10,8 +10,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wingshore_coordination::IngressLimits;
-use wingshore_net::ConnectionId;
 use wingshore_net::http::{HeadWriter, RequestError, RequestHead, RequestReader, WholeRequest};
+use wingshore_net::{ConnectionId, Reactor};
 use wingshore_types::Instant;
 
 /// How many times as long as a head a request with a body may take to arrive.
@@ -83,6 +83,8 @@
 #[derive(Default)]
 pub(crate) struct Clients {
     all: HashMap<ConnectionId, Client>,
+    /// Connections that close once all that was sent on them has left.
+    leaving: Vec<ConnectionId>,
 }
 
 impl Clients {
@@ -267,12 +269,24 @@
         ClientTimeout::None
     }
 
-    /// Those that wait for nothing.
-    pub(crate) fn idle(&self) -> Vec<ConnectionId> {
+    /// Those that wait for nothing, and have got all of their last answer as far as that is known here.
+    pub(crate) fn idle(&self, reactor: &Reactor) -> Vec<ConnectionId> {
         let is_idle =
             |client: &Client| matches!(client.state, ClientState::Reading { begun: None });
         let idle = self.all.iter().filter(|(_, client)| is_idle(client));
-        idle.map(|(connection, _)| *connection).collect()
+        let idle = idle.map(|(connection, _)| *connection);
+        idle.filter(|connection| reactor.queued(*connection) == 0)
+            .collect()
+    }
+
+    /// Whether part of an answer has not left yet on a connection that is to close.
+    pub(crate) fn has_unsent(&self, reactor: &Reactor) -> bool {
+        self.leaving.iter().any(|left| reactor.is_open(*left))
+    }
+
+    /// Drops what is known of connections that have closed.
+    pub(crate) fn forget_left(&mut self, reactor: &Reactor) {
+        self.leaving.retain(|left| reactor.is_open(*left));
     }
 
     /// Closes a connection; gives what it waited for.
@@ -291,6 +305,7 @@
     /// Closes a connection once all that was sent on it has left.
     pub(crate) fn cut(&mut self, runtime: &mut Runtime, connection: ConnectionId) {
         self.all.remove(&connection);
+        self.leaving.push(connection);
         runtime.reactor.close_when_flushed(connection);
     }
 }
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -202,6 +202,7 @@
         self.dial_coordinators();
         self.follow_view();
         self.environment.forget_old_servers();
+        self.clients.forget_left(&self.environment.runtime.reactor);
         self.start_scorings();
         self.reload();
         self.begin_stop();
@@ -255,8 +256,8 @@
         hold_until.saturating_sub(stopped_for)
     }
 
-    /// Whether a planned stop is over: nobody waits for an answer, and no client can have an
-    /// address of this gateway that it was given before.
+    /// Whether a planned stop is over: nobody waits for an answer or the rest of one, and no client can
+    /// have an address of this gateway that it was given before.
     fn has_stopped(&mut self) -> bool {
         let now = self.environment.runtime.now;
         let Some(since) = self.stopping_since else {
@@ -271,10 +272,12 @@
         if stopped_for < unused_after && !is_late {
             return false;
         }
-        for connection in self.clients.idle() {
+        for connection in self.clients.idle(&self.environment.runtime.reactor) {
             self.close_client(connection);
         }
-        self.clients.count() == 0 && self.items.count() == 0 && self.scorings.count() == 0
+        let has_clients =
+            self.clients.count() > 0 || self.clients.has_unsent(&self.environment.runtime.reactor);
+        !has_clients && self.items.count() == 0 && self.scorings.count() == 0
     }
 }
 
