--- a/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
@@ -9,7 +9,10 @@
 use googletest::prelude::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
+use wingshore_coordination::{RouteKind, ViewContent, ViewUpdate};
 
 /// Longer than what the sockets between a gateway and its client hold.
 const LONG_ANSWER: usize = 24 << 20;
@@ -20,6 +23,21 @@
     Site::with_view(view(server.address(), Vec::new()))
 }
 
+/// A view whose streams may take longer than any stop here.
+fn view_with_long_streams(one: &Server, pair: &Server) -> ViewUpdate {
+    let mut update = view(one.address(), vec![pair.address()]);
+    let ViewContent::Whole(whole) = &mut update.content else {
+        panic!("the view is whole");
+    };
+    let configuration = whole.configuration.as_mut().unwrap();
+    for route in &mut Arc::make_mut(configuration).routes {
+        if route.kind == RouteKind::Streaming {
+            route.timeout = Duration::from_secs(60);
+        }
+    }
+    update
+}
+
 /// Sends a request on a connection of its own.
 fn request(site: &Site, path: &str) -> TcpStream {
     let mut client = site.client();
@@ -128,10 +146,35 @@
         client.peek(&mut [0]).unwrap();
         site.stop();
         site.await_status(|status| !status.ready);
-        std::thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(500));
         let mut answer = Vec::new();
         client.read_to_end(&mut answer).unwrap();
         let body = answer.iter().filter(|byte| **byte == BODY);
         expect_that!(body.count(), eq(LONG_ANSWER), "{ending}");
     }
 }
+
+/// By reading: of what comes later than 3 s after the SIGTERM nothing may be cut, and a stream that has begun cannot
+/// be answered in another way at the end of the stop. Nothing kept a stream from beginning that may take longer.
+#[gtest]
+fn a_late_stream_that_may_outlast_a_stop_is_refused_before_it_runs() {
+    let (one, pair) = (Server::start(), Server::start());
+    let stop_times = StopTimes {
+        limit: Duration::from_secs(20),
+        directory_ttl: Duration::from_secs(3),
+    };
+    let site = Site::with_view_and_stop(view_with_long_streams(&one, &pair), stop_times);
+    site.stop();
+    site.await_status(|status| !status.ready);
+    let mut early = request(&site, "/stream/x");
+    let (mut upstream, _) = pair.accept();
+    let answer = "HTTP/1.1 200 OK\r\nId: r-1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n";
+    upstream.write_all(answer.as_bytes()).unwrap();
+    expect_that!(read_message(&mut early), starts_with("HTTP/1.1 200 OK"));
+    thread::sleep(Duration::from_millis(2600));
+    let mut late = request(&site, "/stream/x");
+    expect_that!(
+        read_message(&mut late),
+        eq(&last_answer_with("503 Service Unavailable", "not_run 150"))
+    );
+}
