gateway: a stream that may outlast a planned stop is not begun late in it

Cause: a stopping gateway sent every request to a server, however little time the stop left. Any other request has an answer at the end of the stop; a stream that has begun can only be broken off, which the users' rule allows for what was sent within 3 s after the SIGTERM and not for what came later.

Change: from 2.5 s on (the signal is noticed within 0.2 s) a stream whose time reaches beyond the end of the stop is refused, with a time to come back, before any server gets it. Where the stop is, is read in one place.

Safe: the refused request has been sent to no server. Addresses of a gateway are used for 2 s at the most after it has left the directory, so that hardly any stream meets this.

--- a/crates/gateways/wingshore-gateway/src/admission.rs
+++ b/crates/gateways/wingshore-gateway/src/admission.rs
@@ -73,6 +73,11 @@
         answer: OwnAnswer::NotRun(RETRY_AFTER),
         reason: "its route has no service",
     };
+    /// It may outlast a planned stop, and could only be broken off.
+    pub(crate) const STOPPING: Self = Self {
+        answer: OwnAnswer::NotRun(RETRY_AFTER),
+        reason: "it is a stream that may outlast the planned stop",
+    };
     /// It did not arrive in time.
     pub(crate) const TOO_SLOW: Self = Self {
         answer: OwnAnswer::TooSlow,
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -53,7 +53,9 @@
 mod view_source;
 
 pub use answers::{AnswerFacts, AnswerKind, classify_answer, is_server_failure};
-pub use attempt_timeouts::{answer_deadline, connect_deadline, request_timeout};
+pub use attempt_timeouts::{
+    StopProgress, answer_deadline, connect_deadline, is_stream_begun, request_timeout,
+};
 pub use attempts::{
     AttemptHistory, Circumstances, NextStep, RetryLimits, after_failure, given_up_answer,
 };
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -11,6 +11,7 @@
 mod requests;
 mod work;
 
+use crate::attempt_timeouts::StopProgress;
 use crate::calls::Calls;
 use crate::clients::Clients;
 use crate::coordinators::Coordinators;
@@ -246,30 +247,30 @@
         self.scorings.return_queued(&mut self.environment);
     }
 
+    /// How far the planned stop is, once it has begun.
+    fn stop_progress(&self) -> Option<StopProgress> {
+        let elapsed = self.environment.runtime.now.since(self.stopping_since?);
+        let left = self.settings.stop_limit.saturating_sub(elapsed);
+        Some(StopProgress { elapsed, left })
+    }
+
     /// How long an answer may be held: a planned stop must not cut it.
     fn time_to_hold(&self) -> Duration {
-        let Some(since) = self.stopping_since else {
-            return Duration::MAX;
-        };
-        let stopped_for = self.environment.runtime.now.since(since);
-        let hold_until = self.settings.stop_limit.saturating_sub(STOP_MARGIN);
-        hold_until.saturating_sub(stopped_for)
+        let left = self.stop_progress().map(|stop| stop.left);
+        left.map_or(Duration::MAX, |left| left.saturating_sub(STOP_MARGIN))
     }
 
     /// Whether a planned stop is over: nobody waits for an answer or the rest of one, and no client can
     /// have an address of this gateway that it was given before.
     fn has_stopped(&mut self) -> bool {
-        let now = self.environment.runtime.now;
-        let Some(since) = self.stopping_since else {
+        let Some(StopProgress { elapsed, left }) = self.stop_progress() else {
             return false;
         };
-        let stopped_for = now.since(since);
-        if stopped_for >= self.settings.stop_limit {
+        if left.is_zero() {
             return true;
         }
         let unused_after = self.settings.directory_ttl * DIRECTORY_TTLS_UNTIL_UNUSED;
-        let is_late = stopped_for + STOP_MARGIN >= self.settings.stop_limit;
-        if stopped_for < unused_after && !is_late {
+        if elapsed < unused_after && left > STOP_MARGIN {
             return false;
         }
         for connection in self.clients.idle(&self.environment.runtime.reactor) {
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -10,7 +10,7 @@
 use crate::protocol::{BatchAnswer, OwnAnswer};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{CallReply, Caller, Request, Route};
+use wingshore_coordination::{CallReply, Caller, Request, Route, RouteKind};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HeadWriter, HttpAnswer, WholeRequest};
 
@@ -78,13 +78,17 @@
         route: Arc<Route>,
     ) {
         let now = self.environment.runtime.now;
-        let Some(service) = self.exchanges.next_target(&route) else {
-            return self.refuse(client, &request.head, Refusal::NO_SERVICE);
-        };
         let names = self.environment.site.protocol.header_names();
         let headers = &request.head.headers;
         let deadline = headers.number(names.deadline).map(Duration::from_millis);
         let limit = attempt_timeouts::request_timeout(route.timeout, deadline);
+        let is_begun = |stop| attempt_timeouts::is_stream_begun(limit, stop);
+        if route.kind == RouteKind::Streaming && !self.stop_progress().is_none_or(is_begun) {
+            return self.refuse(client, &request.head, Refusal::STOPPING);
+        }
+        let Some(service) = self.exchanges.next_target(&route) else {
+            return self.refuse(client, &request.head, Refusal::NO_SERVICE);
+        };
         let identity = headers.get(names.request_id).unwrap_or_default().to_vec();
         let new = NewExchange {
             origin: Origin::Client(client),
--- a/crates/gateways/wingshore-gateway/tests/attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/attempts.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use wingshore_gateway::{
     AnswerFacts, AnswerKind, AttemptHistory, Circumstances, NextStep, OwnAnswer, RetryLimits,
-    after_failure, answer_deadline, classify_answer, connect_deadline, given_up_answer,
-    is_server_failure, request_timeout,
+    StopProgress, after_failure, answer_deadline, classify_answer, connect_deadline,
+    given_up_answer, is_server_failure, is_stream_begun, request_timeout,
 };
 use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
@@ -279,3 +279,25 @@
     expect_that!(connect_deadline(now, until), eq(connected));
     expect_that!(connect_deadline(now, soon), eq(soon));
 }
+
+/// A stream that has begun can only be broken off at the end of a planned stop, which the users' rule allows for
+/// what was sent within 3 s after the SIGTERM.
+#[gtest]
+fn a_stream_that_may_outlast_a_stop_is_begun_early_in_it_only() {
+    let table = [
+        (0, 7400, 60_000, true),
+        (2500, 4900, 60_000, true),
+        (2501, 4899, 60_000, false),
+        (2501, 4899, 4900, false),
+        (2501, 4899, 4899, true),
+        (7400, 0, 1, false),
+    ];
+    for (elapsed, left, limit, expected) in table {
+        let stop = StopProgress {
+            elapsed: Duration::from_millis(elapsed),
+            left: Duration::from_millis(left),
+        };
+        let is_begun = is_stream_begun(Duration::from_millis(limit), stop);
+        expect_that!(is_begun, eq(expected), "{stop:?} {limit}");
+    }
+}
