coordination: a frozen state finds each result by the place of its job

Cause: to freeze a state counts its bytes, and to send it reads it once for each receiver; for each result both looked its job up by name in a map and let a vector grow from four bytes. The leader does all of it in the thread that answers heartbeats.

Change: the frozen copy holds its jobs in a list, and a record begins with space for that of a result.

--- a/crates/gateways/wingshore-coordination/src/state/snapshot/write.rs
+++ b/crates/gateways/wingshore-coordination/src/state/snapshot/write.rs
@@ -1,7 +1,6 @@
 //! A frozen state, encoded while it is read.
 
 use super::records::{FORMAT, LENGTH_BYTES, Record, SavedResult, SavedText};
-use crate::ids::JobId;
 use crate::jobs::{Job, ResultRecord};
 use crate::state::evidence::RequestEvidence;
 use crate::state::site::CoordinationState;
@@ -12,11 +11,15 @@
 use std::sync::Arc;
 use wingshore_types::snapshot_data::{FrozenState, SnapshotState};
 
+/// Space for a record before its length is known: that of a result fits.
+const USUAL_RECORD_BYTES: usize = 128;
+
 /// A state that is frozen: encoded when it is read.
 pub(in crate::state) struct FrozenCoordination {
+    /// All of it but its jobs.
     state: CoordinationState,
-    /// Its jobs in their order.
-    jobs: Vec<JobId>,
+    /// Its jobs in their order: each result is found by the place of its job.
+    jobs: Vec<Job>,
     /// Number of the snapshot at the store of texts; 0 without a store.
     number: u64,
     /// `None` where the state does not encode; then it cannot be read either.
@@ -27,10 +30,12 @@
     /// Of a state whose large parts are shared with the copy.
     pub(in crate::state) fn of(state: &CoordinationState) -> Self {
         let store = state.texts.0.as_ref();
+        let number = store.map_or(0, |store| store.begin_snapshot());
+        let mut state = state.clone();
         let mut frozen = Self {
-            number: store.map_or(0, |store| store.begin_snapshot()),
-            state: state.clone(),
-            jobs: state.jobs.keys().cloned().collect(),
+            number,
+            jobs: std::mem::take(&mut state.jobs).into_values().collect(),
+            state,
             length: None,
         };
         frozen.length = encoded_length(&frozen, &WithTexts).ok();
@@ -42,7 +47,7 @@
     }
 
     fn job(&self, job: usize) -> Option<&Job> {
-        self.state.jobs.get(self.jobs.get(job)?)
+        self.jobs.get(job)
     }
 }
 
@@ -81,7 +86,7 @@
 
 impl OnOwnDisk {
     fn of(frozen: Arc<FrozenCoordination>) -> io::Result<Self> {
-        let jobs = frozen.state.jobs.values();
+        let jobs = frozen.jobs.iter();
         let places_of = |job: &Job| job.results.iter().map(|result| place_of(result)).collect();
         let places = Arc::new(FixedPlaces(jobs.map(places_of).collect()));
         let length = encoded_length(&frozen, &places)?;
@@ -245,7 +250,9 @@
 }
 
 fn encode(record: &Record) -> io::Result<Vec<u8>> {
-    let bytes = postcard::to_extend(record, vec![0; LENGTH_BYTES]);
+    let mut start = Vec::with_capacity(USUAL_RECORD_BYTES);
+    start.resize(LENGTH_BYTES, 0);
+    let bytes = postcard::to_extend(record, start);
     let mut bytes = bytes.map_err(io::Error::other)?;
     let length = u32::try_from(bytes.len() - LENGTH_BYTES).map_err(io::Error::other)?;
     bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
