--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -2,23 +2,22 @@
 //! decision without I/O.
 //!
 //! Question: which one change of members is to be proposed now, may a machine be retired, and can
-//! the group bear the losses that the settings ask for? Inputs: the members and those that hold all
-//! that is committed (from the log), when each coordinator was last heard of and in which zone
-//! (from introductions and consensus messages, each 300 ms at the longest), the losses to bear, the
-//! machines that are to leave.
+//! the group bear the losses that the settings ask for? Inputs: the members and those that have
+//! caught up, which hold what was committed before a heartbeat that they answered (from the log),
+//! when each coordinator was last heard of and in which zone (from introductions and consensus
+//! messages, each 300 ms at the longest), the losses to bear, the machines that are to leave.
 //!
 //! Rule: as many members as bear the losses, or one a zone, and a spare; the other coordinators
 //! stand by. Of the live members an odd number votes, at least twice the losses and one, at most
 //! [`MAX_VOTERS`]. One change at a time, in the order of [`MembershipPlanner::plan`]: a member
 //! whose disk is lost goes first, a voter that is silent goes only when a learner can take its
-//! place.
+//! place. Only a coordinator that is taken in waits for no other change.
 //!
 //! Why: with an odd number of voters each majority of the members holds a majority of the voters,
-//! whichever way they are cut apart. Each member costs: when all 18 coordinators of a large site
-//! were members, the leader sent 1 MB a second to each, and each held the whole state. Silent
-//! members do not count for the number of voters: while they did, a group grew to seven voters with
-//! a dead one among them and lost what was acknowledged with two more disks (3 of 6 plays, none of
-//! 6 since).
+//! whichever way they are cut apart. Each member costs: the leader sends it the whole log, and it
+//! holds the whole state. Silent members do not count for the number of voters: if they did, a group
+//! could grow to seven voters with a dead one among them, and lose what was acknowledged with two
+//! more disks.
 //!
 //! Old or missing input: before a leadership has lasted as long as a limit, silence is counted from
 //! its begin, so that nothing is removed for want of news.
@@ -30,23 +29,21 @@
 use wingshore_types::{Instant, ReplicaId};
 
 /// A voter that is silent for this long gives its place to a learner that has caught up: five
-/// introductions. Not measured at other values; joiners that were added voted within 0.7 s.
+/// introductions.
 const VOTER_SILENCE: Duration = Duration::from_millis(1500);
-/// A learner that is silent for this long is removed, and a superfluous voter. Not measured; longer
-/// than a restart, after which it goes on with its folder.
+/// A learner that is silent for this long is removed, and a superfluous voter: longer than a
+/// restart, after which it goes on with its folder.
 const LEARNER_SILENCE: Duration = Duration::from_secs(8);
-/// A joiner that was last heard of longer ago is not added: three introductions. Not measured.
+/// A joiner that was last heard of longer ago is not added: three introductions.
 const JOINER_SILENCE: Duration = Duration::from_secs(1);
-/// Voters at most: each further one makes every commit dearer. Not measured; seven bear three losses.
+/// Voters at most: seven bear three losses, and each further one makes every commit dearer.
 const MAX_VOTERS: usize = 7;
 /// Members besides those that the losses and zones ask for: one that can vote at once in the place
-/// of a lost one. Each further one holds the whole state in memory and is sent the whole log. With
-/// members limited so, the price of memory fell from 0.022..0.033 a day to 0.016..0.021, and that
-/// of bytes from 0.015..0.018 to 0.006..0.009 (one play each of three days of a large site).
+/// of a lost one.
 const SPARE_MEMBERS: usize = 1;
 /// After this much of a leadership all coordinators that run have introduced themselves: they dial
-/// each 250 ms and introduce themselves each 300 ms. Not measured; long beside both, and beside the
-/// start of a machine.
+/// each 250 ms and introduce themselves each 300 ms. Long beside both, and beside the start of a
+/// machine.
 const ALL_HEARD_AFTER: Duration = Duration::from_secs(5);
 
 /// Members whose loss at one time so many voters bear: a majority is left.
@@ -86,7 +83,8 @@
     pub membership: &'a Membership,
     /// All coordinators that have introduced themselves, by identity.
     pub heard: &'a BTreeMap<ReplicaId, Joiner>,
-    /// Members that hold all that is committed.
+    /// Members that hold what was committed before a heartbeat that they answered, and the newest change of
+    /// members.
     pub caught_up: BTreeSet<ReplicaId>,
     /// Members whose loss at one time the group must bear.
     pub losses_borne: usize,
@@ -165,7 +163,7 @@
     }
 
     /// Whether the group would bear a loss right now without this member: it is none, enough
-    /// others vote, and all of them hold all that is committed.
+    /// others vote, and all of them are heard of and have caught up.
     pub fn is_whole_without(&self, now: Instant, id: ReplicaId) -> bool {
         let is_member = members(self.membership).any(|member| member.id == id);
         let voters = &self.membership.voters;
@@ -173,11 +171,18 @@
             && voters.len() >= self.target_voters(now)
             && voters
                 .iter()
-                .all(|voter| self.caught_up.contains(&voter.id))
+                .all(|voter| self.caught_up.contains(&voter.id) && self.is_live(now, voter.id))
+    }
+
+    /// Whether it is the leader itself, or was heard of lately: what a lost member is known to hold is
+    /// gone with it.
+    fn is_live(&self, now: Instant, id: ReplicaId) -> bool {
+        let is_heard = |joiner: &Joiner| now.since(joiner.heard) < VOTER_SILENCE;
+        id == self.own || self.heard.get(&id).is_some_and(is_heard)
     }
 }
 
-/// Plans one change at a time.
+/// Plans one change at a time, and additions beside it.
 #[derive(Debug, Default)]
 pub struct MembershipPlanner {
     /// Members that were never heard of count from here.
@@ -196,6 +201,16 @@
             .is_some_and(|since| now.since(since) >= ALL_HEARD_AFTER)
     }
 
+    /// The change that is needed beside one that is not committed yet: a coordinator without the state
+    /// is taken in at once, since a learner belongs to no quorum.
+    pub fn plan_beside(
+        &self,
+        now: Instant,
+        view: &MembershipView<'_>,
+    ) -> Option<MembershipRequest> {
+        self.joiner_to_add(now, view)
+    }
+
     /// The change that is needed next, if any.
     pub fn plan(&self, now: Instant, view: &MembershipView<'_>) -> Option<MembershipRequest> {
         self.replaced_member(now, view)
@@ -225,7 +240,7 @@
             .map(|member| MembershipRequest::Remove(member.id))
     }
 
-    /// Whether enough coordinators would be left without `id`: as many as are to vote, heard of
+    /// Whether enough coordinators would be left without `id`: as many as bear the losses, heard of
     /// lately.
     pub fn can_retire(&self, now: Instant, id: ReplicaId, view: &MembershipView<'_>) -> bool {
         let mut left: BTreeSet<ReplicaId> = members(view.membership)
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! One thread owns all sockets. Clients' requests are forwarded to servers, within the attempts,
 //! time-outs and kinds of their routes; items of batch jobs are run on engines as the coordination
-//! group's leader assigns them; calls about batch jobs are passed on to that leader. All state is
-//! soft: a gateway may be killed at any time. What callers and servers speak is translated by an
-//! [`IngressProtocol`].
+//! group's leader assigns them; calls about batch jobs are passed on to that leader, reads of results
+//! to a copy of the state in the gateway's zone first. All state is soft: a gateway may be killed at
+//! any time. What callers and servers speak is translated by an [`IngressProtocol`].
 
 mod admission;
 mod answers;
@@ -53,11 +53,14 @@
 mod view_source;
 
 pub use answers::{AnswerFacts, AnswerKind, classify_answer, is_server_failure};
-pub use attempt_timeouts::{answer_deadline, connect_deadline, request_timeout};
+pub use attempt_timeouts::{
+    StopProgress, answer_deadline, connect_deadline, is_stream_begun, request_timeout,
+};
 pub use attempts::{
     AttemptHistory, Circumstances, NextStep, RetryLimits, after_failure, given_up_answer,
 };
 pub use balance::Balancer;
+pub use call_policy::call_time_limit;
 pub use crashes::CrashWatch;
 pub use error::GatewayError;
 pub use event_stream::{EventReader, StreamEvent, take_whole_events};
--- a/crates/nodes/wingshore-settings/src/node.rs
+++ b/crates/nodes/wingshore-settings/src/node.rs
@@ -6,7 +6,7 @@
 use crate::error::SettingsErrors;
 use crate::reader::TableReader;
 use crate::replica::{CLAIMS_GROUPS, LOG_LINES};
-use crate::units::{DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
+use crate::units::{Bytes, DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
 use crate::{Overrides, relay};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -107,90 +107,105 @@
     pub over_issue: bool,
 }
 
+/// Time between readings of the machine list.
 const MACHINE_LIST_POLL: DurationSetting = DurationSetting {
     key: "machine_list_poll",
     default: Duration::from_secs(1),
     minimum: Duration::from_millis(100),
     maximum: Duration::from_secs(60),
 };
+/// How long a planned stop waits for what runs.
 const STOP_GRACE: DurationSetting = DurationSetting {
     key: "stop_grace",
     default: Duration::from_secs(30),
     minimum: Duration::ZERO,
     maximum: Duration::from_secs(3600),
 };
+/// Threads that serve requests.
 const WORKERS: IntegerSetting = IntegerSetting {
     key: "workers",
     default: 64,
     minimum: 1,
     maximum: 4096,
 };
+/// Bytes of the largest body of a request.
 const MAX_REQUEST_BODY: SizeSetting = SizeSetting {
     key: "max_request_body",
-    default: 16 * MIB,
-    minimum: KIB,
-    maximum: GIB,
+    default: Bytes(16 * MIB),
+    minimum: Bytes(KIB),
+    maximum: Bytes(GIB),
 };
+/// Bytes of the largest buffered body of an answer.
 const MAX_ANSWER_BODY: SizeSetting = SizeSetting {
     key: "max_answer_body",
-    default: 64 * MIB,
-    minimum: KIB,
-    maximum: GIB,
+    default: Bytes(64 * MIB),
+    minimum: Bytes(KIB),
+    maximum: Bytes(GIB),
 };
+/// How long a caller may take nothing of its answer before its connection is closed.
 const SLOW_CALLER_LIMIT: DurationSetting = DurationSetting {
     key: "slow_caller_limit",
     default: Duration::from_secs(10),
     minimum: Duration::from_millis(100),
     maximum: Duration::from_secs(3600),
 };
+/// Servers compared for each choice.
 const CHOICES: IntegerSetting = IntegerSetting {
     key: "choices",
     default: 2,
     minimum: 1,
     maximum: 8,
 };
+/// Servers of each service that a node uses and polls.
 const SUBSET: IntegerSetting = IntegerSetting {
     key: "subset",
     default: 40,
     minimum: 1,
     maximum: 1000,
 };
+/// Time between polls of one server.
 const PROBE_INTERVAL: DurationSetting = DurationSetting {
     key: "probe_interval",
     default: Duration::from_millis(500),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// Most polls in a second, over all servers.
 const PROBES_PER_SECOND: IntegerSetting = IntegerSetting {
     key: "probes_per_second",
     default: 40,
     minimum: 1,
     maximum: 10_000,
 };
+/// Time after which a poll has failed.
 const PROBE_TIMEOUT: DurationSetting = DurationSetting {
     key: "probe_timeout",
     default: Duration::from_secs(1),
     minimum: Duration::from_millis(20),
     maximum: Duration::from_secs(60),
 };
+/// Retries allowed, in thousandths of requests.
 const RETRY_BUDGET: IntegerSetting = IntegerSetting {
     key: "retry_budget",
     default: 200,
     minimum: 0,
     maximum: 1000,
 };
+/// Most servers of a service ejected as failing, in thousandths of its servers.
 const MAX_EJECTED: IntegerSetting = IntegerSetting {
     key: "max_ejected",
     default: 500,
     minimum: 0,
     maximum: 1000,
 };
+/// Most samples being generated at once.
 const MAX_STREAMS: IntegerSetting = IntegerSetting {
     key: "max_streams",
     default: 64,
     minimum: 1,
     maximum: 4096,
 };
+/// Most samples being scored at once.
 const MAX_SCORINGS: IntegerSetting = IntegerSetting {
     key: "max_scorings",
     default: 16,
@@ -215,7 +230,7 @@
     let replicas = keys.some_addresses("replicas");
     let relays = keys.addresses("relays");
     let machine_list = keys.optional_address("machine_list");
-    let machine_list_poll = keys.duration(&MACHINE_LIST_POLL);
+    let machine_list_poll = keys.ranged(&MACHINE_LIST_POLL);
     let claims_groups = keys.small_integer(&CLAIMS_GROUPS);
     let without_lease = keys.choice(
         "without_lease",
@@ -225,7 +240,7 @@
             ("serve", WithoutLease::Serve),
         ],
     );
-    let stop_grace = keys.duration(&STOP_GRACE);
+    let stop_grace = keys.ranged(&STOP_GRACE);
     let http = read_http(keys.table("http"));
     let routing = read_routing(keys.table("routing"));
     let rollout = read_rollout(keys.table("rollout"));
@@ -256,9 +271,9 @@
 fn read_http(keys: TableReader<'_>) -> HttpSettings {
     let http = HttpSettings {
         workers: keys.small_integer(&WORKERS),
-        max_request_body: keys.size(&MAX_REQUEST_BODY),
-        max_answer_body: keys.size(&MAX_ANSWER_BODY),
-        slow_caller_limit: keys.duration(&SLOW_CALLER_LIMIT),
+        max_request_body: keys.ranged(&MAX_REQUEST_BODY).0,
+        max_answer_body: keys.ranged(&MAX_ANSWER_BODY).0,
+        slow_caller_limit: keys.ranged(&SLOW_CALLER_LIMIT),
     };
     keys.finish();
     http
@@ -268,9 +283,9 @@
     let routing = RoutingSettings {
         choices: keys.small_integer(&CHOICES),
         subset: keys.small_integer(&SUBSET),
-        probe_interval: keys.duration(&PROBE_INTERVAL),
+        probe_interval: keys.ranged(&PROBE_INTERVAL),
         probes_per_second: keys.small_integer(&PROBES_PER_SECOND),
-        probe_timeout: keys.duration(&PROBE_TIMEOUT),
+        probe_timeout: keys.ranged(&PROBE_TIMEOUT),
         retry_budget: Permille(keys.small_integer(&RETRY_BUDGET)),
         max_ejected: Permille(keys.small_integer(&MAX_EJECTED)),
     };
--- a/crates/nodes/wingshore-settings/src/replica.rs
+++ b/crates/nodes/wingshore-settings/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::document::parse_role;
 use crate::error::SettingsErrors;
 use crate::reader::TableReader;
-use crate::units::{DurationSetting, GIB, IntegerSetting, MIB, SizeSetting};
+use crate::units::{Bytes, DurationSetting, GIB, IntegerSetting, MIB, SizeSetting};
 use crate::{Overrides, relay};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -85,78 +85,91 @@
     pub workers: usize,
 }
 
+/// Ledger groups of the site.
 const LEDGER_GROUPS: IntegerSetting = IntegerSetting {
     key: "ledger_groups",
     default: 1,
     minimum: 1,
     maximum: 64,
 };
+/// Claims groups of the site.
 pub(crate) const CLAIMS_GROUPS: IntegerSetting = IntegerSetting {
     key: "claims_groups",
     default: 1,
     minimum: 1,
     maximum: 64,
 };
+/// Bytes of log after which a group writes a snapshot.
 const SNAPSHOT_EVERY: SizeSetting = SizeSetting {
     key: "snapshot_every",
-    default: 16 * MIB,
-    minimum: MIB / 16,
-    maximum: 4 * GIB,
+    default: Bytes(16 * MIB),
+    minimum: Bytes(MIB / 16),
+    maximum: Bytes(4 * GIB),
 };
+/// How long a node's configuration lease lasts.
 const CONFIGURATION_LEASE: DurationSetting = DurationSetting {
     key: "configuration_lease",
     default: Duration::from_secs(5),
     minimum: Duration::from_millis(500),
     maximum: Duration::from_secs(30),
 };
+/// Lines kept in the log ring.
 pub(crate) const LOG_LINES: IntegerSetting = IntegerSetting {
     key: "log_lines",
     default: 4096,
     minimum: 64,
     maximum: 1_000_000,
 };
+/// Time between a leader's heartbeats.
 const HEARTBEAT: DurationSetting = DurationSetting {
     key: "heartbeat",
     default: Duration::from_millis(100),
     minimum: Duration::from_millis(5),
     maximum: Duration::from_secs(5),
 };
+/// Shortest silence after which a member campaigns.
 const ELECTION_TIMEOUT: DurationSetting = DurationSetting {
     key: "election_timeout",
     default: Duration::from_secs(1),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// How long a quorum's answer lets a leader act.
 const LEASE: DurationSetting = DurationSetting {
     key: "lease",
     default: Duration::from_millis(700),
     minimum: Duration::from_millis(10),
     maximum: Duration::from_secs(60),
 };
+/// Most that two clocks' rates differ, in thousandths.
 const CLOCK_DRIFT: IntegerSetting = IntegerSetting {
     key: "clock_drift",
     default: 50,
     minimum: 0,
     maximum: 200,
 };
+/// Time between readings of an engine's state.
 const STATE_POLL: DurationSetting = DurationSetting {
     key: "state_poll",
     default: Duration::from_millis(500),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// Time after which an order or a reading is given up.
 const ORDER_TIMEOUT: DurationSetting = DurationSetting {
     key: "timeout",
     default: Duration::from_secs(2),
     minimum: Duration::from_millis(50),
     maximum: Duration::from_secs(60),
 };
+/// Threads that carry orders and readings.
 const ORDER_WORKERS: IntegerSetting = IntegerSetting {
     key: "workers",
     default: 8,
     minimum: 1,
     maximum: 256,
 };
+/// Identity of a founding member; it must be there, so the default is not used.
 const FOUNDING_ID: IntegerSetting = IntegerSetting {
     key: "id",
     default: 0,
@@ -186,9 +199,9 @@
     let claims_groups = keys.small_integer(&CLAIMS_GROUPS);
     let founding = read_founding(&keys);
     let timing = read_timing(keys.table("timing"));
-    let snapshot_every = keys.size(&SNAPSHOT_EVERY);
+    let snapshot_every = keys.ranged(&SNAPSHOT_EVERY).0;
     let orders = read_orders(keys.table("orders"));
-    let configuration_lease = keys.duration(&CONFIGURATION_LEASE);
+    let configuration_lease = keys.ranged(&CONFIGURATION_LEASE);
     let log_lines = keys.small_integer(&LOG_LINES);
     check_founding_size(&keys, keys.tables("founding").len());
     keys.finish();
@@ -216,7 +229,7 @@
     let mut ids = BTreeSet::new();
     let mut addresses = BTreeSet::new();
     for member in keys.tables("founding") {
-        let id = member.required_integer(&FOUNDING_ID).map(ReplicaId);
+        let id = member.required_ranged(&FOUNDING_ID).map(ReplicaId);
         let address = member.address("address");
         if let Some(id) = id
             && !ids.insert(id)
@@ -245,9 +258,9 @@
 
 fn read_timing(keys: TableReader<'_>) -> TimingSettings {
     let timing = TimingSettings {
-        heartbeat: keys.duration(&HEARTBEAT),
-        election_timeout: keys.duration(&ELECTION_TIMEOUT),
-        lease: keys.duration(&LEASE),
+        heartbeat: keys.ranged(&HEARTBEAT),
+        election_timeout: keys.ranged(&ELECTION_TIMEOUT),
+        lease: keys.ranged(&LEASE),
         clock_drift: Permille(keys.small_integer(&CLOCK_DRIFT)),
     };
     if timing.election_timeout < timing.heartbeat * 4 {
@@ -271,8 +284,8 @@
 
 fn read_orders(keys: TableReader<'_>) -> OrderSettings {
     let orders = OrderSettings {
-        state_poll: keys.duration(&STATE_POLL),
-        timeout: keys.duration(&ORDER_TIMEOUT),
+        state_poll: keys.ranged(&STATE_POLL),
+        timeout: keys.ranged(&ORDER_TIMEOUT),
         workers: keys.small_integer(&ORDER_WORKERS),
     };
     keys.finish();
--- a/crates/nodes/wingshore-settings/src/site.rs
+++ b/crates/nodes/wingshore-settings/src/site.rs
@@ -42,48 +42,56 @@
     Live,
 }
 
+/// Most requests in flight on one server.
 const SLOTS_PER_SERVER: IntegerSetting = IntegerSetting {
     key: "slots_per_server",
     default: 16,
     minimum: 1,
     maximum: 4096,
 };
+/// Slots guaranteed to live requests, in thousandths.
 const LIVE_SHARE: IntegerSetting = IntegerSetting {
     key: "live_share",
     default: 500,
     minimum: 0,
     maximum: 1000,
 };
+/// Longest time that a request takes whose caller states no deadline.
 const DEFAULT_DEADLINE: DurationSetting = DurationSetting {
     key: "default_deadline",
     default: Duration::from_secs(30),
     minimum: Duration::from_millis(10),
     maximum: Duration::from_secs(3600),
 };
+/// Most versions by which a delivered sample lags the trainer's.
 const STALENESS_BOUND: IntegerSetting = IntegerSetting {
     key: "staleness_bound",
     default: 2,
     minimum: 0,
     maximum: 1000,
 };
+/// Weight of the trainer's idle time against staleness, in thousandths.
 const IDLE_WEIGHT: IntegerSetting = IntegerSetting {
     key: "idle_weight",
     default: 500,
     minimum: 0,
     maximum: 1000,
 };
+/// Number of the ledger group that holds a pool's samples.
 const LEDGER: IntegerSetting = IntegerSetting {
     key: "ledger",
     default: 1,
     minimum: 1,
     maximum: 64,
 };
+/// Most samples submitted and not yet acknowledged.
 const MAX_OPEN_SAMPLES: IntegerSetting = IntegerSetting {
     key: "max_open_samples",
     default: 65_536,
     minimum: 1,
     maximum: 1_000_000,
 };
+/// How long a node may hold a sample without renewing its lease.
 const SAMPLE_LEASE: DurationSetting = DurationSetting {
     key: "sample_lease",
     default: Duration::from_secs(10),
@@ -155,7 +163,7 @@
     };
     let slots_per_server = keys.small_integer(&SLOTS_PER_SERVER);
     let live_share = Permille(keys.small_integer(&LIVE_SHARE));
-    let default_deadline_ms = milliseconds(keys.duration(&DEFAULT_DEADLINE));
+    let default_deadline_ms = milliseconds(keys.ranged(&DEFAULT_DEADLINE));
     Some(Service {
         id: id?,
         kind: kind?,
@@ -241,11 +249,11 @@
             ("planned", SwapPolicy::Planned),
         ],
     );
-    let staleness_bound = keys.integer(&STALENESS_BOUND);
+    let staleness_bound = keys.ranged(&STALENESS_BOUND);
     let idle_weight = Permille(keys.small_integer(&IDLE_WEIGHT));
     let ledger = keys.small_integer(&LEDGER);
     let max_open_samples = keys.small_integer(&MAX_OPEN_SAMPLES);
-    let sample_lease_ms = milliseconds(keys.duration(&SAMPLE_LEASE));
+    let sample_lease_ms = milliseconds(keys.ranged(&SAMPLE_LEASE));
     if let Some(service) = &service {
         check_service(keys, service, services);
         check_engines(keys, service, services);
--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -5,15 +5,16 @@
 //! - Rule: a follower whose log is not known is probed with one append at a time until one is accepted;
 //!   from then on entries are streamed up to the limits. A follower that answers heartbeats which were
 //!   sent after what is under way, without any progress, the last of them half a heartbeat interval or
-//!   more after the first, is stalled: what is under way counts as lost and is sent again, entries from the last acknowledged
-//!   one, a snapshot from its last acknowledged byte.
+//!   more after the first, is stalled: what is under way counts as lost and is sent again, a probe as it
+//!   was, entries from the last acknowledged one, a snapshot from its last acknowledged byte.
 //! - Why: messages may be lost, repeated and overtaken, and each heartbeat is answered, so that answers
 //!   without progress are the sign of a loss. An answer to an earlier heartbeat says nothing of what was
 //!   sent after it, and answers that come at once are one answer: a follower that
 //!   stood still, or waited for its first write, gives them together.
 //! - Old or missing inputs: an acknowledgement that is older than what is known changes nothing. A
 //!   rejection from a log that is shorter than what was acknowledged is old, or the follower has lost its
-//!   log: it is probed anew, which is right in the second case and harmless in the first.
+//!   log: it is probed anew, which is right in the second case and harmless in the first. While a snapshot
+//!   is under way each rejection is old, since no append is sent then.
 
 use crate::limits::Limits;
 use crate::outgoing::{OutgoingSnapshot, SnapshotSending};
@@ -86,6 +87,8 @@
     sent_round: u64,
     /// The first reply without progress to a heartbeat that was sent after that.
     idle_since: Option<Instant>,
+    /// It was sent a state, and has not caught up since.
+    is_behind_state: bool,
 }
 
 impl Progress {
@@ -98,6 +101,7 @@
             acknowledged_round: 0,
             sent_round: 0,
             idle_since: None,
+            is_behind_state: false,
         }
     }
 
@@ -161,6 +165,11 @@
         agreed: LogIndex,
         last_index: LogIndex,
     ) {
+        let is_news = match &self.state {
+            ProgressState::Probe { .. } => rejected.0 + 1 == self.next_index.0,
+            ProgressState::Replicate(_) => rejected > self.match_index,
+            ProgressState::Snapshot(_) => return,
+        };
         if last_index < self.match_index {
             // The follower lost what it had acknowledged, or the message is old. Sending again
             // is right in the first case and harmless in the second.
@@ -168,17 +177,19 @@
             self.probe_from(LogIndex(last_index.0 + 1));
             return;
         }
-        let is_news = match &self.state {
-            ProgressState::Probe { .. } => rejected.0 + 1 == self.next_index.0,
-            ProgressState::Replicate(_) => rejected > self.match_index,
-            ProgressState::Snapshot(_) => false,
-        };
         if is_news {
             let next = LogIndex(agreed.0.min(rejected.0.saturating_sub(1)) + 1);
             self.probe_from(next.max(LogIndex(self.match_index.0 + 1)));
         }
     }
 
+    /// A heartbeat round begins.
+    pub(crate) fn on_round(&mut self) {
+        if let ProgressState::Snapshot(outgoing) = &mut self.state {
+            outgoing.on_round();
+        }
+    }
+
     /// The follower answered heartbeat `round` at `now`; what seems lost is sent again.
     pub(crate) fn on_heartbeat_reply(
         &mut self,
@@ -192,7 +203,7 @@
         let is_stalled = is_later && self.is_stalled(now, heartbeat_interval);
         let restart = match &mut self.state {
             ProgressState::Probe { sent } => {
-                *sent = false;
+                *sent &= !is_stalled;
                 false
             }
             ProgressState::Replicate(_) => needs_log || is_stalled,
@@ -241,14 +252,24 @@
         }
     }
 
-    /// The last entry of the snapshot that is being sent to it.
-    pub(crate) fn snapshot_under_way(&self) -> Option<LogIndex> {
+    /// The last entry that it has, or will have once it has the snapshot that is being sent to it.
+    pub(crate) fn has_through(&self) -> LogIndex {
         match &self.state {
-            ProgressState::Snapshot(outgoing) => Some(outgoing.snapshot.index),
-            _ => None,
+            ProgressState::Snapshot(outgoing) => outgoing.snapshot.index,
+            _ => self.match_index,
         }
     }
 
+    /// Whether it is being sent a snapshot, or has not caught up since it was.
+    pub(crate) fn is_behind_state(&self) -> bool {
+        self.is_behind_state
+    }
+
+    /// It has caught up.
+    pub(crate) fn on_caught_up(&mut self) {
+        self.is_behind_state = false;
+    }
+
     /// How far the sending of a snapshot to it, which is `id`, is.
     pub(crate) fn snapshot_sending(&self, id: ReplicaId) -> Option<SnapshotSending> {
         match &self.state {
@@ -260,6 +281,7 @@
     /// Starts to send a snapshot.
     pub(crate) fn send_snapshot(&mut self, snapshot: Arc<StoredSnapshot>) {
         self.state = ProgressState::Snapshot(OutgoingSnapshot::new(snapshot));
+        self.is_behind_state = true;
     }
 
     /// Searches for the last entry in common from before `next_index`.
