consensus: the leader has answered each of its own heartbeats

What operators saw, had it landed: a group under writes that is whole was said not to be, since the leader's own disk comes after what the others commit. Cause: who answers no heartbeat was held to what is committed at the moment, and the leader answers none. Change: it counts as having answered each. Safe: it is allowed a heartbeat, as before. Measured: a_leader_whose_disk_is_a_moment_behind_has_caught_up failed, passes; the crate's other tests as before. Two comments that spoke of the past, or said it wrongly, with it.

--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -162,7 +162,7 @@
         odd.min(MAX_VOTERS).max(self.min_voters())
     }
 
-    /// Whether the group would bear a loss right now without this member: it is none, enough
+    /// Whether the group would bear a loss right now without this coordinator: it is no member, enough
     /// others vote, and all of them are heard of and have caught up.
     pub fn is_whole_without(&self, now: Instant, id: ReplicaId) -> bool {
         let is_member = members(self.membership).any(|member| member.id == id);
--- a/crates/shared/wingshore-consensus/src/accessors.rs
+++ b/crates/shared/wingshore-consensus/src/accessors.rs
@@ -118,15 +118,13 @@
         sending.collect()
     }
 
-    /// The last entry that `id` has to hold to count as caught up: what was committed a heartbeat round before
-    /// the newest one that it has answered. What is committed now is on its way to each member, and to one that
-    /// is further away than a majority it always is. The newest change of members counts in any case: a
-    /// voter that does not know itself for a member cannot vote.
+    /// The last entry that `id` has to hold to count as caught up: what was committed a heartbeat round
+    /// before the newest one that it has answered. What is committed now is on its way to each member, and
+    /// to one that is further away than a majority it always is. The newest change of members counts in any
+    /// case: a voter that does not know itself for a member cannot vote.
     pub(crate) fn caught_up_index(&self, id: ReplicaId) -> LogIndex {
-        let settled = match (&self.role, self.progress(id)) {
-            (Role::Leader(leader), Some(progress)) => {
-                leader.commits.before(progress.acknowledged_round)
-            }
+        let settled = match &self.role {
+            Role::Leader(leader) => leader.commits.before(self.answered_round(id)),
             _ => None,
         };
         let settled = settled.unwrap_or(self.commit_index);
@@ -134,6 +132,15 @@
         settled.max(changed)
     }
 
+    /// The newest heartbeat round that `id` has answered; the leader itself has answered each.
+    fn answered_round(&self, id: ReplicaId) -> u64 {
+        if id == self.id {
+            return self.current_round();
+        }
+        self.progress(id)
+            .map_or(0, |progress| progress.acknowledged_round)
+    }
+
     /// Whether this member leads and knows that `id` holds durably all that counts.
     pub fn is_caught_up(&self, id: ReplicaId) -> bool {
         let is_member = self.members.member_ids().any(|member| member == id);
--- a/crates/shared/wingshore-consensus/tests/snapshot_disturbances.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_disturbances.rs
@@ -355,8 +355,8 @@
     verify_that!(sendings.len(), le(2))
 }
 
-/// change.rs `promote`, host.rs `is_caught_up`: a learner is measured by the commit index of the moment. One that
-/// is a little further away than a majority of the voters, under usual writes, is never found caught up.
+/// A learner was measured by the commit index of the moment: one a little further away than a majority of the
+/// voters was never found caught up under usual writes. It is measured by the heartbeats that it answered.
 #[gtest]
 fn a_learner_that_follows_closely_can_be_promoted_under_writes() -> Result<()> {
     let limits = Limits {
