--- a/crates/gateways/wingshore-gateway/src/call_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/call_policy.rs
@@ -8,16 +8,16 @@
 //!
 //! **Rule.** Results are read from a fresh copy of the state in the gateway's own zone, once; whatever
 //! the copy cannot answer, and every other call, goes to the leader. A call that is not to wait is sent
-//! again where the leader was silent for 0.7 s, and at once to each new leader: all calls may be
-//! repeated. A call whose time is over is answered as having had no effect, unless it may take effect and
-//! was sent to a leader. A planned stop leaves no call more time than itself has: calls that wait are cut
-//! to that; a read that comes when nothing is left, and a commit that comes when less is left than the
-//! time after which it is sent again, are refused at once.
+//! again after 0.7 s, and at once to each new leader: all calls may be repeated. A call whose time is over
+//! is answered as having had no effect, unless it may take effect and was sent to a leader. A planned stop
+//! leaves no call more time than itself has: calls that wait are cut to that; a read that comes when nothing is
+//! left, and a commit that comes when less is left than the time after which it is sent again, are refused at
+//! once.
 //!
 //! **Why.** What is listed never changes, so that a copy answers reads as well as the leader does.
-//! Reading from near copies saves bytes between zones. A leader that is heard of has the call, and is
-//! the slower the more it is sent. A call that outlasts the process gets no answer at all. A commit is
-//! refused sooner, since one that was sent and not answered cannot be told from one that has taken effect.
+//! Reading from near copies saves bytes between zones. A call that outlasts the process gets no answer at
+//! all. A commit is refused sooner, since one that was sent and not answered cannot be told from one that
+//! has taken effect.
 //!
 //! **Old or missing inputs.** A copy that was not heard of lately is not read; without a leader a call
 //! waits for one until its time is over; without a planned stop every call has its own time.
@@ -32,8 +32,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1300);
 /// Time that the group has to accept or end a job, which one commit makes durable.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
-/// A call is sent again to a leader that is silent for this time: it may be cut off. Less than half of
-/// the shortest time for a call is left then.
+/// A call without an answer is sent again after this time: the leader may be cut off. Less than
+/// half of the shortest time for a call is left then.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
 /// When a client may retry a call that had no effect.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -63,13 +63,9 @@
     }
 }
 
-/// Whether a call whose time is not over is sent again now; `leader_silence` is how long ago the leader
-/// that has it was heard of, if one has it.
-pub(crate) fn is_resent(request: &Request, leader_silence: Option<Duration>) -> bool {
-    match leader_silence {
-        None => true,
-        Some(silence) => !may_wait(request) && silence >= RESEND_AFTER,
-    }
+/// Whether a call whose time is not over is sent again now.
+pub(crate) fn is_resent(request: &Request, is_sent: bool) -> bool {
+    !may_wait(request) || !is_sent
 }
 
 /// Whether the answer may wait for a result.
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -215,12 +215,10 @@
         let now = runtime.now;
         let call = self.waiting.get(&id)?;
         if now < call.until {
-            let silence = call.sent_to.and(site.coordinators.leader_silence(now));
-            if call_policy::is_resent(&call.request, silence) {
+            if call_policy::is_resent(&call.request, call.sent_to.is_some()) {
                 self.send_call(runtime, site, id);
             } else {
-                let check_at = call_policy::next_check(now, call.until, &call.request);
-                runtime.timers.arm(check_at, TimerKey::Call(id));
+                runtime.timers.arm(call.until, TimerKey::Call(id));
             }
             return None;
         }
