coordination: a leader tells what it holds wherever parts of a text may be lost

What callers saw: an item whose gateway uploaded its text all the time was made again from an early event on once that gateway was lost; a step that waits for its longest text is late by as much. Cause: the gateway counts a part as uploaded once it is written; one that is lost with a connection makes each later part useless, since the job keeps only what follows, and a leader that knew the attempt told nothing at the gateway's next report. Change: the leader accounts for what the log will hold once all that it proposed is applied (extent and checksum of each open item), tells it at each report of what a gateway runs and for each part that does not follow, and proposes only parts that follow. Why it works: the gateway goes on from what it is told, as it does at a new leader; parts that wait for their commit count, so that nothing that crosses the answer is asked for twice, and a part that crosses it all the same is answered again. Safe beside older builds: no frame or command is new.

--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -30,9 +30,9 @@
             item,
             instance,
         } = reported;
-        // A gateway that was welcomed twice reports twice.
+        // The connection of its gateway may have broken, and parts of the text been lost with it.
         if self.items.is_under_way(assignment) {
-            return;
+            return self.tell_held(assignment, turn);
         }
         let job = turn.state.jobs().get(&item.job);
         let is_open = job
@@ -46,15 +46,26 @@
             return turn.release_attempt(gateway, assignment);
         }
         self.items.take(&item);
-        let held = job.and_then(|job| job.kept(item.index));
-        let held = held.map(ItemText::held).unwrap_or_default();
-        turn.send(gateway, CoordinatorMessage::HandInFrom { assignment, held });
         let model = job.and_then(|job| job.submission.model.clone());
         let attempt = Attempt::new(turn.now, item, gateway, instance, model);
         self.start(assignment, attempt);
+        self.tell_held(assignment, turn);
     }
 
-    /// Makes events of a long item durable.
+    /// Tells the gateway of an attempt from where on it is to upload the text.
+    pub(super) fn tell_held(&self, assignment: AssignmentId, turn: &mut Turn<'_>) {
+        let Some(attempt) = self.items.attempt(assignment) else {
+            return;
+        };
+        if let Some(open_item) = self.items.open_item(&attempt.item) {
+            let held = open_item.held;
+            let message = CoordinatorMessage::HandInFrom { assignment, held };
+            turn.send(attempt.gateway, message);
+        }
+    }
+
+    /// Makes events of a long item durable. Where they do not follow what the log is to hold, a part
+    /// before them was lost: the gateway is told from where on to upload.
     pub(crate) fn keep_partial_text(
         &mut self,
         assignment: AssignmentId,
@@ -65,6 +76,13 @@
         let Some(item) = self.items.item_of(assignment) else {
             return;
         };
+        let Some(open_item) = self.items.open_item_mut(&item) else {
+            return;
+        };
+        if open_item.held.extent.events != after_events {
+            return self.tell_held(assignment, turn);
+        }
+        open_item.held = open_item.held.extended_by(&text);
         let command = Command::KeepText {
             item,
             after_events,
--- a/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
@@ -2,7 +2,7 @@
 
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey, ModelName};
-use crate::text::ItemText;
+use crate::text::{HeldPrefix, ItemText};
 use wingshore_types::Instant;
 
 /// An attempt that is under way.
@@ -58,6 +58,8 @@
 pub(crate) struct OpenItem {
     /// All events of earlier attempts.
     pub(crate) partial_text: ItemText,
+    /// What the log holds of its text once all that this leader has proposed is applied.
+    pub(crate) held: HeldPrefix,
     /// Attempts that engines ran and failed.
     pub(crate) failures: u32,
     /// Not placed before this time.
--- a/crates/gateways/wingshore-coordination/src/messages/coordinator.rs
+++ b/crates/gateways/wingshore-coordination/src/messages/coordinator.rs
@@ -40,9 +40,9 @@
         /// Which attempt.
         assignment: AssignmentId,
     },
-    /// How much of an item's text the group's log holds, for an attempt that a new leader has taken
-    /// over: the gateway uploads its text from there on, since parts that were uploaded to the leader
-    /// before may be lost.
+    /// How much of an item's text the group's log holds, or is about to: the gateway uploads the text
+    /// of the attempt from there on. Said where parts may be lost, which is at each report of what the
+    /// gateway runs and for each part that does not follow the one before.
     HandInFrom {
         /// Which attempt.
         assignment: AssignmentId,
--- a/crates/gateways/wingshore-coordination/src/text/item.rs
+++ b/crates/gateways/wingshore-coordination/src/text/item.rs
@@ -41,6 +41,26 @@
         let begin = text.text.as_bytes().get(..self.extent.bytes);
         begin.is_some_and(|begin| crc32fast::hash(begin) == self.checksum)
     }
+
+    /// What is held once the events of `more` have been added, as [`ItemText::extend`] adds them.
+    #[must_use]
+    pub fn extended_by(self, more: &ItemText) -> Self {
+        if more.events == 0 {
+            return self;
+        }
+        let bytes_before = self.extent.bytes as u64;
+        let mut hasher = crc32fast::Hasher::new_with_initial_len(self.checksum, bytes_before);
+        let separator: &[u8] = if self.extent.events > 0 { b"\n" } else { b"" };
+        hasher.update(separator);
+        hasher.update(more.text.as_bytes());
+        Self {
+            extent: DurablePrefix {
+                events: self.extent.events + more.events,
+                bytes: self.extent.bytes + separator.len() + more.text.len(),
+            },
+            checksum: hasher.finalize(),
+        }
+    }
 }
 
 impl ItemText {
--- /dev/null
+++ b/crates/gateways/wingshore-coordination/tests/partial_texts.rs
@@ -0,0 +1,86 @@
+//! What a leader tells of the partial texts that the log holds, while parts of them are lost or on their way.
+
+mod support;
+
+use googletest::prelude::*;
+use support::Group;
+use wingshore_coordination::{
+    CoordinatorMessage, Effect, Event, HeldPrefix, ItemAssignment, ItemText, JobId, RunningItem,
+};
+
+/// The events behind the first `after` up to `through`.
+fn events(after: u64, through: u64) -> ItemText {
+    let data: Vec<String> = (after + 1..=through)
+        .map(|number| format!("event {number}"))
+        .collect();
+    ItemText {
+        text: data.join("\n"),
+        events: through - after,
+        last_event: Some(through),
+        versions: vec![1],
+    }
+}
+
+fn upload(group: &mut Group, assigned: &ItemAssignment, after: u64, through: u64) {
+    group.event(Event::PartialTextStored {
+        assignment: assigned.assignment,
+        after_events: after,
+        text: events(after, through),
+    });
+}
+
+/// The gateway of an attempt says that it runs it.
+fn report(group: &mut Group, assigned: &ItemAssignment) {
+    let gateway = group.connect_gateway(1);
+    group.event(Event::GatewayRunning {
+        gateway,
+        items: vec![RunningItem {
+            assignment: assigned.assignment,
+            item: assigned.item.clone(),
+            instance: assigned.instance.clone(),
+        }],
+        scorings: Vec::new(),
+    });
+}
+
+/// What was told of the held texts, in order.
+fn told_held(group: &Group) -> Vec<HeldPrefix> {
+    let told = group.effects.iter().filter_map(|effect| match effect {
+        Effect::ToGateway(_, CoordinatorMessage::HandInFrom { held, .. }) => Some(*held),
+        _ => None,
+    });
+    told.collect()
+}
+
+fn kept(group: &Group) -> Option<&ItemText> {
+    group.state.jobs()[&JobId::from("j")].kept(0)
+}
+
+/// What is seen, cause: as where a connection breaks (`items_review`), and the part that was lost goes on missing
+/// where the gateway's next one overtakes the leader's word.
+/// Proof: a part is missing, and its gateway is told nothing.
+#[gtest]
+fn a_part_that_does_not_follow_is_answered_with_what_is_held() {
+    let (mut group, _) = Group::with_job(1);
+    let assigned = group.assignments().remove(0);
+    upload(&mut group, &assigned, 0, 2);
+    upload(&mut group, &assigned, 4, 6);
+    expect_that!(told_held(&group), elements_are![eq(&events(0, 2).held())]);
+    upload(&mut group, &assigned, 2, 8);
+    expect_that!(kept(&group), some(eq(&events(0, 8))));
+}
+
+/// What it protects: parts that wait for their commit are not asked for again, and what follows them is kept.
+#[gtest]
+fn parts_that_are_not_committed_yet_count_as_held() {
+    let (mut group, _) = Group::with_job(1);
+    let assigned = group.assignments().remove(0);
+    group.commits_later = true;
+    upload(&mut group, &assigned, 0, 2);
+    upload(&mut group, &assigned, 2, 5);
+    report(&mut group, &assigned);
+    expect_that!(told_held(&group), elements_are![eq(&events(0, 5).held())]);
+    upload(&mut group, &assigned, 5, 8);
+    group.commit();
+    expect_that!(kept(&group), some(eq(&events(0, 8))));
+}
--- a/crates/gateways/wingshore-coordination/tests/support/mod.rs
+++ b/crates/gateways/wingshore-coordination/tests/support/mod.rs
@@ -7,13 +7,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wingshore_coordination::{
-    CoordinationLeader, CoordinationState, CoordinatorMessage, Effect, EngineProfile, Event,
-    GatewayHello, GatewayId, GatewayStatus, Heartbeat, IngressLimits, InstanceId, ItemAssignment,
-    ItemId, ItemOutcome, JobId, JobItem, JobSubmission, LeaderSettings, ModelName, ModelVersion,
-    Reply, Request, Route, RouteKind, RouteTarget, Scorer, ServerRecord, Service, ServiceName,
-    SiteConfiguration, ViewChange,
+    Command, CoordinationLeader, CoordinationState, CoordinatorMessage, Effect, EngineProfile,
+    Event, GatewayHello, GatewayId, GatewayStatus, Heartbeat, IngressLimits, InstanceId,
+    ItemAssignment, ItemId, ItemOutcome, JobId, JobItem, JobSubmission, LeaderSettings, ModelName,
+    ModelVersion, Reply, Request, Route, RouteKind, RouteTarget, Scorer, ServerRecord, Service,
+    ServiceName, SiteConfiguration, ViewChange,
+};
+use wingshore_types::machine::{
+    LeaderMachine, LeaderOutput, LeaderOutputs, ProposalTag, ReplicatedState, RequestTag,
 };
-use wingshore_types::machine::{LeaderMachine, LeaderOutput, ReplicatedState, RequestTag};
 use wingshore_types::{Epoch, Instant, LogIndex};
 
 /// Longer than a new leader waits for gateways.
@@ -29,6 +31,9 @@
     /// What is announced to gateways, in order: each entry's changes once it is applied.
     pub told: Vec<ViewChange>,
     pub settings: LeaderSettings,
+    /// Whether proposals wait for [`Group::commit`].
+    pub commits_later: bool,
+    uncommitted: Vec<(ProposalTag, Command)>,
     index: u64,
     epoch: u64,
     next_tag: u64,
@@ -58,6 +63,8 @@
             replies: Vec::new(),
             told: Vec::new(),
             settings,
+            commits_later: false,
+            uncommitted: Vec::new(),
             index: 0,
             epoch: 0,
             next_tag: 0,
@@ -119,28 +126,41 @@
         }
     }
 
-    fn settle(&mut self, out: Vec<LeaderOutput<wingshore_coordination::Command, Reply, Effect>>) {
+    fn settle(&mut self, out: LeaderOutputs<CoordinationLeader>) {
         let mut queue = VecDeque::from(out);
         while let Some(output) = queue.pop_front() {
             match output {
-                LeaderOutput::Propose { tag, command } => {
-                    self.index += 1;
-                    let before = LogIndex(self.index - 1);
-                    self.state.apply(LogIndex(self.index), command);
-                    let changes = self.state.view_changes(before);
-                    self.told
-                        .extend(changes.expect("the entry before is remembered"));
-                    let mut more = Vec::new();
-                    self.leader
-                        .on_applied(self.now, tag, (), &self.state, &mut more);
-                    queue.extend(more);
+                LeaderOutput::Propose { tag, command } if self.commits_later => {
+                    self.uncommitted.push((tag, command));
                 }
+                LeaderOutput::Propose { tag, command } => queue.extend(self.apply(tag, command)),
                 LeaderOutput::Reply { tag, reply } => self.replies.push((tag, reply)),
                 LeaderOutput::Effect(effect) => self.effects.push(effect),
             }
         }
     }
 
+    fn apply(&mut self, tag: ProposalTag, command: Command) -> LeaderOutputs<CoordinationLeader> {
+        self.index += 1;
+        let before = LogIndex(self.index - 1);
+        self.state.apply(LogIndex(self.index), command);
+        let changes = self.state.view_changes(before);
+        self.told
+            .extend(changes.expect("the entry before is remembered"));
+        let mut out = Vec::new();
+        self.leader
+            .on_applied(self.now, tag, (), &self.state, &mut out);
+        out
+    }
+
+    /// Commits what was proposed meanwhile.
+    pub fn commit(&mut self) {
+        for (tag, command) in std::mem::take(&mut self.uncommitted) {
+            let out = self.apply(tag, command);
+            self.settle(out);
+        }
+    }
+
     /// A gateway connects and runs nothing; a new leader waits for that.
     pub fn add_gateway(&mut self, id: u64) -> GatewayId {
         let gateway = self.connect_gateway(id);
