coordination: events of another run of an item are not added to those held

What callers would see: on a route of one version a result of two, or a text whose second half does not belong to its first. Cause: an attempt might upload if its text is longer than what the log holds; whether it begins with that was not asked. After a run of version 1 that was uploaded and a run of version 2 that broke off with more events, the third attempt's parts were added to the first run's. Evidence: events_of_another_run_are_not_added_to_those_held failed before this change: the kept text named versions 1 and 2. Change: at its assignment an attempt is known to extend what is held or not, by checksum; parts of one that does not are dropped, and its gateway is told what is held, so that it does not upload. Why it works: only texts that begin with the held events reach the log, and the gateway checks the same after each change of leaders. Safe beside older builds: the message is the one that new leaders send. Found by reading for the same fault elsewhere.

--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -73,6 +73,10 @@
         text: ItemText,
         turn: &mut Turn<'_>,
     ) {
+        let attempt = self.items.attempt(assignment);
+        if !attempt.is_some_and(|attempt| attempt.extends_held) {
+            return;
+        }
         let Some(item) = self.items.item_of(assignment) else {
             return;
         };
--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -228,6 +228,8 @@
         let version = engine.version_of_any(candidate.model());
         let single_version = candidate.route.single_version;
         let kept = starting_text(&candidate.partial_text, single_version, version);
+        let open_item = self.items.open_item(&candidate.key);
+        let extends_held = open_item.is_none_or(|open_item| open_item.held.begins(&kept));
         let assignment = self.items.next_assignment();
         let decision = Decision::ItemAssigned {
             assignment,
@@ -245,8 +247,14 @@
         turn.send(gateway, CoordinatorMessage::Assign(Box::new(message)));
         turn.log(decision);
         let (key, model) = (candidate.key.clone(), candidate.model().cloned());
-        let attempt = Attempt::new(turn.now, key, gateway, instance.clone(), model);
+        let attempt = Attempt {
+            extends_held,
+            ..Attempt::new(turn.now, key, gateway, instance.clone(), model)
+        };
         self.start(assignment, attempt);
+        if !extends_held {
+            self.tell_held(assignment, turn);
+        }
         let job = &candidate.job.submission.id;
         self.items
             .set_affinity(job, &candidate.item.group, instance);
--- a/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
@@ -21,6 +21,9 @@
     pub(crate) interrupted: bool,
     /// When the gateway last spoke of it.
     pub(crate) heard: Instant,
+    /// Whether its text goes on behind what the log holds; otherwise it is another run of the item,
+    /// whose events must not be added there.
+    pub(crate) extends_held: bool,
 }
 
 impl Attempt {
@@ -41,6 +44,7 @@
             seen: None,
             interrupted: false,
             heard: now,
+            extends_held: true,
         }
     }
 }
--- a/crates/gateways/wingshore-coordination/tests/partial_texts.rs
+++ b/crates/gateways/wingshore-coordination/tests/partial_texts.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use googletest::prelude::*;
-use support::Group;
+use std::sync::Arc;
+use support::{Group, configuration, engine, job};
 use wingshore_coordination::{
-    CoordinatorMessage, Effect, Event, HeldPrefix, ItemAssignment, ItemText, JobId, RunningItem,
+    BreakCause, CoordinatorMessage, Effect, Event, GatewayId, HeldPrefix, ItemAssignment,
+    ItemOutcome, ItemText, JobId, Request, RunningItem,
 };
 
 /// The events behind the first `after` up to `through`.
@@ -84,3 +86,55 @@
     group.commit();
     expect_that!(kept(&group), some(eq(&events(0, 8))));
 }
+
+/// What is seen: an item of a route that allows one version only is resumed from a text of two.
+/// How it comes about: events of version 1 are in the log; the next attempt begins anew at version 2 and breaks off
+/// with more events than those; the one after it goes on from there, and uploads.
+/// Cause: only the counts were compared. What follows the second run's events by number was added to those of the
+/// first.
+/// Proof: the kept text names both versions.
+#[gtest]
+fn events_of_another_run_are_not_added_to_those_held() {
+    let mut group = Group::new();
+    let mut of_one_version = configuration(2);
+    of_one_version.routes[0].single_version = true;
+    group.ask(Request::PutConfiguration(Arc::new(of_one_version)));
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(job("j", 1)));
+    let first = group.assignments().remove(0);
+    upload(&mut group, &first, 0, 2);
+    group.heartbeat(engine("e1", 2));
+    interrupt(&mut group, gateway, &first, events(0, 2));
+    let second = group.assignments().remove(0);
+    assert_that!(second.kept.events, eq(0));
+    interrupt(&mut group, gateway, &second, of_version_2(0, 4));
+    let third = group.assignments().remove(0);
+    assert_that!(third.kept, eq(&of_version_2(0, 4)));
+    group.event(Event::PartialTextStored {
+        assignment: third.assignment,
+        after_events: third.durable.events,
+        text: of_version_2(third.durable.events, 6),
+    });
+    expect_that!(kept(&group), some(eq(&events(0, 2))));
+    // The gateway learns that its text does not begin with what is held.
+    let told = told_held(&group);
+    let told = told.last().expect("it is told");
+    expect_that!(told.begins(&third.kept), eq(false));
+}
+
+fn interrupt(group: &mut Group, gateway: GatewayId, assigned: &ItemAssignment, text: ItemText) {
+    let cause = BreakCause::Gateway;
+    let outcome = ItemOutcome::Interrupted { text, cause };
+    group.end_item(gateway, assigned, outcome);
+}
+
+/// Events that another run made, at version 2.
+fn of_version_2(after: u64, through: u64) -> ItemText {
+    let made = events(after, through);
+    ItemText {
+        text: made.text.replace("event", "other"),
+        versions: vec![2],
+        ..made
+    }
+}
