gateway: a read that its leader gave back is sent again

What callers saw: a read of results answered 503 at the end of its time, though the leader answered all that it was asked. Cause: a leader without its lease gives calls back; reads were not looked at again before their time was over, and where the same leader goes on to lead, none is announced. Evidence: a_read_that_its_leader_gave_back_is_sent_again failed before: no second call within 5 s. Change: a call that is given back is sent again after 0.7 s at the latest, whatever its kind. Why it works: the timer is set by the event itself and so needs nobody's announcement. Safe: all calls may be repeated.

--- a/crates/gateways/wingshore-gateway/src/call_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/call_policy.rs
@@ -63,6 +63,11 @@
     }
 }
 
+/// When a call is sent again that its leader gave back now.
+pub(crate) fn resend_at(now: Instant, until: Instant) -> Instant {
+    until.min(now + RESEND_AFTER)
+}
+
 /// Whether a call whose time is not over is sent again now.
 pub(crate) fn is_resent(request: &Request, is_sent: bool) -> bool {
     !may_wait(request) || !is_sent
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -250,6 +250,8 @@
                 // The next leader's announcement, or the timer, sends it again.
                 if call.sent_to.map(Receiver::connection) == Some(connection) {
                     call.sent_to = None;
+                    let resend_at = call_policy::resend_at(runtime.now, call.until);
+                    runtime.timers.arm(resend_at, TimerKey::Call(id));
                 }
                 return None;
             }
