gateway: a call that a leader has is not sent to it again

What callers saw: submissions and ends of jobs that took the longer the busier the leader was; each that took over 0.7 s was sent whole up to three times, and a submission is as long as its job. Cause: a call without an answer was sent again each 0.7 s, whether or not the link on which it was sent stands. Evidence: a_slow_leader_that_is_heard_of_is_sent_a_call_once on: 3 calls, nothing lost. Change: a call is sent once to each leader and each link. It is sent again when its link is lost (1.2 s of silence end one), at each new leader, and 0.7 s after its leader gave it back. Why it works: what was written to a connection arrives while the connection lasts, and a leader that got the call answers it or gives it back. Safe: no frame has changed; all calls may be repeated, as before.

--- a/crates/gateways/wingshore-gateway/src/call_policy.rs
+++ b/crates/gateways/wingshore-gateway/src/call_policy.rs
@@ -4,20 +4,23 @@
 //! No I/O; `now` is passed in.
 //!
 //! **Inputs.** The call; whether a copy of the state may still answer it; when its time is over;
-//! whether it was sent to a leader; how long a planned stop still waits for answers.
+//! whether it was sent to a leader, and whether that one gave it back; how long a planned stop still waits
+//! for answers.
 //!
 //! **Rule.** Results are read from a fresh copy of the state in the gateway's own zone, once; whatever
-//! the copy cannot answer, and every other call, goes to the leader. A call that is not to wait is sent
-//! again after 0.7 s, and at once to each new leader: all calls may be repeated. A call whose time is over
-//! is answered as having had no effect, unless it may take effect and was sent to a leader. A planned stop
-//! leaves no call more time than itself has: calls that wait are cut to that; a read that comes when nothing is
-//! left, and a commit that comes when less is left than the time after which it is sent again, are refused at
-//! once.
+//! the copy cannot answer, and every other call, goes to the leader. It is sent at once to each new leader,
+//! and after a lost link to the leader that is there again; one that its leader gave back is sent again after
+//! 0.7 s at the latest. All calls may be repeated. A call that a leader has is not sent to it again. A call
+//! whose time is over is answered as having had no effect, unless it may take effect and was sent to a
+//! leader. A planned stop leaves no call more time than itself has: calls that wait are cut to that; a read
+//! that comes when nothing is left, and a commit that comes when less is left than the time after which one
+//! is sent again, are refused at once.
 //!
 //! **Why.** What is listed never changes, so that a copy answers reads as well as the leader does.
-//! Reading from near copies saves bytes between zones. A call that outlasts the process gets no answer at
-//! all. A commit is refused sooner, since one that was sent and not answered cannot be told from one that
-//! has taken effect.
+//! Reading from near copies saves bytes between zones. What was sent on a link that stands has arrived or
+//! will, and a link that does not stand is given up: a leader that is slow would only be the slower. A call
+//! that outlasts the process gets no answer at all. A commit is refused sooner, since one that was sent and
+//! not answered cannot be told from one that has taken effect.
 //!
 //! **Old or missing inputs.** A copy that was not heard of lately is not read; without a leader a call
 //! waits for one until its time is over; without a planned stop every call has its own time.
@@ -32,8 +35,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1300);
 /// Time that the group has to accept or end a job, which one commit makes durable.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
-/// A call without an answer is sent again after this time: the leader may be cut off. Less than
-/// half of the shortest time for a call is left then.
+/// A call that its leader gave back is sent again after this time, if no other leader is heard of
+/// before. An election fits into it, and about half of the shortest time for a call is left then.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
 /// When a client may retry a call that had no effect.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -53,31 +56,11 @@
     }
 }
 
-/// When a call that was sent to the leader is looked at again. One that may wait for a result is not
-/// late before its time is over.
-pub(crate) fn next_check(now: Instant, until: Instant, request: &Request) -> Instant {
-    if may_wait(request) {
-        until
-    } else {
-        until.min(now + RESEND_AFTER)
-    }
-}
-
 /// When a call is sent again that its leader gave back now.
 pub(crate) fn resend_at(now: Instant, until: Instant) -> Instant {
     until.min(now + RESEND_AFTER)
 }
 
-/// Whether a call whose time is not over is sent again now.
-pub(crate) fn is_resent(request: &Request, is_sent: bool) -> bool {
-    !may_wait(request) || !is_sent
-}
-
-/// Whether the answer may wait for a result.
-fn may_wait(request: &Request) -> bool {
-    matches!(request, Request::ReadJob { .. })
-}
-
 /// How long the leader may hold a read that a copy of the state had nothing for.
 pub(crate) fn remaining_wait(now: Instant, until: Instant, wait: Duration) -> Duration {
     let rest = until.since(now).saturating_sub(CALL_TIMEOUT);
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -153,21 +153,18 @@
 
     /// Sends a call to the leader, if one is known.
     fn send_to_leader(&mut self, runtime: &mut Runtime, site: &Site, id: CallId) {
-        let now = runtime.now;
         let leader = site.coordinators.leader();
         let Some(call) = self.waiting.get_mut(&id) else {
             return;
         };
         call.sent_to = leader.map(Receiver::Leader);
-        let mut check_at = call.until;
         if let Some(leader) = leader {
             call.may_take_effect = true;
-            check_at = call_policy::next_check(now, call.until, &call.request);
             let request = call.request.clone();
             let message = GatewayMessage::Call { id: id.0, request };
             send(runtime, leader, message);
         }
-        runtime.timers.arm(check_at, TimerKey::Call(id));
+        runtime.timers.arm(call.until, TimerKey::Call(id));
     }
 
     /// Calls that were sent on a connection that is gone wait for another leader; reads of a copy go
@@ -205,7 +202,7 @@
         }
     }
 
-    /// A call may be late, or its time over.
+    /// The time of a call may be over, or one that was given back is to be sent again.
     pub(crate) fn on_timer(
         &mut self,
         runtime: &mut Runtime,
@@ -215,10 +212,8 @@
         let now = runtime.now;
         let call = self.waiting.get(&id)?;
         if now < call.until {
-            if call_policy::is_resent(&call.request, call.sent_to.is_some()) {
+            if call.sent_to.is_none() {
                 self.send_call(runtime, site, id);
-            } else {
-                runtime.timers.arm(call.until, TimerKey::Call(id));
             }
             return None;
         }
