client: a watch takes its answer when it comes, and asks each replica once

What callers saw: nodes and relays that go without a new configuration as long as their link is slow, and once the lease is over serve nothing; the slower the link, the more whole configurations were sent on it. Cause: an attempt at a watch was given up after a quarter of the call's time and its reply dropped, the whole was asked for again, and the watch itself given up after 1.5 s. Evidence on: an_answer_that_is_later_than_an_attempt_is_taken: 16 watches in 6 s, none answered; an answer of 3 s: asked for four times, no answer. Change: a watch keeps the attempts that were sent open; the first answer of any counts; a replica that still has the watch is not sent it again; 6 s for an answer. Why it works: the reply of an attempt is as true as that of the next one, and what is on its way arrives while the connection lasts. Safe: a silent replica costs one attempt as before; the lease counts from the sending of the attempt that was answered, at relays too; no frame has changed; other calls are as before (their test that late replies reach no other call is unchanged). The watch stood twice, at nodes and at relays; it stands once now. Measured: the listed test failed before and passes (1 watch, 1.2 s); tests/watch.rs: the first of its two tests failed before (Err, 4 watches), both pass.

--- a/crates/nodes/wingshore-client/src/call.rs
+++ b/crates/nodes/wingshore-client/src/call.rs
@@ -2,7 +2,7 @@
 
 use crate::error::CallError;
 use crate::lock::lock;
-use crate::multiplexed::Attempt;
+use crate::multiplexed::{Attempt, PendingReply};
 use crate::pool::ConnectionPool;
 use crate::retry::{Backoff, attempt_timeout};
 use crate::route::Route;
@@ -34,7 +34,7 @@
 
 /// The attempts of one call so far.
 #[derive(Debug, Default)]
-struct Progress {
+pub(crate) struct Progress {
     attempts: u32,
     may_have_run: bool,
     last: String,
@@ -43,10 +43,14 @@
 }
 
 /// What to do after an attempt.
-enum Next {
+pub(crate) enum Next {
+    /// The call is answered.
     Return(GroupReply),
+    /// The call cannot be answered.
     Fail(CallError),
+    /// Another replica is asked at once.
     TryAnother,
+    /// Another replica is asked after a pause.
     BackOff,
 }
 
@@ -85,16 +89,9 @@
         let mut frame = request_frame(group, request);
         let mut progress = Progress::default();
         loop {
-            let now = Instant::now();
-            if self.is_closed() {
-                return Err(progress.closed());
-            }
-            if now >= deadline {
-                return Err(progress.timed_out(group));
-            }
-            let chosen = self.inner.route().choose(group, now);
-            let address = chosen.ok_or(CallError::NoReplicas)?;
-            let attempt = self.attempt(address, &mut frame, deadline.min(now + longest_attempt));
+            let address = self.next_address(group, &mut progress, deadline)?;
+            let attempt_deadline = deadline.min(Instant::now() + longest_attempt);
+            let attempt = self.attempt(address, &mut frame, attempt_deadline);
             match self.judge(&mut progress, group, address, attempt) {
                 Next::Return(reply) => return Ok(reply),
                 Next::Fail(error) => return Err(error),
@@ -143,8 +140,41 @@
         self.inner.pool.close();
     }
 
-    fn is_closed(&self) -> bool {
-        *lock(&self.inner.closed)
+    /// Whom to ask next.
+    ///
+    /// # Errors
+    /// When the client is closed, the time is up, or no replica is known.
+    pub(crate) fn next_address(
+        &self,
+        group: GroupId,
+        progress: &mut Progress,
+        deadline: Instant,
+    ) -> Result<SocketAddr, CallError> {
+        let now = Instant::now();
+        if *lock(&self.inner.closed) {
+            return Err(progress.closed());
+        }
+        if now >= deadline {
+            return Err(progress.timed_out(group));
+        }
+        let chosen = self.inner.route().choose(group, now);
+        chosen.ok_or(CallError::NoReplicas)
+    }
+
+    /// Sends a request to `address` without waiting for its reply.
+    ///
+    /// # Errors
+    /// The end of the attempt, where it was not sent by `deadline`.
+    pub(crate) fn send(
+        &self,
+        address: SocketAddr,
+        frame: &mut Frame,
+        deadline: Instant,
+    ) -> Result<PendingReply, Attempt> {
+        match self.inner.pool.get(address, deadline) {
+            Ok(connection) => connection.send(frame),
+            Err(reason) => Err(Attempt::NotSent { reason }),
+        }
     }
 
     fn attempt(&self, address: SocketAddr, frame: &mut Frame, deadline: Instant) -> Attempt {
@@ -154,7 +184,8 @@
         }
     }
 
-    fn judge(
+    /// Learns from an attempt, and says what follows it.
+    pub(crate) fn judge(
         &self,
         progress: &mut Progress,
         group: GroupId,
@@ -194,7 +225,7 @@
     }
 
     /// Waits before the next attempt, not beyond `deadline` nor beyond the client's closing.
-    fn back_off(&self, progress: &mut Progress, deadline: Instant) {
+    pub(crate) fn back_off(&self, progress: &mut Progress, deadline: Instant) {
         progress.attempts_since_backoff = 0;
         let backoff = {
             let mut generator = lock(&self.inner.generator);
@@ -259,7 +290,7 @@
 }
 
 /// A request frame; each attempt sets its own id.
-fn request_frame(group: GroupId, body: GroupRequest) -> Frame {
+pub(crate) fn request_frame(group: GroupId, body: GroupRequest) -> Frame {
     let id = RequestId(0);
     Frame::Request { id, group, body }
 }
--- a/crates/nodes/wingshore-client/src/error.rs
+++ b/crates/nodes/wingshore-client/src/error.rs
@@ -48,6 +48,31 @@
     },
 }
 
+/// A watch for configuration without an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+#[non_exhaustive]
+pub enum WatchError {
+    /// No answer came.
+    #[snafu(display("{source}"))]
+    NoAnswer {
+        /// Why.
+        source: CallError,
+    },
+    /// The replica refuses it.
+    #[snafu(display("{reason}"))]
+    Refused {
+        /// In its own words.
+        reason: String,
+    },
+    /// An answer came that is none to a watch.
+    #[snafu(display("not an answer to a watch: {answer}"))]
+    OfAnotherKind {
+        /// The answer, as far as it can be shown.
+        answer: String,
+    },
+}
+
 impl CallError {
     /// Whether the request may have run. [`Verdict::NotRun`] only where no byte of any attempt
     /// left this process.
--- a/crates/nodes/wingshore-client/src/lib.rs
+++ b/crates/nodes/wingshore-client/src/lib.rs
@@ -11,10 +11,12 @@
 mod pool;
 mod retry;
 mod route;
+mod watch;
 mod watcher;
 
 pub use call::GroupClient;
-pub use error::CallError;
+pub use error::{CallError, WatchError};
 pub use retry::{Backoff, attempt_timeout};
 pub use route::Route;
+pub use watch::WatchAnswer;
 pub use watcher::{ConfigurationWatcher, WatchHandler};
--- a/crates/nodes/wingshore-client/src/multiplexed.rs
+++ b/crates/nodes/wingshore-client/src/multiplexed.rs
@@ -1,7 +1,7 @@
 //! One connection that many calls share: replies find their calls by request id.
 
 use crate::lock::lock;
-use crossbeam_channel::{RecvTimeoutError, Sender, bounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -83,6 +83,17 @@
 
     /// Sends a request frame under a fresh id and waits for its reply until `deadline`.
     pub(crate) fn request(&self, frame: &mut Frame, deadline: Instant) -> Attempt {
+        match self.send(frame) {
+            Ok(pending) => pending.wait(deadline),
+            Err(failed) => failed,
+        }
+    }
+
+    /// Sends a request frame under a fresh id.
+    ///
+    /// # Errors
+    /// The end of the attempt, where the frame was not sent.
+    pub(crate) fn send(&self, frame: &mut Frame) -> Result<PendingReply, Attempt> {
         let id = RequestId(self.next_request.fetch_add(1, Ordering::Relaxed));
         if let Frame::Request { id: field, .. } = frame {
             *field = id;
@@ -90,21 +101,61 @@
         let (sender, receiver) = bounded(1);
         if !self.pending.register(id, sender) {
             let reason = "the connection was lost".to_owned();
-            return Attempt::NotSent { reason };
+            return Err(Attempt::NotSent { reason });
         }
-        if let Err(error) = self.connection.send(frame) {
-            self.pending.forget(id);
-            return not_queued(&error);
-        }
-        let outcome = receiver.recv_deadline(deadline);
-        self.pending.forget(id);
-        let reason = match outcome {
-            Ok(reply) => return Attempt::Reply(reply),
-            Err(RecvTimeoutError::Timeout) => "no reply in time",
-            Err(RecvTimeoutError::Disconnected) => "the connection was lost before the reply",
+        let pending = PendingReply {
+            replies: Arc::clone(&self.pending),
+            id,
+            receiver,
         };
-        let reason = reason.to_owned();
-        Attempt::Unanswered { reason }
+        match self.connection.send(frame) {
+            Ok(()) => Ok(pending),
+            Err(error) => Err(not_queued(&error)),
+        }
+    }
+}
+
+/// The reply of a request that was sent; dropping it forgets the request.
+#[derive(Debug)]
+pub(crate) struct PendingReply {
+    replies: Arc<PendingReplies>,
+    id: RequestId,
+    receiver: Receiver<GroupReply>,
+}
+
+impl PendingReply {
+    /// Waits until `deadline`.
+    fn wait(&self, deadline: Instant) -> Attempt {
+        match self.receiver.recv_deadline(deadline) {
+            Ok(reply) => Attempt::Reply(reply),
+            Err(RecvTimeoutError::Timeout) => Attempt::silent(),
+            Err(RecvTimeoutError::Disconnected) => Attempt::lost(),
+        }
+    }
+
+    /// Where the reply comes; disconnected once the connection is lost.
+    pub(crate) fn receiver(&self) -> &Receiver<GroupReply> {
+        &self.receiver
+    }
+}
+
+impl Drop for PendingReply {
+    fn drop(&mut self) {
+        self.replies.forget(self.id);
+    }
+}
+
+impl Attempt {
+    /// No reply came in time.
+    pub(crate) fn silent() -> Self {
+        let reason = "no reply in time".to_owned();
+        Self::Unanswered { reason }
+    }
+
+    /// The connection ended before the reply.
+    pub(crate) fn lost() -> Self {
+        let reason = "the connection was lost before the reply".to_owned();
+        Self::Unanswered { reason }
     }
 }
 
--- a/crates/nodes/wingshore-client/src/watcher.rs
+++ b/crates/nodes/wingshore-client/src/watcher.rs
@@ -1,21 +1,13 @@
 //! Keeps the long poll for configuration going.
 
 use crate::call::GroupClient;
-use crate::error::CallError;
 use crate::lock::lock;
 use std::io;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 use wingshore_clock::BootTime;
-use wingshore_types::GroupId;
-use wingshore_types::protocol::control::{
-    ConfigurationUpdate, ControlReply, ControlRequest, WatchRequest,
-};
-use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
-
-/// Time for one watch beyond what it asks the other side to wait.
-const CALL_MARGIN: Duration = Duration::from_millis(1500);
+use wingshore_types::protocol::control::{ConfigurationUpdate, WatchRequest};
 
 /// Backoff after a watch that failed or was refused.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(100);
@@ -26,8 +18,8 @@
     /// it is sent; may block for a moment to let acknowledgements gather.
     fn next_watch(&mut self) -> WatchRequest;
 
-    /// An answer came. The lease counts from `sent_at`, which lies before any attempt to send the
-    /// watch; it never shortens one that was granted before.
+    /// An answer came. The lease counts from `sent_at`, which lies before the attempt that was
+    /// answered; it never shortens one that was granted before.
     fn on_update(&mut self, sent_at: BootTime, update: ConfigurationUpdate, lease_ms: u64);
 
     /// The watch failed; it is sent again after a short backoff.
@@ -106,27 +98,12 @@
 fn watch(client: &GroupClient, mut handler: Box<dyn WatchHandler>, stop: &Stop) {
     while !stop.is_stopping() {
         let request = handler.next_watch();
-        let timeout = Duration::from_millis(request.wait_ms) + CALL_MARGIN;
-        let body = GroupRequest::Control(ControlRequest::Watch(request));
-        let sent_at = BootTime::now();
-        let outcome = client.call(GroupId::Control, body, timeout);
-        match update_of(outcome) {
-            Ok((update, lease_ms)) => handler.on_update(sent_at, update, lease_ms),
-            Err(reason) => {
-                handler.on_failure(&reason);
+        match client.watch(request) {
+            Ok(answer) => handler.on_update(answer.sent_at, answer.update, answer.lease_ms),
+            Err(error) => {
+                handler.on_failure(&error.to_string());
                 stop.back_off();
             }
         }
     }
 }
-
-fn update_of(outcome: Result<GroupReply, CallError>) -> Result<(ConfigurationUpdate, u64), String> {
-    match outcome {
-        Ok(GroupReply::Control(ControlReply::Update { update, lease_ms })) => {
-            Ok((update, lease_ms))
-        }
-        Ok(GroupReply::Rejected(reason)) => Err(reason),
-        Ok(other) => Err(format!("not an answer to a watch: {other:?}")),
-        Err(error) => Err(error.to_string()),
-    }
-}
--- a/crates/nodes/wingshore-relay/src/driver/upstream.rs
+++ b/crates/nodes/wingshore-relay/src/driver/upstream.rs
@@ -7,12 +7,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 use wingshore_client::GroupClient;
-use wingshore_types::GroupId;
-use wingshore_types::protocol::control::{ControlReply, ControlRequest, WatchRequest};
-use wingshore_types::protocol::wire::{GroupReply, GroupRequest};
-
-/// Time for one watch beyond what it asks upstream to wait.
-const CALL_MARGIN: Duration = Duration::from_millis(1500);
+use wingshore_clock::Clock;
+use wingshore_types::Instant;
+use wingshore_types::protocol::control::WatchRequest;
 
 /// Sends each watch that comes by `watches` and hands what follows to the main loop.
 pub(super) fn spawn(
@@ -33,17 +30,17 @@
         })
 }
 
+/// Sends one watch. The lease of its answer counts from the sending of the attempt that was answered; the
+/// main loop counts from its own, which lies before this call: what lies between is added.
 fn watch(client: &GroupClient, request: WatchRequest, logger: &Logger) -> Event {
-    let timeout = Duration::from_millis(request.wait_ms) + CALL_MARGIN;
-    let body = GroupRequest::Control(ControlRequest::Watch(request));
-    match client.call(GroupId::Control, body, timeout) {
-        Ok(GroupReply::Control(ControlReply::Update { update, lease_ms })) => {
-            let lease = Duration::from_millis(lease_ms);
-            Event::UpstreamAnswered { update, lease }
-        }
-        Ok(other) => {
-            debug!(logger, "upstream refused the watch"; "answer" => format!("{other:?}"));
-            Event::UpstreamFailed
+    let clock = Clock::start();
+    match client.watch(request) {
+        Ok(answer) => {
+            let sent_after = clock.at(answer.sent_at).since(Instant::ZERO);
+            Event::UpstreamAnswered {
+                update: answer.update,
+                lease: sent_after + Duration::from_millis(answer.lease_ms),
+            }
         }
         Err(error) => {
             debug!(logger, "no answer from upstream"; "error" => %error);
