--- a/crates/shared/wingshore-consensus/src/progress.rs
+++ b/crates/shared/wingshore-consensus/src/progress.rs
@@ -39,7 +39,7 @@
     /// Streaming, with a limit on what is under way.
     Replicate(InFlight),
     /// Sending a snapshot.
-    Snapshot(OutgoingSnapshot),
+    Snapshot(Box<OutgoingSnapshot>),
 }
 
 /// Appends sent and not yet acknowledged: the last index and the bytes of each.
@@ -289,7 +289,7 @@
 
     /// Starts to send a snapshot.
     pub(crate) fn send_snapshot(&mut self, snapshot: Arc<StoredSnapshot>) {
-        self.state = ProgressState::Snapshot(OutgoingSnapshot::new(snapshot));
+        self.state = ProgressState::Snapshot(Box::new(OutgoingSnapshot::new(snapshot)));
         self.is_behind_state = true;
     }
 
