coordination: an older heartbeat is acknowledged once what the newer one said is durable

What callers saw: a server that was told that it drains, and got new work after a change of leaders. Cause: a heartbeat that is not the newest of its server was acknowledged at once, also while the drain that the newer one brought waited for its commit. Evidence: an_older_heartbeat_is_acknowledged_once_the_drain_is_durable failed before (answered Done, nothing applied). Change: changes of the registry that are proposed and not applied are counted for each server; an older heartbeat waits until none is. Why it works: its acknowledgement then stands for a state that holds the drain.

--- a/crates/gateways/wingshore-coordination/src/leader/machine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/machine.rs
@@ -14,6 +14,7 @@
 use super::tables::gateways::Gateways;
 use super::tables::items::Items;
 use super::tables::jobs::{JobClock, Readers};
+use super::tables::registrations::Registrations;
 use super::tables::rollout::Rollout;
 use super::tables::scorings::Scorings;
 use super::turn::Turn;
@@ -36,6 +37,7 @@
     pub(super) proposals: Proposals,
     pub(super) gateways: Gateways,
     pub(super) heartbeats: Heartbeats,
+    pub(super) registrations: Registrations,
     pub(super) engines: Engines,
     pub(super) items: Items,
     pub(super) job_clock: JobClock,
@@ -68,6 +70,7 @@
             proposals: Proposals::default(),
             gateways: Gateways::default(),
             heartbeats: Heartbeats::default(),
+            registrations: Registrations::default(),
             engines: Engines::default(),
             items: Items::default(),
             job_clock: JobClock::default(),
--- a/crates/gateways/wingshore-coordination/src/leader/servers.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/servers.rs
@@ -33,7 +33,7 @@
         }
         let heartbeats = &mut self.heartbeats;
         if !is_newest || !heartbeats.is_current(turn.now, &instance, turn.state) {
-            return turn.reply(tag, Reply::Done);
+            return self.acknowledge_older(tag, &instance, turn);
         }
         let wanted = merged(heartbeat.server, turn.state);
         if turn.state.servers().get(&instance) == Some(&wanted) {
@@ -44,7 +44,27 @@
             self.end_earlier_incarnations(&instance, turn);
         }
         let command = Command::Register(wanted);
-        self.propose(command, FollowUp::Server(instance, Some(tag)), turn);
+        self.propose_server(command, instance, Some(tag), turn);
+    }
+
+    /// A heartbeat that is not the newest of its server is acknowledged once what the newer ones said is
+    /// durable: the same may have come by two coordinators.
+    fn acknowledge_older(&mut self, tag: RequestTag, instance: &InstanceId, turn: &mut Turn<'_>) {
+        if !self.registrations.wait(instance, tag) {
+            turn.reply(tag, Reply::Done);
+        }
+    }
+
+    /// Proposes a change of what the registry holds of a server.
+    fn propose_server(
+        &mut self,
+        command: Command,
+        instance: InstanceId,
+        tag: Option<RequestTag>,
+        turn: &mut Turn<'_>,
+    ) {
+        self.registrations.proposed(instance.clone());
+        self.propose(command, FollowUp::Server(instance, tag), turn);
     }
 
     /// Two incarnations cannot listen at one address: where a new one registers, the one before has ended,
@@ -60,7 +80,7 @@
         self.heartbeats.supersede(server.address, &others);
         for instance in others {
             let command = Command::Expire(instance.clone());
-            self.propose(command, FollowUp::Server(instance, None), turn);
+            self.propose_server(command, instance, None, turn);
         }
     }
 
@@ -76,7 +96,7 @@
         self.heartbeats.note_restart(turn.now, instance.name());
         for instance in earlier {
             let command = Command::Depart(instance.clone());
-            self.propose(command, FollowUp::Server(instance, None), turn);
+            self.propose_server(command, instance, None, turn);
         }
     }
 
@@ -118,7 +138,7 @@
             return turn.reply(tag, Reply::ComeBack(LATE_CALLS));
         }
         let command = Command::Depart(newest.clone());
-        self.propose(command, FollowUp::Server(newest, Some(tag)), turn);
+        self.propose_server(command, newest, Some(tag), turn);
     }
 
     /// A server deregisters that the registry does not hold: its heartbeats may still be under way.
@@ -129,7 +149,7 @@
             return turn.reply(tag, Reply::Done);
         }
         let command = Command::Depart(instance.clone());
-        self.propose(command, FollowUp::Server(instance, Some(tag)), turn);
+        self.propose_server(command, instance, Some(tag), turn);
     }
 
     /// What the registry holds of a server has changed.
@@ -149,7 +169,8 @@
             change,
         };
         turn.log(decision);
-        if let Some(tag) = tag {
+        let waiting = self.registrations.applied(&instance);
+        for tag in tag.into_iter().chain(waiting) {
             turn.reply(tag, Reply::Done);
         }
         self.engines.server_changed(&instance, turn.state);
@@ -161,7 +182,7 @@
         let expiry = self.settings.server_expiry;
         for instance in self.heartbeats.take_silent(turn.now, expiry, turn.state) {
             let command = Command::Expire(instance.clone());
-            self.propose(command, FollowUp::Server(instance, None), turn);
+            self.propose_server(command, instance, None, turn);
         }
     }
 }
--- a/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
@@ -10,5 +10,6 @@
 pub(crate) mod items;
 pub(crate) mod jobs;
 pub(crate) mod pace;
+pub(crate) mod registrations;
 pub(crate) mod rollout;
 pub(crate) mod scorings;
--- a/crates/gateways/wingshore-coordination/tests/registry.rs
+++ b/crates/gateways/wingshore-coordination/tests/registry.rs
@@ -167,3 +167,30 @@
     group.heartbeat(run_at("alive", "a"));
     expect_that!(registered(&group), elements_are![eq("alive")]);
 }
+
+/// What is seen: a server that drains is told so, and after a change of leaders it is given work again.
+/// How it comes about: its heartbeats go by two coordinators, and an older one, which says the same, comes while the drain
+/// of the newer one waits for its commit.
+/// Cause: a heartbeat that is not the newest was acknowledged at once, whatever was still to be committed.
+/// Proof: the older one is answered before the drain is durable.
+#[gtest]
+fn an_older_heartbeat_is_acknowledged_once_the_drain_is_durable() {
+    let mut group = Group::new();
+    group.heartbeat(engine("e1", 1));
+    group.commits_later = true;
+    let mut server = engine("e1", 1);
+    server.draining = true;
+    for sequence in [101, 100] {
+        let server = server.clone();
+        let heartbeat = Heartbeat { server, sequence };
+        let answer = group.ask(Request::Heartbeat(heartbeat));
+        expect_that!(answer, none(), "heartbeat {sequence}");
+    }
+    group.commit();
+    let answers: Vec<&Reply> = group.replies.iter().map(|(_, reply)| reply).collect();
+    expect_that!(answers, elements_are![eq(&&Reply::Done), eq(&&Reply::Done)]);
+    expect_that!(
+        group.state.servers()[&InstanceId::from("e1")].draining,
+        eq(true)
+    );
+}
