group, coordination: commands and records that go on after their end are refused

What operators would see: members of two builds that hold different states after the same log, without a word. Change: stored values are decoded whole (`wingshore_types::stored`); what goes on after its end is refused, with its index, its kind and the bytes left. Tests: the two of unknown_forms.rs that held the old behaviour were wrong by docs/design/0013 (no field may be appended) and are replaced by stricter ones: each kept command is taken alone and refused with any bytes after it, and a record likewise. New: a_command_that_goes_on_after_its_end_stops_the_host. Before: "ignored" was asserted, so each of the three fails on the code before.

--- a/crates/gateways/wingshore-coordination/src/state/snapshot/read.rs
+++ b/crates/gateways/wingshore-coordination/src/state/snapshot/read.rs
@@ -11,6 +11,7 @@
 use std::io::Read;
 use std::sync::Arc;
 use wingshore_types::machine::RestoreError;
+use wingshore_types::stored;
 
 /// Largest record, in bytes: far above any submission, which is at most as large as a caller's body
 /// ([`crate::IngressLimits`]); a damaged length is found by it.
@@ -82,7 +83,7 @@
         .read_exact(&mut length)
         .map_err(RestoreError::from_display)?;
     let bytes = read_bytes(reader, u32::from_le_bytes(length))?;
-    postcard::from_bytes(&bytes).map_err(RestoreError::from_display)
+    stored::decode(&bytes).map_err(|error| RestoreError::from_display(format!("a record: {error}")))
 }
 
 fn read_bytes(reader: &mut dyn Read, length: u32) -> Result<Vec<u8>, RestoreError> {
@@ -143,7 +144,7 @@
     reader
         .read_to_end(&mut bytes)
         .map_err(RestoreError::from_display)?;
-    let earlier: EarlierState = postcard::from_bytes(&bytes).map_err(RestoreError::from_display)?;
+    let earlier: EarlierState = stored::decode(&bytes).map_err(RestoreError::from_display)?;
     let mut state = CoordinationState::from(earlier);
     drop(bytes);
     state.texts = texts.clone();
--- a/crates/gateways/wingshore-coordination/tests/unknown_forms.rs
+++ b/crates/gateways/wingshore-coordination/tests/unknown_forms.rs
@@ -12,6 +12,7 @@
 };
 use wingshore_types::LogIndex;
 use wingshore_types::machine::ReplicatedState;
+use wingshore_types::stored::{self, StoredError};
 
 const CALL_REPLIES: &str = include_str!("golden/call_replies.txt");
 const COMMANDS: &str = include_str!("golden/commands.txt");
@@ -122,11 +123,23 @@
     }
 }
 
-/// A field that is appended to a command is dropped without a word: members of two builds would
-/// hold different states.
+/// A field that another build has appended to a command is no command of this build: members of the two would hold
+/// different states. What any build has written is taken.
 #[gtest]
-fn bytes_after_the_end_of_commands_are_ignored() {
-    ignores_more::<Command>(COMMANDS);
+fn bytes_after_the_end_of_commands_are_refused() {
+    for (name, bytes) in lines(COMMANDS) {
+        let alone = stored::decode::<Command>(&bytes);
+        expect_that!(alone, ok(anything()), "{name}");
+        for more in MORE {
+            let longer = [&bytes, *more].concat();
+            let refused = stored::decode::<Command>(&longer);
+            let expected = StoredError::GoesOn {
+                kind: bytes[0],
+                left: more.len(),
+            };
+            expect_that!(refused, err(eq(&expected)), "{name}");
+        }
+    }
 }
 
 #[gtest]
@@ -163,17 +176,19 @@
     5..5 + length as usize
 }
 
-/// A field that is appended to the state is dropped without a word.
+/// As with a command: a member that drops a field goes on with another state.
 #[gtest]
-fn bytes_after_the_end_of_a_record_of_a_snapshot_are_ignored() {
+fn bytes_after_the_end_of_a_record_of_a_snapshot_are_refused() {
     let state = state();
     let mut bytes = state.snapshot();
     let record = first_record(&bytes);
     bytes.splice(record.end..record.end, [7, 7, 7]);
     let length = u32::try_from(record.len() + 3).unwrap();
     bytes[1..5].copy_from_slice(&length.to_le_bytes());
-    let restored = CoordinationState::restore(&bytes).unwrap();
-    expect_that!(restored == state, eq(true));
+    expect_that!(
+        refusal(&bytes),
+        eq("a record: 3 bytes are left after the end of kind 5")
+    );
 }
 
 #[gtest]
--- a/crates/shared/wingshore-group/src/applying.rs
+++ b/crates/shared/wingshore-group/src/applying.rs
@@ -7,6 +7,7 @@
 use wingshore_types::machine::{LeaderMachine, ReplicatedState};
 use wingshore_types::protocol::membership::MembershipReply;
 use wingshore_types::snapshot_data::SnapshotState;
+use wingshore_types::stored;
 use wingshore_types::{Instant, LogIndex};
 
 impl<L> Host<L>
@@ -85,7 +86,7 @@
 fn decode_command<L: LeaderMachine>(
     entry: &Entry,
 ) -> Result<<L::State as ReplicatedState>::Command, HostError> {
-    postcard::from_bytes(&entry.data).map_err(|source| HostError::Command {
+    stored::decode(&entry.data).map_err(|source| HostError::Command {
         index: entry.index,
         source,
     })
--- a/crates/shared/wingshore-group/src/interface.rs
+++ b/crates/shared/wingshore-group/src/interface.rs
@@ -7,6 +7,7 @@
 use wingshore_types::machine::{LeaderMachine, RequestTag};
 use wingshore_types::protocol::membership::{Membership, MembershipReply, MembershipRequest};
 use wingshore_types::snapshot_spool::{MemorySpool, SnapshotSpool};
+use wingshore_types::stored::StoredError;
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
 /// Settings of one hosted group.
@@ -180,8 +181,8 @@
     Command {
         /// The entry.
         index: LogIndex,
-        /// From the codec.
-        source: postcard::Error,
+        /// What is wrong with it.
+        source: StoredError,
     },
     /// A message or a command could not be encoded.
     #[snafu(display("encoding failed: {source}"), context(false))]
--- a/crates/shared/wingshore-group/tests/members.rs
+++ b/crates/shared/wingshore-group/tests/members.rs
@@ -334,3 +334,25 @@
         some(contains_substring("cannot be decoded"))
     )
 }
+
+/// What is seen: members of two builds that hold different states after the same log.
+/// Cause: a field that the newer build has appended to a command was dropped by the older one without a word.
+/// Proof: the member applies such a command and goes on.
+#[gtest]
+fn a_command_that_goes_on_after_its_end_stops_the_host() -> Result<()> {
+    let (mut cluster, _) = Cluster::led(1);
+    cluster.add_numbers(1, [5]);
+    cluster.crash(1);
+    for record in &mut cluster.replica(1).disk.contents.records {
+        let is_command = record.data.first() == Some(&1);
+        if is_command {
+            record.data.extend([7, 7]);
+        }
+    }
+    cluster.restart(1);
+    cluster.run(SECOND * 3);
+    verify_that!(
+        cluster.replica(1).failure,
+        some(contains_substring("2 bytes are left after the end"))
+    )
+}
--- a/crates/shared/wingshore-types/src/lib.rs
+++ b/crates/shared/wingshore-types/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod snapshot;
 pub mod snapshot_data;
 pub mod snapshot_spool;
+pub mod stored;
 pub mod time;
 pub mod verdict;
 
