--- a/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
@@ -68,3 +68,44 @@
     assert_eq!(broken, [0_u64; 0]);
     assert!(sums.ended > runs());
 }
+
+/// Plays one run without a request that ends servers, and checks that no innocent one is rejected.
+fn no_innocent_is_rejected_at(seed: u64) {
+    let end = Run::new(seed, Chance::NoCrashingRequest).play();
+    println!(
+        "seed {seed}: {} innocent requests rejected",
+        end.innocents_rejected
+    );
+    assert_eq!(end.innocents_rejected, 0);
+}
+
+// What is seen in the runs of these seeds: a request that ends no server is rejected.
+// How it comes about: servers end of other causes, up to once a second, and by chance it stands on three of them.
+// Cause: three endings are taken for its doing where it alone stood on all three and on half of the servers that ended
+// meanwhile; what such a coincidence is worth where servers end often anyway is not asked.
+// Proof: 5 of 100,000 drawn runs.
+
+#[test]
+fn no_innocent_is_rejected_at_seed_43559() {
+    no_innocent_is_rejected_at(43_559);
+}
+
+#[test]
+fn no_innocent_is_rejected_at_seed_49534() {
+    no_innocent_is_rejected_at(49_534);
+}
+
+#[test]
+fn no_innocent_is_rejected_at_seed_71715() {
+    no_innocent_is_rejected_at(71_715);
+}
+
+#[test]
+fn no_innocent_is_rejected_at_seed_93887() {
+    no_innocent_is_rejected_at(93_887);
+}
+
+#[test]
+fn no_innocent_is_rejected_at_seed_99489() {
+    no_innocent_is_rejected_at(99_489);
+}
