--- a/crates/gateways/wingshore-coordination/tests/support/mod.rs
+++ b/crates/gateways/wingshore-coordination/tests/support/mod.rs
@@ -82,9 +82,10 @@
         self.ask(Request::PutConfiguration(Arc::new(next)));
     }
 
-    /// Another machine becomes leader; nothing volatile is left.
+    /// Another machine becomes leader; nothing volatile is left, and what was not committed is lost.
     pub fn change_leader(&mut self, node: &str) {
         self.epoch += 1;
+        self.uncommitted.clear();
         self.settings.node = node.to_owned();
         self.leader = CoordinationLeader::new(self.settings.clone());
         self.effects.clear();
