consensus: the answers to chunks are counted in a module of their own

Cause: with the finding of gaps `outgoing` held three more fields and two more rules. Change: `chunk_answers` counts the answers and says when a gap is found, with its rule, its reason and what it does with lost and doubled answers at its head; `outgoing` goes back.

--- a/crates/shared/wingshore-consensus/src/lib.rs
+++ b/crates/shared/wingshore-consensus/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod accessors;
 mod change;
+mod chunk_answers;
 mod config;
 mod election;
 mod entry;
--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -4,13 +4,12 @@
 //! without gap. Where less than two windows are acknowledged in a heartbeat round, the answers are late, and the
 //! window grows, or else the pace would be a window for each way there and back; it is small again when
 //! something was lost. An answer without news comes of a chunk after a gap, and the leader goes back to what
-//! the follower has; or of a chunk that came twice. Three rules keep that cheap. As many
+//! the follower has; or of a chunk that came twice. Two rules keep that cheap. As many
 //! answers without news as chunks are under way or sent again do not make the leader go back once more:
-//! to go back for each would send every window twice to the end. Once as many answers have come as chunks were
-//! sent, nothing is under way any more, and what the follower lacks is a gap: the leader goes back for that, once
-//! for each acknowledged byte, since a follower that has restarted would be sent a window for each answer. And what
-//! was sent is held until it is acknowledged, since to read it again means to read all that is before it.
+//! to go back for each would send every window twice to the end; a gap among those is found by [`ChunkAnswers`].
+//! And what was sent is held until it is acknowledged, since to read it again means to read all that is before it.
 
+use crate::chunk_answers::ChunkAnswers;
 use crate::message::SnapshotChunk;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -102,13 +101,8 @@
     silent_rounds: u32,
     /// Answers without news that are expected since the leader went back.
     expected_repeats: usize,
-    /// Chunks that were sent and not answered, since the last stall; fewer where an answer came twice.
-    unanswered: usize,
-    /// Where the next chunk began when the last answer without news came: until the follower has more, some of
-    /// what was sent may have been dropped for its order.
-    disordered_through: Option<u64>,
-    /// Bytes the follower had when the leader last went back since all was answered.
-    gap_found_at: Option<u64>,
+    /// Finds gaps once all that was sent is answered.
+    answers: ChunkAnswers,
     /// Where the next chunk began when the leader last went back: once the follower has more, no
     /// repeat is expected any more.
     went_back_from: u64,
@@ -141,9 +135,7 @@
             received_before_round: 0,
             silent_rounds: 0,
             expected_repeats: 0,
-            unanswered: 0,
-            disordered_through: None,
-            gap_found_at: None,
+            answers: ChunkAnswers::default(),
             went_back_from: 0,
             parts,
             is_unreadable: false,
@@ -173,7 +165,7 @@
                 break;
             }
             chunks.push(self.chunk(offset, data));
-            self.unanswered += 1;
+            self.answers.on_sent();
         }
         chunks
     }
@@ -231,7 +223,7 @@
     /// it is probed with the first chunk, which only one that restarted answers.
     pub(crate) fn resend(&mut self) {
         self.is_unreadable = false;
-        self.unanswered = 0;
+        self.answers.on_stall();
         if self.has_restarted() {
             self.received = self.reported;
         }
@@ -298,25 +290,17 @@
     /// The follower has `received` bytes; `true` when that is more than before.
     pub(crate) fn acknowledge(&mut self, received: u64) -> bool {
         self.reported = received;
-        self.unanswered = self.unanswered.saturating_sub(1);
+        self.answers.on_answer();
         let is_news = received > self.received;
         if is_news {
             self.advance(received);
         } else {
             self.answer_without_news(received);
         }
-        self.close_gap();
-        is_news
-    }
-
-    /// Goes back where all that was sent is answered, and the follower lacks some of it.
-    fn close_gap(&mut self) {
-        let lacks_some = self.next_offset > self.received;
-        let has_gap = lacks_some && self.unanswered == 0 && self.disordered_through.is_some();
-        if has_gap && self.gap_found_at != Some(self.received) {
-            self.gap_found_at = Some(self.received);
+        if self.answers.finds_gap(self.received, self.next_offset) {
             self.go_back();
         }
+        is_news
     }
 
     fn advance(&mut self, received: u64) {
@@ -327,25 +311,12 @@
         if received > self.went_back_from {
             self.expected_repeats = 0;
         }
-        self.settle_order();
-    }
-
-    /// Once the follower has more than was sent when an answer brought no news, what it has not
-    /// acknowledged is what is not answered, whatever came twice before.
-    fn settle_order(&mut self) {
-        let received = self.received;
-        if self
-            .disordered_through
-            .take_if(|through| received > *through)
-            .is_some()
-        {
-            self.unanswered = self.held.len();
-        }
+        self.answers.on_received(received, self.held.len());
     }
 
     /// An answer that another one overtook says nothing of what was dropped.
     fn answer_without_news(&mut self, received: u64) {
-        self.disordered_through = Some(self.next_offset);
+        self.answers.on_answer_without_news(self.next_offset);
         if received < self.received {
             return;
         }
