--- a/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
@@ -40,6 +40,11 @@
                 from: 3,
                 wait: Duration::from_millis(40),
             }),
+            "long-read" => Some(BatchCall::Read {
+                job,
+                from: 3,
+                wait: Duration::from_secs(10),
+            }),
             "item" => Some(BatchCall::ReadItem {
                 job,
                 item: ItemId::from("item"),
