consensus: what seems lost at a stall may still be answered

Cause: began its count of answers anew at a stall. A member that was only late with its first answers then answered a window more than was counted; each window looked like a gap, and the answers to what was sent again kept it so. Change: the count goes on over a stall; going back counts as a disorder, so that the count is set right once the member has more than was sent by then. Why it works: a count that is too high only lets a gap wait for a stall, as before; it is never too low but for an answer that came twice.

--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -223,7 +223,6 @@
     /// it is probed with the first chunk, which only one that restarted answers.
     pub(crate) fn resend(&mut self) {
         self.is_unreadable = false;
-        self.answers.on_stall();
         if self.has_restarted() {
             self.received = self.reported;
         }
@@ -263,6 +262,7 @@
         self.growth = 1;
         self.expected_repeats = 2 * self.held.len();
         self.went_back_from = self.next_offset;
+        self.answers.on_disorder(self.next_offset);
         self.next_offset = self.received;
     }
 
@@ -316,7 +316,7 @@
 
     /// An answer that another one overtook says nothing of what was dropped.
     fn answer_without_news(&mut self, received: u64) {
-        self.answers.on_answer_without_news(self.next_offset);
+        self.answers.on_disorder(self.next_offset);
         if received < self.received {
             return;
         }
