messages: format 2, with lists of gateways and reports of load

Change: the range of formats is 1 to 2; five variants at the end of the messages of gateways and coordinators; both ends keep the format of a link and send the new ones only where it is 2. Nothing is sent yet. Safe: the bytes of all present messages are unchanged, hellos differ in the range alone, which older builds ignore or read. Measured: tests of messages, hellos, formats and unknown forms pass.

--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -43,9 +43,10 @@
 };
 pub use messages::{
     BreakCause, CallReply, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, FormatRange,
-    GatewayHello, GatewayMessage, GatewayStatus, HeartbeatAnswer, IncomingFrame, ItemAssignment,
-    ItemOutcome, ItemProgress, KnownLeader, NotRunReason, ObservedCrash, Refusal, RefusedPeers,
-    Reply, Request, RunningItem, with_own_formats,
+    GatewayHello, GatewayListUpdate, GatewayMessage, GatewayStatus, HeartbeatAnswer, IncomingFrame,
+    ItemAssignment, ItemOutcome, ItemProgress, KnownLeader, LOAD_REPORTS_FORMAT, ListedGateway,
+    MeasuredPace, NotRunReason, ObservedCrash, Refusal, RefusedPeers, Reply, Request, RunningItem,
+    ScoringLoad, with_own_formats,
 };
 pub use provider::{CapacityOrder, DutyHolder, ProviderAnswer, UsageReport};
 pub use registry::{Heartbeat, ModelVersion, ServerRecord, UnchangedServer};
--- a/crates/gateways/wingshore-coordination/src/messages/coordinator.rs
+++ b/crates/gateways/wingshore-coordination/src/messages/coordinator.rs
@@ -2,6 +2,7 @@
 
 use super::group::Reply;
 use super::items::ItemAssignment;
+use super::load_reports::GatewayListUpdate;
 use crate::ids::AssignmentId;
 use crate::scoring::ScoringAssignment;
 use crate::site_time::WallTime;
@@ -72,6 +73,9 @@
         /// Wall-clock time of the coordinator.
         wall: WallTime,
     },
+    /// An update of the list of ready gateways, for a gateway that follows it on this link. Since
+    /// [`LOAD_REPORTS_FORMAT`](super::LOAD_REPORTS_FORMAT).
+    Gateways(GatewayListUpdate),
 }
 
 /// Answer of a coordinator to a gateway's call.
--- a/crates/gateways/wingshore-coordination/src/messages/formats.rs
+++ b/crates/gateways/wingshore-coordination/src/messages/formats.rs
@@ -22,6 +22,10 @@
 /// it is reached, all are forgotten and reported again.
 const MAX_REMEMBERED_PEERS: usize = 16_384;
 
+/// The first format with lists of gateways, reports of the load of scoring services, measured paces
+/// of engines, and weights of gateways.
+pub const LOAD_REPORTS_FORMAT: u16 = 2;
+
 /// The range of formats that a program supports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormatRange {
@@ -38,7 +42,10 @@
         newest: 1,
     };
     /// Range of this program.
-    pub const OWN: Self = Self::FIRST;
+    pub const OWN: Self = Self {
+        oldest: 1,
+        newest: LOAD_REPORTS_FORMAT,
+    };
 
     /// Returns the newest format in both ranges; `None` if they do not overlap.
     pub fn common(self, other: Self) -> Option<u16> {
--- a/crates/gateways/wingshore-coordination/src/messages/gateway.rs
+++ b/crates/gateways/wingshore-coordination/src/messages/gateway.rs
@@ -2,6 +2,7 @@
 
 use super::group::Request;
 use super::items::{ItemOutcome, ItemProgress, RunningItem};
+use super::load_reports::{MeasuredPace, ScoringLoad};
 use crate::evidence::CrashEvidence;
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, ItemKey, JobId};
@@ -124,4 +125,13 @@
         /// Maximum time that the answer may wait for a result.
         wait: Duration,
     },
+    /// Subscribes to the list of ready gateways: the receiver sends the list and each later change
+    /// of it. Since [`LOAD_REPORTS_FORMAT`](super::LOAD_REPORTS_FORMAT), like the variants below.
+    FollowGateways,
+    /// What was observed at scoring services since the previous report.
+    ScoringLoad(Vec<ScoringLoad>),
+    /// To a new leader: the paces of engines that the gateway measured.
+    EnginePaces(Vec<MeasuredPace>),
+    /// How much work the gateway can carry, relative to other gateways.
+    Weight(u32),
 }
--- a/crates/gateways/wingshore-coordination/tests/golden/mod.rs
+++ b/crates/gateways/wingshore-coordination/tests/golden/mod.rs
@@ -46,7 +46,8 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn unhex(digits: &str) -> Vec<u8> {
+/// Decodes hexadecimal digits.
+pub fn unhex(digits: &str) -> Vec<u8> {
     let pairs = (0..digits.len()).step_by(2);
     pairs
         .map(|at| u8::from_str_radix(&digits[at..at + 2], 16).unwrap())
--- a/crates/gateways/wingshore-coordination/tests/golden_hellos.rs
+++ b/crates/gateways/wingshore-coordination/tests/golden_hellos.rs
@@ -3,8 +3,8 @@
 #[allow(dead_code, reason = "`check` is used by other test files")]
 mod golden;
 
-use golden::check_bytes;
 use golden::examples::{address, gateway_id, gateway_status};
+use golden::{check_bytes, unhex};
 use googletest::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -83,6 +83,28 @@
     expect_that!(FormatRange::after_hello(rest), ok(eq(&FormatRange::OWN)));
 }
 
+/// Hellos of the release that announced the first format alone are still understood.
+#[gtest]
+fn hellos_of_the_first_format_are_decoded() {
+    let lines = include_str!("golden/hellos_of_first_format.txt").lines();
+    let stored: Vec<Vec<u8>> = lines
+        .map(|line| unhex(line.split_once(' ').unwrap().1))
+        .collect();
+    check_first_format(&stored[0], &gateway());
+    check_first_format(&stored[1], &coordinator());
+    check_first_format(&stored[2], &answer_to_a_gateway());
+}
+
+fn check_first_format<M>(stored: &[u8], hello: &M)
+where
+    M: DeserializeOwned + PartialEq + Debug,
+{
+    let (read, rest): (M, &[u8]) = postcard::take_from_bytes(stored).unwrap();
+    expect_that!(&read, eq(hello));
+    expect_that!(FormatRange::after_hello(rest), ok(eq(&FormatRange::FIRST)));
+    expect_that!(FormatRange::OWN.common(FormatRange::FIRST), some(eq(1)));
+}
+
 #[gtest]
 fn programs_without_format_ranges_decode_hellos_with_them() {
     check_both_releases_decode(&gateway());
--- a/crates/gateways/wingshore-coordination/tests/golden_messages.rs
+++ b/crates/gateways/wingshore-coordination/tests/golden_messages.rs
@@ -12,10 +12,11 @@
 use std::time::Duration;
 use wingshore_coordination::{
     BreakCause, CallReply, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, DurablePrefix,
-    GatewayHello, GatewayMessage, HeartbeatAnswer, IncomingFrame, ItemAssignment, ItemId,
-    ItemOutcome, ItemProgress, KnownLeader, NotRunReason, NotScoredReason, ObservedCrash, Request,
-    RunningItem, ScoringAssignment, ScoringOutcome, UnchangedServer, ViewChange, ViewContent,
-    ViewUpdate, WallTime,
+    GatewayHello, GatewayId, GatewayListUpdate, GatewayMessage, HeartbeatAnswer, IncomingFrame,
+    ItemAssignment, ItemId, ItemOutcome, ItemProgress, KnownLeader, ListedGateway, MeasuredPace,
+    NotRunReason, NotScoredReason, ObservedCrash, Request, RunningItem, ScoringAssignment,
+    ScoringLoad, ScoringOutcome, ServiceName, UnchangedServer, ViewChange, ViewContent, ViewUpdate,
+    WallTime,
 };
 use wingshore_types::{Epoch, LogIndex, ReplicaId};
 
@@ -148,6 +149,19 @@
             from: 200,
             wait: WAIT,
         },
+        GatewayMessage::FollowGateways,
+        GatewayMessage::ScoringLoad(vec![ScoringLoad {
+            service: ServiceName::from("scores"),
+            live_in_flight: 3,
+            in_time: 130,
+            overloaded: 1,
+        }]),
+        GatewayMessage::EnginePaces(vec![MeasuredPace {
+            instance: instance(),
+            microseconds_per_event: 39_000,
+            age: WAIT,
+        }]),
+        GatewayMessage::Weight(300),
     ]
 }
 
@@ -167,6 +181,10 @@
         GatewayMessage::FollowView { .. } => "follow_view",
         GatewayMessage::LeaveView => "leave_view",
         GatewayMessage::ReadCopy { .. } => "read_copy",
+        GatewayMessage::FollowGateways => "follow_gateways",
+        GatewayMessage::ScoringLoad(_) => "scoring_load",
+        GatewayMessage::EnginePaces(_) => "engine_paces",
+        GatewayMessage::Weight(_) => "weight",
     }
 }
 
@@ -246,9 +264,22 @@
             copy: None,
             wall: WallTime(-1),
         },
+        CoordinatorMessage::Gateways(GatewayListUpdate::Whole(vec![listed_gateway()])),
+        CoordinatorMessage::Gateways(GatewayListUpdate::Changed {
+            present: vec![listed_gateway()],
+            gone: vec![GatewayId(5)],
+        }),
     ]
 }
 
+fn listed_gateway() -> ListedGateway {
+    ListedGateway {
+        gateway: gateway_id(),
+        front: address(4, 80),
+        zone: "zone-a".to_owned(),
+    }
+}
+
 fn name_of_coordinator_message(message: &CoordinatorMessage) -> &'static str {
     match message {
         CoordinatorMessage::Leading { .. } => "leading",
@@ -261,6 +292,8 @@
         CoordinatorMessage::Score(_) => "score",
         CoordinatorMessage::ReleaseScoring { .. } => "release_scoring",
         CoordinatorMessage::Alive { .. } => "alive",
+        CoordinatorMessage::Gateways(GatewayListUpdate::Whole(_)) => "gateways_whole",
+        CoordinatorMessage::Gateways(GatewayListUpdate::Changed { .. }) => "gateways_changed",
     }
 }
 
--- a/crates/gateways/wingshore-coordinator/src/process/formats.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/formats.rs
@@ -9,11 +9,23 @@
 use wingshore_types::Instant;
 
 impl Coordinator {
-    /// Returns whether a peer shares a message format with this build; `rest` holds the bytes after
-    /// its hello message. A peer that shares none is counted, and logged unless it already was.
-    pub(super) fn shares_format(&mut self, peer: SocketAddr, rest: &[u8]) -> bool {
-        let Err(refusal) = self.refused_peers.negotiate(peer, rest) else {
-            return true;
+    /// Returns whether a peer shares a message format with this build, and records the format of
+    /// the link; `rest` holds the bytes after its hello message. A peer that shares none is
+    /// counted, and logged unless it already was.
+    pub(super) fn shares_format(
+        &mut self,
+        connection: ConnectionId,
+        peer: SocketAddr,
+        rest: &[u8],
+    ) -> bool {
+        let refusal = match self.refused_peers.negotiate(peer, rest) {
+            Ok(format) => {
+                if let Some(Role::Link(link)) = self.roles.get_mut(&connection) {
+                    link.format = Some(format);
+                }
+                return true;
+            }
+            Err(refusal) => refusal,
         };
         self.metrics.peer_refused();
         if refusal.is_first {
--- a/crates/gateways/wingshore-coordinator/src/process/gateways.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/gateways.rs
@@ -160,7 +160,11 @@
             item,
             outcome,
         },
-        GatewayMessage::FollowView { .. }
+        GatewayMessage::ScoringLoad(_)
+        | GatewayMessage::EnginePaces(_)
+        | GatewayMessage::Weight(_)
+        | GatewayMessage::FollowGateways
+        | GatewayMessage::FollowView { .. }
         | GatewayMessage::LeaveView
         | GatewayMessage::ReadCopy { .. }
         | GatewayMessage::Call { .. } => return None,
--- a/crates/gateways/wingshore-coordinator/src/process/links.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/links.rs
@@ -35,7 +35,7 @@
     ) {
         match frame {
             IncomingFrame::Gateway(hello) => {
-                if self.shares_format(hello.front, rest) {
+                if self.shares_format(connection, hello.front, rest) {
                     self.on_gateway_hello(now, connection, hello);
                 } else {
                     self.refuse_gateway(now, connection);
@@ -66,7 +66,7 @@
     ) {
         match frame {
             CoordinatorFrame::Hello(hello) => {
-                if self.shares_format(hello.internal, rest) {
+                if self.shares_format(connection, hello.internal, rest) {
                     self.on_coordinator_hello(now, connection, hello);
                 } else {
                     self.refuse_coordinator(now, connection);
--- a/crates/gateways/wingshore-coordinator/src/process/roles.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/roles.rs
@@ -21,5 +21,7 @@
 #[derive(Default)]
 pub(super) struct Link {
     pub(super) gateway: Option<GatewayId>,
+    /// The message format of the link; `None` before the peer's hello.
+    pub(super) format: Option<u16>,
     pub(super) coordinator: Option<ReplicaId>,
 }
--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -39,8 +39,9 @@
     state_since: Instant,
     /// When the last message arrived.
     last_message_at: Instant,
-    /// Whether the first heartbeat, which carries the supported formats, has arrived.
-    formats_checked: bool,
+    /// The message format of the link; `None` before the first heartbeat, which carries the
+    /// formats that the coordinator supports.
+    format: Option<u16>,
     /// Addresses of other coordinators that this one has announced.
     known_coordinators: Vec<SocketAddr>,
     /// The coordinator's copy of the state, once it has announced one.
@@ -112,6 +113,12 @@
         self.addresses.get(&connection).copied()
     }
 
+    /// Returns whether messages of `format` can be sent to a coordinator.
+    pub(crate) fn speaks(&self, address: SocketAddr, format: u16) -> bool {
+        let known = self.links.get(&address).and_then(|link| link.format);
+        known.is_some_and(|known| known >= format)
+    }
+
     /// Returns all connections that are up.
     pub(crate) fn connected(&self) -> Vec<ConnectionId> {
         let links = self.links.values();
@@ -194,7 +201,7 @@
             is_connected: false,
             state_since: now,
             last_message_at: now,
-            formats_checked: false,
+            format: None,
             known_coordinators: previous
                 .map(|link| link.known_coordinators)
                 .unwrap_or_default(),
@@ -264,11 +271,15 @@
         let Some(link) = self.links.get_mut(&address) else {
             return false;
         };
-        if std::mem::replace(&mut link.formats_checked, true) {
+        if link.format.is_some() {
             return true;
         }
-        let Err(refusal) = self.refused.negotiate(address, rest) else {
-            return true;
+        let refusal = match self.refused.negotiate(address, rest) {
+            Ok(format) => {
+                link.format = Some(format);
+                return true;
+            }
+            Err(refusal) => refusal,
         };
         runtime.metrics.peer_refused();
         if refusal.is_first {
--- a/crates/gateways/wingshore-gateway/src/process/group.rs
+++ b/crates/gateways/wingshore-gateway/src/process/group.rs
@@ -136,6 +136,8 @@
                 links.heartbeat(address, coordinators, copy);
                 self.follow_view();
             }
+            // Only gateways that answer directory questions follow the list.
+            CoordinatorMessage::Gateways(_) => {}
         }
     }
 
