gateway: Retry-After while no configuration is known is the expected rest of the start

Safe: the answer is still a true 'not run' given at once, only its Retry-After differs; callers without Retry-After support see no difference.

--- a/crates/gateways/wingshore-gateway/src/admission.rs
+++ b/crates/gateways/wingshore-gateway/src/admission.rs
@@ -20,6 +20,7 @@
 use crate::protocol::{BatchCall, OwnAnswer};
 use crate::site::Site;
 use std::sync::Arc;
+use std::time::Duration;
 use wingshore_coordination::{Caller, Route, RouteKind, TenantName};
 use wingshore_net::http::{Headers, RequestHead};
 
@@ -40,6 +41,8 @@
     Ready,
     /// Answer with the metrics.
     Metrics,
+    /// Refuse the request, since no configuration is known yet.
+    Unconfigured,
     /// Refuse the request.
     Refused(Refusal),
     /// Handle a call about a batch job.
@@ -59,11 +62,6 @@
 }
 
 impl Refusal {
-    /// The gateway has no configuration yet.
-    const UNCONFIGURED: Self = Self {
-        answer: OwnAnswer::NotRun(RETRY_AFTER),
-        reason: "no configuration is known yet",
-    };
     /// No route matches.
     const NO_ROUTE: Self = Self {
         answer: OwnAnswer::NoRoute,
@@ -85,6 +83,14 @@
         reason: "the request did not arrive completely within the configured limits",
     };
 
+    /// The gateway has no configuration yet.
+    pub(crate) fn unconfigured(retry_after: Duration) -> Self {
+        Self {
+            answer: OwnAnswer::NotRun(retry_after),
+            reason: "no configuration is known yet",
+        }
+    }
+
     /// The caller has no valid key.
     fn unauthorized(site: &Site, headers: &Headers) -> Self {
         let has_key = site.protocol.read_key(headers).is_some();
@@ -108,7 +114,7 @@
         ListenerKind::Front => {}
     }
     if !site.view.is_configured() {
-        return Admission::Refused(Refusal::UNCONFIGURED);
+        return Admission::Unconfigured;
     }
     if let Some(call) = site.protocol.read_batch_call(head) {
         return match batch_caller(site, head) {
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod settings;
 mod site;
 mod split;
+mod start_estimate;
 mod streams;
 mod suspects;
 mod timers;
@@ -72,5 +73,6 @@
 };
 pub use scoring_policy::{ScoringEnd, end_with_answer, end_without_answer, max_scorings};
 pub use settings::{GatewayPolicy, GatewaySettings};
+pub use start_estimate::StartEstimate;
 pub use view::{UpdateOutcome, View};
 pub use view_source::{Candidate, ChoiceInputs, ViewSource};
--- a/crates/gateways/wingshore-gateway/src/process/group.rs
+++ b/crates/gateways/wingshore-gateway/src/process/group.rs
@@ -30,6 +30,8 @@
     }
 
     pub(super) fn on_link_up(&mut self, connection: ConnectionId, address: SocketAddr) {
+        let now = self.environment.runtime.now;
+        self.start_estimate.coordinator_reached(now);
         self.environment
             .site
             .coordinators
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -26,6 +26,7 @@
 use crate::servers::Servers;
 use crate::settings::GatewaySettings;
 use crate::site::Site;
+use crate::start_estimate::StartEstimate;
 use crate::timers::Timers;
 use crate::usage::UsageCounter;
 use crate::view::View;
@@ -61,6 +62,7 @@
     id: GatewayId,
     environment: Environment,
     view_follower: ViewFollower,
+    start_estimate: StartEstimate,
     clients: Clients,
     calls: Calls,
     exchanges: Exchanges,
@@ -96,6 +98,7 @@
         Ok(Self {
             environment: new_environment(&settings, reactor, protocol, logger),
             view_follower: ViewFollower::new(id.0),
+            start_estimate: StartEstimate::default(),
             clients: Clients::default(),
             calls: Calls::new(settings.policy.near_copies),
             exchanges: Exchanges::new(rand::random()),
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -47,6 +47,12 @@
                 let answer = self.metrics_answer();
                 self.answer_whole(client, &answer);
             }
+            Admission::Unconfigured => {
+                let now = self.environment.runtime.now;
+                let retry_after = self.start_estimate.retry_after(now);
+                let refusal = Refusal::unconfigured(retry_after);
+                self.refuse(client, &request.head, refusal);
+            }
             Admission::Refused(refusal) => self.refuse(client, &request.head, refusal),
             Admission::BatchCall(call, caller) => {
                 let call = call.with_max_wait(self.max_answer_hold());
