coordinator: send gateways the list of ready gateways

Cause: clients ask a directory before almost each request, and only coordinators answer; one without power costs its callers a second each. Gateways that are to answer need the list of ready gateways. Change: gateway_feed decides what each follower is sent: the whole list, then changes; a gateway that is gone at once, additions with the periodic check of 100 ms; at most 64 of a zone; nothing on a full link, then the whole list. A coordinator that hears no leader, or has heard one for less than 1.5 s, does not shorten the list by silence and sends no first list. The rule which gateways a client is given moves to wingshore-coordination, since gateways will use it too; the largest age of a status moves to the directory that applies it. Safe: a link of the first format is never sent a list (test), and nobody asks for one yet.

--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod evidence;
 mod fingerprint;
+mod gateway_selection;
 mod ids;
 mod jobs;
 mod leader;
@@ -31,6 +32,7 @@
 };
 pub use evidence::{CrashEvidence, Suspect};
 pub use fingerprint::{FingerprintKey, RequestContent, RequestFingerprint};
+pub use gateway_selection::{MAX_ADDRESSES, ReadyGateway, gateways_for_client};
 pub use ids::{
     AssignmentId, GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServerName,
     ServiceName, StartTime, TenantName,
--- a/crates/gateways/wingshore-coordinator/src/directory.rs
+++ b/crates/gateways/wingshore-coordinator/src/directory.rs
@@ -1,24 +1,25 @@
-//! Gateways that are connected to this coordinator, and which of them clients are given. A decision
-//! without I/O.
+//! Gateways that are connected to this coordinator, and which of them are ready. A decision without
+//! I/O.
 //!
-//! Question: which gateways is a client in a zone given? Inputs: the hello messages of gateways and
-//! their status reports, one every 400 ms; the client's zone; the largest age of a status. Rule:
-//! gateways that are ready and have reported recently; only those of the client's own zone where
-//! there are at least two, otherwise those of all zones; at most [`MAX_ADDRESSES`]. Why: calls stay
-//! in the zone, and a client still has a gateway when one ends. A gateway whose status is too old
-//! is left out; if none is left, the client is answered with a Retry-After.
+//! Question: which gateways can clients be directed to? Inputs: the hello messages of gateways and
+//! their status reports, one every 400 ms. Rule: gateways that are ready and whose last report is no
+//! older than [`MAX_GATEWAY_REPORT_AGE`]; [`gateways_for_client`] selects those for one client. Why:
+//! a gateway that does not report may be lost, and a caller that is sent to it waits in vain. A
+//! gateway whose status is too old is left out; if none is left, the client is answered with a
+//! Retry-After.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use wingshore_coordination::{GatewayHello, GatewayId, GatewayStatus};
+use wingshore_coordination::{
+    GatewayHello, GatewayId, GatewayStatus, ListedGateway, ReadyGateway, gateways_for_client,
+};
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
 
-/// Largest number of addresses in one answer, which keeps it within one or two packets.
-const MAX_ADDRESSES: usize = 64;
-/// Number of gateways in a client's own zone from which on it is given only those.
-const MIN_GATEWAYS_IN_ZONE: usize = 2;
+/// Maximum age of a gateway's last status report for it to be listed to clients: time for three
+/// reports.
+const MAX_GATEWAY_REPORT_AGE: Duration = Duration::from_millis(1300);
 
 /// Address of a gateway, as clients are given it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,30 +101,45 @@
         self.gateways.values()
     }
 
-    /// Returns the gateways for a client in `zone`, out of those whose last report is no older than
-    /// `max_age`.
-    pub(crate) fn for_client(
-        &self,
-        now: Instant,
-        zone: &str,
-        max_age: Duration,
-    ) -> Vec<GatewayAddress> {
-        let ready: Vec<&ConnectedGateway> = self
-            .gateways
-            .values()
-            .filter(|gateway| {
-                gateway.hello.status.ready && now.since(gateway.last_reported_at) <= max_age
-            })
-            .collect();
-        let in_zone = ready.iter().filter(|gateway| gateway.hello.zone == zone);
-        let only_in_zone = in_zone.count() >= MIN_GATEWAYS_IN_ZONE;
+    /// Returns the gateways for a client in `zone`.
+    pub(crate) fn for_client(&self, now: Instant, zone: &str) -> Vec<GatewayAddress> {
+        let ready: Vec<ReadyGateway<'_>> = self.ready(now).map(place).collect();
+        let fronts = gateways_for_client(&ready, zone);
+        fronts
+            .into_iter()
+            .map(|front| GatewayAddress { front })
+            .collect()
+    }
+
+    /// Returns all ready gateways, as other gateways list them.
+    pub(crate) fn listed(&self, now: Instant) -> BTreeMap<GatewayId, ListedGateway> {
+        let ready = self.ready(now);
         ready
-            .iter()
-            .filter(|gateway| !only_in_zone || gateway.hello.zone == zone)
-            .take(MAX_ADDRESSES)
-            .map(|gateway| GatewayAddress {
-                front: gateway.hello.front,
-            })
+            .map(|gateway| (gateway.hello.gateway, list_entry(&gateway.hello)))
             .collect()
     }
+
+    /// Returns the gateways that are ready and have reported recently.
+    fn ready(&self, now: Instant) -> impl Iterator<Item = &ConnectedGateway> {
+        let has_reported = move |gateway: &ConnectedGateway| {
+            now.since(gateway.last_reported_at) <= MAX_GATEWAY_REPORT_AGE
+        };
+        let connected = self.gateways.values();
+        connected.filter(move |gateway| gateway.hello.status.ready && has_reported(gateway))
+    }
+}
+
+fn place(gateway: &ConnectedGateway) -> ReadyGateway<'_> {
+    ReadyGateway {
+        front: gateway.hello.front,
+        zone: &gateway.hello.zone,
+    }
+}
+
+fn list_entry(hello: &GatewayHello) -> ListedGateway {
+    ListedGateway {
+        gateway: hello.gateway,
+        front: hello.front,
+        zone: hello.zone.clone(),
+    }
 }
--- a/crates/gateways/wingshore-coordinator/src/lib.rs
+++ b/crates/gateways/wingshore-coordinator/src/lib.rs
@@ -8,7 +8,7 @@
 //! - Decisions, without I/O and clocks: [`membership`](MembershipPlanner), [`lost`](LostMachines),
 //!   [`silence`](StallDetector), [`heartbeats`](HeartbeatRelay), [`directory`](GatewayAddress),
 //!   [`call_rate`](CallRate), [`budget`](MemoryBudget), [`view_feed`](ViewFeed), [`dials`](Dials),
-//!   [`sent_states`](SentStates), [`forwarded_heartbeats`](ForwardedHeartbeats), `text_queue`.
+//!   [`gateway_feed`](GatewayFeed), [`sent_states`](SentStates), [`forwarded_heartbeats`](ForwardedHeartbeats), `text_queue`.
 //! - State: `peers` (other coordinators), [`texts`](TextArchive) and [`spool`](FileSpool) on disk.
 //! - Adapters: [`ControlProtocol`], [`EngineProtocol`] and [`ProviderProtocol`] translate the wire
 //!   protocols of a deployment. This crate itself knows only the protocol between the site's own
@@ -24,6 +24,7 @@
 mod directory;
 mod error;
 mod forwarded_heartbeats;
+mod gateway_feed;
 mod heartbeats;
 mod identity;
 mod lost;
@@ -48,6 +49,7 @@
 pub use directory::GatewayAddress;
 pub use error::CoordinatorError;
 pub use forwarded_heartbeats::{AnsweredHeartbeat, ForwardStep, ForwardedHeartbeats, LeaderRoute};
+pub use gateway_feed::{GatewayFeed, GroupContact};
 pub use heartbeats::{HeartbeatAction, HeartbeatRelay};
 pub use lost::LostMachines;
 pub use membership::{KnownCoordinator, MembershipPlanner, MembershipView, Shortage};
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -13,9 +13,6 @@
 use wingshore_net::http::{HttpAnswer, WholeRequest};
 use wingshore_types::{Instant, ReplicaId};
 
-/// Maximum age of a gateway's last status report for it to be listed to clients: time for three
-/// reports.
-const MAX_GATEWAY_REPORT_AGE: Duration = Duration::from_millis(1300);
 /// Idle connections of callers are closed after this time.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Content type of the metrics text.
@@ -153,7 +150,7 @@
     fn answer_locally(&self, now: Instant, question: &LocalRequest) -> ControlAnswer {
         match question {
             LocalRequest::Gateways { zone } => {
-                let gateways = self.directory.for_client(now, zone, MAX_GATEWAY_REPORT_AGE);
+                let gateways = self.directory.for_client(now, zone);
                 if gateways.is_empty() {
                     return ControlAnswer::Unavailable;
                 }
--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -51,6 +51,7 @@
     /// Removes a connection's role, and marks its gateway or coordinator as disconnected.
     pub(super) fn remove_connection(&mut self, now: Instant, connection: ConnectionId) {
         self.view_feed.leave(connection);
+        self.gateway_feed.leave(connection);
         match self.roles.remove(&connection) {
             Some(Role::Link(Link {
                 gateway: Some(gateway),
--- a/crates/gateways/wingshore-coordinator/src/process/gateways.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/gateways.rs
@@ -1,6 +1,7 @@
 //! Gateways that are connected to this coordinator: their hellos, their reports, and `Alive`
 //! messages to them.
 
+use super::housekeeping::GATEWAY_TIMEOUT;
 use super::{Coordinator, ReplyTarget, Role};
 use slog::info;
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
         if let Some(replaced) = self.directory.connected(now, hello, connection) {
             self.reactor.close(replaced);
             self.view_feed.leave(replaced);
+            self.gateway_feed.leave(replaced);
             self.roles.remove(&replaced);
         }
         let coordinators = self.coordinator_addresses();
@@ -46,7 +48,11 @@
     ) {
         match message {
             GatewayMessage::FollowView { since } => self.view_feed.follow(connection, since),
-            GatewayMessage::LeaveView => self.view_feed.leave(connection),
+            GatewayMessage::LeaveView => {
+                self.view_feed.leave(connection);
+                self.gateway_feed.leave(connection);
+            }
+            GatewayMessage::FollowGateways => self.on_follow_gateways(connection),
             GatewayMessage::ReadCopy {
                 id,
                 job,
@@ -59,6 +65,9 @@
             report => {
                 if let GatewayMessage::Status(status) = &report {
                     self.directory.status_reported(now, gateway, *status);
+                    if !status.ready {
+                        self.send_gateway_gone(gateway);
+                    }
                 }
                 self.count_outcomes(&report);
                 if let Some(event) = leader_event(gateway, report) {
@@ -116,6 +125,10 @@
         };
         info!(self.logger, "gateway lost"; "gateway" => gateway.0);
         let silence = now.since(known.last_reported_at);
+        // A connection that was closed for silence shows nothing about the gateway yet.
+        if silence <= GATEWAY_TIMEOUT {
+            self.send_gateway_gone(gateway);
+        }
         let event = Event::GatewayDisconnected { gateway, silence };
         self.inputs.push(HostInput::Event(event));
     }
--- a/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
@@ -14,7 +14,7 @@
 /// Time without a status report after which a gateway is disconnected and its items are started
 /// elsewhere: two and a half intervals of its status reports. The items of an unreachable gateway
 /// make no progress for this time, which delays every step that waits for one of them by as much.
-const GATEWAY_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(super) const GATEWAY_TIMEOUT: Duration = Duration::from_millis(1000);
 
 impl Coordinator {
     /// Runs the periodic work that is due.
@@ -38,6 +38,7 @@
                 self.close_connection(now, connection);
             }
         }
+        self.send_gateway_changes(now);
         self.close_idle_callers(now);
         self.answer_late_heartbeats(now);
         self.plan_members(now);
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -14,6 +14,7 @@
 mod disk;
 mod duties;
 mod formats;
+mod gateway_lists;
 mod gateways;
 mod group;
 mod heartbeats;
@@ -39,6 +40,7 @@
 use crate::directory::Directory;
 use crate::error::{CoordinatorError, NetSnafu, StorageSnafu};
 use crate::forwarded_heartbeats::ForwardedHeartbeats;
+use crate::gateway_feed::GatewayFeed;
 use crate::heartbeats::HeartbeatRelay;
 use crate::metrics::CoordinatorMetrics;
 use crate::outgoing_calls::OutgoingCalls;
@@ -104,6 +106,8 @@
     copy_readers: Vec<CopyReader>,
     /// How much of the view each subscribed gateway has received.
     view_feed: ViewFeed<ConnectionId>,
+    /// Gateways that follow the list of ready gateways, and the list that they were sent.
+    gateway_feed: GatewayFeed<ConnectionId>,
     /// The coordinator addresses that were last sent to gateways.
     announced_coordinators: Vec<SocketAddr>,
     /// Servers whose heartbeats this coordinator acknowledges without asking the leader.
--- a/crates/gateways/wingshore-coordinator/src/process/start.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/start.rs
@@ -9,6 +9,7 @@
 use crate::directory::Directory;
 use crate::error::{CoordinatorError, NetSnafu, ThreadSnafu};
 use crate::forwarded_heartbeats::ForwardedHeartbeats;
+use crate::gateway_feed::GatewayFeed;
 use crate::heartbeats::HeartbeatRelay;
 use crate::metrics::CoordinatorMetrics;
 use crate::outgoing_calls::{CallProtocols, OutgoingCalls};
@@ -110,6 +111,7 @@
             pending: PendingCalls::default(),
             copy_readers: Vec::new(),
             view_feed: ViewFeed::default(),
+            gateway_feed: GatewayFeed::default(),
             announced_coordinators: Vec::new(),
             heartbeats: HeartbeatRelay::default(),
             forwarded: ForwardedHeartbeats::new(settings.server_expiry()),
--- a/crates/gateways/wingshore-coordinator/src/view_feed.rs
+++ b/crates/gateways/wingshore-coordinator/src/view_feed.rs
@@ -22,7 +22,7 @@
 
 /// Bytes waiting for a gateway beyond which it is sent nothing new; changes meanwhile are sent
 /// once, in their latest state. Sending them takes 35 ms on a link of 60 Mbit/s.
-const MAX_QUEUED_BYTES: usize = 256 * 1024;
+pub(crate) const MAX_QUEUED_BYTES: usize = 256 * 1024;
 /// Gateways that are sent the whole view at a time. The others wait: the first ones then have it
 /// after a few ms, whereas all would have it only after seconds if they shared the link.
 const MAX_WHOLE_VIEWS_IN_FLIGHT: usize = 16;
