gateway: answer clients that ask for gateways

Change: with the optional setting `directory` a gateway listens there, follows the list at the coordinator whose view it follows where the link speaks format 2, and answers by the decision gateway_directory: the list while it was confirmed within 3 s, itself among them while it is ready; itself alone, for half a second, without such a list; 503 otherwise. The adapter reads the question and writes the answer in one module for both roles. Counter of answers, gauges of the list's age and size, log lines when the list becomes too old and is in use again. Safe: without the setting nothing is listened on or asked for; the bytes of the answers are unchanged (golden wire).

--- a/crates/gateways/wingshore-gateway/src/admission.rs
+++ b/crates/gateways/wingshore-gateway/src/admission.rs
@@ -5,7 +5,8 @@
 //! **Inputs.** The configuration in force (routes, tenants, keys), the listener that the connection
 //! came in on, and the head of the request.
 //!
-//! **Rule.** Without a configuration nothing is admitted. A call about a batch job needs a key in
+//! **Rule.** The listeners for readiness, metrics and the directory answer their own questions only.
+//! Without a configuration nothing else is admitted. A call about a batch job needs a key in
 //! force, unless a batch route of its host is public. Any other request needs a route for its host
 //! and path, and a key in force unless the route is public. A request whose head shows that it
 //! cannot be admitted is refused before its body arrives.
@@ -32,6 +33,8 @@
     Ready,
     /// For monitoring.
     Metrics,
+    /// For clients that ask which gateways they may use.
+    Directory,
 }
 
 /// The decision on a request.
@@ -40,6 +43,8 @@
     Ready,
     /// Answer with the metrics.
     Metrics,
+    /// Answer which gateways a client in this zone may use.
+    Directory { zone: String },
     /// Refuse the request.
     Refused(Refusal),
     /// Handle a call about a batch job.
@@ -69,6 +74,11 @@
         answer: OwnAnswer::NoRoute,
         reason: "no route of the configuration in force matches this host and path",
     };
+    /// The listener of the directory answers one call only.
+    const NO_QUESTION: Self = Self {
+        answer: OwnAnswer::NoRoute,
+        reason: "the directory knows no such call",
+    };
     /// The route has no service to forward to.
     pub(crate) const NO_SERVICE: Self = Self {
         answer: OwnAnswer::NotRun(RETRY_AFTER),
@@ -105,6 +115,7 @@
     match listener_kind {
         ListenerKind::Ready => return Admission::Ready,
         ListenerKind::Metrics => return Admission::Metrics,
+        ListenerKind::Directory => return admit_question(site, head),
         ListenerKind::Front => {}
     }
     if !site.view.is_configured() {
@@ -128,6 +139,14 @@
     }
 }
 
+/// Decides what to do with a request on the listener of the directory.
+fn admit_question(site: &Site, head: &RequestHead) -> Admission {
+    match site.protocol.read_directory_question(head) {
+        Some(zone) => Admission::Directory { zone },
+        None => Admission::Refused(Refusal::NO_QUESTION),
+    }
+}
+
 /// Returns why a request is refused if its head alone shows that it cannot be admitted.
 pub(crate) fn refuse_early(
     site: &Site,
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod forward;
 mod forward_ends;
 mod forward_log;
+mod gateway_directory;
 mod ids;
 mod item_attempt;
 mod item_policy;
@@ -64,6 +65,9 @@
 pub use crashes::CrashDetector;
 pub use error::GatewayError;
 pub use event_stream::{EventReader, StreamEvent, take_complete_events};
+pub use gateway_directory::{
+    DirectoryAnswer, DirectoryQuestion, GatewayDirectory, LIST_LIFETIME, OwnStatus, SHORT_VALIDITY,
+};
 pub use item_policy::{ItemAnswer, classify_item_answer, is_upload_due};
 pub use limit::{ConcurrencyLimit, LoadSignal};
 pub use process::Gateway;
--- a/crates/gateways/wingshore-gateway/src/metrics.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics.rs
@@ -18,6 +18,9 @@
 /// Number of buckets; the upper bound of the last one is 10.2 s.
 const BUCKET_COUNT: u16 = 12;
 
+/// Value of the age of the list of gateways where there is none.
+const NO_LIST: i64 = -1;
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct RequestLabels {
     route: String,
@@ -40,6 +43,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AnswerLabel {
+    answer: &'static str,
+}
+
 #[derive(Clone)]
 struct DurationBuckets;
 
@@ -66,6 +74,8 @@
     pub(crate) coordinators: usize,
     pub(crate) leader_known: bool,
     pub(crate) ready: bool,
+    pub(crate) directory_age: Option<Duration>,
+    pub(crate) directory_listed: usize,
     pub(crate) configuration: u64,
     pub(crate) log_lines_left_out: u64,
 }
@@ -83,7 +93,7 @@
 }
 
 /// All gauges, in the order of the output.
-const GAUGES: [GaugeEntry; 12] = [
+const GAUGES: [GaugeEntry; 14] = [
     gauge("clients", "Connections of clients", |readings| {
         saturated(readings.clients)
     }),
@@ -122,6 +132,19 @@
     gauge("ready", "1 where clients may be sent here", |readings| {
         i64::from(readings.ready)
     }),
+    gauge(
+        "directory_list_age_milliseconds",
+        "Time since the list of ready gateways was last confirmed; -1 without a list",
+        |readings| {
+            let age = readings.directory_age;
+            age.map_or(NO_LIST, |age| saturated(age.as_millis()))
+        },
+    ),
+    gauge(
+        "directory_gateways",
+        "Gateways in the list that clients are answered by",
+        |readings| saturated(readings.directory_listed),
+    ),
     gauge(
         "configuration_version",
         "Version of the configuration acted by",
@@ -150,6 +173,7 @@
     scorings: Family<OutcomeLabel, Counter>,
     scoring_seconds: Histogram,
     calls: Family<CallLabels, Counter>,
+    directory_answers: Family<AnswerLabel, Counter>,
     peers_refused: Counter,
     /// The gauges, in the order of [`GAUGES`].
     gauges: Vec<Gauge>,
@@ -168,6 +192,7 @@
             scorings: Family::default(),
             scoring_seconds: DurationBuckets.new_metric(),
             calls: Family::default(),
+            directory_answers: Family::default(),
             peers_refused: Counter::default(),
             gauges: Vec::new(),
         };
@@ -221,6 +246,11 @@
             "Calls about batch jobs by kind and how they ended",
             self.calls.clone(),
         );
+        registry.register(
+            "directory_answers",
+            "Answers to clients that ask for gateways by what they were told",
+            self.directory_answers.clone(),
+        );
         registry.register(
             "peers_refused",
             "Connections refused since the coordinator at the other end speaks no common format",
@@ -272,6 +302,13 @@
         self.calls.get_or_create(&labels).inc();
     }
 
+    /// Records an answer to a client that asks for gateways.
+    pub(crate) fn directory_answered(&self, answer: &'static str) {
+        self.directory_answers
+            .get_or_create(&AnswerLabel { answer })
+            .inc();
+    }
+
     /// Records the refusal of a coordinator without a common format.
     pub(crate) fn peer_refused(&self) {
         self.peers_refused.inc();
--- a/crates/gateways/wingshore-gateway/src/process/group.rs
+++ b/crates/gateways/wingshore-gateway/src/process/group.rs
@@ -131,13 +131,15 @@
                 wall,
             } => {
                 self.environment.usage.record_wall_time(now, address, wall);
+                if copy.is_some() {
+                    self.directory.confirmed(now, address);
+                }
                 let copy = copy.map(|revision| StateCopy { zone, revision });
                 let links = &mut self.environment.site.coordinators;
                 links.heartbeat(address, coordinators, copy);
                 self.follow_view();
             }
-            // Only gateways that answer directory questions follow the list.
-            CoordinatorMessage::Gateways(_) => {}
+            CoordinatorMessage::Gateways(update) => self.on_gateway_list(address, update),
         }
     }
 
@@ -201,15 +203,18 @@
         }
     }
 
-    /// Follows the view from the best coordinator.
+    /// Follows the view, and the list of ready gateways, from the best coordinator.
     pub(super) fn follow_view(&mut self) {
         let site = &self.environment.site;
-        self.view_follower.follow(
+        let source = self.view_follower.follow(
             &mut self.environment.runtime,
             &site.coordinators,
             &site.view,
             &site.zone,
         );
+        if let Some(source) = source {
+            self.follow_gateways(source);
+        }
     }
 
     /// Handles a whole view or changes of it that a coordinator sent.
--- a/crates/gateways/wingshore-gateway/src/process/listeners.rs
+++ b/crates/gateways/wingshore-gateway/src/process/listeners.rs
@@ -15,6 +15,7 @@
 pub(super) struct Listeners {
     ready: Option<ListenerId>,
     metrics: Option<ListenerId>,
+    directory: Option<ListenerId>,
 }
 
 impl Listeners {
@@ -35,6 +36,7 @@
         Ok(Self {
             ready: settings.ready.map(&mut listen).transpose()?,
             metrics: settings.metrics.map(&mut listen).transpose()?,
+            directory: settings.directory.map(&mut listen).transpose()?,
         })
     }
 
@@ -44,6 +46,8 @@
             ListenerKind::Ready
         } else if Some(listener) == self.metrics {
             ListenerKind::Metrics
+        } else if Some(listener) == self.directory {
+            ListenerKind::Directory
         } else {
             ListenerKind::Front
         }
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Each part owns its state and returns the consequences of an event; the modules in here pass them
 //! on to other parts: [`network`] for connections, [`group`] for messages of coordinators,
-//! [`requests`] for clients' requests, [`work`] for results from servers.
+//! [`directory`] for the list of ready gateways, [`requests`] for clients' requests, [`work`] for
+//! results from servers.
 
+mod directory;
 mod group;
 mod listeners;
 mod network;
@@ -18,6 +20,7 @@
 use crate::environment::Environment;
 use crate::error::{GatewayError, NetSnafu};
 use crate::forward::Exchanges;
+use crate::gateway_directory::GatewayDirectory;
 use crate::items::Items;
 use crate::metrics::{GatewayMetrics, Readings};
 use crate::protocol::IngressProtocol;
@@ -35,7 +38,7 @@
 use snafu::ResultExt;
 use std::time::Duration;
 use wingshore_clock::Clock;
-use wingshore_coordination::{GatewayId, GatewayStatus};
+use wingshore_coordination::{GatewayId, GatewayStatus, ListedGateway};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_net::{Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
@@ -61,6 +64,9 @@
     id: GatewayId,
     environment: Environment,
     view_follower: ViewFollower,
+    directory: GatewayDirectory,
+    /// Whether the list of the directory was in use at the last check.
+    is_directory_fresh: bool,
     clients: Clients,
     calls: Calls,
     exchanges: Exchanges,
@@ -96,6 +102,8 @@
         Ok(Self {
             environment: new_environment(&settings, reactor, protocol, logger),
             view_follower: ViewFollower::new(id.0),
+            directory: GatewayDirectory::new(own_entry(&settings, id)),
+            is_directory_fresh: false,
             clients: Clients::default(),
             calls: Calls::new(settings.policy.near_copies),
             exchanges: Exchanges::new(rand::random()),
@@ -183,6 +191,8 @@
             coordinators: site.coordinators.connected().len(),
             leader_known: site.coordinators.leader().is_some(),
             ready: status.ready,
+            directory_age: self.directory.age(runtime.now),
+            directory_listed: self.directory.listed(),
             configuration: status.configuration,
             log_lines_left_out: self.log_counts.left_out(),
         }
@@ -203,6 +213,7 @@
         self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
         self.dial_coordinators();
         self.follow_view();
+        self.log_directory_freshness();
         self.environment.forget_old_servers();
         self.clients
             .forget_closed(&self.environment.runtime.reactor);
@@ -284,6 +295,15 @@
     }
 }
 
+/// Returns this gateway as other gateways list it.
+fn own_entry(settings: &GatewaySettings, id: GatewayId) -> ListedGateway {
+    ListedGateway {
+        gateway: id,
+        front: settings.front,
+        zone: settings.zone.clone(),
+    }
+}
+
 /// Creates the state that the parts of a gateway share.
 fn new_environment(
     settings: &GatewaySettings,
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -47,6 +47,7 @@
                 let answer = self.metrics_answer();
                 self.answer_whole(client, &answer);
             }
+            Admission::Directory { zone } => self.answer_directory(client, &zone),
             Admission::Refused(refusal) => self.refuse(client, &request.head, refusal),
             Admission::BatchCall(call, caller) => {
                 let call = call.with_max_wait(self.max_answer_hold());
--- a/crates/gateways/wingshore-gateway/src/protocol.rs
+++ b/crates/gateways/wingshore-gateway/src/protocol.rs
@@ -3,6 +3,7 @@
 //! A gateway handles requests, calls and answers; only the implementation of [`IngressProtocol`]
 //! knows their encoding.
 
+use crate::gateway_directory::DirectoryAnswer;
 use std::time::Duration;
 use wingshore_coordination::{ApiKey, ItemId, ItemState, JobId, JobPage, JobSubmission, TextError};
 use wingshore_net::http::{Headers, HttpAnswer, RequestHead, WholeRequest};
@@ -219,6 +220,11 @@
     fn write_batch(&self, answer: &BatchAnswer) -> HttpAnswer;
     /// Writes an answer that the gateway generated itself.
     fn write_own(&self, answer: &OwnAnswer) -> HttpAnswer;
+    /// Reads the question which gateways a client may use, and returns the client's zone; `None`
+    /// if the request is another one.
+    fn read_directory_question(&self, head: &RequestHead) -> Option<String>;
+    /// Writes the answer to that question.
+    fn write_directory(&self, answer: &DirectoryAnswer) -> HttpAnswer;
     /// Writes the answer to a readiness check.
     fn write_ready(&self, head: &RequestHead, ready: bool) -> HttpAnswer;
 }
--- a/crates/gateways/wingshore-gateway/src/settings.rs
+++ b/crates/gateways/wingshore-gateway/src/settings.rs
@@ -16,6 +16,8 @@
     pub front: SocketAddr,
     /// Address of the readiness check.
     pub ready: Option<SocketAddr>,
+    /// Address where clients ask which gateways they may use; `None` disables the directory.
+    pub directory: Option<SocketAddr>,
     /// Address that serves metrics.
     pub metrics: Option<SocketAddr>,
     /// Port for connections between the site's own processes; the same on all machines.
--- a/crates/gateways/wingshore-gateway/src/view_following.rs
+++ b/crates/gateways/wingshore-gateway/src/view_following.rs
@@ -42,14 +42,14 @@
     }
 
     /// Selects the best coordinator for a gateway in `zone`, and follows the view there if it is a
-    /// new one.
+    /// new one. Returns the new one.
     pub(crate) fn follow(
         &mut self,
         runtime: &mut Runtime,
         coordinators: &Coordinators,
         view: &View,
         zone: &str,
-    ) {
+    ) -> Option<SocketAddr> {
         let now = runtime.now;
         let candidates = coordinators.view_candidates(now, zone);
         let choice = ChoiceInputs {
@@ -58,12 +58,8 @@
             salt: self.salt,
         };
         let previous = self.source.current();
-        let Some(address) = self.source.choose(now, &choice) else {
-            return;
-        };
-        let Some(connection) = coordinators.connection(address) else {
-            return;
-        };
+        let address = self.source.choose(now, &choice)?;
+        let connection = coordinators.connection(address)?;
         info!(runtime.logger, "view followed"; "address" => %address,
             "revision" => view.revision().map(|since| since.0));
         let previous = previous.and_then(|previous| coordinators.connection(previous));
@@ -71,6 +67,7 @@
             send(runtime, previous, GatewayMessage::LeaveView);
         }
         ask_for_view(runtime, connection, view);
+        Some(address)
     }
 }
 
--- a/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 use wingshore_coordination::{ApiKey, ItemId, JobId, JobSubmission};
-use wingshore_gateway::{BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer};
+use wingshore_gateway::{
+    BatchAnswer, BatchCall, DirectoryAnswer, HeaderNames, IngressProtocol, OwnAnswer,
+};
 use wingshore_net::http::{Headers, HttpAnswer, RequestHead, WholeRequest};
 
 pub(crate) struct StubProtocol;
@@ -79,6 +81,14 @@
         HttpAnswer::plain(503, body)
     }
 
+    fn read_directory_question(&self, head: &RequestHead) -> Option<String> {
+        head.query("zone").map(str::to_owned)
+    }
+
+    fn write_directory(&self, answer: &DirectoryAnswer) -> HttpAnswer {
+        HttpAnswer::plain(200, answer.name())
+    }
+
     fn write_ready(&self, head: &RequestHead, ready: bool) -> HttpAnswer {
         HttpAnswer::plain(200, format!("{} {ready}", head.path()))
     }
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -282,6 +282,7 @@
         region: "region".to_owned(),
         front,
         ready: Some(ready),
+        directory: None,
         metrics: None,
         internal_port,
         seeds: vec![LOOPBACK],
--- a/crates/gateways/wingshore-gateway/tests/pipelining.rs
+++ b/crates/gateways/wingshore-gateway/tests/pipelining.rs
@@ -32,6 +32,7 @@
         region: "region".to_owned(),
         front,
         ready: None,
+        directory: None,
         metrics: None,
         internal_port: free_address().port(),
         seeds: Vec::new(),
