--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -53,6 +53,7 @@
                 let refusal = Refusal::unconfigured(retry_after);
                 self.refuse(client, &request.head, refusal);
             }
+            Admission::Directory { zone } => self.answer_directory(client, &zone),
             Admission::Refused(refusal) => self.refuse(client, &request.head, refusal),
             Admission::BatchCall(call, caller) => {
                 let call = call.with_max_wait(self.max_answer_hold());
