leader: items in the order in which they have to start, fair shares, and places for callers that were sent away

Cause: jobs were placed in the order of acceptance, after the priority of their tenant. Change: job_order places items by slack, fair_share (start-time fair queueing) divides the slots where items have to start now, feasibility puts jobs last that cannot be whole in time, return_times gives places to jobs that were sent away, admission refuses an item that fits into no engine's memory; one switch, log lines, a gauge, a page. The test of the priority of tenants holds as it was: within a second of slack the priority decides. Safe: no message and nothing replicated changes; an accepted job is kept and completed; with the switch off the order is the old one. Measured: eight tests of loads; the first one also runs with the switch off and then fails its bound, as it must.

--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -112,7 +112,7 @@
             .collect();
         for assignment in silent {
             if let Some(attempt) = self.items.end(assignment) {
-                self.count_attempt_end(&attempt);
+                self.count_attempt_end(turn.now, &attempt);
                 turn.release_attempt(attempt.gateway, assignment);
                 log_retry(assignment, &attempt, NO_LONGER_REPORTED, turn);
                 self.items.enqueue(attempt.item);
@@ -133,7 +133,7 @@
         let Some(attempt) = self.items.end(assignment) else {
             return self.on_unknown_attempt_ended(finished, item, outcome, turn);
         };
-        self.count_attempt_end(&attempt);
+        self.count_attempt_end(turn.now, &attempt);
         match self.history_of(&attempt.item, &outcome, turn.state) {
             Some(history) => self.attempt_ended(finished, &attempt, outcome, history, turn),
             None => self.release_attempt_and_scoring(gateway, assignment, turn),
@@ -207,6 +207,7 @@
         match (next_step, outcome) {
             (NextStep::Take, ItemOutcome::Finished(text)) => {
                 self.engines.item_completed(&attempt.instance);
+                self.record_run_time(turn.now, attempt);
                 self.accept_text(&attempt.item, text, finished, turn);
             }
             (NextStep::Take, _) => {}
@@ -296,7 +297,7 @@
         if let Some(other) = open_item.assignment
             && let Some(attempt) = self.items.end(other)
         {
-            self.count_attempt_end(&attempt);
+            self.count_attempt_end(turn.now, &attempt);
             turn.release_attempt(attempt.gateway, other);
         }
         self.accept_text(item, text, (gateway, assignment), turn);
@@ -317,7 +318,8 @@
     }
 
     /// Updates the counts of running items of an ended attempt's engine and gateway.
-    pub(crate) fn count_attempt_end(&mut self, attempt: &Attempt) {
+    pub(crate) fn count_attempt_end(&mut self, now: Instant, attempt: &Attempt) {
+        self.correct_share(now, attempt);
         self.engines.item_ended(&attempt.instance);
         self.gateways.item_ended(attempt.gateway);
     }
--- a/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
@@ -6,6 +6,7 @@
 use crate::scaling::CapacityPool;
 use crate::scoring::ScoringDecision;
 use crate::usage::UsageWindow;
+use std::time::Duration;
 
 impl Decision {
     /// Returns the request that the decision is about if everything went well; log lines about such
@@ -47,6 +48,17 @@
         open_bytes: usize,
         /// Limit for the size of all open jobs, in bytes.
         most_bytes: usize,
+        /// Time after which the caller may submit it again.
+        retry_after: Duration,
+    },
+    /// A batch job cannot be whole by the time it is due any more.
+    JobLate {
+        /// The job.
+        job: JobId,
+        /// Number of its items that wait for an engine.
+        waiting: usize,
+        /// Time until it is due, in milliseconds; negative once it is overdue.
+        due_in_ms: i64,
     },
     /// The caller ended a batch job.
     JobEnded {
@@ -78,6 +90,10 @@
         engine_pace_us: Option<u64>,
         /// Whether the item is classified as long.
         is_long: bool,
+        /// Class of urgency by which it was placed.
+        urgency: &'static str,
+        /// Time since its job was accepted.
+        age: Duration,
         /// The gateway that runs it.
         gateway: GatewayId,
         /// The last event of earlier attempts, after which this one continues.
--- a/crates/gateways/wingshore-coordination/src/leader/interface.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/interface.rs
@@ -187,6 +187,8 @@
 /// Counts of the leader's open work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeaderCounts {
+    /// Open jobs that cannot be whole by the time they are due.
+    pub jobs_late: usize,
     /// Items that wait for an engine.
     pub items_waiting: usize,
     /// Items that run on engines.
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -1,8 +1,9 @@
 //! Submits, reads and ends batch jobs.
 
 use super::decision_log::Decision;
-use super::decisions::admission::{MEMORY_RETRY_AFTER, has_room};
+use super::decisions::admission::fits_engine;
 use super::decisions::expiry::{is_job_forgotten, is_past_queue_time};
+use super::decisions::return_times::Room;
 use super::machine::CoordinationLeader;
 use super::proposals::FollowUp;
 use super::tables::jobs::Reader;
@@ -32,6 +33,9 @@
         if let Some(reason) = self.missing_scorer_route(&submission, turn.state) {
             return turn.reply(tag, Reply::Refused(reason));
         }
+        if let Some(reason) = self.oversized_item(&submission, turn.state) {
+            return turn.reply(tag, Reply::Refused(reason));
+        }
         if self.refuse_if_memory_is_full(tag, &submission, turn) {
             return;
         }
@@ -46,28 +50,63 @@
 
     /// Refuses a job that does not fit into the memory for open jobs; returns whether it did.
     fn refuse_if_memory_is_full(
-        &self,
+        &mut self,
         tag: RequestTag,
         submission: &JobSubmission,
         turn: &mut Turn<'_>,
     ) -> bool {
         let open_jobs = turn.state.jobs().values().filter(|job| !job.ended);
-        let open_bytes = open_jobs.map(|job| job.submission.bytes()).sum();
-        let bytes = submission.bytes();
-        let most_bytes = self.settings.max_open_job_bytes;
-        if has_room(bytes, open_bytes, most_bytes) {
+        let room = Room {
+            open_bytes: open_jobs.map(|job| job.submission.bytes()).sum(),
+            max_bytes: self.settings.max_open_job_bytes,
+        };
+        let (job, bytes) = (&submission.id, submission.bytes());
+        let priority = self.priority_of_submission(submission);
+        if self.returns.may_enter(turn.now, job, priority, bytes, room) {
             return false;
         }
+        let retry_after = self.returns.send_away(turn.now, job, priority, bytes, room);
         turn.log(Decision::JobRefused {
-            job: submission.id.clone(),
+            job: job.clone(),
             bytes,
-            open_bytes,
-            most_bytes,
+            open_bytes: room.open_bytes,
+            most_bytes: room.max_bytes,
+            retry_after,
         });
-        turn.reply(tag, Reply::ComeBack(MEMORY_RETRY_AFTER));
+        turn.reply(tag, Reply::ComeBack(retry_after));
         true
     }
 
+    fn priority_of_submission(&self, submission: &JobSubmission) -> u8 {
+        let path = submission.items.first().map(|item| item.path.as_str());
+        let route = path.and_then(|path| self.routes.find(&submission.host, path));
+        let of_route = route.map_or(u8::MAX, |route| route.priority);
+        self.ranks.priority_for(submission.id.tenant(), of_route)
+    }
+
+    /// Returns why a job is refused if one of its items fits into no engine's memory.
+    fn oversized_item(
+        &self,
+        submission: &JobSubmission,
+        state: &CoordinationState,
+    ) -> Option<String> {
+        let configuration = state.configuration()?;
+        submission.items.iter().find_map(|item| {
+            let route = self.routes.find(&submission.host, &item.path)?;
+            let services = route.targets.iter();
+            let engines = services
+                .filter_map(|target| configuration.service(&target.service)?.engine.as_ref());
+            let largest = engines.map(|engine| engine.cache_tokens).max()?;
+            if fits_engine(item.tokens, largest) {
+                return None;
+            }
+            Some(format!(
+                "item `{}`: {} tokens; allowed are {largest}, the memory of an engine",
+                item.id, item.tokens
+            ))
+        })
+    }
+
     /// Returns why a job is refused if one of its items names a scorer that no route leads to.
     fn missing_scorer_route(
         &self,
@@ -184,7 +223,9 @@
             return turn.reply(tag, Reply::Unknown);
         };
         let ended = self.items.remove_job(id, turn.state);
+        self.late_jobs.remove(id);
         if !job.ended {
+            self.returns.freed(turn.now, job.submission.bytes());
             let decision = Decision::JobEnded {
                 job: id.clone(),
                 items: job.submission.items.len(),
@@ -194,7 +235,7 @@
             turn.log(decision);
         }
         for (assignment, running) in ended {
-            self.count_attempt_end(&running);
+            self.count_attempt_end(turn.now, &running);
             turn.release_attempt(running.gateway, assignment);
         }
         for (gateway, scoring) in self.scorings.remove_job(id) {
--- a/crates/gateways/wingshore-coordination/src/leader/machine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/machine.rs
@@ -4,7 +4,9 @@
 //! decision modules, updates the tables and emits outputs.
 
 use super::decisions::crash_evidence::Evidence;
+use super::decisions::fair_share::FairShares;
 use super::decisions::registration::Heartbeats;
+use super::decisions::return_times::ReturnTimes;
 use super::decisions::usage_reports::UsageReporter;
 use super::interface::LeaderCounts;
 use super::proposals::{FollowUp, Proposals};
@@ -16,11 +18,14 @@
 use super::tables::jobs::{JobClock, Readers};
 use super::tables::registrations::Registrations;
 use super::tables::rollout::Rollout;
+use super::tables::run_times::RunTimes;
 use super::tables::scorings::Scorings;
 use super::turn::Turn;
+use crate::ids::JobId;
 use crate::routes::RouteTable;
 use crate::state::Command;
 use crate::tenants::TenantPriorities;
+use std::collections::BTreeSet;
 use wingshore_types::{Epoch, Instant};
 
 /// The leader machine of the coordination group.
@@ -42,6 +47,12 @@
     pub(super) items: Items,
     pub(super) job_clock: JobClock,
     pub(super) readers: Readers,
+    pub(super) shares: FairShares,
+    /// Jobs that were refused for lack of memory.
+    pub(super) returns: ReturnTimes,
+    pub(super) run_times: RunTimes,
+    /// Jobs that cannot be whole in time.
+    pub(super) late_jobs: BTreeSet<JobId>,
     pub(super) rollout: Rollout,
     pub(super) scorings: Scorings,
     pub(super) evidence: Evidence,
@@ -75,6 +86,10 @@
             items: Items::default(),
             job_clock: JobClock::default(),
             readers: Readers::default(),
+            shares: FairShares::default(),
+            returns: ReturnTimes::default(),
+            run_times: RunTimes::default(),
+            late_jobs: BTreeSet::new(),
             rollout: Rollout::default(),
             scorings: Scorings::default(),
             evidence: Evidence::default(),
@@ -91,6 +106,7 @@
         LeaderCounts {
             items_waiting: self.items.waiting_count(),
             items_running: self.items.attempts().count(),
+            jobs_late: self.late_jobs.len(),
             engines_loading: engines
                 .filter(|(_, engine)| engine.loading.is_some())
                 .count(),
--- a/crates/gateways/wingshore-coordination/src/leader/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/mod.rs
@@ -20,6 +20,7 @@
 mod evidence;
 mod gateways;
 mod interface;
+mod job_queue;
 mod jobs;
 mod loading;
 mod machine;
--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -6,6 +6,7 @@
 use super::decisions::crash_evidence::is_suspect;
 use super::decisions::gateway_choice::gateway_for_item;
 use super::decisions::placement::{ItemNeeds, choose_engine};
+use super::job_queue::JobCursor;
 use super::machine::CoordinationLeader;
 use super::tables::engine::Engine;
 use super::tables::item::{Attempt, OpenItem};
@@ -16,7 +17,6 @@
 use crate::messages::{CoordinatorMessage, ItemAssignment};
 use crate::state::CoordinationState;
 use crate::text::{DurablePrefix, ItemText};
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use wingshore_types::Instant;
 
@@ -74,29 +74,17 @@
         {
             return;
         }
-        for job in self.jobs_by_rank(turn.state) {
-            if !self.engines.has_free_slots() {
+        let mut queue = self.job_queue(turn);
+        while self.engines.has_free_slots() {
+            let Some((position, mut cursor)) = self.take_most_urgent(&mut queue) else {
                 return;
+            };
+            if self.place_next(&mut cursor, turn) {
+                self.put_back(&mut queue, position, cursor);
             }
-            self.place_job(&job, turn);
         }
     }
 
-    /// Returns the jobs with waiting items, ordered by tenant priority, then by time of acceptance.
-    fn jobs_by_rank(&self, state: &CoordinationState) -> Vec<JobId> {
-        let mut jobs = self.items.waiting_jobs();
-        if !self.ranks.is_empty() {
-            jobs.sort_by_key(|job| self.job_rank(job, state));
-        }
-        jobs
-    }
-
-    fn job_rank(&self, id: &JobId, state: &CoordinationState) -> u8 {
-        let route = self.route_of_job(id, state);
-        let of_route = route.map_or(u8::MAX, |route| route.priority);
-        self.ranks.priority_for(id.tenant(), of_route)
-    }
-
     /// Returns the route of a job's first item.
     pub(super) fn route_of_job(
         &self,
@@ -107,37 +95,29 @@
         self.routes.find(&job.host, &job.items.first()?.path)
     }
 
-    /// Places waiting items of a job until no engine accepts any more of them.
-    fn place_job(&mut self, id: &JobId, turn: &mut Turn<'_>) {
-        let mut full_services = BTreeSet::new();
-        let mut last = None;
-        while let Some(rank) = self.items.next_waiting(id, last) {
-            last = Some(rank);
-            let key = ItemKey {
-                job: id.clone(),
-                index: rank.index,
-            };
-            let placed = self.place(key, &full_services, turn);
-            if let Err(NotPlaced::NoEngine { service }) = placed {
-                full_services.insert(service);
-                if full_services.len() >= self.engines.services_with_free_slots() {
-                    return;
-                }
-            }
+    /// Places the next waiting item of a job; returns whether engines may accept further ones.
+    fn place_next(&mut self, cursor: &mut JobCursor, turn: &mut Turn<'_>) -> bool {
+        let key = ItemKey {
+            job: cursor.id.clone(),
+            index: cursor.next.index,
+        };
+        if let Err(NotPlaced::NoEngine { service }) = self.place(key, cursor, turn) {
+            cursor.full_services.insert(service);
         }
+        cursor.full_services.len() < self.engines.services_with_free_slots()
     }
 
-    /// Places an item, unless its service is in `full_services`.
+    /// Places an item, unless the engines of its service accept none of its job.
     fn place(
         &mut self,
         key: ItemKey,
-        full_services: &BTreeSet<ServiceName>,
+        cursor: &JobCursor,
         turn: &mut Turn<'_>,
     ) -> Result<(), NotPlaced> {
         let candidate = self
             .candidate(turn.now, key, turn.state)
             .ok_or(NotPlaced::NotNow)?;
-        if full_services.contains(&candidate.service) {
+        if cursor.full_services.contains(&candidate.service) {
             return Err(NotPlaced::NotNow);
         }
         let Some(instance) = self.choose_engine(turn.now, &candidate, turn.state) else {
@@ -151,7 +131,7 @@
         let engine = self.engines.get(&instance);
         let gateway = gateway_for_item(&self.gateways, engine).ok_or(NotPlaced::NotNow)?;
         self.items.dequeue(&candidate.key);
-        self.assign(gateway, &instance, &candidate, turn);
+        self.assign(gateway, &instance, &candidate, cursor, turn);
         Ok(())
     }
 
@@ -225,6 +205,7 @@
         gateway: GatewayId,
         instance: &InstanceId,
         candidate: &Candidate<'_>,
+        cursor: &JobCursor,
         turn: &mut Turn<'_>,
     ) {
         let Some(engine) = self.engines.get(instance) else {
@@ -236,6 +217,7 @@
         let open_item = self.items.open_item(&candidate.key);
         let extends_held = open_item.is_none_or(|open_item| open_item.held.is_prefix_of(&kept));
         let assignment = self.items.next_assignment();
+        let after_event = kept.last_event;
         let decision = Decision::ItemAssigned {
             assignment,
             job: candidate.job.submission.id.clone(),
@@ -247,8 +229,10 @@
                 .pace
                 .map(|pace| (pace * MICROSECONDS_PER_MILLISECOND) as u64),
             is_long: candidate.is_long,
+            urgency: self.urgency(cursor).name(),
+            age: self.job_age(&cursor.id, turn.now),
             gateway,
-            after_event: kept.last_event,
+            after_event,
         };
         let message = self.assignment(assignment, engine, candidate, kept);
         turn.send(gateway, CoordinatorMessage::Assign(Box::new(message)));
@@ -256,6 +240,7 @@
         let (key, model) = (candidate.key.clone(), candidate.model().cloned());
         let attempt = Attempt {
             extends_held,
+            charged: Some(self.charge(cursor, after_event.is_none())),
             ..Attempt::new(turn.now, key, gateway, instance.clone(), model)
         };
         self.start(assignment, attempt);
--- a/crates/gateways/wingshore-coordination/src/leader/policy.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/policy.rs
@@ -14,6 +14,9 @@
     pub prompt_homes: bool,
     /// Of several models, the one that the fewest engines can run is loaded first.
     pub scarce_models_first: bool,
+    /// Items go in the order in which they have to start for their jobs to be in time, and callers
+    /// share the slots; otherwise jobs go in the order of acceptance.
+    pub due_times_first: bool,
     /// Engines that run long items load a new version later than others.
     pub loads_spare_long_items: bool,
 }
@@ -25,6 +28,7 @@
             long_items_first: true,
             prompt_homes: true,
             scarce_models_first: true,
+            due_times_first: true,
             loads_spare_long_items: true,
         }
     }
--- a/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
@@ -3,8 +3,20 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey, ModelName};
 use crate::text::{ItemText, LoggedPrefix};
+use std::time::Duration;
 use wingshore_types::Instant;
 
+/// What a caller was charged for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Charge {
+    /// Expected run time.
+    pub(crate) run_time: Duration,
+    /// Priority of the job; 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// Estimated length in tokens; 0 if the run time is not to be learned from this attempt.
+    pub(crate) tokens: u64,
+}
+
 /// An attempt in progress.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
@@ -15,6 +27,10 @@
     pub(crate) model: Option<ModelName>,
     /// Whether the item is expected to be one of the longest.
     pub(crate) is_long: bool,
+    /// When it was assigned, or first reported to this leader.
+    pub(crate) started_at: Instant,
+    /// The run time and the priority that its caller was charged for.
+    pub(crate) charged: Option<Charge>,
     /// Number of events in the gateway's last progress report, and the time of that report.
     pub(crate) last_progress: Option<(u64, Instant)>,
     /// Whether the gateway was ordered to interrupt it.
@@ -41,6 +57,8 @@
             instance,
             model,
             is_long: false,
+            started_at: now,
+            charged: None,
             last_progress: None,
             interrupted: false,
             last_reported_at: now,
--- a/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
@@ -28,6 +28,8 @@
     open: BTreeMap<ItemKey, OpenItem>,
     /// Items that were still running when their job ended.
     left_running: HashSet<ItemId>,
+    /// Number of groups by job.
+    groups: HashMap<JobId, usize>,
     /// Engine that ran the last item of each group, by job.
     affinities: HashMap<JobId, HashMap<String, InstanceId>>,
 }
@@ -51,6 +53,9 @@
             return;
         }
         self.jobs.insert(id.clone(), self.next_job);
+        let groups = job.submission.items.iter().map(|item| item.group.as_str());
+        let groups: HashSet<&str> = groups.collect();
+        self.groups.insert(id.clone(), groups.len());
         self.next_job += 1;
         let long_threshold = long_threshold(&job.submission.items);
         for index in job.open_items() {
@@ -103,6 +108,7 @@
             self.left_running.clear();
         }
         self.jobs.remove(id);
+        self.groups.remove(id);
         self.affinities.remove(id);
         self.waiting.retain(|(_, job), _| job != id);
         self.open.retain(|item, _| item.job != *id);
@@ -143,6 +149,19 @@
         waiting.range((behind, Bound::Unbounded)).next().copied()
     }
 
+    /// Iterates over the waiting items of a job in placement order.
+    pub(crate) fn waiting_ranks(&self, job: &JobId) -> impl Iterator<Item = Rank> + '_ {
+        let number = self.jobs.get(job).copied();
+        let key = number.map(|number| (number, job.clone()));
+        let waiting = key.and_then(|key| self.waiting.get(&key));
+        waiting.into_iter().flatten().copied()
+    }
+
+    /// Returns the number of groups of a job.
+    pub(crate) fn group_count(&self, job: &JobId) -> usize {
+        self.groups.get(job).copied().unwrap_or(0)
+    }
+
     /// Iterates over all waiting items.
     pub(crate) fn waiting(&self) -> impl Iterator<Item = ItemKey> + '_ {
         self.waiting.iter().flat_map(|((_, job), waiting)| {
--- a/crates/gateways/wingshore-coordinator/src/decision_log.rs
+++ b/crates/gateways/wingshore-coordinator/src/decision_log.rs
@@ -9,9 +9,10 @@
 /// Logs a decision.
 pub(crate) fn log(logger: &Logger, decision: &Decision) {
     match decision {
-        Decision::JobAccepted { .. } | Decision::JobRefused { .. } | Decision::JobEnded { .. } => {
-            log_job(logger, decision)
-        }
+        Decision::JobAccepted { .. }
+        | Decision::JobRefused { .. }
+        | Decision::JobLate { .. }
+        | Decision::JobEnded { .. } => log_job(logger, decision),
         Decision::ItemAssigned { .. }
         | Decision::ItemRetried { .. }
         | Decision::ItemMoved { .. }
@@ -51,9 +52,19 @@
             bytes,
             open_bytes,
             most_bytes,
+            retry_after,
         } => {
             warn!(logger, "job refused: no room in memory"; "job" => %job, "bytes" => bytes,
-                "open_bytes" => open_bytes, "most_bytes" => most_bytes);
+                "open_bytes" => open_bytes, "most_bytes" => most_bytes,
+                "retry_after_ms" => retry_after.as_millis() as u64);
+        }
+        Decision::JobLate {
+            job,
+            waiting,
+            due_in_ms,
+        } => {
+            warn!(logger, "job late"; "job" => %job, "waiting" => waiting,
+                "due_in_ms" => due_in_ms);
         }
         Decision::JobEnded {
             job,
@@ -80,6 +91,8 @@
             engine_version,
             engine_pace_us,
             is_long,
+            urgency,
+            age,
             gateway,
             after_event,
         } => {
@@ -87,6 +100,7 @@
                 "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance,
                 "engine_running" => engine_running, "engine_version" => engine_version,
                 "engine_pace_us" => engine_pace_us, "is_long" => is_long,
+                "urgency" => urgency, "age_ms" => age.as_millis() as u64,
                 "gateway" => gateway.0, "after_event" => after_event);
         }
         Decision::ItemRetried {
--- a/crates/gateways/wingshore-coordinator/src/metrics/gauges.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics/gauges.rs
@@ -66,6 +66,7 @@
     servers: usize = "Servers in the registry",
     servers_draining: usize = "Servers in the registry that are leaving",
     jobs_open: usize = "Batch jobs that are not ended",
+    jobs_late: usize = "Batch jobs that cannot be whole by the time they are due; 0 where it does not lead",
     items_waiting: usize = "Items without an engine; 0 where it does not lead",
     items_running: usize = "Items on engines; 0 where it does not lead",
     engines_loading: usize = "Engines that load weights; 0 where it does not lead",
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -101,6 +101,7 @@
             servers: state.servers().len(),
             servers_draining: draining.count(),
             jobs_open: state.jobs().values().filter(|job| !job.ended).count(),
+            jobs_late: counts.jobs_late,
             items_waiting: counts.items_waiting,
             items_running: counts.items_running,
             engines_loading: counts.engines_loading,
