consensus: chunks that overtake others cause few resends

Cause: two coordinators have up to two connections, one dialled by each, and send on the newer one. The leader dials a member when it adds it, which is when it begins to send it the state. So the first chunks on the new connection overtake the last ones on the old one (traced in runs of the soak: each rewind that was looked at followed such a change of connections). One answer without progress made the leader resend its window, up to 16 chunks. The answers to overtaken chunks then arrived after those to their copies, when the count of unanswered chunks had been reset to the unacknowledged ones. It was too low, so every window looked like a gap, and the answers to resent windows kept it too low.

Change: the leader resends once as many answers in a row brought no progress as chunks lie behind the first unacknowledged one. Answers that are due for copies of chunks that the follower has are counted apart (overdue), for ten heartbeat rounds at the most. No message changes.

Why it is safe: stalls resend as before, so a transfer ends whatever the counts are. All tests of consensus and group pass unchanged, those of older receivers, losses and restarts among them.

--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -6,9 +6,12 @@
 //! the throughput would otherwise be one window per round trip. The window shrinks to its base size
 //! after a loss.
 //!
-//! An answer without progress has one of two causes: a chunk behind a gap, in which case the leader
-//! resends from the first byte that the follower lacks, or a duplicated chunk. Two rules limit the
-//! cost of resending:
+//! An answer without progress has one of three causes: a chunk that overtook another one, a chunk
+//! behind a gap, in which case the leader resends from the first byte that the follower lacks, or a
+//! duplicated chunk. Three rules limit the cost of resending:
+//! - The leader resends once all chunks behind the first unacknowledged one were answered without
+//!   progress. Fewer such answers also follow when the messages to a member change from one
+//!   connection to another and overtake each other.
 //! - After a rewind, as many answers without progress as chunks are in flight or resent cause no
 //!   further rewind. A rewind for each of them would send every window twice up to the end of the
 //!   snapshot. A gap behind those answers is detected by [`ChunkAnswers`].
@@ -287,6 +290,7 @@
     /// the last round. The window does not grow if nothing was acknowledged, since the chunks may
     /// be lost.
     pub(crate) fn on_heartbeat_round(&mut self) {
+        self.answers.on_heartbeat_round();
         let acknowledged = self.received.saturating_sub(self.received_before_round);
         self.received_before_round = self.received;
         self.rounds_without_progress = if acknowledged > 0 {
@@ -310,9 +314,9 @@
     /// before.
     pub(crate) fn on_acknowledged(&mut self, received: u64) -> bool {
         self.last_acknowledged = received;
-        self.answers.on_answer();
         let is_progress = received > self.received;
         if is_progress {
+            self.answers.on_progress();
             self.advance(received);
         } else {
             self.on_answer_without_progress(received);
@@ -336,15 +340,19 @@
     }
 
     /// Handles an acknowledgement without progress. One with fewer bytes than `received` was
-    /// reordered, and says nothing about dropped chunks.
+    /// reordered, and says nothing about dropped chunks; neither does an overdue one.
     fn on_answer_without_progress(&mut self, received: u64) {
-        self.answers.on_out_of_order(self.next_offset);
+        let is_overdue = self.answers.on_answer_without_progress();
+        if !is_overdue {
+            self.answers.on_out_of_order(self.next_offset);
+        }
         if received < self.received {
             return;
         }
+        let unacknowledged = self.unacknowledged_chunks.len();
         if self.expected_duplicates > 0 {
-            self.expected_duplicates -= 1;
-        } else {
+            self.expected_duplicates -= usize::from(!is_overdue);
+        } else if self.answers.is_first_missing(unacknowledged) {
             self.rewind();
         }
     }
