consensus, coordinator: a leader's peak memory while it sends a state

Cause: all messages of a step are encoded before the first one is sent. A window that had grown to four times its size (4 MB; it grows where little is acknowledged in a heartbeat round, also on a loaded machine) was thus in memory three times: kept until it is acknowledged, encoded, and in the output queue, which copied it once more while it grew.

Change: a step sends one window of the base size (1 MB) at most, and the next steps the rest. The coordinator queues the frames of a link as they are encoded, without a copy, if they are long.

Why it is safe: no message and no frame changes, and the order on a link stays. Each answer to a chunk is a step, so a grown window still fills within a round trip; the tests of slow paths pass unchanged.

Measured: `step_sends_one_base_window_at_most`, failing first with 8 chunks for 4.

--- a/crates/gateways/wingshore-coordinator/src/process/links.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/links.rs
@@ -1,6 +1,7 @@
 //! Frames on links between the site's processes: decoding, dispatch and sending.
 
 use super::{Coordinator, Link, ReplyTarget, Role};
+use bytes::Bytes;
 use slog::warn;
 use wingshore_coordination::{CoordinatorFrame, CoordinatorMessage, Event, IncomingFrame, Request};
 use wingshore_group::HostInput;
@@ -95,14 +96,14 @@
         }
     }
 
-    /// Queues a frame on a link.
+    /// Queues a frame on a link. A long one, as of a snapshot, is queued without a copy.
     pub(super) fn send_frame<M: serde::Serialize>(
         &mut self,
         connection: ConnectionId,
         message: &M,
     ) {
         match frame::encode(message) {
-            Ok(bytes) => self.reactor.send(connection, &bytes),
+            Ok(bytes) => self.reactor.send_shared(connection, &Bytes::from(bytes)),
             Err(error) => warn!(self.logger, "cannot encode frame"; "error" => %error),
         }
     }
--- a/crates/shared/wingshore-consensus/src/outgoing.rs
+++ b/crates/shared/wingshore-consensus/src/outgoing.rs
@@ -4,7 +4,8 @@
 //! with the number of bytes that the follower has received without a gap. If less than two windows
 //! are acknowledged in a heartbeat round, the round-trip time is long, and the window grows, since
 //! the throughput would otherwise be one window per round trip. The window shrinks to its base size
-//! after a loss.
+//! after a loss. One step sends a window of the base size at most: all messages of a step are encoded
+//! before the first one is sent, and a grown window would be in memory once more.
 //!
 //! An answer without progress has one of three causes: a chunk that overtook another one, a chunk
 //! behind a gap, in which case the leader resends from the first byte that the follower lacks, or a
@@ -158,7 +159,8 @@
     }
 
     /// Returns the chunks to send now, of at most `length` bytes each. At most `base_window` bytes,
-    /// or a multiple of it on paths with a long round-trip time, are in flight.
+    /// or a multiple of it on paths with a long round-trip time, are in flight. At most `base_window`
+    /// bytes are returned, apart from a probe.
     pub(crate) fn next_chunks(&mut self, length: usize, base_window: u64) -> Vec<SnapshotChunk> {
         self.base_window = base_window;
         let mut chunks = Vec::new();
@@ -168,6 +170,7 @@
         let total = self.snapshot.data.length();
         let window = base_window.saturating_mul(self.window_factor);
         let limit = total.min(self.received.saturating_add(window));
+        let limit = limit.min(self.next_offset.saturating_add(base_window));
         while self.next_offset < limit {
             let offset = self.next_offset;
             let data = self.next_part(length);
--- a/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
+++ b/crates/shared/wingshore-consensus/tests/snapshot_sending.rs
@@ -239,3 +239,23 @@
     expect_that!(sending.chunks, eq(total_chunks()));
     Ok(())
 }
+
+/// Failure: the peak memory of a coordinator that sent its state exceeded half of its memory limit.
+/// Each chunk of a step is encoded before the first one is sent, so a window that had grown to four
+/// times its size took that size three times: kept, encoded and queued.
+#[gtest]
+fn step_sends_one_base_window_at_most() -> Result<()> {
+    let mut fixture = Fixture::new()?;
+    let one_way_delay = Duration::from_millis(60);
+    let receiver = ReplicaId(RECEIVER);
+    fixture.cluster.extra_delays.insert(receiver, one_way_delay);
+    let applied = fixture.applied;
+    let has_caught_up = |cluster: &Cluster| {
+        let receiver = cluster.nodes[&receiver].raft.as_ref();
+        receiver.is_some_and(|raft| raft.last_applied() >= applied)
+    };
+    let duration = Duration::from_secs(60);
+    let cluster = &mut fixture.cluster;
+    verify_that!(cluster.run_until(duration, has_caught_up), eq(true))?;
+    verify_that!(cluster.max_chunks_per_step, le(WINDOW))
+}
--- a/crates/shared/wingshore-consensus/tests/support/cluster.rs
+++ b/crates/shared/wingshore-consensus/tests/support/cluster.rs
@@ -76,6 +76,8 @@
     pub checker: Checker,
     pub random: ChaCha8Rng,
     pub sent_snapshot_chunks: u64,
+    /// Maximum number of snapshot chunks that a member sent in one step.
+    pub max_chunks_per_step: u64,
     /// Number of entries in sent appends; an entry counts each time it is sent.
     pub sent_entries: u64,
     /// Numbers of snapshot chunks, counted from 1, that arrive after those sent next, as when the
@@ -111,6 +113,7 @@
             checker: Checker::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
             sent_snapshot_chunks: 0,
+            max_chunks_per_step: 0,
             sent_entries: 0,
             delayed_chunks: BTreeSet::new(),
             duplicated_chunks: BTreeSet::new(),
@@ -253,9 +256,12 @@
     }
 
     fn after_step(&mut self, id: ReplicaId, sends: Vec<(ReplicaId, Message)>) {
+        let sent_before = self.sent_snapshot_chunks;
         for (to, message) in sends {
             self.send(id, to, message);
         }
+        let chunks = self.sent_snapshot_chunks - sent_before;
+        self.max_chunks_per_step = self.max_chunks_per_step.max(chunks);
         self.schedule_write(id);
     }
 
