leader: one limit for the scorings of a service

Cause: the texts of a step end together, and each gateway limits its own scorings only; 49 gateways with half of the slots each cannot protect three servers, and each opens its own connections to them. Change: the leader queues the scoring of a text from a gateway that sends reports of load, and grants it with the message `Score` that exists, within the slots of the service's servers less live requests and a reserve (leader/decisions/scoring_limit), in the order in which steps are due, through few gateways in the servers' zones (gateway_choice). A line for each service and two gauges; the switch policy.shared_scoring_limit.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
@@ -2,15 +2,18 @@
 //!
 //! Inputs: for each gateway whether it has reported what it runs, whether it takes items, its zone,
 //! and the number of items or scorings that this leader has assigned to it; the engine's zone and
-//! the gateway that ran its last item.
+//! the gateway that ran its last item; the slots of a scoring service's servers in each zone.
 //!
 //! Rule: an item goes through the gateway that ran the engine's last item, if that gateway takes
 //! more. Otherwise it goes through the gateway with the fewest items, where gateways of other zones
-//! count [`OTHER_ZONE_PENALTY`] more. A scoring goes to the gateway with the fewest scorings. No
-//! gateway gets more than [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
+//! count [`OTHER_ZONE_PENALTY`] more. A scoring goes to the zone
+//! with the fewest scorings per slot of its servers, and there to the first gateway with fewer than
+//! [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. No gateway gets more than
+//! [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
 //!
 //! Rationale: gateways keep their connections to engines open. A new connection costs time, and
-//! servers limit their number.
+//! servers limit their number. Scorings run through few gateways near their servers, which keep
+//! those connections in use.
 //!
 //! Stale or missing inputs: a gateway gets nothing before it has reported what it runs. A gateway
 //! whose status is out of date refuses the item, which is then placed again.
@@ -24,6 +27,11 @@
 const MAX_ITEMS_PER_GATEWAY: usize = 96;
 /// Maximum number of scorings assigned to one gateway at once.
 const MAX_SCORINGS_PER_GATEWAY: usize = 256;
+/// Number of scorings of a gateway at which another gateway of its zone is used too, so that a step's
+/// scorings do not delay the live requests of one gateway.
+const SCORINGS_BEFORE_NEXT_GATEWAY: usize = 4;
+/// Scale of the number of scorings per slot.
+const LOAD_SCALE: u64 = 1000;
 /// Number of items by which a gateway in another zone than the engine must have fewer to be
 /// preferred.
 const OTHER_ZONE_PENALTY: usize = 4;
@@ -47,19 +55,51 @@
         .map(|(id, _)| id)
 }
 
+/// Where scorings run, and where the servers are that score.
+#[derive(Clone, Copy)]
+pub(crate) struct ScoringPlaces<'a> {
+    /// Number of scorings assigned to each gateway.
+    pub(crate) assigned: &'a BTreeMap<GatewayId, usize>,
+    /// Slots of the service's servers, by zone.
+    pub(crate) slots_by_zone: &'a BTreeMap<String, u32>,
+}
+
+impl ScoringPlaces<'_> {
+    fn count(self, gateway: GatewayId) -> usize {
+        self.assigned.get(&gateway).copied().unwrap_or(0)
+    }
+
+    /// Returns the scorings per slot in a zone; the maximum for a zone without servers.
+    fn zone_load(self, scorings: usize, zone: &str) -> u64 {
+        match self.slots_by_zone.get(zone) {
+            Some(slots) if *slots > 0 => scorings as u64 * LOAD_SCALE / u64::from(*slots),
+            _ => u64::MAX,
+        }
+    }
+}
+
 /// Returns the gateway that requests the score of a text; `None` if no gateway takes a scoring now.
-/// `assigned_scorings` holds the number of scorings assigned to each gateway.
 pub(crate) fn gateway_for_scoring(
     gateways: &Gateways,
-    assigned_scorings: &BTreeMap<GatewayId, usize>,
+    places: ScoringPlaces<'_>,
 ) -> Option<GatewayId> {
+    let mut scorings_by_zone: BTreeMap<&str, usize> = BTreeMap::new();
+    for (id, gateway) in gateways.iter() {
+        *scorings_by_zone.entry(&gateway.zone).or_default() += places.count(id);
+    }
     gateways
         .iter()
-        .filter(|(_, gateway)| is_eligible(gateway))
-        .map(|(id, _)| (assigned_scorings.get(&id).copied().unwrap_or(0), id))
-        .filter(|(count, _)| *count < MAX_SCORINGS_PER_GATEWAY)
-        .min()
-        .map(|(_, id)| id)
+        .filter(|(id, gateway)| {
+            is_eligible(gateway) && places.count(*id) < MAX_SCORINGS_PER_GATEWAY
+        })
+        .min_by_key(|(id, gateway)| {
+            let zone = gateway.zone.as_str();
+            let in_zone = scorings_by_zone.get(zone).copied().unwrap_or(0);
+            let count = places.count(*id);
+            let excess = (count + 1).saturating_sub(SCORINGS_BEFORE_NEXT_GATEWAY);
+            (places.zone_load(in_zone, zone), excess, *id)
+        })
+        .map(|(id, _)| id)
 }
 
 fn is_eligible(gateway: &Gateway) -> bool {
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/mod.rs
@@ -20,5 +20,6 @@
 pub(crate) mod order_rights;
 pub(crate) mod placement;
 pub(crate) mod registration;
+pub(crate) mod scoring_limit;
 pub(crate) mod scoring_outcome;
 pub(crate) mod usage_reports;
--- a/crates/gateways/wingshore-coordination/src/leader/dispatch.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/dispatch.rs
@@ -135,6 +135,9 @@
                 scorings,
             } => self.on_gateway_running(gateway, items, scorings, turn),
             Event::ScoringsRunning(scorings) => self.on_scorings_running(turn.now, &scorings),
+            Event::ScoringLoadReported { gateway, loads } => {
+                self.on_scoring_load(gateway, loads, turn);
+            }
             Event::ScoringEnded {
                 gateway,
                 scoring,
@@ -194,6 +197,7 @@
             self.end_silent_scorings(turn.now);
             self.forget_jobs(turn);
             self.expire_evidence(turn);
+            self.summarize_scorings(turn);
         }
         self.evaluate_evidence(turn);
         self.drive_rollout(turn);
--- a/crates/gateways/wingshore-coordination/src/leader/interface.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/interface.rs
@@ -6,7 +6,7 @@
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey, ModelName};
 use crate::messages::{
     CoordinatorMessage, GatewayHello, GatewayStatus, ItemOutcome, ItemProgress, ObservedCrash,
-    RunningItem,
+    RunningItem, ScoringLoad,
 };
 use crate::provider::{CapacityOrder, ProviderAnswer, UsageReport};
 use crate::registry::UnchangedServer;
@@ -48,6 +48,13 @@
     ItemsProgressed(Vec<ItemProgress>),
     /// A gateway reports which scorings it is still running.
     ScoringsRunning(Vec<AssignmentId>),
+    /// A gateway reports the load of scoring services, and that it waits for grants of scorings.
+    ScoringLoadReported {
+        /// The gateway.
+        gateway: GatewayId,
+        /// What it observed since its last report.
+        loads: Vec<ScoringLoad>,
+    },
     /// A scoring ended at a gateway.
     ScoringEnded {
         /// The gateway.
@@ -184,6 +191,15 @@
     pub keep_running: bool,
 }
 
+/// The state of the scorings that the leader grants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ScoringReadings {
+    /// Scorings that may be under way, over all services with grants or reports.
+    pub limit: u64,
+    /// How long the text that has waited longest for a scoring has waited.
+    pub longest_wait: Duration,
+}
+
 /// Counts of the leader's open work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeaderCounts {
--- a/crates/gateways/wingshore-coordination/src/leader/machine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/machine.rs
@@ -16,6 +16,7 @@
 use super::tables::jobs::{JobClock, Readers};
 use super::tables::registrations::Registrations;
 use super::tables::rollout::Rollout;
+use super::tables::scoring_services::ScoringServices;
 use super::tables::scorings::Scorings;
 use super::turn::Turn;
 use crate::routes::RouteTable;
@@ -44,6 +45,9 @@
     pub(super) readers: Readers,
     pub(super) rollout: Rollout,
     pub(super) scorings: Scorings,
+    pub(super) scoring_services: ScoringServices,
+    /// When the next summary of scorings is logged.
+    pub(super) next_scoring_summary: Instant,
     pub(super) evidence: Evidence,
     pub(super) usage: UsageReporter,
     pub(super) capacity: Capacity,
@@ -77,6 +81,8 @@
             readers: Readers::default(),
             rollout: Rollout::default(),
             scorings: Scorings::default(),
+            scoring_services: ScoringServices::default(),
+            next_scoring_summary: Instant::ZERO,
             evidence: Evidence::default(),
             usage: UsageReporter::default(),
             capacity: Capacity::default(),
--- a/crates/gateways/wingshore-coordination/src/leader/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/mod.rs
@@ -4,7 +4,7 @@
 //! step returns its outputs. Dependencies between its modules go in one direction:
 //!
 //! - `dispatch` receives all inputs and passes each to the module of its topic: servers, gateways,
-//!   jobs, placing, attempts, moving, results, scoring, rollout, loading, capacity, usage,
+//!   jobs, placing, attempts, moving, results, scoring, scoring_grants, rollout, loading, capacity, usage,
 //!   evidence, configuring, members;
 //! - a topic module consults `decisions`, updates `tables`, proposes commands and emits effects
 //!   outside the group;
@@ -31,6 +31,7 @@
 mod results;
 mod rollout;
 mod scoring;
+mod scoring_grants;
 mod servers;
 mod settings;
 mod tables;
@@ -43,8 +44,11 @@
 };
 pub use decisions::crash_evidence::EVIDENCE_LIFETIME;
 pub use decisions::load_progress::{EngineStatus, OrderAnswer};
+pub use decisions::scoring_limit::{
+    ScoringAnswers, ScoringCapacity, ScoringLimit, ScoringOrder, is_urgent as is_scoring_urgent,
+};
 pub use decisions::usage_reports::UsageDuty;
-pub use interface::{Effect, Event, LeaderCounts, WeightOrder};
+pub use interface::{Effect, Event, LeaderCounts, ScoringReadings, WeightOrder};
 pub use machine::CoordinationLeader;
 pub use policy::LeaderPolicy;
 pub use settings::LeaderSettings;
--- a/crates/gateways/wingshore-coordination/src/leader/policy.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/policy.rs
@@ -16,6 +16,8 @@
     pub scarce_models_first: bool,
     /// Engines that run long items load a new version later than others.
     pub loads_spare_long_items: bool,
+    /// The scorings of a service are limited together, not at each gateway on its own.
+    pub shared_scoring_limit: bool,
 }
 
 impl Default for LeaderPolicy {
@@ -26,6 +28,7 @@
             prompt_homes: true,
             scarce_models_first: true,
             loads_spare_long_items: true,
+            shared_scoring_limit: true,
         }
     }
 }
--- a/crates/gateways/wingshore-coordination/src/leader/scoring.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/scoring.rs
@@ -1,20 +1,17 @@
-//! The leader's side of scoring: assigns texts to gateways that request their scores, and handles
-//! the outcomes.
+//! The leader's side of scoring: texts without a score, scorings that gateways report, and their
+//! outcomes. [`scoring_grants`](super::scoring_grants) decides when a text is scored.
 
 use super::decision_log::Decision;
 use super::decisions::expiry::is_silent;
-use super::decisions::gateway_choice::gateway_for_scoring;
 use super::decisions::scoring_outcome::{FAILED_TOO_OFTEN, Failures, NextStep, backoff, next_step};
 use super::machine::CoordinationLeader;
 use super::proposals::FollowUp;
 use super::tables::scorings::OpenScoring;
 use super::turn::Turn;
 use crate::ids::{AssignmentId, GatewayId, ItemKey};
-use crate::messages::CoordinatorMessage;
-use crate::scoring::{RunningScoring, Scorer, ScoringAssignment, ScoringDecision, ScoringOutcome};
+use crate::scoring::{NotScoredReason, RunningScoring, Scorer, ScoringDecision, ScoringOutcome};
 use crate::state::{Command, CoordinationState};
 use crate::text::FinishedText;
-use std::collections::BTreeMap;
 use wingshore_types::Instant;
 
 impl CoordinationLeader {
@@ -28,8 +25,9 @@
         contents.scorer.as_deref()
     }
 
-    /// Stores the finished text of an item that is to be scored. The text is made durable while the
-    /// gateway that produced it already requests the score.
+    /// Stores the finished text of an item that is to be scored. The text is made durable while its
+    /// score is already requested: by the gateway that produced it, or, if that gateway waits for
+    /// grants, once a scoring is granted.
     pub(crate) fn store_unscored_text(
         &mut self,
         item: &ItemKey,
@@ -38,13 +36,7 @@
         turn: &mut Turn<'_>,
     ) {
         self.items.finish(item);
-        let running = OpenScoring {
-            item: item.clone(),
-            made_by,
-            gateway,
-            last_reported_at: turn.now,
-        };
-        self.scorings.start(made_by, running);
+        self.queue_or_start_scoring(item, gateway, made_by, turn);
         let command = Command::KeepUnscored {
             item: item.clone(),
             made_by,
@@ -52,6 +44,32 @@
         };
         let follow_up = FollowUp::UnscoredTextStored { gateway, made_by };
         self.propose(command, follow_up, turn);
+        self.place_scorings(turn);
+    }
+
+    /// Queues the scoring of a new text, or counts it as under way where the gateway has started it.
+    fn queue_or_start_scoring(
+        &mut self,
+        item: &ItemKey,
+        gateway: GatewayId,
+        made_by: AssignmentId,
+        turn: &Turn<'_>,
+    ) {
+        // A gateway that finished the text without a leader may have started the scoring.
+        if self.scorings.has(made_by) {
+            return;
+        }
+        if self.gateways.waits_for_grants(gateway) {
+            return self.scorings.enqueue(item.clone(), made_by, turn.now);
+        }
+        let running = OpenScoring {
+            item: item.clone(),
+            made_by,
+            service: self.scoring_service(item, turn.state),
+            gateway,
+            last_reported_at: turn.now,
+        };
+        self.scorings.start(made_by, running);
     }
 
     /// Adopts a scoring that a gateway reports and that began under an earlier leader.
@@ -81,6 +99,7 @@
             return turn.release_scoring(gateway, scoring);
         }
         let running = OpenScoring {
+            service: self.scoring_service(&item, turn.state),
             item,
             made_by,
             gateway,
@@ -118,78 +137,6 @@
         }
     }
 
-    /// Assigns waiting scorings that are due to gateways.
-    pub(crate) fn place_scorings(&mut self, turn: &mut Turn<'_>) {
-        if self.scorings.waiting.is_empty() || turn.now < self.placing_starts_at {
-            return;
-        }
-        let due: Vec<(ItemKey, AssignmentId)> = self
-            .scorings
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| turn.now >= waiting.not_before)
-            .map(|(item, waiting)| (item.clone(), waiting.made_by))
-            .collect();
-        for (item, made_by) in due {
-            let Some(gateway) = self.choose_scoring_gateway() else {
-                return;
-            };
-            self.assign_scoring(item, made_by, gateway, turn);
-        }
-    }
-
-    fn choose_scoring_gateway(&self) -> Option<GatewayId> {
-        let mut running_counts: BTreeMap<GatewayId, usize> = BTreeMap::new();
-        for running in self.scorings.under_way.values() {
-            *running_counts.entry(running.gateway).or_default() += 1;
-        }
-        gateway_for_scoring(&self.gateways, &running_counts)
-    }
-
-    fn assign_scoring(
-        &mut self,
-        item: ItemKey,
-        made_by: AssignmentId,
-        gateway: GatewayId,
-        turn: &mut Turn<'_>,
-    ) {
-        let contents = turn
-            .state
-            .jobs()
-            .get(&item.job)
-            .and_then(|job| job.submission.items.get(item.index as usize));
-        let Some((contents, scorer)) =
-            contents.and_then(|contents| Some((contents, contents.scorer.clone()?)))
-        else {
-            self.scorings.waiting.remove(&item);
-            return;
-        };
-        let scoring = self.items.next_assignment();
-        let decision = ScoringDecision::Assigned {
-            scoring,
-            item: item.clone(),
-            id: contents.id.clone(),
-            request: scorer.request.clone(),
-            gateway,
-        };
-        turn.log(Decision::Scoring(decision));
-        let message = CoordinatorMessage::Score(ScoringAssignment {
-            scoring,
-            item: item.clone(),
-            id: contents.id.clone(),
-            made_by,
-            scorer: *scorer,
-        });
-        turn.send(gateway, message);
-        let running = OpenScoring {
-            item,
-            made_by,
-            gateway,
-            last_reported_at: turn.now,
-        };
-        self.scorings.start(scoring, running);
-    }
-
     /// Handles the end of a scoring at a gateway.
     pub(crate) fn on_scoring_ended(
         &mut self,
@@ -201,8 +148,16 @@
         let Some(running) = self.scorings.under_way.remove(&scoring) else {
             return turn.release_scoring(gateway, scoring);
         };
-        let OpenScoring { item, made_by, .. } = running;
+        let OpenScoring {
+            item,
+            made_by,
+            service,
+            ..
+        } = running;
         let reason = outcome.name();
+        if let Some(service) = service.filter(|_| is_refusal(&outcome)) {
+            self.scoring_services.count_refusal(&service);
+        }
         let known = Failures {
             counted: committed_failures(&item, turn.state),
             max: self.max_scoring_failures(&item, turn.state),
@@ -230,6 +185,7 @@
                 }
             }
         }
+        self.place_scorings(turn);
     }
 
     /// Proposes to list an item with its score. The gateway keeps the score until it is committed.
@@ -311,3 +267,11 @@
     let unscored = job.and_then(|job| job.unscored(item.index));
     unscored.map_or(0, |unscored| unscored.failures)
 }
+
+/// Returns whether no server accepted a scoring, or answered it in time.
+fn is_refusal(outcome: &ScoringOutcome) -> bool {
+    matches!(
+        outcome,
+        ScoringOutcome::NotScored(NotScoredReason::Refused | NotScoredReason::NoAnswer)
+    )
+}
--- a/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
@@ -14,6 +14,8 @@
     pub(crate) status: GatewayStatus,
     /// Number of items that it runs.
     pub(crate) running: usize,
+    /// Whether it starts scorings only when they are granted.
+    pub(crate) waits_for_grants: bool,
     /// Whether it has reported which items it runs.
     pub(crate) has_reported: bool,
 }
@@ -42,6 +44,7 @@
             zone: hello.zone,
             status: hello.status,
             running: 0,
+            waits_for_grants: false,
             has_reported: false,
         };
         let lost =
@@ -105,6 +108,12 @@
         self.connected.get_mut(&gateway)
     }
 
+    /// Returns whether a gateway starts scorings only when they are granted.
+    pub(crate) fn waits_for_grants(&self, gateway: GatewayId) -> bool {
+        self.get(gateway)
+            .is_some_and(|known| known.waits_for_grants)
+    }
+
     /// Counts an item that starts at a gateway.
     pub(crate) fn item_started(&mut self, gateway: GatewayId) {
         if let Some(known) = self.get_mut(gateway) {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod pace;
 pub(crate) mod registrations;
 pub(crate) mod rollout;
+pub(crate) mod scoring_services;
 pub(crate) mod scorings;
--- a/crates/gateways/wingshore-coordination/src/leader/tables/scorings.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/scorings.rs
@@ -1,6 +1,6 @@
 //! Texts that wait for their scores, and scorings that are assigned to gateways.
 
-use crate::ids::{AssignmentId, GatewayId, ItemKey, JobId};
+use crate::ids::{AssignmentId, GatewayId, ItemKey, JobId, ServiceName};
 use crate::state::CoordinationState;
 use std::collections::BTreeMap;
 use wingshore_types::Instant;
@@ -10,6 +10,8 @@
 pub(crate) struct OpenScoring {
     pub(crate) item: ItemKey,
     pub(crate) made_by: AssignmentId,
+    /// The service whose servers score it; `None` if no route leads to one.
+    pub(crate) service: Option<ServiceName>,
     pub(crate) gateway: GatewayId,
     /// Time of the gateway's last report of the scoring.
     pub(crate) last_reported_at: Instant,
@@ -19,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingText {
     pub(crate) made_by: AssignmentId,
+    /// The text waits for its scoring from this time on.
     pub(crate) not_before: Instant,
 }
 
--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -38,8 +38,9 @@
 pub use jobs::{ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
     CapacityDemand, CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect,
-    EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, OrderAnswer, Peak, UsageDuty,
-    WeightOrder, wanted_capacity,
+    EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, OrderAnswer, Peak,
+    ScoringAnswers, ScoringCapacity, ScoringLimit, ScoringOrder, ScoringReadings, UsageDuty,
+    WeightOrder, is_scoring_urgent, wanted_capacity,
 };
 pub use messages::{
     BreakCause, CallReply, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, FormatRange,
--- a/crates/gateways/wingshore-coordination/src/scoring.rs
+++ b/crates/gateways/wingshore-coordination/src/scoring.rs
@@ -4,7 +4,7 @@
 //! A score belongs to the text of one attempt: it is accepted only for the text that the group has
 //! stored, so that the score of another attempt's text is never recorded for it.
 
-use crate::ids::{AssignmentId, GatewayId, ItemId, ItemKey};
+use crate::ids::{AssignmentId, GatewayId, ItemId, ItemKey, ServiceName};
 use crate::text::FinishedText;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -130,4 +130,19 @@
         /// Delay before the next scoring.
         pause: Duration,
     },
+    /// The scorings of a service since its last summary.
+    Summary {
+        /// The service.
+        service: ServiceName,
+        /// Number of scorings that may be under way.
+        limit: u32,
+        /// Number of texts that wait for a scoring.
+        waiting: usize,
+        /// Number of scorings granted.
+        granted: u64,
+        /// Number of scorings that no server accepted or answered in time.
+        refused: u64,
+        /// Longest time that a text waited.
+        longest_wait: Duration,
+    },
 }
--- a/crates/gateways/wingshore-coordinator/src/decision_log.rs
+++ b/crates/gateways/wingshore-coordinator/src/decision_log.rs
@@ -222,5 +222,17 @@
                 "epoch" => scoring.epoch.0, "scoring" => scoring.number, "reason" => reason,
                 "failures" => failures, "pause_ms" => pause.as_millis() as u64);
         }
+        ScoringDecision::Summary {
+            service,
+            limit,
+            waiting,
+            granted,
+            refused,
+            longest_wait,
+        } => {
+            info!(logger, "scorings"; "service" => %service, "limit" => limit,
+                "waiting" => waiting, "granted" => granted, "refused" => refused,
+                "longest_wait_ms" => longest_wait.as_millis() as u64);
+        }
     }
 }
--- a/crates/gateways/wingshore-coordinator/src/metrics/gauges.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics/gauges.rs
@@ -71,6 +71,8 @@
     engines_loading: usize = "Engines that load weights; 0 where it does not lead",
     scorings_waiting: usize = "Texts that wait for a scoring; 0 where it does not lead",
     scorings_running: usize = "Scorings that gateways hold; 0 where it does not lead",
+    scorings_limit: u64 = "Scorings that may be under way; 0 where it does not lead",
+    scorings_longest_wait_ms: u64 = "Time for which the first text has waited for a scoring; 0 where it does not lead",
     suspect_requests: usize = "Requests under which servers have ended; at most 1,024",
     rejected_requests: usize = "Requests that no server is to run, since servers have ended under them",
     configuration_version: u64 = "Version of the configuration in force here",
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -84,6 +84,9 @@
         let membership = self.host.membership();
         let leader = self.host.leader_machine();
         let counts = leader.map(CoordinationLeader::counts).unwrap_or_default();
+        let now = self.clock.now();
+        let scorings = leader.map(|leader| leader.scoring_readings(now, state));
+        let scorings = scorings.unwrap_or_default();
         let (suspect_requests, rejected_requests) = state.evidence().counts();
         let draining = state.servers().values().filter(|server| server.draining);
         Readings {
@@ -106,6 +109,8 @@
             engines_loading: counts.engines_loading,
             scorings_waiting: counts.scorings_waiting,
             scorings_running: counts.scorings_running,
+            scorings_limit: scorings.limit,
+            scorings_longest_wait_ms: scorings.longest_wait.as_millis() as u64,
             suspect_requests,
             rejected_requests,
             configuration_version: state.configuration().map_or(0, |held| held.version),
--- a/crates/gateways/wingshore-coordinator/src/process/gateways.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/gateways.rs
@@ -160,8 +160,8 @@
             item,
             outcome,
         },
-        GatewayMessage::ScoringLoad(_)
-        | GatewayMessage::EnginePaces(_)
+        GatewayMessage::ScoringLoad(loads) => Event::ScoringLoadReported { gateway, loads },
+        GatewayMessage::EnginePaces(_)
         | GatewayMessage::Weight(_)
         | GatewayMessage::FollowGateways
         | GatewayMessage::FollowView { .. }
