gateway: scorings start when the leader grants them

Change: under a leader that speaks the format of load reports a gateway leaves its texts' scorings to the grants of the leader, tells it so by a first report of load, and reports live requests and answers at the services that its items' scorers name. Granted scorings pass the gateway's own limit. Under a leader of an earlier build, or with policy.shared_scoring_limit off, it starts them at once as before. A text that no leader was told of starts 1.5 s after both its end and the loss of the leader (scoring_start). Safe: the leader adopts what gateways report as running; a text that a leader was told of is never started without one.

--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -119,6 +119,12 @@
         known.is_some_and(|known| known >= format)
     }
 
+    /// Returns whether messages of `format` can be sent to the leader.
+    pub(crate) fn leader_speaks(&self, format: u16) -> bool {
+        self.leader
+            .is_some_and(|address| self.speaks(address, format))
+    }
+
     /// Returns all connections that are up.
     pub(crate) fn connected(&self) -> Vec<ConnectionId> {
         let links = self.links.values();
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -59,6 +59,14 @@
         self.split.next(route)
     }
 
+    /// Returns the number of live requests in flight at the servers of a service.
+    pub(crate) fn live_in_flight(&self, service: &ServiceName) -> u32 {
+        let live = self.all.values().filter(|exchange| {
+            matches!(exchange.origin, Origin::Client(_)) && exchange.service == *service
+        });
+        u32::try_from(live.count()).unwrap_or(u32::MAX)
+    }
+
     /// Starts an exchange: arms its timer and sends the request to a server.
     #[must_use]
     pub(crate) fn begin(
--- a/crates/gateways/wingshore-gateway/src/item_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/item_attempt.rs
@@ -192,6 +192,19 @@
         })
     }
 
+    /// Returns the scoring of a finished text that no leader has made durable.
+    pub(crate) fn finished_scoring(&self) -> Option<ScoringAssignment> {
+        match self.outcome {
+            Some(ItemOutcome::Finished(_)) => self.scoring(),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the outcome was reported to a leader.
+    pub(crate) fn is_reported(&self) -> bool {
+        self.reported_on.is_some()
+    }
+
     /// Returns the scoring of the text, if the item has a scorer. The scoring has the identifier of
     /// the attempt.
     pub(crate) fn scoring(&self) -> Option<ScoringAssignment> {
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -45,6 +45,25 @@
         running.map(ItemAttempt::progress).collect()
     }
 
+    /// Returns the scorings of the finished texts that no leader has made durable.
+    pub(crate) fn finished_scorings(&self) -> Vec<ScoringAssignment> {
+        let attempts = self.attempts.values();
+        attempts.filter_map(ItemAttempt::finished_scoring).collect()
+    }
+
+    /// Returns the scorings of the finished texts that no leader was told of, for which `is_due`
+    /// holds at the time of their last event.
+    pub(crate) fn unreported_scorings(
+        &self,
+        is_due: impl Fn(Instant) -> bool,
+    ) -> Vec<ScoringAssignment> {
+        let attempts = self.attempts.values();
+        attempts
+            .filter(|attempt| !attempt.is_reported() && is_due(attempt.last_input_at))
+            .filter_map(ItemAttempt::finished_scoring)
+            .collect()
+    }
+
     /// Returns the number of attempts.
     pub(crate) fn count(&self) -> usize {
         self.attempts.len()
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -38,7 +38,9 @@
 mod request_suspicion;
 mod runtime;
 mod scoring;
+mod scoring_load;
 mod scoring_policy;
+mod scoring_start;
 mod servers;
 mod settings;
 mod site;
@@ -70,7 +72,11 @@
 pub use protocol::{
     BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer, ReadPage, ReadResult,
 };
+pub use scoring_load::ScoringLoads;
 pub use scoring_policy::{ScoringEnd, end_with_answer, end_without_answer, max_scorings};
+pub use scoring_start::{
+    ScoringLeader, ScoringStart, is_leaderless_start_due, may_start_without_leader, scoring_start,
+};
 pub use settings::{GatewayPolicy, GatewaySettings};
 pub use view::{UpdateOutcome, View};
 pub use view_source::{Candidate, ChoiceInputs, ViewSource};
--- a/crates/gateways/wingshore-gateway/src/process/group.rs
+++ b/crates/gateways/wingshore-gateway/src/process/group.rs
@@ -4,6 +4,7 @@
 use crate::coordinators::{StateCopy, send, send_hello};
 use crate::crash_reports;
 use crate::ids::CallId;
+use crate::scoring_start::ScoringLeader;
 use crate::view_following::{self, AppliedUpdate};
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -13,6 +14,15 @@
 use wingshore_net::{ConnectionId, frame};
 use wingshore_types::Epoch;
 
+/// Whether a report is sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ReportKind {
+    /// Also without contents.
+    Always,
+    /// Only with contents.
+    IfAny,
+}
+
 impl Gateway {
     /// Connects to all known coordinators without a connection.
     pub(super) fn dial_coordinators(&mut self) {
@@ -122,7 +132,7 @@
             CoordinatorMessage::Release { assignment } => {
                 self.items.release(&mut self.environment, assignment);
             }
-            CoordinatorMessage::Score(assignment) => self.begin_scoring(assignment),
+            CoordinatorMessage::Score(assignment) => self.on_assigned_scoring(assignment),
             CoordinatorMessage::ReleaseScoring { scoring } => self.release_scoring(scoring),
             CoordinatorMessage::Alive {
                 coordinators,
@@ -149,6 +159,12 @@
         info!(self.environment.runtime.logger, "leader"; "address" => %address, "epoch" => epoch.0,
             "configuration" => self.environment.site.view.version());
         self.environment.site.coordinators.set_leader(address);
+        self.record_leader();
+        match self.scoring_leader() {
+            // The first report tells the leader that this gateway waits for grants.
+            ScoringLeader::Grants => self.report_scoring_load(ReportKind::Always),
+            ScoringLeader::StartsNone | ScoringLeader::Unknown => self.queue_finished_scorings(),
+        }
         self.report_running(connection);
         crash_reports::report_all(&mut self.environment);
         self.calls
@@ -189,6 +205,19 @@
         if !scorings.is_empty() {
             self.environment.report(GatewayMessage::Scoring(scorings));
         }
+        if self.scoring_leader() == ScoringLeader::Grants {
+            self.report_scoring_load(ReportKind::IfAny);
+        }
+    }
+
+    /// Reports the load of scoring services to the leader.
+    fn report_scoring_load(&mut self, kind: ReportKind) {
+        let exchanges = &self.exchanges;
+        let loads = self.scorings.loads();
+        let loads = loads.take_report(|service| exchanges.live_in_flight(service));
+        if kind == ReportKind::Always || !loads.is_empty() {
+            self.environment.report(GatewayMessage::ScoringLoad(loads));
+        }
     }
 
     /// Reports the usage counts that have changed.
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -72,6 +72,8 @@
     signals: Signals,
     seed_source: SeedSource,
     stopping_since: Option<Instant>,
+    /// Since when no leader is known, as of the last housekeeping.
+    leader_lost_at: Option<Instant>,
     next_status: Instant,
     next_housekeeping: Instant,
 }
@@ -109,6 +111,7 @@
             signals,
             seed_source,
             stopping_since: None,
+            leader_lost_at: None,
             next_status: Instant::ZERO,
             next_housekeeping: Instant::ZERO,
         })
@@ -206,6 +209,8 @@
         self.environment.forget_old_servers();
         self.clients
             .forget_closed(&self.environment.runtime.reactor);
+        self.record_leader();
+        self.queue_leaderless_scorings();
         self.start_scorings();
         self.reload_seeds();
         self.begin_stop();
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -124,7 +124,7 @@
                 let scoring =
                     items.on_answer(environment, id, &answer.head, ends_at_event_boundary);
                 if let Some(scoring) = scoring {
-                    self.begin_scoring(scoring);
+                    self.on_unscored_text(scoring);
                 }
             }
         }
--- a/crates/gateways/wingshore-gateway/src/scoring.rs
+++ b/crates/gateways/wingshore-gateway/src/scoring.rs
@@ -1,7 +1,8 @@
 //! Scorings: requests to a scoring service for the scores of complete texts.
 //!
-//! A scoring begins on the gateway that generated the text, as soon as the text is complete, or on
-//! another gateway that the leader assigns if that gateway is gone. It is sent like a live request,
+//! A scoring begins on a gateway to which the leader grants it. Under a leader that does not grant
+//! scorings, it begins on the gateway that generated the text, as soon as the text is complete, or
+//! on another gateway that the leader assigns if that gateway is gone. It is sent like a live request,
 //! within the routes, attempts and time limits in force.
 //!
 //! Owns the scorings, their queue and the limit of each service. The outcome of a scoring is kept
@@ -14,6 +15,7 @@
 use crate::ids::ExchangeId;
 use crate::limit::{ConcurrencyLimit, LoadSignal};
 use crate::protocol::HeaderNames;
+use crate::scoring_load::ScoringLoads;
 use crate::scoring_policy::{self, ScoringEnd};
 use slog::info;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -28,6 +30,8 @@
 /// A scoring that is unfinished, or whose outcome the leader has not made durable.
 struct Scoring {
     assignment: ScoringAssignment,
+    /// Whether the leader has granted it within the limit that all gateways share.
+    is_granted: bool,
     /// When the scoring was added.
     added_at: Instant,
     /// The running request and its service.
@@ -57,6 +61,7 @@
     limits: HashMap<ServiceName, ConcurrencyLimit>,
     /// Whether the limits of the services are enforced.
     is_limited: bool,
+    loads: ScoringLoads,
 }
 
 impl Scorings {
@@ -67,9 +72,15 @@
             queue: VecDeque::new(),
             limits: HashMap::new(),
             is_limited,
+            loads: ScoringLoads::default(),
         }
     }
 
+    /// Returns the observations at scoring services, for reports to the leader.
+    pub(crate) fn loads(&mut self) -> &mut ScoringLoads {
+        &mut self.loads
+    }
+
     /// Returns the unfinished scorings, and those whose outcome no leader has made durable.
     pub(crate) fn running(&self) -> impl Iterator<Item = RunningScoring> + '_ {
         self.by_id.values().map(|scoring| RunningScoring {
@@ -98,14 +109,21 @@
         self.queue.len()
     }
 
-    /// Queues the scoring of a text; returns false if it exists already.
-    pub(crate) fn add(&mut self, now: Instant, assignment: ScoringAssignment) -> bool {
+    /// Queues the scoring of a text; returns false if it exists already. A scoring that the leader
+    /// has granted is not subject to the limit of this gateway.
+    pub(crate) fn add(
+        &mut self,
+        now: Instant,
+        assignment: ScoringAssignment,
+        is_granted: bool,
+    ) -> bool {
         let id = assignment.scoring;
         if self.by_id.contains_key(&id) {
             return false;
         }
         let scoring = Scoring {
             assignment,
+            is_granted,
             added_at: now,
             exchange: None,
             outcome: None,
@@ -149,7 +167,8 @@
         let servers = environment.site.view.servers_of(&service);
         let slots = servers.map(|server| server.slots).sum();
         let limit = self.limits.entry(service.clone()).or_default();
-        if self.is_limited && !limit.allows(scoring_policy::max_scorings(slots)) {
+        let is_limited = self.is_limited && !scoring.is_granted;
+        if is_limited && !limit.allows(scoring_policy::max_scorings(slots)) {
             return StartOutcome::LimitReached;
         }
         limit.acquire();
@@ -239,6 +258,7 @@
         signal: LoadSignal,
     ) -> Option<ExchangeId> {
         let (exchange, service) = self.by_id.get_mut(&id)?.exchange.take()?;
+        self.loads.record(&service, signal);
         if let Some(limit) = self.limits.get_mut(&service) {
             limit.release(now, signal);
         }
--- a/crates/gateways/wingshore-gateway/src/settings.rs
+++ b/crates/gateways/wingshore-gateway/src/settings.rs
@@ -42,6 +42,9 @@
     pub near_copies: bool,
     /// Whether a limit that adapts to the capacity of the servers applies to scorings.
     pub scoring_limit: bool,
+    /// Whether scorings wait for grants of a leader that limits the scorings of all gateways
+    /// together.
+    pub shared_scoring_limit: bool,
 }
 
 impl Default for GatewayPolicy {
@@ -49,6 +52,7 @@
         Self {
             near_copies: true,
             scoring_limit: true,
+            shared_scoring_limit: true,
         }
     }
 }
