leader: a text that arrives before its gateway's first report is granted

Cause: a gateway whose coordinator is elected again sends it texts until it hears of the new leadership; the new leader does not know yet that this gateway waits for grants, takes the scoring for started, and queues it only after 2 s of silence. Change: at the first report of load the scorings taken for the gateway's are queued; the report of what it runs, sent right after, brings back those that run. Safe: a new leader grants nothing in its first 0.3 s, and a gateway that connects again has had its scorings queued already.

--- a/crates/gateways/wingshore-coordination/src/leader/scoring_grants.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/scoring_grants.rs
@@ -91,8 +91,10 @@
         loads: Vec<ScoringLoad>,
         turn: &Turn<'_>,
     ) {
-        if let Some(known) = self.gateways.get_mut(gateway) {
-            known.waits_for_grants = true;
+        if self.gateways.record_waiting_for_grants(gateway) {
+            // Texts that arrived before this report were taken for started; the report of running
+            // scorings that follows brings back those that are.
+            self.requeue_scorings_of_gateway(turn.now, gateway);
         }
         for load in loads {
             let slots = servers_of(&load.service, turn.state).slots;
--- a/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
@@ -108,6 +108,13 @@
         self.connected.get_mut(&gateway)
     }
 
+    /// Records that a gateway starts scorings only when they are granted. Returns whether this was not
+    /// known of it.
+    pub(crate) fn record_waiting_for_grants(&mut self, gateway: GatewayId) -> bool {
+        let known = self.get_mut(gateway);
+        known.is_some_and(|known| !std::mem::replace(&mut known.waits_for_grants, true))
+    }
+
     /// Returns whether a gateway starts scorings only when they are granted.
     pub(crate) fn waits_for_grants(&self, gateway: GatewayId) -> bool {
         self.get(gateway)
