--- a/crates/gateways/wingshore-coordination/src/leader/machine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/machine.rs
@@ -19,6 +19,7 @@
 use super::tables::registrations::Registrations;
 use super::tables::rollout::Rollout;
 use super::tables::run_times::RunTimes;
+use super::tables::scoring_services::ScoringServices;
 use super::tables::scorings::Scorings;
 use super::turn::Turn;
 use crate::ids::JobId;
@@ -55,6 +56,9 @@
     pub(super) late_jobs: BTreeSet<JobId>,
     pub(super) rollout: Rollout,
     pub(super) scorings: Scorings,
+    pub(super) scoring_services: ScoringServices,
+    /// When the next summary of scorings is logged.
+    pub(super) next_scoring_summary: Instant,
     pub(super) evidence: Evidence,
     pub(super) usage: UsageReporter,
     pub(super) capacity: Capacity,
@@ -92,6 +96,8 @@
             late_jobs: BTreeSet::new(),
             rollout: Rollout::default(),
             scorings: Scorings::default(),
+            scoring_services: ScoringServices::default(),
+            next_scoring_summary: Instant::ZERO,
             evidence: Evidence::default(),
             usage: UsageReporter::default(),
             capacity: Capacity::default(),
--- a/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
@@ -14,6 +14,8 @@
     pub(crate) status: GatewayStatus,
     /// Number of items that it runs.
     pub(crate) running: usize,
+    /// Whether it starts scorings only when they are granted.
+    pub(crate) waits_for_grants: bool,
     /// Whether it has reported which items it runs.
     pub(crate) has_reported: bool,
 }
@@ -42,6 +44,7 @@
             zone: hello.zone,
             status: hello.status,
             running: 0,
+            waits_for_grants: false,
             has_reported: false,
         };
         let lost =
@@ -105,6 +108,19 @@
         self.connected.get_mut(&gateway)
     }
 
+    /// Records that a gateway starts scorings only when they are granted. Returns whether this was not
+    /// known of it.
+    pub(crate) fn record_waiting_for_grants(&mut self, gateway: GatewayId) -> bool {
+        let known = self.get_mut(gateway);
+        known.is_some_and(|known| !std::mem::replace(&mut known.waits_for_grants, true))
+    }
+
+    /// Returns whether a gateway starts scorings only when they are granted.
+    pub(crate) fn waits_for_grants(&self, gateway: GatewayId) -> bool {
+        self.get(gateway)
+            .is_some_and(|known| known.waits_for_grants)
+    }
+
     /// Counts an item that starts at a gateway.
     pub(crate) fn item_started(&mut self, gateway: GatewayId) {
         if let Some(known) = self.get_mut(gateway) {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
@@ -13,4 +13,5 @@
 pub(crate) mod registrations;
 pub(crate) mod rollout;
 pub(crate) mod run_times;
+pub(crate) mod scoring_services;
 pub(crate) mod scorings;
