gateway: decisions on second attempts at slow requests

Cause: a repeatable request goes to another server only after twice its target latency, when its answer is late by definition.

Change: `service_latency` holds the answer times of each service (histograms of hdrhistogram, halved each 30 s); `second_attempt` decides when a second attempt is due, whether it may start, and keeps the budget; the balancer tells which servers have a free slot. None of it is called yet. Scorings leave the last token to live requests.

Safe: no I/O, and no caller yet; `choose` of the balancer is as before.

--- a/crates/gateways/wingshore-gateway/src/balance.rs
+++ b/crates/gateways/wingshore-gateway/src/balance.rs
@@ -7,8 +7,9 @@
 //! latency in milliseconds, its consecutive failures, and whether it is in the gateway's zone.
 //!
 //! **Rule.** The server of the lowest cost is chosen. The cost is the expected latency, times one
-//! plus twice the fraction of its slots in use, times 1.15 if it is in another zone. A server that
-//! does not accept a request or loses the connection is ejected for 0.3 s; the time doubles with
+//! plus twice the fraction of its slots in use, times 1.15 if it is in another zone. A server has a
+//! free slot if fewer requests than slots are known and it is not ejected. A server that does not
+//! accept a request or loses the connection is ejected for 0.3 s; the time doubles with
 //! each consecutive failure, up to 4 s. An ejected server is chosen only if all others are ejected
 //! too.
 //!
@@ -74,6 +75,16 @@
 }
 
 impl ServerStats {
+    /// Returns the number of requests that are known to be at the server: those that this gateway
+    /// has in flight there or, if that is more, those in a fresh load report.
+    fn load(&self, now: Instant) -> u32 {
+        let is_fresh = self
+            .reported_at
+            .is_some_and(|at| now.since(at) <= LOAD_REPORT_LIFETIME);
+        let reported = if is_fresh { self.reported_load } else { 0 };
+        self.in_flight.max(reported)
+    }
+
     /// Returns the expected latency in milliseconds. A measurement loses weight with age, so that a
     /// server that was slow once is chosen again.
     fn expected_latency(&self, now: Instant) -> f64 {
@@ -109,11 +120,7 @@
     fn cost(&self, now: Instant, zone: &str, record: &ServerRecord) -> f64 {
         let fresh = ServerStats::default();
         let server = self.servers.get(&record.instance).unwrap_or(&fresh);
-        let is_fresh = server
-            .reported_at
-            .is_some_and(|at| now.since(at) <= LOAD_REPORT_LIFETIME);
-        let busy = if is_fresh { server.reported_load } else { 0 };
-        let load = f64::from(server.in_flight.max(busy));
+        let load = f64::from(server.load(now));
         let slots = f64::from(record.slots.max(1));
         let distance = if record.zone == zone {
             1.0
@@ -128,6 +135,14 @@
         ejection + server.expected_latency(now) * (1.0 + load / slots * LOAD_COST_FACTOR) * distance
     }
 
+    /// Whether a server has a free slot, as far as this gateway knows, and is not ejected.
+    pub fn has_free_slot(&self, now: Instant, record: &ServerRecord) -> bool {
+        let Some(server) = self.servers.get(&record.instance) else {
+            return true;
+        };
+        now >= server.ejected_until && server.load(now) < record.slots.max(1)
+    }
+
     /// Records that a request was sent to a server.
     pub fn started(&mut self, instance: &InstanceId) {
         self.entry(instance).in_flight += 1;
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -39,7 +39,9 @@
 mod runtime;
 mod scoring;
 mod scoring_policy;
+mod second_attempt;
 mod servers;
+mod service_latency;
 mod settings;
 mod site;
 mod split;
@@ -71,6 +73,11 @@
     BatchAnswer, BatchCall, HeaderNames, IngressProtocol, OwnAnswer, ReadPage, ReadResult,
 };
 pub use scoring_policy::{ScoringEnd, end_with_answer, end_without_answer, max_scorings};
+pub use second_attempt::{
+    Requester, SecondAttemptBudget, SecondAttemptContext, is_second_possible, may_start_second,
+    second_attempt_delay,
+};
+pub use service_latency::ServiceLatencies;
 pub use settings::{GatewayPolicy, GatewaySettings};
 pub use view::{UpdateOutcome, View};
 pub use view_source::{Candidate, ChoiceInputs, ViewSource};
