gateway: a second server before the target latency is missed

Cause: one slow server, or one slow run, makes a repeatable request late although another server could still answer in time; the next server got it after twice the target latency.

Change: an exchange holds its running attempts, at most two. When the first one is not answered by the time that `second_attempt` sets, the request goes to the best other server with a free slot. The first usable answer ends the race: the other connection is closed, and an overtaken server counts the elapsed time as its latency. Scorings take the same path. A server's latency now counts from the start of its own attempt, not from that of the request, so that it does not bear the time of the server before it. A tenant's request is counted once, also where both servers have run it. The key `policy.second_attempts` switches it off; the metric `second_attempts`, the line `attempt overtaken` and a page for operators show what it does.

Safe: streams, requests that may run once, suspects and requests without an attempt left get none, and at most 5 % more requests plus three for each gateway reach a service. The tests over bytes cover the loser's late answer, failures of either attempt, both refused, both silent, clients that leave, planned stops, usage and crash evidence.

--- a/crates/gateways/wingshore-gateway/src/environment.rs
+++ b/crates/gateways/wingshore-gateway/src/environment.rs
@@ -55,4 +55,10 @@
         servers.balancer.retain(|instance| view.knows(instance));
         servers.crashes.expire(self.runtime.now);
     }
+    /// Drops state about services to which the configuration has no route.
+    pub(crate) fn forget_old_services(&mut self) {
+        let view = &self.site.view;
+        let seconds = &mut self.servers.second_attempts;
+        seconds.retain(|service| view.has_route_to(service));
+    }
 }
--- a/crates/gateways/wingshore-gateway/src/error.rs
+++ b/crates/gateways/wingshore-gateway/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors that keep a gateway from starting or running.
 
+use hdrhistogram::CreationError;
 use snafu::Snafu;
 use wingshore_net::NetError;
 
@@ -13,4 +14,10 @@
         /// The error of the reactor.
         source: NetError,
     },
+    /// The histograms of answer times cannot be created.
+    #[snafu(display("histograms of answer times: {source:?}"))]
+    Histogram {
+        /// The invalid bound.
+        source: CreationError,
+    },
 }
--- a/crates/gateways/wingshore-gateway/src/exchange.rs
+++ b/crates/gateways/wingshore-gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::attempts::{AttemptHistory, RetryLimits};
 use crate::passed_stream::PassedStream;
 use crate::protocol::OwnAnswer;
+use crate::running_attempt::RunningAttempt;
 use crate::suspects;
 use std::sync::Arc;
 use wingshore_coordination::{
@@ -28,7 +29,7 @@
     pub(crate) origin: Origin,
     /// The tenant on whose behalf the request runs.
     pub(crate) tenant: Option<TenantName>,
-    /// The usage window in which the current attempt is counted.
+    /// The usage window in which the request is counted, until an attempt may have run there.
     pub(crate) usage_window: Option<UsageWindow>,
     pub(crate) request: WholeRequest,
     /// The request ID.
@@ -42,10 +43,12 @@
     pub(crate) history: AttemptHistory,
     /// Servers that the request was sent to.
     pub(crate) sent_to: Vec<InstanceId>,
-    /// The connection of the current attempt.
-    pub(crate) upstream: Option<ConnectionId>,
-    /// When the current attempt is abandoned.
-    pub(crate) attempt_deadline: Instant,
+    /// The attempts that are running: at most two.
+    pub(crate) running: Vec<RunningAttempt>,
+    /// When a second attempt is due besides the running one.
+    pub(crate) second_due_at: Option<Instant>,
+    /// Whether a second attempt was started.
+    pub(crate) had_second: bool,
     /// Whether the request is rejected because too many servers crashed while running it.
     pub(crate) is_rejected: bool,
     /// The part of a stream already forwarded to the client; set once its head has been forwarded.
@@ -80,8 +83,9 @@
             deadline: new.deadline,
             history: AttemptHistory::default(),
             sent_to: Vec::new(),
-            upstream: None,
-            attempt_deadline: new.deadline,
+            running: Vec::new(),
+            second_due_at: None,
+            had_second: false,
             is_rejected: false,
             stream: None,
         }
@@ -92,26 +96,71 @@
         RetryLimits::of(&self.route)
     }
 
-    /// Shortens the deadlines to `end` if they are later than that.
+    /// Shortens the deadline to `end` if it is later than that.
     pub(crate) fn shorten_deadline(&mut self, end: Instant) {
         self.deadline = self.deadline.min(end);
-        self.attempt_deadline = self.attempt_deadline.min(end);
     }
 
-    /// Returns when an attempt that starts now is abandoned so that another server can get the
-    /// request.
-    pub(crate) fn answer_deadline(&self, now: Instant) -> Instant {
-        let (attempts, target) = (self.history.attempts, self.route.target_latency);
-        attempt_timeouts::answer_deadline(now, self.deadline, self.limits(), attempts, target)
+    /// Returns when an attempt is abandoned so that another server can get the request. A stream
+    /// that has started keeps going until the deadline of the whole request.
+    fn attempt_deadline(&self, attempt: &RunningAttempt) -> Instant {
+        if self.stream.is_some() {
+            return self.deadline;
+        }
+        let Some(connected_at) = attempt.connected_at else {
+            return attempt_timeouts::connect_deadline(attempt.started_at, self.deadline);
+        };
+        attempt_timeouts::answer_deadline(
+            connected_at,
+            self.deadline,
+            self.limits(),
+            self.other_attempts(),
+            self.route.target_latency,
+        )
     }
 
-    /// Returns when the current attempt ends. A stream that has started keeps going until the
-    /// deadline of the whole request.
-    pub(crate) fn current_deadline(&self) -> Instant {
-        match &self.stream {
-            Some(_) => self.deadline,
-            None => self.attempt_deadline,
-        }
+    /// Returns the number of attempts that may have run or are running, besides one that is
+    /// running.
+    fn other_attempts(&self) -> u32 {
+        let others = self.running.len().saturating_sub(1);
+        self.history.attempts + u32::try_from(others).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the connection of an attempt whose deadline has passed.
+    pub(crate) fn late_attempt(&self, now: Instant) -> Option<ConnectionId> {
+        let late = |attempt: &&RunningAttempt| now >= self.attempt_deadline(attempt);
+        self.running
+            .iter()
+            .find(late)
+            .map(|attempt| attempt.connection)
+    }
+
+    /// Whether a second attempt is due.
+    pub(crate) fn is_second_due(&self, now: Instant) -> bool {
+        self.second_due_at.is_some_and(|due_at| now >= due_at)
+    }
+
+    /// Returns when the exchange must be looked at next: a second attempt is due, or an attempt is
+    /// abandoned.
+    pub(crate) fn next_timer(&self) -> Instant {
+        let deadlines = self.running.iter();
+        let deadlines = deadlines.map(|attempt| self.attempt_deadline(attempt));
+        deadlines
+            .chain(self.second_due_at)
+            .fold(self.deadline, Instant::min)
+    }
+
+    /// Returns the running attempt on a connection.
+    pub(crate) fn attempt_mut(&mut self, connection: ConnectionId) -> Option<&mut RunningAttempt> {
+        let mut running = self.running.iter_mut();
+        running.find(|attempt| attempt.connection == connection)
+    }
+
+    /// Removes the attempt on a connection from those that are running, and returns it.
+    pub(crate) fn take_attempt(&mut self, connection: ConnectionId) -> Option<RunningAttempt> {
+        let mut running = self.running.iter();
+        let position = running.position(|attempt| attempt.connection == connection)?;
+        Some(self.running.remove(position))
     }
 
     /// Whether the current server has streamed events for so long that the request is not suspected
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -2,27 +2,29 @@
 //!
 //! Live requests and scorings take the same path; only the handling of the result differs. This
 //! module owns the exchanges in progress. [`balance`](crate::balance) selects the server,
-//! [`answers`] classifies an answer, [`attempts`] decides on another attempt, and
-//! [`attempt_timeouts`] sets the time limits.
+//! [`answers`] classifies an answer, [`attempts`] decides on another attempt,
+//! [`attempt_timeouts`](crate::attempt_timeouts) sets the time limits, and [`second_attempts`] adds
+//! a second attempt to one that is slow: the first usable answer wins.
 
 use crate::answers::{self, AnswerFacts, AnswerKind, MISDIRECTED_STATUS};
-use crate::attempt_timeouts;
 use crate::attempts::{self, NextStep, RetryContext};
 use crate::crash_reports;
-use crate::encode::encode_request;
 use crate::environment::Environment;
 use crate::exchange::{AttemptFailure, Exchange, ExchangeEnd, Origin};
 use crate::forward_ends::{answered, give_up};
 use crate::forward_log as log;
 use crate::ids::ExchangeId;
 use crate::request_suspicion;
+use crate::running_attempt::RunningAttempt;
 use crate::runtime::Runtime;
+use crate::second_attempts;
+use crate::send_attempt;
 use crate::split::ServiceSplit;
 use crate::streams::{self, ClientQueue};
 use crate::timers::TimerKey;
-use crate::upstream::{ConnectionEnd, LostRequest, Task};
+use crate::upstream::{ConnectionEnd, LostRequest};
 use std::collections::HashMap;
-use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName};
+use wingshore_coordination::{Route, ServerRecord, ServiceName};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::WholeAnswer;
 use wingshore_types::Instant;
@@ -72,6 +74,8 @@
         }
         let timers = &mut environment.runtime.timers;
         timers.arm(exchange.deadline, TimerKey::Exchange(id));
+        let seconds = &mut environment.servers.second_attempts;
+        seconds.request_started(&exchange.service);
         self.send_to_server(environment, id, exchange)
     }
 
@@ -82,7 +86,7 @@
             exchange.shorten_deadline(stop_at);
             runtime
                 .timers
-                .arm(exchange.current_deadline(), TimerKey::Exchange(*id));
+                .arm(exchange.next_timer(), TimerKey::Exchange(*id));
         }
     }
 
@@ -104,8 +108,8 @@
                 return Some(give_up(environment, &exchange));
             };
             exchange.sent_to.push(server.instance.clone());
-            if let Some(connection) = send(environment, id, &exchange, &server) {
-                self.await_answer(environment, id, exchange, connection);
+            if let Some(attempt) = send_attempt::send(environment, id, &exchange, &server) {
+                self.await_answer(environment, id, exchange, attempt);
                 return None;
             }
             exchange.history.record(Verdict::NotRun);
@@ -115,39 +119,42 @@
         }
     }
 
-    /// Records that a request was sent on a connection, and arms the timer of the attempt.
+    /// Records that a request was sent to a server, and arms the timer of the attempt.
     fn await_answer(
         &mut self,
         environment: &mut Environment,
         id: ExchangeId,
         mut exchange: Exchange,
-        connection: ConnectionId,
+        attempt: RunningAttempt,
     ) {
         let now = environment.runtime.now;
         if matches!(exchange.origin, Origin::Client(_)) {
             let usage = &mut environment.usage;
             exchange.usage_window = usage.request_sent(now, exchange.tenant.as_ref());
         }
-        exchange.upstream = Some(connection);
-        let upstream = environment.servers.upstreams.get(connection);
-        exchange.attempt_deadline = if upstream.is_some_and(|upstream| upstream.is_connected) {
-            exchange.answer_deadline(now)
-        } else {
-            attempt_timeouts::connect_deadline(now, exchange.deadline)
-        };
+        exchange.second_due_at = second_attempts::due_at(environment, &exchange);
+        exchange.running.push(attempt);
         let timers = &mut environment.runtime.timers;
-        timers.arm(exchange.attempt_deadline, TimerKey::Exchange(id));
+        timers.arm(exchange.next_timer(), TimerKey::Exchange(id));
         self.all.insert(id, exchange);
     }
 
     /// Handles an established connection with a request on it: the time for the answer starts.
-    pub(crate) fn on_connected(&mut self, environment: &mut Environment, id: ExchangeId) {
+    pub(crate) fn on_connected(
+        &mut self,
+        environment: &mut Environment,
+        id: ExchangeId,
+        connection: ConnectionId,
+    ) {
         let now = environment.runtime.now;
-        if let Some(exchange) = self.all.get_mut(&id) {
-            exchange.attempt_deadline = exchange.answer_deadline(now);
-            let timers = &mut environment.runtime.timers;
-            timers.arm(exchange.attempt_deadline, TimerKey::Exchange(id));
+        let Some(exchange) = self.all.get_mut(&id) else {
+            return;
+        };
+        if let Some(attempt) = exchange.attempt_mut(connection) {
+            attempt.connected_at = Some(now);
         }
+        let timers = &mut environment.runtime.timers;
+        timers.arm(exchange.next_timer(), TimerKey::Exchange(id));
     }
 
     /// Handles bytes of a server's answer: forwards complete events of a stream.
@@ -172,17 +179,19 @@
         &mut self,
         environment: &mut Environment,
         id: ExchangeId,
-        instance: &InstanceId,
+        connection: ConnectionId,
         answer: WholeAnswer,
     ) -> Option<ExchangeEnd> {
         let now = environment.runtime.now;
+        let exchange = self.all.get_mut(&id)?;
+        let attempt = exchange.take_attempt(connection)?;
+        let instance = &attempt.instance;
         let balancer = &mut environment.servers.balancer;
         balancer.ended(instance);
         let names = environment.site.protocol.header_names();
         if let Some(load) = answers::reported_load(names, &answer.head) {
             balancer.load_reported(now, instance, load);
         }
-        let exchange = self.all.get(&id)?;
         if exchange.stream.is_some() && answer.head.is_success() {
             return self.finish_stream(environment, id);
         }
@@ -194,11 +203,12 @@
         if let Some(verdict) = kind.verdict() {
             let mut failure = AttemptFailure::new(verdict, false, kind.name());
             failure.answer = (kind == AnswerKind::ServerFailed).then_some(answer);
-            return self.attempt_failed(environment, id, instance, failure);
+            return self.attempt_failed(environment, id, &attempt, failure);
         }
         environment.runtime.metrics.attempt_ended(kind.name());
-        let exchange = self.all.remove(&id)?;
-        Some(answered(environment, exchange, instance, answer))
+        let mut exchange = self.all.remove(&id)?;
+        second_attempts::end_losers(environment, &mut exchange, &attempt);
+        Some(answered(environment, exchange, &attempt, answer))
     }
 
     /// Handles the end of a stream.
@@ -225,8 +235,10 @@
         id: ExchangeId,
         lost: &LostRequest,
     ) -> Option<ExchangeEnd> {
-        let LostRequest { instance, end, .. } = lost;
-        environment.servers.balancer.ended(instance);
+        let LostRequest {
+            connection, end, ..
+        } = lost;
+        environment.servers.balancer.ended(&lost.instance);
         let verdict = match end {
             ConnectionEnd::Lost | ConnectionEnd::TimedOut => Verdict::MayHaveRun,
             ConnectionEnd::ConnectFailed | ConnectionEnd::Refused => Verdict::NotRun,
@@ -235,11 +247,13 @@
             let exchange = self.all.get(&id);
             request_suspicion::connection_lost(environment, exchange, lost);
         }
+        let attempt = self.all.get_mut(&id)?.take_attempt(*connection)?;
         let failure = AttemptFailure::new(verdict, true, end.reason());
-        self.attempt_failed(environment, id, instance, failure)
+        self.attempt_failed(environment, id, &attempt, failure)
     }
 
-    /// Handles a timer: the deadline of the attempt or of the whole request may have passed.
+    /// Handles a timer: a second attempt may be due, or the deadline of an attempt or of the whole
+    /// request may have passed.
     #[must_use]
     pub(crate) fn on_timer(
         &mut self,
@@ -248,44 +262,74 @@
     ) -> Option<ExchangeEnd> {
         let now = environment.runtime.now;
         let exchange = self.all.get_mut(&id)?;
-        let deadline = exchange.current_deadline();
-        if now < exchange.deadline && now < deadline {
-            let timers = &mut environment.runtime.timers;
-            timers.arm(deadline, TimerKey::Exchange(id));
-            return None;
+        if exchange.is_second_due(now) && exchange.late_attempt(now).is_none() {
+            second_attempts::start(environment, id, exchange);
         }
-        let connection = exchange.upstream.take()?;
-        let servers = &mut environment.servers;
-        let runtime = &mut environment.runtime;
-        let closed = servers.upstreams.close(runtime, connection)?;
-        let time = now.since(closed.task_started_at);
-        servers.balancer.ended(&closed.instance);
-        servers.balancer.timed_out(now, &closed.instance, time);
-        let verdict = if closed.is_connected {
+        while let Some(connection) = self.late_attempt(id, now) {
+            let end = self.abandon(environment, id, connection);
+            if end.is_some() {
+                return end;
+            }
+        }
+        let exchange = self.all.get(&id)?;
+        let timers = &mut environment.runtime.timers;
+        timers.arm(exchange.next_timer(), TimerKey::Exchange(id));
+        None
+    }
+
+    /// Returns the connection of an attempt whose deadline has passed.
+    fn late_attempt(&self, id: ExchangeId, now: Instant) -> Option<ConnectionId> {
+        self.all.get(&id)?.late_attempt(now)
+    }
+
+    /// Abandons an attempt whose deadline has passed, and closes its connection.
+    fn abandon(
+        &mut self,
+        environment: &mut Environment,
+        id: ExchangeId,
+        connection: ConnectionId,
+    ) -> Option<ExchangeEnd> {
+        let now = environment.runtime.now;
+        let exchange = self.all.get_mut(&id)?;
+        let attempt = exchange.take_attempt(connection)?;
+        let time = now.since(attempt.started_at);
+        send_attempt::close(environment, &attempt);
+        let balancer = &mut environment.servers.balancer;
+        balancer.timed_out(now, &attempt.instance, time);
+        second_attempts::record_latency(environment, exchange, time);
+        let is_connected = attempt.connected_at.is_some();
+        let verdict = if is_connected {
             Verdict::MayHaveRun
         } else {
             Verdict::NotRun
         };
-        let failure = AttemptFailure::new(verdict, !closed.is_connected, "too slow");
-        self.attempt_failed(environment, id, &closed.instance, failure)
+        let failure = AttemptFailure::new(verdict, !is_connected, "too slow");
+        self.attempt_failed(environment, id, &attempt, failure)
     }
 
-    /// Handles an attempt without a usable answer: retries, or ends the exchange.
+    /// Handles an attempt without a usable answer, which runs no longer: retries, or ends the
+    /// exchange. If another attempt is running, the exchange waits for that one.
     fn attempt_failed(
         &mut self,
         environment: &mut Environment,
         id: ExchangeId,
-        instance: &InstanceId,
+        attempt: &RunningAttempt,
         failure: AttemptFailure,
     ) -> Option<ExchangeEnd> {
         let now = environment.runtime.now;
+        let instance = &attempt.instance;
         if failure.ejects_server {
             environment.servers.balancer.failed(now, instance);
         }
         let mut exchange = self.all.remove(&id)?;
         log::attempt_failed(environment, &exchange, instance, &failure);
-        exchange.upstream = None;
         record_failure(environment, &mut exchange, &failure);
+        if !exchange.running.is_empty() {
+            let timers = &mut environment.runtime.timers;
+            timers.arm(exchange.next_timer(), TimerKey::Exchange(id));
+            self.all.insert(id, exchange);
+            return None;
+        }
         let client = exchange.client().filter(|_| exchange.stream.is_none());
         let for_client = failure.answer.zip(client);
         let context = RetryContext {
@@ -307,16 +351,12 @@
         }
     }
 
-    /// Cancels an exchange whose originator no longer waits for the answer, and closes the
-    /// connection so that the server can stop working on it.
+    /// Cancels an exchange whose originator no longer waits for the answer, and closes its
+    /// connections so that the servers can stop working on it.
     pub(crate) fn cancel(&mut self, environment: &mut Environment, id: ExchangeId) {
-        let connection = self.all.remove(&id).and_then(|exchange| exchange.upstream);
-        let servers = &mut environment.servers;
-        let runtime = &mut environment.runtime;
-        if let Some(connection) = connection
-            && let Some(closed) = servers.upstreams.close(runtime, connection)
-        {
-            servers.balancer.ended(&closed.instance);
+        let exchange = self.all.remove(&id);
+        for attempt in exchange.iter().flat_map(|exchange| &exchange.running) {
+            send_attempt::close(environment, attempt);
         }
     }
 }
@@ -341,34 +381,16 @@
         .any(|server| !exchange.sent_to.contains(&server.instance))
 }
 
-/// Sends a request to a server; returns `None` if the operating system refuses a connection.
-fn send(
-    environment: &mut Environment,
-    id: ExchangeId,
-    exchange: &Exchange,
-    server: &ServerRecord,
-) -> Option<ConnectionId> {
-    let now = environment.runtime.now;
-    let bytes = encode_request(now, &environment.site, exchange, server);
-    let servers = &mut environment.servers;
-    let connection = servers.upstreams.send(
-        &mut environment.runtime,
-        &server.instance,
-        server.address,
-        Task::Exchange(id),
-        &bytes,
-    )?;
-    servers.balancer.started(&server.instance);
-    Some(connection)
-}
-
-/// Records an attempt that yielded no usable answer.
+/// Records an attempt that yielded no usable answer. The usage count of the request stands once an
+/// attempt may have run, and is taken back when none has.
 fn record_failure(
     environment: &mut Environment,
     exchange: &mut Exchange,
     failure: &AttemptFailure,
 ) {
-    if failure.verdict == Verdict::NotRun
+    if failure.verdict != Verdict::NotRun {
+        exchange.usage_window = None;
+    } else if exchange.running.is_empty()
         && let Some(window) = exchange.usage_window.take()
         && let Some(tenant) = &exchange.tenant
     {
--- a/crates/gateways/wingshore-gateway/src/forward_ends.rs
+++ b/crates/gateways/wingshore-gateway/src/forward_ends.rs
@@ -7,21 +7,26 @@
 use crate::exchange::{Exchange, ExchangeEnd, Origin, ScoringRequestEnd};
 use crate::forward_log as log;
 use crate::request_suspicion;
+use crate::running_attempt::RunningAttempt;
+use crate::second_attempts;
 use crate::streams;
-use wingshore_coordination::InstanceId;
 use wingshore_net::http::WholeAnswer;
 
 /// Handles a usable answer of a server.
 pub(crate) fn answered(
     environment: &mut Environment,
     exchange: Exchange,
-    instance: &InstanceId,
+    attempt: &RunningAttempt,
     answer: WholeAnswer,
 ) -> ExchangeEnd {
     let now = environment.runtime.now;
-    let latency = now.since(exchange.started_at);
+    let instance = &attempt.instance;
+    // The time that earlier attempts took at other servers is not this server's latency.
+    let attempt_latency = now.since(attempt.started_at);
     let balancer = &mut environment.servers.balancer;
-    balancer.answered(now, instance, latency);
+    balancer.answered(now, instance, attempt_latency);
+    second_attempts::record_latency(environment, &exchange, attempt_latency);
+    let latency = now.since(exchange.started_at);
     if answer.head.is_success() {
         request_suspicion::request_succeeded(environment, &exchange);
     }
--- a/crates/gateways/wingshore-gateway/src/forward_log.rs
+++ b/crates/gateways/wingshore-gateway/src/forward_log.rs
@@ -5,6 +5,7 @@
 use crate::protocol::OwnAnswer;
 use crate::request_suspicion::fingerprint_text;
 use slog::{info, warn};
+use std::time::Duration;
 use wingshore_coordination::InstanceId;
 
 /// Logs and counts a client's request that a server answered.
@@ -56,6 +57,21 @@
     runtime.metrics.attempt_ended(failure.reason);
 }
 
+/// Logs and counts an attempt that a second one at the server `winner` has overtaken.
+pub(crate) fn attempt_overtaken(
+    environment: &Environment,
+    exchange: &Exchange,
+    instance: &InstanceId,
+    winner: &InstanceId,
+    time: Duration,
+) {
+    let runtime = &environment.runtime;
+    info!(runtime.logger, "attempt overtaken"; "request" => exchange.id_text(),
+        "route" => &exchange.route.name, "service" => %exchange.service,
+        "server" => %instance, "by" => %winner, "after_ms" => time.as_millis() as u64);
+    runtime.metrics.attempt_ended("overtaken");
+}
+
 /// Logs and counts a client's request that failed.
 pub(crate) fn request_failed(environment: &Environment, exchange: &Exchange, answer: OwnAnswer) {
     let now = environment.runtime.now;
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -193,6 +193,7 @@
             return timers.arm(deadline, TimerKey::Item(id));
         }
         let lost = LostRequest {
+            connection,
             instance: attempt.assignment.instance.clone(),
             sent_at: attempt.begun,
             end,
--- a/crates/gateways/wingshore-gateway/src/metrics.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics.rs
@@ -34,6 +34,30 @@
     outcome: &'static str,
 }
 
+/// What became of a second attempt at a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SecondAttemptOutcome {
+    /// It was sent to a server.
+    Started,
+    /// It yielded the answer.
+    Won,
+    /// It was due, but the budget did not allow it.
+    OverBudget,
+}
+
+impl SecondAttemptOutcome {
+    const ALL: [Self; 3] = [Self::Started, Self::Won, Self::OverBudget];
+
+    fn label(self) -> OutcomeLabel {
+        let outcome = match self {
+            Self::Started => "started",
+            Self::Won => "won",
+            Self::OverBudget => "over_budget",
+        };
+        OutcomeLabel { outcome }
+    }
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct CallLabels {
     call: &'static str,
@@ -145,6 +169,7 @@
     requests: Family<RequestLabels, Counter>,
     request_seconds: Family<RouteLabel, Histogram, DurationBuckets>,
     attempts: Family<OutcomeLabel, Counter>,
+    second_attempts: Family<OutcomeLabel, Counter>,
     items: Family<OutcomeLabel, Counter>,
     item_seconds: Histogram,
     scorings: Family<OutcomeLabel, Counter>,
@@ -163,6 +188,7 @@
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(DurationBuckets),
             attempts: Family::default(),
+            second_attempts: Family::default(),
             items: Family::default(),
             item_seconds: DurationBuckets.new_metric(),
             scorings: Family::default(),
@@ -173,6 +199,11 @@
         };
         metrics.register_counters();
         metrics.register_gauges();
+        // Most gateways start no second attempt for long; a rate needs the zero before the first.
+        for outcome in SecondAttemptOutcome::ALL {
+            let counter = metrics.second_attempts.get_or_create(&outcome.label());
+            counter.inc_by(0);
+        }
         metrics
     }
 
@@ -194,6 +225,11 @@
             "Sends of live requests to servers by what came of them",
             self.attempts.clone(),
         );
+        registry.register(
+            "second_attempts",
+            "Second attempts at requests whose first one is slow, by what came of them",
+            self.second_attempts.clone(),
+        );
         registry.register(
             "items",
             "Tries at items of batch jobs by what came of them",
@@ -254,6 +290,11 @@
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Records what became of a second attempt.
+    pub(crate) fn second_attempt(&self, outcome: SecondAttemptOutcome) {
+        self.second_attempts.get_or_create(&outcome.label()).inc();
+    }
+
     /// Records the end of an attempt at an item.
     pub(crate) fn item_ended(&self, outcome: &'static str, time: Duration) {
         self.items.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/gateways/wingshore-gateway/src/process/group.rs
+++ b/crates/gateways/wingshore-gateway/src/process/group.rs
@@ -232,6 +232,7 @@
         if version != version_before {
             info!(self.environment.runtime.logger, "configuration"; "version" => version,
                 "before" => version_before);
+            self.environment.forget_old_services();
             self.report_status();
         }
     }
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -16,14 +16,16 @@
 use crate::clients::Clients;
 use crate::coordinators::Coordinators;
 use crate::environment::Environment;
-use crate::error::{GatewayError, NetSnafu};
+use crate::error::{GatewayError, HistogramSnafu, NetSnafu};
 use crate::forward::Exchanges;
 use crate::items::Items;
 use crate::metrics::{GatewayMetrics, Readings};
 use crate::protocol::IngressProtocol;
 use crate::runtime::Runtime;
 use crate::scoring::Scorings;
+use crate::second_attempts::SecondAttempts;
 use crate::servers::Servers;
+use crate::service_latency::ServiceLatencies;
 use crate::settings::GatewaySettings;
 use crate::site::Site;
 use crate::timers::Timers;
@@ -93,8 +95,13 @@
         let listeners = Listeners::open(&mut reactor, &settings)?;
         info!(logger, "started"; "node" => &settings.node, "front" => %settings.front);
         let id = GatewayId(rand::random());
+        let latencies = ServiceLatencies::new().context(HistogramSnafu)?;
+        let servers = Servers::new(SecondAttempts::new(
+            settings.policy.second_attempts,
+            latencies,
+        ));
         Ok(Self {
-            environment: new_environment(&settings, reactor, protocol, logger),
+            environment: new_environment(&settings, servers, reactor, protocol, logger),
             view_follower: ViewFollower::new(id.0),
             clients: Clients::default(),
             calls: Calls::new(settings.policy.near_copies),
@@ -287,6 +294,7 @@
 /// Creates the state that the parts of a gateway share.
 fn new_environment(
     settings: &GatewaySettings,
+    servers: Servers,
     reactor: Reactor,
     protocol: Box<dyn IngressProtocol>,
     logger: Logger,
@@ -306,7 +314,7 @@
             view: View::default(),
             coordinators: Coordinators::default(),
         },
-        servers: Servers::default(),
+        servers,
         usage: UsageCounter::new(settings.usage_window),
     }
 }
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -53,7 +53,7 @@
         }
         let upstreams = &mut environment.servers.upstreams;
         if let Some(Task::Exchange(id)) = upstreams.on_connected(now, connection) {
-            self.exchanges.on_connected(environment, id);
+            self.exchanges.on_connected(environment, id, connection);
         }
     }
 
@@ -109,14 +109,13 @@
             return;
         };
         let CompletedAnswer {
-            instance,
             answer,
             ends_at_event_boundary,
         } = finished;
         match task {
             Task::Exchange(id) => {
                 let exchanges = &mut self.exchanges;
-                let end = exchanges.on_answer(environment, id, &instance, answer);
+                let end = exchanges.on_answer(environment, id, connection, answer);
                 self.on_exchange_end(end);
             }
             Task::Item(id) => {
@@ -180,6 +179,7 @@
             crash_reports::server_ended(environment, &closed.instance);
         }
         let lost = LostRequest {
+            connection,
             instance: closed.instance,
             sent_at: closed.task_started_at,
             end,
--- /dev/null
+++ b/crates/gateways/wingshore-gateway/src/send_attempt.rs
@@ -0,0 +1,48 @@
+//! The start of an attempt at a server, and its end without an answer.
+
+use crate::encode::encode_request;
+use crate::environment::Environment;
+use crate::exchange::Exchange;
+use crate::ids::ExchangeId;
+use crate::running_attempt::RunningAttempt;
+use crate::upstream::{Task, Upstream};
+use wingshore_coordination::ServerRecord;
+
+/// Sends a request to a server; returns `None` if the operating system refuses a connection.
+pub(crate) fn send(
+    environment: &mut Environment,
+    id: ExchangeId,
+    exchange: &Exchange,
+    server: &ServerRecord,
+) -> Option<RunningAttempt> {
+    let now = environment.runtime.now;
+    let bytes = encode_request(now, &environment.site, exchange, server);
+    let servers = &mut environment.servers;
+    let connection = servers.upstreams.send(
+        &mut environment.runtime,
+        &server.instance,
+        server.address,
+        Task::Exchange(id),
+        &bytes,
+    )?;
+    servers.balancer.started(&server.instance);
+    let upstream = servers.upstreams.get(connection);
+    let is_connected = upstream.is_some_and(|upstream| upstream.is_connected);
+    Some(RunningAttempt {
+        connection,
+        instance: server.instance.clone(),
+        started_at: now,
+        connected_at: is_connected.then_some(now),
+        is_second: false,
+    })
+}
+
+/// Closes the connection of an attempt, so that the server can stop working on it.
+pub(crate) fn close(environment: &mut Environment, attempt: &RunningAttempt) -> Option<Upstream> {
+    let servers = &mut environment.servers;
+    let closed = servers
+        .upstreams
+        .close(&mut environment.runtime, attempt.connection)?;
+    servers.balancer.ended(&attempt.instance);
+    Some(closed)
+}
--- a/crates/gateways/wingshore-gateway/src/servers.rs
+++ b/crates/gateways/wingshore-gateway/src/servers.rs
@@ -2,10 +2,10 @@
 
 use crate::balance::Balancer;
 use crate::crashes::CrashDetector;
+use crate::second_attempts::SecondAttempts;
 use crate::upstream::Upstreams;
 
 /// The connections to servers and the state kept for each server.
-#[derive(Default)]
 pub(crate) struct Servers {
     /// Connections to servers.
     pub(crate) upstreams: Upstreams,
@@ -13,4 +13,18 @@
     pub(crate) balancer: Balancer,
     /// Detected crashes of servers, and the requests that were running.
     pub(crate) crashes: CrashDetector,
+    /// Answer times of services, and the budgets for second attempts.
+    pub(crate) second_attempts: SecondAttempts,
+}
+
+impl Servers {
+    /// Starts without connections and without known servers.
+    pub(crate) fn new(second_attempts: SecondAttempts) -> Self {
+        Self {
+            upstreams: Upstreams::default(),
+            balancer: Balancer::default(),
+            crashes: CrashDetector::default(),
+            second_attempts,
+        }
+    }
 }
--- a/crates/gateways/wingshore-gateway/src/settings.rs
+++ b/crates/gateways/wingshore-gateway/src/settings.rs
@@ -42,6 +42,8 @@
     pub near_copies: bool,
     /// Whether a limit that adapts to the capacity of the servers applies to scorings.
     pub scoring_limit: bool,
+    /// Whether repeatable requests get a second attempt before their target latency is missed.
+    pub second_attempts: bool,
 }
 
 impl Default for GatewayPolicy {
@@ -49,6 +51,7 @@
         Self {
             near_copies: true,
             scoring_limit: true,
+            second_attempts: true,
         }
     }
 }
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -56,6 +56,8 @@
 /// A request whose connection ended without a complete answer.
 #[derive(Clone, Debug)]
 pub(crate) struct LostRequest {
+    /// The connection that ended.
+    pub(crate) connection: ConnectionId,
     /// The incarnation of the server.
     pub(crate) instance: InstanceId,
     /// When the request was sent.
@@ -66,8 +68,6 @@
 
 /// A complete answer.
 pub(crate) struct CompletedAnswer {
-    /// The incarnation of the server.
-    pub(crate) instance: InstanceId,
     pub(crate) answer: WholeAnswer,
     /// Whether the answer does not end inside an event of a stream.
     pub(crate) ends_at_event_boundary: bool,
@@ -176,7 +176,6 @@
             .as_ref()
             .is_some_and(EventReader::is_within_event);
         let answer = reader.into_answer(is_all_read)?;
-        let instance = upstream.instance.clone();
         if answer.reusable {
             upstream.task = None;
             upstream.keep_alive = keep_alive_timeout(&answer.head).unwrap_or(upstream.keep_alive);
@@ -185,7 +184,6 @@
             self.close(runtime, connection);
         }
         Some(CompletedAnswer {
-            instance,
             answer,
             ends_at_event_boundary: !is_within_event,
         })
--- a/crates/gateways/wingshore-gateway/src/view.rs
+++ b/crates/gateways/wingshore-gateway/src/view.rs
@@ -168,6 +168,15 @@
         &self.routes
     }
 
+    /// Returns whether any route leads to a service.
+    pub fn has_route_to(&self, service: &ServiceName) -> bool {
+        let configuration = self.configuration.iter();
+        let targets = configuration
+            .flat_map(|held| &held.routes)
+            .flat_map(|route| &route.targets);
+        targets.into_iter().any(|target| target.service == *service)
+    }
+
     /// Returns whether callers are distinguished by their keys.
     pub fn has_tenants(&self) -> bool {
         let configuration = self.configuration.as_ref();
--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -5,6 +5,7 @@
 mod bytes {
     mod planned_stop;
     pub mod protocol;
+    mod second_attempts;
     pub mod site;
     pub mod view;
 }
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -103,17 +103,18 @@
 impl Site {
     /// Starts the gateway without a view and accepts its link to the coordinator.
     pub(crate) fn start() -> Self {
-        Self::start_with(StopTimes::default())
+        Self::start_with(StopTimes::default(), GatewayPolicy::default())
     }
 
-    fn start_with(stop_times: StopTimes) -> Self {
+    fn start_with(stop_times: StopTimes, policy: GatewayPolicy) -> Self {
         let listener = TcpListener::bind((LOOPBACK, 0)).unwrap();
         let host = unique_host();
         let front = SocketAddr::from((host, FRONT_PORT));
         let ready = SocketAddr::from((host, READY_PORT));
         let log = LogKeys::default();
         let internal_port = listener.local_addr().unwrap().port();
-        let stop = start_gateway((front, ready), internal_port, stop_times, &log);
+        let settings = settings((front, ready), internal_port, stop_times, policy);
+        let stop = start_gateway(settings, &log);
         let (stream, _) = listener.accept().unwrap();
         let (sender, received) = channel();
         let mut reading = stream.try_clone().unwrap();
@@ -167,7 +168,17 @@
 
     /// Like [`Site::with_view`], with the time limits of a planned stop.
     pub(crate) fn with_view_and_stop(view: ViewUpdate, stop_times: StopTimes) -> Self {
-        let site = Self::start_with(stop_times);
+        Self::start_with(stop_times, GatewayPolicy::default()).lead(view)
+    }
+
+    /// Like [`Site::with_view`], with the mechanisms that are enabled.
+    pub(crate) fn with_view_and_policy(view: ViewUpdate, policy: GatewayPolicy) -> Self {
+        Self::start_with(StopTimes::default(), policy).lead(view)
+    }
+
+    /// Lets the coordinator lead and send the gateway `view`.
+    fn lead(self, view: ViewUpdate) -> Self {
+        let site = self;
         site.await_follower();
         site.send(&CoordinatorMessage::Leading { epoch: Epoch(1) });
         site.expect(|message| {
@@ -267,16 +278,13 @@
     }
 }
 
-fn start_gateway(
+fn settings(
     (front, ready): (SocketAddr, SocketAddr),
     internal_port: u16,
     stop_times: StopTimes,
-    log: &LogKeys,
-) -> Arc<AtomicBool> {
-    let signals = Signals::default();
-    let stop = Arc::clone(&signals.stop);
-    let logger = Logger::root(log.clone(), o!());
-    let settings = GatewaySettings {
+    policy: GatewayPolicy,
+) -> GatewaySettings {
+    GatewaySettings {
         node: "node-1".to_owned(),
         zone: ZONE.to_owned(),
         region: "region".to_owned(),
@@ -289,8 +297,14 @@
         directory_ttl: stop_times.directory_ttl,
         stop_limit: stop_times.limit,
         usage_window: Some(Duration::from_secs(60)),
-        policy: GatewayPolicy::default(),
-    };
+        policy,
+    }
+}
+
+fn start_gateway(settings: GatewaySettings, log: &LogKeys) -> Arc<AtomicBool> {
+    let signals = Signals::default();
+    let stop = Arc::clone(&signals.stop);
+    let logger = Logger::root(log.clone(), o!());
     thread::spawn(move || {
         let seeds = Box::new(|| Ok(vec![LOOPBACK]));
         let protocol = Box::new(StubProtocol);
@@ -333,6 +347,14 @@
         self.0.local_addr().unwrap()
     }
 
+    /// Whether the gateway has opened a connection that was not accepted yet.
+    pub(crate) fn has_connection(&self) -> bool {
+        self.0.set_nonblocking(true).unwrap();
+        let accepted = self.0.accept();
+        self.0.set_nonblocking(false).unwrap();
+        accepted.is_ok()
+    }
+
     /// Accepts the gateway's next connection and reads the request on it.
     pub(crate) fn accept(&self) -> (TcpStream, String) {
         let (mut stream, _) = self.0.accept().unwrap();
