gateway: scorings leave two tokens for second attempts to live requests

Change: scorings leave two of the three tokens.

Safe: the budget of all second attempts together is as before.

--- a/crates/gateways/wingshore-gateway/src/second_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/second_attempt.rs
@@ -9,7 +9,7 @@
 //!
 //! **Rule.** A second attempt is due after the 95th percentile of the service's answer times, at
 //! the latest after half of the target latency. It takes a token; each request brings a twentieth
-//! of one, and few are kept. A scoring leaves the last token to live requests. Streams, requests
+//! of one, and few are kept. A scoring leaves the last two tokens to live requests. Streams, requests
 //! that may run only once, suspects, and requests without an attempt left get none; nor does any
 //! request while no other server has a free slot.
 //!
@@ -31,8 +31,9 @@
 /// Maximum number of tokens, and their initial number: a gateway that has sent few requests can
 /// overtake those that wait for one slow server.
 const MAX_TOKENS: u32 = 3;
-/// Number of tokens that scorings leave to live requests, whose callers wait.
-const TOKENS_FOR_LIVE_REQUESTS: u32 = 1;
+/// Number of tokens that scorings leave to live requests, whose callers wait. With one, the scorings
+/// of a step often took what two live requests needed within a few seconds.
+const TOKENS_FOR_LIVE_REQUESTS: u32 = 2;
 
 /// Returns how long after the start of a request's attempt the second one is due; `percentile` is
 /// the 95th percentile of the service's answer times.
--- a/crates/gateways/wingshore-gateway/tests/second_attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/second_attempts.rs
@@ -182,13 +182,14 @@
 
 /// Load: the texts of a step end at about the same time, and their scorings are slow.
 #[gtest]
-fn scorings_leave_the_last_token_to_live_requests() {
+fn scorings_leave_the_last_two_tokens_to_live_requests() {
     let mut budget = SecondAttemptBudget::default();
     while budget.take(Requester::Scoring) {}
     expect_that!(budget.take(Requester::Scoring), eq(false));
     expect_that!(budget.take(Requester::Client), eq(true));
+    expect_that!(budget.take(Requester::Client), eq(true));
     expect_that!(budget.take(Requester::Client), eq(false));
-    for _ in 0..20 {
+    for _ in 0..40 {
         budget.request_started();
     }
     expect_that!(budget.take(Requester::Scoring), eq(false));
