--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -37,12 +37,17 @@
 mod process;
 mod protocol;
 mod request_suspicion;
+mod running_attempt;
 mod runtime;
 mod scoring;
 mod scoring_load;
 mod scoring_policy;
 mod scoring_start;
+mod second_attempt;
+mod second_attempts;
+mod send_attempt;
 mod servers;
+mod service_latency;
 mod settings;
 mod site;
 mod split;
@@ -82,6 +87,11 @@
 pub use scoring_start::{
     ScoringLeader, ScoringStart, is_leaderless_start_due, may_start_without_leader, scoring_start,
 };
+pub use second_attempt::{
+    Requester, SecondAttemptBudget, SecondAttemptContext, is_second_possible, may_start_second,
+    second_attempt_delay,
+};
+pub use service_latency::ServiceLatencies;
 pub use settings::{GatewayPolicy, GatewaySettings};
 pub use start_estimate::StartEstimate;
 pub use view::{UpdateOutcome, View};
--- a/crates/gateways/wingshore-gateway/src/settings.rs
+++ b/crates/gateways/wingshore-gateway/src/settings.rs
@@ -47,6 +47,8 @@
     /// Whether scorings wait for grants of a leader that limits the scorings of all gateways
     /// together.
     pub shared_scoring_limit: bool,
+    /// Whether repeatable requests get a second attempt before their target latency is missed.
+    pub second_attempts: bool,
 }
 
 impl Default for GatewayPolicy {
@@ -55,6 +57,7 @@
             near_copies: true,
             scoring_limit: true,
             shared_scoring_limit: true,
+            second_attempts: true,
         }
     }
 }
