coordination: a request's own crashes are no alternative explanation

Change: only crashes without the request count as alternatives.

Why it is safe: fewer alternatives, so no request is rejected later than before this commit.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/crash_evidence.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/crash_evidence.rs
@@ -183,7 +183,7 @@
     /// crashed servers by chance, as this one was.
     ///
     /// Each request on the first server could have been running on any two of the other servers of
-    /// the service that crashed. Each of these combinations is a coincidence with the probability
+    /// the service that crashed; further ones of this request are no alternative. Each of these combinations is a coincidence with the probability
     /// that both its servers were the ones that the request was sent to. The combination that was
     /// observed does not count: without any other, the request is the only explanation.
     fn rules_out_coincidence(
@@ -196,9 +196,11 @@
         let Some(first) = own.min_by_key(|crash| crash.at) else {
             return true;
         };
-        let of_service = self.crashes.values();
-        let of_service = of_service.filter(|crash| crash.service == first.service);
-        let later_crashes = of_service.count().max(REJECTION_THRESHOLD) - 1;
+        let other_crashes = self
+            .crashes
+            .values()
+            .filter(|crash| crash.service == first.service && !crash.requests.contains(&request));
+        let later_crashes = REJECTION_THRESHOLD - 1 + other_crashes.count();
         let pairs = later_crashes * (later_crashes - 1) / 2;
         let other_combinations = first.requests.len() * pairs - 1;
         let choices = self.running_servers(first.service.as_ref(), state) + 1;
