pace: one measurement per engine and report; two that differ by a factor of 2 replace it

Cause: each stream's report moved the average by 0.15, so that six streams in one pause of 0.4 s moved it by 62 %: on a site whose engines pause for 0.6 s at a time, equal engines looked up to 2.5 times apart, and items moved between them. A lasting change on an engine with one stream needed some 3 s instead. Change: the streams of an engine in one report are one measurement (weight 0.25). One that differs from the known pace by a factor of 2 is set aside; a second one in the same direction replaces the pace at once. Safe: the pace is soft state; unknown paces behave as before.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/moves.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/moves.rs
@@ -80,7 +80,7 @@
     };
     let better = engines.fastest_candidates(query, |instance, other| {
         let pending_moves = pending_moves.get(instance).copied().unwrap_or(0);
-        other.pace.is_some()
+        other.pace.known().is_some()
             && other.takes(now, item.model, item.min_version)
             && other.running + pending_moves + MIN_FREE_SLOTS_LEFT < other.slots
     });
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
@@ -109,7 +109,7 @@
 /// Returns the cost of a long item on an engine: its time there, plus the pause of its stream if
 /// the engine still has to load the newest version.
 fn long_cost(engine: &Engine, best_pace: f64, is_newest: bool) -> f64 {
-    let pace = engine.pace.unwrap_or(best_pace) / best_pace;
+    let pace = engine.pace.known().unwrap_or(best_pace) / best_pace;
     let pending_load = if is_newest { 0.0 } else { PENDING_LOAD_COST };
     pace * slowdown_factor(engine.running) + pending_load
 }
@@ -117,7 +117,7 @@
 /// Returns the cost of a short item on an engine: mostly the slowdown of other items. Its own time
 /// there counts by the square root of the pace.
 fn short_cost(engine: &Engine, best_pace: f64, is_affine: bool, is_newer: bool) -> f64 {
-    let pace = engine.pace.unwrap_or(best_pace) / best_pace;
+    let pace = engine.pace.known().unwrap_or(best_pace) / best_pace;
     let gain = if is_affine { AFFINITY_GAIN } else { 0.0 };
     let newer = if is_newer { NEWER_VERSION_COST } else { 0.0 };
     pace.sqrt() + RUNNING_ITEM_COST * engine.running as f64 + newer - gain
--- a/crates/gateways/wingshore-coordination/src/leader/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/mod.rs
@@ -4,7 +4,7 @@
 //! step returns its outputs. Dependencies between its modules go in one direction:
 //!
 //! - `dispatch` receives all inputs and passes each to the module of its topic: servers, gateways,
-//!   jobs, placing, attempts, moving, results, scoring, rollout, loading, capacity, usage,
+//!   jobs, placing, attempts, progress, moving, results, scoring, rollout, loading, capacity, usage,
 //!   evidence, configuring, members;
 //! - a topic module consults `decisions`, updates `tables`, proposes commands and emits effects
 //!   outside the group;
@@ -27,6 +27,7 @@
 mod moving;
 mod placing;
 mod policy;
+mod progress;
 mod proposals;
 mod results;
 mod rollout;
--- a/crates/gateways/wingshore-coordination/src/leader/moving.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/moving.rs
@@ -1,4 +1,4 @@
-//! Progress of running items, and moves of items to faster engines.
+//! Moves of running items to engines where their step ends earlier.
 
 use super::decision_log::Decision;
 use super::decisions::moves::{AVOIDANCE_TIME, MovableItem, better_engine};
@@ -11,44 +11,9 @@
 use std::collections::BTreeMap;
 use wingshore_types::Instant;
 
-/// Minimum number of events for a measurement of an engine's pace.
-const MIN_MEASURED_EVENTS: u64 = 2;
-
 impl CoordinationLeader {
-    /// Handles a gateway's progress report.
-    pub(crate) fn on_progress(&mut self, progress: Vec<ItemProgress>, turn: &mut Turn<'_>) {
-        for item in &progress {
-            self.record_progress(turn.now, *item);
-        }
-        if self.settings.policy.moves {
-            self.move_items(&progress, turn);
-        }
-    }
-
-    /// Records the progress of an item, and updates the measured pace of its engine.
-    fn record_progress(&mut self, now: Instant, progress: ItemProgress) {
-        let ItemProgress { assignment, events } = progress;
-        let Some(attempt) = self.items.attempt_mut(assignment) else {
-            return;
-        };
-        attempt.last_reported_at = now;
-        let engine = self.engines.get(&attempt.instance);
-        let is_steady = engine.is_some_and(|engine| engine.is_steady(now));
-        let Some((before, at)) = attempt.last_progress.filter(|_| is_steady) else {
-            attempt.last_progress = Some((events, now));
-            return;
-        };
-        let new = events.saturating_sub(before);
-        if new < MIN_MEASURED_EVENTS {
-            return;
-        }
-        attempt.last_progress = Some((events, now));
-        let instance = attempt.instance.clone();
-        self.engines.record_pace(&instance, new, now.since(at));
-    }
-
     /// Interrupts the attempts whose items would continue much faster on another engine.
-    fn move_items(&mut self, attempts: &[ItemProgress], turn: &mut Turn<'_>) {
+    pub(super) fn move_items(&mut self, attempts: &[ItemProgress], turn: &mut Turn<'_>) {
         let mut pending_moves: BTreeMap<InstanceId, usize> = BTreeMap::new();
         for ItemProgress { assignment, .. } in attempts {
             let better = self.better_engine(turn.now, *assignment, &pending_moves, turn.state);
--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -245,6 +245,7 @@
             engine_version: version,
             engine_pace_us: engine
                 .pace
+                .known()
                 .map(|pace| (pace * MICROSECONDS_PER_MILLISECOND) as u64),
             is_long: candidate.is_long,
             gateway,
--- a/crates/gateways/wingshore-coordination/src/leader/tables/engine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/engine.rs
@@ -1,6 +1,6 @@
 //! An engine's registration and the leader's own knowledge of it.
 
-use super::pace::slowdown_factor;
+use super::pace::{MeasuredPace, slowdown_factor};
 use crate::ids::{GatewayId, InstanceId, ModelName};
 use crate::registry::ServerRecord;
 use std::collections::BTreeMap;
@@ -29,8 +29,10 @@
     pub(crate) loading: Option<ModelName>,
     /// Number of items that it runs at once.
     pub(crate) slots: usize,
-    /// Recently measured time between two events of a stream that runs alone, in milliseconds.
-    pub(crate) pace: Option<f64>,
+    /// Its pace, kept while it loads weights and between jobs.
+    pub(crate) pace: MeasuredPace,
+    /// When its pace last became slower by a wide margin.
+    pub(crate) slowed_at: Option<Instant>,
     /// Streams may pause until this time, because the engine loads weights or has just done so.
     pub(crate) unsteady_until: Instant,
     /// The gateway that ran its last item and so has connections to it.
@@ -51,7 +53,8 @@
             faults: 0,
             loading: None,
             slots,
-            pace: None,
+            pace: MeasuredPace::default(),
+            slowed_at: None,
             unsteady_until: Instant::ZERO,
             gateway: None,
             long_running: BTreeMap::new(),
@@ -66,7 +69,7 @@
     /// Returns the expected time between two events for one more item, in milliseconds; `None` if
     /// the engine's pace is unknown.
     pub(crate) fn expected_pace(&self) -> Option<f64> {
-        Some(self.pace? * slowdown_factor(self.running + 1))
+        Some(self.pace.known()? * slowdown_factor(self.running + 1))
     }
 
     /// Returns the version of `model` that the engine is known to hold, which may be older than the
--- a/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
@@ -2,7 +2,7 @@
 
 use super::engine::{Engine, EngineNumber};
 use super::free_slots::{EngineQuery, FreeSlots};
-use super::pace::{PaceStep, updated_pace};
+use super::pace::{PaceChange, PaceStep, pace_of_streams};
 use crate::ids::{GatewayId, InstanceId, ModelName, ServiceName};
 use crate::registry::{ModelVersion, ServerRecord};
 use crate::state::CoordinationState;
@@ -237,16 +237,28 @@
         });
     }
 
-    /// Records that a stream of an engine delivered `events` in `time`.
-    pub(crate) fn record_pace(&mut self, instance: &InstanceId, events: u64, time: Duration) {
+    /// Records that streams of an engine delivered `events` in `time`, summed over the streams.
+    pub(crate) fn record_pace(
+        &mut self,
+        now: Instant,
+        instance: &InstanceId,
+        events: u64,
+        time: Duration,
+    ) {
         let Some(engine) = self.all.get_mut(instance) else {
             return;
         };
         if events == 0 {
             return;
         }
-        let pace = Some(updated_pace(engine.pace, engine.running, events, time));
-        let (before, after) = (PaceStep::of(engine.pace), PaceStep::of(pace));
+        let mut pace = engine.pace;
+        if pace.record(pace_of_streams(engine.running, events, time)) == PaceChange::Slower {
+            engine.slowed_at = Some(now);
+        }
+        let (before, after) = (
+            PaceStep::of(engine.pace.known()),
+            PaceStep::of(pace.known()),
+        );
         if before == after {
             engine.pace = pace;
             return;
@@ -260,7 +272,7 @@
 
     fn forget_pace(&mut self, engine: &Engine) {
         if let Some(paces) = self.paces.get_mut(&engine.record.service) {
-            paces.remove(&(PaceStep::of(engine.pace), engine.number));
+            paces.remove(&(PaceStep::of(engine.pace.known()), engine.number));
         }
     }
 
@@ -288,7 +300,7 @@
     /// one [`PaceStep`]; `None` if no pace is known.
     pub(crate) fn best_pace(&self, service: &ServiceName) -> Option<f64> {
         let (_, fastest) = self.fastest(service)?;
-        self.numbered(fastest)?.1.pace
+        self.numbered(fastest)?.1.pace.known()
     }
 
     fn fastest(&self, service: &ServiceName) -> Option<(PaceStep, EngineNumber)> {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
@@ -203,7 +203,7 @@
             Some(_) => Connected::Yes,
             None => Connected::No,
         },
-        pace: PaceStep::of(engine.pace),
+        pace: PaceStep::of(engine.pace.known()),
         number: engine.number,
     }
 }
--- a/crates/gateways/wingshore-coordination/src/leader/tables/pace.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/pace.rs
@@ -2,8 +2,14 @@
 
 use std::time::Duration;
 
-/// Weight of the newest measurement in the moving average of an engine's pace, between 0 and 1.
-const NEWEST_WEIGHT: f64 = 0.15;
+/// Weight of the newest measurement in the moving average of an engine's pace, between 0 and 1. A
+/// report holds the events of 400 ms, and an engine's pauses for other requests last about as long.
+const NEWEST_WEIGHT: f64 = 0.25;
+
+/// Factor by which two measurements in a row must differ from the known pace, in the same
+/// direction, to replace it at once. A pause that is shorter than two reports makes one of them
+/// look that slow, but not both.
+const CHANGE_FACTOR: f64 = 2.0;
 
 /// Increase of the time between two events caused by each item on an engine, as a fraction of the
 /// time without other items.
@@ -29,13 +35,71 @@
     1.0 + SLOWDOWN_PER_ITEM * running as f64
 }
 
-/// Returns the updated pace of an engine in milliseconds per event of a single stream, after one of
-/// its `running` streams has delivered `events`, at least one, in `time`.
-pub(crate) fn updated_pace(known: Option<f64>, running: usize, events: u64, time: Duration) -> f64 {
+/// The measured pace of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct MeasuredPace {
+    /// Recently measured time between two events of a stream that runs alone, in milliseconds.
+    known: Option<f64>,
+    /// The newest measurement, if it differs widely from the known pace.
+    deviating: Option<f64>,
+}
+
+/// What a measurement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PaceChange {
+    /// Nothing but the moving average.
+    None,
+    /// The engine is slower than before by a wide margin.
+    Slower,
+    /// The engine is faster than before by a wide margin.
+    Faster,
+}
+
+impl MeasuredPace {
+    /// Returns the known pace in milliseconds per event; `None` if nothing was measured.
+    pub(crate) fn known(&self) -> Option<f64> {
+        self.known
+    }
+
+    /// Records a measurement, in milliseconds per event.
+    pub(crate) fn record(&mut self, measured: f64) -> PaceChange {
+        let Some(known) = self.known else {
+            self.known = Some(measured);
+            return PaceChange::None;
+        };
+        let change = wide_difference(known, measured);
+        if change == PaceChange::None {
+            self.known = Some(known + (measured - known) * NEWEST_WEIGHT);
+            self.deviating = None;
+            return PaceChange::None;
+        }
+        let before = self.deviating.replace(measured);
+        if before.is_none_or(|before| wide_difference(known, before) != change) {
+            return PaceChange::None;
+        }
+        *self = Self {
+            known: Some(measured),
+            deviating: None,
+        };
+        change
+    }
+}
+
+fn wide_difference(known: f64, measured: f64) -> PaceChange {
+    if measured >= known * CHANGE_FACTOR {
+        PaceChange::Slower
+    } else if measured * CHANGE_FACTOR <= known {
+        PaceChange::Faster
+    } else {
+        PaceChange::None
+    }
+}
+
+/// Returns the pace of an engine in milliseconds per event of a stream that runs alone, measured
+/// while its `running` streams delivered `events`, at least one, in `time` together.
+pub(crate) fn pace_of_streams(running: usize, events: u64, time: Duration) -> f64 {
     let measured = time.as_secs_f64() * 1000.0 / events as f64;
-    let sample = measured / slowdown_factor(running);
-    let known = known.unwrap_or(sample);
-    known + (sample - known) * NEWEST_WEIGHT
+    measured / slowdown_factor(running)
 }
 
 /// Step into which an engine's pace falls; lower is faster. Unknown paces sort first, since they
