--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -207,6 +207,7 @@
         match (next_step, outcome) {
             (NextStep::Take, ItemOutcome::Finished(text)) => {
                 self.engines.item_completed(&attempt.instance);
+                self.record_event_size(turn.now, attempt, turn.state);
                 self.accept_text(&attempt.item, text, finished, turn);
             }
             (NextStep::Take, _) => {}
--- a/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
@@ -1,11 +1,13 @@
 //! Decisions of the leader as they are logged: the inputs of each decision and its outcome.
 
+use super::decisions::moves::MoveReason;
 use crate::evidence::Suspect;
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemId, JobId, ModelName};
 use crate::scaling::CapacityPool;
 use crate::scoring::ScoringDecision;
 use crate::usage::UsageWindow;
+use std::time::Duration;
 
 impl Decision {
     /// Returns the request that the decision is about if everything went well; log lines about such
@@ -106,6 +108,16 @@
         index: u32,
         /// The engine that is too slow.
         instance: InstanceId,
+        /// The engine that is expected to end the item earliest. Placement decides anew.
+        target: InstanceId,
+        /// Why it moves.
+        reason: MoveReason,
+        /// Expected time until the item ends without the move.
+        ends_here_in: Duration,
+        /// Expected time until it ends with the move.
+        ends_there_in: Duration,
+        /// Time until the item's step can end at the earliest.
+        step_ends_in: Duration,
     },
     /// A result was committed.
     ItemListed {
@@ -118,7 +130,7 @@
         /// Model versions that generated it.
         versions: Vec<u64>,
         /// Time since this leader learned of the job.
-        age: std::time::Duration,
+        age: Duration,
     },
     /// A decision about a scoring.
     Scoring(ScoringDecision),
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/mod.rs
@@ -21,4 +21,5 @@
 pub(crate) mod placement;
 pub(crate) mod registration;
 pub(crate) mod scoring_outcome;
+pub(crate) mod step_forecast;
 pub(crate) mod usage_reports;
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
@@ -1,23 +1,28 @@
 //! Decides which engine runs an item.
 //!
-//! Inputs: the requirements of the item ([`ItemNeeds`]); for each engine its running items, its
-//! versions, and its pace in milliseconds per event, measured from the progress of its streams.
+//! Inputs: the requirements of the item ([`ItemNeeds`]), with its length as a fraction of the longest
+//! one of its job; for each engine its running items, its versions, and its pace in milliseconds per
+//! event, measured from the progress of its streams.
 //!
-//! Rule: of the engines that take the item, the one with the lowest cost runs it. Costs have no
-//! unit; 1 is the pace of the fastest engine of the service. For a long item the cost is its time
-//! on the engine, and more if the engine still has to load newer weights. For a short item it is
-//! mostly the slowdown of the other items. An engine with another version than the item's partial
-//! text costs a little more.
+//! Rule: of the engines that take the item, the one with the lowest cost runs it. Costs are counted
+//! in items that run on the fastest engine of the service. An item costs what it delays its step:
+//! its time on the engine, as one item in ten exceeds it, beyond the time of the longest item of the
+//! job on the fastest engine; an engine that still has to load newer weights adds the pause. Besides,
+//! it costs the share of the engine's work that its items then take, which is higher on a slow
+//! engine. An engine with another version than the item's partial text costs a little more.
 //!
 //! Rationale: a training step waits for its longest texts, so these get the engines that finish
-//! them first; short items finish in time on any engine. A load stops all streams of its model on
-//! the engine.
+//! them first. Items that end in time on any engine fill the engines in proportion to their speed,
+//! so that fast ones keep slots for the long items of the next job. An item that has run before has
+//! lost time already, and counts as long. A load stops all streams of its model on the engine.
 //!
-//! Stale or missing inputs: an engine of unknown pace counts as the fastest known one. If no pace
-//! is known, engines differ only by their items. An engine may hold a newer version than is known
-//! here, but not an older one, unless it was restarted: its texts then name the older version and
-//! are discarded.
+//! Stale or missing inputs: an engine of unknown pace counts as the median one of its service and
+//! zone, else of its service. If no pace is known, engines differ only by their items. An item of
+//! unknown length counts as the longest if it is long, else as short. An engine may hold a newer
+//! version than is known here, but not an older one, unless it was restarted: its texts then name
+//! the older version and are discarded.
 
+use super::item_length::LENGTH_MARGIN;
 use crate::ids::{InstanceId, ModelName, ServiceName};
 use crate::leader::tables::engine::Engine;
 use crate::leader::tables::engines::Engines;
@@ -25,18 +30,19 @@
 use crate::leader::tables::pace::slowdown_factor;
 use wingshore_types::Instant;
 
-/// Cost of a pending load for a long item: 0.9 s of the 7 to 9 s that the longest texts take.
-const PENDING_LOAD_COST: f64 = 0.1;
-/// Cost for a short item of each item that already runs on the engine.
-const RUNNING_ITEM_COST: f64 = 0.04;
-/// Gain for a short item if the shared part of its prompt need not be processed again.
-const AFFINITY_GAIN: f64 = 0.06;
+/// Cost of a delay of the step by as much as its longest item takes. A hundredth of that time counts
+/// as much as one running item, which slows down the others by about that much.
+const DELAY_COST: f64 = 100.0;
+/// Time of a pending load, as a fraction of the time of the longest item: 0.9 s of 7 to 9 s.
+const PENDING_LOAD_TIME: f64 = 0.1;
+/// Gain for an item if the shared part of its prompt need not be processed again.
+const AFFINITY_GAIN: f64 = 1.5;
 /// Cost for a short item of a slot on an engine with newer weights than it needs: few engines have
-/// these yet, and the next job can run on no others. Equals three items that run there.
-const NEWER_VERSION_COST: f64 = 0.12;
+/// these yet, and the next job can run on no others.
+const NEWER_VERSION_COST: f64 = 3.0;
 /// Cost of another version than that of the partial text: slightly more than one running item, so
 /// it decides only between engines that are otherwise equal.
-const OTHER_VERSION_COST: f64 = 0.05;
+const OTHER_VERSION_COST: f64 = 1.25;
 /// Best pace if none is known. Any value will do, since costs are relative to it.
 const UNKNOWN_BEST_PACE: f64 = 1.0;
 
@@ -56,8 +62,8 @@
     pub(crate) avoid: Option<&'a InstanceId>,
     /// The engine that processed its shared prompt last.
     pub(crate) affinity: Option<&'a InstanceId>,
-    /// Whether it is one of the long items that a training step waits for.
-    pub(crate) is_long: bool,
+    /// Its expected length as a fraction of the longest one of its job, between 0 and 1.
+    pub(crate) relative_length: f64,
 }
 
 /// Returns the engine that is to run the item; `None` if no engine takes it now. `may_run_on`
@@ -90,37 +96,37 @@
         .fastest_candidates(query, takes)
         .into_iter()
         .chain(affine)
-        .map(|(instance, engine)| (cost(needs, instance, engine, best_pace), instance))
+        .map(|(instance, engine)| {
+            let pace = engines.known_or_usual_pace(engine).unwrap_or(best_pace);
+            (cost(needs, engine, pace / best_pace), instance)
+        })
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
         .map(|(_, instance)| instance.clone())
 }
 
-fn cost(needs: &ItemNeeds<'_>, instance: &InstanceId, engine: &Engine, best_pace: f64) -> f64 {
+/// Returns the cost of an item on an engine whose time per event is `slowness` times that of the
+/// fastest one.
+fn cost(needs: &ItemNeeds<'_>, engine: &Engine, slowness: f64) -> f64 {
     let version = engine.version_of_any(needs.model);
-    let cost = if needs.is_long {
-        long_cost(engine, best_pace, version >= needs.newest_version)
+    let delay = delay(needs, engine, slowness, version >= needs.newest_version);
+    let share = (engine.running + 1) as f64 * slowness;
+    let is_short = needs.relative_length * LENGTH_MARGIN < 1.0;
+    let newer = if is_short && version > needs.min_version {
+        NEWER_VERSION_COST
     } else {
-        let is_affine = needs.affinity == Some(instance);
-        short_cost(engine, best_pace, is_affine, version > needs.min_version)
+        0.0
     };
-    cost + version_cost(needs, version)
-}
-
-/// Returns the cost of a long item on an engine: its time there, plus the pause of its stream if
-/// the engine still has to load the newest version.
-fn long_cost(engine: &Engine, best_pace: f64, is_newest: bool) -> f64 {
-    let pace = engine.pace.known().unwrap_or(best_pace) / best_pace;
-    let pending_load = if is_newest { 0.0 } else { PENDING_LOAD_COST };
-    pace * slowdown_factor(engine.running) + pending_load
+    let is_affine = needs.affinity == Some(engine.instance());
+    let gain = if is_affine { AFFINITY_GAIN } else { 0.0 };
+    delay * DELAY_COST + share + newer + version_cost(needs, version) - gain
 }
 
-/// Returns the cost of a short item on an engine: mostly the slowdown of other items. Its own time
-/// there counts by the square root of the pace.
-fn short_cost(engine: &Engine, best_pace: f64, is_affine: bool, is_newer: bool) -> f64 {
-    let pace = engine.pace.known().unwrap_or(best_pace) / best_pace;
-    let gain = if is_affine { AFFINITY_GAIN } else { 0.0 };
-    let newer = if is_newer { NEWER_VERSION_COST } else { 0.0 };
-    pace.sqrt() + RUNNING_ITEM_COST * engine.running as f64 + newer - gain
+/// Returns the time by which an item on an engine may delay its step, as a fraction of the time that
+/// the longest item of its job takes on the fastest engine.
+fn delay(needs: &ItemNeeds<'_>, engine: &Engine, slowness: f64, is_newest: bool) -> f64 {
+    let pause = if is_newest { 0.0 } else { PENDING_LOAD_TIME };
+    let time = needs.relative_length * slowness * slowdown_factor(engine.running + 1) + pause;
+    (time * LENGTH_MARGIN - 1.0).max(0.0)
 }
 
 /// Returns the cost of continuing a partial text with another version.
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -184,6 +184,7 @@
             return turn.reply(tag, Reply::Unknown);
         };
         let ended = self.items.remove_job(id, turn.state);
+        self.forecasts.remove(id);
         if !job.ended {
             let decision = Decision::JobEnded {
                 job: id.clone(),
--- a/crates/gateways/wingshore-coordination/src/leader/machine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/machine.rs
@@ -5,12 +5,14 @@
 
 use super::decisions::crash_evidence::Evidence;
 use super::decisions::registration::Heartbeats;
+use super::decisions::step_forecast::StepForecast;
 use super::decisions::usage_reports::UsageReporter;
 use super::interface::LeaderCounts;
 use super::proposals::{FollowUp, Proposals};
 use super::settings::LeaderSettings;
 use super::tables::capacity::Capacity;
 use super::tables::engines::Engines;
+use super::tables::event_sizes::EventSizes;
 use super::tables::gateways::Gateways;
 use super::tables::items::Items;
 use super::tables::jobs::{JobClock, Readers};
@@ -18,9 +20,11 @@
 use super::tables::rollout::Rollout;
 use super::tables::scorings::Scorings;
 use super::turn::Turn;
+use crate::ids::JobId;
 use crate::routes::RouteTable;
 use crate::state::Command;
 use crate::tenants::TenantPriorities;
+use std::collections::HashMap;
 use wingshore_types::{Epoch, Instant};
 
 /// The leader machine of the coordination group.
@@ -40,6 +44,9 @@
     pub(super) registrations: Registrations,
     pub(super) engines: Engines,
     pub(super) items: Items,
+    pub(super) event_sizes: EventSizes,
+    /// The newest forecast of each job's step.
+    pub(super) forecasts: HashMap<JobId, StepForecast>,
     pub(super) job_clock: JobClock,
     pub(super) readers: Readers,
     pub(super) rollout: Rollout,
@@ -73,6 +80,8 @@
             registrations: Registrations::default(),
             engines: Engines::default(),
             items: Items::default(),
+            event_sizes: EventSizes::default(),
+            forecasts: HashMap::new(),
             job_clock: JobClock::default(),
             readers: Readers::default(),
             rollout: Rollout::default(),
--- a/crates/gateways/wingshore-coordination/src/leader/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/mod.rs
@@ -4,7 +4,7 @@
 //! step returns its outputs. Dependencies between its modules go in one direction:
 //!
 //! - `dispatch` receives all inputs and passes each to the module of its topic: servers, gateways,
-//!   jobs, placing, attempts, progress, moving, results, scoring, rollout, loading, capacity, usage,
+//!   jobs, placing, attempts, progress, forecasting, moving, results, scoring, rollout, loading, capacity, usage,
 //!   evidence, configuring, members;
 //! - a topic module consults `decisions`, updates `tables`, proposes commands and emits effects
 //!   outside the group;
@@ -18,6 +18,7 @@
 mod decisions;
 mod dispatch;
 mod evidence;
+mod forecasting;
 mod gateways;
 mod interface;
 mod jobs;
@@ -44,6 +45,7 @@
 };
 pub use decisions::crash_evidence::EVIDENCE_LIFETIME;
 pub use decisions::load_progress::{EngineStatus, OrderAnswer};
+pub use decisions::moves::MoveReason;
 pub use decisions::usage_reports::UsageDuty;
 pub use interface::{Effect, Event, LeaderCounts, WeightOrder};
 pub use machine::CoordinationLeader;
--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -33,6 +33,8 @@
     /// The text of earlier attempts, as far as the next attempt may continue it.
     partial_text: ItemText,
     is_long: bool,
+    /// Its expected length as a fraction of the longest one of its job.
+    relative_length: f64,
     /// The engine from which the item was moved away recently.
     avoid: Option<InstanceId>,
     /// Whether several servers crashed while they processed the item.
@@ -184,6 +186,7 @@
                 min_version,
             ),
             is_long: known.is_long,
+            relative_length: known.relative_length(),
             avoid: known.avoided(now).cloned(),
             is_suspect: is_suspected(known, state),
             key,
@@ -212,7 +215,11 @@
             partial_version: candidate.partial_version(),
             avoid: candidate.avoid.as_ref(),
             affinity,
-            is_long: candidate.is_long && policy.long_items_first,
+            relative_length: if policy.long_items_first {
+                candidate.relative_length
+            } else {
+                0.0
+            },
         };
         let is_suspect = |open_item: &OpenItem| is_suspected(open_item, state);
         choose_engine(now, &needs, &self.engines, |instance| {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/engine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/engine.rs
@@ -72,6 +72,12 @@
         Some(self.pace.known()? * slowdown_factor(self.running + 1))
     }
 
+    /// Returns the current time between two events of each item that runs on the engine, in
+    /// milliseconds; `None` if the engine's pace is unknown.
+    pub(crate) fn current_pace(&self) -> Option<f64> {
+        Some(self.pace.known()? * slowdown_factor(self.running))
+    }
+
     /// Returns the version of `model` that the engine is known to hold, which may be older than the
     /// one it holds; 0 if unknown.
     pub(crate) fn version_of(&self, model: &ModelName) -> u64 {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
@@ -2,18 +2,20 @@
 
 use super::engine::{Engine, EngineNumber};
 use super::free_slots::{EngineQuery, FreeSlots};
+use super::known_paces::KnownPaces;
 use super::pace::{PaceChange, PaceStep, pace_of_streams};
 use crate::ids::{GatewayId, InstanceId, ModelName, ServiceName};
 use crate::registry::{ModelVersion, ServerRecord};
 use crate::state::CoordinationState;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use wingshore_types::Instant;
 
 /// All engines: servers of the services that the configuration defines as engines.
 ///
-/// Invariant: `free` holds each engine with its current attributes. Attributes that determine its
-/// position there (see [`FreeSlots`]) are therefore changed only through [`Engines::change`].
+/// Invariant: `free` and `paces` hold each engine with its current attributes. Attributes that
+/// determine its position there (see [`FreeSlots`], [`KnownPaces`]) are therefore changed only
+/// through [`Engines::change`].
 #[derive(Default)]
 pub(crate) struct Engines {
     all: BTreeMap<InstanceId, Engine>,
@@ -24,8 +26,8 @@
     awaits_heartbeat: usize,
     next_number: u32,
     free: FreeSlots,
-    /// Engines of known pace by service, fastest first.
-    paces: HashMap<ServiceName, BTreeSet<(PaceStep, EngineNumber)>>,
+    /// Engines of known pace.
+    paces: KnownPaces,
 }
 
 impl Engines {
@@ -81,16 +83,18 @@
         self.awaits_heartbeat -= usize::from(engine.awaits_heartbeat);
         self.free.remove(&engine);
         self.by_number.remove(&engine.number);
-        self.forget_pace(&engine);
+        self.paces.remove(&engine);
     }
 
-    /// Changes attributes that determine an engine's position in the index of free slots.
+    /// Changes attributes that determine an engine's position in the indexes of free slots and paces.
     fn change(&mut self, instance: &InstanceId, change: impl FnOnce(&mut Engine)) {
         let Some(engine) = self.all.get_mut(instance) else {
             return;
         };
         self.free.remove(engine);
+        self.paces.remove(engine);
         change(engine);
+        self.paces.add(engine);
         self.free.add(engine);
     }
 
@@ -100,8 +104,8 @@
     }
 
     /// Returns, for each allowed version and each number of running items, the fastest engine with
-    /// a free slot that `accepts` admits. The best engine for an item is among them. Engines of
-    /// unknown pace come first.
+    /// a free slot that `accepts` admits, and one of unknown pace. The best engine for an item is
+    /// among them.
     pub(crate) fn fastest_candidates(
         &self,
         query: EngineQuery<'_>,
@@ -255,24 +259,10 @@
         if pace.record(pace_of_streams(engine.running, events, time)) == PaceChange::Slower {
             engine.slowed_at = Some(now);
         }
-        let (before, after) = (
-            PaceStep::of(engine.pace.known()),
-            PaceStep::of(pace.known()),
-        );
-        if before == after {
+        if PaceStep::of(engine.pace.known()) == PaceStep::of(pace.known()) {
             engine.pace = pace;
-            return;
-        }
-        let number = engine.number;
-        let paces = self.paces.entry(engine.record.service.clone()).or_default();
-        paces.remove(&(before, number));
-        paces.insert((after, number));
-        self.change(instance, |engine| engine.pace = pace);
-    }
-
-    fn forget_pace(&mut self, engine: &Engine) {
-        if let Some(paces) = self.paces.get_mut(&engine.record.service) {
-            paces.remove(&(PaceStep::of(engine.pace.known()), engine.number));
+        } else {
+            self.change(instance, |engine| engine.pace = pace);
         }
     }
 
@@ -304,7 +294,14 @@
     }
 
     fn fastest(&self, service: &ServiceName) -> Option<(PaceStep, EngineNumber)> {
-        self.paces.get(service)?.first().copied()
+        self.paces.fastest(service)
+    }
+
+    /// Returns the pace of an engine in milliseconds per event: its own, else the median of the
+    /// engines like it; `None` if none of these was measured.
+    pub(crate) fn known_or_usual_pace(&self, engine: &Engine) -> Option<f64> {
+        let known = engine.pace.known();
+        known.or_else(|| self.paces.median(&engine.record))
     }
 
     /// Resets the consecutive faults of an engine on which an item completed.
--- a/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
@@ -7,6 +7,7 @@
 use super::pace::PaceStep;
 use crate::ids::{ModelName, ServiceName};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 
 /// Whether a gateway has connections to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -90,8 +91,8 @@
     }
 
     /// Returns, for each allowed version and each number of running items, the fastest engine that
-    /// `takes` admits. The best engine for an item is among them, since of two engines that differ
-    /// only in pace the faster one is better. An engine without a connection is returned only if
+    /// `takes` admits, and the first one of unknown pace. The best engine for an item is among them,
+    /// since of two engines that differ only in pace the faster one is better. An engine without a connection is returned only if
     /// the connected one is not similar in pace to the `fastest` known engine.
     pub(crate) fn fastest_candidates(
         &self,
@@ -123,23 +124,47 @@
 ) {
     let mut next = keys.first().copied();
     while let Some(first) = next {
-        let found = |connected: Connected| {
-            let alike = keys.range(scan.start_key(first.running, connected)..);
-            let alike =
-                alike.take_while(|key| key.running == first.running && key.connected == connected);
-            let mut scanned = alike.take(scan.max_scanned());
-            scanned.find(|key| takes(key.number)).copied()
+        let running = first.running;
+        let found = |connected| {
+            let unknown = scan.range_of_unknown(running, connected);
+            let unknown = unknown.and_then(|range| first_taken(keys.range(range), scan, takes));
+            let known = scan.range_of_known(running, connected);
+            (unknown, first_taken(keys.range(known), scan, takes))
         };
-        let connected = found(Connected::Yes);
-        best.extend(connected.map(|key| key.number));
-        if !connected.is_some_and(|key| key.pace.is_similar(fastest)) {
-            best.extend(found(Connected::No).map(|key| key.number));
+        let (unknown, known) = found(Connected::Yes);
+        best.extend(unknown.into_iter().chain(known).map(|key| key.number));
+        let is_similar = known.is_some_and(|key| key.pace.is_similar(fastest));
+        if unknown.is_none() && !is_similar {
+            let (unknown, known) = found(Connected::No);
+            best.extend(unknown.into_iter().chain(known).map(|key| key.number));
         }
-        let with_more_items = Scan::Any.start_key(first.running + 1, Connected::Yes);
+        let with_more_items = start_key(running + 1, Connected::Yes, PaceStep::UNKNOWN);
         next = keys.range(with_more_items..).next().copied();
     }
 }
 
+/// Returns the first of the examined engines that `takes` admits.
+fn first_taken<'a>(
+    keys: impl Iterator<Item = &'a SortKey>,
+    scan: Scan,
+    takes: &impl Fn(EngineNumber) -> bool,
+) -> Option<SortKey> {
+    let mut scanned = keys.take(scan.max_scanned());
+    scanned.find(|key| takes(key.number)).copied()
+}
+
+/// Returns the sort key at which engines with `running` items, of this connection state and at least
+/// this pace step, begin.
+fn start_key(running: usize, connected: Connected, pace: PaceStep) -> SortKey {
+    let number = EngineNumber(0);
+    SortKey {
+        running,
+        connected,
+        pace,
+        number,
+    }
+}
+
 /// Criteria of a search for engines.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EngineQuery<'a> {
@@ -163,20 +188,23 @@
 }
 
 impl Scan {
-    /// Returns the sort key at which the examined engines with `running` items and this connection
-    /// state begin.
-    fn start_key(self, running: usize, connected: Connected) -> SortKey {
-        let pace = match self {
-            Self::Any => PaceStep::UNKNOWN,
-            Self::FastestKnown => PaceStep::FASTEST,
+    /// Returns the sort keys of the engines of unknown pace with `running` items and this connection
+    /// state; `None` if they are not examined.
+    fn range_of_unknown(self, running: usize, connected: Connected) -> Option<Range<SortKey>> {
+        let from = start_key(running, connected, PaceStep::UNKNOWN);
+        let to = start_key(running, connected, PaceStep::FASTEST);
+        (self == Self::Any).then_some(from..to)
+    }
+
+    /// Returns the sort keys of the engines of known pace with `running` items and this connection
+    /// state.
+    fn range_of_known(self, running: usize, connected: Connected) -> Range<SortKey> {
+        let from = start_key(running, connected, PaceStep::FASTEST);
+        let to = match connected {
+            Connected::Yes => start_key(running, Connected::No, PaceStep::UNKNOWN),
+            Connected::No => start_key(running + 1, Connected::Yes, PaceStep::UNKNOWN),
         };
-        let number = EngineNumber(0);
-        SortKey {
-            running,
-            connected,
-            pace,
-            number,
-        }
+        from..to
     }
 
     /// Returns the maximum number of examined engines of the same version and number of running
--- a/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
@@ -2,6 +2,7 @@
 
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey, ModelName};
+use crate::leader::decisions::item_length::relative_length;
 use crate::text::{ItemText, LoggedPrefix};
 use wingshore_types::Instant;
 
@@ -15,6 +16,8 @@
     pub(crate) model: Option<ModelName>,
     /// Whether the item is expected to be one of the longest.
     pub(crate) is_long: bool,
+    /// When it started, or when this leader first heard of it.
+    pub(crate) started_at: Instant,
     /// Number of events in the gateway's last progress report, and the time of that report.
     pub(crate) last_progress: Option<(u64, Instant)>,
     /// Whether the gateway was ordered to interrupt it.
@@ -41,6 +44,7 @@
             instance,
             model,
             is_long: false,
+            started_at: now,
             last_progress: None,
             interrupted: false,
             last_reported_at: now,
@@ -80,12 +84,28 @@
     pub(crate) request: Option<RequestFingerprint>,
     /// The caller's estimate of its length, in tokens; longer items are placed first.
     pub(crate) expected_length: u64,
+    /// Its expected length in tokens; that of the longest item of its job if it was still running
+    /// when an earlier job ended.
+    pub(crate) estimated_tokens: Option<u64>,
+    /// The expected length of the longest item of its job, in tokens.
+    pub(crate) longest_tokens: Option<u64>,
     /// Whether it is a long item: by its estimate, or because it was still running when an earlier
     /// job ended.
     pub(crate) is_long: bool,
 }
 
 impl OpenItem {
+    /// Returns the length by which the item is placed, as a fraction of the longest one of its job.
+    pub(crate) fn relative_length(&self) -> f64 {
+        let has_run = self.moves > 0 || self.partial_text.events > 0;
+        relative_length(
+            self.is_long,
+            has_run,
+            self.estimated_tokens,
+            self.longest_tokens,
+        )
+    }
+
     /// Returns the engine to which the item does not go at `now`.
     pub(crate) fn avoided(&self, now: Instant) -> Option<&InstanceId> {
         let avoid = self.avoid.as_ref().filter(|avoid| now < avoid.until);
--- a/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
@@ -2,7 +2,7 @@
 
 use super::item::{Attempt, OpenItem, Rank};
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemId, ItemKey, JobId};
-use crate::leader::decisions::item_length::long_threshold;
+use crate::leader::decisions::item_length::{JobLengths, estimated_tokens};
 use crate::state::CoordinationState;
 use crate::text::ItemText;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -52,7 +52,7 @@
         }
         self.jobs.insert(id.clone(), self.next_job);
         self.next_job += 1;
-        let long_threshold = long_threshold(&job.submission.items);
+        let lengths = JobLengths::of(&job.submission.items);
         for index in job.open_items() {
             let item = ItemKey {
                 job: id.clone(),
@@ -70,7 +70,13 @@
                     .unwrap_or_default(),
                 has_result: has_text,
                 expected_length: if was_left_running { u64::MAX } else { expected },
-                is_long: was_left_running || expected >= long_threshold,
+                estimated_tokens: if was_left_running {
+                    lengths.longest
+                } else {
+                    contents.and_then(estimated_tokens)
+                },
+                longest_tokens: lengths.longest,
+                is_long: was_left_running || expected >= lengths.long_threshold,
                 ..OpenItem::default()
             };
             self.open.insert(item.clone(), open_item);
--- a/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/mod.rs
@@ -4,11 +4,13 @@
 pub(crate) mod capacity;
 pub(crate) mod engine;
 pub(crate) mod engines;
+pub(crate) mod event_sizes;
 pub(crate) mod free_slots;
 pub(crate) mod gateways;
 pub(crate) mod item;
 pub(crate) mod items;
 pub(crate) mod jobs;
+pub(crate) mod known_paces;
 pub(crate) mod pace;
 pub(crate) mod registrations;
 pub(crate) mod rollout;
--- a/crates/gateways/wingshore-coordination/src/leader/tables/pace.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/pace.rs
@@ -25,9 +25,8 @@
 
 /// Number of steps, about 3 %, that the pace of an idle connected engine may be behind the fastest
 /// known one without being passed over for an unconnected engine. That is the random variation of
-/// single measurements. Engines of unknown pace count as the best ones, so without this limit each
-/// item of a site with many more engines than items would go to an unmeasured engine over a new
-/// connection.
+/// single measurements. Without this limit, items of a site with many more engines than items would
+/// go to unmeasured engines over new connections.
 const SIMILAR_STEPS: u32 = 3;
 
 /// Returns the factor by which this many items lengthen the time between two events.
@@ -102,8 +101,8 @@
     measured / slowdown_factor(running)
 }
 
-/// Step into which an engine's pace falls; lower is faster. Unknown paces sort first, since they
-/// count as the best known one.
+/// Step into which an engine's pace falls; lower is faster. Unknown paces sort first, so that
+/// searches for engines of known pace can leave them out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct PaceStep(Option<u32>);
 
@@ -122,6 +121,13 @@
         Self(pace.map(steps))
     }
 
+    /// Returns the pace at the lower end of the step, in milliseconds per event; `None` if it is
+    /// unknown.
+    pub(crate) fn milliseconds(self) -> Option<f64> {
+        let steps = f64::from(self.0?);
+        Some(MIN_PACE_MS * (steps / STEPS_PER_DOUBLING).exp2())
+    }
+
     /// Returns whether the pace is about as good as the fastest known one.
     pub(crate) fn is_similar(self, fastest: Option<Self>) -> bool {
         match (self.0, fastest.and_then(|fastest| fastest.0)) {
--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -38,8 +38,8 @@
 pub use jobs::{ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
     CapacityDemand, CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect,
-    EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, OrderAnswer, Peak, UsageDuty,
-    WeightOrder, wanted_capacity,
+    EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, MoveReason, OrderAnswer, Peak,
+    UsageDuty, WeightOrder, wanted_capacity,
 };
 pub use messages::{
     BreakCause, CallReply, CoordinatorFrame, CoordinatorHello, CoordinatorMessage, FormatRange,
--- a/crates/gateways/wingshore-coordinator/src/decision_log.rs
+++ b/crates/gateways/wingshore-coordinator/src/decision_log.rs
@@ -105,9 +105,18 @@
             job,
             index,
             instance,
+            target,
+            reason,
+            ends_here_in,
+            ends_there_in,
+            step_ends_in,
         } => {
             info!(logger, "item moved"; "job" => %job, "index" => index,
-                "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance);
+                "epoch" => assignment.epoch.0, "try" => assignment.number, "engine" => %instance,
+                "reason" => reason.as_str(), "target" => %target,
+                "ends_here_in_ms" => ends_here_in.as_millis() as u64,
+                "ends_there_in_ms" => ends_there_in.as_millis() as u64,
+                "step_ends_in_ms" => step_ends_in.as_millis() as u64);
         }
         Decision::ItemListed {
             job,
