--- a/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
@@ -5,15 +5,15 @@
 //! event, measured from the progress of its streams.
 //!
 //! Rule: of the engines that take the item, the one with the lowest cost runs it. Costs are counted
-//! in items that run on the fastest engine of the service. An item costs what it delays its step:
+//! in running items. An item costs what it delays its step:
 //! its time on the engine, as one item in ten exceeds it, beyond the time of the longest item of the
 //! job on the fastest engine; an engine that still has to load newer weights adds the pause. Besides,
-//! it costs the share of the engine's work that its items then take, which is higher on a slow
-//! engine. An engine with another version than the item's partial text costs a little more.
+//! it costs the items that then run on the engine. An engine with another version than the item's
+//! partial text costs a little more.
 //!
 //! Rationale: a training step waits for its longest texts, so these get the engines that finish
-//! them first. Items that end in time on any engine fill the engines in proportion to their speed,
-//! so that fast ones keep slots for the long items of the next job. An item that has run before has
+//! them first. Items that end in time on any engine spread over all of them, slow ones included, so
+//! that fast ones keep slots for the long items of the next job. An item that has run before has
 //! lost time already, and counts as long. A load stops all streams of its model on the engine.
 //!
 //! Stale or missing inputs: an engine of unknown pace counts as the median one of its service and
@@ -109,7 +109,7 @@
 fn cost(needs: &ItemNeeds<'_>, engine: &Engine, slowness: f64) -> f64 {
     let version = engine.version_of_any(needs.model);
     let delay = delay(needs, engine, slowness, version >= needs.newest_version);
-    let share = (engine.running + 1) as f64 * slowness;
+    let share = (engine.running + 1) as f64;
     let is_short = needs.relative_length * LENGTH_MARGIN < 1.0;
     let newer = if is_short && version > needs.min_version {
         NEWER_VERSION_COST
