moves: every item counts as long as one item in ten like it is

Change: the length that one item in ten exceeds, for all moves. Safe: only the length that a move assumes changes; tests of moves as before.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/moves.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/moves.rs
@@ -6,8 +6,8 @@
 //!
 //! Rule: an item moves if its step gains: it ends later than its step could by [`MIN_GAIN`], and on
 //! the other engine, the cost of the move ([`MOVE_TIME`]) included, it ends earlier by
-//! [`MIN_GAIN`]. If its engine became slow while it ran, it counts as long as one item in ten like
-//! it is; otherwise as long as it is expected to be, since its engine was chosen for its length. The other engine is faster by [`MIN_SPEEDUP`]. An item moves [`MAX_MOVES`] times at
+//! [`MIN_GAIN`]. It counts as long as
+//! one item in ten like it is. The other engine is faster by [`MIN_SPEEDUP`]. An item moves [`MAX_MOVES`] times at
 //! the most, and only to an engine that keeps a free slot. It does not return for
 //! [`AVOIDANCE_TIME`].
 //!
@@ -123,12 +123,7 @@
     let engine = engines.get(item.instance)?;
     let pace = engine.current_pace()?;
     let reason = reason_of(item, engine.slowed_at);
-    let remaining_events = match reason {
-        MoveReason::EngineSlowed => item.remaining_events.high,
-        MoveReason::LongerThanEstimated | MoveReason::FasterEngineFree => {
-            item.remaining_events.expected
-        }
-    };
+    let remaining_events = item.remaining_events.high;
     let ends_here_in = milliseconds(remaining_events * pace);
     if ends_here_in < step_ends_in + MIN_GAIN {
         return None;
