--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -208,6 +208,7 @@
             (NextStep::Take, ItemOutcome::Finished(text)) => {
                 self.engines.item_completed(&attempt.instance);
                 self.record_run_time(turn.now, attempt);
+                self.record_event_size(turn.now, attempt, turn.state);
                 self.accept_text(&attempt.item, text, finished, turn);
             }
             (NextStep::Take, _) => {}
--- a/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
@@ -1,5 +1,6 @@
 //! Decisions of the leader as they are logged: the inputs of each decision and its outcome.
 
+use super::decisions::moves::MoveReason;
 use crate::evidence::Suspect;
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemId, JobId, ModelName};
@@ -122,6 +123,16 @@
         index: u32,
         /// The engine that is too slow.
         instance: InstanceId,
+        /// The engine that is expected to end the item earliest. Placement decides anew.
+        target: InstanceId,
+        /// Why it moves.
+        reason: MoveReason,
+        /// Expected time until the item ends without the move.
+        ends_here_in: Duration,
+        /// Expected time until it ends with the move.
+        ends_there_in: Duration,
+        /// Time until the item's step can end at the earliest.
+        step_ends_in: Duration,
     },
     /// A result was committed.
     ItemListed {
@@ -134,7 +145,7 @@
         /// Model versions that generated it.
         versions: Vec<u64>,
         /// Time since this leader learned of the job.
-        age: std::time::Duration,
+        age: Duration,
     },
     /// A decision about a scoring.
     Scoring(ScoringDecision),
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -224,6 +224,7 @@
         };
         let ended = self.items.remove_job(id, turn.state);
         self.late_jobs.remove(id);
+        self.forecasts.remove(id);
         if !job.ended {
             self.returns.freed(turn.now, job.submission.bytes());
             let decision = Decision::JobEnded {
--- a/crates/gateways/wingshore-coordination/src/leader/mod.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/mod.rs
@@ -4,7 +4,8 @@
 //! step returns its outputs. Dependencies between its modules go in one direction:
 //!
 //! - `dispatch` receives all inputs and passes each to the module of its topic: servers, gateways,
-//!   jobs, placing, attempts, moving, results, scoring, scoring_grants, rollout, loading, capacity, usage,
+//!   jobs, placing, attempts, progress, forecasting, moving, results, scoring, scoring_grants,
+//!   rollout, loading, capacity, usage,
 //!   evidence, configuring, members;
 //! - a topic module consults `decisions`, updates `tables`, proposes commands and emits effects
 //!   outside the group;
@@ -18,6 +19,7 @@
 mod decisions;
 mod dispatch;
 mod evidence;
+mod forecasting;
 mod gateways;
 mod interface;
 mod job_queue;
@@ -28,6 +30,7 @@
 mod moving;
 mod placing;
 mod policy;
+mod progress;
 mod proposals;
 mod results;
 mod rollout;
@@ -45,6 +48,7 @@
 };
 pub use decisions::crash_evidence::EVIDENCE_LIFETIME;
 pub use decisions::load_progress::{EngineStatus, OrderAnswer};
+pub use decisions::moves::MoveReason;
 pub use decisions::scoring_limit::{
     ScoringAnswers, ScoringCapacity, ScoringLimit, ScoringOrder, is_urgent as is_scoring_urgent,
 };
--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -40,7 +40,7 @@
 pub use jobs::{ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, ResultRecord};
 pub use leader::{
     CapacityDemand, CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect,
-    EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, OrderAnswer, Peak,
+    EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, MoveReason, OrderAnswer, Peak,
     ScoringAnswers, ScoringCapacity, ScoringLimit, ScoringOrder, ScoringReadings, UsageDuty,
     WeightOrder, is_scoring_urgent, wanted_capacity,
 };
