leader: an estimate of any size is computed with

Cause: a caller's estimate of a length is not limited. Multiplied by a run time per token that was learned from estimates far too small, it exceeded what a Duration holds: the leader panicked, and so would the next one once it had learned the same, since the job is replicated. Change: an expected run time is at most an hour; the mean estimate of a job saturates instead of overflowing. Safe: no item runs for an hour, so all estimates that are right stay as they are; nothing replicated changes. Measured: the new test panicked before in item_length, and with only that mended in RunTimes::expected; it passes now with the other eight of its file.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/item_length.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/item_length.rs
@@ -23,11 +23,13 @@
 /// Returns the estimate, in tokens, from which on an item of a job is long.
 pub(crate) fn long_threshold(items: &[JobItem]) -> u64 {
     let estimates = items.iter().filter_map(|item| item.expected_output);
-    let (sum, count) = estimates.fold((0, 0), |(sum, count), estimate| (sum + estimate, count + 1));
+    let (sum, count) = estimates.fold((0_u64, 0), |(sum, count), estimate| {
+        (sum.saturating_add(estimate), count + 1)
+    });
     if count == 0 {
         return u64::MAX;
     }
-    sum / count * LONG_FACTOR
+    (sum / count).saturating_mul(LONG_FACTOR)
 }
 
 /// Returns whether a running item counts as long for the loads of its engine.
--- a/crates/gateways/wingshore-coordination/src/leader/tables/run_times.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/run_times.rs
@@ -7,6 +7,8 @@
 /// Run time per expected token until the first item has ended, in milliseconds: that of a slow
 /// engine, so that items rather start early.
 const INITIAL_MS_PER_TOKEN: f64 = 1.0;
+/// Longest expected run time, longer than any item runs: callers' estimates are not limited.
+const MAX_RUN_TIME: Duration = Duration::from_secs(3600);
 /// Weight that the sums keep with each further item, so that the last 50 or so count.
 const DECAY: f64 = 0.98;
 
@@ -34,13 +36,14 @@
         sums.milliseconds = sums.milliseconds * DECAY + time.as_secs_f64() * 1000.0;
     }
 
-    /// Returns the expected run time of an item.
+    /// Returns the expected run time of an item, at most [`MAX_RUN_TIME`].
     pub(crate) fn expected(&self, service: Option<&ServiceName>, tokens: u64) -> Duration {
         let sums = service.and_then(|service| self.services.get(service));
         let per_token = match sums {
             Some(sums) if sums.tokens > 0.0 => sums.milliseconds / sums.tokens,
             _ => INITIAL_MS_PER_TOKEN,
         };
-        Duration::from_secs_f64(tokens as f64 * per_token / 1000.0)
+        let seconds = tokens as f64 * per_token / 1000.0;
+        Duration::from_secs_f64(seconds.min(MAX_RUN_TIME.as_secs_f64()))
     }
 }
--- a/crates/gateways/wingshore-coordination/tests/too_little_room.rs
+++ b/crates/gateways/wingshore-coordination/tests/too_little_room.rs
@@ -301,3 +301,17 @@
     let placed = site.group.assignments();
     expect_that!(placed, len(eq(SLOTS as usize)));
 }
+
+/// A caller whose estimates were far too small, and then one that is larger than any run: the
+/// expected run time stays within what can be computed with, and other jobs go on.
+#[gtest]
+fn an_estimate_beyond_all_run_times_does_not_stop_the_leader() {
+    let mut site = Site::new(1, LeaderPolicy::default());
+    site.submit(job_of("underestimated", None, &[1; 4]));
+    site.group.now = site.group.now + Duration::from_secs(5);
+    site.run(far());
+    site.submit(job_of("overestimated", None, &[u64::MAX - 1]));
+    site.submit(job_of("usual", None, &[1000; 2]));
+    site.run(far());
+    expect_that!(site.ends.contains_key(&job_id("usual", None)), eq(true));
+}
