leader: a service without free slots does not keep items of another one from its engines

Cause: placing left a job once as many services had turned out full as have free slots. A full service has none itself, so that with a route to two services, one of them full, the first item for that one ended the job's turn, and the other one's engines stayed idle. Change: a job is left when no service that is not among the full ones has free slots. Safe: only more items are considered, each at most once in a call.

--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -104,7 +104,7 @@
         if let Err(NotPlaced::NoEngine { service }) = self.place(key, cursor, turn) {
             cursor.full_services.insert(service);
         }
-        cursor.full_services.len() < self.engines.services_with_free_slots()
+        self.engines.has_free_slots_outside(&cursor.full_services)
     }
 
     /// Places an item, unless the engines of its service accept none of its job.
--- a/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
@@ -121,9 +121,9 @@
         self.all.get_key_value(self.by_number.get(&number)?)
     }
 
-    /// Returns the number of services that have engines with free slots.
-    pub(crate) fn services_with_free_slots(&self) -> usize {
-        self.free.services()
+    /// Returns whether a service that is not in `excluded` has engines with free slots.
+    pub(crate) fn has_free_slots_outside(&self, excluded: &BTreeSet<ServiceName>) -> bool {
+        self.free.has_others_than(excluded)
     }
 
     /// Returns an engine.
--- a/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/free_slots.rs
@@ -47,13 +47,12 @@
         self.engines == 0
     }
 
-    /// Returns the number of services with an engine in the index.
-    pub(crate) fn services(&self) -> usize {
+    /// Returns whether an engine of a service that is not in `excluded` is in the index.
+    pub(crate) fn has_others_than(&self, excluded: &BTreeSet<ServiceName>) -> bool {
         let groups = self.groups.iter();
         let any_model = groups.filter(|(group, _)| group.model.is_none());
-        any_model
-            .filter(|(_, versions)| !versions.is_empty())
-            .count()
+        let mut with_engines = any_model.filter(|(_, versions)| !versions.is_empty());
+        with_engines.any(|(group, _)| !excluded.contains(&group.service))
     }
 
     /// Adds an engine if it has a free slot.
--- a/crates/gateways/wingshore-coordination/tests/too_little_room.rs
+++ b/crates/gateways/wingshore-coordination/tests/too_little_room.rs
@@ -14,7 +14,8 @@
 use support::{Group, configuration, engine, job};
 use wingshore_coordination::{
     FinishedText, GatewayId, ItemAssignment, ItemId, ItemOutcome, JobId, JobItem, JobSubmission,
-    LeaderPolicy, LeaderSettings, Reply, Request, SiteConfiguration, Tenant, TenantName,
+    LeaderPolicy, LeaderSettings, Reply, Request, RouteTarget, ServerRecord, Service, ServiceName,
+    SiteConfiguration, Tenant, TenantName,
 };
 use wingshore_types::Instant;
 
@@ -315,3 +316,30 @@
     site.run(far());
     expect_that!(site.ends.contains_key(&job_id("usual", None)), eq(true));
 }
+
+/// A route leads to two services, and only one of them has engines. Items of that one are placed,
+/// wherever those of the other stand in the job.
+#[gtest]
+fn items_of_a_service_without_engines_do_not_block_those_of_another_one() {
+    let names = ["llm", "llm-b"].map(ServiceName::from);
+    let mut next = configuration(2);
+    next.services.push(Service {
+        name: names[1].clone(),
+        ..next.services[0].clone()
+    });
+    next.routes[0].targets.push(RouteTarget {
+        service: names[1].clone(),
+        weight: 1,
+    });
+    for service in names {
+        let mut site = Site::new(0, LeaderPolicy::default());
+        site.group
+            .ask(Request::PutConfiguration(Arc::new(next.clone())));
+        site.group.heartbeat(ServerRecord {
+            service,
+            ..engine("e0", 1)
+        });
+        site.submit(job_of("split", None, &[1000; 40]));
+        expect_that!(site.running, len(eq(SLOTS as usize)));
+    }
+}
