leader: an item's partial text counts when its step is judged late

Cause: feasibility, urgency and charge took the whole expected run time of an item that continues a partial text. A step whose longest text was interrupted near its end (an engine taken back, a move) counted as late and went behind all others, although the rest would have ended in time. Change: they take the rest of the run; a text that is longer than expected has an unknown length, as one left running by an earlier job has. Safe: items without partial text are judged as before; the scan still ends at the first item that ends in time as a whole.

--- a/crates/gateways/wingshore-coordination/src/leader/job_queue.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/job_queue.rs
@@ -2,7 +2,7 @@
 
 use super::decision_log::Decision;
 use super::decisions::fair_share::ShareOwner;
-use super::decisions::feasibility::is_late;
+use super::decisions::feasibility::{WaitingItem, is_late};
 use super::decisions::job_order::{Urgency, WaitingJob, due_in_ms, urgency};
 use super::machine::CoordinationLeader;
 use super::tables::item::{Attempt, Charge, Rank};
@@ -88,7 +88,7 @@
             let priority = cursor.job.priority;
             return Urgency::InOrder { priority };
         }
-        let run_time = self.run_time_of(cursor.service.as_ref(), cursor.next);
+        let run_time = self.rest_of_run(&cursor.id, cursor.service.as_ref(), cursor.next);
         urgency(cursor.job, run_time, self.shares.start_tag(&cursor.owner))
     }
 
@@ -137,7 +137,11 @@
         let spare = groups.saturating_sub(job.submission.desired as usize);
         let waiting = self.items.waiting_ranks(id).filter_map(|rank| {
             let item = items.get(rank.index as usize)?;
-            Some((self.run_time_of(service, rank)?, item.group.as_str()))
+            Some(WaitingItem {
+                whole: self.run_time_of(service, rank)?,
+                rest: self.rest_of_run(id, service, rank)?,
+                group: item.group.as_str(),
+            })
         });
         is_late(due_in_ms, spare, waiting)
     }
@@ -149,6 +153,24 @@
         (tokens != u64::MAX).then(|| self.run_times.expected(service, tokens))
     }
 
+    /// Returns the expected run time of an item from the end of its partial text; `None` if its
+    /// length is not known, or its text is longer than expected already.
+    fn rest_of_run(
+        &self,
+        job: &JobId,
+        service: Option<&ServiceName>,
+        rank: Rank,
+    ) -> Option<Duration> {
+        let whole = self.run_time_of(service, rank)?;
+        let generated = self.items.generated_events(job, rank.index);
+        let Reverse(tokens) = rank.length;
+        if generated == 0 || tokens == 0 {
+            return Some(whole);
+        }
+        let left = tokens.checked_sub(generated).filter(|left| *left > 0)?;
+        Some(self.run_times.expected(service, left))
+    }
+
     /// Records which jobs cannot be whole in time, and logs those that are new among them.
     fn record_late(&mut self, queue: &JobQueue, turn: &mut Turn<'_>) {
         for cursor in queue.cursors.iter().flatten() {
@@ -173,7 +195,7 @@
     /// event.
     pub(super) fn charge(&mut self, cursor: &JobCursor, is_whole: bool) -> Charge {
         let Reverse(tokens) = cursor.next.length;
-        let run_time = self.run_time_of(cursor.service.as_ref(), cursor.next);
+        let run_time = self.rest_of_run(&cursor.id, cursor.service.as_ref(), cursor.next);
         let charge = Charge {
             run_time: run_time.unwrap_or_default(),
             priority: cursor.job.priority,
--- a/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
@@ -277,6 +277,19 @@
         self.open.get(item)
     }
 
+    /// Returns the number of events of an item's partial text that are known: reported to this
+    /// leader, or held by the log.
+    pub(crate) fn generated_events(&self, job: &JobId, index: u32) -> u64 {
+        let key = ItemKey {
+            job: job.clone(),
+            index,
+        };
+        let open_item = self.open.get(&key);
+        open_item.map_or(0, |item| {
+            item.partial_text.events.max(item.held.extent.events)
+        })
+    }
+
     /// Returns the state of an item for changes; see [`Items::open_item`].
     pub(crate) fn open_item_mut(&mut self, item: &ItemKey) -> Option<&mut OpenItem> {
         self.open.get_mut(item)
--- a/crates/gateways/wingshore-coordination/tests/too_little_room.rs
+++ b/crates/gateways/wingshore-coordination/tests/too_little_room.rs
@@ -13,9 +13,9 @@
 use std::time::Duration;
 use support::{Group, configuration, engine, job};
 use wingshore_coordination::{
-    FinishedText, GatewayId, ItemAssignment, ItemId, ItemOutcome, JobId, JobItem, JobSubmission,
-    LeaderPolicy, LeaderSettings, Reply, Request, RouteTarget, ServerRecord, Service, ServiceName,
-    SiteConfiguration, Tenant, TenantName,
+    BreakCause, FinishedText, GatewayId, ItemAssignment, ItemId, ItemOutcome, ItemText, JobId,
+    JobItem, JobSubmission, LeaderPolicy, LeaderSettings, Reply, Request, RouteTarget,
+    ServerRecord, Service, ServiceName, SiteConfiguration, Tenant, TenantName,
 };
 use wingshore_types::Instant;
 
@@ -317,6 +317,32 @@
     expect_that!(site.ends.contains_key(&job_id("usual", None)), eq(true));
 }
 
+/// An engine is taken back late in a step, under its longest text. The rest of that text is short:
+/// the step can still be in time, and does not wait behind another one.
+#[gtest]
+fn a_text_that_is_nearly_complete_does_not_make_its_step_late() {
+    let mut site = Site::new(1, LeaderPolicy::default());
+    let begin = site.group.now;
+    site.submit(job_of("long", None, &[6000]));
+    site.submit(job_of("short", None, &[1000; 30]));
+    site.run(begin + Duration::from_millis(5000));
+    let is_long = |assignment: &ItemAssignment| assignment.item.job == job_id("long", None);
+    let position = site.running.iter().position(|(_, run)| is_long(run));
+    let (_, interrupted) = site.running.remove(position.unwrap());
+    let outcome = ItemOutcome::Interrupted {
+        text: ItemText {
+            text: "text".to_owned(),
+            events: 5000,
+            last_event: Some(5000),
+            versions: vec![1],
+        },
+        cause: BreakCause::Gateway,
+    };
+    site.group.end_item(site.gateway, &interrupted, outcome);
+    let placed = site.group.assignments();
+    expect_that!(placed.iter().filter(|run| is_long(run)).count(), eq(1));
+}
+
 /// A route leads to two services, and only one of them has engines. Items of that one are placed,
 /// wherever those of the other stand in the job.
 #[gtest]
