--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -4,7 +4,7 @@
 use super::decision_log::Decision;
 use super::decisions::continuation::{starting_text, usable_text};
 use super::decisions::crash_evidence::is_suspect;
-use super::decisions::gateway_choice::gateway_for_item;
+use super::decisions::gateway_choice::{gateway_for_item, is_any_free};
 use super::decisions::placement::{ItemNeeds, choose_engine};
 use super::job_queue::JobCursor;
 use super::machine::CoordinationLeader;
@@ -77,7 +77,7 @@
             return;
         }
         let mut queue = self.job_queue(turn);
-        while self.engines.has_free_slots() {
+        while self.engines.has_free_slots() && is_any_free(&self.gateways) {
             let Some((position, mut cursor)) = self.take_most_urgent(&mut queue) else {
                 return;
             };
@@ -106,7 +106,7 @@
         if let Err(NotPlaced::NoEngine { service }) = self.place(key, cursor, turn) {
             cursor.full_services.insert(service);
         }
-        cursor.full_services.len() < self.engines.services_with_free_slots()
+        self.engines.has_free_slots_outside(&cursor.full_services)
     }
 
     /// Places an item, unless the engines of its service accept none of its job.
--- a/crates/gateways/wingshore-coordination/tests/too_little_room.rs
+++ b/crates/gateways/wingshore-coordination/tests/too_little_room.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 use support::{Group, configuration, engine, job};
 use wingshore_coordination::{
-    FinishedText, GatewayId, ItemAssignment, ItemId, ItemOutcome, JobId, JobItem, JobSubmission,
-    LeaderPolicy, LeaderSettings, Reply, Request, SiteConfiguration, Tenant, TenantName,
+    BreakCause, FinishedText, GatewayId, ItemAssignment, ItemId, ItemOutcome, ItemText, JobId,
+    JobItem, JobSubmission, LeaderPolicy, LeaderSettings, Reply, Request, RouteTarget,
+    ServerRecord, Service, ServiceName, SiteConfiguration, Tenant, TenantName,
 };
 use wingshore_types::Instant;
 
@@ -301,3 +302,91 @@
     let placed = site.group.assignments();
     expect_that!(placed, len(eq(SLOTS as usize)));
 }
+
+/// A caller whose estimates were far too small, and then one that is larger than any run: the
+/// expected run time stays within what can be computed with, and other jobs go on.
+#[gtest]
+fn an_estimate_beyond_all_run_times_does_not_stop_the_leader() {
+    let mut site = Site::new(1, LeaderPolicy::default());
+    site.submit(job_of("underestimated", None, &[1; 4]));
+    site.group.now = site.group.now + Duration::from_secs(5);
+    site.run(far());
+    site.submit(job_of("overestimated", None, &[u64::MAX - 1]));
+    site.submit(job_of("usual", None, &[1000; 2]));
+    site.run(far());
+    expect_that!(site.ends.contains_key(&job_id("usual", None)), eq(true));
+}
+
+/// An engine is taken back late in a step, under its longest text. The rest of that text is short:
+/// the step can still be in time, and does not wait behind another one.
+#[gtest]
+fn a_text_that_is_nearly_complete_does_not_make_its_step_late() {
+    let mut site = Site::new(1, LeaderPolicy::default());
+    let begin = site.group.now;
+    site.submit(job_of("long", None, &[6000]));
+    site.submit(job_of("short", None, &[1000; 30]));
+    site.run(begin + Duration::from_millis(5000));
+    let is_long = |assignment: &ItemAssignment| assignment.item.job == job_id("long", None);
+    let position = site.running.iter().position(|(_, run)| is_long(run));
+    let (_, interrupted) = site.running.remove(position.unwrap());
+    let outcome = ItemOutcome::Interrupted {
+        text: ItemText {
+            text: "text".to_owned(),
+            events: 5000,
+            last_event: Some(5000),
+            versions: vec![1],
+        },
+        cause: BreakCause::Gateway,
+    };
+    site.group.end_item(site.gateway, &interrupted, outcome);
+    let placed = site.group.assignments();
+    expect_that!(placed.iter().filter(|run| is_long(run)).count(), eq(1));
+}
+
+/// A route leads to two services, and only one of them has engines. Items of that one are placed,
+/// wherever those of the other stand in the job.
+#[gtest]
+fn items_of_a_service_without_engines_do_not_block_those_of_another_one() {
+    let names = ["llm", "llm-b"].map(ServiceName::from);
+    let mut next = configuration(2);
+    next.services.push(Service {
+        name: names[1].clone(),
+        ..next.services[0].clone()
+    });
+    next.routes[0].targets.push(RouteTarget {
+        service: names[1].clone(),
+        weight: 1,
+    });
+    for service in names {
+        let mut site = Site::new(0, LeaderPolicy::default());
+        site.group
+            .ask(Request::PutConfiguration(Arc::new(next.clone())));
+        site.group.heartbeat(ServerRecord {
+            service,
+            ..engine("e0", 1)
+        });
+        site.submit(job_of("split", None, &[1000; 40]));
+        expect_that!(site.running, len(eq(SLOTS as usize)));
+    }
+}
+
+/// Engines have free slots, but no gateway takes further items. The end of an item then costs the
+/// leader no walk over all waiting items; the shortest of several times counts, since the machine
+/// may be busy.
+#[gtest]
+fn waiting_for_a_gateway_costs_no_scan_of_all_items() {
+    let mut site = Site::new(40, LeaderPolicy::default());
+    for number in 0..4 {
+        let id = format!("large-{number}");
+        site.submit(job_of(&id, None, &[1000; 16_384]));
+    }
+    expect_that!(site.running, len(lt(40 * SLOTS as usize)));
+    let ended = site.running.drain(..5).collect::<Vec<_>>();
+    let times = ended.iter().map(|(_, assignment)| {
+        let begin = std::time::Instant::now();
+        let outcome = ItemOutcome::Finished(FinishedText::default());
+        site.group.end_item(site.gateway, assignment, outcome);
+        begin.elapsed()
+    });
+    expect_that!(times.min(), some(lt(Duration::from_millis(10))));
+}
