leader, gateway: what the review of the order of items and of the start found

Cause: a review by one who did not write them. A job whose tokens, with the most that it may generate, pass an engine's memory was refused for good, though it might have run. Safe: soft state of the leader and the value of a Retry-After.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/fair_share.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/fair_share.rs
@@ -69,10 +69,18 @@
         end.max(self.clock)
     }
 
-    /// Charges an owner for an item that was placed.
-    pub(crate) fn charge(&mut self, owner: ShareOwner, run_time: Duration, priority: u8) {
+    /// Charges an owner for an item that was placed; `competes` if it was placed by its start tag.
+    pub(crate) fn charge(
+        &mut self,
+        owner: ShareOwner,
+        run_time: Duration,
+        priority: u8,
+        competes: bool,
+    ) {
         let start = self.start_tag(&owner);
-        self.clock = start;
+        if competes {
+            self.clock = start;
+        }
         let end = VirtualTime(start.0.saturating_add(weighted(run_time, priority)));
         if self.ends.len() >= MAX_REMEMBERED {
             let clock = self.clock;
@@ -81,6 +89,13 @@
         self.ends.insert(owner, end);
     }
 
+    /// Forgets a job that has ended; a tenant may have others.
+    pub(crate) fn forget_job(&mut self, job: &JobId) {
+        if let owner @ ShareOwner::Job(_) = ShareOwner::of(job) {
+            self.ends.remove(&owner);
+        }
+    }
+
     /// Corrects the charge for an item that took `actual` in place of `expected`.
     pub(crate) fn correct(
         &mut self,
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/job_order.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/job_order.rs
@@ -7,7 +7,8 @@
 //! Rule: an item's slack is the time until its job is due, less [`RUN_TIME_FACTOR`] times its
 //! expected run time. Items without slack are pressing: they go first, by the start tags of their
 //! callers, then by priority, then by slack. Other items follow in the order of their slack in whole
-//! seconds, then by priority. Items of jobs that cannot be whole in time come last, the oldest job first.
+//! seconds, then by priority. Items of jobs that cannot be whole in time come last, by the start tags
+//! of their callers, then the oldest job first; but one of [`LATE_TURN`] placements goes to them.
 //!
 //! Rationale: the load is several trainers whose steps arrive together, and more items than slots.
 //! A step is whole when its longest text is: a short item of one step can wait while a long item of
@@ -30,6 +31,10 @@
 /// Slack within one step counts as equal, in milliseconds: estimates of run times are no finer.
 const SLACK_STEP_MS: i64 = 1000;
 
+/// One of so many placements goes to a late job while others wait: late results are worth something
+/// to their caller, and a pool that stays too small must not starve them.
+pub(crate) const LATE_TURN: u32 = 16;
+
 /// How soon an item has to start. Smaller ones are placed first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Urgency {
@@ -58,6 +63,8 @@
     },
     /// The job of the item cannot be whole in time.
     Late {
+        /// Start tag of its caller.
+        share: VirtualTime,
         /// Time until the job is due, in milliseconds; the most negative is the oldest.
         due_in_ms: i64,
     },
@@ -98,7 +105,7 @@
 pub(crate) fn urgency(job: WaitingJob, run_time: Option<Duration>, share: VirtualTime) -> Urgency {
     if job.is_late {
         let due_in_ms = job.due_in_ms;
-        return Urgency::Late { due_in_ms };
+        return Urgency::Late { share, due_in_ms };
     }
     let needed_ms = match run_time {
         Some(run_time) => i64::try_from((run_time * RUN_TIME_FACTOR).as_millis()),
--- a/crates/gateways/wingshore-coordination/src/leader/gateways.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/gateways.rs
@@ -2,6 +2,7 @@
 
 use super::decisions::expiry::gateway_lost_at;
 use super::machine::CoordinationLeader;
+use super::tables::item::Attempt;
 use super::turn::Turn;
 use crate::ids::GatewayId;
 use crate::messages::{CoordinatorMessage, GatewayHello, GatewayStatus, RunningItem};
@@ -17,7 +18,7 @@
         let epoch = self.epoch;
         turn.send(gateway, CoordinatorMessage::Leading { epoch });
         for lost in self.gateways.connect(hello) {
-            self.requeue_items_of_gateway(lost);
+            self.requeue_items_of_gateway(turn.now, lost);
         }
         self.requeue_scorings_of_gateway(turn.now, gateway);
     }
@@ -32,13 +33,19 @@
     /// Gives up gateways that were disconnected for too long, with all attempts that they ran.
     pub(super) fn expire_disconnected_gateways(&mut self, now: Instant) {
         for lost in self.gateways.take_lost(now) {
-            self.requeue_items_of_gateway(lost);
+            self.requeue_items_of_gateway(now, lost);
         }
     }
 
-    fn requeue_items_of_gateway(&mut self, gateway: GatewayId) {
-        for instance in self.items.remove_gateway(gateway) {
-            self.engines.item_ended(&instance);
+    fn requeue_items_of_gateway(&mut self, now: Instant, gateway: GatewayId) {
+        let lost = self.items.remove_gateway(gateway);
+        self.count_lost_attempts(now, &lost);
+    }
+
+    fn count_lost_attempts(&mut self, now: Instant, lost: &[Attempt]) {
+        for attempt in lost {
+            self.correct_share(now, attempt);
+            self.engines.item_ended(&attempt.instance);
         }
     }
 
@@ -56,7 +63,7 @@
         // A gateway to which this leader was announced twice reports twice; the second report lacks
         // the items assigned since the first.
         if is_first {
-            self.on_first_report(gateway, &items);
+            self.on_first_report(turn.now, gateway, &items);
         }
         for item in items {
             self.adopt_attempt(gateway, item, turn);
@@ -68,12 +75,10 @@
     }
 
     /// Queues those items of a gateway again that are missing in its first report.
-    fn on_first_report(&mut self, gateway: GatewayId, items: &[RunningItem]) {
+    fn on_first_report(&mut self, now: Instant, gateway: GatewayId, items: &[RunningItem]) {
         let reported = items.iter().map(|item| item.assignment).collect();
         let (kept, lost) = self.items.reconcile_gateway(gateway, &reported);
-        for instance in lost {
-            self.engines.item_ended(&instance);
-        }
+        self.count_lost_attempts(now, &lost);
         if let Some(known) = self.gateways.get_mut(gateway) {
             known.running = kept;
         }
--- a/crates/gateways/wingshore-coordination/src/leader/job_queue.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/job_queue.rs
@@ -3,7 +3,7 @@
 use super::decision_log::Decision;
 use super::decisions::fair_share::ShareOwner;
 use super::decisions::feasibility::{WaitingItem, is_late};
-use super::decisions::job_order::{Urgency, WaitingJob, due_in_ms, urgency};
+use super::decisions::job_order::{LATE_TURN, Urgency, WaitingJob, due_in_ms, urgency};
 use super::machine::CoordinationLeader;
 use super::tables::item::{Attempt, Charge, Rank};
 use super::turn::Turn;
@@ -34,8 +34,33 @@
 #[derive(Default)]
 pub(super) struct JobQueue {
     cursors: Vec<Option<JobCursor>>,
-    /// Positions of the cursors, by urgency and order of acceptance.
-    order: BinaryHeap<Reverse<(Urgency, usize)>>,
+    /// Positions of the cursors of jobs that can be whole in time, by urgency and order of
+    /// acceptance.
+    in_time: BinaryHeap<Reverse<(Urgency, usize)>>,
+    /// Positions of the cursors of other jobs.
+    late: BinaryHeap<Reverse<(Urgency, usize)>>,
+}
+
+impl JobQueue {
+    fn push(&mut self, urgency: Urgency, position: usize) {
+        let order = match urgency {
+            Urgency::Late { .. } => &mut self.late,
+            _ => &mut self.in_time,
+        };
+        order.push(Reverse((urgency, position)));
+    }
+
+    /// Takes the first entry of the jobs in time, or of the late ones if `is_late_turn`; of the
+    /// other ones if there is none.
+    fn pop(&mut self, is_late_turn: bool) -> Option<(Urgency, usize)> {
+        let (first, second) = if is_late_turn {
+            (&mut self.late, &mut self.in_time)
+        } else {
+            (&mut self.in_time, &mut self.late)
+        };
+        let Reverse(entry) = first.pop().or_else(|| second.pop())?;
+        Some(entry)
+    }
 }
 
 impl CoordinationLeader {
@@ -47,7 +72,7 @@
                 let urgency = self.urgency(&cursor);
                 let position = queue.cursors.len();
                 queue.cursors.push(Some(cursor));
-                queue.order.push(Reverse((urgency, position)));
+                queue.push(urgency, position);
             }
         }
         self.record_late(&queue, turn);
@@ -56,15 +81,18 @@
 
     /// Takes the job whose next item is the most urgent one.
     pub(super) fn take_most_urgent(&self, queue: &mut JobQueue) -> Option<(usize, JobCursor)> {
-        while let Some(Reverse((known, position))) = queue.order.pop() {
-            let current = queue.cursors.get(position)?.as_ref();
-            let current = current.map(|cursor| self.urgency(cursor))?;
+        let is_late_turn = self.placed_since_late >= LATE_TURN;
+        while let Some((known, position)) = queue.pop(is_late_turn) {
+            let Some(cursor) = queue.cursors.get_mut(position).and_then(Option::take) else {
+                continue;
+            };
+            let current = self.urgency(&cursor);
             // The start tag of a caller rises with each item that is placed for it.
             if current > known {
-                queue.order.push(Reverse((current, position)));
+                queue.push(current, position);
+                queue.cursors[position] = Some(cursor);
                 continue;
             }
-            let cursor = queue.cursors.get_mut(position)?.take()?;
             return Some((position, cursor));
         }
         None
@@ -76,7 +104,7 @@
             return;
         };
         cursor.next = next;
-        queue.order.push(Reverse((self.urgency(&cursor), position)));
+        queue.push(self.urgency(&cursor), position);
         if let Some(place) = queue.cursors.get_mut(position) {
             *place = Some(cursor);
         }
@@ -99,15 +127,16 @@
         let service = route.and_then(|route| route.targets.first());
         let service = service.map(|target| target.service.clone());
         let accepted_at = self.job_clock.known_since(&id).unwrap_or(turn.now);
-        let due_in_ms = due_in_ms(turn.now, accepted_at, route.and_then(|route| route.due));
-        let is_ordered = self.settings.policy.due_times_first;
+        let due = route.and_then(|route| route.due);
+        let due_in_ms = due_in_ms(turn.now, accepted_at, due);
+        let may_be_late = due.is_some() && self.settings.policy.due_times_first;
         Some(JobCursor {
             owner: ShareOwner::of(&id),
             next,
             full_services: BTreeSet::new(),
             job: WaitingJob {
                 due_in_ms,
-                is_late: is_ordered && self.is_late(&id, job, due_in_ms, service.as_ref()),
+                is_late: may_be_late && self.is_late(&id, job, due_in_ms, service.as_ref()),
                 priority: self.priority_of(&id, route.map(AsRef::as_ref)),
             },
             service,
@@ -173,10 +202,12 @@
 
     /// Records which jobs cannot be whole in time, and logs those that are new among them.
     fn record_late(&mut self, queue: &JobQueue, turn: &mut Turn<'_>) {
-        for cursor in queue.cursors.iter().flatten() {
-            if !cursor.job.is_late {
-                self.late_jobs.remove(&cursor.id);
-            } else if self.late_jobs.insert(cursor.id.clone()) {
+        let cursors = queue.cursors.iter().flatten();
+        let late = cursors.filter(|cursor| cursor.job.is_late);
+        let late_ids: BTreeSet<&JobId> = late.clone().map(|cursor| &cursor.id).collect();
+        self.late_jobs.retain(|id| late_ids.contains(id));
+        for cursor in late {
+            if self.late_jobs.insert(cursor.id.clone()) {
                 turn.log(Decision::JobLate {
                     job: cursor.id.clone(),
                     waiting: self.items.waiting_ranks(&cursor.id).count(),
@@ -197,7 +228,9 @@
         let Reverse(tokens) = cursor.next.length;
         let run_time = self.rest_of_run(&cursor.id, cursor.service.as_ref(), cursor.next);
         let charge = Charge {
-            run_time: run_time.unwrap_or_default(),
+            run_time: run_time
+                .filter(|run_time| !run_time.is_zero())
+                .unwrap_or_else(|| self.run_times.mean(cursor.service.as_ref())),
             priority: cursor.job.priority,
             tokens: if is_whole && run_time.is_some() {
                 tokens
@@ -205,8 +238,15 @@
                 0
             },
         };
+        let urgency = self.urgency(cursor);
+        self.placed_since_late = match urgency {
+            Urgency::Late { .. } => 0,
+            _ => self.placed_since_late.saturating_add(1),
+        };
+        let competes = matches!(urgency, Urgency::Pressing { .. });
+        let owner = cursor.owner.clone();
         self.shares
-            .charge(cursor.owner.clone(), charge.run_time, charge.priority);
+            .charge(owner, charge.run_time, charge.priority, competes);
         charge
     }
 
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -1,7 +1,6 @@
 //! Submits, reads and ends batch jobs.
 
 use super::decision_log::Decision;
-use super::decisions::admission::fits_engine;
 use super::decisions::expiry::{is_job_forgotten, is_past_queue_time};
 use super::decisions::return_times::Room;
 use super::machine::CoordinationLeader;
@@ -33,9 +32,6 @@
         if let Some(reason) = self.missing_scorer_route(&submission, turn.state) {
             return turn.reply(tag, Reply::Refused(reason));
         }
-        if let Some(reason) = self.oversized_item(&submission, turn.state) {
-            return turn.reply(tag, Reply::Refused(reason));
-        }
         if self.refuse_if_memory_is_full(tag, &submission, turn) {
             return;
         }
@@ -84,29 +80,6 @@
         self.ranks.priority_for(submission.id.tenant(), of_route)
     }
 
-    /// Returns why a job is refused if one of its items fits into no engine's memory.
-    fn oversized_item(
-        &self,
-        submission: &JobSubmission,
-        state: &CoordinationState,
-    ) -> Option<String> {
-        let configuration = state.configuration()?;
-        submission.items.iter().find_map(|item| {
-            let route = self.routes.find(&submission.host, &item.path)?;
-            let services = route.targets.iter();
-            let engines = services
-                .filter_map(|target| configuration.service(&target.service)?.engine.as_ref());
-            let largest = engines.map(|engine| engine.cache_tokens).max()?;
-            if fits_engine(item.tokens, largest) {
-                return None;
-            }
-            Some(format!(
-                "item `{}`: {} tokens; allowed are {largest}, the memory of an engine",
-                item.id, item.tokens
-            ))
-        })
-    }
-
     /// Returns why a job is refused if one of its items names a scorer that no route leads to.
     fn missing_scorer_route(
         &self,
@@ -239,6 +212,7 @@
             self.count_attempt_end(turn.now, &running);
             turn.release_attempt(running.gateway, assignment);
         }
+        self.shares.forget_job(id);
         for (gateway, scoring) in self.scorings.remove_job(id) {
             turn.release_scoring(gateway, scoring);
         }
--- a/crates/gateways/wingshore-coordination/src/leader/machine.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/machine.rs
@@ -57,6 +57,8 @@
     /// Jobs that were refused for lack of memory.
     pub(super) returns: ReturnTimes,
     pub(super) run_times: RunTimes,
+    /// Number of items placed since one of a late job.
+    pub(super) placed_since_late: u32,
     /// Jobs that cannot be whole in time.
     pub(super) late_jobs: BTreeSet<JobId>,
     pub(super) rollout: Rollout,
@@ -100,6 +102,7 @@
             shares: FairShares::default(),
             returns: ReturnTimes::default(),
             run_times: RunTimes::default(),
+            placed_since_late: 0,
             late_jobs: BTreeSet::new(),
             rollout: Rollout::default(),
             scorings: Scorings::default(),
--- a/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/engines.rs
@@ -7,7 +7,7 @@
 use crate::ids::{GatewayId, InstanceId, ModelName, ServiceName};
 use crate::registry::{ModelVersion, ServerRecord};
 use crate::state::CoordinationState;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use wingshore_types::Instant;
 
--- a/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
@@ -310,21 +310,20 @@
         self.dequeue(item);
     }
 
-    /// Ends all attempts of a lost gateway, so that their items wait again. Returns the engine of
-    /// each ended attempt.
-    pub(crate) fn remove_gateway(&mut self, gateway: GatewayId) -> Vec<InstanceId> {
+    /// Ends all attempts of a lost gateway, so that their items wait again, and returns them.
+    pub(crate) fn remove_gateway(&mut self, gateway: GatewayId) -> Vec<Attempt> {
         let lost = self.attempts_of(gateway);
         self.end_and_wait(lost)
     }
 
     /// Processes the report of a gateway that has reconnected: items of attempts that are not in
-    /// `reported` wait again. Returns the number of attempts that continue, and the engine of each
-    /// ended one.
+    /// `reported` wait again. Returns the number of attempts that continue, and the
+    /// ended ones.
     pub(crate) fn reconcile_gateway(
         &mut self,
         gateway: GatewayId,
         reported: &BTreeSet<AssignmentId>,
-    ) -> (usize, Vec<InstanceId>) {
+    ) -> (usize, Vec<Attempt>) {
         let known = self.attempts_of(gateway).into_iter();
         let (kept, lost): (Vec<AssignmentId>, Vec<AssignmentId>) =
             known.partition(|assignment| reported.contains(assignment));
@@ -337,15 +336,15 @@
         own.map(|(assignment, _)| *assignment).collect()
     }
 
-    fn end_and_wait(&mut self, lost: Vec<AssignmentId>) -> Vec<InstanceId> {
-        let mut engines = Vec::new();
+    fn end_and_wait(&mut self, lost: Vec<AssignmentId>) -> Vec<Attempt> {
+        let mut ended = Vec::new();
         for assignment in lost {
             if let Some(attempt) = self.end(assignment) {
-                engines.push(attempt.instance);
-                self.enqueue(attempt.item);
+                self.enqueue(attempt.item.clone());
+                ended.push(attempt);
             }
         }
-        engines
+        ended
     }
 
     /// Returns the engine that ran the last item of the group.
--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -125,6 +125,12 @@
             .is_some_and(|address| self.speaks(address, format))
     }
 
+    /// Returns whether a coordinator whose link is up knows a leader.
+    pub(crate) fn is_leader_known(&self) -> bool {
+        let mut links = self.links.values();
+        links.any(|link| link.is_connected && link.copy.is_some())
+    }
+
     /// Returns all connections that are up.
     pub(crate) fn connected(&self) -> Vec<ConnectionId> {
         let links = self.links.values();
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -113,7 +113,7 @@
         Ok(Self {
             environment: new_environment(&settings, servers, reactor, protocol, logger),
             view_follower: ViewFollower::new(id.0),
-            start_estimate: StartEstimate::default(),
+            start_estimate: StartEstimate::new(id.0),
             directory: GatewayDirectory::new(own_entry(&settings, id)),
             is_directory_fresh: false,
             clients: Clients::default(),
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -49,7 +49,9 @@
             }
             Admission::Unconfigured => {
                 let now = self.environment.runtime.now;
-                let retry_after = self.start_estimate.retry_after(now);
+                let coordinators = &self.environment.site.coordinators;
+                let leader_known = coordinators.is_leader_known();
+                let retry_after = self.start_estimate.retry_after(now, leader_known);
                 let refusal = Refusal::unconfigured(retry_after);
                 self.refuse(client, &request.head, refusal);
             }
