gateway: an answer's owner is decided at the connection; items use only their own

Cause: Items::on_answer passed the status and Not-Run of whatever answer came next on the connection on to the leader; the request id was compared at the head of a success alone. Each place that uses an answer decided by itself whose it is.

Change: answer_matching is the only module of the gateway that reads answers of servers. It hands out head and body as MatchedPart and MatchedAnswer once the head carries the id of the waiting request. An answer with another id is skipped and the own one awaited behind it (at most 8 answers, 32 MiB); the connection is closed behind the own answer. An answer without a single id, or a success without signature, ends the attempt as one that may have run and closes the connection, which counts as an attempt that the gateway closed: a crash of the server that still runs it is evidence. Items use it here; forwarded requests follow, and accept any answer until then.

Sight: three log lines and wingshore_gateway_unmatched_answers_total by kind.

What reaches an item is less than before: only answers with its id. Its limit on silence is not prolonged by bytes of other answers.

--- /dev/null
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -0,0 +1,312 @@
+//! Decision: does an answer that arrives on a connection to a server belong to the request that
+//! waits there?
+//!
+//! No I/O, no clock.
+//!
+//! **Inputs.** The bytes that arrive on the connection, the ID of the waiting request, and the
+//! names of the header fields that hold a request ID and a server's signature.
+//!
+//! **Rule.** An answer that carries the ID of the waiting request belongs to it. An answer that
+//! carries another ID is surplus: it is skipped with its body, and the reader goes on to the next
+//! answer on the connection. Bytes cannot be assigned to any request if they carry no ID or several
+//! different ones, or if they are a success without a signature; nothing that follows on the
+//! connection can be trusted then. The same holds after too many surplus answers or bytes.
+//!
+//! **Why.** A server may send an answer once more in the place where the next one is due. Closing
+//! the connection then would lose the request's own answer, which follows: a request that must not
+//! be repeated would fail although it ran, and any other would run again.
+//!
+//! **Invariant.** Only this module reads the answers of servers. It hands out their content as
+//! [`MatchedPart`] and [`MatchedAnswer`], which exist for the waiting request's own answer alone, so
+//! that no other code can act on an answer before its owner is known.
+//!
+//! **Missing inputs.** A request ID that is missing is treated like a wrong one whose owner is
+//! unknown: the request may have run.
+
+use crate::protocol::HeaderNames;
+use bytes::BytesMut;
+use snafu::Snafu;
+use wingshore_net::http::{AnswerHead, AnswerReader, BodyStatus, HttpError, WholeAnswer};
+
+/// Number of surplus answers that are skipped before one request's own answer.
+pub const MAX_SURPLUS_ANSWERS: usize = 8;
+/// Bytes of bodies of surplus answers that are skipped before one request's own answer. A single
+/// answer of the largest usual size stays below it.
+pub const MAX_SURPLUS_BYTES: usize = 32 << 20;
+
+/// The answer that is expected on a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ExpectedAnswer {
+    /// The answer to one request.
+    ToRequest(AnswerIdentity),
+    /// Any answer; its user compares the request ID.
+    Any,
+}
+
+/// What identifies the answer to one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerIdentity {
+    /// Name of the header field that holds the ID of the answered request.
+    request_id_header: &'static str,
+    /// Name of the header field that each success of a server carries.
+    signature_header: &'static str,
+    /// The ID of the waiting request.
+    request: Vec<u8>,
+}
+
+/// The owner of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owner {
+    /// The request that waits on the connection.
+    WaitingRequest,
+    /// Another request.
+    OtherRequest,
+}
+
+impl ExpectedAnswer {
+    /// Expects the answer to the request with this ID.
+    pub fn to_request(names: &HeaderNames, request: &[u8]) -> Self {
+        Self::ToRequest(AnswerIdentity {
+            request_id_header: names.request_id,
+            signature_header: names.signature,
+            request: request.to_vec(),
+        })
+    }
+
+    fn owner(&self, head: &AnswerHead) -> Result<Owner, UnmatchedAnswer> {
+        match self {
+            Self::ToRequest(identity) => identity.owner(head),
+            Self::Any => Ok(Owner::WaitingRequest),
+        }
+    }
+}
+
+impl AnswerIdentity {
+    /// Returns the owner of the answer with this head.
+    ///
+    /// # Errors
+    /// When the head does not identify one request, or lacks the signature of a success.
+    fn owner(&self, head: &AnswerHead) -> Result<Owner, UnmatchedAnswer> {
+        let mut ids = head.headers.all(self.request_id_header);
+        let Some(id) = ids.next() else {
+            return Err(UnmatchedAnswer::WithoutId);
+        };
+        if ids.any(|other| other != id) {
+            return Err(UnmatchedAnswer::SeveralIds);
+        }
+        if id != self.request {
+            return Ok(Owner::OtherRequest);
+        }
+        if head.is_success() && head.headers.get(self.signature_header).is_none() {
+            return Err(UnmatchedAnswer::Unsigned);
+        }
+        Ok(Owner::WaitingRequest)
+    }
+
+    /// Returns what is logged of a surplus answer.
+    fn surplus(&self, head: &AnswerHead) -> SurplusAnswer {
+        let request = head.headers.text(self.request_id_header);
+        SurplusAnswer {
+            request: request.unwrap_or_default().to_owned(),
+            status: head.status,
+        }
+    }
+}
+
+/// An answer that cannot be assigned to any request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum UnmatchedAnswer {
+    /// It carries no request ID.
+    #[snafu(display("no request id"))]
+    WithoutId,
+    /// It carries different request IDs.
+    #[snafu(display("several request ids"))]
+    SeveralIds,
+    /// It is a success without a server's signature.
+    #[snafu(display("no signature"))]
+    Unsigned,
+    /// More surplus answers precede it than are skipped.
+    #[snafu(display("too many surplus answers"))]
+    TooManySurplus,
+}
+
+/// Why no answer can be read on a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AnswerError {
+    /// The bytes are not an answer.
+    #[snafu(display("{source}"), context(false))]
+    Malformed {
+        /// The error of the parser.
+        source: HttpError,
+    },
+    /// The answer belongs to no known request.
+    #[snafu(display("{source}"), context(false))]
+    Unmatched {
+        /// What the answer lacks.
+        source: UnmatchedAnswer,
+    },
+}
+
+/// A surplus answer that was skipped: all that remains of it, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SurplusAnswer {
+    /// The ID of the request that it answers.
+    pub request: String,
+    /// Its status code.
+    pub status: u16,
+}
+
+/// The part of the waiting request's own answer that has arrived: the head and some of the body.
+pub struct MatchedPart<'a> {
+    head: &'a AnswerHead,
+    /// Bytes of the body that were not taken yet.
+    body: &'a mut Vec<u8>,
+}
+
+impl MatchedPart<'_> {
+    /// Returns the head of the answer.
+    pub fn head(&self) -> &AnswerHead {
+        self.head
+    }
+
+    /// Removes and returns the bytes of the body that have arrived since the last call.
+    pub fn take_body(&mut self) -> Vec<u8> {
+        std::mem::take(self.body)
+    }
+}
+
+/// The complete answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MatchedAnswer {
+    answer: WholeAnswer,
+}
+
+impl MatchedAnswer {
+    /// Returns the head of the answer.
+    pub fn head(&self) -> &AnswerHead {
+        &self.answer.head
+    }
+
+    /// Returns the body, without the parts that were taken while it arrived.
+    pub fn body(&self) -> &[u8] {
+        &self.answer.body
+    }
+
+    /// Returns whether the connection can be used for another request.
+    pub fn is_connection_reusable(&self) -> bool {
+        self.answer.reusable
+    }
+}
+
+/// Reads a connection to a server up to the end of the answer to one request.
+pub struct MatchingReader {
+    expected: ExpectedAnswer,
+    /// Reads the current answer: the request's own one or a surplus one.
+    reader: AnswerReader,
+    /// The owner of the current answer, once its head was read.
+    owner: Option<Owner>,
+    surplus_answers: usize,
+    surplus_bytes: usize,
+    /// The surplus answers that were not logged yet.
+    skipped: Vec<SurplusAnswer>,
+}
+
+impl MatchingReader {
+    /// Creates a reader for the answer to one request.
+    pub fn new(expected: ExpectedAnswer) -> Self {
+        Self {
+            expected,
+            reader: AnswerReader::new(false),
+            owner: None,
+            surplus_answers: 0,
+            surplus_bytes: 0,
+            skipped: Vec::new(),
+        }
+    }
+
+    /// Reads the available bytes from `input`, past surplus answers; returns whether the request's
+    /// own answer is complete.
+    ///
+    /// # Errors
+    /// When the bytes are not an answer, or the answer belongs to no known request. The reader must
+    /// not be used any more then.
+    pub fn read(&mut self, input: &mut BytesMut) -> Result<BodyStatus, AnswerError> {
+        loop {
+            let status = self.reader.read(input)?;
+            if self.owner.is_none() {
+                self.identify()?;
+            }
+            match (self.owner, status) {
+                (None, _) => return Ok(BodyStatus::Partial),
+                (Some(Owner::WaitingRequest), _) => return Ok(status),
+                (Some(Owner::OtherRequest), _) => self.skip_body()?,
+            }
+            if status == BodyStatus::Partial {
+                return Ok(BodyStatus::Partial);
+            }
+            self.reader = AnswerReader::new(false);
+            self.owner = None;
+        }
+    }
+
+    /// Determines the owner of the current answer if its head was read.
+    fn identify(&mut self) -> Result<(), UnmatchedAnswer> {
+        let Some(head) = self.reader.head() else {
+            return Ok(());
+        };
+        let owner = self.expected.owner(head)?;
+        self.owner = Some(owner);
+        if owner == Owner::WaitingRequest {
+            return Ok(());
+        }
+        if let ExpectedAnswer::ToRequest(identity) = &self.expected {
+            self.skipped.push(identity.surplus(head));
+        }
+        self.surplus_answers += 1;
+        if self.surplus_answers > MAX_SURPLUS_ANSWERS {
+            return Err(UnmatchedAnswer::TooManySurplus);
+        }
+        Ok(())
+    }
+
+    /// Drops the bytes that have arrived of a surplus answer's body.
+    fn skip_body(&mut self) -> Result<(), UnmatchedAnswer> {
+        self.surplus_bytes += self.reader.take_body().len();
+        if self.surplus_bytes > MAX_SURPLUS_BYTES {
+            return Err(UnmatchedAnswer::TooManySurplus);
+        }
+        Ok(())
+    }
+
+    /// Returns what has arrived of the request's own answer; `None` before its head.
+    pub fn matched_part(&mut self) -> Option<MatchedPart<'_>> {
+        if self.owner != Some(Owner::WaitingRequest) {
+            return None;
+        }
+        let (head, body) = self.reader.received()?;
+        Some(MatchedPart { head, body })
+    }
+
+    /// Returns whether the request's own answer is complete if the server ends the connection in an
+    /// orderly way now.
+    pub fn is_whole_at_close(&self) -> bool {
+        self.owner == Some(Owner::WaitingRequest) && self.reader.is_whole_at_close()
+    }
+
+    /// Returns the request's own answer, which the caller knows to be complete; `None` without one.
+    /// `is_all_read` states that no bytes followed it. The connection cannot be reused otherwise,
+    /// nor after a surplus answer.
+    pub fn into_answer(self, is_all_read: bool) -> Option<MatchedAnswer> {
+        if self.owner != Some(Owner::WaitingRequest) {
+            return None;
+        }
+        let is_reusable = is_all_read && self.surplus_answers == 0;
+        let answer = self.reader.into_answer(is_reusable)?;
+        Some(MatchedAnswer { answer })
+    }
+
+    /// Removes and returns the surplus answers that were skipped since the last call.
+    pub fn take_skipped(&mut self) -> Vec<SurplusAnswer> {
+        std::mem::take(&mut self.skipped)
+    }
+}
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -9,6 +9,7 @@
 
 mod on_trial;
 
+use crate::answer_matching::MatchedAnswer;
 use crate::answers::{self, AnswerFacts, AnswerKind, MISDIRECTED_STATUS};
 use crate::attempts::{self, NextStep, RetryContext};
 use crate::crash_reports;
@@ -30,7 +31,6 @@
 use std::collections::HashMap;
 use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName, TrialEnd};
 use wingshore_net::ConnectionId;
-use wingshore_net::http::WholeAnswer;
 use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
 
@@ -218,7 +218,7 @@
         environment: &mut Environment,
         id: ExchangeId,
         connection: ConnectionId,
-        answer: WholeAnswer,
+        answer: MatchedAnswer,
     ) -> Option<ExchangeEnd> {
         let now = environment.runtime.now;
         let exchange = self.all.get_mut(&id)?;
@@ -227,15 +227,15 @@
         let balancer = &mut environment.servers.balancer;
         balancer.ended(instance);
         let names = environment.site.protocol.header_names();
-        if let Some(load) = answers::reported_load(names, &answer.head) {
+        if let Some(load) = answers::reported_load(names, answer.head()) {
             balancer.load_reported(now, instance, load);
         }
-        if exchange.stream.is_some() && answer.head.is_success() {
+        if exchange.stream.is_some() && answer.head().is_success() {
             return self.finish_stream(environment, id);
         }
-        let facts = AnswerFacts::read(names, &exchange.id, &answer.head);
+        let facts = AnswerFacts::read(names, &exchange.id, answer.head());
         let kind = answers::classify_answer(facts);
-        if answer.head.status == MISDIRECTED_STATUS {
+        if answer.head().status == MISDIRECTED_STATUS {
             crash_reports::server_ended(environment, instance);
         }
         if let Some(verdict) = kind.verdict() {
@@ -281,7 +281,9 @@
         } = lost;
         environment.servers.balancer.ended(&lost.instance);
         let verdict = match end {
-            ConnectionEnd::Lost | ConnectionEnd::TimedOut => Verdict::MayHaveRun,
+            ConnectionEnd::Lost | ConnectionEnd::TimedOut | ConnectionEnd::Unmatched => {
+                Verdict::MayHaveRun
+            }
             ConnectionEnd::ConnectFailed | ConnectionEnd::Refused => Verdict::NotRun,
         };
         if *end == ConnectionEnd::Lost {
@@ -291,7 +293,11 @@
         let exchange = self.all.get_mut(&id)?;
         let attempt = exchange.take_attempt(*connection)?;
         trials::ended(environment, exchange, end_without_answer(verdict));
-        let failure = AttemptFailure::new(verdict, true, end.reason());
+        let is_unmatched = *end == ConnectionEnd::Unmatched;
+        if is_unmatched {
+            request_suspicion::attempt_closed(environment, exchange, &attempt);
+        }
+        let failure = AttemptFailure::new(verdict, !is_unmatched, end.reason());
         self.attempt_failed(environment, id, &attempt, failure)
     }
 
@@ -470,7 +476,7 @@
         environment.usage.not_run(window, tenant);
     }
     exchange.history.record(failure.verdict);
-    let status = failure.answer.as_ref().map(|answer| answer.head.status);
+    let status = failure.answer.as_ref().map(|answer| answer.head().status);
     if status.is_some_and(answers::is_internal_error) {
         exchange.history.internal_errors += 1;
     }
--- a/crates/gateways/wingshore-gateway/src/forward_ends.rs
+++ b/crates/gateways/wingshore-gateway/src/forward_ends.rs
@@ -2,6 +2,7 @@
 //!
 //! Builds the result for the originator of the request, and logs and counts it.
 
+use crate::answer_matching::MatchedAnswer;
 use crate::attempts;
 use crate::environment::Environment;
 use crate::exchange::{Exchange, ExchangeEnd, Origin, ScoringRequestEnd};
@@ -12,14 +13,13 @@
 use crate::streams;
 use crate::trials;
 use wingshore_coordination::TrialEnd;
-use wingshore_net::http::WholeAnswer;
 
 /// Handles a usable answer of a server.
 pub(crate) fn answered(
     environment: &mut Environment,
     mut exchange: Exchange,
     attempt: &RunningAttempt,
-    answer: WholeAnswer,
+    answer: MatchedAnswer,
 ) -> ExchangeEnd {
     let now = environment.runtime.now;
     let instance = &attempt.instance;
@@ -30,12 +30,12 @@
     second_attempts::record_latency(environment, &exchange, attempt_latency);
     let latency = now.since(exchange.started_at);
     trials::ended(environment, &mut exchange, TrialEnd::Survived);
-    if answer.head.is_success() {
+    if answer.head().is_success() {
         request_suspicion::request_succeeded(environment, &mut exchange);
     }
     match exchange.origin {
         Origin::Client(client) => {
-            log::served(environment, &exchange, instance, answer.head.status);
+            log::served(environment, &exchange, instance, answer.head().status);
             ExchangeEnd::ServerAnswer { client, answer }
         }
         Origin::Nobody => ExchangeEnd::NobodyWaits,
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -4,7 +4,7 @@
 //! leader. The outcome of an attempt is kept until a leader has made it durable and releases the
 //! attempt.
 
-use crate::answers::AnswerFacts;
+use crate::answer_matching::{ExpectedAnswer, MatchedAnswer, MatchingReader};
 use crate::coordinators::send;
 use crate::crash_reports;
 use crate::encode::encode_item;
@@ -15,7 +15,7 @@
 use crate::item_policy::{CONNECT_TIMEOUT, ItemAnswer, STALL_TIMEOUT, classify_item_answer};
 use crate::protocol::HeaderNames;
 use crate::timers::TimerKey;
-use crate::upstream::{ConnectionEnd, LostRequest, Task, Upstream};
+use crate::upstream::{ConnectionEnd, LostRequest, ServerRequest, Task, Upstream};
 use slog::info;
 use std::collections::BTreeMap;
 use wingshore_coordination::{
@@ -23,7 +23,6 @@
     NotRunReason, RequestFingerprint, RunningItem, ScoringAssignment,
 };
 use wingshore_net::ConnectionId;
-use wingshore_net::http::AnswerHead;
 use wingshore_types::Instant;
 
 /// All attempts of this gateway.
@@ -80,6 +79,8 @@
         let id = assignment.assignment;
         let names = environment.site.protocol.header_names();
         let bytes = encode_item(names, &assignment);
+        let request = assignment.request.as_str().as_bytes();
+        let expected = ExpectedAnswer::to_request(names, request);
         let (instance, address) = (assignment.instance.clone(), assignment.address);
         let is_rejected = environment.is_rejected(|site| fingerprints::of_item(site, &assignment));
         self.attempts.insert(id, ItemAttempt::new(now, assignment));
@@ -89,13 +90,15 @@
         if !takes_items {
             return self.end_not_run(environment, id, NotRunReason::Stopping);
         }
-        let sent = environment.servers.upstreams.send(
-            &mut environment.runtime,
-            &instance,
+        let request = ServerRequest {
+            instance: &instance,
             address,
-            Task::Item(id),
-            &bytes,
-        );
+            task: Task::Item(id),
+            expected,
+            bytes: &bytes,
+        };
+        let upstreams = &mut environment.servers.upstreams;
+        let sent = upstreams.send(&mut environment.runtime, request);
         let Some(upstream) = sent else {
             return self.end_not_run(environment, id, NotRunReason::Unreachable);
         };
@@ -125,7 +128,7 @@
         match read_events(now, names, attempt, upstream) {
             Ok(true) => self.clear_if_long_running(environment, id),
             Ok(false) => {}
-            Err(UnexpectedAnswer) => self.close_and_interrupt(environment, id),
+            Err(UnreadableEvents) => self.close_and_interrupt(environment, id),
         }
     }
 
@@ -136,10 +139,11 @@
         &mut self,
         environment: &mut Environment,
         id: AssignmentId,
-        head: &AnswerHead,
+        answer: &MatchedAnswer,
         ends_at_event_boundary: bool,
     ) -> Option<ScoringAssignment> {
         let names = environment.site.protocol.header_names();
+        let head = answer.head();
         let says_not_run = head.headers.get(names.not_run).is_some();
         let attempt = self.attempts.get_mut(&id)?;
         let mut scoring = None;
@@ -172,8 +176,12 @@
         lost: &LostRequest,
     ) {
         let request = self.possible_cause(environment, id);
-        if lost.end == ConnectionEnd::Lost {
-            crash_reports::connection_lost(environment, lost, request);
+        match lost.end {
+            ConnectionEnd::Lost => crash_reports::connection_lost(environment, lost, request),
+            ConnectionEnd::Unmatched => {
+                crash_reports::attempt_closed(environment, &lost.instance, request, None);
+            }
+            ConnectionEnd::TimedOut | ConnectionEnd::ConnectFailed | ConnectionEnd::Refused => {}
         }
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
@@ -182,6 +190,7 @@
             ConnectionEnd::Lost | ConnectionEnd::TimedOut => {
                 attempt.interrupt(BreakCause::Engine(request))
             }
+            ConnectionEnd::Unmatched => attempt.interrupt(BreakCause::Gateway),
             ConnectionEnd::ConnectFailed => ItemOutcome::NotRun(NotRunReason::Unreachable),
             ConnectionEnd::Refused => ItemOutcome::NotRun(NotRunReason::Ended),
         };
@@ -352,8 +361,8 @@
     }
 }
 
-/// The engine's answer is not the event stream of the item.
-struct UnexpectedAnswer;
+/// The body of an engine's answer is not an event stream.
+struct UnreadableEvents;
 
 /// Reads the received part of an engine's answer; returns whether it is an event stream that could
 /// be read.
@@ -362,24 +371,18 @@
     names: &HeaderNames,
     attempt: &mut ItemAttempt,
     upstream: &mut Upstream,
-) -> Result<bool, UnexpectedAnswer> {
-    let Some(head) = upstream.reader.head().filter(|head| head.is_success()) else {
+) -> Result<bool, UnreadableEvents> {
+    let Upstream { reader, events, .. } = upstream;
+    let part = reader.as_mut().and_then(MatchingReader::matched_part);
+    let Some(mut part) = part.filter(|part| part.head().is_success()) else {
         return Ok(false);
     };
-    if upstream.events.is_none() {
-        let request = attempt.assignment.request.as_str().as_bytes();
-        if !AnswerFacts::read(names, request, head).is_genuine() {
-            return Err(UnexpectedAnswer);
-        }
-        attempt.version = head.headers.number(names.version);
-        upstream.events = Some(EventReader::new(names.version));
-    }
-    let body = upstream.reader.take_body();
-    let events = upstream
-        .events
-        .as_mut()
-        .and_then(|events| events.read(&body));
-    attempt.record_events(now, events.ok_or(UnexpectedAnswer)?);
+    let events = events.get_or_insert_with(|| {
+        attempt.version = part.head().headers.number(names.version);
+        EventReader::new(names.version)
+    });
+    let events = events.read(&part.take_body());
+    attempt.record_events(now, events.ok_or(UnreadableEvents)?);
     Ok(true)
 }
 
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! at any time. An [`IngressProtocol`] translates the protocols of callers and servers.
 
 mod admission;
+mod answer_matching;
 mod answers;
 mod attempt_timeouts;
 mod attempts;
@@ -58,12 +59,17 @@
 mod timers;
 mod trial_table;
 mod trials;
+mod unmatched;
 mod upstream;
 mod usage;
 mod view;
 mod view_following;
 mod view_source;
 
+pub use answer_matching::{
+    AnswerError, AnswerIdentity, ExpectedAnswer, MAX_SURPLUS_ANSWERS, MAX_SURPLUS_BYTES,
+    MatchedAnswer, MatchedPart, MatchingReader, SurplusAnswer, UnmatchedAnswer,
+};
 pub use answers::{AnswerFacts, AnswerKind, classify_answer, is_internal_error};
 pub use attempt_timeouts::{
     StopProgress, answer_deadline, connect_deadline, is_stream_admitted, request_timeout,
--- a/crates/gateways/wingshore-gateway/src/metrics.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Counters are kept here; gauges are set from [`Readings`] at each scrape.
 
+use crate::answer_matching::UnmatchedAnswer;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -62,6 +63,45 @@
     }
 }
 
+/// How an answer arrived that does not belong to the request that waits on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnmatchedKind {
+    /// It carries the ID of another request, and was skipped.
+    Surplus,
+    /// It belongs to no known request, so that the connection was closed.
+    Unidentified(UnmatchedAnswer),
+    /// No request waits on the connection, which was closed.
+    Idle,
+}
+
+impl UnmatchedKind {
+    const ALL: [Self; 6] = [
+        Self::Surplus,
+        Self::Unidentified(UnmatchedAnswer::WithoutId),
+        Self::Unidentified(UnmatchedAnswer::SeveralIds),
+        Self::Unidentified(UnmatchedAnswer::Unsigned),
+        Self::Unidentified(UnmatchedAnswer::TooManySurplus),
+        Self::Idle,
+    ];
+
+    fn label(self) -> KindLabel {
+        let kind = match self {
+            Self::Surplus => "surplus",
+            Self::Unidentified(UnmatchedAnswer::WithoutId) => "without_id",
+            Self::Unidentified(UnmatchedAnswer::SeveralIds) => "several_ids",
+            Self::Unidentified(UnmatchedAnswer::Unsigned) => "unsigned",
+            Self::Unidentified(UnmatchedAnswer::TooManySurplus) => "too_many_surplus",
+            Self::Idle => "idle",
+        };
+        KindLabel { kind }
+    }
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct CallLabels {
     call: &'static str,
@@ -202,6 +242,7 @@
     attempts: Family<OutcomeLabel, Counter>,
     second_attempts: Family<OutcomeLabel, Counter>,
     trials: Family<OutcomeLabel, Counter>,
+    unmatched_answers: Family<KindLabel, Counter>,
     items: Family<OutcomeLabel, Counter>,
     item_seconds: Histogram,
     scorings: Family<OutcomeLabel, Counter>,
@@ -223,6 +264,7 @@
             attempts: Family::default(),
             second_attempts: Family::default(),
             trials: Family::default(),
+            unmatched_answers: Family::default(),
             items: Family::default(),
             item_seconds: DurationBuckets.new_metric(),
             scorings: Family::default(),
@@ -239,6 +281,10 @@
             let counter = metrics.second_attempts.get_or_create(&outcome.label());
             counter.inc_by(0);
         }
+        for kind in UnmatchedKind::ALL {
+            let counter = metrics.unmatched_answers.get_or_create(&kind.label());
+            counter.inc_by(0);
+        }
         // The same holds for trials.
         for end in [TrialEnd::Survived, TrialEnd::NotRun, TrialEnd::Unknown] {
             metrics.trial_counter(end).inc_by(0);
@@ -274,6 +320,11 @@
             "Trials of suspect requests by how they ended",
             self.trials.clone(),
         );
+        registry.register(
+            "unmatched_answers",
+            "Answers of servers that do not belong to the request that waits on their connection",
+            self.unmatched_answers.clone(),
+        );
         registry.register(
             "items",
             "Tries at items of batch jobs by what came of them",
@@ -359,6 +410,12 @@
         counter.clone()
     }
 
+    /// Records an answer that does not belong to the request that waits on its connection.
+    pub(crate) fn unmatched_answer(&self, kind: UnmatchedKind) {
+        let counter = self.unmatched_answers.get_or_create(&kind.label());
+        counter.inc();
+    }
+
     /// Records the end of an attempt at an item.
     pub(crate) fn item_ended(&self, outcome: &'static str, time: Duration) {
         self.items.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -1,8 +1,10 @@
 //! Dispatch of socket events and timers to the parts.
 
 use super::Gateway;
+use crate::answer_matching::AnswerError;
 use crate::crash_reports;
 use crate::timers::TimerKey;
+use crate::unmatched;
 use crate::upstream::{CompletedAnswer, ConnectionEnd, LostRequest, Task};
 use wingshore_net::http::BodyStatus;
 use wingshore_net::{ConnectionId, ListenerId, NetEvent};
@@ -79,14 +81,41 @@
         let Some(task) = upstream.task else {
             // The server sent unexpected bytes: nothing that follows on the connection can be
             // trusted.
+            unmatched::log_idle(environment, connection);
+            let upstreams = &mut environment.servers.upstreams;
             upstreams.close(&mut environment.runtime, connection);
             return;
         };
         let Some(input) = environment.runtime.reactor.input(connection) else {
             return;
         };
-        let status = upstream.reader.read(input);
+        let Some(reader) = &mut upstream.reader else {
+            return;
+        };
+        let status = reader.read(input);
         let is_all_read = input.is_empty();
+        let is_own = reader.matched_part().is_some();
+        let skipped = reader.take_skipped();
+        unmatched::log_skipped(environment, connection, &skipped);
+        if is_own {
+            self.upstream_continued(connection, task);
+        }
+        match status {
+            Ok(BodyStatus::Partial) => {}
+            Ok(BodyStatus::Whole) => self.upstream_answered(connection, task, is_all_read),
+            Err(AnswerError::Malformed { .. }) => {
+                self.upstream_ended(connection, ConnectionEnd::Lost);
+            }
+            Err(AnswerError::Unmatched { source }) => {
+                unmatched::log_unmatched(&self.environment, connection, source);
+                self.upstream_ended(connection, ConnectionEnd::Unmatched);
+            }
+        }
+    }
+
+    /// Handles a part of an answer on a connection.
+    fn upstream_continued(&mut self, connection: ConnectionId, task: Task) {
+        let environment = &mut self.environment;
         match task {
             Task::Item(id) => self.items.on_input(environment, id, connection),
             Task::Exchange(id) => {
@@ -94,11 +123,6 @@
                 self.on_exchange_end(end);
             }
         }
-        match status {
-            Ok(BodyStatus::Partial) => {}
-            Ok(BodyStatus::Whole) => self.upstream_answered(connection, task, is_all_read),
-            Err(_) => self.upstream_ended(connection, ConnectionEnd::Lost),
-        }
     }
 
     /// Handles a complete answer on a connection; `is_all_read` if no bytes followed it.
@@ -122,8 +146,7 @@
             }
             Task::Item(id) => {
                 let items = &mut self.items;
-                let scoring =
-                    items.on_answer(environment, id, &answer.head, ends_at_event_boundary);
+                let scoring = items.on_answer(environment, id, &answer, ends_at_event_boundary);
                 if let Some(scoring) = scoring {
                     self.on_unscored_text(scoring);
                 }
@@ -140,7 +163,7 @@
             return self.close_client(connection);
         };
         match upstream.task {
-            Some(task) if upstream.reader.is_whole_at_close() => {
+            Some(task) if upstream.is_whole_at_close() => {
                 self.upstream_answered(connection, task, false);
             }
             _ => self.upstream_ended(connection, ConnectionEnd::Lost),
--- a/crates/gateways/wingshore-gateway/src/process/work.rs
+++ b/crates/gateways/wingshore-gateway/src/process/work.rs
@@ -1,6 +1,7 @@
 //! Handling of results from servers: the ends of forwarded requests, and scorings.
 
 use super::Gateway;
+use crate::answer_matching::MatchedAnswer;
 use crate::encode::end_to_end_headers;
 use crate::exchange::ExchangeEnd;
 use crate::scoring::StartOutcome;
@@ -9,7 +10,7 @@
 };
 use wingshore_coordination::{AssignmentId, LOAD_REPORTS_FORMAT, ScoringAssignment};
 use wingshore_net::ConnectionId;
-use wingshore_net::http::{HeadWriter, WholeAnswer};
+use wingshore_net::http::HeadWriter;
 
 impl Gateway {
     /// Delivers the end of an exchange, if it has ended, to the client or scoring that waits for
@@ -39,12 +40,12 @@
     }
 
     /// Sends a server's answer to a client.
-    fn forward_answer(&mut self, client: ConnectionId, answer: &WholeAnswer) {
-        let mut writer = HeadWriter::answer(answer.head.status);
-        for (name, value) in end_to_end_headers(&answer.head.headers) {
+    fn forward_answer(&mut self, client: ConnectionId, answer: &MatchedAnswer) {
+        let mut writer = HeadWriter::answer(answer.head().status);
+        for (name, value) in end_to_end_headers(&answer.head().headers) {
             writer = writer.line(name, value);
         }
-        self.answer(client, writer, &answer.body);
+        self.answer(client, writer, answer.body());
     }
 
     fn stream_ended(&mut self, client: ConnectionId) {
--- a/crates/gateways/wingshore-gateway/src/scoring.rs
+++ b/crates/gateways/wingshore-gateway/src/scoring.rs
@@ -8,6 +8,7 @@
 //! Owns the scorings, their queue and the limit of each service. The outcome of a scoring is kept
 //! until a leader has made it durable and releases the scoring.
 
+use crate::answer_matching::MatchedAnswer;
 use crate::coordinators::send;
 use crate::environment::Environment;
 use crate::exchange::{Exchange, ExchangeEnd, NewExchange, Origin, ScoringRequestEnd};
@@ -24,7 +25,7 @@
     ScoringOutcome, ServiceName,
 };
 use wingshore_net::ConnectionId;
-use wingshore_net::http::{Headers, RequestHead, WholeAnswer, WholeRequest};
+use wingshore_net::http::{Headers, RequestHead, WholeRequest};
 use wingshore_types::Instant;
 
 /// A scoring that is unfinished, or whose outcome the leader has not made durable.
@@ -295,11 +296,11 @@
 }
 
 /// Returns the score that a successful answer carries.
-fn read_score(environment: &Environment, answer: &WholeAnswer) -> Option<String> {
+fn read_score(environment: &Environment, answer: &MatchedAnswer) -> Option<String> {
     let name = environment.site.protocol.header_names().signature;
-    let score = answer.head.headers.text(name);
+    let score = answer.head().headers.text(name);
     score
-        .filter(|_| answer.head.is_success())
+        .filter(|_| answer.head().is_success())
         .map(str::to_owned)
 }
 
--- a/crates/gateways/wingshore-gateway/src/send_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/send_attempt.rs
@@ -1,12 +1,13 @@
 //! The start of an attempt at a server, and its end without an answer.
 
+use crate::answer_matching::ExpectedAnswer;
 use crate::encode::encode_request;
 use crate::environment::Environment;
 use crate::exchange::Exchange;
 use crate::ids::ExchangeId;
 use crate::request_suspicion;
 use crate::running_attempt::RunningAttempt;
-use crate::upstream::Task;
+use crate::upstream::{ServerRequest, Task};
 use wingshore_coordination::ServerRecord;
 
 /// Sends a request to a server; returns `None` if the operating system refuses a connection.
@@ -19,13 +20,15 @@
     let now = environment.runtime.now;
     let bytes = encode_request(now, &environment.site, exchange, server);
     let servers = &mut environment.servers;
-    let connection = servers.upstreams.send(
-        &mut environment.runtime,
-        &server.instance,
-        server.address,
-        Task::Exchange(id),
-        &bytes,
-    )?;
+    let request = ServerRequest {
+        instance: &server.instance,
+        address: server.address,
+        task: Task::Exchange(id),
+        expected: ExpectedAnswer::Any,
+        bytes: &bytes,
+    };
+    let upstreams = &mut servers.upstreams;
+    let connection = upstreams.send(&mut environment.runtime, request)?;
     servers.balancer.started(&server.instance);
     let upstream = servers.upstreams.get(connection);
     let is_connected = upstream.is_some_and(|upstream| upstream.is_connected);
--- a/crates/gateways/wingshore-gateway/src/streams.rs
+++ b/crates/gateways/wingshore-gateway/src/streams.rs
@@ -100,12 +100,12 @@
     request: &[u8],
     upstream: &mut Upstream,
 ) -> Option<(AnswerHead, Vec<u8>)> {
-    let head = upstream.reader.head().filter(|head| head.is_success())?;
-    if !AnswerFacts::read(names, request, head).is_genuine() {
+    let mut part = upstream.reader.as_mut()?.matched_part()?;
+    let head = part.head().clone();
+    if !head.is_success() || !AnswerFacts::read(names, request, &head).is_genuine() {
         return None;
     }
-    let head = head.clone();
-    Some((head, upstream.reader.take_body()))
+    Some((head, part.take_body()))
 }
 
 fn stream_head(head: &AnswerHead) -> Vec<u8> {
--- /dev/null
+++ b/crates/gateways/wingshore-gateway/src/unmatched.rs
@@ -0,0 +1,48 @@
+//! Logs and counts of answers that do not belong to the request that waits on a connection.
+
+use crate::answer_matching::{SurplusAnswer, UnmatchedAnswer};
+use crate::environment::Environment;
+use crate::metrics::UnmatchedKind;
+use slog::info;
+use wingshore_net::ConnectionId;
+
+/// Logs and counts surplus answers that were skipped on a connection: the request that waits there
+/// still expects its own answer.
+pub(crate) fn log_skipped(
+    environment: &Environment,
+    connection: ConnectionId,
+    skipped: &[SurplusAnswer],
+) {
+    let runtime = &environment.runtime;
+    for answer in skipped {
+        runtime.metrics.unmatched_answer(UnmatchedKind::Surplus);
+        info!(runtime.logger, "surplus answer skipped"; "request" => &answer.request,
+            "status" => answer.status, "server" => server_text(environment, connection));
+    }
+}
+
+/// Logs and counts an answer that belongs to no known request. The connection is closed.
+pub(crate) fn log_unmatched(
+    environment: &Environment,
+    connection: ConnectionId,
+    reason: UnmatchedAnswer,
+) {
+    let runtime = &environment.runtime;
+    let kind = UnmatchedKind::Unidentified(reason);
+    runtime.metrics.unmatched_answer(kind);
+    info!(runtime.logger, "answer of no known request"; "reason" => %reason,
+        "server" => server_text(environment, connection));
+}
+
+/// Logs and counts bytes that arrived on a connection without a request. The connection is closed.
+pub(crate) fn log_idle(environment: &Environment, connection: ConnectionId) {
+    let runtime = &environment.runtime;
+    runtime.metrics.unmatched_answer(UnmatchedKind::Idle);
+    info!(runtime.logger, "bytes on an idle connection";
+        "server" => server_text(environment, connection));
+}
+
+fn server_text(environment: &Environment, connection: ConnectionId) -> Option<String> {
+    let upstream = environment.servers.upstreams.get(connection)?;
+    Some(upstream.instance.to_string())
+}
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to servers: each carries one request at a time and is reused for the next one.
 
+use crate::answer_matching::{ExpectedAnswer, MatchedAnswer, MatchingReader};
 use crate::event_stream::EventReader;
 use crate::ids::ExchangeId;
 use crate::runtime::Runtime;
@@ -7,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{AssignmentId, InstanceId};
-use wingshore_net::http::{AnswerHead, AnswerReader, WholeAnswer};
+use wingshore_net::http::AnswerHead;
 use wingshore_net::{ConnectOptions, ConnectionId};
 use wingshore_types::Instant;
 
@@ -39,6 +40,8 @@
     ConnectFailed,
     /// It was refused because nothing listens at the address: the server process has ended.
     Refused,
+    /// The gateway closed it because an answer arrived on it that belongs to no known request.
+    Unmatched,
 }
 
 impl ConnectionEnd {
@@ -49,6 +52,7 @@
             Self::TimedOut => "too slow",
             Self::ConnectFailed => "no connection",
             Self::Refused => "connection refused",
+            Self::Unmatched => "not the answer",
         }
     }
 }
@@ -66,9 +70,23 @@
     pub(crate) end: ConnectionEnd,
 }
 
+/// A request as it is sent to a server.
+pub(crate) struct ServerRequest<'a> {
+    /// The incarnation of the server.
+    pub(crate) instance: &'a InstanceId,
+    /// The address of the server.
+    pub(crate) address: SocketAddr,
+    /// The user of the connection.
+    pub(crate) task: Task,
+    /// What identifies the answer.
+    pub(crate) expected: ExpectedAnswer,
+    /// The encoded request.
+    pub(crate) bytes: &'a [u8],
+}
+
 /// A complete answer.
 pub(crate) struct CompletedAnswer {
-    pub(crate) answer: WholeAnswer,
+    pub(crate) answer: MatchedAnswer,
     /// Whether the answer does not end inside an event of a stream.
     pub(crate) ends_at_event_boundary: bool,
 }
@@ -80,7 +98,8 @@
     pub(crate) is_connected: bool,
     /// The current user; `None` while the connection is idle.
     pub(crate) task: Option<Task>,
-    pub(crate) reader: AnswerReader,
+    /// Reads the answer for the current user; `None` while the connection is idle.
+    pub(crate) reader: Option<MatchingReader>,
     /// Parses the events of the answer, if it is an event stream.
     pub(crate) events: Option<EventReader>,
     /// When the current task started.
@@ -91,6 +110,15 @@
     keep_alive: Duration,
 }
 
+impl Upstream {
+    /// Returns whether the answer for the current user is complete if the server ends the connection
+    /// in an orderly way now.
+    pub(crate) fn is_whole_at_close(&self) -> bool {
+        let reader = self.reader.as_ref();
+        reader.is_some_and(MatchingReader::is_whole_at_close)
+    }
+}
+
 /// All connections to servers.
 #[derive(Default)]
 pub(crate) struct Upstreams {
@@ -105,22 +133,19 @@
     pub(crate) fn send(
         &mut self,
         runtime: &mut Runtime,
-        instance: &InstanceId,
-        address: SocketAddr,
-        task: Task,
-        bytes: &[u8],
+        request: ServerRequest<'_>,
     ) -> Option<ConnectionId> {
         let now = runtime.now;
-        let connection = match self.take_idle(runtime, instance) {
+        let connection = match self.take_idle(runtime, request.instance) {
             Some(connection) => connection,
-            None => self.connect(runtime, instance, address)?,
+            None => self.connect(runtime, request.instance, request.address)?,
         };
         let upstream = self.all.get_mut(&connection)?;
-        upstream.task = Some(task);
+        upstream.task = Some(request.task);
         upstream.task_started_at = now;
-        upstream.reader = AnswerReader::new(false);
+        upstream.reader = Some(MatchingReader::new(request.expected));
         upstream.events = None;
-        runtime.reactor.send(connection, bytes);
+        runtime.reactor.send(connection, request.bytes);
         Some(connection)
     }
 
@@ -170,15 +195,15 @@
     ) -> Option<CompletedAnswer> {
         let now = runtime.now;
         let upstream = self.all.get_mut(&connection)?;
-        let reader = std::mem::replace(&mut upstream.reader, AnswerReader::new(false));
+        let reader = upstream.reader.take()?;
         let is_within_event = upstream
             .events
             .as_ref()
             .is_some_and(EventReader::is_within_event);
         let answer = reader.into_answer(is_all_read)?;
-        if answer.reusable {
+        if answer.is_connection_reusable() {
             upstream.task = None;
-            upstream.keep_alive = keep_alive_timeout(&answer.head).unwrap_or(upstream.keep_alive);
+            upstream.keep_alive = keep_alive_timeout(answer.head()).unwrap_or(upstream.keep_alive);
             self.keep_idle(now, connection);
         } else {
             self.close(runtime, connection);
@@ -204,7 +229,7 @@
             instance: instance.clone(),
             is_connected: false,
             task: None,
-            reader: AnswerReader::new(false),
+            reader: None,
             events: None,
             task_started_at: now,
             idle_until: now,
--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -7,6 +7,7 @@
     pub mod protocol;
     mod second_attempts;
     pub mod site;
+    mod surplus;
     pub mod view;
 }
 use bytes::{protocol, site};
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -173,6 +173,13 @@
         self.current.as_ref().map(|(head, _)| head)
     }
 
+    /// Returns the head, and the bytes of the body that were read and not taken yet; `None` before
+    /// the head was read.
+    pub fn received(&mut self) -> Option<(&AnswerHead, &mut Vec<u8>)> {
+        let (head, _) = self.current.as_ref()?;
+        Some((head, &mut self.body))
+    }
+
     /// Returns the bytes of the body that arrived since the last call.
     pub fn take_body(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.body)
