gateway: a surplus refusal never counts as the word that a request did not run

Cause: classify_answer looks at Not-Run and at 421 before it looks at the request id, so that a refusal of the request before, sent once more in the place of the next answer, sends the next request to a second server. The connection stayed in use, and the answer to that request became the one to the request behind it.

Refusals of the tests' own servers carried no request id, against the page on the protocol ('Each answer from a server carries Request-Id back'); they carry it now, and the checks on them are the same.

--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -149,7 +149,8 @@
     };
     ask("/live/x");
     let (mut upstream, _) = server.accept();
-    let refusal = "HTTP/1.1 503 -\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    let refusal =
+        "HTTP/1.1 503 -\r\nId: r-3\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     upstream.write_all(refusal.as_bytes()).unwrap();
     let mut reading = client.try_clone().unwrap();
     expect_that!(
--- a/crates/gateways/wingshore-gateway/tests/bytes/second_attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/second_attempts.rs
@@ -23,7 +23,7 @@
 
 /// Returns a view in which `/safe/` and `/once/` lead to both servers, `/safe/` at the host
 /// `keyed.test` for a tenant.
-fn view_of_pair(first: &Server, second: &Server) -> ViewUpdate {
+pub(crate) fn view_of_pair(first: &Server, second: &Server) -> ViewUpdate {
     let one = first.address();
     let mut update = view(one, vec![first.address(), second.address()]);
     let ViewContent::Whole(whole) = &mut update.content else {
@@ -151,7 +151,7 @@
 
 #[gtest]
 fn a_failure_of_one_attempt_leaves_the_other_running() {
-    let refusal = "HTTP/1.1 503 -\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let refusal = "HTTP/1.1 503 -\r\nId: r-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
     let failure = "HTTP/1.1 500 -\r\nId: r-1\r\nContent-Length: 3\r\n\r\nbad";
     let foreign = "HTTP/1.1 200 OK\r\nId: r-0\r\nSignature: s\r\nContent-Length: 0\r\n\r\n";
     for bytes in ["", refusal, failure, foreign] {
@@ -185,7 +185,7 @@
     drop(first);
     thread::sleep(Duration::from_millis(50));
     // The second server has not run it, but the first may have.
-    let refusal = "HTTP/1.1 503 -\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let refusal = "HTTP/1.1 503 -\r\nId: r-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
     second.write_all(refusal.as_bytes()).unwrap();
     expect_that!(read_message(&mut client), eq(BROKEN));
 }
@@ -196,7 +196,7 @@
     let mut client = race.ask("/safe/x", "r-1");
     let (mut first, _) = race.first.accept();
     let (mut second, _) = race.second.accept();
-    let refusal = "HTTP/1.1 503 -\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let refusal = "HTTP/1.1 503 -\r\nId: r-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
     first.write_all(refusal.as_bytes()).unwrap();
     thread::sleep(Duration::from_millis(50));
     second.write_all(refusal.as_bytes()).unwrap();
--- a/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
@@ -2,6 +2,7 @@
 //! the next request on the connection is due. The gateway runs inside the test, which plays the
 //! servers.
 
+use crate::bytes::second_attempts::view_of_pair;
 use crate::bytes::site::{Server, Site, read_message};
 use crate::bytes::view::{item, view};
 use googletest::prelude::*;
@@ -85,36 +86,127 @@
     }
 }
 
+/// Returns all statuses with all ways of arrival.
+fn all_cases() -> impl Iterator<Item = (&'static str, Arrival)> {
+    let ways = |status| ARRIVALS.map(|arrival| (status, arrival));
+    STATUSES.into_iter().flat_map(ways)
+}
+
 /// Guards against an item that ends as its predecessor on the connection did: a surplus 422 let an
 /// item be abandoned that no engine had refused, a 500 counted as its failure, and a refusal let it
 /// run at a second engine.
 #[gtest]
 fn an_item_never_ends_with_the_surplus_answer_to_another_item() {
-    for status in STATUSES {
+    let (server, engine) = (Server::start(), Server::start());
+    let site = Site::with_view(view(server.address(), Vec::new()));
+    for (number, (status, arrival)) in (1..).step_by(2).zip(all_cases()) {
+        let assign = |number| {
+            let assignment = numbered_item(number, &engine);
+            site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
+        };
+        assign(number);
+        let (mut upstream, _) = engine.accept();
+        let first = answer(status, &format!("item-{number}"));
+        upstream.write_all(first.as_bytes()).unwrap();
+        item_outcome(&site, number);
+        let next = number + 1;
+        assign(next);
+        let request = read_message(&mut upstream);
+        expect_that!(
+            request,
+            contains_substring(format!("\r\nId: item-{next}\r\n"))
+        );
+        let own = format!(
+            "HTTP/1.1 200 OK\r\nId: item-{next}\r\nSignature: s\r\nVersion: 3\r\n\
+             Content-Length: 18\r\n\r\nid: 12\ndata: two\n\n"
+        );
+        send_both(&mut upstream, arrival, &first, &own);
+        expect_that!(
+            item_outcome(&site, next),
+            matches_pattern!(ItemOutcome::Finished(_)),
+            "{status:?} {arrival:?}"
+        );
+    }
+}
+
+/// Sends a request of a client.
+fn ask(client: &mut TcpStream, path: &str, id: &str) {
+    let request = format!("GET {path} HTTP/1.1\r\nHost: open.test\r\nId: {id}\r\n\r\n");
+    client.write_all(request.as_bytes()).unwrap();
+}
+
+/// Guards against a request that is answered by what its server sent to another one.
+#[gtest]
+fn a_request_never_ends_with_the_surplus_answer_to_another_request() {
+    let server = Server::start();
+    let site = Site::with_view(view(server.address(), Vec::new()));
+    let mut client = site.client();
+    for (number, (status, arrival)) in all_cases().enumerate() {
+        let (earlier, id) = (format!("a-{number}"), format!("b-{number}"));
+        ask(&mut client, "/live/x", &earlier);
+        let (mut upstream, _) = server.accept();
+        let ok = answer("200 OK\r\nSignature: s", &earlier);
+        upstream.write_all(ok.as_bytes()).unwrap();
+        expect_that!(read_message(&mut client), eq(&ok));
+        ask(&mut client, "/live/x", &id);
+        let request = read_message(&mut upstream);
+        expect_that!(request, contains_substring(format!("\r\nId: {id}\r\n")));
+        let own = answer("200 OK\r\nSignature: s", &id);
+        send_both(&mut upstream, arrival, &answer(status, &earlier), &own);
+        expect_that!(
+            read_message(&mut client),
+            eq(&own),
+            "{status:?} {arrival:?}"
+        );
+    }
+}
+
+/// Guards against a request that runs twice: a surplus refusal was taken for the word of the server
+/// that it had not run the request, which then ran at a second server too.
+#[gtest]
+fn a_request_that_runs_behind_a_surplus_refusal_goes_to_no_other_server() {
+    for refusal in ["503 -\r\nNot-Run: 1", "421 -\r\nNot-Run: 1", "421 -"] {
         for arrival in ARRIVALS {
-            let (server, engine) = (Server::start(), Server::start());
-            let site = Site::with_view(view(server.address(), Vec::new()));
-            let assign = |number| {
-                let assignment = numbered_item(number, &engine);
-                site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
-            };
-            assign(1);
-            let (mut upstream, _) = engine.accept();
-            let first = answer(status, "item-1");
-            upstream.write_all(first.as_bytes()).unwrap();
-            item_outcome(&site, 1);
-            assign(2);
+            let (first, second) = (Server::start(), Server::start());
+            let site = Site::with_view(view_of_pair(&first, &second));
+            let mut client = site.client();
+            ask(&mut client, "/once/x", "r-0");
+            let (mut upstream, _) = first.accept();
+            let ok = answer("200 OK\r\nSignature: s", "r-0");
+            upstream.write_all(ok.as_bytes()).unwrap();
+            expect_that!(read_message(&mut client), eq(&ok));
+            ask(&mut client, "/once/x", "r-1");
             let request = read_message(&mut upstream);
-            expect_that!(request, contains_substring("\r\nId: item-2\r\n"));
-            let own = "HTTP/1.1 200 OK\r\nId: item-2\r\nSignature: s\r\nVersion: 3\r\n\
-                       Content-Length: 18\r\n\r\nid: 12\ndata: two\n\n";
-            send_both(&mut upstream, arrival, &first, own);
-            let outcome = item_outcome(&site, 2);
-            expect_that!(
-                outcome,
-                matches_pattern!(ItemOutcome::Finished(_)),
-                "{status:?} {arrival:?}"
-            );
+            expect_that!(request, contains_substring("\r\nId: r-1\r\n"));
+            let surplus = answer(refusal, "r-0");
+            let own = answer("200 OK\r\nSignature: s", "r-1");
+            send_both(&mut upstream, arrival, &surplus, &own);
+            thread::sleep(PAUSE);
+            let context = format!("{refusal:?} {arrival:?}");
+            expect_that!(second.has_connection(), eq(false), "{context}");
+            expect_that!(read_message(&mut client), eq(&own), "{context}");
         }
     }
 }
+
+/// The bound of the class: what cannot be assigned to any request is no answer, whatever it says. A
+/// request that must not be repeated then goes to no other server.
+#[gtest]
+fn a_refusal_of_no_known_request_does_not_count_as_not_run() {
+    for status in ["503 -\r\nNot-Run: 1", "421 -", "500 -"] {
+        let (first, second) = (Server::start(), Server::start());
+        let site = Site::with_view(view_of_pair(&first, &second));
+        let mut client = site.client();
+        ask(&mut client, "/once/x", "r-0");
+        let (mut upstream, _) = first.accept();
+        let anonymous = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        upstream.write_all(anonymous.as_bytes()).unwrap();
+        expect_that!(
+            read_message(&mut client),
+            ends_with("\r\n\r\nbroken"),
+            "{status}"
+        );
+        expect_that!(second.has_connection(), eq(false), "{status}");
+        expect_that!(site.log_keys(), contains(eq("reason server")));
+    }
+}
