gateway: a resumed stream ends only with the end of its own answer

Cause: once a part of a stream was passed on, any complete success on the connection ended it; the id was compared for the events, not for the end. A surplus answer to another stream in the place of the resumed one's was such an end.

Change: streams too expect the answer with their own id. No user of a connection is left that accepts any answer, so that way is gone, and with it the classification of answers of others: AnswerFacts holds status and not-run alone, AnswerKind::Foreign is an end of the connection.

Tests: a_resumed_stream_never_ends_with_the_surplus_answer_to_another_request fails before in its nine cases (a whole stream, a refusal and a failure of another stream, each in three ways of arrival): the stream ends after its first event, three times as complete. only_one_module_reads_the_answers_of_ servers guards the class. The table answers_are_classified_by_their_head had three rows that hold a refusal without the request's id for the word of its server (refused, 421 and 500 of a foreign answer), against PROTOCOL.md ('the id shows which is which'). It is replaced by own_answers_are_classified_by_ their_head, whose facts are of own answers alone, and by the tests of answer_matching, which hold for every status that an answer without the id is never the answer.

Why it is safe: nothing on the wire changes; what a stream gets is less than before.

--- a/crates/gateways/wingshore-gateway/src/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -34,18 +34,9 @@
 /// answer of the largest usual size stays below it.
 pub const MAX_SURPLUS_BYTES: usize = 32 << 20;
 
-/// The answer that is expected on a connection.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ExpectedAnswer {
-    /// The answer to one request.
-    ToRequest(AnswerIdentity),
-    /// Any answer; its user compares the request ID.
-    Any,
-}
-
 /// What identifies the answer to one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AnswerIdentity {
+pub struct ExpectedAnswer {
     /// Name of the header field that holds the ID of the answered request.
     request_id_header: &'static str,
     /// Name of the header field that each success of a server carries.
@@ -66,22 +57,13 @@
 impl ExpectedAnswer {
     /// Expects the answer to the request with this ID.
     pub fn to_request(names: &HeaderNames, request: &[u8]) -> Self {
-        Self::ToRequest(AnswerIdentity {
+        Self {
             request_id_header: names.request_id,
             signature_header: names.signature,
             request: request.to_vec(),
-        })
-    }
-
-    fn owner(&self, head: &AnswerHead) -> Result<Owner, UnmatchedAnswer> {
-        match self {
-            Self::ToRequest(identity) => identity.owner(head),
-            Self::Any => Ok(Owner::WaitingRequest),
         }
     }
-}
 
-impl AnswerIdentity {
     /// Returns the owner of the answer with this head.
     ///
     /// # Errors
@@ -259,9 +241,7 @@
         if owner == Owner::WaitingRequest {
             return Ok(());
         }
-        if let ExpectedAnswer::ToRequest(identity) = &self.expected {
-            self.skipped.push(identity.surplus(head));
-        }
+        self.skipped.push(self.expected.surplus(head));
         self.surplus_answers += 1;
         if self.surplus_answers > MAX_SURPLUS_ANSWERS {
             return Err(UnmatchedAnswer::TooManySurplus);
--- a/crates/gateways/wingshore-gateway/src/answers.rs
+++ b/crates/gateways/wingshore-gateway/src/answers.rs
@@ -1,22 +1,21 @@
-//! Decision: is what a server sent the answer to the request, and did the request run?
+//! Decision: what does a server's answer to a request say, and did the request run?
 //!
-//! No I/O, no clock.
+//! No I/O, no clock. [`answer_matching`](crate::answer_matching) has decided before that the answer
+//! belongs to the request.
 //!
-//! **Inputs.** The status of the answer and three header fields: the server's statement that it did
-//! not run the request, the request ID, and the server's signature.
+//! **Inputs.** The status of the answer and the server's statement that it did not run the request.
 //!
 //! **Rule.** A server's statement that it did not run the request takes precedence, including when
-//! the request was meant for another incarnation. An answer without the request's ID, or a success
-//! without a signature, is not the answer: an intermediary generated it, and the request may have
-//! run. A status of 500 or above means that the server ran the request and failed.
+//! the request was meant for another incarnation. A status of 500 or above means that the server
+//! ran the request and failed. Any other answer is for the caller.
 //!
-//! **Why.** Proxies and broken connections can yield answers that no server generated. A request
-//! whose answer was lost must not be treated as not run.
+//! **Why.** A request that may have run must not be treated as not run: only its server's own word
+//! counts.
 //!
-//! **Missing inputs.** A missing header field counts as not set, which is the cautious case.
+//! **Missing inputs.** Without the statement the request counts as run.
 
+use crate::answer_matching::MatchedAnswer;
 use crate::protocol::HeaderNames;
-use wingshore_net::http::AnswerHead;
 use wingshore_types::verdict::Verdict;
 
 /// Status of a server that got a request meant for another incarnation (421 Misdirected Request).
@@ -33,32 +32,22 @@
     pub status: u16,
     /// Whether the server states that it did not run the request.
     pub says_not_run: bool,
-    /// Whether it carries the ID of the request.
-    pub matches_request_id: bool,
-    /// Whether it carries a server's signature.
-    pub is_signed: bool,
 }
 
 impl AnswerFacts {
-    /// Reads the facts from the head of an answer to the request with this ID.
-    pub fn read(names: &HeaderNames, request: &[u8], head: &AnswerHead) -> Self {
+    /// Reads the facts from the answer to a request.
+    pub fn read(names: &HeaderNames, answer: &MatchedAnswer) -> Self {
+        let head = answer.head();
         Self {
             status: head.status,
             says_not_run: head.headers.get(names.not_run).is_some(),
-            matches_request_id: head.headers.get(names.request_id) == Some(request),
-            is_signed: head.headers.get(names.signature).is_some(),
         }
     }
-
-    /// Whether a server generated the answer for this request.
-    pub fn is_genuine(self) -> bool {
-        self.matches_request_id && self.is_signed
-    }
 }
 
 /// Returns the number of requests that run or wait at a server, as its answer reports it.
-pub(crate) fn reported_load(names: &HeaderNames, head: &AnswerHead) -> Option<u32> {
-    let load = head.headers.text(names.load)?;
+pub(crate) fn reported_load(names: &HeaderNames, answer: &MatchedAnswer) -> Option<u32> {
+    let load = answer.head().headers.text(names.load)?;
     let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
     let running = numbers.next()?.ok()?;
     let waiting = numbers.next()?.ok()?;
@@ -72,19 +61,14 @@
     Usable,
     /// The server refused the request.
     Refused,
-    /// No server generated it for this request.
-    Foreign,
     /// The server ran the request and failed.
     ServerFailed,
 }
 
 /// Classifies an answer by the facts of its head.
 pub fn classify_answer(facts: AnswerFacts) -> AnswerKind {
-    let is_success = (200..300).contains(&facts.status);
     if facts.says_not_run || facts.status == MISDIRECTED_STATUS {
         AnswerKind::Refused
-    } else if !facts.matches_request_id || (is_success && !facts.is_signed) {
-        AnswerKind::Foreign
     } else if facts.status >= FIRST_SERVER_ERROR_STATUS {
         AnswerKind::ServerFailed
     } else {
@@ -98,7 +82,6 @@
         match self {
             Self::Usable => None,
             Self::Refused => Some(Verdict::NotRun),
-            Self::Foreign => Some(Verdict::MayHaveRun),
             Self::ServerFailed => Some(Verdict::Ran),
         }
     }
@@ -108,7 +91,6 @@
         match self {
             Self::Usable => "answered",
             Self::Refused => "refused by the server",
-            Self::Foreign => "not the answer",
             Self::ServerFailed => "the server failed",
         }
     }
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -227,13 +227,13 @@
         let balancer = &mut environment.servers.balancer;
         balancer.ended(instance);
         let names = environment.site.protocol.header_names();
-        if let Some(load) = answers::reported_load(names, answer.head()) {
+        if let Some(load) = answers::reported_load(names, &answer) {
             balancer.load_reported(now, instance, load);
         }
         if exchange.stream.is_some() && answer.head().is_success() {
             return self.finish_stream(environment, id);
         }
-        let facts = AnswerFacts::read(names, &exchange.id, answer.head());
+        let facts = AnswerFacts::read(names, &answer);
         let kind = answers::classify_answer(facts);
         if answer.head().status == MISDIRECTED_STATUS {
             crash_reports::server_ended(environment, instance);
--- a/crates/gateways/wingshore-gateway/src/send_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/send_attempt.rs
@@ -8,7 +8,7 @@
 use crate::request_suspicion;
 use crate::running_attempt::RunningAttempt;
 use crate::upstream::{ServerRequest, Task};
-use wingshore_coordination::{RouteKind, ServerRecord};
+use wingshore_coordination::ServerRecord;
 
 /// Sends a request to a server; returns `None` if the operating system refuses a connection.
 pub(crate) fn send(
@@ -21,17 +21,11 @@
     let names = environment.site.protocol.header_names();
     let bytes = encode_request(now, &environment.site, exchange, server);
     let servers = &mut environment.servers;
-    let expected = match exchange.route.kind {
-        RouteKind::Streaming => ExpectedAnswer::Any,
-        RouteKind::Safe | RouteKind::Unsafe | RouteKind::Batch => {
-            ExpectedAnswer::to_request(names, &exchange.id)
-        }
-    };
     let request = ServerRequest {
         instance: &server.instance,
         address: server.address,
         task: Task::Exchange(id),
-        expected,
+        expected: ExpectedAnswer::to_request(names, &exchange.id),
         bytes: &bytes,
     };
     let upstreams = &mut servers.upstreams;
--- a/crates/gateways/wingshore-gateway/src/streams.rs
+++ b/crates/gateways/wingshore-gateway/src/streams.rs
@@ -3,12 +3,10 @@
 //! Only complete events are forwarded. A stream that is cut inside an event can then be resumed
 //! at another server after the last complete event, within the same answer to the client.
 
-use crate::answers::AnswerFacts;
 use crate::encode::end_to_end_headers;
 use crate::environment::Environment;
 use crate::exchange::Exchange;
 use crate::passed_stream::PassedStream;
-use crate::protocol::HeaderNames;
 use crate::request_suspicion;
 use crate::upstream::Upstream;
 use slog::info;
@@ -41,10 +39,8 @@
         return ClientQueue::WithinLimit;
     }
     let names = environment.site.protocol.header_names();
-    let Some(upstream) = environment.servers.upstreams.get_mut(connection) else {
-        return ClientQueue::WithinLimit;
-    };
-    let Some((head, body)) = take_stream_body(names, &exchange.id, upstream) else {
+    let upstream = environment.servers.upstreams.get_mut(connection);
+    let Some((head, body)) = upstream.and_then(take_stream_body) else {
         return ClientQueue::WithinLimit;
     };
     let reactor = &mut environment.runtime.reactor;
@@ -79,10 +75,8 @@
         return false;
     }
     let names = environment.site.protocol.header_names();
-    let Some(upstream) = environment.servers.upstreams.get_mut(connection) else {
-        return false;
-    };
-    let Some((_, body)) = take_stream_body(names, &exchange.id, upstream) else {
+    let upstream = environment.servers.upstreams.get_mut(connection);
+    let Some((_, body)) = upstream.and_then(take_stream_body) else {
         return false;
     };
     let stream = exchange
@@ -93,19 +87,12 @@
     exchange.has_streamed_long(now)
 }
 
-/// Takes the bytes that have arrived of the stream that answers the request with this ID; `None` if
-/// the answer is not a stream for this request.
-fn take_stream_body(
-    names: &HeaderNames,
-    request: &[u8],
-    upstream: &mut Upstream,
-) -> Option<(AnswerHead, Vec<u8>)> {
+/// Takes the bytes that have arrived of the stream that answers the request on a connection; `None`
+/// if its answer is no success.
+fn take_stream_body(upstream: &mut Upstream) -> Option<(AnswerHead, Vec<u8>)> {
     let mut part = upstream.reader.as_mut()?.matched_part()?;
     let head = part.head().clone();
-    if !head.is_success() || !AnswerFacts::read(names, request, &head).is_genuine() {
-        return None;
-    }
-    Some((head, part.take_body()))
+    head.is_success().then(|| (head, part.take_body()))
 }
 
 fn stream_head(head: &AnswerHead) -> Vec<u8> {
--- a/crates/gateways/wingshore-gateway/tests/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/tests/answer_matching.rs
@@ -236,3 +236,26 @@
         prop_assert_eq!(answer.is_connection_reusable(), surplus.is_empty());
     }
 }
+
+/// Guards against a new place that acts on an answer before its owner is known: only one module of
+/// the gateway can read the answers of servers.
+#[gtest]
+fn only_one_module_reads_the_answers_of_servers() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
+    let mut folders = vec![std::path::PathBuf::from(folder)];
+    let mut readers = Vec::new();
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let source = std::fs::read_to_string(&path).unwrap();
+            if source.contains("AnswerReader") || source.contains("WholeAnswer") {
+                readers.push(path.file_name().unwrap().to_string_lossy().into_owned());
+            }
+        }
+    }
+    expect_that!(readers, elements_are![eq("answer_matching.rs")]);
+}
--- a/crates/gateways/wingshore-gateway/tests/attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/attempts.rs
@@ -201,53 +201,25 @@
     }
 }
 
+/// The owner of an answer is decided before (`answer_matching`), so that the facts are those of the
+/// request's own answer.
 #[gtest]
-fn answers_are_classified_by_their_head() {
-    let own = AnswerFacts {
-        status: 200,
-        says_not_run: false,
-        matches_request_id: true,
-        is_signed: true,
-    };
-    let unsigned = AnswerFacts {
-        is_signed: false,
-        ..own
-    };
-    let foreign = AnswerFacts {
-        matches_request_id: false,
-        ..own
-    };
-    let with_status = |status, facts: AnswerFacts| AnswerFacts { status, ..facts };
-    let refused = AnswerFacts {
-        says_not_run: true,
-        ..foreign
+fn own_answers_are_classified_by_their_head() {
+    let facts = |status, says_not_run| AnswerFacts {
+        status,
+        says_not_run,
     };
+    let (refused, failed) = (Some(Verdict::NotRun), Some(Verdict::Ran));
     let table = [
-        (own, AnswerKind::Usable, None),
-        (with_status(404, unsigned), AnswerKind::Usable, None),
-        (unsigned, AnswerKind::Foreign, Some(Verdict::MayHaveRun)),
-        (foreign, AnswerKind::Foreign, Some(Verdict::MayHaveRun)),
-        (
-            with_status(503, foreign),
-            AnswerKind::Foreign,
-            Some(Verdict::MayHaveRun),
-        ),
-        (
-            with_status(500, unsigned),
-            AnswerKind::ServerFailed,
-            Some(Verdict::Ran),
-        ),
-        (
-            with_status(421, foreign),
-            AnswerKind::Refused,
-            Some(Verdict::NotRun),
-        ),
-        (refused, AnswerKind::Refused, Some(Verdict::NotRun)),
-        (
-            with_status(500, refused),
-            AnswerKind::Refused,
-            Some(Verdict::NotRun),
-        ),
+        (facts(200, false), AnswerKind::Usable, None),
+        (facts(404, false), AnswerKind::Usable, None),
+        (facts(422, false), AnswerKind::Usable, None),
+        (facts(500, false), AnswerKind::ServerFailed, failed),
+        (facts(503, false), AnswerKind::ServerFailed, failed),
+        (facts(421, false), AnswerKind::Refused, refused),
+        (facts(421, true), AnswerKind::Refused, refused),
+        (facts(503, true), AnswerKind::Refused, refused),
+        (facts(500, true), AnswerKind::Refused, refused),
     ];
     for (facts, kind, verdict) in table {
         expect_that!(classify_answer(facts), eq(kind), "{facts:?}");
--- a/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
@@ -210,3 +210,89 @@
         expect_that!(site.log_keys(), contains(eq("reason server")));
     }
 }
+
+/// Head of an answer to a stream whose body follows in chunks.
+fn stream_head(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+/// Returns the chunk with one event.
+fn event_chunk(number: u64) -> String {
+    let event = format!("id: {number}\ndata: x\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+/// Sends a request for a stream.
+fn ask_for_stream(client: &mut TcpStream, id: &str) {
+    let request = format!(
+        "POST /stream/x HTTP/1.1\r\nHost: open.test\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"
+    );
+    client.write_all(request.as_bytes()).unwrap();
+}
+
+/// Runs a stream to its end at the server that gets it first, and returns the connection of that
+/// server.
+fn run_stream(client: &mut TcpStream, server: &Server, id: &str) -> TcpStream {
+    ask_for_stream(client, id);
+    let (mut upstream, _) = server.accept();
+    let whole = format!("{}{}0\r\n\r\n", stream_head(id), event_chunk(1));
+    upstream.write_all(whole.as_bytes()).unwrap();
+    expect_that!(read_message(client), eq(&whole));
+    upstream
+}
+
+/// A stream of two events that breaks off behind the first one, and goes on at a server that has
+/// answered another stream on the same connection before.
+struct ResumedStream {
+    /// Keeps the gateway and its servers running.
+    _site: (Site, Vec<Server>),
+    client: TcpStream,
+    /// The connection on which the stream goes on.
+    resuming: TcpStream,
+}
+
+impl ResumedStream {
+    fn start() -> Self {
+        let (one, first, second) = (Server::start(), Server::start(), Server::start());
+        let pair = vec![first.address(), second.address()];
+        let site = Site::with_view(view(one.address(), pair));
+        let (mut client, mut other) = (site.client(), site.client());
+        ask_for_stream(&mut client, "s-1");
+        let (mut breaking, _) = first.accept();
+        // The first server is busy, so that the second one gets this stream.
+        let mut resuming = run_stream(&mut other, &second, "s-0");
+        let begin = format!("{}{}", stream_head("s-1"), event_chunk(1));
+        breaking.write_all(begin.as_bytes()).unwrap();
+        thread::sleep(PAUSE);
+        drop(breaking);
+        let request = read_message(&mut resuming);
+        expect_that!(request, contains_substring("\r\nLast-Event: 1\r\n"));
+        Self {
+            _site: (site, vec![one, first, second]),
+            client,
+            resuming,
+        }
+    }
+}
+
+/// Guards against a stream that ends as complete before its last event: the end of a surplus answer
+/// was taken for the end of a stream that waited for the answer of its resumed attempt.
+#[gtest]
+fn a_resumed_stream_never_ends_with_the_surplus_answer_to_another_request() {
+    let whole_stream = format!("{}{}0\r\n\r\n", stream_head("s-0"), event_chunk(1));
+    let refusal = answer("503 -\r\nNot-Run: 1", "s-0");
+    let failure = answer("500 -", "s-0");
+    for surplus in [whole_stream, refusal, failure] {
+        for arrival in ARRIVALS {
+            let mut stream = ResumedStream::start();
+            let own = format!("{}{}0\r\n\r\n", stream_head("s-1"), event_chunk(2));
+            send_both(&mut stream.resuming, arrival, &surplus, &own);
+            let events = format!("{}{}", event_chunk(1), event_chunk(2));
+            expect_that!(
+                read_message(&mut stream.client),
+                eq(&format!("{}{events}0\r\n\r\n", stream_head("s-1"))),
+                "{surplus} {arrival:?}"
+            );
+        }
+    }
+}
