gateway: a request goes on no connection that has carried its id before

What callers would see: an item that an engine answered with 500 once counts as failed twice, or a refusal that comes twice starts a second run beside the first.

Cause: an item that runs again on the same engine may use the same connection, where a surplus answer to its earlier attempt carries the right id.

Change: a connection remembers the last 16 answers that were expected on it; take_idle leaves such a connection to other requests. Idle connections that have expired are all closed when one is taken, not only those on top.

--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -4,7 +4,7 @@
 use crate::event_stream::EventReader;
 use crate::ids::ExchangeId;
 use crate::runtime::Runtime;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{AssignmentId, InstanceId};
@@ -20,6 +20,10 @@
 /// does not race with the server's close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Number of requests that a connection remembers. A surplus answer takes the place of the next one
+/// as a rule; the margin covers some that come later.
+const MAX_REMEMBERED_REQUESTS: usize = 16;
+
 /// The user of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Task {
@@ -102,6 +106,8 @@
     pub(crate) reader: Option<MatchingReader>,
     /// Parses the events of the answer, if it is an event stream.
     pub(crate) events: Option<EventReader>,
+    /// The last answers that were expected on the connection, the newest last.
+    recent: VecDeque<ExpectedAnswer>,
     /// When the current task started.
     pub(crate) task_started_at: Instant,
     /// Until when the connection may be reused, while it is idle.
@@ -117,6 +123,14 @@
         let reader = self.reader.as_ref();
         reader.is_some_and(MatchingReader::is_whole_at_close)
     }
+
+    /// Records the answer that is expected next on the connection.
+    fn remember(&mut self, expected: &ExpectedAnswer) {
+        if self.recent.len() == MAX_REMEMBERED_REQUESTS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(expected.clone());
+    }
 }
 
 /// All connections to servers.
@@ -136,13 +150,14 @@
         request: ServerRequest<'_>,
     ) -> Option<ConnectionId> {
         let now = runtime.now;
-        let connection = match self.take_idle(runtime, request.instance) {
+        let connection = match self.take_idle(runtime, request.instance, &request.expected) {
             Some(connection) => connection,
             None => self.connect(runtime, request.instance, request.address)?,
         };
         let upstream = self.all.get_mut(&connection)?;
         upstream.task = Some(request.task);
         upstream.task_started_at = now;
+        upstream.remember(&request.expected);
         upstream.reader = Some(MatchingReader::new(request.expected));
         upstream.events = None;
         runtime.reactor.send(connection, request.bytes);
@@ -231,6 +246,7 @@
             task: None,
             reader: None,
             events: None,
+            recent: VecDeque::new(),
             task_started_at: now,
             idle_until: now,
             keep_alive: DEFAULT_KEEP_ALIVE,
@@ -239,21 +255,42 @@
         Some(connection)
     }
 
-    fn take_idle(&mut self, runtime: &mut Runtime, instance: &InstanceId) -> Option<ConnectionId> {
-        let now = runtime.now;
+    /// Takes the connection to a server that became idle last, except one that has carried the same
+    /// request before: the answer to that may come once more, and has the same ID.
+    fn take_idle(
+        &mut self,
+        runtime: &mut Runtime,
+        instance: &InstanceId,
+        expected: &ExpectedAnswer,
+    ) -> Option<ConnectionId> {
+        self.close_expired(runtime, instance);
         let idle = self.idle.get_mut(instance)?;
-        while let Some(connection) = idle.pop() {
-            let is_kept = self
-                .all
-                .get(&connection)
-                .is_some_and(|upstream| now < upstream.idle_until);
-            if is_kept && runtime.reactor.is_open(connection) {
-                return Some(connection);
+        let all = &self.all;
+        let is_usable = |connection: &ConnectionId| {
+            let upstream = all.get(connection);
+            upstream.is_some_and(|upstream| !upstream.recent.contains(expected))
+        };
+        let position = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(position))
+    }
+
+    /// Closes the idle connections to a server that it may have closed.
+    fn close_expired(&mut self, runtime: &mut Runtime, instance: &InstanceId) {
+        let now = runtime.now;
+        let Some(idle) = self.idle.get_mut(instance) else {
+            return;
+        };
+        let all = &mut self.all;
+        idle.retain(|connection| {
+            let upstream = all.get(connection);
+            let is_kept = upstream.is_some_and(|upstream| now < upstream.idle_until);
+            if is_kept && runtime.reactor.is_open(*connection) {
+                return true;
             }
-            runtime.reactor.close(connection);
-            self.all.remove(&connection);
-        }
-        None
+            runtime.reactor.close(*connection);
+            all.remove(connection);
+            false
+        });
     }
 
     /// Returns the state of a connection, for modification.
--- a/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
@@ -6,7 +6,7 @@
 use crate::bytes::site::{Server, Site, read_message};
 use crate::bytes::view::{item, view};
 use googletest::prelude::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
@@ -129,6 +129,43 @@
     }
 }
 
+/// Guards against an item that ends with the surplus answer to its own earlier attempt: the item runs
+/// again on the same engine, and the answer that comes once more carries its ID.
+#[gtest]
+fn an_item_that_runs_again_on_an_engine_gets_another_connection() {
+    let (server, engine) = (Server::start(), Server::start());
+    let site = Site::with_view(view(server.address(), Vec::new()));
+    let assign = |attempt| {
+        let assignment = ItemAssignment {
+            request: ItemId::from("item"),
+            ..numbered_item(attempt, &engine)
+        };
+        site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
+    };
+    assign(1);
+    let (mut earlier, _) = engine.accept();
+    let failure = answer("500 -", "item");
+    earlier.write_all(failure.as_bytes()).unwrap();
+    expect_that!(item_outcome(&site, 1), eq(&ItemOutcome::Failed));
+    assign(2);
+    earlier.set_read_timeout(Some(PAUSE)).unwrap();
+    let read = earlier.read(&mut [0; 1]);
+    assert!(
+        read.is_err(),
+        "the second attempt uses the first one's connection"
+    );
+    let (mut upstream, _) = engine.accept();
+    earlier.write_all(failure.as_bytes()).unwrap();
+    thread::sleep(PAUSE);
+    let own = "HTTP/1.1 200 OK\r\nId: item\r\nSignature: s\r\nVersion: 3\r\n\
+               Content-Length: 18\r\n\r\nid: 12\ndata: two\n\n";
+    upstream.write_all(own.as_bytes()).unwrap();
+    expect_that!(
+        item_outcome(&site, 2),
+        matches_pattern!(ItemOutcome::Finished(_))
+    );
+}
+
 /// Sends a request of a client.
 fn ask(client: &mut TcpStream, path: &str, id: &str) {
     let request = format!("GET {path} HTTP/1.1\r\nHost: open.test\r\nId: {id}\r\n\r\n");
