coordinator: a connection carries one call to an engine or to the provider

What would be seen: an order counts as accepted, refused or fenced, or a window of usage as reported, by the surplus answer to the call before it on the same connection.

Cause: answers to calls carry no identifier, and connections were used again.

Change: each call opens a connection, asks the callee to close it, and closes it behind the answer. An answer that ends with the connection counts as whole. The table of idle connections is gone.

Why it is safe: the calls, their timeouts, lease and fence are as before.

--- a/crates/gateways/wingshore-coordinator/src/outgoing_calls.rs
+++ b/crates/gateways/wingshore-coordinator/src/outgoing_calls.rs
@@ -1,7 +1,6 @@
 //! HTTP calls to engines and to the provider.
 //!
-//! Owns the connections for these calls. Each carries one call at a time and is kept for the next
-//! call to the same callee. Relies on the reactor for sockets, on [`CallProtocols`] for the wire
+//! Owns the connections for these calls. Each carries one call and is closed after its answer. Relies on the reactor for sockets, on [`CallProtocols`] for the wire
 //! format, and on [`CallRate`] for the provider's rate. Whether a call may be made at all (lease,
 //! fence) is decided by the caller; each call ends in exactly one [`Event`].
 //!
@@ -9,6 +8,11 @@
 //! whole answer within the callee's timeout, when its connection ends, or, for calls that need the
 //! lease, once the lease has expired. Why: a cancelled call may still take effect, so its event
 //! says "unknown" and the leader asks for a report before it decides again.
+//!
+//! Question: is an answer the one to the call? Inputs: none, since the answers to calls carry no
+//! identifier. Rule: a connection carries one call. Why: a callee may send an answer once more in the
+//! place of the next one on the connection; an order would then be acknowledged by the answer to the
+//! call before it.
 
 use crate::call_rate::CallRate;
 use crate::protocol::{EngineProtocol, OutgoingCall, ProviderProtocol};
@@ -24,8 +28,6 @@
 use wingshore_net::{ConnectOptions, ConnectionId, Reactor};
 use wingshore_types::Instant;
 
-/// Time after which an idle connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Timeout of a call to an engine: engines answer at once, whatever else they do.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Timeout of a call to the provider: a slow one takes some tens of times its usual milliseconds.
@@ -76,18 +78,12 @@
 
 /// Call that is not answered yet.
 struct PendingCall {
+    callee: Callee,
     purpose: CallPurpose,
     started_at: Instant,
     reader: AnswerReader,
 }
 
-/// Connection to a callee, with its pending call if it has one.
-struct CallConnection {
-    callee: Callee,
-    call: Option<PendingCall>,
-    last_used_at: Instant,
-}
-
 /// Translations to the wire protocols of the callees.
 pub struct CallProtocols {
     /// Calls to engines.
@@ -108,7 +104,7 @@
     protocols: CallProtocols,
     /// `None` where the deployment calls no provider.
     provider: Option<Provider>,
-    connections: BTreeMap<ConnectionId, CallConnection>,
+    pending: BTreeMap<ConnectionId, PendingCall>,
 }
 
 impl OutgoingCalls {
@@ -121,13 +117,13 @@
         Self {
             protocols,
             provider,
-            connections: BTreeMap::new(),
+            pending: BTreeMap::new(),
         }
     }
 
     /// Returns whether a connection belongs to an outgoing call.
     pub(crate) fn owns(&self, connection: ConnectionId) -> bool {
-        self.connections.contains_key(&connection)
+        self.pending.contains_key(&connection)
     }
 
     /// Sends an order to an engine.
@@ -204,67 +200,59 @@
         call: &OutgoingCall,
         purpose: CallPurpose,
     ) -> Option<Event> {
-        let idle = self.connections.iter().find(|(connection, entry)| {
-            entry.callee == callee
-                && entry.call.is_none()
-                && now.since(entry.last_used_at) < IDLE_TIMEOUT
-                && reactor.is_open(**connection)
-        });
         let options = ConnectOptions {
             unacknowledged_limit: callee.timeout(),
         };
-        let connection = idle
-            .map(|(connection, _)| *connection)
-            .or_else(|| reactor.connect(address, options));
-        let Some(connection) = connection else {
+        let Some(connection) = reactor.connect(address, options) else {
             return Some(self.final_event(purpose, None));
         };
         reactor.send(connection, &encode(call, address));
         let pending = PendingCall {
+            callee,
             purpose,
             started_at: now,
             reader: AnswerReader::new(false),
         };
-        let entry = CallConnection {
-            callee,
-            call: Some(pending),
-            last_used_at: now,
-        };
-        self.connections.insert(connection, entry);
+        self.pending.insert(connection, pending);
         None
     }
 
     /// Handles received bytes; returns the event of a call that they complete.
     pub(crate) fn on_received(
         &mut self,
-        now: Instant,
         reactor: &mut Reactor,
         connection: ConnectionId,
     ) -> Option<Event> {
-        let entry = self.connections.get_mut(&connection)?;
-        let Some(call) = &mut entry.call else {
-            // The bytes belong to no call.
-            self.close(reactor, connection);
-            return None;
-        };
-        let input = reactor.input(connection)?;
-        let status = call.reader.read(input);
-        let is_clean = input.is_empty();
-        match status {
+        let call = self.pending.get_mut(&connection)?;
+        match call.reader.read(reactor.input(connection)?) {
             Ok(BodyStatus::Partial) => None,
-            Ok(BodyStatus::Whole) => {
-                let call = entry.call.take()?;
-                entry.last_used_at = now;
-                let answer = call.reader.into_answer(is_clean)?;
-                if !answer.reusable {
-                    self.close(reactor, connection);
-                }
-                Some(self.final_event(call.purpose, Some(&answer)))
-            }
+            Ok(BodyStatus::Whole) => self.on_answered(reactor, connection),
             Err(_) => self.on_ended(reactor, connection),
         }
     }
 
+    /// Handles the end of a callee's output, which may be the end of an answer without a length.
+    /// Returns the event of the call.
+    pub(crate) fn on_end_of_input(
+        &mut self,
+        reactor: &mut Reactor,
+        connection: ConnectionId,
+    ) -> Option<Event> {
+        let call = self.pending.get(&connection)?;
+        if call.reader.is_whole_at_close() {
+            return self.on_answered(reactor, connection);
+        }
+        self.on_ended(reactor, connection)
+    }
+
+    /// Handles a complete answer; returns the event of its call.
+    fn on_answered(&mut self, reactor: &mut Reactor, connection: ConnectionId) -> Option<Event> {
+        reactor.close(connection);
+        let call = self.pending.remove(&connection)?;
+        let answer = call.reader.into_answer(false)?;
+        Some(self.final_event(call.purpose, Some(&answer)))
+    }
+
     /// Handles the end of a connection; returns the event of its pending call.
     pub(crate) fn on_ended(
         &mut self,
@@ -272,38 +260,33 @@
         connection: ConnectionId,
     ) -> Option<Event> {
         reactor.close(connection);
-        let entry = self.connections.remove(&connection)?;
-        let call = entry.call?;
+        let call = self.pending.remove(&connection)?;
         Some(self.final_event(call.purpose, None))
     }
 
     /// Cancels the calls that only a lease holder may make. Bytes of them that were not sent yet
     /// are dropped.
     pub(crate) fn cancel_lease_calls(&mut self, reactor: &mut Reactor) -> Vec<Event> {
-        self.close_where(reactor, |entry| {
-            let call = entry.call.as_ref();
-            call.is_some_and(|call| call.purpose.needs_lease())
-        })
+        self.cancel_where(reactor, |call| call.purpose.needs_lease())
     }
 
-    /// Cancels calls that have timed out, and closes idle connections.
+    /// Cancels calls that have timed out.
     pub(crate) fn expire(&mut self, now: Instant, reactor: &mut Reactor) -> Vec<Event> {
-        self.close_where(reactor, |entry| match &entry.call {
-            Some(call) => now.since(call.started_at) >= entry.callee.timeout(),
-            None => now.since(entry.last_used_at) >= IDLE_TIMEOUT,
+        self.cancel_where(reactor, |call| {
+            now.since(call.started_at) >= call.callee.timeout()
         })
     }
 
-    /// Closes the connections that `is_affected` selects; returns the events of their calls.
-    fn close_where(
+    /// Cancels the calls that `is_affected` selects; returns their events.
+    fn cancel_where(
         &mut self,
         reactor: &mut Reactor,
-        is_affected: impl Fn(&CallConnection) -> bool,
+        is_affected: impl Fn(&PendingCall) -> bool,
     ) -> Vec<Event> {
         let affected: Vec<ConnectionId> = self
-            .connections
+            .pending
             .iter()
-            .filter(|(_, entry)| is_affected(entry))
+            .filter(|(_, call)| is_affected(call))
             .map(|(connection, _)| *connection)
             .collect();
         affected
@@ -335,11 +318,6 @@
             }
         }
     }
-
-    fn close(&mut self, reactor: &mut Reactor, connection: ConnectionId) {
-        reactor.close(connection);
-        self.connections.remove(&connection);
-    }
 }
 
 /// Returns the event of an answer of the provider.
@@ -355,7 +333,9 @@
 }
 
 fn encode(call: &OutgoingCall, address: SocketAddr) -> Vec<u8> {
-    let mut writer = HeadWriter::request(call.method, &call.target).header("Host", address);
+    let mut writer = HeadWriter::request(call.method, &call.target)
+        .header("Host", address)
+        .header("Connection", "close");
     for (name, value) in &call.headers {
         writer = writer.header(name, value);
     }
--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -27,7 +27,7 @@
 
     fn on_received(&mut self, now: Instant, connection: ConnectionId) {
         if self.calls.owns(connection) {
-            let event = self.calls.on_received(now, &mut self.reactor, connection);
+            let event = self.calls.on_received(&mut self.reactor, connection);
             return self.take_call_events(event);
         }
         match self.roles.get(&connection) {
@@ -77,6 +77,10 @@
     /// Handles the end of a peer's input. A caller that shut down its side of the connection may
     /// still wait for an answer, so its connection is closed only after the answer.
     fn on_end_of_input(&mut self, now: Instant, connection: ConnectionId) {
+        if self.calls.owns(connection) {
+            let event = self.calls.on_end_of_input(&mut self.reactor, connection);
+            return self.take_call_events(event);
+        }
         match self.roles.get_mut(&connection) {
             Some(Role::Control(control)) if control.pending_target.is_some() => {
                 control.close_after = true;
