gateway tests: drawn runs in which answers of no known request close connections

Drawn runs knew no answer that cannot be assigned to a request. In the new scenario such answers arrive at 3 of 10 runs; the gateway closes the connection and records the attempt, half of the servers go on, and a trial ends with an unknown result. Bounds are the required ones: no innocent request rejected, at most three runs more after the third crash.

world.rs is split by subject: kinds of simulation and faults have their own modules, moved unchanged but for the predicate on trials.

--- a/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
@@ -54,6 +54,11 @@
         // Innocent requests beside it are counted: see the table in the design note.
         return outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH;
     }
+    if scenario == Scenario::CrashingRequestBehindUnmatchedAnswers
+        && outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH
+    {
+        return true;
+    }
     outcome.rejected_innocents > 0 || outcome.late_sends > MAX_LATE_SENDS
 }
 
@@ -97,6 +102,16 @@
     assert!(sums.trials > 0);
 }
 
+/// Failure: an attempt that ended with an answer of no known request was forgotten, or its trial counted
+/// as not run, although its server went on with it and crashed.
+#[test]
+fn a_crashing_request_behind_unmatched_answers_runs_three_times_more_at_most() {
+    let (broken, sums) = run_all(Scenario::CrashingRequestBehindUnmatchedAnswers);
+    assert_eq!(broken, [0_u64; 0]);
+    assert!(sums.ended > runs());
+    assert!(sums.trials > 0);
+}
+
 /// Failure: a request whose clients leave often would be rejected for unrelated crashes of the
 /// servers that it was sent to.
 #[test]
--- a/crates/gateways/wingshore-gateway/tests/crash_simulation/world.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation/world.rs
@@ -1,11 +1,15 @@
 //! The servers, gateways, callers and faults of one simulation.
 
+mod faults;
 mod leaving_clients;
+mod scenario;
+mod unmatched_answers;
 
 use super::group::Group;
 use leaving_clients::AskedTrial;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+pub use scenario::{Outcome, Scenario};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,9 +24,6 @@
 const SIMULATED_TIME: Duration = Duration::from_secs(20);
 /// A stream that has run for this long is cleared of suspicion, as in the gateway.
 const CLEARED_AFTER: Duration = Duration::from_secs(1);
-/// A request sent less than this long before its connection was lost is not the cause, as in the
-/// gateway.
-const POSSIBLE_CAUSE_AFTER: Duration = Duration::from_millis(2);
 /// Sends of the crashing request later than this after the third crash are counted; the time is a
 /// requirement.
 const CONTAINMENT_TIME: Duration = Duration::from_secs(3);
@@ -41,47 +42,8 @@
 /// Steps between ticks of the leader.
 const TICK_STEPS: u64 = 3;
 
-/// The kind of simulation.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Scenario {
-    NoCrashingRequest,
-    OneCrashingRequest,
-    /// Most clients leave before the answer; suspects run on trial.
-    InnocentRequestsOfLeavingClients,
-    /// The same, with one crashing request.
-    CrashingRequestOfLeavingClients,
-}
-
-impl Scenario {
-    fn has_crashing_request(self) -> bool {
-        matches!(
-            self,
-            Self::OneCrashingRequest | Self::CrashingRequestOfLeavingClients
-        )
-    }
-
-    fn has_leaving_clients(self) -> bool {
-        matches!(
-            self,
-            Self::InnocentRequestsOfLeavingClients | Self::CrashingRequestOfLeavingClients
-        )
-    }
-}
-
-/// The result of a simulation.
-#[derive(Default)]
-pub struct Outcome {
-    pub rejected_innocents: usize,
-    pub crashes_by_request: u64,
-    pub late_sends: usize,
-    /// Sends of the crashing request after its third crash, at any time.
-    pub sends_after_third_crash: usize,
-    pub evidence: u64,
-    /// Trials that were granted.
-    pub trials: u64,
-}
-
 /// A request that a server runs.
+#[derive(Clone)]
 struct RunningRequest {
     request: RequestFingerprint,
     gateway: usize,
@@ -93,6 +55,8 @@
     sends_left: u32,
     /// When the client leaves, if it does before the answer.
     leaves_at: Option<Instant>,
+    /// When an answer of no known request arrives on the connection.
+    unmatched_at: Option<Instant>,
     /// Whether the gateway has closed the connection.
     is_closed: bool,
     /// Whether it runs on trial.
@@ -218,7 +182,7 @@
             self.now = self.now + STEP;
             step += 1;
             self.restart_servers();
-            if self.scenario.has_leaving_clients() && step % HEARTBEAT_STEPS == 0 {
+            if self.scenario.has_trials() && step % HEARTBEAT_STEPS == 0 {
                 self.send_heartbeats();
             }
             self.deliver_to_leader();
@@ -228,6 +192,7 @@
             self.deliver_to_gateways();
             self.answer_trials();
             self.let_clients_leave();
+            self.close_unmatched();
             self.clear_long_requests();
             self.finish_requests();
             self.start_requests();
@@ -344,7 +309,7 @@
             return;
         }
         let server = free[self.random.random_range(0..free.len())];
-        if self.scenario.has_leaving_clients() && self.needs_trial(gateway, request) {
+        if self.scenario.has_trials() && self.needs_trial(gateway, request) {
             let asked = AskedTrial {
                 request,
                 gateway,
@@ -380,6 +345,7 @@
             let patience = self.random.random_range(5..200);
             self.now + Duration::from_millis(patience)
         });
+        let unmatched_at = self.draw_unmatched();
         self.servers[server].running.push(RunningRequest {
             request,
             gateway,
@@ -388,6 +354,7 @@
             is_cleared: false,
             sends_left,
             leaves_at,
+            unmatched_at,
             is_closed: false,
             is_on_trial,
         });
@@ -472,99 +439,4 @@
             self.to_leader.push((self.now + MESSAGE_DELAY, event));
         }
     }
-
-    /// Crashes a server; the requests that were running there are sent again.
-    fn crash(&mut self, index: usize) {
-        let down = Duration::from_millis(self.random.random_range(200..4000));
-        let server = &mut self.servers[index];
-        if !server.up {
-            return;
-        }
-        server.up = false;
-        server.back_at = self.now + down;
-        self.lose_connections(index, None, true);
-    }
-
-    /// Breaks the connections of `only_gateway`, or of all gateways, to a server; `refuses` says
-    /// whether the port appears closed.
-    fn lose_connections(&mut self, index: usize, only_gateway: Option<usize>, refuses: bool) {
-        let now = self.now;
-        let (instance, address) = (self.instance(index), self.servers[index].address);
-        let was_draining = self.servers[index].draining;
-        let lost = self.servers[index].running.extract_if(.., |running| {
-            only_gateway.is_none_or(|gateway| running.gateway == gateway)
-        });
-        let lost: Vec<RunningRequest> = lost.filter(|running| !running.is_closed).collect();
-        for running in &lost {
-            let ran_for = now.since(running.started_at);
-            let is_suspect =
-                (POSSIBLE_CAUSE_AFTER..CLEARED_AFTER).contains(&ran_for) && !was_draining;
-            let detector = &mut self.gateways[running.gateway].detector;
-            if is_suspect {
-                let seen = detector.connection_lost(now, &instance, address, running.request);
-                self.report_to_leader(running.gateway, seen.into_iter().collect());
-            }
-        }
-        if refuses {
-            for gateway in 0..self.gateways.len() {
-                let seen = self.gateways[gateway].detector.server_ended(now, &instance);
-                self.report_to_leader(gateway, seen);
-                self.report_possible(gateway);
-            }
-        }
-        for running in lost {
-            if running.is_on_trial {
-                self.end_trial(running.request, instance.clone(), TrialEnd::Unknown);
-            }
-            let time = running.ends_at.since(now).max(Duration::from_millis(20));
-            let is_suspect = self.gateways[running.gateway]
-                .suspects
-                .contains_key(&running.request);
-            let is_item = running.sends_left > MAX_SENDS_PER_ATTEMPT;
-            if running.sends_left > 1 && (is_item || !is_suspect) {
-                self.send(running.request, time, running.sends_left - 1);
-            }
-        }
-    }
-
-    fn inject_faults(&mut self) {
-        let server = self.random.random_range(0..self.servers.len());
-        let gateway = self.random.random_range(0..self.gateways.len());
-        if self.random.random_bool(self.crash_rate) {
-            match self.random.random_range(0..3) {
-                0 => self.crash(server),
-                1 => (0..self.servers.len()).for_each(|index| self.crash(index)),
-                _ => {
-                    for index in 0..self.servers.len() {
-                        if self.random.random_bool(0.6) {
-                            self.crash(index);
-                        }
-                    }
-                }
-            }
-        }
-        if !self.random.random_bool(self.fault_rate) {
-            return;
-        }
-        match self.random.random_range(0..4) {
-            // Connections are reset or answers are lost, while the server still listens.
-            0 => self.lose_connections(server, Some(gateway), false),
-            // The gateway is partitioned from the server in a way that looks like a closed port.
-            1 => self.lose_connections(server, Some(gateway), true),
-            2 => {
-                self.servers[server].draining = true;
-                self.register(server);
-            }
-            _ => {
-                self.group.change_leader(self.now);
-                for index in 0..self.gateways.len() {
-                    let seen = self.gateways[index].detector.to_report(self.now);
-                    self.report_to_leader(index, seen);
-                    if self.scenario.has_leaving_clients() {
-                        self.report_open_trials(index);
-                    }
-                }
-            }
-        }
-    }
 }
--- a/crates/gateways/wingshore-gateway/tests/crash_simulation/world/leaving_clients.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation/world/leaving_clients.rs
@@ -1,12 +1,15 @@
 //! Clients that leave before the answer, and trials of suspect requests.
 
-use super::{MESSAGE_DELAY, Simulation, fingerprint};
+use super::{MESSAGE_DELAY, RunningRequest, Simulation, fingerprint};
 use rand::RngExt;
+use std::net::SocketAddr;
 use std::time::Duration;
 use wingshore_coordination::{
     Event, GatewayId, InstanceId, OpenTrial, REPORTING_THRESHOLD, RequestFingerprint, TrialAnswer,
     TrialEnd, TrialRequest,
 };
+use wingshore_gateway::CrashDetector;
+use wingshore_types::Instant;
 
 /// Time for which a server may go on with a request after its connection was closed, as in the
 /// gateway.
@@ -15,6 +18,7 @@
 const REPEATED_REQUESTS: u64 = 400;
 /// Time between the end of a request and its deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
+
 /// A question to the leader about a trial.
 pub(super) struct AskedTrial {
     pub(super) request: RequestFingerprint,
@@ -25,6 +29,25 @@
     pub(super) sends_left: u32,
 }
 
+impl RunningRequest {
+    /// Closes the connection of a request whose server may go on with it.
+    pub(super) fn close(
+        &mut self,
+        now: Instant,
+        detector: &mut CrashDetector,
+        instance: &InstanceId,
+        address: SocketAddr,
+    ) {
+        self.is_closed = true;
+        if self.is_cleared {
+            return;
+        }
+        let deadline = self.ends_at + DEADLINE_MARGIN;
+        let runs_until = deadline.min(now + RUN_TIME_AFTER_CLOSE);
+        detector.attempt_unfinished(now, instance, address, self.request, runs_until);
+    }
+}
+
 impl Simulation {
     /// Reports the trials that run at a gateway to a new leader.
     pub(super) fn report_open_trials(&mut self, gateway: usize) {
@@ -118,19 +141,8 @@
                 if running.is_on_trial || running.is_closed || !has_left {
                     return true;
                 }
-                running.is_closed = true;
-                if !running.is_cleared {
-                    let deadline = running.ends_at + DEADLINE_MARGIN;
-                    let runs_until = deadline.min(now + RUN_TIME_AFTER_CLOSE);
-                    let detector = &mut self.gateways[running.gateway].detector;
-                    detector.attempt_unfinished(
-                        now,
-                        &instance,
-                        address,
-                        running.request,
-                        runs_until,
-                    );
-                }
+                let detector = &mut self.gateways[running.gateway].detector;
+                running.close(now, detector, &instance, address);
                 self.random.random_bool(0.5)
             });
             self.servers[index].running = running;
