coordination: no body of an item is returned after the end of its job

Cause: the end of a job drops the contents of its items; read_item did not look at the end.

Change: an item of an ended job is unknown. Why it is safe: bodies of open jobs are answered as before; nothing on the wire changes.

Evidence: an_item_has_no_body_after_the_end_of_its_job fails before (Item([]) in place of Unknown).

--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -288,10 +288,12 @@
     }
 }
 
-/// Answers with the body of an item that has no listed result yet.
+/// Answers with the body of an item that has no listed result yet and whose job is open: the end of a
+/// job drops the contents of its items.
 pub(super) fn read_item(tag: RequestTag, job: &JobId, item: &ItemId, turn: &mut Turn<'_>) {
     let known = turn.state.find_job(job);
-    let item = known.and_then(|(_, job)| {
+    let open = known.filter(|(_, job)| !job.ended);
+    let item = open.and_then(|(_, job)| {
         let (index, item) = job.find_item(item)?;
         (!job.is_listed(index)).then_some(item)
     });
--- a/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
+++ b/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
@@ -1,11 +1,12 @@
-//! Jobs that ended long ago are forgotten, and none of their state affects later jobs.
+//! Jobs that have ended: the contents of their items are gone at once; the jobs are forgotten later,
+//! and none of their state affects later ones.
 
 mod support;
 
 use googletest::prelude::*;
 use std::time::Duration;
 use support::{Group, job};
-use wingshore_coordination::{JobId, Request};
+use wingshore_coordination::{ItemId, JobId, Reply, Request};
 
 /// Longer than the retention of an ended job.
 const RETENTION: Duration = Duration::from_secs(140);
@@ -31,3 +32,19 @@
     let known = &group.state.jobs()[&JobId::from("j")];
     expect_that!(known.results.len(), eq(1));
 }
+
+/// Guards against an empty body in place of an item's own: the end of a job drops the contents of its
+/// items, and a read of an item that was not listed was answered with the empty rest.
+#[gtest]
+fn an_item_has_no_body_after_the_end_of_its_job() {
+    let mut group = Group::new();
+    group.ask(Request::SubmitJob(job("j", 1)));
+    let read_item = || Request::ReadItem {
+        job: JobId::from("j"),
+        item: ItemId::from("j-0"),
+    };
+    let body = group.ask(read_item());
+    expect_that!(body, some(matches_pattern!(Reply::Item(not(is_empty())))));
+    group.ask(Request::EndJob(JobId::from("j")));
+    expect_that!(group.ask(read_item()), some(eq(&Reply::Unknown)));
+}
