gateway: names for answers of other requests; labels of metrics apart

An answer with another request's id is a mismatched one now, one of no known request an unidentified one, the request's own a matched one (GLOSSARY.md); names of types, tests, log lines and metric kinds follow, before any of them was released. ConnectionEnd says itself what its end means for the request (verdict) and for its server (ejects_server), where on_connection_ended listed it.

--- a/crates/gateways/wingshore-gateway/src/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -7,10 +7,10 @@
 //! names of the header fields that hold a request ID and a server's signature.
 //!
 //! **Rule.** An answer that carries the ID of the waiting request belongs to it. An answer that
-//! carries another ID is surplus: it is skipped with its body, and the reader goes on to the next
+//! carries another ID is a mismatched one: it is skipped with its body, and the reader goes on to the next
 //! answer on the connection. Bytes cannot be assigned to any request if they carry no ID or several
 //! different ones, or if they are a success without a signature; nothing that follows on the
-//! connection can be trusted then. The same holds after too many surplus answers or bytes.
+//! connection can be trusted then. The same holds after too many mismatched answers or bytes.
 //!
 //! **Why.** A server may send an answer once more in the place where the next one is due. Closing
 //! the connection then would lose the request's own answer, which follows: a request that must not
@@ -28,11 +28,11 @@
 use snafu::Snafu;
 use wingshore_net::http::{AnswerHead, AnswerReader, BodyStatus, HttpError, WholeAnswer};
 
-/// Number of surplus answers that are skipped before one request's own answer.
-pub const MAX_SURPLUS_ANSWERS: usize = 8;
-/// Bytes of bodies of surplus answers that are skipped before one request's own answer. A single
+/// Number of mismatched answers that are skipped before one request's own answer.
+pub const MAX_MISMATCHED_ANSWERS: usize = 8;
+/// Bytes of bodies of mismatched answers that are skipped before one request's own answer. A single
 /// answer of the largest usual size stays below it.
-pub const MAX_SURPLUS_BYTES: usize = 32 << 20;
+pub const MAX_MISMATCHED_BYTES: usize = 32 << 20;
 
 /// What identifies the answer to one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,27 +68,27 @@
     ///
     /// # Errors
     /// When the head does not identify one request, or lacks the signature of a success.
-    fn owner(&self, head: &AnswerHead) -> Result<Owner, UnmatchedAnswer> {
+    fn owner(&self, head: &AnswerHead) -> Result<Owner, UnidentifiedAnswer> {
         let mut ids = head.headers.all(self.request_id_header);
         let Some(id) = ids.next() else {
-            return Err(UnmatchedAnswer::WithoutId);
+            return Err(UnidentifiedAnswer::WithoutId);
         };
         if ids.any(|other| other != id) {
-            return Err(UnmatchedAnswer::SeveralIds);
+            return Err(UnidentifiedAnswer::SeveralIds);
         }
         if id != self.request {
             return Ok(Owner::OtherRequest);
         }
         if head.is_success() && head.headers.get(self.signature_header).is_none() {
-            return Err(UnmatchedAnswer::Unsigned);
+            return Err(UnidentifiedAnswer::Unsigned);
         }
         Ok(Owner::WaitingRequest)
     }
 
-    /// Returns what is logged of a surplus answer.
-    fn surplus(&self, head: &AnswerHead) -> SurplusAnswer {
+    /// Returns what is logged of a mismatched answer.
+    fn mismatched(&self, head: &AnswerHead) -> MismatchedAnswer {
         let request = head.headers.text(self.request_id_header);
-        SurplusAnswer {
+        MismatchedAnswer {
             request: request.unwrap_or_default().to_owned(),
             status: head.status,
         }
@@ -97,7 +97,7 @@
 
 /// An answer that cannot be assigned to any request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-pub enum UnmatchedAnswer {
+pub enum UnidentifiedAnswer {
     /// It carries no request ID.
     #[snafu(display("no request id"))]
     WithoutId,
@@ -107,9 +107,9 @@
     /// It is a success without a server's signature.
     #[snafu(display("no signature"))]
     Unsigned,
-    /// More surplus answers precede it than are skipped.
-    #[snafu(display("too many surplus answers"))]
-    TooManySurplus,
+    /// More mismatched answers precede it than are skipped.
+    #[snafu(display("too many mismatched answers"))]
+    TooManyMismatched,
 }
 
 /// Why no answer can be read on a connection.
@@ -123,15 +123,15 @@
     },
     /// The answer belongs to no known request.
     #[snafu(display("{source}"), context(false))]
-    Unmatched {
+    Unidentified {
         /// What the answer lacks.
-        source: UnmatchedAnswer,
+        source: UnidentifiedAnswer,
     },
 }
 
-/// A surplus answer that was skipped: all that remains of it, for logs.
+/// A mismatched answer that was skipped: all that remains of it, for logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SurplusAnswer {
+pub struct MismatchedAnswer {
     /// The ID of the request that it answers.
     pub request: String,
     /// Its status code.
@@ -183,14 +183,14 @@
 /// Reads a connection to a server up to the end of the answer to one request.
 pub struct MatchingReader {
     expected: ExpectedAnswer,
-    /// Reads the current answer: the request's own one or a surplus one.
+    /// Reads the current answer: the request's own one or a mismatched one.
     reader: AnswerReader,
     /// The owner of the current answer, once its head was read.
     owner: Option<Owner>,
-    surplus_answers: usize,
-    surplus_bytes: usize,
-    /// The surplus answers that were not logged yet.
-    skipped: Vec<SurplusAnswer>,
+    mismatched_answers: usize,
+    mismatched_bytes: usize,
+    /// The mismatched answers that were not logged yet.
+    skipped: Vec<MismatchedAnswer>,
 }
 
 impl MatchingReader {
@@ -200,13 +200,13 @@
             expected,
             reader: AnswerReader::new(false),
             owner: None,
-            surplus_answers: 0,
-            surplus_bytes: 0,
+            mismatched_answers: 0,
+            mismatched_bytes: 0,
             skipped: Vec::new(),
         }
     }
 
-    /// Reads the available bytes from `input`, past surplus answers; returns whether the request's
+    /// Reads the available bytes from `input`, past mismatched answers; returns whether the request's
     /// own answer is complete.
     ///
     /// # Errors
@@ -232,7 +232,7 @@
     }
 
     /// Determines the owner of the current answer if its head was read.
-    fn identify(&mut self) -> Result<(), UnmatchedAnswer> {
+    fn identify(&mut self) -> Result<(), UnidentifiedAnswer> {
         let Some(head) = self.reader.head() else {
             return Ok(());
         };
@@ -241,19 +241,19 @@
         if owner == Owner::WaitingRequest {
             return Ok(());
         }
-        self.skipped.push(self.expected.surplus(head));
-        self.surplus_answers += 1;
-        if self.surplus_answers > MAX_SURPLUS_ANSWERS {
-            return Err(UnmatchedAnswer::TooManySurplus);
+        self.skipped.push(self.expected.mismatched(head));
+        self.mismatched_answers += 1;
+        if self.mismatched_answers > MAX_MISMATCHED_ANSWERS {
+            return Err(UnidentifiedAnswer::TooManyMismatched);
         }
         Ok(())
     }
 
-    /// Drops the bytes that have arrived of a surplus answer's body.
-    fn skip_body(&mut self) -> Result<(), UnmatchedAnswer> {
-        self.surplus_bytes += self.reader.take_body().len();
-        if self.surplus_bytes > MAX_SURPLUS_BYTES {
-            return Err(UnmatchedAnswer::TooManySurplus);
+    /// Drops the bytes that have arrived of a mismatched answer's body.
+    fn skip_body(&mut self) -> Result<(), UnidentifiedAnswer> {
+        self.mismatched_bytes += self.reader.take_body().len();
+        if self.mismatched_bytes > MAX_MISMATCHED_BYTES {
+            return Err(UnidentifiedAnswer::TooManyMismatched);
         }
         Ok(())
     }
@@ -275,18 +275,18 @@
 
     /// Returns the request's own answer, which the caller knows to be complete; `None` without one.
     /// `is_all_read` states that no bytes followed it. The connection cannot be reused otherwise,
-    /// nor after a surplus answer.
+    /// nor after a mismatched answer.
     pub fn into_answer(self, is_all_read: bool) -> Option<MatchedAnswer> {
         if self.owner != Some(Owner::WaitingRequest) {
             return None;
         }
-        let is_reusable = is_all_read && self.surplus_answers == 0;
+        let is_reusable = is_all_read && self.mismatched_answers == 0;
         let answer = self.reader.into_answer(is_reusable)?;
         Some(MatchedAnswer { answer })
     }
 
-    /// Removes and returns the surplus answers that were skipped since the last call.
-    pub fn take_skipped(&mut self) -> Vec<SurplusAnswer> {
+    /// Removes and returns the mismatched answers that were skipped since the last call.
+    pub fn take_skipped(&mut self) -> Vec<MismatchedAnswer> {
         std::mem::take(&mut self.skipped)
     }
 }
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -280,12 +280,7 @@
             connection, end, ..
         } = lost;
         environment.servers.balancer.ended(&lost.instance);
-        let verdict = match end {
-            ConnectionEnd::Lost | ConnectionEnd::TimedOut | ConnectionEnd::Unmatched => {
-                Verdict::MayHaveRun
-            }
-            ConnectionEnd::ConnectFailed | ConnectionEnd::Refused => Verdict::NotRun,
-        };
+        let verdict = end.verdict();
         if *end == ConnectionEnd::Lost {
             let exchange = self.all.get(&id);
             request_suspicion::connection_lost(environment, exchange, lost);
@@ -293,11 +288,10 @@
         let exchange = self.all.get_mut(&id)?;
         let attempt = exchange.take_attempt(*connection)?;
         trials::ended(environment, exchange, end_without_answer(verdict));
-        let is_unmatched = *end == ConnectionEnd::Unmatched;
-        if is_unmatched {
+        if *end == ConnectionEnd::Unidentified {
             request_suspicion::attempt_closed(environment, exchange, &attempt);
         }
-        let failure = AttemptFailure::new(verdict, !is_unmatched, end.reason());
+        let failure = AttemptFailure::new(verdict, end.ejects_server(), end.reason());
         self.attempt_failed(environment, id, &attempt, failure)
     }
 
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -178,7 +178,7 @@
         let request = self.possible_cause(environment, id);
         match lost.end {
             ConnectionEnd::Lost => crash_reports::connection_lost(environment, lost, request),
-            ConnectionEnd::Unmatched => {
+            ConnectionEnd::Unidentified => {
                 crash_reports::attempt_closed(environment, &lost.instance, request, None);
             }
             ConnectionEnd::TimedOut | ConnectionEnd::ConnectFailed | ConnectionEnd::Refused => {}
@@ -190,7 +190,7 @@
             ConnectionEnd::Lost | ConnectionEnd::TimedOut => {
                 attempt.interrupt(BreakCause::Engine(request))
             }
-            ConnectionEnd::Unmatched => attempt.interrupt(BreakCause::Gateway),
+            ConnectionEnd::Unidentified => attempt.interrupt(BreakCause::Gateway),
             ConnectionEnd::ConnectFailed => ItemOutcome::NotRun(NotRunReason::Unreachable),
             ConnectionEnd::Refused => ItemOutcome::NotRun(NotRunReason::Ended),
         };
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -67,8 +67,8 @@
 mod view_source;
 
 pub use answer_matching::{
-    AnswerError, ExpectedAnswer, MAX_SURPLUS_ANSWERS, MAX_SURPLUS_BYTES, MatchedAnswer,
-    MatchedPart, MatchingReader, SurplusAnswer, UnmatchedAnswer,
+    AnswerError, ExpectedAnswer, MAX_MISMATCHED_ANSWERS, MAX_MISMATCHED_BYTES, MatchedAnswer,
+    MatchedPart, MatchingReader, MismatchedAnswer, UnidentifiedAnswer,
 };
 pub use answers::{AnswerFacts, AnswerKind, classify_answer, is_internal_error};
 pub use attempt_timeouts::{
--- a/crates/gateways/wingshore-gateway/src/metrics.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics.rs
@@ -2,8 +2,10 @@
 //!
 //! Counters are kept here; gauges are set from [`Readings`] at each scrape.
 
-use crate::answer_matching::UnmatchedAnswer;
-use prometheus_client::encoding::EncodeLabelSet;
+mod labels;
+
+use labels::{AnswerLabel, CallLabels, KindLabel, OutcomeLabel, RequestLabels, RouteLabel};
+pub(crate) use labels::{SecondAttemptOutcome, UnmatchedKind};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::{Family, MetricConstructor};
@@ -23,96 +25,6 @@
 /// Value of the age of the list of gateways where there is none.
 const NO_LIST: i64 = -1;
 
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct RequestLabels {
-    route: String,
-    outcome: &'static str,
-}
-
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct RouteLabel {
-    route: String,
-}
-
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct OutcomeLabel {
-    outcome: &'static str,
-}
-
-/// What became of a second attempt at a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SecondAttemptOutcome {
-    /// It was sent to a server.
-    Started,
-    /// It yielded the answer.
-    Won,
-    /// It was due, but the budget did not allow it.
-    OverBudget,
-}
-
-impl SecondAttemptOutcome {
-    const ALL: [Self; 3] = [Self::Started, Self::Won, Self::OverBudget];
-
-    fn label(self) -> OutcomeLabel {
-        let outcome = match self {
-            Self::Started => "started",
-            Self::Won => "won",
-            Self::OverBudget => "over_budget",
-        };
-        OutcomeLabel { outcome }
-    }
-}
-
-/// How an answer arrived that does not belong to the request that waits on its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum UnmatchedKind {
-    /// It carries the ID of another request, and was skipped.
-    Surplus,
-    /// It belongs to no known request, so that the connection was closed.
-    Unidentified(UnmatchedAnswer),
-    /// No request waits on the connection, which was closed.
-    Idle,
-}
-
-impl UnmatchedKind {
-    const ALL: [Self; 6] = [
-        Self::Surplus,
-        Self::Unidentified(UnmatchedAnswer::WithoutId),
-        Self::Unidentified(UnmatchedAnswer::SeveralIds),
-        Self::Unidentified(UnmatchedAnswer::Unsigned),
-        Self::Unidentified(UnmatchedAnswer::TooManySurplus),
-        Self::Idle,
-    ];
-
-    fn label(self) -> KindLabel {
-        let kind = match self {
-            Self::Surplus => "surplus",
-            Self::Unidentified(UnmatchedAnswer::WithoutId) => "without_id",
-            Self::Unidentified(UnmatchedAnswer::SeveralIds) => "several_ids",
-            Self::Unidentified(UnmatchedAnswer::Unsigned) => "unsigned",
-            Self::Unidentified(UnmatchedAnswer::TooManySurplus) => "too_many_surplus",
-            Self::Idle => "idle",
-        };
-        KindLabel { kind }
-    }
-}
-
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct KindLabel {
-    kind: &'static str,
-}
-
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct CallLabels {
-    call: &'static str,
-    outcome: &'static str,
-}
-
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct AnswerLabel {
-    answer: &'static str,
-}
-
 #[derive(Clone)]
 struct DurationBuckets;
 
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -106,9 +106,9 @@
             Err(AnswerError::Malformed { .. }) => {
                 self.upstream_ended(connection, ConnectionEnd::Lost);
             }
-            Err(AnswerError::Unmatched { source }) => {
+            Err(AnswerError::Unidentified { source }) => {
                 unmatched::log_unmatched(&self.environment, connection, source);
-                self.upstream_ended(connection, ConnectionEnd::Unmatched);
+                self.upstream_ended(connection, ConnectionEnd::Unidentified);
             }
         }
     }
--- a/crates/gateways/wingshore-gateway/src/unmatched.rs
+++ b/crates/gateways/wingshore-gateway/src/unmatched.rs
@@ -1,22 +1,22 @@
 //! Logs and counts of answers that do not belong to the request that waits on a connection.
 
-use crate::answer_matching::{SurplusAnswer, UnmatchedAnswer};
+use crate::answer_matching::{MismatchedAnswer, UnidentifiedAnswer};
 use crate::environment::Environment;
 use crate::metrics::UnmatchedKind;
 use slog::info;
 use wingshore_net::ConnectionId;
 
-/// Logs and counts surplus answers that were skipped on a connection: the request that waits there
+/// Logs and counts mismatched answers that were skipped on a connection: the request that waits there
 /// still expects its own answer.
 pub(crate) fn log_skipped(
     environment: &Environment,
     connection: ConnectionId,
-    skipped: &[SurplusAnswer],
+    skipped: &[MismatchedAnswer],
 ) {
     let runtime = &environment.runtime;
     for answer in skipped {
-        runtime.metrics.unmatched_answer(UnmatchedKind::Surplus);
-        info!(runtime.logger, "surplus answer skipped"; "request" => &answer.request,
+        runtime.metrics.unmatched_answer(UnmatchedKind::Mismatched);
+        info!(runtime.logger, "mismatched answer skipped"; "request" => &answer.request,
             "status" => answer.status, "server" => server_text(environment, connection));
     }
 }
@@ -25,7 +25,7 @@
 pub(crate) fn log_unmatched(
     environment: &Environment,
     connection: ConnectionId,
-    reason: UnmatchedAnswer,
+    reason: UnidentifiedAnswer,
 ) {
     let runtime = &environment.runtime;
     let kind = UnmatchedKind::Unidentified(reason);
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -11,6 +11,7 @@
 use wingshore_net::http::AnswerHead;
 use wingshore_net::{ConnectOptions, ConnectionId};
 use wingshore_types::Instant;
+use wingshore_types::verdict::Verdict;
 
 /// A connection is closed when sent bytes stay unacknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
@@ -20,7 +21,7 @@
 /// does not race with the server's close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Number of requests that a connection remembers. A surplus answer takes the place of the next one
+/// Number of requests that a connection remembers. A repeated answer takes the place of the next one
 /// as a rule; the margin covers some that come later.
 const MAX_REMEMBERED_REQUESTS: usize = 16;
 
@@ -45,7 +46,7 @@
     /// It was refused because nothing listens at the address: the server process has ended.
     Refused,
     /// The gateway closed it because an answer arrived on it that belongs to no known request.
-    Unmatched,
+    Unidentified,
 }
 
 impl ConnectionEnd {
@@ -56,9 +57,22 @@
             Self::TimedOut => "too slow",
             Self::ConnectFailed => "no connection",
             Self::Refused => "connection refused",
-            Self::Unmatched => "not the answer",
+            Self::Unidentified => "not the answer",
         }
     }
+
+    /// Returns whether a request sent on the connection may have run.
+    pub(crate) fn verdict(self) -> Verdict {
+        match self {
+            Self::Lost | Self::TimedOut | Self::Unidentified => Verdict::MayHaveRun,
+            Self::ConnectFailed | Self::Refused => Verdict::NotRun,
+        }
+    }
+
+    /// Whether the server is ejected from load balancing for a while.
+    pub(crate) fn ejects_server(self) -> bool {
+        self != Self::Unidentified
+    }
 }
 
 /// A request whose connection ended without a complete answer.
--- a/crates/gateways/wingshore-gateway/tests/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/tests/answer_matching.rs
@@ -4,8 +4,8 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use wingshore_gateway::{
-    AnswerError, ExpectedAnswer, HeaderNames, MAX_SURPLUS_ANSWERS, MAX_SURPLUS_BYTES,
-    MatchedAnswer, MatchingReader, SurplusAnswer, UnmatchedAnswer,
+    AnswerError, ExpectedAnswer, HeaderNames, MAX_MISMATCHED_ANSWERS, MAX_MISMATCHED_BYTES,
+    MatchedAnswer, MatchingReader, MismatchedAnswer, UnidentifiedAnswer,
 };
 use wingshore_net::http::BodyStatus;
 
@@ -92,10 +92,13 @@
         let alone = read_whole(&answer_to_own);
         expect_that!(alone.body(), eq(b"own"));
         expect_that!(alone.is_connection_reusable(), eq(true));
-        for surplus in STATUSES {
-            for surplus in [answer(surplus, OTHER, "x"), chunked(surplus, OTHER, "x")] {
-                let behind = read_whole(&format!("{surplus}{answer_to_own}"));
-                expect_that!(behind.head(), eq(alone.head()), "{surplus} {own}");
+        for mismatched in STATUSES {
+            for mismatched in [
+                answer(mismatched, OTHER, "x"),
+                chunked(mismatched, OTHER, "x"),
+            ] {
+                let behind = read_whole(&format!("{mismatched}{answer_to_own}"));
+                expect_that!(behind.head(), eq(alone.head()), "{mismatched} {own}");
                 expect_that!(behind.body(), eq(b"own"));
                 expect_that!(behind.is_connection_reusable(), eq(false));
             }
@@ -104,15 +107,15 @@
 }
 
 #[gtest]
-fn nothing_of_a_surplus_answer_is_handed_out() {
+fn nothing_of_a_mismatched_answer_is_handed_out() {
     for status in STATUSES {
         let mut reader = reader();
-        let surplus = answer(status, OTHER, "surplus");
-        let status_after = read_pieces(&mut reader, &[surplus.as_bytes()]);
+        let mismatched = answer(status, OTHER, "mismatched");
+        let status_after = read_pieces(&mut reader, &[mismatched.as_bytes()]);
         expect_that!(status_after, eq(&Ok(BodyStatus::Partial)));
         expect_that!(reader.matched_part().is_none(), eq(true));
         expect_that!(reader.is_whole_at_close(), eq(false));
-        let skipped = SurplusAnswer {
+        let skipped = MismatchedAnswer {
             request: OTHER.to_owned(),
             status: status[..3].parse().unwrap(),
         };
@@ -122,13 +125,13 @@
     }
 }
 
-/// A surplus answer without a length lasts until the connection ends: the own answer is lost.
+/// A mismatched answer without a length lasts until the connection ends: the own answer is lost.
 #[gtest]
-fn a_surplus_answer_that_ends_with_the_connection_never_completes_the_request() {
-    let surplus = format!("HTTP/1.1 200 OK\r\nSignature: s\r\nId: {OTHER}\r\n\r\nbody");
+fn a_mismatched_answer_that_ends_with_the_connection_never_completes_the_request() {
+    let mismatched = format!("HTTP/1.1 200 OK\r\nSignature: s\r\nId: {OTHER}\r\n\r\nbody");
     let own = answer("200 OK\r\nSignature: s", OWN, "own");
     let mut reader = reader();
-    let status = read_pieces(&mut reader, &[surplus.as_bytes(), own.as_bytes()]);
+    let status = read_pieces(&mut reader, &[mismatched.as_bytes(), own.as_bytes()]);
     expect_that!(status, eq(&Ok(BodyStatus::Partial)));
     expect_that!(reader.is_whole_at_close(), eq(false));
     expect_that!(reader.into_answer(true), none());
@@ -139,20 +142,20 @@
     let table = [
         (
             "HTTP/1.1 503 -\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            UnmatchedAnswer::WithoutId,
+            UnidentifiedAnswer::WithoutId,
         ),
         (
             "HTTP/1.1 421 -\r\nContent-Length: 0\r\n\r\n".to_owned(),
-            UnmatchedAnswer::WithoutId,
+            UnidentifiedAnswer::WithoutId,
         ),
         (
             format!("HTTP/1.1 503 -\r\nId: {OTHER}\r\nId: {OWN}\r\nContent-Length: 0\r\n\r\n"),
-            UnmatchedAnswer::SeveralIds,
+            UnidentifiedAnswer::SeveralIds,
         ),
-        (answer("200 OK", OWN, ""), UnmatchedAnswer::Unsigned),
+        (answer("200 OK", OWN, ""), UnidentifiedAnswer::Unsigned),
     ];
     for (bytes, source) in table {
-        let error = AnswerError::Unmatched { source };
+        let error = AnswerError::Unidentified { source };
         expect_that!(error_of(&bytes), eq(&Err(error.clone())), "{bytes}");
         let behind = format!("{}{bytes}", answer("200 OK\r\nSignature: s", OTHER, "x"));
         expect_that!(error_of(&behind), eq(&Err(error)), "{behind}");
@@ -164,19 +167,22 @@
 }
 
 #[gtest]
-fn surplus_answers_are_skipped_up_to_a_bound() {
+fn mismatched_answers_are_skipped_up_to_a_bound() {
     let own = answer("200 OK\r\nSignature: s", OWN, "own");
-    let surplus = answer("503 -\r\nNot-Run: 1", OTHER, "");
-    let behind = |count: usize| format!("{}{own}", surplus.repeat(count));
-    expect_that!(read_whole(&behind(MAX_SURPLUS_ANSWERS)).body(), eq(b"own"));
-    let too_many = AnswerError::Unmatched {
-        source: UnmatchedAnswer::TooManySurplus,
+    let mismatched = answer("503 -\r\nNot-Run: 1", OTHER, "");
+    let behind = |count: usize| format!("{}{own}", mismatched.repeat(count));
+    expect_that!(
+        read_whole(&behind(MAX_MISMATCHED_ANSWERS)).body(),
+        eq(b"own")
+    );
+    let too_many = AnswerError::Unidentified {
+        source: UnidentifiedAnswer::TooManyMismatched,
     };
     expect_that!(
-        error_of(&behind(MAX_SURPLUS_ANSWERS + 1)),
+        error_of(&behind(MAX_MISMATCHED_ANSWERS + 1)),
         eq(&Err(too_many.clone()))
     );
-    let long = "x".repeat(MAX_SURPLUS_BYTES);
+    let long = "x".repeat(MAX_MISMATCHED_BYTES);
     let status = "200 OK\r\nSignature: s";
     let longest = format!("{}{own}", answer(status, OTHER, &long));
     expect_that!(read_whole(&longest).body(), eq(b"own"));
@@ -185,11 +191,11 @@
 }
 
 proptest! {
-    /// Guards against a reader that takes bytes of a surplus answer for those of the own one when
+    /// Guards against a reader that takes bytes of a mismatched answer for those of the own one when
     /// they arrive in one read, or an answer in several.
     #[test]
     fn the_own_answer_is_the_same_however_its_bytes_and_those_before_it_arrive(
-        surplus in proptest::collection::vec((0..STATUSES.len(), any::<bool>(), "[a-z]{0,20}"), 0..4),
+        mismatched in proptest::collection::vec((0..STATUSES.len(), any::<bool>(), "[a-z]{0,20}"), 0..4),
         own in 0..STATUSES.len(),
         is_chunked in any::<bool>(),
         body in "[a-z\n]{0,40}",
@@ -203,7 +209,7 @@
             }
         };
         let mut bytes = String::new();
-        for (status, is_chunked, body) in &surplus {
+        for (status, is_chunked, body) in &mismatched {
             bytes.push_str(&encode(*is_chunked, STATUSES[*status], OTHER, body));
         }
         bytes.push_str(&encode(is_chunked, STATUSES[own], OWN, &body));
@@ -229,11 +235,11 @@
         prop_assert_eq!(last, BodyStatus::Whole);
         prop_assert_eq!(taken, body.into_bytes());
         let skipped = reader.take_skipped();
-        prop_assert_eq!(skipped.len(), surplus.len());
+        prop_assert_eq!(skipped.len(), mismatched.len());
         let answer = reader.into_answer(true).unwrap();
         let status: u16 = STATUSES[own][..3].parse().unwrap();
         prop_assert_eq!(answer.head().status, status);
-        prop_assert_eq!(answer.is_connection_reusable(), surplus.is_empty());
+        prop_assert_eq!(answer.is_connection_reusable(), mismatched.is_empty());
     }
 }
 
--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -3,11 +3,11 @@
 //! contract of a release and must not change with the layout of the code.
 
 mod bytes {
+    mod mismatched_answers;
     mod planned_stop;
     pub mod protocol;
     mod second_attempts;
     pub mod site;
-    mod surplus;
     pub mod view;
 }
 use bytes::{protocol, site};
--- a/crates/gateways/wingshore-gateway/tests/bytes/surplus.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
@@ -1,5 +1,5 @@
-//! Surplus answers, over bytes: a server sends an answer once more, in the place where the answer to
-//! the next request on the connection is due. The gateway runs inside the test, which plays the
+//! Answers with the ID of another request, over bytes: a server sends an answer once more, in the place
+//! where the answer to the next request on the connection is due. The gateway runs inside the test, which plays the
 //! servers.
 
 use crate::bytes::second_attempts::view_of_pair;
@@ -30,14 +30,14 @@
     "421 -\r\nNot-Run: 1",
 ];
 
-/// How the bytes of a surplus answer and of the request's own one arrive.
+/// How the bytes of a mismatched answer and of the request's own one arrive.
 #[derive(Clone, Copy, Debug)]
 enum Arrival {
     /// Both at once.
     Together,
-    /// The surplus answer first.
+    /// The mismatched answer first.
     Apart,
-    /// The surplus answer in two parts, the second together with the own answer.
+    /// The mismatched answer in two parts, the second together with the own answer.
     Split,
 }
 
@@ -48,14 +48,14 @@
     format!("HTTP/1.1 {status}\r\nId: {id}\r\nContent-Length: 5\r\n\r\nbytes")
 }
 
-/// Sends a surplus answer, and behind it the own answer of the request that waits.
-fn send_both(server: &mut TcpStream, arrival: Arrival, surplus: &str, own: &str) {
+/// Sends a mismatched answer, and behind it the own answer of the request that waits.
+fn send_both(server: &mut TcpStream, arrival: Arrival, mismatched: &str, own: &str) {
     let (first, second) = match arrival {
-        Arrival::Together => (0, surplus),
-        Arrival::Apart => (surplus.len(), ""),
-        Arrival::Split => (surplus.len() / 2, &surplus[surplus.len() / 2..]),
+        Arrival::Together => (0, mismatched),
+        Arrival::Apart => (mismatched.len(), ""),
+        Arrival::Split => (mismatched.len() / 2, &mismatched[mismatched.len() / 2..]),
     };
-    server.write_all(&surplus.as_bytes()[..first]).unwrap();
+    server.write_all(&mismatched.as_bytes()[..first]).unwrap();
     thread::sleep(PAUSE);
     server
         .write_all(format!("{second}{own}").as_bytes())
@@ -92,11 +92,11 @@
     STATUSES.into_iter().flat_map(ways)
 }
 
-/// Guards against an item that ends as its predecessor on the connection did: a surplus 422 let an
+/// Guards against an item that ends as its predecessor on the connection did: a mismatched 422 let an
 /// item be abandoned that no engine had refused, a 500 counted as its failure, and a refusal let it
 /// run at a second engine.
 #[gtest]
-fn an_item_never_ends_with_the_surplus_answer_to_another_item() {
+fn an_item_never_ends_with_the_answer_to_another_item() {
     let (server, engine) = (Server::start(), Server::start());
     let site = Site::with_view(view(server.address(), Vec::new()));
     for (number, (status, arrival)) in (1..).step_by(2).zip(all_cases()) {
@@ -129,7 +129,7 @@
     }
 }
 
-/// Guards against an item that ends with the surplus answer to its own earlier attempt: the item runs
+/// Guards against an item that ends with the repeated answer to its own earlier attempt: the item runs
 /// again on the same engine, and the answer that comes once more carries its ID.
 #[gtest]
 fn an_item_that_runs_again_on_an_engine_gets_another_connection() {
@@ -174,7 +174,7 @@
 
 /// Guards against a request that is answered by what its server sent to another one.
 #[gtest]
-fn a_request_never_ends_with_the_surplus_answer_to_another_request() {
+fn a_request_never_ends_with_the_answer_to_another_request() {
     let server = Server::start();
     let site = Site::with_view(view(server.address(), Vec::new()));
     let mut client = site.client();
@@ -198,10 +198,10 @@
     }
 }
 
-/// Guards against a request that runs twice: a surplus refusal was taken for the word of the server
+/// Guards against a request that runs twice: a mismatched refusal was taken for the word of the server
 /// that it had not run the request, which then ran at a second server too.
 #[gtest]
-fn a_request_that_runs_behind_a_surplus_refusal_goes_to_no_other_server() {
+fn a_request_that_runs_behind_a_mismatched_refusal_goes_to_no_other_server() {
     for refusal in ["503 -\r\nNot-Run: 1", "421 -\r\nNot-Run: 1", "421 -"] {
         for arrival in ARRIVALS {
             let (first, second) = (Server::start(), Server::start());
@@ -215,9 +215,9 @@
             ask(&mut client, "/once/x", "r-1");
             let request = read_message(&mut upstream);
             expect_that!(request, contains_substring("\r\nId: r-1\r\n"));
-            let surplus = answer(refusal, "r-0");
+            let mismatched = answer(refusal, "r-0");
             let own = answer("200 OK\r\nSignature: s", "r-1");
-            send_both(&mut upstream, arrival, &surplus, &own);
+            send_both(&mut upstream, arrival, &mismatched, &own);
             thread::sleep(PAUSE);
             let context = format!("{refusal:?} {arrival:?}");
             expect_that!(second.has_connection(), eq(false), "{context}");
@@ -312,23 +312,23 @@
     }
 }
 
-/// Guards against a stream that ends as complete before its last event: the end of a surplus answer
+/// Guards against a stream that ends as complete before its last event: the end of a mismatched answer
 /// was taken for the end of a stream that waited for the answer of its resumed attempt.
 #[gtest]
-fn a_resumed_stream_never_ends_with_the_surplus_answer_to_another_request() {
+fn a_resumed_stream_never_ends_with_the_answer_to_another_request() {
     let whole_stream = format!("{}{}0\r\n\r\n", stream_head("s-0"), event_chunk(1));
     let refusal = answer("503 -\r\nNot-Run: 1", "s-0");
     let failure = answer("500 -", "s-0");
-    for surplus in [whole_stream, refusal, failure] {
+    for mismatched in [whole_stream, refusal, failure] {
         for arrival in ARRIVALS {
             let mut stream = ResumedStream::start();
             let own = format!("{}{}0\r\n\r\n", stream_head("s-1"), event_chunk(2));
-            send_both(&mut stream.resuming, arrival, &surplus, &own);
+            send_both(&mut stream.resuming, arrival, &mismatched, &own);
             let events = format!("{}{}", event_chunk(1), event_chunk(2));
             expect_that!(
                 read_message(&mut stream.client),
                 eq(&format!("{}{events}0\r\n\r\n", stream_head("s-1"))),
-                "{surplus} {arrival:?}"
+                "{mismatched} {arrival:?}"
             );
         }
     }
--- a/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
@@ -54,7 +54,7 @@
         // Innocent requests beside it are counted: see the table in the design note.
         return outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH;
     }
-    if scenario == Scenario::CrashingRequestBehindUnmatchedAnswers
+    if scenario == Scenario::CrashingRequestBehindUnidentifiedAnswers
         && outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH
     {
         return true;
@@ -106,7 +106,7 @@
 /// as not run, although its server went on with it and crashed.
 #[test]
 fn a_crashing_request_behind_unmatched_answers_runs_three_times_more_at_most() {
-    let (broken, sums) = run_all(Scenario::CrashingRequestBehindUnmatchedAnswers);
+    let (broken, sums) = run_all(Scenario::CrashingRequestBehindUnidentifiedAnswers);
     assert_eq!(broken, [0_u64; 0]);
     assert!(sums.ended > runs());
     assert!(sums.trials > 0);
--- a/crates/gateways/wingshore-gateway/tests/crash_simulation/world/scenario.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation/world/scenario.rs
@@ -11,7 +11,7 @@
     CrashingRequestOfLeavingClients,
     /// One crashing request; gateways close connections on which an answer of no known request
     /// arrives, while the servers go on. Suspects run on trial.
-    CrashingRequestBehindUnmatchedAnswers,
+    CrashingRequestBehindUnidentifiedAnswers,
 }
 
 impl Scenario {
@@ -20,7 +20,7 @@
             self,
             Self::OneCrashingRequest
                 | Self::CrashingRequestOfLeavingClients
-                | Self::CrashingRequestBehindUnmatchedAnswers
+                | Self::CrashingRequestBehindUnidentifiedAnswers
         )
     }
 
@@ -30,7 +30,7 @@
     }
 
     pub(super) fn has_unmatched_answers(self) -> bool {
-        self == Self::CrashingRequestBehindUnmatchedAnswers
+        self == Self::CrashingRequestBehindUnidentifiedAnswers
     }
 
     pub(super) fn has_leaving_clients(self) -> bool {
