gateway tests: a trial never ends as not run by a refusal that is not its own

The test's coordinator can speak the formats of this build. The sites of the test have addresses for twice as many of them: they had run out at 66.

--- a/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
@@ -2,7 +2,7 @@
 //! where the answer to the next request on the connection is due. The gateway runs inside the test, which plays the
 //! servers.
 
-use crate::bytes::second_attempts::view_of_pair;
+use crate::bytes::second_attempts::{view_of_pair, view_with_suspect};
 use crate::bytes::site::{Server, Site, read_message};
 use crate::bytes::view::{item, view};
 use googletest::prelude::*;
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use wingshore_coordination::{
     AssignmentId, CoordinatorMessage, GatewayMessage, IncomingFrame, ItemAssignment, ItemId,
-    ItemOutcome,
+    ItemOutcome, TrialAnswer, TrialEnd,
 };
 use wingshore_types::Epoch;
 
@@ -248,6 +248,64 @@
     }
 }
 
+/// Grants the trial that the gateway asks for next.
+fn grant_trial(site: &Site) {
+    let is_question = |frame: &IncomingFrame| {
+        matches!(
+            frame,
+            IncomingFrame::FromGateway(GatewayMessage::AskTrial(_))
+        )
+    };
+    let IncomingFrame::FromGateway(GatewayMessage::AskTrial(asked)) = site.expect(is_question)
+    else {
+        unreachable!("the frame is a question");
+    };
+    site.send(&CoordinatorMessage::Trial {
+        id: asked.id,
+        answer: TrialAnswer::Granted,
+    });
+}
+
+/// Waits for the end of a trial.
+fn trial_end(site: &Site) -> TrialEnd {
+    let is_end = |frame: &IncomingFrame| {
+        matches!(
+            frame,
+            IncomingFrame::FromGateway(GatewayMessage::TrialEnded { .. })
+        )
+    };
+    match site.expect(is_end) {
+        IncomingFrame::FromGateway(GatewayMessage::TrialEnded { end, .. }) => end,
+        _ => unreachable!("the frame is the end of a trial"),
+    }
+}
+
+/// Guards against a trial that ends as not run while its server runs the request, so that the leader
+/// grants the next one beside it: a refusal of another request was taken for its end. A refusal of no
+/// known request leaves the result unknown.
+#[gtest]
+fn a_trial_never_ends_as_not_run_by_a_refusal_that_is_not_its_own() {
+    let refusal = "503 -\r\nNot-Run: 1";
+    let anonymous = format!("HTTP/1.1 {refusal}\r\nContent-Length: 0\r\n\r\n");
+    let own = answer("200 OK\r\nSignature: s", "r-1");
+    let behind_other = format!("{}{own}", answer(refusal, "r-0"));
+    let table = [
+        (anonymous, TrialEnd::Unknown),
+        (behind_other, TrialEnd::Survived),
+        (answer(refusal, "r-1"), TrialEnd::NotRun),
+    ];
+    for (bytes, end) in table {
+        let (first, second) = (Server::start(), Server::start());
+        let site = Site::with_view_and_own_formats(view_with_suspect(&first, &second));
+        let mut client = site.client();
+        ask(&mut client, "/safe/x", "r-1");
+        grant_trial(&site);
+        let (mut upstream, _) = first.accept();
+        upstream.write_all(bytes.as_bytes()).unwrap();
+        expect_that!(trial_end(&site), eq(end), "{bytes}");
+    }
+}
+
 /// Head of an answer to a stream whose body follows in chunks.
 fn stream_head(id: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nId: {id}\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
--- a/crates/gateways/wingshore-gateway/tests/bytes/second_attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/second_attempts.rs
@@ -46,6 +46,27 @@
     update
 }
 
+/// Returns the view of [`view_of_pair`], in which the request for `/safe/x` is a suspect.
+pub(crate) fn view_with_suspect(first: &Server, second: &Server) -> ViewUpdate {
+    let mut update = view_of_pair(first, second);
+    let ViewContent::Whole(whole) = &mut update.content else {
+        panic!("the view is whole");
+    };
+    let content = RequestContent {
+        method: "GET",
+        host: "open.test",
+        target: "/safe/x",
+        caller: b"",
+        body: b"",
+    };
+    whole.suspects.push(Suspect {
+        fingerprint: content.fingerprint(FingerprintKey::new([1; 16])),
+        ended: Vec::new(),
+        rejected: false,
+    });
+    update
+}
+
 /// A gateway and its two servers; requests go to the first one first.
 struct Race {
     site: Site,
@@ -263,23 +284,7 @@
 #[gtest]
 fn a_request_suspected_of_crashing_servers_gets_no_second_attempt() {
     let (first, second) = (Server::start(), Server::start());
-    let mut update = view_of_pair(&first, &second);
-    let ViewContent::Whole(whole) = &mut update.content else {
-        panic!("the view is whole");
-    };
-    let content = RequestContent {
-        method: "GET",
-        host: "open.test",
-        target: "/safe/x",
-        caller: b"",
-        body: b"",
-    };
-    whole.suspects.push(Suspect {
-        fingerprint: content.fingerprint(FingerprintKey::new([1; 16])),
-        ended: Vec::new(),
-        rejected: false,
-    });
-    let site = Site::with_view(update);
+    let site = Site::with_view(view_with_suspect(&first, &second));
     let mut client = site.client();
     send_request(&mut client, "/safe/x", "r-1");
     let (mut upstream, _) = first.accept();
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -12,6 +12,7 @@
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use wingshore_coordination::{
     CoordinatorMessage, GatewayMessage, GatewayStatus, IncomingFrame, ViewUpdate, WallTime,
+    with_own_formats,
 };
 use wingshore_diagnostics::LogCounts;
 use wingshore_gateway::{Gateway, GatewayPolicy, GatewaySettings};
@@ -70,7 +71,7 @@
 /// Port of the readiness check at the site's unique address.
 const READY_PORT: u16 = 6201;
 /// Second octet of the first site's address.
-const FIRST_OCTET: u8 = 190;
+const FIRST_OCTET: u8 = 128;
 
 /// Returns a loopback address that no other site uses. Ports of a shared address that had been
 /// checked as free were sometimes taken by others before the gateway listened there: the gateway
@@ -107,6 +108,13 @@
     }
 
     fn start_with(stop_times: StopTimes, policy: GatewayPolicy) -> Self {
+        let site = Self::start_without_heartbeats(stop_times, policy);
+        site.send_heartbeats();
+        site
+    }
+
+    /// Starts the gateway and accepts its link to the coordinator, which sends nothing yet.
+    fn start_without_heartbeats(stop_times: StopTimes, policy: GatewayPolicy) -> Self {
         let listener = TcpListener::bind((LOOPBACK, 0)).unwrap();
         let host = unique_host();
         let front = SocketAddr::from((host, FRONT_PORT));
@@ -130,7 +138,7 @@
                 }
             }
         });
-        let site = Self {
+        Self {
             front,
             ready,
             coordinator: Arc::new(Mutex::new(stream)),
@@ -138,9 +146,7 @@
             log,
             stop,
             alive: Arc::new(AtomicBool::new(true)),
-        };
-        site.send_heartbeats();
-        site
+        }
     }
 
     /// Sends heartbeats, because the gateway disconnects silent coordinators.
@@ -148,13 +154,7 @@
         let (coordinator, alive) = (Arc::clone(&self.coordinator), Arc::clone(&self.alive));
         thread::spawn(move || {
             while alive.load(Ordering::Relaxed) {
-                let message = CoordinatorMessage::Alive {
-                    coordinators: Some(Vec::new()),
-                    zone: ZONE.to_owned(),
-                    copy: Some(LogIndex(1)),
-                    wall: WallTime(0),
-                };
-                let bytes = frame::encode(&message).unwrap();
+                let bytes = frame::encode(&heartbeat()).unwrap();
                 let _ = coordinator.lock().unwrap().write_all(&bytes);
                 thread::sleep(Duration::from_millis(100));
             }
@@ -176,6 +176,17 @@
         Self::start_with(StopTimes::default(), policy).lead(view)
     }
 
+    /// Like [`Site::with_view`], with a coordinator that speaks all formats of this build.
+    pub(crate) fn with_view_and_own_formats(view: ViewUpdate) -> Self {
+        let site = Self::start_without_heartbeats(StopTimes::default(), GatewayPolicy::default());
+        let first = frame::encode(&with_own_formats(&heartbeat())).unwrap();
+        let mut coordinator = site.coordinator.lock().unwrap();
+        coordinator.write_all(&first).unwrap();
+        drop(coordinator);
+        site.send_heartbeats();
+        site.lead(view)
+    }
+
     /// Lets the coordinator lead and send the gateway `view`.
     fn lead(self, view: ViewUpdate) -> Self {
         let site = self;
@@ -271,6 +282,16 @@
     }
 }
 
+/// Returns a heartbeat of the coordinator.
+fn heartbeat() -> CoordinatorMessage {
+    CoordinatorMessage::Alive {
+        coordinators: Some(Vec::new()),
+        zone: ZONE.to_owned(),
+        copy: Some(LogIndex(1)),
+        wall: WallTime(0),
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         self.stop();
