gateway: an answer of no known request to an item is a fault of its engine

What would be seen: an engine whose answers carry no request id gets the same item again at once, without a pause, as often as it answers.

Cause: the item ended as interrupted by the gateway, after which the leader neither waits nor leaves the engine out.

Change: it ends as interrupted by the engine, without a fingerprint: the engine is left out for a while, and the item is not suspected of a crash.

--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -190,7 +190,8 @@
             ConnectionEnd::Lost | ConnectionEnd::TimedOut => {
                 attempt.interrupt(BreakCause::Engine(request))
             }
-            ConnectionEnd::Unidentified => attempt.interrupt(BreakCause::Gateway),
+            // The engine gets a pause, but is not known to have crashed.
+            ConnectionEnd::Unidentified => attempt.interrupt(BreakCause::Engine(None)),
             ConnectionEnd::ConnectFailed => ItemOutcome::NotRun(NotRunReason::Unreachable),
             ConnectionEnd::Refused => ItemOutcome::NotRun(NotRunReason::Ended),
         };
--- a/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::Duration;
 use wingshore_coordination::{
-    AssignmentId, CoordinatorMessage, GatewayMessage, IncomingFrame, ItemAssignment, ItemId,
-    ItemOutcome, TrialAnswer, TrialEnd,
+    AssignmentId, BreakCause, CoordinatorMessage, GatewayMessage, IncomingFrame, ItemAssignment,
+    ItemId, ItemOutcome, TrialAnswer, TrialEnd,
 };
 use wingshore_types::Epoch;
 
@@ -129,6 +129,29 @@
     }
 }
 
+/// Guards against an item that is sent to the same engine again and again without a pause, where the
+/// engine's answers belong to no known request.
+#[gtest]
+fn an_answer_of_no_known_request_interrupts_an_item_by_a_fault_of_the_engine() {
+    let (server, engine) = (Server::start(), Server::start());
+    let site = Site::with_view(view(server.address(), Vec::new()));
+    for (number, status) in (1..).zip(STATUSES) {
+        let assignment = numbered_item(number, &engine);
+        site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
+        let (mut upstream, _) = engine.accept();
+        let anonymous = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        upstream.write_all(anonymous.as_bytes()).unwrap();
+        expect_that!(
+            item_outcome(&site, number),
+            matches_pattern!(ItemOutcome::Interrupted {
+                cause: eq(&BreakCause::Engine(None)),
+                ..
+            }),
+            "{status:?}"
+        );
+    }
+}
+
 /// Guards against an item that ends with the repeated answer to its own earlier attempt: the item runs
 /// again on the same engine, and the answer that comes once more carries its ID.
 #[gtest]
