Items and their scorings run whatever crashed under them

What callers saw: after a burst of crashes an item under which four engines had crashed was never placed again. Besides, two items under which two engines had crashed never shared an engine: with one engine left, one of them waited although it had room. A scoring was refused in the same way, and its text listed only when the evidence had expired.

Cause: an item's crashes have the consequences of a live request's. An item is never what crashes servers, in the users' words, and is owed.

Change: gateways refuse no item and no scoring for crashes, and ask for no trial of a scoring. The leader places items without regard to the crashes under others on the engine; a pause of 450 ms after repeated crashes stays. Gateways of an earlier build still refuse such items: the leader sends the item through a gateway that has refused none, if there is one. 'item ended' names the fingerprint where an engine broke off, so that it can be joined to the lines about the crash.

Tests, which failed before: the gateway opened no connection for the item, nor for the scoring (bytes/crashed_items); items waited beside an engine with room, and one went to no other gateway (coordination/tests/crashed_items, three tests, one of them drawn runs of crashes, starts and changes of leaders). suspected_items_run_on_different_ engines is replaced: it protected items from being rejected together, which cannot happen any more; the new check is that they share the only engine with room.

--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -3,6 +3,7 @@
 use super::decision_log::Decision;
 use super::decisions::ejection::eject_until;
 use super::decisions::expiry::is_silent;
+use super::decisions::gateway_choice::takes_refused_items;
 use super::decisions::item_outcome::{
     EngineAction, ItemHistory, NextStep, PartialText, Retry, next_step,
 };
@@ -12,7 +13,7 @@
 use super::turn::Turn;
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey};
-use crate::messages::{BreakCause, CoordinatorMessage, ItemOutcome, RunningItem};
+use crate::messages::{CoordinatorMessage, ItemOutcome, NotRunReason, RunningItem};
 use crate::state::{Command, CoordinationState};
 use crate::text::{FinishedText, ItemText};
 use wingshore_types::Instant;
@@ -134,6 +135,9 @@
             return self.on_unknown_attempt_ended(finished, item, outcome, turn);
         };
         self.count_attempt_end(turn.now, &attempt);
+        if matches!(outcome, ItemOutcome::NotRun(NotRunReason::Rejected)) {
+            self.record_refusal(gateway, &attempt.item);
+        }
         match self.history_of(&attempt.item, &outcome, turn.state) {
             Some(history) => self.attempt_ended(finished, &attempt, outcome, history, turn),
             None => self.release_attempt_and_scoring(gateway, assignment, turn),
@@ -141,6 +145,15 @@
         self.place_items(turn);
     }
 
+    /// Records that a gateway of an earlier build has refused an item because servers had crashed
+    /// under it.
+    fn record_refusal(&mut self, gateway: GatewayId, item: &ItemKey) {
+        self.gateways.record_refusal_of_crashed_item(gateway);
+        if let Some(open_item) = self.items.open_item_mut(item) {
+            open_item.is_refused_as_crashed = true;
+        }
+    }
+
     /// Collects the data by which the outcome of an attempt is judged; `None` if the item is not
     /// open or already has a result.
     fn history_of(
@@ -157,18 +170,15 @@
             ItemOutcome::Finished(text) => is_too_old(text, item, state),
             _ => false,
         };
-        let is_crash_suspected = match outcome {
-            ItemOutcome::Interrupted {
-                cause: BreakCause::Engine(Some(request)),
-                ..
-            } => self.has_crashed_servers(*request, state),
-            _ => false,
-        };
+        let request = outcome.possible_cause();
+        let has_crashed_servers =
+            request.is_some_and(|request| self.has_crashed_servers(request, state));
         Some(ItemHistory {
             is_too_old,
             failures: open_item.failures,
             max_failures: self.max_failures(item, state),
-            is_crash_suspected,
+            has_crashed_servers,
+            may_go_to_other_gateway: takes_refused_items(&self.gateways),
         })
     }
 
@@ -233,11 +243,8 @@
             open_item.failures += u32::from(retry.is_failure);
             match (retry.partial_text, outcome) {
                 (PartialText::Drop, _) => open_item.partial_text = ItemText::default(),
-                (PartialText::Replace, ItemOutcome::Interrupted { text, cause }) => {
+                (PartialText::Replace, ItemOutcome::Interrupted { text, .. }) => {
                     open_item.partial_text = text;
-                    if let BreakCause::Engine(Some(request)) = cause {
-                        open_item.request = Some(request);
-                    }
                 }
                 _ => {}
             }
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/crash_evidence.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/crash_evidence.rs
@@ -347,9 +347,3 @@
         .collect()
     }
 }
-
-/// Returns whether an item with so many crashes is suspected to be their cause. No two suspected
-/// items run on the same engine, so that the next crash identifies one of them.
-pub(crate) fn is_suspect(ended_under: usize) -> bool {
-    ended_under >= REPORTING_THRESHOLD
-}
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
@@ -2,17 +2,20 @@
 //!
 //! Inputs: for each gateway whether it has reported what it runs, whether it takes items, its zone,
 //! and the number of items or scorings that this leader has assigned to it; the engine's zone and
-//! the gateway that ran its last item; the slots of a scoring service's servers in each zone.
+//! the gateway that ran its last item; the slots of a scoring service's servers in each zone;
+//! whether a gateway has refused the item, and which gateways refuse such items.
 //!
 //! Rule: an item goes through the gateway that ran the engine's last item, if that gateway takes
 //! more. Otherwise it goes through the gateway with the fewest items, where gateways of other zones
-//! count [`OTHER_ZONE_PENALTY`] more. A scoring goes to the zone
+//! count [`OTHER_ZONE_PENALTY`] more. An item that a gateway has refused because servers had crashed
+//! under it goes through a gateway that has refused none, if there is one. A scoring goes to the zone
 //! with the fewest scorings per slot of its servers, and there to the first gateway with fewer than
 //! [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. No gateway gets more than
 //! [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
 //!
 //! Rationale: gateways keep their connections to engines open. A new connection costs time, and
-//! servers limit their number. Scorings run through few gateways near their servers, which keep
+//! servers limit their number. Gateways of earlier builds refuse items under which servers crashed,
+//! and the item is owed nevertheless. Scorings run through few gateways near their servers, which keep
 //! those connections in use.
 //!
 //! Stale or missing inputs: a gateway gets nothing before it has reported what it runs. A gateway
@@ -42,15 +45,39 @@
 }
 
 /// Returns the gateway through which an item runs on `engine`; `None` if no gateway takes it now.
-pub(crate) fn gateway_for_item(gateways: &Gateways, engine: Option<&Engine>) -> Option<GatewayId> {
+/// `was_refused` states that a gateway has refused the item because servers had crashed under it.
+pub(crate) fn gateway_for_item(
+    gateways: &Gateways,
+    engine: Option<&Engine>,
+    was_refused: bool,
+) -> Option<GatewayId> {
+    let takes_refused = |gateway: &Gateway| takes_more(gateway) && !gateway.refuses_crashed_items;
+    let chosen = was_refused.then(|| best_gateway(gateways, engine, takes_refused));
+    chosen
+        .flatten()
+        .or_else(|| best_gateway(gateways, engine, takes_more))
+}
+
+/// Returns whether a gateway may take an item that another one has refused because servers had
+/// crashed under it.
+pub(crate) fn takes_refused_items(gateways: &Gateways) -> bool {
+    let mut all = gateways.iter();
+    all.any(|(_, gateway)| is_eligible(gateway) && !gateway.refuses_crashed_items)
+}
+
+fn best_gateway(
+    gateways: &Gateways,
+    engine: Option<&Engine>,
+    takes_item: impl Fn(&Gateway) -> bool,
+) -> Option<GatewayId> {
     let connected = engine.and_then(|engine| engine.gateway);
-    if let Some(connected) = connected.filter(|id| gateways.get(*id).is_some_and(takes_more)) {
+    if let Some(connected) = connected.filter(|id| gateways.get(*id).is_some_and(&takes_item)) {
         return Some(connected);
     }
     let zone = engine.map(|engine| engine.record.zone.as_str());
     gateways
         .iter()
-        .filter(|(_, gateway)| takes_more(gateway))
+        .filter(|(_, gateway)| takes_item(gateway))
         .min_by_key(|(_, gateway)| {
             let is_near = zone == Some(gateway.zone.as_str());
             gateway.running + if is_near { 0 } else { OTHER_ZONE_PENALTY }
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/item_outcome.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/item_outcome.rs
@@ -3,12 +3,13 @@
 //!
 //! Inputs: the outcome that the gateway reports; whether the text is older than the job allows; the
 //! number of attempts that engines ran and failed, and the limit of the route; whether servers have
-//! crashed under the item's request.
+//! crashed under the item before; whether another gateway may take an item that one has refused.
 //!
 //! Rule: see [`next_step`]. A complete text is accepted. An attempt that was not run or was
 //! interrupted is retried, continuing the events received so far. An attempt that an engine ran and
 //! failed is retried up to the limit of the route, after which the item is abandoned. An item that
-//! can never succeed is abandoned at once.
+//! can never succeed is abandoned at once. Servers that crash under an item delay its next attempt
+//! by a pause, however many they are: an item is never the cause, and is owed.
 //!
 //! Rationale: an item is abandoned only because of what engines report of it, or because its time
 //! in the queue is over ([`super::expiry`]); all other outcomes depend on where it was sent. An
@@ -22,13 +23,12 @@
 
 /// Time before an item that was not run is placed again.
 const NOT_RUN_BACKOFF: Duration = Duration::from_millis(30);
-/// Time before an item that was rejected because servers crashed under it is offered to a gateway
-/// again, in case its request was cleared meanwhile. Such an item is abandoned only by the limits
-/// of its route.
+/// Time before an item that every gateway refuses, because servers crashed under it, is offered to
+/// one again: only gateways of earlier builds refuse it, until its request is cleared.
 const REJECTED_BACKOFF: Duration = Duration::from_secs(2);
-/// Time before a suspected item is placed again. Its last crash is evaluated by then (300 ms after
-/// the report, at the next tick), before the item could crash another engine.
-const SUSPECT_BACKOFF: Duration = Duration::from_millis(450);
+/// Time before an item is placed again under which servers have crashed repeatedly: in a series of
+/// crashes it does not use up the slots of one engine after the other.
+const CRASH_BACKOFF: Duration = Duration::from_millis(450);
 /// Time for which an engine gets no items after it refused one because it was full or not the
 /// expected engine.
 const REFUSED_DEFERRAL: Duration = Duration::from_millis(90);
@@ -49,8 +49,11 @@
     pub(crate) failures: u32,
     /// Maximum number of such attempts that the route allows.
     pub(crate) max_failures: u32,
-    /// Whether a server is known to have crashed under the item's request.
-    pub(crate) is_crash_suspected: bool,
+    /// Whether a server is known to have crashed under the item before.
+    pub(crate) has_crashed_servers: bool,
+    /// Whether a gateway may take the item that another one refuses because servers crashed under
+    /// it.
+    pub(crate) may_go_to_other_gateway: bool,
 }
 
 /// Action on the engine that ran the attempt.
@@ -123,7 +126,7 @@
         }),
         ItemOutcome::Finished(_) => NextStep::Take,
         ItemOutcome::Interrupted { cause, .. } => NextStep::Retry(after_interruption(*cause, item)),
-        ItemOutcome::NotRun(reason) => NextStep::Retry(after_not_run(*reason)),
+        ItemOutcome::NotRun(reason) => NextStep::Retry(after_not_run(*reason, item)),
         ItemOutcome::Failed if item.failures + 1 >= item.max_failures => {
             NextStep::Abandon(FAILED_TOO_OFTEN)
         }
@@ -136,8 +139,7 @@
     }
 }
 
-/// Returns how an interrupted item is retried. If an engine crashed under the item just now or
-/// earlier, the item may be the cause, so it waits until that crash is evaluated.
+/// Returns how an interrupted item is retried.
 fn after_interruption(cause: BreakCause, item: ItemHistory) -> Retry {
     let interrupted = Retry {
         partial_text: PartialText::Replace,
@@ -146,14 +148,14 @@
     match cause {
         BreakCause::Gateway => interrupted,
         BreakCause::Engine(request) => Retry {
-            backoff: (request.is_some() && item.is_crash_suspected).then_some(SUSPECT_BACKOFF),
+            backoff: (request.is_some() && item.has_crashed_servers).then_some(CRASH_BACKOFF),
             engine: EngineAction::Eject,
             ..interrupted
         },
     }
 }
 
-fn after_not_run(reason: NotRunReason) -> Retry {
+fn after_not_run(reason: NotRunReason, item: ItemHistory) -> Retry {
     let engine = match reason {
         NotRunReason::Unreachable => EngineAction::Eject,
         NotRunReason::Ended => EngineAction::EjectUntilHeartbeat,
@@ -161,7 +163,7 @@
         NotRunReason::Stopping | NotRunReason::Rejected => EngineAction::Keep,
     };
     let backoff = match reason {
-        NotRunReason::Rejected => REJECTED_BACKOFF,
+        NotRunReason::Rejected if !item.may_go_to_other_gateway => REJECTED_BACKOFF,
         _ => NOT_RUN_BACKOFF,
     };
     Retry {
--- a/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/placement.rs
@@ -66,20 +66,16 @@
     pub(crate) relative_length: f64,
 }
 
-/// Returns the engine that is to run the item; `None` if no engine takes it now. `may_run_on`
-/// excludes single engines.
+/// Returns the engine that is to run the item; `None` if no engine takes it now.
 pub(crate) fn choose_engine(
     now: Instant,
     needs: &ItemNeeds<'_>,
     engines: &Engines,
-    may_run_on: impl Fn(&InstanceId) -> bool,
 ) -> Option<InstanceId> {
     let best_pace = engines.best_pace(needs.service);
     let best_pace = best_pace.unwrap_or(UNKNOWN_BEST_PACE);
     let takes = |instance: &InstanceId, engine: &Engine| {
-        needs.avoid != Some(instance)
-            && engine.takes(now, needs.model, needs.min_version)
-            && may_run_on(instance)
+        needs.avoid != Some(instance) && engine.takes(now, needs.model, needs.min_version)
     };
     let affine = needs.affinity.and_then(|instance| engines.get(instance));
     let affine = affine
--- a/crates/gateways/wingshore-coordination/src/leader/placing.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/placing.rs
@@ -3,13 +3,12 @@
 
 use super::decision_log::Decision;
 use super::decisions::continuation::{starting_text, usable_text};
-use super::decisions::crash_evidence::is_suspect;
 use super::decisions::gateway_choice::{gateway_for_item, is_any_free};
 use super::decisions::placement::{ItemNeeds, choose_engine};
 use super::job_queue::JobCursor;
 use super::machine::CoordinationLeader;
 use super::tables::engine::Engine;
-use super::tables::item::{Attempt, OpenItem};
+use super::tables::item::Attempt;
 use super::turn::Turn;
 use crate::configuration::Route;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey, JobId, ModelName, ServiceName};
@@ -37,8 +36,8 @@
     relative_length: f64,
     /// The engine from which the item was moved away recently.
     avoid: Option<InstanceId>,
-    /// Whether several servers crashed while they processed the item.
-    is_suspect: bool,
+    /// Whether a gateway has refused it because servers had crashed under it.
+    is_refused_as_crashed: bool,
 }
 
 /// Why an item was not placed.
@@ -123,15 +122,16 @@
             return Err(NotPlaced::NotNow);
         }
         let Some(instance) = self.choose_engine(turn.now, &candidate, turn.state) else {
-            // An engine that this item avoids, or may not share, can still accept other items.
-            if candidate.avoid.is_some() || candidate.is_suspect {
+            // An engine that this item avoids can still accept other items.
+            if candidate.avoid.is_some() {
                 return Err(NotPlaced::NotNow);
             }
             let service = candidate.service;
             return Err(NotPlaced::NoEngine { service });
         };
         let engine = self.engines.get(&instance);
-        let gateway = gateway_for_item(&self.gateways, engine).ok_or(NotPlaced::NotNow)?;
+        let gateway = gateway_for_item(&self.gateways, engine, candidate.is_refused_as_crashed);
+        let gateway = gateway.ok_or(NotPlaced::NotNow)?;
         self.items.dequeue(&candidate.key);
         self.assign(gateway, &instance, &candidate, cursor, turn);
         Ok(())
@@ -168,7 +168,7 @@
             is_long: known.is_long,
             relative_length: known.relative_length(),
             avoid: known.avoided(now).cloned(),
-            is_suspect: is_suspected(known, state),
+            is_refused_as_crashed: known.is_refused_as_crashed,
             key,
         })
     }
@@ -201,10 +201,7 @@
                 0.0
             },
         };
-        let is_suspect = |open_item: &OpenItem| is_suspected(open_item, state);
-        choose_engine(now, &needs, &self.engines, |instance| {
-            !candidate.is_suspect || !self.items.has_suspect_on(instance, is_suspect)
-        })
+        choose_engine(now, &needs, &self.engines)
     }
 
     fn assign(
@@ -298,9 +295,3 @@
         self.items.start(assignment, attempt);
     }
 }
-
-/// Returns whether several servers crashed while they processed an item.
-fn is_suspected(open_item: &OpenItem, state: &CoordinationState) -> bool {
-    let request = open_item.request;
-    request.is_some_and(|request| is_suspect(state.evidence().crash_count(request)))
-}
--- a/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/gateways.rs
@@ -18,6 +18,8 @@
     pub(crate) waits_for_grants: bool,
     /// Whether it has reported which items it runs.
     pub(crate) has_reported: bool,
+    /// Whether it has refused an item under which servers had crashed, as earlier builds do.
+    pub(crate) refuses_crashed_items: bool,
 }
 
 /// A gateway that disconnected recently. Its items keep running: if only the connection broke, the
@@ -46,6 +48,7 @@
             running: 0,
             waits_for_grants: false,
             has_reported: false,
+            refuses_crashed_items: false,
         };
         let lost =
             self.take_away(|away| away.node == gateway.node && away.gateway != hello.gateway);
@@ -121,6 +124,13 @@
             .is_some_and(|known| known.waits_for_grants)
     }
 
+    /// Records that a gateway has refused an item under which servers had crashed.
+    pub(crate) fn record_refusal_of_crashed_item(&mut self, gateway: GatewayId) {
+        if let Some(known) = self.get_mut(gateway) {
+            known.refuses_crashed_items = true;
+        }
+    }
+
     /// Counts an item that starts at a gateway.
     pub(crate) fn item_started(&mut self, gateway: GatewayId) {
         if let Some(known) = self.get_mut(gateway) {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/item.rs
@@ -1,6 +1,5 @@
 //! An unlisted item of a batch job, and an attempt at it.
 
-use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemKey, ModelName};
 use crate::leader::decisions::item_length::relative_length;
 use crate::text::{ItemText, LoggedPrefix};
@@ -95,8 +94,8 @@
     pub(crate) moves: u32,
     /// The engine that it was moved away from.
     pub(crate) avoid: Option<AvoidedEngine>,
-    /// Fingerprint of its request, known once an engine interrupted it early.
-    pub(crate) request: Option<RequestFingerprint>,
+    /// Whether a gateway has refused it because servers had crashed under it.
+    pub(crate) is_refused_as_crashed: bool,
     /// The caller's estimate of its length, in tokens; longer items are placed first.
     pub(crate) expected_length: u64,
     /// Its expected length in tokens; that of the longest item of its job if it was still running
--- a/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/items.rs
@@ -243,19 +243,6 @@
         self.attempts.iter()
     }
 
-    /// Returns whether an item for which `is_suspect` holds runs on an engine.
-    pub(crate) fn has_suspect_on(
-        &self,
-        instance: &InstanceId,
-        is_suspect: impl Fn(&OpenItem) -> bool,
-    ) -> bool {
-        let mut attempts = self.attempts.values();
-        attempts.any(|attempt| {
-            let open_item = self.open.get(&attempt.item);
-            attempt.instance == *instance && open_item.is_some_and(&is_suspect)
-        })
-    }
-
     /// Returns the item of an attempt in progress; `None` if a result is proposed already.
     pub(crate) fn item_of(&self, assignment: AssignmentId) -> Option<ItemKey> {
         let attempt = self.attempts.get(&assignment)?;
--- a/crates/gateways/wingshore-coordination/src/messages/items.rs
+++ b/crates/gateways/wingshore-coordination/src/messages/items.rs
@@ -108,11 +108,23 @@
     Ended,
     /// The gateway does not accept items.
     Stopping,
-    /// The request is rejected because servers crashed while running it.
+    /// Servers crashed while running the item. Only gateways of earlier builds refuse it for that.
     Rejected,
 }
 
 impl ItemOutcome {
+    /// Returns the fingerprint of the item's request if its engine broke off early enough that the
+    /// request may have been running when the engine crashed.
+    pub fn possible_cause(&self) -> Option<RequestFingerprint> {
+        match self {
+            Self::Interrupted {
+                cause: BreakCause::Engine(request),
+                ..
+            } => *request,
+            _ => None,
+        }
+    }
+
     /// Returns a description of the outcome for logs.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/gateways/wingshore-gateway/src/environment.rs
+++ b/crates/gateways/wingshore-gateway/src/environment.rs
@@ -5,7 +5,7 @@
 use crate::site::Site;
 use crate::suspects::Suspicions;
 use crate::usage::UsageCounter;
-use wingshore_coordination::{GatewayMessage, RequestFingerprint};
+use wingshore_coordination::GatewayMessage;
 
 /// Sockets and logs, the known state of the site, and the servers.
 pub(crate) struct Environment {
@@ -30,16 +30,6 @@
         })
     }
 
-    /// Returns whether a request is rejected from all servers; `name` computes its fingerprint.
-    pub(crate) fn is_rejected(
-        &self,
-        name: impl FnOnce(&Site) -> Option<RequestFingerprint>,
-    ) -> bool {
-        self.suspicions().is_some_and(|suspicions| {
-            name(&self.site).is_some_and(|request| suspicions.is_rejected(request))
-        })
-    }
-
     /// Sends a message to the leader; drops it if there is no leader.
     pub(crate) fn report(&mut self, message: GatewayMessage) {
         self.site.coordinators.report(&mut self.runtime, message);
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -16,7 +16,7 @@
 use crate::protocol::HeaderNames;
 use crate::timers::TimerKey;
 use crate::upstream::{ConnectionEnd, LostRequest, ServerRequest, Task, Upstream};
-use slog::info;
+use slog::{KV, Serializer, info};
 use std::collections::BTreeMap;
 use wingshore_coordination::{
     AssignmentId, BreakCause, ItemAssignment, ItemOutcome, ItemProgress, LoggedPrefix,
@@ -82,11 +82,7 @@
         let request = assignment.request.as_str().as_bytes();
         let expected = ExpectedAnswer::to_request(names, request);
         let (instance, address) = (assignment.instance.clone(), assignment.address);
-        let is_rejected = environment.is_rejected(|site| fingerprints::of_item(site, &assignment));
         self.attempts.insert(id, ItemAttempt::new(now, assignment));
-        if is_rejected {
-            return self.end_not_run(environment, id, NotRunReason::Rejected);
-        }
         if !takes_items {
             return self.end_not_run(environment, id, NotRunReason::Stopping);
         }
@@ -399,6 +395,20 @@
         info!(runtime.logger, "item ended"; "item" => %assignment.request,
             "job" => %assignment.item.job, "engine" => %assignment.instance,
             "outcome" => outcome.name(), "epoch" => id.epoch.0, "try" => id.number,
-            "after_ms" => time.as_millis() as u64, "events" => attempt.events());
+            "after_ms" => time.as_millis() as u64, "events" => attempt.events(),
+            PossibleCause(outcome.possible_cause()));
+    }
+}
+
+/// The fingerprint of an item, in the log line of an end at which its engine may have crashed: lines
+/// about crashes name requests by it.
+struct PossibleCause(Option<RequestFingerprint>);
+
+impl KV for PossibleCause {
+    fn serialize(&self, _: &slog::Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let Some(request) = self.0 else {
+            return Ok(());
+        };
+        serializer.emit_arguments("fingerprint", &format_args!("{request}"))
     }
 }
--- a/crates/gateways/wingshore-gateway/src/request_suspicion.rs
+++ b/crates/gateways/wingshore-gateway/src/request_suspicion.rs
@@ -2,7 +2,7 @@
 
 use crate::crash_reports;
 use crate::environment::Environment;
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, Origin};
 use crate::fingerprints;
 use crate::running_attempt::RunningAttempt;
 use crate::site::Site;
@@ -22,9 +22,22 @@
     fingerprint_of(site, exchange).map(|fingerprint| fingerprint.to_string())
 }
 
+/// Returns the fingerprint by which a request is judged; `None` for a scoring, which is owed like its
+/// item, whatever crashed under it.
+fn judged_fingerprint(site: &Site, exchange: &Exchange) -> Option<RequestFingerprint> {
+    match exchange.origin {
+        Origin::Scoring(_) => None,
+        Origin::Client(_) | Origin::Nobody => fingerprint_of(site, exchange),
+    }
+}
+
 /// Whether a request is rejected because too many servers crashed while running it.
 pub(crate) fn is_rejected(environment: &Environment, exchange: &Exchange) -> bool {
-    environment.is_rejected(|site| fingerprint_of(site, exchange))
+    let Some(suspicions) = environment.suspicions() else {
+        return false;
+    };
+    let request = judged_fingerprint(&environment.site, exchange);
+    request.is_some_and(|request| suspicions.is_rejected(request))
 }
 
 /// Whether several servers crashed while running a request, so that it must not be retried once it
@@ -33,18 +46,18 @@
     let Some(suspicions) = environment.suspicions() else {
         return false;
     };
-    let request = fingerprint_of(&environment.site, exchange);
+    let request = judged_fingerprint(&environment.site, exchange);
     request.is_some_and(|request| suspicions.is_suspect(request))
 }
 
 /// Returns the fingerprint of a request if several servers crashed while running it, as announced
-/// by the leader or seen by this gateway.
+/// by the leader or seen by this gateway; `None` for a scoring.
 pub(crate) fn suspect_fingerprint(
     environment: &Environment,
     exchange: &Exchange,
 ) -> Option<RequestFingerprint> {
     let suspicions = environment.suspicions()?;
-    let request = fingerprint_of(&environment.site, exchange)?;
+    let request = judged_fingerprint(&environment.site, exchange)?;
     suspicions.needs_trial(request).then_some(request)
 }
 
--- a/crates/gateways/wingshore-gateway/src/suspects.rs
+++ b/crates/gateways/wingshore-gateway/src/suspects.rs
@@ -11,7 +11,9 @@
 //! of the leader ([`trials`](crate::trials)), and is not retried once it may have run. Without a
 //! leader a gateway rejects requests by its own knowledge, from the same number of crashes on as the
 //! leader. An attempt was hardly the cause if its connection was lost within 2 ms after sending, and
-//! not the cause after it had streamed events for one second.
+//! not the cause after it had streamed events for one second. Items of batch jobs and their scorings
+//! are judged by none of this: they run whatever crashed under them. Their crashes are evidence all
+//! the same, for live requests with the same content and for those that ran on the same servers.
 //!
 //! **Why.** A request that crashes its server would otherwise go on to the next one, attempt by
 //! attempt, until no server is left. See docs/design/0010-requests-that-end-servers.md for the
--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -3,6 +3,7 @@
 //! contract of a release and must not change with the layout of the code.
 
 mod bytes {
+    mod crashed_items;
     mod mismatched_answers;
     mod planned_stop;
     pub mod protocol;
