--- a/crates/shared/wingshore-consensus/tests/older_receiver.rs
+++ b/crates/shared/wingshore-consensus/tests/older_receiver.rs
@@ -9,19 +9,15 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use support::cluster::{Cluster, Network};
-use support::counted::CountingState;
-use wingshore_consensus::{AppendRejection, AppendRequest, Body, Faults, Input, Limits, Message};
-use wingshore_types::{Instant, LogIndex, ReplicaId};
+use support::transfer::{
+    CHUNKS, InOrderReceiver, RECEIVER, cluster_before_transfer, rejection_from_receiver,
+    voter_reply,
+};
+use wingshore_consensus::{Body, Input, Message};
+use wingshore_types::{Instant, ReplicaId};
 
-/// Size of a chunk, in bytes.
-const CHUNK_BYTES: usize = 64;
-/// Number of chunks of the state.
-const CHUNKS: u64 = 400;
 /// Window size, in chunks.
 const WINDOW: u64 = 4;
-/// The member of the older build.
-const RECEIVER: ReplicaId = ReplicaId(3);
 
 /// Properties of the network path between the leader and the receiver.
 #[derive(Clone, Default)]
@@ -41,92 +37,9 @@
     elapsed: Duration,
 }
 
-/// Simulated receiver of an older build.
-#[derive(Default)]
-struct InOrderReceiver {
-    received: u64,
-    total: u64,
-}
-
-impl InOrderReceiver {
-    fn answer(&mut self, message: &Message) -> Option<Message> {
-        let body = match &message.body {
-            Body::SnapshotChunk(chunk) => {
-                if chunk.offset == self.received {
-                    self.received += chunk.data.len() as u64;
-                }
-                self.total = chunk.total;
-                Body::SnapshotReceived {
-                    index: chunk.index,
-                    received: self.received,
-                }
-            }
-            Body::Heartbeat(request) => Body::HeartbeatReply {
-                round: request.round,
-                needs_log: false,
-            },
-            _ => return None,
-        };
-        let term = message.term;
-        Some(Message { term, body })
-    }
-
-    fn is_complete(&self) -> bool {
-        self.total > 0 && self.received >= self.total
-    }
-}
-
-/// Returns a cluster and its leader, which is about to send a snapshot to the third member, which
-/// is isolated.
-fn sending_cluster() -> Result<(Cluster, u64)> {
-    let limits = Limits {
-        snapshot_chunk_bytes: CHUNK_BYTES,
-        snapshot_chunks_in_flight: usize::try_from(WINDOW).or_fail()?,
-        retained_log_bytes: 0,
-        ..support::small_limits()
-    };
-    let mut cluster = Cluster::with(3, 1, Faults::default(), limits);
-    cluster.network = Network {
-        min_delay: Duration::from_millis(1),
-        max_delay: Duration::from_millis(1),
-        ..Network::default()
-    };
-    cluster.isolate(RECEIVER.0);
-    let has_leader = |cluster: &Cluster| cluster.ready_leader().is_some();
-    cluster.run_until(Duration::from_secs(5), has_leader);
-    let leader = cluster.ready_leader().or_fail()?;
-    for _ in 0..60 {
-        cluster.propose(leader, &[1; 16]).or_fail()?;
-        cluster.run(Duration::from_millis(10));
-    }
-    let state = CountingState::new(CHUNKS * CHUNK_BYTES as u64);
-    cluster.node(leader).provided_state = Some(state.state());
-    Ok((cluster, leader))
-}
-
-/// Returns the reply of the other voter, which answers heartbeats only.
-fn voter_reply(from: ReplicaId, message: &Message) -> Option<Input> {
-    let message = InOrderReceiver::default().answer(message)?;
-    Some(Input::Message { from, message })
-}
-
-/// Returns the receiver's rejection of an append; its log is empty.
-fn rejection_from_receiver(request: &AppendRequest, term: u64) -> Input {
-    let rejection = AppendRejection {
-        rejected_index: request.prev_index,
-        hint_index: LogIndex(0),
-        hint_term: 0,
-        last_index: LogIndex(0),
-    };
-    let body = Body::AppendRejected(rejection);
-    let message = Message { term, body };
-    let from = RECEIVER;
-    Input::Message { from, message }
-}
-
 /// Runs the leader with the older receiver; the other voter answers heartbeats at once.
 fn send(path: &Path, seed: u64) -> Result<TransferStats> {
-    let (mut cluster, leader) = sending_cluster()?;
+    let (mut cluster, leader) = cluster_before_transfer(WINDOW)?;
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut receiver = InOrderReceiver::default();
     let mut in_flight: BTreeMap<(Instant, u64), (bool, Message)> = BTreeMap::new();
--- a/crates/shared/wingshore-consensus/tests/path_changes.rs
+++ b/crates/shared/wingshore-consensus/tests/path_changes.rs
@@ -11,19 +11,11 @@
 
 use googletest::prelude::*;
 use std::time::Duration;
-use support::cluster::{Cluster, Network};
-use support::counted::CountingState;
-use wingshore_consensus::{Faults, Limits};
-use wingshore_types::ReplicaId;
+use support::cluster::Cluster;
+use support::transfer::{CHUNKS, RECEIVER, cluster_before_transfer};
 
-/// Size of a chunk, in bytes.
-const CHUNK_BYTES: usize = 64;
-/// Number of chunks of the state.
-const CHUNKS: u64 = 400;
 /// Window size, in chunks.
 const WINDOW: u64 = 4;
-/// The member that is sent the snapshot.
-const RECEIVER: u64 = 3;
 /// Numbers of chunks that are sent on the old path.
 const CHUNKS_ON_OLD_PATH: [u64; 9] = [1, 4, 8, 15, 20, 60, 120, 200, 330];
 /// One-way delays of the old path in milliseconds, so short that no heartbeat which is sent behind
@@ -39,28 +31,7 @@
 
 /// Returns a cluster whose leader is about to send a snapshot to a member that was isolated for long.
 fn cluster_before_snapshot() -> Result<Cluster> {
-    let limits = Limits {
-        snapshot_chunk_bytes: CHUNK_BYTES,
-        snapshot_chunks_in_flight: usize::try_from(WINDOW).or_fail()?,
-        retained_log_bytes: 0,
-        ..support::small_limits()
-    };
-    let mut cluster = Cluster::with(3, 1, Faults::default(), limits);
-    cluster.network = Network {
-        min_delay: Duration::from_millis(1),
-        max_delay: Duration::from_millis(1),
-        ..Network::default()
-    };
-    cluster.isolate(RECEIVER);
-    let has_leader = |cluster: &Cluster| cluster.ready_leader().is_some();
-    cluster.run_until(Duration::from_secs(5), has_leader);
-    let leader = cluster.ready_leader().or_fail()?;
-    for _ in 0..60 {
-        cluster.propose(leader, &[1; 16]).or_fail()?;
-        cluster.run(Duration::from_millis(10));
-    }
-    let state = CountingState::new(CHUNKS * CHUNK_BYTES as u64);
-    cluster.node(leader).provided_state = Some(state.state());
+    let (mut cluster, _) = cluster_before_transfer(WINDOW)?;
     cluster.cut_links.clear();
     Ok(cluster)
 }
@@ -71,7 +42,7 @@
     let mut cluster = cluster_before_snapshot()?;
     let leader = cluster.ready_leader().or_fail()?;
     let applied = cluster.raft(leader).last_applied();
-    let receiver = ReplicaId(RECEIVER);
+    let receiver = RECEIVER;
     cluster.extra_delays.insert(receiver, old_path_delay);
     let is_sent = |cluster: &Cluster| cluster.sent_snapshot_chunks >= on_old_path;
     verify_that!(
--- a/crates/shared/wingshore-consensus/tests/support/mod.rs
+++ b/crates/shared/wingshore-consensus/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod counted;
 pub mod disk;
 pub mod node;
+pub mod transfer;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
