gateway tests: the header names of the stub platform stand once; doc lines for five old constants

Two test files held the table to the letter; answer_matching takes it from the stub protocol now, as other tests do.

--- a/crates/gateways/wingshore-gateway/tests/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/tests/answer_matching.rs
@@ -1,29 +1,19 @@
 //! Which answers on a connection belong to the request that waits there.
 
+#[path = "bytes/protocol.rs"]
+#[allow(dead_code, reason = "only the header names are used here")]
+mod protocol;
+
 use bytes::BytesMut;
 use googletest::prelude::*;
 use proptest::prelude::*;
+use protocol::NAMES;
 use wingshore_gateway::{
-    AnswerError, ExpectedAnswer, HeaderNames, MAX_MISMATCHED_ANSWERS, MAX_MISMATCHED_BYTES,
-    MatchedAnswer, MatchingReader, MismatchedAnswer, UnidentifiedAnswer,
+    AnswerError, ExpectedAnswer, MAX_MISMATCHED_ANSWERS, MAX_MISMATCHED_BYTES, MatchedAnswer,
+    MatchingReader, MismatchedAnswer, UnidentifiedAnswer,
 };
 use wingshore_net::http::BodyStatus;
 
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "Id",
-    authorization: "Authorization",
-    tenant: "Tenant",
-    deadline: "Deadline",
-    expected_instance: "Expected-Instance",
-    expected_version: "Expected-Version",
-    not_run: "Not-Run",
-    signature: "Signature",
-    load: "Load",
-    last_event: "Last-Event",
-    priority: "Priority",
-    version: "Version",
-};
-
 /// ID of the request that waits on the connection.
 const OWN: &str = "r-1";
 /// ID of an earlier request.
--- a/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
@@ -7,9 +7,8 @@
 };
 use wingshore_net::http::{Headers, HttpAnswer, RequestHead, WholeRequest};
 
-pub(crate) struct StubProtocol;
-
-const NAMES: HeaderNames = HeaderNames {
+/// Header names of a platform that no real one has.
+pub(crate) const NAMES: HeaderNames = HeaderNames {
     request_id: "Id",
     authorization: "Authorization",
     tenant: "Tenant",
@@ -24,6 +23,8 @@
     version: "Version",
 };
 
+pub(crate) struct StubProtocol;
+
 impl IngressProtocol for StubProtocol {
     fn header_names(&self) -> &HeaderNames {
         &NAMES
--- a/crates/nodes/wingshore-node/src/http/respond.rs
+++ b/crates/nodes/wingshore-node/src/http/respond.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use wingshore_types::{ErrorBody, ErrorDetail, Verdict};
 
+/// Converts milliseconds to seconds, the unit of `Retry-After`.
 const MILLISECONDS_PER_SECOND: u64 = 1000;
 
 /// A complete answer.
--- a/crates/nodes/wingshore-routing/src/settings.rs
+++ b/crates/nodes/wingshore-routing/src/settings.rs
@@ -151,9 +151,13 @@
     pub allowed: String,
 }
 
+/// One millisecond, the unit of the shortest limits.
 const MILLISECOND: Duration = Duration::from_millis(1);
+/// One second.
 const SECOND: Duration = Duration::from_secs(1);
+/// One minute.
 const MINUTE: Duration = Duration::from_secs(60);
+/// One hour, the longest time that a setting may name.
 const HOUR: Duration = Duration::from_secs(3600);
 
 impl RouterSettings {
