gateway tests: the engine of the items is in the view, so that its idle connection stays

an_item_never_ends_with_the_answer_to_another_item failed now and then: the request of the next item was read as empty, since the gateway had closed the kept connection. The test's engine was in no view, and every half second or so a gateway closes idle connections to servers that are not in its view; that moment could fall between two items. Not a fault of the gateway. The check is unchanged.

--- a/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/mismatched_answers.rs
@@ -4,7 +4,7 @@
 
 use crate::bytes::second_attempts::{view_of_pair, view_with_suspect};
 use crate::bytes::site::{Server, Site, read_message};
-use crate::bytes::view::{item, view};
+use crate::bytes::view::{item, view, view_with_engine};
 use googletest::prelude::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -98,7 +98,7 @@
 #[gtest]
 fn an_item_never_ends_with_the_answer_to_another_item() {
     let (server, engine) = (Server::start(), Server::start());
-    let site = Site::with_view(view(server.address(), Vec::new()));
+    let site = Site::with_view(view_with_engine(server.address(), engine.address()));
     for (number, (status, arrival)) in (1..).step_by(2).zip(all_cases()) {
         let assign = |number| {
             let assignment = numbered_item(number, &engine);
--- a/crates/gateways/wingshore-gateway/tests/bytes/view.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/view.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// Returns the view of [`view`] with the engine of [`item`]. A gateway closes idle connections to
+/// servers that are not in its view.
+pub(crate) fn view_with_engine(one: SocketAddr, engine: SocketAddr) -> ViewUpdate {
+    let mut update = view(one, Vec::new());
+    let ViewContent::Whole(whole) = &mut update.content else {
+        panic!("the view is whole");
+    };
+    whole.servers.push(server(ENGINE, "engines", engine));
+    update
+}
+
 pub(crate) fn item(
     assignment: AssignmentId,
     address: SocketAddr,
