A read of an item's body leaves what was found, in logs and metrics

What operators could not see: the line of a read of an item's body named the job alone. An empty body, another item's body and a body returned after the end of the job left the same line, so the incident of the wrong body could not be told apart by logs.

Change, without any change of answers: the leader logs each such read (item body read) with job, item, epoch, what it found (open, listed, job_ended, unknown_item, unknown_job) and the length of the body; the gateway's lines call answered and call failed name the item, and the former the length of the answer. Existing keys stay. wingshore_coordinator_item_body_reads counts the reads by outcome, from zero on. Job::item_body returns a body or the reason why there is none (NoBody).

--- a/crates/gateways/wingshore-coordination/src/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/jobs.rs
@@ -91,6 +91,39 @@
     pub scorer: Option<Box<Scorer>>,
 }
 
+/// Why a read of an item's body is not answered with a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoBody {
+    /// There is no such job, or it is forgotten.
+    UnknownJob,
+    /// The job has ended: the contents of its items are dropped.
+    JobEnded,
+    /// The job has no such item.
+    UnknownItem,
+    /// The item has a listed result.
+    Listed,
+}
+
+impl NoBody {
+    /// All reasons.
+    pub const ALL: [Self; 4] = [
+        Self::UnknownJob,
+        Self::JobEnded,
+        Self::UnknownItem,
+        Self::Listed,
+    ];
+
+    /// Returns the reason as a name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::UnknownJob => "unknown_job",
+            Self::JobEnded => "job_ended",
+            Self::UnknownItem => "unknown_item",
+            Self::Listed => "listed",
+        }
+    }
+}
+
 /// Final state of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemState {
@@ -338,8 +371,23 @@
             .map(|(index, _)| index)
     }
 
+    /// Returns the body of an item that has no listed result yet and whose job is open.
+    ///
+    /// # Errors
+    /// Returns why there is no body.
+    pub fn item_body(&self, id: &ItemId) -> Result<&[u8], NoBody> {
+        if self.ended {
+            return Err(NoBody::JobEnded);
+        }
+        let (index, item) = self.find_item(id).ok_or(NoBody::UnknownItem)?;
+        if self.is_listed(index) {
+            return Err(NoBody::Listed);
+        }
+        Ok(&item.body)
+    }
+
     /// Returns the item with this identifier and its index.
-    pub(crate) fn find_item(&self, id: &ItemId) -> Option<(u32, &JobItem)> {
+    fn find_item(&self, id: &ItemId) -> Option<(u32, &JobItem)> {
         (0_u32..)
             .zip(&self.submission.items)
             .find(|(_, item)| item.id == *id)
--- a/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decision_log.rs
@@ -4,17 +4,21 @@
 use crate::evidence::Suspect;
 use crate::fingerprint::RequestFingerprint;
 use crate::ids::{AssignmentId, GatewayId, InstanceId, ItemId, JobId, ModelName};
+use crate::jobs::NoBody;
 use crate::scaling::CapacityPool;
 use crate::scoring::ScoringDecision;
 use crate::usage::UsageWindow;
 use std::time::Duration;
+use wingshore_types::Epoch;
 
 impl Decision {
     /// Returns the request that the decision is about if everything went well; log lines about such
     /// decisions may be sampled by it. `None` for decisions that are always logged.
     pub fn sampling_id(&self) -> Option<&ItemId> {
         match self {
-            Self::ItemAssigned { item, .. } | Self::ItemListed { item, .. } => Some(item),
+            Self::ItemAssigned { item, .. }
+            | Self::ItemListed { item, .. }
+            | Self::ItemBodyRead { item, .. } => Some(item),
             Self::Scoring(ScoringDecision::Assigned { id, .. }) => Some(id),
             _ => None,
         }
@@ -147,6 +151,17 @@
         /// Time since this leader learned of the job.
         age: Duration,
     },
+    /// A read of an item's body was answered.
+    ItemBodyRead {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+        /// The leadership in which it was answered.
+        epoch: Epoch,
+        /// Length of the returned body in bytes, or why there is none.
+        body_bytes: Result<usize, NoBody>,
+    },
     /// A decision about a scoring.
     Scoring(ScoringDecision),
     /// An item was abandoned.
--- a/crates/gateways/wingshore-coordination/src/leader/dispatch.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/dispatch.rs
@@ -73,7 +73,9 @@
             Request::NameVersion { model, version } => self.name_version(tag, model, version, turn),
             Request::SubmitJob(submission) => self.submit_job(tag, submission, turn),
             Request::ReadJob { job, from, wait } => self.read_job(tag, job, from, wait, turn),
-            Request::ReadItem { job, item } => jobs::read_item(tag, &job, &item, turn),
+            Request::ReadItem { job, item } => {
+                jobs::read_item(self.epoch, tag, (job, item), turn);
+            }
             Request::EndJob(job) => self.end_job(tag, &job, turn),
             Request::DescribeMember { member, node } => {
                 self.describe_member(tag, member, node, turn);
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -8,13 +8,13 @@
 use super::tables::jobs::Reader;
 use super::turn::Turn;
 use crate::ids::{AssignmentId, GatewayId, ItemId, ItemKey, JobId};
-use crate::jobs::JobSubmission;
+use crate::jobs::{JobSubmission, NoBody};
 use crate::messages::Reply;
 use crate::state::{Command, CoordinationState};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::machine::RequestTag;
+use wingshore_types::{Epoch, Instant};
 
 /// Maximum size of the results in one reply, in bytes.
 const MAX_PAGE_BYTES: usize = 900 * 1024;
@@ -288,15 +288,22 @@
     }
 }
 
-/// Answers with the body of an item that has no listed result yet and whose job is open: the end of a
-/// job drops the contents of its items.
-pub(super) fn read_item(tag: RequestTag, job: &JobId, item: &ItemId, turn: &mut Turn<'_>) {
-    let known = turn.state.find_job(job);
-    let open = known.filter(|(_, job)| !job.ended);
-    let item = open.and_then(|(_, job)| {
-        let (index, item) = job.find_item(item)?;
-        (!job.is_listed(index)).then_some(item)
+/// Answers with the body of an item that has no listed result yet and whose job is open.
+pub(super) fn read_item(
+    epoch: Epoch,
+    tag: RequestTag,
+    (job, item): (JobId, ItemId),
+    turn: &mut Turn<'_>,
+) {
+    let known = turn.state.find_job(&job);
+    let body = known.map_or(Err(NoBody::UnknownJob), |(_, job)| job.item_body(&item));
+    let answer = body.map_or(Reply::Unknown, |body| Reply::Item(body.to_vec()));
+    let body_bytes = body.map(<[u8]>::len);
+    turn.log(Decision::ItemBodyRead {
+        job,
+        item,
+        epoch,
+        body_bytes,
     });
-    let answer = item.map_or(Reply::Unknown, |item| Reply::Item(item.body.clone()));
     turn.reply(tag, answer);
 }
--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -37,7 +37,9 @@
     AssignmentId, GatewayId, InstanceId, ItemId, ItemKey, JobId, ModelName, ServerName,
     ServiceName, StartTime, TenantName,
 };
-pub use jobs::{ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, ResultRecord};
+pub use jobs::{
+    ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, NoBody, ResultRecord,
+};
 pub use leader::{
     CapacityDemand, CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect,
     EngineStatus, Event, LeaderCounts, LeaderPolicy, LeaderSettings, MoveReason, OrderAnswer, Peak,
--- a/crates/gateways/wingshore-coordinator/src/decision_log.rs
+++ b/crates/gateways/wingshore-coordinator/src/decision_log.rs
@@ -4,7 +4,10 @@
 //! stable interface. The caller selects by sampling which lines of items are written.
 
 use slog::{Logger, info, warn};
-use wingshore_coordination::{Decision, ModelName, ScoringDecision, TenantName};
+use wingshore_coordination::{Decision, ModelName, NoBody, ScoringDecision, TenantName};
+
+/// Outcome of a read of an item's body that is answered with the body.
+pub(crate) const BODY_RETURNED: &str = "open";
 
 /// Logs a decision.
 pub(crate) fn log(logger: &Logger, decision: &Decision) {
@@ -17,6 +20,7 @@
         | Decision::ItemRetried { .. }
         | Decision::ItemMoved { .. }
         | Decision::ItemListed { .. }
+        | Decision::ItemBodyRead { .. }
         | Decision::ItemAbandoned { .. } => log_item(logger, decision),
         Decision::RequestSuspected { .. }
         | Decision::RequestRejected(_)
@@ -34,6 +38,11 @@
     }
 }
 
+/// Returns the outcome of a read of an item's body as a name for logs and metrics.
+pub(crate) fn body_read_outcome(body_bytes: Result<usize, NoBody>) -> &'static str {
+    body_bytes.map_or_else(NoBody::name, |_| BODY_RETURNED)
+}
+
 /// Logs decisions on whole batch jobs; ignores all others.
 fn log_job(logger: &Logger, decision: &Decision) {
     match decision {
@@ -145,6 +154,15 @@
             info!(logger, "item listed"; "job" => %job, "item" => %item, "position" => position,
                 "versions" => ?versions, "age_ms" => age.as_millis() as u64);
         }
+        Decision::ItemBodyRead {
+            job,
+            item,
+            epoch,
+            body_bytes,
+        } => {
+            info!(logger, "item body read"; "job" => %job, "item" => %item, "epoch" => epoch.0,
+                "found" => body_read_outcome(*body_bytes), "bytes" => body_bytes.ok());
+        }
         Decision::ItemAbandoned { job, index, reason } => {
             info!(logger, "item abandoned"; "job" => %job, "index" => index, "reason" => reason);
         }
--- a/crates/gateways/wingshore-coordinator/src/metrics/counters.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics/counters.rs
@@ -51,6 +51,7 @@
     pub(super) provider_calls: Family<CallLabels, Counter>,
     pub(super) attempts: Family<OutcomeLabel, Counter>,
     pub(super) scorings: Family<OutcomeLabel, Counter>,
+    pub(super) item_body_reads: Family<OutcomeLabel, Counter>,
 }
 
 impl WorkMetrics {
@@ -101,6 +102,12 @@
                 "Scorings of texts by their outcome",
                 Family::default(),
             ),
+            item_body_reads: registered(
+                registry,
+                "item_body_reads",
+                "Reads of bodies of items by what the leader found",
+                Family::default(),
+            ),
         }
     }
 }
@@ -156,7 +163,12 @@
 
 /// Counts one more event with this outcome.
 pub(super) fn count(family: &Family<OutcomeLabel, Counter>, outcome: &'static str) {
-    family.get_or_create(&OutcomeLabel { outcome }).inc();
+    counter(family, outcome).inc();
+}
+
+/// Returns the counter of events with this outcome.
+pub(super) fn counter(family: &Family<OutcomeLabel, Counter>, outcome: &'static str) -> Counter {
+    family.get_or_create(&OutcomeLabel { outcome }).clone()
 }
 
 /// Registers a metric and returns it.
--- a/crates/gateways/wingshore-coordinator/src/metrics/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics/mod.rs
@@ -8,11 +8,13 @@
 
 pub(crate) use gauges::Readings;
 
-use counters::{CallLabel, CallLabels, GroupMetrics, WorkMetrics, count};
+use crate::decision_log::BODY_RETURNED;
+use counters::{CallLabel, CallLabels, GroupMetrics, WorkMetrics, count, counter};
 use gauges::Gauges;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 use std::time::Duration;
+use wingshore_coordination::NoBody;
 
 /// All metrics of a coordinator.
 pub(crate) struct CoordinatorMetrics {
@@ -26,12 +28,19 @@
     /// Creates all metrics at zero.
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("wingshore_coordinator");
-        Self {
+        let metrics = Self {
             work: WorkMetrics::register(&mut registry),
             group: GroupMetrics::register(&mut registry),
             gauges: Gauges::register(&mut registry),
             registry,
+        };
+        // Most coordinators answer no such read for long; a rate needs the zero before the first.
+        let missing = NoBody::ALL.map(NoBody::name);
+        for outcome in missing.into_iter().chain([BODY_RETURNED]) {
+            let family = &metrics.work.item_body_reads;
+            counter(family, outcome).inc_by(0);
         }
+        metrics
     }
 
     /// Records the end of a call to the group.
@@ -68,6 +77,11 @@
         count(&self.work.scorings, outcome);
     }
 
+    /// Records a read of an item's body that was answered here as the leader.
+    pub(crate) fn item_body_read(&self, outcome: &'static str) {
+        count(&self.work.item_body_reads, outcome);
+    }
+
     /// Counts a leadership that began here.
     pub(crate) fn leadership_began(&self) {
         self.group.leaderships.inc();
--- a/crates/gateways/wingshore-coordinator/src/process/group.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/group.rs
@@ -143,6 +143,10 @@
     }
 
     fn log_decision(&mut self, now: Instant, decision: &Decision) {
+        if let Decision::ItemBodyRead { body_bytes, .. } = decision {
+            let outcome = decision_log::body_read_outcome(*body_bytes);
+            self.metrics.item_body_read(outcome);
+        }
         if let Some(item) = decision.sampling_id() {
             let time = Duration::from_millis(now.as_millis());
             if !self.sampler.should_log(time, item.as_str()) {
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -13,7 +13,7 @@
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
 use wingshore_coordination::{
-    CallReply, GatewayMessage, JobId, JobPage, Reply, Request, TenantName,
+    CallReply, GatewayMessage, ItemId, JobId, JobPage, Reply, Request, TenantName,
 };
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
@@ -258,7 +258,8 @@
         runtime.metrics.call_ended(kind, answer.name());
         if !matches!(call.request, Request::ReadJob { .. }) {
             info!(runtime.logger, "call answered"; "call" => kind,
-                "subject" => call.request.subject(), "answer" => answer.name(),
+                "subject" => call.request.subject(), "item" => item_of(&call.request),
+                "answer" => answer.name(), "bytes" => answer.item_bytes(),
                 "epoch" => site.view.epoch().0);
         }
         Some(CallEnd {
@@ -289,11 +290,17 @@
 fn log_failed_call(runtime: &Runtime, site: &Site, request: &Request, answer: &BatchAnswer) {
     let kind = request.kind();
     warn!(runtime.logger, "call failed"; "call" => kind, "subject" => request.subject(),
+        "item" => item_of(request),
         "leader_known" => site.coordinators.leader().is_some(), "answer" => answer.name(),
         "epoch" => site.view.epoch().0);
     runtime.metrics.call_ended(kind, answer.name());
 }
 
+/// Returns the item that a call is about, for logs.
+fn item_of(request: &Request) -> Option<&str> {
+    request.item().map(ItemId::as_str)
+}
+
 /// Converts a call of `tenant` into a request to the group.
 pub(crate) fn group_request(call: BatchCall, tenant: Option<TenantName>) -> Request {
     let scoped = |job: JobId| job.of_tenant(tenant);
--- a/crates/gateways/wingshore-gateway/src/protocol.rs
+++ b/crates/gateways/wingshore-gateway/src/protocol.rs
@@ -194,6 +194,14 @@
         }
     }
 
+    /// Returns the length in bytes of the returned body of an item; `None` for other answers.
+    pub fn item_bytes(&self) -> Option<usize> {
+        match self {
+            Self::Item(body) => Some(body.len()),
+            _ => None,
+        }
+    }
+
     /// Returns the reason of a refusal; empty for other answers.
     pub fn reason(&self) -> &str {
         match self {
