No item of a job is placed by a second acceptance after its end

What callers would see: items run after the end of their batch job was acknowledged, and are counted as waiting or running for good.

The leader drops a job's items when its end is asked for, before the end is committed; the second acceptance, applied in between, found a job that was not ended in the state and not in its table of items, and took it for a new one.

Change: the leader remembers the ends that it has proposed until the job is forgotten, and an acceptance adds no items of such a job. Why it is safe: a new leader starts from a state to which all earlier entries are applied, ends included; nothing on the wire or in the state changes.

Test: no_item_is_placed_by_a_second_acceptance_after_the_end_of_its_job failed before: the item was assigned again and (0, 1) items waited and ran after the committed end, where (0, 0) are expected. Group::commit_next commits one deferred proposal. Not seen in a run with real processes: the end has to arrive between the two entries.

--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -101,6 +101,10 @@
 
     pub(crate) fn on_job_accepted(&mut self, job: JobId, tag: RequestTag, turn: &mut Turn<'_>) {
         turn.reply(tag, Reply::Done);
+        // A submission that was sent twice may be applied a second time after the end was proposed.
+        if self.job_clock.ended_at(&job).is_some() {
+            return;
+        }
         self.items.add_job(&job, turn.state);
         let known = turn.state.jobs().get(&job);
         if let Some(submission) = known.and_then(Job::open_contents) {
@@ -195,6 +199,7 @@
         let Some((id, job)) = turn.state.find_job(id) else {
             return turn.reply(tag, Reply::Unknown);
         };
+        self.job_clock.end(turn.now, id);
         let ended = self.items.remove_job(id, turn.state);
         self.late_jobs.remove(id);
         self.forecasts.remove(id);
--- a/crates/gateways/wingshore-coordination/src/leader/tables/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/jobs.rs
@@ -5,17 +5,20 @@
 use wingshore_types::Instant;
 use wingshore_types::machine::RequestTag;
 
-/// The time from which this leader has known each job. A new leader counts from the start of its
-/// leadership, so no job is abandoned or forgotten too early.
+/// The time from which this leader has known each job, and when its caller ended it. A new leader
+/// counts from the start of its leadership, so no job is abandoned or forgotten too early.
 #[derive(Default)]
 pub(crate) struct JobClock {
     known_since: HashMap<JobId, Instant>,
+    /// Ends that this leader has proposed; they may not be committed yet.
+    ended_at: HashMap<JobId, Instant>,
 }
 
 impl JobClock {
     /// Starts a new leadership, in which all jobs are known from `now` on.
     pub(crate) fn begin<'a>(&mut self, now: Instant, jobs: impl Iterator<Item = &'a JobId>) {
         self.known_since = jobs.map(|id| (id.clone(), now)).collect();
+        self.ended_at.clear();
     }
 
     /// Records a submitted job; a job that is known already keeps its time.
@@ -31,6 +34,17 @@
     /// Removes a job, so that a later one of the same name starts anew.
     pub(crate) fn forget(&mut self, job: &JobId) {
         self.known_since.remove(job);
+        self.ended_at.remove(job);
+    }
+
+    /// Records that the caller has ended a job; the first end counts.
+    pub(crate) fn end(&mut self, now: Instant, job: &JobId) {
+        self.ended_at.entry(job.clone()).or_insert(now);
+    }
+
+    /// Returns when the caller ended a job; `None` if it did not under this leader.
+    pub(crate) fn ended_at(&self, job: &JobId) -> Option<Instant> {
+        self.ended_at.get(job).copied()
     }
 
     /// Returns the time from which a job has been known.
--- a/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
+++ b/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use std::time::Duration;
-use support::{Group, job};
+use support::{Group, engine, job};
 use wingshore_coordination::{ItemId, JobId, Reply, Request};
 
 /// Longer than the retention of an ended job.
@@ -48,3 +48,27 @@
     group.ask(Request::EndJob(JobId::from("j")));
     expect_that!(group.ask(read_item()), some(eq(&Reply::Unknown)));
 }
+
+/// Guards against items that run after the end of their job: a submission that was sent again before
+/// the first one was committed is applied twice, and its second application put the items of the job
+/// back into the queue after the caller had ended it.
+#[gtest]
+fn no_item_is_placed_by_a_second_acceptance_after_the_end_of_its_job() {
+    let mut group = Group::new();
+    group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.defers_commits = true;
+    for _ in 0..2 {
+        group.ask(Request::SubmitJob(job("j", 1)));
+    }
+    group.commit_next();
+    expect_that!(group.assignments(), len(eq(1)));
+    group.ask(Request::EndJob(JobId::from("j")));
+    group.commit_next();
+    expect_that!(group.assignments(), is_empty());
+    group.commit();
+    expect_that!(group.state.jobs()[&JobId::from("j")].ended, eq(true));
+    expect_that!(group.assignments(), is_empty());
+    let counts = group.leader.counts();
+    expect_that!((counts.items_waiting, counts.items_running), eq((0, 0)));
+}
--- a/crates/gateways/wingshore-coordination/tests/support/mod.rs
+++ b/crates/gateways/wingshore-coordination/tests/support/mod.rs
@@ -33,7 +33,7 @@
     pub settings: LeaderSettings,
     /// Whether proposals wait for [`Group::commit`].
     pub defers_commits: bool,
-    uncommitted: Vec<(ProposalTag, Command)>,
+    uncommitted: VecDeque<(ProposalTag, Command)>,
     index: u64,
     epoch: u64,
     next_tag: u64,
@@ -64,7 +64,7 @@
             announced: Vec::new(),
             settings,
             defers_commits: false,
-            uncommitted: Vec::new(),
+            uncommitted: VecDeque::new(),
             index: 0,
             epoch: 0,
             next_tag: 0,
@@ -132,7 +132,7 @@
         while let Some(output) = queue.pop_front() {
             match output {
                 LeaderOutput::Propose { tag, command } if self.defers_commits => {
-                    self.uncommitted.push((tag, command));
+                    self.uncommitted.push_back((tag, command));
                 }
                 LeaderOutput::Propose { tag, command } => queue.extend(self.apply(tag, command)),
                 LeaderOutput::Reply { tag, reply } => self.replies.push((tag, reply)),
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Commits the oldest proposal that was deferred.
+    pub fn commit_next(&mut self) {
+        if let Some((tag, command)) = self.uncommitted.pop_front() {
+            let out = self.apply(tag, command);
+            self.process_outputs(out);
+        }
+    }
+
     /// Connects a gateway that reports that it runs nothing, and waits until a new leader places
     /// items.
     pub fn add_gateway(&mut self, id: u64) -> GatewayId {
