A text whose item lost its contents is not listed as one without a scorer

What callers would see: a result of an item with a scorer is listed as succeeded without a score.

Cause, of the class of the wrong body: two absences had one type. The scorer of an item is absent where the item has none, and also where the end of its job has dropped the contents; the reader took the second for the first and listed the text.

Change: a finished text of an item whose contents are gone is released, with the scoring that its gateway may have started. Why it is safe: after the end nothing more need be listed, and texts of open jobs are handled as before.

Test: a_text_of_an_item_whose_contents_are_gone_is_not_listed failed before (the result was listed, Succeeded without a score).

--- a/crates/gateways/wingshore-coordination/src/leader/attempts.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/attempts.rs
@@ -315,7 +315,7 @@
     }
 
     /// Releases an attempt, and the scoring that its gateway may have started for its text.
-    fn release_attempt_and_scoring(
+    pub(super) fn release_attempt_and_scoring(
         &self,
         gateway: GatewayId,
         assignment: AssignmentId,
--- a/crates/gateways/wingshore-coordination/src/leader/results.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/results.rs
@@ -11,7 +11,7 @@
 
 impl CoordinationLeader {
     /// Accepts the finished text of an item that has no result yet; it is listed, or first scored
-    /// if the item has a scorer.
+    /// if the item has a scorer. Nobody waits for the text once the job has ended.
     pub(crate) fn accept_text(
         &mut self,
         item: &ItemKey,
@@ -19,7 +19,12 @@
         finished: (GatewayId, AssignmentId),
         turn: &mut Turn<'_>,
     ) {
-        if Self::scorer_of(item, turn.state).is_some() {
+        let job = turn.state.jobs().get(&item.job);
+        let Some(contents) = job.and_then(|job| job.item_contents(item.index)) else {
+            let (gateway, assignment) = finished;
+            return self.release_attempt_and_scoring(gateway, assignment, turn);
+        };
+        if contents.scorer.is_some() {
             return self.store_unscored_text(item, text, finished, turn);
         }
         let result = ListedResult {
--- a/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
+++ b/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
@@ -5,11 +5,27 @@
 
 use googletest::prelude::*;
 use std::time::Duration;
-use support::{Group, engine, job};
-use wingshore_coordination::{ItemId, JobId, Reply, Request};
+use support::{Group, engine, job, scored_job, scoring_route};
+use wingshore_coordination::{
+    Command, CoordinatorMessage, Effect, ItemId, ItemOutcome, ItemText, JobId, Reply, Request,
+};
+use wingshore_types::LogIndex;
+use wingshore_types::machine::ReplicatedState;
 
 /// Longer than the retention of an ended job.
 const RETENTION: Duration = Duration::from_secs(140);
+/// Position of an entry after all others of a test.
+const AFTER_ALL_OTHERS: LogIndex = LogIndex(1_000_000);
+
+/// Returns a complete text of one event.
+fn text() -> ItemText {
+    ItemText {
+        text: "event 1".to_owned(),
+        events: 1,
+        last_event: Some(1),
+        versions: vec![1],
+    }
+}
 /// Longer than the test route's limit for the queue time of an item.
 const QUEUE_TIME: Duration = Duration::from_secs(50);
 
@@ -72,3 +88,26 @@
     let counts = group.leader.counts();
     expect_that!((counts.items_waiting, counts.items_running), eq((0, 0)));
 }
+
+/// Guards against a result without its score: the end of a job drops its scorers, and a text that came
+/// in afterwards was listed as that of an item without a scorer.
+#[gtest]
+fn a_text_of_an_item_whose_contents_are_gone_is_not_listed() {
+    let mut group = Group::new();
+    group.configure_with(scoring_route());
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(scored_job("j", 1)));
+    let attempt = group.assignments().remove(0);
+    let end = Command::EndJob(JobId::from("j"));
+    group.state.apply(AFTER_ALL_OTHERS, end);
+    let assignment = attempt.assignment;
+    group.end_item(gateway, &attempt, ItemOutcome::Finished(text().into()));
+    let release = CoordinatorMessage::Release { assignment };
+    expect_that!(
+        group.effects,
+        contains(eq(&Effect::ToGateway(gateway, release)))
+    );
+    let known = &group.state.jobs()[&JobId::from("j")];
+    expect_that!(known.results, is_empty());
+}
