--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -8,13 +8,13 @@
 use super::tables::jobs::Reader;
 use super::turn::Turn;
 use crate::ids::{AssignmentId, GatewayId, ItemId, ItemKey, JobId};
-use crate::jobs::JobSubmission;
+use crate::jobs::{Job, JobSubmission, NoBody};
 use crate::messages::Reply;
 use crate::state::{Command, CoordinationState};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_types::Instant;
 use wingshore_types::machine::RequestTag;
+use wingshore_types::{Epoch, Instant};
 
 /// Maximum size of the results in one reply, in bytes.
 const MAX_PAGE_BYTES: usize = 900 * 1024;
@@ -51,9 +51,9 @@
         submission: &JobSubmission,
         turn: &mut Turn<'_>,
     ) -> bool {
-        let open_jobs = turn.state.jobs().values().filter(|job| !job.ended);
+        let open_jobs = turn.state.jobs().values().filter_map(Job::open_contents);
         let room = Room {
-            open_bytes: open_jobs.map(|job| job.submission.bytes()).sum(),
+            open_bytes: open_jobs.map(JobSubmission::bytes).sum(),
             max_bytes: self.settings.max_open_job_bytes,
         };
         let (job, bytes) = (&submission.id, submission.bytes());
@@ -101,9 +101,13 @@
 
     pub(crate) fn on_job_accepted(&mut self, job: JobId, tag: RequestTag, turn: &mut Turn<'_>) {
         turn.reply(tag, Reply::Done);
+        // A submission that was sent twice may be applied a second time after the end was proposed.
+        if self.job_clock.ended_at(&job).is_some() {
+            return;
+        }
         self.items.add_job(&job, turn.state);
-        if let Some(known) = turn.state.jobs().get(&job) {
-            let submission = &known.submission;
+        let known = turn.state.jobs().get(&job);
+        if let Some(submission) = known.and_then(Job::open_contents) {
             let model = submission.model.clone();
             let named = model
                 .as_ref()
@@ -195,14 +199,15 @@
         let Some((id, job)) = turn.state.find_job(id) else {
             return turn.reply(tag, Reply::Unknown);
         };
+        self.job_clock.end(turn.now, id);
         let ended = self.items.remove_job(id, turn.state);
         self.late_jobs.remove(id);
         self.forecasts.remove(id);
-        if !job.ended {
-            self.returns.freed(turn.now, job.submission.bytes());
+        if let Some(contents) = job.open_contents() {
+            self.returns.freed(turn.now, contents.bytes());
             let decision = Decision::JobEnded {
                 job: id.clone(),
-                items: job.submission.items.len(),
+                items: contents.items.len(),
                 listed: job.results.len(),
                 running: ended.len(),
             };
@@ -246,13 +251,14 @@
     }
 
     fn is_past_queue_time(&self, now: Instant, item: &ItemKey, state: &CoordinationState) -> bool {
-        let Some(job) = state.jobs().get(&item.job) else {
+        let job = state.jobs().get(&item.job);
+        let Some(submission) = job.and_then(Job::open_contents) else {
             return false;
         };
-        let Some(contents) = job.submission.items.get(item.index as usize) else {
+        let Some(contents) = submission.items.get(item.index as usize) else {
             return false;
         };
-        let route = self.routes.find(&job.submission.host, &contents.path);
+        let route = self.routes.find(&submission.host, &contents.path);
         let known_since = self.job_clock.known_since(&item.job);
         is_past_queue_time(now, known_since, route.map(Arc::as_ref))
     }
@@ -288,15 +294,22 @@
     }
 }
 
-/// Answers with the body of an item that has no listed result yet and whose job is open: the end of a
-/// job drops the contents of its items.
-pub(super) fn read_item(tag: RequestTag, job: &JobId, item: &ItemId, turn: &mut Turn<'_>) {
-    let known = turn.state.find_job(job);
-    let open = known.filter(|(_, job)| !job.ended);
-    let item = open.and_then(|(_, job)| {
-        let (index, item) = job.find_item(item)?;
-        (!job.is_listed(index)).then_some(item)
+/// Answers with the body of an item that has no listed result yet and whose job is open.
+pub(super) fn read_item(
+    epoch: Epoch,
+    tag: RequestTag,
+    (job, item): (JobId, ItemId),
+    turn: &mut Turn<'_>,
+) {
+    let known = turn.state.find_job(&job);
+    let body = known.map_or(Err(NoBody::UnknownJob), |(_, job)| job.item_body(&item));
+    let answer = body.map_or(Reply::Unknown, |body| Reply::Item(body.to_vec()));
+    let body_bytes = body.map(<[u8]>::len);
+    turn.log(Decision::ItemBodyRead {
+        job,
+        item,
+        epoch,
+        body_bytes,
     });
-    let answer = item.map_or(Reply::Unknown, |item| Reply::Item(item.body.clone()));
     turn.reply(tag, answer);
 }
