A scoring that is reported after the end of its job is released

What callers would see: nothing directly; a scorer works for a job that was ended, and its request takes a place under the shared limit of scorings.

Until the end is committed the state still shows an open job with a stored text, and a gateway that reconnects in that time and reports such a scoring had it adopted, where an attempt at an item is released in the same case.

Change: a scoring is adopted only while the leader's table holds its item. Why it is safe: the table holds every unlisted item of each open job, with those whose text is stored, from the start of a leadership on.

Test: a_scoring_reported_after_the_end_of_its_job_is_released failed before (no release; one scoring counted as running after the committed end, expected 0).

--- a/crates/gateways/wingshore-coordination/src/leader/scoring.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/scoring.rs
@@ -93,7 +93,9 @@
             // The gateway that produced the text may deliver it right after this report.
             None => scoring == made_by && self.items.is_under_way(made_by),
         };
-        let is_open = job.is_some_and(|job| !job.is_listed(item.index));
+        // The end of the job may be proposed and not committed yet: then its items are gone.
+        let is_open = self.items.open_item(&item).is_some()
+            && job.is_some_and(|job| !job.is_listed(item.index));
         if !is_open || !is_own_text || self.scorings.is_assigned(&item) {
             return turn.release_scoring(gateway, scoring);
         }
--- a/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
+++ b/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 use support::{Group, engine, job, scored_job, scoring_route};
 use wingshore_coordination::{
-    Command, CoordinatorMessage, Effect, ItemId, ItemOutcome, ItemText, JobId, Reply, Request,
+    Command, CoordinatorMessage, Effect, Event, ItemId, ItemOutcome, ItemText, JobId, Reply,
+    Request, RunningScoring,
 };
 use wingshore_types::LogIndex;
 use wingshore_types::machine::ReplicatedState;
@@ -111,3 +112,36 @@
     let known = &group.state.jobs()[&JobId::from("j")];
     expect_that!(known.results, is_empty());
 }
+
+/// Guards against scorings that nobody waits for: a scoring that its gateway reported while the end
+/// of its job was not committed yet was counted as under way, and not released.
+#[gtest]
+fn a_scoring_reported_after_the_end_of_its_job_is_released() {
+    let mut group = Group::new();
+    group.configure_with(scoring_route());
+    let gateway = group.add_gateway(1);
+    group.heartbeat(engine("e1", 1));
+    group.ask(Request::SubmitJob(scored_job("j", 1)));
+    let attempt = group.assignments().remove(0);
+    group.end_item(gateway, &attempt, ItemOutcome::Finished(text().into()));
+    group.defers_commits = true;
+    group.ask(Request::EndJob(JobId::from("j")));
+    group.effects.clear();
+    let scoring = attempt.assignment;
+    group.event(Event::GatewayRunning {
+        gateway,
+        items: Vec::new(),
+        scorings: vec![RunningScoring {
+            scoring,
+            item: attempt.item,
+            made_by: scoring,
+        }],
+    });
+    let release = CoordinatorMessage::ReleaseScoring { scoring };
+    expect_that!(
+        group.effects,
+        contains(eq(&Effect::ToGateway(gateway, release)))
+    );
+    group.commit();
+    expect_that!(group.leader.counts().scorings_running, eq(0));
+}
