The end of a long job is acknowledged again when it is sent again

What callers would see: DELETE of a batch job whose answer was lost is sent again and answered 404, where each repeat is to be answered 200. Only for jobs that had been open for longer than the retention.

Change: an ended job is also kept for 10 s after its end, which is longer than a change of leader and a caller's retries take. Why it is safe: the contents of the items are dropped at once as before; the results of such jobs stay 10 s longer. A new leader counts the whole retention anew, as before.

Test: the_end_of_a_long_job_is_acknowledged_again failed before: the second end, 5 s after the first, was answered Unknown in place of Done.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/expiry.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/expiry.rs
@@ -1,7 +1,8 @@
 //! Decides when something that is no longer reported has expired.
 //!
 //! Inputs: the time at which this leader first learned of something or last received a report of
-//! it; for items the route's `max_queue`; for jobs and servers a setting.
+//! it; for items the route's `max_queue`; for jobs and servers a setting; for jobs also the time at
+//! which this leader was asked to end them.
 //!
 //! Rule: each kind has a limit of silence or age; see the functions.
 //!
@@ -28,6 +29,10 @@
 /// only after it.
 pub(crate) const GATEWAY_REPORT_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time after the end of a job in which its caller may send the end again, because the answer was
+/// lost; longer than a change of leader and a caller's retries take.
+const REPEATED_END_PERIOD: Duration = Duration::from_secs(10);
+
 /// Returns whether an attempt or a scoring that was last reported at `last_reported_at` has
 /// expired.
 pub(crate) fn is_silent(now: Instant, last_reported_at: Instant) -> bool {
@@ -56,11 +61,14 @@
     }
 }
 
-/// Returns whether a job that its caller has ended is past its retention.
+/// Returns whether a job that its caller has ended is past its retention, and past the time in which
+/// the caller may send the end again.
 pub(crate) fn is_job_forgotten(
     now: Instant,
     known_since: Option<Instant>,
+    ended_at: Option<Instant>,
     retention: Duration,
 ) -> bool {
-    known_since.is_some_and(|since| now.since(since) > retention)
+    let is_past_retention = known_since.is_some_and(|since| now.since(since) > retention);
+    is_past_retention && ended_at.is_none_or(|ended| now.since(ended) > REPEATED_END_PERIOD)
 }
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -268,7 +268,8 @@
         let (now, retention) = (turn.now, self.settings.job_retention);
         let is_forgotten = |id: &JobId| {
             let known_since = self.job_clock.known_since(id);
-            is_job_forgotten(now, known_since, retention)
+            let ended_at = self.job_clock.ended_at(id);
+            is_job_forgotten(now, known_since, ended_at, retention)
         };
         let ended = turn.state.jobs().iter().filter(|(_, job)| job.ended);
         let old = ended.map(|(id, _)| id).filter(|id| is_forgotten(id));
--- a/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
+++ b/crates/gateways/wingshore-coordination/tests/forgotten_jobs.rs
@@ -145,3 +145,19 @@
     group.commit();
     expect_that!(group.leader.counts().scorings_running, eq(0));
 }
+
+/// Guards against an end that is answered "no such job" although it took effect: a job that had been
+/// open for longer than the retention was forgotten as soon as it ended, and the end that its caller
+/// sent again met nothing.
+#[gtest]
+fn the_end_of_a_long_job_is_acknowledged_again() {
+    let mut group = Group::new();
+    group.ask(Request::SubmitJob(job("j", 1)));
+    group.wait(RETENTION);
+    let end = || Request::EndJob(JobId::from("j"));
+    expect_that!(group.ask(end()), some(eq(&Reply::Done)));
+    group.wait(Duration::from_secs(5));
+    expect_that!(group.ask(end()), some(eq(&Reply::Done)));
+    group.wait(RETENTION);
+    expect_that!(group.state.jobs(), is_empty());
+}
