A submission that names an item twice is refused

What callers saw: nothing known. A submission with two items of one identifier was accepted; a read of the body returned that of the first item, whichever was still open, and results could not be told apart.

Cause: bodies are looked for by identifier, which was nowhere checked to be unique within a job.

Change: the leader refuses such a submission at once (400) and says which identifier stands at which two positions and what is allowed. A job that is already accepted stays accepted when it is sent again, and an identifier may come again in a later job. Why it is safe: the check precedes the proposal; a job that an earlier build accepted is applied and restored as before.

Test: a_submission_that_names_an_item_twice_is_refused failed before (Done in place of Refused).

--- a/crates/gateways/wingshore-coordination/src/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/jobs.rs
@@ -8,7 +8,8 @@
 use crate::scoring::{Scorer, UnscoredText};
 use crate::text::{FinishedText, ItemText, ResultText};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 use wingshore_types::protocol::byte_vector;
 
@@ -49,6 +50,20 @@
         self.items.iter().map(bytes_of).sum()
     }
 
+    /// Returns an identifier that several items have, with the positions of the first two of them.
+    pub fn repeated_item(&self) -> Option<RepeatedItem<'_>> {
+        let mut positions = HashMap::with_capacity(self.items.len());
+        let mut items = self.items.iter().enumerate();
+        items.find_map(|(second, item)| {
+            let first = positions.insert(&item.id, second)?;
+            Some(RepeatedItem {
+                id: &item.id,
+                first,
+                second,
+            })
+        })
+    }
+
     /// Returns a copy whose items keep their identifiers but not their requests.
     fn without_item_contents(&self) -> Self {
         let name_of = |item: &JobItem| JobItem {
@@ -68,6 +83,27 @@
     }
 }
 
+/// An identifier that several items of a submission have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatedItem<'a> {
+    /// The identifier.
+    pub id: &'a ItemId,
+    /// Index of the first item with it.
+    pub first: usize,
+    /// Index of the second item with it.
+    pub second: usize,
+}
+
+impl Display for RepeatedItem<'_> {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "item `{}` stands at positions {} and {}; allowed is each id once in a batch job",
+            self.id, self.first, self.second
+        )
+    }
+}
+
 /// One item of a batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobItem {
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -29,6 +29,9 @@
         if turn.state.find_job(&submission.id).is_some() {
             return turn.reply(tag, Reply::Done);
         }
+        if let Some(repeated) = submission.repeated_item() {
+            return turn.reply(tag, Reply::Refused(repeated.to_string()));
+        }
         if let Some(reason) = self.missing_scorer_route(&submission, turn.state) {
             return turn.reply(tag, Reply::Refused(reason));
         }
--- a/crates/gateways/wingshore-coordination/src/lib.rs
+++ b/crates/gateways/wingshore-coordination/src/lib.rs
@@ -38,7 +38,8 @@
     ServiceName, StartTime, TenantName,
 };
 pub use jobs::{
-    ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, NoBody, ResultRecord,
+    ItemState, Job, JobItem, JobPage, JobSubmission, ListedResult, NoBody, RepeatedItem,
+    ResultRecord,
 };
 pub use leader::{
     CapacityDemand, CapacityPolicy, CoordinationLeader, Decision, EVIDENCE_LIFETIME, Effect,
--- a/crates/gateways/wingshore-coordination/tests/item_bodies.rs
+++ b/crates/gateways/wingshore-coordination/tests/item_bodies.rs
@@ -3,9 +3,10 @@
 mod support;
 
 use googletest::prelude::*;
+use std::sync::Arc;
 use support::{Group, job};
 use wingshore_coordination::{
-    Decision, Effect, ItemId, ItemOutcome, ItemText, JobId, NoBody, Reply, Request,
+    Decision, Effect, ItemId, ItemOutcome, ItemText, JobId, JobSubmission, NoBody, Reply, Request,
 };
 
 /// Returns a complete text of one event.
@@ -68,3 +69,35 @@
     ];
     expect_that!(logged_reads(&group), container_eq(expected));
 }
+
+/// Guards against the body of another item: of two items with one identifier in a submission, reads
+/// returned the body of the first.
+#[gtest]
+fn a_submission_that_names_an_item_twice_is_refused() {
+    let (mut group, _) = Group::with_job(2);
+    let mut twice = JobSubmission::clone(&job("twice", 3));
+    twice.items[2].id = twice.items[0].id.clone();
+    let reason =
+        "item `twice-0` stands at positions 0 and 2; allowed is each id once in a batch job";
+    expect_that!(
+        group.ask(Request::SubmitJob(Arc::new(twice))),
+        some(eq(&Reply::Refused(reason.to_owned())))
+    );
+    expect_that!(
+        group.state.jobs().contains_key(&JobId::from("twice")),
+        eq(false)
+    );
+    // The same identifiers in another job are allowed, and a job that an earlier build accepted
+    // stays accepted.
+    let mut again = JobSubmission::clone(&job("j", 2));
+    again.id = JobId::from("later");
+    expect_that!(
+        group.ask(Request::SubmitJob(Arc::new(again.clone()))),
+        some(eq(&Reply::Done))
+    );
+    again.items[1].id = again.items[0].id.clone();
+    expect_that!(
+        group.ask(Request::SubmitJob(Arc::new(again))),
+        some(eq(&Reply::Done))
+    );
+}
