rollout tests: a sample whose engines crash repeatedly is resumed each time

Whether nodes can leave a sample out because engines crashed under it was open. They count no crashes of a sample: it waits 200 ms at most if the attempt brought no token, prefers another engine, and takes the one that it avoids if no other has room (RolloutRunner::keep_partial and admit). Outlier detection ejects half of the engines at the most (may_eject_another) and forgets an engine's failures when it starts anew. No change of code: the test, which passes, lets twelve attempts break off in turn on two engines, more than eject an engine, and each next one starts within 500 ms.

--- a/crates/nodes/wingshore-rollout/tests/runner.rs
+++ b/crates/nodes/wingshore-rollout/tests/runner.rs
@@ -81,6 +81,32 @@
     expect_that!(harness.finish_reports(), eq(&vec![(1, expected)]));
 }
 
+/// Failure: a sample under which engines crashed repeatedly would be put aside, or wait longer after
+/// each crash, although engines have room. It is resumed each time, also on engines that crashed under
+/// it, and is finished whatever crashed.
+#[gtest]
+fn a_sample_whose_engines_crash_repeatedly_is_resumed_each_time() {
+    const CRASHES: usize = 12;
+    const MAX_WAIT: Duration = Duration::from_millis(500);
+    let mut harness = Harness::new(|_| {});
+    harness.grant_leases(vec![sample_lease(1, 20, 0)]);
+    for crash in 0..CRASHES {
+        let (attempt, _, request) = harness.streams().remove(0);
+        expect_that!(request.resume, len(eq(crash)));
+        harness.chunk(attempt, 5, &[7]);
+        harness.take_outputs();
+        let end = StreamEnd::Failed(Verdict::MayHaveRun);
+        harness.input(RolloutInput::StreamEnded { attempt, end });
+        harness.report_states(5);
+        harness.advance(MAX_WAIT);
+        assert_that!(harness.streams(), len(eq(1)), "after crash {crash}");
+    }
+    let (attempt, _, _) = harness.streams().remove(0);
+    harness.chunk(attempt, 5, &[7]);
+    harness.finished(attempt, CRASHES as u32 + 1);
+    expect_that!(harness.finish_reports(), len(eq(1)));
+}
+
 #[gtest]
 fn tokens_of_too_old_versions_are_discarded() {
     let cases: [(&str, StalenessTrigger); 2] = [
