gateway tests: drawn runs of a crashing live request beside items that always run

Change: a scenario in which all other requests are batch items, which are sent on without trial and are never refused.

--- a/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation.rs
@@ -54,9 +54,11 @@
         // Innocent requests beside it are counted: see the table in the design note.
         return outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH;
     }
-    if scenario == Scenario::CrashingRequestBehindUnidentifiedAnswers
-        && outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH
-    {
+    let is_bounded_by_trials = matches!(
+        scenario,
+        Scenario::CrashingRequestBehindUnidentifiedAnswers | Scenario::CrashingRequestBesideItems
+    );
+    if is_bounded_by_trials && outcome.sends_after_third_crash > MAX_SENDS_AFTER_THIRD_CRASH {
         return true;
     }
     outcome.rejected_innocents > 0 || outcome.late_sends > MAX_LATE_SENDS
@@ -112,6 +114,16 @@
     assert!(sums.trials > 0);
 }
 
+/// Guards against a crashing request that reaches more servers beside batch items, which run whatever
+/// crashed under them and whose crashes are evidence against no other request.
+#[test]
+fn a_crashing_request_beside_items_runs_three_times_more_at_most() {
+    let (broken, sums) = run_all(Scenario::CrashingRequestBesideItems);
+    assert_eq!(broken, [0_u64; 0]);
+    assert!(sums.ended > runs());
+    assert!(sums.trials > 0);
+}
+
 /// Failure: a request whose clients leave often would be rejected for unrelated crashes of the
 /// servers that it was sent to.
 #[test]
--- a/crates/gateways/wingshore-gateway/tests/crash_simulation/world.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation/world.rs
@@ -296,7 +296,8 @@
     /// Sends a request through a random gateway to a random server that is up and has a free slot.
     fn send(&mut self, request: RequestFingerprint, time: Duration, sends_left: u32) {
         let gateway = self.random.random_range(0..self.gateways.len());
-        if self.is_rejected(gateway, request) {
+        let is_judged = request == self.crashing_request || !self.scenario.has_items();
+        if is_judged && self.is_rejected(gateway, request) {
             self.outcome.rejected_innocents += usize::from(request != self.crashing_request);
             return;
         }
@@ -309,7 +310,7 @@
             return;
         }
         let server = free[self.random.random_range(0..free.len())];
-        if self.scenario.has_trials() && self.needs_trial(gateway, request) {
+        if is_judged && self.scenario.has_trials() && self.needs_trial(gateway, request) {
             let asked = AskedTrial {
                 request,
                 gateway,
--- a/crates/gateways/wingshore-gateway/tests/crash_simulation/world/scenario.rs
+++ b/crates/gateways/wingshore-gateway/tests/crash_simulation/world/scenario.rs
@@ -12,6 +12,9 @@
     /// One crashing request; gateways close connections on which an answer of no known request
     /// arrives, while the servers go on. Suspects run on trial.
     CrashingRequestBehindUnidentifiedAnswers,
+    /// One crashing request, on trial once it is suspect. All other requests are batch items, which
+    /// run whatever crashed under them.
+    CrashingRequestBesideItems,
 }
 
 impl Scenario {
@@ -21,12 +24,18 @@
             Self::OneCrashingRequest
                 | Self::CrashingRequestOfLeavingClients
                 | Self::CrashingRequestBehindUnidentifiedAnswers
+                | Self::CrashingRequestBesideItems
         )
     }
 
     /// Whether suspects run on trial.
     pub(super) fn has_trials(self) -> bool {
-        self.has_leaving_clients() || self.has_unmatched_answers()
+        self.has_leaving_clients() || self.has_unmatched_answers() || self.has_items()
+    }
+
+    /// Whether the innocent requests are batch items.
+    pub(super) fn has_items(self) -> bool {
+        self == Self::CrashingRequestBesideItems
     }
 
     pub(super) fn has_unmatched_answers(self) -> bool {
