coordination tests: an item pauses after a crash

What was open: suspected_items_run_on_different_engines also checked that an item is not placed right after a crash.

Change: an_item_pauses_after_a_crash checks that the item is not placed within 400 ms of the crash and is within 500 ms.

--- a/crates/gateways/wingshore-coordination/tests/crashed_items.rs
+++ b/crates/gateways/wingshore-coordination/tests/crashed_items.rs
@@ -75,6 +75,21 @@
     }
 }
 
+/// Guards against an item that uses up the slots of one engine after the other in a series of
+/// crashes: it pauses after a crash, although an engine has room. This keeps the check of
+/// suspected_items_run_on_different_engines that the last crash is evaluated first.
+#[gtest]
+fn an_item_pauses_after_a_crash() {
+    let (mut group, gateway) = Group::with_job(1);
+    let attempts = group.assignments();
+    group.heartbeat(engine("e2", 1));
+    crash(&mut group, gateway, "e1", &attempts);
+    group.wait(EVALUATION_TIME);
+    expect_that!(group.assignments(), is_empty());
+    group.wait(LONGEST_PAUSE - EVALUATION_TIME);
+    expect_that!(group.assignments(), len(eq(1)));
+}
+
 /// Failure: in a site whose gateways are being replaced, an item under which four engines had crashed
 /// was offered to gateways of the earlier build alone, which refuse it.
 #[gtest]
