A refused item waits while the gateways that take it are full

What operators would see: while gateways of the build before are in use, an item that they refuse is offered to them at each tick as long as the gateways that take it run 96 items each, with a line in the log for each refusal.

Change: where a gateway takes such items, the item waits for room there. Why it is safe: with no such gateway all is as before.

Test: a_refused_item_waits_while_the_gateways_that_take_it_are_full fails before: 20 offers in 20 ticks in place of 1.

--- a/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
@@ -8,10 +8,10 @@
 //! Rule: an item goes through the gateway that ran the engine's last item, if that gateway takes
 //! more. Otherwise it goes through the gateway with the fewest items, where gateways of other zones
 //! count [`OTHER_ZONE_PENALTY`] more. An item that a gateway has refused because servers had crashed
-//! under it goes through a gateway that has refused none, if there is one. A scoring goes to the zone
-//! with the fewest scorings per slot of its servers, and there to the first gateway with fewer than
-//! [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. No gateway gets more than
-//! [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
+//! under it goes through a gateway that has refused none, and waits for room there, if there is one. A
+//! scoring goes to the zone with the fewest scorings per slot of its servers, and there to the first
+//! gateway with fewer than [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. No
+//! gateway gets more than [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
 //!
 //! Rationale: gateways keep their connections to engines open. A new connection costs time, and
 //! servers limit their number. Gateways of earlier builds refuse items under which servers crashed,
@@ -51,11 +51,11 @@
     engine: Option<&Engine>,
     was_refused: bool,
 ) -> Option<GatewayId> {
-    let takes_refused = |gateway: &Gateway| takes_more(gateway) && !gateway.refuses_crashed_items;
-    let chosen = was_refused.then(|| best_gateway(gateways, engine, takes_refused));
-    chosen
-        .flatten()
-        .or_else(|| best_gateway(gateways, engine, takes_more))
+    if was_refused && takes_refused_items(gateways) {
+        let takes_item = |gateway: &Gateway| takes_more(gateway) && !gateway.refuses_crashed_items;
+        return best_gateway(gateways, engine, takes_item);
+    }
+    best_gateway(gateways, engine, takes_more)
 }
 
 /// Returns whether a gateway may take an item that another one has refused because servers had
--- a/crates/gateways/wingshore-coordination/tests/crashed_items.rs
+++ b/crates/gateways/wingshore-coordination/tests/crashed_items.rs
@@ -107,6 +107,42 @@
     expect_that!(to, some(eq(later)));
 }
 
+/// Guards against an item that is offered to a gateway of an earlier build at each tick, which refuses
+/// it each time, while the gateways that take it have no room.
+#[gtest]
+fn a_refused_item_waits_while_the_gateways_that_take_it_are_full() {
+    const ITEMS_PER_GATEWAY: u32 = 96;
+    const TICK: Duration = Duration::from_millis(50);
+    let mut group = Group::new();
+    group.add_gateway(1);
+    for number in 0..=ITEMS_PER_GATEWAY / SLOTS {
+        group.heartbeat(engine(&format!("e{number}"), 1));
+    }
+    group.ask(Request::SubmitJob(job("j", ITEMS_PER_GATEWAY + 1)));
+    let running = group.assignments();
+    assert_that!(running, len(eq(ITEMS_PER_GATEWAY as usize)));
+    let earlier = group.add_gateway(2);
+    let mut offers = 0;
+    for _ in 0..20 {
+        let progress = running.iter().map(|attempt| ItemProgress {
+            assignment: attempt.assignment,
+            events: 1,
+        });
+        group.event(Event::ItemsProgressed(progress.collect()));
+        for offered in group.assignments() {
+            offers += 1;
+            let rejected = ItemOutcome::NotRun(NotRunReason::Rejected);
+            group.end_item(earlier, &offered, rejected);
+        }
+        group.wait(TICK);
+    }
+    expect_that!(
+        offers,
+        eq(1),
+        "the leader learns from the first that it is refused"
+    );
+}
+
 /// What happens next in a drawn run.
 #[derive(Clone, Copy, Debug)]
 enum Step {
