--- a/crates/gateways/wingshore-coordination/tests/evidence.rs
+++ b/crates/gateways/wingshore-coordination/tests/evidence.rs
@@ -222,3 +222,28 @@
     expect_that!(rejected, eq(1));
     expect_that!(is_rejected(&group.state, request(0)), eq(true));
 }
+
+/// Guards against a live request that crashes servers without end: the record of suspects was full of
+/// rejected contents of batch items, which are never the cause, and each new item under which a
+/// server crashed took the place of the live request.
+#[gtest]
+fn contents_of_items_displace_no_crashing_live_request() {
+    const ITEMS_PER_ENGINE: u32 = 128;
+    let mut group = group();
+    let full = u32::try_from(MAX_SUSPECTS).unwrap();
+    for first in (0..full).step_by(ITEMS_PER_ENGINE as usize) {
+        let items: Vec<_> = (first..first + ITEMS_PER_ENGINE).map(request).collect();
+        for round in 0..4 {
+            crash_one_by_one(&mut group, &[&format!("e{first}-{round}")], &items);
+        }
+    }
+    let counts = group.state.evidence().counts();
+    assert_that!(counts, eq((MAX_SUSPECTS, MAX_SUSPECTS)));
+    let live = request(full);
+    for round in 1..=8 {
+        crash_one_by_one(&mut group, &[&format!("live-{round}")], &[live]);
+        let item = request(full + round);
+        crash_one_by_one(&mut group, &[&format!("item-{round}")], &[item]);
+    }
+    expect_that!(is_rejected(&group.state, live), eq(true));
+}
--- a/crates/gateways/wingshore-coordination/tests/scoring.rs
+++ b/crates/gateways/wingshore-coordination/tests/scoring.rs
@@ -348,3 +348,26 @@
     let restored = wingshore_coordination::CoordinationState::restore(&group.state.snapshot());
     expect_that!(restored.unwrap() == group.state, is_true());
 }
+
+/// Guards against a scoring that is never run while gateways are being replaced: servers had crashed
+/// under it, one gateway of the earlier build refuses it each time, and it is never given to another
+/// one.
+#[gtest]
+fn a_scoring_that_an_earlier_gateway_refuses_goes_to_another_one() {
+    let (mut group, earlier, assignment) = group_with_item();
+    let later = group.add_gateway(2);
+    finish(&mut group, earlier, &assignment);
+    let mut under_way = (earlier, assignment.assignment);
+    let mut gateways = Vec::new();
+    for _ in 0..8 {
+        let (gateway, scoring) = under_way;
+        let outcome = ScoringOutcome::NotScored(NotScoredReason::Refused);
+        end_scoring(&mut group, gateway, scoring, outcome);
+        group.wait(LONGER_THAN_ANY_BACKOFF);
+        let (gateway, again) = scorings(&mut group).remove(0);
+        gateways.push(gateway);
+        under_way = (gateway, again.scoring);
+        group.event(Event::ScoringsRunning(vec![again.scoring]));
+    }
+    expect_that!(gateways, contains(eq(&later)));
+}
