gateway tests: a live request with the content of a scoring that runs is refused

Items and scorings run whatever crashed under them; a live request with the same content is still rejected at once, before the scoring starts and while it runs, and no server is sent it.

--- a/crates/gateways/wingshore-gateway/tests/bytes/crashed_items.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/crashed_items.rs
@@ -17,6 +17,10 @@
     number: 9,
 };
 
+/// The engine's answer, with which the text of the item is whole.
+const WHOLE_TEXT: &str = "HTTP/1.1 200 OK\r\nId: item-1\r\nSignature: s\r\nVersion: 3\r\n\
+    Content-Length: 18\r\n\r\nid: 12\ndata: two\n\n";
+
 /// Returns a view in which the content of a batch item or scoring is rejected.
 fn view_that_rejects(server: &Server, (host, target, body): (&str, &str, &[u8])) -> ViewUpdate {
     let mut update = view(server.address(), Vec::new());
@@ -62,9 +66,28 @@
     let assignment = item(ASSIGNMENT, engine.address(), Some(scorer));
     site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
     let (mut upstream, _) = engine.accept();
-    let answer = "HTTP/1.1 200 OK\r\nId: item-1\r\nSignature: s\r\nVersion: 3\r\n\
-                  Content-Length: 18\r\n\r\nid: 12\ndata: two\n\n";
-    upstream.write_all(answer.as_bytes()).unwrap();
+    upstream.write_all(WHOLE_TEXT.as_bytes()).unwrap();
     let (_, request) = server.accept();
     expect_that!(request, contains_substring("Id: score-1"));
 }
+
+/// Failure: a live request with the content of a scoring, or of an item, would run on although it is
+/// rejected, as items and scorings do.
+#[gtest]
+fn a_live_request_with_the_content_of_a_scoring_that_runs_is_refused() {
+    let (server, engine) = (Server::start(), Server::start());
+    let rejected = ("keyed.test", "/live/score", b"text".as_slice());
+    let site = Site::with_view(view_that_rejects(&server, rejected));
+    let live = "POST /live/score HTTP/1.1\r\nHost: keyed.test\r\nId: live-1\r\nDeadline-Ms: 900\r\n\
+                Authorization: key-1\r\nContent-Length: 4\r\n\r\ntext";
+    expect_that!(site.ask(live), contains_substring("rejected"));
+    let scorer = scorer("keyed.test", "/live/score");
+    let assignment = item(ASSIGNMENT, engine.address(), Some(scorer));
+    site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
+    let (mut upstream, _) = engine.accept();
+    upstream.write_all(WHOLE_TEXT.as_bytes()).unwrap();
+    let (_running, request) = server.accept();
+    expect_that!(request, contains_substring("Id: score-1"));
+    expect_that!(site.ask(live), contains_substring("rejected"));
+    expect_that!(server.has_connection(), eq(false));
+}
