--- a/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
@@ -10,12 +10,14 @@
 //! count [`OTHER_ZONE_PENALTY`] more. An item that a gateway has refused because servers had crashed
 //! under it goes through a gateway that has refused none, and waits for room there, if there is one. A
 //! scoring goes to the zone with the fewest scorings per slot of its servers, and there to the first
-//! gateway with fewer than [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. No
-//! gateway gets more than [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
+//! gateway with fewer than [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. After
+//! [`SCORINGS_BEFORE_OTHER_GATEWAY`] scorings without a score the next one goes through another gateway
+//! than the last. No gateway gets more than [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
 //!
 //! Rationale: gateways keep their connections to engines open. A new connection costs time, and
 //! servers limit their number. Gateways of earlier builds refuse items under which servers crashed,
-//! and the item is owed nevertheless. Scorings run through few gateways near their servers, which keep
+//! and the item is owed nevertheless. They refuse scorings in the same way, which cannot be told from a
+//! refusal of the servers. Scorings run through few gateways near their servers, which keep
 //! those connections in use.
 //!
 //! Stale or missing inputs: a gateway gets nothing before it has reported what it runs. A gateway
@@ -33,6 +35,9 @@
 /// Number of scorings of a gateway at which another gateway of its zone is used too, so that a step's
 /// scorings do not delay the live requests of one gateway.
 const SCORINGS_BEFORE_NEXT_GATEWAY: usize = 4;
+/// Consecutive scorings of a text without a score after which the next one goes through another
+/// gateway: servers that were merely busy have had time to be free again.
+const SCORINGS_BEFORE_OTHER_GATEWAY: u32 = 4;
 /// Scale of the number of scorings per slot.
 const LOAD_SCALE: u64 = 1000;
 /// Number of items by which a gateway in another zone than the engine must have fewer to be
@@ -108,10 +113,27 @@
     }
 }
 
+/// Returns the gateway through which a scoring does not go again, after so many consecutive ones
+/// without a score, the last of them at `last`; `None` if any gateway will do.
+pub(crate) fn gateway_without_score(scorings_before: u32, last: GatewayId) -> Option<GatewayId> {
+    (scorings_before >= SCORINGS_BEFORE_OTHER_GATEWAY).then_some(last)
+}
+
 /// Returns the gateway that requests the score of a text; `None` if no gateway takes a scoring now.
+/// The gateway `avoid` is chosen only if no other takes the scoring.
 pub(crate) fn gateway_for_scoring(
     gateways: &Gateways,
     places: ScoringPlaces<'_>,
+    avoid: Option<GatewayId>,
+) -> Option<GatewayId> {
+    best_scoring_gateway(gateways, places, |gateway| Some(gateway) != avoid)
+        .or_else(|| best_scoring_gateway(gateways, places, |_| true))
+}
+
+fn best_scoring_gateway(
+    gateways: &Gateways,
+    places: ScoringPlaces<'_>,
+    may_be: impl Fn(GatewayId) -> bool,
 ) -> Option<GatewayId> {
     let mut scorings_by_zone: BTreeMap<&str, usize> = BTreeMap::new();
     for (id, gateway) in gateways.iter() {
@@ -120,7 +142,7 @@
     gateways
         .iter()
         .filter(|(id, gateway)| {
-            is_eligible(gateway) && places.count(*id) < MAX_SCORINGS_PER_GATEWAY
+            may_be(*id) && is_eligible(gateway) && places.count(*id) < MAX_SCORINGS_PER_GATEWAY
         })
         .min_by_key(|(id, gateway)| {
             let zone = gateway.zone.as_str();
--- a/crates/gateways/wingshore-coordination/src/leader/scoring.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/scoring.rs
@@ -174,7 +174,8 @@
                 if counted.is_none() {
                     turn.release_scoring(gateway, scoring);
                 }
-                self.retry_scoring(scoring, &item, made_by, (reason, failures), turn);
+                let ended = (gateway, scoring);
+                self.retry_scoring(ended, &item, made_by, (reason, failures), turn);
                 if let Some(failures) = counted {
                     let command = Command::CountScoringFailures {
                         item,
@@ -212,13 +213,13 @@
 
     fn retry_scoring(
         &mut self,
-        scoring: AssignmentId,
+        (gateway, scoring): (GatewayId, AssignmentId),
         item: &ItemKey,
         made_by: AssignmentId,
         (reason, failures): (&'static str, u32),
         turn: &mut Turn<'_>,
     ) {
-        let pause = backoff(self.scorings.count_retry(item));
+        let pause = backoff(self.scorings.count_retry(item, gateway));
         self.scorings
             .enqueue(item.clone(), made_by, turn.now + pause);
         let decision = ScoringDecision::Retried {
--- a/crates/gateways/wingshore-coordination/src/leader/scoring_grants.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/scoring_grants.rs
@@ -1,7 +1,7 @@
 //! Grants of scorings: which waiting texts are scored now, and through which gateways.
 
 use super::decision_log::Decision;
-use super::decisions::gateway_choice::{ScoringPlaces, gateway_for_scoring};
+use super::decisions::gateway_choice::{ScoringPlaces, gateway_for_scoring, gateway_without_score};
 use super::decisions::scoring_limit::{ScoringOrder, is_urgent};
 use super::interface::ScoringReadings;
 use super::machine::CoordinationLeader;
@@ -123,7 +123,9 @@
             if !self.has_room(&mut round, turn.now, service.as_ref(), candidate.due) {
                 continue;
             }
-            let Some(gateway) = self.choose_scoring_gateway(&mut round, service.as_ref()) else {
+            let avoid = self.gateway_to_avoid(candidate.item);
+            let gateway = self.choose_scoring_gateway(&mut round, service.as_ref(), avoid);
+            let Some(gateway) = gateway else {
                 break;
             };
             round.count(service.as_ref(), gateway);
@@ -199,6 +201,7 @@
         &self,
         round: &mut GrantRound<'_>,
         service: Option<&ServiceName>,
+        avoid: Option<GatewayId>,
     ) -> Option<GatewayId> {
         if let Some(service) = service {
             round.servers(service);
@@ -209,7 +212,13 @@
             assigned: &round.assigned,
             slots_by_zone: known.map_or(&no_servers, |known| &known.slots_by_zone),
         };
-        gateway_for_scoring(&self.gateways, places)
+        gateway_for_scoring(&self.gateways, places, avoid)
+    }
+
+    /// Returns the gateway through which the scoring of an item does not go again.
+    fn gateway_to_avoid(&self, item: &ItemKey) -> Option<GatewayId> {
+        let retries = self.scorings.retries.get(item)?;
+        gateway_without_score(retries.count, retries.gateway)
     }
 
     fn assign_scoring(&mut self, grant: Grant, turn: &mut Turn<'_>) {
--- a/crates/gateways/wingshore-coordination/src/leader/tables/scorings.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/tables/scorings.rs
@@ -32,8 +32,17 @@
 pub(crate) struct Scorings {
     pub(crate) waiting: BTreeMap<ItemKey, WaitingText>,
     pub(crate) under_way: BTreeMap<AssignmentId, OpenScoring>,
-    /// Number of consecutive scorings without a score, by item.
-    pub(crate) retries: BTreeMap<ItemKey, u32>,
+    /// Consecutive scorings without a score, by item.
+    pub(crate) retries: BTreeMap<ItemKey, ScoringRetries>,
+}
+
+/// Consecutive scorings of an item without a score.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ScoringRetries {
+    /// Number of these scorings.
+    pub(crate) count: u32,
+    /// The gateway of the last one.
+    pub(crate) gateway: GatewayId,
 }
 
 impl Scorings {
@@ -124,11 +133,15 @@
         BTreeMap::into_iter(taken).collect()
     }
 
-    /// Counts a retry of the scoring of an item; returns the number of consecutive earlier ones.
-    pub(crate) fn count_retry(&mut self, item: &ItemKey) -> u32 {
-        let retries = self.retries.entry(item.clone()).or_default();
-        let before = *retries;
-        *retries += 1;
+    /// Counts a scoring of an item that ended without a score at a gateway; returns the number of
+    /// consecutive earlier ones.
+    pub(crate) fn count_retry(&mut self, item: &ItemKey, gateway: GatewayId) -> u32 {
+        let before = self.retries.get(item).map_or(0, |retries| retries.count);
+        let retries = ScoringRetries {
+            count: before + 1,
+            gateway,
+        };
+        self.retries.insert(item.clone(), retries);
         before
     }
 }
--- a/crates/gateways/wingshore-coordination/tests/crashed_items.rs
+++ b/crates/gateways/wingshore-coordination/tests/crashed_items.rs
@@ -23,8 +23,8 @@
 const EVALUATION_TIME: Duration = Duration::from_millis(400);
 /// Crashes this far apart do not count as simultaneous.
 const CRASH_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval between two progress reports of the gateway.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two ticks of the leader. A gateway answers an offer for an engine that is gone sooner.
+const TICK: Duration = Duration::from_millis(50);
 /// Slots of each engine of the tests.
 const SLOTS: u32 = 4;
 
@@ -230,12 +230,13 @@
     };
     let expected = vec![none, none, [true, false]];
     expect_that!(rejections(&[alone; 3], true), eq(&expected));
+}
+
 /// Guards against an item that is offered to a gateway of an earlier build at each tick, which refuses
 /// it each time, while the gateways that take it have no room.
 #[gtest]
 fn a_refused_item_waits_while_the_gateways_that_take_it_are_full() {
     const ITEMS_PER_GATEWAY: u32 = 96;
-    const TICK: Duration = Duration::from_millis(50);
     let mut group = Group::new();
     group.add_gateway(1);
     for number in 0..=ITEMS_PER_GATEWAY / SLOTS {
@@ -361,7 +362,7 @@
             });
             let progress = progress.collect();
             self.group.event(Event::ItemsProgressed(progress));
-            self.group.wait(PROGRESS_INTERVAL);
+            self.group.wait(TICK);
             self.record_assignments();
         }
     }
