Log lines of calls that are about no item keep exactly their keys

A test failed: calls_about_jobs of wingshore-gateway looks for a line with exactly the keys 'answer call epoch subject'; since reads of bodies name item and length, all lines of calls had the two keys, null where there is no item.

Change: only the lines of reads of bodies have the further keys, for answered and for failed calls; all others are as they were before. The test is unchanged.

--- a/crates/gateways/wingshore-coordination/src/messages/group.rs
+++ b/crates/gateways/wingshore-coordination/src/messages/group.rs
@@ -99,14 +99,6 @@
         }
     }
 
-    /// Returns the item that the request is about, for logs.
-    pub fn item(&self) -> Option<&ItemId> {
-        match self {
-            Self::ReadItem { item, .. } => Some(item),
-            _ => None,
-        }
-    }
-
     /// Returns whether each answer is logged: calls of operators and trainers, which are rare.
     pub fn is_answer_logged(&self) -> bool {
         matches!(
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -13,7 +13,7 @@
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
 use wingshore_coordination::{
-    CallReply, GatewayMessage, ItemId, JobId, JobPage, Reply, Request, TenantName,
+    CallReply, GatewayMessage, JobId, JobPage, Reply, Request, TenantName,
 };
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
@@ -256,12 +256,7 @@
         let answer = batch_answer(&runtime.logger, &call.request, reply);
         let kind = call.request.kind();
         runtime.metrics.call_ended(kind, answer.name());
-        if !matches!(call.request, Request::ReadJob { .. }) {
-            info!(runtime.logger, "call answered"; "call" => kind,
-                "subject" => call.request.subject(), "item" => item_of(&call.request),
-                "answer" => answer.name(), "bytes" => answer.item_bytes(),
-                "epoch" => site.view.epoch().0);
-        }
+        log_answered_call(runtime, site, &call.request, &answer);
         Some(CallEnd {
             client: call.client,
             answer,
@@ -286,21 +281,38 @@
     }
 }
 
+/// Logs the answer to a call, except to a read of results: clients read each job twice a second.
+fn log_answered_call(runtime: &Runtime, site: &Site, request: &Request, answer: &BatchAnswer) {
+    let (kind, subject, epoch) = (request.kind(), request.subject(), site.view.epoch().0);
+    match request {
+        Request::ReadJob { .. } => {}
+        Request::ReadItem { item, .. } => {
+            info!(runtime.logger, "call answered"; "call" => kind, "subject" => subject,
+                "item" => %item, "answer" => answer.name(), "bytes" => answer.item_bytes(),
+                "epoch" => epoch);
+        }
+        _ => {
+            info!(runtime.logger, "call answered"; "call" => kind, "subject" => subject,
+                "answer" => answer.name(), "epoch" => epoch);
+        }
+    }
+}
+
 /// Logs and counts a call that the group does not answer in time.
 fn log_failed_call(runtime: &Runtime, site: &Site, request: &Request, answer: &BatchAnswer) {
-    let kind = request.kind();
-    warn!(runtime.logger, "call failed"; "call" => kind, "subject" => request.subject(),
-        "item" => item_of(request),
-        "leader_known" => site.coordinators.leader().is_some(), "answer" => answer.name(),
-        "epoch" => site.view.epoch().0);
+    let (kind, subject, epoch) = (request.kind(), request.subject(), site.view.epoch().0);
+    let leader_known = site.coordinators.leader().is_some();
+    if let Request::ReadItem { item, .. } = request {
+        warn!(runtime.logger, "call failed"; "call" => kind, "subject" => subject,
+            "item" => %item, "leader_known" => leader_known, "answer" => answer.name(),
+            "epoch" => epoch);
+    } else {
+        warn!(runtime.logger, "call failed"; "call" => kind, "subject" => subject,
+            "leader_known" => leader_known, "answer" => answer.name(), "epoch" => epoch);
+    }
     runtime.metrics.call_ended(kind, answer.name());
 }
 
-/// Returns the item that a call is about, for logs.
-fn item_of(request: &Request) -> Option<&str> {
-    request.item().map(ItemId::as_str)
-}
-
 /// Converts a call of `tenant` into a request to the group.
 pub(crate) fn group_request(call: BatchCall, tenant: Option<TenantName>) -> Request {
     let scoped = |job: JobId| job.of_tenant(tenant);
