--- a/crates/gateways/wingshore-coordination/tests/crashed_items.rs
+++ b/crates/gateways/wingshore-coordination/tests/crashed_items.rs
@@ -79,6 +79,21 @@
     }
 }
 
+/// Guards against an item that uses up the slots of one engine after the other in a series of
+/// crashes: it pauses after a crash, although an engine has room. This keeps the check of
+/// suspected_items_run_on_different_engines that the last crash is evaluated first.
+#[gtest]
+fn an_item_pauses_after_a_crash() {
+    let (mut group, gateway) = Group::with_job(1);
+    let attempts = group.assignments();
+    group.heartbeat(engine("e2", 1));
+    crash(&mut group, gateway, "e1", &attempts);
+    group.wait(EVALUATION_TIME);
+    expect_that!(group.assignments(), is_empty());
+    group.wait(LONGEST_PAUSE - EVALUATION_TIME);
+    expect_that!(group.assignments(), len(eq(1)));
+}
+
 /// Failure: in a site whose gateways are being replaced, an item under which four engines had crashed
 /// was offered to gateways of the earlier build alone, which refuse it.
 #[gtest]
@@ -215,6 +230,40 @@
     };
     let expected = vec![none, none, [true, false]];
     expect_that!(rejections(&[alone; 3], true), eq(&expected));
+/// Guards against an item that is offered to a gateway of an earlier build at each tick, which refuses
+/// it each time, while the gateways that take it have no room.
+#[gtest]
+fn a_refused_item_waits_while_the_gateways_that_take_it_are_full() {
+    const ITEMS_PER_GATEWAY: u32 = 96;
+    const TICK: Duration = Duration::from_millis(50);
+    let mut group = Group::new();
+    group.add_gateway(1);
+    for number in 0..=ITEMS_PER_GATEWAY / SLOTS {
+        group.heartbeat(engine(&format!("e{number}"), 1));
+    }
+    group.ask(Request::SubmitJob(job("j", ITEMS_PER_GATEWAY + 1)));
+    let running = group.assignments();
+    assert_that!(running, len(eq(ITEMS_PER_GATEWAY as usize)));
+    let earlier = group.add_gateway(2);
+    let mut offers = 0;
+    for _ in 0..20 {
+        let progress = running.iter().map(|attempt| ItemProgress {
+            assignment: attempt.assignment,
+            events: 1,
+        });
+        group.event(Event::ItemsProgressed(progress.collect()));
+        for offered in group.assignments() {
+            offers += 1;
+            let rejected = ItemOutcome::NotRun(NotRunReason::Rejected);
+            group.end_item(earlier, &offered, rejected);
+        }
+        group.wait(TICK);
+    }
+    expect_that!(
+        offers,
+        eq(1),
+        "the leader learns from the first that it is refused"
+    );
 }
 
 /// What happens next in a drawn run.
--- a/crates/gateways/wingshore-gateway/tests/bytes/crashed_items.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/crashed_items.rs
@@ -51,7 +51,7 @@
     let site = Site::with_view(view_that_rejects(&server, rejected));
     let assignment = item(ASSIGNMENT, engine.address(), None);
     site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
-    let (_, request) = engine.accept();
+    let (_, request) = engine.accept_in_time();
     expect_that!(request, contains_substring("Id: item-1"));
 }
 
@@ -65,9 +65,9 @@
     let scorer = scorer("open.test", "/live/score");
     let assignment = item(ASSIGNMENT, engine.address(), Some(scorer));
     site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
-    let (mut upstream, _) = engine.accept();
+    let (mut upstream, _) = engine.accept_in_time();
     upstream.write_all(WHOLE_TEXT.as_bytes()).unwrap();
-    let (_, request) = server.accept();
+    let (_, request) = server.accept_in_time();
     expect_that!(request, contains_substring("Id: score-1"));
 }
 
@@ -84,9 +84,9 @@
     let scorer = scorer("keyed.test", "/live/score");
     let assignment = item(ASSIGNMENT, engine.address(), Some(scorer));
     site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
-    let (mut upstream, _) = engine.accept();
+    let (mut upstream, _) = engine.accept_in_time();
     upstream.write_all(WHOLE_TEXT.as_bytes()).unwrap();
-    let (_running, request) = server.accept();
+    let (_running, request) = server.accept_in_time();
     expect_that!(request, contains_substring("Id: score-1"));
     expect_that!(site.ask(live), contains_substring("rejected"));
     expect_that!(server.has_connection(), eq(false));
