--- a/crates/gateways/wingshore-coordination/tests/crashed_items.rs
+++ b/crates/gateways/wingshore-coordination/tests/crashed_items.rs
@@ -230,6 +230,8 @@
     };
     let expected = vec![none, none, [true, false]];
     expect_that!(rejections(&[alone; 3], true), eq(&expected));
+}
+
 /// Guards against an item that is offered to a gateway of an earlier build at each tick, which refuses
 /// it each time, while the gateways that take it have no room.
 #[gtest]
