--- a/crates/gateways/wingshore-gateway/tests/bytes/crashed_items.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/crashed_items.rs
@@ -84,9 +84,9 @@
     let scorer = scorer("keyed.test", "/live/score");
     let assignment = item(ASSIGNMENT, engine.address(), Some(scorer));
     site.send(&CoordinatorMessage::Assign(Box::new(assignment)));
-    let (mut upstream, _) = engine.accept();
+    let (mut upstream, _) = engine.accept_in_time();
     upstream.write_all(WHOLE_TEXT.as_bytes()).unwrap();
-    let (_running, request) = server.accept();
+    let (_running, request) = server.accept_in_time();
     expect_that!(request, contains_substring("Id: score-1"));
     expect_that!(site.ask(live), contains_substring("rejected"));
     expect_that!(server.has_connection(), eq(false));
