A stopping gateway reads what has arrived before it ends

Cause: the turn that finds a planned stop complete closes all idle connections. After the process had stood still (its log has a gap of 0.44 s there), connections that this turn had accepted looked idle, since they are read in the next one; and what had arrived after the wait for events had ended was not seen at all.

Change: a connection that was used in this turn is not idle, and one more turn without a wait comes before a stop is found complete. Nothing changes before the gateway is unused, nor once the time of the stop is up, so a stop takes no longer than before but for requests that it now answers.

--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -276,10 +276,14 @@
         ClientTimeout::None
     }
 
-    /// Returns the connections that wait for no answer and have no queued bytes left to send.
-    pub(crate) fn idle(&self, reactor: &Reactor) -> Vec<ConnectionId> {
-        let is_idle =
-            |client: &Client| matches!(client.state, ClientState::Reading { started_at: None });
+    /// Returns the connections that wait for no answer, have no queued bytes left to send and were
+    /// not used in this turn: what has arrived on the others may not have been read yet.
+    pub(crate) fn idle(&self, now: Instant, reactor: &Reactor) -> Vec<ConnectionId> {
+        let is_idle = |client: &Client| {
+            let is_waiting_for_request =
+                matches!(client.state, ClientState::Reading { started_at: None });
+            is_waiting_for_request && client.last_used_at < now
+        };
         let idle = self.all.iter().filter(|(_, client)| is_idle(client));
         let idle = idle.map(|(connection, _)| *connection);
         idle.filter(|connection| reactor.queued(*connection) == 0)
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -43,7 +43,7 @@
 use wingshore_clock::Clock;
 use wingshore_coordination::{GatewayId, GatewayStatus, ListedGateway};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
-use wingshore_net::{Reactor, SeedSource, Signals};
+use wingshore_net::{NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
 /// Interval between status reports to coordinators; a leader keeps the items of a silent gateway
@@ -143,14 +143,11 @@
         let mut events = Vec::new();
         loop {
             let wait = self.poll_timeout();
-            let reactor = &mut self.environment.runtime.reactor;
-            reactor.poll(wait, &mut events).context(NetSnafu)?;
-            self.environment.runtime.now = self.clock.now();
-            for event in events.drain(..) {
-                self.on_net_event(event);
+            self.run_turn(wait, &mut events)?;
+            if self.is_unused() && !self.is_stop_time_up() {
+                // The wait may have ended long before the turn: requests may have arrived since.
+                self.run_turn(Duration::ZERO, &mut events)?;
             }
-            self.fire_timers();
-            self.run_housekeeping();
             if self.has_stopped() {
                 let runtime = &mut self.environment.runtime;
                 info!(runtime.logger, "stopped"; "node" => &self.settings.node);
@@ -164,6 +161,19 @@
         }
     }
 
+    /// Waits for events for at most `wait`, and handles them and all that is due.
+    fn run_turn(&mut self, wait: Duration, events: &mut Vec<NetEvent>) -> Result<(), GatewayError> {
+        let reactor = &mut self.environment.runtime.reactor;
+        reactor.poll(wait, events).context(NetSnafu)?;
+        self.environment.runtime.now = self.clock.now();
+        for event in events.drain(..) {
+            self.on_net_event(event);
+        }
+        self.fire_timers();
+        self.run_housekeeping();
+        Ok(())
+    }
+
     fn poll_timeout(&self) -> Duration {
         let now = self.clock.now();
         let mut due = self.next_status.min(self.next_housekeeping);
@@ -289,20 +299,30 @@
         left.map_or(Duration::MAX, |left| left.saturating_sub(STOP_MARGIN))
     }
 
-    /// Returns whether a planned stop is complete: no client waits for an answer or the rest of
-    /// one, and no client can still have this gateway's address from the directory.
+    /// Returns whether a planned stop has come so far that no client can still have this gateway's
+    /// address from the directory, or nearly at its end.
+    fn is_unused(&self) -> bool {
+        let unused_after = self.settings.directory_ttl * DIRECTORY_TTLS_UNTIL_UNUSED;
+        self.stop_progress()
+            .is_some_and(|stop| stop.elapsed >= unused_after || stop.left <= STOP_MARGIN)
+    }
+
+    /// Returns whether the time of a planned stop is up.
+    fn is_stop_time_up(&self) -> bool {
+        self.stop_progress().is_some_and(|stop| stop.left.is_zero())
+    }
+
+    /// Returns whether a planned stop is complete: its time is up, or this gateway is not used any
+    /// more and no client waits for an answer or the rest of one.
     fn has_stopped(&mut self) -> bool {
-        let Some(StopProgress { elapsed, left }) = self.stop_progress() else {
-            return false;
-        };
-        if left.is_zero() {
+        if self.is_stop_time_up() {
             return true;
         }
-        let unused_after = self.settings.directory_ttl * DIRECTORY_TTLS_UNTIL_UNUSED;
-        if elapsed < unused_after && left > STOP_MARGIN {
+        if !self.is_unused() {
             return false;
         }
-        for connection in self.clients.idle(&self.environment.runtime.reactor) {
+        let runtime = &self.environment.runtime;
+        for connection in self.clients.idle(runtime.now, &runtime.reactor) {
             self.close_client(connection);
         }
         let has_clients =
