An attempt at the only server that takes requests is kept until the deadline

Cause: a repeatable request gives way to another server after twice its target latency. The attempt was ended without a look whether another server takes requests; where there was none, the retry found none, and the request ended as broken.

Change: a late attempt is ended only if the request can go to another server at once. Otherwise it is kept and looked at again after as long, until the request's deadline. Attempts that have not connected, and the late one of two, end as before; no request runs more often than before, as an attempt that is kept is one that is not repeated.

Tests: an_attempt_at_the_only_server_is_kept_until_the_deadline got 'broken' before; a_late_attempt_is_looked_at_again_until_the_deadline_of_its_request is new with the function that it tests.

--- a/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
+++ b/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
@@ -9,11 +9,14 @@
 //! deadline minus a margin for the way back. A planned stop ends all requests when it ends, not
 //! earlier: a server may answer up to then. Connecting to a server has a short timeout of its own.
 //! A server keeps the request until its deadline, unless the request may run twice and an attempt
-//! is left: then another server is tried after twice the target latency. A stream that arrives more
+//! is left: then another server is tried after twice the target latency. While no other server can
+//! get the request, the attempt is kept, and that is looked at again after as long. A stream that arrives more
 //! than 2.5 s after a planned stop began and may outlast the stop is refused.
 //!
 //! **Why.** A machine that is partitioned or frozen does not answer at all: a repeatable request
 //! that waited for it would miss its target latency, while another server can still answer in time.
+//! Where there is no other server, only this one can still answer, and an attempt that is abandoned
+//! may have run all the same.
 //! A request that outlasts the process gets no answer at all. A stream that has started can only be
 //! interrupted; one that has not started can be refused, and the client retries elsewhere.
 //!
@@ -27,6 +30,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The attempt timeout of a repeatable request, as a multiple of the route's target latency.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
+/// Shortest time between two looks for another server that could get the request of a late attempt.
+const MIN_KEEPING_TIME: Duration = Duration::from_millis(50);
 /// Time reserved for the answer to reach the caller before the caller's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
@@ -78,3 +83,9 @@
         request_deadline
     }
 }
+
+/// Returns until when a late attempt is kept at `now` because no other server can get its request.
+pub fn kept_until(now: Instant, request_deadline: Instant, target_latency: Duration) -> Instant {
+    let time = target_latency * ATTEMPT_TIMEOUT_FACTOR;
+    request_deadline.min(now + time.max(MIN_KEEPING_TIME))
+}
--- a/crates/gateways/wingshore-gateway/src/exchange.rs
+++ b/crates/gateways/wingshore-gateway/src/exchange.rs
@@ -135,13 +135,24 @@
         let Some(connected_at) = attempt.connected_at else {
             return attempt_timeouts::connect_deadline(attempt.started_at, self.deadline);
         };
-        attempt_timeouts::answer_deadline(
-            connected_at,
-            self.deadline,
-            self.limits(),
-            self.other_attempts(),
-            self.route.target_latency,
-        )
+        attempt.kept_until.unwrap_or_else(|| {
+            attempt_timeouts::answer_deadline(
+                connected_at,
+                self.deadline,
+                self.limits(),
+                self.other_attempts(),
+                self.route.target_latency,
+            )
+        })
+    }
+
+    /// Keeps a late attempt running for a while longer.
+    pub(crate) fn keep(&mut self, now: Instant, connection: ConnectionId) {
+        let (deadline, target_latency) = (self.deadline, self.route.target_latency);
+        if let Some(attempt) = self.attempt_mut(connection) {
+            let kept_until = attempt_timeouts::kept_until(now, deadline, target_latency);
+            attempt.kept_until = Some(kept_until);
+        }
     }
 
     /// Returns the number of attempts that may have run or are running, besides one that is
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -313,6 +313,9 @@
             second_attempts::start(environment, id, exchange);
         }
         while let Some(connection) = self.late_attempt(id, now) {
+            if self.keep_if_alone(environment, id, connection) {
+                continue;
+            }
             let end = self.abandon(environment, id, connection);
             if end.is_some() {
                 return end;
@@ -329,6 +332,31 @@
         self.all.get(&id)?.late_attempt(now)
     }
 
+    /// Keeps a late attempt running if no other server can get its request; returns whether it does.
+    fn keep_if_alone(
+        &mut self,
+        environment: &Environment,
+        id: ExchangeId,
+        connection: ConnectionId,
+    ) -> bool {
+        let now = environment.runtime.now;
+        let Some(exchange) = self.all.get_mut(&id) else {
+            return false;
+        };
+        let is_connected = exchange
+            .attempt_mut(connection)
+            .is_some_and(|attempt| attempt.connected_at.is_some());
+        let is_only = exchange.running.len() == 1;
+        let is_kept = is_connected
+            && is_only
+            && now < exchange.deadline
+            && !may_go_elsewhere(environment, exchange);
+        if is_kept {
+            exchange.keep(now, connection);
+        }
+        is_kept
+    }
+
     /// Abandons an attempt whose deadline has passed, and closes its connection.
     fn abandon(
         &mut self,
@@ -445,6 +473,15 @@
         .cloned()
 }
 
+/// Whether a request could be sent to another server if its running attempt were abandoned.
+fn may_go_elsewhere(environment: &Environment, exchange: &Exchange) -> bool {
+    let mut history = exchange.history;
+    history.record(Verdict::MayHaveRun);
+    exchange.limits().may_retry(history)
+        && !request_suspicion::is_suspect(environment, exchange)
+        && choose_server(environment, exchange, &exchange.sent_to).is_some()
+}
+
 /// Whether the service has a server that the request was not sent to yet.
 fn has_other_server(environment: &Environment, exchange: &Exchange) -> bool {
     environment
--- a/crates/gateways/wingshore-gateway/src/running_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/running_attempt.rs
@@ -13,6 +13,8 @@
     pub(crate) started_at: Instant,
     /// When the connection was established; `None` before that.
     pub(crate) connected_at: Option<Instant>,
+    /// Until when it is kept although it is late, as no other server can get the request.
+    pub(crate) kept_until: Option<Instant>,
     /// Whether it is a second attempt, which started while the first one was running.
     pub(crate) is_second: bool,
 }
--- a/crates/gateways/wingshore-gateway/src/send_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/send_attempt.rs
@@ -38,6 +38,7 @@
         instance: server.instance.clone(),
         started_at: now,
         connected_at: is_connected.then_some(now),
+        kept_until: None,
         is_second: false,
     })
 }
--- a/crates/gateways/wingshore-gateway/tests/attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/attempts.rs
@@ -5,7 +5,7 @@
 use wingshore_gateway::{
     AnswerFacts, AnswerKind, AttemptHistory, NextStep, OwnAnswer, RetryContext, RetryLimits,
     StopProgress, answer_deadline, classify_answer, connect_deadline, failure_answer,
-    is_internal_error, is_stream_admitted, next_step, request_timeout,
+    is_internal_error, is_stream_admitted, kept_until, next_step, request_timeout,
 };
 use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
@@ -258,6 +258,16 @@
     expect_that!(connect_deadline(now, soon), eq(soon));
 }
 
+#[gtest]
+fn a_late_attempt_is_looked_at_again_until_the_deadline_of_its_request() {
+    let now = Instant::from_millis(1000);
+    let until = Instant::from_millis(2000);
+    let after = |target| kept_until(now, until, Duration::from_millis(target));
+    expect_that!(after(150), eq(Instant::from_millis(1300)));
+    expect_that!(after(600), eq(until));
+    expect_that!(after(0), gt(now));
+}
+
 /// A stream that has started can only be interrupted when a planned stop ends. The requirements
 /// allow this only for requests sent within 3 s after the SIGTERM.
 #[gtest]
--- a/crates/gateways/wingshore-gateway/tests/bytes/second_attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/second_attempts.rs
@@ -19,6 +19,9 @@
 
 /// Longer than the time after which a second attempt is due, and shorter than the timeout.
 const SECOND_WOULD_RUN: Duration = Duration::from_millis(400);
+/// Longer than the time after which an attempt gives way to another server, twice the target
+/// latency, and shorter than the timeout.
+const AFTER_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1100);
 const BROKEN: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 6\r\n\r\nbroken";
 
 /// Returns a view in which `/safe/` and `/once/` lead to both servers, `/safe/` at the host
@@ -67,6 +70,20 @@
     update
 }
 
+/// Returns the view of [`view_of_pair`], in which the second server drains.
+fn view_with_draining_second(first: &Server, second: &Server) -> ViewUpdate {
+    let mut update = view_of_pair(first, second);
+    let ViewContent::Whole(whole) = &mut update.content else {
+        panic!("the view is whole");
+    };
+    let address = second.address();
+    let draining = whole.servers.iter_mut();
+    draining
+        .filter(|server| server.address == address)
+        .for_each(|server| server.draining = true);
+    update
+}
+
 /// A gateway and its two servers; requests go to the first one first.
 struct Race {
     site: Site,
@@ -241,6 +258,23 @@
     expect_that!(is_closed(&mut second), eq(true));
 }
 
+/// Failure: an attempt at the only server that takes requests was abandoned after twice the target
+/// latency although nobody else could get the request, and the caller got 502 with most of its time
+/// left.
+#[gtest]
+fn an_attempt_at_the_only_server_is_kept_until_the_deadline() {
+    let (first, second) = (Server::start(), Server::start());
+    let site = Site::with_view(view_with_draining_second(&first, &second));
+    let mut client = site.client();
+    send_request(&mut client, "/safe/x", "r-1");
+    let (mut upstream, _) = first.accept();
+    thread::sleep(AFTER_ATTEMPT_TIMEOUT);
+    upstream
+        .write_all(answer("r-1", "late").as_bytes())
+        .unwrap();
+    expect_that!(read_message(&mut client), eq(&answer("r-1", "late")));
+}
+
 #[gtest]
 fn a_client_that_leaves_ends_both_attempts() {
     let race = Race::start();
