gateway: the reply to one kind of call never answers another

Change: only the reply to the kind of call that was sent is passed on; any other leaves a line ('reply of another kind of call') and is answered like a call without an answer: a read may be repeated, a commit may have taken effect. Replies that fit are as before.

Test: a_reply_of_another_kind_of_call_answers_no_read failed before with all three replies; it and the tests over bytes pass.

--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -334,11 +334,16 @@
     match (request, reply) {
         (Request::SubmitJob(_), Reply::Done) => BatchAnswer::Accepted,
         (Request::EndJob(_), Reply::Done) => BatchAnswer::Ended,
-        (_, Reply::Page(page)) => read_page(logger, &page),
-        (_, Reply::Item(body)) => BatchAnswer::Item(body),
+        (Request::ReadJob { .. }, Reply::Page(page)) => read_page(logger, &page),
+        (Request::ReadItem { .. }, Reply::Item(body)) => BatchAnswer::Item(body),
+        (_, Reply::Unknown) => BatchAnswer::Unknown,
         (_, Reply::Refused(reason)) => BatchAnswer::Refused(reason),
         (_, Reply::ComeBack(after)) => BatchAnswer::Unavailable(after),
-        (_, _) => BatchAnswer::Unknown,
+        (request, Reply::Done | Reply::Configuration(_) | Reply::Page(_) | Reply::Item(_)) => {
+            warn!(logger, "reply of another kind of call"; "call" => request.kind(),
+                "subject" => request.subject());
+            call_policy::timeout_answer(request, true)
+        }
     }
 }
 
--- a/crates/gateways/wingshore-gateway/tests/calls_given_back.rs
+++ b/crates/gateways/wingshore-gateway/tests/calls_given_back.rs
@@ -62,3 +62,37 @@
     site.send(&CoordinatorMessage::Reply { id, reply });
     verify_that!(read_message(&mut client), contains_substring("page 1 0"))
 }
+
+/// Guards against a read that is answered with the reply to a call of another kind: results with the
+/// body of an item, or a body with a page of results, or "unknown" with either.
+#[gtest]
+fn a_reply_of_another_kind_of_call_answers_no_read() -> Result<()> {
+    let server = Server::start();
+    let site = Site::with_view(view(server.address(), Vec::new()));
+    let mut client = site.client();
+    let page = JobPage {
+        total: 1,
+        from: 0,
+        results: Vec::new(),
+    };
+    let replies = [
+        ("read", Reply::Item(vec![1])),
+        ("item", Reply::Page(page)),
+        ("item", Reply::Done),
+    ];
+    for (kind, reply) in replies {
+        let request = format!(
+            "GET /jobs/{kind}/j HTTP/1.1\r\nHost: open.test\r\nAuthorization: key-1\r\n\r\n"
+        );
+        client.write_all(request.as_bytes()).unwrap();
+        let (id, _) = next_call(&site).or_fail()?;
+        let reply = CallReply::Reply(reply);
+        site.send(&CoordinatorMessage::Reply { id, reply });
+        expect_that!(
+            read_message(&mut client),
+            contains_substring("unavailable"),
+            "{kind}"
+        );
+    }
+    Ok(())
+}
