--- a/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/gateway_choice.rs
@@ -12,7 +12,8 @@
 //! scoring goes to the zone with the fewest scorings per slot of its servers, and there to the first
 //! gateway with fewer than [`SCORINGS_BEFORE_NEXT_GATEWAY`], else to the one with the fewest. After
 //! [`SCORINGS_BEFORE_OTHER_GATEWAY`] scorings without a score the next one goes through another gateway
-//! than the last. No gateway gets more than [`MAX_ITEMS_PER_GATEWAY`] items or [`MAX_SCORINGS_PER_GATEWAY`] scorings.
+//! than the last. No gateway gets more than [`MAX_ITEMS_PER_GATEWAY`] items or
+//! [`MAX_SCORINGS_PER_GATEWAY`] scorings.
 //!
 //! Rationale: gateways keep their connections to engines open. A new connection costs time, and
 //! servers limit their number. Gateways of earlier builds refuse items under which servers crashed,
--- a/crates/gateways/wingshore-coordination/tests/scoring_world/mod.rs
+++ b/crates/gateways/wingshore-coordination/tests/scoring_world/mod.rs
@@ -161,7 +161,8 @@
             .event(Event::ScoringLoadReported { gateway, loads });
     }
 
-    /// Reports the load of the scoring service at a gateway: its live requests, and how many answers were in time and how many showed overload.
+    /// Reports the load of the scoring service at a gateway: its live requests, and how many answers
+    /// were in time and how many showed overload.
     pub fn report_service(&mut self, gateway: u64, live: u32, in_time: u32, overloaded: u32) {
         let load = ScoringLoad {
             service: scores(),
--- a/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
+++ b/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
@@ -10,8 +10,8 @@
 //! earlier: a server may answer up to then. Connecting to a server has a short timeout of its own.
 //! A server keeps the request until its deadline, unless the request may run twice and an attempt
 //! is left: then another server is tried after twice the target latency. While no other server can
-//! get the request, the attempt is kept, and that is looked at again after as long. A stream that arrives more
-//! than 2.5 s after a planned stop began and may outlast the stop is refused.
+//! get the request, the attempt is kept, and that is looked at again after as long. A stream that
+//! arrives more than 2.5 s after a planned stop began and may outlast the stop is refused.
 //!
 //! **Why.** A machine that is partitioned or frozen does not answer at all: a repeatable request
 //! that waited for it would miss its target latency, while another server can still answer in time.
