--- /dev/null
+++ b/review/stand-2/main.rs
@@ -0,0 +1,23 @@
+//! Runs one case of the second review: `stand CASE FOLDER`. Exits with 1 if the rule was broken, 0
+//! if it held, and 2 if the case could not run.
+
+mod base;
+mod large_bodies;
+mod open_jobs;
+mod platform;
+mod silent_links;
+
+fn main() {
+    let words: Vec<String> = std::env::args().collect();
+    let (case, folder) = match &words[..] {
+        [_, case, folder] => (case.as_str(), folder.as_str()),
+        _ => std::process::exit(base::CANNOT_RUN),
+    };
+    let code = match case {
+        "silent-links" => silent_links::run(folder),
+        "open-jobs" => open_jobs::run(folder),
+        "large-bodies" => large_bodies::run(folder),
+        _ => base::CANNOT_RUN,
+    };
+    std::process::exit(code);
+}
