--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -5,6 +5,7 @@
 mod large_bodies;
 mod open_jobs;
 mod platform;
+mod remembered_items;
 mod silent_links;
 
 fn main() {
@@ -15,6 +16,7 @@
     };
     let code = match case {
         "silent-links" => silent_links::run(folder),
+        "remembered-items" => remembered_items::run(folder),
         "open-jobs" => open_jobs::run(folder),
         "large-bodies" => large_bodies::run(folder),
         _ => base::CANNOT_RUN,
--- a/review/stand-2/open_jobs.rs
+++ b/review/stand-2/open_jobs.rs
@@ -1,4 +1,4 @@
-//! Case 5: trainers submit one batch job each at the same moment, step by step. The stand-in for
+//! Case 6: trainers submit one batch job each at the same moment, step by step. The stand-in for
 //! the platform ends a process that exceeds its `MemoryMb` and starts it again, as the pages say.
 
 use crate::base::*;
@@ -13,10 +13,10 @@
 /// Steps of each trainer, and the time between two of them; a trainer asks for a step each 4 s.
 const STEPS: usize = 6;
 const STEP_TIME: Duration = Duration::from_secs(12);
-/// Items of a job: the samples of a step in the users' first letter.
-const ITEMS: usize = 16_384;
+/// Items of a job: 56 groups of 4, as in the sheet of laksalari.
+const ITEMS: usize = 224;
 /// Bytes of the body of an item: the whole job, in base64, stays below `MaxBodyBytes`, 33,554,432.
-const ITEM_BYTES: usize = 1_350;
+const ITEM_BYTES: usize = 108_000;
 /// `DueMs`: the trainers end their jobs then.
 const DUE: Duration = Duration::from_millis(7_500);
 
--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -2,7 +2,7 @@
 //! process ends or is killed, it is started again after a short delay".
 
 use crate::base::{KIND_COORDINATOR, KIND_GATEWAY, Record, Site};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -25,26 +25,34 @@
 
 pub struct Platform {
     is_over: Arc<AtomicBool>,
-    thread: JoinHandle<Vec<String>>,
+    ends: Arc<Mutex<Vec<String>>>,
+    thread: JoinHandle<()>,
 }
 
 impl Platform {
     pub fn start(site: Site, limits: Limits, record: Arc<Record>) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
-        let seen = Arc::clone(&is_over);
-        let thread = thread::spawn(move || watch(site, &limits, &record, &seen));
-        Self { is_over, thread }
+        let ends = Arc::new(Mutex::new(Vec::new()));
+        let (seen, noted) = (Arc::clone(&is_over), Arc::clone(&ends));
+        let thread = thread::spawn(move || watch(site, &limits, &record, &seen, &noted));
+        Self { is_over, ends, thread }
+    }
+
+    /// Returns the names of the processes that have ended so far.
+    pub fn ends(&self) -> Vec<String> {
+        self.ends.lock().unwrap().clone()
     }
 
     /// Ends the site; returns the names of the processes that ended for memory or by themselves.
     pub fn stop(self) -> Vec<String> {
         self.is_over.store(true, Ordering::Relaxed);
-        self.thread.join().unwrap_or_default()
+        let _ = self.thread.join();
+        let ends = self.ends.lock().unwrap();
+        ends.clone()
     }
 }
 
-fn watch(mut site: Site, limits: &Limits, record: &Record, is_over: &AtomicBool) -> Vec<String> {
-    let mut ends = Vec::new();
+fn watch(mut site: Site, limits: &Limits, record: &Record, is_over: &AtomicBool, ends: &Mutex<Vec<String>>) {
     let mut most = (0, 0);
     let mut down: Vec<(u8, usize, Instant)> = Vec::new();
     while !is_over.load(Ordering::Relaxed) {
@@ -66,7 +74,7 @@
                 process.kill();
                 let reason = if has_ended { "by itself" } else { "over MemoryMb" };
                 record.say(format!("{} ended {reason}: {} MiB resident, MemoryMb {limit_mb}", process.name, resident >> 20));
-                ends.push(process.name.clone());
+                ends.lock().unwrap().push(process.name.clone());
                 down.push((kind, index, Instant::now()));
             }
         }
@@ -79,5 +87,4 @@
         thread::sleep(Duration::from_millis(4));
     }
     record.say(format!("most resident: coordinators {} MiB, gateways {} MiB", most.0 >> 20, most.1 >> 20));
-    ends
 }
