--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/stand ] && [ -x target/release/wingshore-platform ] || exit 2
-exec target/review-2/stand remembered-items review/5
+exec target/review-2/stand lost-disk review/5
--- a/review/stand-2/base.rs
+++ b/review/stand-2/base.rs
@@ -80,6 +80,7 @@
 /// One of the project's processes.
 pub struct Process {
     pub name: String,
+    log: PathBuf,
     pub child: Child,
 }
 
@@ -88,6 +89,16 @@
         self.child.id()
     }
 
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([format!("-{name}"), self.id().to_string()]).status();
+    }
+
+    /// The file that the process writes its log to.
+    pub fn log_path(&self) -> PathBuf {
+        self.log.clone()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
@@ -234,7 +245,7 @@
         let role = if kind == KIND_COORDINATOR { "coordinator" } else { "gateway" };
         let log = self.folder.join(format!("{role}-{index}.log"));
         let child = launch(&self.program, role, &settings, &log);
-        Process { name: format!("{role}-{index}"), child }
+        Process { name: format!("{role}-{index}"), log, child }
     }
 
     /// Starts a process again that has ended, with its disk as it was.
--- a/review/stand-2/large_bodies.rs
+++ b/review/stand-2/large_bodies.rs
@@ -1,4 +1,4 @@
-//! Case 7: clients send large bodies to one gateway while the servers read slowly. The stand-in
+//! Case 8: clients send large bodies to one gateway while the servers read slowly. The stand-in
 //! for the platform ends a process that exceeds its `MemoryMb` and starts it again.
 
 use crate::base::*;
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,6 +3,7 @@
 
 mod base;
 mod large_bodies;
+mod lost_disk;
 mod open_jobs;
 mod platform;
 mod remembered_items;
@@ -17,6 +18,7 @@
     let code = match case {
         "silent-links" => silent_links::run(folder),
         "remembered-items" => remembered_items::run(folder),
+        "lost-disk" => lost_disk::run(folder),
         "open-jobs" => open_jobs::run(folder),
         "large-bodies" => large_bodies::run(folder),
         _ => base::CANNOT_RUN,
--- a/review/stand-2/open_jobs.rs
+++ b/review/stand-2/open_jobs.rs
@@ -1,4 +1,4 @@
-//! Case 6: trainers submit one batch job each at the same moment, step by step. The stand-in for
+//! Case 7: trainers submit one batch job each at the same moment, step by step. The stand-in for
 //! the platform ends a process that exceeds its `MemoryMb` and starts it again, as the pages say.
 
 use crate::base::*;
--- a/review/stand-2/remembered_items.rs
+++ b/review/stand-2/remembered_items.rs
@@ -1,4 +1,4 @@
-//! Case 5: trainers submit one step each, one after the other, and end it when it is due. What the
+//! Case 6: trainers submit one step each, one after the other, and end it when it is due. What the
 //! coordinators remember of ended jobs grows; the stand-in for the platform ends a process that
 //! exceeds its `MemoryMb` and starts it again, with its disk.
 
@@ -102,7 +102,7 @@
     let machines: std::collections::BTreeSet<&String> = ends.iter().collect();
     let is_fault = ends.len() >= 3 && machines.len() >= 2;
     record.say(format!("LOST broken: {is_lost}; CONFIG broken: {is_config_broken}; Fault: {is_fault}"));
-    i32::from(is_lost || is_config_broken)
+    i32::from(is_fault || is_lost || is_config_broken)
 }
 
 /// One step of a trainer: submits its job until it is taken, and ends it when it is due.
