Elections: the log says why nobody is elected

Change: the consensus reports failed campaigns (term, index of the membership that counts, voters, votes granted) and refused votes (reason) as an output of their own, once while they repeat; coordinators and replicas log them as 'election'. No decision changes: the conditions of votes and pre-votes are the same, taken apart so that the reason has a name.

--- a/crates/gateways/wingshore-coordinator/src/process/group.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/group.rs
@@ -70,6 +70,9 @@
                 info!(self.logger, "members"; "membership" => ?membership);
                 self.dial_members(now);
             }
+            HostOutput::Election(event) => {
+                info!(self.logger, "election"; "node" => &self.settings.node, "event" => ?event);
+            }
             HostOutput::Leadership(leadership) => self.on_leadership(now, leadership),
             HostOutput::Stopped => self.stop.is_done = true,
             HostOutput::Failed(source) => return Err(source).context(GroupSnafu),
--- a/crates/lab/wingshore-lab/src/sim/replica/group.rs
+++ b/crates/lab/wingshore-lab/src/sim/replica/group.rs
@@ -137,7 +137,7 @@
                 out.extend(L::call_of(now, effect).map(GroupOutput::Call));
             }
             // The replica asks for the members when it needs an address.
-            HostOutput::MembershipChanged(_) => {}
+            HostOutput::MembershipChanged(_) | HostOutput::Election(_) => {}
             HostOutput::Leadership(Leadership::Leading { .. }) => {
                 return L::first_event(self.replica, &self.settings).map(HostInput::Event);
             }
--- a/crates/nodes/wingshore-replica/src/group/driver.rs
+++ b/crates/nodes/wingshore-replica/src/group/driver.rs
@@ -265,6 +265,9 @@
             HostOutput::MembershipChanged(membership) => {
                 self.peers.set_members(self.group, &membership);
             }
+            HostOutput::Election(event) => {
+                info!(self.logger, "election"; "group" => %self.group, "event" => ?event);
+            }
             HostOutput::Leadership(leadership) => self.on_leadership(leadership),
             HostOutput::Stopped => self.stopped = true,
             HostOutput::Failed(error) => {
--- a/crates/shared/wingshore-consensus/src/election.rs
+++ b/crates/shared/wingshore-consensus/src/election.rs
@@ -1,5 +1,6 @@
 //! Pre-votes, votes and campaigns.
 
+use crate::election_events::{FailedCampaign, RefusedVote, VoteRefusal};
 use crate::interface::Output;
 use crate::message::{Body, VoteRequest};
 use crate::raft::Raft;
@@ -51,6 +52,7 @@
     }
 
     fn start_pre_vote(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.report_failed_campaign(out);
         self.reset_election_deadline(now);
         if !self.may_campaign() {
             return;
@@ -61,6 +63,24 @@
         self.record_vote(now, self.id, out);
     }
 
+    /// Reports the campaign of this member that has not won a majority by its election timeout.
+    fn report_failed_campaign(&mut self, out: &mut Vec<Output>) {
+        let (ballot, is_pre_vote) = match &self.role {
+            Role::PreCandidate(ballot) => (ballot, true),
+            Role::Candidate(ballot) => (ballot, false),
+            Role::Follower | Role::Leader(_) => return,
+        };
+        let campaign = FailedCampaign {
+            term: self.term + u64::from(is_pre_vote),
+            is_pre_vote,
+            configuration: self.members.last_change(),
+            last_index: self.log.last_index(),
+            voters: self.members.voter_ids().collect(),
+            granted: ballot.granted.iter().copied().collect(),
+        };
+        self.election_reporter.campaign_failed(campaign, out);
+    }
+
     /// Campaigns in the next term. The vote requests are sent once the own vote is durable:
     /// otherwise this member could restart and campaign in the same term with a shorter log.
     fn start_election(&mut self, now: Instant, transfer: bool, out: &mut Vec<Output>) {
@@ -127,10 +147,9 @@
         out: &mut Vec<Output>,
     ) {
         let campaign_term = term + 1;
-        let granted = self.may_vote()
-            && campaign_term > self.term
-            && !self.has_recent_leader(now)
-            && self.is_up_to_date(&request);
+        let refusal = self.pre_vote_refusal(now, campaign_term, &request);
+        self.report_refusal(from, campaign_term, true, refusal, out);
+        let granted = refusal.is_none();
         let body = Body::PreVoteReply {
             campaign_term,
             granted,
@@ -138,6 +157,65 @@
         self.send(from, body, out);
     }
 
+    /// Returns why a pre-vote for a campaign in `campaign_term` is refused, if it is.
+    fn pre_vote_refusal(
+        &self,
+        now: Instant,
+        campaign_term: u64,
+        request: &VoteRequest,
+    ) -> Option<VoteRefusal> {
+        if !self.may_vote() {
+            return Some(VoteRefusal::NotEnrolled);
+        }
+        if campaign_term <= self.term {
+            return Some(VoteRefusal::OldTerm);
+        }
+        if self.has_recent_leader(now) {
+            return Some(VoteRefusal::LeaderInContact);
+        }
+        (!self.is_up_to_date(request)).then_some(VoteRefusal::LogBehind)
+    }
+
+    /// Returns why a vote for `candidate` in `term` is refused, if it is.
+    fn vote_refusal(
+        &self,
+        candidate: ReplicaId,
+        term: u64,
+        request: &VoteRequest,
+    ) -> Option<VoteRefusal> {
+        if term != self.term {
+            return Some(VoteRefusal::OldTerm);
+        }
+        if !self.may_vote() {
+            return Some(VoteRefusal::NotEnrolled);
+        }
+        if self.vote.is_some_and(|vote| vote != candidate) {
+            return Some(VoteRefusal::VotedForOther);
+        }
+        (!self.is_up_to_date(request)).then_some(VoteRefusal::LogBehind)
+    }
+
+    /// Reports a refusal of a vote or pre-vote, if it is one.
+    fn report_refusal(
+        &mut self,
+        candidate: ReplicaId,
+        term: u64,
+        is_pre_vote: bool,
+        refusal: Option<VoteRefusal>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(reason) = refusal else {
+            return;
+        };
+        let refused = RefusedVote {
+            candidate,
+            term,
+            is_pre_vote,
+            reason,
+        };
+        self.election_reporter.vote_refused(refused, out);
+    }
+
     /// Answers a vote request. A granted vote is sent once it is durable.
     pub(crate) fn on_vote(
         &mut self,
@@ -148,15 +226,15 @@
         out: &mut Vec<Output>,
     ) {
         if !request.transfer && self.has_recent_leader(now) {
-            return;
+            let refusal = Some(VoteRefusal::LeaderInContact);
+            return self.report_refusal(from, term, false, refusal, out);
         }
         if term > self.term {
             self.become_follower(now, term, None, out);
         }
-        let granted = term == self.term
-            && self.may_vote()
-            && self.vote.is_none_or(|vote| vote == from)
-            && self.is_up_to_date(&request);
+        let refusal = self.vote_refusal(from, term, &request);
+        self.report_refusal(from, term, false, refusal, out);
+        let granted = refusal.is_none();
         if !granted {
             return self.send(from, Body::VoteReply { granted }, out);
         }
--- a/crates/shared/wingshore-consensus/src/interface.rs
+++ b/crates/shared/wingshore-consensus/src/interface.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of a member.
 
+use crate::election_events::ElectionEvent;
 use crate::entry::Entry;
 use crate::message::Message;
 use wingshore_types::log::WriteBatch;
@@ -60,6 +61,8 @@
         /// Leader of the term, if known; this member itself if it is the leader.
         leader: Option<ReplicaId>,
     },
+    /// Something happened in an election that the host logs. It requires no other action.
+    Election(ElectionEvent),
     /// The newest membership in the log has changed.
     MembershipChanged(Membership),
     /// A leadership transfer was aborted before the target was asked to campaign. This member is
--- a/crates/shared/wingshore-consensus/src/lib.rs
+++ b/crates/shared/wingshore-consensus/src/lib.rs
@@ -18,6 +18,7 @@
 mod chunk_answers;
 mod config;
 mod election;
+mod election_events;
 mod entry;
 mod follower;
 mod incoming;
@@ -40,6 +41,7 @@
 
 pub use change::{ChangeError, ChangeOutcome};
 pub use config::{Faults, RaftConfig};
+pub use election_events::{ElectionEvent, FailedCampaign, RefusedVote, VoteRefusal};
 pub use entry::{CodecError, Entry, EntryKind};
 pub use interface::{Input, Output};
 pub use leader::ProposeError;
--- a/crates/shared/wingshore-consensus/src/raft.rs
+++ b/crates/shared/wingshore-consensus/src/raft.rs
@@ -3,6 +3,7 @@
 //! The behavior of followers, candidates and leaders is in modules of their own.
 
 use crate::config::Faults;
+use crate::election_events::ElectionReporter;
 use crate::entry::{CodecError, HardState};
 use crate::incoming::IncomingSnapshot;
 use crate::interface::{Input, Output};
@@ -75,6 +76,7 @@
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) last_contact: Instant,
     pub(crate) election_deadline: Instant,
+    pub(crate) election_reporter: ElectionReporter,
 
     pub(crate) persistence: Persistence,
     pub(crate) deferred: Vec<DeferredMessage>,
@@ -239,6 +241,9 @@
     /// Sets the leader of the current term, and emits the change.
     pub(crate) fn set_leader(&mut self, leader: Option<ReplicaId>, out: &mut Vec<Output>) {
         self.leader = leader;
+        if leader.is_some() {
+            self.election_reporter.leader_known();
+        }
         out.push(Output::Leadership {
             term: self.term,
             leader,
--- a/crates/shared/wingshore-consensus/src/recovery.rs
+++ b/crates/shared/wingshore-consensus/src/recovery.rs
@@ -4,6 +4,7 @@
 //! above the term of the hard state prevents the start.
 
 use crate::config::RaftConfig;
+use crate::election_events::ElectionReporter;
 use crate::entry::{CodecError, Entry, HardState, SnapshotContents};
 use crate::interface::Output;
 use crate::log::RaftLog;
@@ -105,6 +106,7 @@
             incoming: None,
             last_contact: now,
             election_deadline: now,
+            election_reporter: ElectionReporter::default(),
             persistence: Persistence::default(),
             deferred: Vec::new(),
         };
--- a/crates/shared/wingshore-consensus/tests/support/cluster.rs
+++ b/crates/shared/wingshore-consensus/tests/support/cluster.rs
@@ -151,6 +151,7 @@
             limits: self.limits,
             commands: Vec::new(),
             provided_state: None,
+            election_events: Vec::new(),
         };
         node.start(self.now, &mut self.checker);
         self.nodes.insert(id, node);
--- a/crates/shared/wingshore-consensus/tests/support/node.rs
+++ b/crates/shared/wingshore-consensus/tests/support/node.rs
@@ -6,7 +6,9 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
-use wingshore_consensus::{Faults, Input, Limits, Message, Output, Raft, RaftConfig};
+use wingshore_consensus::{
+    ElectionEvent, Faults, Input, Limits, Message, Output, Raft, RaftConfig,
+};
 use wingshore_types::log::WriteBatch;
 use wingshore_types::protocol::membership::Membership;
 use wingshore_types::snapshot_data::SnapshotState;
@@ -41,6 +43,8 @@
     pub limits: Limits,
     /// Commands applied by this incarnation.
     pub commands: Vec<Vec<u8>>,
+    /// Election events of this incarnation and the earlier ones.
+    pub election_events: Vec<ElectionEvent>,
     /// State that the member provides as a snapshot instead of its applied state.
     pub provided_state: Option<SnapshotState>,
 }
@@ -193,6 +197,7 @@
                     checker.on_leader(raft);
                 }
             }
+            Output::Election(event) => self.election_events.push(event),
             Output::Leadership { .. } | Output::MembershipChanged(_) | Output::TransferAborted => {}
         }
     }
--- a/crates/shared/wingshore-group/src/host.rs
+++ b/crates/shared/wingshore-group/src/host.rs
@@ -219,6 +219,7 @@
             Output::Apply(entry) => self.apply(now, &entry, out)?,
             Output::Restore { index, state } => self.restore(index, &state)?,
             Output::Leadership { term, leader } => self.on_leadership(term, leader, out),
+            Output::Election(event) => out.push(HostOutput::Election(event)),
             Output::MembershipChanged(membership) => {
                 out.push(HostOutput::MembershipChanged(membership));
             }
--- a/crates/shared/wingshore-group/src/interface.rs
+++ b/crates/shared/wingshore-group/src/interface.rs
@@ -2,7 +2,7 @@
 
 use snafu::Snafu;
 use std::sync::Arc;
-use wingshore_consensus::{CodecError, Faults, Limits, RecoveryError, Timing};
+use wingshore_consensus::{CodecError, ElectionEvent, Faults, Limits, RecoveryError, Timing};
 use wingshore_types::log::WriteBatch;
 use wingshore_types::machine::{LeaderMachine, RequestTag};
 use wingshore_types::protocol::membership::{Membership, MembershipReply, MembershipRequest};
@@ -122,6 +122,8 @@
     Effect(L::Effect),
     /// The membership has changed to this one; connections to new members may be needed.
     MembershipChanged(Membership),
+    /// Something happened in an election, to be logged.
+    Election(ElectionEvent),
     /// Leadership as this replica sees it has changed.
     Leadership(Leadership),
     /// The planned stop is complete.
--- a/crates/shared/wingshore-group/tests/support/cluster.rs
+++ b/crates/shared/wingshore-group/tests/support/cluster.rs
@@ -364,7 +364,7 @@
                 assert!(earlier.is_none(), "a request was answered twice");
             }
             HostOutput::Effect(effect) => self.replica(id.0).effects.push(effect),
-            HostOutput::MembershipChanged(_) => {}
+            HostOutput::MembershipChanged(_) | HostOutput::Election(_) => {}
             HostOutput::Leadership(leadership) => self.replica(id.0).leadership.push(leadership),
             HostOutput::Stopped => self.replica(id.0).has_stopped = true,
             HostOutput::Failed(error) => self.replica(id.0).failure = Some(error.to_string()),
