Membership: a learner is promoted before the silent voter that it replaces is removed

Cause: the silent voter was removed first. A membership counts once it is appended; with one loss to bear the leader then had two voters, and one more lost disk before the commit took its majority. The woken voter's log is shorter, so nobody else could be elected either.

Change: where fewer voters than twice the losses plus one would be left, the learner is promoted first. An even number of voters that remains is made odd by removing the silent voter, or, if it was heard from again, the one that lags most.

Why it works: V voters bear L losses where V - L > V / 2, which holds for 2L + 1 and 2L + 2; no log of any member holds fewer.

--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -11,8 +11,15 @@
 //! spare; the other coordinators are on standby. An odd number of the live members vote: at least
 //! twice the losses plus one, at most [`MAX_VOTERS`]. There is one change at a time, in the order
 //! of [`MembershipPlanner::plan`]: a member whose disk is lost is removed first, and a silent voter
-//! is removed only when a learner can replace it. Only the addition of a coordinator does not wait
-//! for other changes.
+//! is removed only when a learner can replace it, and after the promotion of that learner where the
+//! voters would be too few between the two changes. Only the addition of a coordinator does not
+//! wait for other changes.
+//!
+//! Invariant: once a group has as many voters as tolerate the losses, no membership in the log of
+//! any member, committed or not, has fewer, except by the removal of a member whose disk is lost.
+//! A membership counts as soon as it is appended. With fewer voters, one more lost disk before the
+//! next change may take the majority for good, though most disks were never touched. The vote of a
+//! lost disk is lost whether it is removed or not, so that its removal needs no more of the others.
 //!
 //! Why: with an odd number of voters each majority of the members holds a majority of the voters,
 //! whichever way the network is partitioned. Each member has a cost: the leader sends it the whole
@@ -227,6 +234,7 @@
         self.replaced_member(now, view)
             .or_else(|| self.retirement(now, view))
             .or_else(|| self.learner_to_promote(now, view))
+            .or_else(|| self.voter_beyond_odd_number(now, view))
             .or_else(|| self.joiner_to_add(now, view))
             .or_else(|| self.silent_learner(now, view))
             .or_else(|| self.superfluous_voter(now, view))
@@ -303,8 +311,9 @@
         })
     }
 
-    /// Promotes a learner that has caught up where a voter is missing, or first removes the silent
-    /// voter that it replaces.
+    /// Promotes a learner that has caught up where a voter is missing, and in place of a silent
+    /// voter: that one is removed before the promotion only where enough voters are left without
+    /// it, else after it.
     fn learner_to_promote(
         &self,
         now: Instant,
@@ -314,9 +323,37 @@
         let voters = view.membership.voters.len();
         let silent = self.silent_voter(now, VOTER_TIMEOUT, view);
         match silent {
-            Some(silent) if voters >= view.min_voters() => Some(MembershipRequest::Remove(silent)),
-            _ => (voters < view.target_voters(now)).then_some(MembershipRequest::Promote(ready)),
+            Some(silent) if voters > view.min_voters() => Some(MembershipRequest::Remove(silent)),
+            Some(_) => Some(MembershipRequest::Promote(ready)),
+            None => (voters < view.target_voters(now)).then_some(MembershipRequest::Promote(ready)),
+        }
+    }
+
+    /// Removes a voter where there is one too many for an odd number, as there is after the
+    /// promotion in place of a silent voter: that voter, or, if it was heard from again, the one
+    /// that lags or has been silent for longest.
+    fn voter_beyond_odd_number(
+        &self,
+        now: Instant,
+        view: &MembershipView<'_>,
+    ) -> Option<MembershipRequest> {
+        let voters = &view.membership.voters;
+        let is_one_too_many = voters.len() % 2 == 0 && voters.len() > view.target_voters(now);
+        let is_retiring = voters.iter().any(|voter| view.retired.contains(&voter.id));
+        if !is_one_too_many || is_retiring {
+            return None;
         }
+        let others = voters.iter().map(|voter| voter.id);
+        let others = others.filter(|voter| *voter != view.own);
+        let least_useful = others.max_by_key(|voter| {
+            let silence = self.silence(now, *voter, view);
+            (
+                silence >= VOTER_TIMEOUT,
+                !view.caught_up.contains(voter),
+                silence,
+            )
+        });
+        least_useful.map(MembershipRequest::Remove)
     }
 
     /// Removes a voter that has long been silent where there are more voters than the target:
