Answers: interim answers and trailers without end are refused

What callers saw: 502 only when the attempt's time was over.

Cause: heads and lines were bounded each, their number was not. A long line of the chunked coding also passed where its end came in one read.

Change: at most 16 interim answers, 16 KiB of trailer, and each line of the chunked coding at most 1 KiB, in the one reader of answers (and of requests) in wingshore-net.

Safe: RFC 9110 lets a client expect one or more interim answers; 16 are far more than a server sends.

--- a/crates/gateways/wingshore-net/src/http/body.rs
+++ b/crates/gateways/wingshore-net/src/http/body.rs
@@ -5,6 +5,8 @@
 
 /// Maximum length in bytes of a line of the chunked coding.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
+/// Maximum length in bytes of all trailer lines of a body.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,6 +108,8 @@
 pub(super) struct BodyReader {
     position: Position,
     chunked: bool,
+    /// Bytes of the trailer lines that were read.
+    trailer_bytes: usize,
 }
 
 impl BodyReader {
@@ -120,6 +124,7 @@
         Self {
             position,
             chunked: framing == Framing::Chunked,
+            trailer_bytes: 0,
         }
     }
 
@@ -160,13 +165,22 @@
                 },
                 Position::Trailer => match take_line(input)? {
                     Some(line) if line.is_empty() => self.position = Position::Done,
-                    Some(_) => {}
+                    Some(line) => self.count_trailer(&line)?,
                     None => return Ok(BodyStatus::Partial),
                 },
             }
         }
     }
 
+    /// Counts a trailer line, whose content is dropped.
+    fn count_trailer(&mut self, line: &[u8]) -> Result<(), HttpError> {
+        self.trailer_bytes += line.len();
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(HttpError::Endless { part: "a trailer" });
+        }
+        Ok(())
+    }
+
     /// Sets the number of bytes left of the current chunk or of the body.
     fn set_bytes_left(&mut self, left: u64) {
         self.position = match (left, self.chunked) {
@@ -185,10 +199,13 @@
 /// Removes the next line from `input` and returns it without its line end; `None` while it is
 /// incomplete.
 fn take_line(input: &mut BytesMut) -> Result<Option<Vec<u8>>, HttpError> {
-    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
-        if input.len() > MAX_CHUNK_LINE_BYTES {
-            return framing_error("a chunk's line without an end");
-        }
+    let end = input.iter().position(|byte| *byte == b'\n');
+    if end.unwrap_or(input.len()) > MAX_CHUNK_LINE_BYTES {
+        return Err(HttpError::Endless {
+            part: "a line of the chunked coding",
+        });
+    }
+    let Some(end) = end else {
         return Ok(None);
     };
     let line = input.split_to(end + 1);
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -7,6 +7,8 @@
 
 /// Maximum length of an answer's head in bytes.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of interim answers before a final one.
+const MAX_INTERIM_ANSWERS: usize = 16;
 
 /// Why a request is refused while it is being read.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -140,6 +142,8 @@
 /// Reads the answer to one request.
 pub struct AnswerReader {
     to_head_request: bool,
+    /// Number of interim answers that were skipped.
+    interim_answers: usize,
     /// Head of the answer and the reader of its body, once the head was read.
     current: Option<(AnswerHead, BodyReader)>,
     /// Bytes of the body that were read and not taken yet.
@@ -163,6 +167,7 @@
     pub fn new(to_head_request: bool) -> Self {
         Self {
             to_head_request,
+            interim_answers: 0,
             current: None,
             body: Vec::new(),
         }
@@ -196,6 +201,12 @@
             };
             // Interim (1xx) answers precede the final one and are skipped.
             if (100..200).contains(&head.status) {
+                self.interim_answers += 1;
+                if self.interim_answers > MAX_INTERIM_ANSWERS {
+                    return Err(HttpError::Endless {
+                        part: "interim answers",
+                    });
+                }
                 continue;
             }
             let framing = Framing::of_answer(&head, self.to_head_request)?;
--- a/crates/gateways/wingshore-net/src/http/head.rs
+++ b/crates/gateways/wingshore-net/src/http/head.rs
@@ -21,6 +21,12 @@
         /// The error of the parser.
         reason: String,
     },
+    /// A part of a message that has no length of its own goes on beyond its limit.
+    #[snafu(display("{part} without end"))]
+    Endless {
+        /// The part of the message.
+        part: &'static str,
+    },
     /// The headers or the chunks do not determine the end of the body.
     #[snafu(display("unusable framing: {reason}"))]
     Framing {
