Answers: bodies and events without end are refused

What callers saw, or would see: a server that sends a body without end fills the gateway's memory until the attempt's time is over, and the gateway is killed with all requests that it has. An item whose engine sends lines without data waits for as long as they come.

Cause: the body of an answer that is gathered whole had no bound, nor had an incomplete event; an engine that sends anything counts as not silent.

Change: AnswerReader holds at most 36 MiB of a body that nobody takes (1 MiB in coordinators' calls); all connections of a gateway together hold 64 MiB of incomplete answers, beyond which the largest is dropped; an event with data has to end within 1 MiB. A line and a counter for each. An engine whose item body is no stream of events gets a pause before the next item, as one whose answer has no ID.

Safe: a body of the default limit of requests (32 MiB) still passes; the outcome of a refused answer is that of a lost connection, as for other malformed bytes. The reader's flag for HEAD is gone: it was never set.

--- a/crates/gateways/wingshore-coordinator/src/outgoing_calls.rs
+++ b/crates/gateways/wingshore-coordinator/src/outgoing_calls.rs
@@ -32,6 +32,9 @@
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Timeout of a call to the provider: a slow one takes some tens of times its usual milliseconds.
 const PROVIDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum length in bytes of the body of an answer. The status of an engine lists its models and
+/// their adapters.
+const MAX_ANSWER_BODY_BYTES: usize = 1 << 20;
 
 /// Destination of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -211,7 +214,7 @@
             callee,
             purpose,
             started_at: now,
-            reader: AnswerReader::new(false),
+            reader: AnswerReader::new(MAX_ANSWER_BODY_BYTES),
         };
         self.pending.insert(connection, pending);
         None
--- a/crates/gateways/wingshore-gateway/src/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -33,6 +33,9 @@
 /// Bytes of bodies of mismatched answers that are skipped before one request's own answer. A single
 /// answer of the largest usual size stays below it.
 pub const MAX_MISMATCHED_BYTES: usize = 32 << 20;
+/// Bytes of the body of one answer that are held until it is complete. The longest body of a
+/// request, 32 MiB unless the operator sets another limit, fits in with some space around it.
+pub const MAX_HELD_BODY_BYTES: usize = 36 << 20;
 
 /// What identifies the answer to one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -198,7 +201,7 @@
     pub fn new(expected: ExpectedAnswer) -> Self {
         Self {
             expected,
-            reader: AnswerReader::new(false),
+            reader: AnswerReader::new(MAX_HELD_BODY_BYTES),
             owner: None,
             mismatched_answers: 0,
             mismatched_bytes: 0,
@@ -226,7 +229,7 @@
             if status == BodyStatus::Partial {
                 return Ok(BodyStatus::Partial);
             }
-            self.reader = AnswerReader::new(false);
+            self.reader = AnswerReader::new(MAX_HELD_BODY_BYTES);
             self.owner = None;
         }
     }
@@ -267,6 +270,11 @@
         Some(MatchedPart { head, body })
     }
 
+    /// Returns the number of bytes of a body that are held.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.reader.held_bytes()
+    }
+
     /// Returns whether the request's own answer is complete if the server ends the connection in an
     /// orderly way now.
     pub fn is_whole_at_close(&self) -> bool {
--- a/crates/gateways/wingshore-gateway/src/event_stream.rs
+++ b/crates/gateways/wingshore-gateway/src/event_stream.rs
@@ -1,6 +1,10 @@
 //! Incremental parser of event streams (`text/event-stream`), whose bytes may arrive in any pieces.
 //! No I/O.
 
+/// Maximum number of bytes of a stream within which an event with data must end. Events hold some
+/// tokens, and are a thousand times smaller.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// One event of a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -21,6 +25,8 @@
     event: StreamEvent,
     is_empty: bool,
     version_field: String,
+    /// Bytes that were read since the last event with data.
+    bytes_since_event: usize,
 }
 
 impl EventReader {
@@ -32,11 +38,13 @@
             event: StreamEvent::default(),
             is_empty: true,
             version_field: version_field.to_ascii_lowercase(),
+            bytes_since_event: 0,
         }
     }
 
     /// Adds `bytes` and returns the events that they complete. Returns `None` if a line is not
-    /// valid UTF-8: the stream is unusable then.
+    /// valid UTF-8, or no event with data has ended within [`MAX_EVENT_BYTES`]: the stream is
+    /// unusable then.
     pub fn read(&mut self, bytes: &[u8]) -> Option<Vec<StreamEvent>> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
@@ -55,7 +63,11 @@
             start += length + 1;
         }
         self.buffer.drain(..start);
-        Some(events)
+        self.bytes_since_event += bytes.len();
+        if events.iter().any(|event| event.has_data) {
+            self.bytes_since_event = self.buffer.len();
+        }
+        (self.bytes_since_event <= MAX_EVENT_BYTES).then_some(events)
     }
 
     /// Whether part of an event has arrived.
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -24,13 +24,15 @@
 use crate::second_attempts;
 use crate::send_attempt;
 use crate::split::ServiceSplit;
-use crate::streams::{self, ClientQueue};
+use crate::streams::{self, StreamProgress};
 use crate::timers::TimerKey;
 use crate::trials::{self, Permission};
+use crate::unmatched;
 use crate::upstream::{ConnectionEnd, LostRequest};
 use std::collections::HashMap;
 use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName, TrialEnd};
 use wingshore_net::ConnectionId;
+use wingshore_net::http::HttpError;
 use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
 
@@ -199,18 +201,42 @@
         connection: ConnectionId,
     ) -> Option<ExchangeEnd> {
         let exchange = self.all.get_mut(&id)?;
-        let Some(client) = exchange.client() else {
-            if streams::discard_events(environment, exchange, connection) {
+        let client = exchange.client();
+        let progress = match client {
+            Some(client) => streams::forward_events(environment, exchange, connection, client),
+            None => streams::discard_events(environment, exchange, connection),
+        };
+        match progress {
+            StreamProgress::Continues => None,
+            StreamProgress::ClientDoesNotRead => client.map(ExchangeEnd::ClientDoesNotRead),
+            StreamProgress::EndlessEvent => self.end_endless_event(environment, id, connection),
+            StreamProgress::MayEnd => {
                 self.cancel(environment, id);
+                None
             }
-            return None;
-        };
-        match streams::forward_events(environment, exchange, connection, client) {
-            ClientQueue::WithinLimit => None,
-            ClientQueue::OverLimit => Some(ExchangeEnd::ClientDoesNotRead(client)),
         }
     }
 
+    /// Closes a connection on which an event has no end: its stream broke off there.
+    fn end_endless_event(
+        &mut self,
+        environment: &mut Environment,
+        id: ExchangeId,
+        connection: ConnectionId,
+    ) -> Option<ExchangeEnd> {
+        let error = HttpError::Endless { part: "an event" };
+        unmatched::log_malformed(environment, connection, &error);
+        let upstreams = &mut environment.servers.upstreams;
+        let closed = upstreams.close(&mut environment.runtime, connection)?;
+        let lost = LostRequest {
+            connection,
+            instance: closed.instance,
+            sent_at: closed.task_started_at,
+            end: ConnectionEnd::Lost,
+        };
+        self.on_connection_ended(environment, id, &lost)
+    }
+
     /// Handles a complete answer of a server.
     #[must_use]
     pub(crate) fn on_answer(
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -15,6 +15,7 @@
 use crate::item_policy::{CONNECT_TIMEOUT, ItemAnswer, STALL_TIMEOUT, classify_item_answer};
 use crate::protocol::HeaderNames;
 use crate::timers::TimerKey;
+use crate::unmatched;
 use crate::upstream::{ConnectionEnd, LostRequest, ServerRequest, Task, Upstream};
 use slog::{KV, Serializer, info};
 use std::collections::BTreeMap;
@@ -23,6 +24,7 @@
     NotRunReason, RequestFingerprint, RunningItem, ScoringAssignment,
 };
 use wingshore_net::ConnectionId;
+use wingshore_net::http::HttpError;
 use wingshore_types::Instant;
 
 /// All attempts of this gateway.
@@ -124,7 +126,14 @@
         match read_events(now, names, attempt, upstream) {
             Ok(true) => self.clear_if_long_running(environment, id),
             Ok(false) => {}
-            Err(UnreadableEvents) => self.close_and_interrupt(environment, id),
+            Err(UnreadableEvents) => {
+                let error = HttpError::Malformed {
+                    reason: "no stream of events".to_owned(),
+                };
+                unmatched::log_malformed(environment, connection, &error);
+                // The engine gets a pause, but is not known to have crashed.
+                self.close_and_interrupt(environment, id, BreakCause::Engine(None));
+            }
         }
     }
 
@@ -291,17 +300,22 @@
     pub(crate) fn interrupt(&mut self, environment: &mut Environment, id: AssignmentId) {
         let attempt = self.attempts.get(&id);
         if attempt.is_some_and(ItemAttempt::is_running) {
-            self.close_and_interrupt(environment, id);
+            self.close_and_interrupt(environment, id, BreakCause::Gateway);
         }
     }
 
     /// Closes the connection of an attempt and ends the attempt with the text so far.
-    fn close_and_interrupt(&mut self, environment: &mut Environment, id: AssignmentId) {
+    fn close_and_interrupt(
+        &mut self,
+        environment: &mut Environment,
+        id: AssignmentId,
+        cause: BreakCause,
+    ) {
         self.close_connection(environment, id);
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        let outcome = attempt.interrupt(BreakCause::Gateway);
+        let outcome = attempt.interrupt(cause);
         self.end(environment, id, outcome);
     }
 
--- a/crates/gateways/wingshore-gateway/src/metrics/labels.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics/labels.rs
@@ -55,16 +55,22 @@
     Unidentified(UnidentifiedAnswer),
     /// No request waits on the connection, which was closed.
     Idle,
+    /// The bytes are no answer, or one without end, so that the connection was closed.
+    Malformed,
+    /// All answers together held too many bytes, and this one most.
+    Dropped,
 }
 
 impl UnmatchedKind {
-    pub(super) const ALL: [Self; 6] = [
+    pub(super) const ALL: [Self; 8] = [
         Self::Mismatched,
         Self::Unidentified(UnidentifiedAnswer::WithoutId),
         Self::Unidentified(UnidentifiedAnswer::SeveralIds),
         Self::Unidentified(UnidentifiedAnswer::Unsigned),
         Self::Unidentified(UnidentifiedAnswer::TooManyMismatched),
         Self::Idle,
+        Self::Malformed,
+        Self::Dropped,
     ];
 
     pub(super) fn label(self) -> KindLabel {
@@ -75,6 +81,8 @@
             Self::Unidentified(UnidentifiedAnswer::Unsigned) => "unsigned",
             Self::Unidentified(UnidentifiedAnswer::TooManyMismatched) => "too_many_mismatched",
             Self::Idle => "idle",
+            Self::Malformed => "malformed",
+            Self::Dropped => "dropped",
         };
         KindLabel { kind }
     }
--- a/crates/gateways/wingshore-gateway/src/passed_stream.rs
+++ b/crates/gateways/wingshore-gateway/src/passed_stream.rs
@@ -1,6 +1,6 @@
 //! The part of an event stream that has been forwarded, so that the stream can be resumed.
 
-use crate::event_stream::{EventReader, take_complete_events};
+use crate::event_stream::{EventReader, MAX_EVENT_BYTES, take_complete_events};
 use wingshore_net::ConnectionId;
 use wingshore_types::Instant;
 
@@ -52,6 +52,11 @@
         complete
     }
 
+    /// Whether the event that is incomplete is longer than any event.
+    pub(crate) fn has_endless_event(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether part of an event has arrived.
     pub(crate) fn is_within_event(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -103,7 +103,8 @@
         match status {
             Ok(BodyStatus::Partial) => {}
             Ok(BodyStatus::Whole) => self.upstream_answered(connection, task, is_all_read),
-            Err(AnswerError::Malformed { .. }) => {
+            Err(AnswerError::Malformed { source }) => {
+                unmatched::log_malformed(&self.environment, connection, &source);
                 self.upstream_ended(connection, ConnectionEnd::Lost);
             }
             Err(AnswerError::Unidentified { source }) => {
@@ -111,6 +112,16 @@
                 self.upstream_ended(connection, ConnectionEnd::Unidentified);
             }
         }
+        self.bound_held_answers(connection);
+    }
+
+    /// Drops the incomplete answer that holds most bytes if all together hold too many now.
+    fn bound_held_answers(&mut self, connection: ConnectionId) {
+        let upstreams = &mut self.environment.servers.upstreams;
+        if let Some(largest) = upstreams.record_held(connection) {
+            unmatched::log_dropped(&self.environment, largest);
+            self.upstream_ended(largest, ConnectionEnd::Lost);
+        }
     }
 
     /// Handles a part of an answer on a connection.
--- a/crates/gateways/wingshore-gateway/src/streams.rs
+++ b/crates/gateways/wingshore-gateway/src/streams.rs
@@ -18,13 +18,17 @@
 /// that does not read can take up.
 const MAX_QUEUED_BYTES: usize = 8 << 20;
 
-/// The state of the send queue of a stream's client.
+/// What follows from the bytes that have arrived of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ClientQueue {
-    /// The queue is within its limit.
-    WithinLimit,
-    /// The queue exceeds its limit: the client does not read.
-    OverLimit,
+pub(crate) enum StreamProgress {
+    /// The stream goes on.
+    Continues,
+    /// The send queue of the client exceeds its limit: the client does not read.
+    ClientDoesNotRead,
+    /// An event has no end: the server does not send a stream of events.
+    EndlessEvent,
+    /// Nobody waits for the stream, and it has run long enough to clear its request of suspicion.
+    MayEnd,
 }
 
 /// Forwards the complete events that have arrived, if the answer is a stream for `client`.
@@ -33,15 +37,15 @@
     exchange: &mut Exchange,
     connection: ConnectionId,
     client: ConnectionId,
-) -> ClientQueue {
+) -> StreamProgress {
     let now = environment.runtime.now;
     if exchange.route.kind != RouteKind::Streaming {
-        return ClientQueue::WithinLimit;
+        return StreamProgress::Continues;
     }
     let names = environment.site.protocol.header_names();
     let upstream = environment.servers.upstreams.get_mut(connection);
     let Some((head, body)) = upstream.and_then(take_stream_body) else {
-        return ClientQueue::WithinLimit;
+        return StreamProgress::Continues;
     };
     let reactor = &mut environment.runtime.reactor;
     if exchange.stream.is_none() {
@@ -51,40 +55,50 @@
         .stream
         .get_or_insert_with(|| PassedStream::new(now, connection, names.version));
     let complete = stream.take(now, connection, &body);
+    let is_endless = stream.has_endless_event();
     let mut chunk = Vec::new();
     write_chunk(&mut chunk, &complete);
     reactor.send(client, &chunk);
     request_suspicion::clear_long_stream(environment, exchange);
+    if is_endless {
+        return StreamProgress::EndlessEvent;
+    }
     if environment.runtime.reactor.queued(client) <= MAX_QUEUED_BYTES {
-        return ClientQueue::WithinLimit;
+        return StreamProgress::Continues;
     }
     info!(environment.runtime.logger, "client does not read"; "request" => exchange.id_text(),
         "at_ms" => now.as_millis());
-    ClientQueue::OverLimit
+    StreamProgress::ClientDoesNotRead
 }
 
-/// Discards the events that have arrived of a stream that nobody waits for; returns whether it has
-/// run long enough to clear its request of suspicion.
+/// Discards the events that have arrived of a stream that nobody waits for.
 pub(crate) fn discard_events(
     environment: &mut Environment,
     exchange: &mut Exchange,
     connection: ConnectionId,
-) -> bool {
+) -> StreamProgress {
     let now = environment.runtime.now;
     if exchange.route.kind != RouteKind::Streaming {
-        return false;
+        return StreamProgress::Continues;
     }
     let names = environment.site.protocol.header_names();
     let upstream = environment.servers.upstreams.get_mut(connection);
     let Some((_, body)) = upstream.and_then(take_stream_body) else {
-        return false;
+        return StreamProgress::Continues;
     };
     let stream = exchange
         .stream
         .get_or_insert_with(|| PassedStream::new(now, connection, names.version));
     stream.take(now, connection, &body);
+    let is_endless = stream.has_endless_event();
     request_suspicion::clear_long_stream(environment, exchange);
-    exchange.has_streamed_long(now)
+    if is_endless {
+        return StreamProgress::EndlessEvent;
+    }
+    if exchange.has_streamed_long(now) {
+        return StreamProgress::MayEnd;
+    }
+    StreamProgress::Continues
 }
 
 /// Takes the bytes that have arrived of the stream that answers the request on a connection; `None`
--- a/crates/gateways/wingshore-gateway/src/unmatched.rs
+++ b/crates/gateways/wingshore-gateway/src/unmatched.rs
@@ -5,6 +5,7 @@
 use crate::metrics::UnmatchedKind;
 use slog::info;
 use wingshore_net::ConnectionId;
+use wingshore_net::http::HttpError;
 
 /// Logs and counts mismatched answers that were skipped on a connection: the request that waits there
 /// still expects its own answer.
@@ -34,6 +35,27 @@
         "server" => server_text(environment, connection));
 }
 
+/// Logs and counts bytes that are no answer. The connection is closed.
+pub(crate) fn log_malformed(
+    environment: &Environment,
+    connection: ConnectionId,
+    error: &HttpError,
+) {
+    let runtime = &environment.runtime;
+    runtime.metrics.unmatched_answer(UnmatchedKind::Malformed);
+    info!(runtime.logger, "no answer"; "reason" => %error,
+        "server" => server_text(environment, connection));
+}
+
+/// Logs and counts an answer that is dropped since all answers together hold too many bytes. The
+/// connection is closed.
+pub(crate) fn log_dropped(environment: &Environment, connection: ConnectionId) {
+    let runtime = &environment.runtime;
+    runtime.metrics.unmatched_answer(UnmatchedKind::Dropped);
+    info!(runtime.logger, "answer dropped for memory";
+        "server" => server_text(environment, connection));
+}
+
 /// Logs and counts bytes that arrived on a connection without a request. The connection is closed.
 pub(crate) fn log_idle(environment: &Environment, connection: ConnectionId) {
     let runtime = &environment.runtime;
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -21,6 +21,8 @@
 /// does not race with the server's close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Bytes of incomplete answers that all connections together hold; at least those of one answer.
+const MAX_HELD_BYTES: usize = 64 << 20;
 /// Number of requests that a connection remembers. A repeated answer takes the place of the next one
 /// as a rule; the margin covers some that come later.
 const MAX_REMEMBERED_REQUESTS: usize = 16;
@@ -124,6 +126,8 @@
     recent: VecDeque<ExpectedAnswer>,
     /// When the current task started.
     pub(crate) task_started_at: Instant,
+    /// Bytes of the incomplete answer that were held after the last read.
+    held_bytes: usize,
     /// Until when the connection may be reused, while it is idle.
     idle_until: Instant,
     /// How long the server keeps the connection open while it is idle.
@@ -153,6 +157,8 @@
     all: HashMap<ConnectionId, Upstream>,
     /// Idle connections, by server.
     idle: HashMap<InstanceId, Vec<ConnectionId>>,
+    /// Bytes of incomplete answers that all connections hold.
+    held_bytes: usize,
 }
 
 impl Upstreams {
@@ -225,6 +231,7 @@
         let now = runtime.now;
         let upstream = self.all.get_mut(&connection)?;
         let reader = upstream.reader.take()?;
+        self.held_bytes -= std::mem::take(&mut upstream.held_bytes);
         let is_within_event = upstream
             .events
             .as_ref()
@@ -262,6 +269,7 @@
             events: None,
             recent: VecDeque::new(),
             task_started_at: now,
+            held_bytes: 0,
             idle_until: now,
             keep_alive: DEFAULT_KEEP_ALIVE,
         };
@@ -312,6 +320,24 @@
         self.all.get_mut(&connection)
     }
 
+    /// Records the bytes that a connection holds of an incomplete answer. Returns the connection that
+    /// holds most if all together hold more than [`MAX_HELD_BYTES`].
+    pub(crate) fn record_held(&mut self, connection: ConnectionId) -> Option<ConnectionId> {
+        let upstream = self.all.get_mut(&connection)?;
+        let held = upstream
+            .reader
+            .as_ref()
+            .map_or(0, MatchingReader::held_bytes);
+        self.held_bytes = self.held_bytes - upstream.held_bytes + held;
+        upstream.held_bytes = held;
+        if self.held_bytes <= MAX_HELD_BYTES {
+            return None;
+        }
+        let all = self.all.iter();
+        let largest = all.max_by_key(|(_, upstream)| upstream.held_bytes);
+        largest.map(|(connection, _)| *connection)
+    }
+
     /// Returns the state of a connection.
     pub(crate) fn get(&self, connection: ConnectionId) -> Option<&Upstream> {
         self.all.get(&connection)
@@ -337,6 +363,7 @@
     ) -> Option<Upstream> {
         runtime.reactor.close(connection);
         let upstream = self.all.remove(&connection)?;
+        self.held_bytes -= upstream.held_bytes;
         if let Some(idle) = self.idle.get_mut(&upstream.instance) {
             idle.retain(|other| *other != connection);
         }
--- a/crates/gateways/wingshore-gateway/tests/bytes.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes.rs
@@ -9,6 +9,7 @@
     pub mod protocol;
     mod second_attempts;
     pub mod site;
+    mod unusable_answers;
     pub mod view;
 }
 use bytes::{protocol, site};
--- a/crates/gateways/wingshore-net/src/http/body.rs
+++ b/crates/gateways/wingshore-net/src/http/body.rs
@@ -28,13 +28,12 @@
         Ok(declared_framing(&head.headers)?.unwrap_or(Self::Length(0)))
     }
 
-    /// Returns the framing of an answer's body. An answer to a HEAD request has no body.
+    /// Returns the framing of the body of an answer to a request whose method is not HEAD.
     ///
     /// # Errors
     /// When the headers contradict each other or cannot be used.
-    pub(super) fn of_answer(head: &AnswerHead, to_head_request: bool) -> Result<Self, HttpError> {
-        let has_none = to_head_request || matches!(head.status, 100..=199 | 204 | 304);
-        if has_none {
+    pub(super) fn of_answer(head: &AnswerHead) -> Result<Self, HttpError> {
+        if matches!(head.status, 100..=199 | 204 | 304) {
             return Ok(Self::Length(0));
         }
         Ok(declared_framing(&head.headers)?.unwrap_or(Self::UntilClose))
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -141,7 +141,8 @@
 
 /// Reads the answer to one request.
 pub struct AnswerReader {
-    to_head_request: bool,
+    /// Maximum number of bytes of the body that are held.
+    max_held_body: usize,
     /// Number of interim answers that were skipped.
     interim_answers: usize,
     /// Head of the answer and the reader of its body, once the head was read.
@@ -162,11 +163,11 @@
 }
 
 impl AnswerReader {
-    /// Creates a reader for the answer to a request. `to_head_request` states that the request's
-    /// method is HEAD, whose answers have no body.
-    pub fn new(to_head_request: bool) -> Self {
+    /// Creates a reader for the answer to a request whose method is not HEAD. `max_held_body` is
+    /// the maximum number of bytes of the body that are read and not taken yet.
+    pub fn new(max_held_body: usize) -> Self {
         Self {
-            to_head_request,
+            max_held_body,
             interim_answers: 0,
             current: None,
             body: Vec::new(),
@@ -193,7 +194,7 @@
     /// Reads the available bytes from `input`; returns whether the answer is complete.
     ///
     /// # Errors
-    /// When the bytes are not a valid answer.
+    /// When the bytes are not a valid answer, or more of its body would be held than the maximum.
     pub fn read(&mut self, input: &mut BytesMut) -> Result<BodyStatus, HttpError> {
         while self.current.is_none() {
             let Some(head) = read_answer_head(input, MAX_ANSWER_HEAD_BYTES)? else {
@@ -209,13 +210,22 @@
                 }
                 continue;
             }
-            let framing = Framing::of_answer(&head, self.to_head_request)?;
+            let framing = Framing::of_answer(&head)?;
             self.current = Some((head, BodyReader::new(framing)));
         }
-        match &mut self.current {
-            Some((_, reader)) => reader.read(input, &mut self.body),
-            None => Ok(BodyStatus::Partial),
+        let Some((_, reader)) = &mut self.current else {
+            return Ok(BodyStatus::Partial);
+        };
+        let status = reader.read(input, &mut self.body)?;
+        if self.body.len() > self.max_held_body {
+            return Err(HttpError::Endless { part: "a body" });
         }
+        Ok(status)
+    }
+
+    /// Returns the number of bytes of the body that were read and not taken yet.
+    pub fn held_bytes(&self) -> usize {
+        self.body.len()
     }
 
     /// Returns whether the answer is complete if the peer ends the connection in an orderly way
--- a/crates/gateways/wingshore-net/tests/endless_answers.rs
+++ b/crates/gateways/wingshore-net/tests/endless_answers.rs
@@ -15,7 +15,7 @@
 /// Feeds `begin`, then `unit` again and again, and returns the error of the reader; `None` if it
 /// still reads after [`MOST_BYTES`].
 fn error_of(begin: &str, unit: &str, piece: usize) -> Option<HttpError> {
-    let mut reader = AnswerReader::new(false);
+    let mut reader = AnswerReader::new(usize::MAX);
     let mut input = BytesMut::new();
     let units = unit.as_bytes().iter().cycle().copied();
     let mut bytes = begin.bytes().chain(units);
@@ -51,7 +51,7 @@
 fn some_interim_answers_are_no_fault() -> Result<()> {
     let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(8);
     let bytes = format!("{interim}HTTP/1.1 204 No Content\r\n\r\n");
-    let mut reader = AnswerReader::new(false);
+    let mut reader = AnswerReader::new(usize::MAX);
     let status = reader.read(&mut BytesMut::from(bytes.as_bytes()));
     verify_that!(status, ok(eq(&BodyStatus::Whole)))
 }
@@ -78,3 +78,26 @@
     expect_error(&format!("{head}2;extension="), "a")?;
     expect_error(&format!("{head}2\r\nok"), "a")
 }
+
+/// The bytes of a body that are taken while it arrives do not count: a stream may be long.
+#[gtest]
+fn a_body_is_held_up_to_its_maximum() -> Result<()> {
+    for framing in ["", "Content-Length: 1000000\r\n"] {
+        let mut reader = AnswerReader::new(100);
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
+        verify_that!(
+            reader.read(&mut BytesMut::from(head.as_bytes())),
+            ok(anything())
+        )?;
+        for _ in 0..10 {
+            verify_that!(
+                reader.read(&mut BytesMut::from([b'a'; 100].as_slice())),
+                ok(anything())
+            )?;
+            verify_that!(reader.take_body().len(), eq(100))?;
+        }
+        let beyond = reader.read(&mut BytesMut::from([b'a'; 101].as_slice()));
+        verify_that!(beyond, err(anything()))?;
+    }
+    Ok(())
+}
--- a/crates/gateways/wingshore-net/tests/http.rs
+++ b/crates/gateways/wingshore-net/tests/http.rs
@@ -48,7 +48,7 @@
     #[test]
     fn arbitrary_bytes_do_not_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
         let _ = read(&bytes);
-        let mut reader = AnswerReader::new(false);
+        let mut reader = AnswerReader::new(usize::MAX);
         let _ = reader.read(&mut BytesMut::from(bytes.as_slice()));
     }
 }
@@ -87,7 +87,7 @@
 }
 
 fn answer(bytes: &[u8]) -> (AnswerReader, BytesMut, BodyStatus) {
-    let mut reader = AnswerReader::new(false);
+    let mut reader = AnswerReader::new(usize::MAX);
     let mut input = BytesMut::from(bytes);
     let status = reader.read(&mut input).expect("an answer");
     (reader, input, status)
