Answers: a number that is no status makes no answer

Cause: the parser of heads takes any three digits, and the number was passed on as it came.

Change: AnswerHead holds a FinalStatus, 200 to 599, which can be made in no other way; the one parser of heads refuses other numbers. Interim answers are skipped there, but for 101, which nobody asked for. 600 and above are no status by RFC 9110 and end as a failure of the server.

Sites of the gateway's byte tests have ports besides addresses, since there are more than 128 in one process now.

--- a/crates/gateways/wingshore-gateway/src/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -93,7 +93,7 @@
         let request = head.headers.text(self.request_id_header);
         MismatchedAnswer {
             request: request.unwrap_or_default().to_owned(),
-            status: head.status,
+            status: head.status.code(),
         }
     }
 }
--- a/crates/gateways/wingshore-gateway/src/answers.rs
+++ b/crates/gateways/wingshore-gateway/src/answers.rs
@@ -39,7 +39,7 @@
     pub fn read(names: &HeaderNames, answer: &MatchedAnswer) -> Self {
         let head = answer.head();
         Self {
-            status: head.status,
+            status: head.status.code(),
             says_not_run: head.headers.get(names.not_run).is_some(),
         }
     }
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -261,7 +261,7 @@
         }
         let facts = AnswerFacts::read(names, &answer);
         let kind = answers::classify_answer(facts);
-        if answer.head().status == MISDIRECTED_STATUS {
+        if answer.head().status.code() == MISDIRECTED_STATUS {
             crash_reports::server_ended(environment, instance);
         }
         if let Some(verdict) = kind.verdict() {
@@ -533,7 +533,10 @@
         environment.usage.not_run(window, tenant);
     }
     exchange.history.record(failure.verdict);
-    let status = failure.answer.as_ref().map(|answer| answer.head().status);
+    let status = failure
+        .answer
+        .as_ref()
+        .map(|answer| answer.head().status.code());
     if status.is_some_and(answers::is_internal_error) {
         exchange.history.internal_errors += 1;
     }
--- a/crates/gateways/wingshore-gateway/src/forward_ends.rs
+++ b/crates/gateways/wingshore-gateway/src/forward_ends.rs
@@ -35,7 +35,12 @@
     }
     match exchange.origin {
         Origin::Client(client) => {
-            log::served(environment, &exchange, instance, answer.head().status);
+            log::served(
+                environment,
+                &exchange,
+                instance,
+                answer.head().status.code(),
+            );
             ExchangeEnd::ServerAnswer { client, answer }
         }
         Origin::Nobody => ExchangeEnd::NobodyWaits,
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -152,23 +152,23 @@
         let says_not_run = head.headers.get(names.not_run).is_some();
         let attempt = self.attempts.get_mut(&id)?;
         let mut scoring = None;
-        let outcome = match classify_item_answer(head.status, says_not_run, ends_at_event_boundary)
-        {
-            ItemAnswer::Finished => {
-                scoring = attempt.scoring();
-                let outcome = attempt.finish();
-                let item = &attempt.assignment;
-                crash_reports::request_succeeded(environment, |site| {
-                    fingerprints::of_item(site, item)
-                });
-                outcome
-            }
-            ItemAnswer::CutShort => attempt.interrupt(BreakCause::Gateway),
-            ItemAnswer::Mismatch => ItemOutcome::NotRun(NotRunReason::Mismatch),
-            ItemAnswer::NotRun => ItemOutcome::NotRun(NotRunReason::Full),
-            ItemAnswer::Impossible => ItemOutcome::Impossible,
-            ItemAnswer::Failed => ItemOutcome::Failed,
-        };
+        let outcome =
+            match classify_item_answer(head.status.code(), says_not_run, ends_at_event_boundary) {
+                ItemAnswer::Finished => {
+                    scoring = attempt.scoring();
+                    let outcome = attempt.finish();
+                    let item = &attempt.assignment;
+                    crash_reports::request_succeeded(environment, |site| {
+                        fingerprints::of_item(site, item)
+                    });
+                    outcome
+                }
+                ItemAnswer::CutShort => attempt.interrupt(BreakCause::Gateway),
+                ItemAnswer::Mismatch => ItemOutcome::NotRun(NotRunReason::Mismatch),
+                ItemAnswer::NotRun => ItemOutcome::NotRun(NotRunReason::Full),
+                ItemAnswer::Impossible => ItemOutcome::Impossible,
+                ItemAnswer::Failed => ItemOutcome::Failed,
+            };
         self.end(environment, id, outcome);
         scoring
     }
--- a/crates/gateways/wingshore-gateway/src/process/work.rs
+++ b/crates/gateways/wingshore-gateway/src/process/work.rs
@@ -41,7 +41,7 @@
 
     /// Sends a server's answer to a client.
     fn forward_answer(&mut self, client: ConnectionId, answer: &MatchedAnswer) {
-        let mut writer = HeadWriter::answer(answer.head().status);
+        let mut writer = HeadWriter::answer(answer.head().status.code());
         for (name, value) in end_to_end_headers(&answer.head().headers) {
             writer = writer.line(name, value);
         }
--- a/crates/gateways/wingshore-gateway/src/streams.rs
+++ b/crates/gateways/wingshore-gateway/src/streams.rs
@@ -110,7 +110,7 @@
 }
 
 fn stream_head(head: &AnswerHead) -> Vec<u8> {
-    let mut writer = HeadWriter::answer(head.status);
+    let mut writer = HeadWriter::answer(head.status.code());
     for (name, value) in end_to_end_headers(&head.headers) {
         writer = writer.line(name, value);
     }
--- a/crates/gateways/wingshore-gateway/tests/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/tests/answer_matching.rs
@@ -228,7 +228,7 @@
         prop_assert_eq!(skipped.len(), mismatched.len());
         let answer = reader.into_answer(true).unwrap();
         let status: u16 = STATUSES[own][..3].parse().unwrap();
-        prop_assert_eq!(answer.head().status, status);
+        prop_assert_eq!(answer.head().status.code(), status);
         prop_assert_eq!(answer.is_connection_reusable(), mismatched.is_empty());
     }
 }
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -66,21 +66,25 @@
     alive: Arc<AtomicBool>,
 }
 
-/// Port for clients at the site's unique address.
-const FRONT_PORT: u16 = 6200;
-/// Port of the readiness check at the site's unique address.
-const READY_PORT: u16 = 6201;
+/// Port for clients of the first sites.
+const FIRST_PORT: u16 = 6200;
 /// Second octet of the first site's address.
-const FIRST_OCTET: u8 = 128;
+const FIRST_OCTET: u16 = 128;
+/// Number of sites that use the same ports, each at an address of its own.
+const SITES_PER_PORT: u16 = 128;
 
-/// Returns a loopback address that no other site uses. Ports of a shared address that had been
+/// Returns a loopback address and two ports that no other site uses together: for clients, and for
+/// the readiness check. Ports of a shared address that had been
 /// checked as free were sometimes taken by others before the gateway listened there: the gateway
 /// ended, and the test waited forever (8 of 60 runs, with six in parallel).
-fn unique_host() -> IpAddr {
-    static STARTED: AtomicU8 = AtomicU8::new(0);
-    let network = FIRST_OCTET + STARTED.fetch_add(1, Ordering::Relaxed);
+fn unique_endpoints() -> (SocketAddr, SocketAddr) {
+    static STARTED: AtomicU16 = AtomicU16::new(0);
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    let [_, network] = (FIRST_OCTET + number % SITES_PER_PORT).to_be_bytes();
     let [.., high, low] = std::process::id().to_be_bytes();
-    IpAddr::from([127, network, high, low])
+    let host = IpAddr::from([127, network, high, low]);
+    let port = FIRST_PORT + 2 * (number / SITES_PER_PORT);
+    ((host, port).into(), (host, port + 1).into())
 }
 
 /// Time limits of a gateway's planned stop.
@@ -116,9 +120,7 @@
     /// Starts the gateway and accepts its link to the coordinator, which sends nothing yet.
     fn start_without_heartbeats(stop_times: StopTimes, policy: GatewayPolicy) -> Self {
         let listener = TcpListener::bind((LOOPBACK, 0)).unwrap();
-        let host = unique_host();
-        let front = SocketAddr::from((host, FRONT_PORT));
-        let ready = SocketAddr::from((host, READY_PORT));
+        let (front, ready) = unique_endpoints();
         let log = LogKeys::default();
         let internal_port = listener.local_addr().unwrap().port();
         let settings = settings((front, ready), internal_port, stop_times, policy);
--- a/crates/gateways/wingshore-gateway/tests/bytes/unusable_answers.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/unusable_answers.rs
@@ -200,18 +200,24 @@
     )
 }
 
-/// What the gateway of these tests answers where a request may have run and brought nothing.
-const MAY_HAVE_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 6\r\n\r\nbroken";
+/// Bodies of the gateway's own answers where a request may have run and brought nothing, and where
+/// its time is over.
+const OWN_FAILURES: [&str; 2] = ["broken", "out_of_time"];
 
-/// Reads to the end of an answer, or of its connection. The gateway's own answer that the request
-/// may have run, and a stream without its last chunk, are failures.
+fn is_own_failure(text: &str) -> bool {
+    let is_own = !text.contains("Signature") && text.starts_with("HTTP/1.1 503 ");
+    is_own && OWN_FAILURES.iter().any(|body| text.ends_with(body))
+}
+
+/// Reads to the end of an answer, or of its connection. The gateway's own failures, and a stream
+/// without its last chunk, are failures.
 fn client_outcome(mut client: TcpStream) -> Got {
     client.set_read_timeout(Some(CLIENT_TIMEOUT)).unwrap();
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
-        if text == MAY_HAVE_RUN {
+        if is_own_failure(&text) {
             return Got::Failure;
         }
         if text.ends_with("0\r\n\r\n") {
@@ -280,6 +286,81 @@
     expect_cut_off(Path::Item, "HTTP/1.1 200 OK\r\n{own}\r\n", ": x\n\n")
 }
 
+/// Sends `bytes`, in two pieces with a pause where `split` says so, closes, and expects that the
+/// caller gets no answer.
+fn expect_no_answer(path: Path, bytes: &str, split: Option<usize>) -> Result<()> {
+    let mut waiting = Waiting::on(path);
+    let bytes = bytes.replace("{own}", &waiting.own_lines());
+    let (first, second) = bytes.split_at(split.unwrap_or(bytes.len()));
+    waiting.upstream.write_all(first.as_bytes()).unwrap();
+    if split.is_some() {
+        std::thread::sleep(SHORT_TIMEOUT);
+    }
+    // The gateway may have closed the connection behind the first piece.
+    let _ = waiting.upstream.write_all(second.as_bytes());
+    let _ = waiting.upstream.shutdown(Shutdown::Write);
+    let case = format!("{path:?}: {bytes:?}, split at {split:?}");
+    verify_that!(waiting.outcome(), eq(&Got::Failure)).with_failure_message(|| case)
+}
+
+/// A client got such a status, with the body, as the answer of its server.
+#[gtest]
+fn a_number_that_is_no_status_is_no_answer() -> Result<()> {
+    for path in PATHS {
+        for code in ["000", "099", "101", "600", "999"] {
+            let head = format!("HTTP/1.1 {code} OK\r\n{{own}}");
+            expect_no_answer(path, &format!("{head}Content-Length: 2\r\n\r\nok"), None)?;
+            expect_no_answer(path, &format!("{head}\r\nid: 12\ndata: two\n\n"), None)?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_field_whose_name_is_none_makes_no_answer() -> Result<()> {
+    for path in PATHS {
+        for line in ["Na me: v", "Na\u{1}me: v", "Name : v", " Name: v", ": v"] {
+            let bytes = format!("HTTP/1.1 200 OK\r\n{{own}}{line}\r\nContent-Length: 2\r\n\r\nok");
+            expect_no_answer(path, &bytes, None)?;
+        }
+    }
+    Ok(())
+}
+
+/// A server that stops in the middle of its answer's head and closes: a client may not get a whole
+/// answer with an empty or short body. The same behind an interim answer.
+#[gtest]
+fn an_answer_that_ends_in_its_head_is_no_answer() -> Result<()> {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for path in PATHS {
+        for cut in [
+            "HTTP/1.1 2",
+            "HTTP/1.1 200 OK\r\n{own}",
+            "HTTP/1.1 200 OK\r\n{own}Cont",
+        ] {
+            expect_no_answer(path, cut, None)?;
+            expect_no_answer(path, cut, Some(9))?;
+            let behind = format!("{interim}{cut}");
+            expect_no_answer(path, &behind, None)?;
+            expect_no_answer(path, &behind, Some(interim.len() + 5))?;
+        }
+    }
+    Ok(())
+}
+
+/// The rest of a head may never come although the connection stays open.
+#[gtest]
+fn an_answer_that_stops_in_its_head_ends_with_the_attempt() -> Result<()> {
+    for path in PATHS {
+        let mut waiting = Waiting::on(path);
+        let cut = format!("HTTP/1.1 200 OK\r\n{}", waiting.own_lines());
+        waiting.upstream.write_all(cut.as_bytes()).unwrap();
+        verify_that!(waiting.outcome(), eq(&Got::Failure))
+            .with_failure_message(|| format!("{path:?}"))?;
+    }
+    Ok(())
+}
+
 /// Several answers at once, each below the limit of one: together they fill the memory of a gateway.
 #[gtest]
 fn incomplete_answers_together_are_bounded() -> Result<()> {
--- a/crates/gateways/wingshore-net/src/http/body.rs
+++ b/crates/gateways/wingshore-net/src/http/body.rs
@@ -33,7 +33,7 @@
     /// # Errors
     /// When the headers contradict each other or cannot be used.
     pub(super) fn of_answer(head: &AnswerHead) -> Result<Self, HttpError> {
-        if matches!(head.status, 100..=199 | 204 | 304) {
+        if matches!(head.status.code(), 204 | 304) {
             return Ok(Self::Length(0));
         }
         Ok(declared_framing(&head.headers)?.unwrap_or(Self::UntilClose))
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -1,7 +1,9 @@
 //! Incremental reading of requests and answers as their bytes arrive.
 
 use super::body::{BodyReader, BodyStatus, Framing};
-use super::head::{AnswerHead, HttpError, RequestHead, read_answer_head, read_request_head};
+use super::head::{
+    AnswerHead, HttpError, ReceivedHead, RequestHead, read_answer_head, read_request_head,
+};
 use bytes::BytesMut;
 use snafu::Snafu;
 
@@ -200,16 +202,10 @@
             let Some(head) = read_answer_head(input, MAX_ANSWER_HEAD_BYTES)? else {
                 return Ok(BodyStatus::Partial);
             };
-            // Interim (1xx) answers precede the final one and are skipped.
-            if (100..200).contains(&head.status) {
-                self.interim_answers += 1;
-                if self.interim_answers > MAX_INTERIM_ANSWERS {
-                    return Err(HttpError::Endless {
-                        part: "interim answers",
-                    });
-                }
+            let ReceivedHead::Final(head) = head else {
+                self.count_interim()?;
                 continue;
-            }
+            };
             let framing = Framing::of_answer(&head)?;
             self.current = Some((head, BodyReader::new(framing)));
         }
@@ -223,6 +219,17 @@
         Ok(status)
     }
 
+    /// Counts an interim answer, which is skipped.
+    fn count_interim(&mut self) -> Result<(), HttpError> {
+        self.interim_answers += 1;
+        if self.interim_answers > MAX_INTERIM_ANSWERS {
+            return Err(HttpError::Endless {
+                part: "interim answers",
+            });
+        }
+        Ok(())
+    }
+
     /// Returns the number of bytes of the body that were read and not taken yet.
     pub fn held_bytes(&self) -> usize {
         self.body.len()
--- a/crates/gateways/wingshore-net/src/http/head.rs
+++ b/crates/gateways/wingshore-net/src/http/head.rs
@@ -1,10 +1,13 @@
 //! Heads of HTTP requests and answers, and parsing them.
 
+use super::status::FinalStatus;
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 
 /// Maximum number of header lines of a message.
 const MAX_HEADERS: usize = 96;
+/// Interim status "101 Switching Protocols", which no request of this process asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Why bytes cannot be read as an HTTP/1.1 message.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -21,6 +24,12 @@
         /// The error of the parser.
         reason: String,
     },
+    /// The status of an answer is none that HTTP knows, or one that nobody asked for.
+    #[snafu(display("{code:03} is no status of an answer"))]
+    UnknownStatus {
+        /// The number in the place of the status.
+        code: u16,
+    },
     /// A part of a message that has no length of its own goes on beyond its limit.
     #[snafu(display("{part} without end"))]
     Endless {
@@ -129,11 +138,11 @@
     }
 }
 
-/// Head of an answer.
+/// Head of a final answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
-    /// The status code.
-    pub status: u16,
+    /// The status.
+    pub status: FinalStatus,
     /// Whether the version is HTTP/1.1 rather than 1.0.
     pub is_http11: bool,
     /// The header lines.
@@ -148,7 +157,7 @@
 
     /// Returns whether the status is 2xx.
     pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status)
+        (200..300).contains(&self.status.code())
     }
 }
 
@@ -178,28 +187,47 @@
     }))
 }
 
+/// Head that arrived in the place of an answer's.
+pub(super) enum ReceivedHead {
+    /// The head of an interim answer, which a final one follows.
+    Interim,
+    /// The head of the final answer.
+    Final(AnswerHead),
+}
+
 /// Removes an answer's head from `input` and parses it; `None` while it is incomplete.
 ///
 /// # Errors
-/// When the bytes are not a valid head, or the head is longer than `max_bytes`.
+/// When the bytes are not a valid head, the head is longer than `max_bytes`, or its status is none.
 pub(super) fn read_answer_head(
     input: &mut BytesMut,
     max_bytes: usize,
-) -> Result<Option<AnswerHead>, HttpError> {
+) -> Result<Option<ReceivedHead>, HttpError> {
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut lines);
     let Some(length) = head_length(parsed.parse(input), input.len(), max_bytes)? else {
         return Ok(None);
     };
-    let status = parsed.code.unwrap_or_default();
+    let code = parsed.code.unwrap_or_default();
     let is_http11 = parsed.version == Some(1);
     let ranges = header_ranges(input, parsed.headers);
     let headers = take_headers(input, length, ranges);
-    Ok(Some(AnswerHead {
+    if is_interim(code) {
+        return Ok(Some(ReceivedHead::Interim));
+    }
+    let Some(status) = FinalStatus::new(code) else {
+        return UnknownStatusSnafu { code }.fail();
+    };
+    Ok(Some(ReceivedHead::Final(AnswerHead {
         status,
         is_http11,
         headers,
-    }))
+    })))
+}
+
+/// Returns whether a status is that of an interim answer that a client has to skip.
+fn is_interim(code: u16) -> bool {
+    (100..200).contains(&code) && code != SWITCHING_PROTOCOLS
 }
 
 /// Returns the length of a parsed head in bytes; `None` while the head is incomplete.
--- a/crates/gateways/wingshore-net/src/http/mod.rs
+++ b/crates/gateways/wingshore-net/src/http/mod.rs
@@ -5,9 +5,11 @@
 mod encode;
 mod exchange;
 mod head;
+mod status;
 
 pub use answer::HttpAnswer;
 pub use body::BodyStatus;
 pub use encode::{HeadWriter, write_chunk, write_last_chunk};
 pub use exchange::{AnswerReader, RequestError, RequestReader, WholeAnswer, WholeRequest};
 pub use head::{AnswerHead, Headers, HttpError, RequestHead};
+pub use status::FinalStatus;
--- a/crates/gateways/wingshore-net/tests/http.rs
+++ b/crates/gateways/wingshore-net/tests/http.rs
@@ -126,5 +126,5 @@
     let (reader, _, status) =
         answer(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
     expect_that!(status, eq(BodyStatus::Whole));
-    expect_that!(reader.head().map(|head| head.status), some(eq(204)));
+    expect_that!(reader.head().map(|head| head.status.code()), some(eq(204)));
 }
