Nodes: a number that is no status makes no answer

What callers saw: the status 101, 600 or 999 of a back end in trouble, with its body, as an answer.

Cause: the HTTP client refuses numbers below 100 and passes on all others.

Change: the one place that sends requests of a node checks the status of the answer; outside 200 to 599 the attempt ends as a bad answer that may have run.

--- a/crates/nodes/wingshore-node/src/upstream/agent.rs
+++ b/crates/nodes/wingshore-node/src/upstream/agent.rs
@@ -3,7 +3,9 @@
 
 use crate::http::HeaderList;
 use crate::upstream::connector::MarkingConnector;
+use snafu::Snafu;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use ureq::{Agent, Body, Error, http};
 use wingshore_http::{AgentPool, IpResolver};
@@ -23,6 +25,18 @@
 /// Timeout of establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Status codes of final answers (RFC 9110, section 15). The HTTP client skips interim answers but
+/// for 101, and passes on every number from 100 to 999.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// The status of an answer is none that HTTP knows, or one that nobody asked for: the bytes are no
+/// answer.
+#[derive(Debug, Snafu)]
+#[snafu(display("{code} is no status of an answer"))]
+pub struct UnknownStatus {
+    code: u16,
+}
+
 /// Kind of connection that a request uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Connections {
@@ -118,7 +132,17 @@
     }
 }
 
+/// Sends a request and checks the status of its answer, for all kinds of connections.
 fn send_by(agent: &Agent, request: &UpstreamRequest<'_>) -> Result<http::Response<Body>, Error> {
+    let answer = exchange(agent, request)?;
+    let code = answer.status().as_u16();
+    if !FINAL_STATUSES.contains(&code) {
+        return Err(Error::Other(Box::new(UnknownStatus { code })));
+    }
+    Ok(answer)
+}
+
+fn exchange(agent: &Agent, request: &UpstreamRequest<'_>) -> Result<http::Response<Body>, Error> {
     let mut builder = http::Request::builder()
         .method(request.method)
         .uri(format!("http://{}{}", request.address, request.target));
--- a/crates/nodes/wingshore-node/src/upstream/failure.rs
+++ b/crates/nodes/wingshore-node/src/upstream/failure.rs
@@ -6,6 +6,7 @@
 //! must not be repeated. An error of an unknown kind counts as a lost connection, after which the
 //! request may have run.
 
+use crate::upstream::agent::UnknownStatus;
 use crate::upstream::connector::ConnectError;
 use std::io;
 use ureq::Error;
@@ -16,6 +17,7 @@
 pub fn failure_of(error: &Error, server: &str) -> AttemptFailure {
     let kind = match error {
         Error::Other(source) if source.is::<ConnectError>() => FailureKind::ConnectFailed,
+        Error::Other(source) if source.is::<UnknownStatus>() => FailureKind::BadAnswer,
         Error::Timeout(_) => FailureKind::TimedOut,
         Error::Protocol(_) | Error::LargeResponseHeader(..) => FailureKind::BadAnswer,
         _ => FailureKind::ConnectionLost,
