Planned stop: a request that cannot end before it is refused as not run

Cause: a stop shortened the time limit of a request to its own end and passed it on whatever was left; only streams were looked at.

Change: a request is passed on only if what is left of the stop, less 0.2 s, covers its own time limit or the 95th percentile of the recent answer times of its service; else 503 as not run at once.

Safe: a refused request has run nowhere, and its caller may send it to another gateway.

--- a/crates/gateways/wingshore-gateway/src/admission.rs
+++ b/crates/gateways/wingshore-gateway/src/admission.rs
@@ -82,10 +82,10 @@
         answer: OwnAnswer::NotRun(RETRY_AFTER),
         reason: "the route has no service",
     };
-    /// The stream may outlast a planned stop and would then have to be interrupted.
+    /// The request may outlast a planned stop and would then have to be interrupted.
     pub(crate) const STOPPING: Self = Self {
         answer: OwnAnswer::NotRun(RETRY_AFTER),
-        reason: "the stream may outlast the planned stop",
+        reason: "the request may outlast the planned stop",
     };
     /// The request did not arrive in time.
     pub(crate) const TOO_SLOW: Self = Self {
--- a/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
+++ b/crates/gateways/wingshore-gateway/src/attempt_timeouts.rs
@@ -3,7 +3,8 @@
 //! No I/O; `now` is passed in.
 //!
 //! **Inputs.** The route's timeout and target latency, the time in milliseconds that the caller
-//! will wait, the number of the attempt and the maximum, and the progress of a planned stop.
+//! will wait, the number of the attempt and the maximum, the progress of a planned stop, and the
+//! 95th percentile of the answer times of the service.
 //!
 //! **Rule.** The time limit of a request is the shorter of the route's timeout and the caller's
 //! deadline minus a margin for the way back. A planned stop ends all requests when it ends, not
@@ -11,16 +12,20 @@
 //! A server keeps the request until its deadline, unless the request may run twice and an attempt
 //! is left: then another server is tried after twice the target latency. While no other server can
 //! get the request, the attempt is kept, and that is looked at again after as long. A stream that
-//! arrives more than 2.5 s after a planned stop began and may outlast the stop is refused.
+//! arrives more than 2.5 s after a planned stop began and may outlast the stop is refused. Any
+//! other request is refused as not run if what is left of the stop is shorter than its own time
+//! limit and than the usual answers of its service.
 //!
 //! **Why.** A machine that is partitioned or frozen does not answer at all: a repeatable request
 //! that waited for it would miss its target latency, while another server can still answer in time.
 //! Where there is no other server, only this one can still answer, and an attempt that is abandoned
 //! may have run all the same.
 //! A request that outlasts the process gets no answer at all. A stream that has started can only be
-//! interrupted; one that has not started can be refused, and the client retries elsewhere.
+//! interrupted; one that has not started can be refused, and the client retries elsewhere. A
+//! request that must not be repeated is lost to its caller if it is passed on and cannot end.
 //!
-//! **Missing inputs.** If the caller gives no deadline, the route's timeout applies.
+//! **Missing inputs.** If the caller gives no deadline, the route's timeout applies. A request to
+//! a service with too few recent answers is not known to take long, and is accepted during a stop.
 
 use crate::attempts::RetryLimits;
 use std::time::Duration;
@@ -32,6 +37,8 @@
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
 /// Shortest time between two looks for another server that could get the request of a late attempt.
 const MIN_KEEPING_TIME: Duration = Duration::from_millis(50);
+/// Time reserved at the end of a planned stop for an answer to reach its caller.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Time reserved for the answer to reach the caller before the caller's deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 
@@ -54,6 +61,13 @@
     limit <= stop.left || stop.elapsed <= STREAM_ADMISSION_TIME
 }
 
+/// Whether a request other than a stream is accepted during a planned stop. It takes at most
+/// `limit`; `usual` is the time within which most answers of its service come, if it is known.
+pub fn is_request_admitted(limit: Duration, usual: Option<Duration>, stop: StopProgress) -> bool {
+    let expected = usual.unwrap_or_default().min(limit);
+    expected + LAST_ANSWER_TIME <= stop.left
+}
+
 /// Returns the time limit of a request; `deadline` is the time that the caller will wait.
 pub fn request_timeout(route_timeout: Duration, deadline: Option<Duration>) -> Duration {
     match deadline {
--- a/crates/gateways/wingshore-gateway/src/lib.rs
+++ b/crates/gateways/wingshore-gateway/src/lib.rs
@@ -72,8 +72,8 @@
 };
 pub use answers::{AnswerFacts, AnswerKind, classify_answer, is_internal_error};
 pub use attempt_timeouts::{
-    StopProgress, answer_deadline, connect_deadline, is_stream_admitted, kept_until,
-    request_timeout,
+    StopProgress, answer_deadline, connect_deadline, is_request_admitted, is_stream_admitted,
+    kept_until, request_timeout,
 };
 pub use attempts::{
     AttemptHistory, NextStep, RetryContext, RetryLimits, failure_answer, next_step,
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -10,7 +10,7 @@
 use crate::protocol::{BatchAnswer, OwnAnswer};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{CallReply, Caller, Request, Route, RouteKind};
+use wingshore_coordination::{CallReply, Caller, Request, Route, RouteKind, ServiceName};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HeadWriter, HttpAnswer, WholeRequest};
 
@@ -94,14 +94,13 @@
         let headers = &request.head.headers;
         let deadline = headers.number(names.deadline).map(Duration::from_millis);
         let limit = attempt_timeouts::request_timeout(route.timeout, deadline);
-        let may_begin = |stop| attempt_timeouts::is_stream_admitted(limit, stop);
-        if route.kind == RouteKind::Streaming && !self.stop_progress().is_none_or(may_begin) {
-            return self.refuse(client, &request.head, Refusal::STOPPING);
-        }
+        let identity = headers.get(names.request_id).unwrap_or_default().to_vec();
         let Some(service) = self.exchanges.next_service(&route) else {
             return self.refuse(client, &request.head, Refusal::NO_SERVICE);
         };
-        let identity = headers.get(names.request_id).unwrap_or_default().to_vec();
+        if !self.fits_into_stop(&route, &service, limit) {
+            return self.refuse(client, &request.head, Refusal::STOPPING);
+        }
         let new = NewExchange {
             origin: Origin::Client(client),
             tenant: tenant_of(caller),
@@ -120,6 +119,21 @@
         self.on_exchange_end(end);
     }
 
+    /// Returns whether a request that takes at most `limit` may be passed on: a planned stop, if one
+    /// has begun, leaves it enough time.
+    fn fits_into_stop(&mut self, route: &Route, service: &ServiceName, limit: Duration) -> bool {
+        let Some(stop) = self.stop_progress() else {
+            return true;
+        };
+        if route.kind == RouteKind::Streaming {
+            return attempt_timeouts::is_stream_admitted(limit, stop);
+        }
+        let now = self.environment.runtime.now;
+        let services = &mut self.environment.servers.second_attempts;
+        let usual = services.usual_latency(now, service);
+        attempt_timeouts::is_request_admitted(limit, usual, stop)
+    }
+
     /// Reads a batch job and submits it to the group.
     fn submit_job(
         &mut self,
--- a/crates/gateways/wingshore-gateway/src/second_attempt_services.rs
+++ b/crates/gateways/wingshore-gateway/src/second_attempt_services.rs
@@ -56,6 +56,15 @@
         Some(second_attempt_delay(percentile, target_latency))
     }
 
+    /// Returns the 95th percentile of a service's answer times; `None` with too few recent answers.
+    pub(crate) fn usual_latency(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+    ) -> Option<Duration> {
+        self.latencies.percentile(now, service)
+    }
+
     /// Takes a token of a service for a second attempt; returns false if there is none.
     pub(crate) fn take_token(&mut self, service: &ServiceName, requester: Requester) -> bool {
         let budget = self.budgets.entry(service.clone()).or_default();
--- a/crates/gateways/wingshore-gateway/tests/attempts.rs
+++ b/crates/gateways/wingshore-gateway/tests/attempts.rs
@@ -5,7 +5,8 @@
 use wingshore_gateway::{
     AnswerFacts, AnswerKind, AttemptHistory, NextStep, OwnAnswer, RetryContext, RetryLimits,
     StopProgress, answer_deadline, classify_answer, connect_deadline, failure_answer,
-    is_internal_error, is_stream_admitted, kept_until, next_step, request_timeout,
+    is_internal_error, is_request_admitted, is_stream_admitted, kept_until, next_step,
+    request_timeout,
 };
 use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
@@ -268,6 +269,32 @@
     expect_that!(after(0), gt(now));
 }
 
+/// A request that is passed on although it cannot end before a planned stop does is lost to its
+/// caller, if it must not be repeated.
+#[gtest]
+fn a_request_that_does_not_fit_into_a_stop_is_not_admitted() {
+    let table = [
+        (7400, 60_000, 2500, true),
+        (2700, 60_000, 2500, true),
+        (2699, 60_000, 2500, false),
+        (2699, 1500, 2500, true),
+        (1699, 1500, 2500, false),
+        (699, 1500, 20, true),
+        (219, 1500, 20, false),
+        (0, 1500, 0, false),
+    ];
+    for (left, limit, usual, expected) in table {
+        let [left, limit, usual] = [left, limit, usual].map(Duration::from_millis);
+        let elapsed = Duration::from_secs(5);
+        let stop = StopProgress { elapsed, left };
+        let is_admitted = is_request_admitted(limit, Some(usual), stop);
+        expect_that!(is_admitted, eq(expected), "{left:?} {limit:?} {usual:?}");
+        let is_answer_in_time = left >= Duration::from_millis(200);
+        let is_admitted = is_request_admitted(limit, None, stop);
+        expect_that!(is_admitted, eq(is_answer_in_time), "{left:?} {limit:?}");
+    }
+}
+
 /// A stream that has started can only be interrupted when a planned stop ends. The requirements
 /// allow this only for requests sent within 3 s after the SIGTERM.
 #[gtest]
--- a/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/planned_stop.rs
@@ -184,3 +184,52 @@
         eq(&last_answer_with("503 Service Unavailable", "not_run 150"))
     );
 }
+
+/// Time that the server of the next test takes for each answer.
+const WORK_TIME: Duration = Duration::from_millis(1200);
+/// Number of answers after which a gateway knows how long those of a service take.
+const KNOWN_ANSWERS: usize = 24;
+/// What is left of a planned stop when a late request comes: less than [`WORK_TIME`], and enough for
+/// the gateway to be still in use.
+const LEFT: Duration = Duration::from_millis(1000);
+/// A planned stop in which work of [`WORK_TIME`] fits at first, and no more later.
+const LONG_STOP: StopTimes = StopTimes {
+    limit: Duration::from_secs(3),
+    directory_ttl: Duration::from_secs(60),
+};
+
+/// Lets a server answer requests that were sent at the same moment, each after [`WORK_TIME`].
+fn answer_slowly(site: &Site, server: &Server) {
+    let mut clients: Vec<TcpStream> = (0..KNOWN_ANSWERS)
+        .map(|_| request(site, "/live/x"))
+        .collect();
+    let mut waiting: Vec<TcpStream> = clients.iter().map(|_| server.accept().0).collect();
+    thread::sleep(WORK_TIME);
+    for upstream in &mut waiting {
+        let answer = "HTTP/1.1 200 OK\r\nId: r-1\r\nSignature: s\r\nConnection: close\r\n\
+                      Content-Length: 0\r\n\r\n";
+        upstream.write_all(answer.as_bytes()).unwrap();
+    }
+    for client in &mut clients {
+        assert!(read_message(client).starts_with("HTTP/1.1 200 "));
+    }
+}
+
+/// A request that came late in a planned stop was passed on although its server could not answer
+/// before the end, and ended as one that may have run: its caller could not send it again. One that
+/// still fits is passed on.
+#[gtest]
+fn a_request_that_takes_longer_than_the_rest_of_a_stop_is_refused_as_not_run() {
+    let server = Server::start();
+    let site = Site::with_view_and_stop(view(server.address(), Vec::new()), LONG_STOP);
+    answer_slowly(&site, &server);
+    site.stop();
+    let early = request(&site, "/live/x");
+    let _early_upstream = server.accept_in_time();
+    thread::sleep(LONG_STOP.limit - LEFT);
+    let mut late = request(&site, "/live/x");
+    let answer = read_message(&mut late);
+    expect_that!(answer, starts_with("HTTP/1.1 503 "));
+    expect_that!(answer, contains_substring("not_run"));
+    drop(early);
+}
