--- a/crates/gateways/wingshore-coordinator/src/membership.rs
+++ b/crates/gateways/wingshore-coordinator/src/membership.rs
@@ -338,7 +338,8 @@
         view: &MembershipView<'_>,
     ) -> Option<MembershipRequest> {
         let voters = &view.membership.voters;
-        let is_one_too_many = voters.len() % 2 == 0 && voters.len() > view.target_voters(now);
+        let is_one_too_many =
+            voters.len().is_multiple_of(2) && voters.len() > view.target_voters(now);
         let is_retiring = voters.iter().any(|voter| view.retired.contains(&voter.id));
         if !is_one_too_many || is_retiring {
             return None;
