Gateway: streams leave the module of forwarding

What it does with the events and ends of streams stands in forward/on_stream.rs now, beside the module of trials; no statement has changed.

--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -4,9 +4,10 @@
 //! module owns the exchanges in progress. [`balance`](crate::balance) selects the server,
 //! [`answers`] classifies an answer, [`attempts`] decides on another attempt,
 //! [`attempt_timeouts`](crate::attempt_timeouts) sets the time limits, and [`second_attempts`] adds
-//! a second attempt to one that is slow: the first usable answer wins. [`on_trial`] runs requests
-//! that are suspected of crashing servers.
+//! a second attempt to one that is slow: the first usable answer wins. [`on_stream`] forwards
+//! streams, [`on_trial`] runs requests that are suspected of crashing servers.
 
+mod on_stream;
 mod on_trial;
 
 use crate::answer_matching::MatchedAnswer;
@@ -24,15 +25,12 @@
 use crate::second_attempts;
 use crate::send_attempt;
 use crate::split::ServiceSplit;
-use crate::streams::{self, StreamProgress};
 use crate::timers::TimerKey;
 use crate::trials::{self, Permission};
-use crate::unmatched;
 use crate::upstream::{ConnectionEnd, LostRequest};
 use std::collections::HashMap;
 use wingshore_coordination::{InstanceId, Route, ServerRecord, ServiceName, TrialEnd};
 use wingshore_net::ConnectionId;
-use wingshore_net::http::HttpError;
 use wingshore_types::Instant;
 use wingshore_types::verdict::Verdict;
 
@@ -192,51 +190,6 @@
         timers.arm(exchange.next_timer(), TimerKey::Exchange(id));
     }
 
-    /// Handles bytes of a server's answer: forwards complete events of a stream.
-    #[must_use]
-    pub(crate) fn on_input(
-        &mut self,
-        environment: &mut Environment,
-        id: ExchangeId,
-        connection: ConnectionId,
-    ) -> Option<ExchangeEnd> {
-        let exchange = self.all.get_mut(&id)?;
-        let client = exchange.client();
-        let progress = match client {
-            Some(client) => streams::forward_events(environment, exchange, connection, client),
-            None => streams::discard_events(environment, exchange, connection),
-        };
-        match progress {
-            StreamProgress::Continues => None,
-            StreamProgress::ClientDoesNotRead => client.map(ExchangeEnd::ClientDoesNotRead),
-            StreamProgress::EndlessEvent => self.end_endless_event(environment, id, connection),
-            StreamProgress::MayEnd => {
-                self.cancel(environment, id);
-                None
-            }
-        }
-    }
-
-    /// Closes a connection on which an event has no end: its stream broke off there.
-    fn end_endless_event(
-        &mut self,
-        environment: &mut Environment,
-        id: ExchangeId,
-        connection: ConnectionId,
-    ) -> Option<ExchangeEnd> {
-        let error = HttpError::Endless { part: "an event" };
-        unmatched::log_malformed(environment, connection, &error);
-        let upstreams = &mut environment.servers.upstreams;
-        let closed = upstreams.close(&mut environment.runtime, connection)?;
-        let lost = LostRequest {
-            connection,
-            instance: closed.instance,
-            sent_at: closed.task_started_at,
-            end: ConnectionEnd::Lost,
-        };
-        self.on_connection_ended(environment, id, &lost)
-    }
-
     /// Handles a complete answer of a server.
     #[must_use]
     pub(crate) fn on_answer(
@@ -277,22 +230,6 @@
         Some(answered(environment, exchange, &attempt, answer))
     }
 
-    /// Handles the end of a stream.
-    fn finish_stream(
-        &mut self,
-        environment: &mut Environment,
-        id: ExchangeId,
-    ) -> Option<ExchangeEnd> {
-        let mut exchange = self.all.remove(&id)?;
-        trials::ended(environment, &mut exchange, TrialEnd::Survived);
-        let client = exchange.client()?;
-        if streams::finish(environment, &mut exchange, client) {
-            Some(ExchangeEnd::StreamEnded(client))
-        } else {
-            Some(ExchangeEnd::StreamBroken(client))
-        }
-    }
-
     /// Handles the end of a connection before a complete answer, or bytes that are not a valid
     /// answer.
     #[must_use]
