--- a/crates/gateways/wingshore-gateway/tests/bytes/unusable_answers.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/unusable_answers.rs
@@ -395,7 +395,7 @@
     verify_that!(closed, all!(ge(1), le(2)))
 }
 
-/// Reads what the gateway sent to a client whose server then closed.
+/// The checks above would pass in a gateway that refuses every answer.
 #[gtest]
 fn a_usable_answer_is_no_failure() -> Result<()> {
     let mut waiting = Waiting::on(Path::Request);
