Coordinator: calls that arrive in one piece are handled in a loop

What callers saw: the coordinator ended, with a stack overflow, when clients wrote some thousand short calls in one piece that were answered at once. Cause: the answer to a call read the next one from within its handling. Change, and why it works: one call is read at a time in a loop; nothing that handles a call reads another one, so the stack does not depend on the input.

--- a/crates/gateways/wingshore-coordinator/src/control.rs
+++ b/crates/gateways/wingshore-coordinator/src/control.rs
@@ -18,6 +18,8 @@
     pub(crate) close_after: bool,
     /// When a request last arrived or was answered.
     pub(crate) last_used_at: Instant,
+    /// Whether a request is being handled that was read in this moment.
+    pub(crate) is_reading: bool,
 }
 
 impl ControlConnection {
@@ -28,6 +30,7 @@
             pending_target: None,
             close_after: false,
             last_used_at: now,
+            is_reading: false,
         }
     }
 }
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -19,36 +19,55 @@
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 impl Coordinator {
-    /// Reads the next request of a caller, unless its previous request is not answered yet.
+    /// Reads and handles the requests of a caller that have arrived, up to one that is not answered at
+    /// once.
     pub(super) fn on_control_input(&mut self, now: Instant, connection: ConnectionId) {
+        while self.read_call(now, connection) {}
+    }
+
+    /// Reads and handles the next request of a caller, unless its previous one is not answered yet;
+    /// returns whether the request was answered at once.
+    fn read_call(&mut self, now: Instant, connection: ConnectionId) -> bool {
         let Some(Role::Control(control)) = self.roles.get_mut(&connection) else {
-            return;
+            return false;
         };
         control.last_used_at = now;
         if control.pending_target.is_some() {
-            return;
+            return false;
         }
         let Some(input) = self.reactor.input(connection) else {
-            return;
+            return false;
         };
         let next = control
             .reader
             .next(input, control::MAX_HEAD_BYTES, control::MAX_BODY_BYTES);
         match next {
-            Ok(None) => {}
+            Ok(None) => false,
             Ok(Some(request)) => {
                 control.pending_target = Some(request.head.target.clone());
                 control.close_after = request.head.wants_close();
+                control.is_reading = true;
                 self.on_call(now, connection, &request);
+                self.end_reading(connection)
             }
             Err(error) => {
                 control.close_after = true;
                 let answer = HttpAnswer::plain(error.status(), error.to_string());
                 self.answer(connection, &answer);
+                false
             }
         }
     }
 
+    /// Records that a request was handled; returns whether it was answered.
+    fn end_reading(&mut self, connection: ConnectionId) -> bool {
+        let Some(Role::Control(control)) = self.roles.get_mut(&connection) else {
+            return false;
+        };
+        control.is_reading = false;
+        control.pending_target.is_none()
+    }
+
     /// Answers a request on the metrics listener with all metrics, whatever its path.
     pub(super) fn on_metrics_input(&mut self, connection: ConnectionId) {
         let Some(input) = self.reactor.input(connection) else {
@@ -207,6 +226,7 @@
         control.pending_target = None;
         control.last_used_at = now;
         let close = control.close_after;
+        let is_reading = control.is_reading;
         let bytes = control::encode(answer, close);
         self.reactor.send(connection, &bytes);
         if close {
@@ -214,8 +234,11 @@
             self.roles.remove(&connection);
             return;
         }
-        // Another request may have arrived while this one was handled.
-        self.on_control_input(now, connection);
+        // Another request may have arrived while this one was handled. The loop that has read this
+        // one reads the next one as well.
+        if !is_reading {
+            self.on_control_input(now, connection);
+        }
     }
 
     /// Closes connections of callers that were idle for longer than [`CALLER_IDLE_TIMEOUT`].
