Coordinator: peers without a hello may not make it keep large frames

What callers saw: in the test, 40 connections to the internal port with a frame each that announces 40 MB and stops short took a coordinator to 88 MB of 64. Cause: the limit of frames is that of a batch job, also for unknown peers, and a hello had no time limit. Safe for the previous build: no frame is changed.

--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -66,7 +66,7 @@
     /// Returns the role of an accepted connection, by its listener.
     fn accepted_role(&self, now: Instant, listener: ListenerId) -> Role {
         if listener == self.listeners.internal {
-            Role::Link(Link::default())
+            Role::Link(Link::new(now))
         } else if Some(listener) == self.listeners.metrics {
             Role::Metrics(ControlConnection::new(now))
         } else {
--- a/crates/gateways/wingshore-coordinator/src/process/links.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/links.rs
@@ -3,18 +3,32 @@
 use super::{Coordinator, Link, ReplyTarget, Role};
 use bytes::Bytes;
 use slog::warn;
+use std::time::Duration;
 use wingshore_coordination::{CoordinatorFrame, CoordinatorMessage, Event, IncomingFrame, Request};
 use wingshore_group::HostInput;
 use wingshore_net::{ConnectionId, frame};
 use wingshore_types::Instant;
 
+/// Longest hello in bytes. A peer that has not sent one may not make this process keep more.
+const MAX_HELLO_BYTES: usize = 64 * 1024;
+/// Time within which a peer has to send its hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
 impl Coordinator {
     /// Handles all complete frames that have arrived on a link; closes the link at an invalid one.
     pub(super) fn on_link_input(&mut self, now: Instant, connection: ConnectionId) {
         loop {
+            let role = self.roles.get(&connection);
+            let is_unknown = matches!(role, Some(Role::Link(link)) if link.is_unknown());
             let Some(input) = self.reactor.input(connection) else {
                 return;
             };
+            let announced = frame::announced_length(input);
+            if is_unknown && announced.is_some_and(|length| length > MAX_HELLO_BYTES) {
+                warn!(self.logger, "link closed"; "error" => "its hello is too long",
+                    "announced_bytes" => announced);
+                return self.close_connection(now, connection);
+            }
             match frame::decode_with_rest::<IncomingFrame>(input) {
                 Ok(Some((frame, rest))) => self.on_frame(now, connection, frame, &rest),
                 Ok(None) => return,
@@ -58,6 +72,20 @@
         }
     }
 
+    /// Closes accepted links whose peer has not sent its hello in time.
+    pub(super) fn close_unknown_links(&mut self, now: Instant) {
+        let roles = self.roles.iter();
+        let unknown = roles.filter(|(_, role)| match role {
+            Role::Link(link) => link.is_unknown() && now.since(link.accepted_at) >= HELLO_TIMEOUT,
+            _ => false,
+        });
+        let unknown: Vec<ConnectionId> = unknown.map(|(connection, _)| *connection).collect();
+        for connection in unknown {
+            warn!(self.logger, "link closed"; "error" => "no hello in time");
+            self.close_connection(now, connection);
+        }
+    }
+
     fn on_coordinator_frame(
         &mut self,
         now: Instant,
--- a/crates/gateways/wingshore-coordinator/src/process/roles.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/roles.rs
@@ -3,7 +3,7 @@
 use crate::control::ControlConnection;
 use std::net::SocketAddr;
 use wingshore_coordination::GatewayId;
-use wingshore_types::ReplicaId;
+use wingshore_types::{Instant, ReplicaId};
 
 /// Role of a connection.
 pub(super) enum Role {
@@ -17,11 +17,29 @@
     Dialed(SocketAddr),
 }
 
-/// Peer of an accepted link; both fields are `None` until its hello arrives.
-#[derive(Default)]
+/// Peer of an accepted link; the peer and the format are `None` until its hello arrives.
 pub(super) struct Link {
+    /// When the connection was accepted.
+    pub(super) accepted_at: Instant,
     pub(super) gateway: Option<GatewayId>,
     /// The message format of the link; `None` before the peer's hello.
     pub(super) format: Option<u16>,
     pub(super) coordinator: Option<ReplicaId>,
 }
+
+impl Link {
+    /// Creates the link of a peer that has not sent its hello.
+    pub(super) fn new(accepted_at: Instant) -> Self {
+        Self {
+            accepted_at,
+            gateway: None,
+            format: None,
+            coordinator: None,
+        }
+    }
+
+    /// Returns whether the peer's hello has not arrived.
+    pub(super) fn is_unknown(&self) -> bool {
+        self.format.is_none()
+    }
+}
--- a/crates/gateways/wingshore-net/src/frame.rs
+++ b/crates/gateways/wingshore-net/src/frame.rs
@@ -28,6 +28,12 @@
     },
 }
 
+/// Returns the length in bytes that the next frame in `input` announces; `None` before its prefix.
+pub fn announced_length(input: &BytesMut) -> Option<usize> {
+    let prefix = input.first_chunk::<LENGTH_PREFIX_BYTES>()?;
+    Some(u32::from_le_bytes(*prefix) as usize)
+}
+
 /// Encodes `message` as a frame.
 ///
 /// # Errors
@@ -56,10 +62,9 @@
 pub fn decode_with_rest<M: DeserializeOwned>(
     input: &mut BytesMut,
 ) -> Result<Option<(M, Vec<u8>)>, FrameError> {
-    let Some(prefix) = input.first_chunk::<LENGTH_PREFIX_BYTES>() else {
+    let Some(length) = announced_length(input) else {
         return Ok(None);
     };
-    let length = u32::from_le_bytes(*prefix) as usize;
     if length > MAX_FRAME_BYTES {
         return TooLongSnafu { length }.fail();
     }
