Listeners whose requests have no body refuse large ones

What callers saw: bodies at the listeners for readiness, the directory and metrics filled a gateway or a coordinator (112 to 129 MB of 64). Cause: all listeners shared the limit of bodies for servers, or 48 MB. Change, and why it works: a body of more than 16 KiB is refused with 413 there; nothing that the platform or monitoring sends to them has one.

--- a/crates/gateways/wingshore-coordinator/src/control.rs
+++ b/crates/gateways/wingshore-coordinator/src/control.rs
@@ -6,8 +6,10 @@
 
 /// Largest head of a request, in bytes; larger than any head that the platform sends.
 pub(crate) const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Largest body of a request, in bytes: a batch job or an operator's document.
+/// Largest body of a request to the control listener, in bytes: an operator's document.
 pub(crate) const MAX_BODY_BYTES: usize = 48 * 1024 * 1024;
+/// Largest body in bytes of a request to a listener none of whose requests needs one.
+pub(crate) const MAX_UNUSED_BODY_BYTES: usize = 16 * 1024;
 
 /// One HTTP connection to this process.
 pub(crate) struct ControlConnection {
@@ -20,17 +22,21 @@
     pub(crate) last_used_at: Instant,
     /// Whether a request is being handled that was read in this moment.
     pub(crate) is_reading: bool,
+    /// Largest body of its requests, in bytes.
+    pub(crate) max_body: usize,
 }
 
 impl ControlConnection {
-    /// Creates a connection without a pending request.
-    pub(crate) fn new(now: Instant) -> Self {
+    /// Creates a connection without a pending request, whose requests have bodies of at most
+    /// `max_body` bytes.
+    pub(crate) fn new(now: Instant, max_body: usize) -> Self {
         Self {
             reader: RequestReader::default(),
             pending_target: None,
             close_after: false,
             last_used_at: now,
             is_reading: false,
+            max_body,
         }
     }
 }
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -40,7 +40,7 @@
         };
         let next = control
             .reader
-            .next(input, control::MAX_HEAD_BYTES, control::MAX_BODY_BYTES);
+            .next(input, control::MAX_HEAD_BYTES, control.max_body);
         match next {
             Ok(None) => false,
             Ok(Some(request)) => {
@@ -78,7 +78,7 @@
         };
         let next = control
             .reader
-            .next(input, control::MAX_HEAD_BYTES, control::MAX_BODY_BYTES);
+            .next(input, control::MAX_HEAD_BYTES, control.max_body);
         let answer = match next {
             Ok(None) => return,
             Ok(Some(_)) => HttpAnswer {
--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -1,7 +1,7 @@
 //! Dispatches socket events by the role of their connection.
 
 use super::{Coordinator, Link, Role};
-use crate::control::ControlConnection;
+use crate::control::{ControlConnection, MAX_BODY_BYTES, MAX_UNUSED_BODY_BYTES};
 use wingshore_net::{ConnectionId, ListenerId, NetEvent};
 use wingshore_types::Instant;
 
@@ -68,9 +68,11 @@
         if listener == self.listeners.internal {
             Role::Link(Link::new(now))
         } else if Some(listener) == self.listeners.metrics {
-            Role::Metrics(ControlConnection::new(now))
+            Role::Metrics(ControlConnection::new(now, MAX_UNUSED_BODY_BYTES))
+        } else if Some(listener) == self.listeners.directory {
+            Role::Control(ControlConnection::new(now, MAX_UNUSED_BODY_BYTES))
         } else {
-            Role::Control(ControlConnection::new(now))
+            Role::Control(ControlConnection::new(now, MAX_BODY_BYTES))
         }
     }
 
--- a/crates/gateways/wingshore-coordinator/src/process/listeners.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/listeners.rs
@@ -13,10 +13,12 @@
 /// Maximum number of open connections.
 const MAX_CONNECTIONS: usize = 6000;
 
-/// Listeners other than those of callers.
+/// Listeners other than that for control.
 pub(super) struct Listeners {
     /// Listener for the site's own processes.
     pub(super) internal: ListenerId,
+    /// Listener for clients that ask for gateways, if it has an address of its own.
+    pub(super) directory: Option<ListenerId>,
     /// Listener for metrics, if the settings give its address.
     pub(super) metrics: Option<ListenerId>,
 }
@@ -33,9 +35,10 @@
                 .context(NetSnafu)
         };
         listen(reactor, settings.control, CALLER_UNACKNOWLEDGED_LIMIT)?;
-        if let Some(address) = settings.directory {
-            listen(reactor, address, CALLER_UNACKNOWLEDGED_LIMIT)?;
-        }
+        let directory = settings.directory;
+        let directory = directory
+            .map(|address| listen(reactor, address, CALLER_UNACKNOWLEDGED_LIMIT))
+            .transpose()?;
         let internal = settings
             .internal_bind
             .unwrap_or_else(|| settings.internal_address());
@@ -44,6 +47,10 @@
             .metrics
             .map(|address| listen(reactor, address, CALLER_UNACKNOWLEDGED_LIMIT))
             .transpose()?;
-        Ok(Self { internal, metrics })
+        Ok(Self {
+            internal,
+            directory,
+            metrics,
+        })
     }
 }
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -10,17 +10,21 @@
 use crate::protocol::{BatchAnswer, OwnAnswer};
 use std::sync::Arc;
 use std::time::Duration;
-use wingshore_coordination::{CallReply, Caller, Request, Route, RouteKind, ServiceName};
+use wingshore_coordination::{
+    CallReply, Caller, IngressLimits, Request, Route, RouteKind, ServiceName,
+};
 use wingshore_net::ConnectionId;
 use wingshore_net::http::{HeadWriter, HttpAnswer, WholeRequest};
 
+/// Largest body in bytes of a request to a listener none of whose requests needs one.
+const MAX_UNUSED_BODY_BYTES: usize = 16 * 1024;
 /// Content type of the metrics.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 impl Gateway {
     /// Handles new bytes of a client, also after its last answer was sent.
     pub(super) fn on_client_input(&mut self, client: ConnectionId) {
-        let limits = self.environment.site.view.limits();
+        let limits = self.limits_of(client);
         let is_stopping = self.is_stopping();
         let runtime = &mut self.environment.runtime;
         match self.clients.read(runtime, client, limits, is_stopping) {
@@ -31,6 +35,16 @@
         }
     }
 
+    /// Returns the limits of a client's requests. Only the listener for clients has requests with
+    /// bodies.
+    fn limits_of(&self, client: ConnectionId) -> IngressLimits {
+        let mut limits = self.environment.site.view.limits();
+        if self.clients.listener_kind(client) != Some(ListenerKind::Front) {
+            limits.body_bytes = limits.body_bytes.min(MAX_UNUSED_BODY_BYTES);
+        }
+        limits
+    }
+
     fn on_request(&mut self, client: ConnectionId, request: WholeRequest) {
         let listener_kind = self
             .clients
