Bodies of requests are held once, in pieces that all attempts share

Cause: a body of 33 MB stood as body, in the encoded request of each attempt and in the output queue: about 95 MB at its peak; a body that grew was copied, and a whole answer was copied twice on its way to its client. A chunk line cost an allocation, which made bodies in chunks of one byte slow. Change: RequestBody holds pieces of 64 KiB, counted in an Account from their first byte on; encoded requests and output queues share them; fingerprints and JSON read them without a copy; answers move. A head no longer keeps the input buffer that it arrived in. Frames to coordinators are queued without a copy. Why safe: the bytes on the wire are those of before (tests of wire and bytes pass); fingerprints are computed over the same bytes; proptests over any order of arrivals, ends, refusals and shares (wingshore-net/tests/account.rs). Tests: request.body is read by contiguous() where a test had a Vec; the checks are the same.

--- a/crates/gateways/wingshore-coordination/src/fingerprint.rs
+++ b/crates/gateways/wingshore-coordination/src/fingerprint.rs
@@ -54,12 +54,22 @@
 impl RequestContent<'_> {
     /// Computes the fingerprint with a site's key.
     pub fn fingerprint(&self, key: FingerprintKey) -> RequestFingerprint {
+        self.fingerprint_with_body(key, self.body.len(), [self.body])
+    }
+
+    /// Computes the same fingerprint for a request whose body of `length` bytes is held in pieces,
+    /// which stand in the place of `body`.
+    pub fn fingerprint_with_body<'b>(
+        &self,
+        key: FingerprintKey,
+        length: usize,
+        pieces: impl IntoIterator<Item = &'b [u8]>,
+    ) -> RequestFingerprint {
         let parts = [
             self.method.as_bytes(),
             self.host.as_bytes(),
             self.target.as_bytes(),
             self.caller,
-            self.body,
         ];
         let mut hasher = SipHasher24::new_with_key(&key.0);
         for part in parts {
@@ -67,6 +77,10 @@
             hasher.write_u64(part.len() as u64);
             hasher.write(part);
         }
+        hasher.write_u64(length as u64);
+        for piece in pieces {
+            hasher.write(piece);
+        }
         RequestFingerprint(hasher.finish128().as_u128())
     }
 }
--- a/crates/gateways/wingshore-gateway/src/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -177,6 +177,11 @@
         &self.answer.body
     }
 
+    /// Returns the body like [`MatchedAnswer::body`], without a copy.
+    pub fn into_body(self) -> Vec<u8> {
+        self.answer.body
+    }
+
     /// Returns whether the connection can be used for another request.
     pub fn is_connection_reusable(&self) -> bool {
         self.answer.reusable
--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -7,6 +7,7 @@
 use crate::ids::{CallId, ExchangeId};
 use crate::runtime::Runtime;
 use crate::timers::TimerKey;
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::time::Duration;
 use wingshore_coordination::IngressLimits;
@@ -187,7 +188,7 @@
         &mut self,
         runtime: &mut Runtime,
         connection: ConnectionId,
-        (mut writer, body): (HeadWriter, &[u8]),
+        (mut writer, body): (HeadWriter, Bytes),
         is_stopping: bool,
     ) -> AfterAnswer {
         let Some(client) = self.all.get_mut(&connection) else {
@@ -197,7 +198,9 @@
         if client.closes_after_answer {
             writer = writer.header("Connection", "close");
         }
-        runtime.reactor.send(connection, &writer.body(body));
+        let head = writer.before_body(body.len());
+        runtime.reactor.send(connection, &head);
+        runtime.reactor.send_shared(connection, &body);
         self.answered(runtime, connection, is_stopping)
     }
 
--- a/crates/gateways/wingshore-gateway/src/coordinators.rs
+++ b/crates/gateways/wingshore-gateway/src/coordinators.rs
@@ -5,6 +5,7 @@
 
 use crate::runtime::Runtime;
 use crate::view_source::Candidate;
+use bytes::Bytes;
 use serde::Serialize;
 use slog::{info, warn};
 use std::collections::{BTreeMap, HashMap};
@@ -344,7 +345,10 @@
 
 fn send_frame<M: Serialize>(runtime: &mut Runtime, connection: ConnectionId, frame: &M) {
     match frame::encode(frame) {
-        Ok(bytes) => runtime.reactor.send(connection, &bytes),
+        Ok(bytes) => {
+            let reactor = &mut runtime.reactor;
+            reactor.send_shared(connection, &Bytes::from(bytes));
+        }
         Err(error) => warn!(runtime.logger, "cannot encode frame"; "error" => %error),
     }
 }
--- a/crates/gateways/wingshore-gateway/src/encode.rs
+++ b/crates/gateways/wingshore-gateway/src/encode.rs
@@ -5,16 +5,24 @@
 use crate::protocol::HeaderNames;
 use crate::site::Site;
 use wingshore_coordination::{ItemAssignment, ServerRecord};
-use wingshore_net::http::{HeadWriter, Headers};
+use wingshore_net::http::{HeadWriter, Headers, RequestBody};
 use wingshore_types::Instant;
 
+/// A request as it is sent to a server. All attempts share the body.
+pub(crate) struct EncodedRequest {
+    /// The head, with its end.
+    pub(crate) head: Vec<u8>,
+    /// The body.
+    pub(crate) body: RequestBody,
+}
+
 /// Encodes a request for a server.
 pub(crate) fn encode_request(
     now: Instant,
     site: &Site,
     exchange: &Exchange,
     server: &ServerRecord,
-) -> Vec<u8> {
+) -> EncodedRequest {
     let names = site.protocol.header_names();
     let head = &exchange.request.head;
     let mut writer = HeadWriter::request(&head.method, &head.target);
@@ -41,15 +49,17 @@
         writer = writer.header(names.last_event, event);
     }
     let has_body = !exchange.request.body.is_empty() || head.method != "GET";
-    if has_body {
-        writer.body(&exchange.request.body)
+    let body = exchange.request.body.clone();
+    let head = if has_body {
+        writer.before_body(body.len())
     } else {
         writer.end()
-    }
+    };
+    EncodedRequest { head, body }
 }
 
 /// Encodes a batch item for an engine.
-pub(crate) fn encode_item(names: &HeaderNames, assignment: &ItemAssignment) -> Vec<u8> {
+pub(crate) fn encode_item(names: &HeaderNames, assignment: &ItemAssignment) -> EncodedRequest {
     let mut writer = HeadWriter::request("POST", &assignment.path)
         .header("Host", &assignment.host)
         .header(names.request_id, &assignment.request);
@@ -68,7 +78,10 @@
     if let Some(version) = assignment.expected_version {
         writer = writer.header(names.expected_version, version);
     }
-    writer.body(&assignment.body)
+    EncodedRequest {
+        head: writer.before_body(assignment.body.len()),
+        body: RequestBody::from(assignment.body.clone()),
+    }
 }
 
 /// Returns the header fields that the caller gave for an item, without those that the gateway sets:
--- a/crates/gateways/wingshore-gateway/src/fingerprints.rs
+++ b/crates/gateways/wingshore-gateway/src/fingerprints.rs
@@ -24,9 +24,11 @@
         host: head.headers.text("host").unwrap_or_default(),
         target: &head.target,
         caller: caller.unwrap_or_default(),
-        body: &request.body,
+        body: &[],
     };
-    Some(content.fingerprint(key))
+    let body = &request.body;
+    let pieces = body.pieces().iter().map(|piece| &piece[..]);
+    Some(content.fingerprint_with_body(key, body.len(), pieces))
 }
 
 /// Returns the fingerprint of a batch item; `None` before the site's fingerprint key is known.
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -80,7 +80,7 @@
         let now = environment.runtime.now;
         let id = assignment.assignment;
         let names = environment.site.protocol.header_names();
-        let bytes = encode_item(names, &assignment);
+        let encoded = encode_item(names, &assignment);
         let request = assignment.request.as_str().as_bytes();
         let expected = ExpectedAnswer::to_request(names, request);
         let (instance, address) = (assignment.instance.clone(), assignment.address);
@@ -93,7 +93,7 @@
             address,
             task: Task::Item(id),
             expected,
-            bytes: &bytes,
+            encoded,
         };
         let upstreams = &mut environment.servers.upstreams;
         let sent = upstreams.send(&mut environment.runtime, request);
--- a/crates/gateways/wingshore-gateway/src/process/directory.rs
+++ b/crates/gateways/wingshore-gateway/src/process/directory.rs
@@ -63,7 +63,7 @@
         let metrics = &self.environment.runtime.metrics;
         metrics.directory_answered(answer.name());
         let answer = self.environment.site.protocol.write_directory(&answer);
-        self.answer_whole(client, &answer);
+        self.answer_whole(client, answer);
     }
 
     fn own_status(&self) -> OwnStatus {
--- a/crates/gateways/wingshore-gateway/src/process/refusals.rs
+++ b/crates/gateways/wingshore-gateway/src/process/refusals.rs
@@ -62,7 +62,7 @@
         let head = self.clients.head(client);
         self.log_refused(head, UNREADABLE, error);
         let answer = HttpAnswer::plain(error.status(), error.to_string());
-        self.answer_whole(client, &answer);
+        self.answer_whole(client, answer);
     }
 
     /// Logs an answer that was given without sending the request to a server.
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -8,6 +8,7 @@
 use crate::exchange::{Exchange, NewExchange, Origin};
 use crate::ids::CallId;
 use crate::protocol::{BatchAnswer, OwnAnswer};
+use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 use wingshore_coordination::{
@@ -55,11 +56,11 @@
                 let is_ready = self.status().ready;
                 let protocol = &self.environment.site.protocol;
                 let answer = protocol.write_ready(&request.head, is_ready);
-                self.answer_whole(client, &answer);
+                self.answer_whole(client, answer);
             }
             Admission::Metrics => {
                 let answer = self.metrics_answer();
-                self.answer_whole(client, &answer);
+                self.answer_whole(client, answer);
             }
             Admission::Unconfigured => {
                 let now = self.environment.runtime.now;
@@ -77,7 +78,7 @@
                 self.begin_call(client, request);
             }
             Admission::Submission(caller) => {
-                self.submit_job(client, &request, caller.as_ref());
+                self.submit_job(client, request, caller.as_ref());
             }
             Admission::Forward(route, caller) => {
                 self.forward(client, request, caller.as_ref(), route);
@@ -149,14 +150,11 @@
     }
 
     /// Reads a batch job and submits it to the group.
-    fn submit_job(
-        &mut self,
-        client: ConnectionId,
-        request: &WholeRequest,
-        caller: Option<&Caller>,
-    ) {
-        match self.environment.site.protocol.read_submission(request) {
+    fn submit_job(&mut self, client: ConnectionId, request: WholeRequest, caller: Option<&Caller>) {
+        match self.environment.site.protocol.read_submission(&request) {
             Ok(mut submission) => {
+                // The submission takes the place of the body, which is not needed any more.
+                drop(request);
                 submission.id = submission.id.of_tenant(tenant_of(caller));
                 let request = Request::SubmitJob(Arc::new(submission));
                 self.begin_call(client, request);
@@ -200,22 +198,22 @@
 
     fn answer_batch(&mut self, client: ConnectionId, answer: &BatchAnswer) {
         let answer = self.environment.site.protocol.write_batch(answer);
-        self.answer_whole(client, &answer);
+        self.answer_whole(client, answer);
     }
 
     /// Sends an answer that the gateway generated itself.
     pub(super) fn answer_own(&mut self, client: ConnectionId, answer: &OwnAnswer) {
         let answer = self.environment.site.protocol.write_own(answer);
-        self.answer_whole(client, &answer);
+        self.answer_whole(client, answer);
     }
 
     /// Sends a complete answer to a client.
-    pub(super) fn answer_whole(&mut self, client: ConnectionId, answer: &HttpAnswer) {
-        self.answer(client, answer.head(), &answer.body);
+    pub(super) fn answer_whole(&mut self, client: ConnectionId, answer: HttpAnswer) {
+        self.answer(client, answer.head(), answer.body.into());
     }
 
     /// Sends an answer and continues with the client's next request.
-    pub(super) fn answer(&mut self, client: ConnectionId, writer: HeadWriter, body: &[u8]) {
+    pub(super) fn answer(&mut self, client: ConnectionId, writer: HeadWriter, body: Bytes) {
         let is_stopping = self.is_stopping();
         let runtime = &mut self.environment.runtime;
         let answer = (writer, body);
--- a/crates/gateways/wingshore-gateway/src/send_attempt.rs
+++ b/crates/gateways/wingshore-gateway/src/send_attempt.rs
@@ -19,14 +19,14 @@
 ) -> Option<RunningAttempt> {
     let now = environment.runtime.now;
     let names = environment.site.protocol.header_names();
-    let bytes = encode_request(now, &environment.site, exchange, server);
+    let encoded = encode_request(now, &environment.site, exchange, server);
     let servers = &mut environment.servers;
     let request = ServerRequest {
         instance: &server.instance,
         address: server.address,
         task: Task::Exchange(id),
         expected: ExpectedAnswer::to_request(names, &exchange.id),
-        bytes: &bytes,
+        encoded,
     };
     let upstreams = &mut servers.upstreams;
     let connection = upstreams.send(&mut environment.runtime, request)?;
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to servers: each carries one request at a time and is reused for the next one.
 
 use crate::answer_matching::{ExpectedAnswer, MatchedAnswer, MatchingReader};
+use crate::encode::EncodedRequest;
 use crate::event_stream::EventReader;
 use crate::ids::ExchangeId;
 use crate::runtime::Runtime;
@@ -101,7 +102,7 @@
     /// What identifies the answer.
     pub(crate) expected: ExpectedAnswer,
     /// The encoded request.
-    pub(crate) bytes: &'a [u8],
+    pub(crate) encoded: EncodedRequest,
 }
 
 /// A complete answer.
@@ -180,7 +181,11 @@
         upstream.remember(&request.expected);
         upstream.reader = Some(MatchingReader::new(request.expected));
         upstream.events = None;
-        runtime.reactor.send(connection, request.bytes);
+        let reactor = &mut runtime.reactor;
+        reactor.send(connection, &request.encoded.head);
+        for piece in request.encoded.body.pieces() {
+            reactor.send_shared(connection, piece);
+        }
         Some(connection)
     }
 
--- a/crates/gateways/wingshore-net/src/http/body.rs
+++ b/crates/gateways/wingshore-net/src/http/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of HTTP messages: their framing, and reading them.
 
 use super::head::{AnswerHead, Headers, HttpError, RequestHead};
+use super::request_body::ArrivingBody;
 use bytes::{Buf, BytesMut};
 
 /// Maximum length in bytes of a line of the chunked coding.
@@ -87,7 +88,26 @@
     Whole,
 }
 
+/// Where the bytes of a body go as they arrive.
+pub(super) trait BodySink {
+    /// Adds bytes at the end of the body.
+    fn extend(&mut self, bytes: &[u8]);
+}
+
+impl BodySink for Vec<u8> {
+    fn extend(&mut self, bytes: &[u8]) {
+        self.extend_from_slice(bytes);
+    }
+}
+
+impl BodySink for ArrivingBody {
+    fn extend(&mut self, bytes: &[u8]) {
+        ArrivingBody::extend(self, bytes);
+    }
+}
+
 /// Where a [`BodyReader`] is in the body.
+#[derive(Clone, Copy)]
 enum Position {
     /// In a chunk or a body of known length, with this many bytes left.
     Bytes(u64),
@@ -134,14 +154,26 @@
     pub(super) fn read(
         &mut self,
         input: &mut BytesMut,
-        body: &mut Vec<u8>,
+        body: &mut impl BodySink,
+    ) -> Result<BodyStatus, HttpError> {
+        let mut unread: &[u8] = input;
+        let status = self.read_slice(&mut unread, body);
+        let read = input.len() - unread.len();
+        input.advance(read);
+        status
+    }
+
+    /// Moves the bytes of the body from the front of `input` to the end of `body`.
+    fn read_slice(
+        &mut self,
+        input: &mut &[u8],
+        body: &mut impl BodySink,
     ) -> Result<BodyStatus, HttpError> {
         loop {
             match self.position {
                 Position::Done => return Ok(BodyStatus::Whole),
                 Position::UntilClose => {
-                    body.extend_from_slice(input);
-                    input.clear();
+                    body.extend(std::mem::take(input));
                     return Ok(BodyStatus::Partial);
                 }
                 Position::Bytes(left) => {
@@ -149,22 +181,23 @@
                         return Ok(BodyStatus::Partial);
                     }
                     let count = input.len().min(usize::try_from(left).unwrap_or(usize::MAX));
-                    body.extend_from_slice(&input[..count]);
-                    input.advance(count);
+                    let (bytes, rest) = input.split_at(count);
+                    body.extend(bytes);
+                    *input = rest;
                     self.set_bytes_left(left - count as u64);
                 }
                 Position::ChunkSize => match take_line(input)? {
-                    Some(line) => self.position = parse_chunk_size(&line)?,
+                    Some(line) => self.position = parse_chunk_size(line)?,
                     None => return Ok(BodyStatus::Partial),
                 },
                 Position::ChunkEnd => match take_line(input)? {
-                    Some(line) if line.is_empty() => self.position = Position::ChunkSize,
+                    Some([]) => self.position = Position::ChunkSize,
                     Some(_) => return framing_error("bytes behind a chunk"),
                     None => return Ok(BodyStatus::Partial),
                 },
                 Position::Trailer => match take_line(input)? {
-                    Some(line) if line.is_empty() => self.position = Position::Done,
-                    Some(line) => self.count_trailer(&line)?,
+                    Some([]) => self.position = Position::Done,
+                    Some(line) => self.count_trailer(line)?,
                     None => return Ok(BodyStatus::Partial),
                 },
             }
@@ -197,19 +230,20 @@
 
 /// Removes the next line from `input` and returns it without its line end; `None` while it is
 /// incomplete.
-fn take_line(input: &mut BytesMut) -> Result<Option<Vec<u8>>, HttpError> {
-    let end = input.iter().position(|byte| *byte == b'\n');
-    if end.unwrap_or(input.len()) > MAX_CHUNK_LINE_BYTES {
-        return Err(HttpError::Endless {
-            part: "a line of the chunked coding",
-        });
-    }
+fn take_line<'a>(input: &mut &'a [u8]) -> Result<Option<&'a [u8]>, HttpError> {
+    let longest = &input[..input.len().min(MAX_CHUNK_LINE_BYTES + 1)];
+    let end = longest.iter().position(|byte| *byte == b'\n');
     let Some(end) = end else {
+        if input.len() > MAX_CHUNK_LINE_BYTES {
+            return Err(HttpError::Endless {
+                part: "a line of the chunked coding",
+            });
+        }
         return Ok(None);
     };
-    let line = input.split_to(end + 1);
-    let line = &line[..end];
-    Ok(Some(line.strip_suffix(b"\r").unwrap_or(line).to_vec()))
+    let line = &input[..end];
+    *input = &input[end + 1..];
+    Ok(Some(line.strip_suffix(b"\r").unwrap_or(line)))
 }
 
 /// Parses the line with a chunk's size, without its extensions; a size of 0 starts the trailer.
--- a/crates/gateways/wingshore-net/src/http/encode.rs
+++ b/crates/gateways/wingshore-net/src/http/encode.rs
@@ -46,12 +46,16 @@
 
     /// Ends the head, adds the body and returns the whole message.
     pub fn body(self, body: &[u8]) -> Vec<u8> {
-        let mut bytes = self.header("Content-Length", body.len()).bytes;
-        bytes.extend_from_slice(b"\r\n");
+        let mut bytes = self.before_body(body.len());
         bytes.extend_from_slice(body);
         bytes
     }
 
+    /// Ends the head of a message whose body has this length in bytes, and returns it.
+    pub fn before_body(self, length: usize) -> Vec<u8> {
+        self.header("Content-Length", length).end()
+    }
+
     /// Ends the head of a message whose body follows in chunks, and returns it.
     pub fn chunked(self) -> Vec<u8> {
         self.header("Transfer-Encoding", "chunked").end()
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -4,6 +4,8 @@
 use super::head::{
     AnswerHead, HttpError, ReceivedHead, RequestHead, read_answer_head, read_request_head,
 };
+use super::request_body::{ArrivingBody, RequestBody};
+use crate::account::Account;
 use bytes::BytesMut;
 use snafu::Snafu;
 
@@ -61,19 +63,35 @@
     /// The head of the request.
     pub head: RequestHead,
     /// The body of the request, with any transfer coding removed.
-    pub body: Vec<u8>,
+    pub body: RequestBody,
+}
+
+/// A request whose head was read and whose body is incomplete.
+struct IncompleteRequest {
+    head: RequestHead,
+    reader: BodyReader,
+    body: ArrivingBody,
 }
 
 /// Reads the requests of one connection.
 #[derive(Default)]
 pub struct RequestReader {
-    /// Head and incomplete body of the request that is being read.
-    current: Option<(RequestHead, BodyReader, Vec<u8>)>,
+    /// Where heads and bodies are counted.
+    account: Account,
+    current: Option<IncompleteRequest>,
     /// Head of the request whose body was refused.
     failed_head: Option<RequestHead>,
 }
 
 impl RequestReader {
+    /// Creates a reader that counts the heads and bodies of its requests in `account`.
+    pub fn new(account: &Account) -> Self {
+        Self {
+            account: account.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Removes the next request from `input` and returns it; `None` while it is incomplete.
     ///
     /// `max_head` and `max_body` are limits in bytes.
@@ -88,41 +106,56 @@
         max_body: usize,
     ) -> Result<Option<WholeRequest>, RequestError> {
         if self.current.is_none() {
-            let Some(head) = read_request_head(input, max_head)? else {
+            let Some(head) = read_request_head(input, max_head, &self.account)? else {
                 return Ok(None);
             };
-            match body_reader(&head, max_body) {
-                Ok(reader) => self.current = Some((head, reader, Vec::new())),
+            match declared_framing(&head, max_body) {
+                Ok(framing) => self.current = Some(self.begin_body(head, framing)),
                 Err(error) => {
                     self.failed_head = Some(head);
                     return Err(error);
                 }
             }
         }
-        let Some((head, mut reader, mut body)) = self.current.take() else {
+        let Some(mut request) = self.current.take() else {
             return Ok(None);
         };
-        let status = reader.read(input, &mut body).map_err(RequestError::from);
-        let status = match status {
-            Ok(_) if body.len() > max_body => BodyTooLongSnafu { limit: max_body }.fail(),
+        let status = request.reader.read(input, &mut request.body);
+        let status = match status.map_err(RequestError::from) {
+            Ok(_) if request.body.len() > max_body => BodyTooLongSnafu { limit: max_body }.fail(),
             status => status,
         };
         match status {
             Err(error) => {
-                self.failed_head = Some(head);
+                self.failed_head = Some(request.head);
                 Err(error)
             }
-            Ok(BodyStatus::Whole) => Ok(Some(WholeRequest { head, body })),
+            Ok(BodyStatus::Whole) => Ok(Some(WholeRequest {
+                head: request.head,
+                body: request.body.finish(),
+            })),
             Ok(BodyStatus::Partial) => {
-                self.current = Some((head, reader, body));
+                self.current = Some(request);
                 Ok(None)
             }
         }
     }
 
+    fn begin_body(&self, head: RequestHead, framing: Framing) -> IncompleteRequest {
+        let declared = match framing {
+            Framing::Length(length) => usize::try_from(length).ok(),
+            Framing::Chunked | Framing::UntilClose => None,
+        };
+        IncompleteRequest {
+            head,
+            reader: BodyReader::new(framing),
+            body: ArrivingBody::new(&self.account, declared),
+        }
+    }
+
     /// Returns the head of the request that is being read, or whose body was refused.
     pub fn head(&self) -> Option<&RequestHead> {
-        let current = self.current.as_ref().map(|(head, _, _)| head);
+        let current = self.current.as_ref().map(|request| &request.head);
         current.or(self.failed_head.as_ref())
     }
 
@@ -130,15 +163,35 @@
     pub fn is_under_way(&self) -> bool {
         self.current.is_some()
     }
+
+    /// Returns the bytes that have arrived of the incomplete body.
+    pub fn body_bytes(&self) -> usize {
+        let current = self.current.as_ref();
+        current.map_or(0, |request| request.body.len())
+    }
+
+    /// Returns the length that the incomplete body is known to have: the declared one, or else what
+    /// has arrived.
+    pub fn known_body_bytes(&self) -> usize {
+        let Some(request) = &self.current else {
+            return 0;
+        };
+        request.body.declared().unwrap_or(request.body.len())
+    }
+
+    /// Drops what has arrived of an incomplete body; the rest of it cannot be read any more.
+    pub fn drop_body(&mut self) {
+        self.failed_head = self.current.take().map(|request| request.head);
+    }
 }
 
-/// Creates the reader of a request's body, unless its declared length exceeds the limit.
-fn body_reader(head: &RequestHead, max_body: usize) -> Result<BodyReader, RequestError> {
+/// Returns the framing of a request's body, unless its declared length exceeds the limit.
+fn declared_framing(head: &RequestHead, max_body: usize) -> Result<Framing, RequestError> {
     let framing = Framing::of_request(head)?;
     if matches!(framing, Framing::Length(length) if length > max_body as u64) {
         return BodyTooLongSnafu { limit: max_body }.fail();
     }
-    Ok(BodyReader::new(framing))
+    Ok(framing)
 }
 
 /// Reads the answer to one request.
--- a/crates/gateways/wingshore-net/src/http/head.rs
+++ b/crates/gateways/wingshore-net/src/http/head.rs
@@ -1,7 +1,8 @@
 //! Heads of HTTP requests and answers, and parsing them.
 
 use super::status::FinalStatus;
-use bytes::{Bytes, BytesMut};
+use crate::account::{Account, Part, share};
+use bytes::{Buf, Bytes, BytesMut};
 use snafu::Snafu;
 
 /// Maximum number of header lines of a message.
@@ -161,13 +162,15 @@
     }
 }
 
-/// Removes a request's head from `input` and parses it; `None` while it is incomplete.
+/// Removes a request's head from `input` and parses it; `None` while it is incomplete. Its memory is
+/// counted in `account`.
 ///
 /// # Errors
 /// When the bytes are not a valid head, or the head is longer than `max_bytes`.
 pub(super) fn read_request_head(
     input: &mut BytesMut,
     max_bytes: usize,
+    account: &Account,
 ) -> Result<Option<RequestHead>, HttpError> {
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut lines);
@@ -178,7 +181,12 @@
     let target = parsed.path.unwrap_or_default().to_owned();
     let is_http11 = parsed.version == Some(1);
     let ranges = header_ranges(input, parsed.headers);
-    let headers = take_headers(input, length, ranges);
+    let lines_bytes = ranges.len() * size_of::<(Bytes, Bytes)>();
+    let charge = account.charge(Part::Input, length + lines_bytes);
+    // A copy: a head that shared the input buffer would keep all of it.
+    let memory = share(input[..length].to_vec(), charge);
+    input.advance(length);
+    let headers = headers_of(&memory, ranges);
     Ok(Some(RequestHead {
         method,
         target,
@@ -268,7 +276,11 @@
 /// Removes a head of `length` bytes from `input` and returns its header lines, which share the
 /// buffer.
 fn take_headers(input: &mut BytesMut, length: usize, ranges: Vec<HeaderRange>) -> Headers {
-    let head = input.split_to(length).freeze();
+    headers_of(&input.split_to(length).freeze(), ranges)
+}
+
+/// Returns the header lines of a head, which share its memory.
+fn headers_of(head: &Bytes, ranges: Vec<HeaderRange>) -> Headers {
     let lines = ranges
         .into_iter()
         .map(|(name, value)| (head.slice(name), head.slice(value)))
--- a/crates/gateways/wingshore-net/src/http/mod.rs
+++ b/crates/gateways/wingshore-net/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod encode;
 mod exchange;
 mod head;
+mod request_body;
 mod status;
 
 pub use answer::HttpAnswer;
@@ -12,4 +13,5 @@
 pub use encode::{HeadWriter, write_chunk, write_last_chunk};
 pub use exchange::{AnswerReader, RequestError, RequestReader, WholeAnswer, WholeRequest};
 pub use head::{AnswerHead, Headers, HttpError, RequestHead};
+pub use request_body::RequestBody;
 pub use status::FinalStatus;
--- a/crates/gateways/wingshore-net/src/lib.rs
+++ b/crates/gateways/wingshore-net/src/lib.rs
@@ -4,6 +4,7 @@
 //! writes HTTP/1.1 messages in buffers, independent of sockets. [`frame`] does the same for the
 //! length-prefixed `postcard` frames that the processes of a site exchange.
 
+pub mod account;
 mod connection;
 mod connection_table;
 mod event;
--- a/crates/gateways/wingshore-net/tests/http.rs
+++ b/crates/gateways/wingshore-net/tests/http.rs
@@ -13,7 +13,7 @@
     let mut reader = RequestReader::default();
     let mut requests = Vec::new();
     while let Some(request) = reader.next(&mut input, LIMIT, LIMIT)? {
-        requests.push((request.head.target, request.body));
+        requests.push((request.head.target, request.body.contiguous().into_owned()));
     }
     Ok(requests)
 }
@@ -34,7 +34,7 @@
             input.extend_from_slice(&stream[start..cut]);
             start = cut;
             while let Some(request) = reader.next(&mut input, LIMIT, LIMIT).unwrap() {
-                found.push((request.head.target, request.body));
+                found.push((request.head.target, request.body.contiguous().into_owned()));
             }
         }
         let expected = vec![
