Reactor: connections of callers are read up to a bound and counted; who goes is one decision

Cause: all that a peer sent was read and kept, whether the process could handle it or not; no type knew what callers hold; a listener closed new connections at once where too many were open, and a close behind unread input destroyed the answer before it by a reset. Input, output and what the kernel may hold are charged to one Account. The module callers decides whose connection goes (pure, no clock); closing holds connections that end, with a limit for callers that read nothing or go on sending. CallerMetrics gives both processes the same gauges, counter and log line. Tests with sockets, of the decision (proptest: what stays fits, nobody goes who waits and holds nothing).

--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -18,6 +18,7 @@
             }
             NetEvent::Connected(connection) => self.on_connected(connection),
             NetEvent::Received(connection) => self.on_received(now, connection),
+            NetEvent::Sent(connection) => self.on_control_input(now, connection),
             NetEvent::EndOfInput(connection) => self.on_end_of_input(now, connection),
             NetEvent::Broken(connection) | NetEvent::Refused(connection) => {
                 self.close_connection(now, connection);
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -18,6 +18,7 @@
             } => self.on_accepted(listener, connection),
             NetEvent::Connected(connection) => self.on_connected(connection),
             NetEvent::Received(connection) => self.on_received(connection),
+            NetEvent::Sent(connection) => self.on_client_input(connection),
             NetEvent::EndOfInput(connection) => self.on_end_of_input(connection),
             NetEvent::Broken(connection) => self.on_broken(connection),
             NetEvent::Refused(connection) => self.on_refused(connection),
--- /dev/null
+++ b/crates/gateways/wingshore-net/src/caller.rs
@@ -0,0 +1,63 @@
+//! What the connection of a caller has in the account.
+
+use crate::account::{Account, Charge, Part};
+use crate::connection::Connection;
+use bytes::BytesMut;
+
+/// Size in bytes of the receive buffer of a caller's socket: a body of the largest legal length
+/// arrives in time from a caller that is some milliseconds away.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+/// Bytes that the kernel may hold for a connection that is not being read: it doubles what is asked
+/// for.
+const MAX_KERNEL_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
+
+/// Charges of the buffers of one connection.
+pub(crate) struct CallerBuffers {
+    input: Charge,
+    output: Charge,
+    kernel: Charge,
+    /// Whether the end of its output is to be reported.
+    pub(crate) reports_sent: bool,
+    /// Whether it is in the list of connections whose charges are to be updated.
+    pub(crate) is_touched: bool,
+    /// Whether it is in the list of connections that are not read for a while.
+    pub(crate) is_paused: bool,
+}
+
+impl CallerBuffers {
+    /// Creates the charges of a connection without bytes.
+    pub(crate) fn new(account: &Account) -> Self {
+        Self {
+            input: account.charge(Part::Input, 0),
+            output: account.charge(Part::Output, 0),
+            kernel: account.charge(Part::Kernel, 0),
+            reports_sent: false,
+            is_touched: false,
+            is_paused: false,
+        }
+    }
+}
+
+/// Updates the charges of a caller's connection, and frees its input buffer if it is empty.
+pub(crate) fn update_charges(connection: &mut Connection) {
+    if connection.input.is_empty() {
+        connection.input = BytesMut::new();
+    }
+    let is_unread = connection.read_pending || connection.is_read_ahead();
+    let Some(caller) = &mut connection.caller else {
+        return;
+    };
+    caller.is_touched = false;
+    // The capacity shrinks as bytes are removed from the front; the memory does not.
+    let input = connection.input.capacity();
+    let held = if input == 0 {
+        0
+    } else {
+        input.max(caller.input.bytes())
+    };
+    caller.input.set(held);
+    caller.output.set(connection.output.len());
+    caller
+        .kernel
+        .set(if is_unread { MAX_KERNEL_BYTES } else { 0 });
+}
--- a/crates/gateways/wingshore-net/src/connection_table.rs
+++ b/crates/gateways/wingshore-net/src/connection_table.rs
@@ -4,6 +4,7 @@
 //! identifier distinguishes the connections of one slot, so that a stale identifier finds no
 //! connection.
 
+use crate::caller::CallerBuffers;
 use crate::connection::Connection;
 use crate::id::ConnectionId;
 use crate::output::OutputQueue;
@@ -29,6 +30,7 @@
         mut stream: TcpStream,
         connecting: bool,
         unacknowledged_limit: Duration,
+        caller: Option<CallerBuffers>,
     ) -> Option<ConnectionId> {
         // Both options are optional: systems that lack them still work correctly.
         let _ = stream.set_nodelay(true);
@@ -49,9 +51,12 @@
             input_ended: false,
             end_signalled: false,
             close_when_flushed: false,
+            awaits_end: false,
             writable: !connecting,
             needs_flush: false,
             read_pending: false,
+            sent: 0,
+            caller,
         });
         Some(ConnectionId { slot, generation })
     }
--- a/crates/gateways/wingshore-net/src/event.rs
+++ b/crates/gateways/wingshore-net/src/event.rs
@@ -20,6 +20,9 @@
     Connected(ConnectionId),
     /// Bytes were appended to the connection's input buffer.
     Received(ConnectionId),
+    /// All bytes that were queued for a caller have been sent, as asked for with
+    /// [`Reactor::report_sent`](crate::Reactor::report_sent).
+    Sent(ConnectionId),
     /// The peer has ended its side of the connection; all that it sent is in the input buffer. The
     /// connection stays open until [`Reactor::close`](crate::Reactor::close).
     EndOfInput(ConnectionId),
--- a/crates/gateways/wingshore-net/src/lib.rs
+++ b/crates/gateways/wingshore-net/src/lib.rs
@@ -5,6 +5,10 @@
 //! length-prefixed `postcard` frames that the processes of a site exchange.
 
 pub mod account;
+mod caller;
+mod caller_report;
+pub mod callers;
+mod closing;
 mod connection;
 mod connection_table;
 mod event;
@@ -16,7 +20,9 @@
 mod ready;
 mod signals;
 
+pub use caller_report::CallerMetrics;
+pub use closing::{ClosingConnections, OutputProgress};
 pub use event::{ConnectOptions, NetError, NetEvent};
 pub use id::{ConnectionId, ListenerId};
-pub use reactor::{Reactor, ReactorWaker};
+pub use reactor::{MAX_CALLER_BYTES_PER_POLL, Reactor, ReactorWaker};
 pub use signals::{SeedSource, Signals};
