Gateway: what clients make it keep has one account and one limit

A crowd of stalled small requests kept ordinary callers out. Cause: no buffer of a client was in any account; input behind a pending answer had no limit; new connections were closed where all were in use. Change: clients' listeners, readers and answers charge the account; at the end of each turn those go who have made no progress for longest, incomplete large bodies first; a complete request that does not fit gets 503 before it is passed on; a length that cannot fit is refused at the head. An answer dropped for memory no longer ejects its server. Test settings: GatewaySettings has callers in place of max_connections.

--- a/crates/gateways/wingshore-gateway/src/admission.rs
+++ b/crates/gateways/wingshore-gateway/src/admission.rs
@@ -93,6 +93,12 @@
         reason: "the request did not arrive completely within the configured limits",
     };
 
+    /// Clients use all memory that they may use.
+    pub(crate) const FULL: Self = Self {
+        answer: OwnAnswer::NotRun(RETRY_AFTER),
+        reason: "the requests of all clients do not fit into the memory for them",
+    };
+
     /// The gateway has no configuration yet.
     pub(crate) fn unconfigured(retry_after: Duration) -> Self {
         Self {
--- a/crates/gateways/wingshore-gateway/src/calls.rs
+++ b/crates/gateways/wingshore-gateway/src/calls.rs
@@ -16,6 +16,7 @@
     CallReply, GatewayMessage, JobId, JobPage, Reply, Request, TenantName,
 };
 use wingshore_net::ConnectionId;
+use wingshore_net::account::Charge;
 use wingshore_types::Instant;
 
 /// The coordinator that a call was sent to.
@@ -39,6 +40,8 @@
 struct Call {
     client: ConnectionId,
     request: Request,
+    /// What the request has in the account of callers' memory.
+    _charge: Charge,
     deadline: Instant,
     sent_to: Option<Destination>,
     /// Whether the call was sent to a leader, so that it may take effect.
@@ -75,7 +78,7 @@
         }
     }
 
-    /// Sends a call to the group.
+    /// Sends a call to the group; its charge in the account of callers' memory ends with it.
     ///
     /// # Errors
     /// Returns the answer to the client if a planned stop leaves too little time for the call.
@@ -84,7 +87,7 @@
         runtime: &mut Runtime,
         site: &Site,
         client: ConnectionId,
-        request: Request,
+        (request, charge): (Request, Charge),
     ) -> Result<CallId, BatchAnswer> {
         let now = runtime.now;
         let stop_leaves = self.stop_at.map(|stop_at| stop_at.since(now));
@@ -99,6 +102,7 @@
             client,
             deadline: now + time_limit,
             request,
+            _charge: charge,
             sent_to: None,
             may_take_effect: false,
             may_read_copy: self.reads_copies,
--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -11,8 +11,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wingshore_coordination::IngressLimits;
+use wingshore_net::account::SMALL_BODY_BYTES;
+use wingshore_net::callers::{CallerState, Stage};
 use wingshore_net::http::{HeadWriter, RequestError, RequestHead, RequestReader, WholeRequest};
-use wingshore_net::{ConnectionId, Reactor};
+use wingshore_net::{ClosingConnections, ConnectionId, OutputProgress, Reactor};
 use wingshore_types::Instant;
 
 /// Time limit for a request with a body to arrive, as a multiple of the time limit for its head.
@@ -78,6 +80,24 @@
     listener_kind: ListenerKind,
     last_used_at: Instant,
     is_answering: bool,
+    /// Whether a request of this connection was answered.
+    was_served: bool,
+    output: OutputProgress,
+}
+
+impl Client {
+    /// Returns what the connection does.
+    fn stage(&self) -> Stage {
+        match self.state {
+            ClientState::PendingAnswer(_) => Stage::Waiting,
+            ClientState::Reading {
+                started_at: Some(_),
+            } => Stage::Receiving,
+            ClientState::Reading { started_at: None } => Stage::Idle {
+                was_served: self.was_served,
+            },
+        }
+    }
 }
 
 /// All connections of clients.
@@ -85,7 +105,7 @@
 pub(crate) struct Clients {
     all: HashMap<ConnectionId, Client>,
     /// Connections that close once all queued bytes have been sent.
-    closing: Vec<ConnectionId>,
+    closing: ClosingConnections,
 }
 
 impl Clients {
@@ -104,12 +124,14 @@
     ) {
         let now = runtime.now;
         let client = Client {
-            reader: RequestReader::default(),
+            reader: RequestReader::new(runtime.reactor.account()),
             state: ClientState::Reading { started_at: None },
             closes_after_answer: false,
             listener_kind,
             last_used_at: now,
             is_answering: false,
+            was_served: false,
+            output: OutputProgress::new(now),
         };
         self.all.insert(connection, client);
         let timers = &mut runtime.timers;
@@ -218,6 +240,7 @@
         };
         client.state = ClientState::Reading { started_at: None };
         client.last_used_at = now;
+        client.was_served = true;
         client.closes_after_answer |= is_stopping;
         if client.closes_after_answer {
             self.close_after_flush(runtime, connection);
@@ -295,15 +318,61 @@
 
     /// Whether a connection that is closing still has bytes to send.
     pub(crate) fn has_unsent(&self, reactor: &Reactor) -> bool {
-        self.closing
-            .iter()
-            .any(|connection| reactor.is_open(*connection))
+        self.closing.has_unsent(reactor)
     }
 
-    /// Forgets closing connections that have closed.
-    pub(crate) fn forget_closed(&mut self, reactor: &Reactor) {
-        self.closing
-            .retain(|connection| reactor.is_open(*connection));
+    /// Closes the connections that are closing and have nothing left to send.
+    pub(crate) fn close_sent(&mut self, reactor: &mut Reactor) {
+        self.closing.close_sent(reactor);
+    }
+
+    /// Closes connections that are closing and do not get to their end, and returns the other ones
+    /// whose clients do not read their answers.
+    pub(crate) fn expire(&mut self, now: Instant, reactor: &mut Reactor) -> Vec<ConnectionId> {
+        self.closing.expire(now, reactor);
+        let all = self.all.iter_mut();
+        let stalled = all.filter_map(|(connection, client)| {
+            let is_stalled = client.output.is_stalled(now, reactor, *connection);
+            is_stalled.then_some(*connection)
+        });
+        stalled.collect()
+    }
+
+    /// Returns what each connection does and holds.
+    pub(crate) fn states(&mut self, now: Instant, reactor: &Reactor) -> Vec<CallerState> {
+        let all = self.all.iter_mut();
+        let states = all.map(|(connection, client)| CallerState {
+            connection: *connection,
+            stage: client.stage(),
+            body: client.reader.body_bytes(),
+            input: reactor.input_bytes(*connection),
+            unsent: reactor.queued(*connection),
+            received_at: client.last_used_at,
+            sent_at: client.output.update(now, reactor, *connection),
+        });
+        states.chain(self.closing.states(now, reactor)).collect()
+    }
+
+    /// Returns the length that the incomplete body of a client is known to have, in bytes.
+    pub(crate) fn known_body_bytes(&self, connection: ConnectionId) -> usize {
+        let client = self.all.get(&connection);
+        client.map_or(0, |client| client.reader.known_body_bytes())
+    }
+
+    /// Returns the bytes that incomplete bodies hold beyond the part of each that counts as small.
+    pub(crate) fn incomplete_large_bytes(&self) -> usize {
+        let clients = self.all.values();
+        let bodies = clients.map(|client| client.reader.body_bytes());
+        bodies
+            .map(|bytes| bytes.saturating_sub(SMALL_BODY_BYTES))
+            .sum()
+    }
+
+    /// Drops what has arrived of a client's incomplete body.
+    pub(crate) fn drop_body(&mut self, connection: ConnectionId) {
+        if let Some(client) = self.all.get_mut(&connection) {
+            client.reader.drop_body();
+        }
     }
 
     /// Closes a connection; returns the answer that it waited for.
@@ -319,10 +388,16 @@
         }
     }
 
-    /// Closes a connection once all queued bytes have been sent.
+    /// Closes a connection once all queued bytes have been sent. A client that may still be sending
+    /// its request is given time to read the answer.
     pub(crate) fn close_after_flush(&mut self, runtime: &mut Runtime, connection: ConnectionId) {
-        self.all.remove(&connection);
-        self.closing.push(connection);
-        runtime.reactor.close_when_flushed(connection);
+        let client = self.all.remove(&connection);
+        let is_incomplete = client.is_some_and(|client| client.reader.head().is_some());
+        self.closing.add(runtime.now, connection);
+        if is_incomplete {
+            runtime.reactor.close_when_answered(connection);
+        } else {
+            runtime.reactor.close_when_flushed(connection);
+        }
     }
 }
--- a/crates/gateways/wingshore-gateway/src/forward.rs
+++ b/crates/gateways/wingshore-gateway/src/forward.rs
@@ -251,7 +251,7 @@
         let exchange = self.all.get_mut(&id)?;
         let attempt = exchange.take_attempt(*connection)?;
         trials::ended(environment, exchange, end_without_answer(verdict));
-        if *end == ConnectionEnd::Unidentified {
+        if end.is_own_close() {
             request_suspicion::attempt_closed(environment, exchange, &attempt);
         }
         let failure = AttemptFailure::new(verdict, end.ejects_server(), end.reason());
--- a/crates/gateways/wingshore-gateway/src/items.rs
+++ b/crates/gateways/wingshore-gateway/src/items.rs
@@ -183,7 +183,7 @@
         let request = self.possible_cause(environment, id);
         match lost.end {
             ConnectionEnd::Lost => crash_reports::connection_lost(environment, lost, request),
-            ConnectionEnd::Unidentified => {
+            ConnectionEnd::Unidentified | ConnectionEnd::Dropped => {
                 crash_reports::attempt_closed(environment, &lost.instance, request, None);
             }
             ConnectionEnd::TimedOut | ConnectionEnd::ConnectFailed | ConnectionEnd::Refused => {}
@@ -196,7 +196,9 @@
                 attempt.interrupt(BreakCause::Engine(request))
             }
             // The engine gets a pause, but is not known to have crashed.
-            ConnectionEnd::Unidentified => attempt.interrupt(BreakCause::Engine(None)),
+            ConnectionEnd::Unidentified | ConnectionEnd::Dropped => {
+                attempt.interrupt(BreakCause::Engine(None))
+            }
             ConnectionEnd::ConnectFailed => ItemOutcome::NotRun(NotRunReason::Unreachable),
             ConnectionEnd::Refused => ItemOutcome::NotRun(NotRunReason::Ended),
         };
--- a/crates/gateways/wingshore-gateway/src/metrics.rs
+++ b/crates/gateways/wingshore-gateway/src/metrics.rs
@@ -14,6 +14,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use std::time::Duration;
 use wingshore_coordination::TrialEnd;
+use wingshore_net::CallerMetrics;
 
 /// Upper bound of the first histogram bucket, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
@@ -162,6 +163,8 @@
     calls: Family<CallLabels, Counter>,
     directory_answers: Family<AnswerLabel, Counter>,
     peers_refused: Counter,
+    /// What clients use.
+    pub(crate) callers: CallerMetrics,
     /// The gauges, in the order of [`GAUGES`].
     gauges: Vec<Gauge>,
 }
@@ -169,8 +172,10 @@
 impl GatewayMetrics {
     /// Creates all metrics with value zero.
     pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("wingshore_gateway");
+        let callers = CallerMetrics::register(&mut registry);
         let mut metrics = Self {
-            registry: Registry::with_prefix("wingshore_gateway"),
+            registry,
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(DurationBuckets),
             attempts: Family::default(),
@@ -184,6 +189,7 @@
             calls: Family::default(),
             directory_answers: Family::default(),
             peers_refused: Counter::default(),
+            callers,
             gauges: Vec::new(),
         };
         metrics.register_counters();
--- a/crates/gateways/wingshore-gateway/src/process/listeners.rs
+++ b/crates/gateways/wingshore-gateway/src/process/listeners.rs
@@ -28,8 +28,9 @@
         settings: &GatewaySettings,
     ) -> Result<Self, GatewayError> {
         let mut listen = |address: SocketAddr| {
+            let most = settings.callers.connections;
             reactor
-                .listen(address, UNACKNOWLEDGED_LIMIT, settings.max_connections)
+                .listen_for_callers(address, UNACKNOWLEDGED_LIMIT, most)
                 .context(NetSnafu)
         };
         listen(settings.front)?;
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -2,14 +2,15 @@
 //!
 //! Each part owns its state and returns the consequences of an event; the modules in here pass them
 //! on to other parts: [`network`] for connections, [`group`] for messages of coordinators,
-//! [`directory`] for the list of ready gateways, [`requests`] for clients' requests, [`work`] for
-//! results from servers.
+//! [`directory`] for the list of ready gateways, [`requests`] for clients' requests, [`relief`] for
+//! clients that use too much, [`work`] for results from servers.
 
 mod directory;
 mod group;
 mod listeners;
 mod network;
 mod refusals;
+mod relief;
 mod requests;
 mod work;
 
@@ -43,6 +44,7 @@
 use wingshore_clock::Clock;
 use wingshore_coordination::{GatewayId, GatewayStatus, ListedGateway};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
+use wingshore_net::account::{Charge, Part};
 use wingshore_net::{NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
@@ -73,6 +75,8 @@
     is_directory_fresh: bool,
     clients: Clients,
     calls: Calls,
+    /// What incomplete answers of servers have in the account of callers' memory.
+    held_answers: Charge,
     exchanges: Exchanges,
     items: Items,
     scorings: Scorings,
@@ -105,6 +109,7 @@
         let listeners = Listeners::open(&mut reactor, &settings)?;
         info!(logger, "started"; "node" => &settings.node, "front" => %settings.front);
         let id = GatewayId(rand::random());
+        let held_answers = reactor.account().charge(Part::Answers, 0);
         let latencies = ServiceLatencies::new().context(HistogramSnafu)?;
         let servers = Servers::new(SecondAttempts::new(
             settings.policy.second_attempts,
@@ -118,6 +123,7 @@
             is_directory_fresh: false,
             clients: Clients::default(),
             calls: Calls::new(settings.policy.near_copies),
+            held_answers,
             exchanges: Exchanges::new(rand::random()),
             items: Items::default(),
             scorings: Scorings::new(settings.policy.scoring_limit),
@@ -170,6 +176,7 @@
             self.on_net_event(event);
         }
         self.fire_timers();
+        self.relieve_memory();
         self.run_housekeeping();
         Ok(())
     }
@@ -239,8 +246,7 @@
         self.follow_view();
         self.log_directory_freshness();
         self.environment.forget_old_servers();
-        self.clients
-            .forget_closed(&self.environment.runtime.reactor);
+        self.close_stalled_clients();
         self.record_leader();
         self.queue_leaderless_scorings();
         self.start_scorings();
--- a/crates/gateways/wingshore-gateway/src/process/network.rs
+++ b/crates/gateways/wingshore-gateway/src/process/network.rs
@@ -18,7 +18,7 @@
             } => self.on_accepted(listener, connection),
             NetEvent::Connected(connection) => self.on_connected(connection),
             NetEvent::Received(connection) => self.on_received(connection),
-            NetEvent::Sent(connection) => self.on_client_input(connection),
+            NetEvent::Sent(connection) => self.on_sent(connection),
             NetEvent::EndOfInput(connection) => self.on_end_of_input(connection),
             NetEvent::Broken(connection) => self.on_broken(connection),
             NetEvent::Refused(connection) => self.on_refused(connection),
@@ -72,6 +72,11 @@
         self.on_client_input(connection);
     }
 
+    /// Handles the end of a client's output: its next request may be waiting for that.
+    fn on_sent(&mut self, connection: ConnectionId) {
+        self.on_client_input(connection);
+    }
+
     fn on_upstream_input(&mut self, connection: ConnectionId) {
         let environment = &mut self.environment;
         crash_reports::seen_alive(environment, connection);
@@ -121,7 +126,7 @@
         let upstreams = &mut self.environment.servers.upstreams;
         if let Some(largest) = upstreams.record_held(connection) {
             unmatched::log_dropped(&self.environment, largest);
-            self.upstream_ended(largest, ConnectionEnd::Lost);
+            self.upstream_ended(largest, ConnectionEnd::Dropped);
         }
     }
 
@@ -205,7 +210,7 @@
     }
 
     /// Handles the end of a connection to a server before a complete answer.
-    fn upstream_ended(&mut self, connection: ConnectionId, end: ConnectionEnd) {
+    pub(super) fn upstream_ended(&mut self, connection: ConnectionId, end: ConnectionEnd) {
         let environment = &mut self.environment;
         let runtime = &mut environment.runtime;
         let closed = environment.servers.upstreams.close(runtime, connection);
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -15,6 +15,7 @@
     CallReply, Caller, IngressLimits, Request, Route, RouteKind, ServiceName,
 };
 use wingshore_net::ConnectionId;
+use wingshore_net::account::{Part, SMALL_BODY_BYTES};
 use wingshore_net::http::{HeadWriter, HttpAnswer, WholeRequest};
 
 /// Largest body in bytes of a request to a listener none of whose requests needs one.
@@ -30,7 +31,10 @@
         let runtime = &mut self.environment.runtime;
         match self.clients.read(runtime, client, limits, is_stopping) {
             ClientInput::Nothing => {}
-            ClientInput::Partial => self.refuse_early(client),
+            ClientInput::Partial => {
+                self.refuse_early(client);
+                self.refuse_unfitting(client);
+            }
             ClientInput::Request(request) => self.on_request(client, request),
             ClientInput::Unreadable(error) => self.refuse_unreadable(client, &error),
         }
@@ -40,9 +44,11 @@
     /// bodies.
     fn limits_of(&self, client: ConnectionId) -> IngressLimits {
         let mut limits = self.environment.site.view.limits();
-        if self.clients.listener_kind(client) != Some(ListenerKind::Front) {
-            limits.body_bytes = limits.body_bytes.min(MAX_UNUSED_BODY_BYTES);
-        }
+        let largest = match self.clients.listener_kind(client) {
+            Some(ListenerKind::Front) | None => self.settings.callers.largest_body,
+            Some(_) => MAX_UNUSED_BODY_BYTES,
+        };
+        limits.body_bytes = limits.body_bytes.min(largest);
         limits
     }
 
@@ -75,7 +81,10 @@
             Admission::BatchCall(call, caller) => {
                 let call = call.with_max_wait(self.max_answer_hold());
                 let request = group_request(call, tenant_of(caller.as_ref()));
-                self.begin_call(client, request);
+                self.begin_call(client, request, 0);
+            }
+            Admission::Submission(_) | Admission::Forward(..) if !self.has_room(&request) => {
+                self.refuse(client, &request.head, Refusal::FULL);
             }
             Admission::Submission(caller) => {
                 self.submit_job(client, request, caller.as_ref());
@@ -86,9 +95,19 @@
         }
     }
 
+    /// Returns whether a request may be passed on within the memory for clients.
+    fn has_room(&self, request: &WholeRequest) -> bool {
+        let account = self.environment.runtime.reactor.account();
+        let bounds = &self.settings.callers;
+        bounds.admits(account, request.body.len())
+    }
+
     /// Returns the answer with all metrics.
     fn metrics_answer(&self) -> HttpAnswer {
-        let text = self.environment.runtime.metrics.text(self.readings());
+        let runtime = &self.environment.runtime;
+        let callers = &runtime.metrics.callers;
+        callers.read(runtime.reactor.account(), &self.settings.callers);
+        let text = runtime.metrics.text(self.readings());
         HttpAnswer {
             status: 200,
             headers: vec![("Content-Type".to_owned(), METRICS_CONTENT_TYPE.to_owned())],
@@ -151,13 +170,14 @@
 
     /// Reads a batch job and submits it to the group.
     fn submit_job(&mut self, client: ConnectionId, request: WholeRequest, caller: Option<&Caller>) {
+        let body_bytes = request.body.len();
         match self.environment.site.protocol.read_submission(&request) {
             Ok(mut submission) => {
                 // The submission takes the place of the body, which is not needed any more.
                 drop(request);
                 submission.id = submission.id.of_tenant(tenant_of(caller));
                 let request = Request::SubmitJob(Arc::new(submission));
-                self.begin_call(client, request);
+                self.begin_call(client, request, body_bytes);
             }
             Err(reason) => {
                 let answer = BatchAnswer::Refused(reason);
@@ -167,9 +187,17 @@
         }
     }
 
-    fn begin_call(&mut self, client: ConnectionId, request: Request) {
+    /// Sends a call to the group that keeps `bytes` bytes of a client until it has ended.
+    fn begin_call(&mut self, client: ConnectionId, request: Request, bytes: usize) {
         let (runtime, site) = (&mut self.environment.runtime, &self.environment.site);
-        match self.calls.begin(runtime, site, client, request) {
+        let part = if bytes <= SMALL_BODY_BYTES {
+            Part::Bodies
+        } else {
+            Part::LargeBodies
+        };
+        let charge = runtime.reactor.account().charge(part, bytes);
+        let begun = self.calls.begin(runtime, site, client, (request, charge));
+        match begun {
             Ok(id) => self.clients.set_waiting(client, PendingAnswer::Call(id)),
             Err(answer) => self.answer_batch(client, &answer),
         }
--- a/crates/gateways/wingshore-gateway/src/settings.rs
+++ b/crates/gateways/wingshore-gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
+use wingshore_net::callers::CallerBounds;
 
 /// Settings of a gateway process, after validation.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,8 +25,8 @@
     pub internal_port: u16,
     /// Addresses of coordinators that were known when the settings were written.
     pub seeds: Vec<IpAddr>,
-    /// Maximum number of simultaneous connections of all kinds.
-    pub max_connections: usize,
+    /// What callers may use together.
+    pub callers: CallerBounds,
     /// How long clients may keep using an address from the directory.
     pub directory_ttl: Duration,
     /// Maximum duration of a planned stop.
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -50,6 +50,8 @@
     Refused,
     /// The gateway closed it because an answer arrived on it that belongs to no known request.
     Unidentified,
+    /// The gateway closed it because there is no memory for the rest of the answer.
+    Dropped,
 }
 
 impl ConnectionEnd {
@@ -61,20 +63,27 @@
             Self::ConnectFailed => "no connection",
             Self::Refused => "connection refused",
             Self::Unidentified => "not the answer",
+            Self::Dropped => "no memory for the answer",
         }
     }
 
     /// Returns whether a request sent on the connection may have run.
     pub(crate) fn verdict(self) -> Verdict {
         match self {
-            Self::Lost | Self::TimedOut | Self::Unidentified => Verdict::MayHaveRun,
+            Self::Lost | Self::TimedOut | Self::Unidentified | Self::Dropped => Verdict::MayHaveRun,
             Self::ConnectFailed | Self::Refused => Verdict::NotRun,
         }
     }
 
+    /// Whether the gateway closed the connection although the server was answering: it may go on with
+    /// the request.
+    pub(crate) fn is_own_close(self) -> bool {
+        matches!(self, Self::Unidentified | Self::Dropped)
+    }
+
     /// Whether the server is ejected from load balancing for a while.
     pub(crate) fn ejects_server(self) -> bool {
-        self != Self::Unidentified
+        !self.is_own_close()
     }
 }
 
@@ -338,11 +347,22 @@
         if self.held_bytes <= MAX_HELD_BYTES {
             return None;
         }
-        let all = self.all.iter();
-        let largest = all.max_by_key(|(_, upstream)| upstream.held_bytes);
+        self.largest_held()
+    }
+
+    /// Returns the connection that holds most bytes of an incomplete answer; `None` if none holds any.
+    pub(crate) fn largest_held(&self) -> Option<ConnectionId> {
+        let holding = self.all.iter();
+        let holding = holding.filter(|(_, upstream)| upstream.held_bytes > 0);
+        let largest = holding.max_by_key(|(_, upstream)| upstream.held_bytes);
         largest.map(|(connection, _)| *connection)
     }
 
+    /// Returns the bytes of incomplete answers that all connections hold.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// Returns the state of a connection.
     pub(crate) fn get(&self, connection: ConnectionId) -> Option<&Upstream> {
         self.all.get(&connection)
--- a/crates/gateways/wingshore-gateway/tests/bytes/site.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/site.rs
@@ -16,6 +16,7 @@
 };
 use wingshore_diagnostics::LogCounts;
 use wingshore_gateway::{Gateway, GatewayPolicy, GatewaySettings};
+use wingshore_net::callers::CallerBounds;
 use wingshore_net::{Signals, frame};
 use wingshore_types::{Epoch, LogIndex};
 
@@ -317,7 +318,7 @@
         metrics: None,
         internal_port,
         seeds: vec![LOOPBACK],
-        max_connections: 64,
+        callers: CallerBounds::new(64 << 20, 64),
         directory_ttl: stop_times.directory_ttl,
         stop_limit: stop_times.limit,
         usage_window: Some(Duration::from_secs(60)),
--- a/crates/gateways/wingshore-gateway/tests/pipelining.rs
+++ b/crates/gateways/wingshore-gateway/tests/pipelining.rs
@@ -13,6 +13,7 @@
 use wingshore_diagnostics::LogCounts;
 use wingshore_gateway::{Gateway, GatewayPolicy, GatewaySettings};
 use wingshore_net::Signals;
+use wingshore_net::callers::CallerBounds;
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 /// Maximum time to wait for the gateway.
@@ -36,7 +37,7 @@
         metrics: None,
         internal_port: free_address().port(),
         seeds: Vec::new(),
-        max_connections: 64,
+        callers: CallerBounds::new(64 << 20, 64),
         directory_ttl: Duration::from_secs(1),
         stop_limit: Duration::from_secs(1),
         usage_window: None,
