Gateway: a client that reads no answers gets no further ones

What callers saw: clients that send requests and never read took a gateway to 4,234 MB of 64 (386 MB with the account alone), and an ordinary request got no answer. Cause: each request was answered as it came, whatever the client had taken. Safe: clients that read their answers never have so much queued when they ask.

--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -19,6 +19,8 @@
 
 /// Time limit for a request with a body to arrive, as a multiple of the time limit for its head.
 const BODY_TIMEOUT_FACTOR: u32 = 3;
+/// Bytes of answers in a client's output queue with which its next request is not read yet.
+const MAX_UNSENT_BYTES: usize = 64 * 1024;
 
 /// The answer that a client waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,6 +156,11 @@
         let ClientState::Reading { started_at } = &mut client.state else {
             return ClientInput::Nothing;
         };
+        if runtime.reactor.queued(connection) > MAX_UNSENT_BYTES {
+            // A client that reads no answers gets no further ones.
+            runtime.reactor.report_sent(connection);
+            return ClientInput::Nothing;
+        }
         let Some(input) = runtime.reactor.input(connection) else {
             return ClientInput::Nothing;
         };
