Coordinator: what callers make it keep has one account and one limit

What callers saw: 40 bodies of 2 MB that stop short took a coordinator to 115 to 175 MB of 64, bodies far over the limit to 888 MB, bytes behind a call that waits to 888 MB, unread answers to 279 MB; 600 stalled calls held 619 descriptors of 400. Cause: as at gateways; besides 6,000 connections whatever the settings allow, and no time limit for a call that arrives piece by piece. Why it works: the same account and decision as at gateways; a call that the group has is never refused for memory.

--- a/crates/gateways/wingshore-coordinator/src/metrics/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/metrics/mod.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Registry;
 use std::time::Duration;
 use wingshore_coordination::NoBody;
+use wingshore_net::CallerMetrics;
 
 /// All metrics of a coordinator.
 pub(crate) struct CoordinatorMetrics {
@@ -22,6 +23,8 @@
     work: WorkMetrics,
     group: GroupMetrics,
     gauges: Gauges,
+    /// What callers use.
+    pub(crate) callers: CallerMetrics,
 }
 
 impl CoordinatorMetrics {
@@ -32,6 +35,7 @@
             work: WorkMetrics::register(&mut registry),
             group: GroupMetrics::register(&mut registry),
             gauges: Gauges::register(&mut registry),
+            callers: CallerMetrics::register(&mut registry),
             registry,
         };
         // Most coordinators answer no such read for long; a rate needs the zero before the first.
--- a/crates/gateways/wingshore-coordinator/src/process/callers.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/callers.rs
@@ -15,6 +15,8 @@
 
 /// Idle connections of callers are closed after this time.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// A request that has not arrived completely after this time is dropped.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Content type of the metrics text.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -25,8 +27,8 @@
         while self.read_call(now, connection) {}
     }
 
-    /// Reads and handles the next request of a caller, unless its previous one is not answered yet;
-    /// returns whether the request was answered at once.
+    /// Reads and handles the next request of a caller, unless its previous one is not answered yet, or
+    /// it has not taken its answers; returns whether the request was answered at once.
     fn read_call(&mut self, now: Instant, connection: ConnectionId) -> bool {
         let Some(Role::Control(control)) = self.roles.get_mut(&connection) else {
             return false;
@@ -35,6 +37,10 @@
         if control.pending_target.is_some() {
             return false;
         }
+        if self.reactor.queued(connection) > control::MAX_UNSENT_BYTES {
+            self.reactor.report_sent(connection);
+            return false;
+        }
         let Some(input) = self.reactor.input(connection) else {
             return false;
         };
@@ -42,8 +48,16 @@
             .reader
             .next(input, control::MAX_HEAD_BYTES, control.max_body);
         match next {
-            Ok(None) => false,
+            Ok(None) => {
+                let has_begun = !input.is_empty() || control.reader.is_under_way();
+                if has_begun {
+                    control.started_at.get_or_insert(now);
+                    self.refuse_unfitting(now, connection);
+                }
+                false
+            }
             Ok(Some(request)) => {
+                control.started_at = None;
                 control.pending_target = Some(request.head.target.clone());
                 control.close_after = request.head.wants_close();
                 control.is_reading = true;
@@ -69,29 +83,39 @@
     }
 
     /// Answers a request on the metrics listener with all metrics, whatever its path.
-    pub(super) fn on_metrics_input(&mut self, connection: ConnectionId) {
+    pub(super) fn on_metrics_input(&mut self, now: Instant, connection: ConnectionId) {
         let Some(input) = self.reactor.input(connection) else {
             return;
         };
         let Some(Role::Metrics(control)) = self.roles.get_mut(&connection) else {
             return;
         };
+        control.last_used_at = now;
         let next = control
             .reader
             .next(input, control::MAX_HEAD_BYTES, control.max_body);
         let answer = match next {
-            Ok(None) => return,
+            Ok(None) => {
+                control.started_at.get_or_insert(now);
+                return;
+            }
             Ok(Some(_)) => HttpAnswer {
                 status: 200,
                 headers: vec![("Content-Type".to_owned(), METRICS_CONTENT_TYPE.to_owned())],
-                body: self.metrics.text(&self.readings()).into_bytes(),
+                body: self.metrics_text().into_bytes(),
             },
             Err(error) => HttpAnswer::plain(error.status(), error.to_string()),
         };
-        self.reactor
-            .send(connection, &control::encode(&answer, true));
-        self.roles.remove(&connection);
-        self.reactor.close_when_flushed(connection);
+        let bytes = control::encode(&answer, true);
+        self.reactor.send_shared(connection, &bytes.into());
+        self.close_caller(now, connection);
+    }
+
+    /// Returns all metrics.
+    fn metrics_text(&self) -> String {
+        let account = self.reactor.account();
+        self.metrics.callers.read(account, &self.settings.callers);
+        self.metrics.text(&self.readings())
     }
 
     /// Returns the current values of the gauges.
@@ -225,14 +249,13 @@
         };
         control.pending_target = None;
         control.last_used_at = now;
+        control.was_served = true;
         let close = control.close_after;
         let is_reading = control.is_reading;
         let bytes = control::encode(answer, close);
-        self.reactor.send(connection, &bytes);
+        self.reactor.send_shared(connection, &bytes.into());
         if close {
-            self.reactor.close_when_flushed(connection);
-            self.roles.remove(&connection);
-            return;
+            return self.close_caller(now, connection);
         }
         // Another request may have arrived while this one was handled. The loop that has read this
         // one reads the next one as well.
@@ -241,15 +264,36 @@
         }
     }
 
-    /// Closes connections of callers that were idle for longer than [`CALLER_IDLE_TIMEOUT`].
+    /// Closes a caller's connection once its last answer was sent. A caller that may still be sending
+    /// its request is given time to read the answer.
+    fn close_caller(&mut self, now: Instant, connection: ConnectionId) {
+        let role = self.roles.remove(&connection);
+        let is_incomplete = match &role {
+            Some(Role::Control(control) | Role::Metrics(control)) => {
+                control.reader.head().is_some()
+            }
+            _ => false,
+        };
+        self.closing.add(now, connection);
+        if is_incomplete {
+            self.reactor.close_when_answered(connection);
+        } else {
+            self.reactor.close_when_flushed(connection);
+        }
+    }
+
+    /// Closes connections of callers that were idle for longer than [`CALLER_IDLE_TIMEOUT`], or whose
+    /// request does not arrive completely within [`ARRIVAL_TIMEOUT`].
     pub(super) fn close_idle_callers(&mut self, now: Instant) {
         let idle: Vec<ConnectionId> = self
             .roles
             .iter()
             .filter(|(_, role)| match role {
-                Role::Control(control) => {
-                    control.pending_target.is_none()
-                        && now.since(control.last_used_at) > CALLER_IDLE_TIMEOUT
+                Role::Control(control) | Role::Metrics(control) => {
+                    let is_idle = now.since(control.last_used_at) > CALLER_IDLE_TIMEOUT;
+                    let started_at = control.started_at;
+                    let is_late = started_at.is_some_and(|at| now.since(at) > ARRIVAL_TIMEOUT);
+                    control.pending_target.is_none() && (is_idle || is_late)
                 }
                 _ => false,
             })
--- a/crates/gateways/wingshore-coordinator/src/process/connections.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/connections.rs
@@ -18,6 +18,7 @@
             }
             NetEvent::Connected(connection) => self.on_connected(connection),
             NetEvent::Received(connection) => self.on_received(now, connection),
+            // The next request of the caller may be waiting for that.
             NetEvent::Sent(connection) => self.on_control_input(now, connection),
             NetEvent::EndOfInput(connection) => self.on_end_of_input(now, connection),
             NetEvent::Broken(connection) | NetEvent::Refused(connection) => {
@@ -33,7 +34,7 @@
         }
         match self.roles.get(&connection) {
             Some(Role::Control(_)) => self.on_control_input(now, connection),
-            Some(Role::Metrics(_)) => self.on_metrics_input(connection),
+            Some(Role::Metrics(_)) => self.on_metrics_input(now, connection),
             Some(Role::Link(_) | Role::Dialed(_)) => self.on_link_input(now, connection),
             None => {}
         }
@@ -68,12 +69,22 @@
     fn accepted_role(&self, now: Instant, listener: ListenerId) -> Role {
         if listener == self.listeners.internal {
             Role::Link(Link::new(now))
-        } else if Some(listener) == self.listeners.metrics {
-            Role::Metrics(ControlConnection::new(now, MAX_UNUSED_BODY_BYTES))
+        } else {
+            self.caller_role(now, listener)
+        }
+    }
+
+    /// Returns the role of a caller's connection, by its listener.
+    fn caller_role(&self, now: Instant, listener: ListenerId) -> Role {
+        let account = self.reactor.account();
+        let with_bodies = |max_body| ControlConnection::new(now, account, max_body);
+        if Some(listener) == self.listeners.metrics {
+            Role::Metrics(with_bodies(MAX_UNUSED_BODY_BYTES))
         } else if Some(listener) == self.listeners.directory {
-            Role::Control(ControlConnection::new(now, MAX_UNUSED_BODY_BYTES))
+            Role::Control(with_bodies(MAX_UNUSED_BODY_BYTES))
         } else {
-            Role::Control(ControlConnection::new(now, MAX_BODY_BYTES))
+            let largest = self.settings.callers.largest_body;
+            Role::Control(with_bodies(largest.min(MAX_BODY_BYTES)))
         }
     }
 
--- a/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/housekeeping.rs
@@ -41,6 +41,7 @@
         self.send_gateway_changes(now);
         self.close_idle_callers(now);
         self.close_unknown_links(now);
+        self.close_stalled_callers(now);
         self.answer_late_heartbeats(now);
         self.plan_members(now);
         self.report_shortage(now);
--- a/crates/gateways/wingshore-coordinator/src/process/listeners.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/listeners.rs
@@ -10,9 +10,6 @@
 pub(super) const LINK_UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
 /// Longest time that sent bytes may stay unacknowledged on connections of callers.
 const CALLER_UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
-/// Maximum number of open connections.
-const MAX_CONNECTIONS: usize = 6000;
-
 /// Listeners other than that for control.
 pub(super) struct Listeners {
     /// Listener for the site's own processes.
@@ -29,23 +26,26 @@
         settings: &CoordinatorSettings,
         reactor: &mut Reactor,
     ) -> Result<Self, CoordinatorError> {
-        let listen = |reactor: &mut Reactor, address, limit| {
+        let listen = |reactor: &mut Reactor, address| {
+            let most = settings.callers.connections;
             reactor
-                .listen(address, limit, MAX_CONNECTIONS)
+                .listen_for_callers(address, CALLER_UNACKNOWLEDGED_LIMIT, most)
                 .context(NetSnafu)
         };
-        listen(reactor, settings.control, CALLER_UNACKNOWLEDGED_LIMIT)?;
+        listen(reactor, settings.control)?;
         let directory = settings.directory;
         let directory = directory
-            .map(|address| listen(reactor, address, CALLER_UNACKNOWLEDGED_LIMIT))
+            .map(|address| listen(reactor, address))
             .transpose()?;
         let internal = settings
             .internal_bind
             .unwrap_or_else(|| settings.internal_address());
-        let internal = listen(reactor, internal, LINK_UNACKNOWLEDGED_LIMIT)?;
-        let metrics = settings
-            .metrics
-            .map(|address| listen(reactor, address, CALLER_UNACKNOWLEDGED_LIMIT))
+        let internal = reactor
+            .listen(internal, LINK_UNACKNOWLEDGED_LIMIT, settings.max_links)
+            .context(NetSnafu)?;
+        let metrics = settings.metrics;
+        let metrics = metrics
+            .map(|address| listen(reactor, address))
             .transpose()?;
         Ok(Self {
             internal,
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -25,6 +25,7 @@
 mod member_changes;
 mod members;
 mod pending;
+mod relief;
 mod roles;
 mod schedule;
 mod start;
@@ -59,7 +60,7 @@
 use wingshore_coordination::{CoordinationLeader, RefusedPeers, SiteClock};
 use wingshore_diagnostics::{LogCounts, RequestSampler};
 use wingshore_group::{Host, HostInput};
-use wingshore_net::{ConnectionId, Reactor, SeedSource, Signals};
+use wingshore_net::{ClosingConnections, ConnectionId, Reactor, SeedSource, Signals};
 use wingshore_storage::DataFolder;
 use wingshore_types::ReplicaId;
 
@@ -89,6 +90,8 @@
     stop: PlannedStop,
     /// Role of each connection, except those of calls to engines and to the provider (see `calls`).
     roles: HashMap<ConnectionId, Role>,
+    /// Connections of callers that close once their last answer was sent.
+    closing: ClosingConnections,
     /// Outgoing connections to other coordinators.
     dials: Dials<ConnectionId>,
     peers: Peers,
@@ -136,6 +139,7 @@
             for event in events.drain(..) {
                 self.on_net_event(now, event);
             }
+            self.relieve_memory(now);
             self.take_write_events()?;
             self.run_housekeeping(now);
             if now >= self.host.next_tick() {
--- a/crates/gateways/wingshore-coordinator/src/process/start.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/start.rs
@@ -27,7 +27,7 @@
 use wingshore_coordination::{CoordinationLeader, RefusedPeers, SiteClock};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
 use wingshore_group::Host;
-use wingshore_net::{Reactor, SeedSource, Signals};
+use wingshore_net::{ClosingConnections, Reactor, SeedSource, Signals};
 use wingshore_storage::DataFolder;
 
 /// Storage, sockets and threads that the start opens.
@@ -102,6 +102,7 @@
             seed_source,
             stop: PlannedStop::default(),
             roles: HashMap::new(),
+            closing: ClosingConnections::default(),
             dials: Dials::default(),
             peers: Peers::default(),
             refused_peers: RefusedPeers::default(),
--- a/crates/gateways/wingshore-coordinator/src/settings.rs
+++ b/crates/gateways/wingshore-coordinator/src/settings.rs
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use wingshore_coordination::{CapacityPolicy, LeaderPolicy, UsageDuty};
+use wingshore_net::callers::CallerBounds;
 
 /// Consecutive heartbeats that a server may miss before it leaves the registry: enough that
 /// occasional lost calls do not remove a server, while one that is away for so long counts as gone.
@@ -49,6 +50,10 @@
     pub losses_borne: usize,
     /// Memory limit of the process.
     pub memory: MemoryBudget,
+    /// What callers may use together.
+    pub callers: CallerBounds,
+    /// Maximum number of connections of the site's own processes.
+    pub max_links: usize,
     /// How long a client may use an answer of the directory.
     pub directory_ttl: Duration,
     /// Interval between two heartbeats of a server.
