Nodes: the bodies of all callers have one account and one limit

What callers saw: 80 bodies of 2 MB that stop short made a node grow by 162 MB for as long as their callers stayed. Cause: the limit of a body holds for each request alone; nothing ends a body that stops. Change: BodyMemory; http.body_memory (64MiB, optional), an error at check, a gauge, a log line, the code no_memory (503, not run). Why it works: a body is counted from its first byte until its answer, and who has made no progress for longest gives way. Safe for the previous build: old files work, also with a larger max_request_body.

--- a/crates/nodes/wingshore-node/src/http/caller.rs
+++ b/crates/nodes/wingshore-node/src/http/caller.rs
@@ -1,6 +1,7 @@
 //! A caller's request at the HTTP edge, from its head to its answer.
 
 use crate::http::body::{BodyError, drain_chunks, read_body};
+use crate::http::body_memory::{BodyCharge, BodyMemory};
 use crate::http::connections::Connections;
 use crate::http::event_stream::EventStream;
 use crate::http::framing::{BodyLength, FramingError, body_length};
@@ -26,12 +27,19 @@
     length: Result<BodyLength, FramingError>,
     is_body_read: bool,
     read_ahead: Option<Result<Vec<u8>, BodyError>>,
+    body_memory: Arc<BodyMemory>,
+    /// What the body holds of the memory for bodies, until the request is answered.
+    body_charge: Option<BodyCharge>,
     connections: Arc<Connections>,
 }
 
 impl Caller {
     /// Parses the head of `request`.
-    pub fn new(request: Request, connections: &Arc<Connections>) -> Self {
+    pub fn new(
+        request: Request,
+        connections: &Arc<Connections>,
+        body_memory: &Arc<BodyMemory>,
+    ) -> Self {
         let headers = HeaderList::new(request.headers().iter().map(|header| {
             let name = header.field.as_str().as_str().to_owned();
             (name, header.value.as_str().trim().to_owned())
@@ -52,6 +60,8 @@
             length,
             is_body_read: false,
             read_ahead: None,
+            body_memory: Arc::clone(body_memory),
+            body_charge: None,
             connections: Arc::clone(connections),
         }
     }
@@ -111,8 +121,11 @@
         if length == BodyLength::Chunked {
             self.drain_chunks(limit);
         }
-        let body = read_body(self.request.as_reader(), length, limit)?;
-        self.is_body_read = true;
+        let reader = self.request.as_reader();
+        let read = read_body(reader, length, limit, &self.body_memory);
+        self.is_body_read = matches!(read, Ok(_) | Err(BodyError::NoRoom));
+        let (body, charge) = read?;
+        self.body_charge = charge;
         Ok(body)
     }
 
--- a/crates/nodes/wingshore-node/src/http/mod.rs
+++ b/crates/nodes/wingshore-node/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! [`EdgeHandler`] for answers; does not depend on the node's state.
 
 mod body;
+mod body_memory;
 mod body_readers;
 mod caller;
 mod connections;
@@ -19,6 +20,7 @@
 mod work;
 
 pub use body::BodyError;
+pub use body_memory::BodyMemory;
 pub use caller::Caller;
 pub use event_stream::EventStream;
 pub use headers::{CallerHeaders, HeaderList, without_hop_by_hop};
--- a/crates/nodes/wingshore-node/src/http/server.rs
+++ b/crates/nodes/wingshore-node/src/http/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server: one thread accepts requests and hands them to the worker groups.
 
+use crate::http::body_memory::BodyMemory;
 use crate::http::body_readers::BodyReaders;
 use crate::http::connections::Connections;
 use crate::http::listener::{ListenerHandle, reachable_address};
@@ -48,6 +49,7 @@
     pub fn start(
         address: SocketAddr,
         settings: &HttpSettings,
+        body_memory: Arc<BodyMemory>,
         handler: Arc<dyn EdgeHandler>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
@@ -67,6 +69,7 @@
             connections: Arc::clone(&connections),
             queues: Arc::new(queues),
             body_readers: BodyReaders::new(settings.max_request_body, &handler),
+            body_memory,
             nudger,
             in_flight: Arc::clone(&in_flight),
         };
@@ -169,6 +172,7 @@
     connections: Arc<Connections>,
     queues: Arc<Queues>,
     body_readers: BodyReaders,
+    body_memory: Arc<BodyMemory>,
     nudger: Nudger,
     in_flight: Arc<AtomicUsize>,
 }
@@ -188,7 +192,12 @@
 
     fn dispatch(&self, request: Request) {
         self.nudger.on_request(request.remote_addr());
-        let in_flight_request = InFlightRequest::new(request, &self.connections, &self.in_flight);
+        let in_flight_request = InFlightRequest::new(
+            request,
+            &self.connections,
+            &self.body_memory,
+            &self.in_flight,
+        );
         if in_flight_request.caller.may_block() {
             self.body_readers.read(in_flight_request, &self.queues);
         } else {
--- a/crates/nodes/wingshore-node/src/http/work.rs
+++ b/crates/nodes/wingshore-node/src/http/work.rs
@@ -1,6 +1,7 @@
 //! Queues requests for bounded worker groups, one group per kind of work, so that slow work of one
 //! kind never delays another.
 
+use crate::http::body_memory::BodyMemory;
 use crate::http::caller::Caller;
 use crate::http::connections::Connections;
 use crate::http::route::Route;
@@ -60,11 +61,12 @@
     pub(super) fn new(
         request: Request,
         connections: &Arc<Connections>,
+        body_memory: &Arc<BodyMemory>,
         in_flight: &Arc<AtomicUsize>,
     ) -> Self {
         in_flight.fetch_add(1, Ordering::SeqCst);
         Self {
-            caller: Caller::new(request, connections),
+            caller: Caller::new(request, connections, body_memory),
             in_flight: Arc::clone(in_flight),
         }
     }
--- a/crates/nodes/wingshore-node/src/metrics.rs
+++ b/crates/nodes/wingshore-node/src/metrics.rs
@@ -70,6 +70,8 @@
     pub delivered_staleness: Histogram,
     /// Number of servers that this node has ejected as failing.
     pub servers_ejected: Gauge,
+    /// Memory of the bodies of callers' requests, in bytes.
+    pub body_bytes: Gauge,
     /// Number of invariant violations found; any value but zero is a defect of wingshore.
     pub broken_promises: Counter,
 }
@@ -103,6 +105,7 @@
             pull_wait: latency_histogram(),
             delivered_staleness: Histogram::new(STALENESS_BUCKETS),
             servers_ejected: Gauge::default(),
+            body_bytes: Gauge::default(),
             broken_promises: Counter::default(),
         };
         metrics.register_requests();
@@ -247,6 +250,11 @@
             "Servers ejected as failing by this node",
             self.servers_ejected.clone(),
         );
+        registry.register(
+            "request_body_bytes",
+            "Memory of the bodies of callers' requests",
+            self.body_bytes.clone(),
+        );
     }
 }
 
--- a/crates/nodes/wingshore-node/src/run.rs
+++ b/crates/nodes/wingshore-node/src/run.rs
@@ -3,7 +3,7 @@
 use crate::background::{
     BackgroundCallRunner, NodeWatch, PoolAnnouncer, Prober, read_machine_list,
 };
-use crate::http::EdgeServer;
+use crate::http::{BodyMemory, EdgeServer};
 use crate::rollout::{RolloutDriver, start_rollouts};
 use crate::serve::NodeEdge;
 use crate::state::NodeState;
@@ -91,10 +91,13 @@
     let rollouts = start_rollouts(&node).context(ThreadSnafu { name: "rollout" })?;
     let reading = Arc::clone(&node);
     let machine_list_reader = spawn("machine-list", move || read_machine_list(&reading))?;
-    let handler = Arc::new(NodeEdge::new(Arc::clone(&node), announcer));
+    let http = &node.settings.http;
+    let body_memory = BodyMemory::new(http.body_memory);
+    let handler = NodeEdge::new(Arc::clone(&node), announcer, Arc::clone(&body_memory));
+    let handler = Arc::new(handler);
     let address = node.settings.listen;
-    let edge = EdgeServer::start(address, &node.settings.http, handler)
-        .context(ListenSnafu { address })?;
+    let edge =
+        EdgeServer::start(address, http, body_memory, handler).context(ListenSnafu { address })?;
     info!(node.diagnostics.logger(), "node serves";
         "address" => edge.address().to_string(), "boot" => node.boot_id);
     Ok(RunningNode {
--- a/crates/nodes/wingshore-node/src/serve/edge.rs
+++ b/crates/nodes/wingshore-node/src/serve/edge.rs
@@ -1,7 +1,7 @@
 //! Dispatches each request to the code that serves it.
 
 use crate::background::PoolAnnouncer;
-use crate::http::{Caller, EdgeAnswer, EdgeError, EdgeHandler, Route, RouteError};
+use crate::http::{BodyMemory, Caller, EdgeAnswer, EdgeError, EdgeHandler, Route, RouteError};
 use crate::serve::trainer::{TrainerHandler, TrainerRequest};
 use crate::serve::{completions, forward, trainer};
 use crate::state::NodeState;
@@ -16,12 +16,21 @@
 pub struct NodeEdge {
     node: Arc<NodeState>,
     announcer: Arc<PoolAnnouncer>,
+    body_memory: Arc<BodyMemory>,
 }
 
 impl NodeEdge {
-    /// Creates the request handler of `node`.
-    pub fn new(node: Arc<NodeState>, announcer: Arc<PoolAnnouncer>) -> Self {
-        Self { node, announcer }
+    /// Creates the request handler of `node`, whose requests' bodies are held in `body_memory`.
+    pub fn new(
+        node: Arc<NodeState>,
+        announcer: Arc<PoolAnnouncer>,
+        body_memory: Arc<BodyMemory>,
+    ) -> Self {
+        Self {
+            node,
+            announcer,
+            body_memory,
+        }
     }
 
     fn ready(&self) -> EdgeAnswer {
@@ -37,6 +46,8 @@
         let lease_left = self.node.view().lease_left(now);
         let ejected = self.node.router().ejected();
         self.node.metrics.servers_ejected.set(ejected as i64);
+        let body_bytes = self.body_memory.used();
+        self.node.metrics.body_bytes.set(body_bytes as i64);
         // Rounded up, so that 0 is shown only after the lease has expired.
         let milliseconds = lease_left.as_nanos().div_ceil(NANOSECONDS_PER_MILLISECOND);
         self.node
--- a/crates/nodes/wingshore-node/src/serve/intake.rs
+++ b/crates/nodes/wingshore-node/src/serve/intake.rs
@@ -3,12 +3,16 @@
 use crate::http::{BodyError, Caller, CallerHeaders, EdgeError};
 use crate::state::NodeState;
 use fnv::FnvHasher;
+use slog::warn;
 use std::hash::Hasher;
 use std::time::Duration;
 use wingshore_request::{ClaimIntent, claims_group};
 use wingshore_types::ServiceId;
 use wingshore_types::protocol::claims::ClaimKey;
 
+/// Retry-after of a node whose memory for bodies is in use.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_secs(1);
+
 /// A request with a complete body and valid headers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -30,9 +34,14 @@
     let headers = CallerHeaders::parse(caller.headers())
         .map_err(|error| EdgeError::not_run(400, "invalid_header", error))?;
     node.may_admit()?;
-    let body = caller
-        .read_body(length, node.settings.http.max_request_body)
-        .map_err(|error| body_error(&error))?;
+    let body = caller.read_body(length, node.settings.http.max_request_body);
+    let body = body.map_err(|error| {
+        if error == BodyError::NoRoom {
+            warn!(node.diagnostics.logger(), "request refused, no memory for its body";
+                "method" => caller.method(), "allowed_bytes" => node.settings.http.body_memory);
+        }
+        body_error(&error)
+    })?;
     Ok(ReceivedRequest { headers, body })
 }
 
@@ -68,6 +77,9 @@
         BodyError::Chunked => EdgeError::not_run(411, "length_required", error),
         BodyError::TooLarge { .. } => EdgeError::not_run(413, "body_too_large", error),
         BodyError::Short { .. } => EdgeError::not_run(400, "body_cut", error),
+        BodyError::NoRoom => {
+            EdgeError::not_run(503, "no_memory", error).retry_after(RETRY_AFTER_NO_MEMORY)
+        }
     }
 }
 
--- a/crates/nodes/wingshore-settings/src/node.rs
+++ b/crates/nodes/wingshore-settings/src/node.rs
@@ -6,7 +6,9 @@
 use crate::error::SettingsErrors;
 use crate::reader::TableReader;
 use crate::replica::{CLAIMS_GROUPS, LOG_LINES};
-use crate::units::{Bytes, DurationSetting, GIB, IntegerSetting, KIB, MIB, SizeSetting};
+use crate::units::{
+    Bytes, DurationSetting, GIB, IntegerSetting, KIB, MIB, RangedValue, SizeSetting,
+};
 use crate::{Overrides, relay};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -69,6 +71,9 @@
     pub workers: usize,
     /// Maximum size of a request body, in bytes. Default 16MiB, 1KiB to 1GiB.
     pub max_request_body: u64,
+    /// Memory for the bodies of all requests, in bytes. Default 64MiB, 64KiB to 4GiB; at least eight
+    /// sevenths of `max_request_body`, which is also what holds where the default is less.
+    pub body_memory: u64,
     /// Maximum size of a buffered response body, in bytes. Default 64MiB, 1KiB to 1GiB.
     pub max_answer_body: u64,
     /// Time without progress in sending a response after which the caller's connection is closed.
@@ -136,6 +141,13 @@
     minimum: Bytes(KIB),
     maximum: Bytes(GIB),
 };
+/// Memory for the bodies of all requests.
+const BODY_MEMORY: SizeSetting = SizeSetting {
+    key: "body_memory",
+    default: Bytes(64 * MIB),
+    minimum: Bytes(64 * KIB),
+    maximum: Bytes(4 * GIB),
+};
 /// Maximum size of a buffered response body.
 const MAX_ANSWER_BODY: SizeSetting = SizeSetting {
     key: "max_answer_body",
@@ -270,9 +282,12 @@
 }
 
 fn read_http(keys: TableReader<'_>) -> HttpSettings {
+    let workers = keys.ranged_integer(&WORKERS);
+    let max_request_body = keys.ranged(&MAX_REQUEST_BODY).0;
     let http = HttpSettings {
-        workers: keys.ranged_integer(&WORKERS),
-        max_request_body: keys.ranged(&MAX_REQUEST_BODY).0,
+        workers,
+        max_request_body,
+        body_memory: read_body_memory(&keys, max_request_body),
         max_answer_body: keys.ranged(&MAX_ANSWER_BODY).0,
         slow_caller_limit: keys.ranged(&SLOW_CALLER_LIMIT),
     };
@@ -280,6 +295,22 @@
     http
 }
 
+/// Reads the memory for bodies, which must hold one of the largest size and leave an eighth for small
+/// ones.
+fn read_body_memory(keys: &TableReader<'_>, max_request_body: u64) -> u64 {
+    let memory = keys.ranged(&BODY_MEMORY);
+    let least = max_request_body.saturating_mul(8).div_ceil(7);
+    if memory.0 < least && memory != BODY_MEMORY.default {
+        let found = memory.show();
+        keys.reject(
+            "body_memory",
+            &found,
+            "at least eight sevenths of `max_request_body`",
+        );
+    }
+    memory.0.max(least)
+}
+
 fn read_routing(keys: TableReader<'_>) -> RoutingSettings {
     let routing = RoutingSettings {
         choices: keys.ranged_integer(&CHOICES),
--- a/crates/nodes/wingshore-settings/tests/broken_files.rs
+++ b/crates/nodes/wingshore-settings/tests/broken_files.rs
@@ -83,6 +83,7 @@
     Case { valid_file: NODE, original: "\"127.0.0.1:7101\"", replacement: "", line: 6, key: "replicas", found: "no address", allowed: "at least one" },
     Case { valid_file: NODE, original: "zone = \"regina-hall\"", replacement: "zone = \"Regina Hall\"", line: 4, key: "zone", found: "\"Regina Hall\"", allowed: "a-z" },
     Case { valid_file: NODE, original: "replicas", replacement: "without_lease = \"hope\"\nreplicas", line: 6, key: "without_lease", found: "\"hope\"", allowed: "\"refuse\", \"serve\"" },
+    Case { valid_file: NODE, original: "replicas = [\"127.0.0.1:7101\"]", replacement: "replicas = [\"127.0.0.1:7101\"]\n[http]\nbody_memory = \"16MiB\"", line: 8, key: "http.body_memory", found: "16MiB", allowed: "at least eight sevenths of `max_request_body`" },
     Case { valid_file: SITE, original: "zone = \"regina-hall\"", replacement: "zone = \"moose-jaw\"", line: 17, key: "server[1].zone", found: "\"moose-jaw\"", allowed: "\"regina-hall\"" },
     Case { valid_file: SITE, original: "service = \"fare-lm\"\naddress", replacement: "service = \"fare-ml\"\naddress", line: 15, key: "server[1].service", found: "\"fare-ml\"", allowed: "\"fare-lm\", \"fare-api\"" },
     Case { valid_file: SITE, original: "id = \"fare-api\"", replacement: "id = \"fare-lm\"", line: 10, key: "service[2].id", found: "\"fare-lm\" twice", allowed: "each id once" },
--- a/crates/nodes/wingshore-settings/tests/golden_keys.rs
+++ b/crates/nodes/wingshore-settings/tests/golden_keys.rs
@@ -94,6 +94,7 @@
     key("log_lines", "64", Some("1000000"), Some("4096"), "\"64\""),
     key("http.workers", "1", Some("4096"), Some("64"), "4097"),
     key("http.max_request_body", "\"1KiB\"", Some("\"1GiB\""), Some("16MiB"), "16"),
+    key("http.body_memory", "\"2GiB\"", Some("\"4GiB\""), Some("64MiB"), "64"),
     key("http.max_answer_body", "\"1KiB\"", Some("\"1GiB\""), Some("64MiB"), "\"2GiB\""),
     key("http.slow_caller_limit", "\"100ms\"", Some("\"1h\""), Some("10s"), "10"),
     key("routing.choices", "1", Some("8"), Some("2"), "9"),
