Replicas and relays: a stalled body does not hold up the admin listener

What callers saw: one caller that announced a body to an admin address and did not send it kept everyone else there without an answer for as long as it stayed. Cause: the listener has one thread, and the HTTP server library waits for the rest of a body when a request is dropped. Change, and why it works: a request that announces a body is answered on a thread of its own (256 at the most, others are answered and left open), so the thread of the listener waits for nobody.

--- a/crates/nodes/wingshore-relay/src/driver/admin.rs
+++ b/crates/nodes/wingshore-relay/src/driver/admin.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use tiny_http::{Header, Request, Response, Server};
-use wingshore_http::Nudger;
+use wingshore_http::{Nudger, Responder};
 
 /// Content type of `/metrics`: OpenMetrics text.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -31,9 +31,10 @@
         let thread = thread::Builder::new()
             .name("relay-admin".to_owned())
             .spawn(move || {
+                let responder = Responder::default();
                 for request in serving.incoming_requests() {
                     nudger.on_request(request.remote_addr());
-                    respond(request, &metrics);
+                    respond(&responder, request, &metrics);
                 }
             })?;
         Ok(Self {
@@ -53,7 +54,7 @@
     }
 }
 
-fn respond(request: Request, metrics: &Metrics) {
+fn respond(responder: &Responder, request: Request, metrics: &Metrics) {
     let (status, media_type, body) = match request.url() {
         "/healthz" => (200, TEXT_TYPE, "ok\n".to_owned()),
         "/readyz" if metrics.is_ready() => (200, TEXT_TYPE, "ready\n".to_owned()),
@@ -65,6 +66,5 @@
     if let Ok(header) = Header::from_bytes("Content-Type", media_type) {
         response.add_header(header);
     }
-    // The client may have closed the connection.
-    let _ = request.respond(response);
+    responder.respond(request, response);
 }
--- a/crates/nodes/wingshore-replica/src/admin.rs
+++ b/crates/nodes/wingshore-replica/src/admin.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use tiny_http::{Header, Method, Request, Response, Server};
-use wingshore_http::Nudger;
+use wingshore_http::{Nudger, Responder};
 use wingshore_types::GroupId;
 
 /// Content type of `/metrics`: OpenMetrics text.
@@ -76,14 +76,15 @@
 }
 
 fn serve(server: &Server, state: &AdminState, nudger: &Nudger) {
+    let responder = Responder::default();
     for request in server.incoming_requests() {
         nudger.on_request(request.remote_addr());
         let answer = state.answer(request.method(), request.url());
-        respond(request, answer);
+        respond(&responder, request, answer);
     }
 }
 
-fn respond(request: Request, answer: Answer) {
+fn respond(responder: &Responder, request: Request, answer: Answer) {
     let header = Header::from_bytes(&b"Content-Type"[..], answer.content_type);
     let body = answer.body.into_bytes();
     let length = body.len();
@@ -94,8 +95,7 @@
         Some(length),
         None,
     );
-    // The client may have closed the connection.
-    let _ = request.respond(response);
+    responder.respond(request, response);
 }
 
 impl AdminState {
