Gateway: a batch job's body is freed while it is read

What callers saw: nothing yet; a batch job of the largest legal length took the smallest gateway to 90.7 MB of 120 in a small site, with 8 MB before it: beside a large view it would not have fitted. Cause: the body stayed until the whole document was parsed. Change: the reader of a body in pieces frees each piece behind it; read_submission takes the request. Why it works: what the parser holds grows as the body shrinks.

--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -171,17 +171,16 @@
     /// Reads a batch job and submits it to the group.
     fn submit_job(&mut self, client: ConnectionId, request: WholeRequest, caller: Option<&Caller>) {
         let body_bytes = request.body.len();
-        match self.environment.site.protocol.read_submission(&request) {
+        let head = request.head.clone();
+        match self.environment.site.protocol.read_submission(request) {
             Ok(mut submission) => {
-                // The submission takes the place of the body, which is not needed any more.
-                drop(request);
                 submission.id = submission.id.of_tenant(tenant_of(caller));
                 let request = Request::SubmitJob(Arc::new(submission));
                 self.begin_call(client, request, body_bytes);
             }
             Err(reason) => {
                 let answer = BatchAnswer::Refused(reason);
-                self.log_refused(Some(&request.head), answer.name(), answer.reason());
+                self.log_refused(Some(&head), answer.name(), answer.reason());
                 self.answer_batch(client, &answer);
             }
         }
--- a/crates/gateways/wingshore-gateway/src/protocol.rs
+++ b/crates/gateways/wingshore-gateway/src/protocol.rs
@@ -219,11 +219,11 @@
     fn read_key(&self, headers: &Headers) -> Option<ApiKey>;
     /// Reads a call about a batch job; `None` if the request is not such a call.
     fn read_batch_call(&self, head: &RequestHead) -> Option<BatchCall>;
-    /// Reads the submission of a batch job.
+    /// Reads the submission of a batch job, and frees the request's body on the way.
     ///
     /// # Errors
     /// Returns a message that says what is wrong, where, and what is allowed.
-    fn read_submission(&self, request: &WholeRequest) -> Result<JobSubmission, String>;
+    fn read_submission(&self, request: WholeRequest) -> Result<JobSubmission, String>;
     /// Writes the answer to a call about a batch job.
     fn write_batch(&self, answer: &BatchAnswer) -> HttpAnswer;
     /// Writes an answer that the gateway generated itself.
--- a/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
+++ b/crates/gateways/wingshore-gateway/tests/bytes/protocol.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    fn read_submission(&self, request: &WholeRequest) -> Result<JobSubmission, String> {
+    fn read_submission(&self, request: WholeRequest) -> Result<JobSubmission, String> {
         Err(format!("{} bytes", request.body.len()))
     }
 
--- a/crates/gateways/wingshore-net/src/http/request_body.rs
+++ b/crates/gateways/wingshore-net/src/http/request_body.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests, held once: in pieces that all who need the body share.
 
 use crate::account::{Account, Charge, Part, SMALL_BODY_BYTES, share};
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use std::borrow::Cow;
 use std::fmt::{self, Debug, Formatter};
 use std::io::{self, Read};
@@ -44,22 +44,22 @@
         }
     }
 
-    /// Returns a reader of the bytes, which copies none of them in advance.
-    pub fn reader(&self) -> impl Read + '_ {
+    /// Returns a reader of the bytes, which frees each piece once it was read.
+    pub fn into_reader(self) -> impl Read {
         PiecesReader {
-            current: &[],
-            later: self.pieces.iter(),
+            current: Bytes::new(),
+            later: self.pieces.into_iter(),
         }
     }
 }
 
 /// Reads the pieces of a body one after the other.
-struct PiecesReader<'a> {
-    current: &'a [u8],
-    later: std::slice::Iter<'a, Bytes>,
+struct PiecesReader {
+    current: Bytes,
+    later: std::vec::IntoIter<Bytes>,
 }
 
-impl Read for PiecesReader<'_> {
+impl Read for PiecesReader {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         while self.current.is_empty() {
             match self.later.next() {
@@ -67,7 +67,10 @@
                 None => return Ok(0),
             }
         }
-        self.current.read(buffer)
+        let count = self.current.len().min(buffer.len());
+        buffer[..count].copy_from_slice(&self.current[..count]);
+        self.current.advance(count);
+        Ok(count)
     }
 }
 
--- a/crates/gateways/wingshore-net/tests/account.rs
+++ b/crates/gateways/wingshore-net/tests/account.rs
@@ -185,7 +185,7 @@
         let request = reader.next(&mut input, MAX_HEAD, usize::MAX).unwrap().unwrap();
         prop_assert_eq!(request.body.len(), total);
         let mut read = Vec::new();
-        std::io::Read::read_to_end(&mut request.body.reader(), &mut read).unwrap();
+        std::io::Read::read_to_end(&mut request.body.clone().into_reader(), &mut read).unwrap();
         prop_assert!(read == body);
         prop_assert!(request.body.contiguous() == body);
         prop_assert!(request.body.pieces().concat() == body);
