Reactor: accepting and reading have modules of their own

Change: listening (listeners, accepting) and reading (budgets, the account) leave it; no line of logic is changed.

--- a/crates/gateways/wingshore-net/src/reactor.rs
+++ b/crates/gateways/wingshore-net/src/reactor/mod.rs
@@ -2,20 +2,26 @@
 //!
 //! Owns the system's readiness API, the listeners and, in [`ConnectionTable`], the connections.
 //! Sockets are edge-triggered, so a socket that was not drained in one poll is recorded and read in
-//! the next one. Independent of any protocol.
+//! the next one. Independent of any protocol. [`listening`] accepts connections, [`reading`] reads
+//! them and keeps the account of what callers hold.
+
+mod listening;
+mod reading;
+
+pub use reading::MAX_CALLER_BYTES_PER_POLL;
 
 use crate::account::Account;
-use crate::caller::{CallerBuffers, RECEIVE_BUFFER_BYTES, update_charges};
-use crate::connection::{Connection, ReadEnd, read_available, write_queued};
+use crate::connection::{Connection, write_queued};
 use crate::connection_table::ConnectionTable;
-use crate::event::{ConnectOptions, ListenSnafu, NetError, NetEvent, SystemSnafu};
+use crate::event::{ConnectOptions, NetError, NetEvent, SystemSnafu};
 use crate::id::{ConnectionId, ListenerId};
 use crate::ready::Ready;
 use bytes::{Bytes, BytesMut};
-use mio::net::{TcpListener, TcpStream};
-use mio::{Events, Interest, Poll, Token, Waker};
+use listening::Listener;
+use mio::net::TcpStream;
+use mio::{Events, Poll, Token, Waker};
+use reading::ReadBudget;
 use snafu::ResultExt;
-use socket2::SockRef;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
@@ -23,14 +29,6 @@
 
 /// Maximum number of events taken from the kernel in one poll; the rest is taken in the next one.
 const MAX_EVENTS_PER_POLL: usize = 256;
-/// Bytes read from callers in one poll, over all of them: so much may come on top of the account before
-/// the process can send anyone away, and for so long its timers and its other connections wait.
-pub const MAX_CALLER_BYTES_PER_POLL: usize = 1024 * 1024;
-/// Bytes read from servers and from the site's own processes in one poll.
-const MAX_OTHER_BYTES_PER_POLL: usize = 2 * 1024 * 1024;
-/// Connections accepted from one listener in one poll. Others stay in the kernel's queue until the
-/// next one.
-const MAX_ACCEPTS_PER_POLL: usize = 16;
 /// Maximum bytes read from a socket in one system call.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Token of the waker, above the tokens of all connections and listeners.
@@ -50,47 +48,6 @@
     }
 }
 
-/// Bytes that may still be read in one poll.
-struct ReadBudget {
-    /// From callers, over all of them.
-    callers: usize,
-    /// From all other connections.
-    others: usize,
-}
-
-impl Default for ReadBudget {
-    fn default() -> Self {
-        Self {
-            callers: MAX_CALLER_BYTES_PER_POLL,
-            others: MAX_OTHER_BYTES_PER_POLL,
-        }
-    }
-}
-
-impl ReadBudget {
-    /// Returns what is left for callers or for all other connections.
-    fn left(&mut self, is_caller: bool) -> &mut usize {
-        if is_caller {
-            &mut self.callers
-        } else {
-            &mut self.others
-        }
-    }
-}
-
-/// A listening socket, with the limits for the connections that it accepts.
-struct Listener {
-    socket: TcpListener,
-    unacknowledged_limit: Duration,
-    max_connections: usize,
-    /// Whether its connections are those of callers, whose buffers are in the account.
-    serves_callers: bool,
-    /// Whether connections may be waiting that were not accepted in the last poll.
-    is_accept_pending: bool,
-    /// Whether the system could not hand one out, for want of a descriptor as a rule.
-    has_accept_failed: bool,
-}
-
 /// The sockets of a process, and the wait for events on any of them.
 ///
 /// Invariant: a [`ConnectionId`] refers to an open connection or to none. After
@@ -157,101 +114,6 @@
         ReactorWaker(Arc::clone(&self.waker))
     }
 
-    /// Listens on `address`. New connections are closed at once when the reactor already has
-    /// `max_connections` connections, counted over all listeners and outgoing connections.
-    ///
-    /// # Errors
-    /// When the address cannot be listened on.
-    pub fn listen(
-        &mut self,
-        address: SocketAddr,
-        unacknowledged_limit: Duration,
-        max_connections: usize,
-    ) -> Result<ListenerId, NetError> {
-        self.add_listener(address, unacknowledged_limit, max_connections, false)
-    }
-
-    /// Listens on `address` for callers, whose buffers are counted in the account. While there are
-    /// `max_callers` of them, or a few more, new connections wait in the kernel's queue: the process
-    /// is to close some.
-    ///
-    /// # Errors
-    /// When the address cannot be listened on.
-    pub fn listen_for_callers(
-        &mut self,
-        address: SocketAddr,
-        unacknowledged_limit: Duration,
-        max_callers: usize,
-    ) -> Result<ListenerId, NetError> {
-        let id = self.add_listener(address, unacknowledged_limit, max_callers, true)?;
-        // Without a size of its own the buffer grows by itself, beyond what the account counts.
-        // A system that lacks the option still works correctly.
-        let socket = SockRef::from(&self.listeners[id.0].socket);
-        let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-        Ok(id)
-    }
-
-    fn add_listener(
-        &mut self,
-        address: SocketAddr,
-        unacknowledged_limit: Duration,
-        max_connections: usize,
-        serves_callers: bool,
-    ) -> Result<ListenerId, NetError> {
-        let mut socket = TcpListener::bind(address).context(ListenSnafu { address })?;
-        let id = ListenerId(self.listeners.len());
-        let token = Token(FIRST_LISTENER_TOKEN + id.0);
-        self.poll
-            .registry()
-            .register(&mut socket, token, Interest::READABLE)
-            .context(SystemSnafu {
-                action: "register a listener",
-            })?;
-        self.listeners.push(Listener {
-            socket,
-            unacknowledged_limit,
-            max_connections,
-            serves_callers,
-            is_accept_pending: false,
-            has_accept_failed: false,
-        });
-        Ok(id)
-    }
-
-    /// Returns the account of what callers hold.
-    pub fn account(&self) -> &Account {
-        &self.account
-    }
-
-    /// Returns the number of connections of callers.
-    pub fn caller_count(&self) -> usize {
-        self.caller_count
-    }
-
-    /// Brings the account up to date with the buffers of callers' connections.
-    pub fn update_account(&mut self) {
-        for id in std::mem::take(&mut self.touched) {
-            if let Some(connection) = self.connections.get_mut(id) {
-                update_charges(connection);
-            }
-        }
-    }
-
-    /// Records that the buffers of a connection may have changed.
-    fn touch(&mut self, id: ConnectionId) {
-        let connection = self.connections.get_mut(id);
-        let caller = connection.and_then(|connection| connection.caller.as_mut());
-        if let Some(caller) = caller.filter(|caller| !caller.is_touched) {
-            caller.is_touched = true;
-            self.touched.push(id);
-        }
-    }
-
-    /// Returns the address of a listener.
-    pub fn local_address(&self, listener: ListenerId) -> Option<SocketAddr> {
-        self.listeners.get(listener.0)?.socket.local_addr().ok()
-    }
-
     /// Starts to connect to `address`. [`NetEvent::Connected`], [`NetEvent::Broken`] or
     /// [`NetEvent::Refused`] follows. Returns `None` when the system cannot provide a socket.
     pub fn connect(
@@ -312,41 +174,6 @@
         Ok(())
     }
 
-    /// Schedules reads of the callers whose bytes have been handled since.
-    fn resume_reads(&mut self) {
-        for id in std::mem::take(&mut self.read_ahead) {
-            let Some(connection) = self.connections.get_mut(id) else {
-                continue;
-            };
-            if connection.is_read_ahead() {
-                self.read_ahead.push(id);
-                continue;
-            }
-            if let Some(caller) = &mut connection.caller {
-                caller.is_paused = false;
-            }
-            self.touch(id);
-            self.schedule_read(id);
-        }
-    }
-
-    /// Returns whether a listener has connections that were not accepted yet and may be now.
-    fn may_accept(&self) -> bool {
-        let mut listeners = self.listeners.iter();
-        listeners.any(|listener| {
-            let is_waiting = listener.is_accept_pending && !listener.has_accept_failed;
-            is_waiting && self.has_room(listener)
-        })
-    }
-
-    /// Returns whether a connection of a listener may be accepted.
-    fn has_room(&self, listener: &Listener) -> bool {
-        // Each listener may exceed the limit by its share of a poll, so that a crowd at one does not
-        // keep callers of the others out.
-        let surplus = MAX_ACCEPTS_PER_POLL * self.listeners.len();
-        !listener.serves_callers || self.caller_count < listener.max_connections + surplus
-    }
-
     /// Handles one event of the kernel.
     fn on_ready(&mut self, event: Ready, out: &mut Vec<NetEvent>) {
         if event.token == WAKER_TOKEN {
@@ -388,122 +215,6 @@
         }
     }
 
-    fn accept(&mut self, listener: ListenerId, out: &mut Vec<NetEvent>) {
-        for _ in 0..MAX_ACCEPTS_PER_POLL {
-            let Some(entry) = self.listeners.get(listener.0) else {
-                return;
-            };
-            if !self.has_room(entry) {
-                return;
-            }
-            let stream = match entry.socket.accept() {
-                Ok((stream, _)) => stream,
-                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                // This connection was reset before it was accepted; others may still be waiting.
-                Err(error) if error.kind() == ErrorKind::ConnectionAborted => continue,
-                Err(error) => return self.on_accept_error(listener, &error),
-            };
-            let limit = entry.unacknowledged_limit;
-            let serves_callers = entry.serves_callers;
-            if !serves_callers && self.connections.len() >= entry.max_connections {
-                continue;
-            }
-            let caller = serves_callers.then(|| CallerBuffers::new(&self.account));
-            let registry = self.poll.registry();
-            let Some(connection) = self.connections.add(registry, stream, false, limit, caller)
-            else {
-                continue;
-            };
-            self.caller_count += usize::from(serves_callers);
-            out.push(NetEvent::Accepted {
-                listener,
-                connection,
-            });
-        }
-    }
-
-    /// Handles the end of the connections that a listener can accept now.
-    fn on_accept_error(&mut self, listener: ListenerId, error: &io::Error) {
-        let is_empty = error.kind() == ErrorKind::WouldBlock;
-        if let Some(listener) = self.listeners.get_mut(listener.0) {
-            // Without a descriptor each later poll tries again, and none of them is hurried.
-            listener.is_accept_pending = !is_empty;
-            listener.has_accept_failed = !is_empty;
-        }
-    }
-
-    fn read(&mut self, id: ConnectionId, out: &mut Vec<NetEvent>) {
-        let Some(connection) = self.connections.get_mut(id) else {
-            return;
-        };
-        connection.read_pending = false;
-        if connection.input_ended {
-            return;
-        }
-        let is_caller = connection.caller.is_some();
-        if connection.is_read_ahead() {
-            return self.pause_reads(id, out);
-        }
-        let left = self.read_budget.left(is_caller);
-        if *left == 0 {
-            return self.schedule_read(id);
-        }
-        let outcome = read_available(connection, &mut self.scratch);
-        *left = left.saturating_sub(outcome.received);
-        self.touch(id);
-        if outcome.received > 0 {
-            out.push(NetEvent::Received(id));
-        }
-        match outcome.end {
-            ReadEnd::Drained => {}
-            ReadEnd::LimitReached => self.schedule_read(id),
-            ReadEnd::EndOfInput => self.end_input(id, out),
-            ReadEnd::Broken => self.fail(id, out),
-        }
-    }
-
-    /// Handles the end of a peer's input: closes a connection that only waits for it, and reports that
-    /// of any other.
-    fn end_input(&mut self, id: ConnectionId, out: &mut Vec<NetEvent>) {
-        let Some(connection) = self.connections.get_mut(id) else {
-            return;
-        };
-        connection.input_ended = true;
-        if connection.awaits_end && connection.output.is_empty() {
-            return self.close(id);
-        }
-        out.push(NetEvent::EndOfInput(id));
-    }
-
-    /// Reads no more from a caller until the process has handled what was read. The end of its input
-    /// is reported all the same: nobody may be left who waits for an answer.
-    fn pause_reads(&mut self, id: ConnectionId, out: &mut Vec<NetEvent>) {
-        self.touch(id);
-        let Some(connection) = self.connections.get_mut(id) else {
-            return;
-        };
-        if connection.end_signalled {
-            connection.input_ended = true;
-            return out.push(NetEvent::EndOfInput(id));
-        }
-        let caller = connection.caller.as_mut();
-        if let Some(caller) = caller.filter(|caller| !caller.is_paused) {
-            caller.is_paused = true;
-            self.read_ahead.push(id);
-        }
-    }
-
-    fn schedule_read(&mut self, id: ConnectionId) {
-        if let Some(connection) = self
-            .connections
-            .get_mut(id)
-            .filter(|connection| !connection.read_pending)
-        {
-            connection.read_pending = true;
-            self.pending_reads.push(id);
-        }
-    }
-
     fn schedule_flush(&mut self, id: ConnectionId) {
         if let Some(connection) = self
             .connections
