Reactor: the kernel holds little of an answer that a caller does not read

What callers saw: nothing by itself; 3.9 MB of each answer that nobody read lay in the kernel, beside the account: with the connections that a gateway may have, some gigabytes, which count as memory of the process where the machine counts them. Cause: the send buffer of a socket grows by itself. Evidence: caller_connections the_kernel_takes_little_... failed with 3,904,956 bytes where 1,048,576 are allowed, and passes now. Change: callers' sockets have a send buffer of 64 KiB, counted as 128 KiB while more waits; the next request of a caller is read behind 16 KiB of unsent answers, not 64. Why it works: what is beyond the buffer waits in the output queue, where it is counted and relieved. Safe: 128 KiB in flight are 20 MB/s at 6 ms.

--- a/crates/gateways/wingshore-coordinator/src/control.rs
+++ b/crates/gateways/wingshore-coordinator/src/control.rs
@@ -14,7 +14,7 @@
 /// Largest body in bytes of a request to a listener none of whose requests needs one.
 pub(crate) const MAX_UNUSED_BODY_BYTES: usize = 16 * 1024;
 /// Bytes of answers in a caller's output queue with which its next request is not read yet.
-pub(crate) const MAX_UNSENT_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_UNSENT_BYTES: usize = 16 * 1024;
 
 /// One HTTP connection to this process.
 pub(crate) struct ControlConnection {
--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -20,7 +20,7 @@
 /// Time limit for a request with a body to arrive, as a multiple of the time limit for its head.
 const BODY_TIMEOUT_FACTOR: u32 = 3;
 /// Bytes of answers in a client's output queue with which its next request is not read yet.
-const MAX_UNSENT_BYTES: usize = 64 * 1024;
+const MAX_UNSENT_BYTES: usize = 16 * 1024;
 
 /// The answer that a client waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateways/wingshore-net/src/account.rs
+++ b/crates/gateways/wingshore-net/src/account.rs
@@ -28,7 +28,7 @@
     Answers,
     /// Bytes to callers that are not sent yet.
     Output,
-    /// Bytes that the kernel may hold for connections that are not being read.
+    /// Bytes that the kernel may hold for connections that are not being read, or do not read.
     Kernel,
 }
 
--- a/crates/gateways/wingshore-net/src/caller.rs
+++ b/crates/gateways/wingshore-net/src/caller.rs
@@ -7,9 +7,14 @@
 /// Size in bytes of the receive buffer of a caller's socket: a body of the largest legal length
 /// arrives in time from a caller that is some milliseconds away.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
-/// Bytes that the kernel may hold for a connection that is not being read: it doubles what is asked
-/// for.
-const MAX_KERNEL_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
+/// Size in bytes of the send buffer of a caller's socket. What is beyond it waits in the output queue,
+/// where it is counted.
+pub(crate) const SEND_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes that the kernel may hold of what a connection has received, while it is not being read. The
+/// kernel doubles the size that is asked for.
+const MAX_UNREAD_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
+/// Bytes that the kernel may hold of what was sent on a connection, while more is waiting.
+const MAX_UNSENT_BYTES: usize = 2 * SEND_BUFFER_BYTES;
 
 /// Charges of the buffers of one connection.
 pub(crate) struct CallerBuffers {
@@ -57,7 +62,8 @@
     };
     caller.input.set(held);
     caller.output.set(connection.output.len());
-    caller
-        .kernel
-        .set(if is_unread { MAX_KERNEL_BYTES } else { 0 });
+    let unread = if is_unread { MAX_UNREAD_BYTES } else { 0 };
+    let is_unsent = !connection.output.is_empty();
+    let unsent = if is_unsent { MAX_UNSENT_BYTES } else { 0 };
+    caller.kernel.set(unread + unsent);
 }
--- a/crates/gateways/wingshore-net/src/reactor/listening.rs
+++ b/crates/gateways/wingshore-net/src/reactor/listening.rs
@@ -1,7 +1,7 @@
 //! Listening sockets of the reactor, and accepting their connections.
 
 use super::{FIRST_LISTENER_TOKEN, Reactor};
-use crate::caller::{CallerBuffers, RECEIVE_BUFFER_BYTES};
+use crate::caller::{CallerBuffers, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
 use crate::event::{ListenSnafu, NetError, NetEvent, SystemSnafu};
 use crate::id::ListenerId;
 use mio::net::TcpListener;
@@ -57,10 +57,11 @@
         max_callers: usize,
     ) -> Result<ListenerId, NetError> {
         let id = self.add_listener(address, unacknowledged_limit, max_callers, true)?;
-        // Without a size of its own the buffer grows by itself, beyond what the account counts.
-        // A system that lacks the option still works correctly.
+        // Without sizes of their own the buffers grow by themselves, beyond what the account counts.
+        // A system that lacks the options still works correctly.
         let socket = SockRef::from(&self.listeners[id.0].socket);
         let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
         Ok(id)
     }
 
--- a/crates/gateways/wingshore-net/tests/caller_connections.rs
+++ b/crates/gateways/wingshore-net/tests/caller_connections.rs
@@ -4,6 +4,7 @@
 //! could close others, and answers that a reset destroys on their way.
 
 use googletest::prelude::*;
+use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -133,6 +134,26 @@
     drop(reading.join().expect("no panic"));
 }
 
+/// What a caller does not read stays in the account, and does not fill the kernel.
+#[gtest]
+fn the_kernel_takes_little_of_an_answer_that_is_not_read() {
+    const ANSWER: usize = 16 << 20;
+    const MOST_IN_KERNELS: u64 = 1 << 20;
+    let (mut reactor, address) = listening_reactor();
+    let peer = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    peer.set_recv_buffer_size(64 * 1024).expect("a size");
+    peer.connect(&address.into()).expect("a connection");
+    let connection = next_accepted(&mut reactor);
+    reactor.send(connection, &vec![7; ANSWER]);
+    let mut events = Vec::new();
+    for _ in 0..20 {
+        poll(&mut reactor, &mut events);
+    }
+    expect_that!(reactor.sent(connection), le(MOST_IN_KERNELS));
+    let queued = reactor.account().used(Part::Output);
+    expect_that!(queued, eq(ANSWER - reactor.sent(connection) as usize));
+}
+
 #[gtest]
 fn an_answer_reaches_a_caller_that_is_still_sending() {
     let (mut reactor, address) = listening_reactor();
