Gateway: answers of servers are held in counted pieces

What callers saw: large answers that 40 clients never read took a gateway once to 67.6 MB of 64, after the kernel no longer took megabytes of them. Cause: an answer was gathered in a buffer that doubles, so it had up to twice its length and left gaps in the heap; the account counted its length alone. Input buffers of connections to servers kept 256 KB until their next read. Change: MatchingReader keeps the own answer's body in pieces, which are counted from their first byte until the client has them; output does not count them again; an answer is forwarded without a copy. RequestBody is MessageBody. Large empty input buffers are freed at the end of the turn.

--- a/crates/gateways/wingshore-gateway/src/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/src/answer_matching.rs
@@ -26,7 +26,10 @@
 use crate::protocol::HeaderNames;
 use bytes::BytesMut;
 use snafu::Snafu;
-use wingshore_net::http::{AnswerHead, AnswerReader, BodyStatus, HttpError, WholeAnswer};
+use wingshore_net::account::Account;
+use wingshore_net::http::{
+    AnswerHead, AnswerReader, ArrivingBody, BodyStatus, HttpError, MessageBody, WholeAnswer,
+};
 
 /// Number of mismatched answers that are skipped before one request's own answer.
 pub const MAX_MISMATCHED_ANSWERS: usize = 8;
@@ -144,8 +147,8 @@
 /// The part of the waiting request's own answer that has arrived: the head and some of the body.
 pub struct MatchedPart<'a> {
     head: &'a AnswerHead,
-    /// Bytes of the body that were not taken yet.
-    body: &'a mut Vec<u8>,
+    /// The part of the body that was not taken yet.
+    body: &'a mut ArrivingBody,
 }
 
 impl MatchedPart<'_> {
@@ -156,14 +159,16 @@
 
     /// Removes and returns the bytes of the body that have arrived since the last call.
     pub fn take_body(&mut self) -> Vec<u8> {
-        std::mem::take(self.body)
+        self.body.take()
     }
 }
 
 /// The complete answer to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MatchedAnswer {
+    /// The answer without its body.
     answer: WholeAnswer,
+    body: MessageBody,
 }
 
 impl MatchedAnswer {
@@ -173,13 +178,8 @@
     }
 
     /// Returns the body, without the parts that were taken while it arrived.
-    pub fn body(&self) -> &[u8] {
-        &self.answer.body
-    }
-
-    /// Returns the body like [`MatchedAnswer::body`], without a copy.
-    pub fn into_body(self) -> Vec<u8> {
-        self.answer.body
+    pub fn body(&self) -> &MessageBody {
+        &self.body
     }
 
     /// Returns whether the connection can be used for another request.
@@ -195,6 +195,8 @@
     reader: AnswerReader,
     /// The owner of the current answer, once its head was read.
     owner: Option<Owner>,
+    /// The part of the own answer's body that has arrived and was not taken yet.
+    body: ArrivingBody,
     mismatched_answers: usize,
     mismatched_bytes: usize,
     /// The mismatched answers that were not logged yet.
@@ -202,9 +204,10 @@
 }
 
 impl MatchingReader {
-    /// Creates a reader for the answer to one request.
-    pub fn new(expected: ExpectedAnswer) -> Self {
+    /// Creates a reader for the answer to one request, whose body is counted in `account`.
+    pub fn new(expected: ExpectedAnswer, account: &Account) -> Self {
         Self {
+            body: ArrivingBody::of_answer(account),
             expected,
             reader: AnswerReader::new(MAX_HELD_BODY_BYTES),
             owner: None,
@@ -228,7 +231,10 @@
             }
             match (self.owner, status) {
                 (None, _) => return Ok(BodyStatus::Partial),
-                (Some(Owner::WaitingRequest), _) => return Ok(status),
+                (Some(Owner::WaitingRequest), _) => {
+                    self.keep_body()?;
+                    return Ok(status);
+                }
                 (Some(Owner::OtherRequest), _) => self.skip_body()?,
             }
             if status == BodyStatus::Partial {
@@ -257,6 +263,15 @@
         Ok(())
     }
 
+    /// Keeps the bytes that have arrived of the own answer's body.
+    fn keep_body(&mut self) -> Result<(), HttpError> {
+        self.body.extend(&self.reader.take_body());
+        if self.body.len() > MAX_HELD_BODY_BYTES {
+            return Err(HttpError::Endless { part: "a body" });
+        }
+        Ok(())
+    }
+
     /// Drops the bytes that have arrived of a mismatched answer's body.
     fn skip_body(&mut self) -> Result<(), UnidentifiedAnswer> {
         self.mismatched_bytes += self.reader.take_body().len();
@@ -271,13 +286,14 @@
         if self.owner != Some(Owner::WaitingRequest) {
             return None;
         }
-        let (head, body) = self.reader.received()?;
+        let head = self.reader.head()?;
+        let body = &mut self.body;
         Some(MatchedPart { head, body })
     }
 
     /// Returns the number of bytes of a body that are held.
     pub(crate) fn held_bytes(&self) -> usize {
-        self.reader.held_bytes()
+        self.body.len()
     }
 
     /// Returns whether the request's own answer is complete if the server ends the connection in an
@@ -295,7 +311,8 @@
         }
         let is_reusable = is_all_read && self.mismatched_answers == 0;
         let answer = self.reader.into_answer(is_reusable)?;
-        Some(MatchedAnswer { answer })
+        let body = self.body.finish();
+        Some(MatchedAnswer { answer, body })
     }
 
     /// Removes and returns the mismatched answers that were skipped since the last call.
--- a/crates/gateways/wingshore-gateway/src/clients.rs
+++ b/crates/gateways/wingshore-gateway/src/clients.rs
@@ -7,13 +7,14 @@
 use crate::ids::{CallId, ExchangeId};
 use crate::runtime::Runtime;
 use crate::timers::TimerKey;
-use bytes::Bytes;
 use std::collections::HashMap;
 use std::time::Duration;
 use wingshore_coordination::IngressLimits;
 use wingshore_net::account::SMALL_BODY_BYTES;
 use wingshore_net::callers::{CallerState, Stage};
-use wingshore_net::http::{HeadWriter, RequestError, RequestHead, RequestReader, WholeRequest};
+use wingshore_net::http::{
+    HeadWriter, MessageBody, RequestError, RequestHead, RequestReader, WholeRequest,
+};
 use wingshore_net::{ClosingConnections, ConnectionId, OutputProgress, Reactor};
 use wingshore_types::Instant;
 
@@ -217,7 +218,7 @@
         &mut self,
         runtime: &mut Runtime,
         connection: ConnectionId,
-        (mut writer, body): (HeadWriter, Bytes),
+        (mut writer, body): (HeadWriter, &MessageBody),
         is_stopping: bool,
     ) -> AfterAnswer {
         let Some(client) = self.all.get_mut(&connection) else {
@@ -229,7 +230,7 @@
         }
         let head = writer.before_body(body.len());
         runtime.reactor.send(connection, &head);
-        runtime.reactor.send_shared(connection, &body);
+        runtime.reactor.send_body(connection, body);
         self.answered(runtime, connection, is_stopping)
     }
 
--- a/crates/gateways/wingshore-gateway/src/encode.rs
+++ b/crates/gateways/wingshore-gateway/src/encode.rs
@@ -5,7 +5,7 @@
 use crate::protocol::HeaderNames;
 use crate::site::Site;
 use wingshore_coordination::{ItemAssignment, ServerRecord};
-use wingshore_net::http::{HeadWriter, Headers, RequestBody};
+use wingshore_net::http::{HeadWriter, Headers, MessageBody};
 use wingshore_types::Instant;
 
 /// A request as it is sent to a server. All attempts share the body.
@@ -13,7 +13,7 @@
     /// The head, with its end.
     pub(crate) head: Vec<u8>,
     /// The body.
-    pub(crate) body: RequestBody,
+    pub(crate) body: MessageBody,
 }
 
 /// Encodes a request for a server.
@@ -80,7 +80,7 @@
     }
     EncodedRequest {
         head: writer.before_body(assignment.body.len()),
-        body: RequestBody::from(assignment.body.clone()),
+        body: MessageBody::from(assignment.body.clone()),
     }
 }
 
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -44,7 +44,6 @@
 use wingshore_clock::Clock;
 use wingshore_coordination::{GatewayId, GatewayStatus, ListedGateway};
 use wingshore_diagnostics::{LogBudget, LogCounts, RequestSampler};
-use wingshore_net::account::{Charge, Part};
 use wingshore_net::{NetEvent, Reactor, SeedSource, Signals};
 use wingshore_types::Instant;
 
@@ -75,8 +74,6 @@
     is_directory_fresh: bool,
     clients: Clients,
     calls: Calls,
-    /// What incomplete answers of servers have in the account of callers' memory.
-    held_answers: Charge,
     exchanges: Exchanges,
     items: Items,
     scorings: Scorings,
@@ -109,7 +106,6 @@
         let listeners = Listeners::open(&mut reactor, &settings)?;
         info!(logger, "started"; "node" => &settings.node, "front" => %settings.front);
         let id = GatewayId(rand::random());
-        let held_answers = reactor.account().charge(Part::Answers, 0);
         let latencies = ServiceLatencies::new().context(HistogramSnafu)?;
         let servers = Servers::new(SecondAttempts::new(
             settings.policy.second_attempts,
@@ -123,7 +119,6 @@
             is_directory_fresh: false,
             clients: Clients::default(),
             calls: Calls::new(settings.policy.near_copies),
-            held_answers,
             exchanges: Exchanges::new(rand::random()),
             items: Items::default(),
             scorings: Scorings::new(settings.policy.scoring_limit),
--- a/crates/gateways/wingshore-gateway/src/process/relief.rs
+++ b/crates/gateways/wingshore-gateway/src/process/relief.rs
@@ -11,8 +11,8 @@
     /// Refuses or closes clients until all of them together stay within their bounds.
     pub(super) fn relieve_memory(&mut self) {
         let bounds = self.settings.callers;
-        self.update_account();
         let reactor = &mut self.environment.runtime.reactor;
+        reactor.update_account();
         if bounds.hold(reactor.account(), reactor.caller_count()) {
             return;
         }
@@ -52,8 +52,9 @@
     fn drop_answers(&mut self) {
         let most = self.settings.callers.memory;
         loop {
-            self.update_account();
-            if self.environment.runtime.reactor.account().total() <= most {
+            let reactor = &mut self.environment.runtime.reactor;
+            reactor.update_account();
+            if reactor.account().total() <= most {
                 return;
             }
             let upstreams = &self.environment.servers.upstreams;
@@ -65,13 +66,6 @@
         }
     }
 
-    /// Brings the account up to date with what connections and answers hold.
-    fn update_account(&mut self) {
-        let held_bytes = self.environment.servers.upstreams.held_bytes();
-        self.held_answers.set(held_bytes);
-        self.environment.runtime.reactor.update_account();
-    }
-
     /// Closes the connections of clients that do not read their answers.
     pub(super) fn close_stalled_clients(&mut self) {
         let runtime = &mut self.environment.runtime;
--- a/crates/gateways/wingshore-gateway/src/process/requests.rs
+++ b/crates/gateways/wingshore-gateway/src/process/requests.rs
@@ -8,7 +8,6 @@
 use crate::exchange::{Exchange, NewExchange, Origin};
 use crate::ids::CallId;
 use crate::protocol::{BatchAnswer, OwnAnswer};
-use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 use wingshore_coordination::{
@@ -16,7 +15,7 @@
 };
 use wingshore_net::ConnectionId;
 use wingshore_net::account::{Part, SMALL_BODY_BYTES};
-use wingshore_net::http::{HeadWriter, HttpAnswer, WholeRequest};
+use wingshore_net::http::{HeadWriter, HttpAnswer, MessageBody, WholeRequest};
 
 /// Largest body in bytes of a request to a listener none of whose requests needs one.
 const MAX_UNUSED_BODY_BYTES: usize = 16 * 1024;
@@ -236,11 +235,12 @@
 
     /// Sends a complete answer to a client.
     pub(super) fn answer_whole(&mut self, client: ConnectionId, answer: HttpAnswer) {
-        self.answer(client, answer.head(), answer.body.into());
+        let head = answer.head();
+        self.answer(client, head, &MessageBody::from(answer.body));
     }
 
     /// Sends an answer and continues with the client's next request.
-    pub(super) fn answer(&mut self, client: ConnectionId, writer: HeadWriter, body: Bytes) {
+    pub(super) fn answer(&mut self, client: ConnectionId, writer: HeadWriter, body: &MessageBody) {
         let is_stopping = self.is_stopping();
         let runtime = &mut self.environment.runtime;
         let answer = (writer, body);
--- a/crates/gateways/wingshore-gateway/src/process/work.rs
+++ b/crates/gateways/wingshore-gateway/src/process/work.rs
@@ -19,7 +19,7 @@
         match end {
             None => {}
             Some(ExchangeEnd::ServerAnswer { client, answer }) => {
-                self.forward_answer(client, answer);
+                self.forward_answer(client, &answer);
             }
             Some(ExchangeEnd::OwnAnswer { client, answer }) => {
                 self.answer_own(client, &answer);
@@ -40,12 +40,12 @@
     }
 
     /// Sends a server's answer to a client.
-    fn forward_answer(&mut self, client: ConnectionId, answer: MatchedAnswer) {
+    fn forward_answer(&mut self, client: ConnectionId, answer: &MatchedAnswer) {
         let mut writer = HeadWriter::answer(answer.head().status.code());
         for (name, value) in end_to_end_headers(&answer.head().headers) {
             writer = writer.line(name, value);
         }
-        self.answer(client, writer, answer.into_body().into());
+        self.answer(client, writer, answer.body());
     }
 
     fn stream_ended(&mut self, client: ConnectionId) {
--- a/crates/gateways/wingshore-gateway/src/scoring.rs
+++ b/crates/gateways/wingshore-gateway/src/scoring.rs
@@ -25,7 +25,7 @@
     ScoringOutcome, ServiceName,
 };
 use wingshore_net::ConnectionId;
-use wingshore_net::http::{Headers, RequestBody, RequestHead, WholeRequest};
+use wingshore_net::http::{Headers, MessageBody, RequestHead, WholeRequest};
 use wingshore_types::Instant;
 
 /// A scoring that is unfinished, or whose outcome the leader has not made durable.
@@ -291,7 +291,7 @@
             is_http11: true,
             headers: Headers::from_lines(lines),
         },
-        body: RequestBody::from(scorer.body.clone()),
+        body: MessageBody::from(scorer.body.clone()),
     }
 }
 
--- a/crates/gateways/wingshore-gateway/src/upstream.rs
+++ b/crates/gateways/wingshore-gateway/src/upstream.rs
@@ -188,13 +188,14 @@
         upstream.task = Some(request.task);
         upstream.task_started_at = now;
         upstream.remember(&request.expected);
-        upstream.reader = Some(MatchingReader::new(request.expected));
+        upstream.reader = Some(MatchingReader::new(
+            request.expected,
+            runtime.reactor.account(),
+        ));
         upstream.events = None;
         let reactor = &mut runtime.reactor;
         reactor.send(connection, &request.encoded.head);
-        for piece in request.encoded.body.pieces() {
-            reactor.send_shared(connection, piece);
-        }
+        reactor.send_body(connection, &request.encoded.body);
         Some(connection)
     }
 
@@ -358,11 +359,6 @@
         largest.map(|(connection, _)| *connection)
     }
 
-    /// Returns the bytes of incomplete answers that all connections hold.
-    pub(crate) fn held_bytes(&self) -> usize {
-        self.held_bytes
-    }
-
     /// Returns the state of a connection.
     pub(crate) fn get(&self, connection: ConnectionId) -> Option<&Upstream> {
         self.all.get(&connection)
--- a/crates/gateways/wingshore-gateway/tests/answer_matching.rs
+++ b/crates/gateways/wingshore-gateway/tests/answer_matching.rs
@@ -12,6 +12,7 @@
     AnswerError, ExpectedAnswer, MAX_MISMATCHED_ANSWERS, MAX_MISMATCHED_BYTES, MatchedAnswer,
     MatchingReader, MismatchedAnswer, UnidentifiedAnswer,
 };
+use wingshore_net::account::Account;
 use wingshore_net::http::BodyStatus;
 
 /// ID of the request that waits on the connection.
@@ -32,7 +33,10 @@
 ];
 
 fn reader() -> MatchingReader {
-    MatchingReader::new(ExpectedAnswer::to_request(&NAMES, OWN.as_bytes()))
+    MatchingReader::new(
+        ExpectedAnswer::to_request(&NAMES, OWN.as_bytes()),
+        &Account::default(),
+    )
 }
 
 fn answer(status: &str, id: &str, body: &str) -> String {
@@ -80,7 +84,7 @@
     for own in STATUSES {
         let answer_to_own = answer(own, OWN, "own");
         let alone = read_whole(&answer_to_own);
-        expect_that!(alone.body(), eq(b"own"));
+        expect_that!(&*alone.body().contiguous(), eq(b"own"));
         expect_that!(alone.is_connection_reusable(), eq(true));
         for mismatched in STATUSES {
             for mismatched in [
@@ -89,7 +93,7 @@
             ] {
                 let behind = read_whole(&format!("{mismatched}{answer_to_own}"));
                 expect_that!(behind.head(), eq(alone.head()), "{mismatched} {own}");
-                expect_that!(behind.body(), eq(b"own"));
+                expect_that!(&*behind.body().contiguous(), eq(b"own"));
                 expect_that!(behind.is_connection_reusable(), eq(false));
             }
         }
@@ -162,7 +166,9 @@
     let mismatched = answer("503 -\r\nNot-Run: 1", OTHER, "");
     let behind = |count: usize| format!("{}{own}", mismatched.repeat(count));
     expect_that!(
-        read_whole(&behind(MAX_MISMATCHED_ANSWERS)).body(),
+        &*read_whole(&behind(MAX_MISMATCHED_ANSWERS))
+            .body()
+            .contiguous(),
         eq(b"own")
     );
     let too_many = AnswerError::Unidentified {
@@ -175,7 +181,7 @@
     let long = "x".repeat(MAX_MISMATCHED_BYTES);
     let status = "200 OK\r\nSignature: s";
     let longest = format!("{}{own}", answer(status, OTHER, &long));
-    expect_that!(read_whole(&longest).body(), eq(b"own"));
+    expect_that!(&*read_whole(&longest).body().contiguous(), eq(b"own"));
     let too_long = answer(status, OTHER, &format!("{long}x"));
     expect_that!(error_of(&too_long), eq(&Err(too_many)));
 }
--- a/crates/gateways/wingshore-net/src/caller.rs
+++ b/crates/gateways/wingshore-net/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::account::{Account, Charge, Part};
 use crate::connection::Connection;
+use crate::output::release_if_large;
 use bytes::BytesMut;
 
 /// Size in bytes of the receive buffer of a caller's socket: a body of the largest legal length
@@ -23,8 +24,6 @@
     kernel: Charge,
     /// Whether the end of its output is to be reported.
     pub(crate) reports_sent: bool,
-    /// Whether it is in the list of connections whose charges are to be updated.
-    pub(crate) is_touched: bool,
     /// Whether it is in the list of connections that are not read for a while.
     pub(crate) is_paused: bool,
 }
@@ -37,22 +36,22 @@
             output: account.charge(Part::Output, 0),
             kernel: account.charge(Part::Kernel, 0),
             reports_sent: false,
-            is_touched: false,
             is_paused: false,
         }
     }
 }
 
-/// Updates the charges of a caller's connection, and frees its input buffer if it is empty.
+/// Frees the input buffer of a connection if it is empty and a caller's, or large, and updates the
+/// charges of a caller's connection.
 pub(crate) fn update_charges(connection: &mut Connection) {
-    if connection.input.is_empty() {
-        connection.input = BytesMut::new();
-    }
+    connection.is_touched = false;
     let is_unread = connection.read_pending || connection.is_read_ahead();
     let Some(caller) = &mut connection.caller else {
-        return;
+        return release_if_large(&mut connection.input);
     };
-    caller.is_touched = false;
+    if connection.input.is_empty() {
+        connection.input = BytesMut::new();
+    }
     // The capacity shrinks as bytes are removed from the front; the memory does not.
     let input = connection.input.capacity();
     let held = if input == 0 {
@@ -61,7 +60,7 @@
         input.max(caller.input.bytes())
     };
     caller.input.set(held);
-    caller.output.set(connection.output.len());
+    caller.output.set(connection.output.own_len());
     let unread = if is_unread { MAX_UNREAD_BYTES } else { 0 };
     let is_unsent = !connection.output.is_empty();
     let unsent = if is_unsent { MAX_UNSENT_BYTES } else { 0 };
--- a/crates/gateways/wingshore-net/src/connection.rs
+++ b/crates/gateways/wingshore-net/src/connection.rs
@@ -30,6 +30,8 @@
     pub(crate) writable: bool,
     pub(crate) needs_flush: bool,
     pub(crate) read_pending: bool,
+    /// Whether it is in the list of connections whose buffers may have changed.
+    pub(crate) is_touched: bool,
     /// Bytes that the socket has taken so far.
     pub(crate) sent: u64,
     /// What a caller's connection has in the account; `None` for connections within the site.
--- a/crates/gateways/wingshore-net/src/connection_table.rs
+++ b/crates/gateways/wingshore-net/src/connection_table.rs
@@ -55,6 +55,7 @@
             writable: !connecting,
             needs_flush: false,
             read_pending: false,
+            is_touched: false,
             sent: 0,
             caller,
         });
--- a/crates/gateways/wingshore-net/src/http/body.rs
+++ b/crates/gateways/wingshore-net/src/http/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of HTTP messages: their framing, and reading them.
 
 use super::head::{AnswerHead, Headers, HttpError, RequestHead};
-use super::request_body::ArrivingBody;
+use super::message_body::ArrivingBody;
 use bytes::{Buf, BytesMut};
 
 /// Maximum length in bytes of a line of the chunked coding.
--- a/crates/gateways/wingshore-net/src/http/exchange.rs
+++ b/crates/gateways/wingshore-net/src/http/exchange.rs
@@ -4,7 +4,7 @@
 use super::head::{
     AnswerHead, HttpError, ReceivedHead, RequestHead, read_answer_head, read_request_head,
 };
-use super::request_body::{ArrivingBody, RequestBody};
+use super::message_body::{ArrivingBody, MessageBody};
 use crate::account::Account;
 use bytes::BytesMut;
 use snafu::Snafu;
@@ -63,7 +63,7 @@
     /// The head of the request.
     pub head: RequestHead,
     /// The body of the request, with any transfer coding removed.
-    pub body: RequestBody,
+    pub body: MessageBody,
 }
 
 /// A request whose head was read and whose body is incomplete.
@@ -149,7 +149,7 @@
         IncompleteRequest {
             head,
             reader: BodyReader::new(framing),
-            body: ArrivingBody::new(&self.account, declared),
+            body: ArrivingBody::of_request(&self.account, declared),
         }
     }
 
--- a/crates/gateways/wingshore-net/src/http/request_body.rs
+++ b/crates/gateways/wingshore-net/src/http/message_body.rs
@@ -1,4 +1,4 @@
-//! Bodies of requests, held once: in pieces that all who need the body share.
+//! Bodies of messages, held once: in pieces that all who need the body share.
 
 use crate::account::{Account, Charge, Part, SMALL_BODY_BYTES, share};
 use bytes::{Buf, Bytes};
@@ -12,14 +12,16 @@
 /// Smallest capacity in bytes of the first piece of a body that is longer.
 const FIRST_CAPACITY: usize = 1024;
 
-/// The body of a request. Clones share its memory.
+/// The body of a message. Clones share its memory.
 #[derive(Clone, Default)]
-pub struct RequestBody {
+pub struct MessageBody {
     pieces: Vec<Bytes>,
     length: usize,
+    /// Whether the pieces are counted in the account of callers' memory.
+    is_counted: bool,
 }
 
-impl RequestBody {
+impl MessageBody {
     /// Returns the number of bytes.
     pub fn len(&self) -> usize {
         self.length
@@ -35,6 +37,11 @@
         &self.pieces
     }
 
+    /// Returns whether the pieces are counted in the account of callers' memory.
+    pub(crate) fn is_counted(&self) -> bool {
+        self.is_counted
+    }
+
     /// Returns all bytes in one piece: a copy unless the body has one piece only.
     pub fn contiguous(&self) -> Cow<'_, [u8]> {
         match self.pieces.as_slice() {
@@ -74,7 +81,7 @@
     }
 }
 
-impl From<Vec<u8>> for RequestBody {
+impl From<Vec<u8>> for MessageBody {
     fn from(bytes: Vec<u8>) -> Self {
         let length = bytes.len();
         let pieces = if bytes.is_empty() {
@@ -82,19 +89,23 @@
         } else {
             vec![Bytes::from(bytes)]
         };
-        Self { pieces, length }
+        Self {
+            pieces,
+            length,
+            is_counted: false,
+        }
     }
 }
 
-impl PartialEq for RequestBody {
+impl PartialEq for MessageBody {
     fn eq(&self, other: &Self) -> bool {
         self.length == other.length && self.contiguous() == other.contiguous()
     }
 }
 
-impl Eq for RequestBody {}
+impl Eq for MessageBody {}
 
-impl Debug for RequestBody {
+impl Debug for MessageBody {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
@@ -105,8 +116,10 @@
 }
 
 /// A body that is arriving, whose memory is in the account from its first byte on.
-pub(super) struct ArrivingBody {
+pub struct ArrivingBody {
     account: Account,
+    /// What the pieces behind the first one are counted as.
+    later_part: Part,
     /// Complete pieces.
     pieces: Vec<Bytes>,
     /// The piece that is being filled, and its charge.
@@ -119,30 +132,62 @@
 }
 
 impl ArrivingBody {
-    /// Creates a body without bytes.
-    pub(super) fn new(account: &Account, declared: Option<usize>) -> Self {
+    /// Creates the body of a request, without bytes.
+    pub fn of_request(account: &Account, declared: Option<usize>) -> Self {
+        Self::new(account, (Part::Bodies, Part::LargeBodies), declared)
+    }
+
+    /// Creates the body of a server's answer, without bytes.
+    pub fn of_answer(account: &Account) -> Self {
+        Self::new(account, (Part::Answers, Part::Answers), None)
+    }
+
+    fn new(
+        account: &Account,
+        (first_part, later_part): (Part, Part),
+        declared: Option<usize>,
+    ) -> Self {
         Self {
             account: account.clone(),
+            later_part,
             pieces: Vec::new(),
             current: Vec::new(),
-            charge: account.charge(Part::Bodies, 0),
+            charge: account.charge(first_part, 0),
             length: 0,
             declared,
         }
     }
 
     /// Returns the number of bytes that have arrived.
-    pub(super) fn len(&self) -> usize {
+    pub fn len(&self) -> usize {
         self.length
     }
 
+    /// Returns whether no bytes have arrived.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Removes and returns the bytes that have arrived.
+    pub fn take(&mut self) -> Vec<u8> {
+        let current = std::mem::take(&mut self.current);
+        self.charge.set(0);
+        self.length = 0;
+        if self.pieces.is_empty() {
+            return current;
+        }
+        let mut bytes = std::mem::take(&mut self.pieces).concat();
+        bytes.extend_from_slice(&current);
+        bytes
+    }
+
     /// Returns the declared length; `None` if it is not known in advance.
     pub(super) fn declared(&self) -> Option<usize> {
         self.declared
     }
 
     /// Adds bytes at the end.
-    pub(super) fn extend(&mut self, mut bytes: &[u8]) {
+    pub fn extend(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
             self.make_room(bytes.len());
             let room = self.current.capacity() - self.current.len();
@@ -173,22 +218,23 @@
         self.charge.set(self.current.capacity());
     }
 
-    /// Ends the current piece. Later ones are those of a large body.
+    /// Ends the current piece.
     fn end_piece(&mut self) {
-        let next = self.account.charge(Part::LargeBodies, 0);
+        let next = self.account.charge(self.later_part, 0);
         let charge = std::mem::replace(&mut self.charge, next);
         let memory = std::mem::take(&mut self.current);
         self.pieces.push(share(memory, charge));
     }
 
     /// Returns the body, which is complete.
-    pub(super) fn finish(mut self) -> RequestBody {
+    pub fn finish(mut self) -> MessageBody {
         if !self.current.is_empty() {
             self.end_piece();
         }
-        RequestBody {
+        MessageBody {
             pieces: self.pieces,
             length: self.length,
+            is_counted: true,
         }
     }
 }
--- a/crates/gateways/wingshore-net/src/http/mod.rs
+++ b/crates/gateways/wingshore-net/src/http/mod.rs
@@ -5,7 +5,7 @@
 mod encode;
 mod exchange;
 mod head;
-mod request_body;
+mod message_body;
 mod status;
 
 pub use answer::HttpAnswer;
@@ -13,5 +13,5 @@
 pub use encode::{HeadWriter, write_chunk, write_last_chunk};
 pub use exchange::{AnswerReader, RequestError, RequestReader, WholeAnswer, WholeRequest};
 pub use head::{AnswerHead, Headers, HttpError, RequestHead};
-pub use request_body::RequestBody;
+pub use message_body::{ArrivingBody, MessageBody};
 pub use status::FinalStatus;
--- a/crates/gateways/wingshore-net/src/output.rs
+++ b/crates/gateways/wingshore-net/src/output.rs
@@ -17,10 +17,17 @@
 /// exceed the memory of the process.
 #[derive(Default)]
 pub(crate) struct OutputQueue {
-    pieces: VecDeque<Bytes>,
+    pieces: VecDeque<Piece>,
     tail: BytesMut,
 }
 
+/// A complete piece.
+struct Piece {
+    bytes: Bytes,
+    /// Whether its owner counts it in the account of callers' memory.
+    is_counted: bool,
+}
+
 impl OutputQueue {
     /// Queues a copy of `bytes`.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
@@ -29,26 +36,42 @@
 
     /// Queues `bytes`, which other queues may share.
     pub(crate) fn push_shared(&mut self, bytes: &Bytes) {
+        self.push_piece(bytes, false);
+    }
+
+    /// Queues `bytes`, which other queues may share and whose owner counts them in the account of
+    /// callers' memory.
+    pub(crate) fn push_counted(&mut self, bytes: &Bytes) {
+        self.push_piece(bytes, true);
+    }
+
+    fn push_piece(&mut self, bytes: &Bytes, is_counted: bool) {
         if bytes.len() < MIN_SHARED_BYTES {
             return self.push(bytes);
         }
         if !self.tail.is_empty() {
-            self.pieces.push_back(self.tail.split().freeze());
+            self.pieces.push_back(Piece {
+                bytes: self.tail.split().freeze(),
+                is_counted: false,
+            });
         }
-        self.pieces.push_back(bytes.clone());
+        self.pieces.push_back(Piece {
+            bytes: bytes.clone(),
+            is_counted,
+        });
     }
 
     /// Returns the next bytes to send; empty when the queue is empty.
     pub(crate) fn front(&self) -> &[u8] {
-        self.pieces.front().map_or(&self.tail, |piece| piece)
+        self.pieces.front().map_or(&self.tail, |piece| &piece.bytes)
     }
 
     /// Removes the first `count` bytes of [`OutputQueue::front`], which were sent.
     pub(crate) fn advance(&mut self, count: usize) {
         match self.pieces.front_mut() {
             Some(piece) => {
-                piece.advance(count);
-                if piece.is_empty() {
+                piece.bytes.advance(count);
+                if piece.bytes.is_empty() {
                     self.pieces.pop_front();
                 }
             }
@@ -58,7 +81,14 @@
 
     /// Returns the number of queued bytes.
     pub(crate) fn len(&self) -> usize {
-        self.pieces.iter().map(Bytes::len).sum::<usize>() + self.tail.len()
+        let pieces = self.pieces.iter().map(|piece| piece.bytes.len());
+        pieces.sum::<usize>() + self.tail.len()
+    }
+
+    /// Returns the number of queued bytes that no owner counts.
+    pub(crate) fn own_len(&self) -> usize {
+        let own = self.pieces.iter().filter(|piece| !piece.is_counted);
+        own.map(|piece| piece.bytes.len()).sum::<usize>() + self.tail.len()
     }
 
     pub(crate) fn is_empty(&self) -> bool {
--- a/crates/gateways/wingshore-net/src/reactor/mod.rs
+++ b/crates/gateways/wingshore-net/src/reactor/mod.rs
@@ -14,6 +14,7 @@
 use crate::connection::{Connection, write_queued};
 use crate::connection_table::ConnectionTable;
 use crate::event::{ConnectOptions, NetError, NetEvent, SystemSnafu};
+use crate::http::MessageBody;
 use crate::id::{ConnectionId, ListenerId};
 use crate::ready::Ready;
 use bytes::{Bytes, BytesMut};
@@ -67,7 +68,7 @@
     refused: Vec<ConnectionId>,
     /// What the connections of callers hold.
     account: Account,
-    /// Connections of callers whose charges are to be updated.
+    /// Connections whose buffers may have changed since the account was brought up to date.
     touched: Vec<ConnectionId>,
     /// Connections of callers that are not read until the process has handled what was read.
     read_ahead: Vec<ConnectionId>,
@@ -244,6 +245,22 @@
         }
     }
 
+    /// Queues a body, whose pieces are shared rather than copied.
+    pub fn send_body(&mut self, id: ConnectionId, body: &MessageBody) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        for piece in body.pieces() {
+            if body.is_counted() {
+                connection.output.push_counted(piece);
+            } else {
+                connection.output.push_shared(piece);
+            }
+        }
+        self.schedule_flush(id);
+        self.touch(id);
+    }
+
     /// Has [`NetEvent::Sent`] reported once all bytes that are queued for a caller have been sent.
     pub fn report_sent(&mut self, id: ConnectionId) {
         let connection = self.connections.get_mut(id);
--- a/crates/gateways/wingshore-net/src/reactor/reading.rs
+++ b/crates/gateways/wingshore-net/src/reactor/reading.rs
@@ -52,7 +52,8 @@
         self.caller_count
     }
 
-    /// Brings the account up to date with the buffers of callers' connections.
+    /// Brings the account up to date with the buffers of callers' connections, and frees large empty
+    /// buffers of all connections.
     pub fn update_account(&mut self) {
         for id in std::mem::take(&mut self.touched) {
             if let Some(connection) = self.connections.get_mut(id) {
@@ -64,9 +65,8 @@
     /// Records that the buffers of a connection may have changed.
     pub(super) fn touch(&mut self, id: ConnectionId) {
         let connection = self.connections.get_mut(id);
-        let caller = connection.and_then(|connection| connection.caller.as_mut());
-        if let Some(caller) = caller.filter(|caller| !caller.is_touched) {
-            caller.is_touched = true;
+        if let Some(connection) = connection.filter(|connection| !connection.is_touched) {
+            connection.is_touched = true;
             self.touched.push(id);
         }
     }
