--- a/crates/gateways/wingshore-coordination/src/leader/decisions/return_times.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/decisions/return_times.rs
@@ -84,7 +84,7 @@
     }
 
     /// Sends a job away; returns its Retry-After.
-    pub(crate) fn send_away(
+    pub(crate) fn shed(
         &mut self,
         now: Instant,
         job: &JobId,
--- a/crates/gateways/wingshore-coordination/src/leader/jobs.rs
+++ b/crates/gateways/wingshore-coordination/src/leader/jobs.rs
@@ -64,7 +64,7 @@
         if self.returns.may_enter(turn.now, job, priority, bytes, room) {
             return false;
         }
-        let retry_after = self.returns.send_away(turn.now, job, priority, bytes, room);
+        let retry_after = self.returns.shed(turn.now, job, priority, bytes, room);
         turn.log(Decision::JobRefused {
             job: job.clone(),
             bytes,
--- a/crates/gateways/wingshore-coordinator/src/process/mod.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/mod.rs
@@ -25,9 +25,9 @@
 mod member_changes;
 mod members;
 mod pending;
-mod relief;
 mod roles;
 mod schedule;
+mod shedding;
 mod start;
 mod views;
 
@@ -139,7 +139,7 @@
             for event in events.drain(..) {
                 self.on_net_event(now, event);
             }
-            self.relieve_memory(now);
+            self.shed_callers(now);
             self.take_write_events()?;
             self.run_housekeeping(now);
             if now >= self.host.next_tick() {
--- a/crates/gateways/wingshore-coordinator/src/process/relief.rs
+++ b/crates/gateways/wingshore-coordinator/src/process/shedding.rs
@@ -1,4 +1,5 @@
-//! Keeps what callers use within its bounds: who is refused or closed, and with which answer.
+//! Load shedding: keeps what callers use within its bounds, by refusing requests and closing
+//! connections.
 
 use super::{Coordinator, Role};
 use crate::protocol::ControlAnswer;
@@ -9,7 +10,7 @@
 
 impl Coordinator {
     /// Refuses or closes callers until all of them together stay within their bounds.
-    pub(super) fn relieve_memory(&mut self, now: Instant) {
+    pub(super) fn shed_callers(&mut self, now: Instant) {
         let bounds = self.settings.callers;
         self.reactor.update_account();
         if bounds.hold(self.reactor.account(), self.reactor.caller_count()) {
@@ -19,7 +20,7 @@
         let states = self.caller_states(now);
         let (account, count) = (self.reactor.account(), self.reactor.caller_count());
         let closed = connections_to_close(&bounds, account, &states, count);
-        self.send_all_away(now, &closed);
+        self.shed_all(now, &closed);
     }
 
     /// Returns what each caller's connection does and holds.
@@ -37,16 +38,16 @@
     }
 
     /// Refuses the requests that callers are sending, or closes their connections.
-    fn send_all_away(&mut self, now: Instant, closed: &[(ConnectionId, Cause)]) {
+    fn shed_all(&mut self, now: Instant, closed: &[(ConnectionId, Cause)]) {
         let used = self.reactor.account().total();
         let callers = &self.metrics.callers;
         callers.report_closed(&self.logger, closed, used, &self.settings.callers);
         for (connection, cause) in closed {
-            self.send_away(now, *connection, *cause);
+            self.shed(now, *connection, *cause);
         }
     }
 
-    fn send_away(&mut self, now: Instant, connection: ConnectionId, cause: Cause) {
+    fn shed(&mut self, now: Instant, connection: ConnectionId, cause: Cause) {
         match self.roles.get_mut(&connection) {
             Some(Role::Control(control))
                 if cause.is_refusal() && control.reader.head().is_some() =>
@@ -73,7 +74,7 @@
             is_stalled.then_some((*connection, Cause::UnreadAnswer))
         });
         let closed: Vec<_> = stalled.collect();
-        self.send_all_away(now, &closed);
+        self.shed_all(now, &closed);
     }
 
     /// Refuses a request at its head if its body cannot fit even when all incomplete ones are gone.
@@ -96,7 +97,7 @@
             _ => 0,
         });
         if !bounds.may_fit(account, incomplete.sum(), body) {
-            self.send_all_away(now, &[(connection, Cause::LargeBody)]);
+            self.shed_all(now, &[(connection, Cause::LargeBody)]);
         }
     }
 }
--- a/crates/gateways/wingshore-gateway/src/process/mod.rs
+++ b/crates/gateways/wingshore-gateway/src/process/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each part owns its state and returns the consequences of an event; the modules in here pass them
 //! on to other parts: [`network`] for connections, [`group`] for messages of coordinators,
-//! [`directory`] for the list of ready gateways, [`requests`] for clients' requests, [`relief`] for
+//! [`directory`] for the list of ready gateways, [`requests`] for clients' requests, [`shedding`] for
 //! clients that use too much, [`work`] for results from servers.
 
 mod directory;
@@ -10,8 +10,8 @@
 mod listeners;
 mod network;
 mod refusals;
-mod relief;
 mod requests;
+mod shedding;
 mod work;
 
 use crate::attempt_timeouts::StopProgress;
@@ -171,7 +171,7 @@
             self.on_net_event(event);
         }
         self.fire_timers();
-        self.relieve_memory();
+        self.shed_callers();
         self.run_housekeeping();
         Ok(())
     }
--- a/crates/gateways/wingshore-gateway/src/process/relief.rs
+++ b/crates/gateways/wingshore-gateway/src/process/shedding.rs
@@ -1,4 +1,5 @@
-//! Keeps what clients use within its bounds: who is refused or closed, and with which answer.
+//! Load shedding: keeps what clients use within its bounds, by refusing requests and closing
+//! connections.
 
 use super::Gateway;
 use crate::admission::Refusal;
@@ -9,7 +10,7 @@
 
 impl Gateway {
     /// Refuses or closes clients until all of them together stay within their bounds.
-    pub(super) fn relieve_memory(&mut self) {
+    pub(super) fn shed_callers(&mut self) {
         let bounds = self.settings.callers;
         let reactor = &mut self.environment.runtime.reactor;
         reactor.update_account();
@@ -21,23 +22,23 @@
         let states = self.clients.states(now, reactor);
         let (account, count) = (reactor.account(), reactor.caller_count());
         let closed = connections_to_close(&bounds, account, &states, count);
-        self.send_all_away(&closed);
+        self.shed_all(&closed);
         self.drop_answers();
     }
 
     /// Refuses the requests that clients are sending, or closes their connections.
-    fn send_all_away(&mut self, closed: &[(ConnectionId, Cause)]) {
+    fn shed_all(&mut self, closed: &[(ConnectionId, Cause)]) {
         let runtime = &self.environment.runtime;
         let used = runtime.reactor.account().total();
         let callers = &runtime.metrics.callers;
         callers.report_closed(&runtime.logger, closed, used, &self.settings.callers);
         for (connection, cause) in closed {
-            self.send_away(*connection, *cause);
+            self.shed(*connection, *cause);
         }
     }
 
     /// Refuses the request that a client is sending, or closes its connection.
-    fn send_away(&mut self, client: ConnectionId, cause: Cause) {
+    fn shed(&mut self, client: ConnectionId, cause: Cause) {
         let has_head = self.clients.head(client).is_some();
         if cause.is_refusal() && has_head && self.clients.close_after_answer(client) {
             self.clients.drop_body(client);
@@ -74,7 +75,7 @@
         let closed: Vec<_> = stalled
             .map(|connection| (connection, Cause::UnreadAnswer))
             .collect();
-        self.send_all_away(&closed);
+        self.shed_all(&closed);
     }
 
     /// Refuses a request at its head if its body cannot fit even when all incomplete ones are gone.
@@ -87,7 +88,7 @@
         }
         let incomplete = self.clients.incomplete_large_bytes();
         if !bounds.may_fit(account, incomplete, body) {
-            self.send_all_away(&[(client, Cause::LargeBody)]);
+            self.shed_all(&[(client, Cause::LargeBody)]);
         }
     }
 }
--- a/crates/gateways/wingshore-net/src/account.rs
+++ b/crates/gateways/wingshore-net/src/account.rs
@@ -2,7 +2,7 @@
 //!
 //! Every buffer of a caller goes through one [`Account`]: received bytes, heads and bodies of
 //! requests, answers that arrive for them, output that is not sent yet, and what the kernel may hold
-//! for connections that are not being read. The account only counts. Who is sent away when it is full
+//! for connections that are not being read. The account only counts. Who is shed when it is full
 //! is the decision of [`crate::callers`].
 //!
 //! **Invariant.** The count of a part is the sum of its [`Charge`]s: it is never negative, and zero
--- a/crates/gateways/wingshore-net/src/caller_report.rs
+++ b/crates/gateways/wingshore-net/src/caller_report.rs
@@ -1,4 +1,4 @@
-//! Metrics and log lines about what callers use, and about those that were sent away for it.
+//! Metrics and log lines about what callers use, and about those that were shed for it.
 
 use crate::account::{Account, Part};
 use crate::callers::{CallerBounds, Cause};
--- a/crates/gateways/wingshore-net/src/callers.rs
+++ b/crates/gateways/wingshore-net/src/callers.rs
@@ -1,4 +1,4 @@
-//! Decision: which callers are sent away when they use too much?
+//! Decision: which callers are shed when all of them use too much?
 //!
 //! No I/O, no clock.
 //!
@@ -11,9 +11,9 @@
 //! memory than they may, incomplete large bodies are refused, and after them those that hold an
 //! answer that is not read, bytes behind a request that waits, or another incomplete request are
 //! closed or refused; each time the one that has made no progress for longest. While there are too
-//! many connections, these are closed: incomplete requests, connections that never had a request, those
-//! that had one, and answers that are not read. Nobody is closed who waits for an answer and holds nothing
-//! else. A complete request that does not fit is refused before it is passed on.
+//! many connections, these are closed: incomplete requests, connections that never had a request,
+//! those that had one, and answers that are not read. Nobody is closed who waits for an answer and
+//! holds nothing else. A complete request that does not fit is refused before it is passed on.
 //!
 //! **Why.** Whatever callers send, the process stays within its memory, and what was passed on is not
 //! lost. Progress, not age, separates a slow legal body from one that has stopped: of many that do
@@ -73,7 +73,7 @@
     /// the account.
     pub fn admits(&self, account: &Account, body: usize) -> bool {
         let is_small = body <= SMALL_BODY_BYTES;
-        // What one turn adds to the account is relieved at its end.
+        // What one turn adds to the account is shed at its end.
         let most = self.memory
             + if is_small {
                 MAX_CALLER_BYTES_PER_POLL
--- a/crates/gateways/wingshore-net/src/reactor/reading.rs
+++ b/crates/gateways/wingshore-net/src/reactor/reading.rs
@@ -8,7 +8,7 @@
 use crate::id::ConnectionId;
 
 /// Bytes read from callers in one poll, over all of them: so much may come on top of the account before
-/// the process can send anyone away, and for so long its timers and its other connections wait.
+/// the process can shed anyone, and for so long its timers and its other connections wait.
 pub const MAX_CALLER_BYTES_PER_POLL: usize = 1024 * 1024;
 /// Bytes read from servers and from the site's own processes in one poll.
 const MAX_OTHER_BYTES_PER_POLL: usize = 2 * 1024 * 1024;
