Nodes: bodies are held in a pool of blocks that all threads share

Cause: each body is read by a thread of its own, and the heap of a thread keeps what was freed there; bodies that had given way stayed resident. Change: blocks of 64 KiB come from one pool and go back to it; a reading thread has a buffer of 16 KiB in place of 64. Why it works: no more blocks are ever made than bodies use at one time, whichever thread uses them. Check and bound are unchanged; the test prints the growth.

--- a/crates/nodes/wingshore-node/src/http/body.rs
+++ b/crates/nodes/wingshore-node/src/http/body.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 /// Size of the read buffer in bytes.
-const READ_SIZE: usize = 64 * 1024;
+const READ_SIZE: usize = 16 * 1024;
 
 /// Reason why a request body was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
--- a/crates/nodes/wingshore-node/src/http/body_memory.rs
+++ b/crates/nodes/wingshore-node/src/http/body_memory.rs
@@ -15,6 +15,9 @@
 //! stopped, and small requests never wait behind large ones.
 //!
 //! **Stale or missing inputs.** None: each body tells of its own bytes.
+//!
+//! The memory is a pool of blocks that all threads share. Each body is read by a thread of its own,
+//! and the heap of a thread keeps what was freed there: bodies that gave way would still be resident.
 
 use crate::lock::lock;
 use std::collections::BTreeMap;
@@ -25,6 +28,9 @@
 /// Part of the limit that large bodies may use, in eighths.
 const LARGE_BODY_EIGHTHS: usize = 7;
 
+/// Length of a block of the pool in bytes.
+const BLOCK_BYTES: usize = 64 * 1024;
+
 /// The bodies that a node holds.
 #[derive(Debug)]
 pub struct BodyMemory {
@@ -42,18 +48,45 @@
     counter: u64,
     /// Incomplete bodies by their number.
     arriving: BTreeMap<u64, ArrivingBody>,
+    /// Empty blocks that no body uses.
+    pool: Vec<Vec<u8>>,
 }
 
 #[derive(Debug, Default)]
 struct ArrivingBody {
-    bytes: Vec<u8>,
+    /// Full blocks, and one that is being filled.
+    blocks: Vec<Vec<u8>>,
+    /// Bytes in all blocks.
+    length: usize,
     /// When it last made progress, by the counter.
     progress: u64,
 }
 
 impl ArrivingBody {
     fn is_large(&self) -> bool {
-        self.bytes.len() > SMALL_BODY_BYTES
+        self.length > SMALL_BODY_BYTES
+    }
+
+    /// Adds bytes at the end, in blocks of the pool.
+    fn extend(&mut self, mut bytes: &[u8], pool: &mut Vec<Vec<u8>>) {
+        self.length += bytes.len();
+        while !bytes.is_empty() {
+            let room = self
+                .blocks
+                .last()
+                .map_or(0, |block| BLOCK_BYTES - block.len());
+            if room == 0 {
+                let block = pool.pop();
+                let block = block.unwrap_or_else(|| Vec::with_capacity(BLOCK_BYTES));
+                self.blocks.push(block);
+                continue;
+            }
+            let (now, later) = bytes.split_at(room.min(bytes.len()));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(now);
+            }
+            bytes = later;
+        }
     }
 }
 
@@ -81,8 +114,8 @@
         bodies.counter += 1;
         let number = bodies.counter;
         let body = ArrivingBody {
-            bytes: Vec::new(),
             progress: number,
+            ..ArrivingBody::default()
         };
         bodies.arriving.insert(number, body);
         BodySlot {
@@ -103,20 +136,29 @@
         let body = self.arriving.get_mut(&number).ok_or(NoRoom)?;
         let was_large = body.is_large();
         body.progress = self.counter;
-        body.bytes.extend_from_slice(bytes);
+        body.extend(bytes, &mut self.pool);
         self.used += bytes.len();
         if body.is_large() {
-            let length = body.bytes.len();
+            let length = body.length;
             self.used_by_large += if was_large { bytes.len() } else { length };
         }
         Ok(())
     }
 
     /// Removes an incomplete body and what it holds.
-    fn remove(&mut self, number: u64) -> Option<Vec<u8>> {
-        let body = self.arriving.remove(&number)?;
-        self.release(body.bytes.len());
-        Some(body.bytes)
+    fn remove(&mut self, number: u64) {
+        if let Some(body) = self.arriving.remove(&number) {
+            self.release(body.length);
+            self.recycle(body.blocks);
+        }
+    }
+
+    /// Puts blocks back into the pool.
+    fn recycle(&mut self, blocks: Vec<Vec<u8>>) {
+        self.pool.extend(blocks.into_iter().map(|mut block| {
+            block.clear();
+            block
+        }));
     }
 
     /// Gives back the memory of a body.
@@ -132,7 +174,7 @@
         while self.used > limit || self.used_by_large > large_limit {
             let is_for_large = self.used_by_large > large_limit;
             let holding = self.arriving.iter();
-            let holding = holding.filter(|(_, body)| !body.bytes.is_empty());
+            let holding = holding.filter(|(_, body)| body.length > 0);
             let holding = holding.filter(|(_, body)| !is_for_large || body.is_large());
             let first = holding.min_by_key(|(_, body)| (!body.is_large(), body.progress));
             let Some(number) = first.map(|(number, _)| *number) else {
@@ -171,11 +213,13 @@
     pub fn finish(self) -> Result<(Vec<u8>, BodyCharge), NoRoom> {
         let mut bodies = lock(&self.memory.bodies);
         let body = bodies.arriving.remove(&self.number).ok_or(NoRoom)?;
+        let bytes = body.blocks.concat();
+        bodies.recycle(body.blocks);
         let charge = BodyCharge {
             memory: Arc::clone(&self.memory),
-            length: body.bytes.len(),
+            length: body.length,
         };
-        Ok((body.bytes, charge))
+        Ok((bytes, charge))
     }
 }
 
--- a/crates/nodes/wingshore-node/tests/crowds.rs
+++ b/crates/nodes/wingshore-node/tests/crowds.rs
@@ -98,6 +98,7 @@
     let crowd = crowd(node.address(), CALLERS, bytes);
     thread::sleep(Duration::from_millis(300));
     let growth = resident_bytes().saturating_sub(before);
+    println!("a growth of {growth} bytes");
     expect_that!(growth, le(MAX_GROWTH), "growth of memory");
     expect_that!(post(node.address(), &target, "", "x").status, eq(200));
     let medium = "x".repeat(20_000);
